--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds on ratios and counts."""
