--- a/mulberryhollow/state/objects.py
+++ b/mulberryhollow/state/objects.py
@@ -21,6 +21,8 @@
         Its content, at most one megabyte.
     change_id : str
         The unique id that its last writer gave.
+    is_deleted : bool
+        Whether a watch reports its removal.
     """
 
     kind: str
@@ -28,6 +30,7 @@
     version: int
     value: bytes
     change_id: str = ""
+    is_deleted: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
