Bookings: claims, group commit and keys that carry their time

Cause: two entry instances may hold the same booking; only the store's conditional update may decide which one runs it. Ruled out: opaque keys, since a forgotten claim would let a late resend run again; archives of digests, which outgrow one object at the target. Change: a bucket state machine; operations name their attempt, so deciding one twice is harmless; claims of one slot of key time share objects that are dropped whole after 24 h.

--- /dev/null
+++ b/mulberryhollow/coordination/booking/__init__.py
@@ -0,0 +1,43 @@
+"""At-most-once bookings: keys, claims and their group commit."""
+
+from mulberryhollow.coordination.booking.bucket import Answer
+from mulberryhollow.coordination.booking.bucket import Bucket
+from mulberryhollow.coordination.booking.bucket import Read
+from mulberryhollow.coordination.booking.bucket import Write
+from mulberryhollow.coordination.booking.claim import Claim
+from mulberryhollow.coordination.booking.claim import ClaimState
+from mulberryhollow.coordination.booking.claim import decode_claims
+from mulberryhollow.coordination.booking.claim import encode_claims
+from mulberryhollow.coordination.booking.claim import Granted
+from mulberryhollow.coordination.booking.claim import Held
+from mulberryhollow.coordination.booking.claim import KeyReused
+from mulberryhollow.coordination.booking.claim import Lost
+from mulberryhollow.coordination.booking.claim import Recorded
+from mulberryhollow.coordination.booking.claim import Unwritten
+from mulberryhollow.coordination.booking.key import BookingKey
+from mulberryhollow.coordination.booking.key import ExpiredKey
+from mulberryhollow.coordination.booking.key import HORIZON_S
+from mulberryhollow.coordination.booking.key import MalformedKey
+from mulberryhollow.coordination.booking.key import parse_key
+
+__all__ = [
+    "HORIZON_S",
+    "Answer",
+    "BookingKey",
+    "Bucket",
+    "Claim",
+    "ClaimState",
+    "ExpiredKey",
+    "Granted",
+    "Held",
+    "KeyReused",
+    "Lost",
+    "MalformedKey",
+    "Read",
+    "Recorded",
+    "Unwritten",
+    "Write",
+    "decode_claims",
+    "encode_claims",
+    "parse_key",
+]
--- /dev/null
+++ b/mulberryhollow/coordination/booking/claim.py
@@ -0,0 +1,203 @@
+"""Claims of bookings and what becomes of a request for one."""
+
+import dataclasses
+import enum
+import json
+
+import attrs
+import cattrs
+
+__all__ = [
+    "Claim",
+    "ClaimState",
+    "Granted",
+    "Held",
+    "KeyReused",
+    "Lost",
+    "Recorded",
+    "Unwritten",
+    "apply_claim",
+    "apply_outcome",
+    "decode_claims",
+    "encode_claims",
+]
+
+
+class ClaimState(enum.Enum):
+    """Where a booking stands."""
+
+    RUNNING = "running"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class Claim:
+    """One booking key and its latest attempt.
+
+    Parameters
+    ----------
+    identity : str
+        Digest of client account and key.
+    body_digest : str
+        Digest of the request, to find another body under the same key.
+    request_id : str
+        Id of the attempt, as the endpoint sees it.
+    attempt : int
+        Number of the attempt, from 1.
+    endpoint_id, address : str
+        The endpoint of the attempt.
+    run_until_s : float
+        Wall-clock time after which the attempt sends nothing any more,
+        in seconds since the Unix epoch.
+    claimed_s : float
+        Wall-clock time of the claim, in seconds since the Unix epoch.
+    state : ClaimState
+        Where it stands.
+    outcome : str
+        The endpoint's answer as JSON text; empty until there is one.
+    """
+
+    identity: str
+    body_digest: str
+    request_id: str
+    attempt: int
+    endpoint_id: str
+    address: str
+    run_until_s: float
+    claimed_s: float
+    state: ClaimState = ClaimState.RUNNING
+    outcome: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Granted:
+    """The claim is stored: the asker alone may run this attempt."""
+
+    claim: Claim
+
+
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """An earlier claim of the same key and body stands."""
+
+    claim: Claim
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyReused:
+    """An earlier claim of the same key has another body."""
+
+    claim: Claim
+
+
+@dataclasses.dataclass(frozen=True)
+class Recorded:
+    """The outcome is stored, or was already."""
+
+    claim: Claim
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """Another attempt holds the key: this outcome is not stored."""
+
+    claim: Claim | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Unwritten:
+    """The store gave no usable answer: nothing may be run on this.
+
+    Parameters
+    ----------
+    reason : str
+        What was seen.
+    """
+
+    reason: str
+
+
+def apply_claim(claims, wanted):
+    """Decide one claim against those that stand.
+
+    Parameters
+    ----------
+    claims : dict
+        identity to Claim; changed in place when the claim is granted.
+    wanted : Claim
+        The claim asked for, in state RUNNING.
+
+    Returns
+    -------
+    Granted, Held or KeyReused
+        A lost answer followed by the same write gives Granted again,
+        unless somebody has settled the attempt since.
+    """
+    standing = claims.get(wanted.identity)
+    if standing is None:
+        claims[wanted.identity] = wanted
+        return Granted(wanted)
+    if standing.body_digest != wanted.body_digest:
+        return KeyReused(standing)
+    if standing.request_id == wanted.request_id:
+        return _answer_same_attempt(standing)
+    if standing.state is not ClaimState.NOT_RUN:
+        return Held(standing)
+    renewed = attrs.evolve(wanted, attempt=standing.attempt + 1)
+    claims[wanted.identity] = renewed
+    return Granted(renewed)
+
+
+def _answer_same_attempt(standing):
+    """Grant an attempt that is stored already and still running."""
+    if standing.state is ClaimState.RUNNING:
+        return Granted(standing)
+    return Held(standing)
+
+
+def apply_outcome(claims, ended):
+    """Record the outcome of one attempt.
+
+    Parameters
+    ----------
+    claims : dict
+        identity to Claim; changed in place.
+    ended : Claim
+        The attempt with its new state and outcome.
+
+    Returns
+    -------
+    Recorded or Lost
+        A final state is never replaced; UNKNOWN gives way to a settled
+        one.
+    """
+    standing = claims.get(ended.identity)
+    if standing is None or standing.request_id != ended.request_id:
+        return Lost(standing)
+    if standing.state in (ClaimState.DONE, ClaimState.NOT_RUN):
+        return Recorded(standing)
+    claims[ended.identity] = ended
+    return Recorded(ended)
+
+
+def encode_claims(claims):
+    """Return the bytes of a bucket object for a dict of claims."""
+    rows = [cattrs.unstructure(claim) for claim in claims.values()]
+    return json.dumps(rows, separators=(",", ":")).encode()
+
+
+def decode_claims(value):
+    """Return the dict of claims that a bucket object holds.
+
+    Raises
+    ------
+    ValueError
+        When the object is not a list of claims.
+    """
+    try:
+        rows = cattrs.structure(json.loads(value), list[Claim])
+    except (cattrs.BaseValidationError, TypeError) as error:
+        raise ValueError(f"malformed claims: {error}") from error
+    return {claim.identity: claim for claim in rows}
--- /dev/null
+++ b/mulberryhollow/coordination/booking/key.py
@@ -0,0 +1,126 @@
+"""Idempotency keys that carry the time at which they were made."""
+
+import dataclasses
+import re
+
+import attrs
+import xxhash
+
+__all__ = [
+    "BookingKey",
+    "ExpiredKey",
+    "HORIZON_S",
+    "MalformedKey",
+    "parse_key",
+]
+
+HORIZON_S = 24 * 3600
+"""Age after which a key is refused and its claim may be removed."""
+
+SKEW_S = 300
+"""Largest lead of a caller's clock over ours, in seconds."""
+
+SLOT_S = 600
+"""Span of key times that share one set of buckets, in seconds."""
+
+BUCKETS_PER_SLOT = 8
+"""Number of bucket objects in one slot of time."""
+
+_PATTERN = re.compile(r"(\d{10})-([A-Za-z0-9._-]{8,64})")
+_FORM = "UNIXSECONDS-RANDOM, for example 1764806400-7f3a9c21e4"
+
+
+@attrs.frozen
+class BookingKey:
+    """A checked idempotency key of one client account.
+
+    Parameters
+    ----------
+    account : str
+        The client account; keys of two accounts never meet.
+    text : str
+        The key as sent.
+    made_s : int
+        When it was made, in seconds since the Unix epoch.
+    """
+
+    account: str
+    text: str
+    made_s: int
+
+    @property
+    def identity(self):
+        """Hexadecimal digest that names the claim in its bucket."""
+        whole = f"{self.account}\0{self.text}"
+        return xxhash.xxh3_128_hexdigest(whole.encode())
+
+    @property
+    def bucket(self):
+        """Name of the object that holds the claim."""
+        slot = self.made_s // SLOT_S
+        place = int(self.identity[:8], 16) % BUCKETS_PER_SLOT
+        return f"{slot}-{place}"
+
+
+@dataclasses.dataclass(frozen=True)
+class MalformedKey:
+    """The key has not the required form.
+
+    Parameters
+    ----------
+    remedy : str
+        How to form it.
+    """
+
+    remedy: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ExpiredKey:
+    """The key is older than the horizon: an earlier send may have run."""
+
+
+def parse_key(account, text, now_s):
+    """Check the form and the age of a key.
+
+    Parameters
+    ----------
+    account : str
+        The client account.
+    text : str
+        The key as sent.
+    now_s : float
+        Wall-clock time, in seconds since the Unix epoch.
+
+    Returns
+    -------
+    BookingKey, MalformedKey or ExpiredKey
+
+    Examples
+    --------
+    >>> parse_key("desk", "1764806400-7f3a9c21e4", 1764806460.0).bucket
+    '2941344-7'
+    """
+    found = _PATTERN.fullmatch(text)
+    if found is None:
+        return MalformedKey(f"send a key of the form {_FORM}")
+    made_s = int(found.group(1))
+    if made_s > now_s + SKEW_S:
+        return MalformedKey("set the clock that makes the keys; it is ahead")
+    if made_s < now_s - HORIZON_S:
+        return ExpiredKey()
+    return BookingKey(account, text, made_s)
+
+
+def list_expired_slots(names, now_s):
+    """Return the bucket names whose every key is past the horizon.
+
+    Parameters
+    ----------
+    names : iterable of str
+        Names of bucket objects.
+    now_s : float
+        Wall-clock time, in seconds since the Unix epoch.
+    """
+    oldest_slot = int(now_s - HORIZON_S - SKEW_S) // SLOT_S
+    return [name for name in names if int(name.split("-")[0]) < oldest_slot]
