--- /dev/null
+++ b/mulberryhollow/coordination/streams/assembly.py
@@ -0,0 +1,111 @@
+"""Assembly of one answer out of lines from one or more attempts."""
+
+import attrs
+
+from mulberryhollow.coordination.streams import fault
+
+__all__ = ["Assembly", "End", "TokenLine"]
+
+
+@attrs.frozen
+class TokenLine:
+    """One token of an answer.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the attempt that it belongs to.
+    seq : int
+        Its place in the whole answer, from 0.
+    token : str
+        Its text.
+    """
+
+    request_id: str
+    seq: int
+    token: str
+
+
+@attrs.frozen
+class End:
+    """The end mark of an answer.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the attempt that it belongs to.
+    seq : int
+        Number of tokens in the whole answer.
+    computed_prompt_tokens : int
+        Tokens that the attempt had to compute before its first one.
+    cached_prompt_tokens : int
+        Tokens that it found in its cache.
+    """
+
+    request_id: str
+    seq: int
+    computed_prompt_tokens: int = 0
+    cached_prompt_tokens: int = 0
+
+
+class Assembly:
+    """Checks that each line belongs to the answer and follows the last.
+
+    Parameters
+    ----------
+    tokens : iterable of str
+        Tokens known already, from an earlier instance.
+
+    Examples
+    --------
+    >>> answer = Assembly()
+    >>> answer.start("r1~1")
+    >>> answer.take(TokenLine("r1~1", 0, " plumber"))
+    >>> answer.take(End("r1~1", 1))
+    >>> answer.is_complete, answer.tokens
+    (True, [' plumber'])
+    """
+
+    def __init__(self, tokens=()):
+        self.tokens = list(tokens)
+        self.is_complete = False
+        self._attempt_id = None
+
+    def start(self, attempt_id):
+        """Begin an attempt that goes on after the tokens so far."""
+        self._attempt_id = attempt_id
+
+    def take(self, line):
+        """Add one line; return None, or the fault that it shows.
+
+        Parameters
+        ----------
+        line : TokenLine or End
+            The next line that arrived.
+
+        Returns
+        -------
+        None, Crossed or Truncated
+        """
+        if line.request_id != self._attempt_id:
+            return fault.Crossed(f"line of {line.request_id}")
+        if line.seq != len(self.tokens):
+            return self._classify_gap(line)
+        match line:
+            case TokenLine():
+                self.tokens.append(line.token)
+            case End():
+                self.is_complete = True
+        return None
+
+    def finish(self):
+        """Take the end of the connection; return None or the fault."""
+        if self.is_complete:
+            return None
+        return fault.Truncated(len(self.tokens))
+
+    def _classify_gap(self, line):
+        """Return the fault of a line that is out of sequence."""
+        if isinstance(line, End):
+            return fault.Truncated(len(self.tokens))
+        return fault.Crossed(f"place {line.seq} after {len(self.tokens)}")
--- /dev/null
+++ b/mulberryhollow/coordination/streams/fault.py
@@ -0,0 +1,84 @@
+"""Tagged outcomes of an attempt that gave no whole answer."""
+
+import dataclasses
+
+__all__ = [
+    "Broken",
+    "Crossed",
+    "Failed",
+    "NotSent",
+    "RefusedByEndpoint",
+    "Silent",
+    "Truncated",
+    "has_run",
+    "name_cause",
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class NotSent:
+    """No byte of the request can have reached the endpoint."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RefusedByEndpoint:
+    """The endpoint itself says that it did not run the request."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Failed:
+    """The endpoint answered with an error status."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Broken:
+    """The connection ended after bytes had been sent."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Silent:
+    """No byte arrived within the inactivity timeout, in seconds."""
+
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Crossed:
+    """A line belongs to another request or stands out of sequence."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Truncated:
+    """The answer ended without its end mark."""
+
+    tokens: int
+
+
+def has_run(fault):
+    """Return whether the request may have run in spite of the fault."""
+    return not isinstance(fault, NotSent | RefusedByEndpoint)
+
+
+def name_cause(fault):
+    """Return the name under which recomputed tokens are counted."""
+    match fault:
+        case Broken() | NotSent():
+            return "endpoint_lost"
+        case Silent():
+            return "silent"
+        case Crossed():
+            return "crossed"
+        case Truncated():
+            return "truncated"
+        case _:
+            return "endpoint_failed"
--- a/mulberryhollow/errors.py
+++ b/mulberryhollow/errors.py
@@ -6,6 +6,7 @@
 __all__ = [
     "ConfigurationError",
     "ConflictError",
+    "EndpointError",
     "MulberryError",
     "PeerError",
     "RefusalKind",
@@ -140,3 +141,17 @@
     def __init__(self, refusal):
         super().__init__(refusal.message, refusal.remedy)
         self.refusal = refusal
+
+
+class EndpointError(MulberryError):
+    """An endpoint failed one attempt.
+
+    Parameters
+    ----------
+    fault : object
+        A tagged outcome of `mulberryhollow.coordination.streams.fault`.
+    """
+
+    def __init__(self, fault):
+        super().__init__(str(fault), "try another endpoint")
+        self.fault = fault
