Bookings run: claim, one send on a fresh connection, settle by look-up

Cause: a resend must learn what an earlier send gave; a cached bucket cannot tell, so looking reads the store anew. Ruled out: trusting any 404 of a look-up; an endpoint that started after the claim has no record of it, so it must name when its ledger began.

--- a/mulberryhollow/coordination/booking/__init__.py
+++ b/mulberryhollow/coordination/booking/__init__.py
@@ -13,6 +13,7 @@
 from mulberryhollow.coordination.booking.claim import KeyReused
 from mulberryhollow.coordination.booking.claim import Lost
 from mulberryhollow.coordination.booking.claim import Recorded
+from mulberryhollow.coordination.booking.claim import Standing
 from mulberryhollow.coordination.booking.claim import Unwritten
 from mulberryhollow.coordination.booking.key import BookingKey
 from mulberryhollow.coordination.booking.key import ExpiredKey
@@ -35,6 +36,7 @@
     "MalformedKey",
     "Read",
     "Recorded",
+    "Standing",
     "Unwritten",
     "Write",
     "decode_claims",
--- a/mulberryhollow/coordination/booking/bucket.py
+++ b/mulberryhollow/coordination/booking/bucket.py
@@ -55,7 +55,7 @@
     token : object
         What the operation was submitted with.
     result : object
-        Granted, Held, KeyReused, Recorded, Lost or Unwritten.
+        Granted, Held, KeyReused, Recorded, Lost, Standing or Unwritten.
     """
 
     token: object
@@ -64,11 +64,11 @@
 
 @attrs.define
 class _Operation:
-    """A claim to decide, and whether it is an outcome."""
+    """A claim to decide and the function that decides it."""
 
     token: object
     claim: claims_module.Claim
-    is_outcome: bool
+    decide: object
     attempts: int = 0
 
 
@@ -82,7 +82,7 @@
 
     Notes
     -----
-    Call `submit_claim` or `submit_outcome`, then carry out what `step`
+    Call a submit method, then carry out what `step`
     returns and report it by `finish_read` or `finish_write`, until
     `step` returns None.
     """
@@ -97,6 +97,7 @@
         self._writing = []
         self._results = []
         self._is_busy = False
+        self._needs_read = False
 
     @property
     def is_idle(self):
@@ -105,23 +106,24 @@
 
     def submit_claim(self, token, claim):
         """Ask for a claim; the answer comes from a later step."""
-        self._waiting.append(_Operation(token, claim, False))
+        self._submit(token, claim, self._decide_claim)
 
     def submit_outcome(self, token, claim):
         """Ask for an outcome to be recorded."""
-        self._waiting.append(_Operation(token, claim, True))
+        self._submit(token, claim, claims_module.apply_outcome)
 
-    def refresh(self):
-        """Forget the cached version, so that the next step reads."""
-        if not self._is_busy:
-            self._version = None
+    def submit_look(self, token, claim):
+        """Ask how a claim stands in the store now."""
+        self._needs_read = True
+        self._submit(token, claim, claims_module.find_standing)
 
     def step(self):
         """Return (Read, Write or None, answers that need no write)."""
         if self._is_busy or not self._waiting:
             return None, []
         self._is_busy = True
-        if self._version is None:
+        if self._version is None or self._needs_read:
+            self._needs_read = False
             return Read(self.name), []
         return self._prepare_write()
 
@@ -176,7 +178,7 @@
         claims = dict(self._claims)
         self._writing = self._waiting
         self._waiting = []
-        self._results = [self._decide(claims, op) for op in self._writing]
+        self._results = [op.decide(claims, op.claim) for op in self._writing]
         if claims == self._claims:
             self._is_busy = False
             return None, self._answer_written()
@@ -185,14 +187,16 @@
         self._written_claims = claims
         return Write(self.name, value, self._version), []
 
-    def _decide(self, claims, operation):
-        """Apply one operation to the claims."""
-        if operation.is_outcome:
-            return claims_module.apply_outcome(claims, operation.claim)
-        is_new = operation.claim.identity not in claims
+    def _submit(self, token, claim, decide):
+        """Queue one operation."""
+        self._waiting.append(_Operation(token, claim, decide))
+
+    def _decide_claim(self, claims, claim):
+        """Decide a claim, unless it is new and the object is full."""
+        is_new = claim.identity not in claims
         if is_new and self._size_bytes > CAPACITY_BYTES:
             return claims_module.Unwritten("the bucket object is full")
-        return claims_module.apply_claim(claims, operation.claim)
+        return claims_module.apply_claim(claims, claim)
 
     def _answer_written(self):
         """Return the answers of the operations just decided."""
--- a/mulberryhollow/coordination/booking/claim.py
+++ b/mulberryhollow/coordination/booking/claim.py
@@ -15,11 +15,13 @@
     "KeyReused",
     "Lost",
     "Recorded",
+    "Standing",
     "Unwritten",
     "apply_claim",
     "apply_outcome",
     "decode_claims",
     "encode_claims",
+    "find_standing",
 ]
 
 
@@ -106,6 +108,13 @@
     claim: Claim | None
 
 
+@dataclasses.dataclass(frozen=True)
+class Standing:
+    """How a claim stands; None when there is none."""
+
+    claim: Claim | None
+
+
 @dataclasses.dataclass(frozen=True)
 class Unwritten:
     """The store gave no usable answer: nothing may be run on this.
@@ -182,6 +191,11 @@
     return Recorded(ended)
 
 
+def find_standing(claims, looked_for):
+    """Return how the claim of the same key stands."""
+    return Standing(claims.get(looked_for.identity))
+
+
 def encode_claims(claims):
     """Return the bytes of a bucket object for a dict of claims."""
     rows = [cattrs.unstructure(claim) for claim in claims.values()]
--- a/mulberryhollow/protocol/endpoints.py
+++ b/mulberryhollow/protocol/endpoints.py
@@ -15,6 +15,7 @@
     "LookupAnswer",
     "decode_booking",
     "decode_cache_events",
+    "decode_ledger_start",
     "decode_line",
     "decode_load",
     "decode_lookup",
@@ -227,6 +228,14 @@
         raise ValueError(f"malformed booking: {error}") from error
 
 
+def decode_ledger_start(data):
+    """Return since when a ledger is complete, in Unix seconds."""
+    try:
+        return float(_decode(data)["ledger_since_s"])
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"malformed look-up: {error}") from error
+
+
 def _decode(data):
     """Return the JSON object in data; ValueError if there is none."""
     fields = json.loads(data)
--- /dev/null
+++ b/mulberryhollow/transport/bookings.py
@@ -0,0 +1,363 @@
+"""Runs bookings: claim first, send once, settle what is unknown."""
+
+import json
+import logging
+import threading
+
+import attrs
+import xxhash
+
+from mulberryhollow.coordination import booking
+from mulberryhollow.coordination import streams
+from mulberryhollow import errors
+from mulberryhollow import events
+from mulberryhollow.protocol import callers
+from mulberryhollow.protocol import endpoints as messages
+
+__all__ = ["BookingDesk"]
+
+ATTEMPTS = 3
+"""Attempts of one booking at one instance, each settled before the next."""
+
+JOIN_INTERVAL_S = 0.1
+"""Time between two looks at a booking that another attempt runs."""
+
+STORE_RETRY_S = 5.0
+"""When to come back after the store gave no usable answer, in seconds."""
+
+UNKNOWN_RETRY_S = 2.0
+"""When to come back for an outcome that is not settled, in seconds."""
+
+_SEND_MARGIN_S = 0.2
+
+OUTCOME_UNKNOWN = events.declare(
+    3002,
+    logging.WARNING,
+    "the outcome of a booking is unknown",
+    "ask the endpoint's owner; the caller may resend with the same key",
+)
+OUTCOME_UNWRITTEN = events.declare(
+    3003,
+    logging.WARNING,
+    "the outcome of a booking could not be stored; its claim stands",
+)
+BOOKING_SETTLED = events.declare(
+    3004, logging.INFO, "a booking of unknown outcome was settled"
+)
+
+
+@attrs.frozen
+class _Run:
+    """One booking request with its checked key."""
+
+    request: callers.CallerRequest
+    key: booking.BookingKey
+    body_digest: str
+
+
+class BookingDesk:
+    """Answers booking requests, each run at most once.
+
+    Parameters
+    ----------
+    claims : ClaimStore
+        Where claims are kept.
+    endpoints : EndpointClient
+        Adapter to the endpoints.
+    dispatcher : Dispatcher
+        Chooses endpoints.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, claims, endpoints, dispatcher, clock):
+        self._claims = claims
+        self._endpoints = endpoints
+        self._dispatcher = dispatcher
+        self._clock = clock
+
+    def book(self, request):
+        """Run a booking, or join or repeat what an earlier send gave.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request, with a BookingRequest as its body.
+
+        Returns
+        -------
+        BookingAnswer
+
+        Raises
+        ------
+        RefusedError
+            With `Ran.NOT_RUN` only when no attempt can have run.
+        """
+        run = _Run(request, self._check_key(request), _digest(request))
+        excluded = set()
+        for number in range(1, ATTEMPTS + 1):
+            answer = self._attempt(run, number, excluded)
+            if answer is not None:
+                return answer
+        raise _refuse_no_capacity(errors.Ran.NOT_RUN)
+
+    def _check_key(self, request):
+        """Return the BookingKey of a request, or refuse it."""
+        if not request.key_text:
+            raise callers.refuse(
+                errors.RefusalKind.KEY_REQUIRED,
+                "a booking needs an idempotency key",
+                "send Idempotency-Key: UNIXSECONDS-RANDOM",
+            )
+        now_s = self._clock.wall_s()
+        found = booking.parse_key(request.account, request.key_text, now_s)
+        match found:
+            case booking.MalformedKey(remedy):
+                raise callers.refuse(
+                    errors.RefusalKind.MALFORMED,
+                    "the idempotency key has not the required form",
+                    remedy,
+                )
+            case booking.ExpiredKey():
+                raise callers.refuse(
+                    errors.RefusalKind.KEY_EXPIRED,
+                    "the key is past its horizon; an earlier send may"
+                    " have run",
+                    "look the booking up; book again under a new key",
+                    ran=errors.Ran.UNKNOWN,
+                )
+        return found
+
+    def _attempt(self, run, number, excluded):
+        """Make one attempt; return its answer, or None to try again."""
+        request = run.request
+        chosen = self._dispatcher.choose(request, excluded=excluded)
+        fault = None
+        try:
+            wanted = self._make_claim(run, number, chosen)
+            match self._claims.claim(run.key.bucket, wanted).result():
+                case booking.Granted(claim):
+                    answer, fault = self._send(run, claim, excluded)
+                    return answer
+                case booking.Held(claim):
+                    return self._join(run, claim)
+                case booking.KeyReused():
+                    raise _refuse_reused()
+                case booking.Unwritten(reason):
+                    raise _refuse_unwritten(reason)
+        finally:
+            self._dispatcher.finish(chosen, fault)
+
+    def _make_claim(self, run, number, chosen):
+        """Return the claim of an attempt at a chosen endpoint."""
+        request = run.request
+        return booking.Claim(
+            identity=run.key.identity,
+            body_digest=run.body_digest,
+            request_id=f"{request.request_id}-{number}",
+            attempt=1,
+            endpoint_id=chosen.endpoint_id,
+            address=chosen.address,
+            run_until_s=request.deadline_s,
+            claimed_s=self._clock.wall_s(),
+        )
+
+    def _send(self, run, claim, excluded):
+        """Send a granted attempt; return (answer or None, fault)."""
+        left_s = claim.run_until_s - self._clock.wall_s()
+        if left_s < _SEND_MARGIN_S:
+            self._record(run, claim, booking.ClaimState.NOT_RUN)
+            raise _refuse_late()
+        try:
+            answer = self._endpoints.book(
+                claim.address,
+                claim.request_id,
+                run.key.text,
+                run.request.body,
+                left_s,
+            )
+        except errors.EndpointError as error:
+            excluded.add(claim.endpoint_id)
+            return self._handle_fault(run, claim, error.fault), error.fault
+        self._record_done(run, claim, answer)
+        return answer, None
+
+    def _handle_fault(self, run, claim, fault):
+        """Settle a fault; return an answer, None to retry, or raise."""
+        match fault:
+            case streams.NotSent():
+                self._record(run, claim, booking.ClaimState.NOT_RUN)
+                return None
+            case streams.RefusedByEndpoint(reason):
+                return self._end_refused(run, claim, reason)
+        return self._settle(run, claim)
+
+    def _end_refused(self, run, claim, reason):
+        """End an attempt that the endpoint refused.
+
+        Another send may have taken the booking over meanwhile; then its
+        outcome is the answer.
+        """
+        result = self._record(run, claim, booking.ClaimState.NOT_RUN)
+        if isinstance(result, booking.Lost) and result.claim is not None:
+            return self._join(run, result.claim)
+        raise callers.refuse(
+            errors.RefusalKind.ENDPOINT_REFUSED,
+            f"the endpoint refused the booking: {reason}",
+            "choose another slot, or resend with the same key",
+        )
+
+    def _settle(self, run, claim):
+        """Ask the endpoint of an attempt what became of it.
+
+        Returns
+        -------
+        BookingAnswer or None
+            None when the attempt has not run and never will.
+
+        Raises
+        ------
+        RefusedError
+            Outcome unknown, when the endpoint does not say.
+        """
+        try:
+            found = self._endpoints.find_booking(
+                claim.address, claim.request_id, claim.claimed_s
+            )
+        except errors.EndpointError as error:
+            events.log(
+                OUTCOME_UNKNOWN,
+                request_id=claim.request_id,
+                endpoint=claim.endpoint_id,
+                fault=str(error.fault),
+            )
+            self._record(run, claim, booking.ClaimState.UNKNOWN)
+            raise _refuse_unknown() from error
+        events.log(
+            BOOKING_SETTLED,
+            request_id=claim.request_id,
+            is_done=found is not None,
+        )
+        if found is not None:
+            self._record_done(run, claim, found)
+            return found
+        state = booking.ClaimState.NOT_RUN
+        result = self._record(run, claim, state)
+        if isinstance(result, booking.Unwritten):
+            raise _refuse_unwritten(result.reason)
+        return None
+
+    def _join(self, run, claim):
+        """Wait for the attempt of another send of the same booking.
+
+        Returns
+        -------
+        BookingAnswer or None
+            None when that attempt has not run and never will.
+
+        Raises
+        ------
+        RefusedError
+            Outcome unknown, when it is not known by the deadline.
+        """
+        while True:
+            match claim.state:
+                case booking.ClaimState.DONE:
+                    return _decode_outcome(claim)
+                case booking.ClaimState.NOT_RUN:
+                    return None
+                case booking.ClaimState.UNKNOWN:
+                    return self._settle(run, claim)
+            now_s = self._clock.wall_s()
+            if now_s > claim.run_until_s:
+                return self._settle(run, claim)
+            if now_s > run.request.deadline_s:
+                raise _refuse_unknown()
+            self._clock.wait(threading.Event(), JOIN_INTERVAL_S)
+            claim = self._look_again(run, claim)
+
+    def _look_again(self, run, claim):
+        """Return the claim as it stands in the store now."""
+        match self._claims.look(run.key.bucket, claim).result():
+            case booking.Standing(claim=found) if found is not None:
+                return found
+        return claim
+
+    def _record_done(self, run, claim, answer):
+        """Store the outcome of a booking that is made."""
+        outcome = json.dumps(attrs.asdict(answer))
+        self._record(run, claim, booking.ClaimState.DONE, outcome)
+
+    def _record(self, run, claim, state, outcome=""):
+        """Store the state of an attempt; return the result."""
+        ended = attrs.evolve(claim, state=state, outcome=outcome)
+        result = self._claims.record(run.key.bucket, ended).result()
+        if isinstance(result, booking.Unwritten):
+            events.log(
+                OUTCOME_UNWRITTEN,
+                request_id=claim.request_id,
+                reason=result.reason,
+            )
+        return result
+
+
+def _digest(request):
+    """Return the digest of what a booking asks for."""
+    text = json.dumps([request.service, attrs.asdict(request.body)])
+    return xxhash.xxh3_128_hexdigest(text.encode())
+
+
+def _decode_outcome(claim):
+    """Return the stored BookingAnswer of a claim."""
+    return messages.BookingAnswer(**json.loads(claim.outcome))
+
+
+def _refuse_unwritten(reason):
+    """Return the refusal of a booking that could not be claimed."""
+    return callers.refuse(
+        errors.RefusalKind.STORE_UNAVAILABLE,
+        f"the booking could not be claimed: {reason}",
+        "resend with the same key",
+        retry_after_s=STORE_RETRY_S,
+    )
+
+
+def _refuse_unknown():
+    """Return the refusal of a booking that may have run."""
+    return callers.refuse(
+        errors.RefusalKind.OUTCOME_UNKNOWN,
+        "the booking may have been made",
+        "resend with the same key to learn its outcome",
+        ran=errors.Ran.UNKNOWN,
+        retry_after_s=UNKNOWN_RETRY_S,
+    )
+
+
+def _refuse_reused():
+    """Return the refusal of a key that stands for another booking."""
+    return callers.refuse(
+        errors.RefusalKind.KEY_REUSED,
+        "the key was sent before with another body",
+        "use a new key for a new booking",
+    )
+
+
+def _refuse_late():
+    """Return the refusal of a booking with no time left to send it."""
+    return callers.refuse(
+        errors.RefusalKind.DEADLINE_PASSED,
+        "the deadline passed before the booking was sent",
+        "resend with the same key and a longer X-Timeout-S",
+        retry_after_s=1.0,
+    )
+
+
+def _refuse_no_capacity(ran):
+    """Return the refusal of a booking that no endpoint took."""
+    return callers.refuse(
+        errors.RefusalKind.NO_CAPACITY,
+        "no endpoint took the booking",
+        "resend with the same key",
+        ran=ran,
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/mulberryhollow/transport/claims.py
@@ -0,0 +1,185 @@
+"""Actor that keeps booking claims in the platform's store."""
+
+import concurrent.futures
+import enum
+import logging
+
+import attrs
+import pykka
+
+from mulberryhollow.coordination import booking
+from mulberryhollow import errors
+from mulberryhollow import events
+from mulberryhollow.transport import store as store_adapter
+
+__all__ = ["ClaimKeeper", "ClaimStore"]
+
+KIND = "claims"
+"""Kind of the bucket objects."""
+
+_STORE_THREADS = 8
+_IDLE_BUCKETS = 64
+
+BUCKET_MALFORMED = events.declare(
+    3001,
+    logging.ERROR,
+    "a claim bucket is malformed; its bookings are refused",
+    "restore the object from its last good version",
+)
+
+
+class _Wish(enum.Enum):
+    """What to do with a claim."""
+
+    CLAIM = enum.auto()
+    RECORD = enum.auto()
+    LOOK = enum.auto()
+
+
+@attrs.frozen
+class _Submit:
+    """A claim and what to do with it."""
+
+    bucket: str
+    claim: booking.Claim
+    wish: _Wish
+    future: concurrent.futures.Future
+
+
+@attrs.frozen
+class _Finished:
+    """A store call of a bucket has ended."""
+
+    bucket: str
+    action: object
+    result: object
+
+
+class ClaimKeeper(pykka.ThreadingActor):
+    """Owns the buckets; store calls run beside it on a few threads.
+
+    Parameters
+    ----------
+    store : StoreClient
+        Adapter to the object API.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, store):
+        super().__init__()
+        self._store = store
+        self._buckets = {}
+        self._threads = concurrent.futures.ThreadPoolExecutor(
+            _STORE_THREADS, thread_name_prefix="claims"
+        )
+
+    def on_stop(self):
+        """Wait for the store calls under way."""
+        self._threads.shutdown(wait=True)
+
+    def on_receive(self, message):
+        """Take one message and go on with the bucket it concerns."""
+        bucket = self._get_bucket(message.bucket)
+        match message:
+            case _Submit(wish=_Wish.CLAIM):
+                bucket.submit_claim(message.future, message.claim)
+            case _Submit(wish=_Wish.RECORD):
+                bucket.submit_outcome(message.future, message.claim)
+            case _Submit(wish=_Wish.LOOK):
+                bucket.submit_look(message.future, message.claim)
+            case _Finished():
+                self._finish(bucket, message)
+        self._go_on(bucket)
+
+    def _get_bucket(self, name):
+        """Return the bucket, forgetting idle ones when there are many."""
+        if name not in self._buckets:
+            if len(self._buckets) >= _IDLE_BUCKETS:
+                self._buckets = {
+                    key: bucket
+                    for key, bucket in self._buckets.items()
+                    if not bucket.is_idle
+                }
+            self._buckets[name] = booking.Bucket(name)
+        return self._buckets[name]
+
+    def _go_on(self, bucket):
+        """Start the next store call of a bucket, if there is one."""
+        action, answers = bucket.step()
+        _resolve(answers)
+        if action is not None:
+            self._threads.submit(self._carry_out, bucket.name, action)
+
+    def _carry_out(self, name, action):
+        """Make one store call; report it to the actor."""
+        match action:
+            case booking.Read():
+                result = self._read(name)
+            case booking.Write():
+                result = self._store.put(
+                    KIND,
+                    name,
+                    action.value,
+                    action.expected_version,
+                    store_adapter.make_change_id(),
+                )
+        self.actor_ref.tell(_Finished(name, action, result))
+
+    def _read(self, name):
+        """Read a bucket; return the object, None, or the error."""
+        try:
+            return self._store.get(KIND, name)
+        except errors.StoreUnavailableError as error:
+            return error
+
+    @staticmethod
+    def _finish(bucket, message):
+        """Report the end of a store call to its bucket."""
+        if isinstance(message.action, booking.Write):
+            _resolve(bucket.finish_write(message.result))
+            return
+        if isinstance(message.result, errors.StoreUnavailableError):
+            _resolve(bucket.fail_read(message.result.message))
+            return
+        try:
+            bucket.finish_read(message.result)
+        except ValueError as error:
+            events.log(BUCKET_MALFORMED, bucket=bucket.name)
+            _resolve(bucket.fail_read(str(error)))
+
+
+def _resolve(answers):
+    """Hand each result to the thread that waits for it."""
+    for answer in answers:
+        answer.token.set_result(answer.result)
+
+
+class ClaimStore:
+    """What the threads that serve bookings call.
+
+    Parameters
+    ----------
+    actor : pykka.ActorRef
+        A running ClaimKeeper.
+    """
+
+    def __init__(self, actor):
+        self._actor = actor
+
+    def claim(self, bucket, claim):
+        """Return a future of Granted, Held, KeyReused or Unwritten."""
+        return self._submit(bucket, claim, _Wish.CLAIM)
+
+    def record(self, bucket, claim):
+        """Return a future of Recorded, Lost or Unwritten."""
+        return self._submit(bucket, claim, _Wish.RECORD)
+
+    def look(self, bucket, claim):
+        """Return a future of Standing or Unwritten."""
+        return self._submit(bucket, claim, _Wish.LOOK)
+
+    def _submit(self, bucket, claim, wish):
+        future = concurrent.futures.Future()
+        self._actor.tell(_Submit(bucket, claim, wish, future))
+        return future
--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -16,6 +16,7 @@
 _REFUSED = 409
 _NOT_FOUND = 404
 _SHORT_TIMEOUT_S = 1.0
+_CLOCK_SKEW_S = 5.0
 _JSON = {"Content-Type": "application/json"}
 _TRANSFER_FAULTS = (urllib3.exceptions.HTTPError, OSError, ValueError)
 
@@ -119,9 +120,19 @@
             data = _read_all(answer, timeout_s)
         return _match(request_id, _decode(messages.decode_booking, data))
 
-    def find_booking(self, address, request_id, timeout_s=_SHORT_TIMEOUT_S):
+    def find_booking(self, address, request_id, claimed_s):
         """Settle an attempt of unknown outcome at its endpoint.
 
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the endpoint.
+        request_id : str
+            Id of the attempt.
+        claimed_s : float
+            When the attempt was claimed, in Unix seconds: an endpoint
+            whose ledger began later cannot know what became of it.
+
         Returns
         -------
         BookingAnswer or None
@@ -133,13 +144,14 @@
             When the endpoint gives no usable answer.
         """
         path = f"/v1/bookings/{request_id}"
-        held = connections.open_fresh(address, timeout_s)
+        held = connections.open_fresh(address, _SHORT_TIMEOUT_S)
         with contextlib.closing(held):
-            answer = _send(held, "GET", path, None, timeout_s)
+            answer = _send(held, "GET", path, None, _SHORT_TIMEOUT_S)
             if answer.status == _NOT_FOUND:
-                return None
+                data = _read_all(answer, _SHORT_TIMEOUT_S)
+                return _check_ledger(data, claimed_s)
             self._check(answer, request_id)
-            data = _read_all(answer, timeout_s)
+            data = _read_all(answer, _SHORT_TIMEOUT_S)
         return _match(request_id, _decode(messages.decode_booking, data))
 
     def cancel(self, address, attempt_id):
@@ -342,6 +354,13 @@
         raise errors.EndpointError(streams.Broken(str(error))) from error
 
 
+def _check_ledger(data, claimed_s):
+    """Return None, or raise when the ledger began after the claim."""
+    since_s = _decode(messages.decode_ledger_start, data)
+    if since_s > claimed_s - _CLOCK_SKEW_S:
+        raise errors.EndpointError(streams.Failed(_NOT_FOUND))
+
+
 def _match(request_id, answer):
     """Return an answer that belongs to a request, or raise Crossed."""
     if answer.request_id != request_id:
