Stand-ins for store, cloud, engines and plain services

Cause: the daemons need something to talk to that can be told to fail in the ways the issue lists, and nothing of that existed.

Ruled out: one process for all roles, since a kill could then not strike one endpoint; ledgers in memory alone, since a crash would erase the proof of what ran.

Change: standins/ speaks docs/INTERFACES.md over http.server; the cloud hands out registered idle addresses and starts nothing; endpoints append what arrived and ran to a ledger file. tools/processes.py starts them as child processes and ends them all at exit.

--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,114 @@
+"""Parts that the engine and the plain stand-ins have in common."""
+
+import argparse
+import threading
+import time
+
+import attrs
+
+from standins import faults
+from standins import http
+from standins import ledger
+
+__all__ = ["Endpoint", "LoadReport", "make_parser"]
+
+_LOAD_LAG_S = 0.25
+
+
+@attrs.frozen
+class LoadReport:
+    """A load report as it was read from the endpoint."""
+
+    running: int
+    queued: int
+    slots: int
+    versions: list
+    kv_used: float
+    read_s: float
+
+
+def make_parser(description):
+    """Return a parser of the options that every endpoint takes."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--failure-domain", default="fd-1")
+    parser.add_argument("--service", default="")
+    parser.add_argument("--version", default="1")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--ledger", default="")
+    return parser
+
+
+class Endpoint:
+    """Faults, ledger and lagging load report of an endpoint.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        Parsed options.
+    """
+
+    def __init__(self, options):
+        self.options = options
+        self.faults = faults.EndpointFaults()
+        self.ledger = ledger.Ledger(options.ledger)
+        self._report = None
+        self._report_lock = threading.Lock()
+
+    def admit(self, route, version, request_id, text):
+        """Show the faults that strike a request on its arrival.
+
+        Returns
+        -------
+        Reply or None
+            The refusal or failure; None when the request is taken in.
+        """
+        self.faults.hold_if_frozen()
+        if self.faults.take("refuse"):
+            return self.refuse(request_id, "refused")
+        self.faults.crash_if_poisoned(text)
+        if self.faults.fails(route, version):
+            return http.reply_json(500, {"reason": "failed"})
+        return None
+
+    def refuse(self, request_id, reason):
+        """Return the answer to a request that does not run."""
+        return http.reply_json(
+            409, {"request_id": request_id, "reason": reason}
+        )
+
+    def finish(self, value, status=200):
+        """Return a whole answer, or what a fault makes of it."""
+        self.faults.crash_after_effect()
+        self.faults.cut_if_dropped()
+        reply = http.reply_json(status, value)
+        if self.faults.take("truncate"):
+            half = reply.body[: len(reply.body) // 2]
+            return attrs.evolve(reply, body=half)
+        return reply
+
+    def report_load(self, read):
+        """Answer with a load report that is older than now.
+
+        Parameters
+        ----------
+        read : callable
+            Returns the LoadReport of now.
+        """
+        self.faults.hold_if_frozen()
+        with self._report_lock:
+            now_s = time.monotonic()
+            report = self._report or read()
+            age_s = now_s - report.read_s
+            if self._report is None or age_s > _LOAD_LAG_S:
+                self._report = read()
+        shown = attrs.asdict(report) | {"age_s": max(age_s, 0.0)}
+        del shown["read_s"]
+        return http.reply_json(200, shown)
+
+    def serve(self, routes):
+        """Serve the routes until the process ends."""
+        server = http.Server(self.options.port, routes)
+        self.faults.server = server
+        http.serve(server)
--- /dev/null
+++ b/standins/ledger.py
@@ -0,0 +1,69 @@
+"""What arrived and ran at an endpoint, kept in memory and in a file."""
+
+import json
+import os
+import threading
+import time
+
+import attrs
+
+__all__ = ["Entry", "Ledger"]
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """One step of a request at an endpoint.
+
+    Parameters
+    ----------
+    step : str
+        ``arrived`` for taken in, ``ran`` for begun or carried out.
+    kind : str
+        ``generate``, ``lookup`` or ``booking``.
+    request_id, key, slot, booking_id : str
+        From the request and its effect; empty when there is none.
+    at_s : float
+        Unix seconds.
+    """
+
+    step: str
+    kind: str
+    request_id: str
+    at_s: float
+    key: str = ""
+    slot: str = ""
+    booking_id: str = ""
+
+
+class Ledger:
+    """Entries in order; the file survives an end of the process.
+
+    Parameters
+    ----------
+    path : str
+        File that entries are appended to; empty for none.
+    """
+
+    def __init__(self, path=""):
+        self._lock = threading.Lock()
+        self._entries = []
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        self._file = os.open(path, flags, 0o644) if path else None
+
+    def add(self, **fields):
+        """Append an entry that happens now."""
+        entry = Entry(at_s=time.time(), **fields)
+        with self._lock:
+            self._entries.append(entry)
+            if self._file is not None:
+                line = json.dumps(attrs.asdict(entry)) + "\n"
+                os.write(self._file, line.encode())
+
+    def list_entries(self, kind, step="ran"):
+        """Return the entries of a kind and step as JSON values."""
+        with self._lock:
+            return [
+                attrs.asdict(entry)
+                for entry in self._entries
+                if (entry.kind, entry.step) == (kind, step)
+            ]
--- /dev/null
+++ b/tests/standins/endpoints.feature
@@ -0,0 +1,52 @@
+Feature: Engine and plain stand-ins
+
+  Scenario: A whole answer, then one that resumes
+    Given an engine stand-in
+    Then the engine's answer to "a b c" has 6 tokens of the rule
+    And the engine's answer resumed after 4 tokens starts at 4
+
+  Scenario: A prefix of a block is cached
+    Given an engine stand-in
+    When the engine has answered a prompt of 40 words
+    Then the engine reports 32 cached prompt tokens for it
+
+  Scenario: An old fencing number is refused unless ignored
+    Given an engine stand-in
+    When the engine is ordered to load "2" with fence 5
+    Then an order with fence 4 is answered 409
+    When the endpoint is told to show "ignore_fence"
+    Then an order with fence 4 is answered 200
+
+  Scenario Outline: A faulty stream lacks its end or its id
+    Given an engine stand-in
+    When the endpoint is told to show "<fault>"
+    Then the engine's answer is "<seen>"
+
+    Examples:
+      | fault       | seen             |
+      | truncate    | without end mark |
+      | drop_answer | cut              |
+      | cross       | of another id    |
+      | refuse      | refused          |
+      | fail        | failed           |
+
+  Scenario: An open connection goes silent while a new one works
+    Given an engine stand-in
+    And a connection to the engine that has carried an answer
+    When the endpoint is told to show "silent"
+    Then that connection carries no further byte
+    And the engine's answer is "whole"
+
+  Scenario: A look-up of a booking that has not run seals it
+    Given a plain stand-in
+    Then the booking "r1" is settled with 404
+    And booking "r1" is answered 409
+    And booking "r2" is answered 201
+    And the booking "r2" is settled with 200
+    And the ledger holds the booking "r2" once
+
+  Scenario: A crash right after the effect leaves the ledger's file
+    Given a plain stand-in
+    When the endpoint is told to crash once a booking ran
+    Then booking "r3" gets no answer
+    And the ledger's file holds the booking "r3"
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,198 @@
+"""Child processes of a development run, all ended at its exit."""
+
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import attrs
+
+__all__ = ["Child", "Fleet", "StartError"]
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+_START_TIMEOUT_S = 20.0
+_STOP_TIMEOUT_S = 30.0
+_POLL_S = 0.02
+_PREFIX = "listening "
+
+
+class StartError(Exception):
+    """A child ended or stayed mute instead of listening."""
+
+
+@attrs.frozen
+class Child:
+    """A process that a fleet started.
+
+    Parameters
+    ----------
+    name : str
+        Its name in the fleet.
+    address : str
+        ``HOST:PORT`` that it listens at.
+    process : subprocess.Popen
+        Its handle.
+    output : pathlib.Path
+        File that holds its standard error.
+    """
+
+    name: str
+    address: str
+    process: object
+    output: pathlib.Path
+
+    @property
+    def pid(self):
+        """Return its process id."""
+        return self.process.pid
+
+    def is_running(self):
+        """Return whether it has not ended."""
+        return self.process.poll() is None
+
+
+class Fleet:
+    """Stand-ins and entry daemons on loopback, by name.
+
+    Examples
+    --------
+    >>> with Fleet() as fleet:  # doctest: +SKIP
+    ...     store = fleet.start_store()
+    ...     print(store.address)
+    """
+
+    def __init__(self):
+        self.children = {}
+        self.folder = None
+
+    def __enter__(self):
+        """Make the temporary folder of settings and output."""
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
+        return self
+
+    def __exit__(self, *_):
+        """End every child and remove the folder."""
+        for child in self.children.values():
+            self._end(child)
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def start_store(self, name="store"):
+        """Start the store and cloud stand-in."""
+        return self.start(name, ["standins.store", "--port", "0"])
+
+    def start_engine(self, name, failure_domain, service, version, *options):
+        """Start a model engine; options are added to its command line."""
+        return self._start_endpoint(
+            "standins.engine", name, failure_domain, service, version, options
+        )
+
+    def start_plain(self, name, failure_domain, service, version, *options):
+        """Start a plain service; options are added to its command line."""
+        return self._start_endpoint(
+            "standins.plain", name, failure_domain, service, version, options
+        )
+
+    def start_entry(self, name, settings):
+        """Start an entry daemon with an INI text as its settings."""
+        path = self.folder / f"{name}.ini"
+        path.write_text(settings, encoding="utf-8")
+        return self.start(name, ["mulberryhollow.daemon.main", str(path)])
+
+    def start(self, name, arguments):
+        """Start a Python module and wait until it listens.
+
+        Parameters
+        ----------
+        name : str
+            Its name in the fleet; one that has ended may be used again.
+        arguments : list of str
+            Module and options.
+
+        Returns
+        -------
+        Child
+            The process.
+
+        Raises
+        ------
+        StartError
+            When it does not listen in time.
+        """
+        lines = self.folder / f"{name}.out"
+        output = self.folder / f"{name}.err"
+        with open(lines, "wb") as out, open(output, "ab") as err:
+            process = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+            )
+        child = Child(name, "", process, output)
+        self.children[name] = child
+        child = attrs.evolve(child, address=_await_address(child, lines))
+        self.children[name] = child
+        return child
+
+    def kill(self, name):
+        """Send SIGKILL and wait for the end."""
+        child = self.children[name]
+        if child.is_running():
+            child.process.kill()
+        child.process.wait(_STOP_TIMEOUT_S)
+
+    def freeze(self, name):
+        """Send SIGSTOP."""
+        self._signal(name, signal.SIGSTOP)
+
+    def thaw(self, name):
+        """Send SIGCONT."""
+        self._signal(name, signal.SIGCONT)
+
+    def terminate(self, name):
+        """Send SIGTERM, waiting for nothing."""
+        self._signal(name, signal.SIGTERM)
+
+    def wait(self, name, timeout_s=_STOP_TIMEOUT_S):
+        """Wait for the end; return the exit code."""
+        return self.children[name].process.wait(timeout_s)
+
+    def read_errors(self, name):
+        """Return what a child wrote to its standard error."""
+        output = self.children[name].output
+        return output.read_text(encoding="utf-8", errors="replace")
+
+    def _start_endpoint(
+        self, module, name, failure_domain, service, version, options
+    ):
+        arguments = [module, "--port", "0", "--id", name]
+        arguments += ["--failure-domain", failure_domain]
+        arguments += ["--service", service, "--version", version]
+        return self.start(name, arguments + list(options))
+
+    def _signal(self, name, number):
+        child = self.children[name]
+        if child.is_running():
+            child.process.send_signal(number)
+
+    def _end(self, child):
+        if child.is_running():
+            child.process.kill()
+        child.process.wait(_STOP_TIMEOUT_S)
+
+
+def _await_address(child, lines):
+    """Return the address that a child prints."""
+    end_s = time.monotonic() + _START_TIMEOUT_S
+    while child.is_running() and time.monotonic() < end_s:
+        text = lines.read_text(encoding="utf-8")
+        if text.startswith(_PREFIX) and "\n" in text:
+            return text.split("\n")[0].removeprefix(_PREFIX).strip()
+        time.sleep(_POLL_S)
+    child.process.kill()
+    child.process.wait(_STOP_TIMEOUT_S)
+    errors = child.output.read_text(encoding="utf-8", errors="replace")
+    raise StartError(f"{child.name} does not listen: {errors[-2000:]}")
