Environment document: parse, check, digest

Cause: every part needs the document as typed data, and an operator needs every fault of it at once. Password hashes were ruled out: API keys are random, and a slow hash a request would cost more than routing it.

--- /dev/null
+++ b/mulberryhollow/protocol/document.py
@@ -0,0 +1,154 @@
+"""The environment document: from INI bytes to checked, typed data."""
+
+import xxhash
+
+from mulberryhollow.coordination.configuration import Fault
+from mulberryhollow.errors import ConfigurationError
+from mulberryhollow.protocol import ini
+from mulberryhollow.protocol import values
+from mulberryhollow.protocol.reader import Reader
+from mulberryhollow.protocol.references import check_references
+from mulberryhollow.state import environment
+
+__all__ = ["MAX_DOCUMENT_BYTES", "Fault", "digest", "parse"]
+
+MAX_DOCUMENT_BYTES = 1_000_000
+
+
+def digest(data):
+    """Return the hexadecimal xxh3-128 of a document's bytes."""
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def parse(data, version=0):
+    """Check a document whole and return it as typed data.
+
+    Parameters
+    ----------
+    data : bytes
+        INI text in UTF-8, at most one megabyte.
+    version : int
+        Version of the object that holds it; 0 when unknown.
+
+    Returns
+    -------
+    state.environment.Environment
+        The checked document.
+
+    Raises
+    ------
+    ConfigurationError
+        With every fault as a `Fault`.
+
+    Examples
+    --------
+    >>> from mulberryhollow.protocol import document
+    >>> with open("examples/production.ini", "rb") as file:
+    ...     environment = document.parse(file.read(), version=7)
+    >>> environment.name
+    'production'
+    """
+    sections, faults = ini.read_sections(_decode(data))
+    document = Reader(sections, faults)
+    councils = document.read_all("council", _read_council)
+    services = document.read_all("service", _read_service)
+    accounts = document.read_all("client_account", _read_account)
+    heading = _read_heading(document.open_section("environment"))
+    document.check_headings()
+    faults.extend(check_references(councils, services, accounts))
+    if faults:
+        raise ConfigurationError(faults)
+    return environment.Environment(
+        councils=councils,
+        accounts=accounts,
+        services=services,
+        version=version,
+        digest=digest(data),
+        **heading,
+    )
+
+
+def _decode(data):
+    """Return the text of a document of bounded size."""
+    if len(data) > MAX_DOCUMENT_BYTES:
+        fault = Fault(
+            "",
+            "",
+            f"{len(data)} bytes are above the limit of {MAX_DOCUMENT_BYTES}",
+            "remove sections that are not in use",
+        )
+        raise ConfigurationError([fault])
+    try:
+        return data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        fault = Fault(
+            "",
+            "",
+            f"byte {error.start} is not UTF-8",
+            "save the document in UTF-8",
+        )
+        raise ConfigurationError([fault]) from error
+
+
+def _read_heading(section):
+    """Return the values of the section on the environment itself."""
+    heading = {
+        "name": section.read("name", values.convert_name),
+        "budget_per_hour": section.read(
+            "budget_per_hour", values.convert_positive
+        ),
+        "capacity_tokens_per_s": section.read(
+            "capacity_tokens_per_s", values.convert_positive
+        ),
+    }
+    section.check_unknown()
+    return heading
+
+
+def _read_council(section, name):
+    """Return a council."""
+    key_hash = section.read("operator_key_hash", values.convert_key_hash, "")
+    return environment.Council(name, key_hash)
+
+
+def _read_account(section, name):
+    """Return a client account."""
+    return environment.Account(
+        name=name,
+        council=section.read("council", values.convert_name),
+        key_hash=section.read("key_hash", values.convert_key_hash),
+        weight=section.read("weight", values.convert_positive, 1.0),
+        services=section.read("services", values.convert_names, ()),
+    )
+
+
+def _read_service(section, name):
+    """Return a service and its versions."""
+    names = section.read("versions", values.convert_names) or ()
+    service = environment.Service(
+        name=name,
+        council=section.read("council", values.convert_name),
+        kind=section.read("kind", values.convert_kind),
+        classes=section.read("classes", values.convert_classes) or (),
+        version=section.read("version", values.convert_name),
+        versions=tuple(environment.Version(each, name) for each in names),
+    )
+    _check_service(section, service, names)
+    return service
+
+
+def _check_service(section, service, version_names):
+    """Add faults of keys that do not fit together."""
+    if service.version and service.version not in version_names:
+        section.add_fault(
+            "version",
+            f"{service.version!r} is not among the versions",
+            "add it to versions or name one of them",
+        )
+    is_model = service.kind is environment.ServiceKind.MODEL
+    if is_model and environment.RequestClass.BOOKING in service.classes:
+        section.add_fault(
+            "classes",
+            "a model service cannot take bookings",
+            "remove booking or set kind = plain",
+        )
--- /dev/null
+++ b/mulberryhollow/protocol/references.py
@@ -0,0 +1,77 @@
+"""Checks across the sections of a document."""
+
+import collections
+import itertools
+
+from mulberryhollow.coordination.configuration import Fault
+
+__all__ = ["check_references"]
+
+
+def check_references(councils, services, accounts):
+    """Yield a fault for each name that refers to nothing or too far.
+
+    Parameters
+    ----------
+    councils, services, accounts : dict
+        By name; a faulty reference may be None.
+    """
+    yield from _check_councils(councils, services, accounts)
+    for account in accounts.values():
+        yield from _check_account_services(account, services)
+    yield from _check_shared_hashes(accounts)
+
+
+def _check_councils(councils, services, accounts):
+    """Yield a fault for each owner that is not declared."""
+    owned = itertools.chain(
+        ((f"service {each.name}", each.council) for each in services.values()),
+        (
+            (f"client_account {each.name}", each.council)
+            for each in accounts.values()
+        ),
+    )
+    for heading, council in owned:
+        if council and council not in councils:
+            yield Fault(
+                heading,
+                "council",
+                f"{council!r} is not declared",
+                f"add [council {council}] or correct the name",
+            )
+
+
+def _check_account_services(account, services):
+    """Yield a fault for each service that an account may not name."""
+    heading = f"client_account {account.name}"
+    for name in account.services:
+        service = services.get(name)
+        if service is None:
+            yield Fault(
+                heading,
+                "services",
+                f"{name!r} is not declared",
+                f"add [service {name}] or correct the name",
+            )
+        elif service.council != account.council:
+            yield Fault(
+                heading,
+                "services",
+                f"{name!r} belongs to the council {service.council!r}",
+                "name services of the account's own council",
+            )
+
+
+def _check_shared_hashes(accounts):
+    """Yield a fault for each key hash that two accounts share."""
+    counts = collections.Counter(
+        account.key_hash for account in accounts.values()
+    )
+    for account in accounts.values():
+        if account.key_hash and counts[account.key_hash] > 1:
+            yield Fault(
+                f"client_account {account.name}",
+                "key_hash",
+                "is shared with another client account",
+                "make a key for each client account",
+            )
