Configuration decisions: document in force, readiness, watchers, owners

Cause: offers come from watches, stale reads and peers in any order, and none may revert the document or replace a good one by a faulty one. Ruled out: a gate on readiness by the highest version heard, since one faulty peer could take every instance from the balancer. Conclusion: any order, loss or repetition of offers leaves the highest good version in force (hypothesis, 100 sequences).

--- a/mulberryhollow/coordination/configuration/__init__.py
+++ b/mulberryhollow/coordination/configuration/__init__.py
@@ -1,5 +1,51 @@
 """Decisions about the configuration that is in force."""
 
+from mulberryhollow.coordination.configuration.change import ALL_COUNCILS
+from mulberryhollow.coordination.configuration.change import Allowed
+from mulberryhollow.coordination.configuration.change import Change
+from mulberryhollow.coordination.configuration.change import check_change
+from mulberryhollow.coordination.configuration.change import Conflict
+from mulberryhollow.coordination.configuration.change import decide_change
+from mulberryhollow.coordination.configuration.change import list_changes
+from mulberryhollow.coordination.configuration.change import OPERATORS
+from mulberryhollow.coordination.configuration.change import Refused
 from mulberryhollow.coordination.configuration.fault import Fault
+from mulberryhollow.coordination.configuration.in_force import APPLIED
+from mulberryhollow.coordination.configuration.in_force import Applied
+from mulberryhollow.coordination.configuration.in_force import Document
+from mulberryhollow.coordination.configuration.in_force import InForce
+from mulberryhollow.coordination.configuration.in_force import REJECTED
+from mulberryhollow.coordination.configuration.in_force import Rejected
+from mulberryhollow.coordination.configuration.in_force import Stale
+from mulberryhollow.coordination.configuration.readiness import CUT_OFF_AFTER_S
+from mulberryhollow.coordination.configuration.readiness import decide_ready
+from mulberryhollow.coordination.configuration.readiness import NotReady
+from mulberryhollow.coordination.configuration.readiness import NotReadyReason
+from mulberryhollow.coordination.configuration.readiness import Ready
+from mulberryhollow.coordination.configuration.watchers import choose_watchers
 
-__all__ = ["Fault"]
+__all__ = [
+    "ALL_COUNCILS",
+    "APPLIED",
+    "CUT_OFF_AFTER_S",
+    "OPERATORS",
+    "REJECTED",
+    "Allowed",
+    "Applied",
+    "Change",
+    "Conflict",
+    "Document",
+    "Fault",
+    "InForce",
+    "NotReady",
+    "NotReadyReason",
+    "Ready",
+    "Refused",
+    "Rejected",
+    "Stale",
+    "check_change",
+    "choose_watchers",
+    "decide_change",
+    "decide_ready",
+    "list_changes",
+]
--- /dev/null
+++ b/mulberryhollow/coordination/configuration/change.py
@@ -0,0 +1,220 @@
+"""Changes of a document: who may change what, and on which version."""
+
+import dataclasses
+
+import attrs
+
+from mulberryhollow.coordination.configuration.fault import Fault
+from mulberryhollow.errors import ConfigurationError
+
+__all__ = [
+    "ALL_COUNCILS",
+    "OPERATORS",
+    "Allowed",
+    "Change",
+    "Conflict",
+    "Refused",
+    "check_change",
+    "decide_change",
+    "list_changes",
+]
+
+ALL_COUNCILS = "all"
+"""Stands for an agreement of every council."""
+
+OPERATORS = "operators"
+"""Name of the council that may change the shared section."""
+
+_SHARED_KEYS = ("name", "budget_per_hour", "capacity_tokens_per_s")
+
+
+@attrs.frozen
+class Change:
+    """A document that an operator wants to bring into force.
+
+    Parameters
+    ----------
+    environment : str
+        Name of the object that holds the document.
+    base_version : int
+        Version that the change was made from; 0 for the first one.
+    data : bytes
+        The whole new document.
+    council : str
+        The council that changes it, or `ALL_COUNCILS`.
+    """
+
+    environment: str
+    base_version: int
+    data: bytes
+    council: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Allowed:
+    """The change may be written on its base version."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The change has faults.
+
+    Parameters
+    ----------
+    faults : tuple of Fault
+        Every fault.
+    """
+
+    faults: tuple
+
+
+@dataclasses.dataclass(frozen=True)
+class Conflict:
+    """Another change came first.
+
+    Parameters
+    ----------
+    base_version, current_version : int
+        The version changed and the one met; 0 when not known.
+    remedy : str
+        What the operator can do about it.
+    """
+
+    base_version: int
+    current_version: int
+    remedy: str = (
+        "run `mulberryhollow show` and `diff` on the new version, merge, and"
+        " apply with its number as --base-version"
+    )
+
+
+def decide_change(change, current, parse):
+    """Decide whether a change may be written.
+
+    Parameters
+    ----------
+    change : Change
+        What the operator wants.
+    current : state.objects.StoredObject or None
+        The object as just read; None when there is none.
+    parse : callable
+        ``parse(data, version)``, as `protocol.document.parse`.
+
+    Returns
+    -------
+    Allowed, Refused or Conflict
+        A conflict goes before faults, which may come from the race.
+
+    Notes
+    -----
+    The write must still be conditional on the base version: the read may
+    be stale, and another operator may write in between.
+    """
+    current_version = current.version if current else 0
+    if current_version != change.base_version:
+        return Conflict(change.base_version, current_version)
+    try:
+        after = parse(change.data, 0)
+    except ConfigurationError as error:
+        return Refused(error.faults)
+    try:
+        before = parse(current.value, current_version) if current else None
+    except ConfigurationError:
+        return _decide_repair(change)
+    faults = check_change(before, after, change.council)
+    return Refused(faults) if faults else Allowed()
+
+
+def _decide_repair(change):
+    """Decide on a change of a document whose sections are unreadable."""
+    if change.council == ALL_COUNCILS:
+        return Allowed()
+    fault = Fault(
+        "",
+        "",
+        "the stored document has faults, so its owners are not known",
+        f"apply the change as the council {ALL_COUNCILS!r}",
+    )
+    return Refused((fault,))
+
+
+def check_change(before, after, council):
+    """Check that a council changes its own sections only.
+
+    Parameters
+    ----------
+    before : state.environment.Environment or None
+        The document in force; None when there is none, and then every
+        change is allowed.
+    after : state.environment.Environment
+        The document wanted.
+    council : str
+        The council that changes it, or `ALL_COUNCILS`.
+
+    Returns
+    -------
+    tuple of Fault
+        One for each section that it may not change.
+
+    Notes
+    -----
+    A section that changes its owner needs both. Adding or removing a
+    council is a change of the shared section.
+    """
+    if before is None or council == ALL_COUNCILS:
+        return ()
+    return tuple(
+        Fault(
+            heading,
+            "",
+            f"belongs to {owner}, not to the council {council!r}",
+            "leave it as it is, or have its owner apply the change",
+        )
+        for heading, owners in list_changes(before, after)
+        for owner in sorted(owners - {council})
+    )
+
+
+def list_changes(before, after):
+    """Yield (heading, owners) of each section that differs.
+
+    Parameters
+    ----------
+    before, after : state.environment.Environment
+        Two documents.
+
+    Yields
+    ------
+    tuple
+        The section's heading and the set of councils that must agree.
+    """
+    if _get_shared(before) != _get_shared(after):
+        yield "environment", {OPERATORS}
+    yield from _list_council_changes(before.councils, after.councils)
+    groups = (
+        ("service", before.services, after.services),
+        ("client_account", before.accounts, after.accounts),
+    )
+    for kind, old, new in groups:
+        for name in _list_differing(old, new):
+            sides = (old.get(name), new.get(name))
+            owners = {side.council for side in sides if side}
+            yield f"{kind} {name}", owners
+
+
+def _get_shared(environment):
+    """Return the values of the shared section."""
+    return [getattr(environment, key) for key in _SHARED_KEYS]
+
+
+def _list_council_changes(old, new):
+    """Yield (heading, owners) of each council that differs."""
+    for name in _list_differing(old, new):
+        is_kept = name in old and name in new
+        yield f"council {name}", {name if is_kept else OPERATORS}
+
+
+def _list_differing(old, new):
+    """Return the names whose objects differ, sorted."""
+    names = sorted(old.keys() | new.keys())
+    return [name for name in names if old.get(name) != new.get(name)]
--- a/mulberryhollow/protocol/document.py
+++ b/mulberryhollow/protocol/document.py
@@ -5,9 +5,9 @@
 from mulberryhollow.coordination.configuration import Fault
 from mulberryhollow.errors import ConfigurationError
 from mulberryhollow.protocol import ini
+from mulberryhollow.protocol import reader
+from mulberryhollow.protocol import references
 from mulberryhollow.protocol import values
-from mulberryhollow.protocol.reader import Reader
-from mulberryhollow.protocol.references import check_references
 from mulberryhollow.state import environment
 
 __all__ = ["MAX_DOCUMENT_BYTES", "Fault", "digest", "parse"]
@@ -49,13 +49,13 @@
     'production'
     """
     sections, faults = ini.read_sections(_decode(data))
-    document = Reader(sections, faults)
+    document = reader.Reader(sections, faults)
     councils = document.read_all("council", _read_council)
     services = document.read_all("service", _read_service)
     accounts = document.read_all("client_account", _read_account)
     heading = _read_heading(document.open_section("environment"))
     document.check_headings()
-    faults.extend(check_references(councils, services, accounts))
+    faults.extend(references.check_references(councils, services, accounts))
     if faults:
         raise ConfigurationError(faults)
     return environment.Environment(
--- /dev/null
+++ b/tests/coordination/configuration/in_force.feature
@@ -0,0 +1,29 @@
+Feature: Document in force
+
+  Scenario Outline: Only a higher version of a good document comes into force
+    Given version 5 of a document is in force
+    When version <version> of a <kind> document is offered
+    Then the offer is <outcome> and version <left> is in force
+
+    Examples:
+      | version | kind | outcome  | left |
+      | 6       | good | Applied  | 6    |
+      | 5       | good | Stale    | 5    |
+      | 4       | good | Stale    | 5    |
+      | 9       | bad  | Rejected | 5    |
+      | 4       | bad  | Stale    | 5    |
+
+  Scenario: A bad document is reported once and replaced by the next good one
+    Given version 5 of a document is in force
+    When version 6 of a bad document is offered
+    And version 6 of a bad document is offered
+    Then the rejection is marked as repeated
+    When version 7 of a good document is offered
+    Then the offer is Applied and version 7 is in force
+
+  Scenario: A peer's higher version shows that an instance is behind
+    Given version 5 of a document is in force
+    Then an instance that hears of versions 6 and 4 is behind until version 6
+
+  Scenario: No order, loss or repetition of offers reverts a document
+    Then any offers leave the highest good version offered in force
--- /dev/null
+++ b/tests/coordination/configuration/readiness.feature
@@ -0,0 +1,24 @@
+Feature: Readiness
+
+  Scenario Outline: An instance cut off from store and peers leaves
+    Then at <store> s without store and <peers> s without peers it is <result>
+
+    Examples:
+      | store | peers | result      |
+      | 0     | 0     | Ready       |
+      | 3600  | 1     | Ready       |
+      | 1     | 3600  | Ready       |
+      | 5     | 5     | Ready       |
+      | 5.1   | 5.1   | CUT_OFF     |
+      | never | never | CUT_OFF     |
+      | never | 1     | Ready       |
+
+  Scenario: An instance without a document takes no requests
+    Then an instance without a document is not ready
+
+  Scenario: Each failure domain has its few watchers
+    Given 16 failure domains with 52 members each
+    When 2 watchers are chosen for each failure domain
+    Then each failure domain has 2 watchers of its own
+    And the order of members changes no choice
+    And the loss of a watcher keeps the other watcher
--- /dev/null
+++ b/tests/steps/coordination_configuration.py
@@ -0,0 +1,195 @@
+import itertools
+import pathlib
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from mulberryhollow.coordination import configuration
+from mulberryhollow.protocol import document
+from mulberryhollow.state import objects
+
+EXAMPLE = pathlib.Path("examples/production.ini").read_bytes()
+DOCUMENTS = {"good": EXAMPLE, "bad": b"[odd]"}
+
+
+@attrs.frozen
+class Member:
+    instance: str
+    failure_domain: str
+
+
+@given("version {version:d} of a document is in force")
+def put_in_force(context, version):
+    context.in_force = configuration.InForce(document.parse)
+    context.in_force.offer(version, EXAMPLE)
+
+
+@when("version {version:d} of a {kind} document is offered")
+def offer_document(context, version, kind):
+    context.offered = context.in_force.offer(version, DOCUMENTS[kind])
+
+
+@then("the offer is {outcome} and version {version:d} is in force")
+def check_offer(context, outcome, version):
+    assert type(context.offered).__name__ == outcome, context.offered
+    assert context.in_force.version == version
+    assert context.in_force.document.environment.version == version
+
+
+@then("the rejection is marked as repeated")
+def check_repeated(context):
+    assert context.offered.is_repeated
+    assert context.offered.faults
+
+
+@then("an instance that hears of versions 6 and 4 is behind until version 6")
+def check_behind(context):
+    context.in_force.hear(6)
+    context.in_force.hear(4)
+    assert context.in_force.is_behind
+    context.in_force.offer(6, EXAMPLE)
+    assert not context.in_force.is_behind
+
+
+@then("any offers leave the highest good version offered in force")
+def check_any_offers(context):
+    offers = strategies.tuples(
+        strategies.integers(1, 9), strategies.sampled_from(("good", "bad"))
+    )
+
+    @hypothesis.given(strategies.lists(offers, max_size=30))
+    def check(offered):
+        kinds = {}
+        in_force = configuration.InForce(document.parse)
+        versions = [0]
+        for version, kind in offered:
+            kind = kinds.setdefault(version, kind)
+            in_force.offer(version, DOCUMENTS[kind])
+            versions.append(in_force.version)
+        good = [each for each, kind in kinds.items() if kind == "good"]
+        assert versions == sorted(versions)
+        assert in_force.version == max(good, default=0)
+
+    check()
+
+
+@then(
+    "at {store} s without store and {peers} s without peers it is {expected}"
+)
+def check_readiness(context, store, peers, expected):
+    contacts_s = [
+        None if age == "never" else 10_000.0 - float(age)
+        for age in (store, peers)
+    ]
+    match configuration.decide_ready(10_000.0, *contacts_s, True):
+        case configuration.Ready():
+            assert expected == "Ready"
+        case configuration.NotReady(reason):
+            assert expected == reason.name
+
+
+@then("an instance without a document is not ready")
+def check_no_document(context):
+    outcome = configuration.decide_ready(1.0, 1.0, 1.0, False)
+    reason = configuration.NotReadyReason.NO_DOCUMENT
+    assert outcome == configuration.NotReady(reason)
+
+
+@given("{domains:d} failure domains with {count:d} members each")
+def make_members(context, domains, count):
+    places = itertools.product(range(domains), range(count))
+    context.members = [
+        Member(f"i-{domain}-{place}", f"zone-{domain}")
+        for domain, place in places
+    ]
+
+
+@when("{count:d} watchers are chosen for each failure domain")
+def choose(context, count):
+    context.zones = sorted({each.failure_domain for each in context.members})
+    context.watchers = {
+        zone: configuration.choose_watchers(context.members, zone, count)
+        for zone in context.zones
+    }
+
+
+@then("each failure domain has {count:d} watchers of its own")
+def check_watchers(context, count):
+    for zone, watchers in context.watchers.items():
+        prefix = zone.replace("zone-", "i-") + "-"
+        assert len(set(watchers)) == count
+        assert all(name.startswith(prefix) for name in watchers)
+
+
+@then("the order of members changes no choice")
+def check_order(context):
+    for zone, watchers in context.watchers.items():
+        turned = reversed(context.members)
+        assert configuration.choose_watchers(turned, zone, 2) == watchers
+
+
+@then("the loss of a watcher keeps the other watcher")
+def check_loss(context):
+    for zone, (first, second) in context.watchers.items():
+        left = [each for each in context.members if each.instance != first]
+        assert configuration.choose_watchers(left, zone, 2)[0] == second
+
+
+@given('a change of the example from "{old}" to "{new}" by "{council}"')
+def make_change(context, old, new, council):
+    old, new = (text.replace("\\n", "\n").encode() for text in (old, new))
+    assert old in EXAMPLE
+    data = EXAMPLE.replace(old, new)
+    context.change = configuration.Change("production", 7, data, council)
+    context.stored = objects.StoredObject(
+        "environment", "production", 7, EXAMPLE
+    )
+
+
+@given("the stored example has version 8")
+def store_example(context):
+    context.stored = objects.StoredObject(
+        "environment", "production", 8, EXAMPLE
+    )
+
+
+@given("the stored document has faults")
+def store_faulty(context):
+    context.stored = objects.StoredObject(
+        "environment", "production", 7, b"[odd]"
+    )
+
+
+def decide(context, change):
+    """Return the decision on a change of the stored document."""
+    return configuration.decide_change(change, context.stored, document.parse)
+
+
+@then("the change is {expected}")
+def check_decision(context, expected):
+    match decide(context, context.change):
+        case configuration.Allowed():
+            assert expected == "allowed"
+        case configuration.Refused(faults):
+            assert expected == "refused", list(map(str, faults))
+            assert all(fault.section and fault.remedy for fault in faults)
+
+
+@then("a change on version 7 is a conflict that names version 8")
+def check_conflict(context):
+    change = configuration.Change("production", 7, b"[odd]", "brunner")
+    conflict = decide(context, change)
+    assert conflict == configuration.Conflict(7, 8)
+    assert "--base-version" in conflict.remedy
+
+
+@then('the example replaces it for "{allowed}" and not for "{refused}"')
+def check_repair(context, allowed, refused):
+    change = configuration.Change("production", 7, EXAMPLE, allowed)
+    assert decide(context, change) == configuration.Allowed()
+    change = attrs.evolve(change, council=refused)
+    assert isinstance(decide(context, change), configuration.Refused)
