--- a/standins/plain.py
+++ b/standins/plain.py
@@ -63,6 +63,7 @@
         self._sealed = set()
         self._counters = _Counters()
         self._numbers = itertools.count(1)
+        self._since_s = time.time()
         self._changed = threading.Condition()
 
     def make_routes(self):
@@ -186,7 +187,10 @@
                 return http.reply_json(503, {"reason": "still running"})
             if made is None:
                 self._sealed.add(request_id)
-                return http.reply_json(404, {"reason": "not run"})
+                return http.reply_json(
+                    404,
+                    {"reason": "not run", "ledger_since_s": self._since_s},
+                )
         return http.reply_json(200, made)
 
     def _show_load(self, _request):
