--- /dev/null
+++ b/mulberryhollow/coordination/admission/__init__.py
@@ -0,0 +1,17 @@
+"""Admission by fair shares of the shared rate, without a queue."""
+
+from mulberryhollow.coordination.admission.controller import Admission
+from mulberryhollow.coordination.admission.controller import Admitted
+from mulberryhollow.coordination.admission.demand import DemandTable
+from mulberryhollow.coordination.admission.inflight import InflightLimit
+from mulberryhollow.coordination.admission.inflight import InflightRules
+from mulberryhollow.coordination.admission.shares import ShareBuckets
+
+__all__ = [
+    "Admission",
+    "Admitted",
+    "DemandTable",
+    "InflightLimit",
+    "InflightRules",
+    "ShareBuckets",
+]
--- /dev/null
+++ b/mulberryhollow/coordination/admission/demand.py
@@ -0,0 +1,135 @@
+"""Offered load of each client account, here and at peers."""
+
+import collections
+import math
+
+__all__ = ["DemandTable"]
+
+DECAY_S = 5.0
+REPORT_LIFETIME_S = 10.0
+
+
+class _DecayingRate:
+    """Exponentially weighted rate of one client account."""
+
+    __slots__ = ("_amount", "_at_s")
+
+    def __init__(self, now_s):
+        self._amount = 0.0
+        self._at_s = now_s
+
+    def add(self, amount, now_s):
+        """Add an amount."""
+        self._amount = self._decay(now_s) + amount
+        self._at_s = now_s
+
+    def get(self, now_s):
+        """Return the rate, per second."""
+        return self._decay(now_s) / DECAY_S
+
+    def _decay(self, now_s):
+        """Return what is left of the amount."""
+        age_s = max(0.0, now_s - self._at_s)
+        return self._amount * math.exp(-age_s / DECAY_S)
+
+
+class DemandTable:
+    """Own demand and the latest reports of peers."""
+
+    def __init__(self):
+        self._own = {}
+        self._reports = {}
+        self._peer_sums = collections.Counter()
+
+    def add(self, account, tokens, now_s):
+        """Count offered work, admitted or not.
+
+        Parameters
+        ----------
+        account : str
+            The client account.
+        tokens : float
+            Cost of the request, in tokens.
+        now_s : float
+            The time, in seconds.
+        """
+        rate = self._own.get(account)
+        if rate is None:
+            rate = self._own[account] = _DecayingRate(now_s)
+        rate.add(tokens, now_s)
+
+    def get_own(self, account, now_s):
+        """Return an account's demand here, in tokens a second."""
+        rate = self._own.get(account)
+        return 0.0 if rate is None else rate.get(now_s)
+
+    def list_own(self, now_s):
+        """Return the demand here by account, in tokens a second."""
+        return {name: rate.get(now_s) for name, rate in self._own.items()}
+
+    def set_report(self, node, demand, now_s):
+        """Take over a peer's demand.
+
+        Parameters
+        ----------
+        node : str
+            The peer.
+        demand : dict
+            The peer's `list_own`.
+        now_s : float
+            The time, in seconds.
+        """
+        self._remove(node)
+        self._reports[node] = now_s, dict(demand)
+        self._peer_sums.update(demand)
+
+    def expire(self, now_s):
+        """Drop reports that are too old to count."""
+        old = [
+            node
+            for node, (at_s, _) in self._reports.items()
+            if now_s - at_s > REPORT_LIFETIME_S
+        ]
+        for node in old:
+            self._remove(node)
+
+    def keep_accounts(self, accounts):
+        """Forget own demand of accounts that are gone."""
+        self._own = {
+            name: rate for name, rate in self._own.items() if name in accounts
+        }
+
+    def get_fraction(self, account, nodes, prior, now_s):
+        """Return the part of an account's demand that arrives here.
+
+        Parameters
+        ----------
+        account : str
+            The client account.
+        nodes : int
+            Live nodes, this one included.
+        prior : float
+            Demand added for each node, in tokens a second, so that an
+            account without demand is spread evenly.
+        now_s : float
+            The time, in seconds.
+
+        Returns
+        -------
+        float
+            Above 0 and at most 1. A peer without a report is taken to
+            see the same demand as this node, so that without any report
+            the fraction is one by the number of nodes.
+        """
+        own = self.get_own(account, now_s) + prior
+        reported = len(self._reports)
+        silent = max(0, nodes - 1 - reported)
+        peers = max(0.0, self._peer_sums[account]) + prior * reported
+        return own / (own * (1 + silent) + peers)
+
+    def _remove(self, node):
+        """Take a peer's report out of the sums."""
+        _, demand = self._reports.pop(node, (0.0, {}))
+        self._peer_sums.subtract(demand)
+        if not self._reports:
+            self._peer_sums.clear()
--- /dev/null
+++ b/mulberryhollow/coordination/admission/shares.py
@@ -0,0 +1,255 @@
+"""Token buckets of client accounts that lend what they do not use."""
+
+import heapq
+import math
+
+import attrs
+
+__all__ = ["ShareBuckets"]
+
+BORROW_DECAY_S = 10.0
+POOL_FREE_FOR_ALL = 0.5
+
+
+@attrs.define(eq=False)
+class _Bucket:
+    """Tokens of one client account."""
+
+    weight: float = 1.0
+    rate: float = 0.0
+    burst: float = 0.0
+    tokens: float = 0.0
+    at_s: float = 0.0
+    stamp: int = 0
+    is_full: bool = False
+    borrowed: float = 0.0
+    borrowed_at_s: float = 0.0
+
+    def settle(self, now_s):
+        """Add the tokens that have come in since the last change."""
+        gained = self.rate * max(0.0, now_s - self.at_s)
+        self.tokens = min(self.burst, self.tokens + gained)
+        self.at_s = max(self.at_s, now_s)
+
+    def get_borrowed_by_weight(self, now_s):
+        """Return recent borrowing by weight, in tokens."""
+        age_s = max(0.0, now_s - self.borrowed_at_s)
+        recent = self.borrowed * math.exp(-age_s / BORROW_DECAY_S)
+        return recent / self.weight
+
+
+class ShareBuckets:
+    """A bucket for each account and a pool of what flows over.
+
+    Notes
+    -----
+    The rate of a full bucket flows into the pool, which any account may
+    borrow from. While the pool is low, only accounts that borrowed less
+    than the mean of the recent borrowers, by weight, may do so. Time
+    moves by events (a bucket becomes full), so a decision takes
+    logarithmic time in the number of accounts.
+    """
+
+    def __init__(self):
+        self._buckets = {}
+        self._fillings = []
+        self._pool = 0.0
+        self._pool_burst = 0.0
+        self._overflow_rate = 0.0
+        self._at_s = 0.0
+        self._borrowers = set()
+
+    @property
+    def pool(self):
+        """Tokens in the pool."""
+        return self._pool
+
+    def list_accounts(self):
+        """Return the names of all accounts."""
+        return list(self._buckets)
+
+    def get_tokens(self, account):
+        """Return an account's own tokens, as of the last change."""
+        return self._buckets[account].tokens
+
+    def get_rate(self, account):
+        """Return an account's own refill, in tokens a second."""
+        return self._buckets[account].rate
+
+    def get_burst(self, account):
+        """Return the size of an account's bucket, in tokens."""
+        return self._buckets[account].burst
+
+    def set_share(self, account, weight, rate, burst, now_s):
+        """Set the share of an account; a new one starts full.
+
+        Parameters
+        ----------
+        account : str
+            The client account.
+        weight : float
+            Its weight among the borrowers.
+        rate : float
+            Its refill, in tokens a second.
+        burst : float
+            Size of its bucket, in tokens.
+        now_s : float
+            The time, in seconds.
+        """
+        self.advance(now_s)
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            bucket = _Bucket(tokens=burst, at_s=now_s)
+            self._buckets[account] = bucket
+        bucket.settle(now_s)
+        self._leave_full(bucket)
+        self._pool_burst += burst - bucket.burst
+        self._pool = min(self._pool, self._pool_burst)
+        bucket.weight = weight
+        bucket.rate = rate
+        bucket.burst = burst
+        bucket.tokens = min(bucket.tokens, burst)
+        self._schedule(account, bucket)
+
+    def remove(self, account, now_s):
+        """Remove an account and its tokens."""
+        self.advance(now_s)
+        bucket = self._buckets.pop(account)
+        self._leave_full(bucket)
+        self._pool_burst = max(0.0, self._pool_burst - bucket.burst)
+        self._pool = min(self._pool, self._pool_burst)
+        self._borrowers.discard(account)
+
+    def spend(self, account, cost, own_floor, pool_floor, now_s):
+        """Spend tokens of an account, or of the pool.
+
+        Parameters
+        ----------
+        account : str
+            The client account.
+        cost : float
+            Tokens to spend. A cost above the bucket's size needs only a
+            full bucket and leaves a debt.
+        own_floor, pool_floor : float
+            Parts of the bucket and of the pool, from 0 to 1, that must
+            be left after it.
+        now_s : float
+            The time, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the tokens were spent.
+        """
+        self.advance(now_s)
+        bucket = self._buckets[account]
+        bucket.settle(now_s)
+        if bucket.tokens >= _get_needed(bucket, cost, own_floor):
+            self._leave_full(bucket)
+            bucket.tokens -= cost
+            self._schedule(account, bucket)
+            return True
+        return self._borrow(account, bucket, cost, pool_floor, now_s)
+
+    def compute_wait_s(self, account, cost, own_floor, now_s):
+        """Return when the account's own refill covers a cost.
+
+        Returns
+        -------
+        float
+            Seconds from now; infinite without a refill.
+        """
+        bucket = self._buckets[account]
+        bucket.settle(now_s)
+        lacking = _get_needed(bucket, cost, own_floor) - bucket.tokens
+        if lacking <= 0:
+            return 0.0
+        return lacking / bucket.rate if bucket.rate else math.inf
+
+    def advance(self, now_s):
+        """Move the overflow of full buckets into the pool."""
+        while self._fillings and self._fillings[0][0] <= now_s:
+            full_at_s, stamp, account = heapq.heappop(self._fillings)
+            bucket = self._buckets.get(account)
+            if bucket is None or bucket.stamp != stamp or bucket.is_full:
+                continue
+            self._flow(full_at_s)
+            bucket.settle(full_at_s)
+            bucket.tokens = bucket.burst
+            bucket.is_full = True
+            self._overflow_rate += bucket.rate
+        self._flow(now_s)
+
+    def _flow(self, now_s):
+        """Let the overflow run into the pool until a time."""
+        gained = self._overflow_rate * max(0.0, now_s - self._at_s)
+        self._pool = min(self._pool_burst, self._pool + gained)
+        self._at_s = max(self._at_s, now_s)
+
+    def _leave_full(self, bucket):
+        """Stop the overflow of a bucket."""
+        bucket.stamp += 1
+        if bucket.is_full:
+            bucket.is_full = False
+            self._overflow_rate = max(0.0, self._overflow_rate - bucket.rate)
+
+    def _schedule(self, account, bucket):
+        """Note when a bucket becomes full."""
+        if not bucket.rate:
+            return
+        lacking = max(0.0, bucket.burst - bucket.tokens)
+        full_at_s = bucket.at_s + lacking / bucket.rate
+        entry = full_at_s, bucket.stamp, account
+        heapq.heappush(self._fillings, entry)
+        if len(self._fillings) > 4 * len(self._buckets) + 64:
+            self._compact()
+
+    def _compact(self):
+        """Drop entries of buckets that have changed since."""
+        self._fillings = [
+            entry
+            for entry in self._fillings
+            if self._is_current(entry[2], entry[1])
+        ]
+        heapq.heapify(self._fillings)
+
+    def _is_current(self, account, stamp):
+        """Return whether an entry shows the bucket as it is."""
+        bucket = self._buckets.get(account)
+        return bucket is not None and bucket.stamp == stamp
+
+    def _borrow(self, account, bucket, cost, pool_floor, now_s):
+        """Spend tokens of the pool, if the account may borrow."""
+        left = self._pool - cost
+        if left < pool_floor * self._pool_burst or left < 0:
+            return False
+        is_low = left < POOL_FREE_FOR_ALL * self._pool_burst
+        if is_low and not self._is_modest(account, bucket, now_s):
+            return False
+        self._pool = left
+        bucket.borrowed = (
+            bucket.get_borrowed_by_weight(now_s) * bucket.weight + cost
+        )
+        bucket.borrowed_at_s = now_s
+        self._borrowers.add(account)
+        return True
+
+    def _is_modest(self, account, bucket, now_s):
+        """Return whether an account borrowed no more than the mean."""
+        self._borrowers.add(account)
+        recent = {
+            name: self._buckets[name].get_borrowed_by_weight(now_s)
+            for name in self._borrowers
+        }
+        self._borrowers = {
+            name
+            for name, amount in recent.items()
+            if amount > 1.0 or name == account
+        }
+        mean = sum(recent.values()) / len(recent)
+        return recent[account] <= mean
+
+
+def _get_needed(bucket, cost, own_floor):
+    """Return the tokens that a bucket must hold for a cost."""
+    return min(bucket.burst, cost + own_floor * bucket.burst)
--- /dev/null
+++ b/mulberryhollow/coordination/capacity/planner.py
@@ -0,0 +1,196 @@
+"""Plan of starts and stops over failure domains, within a budget."""
+
+import collections
+import dataclasses
+import itertools
+
+import attrs
+
+from mulberryhollow.coordination.capacity.offers import Offer
+from mulberryhollow.coordination.capacity.placement import Placement
+
+__all__ = ["Plan", "PlanRules", "Shortfall", "Start", "plan"]
+
+SCALE_STEPS = 16
+
+
+@attrs.frozen
+class PlanRules:
+    """Rules of the plan.
+
+    Parameters
+    ----------
+    on_demand_part : float
+        Part of the urgent capacity that on-demand instances must give,
+        so that it outlasts a reclaim of every failure domain at once.
+    """
+
+    on_demand_part: float = 0.0
+
+
+@attrs.frozen
+class Start:
+    """Instances to be started.
+
+    Parameters
+    ----------
+    offer : Offer
+        What is to be started.
+    service, version, role : str
+        What it is to answer.
+    count : int
+        How many.
+    """
+
+    offer: Offer
+    service: str
+    version: str
+    role: str
+    count: int
+
+
+@attrs.frozen
+class Shortfall:
+    """Capacity that the plan cannot give to one demand.
+
+    Parameters
+    ----------
+    service, version : str
+        The demand.
+    patient_part_shed : float
+        Part of the patient work to be refused, from 0 to 1.
+    urgent_lacking : float
+        Urgent capacity that is lacking after the loss of one failure
+        domain, in the unit of the demand.
+    """
+
+    service: str
+    version: str
+    patient_part_shed: float
+    urgent_lacking: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What is to be started and stopped.
+
+    Parameters
+    ----------
+    starts : tuple of Start
+        Instances to be started.
+    stops : tuple of str
+        Ids of instances that can go, by graceful shutdown.
+    shortfall : tuple of Shortfall
+        One item a demand that is not met.
+    cost_per_hour : float
+        Cost once the plan is carried out, per hour.
+    """
+
+    starts: tuple = ()
+    stops: tuple = ()
+    shortfall: tuple = ()
+    cost_per_hour: float = 0.0
+
+
+def plan(demand, prices, running, refused, budget_per_hour, now_s, rules=None):
+    """Plan the instances of all demands.
+
+    Parameters
+    ----------
+    demand : sequence of Demand
+        What is needed; after the loss of any one failure domain the
+        capacity must still be there.
+    prices : sequence of Offer
+        What can be started.
+    running : sequence of Instance
+        What runs.
+    refused : RefusedStarts
+        Offers that are not to be tried yet.
+    budget_per_hour : float
+        Most that all instances may cost together, per hour.
+    now_s : float
+        The time, in seconds.
+    rules : PlanRules or None
+        The rules; the defaults when None.
+
+    Returns
+    -------
+    Plan
+        Within the budget, unless what runs is above it already.
+    """
+    rules = rules or PlanRules()
+    offers = [
+        offer for offer in prices if not refused.is_blocked(offer, now_s)
+    ]
+    by_version = collections.defaultdict(list)
+    for instance in running:
+        by_version[instance.service, instance.version].append(instance)
+    planners = [
+        Placement(
+            item,
+            offers,
+            by_version.pop((item.service, item.version), []),
+            rules.on_demand_part,
+        )
+        for item in demand
+    ]
+    unneeded = list(itertools.chain.from_iterable(by_version.values()))
+    placed = _fit(planners, budget_per_hour)
+    return _build(planners, placed, unneeded)
+
+
+def _fit(planners, budget_per_hour):
+    """Place the largest part of the demand that fits the budget.
+
+    Patient work is given up before any urgent work.
+    """
+    steps = range(SCALE_STEPS, -1, -1)
+    scales = itertools.chain(
+        ((1.0, step / SCALE_STEPS) for step in steps),
+        ((step / SCALE_STEPS, 0.0) for step in steps),
+    )
+    for urgent_part, patient_part in scales:
+        placed = [
+            planner.place(urgent_part, patient_part) for planner in planners
+        ]
+        if sum(item.cost_per_hour for item in placed) <= budget_per_hour:
+            return placed
+    return placed
+
+
+def _build(planners, placed, unneeded):
+    """Return the plan of the placements."""
+    starts = [
+        Start(
+            offer,
+            planner.demand.service,
+            planner.demand.version,
+            planner.demand.role,
+            count,
+        )
+        for planner, item in zip(planners, placed, strict=True)
+        for offer, count in item.starts.items()
+    ]
+    stops = [stop for item in placed for stop in item.stops]
+    stops += [instance.id for instance in unneeded if not instance.is_leaving]
+    shortfall = [
+        _measure_shortfall(planner.demand, item.surviving)
+        for planner, item in zip(planners, placed, strict=True)
+        if item.surviving < planner.demand.urgent + planner.demand.patient
+    ]
+    return Plan(
+        tuple(starts),
+        tuple(stops),
+        tuple(shortfall),
+        sum(item.cost_per_hour for item in placed),
+    )
+
+
+def _measure_shortfall(demand, surviving):
+    """Return what is lacking, taken from patient work first."""
+    lacking = demand.urgent + demand.patient - surviving
+    from_patient = min(demand.patient, lacking)
+    part = from_patient / demand.patient if demand.patient else 0.0
+    return Shortfall(
+        demand.service, demand.version, part, lacking - from_patient
+    )
--- /dev/null
+++ b/mulberryhollow/coordination/retry/policy.py
@@ -0,0 +1,200 @@
+"""Decision whether and when a failed request is tried again."""
+
+import dataclasses
+import random
+
+import attrs
+
+from mulberryhollow.coordination.retry.budget import RetryBudget
+from mulberryhollow.errors import Ran
+from mulberryhollow.errors import Refusal
+from mulberryhollow.errors import RefusalKind
+from mulberryhollow.state.endpoints import FailureKind
+
+__all__ = ["GiveUp", "RetryAfter", "RetryPolicy", "RetryRules"]
+
+
+@attrs.frozen
+class RetryRules:
+    """Limits of the retries of one request.
+
+    Parameters
+    ----------
+    attempts : int
+        Most attempts in all.
+    base_s, longest_s : float
+        Upper end of the first delay and of any delay, in seconds.
+    least_left_s : float
+        Time that an attempt needs before the deadline, in seconds.
+    retry_after_s : float
+        When a caller may come back after giving up, in seconds.
+    """
+
+    attempts: int = 4
+    base_s: float = 0.05
+    longest_s: float = 1.0
+    least_left_s: float = 0.05
+    retry_after_s: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryAfter:
+    """The request is tried again.
+
+    Parameters
+    ----------
+    delay_s : float
+        How long to wait first, in seconds.
+    fresh_connection : bool
+        Whether to open a connection instead of taking a pooled one.
+    may_have_run : bool
+        To be given to the next `RetryPolicy.decide` of the request.
+    """
+
+    delay_s: float
+    fresh_connection: bool
+    may_have_run: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class GiveUp:
+    """The request gets its final answer.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        The final answer.
+    """
+
+    refusal: Refusal
+
+
+class RetryPolicy:
+    """Decides on retries, out of one budget for all requests of a node.
+
+    Parameters
+    ----------
+    rng : random.Random or None
+        Source of the jitter; seeded by 0 when None.
+    budget : RetryBudget or None
+        The budget; a full one when None.
+    rules : RetryRules or None
+        The limits; the defaults when None.
+    """
+
+    def __init__(self, rng=None, budget=None, rules=None):
+        self.budget = budget or RetryBudget()
+        self._rng = rng or random.Random(0)
+        self._rules = rules or RetryRules()
+
+    def decide(
+        self,
+        attempt,
+        kind,
+        idempotent,
+        deadline_s,
+        now_s,
+        may_have_run=False,
+    ):
+        """Decide what follows a failed attempt.
+
+        Parameters
+        ----------
+        attempt : int
+            Attempts made so far, from 1.
+        kind : FailureKind
+            How the last one failed.
+        idempotent : bool
+            Whether the request may run twice.
+        deadline_s : float
+            When its caller stops waiting, in seconds of the clock.
+        now_s : float
+            The time, in seconds.
+        may_have_run : bool
+            Whether an earlier attempt may have run.
+
+        Returns
+        -------
+        RetryAfter or GiveUp
+            A retry starts before the deadline, whatever its delay.
+        """
+        may_have_run = may_have_run or not _certainly_not_run(kind)
+        if may_have_run and not idempotent:
+            return GiveUp(_refuse_unknown())
+        if attempt >= self._rules.attempts:
+            return self._give_up(kind, may_have_run)
+        left_s = deadline_s - now_s - self._rules.least_left_s
+        if left_s <= 0:
+            return GiveUp(_refuse_late(may_have_run))
+        if not self.budget.spend():
+            return self._give_up(kind, may_have_run)
+        delay_s = min(left_s, self._draw_delay(attempt, kind))
+        return RetryAfter(delay_s, _needs_fresh(kind), may_have_run)
+
+    def _draw_delay(self, attempt, kind):
+        """Return a delay with full jitter, in seconds."""
+        if kind is FailureKind.SILENT_POOLED:
+            return 0.0
+        rules = self._rules
+        longest_s = min(rules.longest_s, rules.base_s * 2 ** (attempt - 1))
+        return self._rng.uniform(0.0, longest_s)
+
+    def _give_up(self, kind, may_have_run):
+        """Return the final answer after the last attempt."""
+        incomplete = kind is FailureKind.INCOMPLETE
+        return GiveUp(
+            Refusal(
+                RefusalKind.INCOMPLETE
+                if incomplete
+                else RefusalKind.NO_CAPACITY,
+                f"the last attempt ended with: {kind.value}",
+                "send the request again after the given time",
+                _tell_ran(may_have_run),
+                self._rules.retry_after_s,
+            )
+        )
+
+
+def _certainly_not_run(kind):
+    """Return whether a failure shows that the request did not run."""
+    match kind:
+        case FailureKind.CONNECT_FAILED | FailureKind.REFUSED:
+            return True
+        case _:
+            return False
+
+
+def _needs_fresh(kind):
+    """Return whether the next attempt needs a connection of its own."""
+    match kind:
+        case FailureKind.SILENT_POOLED | FailureKind.SILENT_FRESH:
+            return True
+        case FailureKind.CONNECTION_LOST | FailureKind.CRASHED:
+            return True
+        case _:
+            return False
+
+
+def _tell_ran(may_have_run):
+    """Return what is known of whether the request ran."""
+    return Ran.UNKNOWN if may_have_run else Ran.NOT_RUN
+
+
+def _refuse_unknown():
+    """Return the final answer of a request that may not run twice."""
+    return Refusal(
+        RefusalKind.OUTCOME_UNKNOWN,
+        "the endpoint may have run the request before it failed",
+        "ask for the outcome with the same Idempotency-Key",
+        Ran.UNKNOWN,
+    )
+
+
+def _refuse_late(may_have_run):
+    """Return the final answer of a request past its deadline."""
+    return Refusal(
+        RefusalKind.DEADLINE_PASSED,
+        "the deadline leaves no time for another attempt",
+        "send the request again with a later deadline",
+        _tell_ran(may_have_run),
+    )
--- /dev/null
+++ b/mulberryhollow/coordination/retry/quarantine.py
@@ -0,0 +1,138 @@
+"""Requests that crash the endpoints that run them."""
+
+import collections
+
+import attrs
+import xxhash
+
+from mulberryhollow import errors
+
+__all__ = ["CrashFact", "Quarantine", "compute_fingerprint"]
+
+CRASHES_TO_QUARANTINE = 2
+FINGERPRINTS_KEPT = 4096
+
+
+@attrs.frozen
+class CrashFact:
+    """A request took down an endpoint.
+
+    Parameters
+    ----------
+    fingerprint : str
+        What `compute_fingerprint` returned for the request.
+    endpoint_id : str
+        The endpoint that was gone after it.
+    """
+
+    fingerprint: str
+    endpoint_id: str
+
+
+def compute_fingerprint(service, request_class, body):
+    """Return the fingerprint of a request, whoever sends it.
+
+    Parameters
+    ----------
+    service : str
+        The service that it calls.
+    request_class : RequestClass
+        Its class.
+    body : bytes
+        What the endpoint would run, without ids of the request.
+
+    Returns
+    -------
+    str
+        Hexadecimal xxh3-128.
+    """
+    state = xxhash.xxh3_128()
+    for part in (service.encode(), request_class.value.encode(), body):
+        state.update(len(part).to_bytes(8, "big"))
+        state.update(part)
+    return state.hexdigest()
+
+
+class Quarantine:
+    """Fingerprints and the different endpoints that each took down.
+
+    Parameters
+    ----------
+    kept : int
+        Most fingerprints that are kept; those with a single crash go
+        first, the oldest of them first.
+
+    Notes
+    -----
+    Facts are only added, so merging them from peers in any order and
+    any number of times gives the same result.
+    """
+
+    def __init__(self, kept=FINGERPRINTS_KEPT):
+        self._kept = kept
+        self._suspects = collections.OrderedDict()
+        self._condemned = collections.OrderedDict()
+
+    def __len__(self):
+        return len(self._suspects) + len(self._condemned)
+
+    def record_crash(self, fingerprint, endpoint_id):
+        """Add a crash; return whether the fingerprint is now refused.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request's fingerprint.
+        endpoint_id : str
+            The endpoint that lost the connection and is gone.
+        """
+        if fingerprint in self._condemned:
+            return True
+        crashed = self._suspects.setdefault(fingerprint, [])
+        if endpoint_id not in crashed:
+            crashed.append(endpoint_id)
+        if len(crashed) >= CRASHES_TO_QUARANTINE:
+            self._condemned[fingerprint] = self._suspects.pop(fingerprint)
+        self._trim()
+        return fingerprint in self._condemned
+
+    def merge(self, facts):
+        """Add crashes that a peer reports.
+
+        Parameters
+        ----------
+        facts : iterable of CrashFact
+            What the peer's `list_facts` returned.
+        """
+        for fact in facts:
+            self.record_crash(fact.fingerprint, fact.endpoint_id)
+
+    def list_facts(self):
+        """Return every crash that is known, for a peer."""
+        return [
+            CrashFact(fingerprint, endpoint_id)
+            for known in (self._condemned, self._suspects)
+            for fingerprint, endpoints in known.items()
+            for endpoint_id in endpoints
+        ]
+
+    def is_quarantined(self, fingerprint):
+        """Return whether requests with the fingerprint are refused."""
+        return fingerprint in self._condemned
+
+    def check(self, fingerprint):
+        """Return the refusal of a quarantined request; None otherwise."""
+        if not self.is_quarantined(fingerprint):
+            return None
+        return errors.Refusal(
+            errors.RefusalKind.QUARANTINED,
+            "this request took down the endpoints that ran it",
+            "change the request before sending it again",
+            errors.Ran.NOT_RUN,
+        )
+
+    def _trim(self):
+        """Forget the oldest fingerprints beyond the limit."""
+        while len(self) > self._kept:
+            oldest = self._suspects or self._condemned
+            oldest.popitem(last=False)
--- /dev/null
+++ b/mulberryhollow/coordination/routing/__init__.py
@@ -0,0 +1,23 @@
+"""Choice of the endpoint that runs a request."""
+
+from mulberryhollow.coordination.routing.baseline import LeastOutstanding
+from mulberryhollow.coordination.routing.baseline import PowerOfTwo
+from mulberryhollow.coordination.routing.baseline import RoundRobin
+from mulberryhollow.coordination.routing.request import Chosen
+from mulberryhollow.coordination.routing.request import NoEndpoint
+from mulberryhollow.coordination.routing.request import RouteRequest
+from mulberryhollow.coordination.routing.router import Router
+from mulberryhollow.coordination.routing.router import RoutingRules
+from mulberryhollow.coordination.routing.shares import list_versions
+
+__all__ = [
+    "Chosen",
+    "LeastOutstanding",
+    "NoEndpoint",
+    "PowerOfTwo",
+    "RoundRobin",
+    "RouteRequest",
+    "Router",
+    "RoutingRules",
+    "list_versions",
+]
--- /dev/null
+++ b/mulberryhollow/coordination/routing/request.py
@@ -0,0 +1,84 @@
+"""What routing is asked and what it answers."""
+
+import dataclasses
+
+import attrs
+
+from mulberryhollow import errors
+from mulberryhollow.state import environment
+
+__all__ = ["Chosen", "NoEndpoint", "RouteRequest"]
+
+
+@attrs.frozen
+class RouteRequest:
+    """A request as far as routing needs to know it.
+
+    Parameters
+    ----------
+    request_id : str
+        Its id; the same id draws the same version again.
+    service : str
+        The service that it calls.
+    version_shares : dict
+        Version name to its share of the traffic; shares need not add up
+        to one, and a version with share 0 gets nothing.
+    prompt : str
+        Prompt of a model request; empty for a plain service.
+    request_class : RequestClass
+        Its class.
+    deadline_s : float
+        When its caller stops waiting, in seconds of the clock.
+    idempotent : bool
+        Whether it may run twice; if not, it never probes an endpoint
+        while another one can take it.
+    """
+
+    request_id: str
+    service: str
+    version_shares: dict
+    prompt: str = ""
+    request_class: environment.RequestClass = environment.RequestClass.CHAT
+    deadline_s: float = float("inf")
+    idempotent: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Chosen:
+    """The endpoint that runs the request.
+
+    Parameters
+    ----------
+    endpoint_id, address, version : str
+        Where it goes.
+    cost : float
+        Its load for `EndpointView.start`, in requests of ordinary cost.
+    cached_tokens, computed_tokens : int
+        Prompt tokens expected in its cache and those to be computed.
+    expected_first_token_s : float
+        Expected time to the first token, in seconds.
+    hashes : tuple of int
+        For `PrefixIndex.insert` once the request is sent.
+    """
+
+    endpoint_id: str
+    address: str
+    version: str
+    cost: float = 1.0
+    cached_tokens: int = 0
+    computed_tokens: int = 0
+    expected_first_token_s: float = 0.0
+    hashes: tuple = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class NoEndpoint:
+    """No endpoint can take the request now.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        The final answer, should the request not be tried again.
+    """
+
+    refusal: errors.Refusal
--- /dev/null
+++ b/mulberryhollow/state/endpoints/__init__.py
@@ -0,0 +1,21 @@
+"""What one node knows about the endpoints that it routes to."""
+
+from mulberryhollow.state.endpoints.circuit import Circuit
+from mulberryhollow.state.endpoints.circuit import CircuitState
+from mulberryhollow.state.endpoints.group import EndpointGroup
+from mulberryhollow.state.endpoints.record import Endpoint
+from mulberryhollow.state.endpoints.record import EndpointRecord
+from mulberryhollow.state.endpoints.record import FailureKind
+from mulberryhollow.state.endpoints.record import Work
+from mulberryhollow.state.endpoints.view import EndpointView
+
+__all__ = [
+    "Circuit",
+    "CircuitState",
+    "Endpoint",
+    "EndpointGroup",
+    "EndpointRecord",
+    "EndpointView",
+    "FailureKind",
+    "Work",
+]
--- /dev/null
+++ b/mulberryhollow/state/endpoints/group.py
@@ -0,0 +1,99 @@
+"""Available endpoints of one version, indexed by load."""
+
+import heapq
+
+__all__ = ["EndpointGroup"]
+
+STALE_ENTRIES_PER_MEMBER = 4
+
+
+class EndpointGroup:
+    """Records that may take new work, for sampling and by load.
+
+    Notes
+    -----
+    The heap holds an entry for each change of a record's load; entries
+    whose stamp is out of date are dropped when they surface.
+    """
+
+    def __init__(self):
+        self._members = []
+        self._positions = {}
+        self._heap = []
+        self._pushes = 0
+
+    def __len__(self):
+        return len(self._members)
+
+    def __contains__(self, endpoint_id):
+        return endpoint_id in self._positions
+
+    def __iter__(self):
+        return iter(self._members)
+
+    def get(self, endpoint_id):
+        """Return the record of a member; None for any other id."""
+        position = self._positions.get(endpoint_id)
+        return None if position is None else self._members[position]
+
+    def add(self, record):
+        """Add a record or index its changed load."""
+        endpoint_id = record.endpoint.id
+        if endpoint_id not in self._positions:
+            self._positions[endpoint_id] = len(self._members)
+            self._members.append(record)
+        self._push(record)
+
+    def remove(self, endpoint_id):
+        """Remove a record, if it is a member."""
+        position = self._positions.pop(endpoint_id, None)
+        if position is None:
+            return
+        last = self._members.pop()
+        if position < len(self._members):
+            self._members[position] = last
+            self._positions[last.endpoint.id] = position
+
+    def sample(self, rng, count):
+        """Return up to that many members, drawn with replacement.
+
+        Parameters
+        ----------
+        rng : random.Random
+            Source of the draws.
+        count : int
+            How many draws.
+        """
+        size = len(self._members)
+        if size <= count:
+            return list(self._members)
+        draws = (int(rng.random() * size) for _ in range(count))
+        return [self._members[draw] for draw in draws]
+
+    def list_least_loaded(self, count):
+        """Return the members with the least load for each slot."""
+        kept = []
+        while self._heap and len(kept) < count:
+            entry = heapq.heappop(self._heap)
+            if self._is_current(entry):
+                kept.append(entry)
+        for entry in kept:
+            heapq.heappush(self._heap, entry)
+        return [entry[-1] for entry in kept]
+
+    def _push(self, record):
+        """Add an entry for the record's present load."""
+        record.stamp += 1
+        self._pushes += 1
+        entry = record.relative_load, self._pushes, record.stamp, record
+        heapq.heappush(self._heap, entry)
+        limit = STALE_ENTRIES_PER_MEMBER * (len(self._members) + 16)
+        if len(self._heap) > limit:
+            self._heap = [e for e in self._heap if self._is_current(e)]
+            heapq.heapify(self._heap)
+
+    def _is_current(self, entry):
+        """Return whether an entry shows the present load of a member."""
+        _, _, stamp, record = entry
+        is_latest = stamp == record.stamp
+        return is_latest and self.get(record.endpoint.id) is record
--- /dev/null
+++ b/mulberryhollow/state/endpoints/record.py
@@ -0,0 +1,187 @@
+"""Data of one endpoint: what it is, its load and its failures."""
+
+import collections
+import enum
+
+import attrs
+
+from mulberryhollow.state.endpoints.circuit import Circuit
+
+__all__ = ["Endpoint", "EndpointRecord", "FailureKind", "Work"]
+
+FINISHED_KEPT = 256
+
+
+class FailureKind(enum.Enum):
+    """How a request failed, as seen by the node that sent it.
+
+    Notes
+    -----
+    ``CONNECT_FAILED`` and ``REFUSED`` are the only kinds after which the
+    request certainly did not run.
+    """
+
+    CONNECT_FAILED = "connect failed"
+    SILENT_POOLED = "silent pooled connection"
+    SILENT_FRESH = "silent fresh connection"
+    CONNECTION_LOST = "connection lost"
+    CRASHED = "endpoint crashed"
+    REFUSED = "endpoint refused"
+    FAILED = "endpoint failed"
+    INCOMPLETE = "answer incomplete"
+
+
+@attrs.frozen
+class Endpoint:
+    """One item of the instance list that requests can be routed to.
+
+    Parameters
+    ----------
+    id : str
+        Identity given by the platform, never used twice.
+    role : str
+        ``model`` or ``plain``.
+    address : str
+        ``IP:PORT``.
+    failure_domain : str
+        Where it runs.
+    service, version : str
+        What it answers.
+    market : str
+        ``reclaimable`` or ``on_demand``.
+    price_per_hour : float
+        Its price, in the currency of the cloud, per hour.
+    state : str
+        ``live`` or ``leaving``, as the list says.
+    """
+
+    id: str
+    role: str
+    address: str
+    failure_domain: str
+    service: str
+    version: str
+    market: str = "on_demand"
+    price_per_hour: float = 0.0
+    state: str = "live"
+
+
+@attrs.frozen(eq=False)
+class Work:
+    """A request that this node has in flight at an endpoint.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        Where it runs.
+    cost : float
+        Its load, in requests of ordinary cost.
+    started_at_s : float
+        When it was sent, in seconds.
+    """
+
+    endpoint_id: str
+    cost: float
+    started_at_s: float
+
+
+@attrs.define(eq=False)
+class EndpointRecord:
+    """What a node knows about one endpoint.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The list's latest item.
+    is_leaving, is_draining : bool
+        Whether new work is kept away.
+    circuit : Circuit
+        Its circuit breaker.
+    running, queued, slots : int
+        The last load report, in requests.
+    measured_at_s : float
+        When the reported load was measured, in seconds.
+    own_load : float
+        Work of this node that the report does not show, less the work
+        that it shows and that has ended since, in requests.
+    peer_load : float
+        The same of all peers, in requests.
+    stamp : int
+        Grows with each change of the load.
+    """
+
+    endpoint: Endpoint
+    is_leaving: bool = False
+    is_draining: bool = False
+    circuit: Circuit = attrs.field(factory=Circuit)
+    running: int = 0
+    queued: int = 0
+    slots: int = 1
+    measured_at_s: float = float("-inf")
+    own_load: float = 0.0
+    peer_load: float = 0.0
+    stamp: int = 0
+    _active: set = attrs.field(factory=set)
+    _finished: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=FINISHED_KEPT)
+    )
+
+    @property
+    def load(self):
+        """Estimated requests at the endpoint, running and queued."""
+        known = self.running + self.queued
+        return max(0.0, known + self.own_load + self.peer_load)
+
+    @property
+    def relative_load(self):
+        """Estimated requests for each slot."""
+        return self.load / self.slots
+
+    @property
+    def active_count(self):
+        """Requests that this node has in flight at the endpoint."""
+        return len(self._active)
+
+    def is_available(self):
+        """Return whether new work may be sent to the endpoint."""
+        is_wanted = not (self.is_leaving or self.is_draining)
+        return is_wanted and self.circuit.admits_work()
+
+    def start(self, work):
+        """Count a request as sent."""
+        self._active.add(work)
+        self.own_load += work.cost
+
+    def finish(self, work, now_s):
+        """Count a request as ended; return whether it was known."""
+        if work not in self._active:
+            return False
+        self._active.remove(work)
+        self._finished.append((now_s, work))
+        is_reported = work.started_at_s <= self.measured_at_s
+        self.own_load -= 1.0 if is_reported else work.cost
+        return True
+
+    def report(self, running, queued, slots, measured_at_s):
+        """Take over a load report unless a later one is known."""
+        if measured_at_s < self.measured_at_s:
+            return False
+        self.running = running
+        self.queued = queued
+        self.slots = max(1, slots)
+        self.measured_at_s = measured_at_s
+        self.own_load = self._sum_unreported()
+        return True
+
+    def _sum_unreported(self):
+        """Return own work that the last report shows wrongly."""
+        at_s = self.measured_at_s
+        while self._finished and self._finished[0][0] <= at_s:
+            self._finished.popleft()
+        hidden = sum(
+            work.cost for work in self._active if work.started_at_s > at_s
+        )
+        ended = sum(
+            1.0 for _, work in self._finished if work.started_at_s <= at_s
+        )
+        return hidden - ended
--- /dev/null
+++ b/mulberryhollow/state/endpoints/view.py
@@ -0,0 +1,355 @@
+"""View of all endpoints, built from late and partial reports."""
+
+import collections
+import heapq
+import random
+
+from mulberryhollow.state.endpoints.circuit import CircuitState
+from mulberryhollow.state.endpoints.group import EndpointGroup
+from mulberryhollow.state.endpoints.record import EndpointRecord
+from mulberryhollow.state.endpoints.record import FailureKind
+from mulberryhollow.state.endpoints.record import Work
+
+__all__ = ["EndpointView"]
+
+MARK_RETENTION_S = 120.0
+MARKS_KEPT = 10_000
+_EMPTY_GROUP = EndpointGroup()
+
+
+class EndpointView:
+    """Endpoints, their load and whether new work may go to them.
+
+    Parameters
+    ----------
+    rng : random.Random or None
+        Source of the jitter of circuits; seeded by 0 when None.
+
+    Notes
+    -----
+    A leaving mark never goes while the list shows the endpoint, whatever
+    state the list gives, and outlasts its absence by
+    ``MARK_RETENTION_S`` so that an older list read later cannot undo it.
+    """
+
+    def __init__(self, rng=None):
+        self._rng = rng or random.Random(0)
+        self._records = {}
+        self._groups = collections.defaultdict(EndpointGroup)
+        self._marks = collections.OrderedDict()
+        self._domain_marks = {}
+        self._peers = collections.defaultdict(dict)
+        self._reopenings = []
+
+    def __len__(self):
+        return len(self._records)
+
+    def __iter__(self):
+        return iter(self._records.values())
+
+    def get(self, endpoint_id):
+        """Return the record of an endpoint; None when not listed."""
+        return self._records.get(endpoint_id)
+
+    def get_group(self, service, version):
+        """Return the available endpoints of one version.
+
+        Parameters
+        ----------
+        service, version : str
+            What the endpoints answer.
+
+        Returns
+        -------
+        EndpointGroup
+            Not to be changed by the reader; empty when there is none.
+        """
+        return self._groups.get((service, version), _EMPTY_GROUP)
+
+    def apply_list(self, endpoints, now_s):
+        """Take over the instance list, which may be out of date.
+
+        Parameters
+        ----------
+        endpoints : iterable of Endpoint
+            Every listed endpoint.
+        now_s : float
+            The time, in seconds.
+        """
+        listed = {endpoint.id: endpoint for endpoint in endpoints}
+        for endpoint_id in self._records.keys() - listed.keys():
+            self._drop(endpoint_id)
+        for endpoint in listed.values():
+            self._take(endpoint, now_s)
+        self._prune_marks(listed, now_s)
+
+    def mark_leaving(self, endpoint_id):
+        """Keep new work away from an endpoint for good.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint, listed already or not yet.
+        """
+        self._marks[endpoint_id] = None
+        self._marks.move_to_end(endpoint_id)
+        while len(self._marks) > MARKS_KEPT:
+            self._marks.popitem(last=False)
+        record = self._records.get(endpoint_id)
+        if record is not None:
+            record.is_leaving = True
+            self._index(record)
+
+    def mark_domain_leaving(self, failure_domain, until_s=None):
+        """Keep new work away from every endpoint of a failure domain.
+
+        Parameters
+        ----------
+        failure_domain : str
+            The failure domain under notice.
+        until_s : float or None
+            Endpoints of the domain that are first listed before this
+            time, in seconds, are marked too; when None, those that are
+            first listed while a marked one is still listed.
+        """
+        members = [
+            record.endpoint.id
+            for record in self._records.values()
+            if record.endpoint.failure_domain == failure_domain
+        ]
+        self._domain_marks[failure_domain] = until_s
+        for endpoint_id in members:
+            self.mark_leaving(endpoint_id)
+
+    def set_draining(self, endpoint_id, is_draining):
+        """Keep new work away from an endpoint, or let it come again."""
+        record = self._records.get(endpoint_id)
+        if record is not None:
+            record.is_draining = is_draining
+            self._index(record)
+
+    def report_load(self, endpoint_id, running, queued, slots, age_s, now_s):
+        """Take over a load report; older than the last one, it is ignored.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint that reported.
+        running, queued, slots : int
+            Its load, in requests.
+        age_s : float
+            Age of the report on arrival, in seconds.
+        now_s : float
+            The time, in seconds.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return
+        if record.report(running, queued, slots, now_s - age_s):
+            self._index(record)
+
+    def start(self, endpoint_id, cost, now_s):
+        """Count a request as sent to an endpoint.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Where it goes.
+        cost : float
+            Its load, in requests of ordinary cost.
+        now_s : float
+            The time, in seconds.
+
+        Returns
+        -------
+        Work
+            To be given to `finish` when the request ends.
+        """
+        work = Work(endpoint_id, cost, now_s)
+        record = self._records.get(endpoint_id)
+        if record is not None:
+            record.start(work)
+            if record.circuit.state is CircuitState.HALF_OPEN:
+                record.circuit.is_probing = True
+            self._index(record)
+        return work
+
+    def finish(self, work, now_s):
+        """Count a request as ended, however it ended.
+
+        Parameters
+        ----------
+        work : Work
+            What `start` returned; a second call has no effect.
+        now_s : float
+            The time, in seconds.
+        """
+        record = self._records.get(work.endpoint_id)
+        if record is None or not record.finish(work, now_s):
+            return
+        if record.circuit.state is CircuitState.HALF_OPEN:
+            record.circuit.is_probing = False
+        self._index(record)
+
+    def set_peer_inflight(self, node, endpoint_id, amount):
+        """Set the work that a peer has sent and no report shows yet.
+
+        Parameters
+        ----------
+        node : str
+            The peer.
+        endpoint_id : str
+            Where the work runs.
+        amount : float
+            The peer's `get_unreported`, in requests.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return
+        amounts = self._peers[node]
+        record.peer_load += amount - amounts.pop(endpoint_id, 0.0)
+        if amount:
+            amounts[endpoint_id] = amount
+        self._index(record)
+
+    def drop_peer(self, node):
+        """Forget the work of a peer that is gone."""
+        for endpoint_id in list(self._peers.pop(node, {})):
+            record = self._records.get(endpoint_id)
+            record.peer_load = sum(
+                amounts.get(endpoint_id, 0.0)
+                for amounts in self._peers.values()
+            )
+            self._index(record)
+
+    def get_unreported(self, endpoint_id):
+        """Return own work that no report shows yet, in requests."""
+        record = self._records.get(endpoint_id)
+        return 0.0 if record is None else record.own_load
+
+    def record_failure(self, endpoint_id, kind, now_s, is_blamed=False):
+        """Let a failure of a request count against its endpoint.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Where the request ran or should have run.
+        kind : FailureKind
+            What was seen.
+        now_s : float
+            The time, in seconds.
+        is_blamed : bool
+            Whether the request is in quarantine, so that its crash says
+            nothing about the endpoint.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None or not _counts(kind, is_blamed):
+            return
+        record.circuit.record_failure(now_s, self._rng)
+        if record.circuit.state is CircuitState.OPEN:
+            entry = record.circuit.open_until_s, endpoint_id
+            heapq.heappush(self._reopenings, entry)
+        self._index(record)
+
+    def record_success(self, endpoint_id):
+        """Close the circuit of an endpoint that answered."""
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return
+        was_closed = record.circuit.state is CircuitState.CLOSED
+        record.circuit.record_success()
+        if not was_closed:
+            self._index(record)
+
+    def advance(self, now_s):
+        """Turn circuits half open whose open time has passed."""
+        while self._reopenings and self._reopenings[0][0] <= now_s:
+            _, endpoint_id = heapq.heappop(self._reopenings)
+            record = self._records.get(endpoint_id)
+            if record is not None:
+                record.circuit.advance(now_s)
+                self._index(record)
+
+    def _take(self, endpoint, now_s):
+        """Add or update one listed endpoint."""
+        record = self._records.get(endpoint.id)
+        if record is None:
+            record = EndpointRecord(endpoint)
+            self._records[endpoint.id] = record
+            self._mark_by_domain(endpoint, now_s)
+        elif record.endpoint != endpoint:
+            self._get_own_group(record).remove(endpoint.id)
+            record.endpoint = endpoint
+        if endpoint.state != "live":
+            self.mark_leaving(endpoint.id)
+        if endpoint.id in self._marks:
+            self._marks[endpoint.id] = None
+            record.is_leaving = True
+        self._index(record)
+
+    def _mark_by_domain(self, endpoint, now_s):
+        """Mark a newly listed endpoint of a domain that is leaving."""
+        domain = endpoint.failure_domain
+        if domain not in self._domain_marks:
+            return
+        until_s = self._domain_marks[domain]
+        if until_s is None or now_s < until_s:
+            self.mark_leaving(endpoint.id)
+
+    def _prune_marks(self, listed, now_s):
+        """Forget marks of endpoints that are gone for long enough."""
+        for endpoint_id, gone_at_s in list(self._marks.items()):
+            if endpoint_id in listed:
+                continue
+            if gone_at_s is None:
+                self._marks[endpoint_id] = now_s
+            elif now_s - gone_at_s > MARK_RETENTION_S:
+                del self._marks[endpoint_id]
+        marked_domains = {
+            listed[endpoint_id].failure_domain
+            for endpoint_id in self._marks
+            if endpoint_id in listed
+        }
+        self._domain_marks = {
+            domain: until_s
+            for domain, until_s in self._domain_marks.items()
+            if _stays(domain, until_s, marked_domains, now_s)
+        }
+
+    def _drop(self, endpoint_id):
+        """Forget an endpoint that the list no longer shows."""
+        record = self._records.pop(endpoint_id)
+        self._get_own_group(record).remove(endpoint_id)
+        for amounts in self._peers.values():
+            amounts.pop(endpoint_id, None)
+
+    def _get_own_group(self, record):
+        """Return the group that a record belongs to."""
+        endpoint = record.endpoint
+        return self._groups[endpoint.service, endpoint.version]
+
+    def _index(self, record):
+        """Bring the record's group up to date."""
+        group = self._get_own_group(record)
+        if record.is_available():
+            group.add(record)
+        else:
+            group.remove(record.endpoint.id)
+
+
+def _counts(kind, is_blamed):
+    """Return whether a failure counts against the endpoint."""
+    match kind:
+        case FailureKind.CONNECT_FAILED | FailureKind.SILENT_FRESH:
+            return True
+        case FailureKind.CRASHED:
+            return not is_blamed
+        case _:
+            return False
+
+
+def _stays(domain, until_s, marked_domains, now_s):
+    """Return whether the mark of a failure domain is still needed."""
+    if until_s is None:
+        return domain in marked_domains
+    return now_s < until_s
--- /dev/null
+++ b/mulberryhollow/state/prefixes.py
@@ -0,0 +1,191 @@
+"""Index of the prompt prefixes that model engines hold in cache."""
+
+import collections
+import itertools
+
+import attrs
+import xxhash
+
+__all__ = ["BLOCK_WORDS", "CacheEvent", "PrefixIndex", "hash_prefixes"]
+
+BLOCK_WORDS = 16
+ENTRIES_KEPT = 400_000
+ENTRIES_KEPT_PER_ENDPOINT_AT_LEAST = 64
+HOLDERS_CONSIDERED = 16
+
+
+@attrs.frozen
+class CacheEvent:
+    """One event of an engine's prefix cache.
+
+    Parameters
+    ----------
+    number : int
+        Grows by one with each event of the engine.
+    is_added : bool
+        Whether the block was added; otherwise it was dropped.
+    prefix : int
+        Hash of the prefix that ends with the block.
+    """
+
+    number: int
+    is_added: bool
+    prefix: int
+
+
+def hash_prefixes(prompt):
+    """Return the hash of each prefix of whole blocks.
+
+    Parameters
+    ----------
+    prompt : str
+        A prompt, whose tokens are its words.
+
+    Returns
+    -------
+    tuple of int
+        xxh3-64 of the first 16, 32, ... words joined by blanks.
+    """
+    words = prompt.split()
+    state = xxhash.xxh3_64()
+    hashes = []
+    for end in range(BLOCK_WORDS, len(words) + 1, BLOCK_WORDS):
+        block = " ".join(words[end - BLOCK_WORDS : end])
+        text = block if end == BLOCK_WORDS else " " + block
+        state.update(text.encode(errors="surrogatepass"))
+        hashes.append(state.intdigest())
+    return tuple(hashes)
+
+
+class PrefixIndex:
+    """Which endpoint holds which prefix, from late and lossy events.
+
+    Parameters
+    ----------
+    entries_kept : int
+        Most (prefix, endpoint) pairs that are kept.
+
+    Notes
+    -----
+    An answer is a hint: the engine may have dropped or gained blocks
+    since. Each endpoint has an equal part of the memory, and its least
+    recently used blocks go first.
+    """
+
+    def __init__(self, entries_kept=ENTRIES_KEPT):
+        self._entries_kept = entries_kept
+        self._holders = {}
+        self._held = {}
+        self._last_numbers = {}
+
+    def __len__(self):
+        return sum(len(held) for held in self._held.values())
+
+    def apply_event(self, endpoint_id, event):
+        """Take over one cache event.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The engine that published it.
+        event : CacheEvent
+            A repeated event is ignored; a gap before it drops all that
+            was known of the engine.
+
+        Returns
+        -------
+        bool
+            Whether there was a gap.
+        """
+        last = self._last_numbers.get(endpoint_id)
+        if last is not None and event.number <= last:
+            return False
+        has_gap = last is not None and event.number > last + 1
+        if has_gap:
+            self.drop(endpoint_id)
+        self._last_numbers[endpoint_id] = event.number
+        if event.is_added:
+            self._add(endpoint_id, event.prefix)
+        else:
+            self._remove(endpoint_id, event.prefix)
+        return has_gap
+
+    def insert(self, endpoint_id, hashes):
+        """Expect the blocks of a prompt sent there to be in its cache.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Where the prompt went.
+        hashes : sequence of int
+            What `hash_prefixes` returned for it.
+        """
+        for prefix in reversed(hashes):
+            self._add(endpoint_id, prefix)
+
+    def drop(self, endpoint_id):
+        """Forget all that is known of an endpoint."""
+        self._last_numbers.pop(endpoint_id, None)
+        for prefix in self._held.pop(endpoint_id, ()):
+            self._remove_holder(endpoint_id, prefix)
+
+    def match(self, prompt):
+        """Return the endpoints that hold the longest prefixes.
+
+        Parameters
+        ----------
+        prompt : str
+            The prompt.
+
+        Returns
+        -------
+        dict
+            Endpoint id to its number of cached blocks, at most
+            ``HOLDERS_CONSIDERED`` endpoints, longest prefix first.
+        """
+        return self.match_hashes(hash_prefixes(prompt))
+
+    def match_hashes(self, hashes):
+        """Return the same as `match` for hashes already computed."""
+        found = {}
+        for blocks in range(len(hashes), 0, -1):
+            holders = self._holders.get(hashes[blocks - 1], ())
+            for endpoint_id in itertools.islice(holders, HOLDERS_CONSIDERED):
+                found.setdefault(endpoint_id, blocks)
+            if len(found) >= HOLDERS_CONSIDERED:
+                break
+        return dict(itertools.islice(found.items(), HOLDERS_CONSIDERED))
+
+    def count_blocks(self, endpoint_id, hashes):
+        """Return how many leading blocks an endpoint holds."""
+        held = self._held.get(endpoint_id, ())
+        known = itertools.takewhile(held.__contains__, hashes) if held else ()
+        return sum(1 for _ in known)
+
+    def _add(self, endpoint_id, prefix):
+        """Add a block as the endpoint's most recent one."""
+        held = self._held.setdefault(endpoint_id, collections.OrderedDict())
+        held[prefix] = None
+        held.move_to_end(prefix)
+        self._holders.setdefault(prefix, {})[endpoint_id] = None
+        limit = max(
+            ENTRIES_KEPT_PER_ENDPOINT_AT_LEAST,
+            self._entries_kept // len(self._held),
+        )
+        while len(held) > limit:
+            oldest, _ = held.popitem(last=False)
+            self._remove_holder(endpoint_id, oldest)
+
+    def _remove(self, endpoint_id, prefix):
+        """Remove a block of an endpoint, if it is known."""
+        held = self._held.get(endpoint_id, {})
+        if prefix in held:
+            del held[prefix]
+            self._remove_holder(endpoint_id, prefix)
+
+    def _remove_holder(self, endpoint_id, prefix):
+        """Remove an endpoint from the holders of a prefix."""
+        holders = self._holders[prefix]
+        del holders[endpoint_id]
+        if not holders:
+            del self._holders[prefix]
