History checker: records of a run and the proof of its invariants

Cause: concurrent runs need a verdict that does not rest on the product's own code.

Ruled out: reading only GET /control of the endpoints, since a killed endpoint would take its runs with it; a general linearizability checker, since each promise is a direct rule over ids, keys and times.

Change: tools/history/ records callers, ledgers, store revisions, versions in force, notices, moves and stops, and checks eleven rules over them.

Conclusion: the checker tells each planted fault from a clean history.

--- /dev/null
+++ b/tests/steps/tools_history.py
@@ -0,0 +1,196 @@
+import pathlib
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+
+from tools.history import checker
+from tools.history import expected
+from tools.history import record
+
+_START_S = 1_000.0
+
+
+def sent(call, kind, text, at_s=1.0, **fields):
+    """Return a request sent to the first entry."""
+    at_s = _START_S + at_s
+    return record.Sent(
+        at_s=at_s, call=call, entry="e1", kind=kind, text=text, **fields
+    )
+
+
+def answered(call, outcome="done", at_s=2.0, **fields):
+    """Return the end of a call."""
+    fields.setdefault("request_id", f"r-{call}")
+    at_s = _START_S + at_s
+    return record.Answered(at_s=at_s, call=call, outcome=outcome, **fields)
+
+
+def step(endpoint, kind, request_id, name="ran", at_s=1.5, **fields):
+    """Return a line of an endpoint's ledger."""
+    return record.EndpointStep(
+        at_s=_START_S + at_s,
+        endpoint=endpoint,
+        step=name,
+        kind=kind,
+        request_id=request_id,
+        **fields,
+    )
+
+
+def chat(call, prompt, answer_prompt=None, count=3, tokens=3):
+    """Return a chat of three tokens and its answer."""
+    text = expected.make_text("1", answer_prompt or prompt, count)
+    return [
+        sent(call, "chat", prompt, max_tokens=3),
+        answered(call, content=text, tokens=tokens),
+    ]
+
+
+def booking(call, key, at_s=1.0, **fields):
+    """Return a booking that was sent and how it ended."""
+    return [
+        sent(call, "booking", "s1", at_s, key=key),
+        answered(call, at_s=at_s + 1, **fields),
+    ]
+
+
+def ran_booking(endpoint, call, key):
+    """Return the run of a booking."""
+    return step(
+        endpoint,
+        "booking",
+        f"r-{call}",
+        key=key,
+        slot="s1",
+        booking_id=f"{endpoint}-1",
+    )
+
+
+def arrived_at_leaving(after_s):
+    """Return a request that arrives after an endpoint's notice."""
+    return [
+        record.LeavingNotice(
+            at_s=_START_S, endpoints=("m1",), reclaim_at_s=_START_S + 9
+        ),
+        step("m1", "generate", "r-late", "arrived", at_s=after_s),
+    ]
+
+
+def configuration(at_s, version):
+    return record.ConfigurationSeen(
+        at_s=_START_S + at_s,
+        instance="e1",
+        environment="production",
+        version=version,
+    )
+
+
+def revision(at_s, number):
+    return record.StoreRevision(
+        at_s=_START_S + at_s, kind="claim", name="b1", revision=number
+    )
+
+
+def move(at_s, state, name="move-2"):
+    return record.MoveSeen(
+        at_s=_START_S + at_s, move=name, state=state, deadline_s=_START_S + 10
+    )
+
+
+def cut_off(event):
+    """Return a call that is lost after an event at its entry."""
+    return [
+        sent("c9", "chat", "x", max_tokens=3),
+        record.StopPlanned(at_s=_START_S + 1.5, instance="e1"),
+        event,
+        answered("c9", "lost"),
+    ]
+
+
+_KILLED = record.Killed(at_s=_START_S + 1.7, instance="e1")
+_PLANTED = {
+    "a second run of a booking elsewhere": [ran_booking("p2", "b1", "k1")],
+    "an answer with another booking's id": booking("b7", "k1", content="p7-9"),
+    "a run of a request refused as not run": [
+        step("m1", "generate", "r-refused")
+    ],
+    "a resend refused as not run after a run": booking(
+        "b8", "k1", at_s=3.0, outcome="refused", ran="not run"
+    ),
+    "an answer cut short": chat("c3", "x", count=2),
+    "an answer to another prompt": chat("c3", "x", answer_prompt="y"),
+    "an answer with too low a token count": chat("c3", "x", tokens=2),
+    "a look-up's result of another query": [
+        sent("l2", "lookup", "q"),
+        answered("l2", content=expected.make_result("1", "other")),
+    ],
+    "one request id on two calls": [
+        sent("c4", "chat", "x", max_tokens=3),
+        answered("c4", "refused", request_id="r-c1", ran="outcome unknown"),
+    ],
+    "a call without an end": [sent("c5", "chat", "x", max_tokens=3)],
+    "work at a leaving endpoint after 3.1 s": arrived_at_leaving(3.1),
+    "work at a leaving endpoint after 2.9 s": arrived_at_leaving(2.9),
+    "a configuration going back": [configuration(5.0, 3)],
+    "a store revision going back": [revision(5.0, 3)],
+    "a move without an end": [move(1.0, "shifting")],
+    "a move that ends after its deadline": [move(10.5, "done")],
+    "a move that ends twice": [move(9.5, "rolled_back", name="move-1")],
+    "a call cut off by a planned stop": cut_off(configuration(1.7, 4)),
+    "a call lost with a killed entry": cut_off(_KILLED),
+    "a refusal that says outcome unknown": booking(
+        "b9", "k9", outcome="refused", ran="outcome unknown"
+    )
+    + [ran_booking("p1", "b9", "k9")],
+}
+
+
+@given("a clean history")
+def make_clean_history(context):
+    context.history = [
+        *chat("c1", "hello there"),
+        step("m1", "generate", "r-c1"),
+        sent("l1", "lookup", "free on monday"),
+        answered("l1", content=expected.make_result("1", "free on monday")),
+        step("p1", "lookup", "r-l1"),
+        *booking("b1", "k1", content="p1-1"),
+        *booking("b2", "k1", content="p1-1"),
+        ran_booking("p1", "b1", "k1"),
+        sent("refused", "chat", "x", max_tokens=3),
+        answered("refused", "refused", ran="not run"),
+        configuration(1.0, 3),
+        configuration(4.0, 4),
+        revision(1.0, 3),
+        revision(4.0, 4),
+        move(1.0, "planned", name="move-1"),
+        move(9.0, "done", name="move-1"),
+    ]
+
+
+@when("the history is given {planted}")
+def plant(context, planted):
+    context.history += _PLANTED[planted]
+
+
+@when("the history is written and read again")
+def write_and_read(context):
+    recorder = record.Recorder()
+    for event in context.history:
+        recorder.add(event)
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "history"
+        recorder.dump(path)
+        context.history = record.load(path)
+
+
+@then("the checker finds nothing")
+def check_clean(context):
+    assert checker.check(context.history) == []
+
+
+@then('the checker finds only "{rule}"')
+def check_found(context, rule):
+    found = checker.check(context.history)
+    assert {violation.rule for violation in found} == {rule}, found
--- /dev/null
+++ b/tests/tools/history/checker.feature
@@ -0,0 +1,46 @@
+Feature: History checker
+
+  Scenario: A clean history has no violation
+    Given a clean history
+    Then the checker finds nothing
+
+  Scenario: A history survives its file
+    Given a clean history
+    When the history is written and read again
+    Then the checker finds nothing
+
+  Scenario Outline: A planted violation is found
+    Given a clean history
+    When the history is given <planted>
+    Then the checker finds only "<rule>"
+
+    Examples:
+      | planted                                  | rule             |
+      | a second run of a booking elsewhere      | at most once     |
+      | an answer with another booking's id      | booking as asked |
+      | a run of a request refused as not run    | not run          |
+      | a resend refused as not run after a run  | not run          |
+      | an answer cut short                      | whole answer     |
+      | an answer to another prompt              | whole answer     |
+      | an answer with too low a token count     | whole answer     |
+      | a look-up's result of another query      | whole answer     |
+      | one request id on two calls              | own answer       |
+      | a call without an end                    | every call ends  |
+      | work at a leaving endpoint after 3.1 s   | leaving endpoint |
+      | a configuration going back               | configuration    |
+      | a store revision going back              | store revision   |
+      | a move without an end                    | move ends        |
+      | a move that ends after its deadline      | move ends        |
+      | a move that ends twice                   | move ends        |
+      | a call cut off by a planned stop         | planned stop     |
+
+  Scenario Outline: What is allowed is not reported
+    Given a clean history
+    When the history is given <allowed>
+    Then the checker finds nothing
+
+    Examples:
+      | allowed                                  |
+      | work at a leaving endpoint after 2.9 s   |
+      | a call lost with a killed entry          |
+      | a refusal that says outcome unknown      |
--- /dev/null
+++ b/tools/history/checker.py
@@ -0,0 +1,317 @@
+"""Proof of the invariants over a recorded history."""
+
+import collections
+import itertools
+
+import attrs
+
+from tools.history import expected
+from tools.history import record
+
+__all__ = ["Violation", "check"]
+
+_LEAVING_LIMIT_S = 3.0
+_NOT_RUN = "not run"
+_FINAL_STATES = ("done", "rolled_back")
+
+
+@attrs.frozen
+class Violation:
+    """An invariant that the history breaks.
+
+    Parameters
+    ----------
+    rule : str
+        Name of the invariant.
+    message : str
+        What breaks it.
+    """
+
+    rule: str
+    message: str
+
+
+@attrs.frozen
+class _History:
+    """Events by type, and calls joined with their answers."""
+
+    events: list
+    versions: tuple
+
+    def list_of(self, kind):
+        """Return the events of a type, by time."""
+        return [event for event in self.events if isinstance(event, kind)]
+
+    def list_runs(self):
+        """Return the steps of endpoints that ran something."""
+        steps = self.list_of(record.EndpointStep)
+        return [step for step in steps if step.step == "ran"]
+
+    def list_calls(self):
+        """Return pairs of Sent and Answered; the latter may be None."""
+        answers = {
+            answer.call: answer for answer in self.list_of(record.Answered)
+        }
+        return [
+            (sent, answers.get(sent.call))
+            for sent in self.list_of(record.Sent)
+        ]
+
+    def list_answered(self, outcome):
+        """Return the calls that ended with an outcome."""
+        return [
+            (sent, answer)
+            for sent, answer in self.list_calls()
+            if answer and answer.outcome == outcome
+        ]
+
+
+def check(events, versions=("1",)):
+    """Return every violation in a history.
+
+    Parameters
+    ----------
+    events : list
+        Events of ``tools.history.record``, in any order.
+    versions : tuple of str
+        Versions that may have answered where an answer names none.
+
+    Returns
+    -------
+    list of Violation
+        Empty when every invariant holds.
+    """
+    ordered = sorted(events, key=lambda event: event.at_s)
+    history = _History(ordered, tuple(versions))
+    checks = (
+        _check_every_call_ended,
+        _check_bookings_once,
+        _check_bookings_answered,
+        _check_not_run,
+        _check_request_ids,
+        _check_whole_answers,
+        _check_leaving,
+        _check_configuration,
+        _check_store,
+        _check_moves,
+        _check_stops,
+    )
+    found = (each(history) for each in checks)
+    return list(itertools.chain.from_iterable(found))
+
+
+def _check_every_call_ended(history):
+    """Check that each call that was sent has an end."""
+    return [
+        Violation("every call ends", f"{sent.call} has no end")
+        for sent, answer in history.list_calls()
+        if answer is None
+    ]
+
+
+def _group_bookings(history):
+    """Return the runs of each idempotency key."""
+    runs = collections.defaultdict(list)
+    for run in history.list_runs():
+        if run.kind == "booking":
+            runs[run.key].append(run)
+    return runs
+
+
+def _check_bookings_once(history):
+    """Check that each key ran at most once over all endpoints."""
+    return [
+        Violation(
+            "at most once",
+            f"key {key} ran {len(runs)} times, at "
+            + ", ".join(f"{run.endpoint} as {run.request_id}" for run in runs),
+        )
+        for key, runs in _group_bookings(history).items()
+        if len(runs) > 1
+    ]
+
+
+def _check_bookings_answered(history):
+    """Check that each booking answered as done names a run of its key."""
+    runs = _group_bookings(history)
+    return [
+        Violation(
+            "booking as asked",
+            f"{sent.call} with key {sent.key} was answered"
+            f" {answer.content}, which is no run of it",
+        )
+        for sent, answer in history.list_answered("done")
+        if sent.kind == "booking"
+        and (answer.content, sent.text)
+        not in {(run.booking_id, run.slot) for run in runs[sent.key]}
+    ]
+
+
+def _check_not_run(history):
+    """Check "not run" against the runs of its id and of its key."""
+    ran_ids = {run.request_id for run in history.list_runs()}
+    first_s = {
+        key: min(run.at_s for run in runs)
+        for key, runs in _group_bookings(history).items()
+    }
+    refused = [
+        (sent, answer)
+        for sent, answer in history.list_answered("refused")
+        if answer.ran == _NOT_RUN
+    ]
+    by_id = [
+        Violation(
+            "not run",
+            f"{sent.call} was refused as not run ({answer.detail}),"
+            f" but request {answer.request_id} ran",
+        )
+        for sent, answer in refused
+        if answer.request_id in ran_ids
+    ]
+    by_key = [
+        Violation(
+            "not run",
+            f"{sent.call} was refused as not run ({answer.detail}),"
+            f" but key {sent.key} ran before",
+        )
+        for sent, answer in refused
+        if sent.key and first_s.get(sent.key, answer.at_s) < answer.at_s
+    ]
+    return by_id + by_key
+
+
+def _check_request_ids(history):
+    """Check that only resends of one key share a request id."""
+    owners = collections.defaultdict(set)
+    for sent, answer in history.list_calls():
+        if answer and answer.request_id:
+            owners[answer.request_id].add(sent.key or sent.call)
+    return [
+        Violation("own answer", f"request id {request_id} is of {calls}")
+        for request_id, calls in owners.items()
+        if len(calls) > 1
+    ]
+
+
+def _check_whole_answers(history):
+    """Check that each answer is whole and to its own request."""
+    return [
+        Violation(
+            "whole answer",
+            f"{sent.call} ({sent.kind}) was answered {answer.content[:80]!r}"
+            f" with {answer.tokens} of {sent.max_tokens} tokens",
+        )
+        for sent, answer in history.list_answered("done")
+        if sent.kind != "booking" and not _is_whole(history, sent, answer)
+    ]
+
+
+def _is_whole(history, sent, answer):
+    """Return whether an answer is what some version answers."""
+    versions = (answer.version,) if answer.version else history.versions
+    if sent.kind == "lookup":
+        wanted = {
+            expected.make_result(version, sent.text) for version in versions
+        }
+        return answer.content in wanted
+    wanted = {
+        expected.make_text(version, sent.text, sent.max_tokens)
+        for version in versions
+    }
+    return answer.content in wanted and answer.tokens == sent.max_tokens
+
+
+def _check_leaving(history):
+    """Check that no request arrives at an endpoint past the limit."""
+    left_s = {}
+    for notice in history.list_of(record.LeavingNotice):
+        for endpoint in notice.endpoints:
+            left_s.setdefault(endpoint, notice.at_s)
+    return [
+        Violation(
+            "leaving endpoint",
+            f"{step.endpoint} took {step.request_id}"
+            f" {step.at_s - left_s[step.endpoint]:.2f} s after its notice",
+        )
+        for step in history.list_of(record.EndpointStep)
+        if step.step == "arrived"
+        and step.endpoint in left_s
+        and step.at_s > left_s[step.endpoint] + _LEAVING_LIMIT_S
+    ]
+
+
+def _check_configuration(history):
+    """Check that no instance goes back to a lower version."""
+    seen = collections.defaultdict(list)
+    for event in history.list_of(record.ConfigurationSeen):
+        seen[event.instance, event.environment].append(event.version)
+    return [
+        Violation(
+            "configuration",
+            f"{instance} went from version {before} of {environment}"
+            f" back to {after}",
+        )
+        for (instance, environment), versions in seen.items()
+        for before, after in itertools.pairwise(versions)
+        if after < before
+    ]
+
+
+def _check_store(history):
+    """Check that the revisions of each object only grow."""
+    seen = collections.defaultdict(list)
+    for event in history.list_of(record.StoreRevision):
+        seen[event.kind, event.name].append(event.revision)
+    return [
+        Violation(
+            "store revision",
+            f"{kind}/{name} went from revision {before} back to {after}",
+        )
+        for (kind, name), revisions in seen.items()
+        for before, after in itertools.pairwise(revisions)
+        if after < before
+    ]
+
+
+def _check_moves(history):
+    """Check that each move ends once, by its deadline."""
+    moves = collections.defaultdict(list)
+    for event in history.list_of(record.MoveSeen):
+        moves[event.move].append(event)
+    found = (_check_move(move, seen) for move, seen in moves.items())
+    return list(itertools.chain.from_iterable(found))
+
+
+def _check_move(move, seen):
+    """Yield the violations of one move."""
+    final = next((e for e in seen if e.state in _FINAL_STATES), None)
+    if final is None or final.at_s > final.deadline_s:
+        yield Violation("move ends", f"{move} had no end by its deadline")
+    if final is None:
+        return
+    for event in seen[seen.index(final) :]:
+        if event.state != final.state:
+            yield Violation(
+                "move ends",
+                f"{move} ended as {final.state}, then was {event.state}",
+            )
+
+
+def _check_stops(history):
+    """Check that a planned stop cuts off no call sent before it."""
+    killed_s = {}
+    for event in history.list_of(record.Killed):
+        killed_s.setdefault(event.instance, event.at_s)
+    stops = history.list_of(record.StopPlanned)
+    return [
+        Violation(
+            "planned stop",
+            f"{sent.call} was cut off by the stop of {stop.instance}"
+            f" ({answer.detail})",
+        )
+        for sent, answer in history.list_answered("lost")
+        for stop in stops
+        if sent.entry == stop.instance
+        and sent.at_s < stop.at_s < answer.at_s
+        and killed_s.get(stop.instance, answer.at_s) >= answer.at_s
+    ]
--- /dev/null
+++ b/tools/history/record.py
@@ -0,0 +1,228 @@
+"""Events of a history and the recorder that collects them."""
+
+import json
+import threading
+
+import attrs
+
+__all__ = [
+    "Answered",
+    "ConfigurationSeen",
+    "EndpointStep",
+    "Killed",
+    "LeavingNotice",
+    "MoveSeen",
+    "Recorder",
+    "Sent",
+    "StopPlanned",
+    "StoreRevision",
+    "load",
+]
+
+
+@attrs.frozen(kw_only=True)
+class Sent:
+    """A caller sent a request.
+
+    Parameters
+    ----------
+    at_s : float
+        Unix seconds, as in every event.
+    call : str
+        Unique name of the call.
+    entry : str
+        Entry instance that it was sent to.
+    kind : str
+        ``chat``, ``patient``, ``lookup`` or ``booking``.
+    text : str
+        Prompt, query or slot.
+    key : str
+        Idempotency key of a booking.
+    max_tokens : int
+        Tokens asked for.
+    """
+
+    at_s: float
+    call: str
+    entry: str
+    kind: str
+    text: str
+    key: str = ""
+    max_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Answered:
+    """A call ended.
+
+    Parameters
+    ----------
+    call : str
+        Name of the call.
+    outcome : str
+        ``done``, ``refused``, ``lost`` when the connection ended without
+        a whole answer, ``unreached`` when no connection was made.
+    request_id : str
+        From ``X-Request-Id``.
+    ran : str
+        What a refusal says about the run.
+    content : str
+        Text, result or booking id.
+    tokens : int
+        Tokens that the answer says it has.
+    version : str
+        Version that answered; empty when the answer names none.
+    detail : str
+        Kind of the refusal or of the loss.
+    """
+
+    at_s: float
+    call: str
+    outcome: str
+    request_id: str = ""
+    ran: str = ""
+    content: str = ""
+    tokens: int = 0
+    version: str = ""
+    detail: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class EndpointStep:
+    """A line of an endpoint's ledger.
+
+    Parameters
+    ----------
+    endpoint : str
+        Id of the endpoint.
+    step : str
+        ``arrived`` or ``ran``.
+    kind : str
+        ``generate``, ``lookup`` or ``booking``.
+    request_id, key, slot, booking_id : str
+        From the ledger.
+    """
+
+    at_s: float
+    endpoint: str
+    step: str
+    kind: str
+    request_id: str
+    key: str = ""
+    slot: str = ""
+    booking_id: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class StoreRevision:
+    """The store made a revision of an object."""
+
+    at_s: float
+    kind: str
+    name: str
+    revision: int
+    change_id: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationSeen:
+    """An instance had a version of an environment in force."""
+
+    at_s: float
+    instance: str
+    environment: str
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class LeavingNotice:
+    """Endpoints were announced to leave."""
+
+    at_s: float
+    endpoints: tuple
+    reclaim_at_s: float
+
+
+@attrs.frozen(kw_only=True)
+class MoveSeen:
+    """A version move was seen in a state.
+
+    Parameters
+    ----------
+    move : str
+        Its name.
+    state : str
+        ``planned``, ``shifting``, ``done`` or ``rolled_back``.
+    deadline_s : float
+        Unix seconds.
+    """
+
+    at_s: float
+    move: str
+    state: str
+    deadline_s: float
+
+
+@attrs.frozen(kw_only=True)
+class StopPlanned:
+    """An instance was told to stop gracefully."""
+
+    at_s: float
+    instance: str
+
+
+@attrs.frozen(kw_only=True)
+class Killed:
+    """An instance ended without notice."""
+
+    at_s: float
+    instance: str
+
+
+_TYPES = {
+    event.__name__: event
+    for event in (
+        Sent,
+        Answered,
+        EndpointStep,
+        StoreRevision,
+        ConfigurationSeen,
+        LeavingNotice,
+        MoveSeen,
+        StopPlanned,
+        Killed,
+    )
+}
+
+
+class Recorder:
+    """Collects events from many threads."""
+
+    def __init__(self):
+        self._events = []
+        self._lock = threading.Lock()
+
+    def add(self, event):
+        """Append one event."""
+        with self._lock:
+            self._events.append(event)
+
+    def list_events(self):
+        """Return all events, sorted by time."""
+        with self._lock:
+            return sorted(self._events, key=lambda event: event.at_s)
+
+    def dump(self, path):
+        """Write all events to a file, a line of JSON each."""
+        lines = [
+            json.dumps({"type": type(event).__name__} | attrs.asdict(event))
+            for event in self.list_events()
+        ]
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+def load(path):
+    """Return the events of a file that a recorder wrote."""
+    lines = path.read_text(encoding="utf-8").splitlines()
+    values = [json.loads(line) for line in lines if line]
+    return [_TYPES[value.pop("type")](**value) for value in values]
