Stand-ins: say since when a ledger is complete; own version by default

Cause: the endpoint adapter settles a booking only by a 404 that says since when the ledger holds, and sends an empty version for the engine's own; the stand-ins knew neither.

Ruled out: a ledger read back from its file after a restart, since the case of an endpoint that has forgotten would then never be met.

Conclusion: a look-up after a restart no longer passes for a proof.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -113,7 +113,7 @@
                 setattr(self._counters, name, total)
 
     def _generate(self, request):
-        prompt = Prompt(**request.json())
+        prompt = self._read_prompt(request)
         refused = self.admit(
             "generate", prompt.version, prompt.request_id, prompt.prompt
         )
@@ -128,6 +128,12 @@
         self._runs[prompt.request_id] = run
         return http.Stream(self._write_lines(run))
 
+    def _read_prompt(self, request):
+        """Return the body; an empty version means the engine's own."""
+        prompt = Prompt(**request.json())
+        version = prompt.version or self.options.version
+        return attrs.evolve(prompt, version=version)
+
     def _note(self, step, prompt):
         self.ledger.add(
             step=step, kind="generate", request_id=prompt.request_id
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -42,9 +42,15 @@
     ----------
     path : str
         File that entries are appended to; empty for none.
+
+    Attributes
+    ----------
+    since_s : float
+        Since when it is complete, in Unix seconds.
     """
 
     def __init__(self, path=""):
+        self.since_s = time.time()
         self._lock = threading.Lock()
         self._entries = []
         flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -186,9 +186,16 @@
                 return http.reply_json(503, {"reason": "still running"})
             if made is None:
                 self._sealed.add(request_id)
-                return http.reply_json(404, {"reason": "not run"})
+                return self._reply_not_run()
         return http.reply_json(200, made)
 
+    def _reply_not_run(self):
+        """Answer that a request has not run since the ledger began."""
+        since_s = self.ledger.since_s
+        return http.reply_json(
+            404, {"reason": "not run", "ledger_since_s": since_s}
+        )
+
     def _show_load(self, _request):
         return self.report_load(
             lambda: endpoint.LoadReport(
--- a/tests/standins/endpoints.feature
+++ b/tests/standins/endpoints.feature
@@ -39,7 +39,7 @@
 
   Scenario: A look-up of a booking that has not run seals it
     Given a plain stand-in
-    Then the booking "r1" is settled with 404
+    Then the booking "r1" is settled with 404 since the ledger began
     And booking "r1" is answered 409
     And booking "r2" is answered 201
     And the booking "r2" is settled with 200
--- a/tests/steps/standins_endpoints.py
+++ b/tests/steps/standins_endpoints.py
@@ -1,4 +1,5 @@
 import json
+import time
 
 from behave import given
 from behave import then
@@ -155,6 +156,14 @@
     assert answer.status == status
 
 
+@then('the booking "{name}" is settled with 404 since the ledger began')
+def check_sealed(context, name):
+    path = f"/v1/bookings/{name}"
+    answer = standins_store.call(context.endpoint, "GET", path)
+    assert answer.status == 404
+    assert 0 < answer.json()["ledger_since_s"] < time.time()
+
+
 def book(context, name):
     """Send a booking and return its status."""
     body = {"request_id": name, "key": f"k-{name}", "slot": "s", "details": ""}
--- a/tests/steps/tools_history.py
+++ b/tests/steps/tools_history.py
@@ -113,6 +113,9 @@
 _PLANTED = {
     "a second run of a booking elsewhere": [ran_booking("p2", "b1", "k1")],
     "an answer with another booking's id": booking("b7", "k1", content="p7-9"),
+    "a run of an attempt at what was refused as not run": [
+        step("m1", "generate", "r-refused-2")
+    ],
     "a run of a request refused as not run": [
         step("m1", "generate", "r-refused")
     ],
--- a/tools/history/checker.py
+++ b/tools/history/checker.py
@@ -149,7 +149,7 @@
 
 def _check_not_run(history):
     """Check "not run" against the runs of its id and of its key."""
-    ran_ids = {run.request_id for run in history.list_runs()}
+    ran_ids = {_strip_attempt(run.request_id) for run in history.list_runs()}
     first_s = {
         key: min(run.at_s for run in runs)
         for key, runs in _group_bookings(history).items()
@@ -180,6 +180,12 @@
     return by_id + by_key
 
 
+def _strip_attempt(attempt_id):
+    """Return the request id of an attempt, ``REQUEST-NUMBER``."""
+    request_id, dash, number = attempt_id.rpartition("-")
+    return request_id if dash and number.isdigit() else attempt_id
+
+
 def _check_request_ids(history):
     """Check that only resends of one key share a request id."""
     owners = collections.defaultdict(set)
