--- /dev/null
+++ b/mulberryhollow/cli/catalogue.py
@@ -0,0 +1,40 @@
+"""Everything that the modules declare beside its use."""
+
+import importlib
+import pkgutil
+
+import mulberryhollow
+from mulberryhollow import events
+from mulberryhollow import metrics
+from mulberryhollow import settings
+
+__all__ = ["list_events", "list_metrics", "list_settings"]
+
+_GENERATED = "mulberryhollow.protocol.gen"
+
+
+def list_events():
+    """Return every event of the library, sorted by number."""
+    _import_modules()
+    return events.list_declared()
+
+
+def list_metrics():
+    """Return every metric of the library, sorted by name."""
+    _import_modules()
+    return metrics.list_declared()
+
+
+def list_settings():
+    """Return every setting of the library, sorted by section and key."""
+    _import_modules()
+    return settings.list_declared()
+
+
+def _import_modules():
+    """Import every module, so that the registries are complete."""
+    found = pkgutil.walk_packages(mulberryhollow.__path__, "mulberryhollow.")
+    names = [module.name for module in found]
+    for name in names:
+        if not name.startswith(_GENERATED):
+            importlib.import_module(name)
--- /dev/null
+++ b/tests/layers.feature
@@ -0,0 +1,8 @@
+Feature: Layers
+
+  Scenario: Modules import only from lower layers
+    Given the imports of every module of the package
+    Then no module imports from a higher or another top layer
+
+  Scenario: The reference pages match the declarations
+    Then docs/EVENTS.md and docs/SETTINGS.md are as written by make docs
--- /dev/null
+++ b/tests/steps/layers.py
@@ -0,0 +1,78 @@
+import ast
+import pathlib
+
+from behave import given
+from behave import then
+
+from tools import reference
+
+PACKAGE = pathlib.Path("mulberryhollow")
+BASE = {"errors", "clock", "settings", "events", "metrics", "__init__", ""}
+RANKS = {
+    "state": 1,
+    "coordination": 2,
+    "protocol": 3,
+    "transport": 4,
+    "cli": 5,
+    "daemon": 5,
+}
+
+
+def list_imports(path):
+    """Return the dotted names within the package that a file imports."""
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    names = []
+    for node in ast.walk(tree):
+        match node:
+            case ast.Import():
+                names += [alias.name for alias in node.names]
+            case ast.ImportFrom():
+                assert not node.level, f"{path} has a relative import"
+                names += [f"{node.module}.{each.name}" for each in node.names]
+    return [name for name in names if name.split(".")[0] == PACKAGE.name]
+
+
+def get_layer(dotted):
+    """Return the layer that a dotted name belongs to."""
+    parts = dotted.split(".")
+    return parts[1] if len(parts) > 1 else ""
+
+
+@given("the imports of every module of the package")
+def collect_imports(context):
+    paths = sorted(PACKAGE.rglob("*.py"))
+    context.imports = [
+        (path, path.relative_to(PACKAGE).with_suffix("").parts[0], name)
+        for path in paths
+        for name in list_imports(path)
+        if "gen" not in path.parts
+    ]
+    assert len(context.imports) > 20
+
+
+@then("no module imports from a higher or another top layer")
+def check_layers(context):
+    wrong = [
+        f"{path}: {name}"
+        for path, layer, name in context.imports
+        if not may_import(layer, get_layer(name))
+    ]
+    assert not wrong, wrong
+
+
+def may_import(layer, used):
+    """Return whether a layer may import from another one."""
+    if layer == used or used in BASE or used.startswith("__"):
+        return True
+    return RANKS.get(used, 9) < RANKS.get(layer, 0)
+
+
+@then("docs/EVENTS.md and docs/SETTINGS.md are as written by make docs")
+def check_pages(context):
+    pages = {
+        "docs/EVENTS.md": reference.render_events(),
+        "docs/SETTINGS.md": reference.render_settings(),
+    }
+    for path, expected in pages.items():
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        assert text == expected, f"{path}: run make docs"
