--- /dev/null
+++ b/mulberryhollow/cli/apply.py
@@ -0,0 +1,127 @@
+"""Bring a document into force if nobody has changed it in between.
+
+The change is written only on the version that it was made from. An operator
+who comes second gets a conflict and exit code 3. When the platform's answer
+is lost, the change id settles whether the document was written.
+"""
+
+from mulberryhollow.cli import arguments
+from mulberryhollow.cli import files
+from mulberryhollow.cli import operator_keys
+from mulberryhollow.cli import report
+from mulberryhollow.cli import stored
+from mulberryhollow.cli import writing
+from mulberryhollow.coordination.configuration import Allowed
+from mulberryhollow.coordination.configuration import Change
+from mulberryhollow.coordination.configuration import Conflict
+from mulberryhollow.coordination.configuration import decide_change
+from mulberryhollow.coordination.configuration import Refused
+from mulberryhollow.errors import ConfigurationError
+from mulberryhollow.protocol import document
+
+__all__ = ["add_parser", "apply_change", "run"]
+
+
+def add_parser(commands, module):
+    """Add this command."""
+    parser = arguments.make_command(
+        commands,
+        module,
+        "apply",
+        "mulberryhollow apply production.ini --base-version 17"
+        " --council brunner --key-file operator.key",
+    )
+    parser.add_argument("file", help="the document, or - for standard input")
+    parser.add_argument(
+        "--base-version",
+        type=int,
+        required=True,
+        metavar="N",
+        help="version that the change was made from; 0 for the first one",
+    )
+    arguments.add_environment(parser)
+    arguments.add_council(parser)
+    arguments.add_store(parser)
+
+
+def run(options, session):
+    """Return the report of the change."""
+    change = Change(
+        options.environment,
+        options.base_version,
+        files.read_bytes(options.file),
+        options.council,
+    )
+    store = session.open_store(options.store, options.timeout_s)
+    return apply_change(store, change, options.key_file, "applied")
+
+
+def apply_change(store, change, key_file, done):
+    """Check a change and write it.
+
+    Parameters
+    ----------
+    store : transport.store.StoreClient
+        The object API.
+    change : coordination.configuration.Change
+        The change.
+    key_file : str or None
+        File with the keys of the councils that make it.
+    done : str
+        Outcome to report when it took effect.
+
+    Returns
+    -------
+    Report
+        What became of it.
+
+    Raises
+    ------
+    StoreUnavailableError
+        When the platform gave no usable answer and nothing was changed.
+    """
+    current = store.get(stored.DOCUMENT_KIND, change.environment)
+    match decide_change(change, current, document.parse):
+        case Conflict() as conflict:
+            where = f"{stored.DOCUMENT_KIND} {change.environment}"
+            return writing.make_conflict_report(conflict, where)
+        case Refused(faults):
+            return report.make_fault_report(faults)
+        case Allowed():
+            return _write_signed(store, change, current, key_file, done)
+
+
+def _write_signed(store, change, current, key_file, done):
+    """Write an allowed change if the operator holds the keys."""
+    signers = _read_signers(change, current)
+    faults = operator_keys.check_keys(signers, change.council, key_file)
+    if faults:
+        return report.make_fault_report(faults)
+    wanted = writing.make_object(
+        stored.DOCUMENT_KIND,
+        change.environment,
+        change.base_version,
+        change.data,
+    )
+    data = {
+        "environment": change.environment,
+        "digest": document.digest(change.data),
+    }
+    outcome = writing.write(store, wanted)
+    return writing.report_write(outcome, wanted, done, data)
+
+
+def _read_signers(change, current):
+    """Return the document whose councils sign a change.
+
+    Notes
+    -----
+    It is the stored one; the new one when there is none yet, or when the
+    stored one has faults.
+    """
+    try:
+        if current is not None:
+            return document.parse(current.value)
+    except ConfigurationError:
+        return document.parse(change.data)
+    return document.parse(change.data)
--- /dev/null
+++ b/mulberryhollow/cli/promote.py
@@ -0,0 +1,115 @@
+"""Copy the bytes that were in force in one environment to another.
+
+The stored document of the first environment must have been in force there:
+either an object of the kind in_force, named ENVIRONMENT-VERSION, says so, or
+a ready instance reports that version and digest now, and then the object is
+written. The bytes are copied unchanged, so the digest stays the same.
+"""
+
+from mulberryhollow.cli import apply
+from mulberryhollow.cli import arguments
+from mulberryhollow.cli import members
+from mulberryhollow.cli import report
+from mulberryhollow.cli import stored
+from mulberryhollow.cli import writing
+from mulberryhollow.coordination.configuration import Change
+from mulberryhollow.coordination.configuration import Fault
+from mulberryhollow.protocol import document
+from mulberryhollow.protocol import status
+
+__all__ = ["add_parser", "run"]
+
+
+def add_parser(commands, module):
+    """Add this command."""
+    parser = arguments.make_command(
+        commands,
+        module,
+        "promote",
+        "mulberryhollow promote --from trial --to production"
+        " --base-version 17 --council brunner --key-file operator.key",
+    )
+    parser.add_argument(
+        "--from",
+        dest="source",
+        required=True,
+        metavar="NAME",
+        help="environment where the document was tried",
+    )
+    parser.add_argument(
+        "--to",
+        dest="target",
+        required=True,
+        metavar="NAME",
+        help="environment that receives it",
+    )
+    parser.add_argument(
+        "--base-version",
+        type=int,
+        metavar="N",
+        help="version of the receiving document that was compared with"
+        " (default: the stored one)",
+    )
+    arguments.add_council(parser)
+    arguments.add_store(parser)
+
+
+def run(options, session):
+    """Return the report of the promotion."""
+    store = session.open_store(options.store, options.timeout_s)
+    source = stored.read_document(store, options.source)
+    if not _was_in_force(store, source, options, session):
+        return report.make_fault_report([_make_fault(source)])
+    base_version = options.base_version
+    if base_version is None:
+        target = store.get(stored.DOCUMENT_KIND, options.target)
+        base_version = target.version if target else 0
+    change = Change(
+        options.target, base_version, source.value, options.council
+    )
+    return apply.apply_change(store, change, options.key_file, "promoted")
+
+
+def _was_in_force(store, source, options, session):
+    """Return whether the source's bytes were in force at its version."""
+    digest = document.digest(source.value)
+    proved = stored.read_proof_digest(store, source.name, source.version)
+    if proved:
+        return proved == digest
+    answers = members.ask_all(
+        session,
+        members.list_registered(store),
+        "/status",
+        status.decode_status,
+        options.timeout_s,
+    )
+    reported = [each.content for each in answers if each.content]
+    instances = [
+        each.instance
+        for each in reported
+        if each.ready
+        and each.document_version == source.version
+        and each.document_digest == digest
+    ]
+    if instances:
+        _write_proof(store, source, digest, instances)
+    return bool(instances)
+
+
+def _write_proof(store, source, digest, instances):
+    """Record that a version was in force; a former record stands."""
+    value = stored.encode_proof(source.name, source.version, digest, instances)
+    name = f"{source.name}-{source.version}"
+    wanted = writing.make_object(stored.IN_FORCE_KIND, name, 0, value)
+    writing.write(store, wanted)
+
+
+def _make_fault(source):
+    """Return the fault of a document that was not in force."""
+    return Fault(
+        "",
+        "",
+        f"version {source.version} of {source.name!r} was not seen in force",
+        f"run `mulberryhollow status --environment {source.name}` and promote"
+        " once a ready instance has it in force",
+    )
--- /dev/null
+++ b/mulberryhollow/cli/status.py
@@ -0,0 +1,81 @@
+"""Print which instance has which version of the document in force.
+
+The exit code is 0 when every registered instance has the stored version in
+force, and 1 otherwise.
+"""
+
+import attrs
+
+from mulberryhollow.cli import arguments
+from mulberryhollow.cli import members
+from mulberryhollow.cli import report
+from mulberryhollow.cli import stored
+from mulberryhollow.protocol import document
+from mulberryhollow.protocol import status
+
+__all__ = ["add_parser", "run"]
+
+
+def add_parser(commands, module):
+    """Add this command."""
+    parser = arguments.make_command(
+        commands, module, "status", "mulberryhollow status --json"
+    )
+    arguments.add_environment(parser)
+    arguments.add_store(parser)
+
+
+def run(options, session):
+    """Return the report of all instances."""
+    store = session.open_store(options.store, options.timeout_s)
+    found = stored.read_document(store, options.environment)
+    answers = members.ask_all(
+        session,
+        members.list_registered(store),
+        "/status",
+        status.decode_status,
+        options.timeout_s,
+    )
+    rows = [_make_row(answer) for answer in answers]
+    versions = [row["document_version"] for row in rows]
+    is_everywhere = bool(rows) and set(versions) == {found.version}
+    return report.Report(
+        "everywhere" if is_everywhere else "partly",
+        "\n".join(
+            [
+                f"stored version {found.version}",
+                *(_describe(row) for row in rows),
+            ]
+        ),
+        {
+            "environment": options.environment,
+            "version": found.version,
+            "digest": document.digest(found.value),
+            "instances": rows,
+        },
+        report.ExitCode.OK if is_everywhere else report.ExitCode.REFUSED,
+    )
+
+
+def _make_row(answer):
+    """Return what one instance answered, as data of the report."""
+    if answer.content is not None:
+        return {**attrs.asdict(answer.content), "error": ""}
+    return {
+        "instance": answer.member.instance,
+        "failure_domain": answer.member.failure_domain,
+        "document_version": 0,
+        "document_digest": "",
+        "ready": False,
+        "error": answer.error,
+    }
+
+
+def _describe(row):
+    """Return the line of one instance."""
+    if row["error"]:
+        state = f"no answer: {row['error']}"
+    else:
+        ready = "ready" if row["ready"] else "not ready"
+        state = f"version {row['document_version']}, {ready}"
+    return f"{row['instance']} ({row['failure_domain']}): {state}"
--- /dev/null
+++ b/mulberryhollow/cli/stored.py
@@ -0,0 +1,82 @@
+"""Reading of documents and proofs from the store."""
+
+import json
+
+from mulberryhollow.coordination.configuration import Fault
+from mulberryhollow.errors import ConfigurationError
+
+__all__ = [
+    "DOCUMENT_KIND",
+    "IN_FORCE_KIND",
+    "encode_proof",
+    "read_document",
+    "read_proof_digest",
+]
+
+DOCUMENT_KIND = "environment"
+"""Kind of the objects that hold documents; the name is the environment's."""
+
+IN_FORCE_KIND = "in_force"
+"""Kind of the objects that prove that a version was in force."""
+
+
+def read_document(store, environment):
+    """Return the object that holds an environment's document.
+
+    Raises
+    ------
+    ConfigurationError
+        When there is none.
+    StoreUnavailableError
+        When the platform gave no usable answer.
+    """
+    stored = store.get(DOCUMENT_KIND, environment)
+    if stored is None:
+        fault = Fault(
+            "",
+            "",
+            f"the environment {environment!r} has no document",
+            "apply one with --base-version 0",
+        )
+        raise ConfigurationError([fault])
+    return stored
+
+
+def encode_proof(environment, version, digest, instances):
+    """Return the value of a proof that a version was in force.
+
+    Parameters
+    ----------
+    environment : str
+        Name of the environment.
+    version : int
+        Version of the object that held the document.
+    digest : str
+        Digest of the document.
+    instances : iterable of str
+        Ready instances that had it in force.
+    """
+    proof = {
+        "environment": environment,
+        "version": version,
+        "digest": digest,
+        "instances": sorted(instances),
+    }
+    return json.dumps(proof, sort_keys=True).encode()
+
+
+def read_proof_digest(store, environment, version):
+    """Return the digest that was in force at a version; empty if none.
+
+    Raises
+    ------
+    StoreUnavailableError
+        When the platform gave no usable answer.
+    """
+    stored = store.get(IN_FORCE_KIND, f"{environment}-{version}")
+    if stored is None:
+        return ""
+    try:
+        return str(json.loads(stored.value)["digest"])
+    except (ValueError, KeyError, TypeError):
+        return ""
--- /dev/null
+++ b/mulberryhollow/protocol/status.py
@@ -0,0 +1,94 @@
+"""Codecs of what an instance tells about itself over HTTP."""
+
+import json
+
+import attrs
+import cattrs
+from cattrs.preconf import json as json_preconf
+
+from mulberryhollow.state import histograms
+
+__all__ = [
+    "InstanceStatus",
+    "MalformedStatusError",
+    "decode_histograms",
+    "decode_status",
+    "encode_histograms",
+    "encode_status",
+]
+
+_CONVERTER = json_preconf.make_converter()
+
+
+class MalformedStatusError(ValueError):
+    """Bytes are not what an instance tells about itself."""
+
+
+@attrs.frozen
+class InstanceStatus:
+    """Answer of ``GET /status``.
+
+    Parameters
+    ----------
+    instance : str
+        Id of the instance.
+    failure_domain : str
+        Its failure domain.
+    document_version : int
+        Version of the document in force there; 0 before the first.
+    document_digest : str
+        Its digest; empty before the first.
+    ready : bool
+        Whether the instance takes requests.
+    """
+
+    instance: str
+    failure_domain: str
+    document_version: int
+    document_digest: str
+    ready: bool
+
+
+def encode_status(status):
+    """Return the body of ``GET /status``."""
+    return json.dumps(attrs.asdict(status), sort_keys=True).encode()
+
+
+def decode_status(body):
+    """Return the InstanceStatus in a body; unknown keys are left out.
+
+    Raises
+    ------
+    MalformedStatusError
+        When it is none.
+    """
+    return _structure(json.loads, body, InstanceStatus)
+
+
+def encode_histograms(records):
+    """Return the body of ``GET /histograms``."""
+    items = [attrs.asdict(record) for record in records]
+    return json.dumps({"items": items}, sort_keys=True).encode()
+
+
+def decode_histograms(body):
+    """Return the tuple of HistogramRecord in a body.
+
+    Raises
+    ------
+    MalformedStatusError
+        When it is none.
+    """
+    kind = tuple[histograms.HistogramRecord, ...]
+    return _structure(lambda text: json.loads(text)["items"], body, kind)
+
+
+def _structure(load, body, kind):
+    """Return a body as typed data."""
+    try:
+        return _CONVERTER.structure(load(body), kind)
+    except cattrs.BaseValidationError as error:
+        reasons = "; ".join(cattrs.transform_error(error))
+        raise MalformedStatusError(reasons) from error
+    except (ValueError, TypeError, KeyError, RecursionError) as error:
+        raise MalformedStatusError(str(error)) from error
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,92 @@
+"""Small fakes of the adapters that commands use."""
+
+import json
+
+from mulberryhollow import errors
+from mulberryhollow.state import objects
+
+UNAVAILABLE = errors.StoreUnavailableError("the store is down", "wait")
+
+
+class FakeStore:
+    """Objects in memory with conditional writes and planned faults.
+
+    `faults` holds one entry for each coming write: "lost" takes effect and
+    loses the answer, "dropped" takes no effect and loses the answer, and a
+    callable runs before the write.
+    """
+
+    def __init__(self):
+        self.objects = {}
+        self.revision = 6
+        self.is_down = False
+        self.goes_down_at_write = False
+        self.faults = []
+        self.stale = []
+
+    def get(self, kind, name):
+        if self.is_down:
+            raise UNAVAILABLE
+        if self.stale:
+            return self.stale.pop(0)
+        return self.objects.get((kind, name))
+
+    def list_objects(self, kind):
+        if self.is_down:
+            raise UNAVAILABLE
+        found = [each for key, each in self.objects.items() if key[0] == kind]
+        return self.revision, found
+
+    def put(self, kind, name, value, expected_version, change_id):
+        self.is_down = self.is_down or self.goes_down_at_write
+        fault = self.faults.pop(0) if self.faults else None
+        if self.is_down:
+            return objects.Unknown("status 503")
+        if callable(fault):
+            fault()
+        if fault == "dropped":
+            return objects.Unknown("no answer")
+        outcome = self._write(kind, name, value, expected_version, change_id)
+        return objects.Unknown("no answer") if fault == "lost" else outcome
+
+    def write(self, kind, name, value, change_id="other"):
+        """Write whatever the version is; return the new version."""
+        found = self.objects.get((kind, name))
+        version = found.version if found else 0
+        return self._write(kind, name, value, version, change_id).version
+
+    def _write(self, kind, name, value, expected_version, change_id):
+        found = self.objects.get((kind, name))
+        version = found.version if found else 0
+        if version != expected_version:
+            return objects.NotDone("conflict", version)
+        self.revision += 1
+        self.objects[kind, name] = objects.StoredObject(
+            kind, name, self.revision, value, change_id
+        )
+        return objects.Done(self.revision)
+
+
+class FakeInstances:
+    """Instances that answer by address and path."""
+
+    def __init__(self):
+        self.bodies = {}
+
+    def register(self, store, name, **bodies):
+        """Register an instance with a body for each path it answers."""
+        address = f"{name}:80"
+        registration = {
+            "instance_id": name,
+            "failure_domain": "zone-a",
+            "http_address": address,
+        }
+        store.write("member", name, json.dumps(registration).encode())
+        for path, body in bodies.items():
+            self.bodies[address, f"/{path}"] = body
+
+    def fetch(self, address, path, timeout_s):
+        """Return the body, or raise as for a silent instance."""
+        if (address, path) not in self.bodies:
+            raise errors.PeerError(f"{address} does not answer", "wait")
+        return self.bodies[address, path]
