--- /dev/null
+++ b/mulberryhollow/coordination/rollout/record.py
@@ -0,0 +1,222 @@
+"""The status record of a version move, whose stages only move forward."""
+
+import enum
+
+import attrs
+
+from mulberryhollow import errors
+
+__all__ = [
+    "DONE_MARGIN_S",
+    "Move",
+    "MoveError",
+    "Stage",
+    "abort",
+    "advance",
+    "start",
+]
+
+DONE_MARGIN_S = 30.0
+"""Least time from writing ``done`` to the deadline, in seconds."""
+
+MIN_DURATION_S = 2.0 * DONE_MARGIN_S
+"""Least time from the creation of a move to its deadline, in seconds."""
+
+
+class MoveError(errors.MulberryError):
+    """A change of a move's record is not allowed."""
+
+
+class Stage(enum.Enum):
+    """Stage of a move; the last two are final."""
+
+    PLANNED = "planned"
+    SHIFTING = "shifting"
+    DONE = "done"
+    ROLLED_BACK = "rolled_back"
+
+    @property
+    def is_final(self):
+        """Whether the move has ended."""
+        return self in (Stage.DONE, Stage.ROLLED_BACK)
+
+
+_NEXT_STAGES = {
+    Stage.PLANNED: {Stage.PLANNED, Stage.SHIFTING, Stage.ROLLED_BACK},
+    Stage.SHIFTING: {Stage.SHIFTING, Stage.DONE, Stage.ROLLED_BACK},
+    Stage.DONE: set(),
+    Stage.ROLLED_BACK: set(),
+}
+
+
+def _check_share(_move, _attribute, share):
+    """Refuse a share outside 0..1, NaN included."""
+    if not 0.0 <= share <= 1.0:
+        raise ValueError(f"share {share} is not within 0 and 1")
+
+
+def _check_deadline(move, _attribute, deadline_s):
+    """Refuse a deadline that leaves no time for the move."""
+    if not move.created_s < deadline_s < float("inf"):
+        raise ValueError(f"deadline {deadline_s} is not after the creation")
+
+
+@attrs.frozen
+class Move:
+    """One move of a service from a version to another.
+
+    Parameters
+    ----------
+    id : str
+        Unique id of the move.
+    environment, service : str
+        Where it takes place; one move of a service at a time.
+    from_version, to_version : str
+        Names of the old and the new version.
+    created_s, deadline_s : float
+        Begin and latest end, in Unix seconds.
+    stage : Stage
+        How far it has come.
+    share : float
+        Share of the new version in the service's requests, 0 to 1.
+    reason : str
+        Why it was rolled back; otherwise empty.
+    driver : str
+        Instance that holds the lease; empty when none does.
+    lease_until_s : float
+        End of the lease, in Unix seconds.
+    epoch : int
+        Number of leases so far.
+    version : int
+        Version of the object that holds the record; 0 when not stored.
+    """
+
+    id: str
+    environment: str
+    service: str
+    from_version: str
+    to_version: str
+    created_s: float
+    deadline_s: float = attrs.field(validator=_check_deadline)
+    stage: Stage = Stage.PLANNED
+    share: float = attrs.field(default=0.0, validator=_check_share)
+    reason: str = ""
+    driver: str = ""
+    lease_until_s: float = 0.0
+    epoch: int = 0
+    version: int = 0
+
+    @property
+    def done_by_s(self):
+        """Latest time for writing ``done``, in Unix seconds."""
+        return self.deadline_s - DONE_MARGIN_S
+
+    @property
+    def object_name(self):
+        """Name of the object that holds the record."""
+        return f"{self.environment}.{self.service}"
+
+
+def advance(move, stage, now_s, share=None, reason=""):
+    """Return the record in the same or a later stage.
+
+    Parameters
+    ----------
+    move : Move
+        The record as last read.
+    stage : Stage
+        The stage wanted.
+    now_s : float
+        The present time, in Unix seconds.
+    share : float or None
+        Share of the new version; None keeps it. A final stage sets it.
+    reason : str
+        Why it is rolled back.
+
+    Returns
+    -------
+    Move
+        The record to write; its ``version`` is still the one read.
+
+    Raises
+    ------
+    MoveError
+        When the stage would go back, the move has ended, or ``done`` would
+        come later than its margin before the deadline.
+    """
+    if stage not in _NEXT_STAGES[move.stage]:
+        raise MoveError(
+            f"move {move.id} is {move.stage.value} and cannot become"
+            f" {stage.value}",
+            "read the move again, or start another one",
+        )
+    match stage:
+        case Stage.DONE:
+            _check_margin(move, now_s)
+            share = 1.0
+        case Stage.ROLLED_BACK:
+            share = 0.0
+        case _:
+            share = move.share if share is None else share
+    return attrs.evolve(move, stage=stage, share=share, reason=reason)
+
+
+def _check_margin(move, now_s):
+    """Refuse ``done`` when not every node would learn of it in time."""
+    if now_s > move.done_by_s:
+        raise MoveError(
+            f"move {move.id} has passed its last time for done",
+            "let it roll back and start a move with a later deadline",
+        )
+
+
+def abort(move, now_s, operator):
+    """Return the record rolled back by an operator.
+
+    Raises
+    ------
+    MoveError
+        When the move has ended.
+    """
+    reason = f"aborted by {operator}"
+    return advance(move, Stage.ROLLED_BACK, now_s, reason=reason)
+
+
+def start(current, wanted):
+    """Return the record of a new move, to replace the current one.
+
+    Parameters
+    ----------
+    current : Move or None
+        The record that the object holds now.
+    wanted : Move
+        The new move.
+
+    Returns
+    -------
+    Move
+        The record to write at the version of the current one.
+
+    Raises
+    ------
+    MoveError
+        When a move of the service is still under way, or the new one is
+        malformed or too short.
+    """
+    if current is not None and not current.stage.is_final:
+        raise MoveError(
+            f"move {current.id} of {current.service} is under way",
+            "wait for its end or abort it first",
+        )
+    if wanted.from_version == wanted.to_version:
+        raise MoveError(
+            f"service {wanted.service} already uses {wanted.to_version}",
+            "name another version",
+        )
+    if wanted.deadline_s - wanted.created_s < MIN_DURATION_S:
+        raise MoveError(
+            f"move {wanted.id} has too little time",
+            f"set a deadline at least {MIN_DURATION_S:g} seconds ahead",
+        )
+    version = 0 if current is None else current.version
+    return attrs.evolve(wanted, version=version)
--- /dev/null
+++ b/tests/protocol/moves.feature
@@ -0,0 +1,21 @@
+Feature: Codec of a version move's record
+
+  Scenario: A stored move is read back as it was written
+    Given any move record
+    When the move record is encoded and decoded at version 7
+    Then the same move record comes back with version 7
+
+  Scenario Outline: Bytes that are no move record are a typed error
+    When the move record <bytes> is decoded
+    Then the move codec names the fault and the remedy
+
+    Examples:
+      | bytes                       |
+      | nonsense                    |
+      | null                        |
+      | []                          |
+      | {}                          |
+      | an unknown stage            |
+      | a share above one           |
+      | a deadline that is no time  |
+      | more than the longest record |
