--- a/mulberryhollow/coordination/rollout/__init__.py
+++ b/mulberryhollow/coordination/rollout/__init__.py
@@ -1,19 +1,71 @@
-"""Version moves: record, verdict, schedule and driver."""
+"""Version moves: record, verdict, schedule, watcher and driver."""
 
+from mulberryhollow.coordination.rollout.actions import Command
+from mulberryhollow.coordination.rollout.actions import Order
+from mulberryhollow.coordination.rollout.actions import ReadMove
+from mulberryhollow.coordination.rollout.actions import SetShare
+from mulberryhollow.coordination.rollout.actions import Tell
+from mulberryhollow.coordination.rollout.actions import WriteMove
+from mulberryhollow.coordination.rollout.driver import Driver
+from mulberryhollow.coordination.rollout.driver import LEASE_S
+from mulberryhollow.coordination.rollout.orders import OrderBook
 from mulberryhollow.coordination.rollout.record import abort
 from mulberryhollow.coordination.rollout.record import advance
 from mulberryhollow.coordination.rollout.record import DONE_MARGIN_S
 from mulberryhollow.coordination.rollout.record import Move
 from mulberryhollow.coordination.rollout.record import MoveError
+from mulberryhollow.coordination.rollout.record import renew
 from mulberryhollow.coordination.rollout.record import Stage
 from mulberryhollow.coordination.rollout.record import start
+from mulberryhollow.coordination.rollout.schedule import Capacity
+from mulberryhollow.coordination.rollout.schedule import decide
+from mulberryhollow.coordination.rollout.schedule import Endpoint
+from mulberryhollow.coordination.rollout.schedule import Finish
+from mulberryhollow.coordination.rollout.schedule import GiveUp
+from mulberryhollow.coordination.rollout.schedule import Hold
+from mulberryhollow.coordination.rollout.schedule import make_plan
+from mulberryhollow.coordination.rollout.schedule import Plan
+from mulberryhollow.coordination.rollout.schedule import Shift
+from mulberryhollow.coordination.rollout.verdict import Bad
+from mulberryhollow.coordination.rollout.verdict import Badness
+from mulberryhollow.coordination.rollout.verdict import Good
+from mulberryhollow.coordination.rollout.verdict import Tester
+from mulberryhollow.coordination.rollout.verdict import Undecided
+from mulberryhollow.coordination.rollout.watcher import effective_shares
+from mulberryhollow.coordination.rollout.watcher import Watcher
 
 __all__ = [
+    "Bad",
+    "Badness",
+    "Capacity",
+    "Command",
     "DONE_MARGIN_S",
+    "Driver",
+    "Endpoint",
+    "Finish",
+    "GiveUp",
+    "Good",
+    "Hold",
+    "LEASE_S",
     "Move",
     "MoveError",
+    "Order",
+    "OrderBook",
+    "Plan",
+    "ReadMove",
+    "SetShare",
+    "Shift",
     "Stage",
+    "Tell",
+    "Tester",
+    "Undecided",
+    "Watcher",
+    "WriteMove",
     "abort",
     "advance",
+    "decide",
+    "effective_shares",
+    "make_plan",
+    "renew",
     "start",
 ]
--- /dev/null
+++ b/mulberryhollow/coordination/rollout/orders.py
@@ -0,0 +1,157 @@
+"""Orders that make the endpoints' versions equal to the wanted ones."""
+
+import attrs
+
+from mulberryhollow.coordination.rollout import actions
+from mulberryhollow.coordination.rollout import record
+from mulberryhollow.coordination.rollout import schedule
+
+__all__ = ["DRAIN_S", "OrderBook", "ORDER_GUARD_S"]
+
+ORDER_GUARD_S = 3.0
+"""Time before the lease's end from which no order is sent, in seconds.
+
+It covers the timeout of an order and the difference between two clocks.
+"""
+
+REORDER_S = 5.0
+"""Time after which an order without visible effect is repeated, in seconds."""
+
+DRAIN_S = 60.0
+"""Time from the end of a move until a version is unloaded, in seconds."""
+
+
+@attrs.define
+class OrderBook:
+    """Compares what is seen on the endpoints with what is wanted.
+
+    Notes
+    -----
+    The endpoints are read anew for each call, so an order that was refused,
+    lost, or undone by a former driver is given again.
+    """
+
+    _sent_s: dict = attrs.field(factory=dict)
+    _loaded_s: float = float("-inf")
+    _ended: tuple = ()
+
+    def list_due(self, move, plan, capacity, now_s):
+        """Return the orders to give now.
+
+        Parameters
+        ----------
+        move : Move
+            The record, with this node's lease.
+        plan : Plan
+            Its times.
+        capacity : Capacity
+            The endpoints as seen.
+        now_s : float
+            The present time, in Unix seconds.
+
+        Returns
+        -------
+        list of Order
+            At most one load in the time that the weight store needs.
+        """
+        if now_s >= move.lease_until_s - ORDER_GUARD_S:
+            return []
+        differences = self._list_differences(move, plan, capacity, now_s)
+        due = []
+        for address, command, version in differences:
+            is_load = command is actions.Command.LOAD
+            if is_load and now_s < self._loaded_s + capacity.load_s:
+                continue
+            if not self._mark(address, command, version, now_s):
+                continue
+            if is_load:
+                self._loaded_s = now_s
+            due.append(self._make_order(move, address, command, version))
+        return due
+
+    def is_settled(self, move, plan, capacity, now_s):
+        """Return whether an ended move has nothing left to order."""
+        is_over = now_s >= self._get_unload_s(move, now_s)
+        return is_over and not self._list_differences(
+            move, plan, capacity, now_s
+        )
+
+    def _list_differences(self, move, plan, capacity, now_s):
+        """Return (address, command, version) of what is not as wanted."""
+        wanted = _list_wanted(move, plan, capacity, now_s)
+        can_unload = now_s >= self._get_unload_s(move, now_s)
+        loads = [
+            (address, actions.Command.LOAD, version)
+            for address, version in wanted
+            if version not in _get_versions(capacity, address)
+        ]
+        unloads = [
+            (endpoint.address, actions.Command.UNLOAD, version)
+            for endpoint in capacity.endpoints
+            for version in endpoint.versions
+            if can_unload and (endpoint.address, version) not in wanted
+        ]
+        return loads + unloads
+
+    def _get_unload_s(self, move, now_s):
+        """Return from when unwanted versions are unloaded.
+
+        Nodes without news of ``done`` use the old version from the deadline
+        on, until they read the record.
+        """
+        if not move.stage.is_final:
+            return float("inf")
+        if self._ended[:1] != (move.id,):
+            self._ended = (move.id, now_s)
+        end_s = self._ended[1]
+        if move.stage is record.Stage.DONE:
+            end_s = max(end_s, move.deadline_s)
+        return end_s + DRAIN_S
+
+    def _mark(self, address, command, version, now_s):
+        """Note an order unless it was given a short while ago."""
+        name = address, command, version
+        if now_s < self._sent_s.get(name, float("-inf")) + REORDER_S:
+            return False
+        self._sent_s[name] = now_s
+        return True
+
+    def _make_order(self, move, address, command, version):
+        """Return one order, fenced by the version of the move's object."""
+        return actions.Order(
+            address,
+            command,
+            move.service,
+            version,
+            move.version,
+            move.lease_until_s - ORDER_GUARD_S,
+        )
+
+
+def _list_wanted(move, plan, capacity, now_s):
+    """Return the wanted (address, version), the new version first."""
+    match move.stage:
+        case record.Stage.DONE:
+            new, old = capacity.endpoints, ()
+        case record.Stage.ROLLED_BACK:
+            new, old = (), capacity.endpoints
+        case _:
+            new = schedule.choose_endpoints(move, plan, capacity, now_s)
+            old = capacity.endpoints
+    return {
+        (endpoint.address, version): None
+        for version, endpoints in (
+            (move.to_version, new),
+            (move.from_version, old),
+        )
+        for endpoint in endpoints
+    }
+
+
+def _get_versions(capacity, address):
+    """Return the versions seen on an endpoint."""
+    return next(
+        endpoint.versions
+        for endpoint in capacity.endpoints
+        if endpoint.address == address
+    )
--- a/mulberryhollow/coordination/rollout/record.py
+++ b/mulberryhollow/coordination/rollout/record.py
@@ -13,13 +13,14 @@
     "Stage",
     "abort",
     "advance",
+    "renew",
     "start",
 ]
 
-DONE_MARGIN_S = 30.0
+DONE_MARGIN_S = 20.0
 """Least time from writing ``done`` to the deadline, in seconds."""
 
-MIN_DURATION_S = 2.0 * DONE_MARGIN_S
+MIN_DURATION_S = 150.0
 """Least time from the creation of a move to its deadline, in seconds."""
 
 
@@ -170,6 +171,29 @@
         )
 
 
+def renew(move, driver, lease_until_s):
+    """Return the record with the lease of a driver.
+
+    Parameters
+    ----------
+    move : Move
+        The record as last read; one that has ended keeps its stage.
+    driver : str
+        Name of the instance that wants the lease.
+    lease_until_s : float
+        End of the lease, in Unix seconds.
+
+    Returns
+    -------
+    Move
+        The record to write; a new holder raises the epoch.
+    """
+    epoch = move.epoch + (move.driver != driver)
+    return attrs.evolve(
+        move, driver=driver, lease_until_s=lease_until_s, epoch=epoch
+    )
+
+
 def abort(move, now_s, operator):
     """Return the record rolled back by an operator.
 
@@ -195,7 +219,8 @@
     Returns
     -------
     Move
-        The record to write at the version of the current one.
+        The record to write at the version of the current one, with its lease,
+        so that the next driver waits out the present one.
 
     Raises
     ------
@@ -218,5 +243,12 @@
             f"move {wanted.id} has too little time",
             f"set a deadline at least {MIN_DURATION_S:g} seconds ahead",
         )
-    version = 0 if current is None else current.version
-    return attrs.evolve(wanted, version=version)
+    if current is None:
+        return wanted
+    return attrs.evolve(
+        wanted,
+        driver=current.driver,
+        lease_until_s=current.lease_until_s,
+        epoch=current.epoch,
+        version=current.version,
+    )
--- /dev/null
+++ b/mulberryhollow/coordination/rollout/schedule.py
@@ -0,0 +1,318 @@
+"""Shares of a new version over time, planned back from the deadline."""
+
+import dataclasses
+import itertools
+
+import attrs
+
+from mulberryhollow.coordination.rollout import verdict
+
+__all__ = [
+    "Capacity",
+    "Endpoint",
+    "Finish",
+    "GiveUp",
+    "Shift",
+    "Hold",
+    "Plan",
+    "choose_endpoints",
+    "decide",
+    "make_plan",
+]
+
+TRIAL_SHARES = (0.01, 0.02)
+"""Shares until the ramp; the first holds until the first good verdict."""
+
+RAMP_SHARES = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 0.9)
+"""Shares of the ramp; the rest compares the versions until the end."""
+
+SHARES = TRIAL_SHARES + RAMP_SHARES
+
+STEP_S = 5.0
+"""Least time at one share, in seconds."""
+
+CONFIRM_S = 20.0
+"""Least time at the last share before ``done``, in seconds."""
+
+WRITE_ALLOWANCE_S = 20.0
+"""Time for writing ``done`` by a slow store, in seconds."""
+
+RAMP_SLACK = 2.0
+"""Time planned for the ramp and for loading, as a multiple of the least."""
+
+MIN_ENDPOINTS = 2
+"""Fewest endpoints with the new version before it gets requests."""
+
+RAMP_S = len(RAMP_SHARES) * STEP_S + CONFIRM_S
+"""Least time of the ramp and its confirmation, in seconds."""
+
+
+@attrs.frozen
+class Endpoint:
+    """What a move needs to know of an endpoint of its service.
+
+    Parameters
+    ----------
+    address : str
+        Where it is.
+    slots : int
+        Requests that it runs at once.
+    versions : tuple of str
+        Versions seen loaded.
+    checks_fence : bool
+        Whether it refuses orders with an old fencing number.
+    """
+
+    address: str
+    slots: int
+    versions: tuple = ()
+    checks_fence: bool = True
+
+
+@attrs.frozen
+class Capacity:
+    """Endpoints of the service.
+
+    Parameters
+    ----------
+    endpoints : tuple of Endpoint
+        All that are not leaving.
+    load_s : float
+        Time from one load to the next that the weight store allows, in
+        seconds.
+    """
+
+    endpoints: tuple
+    load_s: float = 1.0
+
+    @property
+    def slots(self):
+        """Slots of all endpoints."""
+        return sum(endpoint.slots for endpoint in self.endpoints)
+
+    def list_loaded(self, version):
+        """Return the endpoints that have a version loaded."""
+        return [
+            endpoint
+            for endpoint in self.endpoints
+            if version in endpoint.versions
+        ]
+
+    def compute_share(self, version):
+        """Return the greatest share that a version's endpoints can take."""
+        loaded = self.list_loaded(version)
+        if len(loaded) < min(MIN_ENDPOINTS, len(self.endpoints)):
+            return 0.0
+        slots = sum(endpoint.slots for endpoint in loaded)
+        return slots / self.slots if self.slots else 0.0
+
+
+@attrs.frozen
+class Plan:
+    """Times of a move, in Unix seconds.
+
+    Parameters
+    ----------
+    load_from_s : float
+        When loading on every endpoint begins.
+    ramp_from_s : float
+        When the ramp begins.
+    done_from_s : float
+        When ``done`` is written first; until then the last share is watched.
+    done_by_s : float
+        Latest time for writing ``done``.
+    """
+
+    load_from_s: float
+    ramp_from_s: float
+    done_from_s: float
+    done_by_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Hold:
+    """Keep the share.
+
+    Parameters
+    ----------
+    reason : str
+        What is waited for.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Shift:
+    """Change the share.
+
+    Parameters
+    ----------
+    share : float
+        The new share, 0 to 1.
+    """
+
+    share: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Finish:
+    """Write ``done``."""
+
+
+@dataclasses.dataclass(frozen=True)
+class GiveUp:
+    """Roll back.
+
+    Parameters
+    ----------
+    reason : str
+        Why, for the operator.
+    """
+
+    reason: str
+
+
+def make_plan(move, capacity):
+    """Plan back from the deadline.
+
+    Parameters
+    ----------
+    move : Move
+        The move.
+    capacity : Capacity
+        Endpoints and the rate of loading.
+
+    Returns
+    -------
+    Plan
+        The times; those before the creation mean at once.
+
+    Notes
+    -----
+    The trial shares last as long as they can, because a version that turns
+    bad after a while is then found at 2 % of the requests.
+    """
+    done_from_s = move.done_by_s - WRITE_ALLOWANCE_S
+    ramp_from_s = done_from_s - RAMP_SLACK * RAMP_S
+    load_s = len(capacity.endpoints) * capacity.load_s
+    load_from_s = ramp_from_s - RAMP_SLACK * load_s
+    return Plan(load_from_s, ramp_from_s, done_from_s, move.done_by_s)
+
+
+def decide(move, plan, capacity, judgement, since_s, now_s):
+    """Choose the next step of a move that is planned or shifting.
+
+    Parameters
+    ----------
+    move : Move
+        The move.
+    plan : Plan
+        Its times.
+    capacity : Capacity
+        Present endpoints.
+    judgement : Undecided or Good
+        Verdict at the present share.
+    since_s : float
+        When the present share began, in Unix seconds.
+    now_s : float
+        The present time, in Unix seconds.
+
+    Returns
+    -------
+    Hold, Shift, Finish or GiveUp
+        What to do.
+    """
+    if now_s > plan.done_by_s:
+        return GiveUp(_explain_delay(move, capacity, judgement))
+    able = capacity.compute_share(move.to_version)
+    if able < move.share:
+        return Shift(max((x for x in SHARES if x <= able), default=0.0))
+    rest = [share for share in SHARES if share > move.share]
+    if not rest:
+        return _decide_end(plan, judgement, since_s, now_s)
+    if now_s + _compute_least_s(rest) > plan.done_by_s:
+        return GiveUp(_explain_delay(move, capacity, judgement))
+    share = rest[0]
+    if able < share:
+        return Hold("too few endpoints have the new version")
+    if not move.share:
+        return Shift(share)
+    if not isinstance(judgement, verdict.Good):
+        return Hold("too few requests to judge the new version")
+    if now_s - since_s < STEP_S:
+        return Hold("the share was just raised")
+    if share in RAMP_SHARES and now_s < plan.ramp_from_s:
+        return Hold("the ramp begins later")
+    return Shift(share)
+
+
+def _decide_end(plan, judgement, since_s, now_s):
+    """Choose between watching the last share and ``done``."""
+    if now_s < plan.done_from_s:
+        return Hold("the last share is watched")
+    if now_s - since_s < CONFIRM_S:
+        return Hold("the last share is confirmed")
+    if not isinstance(judgement, verdict.Good):
+        return Hold("too few requests to judge the new version")
+    return Finish()
+
+
+def _compute_least_s(rest):
+    """Return the least time for the shares left and the confirmation."""
+    return (len(rest) - 1) * STEP_S + CONFIRM_S
+
+
+def _explain_delay(move, capacity, judgement):
+    """Return why the time is not enough."""
+    able = capacity.compute_share(move.to_version)
+    rest = [share for share in SHARES if share > move.share]
+    if rest and able < rest[0]:
+        return f"not enough time: endpoints for a share of {able:.2f} only"
+    match judgement:
+        case verdict.Undecided(requests):
+            return f"not enough time: judged on {requests} requests only"
+        case _:
+            return "not enough time: done could not be written"
+
+
+def choose_endpoints(move, plan, capacity, now_s):
+    """Return the endpoints that should have the new version by now.
+
+    Parameters
+    ----------
+    move : Move
+        The move, planned or shifting.
+    plan : Plan
+        Its times.
+    capacity : Capacity
+        Present endpoints.
+    now_s : float
+        The present time, in Unix seconds.
+
+    Returns
+    -------
+    list of Endpoint
+        Those loaded already first, then by address.
+    """
+    version = move.to_version
+    ordered = sorted(
+        capacity.endpoints,
+        key=lambda endpoint: (
+            version not in endpoint.versions,
+            endpoint.address,
+        ),
+    )
+    if now_s >= plan.load_from_s:
+        return ordered
+    needed_slots = TRIAL_SHARES[-1] * capacity.slots
+    slots_before = itertools.accumulate(
+        (endpoint.slots for endpoint in ordered), initial=0
+    )
+    return [
+        endpoint
+        for place, (endpoint, slots) in enumerate(
+            zip(ordered, slots_before, strict=False)
+        )
+        if place < MIN_ENDPOINTS or slots < needed_slots
+    ]
--- /dev/null
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -0,0 +1,373 @@
+"""Sequential comparison of a new version with the old one."""
+
+import dataclasses
+import enum
+import itertools
+import math
+
+import attrs
+
+from mulberryhollow.coordination.rollout import evidence
+from mulberryhollow.state import counters as counting
+
+__all__ = ["Bad", "Badness", "Good", "LOOK_S", "Tester", "Undecided"]
+
+LOOK_S = 0.5
+"""Least time between two looks, in seconds."""
+
+MAX_TESTERS = 4
+"""Most nodes that compare the versions of one move at a time."""
+
+MAX_FALSE_BAD = 0.01
+"""Most acceptable chance of rolling back a good version."""
+
+_LOG_BAD = math.log(MAX_TESTERS / MAX_FALSE_BAD)
+_LOG_GOOD = math.log(20.0)
+
+MAX_WINDOWS = 16
+"""Most share steps in one move."""
+
+MIN_REFERENCE = 100
+"""Fewest latencies of the old version that define slowness."""
+
+MIN_ROUTE_SHARE = 0.1
+"""Share of the requests from which a route must show that it is good."""
+
+MAX_FAILED_EXCESS = 0.05
+"""Excess of failures in total that is too much, as a share of requests."""
+
+MAX_ROUTE_FAILED_EXCESS = 0.15
+"""Excess of failures on a route that is too much, as a share of requests."""
+
+MAX_SLOW_EXCESS = 0.2
+"""Excess of slow requests in total that is too much, as a share."""
+
+MAX_ROUTE_SLOW_EXCESS = 0.3
+"""Excess of slow requests on a route that is too much, as a share."""
+
+
+class Badness(enum.Enum):
+    """What is wrong with a version."""
+
+    FAILING = "failing"
+    SLOW = "slow"
+
+
+@dataclasses.dataclass(frozen=True)
+class Bad:
+    """The new version is worse; final for its move.
+
+    Parameters
+    ----------
+    move_id : str
+        Id of the move.
+    badness : Badness
+        What is wrong.
+    route : str
+        The route that shows it; empty when all routes together do.
+    requests : int
+        Requests that the new version had begun by then.
+    """
+
+    move_id: str
+    badness: Badness
+    route: str
+    requests: int
+
+    @property
+    def reason(self):
+        """Text for the record and the operator."""
+        where = f"on route {self.route}" if self.route else "in total"
+        return f"{self.badness.value} {where} after {self.requests} requests"
+
+
+@dataclasses.dataclass(frozen=True)
+class Undecided:
+    """Neither is shown yet.
+
+    Parameters
+    ----------
+    requests : int
+        Requests that the new version has answered in this window.
+    """
+
+    requests: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Good:
+    """At this share the new version is no worse.
+
+    Parameters
+    ----------
+    evidence : float
+        Logarithm of the weakest likelihood ratio among the routes.
+    """
+
+    evidence: float
+
+
+@attrs.frozen
+class _Measure:
+    """One way of counting hits.
+
+    Parameters
+    ----------
+    badness : Badness
+        What an excess of hits shows.
+    quantile : float or None
+        Slow requests are those above this quantile of the old version; None
+        counts failures.
+    tolerated_odds_ratio : float
+        Odds ratio that is still acceptable.
+    odds_ratios : tuple of float
+        Alternatives.
+    """
+
+    badness: Badness
+    quantile: float | None
+    tolerated_odds_ratio: float
+    odds_ratios: tuple
+
+
+_MEASURES = (
+    _Measure(Badness.FAILING, None, 1.5, (4.0, 16.0, 64.0, 256.0)),
+    _Measure(Badness.SLOW, 0.5, 2.0, (5.0, 20.0, 80.0)),
+    _Measure(Badness.SLOW, 0.9, 2.0, (5.0, 20.0, 80.0)),
+)
+
+
+@attrs.define
+class _Test:
+    """One measure on one route, or on all routes together.
+
+    Parameters
+    ----------
+    measure : _Measure
+        What it counts.
+    route : str
+        Name of the route; empty for all.
+    log_threshold : float
+        Logarithm of the evidence that shows badness.
+    """
+
+    measure: _Measure
+    route: str
+    log_threshold: float
+    process: evidence.Evidence = attrs.field(init=False)
+    bucket: int | None = None
+
+    def __attrs_post_init__(self):
+        """Start without evidence."""
+        self.process = evidence.Evidence(
+            self.measure.tolerated_odds_ratio, self.measure.odds_ratios
+        )
+
+    def set_reference(self, old):
+        """Define slowness by the latencies of the old version so far."""
+        quantile = self.measure.quantile
+        if quantile is not None and old.timed >= MIN_REFERENCE:
+            self.bucket = _find_bucket(old, quantile)
+
+    def count(self, row):
+        """Return the trials and hits of a row; none if not yet defined."""
+        if self.measure.quantile is None:
+            return evidence.Arm(row.ok + row.blamed, row.blamed)
+        if self.bucket is None:
+            return evidence.Arm(0, 0)
+        return evidence.Arm(row.timed, row.count_slower(self.bucket))
+
+    def is_bad(self):
+        """Return whether the evidence has passed the threshold."""
+        return self.process.log_value >= self.log_threshold
+
+
+def _find_bucket(row, quantile):
+    """Return the bucket that holds a quantile of the latencies."""
+    wanted = quantile * row.timed
+    sums = itertools.accumulate(row.buckets)
+    return next(i for i, count in enumerate(sums) if count >= wanted)
+
+
+def _compute_log_threshold(place):
+    """Return the threshold of the tests of a route, by its place.
+
+    The total has place 0 and half of the error probability; the route with
+    place k has 1 / (k (k + 1)) of the other half, whatever their number.
+    """
+    weight = 0.5 / (place * (place + 1)) if place else 0.5
+    return _LOG_BAD - math.log(weight / len(_MEASURES))
+
+
+class Tester:
+    """Compares the versions of one move on this node's merged counters.
+
+    Parameters
+    ----------
+    move : Move
+        The move.
+    counters : Counters
+        Merged counters at the start.
+    now_s : float
+        The present time, in Unix seconds.
+
+    Notes
+    -----
+    A window begins with each share. Evidence of badness is kept over the
+    whole move, with prior weight on a change at each look and at each window;
+    evidence that the version is good comes from the present window only.
+    """
+
+    def __init__(self, move, counters, now_s):
+        self._move = move
+        looks = math.ceil((move.deadline_s - move.created_s) / LOOK_S) + 1
+        self._look_weight = 0.5 / looks
+        self._tests = {}
+        self._looked_at_s = now_s
+        self._bad = None
+        self._good = None
+        self._seen = self._read(counters)
+        self._base = self._seen
+        self._windows = 0
+        self.begin_window(counters)
+
+    def begin_window(self, counters):
+        """Begin a window, at a new share."""
+        self._good = None
+        self._base = self._read(counters)
+        self._add_tests(self._base)
+        self._windows += 1
+        for test in self._tests.values():
+            test.set_reference(self._base.get(test.route).old)
+            if self._windows <= MAX_WINDOWS:
+                test.process.begin(0.5 / MAX_WINDOWS)
+
+    def latch(self, bad):
+        """Take over a verdict of another node."""
+        self._bad = self._bad or bad
+
+    def look(self, counters, now_s):
+        """Return the verdict on the counters so far.
+
+        Parameters
+        ----------
+        counters : Counters
+            Merged counters.
+        now_s : float
+            The present time, in Unix seconds.
+
+        Returns
+        -------
+        Bad, Undecided or Good
+            Bad stays so; Good holds for the window.
+        """
+        if self._bad is None and now_s - self._looked_at_s >= LOOK_S:
+            self._looked_at_s = now_s
+            self._take_in(self._read(counters))
+        if self._bad is not None:
+            return self._bad
+        if self._good is not None:
+            return self._good
+        answered = self._seen[""].new.minus(self._base[""].new)
+        return Undecided(answered.ok + answered.blamed)
+
+    def _take_in(self, seen):
+        """Add one look to every test."""
+        self._add_tests(seen)
+        for test in self._tests.values():
+            before = self._seen.get(test.route, _Pair())
+            pair = seen[test.route].minus(before)
+            test.process.begin(self._look_weight)
+            test.process.add(test.count(pair.new), test.count(pair.old))
+            if test.bucket is None:
+                test.set_reference(seen[test.route].old)
+        self._seen = seen
+        self._bad = self._find_bad()
+        if self._good is None:
+            self._good = self._find_good()
+
+    def _find_bad(self):
+        """Return the verdict of the first test that shows badness."""
+        return next(
+            (
+                Bad(
+                    self._move.id,
+                    test.measure.badness,
+                    test.route,
+                    self._seen[""].new.started,
+                )
+                for test in self._tests.values()
+                if test.is_bad()
+            ),
+            None,
+        )
+
+    def _find_good(self):
+        """Return the verdict that the window shows no harm, or None."""
+        requests = self._subtract_base("").old.timed
+        logs = [
+            self._weigh(test)
+            for test in self._tests.values()
+            if self._subtract_base(test.route).old.timed
+            >= MIN_ROUTE_SHARE * requests
+        ]
+        weakest = min(logs, default=0.0)
+        return Good(weakest) if weakest >= _LOG_GOOD else None
+
+    def _subtract_base(self, route):
+        """Return the growth of a route in this window."""
+        before = self._base.get(route, _Pair())
+        return self._seen[route].minus(before)
+
+    def _weigh(self, test):
+        """Return a test's evidence of harmlessness in this window."""
+        pair = self._subtract_base(test.route)
+        match test.measure.badness, bool(test.route):
+            case Badness.FAILING, False:
+                excess = MAX_FAILED_EXCESS
+            case Badness.FAILING, True:
+                excess = MAX_ROUTE_FAILED_EXCESS
+            case Badness.SLOW, False:
+                excess = MAX_SLOW_EXCESS
+            case _:
+                excess = MAX_ROUTE_SLOW_EXCESS
+        return evidence.weigh_harmlessness(
+            test.count(pair.new), test.count(pair.old), excess
+        )
+
+    def _read(self, counters):
+        """Return both versions' rows by route, the total under ``""``."""
+        service = self._move.service
+        new = counters.total_by_route(service, self._move.to_version)
+        old = counters.total_by_route(service, self._move.from_version)
+        pairs = {
+            route: _Pair(
+                new.get(route, counting.Row()), old.get(route, counting.Row())
+            )
+            for route in sorted(new.keys() | old.keys())
+        }
+        total = _Pair(
+            counting.sum_up(new.values()), counting.sum_up(old.values())
+        )
+        return {"": total} | pairs
+
+    def _add_tests(self, seen):
+        """Add the tests of routes not seen before, in order."""
+        known = {route for route, _ in self._tests}
+        for route in [route for route in seen if route not in known]:
+            place = len(self._tests) // len(_MEASURES)
+            threshold = _compute_log_threshold(place)
+            for index, measure in enumerate(_MEASURES):
+                self._tests[route, index] = _Test(measure, route, threshold)
+
+
+@attrs.frozen
+class _Pair:
+    """Rows of both versions."""
+
+    new: counting.Row = counting.Row()
+    old: counting.Row = counting.Row()
+
+    def minus(self, other):
+        """Return the growth since an earlier state."""
+        return _Pair(self.new.minus(other.new), self.old.minus(other.old))
--- /dev/null
+++ b/mulberryhollow/coordination/rollout/watcher.py
@@ -0,0 +1,190 @@
+"""What each node does about a version move, with or without the store."""
+
+import logging
+
+from mulberryhollow.coordination.rollout import actions
+from mulberryhollow.coordination.rollout import record
+from mulberryhollow.coordination.rollout import verdict
+from mulberryhollow.events import declare
+from mulberryhollow.events import log
+
+__all__ = ["Watcher", "effective_shares"]
+
+_BAD_SEEN = declare(
+    7001,
+    logging.WARNING,
+    "new version is worse than the old one",
+    "look at the version's own logs; the move rolls back by itself",
+)
+_DEADLINE_PASSED = declare(
+    7002,
+    logging.WARNING,
+    "move has no done at its deadline and counts as rolled back",
+    "start another move if the new version is still wanted",
+)
+
+
+def effective_shares(move, verdicts, now_s):
+    """Return the share of each version that a node has to use.
+
+    Parameters
+    ----------
+    move : Move
+        The latest record that the node has.
+    verdicts : iterable of Bad
+        Verdicts that it has reached or heard.
+    now_s : float
+        The present time, in Unix seconds.
+
+    Returns
+    -------
+    dict
+        Name of a version to its share, 0 to 1.
+
+    Notes
+    -----
+    The stored record decides how a move ends: ``done`` holds even against a
+    verdict that came too late. Without it, the old version gets everything
+    after a verdict and from the deadline on.
+    """
+    share = _compute_share(move, verdicts, now_s)
+    return {move.from_version: 1.0 - share, move.to_version: share}
+
+
+def _compute_share(move, verdicts, now_s):
+    """Return the share of the new version."""
+    match move.stage:
+        case record.Stage.DONE:
+            return 1.0
+        case record.Stage.PLANNED | record.Stage.ROLLED_BACK:
+            return 0.0
+    is_bad = any(bad.move_id == move.id for bad in verdicts)
+    return 0.0 if is_bad or now_s >= move.deadline_s else move.share
+
+
+class Watcher:
+    """Follows the record of one service's move on one node.
+
+    Notes
+    -----
+    A node acts on a verdict first, tells its peers next, and leaves the
+    record to the driver.
+    """
+
+    def __init__(self):
+        self._move = None
+        self._tester = None
+        self._verdicts = {}
+        self._shares = None
+        self._since_s = 0.0
+        self._has_new_window = False
+
+    @property
+    def move(self):
+        """The latest record, or None."""
+        return self._move
+
+    @property
+    def since_s(self):
+        """When the present share was first seen, in Unix seconds."""
+        return self._since_s
+
+    @property
+    def bad(self):
+        """The verdict on the present move, or None."""
+        return self._move and self._verdicts.get(self._move.id)
+
+    def observe(self, move, now_s):
+        """Take in a record; older versions change nothing.
+
+        Parameters
+        ----------
+        move : Move
+            The record with its object's version.
+        now_s : float
+            The present time, in Unix seconds.
+        """
+        known = self._move
+        if known is not None and move.version <= known.version:
+            return
+        self._move = move
+        if known is None or known.id != move.id:
+            self._tester = None
+            self._shares = None
+        if known is None or known.share != move.share:
+            self._since_s = now_s
+            self._has_new_window = True
+
+    def hear(self, bad):
+        """Take over a verdict; the first one for a move stays."""
+        self._verdicts.setdefault(bad.move_id, bad)
+
+    def judge(self, counters, now_s):
+        """Return the verdict at the present share.
+
+        Parameters
+        ----------
+        counters : Counters
+            Merged counters.
+        now_s : float
+            The present time, in Unix seconds.
+
+        Returns
+        -------
+        Bad, Undecided or Good
+            Undecided unless the move is shifting.
+        """
+        if self.bad is not None:
+            return self.bad
+        if self._move is None or self._move.stage != record.Stage.SHIFTING:
+            return verdict.Undecided(0)
+        if self._tester is None:
+            self._tester = verdict.Tester(self._move, counters, now_s)
+        elif self._has_new_window:
+            self._tester.begin_window(counters)
+        self._has_new_window = False
+        return self._tester.look(counters, now_s)
+
+    def step(self, counters, now_s):
+        """Return what this node has to do now.
+
+        Parameters
+        ----------
+        counters : Counters or None
+            Merged counters; None when this node does not test the versions.
+        now_s : float
+            The present time, in Unix seconds.
+
+        Returns
+        -------
+        list of SetShare and Tell
+            First the share, then the verdict, each once.
+        """
+        if self._move is None:
+            return []
+        known_bad = self.bad
+        if counters is not None:
+            self._latch(self.judge(counters, now_s))
+        asked = self._update_shares(now_s)
+        if self.bad is not None and known_bad is None:
+            asked.append(actions.Tell(self.bad))
+        return asked
+
+    def _latch(self, judgement):
+        """Keep a verdict that the version is bad."""
+        match judgement:
+            case verdict.Bad() if self.bad is None:
+                self.hear(judgement)
+                log(_BAD_SEEN, move=self._move.id, reason=judgement.reason)
+
+    def _update_shares(self, now_s):
+        """Return the change of the shares in use, if any."""
+        move = self._move
+        shares = effective_shares(move, self._verdicts.values(), now_s)
+        if shares == self._shares:
+            return []
+        if now_s >= move.deadline_s and not move.stage.is_final:
+            log(_DEADLINE_PASSED, move=move.id)
+        self._shares = shares
+        share = shares[move.to_version]
+        return [actions.SetShare(move.service, move.to_version, share)]
--- a/mulberryhollow/state/counters.py
+++ b/mulberryhollow/state/counters.py
@@ -1,6 +1,7 @@
 """Counters of requests per version, merged monotonically between nodes."""
 
 import bisect
+import functools
 import itertools
 import struct
 
@@ -23,6 +24,7 @@
     "Snapshot",
     "decode",
     "encode",
+    "sum_up",
 ]
 
 _BUCKETS_PER_OCTAVE = 2
@@ -191,6 +193,7 @@
         self._own = _Source()
         self._sources = {(node, incarnation): self._own}
         self._changed_at = {}
+        self._sums = {}
 
     @property
     def sequence(self):
@@ -260,7 +263,7 @@
         source = self._sources.setdefault(name, _Source())
         for key, row in snapshot.rows.items():
             known = source.rows.get(key, Row())
-            source.rows[key] = known.combine(row, max)
+            self._store(source, key, known.combine(row, max))
         if snapshot.after <= source.sequence < snapshot.sequence:
             source.sequence = snapshot.sequence
         return source.sequence
@@ -291,23 +294,18 @@
         Row
             The sum.
         """
-        rows = (
-            row
-            for key, row in self._iterate_rows()
+        by_route = self.total_by_route(service, version)
+        if route is None:
+            return sum_up(by_route.values())
+        return by_route.get(route, Row())
+
+    def total_by_route(self, service, version):
+        """Return the sum over all nodes of each route, by its name."""
+        return {
+            key.route: row
+            for key, row in self._sums.items()
             if (key.service, key.version) == (service, version)
-            and route in (None, key.route)
-        )
-        return _sum(rows)
-
-    def list_routes(self, service):
-        """Return the routes of a service that were seen, sorted."""
-        return sorted(
-            {
-                key.route
-                for key, _ in self._iterate_rows()
-                if key.service == service
-            }
-        )
+        }
 
     def sum_rows(self, nodes):
         """Return each key's sum over all incarnations of some nodes.
@@ -336,6 +334,11 @@
                 for key, row in source.rows.items()
                 if key.service in services
             }
+        self._sums = {
+            key: row
+            for key, row in self._sums.items()
+            if key.service in services
+        }
 
     def _get_own(self, key):
         """Return an own row."""
@@ -344,22 +347,19 @@
     def _put_own(self, key, row):
         """Store a changed own row."""
         self._own.sequence += 1
-        self._own.rows[key] = row
+        self._store(self._own, key, row)
         self._changed_at[key] = self._own.sequence
 
-    def _iterate_rows(self):
-        """Iterate over (key, row) of every source."""
-        return itertools.chain.from_iterable(
-            source.rows.items() for source in self._sources.values()
-        )
+    def _store(self, source, key, row):
+        """Store a grown row and add its growth to the sum over all nodes."""
+        growth = row.minus(source.rows.get(key, Row()))
+        source.rows[key] = row
+        self._sums[key] = self._sums.get(key, Row()).plus(growth)
 
 
-def _sum(rows):
+def sum_up(rows):
     """Return the sum of rows."""
-    total = Row()
-    for row in rows:
-        total = total.plus(row)
-    return total
+    return functools.reduce(Row.plus, rows, Row())
 
 
 class _Message(TBase):
