Membership and peer messages: first version

Facts with one growing version a topic and key, a membership state machine, signed envelopes over thrift sockets and the actor that ties them together.

--- /dev/null
+++ b/mulberryhollow/coordination/membership/__init__.py
@@ -0,0 +1,45 @@
+"""Membership and the spread of facts between peers."""
+
+from mulberryhollow.coordination.membership.budget import BUDGET_BYTES_PER_S
+from mulberryhollow.coordination.membership.budget import ByteBudget
+from mulberryhollow.coordination.membership.machine import Membership
+from mulberryhollow.coordination.membership.machine import ROUND_S
+from mulberryhollow.coordination.membership.machine import SUSPECT_S
+from mulberryhollow.coordination.membership.member import decode_fact
+from mulberryhollow.coordination.membership.member import decode_registration
+from mulberryhollow.coordination.membership.member import encode_fact
+from mulberryhollow.coordination.membership.member import encode_registration
+from mulberryhollow.coordination.membership.member import find_next_incarnation
+from mulberryhollow.coordination.membership.member import Member
+from mulberryhollow.coordination.membership.member import MemberState
+from mulberryhollow.coordination.membership.member import MemberView
+from mulberryhollow.coordination.membership.member import Standing
+from mulberryhollow.coordination.membership.messages import AskProbe
+from mulberryhollow.coordination.membership.messages import Exchange
+from mulberryhollow.coordination.membership.messages import SendExchange
+from mulberryhollow.coordination.membership.node import PeerNode
+from mulberryhollow.coordination.membership.topology import rank_by_rendezvous
+from mulberryhollow.coordination.membership.topology import Topology
+
+__all__ = [
+    "BUDGET_BYTES_PER_S",
+    "ROUND_S",
+    "SUSPECT_S",
+    "AskProbe",
+    "ByteBudget",
+    "Exchange",
+    "Member",
+    "MemberState",
+    "MemberView",
+    "Membership",
+    "PeerNode",
+    "SendExchange",
+    "Standing",
+    "Topology",
+    "decode_fact",
+    "decode_registration",
+    "encode_fact",
+    "encode_registration",
+    "find_next_incarnation",
+    "rank_by_rendezvous",
+]
--- /dev/null
+++ b/mulberryhollow/coordination/membership/machine.py
@@ -0,0 +1,445 @@
+"""State machine of membership: heartbeats, doubts and their answers."""
+
+import itertools
+
+import attrs
+
+from mulberryhollow.coordination.membership import member as members
+from mulberryhollow.coordination.membership import messages
+from mulberryhollow.coordination.membership import topology
+
+__all__ = ["Membership"]
+
+ROUND_S = 1.0
+"""Time between two rounds of heartbeats, in seconds."""
+
+MISSES_BEFORE_PROBE = 2
+"""Heartbeats in a row that go unanswered before helpers are asked."""
+
+HELPERS = 3
+"""Members asked to confirm that another one does not answer."""
+
+SUSPECT_S = 4.0
+"""Time a suspect has to answer before it counts as dead, in seconds."""
+
+PAUSE_S = 3.0
+"""Gap between rounds from which a node takes itself as paused, in seconds."""
+
+REFRESH_S = 3_600.0
+"""Time after which a member refreshes its own fact, in seconds."""
+
+RETRY_ROUNDS = 10
+"""Rounds between two attempts to reach a member that counts as dead."""
+
+LINK_MISSES = 3
+"""Members of another failure domain that fail before it counts as cut off."""
+
+_IN_DOUBT = (members.Standing.SUSPECT, members.Standing.DEAD)
+
+
+@attrs.define
+class _Doubt:
+    """Unanswered heartbeats of a member and what helpers said."""
+
+    misses: int = 0
+    asked: tuple = ()
+    answers: dict = attrs.field(factory=dict)
+
+
+class Membership:
+    """What one node holds of all members, and whom it sends to.
+
+    Parameters
+    ----------
+    me : Member
+        The node itself.
+    now_s : float
+        Monotonic time of its start, in seconds.
+
+    Notes
+    -----
+    Standing is a hint for routing and relaying. It proves no ownership: that
+    comes from conditional updates of the platform's store alone.
+
+    A member is judged only by members of its own failure domain, since a cut
+    between two failure domains looks to each like the death of all members
+    of the other. A node that no helper answers judges nobody either.
+
+    Every change of standing is a `Fact` of topic ``member`` whose version
+    orders incarnation, renewals and standing, so late messages of an earlier
+    process lose, and a member that was wrongly doubted wins with one more
+    renewal.
+    """
+
+    def __init__(self, me, now_s):
+        self._me = members.MemberState(me)
+        self._states = {me.instance_id: self._me}
+        self._suspected_s = {}
+        self._doubts = {}
+        self._link_misses = {}
+        self._round = 0
+        self._last_round_s = now_s
+        self._refreshed_s = now_s
+        self._topology = None
+
+    @property
+    def me(self):
+        """The node's own `Member`."""
+        return self._me.member
+
+    @property
+    def round_number(self):
+        """Rounds begun so far."""
+        return self._round
+
+    def list_members(self):
+        """Return a `MemberView` of every known member, by instance id."""
+        return tuple(
+            self._view(state) for _, state in sorted(self._states.items())
+        )
+
+    def find_member(self, instance_id):
+        """Return the `MemberView` of a member, or None."""
+        state = self._states.get(instance_id)
+        return self._view(state) if state else None
+
+    def join(self, wall_s):
+        """Return the fact that announces this node."""
+        return members.encode_fact(self._me, wall_s)
+
+    def leave(self, wall_s):
+        """Return the fact that says that this node stops for good."""
+        return self._set(self._me, members.Standing.LEFT, wall_s)
+
+    def begin_round(self, now_s, wall_s):
+        """Move on by one round.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time, in seconds.
+        wall_s : float
+            Wall-clock time, in seconds since the Unix epoch.
+
+        Returns
+        -------
+        tuple of Fact
+            Own renewals and suspects that are now dead.
+        """
+        was_paused = now_s - self._last_round_s > PAUSE_S
+        self._last_round_s = now_s
+        self._round += 1
+        if was_paused:
+            self._forget_doubts(now_s)
+        due = was_paused or now_s - self._refreshed_s > REFRESH_S
+        renewals = [self._renew(now_s, wall_s)] if due else []
+        dead = [
+            self._set(self._states[name], members.Standing.DEAD, wall_s)
+            for name in self._list_overdue(now_s)
+        ]
+        return tuple(renewals + dead)
+
+    def choose_targets(self, now_s):
+        """Return the instance ids to exchange with in this round.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        tuple of str
+            At most six, however many members there are.
+        """
+        layout = self._find_topology()
+        targets = layout.list_round_targets(self._round)
+        again = sorted(
+            name
+            for name, doubt in self._doubts.items()
+            if 0 < doubt.misses < MISSES_BEFORE_PROBE
+            or self._is_in_doubt(name)
+        )
+        turn = self._round % max(1, len(again))
+        retried = again[turn : turn + 1]
+        lost = self._list_dead() if self._round % RETRY_ROUNDS == 0 else []
+        turn = self._round // RETRY_ROUNDS % max(1, len(lost))
+        chosen = dict.fromkeys([*targets, *retried, *lost[turn : turn + 1]])
+        chosen.pop(self.me.instance_id, None)
+        return tuple(chosen)
+
+    def choose_urgent_targets(self, is_origin):
+        """Return the instance ids that get an urgent fact at once.
+
+        Parameters
+        ----------
+        is_origin : bool
+            Whether the fact was published here.
+        """
+        layout = self._find_topology()
+        return layout.list_urgent_targets(self._round, is_origin)
+
+    def apply_fact(self, fact, now_s, wall_s):
+        """Take in a member fact.
+
+        Parameters
+        ----------
+        fact : Fact
+            Of topic ``member``.
+        now_s : float
+            Monotonic time, in seconds.
+        wall_s : float
+            Wall-clock time, in seconds since the Unix epoch.
+
+        Returns
+        -------
+        tuple of Fact
+            An answer when the fact doubts this node.
+        """
+        state = members.decode_fact(fact)
+        name = state.member.instance_id
+        if name == self.me.instance_id:
+            return self._answer(state, now_s, wall_s)
+        self._take(state, now_s)
+        return ()
+
+    def apply_list(self, listed, now_s):
+        """Take in members read from registration objects or a list.
+
+        Parameters
+        ----------
+        listed : iterable of Member
+            May lag: a member known in a later state is left as it is, and
+            one that is not listed stays.
+        now_s : float
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        tuple of Member
+            Those that were not known.
+        """
+        unknown = tuple(
+            member
+            for member in listed
+            if member.instance_id not in self._states
+        )
+        for member in listed:
+            if member.instance_id != self.me.instance_id:
+                self._take(members.MemberState(member), now_s)
+        return unknown
+
+    def forget(self, instance_id):
+        """Remove a member whose fact has expired."""
+        if instance_id == self.me.instance_id:
+            return
+        self._states.pop(instance_id, None)
+        self._suspected_s.pop(instance_id, None)
+        self._doubts.pop(instance_id, None)
+        self._topology = None
+
+    def note_contact(self, instance_id):
+        """Note that a member answered or sent a message."""
+        self._doubts.pop(instance_id, None)
+        state = self._states.get(instance_id)
+        if state:
+            self._link_misses.pop(state.member.failure_domain, None)
+
+    def note_miss(self, instance_id):
+        """Note that a member did not answer a heartbeat.
+
+        Returns
+        -------
+        tuple of AskProbe
+            Helpers to ask, once enough heartbeats were missed.
+        """
+        state = self._states.get(instance_id)
+        if state is None or instance_id == self.me.instance_id:
+            return ()
+        domain = state.member.failure_domain
+        if domain != self.me.failure_domain:
+            self._link_misses.setdefault(domain, set()).add(instance_id)
+            return ()
+        doubt = self._doubts.setdefault(instance_id, _Doubt())
+        doubt.misses += 1
+        if doubt.misses < MISSES_BEFORE_PROBE or doubt.asked:
+            return ()
+        doubt.asked = self._choose_helpers(instance_id)
+        return tuple(
+            messages.AskProbe(helper, instance_id) for helper in doubt.asked
+        )
+
+    def note_probe(self, helper, instance_id, is_reached, now_s, wall_s):
+        """Take in what a helper said about a member.
+
+        Parameters
+        ----------
+        helper, instance_id : str
+            Instance ids of the helper and of the member.
+        is_reached : bool or None
+            Whether the helper reached the member; None when the helper
+            itself did not answer.
+        now_s : float
+            Monotonic time, in seconds.
+        wall_s : float
+            Wall-clock time, in seconds since the Unix epoch.
+
+        Returns
+        -------
+        tuple of Fact
+            The suspicion, when all helpers that answered confirm it.
+        """
+        doubt = self._doubts.get(instance_id)
+        if doubt is None or helper not in doubt.asked:
+            return ()
+        doubt.answers[helper] = is_reached
+        if len(doubt.answers) < len(doubt.asked):
+            return ()
+        answers = set(doubt.answers.values())
+        self._doubts[instance_id] = _Doubt()
+        state = self._states.get(instance_id)
+        is_confirmed = False in answers and True not in answers
+        if not is_confirmed or state is None:
+            return ()
+        if state.standing is not members.Standing.ALIVE:
+            return ()
+        self._suspected_s[instance_id] = now_s
+        return (self._set(state, members.Standing.SUSPECT, wall_s),)
+
+    def _view(self, state):
+        """Return what this node holds of a member."""
+        missing = self._link_misses.get(state.member.failure_domain, ())
+        others = self._find_topology().list_members_of(
+            state.member.failure_domain
+        )
+        is_cut = 0 < min(LINK_MISSES, len(others)) <= len(missing)
+        return members.MemberView(state.member, state.standing, not is_cut)
+
+    def _set(self, state, standing, wall_s):
+        """Change a member's standing and return the fact that tells it."""
+        changed = attrs.evolve(state, standing=standing)
+        self._store(changed)
+        return members.encode_fact(changed, wall_s)
+
+    def _store(self, state):
+        """Hold a state; the own one is kept beside the others."""
+        name = state.member.instance_id
+        if name == self.me.instance_id:
+            self._me = state
+        before = self._states.get(name)
+        self._states[name] = state
+        is_same = (
+            before is not None
+            and before.member == state.member
+            and before.standing == state.standing
+        )
+        if not is_same:
+            self._topology = None
+
+    def _take(self, state, now_s):
+        """Hold another member's state when it is later than the known."""
+        name = state.member.instance_id
+        known = self._states.get(name)
+        if known and known.version >= state.version:
+            return
+        self._store(state)
+        if state.standing is members.Standing.SUSPECT:
+            self._suspected_s.setdefault(name, now_s)
+        else:
+            self._suspected_s.pop(name, None)
+        if state.standing is members.Standing.ALIVE:
+            self._doubts.pop(name, None)
+            self._retire_former(state.member)
+
+    def _retire_former(self, member):
+        """Drop an earlier instance that used the same peer address."""
+        former = [
+            name
+            for name, state in self._states.items()
+            if state.member.peer_address == member.peer_address
+            and state.member.incarnation < member.incarnation
+            and name not in (member.instance_id, self.me.instance_id)
+        ]
+        for name in former:
+            state = self._states[name]
+            self._store(attrs.evolve(state, standing=members.Standing.DEAD))
+
+    def _answer(self, state, now_s, wall_s):
+        """Answer a fact about this node with a later one when it doubts."""
+        if state.version <= self._me.version:
+            return ()
+        if state.member.incarnation > self.me.incarnation:
+            return ()
+        self._me = attrs.evolve(self._me, renewals=state.renewals)
+        return (self._renew(now_s, wall_s),)
+
+    def _renew(self, now_s, wall_s):
+        """Return a fact that outranks every doubt about this node."""
+        self._refreshed_s = now_s
+        renewed = attrs.evolve(self._me, renewals=self._me.renewals + 1)
+        self._store(renewed)
+        return members.encode_fact(renewed, wall_s)
+
+    def _forget_doubts(self, now_s):
+        """Drop every judgement that waited over a pause of this node."""
+        self._doubts.clear()
+        self._link_misses.clear()
+        self._suspected_s = dict.fromkeys(self._suspected_s, now_s)
+
+    def _is_in_doubt(self, instance_id):
+        """Return whether a member is a suspect."""
+        state = self._states.get(instance_id)
+        return state and state.standing is members.Standing.SUSPECT
+
+    def _list_overdue(self, now_s):
+        """Return the suspects whose time to answer is over."""
+        overdue = [
+            name
+            for name, since_s in self._suspected_s.items()
+            if now_s - since_s >= SUSPECT_S and self._is_in_doubt(name)
+        ]
+        for name in overdue:
+            del self._suspected_s[name]
+        return overdue
+
+    def _list_dead(self):
+        """Return the members that count as dead, by instance id."""
+        return sorted(
+            name
+            for name, state in self._states.items()
+            if state.standing is members.Standing.DEAD
+        )
+
+    def _choose_helpers(self, instance_id):
+        """Return members to ask, from the own and from other domains."""
+        alive = [
+            state.member
+            for name, state in self._states.items()
+            if state.standing is members.Standing.ALIVE
+            and name not in (instance_id, self.me.instance_id)
+        ]
+        ranked = topology.rank_by_rendezvous(
+            f"{self.me.instance_id} {self._round}",
+            [member.instance_id for member in alive],
+        )
+        local = set(
+            self._find_topology().list_members_of(self.me.failure_domain)
+        )
+        inside = [name for name in ranked if name in local]
+        outside = [name for name in ranked if name not in local]
+        paired = itertools.zip_longest(inside, outside)
+        mixed = itertools.chain.from_iterable(paired)
+        named = (name for name in mixed if name is not None)
+        return tuple(itertools.islice(named, HELPERS))
+
+    def _find_topology(self):
+        """Return the layout of the live members, worked out when needed."""
+        if self._topology is None:
+            alive = [
+                state.member
+                for name, state in self._states.items()
+                if state.standing is members.Standing.ALIVE
+                or name == self.me.instance_id
+            ]
+            self._topology = topology.Topology(self.me, alive)
+        return self._topology
--- /dev/null
+++ b/mulberryhollow/protocol/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'PeerService']
--- /dev/null
+++ b/mulberryhollow/protocol/peers.py
@@ -0,0 +1,332 @@
+"""Envelopes and exchanges between peers: codec, signature, replay guard."""
+
+import collections
+import hashlib
+import hmac
+import struct
+
+import attrs
+from thrift.protocol import TCompactProtocol
+from thrift.Thrift import TException
+from thrift.TSerialization import deserialize
+from thrift.TSerialization import serialize
+
+from mulberryhollow.coordination.membership import messages
+from mulberryhollow.protocol.gen.peer import PeerService
+from mulberryhollow.protocol.gen.peer import ttypes
+from mulberryhollow.state import facts
+
+__all__ = [
+    "EXCHANGE",
+    "FRESHNESS_S",
+    "REFUSED",
+    "Envelope",
+    "EnvelopeError",
+    "PeerService",
+    "ReplayGuard",
+    "decode_exchange",
+    "encode_exchange",
+    "from_wire",
+    "sign",
+    "to_wire",
+    "verify",
+]
+
+EXCHANGE = "exchange"
+"""Topic of an exchange; no call may have it."""
+
+REFUSED = "refused"
+"""Topic of an answer that says why the request was not run."""
+
+FRESHNESS_S = 30.0
+"""Largest age of an envelope and largest clock difference, in seconds."""
+
+SEQUENCE_WINDOW = 1_024
+"""Sequence numbers below the highest that may still arrive."""
+
+MAX_SENDERS = 4_096
+"""Senders whose sequence numbers are kept."""
+
+_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
+
+
+class EnvelopeError(ValueError):
+    """An envelope is not to be trusted or cannot be read.
+
+    Parameters
+    ----------
+    kind : str
+        ``signature``, ``recipient``, ``stale``, ``replayed`` or
+        ``malformed``.
+    reason : str
+        What was seen.
+    """
+
+    def __init__(self, kind, reason):
+        super().__init__(f"{kind}: {reason}")
+        self.kind = kind
+        self.reason = reason
+
+
+@attrs.frozen
+class Envelope:
+    """One signed message between two daemons.
+
+    Parameters
+    ----------
+    sender : str
+        Instance id of the sender.
+    incarnation : int
+        Its process.
+    sequence : int
+        Number of the message, which grows within the incarnation.
+    sent_s : float
+        When it was sent, in seconds since the Unix epoch.
+    recipient : str
+        Peer address that it is meant for; in an answer the instance id.
+    topic : str
+        ``exchange``, or the topic of a call.
+    payload : bytes
+        The content.
+    reply_to : bytes
+        The signature of the envelope that it answers; empty in a request.
+    mac : bytes
+        HMAC-SHA-256 over everything above; empty before `sign`.
+    """
+
+    sender: str
+    incarnation: int
+    sequence: int
+    sent_s: float
+    recipient: str
+    topic: str
+    payload: bytes
+    reply_to: bytes = b""
+    mac: bytes = b""
+
+
+def sign(envelope, key):
+    """Return the envelope with its signature.
+
+    Parameters
+    ----------
+    envelope : Envelope
+        What to sign.
+    key : bytes
+        The key that all daemons of the environment share.
+    """
+    return attrs.evolve(envelope, mac=_compute_mac(envelope, key))
+
+
+def verify(envelope, key):
+    """Check the signature of an envelope.
+
+    Raises
+    ------
+    EnvelopeError
+        When any field was changed or the key is another one.
+    """
+    if not hmac.compare_digest(envelope.mac, _compute_mac(envelope, key)):
+        raise EnvelopeError("signature", "the signature does not match")
+
+
+def to_wire(envelope):
+    """Return the thrift struct of an envelope."""
+    return ttypes.Envelope(**attrs.asdict(envelope))
+
+
+def from_wire(struct_):
+    """Return the envelope of a thrift struct."""
+    return Envelope(
+        struct_.sender,
+        struct_.incarnation,
+        struct_.sequence,
+        struct_.sent_s,
+        struct_.recipient,
+        struct_.topic,
+        struct_.payload,
+        struct_.reply_to,
+        struct_.mac,
+    )
+
+
+def encode_exchange(exchange):
+    """Return an `Exchange` as bytes."""
+    wire = ttypes.Exchange(
+        facts=[_fact_to_wire(fact) for fact in exchange.facts] or None,
+        offers=[_id_to_wire(item) for item in exchange.offers] or None,
+        wants=[_id_to_wire(item) for item in exchange.wants] or None,
+        digest=exchange.digest,
+        digests=list(exchange.digests) or None,
+    )
+    return serialize(wire, _FACTORY)
+
+
+def decode_exchange(payload):
+    """Return the `Exchange` that some bytes hold.
+
+    Raises
+    ------
+    EnvelopeError
+        When they hold none.
+    """
+    wire = ttypes.Exchange()
+    try:
+        deserialize(wire, payload, _FACTORY)
+        wire.validate()
+        return _exchange_from_wire(wire)
+    except (EOFError, TypeError, ValueError, TException) as error:
+        raise EnvelopeError(
+            "malformed", f"not an exchange: {error}"
+        ) from error
+
+
+def _exchange_from_wire(wire):
+    """Return the exchange of a thrift struct."""
+    return messages.Exchange(
+        wire.digest,
+        tuple(_fact_from_wire(fact) for fact in wire.facts or ()),
+        tuple(_id_from_wire(item) for item in wire.offers or ()),
+        tuple(_id_from_wire(item) for item in wire.wants or ()),
+        tuple(wire.digests or ()),
+    )
+
+
+def _fact_to_wire(fact):
+    """Return the thrift struct of a fact."""
+    return ttypes.Fact(
+        fact.topic, fact.key, fact.version, fact.value, fact.expires_s
+    )
+
+
+def _fact_from_wire(wire):
+    """Return the fact of a thrift struct."""
+    wire.validate()
+    return facts.Fact(
+        wire.topic, wire.key, wire.version, wire.value, wire.expires_s
+    )
+
+
+def _id_to_wire(identity):
+    """Return the thrift struct of a fact's identity."""
+    return ttypes.FactId(identity.topic, identity.key, identity.version)
+
+
+def _id_from_wire(wire):
+    """Return the identity of a thrift struct."""
+    wire.validate()
+    return facts.FactId(wire.topic, wire.key, wire.version)
+
+
+def _compute_mac(envelope, key):
+    """Return the HMAC over every field but the signature itself."""
+    fields = (
+        envelope.sender.encode(),
+        struct.pack(">qqd", *_list_numbers(envelope)),
+        envelope.recipient.encode(),
+        envelope.topic.encode(),
+        envelope.payload,
+        envelope.reply_to,
+    )
+    mac = hmac.new(key, digestmod=hashlib.sha256)
+    for field in fields:
+        mac.update(struct.pack(">I", len(field)))
+        mac.update(field)
+    return mac.digest()
+
+
+def _list_numbers(envelope):
+    """Return the numbers of an envelope in the order of signing."""
+    return envelope.incarnation, envelope.sequence, envelope.sent_s
+
+
+@attrs.define
+class _Window:
+    """Sequence numbers seen of one sender's process."""
+
+    incarnation: int
+    highest: int = -1
+    seen: set = attrs.field(factory=set)
+    used_s: float = 0.0
+
+
+class ReplayGuard:
+    """Lets each envelope through once.
+
+    Notes
+    -----
+    An envelope passes when it is fresh by the wall clock, is not of an
+    earlier process of its sender, and its sequence number is new within a
+    window below the highest one seen. A sender is forgotten only when none
+    of its envelopes can be fresh any more, so that forgetting opens no gap;
+    when no place is free, a new sender is refused.
+    """
+
+    def __init__(self, max_senders=MAX_SENDERS):
+        self._max_senders = max_senders
+        self._windows = collections.OrderedDict()
+
+    def __len__(self):
+        return len(self._windows)
+
+    def check(self, envelope, wall_s):
+        """Take an envelope whose signature was verified.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            What arrived.
+        wall_s : float
+            Wall-clock time, in seconds since the Unix epoch.
+
+        Raises
+        ------
+        EnvelopeError
+            When it is stale, was seen before or comes from an earlier
+            process of its sender.
+        """
+        age_s = wall_s - envelope.sent_s
+        if not -FRESHNESS_S <= age_s <= FRESHNESS_S:
+            raise EnvelopeError(
+                "stale", f"sent {age_s:.1f} s ago by the clock here"
+            )
+        window = self._find_window(envelope, wall_s)
+        if envelope.incarnation < window.incarnation:
+            raise EnvelopeError("stale", "of an earlier process")
+        if envelope.incarnation > window.incarnation:
+            window = _Window(envelope.incarnation)
+            self._windows[envelope.sender] = window
+        self._note(window, envelope.sequence)
+        window.used_s = wall_s
+        self._windows.move_to_end(envelope.sender)
+
+    def _find_window(self, envelope, wall_s):
+        """Return the window of the sender, making place when it is new."""
+        window = self._windows.get(envelope.sender)
+        if window:
+            return window
+        self._forget_old(wall_s)
+        if len(self._windows) >= self._max_senders:
+            raise EnvelopeError("stale", "too many senders")
+        window = _Window(envelope.incarnation)
+        self._windows[envelope.sender] = window
+        return window
+
+    def _forget_old(self, wall_s):
+        """Forget the senders none of whose envelopes can be fresh."""
+        while self._windows:
+            oldest = next(iter(self._windows.values()))
+            if wall_s - oldest.used_s <= 2 * FRESHNESS_S:
+                return
+            self._windows.popitem(last=False)
+
+    def _note(self, window, sequence):
+        """Note a sequence number, refusing one that was seen or is too low."""
+        is_low = sequence <= window.highest - SEQUENCE_WINDOW
+        if is_low or sequence in window.seen:
+            raise EnvelopeError("replayed", f"sequence {sequence}")
+        window.seen.add(sequence)
+        window.highest = max(window.highest, sequence)
+        if len(window.seen) > 2 * SEQUENCE_WINDOW:
+            floor = window.highest - SEQUENCE_WINDOW
+            window.seen = {seen for seen in window.seen if seen > floor}
--- /dev/null
+++ b/mulberryhollow/transport/peers.py
@@ -0,0 +1,714 @@
+"""Server and client of the messages between peers, over thrift sockets."""
+
+import collections
+import contextlib
+import itertools
+import socket
+import threading
+import time
+
+import attrs
+from thrift.protocol import TCompactProtocol
+from thrift.server import TServer
+from thrift.Thrift import TException
+from thrift.transport import TSocket
+from thrift.transport import TTransport
+
+from mulberryhollow import errors
+from mulberryhollow.protocol import peers
+
+__all__ = [
+    "PeerCallError",
+    "PeerClient",
+    "PeerServer",
+    "Signer",
+    "Traffic",
+    "read_key",
+]
+
+MAX_FRAME_BYTES = 4_000_000
+"""Largest message, in bytes."""
+
+MAX_CONNECTIONS = 256
+"""Connections that a server holds; more are closed at once."""
+
+SERVER_IDLE_S = 60.0
+"""Time after which a server closes a connection without a message."""
+
+POOL_IDLE_S = 20.0
+"""Age up to which an idle connection carries an exchange, in seconds."""
+
+CALL_IDLE_S = 2.0
+"""Age up to which an idle connection carries a call, in seconds."""
+
+POOL_SIZE = 128
+"""Idle connections that a client keeps."""
+
+MIN_KEY_BYTES = 32
+"""Shortest key, in bytes."""
+
+
+class PeerCallError(errors.PeerError):
+    """A message to a peer failed.
+
+    Parameters
+    ----------
+    message, remedy : str
+        What happened and what to do.
+    ran : Ran
+        ``NOT_RUN`` when the peer cannot have run it.
+    """
+
+    def __init__(self, message, remedy, ran):
+        super().__init__(message, remedy)
+        self.ran = ran
+
+
+def read_key(path):
+    """Return the key in a file, without white space around it.
+
+    Parameters
+    ----------
+    path : str or pathlib.Path
+        The file that the settings name.
+
+    Raises
+    ------
+    SettingsError
+        When it cannot be read or is too short.
+    """
+    try:
+        with open(path, "rb") as file:
+            key = file.read().strip()
+    except OSError as error:
+        raise errors.SettingsError(
+            f"the peer key cannot be read: {error}",
+            "name a file that the daemon may read",
+        ) from error
+    if len(key) < MIN_KEY_BYTES:
+        raise errors.SettingsError(
+            f"the peer key has {len(key)} bytes",
+            f"write at least {MIN_KEY_BYTES} random ones into {path}",
+        )
+    return key
+
+
+class Traffic:
+    """Bytes and messages of all connections of one node."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.messages = 0
+
+    def add(self, sent_bytes=0, received_bytes=0, messages=0):
+        """Add what one connection carried."""
+        with self._lock:
+            self.sent_bytes += sent_bytes
+            self.received_bytes += received_bytes
+            self.messages += messages
+
+    @property
+    def total_bytes(self):
+        """Bytes in both directions, without TCP and IP headers."""
+        return self.sent_bytes + self.received_bytes
+
+
+class Signer:
+    """Makes and checks the envelopes of one node.
+
+    Parameters
+    ----------
+    me : Member
+        The node.
+    key : bytes
+        The key that all daemons of the environment share.
+    clock : Clock
+        Its wall-clock time dates the envelopes.
+    """
+
+    def __init__(self, me, key, clock):
+        self.me = me
+        self._key = key
+        self._clock = clock
+        self._sequence = itertools.count(1)
+        self._guard = peers.ReplayGuard()
+        self._lock = threading.Lock()
+
+    def seal(self, recipient, topic, payload, reply_to=b""):
+        """Return a new signed envelope."""
+        envelope = peers.Envelope(
+            self.me.instance_id,
+            self.me.incarnation,
+            next(self._sequence),
+            self._clock.wall_s(),
+            recipient,
+            topic,
+            payload,
+            reply_to,
+        )
+        return peers.sign(envelope, self._key)
+
+    def open_request(self, envelope):
+        """Check a request meant for this node.
+
+        Raises
+        ------
+        EnvelopeError
+            When it is not to be trusted.
+        """
+        peers.verify(envelope, self._key)
+        if envelope.recipient != self.me.peer_address or envelope.reply_to:
+            raise peers.EnvelopeError("recipient", envelope.recipient)
+        with self._lock:
+            self._guard.check(envelope, self._clock.wall_s())
+
+    def open_reply(self, envelope, request):
+        """Check the answer to a request of this node.
+
+        Raises
+        ------
+        EnvelopeError
+            When it is not to be trusted or answers another request.
+        """
+        peers.verify(envelope, self._key)
+        if envelope.reply_to != request.mac:
+            raise peers.EnvelopeError("recipient", "answers another request")
+
+
+class PeerServer:
+    """Answers exchanges and calls of peers, one thread a connection.
+
+    Parameters
+    ----------
+    listen_address : str
+        ``HOST:PORT``; port 0 takes a free one.
+    handlers : dict
+        Topic to callable that takes and returns bytes; may be added to
+        while the server runs.
+    on_exchange : callable
+        Takes the sender's instance id and an `Exchange`, returns one.
+    traffic : Traffic or None
+        Counts the bytes.
+    max_connections : int
+        Connections that it holds; more are closed at once.
+
+    Notes
+    -----
+    The socket listens from the start, and `start` begins to answer. The
+    threads are daemon threads. An exception of a handler reaches the caller
+    as an unknown outcome.
+    """
+
+    def __init__(
+        self,
+        listen_address,
+        handlers,
+        on_exchange,
+        traffic=None,
+        max_connections=MAX_CONNECTIONS,
+    ):
+        self._handlers = handlers
+        self._on_exchange = on_exchange
+        self._traffic = traffic or Traffic()
+        self._signer = None
+        self._listener = _listen(listen_address, self._traffic)
+        self._server = _Server(
+            peers.PeerService.Processor(self), self._listener, max_connections
+        )
+
+    @property
+    def address(self):
+        """``HOST:PORT`` that it listens at."""
+        host, port = self._listener.handle.getsockname()
+        return f"{host}:{port}"
+
+    def start(self, signer):
+        """Begin to answer in a daemon thread.
+
+        Parameters
+        ----------
+        signer : Signer
+            Its member's peer address is the one that peers must name.
+        """
+        self._signer = signer
+        threading.Thread(
+            target=self._server.serve, name="peer-server", daemon=True
+        ).start()
+
+    def stop(self):
+        """Stop listening and close every connection."""
+        self._server.stop()
+
+    def exchange(self, envelope):
+        """Answer an exchange; called by the thrift processor."""
+        return self._answer(peers.from_wire(envelope), self._run_exchange)
+
+    def call(self, envelope):
+        """Answer a call; called by the thrift processor."""
+        return self._answer(peers.from_wire(envelope), self._run_call)
+
+    def _answer(self, envelope, run):
+        """Check a request, run it and seal the answer."""
+        self._traffic.add(messages=1)
+        try:
+            self._signer.open_request(envelope)
+            payload = run(envelope)
+        except peers.EnvelopeError as error:
+            return self._refuse(envelope, error)
+        reply = self._signer.seal(
+            envelope.sender, envelope.topic, payload, envelope.mac
+        )
+        return peers.to_wire(reply)
+
+    def _refuse(self, envelope, error):
+        """Return a refusal, signed when the request's signature was valid.
+
+        A signature over an answer to an unsigned request would let anyone
+        make refusals of other requests.
+        """
+        reply = self._signer.seal(
+            envelope.sender, peers.REFUSED, str(error).encode(), envelope.mac
+        )
+        if error.kind == "signature":
+            reply = attrs.evolve(reply, mac=b"")
+        return peers.to_wire(reply)
+
+    def _run_exchange(self, envelope):
+        """Hand an exchange on and return the encoded answer."""
+        if envelope.topic != peers.EXCHANGE:
+            raise peers.EnvelopeError("malformed", "not an exchange")
+        exchange = peers.decode_exchange(envelope.payload)
+        answer = self._on_exchange(envelope.sender, exchange)
+        return peers.encode_exchange(answer)
+
+    def _run_call(self, envelope):
+        """Run the handler of a topic."""
+        handler = self._handlers.get(envelope.topic)
+        if handler is None:
+            raise peers.EnvelopeError("malformed", "no handler for the topic")
+        return handler(envelope.payload)
+
+
+class PeerClient:
+    """Sends exchanges and calls to peers over pooled connections.
+
+    Parameters
+    ----------
+    signer : Signer
+        Signs the requests and checks the answers.
+    traffic : Traffic or None
+        Counts the bytes.
+
+    Notes
+    -----
+    An open connection may be dead without a sign. An exchange is idempotent,
+    so one that fails on a pooled connection is sent once more on a fresh
+    one. A call is sent again only when its frame was not sent whole, since
+    the peer runs whole frames only.
+    """
+
+    def __init__(self, signer, traffic=None):
+        self._signer = signer
+        self._traffic = traffic or Traffic()
+        self._pool = _Pool()
+
+    def exchange(self, address, exchange, timeout_s):
+        """Send an exchange and return the answer.
+
+        Parameters
+        ----------
+        address : str
+            ``HOST:PORT`` of the peer.
+        exchange : Exchange
+            What to send.
+        timeout_s : float
+            Longest time for connecting and both directions, in seconds.
+
+        Returns
+        -------
+        Exchange
+            What the peer answered.
+
+        Raises
+        ------
+        PeerCallError
+            When there was no valid answer in time.
+        """
+        payload = peers.encode_exchange(exchange)
+        pooled = self._pool.take(address, POOL_IDLE_S)
+        if pooled:
+            try:
+                reply = self._request(
+                    pooled, address, peers.EXCHANGE, payload, timeout_s / 2
+                )
+                return _decode(reply)
+            except PeerCallError:
+                timeout_s /= 2
+        fresh = self._connect(address, timeout_s)
+        reply = self._request(
+            fresh, address, peers.EXCHANGE, payload, timeout_s
+        )
+        return _decode(reply)
+
+    def call(self, address, topic, payload, timeout_s):
+        """Send a call and return the answer.
+
+        Parameters
+        ----------
+        address : str
+            ``HOST:PORT`` of the peer.
+        topic : str
+            Names the handler.
+        payload : bytes
+            What the handler is given.
+        timeout_s : float
+            Longest time for connecting, and again for the rest, in seconds.
+
+        Returns
+        -------
+        bytes
+            What the handler returned.
+
+        Raises
+        ------
+        PeerCallError
+            Its ``ran`` says whether the handler may have run.
+        """
+        pooled = self._pool.take(address, CALL_IDLE_S)
+        if pooled:
+            try:
+                return self._request(
+                    pooled, address, topic, payload, timeout_s
+                )
+            except _NotSentError:
+                pass
+        fresh = self._connect(address, timeout_s)
+        return self._request(fresh, address, topic, payload, timeout_s)
+
+    def close(self):
+        """Close every idle connection."""
+        self._pool.close()
+
+    def _connect(self, address, timeout_s):
+        """Return a fresh connection."""
+        try:
+            return _Connection(address, timeout_s, self._traffic)
+        except OSError as error:
+            raise PeerCallError(
+                f"no connection to the peer at {address}: {error}",
+                "choose another peer",
+                errors.Ran.NOT_RUN,
+            ) from error
+
+    def _request(self, connection, address, topic, payload, timeout_s):
+        """Send one envelope and return the payload of the answer."""
+        envelope = self._signer.seal(address, topic, payload)
+        self._traffic.add(messages=1)
+        try:
+            reply = connection.request(envelope, timeout_s)
+            self._signer.open_reply(reply, envelope)
+        except peers.EnvelopeError as error:
+            connection.close()
+            raise PeerCallError(
+                f"the answer of {address} is not to be trusted: {error}",
+                "give all daemons the same peer key",
+                errors.Ran.UNKNOWN,
+            ) from error
+        except PeerCallError:
+            connection.close()
+            raise
+        self._pool.put(address, connection)
+        return _read_payload(reply, address)
+
+
+class _NotSentError(PeerCallError):
+    """The request was not sent whole."""
+
+
+class _Connection:
+    """One open connection with its thrift client."""
+
+    def __init__(self, address, timeout_s, traffic):
+        self._socket = _Socket(address, timeout_s, traffic)
+        framed = _FrameFactory().getTransport(self._socket)
+        protocol = TCompactProtocol.TCompactProtocolAccelerated(framed)
+        self._client = peers.PeerService.Client(protocol)
+        self.idle_since_s = 0.0
+
+    def request(self, envelope, timeout_s):
+        """Send an envelope and return the answer."""
+        self._socket.set_timeout(timeout_s)
+        is_exchange = envelope.topic == peers.EXCHANGE
+        try:
+            self._send(peers.to_wire(envelope), is_exchange)
+        except (TException, OSError) as error:
+            raise _NotSentError(
+                f"the request was not sent whole: {error}",
+                "send it again",
+                errors.Ran.NOT_RUN,
+            ) from error
+        try:
+            return peers.from_wire(self._receive(is_exchange))
+        except (TException, OSError, EOFError, AttributeError) as error:
+            raise PeerCallError(
+                f"no answer from the peer: {error}",
+                "look up the outcome before a resend",
+                errors.Ran.UNKNOWN,
+            ) from error
+
+    def is_open(self):
+        """Return whether the peer has not closed it."""
+        return self._socket.isOpen()
+
+    def close(self):
+        """Close the socket."""
+        self._socket.close()
+
+    def _send(self, wire, is_exchange):
+        """Write a whole frame."""
+        if is_exchange:
+            self._client.send_exchange(wire)
+        else:
+            self._client.send_call(wire)
+
+    def _receive(self, is_exchange):
+        """Read a whole frame."""
+        if is_exchange:
+            return self._client.recv_exchange()
+        return self._client.recv_call()
+
+
+class _Pool:
+    """Idle connections by address, the one used last on top."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._idle = collections.OrderedDict()
+
+    def take(self, address, max_idle_s):
+        """Return an idle connection that is young enough, or None."""
+        with self._lock:
+            connection = self._idle.pop(address, None)
+        if connection is None:
+            return None
+        age_s = time.monotonic() - connection.idle_since_s
+        if age_s <= max_idle_s and connection.is_open():
+            return connection
+        connection.close()
+        return None
+
+    def put(self, address, connection):
+        """Keep a connection, closing one that is too many."""
+        connection.idle_since_s = time.monotonic()
+        with self._lock:
+            surplus = [self._idle.pop(address, None)]
+            self._idle[address] = connection
+            if len(self._idle) > POOL_SIZE:
+                surplus.append(self._idle.popitem(last=False)[1])
+        for other in filter(None, surplus):
+            other.close()
+
+    def close(self):
+        """Close every connection."""
+        with self._lock:
+            idle = list(self._idle.values())
+            self._idle.clear()
+        for connection in idle:
+            connection.close()
+
+
+class _Socket(TSocket.TSocket):
+    """Client socket with one deadline for all its reads and writes."""
+
+    def __init__(self, address, timeout_s, traffic):
+        host, port = _split(address)
+        super().__init__(host, port)
+        self._traffic = traffic
+        self._deadline_s = 0.0
+        self.setHandle(socket.create_connection((host, port), timeout_s))
+        self.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def set_timeout(self, timeout_s):
+        """Set the time that everything up to the answer may take."""
+        self._deadline_s = time.monotonic() + timeout_s
+
+    def read(self, sz):
+        """Read at most ``sz`` bytes before the deadline."""
+        self._limit()
+        data = super().read(sz)
+        self._traffic.add(received_bytes=len(data))
+        return data
+
+    def write(self, buff):
+        """Write everything before the deadline."""
+        self._limit()
+        super().write(buff)
+        self._traffic.add(sent_bytes=len(buff))
+
+    def _limit(self):
+        """Let the next operation take only the time that is left."""
+        left_s = self._deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TTransport.TTransportException(
+                TTransport.TTransportException.TIMED_OUT, "no time left"
+            )
+        self.handle.settimeout(left_s)
+
+
+class _ServedSocket(TSocket.TSocket):
+    """Accepted socket that counts its bytes."""
+
+    def __init__(self, handle, traffic):
+        super().__init__()
+        self._traffic = traffic
+        handle.settimeout(SERVER_IDLE_S)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.setHandle(handle)
+
+    def read(self, sz):
+        """Read at most ``sz`` bytes."""
+        data = super().read(sz)
+        self._traffic.add(received_bytes=len(data))
+        return data
+
+    def write(self, buff):
+        """Write everything."""
+        super().write(buff)
+        self._traffic.add(sent_bytes=len(buff))
+
+
+class _Listener(TSocket.TServerSocket):
+    """Listening socket whose connections are counted."""
+
+    def __init__(self, host, port, traffic):
+        super().__init__(host, port, socket_family=socket.AF_INET)
+        self._traffic = traffic
+
+    def accept(self):
+        """Return the next connection."""
+        handle, _ = self.handle.accept()
+        return _ServedSocket(handle, self._traffic)
+
+
+class _FrameFactory:
+    """Makes framed transports with the size limit of this protocol."""
+
+    def getTransport(self, trans):  # noqa: N802
+        """Return a framed transport; the name is given by thrift."""
+        return TTransport.TFramedTransport(trans, MAX_FRAME_BYTES)
+
+
+class _Server(TServer.TThreadedServer):
+    """Threaded server with a bound, daemon threads and a way to stop."""
+
+    def __init__(self, processor, listener, max_connections):
+        super().__init__(
+            processor,
+            listener,
+            _FrameFactory(),
+            TCompactProtocol.TCompactProtocolAcceleratedFactory(),
+            daemon=True,
+        )
+        self._max_connections = max_connections
+        self._lock = threading.Lock()
+        self._connections = set()
+        self._is_stopped = False
+
+    def serve(self):
+        """Accept connections until the server is stopped."""
+        while not self._is_stopped:
+            try:
+                connection = self.serverTransport.accept()
+            except OSError:
+                continue
+            self._admit(connection)
+
+    def stop(self):
+        """Stop accepting and close every connection."""
+        self._is_stopped = True
+        with self._lock:
+            handles = [item.handle for item in self._connections]
+        handles.append(self.serverTransport.handle)
+        for handle in filter(None, handles):
+            _shut_down(handle)
+        self.serverTransport.close()
+
+    def handle(self, client):
+        """Answer the messages of one connection until it ends."""
+        framed = self.inputTransportFactory.getTransport(client)
+        protocol = self.inputProtocolFactory.getProtocol(framed)
+        try:
+            while True:
+                self.processor.process(protocol, protocol)
+        except (TException, OSError, EOFError, AttributeError):
+            pass
+        finally:
+            with self._lock:
+                self._connections.discard(client)
+            client.close()
+
+    def _admit(self, connection):
+        """Start a thread for a connection unless there are too many."""
+        with self._lock:
+            is_full = len(self._connections) >= self._max_connections
+            if not is_full and not self._is_stopped:
+                self._connections.add(connection)
+        if is_full or self._is_stopped:
+            connection.close()
+            return
+        threading.Thread(
+            target=self.handle,
+            args=(connection,),
+            name="peer-connection",
+            daemon=True,
+        ).start()
+
+
+def _listen(address, traffic):
+    """Return a listening socket."""
+    listener = _Listener(*_split(address), traffic)
+    listener.listen()
+    return listener
+
+
+def _split(address):
+    """Return host and port of ``HOST:PORT``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _shut_down(handle):
+    """Wake whoever waits on a socket."""
+    with contextlib.suppress(OSError):
+        handle.shutdown(socket.SHUT_RDWR)
+
+
+def _decode(payload):
+    """Return the exchange of an answer."""
+    try:
+        return peers.decode_exchange(payload)
+    except peers.EnvelopeError as error:
+        raise PeerCallError(
+            f"the answer cannot be read: {error}",
+            "run the same version of the daemon everywhere",
+            errors.Ran.UNKNOWN,
+        ) from error
+
+
+def _read_payload(reply, address):
+    """Return the payload of an answer that is no refusal.
+
+    Only a malformed request certainly did not run: the other refusals can be
+    brought about by replaying a request that runs.
+    """
+    if reply.topic != peers.REFUSED:
+        return reply.payload
+    reason = reply.payload.decode()
+    is_malformed = reason.startswith("malformed")
+    raise PeerCallError(
+        f"{address} refused the message: {reason}",
+        "check the clocks and the versions of both instances",
+        errors.Ran.NOT_RUN if is_malformed else errors.Ran.UNKNOWN,
+    )
