--- a/tests/steps/layers.py
+++ b/tests/steps/layers.py
@@ -12,6 +12,7 @@
     "state": 1,
     "coordination": 2,
     "protocol": 3,
+    "serving": 5,
     "transport": 4,
     "cli": 5,
     "daemon": 5,
