--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -1,5 +1,6 @@
 """Choice of an endpoint by its expected time, price and cache."""
 
+import dataclasses
 import random
 
 import attrs
@@ -96,9 +97,10 @@
                 group, prefixes, hashes, excluded
             )
             if candidates:
-                return self._choose_best(
+                chosen = self._choose_best(
                     request, candidates, prefixes, hashes, now_s
                 )
+                return dataclasses.replace(chosen, version=version)
         return requests.NoEndpoint(refuse(request.service))
 
     def _list_candidates(self, group, prefixes, hashes, excluded):
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -240,7 +240,9 @@
     }
     actor.admission.set_accounts(weights, now_s)
     actor.admission.set_capacity(environment.capacity_tokens_per_s, now_s)
-    actor.shares = {
-        service.name: {service.version: 1.0}
-        for service in environment.services.values()
-    }
+    actor.shares.set_versions(
+        {
+            service.name: service.version
+            for service in environment.services.values()
+        }
+    )
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -17,6 +17,7 @@
 __all__ = [
     "DispatchActor",
     "Dispatcher",
+    "Ended",
     "Failure",
     "Route",
     "classify_fault",
@@ -35,10 +36,16 @@
         The endpoint and the version.
     work : Work
         The load that it was charged with.
+    service : str
+        Service of the request.
+    request_class : RequestClass
+        Its class.
     """
 
     chosen: routing.Chosen
     work: endpoints.Work
+    service: str
+    request_class: environment_module.RequestClass
 
     @property
     def endpoint_id(self):
@@ -56,6 +63,28 @@
         return self.chosen.version
 
 
+@attrs.frozen
+class Ended:
+    """The end of one attempt.
+
+    Parameters
+    ----------
+    route : Route
+        Where it went.
+    kind : FailureKind or None
+        How it failed; None when it gave its answer.
+    first_byte_s : float
+        Time to its first byte or its failure, in seconds.
+    is_quarantined : bool
+        Whether the request is known to crash endpoints.
+    """
+
+    route: Route
+    kind: endpoints.FailureKind | None
+    first_byte_s: float
+    is_quarantined: bool
+
+
 @attrs.frozen
 class _Admit:
     account: str
@@ -98,6 +127,37 @@
     apply: object
 
 
+class VersionShares:
+    """Share of each version of each service.
+
+    Notes
+    -----
+    A move decides while the document still names the version that it
+    moves away from; a document that names another version goes first.
+    """
+
+    def __init__(self):
+        self._versions = {}
+        self._moves = {}
+
+    def set_versions(self, versions):
+        """Take the version of each service from the document in force."""
+        self._versions = dict(versions)
+
+    def set_move(self, service, from_version, to_version, share):
+        """Give a new version its share, 0 to 1, of a service."""
+        shares = {from_version: 1.0 - share, to_version: share}
+        self._moves[service] = from_version, shares
+
+    def get(self, service):
+        """Return the shares of a service, by version."""
+        version = self._versions.get(service)
+        if version is None:
+            return {}
+        from_version, shares = self._moves.get(service, (None, None))
+        return shares if version == from_version else {version: 1.0}
+
+
 class DispatchActor(pykka.ThreadingActor):
     """Owns the view of the endpoints and every limit of this instance.
 
@@ -121,7 +181,7 @@
         self.admission = admission.Admission(1.0, {}, clock.now_s())
         self.retries = retry.RetryPolicy(rng=rng)
         self.quarantine = retry.Quarantine()
-        self.shares = {}
+        self.shares = VersionShares()
 
     def on_receive(self, message):
         """Answer one message."""
@@ -151,7 +211,7 @@
 
     def _choose(self, message, now_s):
         """Return a Route or the Refusal."""
-        shares = self.shares.get(message.request.service, {})
+        shares = self.shares.get(message.request.service)
         request = attrs.evolve(message.request, version_shares=shares)
         found = self.router.choose(
             request, self.view, self.prefixes, now_s, message.excluded
@@ -162,7 +222,7 @@
         work = self.view.start(found.endpoint_id, found.cost, now_s)
         if found.hashes:
             self.prefixes.insert(found.endpoint_id, found.hashes)
-        return Route(found, work)
+        return Route(found, work, request.service, request.request_class)
 
     def _finish(self, message, now_s):
         """Count the end of an attempt and what it says of its endpoint."""
@@ -201,9 +261,16 @@
         A running DispatchActor.
     clock : Clock
         Source of time, the same as the actor's.
+
+    Notes
+    -----
+    `on_crash` is called with the fingerprint of a request and the id of
+    the endpoint that it took down, `on_end` with the End of an attempt.
     """
 
     def __init__(self, actor, clock):
+        self.on_crash = lambda fingerprint, endpoint_id: None
+        self.on_end = lambda ended: None
         self._actor = actor
         self._clock = clock
 
@@ -275,7 +342,7 @@
         )
         return self._ask(_Choose(wanted, frozenset(excluded)))
 
-    def finish(self, route, kind=None, fingerprint=""):
+    def finish(self, route, kind=None, fingerprint="", first_byte_s=None):
         """Hand a route back.
 
         Parameters
@@ -286,17 +353,26 @@
             How the attempt failed; None when it gave its answer.
         fingerprint : str
             Fingerprint of the request, for a crash.
+        first_byte_s : float or None
+            Time to the first byte, in seconds; None takes the whole time.
 
         Returns
         -------
         bool
             Whether the request is quarantined for its crashes.
         """
+        is_crash = kind is endpoints.FailureKind.CRASHED
         message = _Finish(route, kind, fingerprint)
-        if kind is endpoints.FailureKind.CRASHED:
-            return self._actor.ask(message)
-        self._actor.tell(message)
-        return False
+        is_quarantined = False
+        if is_crash:
+            is_quarantined = self._actor.ask(message)
+            self.on_crash(fingerprint, route.endpoint_id)
+        else:
+            self._actor.tell(message)
+        if first_byte_s is None:
+            first_byte_s = self._clock.now_s() - route.work.started_at_s
+        self.on_end(Ended(route, kind, first_byte_s, is_quarantined))
+        return is_quarantined
 
     def decide_retry(
         self, attempt, kind, is_idempotent, deadline_s, may_have_run
--- a/mulberryhollow/serving/feeds.py
+++ b/mulberryhollow/serving/feeds.py
@@ -207,6 +207,7 @@
 
 def _apply_load(endpoint_id, report, actor, now_s):
     """Give a load report to the view."""
+    actor.view.set_versions(endpoint_id, report.versions)
     actor.view.report_load(
         endpoint_id,
         report.running,
--- a/mulberryhollow/serving/gateway.py
+++ b/mulberryhollow/serving/gateway.py
@@ -8,6 +8,7 @@
 from mulberryhollow.coordination import retry
 from mulberryhollow import errors
 from mulberryhollow.protocol import callers
+from mulberryhollow.protocol import handover
 from mulberryhollow.serving import parked as parking
 from mulberryhollow.serving import relay as relaying
 from mulberryhollow.state import keys
@@ -278,7 +279,7 @@
 
     def _park(self, relay):
         """Keep the answer for its caller, here or at a peer."""
-        answer = parking.ParkedAnswer(
+        answer = handover.ParkedAnswer(
             relay.request, relay.fingerprint, tuple(relay.tokens)
         )
         if not (self.is_leaving and self.hand_over(answer)):
--- a/mulberryhollow/serving/parked.py
+++ b/mulberryhollow/serving/parked.py
@@ -3,11 +3,7 @@
 import collections
 import threading
 
-import attrs
-
-from mulberryhollow.protocol import callers
-
-__all__ = ["Parked", "ParkedAnswer"]
+__all__ = ["Parked"]
 
 CAPACITY = 2_000
 """Most answers kept at one instance."""
@@ -16,25 +12,6 @@
 """Longest time that an answer is kept, in seconds."""
 
 
-@attrs.frozen
-class ParkedAnswer:
-    """A request and the tokens of its answer so far.
-
-    Parameters
-    ----------
-    request : CallerRequest
-        The request.
-    fingerprint : str
-        Its fingerprint.
-    tokens : tuple of str
-        Tokens that were made and may have reached the caller.
-    """
-
-    request: callers.CallerRequest
-    fingerprint: str
-    tokens: tuple
-
-
 class Parked:
     """Answers by request id, bounded in number and time.
 
--- /dev/null
+++ b/mulberryhollow/serving/registry.py
@@ -0,0 +1,131 @@
+"""Registration of an instance in the platform's store."""
+
+import logging
+
+import attrs
+import urllib3
+
+from mulberryhollow.coordination import membership
+from mulberryhollow import errors
+from mulberryhollow import events
+from mulberryhollow.state import objects
+from mulberryhollow.transport import store as store_adapter
+
+__all__ = ["Registry"]
+
+KIND = "member"
+"""Kind of the registration objects."""
+
+MEMBER_PATH = "/member"
+"""Page of an instance that shows its registration."""
+
+_ASK_TIMEOUT_S = 1.0
+
+REGISTERED = events.declare(
+    5100, logging.INFO, "the instance is registered in the store"
+)
+
+
+class Registry:
+    """Writes and removes the registration object of one instance.
+
+    Parameters
+    ----------
+    store : StoreClient
+        Adapter to the object API.
+    cloud : CloudClient
+        Lists entry instances while the store is down.
+    peers : Peers
+        Takes the members that were found.
+    """
+
+    def __init__(self, store, cloud, peers):
+        self._store = store
+        self._cloud = cloud
+        self._peers = peers
+        self._version = 0
+
+    def register(self):
+        """Find the members and write the own object, until both are done.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the platform gave no usable answer; to be tried again.
+        """
+        if self._version:
+            return
+        me = self._peers.me()
+        try:
+            _, found = self._store.list_objects(KIND)
+        except errors.StoreUnavailableError:
+            self._peers.add_members(self._ask_listed(me))
+            raise
+        self._peers.add_members(
+            [each for each in map(_decode, found) if each is not None]
+        )
+        self._write(me, found)
+
+    def remove(self):
+        """Remove the own object; a failure leaves it to be replaced."""
+        if self._version:
+            name = self._peers.me().instance_id
+            self._store.delete(KIND, name, self._version)
+
+    def _write(self, me, found):
+        """Write the own object over an older one of the same instance."""
+        versions = [each.version for each in found if _is_of(each, me)]
+        value = membership.encode_registration(me)
+        change_id = store_adapter.make_change_id()
+        expected = versions[0] if versions else 0
+        outcome = self._store.put(
+            KIND, me.instance_id, value, expected, change_id
+        )
+        if isinstance(outcome, objects.Unknown):
+            outcome = self._store.settle(KIND, me.instance_id, change_id)
+        match outcome:
+            case objects.Done(version):
+                self._version = version
+                events.log(REGISTERED, version=version)
+
+    def _ask_listed(self, me):
+        """Return the members that the listed entry instances name."""
+        addresses = self._cloud.list_entries()
+        asked = [_ask(each) for each in addresses]
+        return [
+            each
+            for each in asked
+            if each is not None and each.instance_id != me.instance_id
+        ]
+
+
+def _is_of(item, me):
+    """Return whether an object is the registration of a member."""
+    return item.name == me.instance_id
+
+
+def _decode(item):
+    """Return the member of a registration object; None if malformed."""
+    try:
+        return membership.decode_registration(item.value)
+    except ValueError:
+        return None
+
+
+def _ask(address):
+    """Return the member at an HTTP address, or None."""
+    try:
+        answer = urllib3.request(
+            "GET",
+            f"http://{address}{MEMBER_PATH}",
+            timeout=_ASK_TIMEOUT_S,
+            retries=False,
+        )
+        return membership.decode_registration(answer.data)
+    except (urllib3.exceptions.HTTPError, ValueError):
+        return None
+
+
+def show_member(peers):
+    """Return the page that shows a registration: (status, value)."""
+    return 200, attrs.asdict(peers.me())
--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -87,6 +87,7 @@
         self._interval_s = 0.0
         self._held = None
         self._may_have_run = False
+        self._first_byte_s = None
         self.is_given_up = False
 
     @property
@@ -172,11 +173,15 @@
     def _take_lines(self, lines, route, attempt):
         """Yield the tokens of each list of lines."""
         last_s = self._parts.clock.now_s()
+        begin_s = last_s
+        self._first_byte_s = None
         for batch in lines:
             before = len(self.tokens)
             fault = self._take(batch)
             fresh = self.tokens[before:]
             last_s = self._measure(last_s, len(fresh))
+            if fresh and self._first_byte_s is None:
+                self._first_byte_s = last_s - begin_s
             if fresh:
                 yield fresh
             if fault is not None:
@@ -227,7 +232,9 @@
     def _end_attempt(self, route, fault):
         """Report the attempt; return its FailureKind or None."""
         if fault is None:
-            self._parts.dispatcher.finish(route)
+            self._parts.dispatcher.finish(
+                route, first_byte_s=self._first_byte_s
+            )
             return None
         self._excluded.add(route.endpoint_id)
         self._may_have_run = self._may_have_run or streams.has_run(fault)
--- a/mulberryhollow/state/endpoints/group.py
+++ b/mulberryhollow/state/endpoints/group.py
@@ -37,7 +37,7 @@
         return None if position is None else self._members[position]
 
     def add(self, record):
-        """Add a record or index its changed load."""
+        """Add a record or index its load, whose stamp has just changed."""
         endpoint_id = record.endpoint.id
         if endpoint_id not in self._positions:
             self._positions[endpoint_id] = len(self._members)
@@ -83,7 +83,6 @@
 
     def _push(self, record):
         """Add an entry for the record's present load."""
-        record.stamp += 1
         self._pushes += 1
         entry = record.relative_load, self._pushes, record.stamp, record
         heapq.heappush(self._heap, entry)
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -108,6 +108,9 @@
         The same of all peers, in requests.
     stamp : int
         Grows with each change of the load.
+    loaded : tuple of str
+        Versions that the last report shows as loaded; empty when the
+        endpoint does not report any.
     """
 
     endpoint: Endpoint
@@ -121,6 +124,7 @@
     own_load: float = 0.0
     peer_load: float = 0.0
     stamp: int = 0
+    loaded: tuple = ()
     _active: set = attrs.field(factory=set)
     _finished: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=FINISHED_KEPT)
@@ -132,6 +136,11 @@
         known = self.running + self.queued
         return max(0.0, known + self.own_load + self.peer_load)
 
+    @property
+    def versions(self):
+        """Versions that requests can run with here."""
+        return self.loaded or (self.endpoint.version,)
+
     @property
     def relative_load(self):
         """Estimated requests for each slot."""
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -148,6 +148,23 @@
         if record.report(running, queued, slots, now_s - age_s):
             self._index(record)
 
+    def set_versions(self, endpoint_id, versions):
+        """Take over which versions an endpoint has loaded.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint.
+        versions : tuple of str
+            The versions; empty when it does not report them.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None or record.loaded == versions:
+            return
+        self._remove_from_groups(record)
+        record.loaded = versions
+        self._index(record)
+
     def start(self, endpoint_id, cost, now_s):
         """Count a request as sent to an endpoint.
 
@@ -278,7 +295,7 @@
             self._records[endpoint.id] = record
             self._mark_by_domain(endpoint, now_s)
         elif record.endpoint != endpoint:
-            self._get_own_group(record).remove(endpoint.id)
+            self._remove_from_groups(record)
             record.endpoint = endpoint
         if endpoint.state != "live":
             self.mark_leaving(endpoint.id)
@@ -319,22 +336,28 @@
     def _drop(self, endpoint_id):
         """Forget an endpoint that the list no longer shows."""
         record = self._records.pop(endpoint_id)
-        self._get_own_group(record).remove(endpoint_id)
+        self._remove_from_groups(record)
         for amounts in self._peers.values():
             amounts.pop(endpoint_id, None)
 
-    def _get_own_group(self, record):
-        """Return the group that a record belongs to."""
-        endpoint = record.endpoint
-        return self._groups[endpoint.service, endpoint.version]
+    def _list_own_groups(self, record):
+        """Return the group of each version that a record can run."""
+        service = record.endpoint.service
+        return [self._groups[service, each] for each in record.versions]
+
+    def _remove_from_groups(self, record):
+        """Take a record out of every group."""
+        for group in self._list_own_groups(record):
+            group.remove(record.endpoint.id)
 
     def _index(self, record):
-        """Bring the record's group up to date."""
-        group = self._get_own_group(record)
-        if record.is_available():
+        """Bring the record's groups up to date."""
+        record.stamp += 1
+        if not record.is_available():
+            self._remove_from_groups(record)
+            return
+        for group in self._list_own_groups(record):
             group.add(record)
-        else:
-            group.remove(record.endpoint.id)
 
 
 def _counts(kind, is_blamed):
--- a/tests/steps/layers.py
+++ b/tests/steps/layers.py
@@ -14,8 +14,8 @@
     "protocol": 3,
     "serving": 5,
     "transport": 4,
-    "cli": 5,
-    "daemon": 5,
+    "cli": 6,
+    "daemon": 6,
 }
 
 
