Peers in the daemon: facts of load, demand, crashes, notices, documents; hand-over

Cause: instances have to act on what any of them knows, and an answer must outlive the instance that accepted it. Change: registration at start and stop, peer link, parked answers, few watchers per failure domain.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -4,8 +4,13 @@
 import threading
 import zlib
 
+import attrs
+
 from mulberryhollow.coordination import configuration
+from mulberryhollow.coordination import membership
 from mulberryhollow.daemon import settings as declared
+from mulberryhollow import errors
+from mulberryhollow import events
 from mulberryhollow.serving import bookings
 from mulberryhollow.serving import claims
 from mulberryhollow.serving import dispatcher as dispatching
@@ -16,10 +21,14 @@
 from mulberryhollow.serving import notices as notices_module
 from mulberryhollow.serving import observer as observing
 from mulberryhollow.serving import parked
+from mulberryhollow.serving import peering
+from mulberryhollow.serving import registry
 from mulberryhollow.serving import relay
 from mulberryhollow.transport import callers
 from mulberryhollow.transport import cloud
 from mulberryhollow.transport import endpoints
+from mulberryhollow.transport import gossip
+from mulberryhollow.transport import peers
 from mulberryhollow.transport import store
 
 __all__ = ["EntryDaemon"]
@@ -27,6 +36,16 @@
 _DRAIN_POLL_S = 0.02
 _FLUSH_LIMIT_S = 2.0
 _WATCH_RETRY_S = 0.2
+_RETRY_S = 0.5
+_WATCHERS_PER_DOMAIN = 2
+
+
+@attrs.frozen
+class _DomainMember:
+    """An instance and its failure domain, for the choice of watchers."""
+
+    instance: str
+    failure_domain: str
 
 
 class EntryDaemon:
@@ -49,9 +68,19 @@
         self._store = store.StoreClient(settings.get(declared.STORE_ADDRESS))
         self._cloud = cloud.CloudClient(settings.get(declared.CLOUD_ADDRESS))
         self._client = endpoints.EndpointClient(clock)
+        self._parked = parked.Parked(clock)
         self.dispatcher = self._make_dispatcher()
         self.gateway = self._make_gateway()
+        self._server = self._make_server()
+        self._peers = self._start_peers()
         self._documents = documents.DocumentActor.start(self._apply)
+        self._notice_feed = feeds.NoticeFeed(
+            self._cloud, self.dispatcher, self.notices, self._take_notice
+        )
+        self._link = self._make_link()
+        self._registry = registry.Registry(
+            self._store, self._cloud, self._peers
+        )
         self._watch = documents.DocumentWatch(
             self._store,
             settings.get(declared.ENVIRONMENT),
@@ -60,7 +89,6 @@
         )
         self._document = None
         self._loops = self._make_loops()
-        self._server = self._make_server()
 
     @property
     def address(self):
@@ -69,6 +97,7 @@
 
     def start(self):
         """Start to read the platform and to answer callers."""
+        self._link.connect()
         for loop in self._loops:
             loop.start()
         threading.Thread(
@@ -78,6 +107,7 @@
     def stop(self):
         """Leave: finish or hand over what runs, then end."""
         self.gateway.leave()
+        self._remove_registration()
         grace_end_s = self._clock.now_s() + self._settings.get(
             declared.GRACE_S
         )
@@ -88,8 +118,16 @@
         self._wait_flushed()
         for loop in self._loops:
             loop.stop()
+        self._peers.leave()
         self._server.close()
 
+    def _remove_registration(self):
+        """Take the registration away; the store may be down."""
+        try:
+            self._registry.remove()
+        except errors.StoreUnavailableError as error:
+            events.log(feeds.FEED_FAILED, reason=error.message)
+
     def show_status(self):
         """Return the status page: (HTTP status, value)."""
         document = self._document
@@ -115,7 +153,7 @@
         decision = configuration.decide_ready(
             self._clock.now_s(),
             self._watch.last_contact_s,
-            None,
+            self._link.last_contact_s,
             self._document is not None,
         )
         is_ready = isinstance(decision, configuration.Ready)
@@ -147,7 +185,7 @@
                 lookups=lookups.LookupDesk(
                     self._client, self.dispatcher, self._clock
                 ),
-                parked=parked.Parked(self._clock),
+                parked=self._parked,
                 clock=self._clock,
             )
         )
@@ -157,19 +195,20 @@
         endpoint_feed = feeds.EndpointFeed(
             self._cloud, self.dispatcher, self.notices
         )
-        notice_feed = feeds.NoticeFeed(
-            self._cloud, self.dispatcher, self.notices, self._take_notice
-        )
         load_feed = feeds.LoadFeed(
             self._client, self.dispatcher, endpoint_feed
         )
         make = self._make_loop
         return [
             make("list", declared.LIST_INTERVAL_S, endpoint_feed.read),
-            make("notices", declared.NOTICE_INTERVAL_S, notice_feed.read),
+            make("notices", declared.NOTICE_INTERVAL_S, self._read_notices),
             make("load", declared.LOAD_INTERVAL_S, load_feed.read),
+            make("peers", declared.TELL_INTERVAL_S, self._link.tick),
+            feeds.Loop(
+                "document", self._clock, _WATCH_RETRY_S, self._read_document
+            ),
             feeds.Loop(
-                "document", self._clock, _WATCH_RETRY_S, self._watch.read
+                "registry", self._clock, _RETRY_S, self._registry.register
             ),
         ]
 
@@ -187,6 +226,7 @@
         pages = {
             "/status": self.show_status,
             "/readyz": self.show_ready,
+            "/member": lambda: registry.show_member(self._peers),
             "/healthz": lambda: (200, {"alive": True}),
         }
         return callers.make_server(
@@ -204,15 +244,76 @@
             functools.partial(_apply_environment, environment)
         )
         self._document = document
+        self._link.publish_document(environment.name, document)
+
+    def _start_peers(self):
+        """Start to exchange facts with peers."""
+        get = self._settings.get
+        me = membership.Member(
+            instance_id=self.instance,
+            incarnation=membership.find_next_incarnation(self._clock.wall_s()),
+            peer_address=get(declared.PEER_ADDRESS),
+            http_address=self.address,
+            failure_domain=get(declared.FAILURE_DOMAIN),
+            region=get(declared.REGION),
+            started_s=self._clock.wall_s(),
+        )
+        key = peers.read_key(get(declared.PEER_KEY_FILE))
+        actor = gossip.Gossip.start(
+            me, key, self._clock, [], get(declared.PEER_ADDRESS)
+        )
+        return gossip.Peers(actor)
+
+    def _make_link(self):
+        """Return the link to the peers, hooked into the other parts."""
+        link = peering.PeerLink(
+            peering.PeerLinkParts(
+                self._peers,
+                self._clock,
+                self.dispatcher,
+                self._documents,
+                self._parked,
+                self._notice_feed.take,
+            )
+        )
+        self.dispatcher.on_crash = link.publish_crash
+        self.gateway.fetch_from_peers = link.fetch
+        self.gateway.hand_over = link.hand_over
+        return link
+
+    def _is_watcher(self):
+        """Return whether this instance reads the platform for others."""
+        domain = self._settings.get(declared.FAILURE_DOMAIN)
+        members = [
+            _DomainMember(each.instance_id, each.failure_domain)
+            for each in self._link.usable
+        ]
+        members.append(_DomainMember(self.instance, domain))
+        chosen = configuration.choose_watchers(
+            members, domain, _WATCHERS_PER_DOMAIN
+        )
+        return self.instance in chosen
+
+    def _read_document(self):
+        """Watch the document, or leave that to the watchers."""
+        if self._document is None or self._is_watcher():
+            self._watch.read()
+
+    def _read_notices(self):
+        """Read the notices, or leave that to the watchers."""
+        if self._is_watcher():
+            self._notice_feed.read()
 
     def _take_notice(self, notice):
-        """Leave when a notice concerns this instance."""
+        """Tell a new notice; leave when it concerns this instance."""
+        self._link.publish_notice(notice)
         domain = self._settings.get(declared.FAILURE_DOMAIN)
         concerns_us = notice.instance == self.instance or (
             not notice.instance and notice.failure_domain == domain
         )
         if concerns_us:
-            self.gateway.leave()
+            self.gateway.leave(lead_s=0.0)
+            self.gateway.move_relays()
 
     def _wait_idle(self, limit_s, is_least=False):
         """Wait until no request runs, or for the whole time if so told."""
--- a/mulberryhollow/daemon/settings.py
+++ b/mulberryhollow/daemon/settings.py
@@ -16,6 +16,7 @@
     "PEER_KEY_FILE",
     "REGION",
     "STORE_ADDRESS",
+    "TELL_INTERVAL_S",
     "THREADS",
     "parse_address",
 ]
@@ -146,11 +147,19 @@
     "host:port",
     "where peers connect; port 0 picks a free one",
 )
+TELL_INTERVAL_S = settings.declare(
+    "peers",
+    "tell_interval_s",
+    _parse_positive,
+    0.5,
+    "seconds",
+    "time between two reports of load and demand to the peers",
+)
 PEER_KEY_FILE = settings.declare(
     "peers",
     "key_file",
     str,
+    None,
     "",
-    "",
-    "file with the key that peers share; without one there are no peers",
+    "file with the key that all instances of the environment share",
 )
--- a/mulberryhollow/protocol/cloud.py
+++ b/mulberryhollow/protocol/cloud.py
@@ -48,6 +48,15 @@
     ]
 
 
+def decode_entries(data):
+    """Return the HTTP address of every entry instance in a list."""
+    return [
+        item["address"]
+        for item in _decode_items(data)
+        if item.get("role") == "entry" and "address" in item
+    ]
+
+
 def decode_notices(data):
     """Return the Notice objects in data; ValueError if malformed."""
     try:
--- a/mulberryhollow/serving/gateway.py
+++ b/mulberryhollow/serving/gateway.py
@@ -1,6 +1,7 @@
 """What an instance does for its callers, behind any transport."""
 
 import contextlib
+import math
 import threading
 
 import attrs
@@ -92,7 +93,7 @@
         self._key_ring = None
         self._relays = {}
         self._active = 0
-        self._leaving_since_s = None
+        self._closed_from_s = math.inf
         self._lock = threading.Lock()
 
     @property
@@ -108,17 +109,23 @@
     @property
     def is_leaving(self):
         """Whether this instance is about to stop."""
-        return self._leaving_since_s is not None
+        return self._closed_from_s < math.inf
 
     def apply_environment(self, environment):
         """Use another document from now on."""
         self._key_ring = keys.KeyRing(environment)
         self._environment = environment
 
-    def leave(self):
-        """Begin to stop: take no new request after a short time."""
-        if not self.is_leaving:
-            self._leaving_since_s = self._parts.clock.now_s()
+    def leave(self, lead_s=LEAVE_LEAD_S):
+        """Begin to stop: take no new request after a short time.
+
+        Parameters
+        ----------
+        lead_s : float
+            Time during which new requests are still taken, in seconds.
+        """
+        closed_from_s = self._parts.clock.now_s() + lead_s
+        self._closed_from_s = min(self._closed_from_s, closed_from_s)
 
     def move_relays(self):
         """Hand every running relay to a peer; each tells its caller."""
@@ -312,10 +319,7 @@
 
     def _check_open(self):
         """Refuse a request that comes too late on a leaving instance."""
-        if not self.is_leaving:
-            return
-        now_s = self._parts.clock.now_s()
-        if now_s - self._leaving_since_s > LEAVE_LEAD_S:
+        if self._parts.clock.now_s() >= self._closed_from_s:
             raise callers.refuse(
                 errors.RefusalKind.LEAVING,
                 "this instance is about to stop",
--- a/mulberryhollow/transport/cloud.py
+++ b/mulberryhollow/transport/cloud.py
@@ -39,6 +39,16 @@
         """
         return self._read("/cloud/instances", messages.decode_endpoints)
 
+    def list_entries(self):
+        """Return the HTTP address of every listed entry instance.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the platform gave no usable answer.
+        """
+        return self._read("/cloud/instances", messages.decode_entries)
+
     def list_notices(self, after):
         """Return the notices later than a number.
 
--- a/tools/site.py
+++ b/tools/site.py
@@ -128,6 +128,9 @@
         )
         address = self.fleet.start_entry(name, text).address
         self.entries.append(address)
+        self._list(
+            id=name, role="entry", address=address, failure_domain=domain
+        )
         return address
 
     def wait_ready(self, probe):
@@ -154,20 +157,27 @@
         }[role]
         domain = next(self._domains)
         child = start(name, domain, service, version, *options)
+        self._list(
+            id=name,
+            role=role,
+            address=child.address,
+            failure_domain=domain,
+            service=service,
+            version=version,
+        )
+        return child.address
+
+    def _list(self, **fields):
+        """Put an instance on the list of instances."""
         instance = {
-            "id": name,
-            "role": role,
-            "address": child.address,
-            "failure_domain": domain,
             "state": "live",
-            "service": service,
-            "version": version,
+            "service": "",
+            "version": "",
             "market": "reclaimable",
             "machine_class": "small",
             "price_per_hour": 1.0,
         }
-        set_fault(self.store_address, "register", instance=instance)
-        return child.address
+        set_fault(self.store_address, "register", instance=instance | fields)
 
 
 def _try(probe, address):
