Chaos: seeded schedule, callers, strikes and observer over real processes

Cause: the invariants have to be proved over real processes under failures, which come at any moment and together.

Ruled out: random strikes without a schedule, since a seed could then not be repeated; faults of the store read back by the observer, since a stale read would look like a revision going back.

Change: tools/chaos runs store, three engines, three plain services and three entries, strikes them by a seeded schedule, records and checks.

Conclusion: the harness is ready; its verdicts are not in this commit.

--- /dev/null
+++ b/tests/steps/tools_chaos.py
@@ -0,0 +1,75 @@
+import itertools
+
+from behave import given
+from behave import then
+
+from tools.chaos import cluster
+from tools.chaos import schedule
+
+_DURATION_S = 30.0
+_ACTIONS = {
+    "kill",
+    "crash_booked",
+    "freeze",
+    "outage",
+    "slow",
+    "drop_answer",
+    "stale_reads",
+    "silent",
+    "truncate",
+    "cross",
+    "refuse",
+    "reclaim_instance",
+    "reclaim_domain",
+    "stop",
+    "publish",
+}
+
+
+def make(seed):
+    return schedule.make_schedule(seed, _DURATION_S, cluster.LAYOUT)
+
+
+def takes_entry(strike):
+    """Return whether a strike takes an entry instance away."""
+    layout = cluster.LAYOUT
+    return strike.target in layout.entries + layout.domains
+
+
+@given("the schedules of seeds {first:d} to {last:d}")
+def make_schedules(context, first, last):
+    context.schedules = {seed: make(seed) for seed in range(first, last + 1)}
+
+
+@then("the schedule of each seed is the same when it is made again")
+def check_repeated(context):
+    assert all(
+        make(seed) == strikes for seed, strikes in context.schedules.items()
+    )
+
+
+@then("no two schedules are the same")
+def check_different(context):
+    assert len({str(s) for s in context.schedules.values()}) == 50
+
+
+@then("each strike ends before the run does")
+def check_ends(context):
+    strikes = itertools.chain.from_iterable(context.schedules.values())
+    assert all(s.at_s + s.hold_s < _DURATION_S for s in strikes)
+
+
+@then("at most one entry is away at a time")
+def check_entries(context):
+    for strikes in context.schedules.values():
+        away = [strike for strike in strikes if takes_entry(strike)]
+        assert all(
+            before.at_s + before.hold_s < after.at_s
+            for before, after in itertools.pairwise(away)
+        )
+
+
+@then("every action occurs in some schedule")
+def check_actions(context):
+    strikes = itertools.chain.from_iterable(context.schedules.values())
+    assert {strike.action for strike in strikes} == _ACTIONS
--- a/tests/steps/tools_history.py
+++ b/tests/steps/tools_history.py
@@ -114,7 +114,7 @@
     "a second run of a booking elsewhere": [ran_booking("p2", "b1", "k1")],
     "an answer with another booking's id": booking("b7", "k1", content="p7-9"),
     "a run of an attempt at what was refused as not run": [
-        step("m1", "generate", "r-refused-2")
+        step("m1", "generate", "r-refused~0.2")
     ],
     "a run of a request refused as not run": [
         step("m1", "generate", "r-refused")
--- /dev/null
+++ b/tools/chaos/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded runs over real processes under failures, with a verdict."""
--- /dev/null
+++ b/tools/chaos/__main__.py
@@ -0,0 +1,142 @@
+"""Run one seed, check its history and print the verdict."""
+
+import argparse
+import collections
+import pathlib
+import signal
+import sys
+import threading
+import time
+
+from tools.chaos import callers
+from tools.chaos import client
+from tools.chaos import cluster as clusters
+from tools.chaos import configuration
+from tools.chaos import observer
+from tools.chaos import schedule
+from tools.chaos import strikes as strikes_module
+from tools.history import checker
+from tools.history import record
+from tools.processes import Fleet
+from tools.processes import ROOT
+from tools.processes import StartError
+
+_DURATION_S = 30.0
+_CALLERS = 8
+_SETTLE_LIMIT_S = 25.0
+_READY_LIMIT_S = 10.0
+_POLL_S = 0.1
+_HISTORY = ROOT / "build" / "chaos"
+
+
+def main():
+    """Return 0 for a clean history, 1 for a violation."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    arguments = _make_parser().parse_args()
+    recorder = record.Recorder()
+    strikes = schedule.make_schedule(
+        arguments.seed, arguments.duration_s, clusters.LAYOUT
+    )
+    print(f"seed {arguments.seed}: {len(strikes)} strikes", flush=True)
+    with Fleet() as fleet:
+        cluster = clusters.Cluster(fleet, recorder)
+        cluster.start()
+        faults = _run(arguments.seed, cluster, strikes)
+        cluster.record_ledgers()
+    path = arguments.history or _HISTORY / f"{arguments.seed}.jsonl"
+    path.parent.mkdir(parents=True, exist_ok=True)
+    recorder.dump(path)
+    return _print_verdict(arguments.seed, recorder, faults)
+
+
+def _make_parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="python -m tools.chaos",
+        description=__doc__,
+        epilog="Example: python -m tools.chaos --seed 7",
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--duration-s",
+        type=float,
+        default=_DURATION_S,
+        help="time of strikes, in seconds",
+    )
+    parser.add_argument(
+        "--history", type=pathlib.Path, help="file for the history"
+    )
+    return parser
+
+
+def _run(seed, cluster, strikes):
+    """Send requests while the strikes go on; return what went wrong."""
+    _await_ready(cluster)
+    stopped = threading.Event()
+    sender = client.Client(cluster.recorder, cluster.find_entries)
+    threads = [observer.Observer(cluster, stopped)] + [
+        callers.Caller(
+            f"c{number}",
+            f"{seed}-{number}",
+            configuration.TRAFFIC,
+            sender,
+            lambda: sorted(cluster.find_entries()),
+            stopped,
+        )
+        for number in range(_CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    striker = strikes_module.Striker(cluster)
+    striker.run(strikes)
+    stopped.set()
+    end_s = time.monotonic() + _SETTLE_LIMIT_S
+    while time.monotonic() < end_s and _is_busy(threads, sender):
+        time.sleep(_POLL_S)
+    return striker.faults
+
+
+def _await_ready(cluster):
+    """Wait until every entry is ready to take callers."""
+    end_s = time.monotonic() + _READY_LIMIT_S
+    waiting = set(cluster.find_entries().values())
+    while waiting and time.monotonic() < end_s:
+        waiting = {a for a in waiting if not observer.is_ready(a)}
+        time.sleep(_POLL_S)
+    if waiting:
+        raise StartError(f"not ready: {sorted(waiting)}")
+
+
+def _is_busy(threads, sender):
+    """Return whether a caller still works."""
+    return sender.count_open() or any(each.is_alive() for each in threads)
+
+
+def _print_verdict(seed, recorder, faults):
+    """Print what was seen and the verdict; return the exit code."""
+    events = recorder.list_events()
+    for name, count in sorted(_count(events).items()):
+        print(f"  {name}: {count}")
+    found = checker.check(events, (configuration.VERSION,))
+    for violation in found:
+        print(f"  VIOLATION {violation.rule}: {violation.message}")
+    for fault in faults:
+        print(f"  VIOLATION stop: {fault}")
+    verdict = "violated" if found or faults else "clean"
+    print(f"seed {seed}: {verdict}, {len(found) + len(faults)} violations")
+    return 1 if found or faults else 0
+
+
+def _count(events):
+    """Return how many calls of each class ended in which way."""
+    kinds = {e.call: e.kind for e in events if isinstance(e, record.Sent)}
+    return collections.Counter(
+        f"{kinds[event.call]} {event.outcome} {event.ran}"
+        f" {event.detail if event.outcome == 'refused' else ''}".strip()
+        for event in events
+        if isinstance(event, record.Answered)
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/chaos/callers.py
@@ -0,0 +1,127 @@
+"""Concurrent callers, each with its own seed."""
+
+import itertools
+import random
+import threading
+import time
+
+import attrs
+
+from tools.chaos import client
+
+__all__ = ["Caller", "Traffic"]
+
+_ATTEMPTS = 12
+_PAUSE_S = (0.02, 0.15)
+_RESEND_PAUSE_S = 0.7
+_TWIN_SHARE = 0.15
+_WORDS = ("pipe", "cellar", "tap", "boiler", "lab", "tour", "bus", "hall")
+
+
+@attrs.frozen
+class Traffic:
+    """A kind of request that callers send.
+
+    Parameters
+    ----------
+    kind : str
+        Class of the request.
+    service, account_key : str
+        What is called, and with which API key.
+    weight : int
+        How often, against the others.
+    """
+
+    kind: str
+    service: str
+    account_key: str
+    weight: int
+
+
+class Caller(threading.Thread):
+    """Sends one request after another until told to stop.
+
+    Parameters
+    ----------
+    name : str
+        Prefix of the names of its calls.
+    seed : int
+        Seed of its choices.
+    traffic : tuple of Traffic
+        What it sends.
+    sender : Client
+        Sends and records.
+    list_entries : callable
+        Returns the names of the entry instances.
+    stopped : threading.Event
+        Ends it.
+    """
+
+    def __init__(self, name, seed, traffic, sender, list_entries, stopped):
+        super().__init__(name=name, daemon=True)
+        self._random = random.Random(seed)
+        self._traffic = traffic
+        self._sender = sender
+        self._list_entries = list_entries
+        self._stopped = stopped
+        self._numbers = itertools.count(1)
+
+    def run(self):
+        """Send requests, with a pause after each."""
+        while not self._stopped.is_set():
+            self._send_one()
+            self._stopped.wait(self._random.uniform(*_PAUSE_S))
+
+    def _send_one(self):
+        weights = [each.weight for each in self._traffic]
+        chosen = self._random.choices(self._traffic, weights)[0]
+        asked = self._make_request(chosen)
+        entry = self._random.choice(self._list_entries())
+        if asked.kind == "booking":
+            self._book(asked, entry)
+        else:
+            self._sender.ask(asked, entry)
+
+    def _make_request(self, chosen):
+        number = next(self._numbers)
+        call = f"{self.name}-{number}"
+        words = self._random.choices(_WORDS, k=self._random.randint(3, 60))
+        is_booking = chosen.kind == "booking"
+        return client.Asked(
+            call=call,
+            kind=chosen.kind,
+            service=chosen.service,
+            account_key=chosen.account_key,
+            text=f"slot {call}" if is_booking else " ".join(words),
+            key=self._make_key(call) if is_booking else "",
+            max_tokens=0 if is_booking else self._random.choice((20, 60, 250)),
+            stream=self._random.random() < 0.6,
+        )
+
+    def _make_key(self, call):
+        return f"{int(time.time())}-{call}-{self._random.randrange(10**8):08}"
+
+    def _book(self, asked, entry):
+        """Send a booking and resend it elsewhere until it is settled."""
+        if self._random.random() < _TWIN_SHARE:
+            self._start_twin(asked, entry)
+        for number in range(_ATTEMPTS):
+            attempt = attrs.evolve(asked, call=f"{asked.call}.{number}")
+            ended = self._sender.ask(attempt, entry)
+            if ended.outcome == "done":
+                return
+            self._stopped.wait(_RESEND_PAUSE_S)
+            entry = self._find_other(entry)
+
+    def _start_twin(self, asked, entry):
+        """Send the same booking through another entry at once."""
+        twin = attrs.evolve(asked, call=f"{asked.call}.twin")
+        threading.Thread(
+            target=self._sender.ask,
+            args=(twin, self._find_other(entry)),
+            daemon=True,
+        ).start()
+
+    def _find_other(self, entry):
+        others = [name for name in self._list_entries() if name != entry]
+        return self._random.choice(others)
--- /dev/null
+++ b/tools/chaos/cluster.py
@@ -0,0 +1,220 @@
+"""Processes of a run and what the harness does to them."""
+
+import itertools
+import json
+import threading
+import time
+
+import attrs
+import urllib3
+
+from tools.chaos import configuration
+from tools.chaos import schedule
+from tools.history import record
+from tools.processes import find_free_port
+
+__all__ = ["Cluster", "Member"]
+
+DOMAINS = ("fd-1", "fd-2", "fd-3")
+LAYOUT = schedule.Layout(
+    engines=("m1", "m2", "m3"),
+    plains=("p1", "p2", "p3"),
+    entries=("e1", "e2", "e3"),
+    domains=DOMAINS,
+)
+_CONTROL_TIMEOUT_S = 5.0
+_TOKEN_TIME_S = "0.004"
+_SERVICE_TIME_S = "0.03"
+
+
+@attrs.frozen
+class Member:
+    """One process of a run.
+
+    Parameters
+    ----------
+    name : str
+        Its place in the layout, which a replacement takes over.
+    role : str
+        ``model``, ``plain`` or ``entry``.
+    failure_domain : str
+        Where it stands.
+    instance : str
+        Id of the instance; a replacement has another.
+    port : int
+        Port on loopback, the same after a restart.
+    """
+
+    name: str
+    role: str
+    failure_domain: str
+    instance: str
+    port: int
+
+    @property
+    def address(self):
+        """Return the address as ``HOST:PORT``."""
+        return f"127.0.0.1:{self.port}"
+
+
+class Cluster:
+    """Store, endpoints and entries under a fleet.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Starts and ends the processes.
+    recorder : Recorder
+        Where events go.
+    """
+
+    def __init__(self, fleet, recorder):
+        self.fleet = fleet
+        self.recorder = recorder
+        self.store = ""
+        self._members = {}
+        self._lock = threading.Lock()
+        self._generations = itertools.count(2)
+
+    def start(self):
+        """Start everything and put the first document in force."""
+        self.store = self.fleet.start_store().address
+        configuration.publish(self.store)
+        places = itertools.chain(
+            zip(LAYOUT.engines, itertools.repeat("model"), DOMAINS),
+            zip(LAYOUT.plains, itertools.repeat("plain"), DOMAINS),
+            zip(LAYOUT.entries, itertools.repeat("entry"), DOMAINS),
+        )
+        for name, role, domain in places:
+            port = find_free_port()
+            self._start_member(Member(name, role, domain, name, port))
+
+    def get(self, name):
+        """Return the member at a place of the layout."""
+        with self._lock:
+            return self._members[name]
+
+    def list_members(self, role=None):
+        """Return the members of a role, or all."""
+        with self._lock:
+            members = list(self._members.values())
+        return [each for each in members if role in (None, each.role)]
+
+    def find_entries(self):
+        """Return the addresses of entry instances by instance."""
+        return {
+            member.instance: member.address
+            for member in self.list_members("entry")
+        }
+
+    def kill(self, name):
+        """End a member without notice."""
+        member = self.get(name)
+        self.recorder.add(
+            record.Killed(at_s=time.time(), instance=member.instance)
+        )
+        self.fleet.kill(member.instance)
+
+    def restart(self, name):
+        """Start an ended member again under its id and port."""
+        member = self.get(name)
+        if not self.fleet.children[member.instance].is_running():
+            self._start_process(member)
+
+    def replace(self, name):
+        """End a reclaimed member and start another in its place."""
+        member = self.get(name)
+        self.fleet.kill(member.instance)
+        instance = f"{name}-{next(self._generations)}"
+        port = find_free_port()
+        self._start_member(attrs.evolve(member, instance=instance, port=port))
+
+    def tell(self, address, fault, **fields):
+        """Set a fault of a stand-in; one that has ended is left alone."""
+        try:
+            urllib3.request(
+                "POST",
+                f"http://{address}/control",
+                json={"fault": fault, **fields},
+                timeout=_CONTROL_TIMEOUT_S,
+                retries=False,
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
+    def announce(self, members, **fields):
+        """Reclaim an instance or a failure domain, recording the notice."""
+        self.tell(self.store, "reclaim", **fields)
+        at_s = time.time()
+        instances = tuple(member.instance for member in members)
+        self.recorder.add(
+            record.LeavingNotice(
+                at_s=at_s,
+                endpoints=instances,
+                reclaim_at_s=at_s + fields["after_s"],
+            )
+        )
+        for member in members:
+            if member.role == "entry":
+                self.note_stop(member)
+
+    def note_stop(self, member):
+        """Record that an entry was told to stop."""
+        self.recorder.add(
+            record.StopPlanned(at_s=time.time(), instance=member.instance)
+        )
+
+    def record_ledgers(self):
+        """Record every line of every endpoint's ledger."""
+        for path in sorted(self.fleet.folder.glob("*.ledger")):
+            lines = path.read_text(encoding="utf-8").splitlines()
+            for line in lines:
+                step = record.EndpointStep(
+                    endpoint=path.stem, **json.loads(line)
+                )
+                self.recorder.add(step)
+
+    def _start_member(self, member):
+        self._start_process(member)
+        with self._lock:
+            self._members[member.name] = member
+        instance = {
+            "id": member.instance,
+            "role": member.role,
+            "address": member.address,
+            "failure_domain": member.failure_domain,
+            "service": configuration.SERVICES.get(member.role, ""),
+            "version": configuration.VERSION,
+        }
+        self.tell(self.store, "register", instance=instance)
+
+    def _start_process(self, member):
+        match member.role:
+            case "model":
+                self.fleet.start_engine(
+                    *self._describe(member), "--token-time-s", _TOKEN_TIME_S
+                )
+            case "plain":
+                self.fleet.start_plain(
+                    *self._describe(member),
+                    "--service-time-s",
+                    _SERVICE_TIME_S,
+                )
+            case "entry":
+                settings = configuration.make_settings(member, self.store)
+                self.fleet.start_entry(member.instance, settings)
+
+    def _describe(self, member):
+        """Return the arguments that every endpoint is started with."""
+        ledger = self.fleet.folder / f"{member.instance}.ledger"
+        return (
+            member.instance,
+            member.failure_domain,
+            configuration.SERVICES[member.role],
+            configuration.VERSION,
+            "--port",
+            str(member.port),
+            "--ledger",
+            str(ledger),
+        )
--- /dev/null
+++ b/tools/chaos/configuration.py
@@ -0,0 +1,145 @@
+"""Document and settings of a run."""
+
+import time
+
+import urllib3
+
+from mulberryhollow.state import keys
+from tools.chaos import callers
+
+__all__ = [
+    "ENVIRONMENT",
+    "SERVICES",
+    "TRAFFIC",
+    "VERSION",
+    "make_document",
+    "make_settings",
+    "publish",
+]
+
+ENVIRONMENT = "production"
+VERSION = "v1"
+SERVICES = {"model": "desk", "plain": "visits"}
+_ACCOUNT_KEYS = {"households": "chaos-households", "fitters": "chaos-fitters"}
+_SALT = "00112233445566778899aabbccddeeff"
+_ATTEMPTS = 20
+_PAUSE_S = 0.3
+_TIMEOUT_S = 2.0
+
+TRAFFIC = (
+    callers.Traffic("chat", "desk", _ACCOUNT_KEYS["households"], 5),
+    callers.Traffic("patient", "desk", _ACCOUNT_KEYS["fitters"], 1),
+    callers.Traffic("lookup", "visits", _ACCOUNT_KEYS["households"], 2),
+    callers.Traffic("booking", "visits", _ACCOUNT_KEYS["fitters"], 4),
+)
+
+_DOCUMENT = """\
+[environment]
+name = production
+budget_per_hour = 60
+capacity_tokens_per_s = {capacity}
+
+[council desk]
+
+[service desk]
+council = desk
+kind = model
+classes = chat, patient
+version = v1
+versions = v1
+
+[service visits]
+council = desk
+kind = plain
+classes = lookup, booking
+version = v1
+versions = v1
+"""
+_ACCOUNT = """
+[client_account {name}]
+council = desk
+key_hash = {key_hash}
+weight = 1
+services = desk, visits
+"""
+_SETTINGS = """\
+[instance]
+name = {instance}
+failure_domain = {failure_domain}
+environment = production
+
+[callers]
+address = {address}
+grace_s = 10
+
+[platform]
+store = {store}
+cloud = {store}
+"""
+
+
+def make_document(number):
+    """Return the bytes of a document; each number gives another one."""
+    accounts = [
+        _ACCOUNT.format(name=name, key_hash=keys.make_hash(key, _SALT))
+        for name, key in _ACCOUNT_KEYS.items()
+    ]
+    text = _DOCUMENT.format(capacity=20_000 + number) + "".join(accounts)
+    return text.encode()
+
+
+def make_settings(member, store):
+    """Return the settings of an entry daemon.
+
+    Parameters
+    ----------
+    member : Member
+        The entry instance.
+    store : str
+        Address of the store and cloud.
+    """
+    return _SETTINGS.format(
+        instance=member.instance,
+        failure_domain=member.failure_domain,
+        address=member.address,
+        store=store,
+    )
+
+
+def publish(store):
+    """Put the next document in force; give up after some attempts.
+
+    Returns
+    -------
+    bool
+        Whether it was written.
+    """
+    url = f"http://{store}/v1/objects/environment/{ENVIRONMENT}"
+    for _ in range(_ATTEMPTS):
+        try:
+            if _publish_once(url):
+                return True
+        except urllib3.exceptions.HTTPError:
+            pass
+        time.sleep(_PAUSE_S)
+    return False
+
+
+def _publish_once(url):
+    """Read the version and update over it; return whether it was done."""
+    found = _call("GET", url)
+    if found.status not in (200, 404):
+        return False
+    version = int(found.headers.get("X-Version", 0))
+    condition = {"If-Match": str(version)} if version else {}
+    condition = condition or {"If-None-Match": "*"}
+    headers = condition | {"X-Change-Id": f"operator-{version}"}
+    body = make_document(version)
+    return _call("PUT", url, body=body, headers=headers).status == 200
+
+
+def _call(method, url, **options):
+    """Send one request without retries."""
+    return urllib3.request(
+        method, url, timeout=_TIMEOUT_S, retries=False, **options
+    )
--- /dev/null
+++ b/tools/chaos/observer.py
@@ -0,0 +1,83 @@
+"""Reads what is in force at each instance while a run goes on."""
+
+import threading
+import time
+
+import urllib3
+
+from tools.chaos import configuration
+from tools.history import record
+
+__all__ = ["Observer", "is_ready"]
+
+_INTERVAL_S = 0.2
+_TIMEOUT_S = 1.0
+
+
+class Observer(threading.Thread):
+    """Records versions in force and the store's revision.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        What is observed.
+    stopped : threading.Event
+        Ends it.
+    """
+
+    def __init__(self, cluster, stopped):
+        super().__init__(name="observer", daemon=True)
+        self._cluster = cluster
+        self._stopped = stopped
+
+    def run(self):
+        """Read every instance in turn."""
+        while not self._stopped.wait(_INTERVAL_S):
+            for instance, address in self._cluster.find_entries().items():
+                self._read_entry(instance, address)
+            self._read_store()
+
+    def _read_entry(self, instance, address):
+        status = _get_json(address, "/status")
+        if not status.get("document_version"):
+            return
+        self._cluster.recorder.add(
+            record.ConfigurationSeen(
+                at_s=time.time(),
+                instance=instance,
+                environment=configuration.ENVIRONMENT,
+                version=status["document_version"],
+            )
+        )
+
+    def _read_store(self):
+        counters = _get_json(self._cluster.store, "/control")
+        if "revision" in counters:
+            self._cluster.recorder.add(
+                record.StoreRevision(
+                    at_s=time.time(),
+                    kind="all",
+                    name="all",
+                    revision=counters["revision"],
+                )
+            )
+
+
+def is_ready(address):
+    """Return whether an entry says that it is ready."""
+    return _get_json(address, "/readyz").get("ready", False)
+
+
+def _get_json(address, path):
+    """Return a JSON object; an empty one when there is no answer."""
+    try:
+        answer = urllib3.request(
+            "GET",
+            f"http://{address}{path}",
+            timeout=_TIMEOUT_S,
+            retries=False,
+            headers={"Connection": "close"},
+        )
+        return answer.json()
+    except (urllib3.exceptions.HTTPError, ValueError):
+        return {}
--- /dev/null
+++ b/tools/chaos/schedule.py
@@ -0,0 +1,187 @@
+"""Seeded schedule of the failures of a run."""
+
+import itertools
+import random
+
+import attrs
+
+__all__ = ["Layout", "Strike", "make_schedule"]
+
+_GAP_S = (0.5, 1.5)
+_REST_S = 2.0
+_QUIET_START_S = 1.0
+_ANY_ENTRY = "any entry"
+_OTHER_TARGETS = ("store", "environment", _ANY_ENTRY)
+
+
+@attrs.frozen
+class Layout:
+    """Names of what can be struck.
+
+    Parameters
+    ----------
+    engines, plains, entries : tuple of str
+        Names of processes; those at the same place of each tuple share
+        a failure domain.
+    domains : tuple of str
+        Names of the failure domains.
+    """
+
+    engines: tuple
+    plains: tuple
+    entries: tuple
+    domains: tuple
+
+    def list_names(self, group):
+        """Return the names of a group of targets."""
+        match group:
+            case "engine":
+                return self.engines
+            case "plain":
+                return self.plains
+            case "endpoint":
+                return self.engines + self.plains
+            case "entry":
+                return self.entries
+            case "domain":
+                return self.domains
+            case _:
+                return (group,)
+
+    def list_members(self, domain):
+        """Return the processes of a failure domain."""
+        place = self.domains.index(domain)
+        names = self.engines, self.plains, self.entries
+        return tuple(group[place] for group in names)
+
+
+@attrs.frozen
+class Strike:
+    """One failure.
+
+    Parameters
+    ----------
+    at_s : float
+        When it begins, in seconds after the start.
+    action : str
+        What happens.
+    target : str
+        Process, failure domain, ``store`` or ``environment``.
+    hold_s : float
+        How long it lasts, in seconds.
+    count : int
+        How many calls it strikes.
+    """
+
+    at_s: float
+    action: str
+    target: str
+    hold_s: float
+    count: int = 1
+
+
+@attrs.frozen
+class _Action:
+    """An action, what it strikes and how long it may last."""
+
+    name: str
+    group: str
+    shortest_s: float
+    longest_s: float
+
+
+_ACTIONS = (
+    _Action("kill", "engine", 1.0, 2.0),
+    _Action("kill", "plain", 1.0, 2.0),
+    _Action("kill", "entry", 1.0, 2.0),
+    _Action("crash_booked", "plain", 2.0, 3.0),
+    _Action("freeze", "engine", 1.0, 4.0),
+    _Action("freeze", "plain", 1.0, 4.0),
+    _Action("freeze", "entry", 2.0, 5.0),
+    _Action("outage", "store", 1.0, 4.0),
+    _Action("slow", "store", 1.0, 2.0),
+    _Action("drop_answer", "store", 1.0, 1.0),
+    _Action("stale_reads", "store", 1.0, 1.0),
+    _Action("silent", "endpoint", 2.0, 4.0),
+    _Action("drop_answer", "endpoint", 1.0, 1.0),
+    _Action("truncate", "endpoint", 1.0, 1.0),
+    _Action("cross", "endpoint", 1.0, 1.0),
+    _Action("refuse", "endpoint", 1.0, 1.0),
+    _Action("reclaim_instance", "endpoint", 4.0, 5.0),
+    _Action("reclaim_domain", "domain", 4.0, 6.0),
+    _Action("stop", "entry", 3.0, 4.0),
+    _Action("publish", "environment", 0.1, 0.1),
+    _Action("publish", "environment", 0.1, 0.1),
+)
+
+
+def make_schedule(seed, duration_s, layout):
+    """Return the strikes of a run, by time.
+
+    Parameters
+    ----------
+    seed : int
+        The same seed gives the same schedule.
+    duration_s : float
+        Every strike has ended by then.
+    layout : Layout
+        What can be struck.
+
+    Notes
+    -----
+    A process is struck again only after a rest, and at most one entry
+    instance is away at a time, so that callers can always go on.
+    """
+    generator = random.Random(seed)
+    free_s = dict.fromkeys(_list_targets(layout), _QUIET_START_S)
+    strikes = []
+    at_s = _QUIET_START_S
+    for action in _list_actions(generator):
+        if at_s >= duration_s:
+            return strikes
+        strike = _make_strike(generator, at_s, action, layout)
+        names = _list_struck(strike, layout)
+        ends_s = at_s + strike.hold_s
+        if ends_s < duration_s and all(free_s[n] <= at_s for n in names):
+            free_s.update(dict.fromkeys(names, ends_s + _REST_S))
+            strikes.append(strike)
+            at_s += generator.uniform(*_GAP_S)
+        else:
+            at_s += 0.1
+    return strikes
+
+
+def _list_targets(layout):
+    """Return the names of all that can be busy with a strike."""
+    processes = layout.engines + layout.plains + layout.entries
+    return (*processes, *_OTHER_TARGETS)
+
+
+def _list_actions(generator):
+    """Yield every action in random order, again and again."""
+    for _ in itertools.count():
+        yield from generator.sample(_ACTIONS, len(_ACTIONS))
+
+
+def _make_strike(generator, at_s, action, layout):
+    """Return a strike of an action at a random target."""
+    return Strike(
+        at_s=round(at_s, 2),
+        action=action.name,
+        target=generator.choice(layout.list_names(action.group)),
+        hold_s=round(
+            generator.uniform(action.shortest_s, action.longest_s), 2
+        ),
+        count=generator.randint(1, 3),
+    )
+
+
+def _list_struck(strike, layout):
+    """Return the names that a strike keeps busy."""
+    if strike.target in layout.domains:
+        names = layout.list_members(strike.target)
+    else:
+        names = (strike.target,)
+    if set(names) & set(layout.entries):
+        return (*names, _ANY_ENTRY)
+    return names
--- /dev/null
+++ b/tools/chaos/strikes.py
@@ -0,0 +1,134 @@
+"""Carries out the strikes of a schedule."""
+
+import heapq
+import itertools
+import threading
+import time
+
+from tools.chaos import cluster as clusters
+from tools.chaos import configuration
+
+__all__ = ["Striker"]
+
+_COUNTED = ("cross", "drop_answer", "refuse", "stale_reads", "truncate")
+_STOP_TIMEOUT_S = 20.0
+
+
+class Striker:
+    """Begins and ends each strike at its time.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        What is struck.
+    """
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._fleet = cluster.fleet
+        self.faults = []
+
+    def run(self, strikes):
+        """Carry out all strikes; return when the last has ended."""
+        order = itertools.count()
+        start_s = time.monotonic()
+        steps = [
+            (strike.at_s, next(order), self._begin, strike)
+            for strike in strikes
+        ]
+        heapq.heapify(steps)
+        while steps:
+            at_s, _, action, strike = heapq.heappop(steps)
+            time.sleep(max(0.0, start_s + at_s - time.monotonic()))
+            action(strike)
+            if action == self._begin:
+                ends_s = strike.at_s + strike.hold_s
+                heapq.heappush(steps, (ends_s, next(order), self._end, strike))
+
+    def _begin(self, strike):
+        """Begin a strike."""
+        match strike.action:
+            case "kill":
+                self._cluster.kill(strike.target)
+            case "crash_booked":
+                self._tell(strike, "crash", when="ran")
+            case "freeze":
+                self._fleet.freeze(self._find(strike).instance)
+            case "stop":
+                self._begin_stop(strike)
+            case "reclaim_instance":
+                member = self._find(strike)
+                self._cluster.announce(
+                    [member], instance=member.instance, after_s=strike.hold_s
+                )
+            case "reclaim_domain":
+                self._cluster.announce(
+                    self._list_domain(strike),
+                    failure_domain=strike.target,
+                    after_s=strike.hold_s,
+                )
+            case "publish":
+                self._start_publishing()
+            case "outage" | "silent":
+                self._tell(strike, strike.action)
+            case "slow":
+                self._tell(strike, "slow", delay_s=0.3)
+            case name if name in _COUNTED:
+                self._tell(strike, name, count=strike.count)
+
+    def _end(self, strike):
+        """End a strike and bring back what it took away."""
+        match strike.action:
+            case "kill":
+                self._cluster.restart(strike.target)
+            case "crash_booked":
+                self._tell(strike, "clear")
+                self._cluster.restart(strike.target)
+            case "freeze":
+                self._fleet.thaw(self._find(strike).instance)
+            case "stop":
+                self._end_stop(strike)
+            case "reclaim_instance":
+                self._cluster.replace(strike.target)
+            case "reclaim_domain":
+                for member in self._list_domain(strike):
+                    self._cluster.replace(member.name)
+            case "publish":
+                return
+            case _:
+                self._tell(strike, "clear")
+
+    def _find(self, strike):
+        return self._cluster.get(strike.target)
+
+    def _list_domain(self, strike):
+        names = clusters.LAYOUT.list_members(strike.target)
+        return [self._cluster.get(name) for name in names]
+
+    def _tell(self, strike, fault, **fields):
+        address = self._cluster.store
+        if strike.target != "store":
+            address = self._find(strike).address
+        self._cluster.tell(address, fault, **fields)
+
+    def _begin_stop(self, strike):
+        member = self._find(strike)
+        self._cluster.note_stop(member)
+        self._fleet.terminate(member.instance)
+
+    def _end_stop(self, strike):
+        """Wait for a stop, noting one that did not end well."""
+        member = self._find(strike)
+        code = self._fleet.wait(member.instance, _STOP_TIMEOUT_S)
+        self._fleet.kill(member.instance)
+        if code != 0:
+            self.faults.append(f"{member.instance} stopped with code {code}")
+        self._cluster.restart(strike.target)
+
+    def _start_publishing(self):
+        """Publish a new version of the document beside the strikes."""
+        threading.Thread(
+            target=configuration.publish,
+            args=(self._cluster.store,),
+            daemon=True,
+        ).start()
--- a/tools/history/checker.py
+++ b/tools/history/checker.py
@@ -149,7 +149,7 @@
 
 def _check_not_run(history):
     """Check "not run" against the runs of its id and of its key."""
-    ran_ids = {_strip_attempt(run.request_id) for run in history.list_runs()}
+    ran_ids = {run.request_id for run in history.list_runs()}
     first_s = {
         key: min(run.at_s for run in runs)
         for key, runs in _group_bookings(history).items()
@@ -166,7 +166,8 @@
             f" but request {answer.request_id} ran",
         )
         for sent, answer in refused
-        if answer.request_id in ran_ids
+        if answer.request_id
+        and any(_is_attempt(ran_id, answer.request_id) for ran_id in ran_ids)
     ]
     by_key = [
         Violation(
@@ -180,10 +181,10 @@
     return by_id + by_key
 
 
-def _strip_attempt(attempt_id):
-    """Return the request id of an attempt, ``REQUEST-NUMBER``."""
-    request_id, dash, number = attempt_id.rpartition("-")
-    return request_id if dash and number.isdigit() else attempt_id
+def _is_attempt(attempt_id, request_id):
+    """Return whether an id is a request's or that of an attempt at it."""
+    rest = attempt_id.removeprefix(request_id)
+    return rest != attempt_id and not rest[:1].isalnum()
 
 
 def _check_request_ids(history):
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -3,6 +3,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -10,7 +11,7 @@
 
 import attrs
 
-__all__ = ["Child", "Fleet", "StartError"]
+__all__ = ["Child", "Fleet", "StartError", "find_free_port"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _START_TIMEOUT_S = 20.0
@@ -157,8 +158,11 @@
         self._signal(name, signal.SIGTERM)
 
     def wait(self, name, timeout_s=_STOP_TIMEOUT_S):
-        """Wait for the end; return the exit code."""
-        return self.children[name].process.wait(timeout_s)
+        """Wait for the end; return the exit code, None if it runs on."""
+        try:
+            return self.children[name].process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
 
     def read_errors(self, name):
         """Return what a child wrote to its standard error."""
@@ -196,3 +200,9 @@
     child.process.wait(_STOP_TIMEOUT_S)
     errors = child.output.read_text(encoding="utf-8", errors="replace")
     raise StartError(f"{child.name} does not listen: {errors[-2000:]}")
+
+
+def find_free_port():
+    """Return a port on loopback that is free now."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
