--- a/mulberryhollow/coordination/rollout/schedule.py
+++ b/mulberryhollow/coordination/rollout/schedule.py
@@ -28,6 +28,9 @@
 
 SHARES = TRIAL_SHARES + RAMP_SHARES
 
+ROUTES_SHARE = 0.2
+"""Share from which each larger route must show that it is good."""
+
 STEP_S = 5.0
 """Least time at one share, in seconds."""
 
@@ -238,7 +241,7 @@
         return Hold("too few endpoints have the new version")
     if not move.share:
         return Shift(share)
-    if not isinstance(judgement, verdict.Good):
+    if not _is_shown_good(judgement, share):
         return Hold("too few requests to judge the new version")
     if now_s - since_s < STEP_S:
         return Hold("the share was just raised")
@@ -253,11 +256,20 @@
         return Hold("the last share is watched")
     if now_s - since_s < CONFIRM_S:
         return Hold("the last share is confirmed")
-    if not isinstance(judgement, verdict.Good):
+    if not _is_shown_good(judgement, 1.0):
         return Hold("too few requests to judge the new version")
     return Finish()
 
 
+def _is_shown_good(judgement, share):
+    """Return whether the evidence is enough for a share."""
+    match judgement:
+        case verdict.Good(covers_routes=covers_routes):
+            return covers_routes or share < ROUTES_SHARE
+        case _:
+            return False
+
+
 def _compute_least_s(rest):
     """Return the least time for the shares left and the confirmation."""
     return (len(rest) - 1) * STEP_S + CONFIRM_S
--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -101,10 +101,13 @@
     Parameters
     ----------
     evidence : float
-        Logarithm of the weakest likelihood ratio among the routes.
+        Logarithm of the weakest likelihood ratio in total.
+    covers_routes : bool
+        Whether each of the larger routes shows it too.
     """
 
     evidence: float
+    covers_routes: bool = False
 
 
 @attrs.frozen
@@ -274,16 +277,16 @@
     def _take_in(self, seen):
         """Add one look to every test."""
         self._add_tests(seen)
+        growth = _subtract(seen, self._seen)
         for test in self._tests.values():
-            before = self._seen.get(test.route, _Pair())
-            pair = seen[test.route].minus(before)
+            pair = growth[test.route]
             test.process.begin(self._look_weight)
             test.process.add(test.count(pair.new), test.count(pair.old))
             if test.bucket is None:
                 test.set_reference(seen[test.route].old)
         self._seen = seen
         self._bad = self._find_bad()
-        if self._good is None:
+        if self._good is None or not self._good.covers_routes:
             self._good = self._find_good()
 
     def _find_bad(self):
@@ -304,35 +307,27 @@
 
     def _find_good(self):
         """Return the verdict that the window shows no harm, or None."""
-        requests = self._subtract_base("").old.timed
-        logs = [
-            self._weigh(test)
-            for test in self._tests.values()
-            if self._subtract_base(test.route).old.timed
-            >= MIN_ROUTE_SHARE * requests
+        window = _subtract(self._seen, self._base)
+        in_total = self._weigh(window, [""])
+        if in_total < _LOG_GOOD:
+            return None
+        least = MIN_ROUTE_SHARE * window[""].old.timed
+        larger = [
+            route
+            for route, pair in window.items()
+            if route and pair.old.timed >= least
         ]
-        weakest = min(logs, default=0.0)
-        return Good(weakest) if weakest >= _LOG_GOOD else None
-
-    def _subtract_base(self, route):
-        """Return the growth of a route in this window."""
-        before = self._base.get(route, _Pair())
-        return self._seen[route].minus(before)
-
-    def _weigh(self, test):
-        """Return a test's evidence of harmlessness in this window."""
-        pair = self._subtract_base(test.route)
-        match test.measure.badness, bool(test.route):
-            case Badness.FAILING, False:
-                excess = MAX_FAILED_EXCESS
-            case Badness.FAILING, True:
-                excess = MAX_ROUTE_FAILED_EXCESS
-            case Badness.SLOW, False:
-                excess = MAX_SLOW_EXCESS
-            case _:
-                excess = MAX_ROUTE_SLOW_EXCESS
-        return evidence.weigh_harmlessness(
-            test.count(pair.new), test.count(pair.old), excess
+        return Good(in_total, self._weigh(window, larger) >= _LOG_GOOD)
+
+    def _weigh(self, window, routes):
+        """Return the weakest evidence of harmlessness on some routes."""
+        return min(
+            (
+                _weigh_test(test, window[test.route])
+                for test in self._tests.values()
+                if test.route in routes
+            ),
+            default=math.inf,
         )
 
     def _read(self, counters):
@@ -361,6 +356,30 @@
                 self._tests[route, index] = _Test(measure, route, threshold)
 
 
+def _weigh_test(test, pair):
+    """Return a test's evidence of harmlessness."""
+    match test.measure.badness, bool(test.route):
+        case Badness.FAILING, False:
+            excess = MAX_FAILED_EXCESS
+        case Badness.FAILING, True:
+            excess = MAX_ROUTE_FAILED_EXCESS
+        case Badness.SLOW, False:
+            excess = MAX_SLOW_EXCESS
+        case _:
+            excess = MAX_ROUTE_SLOW_EXCESS
+    return evidence.weigh_harmlessness(
+        test.count(pair.new), test.count(pair.old), excess
+    )
+
+
+def _subtract(seen, before):
+    """Return each route's growth between two states."""
+    return {
+        route: pair.minus(before.get(route, _Pair()))
+        for route, pair in seen.items()
+    }
+
+
 @attrs.frozen
 class _Pair:
     """Rows of both versions."""
--- a/mulberryhollow/state/counters.py
+++ b/mulberryhollow/state/counters.py
@@ -3,6 +3,7 @@
 import bisect
 import functools
 import itertools
+import operator
 import struct
 
 import attrs
@@ -122,11 +123,11 @@
 
     def plus(self, other):
         """Return the sum of two rows."""
-        return self.combine(other, lambda mine, theirs: mine + theirs)
+        return self.combine(other, operator.add)
 
     def minus(self, other):
         """Return the growth since an earlier state of the row."""
-        return self.combine(other, lambda mine, theirs: max(0, mine - theirs))
+        return self.combine(other, operator.sub)
 
 
 @attrs.frozen
