Failure scenarios over real processes for bookings and whole answers

Cause: four faults that the scenarios showed. An answer that every engine had truncated once was given up although each would have resumed it: now an exclusion gives way when no other endpoint is left. A crash was taken for a lost connection when the dying process still accepted one: it is asked twice. A request that no endpoint had received used up its attempts: only attempts that were sent count. A stream on a pooled connection that had gone silent lost its inactivity timeout and blamed the endpoint: requests of callers go out on fresh connections. Ruled out: a shorter timeout on pooled connections, since an engine may queue a request for longer.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -143,6 +143,9 @@
             ),
             "ready": self._is_ready(),
             "active": self.gateway.active_count,
+            "endpoints": self.dispatcher.read(_count_endpoints),
+            "peers": len(self._link.usable),
+            "leaving_endpoints": self.dispatcher.read(_list_leaving),
             "counts": self.observer.list_counts(),
         }
 
@@ -390,3 +393,15 @@
             for service in environment.services.values()
         }
     )
+
+
+def _count_endpoints(actor, now_s):
+    """Return how many endpoints are listed."""
+    return len(actor.view)
+
+
+def _list_leaving(actor, now_s):
+    """Return the ids of endpoints that get no new work for leaving."""
+    return sorted(
+        record.endpoint.id for record in actor.view if record.is_leaving
+    )
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -1,5 +1,6 @@
 """Actor that owns admission, routing, retries and the quarantine."""
 
+import logging
 import random
 
 import attrs
@@ -10,6 +11,7 @@
 from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
+from mulberryhollow import events
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import environment as environment_module
 from mulberryhollow.state import prefixes
@@ -20,12 +22,21 @@
     "Ended",
     "Failure",
     "Route",
+    "choose_again",
     "classify_fault",
     "refuse_quarantined",
     "report_fault",
 ]
 
 
+NO_ENDPOINT = events.declare(
+    4003,
+    logging.WARNING,
+    "no endpoint of a service takes new work",
+    "look at the listed endpoints and at the capacity plan",
+)
+
+
 @attrs.frozen
 class Route:
     """A chosen endpoint, with what has to be handed back at the end.
@@ -218,12 +229,29 @@
         )
         match found:
             case routing.NoEndpoint(refusal):
+                self._log_no_endpoint(request)
                 return refusal
         work = self.view.start(found.endpoint_id, found.cost, now_s)
         if found.hashes:
             self.prefixes.insert(found.endpoint_id, found.hashes)
         return Route(found, work, request.service, request.request_class)
 
+    def _log_no_endpoint(self, request):
+        """Say why no endpoint of a service takes new work."""
+        records = [
+            record
+            for record in self.view
+            if record.endpoint.service == request.service
+        ]
+        events.log(
+            NO_ENDPOINT,
+            service=request.service,
+            shares=request.version_shares,
+            listed=len(records),
+            leaving=sum(record.is_leaving for record in records),
+            circuits=[record.circuit.state.value for record in records],
+        )
+
     def _finish(self, message, now_s):
         """Count the end of an attempt and what it says of its endpoint."""
         self.view.finish(message.route.work, now_s)
@@ -431,6 +459,32 @@
         return wall_s - self._clock.wall_s() + self._clock.now_s()
 
 
+def choose_again(dispatcher, request, excluded):
+    """Choose the endpoint of an attempt that may be repeated anywhere.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Chooses.
+    request : CallerRequest
+        The request.
+    excluded : set of str
+        Ids of endpoints that failed it; emptied when no other is left.
+
+    Raises
+    ------
+    RefusedError
+        When no endpoint takes it.
+    """
+    try:
+        return dispatcher.choose(request, excluded, is_idempotent=True)
+    except errors.RefusedError:
+        if not excluded:
+            raise
+    excluded.clear()
+    return dispatcher.choose(request, excluded, is_idempotent=True)
+
+
 def classify_fault(fault, is_gone):
     """Return the FailureKind of a fault.
 
@@ -491,7 +545,7 @@
         Fingerprint of the request.
     """
     is_broken = isinstance(fault, streams.Broken)
-    is_gone = is_broken and not client.is_reachable(route.address)
+    is_gone = is_broken and not client.is_alive(route.address)
     kind = classify_fault(fault, is_gone)
     return Failure(kind, dispatcher.finish(route, kind, fingerprint))
 
--- a/mulberryhollow/serving/feeds.py
+++ b/mulberryhollow/serving/feeds.py
@@ -5,8 +5,10 @@
 import logging
 import threading
 
+from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.state import endpoints
 
 __all__ = ["EndpointFeed", "LoadFeed", "Loop", "NoticeFeed"]
 
@@ -185,8 +187,10 @@
             self._read_load(endpoint)
             if endpoint.role == "model":
                 self._read_cache_events(endpoint)
-        except errors.EndpointError:
-            return
+        except errors.EndpointError as error:
+            if isinstance(error.fault, streams.NotSent):
+                apply = functools.partial(_apply_unreachable, endpoint.id)
+                self._dispatcher.change(apply)
 
     def _read_load(self, endpoint):
         """Read one load report."""
@@ -207,6 +211,7 @@
 
 def _apply_load(endpoint_id, report, actor, now_s):
     """Give a load report to the view."""
+    actor.view.record_success(endpoint_id)
     actor.view.set_versions(endpoint_id, report.versions)
     actor.view.report_load(
         endpoint_id,
@@ -218,6 +223,12 @@
     )
 
 
+def _apply_unreachable(endpoint_id, actor, now_s):
+    """Count a connection that an endpoint did not accept."""
+    kind = endpoints.FailureKind.CONNECT_FAILED
+    actor.view.record_failure(endpoint_id, kind, now_s)
+
+
 def _apply_cache_events(endpoint_id, found, actor, now_s):
     """Give cache events to the prefix index."""
     for event in found:
--- a/mulberryhollow/serving/lookups.py
+++ b/mulberryhollow/serving/lookups.py
@@ -46,18 +46,20 @@
             When it is given up.
         """
         excluded = set()
-        may_have_run = False
+        sent_attempts = 0
         attempt = 0
         while True:
             attempt += 1
-            route = self._dispatcher.choose(request, excluded, True)
+            route = dispatching.choose_again(
+                self._dispatcher, request, excluded
+            )
             try:
                 answer = self._try(request, route, attempt)
             except errors.EndpointError as error:
                 excluded.add(route.endpoint_id)
-                may_have_run |= streams.has_run(error.fault)
+                sent_attempts += streams.has_run(error.fault)
                 kind = self._end_failed(route, error.fault, fingerprint)
-                self._pause(request, attempt, kind, may_have_run)
+                self._pause(request, sent_attempts, kind)
                 continue
             self._dispatcher.finish(route)
             return answer, route.endpoint_id
@@ -82,9 +84,13 @@
             raise dispatching.refuse_quarantined()
         return failure.kind
 
-    def _pause(self, request, attempt, kind, may_have_run):
+    def _pause(self, request, sent_attempts, kind):
         """Wait before the next attempt, or give up."""
         decision = self._dispatcher.decide_retry(
-            attempt, kind, True, request.deadline_s, may_have_run
+            max(1, sent_attempts),
+            kind,
+            True,
+            request.deadline_s,
+            sent_attempts > 0,
         )
         self._clock.wait(threading.Event(), decision.delay_s)
--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -87,6 +87,7 @@
         self._interval_s = 0.0
         self._held = None
         self._may_have_run = False
+        self._sent_attempts = 0
         self._first_byte_s = None
         self.is_given_up = False
 
@@ -135,13 +136,13 @@
             finally:
                 kind = self._end_attempt(route, fault)
             if fault is not None:
-                self._pause(attempt, kind)
+                self._pause(kind)
 
     def _choose(self):
         """Return the route of the next attempt."""
         try:
-            return self._parts.dispatcher.choose(
-                self.request, self._excluded, is_idempotent=True
+            return dispatching.choose_again(
+                self._parts.dispatcher, self.request, self._excluded
             )
         except errors.RefusedError as error:
             raise self._mark_partly_run(error) from error
@@ -237,7 +238,9 @@
             )
             return None
         self._excluded.add(route.endpoint_id)
-        self._may_have_run = self._may_have_run or streams.has_run(fault)
+        if streams.has_run(fault):
+            self._may_have_run = True
+            self._sent_attempts += 1
         self._parts.observer.count_recomputed(
             streams.name_cause(fault), len(self.tokens)
         )
@@ -252,11 +255,11 @@
             raise dispatching.refuse_quarantined()
         return failure.kind
 
-    def _pause(self, attempt, kind):
+    def _pause(self, kind):
         """Wait before the next attempt, or give up."""
         try:
             decision = self._parts.dispatcher.decide_retry(
-                attempt,
+                max(1, self._sent_attempts),
                 kind,
                 True,
                 self.request.deadline_s,
--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import threading
 
 import urllib3
 
@@ -17,6 +18,7 @@
 _NOT_FOUND = 404
 _SHORT_TIMEOUT_S = 1.0
 _CLOCK_SKEW_S = 5.0
+_ENDING_TIME_S = 0.05
 _JSON = {"Content-Type": "application/json"}
 _TRANSFER_FAULTS = (urllib3.exceptions.HTTPError, OSError, ValueError)
 
@@ -28,9 +30,16 @@
     ----------
     clock : Clock
         Source of time, for the idle age of connections.
+
+    Notes
+    -----
+    Requests of callers go out on fresh connections: a pooled one can be
+    silently dead, which costs a request its whole inactivity timeout.
+    Reads of load and orders use the pool.
     """
 
     def __init__(self, clock):
+        self._clock = clock
         self._pool = connections.ConnectionPool(clock)
 
     def generate(self, address, call, timeout_s):
@@ -56,17 +65,11 @@
             NotSent, RefusedByEndpoint, Failed, Broken or Silent.
         """
         body = messages.encode_generate(call)
-        held, answer = self._send_stream(address, body, timeout_s)
-        is_whole = False
-        try:
+        held = connections.open_fresh(address, timeout_s)
+        with contextlib.closing(held):
+            answer = _send(held, "POST", "/v1/generate", body, timeout_s)
             self._check(answer)
             yield from _read_lines(answer, timeout_s)
-            is_whole = True
-        finally:
-            if is_whole:
-                self._pool.give_back(address, held)
-            else:
-                held.close()
 
     def look_up(self, address, request_id, query, timeout_s):
         """Ask a plain service; return its LookupAnswer.
@@ -77,7 +80,11 @@
             As for generate; Crossed for another request's answer.
         """
         body = json.dumps({"request_id": request_id, "query": query}).encode()
-        data = self._exchange(address, "POST", "/v1/lookup", body, timeout_s)
+        held = connections.open_fresh(address, timeout_s)
+        with contextlib.closing(held):
+            answer = _send(held, "POST", "/v1/lookup", body, timeout_s)
+            self._check(answer)
+            data = _read_all(answer, timeout_s)
         return _match(request_id, _decode(messages.decode_lookup, data))
 
     def book(self, address, request_id, key, booking, timeout_s):
@@ -162,7 +169,20 @@
                 address, "POST", "/v1/cancel", body, _SHORT_TIMEOUT_S
             )
 
-    def is_reachable(self, address):
+    def is_alive(self, address):
+        """Return whether an endpoint accepts connections after a fault.
+
+        Notes
+        -----
+        A process that is just ending may still accept one, so that it
+        is asked twice.
+        """
+        if not self._is_reachable(address):
+            return False
+        self._clock.wait(threading.Event(), _ENDING_TIME_S)
+        return self._is_reachable(address)
+
+    def _is_reachable(self, address):
         """Return whether an endpoint accepts a fresh connection."""
         try:
             connections.open_fresh(address, _SHORT_TIMEOUT_S).close()
@@ -239,22 +259,6 @@
             return False
         return True
 
-    def _send_stream(self, address, body, timeout_s):
-        """Send an idempotent request, once more if a pooled one is dead."""
-        held, is_fresh = self._pool.take(address, timeout_s)
-        try:
-            return held, _send(held, "POST", "/v1/generate", body, timeout_s)
-        except errors.EndpointError as error:
-            held.close()
-            if is_fresh or isinstance(error.fault, streams.Silent):
-                raise
-        held = connections.open_fresh(address, timeout_s)
-        try:
-            return held, _send(held, "POST", "/v1/generate", body, timeout_s)
-        except errors.EndpointError:
-            held.close()
-            raise
-
     def _exchange(self, address, method, path, body, timeout_s):
         """Send an idempotent request; return the body of the answer.
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -103,7 +103,8 @@
 
     def _count(self):
         return attrs.asdict(self._counters) | {
-            "ledger": self.ledger.list_entries("generate")
+            "requests_running": self._batch.running,
+            "ledger": self.ledger.list_entries("generate"),
         }
 
     def _add(self, **counts):
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -78,7 +78,8 @@
 
     def _count(self):
         return attrs.asdict(self._counters) | {
-            "ledger": self.ledger.list_entries("booking")
+            "arrived": self.ledger.list_entries("booking", "arrived"),
+            "ledger": self.ledger.list_entries("booking"),
         }
 
     def _add(self, **counts):
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -4,6 +4,8 @@
 
 import hypothesis
 
+from tests import site_fixture
+
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=100, database=None
 )
@@ -12,3 +14,15 @@
 
 def before_scenario(context, scenario):
     random.seed(1)
+
+
+def before_feature(context, feature):
+    if "site" in feature.tags:
+        context.shared = site_fixture.SharedSite()
+        context.add_cleanup(context.shared.close)
+        context.shared.start()
+
+
+def after_scenario(context, scenario):
+    if "site" in scenario.effective_tags:
+        context.shared.clear_faults()
--- /dev/null
+++ b/tests/site_fixture.py
@@ -0,0 +1,175 @@
+"""A site of real processes that scenarios of one feature share."""
+
+import itertools
+import json
+import threading
+import time
+
+from tools.history import expected
+from tools import processes
+from tools import site as sites
+
+KEY = "example-key-brunner-desk"
+CHAT = "/v1/services/call-chat/chat"
+LOOKUP = "/v1/services/slots/lookup"
+BOOKING = "/v1/services/fitter-bookings/booking"
+PROMPT = "a pipe has burst in the cellar"
+ENTRIES = 3
+
+
+class SharedSite:
+    """Store, engines, plain services and entries, replaced when lost."""
+
+    def __init__(self):
+        self.fleet = processes.Fleet().__enter__()
+        self.site = sites.Site(self.fleet, grace_s=10.0)
+        self.site.start_platform()
+        self.numbers = itertools.count(1)
+        self.entry_names = {}
+        self.engines = {}
+        self.bookers = {}
+
+    def start(self, engines=3, bookers=2):
+        for _ in range(engines):
+            self.add_engine()
+        for _ in range(bookers):
+            self.add_booker()
+        self.site.add_plain("slots-1", "slots")
+        for _ in range(ENTRIES):
+            self.add_entry()
+        self.wait_ready()
+
+    def add_engine(self, version="v1"):
+        name = f"engine-{next(self.numbers)}"
+        options = ("--token-time-s", "0.02")
+        address = self.site.add_engine(name, "call-chat", version, options)
+        self.engines[name] = address
+        return name
+
+    def add_booker(self):
+        name = f"fitters-{next(self.numbers)}"
+        self.bookers[name] = self.site.add_plain(name, "fitter-bookings")
+        return name
+
+    def add_entry(self, failure_domain=None):
+        name = f"entry-{next(self.numbers)}"
+        address = self.site.add_entry(name, failure_domain)
+        self.entry_names[name] = address
+        return name
+
+    def wait_ready(self):
+        self.site.entries = list(self.entry_names.values())
+        self.site.wait_ready(self._probe)
+
+    def _probe(self, address):
+        body = {"prompt": "hello", "max_tokens": 1}
+        is_chatting = self.post(address, CHAT, body).status == 200
+        look_up = self.post(address, LOOKUP, {"query": "x"})
+        seen = sites.call(address, "GET", "/status").json()
+        has_bookers = seen["endpoints"] >= len(self.engines) + len(
+            self.bookers
+        )
+        peers = seen["peers"] >= len(self.entry_names) - 1
+        return is_chatting and look_up.status == 200 and has_bookers and peers
+
+    def close(self):
+        self.fleet.__exit__()
+
+    def kill_entry(self, name):
+        self.fleet.kill(name)
+        del self.entry_names[name]
+
+    def post(self, address, path, body, headers=None):
+        return sites.call(address, "POST", path, body, KEY, headers)
+
+    def chat(self, address, tokens, stream=True, prompt=PROMPT, headers=None):
+        body = {"prompt": prompt, "max_tokens": tokens, "stream": stream}
+        return self.post(address, CHAT, body, headers)
+
+    def book(self, address, key, slot="friday-0900"):
+        headers = {"Idempotency-Key": key}
+        return self.post(address, BOOKING, {"slot": slot}, headers)
+
+    def count_bookings(self, key):
+        """Return how often a key was booked, over all bookers."""
+        return sum(
+            entry["key"] == key and entry["step"] == "ran"
+            for name, address in self.bookers.items()
+            if self.fleet.children[name].is_running()
+            for entry in sites.call(address, "GET", "/control").json()[
+                "ledger"
+            ]
+        )
+
+    def fault(self, address, name, **fields):
+        sites.set_fault(address, name, **fields)
+
+    def clear_faults(self):
+        addresses = [
+            self.site.store_address,
+            *self.engines.values(),
+            *self.bookers.values(),
+        ]
+        running = {
+            child.address
+            for child in self.fleet.children.values()
+            if child.is_running()
+        }
+        for address in running.intersection(addresses):
+            self.fault(address, "clear")
+
+
+class Background:
+    """A call in a thread of its own."""
+
+    def __init__(self, call, *arguments, **named):
+        self.result = None
+        self.error = None
+        self._thread = threading.Thread(
+            target=self._run, args=(call, arguments, named), daemon=True
+        )
+        self._thread.start()
+
+    def _run(self, call, arguments, named):
+        try:
+            self.result = call(*arguments, **named)
+        except Exception as error:  # noqa: BLE001
+            self.error = error
+
+    def wait(self, timeout_s=30):
+        self._thread.join(timeout_s)
+        assert not self._thread.is_alive(), "the call has not ended"
+        return self.result
+
+
+def read_stream(answer):
+    """Return (token texts, name of the last event, its fields)."""
+    tokens = []
+    last = ("", {})
+    for block in answer.data.decode().strip().split("\n\n"):
+        lines = dict(line.split(": ", 1) for line in block.split("\n"))
+        fields = json.loads(lines["data"])
+        if "event" in lines:
+            last = lines["event"], fields
+        else:
+            tokens.append(fields["token"])
+    return tokens, *last
+
+
+def check_whole(answer, count, prompt=PROMPT, version="v1"):
+    """Assert that a stream is the whole answer to its own prompt."""
+    assert answer.status == 200, (answer.status, answer.data)
+    tokens, event, fields = read_stream(answer)
+    assert event == "end", (event, fields)
+    assert fields["tokens"] == count, fields
+    assert "".join(tokens) == expected.make_text(version, prompt, count)
+
+
+def wait_until(check, timeout_s=15.0):
+    """Wait until a check holds."""
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        if check():
+            return
+        time.sleep(0.05)
+    assert check(), "it does not hold in time"
