Moves start from the version that the document names

Cause: instances apply the record of a move only while the document names its old version; a second move started before the document was changed would have sent every request to the document's version at once. Change: move start is refused until the document names the version in use; status leaves out instances of another environment.

--- a/mulberryhollow/cli/move.py
+++ b/mulberryhollow/cli/move.py
@@ -81,12 +81,13 @@
     service = environment.services[options.service]
     found = store.get(stored.MOVE_KIND, _name_object(options))
     current = _decode_or_none(found)
+    _check_named(service, current)
     now_s = session.clock.wall_s()
     wanted = rollout.Move(
         id=make_change_id(),
         environment=options.environment,
         service=options.service,
-        from_version=configuration.find_in_use(service, current),
+        from_version=service.version,
         to_version=options.to_version,
         created_s=now_s,
         deadline_s=now_s + _check_duration(options.within_s),
@@ -158,6 +159,18 @@
     )
 
 
+def _check_named(service, current):
+    """Refuse a move before the document names the version in use."""
+    in_use = configuration.find_in_use(service, current)
+    if in_use != service.version:
+        raise _make_error(
+            f"uses {in_use!r} since its last move, but the document names"
+            f" {service.version!r}",
+            f"set version = {in_use} and apply the document first",
+            f"service {service.name}",
+        )
+
+
 def _check_declared(service, name):
     """Refuse a version that the document does not declare."""
     if name not in {version.name for version in service.versions}:
--- a/mulberryhollow/cli/status.py
+++ b/mulberryhollow/cli/status.py
@@ -36,7 +36,11 @@
         status.decode_status,
         options.timeout_s,
     )
-    rows = [_make_row(answer) for answer in answers]
+    rows = [
+        _make_row(answer)
+        for answer in answers
+        if _is_in(answer, options.environment)
+    ]
     versions = [row["document_version"] for row in rows]
     is_everywhere = bool(rows) and set(versions) == {found.version}
     return report.Report(
@@ -57,6 +61,12 @@
     )
 
 
+def _is_in(answer, environment):
+    """Return whether an instance may belong to an environment."""
+    named = answer.content.environment if answer.content else ""
+    return named in ("", environment)
+
+
 def _make_row(answer):
     """Return what one instance answered, as data of the report."""
     if answer.content is not None:
--- a/mulberryhollow/coordination/configuration/versions.py
+++ b/mulberryhollow/coordination/configuration/versions.py
@@ -19,15 +19,12 @@
     Returns
     -------
     str
-        The new version of a move that is done, the old version of any
-        other; without a record, or when the document does not declare
-        that version, the ``version`` of the document.
+        The new version of a move that is done, until the document names
+        it; otherwise the ``version`` of the document.
     """
-    if move is None:
+    if move is None or move.from_version != service.version:
         return service.version
-    is_done = move.stage is Stage.DONE
-    name = move.to_version if is_done else move.from_version
-    return name if name in _list_names(service) else service.version
+    return move.to_version if move.stage is Stage.DONE else service.version
 
 
 def check_versions(before, after, moves):
--- a/mulberryhollow/protocol/status.py
+++ b/mulberryhollow/protocol/status.py
@@ -40,6 +40,8 @@
         Its digest; empty before the first.
     ready : bool
         Whether the instance takes requests.
+    environment : str
+        Environment that the instance belongs to; empty when not told.
     """
 
     instance: str
@@ -47,6 +49,7 @@
     document_version: int
     document_digest: str
     ready: bool
+    environment: str = ""
 
 
 def encode_status(status):
--- a/tests/cli/instances.feature
+++ b/tests/cli/instances.feature
@@ -13,6 +13,12 @@
     Then the command ends with 1 and "partly"
     And the report gives "i-3" version 6
 
+  Scenario: Instances of another environment are left out
+    Given an instance "i-1" that has version 7 in force
+    And an instance "i-2" of "trial" that has version 8 in force
+    When an operator runs "status"
+    Then the command ends with 0 and "everywhere"
+
   Scenario: A silent instance is named with its error
     Given an instance "i-1" that has version 7 in force
     And an instance "i-2" that does not answer
--- a/tests/protocol/document.feature
+++ b/tests/protocol/document.feature
@@ -13,6 +13,7 @@
     Examples:
       | old                     | new                      | section                     | key             |
       | budget_per_hour = 60    | budget_per_hour = nan    | environment                 | budget_per_hour |
+      | budget_per_hour = 60    | budget_per_hour = inf    | environment                 | budget_per_hour |
       | budget_per_hour = 60    | budget_per_hour = -1     | environment                 | budget_per_hour |
       | budget_per_hour = 60    | budget = 60              | environment                 | budget          |
       | [environment]           | [surroundings]           | environment                 |                 |
--- a/tests/steps/cli_instances.py
+++ b/tests/steps/cli_instances.py
@@ -13,8 +13,11 @@
 
 
 @given('an instance "{name}" that has version {version:d} in force')
-def add_instance(context, name, version):
-    answer = status.InstanceStatus(name, "zone-a", version, "digest", True)
+@given(
+    'an instance "{name}" of "{place}" that has version {version:d} in force'
+)
+def add_instance(context, name, version, place="production"):
+    answer = status.InstanceStatus(name, "a", version, "d", True, place)
     body = status.encode_status(answer)
     context.instances.register(context.store, name, status=body)
 
--- a/tests/steps/state_histograms.py
+++ b/tests/steps/state_histograms.py
@@ -4,6 +4,7 @@
 import attrs
 from behave import given
 from behave import then
+from hdrh import histogram
 import hypothesis
 from hypothesis import strategies
 
@@ -65,7 +66,12 @@
     series.record("one", CHAT, 1)
     (good,) = series.snapshot()
     ends = strategies.integers(1, len(good.encoded) - 1)
-    texts = strategies.text() | ends.map(lambda end: good.encoded[:end])
+    wide = histogram.HdrHistogram(1, 1 << 40, 3).encode().decode()
+    texts = strategies.one_of(
+        strategies.just(wide),
+        strategies.text(),
+        ends.map(lambda end: good.encoded[:end]),
+    )
 
     @hypothesis.given(texts)
     def check(text):
