--- a/tests/cli/moves.feature
+++ b/tests/cli/moves.feature
@@ -54,7 +54,7 @@
 
   Scenario: A move that is done is taken back by a move the other way
     Given the move of "slots" from "v1" to "v2" has the stage "done"
-    When an operator runs "move start --service slots --to-version v1 --within-s 900 --council brunner KEY"
+    When an operator runs "move start --service slots --to-version v2 --within-s 900 --council brunner KEY"
     Then the command ends with 1 and "refused"
     When service "slots" is changed from "version = v1" to "version = v2" by "apply CHANGED --base-version 7 --council brunner KEY"
     Then the command ends with 0 and "applied"
