--- a/mulberryhollow/protocol/status.py
+++ b/mulberryhollow/protocol/status.py
@@ -15,6 +15,7 @@
     "decode_status",
     "encode_histograms",
     "encode_status",
+    "list_histograms",
 ]
 
 _CONVERTER = json_preconf.make_converter()
@@ -68,10 +69,20 @@
     return _structure(json.loads, body, InstanceStatus)
 
 
+def list_histograms(records):
+    """Return the JSON-ready value of ``GET /histograms``.
+
+    Parameters
+    ----------
+    records : iterable of HistogramRecord
+        A snapshot.
+    """
+    return {"items": [attrs.asdict(record) for record in records]}
+
+
 def encode_histograms(records):
     """Return the body of ``GET /histograms``."""
-    items = [attrs.asdict(record) for record in records]
-    return json.dumps({"items": items}, sort_keys=True).encode()
+    return json.dumps(list_histograms(records), sort_keys=True).encode()
 
 
 def decode_histograms(body):
