--- a/mulberryhollow/cli/status.py
+++ b/mulberryhollow/cli/status.py
@@ -36,7 +36,11 @@
         status.decode_status,
         options.timeout_s,
     )
-    rows = [_make_row(answer) for answer in answers]
+    rows = [
+        _make_row(answer)
+        for answer in answers
+        if _is_in(answer, options.environment)
+    ]
     versions = [row["document_version"] for row in rows]
     is_everywhere = bool(rows) and set(versions) == {found.version}
     return report.Report(
@@ -57,12 +61,18 @@
     )
 
 
+def _is_in(answer, environment):
+    """Return whether an instance may belong to an environment."""
+    named = answer.content.environment if answer.content else ""
+    return named in ("", environment)
+
+
 def _make_row(answer):
     """Return what one instance answered, as data of the report."""
     if answer.content is not None:
         return {**attrs.asdict(answer.content), "error": ""}
     return {
-        "instance": answer.member.instance,
+        "instance": answer.member.instance_id,
         "failure_domain": answer.member.failure_domain,
         "document_version": 0,
         "document_digest": "",
--- a/tests/steps/layers.py
+++ b/tests/steps/layers.py
@@ -7,13 +7,14 @@
 from tools import reference
 
 PACKAGE = pathlib.Path("mulberryhollow")
+GENERATED = PACKAGE / "protocol" / "gen"
 BASE = {"errors", "clock", "settings", "events", "metrics", "__init__", ""}
 RANKS = {
     "state": 1,
     "coordination": 2,
     "protocol": 3,
-    "serving": 5,
     "transport": 4,
+    "serving": 5,
     "cli": 6,
     "daemon": 6,
 }
@@ -42,7 +43,7 @@
 @given("the imports of every module of the package")
 def collect_imports(context):
     found = sorted(PACKAGE.rglob("*.py"))
-    paths = [path for path in found if "gen" not in path.parts]
+    paths = [path for path in found if GENERATED not in path.parents]
     context.imports = [
         (path, path.relative_to(PACKAGE).with_suffix("").parts[0], name)
         for path in paths
