History checker: typed answers and unexplained losses

Cause: a run whose leaving entries answered 500 without a body passed as clean, since such calls counted as lost at a stopped instance.

Ruled out: counting them under the planned stop alone, since calls sent after the stop get them too.

Change: an answer that is not typed, a refusal that does not say whether the request ran, and a call lost at an instance that had not ended are violations.

--- a/tests/steps/tools_history.py
+++ b/tests/steps/tools_history.py
@@ -109,6 +109,14 @@
     ]
 
 
+def ended(outcome, **fields):
+    """Return a call with an end that is no whole answer."""
+    return [
+        sent("c8", "chat", "x", max_tokens=3),
+        answered("c8", outcome, **fields),
+    ]
+
+
 _KILLED = record.Killed(at_s=_START_S + 1.7, instance="e1")
 _PLANTED = {
     "a second run of a booking elsewhere": [ran_booking("p2", "b1", "k1")],
@@ -133,6 +141,9 @@
         sent("c4", "chat", "x", max_tokens=3),
         answered("c4", "refused", request_id="r-c1", ran="outcome unknown"),
     ],
+    "an answer that is not typed": ended("malformed"),
+    "a refusal that does not say whether it ran": ended("refused"),
+    "a call lost at a running entry": ended("lost"),
     "a call without an end": [sent("c5", "chat", "x", max_tokens=3)],
     "work at a leaving endpoint after 3.1 s": arrived_at_leaving(3.1),
     "work at a leaving endpoint after 2.9 s": arrived_at_leaving(2.9),
--- a/tests/tools/history/checker.feature
+++ b/tests/tools/history/checker.feature
@@ -27,6 +27,9 @@
       | a look-up's result of another query                | whole answer     |
       | one request id on two calls                        | own answer       |
       | a call without an end                              | every call ends  |
+      | an answer that is not typed                        | typed answer     |
+      | a refusal that does not say whether it ran         | typed answer     |
+      | a call lost at a running entry                     | no loss          |
       | work at a leaving endpoint after 3.1 s             | leaving endpoint |
       | a configuration going back                         | configuration    |
       | a store revision going back                        | store revision   |
--- a/tools/chaos/__main__.py
+++ b/tools/chaos/__main__.py
@@ -26,6 +26,7 @@
 _SETTLE_LIMIT_S = 25.0
 _READY_LIMIT_S = 10.0
 _POLL_S = 0.1
+_EXAMPLES = 3
 _HISTORY = ROOT / "build" / "chaos"
 
 
@@ -118,8 +119,7 @@
     for name, count in sorted(_count(events).items()):
         print(f"  {name}: {count}")
     found = checker.check(events, (configuration.VERSION,))
-    for violation in found:
-        print(f"  VIOLATION {violation.rule}: {violation.message}")
+    _print_violations(found)
     for fault in faults:
         print(f"  VIOLATION stop: {fault}")
     verdict = "violated" if found or faults else "clean"
@@ -127,6 +127,17 @@
     return 1 if found or faults else 0
 
 
+def _print_violations(found):
+    """Print how often each rule was broken, and some examples."""
+    by_rule = collections.defaultdict(list)
+    for violation in found:
+        by_rule[violation.rule].append(violation.message)
+    for rule, messages in sorted(by_rule.items()):
+        print(f"  VIOLATION {rule}: {len(messages)}")
+        for message in messages[:_EXAMPLES]:
+            print(f"    {message}")
+
+
 def _count(events):
     """Return how many calls of each class ended in which way."""
     kinds = {e.call: e.kind for e in events if isinstance(e, record.Sent)}
--- a/tools/chaos/client.py
+++ b/tools/chaos/client.py
@@ -215,8 +215,12 @@
         return _read_events(answer, progress)
     try:
         value = json.loads(answer.read())
-    except (urllib3.exceptions.HTTPError, ValueError) as error:
+    except urllib3.exceptions.HTTPError as error:
         return f"status {answer.status}: {error}"
+    except ValueError as error:
+        detail = f"status {answer.status}: {error}"
+        progress.fields = {"outcome": "malformed", "detail": detail}
+        return detail
     if answer.status >= _FIRST_FAULT:
         progress.fields = _describe_refusal(value.get("error", {}))
     else:
--- a/tools/history/checker.py
+++ b/tools/history/checker.py
@@ -11,7 +11,9 @@
 __all__ = ["Violation", "check"]
 
 _LEAVING_LIMIT_S = 3.0
+_LOSS_EXCUSE_S = 15.0
 _NOT_RUN = "not run"
+_RAN_WORDS = (_NOT_RUN, "outcome unknown", "partly run")
 _FINAL_STATES = ("done", "rolled_back")
 
 
@@ -85,6 +87,8 @@
     history = _History(ordered, tuple(versions))
     checks = (
         _check_every_call_ended,
+        _check_typed_answers,
+        _check_losses,
         _check_bookings_once,
         _check_bookings_answered,
         _check_not_run,
@@ -109,6 +113,42 @@
     ]
 
 
+def _check_typed_answers(history):
+    """Check that each answer is typed and says whether the request ran."""
+    malformed = history.list_answered("malformed")
+    untyped = [
+        (sent, answer)
+        for sent, answer in history.list_answered("refused")
+        if answer.ran not in _RAN_WORDS
+    ]
+    return [
+        Violation(
+            "typed answer",
+            f"{sent.call} got {answer.outcome} {answer.detail}"
+            f" {answer.ran!r} from {sent.entry}",
+        )
+        for sent, answer in malformed + untyped
+    ]
+
+
+def _check_losses(history):
+    """Check that calls are lost only at entries that ended."""
+    ends = history.list_of(record.Killed) + history.list_of(record.StopPlanned)
+    return [
+        Violation(
+            "no loss",
+            f"{sent.call} was lost at {sent.entry}, which had not ended"
+            f" ({answer.detail})",
+        )
+        for sent, answer in history.list_answered("lost")
+        if not any(
+            end.instance == sent.entry
+            and sent.at_s - _LOSS_EXCUSE_S < end.at_s < answer.at_s
+            for end in ends
+        )
+    ]
+
+
 def _group_bookings(history):
     """Return the runs of each idempotency key."""
     runs = collections.defaultdict(list)
--- a/tools/history/record.py
+++ b/tools/history/record.py
@@ -61,7 +61,8 @@
         Name of the call.
     outcome : str
         ``done``, ``refused``, ``lost`` when the connection ended without
-        a whole answer, ``unreached`` when no connection was made.
+        a whole answer, ``malformed`` when the answer is not typed,
+        ``unreached`` when no connection was made.
     request_id : str
         From ``X-Request-Id``.
     ran : str
