Chaos: settings with the peers' key, calls with a deadline

Cause: entries need the key that peers share, and a call that waited 12 s for an answer due after 30 s passed for a loss.

Change: both; calls ask for an answer within 10 s.

--- a/tools/chaos/client.py
+++ b/tools/chaos/client.py
@@ -13,6 +13,7 @@
 
 _CONNECT_TIMEOUT_S = 2.0
 _READ_TIMEOUT_S = 12.0
+_DEADLINE_S = "10"
 _CONTINUATIONS = 4
 _CONTINUATION_PAUSE_S = 0.5
 _SEE_OTHER = 303
@@ -75,6 +76,7 @@
         headers = {
             "Authorization": f"Bearer {self.account_key}",
             "Connection": "close",
+            "X-Timeout-S": _DEADLINE_S,
         }
         if self.key:
             headers["Idempotency-Key"] = self.key
--- a/tools/chaos/cluster.py
+++ b/tools/chaos/cluster.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import secrets
 import threading
 import time
 
@@ -72,6 +73,7 @@
         self.fleet = fleet
         self.recorder = recorder
         self.store = ""
+        self._key_file = None
         self._members = {}
         self._lock = threading.Lock()
         self._generations = itertools.count(2)
@@ -79,6 +81,8 @@
     def start(self):
         """Start everything and put the first document in force."""
         self.store = self.fleet.start_store().address
+        self._key_file = self.fleet.folder / "peer.key"
+        self._key_file.write_text(secrets.token_hex(32), encoding="utf-8")
         configuration.publish(self.store)
         places = itertools.chain(
             zip(LAYOUT.engines, itertools.repeat("model"), DOMAINS),
@@ -202,7 +206,9 @@
                     _SERVICE_TIME_S,
                 )
             case "entry":
-                settings = configuration.make_settings(member, self.store)
+                settings = configuration.make_settings(
+                    member, self.store, self._key_file
+                )
                 self.fleet.start_entry(member.instance, settings)
 
     def _describe(self, member):
--- a/tools/chaos/configuration.py
+++ b/tools/chaos/configuration.py
@@ -75,6 +75,10 @@
 [platform]
 store = {store}
 cloud = {store}
+notice_interval_s = 0.2
+
+[peers]
+key_file = {key_file}
 """
 
 
@@ -88,7 +92,7 @@
     return text.encode()
 
 
-def make_settings(member, store):
+def make_settings(member, store, key_file):
     """Return the settings of an entry daemon.
 
     Parameters
@@ -97,12 +101,15 @@
         The entry instance.
     store : str
         Address of the store and cloud.
+    key_file : pathlib.Path
+        Key that all entry instances share.
     """
     return _SETTINGS.format(
         instance=member.instance,
         failure_domain=member.failure_domain,
         address=member.address,
         store=store,
+        key_file=key_file,
     )
 
 
