--- a/tools/chaos/__main__.py
+++ b/tools/chaos/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import collections
 import pathlib
+import shutil
 import signal
 import sys
 import threading
@@ -44,12 +45,20 @@
         cluster.start()
         faults = _run(arguments.seed, cluster, strikes)
         cluster.record_ledgers()
-    path = arguments.history or _HISTORY / f"{arguments.seed}.jsonl"
-    path.parent.mkdir(parents=True, exist_ok=True)
-    recorder.dump(path)
+        folder = arguments.history / str(arguments.seed)
+        _keep_logs(fleet.folder, folder)
+    recorder.dump(folder / "history.jsonl")
     return _print_verdict(arguments.seed, recorder, faults)
 
 
+def _keep_logs(source, target):
+    """Copy what the processes logged to where the history goes."""
+    shutil.rmtree(target, ignore_errors=True)
+    target.mkdir(parents=True)
+    for path in source.glob("*.err"):
+        shutil.copy(path, target)
+
+
 def _make_parser():
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(
@@ -65,7 +74,10 @@
         help="time of strikes, in seconds",
     )
     parser.add_argument(
-        "--history", type=pathlib.Path, help="file for the history"
+        "--history",
+        type=pathlib.Path,
+        default=_HISTORY,
+        help="folder for the history and the logs, by seed",
     )
     return parser
 
--- a/tools/chaos/strikes.py
+++ b/tools/chaos/strikes.py
@@ -12,6 +12,7 @@
 
 _COUNTED = ("cross", "drop_answer", "refuse", "stale_reads", "truncate")
 _STOP_TIMEOUT_S = 20.0
+_ABORT_TIMEOUT_S = 2.0
 
 
 class Striker:
@@ -120,6 +121,9 @@
         """Wait for a stop, noting one that did not end well."""
         member = self._find(strike)
         code = self._fleet.wait(member.instance, _STOP_TIMEOUT_S)
+        if code is None:
+            self._fleet.abort(member.instance)
+            self._fleet.wait(member.instance, _ABORT_TIMEOUT_S)
         self._fleet.kill(member.instance)
         if code != 0:
             self.faults.append(f"{member.instance} stopped with code {code}")
--- a/tools/history/checker.py
+++ b/tools/history/checker.py
@@ -211,7 +211,7 @@
     ]
     by_key = [
         Violation(
-            "not run",
+            "not run after a send",
             f"{sent.call} was refused as not run ({answer.detail}),"
             f" but key {sent.key} ran before",
         )
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,5 +1,6 @@
 """Child processes of a development run, all ended at its exit."""
 
+import os
 import pathlib
 import shutil
 import signal
@@ -131,6 +132,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=err,
+                env=os.environ | {"PYTHONFAULTHANDLER": "1"},
             )
         child = Child(name, "", process, output)
         self.children[name] = child
@@ -157,6 +159,10 @@
         """Send SIGTERM, waiting for nothing."""
         self._signal(name, signal.SIGTERM)
 
+    def abort(self, name):
+        """Send SIGABRT: it writes the stack of each thread and ends."""
+        self._signal(name, signal.SIGABRT)
+
     def wait(self, name, timeout_s=_STOP_TIMEOUT_S):
         """Wait for the end; return the exit code, None if it runs on."""
         try:
