--- a/tools/chaos/__main__.py
+++ b/tools/chaos/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import collections
 import pathlib
+import shutil
 import signal
 import sys
 import threading
@@ -26,6 +27,7 @@
 _SETTLE_LIMIT_S = 25.0
 _READY_LIMIT_S = 10.0
 _POLL_S = 0.1
+_EXAMPLES = 3
 _HISTORY = ROOT / "build" / "chaos"
 
 
@@ -43,12 +45,20 @@
         cluster.start()
         faults = _run(arguments.seed, cluster, strikes)
         cluster.record_ledgers()
-    path = arguments.history or _HISTORY / f"{arguments.seed}.jsonl"
-    path.parent.mkdir(parents=True, exist_ok=True)
-    recorder.dump(path)
+        folder = arguments.history / str(arguments.seed)
+        _keep_logs(fleet.folder, folder)
+    recorder.dump(folder / "history.jsonl")
     return _print_verdict(arguments.seed, recorder, faults)
 
 
+def _keep_logs(source, target):
+    """Copy what the processes logged to where the history goes."""
+    shutil.rmtree(target, ignore_errors=True)
+    target.mkdir(parents=True)
+    for path in source.glob("*.err"):
+        shutil.copy(path, target)
+
+
 def _make_parser():
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(
@@ -64,7 +74,10 @@
         help="time of strikes, in seconds",
     )
     parser.add_argument(
-        "--history", type=pathlib.Path, help="file for the history"
+        "--history",
+        type=pathlib.Path,
+        default=_HISTORY,
+        help="folder for the history and the logs, by seed",
     )
     return parser
 
@@ -118,8 +131,7 @@
     for name, count in sorted(_count(events).items()):
         print(f"  {name}: {count}")
     found = checker.check(events, (configuration.VERSION,))
-    for violation in found:
-        print(f"  VIOLATION {violation.rule}: {violation.message}")
+    _print_violations(found)
     for fault in faults:
         print(f"  VIOLATION stop: {fault}")
     verdict = "violated" if found or faults else "clean"
@@ -127,6 +139,17 @@
     return 1 if found or faults else 0
 
 
+def _print_violations(found):
+    """Print how often each rule was broken, and some examples."""
+    by_rule = collections.defaultdict(list)
+    for violation in found:
+        by_rule[violation.rule].append(violation.message)
+    for rule, messages in sorted(by_rule.items()):
+        print(f"  VIOLATION {rule}: {len(messages)}")
+        for message in messages[:_EXAMPLES]:
+            print(f"    {message}")
+
+
 def _count(events):
     """Return how many calls of each class ended in which way."""
     kinds = {e.call: e.kind for e in events if isinstance(e, record.Sent)}
--- a/tools/chaos/client.py
+++ b/tools/chaos/client.py
@@ -13,6 +13,7 @@
 
 _CONNECT_TIMEOUT_S = 2.0
 _READ_TIMEOUT_S = 12.0
+_DEADLINE_S = "10"
 _CONTINUATIONS = 4
 _CONTINUATION_PAUSE_S = 0.5
 _SEE_OTHER = 303
@@ -75,6 +76,7 @@
         headers = {
             "Authorization": f"Bearer {self.account_key}",
             "Connection": "close",
+            "X-Timeout-S": _DEADLINE_S,
         }
         if self.key:
             headers["Idempotency-Key"] = self.key
@@ -215,8 +217,12 @@
         return _read_events(answer, progress)
     try:
         value = json.loads(answer.read())
-    except (urllib3.exceptions.HTTPError, ValueError) as error:
+    except urllib3.exceptions.HTTPError as error:
         return f"status {answer.status}: {error}"
+    except ValueError as error:
+        detail = f"status {answer.status}: {error}"
+        progress.fields = {"outcome": "malformed", "detail": detail}
+        return detail
     if answer.status >= _FIRST_FAULT:
         progress.fields = _describe_refusal(value.get("error", {}))
     else:
