Routing: own backlog scaled by the number of nodes

Change: the cost given to the view is the time that a prompt keeps the endpoint busy, times the live nodes, as each node takes its peers to do what it does itself; a record drains it in real time.

--- a/mulberryhollow/coordination/routing/baseline.py
+++ b/mulberryhollow/coordination/routing/baseline.py
@@ -61,9 +61,9 @@
 
     def _pick(self, records):
         """Return the record with the fewest own requests."""
-        fewest = min(record.active_count for record in records)
+        fewest = min(record.own_load for record in records)
         return self._rng.choice(
-            [record for record in records if record.active_count == fewest]
+            [record for record in records if record.own_load == fewest]
         )
 
 
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -52,7 +52,8 @@
     endpoint_id, address, version : str
         Where it goes.
     cost : float
-        Its load for `EndpointView.start`, in requests of ordinary cost.
+        For `EndpointView.start`: time that its prompt is expected to
+        keep the endpoint busy, in seconds.
     cached_tokens, computed_tokens : int
         Prompt tokens expected in its cache and those to be computed.
     expected_first_token_s : float
@@ -64,7 +65,7 @@
     endpoint_id: str
     address: str
     version: str
-    cost: float = 1.0
+    cost: float = 0.0
     cached_tokens: int = 0
     computed_tokens: int = 0
     expected_first_token_s: float = 0.0
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -63,6 +63,11 @@
     def __init__(self, rules=None, rng=None):
         self.rules = rules or RoutingRules()
         self._rng = rng or random.Random(0)
+        self._nodes = 1
+
+    def set_live_nodes(self, nodes):
+        """Set the number of live nodes, this one included."""
+        self._nodes = max(1, nodes)
 
     def choose(self, request, view, prefixes, now_s, excluded=frozenset()):
         """Choose the endpoint with the lowest expected cost.
@@ -131,7 +136,9 @@
                 prefixes.count_blocks(endpoint_id, hashes) if hashes else 0
             )
             cached = min(tokens, blocks * prefix_index.BLOCK_WORDS)
-            first_s = self._estimate_first_token(record, tokens - cached)
+            first_s = self._estimate_first_token(
+                record, tokens - cached, now_s
+            )
             score = first_s + self._price(request, record, floor)
             if now_s + first_s > request.deadline_s:
                 score += LATE_PENALTY_S
@@ -144,19 +151,23 @@
             endpoint_id=record.endpoint.id,
             address=record.endpoint.address,
             version=record.endpoint.version,
+            cost=self._nodes
+            * (tokens - cached)
+            * self.rules.compute_s_per_token,
             cached_tokens=cached,
             computed_tokens=tokens - cached,
             expected_first_token_s=first_s,
             hashes=hashes,
         )
 
-    def _estimate_first_token(self, record, computed_tokens):
+    def _estimate_first_token(self, record, computed_tokens, now_s):
         """Return the expected time to the first token, in seconds."""
         rules = self.rules
         load = record.load
         waiting = max(0.0, load + 1.0 - record.slots)
         wait_s = rules.hold_s * waiting / record.slots
         busy_s = rules.load_s * load / record.slots
+        busy_s += record.get_backlog_s(now_s)
         return wait_s + busy_s + computed_tokens * rules.compute_s_per_token
 
     def _price(self, request, record, floor):
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import itertools
 
 import attrs
 
@@ -75,7 +76,8 @@
     endpoint_id : str
         Where it runs.
     cost : float
-        Its load, in requests of ordinary cost.
+        Time that its prompt is expected to keep the endpoint busy, in
+        seconds.
     started_at_s : float
         When it was sent, in seconds.
     """
@@ -101,11 +103,14 @@
         The last load report, in requests.
     measured_at_s : float
         When the reported load was measured, in seconds.
-    own_load : float
-        Work of this node that the report does not show, less the work
-        that it shows and that has ended since, in requests.
+    own_reported : int
+        The part of the reported load that was this node's.
     peer_load : float
-        The same of all peers, in requests.
+        Work of all peers in flight there, by their last messages, in
+        requests.
+    busy_until_s : float
+        When the prompts sent there are expected to be computed, in
+        seconds.
     stamp : int
         Grows with each change of the load.
     """
@@ -118,8 +123,9 @@
     queued: int = 0
     slots: int = 1
     measured_at_s: float = float("-inf")
-    own_load: float = 0.0
+    own_reported: int = 0
     peer_load: float = 0.0
+    busy_until_s: float = float("-inf")
     stamp: int = 0
     _active: set = attrs.field(factory=set)
     _finished: collections.deque = attrs.field(
@@ -128,9 +134,13 @@
 
     @property
     def load(self):
-        """Estimated requests at the endpoint, running and queued."""
-        known = self.running + self.queued
-        return max(0.0, known + self.own_load + self.peer_load)
+        """Estimated requests at the endpoint, running and queued.
+
+        Own work is known exactly. That of the others is the larger one
+        of what the peers tell and what the last report leaves for them.
+        """
+        reported = self.running + self.queued - self.own_reported
+        return self.own_load + max(0.0, self.peer_load, reported)
 
     @property
     def relative_load(self):
@@ -138,10 +148,14 @@
         return self.load / self.slots
 
     @property
-    def active_count(self):
+    def own_load(self):
         """Requests that this node has in flight at the endpoint."""
         return len(self._active)
 
+    def get_backlog_s(self, now_s):
+        """Return how long the prompts sent there still take."""
+        return max(0.0, self.busy_until_s - now_s)
+
     def is_available(self):
         """Return whether new work may be sent to the endpoint."""
         is_wanted = not (self.is_leaving or self.is_draining)
@@ -150,7 +164,8 @@
     def start(self, work):
         """Count a request as sent."""
         self._active.add(work)
-        self.own_load += work.cost
+        begin_s = max(work.started_at_s, self.busy_until_s)
+        self.busy_until_s = begin_s + work.cost
 
     def finish(self, work, now_s):
         """Count a request as ended; return whether it was known."""
@@ -158,8 +173,6 @@
             return False
         self._active.remove(work)
         self._finished.append((now_s, work))
-        is_reported = work.started_at_s <= self.measured_at_s
-        self.own_load -= 1.0 if is_reported else work.cost
         return True
 
     def report(self, running, queued, slots, measured_at_s):
@@ -170,18 +183,16 @@
         self.queued = queued
         self.slots = max(1, slots)
         self.measured_at_s = measured_at_s
-        self.own_load = self._sum_unreported()
+        self.own_reported = self._sum_reported()
         return True
 
-    def _sum_unreported(self):
-        """Return own work that the last report shows wrongly."""
+    def _sum_reported(self):
+        """Return own work that was there when the load was measured."""
         at_s = self.measured_at_s
         while self._finished and self._finished[0][0] <= at_s:
             self._finished.popleft()
-        hidden = sum(
-            work.cost for work in self._active if work.started_at_s > at_s
-        )
-        ended = sum(
-            1.0 for _, work in self._finished if work.started_at_s <= at_s
+        ended = (work for _, work in self._finished)
+        return sum(
+            work.started_at_s <= at_s
+            for work in itertools.chain(self._active, ended)
         )
-        return hidden - ended
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -156,7 +156,8 @@
         endpoint_id : str
             Where it goes.
         cost : float
-            Its load, in requests of ordinary cost.
+            `Chosen.cost`: time that its prompt keeps the endpoint busy,
+            in seconds.
         now_s : float
             The time, in seconds.
 
@@ -192,7 +193,7 @@
         self._index(record)
 
     def set_peer_inflight(self, node, endpoint_id, amount):
-        """Set the work that a peer has sent and no report shows yet.
+        """Set the work that a peer has in flight at an endpoint.
 
         Parameters
         ----------
@@ -201,7 +202,7 @@
         endpoint_id : str
             Where the work runs.
         amount : float
-            The peer's `get_unreported`, in requests.
+            The peer's `get_own_load`, in requests.
         """
         record = self._records.get(endpoint_id)
         if record is None:
@@ -222,10 +223,10 @@
             )
             self._index(record)
 
-    def get_unreported(self, endpoint_id):
-        """Return own work that no report shows yet, in requests."""
+    def get_own_load(self, endpoint_id):
+        """Return own work in flight at an endpoint, in requests."""
         record = self._records.get(endpoint_id)
-        return 0.0 if record is None else record.own_load
+        return 0 if record is None else record.own_load
 
     def record_failure(self, endpoint_id, kind, now_s, is_blamed=False):
         """Let a failure of a request count against its endpoint.
--- /dev/null
+++ b/tools/bench/policies.py
@@ -0,0 +1,446 @@
+"""Routing policies over a small model of engines, on the same seeds."""
+
+import collections
+import functools
+import heapq
+import itertools
+import random
+
+import attrs
+
+from mulberryhollow.coordination import routing
+from mulberryhollow.state import endpoints
+from mulberryhollow.state import environment
+from mulberryhollow.state import prefixes
+from tools.bench.figure import Figure
+
+FIRST_TOKEN_TARGET_S = 0.9
+SHARE_IN_TIME = 0.95
+DOMAINS = 4
+PRICES = {"d0": 1.0, "d1": 1.1, "d2": 1.3, "d3": 1.5}
+POLICIES = ("round robin", "least outstanding", "power of two", "ours")
+SEEDS = (1, 2)
+ENGINES = 9
+MOST_ENGINES = 20
+
+
+@attrs.frozen
+class Scene:
+    """Workload and faults of one run; times in seconds."""
+
+    engines: int = ENGINES
+    nodes: int = 8
+    requests_per_s: float = 72.0
+    duration_s: float = 60.0
+    warm_up_s: float = 20.0
+    reclaimed: bool = False
+    slots: int = 128
+    cache_blocks: int = 8192
+    compute_s_per_token: float = 0.0001
+    overhead_s: float = 0.005
+    step_s: float = 0.02
+    step_s_per_stream: float = 0.0004
+    report_every_s: float = 0.5
+    report_age_s: float = 0.5
+    gossip_every_s: float = 0.5
+    events_every_s: float = 1.0
+    event_loss: float = 0.0002
+    notice_s: float = 5.0
+    notice_seen_s: float = 1.0
+
+
+@attrs.define(eq=False)
+class Job:
+    """One request of the workload."""
+
+    number: int
+    at_s: float
+    prompt: str
+    tokens: int
+    answer_tokens: int
+    is_patient: bool
+    hashes: tuple
+    first_token_s: float | None = None
+    node: object = None
+    work: object = None
+    runs: int = 0
+
+
+@attrs.define
+class Outcome:
+    """Counts of one run, after the warm-up."""
+
+    chats: int = 0
+    in_time: int = 0
+    recomputed_tokens: int = 0
+    prompt_tokens: int = 0
+    cost_by_price: float = 0.0
+
+    @property
+    def share_in_time(self):
+        """Part of the chats with their first token in time."""
+        return self.in_time / max(1, self.chats)
+
+    @property
+    def recomputed_part(self):
+        """Part of the prompt tokens computed a second time."""
+        return self.recomputed_tokens / max(1, self.prompt_tokens)
+
+
+class Cache:
+    """LRU cache of prefix blocks that publishes numbered events."""
+
+    def __init__(self, size):
+        self._size = size
+        self._blocks = collections.OrderedDict()
+        self._number = 0
+        self.events = []
+
+    def use(self, hashes):
+        """Return the leading blocks held and hold all of them."""
+        held = sum(
+            1 for _ in itertools.takewhile(self._blocks.__contains__, hashes)
+        )
+        for prefix in reversed(hashes):
+            if prefix not in self._blocks:
+                self._publish(True, prefix)
+            self._blocks[prefix] = None
+            self._blocks.move_to_end(prefix)
+        while len(self._blocks) > self._size:
+            oldest, _ = self._blocks.popitem(last=False)
+            self._publish(False, oldest)
+        return held
+
+    def _publish(self, is_added, prefix):
+        """Note an event for the next publication."""
+        self._number += 1
+        event = prefixes.CacheEvent(self._number, is_added, prefix)
+        self.events.append(event)
+
+
+class Engine:
+    """Slots, one lane for prompts and streams that share the steps."""
+
+    def __init__(self, item, scene):
+        self.item = item
+        self.cache = Cache(scene.cache_blocks)
+        self.is_up = True
+        self.running = {}
+        self.prompts = 0
+        self._scene = scene
+        self._queue = []
+        self._lane_free_s = 0.0
+
+    def submit(self, job, now_s):
+        """Queue a job; chats go before patient ones."""
+        heapq.heappush(self._queue, (job.is_patient, job.number, job))
+        return self.begin_next(now_s)
+
+    def begin_next(self, now_s):
+        """Return (job, first token time, computed tokens) or None."""
+        if not self._queue or len(self.running) >= self._scene.slots:
+            return None
+        _, _, job = heapq.heappop(self._queue)
+        blocks = self.cache.use(job.hashes)
+        computed = job.tokens - blocks * prefixes.BLOCK_WORDS
+        self.running[job] = None
+        self.prompts += 1
+        begin_s = max(now_s, self._lane_free_s)
+        compute_s = computed * self._scene.compute_s_per_token
+        self._lane_free_s = begin_s + compute_s + self._scene.overhead_s
+        return job, self._lane_free_s, blocks
+
+    def get_step_s(self):
+        """Return the time between tokens now."""
+        per_stream_s = self._scene.step_s_per_stream
+        return self._scene.step_s + per_stream_s * len(self.running)
+
+    def measure_load(self):
+        """Return (running, queued) as the engine reports them."""
+        return len(self.running) - self.prompts, (
+            len(self._queue) + self.prompts
+        )
+
+    def lose_all(self):
+        """Stop at once; return the jobs that were there."""
+        jobs = [*self.running, *(job for _, _, job in self._queue)]
+        self.is_up = False
+        self.running.clear()
+        self._queue.clear()
+        return jobs
+
+
+class Node:
+    """One entry instance with its own view, index and policy."""
+
+    def __init__(self, name, policy, items, seed):
+        rng = random.Random(seed)
+        self.name = name
+        self.view = endpoints.EndpointView(rng)
+        self.view.apply_list(items, 0.0)
+        self.index = None
+        match policy:
+            case "round robin":
+                self.policy = routing.RoundRobin()
+            case "least outstanding":
+                self.policy = routing.LeastOutstanding(rng)
+            case "power of two":
+                self.policy = routing.PowerOfTwo(rng)
+            case _:
+                self.policy = routing.Router(RULES, rng)
+                self.index = prefixes.PrefixIndex()
+
+
+RULES = routing.RoutingRules()
+
+
+@functools.cache
+def build_jobs(seed, scene):
+    """Return the jobs of a run: turns of conversations, by time."""
+    rng = random.Random(seed)
+    accounts = [_make_words(rng, 240) for _ in range(5)]
+    weights = [8, 4, 2, 1, 1]
+    starts_s = -60.0
+    turns = []
+    rate = scene.requests_per_s / 4.0
+    while starts_s < scene.duration_s:
+        starts_s += rng.expovariate(rate)
+        account = rng.choices(accounts, weights)[0]
+        turns += _make_turns(rng, starts_s, account)
+    turns = sorted(turn for turn in turns if 0 <= turn[0] < scene.duration_s)
+    return [
+        Job(
+            number,
+            at_s,
+            " ".join(words),
+            len(words),
+            answer,
+            patient,
+            prefixes.hash_prefixes(" ".join(words)),
+        )
+        for number, (at_s, words, answer, patient) in enumerate(turns)
+    ]
+
+
+def _make_words(rng, count):
+    """Return random words."""
+    return [f"w{rng.randrange(100_000)}" for _ in range(count)]
+
+
+def _make_turns(rng, at_s, account):
+    """Return (time, words, answer tokens, patient) of a conversation."""
+    is_patient = rng.random() < 0.15
+    words = list(account)
+    turns = []
+    for _ in range(rng.choice((1, 2, 4, 6, 7))):
+        words = words + _make_words(rng, rng.randrange(20, 300))
+        answer = min(1000, 1 + int(rng.expovariate(1 / 265)))
+        turns.append((at_s, words, answer, is_patient))
+        words = words + _make_words(rng, answer)
+        at_s += answer * 0.05 + rng.expovariate(1 / 5.0)
+    return turns
+
+
+class Run:
+    """One run of one policy over one scene."""
+
+    def __init__(self, policy, seed, scene):
+        self.scene = scene
+        self.outcome = Outcome()
+        self.rng = random.Random(seed + 1000)
+        self.events = []
+        self.counter = itertools.count()
+        self.seen = set()
+        items = [
+            endpoints.Endpoint(
+                id=f"e{number:04d}",
+                role="model",
+                address="127.0.0.1:1",
+                failure_domain=f"d{number % DOMAINS}",
+                service="chat",
+                version="v1",
+                market="reclaimable",
+                price_per_hour=PRICES[f"d{number % DOMAINS}"],
+            )
+            for number in range(scene.engines)
+        ]
+        self.engines = {item.id: Engine(item, scene) for item in items}
+        self.nodes = [
+            Node(f"n{number}", policy, items, seed * 100 + number)
+            for number in range(scene.nodes)
+        ]
+        for job in build_jobs(seed, scene):
+            self.push(job.at_s, self.arrive, attrs.evolve(job))
+
+    def push(self, at_s, action, *arguments):
+        """Plan an action."""
+        entry = at_s, next(self.counter), action, arguments
+        heapq.heappush(self.events, entry)
+
+    def run(self):
+        """Run all events up to the end; return the outcome."""
+        self.push(0.1, self.measure)
+        self.push(0.2, self.gossip)
+        self.push(0.3, self.publish)
+        if self.scene.reclaimed:
+            notice_s = self.scene.duration_s / 2
+            self.push(notice_s + self.scene.notice_seen_s, self.notice)
+            self.push(notice_s + self.scene.notice_s, self.reclaim)
+        while self.events and self.events[0][0] < self.scene.duration_s + 5:
+            now_s, _, action, arguments = heapq.heappop(self.events)
+            action(now_s, *arguments)
+        return self.outcome
+
+    def arrive(self, now_s, job):
+        """Route a job from the node that the balancer picks."""
+        job.node = self.rng.choice(self.nodes)
+        job.runs += 1
+        node = job.node
+        request = routing.RouteRequest(
+            str(job.number),
+            "chat",
+            {"v1": 1.0},
+            job.prompt,
+            environment.RequestClass.PATIENT
+            if job.is_patient
+            else environment.RequestClass.CHAT,
+            job.at_s + (60.0 if job.is_patient else FIRST_TOKEN_TARGET_S),
+        )
+        chosen = node.policy.choose(request, node.view, node.index, now_s)
+        job.work = node.view.start(chosen.endpoint_id, chosen.cost, now_s)
+        if node.index is not None:
+            node.index.insert(chosen.endpoint_id, chosen.hashes)
+        engine = self.engines[chosen.endpoint_id]
+        self.begin(now_s, engine, engine.submit(job, now_s))
+
+    def begin(self, now_s, engine, begun):
+        """Count the prompt of a job that got its slot."""
+        if begun is None:
+            return
+        job, first_s, blocks = begun
+        again = sum(prefix in self.seen for prefix in job.hashes[blocks:])
+        self.seen.update(job.hashes)
+        if job.at_s >= self.scene.warm_up_s:
+            recomputed = again * prefixes.BLOCK_WORDS
+            self.outcome.recomputed_tokens += recomputed
+            self.outcome.prompt_tokens += job.tokens
+            self.outcome.cost_by_price += engine.item.price_per_hour
+        self.push(first_s, self.give_first_token, engine, job)
+
+    def give_first_token(self, now_s, engine, job):
+        """Note the first token and plan the end of the answer."""
+        if job not in engine.running:
+            return
+        engine.prompts -= 1
+        if job.first_token_s is None:
+            job.first_token_s = now_s
+            self.judge(job)
+        end_s = now_s + job.answer_tokens * engine.get_step_s()
+        self.push(end_s, self.end, engine, job)
+
+    def judge(self, job):
+        """Count a chat as in time or late."""
+        if job.is_patient or job.at_s < self.scene.warm_up_s:
+            return
+        took_s = job.first_token_s - job.at_s
+        self.outcome.in_time += took_s <= FIRST_TOKEN_TARGET_S
+
+    def end(self, now_s, engine, job):
+        """Free the slot of a job."""
+        if job not in engine.running:
+            return
+        del engine.running[job]
+        job.node.view.finish(job.work, now_s)
+        self.begin(now_s, engine, engine.begin_next(now_s))
+
+    def measure(self, now_s):
+        """Take load reports, which arrive later."""
+        for engine in self.list_up():
+            running, queued = engine.measure_load()
+            arrival_s = now_s + self.scene.report_age_s
+            self.push(
+                arrival_s, self.report, engine.item.id, running, queued
+            )
+        self.push(now_s + self.scene.report_every_s, self.measure)
+
+    def report(self, now_s, endpoint_id, running, queued):
+        """Give a load report to every node."""
+        for node in self.nodes:
+            node.view.report_load(
+                endpoint_id,
+                running,
+                queued,
+                self.scene.slots,
+                self.scene.report_age_s,
+                now_s,
+            )
+
+    def gossip(self, now_s):
+        """Tell every node what the others have in flight."""
+        for node, peer in itertools.permutations(self.nodes, 2):
+            for endpoint_id in self.engines:
+                node.view.set_peer_inflight(
+                    peer.name,
+                    endpoint_id,
+                    peer.view.get_own_load(endpoint_id),
+                )
+        self.push(now_s + self.scene.gossip_every_s, self.gossip)
+
+    def publish(self, now_s):
+        """Publish cache events late, with losses."""
+        for engine in self.list_up():
+            events = [
+                event
+                for event in engine.cache.events
+                if self.rng.random() >= self.scene.event_loss
+            ]
+            engine.cache.events = []
+            for node in self.nodes:
+                self.apply_events(node, engine.item.id, events)
+        self.push(now_s + self.scene.events_every_s, self.publish)
+
+    @staticmethod
+    def apply_events(node, endpoint_id, events):
+        """Apply cache events where there is an index."""
+        if node.index is not None:
+            for event in events:
+                node.index.apply_event(endpoint_id, event)
+
+    def notice(self, now_s):
+        """Let every node see the notice of a failure domain."""
+        for node in self.nodes:
+            node.view.mark_domain_leaving("d0")
+
+    def reclaim(self, now_s):
+        """Stop the engines of a failure domain; their jobs run again."""
+        for engine in list(self.list_up()):
+            if engine.item.failure_domain == "d0":
+                for job in engine.lose_all():
+                    job.node.view.finish(job.work, now_s)
+                    self.arrive(now_s, job)
+
+    def list_up(self):
+        """Yield the engines that run."""
+        return (engine for engine in self.engines.values() if engine.is_up)
+
+
+def measure_policy(policy, seed, scene):
+    """Return the outcome of one run."""
+    run = Run(policy, seed, scene)
+    outcome = run.run()
+    outcome.chats = sum(
+        not job.is_patient and job.at_s >= scene.warm_up_s
+        for job in build_jobs(seed, scene)
+    )
+    return outcome
+
+
+def find_fewest(policy, seed, scene):
+    """Return the fewest engines with enough chats in time."""
+    for engines in range(4, MOST_ENGINES + 1):
+        outcome = measure_policy(
+            policy, seed, attrs.evolve(scene, engines=engines)
+        )
+        if outcome.share_in_time >= SHARE_IN_TIME:
+            return engines
+    return MOST_ENGINES + 1
