Tests of routing, admission, retries and capacity

Faults that the features found, each failing before its change: - a new client account started with an empty bucket (settle clamped its tokens to the former size 0): 0 of 10 chats were admitted at first; - a given limit of requests in flight was replaced by the default while it was empty (its length made it false): 64% of the shared rate was lent instead of all; - an account that had not borrowed yet was left out of the mean, so the first to ask took the whole pool: with weights 1 and 3 the second account got 0.62 times the first one's tokens, and now 2 to 4 times; - a probe sent without a choice before it left the circuit open; - a prefix held by more endpoints than are compared always gave the same ones; now each call takes the next ones.

Also: a crash blames requests whose answer had not begun before the others, and never when the endpoint was marked as leaving; plans find the part that fits the budget by bisection.

--- a/mulberryhollow/coordination/admission/controller.py
+++ b/mulberryhollow/coordination/admission/controller.py
@@ -12,7 +12,7 @@
 from mulberryhollow.errors import RefusalKind
 from mulberryhollow.state import environment
 
-__all__ = ["Admission", "Admitted"]
+__all__ = ["BURST_S", "Admission", "Admitted"]
 
 BURST_S = 2.0
 REBALANCE_S = 0.5
@@ -93,7 +93,7 @@
         self._promised_until_s = {}
         self._demand = DemandTable()
         self._buckets = ShareBuckets()
-        self._inflight = inflight or InflightLimit()
+        self._inflight = InflightLimit() if inflight is None else inflight
         self._rebalance(now_s)
 
     @property
@@ -125,7 +125,7 @@
         self._demand.add(account, cost_tokens, now_s)
         if now_s - self._rebalanced_at_s >= REBALANCE_S:
             self._rebalance(now_s)
-        share = self._get_share(account)
+        share = self.get_share(account)
         if not self._inflight.allows(account, request_class, share):
             return _refuse_inflight(self._inflight.compute_wait_s())
         if not self._may_run(account, request_class):
@@ -198,7 +198,7 @@
         """Return an account's own rate here, in tokens a second."""
         return self._buckets.get_rate(account)
 
-    def _get_share(self, account):
+    def get_share(self, account):
         """Return an account's weighted share, from 0 to 1."""
         return self._weights[account] / sum(self._weights.values())
 
@@ -211,7 +211,7 @@
         for account in gone:
             self._buckets.remove(account, now_s)
         for account, weight in self._weights.items():
-            shared = self._capacity * self._get_share(account)
+            shared = self._capacity * self.get_share(account)
             part = self._demand.get_fraction(
                 account, self._nodes, shared * PRIOR_PART, now_s
             )
--- a/mulberryhollow/coordination/admission/shares.py
+++ b/mulberryhollow/coordination/admission/shares.py
@@ -8,6 +8,7 @@
 __all__ = ["ShareBuckets"]
 
 BORROW_DECAY_S = 10.0
+ASKING_S = 2.0
 POOL_FREE_FOR_ALL = 0.5
 
 
@@ -44,8 +45,8 @@
     Notes
     -----
     The rate of a full bucket flows into the pool, which any account may
-    borrow from. While the pool is low, only accounts that borrowed less
-    than the mean of the recent borrowers, by weight, may do so. Time
+    borrow from. While the pool is low, only accounts that borrowed no
+    more than the mean of those that ask, by weight, may do so. Time
     moves by events (a bucket becomes full), so a decision takes
     logarithmic time in the number of accounts.
     """
@@ -57,7 +58,7 @@
         self._pool_burst = 0.0
         self._overflow_rate = 0.0
         self._at_s = 0.0
-        self._borrowers = set()
+        self._asked_at_s = {}
 
     @property
     def pool(self):
@@ -101,7 +102,8 @@
         if bucket is None:
             bucket = _Bucket(tokens=burst, at_s=now_s)
             self._buckets[account] = bucket
-        bucket.settle(now_s)
+        else:
+            bucket.settle(now_s)
         self._leave_full(bucket)
         self._pool_burst += burst - bucket.burst
         self._pool = min(self._pool, self._pool_burst)
@@ -118,7 +120,7 @@
         self._leave_full(bucket)
         self._pool_burst = max(0.0, self._pool_burst - bucket.burst)
         self._pool = min(self._pool, self._pool_burst)
-        self._borrowers.discard(account)
+        self._asked_at_s.pop(account, None)
 
     def spend(self, account, cost, own_floor, pool_floor, now_s):
         """Spend tokens of an account, or of the pool.
@@ -220,31 +222,30 @@
 
     def _borrow(self, account, bucket, cost, pool_floor, now_s):
         """Spend tokens of the pool, if the account may borrow."""
+        self._asked_at_s[account] = now_s
         left = self._pool - cost
         if left < pool_floor * self._pool_burst or left < 0:
             return False
         is_low = left < POOL_FREE_FOR_ALL * self._pool_burst
-        if is_low and not self._is_modest(account, bucket, now_s):
+        if is_low and not self._is_modest(account, now_s):
             return False
         self._pool = left
         bucket.borrowed = (
             bucket.get_borrowed_by_weight(now_s) * bucket.weight + cost
         )
         bucket.borrowed_at_s = now_s
-        self._borrowers.add(account)
         return True
 
-    def _is_modest(self, account, bucket, now_s):
+    def _is_modest(self, account, now_s):
         """Return whether an account borrowed no more than the mean."""
-        self._borrowers.add(account)
+        self._asked_at_s = {
+            name: asked_at_s
+            for name, asked_at_s in self._asked_at_s.items()
+            if now_s - asked_at_s <= ASKING_S
+        }
         recent = {
             name: self._buckets[name].get_borrowed_by_weight(now_s)
-            for name in self._borrowers
-        }
-        self._borrowers = {
-            name
-            for name, amount in recent.items()
-            if amount > 1.0 or name == account
+            for name in self._asked_at_s
         }
         mean = sum(recent.values()) / len(recent)
         return recent[account] <= mean
--- a/mulberryhollow/coordination/capacity/placement.py
+++ b/mulberryhollow/coordination/capacity/placement.py
@@ -80,9 +80,10 @@
             for offer in offers
             if demand.capacity_by_class.get(offer.machine_class, 0.0) > 0
         ]
-        self._running = [
+        self._running = self._list_running(
             instance for instance in running if not instance.is_leaving
-        ]
+        )
+        self._starts = self._list_starts()
         self._leaving_cost = sum(
             instance.price_per_hour
             for instance in running
@@ -134,17 +135,16 @@
     def _fill(self, target, on_demand, level):
         """Return the units of one level, on-demand ones first."""
         filling = _Filling(level)
-        units = self._list_running()
-        starts = self._list_starts()
-        filling.take(
-            [unit for unit in units if unit.is_on_demand],
-            [unit for unit in starts if unit.is_on_demand],
-            on_demand,
-        )
-        filling.take(units, starts, target + level)
+        if on_demand > 0:
+            filling.take(
+                [unit for unit in self._running if unit.is_on_demand],
+                [unit for unit in self._starts if unit.is_on_demand],
+                on_demand,
+            )
+        filling.take(self._running, self._starts, target + level)
         return filling.units
 
-    def _list_running(self):
+    def _list_running(self, instances):
         """Return what runs, the best first."""
         units = [
             _Unit(
@@ -154,7 +154,7 @@
                 instance.market == "on_demand",
                 instance=instance,
             )
-            for instance in self._running
+            for instance in instances
         ]
         return sorted(units, key=lambda unit: unit.rank)
 
@@ -186,24 +186,35 @@
             unit.offer for unit in units if unit.offer is not None
         )
         kept = {unit.instance.id for unit in units if unit.instance}
-        running = self._list_running()
-        stops = []
-        for unit in reversed(running):
-            if unit.instance.id in kept:
-                continue
-            rest = [other for other in running if other is not unit]
-            if _get_surviving(rest) >= target - EPSILON:
-                running = rest
-                stops.append(unit.instance.id)
+        stops = self._list_stops(kept, target)
+        stopped = set(stops)
+        running = [
+            unit for unit in self._running if unit.instance.id not in stopped
+        ]
         started = [unit for unit in units if unit.offer is not None]
         remaining = running + started
         return Placed(
             dict(starts),
-            tuple(stops),
+            stops,
             _get_surviving(remaining),
             _get_cost(remaining) + self._leaving_cost,
         )
 
+    def _list_stops(self, kept, target):
+        """Return the ids of what can go, the dearest first."""
+        by_domain = _sum_by_domain(self._running)
+        stops = []
+        for unit in reversed(self._running):
+            if unit.instance.id in kept:
+                continue
+            by_domain[unit.failure_domain] -= unit.capacity
+            left = by_domain.total() - max(by_domain.values())
+            if left >= target - EPSILON:
+                stops.append(unit.instance.id)
+            else:
+                by_domain[unit.failure_domain] += unit.capacity
+        return tuple(stops)
+
 
 class _Filling:
     """Units taken so far, up to a level in each failure domain."""
@@ -239,13 +250,18 @@
         self.units.append(unit)
 
 
-def _get_surviving(units):
-    """Return the capacity left after losing the largest domain."""
+def _sum_by_domain(units):
+    """Return the capacity of units in each failure domain."""
     by_domain = collections.Counter()
     for unit in units:
         by_domain[unit.failure_domain] += unit.capacity
-    total = by_domain.total()
-    return total - max(by_domain.values(), default=0.0)
+    return by_domain
+
+
+def _get_surviving(units):
+    """Return the capacity left after losing the largest domain."""
+    by_domain = _sum_by_domain(units)
+    return by_domain.total() - max(by_domain.values(), default=0.0)
 
 
 def _get_cost(units):
--- a/mulberryhollow/coordination/capacity/planner.py
+++ b/mulberryhollow/coordination/capacity/planner.py
@@ -144,20 +144,33 @@
 
     Patient work is given up before any urgent work.
     """
-    steps = range(SCALE_STEPS, -1, -1)
-    scales = itertools.chain(
-        ((1.0, step / SCALE_STEPS) for step in steps),
-        ((step / SCALE_STEPS, 0.0) for step in steps),
-    )
-    for urgent_part, patient_part in scales:
-        placed = [
-            planner.place(urgent_part, patient_part) for planner in planners
-        ]
-        if sum(item.cost_per_hour for item in placed) <= budget_per_hour:
-            return placed
+    scales = [(step / SCALE_STEPS, 0.0) for step in range(SCALE_STEPS)]
+    scales += [(1.0, step / SCALE_STEPS) for step in range(SCALE_STEPS + 1)]
+    placed = _place_all(planners, scales[-1])
+    if _sum_costs(placed) <= budget_per_hour:
+        return placed
+    low, high = 0, len(scales) - 1
+    placed = _place_all(planners, scales[low])
+    while high - low > 1:
+        middle = (low + high) // 2
+        tried = _place_all(planners, scales[middle])
+        if _sum_costs(tried) <= budget_per_hour:
+            low, placed = middle, tried
+        else:
+            high = middle
     return placed
 
 
+def _place_all(planners, scale):
+    """Place the same parts of every demand."""
+    return [planner.place(*scale) for planner in planners]
+
+
+def _sum_costs(placed):
+    """Return the cost of all placements, per hour."""
+    return sum(item.cost_per_hour for item in placed)
+
+
 def _build(planners, placed, unneeded):
     """Return the plan of the placements."""
     starts = [
@@ -182,7 +195,7 @@
         tuple(starts),
         tuple(stops),
         tuple(shortfall),
-        sum(item.cost_per_hour for item in placed),
+        _sum_costs(placed),
     )
 
 
--- a/mulberryhollow/coordination/retry/__init__.py
+++ b/mulberryhollow/coordination/retry/__init__.py
@@ -4,14 +4,20 @@
 from mulberryhollow.coordination.retry.policy import GiveUp
 from mulberryhollow.coordination.retry.policy import RetryAfter
 from mulberryhollow.coordination.retry.policy import RetryPolicy
+from mulberryhollow.coordination.retry.policy import RetryRules
 from mulberryhollow.coordination.retry.quarantine import compute_fingerprint
+from mulberryhollow.coordination.retry.quarantine import CrashFact
+from mulberryhollow.coordination.retry.quarantine import LostRequest
 from mulberryhollow.coordination.retry.quarantine import Quarantine
 
 __all__ = [
+    "CrashFact",
     "GiveUp",
+    "LostRequest",
     "Quarantine",
     "RetryAfter",
     "RetryBudget",
     "RetryPolicy",
+    "RetryRules",
     "compute_fingerprint",
 ]
--- a/mulberryhollow/coordination/retry/quarantine.py
+++ b/mulberryhollow/coordination/retry/quarantine.py
@@ -7,7 +7,7 @@
 
 from mulberryhollow import errors
 
-__all__ = ["CrashFact", "Quarantine", "compute_fingerprint"]
+__all__ = ["CrashFact", "LostRequest", "Quarantine", "compute_fingerprint"]
 
 CRASHES_TO_QUARANTINE = 2
 FINGERPRINTS_KEPT = 4096
@@ -29,6 +29,22 @@
     endpoint_id: str
 
 
+@attrs.frozen
+class LostRequest:
+    """A request that was at an endpoint when its process went.
+
+    Parameters
+    ----------
+    fingerprint : str
+        What `compute_fingerprint` returned for the request.
+    is_answering : bool
+        Whether a part of its answer had come from that endpoint.
+    """
+
+    fingerprint: str
+    is_answering: bool
+
+
 def compute_fingerprint(service, request_class, body):
     """Return the fingerprint of a request, whoever sends it.
 
@@ -96,6 +112,34 @@
         self._trim()
         return fingerprint in self._condemned
 
+    def record_loss(self, endpoint_id, lost, is_leaving):
+        """Add the crash of an endpoint that ran several requests.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint whose process is gone.
+        lost : sequence of LostRequest
+            What this node had in flight there.
+        is_leaving : bool
+            Whether the endpoint was marked as leaving; its end then says
+            nothing about any request.
+
+        Returns
+        -------
+        tuple of CrashFact
+            What was added, for the peers. Requests whose answer was
+            under way are suspected only when there is no other.
+        """
+        if is_leaving:
+            return ()
+        silent = [item for item in lost if not item.is_answering]
+        facts = tuple(
+            CrashFact(item.fingerprint, endpoint_id) for item in silent or lost
+        )
+        self.merge(facts)
+        return facts
+
     def merge(self, facts):
         """Add crashes that a peer reports.
 
@@ -120,6 +164,16 @@
         """Return whether requests with the fingerprint are refused."""
         return fingerprint in self._condemned
 
+    def is_suspect(self, fingerprint):
+        """Return whether one endpoint went while it ran the request.
+
+        Notes
+        -----
+        A suspect is best sent to an endpoint that runs no other suspect,
+        so that a second crash blames a single request.
+        """
+        return fingerprint in self._suspects
+
     def check(self, fingerprint):
         """Return the refusal of a quarantined request; None otherwise."""
         if not self.is_quarantined(fingerprint):
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -16,7 +16,7 @@
 __all__ = ["Router", "RoutingRules"]
 
 RETRY_AFTER_S = 1.0
-LATE_PENALTY_S = 10.0
+LEAST_LEFT_S = 0.05
 PROBE_PENALTY_S = 1_000.0
 
 
@@ -32,19 +32,23 @@
         Mean time that a request holds its slot, in seconds.
     load_s : float
         Slow-down of the first token by a full set of slots, in seconds.
+    late_s : float
+        Computing time that a first token at the deadline is worth, in
+        seconds; one halfway to it is worth a quarter.
     price_s : float
-        Wait that halving the price is worth, in seconds.
+        Computing time that twice the price is worth, in seconds.
     patient_price_s : float
         The same for patient requests, in seconds.
     sample_count, least_loaded_count : int
         Candidates drawn at random and taken by least load.
     """
 
-    compute_s_per_token: float = 0.0002
-    hold_s: float = 3.0
-    load_s: float = 0.2
-    price_s: float = 0.02
-    patient_price_s: float = 0.5
+    compute_s_per_token: float = 0.0001
+    hold_s: float = 13.0
+    load_s: float = 0.5
+    late_s: float = 0.5
+    price_s: float = 0.0
+    patient_price_s: float = 0.1
     sample_count: int = 4
     least_loaded_count: int = 2
 
@@ -130,6 +134,7 @@
         floor = min(
             record.endpoint.price_per_hour for record in candidates.values()
         )
+        left_s = max(LEAST_LEFT_S, request.deadline_s - now_s)
         best = None
         for endpoint_id, record in candidates.items():
             blocks = (
@@ -139,9 +144,9 @@
             first_s = self._estimate_first_token(
                 record, tokens - cached, now_s
             )
-            score = first_s + self._price(request, record, floor)
-            if now_s + first_s > request.deadline_s:
-                score += LATE_PENALTY_S
+            score = self._price(request, record, floor)
+            score += (tokens - cached) * self.rules.compute_s_per_token
+            score += self.rules.late_s * (first_s / left_s) ** 2
             if not request.idempotent:
                 score += _penalize_probe(record)
             if best is None or score < best[0]:
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -166,6 +166,7 @@
         Work
             To be given to `finish` when the request ends.
         """
+        self.advance(now_s)
         work = Work(endpoint_id, cost, now_s)
         record = self._records.get(endpoint_id)
         if record is not None:
@@ -243,6 +244,7 @@
             Whether the request is in quarantine, so that its crash says
             nothing about the endpoint.
         """
+        self.advance(now_s)
         record = self._records.get(endpoint_id)
         if record is None or not _counts(kind, is_blamed):
             return
--- a/mulberryhollow/state/prefixes.py
+++ b/mulberryhollow/state/prefixes.py
@@ -141,7 +141,8 @@
         -------
         dict
             Endpoint id to its number of cached blocks, at most
-            ``HOLDERS_CONSIDERED`` endpoints, longest prefix first.
+            ``HOLDERS_CONSIDERED`` endpoints, longest prefix first. When
+            more hold a prefix, each call takes the next ones in turn.
         """
         return self.match_hashes(hash_prefixes(prompt))
 
@@ -149,8 +150,7 @@
         """Return the same as `match` for hashes already computed."""
         found = {}
         for blocks in range(len(hashes), 0, -1):
-            holders = self._holders.get(hashes[blocks - 1], ())
-            for endpoint_id in itertools.islice(holders, HOLDERS_CONSIDERED):
+            for endpoint_id in self._list_holders(hashes[blocks - 1]):
                 found.setdefault(endpoint_id, blocks)
             if len(found) >= HOLDERS_CONSIDERED:
                 break
@@ -162,12 +162,28 @@
         known = itertools.takewhile(held.__contains__, hashes) if held else ()
         return sum(1 for _ in known)
 
+    def _list_holders(self, prefix):
+        """Return some holders of a prefix, other ones each time."""
+        holders = self._holders.get(prefix, ())
+        taken = list(itertools.islice(holders, HOLDERS_CONSIDERED))
+        if len(holders) > HOLDERS_CONSIDERED:
+            for endpoint_id in taken:
+                holders.move_to_end(endpoint_id)
+        return taken
+
+    def _add_holder(self, endpoint_id, prefix):
+        """Add an endpoint to the holders of a prefix."""
+        holders = self._holders.setdefault(prefix, {})
+        holders[endpoint_id] = None
+        if len(holders) == HOLDERS_CONSIDERED + 1:
+            self._holders[prefix] = collections.OrderedDict(holders)
+
     def _add(self, endpoint_id, prefix):
         """Add a block as the endpoint's most recent one."""
         held = self._held.setdefault(endpoint_id, collections.OrderedDict())
         held[prefix] = None
         held.move_to_end(prefix)
-        self._holders.setdefault(prefix, {})[endpoint_id] = None
+        self._add_holder(endpoint_id, prefix)
         limit = max(
             ENTRIES_KEPT_PER_ENDPOINT_AT_LEAST,
             self._entries_kept // len(self._held),
--- /dev/null
+++ b/tests/coordination/routing/router.feature
@@ -0,0 +1,66 @@
+Feature: Routing
+
+  Background:
+    Given a router over 60 endpoints of v1 and 4 of v2
+
+  Scenario: A version with share 0 gets nothing
+    When 500 requests are routed with shares v1=1 v2=0
+    Then version v2 got 0 requests
+
+  Scenario: Versions get their shares
+    When 2000 requests are routed with shares v1=0.9 v2=0.1
+    Then version v2 got between 150 and 250 requests
+
+  Scenario: A repeated request keeps its version while its share grows
+    Then a request drawn to v2 stays there as its share grows
+
+  Scenario: A version under trial does not inherit the larger one's traffic
+    When all endpoints of v1 are marked as leaving
+    And 1000 requests are routed with shares v1=0.95 v2=0.05
+    Then version v2 got between 20 and 90 requests
+    And the other requests got no endpoint, not run, with a time to return
+
+  Scenario: The larger version takes over from one without endpoints
+    When all endpoints of v2 are marked as leaving
+    And 500 requests are routed with shares v1=0.9 v2=0.1
+    Then version v1 got between 500 and 500 requests
+
+  Scenario: Leaving, draining, open and excluded endpoints get no request
+    When 20 endpoints are leaving, 10 draining and 10 have open circuits
+    And 1000 requests are routed that exclude 10 more endpoints
+    Then only the 10 endpoints that are left got requests
+
+  Scenario: A booking does not probe an endpoint while others take it
+    When endpoint a0 is half open and 200 bookings are routed
+    Then endpoint a0 got 0 of the routed requests
+
+  Scenario: A conversation goes where its prompt is cached
+    When a long prompt was sent to endpoint a7
+    Then the same prompt is routed to endpoint a7 with cached tokens
+
+  Scenario: A cached prompt goes elsewhere when its endpoint is full
+    When a long prompt was sent to endpoint a7
+    And endpoint a7 reports a long queue
+    Then the same prompt is not routed to endpoint a7
+
+  Scenario: Prompts sent since the report keep the next ones away
+    When 60 long prompts without a common prefix are routed
+    Then no endpoint got more than 3 of them
+
+  Scenario: Patient requests prefer cheap endpoints
+    When 300 patient requests are routed without any load
+    Then more than 200 of them went to the cheapest failure domain
+
+  Scenario: No order of events makes routing choose a leaving endpoint
+    Then in any order of events routing never chooses a leaving endpoint
+
+  Scenario Outline: Plain policies obey the same exclusions
+    When 20 endpoints are leaving, 10 draining and 10 have open circuits
+    And 200 requests are routed by <policy>, excluding 10 more endpoints
+    Then only the 10 endpoints that are left got requests
+
+    Examples:
+      | policy           |
+      | RoundRobin       |
+      | LeastOutstanding |
+      | PowerOfTwo       |
--- /dev/null
+++ b/tests/state/endpoints.feature
@@ -0,0 +1,123 @@
+Feature: Endpoint view
+
+  Background:
+    Given an endpoint view of 8 endpoints in 4 failure domains
+
+  Scenario: A lagging list does not undo a leaving mark
+    When endpoint e0 is marked as leaving
+    And the endpoint list still shows all endpoints as live
+    Then endpoint e0 is not available
+
+  Scenario: A mark set before the list shows the endpoint holds
+    When endpoint e8 is marked as leaving
+    And the endpoint list shows 9 endpoints
+    Then endpoint e8 is not available
+
+  Scenario: An older list read after a newer one does not undo a mark
+    When endpoint e0 is marked as leaving
+    And the endpoint list shows no endpoint
+    And the endpoint list still shows all endpoints as live
+    Then endpoint e0 is not available
+
+  Scenario: A mark is forgotten long after the endpoint is gone
+    When endpoint e0 is marked as leaving
+    And the endpoint list shows no endpoint
+    And the endpoint view is 200 seconds older
+    And the endpoint list shows no endpoint
+    And the endpoint list still shows all endpoints as live
+    Then endpoint e0 is available
+
+  Scenario: A failure domain's mark covers endpoints that are listed later
+    When failure domain d0 is marked as leaving
+    And the endpoint list shows 9 endpoints
+    Then the available endpoints are e1 e2 e3 e5 e6 e7
+
+  Scenario: A failure domain's mark with an end spares later endpoints
+    When failure domain d0 is marked as leaving for 5 seconds
+    And the endpoint view is 6 seconds older
+    And the endpoint list shows 9 endpoints
+    Then the available endpoints are e1 e2 e3 e5 e6 e7 e8
+
+  Scenario: A list that says leaving latches too
+    When the endpoint list shows e0 as leaving
+    And the endpoint list still shows all endpoints as live
+    Then endpoint e0 is not available
+
+  Scenario: Work sent since the report is added to it
+    When endpoint e0 reports 3 running and 1 queued, measured 1 seconds ago
+    And 2 requests are sent to endpoint e0
+    Then endpoint e0 has a load of 6
+
+  Scenario: Work that a late report already shows is not counted twice
+    When 2 requests are sent to endpoint e0
+    And the endpoint view is 2 seconds older
+    And endpoint e0 reports 2 running and 0 queued, measured 1 seconds ago
+    Then endpoint e0 has a load of 2
+
+  Scenario: Work that ended after the report was measured is taken off
+    When 2 requests are sent to endpoint e0
+    And the endpoint view is 2 seconds older
+    And all requests end
+    And endpoint e0 reports 2 running and 0 queued, measured 1 seconds ago
+    Then endpoint e0 has a load of 0
+
+  Scenario: A crossed older report is ignored
+    When endpoint e0 reports 3 running and 0 queued, measured 0 seconds ago
+    And endpoint e0 reports 9 running and 0 queued, measured 5 seconds ago
+    Then endpoint e0 has a load of 3
+
+  Scenario: Peers' work counts until the peer is gone
+    When peer n1 has 4 requests at endpoint e0
+    And peer n2 has 1 requests at endpoint e0
+    And peer n1 has 2 requests at endpoint e0
+    Then endpoint e0 has a load of 3
+    When peer n1 is gone
+    Then endpoint e0 has a load of 1
+
+  Scenario: Three failed connections open the circuit
+    When endpoint e0 fails 2 times with CONNECT_FAILED
+    Then endpoint e0 is available
+    When endpoint e0 fails 1 times with CONNECT_FAILED
+    Then endpoint e0 is not available
+
+  Scenario: A silent pooled connection does not count by itself
+    When endpoint e0 fails 9 times with SILENT_POOLED
+    Then endpoint e0 is available
+    When endpoint e0 fails 3 times with SILENT_FRESH
+    Then endpoint e0 is not available
+
+  Scenario: A crash blamed on a quarantined request does not count
+    When endpoint e0 crashes 9 times by a quarantined request
+    Then endpoint e0 is available
+
+  Scenario: A half-open circuit lets one probe through
+    When endpoint e0 fails 3 times with CONNECT_FAILED
+    And the endpoint view is 2 seconds older
+    Then endpoint e0 is available
+    When 1 requests are sent to endpoint e0
+    Then endpoint e0 is not available
+    When endpoint e0 answers
+    Then endpoint e0 is available
+
+  Scenario: A probe that ends without a verdict frees the next one
+    When endpoint e0 fails 3 times with CONNECT_FAILED
+    And the endpoint view is 2 seconds older
+    And 1 requests are sent to endpoint e0
+    And all requests end
+    Then endpoint e0 is available
+
+  Scenario: A failed probe opens the circuit again
+    When endpoint e0 fails 3 times with CONNECT_FAILED
+    And the endpoint view is 2 seconds older
+    And 1 requests are sent to endpoint e0
+    And endpoint e0 fails 1 times with CONNECT_FAILED
+    Then endpoint e0 is not available
+
+  Scenario: Draining can be undone
+    When endpoint e0 is set to drain
+    Then endpoint e0 is not available
+    When endpoint e0 is set to stop draining
+    Then endpoint e0 is available
+
+  Scenario: No order of events makes a leaving endpoint available
+    Then in any order of events a leaving endpoint is never available
--- /dev/null
+++ b/tests/steps/coordination_admission.py
@@ -0,0 +1,275 @@
+import itertools
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from mulberryhollow.coordination import admission
+from mulberryhollow.errors import Ran
+from mulberryhollow.errors import Refusal
+from mulberryhollow.state.environment import RequestClass
+
+START_S = 1000.0
+CLASSES = {"chats": RequestClass.CHAT, "patients": RequestClass.PATIENT}
+
+
+def parse_weights(text):
+    pairs = (item.split("=") for item in text.split())
+    return {name: float(weight) for name, weight in pairs}
+
+
+def unlimited():
+    rules = admission.InflightRules(requests=10**9)
+    return admission.InflightLimit(rules)
+
+
+@given("admission of {rate:d} tokens a second to accounts {weights}")
+def make_admission(context, rate, weights):
+    context.rate = rate
+    inflight = None if rate >= 1_000_000 else unlimited()
+    context.admission = admission.Admission(
+        rate, parse_weights(weights), START_S, inflight=inflight
+    )
+    context.peer_demand = lambda: None
+    context.admitted = []
+
+
+@given("admission lets a quarter of the patient work through")
+def shed_patient(context):
+    context.admission.set_patient_part(0.25)
+
+
+@given("admission knows of 8 live nodes without reports")
+def set_nodes(context):
+    context.admission.set_live_nodes(8, START_S)
+
+
+@given("admission knows of 8 live nodes whose peers see no demand")
+def set_idle_peers(context):
+    set_nodes(context)
+    context.peer_demand = dict
+
+
+@given("admission knows of 8 live nodes whose peers see the same demand")
+def set_equal_peers(context):
+    set_nodes(context)
+    context.peer_demand = lambda: context.admission.list_demand(context.now_s)
+
+
+@when("account {name} sends {count:d} {kind} of {cost:d} tokens at once")
+def send_at_once(context, name, count, kind, cost):
+    context.account, context.cost = name, cost
+    context.results = [
+        context.admission.admit(name, CLASSES[kind], cost, START_S)
+        for _ in range(count)
+    ]
+    context.admitted += [
+        result
+        for result in context.results
+        if isinstance(result, admission.Admitted)
+    ]
+
+
+@when(
+    "account {name} sends {count:d} {kind} of {cost:d} tokens a second for "
+    "{for_s:d} seconds"
+)
+def plan_sending(context, name, count, kind, cost, for_s):
+    context.for_s = for_s
+    context.senders = [(name, count, CLASSES[kind], cost)]
+
+
+@when(
+    "meanwhile account {name} sends {count:d} {kind} of {cost:d} tokens a "
+    "second"
+)
+def plan_more_sending(context, name, count, kind, cost):
+    context.senders.append((name, count, CLASSES[kind], cost))
+
+
+def list_arrivals(context):
+    arrivals = [
+        (START_S + step / count, name, request_class, cost)
+        for name, count, request_class, cost in context.senders
+        for step in range(count * context.for_s)
+    ]
+    return sorted(arrivals, key=lambda arrival: arrival[:2])
+
+
+def run_plan(context):
+    if "tokens" in context:
+        return
+    context.tokens, context.parts = {}, {}
+    reported_s = START_S
+    for now_s, name, request_class, cost in list_arrivals(context):
+        context.now_s = now_s
+        demand = context.peer_demand()
+        if demand is not None and now_s - reported_s >= 1.0:
+            reported_s = now_s
+            for number in range(7):
+                context.admission.report_demand(f"n{number}", demand, now_s)
+        result = context.admission.admit(name, request_class, cost, now_s)
+        got = isinstance(result, admission.Admitted)
+        context.tokens.setdefault(name, 0)
+        context.tokens[name] += cost * got
+        part = context.parts.setdefault((name, request_class), [0, 0])
+        part[0] += got
+        part[1] += 1
+
+
+@when("all admitted requests end")
+def end_all(context):
+    for item in context.admitted:
+        context.admission.finish(item, START_S + 1.0)
+
+
+@when("the accounts of admission become {weights}")
+def change_accounts(context, weights):
+    context.admission.set_accounts(parse_weights(weights), START_S)
+
+
+@then("account {name} got between {low:d} and {high:d} of them")
+def check_between(context, name, low, high):
+    got = sum(
+        isinstance(result, admission.Admitted) for result in context.results
+    )
+    assert low <= got <= high, got
+
+
+def get_first_refusal(context):
+    return next(
+        result for result in context.results if isinstance(result, Refusal)
+    )
+
+
+@then(
+    "its first refusal is {kind}, not run, after {low_s:g} to {high_s:g} "
+    "seconds"
+)
+def check_refusal(context, kind, low_s, high_s):
+    refusal = get_first_refusal(context)
+    assert refusal.kind.wire_name == kind, refusal
+    assert refusal.ran is Ran.NOT_RUN
+    assert low_s <= refusal.retry_after_s <= high_s, refusal
+
+
+@then("its first refusal is {kind}, not run, without a time")
+def check_plain_refusal(context, kind):
+    refusal = get_first_refusal(context)
+    assert refusal.kind.wire_name == kind
+    assert refusal.ran is Ran.NOT_RUN
+    assert refusal.retry_after_s is None
+
+
+@then("a chat sent by account {name} at that time is admitted")
+def check_return(context, name):
+    at_s = START_S + get_first_refusal(context).retry_after_s + 1e-6
+    result = context.admission.admit(
+        name, RequestClass.CHAT, context.cost, at_s
+    )
+    assert isinstance(result, admission.Admitted), result
+
+
+@then("the times given to account {name} grow by {step_s:g} seconds each")
+def check_spacing(context, name, step_s):
+    times_s = [
+        result.retry_after_s
+        for result in context.results
+        if isinstance(result, Refusal)
+    ]
+    assert len(times_s) > 20
+    for before_s, after_s in itertools.pairwise(times_s):
+        assert abs(after_s - before_s - step_s) < 1e-6
+
+
+@then("account {name} got all of its chats")
+def check_all(context, name):
+    run_plan(context)
+    got, sent = context.parts[name, RequestClass.CHAT]
+    assert got == sent, (got, sent)
+
+
+@then("account {name} got at least {percent:d}% of its chats")
+def check_most(context, name, percent):
+    run_plan(context)
+    got, sent = context.parts[name, RequestClass.CHAT]
+    assert got >= sent * percent / 100, (got, sent)
+
+
+@then("account {name} got fewer than {percent:d}% of its patients")
+def check_few(context, name, percent):
+    run_plan(context)
+    got, sent = context.parts[name, RequestClass.PATIENT]
+    assert got < sent * percent / 100, (got, sent)
+
+
+@then("account {name} got {count:d} of its patients")
+def check_patients(context, name, count):
+    run_plan(context)
+    got, _ = context.parts[name, RequestClass.PATIENT]
+    assert got == count, got
+
+
+@then("account {name} got between {low:d}% and {high:d}% of the shared rate")
+def check_rate(context, name, low, high):
+    run_plan(context)
+    percent = 100 * context.tokens[name] / (context.rate * context.for_s)
+    assert low <= percent <= high, percent
+
+
+@then(
+    "account {name} got between {low:d}% and {high:d}% of an eighth of the "
+    "rate"
+)
+def check_eighth(context, name, low, high):
+    run_plan(context)
+    rate = context.rate * 0.125
+    percent = 100 * context.tokens[name] / (rate * context.for_s)
+    assert low <= percent <= high, percent
+
+
+@then(
+    "account {more} got between {low:d} and {high:d} times as much as "
+    "account {less}"
+)
+def check_ratio(context, more, low, high, less):
+    run_plan(context)
+    ratio = context.tokens[more] / context.tokens[less]
+    assert low <= ratio <= high, ratio
+
+
+@then("admission has {count:d} requests in flight")
+def check_inflight(context, count):
+    assert context.admission.inflight_count == count
+
+
+_ARRIVALS = strategies.lists(
+    strategies.tuples(
+        strategies.floats(0.0, 3.0),
+        strategies.sampled_from("abc"),
+        strategies.sampled_from(RequestClass),
+        strategies.integers(1, 600),
+    ),
+    max_size=80,
+)
+
+
+@then("for any arrivals admitted tokens stay within rate and burst")
+def check_any_arrivals(context):
+    @hypothesis.given(_ARRIVALS)
+    def check(arrivals):
+        weights = {"a": 1.0, "b": 2.0, "c": 5.0}
+        gate = admission.Admission(1000, weights, 0.0, inflight=unlimited())
+        now_s, spent = 0.0, 0.0
+        for gap_s, name, request_class, cost in arrivals:
+            now_s += gap_s
+            result = gate.admit(name, request_class, cost, now_s)
+            if isinstance(result, admission.Admitted):
+                spent += cost
+            own_and_lent = 2 * 1000 * admission.BURST_S
+            oversize = 600 * len(weights)
+            assert spent <= 1000 * now_s + own_and_lent + oversize
+
+    check()
--- /dev/null
+++ b/tests/steps/coordination_routing.py
@@ -0,0 +1,272 @@
+import collections
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from mulberryhollow.coordination import routing
+from mulberryhollow.errors import Ran
+from mulberryhollow.errors import RefusalKind
+from mulberryhollow.state import endpoints
+from mulberryhollow.state import environment
+from mulberryhollow.state import prefixes
+
+LONG_PROMPT = " ".join(f"word{number}" for number in range(1600))
+NOW_S = 100.0
+
+
+def build_items(prefix, version, count):
+    return [
+        endpoints.Endpoint(
+            id=f"{prefix}{number}",
+            role="model",
+            address=f"127.0.0.1:{9000 + number}",
+            failure_domain=f"d{number % 4}",
+            service="chat",
+            version=version,
+            price_per_hour=1.0 + number % 4,
+        )
+        for number in range(count)
+    ]
+
+
+def build_request(number, shares=None, **fields):
+    return routing.RouteRequest(
+        request_id=f"r{number}",
+        service="chat",
+        version_shares=shares or {"v1": 1.0},
+        deadline_s=NOW_S + 0.9,
+        **fields,
+    )
+
+
+def route(context, requests, excluded=frozenset()):
+    context.chosen = [
+        context.router.choose(
+            request, context.view, context.index, NOW_S, excluded
+        )
+        for request in requests
+    ]
+    context.counts = collections.Counter(
+        chosen.endpoint_id
+        for chosen in context.chosen
+        if isinstance(chosen, routing.Chosen)
+    )
+
+
+@given("a router over {first:d} endpoints of v1 and {second:d} of v2")
+def make_router(context, first, second):
+    context.view = endpoints.EndpointView()
+    context.view.apply_list(
+        build_items("a", "v1", first) + build_items("b", "v2", second), NOW_S
+    )
+    for record in context.view:
+        context.view.report_load(record.endpoint.id, 0, 0, 32, 0.0, NOW_S)
+    context.index = prefixes.PrefixIndex()
+    context.router = routing.Router(rng=random.Random(5))
+
+
+@when("{count:d} requests are routed with shares v1={first:g} v2={second:g}")
+def route_shares(context, count, first, second):
+    shares = {"v1": first, "v2": second}
+    route(context, [build_request(n, shares) for n in range(count)])
+
+
+@when("all endpoints of {version} are marked as leaving")
+def leave_version(context, version):
+    for record in list(context.view):
+        if record.endpoint.version == version:
+            context.view.mark_leaving(record.endpoint.id)
+
+
+@when("20 endpoints are leaving, 10 draining and 10 have open circuits")
+def take_away(context):
+    kind = endpoints.FailureKind.CONNECT_FAILED
+    for number in range(20):
+        context.view.mark_leaving(f"a{number}")
+    for number in range(20, 30):
+        context.view.set_draining(f"a{number}", True)
+    for number in range(30, 40):
+        for _ in range(3):
+            context.view.record_failure(f"a{number}", kind, NOW_S)
+
+
+@when("{count:d} requests are routed that exclude 10 more endpoints")
+def route_excluding(context, count):
+    excluded = {f"a{number}" for number in range(40, 50)}
+    requests = [
+        build_request(number, prompt=LONG_PROMPT) for number in range(count)
+    ]
+    route(context, requests, excluded)
+
+
+@when("{count:d} requests are routed by {policy}, excluding 10 more endpoints")
+def route_by_policy(context, count, policy):
+    context.router = getattr(routing, policy)()
+    route_excluding(context, count)
+
+
+@when("endpoint {name} is half open and {count:d} bookings are routed")
+def route_bookings(context, name, count):
+    kind = endpoints.FailureKind.CONNECT_FAILED
+    for _ in range(3):
+        context.view.record_failure(name, kind, NOW_S - 50.0)
+    route(context, [build_request(n, idempotent=False) for n in range(count)])
+    assert name in context.view.get_group("chat", "v1")
+
+
+@when("a long prompt was sent to endpoint {name}")
+def send_long_prompt(context, name):
+    context.index.insert(name, prefixes.hash_prefixes(LONG_PROMPT))
+
+
+@when("endpoint {name} reports a long queue")
+def report_queue(context, name):
+    context.view.report_load(name, 32, 64, 32, 0.0, NOW_S)
+
+
+@when("{count:d} long prompts without a common prefix are routed")
+def route_long_prompts(context, count):
+    context.counts = collections.Counter()
+    for number in range(count):
+        request = build_request(number, prompt=f"p{number} {LONG_PROMPT}")
+        chosen = context.router.choose(
+            request, context.view, context.index, NOW_S
+        )
+        context.view.start(chosen.endpoint_id, chosen.cost, NOW_S)
+        context.counts[chosen.endpoint_id] += 1
+
+
+@when("{count:d} patient requests are routed without any load")
+def route_patient(context, count):
+    patient = environment.RequestClass.PATIENT
+    route(
+        context,
+        [build_request(n, request_class=patient) for n in range(count)],
+    )
+
+
+@then("version {version} got {count:d} requests")
+def check_version(context, version, count):
+    check_version_between(context, version, count, count)
+
+
+@then("version {version} got between {low:d} and {high:d} requests")
+def check_version_between(context, version, low, high):
+    got = sum(
+        getattr(chosen, "version", None) == version
+        for chosen in context.chosen
+    )
+    assert low <= got <= high, got
+
+
+@then("a request drawn to v2 stays there as its share grows")
+def check_sticky(context):
+    for number in range(500):
+        drawn = [
+            routing.list_versions(f"r{number}", {"v1": 1 - part, "v2": part})
+            for part in (0.05, 0.2, 0.5, 0.9)
+        ]
+        flags = [versions[0] == "v2" for versions in drawn]
+        assert flags == sorted(flags), (number, flags)
+
+
+@then("the other requests got no endpoint, not run, with a time to return")
+def check_refused(context):
+    refusals = [
+        chosen.refusal
+        for chosen in context.chosen
+        if isinstance(chosen, routing.NoEndpoint)
+    ]
+    assert refusals
+    for refusal in refusals:
+        assert refusal.kind is RefusalKind.NO_CAPACITY
+        assert refusal.ran is Ran.NOT_RUN
+        assert refusal.retry_after_s > 0
+
+
+@then("only the 10 endpoints that are left got requests")
+def check_left(context):
+    assert context.counts
+    assert set(context.counts) <= {f"a{number}" for number in range(50, 60)}
+
+
+@then("endpoint {name} got {count:d} of the routed requests")
+def check_count(context, name, count):
+    assert context.counts[name] == count, context.counts[name]
+
+
+def choose_long(context):
+    request = build_request(1, prompt=LONG_PROMPT)
+    return context.router.choose(request, context.view, context.index, NOW_S)
+
+
+@then("the same prompt is routed to endpoint {name} with cached tokens")
+def check_cached(context, name):
+    chosen = choose_long(context)
+    assert chosen.endpoint_id == name
+    assert chosen.cached_tokens == 1600
+    assert chosen.computed_tokens == 0
+
+
+@then("the same prompt is not routed to endpoint {name}")
+def check_not_cached(context, name):
+    assert choose_long(context).endpoint_id != name
+
+
+@then("no endpoint got more than {most:d} of them")
+def check_spread(context, most):
+    assert max(context.counts.values()) <= most, context.counts
+
+
+@then("more than {least:d} of them went to the cheapest failure domain")
+def check_cheap(context, least):
+    cheap = sum(
+        count
+        for name, count in context.counts.items()
+        if context.view.get(name).endpoint.failure_domain == "d0"
+    )
+    assert cheap > least, cheap
+
+
+_EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["leave", "fail", "list", "choose"]),
+        strategies.integers(0, 5),
+    ),
+    max_size=40,
+)
+
+
+@then("in any order of events routing never chooses a leaving endpoint")
+def check_any_order(context):
+    @hypothesis.given(_EVENTS)
+    def check(events):
+        view = endpoints.EndpointView()
+        items = build_items("a", "v1", 6)
+        view.apply_list(items, 0.0)
+        index = prefixes.PrefixIndex()
+        router = routing.Router()
+        left = set()
+        for now_s, (event, number) in enumerate(events):
+            endpoint_id = f"a{number}"
+            match event:
+                case "leave":
+                    view.mark_leaving(endpoint_id)
+                    left.add(endpoint_id)
+                case "fail":
+                    kind = endpoints.FailureKind.SILENT_FRESH
+                    view.record_failure(endpoint_id, kind, now_s)
+                case "list":
+                    view.apply_list(items, now_s)
+            request = build_request(number, prompt=LONG_PROMPT[:500])
+            chosen = router.choose(request, view, index, float(now_s))
+            if isinstance(chosen, routing.Chosen):
+                assert chosen.endpoint_id not in left
+                view.start(chosen.endpoint_id, chosen.cost, float(now_s))
+                index.insert(chosen.endpoint_id, chosen.hashes)
+
+    check()
--- /dev/null
+++ b/tests/steps/state_endpoints.py
@@ -0,0 +1,232 @@
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from mulberryhollow.state import endpoints
+
+SERVICE = "chat"
+VERSION = "v1"
+
+
+def build_endpoint(number, state="live"):
+    return endpoints.Endpoint(
+        id=f"e{number}",
+        role="model",
+        address=f"127.0.0.1:{9000 + number}",
+        failure_domain=f"d{number % 4}",
+        service=SERVICE,
+        version=VERSION,
+        market="reclaimable",
+        price_per_hour=1.0 + number % 4,
+        state=state,
+    )
+
+
+def list_available(view, now_s):
+    view.advance(now_s)
+    group = view.get_group(SERVICE, VERSION)
+    return {record.endpoint.id for record in group}
+
+
+@given("an endpoint view of {count:d} endpoints in 4 failure domains")
+def make_view(context, count):
+    context.now_s = 100.0
+    context.items = [build_endpoint(number) for number in range(count)]
+    context.view = endpoints.EndpointView()
+    context.view.apply_list(context.items, context.now_s)
+    context.works = []
+
+
+@when("endpoint {endpoint_id} is marked as leaving")
+def mark_endpoint(context, endpoint_id):
+    context.view.mark_leaving(endpoint_id)
+
+
+@when("failure domain {domain} is marked as leaving")
+def mark_domain(context, domain):
+    context.view.mark_domain_leaving(domain)
+
+
+@when("failure domain {domain} is marked as leaving for {for_s:g} seconds")
+def mark_domain_for(context, domain, for_s):
+    context.view.mark_domain_leaving(domain, context.now_s + for_s)
+
+
+@when("the endpoint list still shows all endpoints as live")
+def apply_old_list(context):
+    context.view.apply_list(context.items, context.now_s)
+
+
+@when("the endpoint list shows no endpoint")
+def apply_empty_list(context):
+    context.view.apply_list([], context.now_s)
+
+
+@when("the endpoint list shows {count:d} endpoints")
+def apply_longer_list(context, count):
+    items = [build_endpoint(number) for number in range(count)]
+    context.view.apply_list(items, context.now_s)
+
+
+@when("the endpoint list shows e0 as leaving")
+def apply_leaving_list(context):
+    items = [build_endpoint(0, "leaving"), *context.items[1:]]
+    context.view.apply_list(items, context.now_s)
+
+
+@when("the endpoint view is {by_s:g} seconds older")
+def age_view(context, by_s):
+    context.now_s += by_s
+
+
+@when(
+    "endpoint {endpoint_id} reports {running:d} running and {queued:d} "
+    "queued, measured {age_s:g} seconds ago"
+)
+def report_load(context, endpoint_id, running, queued, age_s):
+    context.view.report_load(
+        endpoint_id, running, queued, 8, age_s, context.now_s
+    )
+
+
+@when("{count:d} requests are sent to endpoint {endpoint_id}")
+def send_requests(context, count, endpoint_id):
+    context.works += [
+        context.view.start(endpoint_id, 0.1, context.now_s)
+        for _ in range(count)
+    ]
+
+
+@when("all requests end")
+def end_requests(context):
+    for work in context.works:
+        context.view.finish(work, context.now_s)
+        context.view.finish(work, context.now_s)
+
+
+@when("peer {node} has {amount:d} requests at endpoint {endpoint_id}")
+def set_peer(context, node, amount, endpoint_id):
+    context.view.set_peer_inflight(node, endpoint_id, amount)
+
+
+@when("peer {node} is gone")
+def drop_peer(context, node):
+    context.view.drop_peer(node)
+
+
+@when("endpoint {endpoint_id} fails {times:d} times with {kind}")
+def fail_endpoint(context, endpoint_id, times, kind):
+    for _ in range(times):
+        context.view.record_failure(
+            endpoint_id, endpoints.FailureKind[kind], context.now_s
+        )
+
+
+@when(
+    "endpoint {endpoint_id} crashes {times:d} times by a quarantined request"
+)
+def crash_endpoint(context, endpoint_id, times):
+    for _ in range(times):
+        context.view.record_failure(
+            endpoint_id,
+            endpoints.FailureKind.CRASHED,
+            context.now_s,
+            is_blamed=True,
+        )
+
+
+@when("endpoint {endpoint_id} answers")
+def answer_endpoint(context, endpoint_id):
+    context.view.record_success(endpoint_id)
+
+
+@when("endpoint {endpoint_id} is set to drain")
+def drain_endpoint(context, endpoint_id):
+    context.view.set_draining(endpoint_id, True)
+
+
+@when("endpoint {endpoint_id} is set to stop draining")
+def undrain_endpoint(context, endpoint_id):
+    context.view.set_draining(endpoint_id, False)
+
+
+@then("endpoint {endpoint_id} is available")
+def check_available(context, endpoint_id):
+    assert endpoint_id in list_available(context.view, context.now_s)
+
+
+@then("endpoint {endpoint_id} is not available")
+def check_unavailable(context, endpoint_id):
+    assert endpoint_id not in list_available(context.view, context.now_s)
+
+
+@then("the available endpoints are {names}")
+def check_all_available(context, names):
+    found = list_available(context.view, context.now_s)
+    assert found == set(names.split()), found
+
+
+@then("endpoint {endpoint_id} has a load of {load:d}")
+def check_load(context, endpoint_id, load):
+    found = context.view.get(endpoint_id).load
+    assert found == load, found
+
+
+_IDS = strategies.integers(0, 7).map(lambda number: f"e{number}")
+_EVENTS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(strategies.just("leave"), _IDS),
+        strategies.tuples(strategies.just("succeed"), _IDS),
+        strategies.tuples(strategies.just("fail"), _IDS),
+        strategies.tuples(strategies.just("start"), _IDS),
+        strategies.tuples(strategies.just("undrain"), _IDS),
+        strategies.tuples(strategies.just("report"), _IDS),
+        strategies.tuples(strategies.just("list"), _IDS),
+        strategies.tuples(strategies.just("shorten"), _IDS),
+    ),
+    max_size=60,
+)
+
+
+def apply_event(view, event, endpoint_id, now_s):
+    items = [build_endpoint(number) for number in range(8)]
+    match event:
+        case "leave":
+            view.mark_leaving(endpoint_id)
+        case "succeed":
+            view.record_success(endpoint_id)
+        case "fail":
+            kind = endpoints.FailureKind.CONNECT_FAILED
+            view.record_failure(endpoint_id, kind, now_s)
+        case "start":
+            view.finish(view.start(endpoint_id, 0.1, now_s), now_s + 0.1)
+        case "undrain":
+            view.set_draining(endpoint_id, False)
+        case "report":
+            view.report_load(endpoint_id, 1, 0, 8, 0.5, now_s)
+        case "list":
+            view.apply_list(items, now_s)
+        case "shorten":
+            kept = [item for item in items if item.id != endpoint_id]
+            view.apply_list(kept, now_s)
+
+
+@then("in any order of events a leaving endpoint is never available")
+def check_any_order(context):
+    @hypothesis.given(_EVENTS)
+    def check(events):
+        view = endpoints.EndpointView()
+        view.apply_list([build_endpoint(n) for n in range(8)], 0.0)
+        left = set()
+        for now_s, (event, endpoint_id) in enumerate(events):
+            apply_event(view, event, endpoint_id, float(now_s))
+            if event == "leave":
+                left.add(endpoint_id)
+            group = view.get_group(SERVICE, VERSION)
+            least = {r.endpoint.id for r in group.list_least_loaded(8)}
+            assert not left & list_available(view, float(now_s))
+            assert not left & least
+
+    check()
--- a/tools/bench/policies.py
+++ b/tools/bench/policies.py
@@ -12,7 +12,6 @@
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import environment
 from mulberryhollow.state import prefixes
-from tools.bench.figure import Figure
 
 FIRST_TOKEN_TARGET_S = 0.9
 SHARE_IN_TIME = 0.95
@@ -358,9 +357,7 @@
         for engine in self.list_up():
             running, queued = engine.measure_load()
             arrival_s = now_s + self.scene.report_age_s
-            self.push(
-                arrival_s, self.report, engine.item.id, running, queued
-            )
+            self.push(arrival_s, self.report, engine.item.id, running, queued)
         self.push(now_s + self.scene.report_every_s, self.measure)
 
     def report(self, now_s, endpoint_id, running, queued):
