Rollout: judge by usual looks only, watch at 0.8, confirm at 0.9

Looks in which the old version itself fails or is slow no longer count as evidence of goodness, and 40 s are kept in reserve before the last time for done.

--- a/mulberryhollow/coordination/rollout/schedule.py
+++ b/mulberryhollow/coordination/rollout/schedule.py
@@ -23,10 +23,13 @@
 TRIAL_SHARES = (0.01, 0.02)
 """Shares until the ramp; the first holds until the first good verdict."""
 
-RAMP_SHARES = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 0.9)
-"""Shares of the ramp; the rest compares the versions until the end."""
+RAMP_SHARES = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8)
+"""Shares of the ramp; the last one is watched until the confirmation."""
 
-SHARES = TRIAL_SHARES + RAMP_SHARES
+LAST_SHARE = 0.9
+"""Share of the confirmation; the rest still compares the versions."""
+
+SHARES = (*TRIAL_SHARES, *RAMP_SHARES, LAST_SHARE)
 
 ROUTES_SHARE = 0.2
 """Share from which each larger route must show that it is good."""
@@ -37,8 +40,8 @@
 CONFIRM_S = 20.0
 """Least time at the last share before ``done``, in seconds."""
 
-WRITE_ALLOWANCE_S = 20.0
-"""Time for writing ``done`` by a slow store, in seconds."""
+RESERVE_S = 40.0
+"""Time kept for a slow store or an outage at the end, in seconds."""
 
 RAMP_SLACK = 2.0
 """Time planned for the ramp and for loading, as a multiple of the least."""
@@ -120,15 +123,15 @@
         When loading on every endpoint begins.
     ramp_from_s : float
         When the ramp begins.
-    done_from_s : float
-        When ``done`` is written first; until then the last share is watched.
+    confirm_from_s : float
+        When the last share begins; until then the one before is watched.
     done_by_s : float
         Latest time for writing ``done``.
     """
 
     load_from_s: float
     ramp_from_s: float
-    done_from_s: float
+    confirm_from_s: float
     done_by_s: float
 
 
@@ -196,11 +199,12 @@
     The trial shares last as long as they can, because a version that turns
     bad after a while is then found at 2 % of the requests.
     """
-    done_from_s = move.done_by_s - WRITE_ALLOWANCE_S
-    ramp_from_s = done_from_s - RAMP_SLACK * RAMP_S
+    latest_s = move.done_by_s - RESERVE_S
+    confirm_from_s = latest_s - CONFIRM_S
+    ramp_from_s = latest_s - RAMP_SLACK * RAMP_S
     load_s = len(capacity.endpoints) * capacity.load_s
     load_from_s = ramp_from_s - RAMP_SLACK * load_s
-    return Plan(load_from_s, ramp_from_s, done_from_s, move.done_by_s)
+    return Plan(load_from_s, ramp_from_s, confirm_from_s, move.done_by_s)
 
 
 def decide(move, plan, capacity, judgement, since_s, now_s):
@@ -233,7 +237,7 @@
         return Shift(max((x for x in SHARES if x <= able), default=0.0))
     rest = [share for share in SHARES if share > move.share]
     if not rest:
-        return _decide_end(plan, judgement, since_s, now_s)
+        return _decide_end(judgement, since_s, now_s)
     if now_s + _compute_least_s(rest) > plan.done_by_s:
         return GiveUp(_explain_delay(move, capacity, judgement))
     share = rest[0]
@@ -247,13 +251,13 @@
         return Hold("the share was just raised")
     if share in RAMP_SHARES and now_s < plan.ramp_from_s:
         return Hold("the ramp begins later")
+    if share == LAST_SHARE and now_s < plan.confirm_from_s:
+        return Hold("the share is watched until the confirmation")
     return Shift(share)
 
 
-def _decide_end(plan, judgement, since_s, now_s):
-    """Choose between watching the last share and ``done``."""
-    if now_s < plan.done_from_s:
-        return Hold("the last share is watched")
+def _decide_end(judgement, since_s, now_s):
+    """Choose between confirming the last share and ``done``."""
     if now_s - since_s < CONFIRM_S:
         return Hold("the last share is confirmed")
     if not _is_shown_good(judgement, 1.0):
--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -45,6 +45,12 @@
 MAX_ROUTE_SLOW_EXCESS = 0.3
 """Excess of slow requests on a route that is too much, as a share."""
 
+MAX_USUAL_FAILED = 0.1
+"""Share of failures of the old version above which a look is no evidence."""
+
+MAX_USUAL_SLOW = 0.8
+"""Share of slow requests of the old version, likewise."""
+
 
 class Badness(enum.Enum):
     """What is wrong with a version."""
@@ -140,6 +146,12 @@
 )
 
 
+_MAX_USUAL_HITS = {
+    Badness.FAILING: MAX_USUAL_FAILED,
+    Badness.SLOW: MAX_USUAL_SLOW,
+}
+
+
 @attrs.define
 class _Test:
     """One measure on one route, or on all routes together.
@@ -218,7 +230,8 @@
     -----
     A window begins with each share. Evidence of badness is kept over the
     whole move, with prior weight on a change at each look and at each window;
-    evidence that the version is good comes from the present window only.
+    evidence that the version is good comes from the present window only, and
+    from those looks in which the old version served as usual.
     """
 
     def __init__(self, move, counters, now_s):
@@ -230,18 +243,19 @@
         self._bad = None
         self._good = None
         self._seen = self._read(counters)
-        self._base = self._seen
+        self._window = {}
         self._windows = 0
         self.begin_window(counters)
 
     def begin_window(self, counters):
         """Begin a window, at a new share."""
+        seen = self._read(counters)
         self._good = None
-        self._base = self._read(counters)
-        self._add_tests(self._base)
+        self._window = {}
+        self._add_tests(seen)
         self._windows += 1
         for test in self._tests.values():
-            test.set_reference(self._base.get(test.route).old)
+            test.set_reference(seen[test.route].old)
             if self._windows <= MAX_WINDOWS:
                 test.process.begin(0.5 / MAX_WINDOWS)
 
@@ -271,7 +285,7 @@
             return self._bad
         if self._good is not None:
             return self._good
-        answered = self._seen[""].new.minus(self._base[""].new)
+        answered = self._window.get("", _Pair()).new
         return Undecided(answered.ok + answered.blamed)
 
     def _take_in(self, seen):
@@ -285,10 +299,25 @@
             if test.bucket is None:
                 test.set_reference(seen[test.route].old)
         self._seen = seen
+        if self._is_normal(growth):
+            self._window = _add(self._window, growth)
         self._bad = self._find_bad()
         if self._good is None or not self._good.covers_routes:
             self._good = self._find_good()
 
+    def _is_normal(self, growth):
+        """Return whether the old version served as usual in a look."""
+        old = growth[""].old
+        arms = [
+            (test.measure.badness, test.count(old))
+            for test in self._tests.values()
+            if not test.route
+        ]
+        return old.timed > 0 and all(
+            arm.hits <= _MAX_USUAL_HITS[badness] * arm.trials
+            for badness, arm in arms
+        )
+
     def _find_bad(self):
         """Return the verdict of the first test that shows badness."""
         return next(
@@ -307,8 +336,8 @@
 
     def _find_good(self):
         """Return the verdict that the window shows no harm, or None."""
-        window = _subtract(self._seen, self._base)
-        in_total = self._weigh(window, [""])
+        window = self._window
+        in_total = self._weigh(window, [""]) if window else 0.0
         if in_total < _LOG_GOOD:
             return None
         least = MIN_ROUTE_SHARE * window[""].old.timed
@@ -372,6 +401,14 @@
     )
 
 
+def _add(window, growth):
+    """Return each route's sum of two states."""
+    return {
+        route: pair.plus(window.get(route, _Pair()))
+        for route, pair in growth.items()
+    }
+
+
 def _subtract(seen, before):
     """Return each route's growth between two states."""
     return {
@@ -390,3 +427,7 @@
     def minus(self, other):
         """Return the growth since an earlier state."""
         return _Pair(self.new.minus(other.new), self.old.minus(other.old))
+
+    def plus(self, other):
+        """Return the sum of two states."""
+        return _Pair(self.new.plus(other.new), self.old.plus(other.old))
