Facts and membership: scenarios on a manual clock

Cause: the relays of a failure domain always met the same relay of another, so a cut was never seen, and rotating the ring distances by round alone left whole cosets of the ring without an urgent fact until the next rounds. Change: relays vary the rank they meet, ring distances vary by place, an instance that lost its address counts as dead, leaving is told at once.

--- a/mulberryhollow/coordination/membership/machine.py
+++ b/mulberryhollow/coordination/membership/machine.py
@@ -74,6 +74,7 @@
     def __init__(self, me, now_s):
         self._me = members.MemberState(me)
         self._states = {me.instance_id: self._me}
+        self._by_address = {me.peer_address: me.instance_id}
         self._suspected_s = {}
         self._doubts = {}
         self._link_misses = {}
@@ -352,17 +353,21 @@
             self._retire_former(state.member)
 
     def _retire_former(self, member):
-        """Drop an earlier instance that used the same peer address."""
-        former = [
-            name
-            for name, state in self._states.items()
-            if state.member.peer_address == member.peer_address
-            and state.member.incarnation < member.incarnation
-            and name not in (member.instance_id, self.me.instance_id)
-        ]
-        for name in former:
-            state = self._states[name]
-            self._store(attrs.evolve(state, standing=members.Standing.DEAD))
+        """Hold the earlier of two instances at one peer address as dead."""
+        former = self._by_address.get(member.peer_address)
+        state = self._states.get(former)
+        is_other = state is not None and former != member.instance_id
+        if is_other and state.member.incarnation >= member.incarnation:
+            self._mark_dead(member.instance_id)
+            return
+        self._by_address[member.peer_address] = member.instance_id
+        if is_other and former != self.me.instance_id:
+            self._mark_dead(former)
+
+    def _mark_dead(self, instance_id):
+        """Hold a member as dead without telling it to others."""
+        state = self._states[instance_id]
+        self._store(attrs.evolve(state, standing=members.Standing.DEAD))
 
     def _answer(self, state, now_s, wall_s):
         """Answer a fact about this node with a later one when it doubts."""
--- a/mulberryhollow/coordination/membership/member.py
+++ b/mulberryhollow/coordination/membership/member.py
@@ -18,6 +18,7 @@
     "encode_fact",
     "encode_registration",
     "find_next_incarnation",
+    "find_standing",
 ]
 
 MEMBER_EXPIRY_S = 10_800.0
@@ -160,6 +161,11 @@
     )
 
 
+def find_standing(fact):
+    """Return the standing that a member fact tells."""
+    return Standing(fact.version & ((1 << _STANDING_BITS) - 1))
+
+
 def decode_fact(fact):
     """Return the state that a member fact tells.
 
@@ -174,7 +180,7 @@
         raise ValueError(f"not a member: {error}") from error
     if len(fields) != _FIELDS:
         raise ValueError(f"not a member: {len(fields)} fields")
-    standing = Standing(fact.version & ((1 << _STANDING_BITS) - 1))
+    standing = find_standing(fact)
     renewed = fact.version >> _STANDING_BITS
     renewals = renewed & ((1 << _RENEWAL_BITS) - 1)
     member = Member(fact.key, renewed >> _RENEWAL_BITS, *fields)
--- a/mulberryhollow/coordination/membership/node.py
+++ b/mulberryhollow/coordination/membership/node.py
@@ -17,6 +17,9 @@
 SYNC_GAP_S = 5.0
 """Least time between two comparisons of digests by bucket, in seconds."""
 
+EXPIRY_ROUNDS = 10
+"""Rounds between two looks for expired facts."""
+
 QUIET_S = 2.0
 """Time without a new fact before a difference is looked into, in seconds."""
 
@@ -57,7 +60,6 @@
         self.table = facts.FactTable() if table is None else table
         self.membership = machine.Membership(me, now_s)
         self.budget = budget.ByteBudget(now_s=now_s)
-        self._spread = spread.Spread(self.table)
         self._in_flight = {}
         self._again = set()
         self._urgent = False
@@ -66,7 +68,7 @@
         self._synced_s = now_s - SYNC_GAP_S
         self._changed_s = now_s
         self.add_members(seeds, now_s, wall_s)
-        self._spread.begin_round()
+        self._spread = spread.Spread(self.table)
         self.table.merge(self.membership.join(wall_s), wall_s)
 
     def add_members(self, listed, now_s, wall_s):
@@ -115,8 +117,8 @@
         wall_s : float
             Wall-clock time, in seconds since the Unix epoch.
         """
-        for fact in self.table.drop_expired(wall_s):
-            self._forget(fact)
+        if self.membership.round_number % EXPIRY_ROUNDS == 0:
+            self._drop_expired(wall_s)
         for fact in self.membership.begin_round(now_s, wall_s):
             self.table.merge(fact, wall_s)
         self._spread.begin_round()
@@ -272,10 +274,11 @@
         for answer in answers:
             self.table.merge(answer, wall_s)
 
-    def _forget(self, fact):
-        """Forget the member of an expired fact."""
-        if fact.topic == facts.Topic.MEMBER.value:
-            self.membership.forget(fact.key)
+    def _drop_expired(self, wall_s):
+        """Drop expired facts and forget the members that they told of."""
+        for fact in self.table.drop_expired(wall_s):
+            if fact.topic == facts.Topic.MEMBER.value:
+                self.membership.forget(fact.key)
 
     def _start_sync(self, exchange, sent, now_s):
         """Return the digests by bucket when a repair is due."""
@@ -295,4 +298,6 @@
 
 def _is_urgent(fact):
     """Return whether a fact is forwarded as soon as it arrives."""
+    if fact.topic == facts.Topic.MEMBER.value:
+        return member.find_standing(fact) is member.Standing.LEFT
     return facts.find_priority(fact.topic) <= facts.Topic.NOTICE.priority
--- a/mulberryhollow/coordination/membership/spread.py
+++ b/mulberryhollow/coordination/membership/spread.py
@@ -39,7 +39,7 @@
     Parameters
     ----------
     table : FactTable
-        The facts.
+        The facts; those held at first are not sent unasked.
 
     Notes
     -----
@@ -53,7 +53,7 @@
         self._table = table
         self._cursors = collections.OrderedDict()
         self._wanted = {}
-        self._recent = collections.deque([0], maxlen=RECENT_ROUNDS)
+        self._recent = collections.deque([table.cursor], maxlen=RECENT_ROUNDS)
 
     def begin_round(self):
         """Note where the changes of a round begin."""
--- a/mulberryhollow/coordination/membership/topology.py
+++ b/mulberryhollow/coordination/membership/topology.py
@@ -112,7 +112,8 @@
             for domains in (self._near, far)
             if domains
         ]
-        return [_choose_entry(domain, rank, turn) for domain in chosen]
+        varied = (rank + turn // max(1, len(self._near))) % RELAYS_PER_DOMAIN
+        return [_choose_entry(domain, varied, turn) for domain in chosen]
 
     def list_urgent_targets(self, round_number, is_origin):
         """Return the instance ids that get an urgent fact at once.
@@ -126,7 +127,7 @@
             failure domains as a relay does.
         """
         distances = self._list_distances()
-        start = round_number % max(1, len(distances))
+        start = (round_number + self._place) % max(1, len(distances))
         rotated = distances[start:] + distances[:start]
         targets = [
             self._find_at(distance)
--- /dev/null
+++ b/tests/coordination/membership/standing.feature
@@ -0,0 +1,78 @@
+Feature: Standing of members
+
+  Scenario: A frozen peer is suspected, counts as dead and comes back
+    Given 8 simulated nodes in 4 failure domains
+    When node 0 is frozen for 12 seconds
+    Then every other node holds node 0 as dead
+    And 5 seconds after it goes on every node holds node 0 as alive
+    And node 0 has judged nobody
+
+  Scenario: A short freeze is answered before the peer counts as dead
+    Given 8 simulated nodes in 4 failure domains
+    When node 0 is frozen until node 4 suspects it
+    Then 5 seconds after it goes on every node holds node 0 as alive
+    And no node has held node 0 as dead
+
+  Scenario: A peer restarted under its address leaves its former process behind
+    Given 8 simulated nodes in 4 failure domains
+    When node 0 is frozen for 12 seconds
+    And node 0 is started again with incarnation 2
+    Then after 5 seconds every node holds incarnation 2 of node 0 as alive
+    And a late fact of incarnation 1 of node 0 changes nothing
+    And a late doubt about incarnation 1 of node 0 changes nothing
+
+  Scenario: A replaced instance takes the address of the former one
+    Given 8 simulated nodes in 4 failure domains
+    When a new instance starts at the address of node 0
+    Then the new instance holds node 0 as dead
+
+  Scenario: The next incarnation grows though the clock was set back
+    Then an incarnation after 5000 at 3 seconds is 5001
+    And an incarnation after 0 at 3 seconds is 3000
+
+  Scenario: A cut between failure domains makes no member dead
+    Given 8 simulated nodes in 4 failure domains
+    When failure domains 0 and 1 are cut off from each other for 30 seconds
+    Then no node doubts any member
+    And a document published in failure domain 0 is known everywhere in 7 seconds
+    And nodes 0 and 4 do not reach failure domain 1
+    And 10 seconds after the cut heals every node reaches every other one
+
+  Scenario: A node that reaches nobody judges nobody
+    Given 8 simulated nodes in 4 failure domains
+    When all nodes but node 0 are frozen for 30 seconds
+    Then node 0 doubts nobody
+
+  Scenario: A member that a helper reaches is not suspected
+    Given the membership of node 0 among 8 members in 4 failure domains
+    When node 4 misses two heartbeats of node 0
+    Then three helpers are asked about node 4
+    And no doubt is told when one of them reaches node 4
+    And a late answer of a helper changes nothing
+
+  Scenario: A lagging list brings nobody back
+    Given 8 simulated nodes in 4 failure domains
+    When node 0 leaves
+    Then after 3 seconds every other node holds node 0 as left
+    And a list that still names node 0 changes nothing
+    And a list that lacks node 1 changes nothing
+
+  Scenario: A node that was paused forgets what it waited for
+    Given the membership of node 0 among 8 members in 4 failure domains
+    When node 0 suspects node 4 and is then paused for 60 seconds
+    Then node 0 does not hold node 4 as dead at once
+    And node 0 renews its own fact
+
+  Scenario: A doubt about a node is answered with a later fact
+    Given the membership of node 0 among 8 members in 4 failure domains
+    When node 0 is told that it is dead
+    Then node 0 answers with a fact that outranks the doubt
+
+  Scenario: A fact about a member that cannot be read is left aside
+    Given 8 simulated nodes in 4 failure domains
+    When a peer sends malformed member facts to node 0
+    Then node 0 still holds 8 members
+
+  Scenario: A registration object holds a member
+    Then a registration object gives back its member
+    And a malformed registration object is a value error
--- /dev/null
+++ b/tests/steps/coordination_membership.py
@@ -0,0 +1,609 @@
+import attrs
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from mulberryhollow.coordination import membership
+from mulberryhollow.state.facts import Fact
+from mulberryhollow.state.facts import Topic
+from tests import membership_cluster
+
+ALIVE = membership.Standing.ALIVE
+SUSPECT = membership.Standing.SUSPECT
+DEAD = membership.Standing.DEAD
+LEFT = membership.Standing.LEFT
+START_S = membership_cluster.START_S
+
+
+def name_node(number):
+    return f"i-{number:04d}"
+
+
+def name_domain(number):
+    return f"fd-{number:02d}"
+
+
+def make_document(version, size=20):
+    return Fact(Topic.DOCUMENT, "production", version, bytes(size))
+
+
+def list_standings(cluster, name):
+    views = cluster.nodes[name].membership.list_members()
+    return {view.member.instance_id: view.standing for view in views}
+
+
+def count_as(cluster, name, standing, but=()):
+    return all(
+        cluster.find_standing(other, name) is standing
+        for other in cluster.nodes
+        if other != name and other not in but
+    )
+
+
+@given("{count:d} simulated nodes in {domains:d} failure domains")
+def make_nodes(context, count, domains):
+    context.members = membership_cluster.make_members(count, domains)
+    context.cluster = membership_cluster.Cluster(context.members)
+    context.cluster.run(3)
+
+
+@given(
+    "{count:d} simulated nodes in {domains:d} failure domains and"
+    " {regions:d} regions"
+)
+def make_far_nodes(context, count, domains, regions):
+    members = membership_cluster.make_members(count, domains, regions)
+    context.cluster = membership_cluster.Cluster(members)
+    context.cluster.run(2)
+
+
+@given(
+    "{count:d} simulated nodes that lose {loss:d}% and double {doubling:d}%"
+    " of the messages"
+)
+def make_lossy_nodes(context, count, loss, doubling):
+    context.cluster = membership_cluster.Cluster(
+        membership_cluster.make_members(count, 4),
+        loss=loss / 100,
+        doubling=doubling / 100,
+    )
+
+
+@given(
+    "the membership of node 0 among {count:d} members in {domains:d}"
+    " failure domains"
+)
+def make_membership(context, count, domains):
+    context.members = membership_cluster.make_members(count, domains)
+    context.machine = membership.Membership(context.members[0], START_S)
+    context.machine.apply_list(context.members, START_S)
+
+
+@when("node {number:d} is frozen for {for_s:d} seconds")
+def freeze_node(context, number, for_s):
+    context.cluster.freeze(name_node(number))
+    context.cluster.run(for_s)
+
+
+@when("node 0 is frozen until node 4 suspects it")
+def freeze_shortly(context):
+    cluster = context.cluster
+    cluster.freeze("i-0000")
+    context.dead = []
+    for node in cluster.nodes.values():
+        node.table.subscribe(Topic.MEMBER, context.dead.append)
+    is_met = cluster.run_until(
+        lambda: cluster.find_standing("i-0004", "i-0000") is SUSPECT, 10
+    )
+    assert is_met
+
+
+@then("every other node holds node {number:d} as dead")
+def check_dead(context, number):
+    assert count_as(context.cluster, name_node(number), DEAD)
+
+
+@then("{for_s:d} seconds after it goes on every node holds node 0 as alive")
+def check_thawed(context, for_s):
+    context.cluster.thaw("i-0000")
+    context.cluster.run(for_s)
+    assert count_as(context.cluster, "i-0000", ALIVE)
+
+
+@then("node 0 has judged nobody")
+def check_no_judgement(context):
+    standings = list_standings(context.cluster, "i-0000")
+    assert set(standings.values()) == {ALIVE}
+    assert len(standings) == 8
+
+
+@then("no node has held node 0 as dead")
+def check_never_dead(context):
+    states = [membership.decode_fact(fact) for fact in context.dead]
+    assert states
+    assert DEAD not in {state.standing for state in states}
+
+
+@when("node 0 is started again with incarnation {incarnation:d}")
+def restart_node(context, incarnation):
+    former = context.cluster.nodes["i-0000"].membership.me
+    member = attrs.evolve(former, incarnation=incarnation)
+    context.former = former
+    context.cluster.frozen.discard("i-0000")
+    context.cluster.start(member, context.members)
+
+
+@then(
+    "after {for_s:d} seconds every node holds incarnation {incarnation:d} of"
+    " node 0 as alive"
+)
+def check_restarted(context, for_s, incarnation):
+    context.cluster.run(for_s)
+    check_incarnation(context, incarnation)
+
+
+def check_incarnation(context, incarnation):
+    for node in context.cluster.nodes.values():
+        view = node.membership.find_member("i-0000")
+        assert view.member.incarnation == incarnation
+        assert view.standing is ALIVE
+
+
+def tell_everyone(context, state):
+    cluster = context.cluster
+    fact = membership.encode_fact(state, cluster.now_s)
+    late = membership.Exchange(0, (fact,))
+    for node in cluster.nodes.values():
+        node.answer("i-0001", late, cluster.now_s, cluster.now_s)
+
+
+@then("a late fact of incarnation 1 of node 0 changes nothing")
+def check_late_fact(context):
+    tell_everyone(context, membership.MemberState(context.former, 7))
+    check_incarnation(context, 2)
+
+
+@then("a late doubt about incarnation 1 of node 0 changes nothing")
+def check_late_doubt(context):
+    tell_everyone(context, membership.MemberState(context.former, 9, DEAD))
+    check_incarnation(context, 2)
+
+
+@when("a new instance starts at the address of node 0")
+def replace_instance(context):
+    cluster = context.cluster
+    former = cluster.nodes["i-0000"].membership.me
+    cluster.freeze("i-0000")
+    context.new = attrs.evolve(former, instance_id="i-0100", incarnation=2)
+    cluster.start(context.new, context.members)
+    cluster.run(3)
+
+
+@then("the new instance holds node 0 as dead")
+def check_replaced(context):
+    assert context.cluster.find_standing("i-0100", "i-0000") is DEAD
+    assert context.cluster.find_standing("i-0004", "i-0100") is ALIVE
+
+
+@then("an incarnation after {previous:d} at {wall_s:d} seconds is {value:d}")
+def check_next_incarnation(context, previous, wall_s, value):
+    assert membership.find_next_incarnation(wall_s, previous) == value
+
+
+@when(
+    "failure domains 0 and 1 are cut off from each other for {for_s:d} seconds"
+)
+def cut_domains(context, for_s):
+    context.cluster.cut_off(name_domain(0), name_domain(1))
+    context.cluster.run(for_s)
+
+
+@then("no node doubts any member")
+def check_no_doubts(context):
+    for name in context.cluster.nodes:
+        standings = list_standings(context.cluster, name)
+        assert set(standings.values()) == {ALIVE}
+
+
+@then(
+    "a document published in failure domain 0 is known everywhere in 7 seconds"
+)
+def check_around_cut(context):
+    document = make_document(1)
+    context.cluster.publish("i-0000", document)
+    context.cluster.run(7)
+    assert context.cluster.all_know(document)
+
+
+@then("nodes 0 and 4 do not reach failure domain 1")
+def check_unreachable(context):
+    for name in ("i-0000", "i-0004"):
+        views = context.cluster.nodes[name].membership.list_members()
+        cut = {
+            view.member.failure_domain for view in views if not view.is_usable
+        }
+        assert cut == {name_domain(1)}
+
+
+@then(
+    "{for_s:d} seconds after the cut heals every node reaches every other one"
+)
+def check_healed(context, for_s):
+    context.cluster.heal(name_domain(0), name_domain(1))
+    context.cluster.run(for_s)
+    for node in context.cluster.nodes.values():
+        assert all(view.is_usable for view in node.membership.list_members())
+
+
+@when("all nodes but node 0 are frozen for {for_s:d} seconds")
+def freeze_others(context, for_s):
+    for name in list(context.cluster.nodes)[1:]:
+        context.cluster.freeze(name)
+    context.cluster.run(for_s)
+
+
+@then("node 0 doubts nobody")
+def check_doubts_nobody(context):
+    standings = list_standings(context.cluster, "i-0000")
+    assert set(standings.values()) == {ALIVE}
+
+
+@when("node 4 misses two heartbeats of node 0")
+def miss_twice(context):
+    assert context.machine.note_miss("i-0004") == ()
+    context.asked = context.machine.note_miss("i-0004")
+
+
+@then("three helpers are asked about node 4")
+def check_helpers(context):
+    assert {action.target for action in context.asked} == {"i-0004"}
+    helpers = {action.helper for action in context.asked}
+    assert len(helpers) == 3
+    assert not helpers & {"i-0000", "i-0004"}
+
+
+def answer_probes(context, answers):
+    return [
+        context.machine.note_probe(
+            action.helper, "i-0004", is_reached, START_S, START_S
+        )
+        for action, is_reached in zip(context.asked, answers, strict=True)
+    ]
+
+
+@then("no doubt is told when one of them reaches node 4")
+def check_confirmed(context):
+    assert answer_probes(context, (False, True, False)) == [(), (), ()]
+
+
+@then("a late answer of a helper changes nothing")
+def check_late_answer(context):
+    assert answer_probes(context, (False, False, False)) == [(), (), ()]
+    assert context.machine.find_member("i-0004").standing is ALIVE
+
+
+@when("node 0 leaves")
+def leave_node(context):
+    context.cluster.leave("i-0000")
+
+
+@then("after {for_s:d} seconds every other node holds node 0 as left")
+def check_left(context, for_s):
+    context.cluster.run(for_s)
+    assert count_as(context.cluster, "i-0000", LEFT)
+
+
+@then("a list that still names node 0 changes nothing")
+def check_stale_list(context):
+    apply_list(context, context.members)
+    assert count_as(context.cluster, "i-0000", LEFT)
+
+
+@then("a list that lacks node 1 changes nothing")
+def check_short_list(context):
+    apply_list(context, context.members[2:])
+    assert count_as(context.cluster, "i-0001", ALIVE, but=("i-0000",))
+
+
+def apply_list(context, listed):
+    cluster = context.cluster
+    for node in cluster.nodes.values():
+        node.add_members(listed, cluster.now_s, cluster.now_s)
+    cluster.run(2)
+
+
+@when("node 0 suspects node 4 and is then paused for {for_s:d} seconds")
+def pause_node(context, for_s):
+    context.machine.note_miss("i-0004")
+    context.asked = context.machine.note_miss("i-0004")
+    told = answer_probes(context, (False, None, False))
+    assert membership.decode_fact(told[-1][0]).standing is SUSPECT
+    now_s = START_S + for_s
+    context.told = context.machine.begin_round(now_s, now_s)
+
+
+@then("node 0 does not hold node 4 as dead at once")
+def check_pause(context):
+    assert context.machine.find_member("i-0004").standing is SUSPECT
+
+
+@then("node 0 renews its own fact")
+def check_renewal(context):
+    (fact,) = context.told
+    state = membership.decode_fact(fact)
+    assert (fact.key, state.renewals, state.standing) == ("i-0000", 1, ALIVE)
+
+
+@when("node 0 is told that it is dead")
+def doubt_node(context):
+    state = membership.MemberState(context.members[0], 3, DEAD)
+    context.doubt = membership.encode_fact(state, START_S)
+    context.told = context.machine.apply_fact(context.doubt, START_S, START_S)
+
+
+@then("node 0 answers with a fact that outranks the doubt")
+def check_answer(context):
+    (fact,) = context.told
+    assert fact.version > context.doubt.version
+    assert membership.decode_fact(fact).standing is ALIVE
+
+
+@when("a peer sends malformed member facts to node 0")
+def send_malformed(context):
+    values = (b"", b"7", b"[1]", b"\xff", b'{"a": 1}')
+    found = tuple(
+        Fact(Topic.MEMBER, f"x-{number}", 1 << 30, value)
+        for number, value in enumerate(values)
+    )
+    node = context.cluster.nodes["i-0000"]
+    node.answer("i-0001", membership.Exchange(0, found), START_S, START_S)
+
+
+@then("node 0 still holds {count:d} members")
+def check_members(context, count):
+    assert len(list_standings(context.cluster, "i-0000")) == count
+
+
+@then("a registration object gives back its member")
+def check_registration(context):
+    member = membership_cluster.make_member(1, "fd-1", "r-1", 77)
+    value = membership.encode_registration(member)
+    assert membership.decode_registration(value) == member
+
+
+@then("a malformed registration object is a value error")
+def check_bad_registration(context):
+    for value in (b"", b"[]", b"7", b'{"a": 1}', b"\xff"):
+        try:
+            membership.decode_registration(value)
+        except ValueError:
+            continue
+        raise AssertionError(value)
+
+
+@when("every node publishes a verdict")
+def publish_verdicts(context):
+    for name in context.cluster.nodes:
+        context.cluster.publish(name, Fact(Topic.VERDICT, name, 1, b"bad"))
+
+
+@then("all nodes hold the same lasting facts within {limit_s:d} seconds")
+def check_same(context, limit_s):
+    cluster = context.cluster
+    took_s = cluster.run_until(lambda: agrees(cluster), limit_s)
+    assert took_s is not None
+
+
+def agrees(cluster):
+    digests = {node.table.compute_digest() for node in cluster.nodes.values()}
+    verdicts = {
+        len(node.table.list_facts(Topic.VERDICT))
+        for node in cluster.nodes.values()
+    }
+    return len(digests) == 1 and verdicts == {len(cluster.nodes)}
+
+
+@when("a document is published by node {number:d}")
+def publish_document(context, number):
+    context.document = make_document(1)
+    context.cluster.publish(name_node(number), context.document)
+
+
+@when("a document of {size:d} bytes is published by node 0")
+def publish_large(context, size):
+    context.got = []
+    for node in context.cluster.nodes.values():
+        count_arrivals(node, context.got)
+    context.document = make_document(1, size)
+    context.cluster.publish("i-0000", context.document)
+
+
+def count_arrivals(node, got):
+    merge = node.table.merge
+
+    def merge_and_count(fact, *arguments, **named):
+        if fact.topic == Topic.DOCUMENT.value:
+            got.append(node)
+        return merge(fact, *arguments, **named)
+
+    node.table.merge = merge_and_count
+
+
+@then("each node but node 0 got the document once")
+def check_arrivals(context):
+    arrivals = context.got[1:]
+    assert len(arrivals) == len(set(map(id, arrivals))) == 7
+
+
+@then("every node has the document within {limit_s:d} seconds")
+def check_spread(context, limit_s):
+    context.cluster.run(limit_s)
+    assert context.cluster.all_know(context.document)
+
+
+@when("two relays of each failure domain are frozen")
+def freeze_relays(context):
+    cluster = context.cluster
+    members = [node.membership.me for node in cluster.nodes.values()]
+    layouts = {
+        member.failure_domain: membership.Topology(member, members)
+        for member in members
+    }
+    context.frozen = [
+        name for layout in layouts.values() for name in layout.relays[:2]
+    ]
+    for name in context.frozen:
+        cluster.freeze(name)
+
+
+@when("a document is published by a node that runs")
+def publish_from_running(context):
+    cluster = context.cluster
+    context.document = make_document(1)
+    running = (name for name in cluster.nodes if name not in cluster.frozen)
+    cluster.publish(next(running), context.document)
+
+
+@then("every node that runs has the document within {limit_s:d} seconds")
+def check_running(context, limit_s):
+    context.cluster.run(limit_s)
+    assert context.cluster.all_know(context.document, but=context.frozen)
+
+
+@then("the relays have it {for_s:d} seconds after they go on")
+def check_relays(context, for_s):
+    for name in context.frozen:
+        context.cluster.thaw(name)
+    context.cluster.run(for_s)
+    assert context.cluster.all_know(context.document)
+
+
+@then("a relay has at most 3 targets a round and others have 1")
+def check_fan_out(context):
+    for count in (16, 64, 832):
+        members = membership_cluster.make_members(count, 16, 5)
+        for me in members[::13]:
+            layout = membership.Topology(me, members)
+            most = 3 if layout.is_relay else 1
+            found = [len(layout.list_round_targets(turn)) for turn in range(9)]
+            assert max(found, default=0) <= most
+            assert len(layout.list_urgent_targets(1, True)) <= 18
+
+
+@then("every member is the ring target of one other in each round")
+def check_ring(context):
+    members = membership_cluster.make_members(30, 1)
+    layouts = [membership.Topology(me, members) for me in members]
+    for turn in range(6):
+        targets = [layout.list_round_targets(turn)[0] for layout in layouts]
+        assert len(set(targets)) == len(members)
+
+
+@given("a node whose byte budget is spent")
+def make_poor_node(context):
+    members = membership_cluster.make_members(2, 1)
+    context.node = membership.PeerNode(members[0], members, START_S, START_S)
+    context.node.budget.charge(100_000, START_S)
+
+
+@when("it holds a verdict and a counter snapshot that a peer lacks")
+def hold_two(context):
+    for topic in (Topic.COUNTERS, Topic.VERDICT):
+        fact = Fact(topic, "a", 1, b"value")
+        context.node.publish(fact, START_S)
+
+
+def list_topics(context, now_s):
+    (action,) = context.node.begin_round(now_s, now_s)
+    reply = membership.Exchange(0)
+    context.node.take_reply(action.target, reply, now_s, now_s)
+    return [fact.topic for fact in action.exchange.facts]
+
+
+@then("its next message to the peer has the verdict only")
+def check_urgent_only(context):
+    assert list_topics(context, START_S + 1) == ["verdict"]
+
+
+@then("the counter snapshot follows when bytes are free again")
+def check_follows(context):
+    assert "counters" in list_topics(context, START_S + 60)
+
+
+class FaultMachine(stateful.RuleBasedStateMachine):
+    """Six nodes in three failure domains under random faults."""
+
+    numbers = strategies.integers(0, 5)
+
+    def __init__(self):
+        super().__init__()
+        self.members = membership_cluster.make_members(6, 3)
+        self.cluster = membership_cluster.Cluster(
+            self.members, loss=0.1, doubling=0.1
+        )
+        self.version = 0
+        self.held = {}
+
+    @stateful.rule(number=numbers)
+    def publish(self, number):
+        self.version += 1
+        document = make_document(self.version, 2_000 * (self.version % 2))
+        self.cluster.publish(name_node(number), document)
+
+    @stateful.rule(number=numbers)
+    def freeze(self, number):
+        self.cluster.freeze(name_node(number))
+
+    @stateful.rule(number=numbers)
+    def thaw(self, number):
+        if name_node(number) in self.cluster.frozen:
+            self.cluster.thaw(name_node(number))
+
+    @stateful.rule(number=numbers)
+    def restart(self, number):
+        name = name_node(number)
+        former = self.cluster.nodes[name].membership.me
+        member = attrs.evolve(former, incarnation=former.incarnation + 1)
+        self.cluster.frozen.discard(name)
+        self.held.pop(name, None)
+        self.cluster.start(member, self.members)
+
+    @stateful.rule(one=strategies.integers(0, 2), by=strategies.just(1))
+    def cut(self, one, by):
+        domains = name_domain(one), name_domain((one + by) % 3)
+        self.cluster.cut_off(*domains)
+
+    @stateful.rule(for_s=strategies.sampled_from([0.3, 2.0, 8.0]))
+    def wait(self, for_s):
+        self.cluster.run(for_s)
+
+    @stateful.invariant()
+    def never_goes_back(self):
+        for name, node in self.cluster.nodes.items():
+            fact = node.table.get(Topic.DOCUMENT, "production")
+            version = fact.version if fact else 0
+            assert version >= self.held.get(name, 0)
+            self.held[name] = version
+
+    def teardown(self):
+        self.cluster.cut.clear()
+        for name in list(self.cluster.frozen):
+            self.cluster.thaw(name)
+        self.cluster.run(40)
+        highest = max(self.held.values(), default=0)
+        document = make_document(highest)
+        assert highest == 0 or self.cluster.all_know(document)
+        for name in self.cluster.nodes:
+            standings = list_standings(self.cluster, name)
+            assert set(standings.values()) == {ALIVE}
+
+
+@then("nodes under random faults never go back and agree in the end")
+def check_machine(context):
+    stateful.run_state_machine_as_test(
+        FaultMachine,
+        settings=hypothesis.settings(max_examples=30, stateful_step_count=20),
+    )
