Quarantine: requests that were answering beside others count half

Cause: every request in flight at a crashed endpoint was suspected, so two crashes could refuse an innocent one everywhere. Ruled out: never blaming a request that was answering, since one that crashes its endpoint late would then never be found.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -136,6 +136,7 @@
         document = self._document
         return 200, {
             "instance": self.instance,
+            "environment": self._settings.get(declared.ENVIRONMENT),
             "failure_domain": self._settings.get(declared.FAILURE_DOMAIN),
             "document_version": document.version if document else 0,
             "document_digest": (
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -1,5 +1,6 @@
 """Actor that owns admission, routing, retries and the quarantine."""
 
+import collections
 import logging
 import random
 
@@ -29,6 +30,9 @@
 ]
 
 
+SHARED_CRASHES_KEPT = 4096
+"""Requests remembered for a crash beside others."""
+
 NO_ENDPOINT = events.declare(
     4003,
     logging.WARNING,
@@ -96,6 +100,22 @@
     is_quarantined: bool
 
 
+@attrs.frozen
+class CrashVerdict:
+    """What a crash says of the request that ran.
+
+    Parameters
+    ----------
+    is_recorded : bool
+        Whether it counts against the request.
+    is_quarantined : bool
+        Whether the request is refused from now on.
+    """
+
+    is_recorded: bool
+    is_quarantined: bool
+
+
 @attrs.frozen
 class _Admit:
     account: str
@@ -120,6 +140,7 @@
     route: Route
     kind: endpoints.FailureKind | None
     fingerprint: str
+    is_answering: bool
 
 
 @attrs.frozen
@@ -193,6 +214,7 @@
         self.retries = retry.RetryPolicy(rng=rng)
         self.quarantine = retry.Quarantine()
         self.shares = VersionShares()
+        self._shared_crashes = collections.Counter()
 
     def on_receive(self, message):
         """Answer one message."""
@@ -259,14 +281,38 @@
         if message.kind is None:
             self.view.record_success(endpoint_id)
             self.retries.budget.record_success()
-            return False
-        is_blamed = False
+            return None
+        verdict = CrashVerdict(False, False)
         if message.kind is endpoints.FailureKind.CRASHED:
-            is_blamed = self.quarantine.record_crash(
-                message.fingerprint, endpoint_id
-            )
-        self.view.record_failure(endpoint_id, message.kind, now_s, is_blamed)
-        return is_blamed
+            verdict = self._blame(message)
+        self.view.record_failure(
+            endpoint_id, message.kind, now_s, verdict.is_quarantined
+        )
+        return verdict
+
+    def _blame(self, message):
+        """Decide whether a crash counts against the request.
+
+        Notes
+        -----
+        An endpoint that leaves says nothing about its requests. One that
+        was answering beside others counts at every second crash only,
+        since another of them may be the cause.
+        """
+        endpoint_id = message.route.endpoint_id
+        fingerprint = message.fingerprint
+        record = self.view.get(endpoint_id)
+        if record is not None and record.is_leaving:
+            return CrashVerdict(False, False)
+        has_company = record is not None and record.load >= 1.0
+        if message.is_answering and has_company:
+            if len(self._shared_crashes) > SHARED_CRASHES_KEPT:
+                self._shared_crashes.clear()
+            self._shared_crashes[fingerprint] += 1
+            if self._shared_crashes[fingerprint] % 2:
+                return CrashVerdict(False, False)
+        is_quarantined = self.quarantine.record_crash(fingerprint, endpoint_id)
+        return CrashVerdict(True, is_quarantined)
 
     def _decide_retry(self, message, now_s):
         """Return RetryAfter or GiveUp."""
@@ -370,7 +416,14 @@
         )
         return self._ask(_Choose(wanted, frozenset(excluded)))
 
-    def finish(self, route, kind=None, fingerprint="", first_byte_s=None):
+    def finish(
+        self,
+        route,
+        kind=None,
+        fingerprint="",
+        first_byte_s=None,
+        is_answering=False,
+    ):
         """Hand a route back.
 
         Parameters
@@ -383,6 +436,8 @@
             Fingerprint of the request, for a crash.
         first_byte_s : float or None
             Time to the first byte, in seconds; None takes the whole time.
+        is_answering : bool
+            Whether a part of the answer had arrived.
 
         Returns
         -------
@@ -390,11 +445,13 @@
             Whether the request is quarantined for its crashes.
         """
         is_crash = kind is endpoints.FailureKind.CRASHED
-        message = _Finish(route, kind, fingerprint)
+        message = _Finish(route, kind, fingerprint, is_answering)
         is_quarantined = False
         if is_crash:
-            is_quarantined = self._actor.ask(message)
-            self.on_crash(fingerprint, route.endpoint_id)
+            verdict = self._actor.ask(message)
+            is_quarantined = verdict.is_quarantined
+            if verdict.is_recorded:
+                self.on_crash(fingerprint, route.endpoint_id)
         else:
             self._actor.tell(message)
         if first_byte_s is None:
@@ -528,7 +585,9 @@
     is_quarantined: bool
 
 
-def report_fault(dispatcher, client, route, fault, fingerprint):
+def report_fault(
+    dispatcher, client, route, fault, fingerprint, is_answering=False
+):
     """Hand the route of a failed attempt back; return its Failure.
 
     Parameters
@@ -543,11 +602,16 @@
         A tagged outcome of `coordination.streams`.
     fingerprint : str
         Fingerprint of the request.
+    is_answering : bool
+        Whether a part of the answer had arrived.
     """
     is_broken = isinstance(fault, streams.Broken)
     is_gone = is_broken and not client.is_alive(route.address)
     kind = classify_fault(fault, is_gone)
-    return Failure(kind, dispatcher.finish(route, kind, fingerprint))
+    is_quarantined = dispatcher.finish(
+        route, kind, fingerprint, is_answering=is_answering
+    )
+    return Failure(kind, is_quarantined)
 
 
 def refuse_quarantined():
--- a/mulberryhollow/serving/peering.py
+++ b/mulberryhollow/serving/peering.py
@@ -279,7 +279,7 @@
 def _read_own(actor, now_s):
     """Return what the dispatch actor knows of this instance."""
     ids = [record.endpoint.id for record in actor.view]
-    amounts = {each: actor.view.get_unreported(each) for each in ids}
+    amounts = {each: actor.view.get_own_load(each) for each in ids}
     loads = {each: amount for each, amount in amounts.items() if amount}
     return _Own(loads, actor.admission.list_demand(now_s))
 
--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -250,6 +250,7 @@
             route,
             fault,
             self.fingerprint,
+            self._first_byte_s is not None,
         )
         if failure.is_quarantined:
             raise dispatching.refuse_quarantined()
