Reclaim over real processes: notices of peers, answers while leaving

Cause: two faults. A notice heard from a peer was published again from the thread that exchanges facts, which waited for itself for good: the instance lost its peers. A header that WSGI forbids made every whole answer of a leaving instance an internal error. Ruled out: a lost hand-over; the parked answer was there. Change: only what the platform told is published; the header is gone; a background thread logs an unexpected error and goes on.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -76,7 +76,11 @@
         self._peers = self._start_peers()
         self._documents = documents.DocumentActor.start(self._apply)
         self._notice_feed = feeds.NoticeFeed(
-            self._cloud, self.dispatcher, self.notices, self._take_notice
+            self._cloud,
+            self.dispatcher,
+            self.notices,
+            self._take_notice,
+            lambda notice: self._link.publish_notice(notice),
         )
         self._link = self._make_link()
         self._moves = self._start_moves()
@@ -352,8 +356,7 @@
             self._notice_feed.read()
 
     def _take_notice(self, notice):
-        """Tell a new notice; leave when it concerns this instance."""
-        self._link.publish_notice(notice)
+        """Leave when a notice concerns this instance."""
         domain = self._settings.get(declared.FAILURE_DOMAIN)
         concerns_us = notice.instance == self.instance or (
             not notice.instance and notice.failure_domain == domain
--- a/mulberryhollow/serving/feeds.py
+++ b/mulberryhollow/serving/feeds.py
@@ -27,6 +27,14 @@
 )
 
 
+LOOP_FAILED = events.declare(
+    4004,
+    logging.ERROR,
+    "a background thread met an error in this program and goes on",
+    "report it with the log lines around it",
+)
+
+
 class Loop:
     """Calls a function again and again until it is stopped.
 
@@ -43,6 +51,7 @@
     """
 
     def __init__(self, name, clock, interval_s, call):
+        self._name = name
         self._clock = clock
         self._interval_s = interval_s
         self._call = call
@@ -66,6 +75,8 @@
                 self._call()
             except errors.MulberryError as error:
                 events.log(FEED_FAILED, reason=error.message)
+            except Exception as error:  # noqa: BLE001
+                events.log(LOOP_FAILED, loop=self._name, error=repr(error))
             self._clock.wait(self._stopped, self._interval_s)
 
 
@@ -114,29 +125,39 @@
     notices : Notices
         Keeps the times.
     on_notice : callable
-        Called with each new Notice.
+        Called with each new Notice, from whomever; it must not wait.
+    tell_peers : callable
+        Called with each new Notice that the platform gave.
     """
 
-    def __init__(self, cloud, dispatcher, notices, on_notice):
+    def __init__(self, cloud, dispatcher, notices, on_notice, tell_peers):
         self._cloud = cloud
         self._dispatcher = dispatcher
         self._notices = notices
         self._on_notice = on_notice
+        self._tell_peers = tell_peers
         self._last = 0
 
     def read(self):
         """Read the notices once."""
         for notice in self._cloud.list_notices(self._last):
-            self.take(notice)
             self._last = max(self._last, notice.number)
+            if self.take(notice):
+                self._tell_peers(notice)
 
     def take(self, notice):
-        """Take one notice, from the platform or from a peer."""
+        """Take one notice; return whether it says something new.
+
+        Notes
+        -----
+        A notice of a peer comes in the thread that exchanges facts, so
+        nothing here waits for a peer.
+        """
         is_new = self._notices.add(
             notice.instance, notice.failure_domain, notice.reclaim_at_s
         )
         if not is_new:
-            return
+            return False
         events.log(
             NOTICE_TAKEN,
             endpoint=notice.instance,
@@ -145,6 +166,7 @@
         )
         self._dispatcher.change(functools.partial(_mark_leaving, notice))
         self._on_notice(notice)
+        return True
 
 
 def _mark_leaving(notice, actor, now_s):
--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -261,13 +261,10 @@
 
     def _make_headers(self):
         """Return the headers of every answer."""
-        headers = [
+        return [
             ("X-Request-Id", self._request_id),
             ("X-Instance", self._gateway.instance),
         ]
-        if self._gateway.is_leaving:
-            headers.append(("Connection", "close"))
-        return headers
 
     def _get_header(self, name):
         """Return a request header; empty when absent."""
--- a/tools/site.py
+++ b/tools/site.py
@@ -94,7 +94,8 @@
     store_address: str = ""
     key_file: pathlib.Path | None = None
     entries: list = attrs.field(factory=list)
-    _domains: object = attrs.field(
+    domains: dict = attrs.field(factory=dict)
+    _next_domain: object = attrs.field(
         factory=lambda: itertools.cycle(["fd-1", "fd-2", "fd-3", "fd-4"])
     )
 
@@ -118,7 +119,8 @@
 
     def add_entry(self, name, failure_domain=None):
         """Start an entry daemon; return its address."""
-        domain = failure_domain or next(self._domains)
+        domain = failure_domain or next(self._next_domain)
+        self.domains[name] = domain
         text = _SETTINGS.format(
             name=name,
             failure_domain=domain,
@@ -155,7 +157,8 @@
             "model": self.fleet.start_engine,
             "plain": self.fleet.start_plain,
         }[role]
-        domain = next(self._domains)
+        domain = next(self._next_domain)
+        self.domains[name] = domain
         child = start(name, domain, service, version, *options)
         self._list(
             id=name,
