Chaos: a prompt that ends every engine that runs it

Change: a strike lets every engine crash on one prompt and sends it through each entry twice; the checker allows two ended engines.

--- a/tests/steps/tools_chaos.py
+++ b/tests/steps/tools_chaos.py
@@ -23,6 +23,7 @@
     "reclaim_domain",
     "stop",
     "publish",
+    "poison",
 }
 
 
--- a/tests/steps/tools_history.py
+++ b/tests/steps/tools_history.py
@@ -99,6 +99,14 @@
     )
 
 
+def crashes(count):
+    """Return the ends of endpoints by one prompt."""
+    return [
+        record.Crashed(at_s=_START_S + place, endpoint=f"m{place}", text="x")
+        for place in range(count)
+    ]
+
+
 def cut_off(event):
     """Return a call that is lost after an event at its entry."""
     return [
@@ -141,6 +149,8 @@
         sent("c4", "chat", "x", max_tokens=3),
         answered("c4", "refused", request_id="r-c1", ran="outcome unknown"),
     ],
+    "a request that ended three endpoints": crashes(3),
+    "a request that ended two endpoints": crashes(2),
     "an answer that is not typed": ended("malformed"),
     "a refusal that does not say whether it ran": ended("refused"),
     "a call lost at a running entry": ended("lost"),
--- a/tests/tools/history/checker.feature
+++ b/tests/tools/history/checker.feature
@@ -37,6 +37,7 @@
       | a move that ends after its deadline                | move ends            |
       | a move that ends twice                             | move ends            |
       | a call cut off by a planned stop                   | planned stop         |
+      | a request that ended three endpoints               | quarantine           |
 
   Scenario Outline: What is allowed is not reported
     Given a clean history
@@ -48,3 +49,4 @@
       | work at a leaving endpoint after 2.9 s |
       | a call lost with a killed entry        |
       | a refusal that says outcome unknown    |
+      | a request that ended two endpoints     |
--- a/tools/chaos/__main__.py
+++ b/tools/chaos/__main__.py
@@ -86,6 +86,10 @@
     """Send requests while the strikes go on; return what went wrong."""
     _await_ready(cluster)
     stopped = threading.Event()
+
+    def list_entries():
+        return sorted(cluster.find_entries())
+
     sender = client.Client(cluster.recorder, cluster.find_entries)
     threads = [observer.Observer(cluster, stopped)] + [
         callers.Caller(
@@ -93,14 +97,19 @@
             f"{seed}-{number}",
             configuration.TRAFFIC,
             sender,
-            lambda: sorted(cluster.find_entries()),
+            list_entries,
             stopped,
         )
         for number in range(_CALLERS)
     ]
     for thread in threads:
         thread.start()
-    striker = strikes_module.Striker(cluster)
+    striker = strikes_module.Striker(
+        cluster,
+        lambda text: callers.send_through_all(
+            sender, configuration.TRAFFIC[0], text, list_entries
+        ),
+    )
     striker.run(strikes)
     stopped.set()
     end_s = time.monotonic() + _SETTLE_LIMIT_S
--- a/tools/chaos/callers.py
+++ b/tools/chaos/callers.py
@@ -9,11 +9,13 @@
 
 from tools.chaos import client
 
-__all__ = ["Caller", "Traffic"]
+__all__ = ["Caller", "Traffic", "send_through_all"]
 
 _ATTEMPTS = 12
 _PAUSE_S = (0.02, 0.15)
 _RESEND_PAUSE_S = 0.7
+_ROUNDS = 2
+_POISON_TOKENS = 20
 _TWIN_SHARE = 0.15
 _WORDS = ("pipe", "cellar", "tap", "boiler", "lab", "tour", "bus", "hall")
 
@@ -125,3 +127,30 @@
     def _find_other(self, entry):
         others = [name for name in self._list_entries() if name != entry]
         return self._random.choice(others)
+
+
+def send_through_all(sender, traffic, text, list_entries):
+    """Send one prompt through each entry in turn, several times.
+
+    Parameters
+    ----------
+    sender : Client
+        Sends and records.
+    traffic : Traffic
+        What is called.
+    text : str
+        The prompt.
+    list_entries : callable
+        Returns the names of the entry instances.
+    """
+    for number in range(_ROUNDS):
+        for entry in list_entries():
+            asked = client.Asked(
+                call=f"{text} {number} {entry}",
+                kind=traffic.kind,
+                service=traffic.service,
+                account_key=traffic.account_key,
+                text=text,
+                max_tokens=_POISON_TOKENS,
+            )
+            sender.ask(asked, entry)
--- a/tools/chaos/cluster.py
+++ b/tools/chaos/cluster.py
@@ -25,6 +25,7 @@
 )
 _CONTROL_TIMEOUT_S = 5.0
 _TOKEN_TIME_S = "0.004"
+_CRASH_EXIT_CODE = 70
 _SERVICE_TIME_S = "0.03"
 
 
@@ -169,6 +170,19 @@
             record.StopPlanned(at_s=time.time(), instance=member.instance)
         )
 
+    def revive_crashed(self, text):
+        """Start engines again that a prompt has ended, recording each."""
+        for member in self.list_members("model"):
+            self.tell(member.address, "clear")
+            process = self.fleet.children[member.instance].process
+            if process.poll() == _CRASH_EXIT_CODE:
+                self.recorder.add(
+                    record.Crashed(
+                        at_s=time.time(), endpoint=member.instance, text=text
+                    )
+                )
+                self.restart(member.name)
+
     def record_ledgers(self):
         """Record every line of every endpoint's ledger."""
         for path in sorted(self.fleet.folder.glob("*.ledger")):
--- a/tools/chaos/schedule.py
+++ b/tools/chaos/schedule.py
@@ -11,7 +11,8 @@
 _REST_S = 2.0
 _QUIET_START_S = 1.0
 _ANY_ENTRY = "any entry"
-_OTHER_TARGETS = ("store", "environment", _ANY_ENTRY)
+_POISON = "poison"
+_OTHER_TARGETS = ("store", "environment", _POISON, _ANY_ENTRY)
 
 
 @attrs.frozen
@@ -66,7 +67,8 @@
     action : str
         What happens.
     target : str
-        Process, failure domain, ``store`` or ``environment``.
+        Process, failure domain, ``store``, ``environment`` or
+        ``poison``, which strikes every engine.
     hold_s : float
         How long it lasts, in seconds.
     count : int
@@ -112,6 +114,7 @@
     _Action("stop", "entry", 3.0, 4.0),
     _Action("publish", "environment", 0.1, 0.1),
     _Action("publish", "environment", 0.1, 0.1),
+    _Action("poison", _POISON, 5.0, 6.0),
 )
 
 
@@ -178,7 +181,9 @@
 
 def _list_struck(strike, layout):
     """Return the names that a strike keeps busy."""
-    if strike.target in layout.domains:
+    if strike.target == _POISON:
+        names = (_POISON, *layout.engines)
+    elif strike.target in layout.domains:
         names = layout.list_members(strike.target)
     else:
         names = (strike.target,)
--- a/tools/chaos/strikes.py
+++ b/tools/chaos/strikes.py
@@ -22,11 +22,14 @@
     ----------
     cluster : Cluster
         What is struck.
+    send_poison : callable
+        Sends a prompt through one entry after another.
     """
 
-    def __init__(self, cluster):
+    def __init__(self, cluster, send_poison):
         self._cluster = cluster
         self._fleet = cluster.fleet
+        self._send_poison = send_poison
         self.faults = []
 
     def run(self, strikes):
@@ -70,6 +73,8 @@
                 )
             case "publish":
                 self._start_publishing()
+            case "poison":
+                self._begin_poison(strike)
             case "outage" | "silent":
                 self._tell(strike, strike.action)
             case "slow":
@@ -96,6 +101,8 @@
                     self._cluster.replace(member.name)
             case "publish":
                 return
+            case "poison":
+                self._cluster.revive_crashed(_make_poison(strike))
             case _:
                 self._tell(strike, "clear")
 
@@ -129,6 +136,15 @@
             self.faults.append(f"{member.instance} stopped with code {code}")
         self._cluster.restart(strike.target)
 
+    def _begin_poison(self, strike):
+        """Let engines crash on a prompt, and send it again and again."""
+        text = _make_poison(strike)
+        for member in self._cluster.list_members("model"):
+            self._cluster.tell(member.address, "poison", text=text)
+        threading.Thread(
+            target=self._send_poison, args=(text,), daemon=True
+        ).start()
+
     def _start_publishing(self):
         """Publish a new version of the document beside the strikes."""
         threading.Thread(
@@ -136,3 +152,8 @@
             args=(self._cluster.store,),
             daemon=True,
         ).start()
+
+
+def _make_poison(strike):
+    """Return the prompt of a strike that engines crash on."""
+    return f"poison at {strike.at_s}"
--- a/tools/history/checker.py
+++ b/tools/history/checker.py
@@ -11,6 +11,7 @@
 __all__ = ["Violation", "check"]
 
 _LEAVING_LIMIT_S = 3.0
+_CRASHES_ALLOWED = 2
 _LOSS_EXCUSE_S = 15.0
 _NOT_RUN = "not run"
 _RAN_WORDS = (_NOT_RUN, "outcome unknown", "partly run")
@@ -99,6 +100,7 @@
         _check_store,
         _check_moves,
         _check_stops,
+        _check_crashes,
     )
     found = (each(history) for each in checks)
     return list(itertools.chain.from_iterable(found))
@@ -362,3 +364,15 @@
         and sent.at_s < stop.at_s < answer.at_s
         and killed_s.get(stop.instance, answer.at_s) >= answer.at_s
     ]
+
+
+def _check_crashes(history):
+    """Check that no request ends more endpoints than are allowed."""
+    crashes = collections.Counter(
+        event.text for event in history.list_of(record.Crashed)
+    )
+    return [
+        Violation("quarantine", f"{text!r} ended {count} endpoints")
+        for text, count in crashes.items()
+        if count > _CRASHES_ALLOWED
+    ]
--- a/tools/history/record.py
+++ b/tools/history/record.py
@@ -8,6 +8,7 @@
 __all__ = [
     "Answered",
     "ConfigurationSeen",
+    "Crashed",
     "EndpointStep",
     "Killed",
     "LeavingNotice",
@@ -135,6 +136,23 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class Crashed:
+    """A request ended the endpoint that ran it.
+
+    Parameters
+    ----------
+    endpoint : str
+        Id of the endpoint.
+    text : str
+        The prompt.
+    """
+
+    at_s: float
+    endpoint: str
+    text: str
+
+
 @attrs.frozen(kw_only=True)
 class LeavingNotice:
     """Endpoints were announced to leave."""
@@ -188,6 +206,7 @@
         EndpointStep,
         StoreRevision,
         ConfigurationSeen,
+        Crashed,
         LeavingNotice,
         MoveSeen,
         StopPlanned,
