--- a/tests/tools/history/checker.feature
+++ b/tests/tools/history/checker.feature
@@ -38,6 +38,7 @@
       | a move that ends twice                             | move ends            |
       | a call cut off by a planned stop                   | planned stop         |
       | a request that ended three endpoints               | quarantine           |
+      | a request to a version taken back                  | taken back           |
 
   Scenario Outline: What is allowed is not reported
     Given a clean history
@@ -45,8 +46,10 @@
     Then the checker finds nothing
 
     Examples:
-      | allowed                                |
-      | work at a leaving endpoint after 2.9 s |
-      | a call lost with a killed entry        |
-      | a refusal that says outcome unknown    |
-      | a request that ended two endpoints     |
+      | allowed                                   |
+      | work at a leaving endpoint after 2.9 s    |
+      | a call lost with a killed entry           |
+      | a refusal that says outcome unknown       |
+      | a request that ended two endpoints        |
+      | a move without an end before its deadline |
+      | a request to a version just taken back    |
--- a/tools/chaos/observer.py
+++ b/tools/chaos/observer.py
@@ -1,5 +1,7 @@
 """Reads what is in force at each instance while a run goes on."""
 
+import base64
+import json
 import threading
 import time
 
@@ -27,6 +29,7 @@
 
     def __init__(self, cluster, stopped):
         super().__init__(name="observer", daemon=True)
+        self._moves_after = 0
         self._cluster = cluster
         self._stopped = stopped
 
@@ -36,6 +39,7 @@
             for instance, address in self._cluster.find_entries().items():
                 self._read_entry(instance, address)
             self._read_store()
+            self._read_moves()
 
     def _read_entry(self, instance, address):
         status = _get_json(address, "/status")
@@ -62,6 +66,23 @@
                 )
             )
 
+    def _read_moves(self):
+        """Record the moves that have changed."""
+        path = f"/v1/watch?kind=move&after={self._moves_after}&wait_s=0"
+        changed = _get_json(self._cluster.store, path)
+        self._moves_after = changed.get("revision", self._moves_after)
+        for item in changed.get("items", ()):
+            move = json.loads(base64.b64decode(item["value_base64"]))
+            self._cluster.recorder.add(
+                record.MoveSeen(
+                    at_s=time.time(),
+                    move=move["id"],
+                    state=move["stage"],
+                    deadline_s=move["deadline_s"],
+                    to_version=move["to_version"],
+                )
+            )
+
 
 def is_ready(address):
     """Return whether an entry says that it is ready."""
--- a/tools/history/record.py
+++ b/tools/history/record.py
@@ -174,12 +174,15 @@
         ``planned``, ``shifting``, ``done`` or ``rolled_back``.
     deadline_s : float
         Unix seconds.
+    to_version : str
+        Name of the new version.
     """
 
     at_s: float
     move: str
     state: str
     deadline_s: float
+    to_version: str = ""
 
 
 @attrs.frozen(kw_only=True)
