--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,7 +1,9 @@
 """Child processes of a development run, all ended at its exit."""
 
+import contextlib
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -19,6 +21,8 @@
 _STOP_TIMEOUT_S = 30.0
 _POLL_S = 0.02
 _PREFIX = "listening "
+_PORT_RANGE = (15_000, 32_000)
+_PORT_ATTEMPTS = 100
 
 
 class StartError(Exception):
@@ -209,6 +213,22 @@
 
 
 def find_free_port():
-    """Return a port on loopback that is free now."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
+    """Return a port on loopback that is free now.
+
+    Raises
+    ------
+    StartError
+        When none is found.
+
+    Notes
+    -----
+    It lies below the ports that the system gives to outgoing connections,
+    so that a process can take it again after a restart.
+    """
+    choices = random.SystemRandom()
+    for _ in range(_PORT_ATTEMPTS):
+        port = choices.randrange(*_PORT_RANGE)
+        with contextlib.suppress(OSError):
+            socket.create_server(("127.0.0.1", port)).close()
+            return port
+    raise StartError("no free port was found")
