Endpoints that fail at once open their circuit

Cause: an endpoint that answers every request with a failure ends them quickly, looks idle and draws more of them; only lost connections counted.

Change: failed, incomplete and lost answers count half, so six in a row open the circuit; a refusal and a silent pooled connection still count nothing.

The scenario "An endpoint that fails at once does not go on drawing requests" fails without the change and passes with it.

--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -19,6 +19,7 @@
 
 RETRY_AFTER_S = 1.0
 LEAST_LEFT_S = 0.05
+PEERS_COUNTED = 4
 PROBE_PENALTY_S = 1_000.0
 
 
@@ -30,6 +31,9 @@
     ----------
     compute_s_per_token : float
         Time to compute one prompt token, in seconds.
+    overhead_s : float
+        Time that a request without a prompt keeps an endpoint busy, in
+        seconds.
     hold_s : float
         Mean time that a request holds its slot, in seconds.
     load_s : float
@@ -46,6 +50,7 @@
     """
 
     compute_s_per_token: float = 0.0001
+    overhead_s: float = 0.005
     hold_s: float = 13.0
     load_s: float = 0.5
     late_s: float = 0.3
@@ -56,7 +61,7 @@
 
 
 class Router:
-    """Chooses endpoints; holds nothing but rules and a random source.
+    """Chooses endpoints by expected time, price and cache.
 
     Parameters
     ----------
@@ -64,6 +69,12 @@
         Weights of the score; the defaults when None.
     rng : random.Random or None
         Source of the samples; seeded by 0 when None.
+
+    Notes
+    -----
+    Between two reports every node sees the same loads, and all may
+    choose the same endpoint. So the cost of a request counts for this
+    node and for peers that are taken to do the same.
     """
 
     def __init__(self, rules=None, rng=None):
@@ -155,7 +166,7 @@
             endpoint_id=endpoint.id,
             address=endpoint.address,
             version=endpoint.version,
-            cost=self._nodes * compute_s,
+            cost=min(self._nodes, PEERS_COUNTED) * compute_s,
             cached_tokens=cached,
             computed_tokens=asked.tokens - cached,
             expected_first_token_s=compute_s
@@ -166,7 +177,8 @@
     def _estimate_compute_s(self, endpoint_id, asked):
         """Return the time to compute the prompt, in seconds."""
         computed = asked.tokens - asked.count_cached(endpoint_id)
-        return computed * self.rules.compute_s_per_token
+        rules = self.rules
+        return rules.overhead_s + computed * rules.compute_s_per_token
 
     def _estimate_wait_s(self, record, now_s):
         """Return the time before the prompt is begun, in seconds."""
--- a/mulberryhollow/state/endpoints/circuit.py
+++ b/mulberryhollow/state/endpoints/circuit.py
@@ -6,7 +6,7 @@
 
 __all__ = ["Circuit", "CircuitState"]
 
-FAILURES_TO_OPEN = 3
+FAILURES_TO_OPEN = 3.0
 OPEN_BASE_S = 1.0
 OPEN_MAX_S = 30.0
 
@@ -27,8 +27,8 @@
     ----------
     state : CircuitState
         Closed at first.
-    failures : int
-        Consecutive failures counted so far.
+    failures : float
+        Weights of the consecutive failures so far.
     openings : int
         Consecutive openings without a success between them.
     open_until_s : float
@@ -38,7 +38,7 @@
     """
 
     state: CircuitState = CircuitState.CLOSED
-    failures: int = 0
+    failures: float = 0.0
     openings: int = 0
     open_until_s: float = 0.0
     is_probing: bool = False
@@ -53,17 +53,19 @@
             case CircuitState.OPEN:
                 return False
 
-    def record_failure(self, now_s, rng):
+    def record_failure(self, weight, now_s, rng):
         """Count a failure; open after enough of them or a failed probe.
 
         Parameters
         ----------
+        weight : float
+            How much it counts; 1 for an endpoint out of reach.
         now_s : float
             The time, in seconds.
         rng : random.Random
             Source of the jitter of the open time.
         """
-        self.failures += 1
+        self.failures += weight
         if self.state is CircuitState.OPEN:
             return
         was_probe = self.state is CircuitState.HALF_OPEN
@@ -73,7 +75,7 @@
     def record_success(self):
         """Close the circuit and forget the failures."""
         self.state = CircuitState.CLOSED
-        self.failures = 0
+        self.failures = 0.0
         self.openings = 0
         self.is_probing = False
 
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -14,6 +14,7 @@
 
 MARK_RETENTION_S = 120.0
 MARKS_KEPT = 10_000
+ANSWERED_WEIGHT = 0.5
 _EMPTY_GROUP = EndpointGroup()
 
 
@@ -246,9 +247,10 @@
         """
         self.advance(now_s)
         record = self._records.get(endpoint_id)
-        if record is None or not _counts(kind, is_blamed):
+        weight = _weigh(kind, is_blamed)
+        if record is None or not weight:
             return
-        record.circuit.record_failure(now_s, self._rng)
+        record.circuit.record_failure(weight, now_s, self._rng)
         if record.circuit.state is CircuitState.OPEN:
             entry = record.circuit.open_until_s, endpoint_id
             heapq.heappush(self._reopenings, entry)
@@ -340,15 +342,17 @@
             group.remove(record.endpoint.id)
 
 
-def _counts(kind, is_blamed):
-    """Return whether a failure counts against the endpoint."""
+def _weigh(kind, is_blamed):
+    """Return how much a failure counts against the endpoint."""
     match kind:
         case FailureKind.CONNECT_FAILED | FailureKind.SILENT_FRESH:
-            return True
+            return 1.0
         case FailureKind.CRASHED:
-            return not is_blamed
+            return 0.0 if is_blamed else 1.0
+        case FailureKind.SILENT_POOLED | FailureKind.REFUSED:
+            return 0.0
         case _:
-            return False
+            return ANSWERED_WEIGHT
 
 
 def _stays(domain, until_s, marked_domains, now_s):
--- a/tests/state/endpoints.feature
+++ b/tests/state/endpoints.feature
@@ -86,6 +86,18 @@
     When endpoint e0 fails 3 times with SILENT_FRESH
     Then endpoint e0 is not available
 
+  Scenario: An endpoint that fails at once does not go on drawing requests
+    When endpoint e0 fails 5 times with FAILED
+    Then endpoint e0 is available
+    When endpoint e0 fails 1 times with FAILED
+    Then endpoint e0 is not available
+
+  Scenario: A success between them starts the count of failures again
+    When endpoint e0 fails 5 times with FAILED
+    And endpoint e0 answers
+    And endpoint e0 fails 5 times with FAILED
+    Then endpoint e0 is available
+
   Scenario: A crash blamed on a quarantined request does not count
     When endpoint e0 crashes 9 times by a quarantined request
     Then endpoint e0 is available
--- a/tools/bench/policies.py
+++ b/tools/bench/policies.py
@@ -1,6 +1,7 @@
 """Routing policies over a small model of engines, on the same seeds."""
 
 import collections
+import concurrent.futures
 import functools
 import heapq
 import itertools
@@ -12,6 +13,7 @@
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import environment
 from mulberryhollow.state import prefixes
+from tools.bench.figure import Figure
 
 FIRST_TOKEN_TARGET_S = 0.9
 SHARE_IN_TIME = 0.95
@@ -20,7 +22,9 @@
 POLICIES = ("round robin", "least outstanding", "power of two", "ours")
 SEEDS = (1, 2)
 ENGINES = 9
+FEWEST_ENGINES = 6
 MOST_ENGINES = 20
+WORKERS = 5
 
 
 @attrs.frozen
@@ -48,6 +52,12 @@
     notice_seen_s: float = 1.0
 
 
+SCENES = {
+    "calm": Scene(),
+    "failure domain reclaimed": Scene(requests_per_s=50.0, reclaimed=True),
+}
+
+
 @attrs.define(eq=False)
 class Job:
     """One request of the workload."""
@@ -73,7 +83,6 @@
     in_time: int = 0
     recomputed_tokens: int = 0
     prompt_tokens: int = 0
-    cost_by_price: float = 0.0
 
     @property
     def share_in_time(self):
@@ -172,7 +181,7 @@
 class Node:
     """One entry instance with its own view, index and policy."""
 
-    def __init__(self, name, policy, items, seed):
+    def __init__(self, name, policy, items, seed, nodes):
         rng = random.Random(seed)
         self.name = name
         self.view = endpoints.EndpointView(rng)
@@ -186,13 +195,11 @@
             case "power of two":
                 self.policy = routing.PowerOfTwo(rng)
             case _:
-                self.policy = routing.Router(RULES, rng)
+                self.policy = routing.Router(rng=rng)
+                self.policy.set_live_nodes(nodes)
                 self.index = prefixes.PrefixIndex()
 
 
-RULES = routing.RoutingRules()
-
-
 @functools.cache
 def build_jobs(seed, scene):
     """Return the jobs of a run: turns of conversations, by time."""
@@ -265,7 +272,7 @@
         ]
         self.engines = {item.id: Engine(item, scene) for item in items}
         self.nodes = [
-            Node(f"n{number}", policy, items, seed * 100 + number)
+            Node(f"n{number}", policy, items, seed * 100 + number, scene.nodes)
             for number in range(scene.nodes)
         ]
         for job in build_jobs(seed, scene):
@@ -323,7 +330,6 @@
             recomputed = again * prefixes.BLOCK_WORDS
             self.outcome.recomputed_tokens += recomputed
             self.outcome.prompt_tokens += job.tokens
-            self.outcome.cost_by_price += engine.item.price_per_hour
         self.push(first_s, self.give_first_token, engine, job)
 
     def give_first_token(self, now_s, engine, job):
@@ -432,12 +438,90 @@
     return outcome
 
 
-def find_fewest(policy, seed, scene):
+def measure_mean(policy, scene):
+    """Return the outcomes of all seeds, added up."""
+    outcomes = [measure_policy(policy, seed, scene) for seed in SEEDS]
+    fields = attrs.fields_dict(Outcome)
+    return Outcome(
+        **{
+            name: sum(getattr(outcome, name) for outcome in outcomes)
+            for name in fields
+        }
+    )
+
+
+def find_fewest(policy, scene):
     """Return the fewest engines with enough chats in time."""
-    for engines in range(4, MOST_ENGINES + 1):
-        outcome = measure_policy(
-            policy, seed, attrs.evolve(scene, engines=engines)
-        )
+    for engines in range(FEWEST_ENGINES, MOST_ENGINES + 1):
+        outcome = measure_mean(policy, attrs.evolve(scene, engines=engines))
         if outcome.share_in_time >= SHARE_IN_TIME:
             return engines
     return MOST_ENGINES + 1
+
+
+def run():
+    """Compare all policies, calm and with a failure domain reclaimed."""
+    cases = list(itertools.product(SCENES, POLICIES))
+    names = [name for name, _ in cases]
+    scenes = [SCENES[name] for name in names]
+    policies = [policy for _, policy in cases]
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        outcomes = list(pool.map(measure_mean, policies, scenes))
+        engines = list(pool.map(find_fewest, policies, scenes))
+    figures = []
+    for (name, policy), outcome, fewest in zip(
+        cases, outcomes, engines, strict=True
+    ):
+        figures += _list_figures(f"{name}, {policy}", outcome, fewest)
+    for name in SCENES:
+        figures += _compare(
+            name,
+            [
+                (outcome.recomputed_part, fewest)
+                for case, outcome, fewest in zip(
+                    names, outcomes, engines, strict=True
+                )
+                if case == name
+            ],
+        )
+    return figures
+
+
+def _list_figures(label, outcome, fewest):
+    """Return the figures of one policy in one scene."""
+    goal = SHARE_IN_TIME if label.endswith("ours") else None
+    return [
+        Figure(
+            f"{label}: first tokens in time",
+            outcome.share_in_time,
+            "ratio",
+            at_least=goal,
+        ),
+        Figure(
+            f"{label}: prompt tokens recomputed",
+            outcome.recomputed_part,
+            "ratio",
+        ),
+        Figure(f"{label}: fewest engines in time", fewest, "count"),
+    ]
+
+
+def _compare(name, results):
+    """Return ours, the last one, over the best of the others."""
+    *others, (recomputed, fewest) = results
+    best_recomputed = min(part for part, _ in others)
+    best_fewest = min(engines for _, engines in others)
+    return [
+        Figure(
+            f"{name}: recomputed, ours over the best other",
+            recomputed / best_recomputed,
+            "ratio",
+            at_most=1.0,
+        ),
+        Figure(
+            f"{name}: engines, ours over the best other",
+            fewest / best_fewest,
+            "ratio",
+            at_most=1.0,
+        ),
+    ]
