Rollout: tests of record, verdict, schedule and driver

Scenarios with a store, drivers and endpoints in the step file cover drivers paused past their lease, two drivers, racing operators, refused loads, a rate-limited weight store, endpoints that ignore fences, an outage through the deadline, lost and late answers, and any schedule of these.

Each was seen failing with its fault planted: takeover without waiting, acting after the lease, sending done late, orders near the lease's end, unloading before the deadline, loads above the rate, no repair, no deadline rule, no action on a verdict, done not final, older records taken, no margin for done, a second end, two moves at once, a dropped lease, shares without plan, capacity or evidence, evidence from an outage, a verdict that does not stay, no prior on late changes, one look deciding, absolute instead of compared failures, an unfair likelihood ratio, blamed failures of a quarantined request.

The tolerated odds ratio is gone: it cost two fifths of the evidence at a share of 0.9, while the least alternative of 4 already lets small differences pass.

--- a/mulberryhollow/coordination/rollout/driver.py
+++ b/mulberryhollow/coordination/rollout/driver.py
@@ -92,6 +92,11 @@
         self._must_read = False
         self._retry_s = float("-inf")
 
+    @property
+    def move(self):
+        """The latest record, or None."""
+        return self._watcher.move
+
     def observe(self, move, change_id, now_s):
         """Take in a record read from the store or from a watch.
 
@@ -136,6 +141,7 @@
         match outcome:
             case objects.Done(version):
                 self._write = None
+                _report(self._watcher.move, write.move)
                 written = attrs.evolve(write.move, version=version)
                 self._watcher.observe(written, now_s)
             case objects.NotDone("conflict"):
@@ -240,7 +246,6 @@
         is_free = now_s >= move.lease_until_s + CLOCK_SKEW_S
         if not (is_own or is_free):
             return None
-        log(_LEASE_TAKEN, move=move.id, epoch=move.epoch)
         return record.renew(move, self.name, now_s + LEASE_S)
 
     def _choose_change(self, move, plan, counters, capacity, now_s):
@@ -263,10 +268,8 @@
             case schedule.GiveUp(reason):
                 return _roll_back(move, reason, now_s)
             case schedule.Finish():
-                log(_DONE, move=move.id)
                 return record.advance(move, record.Stage.DONE, now_s)
             case schedule.Shift(share):
-                log(_SHARE_CHANGED, move=move.id, share=share)
                 return record.advance(
                     move, record.Stage.SHIFTING, now_s, share
                 )
@@ -280,7 +283,21 @@
     return move.done_by_s if is_done else float("inf")
 
 
+def _report(before, after):
+    """Log what a write of the record has changed."""
+    if after.epoch != before.epoch:
+        log(_LEASE_TAKEN, move=after.id, epoch=after.epoch)
+    match after.stage:
+        case before.stage if after.share == before.share:
+            return
+        case record.Stage.DONE:
+            log(_DONE, move=after.id)
+        case record.Stage.ROLLED_BACK:
+            log(_ROLLED_BACK, move=after.id, reason=after.reason)
+        case _:
+            log(_SHARE_CHANGED, move=after.id, share=after.share)
+
+
 def _roll_back(move, reason, now_s):
     """Return the record rolled back."""
-    log(_ROLLED_BACK, move=move.id, reason=reason)
     return record.advance(move, record.Stage.ROLLED_BACK, now_s, reason=reason)
--- a/mulberryhollow/coordination/rollout/evidence.py
+++ b/mulberryhollow/coordination/rollout/evidence.py
@@ -32,10 +32,8 @@
 
     Parameters
     ----------
-    tolerated_odds_ratio : float
-        Odds ratio of a hit, new against old, that is still acceptable.
     odds_ratios : tuple of float
-        Alternatives, all above the tolerated one.
+        Alternatives for the odds of a hit, new against old, all above one.
 
     Notes
     -----
@@ -44,11 +42,12 @@
     the common rate of hits is at that time. The product of its likelihood
     ratios therefore stays small when everything fails at once, and by Ville's
     inequality exceeds 1/alpha with probability alpha or less however often it
-    is looked at, as long as the odds ratio is within the tolerated one.
+    is looked at, as long as the new version's odds are no higher. For odds
+    that are higher by much less than the least alternative the evidence still
+    shrinks on average.
 
-    The normalising constants are replaced by bounds in closed form (Hoeffding
-    1963: no greater than the binomial one; Jensen: no less than at the mean),
-    which can only lower the evidence.
+    The normalising constant is replaced by the binomial one, which is no less
+    (Hoeffding 1963), so this can only lower the evidence.
 
     `begin` opens a start of the change with some prior weight; the weights
     add up to one or less over the whole move, so the sum over all starts keeps
@@ -56,7 +55,6 @@
     one.
     """
 
-    tolerated_odds_ratio: float
     odds_ratios: tuple
     _logs: list = attrs.field(init=False)
 
@@ -97,22 +95,21 @@
         else:
             counted, of = new.hits, hits
         self._logs = [
-            log + self._compute_gain(ratio, counted, of, share)
+            log + _compute_gain(ratio, counted, of, share)
             for log, ratio in zip(self._logs, self.odds_ratios, strict=True)
         ]
 
-    def _compute_gain(self, ratio, counted, of, share):
-        """Return the logarithm of one look's likelihood ratio.
 
-        Of the rarer of hits and misses, ``counted`` out of ``of`` fell to the
-        version whose odds the alternative raises, and ``share`` of the
-        trials.
-        """
-        tolerated = math.log(self.tolerated_odds_ratio)
-        gain = counted * (math.log(ratio) - tolerated)
-        gain += of * share * tolerated
-        gain -= of * math.log1p((ratio - 1) * share)
-        return min(gain, MAX_LOG_GAIN_PER_LOOK)
+def _compute_gain(ratio, counted, of, share):
+    """Return the logarithm of one look's likelihood ratio.
+
+    Of the rarer of hits and misses, ``counted`` out of ``of`` fell to the
+    version whose odds the alternative raises, and ``share`` of the
+    trials.
+    """
+    gain = counted * math.log(ratio)
+    gain -= of * math.log1p((ratio - 1) * share)
+    return min(gain, MAX_LOG_GAIN_PER_LOOK)
 
 
 def _add_logs(logs):
--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -127,22 +127,19 @@
     quantile : float or None
         Slow requests are those above this quantile of the old version; None
         counts failures.
-    tolerated_odds_ratio : float
-        Odds ratio that is still acceptable.
     odds_ratios : tuple of float
         Alternatives.
     """
 
     badness: Badness
     quantile: float | None
-    tolerated_odds_ratio: float
     odds_ratios: tuple
 
 
 _MEASURES = (
-    _Measure(Badness.FAILING, None, 1.5, (4.0, 16.0, 64.0, 256.0)),
-    _Measure(Badness.SLOW, 0.5, 2.0, (5.0, 20.0, 80.0)),
-    _Measure(Badness.SLOW, 0.9, 2.0, (5.0, 20.0, 80.0)),
+    _Measure(Badness.FAILING, None, (4.0, 16.0, 64.0, 256.0)),
+    _Measure(Badness.SLOW, 0.5, (5.0, 20.0, 80.0)),
+    _Measure(Badness.SLOW, 0.9, (5.0, 20.0, 80.0)),
 )
 
 
@@ -174,9 +171,7 @@
 
     def __attrs_post_init__(self):
         """Start without evidence."""
-        self.process = evidence.Evidence(
-            self.measure.tolerated_odds_ratio, self.measure.odds_ratios
-        )
+        self.process = evidence.Evidence(self.measure.odds_ratios)
 
     def set_reference(self, old):
         """Define slowness by the latencies of the old version so far."""
--- /dev/null
+++ b/tests/steps/coordination_rollout.py
@@ -0,0 +1,640 @@
+import collections
+import itertools
+import logging
+import math
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from mulberryhollow.coordination import rollout
+from mulberryhollow.coordination.rollout import evidence
+from mulberryhollow.coordination.rollout import orders
+from mulberryhollow.coordination.rollout import schedule
+from mulberryhollow.state import counters as counting
+from mulberryhollow.state import objects
+
+logging.getLogger("mulberryhollow").addHandler(logging.NullHandler())
+
+Stage = rollout.Stage
+TICK_S = 0.5
+STEP_S = 1.0
+RATE = 200
+QUICK, SLOW = 10, 20
+EVENTS = ["pause a", "pause b", "wake", "down", "up", "lose", "stall", "bad"]
+
+
+class Traffic:
+    """Cumulative counts of both versions on one node."""
+
+    def __init__(self):
+        self.counters = counting.Counters("tester", 1)
+        self.cells = collections.Counter()
+        self.sequence = 0
+
+    def serve(self, share, seconds, rate, hits, slow=(), excused=False):
+        """Serve requests; ``hits`` maps (version, route) to its failures."""
+        routes = {"a": 0.5, "b": 0.3, "c": 0.2}
+        parts = {"v2": share, "v1": 1 - share}
+        rows = {}
+        for (version, part), route in itertools.product(parts.items(), routes):
+            number = rate * seconds * part * routes[route]
+            failed = number * hits.get((version, route), 0.0)
+            name = version, route
+            self.cells[name, "all"] += number
+            self.cells[name, "failed"] += failed
+            self.cells[name, "excused"] += failed * excused
+            self.cells[name, "slow"] += number * (version in slow)
+            key = counting.RowKey("chat", version, route)
+            rows[key] = self._make_row(name)
+        self.sequence += 1
+        self.counters.merge(
+            counting.Snapshot("peers", 1, 0, self.sequence, rows)
+        )
+
+    def _make_row(self, name):
+        total, failed, excused, slow = (
+            int(self.cells[name, what])
+            for what in ("all", "failed", "excused", "slow")
+        )
+        buckets = [0] * counting.BUCKET_COUNT
+        buckets[QUICK] = total - slow
+        buckets[SLOW] = slow
+        return counting.Row(
+            total, total - failed, failed, excused, tuple(buckets)
+        )
+
+
+class World:
+    """A store, drivers and endpoints under a clock that the test advances."""
+
+    def __init__(self, duration_s, names):
+        self.now_s = 0.0
+        self.record = make_move(duration_s, version=1)
+        self.written = [(0.0, self.record, "start")]
+        self.is_up = True
+        self.is_bad = False
+        self.lost_every = 0
+        self.fails_after_done = False
+        self.writes = 0
+        self.stalls = False
+        self.held = []
+        self.log = []
+        self.paused = set()
+        self.told = []
+        self.load_s = 1.0
+        self.refuses_loads = False
+        self.traffic = Traffic()
+        self.traffic.serve(0.0, 10, RATE, {})
+        self.endpoints = {f"e{place}": {"v1"} for place in range(6)}
+        self.fences = dict.fromkeys(("e0", "e1", "e2"), 0)
+        self.drivers = {}
+        self.shares = {}
+        for name in names:
+            self.drivers[name] = rollout.Driver(name, rollout.Watcher())
+            self.shares[name] = 0.0
+
+    @property
+    def capacity(self):
+        seen = tuple(
+            rollout.Endpoint(
+                name, 16, tuple(sorted(versions)), name in self.fences
+            )
+            for name, versions in self.endpoints.items()
+        )
+        return rollout.Capacity(seen, self.load_s)
+
+    def run(self, seconds):
+        """Advance the clock, letting every driver that is awake step."""
+        for _ in range(int(seconds / STEP_S)):
+            self.now_s += STEP_S
+            share = sum(self.shares.values()) / len(self.shares)
+            failures = 0.5 if self.is_bad else 0.0
+            hits = {("v2", route): failures for route in "abc"}
+            self.traffic.serve(share, STEP_S, RATE, hits)
+            for name in sorted(self.drivers.keys() - self.paused):
+                self.step(name)
+
+    def step(self, name, sees_store=True):
+        """Let one driver observe the store and carry out its actions."""
+        driver = self.drivers[name]
+        if self.is_up and sees_store:
+            _, _, change_id = self.written[-1]
+            driver.observe(self.record, change_id, self.now_s)
+        asked = driver.step(self.traffic.counters, self.capacity, self.now_s)
+        for action in asked:
+            self.log.append((self.now_s, name, action))
+            self.carry_out(name, action)
+
+    def carry_out(self, name, action):
+        driver = self.drivers[name]
+        match action:
+            case rollout.SetShare(share=share):
+                self.shares[name] = share
+            case rollout.Tell(bad):
+                for other in self.drivers.keys() - self.paused:
+                    self.drivers[other].hear(bad)
+            case rollout.WriteMove():
+                outcome = self.send(action)
+                driver.settle(action.change_id, outcome, self.now_s)
+            case rollout.Order():
+                self.obey(action)
+
+    def send(self, write):
+        """Send a write now, or late while the senders are stalled."""
+        if not self.stalls:
+            return self.store(write)
+        self.held.append(write)
+        return objects.Unknown("no answer")
+
+    def release(self):
+        """Send the stalled writes that are not too late, done first."""
+        held = sorted(self.held, key=lambda w: w.move.stage is not Stage.DONE)
+        self.held, self.stalls = [], False
+        for write in held:
+            if self.now_s <= write.not_after_s:
+                self.store(write)
+
+    def store(self, write):
+        if not self.is_up:
+            return objects.NotDone("unavailable")
+        if write.expected_version != self.record.version:
+            return objects.NotDone("conflict", self.record.version)
+        version = self.record.version + 1
+        self.record = attrs.evolve(write.move, version=version)
+        self.written.append((self.now_s, self.record, write.change_id))
+        self.writes += 1
+        if self.fails_after_done and self.record.stage is Stage.DONE:
+            self.is_up = False
+            return objects.Unknown("cut")
+        if self.lost_every and self.writes % self.lost_every == 0:
+            return objects.Unknown("cut")
+        return objects.Done(version)
+
+    def obey(self, order):
+        """Carry out an order as an endpoint does."""
+        if order.fence < self.fences.get(order.address, 0):
+            return
+        if order.address in self.fences:
+            self.fences[order.address] = order.fence
+        if order.command.value == "unload":
+            self.endpoints[order.address].discard(order.version)
+        elif not self.refuses_loads:
+            self.endpoints[order.address].add(order.version)
+
+
+def make_move(duration_s, **changes):
+    move = rollout.Move("m", "production", "chat", "v1", "v2", 0.0, duration_s)
+    return attrs.evolve(move, **changes)
+
+
+def catch_refusal(action, *arguments):
+    try:
+        action(*arguments)
+    except rollout.MoveError as error:
+        return error
+    return None
+
+
+@given("a move of {duration_s:d} seconds")
+def define_move(context, duration_s):
+    context.move = make_move(duration_s)
+
+
+@then("no order of changes takes its stage back or writes done too late")
+def check_stages(context):
+    order = [{Stage.PLANNED}, {Stage.SHIFTING}, {Stage.DONE}]
+    order[2].add(Stage.ROLLED_BACK)
+    change = strategies.tuples(
+        strategies.sampled_from(Stage), strategies.floats(0, 400)
+    )
+
+    @hypothesis.given(strategies.lists(change, max_size=6))
+    def check(changes):
+        move = context.move
+        for stage, now_s in changes:
+            try:
+                later = rollout.advance(move, stage, now_s)
+            except rollout.MoveError:
+                continue
+            places = [
+                next(i for i, stages in enumerate(order) if s in stages)
+                for s in (move.stage, later.stage)
+            ]
+            assert places == sorted(places) and not move.stage.is_final
+            assert stage is not Stage.DONE or now_s <= 280
+            move = later
+
+    check()
+
+
+@when("a move is started {how}")
+def start_badly(context, how):
+    ended = attrs.evolve(context.move, stage=Stage.DONE)
+    current, wanted = {
+        "while it is under way": (context.move, context.move),
+        "to the version in use": (
+            ended,
+            attrs.evolve(context.move, to_version="v1"),
+        ),
+        "with too little time": (ended, make_move(100)),
+    }[how]
+    context.error = catch_refusal(rollout.start, current, wanted)
+
+
+@then("the move is refused with a remedy")
+def check_refusal(context):
+    assert context.error.message and context.error.remedy
+
+
+@when("it is rolled back under a lease of driver a and started anew")
+def restart(context):
+    held = rollout.renew(context.move, "a", 30.0)
+    ended = rollout.abort(attrs.evolve(held, version=5), 10.0, "an operator")
+    context.new = rollout.start(ended, attrs.evolve(context.move, id="m2"))
+
+
+@then("the new move still has the lease of driver a")
+def check_kept_lease(context):
+    new = context.new
+    assert (new.id, new.driver, new.lease_until_s) == ("m2", "a", 30.0)
+    assert (new.stage, new.version) == (Stage.PLANNED, 5)
+
+
+@then("the evidence of one look is fair for any numbers of requests and hits")
+def check_fairness(context):
+    counts = strategies.integers(1, 40)
+
+    @hypothesis.given(
+        counts, counts, strategies.integers(0, 80), strategies.floats(1.5, 99)
+    )
+    def check(new, old, hits, ratio):
+        hits = min(hits, new + old)
+        expected = 0.0
+        for of_new in range(max(0, hits - old), min(new, hits) + 1):
+            process = evidence.Evidence((ratio,))
+            process.begin(1.0)
+            process.add(
+                evidence.Arm(new, of_new), evidence.Arm(old, hits - of_new)
+            )
+            chance = math.comb(new, of_new) * math.comb(old, hits - of_new)
+            chance /= math.comb(new + old, hits)
+            expected += chance * math.exp(process.log_value)
+        assert expected <= 1 + 1e-9
+
+    check()
+
+
+@given(
+    "versions that both serve {rate:d} requests a second"
+    " at a share of {share:g}"
+)
+def start_traffic(context, rate, share):
+    context.rate, context.share, context.now_s = rate, share, 0.0
+    context.traffic = Traffic()
+    context.traffic.serve(0.0, 10, rate, {})
+    move = make_move(300, stage=Stage.SHIFTING, share=share)
+    context.tester = rollout.Tester(move, context.traffic.counters, 0.0)
+
+
+@when("for {seconds:g} seconds {what}")
+def serve(context, seconds, what):
+    everything = list(itertools.product(("v1", "v2"), "abc"))
+    new = everything[3:]
+    failing = {
+        "the new version fails": new,
+        "the new version fails among few failures": new,
+        "the new version fails on route c among few failures": [("v2", "c")],
+        "the new version's failures are excused": new,
+        "everything fails": everything,
+    }.get(what, ())
+    slow = {
+        "the new version is slow": ("v2",),
+        "everything is slow": ("v1", "v2"),
+    }.get(what, ())
+    hits = dict.fromkeys(
+        everything, 0.05 * ("few" in what or "little" in what)
+    )
+    hits |= dict.fromkeys(failing, 0.6)
+    for _ in range(int(seconds / TICK_S)):
+        context.now_s += TICK_S
+        context.traffic.serve(
+            context.share, TICK_S, context.rate, hits, slow, "excused" in what
+        )
+        context.verdict = context.tester.look(
+            context.traffic.counters, context.now_s
+        )
+
+
+@then("the verdict is {text}")
+def check_verdict(context, text):
+    match context.verdict:
+        case rollout.Bad() as bad:
+            assert bad.reason.startswith(text), bad
+        case rollout.Good():
+            assert text == "good"
+        case rollout.Undecided():
+            assert text == "undecided"
+
+
+@then("the schedule decides")
+def check_decisions(context):
+    for row in context.table:
+        share, now_s, since_s = map(float, row.cells[:3])
+        loaded = int(row["loaded"])
+        capacity = rollout.Capacity(
+            tuple(
+                rollout.Endpoint(f"e{i}", 16, ("v2",) if i < loaded else ())
+                for i in range(9)
+            )
+        )
+        move = attrs.evolve(context.move, share=share, stage=Stage.SHIFTING)
+        judgement = {
+            "undecided": rollout.Undecided(7),
+            "partly": rollout.Good(4.0),
+            "good": rollout.Good(4.0, covers_routes=True),
+        }[row["judgement"]]
+        plan = rollout.make_plan(move, capacity)
+        decision = rollout.decide(
+            move, plan, capacity, judgement, since_s, now_s
+        )
+        kind, _, detail = row["decision"].partition(": ")
+        match decision:
+            case rollout.Shift(new_share):
+                assert kind == f"share {new_share:g}", (row, decision)
+            case rollout.Finish():
+                assert kind == "finish", (row, decision)
+            case rollout.Hold(reason):
+                assert kind == "hold" and detail in reason, (row, decision)
+            case rollout.GiveUp(reason):
+                assert kind == "give up" and detail in reason, (row, decision)
+
+
+@then("no trial share is above {share:g}")
+def check_trial_shares(context, share):
+    assert max(schedule.TRIAL_SHARES) <= share
+
+
+@given("a rollout of {duration_s:d} seconds with drivers {names}")
+def make_world(context, duration_s, names):
+    context.world = World(duration_s, names.split(", "))
+
+
+@when("{seconds:d} seconds pass")
+def run_world(context, seconds):
+    context.world.run(seconds)
+
+
+@when("the new version turns bad and {seconds:d} seconds pass")
+def turn_bad(context, seconds):
+    context.world.run(20 if context.world.is_up else 0)
+    context.world.is_bad = True
+    context.world.run(seconds)
+
+
+@when("two operators abort the move at the same version")
+def abort_twice(context):
+    world = context.world
+    aborted = [rollout.abort(world.record, 1.0, operator) for operator in "xy"]
+    context.outcomes = [
+        world.store(rollout.WriteMove(move, move.version, move.reason))
+        for move in aborted
+    ]
+
+
+@then("one of them gets a conflict")
+def check_conflict(context):
+    match context.outcomes:
+        case [objects.Done(), objects.NotDone("conflict")]:
+            return
+    raise AssertionError(context.outcomes)
+
+
+@when("driver {name} is paused")
+def pause(context, name):
+    context.world.paused.add(name)
+
+
+@when("driver {name} wakes up")
+def wake(context, name):
+    world = context.world
+    world.paused.discard(name)
+    world.log.clear()
+    world.step(name, sees_store=False)
+
+
+@then("driver {name} does not hold the lease and gave no order at waking")
+def check_stopped(context, name):
+    world = context.world
+    asked = [action for _, _, action in world.log]
+    assert any(isinstance(action, rollout.WriteMove) for action in asked)
+    assert not any(isinstance(action, rollout.Order) for action in asked)
+    assert world.record.driver != name
+    assert not world.drivers[name].holds_lease(world.now_s)
+
+
+@then("exactly one driver holds the lease and the epoch is {epoch:d}")
+def check_one_driver(context, epoch):
+    world = context.world
+    holders = [d for d in world.drivers.values() if d.holds_lease(world.now_s)]
+    assert len(holders) == 1 and world.record.epoch == epoch
+
+
+@when("every second answer of the store is lost")
+def lose_answers(context):
+    context.world.lost_every = 2
+
+
+@when("the store goes down")
+def stop_store(context):
+    context.world.is_up = False
+
+
+@when("the store comes back")
+def start_store(context):
+    context.world.is_up = True
+    context.world.fails_after_done = False
+
+
+@when("the store goes down as soon as done is written")
+def stop_store_after_done(context):
+    context.world.fails_after_done = True
+
+
+@when("the senders stall for {seconds:d} seconds")
+def stall_senders(context, seconds):
+    context.world.stalls = True
+    context.world.run(seconds)
+    context.world.release()
+
+
+@then("a stale read of the record changes nothing")
+def check_stale_read(context):
+    world = context.world
+    for driver in world.drivers.values():
+        driver.observe(world.written[1][1], "", world.now_s)
+        assert driver.move == world.record
+
+
+@when("no endpoint accepts a load")
+def refuse_loads(context):
+    context.world.refuses_loads = True
+
+
+@when("the weight store allows one load in {load_s:g} seconds")
+def limit_loads(context, load_s):
+    context.world.load_s = load_s
+
+
+@when("a late order loads version v1 again on an endpoint without fences")
+def load_late(context):
+    context.world.endpoints["e5"].add("v1")
+
+
+@then("the stored move is done, written before its margin")
+def check_done(context):
+    record = context.world.record
+    assert record.stage is Stage.DONE, record
+    check_written(context.world)
+
+
+@then('the stored move is rolled back with a reason about "{reason}"')
+def check_rolled_back(context, reason):
+    record = context.world.record
+    assert record.stage is Stage.ROLLED_BACK and reason in record.reason, (
+        record
+    )
+
+
+@then("every node gives the new version a share of {share:g}")
+def check_shares(context, share):
+    assert set(context.world.shares.values()) == {share}, context.world.shares
+
+
+@then("every endpoint has only version {version}")
+def check_endpoints(context, version):
+    seen = context.world.endpoints
+    assert all(versions == {version} for versions in seen.values()), seen
+
+
+@then("every endpoint has version {version}")
+def check_kept(context, version):
+    seen = context.world.endpoints
+    assert all(version in versions for versions in seen.values()), seen
+
+
+@then("the actions on the verdict were the share, the telling, the write")
+def check_sequence(context):
+    log = context.world.log
+    place = next(
+        i for i, (_, _, x) in enumerate(log) if isinstance(x, rollout.Tell)
+    )
+    kinds = [type(action) for _, _, action in log[place - 1 : place + 2]]
+    assert kinds == [rollout.SetShare, rollout.Tell, rollout.WriteMove], kinds
+
+
+@then("no two loads are closer than {load_s:g} seconds")
+def check_loads(context, load_s):
+    times_s = [
+        now_s
+        for now_s, _, action in context.world.log
+        if isinstance(action, rollout.Order) and action.command.value == "load"
+    ]
+    assert len(times_s) >= 6
+    pairs = itertools.pairwise(times_s)
+    assert all(later - now >= load_s for now, later in pairs)
+
+
+@then("every order could be sent no later than 3 seconds before a lease's end")
+def check_guard(context):
+    ends_s = {record.lease_until_s for _, record, _ in context.world.written}
+    given = [
+        (now_s, action)
+        for now_s, _, action in context.world.log
+        if isinstance(action, rollout.Order)
+    ]
+    assert given and orders.ORDER_GUARD_S == 3.0
+    for now_s, order in given:
+        assert now_s <= order.not_after_s
+        assert order.not_after_s + 3.0 in ends_s
+
+
+def check_written(world):
+    """Check the written records, in their order."""
+    ranks = {Stage.PLANNED: 0, Stage.SHIFTING: 1}
+    stages = [ranks.get(record.stage, 2) for _, record, _ in world.written]
+    assert stages == sorted(stages)
+    finals = {
+        record.stage for _, record, _ in world.written if record.stage.is_final
+    }
+    assert len(finals) <= 1
+    for (_, before, _), (at_s, record, _) in itertools.pairwise(world.written):
+        if record.stage is not before.stage and record.stage is Stage.DONE:
+            assert at_s <= record.done_by_s
+
+
+@given(
+    "any schedule of pauses, outages, lost or late writes and a bad version"
+)
+def define_schedules(context):
+    event = strategies.sampled_from(
+        [
+            "pause a",
+            "pause b",
+            "wake",
+            "down",
+            "up",
+            "lose",
+            "stall",
+            "bad",
+            "wait",
+        ]
+    )
+    context.schedules = strategies.lists(event, max_size=8)
+
+
+def apply_event(world, event):
+    match event.split():
+        case ["pause", name]:
+            world.paused.add(name)
+        case ["wake"]:
+            world.paused.clear()
+            world.release()
+        case ["stall"]:
+            world.stalls = True
+        case ["down"] | ["up"]:
+            world.is_up = event == "up"
+        case ["lose"]:
+            world.lost_every = 2
+        case ["bad"]:
+            world.is_bad = True
+
+
+@then("each move ends as done in time or rolled back, on every node")
+def check_any_schedule(context):
+    @hypothesis.settings(max_examples=25)
+    @hypothesis.given(context.schedules)
+    def check(events):
+        world = World(160, ["a", "b"])
+        for event in events:
+            apply_event(world, event)
+            world.run(18)
+        world.paused.clear()
+        world.release()
+        world.run(max(0, 161 - world.now_s))
+        sees_done = world.is_up and world.record.stage is Stage.DONE
+        for name, share in world.shares.items():
+            move = world.drivers[name].move
+            assert share == (move is not None and move.stage is Stage.DONE)
+            assert share == 1.0 or not sees_done
+        world.is_up = True
+        world.run(30)
+        assert world.record.stage.is_final
+        is_done = world.record.stage is Stage.DONE
+        assert set(world.shares.values()) == {float(is_done)}
+        check_written(world)
+
+    check()
--- a/tools/bench/rollouts.py
+++ b/tools/bench/rollouts.py
@@ -24,6 +24,7 @@
 STORE_TICKS = 1
 REQUESTS_PER_S = 160
 DURATION_S = 300.0
+LATEST_CHANGE_S = 220.0
 SETTLE_S = 2.0
 ROUTES = ("ask", "tag", "check", "book")
 ROUTE_WEIGHTS = (0.4, 0.3, 0.2, 0.1)
@@ -121,7 +122,7 @@
     def __init__(self, kind, seed):
         self.kind = kind
         self.random = random.Random(f"{kind.value}:{seed}")
-        self.starts_s = self.random.uniform(30.0, DURATION_S - 50.0)
+        self.starts_s = self.random.uniform(30.0, LATEST_CHANGE_S)
         self.load_share = self.random.choice((0.1, 0.2, 0.4, 0.6, 0.8, 0.9))
         self.bad_route = self.random.choice(ROUTES)
         self.weights = {}
