Rollout: keep results until both versions have some

A look in which one version had no result was dropped, which loses most of the evidence when a service has few requests and one version gets a small share. Results now wait for those of the other version. Failures get six tenths of the error probability, since they cost callers most, and twelve share steps are allowed for instead of sixteen. Requests without a first byte count as slow after 3 s.

--- a/mulberryhollow/coordination/rollout/evidence.py
+++ b/mulberryhollow/coordination/rollout/evidence.py
@@ -25,6 +25,10 @@
     trials: int
     hits: int
 
+    def plus(self, other):
+        """Return the sum of two results."""
+        return Arm(self.trials + other.trials, self.hits + other.hits)
+
 
 @attrs.define
 class Evidence:
--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -24,7 +24,7 @@
 _LOG_BAD = math.log(MAX_TESTERS / MAX_FALSE_BAD)
 _LOG_GOOD = math.log(20.0)
 
-MAX_WINDOWS = 16
+MAX_WINDOWS = 12
 """Most share steps in one move."""
 
 MIN_REFERENCE = 100
@@ -129,17 +129,20 @@
         counts failures.
     odds_ratios : tuple of float
         Alternatives.
+    weight : float
+        Its part of a route's error probability.
     """
 
     badness: Badness
     quantile: float | None
     odds_ratios: tuple
+    weight: float
 
 
 _MEASURES = (
-    _Measure(Badness.FAILING, None, (4.0, 16.0, 64.0, 256.0)),
-    _Measure(Badness.SLOW, 0.5, (5.0, 20.0, 80.0)),
-    _Measure(Badness.SLOW, 0.9, (5.0, 20.0, 80.0)),
+    _Measure(Badness.FAILING, None, (4.0, 16.0, 64.0, 256.0), 0.6),
+    _Measure(Badness.SLOW, 0.5, (5.0, 20.0, 80.0), 0.2),
+    _Measure(Badness.SLOW, 0.9, (5.0, 20.0, 80.0), 0.2),
 )
 
 
@@ -168,11 +171,33 @@
     log_threshold: float
     process: evidence.Evidence = attrs.field(init=False)
     bucket: int | None = None
+    waiting: tuple = (evidence.Arm(0, 0), evidence.Arm(0, 0))
 
     def __attrs_post_init__(self):
         """Start without evidence."""
         self.process = evidence.Evidence(self.measure.odds_ratios)
 
+    def add(self, pair):
+        """Add one look's results, once both versions have any.
+
+        Results wait for those of the other version, so that none is lost when
+        one of the two gets few requests.
+        """
+        new, old = (
+            arm.plus(self.count(row))
+            for arm, row in zip(
+                self.waiting, (pair.new, pair.old), strict=True
+            )
+        )
+        self.waiting = new, old
+        if new.trials and old.trials:
+            self.process.add(new, old)
+            self.drop_waiting()
+
+    def drop_waiting(self):
+        """Forget the results that wait, when the share changes."""
+        self.waiting = evidence.Arm(0, 0), evidence.Arm(0, 0)
+
     def set_reference(self, old):
         """Define slowness by the latencies of the old version so far."""
         quantile = self.measure.quantile
@@ -199,14 +224,14 @@
     return next(i for i, count in enumerate(sums) if count >= wanted)
 
 
-def _compute_log_threshold(place):
-    """Return the threshold of the tests of a route, by its place.
+def _compute_log_threshold(place, measure):
+    """Return the threshold of one measure on a route, by the route's place.
 
     The total has place 0 and half of the error probability; the route with
     place k has 1 / (k (k + 1)) of the other half, whatever their number.
     """
     weight = 0.5 / (place * (place + 1)) if place else 0.5
-    return _LOG_BAD - math.log(weight / len(_MEASURES))
+    return _LOG_BAD - math.log(weight * measure.weight)
 
 
 class Tester:
@@ -250,6 +275,7 @@
         self._add_tests(seen)
         self._windows += 1
         for test in self._tests.values():
+            test.drop_waiting()
             test.set_reference(seen[test.route].old)
             if self._windows <= MAX_WINDOWS:
                 test.process.begin(0.5 / MAX_WINDOWS)
@@ -290,7 +316,7 @@
         for test in self._tests.values():
             pair = growth[test.route]
             test.process.begin(self._look_weight)
-            test.process.add(test.count(pair.new), test.count(pair.old))
+            test.add(pair)
             if test.bucket is None:
                 test.set_reference(seen[test.route].old)
         self._seen = seen
@@ -308,7 +334,7 @@
             for test in self._tests.values()
             if not test.route
         ]
-        return old.timed > 0 and all(
+        return all(
             arm.hits <= _MAX_USUAL_HITS[badness] * arm.trials
             for badness, arm in arms
         )
@@ -375,8 +401,8 @@
         known = {route for route, _ in self._tests}
         for route in [route for route in seen if route not in known]:
             place = len(self._tests) // len(_MEASURES)
-            threshold = _compute_log_threshold(place)
             for index, measure in enumerate(_MEASURES):
+                threshold = _compute_log_threshold(place, measure)
                 self._tests[route, index] = _Test(measure, route, threshold)
 
 
--- a/mulberryhollow/state/counters.py
+++ b/mulberryhollow/state/counters.py
@@ -19,6 +19,7 @@
 __all__ = [
     "BUCKET_BOUNDS_S",
     "Counters",
+    "OVERDUE_S",
     "CountersFormatError",
     "Row",
     "RowKey",
@@ -39,6 +40,9 @@
 
 BUCKET_COUNT = len(BUCKET_BOUNDS_S) + 1
 
+OVERDUE_S = 3.0
+"""Wait after which a request without a first byte is counted, in seconds."""
+
 MAX_COUNT = 2**62
 """Greatest count in a message."""
 
@@ -214,9 +218,9 @@
         key : RowKey
             What the request belongs to.
         latency_s : float
-            Time until its first byte or its failure, in seconds; for a
-            request that is still waiting, the time waited so far as soon as
-            that exceeds the last bound.
+            Time until its first byte or its failure, in seconds, or
+            `OVERDUE_S` as soon as it has waited that long, so that a version
+            that never answers is seen.
         """
         row = self._get_own(key)
         buckets = list(row.buckets)
