Rollout: drop looks over a pause, verdict codec

A node that was paused saw in one look the sums over several shares: a quiet time at a small share and an outage at a large one look like a bad version. Looks over more than 3 s, and those across a change of the share, are dropped.

Seen failing with the fault planted: looks over a pause taken in, results not kept for the other version, an untyped error for a part of a verdict.

--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -15,6 +15,9 @@
 LOOK_S = 0.5
 """Least time between two looks, in seconds."""
 
+MAX_LOOK_S = 3.0
+"""Most time that one look may cover, in seconds."""
+
 MAX_TESTERS = 4
 """Most nodes that compare the versions of one move at a time."""
 
@@ -274,8 +277,8 @@
         self._window = {}
         self._add_tests(seen)
         self._windows += 1
+        self._skip(seen)
         for test in self._tests.values():
-            test.drop_waiting()
             test.set_reference(seen[test.route].old)
             if self._windows <= MAX_WINDOWS:
                 test.process.begin(0.5 / MAX_WINDOWS)
@@ -299,9 +302,13 @@
         Bad, Undecided or Good
             Bad stays so; Good holds for the window.
         """
-        if self._bad is None and now_s - self._looked_at_s >= LOOK_S:
+        elapsed_s = now_s - self._looked_at_s
+        if self._bad is None and elapsed_s >= LOOK_S:
             self._looked_at_s = now_s
-            self._take_in(self._read(counters))
+            seen = self._read(counters)
+            if elapsed_s > MAX_LOOK_S:
+                self._skip(seen)
+            self._take_in(seen)
         if self._bad is not None:
             return self._bad
         if self._good is not None:
@@ -309,6 +316,16 @@
         answered = self._window.get("", _Pair()).new
         return Undecided(answered.ok + answered.blamed)
 
+    def _skip(self, seen):
+        """Draw nothing from the results up to here.
+
+        Sums over a time in which the share has changed compare different
+        times, as after a pause of this node.
+        """
+        self._seen = seen
+        for test in self._tests.values():
+            test.drop_waiting()
+
     def _take_in(self, seen):
         """Add one look to every test."""
         self._add_tests(seen)
--- a/tests/coordination/rollout/driver.feature
+++ b/tests/coordination/rollout/driver.feature
@@ -5,7 +5,7 @@
     When 200 seconds pass
     Then the stored move is done, written before its margin
     And every node gives the new version a share of 1
-    And every endpoint has version v1
+    And every endpoint has still version v1
     When 40 seconds pass
     Then every endpoint has only version v2
 
@@ -68,7 +68,7 @@
     When the store goes down as soon as done is written
     And 170 seconds pass
     Then every node gives the new version a share of 0
-    And every endpoint has version v1
+    And every endpoint has still version v1
     When the store comes back
     And 30 seconds pass
     Then every node gives the new version a share of 1
--- a/tests/coordination/rollout/verdict.feature
+++ b/tests/coordination/rollout/verdict.feature
@@ -44,3 +44,13 @@
     When for 3 seconds the new version fails
     And for 60 seconds everything fails
     Then the verdict is failing in total
+
+  Scenario: A node that was paused draws nothing from that time
+    Given versions that both serve 100 requests a second at a share of 0.05
+    When 4 times the share rises and everything fails during a pause
+    Then the verdict is undecided
+
+  Scenario: A bad version is found with few requests
+    Given versions that both serve 4 requests a second at a share of 0.05
+    When for 120 seconds the new version fails
+    Then the verdict is failing in total
--- a/tests/protocol/moves.feature
+++ b/tests/protocol/moves.feature
@@ -19,3 +19,6 @@
       | a share above one           |
       | a deadline that is no time  |
       | more than the longest record |
+
+  Scenario: A verdict reaches the peers as it was reached
+    Then any verdict on a move is read back, and its parts are typed errors
--- a/tests/steps/coordination_rollout.py
+++ b/tests/steps/coordination_rollout.py
@@ -332,6 +332,18 @@
         )
 
 
+@when("{times:d} times the share rises and everything fails during a pause")
+def pause_tester(context, times):
+    failing = dict.fromkeys(itertools.product(("v1", "v2"), "abc"), 0.8)
+    for _ in range(times):
+        context.traffic.serve(0.05, 5, context.rate, {})
+        context.traffic.serve(0.8, 5, context.rate, failing)
+        context.now_s += 10
+        context.verdict = context.tester.look(
+            context.traffic.counters, context.now_s
+        )
+
+
 @then("the verdict is {text}")
 def check_verdict(context, text):
     match context.verdict:
@@ -446,25 +458,26 @@
     assert len(holders) == 1 and world.record.epoch == epoch
 
 
-@when("every second answer of the store is lost")
-def lose_answers(context):
-    context.world.lost_every = 2
-
-
-@when("the store goes down")
-def stop_store(context):
-    context.world.is_up = False
+FAULTS = {
+    "every second answer of the store is lost": {"lost_every": 2},
+    "the store goes down": {"is_up": False},
+    "the store comes back": {"is_up": True, "fails_after_done": False},
+    "the store goes down as soon as done is written": {
+        "fails_after_done": True
+    },
+    "no endpoint accepts a load": {"refuses_loads": True},
+    "the weight store allows one load in 5 seconds": {"load_s": 5.0},
+}
 
 
-@when("the store comes back")
-def start_store(context):
-    context.world.is_up = True
-    context.world.fails_after_done = False
+def register_fault(text, changes):
+    @when(text)
+    def set_fault(context):
+        vars(context.world).update(changes)
 
 
-@when("the store goes down as soon as done is written")
-def stop_store_after_done(context):
-    context.world.fails_after_done = True
+for _text, _changes in FAULTS.items():
+    register_fault(_text, _changes)
 
 
 @when("the senders stall for {seconds:d} seconds")
@@ -482,16 +495,6 @@
         assert driver.move == world.record
 
 
-@when("no endpoint accepts a load")
-def refuse_loads(context):
-    context.world.refuses_loads = True
-
-
-@when("the weight store allows one load in {load_s:g} seconds")
-def limit_loads(context, load_s):
-    context.world.load_s = load_s
-
-
 @when("a late order loads version v1 again on an endpoint without fences")
 def load_late(context):
     context.world.endpoints["e5"].add("v1")
@@ -517,16 +520,11 @@
     assert set(context.world.shares.values()) == {share}, context.world.shares
 
 
-@then("every endpoint has only version {version}")
-def check_endpoints(context, version):
-    seen = context.world.endpoints
-    assert all(versions == {version} for versions in seen.values()), seen
-
-
-@then("every endpoint has version {version}")
-def check_kept(context, version):
-    seen = context.world.endpoints
-    assert all(version in versions for versions in seen.values()), seen
+@then("every endpoint has {which} version {version}")
+def check_endpoints(context, which, version):
+    seen = context.world.endpoints.values()
+    assert all(version in versions for versions in seen), seen
+    assert "only" not in which or all(len(x) == 1 for x in seen), seen
 
 
 @then("the actions on the verdict were the share, the telling, the write")
--- a/tests/steps/protocol_moves.py
+++ b/tests/steps/protocol_moves.py
@@ -66,3 +66,20 @@
 def check_move_error(context):
     assert context.error is not None
     assert context.error.message and context.error.remedy
+
+
+@then("any verdict on a move is read back, and its parts are typed errors")
+def check_verdict_round_trip(context):
+    @hypothesis.given(strategies.from_type(rollout.Bad), strategies.data())
+    def check(bad, data):
+        message = moves.encode_verdict(bad)
+        assert moves.decode_verdict(message) == bad
+        length = data.draw(strategies.integers(0, len(message) - 1))
+        try:
+            moves.decode_verdict(message[:length])
+        except moves.MoveFormatError as error:
+            assert error.remedy
+        else:
+            raise AssertionError("a part was read as a verdict")
+
+    check()
--- a/tools/bench/rollouts.py
+++ b/tools/bench/rollouts.py
@@ -3,6 +3,7 @@
 import bisect
 import enum
 import itertools
+import logging
 import math
 import multiprocessing
 import random
@@ -345,6 +346,11 @@
         )
 
 
+def _silence():
+    """Keep the events of the modelled moves out of the figures."""
+    logging.getLogger("mulberryhollow").setLevel(logging.CRITICAL)
+
+
 def run_one(job):
     """Return the result of one (kind, seed)."""
     kind, seed = job
@@ -429,7 +435,7 @@
 def run():
     """Return the figures of every kind, over the same seeds each time."""
     figures = []
-    with multiprocessing.Pool(WORKERS) as pool:
+    with multiprocessing.Pool(WORKERS, _silence) as pool:
         for kind in Kind:
             results = run_kind(pool, kind)
             if kind.is_good:
