Rollout: tell a verdict until the record has ended

A verdict was told once; a lost message left a peer without it while the store was down. It is now told each second until the record read is final. Verdicts of former moves and old orders are forgotten.

Seen failing with the fault planted: telling once, telling after the end.

--- a/mulberryhollow/coordination/rollout/actions.py
+++ b/mulberryhollow/coordination/rollout/actions.py
@@ -97,7 +97,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Tell:
-    """Tell every peer a verdict.
+    """Tell the peers a verdict.
 
     Parameters
     ----------
--- a/mulberryhollow/coordination/rollout/orders.py
+++ b/mulberryhollow/coordination/rollout/orders.py
@@ -57,6 +57,11 @@
         if now_s >= move.lease_until_s - ORDER_GUARD_S:
             return []
         differences = self._list_differences(move, plan, capacity, now_s)
+        self._sent_s = {
+            name: sent_s
+            for name, sent_s in self._sent_s.items()
+            if now_s < sent_s + REORDER_S
+        }
         due = []
         for address, command, version in differences:
             is_load = command is actions.Command.LOAD
@@ -111,7 +116,7 @@
     def _mark(self, address, command, version, now_s):
         """Note an order unless it was given a short while ago."""
         name = address, command, version
-        if now_s < self._sent_s.get(name, float("-inf")) + REORDER_S:
+        if name in self._sent_s:
             return False
         self._sent_s[name] = now_s
         return True
--- a/mulberryhollow/coordination/rollout/watcher.py
+++ b/mulberryhollow/coordination/rollout/watcher.py
@@ -10,6 +10,9 @@
 
 __all__ = ["Watcher", "effective_shares"]
 
+RETELL_S = 1.0
+"""Time from one telling of a verdict to the next, in seconds."""
+
 _BAD_SEEN = declare(
     7001,
     logging.WARNING,
@@ -78,6 +81,7 @@
         self._shares = None
         self._since_s = 0.0
         self._has_new_window = False
+        self._told_s = float("-inf")
 
     @property
     def move(self):
@@ -111,6 +115,12 @@
         if known is None or known.id != move.id:
             self._tester = None
             self._shares = None
+            self._told_s = float("-inf")
+            self._verdicts = {
+                name: bad
+                for name, bad in self._verdicts.items()
+                if name == move.id
+            }
         if known is None or known.share != move.share:
             self._since_s = now_s
             self._has_new_window = True
@@ -158,18 +168,25 @@
         Returns
         -------
         list of SetShare and Tell
-            First the share, then the verdict, each once.
+            First the share, then the verdict, which is told again until the
+            record has ended, since a message can be lost.
         """
         if self._move is None:
             return []
-        known_bad = self.bad
         if counters is not None:
             self._latch(self.judge(counters, now_s))
         asked = self._update_shares(now_s)
-        if self.bad is not None and known_bad is None:
+        if self._must_tell(now_s):
+            self._told_s = now_s
             asked.append(actions.Tell(self.bad))
         return asked
 
+    def _must_tell(self, now_s):
+        """Return whether the peers have to hear a verdict now."""
+        if self.bad is None or self._move.stage.is_final:
+            return False
+        return now_s >= self._told_s + RETELL_S
+
     def _latch(self, judgement):
         """Keep a verdict that the version is bad."""
         match judgement:
--- a/tests/coordination/rollout/driver.feature
+++ b/tests/coordination/rollout/driver.feature
@@ -17,6 +17,12 @@
     When 100 seconds pass
     Then every endpoint has only version v1
 
+  Scenario: A verdict is told again until the record has ended
+    Given a watcher of a move that is shifting
+    When it hears that the new version is bad
+    Then it sets the share to 0 at once and tells its peers each second
+    And it tells nothing more once the move is rolled back
+
   Scenario Outline: The move goes on without its driver
     Given a rollout of 160 seconds with drivers a, b
     When 30 seconds pass
--- a/tests/steps/coordination_rollout.py
+++ b/tests/steps/coordination_rollout.py
@@ -390,6 +390,37 @@
     context.world = World(duration_s, names.split(", "))
 
 
+@given("a watcher of a move that is shifting")
+def make_watcher(context):
+    context.move = make_move(300, stage=Stage.SHIFTING, share=0.4, version=3)
+    context.watcher = rollout.Watcher()
+    context.watcher.observe(context.move, 0.0)
+    assert context.watcher.step(None, 0.0) == [
+        rollout.SetShare("chat", "v2", 0.4)
+    ]
+
+
+@when("it hears that the new version is bad")
+def hear_verdict(context):
+    context.bad = rollout.Bad("m", rollout.Badness.SLOW, "", 9)
+    context.watcher.hear(context.bad)
+
+
+@then("it sets the share to 0 at once and tells its peers each second")
+def check_telling(context):
+    asked = [context.watcher.step(None, place / 2) for place in range(1, 6)]
+    tell = rollout.Tell(context.bad)
+    assert asked.pop(0) == [rollout.SetShare("chat", "v2", 0.0), tell]
+    assert asked == [[], [tell], [], [tell]]
+
+
+@then("it tells nothing more once the move is rolled back")
+def check_silence(context):
+    ended = rollout.abort(context.move, 4.0, "an operator")
+    context.watcher.observe(attrs.evolve(ended, version=4), 4.0)
+    assert context.watcher.step(None, 5.0) == []
+
+
 @when("{seconds:d} seconds pass")
 def run_world(context, seconds):
     context.world.run(seconds)
