--- a/mulberryhollow/coordination/rollout/evidence.py
+++ b/mulberryhollow/coordination/rollout/evidence.py
@@ -1,5 +1,6 @@
 """Sequential evidence that one version has more hits than another."""
 
+import functools
 import math
 
 import attrs
@@ -69,13 +70,13 @@
     @property
     def log_value(self):
         """Natural logarithm of the mixture."""
-        total = _add_logs(self._logs)
+        total = functools.reduce(_add_logs, self._logs)
         return total - math.log(len(self._logs))
 
     def begin(self, weight):
         """Open a start of the change here, with a prior weight."""
         log_weight = math.log(weight)
-        self._logs = [_add_logs((log, log_weight)) for log in self._logs]
+        self._logs = [_add_logs(log, log_weight) for log in self._logs]
 
     def add(self, new, old):
         """Take in the results of one look.
@@ -116,12 +117,13 @@
     return min(gain, MAX_LOG_GAIN_PER_LOOK)
 
 
-def _add_logs(logs):
-    """Return the logarithm of the sum of exponentials."""
-    greatest = max(logs)
-    if greatest == -math.inf:
-        return greatest
-    return greatest + math.log(sum(math.exp(log - greatest) for log in logs))
+def _add_logs(first, second):
+    """Return the logarithm of the sum of two exponentials."""
+    if first < second:
+        first, second = second, first
+    if second == -math.inf:
+        return first
+    return first + math.log1p(math.exp(second - first))
 
 
 def weigh_harmlessness(new, old, excess):
--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -404,7 +404,8 @@
         old = counters.total_by_route(service, self._move.from_version)
         pairs = {
             route: _Pair(
-                new.get(route, counting.Row()), old.get(route, counting.Row())
+                new.get(route, counting.EMPTY_ROW),
+                old.get(route, counting.EMPTY_ROW),
             )
             for route in sorted(new.keys() | old.keys())
         }
@@ -459,8 +460,8 @@
 class _Pair:
     """Rows of both versions."""
 
-    new: counting.Row = counting.Row()
-    old: counting.Row = counting.Row()
+    new: counting.Row = counting.EMPTY_ROW
+    old: counting.Row = counting.EMPTY_ROW
 
     def minus(self, other):
         """Return the growth since an earlier state."""
--- a/mulberryhollow/state/counters.py
+++ b/mulberryhollow/state/counters.py
@@ -127,13 +127,21 @@
 
     def plus(self, other):
         """Return the sum of two rows."""
+        if other is EMPTY_ROW:
+            return self
         return self.combine(other, operator.add)
 
     def minus(self, other):
         """Return the growth since an earlier state of the row."""
+        if other is self:
+            return EMPTY_ROW
         return self.combine(other, operator.sub)
 
 
+EMPTY_ROW = Row()
+"""A row without counts."""
+
+
 @attrs.frozen
 class Snapshot:
     """Cumulative rows of one incarnation of a node.
@@ -268,8 +276,9 @@
             return self._own.sequence
         source = self._sources.setdefault(name, _Source())
         for key, row in snapshot.rows.items():
-            known = source.rows.get(key, Row())
-            self._store(source, key, known.combine(row, max))
+            known = source.rows.get(key, EMPTY_ROW)
+            if row != known:
+                self._store(source, key, known.combine(row, max))
         if snapshot.after <= source.sequence < snapshot.sequence:
             source.sequence = snapshot.sequence
         return source.sequence
@@ -303,7 +312,7 @@
         by_route = self.total_by_route(service, version)
         if route is None:
             return sum_up(by_route.values())
-        return by_route.get(route, Row())
+        return by_route.get(route, EMPTY_ROW)
 
     def total_by_route(self, service, version):
         """Return the sum over all nodes of each route, by its name."""
@@ -329,7 +338,7 @@
         sums = {}
         for (node, _), source in self._sources.items():
             for key, row in source.rows.items() if node in nodes else ():
-                sums[key] = sums.get(key, Row()).plus(row)
+                sums[key] = sums.get(key, EMPTY_ROW).plus(row)
         return sums
 
     def retain(self, services):
@@ -348,7 +357,7 @@
 
     def _get_own(self, key):
         """Return an own row."""
-        return self._own.rows.get(key, Row())
+        return self._own.rows.get(key, EMPTY_ROW)
 
     def _put_own(self, key, row):
         """Store a changed own row."""
@@ -358,14 +367,14 @@
 
     def _store(self, source, key, row):
         """Store a grown row and add its growth to the sum over all nodes."""
-        growth = row.minus(source.rows.get(key, Row()))
+        growth = row.minus(source.rows.get(key, EMPTY_ROW))
         source.rows[key] = row
-        self._sums[key] = self._sums.get(key, Row()).plus(growth)
+        self._sums[key] = self._sums.get(key, EMPTY_ROW).plus(growth)
 
 
 def sum_up(rows):
     """Return the sum of rows."""
-    return functools.reduce(Row.plus, rows, Row())
+    return functools.reduce(Row.plus, rows, EMPTY_ROW)
 
 
 class _Message(TBase):
--- a/tools/bench/rollouts.py
+++ b/tools/bench/rollouts.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import multiprocessing
+import operator
 import random
 import statistics
 
@@ -19,6 +20,8 @@
 SEEDS = 200
 WORKERS = 4
 NODES = 8
+ALL_NODES = NODES
+NO_COUNTS = [0] * (4 + counting.BUCKET_COUNT)
 TESTERS = 4
 TICK_S = 0.25
 EXCHANGE_TICKS = 2
@@ -129,7 +132,7 @@
         self.load_share = self.random.choice((0.1, 0.2, 0.4, 0.6, 0.8, 0.9))
         self.bad_route = self.random.choice(ROUTES)
         self.weights = {}
-        self.counts = [{} for _ in range(NODES)]
+        self.counts = [{} for _ in range(NODES + 1)]
         self.finishing = {}
         self.mail = {}
         self.record = rollout.Move(
@@ -226,9 +229,10 @@
             self._count_request(is_new, behaviour)
             self._start(tick, node, version, route, behaviour)
         for node, key, failed, bucket in self.finishing.pop(tick, ()):
-            cell = self._get_cell(node, key)
-            cell[2 if failed else 1] += 1
-            cell[4 + bucket] += 1
+            for place in (node, ALL_NODES):
+                cell = self._get_cell(place, key)
+                cell[2 if failed else 1] += 1
+                cell[4 + bucket] += 1
 
     def _start(self, tick, node, version, route, behaviour):
         """Start one request and draw how it will end."""
@@ -238,7 +242,8 @@
             self.weights[behaviour.slowdown] = weights
         bucket = bisect.bisect_left(weights, self.random.random())
         failed = self.random.random() < behaviour.failures
-        self._get_cell(node, (version, route))[0] += 1
+        for place in (node, ALL_NODES):
+            self._get_cell(place, (version, route))[0] += 1
         latency_s = 0.001 * 2 ** (bucket / 2)
         end = tick + int(latency_s / TICK_S)
         self.finishing.setdefault(end, []).append(
@@ -249,7 +254,7 @@
         """Return the mutable counts of a node for (version, route)."""
         counts = self.counts[node]
         if key not in counts:
-            counts[key] = [0] * (4 + counting.BUCKET_COUNT)
+            counts[key] = list(NO_COUNTS)
         return counts[key]
 
     def _count_request(self, is_new, behaviour):
@@ -269,22 +274,22 @@
         """Merge what the testers hear: own counts now, others' later."""
         for node, view in enumerate(self.views):
             if tick % EXCHANGE_TICKS == node % EXCHANGE_TICKS:
-                self._merge(view, f"own-{node}", tick, [node])
-                others = [other for other in range(NODES) if other != node]
+                own = self.counts[node]
+                self._merge(view, f"own-{node}", tick, own)
+                others = {
+                    key: list(map(operator.sub, cell, own.get(key, NO_COUNTS)))
+                    for key, cell in self.counts[ALL_NODES].items()
+                }
                 self._merge(view, "others", tick, others)
 
-    def _merge(self, view, source, tick, nodes):
-        """Merge the sum of some nodes, as one source."""
-        rows = {}
-        for key in set().union(*(self.counts[node] for node in nodes)):
-            cells = [
-                self.counts[node][key]
-                for node in nodes
-                if key in self.counts[node]
-            ]
-            sums = [sum(column) for column in zip(*cells, strict=True)]
-            row = counting.Row(*sums[:4], tuple(sums[4:]))
-            rows[counting.RowKey("chat", *key)] = row
+    def _merge(self, view, source, tick, cells):
+        """Merge the counts of a node, or the sum of the other nodes."""
+        rows = {
+            counting.RowKey("chat", *key): counting.Row(
+                *cell[:4], tuple(cell[4:])
+            )
+            for key, cell in cells.items()
+        }
         snapshot = counting.Snapshot(source, 1, 0, tick + 1, rows)
         view.merge(snapshot)
 
