--- a/tools/bench/rollouts.py
+++ b/tools/bench/rollouts.py
@@ -3,8 +3,10 @@
 import bisect
 import enum
 import itertools
+import logging
 import math
 import multiprocessing
+import operator
 import random
 import statistics
 
@@ -18,12 +20,15 @@
 SEEDS = 200
 WORKERS = 4
 NODES = 8
+ALL_NODES = NODES
+NO_COUNTS = [0] * (4 + counting.BUCKET_COUNT)
 TESTERS = 4
 TICK_S = 0.25
 EXCHANGE_TICKS = 2
 STORE_TICKS = 1
 REQUESTS_PER_S = 160
 DURATION_S = 300.0
+LATEST_CHANGE_S = 220.0
 SETTLE_S = 2.0
 ROUTES = ("ask", "tag", "check", "book")
 ROUTE_WEIGHTS = (0.4, 0.3, 0.2, 0.1)
@@ -35,7 +40,9 @@
 SLOWDOWN = 3.0
 OUTAGE_FAILURES = 0.8
 OUTAGE_S = 30.0
+BYTES_REQUESTS = 20_000
 
+MAX_BYTES_PER_S = 7_000.0
 MAX_BAD_SHARE = 0.02
 MAX_FALSE_BAD = 0.01
 MIN_DONE = 0.99
@@ -121,11 +128,11 @@
     def __init__(self, kind, seed):
         self.kind = kind
         self.random = random.Random(f"{kind.value}:{seed}")
-        self.starts_s = self.random.uniform(30.0, DURATION_S - 50.0)
+        self.starts_s = self.random.uniform(30.0, LATEST_CHANGE_S)
         self.load_share = self.random.choice((0.1, 0.2, 0.4, 0.6, 0.8, 0.9))
         self.bad_route = self.random.choice(ROUTES)
         self.weights = {}
-        self.counts = [{} for _ in range(NODES)]
+        self.counts = [{} for _ in range(NODES + 1)]
         self.finishing = {}
         self.mail = {}
         self.record = rollout.Move(
@@ -222,9 +229,10 @@
             self._count_request(is_new, behaviour)
             self._start(tick, node, version, route, behaviour)
         for node, key, failed, bucket in self.finishing.pop(tick, ()):
-            cell = self._get_cell(node, key)
-            cell[2 if failed else 1] += 1
-            cell[4 + bucket] += 1
+            for place in (node, ALL_NODES):
+                cell = self._get_cell(place, key)
+                cell[2 if failed else 1] += 1
+                cell[4 + bucket] += 1
 
     def _start(self, tick, node, version, route, behaviour):
         """Start one request and draw how it will end."""
@@ -234,7 +242,8 @@
             self.weights[behaviour.slowdown] = weights
         bucket = bisect.bisect_left(weights, self.random.random())
         failed = self.random.random() < behaviour.failures
-        self._get_cell(node, (version, route))[0] += 1
+        for place in (node, ALL_NODES):
+            self._get_cell(place, (version, route))[0] += 1
         latency_s = 0.001 * 2 ** (bucket / 2)
         end = tick + int(latency_s / TICK_S)
         self.finishing.setdefault(end, []).append(
@@ -245,7 +254,7 @@
         """Return the mutable counts of a node for (version, route)."""
         counts = self.counts[node]
         if key not in counts:
-            counts[key] = [0] * (4 + counting.BUCKET_COUNT)
+            counts[key] = list(NO_COUNTS)
         return counts[key]
 
     def _count_request(self, is_new, behaviour):
@@ -265,22 +274,22 @@
         """Merge what the testers hear: own counts now, others' later."""
         for node, view in enumerate(self.views):
             if tick % EXCHANGE_TICKS == node % EXCHANGE_TICKS:
-                self._merge(view, f"own-{node}", tick, [node])
-                others = [other for other in range(NODES) if other != node]
+                own = self.counts[node]
+                self._merge(view, f"own-{node}", tick, own)
+                others = {
+                    key: list(map(operator.sub, cell, own.get(key, NO_COUNTS)))
+                    for key, cell in self.counts[ALL_NODES].items()
+                }
                 self._merge(view, "others", tick, others)
 
-    def _merge(self, view, source, tick, nodes):
-        """Merge the sum of some nodes, as one source."""
-        rows = {}
-        for key in set().union(*(self.counts[node] for node in nodes)):
-            cells = [
-                self.counts[node][key]
-                for node in nodes
-                if key in self.counts[node]
-            ]
-            sums = [sum(column) for column in zip(*cells, strict=True)]
-            row = counting.Row(*sums[:4], tuple(sums[4:]))
-            rows[counting.RowKey("chat", *key)] = row
+    def _merge(self, view, source, tick, cells):
+        """Merge the counts of a node, or the sum of the other nodes."""
+        rows = {
+            counting.RowKey("chat", *key): counting.Row(
+                *cell[:4], tuple(cell[4:])
+            )
+            for key, cell in cells.items()
+        }
         snapshot = counting.Snapshot(source, 1, 0, tick + 1, rows)
         view.merge(snapshot)
 
@@ -344,6 +353,11 @@
         )
 
 
+def _silence():
+    """Keep the events of the modelled moves out of the figures."""
+    logging.getLogger("mulberryhollow").setLevel(logging.CRITICAL)
+
+
 def run_one(job):
     """Return the result of one (kind, seed)."""
     kind, seed = job
@@ -425,10 +439,36 @@
     ]
 
 
+def measure_bytes():
+    """Return what a node's counts of one service take on the wire.
+
+    Every row changes from one message to the next.
+    """
+    draw = random.Random(1)
+    counters = counting.Counters("node-0", 1)
+    keys = [
+        counting.RowKey("chat", version, route)
+        for version, route in itertools.product(("v1", "v2"), ROUTES)
+    ]
+    for key in draw.choices(keys, k=BYTES_REQUESTS):
+        counters.record_start(key)
+        latency_s = draw.lognormvariate(math.log(MEDIAN_LATENCY_S), 0.5)
+        counters.record_latency(key, latency_s)
+        counters.record_ok(key)
+    message = counting.encode(counters.take_snapshot())
+    messages_per_s = TESTERS / (TICK_S * EXCHANGE_TICKS)
+    return figure.Figure(
+        "counts of one service sent to all testers by a node",
+        len(message) * messages_per_s,
+        "bytes/s",
+        at_most=MAX_BYTES_PER_S,
+    )
+
+
 def run():
     """Return the figures of every kind, over the same seeds each time."""
-    figures = []
-    with multiprocessing.Pool(WORKERS) as pool:
+    figures = [measure_bytes()]
+    with multiprocessing.Pool(WORKERS, _silence) as pool:
         for kind in Kind:
             results = run_kind(pool, kind)
             if kind.is_good:
