Configuration over real processes: stale lists, restarts, lone instances

Cause: the watch began after the revision of a list, so a stale list hid the change for good. A restarted instance kept the cursors of its former process at every peer, and volatile facts kept anti-entropy waiting, so with the store down it never got the document. A watch of 5 s could leave an instance without peers unready between two watches. Ruled out: the list of entries (the restarted instance knew its 4 peers). Change: the watch begins after the version that was listed; cursors of a peer end with its incarnation; only lasting facts delay anti-entropy; a watch waits 3 s; while the store is down at most 8 listed instances are asked, at once, and only until a peer is met. Planted: with the former watch 'A stale read hides no change' is red; without the cursors' end, or without asking listed instances, 'A restarted instance takes the document from a peer' is red.

--- a/mulberryhollow/coordination/membership/node.py
+++ b/mulberryhollow/coordination/membership/node.py
@@ -260,20 +260,29 @@
         for fact in found:
             if not self.table.merge(fact, wall_s, source=peer):
                 continue
-            self._changed_s = now_s
+            if _is_lasting(fact):
+                self._changed_s = now_s
             self._urgent = self._urgent or _is_urgent(fact)
             if fact.topic == facts.Topic.MEMBER.value:
                 self._apply_member(fact, now_s, wall_s)
 
     def _apply_member(self, fact, now_s, wall_s):
         """Take in a fact about a member; one that cannot be read is left."""
+        before = self._find_incarnation(fact.key)
         try:
             answers = self.membership.apply_fact(fact, now_s, wall_s)
         except ValueError:
             return
+        if before != self._find_incarnation(fact.key):
+            self._spread.forget(fact.key)
         for answer in answers:
             self.table.merge(answer, wall_s)
 
+    def _find_incarnation(self, instance_id):
+        """Return the known incarnation of a member, or None."""
+        view = self.membership.find_member(instance_id)
+        return view.member.incarnation if view else None
+
     def _drop_expired(self, wall_s):
         """Drop expired facts and forget the members that they told of."""
         for fact in self.table.drop_expired(wall_s):
@@ -301,3 +310,8 @@
     if fact.topic == facts.Topic.MEMBER.value:
         return member.find_standing(fact) is member.Standing.LEFT
     return facts.find_priority(fact.topic) <= facts.Topic.NOTICE.priority
+
+
+def _is_lasting(fact):
+    """Return whether anti-entropy repairs a fact."""
+    return facts.find_priority(fact.topic) <= facts.Topic.MEMBER.priority
--- a/mulberryhollow/coordination/membership/spread.py
+++ b/mulberryhollow/coordination/membership/spread.py
@@ -105,6 +105,16 @@
         while len(self._cursors) > MAX_PEERS:
             self._cursors.popitem(last=False)
 
+    def forget(self, peer):
+        """Drop the cursors of a peer that has restarted and holds nothing.
+
+        Parameters
+        ----------
+        peer : str
+            Its instance id.
+        """
+        self._cursors.pop(peer, None)
+
     def choose_wants(self, offers, now_s):
         """Return the offered facts to ask for, each only once for a while.
 
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -12,8 +12,12 @@
 KIND = "environment"
 """Kind of the objects that hold documents."""
 
-WATCH_WAIT_S = 5.0
-"""Longest wait of one watch at the platform, in seconds."""
+WATCH_WAIT_S = 3.0
+"""Longest wait of one watch at the platform, in seconds.
+
+With the time between two watches it stays below the time without contact
+after which an instance leaves the balancer.
+"""
 
 
 @attrs.frozen
@@ -99,14 +103,24 @@
         StoreUnavailableError
             When the platform gave no usable answer; the next call lists
             the objects anew, so that nothing is missed.
+
+        Notes
+        -----
+        A list may be stale although its revision is the latest one, so
+        the watch begins after the version that the list showed.
         """
         known, self._revision = self._revision, None
         if known is None:
-            revision, found = self._store.list_objects(KIND)
+            _, found = self._store.list_objects(KIND)
+            revision = max(map(self._get_version, found), default=0)
         else:
             revision, found = self._store.watch(KIND, known, WATCH_WAIT_S)
         self.last_contact_s = self._clock.now_s()
-        for each in found:
-            if each.name == self._name and not each.is_deleted:
-                self._actor.tell(Offer(each.version, each.value))
+        for each in filter(self._get_version, found):
+            self._actor.tell(Offer(each.version, each.value))
         self._revision = revision
+
+    def _get_version(self, item):
+        """Return the version of the document; 0 for other objects."""
+        is_document = item.name == self._name and not item.is_deleted
+        return item.version if is_document else 0
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -439,10 +439,16 @@
         StoreUnavailableError
             When the platform gave no usable answer; the next call lists
             the objects anew.
+
+        Notes
+        -----
+        A list may be stale although its revision is the latest one, so
+        the first watch asks for every record.
         """
         known, self._revision = self._revision, None
         if known is None:
-            revision, found = self._store.list_objects(KIND)
+            revision = 0
+            _, found = self._store.list_objects(KIND)
         else:
             revision, found = self._store.watch(KIND, known, WATCH_WAIT_S)
         for each in found:
--- a/mulberryhollow/serving/registry.py
+++ b/mulberryhollow/serving/registry.py
@@ -1,6 +1,8 @@
 """Registration of an instance in the platform's store."""
 
+import concurrent.futures
 import logging
+import random
 
 import attrs
 import urllib3
@@ -20,6 +22,7 @@
 """Page of an instance that shows its registration."""
 
 _ASK_TIMEOUT_S = 1.0
+_ASKED_AT_ONCE = 8
 
 REGISTERED = events.declare(
     5100, logging.INFO, "the instance is registered in the store"
@@ -43,6 +46,7 @@
         self._store = store
         self._cloud = cloud
         self._peers = peers
+        self._random = random.Random(peers.me().instance_id)
         self._version = 0
 
     def register(self):
@@ -59,7 +63,7 @@
         try:
             _, found = self._store.list_objects(KIND)
         except errors.StoreUnavailableError:
-            self._peers.add_members(self._ask_listed(me))
+            self._meet_listed(me)
             raise
         self._peers.add_members(
             [each for each in map(_decode, found) if each is not None]
@@ -88,10 +92,30 @@
                 self._version = version
                 events.log(REGISTERED, version=version)
 
+    def _meet_listed(self, me):
+        """Ask listed entry instances for their peers, unless one is met."""
+        others = [
+            view
+            for view in self._peers.members()
+            if view.is_usable and view.member.instance_id != me.instance_id
+        ]
+        if not others:
+            self._peers.add_members(self._ask_listed(me))
+
     def _ask_listed(self, me):
-        """Return the members that the listed entry instances name."""
+        """Return the members that some of the listed instances name.
+
+        Notes
+        -----
+        A few are enough, since peers tell each other of all members; each
+        call chooses others, so instances that are gone do no harm.
+        """
         addresses = self._cloud.list_entries()
-        asked = [_ask(each) for each in addresses]
+        chosen = self._random.sample(
+            addresses, min(_ASKED_AT_ONCE, len(addresses))
+        )
+        with concurrent.futures.ThreadPoolExecutor(_ASKED_AT_ONCE) as threads:
+            asked = list(threads.map(_ask, chosen))
         return [
             each
             for each in asked
