--- a/mulberryhollow/coordination/membership/node.py
+++ b/mulberryhollow/coordination/membership/node.py
@@ -276,7 +276,7 @@
             answers = self.membership.apply_fact(fact, now_s, wall_s)
         except ValueError:
             return
-        if before != self._find_incarnation(fact.key):
+        if before not in (None, self._find_incarnation(fact.key)):
             self._spread.forget(fact.key)
         for answer in answers:
             self.table.merge(answer, wall_s)
--- a/tests/daemon/configuration.feature
+++ b/tests/daemon/configuration.feature
@@ -13,7 +13,7 @@
 
   Scenario: A store outage changes nothing
     When the platform's store goes out
-    And 2 seconds pass
+    And 2 real seconds pass
     Then every instance is ready
     When weight 6 is applied
     Then the command ends as unavailable
--- a/tests/steps/daemon_configuration.py
+++ b/tests/steps/daemon_configuration.py
@@ -161,7 +161,7 @@
     context.shared.fault(address, "drop_answer", count=count)
 
 
-@when("{seconds:d} seconds pass")
+@when("{seconds:d} real seconds pass")
 def pass_time(context, seconds):
     time.sleep(seconds)
 
