Peer messages: bounded bytes for busy nodes, origin reaches every domain

Change: listed members are not sent on, each message tells the room of its sender, the origin sends to one member of every failure domain itself. Bench: tools/bench/peers.py, real nodes in processes and 830 simulated ones.

--- a/mulberryhollow/coordination/membership/__init__.py
+++ b/mulberryhollow/coordination/membership/__init__.py
@@ -19,10 +19,12 @@
 from mulberryhollow.coordination.membership.messages import SendExchange
 from mulberryhollow.coordination.membership.node import PeerNode
 from mulberryhollow.coordination.membership.topology import rank_by_rendezvous
+from mulberryhollow.coordination.membership.topology import RELAYS_PER_DOMAIN
 from mulberryhollow.coordination.membership.topology import Topology
 
 __all__ = [
     "BUDGET_BYTES_PER_S",
+    "RELAYS_PER_DOMAIN",
     "ROUND_S",
     "SUSPECT_S",
     "AskProbe",
--- a/mulberryhollow/coordination/membership/budget.py
+++ b/mulberryhollow/coordination/membership/budget.py
@@ -9,7 +9,7 @@
 BURST_S = 5.0
 """Time whose unused bytes can be spent at once, in seconds."""
 
-BULK_SHARE = 0.5
+BULK_SHARE = 0.9
 """Share of a full budget above which facts that are not urgent are sent."""
 
 
--- a/mulberryhollow/coordination/membership/messages.py
+++ b/mulberryhollow/coordination/membership/messages.py
@@ -4,7 +4,10 @@
 
 import attrs
 
-__all__ = ["AskProbe", "Exchange", "SendExchange"]
+__all__ = ["DEFAULT_ROOM_BYTES", "AskProbe", "Exchange", "SendExchange"]
+
+DEFAULT_ROOM_BYTES = 1_024
+"""Room of a peer that has not told its own, in bytes."""
 
 
 @attrs.frozen
@@ -24,6 +27,9 @@
     digests : tuple of int
         Digests by bucket, when the digests differed; the receiver sends the
         facts of the buckets that differ.
+    room_bytes : int
+        What facts that are not urgent may take in the next message to the
+        sender, in bytes.
     """
 
     digest: int
@@ -31,6 +37,7 @@
     offers: tuple = ()
     wants: tuple = ()
     digests: tuple = ()
+    room_bytes: int = DEFAULT_ROOM_BYTES
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/coordination/membership/node.py
+++ b/mulberryhollow/coordination/membership/node.py
@@ -86,7 +86,7 @@
         """
         for added in self.membership.apply_list(listed, now_s):
             fact = member.encode_fact(member.MemberState(added), wall_s)
-            self.table.merge(fact, wall_s)
+            self.table.merge(fact, wall_s, source=spread.LISTED)
 
     def publish(self, fact, wall_s):
         """Take in a fact of this node's own.
@@ -168,6 +168,7 @@
             The answer.
         """
         self.membership.note_contact(peer)
+        self._spread.note_room(peer, exchange.room_bytes)
         self._take(peer, exchange.facts, now_s, wall_s)
         free_bytes = self.budget.find_free_bytes(now_s)
         reply, cursors = self._spread.compose(
@@ -193,6 +194,7 @@
         self.membership.note_contact(peer)
         if sent:
             self._spread.confirm(peer, sent.cursors)
+        self._spread.note_room(peer, exchange.room_bytes)
         self._take(peer, exchange.facts, now_s, wall_s)
         wants = self._spread.choose_wants(exchange.offers, now_s)
         free_bytes = self.budget.find_free_bytes(now_s)
--- a/mulberryhollow/coordination/membership/spread.py
+++ b/mulberryhollow/coordination/membership/spread.py
@@ -6,7 +6,10 @@
 from mulberryhollow.coordination.membership import messages
 from mulberryhollow.state import facts
 
-__all__ = ["Spread"]
+__all__ = ["LISTED", "Spread"]
+
+LISTED = ""
+"""Source of the members read from a list, which every node reads itself."""
 
 INLINE_BYTES = 1_024
 """Size up to which a fact is sent unasked, in bytes."""
@@ -32,6 +35,9 @@
 RECENT_ROUNDS = 10
 """Rounds whose changes are sent to a peer that was not met before."""
 
+ROOM_SHARE = 4
+"""Peers that may use the free bytes of one node at the same time."""
+
 MAX_PEERS = 512
 """Peers whose cursors are kept."""
 
@@ -55,6 +61,7 @@
     def __init__(self, table):
         self._table = table
         self._cursors = collections.OrderedDict()
+        self._rooms = collections.OrderedDict()
         self._wanted = {}
         self._recent = collections.deque([table.cursor], maxlen=RECENT_ROUNDS)
 
@@ -87,7 +94,9 @@
         tuple of (Exchange, dict)
             The message, and the cursors to keep once it has arrived.
         """
-        chosen, cursors = self._choose(peer, min(free_bytes, MAX_BULK_BYTES))
+        room_bytes = self._rooms.get(peer, messages.DEFAULT_ROOM_BYTES)
+        limit_bytes = min(free_bytes, room_bytes, MAX_BULK_BYTES)
+        chosen, cursors = self._choose(peer, limit_bytes)
         inline = [fact for fact in chosen if fact.size_bytes <= INLINE_BYTES]
         offers = tuple(
             fact.identity for fact in chosen if fact.size_bytes > INLINE_BYTES
@@ -95,10 +104,22 @@
         sent = tuple(dict.fromkeys([*answers, *inline]))
         offered = tuple(dict.fromkeys([*offers, *repairs]))
         exchange = messages.Exchange(
-            self._table.compute_digest(), sent, offered, wants, digests
+            self._table.compute_digest(),
+            sent,
+            offered,
+            wants,
+            digests,
+            free_bytes // ROOM_SHARE,
         )
         return exchange, cursors
 
+    def note_room(self, peer, room_bytes):
+        """Note what facts that are not urgent a peer has room for."""
+        self._rooms[peer] = room_bytes
+        self._rooms.move_to_end(peer)
+        while len(self._rooms) > MAX_PEERS:
+            self._rooms.popitem(last=False)
+
     def confirm(self, peer, cursors):
         """Keep the cursors of a message that has arrived."""
         known = self._cursors.setdefault(peer, {})
@@ -179,7 +200,7 @@
             is_urgent = _is_urgent(topic)
             start = 0 if is_urgent else self._recent[0]
             changes = self._table.changes_since(
-                known.get(topic, start), topic, skip_source=peer
+                known.get(topic, start), topic, skip_sources=(peer, LISTED)
             )
             limit_bytes = _find_limit(topic, free_bytes)
             taken = _limit(changes.facts, limit_bytes, _find_offered_size)
--- a/mulberryhollow/coordination/membership/topology.py
+++ b/mulberryhollow/coordination/membership/topology.py
@@ -136,24 +136,30 @@
         if is_origin:
             targets += self._local.relays
         if is_origin or self.is_relay:
-            targets += self._list_across(round_number)
+            targets += self._list_across(round_number, is_origin)
         unique = dict.fromkeys(targets)
         unique.pop(self._me.instance_id, None)
         return tuple(unique)
 
-    def _list_across(self, round_number):
-        """Return one member of each near domain and each far region."""
-        name = self._me.instance_id
-        rank = (
-            self._local.relays.index(name) if name in self._local.relays else 0
-        )
-        regions = [
-            domains[(round_number + rank) % len(domains)]
-            for domains in self._regions
-        ]
+    def _list_across(self, round_number, is_origin):
+        """Return one member of each domain that a fact is sent to.
+
+        The origin sends to every failure domain, each time to another member
+        of it, so that frozen relays do not hold the fact up. A relay sends
+        to those of its region and to one of each other region.
+        """
+        if is_origin:
+            rank = RELAYS_PER_DOMAIN - 1
+            domains = [*self._near, *itertools.chain(*self._regions)]
+        else:
+            rank = self._local.relays.index(self._me.instance_id)
+            domains = self._near + [
+                domains[(round_number + rank) % len(domains)]
+                for domains in self._regions
+            ]
         return [
-            _choose_entry(domain, rank, round_number)
-            for domain in itertools.chain(self._near, regions)
+            _choose_entry(domain, rank, round_number + self._place)
+            for domain in domains
         ]
 
     def _list_distances(self):
--- a/mulberryhollow/protocol/gen/peer/ttypes.py
+++ b/mulberryhollow/protocol/gen/peer/ttypes.py
@@ -248,6 +248,7 @@
      - wants
      - digest
      - digests
+     - room_bytes
 
     """
 
@@ -257,15 +258,17 @@
         'wants',
         'digest',
         'digests',
+        'room_bytes',
     )
 
 
-    def __init__(self, facts=None, offers=None, wants=None, digest=None, digests=None,):
+    def __init__(self, facts=None, offers=None, wants=None, digest=None, digests=None, room_bytes=None,):
         self.facts = facts
         self.offers = offers
         self.wants = wants
         self.digest = digest
         self.digests = digests
+        self.room_bytes = room_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -324,6 +327,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.room_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -366,12 +374,18 @@
                 oprot.writeI64(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.room_bytes is not None:
+            oprot.writeFieldBegin('room_bytes', TType.I32, 6)
+            oprot.writeI32(self.room_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.digest is None:
             raise TProtocolException(message='Required field digest is unset!')
+        if self.room_bytes is None:
+            raise TProtocolException(message='Required field room_bytes is unset!')
         return
 
     def __repr__(self):
@@ -597,6 +611,7 @@
     (3, TType.LIST, 'wants', (TType.STRUCT, [FactId, None], False), None, ),  # 3
     (4, TType.I64, 'digest', None, None, ),  # 4
     (5, TType.LIST, 'digests', (TType.I64, None, False), None, ),  # 5
+    (6, TType.I32, 'room_bytes', None, None, ),  # 6
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/mulberryhollow/protocol/peer.thrift
+++ b/mulberryhollow/protocol/peer.thrift
@@ -22,6 +22,7 @@
   3: optional list<FactId> wants,
   4: required i64 digest,
   5: optional list<i64> digests,
+  6: required i32 room_bytes,
 }
 
 struct Envelope {
--- a/mulberryhollow/protocol/peers.py
+++ b/mulberryhollow/protocol/peers.py
@@ -169,6 +169,7 @@
         wants=[_id_to_wire(item) for item in exchange.wants] or None,
         digest=exchange.digest,
         digests=list(exchange.digests) or None,
+        room_bytes=exchange.room_bytes,
     )
     return serialize(wire, _FACTORY)
 
@@ -200,6 +201,7 @@
         tuple(_id_from_wire(item) for item in wire.offers or ()),
         tuple(_id_from_wire(item) for item in wire.wants or ()),
         tuple(wire.digests or ()),
+        wire.room_bytes,
     )
 
 
--- a/mulberryhollow/state/facts.py
+++ b/mulberryhollow/state/facts.py
@@ -173,11 +173,11 @@
 
 @attrs.frozen
 class _Entry:
-    """A fact with the sequence of its merging and the peer that sent it."""
+    """A fact, the sequence of its merging and who is known to hold it."""
 
     sequence: int
     fact: Fact
-    source: str | None
+    holders: set
 
 
 class FactTable:
@@ -261,7 +261,8 @@
         wall_s : float
             Wall-clock time; an expired fact is not taken in.
         source : str or None
-            Instance id of the peer that sent it.
+            Instance id of the peer that sent it, or another name for where
+            it comes from.
 
         Returns
         -------
@@ -272,7 +273,7 @@
             return False
         held = self._topics[fact.topic].get(fact.key)
         if held and not fact.is_newer_than(held.fact):
-            self._prolong(held, fact)
+            self._note_again(held, fact, source)
             return False
         if held:
             self._remove(held.fact)
@@ -310,7 +311,7 @@
             self._remove(fact)
         return expired
 
-    def changes_since(self, cursor, topic=None, skip_source=None):
+    def changes_since(self, cursor, topic=None, skip_sources=()):
         """Return what was merged after a cursor.
 
         Parameters
@@ -319,8 +320,8 @@
             0, or the cursor of an earlier answer.
         topic : str, Topic or None
             One topic, or all.
-        skip_source : str or None
-            Leave out the facts that this peer sent.
+        skip_sources : iterable of str
+            Leave out the facts that one of these sent.
 
         Returns
         -------
@@ -337,7 +338,7 @@
         facts = tuple(
             entry.fact
             for entry in entries
-            if skip_source is None or entry.source != skip_source
+            if entry.holders.isdisjoint(skip_sources)
         )
         return Changes(facts, self._sequence)
 
@@ -385,7 +386,7 @@
     def _insert(self, fact, source):
         """Add a fact as the newest of its topic."""
         self._sequence += 1
-        entry = _Entry(self._sequence, fact, source)
+        entry = _Entry(self._sequence, fact, {source})
         self._topics[fact.topic][fact.key] = entry
         self._count += 1
         self._size_bytes += fact.size_bytes
@@ -398,13 +399,12 @@
         self._size_bytes -= fact.size_bytes
         self._toggle_digest(fact)
 
-    def _prolong(self, held, fact):
-        """Let the same statement live until the later of two times."""
-        is_same = (held.fact.version, held.fact.value) == (
-            fact.version,
-            fact.value,
-        )
-        if is_same and fact.outlives(held.fact):
+    def _note_again(self, held, fact, source):
+        """Note who else holds a fact; it lives until the later expiry."""
+        if held.fact.is_newer_than(fact):
+            return
+        held.holders.add(source)
+        if fact.outlives(held.fact):
             entry = attrs.evolve(held, fact=fact)
             self._topics[fact.topic][fact.key] = entry
 
--- a/tests/steps/protocol_peers.py
+++ b/tests/steps/protocol_peers.py
@@ -31,6 +31,7 @@
     strategies.lists(IDS, max_size=3).map(tuple),
     strategies.lists(IDS, max_size=3).map(tuple),
     strategies.lists(NUMBERS, max_size=3).map(tuple),
+    strategies.integers(0, 10_000),
 )
 
 
--- /dev/null
+++ b/tools/bench/peers.py
@@ -0,0 +1,473 @@
+"""Bytes, processor time and spread of messages between peers.
+
+Nodes run as processes that talk over the loopback interface; the decisions
+alone also run at the target's size in one process, without sockets.
+"""
+
+import itertools
+import json
+import os
+import resource
+import signal
+import statistics
+import subprocess
+import sys
+import threading
+import time
+
+import attrs
+
+from mulberryhollow.clock import SystemClock
+from mulberryhollow.coordination import membership
+from mulberryhollow.state.facts import Fact
+from mulberryhollow.state.facts import Topic
+from mulberryhollow.transport import gossip
+from tests import membership_cluster
+from tools.bench.figure import Figure
+
+__all__ = ["run"]
+
+SIZES = (8, 16, 32, 64)
+TARGET_NODES = 830
+TARGET_DOMAINS = 16
+TARGET_REGIONS = 5
+DOMAINS = 4
+
+SETTLE_S = 4.0
+WINDOW_S = 5.0
+START_LIMIT_S = 60.0
+SPREAD_LIMIT_S = 20.0
+COUNTERS_PERIOD_S = 5.0
+COUNTERS_BYTES = 100
+DOCUMENT_BYTES = 8_192
+DOCUMENTS = 5
+
+MAX_BYTES_PER_S = 7_000
+MAX_CORE_PERCENT = 2.3
+MAX_MEMORY_MB = 256
+MAX_SPREAD_S = 7.0
+
+_KEY = b"benchmark key of thirty-two bytes"
+
+
+@attrs.frozen
+class Sample:
+    """What one node had used at one time.
+
+    Parameters
+    ----------
+    total_bytes : int
+        Bytes in both directions.
+    messages : int
+        Messages in both directions.
+    processor_s : float
+        Processor time, in seconds.
+    memory_mb : float
+        Resident memory, in megabytes.
+    """
+
+    total_bytes: int
+    messages: int
+    processor_s: float
+    memory_mb: float
+
+
+@attrs.frozen
+class Usage:
+    """What a node uses on average.
+
+    Parameters
+    ----------
+    nodes : int
+        Number of nodes of the run.
+    bytes_per_s, messages_per_s : float
+        In both directions.
+    busiest_bytes_per_s : float
+        Of the node with the most.
+    core_percent : float
+        Share of a processor core, in percent.
+    memory_mb : float
+        Resident memory, in megabytes.
+    """
+
+    nodes: int
+    bytes_per_s: float
+    busiest_bytes_per_s: float
+    messages_per_s: float
+    core_percent: float
+    memory_mb: float
+
+
+class NodeProcess:
+    """A node in a process of its own, driven over its pipes.
+
+    Parameters
+    ----------
+    number : int
+        Its number.
+    """
+
+    def __init__(self, number):
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "tools.bench.peers", str(number)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self._answers = {}
+        self.arrivals = {}
+        self._changed = threading.Condition()
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def ask(self, command, *arguments):
+        """Send a command and return its answer."""
+        with self._changed:
+            self._answers.pop(command, None)
+        self.tell(command, *arguments)
+        with self._changed:
+            is_met = self._changed.wait_for(
+                lambda: command in self._answers, START_LIMIT_S
+            )
+            if not is_met:
+                raise TimeoutError(f"no answer to {command}")
+            return self._answers[command]
+
+    def tell(self, command, *arguments):
+        """Send a command that has no answer."""
+        line = json.dumps([command, *arguments])
+        self._process.stdin.write(line + "\n")
+        self._process.stdin.flush()
+
+    def stop(self):
+        """Stop the process as a paused instance is stopped."""
+        os.kill(self._process.pid, signal.SIGSTOP)
+
+    def end(self):
+        """End the process."""
+        self._process.kill()
+        self._process.wait()
+        self._process.stdin.close()
+
+    def _read(self):
+        """Take in the answers and the arrivals of documents."""
+        for line in self._process.stdout:
+            command, answer = json.loads(line)
+            with self._changed:
+                if command == "document":
+                    self.arrivals[answer[0]] = answer[1]
+                else:
+                    self._answers[command] = answer
+                self._changed.notify_all()
+
+
+def run():
+    """Return the figures of processes and of the simulation."""
+    usages = [measure_usage(count, has_counters=False) for count in SIZES]
+    loaded = [measure_usage(count, has_counters=True) for count in SIZES]
+    return [
+        *list_usage_figures("calm", usages),
+        *list_usage_figures("with counter snapshots", loaded),
+        *measure_spread(),
+        *simulate_spread(),
+    ]
+
+
+def list_usage_figures(name, usages):
+    """Return the figures of each size, their slope and the prediction."""
+    limits = (
+        ("bytes_per_s", "B/s", MAX_BYTES_PER_S),
+        ("busiest_bytes_per_s", "B/s", MAX_BYTES_PER_S),
+        ("core_percent", "% of a core", MAX_CORE_PERCENT),
+        ("memory_mb", "MB", MAX_MEMORY_MB),
+        ("messages_per_s", "1/s", None),
+    )
+    return list(
+        itertools.chain.from_iterable(
+            _list_one(name, usages, *limit) for limit in limits
+        )
+    )
+
+
+def _list_one(name, usages, field, unit, limit):
+    """Return the figures of one quantity.
+
+    The prediction adds the slope to the largest run, unless it falls.
+    """
+    values = [getattr(usage, field) for usage in usages]
+    counts = [usage.nodes for usage in usages]
+    measured = [
+        Figure(f"{name}, {count} nodes, {field}", value, unit, limit)
+        for count, value in zip(counts, values, strict=True)
+    ]
+    slope = statistics.linear_regression(counts, values).slope
+    more_nodes = TARGET_NODES - counts[-1]
+    predicted = values[-1] + max(0.0, slope) * more_nodes
+    return [
+        *measured,
+        Figure(f"{name}, slope of {field}", slope, f"{unit} a node"),
+        Figure(
+            f"{name}, {field} predicted for {TARGET_NODES} nodes",
+            predicted,
+            unit,
+            limit,
+        ),
+    ]
+
+
+def measure_usage(count, has_counters):
+    """Return what a node of some number of nodes uses on average."""
+    nodes = start_nodes(count)
+    try:
+        if has_counters:
+            _tell_all(nodes, "counters")
+        time.sleep(SETTLE_S)
+        before = _sample(nodes)
+        start_s = time.monotonic()
+        time.sleep(WINDOW_S)
+        after = _sample(nodes)
+        elapsed_s = time.monotonic() - start_s
+    finally:
+        _end_all(nodes)
+    return _average(count, before, after, elapsed_s)
+
+
+def _average(count, before, after, elapsed_s):
+    """Return the usage between two samples of all nodes."""
+    pairs = list(zip(before, after, strict=True))
+
+    def find_rate(field, choose=statistics.fmean):
+        deltas = [getattr(b, field) - getattr(a, field) for a, b in pairs]
+        return choose(deltas) / elapsed_s
+
+    return Usage(
+        count,
+        find_rate("total_bytes"),
+        find_rate("total_bytes", max),
+        find_rate("messages"),
+        100 * find_rate("processor_s"),
+        statistics.fmean(sample.memory_mb for sample in after),
+    )
+
+
+def measure_spread():
+    """Return the time until 8 nodes know a document, two of them frozen."""
+    nodes = start_nodes(8)
+    try:
+        time.sleep(SETTLE_S)
+        calm = _find_slowest(nodes, range(1, DOCUMENTS + 1))
+        for node in nodes[-2:]:
+            node.stop()
+        versions = range(DOCUMENTS + 1, 2 * DOCUMENTS + 1)
+        frozen = _find_slowest(nodes[:-2], versions)
+    finally:
+        _end_all(nodes)
+    return [
+        Figure("document known on 8 nodes", calm, "s", MAX_SPREAD_S),
+        Figure(
+            "document known on 6 of 8 nodes, two frozen",
+            frozen,
+            "s",
+            MAX_SPREAD_S,
+        ),
+    ]
+
+
+def _find_slowest(nodes, versions):
+    """Return the longest time until all nodes knew a document."""
+    return max(_time_document(nodes, version) for version in versions)
+
+
+def _time_document(nodes, version):
+    """Return the time until all nodes knew one document."""
+    origin = nodes[version % len(nodes)]
+    published_s = origin.ask("publish", version)
+    limit_s = time.monotonic() + SPREAD_LIMIT_S
+    while not all(version in node.arrivals for node in nodes):
+        if time.monotonic() > limit_s:
+            return float("inf")
+        time.sleep(0.005)
+    return max(node.arrivals[version] for node in nodes) - published_s
+
+
+def simulate_spread():
+    """Return the spread at the target's size, decisions only."""
+    members = membership_cluster.make_members(
+        TARGET_NODES, TARGET_DOMAINS, TARGET_REGIONS
+    )
+    cluster = membership_cluster.Cluster(members)
+    cluster.run(10 * membership.ROUND_S)
+    before = cluster.messages
+    cluster.run(10 * membership.ROUND_S)
+    rate = (cluster.messages - before) / TARGET_NODES / 10
+    figures = [
+        Figure(f"simulated, {TARGET_NODES} nodes, calm", rate, "messages/s")
+    ]
+    layouts = [
+        membership.Topology(domain[0], members)
+        for domain in _group_by_domain(members)
+    ]
+    for frozen in range(membership.RELAYS_PER_DOMAIN + 1):
+        names = [name for layout in layouts for name in layout.relays[:frozen]]
+        figures += _simulate_documents(cluster, names, frozen)
+    return figures
+
+
+def _group_by_domain(members):
+    """Return the members of each failure domain."""
+    ordered = sorted(members, key=lambda member: member.failure_domain)
+    groups = itertools.groupby(
+        ordered, key=lambda member: member.failure_domain
+    )
+    return [list(group) for _, group in groups]
+
+
+def _simulate_documents(cluster, frozen, frozen_relays):
+    """Return the spread of some documents while some nodes are frozen."""
+    for name in frozen:
+        cluster.freeze(name)
+    running = [name for name in cluster.nodes if name not in cluster.frozen]
+    before = cluster.messages
+    results = [
+        _simulate_one(cluster, running[turn * 97], frozen, frozen_relays, turn)
+        for turn in range(DOCUMENTS)
+    ]
+    count = (cluster.messages - before) / len(running) / DOCUMENTS
+    for name in frozen:
+        cluster.thaw(name)
+    cluster.run(30 * membership.ROUND_S)
+    place = f"simulated, {frozen_relays} relays a failure domain frozen"
+    slowest_s = max(results)
+    return [
+        Figure(f"{place}, known everywhere", slowest_s, "s", MAX_SPREAD_S),
+        Figure(f"{place}, messages a node and document", count, "count"),
+    ]
+
+
+def _simulate_one(cluster, origin, frozen, frozen_relays, turn):
+    """Return the time until every running node knows a document."""
+    version = frozen_relays * DOCUMENTS + turn + 1
+    document = Fact(Topic.DOCUMENT, "production", version, bytes(2_000))
+    cluster.publish(origin, document)
+    took_s = cluster.run_until(
+        lambda: cluster.all_know(document, but=frozen), SPREAD_LIMIT_S
+    )
+    return float("inf") if took_s is None else took_s
+
+
+def start_nodes(count):
+    """Start nodes and let each know all others, as the store's list does."""
+    nodes = [NodeProcess(number) for number in range(count)]
+    addresses = [node.ask("address") for node in nodes]
+    members = [
+        attrs.asdict(_make_member(number, address))
+        for number, address in enumerate(addresses)
+    ]
+    _tell_all(nodes, "members", members)
+    return nodes
+
+
+def _tell_all(nodes, *command):
+    """Send a command to all nodes."""
+    for node in nodes:
+        node.tell(*command)
+
+
+def _sample(nodes):
+    """Return what each node has used so far."""
+    return [Sample(*node.ask("sample")) for node in nodes]
+
+
+def _end_all(nodes):
+    """End the processes of all nodes."""
+    for node in nodes:
+        node.end()
+
+
+def _make_member(number, address):
+    """Return the member of a node."""
+    member = membership_cluster.make_member(
+        number, f"fd-{number % DOMAINS}", "r-0", incarnation=1_000
+    )
+    return attrs.evolve(member, peer_address=address)
+
+
+class _Child:
+    """The side of a node's process."""
+
+    def __init__(self, number):
+        self._clock = SystemClock()
+        self._number = number
+        me = _make_member(number, "127.0.0.1:0")
+        self._ref = gossip.Gossip.start(
+            me, _KEY, self._clock, (), me.peer_address
+        )
+        self._peers = gossip.Peers(self._ref)
+        self._peers.subscribe(Topic.DOCUMENT, self._note_document)
+
+    def serve(self):
+        """Carry out commands until the pipe is closed."""
+        for line in sys.stdin:
+            command, *arguments = json.loads(line)
+            match command:
+                case "address":
+                    self._answer(command, self._peers.me().peer_address)
+                case "members":
+                    listed = [membership.Member(**m) for m in arguments[0]]
+                    self._peers.add_members(listed)
+                case "counters":
+                    threading.Thread(target=self._count, daemon=True).start()
+                case "publish":
+                    self._publish(arguments[0])
+                case "sample":
+                    self._answer(command, attrs.astuple(self._sample()))
+        self._ref.stop()
+
+    def _publish(self, version):
+        """Publish a document and answer with the time."""
+        document = Fact(
+            Topic.DOCUMENT, "production", version, bytes(DOCUMENT_BYTES)
+        )
+        published_s = time.monotonic()
+        self._peers.publish(document)
+        self._answer("publish", published_s)
+
+    def _note_document(self, fact):
+        """Tell when a document arrived."""
+        self._answer("document", [fact.version, time.monotonic()])
+
+    def _count(self):
+        """Publish counter snapshots."""
+        for version in itertools.count(1):
+            self._peers.publish(
+                Fact(
+                    Topic.COUNTERS,
+                    f"i-{self._number:04d}",
+                    version,
+                    bytes(COUNTERS_BYTES),
+                    self._clock.wall_s() + 60,
+                )
+            )
+            time.sleep(COUNTERS_PERIOD_S)
+
+    def _sample(self):
+        """Return what this process has used."""
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        traffic = self._peers.traffic
+        return Sample(
+            traffic.total_bytes,
+            traffic.messages,
+            time.process_time(),
+            used.ru_maxrss / 1_000,
+        )
+
+    def _answer(self, command, answer):
+        """Write one answer."""
+        with _OUTPUT_LOCK:
+            print(json.dumps([command, answer]), flush=True)
+
+
+_OUTPUT_LOCK = threading.Lock()
+
+
+if __name__ == "__main__":
+    _Child(int(sys.argv[1])).serve()
