Peer messages: a member whose address cannot be read fails one exchange

Cause: such an address raised in the waiting thread and left the peer marked as having a message on its way for good. The scenario on urgent facts left a message unanswered in the same way; it now reports its failure.

--- a/mulberryhollow/transport/gossip.py
+++ b/mulberryhollow/transport/gossip.py
@@ -296,9 +296,9 @@
         return self._carry_out(self._node.send_urgent(self._clock.now_s()))
 
     def find_address(self, instance_id):
-        """Return the peer address of a member, or None."""
+        """Return the peer address of a member; empty when not known."""
         view = self._node.membership.find_member(instance_id)
-        return view.member.peer_address if view else None
+        return view.member.peer_address if view else ""
 
     def _run_ticks(self):
         """Tell the actor to look at the clock until it stops."""
@@ -477,7 +477,7 @@
             Its ``ran`` says whether the handler may have run.
         """
         address = self._proxy.find_address(instance_id).get()
-        if address is None:
+        if not address:
             raise peers.PeerCallError(
                 f"{instance_id} is not a known member",
                 "choose one of the members listed",
--- a/mulberryhollow/transport/peers.py
+++ b/mulberryhollow/transport/peers.py
@@ -391,7 +391,7 @@
         """Return a fresh connection."""
         try:
             return Connection(address, timeout_s, self._traffic)
-        except OSError as error:
+        except (OSError, ValueError) as error:
             raise PeerCallError(
                 f"no connection to the peer at {address}: {error}",
                 "choose another peer",
--- a/tests/steps/coordination_membership.py
+++ b/tests/steps/coordination_membership.py
@@ -533,6 +533,7 @@
 def check_farewell(context):
     context.node.leave(START_S + 1)
     (action,) = context.node.send_urgent(START_S + 1)
+    context.node.take_failure(action.target)
     assert [fact.topic for fact in action.exchange.facts] == ["member"]
 
 
