Bench of the path; look-ups take a pooled connection for a short time

Cause: the instance added 4.15 hops at p50 (machine at load 18); a fresh connection for each look-up took 3.7 of the 7.7 ms, most of it the endpoint's accept. Ruled out: admission (57 us) and routing (111 us), measured in one process. Change: a look-up waits at most 0.25 s on a pooled connection before a fresh one; prompts and bookings keep fresh ones.

--- a/mulberryhollow/transport/connection.py
+++ b/mulberryhollow/transport/connection.py
@@ -73,7 +73,7 @@
         self._idle = {}
         self._lock = threading.Lock()
 
-    def take(self, address, timeout_s):
+    def take(self, address, timeout_s, pooled_timeout_s):
         """Return (connection, whether it is fresh).
 
         Parameters
@@ -81,7 +81,9 @@
         address : str
             ``host:port`` of the endpoint.
         timeout_s : float
-            Inactivity timeout of the connection, in seconds.
+            Inactivity timeout of a fresh connection, in seconds.
+        pooled_timeout_s : float
+            Inactivity timeout of a pooled one, in seconds.
 
         Raises
         ------
@@ -91,8 +93,8 @@
         pooled = self._pop(address)
         if pooled is None:
             return open_fresh(address, timeout_s), True
-        pooled.timeout = timeout_s
-        pooled.sock.settimeout(timeout_s)
+        pooled.timeout = min(timeout_s, pooled_timeout_s)
+        pooled.sock.settimeout(pooled.timeout)
         return pooled, False
 
     def give_back(self, address, connection):
--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -16,6 +16,9 @@
 _OK = (200, 201)
 _REFUSED = 409
 _NOT_FOUND = 404
+POOLED_TIMEOUT_S = 0.25
+"""Longest wait for a look-up on a pooled connection, in seconds."""
+
 _SHORT_TIMEOUT_S = 1.0
 _CLOCK_SKEW_S = 5.0
 _ENDING_TIME_S = 0.05
@@ -33,9 +36,10 @@
 
     Notes
     -----
-    Requests of callers go out on fresh connections: a pooled one can be
+    Prompts and bookings go out on fresh connections: a pooled one can be
     silently dead, which costs a request its whole inactivity timeout.
-    Reads of load and orders use the pool.
+    Look-ups take a pooled one for a short time, then a fresh one. Reads
+    of load and orders use the pool.
     """
 
     def __init__(self, clock):
@@ -80,11 +84,9 @@
             As for generate; Crossed for another request's answer.
         """
         body = json.dumps({"request_id": request_id, "query": query}).encode()
-        held = connections.open_fresh(address, timeout_s)
-        with contextlib.closing(held):
-            answer = _send(held, "POST", "/v1/lookup", body, timeout_s)
-            self._check(answer)
-            data = _read_all(answer, timeout_s)
+        data = self._exchange(
+            address, "POST", "/v1/lookup", body, timeout_s, POOLED_TIMEOUT_S
+        )
         return _match(request_id, _decode(messages.decode_lookup, data))
 
     def book(self, address, request_id, key, booking, timeout_s):
@@ -259,13 +261,17 @@
             return False
         return True
 
-    def _exchange(self, address, method, path, body, timeout_s):
+    def _exchange(
+        self, address, method, path, body, timeout_s, pooled_timeout_s=None
+    ):
         """Send an idempotent request; return the body of the answer.
 
         A pooled connection may be dead: its fault is judged only after
         a fresh connection has failed as well.
         """
-        held, is_fresh = self._pool.take(address, timeout_s)
+        held, is_fresh = self._pool.take(
+            address, timeout_s, pooled_timeout_s or timeout_s
+        )
         try:
             return self._exchange_on(
                 held, address, method, path, body, timeout_s
--- /dev/null
+++ b/tools/bench/path.py
@@ -0,0 +1,211 @@
+"""Cost of the path through one instance, against direct calls."""
+
+import concurrent.futures
+import itertools
+import json
+import os
+import threading
+import time
+
+import urllib3
+import waitress
+
+from tools.bench import figure
+from tools import processes
+from tools import site as sites
+
+__all__ = ["run"]
+
+KEY = "example-key-brunner-desk"
+CALLS = 600
+WARM_UP_CALLS = 60
+STREAM_TOKENS = 4_000
+BOOKINGS = 200
+BOOKING_THREADS = 32
+
+PEAK_TOKENS_PER_S = 5_300_000
+"""Tokens a second of the target."""
+
+NODES = 830
+"""Nodes of the target."""
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_LOOKUP = "/v1/services/slots/lookup"
+_BOOKING = "/v1/services/fitter-bookings/booking"
+_CHAT = "/v1/services/call-chat/chat"
+
+
+def run():
+    """Return the figures of one run."""
+    with processes.Fleet() as fleet:
+        site = sites.Site(fleet)
+        site.start_platform()
+        plain = site.add_plain("slots-1", "slots")
+        site.add_plain("fitters-1", "fitter-bookings")
+        site.add_plain("fitters-2", "fitter-bookings")
+        fast = ("--token-time-s", "0.0")
+        site.add_engine("engine-1", "call-chat", "v1", fast)
+        entry = site.add_entry("entry-1")
+        site.wait_ready(_probe)
+        pid = fleet.children["entry-1"].pid
+        yield from _measure_latency(plain, entry)
+        yield from _measure_relay(entry, pid)
+        yield from _measure_bookings(site.store_address, entry)
+
+
+def _probe(address):
+    """Return whether each service is answered."""
+    answers = [
+        _post(address, _LOOKUP, {"query": "x"}),
+        _post(address, _CHAT, {"prompt": "x", "max_tokens": 1}),
+        _book(address),
+    ]
+    return all(answer.status in (200, 201) for answer in answers)
+
+
+def _post(address, path, body, headers=None):
+    """Send a request with the desk's key."""
+    return sites.call(address, "POST", path, body, KEY, headers)
+
+
+def _book(address):
+    """Send a booking under a new key."""
+    headers = {"Idempotency-Key": sites.make_key()}
+    return _post(address, _BOOKING, {"slot": "friday"}, headers)
+
+
+def _measure_latency(plain, entry):
+    """Yield the latency that the instance adds, against one hop."""
+    asked = {"request_id": "r", "query": "x"}
+    with _Hop() as hop_address:
+        calls = {
+            "direct": _make_call(plain, "/v1/lookup", asked),
+            "hop": _make_call(hop_address, "/", asked),
+            "through": _make_call(entry, _LOOKUP, {"query": "x"}),
+        }
+        times = {name: [] for name in calls}
+        for _ in range(CALLS):
+            for name, call in calls.items():
+                times[name].append(call())
+    kept = {
+        name: sorted(found[WARM_UP_CALLS:]) for name, found in times.items()
+    }
+    for share in (0.5, 0.99):
+        at = {name: _pick(found, share) for name, found in kept.items()}
+        added_s = at["through"] - at["direct"]
+        place = f"p{share * 100:g}"
+        for name, time_s in at.items():
+            yield figure.Figure(f"{name} {place}", time_s * 1e3, "ms")
+        bound = 1.0 if share == 0.5 else None
+        yield figure.Figure(
+            f"added by the instance over one hop, {place}",
+            added_s / at["hop"],
+            "ratio",
+            at_most=bound,
+        )
+
+
+def _make_call(address, path, body):
+    """Return a function that times one call on a kept connection."""
+    pool = urllib3.HTTPConnectionPool(address, maxsize=1, retries=False)
+    data = json.dumps(body).encode()
+    headers = {"Authorization": f"Bearer {KEY}"}
+
+    def call():
+        begin_s = time.perf_counter()
+        answer = pool.request("POST", path, body=data, headers=headers)
+        assert answer.status == 200, answer.data
+        return time.perf_counter() - begin_s
+
+    return call
+
+
+def _pick(ordered, share):
+    """Return the value below which a share of the values lies."""
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+class _Hop:
+    """A waitress application that answers at once: one hop's own time."""
+
+    def __enter__(self):
+        self._server = waitress.create_server(
+            _answer, host="127.0.0.1", port=0, threads=2
+        )
+        threading.Thread(target=self._server.run, daemon=True).start()
+        return f"127.0.0.1:{self._server.effective_port}"
+
+    def __exit__(self, *_):
+        self._server.close()
+
+
+def _answer(_environ, start_response):
+    """Answer with a small JSON body."""
+    body = b'{"result": "x"}'
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+def _measure_relay(entry, pid):
+    """Yield the processor time of an instance for each token relayed."""
+    before_s = _read_processor_time(pid)
+    body = {"prompt": "x", "max_tokens": STREAM_TOKENS, "stream": True}
+    answer = _post(entry, _CHAT, body)
+    spent_s = _read_processor_time(pid) - before_s
+    tokens = answer.data.count(b"\nid: ") + 1
+    assert tokens >= STREAM_TOKENS, answer.data[-300:]
+    whole_core_us = 1e6 / (PEAK_TOKENS_PER_S / NODES)
+    yield figure.Figure(
+        "processor time for each relayed token",
+        spent_s / STREAM_TOKENS * 1e6,
+        "us",
+        at_most=whole_core_us,
+    )
+
+
+def _read_processor_time(pid):
+    """Return the processor time that a process has used, in seconds."""
+    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def _measure_bookings(store, entry):
+    """Yield store calls for each booking, one by one and at once."""
+    alone = _count_calls(store, lambda: [_book(entry) for _ in range(50)])
+    yield figure.Figure(
+        "store calls a booking, one by one", alone / 50, "count", at_most=2.0
+    )
+    with concurrent.futures.ThreadPoolExecutor(BOOKING_THREADS) as pool:
+        together = _count_calls(
+            store,
+            lambda: list(pool.map(_book, itertools.repeat(entry, BOOKINGS))),
+        )
+    yield figure.Figure(
+        f"store calls a booking, {BOOKING_THREADS} at once",
+        together / BOOKINGS,
+        "count",
+        at_most=2.0,
+    )
+    yield figure.Figure(
+        "store calls a booking, at once against one by one",
+        (together / BOOKINGS) / (alone / 50),
+        "ratio",
+        at_most=1.0,
+    )
+
+
+def _count_calls(store, work):
+    """Return the reads and writes of claims that some work takes."""
+    before = _read_counts(store)
+    answers = work()
+    assert all(answer.status == 201 for answer in answers)
+    after = _read_counts(store)
+    return sum(
+        after.get(name, 0) - before.get(name, 0) for name in ("get", "put")
+    )
+
+
+def _read_counts(store):
+    """Return the store's counts of calls by kind."""
+    return sites.call(store, "GET", "/control").json()["calls"]["claims"]
