Chaos: configuration in force in time; a short run of a fixed seed

Cause: that an accepted version is in force within seconds was not checked, and no run over processes stood among the tests.

Ruled out: checking instances that answer again after a gap at once, since a frozen or restarted one needs its time too.

Change: publications are recorded, and a reading more than 7 s later with an older version is a violation; seed 33 runs for 10 s as a scenario.

--- a/tests/steps/tools_chaos.py
+++ b/tests/steps/tools_chaos.py
@@ -1,12 +1,17 @@
 import itertools
+import subprocess
+import sys
 
 from behave import given
 from behave import then
+from behave import when
 
 from tools.chaos import cluster
 from tools.chaos import schedule
+from tools.processes import ROOT
 
 _DURATION_S = 30.0
+_RUN_TIMEOUT_S = 150
 _ACTIONS = {
     "kill",
     "crash_booked",
@@ -74,3 +79,22 @@
 def check_actions(context):
     strikes = itertools.chain.from_iterable(context.schedules.values())
     assert {strike.action for strike in strikes} == _ACTIONS
+
+
+@when("chaos runs seed {seed:d} for {duration_s:d} seconds")
+def run_chaos(context, seed, duration_s):
+    command = [sys.executable, "-m", "tools.chaos", "--seed", str(seed)]
+    command += ["--duration-s", str(duration_s)]
+    context.run = subprocess.run(
+        command,
+        cwd=ROOT,
+        timeout=_RUN_TIMEOUT_S,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@then("chaos ends with a clean verdict")
+def check_verdict(context):
+    assert context.run.returncode == 0, context.run.stdout + context.run.stderr
--- a/tests/steps/tools_history.py
+++ b/tests/steps/tools_history.py
@@ -88,6 +88,15 @@
     )
 
 
+def published(until_s):
+    """Return a version accepted at 4 s, the former in force until later."""
+    first = record.Published(
+        at_s=_START_S + 4.0, environment="production", version=5
+    )
+    readings = [configuration(at_s, 4) for at_s in range(5, int(until_s) + 1)]
+    return [first, *readings]
+
+
 def revision(at_s, number):
     return record.StoreRevision(
         at_s=_START_S + at_s, kind="claim", name="b1", revision=number
@@ -169,6 +178,10 @@
     "work at a leaving endpoint after 3.1 s": arrived_at_leaving(3.1),
     "work at a leaving endpoint after 2.9 s": arrived_at_leaving(2.9),
     "a configuration going back": [configuration(5.0, 3)],
+    "a configuration in force after 8 s": published(12.0),
+    "a configuration in force after 6 s": published(10.0),
+    "a configuration read after a gap": published(12.0)[:1]
+    + [configuration(12.0, 4)],
     "a store revision going back": [revision(5.0, 3)],
     "a move without an end": [move(1.0, "shifting"), configuration(11.0, 4)],
     "a move without an end before its deadline": [move(1.0, "shifting")],
--- /dev/null
+++ b/tests/tools/chaos/run.feature
@@ -0,0 +1,5 @@
+Feature: Short run under failures
+
+  Scenario: A fixed seed over real processes keeps every invariant
+    When chaos runs seed 33 for 10 seconds
+    Then chaos ends with a clean verdict
--- a/tools/chaos/cluster.py
+++ b/tools/chaos/cluster.py
@@ -84,7 +84,7 @@
         self.store = self.fleet.start_store().address
         self._key_file = self.fleet.folder / "peer.key"
         self._key_file.write_text(secrets.token_hex(32), encoding="utf-8")
-        configuration.publish(self.store)
+        configuration.publish(self.store, self.recorder)
         places = itertools.chain(
             zip(LAYOUT.engines, itertools.repeat("model"), DOMAINS),
             zip(LAYOUT.plains, itertools.repeat("plain"), DOMAINS),
--- a/tools/chaos/configuration.py
+++ b/tools/chaos/configuration.py
@@ -6,6 +6,7 @@
 
 from mulberryhollow.state import keys
 from tools.chaos import callers
+from tools.history import record
 
 __all__ = [
     "ENVIRONMENT",
@@ -115,36 +116,44 @@
     )
 
 
-def publish(store):
+def publish(store, recorder):
     """Put the next document in force; give up after some attempts.
 
-    Returns
-    -------
-    bool
-        Whether it was written.
+    Parameters
+    ----------
+    store : str
+        Address of the store.
+    recorder : Recorder
+        Where the version is recorded once the store has accepted it.
     """
     url = f"http://{store}/v1/objects/environment/{ENVIRONMENT}"
     for _ in range(_ATTEMPTS):
         try:
-            if _publish_once(url):
-                return True
+            version = _publish_once(url)
         except urllib3.exceptions.HTTPError:
-            pass
+            version = 0
+        if version:
+            recorder.add(
+                record.Published(
+                    at_s=time.time(), environment=ENVIRONMENT, version=version
+                )
+            )
+            return
         time.sleep(_PAUSE_S)
-    return False
 
 
 def _publish_once(url):
-    """Read the version and update over it; return whether it was done."""
+    """Read the version and update over it; return the new one or 0."""
     found = _call("GET", url)
     if found.status not in (200, 404):
-        return False
+        return 0
     version = int(found.headers.get("X-Version", 0))
     condition = {"If-Match": str(version)} if version else {}
     condition = condition or {"If-None-Match": "*"}
     headers = condition | {"X-Change-Id": f"operator-{version}"}
     body = make_document(version)
-    return _call("PUT", url, body=body, headers=headers).status == 200
+    written = _call("PUT", url, body=body, headers=headers)
+    return written.json()["version"] if written.status == 200 else 0
 
 
 def _call(method, url, **options):
--- a/tools/chaos/strikes.py
+++ b/tools/chaos/strikes.py
@@ -149,7 +149,7 @@
         """Publish a new version of the document beside the strikes."""
         threading.Thread(
             target=configuration.publish,
-            args=(self._cluster.store,),
+            args=(self._cluster.store, self._cluster.recorder),
             daemon=True,
         ).start()
 
--- a/tools/history/checker.py
+++ b/tools/history/checker.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 
 import attrs
 
@@ -11,6 +12,8 @@
 __all__ = ["Violation", "check"]
 
 _LEAVING_LIMIT_S = 3.0
+_CONFIGURATION_LIMIT_S = 7.0
+_ANSWERING_GAP_S = 2.0
 _CRASHES_ALLOWED = 2
 _LOSS_EXCUSE_S = 15.0
 _NOT_RUN = "not run"
@@ -97,6 +100,7 @@
         _check_whole_answers,
         _check_leaving,
         _check_configuration,
+        _check_configuration_in_time,
         _check_store,
         _check_moves,
         _check_taken_back,
@@ -307,6 +311,37 @@
     ]
 
 
+def _check_configuration_in_time(history):
+    """Check that an accepted version is soon in force where one answers."""
+    published = history.list_of(record.Published)
+    return [
+        Violation(
+            "configuration in time",
+            f"{event.instance} had version {event.version} in force"
+            f" {event.at_s - newer.at_s:.2f} s after {newer.version} was"
+            " accepted",
+        )
+        for event, since_s in _list_seen_since(history)
+        for newer in published
+        if newer.environment == event.environment
+        and newer.version > event.version
+        and event.at_s > max(newer.at_s, since_s) + _CONFIGURATION_LIMIT_S
+    ]
+
+
+def _list_seen_since(history):
+    """Return each reading and since when its instance has answered."""
+    seen = []
+    last_s, since_s = {}, {}
+    for event in history.list_of(record.ConfigurationSeen):
+        name = event.instance
+        if event.at_s - last_s.get(name, -math.inf) > _ANSWERING_GAP_S:
+            since_s[name] = event.at_s
+        last_s[name] = event.at_s
+        seen.append((event, since_s[name]))
+    return seen
+
+
 def _check_store(history):
     """Check that the revisions of each object only grow."""
     seen = collections.defaultdict(list)
--- a/tools/history/record.py
+++ b/tools/history/record.py
@@ -13,6 +13,7 @@
     "Killed",
     "LeavingNotice",
     "MoveSeen",
+    "Published",
     "Recorder",
     "Sent",
     "StopPlanned",
@@ -136,6 +137,15 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class Published:
+    """A version of an environment was accepted by the store."""
+
+    at_s: float
+    environment: str
+    version: int
+
+
 @attrs.frozen(kw_only=True)
 class Crashed:
     """A request ended the endpoint that ran it.
@@ -210,6 +220,7 @@
         StoreRevision,
         ConfigurationSeen,
         Crashed,
+        Published,
         LeavingNotice,
         MoveSeen,
         StopPlanned,
