--- a/mulberryhollow/coordination/membership/node.py
+++ b/mulberryhollow/coordination/membership/node.py
@@ -60,6 +60,7 @@
         self.table = facts.FactTable() if table is None else table
         self.membership = machine.Membership(me, now_s)
         self.budget = budget.ByteBudget(now_s=now_s)
+        self._farewell = ()
         self._in_flight = {}
         self._again = set()
         self._urgent = False
@@ -85,7 +86,7 @@
         """
         for added in self.membership.apply_list(listed, now_s):
             fact = member.encode_fact(member.MemberState(added), wall_s)
-            self.table.merge(fact, wall_s)
+            self.table.merge(fact, wall_s, source=spread.LISTED)
 
     def publish(self, fact, wall_s):
         """Take in a fact of this node's own.
@@ -103,7 +104,9 @@
 
     def leave(self, wall_s):
         """Announce that this node stops, urgently."""
-        self.table.merge(self.membership.leave(wall_s), wall_s)
+        fact = self.membership.leave(wall_s)
+        self.table.merge(fact, wall_s)
+        self._farewell = (fact,)
         self._urgent = True
         self._urgent_is_own = True
 
@@ -165,6 +168,7 @@
             The answer.
         """
         self.membership.note_contact(peer)
+        self._spread.note_room(peer, exchange.room_bytes)
         self._take(peer, exchange.facts, now_s, wall_s)
         free_bytes = self.budget.find_free_bytes(now_s)
         reply, cursors = self._spread.compose(
@@ -190,6 +194,7 @@
         self.membership.note_contact(peer)
         if sent:
             self._spread.confirm(peer, sent.cursors)
+        self._spread.note_room(peer, exchange.room_bytes)
         self._take(peer, exchange.facts, now_s, wall_s)
         wants = self._spread.choose_wants(exchange.offers, now_s)
         free_bytes = self.budget.find_free_bytes(now_s)
@@ -237,7 +242,7 @@
     def _send_to(self, targets, now_s):
         """Return messages to those peers that none is on its way to."""
         return tuple(
-            self._send(target, now_s)
+            self._send(target, now_s, answers=self._farewell)
             for target in targets
             if target not in self._in_flight
         )
@@ -260,20 +265,29 @@
         for fact in found:
             if not self.table.merge(fact, wall_s, source=peer):
                 continue
-            self._changed_s = now_s
+            if _is_lasting(fact):
+                self._changed_s = now_s
             self._urgent = self._urgent or _is_urgent(fact)
             if fact.topic == facts.Topic.MEMBER.value:
                 self._apply_member(fact, now_s, wall_s)
 
     def _apply_member(self, fact, now_s, wall_s):
         """Take in a fact about a member; one that cannot be read is left."""
+        before = self._find_incarnation(fact.key)
         try:
             answers = self.membership.apply_fact(fact, now_s, wall_s)
         except ValueError:
             return
+        if before not in (None, self._find_incarnation(fact.key)):
+            self._spread.forget(fact.key)
         for answer in answers:
             self.table.merge(answer, wall_s)
 
+    def _find_incarnation(self, instance_id):
+        """Return the known incarnation of a member, or None."""
+        view = self.membership.find_member(instance_id)
+        return view.member.incarnation if view else None
+
     def _drop_expired(self, wall_s):
         """Drop expired facts and forget the members that they told of."""
         for fact in self.table.drop_expired(wall_s):
@@ -301,3 +315,8 @@
     if fact.topic == facts.Topic.MEMBER.value:
         return member.find_standing(fact) is member.Standing.LEFT
     return facts.find_priority(fact.topic) <= facts.Topic.NOTICE.priority
+
+
+def _is_lasting(fact):
+    """Return whether anti-entropy repairs a fact."""
+    return facts.find_priority(fact.topic) <= facts.Topic.MEMBER.priority
