--- a/tools/bench/policies.py
+++ b/tools/bench/policies.py
@@ -22,7 +22,7 @@
 POLICIES = ("round robin", "least outstanding", "power of two", "ours")
 SEEDS = (1, 2)
 ENGINES = 9
-FEWEST_ENGINES = 6
+FEWEST_ENGINES = 5
 MOST_ENGINES = 20
 WORKERS = 5
 
@@ -50,11 +50,22 @@
     event_loss: float = 0.0002
     notice_s: float = 5.0
     notice_seen_s: float = 1.0
+    answer_tokens: int = 265
+    turn_words: int = 300
 
 
 SCENES = {
     "calm": Scene(),
     "failure domain reclaimed": Scene(requests_per_s=50.0, reclaimed=True),
+    "long prompts": Scene(
+        requests_per_s=45.0, answer_tokens=80, turn_words=1200
+    ),
+    "long prompts, failure domain reclaimed": Scene(
+        requests_per_s=30.0,
+        answer_tokens=80,
+        turn_words=1200,
+        reclaimed=True,
+    ),
 }
 
 
@@ -200,9 +211,14 @@
                 self.index = prefixes.PrefixIndex()
 
 
-@functools.cache
 def build_jobs(seed, scene):
     """Return the jobs of a run: turns of conversations, by time."""
+    return _build_jobs(seed, attrs.evolve(scene, engines=0, reclaimed=False))
+
+
+@functools.lru_cache(maxsize=len(SEEDS))
+def _build_jobs(seed, scene):
+    """Return the jobs, which are the same for any engines."""
     rng = random.Random(seed)
     accounts = [_make_words(rng, 240) for _ in range(5)]
     weights = [8, 4, 2, 1, 1]
@@ -212,7 +228,7 @@
     while starts_s < scene.duration_s:
         starts_s += rng.expovariate(rate)
         account = rng.choices(accounts, weights)[0]
-        turns += _make_turns(rng, starts_s, account)
+        turns += _make_turns(rng, starts_s, account, scene)
     turns = sorted(turn for turn in turns if 0 <= turn[0] < scene.duration_s)
     return [
         Job(
@@ -233,14 +249,14 @@
     return [f"w{rng.randrange(100_000)}" for _ in range(count)]
 
 
-def _make_turns(rng, at_s, account):
+def _make_turns(rng, at_s, account, scene):
     """Return (time, words, answer tokens, patient) of a conversation."""
     is_patient = rng.random() < 0.15
     words = list(account)
     turns = []
     for _ in range(rng.choice((1, 2, 4, 6, 7))):
-        words = words + _make_words(rng, rng.randrange(20, 300))
-        answer = min(1000, 1 + int(rng.expovariate(1 / 265)))
+        words = words + _make_words(rng, rng.randrange(20, scene.turn_words))
+        answer = min(1000, 1 + int(rng.expovariate(1 / scene.answer_tokens)))
         turns.append((at_s, words, answer, is_patient))
         words = words + _make_words(rng, answer)
         at_s += answer * 0.05 + rng.expovariate(1 / 5.0)
