Routing learns how long requests hold a slot

Change: the view smooths the time from start to finish by version; the slow- down by load ends at full slots, where the wait takes over.

The scenario of a queue that moves quickly needs both parts.

--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -35,7 +35,8 @@
         Time that a request without a prompt keeps an endpoint busy, in
         seconds.
     hold_s : float
-        Mean time that a request holds its slot, in seconds.
+        Time that a request holds its slot, in seconds, until this node
+        has seen one end.
     load_s : float
         Slow-down of the first token by a full set of slots, in seconds.
     late_s : float
@@ -116,7 +117,8 @@
             group = view.get_group(request.service, version)
             candidates = self._list_candidates(group, asked, excluded)
             if candidates:
-                return self._choose_best(asked, candidates)
+                hold_s = group.hold_s or self.rules.hold_s
+                return self._choose_best(asked, candidates, hold_s)
         return requests.NoEndpoint(refuse(request.service))
 
     def _list_candidates(self, group, asked, excluded):
@@ -136,7 +138,7 @@
             found.pop(endpoint_id, None)
         return found
 
-    def _choose_best(self, asked, candidates):
+    def _choose_best(self, asked, candidates, hold_s):
         """Return the candidate with the lowest score."""
         floor = min(
             record.endpoint.price_per_hour for record in candidates.values()
@@ -145,7 +147,9 @@
         best, best_score = None, math.inf
         for endpoint_id, record in candidates.items():
             compute_s = self._estimate_compute_s(endpoint_id, asked)
-            first_s = compute_s + self._estimate_wait_s(record, asked.now_s)
+            first_s = compute_s + self._estimate_wait_s(
+                record, asked.now_s, hold_s
+            )
             score = compute_s
             score += self.rules.late_s * (first_s / asked.left_s) ** 2
             if price_s:
@@ -154,10 +158,10 @@
             if not asked.request.idempotent:
                 score += _penalize_probe(record)
             if score < best_score:
-                best, best_score = record, score
-        return self._build(asked, best)
+                best, best_score, best_s = record, score, first_s
+        return self._build(asked, best, best_s)
 
-    def _build(self, asked, record):
+    def _build(self, asked, record, first_s):
         """Return the choice of a record."""
         endpoint = record.endpoint
         compute_s = self._estimate_compute_s(endpoint.id, asked)
@@ -169,8 +173,7 @@
             cost=min(self._nodes, PEERS_COUNTED) * compute_s,
             cached_tokens=cached,
             computed_tokens=asked.tokens - cached,
-            expected_first_token_s=compute_s
-            + self._estimate_wait_s(record, asked.now_s),
+            expected_first_token_s=first_s,
             hashes=asked.hashes,
         )
 
@@ -180,16 +183,18 @@
         rules = self.rules
         return rules.overhead_s + computed * rules.compute_s_per_token
 
-    def _estimate_wait_s(self, record, now_s):
+    def _estimate_wait_s(self, record, now_s, hold_s):
         """Return the time before the prompt is begun, in seconds."""
-        rules = self.rules
         load = record.load
-        wait_s = rules.load_s * load / record.slots
+        slots = record.slots
+        wait_s = self.rules.load_s
+        if load < slots:
+            wait_s *= load / slots
         if record.busy_until_s > now_s:
             wait_s += record.busy_until_s - now_s
-        waiting = load + 1.0 - record.slots
+        waiting = load + 1.0 - slots
         if waiting > 0:
-            wait_s += rules.hold_s * waiting / record.slots
+            wait_s += hold_s * waiting / slots
         return wait_s
 
     def _get_price_weight_s(self, request):
--- a/mulberryhollow/state/endpoints/group.py
+++ b/mulberryhollow/state/endpoints/group.py
@@ -4,12 +4,19 @@
 
 __all__ = ["EndpointGroup"]
 
+HOLD_SMOOTHING = 0.02
 STALE_ENTRIES_PER_MEMBER = 4
 
 
 class EndpointGroup:
     """Records that may take new work, for sampling and by load.
 
+    Attributes
+    ----------
+    hold_s : float or None
+        Smoothed time that requests of this node hold their slot, in
+        seconds; None before the first has ended.
+
     Notes
     -----
     The heap holds an entry for each change of a record's load; entries
@@ -17,6 +24,7 @@
     """
 
     def __init__(self):
+        self.hold_s = None
         self._members = []
         self._positions = {}
         self._heap = []
@@ -54,6 +62,12 @@
             self._members[position] = last
             self._positions[last.endpoint.id] = position
 
+    def record_hold(self, held_s):
+        """Take over how long a request held its slot, in seconds."""
+        if self.hold_s is None:
+            self.hold_s = held_s
+        self.hold_s += HOLD_SMOOTHING * (held_s - self.hold_s)
+
     def sample(self, rng, count):
         """Return up to that many members, drawn with replacement.
 
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -190,6 +190,7 @@
         record = self._records.get(work.endpoint_id)
         if record is None or not record.finish(work, now_s):
             return
+        self._get_own_group(record).record_hold(now_s - work.started_at_s)
         if record.circuit.state is CircuitState.HALF_OPEN:
             record.circuit.is_probing = False
         self._index(record)
--- a/tests/coordination/routing/router.feature
+++ b/tests/coordination/routing/router.feature
@@ -48,6 +48,12 @@
     And endpoint a7 reports a long queue
     Then the same prompt is not routed to endpoint a7
 
+  Scenario: A queue that moves quickly does not drive a cached prompt away
+    When a long prompt was sent to endpoint a7
+    And endpoint a7 reports a long queue
+    And requests were seen to hold a slot for 0.01 seconds
+    Then the same prompt is routed to endpoint a7 with cached tokens
+
   Scenario: Prompts sent since the report keep the next ones away
     When 60 long prompts without a common prefix are routed
     Then no endpoint got more than 3 of them
--- a/tests/steps/coordination_routing.py
+++ b/tests/steps/coordination_routing.py
@@ -131,6 +131,13 @@
     context.view.report_load(name, 32, 64, 32, 0.0, NOW_S)
 
 
+@when("requests were seen to hold a slot for {held_s:g} seconds")
+def hold_slots(context, held_s):
+    for _ in range(10):
+        work = context.view.start("a1", 0.0, NOW_S - held_s)
+        context.view.finish(work, NOW_S)
+
+
 @when("{count:d} long prompts without a common prefix are routed")
 def route_long_prompts(context, count):
     context.counts = collections.Counter()
