One probe at a time, requests ended once, no rate no admission

Cause: the end of any older request freed the probe of a half-open circuit; a request ended twice made the count in flight negative, and the limit larger; a shared rate of 0 divided by zero, and before that admitted one request for each account.

Change: a circuit knows its probe; admission knows its running requests; a bucket without a size gives nothing.

Three scenarios fail without the change and pass with it: the end of an older request, requests that end make room, without a shared rate.

--- a/mulberryhollow/coordination/admission/controller.py
+++ b/mulberryhollow/coordination/admission/controller.py
@@ -37,9 +37,9 @@
 }
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, eq=False)
 class Admitted:
-    """The request is taken on.
+    """The request is taken on; each one is equal only to itself.
 
     Parameters
     ----------
@@ -91,6 +91,7 @@
         self._patient_part = 1.0
         self._patient_credit = {}
         self._promised_until_s = {}
+        self._running = set()
         self._demand = DemandTable()
         self._buckets = ShareBuckets()
         self._inflight = InflightLimit() if inflight is None else inflight
@@ -136,7 +137,9 @@
         ):
             return self._refuse(account, request_class, cost_tokens, now_s)
         self._inflight.start(account, request_class)
-        return Admitted(account, request_class, cost_tokens, now_s)
+        admitted = Admitted(account, request_class, cost_tokens, now_s)
+        self._running.add(admitted)
+        return admitted
 
     def finish(self, admitted, now_s):
         """Count an admitted request as ended, however it ended.
@@ -144,10 +147,13 @@
         Parameters
         ----------
         admitted : Admitted
-            What `admit` returned; to be given once.
+            What `admit` returned; a second call has no effect.
         now_s : float
             The time, in seconds.
         """
+        if admitted not in self._running:
+            return
+        self._running.remove(admitted)
         held_s = max(0.0, now_s - admitted.at_s)
         self._inflight.finish(admitted.account, admitted.request_class, held_s)
 
@@ -200,11 +206,12 @@
 
     def get_share(self, account):
         """Return an account's weighted share, from 0 to 1."""
-        return self._weights[account] / sum(self._weights.values())
+        return self._weights[account] / self._total_weight
 
     def _rebalance(self, now_s):
         """Set each account's rate by its demand here and at peers."""
         self._rebalanced_at_s = now_s
+        self._total_weight = sum(self._weights.values())
         self._demand.expire(now_s)
         self._demand.keep_accounts(self._weights)
         gone = set(self._buckets.list_accounts()) - self._weights.keys()
--- a/mulberryhollow/coordination/admission/demand.py
+++ b/mulberryhollow/coordination/admission/demand.py
@@ -125,6 +125,8 @@
         reported = len(self._reports)
         silent = max(0, nodes - 1 - reported)
         peers = max(0.0, self._peer_sums[account]) + prior * reported
+        if not own:
+            return 1.0 / nodes
         return own / (own * (1 + silent) + peers)
 
     def _remove(self, node):
--- a/mulberryhollow/coordination/admission/shares.py
+++ b/mulberryhollow/coordination/admission/shares.py
@@ -146,7 +146,9 @@
         self.advance(now_s)
         bucket = self._buckets[account]
         bucket.settle(now_s)
-        if bucket.tokens >= _get_needed(bucket, cost, own_floor):
+        if bucket.burst and bucket.tokens >= _get_needed(
+            bucket, cost, own_floor
+        ):
             self._leave_full(bucket)
             bucket.tokens -= cost
             self._schedule(account, bucket)
--- a/mulberryhollow/state/endpoints/circuit.py
+++ b/mulberryhollow/state/endpoints/circuit.py
@@ -33,15 +33,15 @@
         Consecutive openings without a success between them.
     open_until_s : float
         When an open circuit turns half open, in seconds.
-    is_probing : bool
-        Whether the single probe of a half-open circuit is under way.
+    probe : object or None
+        The request that probes a half-open circuit; None before it.
     """
 
     state: CircuitState = CircuitState.CLOSED
     failures: float = 0.0
     openings: int = 0
     open_until_s: float = 0.0
-    is_probing: bool = False
+    probe: object = None
 
     def admits_work(self):
         """Return whether the next request may go to the endpoint."""
@@ -49,7 +49,7 @@
             case CircuitState.CLOSED:
                 return True
             case CircuitState.HALF_OPEN:
-                return not self.is_probing
+                return self.probe is None
             case CircuitState.OPEN:
                 return False
 
@@ -77,14 +77,14 @@
         self.state = CircuitState.CLOSED
         self.failures = 0.0
         self.openings = 0
-        self.is_probing = False
+        self.probe = None
 
     def advance(self, now_s):
         """Turn an open circuit half open once its time has passed."""
         is_due = now_s >= self.open_until_s
         if self.state is CircuitState.OPEN and is_due:
             self.state = CircuitState.HALF_OPEN
-            self.is_probing = False
+            self.probe = None
 
     def _open(self, now_s, rng):
         """Open for a jittered time that doubles with each opening."""
@@ -92,4 +92,4 @@
         self.state = CircuitState.OPEN
         self.openings = min(self.openings + 1, 16)
         self.open_until_s = now_s + longest_s * rng.uniform(0.5, 1.0)
-        self.is_probing = False
+        self.probe = None
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -173,7 +173,7 @@
         if record is not None:
             record.start(work)
             if record.circuit.state is CircuitState.HALF_OPEN:
-                record.circuit.is_probing = True
+                record.circuit.probe = work
             self._index(record)
         return work
 
@@ -191,8 +191,8 @@
         if record is None or not record.finish(work, now_s):
             return
         self._get_own_group(record).record_hold(now_s - work.started_at_s)
-        if record.circuit.state is CircuitState.HALF_OPEN:
-            record.circuit.is_probing = False
+        if record.circuit.probe is work:
+            record.circuit.probe = None
         self._index(record)
 
     def set_peer_inflight(self, node, endpoint_id, amount):
--- a/tests/coordination/admission/shares.feature
+++ b/tests/coordination/admission/shares.feature
@@ -83,6 +83,12 @@
     When account a sends 600 chats of 1 tokens at once
     Then account a got between 480 and 480 of them
 
+  Scenario: Without a shared rate nothing is admitted
+    Given admission of 0 tokens a second to accounts a=1
+    When account a sends 3 chats of 10 tokens at once
+    Then account a got between 0 and 0 of them
+    And its first refusal is over_share, not run, after 30 to 30 seconds
+
   Scenario: An account that is removed is refused with the remedy
     Given admission of 1000 tokens a second to accounts a=1 b=1
     When the accounts of admission become b=1
--- a/tests/state/endpoints.feature
+++ b/tests/state/endpoints.feature
@@ -119,6 +119,14 @@
     And all requests end
     Then endpoint e0 is available
 
+  Scenario: The end of an older request does not let a second probe through
+    When 1 requests are sent to endpoint e0
+    And endpoint e0 fails 3 times with CONNECT_FAILED
+    And the endpoint view is 2 seconds older
+    And a probe is sent to endpoint e0
+    And all requests end
+    Then endpoint e0 is not available
+
   Scenario: A failed probe opens the circuit again
     When endpoint e0 fails 3 times with CONNECT_FAILED
     And the endpoint view is 2 seconds older
--- a/tests/steps/coordination_admission.py
+++ b/tests/steps/coordination_admission.py
@@ -124,6 +124,7 @@
 def end_all(context):
     for item in context.admitted:
         context.admission.finish(item, START_S + 1.0)
+        context.admission.finish(item, START_S + 1.0)
 
 
 @when("the accounts of admission become {weights}")
--- a/tests/steps/state_endpoints.py
+++ b/tests/steps/state_endpoints.py
@@ -99,6 +99,11 @@
     ]
 
 
+@when("a probe is sent to endpoint {endpoint_id}")
+def send_probe(context, endpoint_id):
+    context.view.start(endpoint_id, 0.1, context.now_s)
+
+
 @when("all requests end")
 def end_requests(context):
     for work in context.works:
