Capacity plans return to cheaper instances

Cause: what ran always went first, so on-demand instances started while reclaimable ones were refused ran for good, at three times the price.

Change: running instances count at 0.8 of their price; a cheaper offer goes first beyond that, beside what it replaces, if the budget covers both. Levels are searched in two rounds, coarse and fine.

--- a/mulberryhollow/coordination/capacity/placement.py
+++ b/mulberryhollow/coordination/capacity/placement.py
@@ -7,7 +7,8 @@
 
 __all__ = ["Placed", "Placement"]
 
-LEVELS_TRIED = 64
+LEVELS_TRIED = 16
+KEPT_PRICE_PART = 0.8
 EPSILON = 1e-9
 
 
@@ -45,10 +46,23 @@
     offer: object = None
 
     @property
-    def rank(self):
-        """Order of preference: running first, then by unit price."""
-        unit_price = self.price_per_hour / self.capacity
-        return self.offer is not None, unit_price, self.failure_domain
+    def unit_price(self):
+        """Price of its capacity."""
+        return self.price_per_hour / self.capacity
+
+    def rank(self, replaces):
+        """Return its place in the order of preference.
+
+        Parameters
+        ----------
+        replaces : bool
+            Whether an offer goes before what runs once it is cheaper by
+            a fifth.
+        """
+        is_start = self.offer is not None
+        part = 1.0 if is_start else KEPT_PRICE_PART
+        price = self.unit_price * part
+        return is_start and not replaces, price, is_start, self.failure_domain
 
 
 class Placement:
@@ -84,19 +98,28 @@
             instance for instance in running if not instance.is_leaving
         )
         self._starts = self._list_starts()
+        self._ordered = {
+            replaces: sorted(
+                self._running + self._starts,
+                key=lambda unit: unit.rank(replaces),
+            )
+            for replaces in (False, True)
+        }
         self._leaving_cost = sum(
             instance.price_per_hour
             for instance in running
             if instance.is_leaving
         )
 
-    def place(self, urgent_part, patient_part):
+    def place(self, urgent_part, patient_part, replaces):
         """Return the placement of a part of the demand.
 
         Parameters
         ----------
         urgent_part, patient_part : float
             Parts of the demand to be met, from 0 to 1.
+        replaces : bool
+            Whether dear instances are replaced by cheaper ones.
 
         Returns
         -------
@@ -109,39 +132,46 @@
         if target <= 0:
             return self._settle([], 0.0)
         on_demand = demand.urgent * urgent_part * self._on_demand_part
-        options = [
-            self._fill(target, on_demand, level)
-            for level in self._list_levels(target)
-        ]
-        meeting = [
-            units
-            for units in options
-            if _get_surviving(units) >= target - EPSILON
-        ]
-        if meeting:
-            best = min(meeting, key=_get_cost)
-        else:
-            best = max(options, key=_get_surviving)
-        return self._settle(best, target)
-
-    def _list_levels(self, target):
-        """Return the highest capacities in a failure domain to try."""
-        sizes = self.demand.capacity_by_class.values()
-        smallest = min(size for size in sizes if size > 0)
+        ordered = self._ordered[replaces]
+        smallest = self._get_smallest()
         count = max(1, math.ceil(target / smallest))
         stride = max(1, count // LEVELS_TRIED)
-        return [step * smallest for step in range(1, count + stride, stride)]
+        center = self._find_step(
+            range(1, count + stride, stride), target, on_demand, ordered
+        )
+        first = max(1, center - stride)
+        fine = range(first, center + stride, max(1, stride // LEVELS_TRIED))
+        best = self._find_step(fine, target, on_demand, ordered)
+        units = self._fill(target, on_demand, best * smallest, ordered)
+        return self._settle(units, target)
 
-    def _fill(self, target, on_demand, level):
+    def _find_step(self, steps, target, on_demand, ordered):
+        """Return the level with the least lacking, then the least cost.
+
+        Levels are counted in steps of the smallest instance.
+        """
+        smallest = self._get_smallest()
+
+        def judge(step):
+            units = self._fill(target, on_demand, step * smallest, ordered)
+            lacking = max(0.0, target - EPSILON - _get_surviving(units))
+            return lacking, _get_cost(units)
+
+        return min(steps, key=judge)
+
+    def _get_smallest(self):
+        """Return the smallest capacity of an instance."""
+        sizes = self.demand.capacity_by_class.values()
+        return min(size for size in sizes if size > 0)
+
+    def _fill(self, target, on_demand, level, ordered):
         """Return the units of one level, on-demand ones first."""
         filling = _Filling(level)
         if on_demand > 0:
             filling.take(
-                [unit for unit in self._running if unit.is_on_demand],
-                [unit for unit in self._starts if unit.is_on_demand],
-                on_demand,
+                [unit for unit in ordered if unit.is_on_demand], on_demand
             )
-        filling.take(self._running, self._starts, target + level)
+        filling.take(ordered, target + level)
         return filling.units
 
     def _list_running(self, instances):
@@ -156,7 +186,7 @@
             )
             for instance in instances
         ]
-        return sorted(units, key=lambda unit: unit.rank)
+        return sorted(units, key=lambda unit: unit.unit_price)
 
     def _list_starts(self):
         """Return one unit for each offer, the best first."""
@@ -170,7 +200,7 @@
             )
             for offer in self._offers
         ]
-        return sorted(units, key=lambda unit: unit.rank)
+        return sorted(units, key=lambda unit: unit.unit_price)
 
     def _get_capacity(self, item):
         """Return the capacity of an instance or offer."""
@@ -226,17 +256,21 @@
         self._total = 0.0
         self.units = []
 
-    def take(self, running, starts, total):
+    def take(self, units, total):
         """Take units until their capacity reaches a total."""
-        for unit in running:
+        for unit in units:
             if self._total >= total - EPSILON:
                 return
-            if unit.instance.id not in self._taken and self._fits(unit):
+            if unit.offer is not None:
+                self._take_starts(unit, total)
+            elif unit.instance.id not in self._taken and self._fits(unit):
                 self._taken.add(unit.instance.id)
                 self._add(unit)
-        for unit in starts:
-            while self._total < total - EPSILON and self._fits(unit):
-                self._add(unit)
+
+    def _take_starts(self, unit, total):
+        """Take as many instances of an offer as fit."""
+        while self._total < total - EPSILON and self._fits(unit):
+            self._add(unit)
 
     def _fits(self, unit):
         """Return whether a unit keeps its failure domain's level."""
--- a/mulberryhollow/coordination/capacity/planner.py
+++ b/mulberryhollow/coordination/capacity/planner.py
@@ -142,13 +142,15 @@
 def _fit(planners, budget_per_hour):
     """Place the largest part of the demand that fits the budget.
 
-    Patient work is given up before any urgent work.
+    Replacing dear instances by cheaper ones, which run beside them for
+    a while, is given up first, then patient work, then urgent work.
     """
     scales = [(step / SCALE_STEPS, 0.0) for step in range(SCALE_STEPS)]
     scales += [(1.0, step / SCALE_STEPS) for step in range(SCALE_STEPS + 1)]
-    placed = _place_all(planners, scales[-1])
-    if _sum_costs(placed) <= budget_per_hour:
-        return placed
+    for replaces in (True, False):
+        placed = _place_all(planners, scales[-1], replaces)
+        if _sum_costs(placed) <= budget_per_hour:
+            return placed
     low, high = 0, len(scales) - 1
     placed = _place_all(planners, scales[low])
     while high - low > 1:
@@ -161,9 +163,9 @@
     return placed
 
 
-def _place_all(planners, scale):
+def _place_all(planners, scale, replaces=False):
     """Place the same parts of every demand."""
-    return [planner.place(*scale) for planner in planners]
+    return [planner.place(*scale, replaces) for planner in planners]
 
 
 def _sum_costs(placed):
--- a/tests/coordination/capacity/planner.feature
+++ b/tests/coordination/capacity/planner.feature
@@ -64,6 +64,21 @@
     When a capacity of 18 urgent and 0 patient is planned within 100 an hour
     Then what runs without the stopped instances outlasts any loss
 
+  Scenario: On-demand instances are replaced once reclaimable ones start
+    Given 3 on-demand instances run in each failure domain
+    When a capacity of 6 urgent and 3 patient is planned within 100 an hour
+    Then the capacity plan starts 12 and stops 0 instances
+    Given 3 more reclaimable instances run in each failure domain
+    When a capacity of 6 urgent and 3 patient is planned within 100 an hour
+    Then the capacity plan starts 0 and stops 12 instances
+    And the capacity plan stops on-demand instances alone
+
+  Scenario: A replacement that the budget does not cover waits
+    Given 3 on-demand instances run in each failure domain
+    When a capacity of 6 urgent and 3 patient is planned within 42 an hour
+    Then the capacity plan starts 0 and stops 0 instances
+    And the capacity plan has no shortfall
+
   Scenario: Instances of a version without demand are stopped
     Given 3 instances run in each failure domain
     When no capacity is planned
--- a/tests/steps/coordination_capacity.py
+++ b/tests/steps/coordination_capacity.py
@@ -25,7 +25,7 @@
 def build_instances(count, domains=DOMAINS, market="reclaimable"):
     return [
         capacity.Instance(
-            f"{domain}-{number}",
+            f"{domain}-{market}-{number}",
             "chat",
             "v1",
             domain,
@@ -81,6 +81,21 @@
     context.running = build_instances(count, DOMAINS[1:], "on_demand")
 
 
+@given("{count:d} on-demand instances run in each failure domain")
+def run_on_demand_everywhere(context, count):
+    context.running = build_instances(count, DOMAINS, "on_demand")
+
+
+@given("{count:d} more reclaimable instances run in each failure domain")
+def run_more(context, count):
+    context.running = context.running + build_instances(count)
+
+
+@then("the capacity plan stops on-demand instances alone")
+def check_stopped_market(context):
+    assert all("on_demand" in name for name in context.plan.stops)
+
+
 @given("the instances of failure domain {domain} are leaving")
 def leave_domain(context, domain):
     context.running = [
