--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -190,7 +190,7 @@
         if record is not None:
             record.start(work)
             if record.circuit.state is CircuitState.HALF_OPEN:
-                record.circuit.is_probing = True
+                record.circuit.probe = work
             self._index(record)
         return work
 
@@ -207,8 +207,10 @@
         record = self._records.get(work.endpoint_id)
         if record is None or not record.finish(work, now_s):
             return
-        if record.circuit.state is CircuitState.HALF_OPEN:
-            record.circuit.is_probing = False
+        for group in self._list_own_groups(record):
+            group.record_hold(now_s - work.started_at_s)
+        if record.circuit.probe is work:
+            record.circuit.probe = None
         self._index(record)
 
     def set_peer_inflight(self, node, endpoint_id, amount):
@@ -357,6 +359,7 @@
 
     def _index(self, record):
         """Bring the record's groups up to date."""
+        record.update_load()
         record.stamp += 1
         if not record.is_available():
             self._remove_from_groups(record)
