Rollout: plan the ramp by the service's requests a second

Parts of the time are judged as usual or not only with 10 results of the old version; with fewer, slow ones were left out by chance, which makes the old version look quick.

--- a/mulberryhollow/coordination/rollout/driver.py
+++ b/mulberryhollow/coordination/rollout/driver.py
@@ -31,6 +31,9 @@
 ANSWER_TIMEOUT_S = 5.0
 """Time after which the outcome of a write counts as lost, in seconds."""
 
+MIN_SAMPLE_S = 5.0
+"""Least time over which the requests a second are estimated, in seconds."""
+
 _LEASE_TAKEN = declare(7010, logging.INFO, "this instance drives the move")
 _LEASE_LOST = declare(
     7011,
@@ -66,6 +69,15 @@
     is_lost: bool = False
 
 
+@attrs.frozen
+class _Sample:
+    """Requests of the service begun by some time in a move."""
+
+    move_id: str
+    at_s: float
+    started: int
+
+
 class Driver:
     """Drives one service's move while it holds the lease.
 
@@ -91,6 +103,8 @@
         self._write = None
         self._must_read = False
         self._retry_s = float("-inf")
+        self._first = None
+        self._requests_per_s = 0.0
 
     @property
     def move(self):
@@ -184,13 +198,28 @@
         if self._watcher.move is None:
             return []
         asked = self._watcher.step(counters, now_s)
+        self._measure_demand(counters, now_s)
         asked += self._write_or_read(counters, capacity, now_s)
         if self.holds_lease(now_s) and not self._must_read:
             move = self._watcher.move
-            plan = schedule.make_plan(move, capacity)
+            plan = schedule.make_plan(move, capacity, self._requests_per_s)
             asked += self._orders.list_due(move, plan, capacity, now_s)
         return asked
 
+    def _measure_demand(self, counters, now_s):
+        """Estimate the service's requests a second, since the first step."""
+        move = self._watcher.move
+        started = sum(
+            counters.total(move.service, version).started
+            for version in (move.from_version, move.to_version)
+        )
+        if self._first is None or self._first.move_id != move.id:
+            self._first = _Sample(move.id, now_s, started)
+        elapsed_s = now_s - self._first.at_s
+        if elapsed_s >= MIN_SAMPLE_S:
+            growth = started - self._first.started
+            self._requests_per_s = growth / elapsed_s
+
     def _write_or_read(self, counters, capacity, now_s):
         """Return the next call of the store, if one is due."""
         write = self._write
@@ -224,7 +253,7 @@
     def _choose_record(self, counters, capacity, now_s):
         """Return the record to write now, or None."""
         move = self._watcher.move
-        plan = schedule.make_plan(move, capacity)
+        plan = schedule.make_plan(move, capacity, self._requests_per_s)
         if self._is_settled(move, plan, capacity, now_s):
             return None
         if not self.holds_lease(now_s):
--- a/mulberryhollow/coordination/rollout/schedule.py
+++ b/mulberryhollow/coordination/rollout/schedule.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import math
 
 import attrs
 
@@ -20,8 +21,8 @@
     "make_plan",
 ]
 
-TRIAL_SHARES = (0.01, 0.02)
-"""Shares until the ramp; the first holds until the first good verdict."""
+TRIAL_SHARE = 0.015
+"""Share until the ramp; at most 0.02 before the first verdict."""
 
 RAMP_SHARES = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8)
 """Shares of the ramp; the last one is watched until the confirmation."""
@@ -29,7 +30,7 @@
 LAST_SHARE = 0.9
 """Share of the confirmation; the rest still compares the versions."""
 
-SHARES = (*TRIAL_SHARES, *RAMP_SHARES, LAST_SHARE)
+SHARES = (TRIAL_SHARE, *RAMP_SHARES, LAST_SHARE)
 
 ROUTES_SHARE = 0.2
 """Share from which each larger route must show that it is good."""
@@ -49,8 +50,11 @@
 MIN_ENDPOINTS = 2
 """Fewest endpoints with the new version before it gets requests."""
 
-RAMP_S = len(RAMP_SHARES) * STEP_S + CONFIRM_S
-"""Least time of the ramp and its confirmation, in seconds."""
+STEP_REQUESTS = 80
+"""Requests of the new version that a step of the ramp needs."""
+
+STEP_OLD_REQUESTS = 100
+"""Requests of the old version that a step of the ramp needs."""
 
 
 @attrs.frozen
@@ -179,7 +183,7 @@
     reason: str
 
 
-def make_plan(move, capacity):
+def make_plan(move, capacity, requests_per_s):
     """Plan back from the deadline.
 
     Parameters
@@ -188,6 +192,8 @@
         The move.
     capacity : Capacity
         Endpoints and the rate of loading.
+    requests_per_s : float
+        Requests of the service, in both versions.
 
     Returns
     -------
@@ -196,17 +202,30 @@
 
     Notes
     -----
-    The trial shares last as long as they can, because a version that turns
-    bad after a while is then found at 2 % of the requests.
+    The trial share lasts as long as it can, because a version that turns
+    bad after a while is then found at few requests.
     """
     latest_s = move.done_by_s - RESERVE_S
-    confirm_from_s = latest_s - CONFIRM_S
-    ramp_from_s = latest_s - RAMP_SLACK * RAMP_S
+    step_s = [_compute_step_s(share, requests_per_s) for share in RAMP_SHARES]
+    confirm_s = max(CONFIRM_S, _compute_step_s(LAST_SHARE, requests_per_s))
+    confirm_from_s = latest_s - confirm_s
+    ramp_from_s = latest_s - RAMP_SLACK * (sum(step_s) + confirm_s)
     load_s = len(capacity.endpoints) * capacity.load_s
     load_from_s = ramp_from_s - RAMP_SLACK * load_s
     return Plan(load_from_s, ramp_from_s, confirm_from_s, move.done_by_s)
 
 
+def _compute_step_s(share, requests_per_s):
+    """Return the time that the evidence at one share needs."""
+    if requests_per_s <= 0:
+        return math.inf
+    return max(
+        STEP_S,
+        STEP_REQUESTS / (requests_per_s * share),
+        STEP_OLD_REQUESTS / (requests_per_s * (1 - share)),
+    )
+
+
 def decide(move, plan, capacity, judgement, since_s, now_s):
     """Choose the next step of a move that is planned or shifting.
 
@@ -321,7 +340,7 @@
     )
     if now_s >= plan.load_from_s:
         return ordered
-    needed_slots = TRIAL_SHARES[-1] * capacity.slots
+    needed_slots = TRIAL_SHARE * capacity.slots
     slots_before = itertools.accumulate(
         (endpoint.slots for endpoint in ordered), initial=0
     )
--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -48,11 +48,14 @@
 MAX_ROUTE_SLOW_EXCESS = 0.3
 """Excess of slow requests on a route that is too much, as a share."""
 
+MIN_PART = 10
+"""Fewest results of the old version that show whether it is well."""
+
 MAX_USUAL_FAILED = 0.1
-"""Share of failures of the old version above which a look is no evidence."""
+"""Share of failures of the old version that is still usual."""
 
 MAX_USUAL_SLOW = 0.8
-"""Share of slow requests of the old version, likewise."""
+"""Share of slow requests of the old version that is still usual."""
 
 
 class Badness(enum.Enum):
@@ -253,8 +256,9 @@
     -----
     A window begins with each share. Evidence of badness is kept over the
     whole move, with prior weight on a change at each look and at each window;
-    evidence that the version is good comes from the present window only, and
-    from those looks in which the old version served as usual.
+    evidence that the version is good comes from the present window, on single
+    routes from the whole move, and only from those parts of the time in which
+    the old version served as usual.
     """
 
     def __init__(self, move, counters, now_s):
@@ -267,6 +271,8 @@
         self._good = None
         self._seen = self._read(counters)
         self._window = {}
+        self._move_sum = {}
+        self._part = {}
         self._windows = 0
         self.begin_window(counters)
 
@@ -275,6 +281,7 @@
         seen = self._read(counters)
         self._good = None
         self._window = {}
+        self._part = {}
         self._add_tests(seen)
         self._windows += 1
         self._skip(seen)
@@ -337,17 +344,28 @@
             if test.bucket is None:
                 test.set_reference(seen[test.route].old)
         self._seen = seen
-        if self._is_normal(growth):
-            self._window = _add(self._window, growth)
+        self._extend_window(growth)
         self._bad = self._find_bad()
         if self._good is None or not self._good.covers_routes:
             self._good = self._find_good()
 
-    def _is_normal(self, growth):
-        """Return whether the old version served as usual in a look."""
-        old = growth[""].old
+    def _extend_window(self, growth):
+        """Add results to the window in parts, if the old version was well.
+
+        A part holds enough results of the old version to tell that.
+        """
+        part = _add(growth, self._part)
+        self._part = part
+        if part[""].old.timed >= MIN_PART:
+            self._part = {}
+            if self._is_usual(part):
+                self._window = _add(part, self._window)
+                self._move_sum = _add(part, self._move_sum)
+
+    def _is_usual(self, part):
+        """Return whether the old version served as usual in a part."""
         arms = [
-            (test.measure.badness, test.count(old))
+            (test.measure.badness, test.count(part[""].old))
             for test in self._tests.values()
             if not test.route
         ]
@@ -378,13 +396,14 @@
         in_total = self._weigh(window, [""]) if window else 0.0
         if in_total < _LOG_GOOD:
             return None
-        least = MIN_ROUTE_SHARE * window[""].old.timed
+        least = MIN_ROUTE_SHARE * self._move_sum[""].old.timed
         larger = [
             route
-            for route, pair in window.items()
+            for route, pair in self._move_sum.items()
             if route and pair.old.timed >= least
         ]
-        return Good(in_total, self._weigh(window, larger) >= _LOG_GOOD)
+        on_routes = self._weigh(self._move_sum, larger)
+        return Good(in_total, on_routes >= _LOG_GOOD)
 
     def _weigh(self, window, routes):
         """Return the weakest evidence of harmlessness on some routes."""
@@ -440,10 +459,10 @@
     )
 
 
-def _add(window, growth):
+def _add(growth, before):
     """Return each route's sum of two states."""
     return {
-        route: pair.plus(window.get(route, _Pair()))
+        route: pair.plus(before.get(route, _Pair()))
         for route, pair in growth.items()
     }
 
