--- a/mulberryhollow/coordination/rollout/__init__.py
+++ b/mulberryhollow/coordination/rollout/__init__.py
@@ -26,10 +26,10 @@
 from mulberryhollow.coordination.rollout.schedule import make_plan
 from mulberryhollow.coordination.rollout.schedule import Plan
 from mulberryhollow.coordination.rollout.schedule import Shift
+from mulberryhollow.coordination.rollout.tester import Tester
 from mulberryhollow.coordination.rollout.verdict import Bad
 from mulberryhollow.coordination.rollout.verdict import Badness
 from mulberryhollow.coordination.rollout.verdict import Good
-from mulberryhollow.coordination.rollout.verdict import Tester
 from mulberryhollow.coordination.rollout.verdict import Undecided
 from mulberryhollow.coordination.rollout.watcher import effective_shares
 from mulberryhollow.coordination.rollout.watcher import Watcher
--- a/mulberryhollow/coordination/rollout/watcher.py
+++ b/mulberryhollow/coordination/rollout/watcher.py
@@ -4,6 +4,7 @@
 
 from mulberryhollow.coordination.rollout import actions
 from mulberryhollow.coordination.rollout import record
+from mulberryhollow.coordination.rollout import tester
 from mulberryhollow.coordination.rollout import verdict
 from mulberryhollow.events import declare
 from mulberryhollow.events import log
@@ -149,7 +150,7 @@
         if self._move is None or self._move.stage != record.Stage.SHIFTING:
             return verdict.Undecided(0)
         if self._tester is None:
-            self._tester = verdict.Tester(self._move, counters, now_s)
+            self._tester = tester.Tester(self._move, counters, now_s)
         elif self._has_new_window:
             self._tester.begin_window(counters)
         self._has_new_window = False
