Never "not run" for what an earlier send may have run

A resend of a booking met a store outage or a leaving instance and was refused as not run although an earlier send had run; an answer that went on at another instance was refused as not run; a new instance refused everything for 0.2 s, since accounts were set before the capacity and began with empty buckets. Ruled out: judging a first send by the age of its key, which clocks and quick resends break. Change: a refusal before the claim is read says outcome unknown unless the caller marks its first send by X-Send-Number: 1; a relay that goes on knows that it may have run; the capacity is set first.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -256,7 +256,7 @@
         environment = document.environment
         self.gateway.apply_environment(environment)
         self.dispatcher.change(
-            functools.partial(_apply_environment, environment)
+            functools.partial(dispatching.apply_environment, environment)
         )
         self._document = document
         self._link.publish_document(environment.name, document)
@@ -383,22 +383,6 @@
             self._clock.wait(threading.Event(), _DRAIN_POLL_S)
 
 
-def _apply_environment(environment, actor, now_s):
-    """Set the shares of accounts and versions in the dispatch actor."""
-    weights = {
-        account.name: account.weight
-        for account in environment.accounts.values()
-    }
-    actor.admission.set_accounts(weights, now_s)
-    actor.admission.set_capacity(environment.capacity_tokens_per_s, now_s)
-    actor.shares.set_versions(
-        {
-            service.name: service.version
-            for service in environment.services.values()
-        }
-    )
-
-
 def _count_endpoints(actor, now_s):
     """Return how many endpoints are listed."""
     return len(actor.view)
--- a/mulberryhollow/protocol/callers.py
+++ b/mulberryhollow/protocol/callers.py
@@ -1,5 +1,6 @@
 """Requests of callers, checked, and the JSON of answers to them."""
 
+import dataclasses
 import json
 import math
 import re
@@ -15,6 +16,7 @@
     "CallerRequest",
     "GenerateRequest",
     "LookupRequest",
+    "doubt",
     "encode_refusal",
     "make_request_id",
     "parse_body",
@@ -102,6 +104,9 @@
         What is asked.
     key_text : str
         The idempotency key as sent; empty when there is none.
+    is_first_send : bool
+        Whether the caller says that it sends the request for the first
+        time.
     """
 
     request_id: str
@@ -111,6 +116,7 @@
     deadline_s: float
     body: object
     key_text: str = ""
+    is_first_send: bool = False
 
 
 def make_request_id(instance):
@@ -143,6 +149,29 @@
     return errors.RefusedError(errors.Refusal(kind, message, remedy, **fields))
 
 
+def doubt(request, refusal):
+    """Return a refusal that says no more than is known of earlier sends.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        A booking that was refused before its claim could be read.
+    refusal : Refusal
+        Why it was refused.
+
+    Returns
+    -------
+    RefusedError
+        With `Ran.UNKNOWN` unless the caller sends it for the first time.
+    """
+    if request.is_first_send or refusal.ran is not errors.Ran.NOT_RUN:
+        return errors.RefusedError(refusal)
+    message = f"{refusal.message}; an earlier send may have run"
+    return errors.RefusedError(
+        dataclasses.replace(refusal, message=message, ran=errors.Ran.UNKNOWN)
+    )
+
+
 def parse_timeout(text, request_class):
     """Return the time that a caller gives a request, in seconds.
 
--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -171,7 +171,7 @@
                 case booking.KeyReused():
                     raise _refuse_reused()
                 case booking.Unwritten(reason):
-                    raise _refuse_unwritten(reason)
+                    raise _refuse_unwritten(run, reason)
         finally:
             self._end_attempt(run, chosen, attempt.fault)
 
@@ -281,7 +281,7 @@
         state = booking.ClaimState.NOT_RUN
         result = self._record(run, claim, state)
         if isinstance(result, booking.Unwritten):
-            raise _refuse_unwritten(result.reason)
+            raise _refuse_unwritten(run, result.reason)
         return None
 
     def _join(self, run, claim):
@@ -325,7 +325,7 @@
         found = self._claims.look(run.key.bucket, probe).result()
         match found:
             case booking.Unwritten(reason):
-                raise _refuse_unwritten(reason)
+                raise _refuse_unwritten(run, reason)
             case booking.Standing(claim=claim) if claim is not None:
                 if claim.body_digest != run.body_digest:
                     raise _refuse_reused()
@@ -370,14 +370,15 @@
     return messages.BookingAnswer(**json.loads(claim.outcome))
 
 
-def _refuse_unwritten(reason):
+def _refuse_unwritten(run, reason):
     """Return the refusal of a booking that could not be claimed."""
-    return callers.refuse(
+    refusal = errors.Refusal(
         errors.RefusalKind.STORE_UNAVAILABLE,
         f"the booking could not be claimed: {reason}",
         "resend with the same key",
         retry_after_s=STORE_RETRY_S,
     )
+    return callers.doubt(run.request, refusal)
 
 
 def _refuse_unknown():
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -23,6 +23,7 @@
     "Ended",
     "Failure",
     "Route",
+    "apply_environment",
     "choose_again",
     "classify_fault",
     "refuse_quarantined",
@@ -516,6 +517,37 @@
         return wall_s - self._clock.wall_s() + self._clock.now_s()
 
 
+def apply_environment(environment, actor, now_s):
+    """Set the shares of accounts and versions from a document.
+
+    Parameters
+    ----------
+    environment : Environment
+        The document in force.
+    actor : DispatchActor
+        What is changed, in its own thread.
+    now_s : float
+        Monotonic time, in seconds.
+
+    Notes
+    -----
+    The capacity goes first: an account's bucket starts full, at the size
+    that the capacity gives it.
+    """
+    weights = {
+        account.name: account.weight
+        for account in environment.accounts.values()
+    }
+    actor.admission.set_capacity(environment.capacity_tokens_per_s, now_s)
+    actor.admission.set_accounts(weights, now_s)
+    actor.shares.set_versions(
+        {
+            service.name: service.version
+            for service in environment.services.values()
+        }
+    )
+
+
 def choose_again(dispatcher, request, excluded):
     """Choose the endpoint of an attempt that may be repeated anywhere.
 
--- a/mulberryhollow/serving/gateway.py
+++ b/mulberryhollow/serving/gateway.py
@@ -196,8 +196,21 @@
             return self._parts.lookups.look_up(request, fingerprint)
 
     def book(self, request):
-        """Return the BookingAnswer."""
-        with self._admitted(request, REQUEST_COST_TOKENS) as fingerprint:
+        """Return the BookingAnswer.
+
+        Raises
+        ------
+        RefusedError
+            With `Ran.NOT_RUN` only when no send of the booking can have
+            run.
+        """
+        with contextlib.ExitStack() as held:
+            try:
+                fingerprint = held.enter_context(
+                    self._admitted(request, REQUEST_COST_TOKENS)
+                )
+            except errors.RefusedError as error:
+                raise callers.doubt(request, error.refusal) from error
             return self._parts.bookings.book(request, fingerprint)
 
     @contextlib.contextmanager
@@ -206,7 +219,9 @@
         body = request.body
         cost = body.prompt.count(" ") + 1 + body.max_tokens
         with self._admitted(request, cost) as fingerprint:
-            relay = self._make_relay(request, fingerprint, ())
+            relay = relaying.Relay(
+                self._parts.relay_parts, request, fingerprint
+            )
             with self._running(relay):
                 yield RelayedAnswer(relay, 0)
 
@@ -237,8 +252,12 @@
                 "send the id of the last event that arrived",
             )
         with self._counted():
-            relay = self._make_relay(
-                answer.request, answer.fingerprint, answer.tokens
+            relay = relaying.Relay(
+                self._parts.relay_parts,
+                answer.request,
+                answer.fingerprint,
+                answer.tokens,
+                may_have_run=True,
             )
             with self._running(relay):
                 yield RelayedAnswer(relay, last_seq + 1)
@@ -264,12 +283,6 @@
             ran=errors.Ran.UNKNOWN,
         )
 
-    def _make_relay(self, request, fingerprint, tokens):
-        """Return a new relay."""
-        return relaying.Relay(
-            self._parts.relay_parts, request, fingerprint, tokens
-        )
-
     @contextlib.contextmanager
     def _running(self, relay):
         """Keep a relay listed; park its answer if it is not whole."""
--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -67,6 +67,8 @@
         Its fingerprint, for the quarantine.
     tokens : iterable of str
         Tokens that the caller has already.
+    may_have_run : bool
+        Whether another instance may have run the request.
 
     Notes
     -----
@@ -75,7 +77,9 @@
     two lists, so that another instance can go on.
     """
 
-    def __init__(self, parts, request, fingerprint, tokens=()):
+    def __init__(
+        self, parts, request, fingerprint, tokens=(), may_have_run=False
+    ):
         self.request = request
         self.fingerprint = fingerprint
         self.served_by = ""
@@ -86,7 +90,7 @@
         self._stopped = threading.Event()
         self._interval_s = 0.0
         self._held = None
-        self._may_have_run = False
+        self._may_have_run = may_have_run
         self._sent_attempts = 0
         self._first_byte_s = None
         self.is_given_up = False
--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -171,6 +171,7 @@
             deadline_s=self._gateway.compute_deadline(timeout_s),
             body=messages.parse_body(self._read_body(), request_class),
             key_text=self._get_header("Idempotency-Key"),
+            is_first_send=self._get_header("X-Send-Number") == "1",
         )
 
     def _read_body(self):
--- a/tests/daemon/bookings.feature
+++ b/tests/daemon/bookings.feature
@@ -47,6 +47,13 @@
     And the refusal came within 3 seconds and says when to come back
     And the booking ran 0 times
 
+  Scenario: With the store down a resend is not told that it was not run
+    When a booking is sent to instance 1
+    And the store goes out
+    And the booking is sent again to instance 2
+    Then the booking is refused as store_unavailable and maybe run
+    And the booking ran once
+
   Scenario: The same key with another body is refused
     When a booking is sent to instance 1
     And another body is sent with the same key to instance 2
--- a/tests/site_fixture.py
+++ b/tests/site_fixture.py
@@ -86,8 +86,8 @@
         body = {"prompt": prompt, "max_tokens": tokens, "stream": stream}
         return self.post(address, CHAT, body, headers)
 
-    def book(self, address, key, slot="friday-0900"):
-        headers = {"Idempotency-Key": key}
+    def book(self, address, key, slot="friday-0900", number=1):
+        headers = {"Idempotency-Key": key, "X-Send-Number": str(number)}
         return self.post(address, BOOKING, {"slot": slot}, headers)
 
     def count_bookings(self, key):
--- a/tests/steps/daemon_bookings.py
+++ b/tests/steps/daemon_bookings.py
@@ -12,9 +12,9 @@
     return list(context.shared.entry_names.values())[number - 1]
 
 
-def send(context, address, slot="friday-0900"):
+def send(context, address, slot="friday-0900", number=1):
     begin_s = time.monotonic()
-    context.answer = context.shared.book(address, context.key, slot)
+    context.answer = context.shared.book(address, context.key, slot, number)
     context.took_s = time.monotonic() - begin_s
 
 
@@ -26,6 +26,7 @@
 
 
 @given("the store is out")
+@when("the store goes out")
 def stop_store(context):
     context.shared.fault(context.shared.site.store_address, "outage")
 
@@ -77,7 +78,7 @@
 
 @when("the booking is sent again to instance {number:d}")
 def send_again(context, number):
-    send(context, get_entry(context, number))
+    send(context, get_entry(context, number), number=2)
 
 
 @when("the booking endpoints behave again")
@@ -87,7 +88,7 @@
 
 @when("another body is sent with the same key to instance {number:d}")
 def send_other_body(context, number):
-    send(context, get_entry(context, number), "friday-1000")
+    send(context, get_entry(context, number), "friday-1000", 2)
 
 
 @when("a booking is sent to instance {number:d}, which is killed meanwhile")
@@ -113,7 +114,7 @@
 @when("the booking is sent again to another instance until it is settled")
 def send_until_settled(context):
     def is_settled():
-        send(context, get_entry(context, 1))
+        send(context, get_entry(context, 1), number=2)
         return context.answer.status == 201
 
     site_fixture.wait_until(is_settled, 25)
