Capacity keeper: plan object under a lease, drained stops, refused starts

Cause: nobody asked for or ended instances, so neither the loss of a failure domain nor the budget was looked after. Change: the usual owner plans from the recent peak of load; it starts and ends instances only after its conditional update and within its lease; a planned stop is told as a notice 30 s before. Off unless the settings say act. Ruled out: starting without the plan object, since two planners would both start.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -12,6 +12,7 @@
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.serving import bookings
+from mulberryhollow.serving import capacity
 from mulberryhollow.serving import claims
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import documents
@@ -210,7 +211,7 @@
             self._client, self.dispatcher, endpoint_feed
         )
         make = self._make_loop
-        return [
+        loops = [
             make("list", declared.LIST_INTERVAL_S, endpoint_feed.read),
             make("notices", declared.NOTICE_INTERVAL_S, self._read_notices),
             make("load", declared.LOAD_INTERVAL_S, load_feed.read),
@@ -226,6 +227,27 @@
                 "registry", self._clock, _RETRY_S, self._registry.register
             ),
         ]
+        if self._settings.get(declared.CAPACITY_MODE) == "act":
+            keeper = self._make_capacity_keeper()
+            loops.append(
+                make("capacity", declared.CAPACITY_INTERVAL_S, keeper.tick)
+            )
+        return loops
+
+    def _make_capacity_keeper(self):
+        """Return the planner of instances."""
+        return capacity.CapacityKeeper(
+            capacity.CapacityParts(
+                instance=self.instance,
+                environment=self._settings.get(declared.ENVIRONMENT),
+                store=self._store,
+                cloud=self._cloud,
+                dispatcher=self.dispatcher,
+                link=self._link,
+                get_environment=lambda: self.gateway.environment,
+                clock=self._clock,
+            )
+        )
 
     def _make_loop(self, name, interval, call):
         """Return a loop whose interval is a setting."""
--- a/mulberryhollow/daemon/settings.py
+++ b/mulberryhollow/daemon/settings.py
@@ -3,6 +3,8 @@
 from mulberryhollow import settings
 
 __all__ = [
+    "CAPACITY_INTERVAL_S",
+    "CAPACITY_MODE",
     "CLOUD_ADDRESS",
     "ENVIRONMENT",
     "FAILURE_DOMAIN",
@@ -53,6 +55,13 @@
     return number
 
 
+def _parse_mode(text):
+    """Return ``act`` or ``off``."""
+    if text not in ("act", "off"):
+        raise ValueError(f"{text!r} is neither act nor off")
+    return text
+
+
 INSTANCE = settings.declare(
     "instance", "name", _parse_name, None, "", "id of this instance"
 )
@@ -139,6 +148,22 @@
     "seconds",
     "time between two reads of the endpoints' load",
 )
+CAPACITY_MODE = settings.declare(
+    "capacity",
+    "mode",
+    _parse_mode,
+    "off",
+    "",
+    "act starts and ends instances by load and budget; off leaves them",
+)
+CAPACITY_INTERVAL_S = settings.declare(
+    "capacity",
+    "interval_s",
+    _parse_positive,
+    5.0,
+    "seconds",
+    "time between two looks at the capacity",
+)
 PEER_ADDRESS = settings.declare(
     "peers",
     "address",
--- a/mulberryhollow/protocol/cloud.py
+++ b/mulberryhollow/protocol/cloud.py
@@ -4,9 +4,18 @@
 
 import attrs
 
+from mulberryhollow.coordination import capacity
 from mulberryhollow.state import endpoints
 
-__all__ = ["Notice", "decode_endpoints", "decode_notices"]
+__all__ = [
+    "Notice",
+    "decode_endpoints",
+    "decode_entries",
+    "decode_instances",
+    "decode_notices",
+    "decode_offers",
+    "encode_start",
+]
 
 _ENDPOINT_ROLES = ("model", "plain")
 
@@ -73,6 +82,57 @@
         raise ValueError(f"malformed notices: {error}") from error
 
 
+def decode_instances(data):
+    """Return every endpoint instance as capacity.Instance."""
+    try:
+        return [
+            capacity.Instance(
+                item["id"],
+                item["service"],
+                item["version"],
+                item["failure_domain"],
+                item.get("machine_class", ""),
+                item.get("market", ""),
+                float(item.get("price_per_hour", 0.0)),
+                item.get("state") == "leaving",
+            )
+            for item in _decode_items(data)
+            if item.get("role") in _ENDPOINT_ROLES
+        ]
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"malformed instance: {error}") from error
+
+
+def decode_offers(data):
+    """Return the cloud's prices as capacity.Offer; ValueError if wrong."""
+    try:
+        return [
+            capacity.Offer(
+                item["failure_domain"],
+                item["machine_class"],
+                item["market"],
+                float(item["per_hour"]),
+            )
+            for item in _decode_items(data)
+        ]
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"malformed prices: {error}") from error
+
+
+def encode_start(start):
+    """Return the body that asks for one instance of a capacity.Start."""
+    return json.dumps(
+        {
+            "machine_class": start.offer.machine_class,
+            "failure_domain": start.offer.failure_domain,
+            "market": start.offer.market,
+            "role": start.role,
+            "service": start.service,
+            "version": start.version,
+        }
+    ).encode()
+
+
 def _decode_endpoint(item):
     """Return one endpoint."""
     try:
--- /dev/null
+++ b/mulberryhollow/serving/capacity.py
@@ -0,0 +1,313 @@
+"""Keeps the instances that run in line with the load and the budget."""
+
+import json
+import logging
+
+import attrs
+
+from mulberryhollow.coordination import capacity
+from mulberryhollow.coordination import membership
+from mulberryhollow import events
+from mulberryhollow.protocol import cloud
+from mulberryhollow.state import objects
+from mulberryhollow.transport import store as store_adapter
+
+__all__ = ["CapacityKeeper", "CapacityParts", "PlanRecord", "estimate"]
+
+KIND = "plan"
+"""Kind of the object that holds the plan."""
+
+LEASE_S = 15.0
+"""Time for which one instance alone carries out a plan, in seconds."""
+
+DRAIN_S = 30.0
+"""Time from the notice of a planned stop to the stop, in seconds."""
+
+HEADROOM = 1.3
+"""Capacity wanted for each request at work, as a factor."""
+
+PEAK_DECAY = 0.98
+"""Part of an earlier peak that still counts at the next look."""
+
+PLANNED = events.declare(
+    8001, logging.INFO, "the capacity plan starts or stops instances"
+)
+REFUSED = events.declare(
+    8002,
+    logging.WARNING,
+    "the cloud refused a start; other offers are tried first for a while",
+)
+SHORT = events.declare(
+    8003,
+    logging.WARNING,
+    "the budget or the cloud does not allow the capacity that is needed",
+    "raise the budget, or expect patient work to be refused",
+)
+LOST = events.declare(
+    8004,
+    logging.INFO,
+    "another instance has changed the capacity plan; this one stops",
+)
+
+
+@attrs.frozen
+class PlanRecord:
+    """The stored plan.
+
+    Parameters
+    ----------
+    planner : str
+        Instance that carries it out.
+    lease_until_s : float
+        Until when it alone does, in Unix seconds.
+    stopping : dict
+        Instance id to when it is to be ended, in Unix seconds.
+    """
+
+    planner: str = ""
+    lease_until_s: float = 0.0
+    stopping: dict = attrs.field(factory=dict)
+
+    def encode(self):
+        """Return the bytes of the object."""
+        return json.dumps(attrs.asdict(self)).encode()
+
+    @classmethod
+    def decode(cls, data):
+        """Return the record in data; an empty one if malformed."""
+        try:
+            return cls(**json.loads(data))
+        except (ValueError, TypeError):
+            return cls()
+
+
+@attrs.frozen
+class CapacityParts:
+    """What the keeper works with.
+
+    Parameters
+    ----------
+    instance, environment : str
+        This instance and the environment whose plan it keeps.
+    store : StoreClient
+        Holds the plan.
+    cloud : CloudClient
+        Lists, starts and ends instances.
+    dispatcher : Dispatcher
+        Knows the load, and sheds patient work.
+    link : PeerLink
+        Knows the members, and tells planned stops.
+    get_environment : callable
+        Returns the Environment in force, or None.
+    clock : Clock
+        Source of time.
+    """
+
+    instance: str
+    environment: str
+    store: object
+    cloud: object
+    dispatcher: object
+    link: object
+    get_environment: object
+    clock: object
+
+
+class CapacityKeeper:
+    """Plans as the usual owner; the stored plan decides between two.
+
+    Parameters
+    ----------
+    parts : CapacityParts
+        What it works with.
+
+    Notes
+    -----
+    A plan is carried out only after its conditional update, and only
+    within its lease. An instance whose start has an unknown outcome is
+    found in the list later; until then the budget may be exceeded by it.
+    """
+
+    def __init__(self, parts):
+        self._parts = parts
+        self._refused = capacity.RefusedStarts()
+        self._peaks = {}
+
+    def tick(self):
+        """Look once.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the platform gave no usable answer; to be tried again.
+        """
+        environment = self._parts.get_environment()
+        if environment is None or not self._is_owner():
+            return
+        stored = self._parts.store.get(KIND, self._parts.environment)
+        record = PlanRecord.decode(stored.value) if stored else PlanRecord()
+        now_s = self._parts.clock.wall_s()
+        is_mine = record.planner == self._parts.instance
+        if not is_mine and now_s < record.lease_until_s:
+            return
+        planned = self._plan(environment)
+        self._tell_shortfall(planned)
+        wanted = self._make_record(record, planned, now_s)
+        if not (planned.starts or wanted.stopping or record.stopping):
+            return
+        version = stored.version if stored else 0
+        if self._write(wanted, version):
+            self._carry_out(planned, wanted)
+
+    def _is_owner(self):
+        """Return whether this instance usually plans."""
+        names = [each.instance_id for each in self._parts.link.usable]
+        names.append(self._parts.instance)
+        ranked = membership.rank_by_rendezvous("capacity", names)
+        return ranked[0] == self._parts.instance
+
+    def _plan(self, environment):
+        """Return the Plan for the load as it is."""
+        seen = self._parts.dispatcher.read(estimate)
+        offers = self._parts.cloud.list_offers()
+        return capacity.plan(
+            [self._make_demand(each, offers) for each in seen],
+            offers,
+            self._parts.cloud.list_instances(),
+            self._refused,
+            environment.budget_per_hour,
+            self._parts.clock.now_s(),
+        )
+
+    def _make_demand(self, seen, offers):
+        """Return the Demand of one version, from its recent peak."""
+        name = seen.service, seen.version
+        faded = self._peaks.get(name, 0.0) * PEAK_DECAY
+        self._peaks[name] = max(seen.load, faded, 1.0)
+        slots = max(seen.slots, 1.0)
+        classes = {offer.machine_class for offer in offers}
+        return capacity.Demand(
+            seen.service,
+            seen.version,
+            seen.role,
+            self._peaks[name] * HEADROOM,
+            capacity_by_class=dict.fromkeys(classes, slots),
+        )
+
+    def _make_record(self, record, planned, now_s):
+        """Return the record with the stops that go on and begin."""
+        stopping = {
+            instance: at_s
+            for instance, at_s in record.stopping.items()
+            if now_s < at_s + DRAIN_S
+        }
+        begun = {
+            instance: now_s + DRAIN_S
+            for instance in planned.stops
+            if instance not in stopping
+        }
+        return PlanRecord(
+            self._parts.instance, now_s + LEASE_S, stopping | begun
+        )
+
+    def _write(self, wanted, version):
+        """Store the plan; return whether it is this instance's."""
+        change_id = store_adapter.make_change_id()
+        name = self._parts.environment
+        outcome = self._parts.store.put(
+            KIND, name, wanted.encode(), version, change_id
+        )
+        if isinstance(outcome, objects.Unknown):
+            outcome = self._parts.store.settle(KIND, name, change_id)
+        if not isinstance(outcome, objects.Done):
+            events.log(LOST, planner=wanted.planner)
+        return isinstance(outcome, objects.Done)
+
+    def _carry_out(self, planned, wanted):
+        """Start and end instances while the lease lasts."""
+        events.log(
+            PLANNED,
+            starts=sum(start.count for start in planned.starts),
+            stopping=sorted(wanted.stopping),
+            cost_per_hour=planned.cost_per_hour,
+        )
+        for start in planned.starts:
+            for _ in range(start.count):
+                if not self._start(start, wanted):
+                    break
+        for instance, at_s in wanted.stopping.items():
+            self._stop(instance, at_s, wanted)
+
+    def _start(self, start, wanted):
+        """Start one instance; return whether to go on with its offer."""
+        if self._parts.clock.wall_s() >= wanted.lease_until_s:
+            return False
+        if self._parts.cloud.start(start):
+            self._refused.record_started(start.offer)
+            return True
+        now_s = self._parts.clock.now_s()
+        self._refused.record_refused(start.offer, now_s)
+        events.log(REFUSED, offer=attrs.asdict(start.offer))
+        return False
+
+    def _stop(self, instance, at_s, wanted):
+        """Tell a planned stop, or end the instance once it is drained."""
+        now_s = self._parts.clock.wall_s()
+        if now_s >= wanted.lease_until_s:
+            return
+        if now_s >= at_s:
+            self._parts.cloud.stop(instance)
+            return
+        self._parts.link.publish_notice(cloud.Notice(0, instance, "", at_s))
+
+    def _tell_shortfall(self, planned):
+        """Let admission shed the patient work that has no capacity."""
+        shed = max(
+            (each.patient_part_shed for each in planned.shortfall),
+            default=0.0,
+        )
+        if planned.shortfall:
+            lacking = [attrs.asdict(each) for each in planned.shortfall]
+            events.log(SHORT, shortfall=lacking)
+        self._parts.dispatcher.change(
+            lambda actor, now_s: actor.admission.set_patient_part(1.0 - shed)
+        )
+
+
+@attrs.frozen
+class Estimate:
+    """Load of one version of a service.
+
+    Parameters
+    ----------
+    service, version, role : str
+        What it is.
+    load : float
+        Requests at its endpoints, running and queued.
+    slots : float
+        Mean number of requests that one endpoint runs at once.
+    """
+
+    service: str
+    version: str
+    role: str
+    load: float
+    slots: float
+
+
+def estimate(actor, now_s):
+    """Return an Estimate of each listed version, in the dispatch actor."""
+    found = {}
+    for record in actor.view:
+        each = record.endpoint
+        found.setdefault((each.service, each.version, each.role), []).append(
+            record
+        )
+    return [
+        Estimate(
+            *name,
+            load=sum(record.load for record in records),
+            slots=sum(record.slots for record in records) / len(records),
+        )
+        for name, records in found.items()
+    ]
--- a/mulberryhollow/transport/cloud.py
+++ b/mulberryhollow/transport/cloud.py
@@ -9,10 +9,12 @@
 __all__ = ["CloudClient"]
 
 _OK = 200
+_CREATED = 201
+_SERVER_ERROR = 500
 
 
 class CloudClient:
-    """Reads of the cloud API.
+    """Reads and orders of the cloud API.
 
     Parameters
     ----------
@@ -60,6 +62,70 @@
         path = f"/cloud/notices?after={after}"
         return self._read(path, messages.decode_notices)
 
+    def list_instances(self):
+        """Return every listed endpoint as capacity.Instance.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the platform gave no usable answer.
+        """
+        return self._read("/cloud/instances", messages.decode_instances)
+
+    def list_offers(self):
+        """Return the prices of what can be started.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the platform gave no usable answer.
+        """
+        return self._read("/cloud/prices", messages.decode_offers)
+
+    def start(self, wanted):
+        """Ask for one instance.
+
+        Parameters
+        ----------
+        wanted : capacity.Start
+            What is to be started.
+
+        Returns
+        -------
+        bool
+            Whether it was started; False when the cloud refused.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the outcome is not known.
+        """
+        body = messages.encode_start(wanted)
+        status = self._change("POST", "/cloud/instances", body)
+        return status == _CREATED
+
+    def stop(self, instance):
+        """End an instance; one that is gone already counts as ended.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the outcome is not known.
+        """
+        self._change("DELETE", f"/cloud/instances/{instance}", None)
+
+    def _change(self, method, path, body):
+        """Return the status of a change below 500."""
+        try:
+            answer = self._pool.request(
+                method, path, body=body, timeout=self._timeout_s
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise _unavailable(str(error)) from error
+        if answer.status >= _SERVER_ERROR:
+            raise _unavailable(f"status {answer.status}")
+        return answer.status
+
     def _read(self, path, decode):
         """Return the decoded answer to a read."""
         try:
@@ -69,7 +135,12 @@
             reason = f"status {answer.status}"
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             reason = str(error)
-        raise errors.StoreUnavailableError(
-            f"the cloud API is not usable: {reason}",
-            "retry after the platform answers again",
-        )
+        raise _unavailable(reason)
+
+
+def _unavailable(reason):
+    """Return the error for a cloud that gave no usable answer."""
+    return errors.StoreUnavailableError(
+        f"the cloud API is not usable: {reason}",
+        "retry after the platform answers again",
+    )
--- a/tools/site.py
+++ b/tools/site.py
@@ -16,6 +16,7 @@
 
 EXAMPLE = processes.ROOT / "examples" / "production.ini"
 READY_TIMEOUT_S = 20.0
+_POOLS = urllib3.PoolManager(maxsize=64)
 
 _SETTINGS = """\
 [instance]
@@ -59,7 +60,7 @@
     fields = {"Content-Type": "application/json", "Connection": "close"}
     if key:
         fields["Authorization"] = f"Bearer {key}"
-    return urllib3.request(
+    return _POOLS.request(
         method,
         f"http://{address}{path}",
         body=None if body is None else json.dumps(body).encode(),
