--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 mulberryhollow standins tests tools
+	$(BIN)/flake8 mulberryhollow standins tests tools examples
 
 format: $(READY)
 	$(BIN)/ruff format .
--- /dev/null
+++ b/tests/steps/docs_embedding.py
@@ -0,0 +1,19 @@
+import pathlib
+import subprocess
+import sys
+
+from behave import then
+
+
+@then("examples/embedding.py prints what docs/booking.md says")
+def check_example(context):
+    page = pathlib.Path("docs/booking.md").read_text(encoding="utf-8")
+    wanted = [line.strip() for line in page.splitlines()[-2:]]
+    done = subprocess.run(
+        [sys.executable, "examples/embedding.py"],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=True,
+    )
+    assert done.stdout.splitlines() == wanted, done.stdout
