Claims past the horizon are removed by their usual owner

Cause: bucket objects were never removed. Change: every 5 minutes the usual owner reads the 48 buckets of the newest expired slots once and deletes them by conditional update. Left: buckets that expired while no instance ran for over an hour stay.

--- a/mulberryhollow/coordination/booking/__init__.py
+++ b/mulberryhollow/coordination/booking/__init__.py
@@ -18,6 +18,7 @@
 from mulberryhollow.coordination.booking.key import BookingKey
 from mulberryhollow.coordination.booking.key import ExpiredKey
 from mulberryhollow.coordination.booking.key import HORIZON_S
+from mulberryhollow.coordination.booking.key import list_expired_buckets
 from mulberryhollow.coordination.booking.key import MalformedKey
 from mulberryhollow.coordination.booking.key import parse_key
 
@@ -41,5 +42,6 @@
     "Write",
     "decode_claims",
     "encode_claims",
+    "list_expired_buckets",
     "parse_key",
 ]
--- a/mulberryhollow/coordination/booking/key.py
+++ b/mulberryhollow/coordination/booking/key.py
@@ -1,6 +1,7 @@
 """Idempotency keys that carry the time at which they were made."""
 
 import dataclasses
+import itertools
 import re
 
 import attrs
@@ -11,6 +12,7 @@
     "ExpiredKey",
     "HORIZON_S",
     "MalformedKey",
+    "list_expired_buckets",
     "parse_key",
 ]
 
@@ -26,6 +28,9 @@
 BUCKETS_PER_SLOT = 8
 """Number of bucket objects in one slot of time."""
 
+EXPIRED_SLOTS = 6
+"""Number of expired slots that are looked at for removal."""
+
 _PATTERN = re.compile(r"(\d{10})-([A-Za-z0-9._-]{8,64})")
 _FORM = "UNIXSECONDS-RANDOM, for example 1764806400-7f3a9c21e4"
 
@@ -112,15 +117,23 @@
     return BookingKey(account, text, made_s)
 
 
-def list_expired_slots(names, now_s):
-    """Return the bucket names whose every key is past the horizon.
+def list_expired_buckets(now_s):
+    """Return the buckets whose every key has just passed the horizon.
 
     Parameters
     ----------
-    names : iterable of str
-        Names of bucket objects.
     now_s : float
         Wall-clock time, in seconds since the Unix epoch.
+
+    Returns
+    -------
+    list of str
+        Names of the buckets of the newest expired slots, the newest
+        first.
     """
-    oldest_slot = int(now_s - HORIZON_S - SKEW_S) // SLOT_S
-    return [name for name in names if int(name.split("-")[0]) < oldest_slot]
+    newest = int(now_s - HORIZON_S - SKEW_S) // SLOT_S - 1
+    slots = range(newest, newest - EXPIRED_SLOTS, -1)
+    places = range(BUCKETS_PER_SLOT)
+    return [
+        f"{slot}-{place}" for slot, place in itertools.product(slots, places)
+    ]
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -39,6 +39,7 @@
 _FLUSH_LIMIT_S = 2.0
 _WATCH_RETRY_S = 0.2
 _RETRY_S = 0.5
+_EXPIRY_INTERVAL_S = 300.0
 _WATCHERS_PER_DOMAIN = 2
 
 
@@ -227,6 +228,16 @@
                 "registry", self._clock, _RETRY_S, self._registry.register
             ),
         ]
+        expired = claims.ExpiredClaims(
+            self._store,
+            self._clock,
+            lambda: self._link.is_owner("expired claims"),
+        )
+        loops.append(
+            feeds.Loop(
+                "expired", self._clock, _EXPIRY_INTERVAL_S, expired.remove
+            )
+        )
         if self._settings.get(declared.CAPACITY_MODE) == "act":
             keeper = self._make_capacity_keeper()
             loops.append(
--- a/mulberryhollow/serving/capacity.py
+++ b/mulberryhollow/serving/capacity.py
@@ -6,7 +6,6 @@
 import attrs
 
 from mulberryhollow.coordination import capacity
-from mulberryhollow.coordination import membership
 from mulberryhollow import events
 from mulberryhollow.protocol import cloud
 from mulberryhollow.state import objects
@@ -17,6 +16,9 @@
 KIND = "plan"
 """Kind of the object that holds the plan."""
 
+TASK = "capacity"
+"""Name under which the usual owner is chosen."""
+
 LEASE_S = 15.0
 """Time for which one instance alone carries out a plan, in seconds."""
 
@@ -142,7 +144,7 @@
             When the platform gave no usable answer; to be tried again.
         """
         environment = self._parts.get_environment()
-        if environment is None or not self._is_owner():
+        if environment is None or not self._parts.link.is_owner(TASK):
             return
         stored = self._parts.store.get(KIND, self._parts.environment)
         record = PlanRecord.decode(stored.value) if stored else PlanRecord()
@@ -159,13 +161,6 @@
         if self._write(wanted, version):
             self._carry_out(planned, wanted)
 
-    def _is_owner(self):
-        """Return whether this instance usually plans."""
-        names = [each.instance_id for each in self._parts.link.usable]
-        names.append(self._parts.instance)
-        ranked = membership.rank_by_rendezvous("capacity", names)
-        return ranked[0] == self._parts.instance
-
     def _plan(self, environment):
         """Return the Plan for the load as it is."""
         seen = self._parts.dispatcher.read(estimate)
--- a/mulberryhollow/serving/claims.py
+++ b/mulberryhollow/serving/claims.py
@@ -12,7 +12,7 @@
 from mulberryhollow import events
 from mulberryhollow.transport import store as store_adapter
 
-__all__ = ["ClaimKeeper", "ClaimStore"]
+__all__ = ["ClaimKeeper", "ClaimStore", "ExpiredClaims"]
 
 KIND = "claims"
 """Kind of the bucket objects."""
@@ -155,6 +155,46 @@
         answer.token.set_result(answer.result)
 
 
+class ExpiredClaims:
+    """Removes buckets that are past the horizon, each looked at once.
+
+    Parameters
+    ----------
+    store : StoreClient
+        Adapter to the object API.
+    clock : Clock
+        Source of time.
+    is_owner : callable
+        Whether this instance usually does it; two at once do no harm.
+    """
+
+    def __init__(self, store, clock, is_owner):
+        self._store = store
+        self._clock = clock
+        self._is_owner = is_owner
+        self._done = set()
+
+    def remove(self):
+        """Remove what has expired since the last call.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the platform gave no usable answer; to be tried again.
+        """
+        if not self._is_owner():
+            return
+        names = booking.list_expired_buckets(self._clock.wall_s())
+        for name in names:
+            if name in self._done:
+                continue
+            found = self._store.get(KIND, name)
+            if found is not None:
+                self._store.delete(KIND, name, found.version)
+            self._done.add(name)
+        self._done.intersection_update(names)
+
+
 class ClaimStore:
     """What the threads that serve bookings call.
 
--- a/mulberryhollow/serving/peering.py
+++ b/mulberryhollow/serving/peering.py
@@ -117,6 +117,23 @@
         self._publish_json(facts.Topic.LOAD, told.loads)
         self._publish_json(facts.Topic.DEMAND, told.demand)
 
+    def is_owner(self, task):
+        """Return whether this instance usually does a task.
+
+        Parameters
+        ----------
+        task : str
+            Name of the task.
+
+        Notes
+        -----
+        Instances that see different members may both think so.
+        """
+        names = [each.instance_id for each in self.usable]
+        names.append(self._me.instance_id)
+        ranked = membership.rank_by_rendezvous(task, names)
+        return ranked[0] == self._me.instance_id
+
     def publish_document(self, environment_name, document):
         """Tell the peers the document in force."""
         self._publish(
--- a/tests/coordination/booking/bucket.feature
+++ b/tests/coordination/booking/bucket.feature
@@ -53,3 +53,6 @@
       | 1764806400-7f3a9c21e4  | 86401 | ExpiredKey   |
       | 1764806400-7f3a9c21e4  | -400  | MalformedKey |
       | 7f3a9c21e4             | 0     | MalformedKey |
+
+  Scenario: A bucket expires only after the last key that it may hold
+    Then no booking key that is still taken falls into an expired bucket
--- a/tests/steps/coordination_booking.py
+++ b/tests/steps/coordination_booking.py
@@ -254,3 +254,17 @@
 def check_key(context, text, age_s, kind):
     found = booking.parse_key("desk", text, MADE_S + age_s)
     assert type(found).__name__ == kind, found
+
+
+@then("no booking key that is still taken falls into an expired bucket")
+def check_expiry(context):
+    text = f"{MADE_S}-7f3a9c21e4"
+    bucket = booking.parse_key("a", text, MADE_S).bucket
+    for age_s in range(0, booking.HORIZON_S + 1, 60):
+        for now_s in (MADE_S + age_s, MADE_S + age_s + 0.9):
+            key = booking.parse_key("a", text, now_s)
+            if isinstance(key, booking.BookingKey):
+                expired = booking.list_expired_buckets(now_s)
+                assert bucket not in expired, age_s
+    late_s = MADE_S + booking.HORIZON_S + 1800
+    assert bucket in booking.list_expired_buckets(late_s)
--- a/tests/steps/serving_capacity.py
+++ b/tests/steps/serving_capacity.py
@@ -82,7 +82,8 @@
                 read=lambda look: seen, change=lambda apply: None
             ),
             link=types.SimpleNamespace(
-                usable=(), publish_notice=context.notices.append
+                is_owner=lambda task: True,
+                publish_notice=context.notices.append,
             ),
             get_environment=lambda: budget,
             clock=context.clock,
