--- a/mulberryhollow/coordination/membership/spread.py
+++ b/mulberryhollow/coordination/membership/spread.py
@@ -35,7 +35,7 @@
 RECENT_ROUNDS = 10
 """Rounds whose changes are sent to a peer that was not met before."""
 
-ROOM_SHARE = 4
+ROOM_SHARE = 2
 """Peers that may use the free bytes of one node at the same time."""
 
 MAX_PEERS = 512
