--- a/mulberryhollow/transport/gossip.py
+++ b/mulberryhollow/transport/gossip.py
@@ -309,9 +309,9 @@
 
     def _run_round(self, now_s, wall_s):
         """Charge what was sent and begin a round when one is due."""
-        total_bytes = self.traffic.total_bytes
-        self._node.budget.charge(total_bytes - self._charged_bytes, now_s)
-        self._charged_bytes = total_bytes
+        used_bytes = self.traffic.control_bytes
+        self._node.budget.charge(used_bytes - self._charged_bytes, now_s)
+        self._charged_bytes = used_bytes
         if now_s < self._round_due_s:
             return
         self._round_due_s = now_s + self._settings.round_s
--- a/mulberryhollow/transport/peers.py
+++ b/mulberryhollow/transport/peers.py
@@ -102,20 +102,27 @@
         self._lock = threading.Lock()
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.call_bytes = 0
         self.messages = 0
 
-    def add(self, sent_bytes=0, received_bytes=0, messages=0):
+    def add(self, sent_bytes=0, received_bytes=0, messages=0, call_bytes=0):
         """Add what one connection carried."""
         with self._lock:
             self.sent_bytes += sent_bytes
             self.received_bytes += received_bytes
             self.messages += messages
+            self.call_bytes += call_bytes
 
     @property
     def total_bytes(self):
         """Bytes in both directions, without TCP and IP headers."""
         return self.sent_bytes + self.received_bytes
 
+    @property
+    def control_bytes(self):
+        """Bytes in both directions without the payloads of calls."""
+        return self.total_bytes - self.call_bytes
+
 
 class Signer:
     """Makes and checks the envelopes of one node.
@@ -284,7 +291,9 @@
         handler = self._handlers.get(envelope.topic)
         if handler is None:
             raise peers.EnvelopeError("malformed", "no handler for the topic")
-        return handler(envelope.payload)
+        answer = handler(envelope.payload)
+        self._traffic.add(call_bytes=len(envelope.payload) + len(answer))
+        return answer
 
 
 class PeerClient:
@@ -372,6 +381,16 @@
         PeerCallError
             Its ``ran`` says whether the handler may have run.
         """
+        answer = self._call_once(address, topic, payload, timeout_s)
+        self._traffic.add(call_bytes=len(payload) + len(answer))
+        return answer
+
+    def close(self):
+        """Close every idle connection."""
+        self._pool.close()
+
+    def _call_once(self, address, topic, payload, timeout_s):
+        """Send a call, again only when its frame was not sent whole."""
         pooled = self._pool.take(address, CALL_IDLE_S)
         if pooled:
             try:
@@ -383,10 +402,6 @@
         fresh = self._connect(address, timeout_s)
         return self._request(fresh, address, topic, payload, timeout_s)
 
-    def close(self):
-        """Close every idle connection."""
-        self._pool.close()
-
     def _connect(self, address, timeout_s):
         """Return a fresh connection."""
         try:
--- a/tests/steps/transport_peers.py
+++ b/tests/steps/transport_peers.py
@@ -65,7 +65,8 @@
 
 def start_client(context, key=KEY):
     context.signer = make_signer(2, "127.0.0.1:1", key)
-    context.client = peers.PeerClient(context.signer)
+    context.traffic = peers.Traffic()
+    context.client = peers.PeerClient(context.signer, context.traffic)
     context.add_cleanup(context.client.close)
 
 
@@ -126,6 +127,14 @@
     assert find_ran(call, context, "fail") is Ran.UNKNOWN
 
 
+@then("the payloads of calls are not counted as control traffic")
+def check_call_bytes(context):
+    before = context.traffic.control_bytes
+    context.client.call(context.address, "echo", bytes(50_000), TIMEOUT_S)
+    assert context.traffic.control_bytes - before < 2_000
+    assert context.traffic.total_bytes > 100_000
+
+
 @then('a call of "echo" fails with an unknown outcome')
 def check_unknown(context):
     assert find_ran(call, context, "echo", SHORT_S) is Ran.UNKNOWN
--- a/tests/transport/peers.feature
+++ b/tests/transport/peers.feature
@@ -5,6 +5,7 @@
     Then a call of "echo" returns the bytes that the handler made
     And a call of a topic without a handler has certainly not run
     And a call whose handler fails has an unknown outcome
+    And the payloads of calls are not counted as control traffic
 
   Scenario: A client with another key is refused
     Given a peer server and a peer client with another key
--- a/tools/bench/peers.py
+++ b/tools/bench/peers.py
@@ -36,6 +36,7 @@
 DOMAINS = 4
 
 SETTLE_S = 4.0
+LOADED_SETTLE_S = 25.0
 WINDOW_S = 5.0
 START_LIMIT_S = 60.0
 SPREAD_LIMIT_S = 20.0
@@ -67,7 +68,9 @@
     memory_mb : float
         Resident memory, in megabytes.
     snapshot_age_s : float
-        Mean age of the counter snapshots of all nodes, in seconds.
+        Mean age of the counter snapshots held, in seconds.
+    snapshots : int
+        Counter snapshots held.
     """
 
     total_bytes: int
@@ -75,6 +78,7 @@
     processor_s: float
     memory_mb: float
     snapshot_age_s: float
+    snapshots: int
 
 
 @attrs.frozen
@@ -94,7 +98,9 @@
     memory_mb : float
         Resident memory, in megabytes.
     snapshot_age_s : float
-        Mean age of the counter snapshots of all nodes, in seconds.
+        Mean age of the counter snapshots held, in seconds.
+    missing_percent : float
+        Share of the nodes whose snapshot is not held, in percent.
     """
 
     nodes: int
@@ -104,6 +110,7 @@
     core_percent: float
     memory_mb: float
     snapshot_age_s: float
+    missing_percent: float
 
 
 class NodeProcess:
@@ -211,8 +218,10 @@
     """
     name = "with counter snapshots"
     age = ("snapshot_age_s", "s", None)
+    missing = ("missing_percent", "% of the nodes", None)
     measured = itertools.chain.from_iterable(
-        _list_measured(name, usages, *limit) for limit in (*_LIMITS, age)
+        _list_measured(name, usages, *limit)
+        for limit in (*_LIMITS, age, missing)
     )
     return [*measured, *_list_predicted(name, usages, *age)]
 
@@ -252,7 +261,7 @@
     try:
         if has_counters:
             _tell_all(nodes, "counters")
-        time.sleep(SETTLE_S)
+        time.sleep(LOADED_SETTLE_S if has_counters else SETTLE_S)
         before = _sample(nodes)
         start_s = time.monotonic()
         time.sleep(WINDOW_S)
@@ -279,6 +288,7 @@
         100 * find_rate("processor_s"),
         statistics.fmean(sample.memory_mb for sample in after),
         statistics.fmean(sample.snapshot_age_s for sample in after),
+        100 - 100 * statistics.fmean(s.snapshots for s in after) / count,
     )
 
 
@@ -512,12 +522,14 @@
         """Return what this process has used."""
         used = resource.getrusage(resource.RUSAGE_SELF)
         traffic = self._peers.traffic
+        snapshots = self._peers.list_facts(Topic.COUNTERS)
         return Sample(
             traffic.total_bytes,
             traffic.messages,
             time.process_time(),
             used.ru_maxrss / 1_000,
-            _find_mean_age(self._peers.list_facts(Topic.COUNTERS)),
+            _find_mean_age(snapshots),
+            len(snapshots),
         )
 
     def _answer(self, command, answer):
