Version moves over real processes, plain services, records by peers

Cause: instances that do not watch the store never heard of a move; a verdict that came before its record was lost; moves of another environment were followed; every instance tested the versions, more than the error bound allows for; a request drawn to a bad version was repeated on it until its attempts were used up; orders to load went to plain services. Change: topic MOVE spreads records, verdicts are kept for later records, records of other environments are passed over, the first MAX_TESTERS ranked instances test, an attempt after a failure without a part of an answer goes to the main version, Endpoint.can_load and the share by slots, [rollout] settings with the former values as defaults. The engine stand-in notes the version of each request. A test call opens a connection of its own: a pooled one was cut in a race with the stand-in's close ('Remote end closed'). Planted: without the subscription to MOVE 'An operator starts a move' is red; with orders to every endpoint 'No endpoint with a fixed version' is red.

--- a/mulberryhollow/coordination/rollout/__init__.py
+++ b/mulberryhollow/coordination/rollout/__init__.py
@@ -26,9 +26,11 @@
 from mulberryhollow.coordination.rollout.schedule import make_plan
 from mulberryhollow.coordination.rollout.schedule import Plan
 from mulberryhollow.coordination.rollout.schedule import Shift
+from mulberryhollow.coordination.rollout.times import Times
 from mulberryhollow.coordination.rollout.verdict import Bad
 from mulberryhollow.coordination.rollout.verdict import Badness
 from mulberryhollow.coordination.rollout.verdict import Good
+from mulberryhollow.coordination.rollout.verdict import MAX_TESTERS
 from mulberryhollow.coordination.rollout.verdict import Tester
 from mulberryhollow.coordination.rollout.verdict import Undecided
 from mulberryhollow.coordination.rollout.watcher import effective_shares
@@ -47,6 +49,7 @@
     "Good",
     "Hold",
     "LEASE_S",
+    "MAX_TESTERS",
     "Move",
     "MoveError",
     "Order",
@@ -58,6 +61,7 @@
     "Stage",
     "Tell",
     "Tester",
+    "Times",
     "Undecided",
     "Watcher",
     "WriteMove",
--- a/mulberryhollow/coordination/rollout/driver.py
+++ b/mulberryhollow/coordination/rollout/driver.py
@@ -9,6 +9,7 @@
 from mulberryhollow.coordination.rollout import orders
 from mulberryhollow.coordination.rollout import record
 from mulberryhollow.coordination.rollout import schedule
+from mulberryhollow.coordination.rollout import times as step_times
 from mulberryhollow.coordination.rollout import verdict
 from mulberryhollow.events import declare
 from mulberryhollow.events import log
@@ -75,6 +76,8 @@
         Unique name of this run of the instance; another after a restart.
     watcher : Watcher
         What this node knows about the move.
+    times : Times
+        Least times of the steps.
 
     Notes
     -----
@@ -83,8 +86,9 @@
     one, fails there, reads the record again and follows it.
     """
 
-    def __init__(self, name, watcher):
+    def __init__(self, name, watcher, times=step_times.DEFAULT_TIMES):
         self.name = name
+        self._times = times
         self._watcher = watcher
         self._orders = orders.OrderBook()
         self._numbers = itertools.count(1)
@@ -181,7 +185,7 @@
         asked += self._write_or_read(counters, capacity, now_s)
         if self.holds_lease(now_s) and not self._must_read:
             move = self._watcher.move
-            plan = schedule.make_plan(move, capacity)
+            plan = schedule.make_plan(move, capacity, self._times)
             asked += self._orders.list_due(move, plan, capacity, now_s)
         return asked
 
@@ -218,7 +222,7 @@
     def _choose_record(self, counters, capacity, now_s):
         """Return the record to write now, or None."""
         move = self._watcher.move
-        plan = schedule.make_plan(move, capacity)
+        plan = schedule.make_plan(move, capacity, self._times)
         if self._is_settled(move, plan, capacity, now_s):
             return None
         if not self.holds_lease(now_s):
--- a/mulberryhollow/coordination/rollout/orders.py
+++ b/mulberryhollow/coordination/rollout/orders.py
@@ -87,7 +87,7 @@
         ]
         unloads = [
             (endpoint.address, actions.Command.UNLOAD, version)
-            for endpoint in capacity.endpoints
+            for endpoint in capacity.loadable
             for version in endpoint.versions
             if can_unload and (endpoint.address, version) not in wanted
         ]
@@ -132,12 +132,12 @@
     """Return the wanted (address, version), the new version first."""
     match move.stage:
         case record.Stage.DONE:
-            new, old = capacity.endpoints, ()
+            new, old = capacity.loadable, ()
         case record.Stage.ROLLED_BACK:
-            new, old = (), capacity.endpoints
+            new, old = (), capacity.loadable
         case _:
             new = schedule.choose_endpoints(move, plan, capacity, now_s)
-            old = capacity.endpoints
+            old = capacity.loadable
     return {
         (endpoint.address, version): None
         for version, endpoints in (
--- a/mulberryhollow/coordination/rollout/schedule.py
+++ b/mulberryhollow/coordination/rollout/schedule.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from mulberryhollow.coordination.rollout import times as step_times
 from mulberryhollow.coordination.rollout import verdict
 
 __all__ = [
@@ -34,24 +35,12 @@
 ROUTES_SHARE = 0.2
 """Share from which each larger route must show that it is good."""
 
-STEP_S = 5.0
-"""Least time at one share, in seconds."""
-
-CONFIRM_S = 20.0
-"""Least time at the last share before ``done``, in seconds."""
-
-RESERVE_S = 40.0
-"""Time kept for a slow store or an outage at the end, in seconds."""
-
 RAMP_SLACK = 2.0
 """Time planned for the ramp and for loading, as a multiple of the least."""
 
 MIN_ENDPOINTS = 2
 """Fewest endpoints with the new version before it gets requests."""
 
-RAMP_S = len(RAMP_SHARES) * STEP_S + CONFIRM_S
-"""Least time of the ramp and its confirmation, in seconds."""
-
 
 @attrs.frozen
 class Endpoint:
@@ -67,12 +56,16 @@
         Versions seen loaded.
     checks_fence : bool
         Whether it refuses orders with an old fencing number.
+    can_load : bool
+        Whether it takes orders to load versions; one that does not keeps
+        its version, and new versions start on endpoints of their own.
     """
 
     address: str
     slots: int
     versions: tuple = ()
     checks_fence: bool = True
+    can_load: bool = True
 
 
 @attrs.frozen
@@ -104,13 +97,30 @@
             if version in endpoint.versions
         ]
 
+    @property
+    def loadable(self):
+        """Endpoints that take orders to load versions."""
+        return tuple(each for each in self.endpoints if each.can_load)
+
     def compute_share(self, version):
-        """Return the greatest share that a version's endpoints can take."""
+        """Return the greatest share that a version's endpoints can take.
+
+        Notes
+        -----
+        An endpoint that loads versions serves the old one beside the new
+        one; one with a fixed version adds its slots to the old ones.
+        """
         loaded = self.list_loaded(version)
-        if len(loaded) < min(MIN_ENDPOINTS, len(self.endpoints)):
+        rated = [
+            endpoint
+            for endpoint in self.endpoints
+            if endpoint.can_load or version not in endpoint.versions
+        ]
+        if len(loaded) < min(MIN_ENDPOINTS, len(rated)):
             return 0.0
         slots = sum(endpoint.slots for endpoint in loaded)
-        return slots / self.slots if self.slots else 0.0
+        rated_slots = sum(endpoint.slots for endpoint in rated)
+        return slots / max(slots, rated_slots) if slots else 0.0
 
 
 @attrs.frozen
@@ -127,12 +137,15 @@
         When the last share begins; until then the one before is watched.
     done_by_s : float
         Latest time for writing ``done``.
+    times : Times
+        Least times of the steps.
     """
 
     load_from_s: float
     ramp_from_s: float
     confirm_from_s: float
     done_by_s: float
+    times: step_times.Times = step_times.DEFAULT_TIMES
 
 
 @dataclasses.dataclass(frozen=True)
@@ -179,7 +192,7 @@
     reason: str
 
 
-def make_plan(move, capacity):
+def make_plan(move, capacity, times=step_times.DEFAULT_TIMES):
     """Plan back from the deadline.
 
     Parameters
@@ -188,6 +201,8 @@
         The move.
     capacity : Capacity
         Endpoints and the rate of loading.
+    times : Times
+        Least times of the steps.
 
     Returns
     -------
@@ -199,12 +214,15 @@
     The trial shares last as long as they can, because a version that turns
     bad after a while is then found at 2 % of the requests.
     """
-    latest_s = move.done_by_s - RESERVE_S
-    confirm_from_s = latest_s - CONFIRM_S
-    ramp_from_s = latest_s - RAMP_SLACK * RAMP_S
-    load_s = len(capacity.endpoints) * capacity.load_s
+    latest_s = move.done_by_s - times.reserve_s
+    confirm_from_s = latest_s - times.confirm_s
+    ramp_s = len(RAMP_SHARES) * times.step_s + times.confirm_s
+    ramp_from_s = latest_s - RAMP_SLACK * ramp_s
+    load_s = len(capacity.loadable) * capacity.load_s
     load_from_s = ramp_from_s - RAMP_SLACK * load_s
-    return Plan(load_from_s, ramp_from_s, confirm_from_s, move.done_by_s)
+    return Plan(
+        load_from_s, ramp_from_s, confirm_from_s, move.done_by_s, times
+    )
 
 
 def decide(move, plan, capacity, judgement, since_s, now_s):
@@ -237,8 +255,8 @@
         return Shift(max((x for x in SHARES if x <= able), default=0.0))
     rest = [share for share in SHARES if share > move.share]
     if not rest:
-        return _decide_end(judgement, since_s, now_s)
-    if now_s + _compute_least_s(rest) > plan.done_by_s:
+        return _decide_end(plan.times, judgement, since_s, now_s)
+    if now_s + _compute_least_s(plan.times, rest) > plan.done_by_s:
         return GiveUp(_explain_delay(move, capacity, judgement))
     share = rest[0]
     if able < share:
@@ -247,7 +265,7 @@
         return Shift(share)
     if not _is_shown_good(judgement, share):
         return Hold("too few requests to judge the new version")
-    if now_s - since_s < STEP_S:
+    if now_s - since_s < plan.times.step_s:
         return Hold("the share was just raised")
     if share in RAMP_SHARES and now_s < plan.ramp_from_s:
         return Hold("the ramp begins later")
@@ -256,9 +274,9 @@
     return Shift(share)
 
 
-def _decide_end(judgement, since_s, now_s):
+def _decide_end(times, judgement, since_s, now_s):
     """Choose between confirming the last share and ``done``."""
-    if now_s - since_s < CONFIRM_S:
+    if now_s - since_s < times.confirm_s:
         return Hold("the last share is confirmed")
     if not _is_shown_good(judgement, 1.0):
         return Hold("too few requests to judge the new version")
@@ -274,9 +292,9 @@
             return False
 
 
-def _compute_least_s(rest):
+def _compute_least_s(times, rest):
     """Return the least time for the shares left and the confirmation."""
-    return (len(rest) - 1) * STEP_S + CONFIRM_S
+    return (len(rest) - 1) * times.step_s + times.confirm_s
 
 
 def _explain_delay(move, capacity, judgement):
@@ -313,7 +331,7 @@
     """
     version = move.to_version
     ordered = sorted(
-        capacity.endpoints,
+        capacity.loadable,
         key=lambda endpoint: (
             version not in endpoint.versions,
             endpoint.address,
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -8,6 +8,7 @@
 
 from mulberryhollow.coordination import configuration
 from mulberryhollow.coordination import membership
+from mulberryhollow.coordination import rollout
 from mulberryhollow.daemon import settings as declared
 from mulberryhollow import errors
 from mulberryhollow import events
@@ -147,6 +148,9 @@
             "endpoints": self.dispatcher.read(_count_endpoints),
             "peers": len(self._link.usable),
             "leaving_endpoints": self.dispatcher.read(_list_leaving),
+            "moves": [
+                attrs.asdict(each) for each in moves.list_moves(self._moves)
+            ],
             "counts": self.observer.list_counts(),
         }
 
@@ -294,6 +298,7 @@
 
     def _start_moves(self):
         """Start to judge and drive version moves."""
+        get = self._settings.get
         moving = moves.MovingServices()
         actor = moves.MoveActor.start(
             moves.MoveParts(
@@ -305,6 +310,12 @@
                 dispatcher=self.dispatcher,
                 clock=self._clock,
                 moving=moving,
+                environment=get(declared.ENVIRONMENT),
+                times=rollout.Times(
+                    step_s=get(declared.ROLLOUT_STEP_S),
+                    confirm_s=get(declared.ROLLOUT_CONFIRM_S),
+                    reserve_s=get(declared.ROLLOUT_RESERVE_S),
+                ),
             )
         )
         recorder = moves.MoveRecorder(actor, moving)
--- a/mulberryhollow/daemon/settings.py
+++ b/mulberryhollow/daemon/settings.py
@@ -1,5 +1,6 @@
 """Settings of the entry daemon."""
 
+from mulberryhollow.coordination import rollout
 from mulberryhollow import settings
 
 __all__ = [
@@ -15,6 +16,9 @@
     "PEER_ADDRESS",
     "PEER_KEY_FILE",
     "REGION",
+    "ROLLOUT_CONFIRM_S",
+    "ROLLOUT_RESERVE_S",
+    "ROLLOUT_STEP_S",
     "STORE_ADDRESS",
     "TELL_INTERVAL_S",
     "THREADS",
@@ -163,3 +167,27 @@
     "",
     "file with the key that all instances of the environment share",
 )
+ROLLOUT_STEP_S = settings.declare(
+    "rollout",
+    "step_s",
+    _parse_positive,
+    rollout.Times().step_s,
+    "seconds",
+    "least time at one share of a new version",
+)
+ROLLOUT_CONFIRM_S = settings.declare(
+    "rollout",
+    "confirm_s",
+    _parse_positive,
+    rollout.Times().confirm_s,
+    "seconds",
+    "least time at the last share before a move is done",
+)
+ROLLOUT_RESERVE_S = settings.declare(
+    "rollout",
+    "reserve_s",
+    _parse_positive,
+    rollout.Times().reserve_s,
+    "seconds",
+    "time kept for a slow store or an outage at the end of a move",
+)
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -133,6 +133,7 @@
 class _Choose:
     request: routing.RouteRequest
     excluded: frozenset
+    keeps_version: bool
 
 
 @attrs.frozen
@@ -245,6 +246,8 @@
     def _choose(self, message, now_s):
         """Return a Route or the Refusal."""
         shares = self.shares.get(message.request.service)
+        if message.excluded and not message.keeps_version:
+            shares = _take_main_version(shares)
         request = attrs.evolve(message.request, version_shares=shares)
         found = self.router.choose(
             request, self.view, self.prefixes, now_s, message.excluded
@@ -383,7 +386,9 @@
         """Hand an admission back at the end of its request."""
         self._actor.tell(_Release(admitted))
 
-    def choose(self, request, excluded=(), is_idempotent=False):
+    def choose(
+        self, request, excluded=(), is_idempotent=False, keeps_version=False
+    ):
         """Choose the endpoint of one attempt.
 
         Parameters
@@ -394,6 +399,8 @@
             Ids of endpoints not to be used.
         is_idempotent : bool
             Whether the request may run twice.
+        keeps_version : bool
+            Whether it stays with its version after a failed attempt.
 
         Returns
         -------
@@ -414,7 +421,7 @@
             deadline_s=self._to_monotonic(request.deadline_s),
             idempotent=is_idempotent,
         )
-        return self._ask(_Choose(wanted, frozenset(excluded)))
+        return self._ask(_Choose(wanted, frozenset(excluded), keeps_version))
 
     def finish(
         self,
@@ -516,7 +523,18 @@
         return wall_s - self._clock.wall_s() + self._clock.now_s()
 
 
-def choose_again(dispatcher, request, excluded):
+def _take_main_version(shares):
+    """Return the shares of an attempt after a failed one.
+
+    The request keeps away from a version that is still on trial, which
+    may be the cause of the failure.
+    """
+    if not shares:
+        return shares
+    return {max(sorted(shares), key=shares.get): 1.0}
+
+
+def choose_again(dispatcher, request, excluded, keeps_version=False):
     """Choose the endpoint of an attempt that may be repeated anywhere.
 
     Parameters
@@ -527,6 +545,9 @@
         The request.
     excluded : set of str
         Ids of endpoints that failed it; emptied when no other is left.
+    keeps_version : bool
+        Whether it stays with its version, since it has a part of the
+        answer.
 
     Raises
     ------
@@ -534,12 +555,12 @@
         When no endpoint takes it.
     """
     try:
-        return dispatcher.choose(request, excluded, is_idempotent=True)
+        return dispatcher.choose(request, excluded, True, keeps_version)
     except errors.RefusedError:
         if not excluded:
             raise
     excluded.clear()
-    return dispatcher.choose(request, excluded, is_idempotent=True)
+    return dispatcher.choose(request, excluded, True, keeps_version)
 
 
 def classify_fault(fault, is_gone):
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -16,14 +16,17 @@
 from mulberryhollow.state import counters as counting
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import facts
+from mulberryhollow.state import objects
 
 __all__ = [
+    "FollowedMove",
     "MoveActor",
     "MoveParts",
     "MoveRecorder",
     "MoveWatch",
     "MovingServices",
     "Tick",
+    "list_moves",
     "read_capacities",
 ]
 
@@ -36,10 +39,14 @@
 COUNTERS_EXPIRY_S = 600.0
 """Time after which counters of an instance are dropped, in seconds."""
 
+RECORD_EXPIRY_S = 24 * 3600.0
+"""Time after which a record told by a peer is dropped, in seconds."""
+
 VERDICT_EXPIRY_S = 24 * 3600.0
 """Time after which a verdict is dropped, in seconds."""
 
 _STORE_THREADS = 4
+_SEPARATOR = b"\n"
 _UNJUDGED = {
     endpoints.FailureKind.CONNECT_FAILED,
     endpoints.FailureKind.REFUSED,
@@ -106,6 +113,11 @@
     data: bytes
 
 
+@attrs.frozen
+class _Listing:
+    """Question for the moves that are followed."""
+
+
 @attrs.define
 class MovingServices:
     """Names of the services under a move; written by one actor only."""
@@ -135,6 +147,10 @@
         Source of time.
     moving : MovingServices
         Is told which services are under a move.
+    environment : str
+        Environment whose moves are followed.
+    times : rollout.Times
+        Least times of the steps.
     """
 
     instance: str
@@ -145,6 +161,47 @@
     dispatcher: object
     clock: object
     moving: object
+    environment: str
+    times: rollout.Times = rollout.Times()
+
+
+@attrs.frozen
+class FollowedMove:
+    """What this instance makes of a move, for the status page.
+
+    Parameters
+    ----------
+    id, service, to_version : str
+        The move.
+    stage : str
+        Stage of the latest record that is known here.
+    share : float
+        Share of the new version in use here, 0 to 1.
+    is_bad : bool
+        Whether a verdict against the new version is known here.
+    """
+
+    id: str
+    service: str
+    to_version: str
+    stage: str
+    share: float
+    is_bad: bool
+
+    @classmethod
+    def of(cls, watcher, now_s):
+        """Return what a watcher makes of its move."""
+        move = watcher.move
+        verdicts = [watcher.bad] if watcher.bad else []
+        shares = rollout.effective_shares(move, verdicts, now_s)
+        return cls(
+            move.id,
+            move.service,
+            move.to_version,
+            move.stage.value,
+            shares[move.to_version],
+            bool(verdicts),
+        )
 
 
 @attrs.define
@@ -177,6 +234,7 @@
         self._parts = parts
         self._counters = counting.Counters(parts.instance, parts.incarnation)
         self._followers = {}
+        self._verdicts = {}
         self._published = 0
         self._threads = concurrent.futures.ThreadPoolExecutor(
             _STORE_THREADS, thread_name_prefix="moves"
@@ -196,8 +254,9 @@
                 driver = self._followers[service].driver
                 driver.settle(change_id, outcome, now_s)
             case _Verdict(bad):
-                for follower in self._followers.values():
-                    follower.driver.hear(bad)
+                self._hear(bad)
+            case _Listing():
+                return self._list_moves()
             case _Peer(data):
                 self._counters.merge(counting.decode(data))
 
@@ -219,7 +278,22 @@
         capacity = tick.capacities.get(service, rollout.Capacity(()))
         if ranked[0] == self._parts.instance:
             return follower.driver.step(self._counters, capacity, tick.now_s)
-        return follower.watcher.step(self._counters, tick.now_s)
+        is_tester = self._parts.instance in ranked[: rollout.MAX_TESTERS]
+        counters = self._counters if is_tester else None
+        return follower.watcher.step(counters, tick.now_s)
+
+    def _hear(self, bad):
+        """Keep a verdict of a peer, also for a record that comes later."""
+        self._verdicts[bad.move_id] = bad
+        for follower in self._followers.values():
+            follower.driver.hear(bad)
+
+    def _list_moves(self):
+        """Return the FollowedMove of each service."""
+        return [
+            FollowedMove.of(follower.watcher, self._parts.clock.wall_s())
+            for follower in self._followers.values()
+        ]
 
     def _carry_out(self, service, action):
         """Carry out one action of a state machine."""
@@ -292,12 +366,15 @@
             )
 
     def _observe(self, stored):
-        """Take in a record from the store."""
+        """Take in a record from the store or a peer."""
         try:
             move = codec.decode(stored.value, stored.version)
         except codec.MoveFormatError as error:
             events.log(MALFORMED, object=stored.name, reason=error.message)
             return
+        if move.environment != self._parts.environment:
+            return
+        self._publish_record(stored)
         follower = self._followers.get(move.service)
         if follower is None:
             follower = self._follow(move.service)
@@ -310,10 +387,23 @@
         """Begin to follow the moves of a service."""
         watcher = rollout.Watcher()
         name = f"{self._parts.instance}.{self._parts.incarnation}"
-        follower = _Follower(watcher, rollout.Driver(name, watcher))
+        driver = rollout.Driver(name, watcher, self._parts.times)
+        follower = _Follower(watcher, driver)
+        for bad in self._verdicts.values():
+            driver.hear(bad)
         self._followers[service] = follower
         return follower
 
+    def _publish_record(self, stored):
+        """Tell the peers a record; those that hold it already ignore it."""
+        self._publish(
+            facts.Topic.MOVE,
+            stored.name,
+            stored.version,
+            stored.change_id.encode() + _SEPARATOR + stored.value,
+            RECORD_EXPIRY_S,
+        )
+
     def _count(self, ended):
         """Count the end of one attempt."""
         key = counting.RowKey(
@@ -408,6 +498,15 @@
             lambda fact: self._actor.tell(_Peer(fact.value)),
         )
         peers.subscribe(facts.Topic.VERDICT, self._take_verdict)
+        peers.subscribe(facts.Topic.MOVE, self._take_record)
+
+    def _take_record(self, fact):
+        """Take the record of a move from a peer."""
+        change_id, _, value = fact.value.partition(_SEPARATOR)
+        stored = objects.StoredObject(
+            KIND, fact.key, fact.version, value, change_id.decode()
+        )
+        self._actor.tell(_Record(stored))
 
     def _take_verdict(self, fact):
         """Take a verdict of a peer."""
@@ -457,6 +556,11 @@
         self._revision = revision
 
 
+def list_moves(actor):
+    """Return the FollowedMove of each service, from a running MoveActor."""
+    return actor.ask(_Listing())
+
+
 def read_capacities(actor, now_s):
     """Return the Capacity of each service, in the dispatch actor."""
     by_service = {}
@@ -464,7 +568,10 @@
         if record.is_leaving:
             continue
         endpoint = rollout.Endpoint(
-            record.endpoint.address, record.slots, tuple(record.versions)
+            record.endpoint.address,
+            record.slots,
+            tuple(record.versions),
+            can_load=record.endpoint.role == "model",
         )
         by_service.setdefault(record.endpoint.service, []).append(endpoint)
     return {
--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -142,7 +142,10 @@
         """Return the route of the next attempt."""
         try:
             return dispatching.choose_again(
-                self._parts.dispatcher, self.request, self._excluded
+                self._parts.dispatcher,
+                self.request,
+                self._excluded,
+                keeps_version=bool(self.tokens),
             )
         except errors.RefusedError as error:
             raise self._mark_partly_run(error) from error
--- a/mulberryhollow/state/facts.py
+++ b/mulberryhollow/state/facts.py
@@ -30,13 +30,14 @@
     Notes
     -----
     The order of declaration is the priority: when bytes are short, facts of
-    an earlier topic are sent first and evicted last. The first four are
+    an earlier topic are sent first and evicted last. The first five are
     forwarded as soon as they arrive, the others with the next round. The
     last three are volatile: anti-entropy leaves them out, since a newer
     version follows anyway.
     """
 
     DOCUMENT = "document"
+    MOVE = "move"
     VERDICT = "verdict"
     QUARANTINE = "quarantine"
     NOTICE = "notice"
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -105,6 +105,7 @@
         return attrs.asdict(self._counters) | {
             "requests_running": self._batch.running,
             "ledger": self.ledger.list_entries("generate"),
+            "arrived": self.ledger.list_entries("generate", "arrived"),
         }
 
     def _add(self, **counts):
@@ -137,7 +138,10 @@
 
     def _note(self, step, prompt):
         self.ledger.add(
-            step=step, kind="generate", request_id=prompt.request_id
+            step=step,
+            kind="generate",
+            request_id=prompt.request_id,
+            version=prompt.version,
         )
 
     def _write_lines(self, run):
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -24,6 +24,8 @@
         From the request and its effect; empty when there is none.
     at_s : float
         Unix seconds.
+    version : str
+        Version that was asked for; empty when none was.
     """
 
     step: str
@@ -33,6 +35,7 @@
     key: str = ""
     slot: str = ""
     booking_id: str = ""
+    version: str = ""
 
 
 class Ledger:
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -18,7 +18,9 @@
 
 def before_feature(context, feature):
     if "site" in feature.tags:
-        context.shared = site_fixture.SharedSite()
+        is_quick = "quick_moves" in feature.tags
+        settings = site_fixture.QUICK_MOVES if is_quick else ""
+        context.shared = site_fixture.SharedSite(settings)
         context.add_cleanup(context.shared.close)
         context.shared.start()
 
--- a/tests/site_fixture.py
+++ b/tests/site_fixture.py
@@ -15,14 +15,20 @@
 BOOKING = "/v1/services/fitter-bookings/booking"
 PROMPT = "a pipe has burst in the cellar"
 ENTRIES = 3
+QUICK_MOVES = """\
+[rollout]
+step_s = 0.5
+confirm_s = 2
+reserve_s = 2
+"""
 
 
 class SharedSite:
     """Store, engines, plain services and entries, replaced when lost."""
 
-    def __init__(self):
+    def __init__(self, further_settings=""):
         self.fleet = processes.Fleet().__enter__()
-        self.site = sites.Site(self.fleet, grace_s=10.0)
+        self.site = sites.Site(self.fleet, 10.0, further_settings)
         self.site.start_platform()
         self.numbers = itertools.count(1)
         self.entry_names = {}
--- a/tools/site.py
+++ b/tools/site.py
@@ -59,14 +59,15 @@
     fields = {"Content-Type": "application/json", "Connection": "close"}
     if key:
         fields["Authorization"] = f"Bearer {key}"
-    return urllib3.request(
-        method,
-        f"http://{address}{path}",
-        body=None if body is None else json.dumps(body).encode(),
-        headers=fields | (headers or {}),
-        timeout=timeout_s,
-        retries=False,
-    )
+    with urllib3.PoolManager() as connections:
+        return connections.request(
+            method,
+            f"http://{address}{path}",
+            body=None if body is None else json.dumps(body).encode(),
+            headers=fields | (headers or {}),
+            timeout=timeout_s,
+            retries=False,
+        )
 
 
 def set_fault(address, fault, **fields):
@@ -87,10 +88,13 @@
         Starts and ends the processes.
     grace_s : float
         Grace of the entry daemons, in seconds.
+    further_settings : str
+        Sections added to the settings of each entry daemon.
     """
 
     fleet: processes.Fleet
     grace_s: float = 20.0
+    further_settings: str = ""
     store_address: str = ""
     key_file: pathlib.Path | None = None
     entries: list = attrs.field(factory=list)
@@ -126,6 +130,7 @@
             key_file=self.key_file,
             grace_s=self.grace_s,
         )
+        text += self.further_settings
         address = self.fleet.start_entry(name, text).address
         self.entries.append(address)
         self._list(
