--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -15,6 +15,9 @@
 LOOK_S = 0.5
 """Least time between two looks, in seconds."""
 
+MAX_LOOK_S = 3.0
+"""Most time that one look may cover, in seconds."""
+
 MAX_TESTERS = 4
 """Most nodes that compare the versions of one move at a time."""
 
@@ -24,7 +27,7 @@
 _LOG_BAD = math.log(MAX_TESTERS / MAX_FALSE_BAD)
 _LOG_GOOD = math.log(20.0)
 
-MAX_WINDOWS = 16
+MAX_WINDOWS = 12
 """Most share steps in one move."""
 
 MIN_REFERENCE = 100
@@ -127,22 +130,22 @@
     quantile : float or None
         Slow requests are those above this quantile of the old version; None
         counts failures.
-    tolerated_odds_ratio : float
-        Odds ratio that is still acceptable.
     odds_ratios : tuple of float
         Alternatives.
+    weight : float
+        Its part of a route's error probability.
     """
 
     badness: Badness
     quantile: float | None
-    tolerated_odds_ratio: float
     odds_ratios: tuple
+    weight: float
 
 
 _MEASURES = (
-    _Measure(Badness.FAILING, None, 1.5, (4.0, 16.0, 64.0, 256.0)),
-    _Measure(Badness.SLOW, 0.5, 2.0, (5.0, 20.0, 80.0)),
-    _Measure(Badness.SLOW, 0.9, 2.0, (5.0, 20.0, 80.0)),
+    _Measure(Badness.FAILING, None, (4.0, 16.0, 64.0, 256.0), 0.6),
+    _Measure(Badness.SLOW, 0.5, (5.0, 20.0, 80.0), 0.2),
+    _Measure(Badness.SLOW, 0.9, (5.0, 20.0, 80.0), 0.2),
 )
 
 
@@ -171,12 +174,32 @@
     log_threshold: float
     process: evidence.Evidence = attrs.field(init=False)
     bucket: int | None = None
+    waiting: tuple = (evidence.Arm(0, 0), evidence.Arm(0, 0))
 
     def __attrs_post_init__(self):
         """Start without evidence."""
-        self.process = evidence.Evidence(
-            self.measure.tolerated_odds_ratio, self.measure.odds_ratios
+        self.process = evidence.Evidence(self.measure.odds_ratios)
+
+    def add(self, pair):
+        """Add one look's results, once both versions have any.
+
+        Results wait for those of the other version, so that none is lost when
+        one of the two gets few requests.
+        """
+        new, old = (
+            arm.plus(self.count(row))
+            for arm, row in zip(
+                self.waiting, (pair.new, pair.old), strict=True
+            )
         )
+        self.waiting = new, old
+        if new.trials and old.trials:
+            self.process.add(new, old)
+            self.drop_waiting()
+
+    def drop_waiting(self):
+        """Forget the results that wait, when the share changes."""
+        self.waiting = evidence.Arm(0, 0), evidence.Arm(0, 0)
 
     def set_reference(self, old):
         """Define slowness by the latencies of the old version so far."""
@@ -204,14 +227,14 @@
     return next(i for i, count in enumerate(sums) if count >= wanted)
 
 
-def _compute_log_threshold(place):
-    """Return the threshold of the tests of a route, by its place.
+def _compute_log_threshold(place, measure):
+    """Return the threshold of one measure on a route, by the route's place.
 
     The total has place 0 and half of the error probability; the route with
     place k has 1 / (k (k + 1)) of the other half, whatever their number.
     """
     weight = 0.5 / (place * (place + 1)) if place else 0.5
-    return _LOG_BAD - math.log(weight / len(_MEASURES))
+    return _LOG_BAD - math.log(weight * measure.weight)
 
 
 class Tester:
@@ -254,6 +277,7 @@
         self._window = {}
         self._add_tests(seen)
         self._windows += 1
+        self._skip(seen)
         for test in self._tests.values():
             test.set_reference(seen[test.route].old)
             if self._windows <= MAX_WINDOWS:
@@ -278,9 +302,13 @@
         Bad, Undecided or Good
             Bad stays so; Good holds for the window.
         """
-        if self._bad is None and now_s - self._looked_at_s >= LOOK_S:
+        elapsed_s = now_s - self._looked_at_s
+        if self._bad is None and elapsed_s >= LOOK_S:
             self._looked_at_s = now_s
-            self._take_in(self._read(counters))
+            seen = self._read(counters)
+            if elapsed_s > MAX_LOOK_S:
+                self._skip(seen)
+            self._take_in(seen)
         if self._bad is not None:
             return self._bad
         if self._good is not None:
@@ -288,6 +316,16 @@
         answered = self._window.get("", _Pair()).new
         return Undecided(answered.ok + answered.blamed)
 
+    def _skip(self, seen):
+        """Draw nothing from the results up to here.
+
+        Sums over a time in which the share has changed compare different
+        times, as after a pause of this node.
+        """
+        self._seen = seen
+        for test in self._tests.values():
+            test.drop_waiting()
+
     def _take_in(self, seen):
         """Add one look to every test."""
         self._add_tests(seen)
@@ -295,7 +333,7 @@
         for test in self._tests.values():
             pair = growth[test.route]
             test.process.begin(self._look_weight)
-            test.process.add(test.count(pair.new), test.count(pair.old))
+            test.add(pair)
             if test.bucket is None:
                 test.set_reference(seen[test.route].old)
         self._seen = seen
@@ -313,7 +351,7 @@
             for test in self._tests.values()
             if not test.route
         ]
-        return old.timed > 0 and all(
+        return all(
             arm.hits <= _MAX_USUAL_HITS[badness] * arm.trials
             for badness, arm in arms
         )
@@ -366,7 +404,8 @@
         old = counters.total_by_route(service, self._move.from_version)
         pairs = {
             route: _Pair(
-                new.get(route, counting.Row()), old.get(route, counting.Row())
+                new.get(route, counting.EMPTY_ROW),
+                old.get(route, counting.EMPTY_ROW),
             )
             for route in sorted(new.keys() | old.keys())
         }
@@ -380,8 +419,8 @@
         known = {route for route, _ in self._tests}
         for route in [route for route in seen if route not in known]:
             place = len(self._tests) // len(_MEASURES)
-            threshold = _compute_log_threshold(place)
             for index, measure in enumerate(_MEASURES):
+                threshold = _compute_log_threshold(place, measure)
                 self._tests[route, index] = _Test(measure, route, threshold)
 
 
@@ -421,8 +460,8 @@
 class _Pair:
     """Rows of both versions."""
 
-    new: counting.Row = counting.Row()
-    old: counting.Row = counting.Row()
+    new: counting.Row = counting.EMPTY_ROW
+    old: counting.Row = counting.EMPTY_ROW
 
     def minus(self, other):
         """Return the growth since an earlier state."""
--- a/mulberryhollow/state/counters.py
+++ b/mulberryhollow/state/counters.py
@@ -19,6 +19,7 @@
 __all__ = [
     "BUCKET_BOUNDS_S",
     "Counters",
+    "OVERDUE_S",
     "CountersFormatError",
     "Row",
     "RowKey",
@@ -39,6 +40,9 @@
 
 BUCKET_COUNT = len(BUCKET_BOUNDS_S) + 1
 
+OVERDUE_S = 3.0
+"""Wait after which a request without a first byte is counted, in seconds."""
+
 MAX_COUNT = 2**62
 """Greatest count in a message."""
 
@@ -123,13 +127,21 @@
 
     def plus(self, other):
         """Return the sum of two rows."""
+        if other is EMPTY_ROW:
+            return self
         return self.combine(other, operator.add)
 
     def minus(self, other):
         """Return the growth since an earlier state of the row."""
+        if other is self:
+            return EMPTY_ROW
         return self.combine(other, operator.sub)
 
 
+EMPTY_ROW = Row()
+"""A row without counts."""
+
+
 @attrs.frozen
 class Snapshot:
     """Cumulative rows of one incarnation of a node.
@@ -180,12 +192,13 @@
     be lost, doubled, late or crossed. A restarted node counts from zero under
     a higher incarnation, while its former counts stay.
 
-    With several hundred nodes, each node sends its rows to the aggregators of
-    its failure domain only. An aggregator sends `sum_rows` of the domain to
-    the other domains under the domain's name and a constant incarnation. Two
-    aggregators of a domain hold lower bounds of the same true counts, hence
-    the maximum of both is again a lower bound, and it does not matter which
-    one is heard.
+    With 8 nodes, each sends its rows to the testers of a move. With several
+    hundred, each sends them to an aggregator of its part of a failure domain,
+    which passes on `sum_rows` of the part, and so up to the domain; domains
+    exchange their sums. A sum is sent under the name of the part and a
+    constant incarnation. Two aggregators of a part hold lower bounds of the
+    same true counts, hence the maximum of both is again a lower bound, and it
+    does not matter which one is heard.
     """
 
     def __init__(self, node, incarnation):
@@ -214,9 +227,9 @@
         key : RowKey
             What the request belongs to.
         latency_s : float
-            Time until its first byte or its failure, in seconds; for a
-            request that is still waiting, the time waited so far as soon as
-            that exceeds the last bound.
+            Time until its first byte or its failure, in seconds, or
+            `OVERDUE_S` as soon as it has waited that long, so that a version
+            that never answers is seen.
         """
         row = self._get_own(key)
         buckets = list(row.buckets)
@@ -263,8 +276,9 @@
             return self._own.sequence
         source = self._sources.setdefault(name, _Source())
         for key, row in snapshot.rows.items():
-            known = source.rows.get(key, Row())
-            self._store(source, key, known.combine(row, max))
+            known = source.rows.get(key, EMPTY_ROW)
+            if row != known:
+                self._store(source, key, known.combine(row, max))
         if snapshot.after <= source.sequence < snapshot.sequence:
             source.sequence = snapshot.sequence
         return source.sequence
@@ -298,7 +312,7 @@
         by_route = self.total_by_route(service, version)
         if route is None:
             return sum_up(by_route.values())
-        return by_route.get(route, Row())
+        return by_route.get(route, EMPTY_ROW)
 
     def total_by_route(self, service, version):
         """Return the sum over all nodes of each route, by its name."""
@@ -324,7 +338,7 @@
         sums = {}
         for (node, _), source in self._sources.items():
             for key, row in source.rows.items() if node in nodes else ():
-                sums[key] = sums.get(key, Row()).plus(row)
+                sums[key] = sums.get(key, EMPTY_ROW).plus(row)
         return sums
 
     def retain(self, services):
@@ -343,7 +357,7 @@
 
     def _get_own(self, key):
         """Return an own row."""
-        return self._own.rows.get(key, Row())
+        return self._own.rows.get(key, EMPTY_ROW)
 
     def _put_own(self, key, row):
         """Store a changed own row."""
@@ -353,14 +367,14 @@
 
     def _store(self, source, key, row):
         """Store a grown row and add its growth to the sum over all nodes."""
-        growth = row.minus(source.rows.get(key, Row()))
+        growth = row.minus(source.rows.get(key, EMPTY_ROW))
         source.rows[key] = row
-        self._sums[key] = self._sums.get(key, Row()).plus(growth)
+        self._sums[key] = self._sums.get(key, EMPTY_ROW).plus(growth)
 
 
 def sum_up(rows):
     """Return the sum of rows."""
-    return functools.reduce(Row.plus, rows, Row())
+    return functools.reduce(Row.plus, rows, EMPTY_ROW)
 
 
 class _Message(TBase):
--- a/tools/history/record.py
+++ b/tools/history/record.py
@@ -8,6 +8,7 @@
 __all__ = [
     "Answered",
     "ConfigurationSeen",
+    "Crashed",
     "EndpointStep",
     "Killed",
     "LeavingNotice",
@@ -135,6 +136,23 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class Crashed:
+    """A request ended the endpoint that ran it.
+
+    Parameters
+    ----------
+    endpoint : str
+        Id of the endpoint.
+    text : str
+        The prompt.
+    """
+
+    at_s: float
+    endpoint: str
+    text: str
+
+
 @attrs.frozen(kw_only=True)
 class LeavingNotice:
     """Endpoints were announced to leave."""
@@ -156,12 +174,15 @@
         ``planned``, ``shifting``, ``done`` or ``rolled_back``.
     deadline_s : float
         Unix seconds.
+    to_version : str
+        Name of the new version.
     """
 
     at_s: float
     move: str
     state: str
     deadline_s: float
+    to_version: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -188,6 +209,7 @@
         EndpointStep,
         StoreRevision,
         ConfigurationSeen,
+        Crashed,
         LeavingNotice,
         MoveSeen,
         StopPlanned,
