Histograms and metrics of what an instance serves

Cause: nothing recorded latencies, /histograms was missing and no metric was sent, so 'mulberryhollow histograms' named every instance as silent. Change: the gateway records the end of each request, the relay the first token; series per client account, class and measure; declared metrics for requests, refusals, retries, recomputed tokens, store calls and the active requests; /status is built from protocol.status.InstanceStatus. Refusals before admission (key, service) are not counted yet.

--- a/mulberryhollow/cli/histograms.py
+++ b/mulberryhollow/cli/histograms.py
@@ -62,7 +62,8 @@
 def _describe(record):
     """Return the line of one histogram."""
     return (
-        f"{record.account} {record.request_class}: {record.count} requests,"
+        f"{record.account} {record.request_class}, {record.measure} answer:"
+        f" {record.count} requests,"
         f" p50 {record.p50_us} us, p95 {record.p95_us} us,"
         f" p99 {record.p99_us} us, max {record.max_us} us"
     )
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -12,6 +12,8 @@
 from mulberryhollow.daemon import settings as declared
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow import metrics
+from mulberryhollow.protocol import status
 from mulberryhollow.serving import bookings
 from mulberryhollow.serving import claims
 from mulberryhollow.serving import dispatcher as dispatching
@@ -21,6 +23,7 @@
 from mulberryhollow.serving import lookups
 from mulberryhollow.serving import moves
 from mulberryhollow.serving import notices as notices_module
+from mulberryhollow.serving import observed_store
 from mulberryhollow.serving import observer as observing
 from mulberryhollow.serving import parked
 from mulberryhollow.serving import peering
@@ -65,9 +68,13 @@
         self._settings = settings
         self._clock = clock
         self.instance = settings.get(declared.INSTANCE)
-        self.observer = observing.Observer()
+        self.observer = observing.Observer(
+            metrics.Metrics(settings.get(metrics.ADDRESS))
+        )
         self.notices = notices_module.Notices()
-        self._store = store.StoreClient(settings.get(declared.STORE_ADDRESS))
+        self._store = observed_store.ObservedStore(
+            settings.get(declared.STORE_ADDRESS), self.observer
+        )
         self._cloud = cloud.CloudClient(settings.get(declared.CLOUD_ADDRESS))
         self._client = endpoints.EndpointClient(clock)
         self._parked = parked.Parked(clock)
@@ -139,15 +146,16 @@
     def show_status(self):
         """Return the status page: (HTTP status, value)."""
         document = self._document
+        own = status.InstanceStatus(
+            instance=self.instance,
+            failure_domain=self._settings.get(declared.FAILURE_DOMAIN),
+            document_version=document.version if document else 0,
+            document_digest=document.environment.digest if document else "",
+            ready=self._is_ready(),
+            environment=self._settings.get(declared.ENVIRONMENT),
+        )
         return 200, {
-            "instance": self.instance,
-            "environment": self._settings.get(declared.ENVIRONMENT),
-            "failure_domain": self._settings.get(declared.FAILURE_DOMAIN),
-            "document_version": document.version if document else 0,
-            "document_digest": (
-                document.environment.digest if document else ""
-            ),
-            "ready": self._is_ready(),
+            **attrs.asdict(own),
             "active": self.gateway.active_count,
             "endpoints": self.dispatcher.read(_count_endpoints),
             "peers": len(self._link.usable),
@@ -158,6 +166,11 @@
             "counts": self.observer.list_counts(),
         }
 
+    def show_histograms(self):
+        """Return the page of latency histograms: (HTTP status, value)."""
+        records = self.observer.histograms.snapshot()
+        return 200, status.list_histograms(records)
+
     def show_ready(self):
         """Return the readiness page for the balancer."""
         is_ready = self._is_ready()
@@ -245,6 +258,7 @@
         pages = {
             "/status": self.show_status,
             "/readyz": self.show_ready,
+            "/histograms": self.show_histograms,
             "/member": lambda: registry.show_member(self._peers),
             "/healthz": lambda: (200, {"alive": True}),
         }
@@ -295,6 +309,7 @@
                 self._notice_feed.take,
             )
         )
+        self.dispatcher.on_retry = self.observer.count_retry
         self.dispatcher.on_crash = link.publish_crash
         self.gateway.fetch_from_peers = link.fetch
         self.gateway.hand_over = link.hand_over
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -347,6 +347,7 @@
 
     def __init__(self, actor, clock):
         self.on_crash = lambda fingerprint, endpoint_id: None
+        self.on_retry = lambda: None
         self.on_end = lambda ended: None
         self._actor = actor
         self._clock = clock
@@ -501,6 +502,7 @@
         match decision:
             case retry.GiveUp(refusal):
                 raise errors.RefusedError(refusal)
+        self.on_retry()
         return decision
 
     def change(self, apply):
--- a/mulberryhollow/serving/gateway.py
+++ b/mulberryhollow/serving/gateway.py
@@ -10,6 +10,7 @@
 from mulberryhollow import errors
 from mulberryhollow.protocol import callers
 from mulberryhollow.protocol import handover
+from mulberryhollow.serving import observer as observing
 from mulberryhollow.serving import parked as parking
 from mulberryhollow.serving import relay as relaying
 from mulberryhollow.state import keys
@@ -93,6 +94,7 @@
         self._key_ring = None
         self._relays = {}
         self._active = 0
+        self._observer = parts.relay_parts.observer
         self._closed_from_s = math.inf
         self._lock = threading.Lock()
 
@@ -192,12 +194,18 @@
 
     def look_up(self, request):
         """Return (LookupAnswer, endpoint id)."""
-        with self._admitted(request, REQUEST_COST_TOKENS) as fingerprint:
+        with (
+            self._observed(request),
+            self._admitted(request, REQUEST_COST_TOKENS) as fingerprint,
+        ):
             return self._parts.lookups.look_up(request, fingerprint)
 
     def book(self, request):
         """Return the BookingAnswer."""
-        with self._admitted(request, REQUEST_COST_TOKENS) as fingerprint:
+        with (
+            self._observed(request),
+            self._admitted(request, REQUEST_COST_TOKENS) as fingerprint,
+        ):
             return self._parts.bookings.book(request, fingerprint)
 
     @contextlib.contextmanager
@@ -205,10 +213,15 @@
         """Give the RelayedAnswer of a prompt, for as long as it runs."""
         body = request.body
         cost = body.prompt.count(" ") + 1 + body.max_tokens
-        with self._admitted(request, cost) as fingerprint:
+        with (
+            self._observed(request) as ending,
+            self._admitted(request, cost) as fingerprint,
+        ):
             relay = self._make_relay(request, fingerprint, ())
             with self._running(relay):
                 yield RelayedAnswer(relay, 0)
+            if not relay.is_complete:
+                ending.outcome = _find_outcome(relay)
 
     @contextlib.contextmanager
     def attach(self, account, request_id, last_seq):
@@ -306,16 +319,36 @@
             finally:
                 self._parts.dispatcher.release(admitted)
 
+    @contextlib.contextmanager
+    def _observed(self, request):
+        """Record how a request ends and how long it takes."""
+        begin_s = self._parts.clock.now_s()
+        ending = _Ending()
+        try:
+            yield ending
+        except errors.RefusedError as error:
+            ending.outcome = observing.Outcome.REFUSED
+            self._observer.count_refusal(error.refusal.kind)
+            raise
+        except BaseException:
+            ending.outcome = observing.Outcome.LEFT
+            raise
+        finally:
+            duration_s = self._parts.clock.now_s() - begin_s
+            self._observer.record_end(request, ending.outcome, duration_s)
+
     @contextlib.contextmanager
     def _counted(self):
         """Count a request as being answered."""
         with self._lock:
             self._active += 1
+        self._observer.set_active(self._active)
         try:
             yield
         finally:
             with self._lock:
                 self._active -= 1
+            self._observer.set_active(self._active)
 
     def _check_open(self):
         """Refuse a request that comes too late on a leaving instance."""
@@ -328,6 +361,20 @@
             )
 
 
+@attrs.define
+class _Ending:
+    """How a request ends, done unless said otherwise."""
+
+    outcome: observing.Outcome = observing.Outcome.DONE
+
+
+def _find_outcome(relay):
+    """Return the outcome of an answer that is not whole."""
+    if relay.is_given_up:
+        return observing.Outcome.REFUSED
+    return observing.Outcome.LEFT
+
+
 def _compute_fingerprint(request):
     """Return the fingerprint of what an endpoint would run."""
     text = repr(attrs.astuple(request.body)).encode()
--- a/mulberryhollow/serving/observer.py
+++ b/mulberryhollow/serving/observer.py
@@ -1,22 +1,114 @@
 """Counts and times of what an instance serves."""
 
 import collections
+import enum
+import itertools
 import threading
 
-__all__ = ["Observer"]
+from mulberryhollow import errors
+from mulberryhollow import metrics
+from mulberryhollow.state import environment
+from mulberryhollow.state import histograms
+
+__all__ = ["Observer", "Outcome"]
+
+_US_PER_S = 1e6
+
+
+class Outcome(enum.Enum):
+    """How a request ended."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    LEFT = "left"
+
+
+_CAUSES = (
+    "endpoint_lost",
+    "endpoint_failed",
+    "silent",
+    "crossed",
+    "truncated",
+    "other",
+)
+_STORE_CALLS = ("get", "list", "watch", "put", "delete")
+
+_ACTIVE = metrics.declare(
+    "requests.active",
+    metrics.Kind.GAUGE,
+    "requests",
+    "requests that are being answered",
+)
+_RETRIES = metrics.declare(
+    "retries", metrics.Kind.COUNTER, "attempts", "repeated attempts"
+)
+_REQUESTS = {
+    (each, outcome): metrics.declare(
+        f"requests.{each.value}.{outcome.value}",
+        metrics.Kind.COUNTER,
+        "requests",
+        f"{each.value} requests that ended as {outcome.value}",
+    )
+    for each, outcome in itertools.product(environment.RequestClass, Outcome)
+}
+_LATENCIES = {
+    (each, measure): metrics.declare(
+        f"latency.{each.value}.{measure.value}",
+        metrics.Kind.TIMER,
+        "milliseconds",
+        f"time to the {measure.value} answer of {each.value} requests",
+    )
+    for each, measure in itertools.product(
+        environment.RequestClass, histograms.Measure
+    )
+}
+_REFUSALS = {
+    kind: metrics.declare(
+        f"refusals.{kind.wire_name}",
+        metrics.Kind.COUNTER,
+        "requests",
+        f"requests refused as {kind.wire_name}",
+    )
+    for kind in errors.RefusalKind
+}
+_RECOMPUTED = {
+    cause: metrics.declare(
+        f"recomputed_tokens.{cause}",
+        metrics.Kind.COUNTER,
+        "tokens",
+        f"tokens computed once more for {cause}",
+    )
+    for cause in _CAUSES
+}
+_STORE = {
+    name: metrics.declare(
+        f"store_calls.{name}",
+        metrics.Kind.COUNTER,
+        "calls",
+        f"{name} calls of the platform's store",
+    )
+    for name in _STORE_CALLS
+}
 
 
 class Observer:
-    """Counters of an instance.
+    """Counters and histograms of an instance.
+
+    Parameters
+    ----------
+    sender : metrics.Metrics
+        Sends the declared metrics.
 
     Notes
     -----
     Safe to use from every thread; counters only grow.
     """
 
-    def __init__(self):
+    def __init__(self, sender):
+        self._sender = sender
         self._counts = collections.Counter()
         self._lock = threading.Lock()
+        self.histograms = histograms.LatencyHistograms()
 
     def count(self, name, amount=1):
         """Add to a counter."""
@@ -26,13 +118,66 @@
     def count_recomputed(self, cause, tokens):
         """Count tokens that have to be computed once more, by cause."""
         self.count(f"recomputed_tokens.{cause}", tokens)
+        if tokens:
+            metric = _RECOMPUTED.get(cause, _RECOMPUTED["other"])
+            self._sender.count(metric, tokens)
 
     def count_prompt(self, computed, cached):
         """Count prompt tokens computed and found in a cache."""
         self.count("prompt_tokens.computed", computed)
         self.count("prompt_tokens.cached", cached)
 
+    def count_retry(self):
+        """Count an attempt that is repeated."""
+        self._count_declared(_RETRIES)
+
+    def count_store_call(self, name):
+        """Count a call of the platform's store by its name."""
+        self._count_declared(_STORE[name])
+
+    def count_refusal(self, kind):
+        """Count a refusal by its RefusalKind."""
+        self._count_declared(_REFUSALS[kind])
+
+    def set_active(self, count):
+        """Tell how many requests are being answered."""
+        self._sender.set_gauge(_ACTIVE, count)
+
+    def record_first(self, request, duration_s):
+        """Record the time to the first token of an answer, in seconds."""
+        self._record(request, histograms.Measure.FIRST, duration_s)
+
+    def record_end(self, request, outcome, duration_s):
+        """Record the end of a request.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        outcome : Outcome
+            How it ended.
+        duration_s : float
+            Time since its arrival, in seconds; recorded when it is done.
+        """
+        self._count_declared(_REQUESTS[request.request_class, outcome])
+        if outcome is Outcome.DONE:
+            self._record(request, histograms.Measure.WHOLE, duration_s)
+
     def list_counts(self):
         """Return every counter by name."""
         with self._lock:
             return dict(self._counts)
+
+    def _count_declared(self, metric):
+        """Add to a counter that is a metric too."""
+        self.count(metric.name)
+        self._sender.count(metric)
+
+    def _record(self, request, measure, duration_s):
+        """Record a time of a request."""
+        request_class = request.request_class
+        self.histograms.record(
+            request.account, request_class, duration_s * _US_PER_S, measure
+        )
+        metric = _LATENCIES[request_class, measure]
+        self._sender.record(metric, duration_s)
--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -89,6 +89,7 @@
         self._may_have_run = False
         self._sent_attempts = 0
         self._first_byte_s = None
+        self._begin_s = parts.clock.now_s()
         self.is_given_up = False
 
     @property
@@ -184,6 +185,10 @@
             fault = self._take(batch)
             fresh = self.tokens[before:]
             last_s = self._measure(last_s, len(fresh))
+            if fresh and not before:
+                self._parts.observer.record_first(
+                    self.request, last_s - self._begin_s
+                )
             if fresh and self._first_byte_s is None:
                 self._first_byte_s = last_s - begin_s
             if fresh:
--- a/mulberryhollow/state/histograms.py
+++ b/mulberryhollow/state/histograms.py
@@ -1,5 +1,6 @@
 """Latency histograms per client account and request class."""
 
+import enum
 import threading
 import zlib
 
@@ -11,6 +12,7 @@
     "HistogramRecord",
     "LatencyHistograms",
     "MalformedHistogramError",
+    "Measure",
     "merge_records",
 ]
 
@@ -32,6 +34,13 @@
 )
 
 
+class Measure(enum.Enum):
+    """What is timed, from the arrival of a request."""
+
+    WHOLE = "whole"
+    FIRST = "first"
+
+
 class MalformedHistogramError(ValueError):
     """An encoded histogram cannot be read."""
 
@@ -53,6 +62,8 @@
         significant figures.
     encoded : str
         The whole histogram in the HdrHistogram V2 encoding, base64.
+    measure : str
+        Value of the Measure.
     """
 
     account: str
@@ -63,6 +74,7 @@
     p99_us: int
     max_us: int
     encoded: str
+    measure: str = Measure.WHOLE.value
 
 
 class LatencyHistograms:
@@ -79,7 +91,9 @@
         self._lock = threading.Lock()
         self._series = {}
 
-    def record(self, account, request_class, latency_us):
+    def record(
+        self, account, request_class, latency_us, measure=Measure.WHOLE
+    ):
         """Record one request.
 
         Parameters
@@ -89,11 +103,15 @@
         request_class : state.environment.RequestClass
             Its class.
         latency_us : float
-            Time from arrival to the whole answer, in microseconds.
+            Time from arrival to the whole or first answer, in microseconds.
+        measure : Measure
+            Which of the two it is.
         """
         value_us = max(_LOWEST_US, min(_HIGHEST_US, round(latency_us)))
         with self._lock:
-            series = self._get_series(account, request_class.value)
+            series = self._get_series(
+                account, request_class.value, measure.value
+            )
             series.record_value(value_us)
 
     def snapshot(self):
@@ -104,11 +122,11 @@
                 for name in sorted(self._series)
             )
 
-    def _get_series(self, account, request_class):
+    def _get_series(self, account, request_class, measure):
         """Return the histogram of a series, made when it is new."""
-        name = account, request_class
+        name = account, request_class, measure
         if name not in self._series and len(self._series) >= _MAX_SERIES:
-            name = _OTHER, request_class
+            name = _OTHER, request_class, measure
         return self._series.setdefault(name, _make_histogram())
 
 
@@ -123,7 +141,7 @@
     Returns
     -------
     tuple of HistogramRecord
-        One for each client account and class, sorted by name.
+        One for each client account, class and measure, sorted by name.
 
     Raises
     ------
@@ -132,7 +150,7 @@
     """
     merged = {}
     for record in records:
-        name = record.account, record.request_class
+        name = record.account, record.request_class, record.measure
         series = merged.setdefault(name, _make_histogram())
         series.add(_decode(record.encoded))
     return tuple(_make_record(*name, merged[name]) for name in sorted(merged))
@@ -171,7 +189,7 @@
         raise MalformedHistogramError("the histogram has another range")
 
 
-def _make_record(account, request_class, series):
+def _make_record(account, request_class, measure, series):
     """Return the record of a histogram."""
     percentiles = series.get_percentile_to_value_dict(_PERCENTILES)
     return HistogramRecord(
@@ -181,4 +199,5 @@
         *(percentiles[each] for each in _PERCENTILES),
         series.get_max_value(),
         series.encode().decode("ascii"),
+        measure,
     )
