--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -15,6 +15,7 @@
 from mulberryhollow import metrics
 from mulberryhollow.protocol import status
 from mulberryhollow.serving import bookings
+from mulberryhollow.serving import capacity
 from mulberryhollow.serving import claims
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import documents
@@ -227,7 +228,7 @@
             self._client, self.dispatcher, endpoint_feed
         )
         make = self._make_loop
-        return [
+        loops = [
             make("list", declared.LIST_INTERVAL_S, endpoint_feed.read),
             make("notices", declared.NOTICE_INTERVAL_S, self._read_notices),
             make("load", declared.LOAD_INTERVAL_S, load_feed.read),
@@ -243,6 +244,27 @@
                 "registry", self._clock, _RETRY_S, self._registry.register
             ),
         ]
+        if self._settings.get(declared.CAPACITY_MODE) == "act":
+            keeper = self._make_capacity_keeper()
+            loops.append(
+                make("capacity", declared.CAPACITY_INTERVAL_S, keeper.tick)
+            )
+        return loops
+
+    def _make_capacity_keeper(self):
+        """Return the planner of instances."""
+        return capacity.CapacityKeeper(
+            capacity.CapacityParts(
+                instance=self.instance,
+                environment=self._settings.get(declared.ENVIRONMENT),
+                store=self._store,
+                cloud=self._cloud,
+                dispatcher=self.dispatcher,
+                link=self._link,
+                get_environment=lambda: self.gateway.environment,
+                clock=self._clock,
+            )
+        )
 
     def _make_loop(self, name, interval, call):
         """Return a loop whose interval is a setting."""
@@ -274,7 +296,7 @@
         environment = document.environment
         self.gateway.apply_environment(environment)
         self.dispatcher.change(
-            functools.partial(_apply_environment, environment)
+            functools.partial(dispatching.apply_environment, environment)
         )
         self._document = document
         self._link.publish_document(environment.name, document)
@@ -409,22 +431,6 @@
             self._clock.wait(threading.Event(), _DRAIN_POLL_S)
 
 
-def _apply_environment(environment, actor, now_s):
-    """Set the shares of accounts and versions in the dispatch actor."""
-    weights = {
-        account.name: account.weight
-        for account in environment.accounts.values()
-    }
-    actor.admission.set_accounts(weights, now_s)
-    actor.admission.set_capacity(environment.capacity_tokens_per_s, now_s)
-    actor.shares.set_versions(
-        {
-            service.name: service.version
-            for service in environment.services.values()
-        }
-    )
-
-
 def _count_endpoints(actor, now_s):
     """Return how many endpoints are listed."""
     return len(actor.view)
--- a/tests/coordination/admission/shares.feature
+++ b/tests/coordination/admission/shares.feature
@@ -83,6 +83,12 @@
     When account a sends 600 chats of 1 tokens at once
     Then account a got between 480 and 480 of them
 
+  Scenario: Without a shared rate nothing is admitted
+    Given admission of 0 tokens a second to accounts a=1
+    When account a sends 3 chats of 10 tokens at once
+    Then account a got between 0 and 0 of them
+    And its first refusal is over_share, not run, after 30 to 30 seconds
+
   Scenario: An account that is removed is refused with the remedy
     Given admission of 1000 tokens a second to accounts a=1 b=1
     When the accounts of admission become b=1
@@ -91,3 +97,14 @@
 
   Scenario: No pattern of arrivals exceeds the shared rate
     Then for any arrivals admitted tokens stay within rate and burst
+
+  Scenario Outline: Eight nodes together keep to the shared rate
+    When demand on 8 nodes moves every <move_s> seconds, <lost>% reports lost
+    Then the nodes together admit between <low>% and 110% of the shared rate
+
+    Examples:
+      | move_s | lost | low |
+      | 0.01   | 0    | 95  |
+      | 0.01   | 30   | 95  |
+      | 10     | 0    | 67  |
+      | 10     | 30   | 67  |
--- a/tests/steps/coordination_rollout_plain.py
+++ b/tests/steps/coordination_rollout_plain.py
@@ -6,6 +6,7 @@
 
 DEADLINE_S = 1000.0
 LATE_S = 2000.0
+REQUESTS_PER_S = 100.0
 ENGINE = rollout.Endpoint("engine:1", 4, ("v1",))
 
 
@@ -41,7 +42,9 @@
         rollout.Stage(stage),
         lease_until_s=2 * LATE_S,
     )
-    context.plan = rollout.make_plan(context.move, context.capacity)
+    context.plan = rollout.make_plan(
+        context.move, context.capacity, REQUESTS_PER_S
+    )
     context.orders = rollout.OrderBook()
     context.orders.is_settled(
         context.move, context.plan, context.capacity, 0.0
--- a/tests/steps/coordination_routing.py
+++ b/tests/steps/coordination_routing.py
@@ -114,6 +114,9 @@
     kind = endpoints.FailureKind.CONNECT_FAILED
     for _ in range(3):
         context.view.record_failure(name, kind, NOW_S - 50.0)
+    for record in context.view:
+        if record.endpoint.id != name:
+            context.view.report_load(record.endpoint.id, 8, 0, 32, 0, NOW_S)
     route(context, [build_request(n, idempotent=False) for n in range(count)])
     assert name in context.view.get_group("chat", "v1")
 
@@ -128,6 +131,13 @@
     context.view.report_load(name, 32, 64, 32, 0.0, NOW_S)
 
 
+@when("requests were seen to hold a slot for {held_s:g} seconds")
+def hold_slots(context, held_s):
+    for _ in range(10):
+        work = context.view.start("a1", 0.0, NOW_S - held_s)
+        context.view.finish(work, NOW_S)
+
+
 @when("{count:d} long prompts without a common prefix are routed")
 def route_long_prompts(context, count):
     context.counts = collections.Counter()
