--- a/mulberryhollow/coordination/rollout/__init__.py
+++ b/mulberryhollow/coordination/rollout/__init__.py
@@ -6,6 +6,7 @@
 from mulberryhollow.coordination.rollout.actions import SetShare
 from mulberryhollow.coordination.rollout.actions import Tell
 from mulberryhollow.coordination.rollout.actions import WriteMove
+from mulberryhollow.coordination.rollout.comparison import MAX_TESTERS
 from mulberryhollow.coordination.rollout.driver import Driver
 from mulberryhollow.coordination.rollout.driver import LEASE_S
 from mulberryhollow.coordination.rollout.orders import OrderBook
@@ -27,6 +28,7 @@
 from mulberryhollow.coordination.rollout.schedule import Plan
 from mulberryhollow.coordination.rollout.schedule import Shift
 from mulberryhollow.coordination.rollout.tester import Tester
+from mulberryhollow.coordination.rollout.times import Times
 from mulberryhollow.coordination.rollout.verdict import Bad
 from mulberryhollow.coordination.rollout.verdict import Badness
 from mulberryhollow.coordination.rollout.verdict import Good
@@ -47,6 +49,7 @@
     "Good",
     "Hold",
     "LEASE_S",
+    "MAX_TESTERS",
     "Move",
     "MoveError",
     "Order",
@@ -58,6 +61,7 @@
     "Stage",
     "Tell",
     "Tester",
+    "Times",
     "Undecided",
     "Watcher",
     "WriteMove",
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -8,9 +8,12 @@
 
 from mulberryhollow.coordination import configuration
 from mulberryhollow.coordination import membership
+from mulberryhollow.coordination import rollout
 from mulberryhollow.daemon import settings as declared
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow import metrics
+from mulberryhollow.protocol import status
 from mulberryhollow.serving import bookings
 from mulberryhollow.serving import capacity
 from mulberryhollow.serving import claims
@@ -21,6 +24,7 @@
 from mulberryhollow.serving import lookups
 from mulberryhollow.serving import moves
 from mulberryhollow.serving import notices as notices_module
+from mulberryhollow.serving import observed_store
 from mulberryhollow.serving import observer as observing
 from mulberryhollow.serving import parked
 from mulberryhollow.serving import peering
@@ -66,9 +70,13 @@
         self._settings = settings
         self._clock = clock
         self.instance = settings.get(declared.INSTANCE)
-        self.observer = observing.Observer()
+        self.observer = observing.Observer(
+            metrics.Metrics(settings.get(metrics.ADDRESS))
+        )
         self.notices = notices_module.Notices()
-        self._store = store.StoreClient(settings.get(declared.STORE_ADDRESS))
+        self._store = observed_store.ObservedStore(
+            settings.get(declared.STORE_ADDRESS), self.observer
+        )
         self._cloud = cloud.CloudClient(settings.get(declared.CLOUD_ADDRESS))
         self._client = endpoints.EndpointClient(clock)
         self._parked = parked.Parked(clock)
@@ -140,22 +148,31 @@
     def show_status(self):
         """Return the status page: (HTTP status, value)."""
         document = self._document
+        own = status.InstanceStatus(
+            instance=self.instance,
+            failure_domain=self._settings.get(declared.FAILURE_DOMAIN),
+            document_version=document.version if document else 0,
+            document_digest=document.environment.digest if document else "",
+            ready=self._is_ready(),
+            environment=self._settings.get(declared.ENVIRONMENT),
+        )
         return 200, {
-            "instance": self.instance,
-            "environment": self._settings.get(declared.ENVIRONMENT),
-            "failure_domain": self._settings.get(declared.FAILURE_DOMAIN),
-            "document_version": document.version if document else 0,
-            "document_digest": (
-                document.environment.digest if document else ""
-            ),
-            "ready": self._is_ready(),
+            **attrs.asdict(own),
             "active": self.gateway.active_count,
             "endpoints": self.dispatcher.read(_count_endpoints),
             "peers": len(self._link.usable),
             "leaving_endpoints": self.dispatcher.read(_list_leaving),
+            "moves": [
+                attrs.asdict(each) for each in moves.list_moves(self._moves)
+            ],
             "counts": self.observer.list_counts(),
         }
 
+    def show_histograms(self):
+        """Return the page of latency histograms: (HTTP status, value)."""
+        records = self.observer.histograms.snapshot()
+        return 200, status.list_histograms(records)
+
     def show_ready(self):
         """Return the readiness page for the balancer."""
         is_ready = self._is_ready()
@@ -274,6 +291,7 @@
         pages = {
             "/status": self.show_status,
             "/readyz": self.show_ready,
+            "/histograms": self.show_histograms,
             "/member": lambda: registry.show_member(self._peers),
             "/healthz": lambda: (200, {"alive": True}),
         }
@@ -324,6 +342,7 @@
                 self._notice_feed.take,
             )
         )
+        self.dispatcher.on_retry = self.observer.count_retry
         self.dispatcher.on_crash = link.publish_crash
         self.gateway.fetch_from_peers = link.fetch
         self.gateway.hand_over = link.hand_over
@@ -331,6 +350,7 @@
 
     def _start_moves(self):
         """Start to judge and drive version moves."""
+        get = self._settings.get
         moving = moves.MovingServices()
         actor = moves.MoveActor.start(
             moves.MoveParts(
@@ -342,6 +362,12 @@
                 dispatcher=self.dispatcher,
                 clock=self._clock,
                 moving=moving,
+                environment=get(declared.ENVIRONMENT),
+                times=rollout.Times(
+                    step_s=get(declared.ROLLOUT_STEP_S),
+                    confirm_s=get(declared.ROLLOUT_CONFIRM_S),
+                    reserve_s=get(declared.ROLLOUT_RESERVE_S),
+                ),
             )
         )
         recorder = moves.MoveRecorder(actor, moving)
--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -93,6 +93,7 @@
         self._may_have_run = may_have_run
         self._sent_attempts = 0
         self._first_byte_s = None
+        self._begin_s = parts.clock.now_s()
         self.is_given_up = False
 
     @property
@@ -146,7 +147,10 @@
         """Return the route of the next attempt."""
         try:
             return dispatching.choose_again(
-                self._parts.dispatcher, self.request, self._excluded
+                self._parts.dispatcher,
+                self.request,
+                self._excluded,
+                keeps_version=bool(self.tokens),
             )
         except errors.RefusedError as error:
             raise self._mark_partly_run(error) from error
@@ -185,6 +189,10 @@
             fault = self._take(batch)
             fresh = self.tokens[before:]
             last_s = self._measure(last_s, len(fresh))
+            if fresh and not before:
+                self._parts.observer.record_first(
+                    self.request, last_s - self._begin_s
+                )
             if fresh and self._first_byte_s is None:
                 self._first_byte_s = last_s - begin_s
             if fresh:
--- a/tests/steps/coordination_rollout.py
+++ b/tests/steps/coordination_rollout.py
@@ -385,7 +385,7 @@
 )
 def check_ramp(context, rate, before_s):
     plan = rollout.make_plan(context.move, rollout.Capacity(()), rate)
-    ramp_s = plan.done_by_s - schedule.RESERVE_S - plan.ramp_from_s
+    ramp_s = plan.done_by_s - plan.times.reserve_s - plan.ramp_from_s
     assert round(ramp_s) == before_s, ramp_s
 
 
