History: ledgers name the version that ran

Cause: a run ended with an error, since ledger lines had a field more.

Change: the event has it too.

--- a/tools/history/record.py
+++ b/tools/history/record.py
@@ -102,7 +102,7 @@
         ``arrived`` or ``ran``.
     kind : str
         ``generate``, ``lookup`` or ``booking``.
-    request_id, key, slot, booking_id : str
+    request_id, key, slot, booking_id, version : str
         From the ledger.
     """
 
@@ -114,6 +114,7 @@
     key: str = ""
     slot: str = ""
     booking_id: str = ""
+    version: str = ""
 
 
 @attrs.frozen(kw_only=True)
