--- a/mulberryhollow/state/prefixes.py
+++ b/mulberryhollow/state/prefixes.py
@@ -10,6 +10,7 @@
 __all__ = ["BLOCK_WORDS", "CacheEvent", "PrefixIndex", "hash_prefixes"]
 
 BLOCK_WORDS = 16
+BLOCKS_HASHED = 512
 ENTRIES_KEPT = 400_000
 ENTRIES_KEPT_PER_ENDPOINT_AT_LEAST = 64
 HOLDERS_CONSIDERED = 8
@@ -46,9 +47,10 @@
     Returns
     -------
     tuple of int
-        xxh3-64 of the first 16, 32, ... words joined by blanks.
+        xxh3-64 of the first 16, 32, ... words joined by blanks, of at
+        most ``BLOCKS_HASHED`` blocks.
     """
-    words = iter(prompt.split())
+    words = iter(prompt.split(maxsplit=BLOCKS_HASHED * BLOCK_WORDS))
     blocks = map(" ".join, zip(*[words] * BLOCK_WORDS, strict=False))
     state = xxhash.xxh3_64()
     hashes = []
@@ -79,9 +81,10 @@
         self._holders = {}
         self._held = {}
         self._last_numbers = {}
+        self._size = 0
 
     def __len__(self):
-        return sum(len(held) for held in self._held.values())
+        return self._size
 
     def apply_event(self, endpoint_id, event):
         """Take over one cache event.
@@ -133,6 +136,9 @@
                 held[prefix] = None
                 self._add_holder(endpoint_id, prefix)
         self._trim(endpoint_id, held)
+        if self._size > self._entries_kept:
+            for other_id, other in self._held.items():
+                self._trim(other_id, other)
 
     def drop(self, endpoint_id):
         """Forget all that is known of an endpoint."""
@@ -226,6 +232,7 @@
         A single holder is kept as its id alone, several as a dict, and
         more than are considered as one that can be reordered.
         """
+        self._size += 1
         holders = self._holders.setdefault(prefix, endpoint_id)
         if holders == endpoint_id:
             return
@@ -238,6 +245,7 @@
 
     def _remove_holder(self, endpoint_id, prefix):
         """Remove an endpoint from the holders of a prefix."""
+        self._size -= 1
         holders = self._holders[prefix]
         if isinstance(holders, dict) and len(holders) > 1:
             del holders[endpoint_id]
--- a/tests/steps/state_prefixes.py
+++ b/tests/steps/state_prefixes.py
@@ -98,6 +98,18 @@
     assert len(reached) == count, len(reached)
 
 
+@then("a prompt of {words:d} words has {count:d} prefix hashes")
+def check_hash_count(context, words, count):
+    hashes = prefixes.hash_prefixes(build_prompt(words))
+    assert len(hashes) == count, len(hashes)
+
+
+@then("endpoint {endpoint_id} holds the {blocks:d} blocks of {words:d} words")
+def check_held(context, endpoint_id, blocks, words):
+    hashes = prefixes.hash_prefixes(build_prompt(words))
+    assert context.index.count_blocks(endpoint_id, hashes) == blocks
+
+
 @then("a prompt with a lone surrogate has 1 prefix hash")
 def check_surrogate(context):
     prompt = "\ud800 " * 20
