--- a/mulberryhollow/coordination/membership/__init__.py
+++ b/mulberryhollow/coordination/membership/__init__.py
@@ -18,12 +18,17 @@
 from mulberryhollow.coordination.membership.messages import Exchange
 from mulberryhollow.coordination.membership.messages import SendExchange
 from mulberryhollow.coordination.membership.node import PeerNode
+from mulberryhollow.coordination.membership.registration import KIND
+from mulberryhollow.coordination.membership.registration import list_removable
+from mulberryhollow.coordination.membership.registration import plan_start
+from mulberryhollow.coordination.membership.registration import StartPlan
 from mulberryhollow.coordination.membership.topology import rank_by_rendezvous
 from mulberryhollow.coordination.membership.topology import RELAYS_PER_DOMAIN
 from mulberryhollow.coordination.membership.topology import Topology
 
 __all__ = [
     "BUDGET_BYTES_PER_S",
+    "KIND",
     "RELAYS_PER_DOMAIN",
     "ROUND_S",
     "SUSPECT_S",
@@ -37,11 +42,14 @@
     "PeerNode",
     "SendExchange",
     "Standing",
+    "StartPlan",
     "Topology",
     "decode_fact",
     "decode_registration",
     "encode_fact",
     "encode_registration",
     "find_next_incarnation",
+    "list_removable",
+    "plan_start",
     "rank_by_rendezvous",
 ]
--- /dev/null
+++ b/mulberryhollow/coordination/membership/registration.py
@@ -0,0 +1,128 @@
+"""Registration objects: what to write at start and what to clear away."""
+
+import attrs
+
+from mulberryhollow.coordination.membership import member as members
+from mulberryhollow.coordination.membership import topology
+
+__all__ = ["KIND", "StartPlan", "list_removable", "plan_start"]
+
+KIND = "member"
+"""Kind of the registration objects; their name is the instance id."""
+
+_GONE = (members.Standing.DEAD, members.Standing.LEFT)
+
+
+@attrs.frozen
+class StartPlan:
+    """What a process does before it starts its peer messages.
+
+    Parameters
+    ----------
+    member : Member
+        The process with its incarnation.
+    object_version : int
+        Version that the conditional write expects; 0 when the object must
+        not exist.
+    value : bytes
+        What to write.
+    seeds : tuple of Member
+        The other registered members.
+    """
+
+    member: members.Member
+    object_version: int
+    value: bytes
+    seeds: tuple
+
+
+def plan_start(me, objects, wall_s):
+    """Return how a process registers itself.
+
+    Parameters
+    ----------
+    me : Member
+        The process; its incarnation is replaced.
+    objects : iterable of StoredObject
+        The registration objects, as listed; those that cannot be read are
+        left aside.
+    wall_s : float
+        Wall-clock time, in seconds since the Unix epoch.
+
+    Returns
+    -------
+    StartPlan
+        An incarnation above the one registered, and the seeds.
+
+    Notes
+    -----
+    When the write meets another version, list again and plan anew: another
+    process of the same instance has started.
+    """
+    registered = dict(_read_all(objects))
+    mine = [
+        (stored, member)
+        for stored, member in registered.items()
+        if stored.name == me.instance_id
+    ]
+    stored_version = max((stored.version for stored, _ in mine), default=0)
+    previous = max((member.incarnation for _, member in mine), default=0)
+    incarnation = members.find_next_incarnation(wall_s, previous)
+    starting = attrs.evolve(me, incarnation=incarnation)
+    seeds = tuple(
+        member
+        for member in registered.values()
+        if member.instance_id != me.instance_id
+    )
+    value = members.encode_registration(starting)
+    return StartPlan(starting, stored_version, value, seeds)
+
+
+def list_removable(me, views, objects, listed):
+    """Return the registration objects that this node removes.
+
+    Parameters
+    ----------
+    me : str
+        Instance id of this node.
+    views : iterable of MemberView
+        The members as held here.
+    objects : iterable of StoredObject
+        The registration objects, as listed.
+    listed : collection of str
+        Instance ids that the platform's list still names as live; the list
+        may lag, which only delays the removal.
+
+    Returns
+    -------
+    tuple of StoredObject
+        Objects of members that are dead or have left, for the usual cleaner
+        only; each is removed on condition of its version, so a process that
+        registers again in the meantime keeps its object.
+    """
+    by_name = {view.member.instance_id: view for view in views}
+    alive = [name for name, view in by_name.items() if view.is_usable]
+    if topology.rank_by_rendezvous(KIND, alive)[:1] != [me]:
+        return ()
+    return tuple(
+        stored
+        for stored, member in _read_all(objects)
+        if stored.name not in listed
+        and _is_gone(by_name.get(stored.name), member)
+    )
+
+
+def _is_gone(view, registered):
+    """Return whether the registered process is dead or has left."""
+    if view is None or view.standing not in _GONE:
+        return False
+    return view.member.incarnation >= registered.incarnation
+
+
+def _read_all(objects):
+    """Yield each object that can be read, with its member."""
+    for stored in objects:
+        try:
+            yield stored, members.decode_registration(stored.value)
+        except ValueError:
+            continue
--- a/tests/coordination/membership/standing.feature
+++ b/tests/coordination/membership/standing.feature
@@ -76,3 +76,18 @@
   Scenario: A registration object holds a member
     Then a registration object gives back its member
     And a malformed registration object is a value error
+
+  Scenario: A process registers above its former one and learns the others
+    Given registration objects of 3 members and one that cannot be read
+    When member 1 plans its start with its clock set back
+    Then its incarnation is one above the registered one
+    And its write expects the version of its object
+    And its seeds are members 0 and 2
+    And a new instance plans to create its object
+
+  Scenario: The usual cleaner removes registrations of members that are gone
+    Given registration objects of 3 members and one that cannot be read
+    When members 0 and 2 count as dead and the list still names member 2
+    Then member 1 removes the object of member 0 only
+    And no other member removes any object
+    And the object of a process that registered again is kept
--- a/tests/steps/coordination_membership.py
+++ b/tests/steps/coordination_membership.py
@@ -9,6 +9,7 @@
 from mulberryhollow.coordination import membership
 from mulberryhollow.state.facts import Fact
 from mulberryhollow.state.facts import Topic
+from mulberryhollow.state.objects import StoredObject
 from tests import membership_cluster
 
 ALIVE = membership.Standing.ALIVE
@@ -616,3 +617,88 @@
         FaultMachine,
         settings=hypothesis.settings(max_examples=30, stateful_step_count=20),
     )
+
+
+@given("registration objects of 3 members and one that cannot be read")
+def make_registrations(context):
+    context.members = membership_cluster.make_members(3, 1)
+    context.members = [
+        attrs.evolve(member, incarnation=50) for member in context.members
+    ]
+    context.objects = [
+        StoredObject(
+            membership.KIND,
+            member.instance_id,
+            number + 7,
+            membership.encode_registration(member),
+        )
+        for number, member in enumerate(context.members)
+    ]
+    context.objects.append(StoredObject(membership.KIND, "x", 1, b"[]"))
+
+
+@when("member 1 plans its start with its clock set back")
+def plan_member(context):
+    me = context.members[1]
+    context.plan = membership.plan_start(me, context.objects, 0.001)
+
+
+@then("its incarnation is one above the registered one")
+def check_planned_incarnation(context):
+    assert context.plan.member.incarnation == 51
+    planned = membership.decode_registration(context.plan.value)
+    assert planned == context.plan.member
+
+
+@then("its write expects the version of its object")
+def check_planned_version(context):
+    assert context.plan.object_version == 8
+
+
+@then("its seeds are members 0 and 2")
+def check_seeds(context):
+    assert context.plan.seeds == (context.members[0], context.members[2])
+
+
+@then("a new instance plans to create its object")
+def check_new_plan(context):
+    me = membership_cluster.make_member(9, "fd-00", "r-0")
+    plan = membership.plan_start(me, context.objects, 2.0)
+    assert (plan.object_version, plan.member.incarnation) == (0, 2_000)
+
+
+@when("members 0 and 2 count as dead and the list still names member 2")
+def doubt_members(context):
+    context.listed = {"i-0002"}
+    context.views = [
+        membership.MemberView(member, standing, True)
+        for member, standing in zip(
+            context.members, (DEAD, ALIVE, DEAD), strict=True
+        )
+    ]
+
+
+def list_removable(context, me):
+    return membership.list_removable(
+        me, context.views, context.objects, context.listed
+    )
+
+
+@then("member 1 removes the object of member 0 only")
+def check_removable(context):
+    assert list_removable(context, "i-0001") == (context.objects[0],)
+
+
+@then("no other member removes any object")
+def check_not_cleaner(context):
+    assert list_removable(context, "i-0000") == ()
+    assert list_removable(context, "i-0002") == ()
+
+
+@then("the object of a process that registered again is kept")
+def check_registered_again(context):
+    later = attrs.evolve(context.members[0], incarnation=60)
+    context.objects[0] = attrs.evolve(
+        context.objects[0], value=membership.encode_registration(later)
+    )
+    assert list_removable(context, "i-0001") == ()
