One watch for all kinds of objects; dispatcher split by concern

The first watch asks for every object, since a list may be stale. After: dispatcher tests and the configuration feature pass.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -94,11 +94,13 @@
         )
         self._link = self._make_link()
         self._moves = self._start_moves()
-        self._move_watch = moves.MoveWatch(self._store, self._moves)
+        self._move_watch = moves.watch_moves(
+            self._store, self._moves, self._clock
+        )
         self._registry = registry.Registry(
             self._store, self._cloud, self._peers
         )
-        self._watch = documents.DocumentWatch(
+        self._watch = documents.watch_document(
             self._store,
             settings.get(declared.ENVIRONMENT),
             self._documents,
--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -13,7 +13,7 @@
 from mulberryhollow import events
 from mulberryhollow.protocol import callers
 from mulberryhollow.protocol import endpoints as messages
-from mulberryhollow.serving import dispatcher as dispatching
+from mulberryhollow.serving import attempts
 
 __all__ = ["BookingDesk"]
 
@@ -180,7 +180,7 @@
         if fault is None:
             self._dispatcher.finish(route)
             return
-        dispatching.report_fault(
+        attempts.report_fault(
             self._dispatcher, self._endpoints, route, fault, run.fingerprint
         )
 
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -10,9 +10,10 @@
 from mulberryhollow.coordination import admission
 from mulberryhollow.coordination import retry
 from mulberryhollow.coordination import routing
-from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.serving import attempts
+from mulberryhollow.serving import shares as version_shares
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import environment as environment_module
 from mulberryhollow.state import prefixes
@@ -20,14 +21,7 @@
 __all__ = [
     "DispatchActor",
     "Dispatcher",
-    "Ended",
-    "Failure",
-    "Route",
     "apply_environment",
-    "choose_again",
-    "classify_fault",
-    "refuse_quarantined",
-    "report_fault",
 ]
 
 
@@ -42,65 +36,6 @@
 )
 
 
-@attrs.frozen
-class Route:
-    """A chosen endpoint, with what has to be handed back at the end.
-
-    Parameters
-    ----------
-    chosen : Chosen
-        The endpoint and the version.
-    work : Work
-        The load that it was charged with.
-    service : str
-        Service of the request.
-    request_class : RequestClass
-        Its class.
-    """
-
-    chosen: routing.Chosen
-    work: endpoints.Work
-    service: str
-    request_class: environment_module.RequestClass
-
-    @property
-    def endpoint_id(self):
-        """Id of the endpoint."""
-        return self.chosen.endpoint_id
-
-    @property
-    def address(self):
-        """Address of the endpoint, ``host:port``."""
-        return self.chosen.address
-
-    @property
-    def version(self):
-        """Version that the endpoint runs."""
-        return self.chosen.version
-
-
-@attrs.frozen
-class Ended:
-    """The end of one attempt.
-
-    Parameters
-    ----------
-    route : Route
-        Where it went.
-    kind : FailureKind or None
-        How it failed; None when it gave its answer.
-    first_byte_s : float
-        Time to its first byte or its failure, in seconds.
-    is_quarantined : bool
-        Whether the request is known to crash endpoints.
-    """
-
-    route: Route
-    kind: endpoints.FailureKind | None
-    first_byte_s: float
-    is_quarantined: bool
-
-
 @attrs.frozen
 class CrashVerdict:
     """What a crash says of the request that ran.
@@ -139,7 +74,7 @@
 
 @attrs.frozen
 class _Finish:
-    route: Route
+    route: attempts.Route
     kind: endpoints.FailureKind | None
     fingerprint: str
     is_answering: bool
@@ -161,37 +96,6 @@
     apply: object
 
 
-class VersionShares:
-    """Share of each version of each service.
-
-    Notes
-    -----
-    A move decides while the document still names the version that it
-    moves away from; a document that names another version goes first.
-    """
-
-    def __init__(self):
-        self._versions = {}
-        self._moves = {}
-
-    def set_versions(self, versions):
-        """Take the version of each service from the document in force."""
-        self._versions = dict(versions)
-
-    def set_move(self, service, from_version, to_version, share):
-        """Give a new version its share, 0 to 1, of a service."""
-        shares = {from_version: 1.0 - share, to_version: share}
-        self._moves[service] = from_version, shares
-
-    def get(self, service):
-        """Return the shares of a service, by version."""
-        version = self._versions.get(service)
-        if version is None:
-            return {}
-        from_version, shares = self._moves.get(service, (None, None))
-        return shares if version == from_version else {version: 1.0}
-
-
 class DispatchActor(pykka.ThreadingActor):
     """Owns the view of the endpoints and every limit of this instance.
 
@@ -215,7 +119,7 @@
         self.admission = admission.Admission(1.0, {}, clock.now_s())
         self.retries = retry.RetryPolicy(rng=rng)
         self.quarantine = retry.Quarantine()
-        self.shares = VersionShares()
+        self.shares = version_shares.VersionShares()
         self._shared_crashes = collections.Counter()
 
     def on_receive(self, message):
@@ -260,7 +164,9 @@
         work = self.view.start(found.endpoint_id, found.cost, now_s)
         if found.hashes:
             self.prefixes.insert(found.endpoint_id, found.hashes)
-        return Route(found, work, request.service, request.request_class)
+        return attempts.Route(
+            found, work, request.service, request.request_class
+        )
 
     def _log_no_endpoint(self, request):
         """Say why no endpoint of a service takes new work."""
@@ -465,7 +371,7 @@
             self._actor.tell(message)
         if first_byte_s is None:
             first_byte_s = self._clock.now_s() - route.work.started_at_s
-        self.on_end(Ended(route, kind, first_byte_s, is_quarantined))
+        self.on_end(attempts.Ended(route, kind, first_byte_s, is_quarantined))
         return is_quarantined
 
     def decide_retry(
@@ -566,116 +472,3 @@
     if not shares:
         return shares
     return {max(sorted(shares), key=shares.get): 1.0}
-
-
-def choose_again(dispatcher, request, excluded, keeps_version=False):
-    """Choose the endpoint of an attempt that may be repeated anywhere.
-
-    Parameters
-    ----------
-    dispatcher : Dispatcher
-        Chooses.
-    request : CallerRequest
-        The request.
-    excluded : set of str
-        Ids of endpoints that failed it; emptied when no other is left.
-    keeps_version : bool
-        Whether it stays with its version, since it has a part of the
-        answer.
-
-    Raises
-    ------
-    RefusedError
-        When no endpoint takes it.
-    """
-    try:
-        return dispatcher.choose(request, excluded, True, keeps_version)
-    except errors.RefusedError:
-        if not excluded:
-            raise
-    excluded.clear()
-    return dispatcher.choose(request, excluded, True, keeps_version)
-
-
-def classify_fault(fault, is_gone):
-    """Return the FailureKind of a fault.
-
-    Parameters
-    ----------
-    fault : object
-        A tagged outcome of `coordination.streams`.
-    is_gone : bool
-        Whether the endpoint refused a connection after the fault.
-    """
-    match fault:
-        case streams.NotSent():
-            return endpoints.FailureKind.CONNECT_FAILED
-        case streams.RefusedByEndpoint():
-            return endpoints.FailureKind.REFUSED
-        case streams.Failed():
-            return endpoints.FailureKind.FAILED
-        case streams.Silent():
-            return endpoints.FailureKind.SILENT_FRESH
-        case streams.Broken() if is_gone:
-            return endpoints.FailureKind.CRASHED
-        case streams.Broken():
-            return endpoints.FailureKind.CONNECTION_LOST
-        case _:
-            return endpoints.FailureKind.INCOMPLETE
-
-
-@attrs.frozen
-class Failure:
-    """What a failed attempt was taken for.
-
-    Parameters
-    ----------
-    kind : FailureKind
-        How it failed.
-    is_quarantined : bool
-        Whether the request is refused from now on for its crashes.
-    """
-
-    kind: endpoints.FailureKind
-    is_quarantined: bool
-
-
-def report_fault(
-    dispatcher, client, route, fault, fingerprint, is_answering=False
-):
-    """Hand the route of a failed attempt back; return its Failure.
-
-    Parameters
-    ----------
-    dispatcher : Dispatcher
-        Takes the route.
-    client : EndpointClient
-        Finds out whether the endpoint is gone.
-    route : Route
-        Route of the attempt.
-    fault : object
-        A tagged outcome of `coordination.streams`.
-    fingerprint : str
-        Fingerprint of the request.
-    is_answering : bool
-        Whether a part of the answer had arrived.
-    """
-    is_broken = isinstance(fault, streams.Broken)
-    is_gone = is_broken and not client.is_alive(route.address)
-    kind = classify_fault(fault, is_gone)
-    is_quarantined = dispatcher.finish(
-        route, kind, fingerprint, is_answering=is_answering
-    )
-    return Failure(kind, is_quarantined)
-
-
-def refuse_quarantined():
-    """Return the refusal of a request that has crashed endpoints."""
-    return errors.RefusedError(
-        errors.Refusal(
-            errors.RefusalKind.QUARANTINED,
-            "this request took down the endpoints that ran it",
-            "change the request before sending it again",
-            errors.Ran.PARTLY,
-        )
-    )
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -6,8 +6,9 @@
 from mulberryhollow.coordination import configuration
 from mulberryhollow import events
 from mulberryhollow.protocol import document as documents
+from mulberryhollow.serving import watch
 
-__all__ = ["DocumentActor", "DocumentWatch", "Offer"]
+__all__ = ["DocumentActor", "Offer", "watch_document"]
 
 KIND = "environment"
 """Kind of the objects that hold documents."""
@@ -72,8 +73,8 @@
         return result
 
 
-class DocumentWatch:
-    """Reads the document from the store and waits for newer ones.
+def watch_document(store, name, actor, clock):
+    """Return the watch that offers each version of a document.
 
     Parameters
     ----------
@@ -86,41 +87,10 @@
     clock : Clock
         Source of time.
     """
-
-    def __init__(self, store, name, actor, clock):
-        self._store = store
-        self._name = name
-        self._actor = actor
-        self._clock = clock
-        self._revision = None
-        self.last_contact_s = None
-
-    def read(self):
-        """Read or wait once.
-
-        Raises
-        ------
-        StoreUnavailableError
-            When the platform gave no usable answer; the next call lists
-            the objects anew, so that nothing is missed.
-
-        Notes
-        -----
-        A list may be stale although its revision is the latest one, so
-        the watch begins after the version that the list showed.
-        """
-        known, self._revision = self._revision, None
-        if known is None:
-            _, found = self._store.list_objects(KIND)
-            revision = max(map(self._get_version, found), default=0)
-        else:
-            revision, found = self._store.watch(KIND, known, WATCH_WAIT_S)
-        self.last_contact_s = self._clock.now_s()
-        for each in filter(self._get_version, found):
-            self._actor.tell(Offer(each.version, each.value))
-        self._revision = revision
-
-    def _get_version(self, item):
-        """Return the version of the document; 0 for other objects."""
-        is_document = item.name == self._name and not item.is_deleted
-        return item.version if is_document else 0
+    return watch.ObjectWatch(
+        store,
+        KIND,
+        clock,
+        lambda item: actor.tell(Offer(item.version, item.value)),
+        lambda item: item.name == name,
+    )
--- a/mulberryhollow/serving/lookups.py
+++ b/mulberryhollow/serving/lookups.py
@@ -4,7 +4,7 @@
 
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
-from mulberryhollow.serving import dispatcher as dispatching
+from mulberryhollow.serving import attempts
 
 __all__ = ["LookupDesk"]
 
@@ -50,9 +50,7 @@
         attempt = 0
         while True:
             attempt += 1
-            route = dispatching.choose_again(
-                self._dispatcher, request, excluded
-            )
+            route = attempts.choose_again(self._dispatcher, request, excluded)
             try:
                 answer = self._try(request, route, attempt)
             except errors.EndpointError as error:
@@ -77,11 +75,11 @@
 
     def _end_failed(self, route, fault, fingerprint):
         """Report a failed attempt; return its FailureKind."""
-        failure = dispatching.report_fault(
+        failure = attempts.report_fault(
             self._dispatcher, self._endpoints, route, fault, fingerprint
         )
         if failure.is_quarantined:
-            raise dispatching.refuse_quarantined()
+            raise attempts.refuse_quarantined()
         return failure.kind
 
     def _pause(self, request, sent_attempts, kind):
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -1,7 +1,6 @@
 """Actor that judges and drives version moves on one instance."""
 
 import concurrent.futures
-import json
 import logging
 
 import attrs
@@ -13,6 +12,7 @@
 from mulberryhollow import events
 from mulberryhollow.protocol import endpoints as messages
 from mulberryhollow.protocol import moves as codec
+from mulberryhollow.serving import watch
 from mulberryhollow.state import counters as counting
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import facts
@@ -23,19 +23,16 @@
     "MoveActor",
     "MoveParts",
     "MoveRecorder",
-    "MoveWatch",
     "MovingServices",
     "Tick",
     "list_moves",
     "read_capacities",
+    "watch_moves",
 ]
 
 KIND = "move"
 """Kind of the objects that hold moves."""
 
-WATCH_WAIT_S = 5.0
-"""Longest wait of one watch at the platform, in seconds."""
-
 COUNTERS_EXPIRY_S = 600.0
 """Time after which counters of an instance are dropped, in seconds."""
 
@@ -320,12 +317,11 @@
 
     def _tell(self, bad):
         """Spread a verdict."""
-        fields = attrs.asdict(_VerdictFields.of(bad))
         self._publish(
             facts.Topic.VERDICT,
             bad.move_id,
             1,
-            json.dumps(fields).encode(),
+            codec.encode_verdict(bad),
             VERDICT_EXPIRY_S,
         )
 
@@ -449,26 +445,6 @@
     ended: object
 
 
-@attrs.frozen
-class _VerdictFields:
-    """A verdict in the form that peers receive."""
-
-    move_id: str
-    badness: str
-    route: str
-    requests: int
-
-    @classmethod
-    def of(cls, bad):
-        """Return the fields of a verdict."""
-        return cls(bad.move_id, bad.badness.value, bad.route, bad.requests)
-
-    def make_bad(self):
-        """Return the verdict."""
-        badness = rollout.Badness(self.badness)
-        return rollout.Bad(self.move_id, badness, self.route, self.requests)
-
-
 class MoveRecorder:
     """Counts attempts for the moves under way.
 
@@ -510,12 +486,11 @@
 
     def _take_verdict(self, fact):
         """Take a verdict of a peer."""
-        fields = _VerdictFields(**json.loads(fact.value))
-        self._actor.tell(_Verdict(fields.make_bad()))
+        self._actor.tell(_Verdict(codec.decode_verdict(fact.value)))
 
 
-class MoveWatch:
-    """Reads the records of moves from the store and waits for changes.
+def watch_moves(store, actor, clock):
+    """Return the watch that reads the records of moves.
 
     Parameters
     ----------
@@ -523,37 +498,12 @@
         Adapter to the object API.
     actor : pykka.ActorRef
         A running MoveActor.
+    clock : Clock
+        Source of time.
     """
-
-    def __init__(self, store, actor):
-        self._store = store
-        self._actor = actor
-        self._revision = None
-
-    def read(self):
-        """Read or wait once.
-
-        Raises
-        ------
-        StoreUnavailableError
-            When the platform gave no usable answer; the next call lists
-            the objects anew.
-
-        Notes
-        -----
-        A list may be stale although its revision is the latest one, so
-        the first watch asks for every record.
-        """
-        known, self._revision = self._revision, None
-        if known is None:
-            revision = 0
-            _, found = self._store.list_objects(KIND)
-        else:
-            revision, found = self._store.watch(KIND, known, WATCH_WAIT_S)
-        for each in found:
-            if not each.is_deleted:
-                self._actor.tell(_Record(each))
-        self._revision = revision
+    return watch.ObjectWatch(
+        store, KIND, clock, lambda item: actor.tell(_Record(item))
+    )
 
 
 def list_moves(actor):
--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -9,7 +9,7 @@
 from mulberryhollow import errors
 from mulberryhollow.protocol import callers
 from mulberryhollow.protocol import endpoints as messages
-from mulberryhollow.serving import dispatcher as dispatching
+from mulberryhollow.serving import attempts
 from mulberryhollow.state import environment as environment_module
 
 __all__ = ["Relay", "RelayParts"]
@@ -146,7 +146,7 @@
     def _choose(self):
         """Return the route of the next attempt."""
         try:
-            return dispatching.choose_again(
+            return attempts.choose_again(
                 self._parts.dispatcher,
                 self.request,
                 self._excluded,
@@ -256,7 +256,7 @@
         self._parts.observer.count_recomputed(
             streams.name_cause(fault), len(self.tokens)
         )
-        failure = dispatching.report_fault(
+        failure = attempts.report_fault(
             self._parts.dispatcher,
             self._parts.endpoints,
             route,
@@ -265,7 +265,7 @@
             self._first_byte_s is not None,
         )
         if failure.is_quarantined:
-            raise dispatching.refuse_quarantined()
+            raise attempts.refuse_quarantined()
         return failure.kind
 
     def _pause(self, kind):
--- a/tests/steps/serving_dispatcher.py
+++ b/tests/steps/serving_dispatcher.py
@@ -9,6 +9,7 @@
 from mulberryhollow import clock
 from mulberryhollow.protocol import document
 from mulberryhollow.serving import dispatcher
+from mulberryhollow.serving import shares
 from mulberryhollow.state import environment
 
 
@@ -40,7 +41,7 @@
 
 @given("version shares of a service at {version}")
 def make_shares(context, version):
-    context.shares = dispatcher.VersionShares()
+    context.shares = shares.VersionShares()
     context.shares.set_versions({"s": version})
 
 
