--- /dev/null
+++ b/tools/bench/roles.py
@@ -0,0 +1,182 @@
+"""Processor time and memory of the decisions, at the target's sizes."""
+
+import pathlib
+import random
+import sys
+import time
+import tracemalloc
+
+from mulberryhollow.coordination import booking
+from mulberryhollow.coordination import capacity
+from mulberryhollow.coordination import rollout
+from mulberryhollow.protocol import document
+from mulberryhollow.state import counters
+from mulberryhollow.state import environment
+from mulberryhollow.state import histograms
+from tools.bench import figure
+from tools import processes
+
+__all__ = ["run"]
+
+DOCUMENTS = 50
+INSTANCES = 2_500
+DOMAINS = 16
+CLAIMS = 1_000
+LOOKS = 200
+ACCOUNTS = 10
+
+CHANGES_A_DAY = 3_700
+"""Changes of configuration of the target, a day."""
+
+CONTROL_CORE_SHARE = 0.023
+"""Most of a core that a node spends on control."""
+
+_DAY_S = 86_400.0
+
+
+def run():
+    """Yield the figures of one run."""
+    yield from _measure_document()
+    yield from _measure_claims()
+    yield from _measure_histograms()
+    yield from _measure_verdict()
+    yield from _measure_plan()
+
+
+def _time(call, times=1):
+    """Return the mean processor time of a call, in seconds."""
+    begin_s = time.process_time()
+    for _ in range(times):
+        call()
+    return (time.process_time() - begin_s) / times
+
+
+def _measure_document():
+    """Yield the time to check the example document."""
+    path = pathlib.Path(processes.ROOT / "examples" / "production.ini")
+    data = path.read_bytes()
+    spent_s = _time(lambda: document.parse(data), DOCUMENTS)
+    yield figure.Figure("check of a document", spent_s * 1e3, "ms")
+    yield figure.Figure(
+        "checks of documents, part of a core at 3,700 changes a day",
+        spent_s * CHANGES_A_DAY / _DAY_S,
+        "ratio",
+        at_most=CONTROL_CORE_SHARE,
+    )
+
+
+def _measure_claims():
+    """Yield the size of a claim and the time to write a bucket."""
+    claims = {}
+    for number in range(CLAIMS):
+        identity = f"{number:032x}"
+        claims[identity] = booking.Claim(
+            identity,
+            "0" * 32,
+            f"entry-000_{number:032x}-1",
+            1,
+            "i-000000",
+            "10.0.0.1:8000",
+            1764806410.0,
+            1764806400.0,
+            booking.ClaimState.DONE,
+            '{"request_id":"' + "0" * 44 + '","booking_id":"b-1","slot":"s"}',
+        )
+    value = booking.encode_claims(claims)
+    yield figure.Figure("bytes of a claim", len(value) / CLAIMS, "bytes")
+    spent_s = _time(lambda: booking.encode_claims(claims), 5)
+    yield figure.Figure(
+        "encoding of a claim within its bucket",
+        spent_s / CLAIMS * 1e6,
+        "us",
+    )
+
+
+def _measure_histograms():
+    """Yield the time and memory of latency histograms."""
+    rng = random.Random(1)
+    latencies_us = [int(rng.lognormvariate(11, 1)) for _ in range(2_000)]
+    tracemalloc.start()
+    kept = histograms.LatencyHistograms()
+    classes = list(environment.RequestClass)
+    for number in range(ACCOUNTS):
+        for each in classes:
+            kept.record(f"account-{number}", each, latencies_us[0])
+    size_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    count = ACCOUNTS * len(classes)
+    yield figure.Figure(
+        "memory of one histogram", size_bytes / count / 1e3, "kB"
+    )
+    spent_s = _time(
+        lambda: [
+            kept.record("account-0", classes[0], each) for each in latencies_us
+        ]
+    )
+    yield figure.Figure(
+        "record of one latency", spent_s / len(latencies_us) * 1e6, "us"
+    )
+
+
+def _measure_verdict():
+    """Yield the time of one look at a move."""
+    seen = counters.Counters("n0", 1)
+    keys = [
+        counters.RowKey("chat", version, f"route-{number}")
+        for version in ("v1", "v2")
+        for number in range(4)
+    ]
+    now_s = 1_000_000.0
+    move = rollout.Move(
+        "m1", "production", "chat", "v1", "v2", now_s, now_s + 600.0
+    )
+    move = rollout.advance(move, rollout.Stage.SHIFTING, now_s, 0.02)
+    tester = rollout.Tester(move, seen, now_s)
+
+    def look():
+        nonlocal now_s
+        for key in keys:
+            seen.record_start(key)
+            seen.record_latency(key, 0.2)
+            seen.record_ok(key)
+        now_s += 0.5
+        tester.look(seen, now_s)
+
+    yield figure.Figure("look at a move", _time(look, LOOKS) * 1e3, "ms")
+
+
+def _measure_plan():
+    """Yield the time of one plan over the target's engines."""
+    offers = [
+        capacity.Offer(f"fd-{domain}", "standard", market, price)
+        for domain in range(DOMAINS)
+        for market, price in (("reclaimable", 1.0), ("on_demand", 3.0))
+    ]
+    running = [
+        capacity.Instance(
+            f"i-{number}",
+            "chat",
+            "v1",
+            f"fd-{number % DOMAINS}",
+            "standard",
+            "reclaimable",
+            1.0,
+        )
+        for number in range(INSTANCES - 100)
+    ]
+    demand = [capacity.Demand("chat", "v1", "model", 0.9 * INSTANCES)]
+    spent_s = _time(
+        lambda: capacity.plan(
+            demand, offers, running, capacity.RefusedStarts(), 1e4, 0.0
+        ),
+        3,
+    )
+    yield figure.Figure(
+        f"plan over {INSTANCES} instances", spent_s * 1e3, "ms"
+    )
+    size_bytes = sys.getsizeof(running) + INSTANCES * sys.getsizeof(running[0])
+    yield figure.Figure(
+        f"instances of a plan over {INSTANCES}, shallow",
+        size_bytes / 1e6,
+        "MB",
+    )
