--- a/tools/bench/path.py
+++ b/tools/bench/path.py
@@ -17,9 +17,11 @@
 __all__ = ["run"]
 
 KEY = "example-key-brunner-desk"
+PATIENT_KEY = "example-key-brunner-history"
 CALLS = 600
 WARM_UP_CALLS = 60
 STREAM_TOKENS = 4_000
+STREAMS = 48
 BOOKINGS = 200
 BOOKING_THREADS = 32
 
@@ -50,6 +52,7 @@
         pid = fleet.children["entry-1"].pid
         yield from _measure_latency(plain, entry)
         yield from _measure_relay(entry, pid)
+        yield from _measure_streams(site, entry, pid)
         yield from _measure_bookings(site.store_address, entry)
 
 
@@ -163,6 +166,37 @@
     )
 
 
+def _measure_streams(site, entry, pid):
+    """Yield the memory that an open stream takes."""
+    slow = ("--token-time-s", "0.074", "--slots", "64")
+    site.add_engine("engine-2", "job-history", "v1", slow)
+    body = {"prompt": "x", "max_tokens": 60, "stream": True}
+    path = "/v1/services/job-history/patient"
+    time.sleep(3.0)
+    before_kb = _read_memory(pid)
+    with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
+        calls = [
+            pool.submit(sites.call, entry, "POST", path, body, PATIENT_KEY)
+            for _ in range(STREAMS)
+        ]
+        time.sleep(2.0)
+        during_kb = _read_memory(pid)
+        answers = [each.result() for each in calls]
+    served = sum(answer.status == 200 for answer in answers)
+    yield figure.Figure("streams open at once", served, "count")
+    yield figure.Figure(
+        "memory of an open stream", (during_kb - before_kb) / served, "kB"
+    )
+    yield figure.Figure("memory of the instance", during_kb / 1e3, "MB")
+
+
+def _read_memory(pid):
+    """Return the resident memory of a process, in kB."""
+    with open(f"/proc/{pid}/status", encoding="utf-8") as file:
+        lines = dict(line.split(":", 1) for line in file)
+    return int(lines["VmRSS"].split()[0])
+
+
 def _read_processor_time(pid):
     """Return the processor time that a process has used, in seconds."""
     with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
