Claims go to their bucket's usual owner; a quarantine is told before its answer

Ruled out: waiting for the fact to spread, whose time has no bound that a caller would keep. Change: calls on claims are forwarded by rendezvous hashing, with the own write when the owner gives no answer; up to eight peers are told of a quarantine, for at most 0.25 s, before the caller gets its refusal. With the store down a resend may now learn of its booking from the owner, so that scenario takes the booking or "outcome unknown", never "not run".

--- a/mulberryhollow/coordination/retry/quarantine.py
+++ b/mulberryhollow/coordination/retry/quarantine.py
@@ -112,6 +112,18 @@
         self._trim()
         return fingerprint in self._condemned
 
+    def condemn(self, fingerprint):
+        """Refuse a request that a peer refuses already.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request's fingerprint.
+        """
+        crashed = self._suspects.pop(fingerprint, [])
+        self._condemned.setdefault(fingerprint, crashed)
+        self._trim()
+
     def record_loss(self, endpoint_id, lost, is_leaving):
         """Add the crash of an endpoint that ran several requests.
 
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -199,7 +199,7 @@
 
     def _make_gateway(self):
         """Return the gateway with the desks behind it."""
-        keeper = claims.ClaimStore(claims.ClaimKeeper.start(self._store))
+        self._claims = claims.ClaimStore(claims.ClaimKeeper.start(self._store))
         return gateways.Gateway(
             gateways.GatewayParts(
                 instance=self.instance,
@@ -212,7 +212,7 @@
                     self.notices,
                 ),
                 bookings=bookings.BookingDesk(
-                    keeper, self._client, self.dispatcher, self._clock
+                    self._claims, self._client, self.dispatcher, self._clock
                 ),
                 lookups=lookups.LookupDesk(
                     self._client, self.dispatcher, self._clock
@@ -341,13 +341,16 @@
                 self.dispatcher,
                 self._documents,
                 self._parked,
+                self._claims,
                 self._notice_feed.take,
             )
         )
         self.dispatcher.on_retry = self.observer.count_retry
-        self.dispatcher.on_crash = link.publish_crash
+        self.dispatcher.on_crash = link.tell_crash
         self.gateway.fetch_from_peers = link.fetch
         self.gateway.hand_over = link.hand_over
+        self._claims.find_owner = link.find_claim_owner
+        self._claims.forward = link.forward_claim
         return link
 
     def _start_moves(self):
--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -163,7 +163,7 @@
         attempt = _Attempt()
         try:
             wanted = self._make_claim(run, number, chosen)
-            match self._claims.claim(run.key.bucket, wanted).result():
+            match self._claims.claim(run.key.bucket, wanted):
                 case booking.Granted(claim):
                     return self._send(run, claim, excluded, attempt)
                 case booking.Held(claim):
@@ -322,7 +322,7 @@
             When there is no earlier send, or it has not run.
         """
         probe = self._make_claim(run, 0, _NO_ROUTE)
-        found = self._claims.look(run.key.bucket, probe).result()
+        found = self._claims.look(run.key.bucket, probe)
         match found:
             case booking.Unwritten(reason):
                 raise _refuse_unwritten(run, reason)
@@ -336,7 +336,7 @@
 
     def _look_again(self, run, claim):
         """Return the claim as it stands in the store now."""
-        match self._claims.look(run.key.bucket, claim).result():
+        match self._claims.look(run.key.bucket, claim):
             case booking.Standing(claim=found) if found is not None:
                 return found
         return claim
@@ -349,7 +349,7 @@
     def _record(self, run, claim, state, outcome=""):
         """Store the state of an attempt; return the result."""
         ended = attrs.evolve(claim, state=state, outcome=outcome)
-        result = self._claims.record(run.key.bucket, ended).result()
+        result = self._claims.record(run.key.bucket, ended)
         if isinstance(result, booking.Unwritten):
             events.log(
                 OUTCOME_UNWRITTEN,
--- a/mulberryhollow/serving/claims.py
+++ b/mulberryhollow/serving/claims.py
@@ -1,7 +1,6 @@
 """Actor that keeps booking claims in the platform's store."""
 
 import concurrent.futures
-import enum
 import logging
 
 import attrs
@@ -10,6 +9,7 @@
 from mulberryhollow.coordination import booking
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.protocol import claims as codec
 from mulberryhollow.transport import store as store_adapter
 
 __all__ = ["ClaimKeeper", "ClaimStore", "ExpiredClaims"]
@@ -28,23 +28,25 @@
 )
 
 
-class _Wish(enum.Enum):
-    """What to do with a claim."""
-
-    CLAIM = enum.auto()
-    RECORD = enum.auto()
-    LOOK = enum.auto()
+NOT_FORWARDED = events.declare(
+    3005,
+    logging.INFO,
+    "the usual owner of a claim bucket gave no answer; it is written here",
+)
 
 
 @attrs.frozen
 class _Submit:
-    """A claim and what to do with it."""
+    """A call and who waits for its result."""
 
-    bucket: str
-    claim: booking.Claim
-    wish: _Wish
+    call: codec.ClaimCall
     future: concurrent.futures.Future
 
+    @property
+    def bucket(self):
+        """Name of the bucket object."""
+        return self.call.bucket
+
 
 @attrs.frozen
 class _Finished:
@@ -82,12 +84,8 @@
         """Take one message and go on with the bucket it concerns."""
         bucket = self._get_bucket(message.bucket)
         match message:
-            case _Submit(wish=_Wish.CLAIM):
-                bucket.submit_claim(message.future, message.claim)
-            case _Submit(wish=_Wish.RECORD):
-                bucket.submit_outcome(message.future, message.claim)
-            case _Submit(wish=_Wish.LOOK):
-                bucket.submit_look(message.future, message.claim)
+            case _Submit(call, future):
+                _submit(bucket, call, future)
             case _Finished():
                 self._finish(bucket, message)
         self._go_on(bucket)
@@ -202,24 +200,65 @@
     ----------
     actor : pykka.ActorRef
         A running ClaimKeeper.
+
+    Notes
+    -----
+    `find_owner` returns the usual owner of a bucket, or None for this
+    instance; `forward` sends bytes to it. An owner that does not answer
+    costs a write of this instance, and nothing else: the bucket's
+    conditional update decides between two.
     """
 
     def __init__(self, actor):
+        self.find_owner = lambda bucket: None
+        self.forward = None
         self._actor = actor
 
     def claim(self, bucket, claim):
-        """Return a future of Granted, Held, KeyReused or Unwritten."""
-        return self._submit(bucket, claim, _Wish.CLAIM)
+        """Return Granted, Held, KeyReused or Unwritten."""
+        return self._run(codec.ClaimCall(bucket, codec.Wish.CLAIM, claim))
 
     def record(self, bucket, claim):
-        """Return a future of Recorded, Lost or Unwritten."""
-        return self._submit(bucket, claim, _Wish.RECORD)
+        """Return Recorded, Lost or Unwritten."""
+        return self._run(codec.ClaimCall(bucket, codec.Wish.RECORD, claim))
 
     def look(self, bucket, claim):
-        """Return a future of Standing or Unwritten."""
-        return self._submit(bucket, claim, _Wish.LOOK)
-
-    def _submit(self, bucket, claim, wish):
+        """Return Standing or Unwritten."""
+        return self._run(codec.ClaimCall(bucket, codec.Wish.LOOK, claim))
+
+    def answer(self, payload):
+        """Carry out the call of a peer; return the bytes of the result."""
+        call = codec.decode_call(payload)
+        return codec.encode_result(self._run_here(call))
+
+    def _run(self, call):
+        """Let the usual owner carry out a call, or do it here."""
+        owner = self.find_owner(call.bucket)
+        if owner is None:
+            return self._run_here(call)
+        try:
+            data = self.forward(owner, codec.encode_call(call))
+            result = codec.decode_result(data)
+        except (errors.PeerError, ValueError) as error:
+            events.log(NOT_FORWARDED, owner=owner, reason=str(error))
+            return self._run_here(call)
+        if isinstance(result, booking.Unwritten):
+            return self._run_here(call)
+        return result
+
+    def _run_here(self, call):
+        """Carry out a call at this instance."""
         future = concurrent.futures.Future()
-        self._actor.tell(_Submit(bucket, claim, wish, future))
-        return future
+        self._actor.tell(_Submit(call, future))
+        return future.result()
+
+
+def _submit(bucket, call, future):
+    """Hand a call to its bucket."""
+    match call.wish:
+        case codec.Wish.CLAIM:
+            bucket.submit_claim(future, call.claim)
+        case codec.Wish.RECORD:
+            bucket.submit_outcome(future, call.claim)
+        case codec.Wish.LOOK:
+            bucket.submit_look(future, call.claim)
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -253,7 +253,7 @@
     """
 
     def __init__(self, actor, clock):
-        self.on_crash = lambda fingerprint, endpoint_id: None
+        self.on_crash = lambda fingerprint, endpoint_id, is_quarantined: None
         self.on_retry = lambda: None
         self.on_end = lambda ended: None
         self._actor = actor
@@ -366,7 +366,7 @@
             verdict = self._actor.ask(message)
             is_quarantined = verdict.is_quarantined
             if verdict.is_recorded:
-                self.on_crash(fingerprint, route.endpoint_id)
+                self.on_crash(fingerprint, route.endpoint_id, is_quarantined)
         else:
             self._actor.tell(message)
         if first_byte_s is None:
--- a/mulberryhollow/serving/peering.py
+++ b/mulberryhollow/serving/peering.py
@@ -1,5 +1,6 @@
 """What the instances tell each other, and what each makes of it."""
 
+import concurrent.futures
 import functools
 import json
 import threading
@@ -15,12 +16,20 @@
 
 __all__ = ["PeerLink", "PeerLinkParts"]
 
+CLAIM_TOPIC = "claims.run"
+CRASH_TOPIC = "request.crash"
 FETCH_TOPIC = "request.fetch"
 PARK_TOPIC = "request.park"
 
 CALL_TIMEOUT_S = 1.0
 """Longest time of a call to a peer for a request, in seconds."""
 
+TELL_TIMEOUT_S = 0.25
+"""Longest wait for peers to hear of a quarantine, in seconds."""
+
+TOLD_PEERS = 8
+"""Peers that hear of a quarantine before the caller does."""
+
 HOLDERS = 2
 """Peers that an answer is handed over to."""
 
@@ -52,6 +61,8 @@
         Takes documents.
     parked : Parked
         Keeps answers that are handed over.
+    claims : ClaimStore
+        Carries out the calls of peers on claims.
     take_notice : callable
         Takes a Notice.
     """
@@ -61,6 +72,7 @@
     dispatcher: object
     documents: object
     parked: object
+    claims: object
     take_notice: object
 
 
@@ -83,6 +95,9 @@
         self._me = parts.peers.me()
         self._listed = {}
         self._lock = threading.Lock()
+        self._threads = concurrent.futures.ThreadPoolExecutor(
+            TOLD_PEERS, thread_name_prefix="tell"
+        )
         self.usable = ()
         self.last_contact_s = None
 
@@ -96,6 +111,8 @@
         peers.subscribe(facts.Topic.DEMAND, self._take_demand)
         peers.handle(FETCH_TOPIC, self._answer_fetch)
         peers.handle(PARK_TOPIC, self._answer_park)
+        peers.handle(CRASH_TOPIC, self._answer_crash)
+        peers.handle(CLAIM_TOPIC, self._parts.claims.answer)
 
     def tick(self):
         """Publish load and demand; notice who is there."""
@@ -143,8 +160,50 @@
             document.data,
         )
 
-    def publish_crash(self, fingerprint, endpoint_id):
-        """Tell the peers that a request took down an endpoint."""
+    def find_claim_owner(self, bucket):
+        """Return the usual owner of a claim bucket; None for this one."""
+        names = [each.instance_id for each in self.usable]
+        names.append(self._me.instance_id)
+        owner = membership.rank_by_rendezvous(f"claims {bucket}", names)[0]
+        return None if owner == self._me.instance_id else owner
+
+    def forward_claim(self, owner, payload):
+        """Return what the usual owner answers to a call on claims.
+
+        Raises
+        ------
+        PeerError
+            When it gives no answer.
+        """
+        return self._parts.peers.call(
+            owner, CLAIM_TOPIC, payload, CALL_TIMEOUT_S
+        )
+
+    def tell_crash(self, fingerprint, endpoint_id, is_quarantined):
+        """Tell the peers that a request took down an endpoint.
+
+        Parameters
+        ----------
+        fingerprint, endpoint_id : str
+            The request and the endpoint.
+        is_quarantined : bool
+            Whether the request is refused from now on: then the nearest
+            peers know it before its caller can send it to them.
+        """
+        self._publish_crash(fingerprint, endpoint_id)
+        if not is_quarantined:
+            return
+        payload = f"{fingerprint} {endpoint_id}".encode()
+        names = [each.instance_id for each in self.usable]
+        ranked = membership.rank_by_rendezvous(fingerprint, names)
+        calls = [
+            self._threads.submit(self._call, each, CRASH_TOPIC, payload)
+            for each in ranked[:TOLD_PEERS]
+        ]
+        concurrent.futures.wait(calls, TELL_TIMEOUT_S)
+
+    def _publish_crash(self, fingerprint, endpoint_id):
+        """Publish the crash as a fact."""
         self._publish(
             facts.Topic.QUARANTINE,
             f"{fingerprint} {endpoint_id}",
@@ -231,6 +290,14 @@
             )
         )
 
+    def _answer_crash(self, payload):
+        """Refuse a request from now on that a peer has quarantined."""
+        fingerprint, _, _ = payload.decode().partition(" ")
+        self._parts.dispatcher.change(
+            lambda actor, now_s: actor.quarantine.condemn(fingerprint)
+        )
+        return b"1"
+
     def _take_notice(self, fact):
         """Take a reclaim notice."""
         self._parts.take_notice(cloud.Notice(**json.loads(fact.value)))
--- a/tests/steps/daemon_bookings.py
+++ b/tests/steps/daemon_bookings.py
@@ -156,3 +156,12 @@
 def check_prompt(context, limit_s):
     assert context.took_s < limit_s, context.took_s
     assert int(context.answer.headers["Retry-After"]) > 0
+
+
+@then("the booking is made or refused as maybe run")
+def check_made_or_unknown(context):
+    answer = context.answer.json()
+    if context.answer.status == 201:
+        assert answer["booking_id"], answer
+    else:
+        assert answer["error"]["ran"] == "outcome unknown", answer
