Control within its share of a core; a lost attempt joins before it refuses

Cause: eight idle daemons used 5.2 percent of a core each, the limit is 2.3: every instance read each endpoint's load and cache events twice a second, and looked for moves when there were none. Change: load is read once a second and cache events every third time; moves are looked at only when a record is followed; the last word of a booking is the standing claim. Ruled out: gossip, at 0.46 percent.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -163,6 +163,7 @@
             "active": self.gateway.active_count,
             "endpoints": self.dispatcher.read(_count_endpoints),
             "peers": len(self._link.usable),
+            "control_bytes": self._peers.traffic.control_bytes,
             "leaving_endpoints": self.dispatcher.read(_list_leaving),
             "moves": [
                 attrs.asdict(each) for each in moves.list_moves(self._moves)
@@ -235,7 +236,7 @@
             make("list", declared.LIST_INTERVAL_S, endpoint_feed.read),
             make("notices", declared.NOTICE_INTERVAL_S, self._read_notices),
             make("load", declared.LOAD_INTERVAL_S, load_feed.read),
-            make("moves", declared.TELL_INTERVAL_S, self._tick_moves),
+            make("moves", declared.JUDGE_INTERVAL_S, self._tick_moves),
             feeds.Loop(
                 "move-watch", self._clock, _WATCH_RETRY_S, self._read_moves
             ),
@@ -356,7 +357,7 @@
     def _start_moves(self):
         """Start to judge and drive version moves."""
         get = self._settings.get
-        moving = moves.MovingServices()
+        self._moving = moves.MovingServices()
         actor = moves.MoveActor.start(
             moves.MoveParts(
                 instance=self.instance,
@@ -366,7 +367,7 @@
                 peers=self._peers,
                 dispatcher=self.dispatcher,
                 clock=self._clock,
-                moving=moving,
+                moving=self._moving,
                 environment=get(declared.ENVIRONMENT),
                 times=rollout.Times(
                     step_s=get(declared.ROLLOUT_STEP_S),
@@ -375,13 +376,15 @@
                 ),
             )
         )
-        recorder = moves.MoveRecorder(actor, moving)
+        recorder = moves.MoveRecorder(actor, self._moving)
         recorder.connect(self._peers)
         self.dispatcher.on_end = recorder.record
         return actor
 
     def _tick_moves(self):
-        """Let the moves be looked at."""
+        """Let the moves be looked at, if there are any."""
+        if not self._moving.has_records:
+            return
         names = [each.instance_id for each in self._link.usable]
         self._moves.tell(
             moves.Tick(
--- a/mulberryhollow/daemon/settings.py
+++ b/mulberryhollow/daemon/settings.py
@@ -12,6 +12,7 @@
     "GRACE_S",
     "HTTP_ADDRESS",
     "INSTANCE",
+    "JUDGE_INTERVAL_S",
     "LIST_INTERVAL_S",
     "LOAD_INTERVAL_S",
     "NOTICE_INTERVAL_S",
@@ -148,7 +149,7 @@
     "platform",
     "load_interval_s",
     _parse_positive,
-    0.5,
+    1.0,
     "seconds",
     "time between two reads of the endpoints' load",
 )
@@ -180,10 +181,18 @@
     "peers",
     "tell_interval_s",
     _parse_positive,
-    0.5,
+    1.0,
     "seconds",
     "time between two reports of load and demand to the peers",
 )
+JUDGE_INTERVAL_S = settings.declare(
+    "rollout",
+    "judge_interval_s",
+    _parse_positive,
+    0.5,
+    "seconds",
+    "time between two looks at the moves under way",
+)
 PEER_KEY_FILE = settings.declare(
     "peers",
     "key_file",
--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -125,7 +125,7 @@
             answer = self._attempt(run, number, excluded)
             if answer is not None:
                 return answer
-        raise _refuse_no_capacity()
+        return self._join_standing(run)
 
     def _check_key(self, request):
         """Return the BookingKey of a request, or refuse it."""
@@ -202,8 +202,7 @@
         """Send a granted attempt; return its answer or None."""
         left_s = claim.run_until_s - self._clock.wall_s()
         if left_s < _SEND_MARGIN_S:
-            self._record(run, claim, booking.ClaimState.NOT_RUN)
-            raise _refuse_late()
+            return self._end_not_run(run, claim, _refuse_late())
         try:
             answer = self._endpoints.book(
                 claim.address,
@@ -226,23 +225,32 @@
                 self._record(run, claim, booking.ClaimState.NOT_RUN)
                 return None
             case streams.RefusedByEndpoint(reason):
-                return self._end_refused(run, claim, reason)
+                return self._end_not_run(
+                    run, claim, _refuse_by_endpoint(reason)
+                )
         return self._settle(run, claim)
 
-    def _end_refused(self, run, claim, reason):
-        """End an attempt that the endpoint refused.
+    def _end_not_run(self, run, claim, refused):
+        """End an attempt that has not run, and refuse the booking.
 
         Another send may have taken the booking over meanwhile; then its
         outcome is the answer.
+
+        Parameters
+        ----------
+        run : _Run
+            The booking request.
+        claim : Claim
+            The attempt.
+        refused : RefusedError
+            What the caller gets otherwise.
         """
         result = self._record(run, claim, booking.ClaimState.NOT_RUN)
         if isinstance(result, booking.Lost) and result.claim is not None:
-            return self._join(run, result.claim)
-        raise callers.refuse(
-            errors.RefusalKind.ENDPOINT_REFUSED,
-            f"the endpoint refused the booking: {reason}",
-            "choose another slot, or resend with the same key",
-        )
+            answer = self._join(run, result.claim)
+            if answer is not None:
+                return answer
+        raise refused
 
     def _settle(self, run, claim):
         """Ask the endpoint of an attempt what became of it.
@@ -401,6 +409,15 @@
     )
 
 
+def _refuse_by_endpoint(reason):
+    """Return the refusal of a booking that its endpoint refused."""
+    return callers.refuse(
+        errors.RefusalKind.ENDPOINT_REFUSED,
+        f"the endpoint refused the booking: {reason}",
+        "choose another slot, or resend with the same key",
+    )
+
+
 def _refuse_late():
     """Return the refusal of a booking with no time left to send it."""
     return callers.refuse(
--- a/mulberryhollow/serving/feeds.py
+++ b/mulberryhollow/serving/feeds.py
@@ -12,6 +12,9 @@
 
 __all__ = ["EndpointFeed", "LoadFeed", "Loop", "NoticeFeed"]
 
+CACHE_EVENTS_EVERY = 3
+"""Load reports that are read between two reads of cache events."""
+
 _PARALLEL_READS = 8
 
 NOTICE_TAKEN = events.declare(
@@ -195,19 +198,22 @@
         self._dispatcher = dispatcher
         self._feed = feed
         self._last_events = {}
+        self._reads = 0
         self._threads = concurrent.futures.ThreadPoolExecutor(
             _PARALLEL_READS, thread_name_prefix="load"
         )
 
     def read(self):
         """Read every endpoint once."""
+        self._reads += 1
         list(self._threads.map(self._read_one, self._feed.endpoints))
 
     def _read_one(self, endpoint):
         """Read one endpoint; one that fails keeps its last report."""
+        is_due = self._reads % CACHE_EVENTS_EVERY == 0
         try:
             self._read_load(endpoint)
-            if endpoint.role == "model":
+            if is_due and endpoint.role == "model":
                 self._read_cache_events(endpoint)
         except errors.EndpointError as error:
             if isinstance(error.fault, streams.NotSent):
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -117,9 +117,18 @@
 
 @attrs.define
 class MovingServices:
-    """Names of the services under a move; written by one actor only."""
+    """What the actor of moves lets others know; it alone writes here.
+
+    Parameters
+    ----------
+    names : frozenset of str
+        Services under a move.
+    has_records : bool
+        Whether any record is followed, under way or ended.
+    """
 
     names: frozenset = frozenset()
+    has_records: bool = False
 
 
 @attrs.frozen
@@ -388,6 +397,7 @@
         for bad in self._verdicts.values():
             driver.hear(bad)
         self._followers[service] = follower
+        self._parts.moving.has_records = True
         return follower
 
     def _publish_record(self, stored):
--- /dev/null
+++ b/tools/bench/control.py
@@ -0,0 +1,131 @@
+"""Control traffic and processor time of eight entry daemons."""
+
+import concurrent.futures
+import os
+import time
+
+from tools.bench import figure
+from tools import processes
+from tools import site as sites
+
+__all__ = ["run"]
+
+ENTRIES = 8
+ENGINES = 9
+SETTLE_S = 6.0
+WINDOW_S = 15.0
+CALLERS = 8
+
+CONTROL_BYTES_PER_S = 7_000.0
+"""Most that a node spends on control, in bytes a second."""
+
+CONTROL_CORE_SHARE = 0.023
+"""Most of a core that a node spends on control."""
+
+MEMORY_MB = 256.0
+"""Most memory that a node spends on control, in MB."""
+
+KEY = "example-key-brunner-desk"
+_CHAT = "/v1/services/call-chat/chat"
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def run():
+    """Yield the figures of one run, idle and under load."""
+    with processes.Fleet() as fleet:
+        site = sites.Site(fleet)
+        site.start_platform()
+        for number in range(ENGINES):
+            site.add_engine(f"engine-{number}", "call-chat")
+        for number in range(ENTRIES):
+            site.add_entry(f"entry-{number}")
+        site.wait_ready(_probe)
+        time.sleep(SETTLE_S)
+        yield from _measure(fleet, site, "idle", lambda: time.sleep(WINDOW_S))
+        yield from _measure(fleet, site, "under load", lambda: _load(site))
+
+
+def _probe(address):
+    """Return whether an instance answers a chat."""
+    return _chat(address, 1).status == 200
+
+
+def _chat(address, tokens):
+    """Send one chat."""
+    body = {"prompt": "a pipe has burst", "max_tokens": tokens}
+    return sites.call(address, "POST", _CHAT, body, KEY)
+
+
+def _load(site):
+    """Let a caller at each instance send chats for the window."""
+    end_s = time.monotonic() + WINDOW_S
+
+    def send(address):
+        while time.monotonic() < end_s:
+            _chat(address, 20)
+
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        list(pool.map(send, site.entries))
+
+
+def _measure(fleet, site, name, work):
+    """Yield what the instances spend while some work is done."""
+    pids = [fleet.children[f"entry-{n}"].pid for n in range(ENTRIES)]
+    before = [_read_bytes(address) for address in site.entries]
+    before_s = [_read_processor_time(pid) for pid in pids]
+    begin_s = time.monotonic()
+    work()
+    spent_s = time.monotonic() - begin_s
+    rates = [
+        (_read_bytes(address) - first) / spent_s
+        for address, first in zip(site.entries, before, strict=True)
+    ]
+    shares = [
+        (_read_processor_time(pid) - first_s) / spent_s
+        for pid, first_s in zip(pids, before_s, strict=True)
+    ]
+    mean = sum(rates) / ENTRIES
+    yield figure.Figure(
+        f"control bytes, mean, {name}",
+        mean,
+        "B/s",
+        at_most=CONTROL_BYTES_PER_S,
+    )
+    yield figure.Figure(
+        f"control bytes, busiest, {name}",
+        max(rates),
+        "B/s",
+        at_most=CONTROL_BYTES_PER_S,
+    )
+    bound = CONTROL_CORE_SHARE if name == "idle" else None
+    yield figure.Figure(
+        f"processor, part of a core, {name}",
+        sum(shares) / ENTRIES,
+        "ratio",
+        at_most=bound,
+    )
+    yield figure.Figure(
+        f"memory, largest, {name}",
+        max(_read_memory_mb(pid) for pid in pids),
+        "MB",
+        at_most=MEMORY_MB,
+    )
+
+
+def _read_bytes(address):
+    """Return the control bytes that an instance has carried."""
+    return sites.call(address, "GET", "/status").json()["control_bytes"]
+
+
+def _read_processor_time(pid):
+    """Return the processor time that a process has used, in seconds."""
+    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def _read_memory_mb(pid):
+    """Return the resident memory of a process, in MB."""
+    with open(f"/proc/{pid}/status", encoding="utf-8") as file:
+        lines = dict(line.split(":", 1) for line in file)
+    return int(lines["VmRSS"].split()[0]) / 1e3
--- a/tools/site.py
+++ b/tools/site.py
@@ -24,7 +24,6 @@
 [platform]
 store = {store}
 cloud = {store}
-notice_interval_s = 0.2
 [peers]
 key_file = {key_file}
 [callers]
