--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -9,11 +9,11 @@
 from mulberryhollow.coordination import configuration
 from mulberryhollow.coordination import membership
 from mulberryhollow.coordination import rollout
+from mulberryhollow.daemon import pages
 from mulberryhollow.daemon import settings as declared
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow import metrics
-from mulberryhollow.protocol import status
 from mulberryhollow.serving import bookings
 from mulberryhollow.serving import capacity
 from mulberryhollow.serving import claims
@@ -82,6 +82,7 @@
         self._parked = parked.Parked(clock)
         self.dispatcher = self._make_dispatcher()
         self.gateway = self._make_gateway()
+        self._pages = {}
         self._server = self._make_server()
         self._peers = self._start_peers()
         self._documents = documents.DocumentActor.start(self._apply)
@@ -107,6 +108,7 @@
             clock,
         )
         self._document = None
+        self._pages.update(self._list_pages())
         self._loops = self._make_loops()
 
     @property
@@ -147,50 +149,26 @@
         except errors.StoreUnavailableError as error:
             events.log(feeds.FEED_FAILED, reason=error.message)
 
-    def show_status(self):
-        """Return the status page: (HTTP status, value)."""
-        document = self._document
-        own = status.InstanceStatus(
-            instance=self.instance,
-            failure_domain=self._settings.get(declared.FAILURE_DOMAIN),
-            document_version=document.version if document else 0,
-            document_digest=document.environment.digest if document else "",
-            ready=self._is_ready(),
-            environment=self._settings.get(declared.ENVIRONMENT),
-        )
-        return 200, {
-            **attrs.asdict(own),
-            "active": self.gateway.active_count,
-            "endpoints": self.dispatcher.read(_count_endpoints),
-            "peers": len(self._link.usable),
-            "control_bytes": self._peers.traffic.control_bytes,
-            "leaving_endpoints": self.dispatcher.read(_list_leaving),
-            "moves": [
-                attrs.asdict(each) for each in moves.list_moves(self._moves)
-            ],
-            "counts": self.observer.list_counts(),
-        }
-
-    def show_histograms(self):
-        """Return the page of latency histograms: (HTTP status, value)."""
-        records = self.observer.histograms.snapshot()
-        return 200, status.list_histograms(records)
-
-    def show_ready(self):
-        """Return the readiness page for the balancer."""
-        is_ready = self._is_ready()
-        return (200 if is_ready else 503), {"ready": is_ready}
-
-    def _is_ready(self):
-        """Return whether the balancer may send new callers here."""
-        decision = configuration.decide_ready(
-            self._clock.now_s(),
-            self._watch.last_contact_s,
-            self._link.last_contact_s,
-            self._document is not None,
+    def _list_pages(self):
+        """Return the status pages by path."""
+        get = self._settings.get
+        shown = pages.Pages(
+            pages.PageParts(
+                instance=self.instance,
+                failure_domain=get(declared.FAILURE_DOMAIN),
+                environment=get(declared.ENVIRONMENT),
+                gateway=self.gateway,
+                dispatcher=self.dispatcher,
+                link=self._link,
+                peers=self._peers,
+                moves=self._moves,
+                observer=self.observer,
+                watch=self._watch,
+                get_document=lambda: self._document,
+                clock=self._clock,
+            )
         )
-        is_ready = isinstance(decision, configuration.Ready)
-        return is_ready and not self.gateway.is_leaving
+        return shown.list_pages()
 
     def _make_dispatcher(self):
         """Start the dispatch actor and return its facade."""
@@ -291,15 +269,8 @@
         host, port = store.split_address(
             self._settings.get(declared.HTTP_ADDRESS)
         )
-        pages = {
-            "/status": self.show_status,
-            "/readyz": self.show_ready,
-            "/histograms": self.show_histograms,
-            "/member": lambda: registry.show_member(self._peers),
-            "/healthz": lambda: (200, {"alive": True}),
-        }
         return callers.make_server(
-            callers.CallerApp(self.gateway, pages),
+            callers.CallerApp(self.gateway, self._pages),
             host,
             port,
             self._settings.get(declared.THREADS),
@@ -448,15 +419,3 @@
             if not any(each.total_outbufs_len for each in channels):
                 return
             self._clock.wait(threading.Event(), _DRAIN_POLL_S)
-
-
-def _count_endpoints(actor, now_s):
-    """Return how many endpoints are listed."""
-    return len(actor.view)
-
-
-def _list_leaving(actor, now_s):
-    """Return the ids of endpoints that get no new work for leaving."""
-    return sorted(
-        record.endpoint.id for record in actor.view if record.is_leaving
-    )
