A new claim bucket is created without a read before it

Cause: each bucket cost a read before its first write. Change: the first write of claims alone creates the object; a conflict is followed by a read as ever.

--- a/mulberryhollow/coordination/booking/bucket.py
+++ b/mulberryhollow/coordination/booking/bucket.py
@@ -98,6 +98,7 @@
         self._results = []
         self._is_busy = False
         self._needs_read = False
+        self._is_fresh = True
 
     @property
     def is_idle(self):
@@ -122,6 +123,9 @@
         if self._is_busy or not self._waiting:
             return None, []
         self._is_busy = True
+        if self._may_create():
+            self._version = 0
+        self._is_fresh = False
         if self._version is None or self._needs_read:
             self._needs_read = False
             return Read(self.name), []
@@ -173,6 +177,20 @@
                 self._version = None
                 return self._give_up(reason)
 
+    def _may_create(self):
+        """Return whether to try a first write without a read before it.
+
+        Notes
+        -----
+        Only claims are granted by a write that creates the object;
+        anything else has to know what stands.
+        """
+        claims_only = all(
+            operation.decide == self._decide_claim
+            for operation in self._waiting
+        )
+        return self._is_fresh and claims_only
+
     def _prepare_write(self):
         """Decide what waits; return the write, or the answers alone."""
         claims = dict(self._claims)
