A stop answers every accepted connection; a stale read is no proof of not run

Cause: found by chaos. Ruled out: closing the listener first, which resets connections that wait to be accepted; reading the bucket twice, which may be stale twice. Change: the listener is closed in the server's thread after every waiting connection has been taken, and the process ends once each connection has been idle for 0.25 s; without an endpoint only a first send is told that it was not run.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -136,11 +136,11 @@
         self._wait_idle(grace_end_s - self._clock.now_s())
         self.gateway.move_relays()
         self._wait_idle(_FLUSH_LIMIT_S)
-        self._wait_flushed()
+        callers.stop_accepting(self._server)
+        self._wait_quiet()
         for loop in self._loops:
             loop.stop()
         self._peers.leave()
-        self._server.close()
 
     def _remove_registration(self):
         """Take the registration away; the store may be down."""
@@ -411,11 +411,10 @@
                 return
             self._clock.wait(threading.Event(), _DRAIN_POLL_S)
 
-    def _wait_flushed(self):
-        """Wait until every answer has left this process."""
+    def _wait_quiet(self):
+        """Wait until no connection has anything under way."""
         end_s = self._clock.now_s() + _FLUSH_LIMIT_S
         while self._clock.now_s() < end_s:
-            channels = list(self._server.active_channels.values())
-            if not any(each.total_outbufs_len for each in channels):
+            if callers.is_quiet(self._server, self._clock.wall_s()):
                 return
             self._clock.wait(threading.Event(), _DRAIN_POLL_S)
--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -327,7 +327,8 @@
         Raises
         ------
         RefusedError
-            When there is no earlier send, or it has not run.
+            When no earlier send is found. A read may be stale, so that
+            only a first send is told that it was not run.
         """
         probe = self._make_claim(run, 0, _NO_ROUTE)
         found = self._claims.look(run.key.bucket, probe)
@@ -340,7 +341,7 @@
                 answer = self._join(run, claim)
                 if answer is not None:
                     return answer
-        raise _refuse_no_capacity()
+        raise callers.doubt(run.request, _NO_CAPACITY)
 
     def _look_again(self, run, claim):
         """Return the claim as it stands in the store now."""
@@ -428,11 +429,9 @@
     )
 
 
-def _refuse_no_capacity():
-    """Return the refusal of a booking that no endpoint took."""
-    return callers.refuse(
-        errors.RefusalKind.NO_CAPACITY,
-        "no endpoint took the booking",
-        "resend with the same key",
-        retry_after_s=1.0,
-    )
+_NO_CAPACITY = errors.Refusal(
+    errors.RefusalKind.NO_CAPACITY,
+    "no endpoint took the booking",
+    "resend with the same key",
+    retry_after_s=1.0,
+)
--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -10,17 +10,21 @@
 
 import attrs
 import waitress
+from waitress import wasyncore
 
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import callers as messages
 from mulberryhollow.state import environment as environment_module
 
-__all__ = ["CallerApp", "make_server"]
+__all__ = ["CallerApp", "is_quiet", "make_server", "stop_accepting"]
 
 MAX_READ_BYTES = 2 * 1024 * 1024
 """Largest body that is read at all, in bytes."""
 
+QUIET_S = 0.25
+"""Time without a byte after which a connection counts as idle."""
+
 _BUFFER_BYTES = 64 * 1024 * 1024
 _WATERMARK_BYTES = 256 * 1024
 _BACKLOG = 1024
@@ -393,3 +397,42 @@
         clear_untrusted_proxy_headers=True,
         ident="",
     )
+
+
+def stop_accepting(server):
+    """Take every waiting connection, then refuse further ones.
+
+    Parameters
+    ----------
+    server : waitress server
+        A running server; connections that it has go on.
+    """
+    server.trigger.pull_trigger(lambda: _close_listener(server))
+
+
+def _close_listener(server):
+    """Close the listening socket, in the server's own thread."""
+    for _ in range(_BACKLOG):
+        count = len(server.active_channels)
+        server.handle_accept()
+        if len(server.active_channels) == count:
+            break
+    wasyncore.dispatcher.close(server)
+
+
+def is_quiet(server, now_s):
+    """Return whether every connection has been idle for a moment.
+
+    Parameters
+    ----------
+    server : waitress server
+        A running server.
+    now_s : float
+        Wall-clock time, in Unix seconds.
+    """
+    return not any(
+        channel.requests
+        or channel.total_outbufs_len
+        or now_s - channel.last_activity < QUIET_S
+        for channel in list(server.active_channels.values())
+    )
--- a/tests/daemon/reclaim.feature
+++ b/tests/daemon/reclaim.feature
@@ -35,3 +35,7 @@
     When a chat of 200 tokens is streamed from an instance that is reclaimed with its engine
     Then the caller is told where the answer goes on
     And the rest from another instance makes the answer whole
+
+  Scenario: An instance that stops answers every connection that it accepted
+    When callers keep sending to an instance that gets SIGTERM
+    Then every call was answered or found no listener
--- a/tests/steps/daemon_reclaim.py
+++ b/tests/steps/daemon_reclaim.py
@@ -1,5 +1,7 @@
 import time
 
+import urllib3
+
 from behave import then
 from behave import when
 
@@ -223,3 +225,43 @@
     assert answer.status == 200, answer.data
     wanted = expected.make_text("v1", site_fixture.PROMPT, context.count)
     assert answer.json()["text"] == wanted
+
+
+def call_until_gone(address, end_s):
+    """Send look-ups over new connections; return each failure."""
+    found = []
+    while time.monotonic() < end_s:
+        try:
+            sites.call(
+                address,
+                "POST",
+                site_fixture.LOOKUP,
+                {"query": "x"},
+                site_fixture.KEY,
+            )
+        except urllib3.exceptions.NewConnectionError:
+            return found
+        except urllib3.exceptions.HTTPError as error:
+            found.append(error)
+    return found
+
+
+@when("callers keep sending to an instance that gets SIGTERM")
+def send_while_stopping(context):
+    shared = context.shared
+    name = shared.add_entry()
+    shared.wait_ready()
+    address = shared.entry_names.pop(name)
+    end_s = time.monotonic() + 20.0
+    calls = [
+        site_fixture.Background(call_until_gone, address, end_s)
+        for _ in range(6)
+    ]
+    time.sleep(0.5)
+    shared.fleet.terminate(name)
+    context.failures = [each for call in calls for each in call.wait()]
+
+
+@then("every call was answered or found no listener")
+def check_answered(context):
+    assert not context.failures, context.failures
