--- a/mulberryhollow/transport/gossip.py
+++ b/mulberryhollow/transport/gossip.py
@@ -16,6 +16,7 @@
 from mulberryhollow.protocol.peers import EnvelopeError
 from mulberryhollow.state import facts
 from mulberryhollow.transport import peers
+from mulberryhollow.transport import traffic
 
 __all__ = ["Gossip", "GossipSettings", "PROBE_TOPIC", "Peers"]
 
@@ -178,7 +179,7 @@
         super().__init__()
         self._clock = clock
         self._settings = settings or GossipSettings()
-        self.traffic = peers.Traffic()
+        self.traffic = traffic.Traffic()
         self._handlers = dict(handlers or {})
         self._handlers[PROBE_TOPIC] = self._run_probe
         self._server = peers.PeerServer(
--- a/tests/steps/transport_peers.py
+++ b/tests/steps/transport_peers.py
@@ -19,7 +19,9 @@
 from mulberryhollow.state.facts import Fact
 from mulberryhollow.state.facts import Topic
 from mulberryhollow.transport import gossip
+from mulberryhollow.transport import peer_sockets
 from mulberryhollow.transport import peers
+from mulberryhollow.transport import traffic
 from tests.membership_cluster import make_member
 
 KEY = b"k" * 32
@@ -65,13 +67,13 @@
 
 def start_client(context, key=KEY):
     context.signer = make_signer(2, "127.0.0.1:1", key)
-    context.traffic = peers.Traffic()
+    context.traffic = traffic.Traffic()
     context.client = peers.PeerClient(context.signer, context.traffic)
     context.add_cleanup(context.client.close)
 
 
 def open_connection(context):
-    return peers.Connection(context.address, TIMEOUT_S, peers.Traffic())
+    return peers.Connection(context.address, TIMEOUT_S, traffic.Traffic())
 
 
 def send_raw(context, envelope):
@@ -199,7 +201,7 @@
         context.connections.add(threading.get_ident())
         return answer(envelope)
 
-    server = peers.ThriftServer(FakeService(answer_and_note), ANY)
+    server = peer_sockets.ThriftServer(FakeService(answer_and_note), ANY)
     threading.Thread(target=server.serve, daemon=True).start()
     context.add_cleanup(server.stop)
     context.address = server.address
