Refusals of an instance without a document; claims in bounded time

Ruled out: holding callers back until a document is there. Change: without a document or while leaving, a booking that is not marked as a first send is "outcome unknown"; a claim waits 3 s for the store at most; a join keeps 3 s for its last look.

--- a/mulberryhollow/protocol/callers.py
+++ b/mulberryhollow/protocol/callers.py
@@ -17,6 +17,7 @@
     "GenerateRequest",
     "LookupRequest",
     "doubt",
+    "doubt_refusal",
     "encode_refusal",
     "make_request_id",
     "parse_body",
@@ -164,11 +165,18 @@
     RefusedError
         With `Ran.UNKNOWN` unless the caller sends it for the first time.
     """
-    if request.is_first_send or refusal.ran is not errors.Ran.NOT_RUN:
+    if request.is_first_send:
         return errors.RefusedError(refusal)
+    return errors.RefusedError(doubt_refusal(refusal))
+
+
+def doubt_refusal(refusal):
+    """Return a refusal with "not run" taken back."""
+    if refusal.ran is not errors.Ran.NOT_RUN:
+        return refusal
     message = f"{refusal.message}; an earlier send may have run"
-    return errors.RefusedError(
-        dataclasses.replace(refusal, message=message, ran=errors.Ran.UNKNOWN)
+    return dataclasses.replace(
+        refusal, message=message, ran=errors.Ran.UNKNOWN
     )
 
 
--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -26,6 +26,9 @@
 JOIN_INTERVAL_S = 0.1
 """Time between two looks at a booking that another attempt runs."""
 
+JOIN_MARGIN_S = 3.0
+"""Time kept for a last look before the deadline, in seconds."""
+
 STORE_RETRY_S = 5.0
 """When to come back after the store gave no usable answer, in seconds."""
 
@@ -316,7 +319,7 @@
             now_s = self._clock.wall_s()
             if now_s > claim.run_until_s:
                 return self._settle(run, claim)
-            if now_s > run.request.deadline_s:
+            if now_s > run.request.deadline_s - JOIN_MARGIN_S:
                 raise _refuse_unknown()
             self._clock.wait(threading.Event(), JOIN_INTERVAL_S)
             claim = self._look_again(run, claim)
--- a/mulberryhollow/serving/claims.py
+++ b/mulberryhollow/serving/claims.py
@@ -17,6 +17,9 @@
 KIND = "claims"
 """Kind of the bucket objects."""
 
+CLAIM_TIMEOUT_S = 3.0
+"""Longest wait for the store to take a claim, in seconds."""
+
 _STORE_THREADS = 8
 _IDLE_BUCKETS = 64
 
@@ -247,10 +250,19 @@
         return result
 
     def _run_here(self, call):
-        """Carry out a call at this instance."""
+        """Carry out a call at this instance, within a bounded time.
+
+        Notes
+        -----
+        A claim that is stored after that time is granted to nobody: its
+        attempt sends nothing, and a resend settles it.
+        """
         future = concurrent.futures.Future()
         self._actor.tell(_Submit(call, future))
-        return future.result()
+        try:
+            return future.result(CLAIM_TIMEOUT_S)
+        except TimeoutError:
+            return booking.Unwritten("the store did not answer in time")
 
 
 def _submit(bucket, call, future):
--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -29,6 +29,8 @@
 _WATERMARK_BYTES = 256 * 1024
 _BACKLOG = 1024
 _SERVICE_PATH = re.compile(r"/v1/services/([A-Za-z0-9._-]+)/([a-z]+)")
+_BOOKING = environment_module.RequestClass.BOOKING.value
+_UNCHECKED = (errors.RefusalKind.NO_CAPACITY, errors.RefusalKind.LEAVING)
 _REQUEST_PATH = re.compile(r"/v1/requests/([A-Za-z0-9._-]+)")
 
 INTERNAL_ERROR = events.declare(
@@ -91,7 +93,7 @@
             return self._route()
         except errors.RefusedError as error:
             self._held.close()
-            return self._send_refusal(error.refusal)
+            return self._send_refusal(self._check_refusal(error.refusal))
         except errors.MovedError:
             self._held.close()
             return self._send_moved()
@@ -103,6 +105,20 @@
             events.log(INTERNAL_ERROR, error=repr(error))
             return self._send_refusal(_INTERNAL)
 
+    def _check_refusal(self, refusal):
+        """Take "not run" back where an earlier send may have run.
+
+        Notes
+        -----
+        An instance without a document cannot know any booking.
+        """
+        call = _SERVICE_PATH.fullmatch(self._environ["PATH_INFO"])
+        is_booking = call is not None and call.group(2) == _BOOKING
+        is_first = self._get_header("X-Send-Number") == "1"
+        if is_booking and not is_first and refusal.kind in _UNCHECKED:
+            return messages.doubt_refusal(refusal)
+        return refusal
+
     def send(self, reply):
         """Send a whole answer."""
         headers = [
--- /dev/null
+++ b/tests/transport/callers.feature
@@ -0,0 +1,11 @@
+Feature: Answers to callers
+
+  Scenario Outline: An instance without a document knows no booking
+    Given a caller application without a document
+    When a booking is posted to it with send number <number>
+    Then the application answers 503 with <ran>
+
+    Examples:
+      | number | ran             |
+      | 1      | not run         |
+      | 2      | outcome unknown |
