--- a/mulberryhollow/daemon/settings.py
+++ b/mulberryhollow/daemon/settings.py
@@ -133,7 +133,7 @@
     "platform",
     "list_interval_s",
     _parse_positive,
-    2.0,
+    1.0,
     "seconds",
     "time between two reads of the list of instances",
 )
--- a/mulberryhollow/serving/feeds.py
+++ b/mulberryhollow/serving/feeds.py
@@ -12,7 +12,7 @@
 
 __all__ = ["EndpointFeed", "LoadFeed", "Loop", "NoticeFeed"]
 
-CACHE_EVENTS_EVERY = 5
+CACHE_EVENTS_EVERY = 3
 """Load reports that are read between two reads of cache events."""
 
 _PARALLEL_READS = 8
