Use the request id's own reader, one member kind, one reader of process use

Cause: read once more as a whole, a peer link took a request id apart by hand beside the function for it, the kind of registration objects stood twice, and two benchmarks read /proc by copies of one another. After: behaviour as before; layers, transport and answers features pass.

--- a/mulberryhollow/protocol/callers.py
+++ b/mulberryhollow/protocol/callers.py
@@ -19,6 +19,8 @@
     "doubt",
     "doubt_refusal",
     "encode_refusal",
+    "get_origin",
+    "is_request_id",
     "make_request_id",
     "parse_body",
     "parse_timeout",
--- a/mulberryhollow/serving/peering.py
+++ b/mulberryhollow/serving/peering.py
@@ -9,6 +9,7 @@
 
 from mulberryhollow.coordination import membership
 from mulberryhollow import errors
+from mulberryhollow.protocol import callers
 from mulberryhollow.protocol import cloud
 from mulberryhollow.protocol import handover
 from mulberryhollow.serving import documents
@@ -232,7 +233,7 @@
 
     def fetch(self, request_id):
         """Ask peers for an answer; return it, or None."""
-        origin = request_id.rpartition("_")[0]
+        origin = callers.get_origin(request_id)
         ranked = self._rank(request_id, self.usable)[:FETCH_PEERS]
         names = dict.fromkeys([origin, *ranked])
         for name in names:
--- a/mulberryhollow/serving/registry.py
+++ b/mulberryhollow/serving/registry.py
@@ -15,9 +15,6 @@
 
 __all__ = ["Registry"]
 
-KIND = "member"
-"""Kind of the registration objects."""
-
 MEMBER_PATH = "/member"
 """Page of an instance that shows its registration."""
 
@@ -61,7 +58,7 @@
             return
         me = self._peers.me()
         try:
-            _, found = self._store.list_objects(KIND)
+            _, found = self._store.list_objects(membership.KIND)
         except errors.StoreUnavailableError:
             self._meet_listed(me)
             raise
@@ -74,7 +71,7 @@
         """Remove the own object; a failure leaves it to be replaced."""
         if self._version:
             name = self._peers.me().instance_id
-            self._store.delete(KIND, name, self._version)
+            self._store.delete(membership.KIND, name, self._version)
 
     def _write(self, me, found):
         """Write the own object over an older one of the same instance."""
@@ -83,10 +80,12 @@
         change_id = store_adapter.make_change_id()
         expected = versions[0] if versions else 0
         outcome = self._store.put(
-            KIND, me.instance_id, value, expected, change_id
+            membership.KIND, me.instance_id, value, expected, change_id
         )
         if isinstance(outcome, objects.Unknown):
-            outcome = self._store.settle(KIND, me.instance_id, change_id)
+            outcome = self._store.settle(
+                membership.KIND, me.instance_id, change_id
+            )
         match outcome:
             case objects.Done(version):
                 self._version = version
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -6,7 +6,7 @@
 
 from tools import bench
 
-_SHARED = {"__main__", "figure"}
+_SHARED = {"__main__", "figure", "usage"}
 
 
 def list_benchmarks():
--- a/tools/bench/control.py
+++ b/tools/bench/control.py
@@ -1,10 +1,10 @@
 """Control traffic and processor time of eight entry daemons."""
 
 import concurrent.futures
-import os
 import time
 
 from tools.bench import figure
+from tools.bench import usage
 from tools import processes
 from tools import site as sites
 
@@ -27,7 +27,6 @@
 
 KEY = "example-key-brunner-desk"
 _CHAT = "/v1/services/call-chat/chat"
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 def run():
@@ -72,7 +71,7 @@
     """Yield what the instances spend while some work is done."""
     pids = [fleet.children[f"entry-{n}"].pid for n in range(ENTRIES)]
     before = [_read_bytes(address) for address in site.entries]
-    before_s = [_read_processor_time(pid) for pid in pids]
+    before_s = [usage.read_processor_time(pid) for pid in pids]
     begin_s = time.monotonic()
     work()
     spent_s = time.monotonic() - begin_s
@@ -81,7 +80,7 @@
         for address, first in zip(site.entries, before, strict=True)
     ]
     shares = [
-        (_read_processor_time(pid) - first_s) / spent_s
+        (usage.read_processor_time(pid) - first_s) / spent_s
         for pid, first_s in zip(pids, before_s, strict=True)
     ]
     mean = sum(rates) / ENTRIES
@@ -106,7 +105,7 @@
     )
     yield figure.Figure(
         f"memory, largest, {name}",
-        max(_read_memory_mb(pid) for pid in pids),
+        max(usage.read_memory_kb(pid) / 1e3 for pid in pids),
         "MB",
         at_most=MEMORY_MB,
     )
@@ -115,17 +114,3 @@
 def _read_bytes(address):
     """Return the control bytes that an instance has carried."""
     return sites.call(address, "GET", "/status").json()["control_bytes"]
-
-
-def _read_processor_time(pid):
-    """Return the processor time that a process has used, in seconds."""
-    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
-
-
-def _read_memory_mb(pid):
-    """Return the resident memory of a process, in MB."""
-    with open(f"/proc/{pid}/status", encoding="utf-8") as file:
-        lines = dict(line.split(":", 1) for line in file)
-    return int(lines["VmRSS"].split()[0]) / 1e3
--- a/tools/bench/path.py
+++ b/tools/bench/path.py
@@ -3,7 +3,6 @@
 import concurrent.futures
 import itertools
 import json
-import os
 import threading
 import time
 
@@ -11,6 +10,7 @@
 import waitress
 
 from tools.bench import figure
+from tools.bench import usage
 from tools import processes
 from tools import site as sites
 
@@ -34,7 +34,6 @@
 NODES = 830
 """Nodes of the target."""
 
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _LOOKUP = "/v1/services/slots/lookup"
 _BOOKING = "/v1/services/fitter-bookings/booking"
 _CHAT = "/v1/services/call-chat/chat"
@@ -157,10 +156,10 @@
 
 def _measure_relay(entry, pid):
     """Yield the processor time of an instance for each token relayed."""
-    before_s = _read_processor_time(pid)
+    before_s = usage.read_processor_time(pid)
     body = {"prompt": "x", "max_tokens": STREAM_TOKENS, "stream": True}
     answer = _post(entry, _CHAT, body)
-    spent_s = _read_processor_time(pid) - before_s
+    spent_s = usage.read_processor_time(pid) - before_s
     tokens = answer.data.count(b"\nid: ") + 1
     assert tokens >= STREAM_TOKENS, answer.data[-300:]
     whole_core_us = 1e6 / (PEAK_TOKENS_PER_S / NODES)
@@ -179,14 +178,14 @@
     body = {"prompt": "x", "max_tokens": 60, "stream": True}
     path = "/v1/services/job-history/patient"
     time.sleep(3.0)
-    before_kb = _read_memory(pid)
+    before_kb = usage.read_memory_kb(pid)
     with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
         calls = [
             pool.submit(sites.call, entry, "POST", path, body, PATIENT_KEY)
             for _ in range(STREAMS)
         ]
         time.sleep(2.0)
-        during_kb = _read_memory(pid)
+        during_kb = usage.read_memory_kb(pid)
         answers = [each.result() for each in calls]
     served = sum(answer.status == 200 for answer in answers)
     yield figure.Figure("streams open at once", served, "count")
@@ -196,20 +195,6 @@
     yield figure.Figure("memory of the instance", during_kb / 1e3, "MB")
 
 
-def _read_memory(pid):
-    """Return the resident memory of a process, in kB."""
-    with open(f"/proc/{pid}/status", encoding="utf-8") as file:
-        lines = dict(line.split(":", 1) for line in file)
-    return int(lines["VmRSS"].split()[0])
-
-
-def _read_processor_time(pid):
-    """Return the processor time that a process has used, in seconds."""
-    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
-
-
 def _measure_bookings(store, entries):
     """Yield store calls for each booking, one by one and at once.
 
