--- a/mulberryhollow/clock.py
+++ b/mulberryhollow/clock.py
@@ -17,6 +17,10 @@
         """Return wall-clock time, in seconds since the Unix epoch."""
         raise NotImplementedError
 
+    def elapsed_s(self):
+        """Return monotonic time that also counts suspension, in seconds."""
+        return self.now_s()
+
     def wait(self, event, timeout_s):
         """Wait for a threading.Event; return whether it was set.
 
@@ -41,6 +45,10 @@
         """Return wall-clock time, in seconds since the Unix epoch."""
         return time.time()
 
+    def elapsed_s(self):
+        """Return monotonic time that also counts suspension, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wait(self, event, timeout_s):
         """Wait for a threading.Event; return whether it was set."""
         return event.wait(timeout_s)
--- a/mulberryhollow/coordination/admission/demand.py
+++ b/mulberryhollow/coordination/admission/demand.py
@@ -3,6 +3,8 @@
 import collections
 import math
 
+import attrs
+
 __all__ = ["DemandTable"]
 
 DECAY_S = 2.0
@@ -33,6 +35,15 @@
         return self._amount * math.exp(-age_s / DECAY_S)
 
 
+@attrs.frozen
+class _Report:
+    """Demand that a peer has told."""
+
+    at_s: float
+    demand: dict
+    count: int
+
+
 class DemandTable:
     """Own demand and the latest reports of peers."""
 
@@ -67,8 +78,14 @@
         """Return the demand here by account, in tokens a second."""
         return {name: rate.get(now_s) for name, rate in self._own.items()}
 
-    def set_report(self, node, demand, now_s):
-        """Take over a peer's demand.
+    def sum_all(self, now_s):
+        """Return the demand here and at the peers that have told it."""
+        total = collections.Counter(self._peer_sums)
+        total.update(self.list_own(now_s))
+        return dict(total)
+
+    def set_report(self, node, demand, now_s, count=1):
+        """Take over a peer's demand, or that of several together.
 
         Parameters
         ----------
@@ -78,17 +95,19 @@
             The peer's `list_own`.
         now_s : float
             The time, in seconds.
+        count : int
+            Peers that the report covers.
         """
         self._remove(node)
-        self._reports[node] = now_s, dict(demand)
+        self._reports[node] = _Report(now_s, dict(demand), count)
         self._peer_sums.update(demand)
 
     def expire(self, now_s):
         """Drop reports that are too old to count."""
         old = [
             node
-            for node, (at_s, _) in self._reports.items()
-            if now_s - at_s > REPORT_LIFETIME_S
+            for node, report in self._reports.items()
+            if now_s - report.at_s > REPORT_LIFETIME_S
         ]
         for node in old:
             self._remove(node)
@@ -122,7 +141,7 @@
             the fraction is one by the number of nodes.
         """
         own = self.get_own(account, now_s) + prior
-        reported = len(self._reports)
+        reported = sum(each.count for each in self._reports.values())
         silent = max(0, nodes - 1 - reported)
         peers = max(0.0, self._peer_sums[account]) + prior * reported
         if not own:
@@ -131,7 +150,8 @@
 
     def _remove(self, node):
         """Take a peer's report out of the sums."""
-        _, demand = self._reports.pop(node, (0.0, {}))
-        self._peer_sums.subtract(demand)
+        report = self._reports.pop(node, None)
+        if report is not None:
+            self._peer_sums.subtract(report.demand)
         if not self._reports:
             self._peer_sums.clear()
--- /dev/null
+++ b/mulberryhollow/coordination/duties/__init__.py
@@ -0,0 +1,9 @@
+"""Duties that one instance has at a time."""
+
+from mulberryhollow.coordination.duties.lease import Lease
+from mulberryhollow.coordination.duties.lease import LeaseRules
+from mulberryhollow.coordination.duties.lease import Read
+from mulberryhollow.coordination.duties.lease import Write
+from mulberryhollow.coordination.duties.usage import UsageLedger
+
+__all__ = ["Lease", "LeaseRules", "Read", "UsageLedger", "Write"]
--- /dev/null
+++ b/mulberryhollow/coordination/limits/__init__.py
@@ -0,0 +1,15 @@
+"""Limits that hold over all instances together."""
+
+from mulberryhollow.coordination.limits.quota import OverQuota
+from mulberryhollow.coordination.limits.quota import QuotaRules
+from mulberryhollow.coordination.limits.quota import QuotaTable
+from mulberryhollow.coordination.limits.retries import RetryRules
+from mulberryhollow.coordination.limits.retries import SharedRetryBudget
+
+__all__ = [
+    "OverQuota",
+    "QuotaRules",
+    "QuotaTable",
+    "RetryRules",
+    "SharedRetryBudget",
+]
--- /dev/null
+++ b/mulberryhollow/coordination/limits/quota.py
@@ -0,0 +1,263 @@
+"""Quotas of client accounts over all instances."""
+
+import attrs
+
+from mulberryhollow.coordination.admission.demand import DemandTable
+from mulberryhollow.coordination.admission.demand import REPORT_LIFETIME_S
+
+__all__ = ["OverQuota", "QuotaRules", "QuotaTable"]
+
+PRIOR_PART = 0.02
+"""Demand assumed at each instance, as a part of the quota's rate.
+
+It spreads the quota of an account without demand evenly.
+"""
+
+RATE_SLACK = 0.3
+"""Part of the tolerated slack that is given out as rate over a window."""
+
+BURST_SLACK = 0.15
+"""Part of the tolerated slack that is given out as burst.
+
+The rest, nearly half, covers reports of demand that are late and the last
+request of each instance, which may leave a debt.
+"""
+
+SMALL_SLACK = 0.1
+"""Part of the tolerated slack that is kept for small requests, as rate."""
+
+SMALL_PART = 0.005
+"""Largest small request, as a part of the quota's burst.
+
+An account that is held up by the debt of a large request still gets its
+bookings and look-ups served, which together hardly count.
+"""
+
+
+@attrs.frozen
+class QuotaRules:
+    """How far a quota may be overrun by all instances together.
+
+    Parameters
+    ----------
+    overrun : float
+        Tolerated part above the quota.
+    slack : float
+        Tolerated amount above it in any window, in units.
+    window_s : float
+        Length of a window, in seconds.
+    """
+
+    overrun: float = 0.0
+    slack: float = 0.0
+    window_s: float = 8.0
+
+
+@attrs.frozen
+class OverQuota:
+    """A request is beyond this instance's part of its account's quota.
+
+    Parameters
+    ----------
+    account : str
+        The client account.
+    wait_s : float
+        When there is credit again, in seconds.
+    credit : float
+        Credit left here, in units; 0 or a debt.
+    fraction : float
+        This instance's part of the quota, 0 to 1.
+    rate_per_s : float
+        Refill here, in units a second.
+    """
+
+    account: str
+    wait_s: float
+    credit: float
+    fraction: float
+    rate_per_s: float
+
+
+@attrs.frozen
+class _Others:
+    """What the others have told, and own demand at that time."""
+
+    at_s: float
+    demand: dict
+    count: int
+    own: dict
+
+
+@attrs.define
+class _Bucket:
+    """What is left of one account's part."""
+
+    credit: float
+    at_s: float
+
+
+class QuotaTable:
+    """Part of every quota that one instance gives out.
+
+    Parameters
+    ----------
+    rules : QuotaRules
+        How far quotas may be overrun.
+
+    Notes
+    -----
+    An account's part here is the part of its demand that arrives here,
+    so that the parts add up to one. A peer that tells nothing is taken to
+    see the same demand as this instance. A request needs some credit and
+    may leave a debt, so large requests pass as well as small ones.
+    """
+
+    def __init__(self, rules=QuotaRules()):
+        self._rules = rules
+        self._nodes = 1
+        self._quotas = {}
+        self._buckets = {}
+        self._small_buckets = {}
+        self._demand = DemandTable()
+        self._others = None
+
+    def set_rules(self, rules):
+        """Use other tolerances from now on."""
+        self._rules = rules
+
+    def set_live_nodes(self, nodes, now_s):
+        """Set the number of instances that admit requests.
+
+        Parameters
+        ----------
+        nodes : int
+            Their number, this one included.
+        now_s : float
+            The time, in seconds.
+        """
+        self._nodes = max(1, nodes)
+
+    def set_quotas(self, quotas):
+        """Take over the quota of each client account.
+
+        Parameters
+        ----------
+        quotas : dict
+            Client account to its Quota.
+        """
+        self._quotas = {
+            name: quota for name, quota in quotas.items() if quota.is_limited
+        }
+        self._demand.keep_accounts(self._quotas)
+        for buckets in (self._buckets, self._small_buckets):
+            for name in buckets.keys() - self._quotas.keys():
+                del buckets[name]
+
+    def list_demand(self, now_s):
+        """Return the demand here by account, in units a second."""
+        return self._demand.list_own(now_s)
+
+    def report_demand(self, node, demand, now_s, count=1):
+        """Take over the demand that the other instances have told.
+
+        Parameters
+        ----------
+        node : str
+            Who tells it; a later report replaces it.
+        demand : dict
+            Client account to its demand, in units a second.
+        now_s : float
+            The time, in seconds.
+        count : int
+            Instances that it covers.
+        """
+        self._others = _Others(now_s, demand, count, self.list_demand(now_s))
+
+    def spend(self, account, cost, now_s):
+        """Charge a request to its account.
+
+        Parameters
+        ----------
+        account : str
+            The client account.
+        cost : float
+            What the request counts, in units.
+        now_s : float
+            The time, in seconds.
+
+        Returns
+        -------
+        OverQuota or None
+            None when it is admitted.
+        """
+        quota = self._quotas.get(account)
+        if quota is None:
+            return None
+        self._demand.add(account, cost, now_s)
+        fraction = self._find_fraction(account, quota, now_s)
+        rate = self._find_rate(quota) * fraction
+        burst = self._find_burst(quota, fraction)
+        start = self._find_burst(quota, 1.0 / self._nodes)
+        bucket = _refill(self._buckets, account, rate, burst, now_s, start)
+        if bucket.credit > 0:
+            bucket.credit -= cost
+            return None
+        if self._spend_small(account, quota, fraction, cost, now_s):
+            return None
+        wait_s = (1.0 - bucket.credit) / rate
+        return OverQuota(account, wait_s, bucket.credit, fraction, rate)
+
+    def _spend_small(self, account, quota, fraction, cost, now_s):
+        """Charge a small request to what is kept for such ones."""
+        if cost > SMALL_PART * quota.burst:
+            return False
+        rules = self._rules
+        rate = SMALL_SLACK * rules.slack / rules.window_s * fraction
+        buckets = self._small_buckets
+        burst = max(rate, cost)
+        bucket = _refill(buckets, account, rate, burst, now_s, burst)
+        if bucket.credit < cost:
+            return False
+        bucket.credit -= cost
+        return True
+
+    def _find_fraction(self, account, quota, now_s):
+        """Return the part of an account's demand that arrives here.
+
+        Notes
+        -----
+        Own demand counts as of the others' report, not as of now: when
+        the demand jumps everywhere at once, no instance takes the jump
+        for its own alone.
+        """
+        others = self._others
+        if others is None or now_s - others.at_s > REPORT_LIFETIME_S:
+            return 1.0 / self._nodes
+        prior = PRIOR_PART * quota.rate_per_s
+        own = others.own.get(account, 0.0) + prior
+        silent = max(0, self._nodes - 1 - others.count)
+        told = others.demand.get(account, 0.0) + prior * others.count
+        return own / (own * (1 + silent) + told)
+
+    def _find_rate(self, quota):
+        """Return the rate of an account over all instances."""
+        rules = self._rules
+        slack_rate = RATE_SLACK * rules.slack / rules.window_s
+        return quota.rate_per_s * (1.0 + rules.overrun) + slack_rate
+
+    def _find_burst(self, quota, fraction):
+        """Return the size of an account's bucket here."""
+        rules = self._rules
+        burst = quota.burst * (1.0 + rules.overrun) * fraction
+        return burst + BURST_SLACK * rules.slack / self._nodes
+
+
+def _refill(buckets, account, rate, burst, now_s, start):
+    """Return an account's bucket as of now; a new one has the start."""
+    bucket = buckets.get(account)
+    if bucket is None:
+        bucket = buckets[account] = _Bucket(start, now_s)
+    gained = rate * max(0.0, now_s - bucket.at_s)
+    bucket.credit = min(burst, bucket.credit + gained)
+    bucket.at_s = now_s
+    return bucket
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -7,7 +7,30 @@
 from mulberryhollow import errors
 from mulberryhollow.state import environment
 
-__all__ = ["Chosen", "NoEndpoint", "RouteRequest"]
+__all__ = ["Chosen", "NoEndpoint", "PromptChain", "RouteRequest"]
+
+
+@attrs.frozen
+class PromptChain:
+    """A prompt as the parts that endpoints keep in their caches.
+
+    Parameters
+    ----------
+    hashes : tuple of int
+        Hash of each prefix of whole parts, the shortest first.
+    ends : tuple of int
+        Tokens of each of these prefixes.
+    tokens : int
+        Tokens of the whole prompt.
+    """
+
+    hashes: tuple = ()
+    ends: tuple = ()
+    tokens: int = 0
+
+    def count_tokens(self, parts):
+        """Return the tokens of that many leading parts."""
+        return self.ends[parts - 1] if parts else 0
 
 
 @attrs.frozen
@@ -27,6 +50,9 @@
         Prompt of a model request; empty for a plain service.
     request_class : RequestClass
         Its class.
+    chain : PromptChain or None
+        Its prompt, where the caller names the parts; None to take the
+        parts from `prompt`.
     deadline_s : float
         When its caller stops waiting, in seconds of the clock.
     idempotent : bool
@@ -41,6 +67,7 @@
     request_class: environment.RequestClass = environment.RequestClass.CHAT
     deadline_s: float = float("inf")
     idempotent: bool = True
+    chain: PromptChain | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,6 +87,10 @@
         Expected time to the first token, in seconds.
     hashes : tuple of int
         For `PrefixIndex.insert` once the request is sent.
+    identity : str
+        The id by which the endpoint knows itself.
+    compute_s : float
+        Time that its prompt is expected to take there, in seconds.
     """
 
     endpoint_id: str
@@ -70,6 +101,8 @@
     computed_tokens: int = 0
     expected_first_token_s: float = 0.0
     hashes: tuple = ()
+    identity: str = ""
+    compute_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -23,6 +23,18 @@
 PEERS_COUNTED = 4
 PROBE_PENALTY_S = 1_000.0
 
+LEARNED_TOKENS = 2_000
+"""Fewest computed tokens from which the pace is learned.
+
+Below it, the time of a first token is mostly that of a single step.
+"""
+
+FALL_PART = 0.3
+"""Weight of a sample below the estimate of the pace."""
+
+RISE_PART = 0.01
+"""Weight of a sample above the estimate of the pace."""
+
 
 @attrs.frozen
 class RoutingRules:
@@ -43,6 +55,8 @@
     late_s : float
         Computing time that a first token at the deadline is worth, in
         seconds; one halfway to it is worth a quarter.
+    failure_s : float
+        Computing time that a certain failure is worth, in seconds.
     price_s : float
         Computing time that twice the price is worth, in seconds.
     patient_price_s : float
@@ -56,6 +70,7 @@
     hold_s: float = 13.0
     load_s: float = 0.5
     late_s: float = 0.3
+    failure_s: float = 1.0
     price_s: float = 0.0
     patient_price_s: float = 0.1
     sample_count: int = 4
@@ -83,11 +98,40 @@
         self.rules = rules or RoutingRules()
         self._rng = rng or random.Random(0)
         self._nodes = 1
+        self._paces = {}
 
     def set_live_nodes(self, nodes):
         """Set the number of live nodes, this one included."""
         self._nodes = max(1, nodes)
 
+    def learn(self, service, computed_tokens, first_s):
+        """Learn how fast engines compute prompts from a first token.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        computed_tokens : int
+            Prompt tokens that were expected to be computed.
+        first_s : float
+            Time to the first token, in seconds.
+
+        Notes
+        -----
+        Most of the time may have been spent waiting, so the estimate
+        falls fast and rises slowly: it follows the quickest engines.
+        """
+        if computed_tokens < LEARNED_TOKENS:
+            return
+        sample = first_s / computed_tokens
+        pace = self._get_pace(service)
+        part = FALL_PART if sample < pace else RISE_PART
+        self._paces[service] = pace + part * (sample - pace)
+
+    def _get_pace(self, service):
+        """Return the time to compute one prompt token, in seconds."""
+        return self._paces.get(service, self.rules.compute_s_per_token)
+
     def choose(self, request, view, prefixes, now_s, excluded=frozenset()):
         """Choose the endpoint with the lowest expected cost.
 
@@ -154,6 +198,9 @@
             )
             score = compute_s
             score += self.rules.late_s * (first_s / asked.left_s) ** 2
+            score += self.rules.failure_s * record.get_failure_rate(
+                asked.now_s
+            )
             if price_s:
                 dearer = record.endpoint.price_per_hour / floor - 1.0
                 score += price_s * dearer
@@ -173,17 +220,20 @@
             address=endpoint.address,
             version=endpoint.version,
             cost=min(self._nodes, PEERS_COUNTED) * compute_s,
+            compute_s=compute_s,
             cached_tokens=cached,
             computed_tokens=asked.tokens - cached,
             expected_first_token_s=first_s,
-            hashes=asked.hashes,
+            hashes=asked.chain.hashes,
+            identity=endpoint.identity or endpoint.id,
         )
 
     def _estimate_compute_s(self, endpoint_id, asked):
         """Return the time to compute the prompt, in seconds."""
         computed = asked.tokens - asked.count_cached(endpoint_id)
         rules = self.rules
-        return rules.overhead_s + computed * rules.compute_s_per_token
+        pace = self._get_pace(asked.request.service)
+        return rules.overhead_s + computed * pace
 
     def _estimate_wait_s(self, record, now_s, hold_s):
         """Return the time before the prompt is begun, in seconds."""
@@ -216,42 +266,50 @@
     prefixes: prefix_index.PrefixIndex | None
     now_s: float
     left_s: float
-    tokens: int
-    hashes: tuple
+    chain: requests.PromptChain
     holders: dict
 
     @classmethod
     def build(cls, request, prefixes, now_s):
         """Hash the prompt and look up who holds its prefixes."""
-        prompt = request.prompt
-        is_hashed = prefixes is not None and bool(prompt)
-        hashes = prefix_index.hash_prefixes(prompt) if is_hashed else ()
+        chain = request.chain
+        if chain is None:
+            chain = _chain_words(request.prompt, prefixes is not None)
+        is_matched = prefixes is not None and bool(chain.hashes)
         return cls(
             request,
             prefixes,
             now_s,
             max(LEAST_LEFT_S, request.deadline_s - now_s),
-            _count_tokens(prompt, hashes),
-            hashes,
-            prefixes.match_hashes(hashes) if hashes else {},
+            chain,
+            prefixes.match_hashes(chain.hashes) if is_matched else {},
         )
 
+    @property
+    def tokens(self):
+        """Tokens of the prompt."""
+        return self.chain.tokens
+
     def count_cached(self, endpoint_id):
         """Return the prompt tokens that an endpoint should hold."""
-        if not self.hashes:
+        if self.prefixes is None or not self.chain.hashes:
             return 0
-        blocks = self.holders.get(endpoint_id)
-        if blocks is None:
-            blocks = self.prefixes.count_blocks(endpoint_id, self.hashes)
-        return blocks * prefix_index.BLOCK_WORDS
+        parts = self.holders.get(endpoint_id)
+        if parts is None:
+            parts = self.prefixes.count_blocks(endpoint_id, self.chain.hashes)
+        return self.chain.count_tokens(parts)
 
 
-def _count_tokens(prompt, hashes):
-    """Return the words of a prompt, its blocks counted at least."""
+def _chain_words(prompt, is_hashed):
+    """Return a text as a chain of blocks of words, counted as tokens."""
     if not prompt:
-        return 0
-    whole = len(hashes) * prefix_index.BLOCK_WORDS
-    return max(whole, prompt.count(" ") + 1)
+        return requests.PromptChain()
+    hashes = prefix_index.hash_prefixes(prompt) if is_hashed else ()
+    ends = tuple(
+        count * prefix_index.BLOCK_WORDS for count in range(1, len(hashes) + 1)
+    )
+    tokens = max(ends[-1] if ends else 0, prompt.count(" ") + 1)
+    return requests.PromptChain(hashes, ends, tokens)
 
 
 def _penalize_probe(record):
--- /dev/null
+++ b/mulberryhollow/coordination/sharing/__init__.py
@@ -0,0 +1,8 @@
+"""Sums over all instances, by way of one instance a failure domain."""
+
+from mulberryhollow.coordination.sharing.sums import Amounts
+from mulberryhollow.coordination.sharing.sums import rank_collectors
+from mulberryhollow.coordination.sharing.sums import SumTable
+from mulberryhollow.coordination.sharing.sums import Total
+
+__all__ = ["Amounts", "SumTable", "Total", "rank_collectors"]
--- a/mulberryhollow/coordination/streams/__init__.py
+++ b/mulberryhollow/coordination/streams/__init__.py
@@ -3,6 +3,7 @@
 from mulberryhollow.coordination.streams.assembly import Assembly
 from mulberryhollow.coordination.streams.assembly import End
 from mulberryhollow.coordination.streams.assembly import TokenLine
+from mulberryhollow.coordination.streams.events import EventAssembly
 from mulberryhollow.coordination.streams.fault import Broken
 from mulberryhollow.coordination.streams.fault import Crossed
 from mulberryhollow.coordination.streams.fault import Failed
@@ -18,6 +19,7 @@
     "Assembly",
     "Broken",
     "Crossed",
+    "EventAssembly",
     "End",
     "Failed",
     "NotSent",
--- /dev/null
+++ b/mulberryhollow/coordination/streams/events.py
@@ -0,0 +1,93 @@
+"""Events of a stream, put together over one or more endpoints."""
+
+import re
+
+from mulberryhollow.coordination.streams import fault as faults
+
+__all__ = ["EventAssembly"]
+
+MAX_EVENT_BYTES = 1 << 20
+"""Longest event that is waited for, in bytes."""
+
+_END = re.compile(rb"\r?\n\r?\n")
+_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+
+
+class EventAssembly:
+    """Whole events in their order, none of them twice.
+
+    Parameters
+    ----------
+    last_id : str
+        Event that the caller has already; empty for none.
+
+    Attributes
+    ----------
+    last_id : str
+        Id of the last event that was given out.
+    count : int
+        Events that were given out.
+    """
+
+    def __init__(self, last_id=""):
+        self.last_id = last_id
+        self.count = 0
+        self._buffer = b""
+
+    @property
+    def rest(self):
+        """Bytes after the last whole event."""
+        return self._buffer
+
+    def restart(self):
+        """Begin with another endpoint, which goes on after `last_id`."""
+        self._buffer = b""
+
+    def feed(self, piece):
+        """Take bytes; return those of the events that are whole now.
+
+        Parameters
+        ----------
+        piece : bytes
+            What has arrived.
+
+        Returns
+        -------
+        bytes or Crossed
+            Crossed when an event is missing, or none ends.
+        """
+        self._buffer += piece
+        whole = []
+        begin = 0
+        for end in _END.finditer(self._buffer):
+            event = self._buffer[begin : end.end()]
+            begin = end.end()
+            match self._order(event):
+                case faults.Crossed() as crossed:
+                    return crossed
+                case True:
+                    whole.append(event)
+        self._buffer = self._buffer[begin:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            return faults.Crossed("an event has no end")
+        return b"".join(whole)
+
+    def _order(self, event):
+        """Return whether an event is new, or Crossed after a gap."""
+        found = _ID.search(event)
+        if found is None:
+            return True
+        event_id = found.group(1).decode("latin-1").strip()
+        if not (event_id.isdecimal() and self.last_id.isdecimal()):
+            is_new = event_id != self.last_id
+        elif int(event_id) <= int(self.last_id):
+            is_new = False
+        elif int(event_id) > int(self.last_id) + 1:
+            detail = f"event {event_id} after {self.last_id}"
+            return faults.Crossed(detail)
+        else:
+            is_new = True
+        if is_new:
+            self.last_id = event_id
+            self.count += 1
+        return is_new
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -33,6 +33,7 @@
 from mulberryhollow.transport import callers
 from mulberryhollow.transport import cloud
 from mulberryhollow.transport import endpoints
+from mulberryhollow.transport import front
 from mulberryhollow.transport import gossip
 from mulberryhollow.transport import peers
 from mulberryhollow.transport import store
@@ -136,7 +137,7 @@
         self._wait_idle(grace_end_s - self._clock.now_s())
         self.gateway.move_relays()
         self._wait_idle(_FLUSH_LIMIT_S)
-        callers.stop_accepting(self._server)
+        front.stop_accepting(self._server)
         self._wait_quiet()
         for loop in self._loops:
             loop.stop()
--- a/mulberryhollow/errors.py
+++ b/mulberryhollow/errors.py
@@ -8,6 +8,7 @@
     "ConflictError",
     "CallerGoneError",
     "EndpointError",
+    "HistoryLostError",
     "MovedError",
     "MulberryError",
     "PeerError",
@@ -66,6 +67,10 @@
     """The platform's object API gave no usable answer."""
 
 
+class HistoryLostError(StoreUnavailableError):
+    """A watch asked for changes that the object API no longer keeps."""
+
+
 class PeerError(MulberryError):
     """A peer refused a message or could not be reached."""
 
--- /dev/null
+++ b/mulberryhollow/platform/callers.py
@@ -0,0 +1,159 @@
+"""Requests of the platform's callers, as WSGI environments."""
+
+import xxhash
+
+from mulberryhollow.coordination import routing
+from mulberryhollow import errors
+from mulberryhollow.platform import headers as names
+from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.serving import entrance
+from mulberryhollow.transport import front
+
+__all__ = ["CallerCodec"]
+
+_MS_PER_S = 1000.0
+_PREFIX = "HTTP_"
+
+
+class CallerCodec:
+    """Decodes callers' requests and encodes refusals."""
+
+    def decode(self, environ):
+        """Return the Incoming that a WSGI environment holds.
+
+        Raises
+        ------
+        RefusedError
+            MALFORMED, naming the header at fault.
+        """
+        target = environ.get("REQUEST_URI") or environ["PATH_INFO"]
+        request_id = _get(environ, names.REQUEST_ID)
+        if not request_id:
+            raise _malformed(names.REQUEST_ID, "it is missing")
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        return entrance.Incoming(
+            request_id=request_id,
+            host=environ.get("HTTP_HOST", ""),
+            path=target.partition("?")[0],
+            key=_get(environ, names.API_KEY),
+            timeout_s=_read_time_left(environ),
+            payload=messages.Payload(
+                environ["REQUEST_METHOD"],
+                target,
+                tuple(_list_passed_on(environ)),
+                environ["wsgi.input"].read(length) if length else b"",
+            ),
+            chain=_read_chain(environ),
+            tokens=_read_tokens(environ),
+            last_event_id=_get(environ, names.LAST_EVENT),
+        )
+
+    def encode_refusal(self, refusal):
+        """Return the Reply that a refusal stands for.
+
+        Notes
+        -----
+        429 and 503 promise that the request has not run and never will;
+        502 and 504 promise nothing.
+        """
+        headers = []
+        if refusal.retry_after_s is not None:
+            # Fractions of a second are allowed here.
+            seconds = f"{max(0.0, refusal.retry_after_s):.3f}"
+            headers.append(("Retry-After", seconds))
+        status = _choose_status(refusal)
+        body = f"{refusal.message}; {refusal.remedy}\n".encode()
+        headers.append(("Content-Type", "text/plain; charset=utf-8"))
+        return front.Reply(status, tuple(headers), body)
+
+
+def _choose_status(refusal):
+    """Return the HTTP status of a refusal."""
+    match refusal.kind:
+        case (
+            errors.RefusalKind.MALFORMED
+            | errors.RefusalKind.UNAUTHENTICATED
+            | errors.RefusalKind.UNKNOWN_PATH
+        ):
+            return refusal.kind.http_status
+    if refusal.ran is errors.Ran.NOT_RUN:
+        is_over = refusal.kind is errors.RefusalKind.OVER_SHARE
+        return 429 if is_over else 503
+    is_late = refusal.kind is errors.RefusalKind.DEADLINE_PASSED
+    return 504 if is_late else 502
+
+
+def _get(environ, name):
+    """Return a header; empty when absent."""
+    return environ.get(_PREFIX + name.upper().replace("-", "_"), "").strip()
+
+
+def _list_passed_on(environ):
+    """Yield the (name, value) of each header that endpoints get to see."""
+    connection = environ.get("HTTP_CONNECTION", "")
+    dropped = {each.strip().lower() for each in connection.split(",")}
+    dropped |= names.CONNECTION_HEADERS | names.SYSTEM_HEADERS
+    for key, value in environ.items():
+        if key.startswith(_PREFIX):
+            name = key[len(_PREFIX) :].replace("_", "-").title()
+            if name.lower() not in dropped:
+                yield name, value
+    if environ.get("CONTENT_TYPE"):
+        yield "Content-Type", environ["CONTENT_TYPE"]
+
+
+def _read_time_left(environ):
+    """Return how long the caller waits, in seconds, or None."""
+    text = _get(environ, names.TIME_LEFT)
+    if not text:
+        return None
+    try:
+        return max(0.0, float(text) / _MS_PER_S)
+    except ValueError as error:
+        raise _malformed(names.TIME_LEFT, "it is no number") from error
+
+
+def _read_tokens(environ):
+    """Return the tokens of prompt and answer together, or None."""
+    text = _get(environ, names.PROMPT_SIZE)
+    if not text:
+        return None
+    try:
+        return float(sum(int(each) for each in text.split(",")))
+    except ValueError as error:
+        raise _malformed(names.PROMPT_SIZE, "it is no size") from error
+
+
+def _read_chain(environ):
+    """Return the PromptChain of a model request, or None.
+
+    Notes
+    -----
+    A part is cached for one model, so the model begins the chain.
+    """
+    text = _get(environ, names.PROMPT_PARTS)
+    if not text:
+        return None
+    state = xxhash.xxh3_64(_get(environ, "Model").encode())
+    hashes, ends, tokens = [], [], 0
+    try:
+        for part in text.split(","):
+            part_id, _, size = part.strip().partition(":")
+            tokens += int(size)
+            state.update(f"/{part_id}".encode())
+            hashes.append(state.intdigest())
+            ends.append(tokens)
+    except ValueError as error:
+        raise _malformed(names.PROMPT_PARTS, "it has a bad part") from error
+    return routing.PromptChain(tuple(hashes), tuple(ends), tokens)
+
+
+def _malformed(name, what):
+    """Return the error of a request with a bad header."""
+    return errors.RefusedError(
+        errors.Refusal(
+            errors.RefusalKind.MALFORMED,
+            f"the header {name} cannot be used: {what}",
+            "correct the header",
+        )
+    )
--- /dev/null
+++ b/mulberryhollow/platform/daemon.py
@@ -0,0 +1,367 @@
+"""Wiring of one instance on the users' platform."""
+
+import functools
+import hashlib
+import json
+import threading
+import zlib
+
+from mulberryhollow.coordination import configuration
+from mulberryhollow.coordination import duties
+from mulberryhollow.coordination import membership
+from mulberryhollow import metrics
+from mulberryhollow.platform import callers
+from mulberryhollow.platform import cloud
+from mulberryhollow.platform import endpoints
+from mulberryhollow.platform import records
+from mulberryhollow.platform import store
+from mulberryhollow.serving import callerwatch
+from mulberryhollow.serving import dispatcher as dispatching
+from mulberryhollow.serving import documents
+from mulberryhollow.serving import duties as duty_keeper
+from mulberryhollow.serving import entrance
+from mulberryhollow.serving import factlink
+from mulberryhollow.serving import feeds
+from mulberryhollow.serving import fleetfeed
+from mulberryhollow.serving import forwarder
+from mulberryhollow.serving import observed_store
+from mulberryhollow.serving import observer as observing
+from mulberryhollow.serving import orders
+from mulberryhollow.serving import recorder
+from mulberryhollow.serving import registry
+from mulberryhollow.serving import sumlink
+from mulberryhollow.serving import usage
+from mulberryhollow.serving import watch
+from mulberryhollow.transport import forwarding
+from mulberryhollow.transport import front
+from mulberryhollow.transport import gossip
+
+__all__ = ["PlatformDaemon"]
+
+THREADS = 256
+"""Requests that are passed on at once."""
+
+STORE_TIMEOUT_S = 1.0
+"""Longest time of a call of the store, in seconds, beside a watch's wait."""
+
+RETRY_S = 0.1
+"""Time between two calls of the store, in seconds."""
+
+DUTY_INTERVAL_S = 0.25
+"""Time between two looks at the duties, in seconds."""
+
+TELL_INTERVAL_S = 1.0
+"""Time between two looks at the members, in seconds."""
+
+SUM_INTERVAL_S = 0.5
+"""Time between two tellings of what is under way, in seconds."""
+
+EXPIRY_INTERVAL_S = 0.25
+"""Time between two looks for entries that have not returned, in seconds."""
+
+OUT_OF_ROTATION_S = 2.5
+"""Time after which the balancer has noticed two misses, in seconds."""
+
+LAST_MARGIN_S = 0.5
+"""Time kept from the grace time for the end of the process, in seconds."""
+
+_POLL_S = 0.05
+
+
+class PlatformDaemon:
+    """All parts of one instance.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Checked settings.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, settings, clock):
+        self._settings = settings
+        self._clock = clock
+        self._document = None
+        self._is_leaving = False
+        self.observer = observing.Observer(metrics.Metrics())
+        self._store = observed_store.ObservedStore(
+            settings.store_address,
+            self.observer,
+            timeout_s=STORE_TIMEOUT_S,
+            dialect=store.PlatformDialect(),
+        )
+        self.dispatcher = self._make_dispatcher()
+        self._documents = documents.DocumentActor.start(
+            self._apply, records.decode_catalogue
+        )
+        self._peers = self._start_peers()
+        self._link = factlink.FactLink(
+            self._peers,
+            clock,
+            self.dispatcher,
+            self._documents,
+            lambda actor: actor.quotas,
+        )
+        self.dispatcher.on_retry = self.observer.count_retry
+        self.dispatcher.on_crash = self._link.tell_crash
+        self._fleet = fleetfeed.FleetFeed(
+            records.decode_listing, self.dispatcher, clock
+        )
+        self._watch = callerwatch.CallerWatch(clock)
+        self._usage = self._make_usage()
+        self._sums = sumlink.SumLink(
+            self._peers,
+            clock,
+            self.dispatcher,
+            self._usage,
+            lambda: self._link.usable,
+        )
+        self.entrance = self._make_entrance()
+        self._follows = self._make_follows()
+        self._servers = self._make_servers()
+        self._duties = self._make_duties()
+        self._loops = self._make_loops()
+
+    def start(self):
+        """Start to read the platform and to answer callers."""
+        self._link.connect()
+        self._sums.connect()
+        self._watch.start()
+        for loop in self._loops:
+            loop.start()
+        for name, server in self._servers.items():
+            threading.Thread(target=server.run, name=name, daemon=True).start()
+
+    def stop(self):
+        """Leave: finish what runs, then end within the grace time."""
+        begin_s = self._clock.now_s()
+        end_s = begin_s + self._settings.bounds.grace_s - LAST_MARGIN_S
+        self._is_leaving = True
+        server = self._servers["callers"]
+        front.begin_leaving(server)
+        self._release_duties()
+        self._wait(begin_s + OUT_OF_ROTATION_S)
+        # The balancer may go on sending callers where few are in rotation.
+        self.entrance.close()
+        while self._clock.now_s() < end_s and server.active_channels:
+            front.close_idle(server)
+            self._wait(self._clock.now_s() + _POLL_S)
+        front.stop_accepting(server)
+        for loop in self._loops:
+            loop.stop()
+        self._peers.leave()
+
+    def _release_duties(self):
+        """Let another instance take the duties at once."""
+        if self._duties is not None:
+            self._duties.release()
+
+    def _wait(self, until_s):
+        """Wait until a time."""
+        left_s = until_s - self._clock.now_s()
+        if left_s > 0:
+            self._clock.wait(threading.Event(), left_s)
+
+    def _make_dispatcher(self):
+        """Start the dispatch actor with the platform's bounds."""
+        settings = self._settings
+        seed = zlib.crc32(settings.instance.encode())
+        actor = dispatching.DispatchActor.start(self._clock, seed)
+        dispatcher = dispatching.Dispatcher(actor, self._clock)
+        dispatcher.change(functools.partial(_set_bounds, settings.bounds))
+        return dispatcher
+
+    def _start_peers(self):
+        """Start to exchange facts with peers."""
+        settings = self._settings
+        address = f"{settings.ip}:{settings.peer_port}"
+        me = membership.Member(
+            instance_id=settings.instance,
+            incarnation=membership.find_next_incarnation(self._clock.wall_s()),
+            peer_address=address,
+            http_address=settings.control_address,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            started_s=self._clock.wall_s(),
+        )
+        # The key tells deployments apart; the network between the
+        # instances is private, and the settings hold no secret.
+        key = hashlib.sha256(settings.store_address.encode()).digest()
+        actor = gossip.Gossip.start(me, key, self._clock, [], address)
+        return gossip.Peers(actor)
+
+    def _make_usage(self):
+        """Return the counts of begun requests, shared with the peers."""
+        me = self._peers.me()
+        return usage.UsageBook(
+            duties.UsageLedger(
+                f"{me.instance_id}.{me.incarnation}",
+                self._settings.bounds.report_window_s,
+            ),
+            self._clock,
+        )
+
+    def _make_duties(self):
+        """Return the keeper of the duties, or None where there are none."""
+        settings = self._settings
+        if not settings.cloud_address:
+            return None
+        client = cloud.DutyClient(settings.cloud_address, settings.instance)
+        works = []
+        if settings.has_usage_duty:
+            works.append(self._make_reporter(client))
+        if settings.has_order_duty:
+            works.append(self._make_orders(client))
+        keeper = duty_keeper.DutyKeeper(
+            settings.instance, self._store, self._clock, tuple(works)
+        )
+        self._sums.wants_usage = keeper.is_held
+        return keeper
+
+    def _make_reporter(self, client):
+        """Return the duty to report the usage."""
+        return usage.UsageReporter(
+            self._usage,
+            self._store,
+            client,
+            self._clock,
+            self._settings.bounds.report_delay_s,
+        )
+
+    def _make_orders(self, client):
+        """Return the duty to order endpoints."""
+        return orders.OrderKeeper(
+            self.dispatcher,
+            client,
+            self._clock,
+            self._get_services,
+            lambda: self._fleet.listings,
+        )
+
+    def _get_services(self):
+        """Return the ServiceSpec of each service by name."""
+        catalogue = self.entrance.catalogue
+        return catalogue.services if catalogue else {}
+
+    def _make_entrance(self):
+        """Return what takes callers' requests in."""
+        codec = endpoints.EndpointCodec()
+        passing = forwarder.Forwarder(
+            forwarder.ForwardParts(
+                dispatcher=self.dispatcher,
+                client=forwarding.ForwardClient(codec, self._clock),
+                codec=codec,
+                clock=self._clock,
+                watch=self._watch,
+                recorder=recorder.ForwardRecorder(self.observer, self._usage),
+            )
+        )
+        return entrance.Entrance(
+            entrance.EntranceParts(self.dispatcher, passing, self._clock)
+        )
+
+    def _make_follows(self):
+        """Return what follows the configuration and the endpoints."""
+        follow = functools.partial(
+            watch.ObjectFollow, self._store, clock=self._clock
+        )
+        return {
+            "configuration": follow(
+                kind=records.CONFIGURATION_KIND,
+                follower=documents.DocumentFollower(
+                    records.CONFIGURATION_NAME, self._documents
+                ),
+            ),
+            "endpoints": follow(
+                kind=records.ENDPOINT_KIND, follower=self._fleet
+            ),
+        }
+
+    def _make_servers(self):
+        """Return the HTTP servers by name."""
+        settings = self._settings
+        servers = {
+            "callers": front.make_server(
+                front.ForwardApp(self.entrance, callers.CallerCodec()),
+                settings.callers_address,
+                THREADS,
+                settings.max_files,
+            ),
+            "ready": front.make_page_server(
+                {"/v1/readyz": self._show_ready}, settings.ready_address
+            ),
+        }
+        if settings.control_address:
+            servers["control"] = front.make_page_server(
+                {registry.MEMBER_PATH: self._show_member},
+                settings.control_address,
+            )
+        return servers
+
+    def _make_loops(self):
+        """Return the threads that work in the background."""
+        listing = registry.Registry(self._store, self, self._peers)
+        loops = [
+            feeds.Loop(name, self._clock, RETRY_S, each.read)
+            for name, each in self._follows.items()
+        ]
+        loops += [
+            feeds.Loop(
+                "expiry", self._clock, EXPIRY_INTERVAL_S, self._fleet.expire
+            ),
+            feeds.Loop("peers", self._clock, TELL_INTERVAL_S, self._link.tick),
+            feeds.Loop("sums", self._clock, SUM_INTERVAL_S, self._sums.tick),
+            feeds.Loop("registry", self._clock, 0.5, listing.register),
+        ]
+        if self._duties is not None:
+            loops.append(
+                feeds.Loop(
+                    "duties", self._clock, DUTY_INTERVAL_S, self._duties.tick
+                )
+            )
+        return loops
+
+    def list_entries(self):
+        """Return where other instances may show their registration."""
+        own = self._settings.control_address
+        return [each for each in self._settings.seeds if each != own]
+
+    def _apply(self, document):
+        """Bring a configuration into force."""
+        catalogue = document.environment
+        self._document = document
+        self.entrance.apply(catalogue)
+        front.apply_limits(self._servers["callers"], catalogue.limits)
+        quotas = {each.name: each.quota for each in catalogue.accounts or ()}
+        self.dispatcher.change(
+            lambda actor, now_s: actor.quotas.set_quotas(quotas)
+        )
+        self._link.publish_document(records.CONFIGURATION_NAME, document)
+
+    def is_ready(self):
+        """Return whether the balancer may send new callers here."""
+        contacts = [each.last_contact_s for each in self._follows.values()]
+        decision = configuration.decide_ready(
+            self._clock.now_s(),
+            max((each for each in contacts if each is not None), default=None),
+            self._link.last_contact_s,
+            self._document is not None,
+        )
+        is_usable = isinstance(decision, configuration.Ready)
+        return is_usable and self._fleet.is_known and not self._is_leaving
+
+    def _show_ready(self):
+        """Return the answer to the balancer."""
+        return front.Reply(200 if self.is_ready() else 503)
+
+    def _show_member(self):
+        """Return the registration of this instance."""
+        status, value = registry.show_member(self._peers)
+        return front.Reply(status, (), json.dumps(value).encode())
+
+
+def _set_bounds(bounds, actor, now_s):
+    """Use the bounds that the platform names."""
+    actor.quotas.set_rules(bounds.quotas)
+    actor.shared_retries.set_rules(bounds.retries)
--- /dev/null
+++ b/mulberryhollow/platform/endpoints.py
@@ -0,0 +1,84 @@
+"""Attempts as they go to endpoints, and the heads of their answers."""
+
+import re
+
+from mulberryhollow.platform import headers as names
+from mulberryhollow.protocol import forwarding as messages
+
+__all__ = ["EndpointCodec"]
+
+_MS_PER_S = 1000.0
+_OTHER_ENDPOINT = 421
+_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+
+
+class EndpointCodec:
+    """Encodes calls of endpoints and decodes the heads of answers."""
+
+    def encode_call(self, request, chosen, left_s, last_event_id):
+        """Return the EndpointCall of one attempt.
+
+        Parameters
+        ----------
+        request : ForwardRequest
+            The request.
+        chosen : Chosen
+            The endpoint.
+        left_s : float
+            Time that the endpoint is given, in seconds.
+        last_event_id : str
+            Event after which a stream goes on; empty for all of it.
+        """
+        payload = request.payload
+        headers = [
+            *payload.headers,
+            (names.TIME_LEFT, str(max(1, int(left_s * _MS_PER_S)))),
+            (names.EXPECTED_ENDPOINT, chosen.identity),
+            (names.RANK, str(request.priority)),
+        ]
+        if request.account:
+            headers.append((names.ACCOUNT, request.account))
+        if last_event_id:
+            headers.append((names.LAST_EVENT, last_event_id))
+        if payload.body or payload.method not in ("GET", "HEAD", "DELETE"):
+            headers.append(("Content-Length", str(len(payload.body))))
+        return messages.EndpointCall(
+            request.request_id,
+            payload.method,
+            payload.target,
+            (("Host", request.host), *headers),
+            payload.body,
+        )
+
+    def decode_head(self, status, headers):
+        """Return the AnswerHead of an answer."""
+        fields = {name.lower(): value for name, value in headers}
+        get = fields.get
+        is_other = status == _OTHER_ENDPOINT
+        return messages.AnswerHead(
+            status=status,
+            headers=tuple(
+                (name, value)
+                for name, value in headers
+                if name.lower() not in names.CONNECTION_HEADERS
+            ),
+            request_id=get(names.ANSWER_ID.lower(), ""),
+            has_not_run=is_other or names.NOT_RUN.lower() in fields,
+            is_other_endpoint=is_other,
+            load=_decode_load(get(names.LOAD.lower(), "")),
+            idle_limit_s=_decode_idle_limit(get("keep-alive", "")),
+        )
+
+
+def _decode_load(text):
+    """Return the Load that an endpoint tells; None when it tells none."""
+    parts = text.split(",")
+    if len(parts) != 3 or not all(each.strip().isdecimal() for each in parts):
+        return None
+    return messages.Load(*map(int, parts))
+
+
+def _decode_idle_limit(text):
+    """Return the idle limit of a connection, in seconds, or None."""
+    found = _TIMEOUT.search(text.lower())
+    return float(found.group(1)) if found else None
--- /dev/null
+++ b/mulberryhollow/platform/records.py
@@ -0,0 +1,207 @@
+"""The operator's and the endpoints' objects in the platform's store."""
+
+import json
+
+import xxhash
+
+from mulberryhollow import errors
+from mulberryhollow.state import catalogue as catalogues
+from mulberryhollow.state import fleet
+
+__all__ = [
+    "CONFIGURATION_KIND",
+    "CONFIGURATION_NAME",
+    "ENDPOINT_KIND",
+    "decode_catalogue",
+    "decode_listing",
+]
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+
+ENDPOINT_KIND = "servers"
+"""The platform calls endpoints servers."""
+
+_MS_PER_S = 1000.0
+_KINDS = {
+    ("idempotent", False): catalogues.RequestKind.IDEMPOTENT,
+    ("idempotent", True): catalogues.RequestKind.IDEMPOTENT,
+    ("non_idempotent", False): catalogues.RequestKind.NON_IDEMPOTENT,
+    ("non_idempotent", True): catalogues.RequestKind.NON_IDEMPOTENT,
+    ("streaming", False): catalogues.RequestKind.STREAM,
+    ("streaming", True): catalogues.RequestKind.RESUMABLE_STREAM,
+}
+_UNITS = {
+    "token_count": catalogues.QuotaUnit.TOKENS,
+    None: catalogues.QuotaUnit.REQUESTS,
+}
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
+
+def decode_listing(item):
+    """Return the EndpointListing of an endpoint's own entry.
+
+    Parameters
+    ----------
+    item : StoredObject
+        The entry, which another writer may have spoilt.
+
+    Raises
+    ------
+    ValueError
+        When it names no endpoint to use.
+    """
+    try:
+        fields = json.loads(item.value)
+        return _decode_listing(item.name, fields)
+    except _MALFORMED as error:
+        raise ValueError(f"entry {item.name}: {error!r}") from error
+
+
+def _decode_listing(name, fields):
+    """Return the listing of decoded fields."""
+    state = fields["state"]
+    if state not in ("ready", "draining"):
+        raise ValueError(f"unknown state {state!r}")
+    # "born" is the start in Unix milliseconds.
+    started_ms = _need(fields, "born", int)
+    leaves_ms = fields.get("leaves_ms")
+    host, _, port = _need(fields, "address", str).rpartition(":")
+    if not (host and port.isdecimal()):
+        raise ValueError("address is not host:port")
+    return fleet.EndpointListing(
+        identity=name,
+        started_ms=started_ms,
+        service=_need(fields, "service", str),
+        address=f"{host}:{port}",
+        failure_domain=_need(fields, "zone", str),
+        version=_need(fields, "version", str),
+        slots=_need(fields, "slots", int),
+        is_leaving=state == "draining",
+        is_reclaimable=bool(fields.get("spot")),
+        leaves_in_s=None if leaves_ms is None else leaves_ms / _MS_PER_S,
+    )
+
+
+def _need(fields, name, kind):
+    """Return a field that must be of a type and not empty."""
+    value = fields[name]
+    if not isinstance(value, kind) or isinstance(value, bool) or not value:
+        raise TypeError(f"{name} is {value!r}")
+    return value
+
+
+def decode_catalogue(data, version):
+    """Return the Catalogue that the operator's configuration stands for.
+
+    Parameters
+    ----------
+    data : bytes
+        Content of the object, JSON.
+    version : int
+        Version of the object.
+
+    Raises
+    ------
+    ConfigurationError
+        Naming what cannot be read.
+    """
+    try:
+        fields = json.loads(data)
+        services = {
+            each["name"]: _decode_service(each) for each in fields["services"]
+        }
+        accounts = fields.get("tenants")
+        return catalogues.Catalogue(
+            number=int(fields["version"]),
+            routes=tuple(map(_decode_route, fields["routes"])),
+            services=services,
+            accounts=accounts and tuple(map(_decode_account, accounts)),
+            limits=_decode_limits(fields.get("limits") or {}),
+            digest=xxhash.xxh3_64_hexdigest(data),
+        )
+    except _MALFORMED as error:
+        raise errors.ConfigurationError(
+            [f"object version {version}: {error!r}"]
+        ) from error
+
+
+def _decode_route(fields):
+    """Return the Route of decoded fields."""
+    # A route has either "service" or "split".
+    split = fields.get("split") or [
+        {"service": fields["service"], "weight": 1}
+    ]
+    shares = tuple(
+        catalogues.ServiceShare(each["service"], float(each["weight"]))
+        for each in split
+    )
+    is_resumable = bool(fields.get("resumable"))
+    return catalogues.Route(
+        name=fields["name"],
+        host=fields["host"].lower(),
+        path_prefix=fields["pathPrefix"],
+        kind=_KINDS[fields["routeKind"], is_resumable],
+        shares=shares,
+        timeout_s=fields["timeoutMs"] / _MS_PER_S,
+        goal_s=(fields.get("goalMs") or 0) / _MS_PER_S,
+        priority=int(fields.get("priority") or 0),
+        max_endpoints=max(1, int(fields.get("maxAttempts") or 1)),
+        is_public=bool(fields.get("public")),
+        gap_goal_s=(fields.get("gapGoalMs") or 0) / _MS_PER_S,
+    )
+
+
+def _decode_service(fields):
+    """Return the ServiceSpec of decoded fields."""
+    engine = fields.get("engine")
+    scaling = fields.get("scaling")
+    return catalogues.ServiceSpec(
+        name=fields["name"],
+        max_connections=int(fields.get("maxConns") or 0),
+        model=engine
+        and catalogues.ModelSpec(
+            slots=int(engine["slots"]),
+            # "kv" is the memory of prompts and answers, in tokens.
+            cache_tokens=int(engine["kvCapacity"]),
+            can_move=bool(engine.get("moves")),
+        ),
+        scaling=scaling
+        and catalogues.Scaling(
+            least=int(scaling["min"]),
+            most=int(scaling["max"]),
+            boot_s=float(scaling.get("bootS") or 0),
+            reclaimable_price=scaling.get("spotPrice"),
+            domain_prices=dict(scaling.get("zonePrices") or {}),
+        ),
+    )
+
+
+def _decode_account(fields):
+    """Return the ClientAccount of decoded fields."""
+    priority = fields.get("priority")
+    return catalogues.ClientAccount(
+        name=fields["name"],
+        keys=frozenset(fields["apiKeys"]),
+        quota=catalogues.Quota(
+            rate_per_s=float(fields.get("ratePerS") or 0),
+            burst=float(fields.get("burst") or 0),
+            unit=_UNITS[fields.get("unit")],
+            # Counted for requests that do not tell their size.
+            default_tokens=float(fields.get("uncachedTokens") or 0),
+        ),
+        priority=None if priority is None else int(priority),
+    )
+
+
+def _decode_limits(fields):
+    """Return the EntryLimits of decoded fields."""
+    default = catalogues.EntryLimits()
+    return catalogues.EntryLimits(
+        header_bytes=int(fields.get("maxHeaderBytes", default.header_bytes)),
+        body_bytes=int(fields.get("maxBodyBytes", default.body_bytes)),
+        idle_timeout_s=fields.get(
+            "idleTimeoutMs", default.idle_timeout_s * _MS_PER_S
+        )
+        / _MS_PER_S,
+    )
--- /dev/null
+++ b/mulberryhollow/platform/store.py
@@ -0,0 +1,172 @@
+"""The platform's dialect of the object API."""
+
+import json
+import urllib.parse
+
+from mulberryhollow.protocol import object_api
+from mulberryhollow.state import objects
+
+__all__ = ["PlatformDialect"]
+
+_PATH = "/v1/objects"
+_OWN_FIELDS = {"change", "value"}
+
+
+class PlatformDialect(object_api.ObjectDialect):
+    """Encodes calls and decodes answers of the platform's store.
+
+    Notes
+    -----
+    The content of the system's own objects is text beside the id of the
+    change that wrote it, so that a write of unknown outcome can be
+    settled. Objects of other writers are given as the bytes of their
+    JSON.
+    """
+
+    def encode_get(self, kind, name, is_stale_ok):
+        """Return the call that reads one object."""
+        query = {"serializable": 1} if is_stale_ok else {}
+        return object_api.StoreCall("GET", _make_path(kind, name, query))
+
+    def decode_get(self, kind, name, answer):
+        """Return the StoredObject of a read."""
+        return _decode_object(kind, json.loads(answer.data))
+
+    def encode_list(self, kind, after, is_stale_ok):
+        """Return the call that reads one page of a kind."""
+        query = {"serializable": 1} if is_stale_ok else {}
+        if after:
+            query["after"] = after
+        return object_api.StoreCall("GET", _make_path(kind, "", query))
+
+    def decode_list(self, kind, answer):
+        """Return the ObjectPage of a list."""
+        document = json.loads(answer.data)
+        items = tuple(_decode_object(kind, item) for item in document["items"])
+        has_more = bool(document.get("hasMore")) and bool(items)
+        return object_api.ObjectPage(
+            # "at" is the store's revision, not a time.
+            int(document["at"]),
+            items,
+            items[-1].name if has_more else "",
+        )
+
+    def encode_watch(self, kind, after, wait_s):
+        """Return the call that waits for changes after a revision."""
+        query = {"watch": after, "waitMs": int(wait_s * 1000)}
+        return object_api.StoreCall("GET", _make_path(kind, "", query))
+
+    def decode_watch(self, kind, answer):
+        """Return the ObjectPage of a watch."""
+        document = json.loads(answer.data)
+        items = tuple(
+            _decode_object(kind, event["object"], bool(event.get("deleted")))
+            for event in document["events"]
+        )
+        return object_api.ObjectPage(int(document["at"]), items)
+
+    def encode_put(self, kind, name, value, expected_version, change_id):
+        """Return the call that writes an own object conditionally."""
+        spec = {"change": change_id, "value": value.decode()}
+        if expected_version:
+            metadata = {"name": name, "revision": expected_version}
+            return _make_write("PUT", _make_path(kind, name), metadata, spec)
+        return _make_write("POST", _make_path(kind), {"name": name}, spec)
+
+    def encode_delete(self, kind, name, expected_version):
+        """Return the call that removes an object conditionally."""
+        path = _make_path(kind, name, {"revision": expected_version})
+        return object_api.StoreCall("DELETE", path)
+
+    def encode_status(self, kind, name, value, expected_version):
+        """Return the call that writes the status of another's object.
+
+        Parameters
+        ----------
+        kind, name : str
+            The object.
+        value : dict
+            Its new status.
+        expected_version : int
+            Version that the object must have.
+        """
+        body = {
+            "metadata": {"name": name, "revision": expected_version},
+            "status": value,
+        }
+        return object_api.StoreCall(
+            "PUT",
+            _make_path(kind, name) + "/status",
+            json.dumps(body).encode(),
+            object_api.JSON_HEADERS,
+        )
+
+    def classify_write(self, answer):
+        """Return the outcome that an answer to a write stands for."""
+        match answer.status:
+            case 200 | 201:
+                return self._read_done(answer)
+            case 409:
+                return objects.NotDone("conflict", _read_version(answer))
+            case 404:
+                return objects.NotDone("conflict")
+            case 429 | 503:
+                return objects.NotDone("unavailable")
+            case status if 400 <= status < 500:
+                return objects.NotDone(f"refused with status {status}")
+            case status:
+                return objects.Unknown(f"status {status}")
+
+    @staticmethod
+    def _read_done(answer):
+        """Return Done, or Unknown when the answer names no version."""
+        version = _read_version(answer)
+        if version:
+            return objects.Done(version)
+        return objects.Unknown("no version")
+
+
+def _make_path(kind, name="", query=None):
+    """Return the path of a kind or an object, with its query."""
+    path = f"{_PATH}/{kind}"
+    if name:
+        path = f"{path}/{urllib.parse.quote(name, safe='')}"
+    if query:
+        path = f"{path}?{urllib.parse.urlencode(query)}"
+    return path
+
+
+def _make_write(method, path, metadata, spec):
+    """Return a call that writes an object."""
+    body = json.dumps({"metadata": metadata, "spec": spec}).encode()
+    return object_api.StoreCall(method, path, body, object_api.JSON_HEADERS)
+
+
+def _decode_object(kind, item, is_deleted=False):
+    """Return the StoredObject of an object as the store shows it."""
+    metadata = item["metadata"]
+    spec = item.get("spec")
+    change_id = ""
+    if isinstance(spec, dict) and spec.keys() == _OWN_FIELDS:
+        change_id = str(spec["change"])
+        value = str(spec["value"]).encode()
+    else:
+        value = json.dumps(spec).encode()
+    return objects.StoredObject(
+        kind,
+        str(metadata["name"]),
+        # "revision" is that of the last change of this object.
+        int(metadata["revision"]),
+        value,
+        change_id,
+        is_deleted or bool(metadata.get("deletionPending")),
+        json.dumps(item.get("status")).encode(),
+    )
+
+
+def _read_version(answer):
+    """Return the version of the object in an answer; 0 for none."""
+    try:
+        return int(json.loads(answer.data)["metadata"]["revision"])
+    except (ValueError, KeyError, TypeError):
+        return 0
--- /dev/null
+++ b/mulberryhollow/protocol/object_api.py
@@ -0,0 +1,165 @@
+"""The product's own dialect of the object API, as calls and answers."""
+
+import base64
+import binascii
+import json
+
+import attrs
+
+from mulberryhollow.state import objects
+
+__all__ = ["JSON_HEADERS", "ObjectDialect", "ObjectPage", "StoreCall"]
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+"""Headers of a call whose body is JSON."""
+
+
+@attrs.frozen
+class StoreCall:
+    """One HTTP call of the object API.
+
+    Parameters
+    ----------
+    method : str
+        HTTP method.
+    path : str
+        Path with its query.
+    body : bytes or None
+        Body of the call.
+    headers : dict
+        Further headers.
+    """
+
+    method: str
+    path: str
+    body: bytes | None = None
+    headers: dict = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class ObjectPage:
+    """One page of a list, or the events of a watch.
+
+    Parameters
+    ----------
+    revision : int
+        The store's revision.
+    items : tuple of StoredObject
+        What was listed or has changed.
+    next_after : str
+        Name after which the next page begins; empty on the last one.
+    """
+
+    revision: int
+    items: tuple
+    next_after: str = ""
+
+
+class ObjectDialect:
+    """Encodes calls and decodes answers of the object API.
+
+    Notes
+    -----
+    Decoders raise ValueError, KeyError or TypeError for an answer that
+    cannot be read; the client turns these into its own errors.
+    """
+
+    def encode_get(self, kind, name, is_stale_ok):
+        """Return the call that reads one object."""
+        return StoreCall("GET", f"/v1/objects/{kind}/{name}")
+
+    def decode_get(self, kind, name, answer):
+        """Return the StoredObject of a read."""
+        return objects.StoredObject(
+            kind,
+            name,
+            int(answer.headers["X-Version"]),
+            answer.data,
+            answer.headers.get("X-Change-Id", ""),
+        )
+
+    def encode_list(self, kind, after, is_stale_ok):
+        """Return the call that reads one page of a kind."""
+        return StoreCall("GET", f"/v1/objects/{kind}")
+
+    def decode_list(self, kind, answer):
+        """Return the ObjectPage of a list."""
+        document = json.loads(answer.data)
+        items = tuple(_decode_item(kind, item) for item in document["items"])
+        return ObjectPage(int(document["revision"]), items)
+
+    def encode_watch(self, kind, after, wait_s):
+        """Return the call that waits for changes after a revision."""
+        path = f"/v1/watch?kind={kind}&after={after}&wait_s={wait_s}"
+        return StoreCall("GET", path)
+
+    def decode_watch(self, kind, answer):
+        """Return the ObjectPage of a watch."""
+        return self.decode_list(kind, answer)
+
+    def encode_put(self, kind, name, value, expected_version, change_id):
+        """Return the call that writes an object conditionally."""
+        headers = {"X-Change-Id": change_id}
+        headers.update(_make_condition(expected_version))
+        path = f"/v1/objects/{kind}/{name}"
+        return StoreCall("PUT", path, value, headers)
+
+    def encode_delete(self, kind, name, expected_version):
+        """Return the call that removes an object conditionally."""
+        path = f"/v1/objects/{kind}/{name}"
+        return StoreCall(
+            "DELETE", path, None, _make_condition(expected_version)
+        )
+
+    def classify_write(self, answer):
+        """Return the outcome that an answer to a write stands for."""
+        match answer.status:
+            case 200 | 201:
+                return self._read_done(answer)
+            case 412:
+                return objects.NotDone("conflict", _read_version(answer))
+            case 404:
+                return objects.NotDone("conflict")
+            case status if 400 <= status < 500:
+                return objects.NotDone(f"refused with status {status}")
+            case status:
+                return objects.Unknown(f"status {status}")
+
+    @staticmethod
+    def _read_done(answer):
+        """Return Done, or Unknown when the answer names no version."""
+        version = _read_version(answer)
+        if version:
+            return objects.Done(version)
+        return objects.Unknown("no version")
+
+
+def _make_condition(expected_version):
+    """Return the header that makes a write conditional."""
+    if expected_version:
+        return {"If-Match": str(expected_version)}
+    return {"If-None-Match": "*"}
+
+
+def _read_version(answer):
+    """Return the version in an answer's body; 0 when there is none."""
+    try:
+        return int(json.loads(answer.data)["version"])
+    except (ValueError, KeyError, TypeError):
+        return 0
+
+
+def _decode_item(kind, item):
+    """Return the StoredObject that one item of a list stands for."""
+    try:
+        value = base64.b64decode(item.get("value_base64", ""))
+    except binascii.Error as error:
+        raise ValueError(str(error)) from error
+    return objects.StoredObject(
+        kind,
+        item["name"],
+        int(item["version"]),
+        value,
+        item.get("change_id", ""),
+        bool(item.get("deleted", False)),
+    )
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -8,6 +8,8 @@
 import pykka
 
 from mulberryhollow.coordination import admission
+from mulberryhollow.coordination.admission import demand
+from mulberryhollow.coordination import limits
 from mulberryhollow.coordination import retry
 from mulberryhollow.coordination import routing
 from mulberryhollow import errors
@@ -34,6 +36,12 @@
     "no endpoint of a service takes new work",
     "look at the listed endpoints and at the capacity plan",
 )
+CHANGE_FAILED = events.declare(
+    4005,
+    logging.ERROR,
+    "a change of the dispatch state failed and was dropped",
+    "report it with the log lines around it",
+)
 
 
 @attrs.frozen
@@ -89,9 +97,41 @@
     may_have_run: bool
 
 
+@attrs.frozen
+class _Enter:
+    account: str
+    service: str
+    cost: float
+    fingerprint: str
+
+
+@attrs.frozen
+class _SpendRetry:
+    service: str
+
+
+@attrs.frozen
+class _ReportFirst:
+    route: attempts.Route
+    first_s: float
+
+
+@attrs.frozen
+class _ReportLoad:
+    route: attempts.Route
+    load: object
+
+
 @attrs.frozen
 class _Change:
-    """A function that changes the actor's state, with its arguments."""
+    """A function that changes the actor's state; nobody waits for it."""
+
+    apply: object
+
+
+@attrs.frozen
+class _Look:
+    """A function whose result somebody waits for."""
 
     apply: object
 
@@ -120,6 +160,9 @@
         self.retries = retry.RetryPolicy(rng=rng)
         self.quarantine = retry.Quarantine()
         self.shares = version_shares.VersionShares()
+        self.quotas = limits.QuotaTable()
+        self.shared_retries = limits.SharedRetryBudget()
+        self.work = demand.DemandTable()
         self._shared_crashes = collections.Counter()
 
     def on_receive(self, message):
@@ -136,9 +179,46 @@
                 return self.admission.finish(admitted, now_s)
             case _DecideRetry():
                 return self._decide_retry(message, now_s)
+            case _Enter():
+                return self._enter(message, now_s)
+            case _SpendRetry(service):
+                return self.shared_retries.spend(service, now_s)
+            case _ReportFirst(route, first_s):
+                self.router.learn(
+                    route.service, route.chosen.computed_tokens, first_s
+                )
+            case _ReportLoad(route, load):
+                self.view.report_load(
+                    route.endpoint_id,
+                    load.running,
+                    load.queued,
+                    load.slots,
+                    0.0,
+                    now_s,
+                )
             case _Change(apply):
+                self._change(apply, now_s)
+            case _Look(apply):
                 return apply(self, now_s)
 
+    def _change(self, apply, now_s):
+        """Run a change; one that fails must not end the actor."""
+        try:
+            apply(self, now_s)
+        except Exception as error:  # noqa: BLE001
+            events.log(CHANGE_FAILED, error=repr(error))
+
+    def _enter(self, message, now_s):
+        """Return None for a request that may go on, or the Refusal."""
+        refusal = self.quarantine.check(message.fingerprint)
+        if refusal is not None:
+            return refusal
+        over = self.quotas.spend(message.account, message.cost, now_s)
+        if over is not None:
+            return _refuse_over_quota(over)
+        self.shared_retries.record_request(message.service, now_s)
+        return None
+
     def _admit(self, message, now_s):
         """Return Admitted or the Refusal."""
         refusal = self.quarantine.check(message.fingerprint)
@@ -162,6 +242,7 @@
                 self._log_no_endpoint(request)
                 return refusal
         work = self.view.start(found.endpoint_id, found.cost, now_s)
+        self.work.add(request.service, found.compute_s, now_s)
         if found.hashes:
             self.prefixes.insert(found.endpoint_id, found.hashes)
         return attempts.Route(
@@ -329,6 +410,30 @@
             deadline_s=self._to_monotonic(request.deadline_s),
             idempotent=is_idempotent,
         )
+        return self.choose_for(wanted, excluded, keeps_version)
+
+    def choose_for(self, wanted, excluded=(), keeps_version=False):
+        """Choose the endpoint of one attempt of any kind of request.
+
+        Parameters
+        ----------
+        wanted : RouteRequest
+            The request; its version shares are those in force.
+        excluded : iterable of str
+            Ids of endpoints not to be used.
+        keeps_version : bool
+            Whether it stays with its version after a failed attempt.
+
+        Returns
+        -------
+        Route
+            To be handed back by `finish`.
+
+        Raises
+        ------
+        RefusedError
+            When no endpoint takes it.
+        """
         return self._ask(_Choose(wanted, frozenset(excluded), keeps_version))
 
     def finish(
@@ -412,13 +517,48 @@
         self.on_retry()
         return decision
 
+    def enter(self, account, service, cost, fingerprint):
+        """Charge a request that is passed on to its client account.
+
+        Parameters
+        ----------
+        account, service : str
+            Its client account and service.
+        cost : float
+            What it counts in the account's quota.
+        fingerprint : str
+            Its fingerprint, for the quarantine.
+
+        Raises
+        ------
+        RefusedError
+            Over the quota, or known to crash endpoints.
+        """
+        self._ask(_Enter(account, service, cost, fingerprint))
+
+    def spend_retry(self, service):
+        """Return whether one more repeated attempt is in the budget."""
+        is_allowed = self._actor.ask(_SpendRetry(service))
+        if is_allowed:
+            self.on_retry()
+        return is_allowed
+
+    def report_load(self, route, load):
+        """Take what an endpoint says of its load; None changes nothing."""
+        if load is not None:
+            self._actor.tell(_ReportLoad(route, load))
+
+    def report_first(self, route, first_s):
+        """Take the time to the first token of an attempt, in seconds."""
+        self._actor.tell(_ReportFirst(route, first_s))
+
     def change(self, apply):
         """Run a function of (actor, now_s) in the actor."""
         self._actor.tell(_Change(apply))
 
     def read(self, look):
         """Return what a function of (actor, now_s) returns."""
-        return self._actor.ask(_Change(look))
+        return self._actor.ask(_Look(look))
 
     def _ask(self, message):
         """Return the answer, raising it when it is a refusal."""
@@ -463,6 +603,19 @@
     )
 
 
+def _refuse_over_quota(over):
+    """Return the refusal of a request beyond its account's quota."""
+    return errors.Refusal(
+        errors.RefusalKind.OVER_SHARE,
+        f"client account {over.account} is over its quota: credit "
+        f"{over.credit:.0f}, part {over.fraction:.3f}, "
+        f"refill {over.rate_per_s:.0f} a second",
+        "send the request again after the given time",
+        errors.Ran.NOT_RUN,
+        over.wait_s,
+    )
+
+
 def _take_main_version(shares):
     """Return the shares of an attempt after a failed one.
 
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -8,7 +8,7 @@
 from mulberryhollow.protocol import document as documents
 from mulberryhollow.serving import watch
 
-__all__ = ["DocumentActor", "Offer", "watch_document"]
+__all__ = ["DocumentActor", "DocumentFollower", "Offer", "watch_document"]
 
 KIND = "environment"
 """Kind of the objects that hold documents."""
@@ -44,13 +44,16 @@
     ----------
     on_applied : callable
         Called with each Document that comes into force.
+    parse : callable
+        ``parse(data, version)`` returns the typed content, which has a
+        `digest`, or raises ConfigurationError.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, on_applied):
+    def __init__(self, on_applied, parse=documents.parse):
         super().__init__()
-        self._in_force = configuration.InForce(documents.parse)
+        self._in_force = configuration.InForce(parse)
         self._on_applied = on_applied
 
     def on_receive(self, message):
@@ -94,3 +97,32 @@
         lambda item: actor.tell(Offer(item.version, item.value)),
         lambda item: item.name == name,
     )
+
+
+class DocumentFollower:
+    """Offers each version of one object that `ObjectFollow` finds.
+
+    Parameters
+    ----------
+    name : str
+        Name of the object.
+    actor : pykka.ActorRef
+        A running DocumentActor.
+    """
+
+    def __init__(self, name, actor):
+        self._name = name
+        self._actor = actor
+
+    def take_list(self, items):
+        """Offer the object if it is among those listed."""
+        self.take_changes(items)
+
+    def take_changes(self, items):
+        """Offer the object if it has changed."""
+        for item in items:
+            if item.name == self._name and not item.is_deleted:
+                self._actor.tell(Offer(item.version, item.value))
+
+    def note_return(self):
+        """Do nothing, since a document does not lapse."""
--- /dev/null
+++ b/mulberryhollow/serving/duties.py
@@ -0,0 +1,99 @@
+"""Keeps the lease on the duties and does them while it is held."""
+
+import logging
+
+from mulberryhollow.coordination import duties
+from mulberryhollow import errors
+from mulberryhollow import events
+from mulberryhollow.serving import usage
+from mulberryhollow.state import objects
+from mulberryhollow.transport import store as store_adapter
+
+__all__ = ["DutyKeeper"]
+
+NAME = "holder"
+"""Name of the object that names the holder."""
+
+TAKEN = events.declare(
+    8110, logging.INFO, "this instance has taken the duties"
+)
+LOST = events.declare(
+    8111, logging.INFO, "this instance no longer has the duties"
+)
+
+
+class DutyKeeper:
+    """Takes, renews and gives up the lease; calls the duties.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    store : StoreClient
+        Holds the lease.
+    clock : Clock
+        Source of time.
+    works : tuple
+        Each has ``begin()``, called when the lease was taken, and
+        ``work(fence, is_held)``, called again and again.
+    rules : LeaseRules or None
+        Times of the lease; the defaults when None.
+    """
+
+    def __init__(self, instance, store, clock, works, rules=None):
+        self._store = store
+        self._clock = clock
+        self._works = works
+        self._lease = duties.Lease(instance, rules or duties.LeaseRules())
+        self._had = False
+
+    def is_held(self):
+        """Return whether this instance may act now."""
+        return self._lease.is_held(self._clock.elapsed_s())
+
+    def tick(self):
+        """Look after the lease, then do what is due."""
+        self._look()
+        if self._had and not self._lease.fence:
+            self._had = False
+            events.log(LOST, holder=self._lease.holder)
+        for work in self._works:
+            if self.is_held():
+                work.work(self._lease.fence, self.is_held)
+
+    def release(self):
+        """Give the lease up, so that another instance can take it."""
+        write = self._lease.plan_release(self._clock.elapsed_s())
+        if write is not None:
+            self._write(write)
+
+    def _look(self):
+        """Carry out what the lease plans."""
+        match self._lease.plan(self._clock.elapsed_s()):
+            case duties.Read():
+                found = self._store.get(usage.KIND, NAME, is_stale_ok=True)
+                self._lease.observe(found, self._clock.elapsed_s())
+            case duties.Write() as write:
+                self._write(write)
+
+    def _write(self, write):
+        """Carry out a planned write."""
+        change_id = store_adapter.make_change_id()
+        outcome = self._store.put(
+            usage.KIND, NAME, write.value, write.expected_version, change_id
+        )
+        if isinstance(outcome, objects.Unknown):
+            outcome = self._settle(change_id)
+        is_new = self._lease.settle(write, outcome, self._clock.elapsed_s())
+        if is_new:
+            self._had = True
+            events.log(TAKEN, fence=self._lease.fence)
+            for work in self._works:
+                work.begin()
+
+    def _settle(self, change_id):
+        """Find out what became of a write whose answer was lost."""
+        try:
+            return self._store.settle(usage.KIND, NAME, change_id)
+        except errors.StoreUnavailableError as error:
+            return objects.NotDone(error.message)
--- /dev/null
+++ b/mulberryhollow/serving/factlink.py
@@ -0,0 +1,211 @@
+"""Facts that instances tell each other whatever they serve."""
+
+import concurrent.futures
+import functools
+import zlib
+
+
+from mulberryhollow.coordination import membership
+from mulberryhollow import errors
+from mulberryhollow.serving import documents
+from mulberryhollow.state import facts
+
+__all__ = ["CALL_TIMEOUT_S", "FactLink", "LATCHED_EXPIRY_S"]
+
+CRASH_TOPIC = "request.crash"
+
+CALL_TIMEOUT_S = 1.0
+"""Longest time of a call to a peer for a request, in seconds."""
+
+TELL_TIMEOUT_S = 0.25
+"""Longest wait for peers to hear of a quarantine, in seconds."""
+
+TOLD_PEERS = 8
+"""Peers that hear of a quarantine before the caller does."""
+
+LATCHED_EXPIRY_S = 24 * 3600.0
+"""Time after which a crash or notice is forgotten, in seconds."""
+
+LOST_EXPIRY_S = 15.0
+"""Time for which an instance that is out of reach counts as live, in s.
+
+It may still serve callers and spend its part of what is shared.
+"""
+
+
+class FactLink:
+    """Publishes what this instance knows and applies what others tell.
+
+    Parameters
+    ----------
+    peers : Peers
+        Facts and calls.
+    clock : Clock
+        Source of time.
+    dispatcher : Dispatcher
+        Takes members and crashes.
+    documents : pykka.ActorRef
+        Takes documents.
+    get_limits : callable
+        Returns what shares limits by demand, given the dispatch actor.
+
+    Notes
+    -----
+    Nothing told here proves ownership of anything: a fact that is lost,
+    doubled or late costs time or money, never safety.
+    """
+
+    def __init__(self, peers, clock, dispatcher, documents, get_limits):
+        self._peers = peers
+        self._clock = clock
+        self._dispatcher = dispatcher
+        self._documents = documents
+        self._get_limits = get_limits
+        self._me = peers.me()
+        self._lost_s = {}
+        self._threads = concurrent.futures.ThreadPoolExecutor(
+            TOLD_PEERS, thread_name_prefix="tell"
+        )
+        self.usable = ()
+        self.last_contact_s = None
+
+    def connect(self):
+        """Subscribe to facts and answer calls."""
+        peers = self._peers
+        peers.subscribe(facts.Topic.DOCUMENT, self._take_document)
+        peers.subscribe(facts.Topic.QUARANTINE, self._take_crash)
+        peers.handle(CRASH_TOPIC, self._answer_crash)
+
+    def tick(self):
+        """Notice who is there."""
+        now_s = self._clock.now_s()
+        views = self._peers.members()
+        others = [
+            view
+            for view in views
+            if view.member.instance_id != self._me.instance_id
+        ]
+        gone = [view for view in others if not view.is_usable]
+        self.usable = tuple(view.member for view in others if view.is_usable)
+        if self.usable:
+            self.last_contact_s = now_s
+        names = [view.member.instance_id for view in gone]
+        live = 1 + len(self.usable) + self._count_lost(gone, now_s)
+        self._dispatcher.change(
+            functools.partial(_apply_members, self._get_limits, live, names)
+        )
+
+    def _count_lost(self, gone, now_s):
+        """Return how many instances have gone out of reach just now."""
+        names = {
+            view.member.instance_id
+            for view in gone
+            if view.standing is not membership.Standing.LEFT
+        }
+        self._lost_s = {name: self._lost_s.get(name, now_s) for name in names}
+        return sum(
+            now_s - since_s < LOST_EXPIRY_S
+            for since_s in self._lost_s.values()
+        )
+
+    def is_owner(self, task):
+        """Return whether this instance usually does a task.
+
+        Parameters
+        ----------
+        task : str
+            Name of the task.
+
+        Notes
+        -----
+        Instances that see different members may both think so.
+        """
+        names = [each.instance_id for each in self.usable]
+        names.append(self._me.instance_id)
+        ranked = membership.rank_by_rendezvous(task, names)
+        return ranked[0] == self._me.instance_id
+
+    def publish_document(self, environment_name, document):
+        """Tell the peers the document in force."""
+        self._publish(
+            facts.Topic.DOCUMENT,
+            environment_name,
+            document.version,
+            zlib.compress(document.data),
+        )
+
+    def tell_crash(self, fingerprint, endpoint_id, is_quarantined):
+        """Tell the peers that a request took down an endpoint.
+
+        Parameters
+        ----------
+        fingerprint, endpoint_id : str
+            The request and the endpoint.
+        is_quarantined : bool
+            Whether the request is refused from now on: then the nearest
+            peers know it before its caller can send it to them.
+        """
+        self._publish_crash(fingerprint, endpoint_id)
+        if not is_quarantined:
+            return
+        payload = f"{fingerprint} {endpoint_id}".encode()
+        names = [each.instance_id for each in self.usable]
+        ranked = membership.rank_by_rendezvous(fingerprint, names)
+        calls = [
+            self._threads.submit(self._call, each, CRASH_TOPIC, payload)
+            for each in ranked[:TOLD_PEERS]
+        ]
+        concurrent.futures.wait(calls, TELL_TIMEOUT_S)
+
+    def _publish_crash(self, fingerprint, endpoint_id):
+        """Publish the crash as a fact."""
+        self._publish(
+            facts.Topic.QUARANTINE,
+            f"{fingerprint} {endpoint_id}",
+            1,
+            b"",
+            LATCHED_EXPIRY_S,
+        )
+
+    def _call(self, instance, topic, payload):
+        """Return the answer of a peer, or None."""
+        try:
+            return self._peers.call(instance, topic, payload, CALL_TIMEOUT_S)
+        except errors.PeerError:
+            return None
+
+    def _take_document(self, fact):
+        """Offer a document that a peer has in force."""
+        self._documents.tell(
+            documents.Offer(fact.version, zlib.decompress(fact.value))
+        )
+
+    def _take_crash(self, fact):
+        """Add a crash to the quarantine."""
+        fingerprint, _, endpoint_id = fact.key.partition(" ")
+        self._dispatcher.change(
+            lambda actor, now_s: actor.quarantine.record_crash(
+                fingerprint, endpoint_id
+            )
+        )
+
+    def _answer_crash(self, payload):
+        """Refuse a request from now on that a peer has quarantined."""
+        fingerprint, _, _ = payload.decode().partition(" ")
+        self._dispatcher.change(
+            lambda actor, now_s: actor.quarantine.condemn(fingerprint)
+        )
+        return b"1"
+
+    def _publish(self, topic, key, version, value, expiry_s=0.0):
+        """Publish one fact; an expiry of 0 keeps it."""
+        expires_s = self._clock.wall_s() + expiry_s if expiry_s else 0.0
+        self._peers.publish(facts.Fact(topic, key, version, value, expires_s))
+
+
+def _apply_members(get_limits, live, gone, actor, now_s):
+    """Set the number of live instances and forget those that are gone."""
+    get_limits(actor).set_live_nodes(live, now_s)
+    actor.shared_retries.set_live_nodes(live)
+    for name in gone:
+        actor.view.drop_peer(name)
--- /dev/null
+++ b/mulberryhollow/serving/forwarder.py
@@ -0,0 +1,487 @@
+"""Passes requests on to endpoints and their answers back."""
+
+import dataclasses
+import logging
+import random
+
+import attrs
+
+from mulberryhollow.coordination import forwarding as decisions
+from mulberryhollow.coordination import routing
+from mulberryhollow.coordination import streams
+from mulberryhollow import errors
+from mulberryhollow import events
+from mulberryhollow.serving import attempts
+from mulberryhollow.serving.observer import Outcome
+from mulberryhollow.transport import forwarding as transport
+
+__all__ = ["ForwardParts", "Forwarder", "Forwarding"]
+
+_SKIM_TIMEOUT_S = 0.25
+"""Longest time for the body of a refusal, in seconds."""
+
+_FIRST_FAILURE = 500
+
+RETRIED = events.declare(
+    4010, logging.INFO, "an attempt failed and the request goes elsewhere"
+)
+GIVEN_UP = events.declare(
+    4011,
+    logging.WARNING,
+    "a request was given up",
+    "look at the endpoints and faults named for its request id",
+)
+BROKEN_OFF = events.declare(
+    4012,
+    logging.WARNING,
+    "an answer was broken off after its head had been sent",
+    "look at the endpoint named for its request id",
+)
+
+
+@attrs.frozen
+class ForwardParts:
+    """What every forwarding shares.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Chooses endpoints and keeps the retry budget.
+    client : ForwardClient
+        Sends requests to endpoints.
+    codec : object
+        ``encode_call(request, chosen, left_s, last_event_id)`` returns
+        the EndpointCall of an attempt.
+    clock : Clock
+        Source of time.
+    watch : CallerWatch
+        Notices callers that leave.
+    recorder : object
+        ``record_begun(request)``, ``record_first(request, elapsed_s)``
+        and ``record_end(request, outcome, elapsed_s)`` count what is
+        served.
+    """
+
+    dispatcher: object
+    client: object
+    codec: object
+    clock: object
+    watch: object
+    recorder: object
+
+
+class Forwarder:
+    """Starts the forwarding of requests.
+
+    Parameters
+    ----------
+    parts : ForwardParts
+        What every forwarding shares.
+    """
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    def forward(self, request, is_gone=lambda: False):
+        """Pass a request on; return it once its answer has begun.
+
+        Parameters
+        ----------
+        request : ForwardRequest
+            The request.
+        is_gone : callable
+            Whether the caller has left.
+
+        Returns
+        -------
+        Forwarding
+            To be closed in any case.
+
+        Raises
+        ------
+        RefusedError
+            When it is given up.
+        CallerGoneError
+            When the caller has left.
+        """
+        forwarding = Forwarding(self._parts, request, is_gone)
+        try:
+            forwarding.begin()
+        except BaseException:
+            forwarding.close()
+            raise
+        return forwarding
+
+
+class Forwarding:
+    """One request on its way and its answer on the way back.
+
+    Parameters
+    ----------
+    parts : ForwardParts
+        What every forwarding shares.
+    request : ForwardRequest
+        The request.
+    is_gone : callable
+        Whether the caller has left.
+
+    Attributes
+    ----------
+    head : AnswerHead or None
+        Head of the answer, once it has begun.
+    body : bytes or None
+        The whole body; None where `iterate` gives it in pieces.
+    """
+
+    def __init__(self, parts, request, is_gone):
+        self.head = None
+        self.body = None
+        self._parts = parts
+        self._request = request
+        self._is_gone = is_gone
+        self._made = decisions.Attempts()
+        self._excluded = set()
+        self._route = None
+        self._answer = None
+        self._first = b""
+        self._failed_answer = None
+        self._assembly = streams.EventAssembly(request.last_event_id)
+        self._channel = None
+        self._is_aborted = False
+        self._is_complete = False
+        self._has_begun = False
+        self._outcome = Outcome.LEFT
+        parts.watch.add(self, is_gone, self._abort)
+
+    def begin(self):
+        """Send the request until an answer has begun.
+
+        Raises
+        ------
+        RefusedError, CallerGoneError
+            As for `Forwarder.forward`.
+        """
+        try:
+            while self.head is None:
+                self._attempt(self._begin_at)
+        except errors.RefusedError as error:
+            if self._failed_answer is None:
+                raise self._refuse(error.refusal) from error
+            self.head, self.body = self._failed_answer
+            self._outcome = Outcome.FAILED
+
+    def iterate(self):
+        """Yield the pieces of the answer, to its whole end.
+
+        Raises
+        ------
+        EndpointError
+            When the answer is broken off.
+        CallerGoneError
+            When the caller has left.
+        """
+        first, self._first = self._first, b""
+        if first:
+            yield first
+        while not self._is_complete:
+            self._check_deadline()
+            try:
+                piece = self._read_events()
+            except errors.EndpointError as error:
+                self._resume(error.fault)
+                continue
+            if piece:
+                yield piece
+
+    def close(self):
+        """Let go of the endpoint and the caller, however it ended."""
+        parts = self._parts
+        parts.watch.remove(self)
+        self._close_answer()
+        self._hand_back()
+        elapsed_s = parts.clock.now_s() - self._request.arrived_s
+        parts.recorder.record_end(self._request, self._outcome, elapsed_s)
+
+    def _attempt(self, run):
+        """Make one attempt; go on after a fault, or give up."""
+        self._check_caller()
+        route = self._choose()
+        try:
+            run(route)
+        except errors.EndpointError as error:
+            self._fail(error.fault)
+            self._check_caller()
+            self._go_on(route, error.fault)
+
+    def _choose(self):
+        """Return the route of the next attempt."""
+        request = self._request
+        now_s = self._parts.clock.now_s()
+        if request.deadline_s - now_s < decisions.LEAST_LEFT_S:
+            raise errors.RefusedError(decisions.refuse_late(self._made))
+        goal_at_s = request.arrived_s + request.goal_s
+        wanted = routing.RouteRequest(
+            request_id=request.request_id,
+            service=request.service,
+            version_shares={},
+            request_class=request.route,
+            deadline_s=min(request.deadline_s, goal_at_s),
+            idempotent=request.kind.is_repeatable,
+            chain=request.chain or routing.PromptChain(),
+        )
+        try:
+            self._route = self._parts.dispatcher.choose_for(
+                wanted, self._excluded
+            )
+        except errors.RefusedError as error:
+            raise errors.RefusedError(self._refuse_full()) from error
+        return self._route
+
+    def _begin_at(self, route):
+        """Make one attempt, up to the beginning of its answer."""
+        answer = self._open(route)
+        head = answer.head
+        is_stream = self._request.kind.is_stream
+        if is_stream and 200 <= head.status < 300:
+            self._first = self._read_first()
+            self.head = head
+            return
+        body = self._read_whole()
+        self._mark_begun()
+        is_failure = head.status >= _FIRST_FAILURE
+        if is_failure and self._request.kind.is_repeatable:
+            self._failed_answer = head, body
+            raise errors.EndpointError(streams.Failed(head.status))
+        self._finish()
+        self.head, self.body = head, body
+
+    def _resume_at(self, route):
+        """Make one attempt to go on with a stream."""
+        answer = self._open(route)
+        if answer.head.status != self.head.status:
+            raise errors.EndpointError(streams.Failed(answer.head.status))
+
+    def _open(self, route):
+        """Return the OpenAnswer of an endpoint that runs the request."""
+        request = self._request
+        now_s = self._parts.clock.now_s()
+        call = self._parts.codec.encode_call(
+            request,
+            route.chosen,
+            request.deadline_s - now_s,
+            self._assembly.last_id,
+        )
+        attempt = transport.Attempt(
+            route.address,
+            call,
+            decisions.wait_for_head(request, self._made.runs, now_s),
+            is_fresh=not request.kind.is_repeatable,
+        )
+        answer = self._parts.client.open(attempt, self._hold)
+        self._parts.dispatcher.report_load(route, answer.head.load)
+        self._answer = answer
+        if answer.head.has_not_run:
+            self._skim()
+            raise errors.EndpointError(_explain_refusal(answer.head))
+        return answer
+
+    def _hold(self, channel):
+        """Keep the channel for `_abort`."""
+        self._channel = channel
+        if self._is_aborted:
+            channel.abort()
+
+    def _abort(self):
+        """End the attempt under way; called in another thread."""
+        self._is_aborted = True
+        channel = self._channel
+        if channel is not None:
+            channel.abort()
+
+    def _skim(self):
+        """Read a refusal to its end, so that its connection is kept."""
+        while self._answer.read_piece(_SKIM_TIMEOUT_S):
+            pass
+        self._close_answer()
+
+    def _read_whole(self):
+        """Return the whole body of the answer."""
+        pieces = iter(lambda: self._answer.read_piece(self._left()), b"")
+        return b"".join(pieces)
+
+    def _left(self):
+        """Return the time to the deadline, in seconds."""
+        left_s = self._request.deadline_s - self._parts.clock.now_s()
+        return max(decisions.LEAST_LEFT_S, left_s)
+
+    def _read_first(self):
+        """Return the first events of a stream."""
+        piece = b""
+        while not (piece or self._is_complete):
+            piece = self._read_events()
+        return piece
+
+    def _read_events(self):
+        """Return the next whole events; empty while none is whole."""
+        now_s = self._parts.clock.now_s()
+        piece = self._answer.read_piece(
+            decisions.wait_for_event(self._request, self._made.runs, now_s)
+        )
+        if not piece:
+            self._finish()
+            return self._assembly.rest
+        found = self._assembly.feed(piece)
+        if isinstance(found, streams.Crossed):
+            raise errors.EndpointError(found)
+        if found and not self._has_begun:
+            self._mark_begun()
+            now_s = self._parts.clock.now_s()
+            self._parts.recorder.record_first(
+                self._request, now_s - self._request.arrived_s
+            )
+            self._parts.dispatcher.report_first(
+                self._route, now_s - self._route.work.started_at_s
+            )
+        return found
+
+    def _mark_begun(self):
+        """Count the request as begun at an endpoint, once."""
+        if not self._has_begun:
+            self._has_begun = True
+            self._parts.recorder.record_begun(self._request)
+
+    def _finish(self):
+        """Note that the answer is whole."""
+        self._is_complete = True
+        self._outcome = Outcome.DONE
+        self._close_answer()
+        self._hand_back()
+
+    def _check_deadline(self):
+        """Break the answer off when its time is up."""
+        now_s = self._parts.clock.now_s()
+        if now_s >= self._request.deadline_s:
+            self._log_broken_off(self._route, "the time is up", "")
+            fault = streams.Silent(now_s - self._request.arrived_s)
+            raise errors.EndpointError(fault)
+
+    def _log_broken_off(self, route, fault, reason):
+        """Say why an answer ends before it is whole."""
+        self._outcome = Outcome.BROKEN_OFF
+        events.log(
+            BROKEN_OFF,
+            request=self._request.request_id,
+            endpoint=route.endpoint_id,
+            fault=str(fault),
+            events=self._assembly.count,
+            reason=reason,
+        )
+
+    def _resume(self, fault):
+        """Go on with a broken stream elsewhere, or break it off."""
+        route = self._route
+        self._fail(fault, is_answering=True)
+        self._check_caller()
+        try:
+            if not (self._request.kind.is_repeatable and self._is_begun()):
+                raise errors.EndpointError(fault)
+            self._go_on(route, fault)
+            self._assembly.restart()
+            while self._answer is None:
+                self._attempt(self._resume_at)
+        except (errors.RefusedError, errors.EndpointError) as error:
+            self._log_broken_off(route, fault, error.message)
+            raise errors.EndpointError(fault) from error
+
+    def _is_begun(self):
+        """Return whether the stream can be gone on with by an id."""
+        return bool(self._assembly.last_id)
+
+    def _fail(self, fault, is_answering=False):
+        """Report a failed attempt."""
+        self._close_answer()
+        route, self._route = self._route, None
+        self._excluded.add(route.endpoint_id)
+        self._made.record(fault)
+        if self._is_aborted:
+            self._parts.dispatcher.finish(route)
+            raise errors.CallerGoneError
+        failure = attempts.report_fault(
+            self._parts.dispatcher,
+            self._parts.client,
+            route,
+            fault,
+            self._request.fingerprint,
+            is_answering,
+        )
+        if failure.is_quarantined:
+            raise attempts.refuse_quarantined()
+
+    def _go_on(self, route, fault):
+        """Return when another attempt may follow; give up otherwise."""
+        now_s = self._parts.clock.now_s()
+        decision = decisions.decide_next(
+            self._request, self._made, fault, now_s, random.random()
+        )
+        match decision:
+            case decisions.GiveUp(refusal):
+                raise errors.RefusedError(refusal)
+            case decisions.GoOn(draws_budget=True):
+                if not self._parts.dispatcher.spend_retry(
+                    self._request.service
+                ):
+                    raise errors.RefusedError(self._refuse_full())
+        events.log(
+            RETRIED,
+            request=self._request.request_id,
+            endpoint=route.endpoint_id,
+            fault=str(fault),
+            offers=self._made.offers,
+            runs=self._made.runs,
+        )
+
+    def _refuse_full(self):
+        """Return the refusal for want of an endpoint or of budget."""
+        return decisions.refuse_full(
+            self._request, self._made, random.random()
+        )
+
+    def _refuse(self, refusal):
+        """Return the error of a final refusal, having logged it."""
+        if self._made.runs and refusal.ran is errors.Ran.NOT_RUN:
+            refusal = dataclasses.replace(refusal, ran=errors.Ran.UNKNOWN)
+        self._outcome = Outcome.REFUSED
+        events.log(
+            GIVEN_UP,
+            request=self._request.request_id,
+            route=self._request.route,
+            reason=refusal.message,
+            ran=refusal.ran.value,
+            offers=self._made.offers,
+            runs=self._made.runs,
+        )
+        return errors.RefusedError(refusal)
+
+    def _check_caller(self):
+        """Raise when nobody waits for the answer."""
+        if self._is_aborted or self._is_gone():
+            raise errors.CallerGoneError
+
+    def _close_answer(self):
+        """Let go of the answer's connection."""
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            answer.close()
+
+    def _hand_back(self):
+        """Hand back the route of an attempt that did not fail."""
+        route, self._route = self._route, None
+        if route is not None:
+            self._parts.dispatcher.finish(route)
+
+
+def _explain_refusal(head):
+    """Return the fault of an attempt that the endpoint did not run."""
+    if head.is_other_endpoint:
+        return streams.NotSent("another endpoint has the address")
+    return streams.RefusedByEndpoint(f"status {head.status}")
--- a/mulberryhollow/serving/observed_store.py
+++ b/mulberryhollow/serving/observed_store.py
@@ -14,21 +14,23 @@
         ``host:port`` of the object API.
     observer : Observer
         Counts the calls by name.
+    **options
+        Given to `StoreClient`.
     """
 
-    def __init__(self, address, observer):
-        super().__init__(address)
+    def __init__(self, address, observer, **options):
+        super().__init__(address, **options)
         self._observer = observer
 
-    def get(self, kind, name):
+    def get(self, kind, name, is_stale_ok=False):
         """Read an object, as `StoreClient.get`."""
         self._observer.count_store_call("get")
-        return super().get(kind, name)
+        return super().get(kind, name, is_stale_ok)
 
-    def list_objects(self, kind):
+    def list_objects(self, kind, is_stale_ok=False):
         """List a kind, as `StoreClient.list_objects`."""
         self._observer.count_store_call("list")
-        return super().list_objects(kind)
+        return super().list_objects(kind, is_stale_ok)
 
     def watch(self, kind, after, wait_s):
         """Wait for changes, as `StoreClient.watch`."""
--- a/mulberryhollow/serving/observer.py
+++ b/mulberryhollow/serving/observer.py
@@ -21,6 +21,8 @@
     DONE = "done"
     REFUSED = "refused"
     LEFT = "left"
+    FAILED = "failed"
+    BROKEN_OFF = "broken_off"
 
 
 _CAUSES = (
@@ -129,15 +131,15 @@
 
     def count_retry(self):
         """Count an attempt that is repeated."""
-        self._count_declared(_RETRIES)
+        self.count_declared(_RETRIES)
 
     def count_store_call(self, name):
         """Count a call of the platform's store by its name."""
-        self._count_declared(_STORE[name])
+        self.count_declared(_STORE[name])
 
     def count_refusal(self, kind):
         """Count a refusal by its RefusalKind."""
-        self._count_declared(_REFUSALS[kind])
+        self.count_declared(_REFUSALS[kind])
 
     def set_active(self, count):
         """Tell how many requests are being answered."""
@@ -159,7 +161,7 @@
         duration_s : float
             Time since its arrival, in seconds; recorded when it is done.
         """
-        self._count_declared(_REQUESTS[request.request_class, outcome])
+        self.count_declared(_REQUESTS[request.request_class, outcome])
         if outcome is Outcome.DONE:
             self._record(request, histograms.Measure.WHOLE, duration_s)
 
@@ -168,7 +170,7 @@
         with self._lock:
             return dict(self._counts)
 
-    def _count_declared(self, metric):
+    def count_declared(self, metric):
         """Add to a counter that is a metric too."""
         self.count(metric.name)
         self._sender.count(metric)
--- /dev/null
+++ b/mulberryhollow/serving/orders.py
@@ -0,0 +1,232 @@
+"""Orders endpoints by the load of all instances, as a duty."""
+
+import collections
+import logging
+import math
+
+import attrs
+
+from mulberryhollow.coordination import capacity
+from mulberryhollow import events
+from mulberryhollow.state import objects
+
+__all__ = ["Order", "OrderKeeper"]
+
+LOOK_S = 1.0
+"""Time between two looks at the load, in seconds."""
+
+REFUSED_S = 3.0
+"""Time after which a refused order is tried again, in seconds."""
+
+REPEAT_S = 8.0
+"""Time after which an order that is not yet fulfilled is repeated, in s.
+
+An engine takes some seconds to boot; an order may be lost on the way.
+"""
+
+FALL_S = 8.0
+"""Time in which a higher load is remembered, in seconds.
+
+Longer than an engine takes to boot, so that a short dip gives up nothing
+that would have to be ordered again.
+"""
+
+LEARN_S = 4.0
+"""Time that the load is watched for before anything is given up, in s."""
+
+ORDERED = events.declare(
+    8120, logging.INFO, "a number of endpoints was ordered"
+)
+ORDER_REFUSED = events.declare(
+    8121,
+    logging.WARNING,
+    "an order was not taken; it is tried again",
+    "look at the platform's API when it repeats for on-demand endpoints",
+)
+
+
+@attrs.frozen
+class Order:
+    """A number of endpoints of one market in one failure domain.
+
+    Parameters
+    ----------
+    service, failure_domain : str
+        Where.
+    count : int
+        How many there shall be.
+    is_reclaimable : bool
+        The market.
+    """
+
+    service: str
+    failure_domain: str
+    count: int
+    is_reclaimable: bool
+
+
+@attrs.define
+class _Service:
+    """What the keeper remembers of one service."""
+
+    needs: collections.deque = attrs.field(factory=collections.deque)
+    ordered: dict = attrs.field(factory=dict)
+    refused_s: dict = attrs.field(factory=dict)
+    seen_s: float = math.inf
+
+
+class OrderKeeper:
+    """Keeps the number of endpoints in step with the load.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Knows the load of all instances.
+    cloud : object
+        ``order(fence, order)`` places an order.
+    clock : Clock
+        Source of time.
+    get_services : callable
+        Returns the ServiceSpec of each service by name.
+    get_listings : callable
+        Returns every EndpointListing in use.
+    rules : SizingRules or None
+        Rules of the size; the defaults when None.
+    """
+
+    def __init__(
+        self, dispatcher, cloud, clock, get_services, get_listings, rules=None
+    ):
+        self._dispatcher = dispatcher
+        self._cloud = cloud
+        self._clock = clock
+        self._get_services = get_services
+        self._get_listings = get_listings
+        self._rules = rules or capacity.SizingRules()
+        self._services = collections.defaultdict(_Service)
+        self._looked_s = -math.inf
+
+    def begin(self):
+        """Forget what was ordered, since another instance may have."""
+        self._services.clear()
+
+    def work(self, fence, is_held):
+        """Order what the load calls for.
+
+        Parameters
+        ----------
+        fence : int
+            Fencing number of the holder.
+        is_held : callable
+            Whether this instance still is the holder.
+        """
+        now_s = self._clock.now_s()
+        if now_s - self._looked_s < LOOK_S:
+            return
+        self._looked_s = now_s
+        loads = self._dispatcher.read(_read_loads)
+        for name, spec in self._get_services().items():
+            if spec.scaling is None:
+                continue
+            load = loads.get(name, _Load())
+            for order in self._plan(name, spec, load, now_s):
+                if not is_held():
+                    return
+                self._place(fence, order, now_s)
+
+    def _plan(self, name, spec, load, now_s):
+        """Return the orders that are due for one service."""
+        service = self._services[name]
+        slots = spec.model.slots if spec.model else 1
+        need = capacity.find_need(
+            load.busy, load.in_flight, slots, self._rules
+        )
+        if load.in_flight and service.seen_s is math.inf:
+            service.seen_s = now_s
+        need = _remember(service.needs, need, now_s)
+        present = self._count_present(name)
+        if now_s - service.seen_s < LEARN_S or service.seen_s is math.inf:
+            need = max(need, present.total)
+        unavailable = {
+            slot
+            for slot, refused_s in service.refused_s.items()
+            if now_s - refused_s < REFUSED_S
+        }
+        wanted = capacity.choose_counts(
+            need, spec.scaling, present, unavailable, self._rules
+        )
+        return [
+            Order(name, slot.failure_domain, count, slot.is_reclaimable)
+            for slot, count in sorted(wanted.items())
+            if slot not in unavailable
+            and self._is_due(service, slot, count, present, now_s)
+        ]
+
+    def _count_present(self, name):
+        """Return the endpoints of a service that take new work."""
+        counts = collections.Counter(
+            capacity.Slot(each.failure_domain, each.is_reclaimable)
+            for each in self._get_listings()
+            if each.service == name and not each.is_leaving
+        )
+        return capacity.Present(dict(counts))
+
+    @staticmethod
+    def _is_due(service, slot, count, present, now_s):
+        """Return whether a number is to be ordered, or ordered again."""
+        now = present.counts.get(slot, 0)
+        ordered, at_s = service.ordered.get(slot, (now, -math.inf))
+        if count != ordered:
+            return True
+        return count != now and now_s - at_s >= REPEAT_S
+
+    def _place(self, fence, order, now_s):
+        """Place one order and remember what became of it."""
+        service = self._services[order.service]
+        slot = capacity.Slot(order.failure_domain, order.is_reclaimable)
+        outcome = self._cloud.order(fence, order)
+        fields = attrs.asdict(order) | {"fence": fence}
+        if isinstance(outcome, objects.Done):
+            service.ordered[slot] = order.count, now_s
+            service.refused_s.pop(slot, None)
+            events.log(ORDERED, **fields)
+            return
+        service.ordered.pop(slot, None)
+        service.refused_s[slot] = now_s
+        events.log(ORDER_REFUSED, reason=str(outcome), **fields)
+
+
+@attrs.frozen
+class _Load:
+    """Load of one service over all instances.
+
+    Parameters
+    ----------
+    busy : float
+        Engine time that prompts take, in seconds a second.
+    in_flight : float
+        Requests at its endpoints.
+    """
+
+    busy: float = 0.0
+    in_flight: float = 0.0
+
+
+def _remember(needs, need, now_s):
+    """Return the highest need of a while."""
+    needs.append((now_s, need))
+    while needs[0][0] < now_s - FALL_S:
+        needs.popleft()
+    return max(each for _, each in needs)
+
+
+def _read_loads(actor, now_s):
+    """Return the _Load of each service."""
+    in_flight = collections.Counter()
+    for record in actor.view:
+        in_flight[record.endpoint.service] += record.load
+    busy = actor.work.sum_all(now_s)
+    return {
+        service: _Load(busy.get(service, 0.0), amount)
+        for service, amount in in_flight.items()
+    }
--- /dev/null
+++ b/mulberryhollow/serving/recorder.py
@@ -0,0 +1,58 @@
+"""Counts and times of requests that are passed on."""
+
+import itertools
+
+from mulberryhollow import metrics
+from mulberryhollow.serving.observer import Outcome
+from mulberryhollow.state import catalogue
+from mulberryhollow.state import histograms
+
+__all__ = ["ForwardRecorder"]
+
+_US_PER_S = 1e6
+
+_ENDS = {
+    (kind, outcome): metrics.declare(
+        f"forwarded.{kind.name.lower()}.{outcome.value}",
+        metrics.Kind.COUNTER,
+        "requests",
+        f"{kind.value} requests passed on that ended as {outcome.value}",
+    )
+    for kind, outcome in itertools.product(catalogue.RequestKind, Outcome)
+}
+
+
+class ForwardRecorder:
+    """Counts what is served, for the metrics and the usage reports.
+
+    Parameters
+    ----------
+    observer : Observer
+        Counters and histograms.
+    usage : pykka.ActorRef or object
+        ``record_usage(account)`` counts a request that has begun.
+    """
+
+    def __init__(self, observer, usage):
+        self._observer = observer
+        self._usage = usage
+
+    def record_begun(self, request):
+        """Count a request that an endpoint has begun to run."""
+        self._usage.record_usage(request.account)
+
+    def record_first(self, request, elapsed_s):
+        """Record the time to the first event of a stream, in seconds."""
+        self._record(request, elapsed_s, histograms.Measure.FIRST)
+
+    def record_end(self, request, outcome, elapsed_s):
+        """Record how a request ended, and its time when it is done."""
+        self._observer.count_declared(_ENDS[request.kind, outcome])
+        if outcome is Outcome.DONE:
+            self._record(request, elapsed_s, histograms.Measure.WHOLE)
+
+    def _record(self, request, elapsed_s, measure):
+        """Record one time."""
+        self._observer.histograms.record(
+            request.account, request.kind, elapsed_s * _US_PER_S, measure
+        )
--- a/mulberryhollow/serving/shares.py
+++ b/mulberryhollow/serving/shares.py
@@ -15,6 +15,7 @@
     def __init__(self):
         self._versions = {}
         self._moves = {}
+        self._mixes = {}
 
     def set_versions(self, versions):
         """Take the version of each service from the document in force."""
@@ -25,8 +26,20 @@
         shares = {from_version: 1.0 - share, to_version: share}
         self._moves[service] = from_version, shares
 
+    def set_mixes(self, mixes):
+        """Take the versions of services that no document names.
+
+        Parameters
+        ----------
+        mixes : dict
+            Service to the share of each of its versions.
+        """
+        self._mixes = dict(mixes)
+
     def get(self, service):
         """Return the shares of a service, by version."""
+        if service in self._mixes:
+            return self._mixes[service]
         version = self._versions.get(service)
         if version is None:
             return {}
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -3,6 +3,7 @@
 import collections
 import enum
 import itertools
+import math
 
 import attrs
 
@@ -12,6 +13,16 @@
 
 FINISHED_KEPT = 256
 
+FAILURE_SMOOTHING = 0.1
+"""Weight of the latest answer in the failure rate."""
+
+FAILURE_MEMORY_S = 5.0
+"""Time in which an unused failure rate fades to a third, in seconds.
+
+Long enough to outlast a burst of retries, short enough that an endpoint
+that has recovered is used again within one window of the retry budget.
+"""
+
 
 class FailureKind(enum.Enum):
     """How a request failed, as seen by the node that sent it.
@@ -54,6 +65,11 @@
         Its price, in the currency of the cloud, per hour.
     state : str
         ``live`` or ``leaving``, as the list says.
+    identity : str
+        The id by which the endpoint knows itself; empty when it is `id`.
+        A restart under the same identity is another endpoint.
+    slots : int
+        Requests that it runs at once; 0 when the list does not say.
     """
 
     id: str
@@ -65,6 +81,8 @@
     market: str = "on_demand"
     price_per_hour: float = 0.0
     state: str = "live"
+    identity: str = ""
+    slots: int = 0
 
 
 @attrs.frozen(eq=False)
@@ -118,6 +136,11 @@
     loaded : tuple of str
         Versions that the last report shows as loaded; empty when the
         endpoint does not report any.
+    failure_rate : float
+        Smoothed part of its latest answers that were failures, 0 to 1,
+        as of the last failure.
+    failed_at_s : float
+        When the last one failed, in seconds.
     """
 
     endpoint: Endpoint
@@ -126,7 +149,7 @@
     circuit: Circuit = attrs.field(factory=Circuit)
     running: int = 0
     queued: int = 0
-    slots: int = 1
+    slots: int = attrs.field()
     measured_at_s: float = float("-inf")
     own_reported: int = 0
     peer_load: float = 0.0
@@ -134,11 +157,34 @@
     busy_until_s: float = float("-inf")
     stamp: int = 0
     loaded: tuple = ()
+    failure_rate: float = 0.0
+    failed_at_s: float = float("-inf")
     _active: set = attrs.field(factory=set)
     _finished: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=FINISHED_KEPT)
     )
 
+    @slots.default
+    def _take_listed_slots(self):
+        return max(1, self.endpoint.slots)
+
+    def record_success(self):
+        """Count an answer in the smoothed failure rate."""
+        self.failure_rate -= FAILURE_SMOOTHING * self.failure_rate
+
+    def record_failure(self, now_s):
+        """Count a failed answer in the smoothed failure rate."""
+        rate = self.get_failure_rate(now_s)
+        self.failure_rate = rate + FAILURE_SMOOTHING * (1.0 - rate)
+        self.failed_at_s = now_s
+
+    def get_failure_rate(self, now_s):
+        """Return the failure rate, which fades after the last failure."""
+        if not self.failure_rate:
+            return 0.0
+        age_s = max(0.0, now_s - self.failed_at_s)
+        return self.failure_rate * math.exp(-age_s / FAILURE_MEMORY_S)
+
     def update_load(self):
         """Estimate the load again after a change.
 
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -269,6 +269,7 @@
         weight = _weigh(kind, is_blamed)
         if record is None or not weight:
             return
+        record.record_failure(now_s)
         record.circuit.record_failure(weight, now_s, self._rng)
         if record.circuit.state is CircuitState.OPEN:
             entry = record.circuit.open_until_s, endpoint_id
@@ -280,6 +281,7 @@
         record = self._records.get(endpoint_id)
         if record is None:
             return
+        record.record_success()
         was_closed = record.circuit.state is CircuitState.CLOSED
         record.circuit.record_success()
         if not was_closed:
--- /dev/null
+++ b/mulberryhollow/state/fleet.py
@@ -0,0 +1,135 @@
+"""Endpoints as the platform lists them, over gaps in the list."""
+
+import attrs
+
+from mulberryhollow.state.endpoints import Endpoint
+
+__all__ = ["EndpointListing", "Fleet"]
+
+RETURN_S = 2.0
+"""Time in which an entry that lapsed while the store was away returns, in s.
+
+An entry that is still missing after it stands for an endpoint that is gone.
+"""
+
+
+@attrs.frozen
+class EndpointListing:
+    """What an endpoint says of itself in the store.
+
+    Parameters
+    ----------
+    identity : str
+        The id by which it knows itself.
+    started_ms : int
+        Its start, in Unix milliseconds; another start is another endpoint.
+    service, address, failure_domain, version : str
+        What it answers, and where.
+    slots : int
+        Requests that it runs at once.
+    is_leaving : bool
+        Whether it takes no new work.
+    is_reclaimable : bool
+        Whether it may be taken away at short notice.
+    leaves_in_s : float or None
+        Time until it is taken away, in seconds, once that is known.
+    """
+
+    identity: str
+    started_ms: int
+    service: str
+    address: str
+    failure_domain: str
+    version: str
+    slots: int
+    is_leaving: bool = False
+    is_reclaimable: bool = False
+    leaves_in_s: float | None = None
+
+    @property
+    def key(self):
+        """Id of this one life of the endpoint."""
+        return f"{self.identity}.{self.started_ms}"
+
+    def to_endpoint(self):
+        """Return it as an item of the endpoint view."""
+        return Endpoint(
+            id=self.key,
+            role="endpoint",
+            address=self.address,
+            failure_domain=self.failure_domain,
+            service=self.service,
+            version=self.version,
+            market="reclaimable" if self.is_reclaimable else "on_demand",
+            state="leaving" if self.is_leaving else "live",
+            identity=self.identity,
+            slots=self.slots,
+        )
+
+
+class Fleet:
+    """The endpoints in use, from lists and changes of the store.
+
+    Notes
+    -----
+    Entries lapse while the store is away although their endpoints live.
+    Those that are missing after its return are kept for `RETURN_S`.
+    """
+
+    def __init__(self):
+        self._entries = {}
+        self._missing_until_s = {}
+        self._returned_s = float("-inf")
+
+    def note_return(self, now_s):
+        """Note that the store answers again after a failed call."""
+        self._returned_s = now_s
+
+    def replace(self, listed, now_s):
+        """Take over a whole list.
+
+        Parameters
+        ----------
+        listed : dict
+            Object name to its EndpointListing, or to None for an entry
+            that cannot be read.
+        now_s : float
+            Monotonic time, in seconds.
+        """
+        for name in self._entries.keys() - listed.keys():
+            self.remove(name, now_s)
+        for name, listing in listed.items():
+            self.put(name, listing)
+
+    def put(self, name, listing):
+        """Take over one entry; None names no endpoint to use."""
+        self._missing_until_s.pop(name, None)
+        if listing is None:
+            self._entries.pop(name, None)
+        else:
+            self._entries[name] = listing
+
+    def remove(self, name, now_s):
+        """Note that an entry is no longer listed."""
+        until_s = self._returned_s + RETURN_S
+        if now_s < until_s and name in self._entries:
+            self._missing_until_s.setdefault(name, until_s)
+        else:
+            self._entries.pop(name, None)
+            self._missing_until_s.pop(name, None)
+
+    def expire(self, now_s):
+        """Drop what has not returned in time; return whether any was."""
+        due = [
+            name
+            for name, until_s in self._missing_until_s.items()
+            if now_s >= until_s
+        ]
+        for name in due:
+            del self._missing_until_s[name]
+            self._entries.pop(name, None)
+        return bool(due)
+
+    def list_listings(self):
+        """Return every EndpointListing in use."""
+        return tuple(self._entries.values())
--- a/mulberryhollow/state/objects.py
+++ b/mulberryhollow/state/objects.py
@@ -23,6 +23,9 @@
         The unique id that its last writer gave.
     is_deleted : bool
         Whether a watch reports its removal.
+    status : bytes
+        What its reader has written beside the content; empty where the
+        store keeps no such thing.
     """
 
     kind: str
@@ -31,6 +34,7 @@
     value: bytes
     change_id: str = ""
     is_deleted: bool = False
+    status: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -10,7 +10,6 @@
 
 import attrs
 import waitress
-from waitress import wasyncore
 
 from mulberryhollow import errors
 from mulberryhollow import events
@@ -415,27 +414,6 @@
     )
 
 
-def stop_accepting(server):
-    """Take every waiting connection, then refuse further ones.
-
-    Parameters
-    ----------
-    server : waitress server
-        A running server; connections that it has go on.
-    """
-    server.trigger.pull_trigger(lambda: _close_listener(server))
-
-
-def _close_listener(server):
-    """Close the listening socket, in the server's own thread."""
-    for _ in range(_BACKLOG):
-        count = len(server.active_channels)
-        server.handle_accept()
-        if len(server.active_channels) == count:
-            break
-    wasyncore.dispatcher.close(server)
-
-
 def is_quiet(server, now_s):
     """Return whether every connection has been idle for a moment.
 
--- a/mulberryhollow/transport/connection.py
+++ b/mulberryhollow/transport/connection.py
@@ -26,8 +26,9 @@
 class _Idle:
     """An idle connection and when it became idle."""
 
-    connection: urllib3.connection.HTTPConnection
+    connection: object
     since_s: float
+    limit_s: float
 
 
 def open_fresh(address, timeout_s):
@@ -66,10 +67,26 @@
     ----------
     clock : Clock
         Source of time.
+    open_one : callable
+        ``open_one(address, timeout_s)`` opens a connection, as
+        `open_fresh`.
+    is_usable : callable
+        Whether an idle connection may carry another request.
+    per_address : int
+        Idle connections that are kept for one address.
     """
 
-    def __init__(self, clock):
+    def __init__(
+        self,
+        clock,
+        open_one=open_fresh,
+        is_usable=lambda connection: True,
+        per_address=_PER_ADDRESS,
+    ):
         self._clock = clock
+        self._open_one = open_one
+        self._is_usable = is_usable
+        self._per_address = per_address
         self._idle = {}
         self._lock = threading.Lock()
 
@@ -92,18 +109,29 @@
         """
         pooled = self._pop(address)
         if pooled is None:
-            return open_fresh(address, timeout_s), True
+            return self._open_one(address, timeout_s), True
         pooled.timeout = min(timeout_s, pooled_timeout_s)
         pooled.sock.settimeout(pooled.timeout)
         return pooled, False
 
-    def give_back(self, address, connection):
-        """Keep a connection whose answer has been read to its end."""
+    def give_back(self, address, connection, limit_s=IDLE_LIMIT_S):
+        """Keep a connection whose answer has been read to its end.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the endpoint.
+        connection : object
+            The connection.
+        limit_s : float
+            Idle age beyond which it is not used, in seconds.
+        """
         if connection.sock is None:
             return
         shelf = self._get_shelf(address)
+        limit_s = min(limit_s, IDLE_LIMIT_S)
         try:
-            shelf.put_nowait(_Idle(connection, self._clock.now_s()))
+            shelf.put_nowait(_Idle(connection, self._clock.now_s(), limit_s))
         except queue.Full:
             connection.close()
 
@@ -121,7 +149,8 @@
                 idle = shelf.get_nowait()
                 age_s = self._clock.now_s() - idle.since_s
                 is_open = idle.connection.sock is not None
-                if is_open and age_s < IDLE_LIMIT_S:
+                is_young = is_open and age_s < idle.limit_s
+                if is_young and self._is_usable(idle.connection):
                     return idle.connection
                 idle.connection.close()
         return None
@@ -130,5 +159,5 @@
         """Return the queue of idle connections of an address."""
         with self._lock:
             if address not in self._idle:
-                self._idle[address] = queue.LifoQueue(_PER_ADDRESS)
+                self._idle[address] = queue.LifoQueue(self._per_address)
             return self._idle[address]
--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -1,21 +1,24 @@
-"""Adapter to the platform's object API."""
+"""Client of the platform's object API."""
 
-import base64
-import binascii
-import json
 import uuid
 
 import urllib3
 
 from mulberryhollow import errors
+from mulberryhollow.protocol import object_api
 from mulberryhollow.state import objects
 
 __all__ = ["StoreClient", "make_change_id", "split_address"]
 
+CONNECT_TIMEOUT_S = 1.0
+"""Longest time for the handshake of a connection, in seconds."""
+
 _CONNECTIONS = 8
 _OK = 200
 _NOT_FOUND = 404
+_GONE = 410
 _REMEDY = "retry after the platform answers again"
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
 
 
 def make_change_id():
@@ -38,18 +41,28 @@
         ``host:port`` of the object API.
     timeout_s : float
         Longest time of one call, in seconds; a watch adds its wait.
+    dialect : ObjectDialect or None
+        Encodes calls and decodes answers; the product's own when None.
     """
 
-    def __init__(self, address, timeout_s=2.0):
+    def __init__(self, address, timeout_s=2.0, dialect=None):
         host, port = split_address(address)
         self._timeout_s = timeout_s
+        self._dialect = dialect or object_api.ObjectDialect()
         self._pool = urllib3.HTTPConnectionPool(
             host, port, maxsize=_CONNECTIONS, retries=False
         )
 
-    def get(self, kind, name):
+    def get(self, kind, name, is_stale_ok=False):
         """Read one object.
 
+        Parameters
+        ----------
+        kind, name : str
+            The object.
+        is_stale_ok : bool
+            Whether an answer that is seconds old will do.
+
         Returns
         -------
         StoredObject or None
@@ -60,33 +73,47 @@
         StoreUnavailableError
             When the platform gave no usable answer.
         """
-        answer = self._read(f"/v1/objects/{kind}/{name}")
+        call = self._dialect.encode_get(kind, name, is_stale_ok)
+        answer = self._read(call)
         if answer.status == _NOT_FOUND:
             return None
         self._check(answer)
         try:
-            version = int(answer.headers["X-Version"])
-        except (KeyError, ValueError) as error:
-            raise _unavailable("an object has no version") from error
-        change_id = answer.headers.get("X-Change-Id", "")
-        return objects.StoredObject(
-            kind, name, version, answer.data, change_id
-        )
+            return self._dialect.decode_get(kind, name, answer)
+        except _MALFORMED as error:
+            raise _unavailable(f"malformed object: {error!r}") from error
 
-    def list_objects(self, kind):
+    def list_objects(self, kind, is_stale_ok=False):
         """Read every object of a kind.
 
+        Parameters
+        ----------
+        kind : str
+            Kind of object.
+        is_stale_ok : bool
+            Whether an answer that is seconds old will do.
+
         Returns
         -------
         tuple
-            The store's revision and the list of StoredObject.
+            The store's revision as of the first page, so that a watch
+            from there misses nothing, and the list of StoredObject.
 
         Raises
         ------
         StoreUnavailableError
             When the platform gave no usable answer.
         """
-        return self._read_items(kind, f"/v1/objects/{kind}", 0.0)
+        found = []
+        revision = None
+        after = ""
+        while revision is None or after:
+            call = self._dialect.encode_list(kind, after, is_stale_ok)
+            page = self._read_page(kind, call, self._dialect.decode_list)
+            found.extend(page.items)
+            revision = page.revision if revision is None else revision
+            after = page.next_after
+        return revision, found
 
     def watch(self, kind, after, wait_s):
         """Wait for changes of a kind later than a revision.
@@ -107,11 +134,14 @@
 
         Raises
         ------
+        HistoryLostError
+            When the store no longer knows what came after the revision.
         StoreUnavailableError
             When the platform gave no usable answer.
         """
-        path = f"/v1/watch?kind={kind}&after={after}&wait_s={wait_s}"
-        return self._read_items(kind, path, wait_s)
+        call = self._dialect.encode_watch(kind, after, wait_s)
+        page = self._read_page(kind, call, self._dialect.decode_watch, wait_s)
+        return page.revision, list(page.items)
 
     def put(self, kind, name, value, expected_version, change_id):
         """Write an object if its version is the expected one.
@@ -132,10 +162,11 @@
         Done, NotDone or Unknown
             Never raises for an unreachable platform.
         """
-        headers = {"X-Change-Id": change_id}
-        headers.update(_make_condition(expected_version))
-        path = f"/v1/objects/{kind}/{name}"
-        return self._write("PUT", path, value, headers)
+        return self._write(
+            self._dialect.encode_put(
+                kind, name, value, expected_version, change_id
+            )
+        )
 
     def delete(self, kind, name, expected_version):
         """Remove an object if its version is the expected one.
@@ -145,9 +176,9 @@
         Done, NotDone or Unknown
             As for put; an absent object counts as a conflict.
         """
-        headers = _make_condition(expected_version)
-        path = f"/v1/objects/{kind}/{name}"
-        return self._write("DELETE", path, None, headers)
+        return self._write(
+            self._dialect.encode_delete(kind, name, expected_version)
+        )
 
     def settle(self, kind, name, change_id):
         """Find out whether a write of unknown outcome took effect.
@@ -170,33 +201,31 @@
             return objects.Done(found.version)
         return objects.NotDone("conflict", found.version)
 
-    def _read(self, path, wait_s=0.0):
+    def _read(self, call, wait_s=0.0):
+        """Return the answer to a call that changes nothing."""
         try:
-            return self._pool.request(
-                "GET", path, timeout=self._timeout_s + wait_s
-            )
+            return self._send(call, wait_s)
         except urllib3.exceptions.HTTPError as error:
             raise _unavailable(str(error)) from error
 
-    def _read_items(self, kind, path, wait_s):
-        answer = self._read(path, wait_s)
+    def _read_page(self, kind, call, decode, wait_s=0.0):
+        """Return the ObjectPage of a list or a watch."""
+        answer = self._read(call, wait_s)
+        if answer.status == _GONE:
+            raise errors.HistoryLostError(
+                f"the object API has dropped its history of {kind}",
+                "read the whole list again",
+            )
         self._check(answer)
         try:
-            document = json.loads(answer.data)
-            items = [_decode_item(kind, item) for item in document["items"]]
-            return int(document["revision"]), items
-        except (ValueError, KeyError, TypeError) as error:
-            raise _unavailable(f"malformed list: {error}") from error
+            return decode(kind, answer)
+        except _MALFORMED as error:
+            raise _unavailable(f"malformed list: {error!r}") from error
 
-    def _write(self, method, path, body, headers):
+    def _write(self, call):
+        """Return the outcome of a call that changes an object."""
         try:
-            answer = self._pool.request(
-                method,
-                path,
-                body=body,
-                headers=headers,
-                timeout=self._timeout_s,
-            )
+            answer = self._send(call)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -204,65 +233,28 @@
             return objects.NotDone("unavailable")
         except urllib3.exceptions.HTTPError as error:
             return objects.Unknown(str(error))
-        return _classify_write(answer)
+        return self._dialect.classify_write(answer)
+
+    def _send(self, call, wait_s=0.0):
+        """Return the answer to a call, whatever its status."""
+        read_s = self._timeout_s + wait_s
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_TIMEOUT_S, read_s), read=read_s
+        )
+        return self._pool.request(
+            call.method,
+            call.path,
+            body=call.body,
+            headers=call.headers,
+            timeout=timeout,
+        )
 
     def _check(self, answer):
+        """Raise for a status that is no success."""
         if answer.status != _OK:
             raise _unavailable(f"status {answer.status}")
 
 
-def _make_condition(expected_version):
-    """Return the header that makes a write conditional."""
-    if expected_version:
-        return {"If-Match": str(expected_version)}
-    return {"If-None-Match": "*"}
-
-
-def _classify_write(answer):
-    """Return the outcome that an answer to a write stands for."""
-    match answer.status:
-        case 200 | 201:
-            return _read_done(answer)
-        case 412:
-            return objects.NotDone("conflict", _read_version(answer))
-        case 404:
-            return objects.NotDone("conflict")
-        case status if 400 <= status < 500:
-            return objects.NotDone(f"refused with status {status}")
-        case status:
-            return objects.Unknown(f"status {status}")
-
-
-def _read_done(answer):
-    """Return Done, or Unknown when the answer names no version."""
-    version = _read_version(answer)
-    return objects.Done(version) if version else objects.Unknown("no version")
-
-
-def _read_version(answer):
-    """Return the version in an answer's body; 0 when there is none."""
-    try:
-        return int(json.loads(answer.data)["version"])
-    except (ValueError, KeyError, TypeError):
-        return 0
-
-
-def _decode_item(kind, item):
-    """Return the StoredObject that one item of a list stands for."""
-    try:
-        value = base64.b64decode(item.get("value_base64", ""))
-    except binascii.Error as error:
-        raise ValueError(str(error)) from error
-    return objects.StoredObject(
-        kind,
-        item["name"],
-        int(item["version"]),
-        value,
-        item.get("change_id", ""),
-        bool(item.get("deleted", False)),
-    )
-
-
 def _unavailable(reason):
     """Return the error for a platform that gave no usable answer."""
     return errors.StoreUnavailableError(
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,128 @@
+"""Stand-in of the users' platform store, in memory."""
+
+import json
+import threading
+import urllib.parse
+
+import attrs
+
+__all__ = ["Answer", "PlatformStore"]
+
+PAGE_SIZE = 3
+
+
+@attrs.frozen
+class Answer:
+    """An answer as a client of the store sees it."""
+
+    status: int
+    data: bytes
+    headers: dict = attrs.field(factory=dict)
+
+
+@attrs.define
+class PlatformStore:
+    """Objects with revisions, conditions, pages and watches.
+
+    Parameters
+    ----------
+    statuses : list of int
+        Statuses that the next calls get instead of an answer.
+    """
+
+    statuses: list = attrs.field(factory=list)
+    revision: int = 7
+    objects: dict = attrs.field(factory=dict)
+    events: list = attrs.field(factory=list)
+    calls: list = attrs.field(factory=list)
+    _lock: object = attrs.field(factory=threading.Lock)
+
+    def request(self, method, path, body=None, headers=None, timeout=None):
+        """Answer one call."""
+        with self._lock:
+            self.calls.append((method, path))
+            if self.statuses:
+                return Answer(self.statuses.pop(0), b"{}")
+            split = urllib.parse.urlsplit(path)
+            query = dict(urllib.parse.parse_qsl(split.query))
+            parts = split.path.strip("/").split("/")[2:]
+            fields = json.loads(body) if body else {}
+            return self._answer(method, parts, query, fields)
+
+    def put(self, kind, name, spec):
+        """Write an object as another writer does."""
+        with self._lock:
+            return self._store(kind, name, spec)
+
+    def remove(self, kind, name):
+        """Remove an object as another writer does."""
+        with self._lock:
+            item = self.objects.pop((kind, name))
+            self.revision += 1
+            self.events.append((self.revision, kind, item, True))
+
+    def _answer(self, method, parts, query, fields):
+        """Return the answer to a call."""
+        kind, name = parts[0], parts[1] if len(parts) > 1 else ""
+        found = self.objects.get((kind, name))
+        match method:
+            case "GET" if "watch" in query:
+                return self._watch(kind, int(query["watch"]))
+            case "GET" if name and found is None:
+                return Answer(404, b"{}")
+            case "GET" if name:
+                return _encode(found)
+            case "GET":
+                return self._list(kind, query.get("after", ""))
+            case "POST":
+                name = fields["metadata"]["name"]
+                if (kind, name) in self.objects:
+                    return _encode(self.objects[kind, name], 409)
+                return _encode(self._store(kind, name, fields["spec"]), 201)
+            case "PUT" if found is None:
+                return Answer(404, b"{}")
+            case "PUT":
+                expected = fields["metadata"]["revision"]
+                if found["metadata"]["revision"] != expected:
+                    return _encode(found, 409)
+                return _encode(self._store(kind, name, fields["spec"]))
+
+    def _store(self, kind, name, spec):
+        """Write an object; return it."""
+        self.revision += 1
+        item = {
+            "metadata": {"name": name, "revision": self.revision},
+            "spec": spec,
+            "status": None,
+        }
+        self.objects[kind, name] = item
+        self.events.append((self.revision, kind, item, False))
+        return item
+
+    def _list(self, kind, after):
+        """Return one page of a kind."""
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        page = [self.objects[kind, name] for name in names[:PAGE_SIZE]]
+        return _encode(
+            {
+                "items": page,
+                "hasMore": len(names) > PAGE_SIZE,
+                "at": self.revision,
+            }
+        )
+
+    def _watch(self, kind, after):
+        """Return the events of a kind after a revision."""
+        if self.events and after < self.events[0][0] - 1:
+            return Answer(410, b"{}")
+        events = [
+            {"object": item, "deleted": is_deleted}
+            for at, k, item, is_deleted in self.events
+            if k == kind and at > after
+        ]
+        return _encode({"events": events, "at": self.revision})
+
+
+def _encode(value, status=200):
+    """Return an answer with a JSON body."""
+    return Answer(status, json.dumps(value).encode())
--- /dev/null
+++ b/tests/coordination/capacity/sizing.feature
@@ -0,0 +1,45 @@
+Feature: Number of endpoints that are ordered
+
+  Scenario Outline: The load gives the need
+    Then prompts for <busy> and <in_flight> requests of 48 need <need>
+
+    Examples:
+      | busy | in_flight | need |
+      | 0    | 0         | 1    |
+      | 1.4  | 20        | 4    |
+      | 0.1  | 167       | 10   |
+
+  Scenario: Half of the need is firm and the rest is spread and cheap
+    Given four domains with prices 1.0, 0.8, 1.25 and 0.9
+    When 6 endpoints are needed and none is there
+    Then 3 on-demand ones are wanted in d2, d4 and d1
+    And 4 reclaimable ones are wanted, one in each domain
+
+  Scenario: Without reclaimable ones the whole need is firm
+    Given four domains with prices 1.0, 0.8, 1.25 and 0.9
+    And no reclaimable endpoint is to be had
+    When 6 endpoints are needed and none is there
+    Then 6 on-demand endpoints are wanted in all
+
+  Scenario: Nothing is given up before its replacement serves
+    Given four domains with prices 1.0, 0.8, 1.25 and 0.9
+    And 2 on-demand endpoints serve in each domain
+    When 6 endpoints are needed
+    Then at least 6 of those that serve are kept
+    When 4 reclaimable ones serve too
+    Then 3 on-demand endpoints are wanted in all
+
+  Scenario: Every domain keeps the least that its bounds ask for
+    Given four domains with prices 1.0, 0.8, 1.25 and 0.9
+    When 1 endpoints are needed and none is there
+    Then each domain has at least 1 and at most 5
+
+  Scenario Outline: The bounds are never exceeded
+    Given four domains with prices 1.0, 0.8, 1.25 and 0.9
+    When <need> endpoints are needed and none is there
+    Then each domain has at least 1 and at most 5
+
+    Examples:
+      | need |
+      | 12   |
+      | 40   |
--- /dev/null
+++ b/tests/coordination/forwarding/decision.feature
@@ -0,0 +1,39 @@
+Feature: What follows a failed attempt
+
+  Scenario Outline: What may have run is never sent again unless repeatable
+    Given a <kind> request for at most <endpoints> endpoints
+    When an attempt ends with <fault>
+    Then the request <outcome>
+
+    Examples:
+      | kind             | endpoints | fault    | outcome                         |
+      | NON_IDEMPOTENT   | 2         | Broken   | is given up as outcome unknown  |
+      | NON_IDEMPOTENT   | 2         | Silent   | is given up as outcome unknown  |
+      | STREAM           | 2         | Broken   | is given up as outcome unknown  |
+      | NON_IDEMPOTENT   | 1         | Refused  | goes on and draws on the budget |
+      | NON_IDEMPOTENT   | 1         | NotSent  | goes on for free                |
+      | IDEMPOTENT       | 2         | Broken   | goes on and draws on the budget |
+      | IDEMPOTENT       | 1         | Broken   | is given up as outcome unknown  |
+      | RESUMABLE_STREAM | 2         | Silent   | goes on and draws on the budget |
+
+  Scenario: After a few refusals the request comes back later
+    Given a NON_IDEMPOTENT request for at most 1 endpoints
+    When 4 attempts end with Refused
+    Then the request is given up as not run, to come back within its goal
+
+  Scenario: A request whose time is up gets its final answer
+    Given a IDEMPOTENT request for at most 3 endpoints
+    When an attempt ends with Refused after its deadline
+    Then the request is given up as not run
+
+  Scenario Outline: How long an attempt is waited for
+    Given a <kind> request for at most <endpoints> endpoints
+    Then its head is waited for <head> s and an event <event> s
+
+    Examples:
+      | kind             | endpoints | head | event |
+      | NON_IDEMPOTENT   | 1         | 10   | 10    |
+      | STREAM           | 1         | 10   | 10    |
+      | IDEMPOTENT       | 2         | 1.5  | 1.2   |
+      | RESUMABLE_STREAM | 2         | 1.5  | 1.2   |
+      | RESUMABLE_STREAM | 1         | 10   | 10    |
--- /dev/null
+++ b/tests/coordination/sharing/sums.feature
@@ -0,0 +1,21 @@
+Feature: Sums over all instances
+
+  Scenario Outline: Every instance learns what the others have under way
+    Given instances in the domains <domains>
+    When each has a demand of 10 and tells for 3 rounds
+    Then each learns a demand of <others> by <count> others
+
+    Examples:
+      | domains     | others | count |
+      | a           | 0      | 0     |
+      | a a a       | 20     | 2     |
+      | a a a b b c | 50     | 5     |
+
+  Scenario: An instance that stops telling is forgotten
+    Given instances in the domains a a b b
+    When each has a demand of 10 and tells for 3 rounds
+    And instance 3 stops and the others tell for 8 rounds
+    Then each learns a demand of 20 by 2 others
+
+  Scenario: Malformed tellings are refused
+    Then bytes that hold no telling are refused
--- /dev/null
+++ b/tests/platform/headers.feature
@@ -0,0 +1,54 @@
+Feature: Headers between callers and endpoints
+
+  Scenario: What a caller may not set never reaches an endpoint
+    Given a caller's request with every header of the platform forged
+    Then the endpoint gets only what the system sets and the caller may
+
+  Scenario: The key stays here and the account is named
+    Given a caller's request with every header of the platform forged
+    Then the endpoint gets the account and not the key
+
+  Scenario: The time that is left shrinks
+    Given a caller's request with every header of the platform forged
+    Then an attempt with 1.25 s left tells 1250 ms
+
+  Scenario: Headers of one connection are dropped
+    Given a caller's request that names its own connection headers
+    Then none of these is passed on
+
+  Scenario: A prompt becomes a chain of parts
+    Given a request whose prompt has the parts a:800, b:400 and c:250
+    Then its chain has the ends 800, 1200 and 1450
+    And it shares two parts with a request of a:800, b:400 and d:10
+    And it shares none with the same parts of another model
+
+  Scenario Outline: A bad header is named
+    Given a request whose <header> is <value>
+    Then the header is refused, naming <header>
+
+    Examples:
+      | header        | value |
+      | Deadline-Ms   | soon  |
+      | Token-Usage   | many  |
+      | Prompt-Prefix | a:b   |
+
+  Scenario Outline: Only a request that has not run is told so
+    Then a refusal of <kind> that is <ran> has status <status>
+
+    Examples:
+      | kind             | ran     | status |
+      | OVER_SHARE       | NOT_RUN | 429    |
+      | NO_CAPACITY      | NOT_RUN | 503    |
+      | LEAVING          | NOT_RUN | 503    |
+      | QUARANTINED      | NOT_RUN | 503    |
+      | DEADLINE_PASSED  | NOT_RUN | 503    |
+      | QUARANTINED      | PARTLY  | 502    |
+      | NO_CAPACITY      | UNKNOWN | 502    |
+      | OUTCOME_UNKNOWN  | UNKNOWN | 502    |
+      | DEADLINE_PASSED  | UNKNOWN | 504    |
+      | UNKNOWN_PATH     | NOT_RUN | 404    |
+      | UNAUTHENTICATED  | NOT_RUN | 401    |
+      | MALFORMED        | NOT_RUN | 400    |
+
+  Scenario: The head of an answer is read
+    Then an answer's load, idle limit and "not run" are read
--- /dev/null
+++ b/tests/state/fleet.feature
@@ -0,0 +1,32 @@
+Feature: Endpoints over gaps in the list
+
+  Scenario: An entry that is removed is gone at once
+    Given a fleet with endpoints e1 and e2
+    When the entry of e1 is removed
+    Then the fleet has e2
+
+  Scenario: Entries that lapsed while the store was away have time to return
+    Given a fleet with endpoints e1 and e2
+    When the store returns after it was away
+    And the entry of e1 is removed
+    Then the fleet has e1 and e2
+    When 1 seconds go by and e1 is listed again
+    And 5 seconds go by
+    Then the fleet has e1 and e2
+
+  Scenario: An entry that is still missing after that is gone
+    Given a fleet with endpoints e1 and e2
+    When the store returns after it was away
+    And a list without e1 is read
+    And 2.1 seconds go by
+    Then the fleet has e2
+
+  Scenario: An entry that cannot be read names no endpoint
+    Given a fleet with endpoints e1 and e2
+    When the entry of e1 becomes unreadable
+    Then the fleet has e2
+
+  Scenario: A restart under the same identity is another endpoint
+    Given a fleet with endpoints e1 and e2
+    When e1 is leaving and starts again under the same identity
+    Then the new e1 takes work and the former one does not
--- /dev/null
+++ b/tests/steps/coordination_duties.py
@@ -0,0 +1,220 @@
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow.coordination import duties
+from mulberryhollow import errors
+from mulberryhollow.state import objects
+from tests import fakes
+
+STEP_S = 0.1
+
+
+class Instance:
+    """One instance with its lease, over a store in memory."""
+
+    def __init__(self, name, store):
+        self.name = name
+        self.store = store
+        self.lease = duties.Lease(name, duties.LeaseRules())
+        self.is_running = True
+        self.acted = []
+
+    def step(self, now_s):
+        if not self.is_running:
+            return
+        match self.lease.plan(now_s):
+            case duties.Read():
+                try:
+                    found = self.store.get("duty", "holder")
+                except errors.StoreUnavailableError:
+                    return
+                self.lease.observe(found, now_s)
+            case duties.Write() as write:
+                self.write(write, now_s)
+
+    def write(self, write, now_s):
+        change = f"{self.name} {now_s}"
+        outcome = self.store.put(
+            "duty", "holder", write.value, write.expected_version, change
+        )
+        if isinstance(outcome, objects.Unknown):
+            found = (
+                None
+                if self.store.is_down
+                else self.store.get("duty", "holder")
+            )
+            is_done = found is not None and found.change_id == change
+            outcome = (
+                objects.Done(found.version)
+                if is_done
+                else objects.NotDone("not settled")
+            )
+        self.lease.settle(write, outcome, now_s)
+
+
+@given("instances a and b with one lease object")
+def make_instances(context):
+    context.store = fakes.FakeStore()
+    context.instances = [Instance(name, context.store) for name in "ab"]
+    context.now_s = 0.0
+
+
+def pass_time(context, seconds):
+    for _ in range(round(seconds / STEP_S)):
+        context.now_s += STEP_S
+        for instance in context.instances:
+            instance.step(context.now_s)
+
+
+def list_holders(context):
+    return [
+        each
+        for each in context.instances
+        if each.is_running and each.lease.is_held(context.now_s)
+    ]
+
+
+@when("the lease goes on for {seconds:g} seconds")
+def pass_seconds(context, seconds):
+    before = list_holders(context)
+    context.before = [(each.name, each.lease.fence) for each in before]
+    pass_time(context, seconds)
+
+
+@when("the holder stops")
+def stop_holder(context):
+    (context.former,) = list_holders(context)
+    context.former_fence = context.former.lease.fence
+    context.former.is_running = False
+
+
+@when("the holder is frozen for {seconds:g} seconds")
+def freeze_holder(context, seconds):
+    stop_holder(context)
+    pass_time(context, seconds)
+    context.former.is_running = True
+
+
+@when("the store is away for {seconds:g} seconds")
+def take_store_away(context, seconds):
+    context.store.is_down = True
+    pass_time(context, seconds)
+
+
+@when("the holder gives the lease up")
+def give_up(context):
+    (context.former,) = list_holders(context)
+    context.former_fence = context.former.lease.fence
+    lease = context.former.lease
+    write = lease.plan_release(context.now_s)
+    context.former.write(write, context.now_s)
+    context.former.is_running = False
+
+
+@when("the answers of all writes are lost for {seconds:g} seconds")
+def lose_answers(context, seconds):
+    context.store.faults = ["lost"] * 100
+    pass_time(context, seconds)
+
+
+@then("exactly one instance holds the lease")
+def check_one(context):
+    assert len(list_holders(context)) == 1
+
+
+@then("the holder and its fencing number are as before")
+def check_as_before(context):
+    now = [(e.name, e.lease.fence) for e in list_holders(context)]
+    assert now == context.before, (now, context.before)
+
+
+@then("the other instance holds the lease with a higher fencing number")
+def check_other(context):
+    (holder,) = list_holders(context)
+    assert holder is not context.former
+    assert holder.lease.fence > context.former_fence
+
+
+@then("the former holder does not hold the lease")
+def check_former(context):
+    assert not context.former.lease.is_held(context.now_s)
+
+
+@then("{seconds:g} seconds later exactly one instance holds it")
+def check_one_later(context, seconds):
+    pass_time(context, seconds)
+    check_one(context)
+
+
+@then("no instance holds the lease")
+def check_none(context):
+    assert not list_holders(context)
+
+
+@then("at most one instance holds the lease")
+def check_at_most_one(context):
+    assert len(list_holders(context)) <= 1
+
+
+@then("random faults never make two holders or a falling fencing number")
+def check_random(context):
+    for seed in range(60):
+        rng = random.Random(seed)
+        make_instances(context)
+        highest = 0
+        for _ in range(200):
+            event = rng.random()
+            if event < 0.05:
+                context.store.is_down = not context.store.is_down
+            elif event < 0.12:
+                context.store.faults = [rng.choice(["lost", "dropped"])]
+            elif event < 0.2:
+                each = rng.choice(context.instances)
+                each.is_running = not each.is_running
+            pass_time(context, 0.3)
+            holders = [
+                each
+                for each in context.instances
+                if each.lease.is_held(context.now_s)
+            ]
+            assert len(holders) <= 1, f"seed {seed}"
+            for each in holders:
+                assert each.lease.fence >= highest, f"seed {seed}"
+                highest = each.lease.fence
+
+
+@given("a usage ledger of source {source}")
+def make_ledger(context, source):
+    context.ledgers = getattr(context, "ledgers", {})
+    context.ledgers[source] = duties.UsageLedger(source, 5.0)
+
+
+@when("{source} counts {count:d} requests of {account} at {wall_s:g}")
+def count_requests(context, source, count, account, wall_s):
+    for _ in range(count):
+        context.ledgers[source].record(account, wall_s)
+
+
+@when("{source} tells {other} its counts at {wall_s:g}")
+def tell_counts(context, source, other, wall_s):
+    data = context.ledgers[source].encode(wall_s)
+    context.ledgers[other].merge(data)
+
+
+@then("{source} has {count:d} requests of {account} in window {window:d}")
+def check_counts(context, source, count, account, window):
+    total = context.ledgers[source].total(window)
+    assert total.get(account, 0) == count, total
+
+
+@then("bytes that hold no counts are refused by {source}")
+def check_no_counts(context, source):
+    for data in (b"", b"[]", b"{}", b'{"source":"x","windows":{"a":1}}'):
+        try:
+            context.ledgers[source].merge(data)
+        except ValueError:
+            continue
+        raise AssertionError(data)
--- /dev/null
+++ b/tests/steps/coordination_events.py
@@ -0,0 +1,45 @@
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow.coordination import streams
+from mulberryhollow.coordination.streams import events
+
+
+@given("an event stream")
+def make_stream(context):
+    context.assembly = streams.EventAssembly()
+
+
+@given("an event stream after event {last_id}")
+def make_later_stream(context, last_id):
+    context.assembly = streams.EventAssembly(last_id)
+
+
+def to_bytes(text):
+    return text.replace("|", "\n").encode()
+
+
+@when('the bytes "{text}" arrive')
+def feed_bytes(context, text):
+    context.given = context.assembly.feed(to_bytes(text))
+
+
+@when("another endpoint goes on")
+def restart_stream(context):
+    context.assembly.restart()
+
+
+@when("a megabyte without an end arrives")
+def feed_endless(context):
+    context.given = context.assembly.feed(b"x" * (events.MAX_EVENT_BYTES + 1))
+
+
+@then('the bytes "{text}" are given out')
+def check_given(context, text):
+    assert context.given == to_bytes(text), context.given
+
+
+@then("the stream is crossed")
+def check_crossed(context):
+    assert isinstance(context.given, streams.Crossed), context.given
--- /dev/null
+++ b/tests/steps/coordination_forwarding.py
@@ -0,0 +1,87 @@
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow.coordination import forwarding
+from mulberryhollow.coordination import streams
+from mulberryhollow import errors
+from mulberryhollow.state import catalogue
+from tests import requests
+
+FAULTS = {
+    "Broken": streams.Broken("reset"),
+    "Silent": streams.Silent(1.0),
+    "Refused": streams.RefusedByEndpoint("full"),
+    "NotSent": streams.NotSent("no connection"),
+}
+
+
+@given("a {kind} request for at most {endpoints:d} endpoints")
+def make_forwarded(context, kind, endpoints):
+    context.request = requests.make_request(
+        catalogue.RequestKind[kind], max_endpoints=endpoints
+    )
+    context.made = forwarding.Attempts()
+
+
+def end_attempt(context, name, now_s=1.0):
+    """Decide on an attempt that ends with a fault."""
+    fault = FAULTS[name]
+    context.made.record(fault)
+    context.decision = forwarding.decide_next(
+        context.request, context.made, fault, now_s, 1.0
+    )
+
+
+@when("an attempt ends with {name} after its deadline")
+def end_late(context, name):
+    end_attempt(context, name, 10.5)
+
+
+@when("an attempt ends with {name}")
+def end_one(context, name):
+    end_attempt(context, name)
+
+
+@when("{count:d} attempts end with {name}")
+def end_many(context, count, name):
+    for _ in range(count):
+        end_attempt(context, name)
+
+
+@then("the request is given up as outcome unknown")
+def check_unknown(context):
+    refusal = context.decision.refusal
+    assert refusal.ran is errors.Ran.UNKNOWN, refusal
+    assert refusal.retry_after_s is None
+
+
+@then("the request is given up as not run")
+def check_not_run(context):
+    assert context.decision.refusal.ran is errors.Ran.NOT_RUN
+
+
+@then("the request is given up as not run, to come back within its goal")
+def check_comes_back(context):
+    refusal = context.decision.refusal
+    assert refusal.ran is errors.Ran.NOT_RUN, refusal
+    assert 0 < refusal.retry_after_s < context.request.goal_s
+
+
+@then("the request goes on and draws on the budget")
+def check_draws(context):
+    assert context.decision == forwarding.GoOn(draws_budget=True)
+
+
+@then("the request goes on for free")
+def check_free(context):
+    assert context.decision == forwarding.GoOn(draws_budget=False)
+
+
+@then("its head is waited for {head:g} s and an event {event:g} s")
+def check_waits(context, head, event):
+    found = (
+        forwarding.wait_for_head(context.request, 0, 0.0),
+        forwarding.wait_for_event(context.request, 0, 0.0),
+    )
+    assert [round(each, 6) for each in found] == [head, event], found
--- /dev/null
+++ b/tests/steps/coordination_sharing.py
@@ -0,0 +1,95 @@
+import zlib
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow.coordination import sharing
+from mulberryhollow.protocol import sums
+
+ROUND_S = 0.5
+
+
+class Sharer:
+    """One instance with its table."""
+
+    def __init__(self, name, domain):
+        self.name = name
+        self.domain = domain
+        self.table = sharing.SumTable(name)
+        self.is_running = True
+
+
+@given("instances in the domains {domains}")
+def make_sharers(context, domains):
+    context.sharers = [
+        Sharer(f"i{place}", domain)
+        for place, domain in enumerate(domains.split())
+    ]
+    context.now_s = 0.0
+
+
+def find_collector(context, domain):
+    """Return the running instance that collects for a domain."""
+    inside = {
+        each.name: each
+        for each in context.sharers
+        if each.domain == domain and each.is_running
+    }
+    return inside[sharing.rank_collectors(domain, inside)[0]]
+
+
+def tell_round(context, own):
+    """Let every instance tell once."""
+    context.now_s += ROUND_S
+    now_s = context.now_s
+    running = [each for each in context.sharers if each.is_running]
+    for each in running:
+        each.table.take_member(each.name, own, now_s)
+        collector = find_collector(context, each.domain)
+        if collector is not each:
+            collector.table.take_member(each.name, own, now_s)
+            total = collector.table.sum_all(now_s)
+            each.table.take_answer(total, own, now_s)
+            continue
+        for domain in {other.domain for other in running} - {each.domain}:
+            other = find_collector(context, domain)
+            total = each.table.sum_domain(now_s)
+            other.table.take_domain(each.domain, total, now_s)
+            back = other.table.sum_domain(now_s)
+            each.table.take_domain(domain, back, now_s)
+
+
+@when("each has a demand of {amount:d} and tells for {rounds:d} rounds")
+def tell_rounds(context, amount, rounds):
+    context.own = sharing.Amounts({"acme": amount})
+    for _ in range(rounds):
+        tell_round(context, context.own)
+
+
+@when("instance {place:d} stops and the others tell for {rounds:d} rounds")
+def stop_sharer(context, place, rounds):
+    context.sharers[place].is_running = False
+    for _ in range(rounds):
+        tell_round(context, context.own)
+
+
+@then("each learns a demand of {amount:d} by {count:d} others")
+def check_sums(context, amount, count):
+    for each in context.sharers:
+        if each.is_running:
+            others = each.table.sum_others(context.now_s)
+            demand = others.amounts.demand.get("acme", 0)
+            assert (demand, others.count) == (amount, count), each.name
+
+
+@then("bytes that hold no telling are refused")
+def check_no_telling(context):
+    telling = sums.Telling("i", "d", sharing.Total(sharing.Amounts(), 1))
+    assert sums.decode_telling(sums.encode_telling(telling)) == telling
+    for data in (b"", b"x", zlib.compress(b"{}"), zlib.compress(b"[1]")):
+        try:
+            sums.decode_telling(data)
+        except ValueError:
+            continue
+        raise AssertionError(data)
--- /dev/null
+++ b/tests/steps/coordination_sizing.py
@@ -0,0 +1,118 @@
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow.coordination import capacity
+from mulberryhollow.state import catalogue
+
+RULES = capacity.SizingRules(
+    busy_target=0.35,
+    fill_target=0.35,
+    on_demand_part=0.5,
+    reclaimable_spare=1,
+)
+
+
+@then(
+    "prompts for {busy:g} and {in_flight:g} requests of {slots:d} "
+    "need {need:d}"
+)
+def check_need(context, busy, in_flight, slots, need):
+    found = capacity.find_need(busy, in_flight, slots, RULES)
+    assert found == need, found
+
+
+@given("four domains with prices 1.0, 0.8, 1.25 and 0.9")
+def make_domains(context):
+    prices = {"d1": 1.0, "d2": 0.8, "d3": 1.25, "d4": 0.9}
+    context.scaling = catalogue.Scaling(1, 5, 4.0, 0.22, prices)
+    context.serving = {}
+    context.unavailable = set()
+
+
+@given("no reclaimable endpoint is to be had")
+def refuse_reclaimable(context):
+    context.unavailable = {
+        capacity.Slot(domain, True) for domain in context.scaling.domain_prices
+    }
+
+
+@given("{count:d} on-demand endpoints serve in each domain")
+def serve_on_demand(context, count):
+    for domain in context.scaling.domain_prices:
+        context.serving[capacity.Slot(domain, False)] = count
+
+
+def size(context):
+    """Choose the numbers for the present need."""
+    context.wanted = capacity.choose_counts(
+        context.need,
+        context.scaling,
+        capacity.Present(dict(context.serving)),
+        context.unavailable,
+        RULES,
+    )
+
+
+@when("{need:d} endpoints are needed and none is there")
+@when("{need:d} endpoints are needed")
+def need_endpoints(context, need):
+    context.need = need
+    size(context)
+
+
+@when("{count:d} reclaimable ones serve too")
+def serve_reclaimable(context, count):
+    for slot, wanted in context.wanted.items():
+        if slot.is_reclaimable:
+            context.serving[slot] = wanted
+    served = sum(
+        count for slot, count in context.serving.items() if slot.is_reclaimable
+    )
+    assert served == count, served
+    size(context)
+
+
+def list_wanted(context, is_reclaimable):
+    return {
+        slot.failure_domain: count
+        for slot, count in context.wanted.items()
+        if slot.is_reclaimable is is_reclaimable and count
+    }
+
+
+@then("3 on-demand ones are wanted in d2, d4 and d1")
+def check_firm(context):
+    assert list_wanted(context, False) == {"d1": 1, "d2": 1, "d4": 1}
+
+
+@then("4 reclaimable ones are wanted, one in each domain")
+def check_loose(context):
+    found = list_wanted(context, True)
+    assert found == dict.fromkeys(context.scaling.domain_prices, 1), found
+
+
+@then("{count:d} on-demand endpoints are wanted in all")
+def check_on_demand(context, count):
+    found = sum(list_wanted(context, False).values())
+    assert found == count, context.wanted
+
+
+@then("at least {count:d} of those that serve are kept")
+def check_kept(context, count):
+    kept = sum(
+        min(count, context.wanted.get(slot, 0))
+        for slot, count in context.serving.items()
+    )
+    assert kept >= count, kept
+
+
+@then("each domain has at least {least:d} and at most {most:d}")
+def check_bounds(context, least, most):
+    for domain in context.scaling.domain_prices:
+        count = sum(
+            amount
+            for slot, amount in context.wanted.items()
+            if slot.failure_domain == domain
+        )
+        assert least <= count <= most, (domain, count)
--- a/tests/steps/layers.py
+++ b/tests/steps/layers.py
@@ -17,6 +17,7 @@
     "serving": 5,
     "cli": 6,
     "daemon": 6,
+    "platform": 6,
 }
 
 
--- /dev/null
+++ b/tests/steps/platform_codecs.py
@@ -0,0 +1,376 @@
+import io
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow.coordination import routing
+from mulberryhollow import errors
+from mulberryhollow.platform import callers
+from mulberryhollow.platform import endpoints
+from mulberryhollow.platform import headers
+from mulberryhollow.platform import records
+from mulberryhollow.platform import settings
+from mulberryhollow.serving import documents
+from mulberryhollow.state import catalogue
+from mulberryhollow.state import objects
+from tests import requests
+
+SETTINGS = {
+    "nodeName": "edge-1",
+    "zone": "z1",
+    "region": "r1",
+    "ip": "10.0.0.1",
+    "listen": {
+        "frontend": "10.0.0.1:1",
+        "ready": "10.0.0.1:2",
+        "control": "10.0.0.1:3",
+    },
+    "internalPorts": [7600, 7615],
+    "seeds": ["10.0.0.1:3", "10.0.0.2:3"],
+    "limits": {"maxFds": 4100},
+    "bounds": {"graceS": 8, "quotaSlack": 140000, "leaseMs": 3000},
+    "platform": {"address": "10.0.0.9:5"},
+    "cloudApi": {"address": "10.0.0.8:5", "duties": ["metering"]},
+}
+
+
+@given("the platform's settings of one instance")
+def make_settings(context):
+    context.fields = json.loads(json.dumps(SETTINGS))
+
+
+@then("the settings name the instance, its addresses and its bounds")
+def check_settings(context):
+    found = settings.decode_settings(json.dumps(context.fields))
+    assert found.instance == "edge-1"
+    assert found.callers_address == "10.0.0.1:1"
+    assert (found.peer_port, found.metrics_port) == (7600, 7615)
+    assert found.has_usage_duty and not found.has_order_duty
+    assert found.bounds.lease_s == 3.0
+    assert found.bounds.quotas.slack == 140000
+
+
+@when("the fields {names} are taken away and another is added")
+def take_fields(context, names):
+    for name in names.split(", "):
+        del context.fields[name]
+    context.fields["news"] = {"x": 1}
+
+
+@then("the settings have no duties")
+def check_no_duties(context):
+    found = settings.decode_settings(json.dumps(context.fields))
+    assert not (found.has_usage_duty or found.has_order_duty)
+    assert (found.cloud_address, found.seeds) == ("", ())
+
+
+@when("the field {name} becomes {value}")
+def change_field(context, name, value):
+    if value == "absent":
+        del context.fields[name]
+    else:
+        context.fields[name] = json.loads(value)
+
+
+@then("the settings are refused, naming {named}")
+def check_settings_refused(context, named):
+    try:
+        settings.decode_settings(json.dumps(context.fields))
+    except errors.SettingsError as error:
+        assert named in str(error), error
+        return
+    raise AssertionError("the settings were taken")
+
+
+ENTRY = {
+    "service": "s",
+    "address": "10.1.0.1:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "born": 1700000000000,
+}
+
+
+def make_item(name, fields, version=1):
+    return objects.StoredObject(
+        "servers", name, version, json.dumps(fields).encode()
+    )
+
+
+@then("the entry of a ready endpoint can be used")
+def check_entry(context):
+    found = records.decode_listing(make_item("i-1", ENTRY))
+    assert (found.identity, found.slots) == ("i-1", 6)
+    assert not (found.is_leaving or found.is_reclaimable)
+    leaving = ENTRY | {"state": "draining", "spot": True, "leaves_ms": 2500}
+    found = records.decode_listing(make_item("i-1", leaving))
+    assert found.is_leaving and found.is_reclaimable
+    assert found.leaves_in_s == 2.5
+
+
+@then("an entry whose {field} is {value} is refused")
+def check_spoilt(context, field, value):
+    fields = dict(ENTRY)
+    if value == "absent":
+        del fields[field]
+    else:
+        fields[field] = json.loads(value)
+    try:
+        records.decode_listing(make_item("i-1", fields))
+    except ValueError:
+        return
+    raise AssertionError("the entry was taken")
+
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "H.example",
+            "pathPrefix": "/a/",
+            "routeKind": "streaming",
+            "timeoutMs": 10000,
+            "goalMs": 800,
+            "priority": 1,
+            "split": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "resumable": True,
+            "gapGoalMs": 400,
+        },
+        {
+            "name": "r2",
+            "host": "h.example",
+            "pathPrefix": "/b/",
+            "routeKind": "non_idempotent",
+            "timeoutMs": 1000,
+            "service": "s2",
+            "public": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "maxConns": 300,
+            "engine": {"slots": 48, "kvCapacity": 444000, "moves": True},
+            "scaling": {
+                "min": 1,
+                "max": 5,
+                "bootS": 4.0,
+                "spotPrice": 0.22,
+                "zonePrices": {"z1": 1.0},
+            },
+        },
+        {"name": "s2", "maxConns": 110},
+    ],
+    "limits": {"maxHeaderBytes": 100, "idleTimeoutMs": 15000},
+    "tenants": [
+        {
+            "name": "acme",
+            "apiKeys": ["k1", "k2"],
+            "priority": 1,
+            "unit": "token_count",
+            "uncachedTokens": 200,
+            "ratePerS": 10,
+            "burst": 20,
+        }
+    ],
+}
+
+
+@then("the configuration gives routes, accounts, services and limits")
+def check_configuration(context):
+    data = json.dumps(CONFIGURATION).encode()
+    found = records.decode_catalogue(data, 3)
+    stream = found.find_route("h.example", "/a/x")
+    assert stream.kind is catalogue.RequestKind.RESUMABLE_STREAM
+    assert [share.weight for share in stream.shares] == [90.0, 10.0]
+    assert (stream.timeout_s, stream.gap_goal_s) == (10.0, 0.4)
+    public = found.find_route("h.example", "/b/x")
+    assert public.is_public and public.shares[0].service == "s2"
+    assert found.find_account("k2").quota.default_tokens == 200
+    assert found.find_account("k3") is None
+    assert found.services["s1"].scaling.reclaimable_price == 0.22
+    assert found.services["s2"].scaling is None
+    assert found.limits.header_bytes == 100
+    assert found.limits.idle_timeout_s == 15.0
+
+
+@given("a document actor that reads configurations")
+def make_document_actor(context):
+    context.applied = []
+    context.actor = documents.DocumentActor.start(
+        context.applied.append, records.decode_catalogue
+    )
+    context.add_cleanup(context.actor.stop)
+
+
+@when("it is offered a configuration, a broken one and an older one")
+def offer_configurations(context):
+    good = json.dumps(CONFIGURATION).encode()
+    older = json.dumps(CONFIGURATION | {"version": 6}).encode()
+    for version, data in ((5, good), (6, b'{"routes": 1}'), (4, older)):
+        context.actor.ask(documents.Offer(version, data))
+
+
+@then("only the first one is in force")
+def check_in_force(context):
+    assert [each.environment.number for each in context.applied] == [7]
+
+
+def make_environ(**extra):
+    return {
+        "REQUEST_METHOD": "POST",
+        "REQUEST_URI": "/a/x?q=1",
+        "PATH_INFO": "/a/x",
+        "HTTP_HOST": "h.example",
+        "HTTP_ATTEMPT_ID": "r1",
+        "wsgi.input": io.BytesIO(b"body"),
+        "CONTENT_LENGTH": "4",
+    } | extra
+
+
+@given("a caller's request with every header of the platform forged")
+def make_forged(context):
+    forged = {
+        "HTTP_" + name.upper().replace("-", "_"): "forged"
+        for name in headers.SYSTEM_HEADERS
+    }
+    forged |= {"HTTP_DEADLINE_MS": "2000", "HTTP_KEY": "k1"}
+    context.incoming = callers.CallerCodec().decode(
+        make_environ(HTTP_X_OWN="kept", HTTP_LENGTH_HINT="9", **forged)
+    )
+    request = requests.make_request(payload=context.incoming.payload)
+    context.call = endpoints.EndpointCodec().encode_call(
+        request, routing.Chosen("i-1.5", "h:1", "v1", identity="i-1"), 1.25, ""
+    )
+    context.sent = dict(context.call.headers)
+
+
+@then("the endpoint gets only what the system sets and the caller may")
+def check_forged(context):
+    assert "forged" not in context.sent.values(), context.sent
+    assert context.sent["X-Own"] == "kept"
+    assert context.sent["Length-Hint"] == "9"
+    assert context.sent["Expect-Instance"] == "i-1"
+    assert context.call.target == "/a/x?q=1"
+    assert context.call.body == b"body"
+    names = [name.lower() for name, _ in context.call.headers]
+    assert len(names) == len(set(names)), names
+
+
+@then("the endpoint gets the account and not the key")
+def check_account(context):
+    assert context.sent["Tenant"] == "a"
+    assert "Key" not in context.sent
+    assert context.incoming.key == "k1"
+
+
+@then("an attempt with 1.25 s left tells 1250 ms")
+def check_left(context):
+    assert context.sent["Deadline-Ms"] == "1250"
+
+
+@given("a caller's request that names its own connection headers")
+def make_connection_headers(context):
+    context.incoming = callers.CallerCodec().decode(
+        make_environ(
+            HTTP_CONNECTION="close, X-Hop",
+            HTTP_X_HOP="1",
+            HTTP_TE="trailers",
+            HTTP_EXPECT="100-continue",
+            HTTP_TRANSFER_ENCODING="chunked",
+        )
+    )
+
+
+@then("none of these is passed on")
+def check_connection_headers(context):
+    names = [name for name, _ in context.incoming.payload.headers]
+    assert names == ["Attempt-Id"], names
+
+
+def decode_chain(parts, model="m"):
+    environ = make_environ(HTTP_PROMPT_PREFIX=parts, HTTP_MODEL=model)
+    return callers.CallerCodec().decode(environ).chain
+
+
+@given("a request whose prompt has the parts a:800, b:400 and c:250")
+def make_chain(context):
+    context.chain = decode_chain("a:800,b:400,c:250")
+
+
+@then("its chain has the ends 800, 1200 and 1450")
+def check_chain(context):
+    assert context.chain.ends == (800, 1200, 1450), context.chain
+
+
+@then("it shares two parts with a request of a:800, b:400 and d:10")
+def check_shared(context):
+    other = decode_chain("a:800,b:400,d:10")
+    assert context.chain.hashes[:2] == other.hashes[:2]
+    assert context.chain.hashes[2] != other.hashes[2]
+
+
+@then("it shares none with the same parts of another model")
+def check_model(context):
+    other = decode_chain("a:800,b:400,c:250", "n")
+    assert not set(context.chain.hashes) & set(other.hashes)
+
+
+@given("a request whose {name} is {value}")
+def make_bad(context, name, value):
+    key = "HTTP_" + name.upper().replace("-", "_")
+    context.environ = make_environ(**{key: value})
+
+
+@then("the header is refused, naming {name}")
+def check_bad(context, name):
+    try:
+        callers.CallerCodec().decode(context.environ)
+    except errors.RefusedError as error:
+        assert error.refusal.kind is errors.RefusalKind.MALFORMED
+        assert name in error.refusal.message
+        return
+    raise AssertionError("the request was taken")
+
+
+@then("a refusal of {kind} that is {ran} has status {status:d}")
+def check_status(context, kind, ran, status):
+    refusal = errors.Refusal(
+        errors.RefusalKind[kind], "m", "r", errors.Ran[ran], 0.25
+    )
+    reply = callers.CallerCodec().encode_refusal(refusal)
+    assert reply.status == status, reply
+    assert dict(reply.headers)["Retry-After"] == "0.250"
+
+
+@then('an answer\'s load, idle limit and "not run" are read')
+def check_head(context):
+    decode = endpoints.EndpointCodec().decode_head
+    head = decode(
+        503,
+        (
+            ("Attempt-Id", "r1"),
+            ("Not-Executed", "1"),
+            ("Instance-Load", "3,1,8"),
+            ("Keep-Alive", "timeout=5"),
+            ("Content-Length", "0"),
+            ("X-Other", "y"),
+        ),
+    )
+    assert head.has_not_run and head.request_id == "r1"
+    assert (head.load.running, head.load.queued, head.load.slots) == (3, 1, 8)
+    assert head.idle_limit_s == 5.0
+    names = [name for name, _ in head.headers]
+    assert "X-Other" in names and "Content-Length" not in names
+    bad = decode(200, (("Instance-Load", "a,b"), ("Keep-Alive", "max=3")))
+    assert bad.load is None and bad.idle_limit_s is None
+    assert decode(421, ()).is_other_endpoint
