Requests that share parts meet; engines' pace is learned; reports expire

Change: consistent hashing of the last shared part, taken as cached there to seven tenths; pace and step learned from first tokens with the attention to earlier tokens; reports expire after a second; orders count reclaimable endpoints once they serve and take nothing back that boots.

--- a/mulberryhollow/coordination/admission/demand.py
+++ b/mulberryhollow/coordination/admission/demand.py
@@ -14,11 +14,12 @@
 class _DecayingRate:
     """Exponentially weighted rate of one client account."""
 
-    __slots__ = ("_amount", "_at_s")
+    __slots__ = ("_amount", "_at_s", "_decay_s")
 
-    def __init__(self, now_s):
+    def __init__(self, now_s, decay_s):
         self._amount = 0.0
         self._at_s = now_s
+        self._decay_s = decay_s
 
     def add(self, amount, now_s):
         """Add an amount."""
@@ -27,12 +28,12 @@
 
     def get(self, now_s):
         """Return the rate, per second."""
-        return self._decay(now_s) / DECAY_S
+        return self._decay(now_s) / self._decay_s
 
     def _decay(self, now_s):
         """Return what is left of the amount."""
         age_s = max(0.0, now_s - self._at_s)
-        return self._amount * math.exp(-age_s / DECAY_S)
+        return self._amount * math.exp(-age_s / self._decay_s)
 
 
 @attrs.frozen
@@ -45,9 +46,16 @@
 
 
 class DemandTable:
-    """Own demand and the latest reports of peers."""
+    """Own demand and the latest reports of peers.
 
-    def __init__(self):
+    Parameters
+    ----------
+    decay_s : float
+        Time over which the rates are smoothed, in seconds.
+    """
+
+    def __init__(self, decay_s=DECAY_S):
+        self._decay_s = decay_s
         self._own = {}
         self._reports = {}
         self._peer_sums = collections.Counter()
@@ -66,7 +74,7 @@
         """
         rate = self._own.get(account)
         if rate is None:
-            rate = self._own[account] = _DecayingRate(now_s)
+            rate = self._own[account] = _DecayingRate(now_s, self._decay_s)
         rate.add(tokens, now_s)
 
     def get_own(self, account, now_s):
--- a/mulberryhollow/coordination/capacity/sizing.py
+++ b/mulberryhollow/coordination/capacity/sizing.py
@@ -7,11 +7,11 @@
 
 __all__ = ["Present", "SizingRules", "Slot", "choose_counts", "find_need"]
 
-BUSY_TARGET = 0.35
+BUSY_TARGET = 0.2
 """Part of the time that an engine is to spend on prompts.
 
-Prompts come in clumps and differ a hundredfold in size, so the wait for
-others' prompts grows fast above a third.
+While it computes a prompt, the tokens of all its other requests come ten
+times as slowly, and prompts come in clumps and differ a hundredfold in size.
 """
 
 FILL_TARGET = 0.35
@@ -20,14 +20,19 @@
 Each further request slows the tokens of all others down.
 """
 
-ON_DEMAND_PART = 0.5
-"""Part of the endpoints that cannot be reclaimed.
+ON_DEMAND_PART = 0.4
+"""Part of the need that is met by endpoints that cannot be reclaimed.
 
-They carry the whole load at twice their target until others have booted.
+They carry the whole load at two and a half times their target, half of
+their time, until others have booted.
 """
 
-RECLAIMABLE_SPARE = 1
-"""Reclaimable endpoints beyond the need, for the loss of one."""
+RECLAIMABLE_PART = 0.8
+"""Reclaimable endpoints as a part of the need.
+
+With the others this is a fifth more than the need, so that it is still met
+when a failure domain of four or five is reclaimed.
+"""
 
 
 @attrs.frozen
@@ -40,14 +45,14 @@
         Parts of an engine's time and batch that are to be used.
     on_demand_part : float
         Part of the endpoints that cannot be reclaimed.
-    reclaimable_spare : int
-        Reclaimable endpoints beyond the need.
+    reclaimable_part : float
+        Reclaimable endpoints as a part of the need.
     """
 
     busy_target: float = BUSY_TARGET
     fill_target: float = FILL_TARGET
     on_demand_part: float = ON_DEMAND_PART
-    reclaimable_spare: int = RECLAIMABLE_SPARE
+    reclaimable_part: float = RECLAIMABLE_PART
 
 
 @attrs.frozen(order=True)
@@ -74,15 +79,29 @@
     ----------
     counts : dict
         Slot to its endpoints.
+    ordered : dict
+        Slot to what was ordered last; what is above the count boots.
     """
 
     counts: dict = attrs.field(factory=dict)
+    ordered: dict = attrs.field(factory=dict)
 
     @property
     def total(self):
-        """All of them."""
+        """All that take new work."""
         return sum(self.counts.values())
 
+    @property
+    def reclaimable(self):
+        """Those of them that can be reclaimed."""
+        return sum(
+            count for slot, count in self.counts.items() if slot.is_reclaimable
+        )
+
+    def count_committed(self, slot):
+        """Return the endpoints of a slot, with those that boot."""
+        return max(self.counts.get(slot, 0), self.ordered.get(slot, 0))
+
 
 def find_need(busy, in_flight, slots, rules):
     """Return how many endpoints the load calls for.
@@ -127,8 +146,9 @@
     Returns
     -------
     dict
-        Slot to its number. While there are fewer than the need, no slot
-        shrinks: what replaces an endpoint serves before that one goes.
+        Slot to its number. Reclaimable endpoints count for the need once
+        they serve. While fewer serve than are needed, no slot shrinks:
+        what replaces an endpoint serves before that one goes.
     """
     domains = sorted(
         scaling.domain_prices,
@@ -136,20 +156,19 @@
     )
     wanted = collections.Counter()
     firm = math.ceil(need * rules.on_demand_part)
-    loose = need - firm + rules.reclaimable_spare
+    loose = math.ceil(need * rules.reclaimable_part)
     open_domains = [
         domain
         for domain in domains
         if scaling.reclaimable_price is not None
         and Slot(domain, True) not in unavailable
     ]
-    _fill(wanted, open_domains, True, loose, scaling.most)
-    placed = sum(wanted.values())
-    firm = max(firm, need - placed)
+    firm = max(firm, need - present.reclaimable)
     on_demand = [
         domain for domain in domains if Slot(domain, False) not in unavailable
     ]
     _fill(wanted, on_demand, False, firm, scaling.most)
+    _fill(wanted, open_domains, True, loose, scaling.most)
     _raise_to_least(wanted, domains, open_domains, scaling.least)
     return _hold(wanted, domains, present, need)
 
@@ -190,7 +209,7 @@
     for domain in domains:
         for is_reclaimable in (True, False):
             slot = Slot(domain, is_reclaimable)
-            now = present.counts.get(slot, 0)
+            now = present.count_committed(slot)
             surplus = now - wanted[slot]
             given_up = max(0, min(surplus, spare))
             spare -= given_up
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -22,11 +22,22 @@
         Tokens of each of these prefixes.
     tokens : int
         Tokens of the whole prompt.
+    shared_parts : int
+        Leading parts that other requests are likely to have too; 0 where
+        that is not known.
     """
 
     hashes: tuple = ()
     ends: tuple = ()
     tokens: int = 0
+    shared_parts: int = 0
+
+    @property
+    def affinity(self):
+        """Hash by which requests with the same parts meet, or None."""
+        return (
+            self.hashes[self.shared_parts - 1] if self.shared_parts else None
+        )
 
     def count_tokens(self, parts):
         """Return the tokens of that many leading parts."""
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -16,19 +16,35 @@
 from mulberryhollow.state import environment
 from mulberryhollow.state import prefixes as prefix_index
 
-__all__ = ["Router", "RoutingRules"]
+__all__ = ["Router", "RoutingRules", "weigh_tokens"]
 
 RETRY_AFTER_S = 1.0
 LEAST_LEFT_S = 0.05
 PEERS_COUNTED = 4
 PROBE_PENALTY_S = 1_000.0
 
+BASE_TOKENS = 300
+"""Most computed tokens from which the time of a single step is learned."""
+
 LEARNED_TOKENS = 2_000
 """Fewest computed tokens from which the pace is learned.
 
 Below it, the time of a first token is mostly that of a single step.
 """
 
+ATTENTION_TOKENS = 25_000
+"""Tokens before it at which a token takes twice the time of the first.
+
+The attention to earlier tokens then costs as much as the layers, which
+holds within a factor of two for current models of 8 to 70 billion weights.
+"""
+
+AFFINE_PART = 0.7
+"""Part of the shared tokens that an affine endpoint is taken to hold.
+
+Other requests with these parts went there, unless it was busy.
+"""
+
 FALL_PART = 0.3
 """Weight of a sample below the estimate of the pace."""
 
@@ -99,20 +115,21 @@
         self._rng = rng or random.Random(0)
         self._nodes = 1
         self._paces = {}
+        self._bases = {}
 
     def set_live_nodes(self, nodes):
         """Set the number of live nodes, this one included."""
         self._nodes = max(1, nodes)
 
-    def learn(self, service, computed_tokens, first_s):
+    def learn(self, service, tokens, computed_tokens, first_s):
         """Learn how fast engines compute prompts from a first token.
 
         Parameters
         ----------
         service : str
             The service.
-        computed_tokens : int
-            Prompt tokens that were expected to be computed.
+        tokens, computed_tokens : int
+            Prompt tokens, and those that were expected to be computed.
         first_s : float
             Time to the first token, in seconds.
 
@@ -121,12 +138,16 @@
         Most of the time may have been spent waiting, so the estimate
         falls fast and rises slowly: it follows the quickest engines.
         """
-        if computed_tokens < LEARNED_TOKENS:
-            return
-        sample = first_s / computed_tokens
-        pace = self._get_pace(service)
-        part = FALL_PART if sample < pace else RISE_PART
-        self._paces[service] = pace + part * (sample - pace)
+        if computed_tokens <= BASE_TOKENS:
+            self._bases[service] = _follow(
+                self._bases.get(service, first_s), first_s
+            )
+        elif computed_tokens >= LEARNED_TOKENS:
+            left_s = max(0.0, first_s - self._bases.get(service, 0.0))
+            weighed = weigh_tokens(tokens, computed_tokens)
+            self._paces[service] = _follow(
+                self._get_pace(service), left_s / weighed
+            )
 
     def _get_pace(self, service):
         """Return the time to compute one prompt token, in seconds."""
@@ -160,6 +181,7 @@
         )
         for version in versions:
             group = view.get_group(request.service, version)
+            asked = asked.find_affine(group)
             candidates = self._list_candidates(group, asked, excluded)
             if candidates:
                 hold_s = group.hold_s or self.rules.hold_s
@@ -178,6 +200,7 @@
                 ),
                 group.sample(self._rng, rules.sample_count),
                 filter(None, map(group.get, asked.holders)),
+                filter(None, [asked.affine]),
             )
         }
         for endpoint_id in excluded:
@@ -231,9 +254,9 @@
     def _estimate_compute_s(self, endpoint_id, asked):
         """Return the time to compute the prompt, in seconds."""
         computed = asked.tokens - asked.count_cached(endpoint_id)
-        rules = self.rules
         pace = self._get_pace(asked.request.service)
-        return rules.overhead_s + computed * pace
+        weighed = weigh_tokens(asked.tokens, computed)
+        return self.rules.overhead_s + weighed * pace
 
     def _estimate_wait_s(self, record, now_s, hold_s):
         """Return the time before the prompt is begun, in seconds."""
@@ -268,6 +291,7 @@
     left_s: float
     chain: requests.PromptChain
     holders: dict
+    affine: object = None
 
     @classmethod
     def build(cls, request, prefixes, now_s):
@@ -290,6 +314,13 @@
         """Tokens of the prompt."""
         return self.chain.tokens
 
+    def find_affine(self, group):
+        """Return the same with the endpoint where its like goes."""
+        key = self.chain.affinity
+        if key is None:
+            return self
+        return attrs.evolve(self, affine=group.find_affine(key))
+
     def count_cached(self, endpoint_id):
         """Return the prompt tokens that an endpoint should hold."""
         if self.prefixes is None or not self.chain.hashes:
@@ -297,7 +328,32 @@
         parts = self.holders.get(endpoint_id)
         if parts is None:
             parts = self.prefixes.count_blocks(endpoint_id, self.chain.hashes)
-        return self.chain.count_tokens(parts)
+        cached = self.chain.count_tokens(parts)
+        affine = self.affine
+        if affine is not None and affine.endpoint.id == endpoint_id:
+            shared = self.chain.count_tokens(self.chain.shared_parts)
+            cached = max(cached, int(AFFINE_PART * shared))
+        return cached
+
+
+def weigh_tokens(tokens, computed):
+    """Return the computed tokens of a prompt, weighed by their cost.
+
+    Parameters
+    ----------
+    tokens : int
+        Tokens of the whole prompt.
+    computed : int
+        Tokens at its end that are not cached.
+    """
+    earlier = tokens - computed / 2.0
+    return computed * (1.0 + earlier / ATTENTION_TOKENS)
+
+
+def _follow(estimate, sample):
+    """Return an estimate that falls fast and rises slowly."""
+    part = FALL_PART if sample < estimate else RISE_PART
+    return estimate + part * (sample - estimate)
 
 
 def _chain_words(prompt, is_hashed):
--- a/mulberryhollow/platform/callers.py
+++ b/mulberryhollow/platform/callers.py
@@ -145,7 +145,10 @@
             ends.append(tokens)
     except ValueError as error:
         raise _malformed(names.PROMPT_PARTS, "it has a bad part") from error
-    return routing.PromptChain(tuple(hashes), tuple(ends), tokens)
+    # The last part belongs to this one request.
+    return routing.PromptChain(
+        tuple(hashes), tuple(ends), tokens, len(hashes) - 1
+    )
 
 
 def _malformed(name, what):
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -6,6 +6,8 @@
 import threading
 import zlib
 
+import attrs
+
 from mulberryhollow.coordination import configuration
 from mulberryhollow.coordination import duties
 from mulberryhollow.coordination import membership
@@ -47,6 +49,12 @@
 RETRY_S = 0.1
 """Time between two calls of the store, in seconds."""
 
+PROMPT_PACE_S = 1e-5
+"""First guess of the time that a prompt token takes, in seconds.
+
+The middle of what engines of one accelerator give; learned from then on.
+"""
+
 DUTY_INTERVAL_S = 0.25
 """Time between two looks at the duties, in seconds."""
 
@@ -365,3 +373,6 @@
     """Use the bounds that the platform names."""
     actor.quotas.set_rules(bounds.quotas)
     actor.shared_retries.set_rules(bounds.retries)
+    actor.router.rules = attrs.evolve(
+        actor.router.rules, compute_s_per_token=PROMPT_PACE_S
+    )
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -27,6 +27,13 @@
 ]
 
 
+WORK_DECAY_S = 5.0
+"""Time over which the work of a service is smoothed, in seconds.
+
+About the time that an engine takes to boot, so that orders follow the load
+and not single prompts.
+"""
+
 SHARED_CRASHES_KEPT = 4096
 """Requests remembered for a crash beside others."""
 
@@ -162,7 +169,7 @@
         self.shares = version_shares.VersionShares()
         self.quotas = limits.QuotaTable()
         self.shared_retries = limits.SharedRetryBudget()
-        self.work = demand.DemandTable()
+        self.work = demand.DemandTable(WORK_DECAY_S)
         self._shared_crashes = collections.Counter()
 
     def on_receive(self, message):
@@ -184,8 +191,12 @@
             case _SpendRetry(service):
                 return self.shared_retries.spend(service, now_s)
             case _ReportFirst(route, first_s):
+                chosen = route.chosen
                 self.router.learn(
-                    route.service, route.chosen.computed_tokens, first_s
+                    route.service,
+                    chosen.cached_tokens + chosen.computed_tokens,
+                    chosen.computed_tokens,
+                    first_s,
                 )
             case _ReportLoad(route, load):
                 self.view.report_load(
--- a/mulberryhollow/serving/orders.py
+++ b/mulberryhollow/serving/orders.py
@@ -15,7 +15,7 @@
 LOOK_S = 1.0
 """Time between two looks at the load, in seconds."""
 
-REFUSED_S = 3.0
+REFUSED_S = 5.0
 """Time after which a refused order is tried again, in seconds."""
 
 REPEAT_S = 8.0
@@ -31,9 +31,12 @@
 that would have to be ordered again.
 """
 
-LEARN_S = 4.0
-"""Time that the load is watched for before anything is given up, in s."""
+LEARN_S = 6.0
+"""Time that the load is watched for before the first order, in seconds."""
 
+SIZED = events.declare(
+    8122, logging.INFO, "the load calls for another number of endpoints"
+)
 ORDERED = events.declare(
     8120, logging.INFO, "a number of endpoints was ordered"
 )
@@ -73,6 +76,7 @@
     ordered: dict = attrs.field(factory=dict)
     refused_s: dict = attrs.field(factory=dict)
     seen_s: float = math.inf
+    need: int = 0
 
 
 class OrderKeeper:
@@ -143,10 +147,20 @@
         )
         if load.in_flight and service.seen_s is math.inf:
             service.seen_s = now_s
+        if not now_s - service.seen_s >= LEARN_S:
+            return []
         need = _remember(service.needs, need, now_s)
-        present = self._count_present(name)
-        if now_s - service.seen_s < LEARN_S or service.seen_s is math.inf:
-            need = max(need, present.total)
+        present = self._count_present(name, service)
+        if need != service.need:
+            service.need = need
+            events.log(
+                SIZED,
+                service=name,
+                need=need,
+                serving=present.total,
+                busy=round(load.busy, 3),
+                in_flight=round(load.in_flight, 1),
+            )
         unavailable = {
             slot
             for slot, refused_s in service.refused_s.items()
@@ -162,14 +176,15 @@
             and self._is_due(service, slot, count, present, now_s)
         ]
 
-    def _count_present(self, name):
-        """Return the endpoints of a service that take new work."""
+    def _count_present(self, name, service):
+        """Return the endpoints of a service, serving and ordered."""
         counts = collections.Counter(
             capacity.Slot(each.failure_domain, each.is_reclaimable)
             for each in self._get_listings()
             if each.service == name and not each.is_leaving
         )
-        return capacity.Present(dict(counts))
+        ordered = {slot: count for slot, (count, _) in service.ordered.items()}
+        return capacity.Present(dict(counts), ordered)
 
     @staticmethod
     def _is_due(service, slot, count, present, now_s):
--- a/mulberryhollow/serving/sumlink.py
+++ b/mulberryhollow/serving/sumlink.py
@@ -22,6 +22,12 @@
 WORKERS = 8
 """Tellings under way at once."""
 
+REPORT_LIFETIME_S = 1.0
+"""Time after which an endpoint's own report counts no longer, in seconds.
+
+The sums are told twice as often, so they are younger from then on.
+"""
+
 OTHERS = "others"
 """Name under which the sum over the others is kept."""
 
@@ -223,6 +229,7 @@
     )
     actor.work.set_report(OTHERS, others.amounts.work, now_s, others.count)
     actor.work.expire(now_s)
+    actor.view.expire_reports(now_s - REPORT_LIFETIME_S)
     for record in list(actor.view):
         endpoint_id = record.endpoint.id
         amount = others.amounts.loads.get(_shorten(endpoint_id), 0)
--- a/mulberryhollow/state/endpoints/group.py
+++ b/mulberryhollow/state/endpoints/group.py
@@ -1,10 +1,17 @@
 """Available endpoints of one version, indexed by load."""
 
+import bisect
 import heapq
 
+import xxhash
+
 __all__ = ["EndpointGroup"]
 
 HOLD_SMOOTHING = 0.02
+
+RING_POINTS = 16
+"""Points of each member on the ring, which evens out the members' parts."""
+
 STALE_ENTRIES_PER_MEMBER = 4
 
 
@@ -29,6 +36,7 @@
         self._positions = {}
         self._heap = []
         self._pushes = 0
+        self._ring = None
 
     def __len__(self):
         return len(self._members)
@@ -48,6 +56,7 @@
         """Add a record or index its load, whose stamp has just changed."""
         endpoint_id = record.endpoint.id
         if endpoint_id not in self._positions:
+            self._ring = None
             self._positions[endpoint_id] = len(self._members)
             self._members.append(record)
         self._push(record)
@@ -57,6 +66,7 @@
         position = self._positions.pop(endpoint_id, None)
         if position is None:
             return
+        self._ring = None
         last = self._members.pop()
         if position < len(self._members):
             self._members[position] = last
@@ -95,6 +105,31 @@
             heapq.heappush(self._heap, entry)
         return [entry[-1] for entry in kept]
 
+    def find_affine(self, key):
+        """Return the member that a key belongs to, the same on every node.
+
+        Parameters
+        ----------
+        key : int
+            A hash of 64 bits.
+
+        Notes
+        -----
+        By consistent hashing, so that a member that comes or goes moves
+        few keys. None when there is no member.
+        """
+        if not self._members:
+            return None
+        if self._ring is None:
+            self._ring = sorted(
+                (_hash_point(record.endpoint.id, point), place)
+                for place, record in enumerate(self._members)
+                for point in range(RING_POINTS)
+            )
+        found = bisect.bisect_left(self._ring, (key, -1))
+        _, place = self._ring[found % len(self._ring)]
+        return self._members[place]
+
     def _push(self, record):
         """Add an entry for the record's present load."""
         self._pushes += 1
@@ -110,3 +145,8 @@
         _, _, stamp, record = entry
         is_latest = stamp == record.stamp
         return is_latest and self.get(record.endpoint.id) is record
+
+
+def _hash_point(endpoint_id, point):
+    """Return the place of a member's point on the ring."""
+    return xxhash.xxh3_64_intdigest(f"{endpoint_id}/{point}".encode())
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -239,6 +239,13 @@
         self.own_reported = self._sum_reported()
         return True
 
+    def expire_report(self):
+        """Forget the reported load; return whether there was any."""
+        if not (self.running or self.queued or self.own_reported):
+            return False
+        self.running = self.queued = self.own_reported = 0
+        return True
+
     def _sum_reported(self):
         """Return own work that was there when the load was measured."""
         at_s = self.measured_at_s
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -234,6 +234,19 @@
             amounts[endpoint_id] = amount
         self._index(record)
 
+    def expire_reports(self, before_s):
+        """Forget load reports that were measured before a time, in seconds.
+
+        Parameters
+        ----------
+        before_s : float
+            What was measured before it no longer says anything; the work
+            that peers tell counts instead.
+        """
+        for record in self._records.values():
+            if record.measured_at_s < before_s and record.expire_report():
+                self._index(record)
+
     def drop_peer(self, node):
         """Forget the work of a peer that is gone."""
         for endpoint_id in list(self._peers.pop(node, {})):
--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -16,7 +16,7 @@
 from mulberryhollow.protocol import callers as messages
 from mulberryhollow.state import environment as environment_module
 
-__all__ = ["CallerApp", "is_quiet", "make_server", "stop_accepting"]
+__all__ = ["CallerApp", "is_quiet", "make_server"]
 
 MAX_READ_BYTES = 2 * 1024 * 1024
 """Largest body that is read at all, in bytes."""
--- a/tests/coordination/capacity/sizing.feature
+++ b/tests/coordination/capacity/sizing.feature
@@ -11,10 +11,24 @@
 
   Scenario: Half of the need is firm and the rest is spread and cheap
     Given four domains with prices 1.0, 0.8, 1.25 and 0.9
-    When 6 endpoints are needed and none is there
+    And 1 reclaimable endpoints serve in each domain
+    When 6 endpoints are needed
     Then 3 on-demand ones are wanted in d2, d4 and d1
     And 4 reclaimable ones are wanted, one in each domain
 
+  Scenario: Reclaimable endpoints count for the need once they serve
+    Given four domains with prices 1.0, 0.8, 1.25 and 0.9
+    When 6 endpoints are needed and none is there
+    Then 6 on-demand endpoints are wanted in all
+    And 4 reclaimable ones are wanted, one in each domain
+
+  Scenario: What boots is not taken back while it is needed
+    Given four domains with prices 1.0, 0.8, 1.25 and 0.9
+    And 1 reclaimable endpoints serve in each domain
+    And 6 on-demand endpoints boot in d1
+    When 6 endpoints are needed
+    Then 6 on-demand endpoints are still wanted in d1
+
   Scenario: Without reclaimable ones the whole need is firm
     Given four domains with prices 1.0, 0.8, 1.25 and 0.9
     And no reclaimable endpoint is to be had
--- a/tests/coordination/routing/router.feature
+++ b/tests/coordination/routing/router.feature
@@ -58,6 +58,24 @@
     When 60 long prompts without a common prefix are routed
     Then no endpoint got more than 3 of them
 
+  Scenario Outline: The pace of engines is learned from first tokens
+    When engines with a step of <step> s take <pace> s for a prompt token
+    And one answer in three has waited for half a second
+    Then the learned pace is between <pace> s and twice that
+
+    Examples:
+      | step  | pace     |
+      | 0.053 | 0.000007 |
+      | 0.001 | 0.000016 |
+      | 0.02  | 0.0003   |
+
+  Scenario: Requests that share parts meet without any message
+    When 8 nodes route requests of 40 sessions that share parts
+    Then the requests of a session meet at one endpoint
+    And the sessions are spread over at least 20 endpoints
+    When the endpoint of session 3 has a full batch
+    Then a request of session 3 goes elsewhere
+
   Scenario: Patient requests prefer cheap endpoints
     When 300 patient requests are routed without any load
     Then more than 200 of them went to the cheapest failure domain
--- a/tests/state/endpoints.feature
+++ b/tests/state/endpoints.feature
@@ -142,3 +142,11 @@
 
   Scenario: No order of events makes a leaving endpoint available
     Then in any order of events a leaving endpoint is never available
+
+  Scenario: A load report that is old no longer counts
+    When endpoint e0 reports 3 running and 1 queued, measured 0 seconds ago
+    And the endpoint view is 2 seconds older
+    And reports older than 1 seconds expire
+    Then endpoint e0 has a load of 0
+    When peer n1 has 2 requests at endpoint e0
+    Then endpoint e0 has a load of 2
--- a/tests/steps/coordination_routing.py
+++ b/tests/steps/coordination_routing.py
@@ -6,6 +6,7 @@
 from behave import when
 import hypothesis
 from hypothesis import strategies
+import xxhash
 
 from mulberryhollow.coordination import routing
 from mulberryhollow.errors import Ran
@@ -280,3 +281,80 @@
                 index.insert(chosen.endpoint_id, chosen.hashes)
 
     check()
+
+
+@when(
+    "engines with a step of {step_s:g} s take {pace_s:g} s for a prompt token"
+)
+def set_engines(context, step_s, pace_s):
+    context.step_s, context.pace_s = step_s, pace_s
+
+
+@when("one answer in three has waited for half a second")
+def learn_pace(context):
+    rng = random.Random(5)
+    for number in range(400):
+        tokens = rng.choice([100, 250, 3000, 9000, 20000])
+        wait_s = 0.5 if number % 3 == 0 else 0.0
+        weighed = tokens * (1 + tokens / 2 / 25_000)
+        first_s = context.step_s + weighed * context.pace_s + wait_s
+        context.router.learn("s", tokens, tokens, first_s)
+
+
+@then("the learned pace is between {pace_s:g} s and twice that")
+def check_pace(context, pace_s):
+    chain = routing.PromptChain((), (), 100_000)
+    request = routing.RouteRequest("r", "s", {"v1": 1.0}, chain=chain)
+    view = endpoints.EndpointView()
+    view.apply_list([endpoints.Endpoint("e", "m", "h:1", "d", "s", "v1")], 0.0)
+    chosen = context.router.choose(request, view, None, 0.0)
+    learned_s = chosen.compute_s / (100_000 * 3)
+    assert 0.9 * pace_s <= learned_s <= 2 * pace_s, learned_s
+
+
+def make_chain(session, tokens=6000):
+    """Return the chain of a request of a session."""
+    hashes = (7, xxhash.xxh3_64_intdigest(session.encode()), 9)
+    ends = (500, 500 + tokens, 700 + tokens)
+    return routing.PromptChain(hashes, ends, 700 + tokens, 2)
+
+
+@when("{nodes:d} nodes route requests of {count:d} sessions that share parts")
+def route_sessions(context, nodes, count):
+    routers = [
+        (routing.Router(rng=random.Random(n)), prefixes.PrefixIndex())
+        for n in range(nodes)
+    ]
+    context.places = collections.defaultdict(collections.Counter)
+    for number in range(count):
+        chain = make_chain(f"session {number}")
+        request = build_request(number, chain=chain)
+        for router, index in routers:
+            chosen = router.choose(request, context.view, index, NOW_S)
+            context.places[number][chosen.endpoint_id] += 1
+
+
+@then("the requests of a session meet at one endpoint")
+def check_meet(context):
+    apart = [number for number, c in context.places.items() if len(c) > 1]
+    assert not apart, apart
+
+
+@then("the sessions are spread over at least {least:d} endpoints")
+def check_sessions_spread(context, least):
+    found = {e for c in context.places.values() for e in c}
+    assert len(found) >= least, len(found)
+
+
+@when("the endpoint of session {number:d} has a full batch")
+def fill_endpoint(context, number):
+    (context.full,) = context.places[number]
+    context.view.report_load(context.full, 32, 40, 32, 0.0, NOW_S)
+
+
+@then("a request of session {number:d} goes elsewhere")
+def check_elsewhere(context, number):
+    request = build_request(1, chain=make_chain(f"session {number}"))
+    index = prefixes.PrefixIndex()
+    chosen = context.router.choose(request, context.view, index, NOW_S)
+    assert chosen.endpoint_id != context.full
--- a/tests/steps/coordination_sizing.py
+++ b/tests/steps/coordination_sizing.py
@@ -9,7 +9,7 @@
     busy_target=0.35,
     fill_target=0.35,
     on_demand_part=0.5,
-    reclaimable_spare=1,
+    reclaimable_part=2 / 3,
 )
 
 
@@ -27,6 +27,7 @@
     prices = {"d1": 1.0, "d2": 0.8, "d3": 1.25, "d4": 0.9}
     context.scaling = catalogue.Scaling(1, 5, 4.0, 0.22, prices)
     context.serving = {}
+    context.ordered = {}
     context.unavailable = set()
 
 
@@ -37,6 +38,23 @@
     }
 
 
+@given("{count:d} reclaimable endpoints serve in each domain")
+def serve_spread(context, count):
+    for domain in context.scaling.domain_prices:
+        context.serving[capacity.Slot(domain, True)] = count
+
+
+@given("{count:d} on-demand endpoints boot in {domain}")
+def boot_on_demand(context, count, domain):
+    context.ordered[capacity.Slot(domain, False)] = count
+
+
+@then("{count:d} on-demand endpoints are still wanted in {domain}")
+def check_still_wanted(context, count, domain):
+    found = context.wanted[capacity.Slot(domain, False)]
+    assert found == count, found
+
+
 @given("{count:d} on-demand endpoints serve in each domain")
 def serve_on_demand(context, count):
     for domain in context.scaling.domain_prices:
@@ -48,7 +66,7 @@
     context.wanted = capacity.choose_counts(
         context.need,
         context.scaling,
-        capacity.Present(dict(context.serving)),
+        capacity.Present(dict(context.serving), dict(context.ordered)),
         context.unavailable,
         RULES,
     )
--- a/tests/steps/state_endpoints.py
+++ b/tests/steps/state_endpoints.py
@@ -235,3 +235,8 @@
             assert not left & least
 
     check()
+
+
+@when("reports older than {age_s:g} seconds expire")
+def expire_reports(context, age_s):
+    context.view.expire_reports(context.now_s - age_s)
