Long prompts: peers are told, and they go where they disturb few

Change: a prompt of 0.15 s or more is told to the peers at once; one of 0.2 s or more counts half its time for each request at the endpoint; orders keep three fifths of the need firm; one log line at the end of each request.

--- a/mulberryhollow/coordination/capacity/sizing.py
+++ b/mulberryhollow/coordination/capacity/sizing.py
@@ -7,7 +7,7 @@
 
 __all__ = ["Present", "SizingRules", "Slot", "choose_counts", "find_need"]
 
-BUSY_TARGET = 0.2
+BUSY_TARGET = 0.25
 """Part of the time that an engine is to spend on prompts.
 
 While it computes a prompt, the tokens of all its other requests come ten
@@ -20,18 +20,18 @@
 Each further request slows the tokens of all others down.
 """
 
-ON_DEMAND_PART = 0.4
+ON_DEMAND_PART = 0.6
 """Part of the need that is met by endpoints that cannot be reclaimed.
 
-They carry the whole load at two and a half times their target, half of
-their time, until others have booted.
+They carry the whole load at less than half of their time until others have
+booted.
 """
 
-RECLAIMABLE_PART = 0.8
+RECLAIMABLE_PART = 0.7
 """Reclaimable endpoints as a part of the need.
 
-With the others this is a fifth more than the need, so that it is still met
-when a failure domain of four or five is reclaimed.
+With the others this is a third more than the need, so that it is still met
+when one failure domain of four is reclaimed.
 """
 
 
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -102,6 +102,8 @@
         The id by which the endpoint knows itself.
     compute_s : float
         Time that its prompt is expected to take there, in seconds.
+    load : float
+        Requests estimated there at the time of the choice.
     """
 
     endpoint_id: str
@@ -114,6 +116,7 @@
     hashes: tuple = ()
     identity: str = ""
     compute_s: float = 0.0
+    load: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -71,6 +71,12 @@
     late_s : float
         Computing time that a first token at the deadline is worth, in
         seconds; one halfway to it is worth a quarter.
+    disturb_part : float
+        Part of a long prompt's computing time that each request at the
+        endpoint is taken to lose by it.
+    long_s : float
+        Computing time from which a prompt is long, in seconds: about half
+        of the pause that callers bear.
     failure_s : float
         Computing time that a certain failure is worth, in seconds.
     price_s : float
@@ -86,6 +92,8 @@
     hold_s: float = 13.0
     load_s: float = 0.5
     late_s: float = 0.3
+    disturb_part: float = 0.5
+    long_s: float = 0.2
     failure_s: float = 1.0
     price_s: float = 0.0
     patient_price_s: float = 0.1
@@ -221,6 +229,8 @@
             )
             score = compute_s
             score += self.rules.late_s * (first_s / asked.left_s) ** 2
+            if compute_s >= self.rules.long_s:
+                score += self.rules.disturb_part * compute_s * record.load
             score += self.rules.failure_s * record.get_failure_rate(
                 asked.now_s
             )
@@ -244,6 +254,7 @@
             version=endpoint.version,
             cost=min(self._nodes, PEERS_COUNTED) * compute_s,
             compute_s=compute_s,
+            load=record.load,
             cached_tokens=cached,
             computed_tokens=asked.tokens - cached,
             expected_first_token_s=first_s,
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -113,6 +113,7 @@
         )
         self.dispatcher.on_retry = self.observer.count_retry
         self.dispatcher.on_crash = self._link.tell_crash
+        self.dispatcher.on_long_prompt = self._link.tell_long_prompt
         self._fleet = fleetfeed.FleetFeed(
             records.decode_listing, self.dispatcher, clock
         )
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -27,6 +27,13 @@
 ]
 
 
+LONG_PROMPT_S = 0.15
+"""Time that a prompt takes from which the peers are told, in seconds.
+
+Long against a round trip between instances, so that the telling comes in
+time, and rare enough to cost little.
+"""
+
 WORK_DECAY_S = 5.0
 """Time over which the work of a service is smoothed, in seconds.
 
@@ -341,13 +348,16 @@
     Notes
     -----
     `on_crash` is called with the fingerprint of a request and the id of
-    the endpoint that it took down, `on_end` with the End of an attempt.
+    the endpoint that it took down, `on_end` with the End of an attempt,
+    and `on_long_prompt` with the Route of a prompt that keeps its endpoint
+    busy for long.
     """
 
     def __init__(self, actor, clock):
         self.on_crash = lambda fingerprint, endpoint_id, is_quarantined: None
         self.on_retry = lambda: None
         self.on_end = lambda ended: None
+        self.on_long_prompt = lambda route: None
         self._actor = actor
         self._clock = clock
 
@@ -445,7 +455,10 @@
         RefusedError
             When no endpoint takes it.
         """
-        return self._ask(_Choose(wanted, frozenset(excluded), keeps_version))
+        route = self._ask(_Choose(wanted, frozenset(excluded), keeps_version))
+        if route.chosen.compute_s >= LONG_PROMPT_S:
+            self.on_long_prompt(route)
+        return route
 
     def finish(
         self,
--- a/mulberryhollow/serving/factlink.py
+++ b/mulberryhollow/serving/factlink.py
@@ -13,6 +13,7 @@
 __all__ = ["CALL_TIMEOUT_S", "FactLink", "LATCHED_EXPIRY_S"]
 
 CRASH_TOPIC = "request.crash"
+PROMPT_TOPIC = "prompt.long"
 
 CALL_TIMEOUT_S = 1.0
 """Longest time of a call to a peer for a request, in seconds."""
@@ -20,6 +21,19 @@
 TELL_TIMEOUT_S = 0.25
 """Longest wait for peers to hear of a quarantine, in seconds."""
 
+PROMPT_TIMEOUT_S = 0.2
+"""Longest time to tell a peer of a long prompt, in seconds.
+
+Later it would have been computed already.
+"""
+
+MAX_PROMPT_PEERS = 64
+"""Peers that are told of a long prompt at most.
+
+In a larger fleet an endpoint is so rarely chosen twice at a time that the
+sums, which come later, are enough.
+"""
+
 TOLD_PEERS = 8
 """Peers that hear of a quarantine before the caller does."""
 
@@ -75,6 +89,7 @@
         peers.subscribe(facts.Topic.DOCUMENT, self._take_document)
         peers.subscribe(facts.Topic.QUARANTINE, self._take_crash)
         peers.handle(CRASH_TOPIC, self._answer_crash)
+        peers.handle(PROMPT_TOPIC, self._answer_prompt)
 
     def tick(self):
         """Notice who is there."""
@@ -134,6 +149,25 @@
             zlib.compress(document.data),
         )
 
+    def tell_long_prompt(self, route):
+        """Tell the peers where a long prompt is computed from now on.
+
+        Parameters
+        ----------
+        route : Route
+            Where it went.
+        """
+        fields = (route.endpoint_id, f"{route.chosen.compute_s:.3f}")
+        payload = " ".join(fields).encode()
+        for member in self.usable[:MAX_PROMPT_PEERS]:
+            self._threads.submit(
+                self._call,
+                member.instance_id,
+                PROMPT_TOPIC,
+                payload,
+                PROMPT_TIMEOUT_S,
+            )
+
     def tell_crash(self, fingerprint, endpoint_id, is_quarantined):
         """Tell the peers that a request took down an endpoint.
 
@@ -167,10 +201,10 @@
             LATCHED_EXPIRY_S,
         )
 
-    def _call(self, instance, topic, payload):
+    def _call(self, instance, topic, payload, timeout_s=CALL_TIMEOUT_S):
         """Return the answer of a peer, or None."""
         try:
-            return self._peers.call(instance, topic, payload, CALL_TIMEOUT_S)
+            return self._peers.call(instance, topic, payload, timeout_s)
         except errors.PeerError:
             return None
 
@@ -189,6 +223,17 @@
             )
         )
 
+    def _answer_prompt(self, payload):
+        """Keep away for a time from where a peer's long prompt went."""
+        endpoint_id, _, cost = payload.decode().partition(" ")
+        cost_s = float(cost)
+        self._dispatcher.change(
+            lambda actor, now_s: actor.view.add_peer_prompt(
+                endpoint_id, cost_s, now_s
+            )
+        )
+        return b"1"
+
     def _answer_crash(self, payload):
         """Refuse a request from now on that a peer has quarantined."""
         fingerprint, _, _ = payload.decode().partition(" ")
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -22,6 +22,9 @@
 
 _FIRST_FAILURE = 500
 
+ENDED = events.declare(
+    4013, logging.INFO, "a request that was passed on has ended"
+)
 RETRIED = events.declare(
     4010, logging.INFO, "an attempt failed and the request goes elsewhere"
 )
@@ -151,6 +154,10 @@
         self._is_complete = False
         self._has_begun = False
         self._outcome = Outcome.LEFT
+        self._chosen = None
+        self._first_s = 0.0
+        self._longest_gap_s = 0.0
+        self._event_s = 0.0
         parts.watch.add(self, is_gone, self._abort)
 
     def begin(self):
@@ -201,6 +208,29 @@
         self._hand_back()
         elapsed_s = parts.clock.now_s() - self._request.arrived_s
         parts.recorder.record_end(self._request, self._outcome, elapsed_s)
+        self._log_end(elapsed_s)
+
+    def _log_end(self, elapsed_s):
+        """Say how the request went and what its last choice was based on."""
+        chosen = self._chosen
+        events.log(
+            ENDED,
+            request=self._request.request_id,
+            route=self._request.route,
+            account=self._request.account,
+            outcome=self._outcome.value,
+            status=self.head.status if self.head else 0,
+            endpoint=chosen.endpoint_id if chosen else "",
+            load=chosen.load if chosen else 0,
+            computed_tokens=chosen.computed_tokens if chosen else 0,
+            cached_tokens=chosen.cached_tokens if chosen else 0,
+            expected_ms=_to_ms(chosen.expected_first_token_s) if chosen else 0,
+            first_ms=_to_ms(self._first_s),
+            longest_gap_ms=_to_ms(self._longest_gap_s),
+            total_ms=_to_ms(elapsed_s),
+            offers=self._made.offers + (self._outcome is Outcome.DONE),
+            runs=self._made.runs,
+        )
 
     def _attempt(self, run):
         """Make one attempt; go on after a fault, or give up."""
@@ -235,6 +265,7 @@
             )
         except errors.RefusedError as error:
             raise errors.RefusedError(self._refuse_full()) from error
+        self._chosen = self._route.chosen
         return self._route
 
     def _begin_at(self, route):
@@ -333,16 +364,24 @@
         found = self._assembly.feed(piece)
         if isinstance(found, streams.Crossed):
             raise errors.EndpointError(found)
-        if found and not self._has_begun:
+        if found:
+            self._note_events()
+        return found
+
+    def _note_events(self):
+        """Note the time of the first events, or the pause before these."""
+        now_s = self._parts.clock.now_s()
+        if self._has_begun:
+            gap_s = now_s - self._event_s
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+        else:
             self._mark_begun()
-            now_s = self._parts.clock.now_s()
-            self._parts.recorder.record_first(
-                self._request, now_s - self._request.arrived_s
-            )
+            self._first_s = now_s - self._request.arrived_s
+            self._parts.recorder.record_first(self._request, self._first_s)
             self._parts.dispatcher.report_first(
                 self._route, now_s - self._route.work.started_at_s
             )
-        return found
+        self._event_s = now_s
 
     def _mark_begun(self):
         """Count the request as begun at an endpoint, once."""
@@ -485,3 +524,8 @@
     if head.is_other_endpoint:
         return streams.NotSent("another endpoint has the address")
     return streams.RefusedByEndpoint(f"status {head.status}")
+
+
+def _to_ms(duration_s):
+    """Return a duration in whole milliseconds."""
+    return round(duration_s * 1000.0)
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -217,8 +217,11 @@
     def start(self, work):
         """Count a request as sent."""
         self._active.add(work)
-        begin_s = max(work.started_at_s, self.busy_until_s)
-        self.busy_until_s = begin_s + work.cost
+        self.add_prompt(work.cost, work.started_at_s)
+
+    def add_prompt(self, cost, now_s):
+        """Count a prompt that keeps the endpoint busy for a time."""
+        self.busy_until_s = max(now_s, self.busy_until_s) + cost
 
     def finish(self, work, now_s):
         """Count a request as ended; return whether it was known."""
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -247,6 +247,22 @@
             if record.measured_at_s < before_s and record.expire_report():
                 self._index(record)
 
+    def add_peer_prompt(self, endpoint_id, cost, now_s):
+        """Count a prompt that a peer has sent to an endpoint.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Where it is computed.
+        cost : float
+            Time that it is expected to keep the endpoint busy, in seconds.
+        now_s : float
+            The time, in seconds.
+        """
+        record = self._records.get(endpoint_id)
+        if record is not None:
+            record.add_prompt(cost, now_s)
+
     def drop_peer(self, node):
         """Forget the work of a peer that is gone."""
         for endpoint_id in list(self._peers.pop(node, {})):
--- a/tests/coordination/routing/router.feature
+++ b/tests/coordination/routing/router.feature
@@ -76,6 +76,10 @@
     When the endpoint of session 3 has a full batch
     Then a request of session 3 goes elsewhere
 
+  Scenario: A long prompt that a peer has sent keeps short ones away
+    When a peer sends a prompt of 2 seconds to the endpoint of session 5
+    Then a request of session 5 goes elsewhere
+
   Scenario: Patient requests prefer cheap endpoints
     When 300 patient requests are routed without any load
     Then more than 200 of them went to the cheapest failure domain
--- a/tests/steps/coordination_routing.py
+++ b/tests/steps/coordination_routing.py
@@ -358,3 +358,15 @@
     index = prefixes.PrefixIndex()
     chosen = context.router.choose(request, context.view, index, NOW_S)
     assert chosen.endpoint_id != context.full
+
+
+@when(
+    "a peer sends a prompt of {cost_s:g} seconds to the endpoint "
+    "of session {number:d}"
+)
+def send_peer_prompt(context, cost_s, number):
+    request = build_request(1, chain=make_chain(f"session {number}"))
+    index = prefixes.PrefixIndex()
+    chosen = context.router.choose(request, context.view, index, NOW_S)
+    context.full = chosen.endpoint_id
+    context.view.add_peer_prompt(context.full, cost_s, NOW_S)
