--- a/mulberryhollow/coordination/duties/usage.py
+++ b/mulberryhollow/coordination/duties/usage.py
@@ -4,13 +4,13 @@
 import itertools
 import json
 
-__all__ = ["UsageLedger"]
+__all__ = ["WINDOWS_TOLD", "UsageLedger"]
 
 WINDOWS_KEPT = 24
 """Windows that are remembered."""
 
 WINDOWS_TOLD = 2
-"""Latest windows whose counts are told to the peers."""
+"""Latest windows whose counts are told to the peers in each round."""
 
 
 class UsageLedger:
@@ -51,7 +51,7 @@
         counts[account] += 1
         self._prune()
 
-    def encode(self, wall_s, source=None):
+    def encode(self, wall_s, source=None, windows=WINDOWS_TOLD):
         """Return the latest counts of one source, for the peers.
 
         Parameters
@@ -60,23 +60,25 @@
             The time, in Unix seconds.
         source : str or None
             Whose counts; None for those of this process.
+        windows : int
+            Latest windows that are told.
         """
         source = source or self._source
         latest = self.find_window(wall_s)
         told = {
             window: self._counts[window][source]
-            for window in range(latest - WINDOWS_TOLD + 1, latest + 1)
+            for window in range(latest - windows + 1, latest + 1)
             if source in self._counts.get(window, ())
         }
         fields = {"source": source, "windows": told}
         return json.dumps(fields, separators=(",", ":"))
 
-    def list_sources(self, wall_s):
+    def list_sources(self, wall_s, windows=WINDOWS_TOLD):
         """Return every source with counts in the latest windows."""
         latest = self.find_window(wall_s)
         found = [
             self._counts.get(window, {})
-            for window in range(latest - WINDOWS_TOLD + 1, latest + 1)
+            for window in range(latest - windows + 1, latest + 1)
         ]
         return sorted(set(itertools.chain.from_iterable(found)))
 
--- a/mulberryhollow/platform/__main__.py
+++ b/mulberryhollow/platform/__main__.py
@@ -30,6 +30,20 @@
 )
 
 
+RELOADED = events.declare(
+    1014, logging.INFO, "the settings file was read again"
+)
+NOT_RELOADED = events.declare(
+    1015,
+    logging.ERROR,
+    "the changed settings file cannot be used; the former one stays",
+    "correct the field that is named",
+)
+
+LOOK_S = 1.0
+"""Time between two looks at the settings file, in seconds."""
+
+
 def main():
     """Run one instance until SIGTERM; return the exit code."""
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
@@ -39,23 +53,44 @@
     except (OSError, errors.SettingsError) as error:
         print(f"mulberryhollow: {error}", file=sys.stderr)
         return EXIT_SETTINGS
-    events.set_up(settings.instance, sys.stdout)
-    logging.getLogger("waitress").setLevel(logging.CRITICAL)
-    logging.getLogger("urllib3").setLevel(logging.CRITICAL)
+    listener = events.set_up(settings.instance, sys.stdout)
+    for name in ("waitress", "urllib3"):
+        logging.getLogger(name).setLevel(logging.CRITICAL)
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # The file is looked at anyway, as it may change without a signal.
+    signal.signal(signal.SIGHUP, lambda *_: None)
     daemon = daemons.PlatformDaemon(settings, clocks.SystemClock())
     daemon.start()
     events.log(STARTED, address=settings.callers_address)
-    stopped.wait()
+    while not stopped.wait(LOOK_S):
+        text = _reload(daemon, path, text)
     events.log(STOPPING)
     daemon.stop()
     events.log(STOPPED)
+    listener.stop()
     return 0
 
 
+def _reload(daemon, path, text):
+    """Use the settings file if its text has changed; return the text."""
+    try:
+        changed = path.read_text(encoding="utf-8")
+    except OSError as error:
+        events.log(NOT_RELOADED, reason=str(error))
+        return text
+    if changed == text:
+        return text
+    try:
+        daemon.apply_settings(settings_module.decode_settings(changed))
+    except errors.SettingsError as error:
+        events.log(NOT_RELOADED, reason=str(error))
+    else:
+        events.log(RELOADED)
+    return changed
+
+
 if __name__ == "__main__":
     code = main()
     sys.stdout.flush()
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -25,7 +25,9 @@
 from mulberryhollow.serving import factlink
 from mulberryhollow.serving import feeds
 from mulberryhollow.serving import fleetfeed
+from mulberryhollow.serving import fleetlender
 from mulberryhollow.serving import forwarder
+from mulberryhollow.serving import metricspage
 from mulberryhollow.serving import observed_store
 from mulberryhollow.serving import observer as observing
 from mulberryhollow.serving import orders
@@ -61,6 +63,9 @@
 TELL_INTERVAL_S = 1.0
 """Time between two looks at the members, in seconds."""
 
+LEND_INTERVAL_S = 1.0
+"""Time between two questions to peers for the list, in seconds."""
+
 SUM_INTERVAL_S = 0.5
 """Time between two tellings of what is under way, in seconds."""
 
@@ -115,7 +120,13 @@
         self.dispatcher.on_crash = self._link.tell_crash
         self.dispatcher.on_long_prompt = self._link.tell_long_prompt
         self._fleet = fleetfeed.FleetFeed(
-            records.decode_listing, self.dispatcher, clock
+            records.decode_listing,
+            self.dispatcher,
+            clock,
+            self._link.publish_leaving,
+        )
+        self._lender = fleetlender.FleetLender(
+            self._peers, self._fleet, lambda: self._link.usable
         )
         self._watch = callerwatch.CallerWatch(clock)
         self._usage = self._make_usage()
@@ -136,12 +147,18 @@
         """Start to read the platform and to answer callers."""
         self._link.connect()
         self._sums.connect()
+        self._lender.connect()
         self._watch.start()
         for loop in self._loops:
             loop.start()
         for name, server in self._servers.items():
             threading.Thread(target=server.run, name=name, daemon=True).start()
 
+    def apply_settings(self, settings):
+        """Use the bounds of changed settings; addresses need a restart."""
+        self._settings = attrs.evolve(self._settings, bounds=settings.bounds)
+        self.dispatcher.change(functools.partial(_set_bounds, settings.bounds))
+
     def stop(self):
         """Leave: finish what runs, then end within the grace time."""
         begin_s = self._clock.now_s()
@@ -301,6 +318,10 @@
                 {"/v1/readyz": self._show_ready}, settings.ready_address
             ),
         }
+        servers["metrics"] = front.make_page_server(
+            {"/metrics": self._show_metrics},
+            f"{settings.ip}:{settings.metrics_port}",
+        )
         if settings.control_address:
             servers["control"] = front.make_page_server(
                 {registry.MEMBER_PATH: self._show_member},
@@ -319,6 +340,9 @@
             feeds.Loop(
                 "expiry", self._clock, EXPIRY_INTERVAL_S, self._fleet.expire
             ),
+            feeds.Loop(
+                "lender", self._clock, LEND_INTERVAL_S, self._lender.tick
+            ),
             feeds.Loop("peers", self._clock, TELL_INTERVAL_S, self._link.tick),
             feeds.Loop("sums", self._clock, SUM_INTERVAL_S, self._sums.tick),
             feeds.Loop("registry", self._clock, 0.5, listing.register),
@@ -364,6 +388,14 @@
         """Return the answer to the balancer."""
         return front.Reply(200 if self.is_ready() else 503)
 
+    def _show_metrics(self):
+        """Return the counters and histograms of this instance."""
+        text = metricspage.render_metrics(
+            self.observer.list_counts(), self.observer.histograms.snapshot()
+        )
+        headers = (("Content-Type", "text/plain; version=0.0.4"),)
+        return front.Reply(200, headers, text.encode())
+
     def _show_member(self):
         """Return the registration of this instance."""
         status, value = registry.show_member(self._peers)
--- a/mulberryhollow/platform/store.py
+++ b/mulberryhollow/platform/store.py
@@ -105,9 +105,9 @@
         """Return the outcome that an answer to a write stands for."""
         match answer.status:
             case 200 | 201:
-                return self._read_done(answer)
+                return self.read_done(answer)
             case 409:
-                return objects.NotDone("conflict", _read_version(answer))
+                return objects.NotDone("conflict", self.read_version(answer))
             case 404:
                 return objects.NotDone("conflict")
             case 429 | 503:
@@ -117,13 +117,12 @@
             case status:
                 return objects.Unknown(f"status {status}")
 
-    @staticmethod
-    def _read_done(answer):
-        """Return Done, or Unknown when the answer names no version."""
-        version = _read_version(answer)
-        if version:
-            return objects.Done(version)
-        return objects.Unknown("no version")
+    def read_version(self, answer):
+        """Return the version of the object in an answer; 0 for none."""
+        try:
+            return int(json.loads(answer.data)["metadata"]["revision"])
+        except (ValueError, KeyError, TypeError):
+            return 0
 
 
 def _make_path(kind, name="", query=None):
@@ -162,11 +161,3 @@
         is_deleted or bool(metadata.get("deletionPending")),
         json.dumps(item.get("status")).encode(),
     )
-
-
-def _read_version(answer):
-    """Return the version of the object in an answer; 0 for none."""
-    try:
-        return int(json.loads(answer.data)["metadata"]["revision"])
-    except (ValueError, KeyError, TypeError):
-        return 0
--- a/mulberryhollow/protocol/object_api.py
+++ b/mulberryhollow/protocol/object_api.py
@@ -115,9 +115,9 @@
         """Return the outcome that an answer to a write stands for."""
         match answer.status:
             case 200 | 201:
-                return self._read_done(answer)
+                return self.read_done(answer)
             case 412:
-                return objects.NotDone("conflict", _read_version(answer))
+                return objects.NotDone("conflict", self.read_version(answer))
             case 404:
                 return objects.NotDone("conflict")
             case status if 400 <= status < 500:
@@ -125,10 +125,16 @@
             case status:
                 return objects.Unknown(f"status {status}")
 
-    @staticmethod
-    def _read_done(answer):
+    def read_version(self, answer):
+        """Return the version in an answer to a write; 0 for none."""
+        try:
+            return int(json.loads(answer.data)["version"])
+        except (ValueError, KeyError, TypeError):
+            return 0
+
+    def read_done(self, answer):
         """Return Done, or Unknown when the answer names no version."""
-        version = _read_version(answer)
+        version = self.read_version(answer)
         if version:
             return objects.Done(version)
         return objects.Unknown("no version")
@@ -141,14 +147,6 @@
     return {"If-None-Match": "*"}
 
 
-def _read_version(answer):
-    """Return the version in an answer's body; 0 when there is none."""
-    try:
-        return int(json.loads(answer.data)["version"])
-    except (ValueError, KeyError, TypeError):
-        return 0
-
-
 def _decode_item(kind, item):
     """Return the StoredObject that one item of a list stands for."""
     try:
--- a/mulberryhollow/serving/duties.py
+++ b/mulberryhollow/serving/duties.py
@@ -1,6 +1,7 @@
 """Keeps the lease on the duties and does them while it is held."""
 
 import logging
+import threading
 
 from mulberryhollow.coordination import duties
 from mulberryhollow import errors
@@ -46,6 +47,8 @@
         self._works = works
         self._lease = duties.Lease(instance, rules or duties.LeaseRules())
         self._had = False
+        self._is_released = False
+        self._lock = threading.Lock()
 
     def is_held(self):
         """Return whether this instance may act now."""
@@ -53,7 +56,10 @@
 
     def tick(self):
         """Look after the lease, then do what is due."""
-        self._look()
+        with self._lock:
+            if self._is_released:
+                return
+            self._look()
         if self._had and not self._lease.fence:
             self._had = False
             events.log(LOST, holder=self._lease.holder)
@@ -62,10 +68,12 @@
                 work.work(self._lease.fence, self.is_held)
 
     def release(self):
-        """Give the lease up, so that another instance can take it."""
-        write = self._lease.plan_release(self._clock.elapsed_s())
-        if write is not None:
-            self._write(write)
+        """Give the lease up for good, so that another one can take it."""
+        with self._lock:
+            self._is_released = True
+            write = self._lease.plan_release(self._clock.elapsed_s())
+            if write is not None:
+                self._write(write)
 
     def _look(self):
         """Carry out what the lease plans."""
--- a/mulberryhollow/serving/factlink.py
+++ b/mulberryhollow/serving/factlink.py
@@ -14,6 +14,8 @@
 
 CRASH_TOPIC = "request.crash"
 PROMPT_TOPIC = "prompt.long"
+LEAVING = "leaving"
+GONE = "gone"
 
 CALL_TIMEOUT_S = 1.0
 """Longest time of a call to a peer for a request, in seconds."""
@@ -40,6 +42,9 @@
 LATCHED_EXPIRY_S = 24 * 3600.0
 """Time after which a crash or notice is forgotten, in seconds."""
 
+GONE_EXPIRY_S = 30.0
+"""Time for which it is told that an entry is gone, in seconds."""
+
 LOST_EXPIRY_S = 15.0
 """Time for which an instance that is out of reach counts as live, in s.
 
@@ -88,6 +93,7 @@
         peers = self._peers
         peers.subscribe(facts.Topic.DOCUMENT, self._take_document)
         peers.subscribe(facts.Topic.QUARANTINE, self._take_crash)
+        peers.subscribe(facts.Topic.NOTICE, self._take_leaving)
         peers.handle(CRASH_TOPIC, self._answer_crash)
         peers.handle(PROMPT_TOPIC, self._answer_prompt)
 
@@ -149,6 +155,26 @@
             zlib.compress(document.data),
         )
 
+    def publish_leaving(self, endpoint_id, is_listed):
+        """Tell the peers that an endpoint takes no new work.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint.
+        is_listed : bool
+            Whether it says so itself; otherwise its entry is gone.
+        """
+        self._publish(
+            facts.Topic.NOTICE,
+            f"{LEAVING} {endpoint_id}"
+            if is_listed
+            else f"{GONE} {endpoint_id}",
+            1 if is_listed else int(self._clock.wall_s() * 1000),
+            b"",
+            LATCHED_EXPIRY_S if is_listed else GONE_EXPIRY_S,
+        )
+
     def tell_long_prompt(self, route):
         """Tell the peers where a long prompt is computed from now on.
 
@@ -223,6 +249,23 @@
             )
         )
 
+    def _take_leaving(self, fact):
+        """Keep new work away from an endpoint that a peer saw leave.
+
+        Notes
+        -----
+        One whose entry is gone may be listed again, which ends it.
+        """
+        kind, _, endpoint_id = fact.key.partition(" ")
+        if kind == LEAVING:
+            self._dispatcher.change(
+                lambda actor, now_s: actor.view.mark_leaving(endpoint_id)
+            )
+        elif kind == GONE:
+            self._dispatcher.change(
+                lambda actor, now_s: actor.view.set_draining(endpoint_id, True)
+            )
+
     def _answer_prompt(self, payload):
         """Keep away for a time from where a peer's long prompt went."""
         endpoint_id, _, cost = payload.decode().partition(" ")
--- a/mulberryhollow/serving/feeds.py
+++ b/mulberryhollow/serving/feeds.py
@@ -22,6 +22,9 @@
     logging.WARNING,
     "a reclaim notice was taken: its endpoints get no new work",
 )
+FEED_REGAINED = events.declare(
+    4006, logging.INFO, "a read of the platform succeeds again"
+)
 FEED_FAILED = events.declare(
     4002,
     logging.WARNING,
@@ -58,6 +61,8 @@
         self._clock = clock
         self._interval_s = interval_s
         self._call = call
+        self._failures = 0
+        self._failed_s = 0.0
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=name, daemon=True
@@ -76,12 +81,32 @@
         while not self._stopped.is_set():
             try:
                 self._call()
+                self._note_success()
             except errors.MulberryError as error:
-                events.log(FEED_FAILED, reason=error.message)
+                self._note_failure(error)
             except Exception as error:  # noqa: BLE001
                 events.log(LOOP_FAILED, loop=self._name, error=repr(error))
             self._clock.wait(self._stopped, self._interval_s)
 
+    def _note_failure(self, error):
+        """Say that a dependency is lost, once for each loss."""
+        if not self._failures:
+            self._failed_s = self._clock.now_s()
+            events.log(FEED_FAILED, loop=self._name, reason=error.message)
+        self._failures += 1
+
+    def _note_success(self):
+        """Say that a lost dependency is back."""
+        if self._failures:
+            lost_s = self._clock.now_s() - self._failed_s
+            events.log(
+                FEED_REGAINED,
+                loop=self._name,
+                failures=self._failures,
+                lost_s=round(lost_s, 3),
+            )
+            self._failures = 0
+
 
 class EndpointFeed:
     """Reads the list of instances.
--- a/mulberryhollow/serving/fleetfeed.py
+++ b/mulberryhollow/serving/fleetfeed.py
@@ -18,6 +18,11 @@
 LISTED = events.declare(
     4021, logging.INFO, "the list of endpoints was read as a whole"
 )
+ADOPTED = events.declare(
+    4023,
+    logging.WARNING,
+    "the list of endpoints was taken from a peer, since the store is away",
+)
 CHANGED = events.declare(
     4022, logging.INFO, "an endpoint came, changed or went"
 )
@@ -35,17 +40,17 @@
         Takes the list.
     clock : Clock
         Source of time.
-    on_change : callable
-        Called with every EndpointListing after a change.
+    tell_leaving : callable
+        ``tell_leaving(endpoint_id, is_listed)`` tells the peers of an
+        endpoint that takes no new work.
     """
 
-    def __init__(
-        self, decode, dispatcher, clock, on_change=lambda listings: None
-    ):
+    def __init__(self, decode, dispatcher, clock, tell_leaving):
         self._decode = decode
         self._dispatcher = dispatcher
         self._clock = clock
-        self._on_change = on_change
+        self._tell_leaving = tell_leaving
+        self._told = set()
         self._fleet = fleets.Fleet()
         self.is_known = False
 
@@ -57,7 +62,9 @@
     def take_list(self, items):
         """Take over a whole list."""
         listed = {item.name: self._read(item) for item in items}
-        self._fleet.replace(listed, self._clock.now_s())
+        gone = self._fleet.replace(listed, self._clock.now_s())
+        for listing in gone:
+            self._tell_leaving(listing.key, False)
         events.log(LISTED, entries=len(listed))
         self._apply()
 
@@ -66,7 +73,9 @@
         now_s = self._clock.now_s()
         for item in items:
             if item.is_deleted:
-                self._fleet.remove(item.name, now_s)
+                gone = self._fleet.remove(item.name, now_s)
+                if gone is not None:
+                    self._tell_leaving(gone.key, False)
                 events.log(CHANGED, endpoint=item.name, state="removed")
                 continue
             listing = self._read(item)
@@ -91,6 +100,15 @@
         if self._fleet.expire(self._clock.now_s()):
             self._apply()
 
+    def adopt(self, listings):
+        """Use what a peer lists while the store has told nothing yet."""
+        if self.is_known:
+            return
+        now_s = self._clock.now_s()
+        self._fleet.replace({each.identity: each for each in listings}, now_s)
+        events.log(ADOPTED, entries=len(listings))
+        self._apply()
+
     def _read(self, item):
         """Return the listing of an entry; None when it is unreadable."""
         try:
@@ -104,7 +122,10 @@
         self.is_known = True
         listings = self.listings
         self._dispatcher.change(functools.partial(_apply, listings))
-        self._on_change(listings)
+        leaving = {each.key for each in listings if each.is_leaving}
+        for endpoint_id in sorted(leaving - self._told):
+            self._tell_leaving(endpoint_id, True)
+        self._told = leaving
 
 
 def _apply(listings, actor, now_s):
@@ -112,6 +133,8 @@
     before = {record.endpoint.id for record in actor.view}
     found = [listing.to_endpoint() for listing in listings]
     actor.view.apply_list(found, now_s)
+    for endpoint in found:
+        actor.view.set_draining(endpoint.id, False)
     for gone in before - {endpoint.id for endpoint in found}:
         actor.prefixes.drop(gone)
     mixes = collections.defaultdict(collections.Counter)
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -1,7 +1,6 @@
 """Passes requests on to endpoints and their answers back."""
 
 import dataclasses
-import logging
 import random
 
 import attrs
@@ -10,37 +9,16 @@
 from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
-from mulberryhollow import events
+from mulberryhollow.serving import answers
 from mulberryhollow.serving import attempts
+from mulberryhollow.serving import forwardlog
 from mulberryhollow.serving.observer import Outcome
 from mulberryhollow.transport import forwarding as transport
 
 __all__ = ["ForwardParts", "Forwarder", "Forwarding"]
 
-_SKIM_TIMEOUT_S = 0.25
-"""Longest time for the body of a refusal, in seconds."""
-
 _FIRST_FAILURE = 500
 
-ENDED = events.declare(
-    4013, logging.INFO, "a request that was passed on has ended"
-)
-RETRIED = events.declare(
-    4010, logging.INFO, "an attempt failed and the request goes elsewhere"
-)
-GIVEN_UP = events.declare(
-    4011,
-    logging.WARNING,
-    "a request was given up",
-    "look at the endpoints and faults named for its request id",
-)
-BROKEN_OFF = events.declare(
-    4012,
-    logging.WARNING,
-    "an answer was broken off after its head had been sent",
-    "look at the endpoint named for its request id",
-)
-
 
 @attrs.frozen
 class ForwardParts:
@@ -148,16 +126,14 @@
         self._answer = None
         self._first = b""
         self._failed_answer = None
-        self._assembly = streams.EventAssembly(request.last_event_id)
+        self._reader = answers.AnswerReader(
+            request, parts.clock, parts.recorder
+        )
         self._channel = None
         self._is_aborted = False
         self._is_complete = False
-        self._has_begun = False
         self._outcome = Outcome.LEFT
         self._chosen = None
-        self._first_s = 0.0
-        self._longest_gap_s = 0.0
-        self._event_s = 0.0
         parts.watch.add(self, is_gone, self._abort)
 
     def begin(self):
@@ -208,28 +184,13 @@
         self._hand_back()
         elapsed_s = parts.clock.now_s() - self._request.arrived_s
         parts.recorder.record_end(self._request, self._outcome, elapsed_s)
-        self._log_end(elapsed_s)
-
-    def _log_end(self, elapsed_s):
-        """Say how the request went and what its last choice was based on."""
-        chosen = self._chosen
-        events.log(
-            ENDED,
-            request=self._request.request_id,
-            route=self._request.route,
-            account=self._request.account,
-            outcome=self._outcome.value,
-            status=self.head.status if self.head else 0,
-            endpoint=chosen.endpoint_id if chosen else "",
-            load=chosen.load if chosen else 0,
-            computed_tokens=chosen.computed_tokens if chosen else 0,
-            cached_tokens=chosen.cached_tokens if chosen else 0,
-            expected_ms=_to_ms(chosen.expected_first_token_s) if chosen else 0,
-            first_ms=_to_ms(self._first_s),
-            longest_gap_ms=_to_ms(self._longest_gap_s),
-            total_ms=_to_ms(elapsed_s),
-            offers=self._made.offers + (self._outcome is Outcome.DONE),
-            runs=self._made.runs,
+        forwardlog.log_end(
+            self._request,
+            self._outcome,
+            self.head,
+            self._chosen,
+            self._reader,
+            elapsed_s,
         )
 
     def _attempt(self, run):
@@ -277,8 +238,7 @@
             self._first = self._read_first()
             self.head = head
             return
-        body = self._read_whole()
-        self._mark_begun()
+        body = self._reader.read_whole(answer)
         is_failure = head.status >= _FIRST_FAILURE
         if is_failure and self._request.kind.is_repeatable:
             self._failed_answer = head, body
@@ -300,7 +260,7 @@
             request,
             route.chosen,
             request.deadline_s - now_s,
-            self._assembly.last_id,
+            self._reader.assembly.last_id,
         )
         attempt = transport.Attempt(
             route.address,
@@ -312,7 +272,8 @@
         self._parts.dispatcher.report_load(route, answer.head.load)
         self._answer = answer
         if answer.head.has_not_run:
-            self._skim()
+            self._reader.skim(answer)
+            self._close_answer()
             raise errors.EndpointError(_explain_refusal(answer.head))
         return answer
 
@@ -329,65 +290,25 @@
         if channel is not None:
             channel.abort()
 
-    def _skim(self):
-        """Read a refusal to its end, so that its connection is kept."""
-        while self._answer.read_piece(_SKIM_TIMEOUT_S):
-            pass
-        self._close_answer()
-
-    def _read_whole(self):
-        """Return the whole body of the answer."""
-        pieces = iter(lambda: self._answer.read_piece(self._left()), b"")
-        return b"".join(pieces)
-
-    def _left(self):
-        """Return the time to the deadline, in seconds."""
-        left_s = self._request.deadline_s - self._parts.clock.now_s()
-        return max(decisions.LEAST_LEFT_S, left_s)
-
     def _read_first(self):
         """Return the first events of a stream."""
         piece = b""
         while not (piece or self._is_complete):
             piece = self._read_events()
-        return piece
-
-    def _read_events(self):
-        """Return the next whole events; empty while none is whole."""
         now_s = self._parts.clock.now_s()
-        piece = self._answer.read_piece(
-            decisions.wait_for_event(self._request, self._made.runs, now_s)
-        )
-        if not piece:
-            self._finish()
-            return self._assembly.rest
-        found = self._assembly.feed(piece)
-        if isinstance(found, streams.Crossed):
-            raise errors.EndpointError(found)
-        if found:
-            self._note_events()
-        return found
-
-    def _note_events(self):
-        """Note the time of the first events, or the pause before these."""
-        now_s = self._parts.clock.now_s()
-        if self._has_begun:
-            gap_s = now_s - self._event_s
-            self._longest_gap_s = max(self._longest_gap_s, gap_s)
-        else:
-            self._mark_begun()
-            self._first_s = now_s - self._request.arrived_s
-            self._parts.recorder.record_first(self._request, self._first_s)
+        if self._route is not None:
             self._parts.dispatcher.report_first(
                 self._route, now_s - self._route.work.started_at_s
             )
-        self._event_s = now_s
+        return piece
 
-    def _mark_begun(self):
-        """Count the request as begun at an endpoint, once."""
-        if not self._has_begun:
-            self._has_begun = True
-            self._parts.recorder.record_begun(self._request)
+    def _read_events(self):
+        """Return the next whole events; empty while none is whole."""
+        piece = self._reader.read_events(self._answer, self._made.runs)
+        if piece is None:
+            self._finish()
+            return self._reader.assembly.rest
+        return piece
 
     def _finish(self):
         """Note that the answer is whole."""
@@ -400,20 +321,16 @@
         """Break the answer off when its time is up."""
         now_s = self._parts.clock.now_s()
         if now_s >= self._request.deadline_s:
-            self._log_broken_off(self._route, "the time is up", "")
+            self._note_broken_off(self._route, "the time is up")
             fault = streams.Silent(now_s - self._request.arrived_s)
             raise errors.EndpointError(fault)
 
-    def _log_broken_off(self, route, fault, reason):
-        """Say why an answer ends before it is whole."""
+    def _note_broken_off(self, route, fault, reason=""):
+        """Note that the answer ends before it is whole."""
         self._outcome = Outcome.BROKEN_OFF
-        events.log(
-            BROKEN_OFF,
-            request=self._request.request_id,
-            endpoint=route.endpoint_id,
-            fault=str(fault),
-            events=self._assembly.count,
-            reason=reason,
+        count = self._reader.assembly.count
+        forwardlog.log_broken_off(
+            self._request, route.endpoint_id, fault, count, reason
         )
 
     def _resume(self, fault):
@@ -422,20 +339,18 @@
         self._fail(fault, is_answering=True)
         self._check_caller()
         try:
-            if not (self._request.kind.is_repeatable and self._is_begun()):
+            if not (
+                self._request.kind.is_repeatable and self._reader.has_events
+            ):
                 raise errors.EndpointError(fault)
             self._go_on(route, fault)
-            self._assembly.restart()
+            self._reader.assembly.restart()
             while self._answer is None:
                 self._attempt(self._resume_at)
         except (errors.RefusedError, errors.EndpointError) as error:
-            self._log_broken_off(route, fault, error.message)
+            self._note_broken_off(route, fault, error.message)
             raise errors.EndpointError(fault) from error
 
-    def _is_begun(self):
-        """Return whether the stream can be gone on with by an id."""
-        return bool(self._assembly.last_id)
-
     def _fail(self, fault, is_answering=False):
         """Report a failed attempt."""
         self._close_answer()
@@ -470,13 +385,8 @@
                     self._request.service
                 ):
                     raise errors.RefusedError(self._refuse_full())
-        events.log(
-            RETRIED,
-            request=self._request.request_id,
-            endpoint=route.endpoint_id,
-            fault=str(fault),
-            offers=self._made.offers,
-            runs=self._made.runs,
+        forwardlog.log_retried(
+            self._request, route.endpoint_id, fault, self._made
         )
 
     def _refuse_full(self):
@@ -490,15 +400,7 @@
         if self._made.runs and refusal.ran is errors.Ran.NOT_RUN:
             refusal = dataclasses.replace(refusal, ran=errors.Ran.UNKNOWN)
         self._outcome = Outcome.REFUSED
-        events.log(
-            GIVEN_UP,
-            request=self._request.request_id,
-            route=self._request.route,
-            reason=refusal.message,
-            ran=refusal.ran.value,
-            offers=self._made.offers,
-            runs=self._made.runs,
-        )
+        forwardlog.log_given_up(self._request, refusal, self._made)
         return errors.RefusedError(refusal)
 
     def _check_caller(self):
@@ -524,8 +426,3 @@
     if head.is_other_endpoint:
         return streams.NotSent("another endpoint has the address")
     return streams.RefusedByEndpoint(f"status {head.status}")
-
-
-def _to_ms(duration_s):
-    """Return a duration in whole milliseconds."""
-    return round(duration_s * 1000.0)
--- /dev/null
+++ b/mulberryhollow/serving/metricspage.py
@@ -0,0 +1,52 @@
+"""Counters and latency histograms as text for scrapers."""
+
+__all__ = ["render_metrics"]
+
+_PREFIX = "mulberryhollow"
+_S_PER_US = 1e-6
+
+
+def render_metrics(counts, records):
+    """Return counters and histograms, one sample a line.
+
+    Parameters
+    ----------
+    counts : dict
+        Counter name to its value.
+    records : iterable of HistogramRecord
+        Latency histograms.
+
+    Returns
+    -------
+    str
+        Prometheus text format; times in seconds.
+    """
+    lines = [
+        f"{_PREFIX}_{_clean(name)}_total {value}"
+        for name, value in sorted(counts.items())
+    ]
+    for record in records:
+        labels = (
+            f'account="{record.account}",class="{record.request_class}",'
+            f'measure="{record.measure}"'
+        )
+        quantiles = {
+            "0.5": record.p50_us,
+            "0.95": record.p95_us,
+            "0.99": record.p99_us,
+            "1": record.max_us,
+        }
+        lines += [
+            f'{_PREFIX}_latency_seconds{{{labels},quantile="{quantile}"}} '
+            f"{value_us * _S_PER_US:.6f}"
+            for quantile, value_us in quantiles.items()
+        ]
+        lines.append(
+            f"{_PREFIX}_latency_seconds_count{{{labels}}} {record.count}"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def _clean(name):
+    """Return a counter's name with the characters that are allowed."""
+    return "".join(each if each.isalnum() else "_" for each in name)
--- a/mulberryhollow/serving/peering.py
+++ b/mulberryhollow/serving/peering.py
@@ -177,7 +177,9 @@
         return b"1"
 
     def _take_notice(self, fact):
-        """Take a reclaim notice."""
+        """Take a reclaim notice; the other notices are the base's."""
+        if not fact.value:
+            return
         self._parts.take_notice(cloud.Notice(**json.loads(fact.value)))
 
     def _take_load(self, fact):
--- a/mulberryhollow/serving/sumlink.py
+++ b/mulberryhollow/serving/sumlink.py
@@ -28,6 +28,13 @@
 The sums are told twice as often, so they are younger from then on.
 """
 
+WINDOWS_ANSWERED = 5
+"""Windows whose counts a holder of the duties is answered.
+
+One that has just taken them may have to report windows that ended while
+nobody held them.
+"""
+
 OTHERS = "others"
 """Name under which the sum over the others is kept."""
 
@@ -178,7 +185,9 @@
         else:
             with self._lock:
                 total = self._table.sum_all(now_s)
-            usage = self._usage.encode_all() if telling.wants_usage else []
+            usage = []
+            if telling.wants_usage:
+                usage = self._usage.encode_all(WINDOWS_ANSWERED)
         answer = self._make(total, telling.is_collector, usage)
         return sums.encode_telling(answer)
 
--- a/mulberryhollow/serving/usage.py
+++ b/mulberryhollow/serving/usage.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from mulberryhollow.coordination.duties import WINDOWS_TOLD
 from mulberryhollow import events
 from mulberryhollow.state import objects
 from mulberryhollow.transport import store as store_adapter
@@ -21,6 +22,12 @@
 SETTLE_PART = 0.4
 """Part of the time until a report is due that is waited for peers."""
 
+HEAR_S = 1.5
+"""Time after the duty was taken in which counts are heard first, in s.
+
+Three rounds of the sums, which bring what the peers have counted.
+"""
+
 REPORTS_AT_ONCE = 4
 """Windows that one look reports at most."""
 
@@ -68,13 +75,19 @@
         with self._lock:
             return [self._ledger.encode(self._clock.wall_s())]
 
-    def encode_all(self):
-        """Return the counts of every source that is known."""
+    def encode_all(self, windows=WINDOWS_TOLD):
+        """Return the counts of every source that is known.
+
+        Parameters
+        ----------
+        windows : int
+            Latest windows that are told.
+        """
         wall_s = self._clock.wall_s()
         with self._lock:
             return [
-                self._ledger.encode(wall_s, source)
-                for source in self._ledger.list_sources(wall_s)
+                self._ledger.encode(wall_s, source, windows)
+                for source in self._ledger.list_sources(wall_s, windows)
             ]
 
     def merge(self, data):
@@ -148,12 +161,16 @@
         self._cloud = cloud
         self._clock = clock
         self._delay_s = delay_s
-        self._version = None
-        self._pending = None
-        self._last = None
+        self._begun_s = float("-inf")
+        self._forget()
 
     def begin(self):
-        """Forget what this instance knew, as another one may have gone on."""
+        """Take the duty on, whatever another instance has done meanwhile."""
+        self._begun_s = self._clock.now_s()
+        self._forget()
+
+    def _forget(self):
+        """Forget what was stored and sent, to read it again."""
         self._version = None
         self._pending = None
         self._last = None
@@ -168,8 +185,10 @@
         is_held : callable
             Whether this instance still is the holder.
         """
-        if self._version is None and not self._load():
+        if self._clock.now_s() - self._begun_s < HEAR_S:
             return
+        if self._version is None:
+            self._load()
         for _ in range(REPORTS_AT_ONCE):
             if self._pending is None and not self._prepare():
                 return
@@ -184,7 +203,6 @@
         if self._pending is None:
             now_s = self._clock.wall_s()
             self._last = self._book.find_window(now_s) - 1
-        return True
 
     def _prepare(self):
         """Write what the next window's report will say."""
@@ -206,7 +224,7 @@
                 self._pending = report
                 return True
         events.log(REPORT_FAILED, window=window, reason=str(outcome))
-        self.begin()
+        self._forget()
         return False
 
     def _send(self, fence):
--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -95,11 +95,17 @@
             that cannot be read.
         now_s : float
             Monotonic time, in seconds.
+
+        Returns
+        -------
+        list of EndpointListing
+            Those that are gone at once.
         """
-        for name in self._entries.keys() - listed.keys():
-            self.remove(name, now_s)
+        missing = self._entries.keys() - listed.keys()
+        gone = [self.remove(name, now_s) for name in sorted(missing)]
         for name, listing in listed.items():
             self.put(name, listing)
+        return [each for each in gone if each is not None]
 
     def put(self, name, listing):
         """Take over one entry; None names no endpoint to use."""
@@ -110,13 +116,19 @@
             self._entries[name] = listing
 
     def remove(self, name, now_s):
-        """Note that an entry is no longer listed."""
+        """Note that an entry is no longer listed.
+
+        Returns
+        -------
+        EndpointListing or None
+            What it was, when it is gone at once.
+        """
         until_s = self._returned_s + RETURN_S
         if now_s < until_s and name in self._entries:
             self._missing_until_s.setdefault(name, until_s)
-        else:
-            self._entries.pop(name, None)
-            self._missing_until_s.pop(name, None)
+            return None
+        self._missing_until_s.pop(name, None)
+        return self._entries.pop(name, None)
 
     def expire(self, now_s):
         """Drop what has not returned in time; return whether any was."""
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -15,6 +15,9 @@
 PIECE_BYTES = 65536
 """Most bytes that one read or write moves."""
 
+TIMEOUT_STEP_S = 0.1
+"""Difference from which a timeout is set anew, in seconds."""
+
 _FORBIDDEN = re.compile(r"[\r\n\0]")
 _MALFORMED = (http.client.HTTPException, ValueError)
 
@@ -138,7 +141,7 @@
         """
         response = self._response
         try:
-            self.sock.settimeout(timeout_s)
+            self._set_timeout(timeout_s)
             piece = response.read1(PIECE_BYTES)
         except _MALFORMED as error:
             raise _truncated(repr(error)) from error
@@ -148,6 +151,15 @@
             raise _truncated(f"{response.length} bytes are missing")
         return piece
 
+    def _set_timeout(self, timeout_s):
+        """Set the timeout, unless the present one is as good.
+
+        Setting it is a system call, for each event of a stream.
+        """
+        present_s = self.sock.gettimeout()
+        if present_s is None or abs(present_s - timeout_s) > TIMEOUT_STEP_S:
+            self.sock.settimeout(timeout_s)
+
     @property
     def is_reusable(self):
         """Whether another request may follow the answer just read."""
--- /dev/null
+++ b/standins/platform_site.py
@@ -0,0 +1,170 @@
+"""The users' platform in small: its store, API and endpoints over HTTP."""
+
+import http.server
+import json
+import threading
+import time
+
+from standins import platform
+
+__all__ = ["PlatformEndpoint", "PlatformServer"]
+
+WATCH_POLL_S = 0.02
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    """Answers by the function of its server."""
+
+    protocol_version = "HTTP/1.1"
+    # An answer is two writes; without this the second waits for an ack.
+    wbufsize = -1
+
+    def _run(self):
+        length = int(self.headers.get("Content-Length") or 0)
+        self.server.play(self, self.rfile.read(length))
+        self.wfile.flush()
+
+    do_GET = do_POST = do_PUT = do_DELETE = _run
+
+    def log_message(self, *arguments):
+        """Stay silent."""
+
+    def reply(self, status, headers, body):
+        """Send a whole answer."""
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class _Server:
+    """A threaded HTTP server on loopback."""
+
+    def __init__(self):
+        self._server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", 0), _Handler
+        )
+        self._server.daemon_threads = True
+        self._server.play = self.play
+        threading.Thread(
+            target=self._server.serve_forever, daemon=True
+        ).start()
+
+    @property
+    def address(self):
+        """Where it listens, ``host:port``."""
+        return f"127.0.0.1:{self._server.server_address[1]}"
+
+    def close(self):
+        """Stop listening."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class PlatformServer(_Server):
+    """The store and the API for usage and orders.
+
+    Attributes
+    ----------
+    store : PlatformStore
+        What is stored.
+    reports : list of dict
+        Usage reports that were taken.
+    is_refusing : bool
+        Whether every call is refused.
+    """
+
+    def __init__(self):
+        self.store = platform.PlatformStore()
+        self.reports = []
+        self.is_refusing = False
+        super().__init__()
+
+    def play(self, handler, body):
+        """Answer one call."""
+        if self.is_refusing:
+            handler.reply(503, {}, b"")
+            return
+        if handler.path == "/usage":
+            self.reports.append(json.loads(body))
+            handler.reply(200, {}, b"")
+            return
+        answer = self.store.request(handler.command, handler.path, body)
+        until_s = time.monotonic() + 2.0
+        while "watch=" in handler.path and time.monotonic() < until_s:
+            if answer.status != 200 or json.loads(answer.data)["events"]:
+                break
+            time.sleep(WATCH_POLL_S)
+            answer = self.store.request(handler.command, handler.path, body)
+        handler.reply(answer.status, {}, answer.data)
+
+
+class PlatformEndpoint(_Server):
+    """An endpoint that answers whole, in events, late or not at all.
+
+    Parameters
+    ----------
+    identity : str
+        The id by which it knows itself.
+
+    Attributes
+    ----------
+    seen : list of dict
+        Headers of each request that it ran.
+    is_full : bool
+        Whether it says that it is full.
+    left : int
+        Callers that left before their answer.
+    """
+
+    def __init__(self, identity):
+        self.identity = identity
+        self.seen = []
+        self.is_full = False
+        self.left = 0
+        super().__init__()
+
+    def play(self, handler, body):
+        """Answer one request."""
+        headers = dict(handler.headers.items())
+        own = {"Attempt-Id": headers.get("Attempt-Id", "")}
+        if headers.get("Expect-Instance") != self.identity:
+            handler.reply(421, own, b"")
+            return
+        if self.is_full:
+            handler.reply(503, own | {"Not-Executed": "1"}, b"")
+            return
+        self.seen.append(headers | {"path": handler.path, "body": body})
+        own |= {"Response-Seal": f"seal {self.identity}"}
+        if "/stream/" in handler.path:
+            self._stream(handler, own)
+        elif "/slow/" in handler.path:
+            self._wait(handler, own)
+        else:
+            handler.reply(200, own, b"answer of " + self.identity.encode())
+
+    @staticmethod
+    def _stream(handler, own):
+        """Send three events in chunks."""
+        handler.send_response(200)
+        for name, value in own.items():
+            handler.send_header(name, value)
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        for number in (1, 2, 3):
+            event = b"id: %d\ndata: x\n\n" % number
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+        handler.wfile.write(b"0\r\n\r\n")
+
+    def _wait(self, handler, own):
+        """Answer after two seconds, unless the caller leaves."""
+        handler.connection.settimeout(2.0)
+        try:
+            if not handler.connection.recv(1):
+                self.left += 1
+                handler.close_connection = True
+                return
+        except TimeoutError:
+            handler.reply(200, own, b"late")
--- /dev/null
+++ b/standins/scripted.py
@@ -0,0 +1,120 @@
+"""Stand-in of an endpoint that answers each request as it is told."""
+
+import contextlib
+import socket
+import struct
+import threading
+
+__all__ = ["ScriptedEndpoint"]
+
+_LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+class ScriptedEndpoint:
+    """Listens on loopback and plays a script for each request.
+
+    Parameters
+    ----------
+    scripts : list of list
+        For each request in turn the steps that follow it: bytes to send,
+        or ``"close"``, ``"reset"``, ``"hang"``, ``"keep"`` and
+        ``"early"`` (which stands first and answers before the body).
+
+    Attributes
+    ----------
+    requests : list of bytes
+        Heads and bodies as they arrived.
+    connections : int
+        Connections accepted so far.
+    """
+
+    def __init__(self, scripts):
+        self.requests = []
+        self.connections = 0
+        self._scripts = list(scripts)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._open = []
+        threading.Thread(target=self._run, daemon=True).start()
+
+    @property
+    def address(self):
+        """Where it listens, ``host:port``."""
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    def close(self):
+        """Stop listening and close every connection."""
+        for each in [self._listener, *self._open]:
+            with contextlib.suppress(OSError):
+                each.close()
+
+    def _run(self):
+        """Accept connections one after the other."""
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            self._open.append(connection)
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        """Answer the requests of one connection."""
+        with contextlib.suppress(OSError):
+            while self._scripts:
+                head = self._read_head(connection)
+                if not head:
+                    return
+                steps = self._scripts.pop(0)
+                is_early = steps[:1] == ["early"]
+                body = b"" if is_early else self._read_body(connection, head)
+                self.requests.append(head + body)
+                if not self._play(connection, steps):
+                    return
+
+    @staticmethod
+    def _read_head(connection):
+        """Return the head of the next request; empty at the end."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            byte = connection.recv(1)
+            if not byte:
+                return b""
+            data += byte
+        return data
+
+    @staticmethod
+    def _read_body(connection, head):
+        """Return the body that a head announces."""
+        for line in head.lower().split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            if name == b"content-length":
+                body = b""
+                while len(body) < int(value):
+                    body += connection.recv(int(value) - len(body))
+                return body
+        return b""
+
+    @staticmethod
+    def _play(connection, steps):
+        """Play the steps; return whether the connection is kept."""
+        for step in steps:
+            match step:
+                case bytes():
+                    connection.sendall(step)
+                case "close":
+                    connection.close()
+                    return False
+                case "reset":
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+                    )
+                    connection.close()
+                    return False
+                case "hang":
+                    threading.Event().wait(5.0)
+                    return False
+        return True
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -23,7 +23,7 @@
         self.faults = []
         self.stale = []
 
-    def get(self, kind, name):
+    def get(self, kind, name, is_stale_ok=False):
         if self.is_down:
             raise UNAVAILABLE
         if self.stale:
--- /dev/null
+++ b/tests/platform/daemon.feature
@@ -0,0 +1,55 @@
+Feature: One instance on the users' platform, as a process
+
+  Background:
+    Given an instance on a small platform with endpoints e1 and e2
+
+  Scenario: A request of each kind is served
+    When a GET /safe/x, a POST /once/x and a GET /stream/x are sent
+    Then the first two have an endpoint's seal and whole body
+    And the stream has events 1 to 3 and ends whole
+
+  Scenario: A forged header does not reach an endpoint and the key stays
+    When a GET /safe/x is sent with forged headers
+    Then the endpoint got the account, its own name and no forged header
+
+  Scenario Outline: A request that is not allowed is refused
+    When a GET <path> is sent with key <key>
+    Then the status is <status> and no endpoint has run it
+
+    Examples:
+      | path     | key | status |
+      | /safe/x  | k9  | 401    |
+      | /other/x | k1  | 404    |
+
+  Scenario: A full endpoint's request goes to the other one
+    When e1 is full and 6 requests are sent
+    Then all of them are answered by e2
+
+  Scenario: When all are full the caller is told that nothing has run
+    When e1 and e2 are full and a POST /once/x is sent
+    Then the status is 503 with a time to return
+
+  Scenario: An endpoint that drains gets no new work
+    When e1 drains and 6 requests are sent
+    Then all of them are answered by e2
+
+  Scenario: A new configuration comes into force while the store answers
+    When a configuration with the route /new/ is written
+    Then a GET /new/x is served within 2 seconds
+
+  Scenario: A store that refuses everything changes nothing for callers
+    When the store refuses every call and 6 requests are sent
+    Then all of them are answered
+
+  Scenario: A caller that leaves ends the endpoint's work
+    When a caller of /slow/y/x leaves after 0.2 seconds
+    Then the endpoint has noticed within a second
+
+  Scenario: A route's time ends a request
+    When a POST /slow/x is sent whose route allows 0.8 seconds
+    Then the status is 504 within 1.3 seconds
+
+  Scenario: SIGTERM finishes what runs and ends within the grace time
+    When a GET /slow/y/x is sent and the instance gets SIGTERM
+    Then the request is answered and the instance ends within 8 seconds
+    And it was not ready from the signal on
--- /dev/null
+++ b/tests/serving/fleetfeed.feature
@@ -0,0 +1,32 @@
+Feature: The list of endpoints and those who lend it
+
+  Scenario: An endpoint that leaves is told to the peers once
+    Given a fleet feed that has listed e1 and e2
+    When the entry of e1 says that it is leaving, twice
+    Then the peers are told once that e1 is leaving
+    And only e2 takes work
+
+  Scenario: An endpoint whose entry is gone is told to the peers
+    Given a fleet feed that has listed e1 and e2
+    When the entry of e1 goes
+    Then the peers are told once that e1 is gone
+    And only e2 takes work
+
+  Scenario: What a peer saw leave gets no work here either
+    Given a fleet feed that has listed e1 and e2
+    When a peer tells that e1 is leaving
+    Then only e2 takes work
+
+  Scenario: A gone endpoint that is listed again takes work again
+    Given a fleet feed that has listed e1 and e2
+    When a peer tells that e1 is gone
+    Then only e2 takes work
+    When the list is read again
+    Then e1 and e2 take work
+
+  Scenario: An instance that the store turns away borrows the list
+    Given a fleet feed that has listed e1 and e2
+    And an instance that the store turns away
+    When that instance asks its peer
+    Then it knows e1 and e2
+    And it does not ask again
--- /dev/null
+++ b/tests/serving/forwarder.feature
@@ -0,0 +1,78 @@
+Feature: Forwarding of requests
+
+  Scenario: An answer is passed back whole
+    Given a forwarder whose endpoints answer in turn: whole
+    When a IDEMPOTENT request is forwarded
+    Then the caller gets "hello" after 1 attempts
+
+  Scenario Outline: Failures of one endpoint are made up for by another
+    Given a forwarder whose endpoints answer in turn: <first>, whole
+    When a <kind> request is forwarded
+    Then the caller gets "hello" after 2 attempts
+
+    Examples:
+      | first   | kind           |
+      | refused | NON_IDEMPOTENT |
+      | unsent  | NON_IDEMPOTENT |
+      | moved   | NON_IDEMPOTENT |
+      | broken  | IDEMPOTENT     |
+      | silent  | IDEMPOTENT     |
+      | failed  | IDEMPOTENT     |
+
+  Scenario Outline: What may have run is not sent again
+    Given a forwarder whose endpoints answer in turn: <first>, whole
+    When a <kind> request is forwarded
+    Then the forwarded request ends as UNKNOWN after 1 attempts
+
+    Examples:
+      | first  | kind           |
+      | broken | NON_IDEMPOTENT |
+      | silent | NON_IDEMPOTENT |
+      | broken | STREAM         |
+
+  Scenario: A failure of the endpoint's own is passed on when no other helps
+    Given a forwarder whose endpoints answer in turn: failed, failed, whole
+    When a IDEMPOTENT request is forwarded
+    Then the caller gets the endpoint's own failure after 2 attempts
+
+  Scenario: A failure of a request that may not run twice is passed on
+    Given a forwarder whose endpoints answer in turn: failed, whole
+    When a NON_IDEMPOTENT request is forwarded
+    Then the caller gets the endpoint's own failure after 1 attempts
+
+  Scenario: A request that all refuse is told that it has not run
+    Given a forwarder whose endpoints answer in turn: refused, refused, refused, refused, whole
+    When a NON_IDEMPOTENT request is forwarded
+    Then the forwarded request ends as NOT_RUN after 4 attempts
+
+  Scenario: A resumable stream goes on at another endpoint
+    Given a forwarder whose endpoints answer in turn: half stream, rest of stream
+    When a RESUMABLE_STREAM request is forwarded
+    Then the caller gets events 1 to 4 without a break
+    And the second attempt asked for what follows event 2
+
+  Scenario: A stream that cannot be resumed is broken off
+    Given a forwarder whose endpoints answer in turn: half stream, rest of stream
+    When a STREAM request is forwarded
+    Then the caller's stream is broken off after event 2
+
+  Scenario: A resumed stream with a gap is broken off, not joined
+    Given a forwarder whose endpoints answer in turn: half stream, stream with a gap
+    When a RESUMABLE_STREAM request is forwarded
+    Then the caller's stream is broken off after event 2
+
+  Scenario: A caller that has left is not served any more
+    Given a forwarder whose endpoints answer in turn: whole
+    When a IDEMPOTENT request of a caller that has left is forwarded
+    Then nothing is sent
+
+  Scenario: Whatever happens, no load stays counted
+    Given a forwarder whose endpoints answer in turn: broken, refused, silent, failed, half stream
+    When 5 requests of different kinds are forwarded
+    Then no endpoint has any of them in flight
+
+  Scenario: A begun request counts once in the usage
+    Given a forwarder whose endpoints answer in turn: half stream, rest of stream
+    When a RESUMABLE_STREAM request is forwarded
+    Then the caller gets events 1 to 4 without a break
+    And 1 request has begun
--- a/tests/steps/layers.py
+++ b/tests/steps/layers.py
@@ -4,11 +4,34 @@
 from behave import given
 from behave import then
 
+from mulberryhollow.platform import headers
 from tools import reference
 
 PACKAGE = pathlib.Path("mulberryhollow")
 GENERATED = PACKAGE / "protocol" / "gen"
 BASE = {"errors", "clock", "settings", "events", "metrics", "__init__", ""}
+PLATFORM_WORDS = {
+    "Response-Seal",
+    "apiKeys",
+    "cloudApi",
+    "deletionPending",
+    "desiredCount",
+    "goalMs",
+    "hasMore",
+    "internalPorts",
+    "maxAttempts",
+    "nodeName",
+    "pathPrefix",
+    "routeKind",
+    "serializable",
+    "spotPrice",
+    "token_count",
+    "uncachedTokens",
+    "waitMs",
+    "windowId",
+}
+"""Fields and words that stand for nothing else."""
+
 RANKS = {
     "state": 1,
     "coordination": 2,
@@ -70,6 +93,28 @@
     return RANKS.get(used, 9) < RANKS.get(layer, 0)
 
 
+@given("the names of the platform's headers, fields and words")
+def collect_names(context):
+    constants = vars(headers).items()
+    context.names = {
+        value for name, value in constants if name.isupper() and value
+    } - {headers.CONNECTION_HEADERS, headers.SYSTEM_HEADERS}
+    context.names -= {"Last-Event-Id", "Key"}
+    context.names |= PLATFORM_WORDS
+
+
+@then("no other module of the package holds one of them")
+def check_names(context):
+    found = [
+        f"{path}: {name}"
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if "platform" not in path.parts and GENERATED not in path.parents
+        for name in context.names
+        if name in path.read_text(encoding="utf-8")
+    ]
+    assert not found, found
+
+
 @then("docs/EVENTS.md and docs/SETTINGS.md are as written by make docs")
 def check_pages(context):
     pages = {
--- /dev/null
+++ b/tests/steps/serving_duties.py
@@ -0,0 +1,290 @@
+import collections
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow import clock as clocks
+from mulberryhollow.coordination import duties
+from mulberryhollow.serving import dispatcher as dispatching
+from mulberryhollow.serving import duties as keepers
+from mulberryhollow.serving import orders
+from mulberryhollow.serving import usage
+from mulberryhollow.state import catalogue
+from mulberryhollow.state import fleet
+from mulberryhollow.state import objects
+from tests import fakes
+
+
+class Cloud:
+    """Takes reports and orders; some answers are lost or refused."""
+
+    def __init__(self):
+        self.reports = []
+        self.orders = []
+        self.lost = 0
+        self.refuses = False
+
+    def report_usage(self, fence, window, counts):
+        self.reports.append((window, tuple(sorted(counts.items()))))
+        if self.lost:
+            self.lost -= 1
+            return objects.Unknown("no answer")
+        return objects.Done(fence)
+
+    def order(self, fence, order):
+        if order.is_reclaimable and self.refuses:
+            return objects.NotDone("conflict")
+        self.orders.append(order)
+        return objects.Done(fence)
+
+
+def make_reporter(context, source):
+    """Return the book of a process and its reporter."""
+    ledger = duties.UsageLedger(source, 5.0)
+    book = usage.UsageBook(ledger, context.clock)
+    reporter = usage.UsageReporter(
+        book, context.store, context.cloud, context.clock, 10.0
+    )
+    reporter.begin()
+    return book, reporter
+
+
+@given("a usage reporter over a store")
+def start_reporter(context):
+    context.clock = clocks.ManualClock(100.0)
+    context.store = fakes.FakeStore()
+    context.cloud = Cloud()
+    context.book, context.reporter = make_reporter(context, "a")
+    context.reporter.work(7, lambda: True)
+
+
+def advance(context, seconds, is_held=lambda: True):
+    for _ in range(round(seconds * 2)):
+        context.clock.advance(0.5)
+        context.reporter.work(7, is_held)
+
+
+def begin_requests(context, count):
+    for _ in range(count):
+        context.book.record_usage("acme")
+
+
+@when("3 requests begin in each of 4 windows and 2 more pass")
+def count_windows(context):
+    for _ in range(4):
+        begin_requests(context, 3)
+        advance(context, 5.0)
+    advance(context, 10.0)
+
+
+@then("windows 20 to 23 are reported with 3 requests each")
+def check_windows_reported(context):
+    found = [report for report in context.cloud.reports if report[1]]
+    expected = [(window, (("acme", 3),)) for window in range(20, 24)]
+    assert found == expected, found
+    windows = [window for window, _ in context.cloud.reports]
+    assert windows == sorted(set(windows)), windows
+
+
+@when("a report is written and its sender dies before it is taken")
+def die_before_sent(context):
+    begin_requests(context, 3)
+    context.cloud.lost = 100
+    advance(context, 10.0)
+    assert context.cloud.reports
+
+
+@when("a successor that has counted more goes on")
+def succeed(context):
+    context.cloud.lost = 0
+    context.book, context.reporter = make_reporter(context, "b")
+    context.book.merge(b'{"source":"z","windows":{"20":{"acme":99}}}')
+    advance(context, 10.0)
+
+
+@when("the answer to a report is lost")
+def lose_report(context):
+    begin_requests(context, 3)
+    context.cloud.lost = 1
+    advance(context, 9.0)
+    begin_requests(context, 2)
+    advance(context, 9.0)
+
+
+@then("every report of a window says the same")
+def check_same(context):
+    said = collections.defaultdict(set)
+    for window, counts in context.cloud.reports:
+        said[window].add(counts)
+    assert said and all(len(each) == 1 for each in said.values()), said
+    repeats = collections.Counter(w for w, _ in context.cloud.reports)
+    assert repeats[20] > 1, repeats
+
+
+@when("the lease is lost before a report is sent")
+def lose_lease(context):
+    begin_requests(context, 3)
+    advance(context, 10.0, lambda: False)
+
+
+@then("nothing is reported")
+def check_nothing_reported(context):
+    assert not context.cloud.reports
+
+
+@given("an order keeper over a service with 2 endpoints")
+def make_order_keeper(context):
+    context.clock = clocks.ManualClock(100.0)
+    context.cloud = Cloud()
+    actor = dispatching.DispatchActor.start(context.clock, 1)
+    context.add_cleanup(actor.stop)
+    context.dispatcher = dispatching.Dispatcher(actor, context.clock)
+    prices = {"d1": 1.0, "d2": 0.8}
+    scaling = catalogue.Scaling(1, 8, 4.0, 0.2, prices)
+    spec = catalogue.ServiceSpec(
+        "s", 100, catalogue.ModelSpec(48, 400000), scaling
+    )
+    context.listings = [
+        fleet.EndpointListing(f"e{n}", 1, "s", "h:1", f"d{n}", "v1", 48)
+        for n in (1, 2)
+    ]
+    context.dispatcher.read(
+        lambda actor, now_s: actor.view.apply_list(
+            [each.to_endpoint() for each in context.listings], now_s
+        )
+    )
+    context.keeper = orders.OrderKeeper(
+        context.dispatcher,
+        context.cloud,
+        context.clock,
+        lambda: {"s": spec},
+        lambda: context.listings,
+    )
+
+
+def keep_orders(context, seconds, busy):
+    """Let the keeper look while prompts take some engine time."""
+    for _ in range(round(seconds)):
+        context.clock.advance(1.0)
+        context.dispatcher.read(
+            lambda actor, now_s: (
+                busy and actor.work.add("s", busy, now_s),
+                busy and actor.view.start("e1.1", 0.0, now_s),
+            )
+        )
+        context.keeper.work(7, lambda: True)
+
+
+def count_ordered(context):
+    """Return the latest number of on-demand endpoints in all."""
+    latest = {
+        each.failure_domain: each.count
+        for each in context.cloud.orders
+        if not each.is_reclaimable
+    }
+    return sum(latest.values())
+
+
+@when("prompts keep {busy:g} engines busy for {seconds:g} seconds")
+def keep_busy(context, busy, seconds):
+    keep_orders(context, seconds, busy)
+
+
+@then("at least {least:d} on-demand endpoints are ordered")
+def check_orders(context, least):
+    assert count_ordered(context) >= least, context.cloud.orders
+
+
+@when("reclaimable endpoints are refused for {seconds:g} seconds")
+def refuse_orders(context, seconds):
+    context.cloud.refuses = True
+    keep_orders(context, seconds, 1.0)
+
+
+@then("the orders of on-demand endpoints cover the need")
+def check_covered(context):
+    assert count_ordered(context) >= 4, context.cloud.orders
+
+
+@when("{seconds:g} seconds go by without load")
+def keep_idle(context, seconds):
+    keep_orders(context, seconds, 0.0)
+
+
+@then("nothing is ordered")
+def check_no_orders(context):
+    assert not context.cloud.orders, context.cloud.orders
+
+
+class Work:
+    """Counts how often a duty was done."""
+
+    def __init__(self):
+        self.done = 0
+
+    def begin(self):
+        pass
+
+    def work(self, fence, is_held):
+        self.done += 1
+
+
+@given("two keepers of the duties over one store")
+def make_keepers(context):
+    context.clock = clocks.ManualClock(100.0)
+    store = fakes.FakeStore()
+    context.works = [Work(), Work()]
+    context.keepers = [
+        keepers.DutyKeeper(name, store, context.clock, (work,))
+        for name, work in zip("ab", context.works, strict=True)
+    ]
+
+
+def keep(context, seconds):
+    """Let both keepers look for a time."""
+    for _ in range(round(seconds * 4)):
+        context.clock.advance(0.25)
+        for keeper in context.keepers:
+            keeper.tick()
+
+
+@when("{seconds:g} seconds go by and the holder gives the duties up")
+def give_duties_up(context, seconds):
+    keep(context, seconds)
+    (context.former,) = [
+        place
+        for place, keeper in enumerate(context.keepers)
+        if keeper.is_held()
+    ]
+    context.keepers[context.former].release()
+    context.done = context.works[context.former].done
+
+
+@when("{seconds:g} seconds go by for both keepers")
+def go_on_keeping(context, seconds):
+    keep(context, seconds)
+
+
+@then("the other keeper has the duties and the former one never again")
+def check_given_up(context):
+    assert context.keepers[1 - context.former].is_held()
+    assert context.works[context.former].done == context.done
+
+
+@when("a successor takes the duty and hears of 5 requests a second later")
+def hear_late(context):
+    advance(context, 9.0)
+    context.clock.advance(6.0)
+    context.book, context.reporter = make_reporter(context, "b")
+    context.reporter.work(7, lambda: True)
+    context.clock.advance(1.0)
+    context.reporter.work(7, lambda: True)
+    context.book.merge(b'{"source":"z","windows":{"21":{"acme":5}}}')
+    advance(context, 8.0)
+
+
+@then("the report of their window has all 5")
+def check_heard(context):
+    said = dict(context.cloud.reports)
+    assert said.get(21) == (("acme", 5),), context.cloud.reports
--- /dev/null
+++ b/tests/steps/serving_forwarder.py
@@ -0,0 +1,240 @@
+import types
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow import clock as clocks
+from mulberryhollow.coordination import streams
+from mulberryhollow import errors
+from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.serving import callerwatch
+from mulberryhollow.serving import dispatcher as dispatching
+from mulberryhollow.serving import forwarder
+from mulberryhollow.state import catalogue
+from mulberryhollow.state import endpoints
+from tests import requests
+
+
+def event(number):
+    return b"id: %d\ndata: x\n\n" % number
+
+
+PLAYS = {
+    "whole": (200, [b"hello"], None),
+    "failed": (500, [b"sorry"], None),
+    "half stream": (200, [event(1), event(2)], streams.Broken("cut")),
+    "rest of stream": (200, [event(3), event(4)], None),
+    "stream with a gap": (200, [event(4)], None),
+}
+FAULTS = {
+    "unsent": streams.NotSent("no connection"),
+    "broken": streams.Broken("reset"),
+    "silent": streams.Silent(1.0),
+}
+
+
+class Answer:
+    """An answer out of a play."""
+
+    def __init__(self, head, pieces, fault):
+        self.head = head
+        self.pieces = list(pieces)
+        self.fault = fault
+
+    def read_piece(self, timeout_s):
+        if self.pieces:
+            return self.pieces.pop(0)
+        if self.fault is not None:
+            raise errors.EndpointError(self.fault)
+        return b""
+
+    def abort(self):
+        pass
+
+    def close(self):
+        pass
+
+
+class Client:
+    """Plays one line for each attempt."""
+
+    def __init__(self, plays):
+        self.plays = list(plays)
+        self.calls = []
+
+    def open(self, attempt, on_channel):
+        self.calls.append(attempt.call)
+        play = self.plays.pop(0)
+        if play in FAULTS:
+            raise errors.EndpointError(FAULTS[play])
+        if play in ("refused", "moved"):
+            head = messages.AnswerHead(
+                503, (), "r1", True, is_other_endpoint=play == "moved"
+            )
+            return Answer(head, [], None)
+        status, pieces, fault = PLAYS[play]
+        return Answer(messages.AnswerHead(status, (), "r1"), pieces, fault)
+
+    def is_alive(self, address):
+        return True
+
+
+class Codec:
+    """Puts the last event id where the test sees it."""
+
+    def encode_call(self, request, chosen, left_s, last_event_id):
+        return types.SimpleNamespace(
+            endpoint=chosen.endpoint_id, left_s=left_s, last=last_event_id
+        )
+
+
+class Recorder:
+    """Counts what has begun."""
+
+    def __init__(self):
+        self.begun = 0
+
+    def record_begun(self, request):
+        self.begun += 1
+
+    def record_first(self, request, elapsed_s):
+        pass
+
+    def record_end(self, request, outcome, elapsed_s):
+        pass
+
+
+@given("a forwarder whose endpoints answer in turn: {plays}")
+def make_forwarder(context, plays):
+    context.clock = clocks.ManualClock()
+    actor = dispatching.DispatchActor.start(context.clock, 1)
+    context.add_cleanup(actor.stop)
+    context.dispatcher = dispatching.Dispatcher(actor, context.clock)
+    items = [
+        endpoints.Endpoint(f"e{n}", "m", f"h:{n}", "d", "s", "v1")
+        for n in range(6)
+    ]
+    context.dispatcher.read(
+        lambda actor, now_s: (
+            actor.view.apply_list(items, now_s),
+            actor.shares.set_mixes({"s": {"v1": 1.0}}),
+        )
+    )
+    context.client = Client(plays.split(", "))
+    context.recorder = Recorder()
+    context.forwarder = forwarder.Forwarder(
+        forwarder.ForwardParts(
+            context.dispatcher,
+            context.client,
+            Codec(),
+            context.clock,
+            callerwatch.CallerWatch(context.clock),
+            context.recorder,
+        )
+    )
+
+
+def forward(context, kind, is_gone=lambda: False):
+    """Forward one request to its end; keep what came of it."""
+    now_s = context.clock.now_s()
+    request = requests.make_request(
+        catalogue.RequestKind[kind], arrived_s=now_s, deadline_s=now_s + 10.0
+    )
+    context.body, context.error, context.head = b"", None, None
+    try:
+        forwarding = context.forwarder.forward(request, is_gone)
+    except errors.MulberryError as error:
+        context.error = error
+        return
+    context.head = forwarding.head
+    try:
+        if forwarding.body is not None:
+            context.body = forwarding.body
+        else:
+            for piece in forwarding.iterate():
+                context.body += piece
+    except errors.MulberryError as error:
+        context.error = error
+    finally:
+        forwarding.close()
+
+
+@when("a {kind} request is forwarded")
+def forward_one(context, kind):
+    forward(context, kind)
+
+
+@when("a IDEMPOTENT request of a caller that has left is forwarded")
+def forward_gone(context):
+    forward(context, "IDEMPOTENT", lambda: True)
+
+
+@when("5 requests of different kinds are forwarded")
+def forward_many(context):
+    for kind in (
+        "NON_IDEMPOTENT",
+        "NON_IDEMPOTENT",
+        "IDEMPOTENT",
+        "STREAM",
+    ):
+        if context.client.plays:
+            forward(context, kind)
+
+
+@then('the caller gets "{text}" after {count:d} attempts')
+def check_answer(context, text, count):
+    assert context.error is None, context.error
+    assert context.body == text.encode(), context.body
+    assert len(context.client.calls) == count
+    names = [call.endpoint for call in context.client.calls]
+    assert len(set(names)) == len(names), names
+
+
+@then("the forwarded request ends as {ran} after {count:d} attempts")
+def check_forward_refused(context, ran, count):
+    assert isinstance(context.error, errors.RefusedError), context.error
+    assert context.error.refusal.ran is errors.Ran[ran], context.error.refusal
+    assert len(context.client.calls) == count
+
+
+@then("the caller gets the endpoint's own failure after {count:d} attempts")
+def check_own_failure(context, count):
+    assert (context.head.status, context.body) == (500, b"sorry")
+    assert len(context.client.calls) == count
+
+
+@then("the caller gets events 1 to 4 without a break")
+def check_events(context):
+    assert context.error is None, context.error
+    assert context.body == b"".join(map(event, (1, 2, 3, 4))), context.body
+
+
+@then("the second attempt asked for what follows event 2")
+def check_last_event(context):
+    assert [call.last for call in context.client.calls] == ["", "2"]
+
+
+@then("the caller's stream is broken off after event 2")
+def check_broken_off(context):
+    assert isinstance(context.error, errors.EndpointError), context.error
+    assert context.body == event(1) + event(2), context.body
+
+
+@then("nothing is sent")
+def check_nothing(context):
+    assert isinstance(context.error, errors.CallerGoneError), context.error
+    assert not context.client.calls
+
+
+@then("no endpoint has any of them in flight")
+def check_in_flight(context):
+    loads = context.dispatcher.read(
+        lambda actor, now_s: [record.own_load for record in actor.view]
+    )
+    assert not any(loads), loads
+
+
+@then("{count:d} request has begun")
+def check_begun(context, count):
+    assert context.recorder.begun == count
--- /dev/null
+++ b/tests/steps/transport_forwarding.py
@@ -0,0 +1,150 @@
+import socket
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow import clock as clocks
+from mulberryhollow import errors
+from mulberryhollow.platform import endpoints
+from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.transport import forwarding
+from standins import scripted
+
+
+def answer(request_id="r1", body=b"hello", extra=b""):
+    """Return a whole answer."""
+    head = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n"
+    return head % (request_id.encode(), extra, len(body)) + body
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+SCRIPTS = {
+    "answers whole": [[answer()]],
+    "answers in chunks": [[CHUNKED + b"3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"]],
+    "answers without a length and closes": [[HEAD + b"\r\nhello", "close"]],
+    "answers without a length and resets": [[HEAD + b"\r\nhel", "reset"]],
+    "breaks off a body with a length": [
+        [HEAD + b"Content-Length: 5\r\n\r\nhel", "close"]
+    ],
+    "breaks off between chunks": [[CHUNKED + b"3\r\nhel\r\n", "close"]],
+    "sends bytes that are no answer": [[b"\x00\x01garbage\r\n\r\n", "close"]],
+    "closes without an answer": [["close"]],
+    "resets without an answer": [["reset"]],
+    "hangs": [["hang"]],
+    "answers another request only": [
+        [answer("r7"), answer("r8"), answer("r9")]
+    ],
+    "answers whole twice": [[answer("r1")], [answer("r2")]],
+    "sends a second answer late": [
+        [answer("r1"), answer("r1")],
+        [answer("r2")],
+    ],
+    "answers an earlier request first": [[answer("r0"), answer("r1")]],
+    "answers twice and says close": [
+        [answer("r1", extra=b"Connection: close\r\n")],
+        [answer("r2", extra=b"Connection: close\r\n")],
+    ],
+    "answers before it has read the body": [
+        ["early", answer("r1")],
+        ["early", answer("r2")],
+    ],
+}
+
+
+@given("an endpoint that {plays}")
+def start_scripted(context, plays):
+    context.endpoint = scripted.ScriptedEndpoint(SCRIPTS[plays])
+    context.add_cleanup(context.endpoint.close)
+    context.client = make_client()
+
+
+def make_client():
+    return forwarding.ForwardClient(
+        endpoints.EndpointCodec(), clocks.SystemClock()
+    )
+
+
+def pass_on(context, request_id="r1", is_fresh=False, body=b"", hold=None):
+    """Return (body, None) or (None, name of the fault)."""
+    call = messages.EndpointCall(
+        request_id,
+        "POST",
+        "/x",
+        (("Host", "h"), ("Content-Length", str(len(body)))),
+        body,
+    )
+    attempt = forwarding.Attempt(context.endpoint.address, call, 0.5, is_fresh)
+    try:
+        opened = context.client.open(attempt, hold or (lambda channel: None))
+        try:
+            pieces = iter(lambda: opened.read_piece(0.5), b"")
+            return b"".join(pieces), None
+        finally:
+            opened.close()
+    except errors.EndpointError as error:
+        return None, type(error.fault).__name__
+
+
+@when("a request is passed on to it")
+def pass_one(context):
+    context.ended = pass_on(context)
+
+
+@when("a request is passed on to a port that nobody listens at")
+def pass_nowhere(context):
+    with socket.create_server(("127.0.0.1", 0)) as unused:
+        port = unused.getsockname()[1]
+    context.client = make_client()
+    context.endpoint = type("Gone", (), {"address": f"127.0.0.1:{port}"})
+    context.ended = pass_on(context)
+
+
+@when("two requests are passed on to it")
+def pass_two(context):
+    context.both = [pass_on(context, each) for each in ("r1", "r2")]
+
+
+@when("two requests are passed on to it that may not run twice")
+def pass_two_fresh(context):
+    context.both = [pass_on(context, each, True) for each in ("r1", "r2")]
+
+
+@when("two requests with a huge body are passed on to it")
+def pass_two_large(context):
+    body = b"x" * (1 << 25)
+    context.both = [pass_on(context, each, body=body) for each in ("r1", "r2")]
+
+
+@when("a request is passed on to it and aborted")
+def pass_aborted(context):
+    def hold(channel):
+        threading.Timer(0.1, channel.abort).start()
+
+    context.began_s = time.monotonic()
+    context.ended = pass_on(context, hold=hold)
+
+
+@then("the attempt ends with the body")
+def check_body(context):
+    assert context.ended == (b"hello", None), context.ended
+
+
+@then("the attempt ends with {fault} within a second")
+def check_fault_soon(context, fault):
+    check_fault(context, fault)
+    assert time.monotonic() - context.began_s < 1.0
+
+
+@then("the attempt ends with {fault}")
+def check_fault(context, fault):
+    assert context.ended == (None, fault), context.ended
+
+
+@then("both get their own body over {count:d} connections")
+def check_both(context, count):
+    assert context.both == [(b"hello", None)] * 2, context.both
+    assert context.endpoint.connections == count
