--- a/mulberryhollow/clock.py
+++ b/mulberryhollow/clock.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["Clock", "ManualClock", "SteadyWall", "SystemClock"]
 
 
 class Clock:
@@ -54,6 +54,41 @@
         return event.wait(timeout_s)
 
 
+class SteadyWall:
+    """Wall-clock time that passes over jumps of the clock.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+
+    Notes
+    -----
+    It follows the clock by `SLEW` of the time that passes, so a jump that
+    is taken back soon hardly shows, and one that stays is followed in
+    minutes. Safe to use from every thread.
+    """
+
+    SLEW = 0.02
+    """Part of the passing time by which a difference is made up."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._at_s = clock.elapsed_s()
+        self._offset_s = clock.wall_s() - self._at_s
+        self._lock = threading.Lock()
+
+    def wall_s(self):
+        """Return wall-clock time, in seconds since the Unix epoch."""
+        with self._lock:
+            now_s = self._clock.elapsed_s()
+            difference_s = self._clock.wall_s() - now_s - self._offset_s
+            most_s = self.SLEW * max(0.0, now_s - self._at_s)
+            self._offset_s += max(-most_s, min(most_s, difference_s))
+            self._at_s = now_s
+            return now_s + self._offset_s
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to.
 
@@ -65,6 +100,7 @@
 
     def __init__(self, start_s=1_000.0):
         self._now_s = start_s
+        self._step_s = 0.0
         self._changed = threading.Condition()
 
     def now_s(self):
@@ -72,8 +108,12 @@
         return self._now_s
 
     def wall_s(self):
-        """Return the time set so far, in seconds."""
-        return self._now_s
+        """Return the time set so far and the steps, in seconds."""
+        return self._now_s + self._step_s
+
+    def step(self, by_s):
+        """Let the wall-clock time jump, as when a clock is set."""
+        self._step_s += by_s
 
     def advance(self, by_s):
         """Move the time forward.
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from mulberryhollow import clock as clocks
 from mulberryhollow.coordination import configuration
 from mulberryhollow.coordination import duties
 from mulberryhollow.coordination import membership
@@ -225,7 +226,7 @@
                 f"{me.instance_id}.{me.incarnation}",
                 self._settings.bounds.report_window_s,
             ),
-            self._clock,
+            clocks.SteadyWall(self._clock),
         )
 
     def _make_duties(self):
--- a/mulberryhollow/serving/usage.py
+++ b/mulberryhollow/serving/usage.py
@@ -55,25 +55,25 @@
     ----------
     ledger : UsageLedger
         Where the counts are kept.
-    clock : Clock
-        Source of time.
+    wall : SteadyWall
+        Source of the time of day.
     """
 
-    def __init__(self, ledger, clock):
+    def __init__(self, ledger, wall):
         self._ledger = ledger
-        self._clock = clock
+        self._wall = wall
         self._lock = threading.Lock()
 
     def record_usage(self, account):
         """Count a request that an endpoint has begun to run."""
         if account:
             with self._lock:
-                self._ledger.record(account, self._clock.wall_s())
+                self._ledger.record(account, self._wall.wall_s())
 
     def encode_own(self):
         """Return the counts of this process, for its collector."""
         with self._lock:
-            return [self._ledger.encode(self._clock.wall_s())]
+            return [self._ledger.encode(self._wall.wall_s())]
 
     def encode_all(self, windows=WINDOWS_TOLD):
         """Return the counts of every source that is known.
@@ -83,7 +83,7 @@
         windows : int
             Latest windows that are told.
         """
-        wall_s = self._clock.wall_s()
+        wall_s = self._wall.wall_s()
         with self._lock:
             return [
                 self._ledger.encode(wall_s, source, windows)
@@ -103,13 +103,13 @@
         with self._lock:
             return self._ledger.total(window)
 
-    def find_window(self, wall_s):
-        """Return the number of the window at a time, in Unix seconds."""
-        return self._ledger.find_window(wall_s)
+    def find_window(self):
+        """Return the number of the present window."""
+        return self._ledger.find_window(self._wall.wall_s())
 
-    def find_end(self, window):
-        """Return when a window ends, in Unix seconds."""
-        return self._ledger.find_end(window)
+    def find_age(self, window):
+        """Return the time since the end of a window, in seconds."""
+        return self._wall.wall_s() - self._ledger.find_end(window)
 
 
 @attrs.frozen
@@ -201,15 +201,12 @@
         self._version = found.version if found else 0
         self._pending = _Report.decode(found.value) if found else None
         if self._pending is None:
-            now_s = self._clock.wall_s()
-            self._last = self._book.find_window(now_s) - 1
+            self._last = self._book.find_window() - 1
 
     def _prepare(self):
         """Write what the next window's report will say."""
         window = self._last + 1
-        settle_s = SETTLE_PART * self._delay_s
-        due_s = self._book.find_end(window) + settle_s
-        if self._clock.wall_s() < due_s:
+        if self._book.find_age(window) < SETTLE_PART * self._delay_s:
             return False
         report = _Report(window, self._book.total(window))
         change_id = store_adapter.make_change_id()
--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -21,6 +21,17 @@
     When the lease is lost before a report is sent
     Then nothing is reported
 
+  Scenario Outline: A clock that jumps and comes back moves no request
+    Given a usage reporter over a store
+    When the clock jumps by <step> seconds for 6 seconds
+    Then windows 20 and 21 are reported with 3 requests each
+
+    Examples:
+      | step |
+      | 2    |
+      | -2   |
+      | 60   |
+
   Scenario: A load is met by orders, and a refusal by the other market
     Given an order keeper over a service with 2 endpoints
     When prompts keep 1 engines busy for 10 seconds
--- a/tests/steps/serving_duties.py
+++ b/tests/steps/serving_duties.py
@@ -42,7 +42,7 @@
 def make_reporter(context, source):
     """Return the book of a process and its reporter."""
     ledger = duties.UsageLedger(source, 5.0)
-    book = usage.UsageBook(ledger, context.clock)
+    book = usage.UsageBook(ledger, clocks.SteadyWall(context.clock))
     reporter = usage.UsageReporter(
         book, context.store, context.cloud, context.clock, 10.0
     )
@@ -288,3 +288,20 @@
 def check_heard(context):
     said = dict(context.cloud.reports)
     assert said.get(21) == (("acme", 5),), context.cloud.reports
+
+
+@when("the clock jumps by {step_s:g} seconds for {seconds:g} seconds")
+def jump_clock(context, step_s, seconds):
+    begin_requests(context, 3)
+    context.clock.step(step_s)
+    advance(context, seconds)
+    begin_requests(context, 3)
+    context.clock.step(-step_s)
+    advance(context, 12.0)
+
+
+@then("windows {first:d} and {second:d} are reported with 3 requests each")
+def check_two_windows(context, first, second):
+    found = [report for report in context.cloud.reports if report[1]]
+    expected = [(window, (("acme", 3),)) for window in (first, second)]
+    assert found == expected, found
