--- a/mulberryhollow/transport/front.py
+++ b/mulberryhollow/transport/front.py
@@ -39,6 +39,12 @@
 PAGE_THREADS = 2
 """Threads that answer pages."""
 
+FIRST_THREADS = 8
+"""Threads that a server for callers begins with."""
+
+MORE_THREADS = 4
+"""Threads that are added at once when requests wait for one."""
+
 INTERNAL_ERROR = events.declare(
     2004,
     logging.ERROR,
@@ -192,6 +198,29 @@
     task_class = _Task
 
 
+class _GrowingDispatcher(waitress_task.ThreadedTaskDispatcher):
+    """Adds threads while requests wait for one, up to a number.
+
+    Most instances need few threads most of the time, and each one costs
+    memory and start-up time.
+    """
+
+    def __init__(self, most):
+        super().__init__()
+        self._most = most
+        self.set_thread_count(min(FIRST_THREADS, most))
+
+    def add_task(self, task):
+        """Queue a request; add threads if none is free for it."""
+        with self.lock:
+            self.queue.append(task)
+            self.queue_cv.notify()
+            present = len(self.threads) - self.stop_count
+            is_short = len(self.queue) > present - self.active_count
+        if is_short and present < self._most:
+            self.set_thread_count(min(self._most, present + MORE_THREADS))
+
+
 def make_server(app, address, threads, max_files):
     """Return a waitress server for callers.
 
@@ -202,14 +231,14 @@
     address : str
         ``host:port`` to listen at.
     threads : int
-        Requests that are passed on at once.
+        Most requests that are passed on at once.
     max_files : int
         Descriptors that the process may have.
     """
     server = waitress.create_server(
         app,
         listen=address,
-        threads=threads,
+        _dispatcher=_GrowingDispatcher(threads),
         backlog=BACKLOG,
         connection_limit=max(100, max_files - FILES_RESERVED),
         channel_request_lookahead=1,
