--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -58,6 +58,9 @@
 The middle of what engines of one accelerator give; learned from then on.
 """
 
+TAKEOVER_MARGIN_S = 1.0
+"""Time beyond the bound on alternating holders before a takeover, in s."""
+
 DUTY_INTERVAL_S = 0.25
 """Time between two looks at the duties, in seconds."""
 
@@ -241,7 +244,13 @@
         if settings.has_order_duty:
             works.append(self._make_orders(client))
         keeper = duty_keeper.DutyKeeper(
-            settings.instance, self._store, self._clock, tuple(works)
+            settings.instance,
+            self._store,
+            self._clock,
+            tuple(works),
+            duties.LeaseRules(
+                takeover_s=settings.bounds.lease_s + TAKEOVER_MARGIN_S
+            ),
         )
         self._sums.wants_usage = keeper.is_held
         return keeper
--- a/mulberryhollow/platform/settings.py
+++ b/mulberryhollow/platform/settings.py
@@ -30,12 +30,6 @@
         Time after its end by which a window is due, in seconds.
     lease_s : float
         Time in which duties may not go back and forth, in seconds.
-    exposure_share, exposure_slack : float
-        Part of a service's requests that a bad version may get, and how
-        many beside.
-    rollback_s : float
-        Time after the fiftieth bad answer, in seconds, in which a bad
-        version may still get requests.
     """
 
     grace_s: float
@@ -44,9 +38,6 @@
     report_window_s: float
     report_delay_s: float
     lease_s: float
-    exposure_share: float
-    exposure_slack: float
-    rollback_s: float
 
 
 @attrs.frozen
@@ -163,9 +154,6 @@
         report_window_s=float(bounds.get("reportWindowS", 5)),
         report_delay_s=float(bounds.get("usageDelayS", 10)),
         lease_s=float(bounds.get("leaseMs", 3000)) / _MS_PER_S,
-        exposure_share=float(bounds.get("exposureShare", 0.1)),
-        exposure_slack=float(bounds.get("exposureSlack", 50)),
-        rollback_s=float(bounds.get("rollbackMs", 5000)) / _MS_PER_S,
     )
 
 
--- a/mulberryhollow/platform/store.py
+++ b/mulberryhollow/platform/store.py
@@ -78,29 +78,6 @@
         path = _make_path(kind, name, {"revision": expected_version})
         return object_api.StoreCall("DELETE", path)
 
-    def encode_status(self, kind, name, value, expected_version):
-        """Return the call that writes the status of another's object.
-
-        Parameters
-        ----------
-        kind, name : str
-            The object.
-        value : dict
-            Its new status.
-        expected_version : int
-            Version that the object must have.
-        """
-        body = {
-            "metadata": {"name": name, "revision": expected_version},
-            "status": value,
-        }
-        return object_api.StoreCall(
-            "PUT",
-            _make_path(kind, name) + "/status",
-            json.dumps(body).encode(),
-            object_api.JSON_HEADERS,
-        )
-
     def classify_write(self, answer):
         """Return the outcome that an answer to a write stands for."""
         match answer.status:
--- a/mulberryhollow/serving/factlink.py
+++ b/mulberryhollow/serving/factlink.py
@@ -4,7 +4,6 @@
 import functools
 import zlib
 
-
 from mulberryhollow.coordination import membership
 from mulberryhollow import errors
 from mulberryhollow.serving import documents
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -167,10 +167,6 @@
         self._is_whole = not piece
         return piece
 
-    def abort(self):
-        """End a read of another thread."""
-        self._channel.abort()
-
     def close(self):
         """Keep the connection if it can be used again, else close it."""
         channel, self._channel = self._channel, None
