What a peer saw go is used again only when the store shows it again

The instance had been turned away by the store until 11.6 s, and its next watch did not tell of the change. Peers had told that the entry was gone, but each change or expiry of another entry took that back for every entry still on the own, older list. Ruled out: the time that lapsed entries are kept alone: 11.6 s and 2 s end before 15.05 s. Change: only entries that a list or a change has just shown are taken back; lapsed entries are kept for 1.5 s.

--- a/mulberryhollow/serving/fleetfeed.py
+++ b/mulberryhollow/serving/fleetfeed.py
@@ -66,11 +66,12 @@
         for listing in gone:
             self._tell_leaving(listing.key, False)
         events.log(LISTED, entries=len(listed))
-        self._apply()
+        self._apply(listed.values())
 
     def take_changes(self, items):
         """Take over changed entries, the oldest first."""
         now_s = self._clock.now_s()
+        changed = []
         for item in items:
             if item.is_deleted:
                 gone = self._fleet.remove(item.name, now_s)
@@ -79,6 +80,7 @@
                 events.log(CHANGED, endpoint=item.name, state="removed")
                 continue
             listing = self._read(item)
+            changed.append(listing)
             self._fleet.put(item.name, listing)
             if listing is not None:
                 events.log(
@@ -89,7 +91,7 @@
                     is_leaving=listing.is_leaving,
                     version=item.version,
                 )
-        self._apply()
+        self._apply(changed)
 
     def note_return(self):
         """Note that the store had been away."""
@@ -117,24 +119,34 @@
             events.log(UNREADABLE, entry=item.name, reason=str(error))
             return None
 
-    def _apply(self):
-        """Give the list to the dispatch actor."""
+    def _apply(self, relisted=()):
+        """Give the list to the dispatch actor.
+
+        Parameters
+        ----------
+        relisted : iterable of EndpointListing or None
+            Entries that the store has just shown.
+        """
+        relisted = [each.key for each in relisted if each is not None]
         self.is_known = True
         listings = self.listings
-        self._dispatcher.change(functools.partial(_apply, listings))
+        self._dispatcher.change(functools.partial(_apply, listings, relisted))
         leaving = {each.key for each in listings if each.is_leaving}
         for endpoint_id in sorted(leaving - self._told):
             self._tell_leaving(endpoint_id, True)
         self._told = leaving
 
 
-def _apply(listings, actor, now_s):
-    """Give the list to the view and the versions to the shares."""
+def _apply(listings, relisted, actor, now_s):
+    """Give the list to the view and the versions to the shares.
+
+    What a peer saw go is used again only once the store shows it again.
+    """
     before = {record.endpoint.id for record in actor.view}
     found = [listing.to_endpoint() for listing in listings]
     actor.view.apply_list(found, now_s)
-    for endpoint in found:
-        actor.view.set_draining(endpoint.id, False)
+    for endpoint_id in relisted:
+        actor.view.set_draining(endpoint_id, False)
     for gone in before - {endpoint.id for endpoint in found}:
         actor.prefixes.drop(gone)
     mixes = collections.defaultdict(collections.Counter)
--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -6,10 +6,12 @@
 
 __all__ = ["EndpointListing", "Fleet"]
 
-RETURN_S = 2.0
-"""Time in which an entry that lapsed while the store was away returns, in s.
+RETURN_S = 1.5
+"""Time for which an entry that lapsed while the store was away is kept, in s.
 
-An entry that is still missing after it stands for an endpoint that is gone.
+Lapsed entries are back within two seconds of the store's return, and an
+endpoint that has left may get no new work two seconds later: this leaves half
+a second to notice it.
 """
 
 
--- a/tests/serving/fleetfeed.feature
+++ b/tests/serving/fleetfeed.feature
@@ -24,6 +24,27 @@
     When the list is read again
     Then e1 and e2 take work
 
+  Scenario: What a peer saw go is not used while the own list is behind
+    Given a fleet feed that has listed e1 and e2
+    When a peer tells that e1 is gone
+    And another entry changes
+    And 5 seconds go by at the feed
+    Then only e2 takes work
+
+  Scenario: What a peer saw go is not used while its entry is only kept
+    Given a fleet feed that has listed e1 and e2
+    When the store has been away and the entry of e1 goes
+    Then e1 and e2 take work
+    When a peer tells that e1 is gone
+    And another entry changes
+    Then only e2 takes work
+
+  Scenario: A kept entry is dropped well before its endpoint must be left
+    Given a fleet feed that has listed e1 and e2
+    When the store has been away and the entry of e1 goes
+    And 1.75 seconds go by at the feed
+    Then only e2 takes work
+
   Scenario: An instance that the store turns away borrows the list
     Given a fleet feed that has listed e1 and e2
     And an instance that the store turns away
--- a/tests/steps/serving_fleetfeed.py
+++ b/tests/steps/serving_fleetfeed.py
@@ -69,6 +69,7 @@
     feed = fleetfeed.FleetFeed(
         records.decode_listing, dispatcher, clock, link.publish_leaving
     )
+    feed.test_clock = clock
     return feed, dispatcher
 
 
@@ -156,3 +157,20 @@
 def check_not_again(context):
     context.lender.tick()
     assert context.asking.calls == 1
+
+
+@when("the store has been away and the entry of e1 goes")
+def go_after_return(context):
+    context.feed.note_return()
+    context.feed.take_changes([make_entry("e1", is_deleted=True)])
+
+
+@when("another entry changes")
+def change_another(context):
+    context.feed.take_changes([make_entry("e2")])
+
+
+@when("{seconds:g} seconds go by at the feed")
+def go_by_at_feed(context, seconds):
+    context.feed.test_clock.advance(seconds)
+    context.feed.expire()
