A stop waits for callers that have connected and not yet sent

A leaving instance takes the connections that wait, and ended once none had moved a byte for 0.25 s. A caller that a busy machine kept from sending for longer found its connection closed: with its own second step, callers that send 1 s after connecting, six of six met a closed connection before, none after. Also, the wait began before the server's thread had closed the listener, so that connections still to be accepted were not seen. Ruled out: the time limit of the flush (the scenario fails within it, in the first quarter of a second). Between the last accept and the close of the listener a gap of microseconds is left, whose callers get a reset. Change: `front.is_first_awaited` keeps a new connection for 2 s, on both interfaces; `stop_accepting` tells when it is done and the daemon waits for that.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -42,6 +42,7 @@
 
 _DRAIN_POLL_S = 0.02
 _FLUSH_LIMIT_S = 2.0
+_QUIET_LIMIT_S = front.FIRST_REQUEST_S + 2.0
 _WATCH_RETRY_S = 0.2
 _RETRY_S = 0.5
 _EXPIRY_INTERVAL_S = 300.0
@@ -137,7 +138,8 @@
         self._wait_idle(grace_end_s - self._clock.now_s())
         self.gateway.move_relays()
         self._wait_idle(_FLUSH_LIMIT_S)
-        front.stop_accepting(self._server)
+        closed = front.stop_accepting(self._server)
+        self._clock.wait(closed, _FLUSH_LIMIT_S)
         self._wait_quiet()
         for loop in self._loops:
             loop.stop()
@@ -414,7 +416,7 @@
 
     def _wait_quiet(self):
         """Wait until no connection has anything under way."""
-        end_s = self._clock.now_s() + _FLUSH_LIMIT_S
+        end_s = self._clock.now_s() + _QUIET_LIMIT_S
         while self._clock.now_s() < end_s:
             if callers.is_quiet(self._server, self._clock.wall_s()):
                 return
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -175,7 +175,7 @@
         # The balancer may go on sending callers where few are in rotation.
         self.entrance.close()
         while self._clock.now_s() < end_s and server.active_channels:
-            front.close_idle(server)
+            front.close_idle(server, self._clock.wall_s())
             self._wait(self._clock.now_s() + _POLL_S)
         front.stop_accepting(server)
         for loop in self._loops:
--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -15,6 +15,7 @@
 from mulberryhollow import events
 from mulberryhollow.protocol import callers as messages
 from mulberryhollow.state import environment as environment_module
+from mulberryhollow.transport import front
 
 __all__ = ["CallerApp", "is_quiet", "make_server"]
 
@@ -428,5 +429,6 @@
         channel.requests
         or channel.total_outbufs_len
         or now_s - channel.last_activity < QUIET_S
+        or front.is_first_awaited(channel, now_s)
         for channel in list(server.active_channels.values())
     )
--- a/mulberryhollow/transport/front.py
+++ b/mulberryhollow/transport/front.py
@@ -2,6 +2,7 @@
 
 import http
 import logging
+import threading
 
 import attrs
 import waitress
@@ -19,6 +20,7 @@
     "apply_limits",
     "begin_leaving",
     "close_idle",
+    "is_first_awaited",
     "make_page_server",
     "make_server",
     "stop_accepting",
@@ -36,6 +38,13 @@
 CLEANUP_S = 1.0
 """Time between two looks for idle connections, in seconds."""
 
+FIRST_REQUEST_S = 2.0
+"""Time that a leaving instance gives a new connection's caller, in seconds.
+
+A caller that has connected is sending; only its machine or the network
+delays it, and a lost packet is sent again after one second.
+"""
+
 PAGE_THREADS = 2
 """Threads that answer pages."""
 
@@ -286,15 +295,38 @@
     server.is_leaving = True
 
 
-def close_idle(server):
-    """Close the connections that carry no request."""
-    server.trigger.pull_trigger(lambda: _close_idle(server))
+def is_first_awaited(channel, now_s):
+    """Return whether a caller has just connected and sent nothing yet.
+
+    Parameters
+    ----------
+    channel : waitress channel
+        The caller's connection.
+    now_s : float
+        Wall-clock time, in Unix seconds.
+    """
+    has_sent = channel.last_activity != channel.creation_time
+    return not has_sent and now_s - channel.creation_time < FIRST_REQUEST_S
+
+
+def close_idle(server, now_s):
+    """Close the connections that carry no request.
+
+    Parameters
+    ----------
+    server : waitress server
+        A running server.
+    now_s : float
+        Wall-clock time, in Unix seconds.
+    """
+    server.trigger.pull_trigger(lambda: _close_idle(server, now_s))
 
 
-def _close_idle(server):
+def _close_idle(server, now_s):
     """Mark idle connections, in the server's own thread."""
     for channel in list(server.active_channels.values()):
-        if not (channel.requests or channel.request):
+        is_busy = channel.requests or channel.request
+        if not (is_busy or is_first_awaited(channel, now_s)):
             channel.will_close = True
 
 
@@ -305,11 +337,19 @@
     ----------
     server : waitress server
         A running server; connections that it has go on.
+
+    Returns
+    -------
+    threading.Event
+        Set when that is done: until then connections may be waiting that
+        the server does not know of.
     """
-    server.trigger.pull_trigger(lambda: _close_listener(server))
+    done = threading.Event()
+    server.trigger.pull_trigger(lambda: _close_listener(server, done))
+    return done
 
 
-def _close_listener(server):
+def _close_listener(server, done):
     """Close the listening socket, in the server's own thread."""
     for _ in range(BACKLOG):
         count = len(server.active_channels)
@@ -317,3 +357,4 @@
         if len(server.active_channels) == count:
             break
     wasyncore.dispatcher.close(server)
+    done.set()
--- a/tests/daemon/reclaim.feature
+++ b/tests/daemon/reclaim.feature
@@ -39,3 +39,10 @@
   Scenario: An instance that stops answers every connection that it accepted
     When callers keep sending to an instance that gets SIGTERM
     Then every call was answered or found no listener
+
+  # Regression: a connection that was idle for a quarter of a second was
+  # closed although its caller had yet to send.
+
+  Scenario: An instance that stops waits for callers that have just connected
+    When callers that send 1 second after connecting meet an instance that gets SIGTERM
+    Then every call was answered or found no listener
--- a/tests/steps/daemon_reclaim.py
+++ b/tests/steps/daemon_reclaim.py
@@ -1,3 +1,5 @@
+import http.client
+import json
 import time
 
 import urllib3
@@ -246,17 +248,48 @@
     return found
 
 
+def call_slowly_until_gone(address, end_s):
+    """Send look-ups a second after connecting; return each failure."""
+    found = []
+    body = json.dumps({"query": "x"}).encode()
+    headers = {"Authorization": f"Bearer {site_fixture.KEY}"}
+    while time.monotonic() < end_s:
+        connection = http.client.HTTPConnection(address, timeout=10.0)
+        try:
+            connection.connect()
+        except OSError:
+            return found
+        time.sleep(1.0)
+        try:
+            connection.request("POST", site_fixture.LOOKUP, body, headers)
+            connection.getresponse().read()
+        except (OSError, http.client.HTTPException) as error:
+            found.append(error)
+        connection.close()
+    return found
+
+
 @when("callers keep sending to an instance that gets SIGTERM")
 def send_while_stopping(context):
+    stop_while_called(context, [call_until_gone] * 6)
+
+
+@when(
+    "callers that send 1 second after connecting meet an instance that"
+    " gets SIGTERM"
+)
+def send_late_while_stopping(context):
+    stop_while_called(context, [call_slowly_until_gone] * 6)
+
+
+def stop_while_called(context, callers):
+    """Stop an instance while callers call it; keep their failures."""
     shared = context.shared
     name = shared.add_entry()
     shared.wait_ready()
     address = shared.entry_names.pop(name)
     end_s = time.monotonic() + 20.0
-    calls = [
-        site_fixture.Background(call_until_gone, address, end_s)
-        for _ in range(6)
-    ]
+    calls = [site_fixture.Background(each, address, end_s) for each in callers]
     time.sleep(0.5)
     shared.fleet.terminate(name)
     context.failures = [each for call in calls for each in call.wait()]
--- a/tests/steps/transport_front.py
+++ b/tests/steps/transport_front.py
@@ -1,11 +1,14 @@
 import concurrent.futures
 import threading
+import types
+from unittest import mock
 import urllib.request
 
 from behave import given
 from behave import then
 from behave import when
 
+from mulberryhollow.transport import callers
 from mulberryhollow.transport import front
 
 
@@ -45,3 +48,116 @@
 def check_threads(context, least, most):
     count = len(context.front.task_dispatcher.threads)
     assert least <= count <= most, count
+
+
+NOW_S = 1000.0
+
+
+class Server:
+    """A server whose own thread does what it is asked when told so."""
+
+    def __init__(self, waiting=0):
+        self.active_channels = {}
+        self.trigger = self
+        self.asked = []
+        self.waiting = waiting
+        self.is_closed = False
+
+    def pull_trigger(self, call):
+        self.asked.append(call)
+
+    def run_asked(self):
+        for call in self.asked:
+            call()
+
+    def handle_accept(self):
+        if self.waiting:
+            self.waiting -= 1
+            self.active_channels[len(self.active_channels)] = None
+
+    def close(self):
+        self.is_closed = True
+
+
+@given(
+    "a front with a connection opened {opened:g} seconds ago that"
+    " has sent nothing"
+)
+def open_silent(context, opened):
+    open_connection(context, opened, opened)
+
+
+@given(
+    "a front with a connection opened {opened:g} seconds ago that"
+    " was last used {used:g} s ago"
+)
+def open_used(context, opened, used):
+    open_connection(context, opened, used)
+
+
+def open_connection(context, opened, used):
+    context.channel = types.SimpleNamespace(
+        creation_time=NOW_S - opened,
+        last_activity=NOW_S - used,
+        requests=[],
+        request=None,
+        total_outbufs_len=0,
+        will_close=False,
+    )
+    context.server = Server()
+    context.server.active_channels[1] = context.channel
+
+
+@when("the front closes idle connections")
+def close_idle(context):
+    front.close_idle(context.server, NOW_S)
+    context.server.run_asked()
+
+
+@then("the connection is kept")
+def check_kept(context):
+    assert not context.channel.will_close
+
+
+@then("the connection is closed")
+def check_closed(context):
+    assert context.channel.will_close
+
+
+@then("the front is quiet")
+def check_quiet(context):
+    assert callers.is_quiet(context.server, NOW_S)
+
+
+@then("the front is not quiet")
+def check_not_quiet(context):
+    assert not callers.is_quiet(context.server, NOW_S)
+
+
+@given("a front whose thread is busy, with {count:d} connections to accept")
+def make_busy(context, count):
+    context.server = Server(waiting=count)
+
+
+@when("the front is told to stop accepting")
+def stop_accepting(context):
+    context.closed = front.stop_accepting(context.server)
+
+
+@then("the listener is not known to be closed")
+def check_unknown(context):
+    assert not context.closed.is_set()
+    assert not context.server.active_channels
+
+
+@when("the thread of the front is free again")
+def free_thread(context):
+    with mock.patch.object(front.wasyncore.dispatcher, "close", Server.close):
+        context.server.run_asked()
+
+
+@then("all {count:d} connections are accepted and the listener is closed")
+def check_listener(context, count):
+    assert len(context.server.active_channels) == count
+    assert context.server.is_closed
+    assert context.closed.is_set()
