A process that has met nobody is not taken for the only one

All instances are killed at 13 s; each new process counted one live instance, itself, until its first look after the store answered, about a second, and gave out every account's whole rate. Change: `FactLink` counts the instances that settings name until one is met, for 15 s at most; `Registry` tells that members were found and the link looks at once. One `find_owner` in place of two.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -119,6 +119,7 @@
             self.dispatcher,
             self._documents,
             lambda actor: actor.quotas,
+            named=len(self.list_entries()),
         )
         self.dispatcher.on_retry = self.observer.count_retry
         self.dispatcher.on_crash = self._link.tell_crash
@@ -343,7 +344,9 @@
 
     def _make_loops(self):
         """Return the threads that work in the background."""
-        listing = registry.Registry(self._store, self, self._peers)
+        listing = registry.Registry(
+            self._store, self, self._peers, on_found=self._link.tick
+        )
         loops = [
             feeds.Loop(name, self._clock, RETRY_S, each.read)
             for name, each in self._follows.items()
--- a/mulberryhollow/serving/factlink.py
+++ b/mulberryhollow/serving/factlink.py
@@ -66,6 +66,9 @@
         Takes documents.
     get_limits : callable
         Returns what shares limits by demand, given the dispatch actor.
+    named : int
+        Other instances that the settings name; they count as live until
+        one of them is met, for `LOST_EXPIRY_S` at most.
 
     Notes
     -----
@@ -73,13 +76,17 @@
     doubled or late costs time or money, never safety.
     """
 
-    def __init__(self, peers, clock, dispatcher, documents, get_limits):
+    def __init__(
+        self, peers, clock, dispatcher, documents, get_limits, named=0
+    ):
         self._peers = peers
         self._clock = clock
         self._dispatcher = dispatcher
         self._documents = documents
         self._get_limits = get_limits
         self._me = peers.me()
+        self._named = named
+        self._named_until_s = clock.now_s() + LOST_EXPIRY_S
         self._lost_s = {}
         self._threads = concurrent.futures.ThreadPoolExecutor(
             TOLD_PEERS, thread_name_prefix="tell"
@@ -110,7 +117,8 @@
         if self.usable:
             self.last_contact_s = now_s
         names = [view.member.instance_id for view in gone]
-        live = 1 + len(self.usable) + self._count_lost(gone, now_s)
+        lost = self._count_lost(gone, now_s)
+        live = 1 + (len(self.usable) + lost or self._count_named(now_s))
         self._dispatcher.change(
             functools.partial(_apply_members, self._get_limits, live, names)
         )
@@ -128,6 +136,10 @@
             for since_s in self._lost_s.values()
         )
 
+    def _count_named(self, now_s):
+        """Return how many instances may be there though none was met."""
+        return self._named if now_s < self._named_until_s else 0
+
     def is_owner(self, task):
         """Return whether this instance usually does a task.
 
@@ -140,10 +152,20 @@
         -----
         Instances that see different members may both think so.
         """
+        return self.find_owner(task) is None
+
+    def find_owner(self, task):
+        """Return the id of the usual doer of a task; None for this one.
+
+        Parameters
+        ----------
+        task : str
+            Name of the task.
+        """
         names = [each.instance_id for each in self.usable]
         names.append(self._me.instance_id)
-        ranked = membership.rank_by_rendezvous(task, names)
-        return ranked[0] == self._me.instance_id
+        owner = membership.rank_by_rendezvous(task, names)[0]
+        return None if owner == self._me.instance_id else owner
 
     def publish_document(self, environment_name, document):
         """Tell the peers the document in force."""
--- a/mulberryhollow/serving/peering.py
+++ b/mulberryhollow/serving/peering.py
@@ -103,10 +103,7 @@
 
     def find_claim_owner(self, bucket):
         """Return the usual owner of a claim bucket; None for this one."""
-        names = [each.instance_id for each in self.usable]
-        names.append(self._me.instance_id)
-        owner = membership.rank_by_rendezvous(f"claims {bucket}", names)[0]
-        return None if owner == self._me.instance_id else owner
+        return self.find_owner(f"claims {bucket}")
 
     def forward_claim(self, owner, payload):
         """Return what the usual owner answers to a call on claims.
--- a/mulberryhollow/serving/registry.py
+++ b/mulberryhollow/serving/registry.py
@@ -37,12 +37,15 @@
         Lists entry instances while the store is down.
     peers : Peers
         Takes the members that were found.
+    on_found : callable
+        Called after members were added, without arguments.
     """
 
-    def __init__(self, store, cloud, peers):
+    def __init__(self, store, cloud, peers, on_found=lambda: None):
         self._store = store
         self._cloud = cloud
         self._peers = peers
+        self._on_found = on_found
         self._random = random.Random(peers.me().instance_id)
         self._version = 0
 
@@ -62,9 +65,7 @@
         except errors.StoreUnavailableError:
             self._meet_listed(me)
             raise
-        self._peers.add_members(
-            [each for each in map(_decode, found) if each is not None]
-        )
+        self._add([each for each in map(_decode, found) if each is not None])
         self._write(me, found)
 
     def remove(self):
@@ -99,7 +100,12 @@
             if view.is_usable and view.member.instance_id != me.instance_id
         ]
         if not others:
-            self._peers.add_members(self._ask_listed(me))
+            self._add(self._ask_listed(me))
+
+    def _add(self, members):
+        """Add members that were found and tell so."""
+        self._peers.add_members(members)
+        self._on_found()
 
     def _ask_listed(self, me):
         """Return the members that some of the listed instances name.
--- /dev/null
+++ b/tests/steps/serving_factlink.py
@@ -0,0 +1,126 @@
+import types
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow import clock as clocks
+from mulberryhollow.coordination import membership
+from mulberryhollow.serving import factlink
+from mulberryhollow.serving import registry
+from tests import fakes
+
+
+class Limits:
+    """Keeps the number of instances that it was told."""
+
+    def __init__(self):
+        self.live = None
+
+    def set_live_nodes(self, live, now_s=0.0):
+        self.live = live
+
+
+class Dispatcher:
+    """Runs changes on limits that remember their share."""
+
+    def __init__(self):
+        self.quotas = Limits()
+        self.shared_retries = Limits()
+
+    def change(self, apply):
+        apply(self, 0.0)
+
+
+class Peers:
+    """Knows itself and the members that were added."""
+
+    def __init__(self):
+        self.views = []
+
+    def me(self):
+        return make_member("me")
+
+    def members(self):
+        return self.views
+
+    def add_members(self, members):
+        self.views += [
+            membership.MemberView(each, membership.Standing.ALIVE, True)
+            for each in members
+            if each.instance_id != "me"
+        ]
+
+
+def make_member(name):
+    return membership.Member(
+        instance_id=name,
+        incarnation=1,
+        peer_address="10.0.0.1:7000",
+        http_address="10.0.0.1:8000",
+        failure_domain="d",
+        region="r",
+        started_s=0.0,
+    )
+
+
+@given("a fact link whose settings name {named:d} other instances")
+def make_link(context, named):
+    context.link_clock = clocks.ManualClock()
+    context.link_peers = Peers()
+    context.link_limits = Dispatcher()
+    context.link = factlink.FactLink(
+        context.link_peers,
+        context.link_clock,
+        context.link_limits,
+        None,
+        lambda actor: actor.quotas,
+        named=named,
+    )
+
+
+@given("a store where {count:d} peers are registered")
+def register_peers(context, count):
+    context.link_store = fakes.FakeStore()
+    for index in range(count):
+        member = make_member(f"peer-{index}")
+        context.link_store.write(
+            membership.KIND,
+            member.instance_id,
+            membership.encode_registration(member),
+        )
+
+
+@when("{count:d} peers are met")
+def meet_peers(context, count):
+    context.link_peers.add_members(
+        [make_member(f"peer-{index}") for index in range(count)]
+    )
+
+
+@when("{by_s:d} seconds pass at the fact link")
+def pass_time(context, by_s):
+    context.link_clock.advance(by_s)
+
+
+@when("it looks for its peers")
+def look_for_peers(context):
+    context.link.tick()
+
+
+@when("the instance registers itself")
+def register_itself(context):
+    cloud = types.SimpleNamespace(list_entries=list)
+    registry.Registry(
+        context.link_store,
+        cloud,
+        context.link_peers,
+        on_found=context.link.tick,
+    ).register()
+
+
+@then("it shares limits among {count:d} instances")
+def check_live(context, count):
+    limits = context.link_limits
+    assert limits.quotas.live == count, limits.quotas.live
+    assert limits.shared_retries.live == count, limits.shared_retries.live
