The scenario on extra answers no longer depends on which bytes come first

Its endpoint sent the extra answer in a second write and the check wanted two connections. When the write came after the next request had been sent, the extra answer was passed over on the first connection: right, and one connection. Ruled out: a wrong body; both requests had their own. Change: two scenarios in place of one, each with its order of bytes fixed: an extra answer that is there takes the connection out of use (two connections), one that comes with the next answer is passed over (one). Conclusion: the former check was wrong in one of two right orders; each of the new ones is as strict.

--- a/tests/steps/transport_forwarding.py
+++ b/tests/steps/transport_forwarding.py
@@ -39,10 +39,14 @@
         [answer("r7"), answer("r8"), answer("r9")]
     ],
     "answers whole twice": [[answer("r1")], [answer("r2")]],
-    "sends a second answer late": [
-        [answer("r1"), answer("r1")],
+    "sends an extra answer at once": [
+        [answer("r1") + answer("r1")],
         [answer("r2")],
     ],
+    "sends an extra answer with the next one": [
+        [answer("r1")],
+        [answer("r1") + answer("r2")],
+    ],
     "answers an earlier request first": [[answer("r0"), answer("r1")]],
     "answers twice and says close": [
         [answer("r1", extra=b"Connection: close\r\n")],
--- a/tests/transport/forwarding.feature
+++ b/tests/transport/forwarding.feature
@@ -33,11 +33,16 @@
     When two requests are passed on to it that may not run twice
     Then both get their own body over 2 connections
 
-  Scenario: A late answer of an earlier request is passed over
-    Given an endpoint that sends a second answer late
+  Scenario: A connection with an extra answer carries no other request
+    Given an endpoint that sends an extra answer at once
     When two requests are passed on to it
     Then both get their own body over 2 connections
 
+  Scenario: A late answer of an earlier request is passed over
+    Given an endpoint that sends an extra answer with the next one
+    When two requests are passed on to it
+    Then both get their own body over 1 connections
+
   Scenario: An extra answer before the own one is passed over
     Given an endpoint that answers an earlier request first
     When a request is passed on to it
