A new process has the credit of the time since it began

Change: `start_low` takes the time at which the process began to load its program; the part here has not been spent since then.

--- a/mulberryhollow/coordination/limits/quota.py
+++ b/mulberryhollow/coordination/limits/quota.py
@@ -161,6 +161,7 @@
         self._rules = rules
         self._nodes = 1
         self._starts_full = True
+        self._began_s = None
         self._quotas = {}
         self._buckets = {}
         self._small_buckets = {}
@@ -174,13 +175,20 @@
         """Use other tolerances from now on."""
         self._rules = rules
 
-    def start_low(self):
+    def start_low(self, began_s):
         """Let accounts begin without their burst.
 
         For a process that takes the place of one that may just have given
         the burst out.
+
+        Parameters
+        ----------
+        began_s : float
+            When the process began, in seconds; the part here has not been
+            spent since then, as nobody else took it.
         """
         self._starts_full = False
+        self._began_s = began_s
 
     def set_live_nodes(self, nodes, now_s):
         """Set the number of instances that admit requests.
@@ -353,8 +361,11 @@
         rate = self._find_rate(quota) * fraction
         burst = self._find_burst(quota, fraction)
         part = 1.0 / self._nodes if self._starts_full else 0.0
-        start = self._find_burst(quota, part)
-        bucket = _refill(self._buckets, account, rate, burst, now_s, start)
+        first = _Bucket(
+            self._find_burst(quota, part),
+            now_s if self._starts_full else self._began_s,
+        )
+        bucket = _refill(self._buckets, account, rate, burst, now_s, first)
         return bucket, fraction
 
     def _spend_small(self, account, quota, fraction, cost, now_s):
@@ -365,7 +376,8 @@
         rate = SMALL_SLACK * rules.slack / rules.window_s * fraction
         buckets = self._small_buckets
         burst = max(rate, cost)
-        bucket = _refill(buckets, account, rate, burst, now_s, burst)
+        first = _Bucket(burst, now_s)
+        bucket = _refill(buckets, account, rate, burst, now_s, first)
         if bucket.credit < cost:
             return False
         bucket.credit -= cost
@@ -401,11 +413,9 @@
         return burst + BURST_SLACK * rules.slack / self._nodes
 
 
-def _refill(buckets, account, rate, burst, now_s, start):
-    """Return an account's bucket as of now; a new one has the start."""
-    bucket = buckets.get(account)
-    if bucket is None:
-        bucket = buckets[account] = _Bucket(start, now_s)
+def _refill(buckets, account, rate, burst, now_s, first):
+    """Return an account's bucket as of now; `first` if there is none."""
+    bucket = buckets.setdefault(account, first)
     gained = rate * max(0.0, now_s - bucket.at_s)
     bucket.credit = min(burst, bucket.credit + gained)
     bucket.at_s = now_s
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -13,6 +13,7 @@
 from mulberryhollow.coordination import duties
 from mulberryhollow.coordination import membership
 from mulberryhollow import metrics
+from mulberryhollow import platform as package
 from mulberryhollow.platform import callers
 from mulberryhollow.platform import cloud
 from mulberryhollow.platform import endpoints
@@ -207,7 +208,10 @@
         dispatcher = dispatching.Dispatcher(actor, self._clock)
         dispatcher.change(functools.partial(_set_bounds, settings.bounds))
         if not settings.is_first_start:
-            dispatcher.change(lambda actor, now_s: actor.quotas.start_low())
+            began_s = min(package.BEGAN_S, self._clock.now_s())
+            dispatcher.change(
+                lambda actor, now_s: actor.quotas.start_low(began_s)
+            )
         return dispatcher
 
     def _start_peers(self):
