make demo shows the users' platform, and a lost answer is a scenario

Change: `tools/platform_site.py` holds the small platform with one instance, which the scenarios and the demo share; the demo sends a request of each kind, a forged header, loses an answer, changes the configuration and drains an endpoint. Two scenarios on lost answers: one that may not run twice has run once and gets 502, one that may is answered elsewhere.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -115,6 +115,8 @@
         Headers of each request that it ran.
     is_full : bool
         Whether it says that it is full.
+    loses : bool
+        Whether it runs requests and closes without an answer.
     left : int
         Callers that left before their answer.
     """
@@ -123,6 +125,7 @@
         self.identity = identity
         self.seen = []
         self.is_full = False
+        self.loses = False
         self.left = 0
         super().__init__()
 
@@ -137,6 +140,9 @@
             handler.reply(503, own | {"Not-Executed": "1"}, b"")
             return
         self.seen.append(headers | {"path": handler.path, "body": body})
+        if self.loses:
+            handler.close_connection = True
+            return
         own |= {"Response-Seal": f"seal {self.identity}"}
         if "/stream/" in handler.path:
             self._stream(handler, own)
--- a/tests/platform/daemon.feature
+++ b/tests/platform/daemon.feature
@@ -53,3 +53,11 @@
     When a GET /slow/y/x is sent and the instance gets SIGTERM
     Then the request is answered and the instance ends within 8 seconds
     And it was not ready from the signal on
+
+  Scenario: A request that may not run twice is given up when its answer is lost
+    When e1 and e2 lose their answers and a POST /once/x is sent
+    Then the status is 502 and it has run once
+
+  Scenario: A request that may be repeated is answered by another endpoint
+    When e1 loses its answers and 6 GET /safe/x are sent
+    Then all of them are answered by e2
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,7 +1,14 @@
-"""The main job on the stand-ins: a chat, a slot check and a booking."""
+"""The main job on the stand-ins, and the same core on the users' platform.
+
+A chat, a slot check and a booking over the product's own interface; then a
+request of each kind, a forged header, a lost answer, a drain and a change of
+the configuration over the platform's.
+"""
 
 import sys
+import time
 
+from tools import platform_site
 from tools import processes
 from tools import site as sites
 
@@ -23,6 +30,7 @@
             )
         ]
         failures += [not _stop(fleet, f"entry-{n}") for n in (1, 2, 3)]
+    failures += _show_platform()
     print("demo failed" if any(failures) else "demo passed")
     return 1 if any(failures) else 0
 
@@ -97,6 +105,89 @@
     return first.status == 201 and again.json().get("booking_id") == booked
 
 
+def _show_platform():
+    """Show the users' platform; return whether each step failed."""
+    site = platform_site.PlatformSite()
+    try:
+        site.wait_ready()
+        print("\nOn the users' platform:")
+        failures = [
+            not step(site)
+            for step in (
+                _pass_each_kind,
+                _forge,
+                _lose_answer,
+                _change_route,
+                _drain,
+            )
+        ]
+        return [*failures, site.stop() != 0]
+    finally:
+        site.close()
+
+
+def _tell(title, is_right):
+    """Print whether a step went as it should; return that."""
+    print(f"  {title}: {'yes' if is_right else 'NO'}")
+    return is_right
+
+
+def _pass_each_kind(site):
+    """Send a request of each kind."""
+    plain = [site.call("GET", "/safe/x"), site.call("POST", "/once/x")]
+    stream = site.call("GET", "/stream/x")
+    is_whole = stream.data.startswith(b"id: 1") and b"id: 3" in stream.data
+    return _tell(
+        "a look-up, a booking and a stream are answered whole",
+        is_whole
+        and all("Response-Seal" in answer.headers for answer in plain),
+    )
+
+
+def _forge(site):
+    """Send a header that only the system may set."""
+    site.call("GET", "/safe/x", Tenant="somebody else")
+    return _tell(
+        "a forged account does not reach an endpoint",
+        site.list_runs()[-1]["Tenant"] == "acme",
+    )
+
+
+def _lose_answer(site):
+    """Let endpoints run a booking and lose the answer."""
+    before = len(site.list_runs())
+    for endpoint in site.endpoints.values():
+        endpoint.loses = True
+    answer = site.call("POST", "/once/x")
+    for endpoint in site.endpoints.values():
+        endpoint.loses = False
+    return _tell(
+        "a booking whose answer is lost has run once, and 502 says no more",
+        answer.status == 502 and len(site.list_runs()) == before + 1,
+    )
+
+
+def _change_route(site):
+    """Write a configuration with one more route."""
+    before = site.call("GET", "/new/x").status
+    site.configure(2, platform_site.make_route("new", "idempotent"))
+    platform_site.wait_until(
+        lambda: site.call("GET", "/new/x").status == 200, 2.0
+    )
+    return _tell("a new route is served soon after", before == 404)
+
+
+def _drain(site):
+    """Let an endpoint drain."""
+    site.list_endpoint("e1", "draining")
+    time.sleep(0.5)
+    answers = {site.call("GET", "/safe/x").data for _ in range(4)}
+    return _tell(
+        "an endpoint that drains gets no new work",
+        answers == {b"answer of e2"},
+    )
+
+
 def _stop(fleet, name):
     """Stop an instance gracefully; return whether it ended with 0."""
     fleet.terminate(name)
--- /dev/null
+++ b/tools/platform_site.py
@@ -0,0 +1,203 @@
+"""One instance on the users' platform in small, as a process."""
+
+import http.client
+import itertools
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from standins import platform_site
+from tools import processes
+
+__all__ = ["PlatformSite", "make_entry", "make_route", "wait_until"]
+
+START_LIMIT_S = 15.0
+STOP_LIMIT_S = 10.0
+CALL_TIMEOUT_S = 9.0
+
+_POLL_S = 0.05
+
+
+class PlatformSite:
+    """A small platform, two endpoints and an instance.
+
+    Attributes
+    ----------
+    server : PlatformServer
+        Store and API.
+    endpoints : dict
+        Name to its PlatformEndpoint: ``e1`` and ``e2``.
+    callers_port, ready_port : int
+        Where the instance listens.
+    process : subprocess.Popen
+        The instance.
+    """
+
+    def __init__(self):
+        self.server = platform_site.PlatformServer()
+        self.endpoints = {
+            name: platform_site.PlatformEndpoint(name) for name in ("e1", "e2")
+        }
+        for name in self.endpoints:
+            self.list_endpoint(name)
+        self.configure(1)
+        self.callers_port, self.ready_port, *others = (
+            processes.find_free_port() for _ in range(5)
+        )
+        self._numbers = itertools.count()
+        self._folder = tempfile.TemporaryDirectory()
+        path = pathlib.Path(self._folder.name) / "settings.json"
+        path.write_text(json.dumps(self._make_settings(*others)))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "mulberryhollow.platform"],
+            cwd=processes.ROOT,
+            env=os.environ | {"MULBERRYHOLLOW_BOOT": str(path)},
+            stdout=subprocess.DEVNULL,
+        )
+
+    def wait_ready(self):
+        """Wait until the balancer may send callers to the instance."""
+        wait_until(lambda: self.ask_ready() == 200, START_LIMIT_S)
+
+    def close(self):
+        """End the instance and the platform."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        for each in (self.server, *self.endpoints.values()):
+            each.close()
+        self._folder.cleanup()
+
+    def stop(self):
+        """Send SIGTERM and return the exit code."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(STOP_LIMIT_S)
+
+    def list_endpoint(self, name, state="ready"):
+        """Write the store's entry of an endpoint."""
+        entry = make_entry(self.endpoints[name].address, state)
+        self.server.store.put("servers", name, entry)
+
+    def configure(self, version, *more):
+        """Write a configuration with further routes."""
+        self.server.store.put(
+            "config", "main", _make_configuration(version, *more)
+        )
+
+    def call(self, method, path, **extra):
+        """Return the answer to a caller's request, its body as `data`."""
+        headers = {
+            "Host": "h.example",
+            "Attempt-Id": f"r{next(self._numbers)}",
+            "Deadline-Ms": "5000",
+            "Key": "k1",
+        }
+        body = b"{}" if method == "POST" else None
+        return _send(self.callers_port, method, path, headers | extra, body)
+
+    def ask_ready(self):
+        """Return the status that the balancer gets; 0 for none."""
+        try:
+            return _send(self.ready_port, "GET", "/v1/readyz", {}).status
+        except OSError:
+            return 0
+
+    def list_runs(self):
+        """Return what the endpoints have run, as the headers that came."""
+        return [each for e in self.endpoints.values() for each in e.seen]
+
+    def _make_settings(self, control, first, last):
+        """Return the settings of the instance."""
+        return {
+            "nodeName": "edge-1",
+            "zone": "z1",
+            "region": "r1",
+            "ip": "127.0.0.1",
+            "listen": {
+                "frontend": f"127.0.0.1:{self.callers_port}",
+                "ready": f"127.0.0.1:{self.ready_port}",
+                "control": f"127.0.0.1:{control}",
+            },
+            "internalPorts": [first, last],
+            "limits": {"maxFds": 4100},
+            "bounds": {"graceS": 8},
+            "platform": {"address": self.server.address},
+            "cloudApi": {"address": self.server.address, "duties": []},
+        }
+
+
+def make_entry(address, state="ready"):
+    """Return the store's entry of an endpoint."""
+    return {
+        "service": "s",
+        "address": address,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "born": 1700000000000,
+    }
+
+
+def make_route(prefix, kind, timeout_ms=3000):
+    """Return a route to the service for one kind of request."""
+    return {
+        "name": f"r-{prefix}",
+        "host": "h.example",
+        "pathPrefix": f"/{prefix}/",
+        "routeKind": kind,
+        "timeoutMs": timeout_ms,
+        "goalMs": 500,
+        "service": "s",
+        "maxAttempts": 2,
+        "gapGoalMs": 400,
+    }
+
+
+def wait_until(is_true, limit_s):
+    """Wait until something is true.
+
+    Raises
+    ------
+    StartError
+        When it has not come about in time.
+    """
+    end_s = time.monotonic() + limit_s
+    while not is_true():
+        if time.monotonic() >= end_s:
+            raise processes.StartError("it did not come about in time")
+        time.sleep(_POLL_S)
+
+
+def _make_configuration(version, *more):
+    """Return a configuration with a route of each kind."""
+    return {
+        "version": version,
+        "routes": [
+            make_route("safe", "idempotent"),
+            make_route("once", "non_idempotent"),
+            make_route("stream", "streaming"),
+            make_route("slow", "non_idempotent", 800),
+            make_route("slow/y", "non_idempotent"),
+            *more,
+        ],
+        "services": [{"name": "s", "maxConns": 100}],
+        "tenants": [{"name": "acme", "apiKeys": ["k1"]}],
+    }
+
+
+def _send(port, method, path, headers, body=None):
+    """Return the answer to one request, with its body as `data`."""
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", port, timeout=CALL_TIMEOUT_S
+    )
+    connection.request(method, path, body, headers)
+    answer = connection.getresponse()
+    answer.data = answer.read()
+    connection.close()
+    return answer
