--- a/mulberryhollow/clock.py
+++ b/mulberryhollow/clock.py
@@ -33,6 +33,10 @@
         """
         raise NotImplementedError
 
+    def sleep(self, duration_s):
+        """Wait for a time, in seconds."""
+        self.wait(threading.Event(), duration_s)
+
 
 class SystemClock(Clock):
     """The clock of the operating system."""
--- a/mulberryhollow/coordination/routing/__init__.py
+++ b/mulberryhollow/coordination/routing/__init__.py
@@ -9,6 +9,7 @@
 from mulberryhollow.coordination.routing.request import RouteRequest
 from mulberryhollow.coordination.routing.router import Router
 from mulberryhollow.coordination.routing.router import RoutingRules
+from mulberryhollow.coordination.routing.shares import draw_by_hash
 from mulberryhollow.coordination.routing.shares import list_versions
 
 __all__ = [
@@ -21,5 +22,6 @@
     "RouteRequest",
     "Router",
     "RoutingRules",
+    "draw_by_hash",
     "list_versions",
 ]
--- a/mulberryhollow/coordination/routing/shares.py
+++ b/mulberryhollow/coordination/routing/shares.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-__all__ = ["list_versions"]
+__all__ = ["draw_by_hash", "list_versions"]
 
 _HASH_RANGE = float(2**64)
 
@@ -37,7 +37,7 @@
     }
     if not shares:
         return []
-    drawn = _draw(request_id, shares)
+    drawn = draw_by_hash(request_id, sorted(shares.items()))
     others = [
         version
         for version in sorted(shares, key=shares.get, reverse=True)
@@ -46,16 +46,23 @@
     return [drawn, *others]
 
 
-def _draw(request_id, shares):
-    """Return the version at the request's point of the shares."""
-    if len(shares) == 1:
-        return next(iter(shares))
+def draw_by_hash(request_id, pairs):
+    """Return the choice at a request's point of some weights.
+
+    Parameters
+    ----------
+    request_id : str
+        Decides the draw.
+    pairs : list of (object, float)
+        Choices and their weights, above 0 in sum; not empty.
+    """
+    if len(pairs) == 1:
+        return pairs[0][0]
     key = request_id.encode(errors="surrogatepass")
     unit = xxhash.xxh3_64_intdigest(key) / _HASH_RANGE
-    point = unit * sum(shares.values())
-    names = sorted(shares)
-    for version in names:
-        point -= shares[version]
+    point = unit * sum(weight for _, weight in pairs)
+    for choice, weight in pairs:
+        point -= weight
         if point < 0:
-            return version
-    return names[-1]
+            return choice
+    return pairs[-1][0]
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -412,7 +412,7 @@
         while self._clock.now_s() < end_s:
             if not is_least and self.gateway.active_count == 0:
                 return
-            self._clock.wait(threading.Event(), _DRAIN_POLL_S)
+            self._clock.sleep(_DRAIN_POLL_S)
 
     def _wait_quiet(self):
         """Wait until no connection has anything under way."""
@@ -420,4 +420,4 @@
         while self._clock.now_s() < end_s:
             if callers.is_quiet(self._server, self._clock.wall_s()):
                 return
-            self._clock.wait(threading.Event(), _DRAIN_POLL_S)
+            self._clock.sleep(_DRAIN_POLL_S)
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -198,7 +198,7 @@
         """Wait until a time."""
         left_s = until_s - self._clock.now_s()
         if left_s > 0:
-            self._clock.wait(threading.Event(), left_s)
+            self._clock.sleep(left_s)
 
     def _make_dispatcher(self):
         """Start the dispatch actor with the platform's bounds."""
--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -2,7 +2,6 @@
 
 import json
 import logging
-import threading
 
 import attrs
 import xxhash
@@ -321,7 +320,7 @@
                 return self._settle(run, claim)
             if now_s > run.request.deadline_s - JOIN_MARGIN_S:
                 raise _refuse_unknown()
-            self._clock.wait(threading.Event(), JOIN_INTERVAL_S)
+            self._clock.sleep(JOIN_INTERVAL_S)
             claim = self._look_again(run, claim)
 
     def _join_standing(self, run):
--- a/mulberryhollow/serving/capacity.py
+++ b/mulberryhollow/serving/capacity.py
@@ -207,13 +207,13 @@
 
     def _write(self, wanted, version):
         """Store the plan; return whether it is this instance's."""
-        change_id = store_adapter.make_change_id()
-        name = self._parts.environment
-        outcome = self._parts.store.put(
-            KIND, name, wanted.encode(), version, change_id
+        outcome = store_adapter.put_settled(
+            self._parts.store,
+            KIND,
+            self._parts.environment,
+            wanted.encode(),
+            version,
         )
-        if isinstance(outcome, objects.Unknown):
-            outcome = self._parts.store.settle(KIND, name, change_id)
         if not isinstance(outcome, objects.Done):
             events.log(LOST, planner=wanted.planner)
         return isinstance(outcome, objects.Done)
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -13,13 +13,6 @@
 KIND = "environment"
 """Kind of the objects that hold documents."""
 
-WATCH_WAIT_S = 3.0
-"""Longest wait of one watch at the platform, in seconds.
-
-With the time between two watches it stays below the time without contact
-after which an instance leaves the balancer.
-"""
-
 
 @attrs.frozen
 class Offer:
--- a/mulberryhollow/serving/duties.py
+++ b/mulberryhollow/serving/duties.py
@@ -86,12 +86,7 @@
 
     def _write(self, write):
         """Carry out a planned write."""
-        change_id = store_adapter.make_change_id()
-        outcome = self._store.put(
-            usage.KIND, NAME, write.value, write.expected_version, change_id
-        )
-        if isinstance(outcome, objects.Unknown):
-            outcome = self._settle(change_id)
+        outcome = self._put(write)
         is_new = self._lease.settle(write, outcome, self._clock.elapsed_s())
         if is_new:
             self._had = True
@@ -99,9 +94,15 @@
             for work in self._works:
                 work.begin()
 
-    def _settle(self, change_id):
-        """Find out what became of a write whose answer was lost."""
+    def _put(self, write):
+        """Return what became of a write; not done when that is unknown."""
         try:
-            return self._store.settle(usage.KIND, NAME, change_id)
+            return store_adapter.put_settled(
+                self._store,
+                usage.KIND,
+                NAME,
+                write.value,
+                write.expected_version,
+            )
         except errors.StoreUnavailableError as error:
             return objects.NotDone(error.message)
--- a/mulberryhollow/serving/entrance.py
+++ b/mulberryhollow/serving/entrance.py
@@ -5,6 +5,7 @@
 import attrs
 import xxhash
 
+from mulberryhollow.coordination import routing
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import forwarding as messages
@@ -207,16 +208,8 @@
 
 def _pick_service(route, request_id):
     """Return the service of a request, by the shares of its route."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    weights = [share.weight for share in route.shares]
-    draw = xxhash.xxh3_64_intdigest(request_id.encode()) / 2.0**64
-    left = draw * sum(weights)
-    for share in route.shares:
-        left -= share.weight
-        if left < 0:
-            return share.service
-    return route.shares[-1].service
+    pairs = [(share.service, share.weight) for share in route.shares]
+    return routing.draw_by_hash(request_id, pairs)
 
 
 def _rank(route, account):
--- a/mulberryhollow/serving/lookups.py
+++ b/mulberryhollow/serving/lookups.py
@@ -1,7 +1,5 @@
 """Answers look-ups, which may be repeated at another endpoint."""
 
-import threading
-
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.serving import attempts
@@ -91,4 +89,4 @@
             request.deadline_s,
             sent_attempts > 0,
         )
-        self._clock.wait(threading.Event(), decision.delay_s)
+        self._clock.sleep(decision.delay_s)
--- a/mulberryhollow/serving/peering.py
+++ b/mulberryhollow/serving/peering.py
@@ -232,10 +232,9 @@
 
 def _read_own(actor, now_s):
     """Return what the dispatch actor knows of this instance."""
-    ids = [record.endpoint.id for record in actor.view]
-    amounts = {each: actor.view.get_own_load(each) for each in ids}
-    loads = {each: amount for each, amount in amounts.items() if amount}
-    return _Own(loads, actor.admission.list_demand(now_s))
+    return _Own(
+        actor.view.list_own_loads(), actor.admission.list_demand(now_s)
+    )
 
 
 def _apply_peer_load(node, amounts, actor, now_s):
--- a/mulberryhollow/serving/registry.py
+++ b/mulberryhollow/serving/registry.py
@@ -78,15 +78,13 @@
         """Write the own object over an older one of the same instance."""
         versions = [each.version for each in found if _is_of(each, me)]
         value = membership.encode_registration(me)
-        change_id = store_adapter.make_change_id()
-        expected = versions[0] if versions else 0
-        outcome = self._store.put(
-            membership.KIND, me.instance_id, value, expected, change_id
+        outcome = store_adapter.put_settled(
+            self._store,
+            membership.KIND,
+            me.instance_id,
+            value,
+            versions[0] if versions else 0,
         )
-        if isinstance(outcome, objects.Unknown):
-            outcome = self._store.settle(
-                membership.KIND, me.instance_id, change_id
-            )
         match outcome:
             case objects.Done(version):
                 self._version = version
--- a/mulberryhollow/serving/sumlink.py
+++ b/mulberryhollow/serving/sumlink.py
@@ -218,12 +218,11 @@
 
 def _read_own(actor, now_s):
     """Return the Amounts of this instance."""
-    ids = [record.endpoint.id for record in actor.view]
-    amounts = {_shorten(each): actor.view.get_own_load(each) for each in ids}
+    loads = actor.view.list_own_loads()
     demand = actor.quotas.list_demand(now_s)
     return sharing.Amounts(
         {name: round(rate) for name, rate in demand.items() if rate >= 1.0},
-        {name: amount for name, amount in amounts.items() if amount},
+        {_shorten(name): load for name, load in loads.items()},
         {
             name: round(rate, 4)
             for name, rate in actor.work.list_own(now_s).items()
--- a/mulberryhollow/serving/usage.py
+++ b/mulberryhollow/serving/usage.py
@@ -209,12 +209,9 @@
         if self._book.find_age(window) < SETTLE_PART * self._delay_s:
             return False
         report = _Report(window, self._book.total(window))
-        change_id = store_adapter.make_change_id()
-        outcome = self._store.put(
-            KIND, NAME, report.encode(), self._version, change_id
+        outcome = store_adapter.put_settled(
+            self._store, KIND, NAME, report.encode(), self._version
         )
-        if isinstance(outcome, objects.Unknown):
-            outcome = self._store.settle(KIND, NAME, change_id)
         match outcome:
             case objects.Done(version):
                 self._version = version
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -278,6 +278,14 @@
         record = self._records.get(endpoint_id)
         return 0 if record is None else record.own_load
 
+    def list_own_loads(self):
+        """Return own work in flight by endpoint id, where there is any."""
+        return {
+            name: record.own_load
+            for name, record in self._records.items()
+            if record.own_load
+        }
+
     def record_failure(self, endpoint_id, kind, now_s, is_blamed=False):
         """Let a failure of a request count against its endpoint.
 
--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import hashlib
-import http
 import json
 import logging
 import math
@@ -41,15 +40,6 @@
 )
 
 
-@attrs.frozen
-class _Reply:
-    """A whole answer to a caller."""
-
-    status: int
-    body: bytes
-    headers: tuple = ()
-
-
 class CallerApp:
     """WSGI application that answers callers.
 
@@ -72,7 +62,7 @@
         page = self._pages.get(environ["PATH_INFO"])
         if page is not None:
             status, value = page()
-            reply = _Reply(status, json.dumps(value).encode())
+            reply = front.Reply(status, (), json.dumps(value).encode())
             return exchange.send(reply)
         return exchange.answer()
 
@@ -127,7 +117,7 @@
             *self._make_headers(),
             *reply.headers,
         ]
-        self._start_response(_name_status(reply.status), headers)
+        self._start_response(front.name_status(reply.status), headers)
         return [reply.body]
 
     def _route(self):
@@ -250,7 +240,7 @@
             ("X-Version", answer.relay.version),
             *self._make_headers(),
         ]
-        self._start_response(_name_status(200), headers)
+        self._start_response(front.name_status(200), headers)
         return _EventStream(answer, first, batches, self._held)
 
     def _check_connected(self):
@@ -263,7 +253,7 @@
         """Send a JSON answer that names its request."""
         body = json.dumps({"request_id": self._request_id, **fields})
         headers = (("X-Served-By", endpoint_id),) if endpoint_id else ()
-        return self.send(_Reply(status, body.encode(), headers))
+        return self.send(front.Reply(status, headers, body.encode()))
 
     def _send_refusal(self, refusal):
         """Send a refusal as a final answer."""
@@ -272,13 +262,13 @@
         if refusal.retry_after_s is not None:
             seconds = math.ceil(refusal.retry_after_s)
             headers = (("Retry-After", str(seconds)),)
-        return self.send(_Reply(refusal.kind.http_status, body, headers))
+        return self.send(front.Reply(refusal.kind.http_status, headers, body))
 
     def _send_moved(self):
         """Send the caller to where any instance goes on."""
         path = f"/v1/requests/{self._request_id}"
         headers = (("Location", path), ("Retry-After", "0"))
-        return self.send(_Reply(303, b"{}", headers))
+        return self.send(front.Reply(303, headers, b"{}"))
 
     def _make_headers(self):
         """Return the headers of every answer."""
@@ -369,11 +359,6 @@
     return b"event: %s\ndata: %s\n\n" % (name, data)
 
 
-def _name_status(status):
-    """Return the status line of a number."""
-    return f"{status} {http.HTTPStatus(status).phrase}"
-
-
 _INTERNAL = errors.Refusal(
     errors.RefusalKind.INTERNAL,
     "this program failed on the request",
--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import json
-import threading
 
 import urllib3
 
@@ -181,7 +180,7 @@
         """
         if not self._is_reachable(address):
             return False
-        self._clock.wait(threading.Event(), _ENDING_TIME_S)
+        self._clock.sleep(_ENDING_TIME_S)
         return self._is_reachable(address)
 
     def _is_reachable(self, address):
--- a/mulberryhollow/transport/front.py
+++ b/mulberryhollow/transport/front.py
@@ -23,6 +23,7 @@
     "is_first_awaited",
     "make_page_server",
     "make_server",
+    "name_status",
     "stop_accepting",
 ]
 
@@ -168,18 +169,18 @@
         forwarding.close()
         reply = Reply(head.status, head.headers, forwarding.body)
         return _send(start_response, reply)
-    start_response(_name_status(head.status), list(head.headers))
+    start_response(name_status(head.status), list(head.headers))
     return _Pieces(forwarding)
 
 
 def _send(start_response, reply):
     """Send a whole answer."""
     headers = [*reply.headers, ("Content-Length", str(len(reply.body)))]
-    start_response(_name_status(reply.status), headers)
+    start_response(name_status(reply.status), headers)
     return [reply.body]
 
 
-def _name_status(status):
+def name_status(status):
     """Return the status line of a number."""
     try:
         return f"{status} {http.HTTPStatus(status).phrase}"
--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -8,7 +8,12 @@
 from mulberryhollow.protocol import object_api
 from mulberryhollow.state import objects
 
-__all__ = ["StoreClient", "make_change_id", "split_address"]
+__all__ = [
+    "StoreClient",
+    "make_change_id",
+    "put_settled",
+    "split_address",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 """Longest time for the handshake of a connection, in seconds."""
@@ -26,6 +31,37 @@
     return uuid.uuid4().hex
 
 
+def put_settled(store, kind, name, value, expected_version):
+    """Write an object and look it up when the answer is lost.
+
+    Parameters
+    ----------
+    store : StoreClient
+        Where.
+    kind, name : str
+        The object.
+    value : bytes
+        Its new content.
+    expected_version : int
+        Version read before; 0 to create it.
+
+    Returns
+    -------
+    Done or NotDone
+        What became of it.
+
+    Raises
+    ------
+    StoreUnavailableError
+        When the answer was lost and it cannot be looked up.
+    """
+    change_id = make_change_id()
+    outcome = store.put(kind, name, value, expected_version, change_id)
+    if isinstance(outcome, objects.Unknown):
+        return store.settle(kind, name, change_id)
+    return outcome
+
+
 def split_address(address):
     """Return (host, port) of ``host:port``."""
     host, _, port = address.rpartition(":")
