A refusal without a question tells when there is credit, and logs name it

Cause: reading the change: while peers are not asked again, a refusal told the end of that time, a second at most, rather than when there is credit again; a caller comes back once, and was refused again. A peer that gave no answer counted as zero without a line, and the line on a question had no request id. The bounds' change of settings set the first guess of the pace of prompts anew. Change: `_Dry` keeps both times; events 4030 with the request's id and 4031; `_set_pace` at the start only; constants with their unit and source.

--- a/mulberryhollow/coordination/limits/quota.py
+++ b/mulberryhollow/coordination/limits/quota.py
@@ -138,6 +138,22 @@
     own: dict
 
 
+@attrs.frozen
+class _Dry:
+    """What is known of an account whose peers had no credit either.
+
+    Parameters
+    ----------
+    until_s : float
+        When they are asked again, in seconds.
+    credit_at_s : float
+        When there is credit again, in seconds.
+    """
+
+    until_s: float
+    credit_at_s: float
+
+
 @attrs.define
 class _Bucket:
     """What is left of one account's part."""
@@ -176,7 +192,7 @@
         self._others = None
         self._own_history = collections.deque()
         self._means = {}
-        self._dry_until_s = {}
+        self._dry = {}
 
     def set_rules(self, rules):
         """Use other tolerances from now on."""
@@ -225,7 +241,7 @@
             self._buckets,
             self._small_buckets,
             self._means,
-            self._dry_until_s,
+            self._dry,
         ):
             for name in table.keys() - self._quotas.keys():
                 del table[name]
@@ -292,9 +308,10 @@
             return None
         if self._spend_small(account, quota, fraction, cost, now_s):
             return None
-        if now_s >= self._dry_until_s.get(account, 0.0):
+        dry = self._dry.get(account)
+        if dry is None or now_s >= dry.until_s:
             return Short(max(cost, mean) - bucket.credit)
-        wait_s = self._dry_until_s[account] - now_s
+        wait_s = dry.credit_at_s - now_s
         return self._refuse(account, quota, fraction, bucket.credit, wait_s)
 
     def settle(self, account, cost, lent, owed, now_s, asked=1):
@@ -334,7 +351,7 @@
             return None
         wait_s = (1.0 + least - total) / self._find_rate(quota)
         dry_s = min(max(wait_s, LEAST_DRY_S), MOST_DRY_S)
-        self._dry_until_s[account] = now_s + dry_s
+        self._dry[account] = _Dry(now_s + dry_s, now_s + max(wait_s, dry_s))
         return self._refuse(account, quota, fraction, total, wait_s)
 
     def _find_alone_credit(self, account, quota, fraction):
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -43,6 +43,12 @@
 _DRAIN_POLL_S = 0.02
 _FLUSH_LIMIT_S = 2.0
 _QUIET_LIMIT_S = front.FIRST_REQUEST_S + 2.0
+"""Longest wait for connections to be quiet, in seconds.
+
+A caller that has just connected gets its time to send, and its answer the
+time of a flush.
+"""
+
 _WATCH_RETRY_S = 0.2
 _RETRY_S = 0.5
 _EXPIRY_INTERVAL_S = 300.0
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -75,6 +75,9 @@
 SUM_INTERVAL_S = 0.5
 """Time between two tellings of what is under way, in seconds."""
 
+REGISTER_S = 0.5
+"""Time between two attempts to register in the store, in seconds."""
+
 EXPIRY_INTERVAL_S = 0.25
 """Time between two looks for entries that have not returned, in seconds."""
 
@@ -207,6 +210,7 @@
         actor = dispatching.DispatchActor.start(self._clock, seed)
         dispatcher = dispatching.Dispatcher(actor, self._clock)
         dispatcher.change(functools.partial(_set_bounds, settings.bounds))
+        dispatcher.change(_set_pace)
         if not settings.is_first_start:
             began_s = min(package.BEGAN_S, self._clock.now_s())
             dispatcher.change(
@@ -371,7 +375,7 @@
             ),
             feeds.Loop("peers", self._clock, TELL_INTERVAL_S, self._link.tick),
             feeds.Loop("sums", self._clock, SUM_INTERVAL_S, self._sums.tick),
-            feeds.Loop("registry", self._clock, 0.5, listing.register),
+            feeds.Loop("registry", self._clock, REGISTER_S, listing.register),
         ]
         if self._duties is not None:
             loops.append(
@@ -432,6 +436,10 @@
     """Use the bounds that the platform names."""
     actor.quotas.set_rules(bounds.quotas)
     actor.shared_retries.set_rules(bounds.retries)
+
+
+def _set_pace(actor, now_s):
+    """Begin with a guess of how fast prompts are computed."""
     actor.router.rules = attrs.evolve(
         actor.router.rules, compute_s_per_token=PROMPT_PACE_S
     )
--- a/mulberryhollow/serving/entrance.py
+++ b/mulberryhollow/serving/entrance.py
@@ -159,7 +159,7 @@
         )
         if short is None:
             return
-        found = parts.quotas.gather(account, short.lack)
+        found = parts.quotas.gather(request.request_id, account, short.lack)
         parts.dispatcher.settle(account, service, cost, found)
 
     def _check(self, incoming, catalogue):
--- a/mulberryhollow/serving/quotalink.py
+++ b/mulberryhollow/serving/quotalink.py
@@ -28,6 +28,12 @@
     logging.INFO,
     "peers were asked for credit of a client account's quota",
 )
+NOT_LENT = events.declare(
+    4031,
+    logging.INFO,
+    "a peer that was asked for credit gave no usable answer",
+    "look at that instance when it goes on",
+)
 
 
 @attrs.frozen
@@ -83,13 +89,15 @@
         """Answer peers that lack credit."""
         self._peers.handle(TOPIC, self._answer)
 
-    def gather(self, account, lack):
+    def gather(self, request_id, account, lack):
         """Ask one peer after the other until there is enough.
 
         Parameters
         ----------
+        request_id : str
+            The request that lacks credit.
         account : str
-            The client account.
+            Its client account.
         lack : float
             What is missing here, in units.
 
@@ -113,6 +121,7 @@
             owed += max(0.0, -balance)
         events.log(
             ASKED,
+            request=request_id,
             account=account,
             lack=round(lack),
             lent=lent,
@@ -135,7 +144,8 @@
         try:
             answer = self._peers.call(name, TOPIC, question, timeout_s)
             return float(answer)
-        except (errors.PeerError, ValueError):
+        except (errors.PeerError, ValueError) as error:
+            events.log(NOT_LENT, peer=name, account=account, reason=str(error))
             return 0.0
 
     def _answer(self, payload):
--- a/tests/coordination/limits/quota.feature
+++ b/tests/coordination/limits/quota.feature
@@ -91,6 +91,13 @@
       | 170000 | 5    | 1.5    | 8    |
       | 170000 | 6    | 8      | 40   |
 
+  Scenario: Who is refused without a question is told the same time to return
+    Given a quota of 1000 a second for large requests over 8 instances, drawn with seed 1
+    When instance 0 spends 60000 tokens at once
+    Then a request of 50000 tokens is refused until 1.2 to 3 seconds later
+    And a request of 50000 tokens is refused until 1.2 to 3 seconds later
+    And no instance was asked for credit more than 14 times
+
   Scenario: An account beyond its quota costs few questions
     Given a quota of 20000 a second for large requests over 8 instances, drawn with seed 1
     When 40 times the quota is asked for 10 seconds
--- a/tests/steps/coordination_limits.py
+++ b/tests/steps/coordination_limits.py
@@ -109,6 +109,15 @@
     assert over.wait_s > 0, over
 
 
+@then(
+    "a request of {cost:g} tokens is refused until {least:g} to {most:g}"
+    " seconds later"
+)
+def check_return(context, cost, least, most):
+    over = context.pool.spend(0, cost)
+    assert least <= over.wait_s <= most, over
+
+
 @given("a retry budget of ratio {ratio:g} and slack {slack:g} over {nodes:d}")
 def make_retry_budget(context, ratio, slack, nodes):
     rules = limits.RetryRules(ratio, slack, 10.0)
--- a/tests/steps/serving_quotalink.py
+++ b/tests/steps/serving_quotalink.py
@@ -110,7 +110,7 @@
 def ask(context, wanted):
     context.began_s = context.clock.now_s()
     context.lenders.asked.clear()
-    context.gathered = context.instances["first"].link.gather("a", wanted)
+    context.gathered = context.instances["first"].link.gather("r", "a", wanted)
 
 
 @then("it got {lent:d} tokens from {count:d} peers")
