Refused callers of an account return one after the other

Change: each refusal is placed after the ones before it here and what their requests take of the own refill, for a window at most. Rules and outcomes of a quota stand in a module of their own. Ruled out: the rate of all instances as the pace (all of them refuse at the same time).

--- a/mulberryhollow/coordination/limits/__init__.py
+++ b/mulberryhollow/coordination/limits/__init__.py
@@ -1,9 +1,9 @@
 """Limits that hold over all instances together."""
 
-from mulberryhollow.coordination.limits.quota import OverQuota
-from mulberryhollow.coordination.limits.quota import QuotaRules
+from mulberryhollow.coordination.limits.outcomes import OverQuota
+from mulberryhollow.coordination.limits.outcomes import QuotaRules
 from mulberryhollow.coordination.limits.quota import QuotaTable
-from mulberryhollow.coordination.limits.quota import Short
+from mulberryhollow.coordination.limits.outcomes import Short
 from mulberryhollow.coordination.limits.retries import RetryRules
 from mulberryhollow.coordination.limits.retries import SharedRetryBudget
 
--- a/mulberryhollow/coordination/limits/quota.py
+++ b/mulberryhollow/coordination/limits/quota.py
@@ -6,8 +6,11 @@
 
 from mulberryhollow.coordination.admission.demand import DemandTable
 from mulberryhollow.coordination.admission.demand import REPORT_LIFETIME_S
+from mulberryhollow.coordination.limits.outcomes import OverQuota
+from mulberryhollow.coordination.limits.outcomes import QuotaRules
+from mulberryhollow.coordination.limits.outcomes import Short
 
-__all__ = ["OverQuota", "QuotaRules", "QuotaTable", "Short"]
+__all__ = ["QuotaTable"]
 
 PRIOR_PART = 0.02
 """Demand assumed at each instance, as a part of the quota's rate.
@@ -70,64 +73,6 @@
 """
 
 
-@attrs.frozen
-class QuotaRules:
-    """How far a quota may be overrun by all instances together.
-
-    Parameters
-    ----------
-    overrun : float
-        Tolerated part above the quota.
-    slack : float
-        Tolerated amount above it in any window, in units.
-    window_s : float
-        Length of a window, in seconds.
-    """
-
-    overrun: float = 0.0
-    slack: float = 0.0
-    window_s: float = 8.0
-
-
-@attrs.frozen
-class OverQuota:
-    """A request is beyond this instance's part of its account's quota.
-
-    Parameters
-    ----------
-    account : str
-        The client account.
-    wait_s : float
-        When there is credit again, in seconds.
-    credit : float
-        Credit of all that were asked, in units; 0 or a debt.
-    fraction : float
-        This instance's part of the quota, 0 to 1.
-    rate_per_s : float
-        Refill here, in units a second.
-    """
-
-    account: str
-    wait_s: float
-    credit: float
-    fraction: float
-    rate_per_s: float
-
-
-@attrs.frozen
-class Short:
-    """A request that this instance's credit alone does not allow.
-
-    Parameters
-    ----------
-    lack : float
-        Credit that peers may give up for it, in units; 0 or less where
-        only their debts are to be looked at.
-    """
-
-    lack: float
-
-
 @attrs.frozen
 class _Others:
     """What the others have told, and own demand at that time."""
@@ -193,6 +138,7 @@
         self._own_history = collections.deque()
         self._means = {}
         self._dry = {}
+        self._return_s = {}
 
     def set_rules(self, rules):
         """Use other tolerances from now on."""
@@ -242,6 +188,7 @@
             self._small_buckets,
             self._means,
             self._dry,
+            self._return_s,
         ):
             for name in table.keys() - self._quotas.keys():
                 del table[name]
@@ -311,8 +258,11 @@
         dry = self._dry.get(account)
         if dry is None or now_s >= dry.until_s:
             return Short(max(cost, mean) - bucket.credit)
-        wait_s = dry.credit_at_s - now_s
-        return self._refuse(account, quota, fraction, bucket.credit, wait_s)
+        rate = self._find_rate(quota) * fraction
+        wait_s = self._place_return(
+            account, dry.credit_at_s, cost / rate, now_s
+        )
+        return OverQuota(account, wait_s, bucket.credit, fraction, rate)
 
     def settle(self, account, cost, lent, owed, now_s, asked=1):
         """Decide on a request for which peers were asked.
@@ -351,8 +301,13 @@
             return None
         wait_s = (1.0 + least - total) / self._find_rate(quota)
         dry_s = min(max(wait_s, LEAST_DRY_S), MOST_DRY_S)
-        self._dry[account] = _Dry(now_s + dry_s, now_s + max(wait_s, dry_s))
-        return self._refuse(account, quota, fraction, total, wait_s)
+        dry = _Dry(now_s + dry_s, now_s + max(wait_s, dry_s))
+        self._dry[account] = dry
+        rate = self._find_rate(quota) * fraction
+        wait_s = self._place_return(
+            account, dry.credit_at_s, cost / rate, now_s
+        )
+        return OverQuota(account, wait_s, total, fraction, rate)
 
     def _find_alone_credit(self, account, quota, fraction):
         """Return the credit that admits a request without any peer.
@@ -390,10 +345,19 @@
         bucket.credit -= max(0.0, lent)
         return lent
 
-    def _refuse(self, account, quota, fraction, credit, wait_s):
-        """Return the OverQuota of a request."""
-        rate = self._find_rate(quota) * fraction
-        return OverQuota(account, wait_s, credit, fraction, rate)
+    def _place_return(self, account, credit_at_s, length_s, now_s):
+        """Return when a refused caller is to come back, in seconds from now.
+
+        Notes
+        -----
+        After those that were refused here before and what their requests
+        take of the refill here, so that not all come at once; within a
+        window the quota is whole again.
+        """
+        return_s = max(credit_at_s, self._return_s.get(account, 0.0))
+        latest_s = now_s + max(self._rules.window_s, credit_at_s - now_s)
+        self._return_s[account] = min(return_s + length_s, latest_s)
+        return min(return_s, latest_s) - now_s
 
     def _find_bucket(self, account, quota, now_s):
         """Return an account's bucket as of now, and its part here."""
