--- a/mulberryhollow/coordination/limits/__init__.py
+++ b/mulberryhollow/coordination/limits/__init__.py
@@ -2,8 +2,8 @@
 
 from mulberryhollow.coordination.limits.outcomes import OverQuota
 from mulberryhollow.coordination.limits.outcomes import QuotaRules
-from mulberryhollow.coordination.limits.quota import QuotaTable
 from mulberryhollow.coordination.limits.outcomes import Short
+from mulberryhollow.coordination.limits.quota import QuotaTable
 from mulberryhollow.coordination.limits.retries import RetryRules
 from mulberryhollow.coordination.limits.retries import SharedRetryBudget
 
--- a/mulberryhollow/coordination/limits/quota.py
+++ b/mulberryhollow/coordination/limits/quota.py
@@ -112,8 +112,8 @@
 
     Parameters
     ----------
-    rules : QuotaRules
-        How far quotas may be overrun.
+    rules : QuotaRules or None
+        How far quotas may be overrun; not at all when None.
 
     Notes
     -----
@@ -125,8 +125,8 @@
     leave a debt, so large requests pass as well as small ones.
     """
 
-    def __init__(self, rules=QuotaRules()):
-        self._rules = rules
+    def __init__(self, rules=None):
+        self._rules = rules or QuotaRules()
         self._nodes = 1
         self._starts_full = True
         self._began_s = None
