Tried and reverted: refused callers spread by what their requests take

Served late, those that come back take credit that a fresh request would have used in time; told a shorter time, they come back within their goal. Ruled out: a difference by the places to which work goes (prices alike). Change: the placing is gone; when there is credit is told as before. Conclusion: reverted; spreading the returns of one account needs a reason to prefer the late ones.

--- a/mulberryhollow/coordination/limits/quota.py
+++ b/mulberryhollow/coordination/limits/quota.py
@@ -138,7 +138,6 @@
         self._own_history = collections.deque()
         self._means = {}
         self._dry = {}
-        self._return_s = {}
 
     def set_rules(self, rules):
         """Use other tolerances from now on."""
@@ -188,7 +187,6 @@
             self._small_buckets,
             self._means,
             self._dry,
-            self._return_s,
         ):
             for name in table.keys() - self._quotas.keys():
                 del table[name]
@@ -259,9 +257,7 @@
         if dry is None or now_s >= dry.until_s:
             return Short(max(cost, mean) - bucket.credit)
         rate = self._find_rate(quota) * fraction
-        wait_s = self._place_return(
-            account, dry.credit_at_s, cost / rate, now_s
-        )
+        wait_s = dry.credit_at_s - now_s
         return OverQuota(account, wait_s, bucket.credit, fraction, rate)
 
     def settle(self, account, cost, lent, owed, now_s, asked=1):
@@ -301,12 +297,8 @@
             return None
         wait_s = (1.0 + least - total) / self._find_rate(quota)
         dry_s = min(max(wait_s, LEAST_DRY_S), MOST_DRY_S)
-        dry = _Dry(now_s + dry_s, now_s + max(wait_s, dry_s))
-        self._dry[account] = dry
+        self._dry[account] = _Dry(now_s + dry_s, now_s + max(wait_s, dry_s))
         rate = self._find_rate(quota) * fraction
-        wait_s = self._place_return(
-            account, dry.credit_at_s, cost / rate, now_s
-        )
         return OverQuota(account, wait_s, total, fraction, rate)
 
     def _find_alone_credit(self, account, quota, fraction):
@@ -345,20 +337,6 @@
         bucket.credit -= max(0.0, lent)
         return lent
 
-    def _place_return(self, account, credit_at_s, length_s, now_s):
-        """Return when a refused caller is to come back, in seconds from now.
-
-        Notes
-        -----
-        After those that were refused here before and what their requests
-        take of the refill here, so that not all come at once; within a
-        window the quota is whole again.
-        """
-        return_s = max(credit_at_s, self._return_s.get(account, 0.0))
-        latest_s = now_s + max(self._rules.window_s, credit_at_s - now_s)
-        self._return_s[account] = min(return_s + length_s, latest_s)
-        return min(return_s, latest_s) - now_s
-
     def _find_bucket(self, account, quota, now_s):
         """Return an account's bucket as of now, and its part here."""
         fraction = self._find_fraction(account, quota, now_s)
