Hold the credit of quotas at two instances of each failure domain

Cause: with 76 or 195 instances each one's part of an account's quota is less than one request. It asked eight peers, who lent little and owed more, and refused although the account was within its quota. Ruled out: more peers asked for each request (calls grow with the fleet, and debts still add up); one owner for the whole fleet (a partition needs a second one, and each request a call between failure domains). Change: from 16 instances on, the first two collectors of a failure domain hold its credit. The other instances let them charge each request with one call; holders lend to each other as instances of a small fleet do, so the former arithmetic applies to 2 x domains parts. While some instances are unreachable there are more parts by that fraction, so that both sides of a partition stay within the quota. An instance that reaches neither holder charges its own equal part. Aggregate reports count the instances that grant credit. Fleets below 16 are unchanged.

--- a/mulberryhollow/coordination/limits/quota.py
+++ b/mulberryhollow/coordination/limits/quota.py
@@ -91,7 +91,7 @@
     demand : dict
         Client account to its remote demand, in units a second.
     count : int
-        Instances covered by the report.
+        Instances covered by the report that grant credit.
     local : dict
         Client account to its local demand, in units a second (see
         `LOCAL_DEMAND_LAG_S`).
@@ -182,12 +182,13 @@
         self._began_s = began_s
 
     def set_live_nodes(self, nodes, now_s):
-        """Set the number of instances that admit requests.
+        """Set the number of instances that grant credit.
 
         Parameters
         ----------
-        nodes : int
-            Number of live instances, including this one.
+        nodes : float
+            Number of live instances that grant credit, including this one;
+            larger by the fraction of instances that are unreachable.
         now_s : float
             The time, in seconds.
         """
@@ -231,7 +232,7 @@
         now_s : float
             The time, in seconds.
         count : int
-            Number of instances that the report covers.
+            Number of instances covered by the report that grant credit.
 
         Notes
         -----
--- a/mulberryhollow/coordination/sharing/__init__.py
+++ b/mulberryhollow/coordination/sharing/__init__.py
@@ -2,7 +2,14 @@
 
 from mulberryhollow.coordination.sharing.aggregates import AggregateTable
 from mulberryhollow.coordination.sharing.aggregates import Amounts
+from mulberryhollow.coordination.sharing.aggregates import list_collectors
 from mulberryhollow.coordination.sharing.aggregates import rank_collectors
 from mulberryhollow.coordination.sharing.aggregates import Total
 
-__all__ = ["AggregateTable", "Amounts", "Total", "rank_collectors"]
+__all__ = [
+    "AggregateTable",
+    "Amounts",
+    "Total",
+    "list_collectors",
+    "rank_collectors",
+]
--- a/mulberryhollow/coordination/sharing/aggregates.py
+++ b/mulberryhollow/coordination/sharing/aggregates.py
@@ -6,7 +6,13 @@
 
 from mulberryhollow.coordination import membership
 
-__all__ = ["AggregateTable", "Amounts", "Total", "rank_collectors"]
+__all__ = [
+    "AggregateTable",
+    "Amounts",
+    "Total",
+    "list_collectors",
+    "rank_collectors",
+]
 
 EXPIRY_S = 3.0
 """Age above which an amount that is not reported again is dropped, in s.
@@ -66,7 +72,7 @@
     amounts : Amounts
         The aggregate.
     count : int
-        Number of instances covered.
+        Number of instances covered that grant the credit of quotas.
     """
 
     amounts: Amounts = Amounts()
@@ -99,6 +105,32 @@
     return membership.rank_by_rendezvous(f"collector {failure_domain}", names)
 
 
+def list_collectors(local_member, members):
+    """Return the instances of each failure domain, ranked as collectors.
+
+    Parameters
+    ----------
+    local_member : Member
+        This instance.
+    members : iterable of Member
+        The other live instances.
+
+    Returns
+    -------
+    dict
+        Failure domain to a list of instance ids; the first of a domain is
+        its usual collector.
+    """
+    domains = {local_member.failure_domain: [local_member.instance_id]}
+    for member in members:
+        names = domains.setdefault(member.failure_domain, [])
+        names.append(member.instance_id)
+    return {
+        domain: rank_collectors(domain, names)
+        for domain, names in domains.items()
+    }
+
+
 class AggregateTable:
     """Recent reports received by one instance.
 
@@ -122,9 +154,9 @@
         self._domains = {}
         self._reply = None
 
-    def merge_member(self, name, amounts, now_s):
+    def merge_member(self, name, total, now_s):
         """Merge the report of an instance of the local domain."""
-        self._members[name] = now_s, Total(amounts, 1)
+        self._members[name] = now_s, total
 
     def merge_domain(self, failure_domain, total, now_s):
         """Merge the report of another domain's collector."""
@@ -137,13 +169,16 @@
         ----------
         total : Total
             Aggregate over all instances.
-        local : Amounts
-            Amounts that this instance had reported; they are part of
-            `total` and are subtracted.
+        local : Total
+            What this instance had reported; it is part of `total` and is
+            subtracted.
         now_s : float
             The time, in seconds.
         """
-        remote = Total(total.amounts.minus(local), max(0, total.count - 1))
+        remote = Total(
+            total.amounts.minus(local.amounts),
+            max(0, total.count - local.count),
+        )
         self._reply = now_s, remote
 
     def sum_domain(self, now_s):
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -140,7 +140,7 @@
             clock,
             self.dispatcher,
             self._documents,
-            lambda actor: actor.quotas,
+            get_limits=None,
             named=len(self.list_entries()),
         )
         self.dispatcher.on_retry = self.observer.count_retry
@@ -157,18 +157,16 @@
         )
         self._caller_watch = caller_watch.CallerWatch(clock)
         self._usage_ledger = self._make_usage_ledger()
+        self._quota_peering = quota_peering.QuotaPeering(
+            self._peers, clock, self.dispatcher
+        )
         self._aggregate_peering = aggregate_peering.AggregatePeering(
             self._peers,
             clock,
             self.dispatcher,
             self._usage_ledger,
             lambda: self._fact_peering.usable,
-        )
-        self._quota_peering = quota_peering.QuotaPeering(
-            self._peers,
-            clock,
-            self.dispatcher,
-            lambda: self._fact_peering.usable,
+            lambda: self._quota_peering.holders.is_holder,
         )
         self.ingress = self._make_ingress()
         self._followers = self._make_followers()
@@ -341,10 +339,7 @@
         )
         return ingress.Ingress(
             ingress.IngressDependencies(
-                self.dispatcher,
-                request_forwarder,
-                self._clock,
-                self._quota_peering,
+                request_forwarder, self._clock, self._quota_peering
             )
         )
 
@@ -393,7 +388,7 @@
     def _make_loops(self):
         """Return the background threads."""
         member_registry = registry.Registry(
-            self._store, self, self._peers, on_found=self._fact_peering.tick
+            self._store, self, self._peers, on_found=self._apply_members
         )
         loops = [
             pollers.Loop(name, self._clock, FOLLOW_INTERVAL_S, each.read)
@@ -416,7 +411,7 @@
                 "peers",
                 self._clock,
                 MEMBERSHIP_INTERVAL_S,
-                self._fact_peering.tick,
+                self._apply_members,
             ),
             pollers.Loop(
                 "sums",
@@ -442,6 +437,13 @@
             )
         return loops
 
+    def _apply_members(self):
+        """Apply the current membership to the limits and the view."""
+        self._fact_peering.tick()
+        self._quota_peering.apply_members(
+            self._fact_peering.usable, self._fact_peering.live
+        )
+
     def list_entries(self):
         """Return the control addresses of other instances.
 
--- a/mulberryhollow/serving/aggregate_peering.py
+++ b/mulberryhollow/serving/aggregate_peering.py
@@ -71,6 +71,8 @@
         Usage counts of this instance and its peers.
     get_members : callable
         Returns the other live members.
+    grants_credit : callable
+        Returns whether this instance grants the credit of quotas.
 
     Attributes
     ----------
@@ -79,12 +81,21 @@
         instances; always False unless it is replaced.
     """
 
-    def __init__(self, peers, clock, dispatcher, usage, get_members):
+    def __init__(
+        self,
+        peers,
+        clock,
+        dispatcher,
+        usage,
+        get_members,
+        grants_credit=lambda: True,
+    ):
         self._peers = peers
         self._clock = clock
         self._dispatcher = dispatcher
         self._usage = usage
         self._get_members = get_members
+        self._grants_credit = grants_credit
         self._local_member = peers.local_member()
         self._table = sharing.AggregateTable(self._local_member.instance_id)
         self._lock = threading.Lock()
@@ -99,8 +110,12 @@
 
     def tick(self):
         """Report the local amounts and apply the remote total."""
-        local = self._dispatcher.read(_read_local)
-        domains = self._list_collectors()
+        local = sharing.Total(
+            self._dispatcher.read(_read_local), int(self._grants_credit())
+        )
+        domains = sharing.list_collectors(
+            self._local_member, self._get_members()
+        )
         local_domain = self._local_member.failure_domain
         is_collector = (
             domains[local_domain][0] == self._local_member.instance_id
@@ -118,22 +133,6 @@
             remote = self._table.sum_remote(self._clock.now_s())
         self._dispatcher.change(functools.partial(_apply_remote, remote))
 
-    def _list_collectors(self):
-        """Return the ranked collectors of each failure domain.
-
-        The first of a domain is its usual collector.
-        """
-        domains = {
-            self._local_member.failure_domain: [self._local_member.instance_id]
-        }
-        for member in self._get_members():
-            names = domains.setdefault(member.failure_domain, [])
-            names.append(member.instance_id)
-        return {
-            domain: sharing.rank_collectors(domain, names)
-            for domain, names in domains.items()
-        }
-
     def _exchange_totals(self, domains, now_s):
         """Exchange the totals of the domains with the other collectors."""
         with self._lock:
@@ -154,9 +153,7 @@
 
         The next in rank is used if the first does not answer.
         """
-        report = self._make_report(
-            sharing.Total(local, 1), False, self._usage.encode_own()
-        )
+        report = self._make_report(local, False, self._usage.encode_own())
         for name in names[:2]:
             if name == self._local_member.instance_id:
                 return
@@ -222,9 +219,7 @@
                     report.failure_domain, report.total, now_s
                 )
             else:
-                self._table.merge_member(
-                    report.sender, report.total.amounts, now_s
-                )
+                self._table.merge_member(report.sender, report.total, now_s)
         self._merge_usage(report)
 
     def _merge_usage(self, report):
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -131,6 +131,13 @@
     borrowed: object
 
 
+@attrs.frozen
+class _Accept:
+    service: str
+    fingerprint: str
+    exceeded: limits.QuotaExceeded | None
+
+
 @attrs.frozen
 class _SpendRetry:
     service: str
@@ -232,6 +239,8 @@
                 return self._charge(message, now_s)
             case _Reconcile():
                 return self._reconcile(message, now_s)
+            case _Accept():
+                return self._accept(message, now_s)
             case _SpendRetry(service):
                 return self.shared_retries.spend(service, now_s)
             case _ReportFirstToken(route, first_s):
@@ -284,6 +293,13 @@
         )
         return self._finish_charge(result, message.service, now_s)
 
+    def _accept(self, message, now_s):
+        """Return None, or the Refusal of a request charged by a peer."""
+        refusal = self.quarantine.check(message.fingerprint)
+        if refusal is not None:
+            return refusal
+        return self._finish_charge(message.exceeded, message.service, now_s)
+
     def _finish_charge(self, result, service, now_s):
         """Count a charged request; return the result for its caller."""
         match result:
@@ -650,6 +666,26 @@
         """
         self._ask(_Reconcile(account, service, cost, borrowed))
 
+    def accept(self, service, fingerprint, exceeded):
+        """Accept a request that a peer has charged to its account.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        fingerprint : str
+            Fingerprint of the request, checked by the quarantine.
+        exceeded : QuotaExceeded or None
+            Outcome of the charge.
+
+        Raises
+        ------
+        RefusedError
+            When the account is over its quota, or the request is
+            quarantined for crashing endpoints.
+        """
+        self._ask(_Accept(service, fingerprint, exceeded))
+
     def spend_retry(self, service):
         """Draw a retry from a service's budget; return whether allowed."""
         is_allowed = self._actor.ask(_SpendRetry(service))
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -67,9 +67,10 @@
         Receives the number of members, crashes and leaving endpoints.
     documents : pykka.ActorRef
         Receives documents.
-    get_limits : callable
+    get_limits : callable or None
         Given the dispatch actor, returns the object that divides the limits
-        among the instances by demand.
+        among the instances by demand. None if another component sets the
+        number of instances of those limits.
     named : int
         Number of other instances that the settings name. They count as
         live until the first of them is known as a member, for
@@ -79,6 +80,9 @@
     ----------
     usable : tuple of Member
         The other members that are reachable, as of the last tick.
+    live : int
+        Number of instances that may be serving callers, this one and those
+        that became unreachable recently included.
     last_contact_s : float or None
         When another member was last seen as usable, monotonic, in seconds.
 
@@ -104,6 +108,7 @@
             QUARANTINE_PEERS, thread_name_prefix="tell"
         )
         self.usable = ()
+        self.live = 1 + self._named
         self.last_contact_s = None
 
     def connect(self):
@@ -132,9 +137,13 @@
             self.last_contact_s = now_s
         names = [view.member.instance_id for view in gone]
         unreachable = self._count_unreachable(gone, now_s)
-        live = 1 + (len(self.usable) + unreachable or self._count_named(now_s))
+        self.live = 1 + (
+            len(self.usable) + unreachable or self._count_named(now_s)
+        )
         self._dispatcher.change(
-            functools.partial(_apply_members, self._get_limits, live, names)
+            functools.partial(
+                _apply_members, self._get_limits, self.live, names
+            )
         )
 
     def _count_unreachable(self, gone, now_s):
@@ -344,7 +353,8 @@
 
 def _apply_members(get_limits, live, gone, actor, now_s):
     """Set the number of live instances and drop those that are gone."""
-    get_limits(actor).set_live_nodes(live, now_s)
+    if get_limits is not None:
+        get_limits(actor).set_live_nodes(live, now_s)
     actor.shared_retries.set_live_nodes(live)
     for name in gone:
         actor.view.drop_peer(name)
--- a/mulberryhollow/serving/ingress.py
+++ b/mulberryhollow/serving/ingress.py
@@ -77,18 +77,14 @@
 
     Parameters
     ----------
-    dispatcher : Dispatcher
-        Charges requests to their client accounts.
     forwarder : Forwarder
         Forwards admitted requests to endpoints.
     clock : Clock
         Source of time.
     quotas : QuotaPeering
-        Borrows quota credit from peers when the local credit of an account
-        does not suffice.
+        Charges requests to the quotas of their client accounts.
     """
 
-    dispatcher: object
     forwarder: object
     clock: object
     quotas: object
@@ -141,7 +137,7 @@
         catalogue = self._catalogue
         try:
             request = self._check(incoming, catalogue)
-            self._charge(request)
+            self._dependencies.quotas.charge(request)
         except errors.RefusedError as error:
             events.log(
                 REFUSED,
@@ -154,20 +150,6 @@
             raise
         return self._dependencies.forwarder.forward(request, is_gone)
 
-    def _charge(self, request):
-        """Charge a request to its account, borrowing credit on a shortfall."""
-        dependencies = self._dependencies
-        account, service, cost = request.account, request.service, request.cost
-        shortfall = dependencies.dispatcher.charge(
-            account, service, cost, request.fingerprint
-        )
-        if shortfall is None:
-            return
-        borrowed = dependencies.quotas.borrow(
-            request.request_id, account, shortfall.lack
-        )
-        dependencies.dispatcher.reconcile(account, service, cost, borrowed)
-
     def _check(self, incoming, catalogue):
         """Validate a request and return its ForwardRequest."""
         if catalogue is None or self._is_closed:
@@ -227,8 +209,11 @@
 
 
 def _compute_cost(account, incoming):
-    """Return the cost of a request in the unit of its account's quota."""
-    if account is None:
+    """Return the cost of a request in the unit of its account's quota.
+
+    It is 0 for an account without a quota.
+    """
+    if account is None or not account.quota.is_limited:
         return 0.0
     match account.quota.unit:
         case catalogues.QuotaUnit.REQUESTS:
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -1,4 +1,4 @@
-"""Lends quota credit between instances."""
+"""Charges requests to quotas whose credit is held by several instances."""
 
 import itertools
 import json
@@ -7,12 +7,14 @@
 
 import attrs
 
+from mulberryhollow.coordination import limits
 from mulberryhollow import errors
 from mulberryhollow import events
 
 __all__ = ["BorrowedCredit", "QuotaPeering"]
 
-TOPIC = "quota.lend"
+LEND_TOPIC = "quota.lend"
+DRAW_TOPIC = "quota.draw"
 
 BORROW_TIMEOUT_S = 0.1
 """Longest time for which a request waits for credit, in seconds.
@@ -20,6 +22,15 @@
 A refusal must be immediate; peers answer within a few milliseconds.
 """
 
+DRAW_TIMEOUT_S = 0.15
+"""Longest wait for a holder to charge a request, in seconds.
+
+The holder may ask other holders for `BORROW_TIMEOUT_S`.
+"""
+
+HOLDER_PAUSE_S = 1.0
+"""Time for which a holder that gave no answer is not asked, in seconds."""
+
 MAX_LENDERS = 8
 """Maximum number of peers that are asked for one request."""
 
@@ -28,6 +39,12 @@
     logging.INFO,
     "peers were asked for credit of a client account's quota",
 )
+NOT_DRAWN = events.declare(
+    4032,
+    logging.INFO,
+    "the holder of the credit of a failure domain gave no usable answer",
+    "check that instance if this repeats",
+)
 NO_ANSWER = events.declare(
     4031,
     logging.INFO,
@@ -55,11 +72,26 @@
     asked: int
 
 
+@attrs.frozen
+class DrawnCredit:
+    """Answer of a holder that charged a request.
+
+    Parameters
+    ----------
+    exceeded : QuotaExceeded or None
+        None when the request is admitted.
+    """
+
+    exceeded: limits.QuotaExceeded | None
+
+
 class QuotaPeering:
-    """Lends credit to peers and borrows it from them.
+    """Charges requests, at this instance or at a holder of credit.
 
-    Each instance holds its share of a quota. Where requests are large, one
-    instance may be in debt while others have credit left.
+    In a small fleet each instance holds its share of a quota. In a larger
+    one the holders of its failure domain charge the requests of an instance.
+    Where requests are large, one holder may be in debt while others have
+    credit left, so holders lend credit to each other.
 
     Parameters
     ----------
@@ -69,25 +101,129 @@
         Source of time.
     dispatcher : Dispatcher
         Holds the token buckets of the quotas.
-    get_members : callable
-        Returns the other live members.
+
+    Attributes
+    ----------
+    holders : CreditHolders
+        The instances that hold credit, as of the last `apply_members`.
 
     Notes
     -----
-    A peer subtracts lent credit from its own bucket before it answers, so
-    a lost answer loses the credit and never duplicates it.
+    A peer subtracts lent credit from its own bucket before it answers, and
+    a holder charges a request before it answers. So a lost answer loses
+    credit and never duplicates it. An instance that reaches no holder
+    charges its requests to its own equal part.
     """
 
-    def __init__(self, peers, clock, dispatcher, get_members):
+    def __init__(self, peers, clock, dispatcher):
         self._peers = peers
         self._clock = clock
         self._dispatcher = dispatcher
-        self._get_members = get_members
         self._rotation = itertools.count()
+        self._paused_until_s = {}
+        self.holders = limits.CreditHolders((), (), 1, True)
 
     def connect(self):
-        """Register the handler of the peers' calls."""
-        self._peers.handle(TOPIC, self._answer)
+        """Register the handlers of the peers' calls."""
+        self._peers.handle(LEND_TOPIC, self._answer_lend)
+        self._peers.handle(DRAW_TOPIC, self._answer_draw)
+
+    def apply_members(self, members, live):
+        """Choose the holders anew for the current membership.
+
+        Parameters
+        ----------
+        members : sequence of Member
+            The other instances that are reachable.
+        live : int
+            Number of instances that may be serving callers, this one and the
+            unreachable ones included.
+        """
+        local_member = self._peers.local_member()
+        holders = limits.choose_holders(local_member, members, live)
+        self.holders = holders
+        self._dispatcher.change(
+            lambda actor, now_s: actor.quotas.set_live_nodes(
+                holders.nodes, now_s
+            )
+        )
+
+    def charge(self, request):
+        """Charge a request to the quota of its client account.
+
+        Parameters
+        ----------
+        request : ForwardRequest
+            The request.
+
+        Raises
+        ------
+        RefusedError
+            When the account is over its quota, or the request is
+            quarantined for crashing endpoints.
+        """
+        if request.cost and self.holders.local and not self.holders.is_holder:
+            drawn = self._draw(request)
+            if drawn is not None:
+                self._dispatcher.accept(
+                    request.service, request.fingerprint, drawn.exceeded
+                )
+                return
+        self._charge_here(request)
+
+    def _charge_here(self, request):
+        """Charge a request to the credit of this instance and its peers."""
+        account, service, cost = request.account, request.service, request.cost
+        shortfall = self._dispatcher.charge(
+            account, service, cost, request.fingerprint
+        )
+        if shortfall is None:
+            return
+        borrowed = self.borrow(request.request_id, account, shortfall.lack)
+        self._dispatcher.reconcile(account, service, cost, borrowed)
+
+    def _draw(self, request):
+        """Return the `DrawnCredit` of a holder; None if none answers."""
+        payload = json.dumps([request.account, request.cost]).encode()
+        for name in self.holders.local:
+            if self._clock.now_s() < self._paused_until_s.get(name, 0.0):
+                continue
+            try:
+                answer = self._peers.call(
+                    name, DRAW_TOPIC, payload, DRAW_TIMEOUT_S
+                )
+                return _decode_drawn(request.account, answer)
+            except (errors.PeerError, ValueError, TypeError) as error:
+                self._paused_until_s[name] = (
+                    self._clock.now_s() + HOLDER_PAUSE_S
+                )
+                events.log(
+                    NOT_DRAWN,
+                    request=request.request_id,
+                    peer=name,
+                    reason=str(error),
+                )
+        return None
+
+    def _answer_draw(self, payload):
+        """Charge the request of a peer; return the outcome."""
+        account, cost = json.loads(payload)
+        found = self._dispatcher.read(
+            lambda actor, now_s: actor.quotas.spend(account, cost, now_s)
+        )
+        if isinstance(found, limits.CreditShortfall):
+            borrowed = self.borrow("", account, found.lack)
+            found = self._dispatcher.read(
+                lambda actor, now_s: actor.quotas.reconcile(
+                    account,
+                    cost,
+                    borrowed.lent,
+                    borrowed.owed,
+                    now_s,
+                    borrowed.asked,
+                )
+            )
+        return _encode_drawn(found)
 
     def borrow(self, request_id, account, lack):
         """Borrow credit from one peer after the other until it suffices.
@@ -95,7 +231,7 @@
         Parameters
         ----------
         request_id : str
-            The request that lacks credit.
+            The request that lacks credit; empty for that of a peer.
         account : str
             Client account of the request.
         lack : float
@@ -110,12 +246,12 @@
         end_s = self._clock.now_s() + BORROW_TIMEOUT_S
         lent = owed = 0.0
         asked = 0
-        for member in self._list_lenders():
+        for name in self._list_lenders():
             remaining_s = end_s - self._clock.now_s()
             if remaining_s <= 0 or (asked and lent - owed >= lack):
                 break
             balance = self._ask(
-                member.instance_id, account, max(0.0, lack - lent), remaining_s
+                name, account, max(0.0, lack - lent), remaining_s
             )
             asked += 1
             lent += max(0.0, balance)
@@ -133,17 +269,17 @@
 
     def _list_lenders(self):
         """Return the peers to ask; each call starts one peer further on."""
-        members = self._get_members()
-        if not members:
+        names = self.holders.others
+        if not names:
             return ()
-        first = next(self._rotation) % len(members)
-        return (members[first:] + members[:first])[:MAX_LENDERS]
+        first = next(self._rotation) % len(names)
+        return (names[first:] + names[:first])[:MAX_LENDERS]
 
     def _ask(self, name, account, wanted, timeout_s):
         """Return the credit that one peer lends; below 0 if it is in debt."""
         request = json.dumps([account, math.ceil(wanted)]).encode()
         try:
-            answer = self._peers.call(name, TOPIC, request, timeout_s)
+            answer = self._peers.call(name, LEND_TOPIC, request, timeout_s)
             return float(answer)
         except (errors.PeerError, ValueError) as error:
             events.log(
@@ -151,10 +287,30 @@
             )
             return 0.0
 
-    def _answer(self, payload):
+    def _answer_lend(self, payload):
         """Lend a peer the available credit, up to the wanted amount."""
         account, wanted = json.loads(payload)
         balance = self._dispatcher.read(
             lambda actor, now_s: actor.quotas.lend(account, wanted, now_s)
         )
         return str(math.floor(balance)).encode()
+
+
+def _encode_drawn(exceeded):
+    """Return a holder's answer as JSON; null when the request is admitted."""
+    fields = None if exceeded is None else attrs.astuple(exceeded)[1:]
+    return json.dumps(fields).encode()
+
+
+def _decode_drawn(account, answer):
+    """Return the `DrawnCredit` in a holder's answer.
+
+    Raises
+    ------
+    ValueError or TypeError
+        When the answer is malformed.
+    """
+    fields = json.loads(answer)
+    if fields is None:
+        return DrawnCredit(None)
+    return DrawnCredit(limits.QuotaExceeded(account, *map(float, fields)))
--- a/tests/quota_pool.py
+++ b/tests/quota_pool.py
@@ -6,6 +6,7 @@
 import types
 
 from mulberryhollow.coordination import limits
+from mulberryhollow import errors
 from mulberryhollow.serving import quota_peering
 from mulberryhollow.state import catalogue
 
@@ -15,6 +16,10 @@
 MAX_COST = 60000.0
 
 
+class _OverQuotaError(Exception):
+    """A request exceeded its quota, as the argument says."""
+
+
 class _Instance:
     """One instance with its peering, without threads.
 
@@ -25,10 +30,9 @@
     def __init__(self, pool, index):
         self.pool = pool
         self.index = index
-        self.answer = None
-        self.peering = quota_peering.QuotaPeering(
-            self, self, self, self.list_members
-        )
+        self.is_running = True
+        self.handlers = {}
+        self.peering = quota_peering.QuotaPeering(self, self, self)
         self.peering.connect()
 
     @property
@@ -41,24 +45,55 @@
     def read(self, function):
         return function(self, self.pool.now_s)
 
-    def list_members(self):
-        """Return the other instances in random order; none if isolated."""
-        if not self.pool.is_connected:
-            return []
+    def change(self, function):
+        function(self, self.pool.now_s)
+
+    def local_member(self):
+        return types.SimpleNamespace(
+            instance_id=self.index,
+            failure_domain=f"d{self.index % self.pool.domains}",
+        )
+
+    def apply_members(self):
+        """Apply the running instances in the same partition, shuffled."""
         others = [
-            types.SimpleNamespace(instance_id=each.index)
+            each.local_member()
             for each in self.pool.instances
-            if each is not self
+            if each is not self and self.pool.reaches(self, each)
         ]
         self.pool.random.shuffle(others)
-        return others
+        self.peering.apply_members(tuple(others), len(self.pool.instances))
 
     def handle(self, topic, handler):
-        self.answer = handler
+        self.handlers[topic] = handler
 
     def call(self, name, topic, payload, timeout_s):
         self.pool.ask_count += 1
-        return self.pool.instances[name].answer(payload)
+        other = self.pool.instances[name]
+        if not self.pool.reaches(self, other):
+            raise errors.PeerError("no answer", "none")
+        return other.handlers[topic](payload)
+
+    def charge(self, account, service, cost, fingerprint):
+        found = self.quotas.spend(account, cost, self.pool.now_s)
+        if isinstance(found, limits.QuotaExceeded):
+            raise _OverQuotaError(found)
+        return found
+
+    def reconcile(self, account, service, cost, borrowed):
+        found = self.quotas.reconcile(
+            account,
+            cost,
+            borrowed.lent,
+            borrowed.owed,
+            self.pool.now_s,
+            borrowed.asked,
+        )
+        self.accept(service, "", found)
+
+    def accept(self, service, fingerprint, exceeded):
+        if exceeded is not None:
+            raise _OverQuotaError(exceeded)
 
 
 class QuotaPool:
@@ -74,13 +109,29 @@
         Number of instances.
     seed : int
         Seed of the random numbers.
+    domains : int
+        Number of failure domains of the instances.
+    mean_cost : float
+        Mean cost of a request spent at random, in units.
     """
 
-    def __init__(self, rules, rate, burst, nodes, seed=1):
+    def __init__(
+        self,
+        rules,
+        rate,
+        burst,
+        nodes,
+        seed=1,
+        domains=1,
+        mean_cost=MEAN_COST,
+    ):
         self.rules = rules
         self.quota = catalogue.Quota(rate, burst, catalogue.QuotaUnit.TOKENS)
         self.random = random.Random(seed)
+        self.domains = domains
+        self.mean_cost = mean_cost
         self.now_s = 0.0
+        self.cut_fraction = 0.0
         self.is_connected = True
         self.admitted = []
         self.refused = 0
@@ -90,6 +141,19 @@
         self._nodes = nodes
         self.tables = [self._make_table() for _ in range(nodes)]
         self.instances = [_Instance(self, index) for index in range(nodes)]
+        self.apply_members()
+
+    def apply_members(self):
+        """Apply the current membership at every instance."""
+        for each in self.instances:
+            each.apply_members()
+
+    def reaches(self, first, second):
+        """Return whether one running instance can call another."""
+        if not (first.is_running and second.is_running and self.is_connected):
+            return False
+        cut = self.cut_fraction * len(self.instances)
+        return (first.index < cut) == (second.index < cut)
 
     def _make_table(self):
         """Return the table of an instance that has just started."""
@@ -114,6 +178,7 @@
         self.tables = [self._make_table() for _ in range(self._nodes)]
         for table in self.tables:
             table.start_empty(began_s)
+        self.apply_members()
 
     def pass_time(self, by_s):
         """Advance the clock and deliver the reports due until then."""
@@ -126,9 +191,9 @@
             and self._pending_reports
             and self._pending_reports[0][0] < self.now_s
         ):
-            at_s, index, remote = self._pending_reports.pop(0)
+            at_s, index, remote, count = self._pending_reports.pop(0)
             self.tables[index].report_demand(
-                "others", {"a": remote}, at_s, self._nodes - 1
+                "others", {"a": remote}, at_s, count
             )
 
     def _schedule_reports(self):
@@ -137,44 +202,40 @@
             table.list_demand(self._next_report_s).get("a", 0.0)
             for table in self.tables
         ]
-        self._pending_reports += [
-            (
+        for each in self.instances:
+            reached = [
+                other.index
+                for other in self.instances
+                if other is not each and self.reaches(each, other)
+            ]
+            report = (
                 self._next_report_s + self.random.uniform(0.1, 0.5),
-                index,
-                sum(demands) - local,
+                each.index,
+                sum(demands[index] for index in reached),
+                sum(
+                    self.instances[index].peering.holders.is_holder
+                    for index in reached
+                ),
             )
-            for index, local in enumerate(demands)
-        ]
+            self._pending_reports.append(report)
         self._pending_reports.sort()
 
     def spend(self, index, cost):
         """Charge a request at an instance; return None or QuotaExceeded."""
-        table = self.tables[index]
-        found = table.spend("a", cost, self.now_s)
-        if isinstance(found, limits.CreditShortfall):
-            borrowed = self._borrow(index, found.lack)
-            found = table.reconcile(
-                "a",
-                cost,
-                borrowed.lent,
-                borrowed.owed,
-                self.now_s,
-                borrowed.asked,
-            )
-        if found is None:
-            self.admitted.append((self.now_s, cost))
-        else:
-            self.refused += 1
-        return found
-
-    def _borrow(self, index, lack):
-        """Return the credit that an instance borrows from the others."""
+        request = types.SimpleNamespace(
+            request_id="r", account="a", service="s", cost=cost, fingerprint=""
+        )
         # Each call to a peer is logged: here tens of thousands of lines.
         logging.disable(logging.INFO)
         try:
-            return self.instances[index].peering.borrow("r", "a", lack)
+            self.instances[index].peering.charge(request)
+        except _OverQuotaError as error:
+            self.refused += 1
+            return error.args[0]
         finally:
             logging.disable(logging.NOTSET)
+        self.admitted.append((self.now_s, cost))
+        return None
 
     def spend_randomly(self, demand, seconds):
         """Spend at random times, with log-normally distributed costs.
@@ -187,13 +248,14 @@
             Duration, in seconds.
         """
         end_s = self.now_s + seconds
-        per_s = self.quota.rate_per_s * demand / MEAN_COST
-        mu = math.log(MEAN_COST) - COST_SIGMA**2 / 2
+        per_s = self.quota.rate_per_s * demand / self.mean_cost
+        mu = math.log(self.mean_cost) - COST_SIGMA**2 / 2
         while self.now_s < end_s:
             self.pass_time(self.random.expovariate(per_s))
             cost = self.random.lognormvariate(mu, COST_SIGMA)
             index = self.random.randrange(self._nodes)
-            self.spend(index, min(MAX_COST, cost))
+            if self.instances[index].is_running:
+                self.spend(index, min(MAX_COST, cost))
 
     def find_window_max(self):
         """Return the maximum admitted in any window, in units."""
--- a/tests/serving/quota_peering.feature
+++ b/tests/serving/quota_peering.feature
@@ -32,3 +32,42 @@
     When the first instance asks for 100 tokens
     And the first instance asks for 100 tokens
     Then the second instance has 900 tokens left and the third 900
+
+  Scenario: A holder charges the request of an instance
+    Given 3 instances with 1000 tokens of credit each
+    And the second and third instance hold the credit of the first
+    When the first instance charges 400 tokens
+    Then the charge is accepted
+    And the second instance has 600 tokens left and the third 1000
+
+  Scenario: The refusal of a holder reaches the caller with a retry time
+    Given 3 instances with 1000 tokens of credit each
+    And the second and third instance hold the credit of the first
+    And the second instance owes 3700 tokens
+    When the first instance charges 400 tokens
+    Then the charge is refused with a retry time
+
+  Scenario: The second holder is asked when the first is silent
+    Given 3 instances with 1000 tokens of credit each
+    And the second and third instance hold the credit of the first
+    And the second instance does not answer
+    When the first instance charges 400 tokens
+    And the first instance charges 400 tokens
+    Then the charge is accepted
+    And the second instance was asked 1 times and the third 2 times
+
+  Scenario: An instance that reaches no holder charges its own part
+    Given 3 instances with 1000 tokens of credit each
+    And the second and third instance hold the credit of the first
+    And no other instance answers
+    When the first instance charges 400 tokens
+    Then the charge is accepted
+    And the second instance has 1000 tokens left and the third 1000
+
+  Scenario: A malformed answer of a holder is no refusal
+    Given 3 instances with 1000 tokens of credit each
+    And the second and third instance hold the credit of the first
+    And the second instance answers "[1, 2"
+    When the first instance charges 400 tokens
+    Then the charge is accepted
+    And the second instance was asked 1 times and the third 1 times
--- a/tests/steps/coordination_limits.py
+++ b/tests/steps/coordination_limits.py
@@ -61,6 +61,62 @@
 @given("the instances cannot reach each other")
 def disconnect_instances(context):
     context.pool.is_connected = False
+    context.pool.apply_members()
+
+
+@given(
+    "a quota of {rate:g} a second for requests of {mean:g} tokens over "
+    "{nodes:d} instances in {domains:d} domains"
+)
+def make_fleet_quotas(context, rate, mean, nodes, domains):
+    context.pool = quota_pool.QuotaPool(
+        LARGE_REQUEST_RULES,
+        rate,
+        rate,
+        nodes,
+        domains=domains,
+        mean_cost=mean,
+    )
+
+
+@when("the usual holders of {count:d} domains die and nobody knows yet")
+def kill_holders(context, count):
+    pool = context.pool
+    holders = {each.peering.holders.local[0] for each in pool.instances}
+    for index in sorted(holders)[:count]:
+        pool.instances[index].is_running = False
+
+
+@when("the instances notice who is running")
+def notice_members(context):
+    context.pool.apply_members()
+
+
+@when("{fraction:g} of the instances are cut off from the others")
+def cut_instances(context, fraction):
+    context.pool.cut_fraction = fraction
+
+
+@when("the statistics begin anew")
+def reset_statistics(context):
+    context.pool.admitted.clear()
+    context.pool.refused = 0
+
+
+@then("at most 1 in {count:d} requests was refused")
+def check_refused_fraction(context, count):
+    pool = context.pool
+    total = pool.refused + len(pool.admitted)
+    assert total > count, total
+    assert pool.refused <= total / count, (pool.refused, total)
+
+
+@then("at least {fraction:g} of the quota was used in {seconds:g} seconds")
+def check_used(context, fraction, seconds):
+    pool = context.pool
+    used = sum(cost for _, cost in pool.admitted)
+    least = fraction * seconds * pool.quota.rate_per_s
+    assert used >= least, (used, least)
 
 
 def spend_quota(context, rates, seconds):
--- a/tests/steps/coordination_sharing.py
+++ b/tests/steps/coordination_sharing.py
@@ -43,6 +43,7 @@
     """Let every instance send its report once."""
     context.now_s += ROUND_S
     now_s = context.now_s
+    local = sharing.Total(local, 1)
     running = [each for each in context.instances if each.is_running]
     for each in running:
         each.table.merge_member(each.name, local, now_s)
--- a/tests/steps/serving_quota_peering.py
+++ b/tests/steps/serving_quota_peering.py
@@ -10,6 +10,7 @@
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import quota_peering
 from mulberryhollow.state import catalogue
+from tests import requests
 
 RULES = limits.QuotaRules()
 RATE_PER_S = 0.000001
@@ -23,15 +24,19 @@
         self.handlers = {}
         self.lost = set()
         self.silent = set()
+        self.malformed = {}
         self.asked = []
 
     def at(self, name):
         """Return the peers as seen by the instance of that name."""
         return types.SimpleNamespace(
             handle=lambda topic, handler: self.handlers.update(
-                {name: handler}
+                {(name, topic): handler}
             ),
             call=self.call,
+            local_member=lambda: types.SimpleNamespace(
+                instance_id=name, failure_domain="d"
+            ),
         )
 
     def call(self, name, topic, payload, timeout_s):
@@ -39,7 +44,9 @@
         if name in self.silent:
             self.clock.advance(timeout_s)
             raise errors.PeerError("no answer", "none")
-        answer = self.handlers[name](payload)
+        if name in self.malformed:
+            return self.malformed[name]
+        answer = self.handlers[name, topic](payload)
         if name in self.lost:
             raise errors.PeerError("no answer", "none")
         return answer
@@ -66,9 +73,10 @@
         if each != name
     ]
     peering = quota_peering.QuotaPeering(
-        context.quota_peers.at(name), context.clock, dispatcher, lambda: others
+        context.quota_peers.at(name), context.clock, dispatcher
     )
     peering.connect()
+    peering.apply_members(others, count)
     return types.SimpleNamespace(peering=peering, dispatcher=dispatcher)
 
 
@@ -141,3 +149,51 @@
 def check_time(context):
     passed_s = context.clock.now_s() - context.began_s
     assert abs(passed_s - 0.1) < 1e-6, passed_s
+
+
+@given("the second and third instance hold the credit of the first")
+def set_holders(context):
+    names = ("second", "third")
+    context.instances["first"].peering.holders = limits.CreditHolders(
+        names, names, 3, False
+    )
+
+
+@given("no other instance answers")
+def silence_all(context):
+    context.quota_peers.silent.update(("second", "third"))
+
+
+@given('the second instance answers "{text}"')
+def answer_malformed(context, text):
+    context.quota_peers.malformed["second"] = text.encode()
+
+
+@when("the first instance charges {cost:d} tokens")
+def charge(context, cost):
+    request = requests.make_request(account="a", cost=cost)
+    context.refusal = None
+    try:
+        context.instances["first"].peering.charge(request)
+    except errors.RefusedError as error:
+        context.refusal = error.refusal
+
+
+@then("the charge is accepted")
+def check_accepted(context):
+    assert context.refusal is None, context.refusal
+
+
+@then("the charge is refused with a retry time")
+def check_refused(context):
+    assert context.refusal.retry_after_s > 0, context.refusal
+
+
+@then(
+    "the second instance was asked {second:d} times and the third {third:d} "
+    "times"
+)
+def check_asked_holders(context, second, third):
+    asked = context.quota_peers.asked
+    counts = (asked.count("second"), asked.count("third"))
+    assert counts == (second, third), asked
