Let the collectors of a failure domain read the store for its instances

Cause: every instance watched the configuration and the endpoints, read the lease on the duties each second and, while the store was away, asked ten times a second. Ruled out: longer waits of the watches alone (changes end them anyway); gossip of endpoints' entries (bound to 6 KB/s, seconds late); a long poll of a peer (a held thread for each instance). Change: ObjectFollower keeps the objects of its kind with their recent changes (ObjectLog). From 16 instances on only the two collectors of a domain read the store. The others ask with their aggregate report, twice a second, and get the changes in its answer, with the age of the store's confirmation; above 3.2 s they read the store themselves. A collector that the store turns away asks the collectors of the other domains in the same way. Only collectors compete for the lease. Failing reads are repeated after 0.1 to 0.8 s. Fleets below 16 read as before, but for that back-off.

--- a/mulberryhollow/coordination/sharing/__init__.py
+++ b/mulberryhollow/coordination/sharing/__init__.py
@@ -5,11 +5,15 @@
 from mulberryhollow.coordination.sharing.aggregates import list_collectors
 from mulberryhollow.coordination.sharing.aggregates import rank_collectors
 from mulberryhollow.coordination.sharing.aggregates import Total
+from mulberryhollow.coordination.sharing.collectors import choose_collectors
+from mulberryhollow.coordination.sharing.collectors import Collectors
 
 __all__ = [
     "AggregateTable",
     "Amounts",
+    "Collectors",
     "Total",
+    "choose_collectors",
     "list_collectors",
     "rank_collectors",
 ]
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -37,6 +37,7 @@
 from mulberryhollow.serving import quota_peering
 from mulberryhollow.serving import recorder
 from mulberryhollow.serving import registry
+from mulberryhollow.serving import store_relay
 from mulberryhollow.serving import usage
 from mulberryhollow.serving import watch
 from mulberryhollow.transport import forwarding
@@ -57,6 +58,12 @@
 FOLLOW_INTERVAL_S = 0.1
 """Interval between reads by an `ObjectFollower`, in seconds."""
 
+MAX_FOLLOW_INTERVAL_S = 0.8
+"""Largest interval between failing reads by an `ObjectFollower`, in s.
+
+A store that is available again has to be noticed within a second.
+"""
+
 INITIAL_PREFILL_S_PER_TOKEN = 1e-5
 """Initial estimate of the prefill time per prompt token, in seconds.
 
@@ -71,6 +78,12 @@
 instance takes over the duties.
 """
 
+MEMBERSHIP_SETTLING_S = 2.0
+"""Time from the start until the members are known, in seconds.
+
+Until then an instance does not compete for the lease on the duties.
+"""
+
 DUTY_INTERVAL_S = 0.25
 """Interval between ticks of the duties, in seconds."""
 
@@ -123,6 +136,7 @@
         self._clock = clock
         self._document = None
         self._is_leaving = False
+        self._settled_s = clock.now_s() + MEMBERSHIP_SETTLING_S
         self.observer = observing.Observer(metrics.Metrics())
         self._store = observed_store.ObservedStore(
             settings.store_address,
@@ -160,16 +174,22 @@
         self._quota_peering = quota_peering.QuotaPeering(
             self._peers, clock, self.dispatcher
         )
+        self._followers = self._make_followers()
+        self._store_relay = store_relay.StoreRelay(
+            self._followers.values(),
+            clock,
+            lambda: self._fact_peering.collectors.is_local,
+        )
         self._aggregate_peering = aggregate_peering.AggregatePeering(
             self._peers,
             clock,
             self.dispatcher,
             self._usage_ledger,
             lambda: self._fact_peering.usable,
-            lambda: self._quota_peering.holders.is_holder,
+            lambda: self._fact_peering.collectors.is_local,
+            self._store_relay,
         )
         self.ingress = self._make_ingress()
-        self._followers = self._make_followers()
         self._servers = self._make_servers()
         self._duty_manager = self._make_duty_manager()
         self._loops = self._make_loops()
@@ -293,10 +313,16 @@
             duties.LeaseRules(
                 takeover_s=settings.bounds.lease_s + TAKEOVER_MARGIN_S
             ),
+            self._is_duty_candidate,
         )
         self._aggregate_peering.wants_usage = manager.is_held
         return manager
 
+    def _is_duty_candidate(self):
+        """Return whether this instance may acquire the lease on the duties."""
+        is_settled = self._clock.now_s() >= self._settled_s
+        return is_settled and self._fact_peering.collectors.is_local
+
     def _make_usage_reporter(self, client):
         """Return the handler of the duty to report the usage."""
         return usage.UsageReporter(
@@ -391,7 +417,13 @@
             self._store, self, self._peers, on_found=self._apply_members
         )
         loops = [
-            pollers.Loop(name, self._clock, FOLLOW_INTERVAL_S, each.read)
+            pollers.Loop(
+                name,
+                self._clock,
+                FOLLOW_INTERVAL_S,
+                functools.partial(self._store_relay.read, each),
+                MAX_FOLLOW_INTERVAL_S,
+            )
             for name, each in self._followers.items()
         ]
         loops += [
@@ -440,9 +472,7 @@
     def _apply_members(self):
         """Apply the current membership to the limits and the view."""
         self._fact_peering.tick()
-        self._quota_peering.apply_members(
-            self._fact_peering.usable, self._fact_peering.live
-        )
+        self._quota_peering.apply_collectors(self._fact_peering.collectors)
 
     def list_entries(self):
         """Return the control addresses of other instances.
--- a/mulberryhollow/protocol/aggregates.py
+++ b/mulberryhollow/protocol/aggregates.py
@@ -35,6 +35,10 @@
         Encoded usage counts, one for each source.
     wants_usage : bool
         Whether the sender asks for all usage counts in the answer.
+    store : dict
+        In a report, the revision that the sender has of each kind of stored
+        objects that it asks for. In an answer, the relayed changes of these
+        kinds, see `mulberryhollow.protocol.relays`.
     """
 
     sender: str
@@ -43,6 +47,7 @@
     is_collector: bool = False
     usage: list = attrs.field(factory=list)
     wants_usage: bool = False
+    store: dict = attrs.field(factory=dict)
 
 
 def encode_report(report):
--- a/mulberryhollow/serving/aggregate_peering.py
+++ b/mulberryhollow/serving/aggregate_peering.py
@@ -73,6 +73,8 @@
         Returns the other live members.
     grants_credit : callable
         Returns whether this instance grants the credit of quotas.
+    relay : StoreRelay or None
+        Relays stored objects with the reports.
 
     Attributes
     ----------
@@ -89,6 +91,7 @@
         usage,
         get_members,
         grants_credit=lambda: True,
+        relay=None,
     ):
         self._peers = peers
         self._clock = clock
@@ -96,6 +99,7 @@
         self._usage = usage
         self._get_members = get_members
         self._grants_credit = grants_credit
+        self._relay = relay
         self._local_member = peers.local_member()
         self._table = sharing.AggregateTable(self._local_member.instance_id)
         self._lock = threading.Lock()
@@ -175,6 +179,7 @@
             is_collector,
             usage,
             self.wants_usage(),
+            self._relay.ask() if self._relay else {},
         )
 
     def _send_report(self, name, report):
@@ -183,10 +188,13 @@
             answer = self._peers.call(
                 name, TOPIC, aggregates.encode_report(report), CALL_TIMEOUT_S
             )
-            return aggregates.decode_report(answer)
+            answer = aggregates.decode_report(answer)
         except (errors.PeerError, ValueError) as error:
             events.log(NO_ANSWER, peer=name, reason=str(error))
             return None
+        if self._relay:
+            self._relay.accept(answer.store)
+        return answer
 
     def _answer(self, payload):
         """Merge the report of another instance and return the answer."""
@@ -207,7 +215,14 @@
             usage = []
             if report.wants_usage:
                 usage = self._usage.encode_all(WINDOWS_PER_ANSWER)
-        answer = self._make_report(total, report.is_collector, usage)
+        answer = aggregates.AggregateReport(
+            self._local_member.instance_id,
+            self._local_member.failure_domain,
+            total,
+            report.is_collector,
+            usage,
+            store=self._relay.answer(report.store) if self._relay else {},
+        )
         return aggregates.encode_report(answer)
 
     def _merge(self, report):
--- a/mulberryhollow/serving/duties.py
+++ b/mulberryhollow/serving/duties.py
@@ -40,12 +40,24 @@
         the lease is held.
     rules : LeaseRules or None
         Durations of the lease; the defaults if None.
+    is_candidate : callable
+        Returns whether this instance may acquire the lease. Each candidate
+        reads the lease periodically, so a large fleet has a few of them.
     """
 
-    def __init__(self, instance, store, clock, handlers, rules=None):
+    def __init__(
+        self,
+        instance,
+        store,
+        clock,
+        handlers,
+        rules=None,
+        is_candidate=lambda: True,
+    ):
         self._store = store
         self._clock = clock
         self._handlers = handlers
+        self._is_candidate = is_candidate
         self._lease = duties.Lease(instance, rules or duties.LeaseRules())
         self._was_held = False
         self._is_released = False
@@ -60,7 +72,8 @@
         with self._lock:
             if self._is_released:
                 return
-            self._update_lease()
+            if self._lease.fencing_token or self._is_candidate():
+                self._update_lease()
         if self._was_held and not self._lease.fencing_token:
             self._was_held = False
             events.log(LOST, holder=self._lease.holder)
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -5,6 +5,7 @@
 import zlib
 
 from mulberryhollow.coordination import membership
+from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow.serving import documents
 from mulberryhollow.state import facts
@@ -80,9 +81,9 @@
     ----------
     usable : tuple of Member
         The other members that are reachable, as of the last tick.
-    live : int
-        Number of instances that may be serving callers, this one and those
-        that became unreachable recently included.
+    collectors : Collectors
+        The instances that act for their failure domains, as of the last
+        tick.
     last_contact_s : float or None
         When another member was last seen as usable, monotonic, in seconds.
 
@@ -108,7 +109,7 @@
             QUARANTINE_PEERS, thread_name_prefix="tell"
         )
         self.usable = ()
-        self.live = 1 + self._named
+        self.collectors = sharing.Collectors(live=1 + named)
         self.last_contact_s = None
 
     def connect(self):
@@ -137,13 +138,12 @@
             self.last_contact_s = now_s
         names = [view.member.instance_id for view in gone]
         unreachable = self._count_unreachable(gone, now_s)
-        self.live = 1 + (
-            len(self.usable) + unreachable or self._count_named(now_s)
+        live = 1 + (len(self.usable) + unreachable or self._count_named(now_s))
+        self.collectors = sharing.choose_collectors(
+            self._local_member, self.usable, live
         )
         self._dispatcher.change(
-            functools.partial(
-                _apply_members, self._get_limits, self.live, names
-            )
+            functools.partial(_apply_members, self._get_limits, live, names)
         )
 
     def _count_unreachable(self, gone, now_s):
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -101,9 +101,9 @@
                 )
         self._apply(changed)
 
-    def record_recovery(self):
-        """Record that the store is available again after an outage."""
-        self._fleet.record_recovery(self._clock.now_s())
+    def record_recovery(self, at_s):
+        """Record when the store was available again after an outage."""
+        self._fleet.record_recovery(at_s)
 
     def expire(self):
         """Drop entries that were not written again after a store outage."""
--- a/mulberryhollow/serving/pollers.py
+++ b/mulberryhollow/serving/pollers.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import functools
 import logging
+import random
 import threading
 
 from mulberryhollow.coordination import streams
@@ -53,14 +54,21 @@
     interval_s : float
         Time from the end of a call to the next one, in seconds.
     call : callable
-        The function, which is called without arguments.
+        The function, which is called without arguments. It may return
+        another time until the next call, in seconds.
+    max_interval_s : float or None
+        Largest time between calls that fail, in seconds. The time is doubled
+        at each consecutive failure, with a random part; None for always the
+        same time.
     """
 
-    def __init__(self, name, clock, interval_s, call):
+    def __init__(self, name, clock, interval_s, call, max_interval_s=None):
         self._name = name
         self._clock = clock
         self._interval_s = interval_s
         self._call = call
+        self._max_interval_s = max_interval_s or interval_s
+        self._random = random.Random()
         self._failures = 0
         self._failing_since_s = 0.0
         self._stopped = threading.Event()
@@ -79,14 +87,28 @@
     def _run(self):
         """Call until stopped; a call that raises is retried later."""
         while not self._stopped.is_set():
-            try:
-                self._call()
-                self._record_success()
-            except errors.MulberryError as error:
-                self._record_failure(error)
-            except Exception as error:  # noqa: BLE001
-                events.log(LOOP_FAILED, loop=self._name, error=repr(error))
-            self._clock.wait(self._stopped, self._interval_s)
+            self._clock.wait(self._stopped, self._call_once())
+
+    def _call_once(self):
+        """Call the function; return the time until the next call."""
+        try:
+            wait_s = self._call()
+            self._record_success()
+        except errors.MulberryError as error:
+            self._record_failure(error)
+            return self._find_backoff_s()
+        except Exception as error:  # noqa: BLE001
+            events.log(LOOP_FAILED, loop=self._name, error=repr(error))
+            return self._interval_s
+        return self._interval_s if wait_s is None else wait_s
+
+    def _find_backoff_s(self):
+        """Return the time until a failed call is repeated, in seconds."""
+        doubled_s = self._interval_s * 2 ** min(self._failures - 1, 10)
+        if doubled_s <= self._interval_s:
+            return self._interval_s
+        jitter = self._random.uniform(0.75, 1.0)
+        return min(doubled_s, self._max_interval_s) * jitter
 
     def _record_failure(self, error):
         """Log the first of consecutive failures and count all of them."""
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -8,6 +8,7 @@
 import attrs
 
 from mulberryhollow.coordination import limits
+from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow import events
 
@@ -89,7 +90,8 @@
     """Charges requests, at this instance or at a holder of credit.
 
     In a small fleet each instance holds its share of a quota. In a larger
-    one the holders of its failure domain charge the requests of an instance.
+    one the collectors of a failure domain hold the credit of the domain and
+    charge the requests of its instances.
     Where requests are large, one holder may be in debt while others have
     credit left, so holders lend credit to each other.
 
@@ -102,11 +104,6 @@
     dispatcher : Dispatcher
         Holds the token buckets of the quotas.
 
-    Attributes
-    ----------
-    holders : CreditHolders
-        The instances that hold credit, as of the last `apply_members`.
-
     Notes
     -----
     A peer subtracts lent credit from its own bucket before it answers, and
@@ -121,30 +118,19 @@
         self._dispatcher = dispatcher
         self._rotation = itertools.count()
         self._paused_until_s = {}
-        self.holders = limits.CreditHolders((), (), 1, True)
+        self._collectors = sharing.Collectors()
 
     def connect(self):
         """Register the handlers of the peers' calls."""
         self._peers.handle(LEND_TOPIC, self._answer_lend)
         self._peers.handle(DRAW_TOPIC, self._answer_draw)
 
-    def apply_members(self, members, live):
-        """Choose the holders anew for the current membership.
-
-        Parameters
-        ----------
-        members : sequence of Member
-            The other instances that are reachable.
-        live : int
-            Number of instances that may be serving callers, this one and the
-            unreachable ones included.
-        """
-        local_member = self._peers.local_member()
-        holders = limits.choose_holders(local_member, members, live)
-        self.holders = holders
+    def apply_collectors(self, collectors):
+        """Let the given `Collectors` hold the credit from now on."""
+        self._collectors = collectors
         self._dispatcher.change(
             lambda actor, now_s: actor.quotas.set_live_nodes(
-                holders.nodes, now_s
+                collectors.parts, now_s
             )
         )
 
@@ -162,7 +148,7 @@
             When the account is over its quota, or the request is
             quarantined for crashing endpoints.
         """
-        if request.cost and self.holders.local and not self.holders.is_holder:
+        if request.cost and not self._collectors.is_local:
             drawn = self._draw(request)
             if drawn is not None:
                 self._dispatcher.accept(
@@ -185,7 +171,7 @@
     def _draw(self, request):
         """Return the `DrawnCredit` of a holder; None if none answers."""
         payload = json.dumps([request.account, request.cost]).encode()
-        for name in self.holders.local:
+        for name in self._collectors.local:
             if self._clock.now_s() < self._paused_until_s.get(name, 0.0):
                 continue
             try:
@@ -269,7 +255,7 @@
 
     def _list_lenders(self):
         """Return the peers to ask; each call starts one peer further on."""
-        names = self.holders.others
+        names = self._collectors.others
         if not names:
             return ()
         first = next(self._rotation) % len(names)
--- /dev/null
+++ b/mulberryhollow/serving/store_relay.py
@@ -0,0 +1,142 @@
+"""Relays what collectors read in the store to the other instances."""
+
+import logging
+
+from mulberryhollow import events
+from mulberryhollow.protocol import relays
+
+__all__ = ["StoreRelay"]
+
+MAX_CONTACT_AGE_S = 3.2
+"""Age of the latest answer of the store above which it is read directly.
+
+In seconds. A collector whose watch sees no change is answered every 2.5 s,
+and its instances learn that half a second later.
+"""
+
+RELAYED_INTERVAL_S = 0.5
+"""Interval between checks whether the relayed objects are recent, in s."""
+
+MALFORMED = events.declare(
+    9010,
+    logging.WARNING,
+    "the stored objects that a peer relayed cannot be decoded",
+    "check the version of the peer's program",
+)
+DIRECT = events.declare(
+    9011,
+    logging.INFO,
+    "a kind of stored objects is read directly from the store",
+)
+RELAYED = events.declare(
+    9012,
+    logging.INFO,
+    "a kind of stored objects is received through a collector",
+)
+
+
+class StoreRelay:
+    """Relays stored objects with the aggregate reports between instances.
+
+    The collectors of a failure domain read the store. The other instances
+    ask them for changes, and read the store themselves when the relayed
+    state becomes too old. A collector that the store does not answer asks
+    the other collectors.
+
+    Parameters
+    ----------
+    followers : iterable of ObjectFollower
+        The kinds that are relayed.
+    clock : Clock
+        Source of time.
+    is_collector : callable
+        Returns whether this instance reads the store for others.
+
+    Notes
+    -----
+    Every instance keeps the objects, so any of them can answer. An answer
+    says how long ago the store confirmed the state, whichever way it came.
+    """
+
+    def __init__(self, followers, clock, is_collector):
+        self._followers = {each.kind: each for each in followers}
+        self._clock = clock
+        self._is_collector = is_collector
+        self._is_relayed = dict.fromkeys(self._followers, False)
+
+    def read(self, follower):
+        """Read one kind from the store unless it is relayed.
+
+        Returns
+        -------
+        float or None
+            Time until the next call, in seconds; None for the usual one.
+        """
+        is_relayed = not self._is_collector() and self._is_recent(follower)
+        if is_relayed != self._is_relayed[follower.kind]:
+            self._is_relayed[follower.kind] = is_relayed
+            events.log(RELAYED if is_relayed else DIRECT, kind=follower.kind)
+        if is_relayed:
+            return RELAYED_INTERVAL_S
+        follower.read()
+        return None
+
+    def ask(self):
+        """Return the revision by kind to ask a collector for."""
+        return {
+            kind: follower.revision
+            for kind, follower in self._followers.items()
+            if not self._is_collector() or not self._is_recent(follower)
+        }
+
+    def answer(self, question):
+        """Return the relayed kinds for the question of another instance.
+
+        Parameters
+        ----------
+        question : dict
+            Kind to the revision that the other instance has.
+        """
+        now_s = self._clock.now_s()
+        return {
+            kind: relays.encode_relayed(
+                self._describe(self._followers[kind], revision, now_s)
+            )
+            for kind, revision in question.items()
+            if kind in self._followers
+            and self._followers[kind].last_contact_s is not None
+        }
+
+    def accept(self, answer):
+        """Apply the relayed kinds that another instance answered."""
+        now_s = self._clock.now_s()
+        for kind in answer.keys() & self._followers.keys():
+            try:
+                relayed = relays.decode_relayed(answer[kind])
+            except ValueError as error:
+                events.log(MALFORMED, kind=kind, reason=str(error))
+                continue
+            recovery_age_s = relayed.recovery_age_s
+            self._followers[kind].accept(
+                relayed.changes,
+                now_s - relayed.contact_age_s,
+                float("-inf")
+                if recovery_age_s is None
+                else now_s - recovery_age_s,
+            )
+
+    def _is_recent(self, follower):
+        """Return whether the store confirmed a kind's state recently."""
+        contact_s = follower.last_contact_s
+        age_s = self._clock.now_s() - (contact_s or float("-inf"))
+        return age_s <= MAX_CONTACT_AGE_S
+
+    @staticmethod
+    def _describe(follower, revision, now_s):
+        """Return the RelayedKind of one follower."""
+        recovery_age_s = now_s - follower.recovered_s
+        return relays.RelayedKind(
+            follower.list_changes(revision),
+            now_s - follower.last_contact_s,
+            recovery_age_s if recovery_age_s < float("inf") else None,
+        )
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -1,6 +1,9 @@
 """Watches of the objects of one kind in the platform's store."""
 
+import threading
+
 from mulberryhollow import errors
+from mulberryhollow.state import object_log
 
 __all__ = ["ObjectFollower", "ObjectWatch"]
 
@@ -81,6 +84,9 @@
 class ObjectFollower:
     """Lists the objects of a kind, then follows their changes.
 
+    The changes come from the store, see `read`, or from an instance that has
+    read them there, see `accept`.
+
     Parameters
     ----------
     store : StoreClient
@@ -91,23 +97,33 @@
         Source of time.
     follower : object
         ``handle_list(items)`` receives every object, ``handle_changes(items)``
-        those that were changed or deleted, and ``record_recovery()`` is called
-        when the store answers again after an outage of at least MIN_OUTAGE_S.
+        those that were changed or deleted, and ``record_recovery(at_s)`` is
+        called with the time at which the store answered again after an outage
+        of at least MIN_OUTAGE_S.
 
     Attributes
     ----------
+    kind : str
+        Kind of the objects.
     last_contact_s : float or None
-        When the store last answered, monotonic, in seconds.
+        When the store last answered this instance, or the one that relayed
+        its objects, monotonic, in seconds.
+    recovered_s : float
+        When the store last recovered from an outage, monotonic, in seconds;
+        minus infinity if it never did.
     """
 
     def __init__(self, store, kind, clock, follower):
         self._store = store
-        self._kind = kind
         self._clock = clock
         self._follower = follower
-        self._revision = None
+        self._log = object_log.ObjectLog()
+        self._lock = threading.Lock()
+        self._must_list = True
         self._failing_since_s = None
+        self.kind = kind
         self.last_contact_s = None
+        self.recovered_s = float("-inf")
 
     def read(self):
         """List all objects, or wait once for changes.
@@ -121,34 +137,86 @@
             revision; the next call lists every object again.
         """
         try:
-            if self._revision is None:
+            if self._must_list:
                 self._list()
             else:
                 self._wait()
         except errors.HistoryLostError:
-            self._revision = None
+            self._must_list = True
             raise
         except errors.StoreUnavailableError:
             if self._failing_since_s is None:
                 self._failing_since_s = self._clock.now_s()
             raise
 
+    def list_changes(self, after):
+        """Return the `ObjectChanges` since a revision, or None.
+
+        See `ObjectLog.list_changes`.
+        """
+        with self._lock:
+            return self._log.list_changes(after)
+
+    @property
+    def revision(self):
+        """Revision of the store as of the last read; None before the first."""
+        return self._log.revision
+
+    def accept(self, changes, contact_s, recovered_s):
+        """Apply changes that another instance has read in the store.
+
+        Parameters
+        ----------
+        changes : ObjectChanges or None
+            The changes since the revision of this follower; others are
+            ignored.
+        contact_s : float
+            When the store answered that instance, monotonic, in seconds.
+        recovered_s : float
+            When that instance saw the store recover, monotonic, in seconds.
+        """
+        with self._lock:
+            self._record_recovery(recovered_s)
+            if self.last_contact_s is None or contact_s > self.last_contact_s:
+                self.last_contact_s = contact_s
+                self._failing_since_s = None
+            if changes is not None and changes.base == self._log.revision:
+                self._apply(changes)
+
     def _list(self):
         """List every object."""
-        revision, items = self._store.list_objects(self._kind)
-        self._record_contact()
-        self._follower.handle_list(items)
-        self._revision = revision
+        base = self._log.revision
+        revision, items = self._store.list_objects(self.kind)
+        with self._lock:
+            self._record_contact()
+            if base == self._log.revision:
+                self._apply(
+                    object_log.ObjectChanges(base, revision, items, True)
+                )
 
     def _wait(self):
         """Wait for changes."""
-        revision, items = self._store.watch(
-            self._kind, self._revision, FOLLOW_WAIT_S
-        )
-        self._record_contact()
-        if items:
-            self._follower.handle_changes(items)
-        self._revision = revision
+        base = self._log.revision
+        revision, items = self._store.watch(self.kind, base, FOLLOW_WAIT_S)
+        with self._lock:
+            self._record_contact()
+            if base == self._log.revision:
+                self._apply(
+                    object_log.ObjectChanges(base, revision, items, False)
+                )
+
+    def _apply(self, changes):
+        """Apply changes whose base is the revision of this follower.
+
+        The revision is set last: if the follower raises an exception, the
+        changes are read again.
+        """
+        if changes.is_complete:
+            self._follower.handle_list(changes.items)
+        elif changes.items:
+            self._follower.handle_changes(changes.items)
+        self._log.apply(changes)
+        self._must_list = False
 
     def _record_contact(self):
         """Record an answer and notify the follower of the end of an outage."""
@@ -156,4 +224,13 @@
         failed_s, self._failing_since_s = self._failing_since_s, None
         self.last_contact_s = now_s
         if failed_s is not None and now_s - failed_s >= MIN_OUTAGE_S:
-            self._follower.record_recovery()
+            self._record_recovery(now_s)
+
+    def _record_recovery(self, at_s):
+        """Notify the follower of another recovery of the store.
+
+        Instances see the same recovery at slightly different times.
+        """
+        if at_s > self.recovered_s + MIN_OUTAGE_S:
+            self.recovered_s = at_s
+            self._follower.record_recovery(at_s)
--- a/tests/quota_pool.py
+++ b/tests/quota_pool.py
@@ -6,6 +6,7 @@
 import types
 
 from mulberryhollow.coordination import limits
+from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow.serving import quota_peering
 from mulberryhollow.state import catalogue
@@ -32,6 +33,7 @@
         self.index = index
         self.is_running = True
         self.handlers = {}
+        self.collectors = None
         self.peering = quota_peering.QuotaPeering(self, self, self)
         self.peering.connect()
 
@@ -62,7 +64,10 @@
             if each is not self and self.pool.reaches(self, each)
         ]
         self.pool.random.shuffle(others)
-        self.peering.apply_members(tuple(others), len(self.pool.instances))
+        self.collectors = sharing.choose_collectors(
+            self.local_member(), tuple(others), len(self.pool.instances)
+        )
+        self.peering.apply_collectors(self.collectors)
 
     def handle(self, topic, handler):
         self.handlers[topic] = handler
@@ -213,7 +218,7 @@
                 each.index,
                 sum(demands[index] for index in reached),
                 sum(
-                    self.instances[index].peering.holders.is_holder
+                    self.instances[index].collectors.is_local
                     for index in reached
                 ),
             )
--- /dev/null
+++ b/tests/serving/store_relay.feature
@@ -0,0 +1,61 @@
+Feature: Stored objects relayed by collectors
+
+  Scenario: An instance learns of changes without a call to the store
+    Given a collector and an instance that both follow the store
+    When an object is written and the collector reads the store
+    And the instance reports to the collector
+    Then the instance has the written object
+    And the instance made no call to the store
+
+  Scenario: Deletions are relayed
+    Given a collector and an instance that both follow the store
+    When an object is written and the collector reads the store
+    And the instance reports to the collector
+    And the object is deleted and the collector reads the store
+    And the instance reports to the collector
+    Then the instance has no object
+
+  Scenario Outline: An instance reads the store itself without a recent relay
+    Given a collector and an instance that both follow the store
+    When the instance reports to the collector
+    And <fault> for 4 seconds
+    And an object is written
+    And the instance reads
+    Then the instance has the written object
+    And the instance made 1 calls to the store
+
+    Examples:
+      | fault                                     |
+      | the collector is frozen                   |
+      | the collector is cut off from the store   |
+
+  Scenario: A collector that the store turns away learns from another one
+    Given a collector and another collector that both follow the store
+    When the other collector is turned away for 4 seconds
+    And an object is written and the collector reads the store
+    And the other collector exchanges totals with the collector
+    Then the other collector has the written object
+
+  Scenario: A collector whose watch is answered asks nobody
+    Given a collector and another collector that both follow the store
+    When the other collector reads the store
+    Then the other collector asks for nothing
+
+  Scenario: A stale relay does not undo what the instance has read itself
+    Given a collector and an instance that both follow the store
+    When the instance asks the collector and waits for the answer
+    And an object is written and the instance reads the store
+    And the answer arrives
+    Then the instance has the written object
+
+  Scenario: A recovery of the store is relayed once
+    Given a collector and an instance that both follow the store
+    When the collector sees the store recover from an outage
+    And the instance reports to the collector
+    And the instance reports to the collector
+    Then the instance recorded 1 recovery at the time of the collector's
+
+  Scenario: Malformed relayed objects are ignored with an event
+    Given a collector and an instance that both follow the store
+    When the instance receives malformed relayed objects
+    Then the instance has no object
--- a/tests/steps/coordination_limits.py
+++ b/tests/steps/coordination_limits.py
@@ -82,7 +82,7 @@
 @when("the usual holders of {count:d} domains die and nobody knows yet")
 def kill_holders(context, count):
     pool = context.pool
-    holders = {each.peering.holders.local[0] for each in pool.instances}
+    holders = {each.collectors.local[0] for each in pool.instances}
     for index in sorted(holders)[:count]:
         pool.instances[index].is_running = False
 
--- a/tests/steps/platform_store.py
+++ b/tests/steps/platform_store.py
@@ -126,7 +126,7 @@
     def handle_changes(self, items):
         self.names |= {each.name for each in items}
 
-    def record_recovery(self):
+    def record_recovery(self, at_s):
         raise AssertionError("the store was never unavailable")
 
 
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -165,7 +165,7 @@
 
 @when("the store returns from an outage and the entry of e1 is deleted")
 def delete_entry_after_return(context):
-    context.watcher.record_recovery()
+    context.watcher.record_recovery(context.watcher.test_clock.now_s())
     context.watcher.handle_changes([make_entry("e1", is_deleted=True)])
 
 
--- a/tests/steps/serving_quota_peering.py
+++ b/tests/steps/serving_quota_peering.py
@@ -6,6 +6,7 @@
 
 from mulberryhollow import clock as clocks
 from mulberryhollow.coordination import limits
+from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import quota_peering
@@ -34,9 +35,6 @@
                 {(name, topic): handler}
             ),
             call=self.call,
-            local_member=lambda: types.SimpleNamespace(
-                instance_id=name, failure_domain="d"
-            ),
         )
 
     def call(self, name, topic, payload, timeout_s):
@@ -67,16 +65,13 @@
         actor.quotas.set_live_nodes(count, now_s)
 
     dispatcher.change(fill)
-    others = [
-        types.SimpleNamespace(instance_id=each)
-        for each in ("first", "second", "third")
-        if each != name
-    ]
+    names = ("first", "second", "third")
+    others = tuple(each for each in names if each != name)
     peering = quota_peering.QuotaPeering(
         context.quota_peers.at(name), context.clock, dispatcher
     )
     peering.connect()
-    peering.apply_members(others, count)
+    peering.apply_collectors(sharing.Collectors((), others, live=count))
     return types.SimpleNamespace(peering=peering, dispatcher=dispatcher)
 
 
@@ -154,8 +149,8 @@
 @given("the second and third instance hold the credit of the first")
 def set_holders(context):
     names = ("second", "third")
-    context.instances["first"].peering.holders = limits.CreditHolders(
-        names, names, 3, False
+    context.instances["first"].peering.apply_collectors(
+        sharing.Collectors(names, names, is_local=False, live=3)
     )
 
 
--- /dev/null
+++ b/tests/steps/serving_store_relay.py
@@ -0,0 +1,222 @@
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow import clock as clocks
+from mulberryhollow import errors
+from mulberryhollow.serving import store_relay
+from mulberryhollow.serving import watch
+from mulberryhollow.state import objects
+
+KIND = "k"
+
+
+class Store:
+    """Store of one kind whose watches return at once."""
+
+    def __init__(self):
+        self.revision = 5
+        self.changes = []
+
+    def write(self, is_deleted=False):
+        """Write or delete the object ``a``."""
+        self.revision += 1
+        item = objects.StoredObject(
+            KIND, "a", self.revision, b"\xff{}", "", is_deleted
+        )
+        self.changes.append(item)
+
+    def list_objects(self, kind):
+        found = {each.name: each for each in self.changes}
+        return self.revision, [
+            each for each in found.values() if not each.is_deleted
+        ]
+
+    def watch(self, kind, after, wait_s):
+        found = [each for each in self.changes if each.version > after]
+        return self.revision, found
+
+
+class StoreCalls:
+    """Access of one instance to the store; calls are counted."""
+
+    def __init__(self, store):
+        self._store = store
+        self.count = 0
+        self.is_down = False
+
+    def list_objects(self, kind):
+        self._check()
+        return self._store.list_objects(kind)
+
+    def watch(self, kind, after, wait_s):
+        self._check()
+        return self._store.watch(kind, after, wait_s)
+
+    def _check(self):
+        self.count += 1
+        if self.is_down:
+            raise errors.StoreUnavailableError("down", "wait")
+
+
+class Instance:
+    """Follower of one kind and its relay; records what it is told."""
+
+    def __init__(self, store, clock, is_collector):
+        self.calls = StoreCalls(store)
+        self.names = set()
+        self.recoveries_s = []
+        self.follower = watch.ObjectFollower(self.calls, KIND, clock, self)
+        self.relay = store_relay.StoreRelay(
+            [self.follower], clock, lambda: is_collector
+        )
+        self.read()
+        self.calls.count = 0
+
+    def read(self):
+        try:
+            return self.relay.read(self.follower)
+        except errors.StoreUnavailableError:
+            return None
+
+    def handle_list(self, items):
+        self.names = {each.name for each in items}
+
+    def handle_changes(self, items):
+        for each in items:
+            if each.is_deleted:
+                self.names.discard(each.name)
+            else:
+                self.names.add(each.name)
+
+    def record_recovery(self, at_s):
+        self.recoveries_s.append(at_s)
+
+
+def exchange(asking, answering):
+    """Carry a question and its answer through JSON."""
+    question = json.loads(json.dumps(asking.relay.ask()))
+    answer = json.loads(json.dumps(answering.relay.answer(question)))
+    asking.relay.accept(answer)
+
+
+@given("a collector and {other} that both follow the store")
+def make_instances(context, other):
+    context.clock = clocks.ManualClock()
+    context.store = Store()
+    context.collector = Instance(context.store, context.clock, True)
+    context.instance = Instance(
+        context.store, context.clock, other == "another collector"
+    )
+
+
+@when("an object is written")
+def write_object(context):
+    context.store.write()
+
+
+@when("an object is written and the {who} reads the store")
+def write_and_read(context, who):
+    context.store.write()
+    getattr(context, who).follower.read()
+
+
+@when("the object is deleted and the collector reads the store")
+def delete_and_read(context):
+    context.store.write(is_deleted=True)
+    context.collector.read()
+
+
+@when("the instance reports to the collector")
+@when("the other collector exchanges totals with the collector")
+def report(context):
+    exchange(context.instance, context.collector)
+    context.instance.read()
+
+
+@when("the instance reads")
+@when("the other collector reads the store")
+def read_instance(context):
+    context.instance.read()
+
+
+@when("the collector is frozen for {seconds:d} seconds")
+def freeze_collector(context, seconds):
+    context.clock.advance(seconds)
+
+
+@when("the collector is cut off from the store for {seconds:d} seconds")
+def cut_collector(context, seconds):
+    context.collector.calls.is_down = True
+    for _ in range(seconds):
+        context.clock.advance(1.0)
+        context.collector.read()
+        exchange(context.instance, context.collector)
+
+
+@when("the other collector is turned away for {seconds:d} seconds")
+def turn_away(context, seconds):
+    context.instance.calls.is_down = True
+    for _ in range(seconds):
+        context.clock.advance(1.0)
+        context.instance.read()
+
+
+@when("the instance asks the collector and waits for the answer")
+def ask_collector(context):
+    context.answer = context.collector.relay.answer(
+        context.instance.relay.ask()
+    )
+
+
+@when("the answer arrives")
+def deliver_answer(context):
+    context.instance.relay.accept(context.answer)
+
+
+@when("the collector sees the store recover from an outage")
+def recover(context):
+    context.collector.calls.is_down = True
+    context.collector.read()
+    context.clock.advance(2.0)
+    context.collector.calls.is_down = False
+    context.collector.read()
+
+
+@when("the instance receives malformed relayed objects")
+def receive_malformed(context):
+    for fields in ({}, [], {"contact_age_s": 0}, {"changes": {"base": 5}}):
+        context.instance.relay.accept({KIND: fields})
+
+
+@then("the {who} has the written object")
+def check_object(context, who):
+    assert context.instance.names == {"a"}, context.instance.names
+
+
+@then("the instance has no object")
+def check_no_object(context):
+    assert context.instance.names == set(), context.instance.names
+
+
+@then("the instance made no call to the store")
+def check_no_calls(context):
+    assert context.instance.calls.count == 0, context.instance.calls.count
+
+
+@then("the instance made {count:d} calls to the store")
+def check_calls(context, count):
+    assert context.instance.calls.count == count, context.instance.calls.count
+
+
+@then("the other collector asks for nothing")
+def check_no_question(context):
+    assert context.instance.relay.ask() == {}, context.instance.relay.ask()
+
+
+@then("the instance recorded 1 recovery at the time of the collector's")
+def check_recovery(context):
+    recorded = context.instance.recoveries_s
+    assert recorded == context.collector.recoveries_s, recorded
