Give up answers without an end in time and within a limit of memory

Cause: a socket's timeout starts again with each byte. An endpoint that sent a byte now and then in its head, a chunk size, its trailers, its body or an incomplete event kept its request for as long as it sent, past the request's deadline. Interim answers, trailers and the body of a stale answer were read without a limit, and a whole answer was held in memory whatever its size. Ruled out: aborting at the deadline from the thread that watches callers (no limit on bytes, and attempts that another endpoint may repeat would wait for the whole deadline). Change: the channel reads through a BoundedReader, which has a deadline and a byte limit for each head and each piece. Stale answers, refusals and whole answers have limits in time and size; whole answers share 32 MiB. The time waited for an event counts from the last complete one, so a byte now and then does not extend it, and the deadline is checked before the first event.

--- a/mulberryhollow/coordination/forwarding/timeouts.py
+++ b/mulberryhollow/coordination/forwarding/timeouts.py
@@ -44,7 +44,7 @@
     return min(remaining_s, timeout_s)
 
 
-def get_event_timeout_s(request, runs, now_s):
+def get_event_timeout_s(request, runs, now_s, waited_s=0.0):
     """Return the timeout for the next event of a stream, in seconds.
 
     Parameters
@@ -55,6 +55,9 @@
         Endpoints that may have executed the request before this attempt.
     now_s : float
         Monotonic time, in seconds.
+    waited_s : float
+        Time already waited for this event, in seconds, while only parts of
+        it arrived.
 
     Notes
     -----
@@ -67,7 +70,7 @@
     timeout_s = max(
         MIN_TIMEOUT_S, EVENT_TIMEOUT_GAP_GOALS * request.gap_goal_s
     )
-    return min(remaining_s, timeout_s)
+    return min(remaining_s, timeout_s - waited_s)
 
 
 def _may_try_another_endpoint(request, runs):
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -1,13 +1,55 @@
 """Reads the answer of a forwarded request."""
 
+import threading
+
 from mulberryhollow.coordination import forwarding as decisions
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 
-__all__ = ["AnswerReader"]
+__all__ = ["AnswerBuffers", "AnswerReader"]
 
 _DRAIN_TIMEOUT_S = 0.25
-"""Maximum wait for each piece of a refusal's body, in seconds."""
+"""Maximum time to read a refusal's body, in seconds."""
+
+
+MAX_REFUSAL_BYTES = 65536
+"""Maximum size of a refusal's body that is read to reuse its connection."""
+
+MAX_ANSWER_BYTES = 4 << 20
+"""Maximum size of an answer that is not a stream, in bytes.
+
+Such an answer is held in memory until it is complete.
+"""
+
+MAX_BUFFERED_BYTES = 32 << 20
+"""Maximum size of all answers that are held in memory, in bytes.
+
+The first MIN_ANSWER_BYTES of each answer do not count.
+"""
+
+MIN_ANSWER_BYTES = 65536
+"""Size up to which an answer is always held, in bytes."""
+
+
+class AnswerBuffers:
+    """Budget of the memory for answers that are not yet complete."""
+
+    def __init__(self):
+        self._free_bytes = MAX_BUFFERED_BYTES
+        self._lock = threading.Lock()
+
+    def reserve(self, size_bytes):
+        """Reserve memory; return whether there was enough."""
+        with self._lock:
+            if size_bytes > self._free_bytes:
+                return False
+            self._free_bytes -= size_bytes
+            return True
+
+    def release(self, size_bytes):
+        """Release memory that was reserved."""
+        with self._lock:
+            self._free_bytes += size_bytes
 
 
 class AnswerReader:
@@ -21,6 +63,8 @@
         Source of time.
     recorder : object
         Counts the request as begun and records the time to its first event.
+    buffers : AnswerBuffers
+        Budget of the memory for answers that are not streams.
 
     Attributes
     ----------
@@ -32,15 +76,18 @@
         Longest gap between events, in seconds.
     """
 
-    def __init__(self, request, clock, recorder):
+    def __init__(self, request, clock, recorder, buffers):
         self.assembly = streams.EventAssembly(request.last_event_id)
         self.first_s = 0.0
         self.longest_gap_s = 0.0
         self._request = request
         self._clock = clock
         self._recorder = recorder
+        self._buffers = buffers
+        self._reserved_bytes = 0
         self._has_begun = False
         self._event_s = 0.0
+        self._waited_s = 0.0
 
     @property
     def is_resumable(self):
@@ -48,9 +95,17 @@
         return bool(self.assembly.last_id)
 
     def drain(self, answer):
-        """Read a refusal to its end, so that its connection can be reused."""
-        while answer.read_piece(_DRAIN_TIMEOUT_S):
-            pass
+        """Read a refusal to its end, so that its connection can be reused.
+
+        A longer one is left, and so its connection is closed.
+        """
+        end_s = self._clock.now_s() + _DRAIN_TIMEOUT_S
+        size = 0
+        while size < MAX_REFUSAL_BYTES:
+            piece = answer.read_piece(end_s - self._clock.now_s())
+            if not piece:
+                return
+            size += len(piece)
 
     def read_whole(self, answer):
         """Return the complete body of an answer.
@@ -58,14 +113,35 @@
         Raises
         ------
         EndpointError
-            When the body ends early.
+            When the body ends early or is too large to be held in memory.
         """
-        pieces = iter(
-            lambda: answer.read_piece(self._compute_remaining()), b""
-        )
-        body = b"".join(pieces)
+        pieces = []
+        size = 0
+        while True:
+            piece = answer.read_piece(self._find_remaining_s())
+            if not piece:
+                break
+            size += len(piece)
+            self._reserve(size)
+            pieces.append(piece)
         self._mark_begun()
-        return body
+        return b"".join(pieces)
+
+    def close(self):
+        """Release the memory of the answer."""
+        size, self._reserved_bytes = self._reserved_bytes, 0
+        self._buffers.release(size)
+
+    def _reserve(self, size):
+        """Reserve the memory for an answer that has grown to a size."""
+        missing = size - MIN_ANSWER_BYTES - self._reserved_bytes
+        if size > MAX_ANSWER_BYTES:
+            raise _make_too_large_error("the answer exceeds the size limit")
+        if missing <= 0:
+            return
+        if not self._buffers.reserve(missing):
+            raise _make_too_large_error("no memory is left for the answer")
+        self._reserved_bytes += missing
 
     def read_events(self, answer, runs):
         """Return the next complete events; None at the end of the answer.
@@ -88,9 +164,13 @@
             When the answer ends early, or an event is missing.
         """
         now_s = self._clock.now_s()
-        piece = answer.read_piece(
-            decisions.get_event_timeout_s(self._request, runs, now_s)
+        waited_s, self._waited_s = self._waited_s, 0.0
+        timeout_s = decisions.get_event_timeout_s(
+            self._request, runs, now_s, waited_s
         )
+        if timeout_s <= 0:
+            raise errors.EndpointError(streams.Silent(waited_s))
+        piece = answer.read_piece(timeout_s)
         if not piece:
             return None
         found = self.assembly.feed(piece)
@@ -98,12 +178,25 @@
             raise errors.EndpointError(found)
         if found:
             self._record_event_times()
+        else:
+            self._waited_s = waited_s + self._clock.now_s() - now_s
         return found
 
-    def _compute_remaining(self):
-        """Return the seconds remaining, at least `MIN_REMAINING_S`."""
-        remaining_s = self._request.deadline_s - self._clock.now_s()
-        return max(decisions.MIN_REMAINING_S, remaining_s)
+    def _find_remaining_s(self):
+        """Return the time to read an answer that has begun, in seconds.
+
+        Raises
+        ------
+        EndpointError
+            Silent when less than nothing is left, with `MIN_REMAINING_S`
+            added to the time of the request.
+        """
+        end_s = self._request.deadline_s + decisions.MIN_REMAINING_S
+        remaining_s = end_s - self._clock.now_s()
+        if remaining_s <= 0:
+            waited_s = self._clock.now_s() - self._request.arrived_s
+            raise errors.EndpointError(streams.Silent(waited_s))
+        return remaining_s
 
     def _record_event_times(self):
         """Record the time to the first events, or the gap between events."""
@@ -122,3 +215,8 @@
         if not self._has_begun:
             self._has_begun = True
             self._recorder.record_begun(self._request)
+
+
+def _make_too_large_error(detail):
+    """Return the EndpointError for an answer that cannot be held."""
+    return errors.EndpointError(streams.Crossed(detail))
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -41,6 +41,8 @@
         ``record_begun(request)``, ``record_first(request, elapsed_s)``
         and ``record_end(request, outcome, elapsed_s)`` update counters
         and latencies.
+    buffers : AnswerBuffers
+        Budget of the memory for answers that are not streams.
     """
 
     dispatcher: object
@@ -49,6 +51,7 @@
     clock: object
     watch: object
     recorder: object
+    buffers: answers.AnswerBuffers = attrs.field(factory=answers.AnswerBuffers)
 
 
 class Forwarder:
@@ -127,7 +130,10 @@
         self._first_piece = b""
         self._failed_answer = None
         self._reader = answers.AnswerReader(
-            request, dependencies.clock, dependencies.recorder
+            request,
+            dependencies.clock,
+            dependencies.recorder,
+            dependencies.buffers,
         )
         self._channel = None
         self._is_aborted = False
@@ -182,6 +188,7 @@
         dependencies.watch.remove(self)
         self._close_answer()
         self._release_route()
+        self._reader.close()
         elapsed_s = dependencies.clock.now_s() - self._request.arrived_s
         dependencies.recorder.record_end(
             self._request, self._outcome, elapsed_s
@@ -301,6 +308,7 @@
         """Return the first events of a stream and report their time."""
         piece = b""
         while not (piece or self._is_complete):
+            self._check_first_deadline()
             piece = self._read_events()
         now_s = self._dependencies.clock.now_s()
         if self._route is not None:
@@ -324,6 +332,13 @@
         self._close_answer()
         self._release_route()
 
+    def _check_first_deadline(self):
+        """Raise when the deadline has passed before the first event."""
+        now_s = self._dependencies.clock.now_s()
+        if now_s >= self._request.deadline_s:
+            fault = streams.Silent(now_s - self._request.arrived_s)
+            raise errors.EndpointError(fault)
+
     def _check_deadline(self):
         """Raise when the deadline of the request has passed."""
         now_s = self._dependencies.clock.now_s()
--- /dev/null
+++ b/mulberryhollow/transport/bounded_reader.py
@@ -0,0 +1,84 @@
+"""Reader of a socket with a deadline and a limit on the bytes read."""
+
+import io
+import time
+
+__all__ = ["BoundedReader", "ByteLimitError"]
+
+MIN_TIMEOUT_CHANGE_S = 0.1
+"""Smallest change for which a socket timeout is set again, in seconds.
+
+Setting it takes a system call, which would be made for each event of a
+stream.
+"""
+
+
+class ByteLimitError(Exception):
+    """More bytes arrived than one read may take."""
+
+
+class BoundedReader(io.RawIOBase):
+    """Raw stream that reads a socket within a deadline and a byte limit.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        The socket.
+
+    Notes
+    -----
+    The timeout of a socket starts again with each byte, so it does not end
+    a read that gets a byte now and then. Nothing is read from the socket
+    before the first call of `allow`.
+    """
+
+    def __init__(self, sock):
+        self._sock = sock
+        self._end_s = 0.0
+        self._left_bytes = 0
+
+    def allow(self, limit_bytes, timeout_s):
+        """Allow reads of some bytes for a time.
+
+        Parameters
+        ----------
+        limit_bytes : int
+            Largest number of bytes until the next call of this method.
+        timeout_s : float
+            Time until the reads fail, in seconds.
+        """
+        self._left_bytes = limit_bytes
+        self._end_s = time.monotonic() + timeout_s
+
+    def readable(self):
+        """Return True."""
+        return True
+
+    def readinto(self, buffer):
+        """Read into a buffer and return the number of bytes.
+
+        Raises
+        ------
+        TimeoutError
+            When the deadline passes.
+        ByteLimitError
+            When the limit is used up.
+        """
+        remaining_s = self._end_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError("the deadline of the read has passed")
+        if self._left_bytes <= 0:
+            raise ByteLimitError("too many bytes without an end")
+        self._set_timeout(remaining_s)
+        count = self._sock.recv_into(buffer)
+        self._left_bytes -= count
+        return count
+
+    def _set_timeout(self, timeout_s):
+        """Set the socket timeout unless the change is negligible."""
+        current_s = self._sock.gettimeout()
+        if (
+            current_s is None
+            or abs(current_s - timeout_s) > MIN_TIMEOUT_CHANGE_S
+        ):
+            self._sock.settimeout(timeout_s)
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import http.client
+import io
 import re
 import select
 import socket
 
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
+from mulberryhollow.transport import bounded_reader
 from mulberryhollow.transport import connection as connections
 
 __all__ = ["EndpointChannel"]
@@ -15,8 +17,14 @@
 MAX_TRANSFER_BYTES = 65536
 """Largest number of bytes in one read or write."""
 
-MIN_TIMEOUT_CHANGE_S = 0.1
-"""Smallest change for which a socket timeout is set again, in seconds."""
+MAX_HEAD_BYTES = 131072
+"""Largest number of bytes read for a head, interim answers included."""
+
+MAX_PIECE_BYTES = 2 * MAX_TRANSFER_BYTES
+"""Largest number of bytes read for one piece of a body.
+
+The part beyond MAX_TRANSFER_BYTES is for chunk sizes and trailers.
+"""
 
 _FORBIDDEN_CHARACTERS = re.compile(r"[\r\n\0]")
 _MALFORMED_ERRORS = (http.client.HTTPException, ValueError)
@@ -40,7 +48,8 @@
     def __init__(self, connection):
         self.sock = connection.sock
         self._connection = connection
-        self._reader = self.sock.makefile("rb")
+        self._source = bounded_reader.BoundedReader(self.sock)
+        self._reader = io.BufferedReader(self._source)
         self._response = None
         self._is_request_complete = True
 
@@ -69,8 +78,11 @@
         try:
             if _poll(self.sock, select.POLLIN, 0.0):
                 return False
-            self.sock.settimeout(0.0)
+            self._source.allow(0, 0.0)
             return not self._reader.peek(1)
+        except TimeoutError:
+            # The buffer is empty: it would have to be filled.
+            return True
         except (OSError, ValueError):
             return False
 
@@ -112,12 +124,19 @@
     def receive(self, method, timeout_s):
         """Return (status, headers) of the next response.
 
+        Parameters
+        ----------
+        method : str
+            Method of the request.
+        timeout_s : float
+            Longest time until the head is complete, in seconds.
+
         Raises
         ------
         EndpointError
             Broken, Silent, or Crossed when the bytes are not an HTTP response.
         """
-        self.sock.settimeout(timeout_s)
+        self._source.allow(MAX_HEAD_BYTES, timeout_s)
         response = http.client.HTTPResponse(
             _ReaderSocket(self._reader), method=method
         )
@@ -131,44 +150,41 @@
             raise errors.EndpointError(fault) from error
         except OSError as error:
             raise _classify_error(error, 1, timeout_s) from error
+        except bounded_reader.ByteLimitError as error:
+            raise _make_endless_error("head") from error
         self._response = response
         return response.status, tuple(response.getheaders())
 
     def read_piece(self, timeout_s):
         """Return the next bytes of the body; empty once it is complete.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time until the bytes arrive, in seconds.
+
         Raises
         ------
         EndpointError
-            Broken, also when the body is incomplete, or Silent.
+            Broken, also when the body is incomplete, Silent, or Crossed for
+            a chunk size or trailers without end.
         """
         response = self._response
         try:
-            self._set_timeout(timeout_s)
+            self._source.allow(MAX_PIECE_BYTES, timeout_s)
             piece = response.read1(MAX_TRANSFER_BYTES)
         except _MALFORMED_ERRORS as error:
             raise _make_incomplete_error(repr(error)) from error
         except OSError as error:
             raise _classify_error(error, 1, timeout_s) from error
+        except bounded_reader.ByteLimitError as error:
+            raise _make_endless_error("chunk size or trailers") from error
         if not piece and response.length:
             raise _make_incomplete_error(
                 f"{response.length} bytes are missing"
             )
         return piece
 
-    def _set_timeout(self, timeout_s):
-        """Set the socket timeout unless the change is negligible.
-
-        Setting it takes a system call, which would be made for each event
-        of a stream.
-        """
-        current_s = self.sock.gettimeout()
-        if (
-            current_s is None
-            or abs(current_s - timeout_s) > MIN_TIMEOUT_CHANGE_S
-        ):
-            self.sock.settimeout(timeout_s)
-
     @property
     def is_reusable(self):
         """Whether the connection can carry another request.
@@ -252,6 +268,13 @@
     return errors.EndpointError(streams.Broken(repr(error)))
 
 
+def _make_endless_error(part):
+    """Return the EndpointError for a part of an answer without an end."""
+    return errors.EndpointError(
+        streams.Crossed(f"not an HTTP response: {part} without an end")
+    )
+
+
 def _make_incomplete_error(detail):
     """Return the EndpointError for an incomplete response body."""
     return errors.EndpointError(
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -34,6 +34,9 @@
 A stale answer belongs to an earlier request on the connection.
 """
 
+MAX_STALE_BYTES = 1 << 20
+"""Largest number of bytes of a stale answer's body to skip."""
+
 
 @attrs.frozen
 class Attempt:
@@ -71,6 +74,7 @@
 
     def __init__(self, codec, clock):
         self._codec = codec
+        self._clock = clock
         self._pool = connections.ConnectionPool(
             clock,
             open_connection=channels.EndpointChannel.open,
@@ -123,21 +127,42 @@
         return channel
 
     def _receive_head(self, channel, attempt):
-        """Return the head of the response, skipping stale answers."""
+        """Return the head of the response, skipping stale answers.
+
+        All of them together may take the time that the attempt may wait.
+        """
+        end_s = self._clock.now_s() + attempt.wait_s
         for _ in range(1 + MAX_STALE_ANSWERS):
             status, headers = channel.receive(
-                attempt.call.method, attempt.wait_s
+                attempt.call.method, end_s - self._clock.now_s()
             )
             head = self._codec.decode_head(status, headers)
             is_expected = head.request_id == attempt.call.request_id
             has_no_id = not head.request_id and status >= MIN_ERROR_STATUS
             if is_expected or has_no_id:
                 return head
-            while channel.read_piece(attempt.wait_s):
-                pass
+            self._skip_body(channel, end_s)
         fault = streams.Crossed(f"answer to request {head.request_id}")
         raise errors.EndpointError(fault)
 
+    def _skip_body(self, channel, end_s):
+        """Read the body of a stale answer to its end.
+
+        Raises
+        ------
+        EndpointError
+            Crossed when it exceeds MAX_STALE_BYTES; Silent when it takes
+            too long.
+        """
+        skipped = 0
+        while skipped <= MAX_STALE_BYTES:
+            piece = channel.read_piece(end_s - self._clock.now_s())
+            if not piece:
+                return
+            skipped += len(piece)
+        fault = streams.Crossed("a stale answer without an end")
+        raise errors.EndpointError(fault)
+
 
 class OpenAnswer:
     """A response whose head has arrived and whose body is being read.
