Keep the number of threads of an instance independent of the fleet's size

Cause: each connection of a peer had a thread for up to 60 s, each periodic task and each page address had threads of its own. Ruled out: thrift's non-blocking server (it buffers a message of any announced size). Change: the server for peers waits for all connections with a selector and answers complete messages in a pool that grows with the messages answered at the same time. Short periodic work shares a thread, the ready, metrics and member pages share a server, the thread that watches callers sleeps while there are none, and the gossip actor is woken only for a due round or urgent facts. The fake peer of the tests counts accepted connections instead of threads, as strict as before.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -396,19 +396,17 @@
                 MAX_CONCURRENT_REQUESTS,
                 settings.max_files,
             ),
-            "ready": http_server.make_page_server(
-                {"/v1/readyz": self._render_ready}, settings.ready_address
+            "pages": http_server.make_page_server(
+                {
+                    "/v1/readyz": self._render_ready,
+                    "/metrics": self._render_metrics,
+                    registry.MEMBER_PATH: self._render_member,
+                },
+                settings.ready_address,
+                f"{settings.ip}:{settings.metrics_port}",
+                *filter(None, [settings.control_address]),
             ),
         }
-        servers["metrics"] = http_server.make_page_server(
-            {"/metrics": self._render_metrics},
-            f"{settings.ip}:{settings.metrics_port}",
-        )
-        if settings.control_address:
-            servers["control"] = http_server.make_page_server(
-                {registry.MEMBER_PATH: self._render_member},
-                settings.control_address,
-            )
         return servers
 
     def _make_loops(self):
@@ -426,36 +424,44 @@
             )
             for name, each in self._followers.items()
         ]
+        make = functools.partial(pollers.Loop, clock=self._clock)
         loops += [
-            pollers.Loop(
-                "expiry",
+            pollers.SharedLoop(
+                "housekeeping",
                 self._clock,
-                EXPIRY_INTERVAL_S,
-                self._fleet_watcher.expire,
-            ),
-            pollers.Loop(
-                "lender",
-                self._clock,
-                FLEET_PEERING_INTERVAL_S,
-                self._fleet_peering.tick,
+                (
+                    make(
+                        "expiry",
+                        interval_s=EXPIRY_INTERVAL_S,
+                        call=self._fleet_watcher.expire,
+                    ),
+                    make(
+                        "peers",
+                        interval_s=MEMBERSHIP_INTERVAL_S,
+                        call=self._apply_members,
+                    ),
+                ),
             ),
-            pollers.Loop(
-                "peers",
+            pollers.SharedLoop(
+                "joining",
                 self._clock,
-                MEMBERSHIP_INTERVAL_S,
-                self._apply_members,
+                (
+                    make(
+                        "lender",
+                        interval_s=FLEET_PEERING_INTERVAL_S,
+                        call=self._fleet_peering.tick,
+                    ),
+                    make(
+                        "registry",
+                        interval_s=REGISTER_INTERVAL_S,
+                        call=member_registry.register,
+                    ),
+                ),
             ),
-            pollers.Loop(
+            make(
                 "sums",
-                self._clock,
-                AGGREGATE_INTERVAL_S,
-                self._aggregate_peering.tick,
-            ),
-            pollers.Loop(
-                "registry",
-                self._clock,
-                REGISTER_INTERVAL_S,
-                member_registry.register,
+                interval_s=AGGREGATE_INTERVAL_S,
+                call=self._aggregate_peering.tick,
             ),
         ]
         if self._duty_manager is not None:
--- a/mulberryhollow/serving/caller_watch.py
+++ b/mulberryhollow/serving/caller_watch.py
@@ -31,6 +31,7 @@
     def __init__(self, clock):
         self._clock = clock
         self._watched = {}
+        self._is_wanted = threading.Event()
         self._lock = threading.Lock()
         self._stopped = threading.Event()
 
@@ -43,6 +44,7 @@
     def stop(self):
         """Stop the polling thread."""
         self._stopped.set()
+        self._is_wanted.set()
 
     def add(self, key, is_gone, abort):
         """Watch the caller of a request.
@@ -58,6 +60,7 @@
         """
         with self._lock:
             self._watched[key] = (is_gone, abort)
+        self._is_wanted.set()
 
     def remove(self, key):
         """Stop watching the caller of a request."""
@@ -78,7 +81,11 @@
             abort()
 
     def _run(self):
-        """Poll until stopped."""
+        """Poll until stopped, while any caller is watched."""
         while not self._stopped.is_set():
             self.poll()
+            with self._lock:
+                if not self._watched and not self._stopped.is_set():
+                    self._is_wanted.clear()
             self._clock.wait(self._stopped, POLL_INTERVAL_S)
+            self._is_wanted.wait()
--- a/mulberryhollow/serving/duties.py
+++ b/mulberryhollow/serving/duties.py
@@ -15,6 +15,9 @@
 LEASE_OBJECT_NAME = "holder"
 """Name of the stored object that holds the lease."""
 
+IDLE_INTERVAL_S = 1.0
+"""Interval between ticks of an instance that is no candidate, in seconds."""
+
 ACQUIRED = events.declare(
     8110, logging.INFO, "this instance acquired the lease on the duties"
 )
@@ -68,11 +71,18 @@
         return self._lease.is_held(self._clock.elapsed_s())
 
     def tick(self):
-        """Read or renew the lease, then perform the duties if it is held."""
+        """Read or renew the lease, then perform the duties if it is held.
+
+        Returns
+        -------
+        float or None
+            Time until the next call, in seconds; None for the usual one.
+        """
         with self._lock:
             if self._is_released:
-                return
-            if self._lease.fencing_token or self._is_candidate():
+                return IDLE_INTERVAL_S
+            is_idle = not (self._lease.fencing_token or self._is_candidate())
+            if not is_idle:
                 self._update_lease()
         if self._was_held and not self._lease.fencing_token:
             self._was_held = False
@@ -80,6 +90,7 @@
         for handler in self._handlers:
             if self.is_held():
                 handler.work(self._lease.fencing_token, self.is_held)
+        return IDLE_INTERVAL_S if is_idle else None
 
     def release(self):
         """Release the lease and never acquire it again in this process.
--- a/mulberryhollow/serving/fleet_peering.py
+++ b/mulberryhollow/serving/fleet_peering.py
@@ -16,6 +16,9 @@
 CALL_TIMEOUT_S = 0.5
 """Timeout of the call to a peer, in seconds."""
 
+IDLE_INTERVAL_S = 30.0
+"""Interval between ticks once a list is known, in seconds."""
+
 MAX_PEERS_PER_TICK = 2
 """Maximum number of peers that are called in one tick."""
 
@@ -52,11 +55,18 @@
         self._peers.handle(TOPIC, self._answer)
 
     def tick(self):
-        """Call peers for their list, unless one is known."""
+        """Call peers for their list, unless one is known.
+
+        Returns
+        -------
+        float or None
+            Time until the next call, in seconds; None for the usual one.
+        """
         for member in self._get_members()[:MAX_PEERS_PER_TICK]:
             if self._fleet_watcher.is_known:
-                return
+                return IDLE_INTERVAL_S
             self._fetch_list(member.instance_id)
+        return None
 
     def _fetch_list(self, name):
         """Adopt the list of one peer, if it returns any."""
--- a/mulberryhollow/serving/pollers.py
+++ b/mulberryhollow/serving/pollers.py
@@ -11,7 +11,13 @@
 from mulberryhollow import events
 from mulberryhollow.state import endpoints
 
-__all__ = ["EndpointPoller", "LoadPoller", "Loop", "NoticePoller"]
+__all__ = [
+    "EndpointPoller",
+    "LoadPoller",
+    "Loop",
+    "NoticePoller",
+    "SharedLoop",
+]
 
 LOAD_READS_PER_EVENTS_READ = 3
 """Number of reads of the load reports for one read of cache events."""
@@ -87,10 +93,10 @@
     def _run(self):
         """Call until stopped; a call that raises is retried later."""
         while not self._stopped.is_set():
-            self._clock.wait(self._stopped, self._call_once())
+            self._clock.wait(self._stopped, self.call_once())
 
-    def _call_once(self):
-        """Call the function; return the time until the next call."""
+    def call_once(self):
+        """Call the function; return the time until the next call, in s."""
         try:
             wait_s = self._call()
             self._record_success()
@@ -130,6 +136,46 @@
             self._failures = 0
 
 
+class SharedLoop:
+    """Thread that runs several loops whose functions never block for long.
+
+    Parameters
+    ----------
+    name : str
+        Name of the thread.
+    clock : Clock
+        Source of time, which also waits between the calls.
+    loops : iterable of Loop
+        The loops, which are not started themselves.
+    """
+
+    def __init__(self, name, clock, loops):
+        self._clock = clock
+        self._due_s = dict.fromkeys(loops, clock.now_s())
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=name, daemon=True
+        )
+
+    def start(self):
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self):
+        """Let the thread end after the current call."""
+        self._stopped.set()
+
+    def _run(self):
+        """Run the loop that is due next until stopped."""
+        while not self._stopped.is_set():
+            loop = min(self._due_s, key=self._due_s.get)
+            wait_s = self._due_s[loop] - self._clock.now_s()
+            if wait_s > 0 and self._clock.wait(self._stopped, wait_s):
+                return
+            wait_s = loop.call_once()
+            self._due_s[loop] = self._clock.now_s() + wait_s
+
+
 class EndpointPoller:
     """Polls the list of endpoints.
 
--- a/mulberryhollow/serving/registry.py
+++ b/mulberryhollow/serving/registry.py
@@ -18,6 +18,9 @@
 MEMBER_PATH = "/member"
 """Path of an instance's page that returns its registration."""
 
+IDLE_INTERVAL_S = 30.0
+"""Interval between calls once the registration is written, in seconds."""
+
 _QUERY_TIMEOUT_S = 1.0
 _MAX_QUERIES = 8
 
@@ -54,13 +57,18 @@
 
         Does nothing once the registration is written.
 
+        Returns
+        -------
+        float or None
+            Time until the next call, in seconds; None for the usual one.
+
         Raises
         ------
         StoreUnavailableError
             If the platform gave no usable answer; the caller retries.
         """
         if self._version:
-            return
+            return IDLE_INTERVAL_S
         local_member = self._peers.local_member()
         try:
             _, found = self._store.list_objects(membership.KIND)
@@ -69,6 +77,7 @@
             raise
         self._add([each for each in map(_decode, found) if each is not None])
         self._write(local_member, found)
+        return None
 
     def remove(self):
         """Delete the registration; one that remains is overwritten later."""
--- a/mulberryhollow/transport/gossip.py
+++ b/mulberryhollow/transport/gossip.py
@@ -317,7 +317,9 @@
         while not self._clock.wait(self._stopped, self._settings.tick_s):
             if not self.actor_ref.is_alive():
                 return
-            self._notify_actor(_Tick())
+            is_due = self._clock.now_s() >= self._round_due_s
+            if is_due or self._node.has_urgent:
+                self._notify_actor(_Tick())
 
     def _run_round(self, now_s, wall_s):
         """Charge the control traffic to the budget; begin a round if due."""
--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -53,7 +53,7 @@
 PAGE_THREADS = 2
 """Number of threads of the page server."""
 
-INITIAL_THREADS = 8
+INITIAL_THREADS = 4
 """Number of threads that a server for callers starts with."""
 
 THREAD_INCREMENT = 4
@@ -277,19 +277,19 @@
     return server
 
 
-def make_page_server(pages, address):
+def make_page_server(pages, *addresses):
     """Return a waitress server for this instance's own pages.
 
     Parameters
     ----------
     pages : dict
         Path to a function that returns a Reply.
-    address : str
-        ``host:port`` to listen on.
+    *addresses : str
+        ``host:port`` of each socket to listen on; all serve every page.
     """
     return waitress.create_server(
         PageApp(pages),
-        listen=address,
+        listen=" ".join(addresses),
         threads=PAGE_THREADS,
         asyncore_use_poll=True,
         ident="",
--- a/mulberryhollow/transport/peer_sockets.py
+++ b/mulberryhollow/transport/peer_sockets.py
@@ -1,12 +1,14 @@
-"""Thrift sockets and threaded server for messages between peers."""
+"""Thrift sockets and server for messages between peers."""
 
+import collections
+import concurrent.futures
 import contextlib
+import selectors
 import socket
-import threading
+import struct
 import time
 
 from thrift.protocol import TCompactProtocol
-from thrift.server import TServer
 from thrift.transport import TSocket
 from thrift.transport import TTransport
 
@@ -22,8 +24,28 @@
 MAX_CONNECTIONS = 256
 """Largest number of open connections of a server; it closes further ones."""
 
-SERVER_IDLE_TIMEOUT_S = 60.0
-"""Time without a byte after which a server closes a connection, in seconds."""
+SERVER_IDLE_TIMEOUT_S = 30.0
+"""Time without a byte after which a server closes a connection, in seconds.
+
+Clients use a connection again within 20 s.
+"""
+
+IDLE_CHECK_INTERVAL_S = 5.0
+"""Interval between checks for idle connections, in seconds."""
+
+SEND_TIMEOUT_S = 5.0
+"""Timeout of sending a reply, in seconds."""
+
+MAX_WORKERS = 32
+"""Largest number of messages that a server answers at the same time."""
+
+BACKLOG = 128
+"""Length of the listen queue of a server: connections not yet accepted."""
+
+RECEIVE_BYTES = 65536
+"""Largest number of bytes in one read."""
+
+_FRAME_SIZE = struct.Struct("!I")
 
 
 class ClientSocket(TSocket.TSocket):
@@ -65,41 +87,6 @@
         self.handle.settimeout(remaining_s)
 
 
-class _ServedSocket(TSocket.TSocket):
-    """Accepted socket that counts its bytes."""
-
-    def __init__(self, handle, traffic):
-        super().__init__()
-        self._traffic = traffic
-        handle.settimeout(SERVER_IDLE_TIMEOUT_S)
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.setHandle(handle)
-
-    def read(self, sz):
-        """Read at most ``sz`` bytes."""
-        data = super().read(sz)
-        self._traffic.add(received_bytes=len(data))
-        return data
-
-    def write(self, buff):
-        """Write everything."""
-        super().write(buff)
-        self._traffic.add(sent_bytes=len(buff))
-
-
-class _Listener(TSocket.TServerSocket):
-    """Listening socket whose connections are counted."""
-
-    def __init__(self, host, port, traffic):
-        super().__init__(host, port, socket_family=socket.AF_INET)
-        self._traffic = traffic
-
-    def accept(self):
-        """Return the next connection."""
-        handle, _ = self.handle.accept()
-        return _ServedSocket(handle, self._traffic)
-
-
 class FrameFactory:
     """Creates framed transports with the size limit MAX_FRAME_BYTES."""
 
@@ -108,10 +95,8 @@
         return TTransport.TFramedTransport(trans, MAX_FRAME_BYTES)
 
 
-class ThriftServer(TServer.TThreadedServer):
-    """Threaded Thrift server with a connection limit that can be stopped.
-
-    Each connection has a daemon thread.
+class ThriftServer:
+    """Thrift server with one thread for all connections that are idle.
 
     Parameters
     ----------
@@ -125,6 +110,18 @@
     max_connections : int
         Largest number of open connections; further ones are closed at
         once.
+
+    Attributes
+    ----------
+    accepted : int
+        Number of connections accepted so far, without those above the
+        limit.
+
+    Notes
+    -----
+    The thread that runs `serve` waits for all connections. A complete
+    message is answered by a worker thread, of which there are as many as
+    messages are answered at the same time, and MAX_WORKERS at most.
     """
 
     def __init__(
@@ -134,82 +131,208 @@
         traffic=None,
         max_connections=MAX_CONNECTIONS,
     ):
-        super().__init__(
-            peers.PeerService.Processor(service),
-            _listen(listen_address, traffic or traffic_module.Traffic()),
-            FrameFactory(),
-            TCompactProtocol.TCompactProtocolAcceleratedFactory(),
-            daemon=True,
-        )
+        self._processor = peers.PeerService.Processor(service)
+        self._protocols = TCompactProtocol.TCompactProtocolAcceleratedFactory()
+        self._traffic = traffic or traffic_module.Traffic()
         self._max_connections = max_connections
-        self._lock = threading.Lock()
+        self._listener = socket.create_server(
+            store.split_address(listen_address), backlog=BACKLOG
+        )
+        self._listener.setblocking(False)
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._listener, selectors.EVENT_READ)
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        for each in (self._wake_reader, self._wake_writer):
+            each.setblocking(False)
+        self._selector.register(self._wake_reader, selectors.EVENT_READ)
+        self._workers = concurrent.futures.ThreadPoolExecutor(
+            MAX_WORKERS, thread_name_prefix="peer-worker"
+        )
+        self._answered = collections.deque()
         self._connections = set()
         self._is_stopped = False
+        self.accepted = 0
 
     @property
     def address(self):
         """``HOST:PORT`` that the server listens on."""
-        host, port = self.serverTransport.handle.getsockname()
+        host, port = self._listener.getsockname()
         return f"{host}:{port}"
 
     def serve(self):
-        """Accept connections until the server is stopped."""
+        """Accept connections and messages until the server is stopped."""
+        checked_s = time.monotonic()
         while not self._is_stopped:
-            try:
-                connection = self.serverTransport.accept()
-            except OSError:
-                continue
-            self._admit(connection)
+            for key, _ in self._selector.select(IDLE_CHECK_INTERVAL_S):
+                if key.fileobj is self._listener:
+                    self._accept()
+                elif key.fileobj is self._wake_reader:
+                    self._resume_answered()
+                else:
+                    self._read(key.data)
+            now_s = time.monotonic()
+            if now_s - checked_s >= IDLE_CHECK_INTERVAL_S:
+                checked_s = now_s
+                self._close_idle(now_s)
+        self._close_all()
 
     def stop(self):
         """Stop accepting and close every connection."""
         self._is_stopped = True
-        with self._lock:
-            handles = [item.handle for item in self._connections]
-        handles.append(self.serverTransport.handle)
-        for handle in filter(None, handles):
-            _shut_down(handle)
-        self.serverTransport.close()
-
-    def handle(self, client):
-        """Answer the messages of one connection until the connection ends."""
-        framed = self.inputTransportFactory.getTransport(client)
-        protocol = self.inputProtocolFactory.getProtocol(framed)
+        self._wake()
+        for connection in tuple(self._connections):
+            connection.shut_down()
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def _accept(self):
+        """Accept a connection, or close it above the limit."""
         try:
-            while True:
-                self.processor.process(protocol, protocol)
-        except (OSError, *peers.DECODE_ERRORS):
-            pass
-        finally:
-            with self._lock:
-                self._connections.discard(client)
-            client.close()
-
-    def _admit(self, connection):
-        """Start a thread for a connection, or close it above the limit."""
-        with self._lock:
-            is_full = len(self._connections) >= self._max_connections
-            if not is_full and not self._is_stopped:
-                self._connections.add(connection)
-        if is_full or self._is_stopped:
-            connection.close()
+            handle, _ = self._listener.accept()
+        except OSError:
             return
-        threading.Thread(
-            target=self.handle,
-            args=(connection,),
-            name="peer-connection",
-            daemon=True,
-        ).start()
-
-
-def _listen(address, traffic):
-    """Return a listening socket."""
-    listener = _Listener(*store.split_address(address), traffic)
-    listener.listen()
-    return listener
+        if len(self._connections) >= self._max_connections:
+            handle.close()
+            return
+        self.accepted += 1
+        connection = _ServedConnection(handle)
+        self._connections.add(connection)
+        self._selector.register(handle, selectors.EVENT_READ, connection)
 
+    def _read(self, connection):
+        """Read what has arrived; give a complete message to a worker."""
+        try:
+            received = connection.receive()
+            frame = connection.pop_frame()
+        except (OSError, ValueError):
+            self._selector.unregister(connection.handle)
+            self._close(connection)
+            return
+        self._traffic.add(received_bytes=received)
+        if frame is None:
+            return
+        # Until the reply is sent nothing else is read from the connection.
+        self._selector.unregister(connection.handle)
+        try:
+            self._workers.submit(self._answer, connection, frame)
+        except RuntimeError:
+            self._close(connection)
 
-def _shut_down(handle):
-    """Shut a socket down, which wakes the threads blocked on it."""
-    with contextlib.suppress(OSError):
-        handle.shutdown(socket.SHUT_RDWR)
+    def _answer(self, connection, frame):
+        """Answer a message, and those that arrived right after it."""
+        try:
+            while frame is not None:
+                sent = connection.send_frame(self._process(frame))
+                self._traffic.add(sent_bytes=sent)
+                frame = connection.pop_frame()
+        except (OSError, ValueError, *peers.DECODE_ERRORS):
+            self._close(connection)
+            return
+        self._answered.append(connection)
+        self._wake()
+
+    def _process(self, frame):
+        """Return the reply to one message."""
+        reply = TTransport.TMemoryBuffer()
+        self._processor.process(
+            self._protocols.getProtocol(TTransport.TMemoryBuffer(frame)),
+            self._protocols.getProtocol(reply),
+        )
+        return reply.getvalue()
+
+    def _resume_answered(self):
+        """Read again from the connections whose reply was sent."""
+        with contextlib.suppress(BlockingIOError):
+            self._wake_reader.recv(RECEIVE_BYTES)
+        while self._answered:
+            connection = self._answered.popleft()
+            if connection in self._connections:
+                self._selector.register(
+                    connection.handle, selectors.EVENT_READ, connection
+                )
+
+    def _close_idle(self, now_s):
+        """Close the connections on which nothing arrived for long."""
+        waiting = [
+            key.data for key in self._selector.get_map().values() if key.data
+        ]
+        for connection in waiting:
+            if now_s - connection.used_s >= SERVER_IDLE_TIMEOUT_S:
+                self._selector.unregister(connection.handle)
+                self._close(connection)
+
+    def _close(self, connection):
+        """Close a connection that is not registered."""
+        self._connections.discard(connection)
+        connection.handle.close()
+
+    def _close_all(self):
+        """Close every socket; the worker threads close their connections."""
+        for key in tuple(self._selector.get_map().values()):
+            key.fileobj.close()
+        self._selector.close()
+        self._wake_writer.close()
+
+    def _wake(self):
+        """Wake the thread that runs `serve`."""
+        with contextlib.suppress(OSError):
+            self._wake_writer.send(b"x")
+
+
+class _ServedConnection:
+    """Accepted connection and the part of a message that has arrived."""
+
+    def __init__(self, handle):
+        handle.setblocking(False)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.handle = handle
+        self.used_s = time.monotonic()
+        self._buffer = bytearray()
+
+    def receive(self):
+        """Read what has arrived; return the number of bytes.
+
+        Raises
+        ------
+        OSError
+            When the peer has closed the connection.
+        """
+        data = self.handle.recv(RECEIVE_BYTES)
+        if not data:
+            raise ConnectionAbortedError("the peer closed the connection")
+        self._buffer += data
+        self.used_s = time.monotonic()
+        return len(data)
+
+    def pop_frame(self):
+        """Remove and return a complete message; None if there is none.
+
+        Raises
+        ------
+        ValueError
+            When the announced size exceeds MAX_FRAME_BYTES.
+        """
+        if len(self._buffer) < _FRAME_SIZE.size:
+            return None
+        (size,) = _FRAME_SIZE.unpack_from(self._buffer)
+        if size > MAX_FRAME_BYTES:
+            raise ValueError(f"message of {size} bytes")
+        end = _FRAME_SIZE.size + size
+        if len(self._buffer) < end:
+            return None
+        frame = bytes(self._buffer[_FRAME_SIZE.size : end])
+        del self._buffer[:end]
+        return frame
+
+    def send_frame(self, payload):
+        """Send a message; return the number of bytes sent."""
+        data = _FRAME_SIZE.pack(len(payload)) + payload
+        self.handle.settimeout(SEND_TIMEOUT_S)
+        self.handle.sendall(data)
+        self.handle.setblocking(False)
+        self.used_s = time.monotonic()
+        return len(data)
+
+    def shut_down(self):
+        """Shut the socket down, which wakes a thread blocked on it."""
+        with contextlib.suppress(OSError):
+            self.handle.shutdown(socket.SHUT_RDWR)
--- a/tests/platform/daemon.feature
+++ b/tests/platform/daemon.feature
@@ -61,3 +61,8 @@
   Scenario: A request that may be repeated is answered by another endpoint
     When e1 loses its answers and 6 GET /safe/x are sent
     Then all of them are answered by e2
+
+  Scenario: An idle instance has few threads
+    When a GET /safe/x, a POST /once/x and a GET /stream/x are sent
+    And 40 peers connect to the instance
+    Then the instance has at most 24 threads
--- a/tests/steps/platform_daemon.py
+++ b/tests/steps/platform_daemon.py
@@ -9,6 +9,8 @@
 
 from tools import platform_site
 
+SETTLING_S = 1.0
+
 
 @given("an instance on a small platform with endpoints e1 and e2")
 def start_instance(context):
@@ -215,3 +217,17 @@
     assert len(context.site.list_executed_requests()) == 1, (
         context.site.list_executed_requests()
     )
+
+
+@when("{count:d} peers connect to the instance")
+def connect_peers(context, count):
+    address = ("127.0.0.1", context.site.peer_port)
+    for _ in range(count):
+        connection = socket.create_connection(address)
+        context.add_cleanup(connection.close)
+
+
+@then("the instance has at most {count:d} threads")
+def check_threads(context, count):
+    time.sleep(SETTLING_S)
+    assert context.site.count_threads() <= count, context.site.count_threads()
--- a/tests/steps/transport_peers.py
+++ b/tests/steps/transport_peers.py
@@ -1,4 +1,5 @@
 import contextlib
+import itertools
 import pathlib
 import socket
 import tempfile
@@ -202,18 +203,11 @@
 
 
 def serve_fake(context, answer):
-    context.connections = set()
-
-    def answer_and_record(envelope):
-        context.connections.add(threading.get_ident())
-        return answer(envelope)
-
-    server = peer_sockets.ThriftServer(
-        FakeService(answer_and_record), ANY_ADDRESS
-    )
+    server = peer_sockets.ThriftServer(FakeService(answer), ANY_ADDRESS)
     threading.Thread(target=server.serve, daemon=True).start()
     context.add_cleanup(server.stop)
     context.address = server.address
+    context.fake_server = server
 
 
 @given("a peer that replies to another request")
@@ -234,15 +228,13 @@
 def make_silent(context):
     start_client(context)
     signer = make_signer(1, "127.0.0.1:1")
-    seen_threads = []
+    answered_count = itertools.count()
     release = threading.Event()
     context.add_cleanup(release.set)
 
     def answer(envelope):
-        thread = threading.get_ident()
-        if seen_threads and seen_threads[0] == thread:
+        if next(answered_count) and context.fake_server.accepted == 1:
             release.wait(WAIT_LIMIT_S)
-        seen_threads.append(thread)
         reply = signer.sign_envelope(
             envelope.sender, envelope.topic, envelope.payload, envelope.mac
         )
@@ -255,19 +247,19 @@
 def exchange_once(context):
     reply = context.client.exchange(context.address, Exchange(1), TIMEOUT_S)
     assert reply == Exchange(1)
-    assert len(context.connections) == 1
+    assert context.fake_server.accepted == 1
 
 
 @then("the next exchange is answered on a second connection")
 def exchange_again(context):
     reply = context.client.exchange(context.address, Exchange(2), 6.0)
     assert reply == Exchange(2)
-    assert len(context.connections) == 2
+    assert context.fake_server.accepted == 2
 
 
 @then("the silent peer has accepted {count:d} connection")
 def check_connections(context, count):
-    assert len(context.connections) == count
+    assert context.fake_server.accepted == count
 
 
 @given("a peer client and an address without a listener")
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -32,8 +32,8 @@
         Object store and usage API of the platform.
     endpoints : dict
         Name to PlatformEndpoint, for ``e1`` and ``e2``.
-    callers_port, ready_port : int
-        Ports of the instance for callers and for readiness checks.
+    callers_port, ready_port, peer_port : int
+        Ports of the instance for callers, readiness checks and peers.
     process : subprocess.Popen
         Process of the instance.
     """
@@ -49,6 +49,7 @@
         self.callers_port, self.ready_port, *other_ports = (
             processes.find_free_port() for _ in range(5)
         )
+        self.peer_port = other_ports[1]
         self._numbers = itertools.count()
         self._folder = tempfile.TemporaryDirectory()
         path = pathlib.Path(self._folder.name) / "settings.json"
@@ -117,6 +118,11 @@
         except OSError:
             return 0
 
+    def count_threads(self):
+        """Return the number of threads of the instance."""
+        path = pathlib.Path("/proc", str(self.process.pid), "task")
+        return len(list(path.iterdir()))
+
     def list_executed_requests(self):
         """Return headers, path and body of each request that ran."""
         return [each for e in self.endpoints.values() for each in e.received]
