--- a/mulberryhollow/platform/cloud.py
+++ b/mulberryhollow/platform/cloud.py
@@ -7,6 +7,7 @@
 from mulberryhollow.platform import headers as header_names
 from mulberryhollow.protocol import object_api
 from mulberryhollow.state import objects
+from mulberryhollow.transport import bounded_pool
 from mulberryhollow.transport import store
 
 __all__ = ["DutyClient"]
@@ -29,7 +30,7 @@
     def __init__(self, address, instance):
         host, port = store.split_address(address)
         self._instance = instance
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = bounded_pool.BoundedPool(
             host, port, maxsize=2, retries=False
         )
 
--- a/mulberryhollow/transport/bounded_reader.py
+++ b/mulberryhollow/transport/bounded_reader.py
@@ -1,9 +1,10 @@
 """Reader of a socket with a deadline and a limit on the bytes read."""
 
+import http.client
 import io
 import time
 
-__all__ = ["BoundedReader", "ByteLimitError"]
+__all__ = ["BoundedReader", "BoundedResponse", "ByteLimitError"]
 
 MIN_TIMEOUT_CHANGE_S = 0.1
 """Smallest change for which a socket timeout is set again, in seconds.
@@ -13,7 +14,7 @@
 """
 
 
-class ByteLimitError(Exception):
+class ByteLimitError(http.client.HTTPException):
     """More bytes arrived than one read may take."""
 
 
@@ -34,6 +35,8 @@
 
     def __init__(self, sock):
         self._sock = sock
+        # Keeps the descriptor open when the connection closes its socket.
+        self._source = sock.makefile("rb", buffering=0)
         self._end_s = 0.0
         self._left_bytes = 0
 
@@ -70,10 +73,15 @@
         if self._left_bytes <= 0:
             raise ByteLimitError("too many bytes without an end")
         self._set_timeout(remaining_s)
-        count = self._sock.recv_into(buffer)
-        self._left_bytes -= count
+        count = self._source.readinto(buffer)
+        self._left_bytes -= count or 0
         return count
 
+    def close(self):
+        """Close the stream; the socket stays open."""
+        self._source.close()
+        super().close()
+
     def _set_timeout(self, timeout_s):
         """Set the socket timeout unless the change is negligible."""
         current_s = self._sock.gettimeout()
@@ -82,3 +90,29 @@
             or abs(current_s - timeout_s) > MIN_TIMEOUT_CHANGE_S
         ):
             self._sock.settimeout(timeout_s)
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """HTTP response whose size is limited and whose time is the timeout.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Socket of the response; its timeout limits head and body together.
+    *args, **kwargs
+        Passed to `http.client.HTTPResponse`.
+
+    Attributes
+    ----------
+    max_bytes : int
+        Largest size of head and body, in bytes.
+    """
+
+    max_bytes = 8 << 20
+
+    def __init__(self, sock, *args, **kwargs):
+        super().__init__(sock, *args, **kwargs)
+        self.fp.close()
+        reader = BoundedReader(sock)
+        reader.allow(self.max_bytes, sock.gettimeout())
+        self.fp = io.BufferedReader(reader)
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -150,8 +150,6 @@
             raise errors.EndpointError(fault) from error
         except OSError as error:
             raise _classify_error(error, 1, timeout_s) from error
-        except bounded_reader.ByteLimitError as error:
-            raise _make_endless_error("head") from error
         self._response = response
         return response.status, tuple(response.getheaders())
 
@@ -173,12 +171,13 @@
         try:
             self._source.allow(MAX_PIECE_BYTES, timeout_s)
             piece = response.read1(MAX_TRANSFER_BYTES)
+        except bounded_reader.ByteLimitError as error:
+            fault = streams.Crossed("chunk size or trailers without an end")
+            raise errors.EndpointError(fault) from error
         except _MALFORMED_ERRORS as error:
             raise _make_incomplete_error(repr(error)) from error
         except OSError as error:
             raise _classify_error(error, 1, timeout_s) from error
-        except bounded_reader.ByteLimitError as error:
-            raise _make_endless_error("chunk size or trailers") from error
         if not piece and response.length:
             raise _make_incomplete_error(
                 f"{response.length} bytes are missing"
@@ -268,13 +267,6 @@
     return errors.EndpointError(streams.Broken(repr(error)))
 
 
-def _make_endless_error(part):
-    """Return the EndpointError for a part of an answer without an end."""
-    return errors.EndpointError(
-        streams.Crossed(f"not an HTTP response: {part} without an end")
-    )
-
-
 def _make_incomplete_error(detail):
     """Return the EndpointError for an incomplete response body."""
     return errors.EndpointError(
--- a/mulberryhollow/transport/cloud.py
+++ b/mulberryhollow/transport/cloud.py
@@ -4,6 +4,7 @@
 
 from mulberryhollow import errors
 from mulberryhollow.protocol import cloud as messages
+from mulberryhollow.transport import bounded_pool
 from mulberryhollow.transport import store
 
 __all__ = ["CloudClient"]
@@ -27,7 +28,7 @@
     def __init__(self, address, timeout_s=2.0):
         host, port = store.split_address(address)
         self._timeout_s = timeout_s
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = bounded_pool.BoundedPool(
             host, port, maxsize=4, retries=False
         )
 
--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -7,6 +7,7 @@
 from mulberryhollow import errors
 from mulberryhollow.protocol import object_api
 from mulberryhollow.state import objects
+from mulberryhollow.transport import bounded_pool
 
 __all__ = ["StoreClient", "make_change_id", "put_and_resolve", "split_address"]
 
@@ -81,7 +82,7 @@
         host, port = split_address(address)
         self._timeout_s = timeout_s
         self._dialect = dialect or object_api.ObjectDialect()
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = bounded_pool.BoundedPool(
             host, port, maxsize=_MAX_CONNECTIONS, retries=False
         )
 
--- a/tests/steps/transport_endless_answers.py
+++ b/tests/steps/transport_endless_answers.py
@@ -15,6 +15,7 @@
 from mulberryhollow.serving import answers
 from mulberryhollow.state import catalogue
 from mulberryhollow.transport import forwarding
+from mulberryhollow.transport import store
 from tests import requests
 
 BLOCK_BYTES = 65536
@@ -204,6 +205,24 @@
     context.elapsed_s = time.monotonic() - began_s
 
 
+@when("the store is read there with a timeout of {seconds:g} seconds")
+def read_store(context, seconds):
+    client = store.StoreClient(context.endpoints[0].address, seconds)
+    began_s = time.monotonic()
+    context.error = None
+    try:
+        client.list_objects("k")
+    except errors.StoreUnavailableError as error:
+        context.error = error
+    context.elapsed_s = time.monotonic() - began_s
+
+
+@then("the store counts as unavailable within {seconds:g} seconds")
+def check_unavailable(context, seconds):
+    assert context.error is not None
+    assert context.elapsed_s <= seconds, context.elapsed_s
+
+
 @then("{count:d} events were read")
 def check_events(context, count):
     assert len(context.events) == count, context.events
--- a/tests/transport/endless_answers.feature
+++ b/tests/transport/endless_answers.feature
@@ -68,3 +68,18 @@
     Given an endless endpoint that sends "a head, then events" bit by bit
     When the request reads a resumable stream with pauses of up to 0.1 seconds
     Then 20 events were read
+
+  Scenario Outline: An answer of the store without end is given up in time
+    Given an endless endpoint that sends "<bytes>" <pace>
+    When the store is read there with a timeout of 0.5 seconds
+    Then the store counts as unavailable within 1.0 seconds
+    And at most 24 MB of memory were taken
+
+    Examples:
+      | bytes                | pace       |
+      | headers              | bit by bit |
+      | interim answers      | fast       |
+      | interim answers      | bit by bit |
+      | a head, then chunks  | fast       |
+      | a head, then chunks  | bit by bit |
+      | a head, then trailers | fast      |
