Let the holder of an account choose the endpoints of its requests

Cause: each of 195 instances sees two requests a second and learns half a second later what the others have sent. Ruled out: more frequent reports (a prompt takes 50 to 400 ms), telling every prompt to the peers (195 calls each). Change: the call that charges a request at the holder of its account carries what routing needs, and the answer names the endpoint. The holder sees all requests of its accounts, so it knows their prompts and sessions. The instance takes that endpoint for its first attempt if it accepts work, and chooses itself otherwise, for repeats, and where no holder answers. Long prompts are told to the collectors only.

--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -70,6 +70,9 @@
         Whether the request may be executed twice; if not, it never probes
         an endpoint whose circuit breaker is half open while another one
         is available.
+    preferred : str
+        Id of the endpoint that another instance has chosen, which is taken
+        if it accepts new work; empty for none.
     """
 
     request_id: str
@@ -80,6 +83,7 @@
     deadline_s: float = float("inf")
     idempotent: bool = True
     chain: PromptChain | None = None
+    preferred: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -217,6 +217,9 @@
     def _list_candidates(self, group, prepared, excluded):
         """Return the records of the candidate endpoints by endpoint id."""
         rules = self.rules
+        preferred = prepared.request.preferred
+        if preferred and preferred not in excluded and preferred in group:
+            return {preferred: group.get(preferred)}
         found = {
             record.endpoint.id: record
             for record in itertools.chain(
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -75,6 +75,9 @@
         The prompt as a chain of prefixes; None for a plain request.
     cost : float
         Units that the request consumes of its account's quota.
+    placement : str
+        Id of the endpoint that another instance has chosen for the first
+        attempt; empty for none.
     last_event_id : str
         Id of the event after which the caller resumes a stream; empty
         for the whole stream.
@@ -97,6 +100,7 @@
     max_endpoints: int = 1
     chain: object = None
     cost: float = 1.0
+    placement: str = ""
     last_event_id: str = ""
     fingerprint: str = ""
 
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -98,6 +98,11 @@
     keeps_version: bool
 
 
+@attrs.frozen
+class _Place:
+    request: routing.RouteRequest
+
+
 @attrs.frozen
 class _Finish:
     route: attempts.Route
@@ -227,6 +232,8 @@
         match message:
             case _Choose():
                 return self._choose(message, now_s)
+            case _Place(request):
+                return self._place(request, now_s)
             case _Finish():
                 return self._finish(message, now_s)
             case _Admit():
@@ -339,6 +346,18 @@
             result, work, request.service, request.request_class
         )
 
+    def _place(self, request, now_s):
+        """Return the Chosen for the request of a peer, or None."""
+        shares = self.shares.get(request.service)
+        request = attrs.evolve(request, version_shares=shares)
+        result = self.router.choose(request, self.view, self.prefixes, now_s)
+        if isinstance(result, routing.NoEndpoint):
+            return None
+        self.view.add_peer_prompt(result.endpoint_id, result.compute_s, now_s)
+        if result.hashes:
+            self.prefixes.insert(result.endpoint_id, result.hashes)
+        return result
+
     def _log_no_endpoint(self, request):
         """Log the state of a service whose endpoints accept no requests."""
         records = [
@@ -423,7 +442,7 @@
     `on_crash` is called with the fingerprint of a request, the id of the
     endpoint that it crashed and whether the request is now quarantined,
     `on_retry` without arguments for each retry, `on_attempt_end` with the
-    AttemptResult of each attempt, and `on_long_prompt` with the Route of a
+    AttemptResult of each attempt, and `on_long_prompt` with the Chosen of a
     prompt whose compute time is at least `MIN_REPORTED_PROMPT_S`.
     """
 
@@ -431,7 +450,7 @@
         self.on_crash = lambda fingerprint, endpoint_id, is_quarantined: None
         self.on_retry = lambda: None
         self.on_attempt_end = lambda ended: None
-        self.on_long_prompt = lambda route: None
+        self.on_long_prompt = lambda chosen: None
         self._actor = actor
         self._clock = clock
 
@@ -532,10 +551,34 @@
         route = self._ask(
             _Choose(route_request, frozenset(excluded), keeps_version)
         )
-        if route.chosen.compute_s >= MIN_REPORTED_PROMPT_S:
-            self.on_long_prompt(route)
+        if route.endpoint_id != route_request.preferred:
+            self._report_if_long(route.chosen)
         return route
 
+    def place(self, route_request):
+        """Choose the endpoint of a peer's request, which the peer sends.
+
+        Parameters
+        ----------
+        route_request : RouteRequest
+            The request; its version shares are replaced by the active ones.
+
+        Returns
+        -------
+        str
+            Id of the endpoint; empty if none accepts new work.
+        """
+        chosen = self._actor.ask(_Place(route_request))
+        if chosen is None:
+            return ""
+        self._report_if_long(chosen)
+        return chosen.endpoint_id
+
+    def _report_if_long(self, chosen):
+        """Report a long prompt, which delays others at its endpoint."""
+        if chosen.compute_s >= MIN_REPORTED_PROMPT_S:
+            self.on_long_prompt(chosen)
+
     def finish(
         self,
         route,
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -229,23 +229,24 @@
             NOTICE_EXPIRY_S if is_listed else GONE_EXPIRY_S,
         )
 
-    def report_long_prompt(self, route):
+    def report_long_prompt(self, chosen):
         """Report to the peers which endpoint computes a long prompt.
 
         Parameters
         ----------
-        route : Route
-            Route of the prompt's request.
+        chosen : Chosen
+            Endpoint of the prompt's request.
+
+        Notes
+        -----
+        In a large fleet only the collectors are told, since they choose the
+        endpoints of most requests.
         """
-        fields = (route.endpoint_id, f"{route.chosen.compute_s:.3f}")
+        fields = (chosen.endpoint_id, f"{chosen.compute_s:.3f}")
         payload = " ".join(fields).encode()
-        for member in self.usable[:MAX_PROMPT_PEERS]:
+        for name in self.collectors.others[:MAX_PROMPT_PEERS]:
             self._threads.submit(
-                self._call,
-                member.instance_id,
-                PROMPT_TOPIC,
-                payload,
-                PROMPT_TIMEOUT_S,
+                self._call, name, PROMPT_TOPIC, payload, PROMPT_TIMEOUT_S
             )
 
     def report_crash(self, fingerprint, endpoint_id, is_quarantined):
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -228,6 +228,7 @@
             deadline_s=min(request.deadline_s, goal_at_s),
             idempotent=request.kind.is_repeatable,
             chain=request.chain or routing.PromptChain(),
+            preferred=request.placement,
         )
         try:
             self._route = self._dependencies.dispatcher.choose_endpoint(
--- a/mulberryhollow/serving/ingress.py
+++ b/mulberryhollow/serving/ingress.py
@@ -137,7 +137,7 @@
         catalogue = self._catalogue
         try:
             request = self._check(incoming, catalogue)
-            self._dependencies.quotas.charge(request)
+            placement = self._dependencies.quotas.charge(request)
         except errors.RefusedError as error:
             events.log(
                 REFUSED,
@@ -148,6 +148,8 @@
                 version=catalogue.number if catalogue else 0,
             )
             raise
+        if placement:
+            request = attrs.evolve(request, placement=placement)
         return self._dependencies.forwarder.forward(request, is_gone)
 
     def _check(self, incoming, catalogue):
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -12,6 +12,7 @@
 from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.protocol import draws
 
 __all__ = ["BorrowedCredit", "QuotaPeering"]
 
@@ -77,19 +78,6 @@
     asked: int
 
 
-@attrs.frozen
-class DrawnCredit:
-    """Answer of a holder that charged a request.
-
-    Parameters
-    ----------
-    exceeded : QuotaExceeded or None
-        None when the request is admitted.
-    """
-
-    exceeded: limits.QuotaExceeded | None
-
-
 class QuotaPeering:
     """Charges requests, at this instance or at a holder of credit.
 
@@ -149,6 +137,12 @@
         request : ForwardRequest
             The request.
 
+        Returns
+        -------
+        str
+            Id of the endpoint that the holder chose for the request; empty
+            if this instance is to choose.
+
         Raises
         ------
         RefusedError
@@ -158,10 +152,11 @@
         drawn = self._draw(request) if request.cost else None
         if drawn is None:
             self._charge_here(request)
-            return
+            return ""
         self._dispatcher.accept(
             request.service, request.fingerprint, drawn.exceeded
         )
+        return drawn.placement
 
     def _charge_here(self, request):
         """Charge a request to the credit of this instance and its peers."""
@@ -180,7 +175,7 @@
         None if no holder answers, or if this instance is to charge the
         request itself.
         """
-        payload = json.dumps([request.account, request.cost]).encode()
+        payload = draws.encode_draw(request, self._clock.now_s())
         for name in self._list_holders(request.account):
             if name == self._local_name:
                 return None
@@ -190,8 +185,8 @@
                 answer = self._peers.call(
                     name, DRAW_TOPIC, payload, DRAW_TIMEOUT_S
                 )
-                return _decode_drawn(request.account, answer)
-            except (errors.PeerError, ValueError, TypeError) as error:
+                return draws.decode_drawn(request.account, answer)
+            except (errors.PeerError, ValueError) as error:
                 self._pause(name)
                 events.log(
                     NOT_DRAWN,
@@ -228,8 +223,9 @@
         self._paused_until_s[name] = self._clock.now_s() + HOLDER_PAUSE_S
 
     def _answer_draw(self, payload):
-        """Charge the request of a peer; return the outcome."""
-        account, cost = json.loads(payload)
+        """Charge and place the request of a peer; return the outcome."""
+        draw = draws.decode_draw(payload, self._clock.now_s())
+        account, cost = draw.account, draw.cost
         found = self._dispatcher.read(
             lambda actor, now_s: actor.quotas.spend(account, cost, now_s)
         )
@@ -245,7 +241,10 @@
                     borrowed.asked,
                 )
             )
-        return _encode_drawn(found)
+        placement = ""
+        if found is None and draw.route_request is not None:
+            placement = self._dispatcher.place(draw.route_request)
+        return draws.encode_drawn(draws.DrawnCredit(found, placement))
 
     def borrow(self, request_id, account, lack):
         """Borrow credit from one peer after the other until it suffices.
@@ -321,23 +320,3 @@
             lambda actor, now_s: actor.quotas.lend(account, wanted, now_s)
         )
         return str(math.floor(balance)).encode()
-
-
-def _encode_drawn(exceeded):
-    """Return a holder's answer as JSON; null when the request is admitted."""
-    fields = None if exceeded is None else attrs.astuple(exceeded)[1:]
-    return json.dumps(fields).encode()
-
-
-def _decode_drawn(account, answer):
-    """Return the `DrawnCredit` in a holder's answer.
-
-    Raises
-    ------
-    ValueError or TypeError
-        When the answer is malformed.
-    """
-    fields = json.loads(answer)
-    if fields is None:
-        return DrawnCredit(None)
-    return DrawnCredit(limits.QuotaExceeded(account, *map(float, fields)))
--- a/tests/coordination/routing/router.feature
+++ b/tests/coordination/routing/router.feature
@@ -97,3 +97,14 @@
       | RoundRobin       |
       | LeastOutstanding |
       | PowerOfTwo       |
+
+  Scenario Outline: The choice of another instance is taken while it can be
+    Given endpoints of which another instance chose one that <state>
+    Then the chosen endpoint is <result>
+
+    Examples:
+      | state           | result      |
+      | is busy         | taken       |
+      | is leaving      | not taken   |
+      | has just failed | not taken   |
+      | is not listed   | not taken   |
--- a/tests/quota_pool.py
+++ b/tests/quota_pool.py
@@ -10,6 +10,7 @@
 from mulberryhollow import errors
 from mulberryhollow.serving import quota_peering
 from mulberryhollow.state import catalogue
+from tests import requests
 
 REPORT_INTERVAL_S = 0.5
 MEAN_COST = 8000.0
@@ -96,6 +97,9 @@
         )
         self.accept(service, "", found)
 
+    def place(self, route_request):
+        return ""
+
     def accept(self, service, fingerprint, exceeded):
         if exceeded is not None:
             raise _OverQuotaError(exceeded)
@@ -227,9 +231,7 @@
 
     def spend(self, index, cost):
         """Charge a request at an instance; return None or QuotaExceeded."""
-        request = types.SimpleNamespace(
-            request_id="r", account="a", service="s", cost=cost, fingerprint=""
-        )
+        request = requests.make_request(cost=cost, arrived_s=self.now_s)
         # Each call to a peer is logged: here tens of thousands of lines.
         logging.disable(logging.INFO)
         try:
--- a/tests/serving/quota_peering.feature
+++ b/tests/serving/quota_peering.feature
@@ -67,7 +67,32 @@
   Scenario: A malformed answer of a holder is no refusal
     Given 3 instances with 1000 tokens of credit each
     And the second and third instance hold the credit of the first
-    And the second instance answers "[1, 2"
+    And the second instance answers "no json"
     When the first instance charges 400 tokens
     Then the charge is accepted
     And the second instance was asked 1 times and the third 1 times
+
+  # Many instances that each see few requests choose the same endpoints at the
+  # same time. A holder sees all requests of its accounts.
+
+  Scenario: A holder spreads the requests of many instances
+    Given 3 instances with 1000 tokens of credit each
+    And the second and third instance hold the credit of the first
+    And the second instance knows the endpoints e0 to e5
+    When the first instance charges 100 tokens for prompts of 9000 tokens, 6 times
+    Then the prompts were placed at 5 endpoints or more
+
+  Scenario: Requests of a session return to the endpoint that cached its prompt
+    Given 3 instances with 1000 tokens of credit each
+    And the second and third instance hold the credit of the first
+    And the second instance knows the endpoints e0 to e5
+    When the first instance charges 100 tokens for one session, 4 times in 8 seconds
+    Then the prompts were placed at 1 endpoints
+
+  Scenario: A refused request is placed nowhere
+    Given 3 instances with 1000 tokens of credit each
+    And the second and third instance hold the credit of the first
+    And the second instance owes 3700 tokens
+    And the second instance knows the endpoints e0 to e5
+    When the first instance charges 400 tokens
+    Then the charge is refused with a retry time
--- a/tests/steps/coordination_routing.py
+++ b/tests/steps/coordination_routing.py
@@ -380,3 +380,34 @@
     chosen = context.router.choose(request, context.view, index, NOW_S)
     context.full = chosen.endpoint_id
     context.view.add_peer_prompt(context.full, cost_s, NOW_S)
+
+
+@given("endpoints of which another instance chose one that {state}")
+def choose_preferred(context, state):
+    view = endpoints.EndpointView(random.Random(1))
+    names = [f"e{n}" for n in range(6)]
+    listed = names[1:] if state == "is not listed" else names
+    view.apply_list(
+        [
+            endpoints.Endpoint(name, "m", f"h:{name}", "d", "s", "v1")
+            for name in listed
+        ],
+        0.0,
+    )
+    if state == "is busy":
+        view.add_peer_prompt("e0", 5.0, 0.0)
+    if state == "is leaving":
+        view.mark_leaving("e0")
+    excluded = {"e0"} if state == "has just failed" else set()
+    request = routing.RouteRequest(
+        "r", "s", {"v1": 1.0}, deadline_s=10.0, preferred="e0"
+    )
+    context.chosen = routing.Router().choose(
+        request, view, None, 0.0, excluded
+    )
+
+
+@then("the chosen endpoint is {result}")
+def check_preferred(context, result):
+    is_taken = context.chosen.endpoint_id == "e0"
+    assert is_taken == (result == "taken"), context.chosen
--- a/tests/steps/serving_quota_peering.py
+++ b/tests/steps/serving_quota_peering.py
@@ -6,11 +6,13 @@
 
 from mulberryhollow import clock as clocks
 from mulberryhollow.coordination import limits
+from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import quota_peering
 from mulberryhollow.state import catalogue
+from mulberryhollow.state import endpoints
 from tests import requests
 
 RULES = limits.QuotaRules()
@@ -194,3 +196,64 @@
     asked = context.quota_peers.asked
     counts = (asked.count("second"), asked.count("third"))
     assert counts == (second, third), asked
+
+
+@given("the second instance knows the endpoints e0 to e5")
+def list_endpoints(context):
+    items = [
+        endpoints.Endpoint(f"e{n}", "m", f"h:{n}", "d", "s", "v1")
+        for n in range(6)
+    ]
+    context.instances["second"].dispatcher.read(
+        lambda actor, now_s: (
+            actor.view.apply_list(items, now_s),
+            actor.shares.set_service_shares({"s": {"v1": 1.0}}),
+        )
+    )
+
+
+def place(context, cost, chain):
+    now_s = context.clock.now_s()
+    request = requests.make_request(
+        account=ACCOUNT,
+        cost=cost,
+        chain=chain,
+        arrived_s=now_s,
+        deadline_s=now_s + 10.0,
+    )
+    return context.instances["first"].peering.charge(request)
+
+
+@when(
+    "the first instance charges {cost:d} tokens for prompts of {tokens:d} "
+    "tokens, {count:d} times"
+)
+def place_prompts(context, cost, tokens, count):
+    context.placements = {
+        place(context, cost, routing.PromptChain((number,), (tokens,), tokens))
+        for number in range(count)
+    }
+
+
+@when(
+    "the first instance charges {cost:d} tokens for one session, {count:d} "
+    "times in {seconds:d} seconds"
+)
+def place_session(context, cost, count, seconds):
+    chain = routing.PromptChain((7, 8), (9000, 9100), 9100)
+    context.placements = set()
+    for _ in range(count):
+        context.placements.add(place(context, cost, chain))
+        context.clock.advance(seconds / count)
+
+
+@then("the prompts were placed at {count:d} endpoints")
+def check_placements(context, count):
+    assert "" not in context.placements, context.placements
+    assert len(context.placements) == count, context.placements
+
+
+@then("the prompts were placed at {count:d} endpoints or more")
+def check_min_placements(context, count):
+    assert "" not in context.placements, context.placements
+    assert len(context.placements) >= count, context.placements
