--- a/mulberryhollow/coordination/capacity/sizing.py
+++ b/mulberryhollow/coordination/capacity/sizing.py
@@ -26,19 +26,11 @@
 Each further request slows down the tokens of all others.
 """
 
-ON_DEMAND_FRACTION = 0.4
+ON_DEMAND_FRACTION = 0.2
 """On-demand endpoints as a fraction of the required endpoints.
 
 If all reclaimable endpoints are reclaimed at once, the on-demand ones serve
-the whole load until replacements have booted. With `PREFILL_TIME_TARGET` that
-takes less than two thirds of their time.
-"""
-
-RECLAIMABLE_FRACTION = 0.9
-"""Reclaimable endpoints as a fraction of the required endpoints.
-
-Together with the on-demand ones this is a third more than required, so that
-enough remain when one failure domain of four is reclaimed.
+the urgent part of the load until replacements have booted.
 """
 
 
@@ -54,14 +46,37 @@
         Target fraction of an engine's batch slots in use.
     on_demand_fraction : float
         On-demand endpoints as a fraction of the required endpoints.
-    reclaimable_fraction : float
-        Reclaimable endpoints as a fraction of the required endpoints.
+    reclaimable_fraction : float or None
+        Reclaimable endpoints as a fraction of the required endpoints; None
+        for as many that the required number remains when those of one
+        failure domain are reclaimed.
     """
 
     prefill_time_target: float = PREFILL_TIME_TARGET
     batch_fill_target: float = BATCH_FILL_TARGET
     on_demand_fraction: float = ON_DEMAND_FRACTION
-    reclaimable_fraction: float = RECLAIMABLE_FRACTION
+    reclaimable_fraction: float | None = None
+
+    def count_on_demand(self, need):
+        """Return the number of on-demand endpoints for a requirement."""
+        return math.ceil(need * self.on_demand_fraction)
+
+    def count_reclaimable(self, need, domains):
+        """Return the number of reclaimable endpoints for a requirement.
+
+        Parameters
+        ----------
+        need : int
+            Number of endpoints that the load requires.
+        domains : int
+            Number of failure domains over which they are spread.
+        """
+        if self.reclaimable_fraction is not None:
+            return math.ceil(need * self.reclaimable_fraction)
+        rest = need - self.count_on_demand(need)
+        if domains < 2:
+            return rest
+        return math.ceil(rest * domains / (domains - 1))
 
 
 @attrs.frozen(order=True)
@@ -167,8 +182,8 @@
         key=lambda domain: (scaling.domain_prices[domain], domain),
     )
     wanted = collections.Counter()
-    on_demand_count = math.ceil(need * rules.on_demand_fraction)
-    reclaimable_count = math.ceil(need * rules.reclaimable_fraction)
+    on_demand_count = rules.count_on_demand(need)
+    reclaimable_count = rules.count_reclaimable(need, len(domains))
     reclaimable_domains = [
         domain
         for domain in domains
--- a/tests/coordination/capacity/sizing.feature
+++ b/tests/coordination/capacity/sizing.feature
@@ -57,3 +57,21 @@
       | need |
       | 12   |
       | 40   |
+
+  # Pattern: all reclaimable endpoints of one failure domain are reclaimed at
+  # the same time. What remains has to cover the load. The price is a fifth of
+  # the need on demand and the rest reclaimable, each rounded up.
+
+  Scenario Outline: The reclaim of one domain leaves what the load requires
+    Given <domains> domains of equal price and the default rules
+    When <need> endpoints are needed and all that is wanted serves
+    Then at least <need> endpoints remain without any one domain's reclaimable ones
+    And they cost at most <price> on-demand endpoints
+
+    Examples:
+      | domains | need | price |
+      | 3       | 6    | 4.0   |
+      | 4       | 6    | 3.8   |
+      | 4       | 10   | 5.5   |
+      | 6       | 24   | 11.0  |
+      | 16      | 100  | 39.9  |
--- a/tests/steps/coordination_sizing.py
+++ b/tests/steps/coordination_sizing.py
@@ -134,3 +134,45 @@
             if slot.failure_domain == domain
         )
         assert minimum <= count <= maximum, (domain, count)
+
+
+@given("{count:d} domains of equal price and the default rules")
+def make_equal_domains(context, count):
+    prices = {f"d{number}": 1.0 for number in range(count)}
+    context.scaling = catalogue.Scaling(1, 40, 4.0, 0.22, prices)
+
+
+@when("{need:d} endpoints are needed and all that is wanted serves")
+def serve_wanted(context, need):
+    rules = capacity.SizingRules()
+    serving = {}
+    for _ in range(2):
+        serving = capacity.choose_counts(
+            need,
+            context.scaling,
+            capacity.EndpointCounts(serving, serving),
+            set(),
+            rules,
+        )
+    context.wanted = serving
+
+
+@then(
+    "at least {need:d} endpoints remain without any one domain's reclaimable "
+    "ones"
+)
+def check_remaining(context, need):
+    total = sum(context.wanted.values())
+    for domain in context.scaling.domain_prices:
+        lost = context.wanted[capacity.Slot(domain, True)]
+        assert total - lost >= need, (domain, context.wanted)
+
+
+@then("they cost at most {price:g} on-demand endpoints")
+def check_price(context, price):
+    found = sum(
+        count
+        * (context.scaling.reclaimable_price if slot.is_reclaimable else 1)
+        for slot, count in context.wanted.items()
+    )
+    assert found <= price, found
