Read the registered members once more after the start

Cause: when 195 instances start together, each lists the members before most others have written theirs. Ruled out: a watch of the registrations (195 answers to each of 195 writes).

--- a/mulberryhollow/serving/registry.py
+++ b/mulberryhollow/serving/registry.py
@@ -18,8 +18,14 @@
 MEMBER_PATH = "/member"
 """Path of an instance's page that returns its registration."""
 
+SECOND_READ_DELAY_S = 3.0
+"""Time from the registration to the second read of the members, in seconds.
+
+When all instances start together, the first ones to register find few others.
+"""
+
 IDLE_INTERVAL_S = 30.0
-"""Interval between calls once the registration is written, in seconds."""
+"""Interval between calls once the members were read again, in seconds."""
 
 _QUERY_TIMEOUT_S = 1.0
 _MAX_QUERIES = 8
@@ -51,11 +57,12 @@
         self._on_found = on_found
         self._random = random.Random(peers.local_member().instance_id)
         self._version = 0
+        self._is_read_again = False
 
     def register(self):
         """Find the members and write the registration of this instance.
 
-        Does nothing once the registration is written.
+        Once the registration is written, the members are read once more.
 
         Returns
         -------
@@ -68,16 +75,32 @@
             If the platform gave no usable answer; the caller retries.
         """
         if self._version:
-            return IDLE_INTERVAL_S
+            return self._read_again()
         local_member = self._peers.local_member()
         try:
             _, found = self._store.list_objects(membership.KIND)
         except errors.StoreUnavailableError:
             self._add_listed(local_member)
             raise
-        self._add([each for each in map(_decode, found) if each is not None])
+        self._add_found(found)
         self._write(local_member, found)
-        return None
+        return SECOND_READ_DELAY_S if self._version else None
+
+    def _read_again(self):
+        """Read the members for the second time, unless that was done.
+
+        Returns
+        -------
+        float
+            Time until the next call, in seconds.
+        """
+        if not self._is_read_again:
+            _, found = self._store.list_objects(
+                membership.KIND, is_stale_ok=True
+            )
+            self._is_read_again = True
+            self._add_found(found)
+        return IDLE_INTERVAL_S
 
     def remove(self):
         """Delete the registration; one that remains is overwritten later."""
@@ -116,6 +139,10 @@
         if not usable_views:
             self._add(self._query_listed(local_member))
 
+    def _add_found(self, found):
+        """Add the members of the registration objects that can be read."""
+        self._add([each for each in map(_decode, found) if each is not None])
+
     def _add(self, members):
         """Add members that were found and call `on_found`."""
         self._peers.add_members(members)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -32,7 +32,7 @@
             return self.stale.pop(0)
         return self.objects.get((kind, name))
 
-    def list_objects(self, kind):
+    def list_objects(self, kind, is_stale_ok=False):
         if self.is_down:
             raise UNAVAILABLE
         found = [each for key, each in self.objects.items() if key[0] == kind]
--- a/tests/serving/fact_peering.feature
+++ b/tests/serving/fact_peering.feature
@@ -25,3 +25,15 @@
     And a store where 3 peers are registered
     When the instance registers itself
     Then it shares limits among 4 instances
+
+  # Regression: of 195 instances that started together the first ones knew a
+  # tenth of the others, and the rest spread by gossip for half a minute.
+
+  Scenario: Members that register later are found by a second read
+    Given a fact peering whose settings name 7 other instances
+    And a store where 3 peers are registered
+    When the instance registers itself
+    And 5 more peers register
+    And the registry is called again
+    Then it shares limits among 9 instances
+    And the registry reads the store no more
--- a/tests/steps/serving_fact_peering.py
+++ b/tests/steps/serving_fact_peering.py
@@ -82,7 +82,16 @@
 @given("a store where {count:d} peers are registered")
 def register_peers(context, count):
     context.peering_store = fakes.FakeStore()
-    for index in range(count):
+    write_registrations(context, range(count))
+
+
+@when("{count:d} more peers register")
+def register_more_peers(context, count):
+    write_registrations(context, range(100, 100 + count))
+
+
+def write_registrations(context, numbers):
+    for index in numbers:
         member = make_member(f"peer-{index}")
         context.peering_store.write(
             membership.KIND,
@@ -111,12 +120,28 @@
 @when("the instance registers itself")
 def register_itself(context):
     cloud = types.SimpleNamespace(list_entries=list)
-    registry.Registry(
+    context.registry = registry.Registry(
         context.peering_store,
         cloud,
         context.peering_peers,
         on_found=context.peering.tick,
-    ).register()
+    )
+    context.wait_s = context.registry.register()
+
+
+@when("the registry is called again")
+def register_again(context):
+    assert 0 < context.wait_s <= 5.0, context.wait_s
+    context.peering_peers.views.clear()
+    context.wait_s = context.registry.register()
+
+
+@then("the registry reads the store no more")
+def check_registry_idle(context):
+    register_more_peers(context, 20)
+    context.peering_peers.views.clear()
+    context.registry.register()
+    assert not context.peering_peers.views
 
 
 @then("it shares limits among {count:d} instances")
