Order further endpoints as soon as there is a load; release them later

Cause: nothing was ordered for six seconds after the load began. Change: orders above the present number are placed from the first load on; only releases wait for six seconds of observation. A refused order is tried again after three seconds instead of five.

--- a/mulberryhollow/serving/orders.py
+++ b/mulberryhollow/serving/orders.py
@@ -15,8 +15,11 @@
 EVALUATION_INTERVAL_S = 1.0
 """Minimum time between two evaluations of the load, in seconds."""
 
-REFUSAL_BACKOFF_S = 5.0
-"""Time after which a refused order is retried, in seconds."""
+REFUSAL_BACKOFF_S = 3.0
+"""Time after which a refused order is retried, in seconds.
+
+Until reclaimable endpoints can be had again, on-demand ones take their place.
+"""
 
 REPEAT_INTERVAL_S = 8.0
 """Time after which an unfulfilled order is repeated, in seconds.
@@ -32,7 +35,11 @@
 """
 
 OBSERVATION_S = 6.0
-"""Time from the first observed load to the first order, in seconds."""
+"""Time from the first observed load until endpoints are released, in seconds.
+
+Before that the load may be underestimated. Further endpoints are ordered at
+once, since reclaimable ones may not be available later.
+"""
 
 NEED_CHANGED = events.declare(
     8122, logging.INFO, "the load requires a different number of endpoints"
@@ -171,8 +178,9 @@
         )
         if load.in_flight and service.first_load_s is math.inf:
             service.first_load_s = now_s
-        if not now_s - service.first_load_s >= OBSERVATION_S:
+        if service.first_load_s is math.inf:
             return []
+        may_release = now_s - service.first_load_s >= OBSERVATION_S
         need = _update_peak_need(service.recent_needs, need, now_s)
         present = self._count_present(name, service)
         if need != service.need:
@@ -197,6 +205,7 @@
             Order(name, slot.failure_domain, count, slot.is_reclaimable)
             for slot, count in sorted(wanted.items())
             if slot not in unavailable
+            and (may_release or count > present.count_committed(slot))
             and self._is_due(service, slot, count, present, now_s)
         ]
 
--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -39,6 +39,23 @@
     When reclaimable endpoints are refused for 10 seconds
     Then the orders of on-demand endpoints cover the need
 
+  # Pattern: reclaimable endpoints cannot be had for a while, soon after the
+  # load began. Those ordered at once take the place of on-demand ones.
+
+  Scenario: Reclaimable endpoints are ordered as soon as there is a load
+    Given an endpoint scaler for a service with 2 endpoints
+    When prompts keep 1 engines busy for 3 seconds
+    Then at least 2 reclaimable endpoints are ordered
+    And no order releases an endpoint
+
+  Scenario: Endpoints are released once the load was observed
+    Given an endpoint scaler for a service with 2 endpoints
+    And 6 on-demand endpoints more serve
+    When prompts keep 0.1 engines busy for 4 seconds
+    Then no order releases an endpoint
+    When prompts keep 0.1 engines busy for 8 seconds
+    Then an order releases endpoints
+
   Scenario: Nothing is ordered before there is any load
     Given an endpoint scaler for a service with 2 endpoints
     When 20 seconds pass without load
--- a/tests/steps/serving_duties.py
+++ b/tests/steps/serving_duties.py
@@ -203,6 +203,51 @@
     assert count_ordered(context) >= minimum, context.cloud.orders
 
 
+@given("{count:d} on-demand endpoints more serve")
+def add_listings(context, count):
+    context.listings += [
+        fleet.EndpointListing(
+            f"m{n}", 1, "s", "h:1", f"d{1 + n % 2}", "v1", 48
+        )
+        for n in range(count)
+    ]
+
+
+def list_releases(context):
+    """Return the orders below the number that serves in their domain."""
+    serving = collections.Counter(
+        each.failure_domain
+        for each in context.listings
+        if not each.is_reclaimable
+    )
+    return [
+        each
+        for each in context.cloud.orders
+        if not each.is_reclaimable
+        and each.count < serving[each.failure_domain]
+    ]
+
+
+@then("at least {minimum:d} reclaimable endpoints are ordered")
+def check_reclaimable_orders(context, minimum):
+    ordered = {
+        each.failure_domain: each.count
+        for each in context.cloud.orders
+        if each.is_reclaimable
+    }
+    assert sum(ordered.values()) >= minimum, context.cloud.orders
+
+
+@then("no order releases an endpoint")
+def check_no_release(context):
+    assert not list_releases(context), context.cloud.orders
+
+
+@then("an order releases endpoints")
+def check_release(context):
+    assert list_releases(context), context.cloud.orders
+
+
 @when("reclaimable endpoints are refused for {seconds:g} seconds")
 def refuse_orders(context, seconds):
     context.cloud.refuses = True
