--- a/mulberryhollow/coordination/capacity/sizing.py
+++ b/mulberryhollow/coordination/capacity/sizing.py
@@ -26,7 +26,7 @@
 Each further request slows down the tokens of all others.
 """
 
-ON_DEMAND_FRACTION = 0.2
+ON_DEMAND_FRACTION = 0.3
 """On-demand endpoints as a fraction of the required endpoints.
 
 If all reclaimable endpoints are reclaimed at once, the on-demand ones serve
--- a/mulberryhollow/serving/pollers.py
+++ b/mulberryhollow/serving/pollers.py
@@ -48,7 +48,35 @@
 )
 
 
-class Loop:
+class _Worker:
+    """Daemon thread that runs `_run` until it is stopped.
+
+    Parameters
+    ----------
+    name : str
+        Name of the thread.
+    """
+
+    def __init__(self, name):
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=name, daemon=True
+        )
+
+    def start(self):
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self):
+        """Let the thread end after the current call."""
+        self._stopped.set()
+
+    def _run(self):
+        """Run in the thread until `_stopped` is set."""
+        raise NotImplementedError
+
+
+class Loop(_Worker):
     """Thread that calls a function periodically until it is stopped.
 
     Parameters
@@ -69,6 +97,7 @@
     """
 
     def __init__(self, name, clock, interval_s, call, max_interval_s=None):
+        super().__init__(name)
         self._name = name
         self._clock = clock
         self._interval_s = interval_s
@@ -77,18 +106,6 @@
         self._random = random.Random()
         self._failures = 0
         self._failing_since_s = 0.0
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name=name, daemon=True
-        )
-
-    def start(self):
-        """Start the thread."""
-        self._thread.start()
-
-    def stop(self):
-        """Let the thread end after the current call."""
-        self._stopped.set()
 
     def _run(self):
         """Call until stopped; a call that raises is retried later."""
@@ -136,7 +153,7 @@
             self._failures = 0
 
 
-class SharedLoop:
+class SharedLoop(_Worker):
     """Thread that runs several loops whose functions never block for long.
 
     Parameters
@@ -150,20 +167,9 @@
     """
 
     def __init__(self, name, clock, loops):
+        super().__init__(name)
         self._clock = clock
         self._due_s = dict.fromkeys(loops, clock.now_s())
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name=name, daemon=True
-        )
-
-    def start(self):
-        """Start the thread."""
-        self._thread.start()
-
-    def stop(self):
-        """Let the thread end after the current call."""
-        self._stopped.set()
 
     def _run(self):
         """Run the loop that is due next until stopped."""
