--- a/mulberryhollow/protocol/draws.py
+++ b/mulberryhollow/protocol/draws.py
@@ -29,13 +29,13 @@
         Client account of the request.
     cost : float
         Cost of the request in the unit of the account's quota.
-    route_request : RouteRequest or None
+    route_request : RouteRequest
         The request for which the holder is to choose an endpoint.
     """
 
     account: str
     cost: float
-    route_request: routing.RouteRequest | None
+    route_request: routing.RouteRequest
 
 
 @attrs.frozen
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -175,8 +175,11 @@
         None if no holder answers, or if this instance is to charge the
         request itself.
         """
+        holders = self._list_holders(request.account)
+        if not holders:
+            return None
         payload = draws.encode_draw(request, self._clock.now_s())
-        for name in self._list_holders(request.account):
+        for name in holders:
             if name == self._local_name:
                 return None
             if self._is_paused(name):
@@ -242,7 +245,7 @@
                 )
             )
         placement = ""
-        if found is None and draw.route_request is not None:
+        if found is None:
             placement = self._dispatcher.place(draw.route_request)
         return draws.encode_drawn(draws.DrawnCredit(found, placement))
 
--- a/mulberryhollow/serving/store_relay.py
+++ b/mulberryhollow/serving/store_relay.py
@@ -104,7 +104,7 @@
             )
             for kind, revision in question.items()
             if kind in self._followers
-            and self._followers[kind].last_contact_s is not None
+            and self._followers[kind].revision is not None
         }
 
     def accept(self, answer):
@@ -127,8 +127,9 @@
 
     def _is_recent(self, follower):
         """Return whether the store confirmed a kind's state recently."""
-        contact_s = follower.last_contact_s
-        age_s = self._clock.now_s() - (contact_s or float("-inf"))
+        if follower.revision is None:
+            return False
+        age_s = self._clock.now_s() - follower.last_contact_s
         return age_s <= MAX_CONTACT_AGE_S
 
     @staticmethod
--- a/tests/serving/store_relay.feature
+++ b/tests/serving/store_relay.feature
@@ -55,6 +55,14 @@
     And the instance reports to the collector
     Then the instance recorded 1 recovery at the time of the collector's
 
+  Scenario: An instance without any objects reads the store itself
+    Given a collector and an instance that both follow the store
+    And the instance has just started and has read nothing
+    When an object is written
+    And the instance receives an answer without objects
+    And the instance reads
+    Then the instance has the written object
+
   Scenario: Malformed relayed objects are ignored with an event
     Given a collector and an instance that both follow the store
     When the instance receives malformed relayed objects
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -64,7 +64,7 @@
 class Instance:
     """Follower of one kind and its relay; records what it is told."""
 
-    def __init__(self, store, clock, is_collector):
+    def __init__(self, store, clock, is_collector, has_read=True):
         self.calls = StoreCalls(store)
         self.names = set()
         self.recoveries_s = []
@@ -72,7 +72,8 @@
         self.relay = store_relay.StoreRelay(
             [self.follower], clock, lambda: is_collector
         )
-        self.read()
+        if has_read:
+            self.read()
         self.calls.count = 0
 
     def read(self):
@@ -112,6 +113,19 @@
     )
 
 
+@given("the instance has just started and has read nothing")
+def restart_instance(context):
+    context.instance = Instance(
+        context.store, context.clock, False, has_read=False
+    )
+
+
+@when("the instance receives an answer without objects")
+def receive_no_objects(context):
+    fields = {"contact_age_s": 0.1, "recovery_age_s": None}
+    context.instance.relay.accept({KIND: fields})
+
+
 @when("an object is written")
 def write_object(context):
     context.store.write()
