Tell the recovery of the store together with the contact that ends the outage

An instance whose reads fail asks another one; the answer had the new contact but not the recovery, which was just being noticed. Ruled out: the back-off of failing reads, circuits, leaving marks. Change: contact, recovery and changes are read under one lock, and a relayed contact ends an outage of the own reads like an own answer. Two scenarios failed before and pass.

--- a/mulberryhollow/serving/store_relay.py
+++ b/mulberryhollow/serving/store_relay.py
@@ -4,6 +4,7 @@
 
 from mulberryhollow import events
 from mulberryhollow.protocol import relays
+from mulberryhollow.serving import watch
 
 __all__ = ["StoreRelay"]
 
@@ -117,12 +118,14 @@
                 events.log(MALFORMED, kind=kind, reason=str(error))
                 continue
             recovery_age_s = relayed.recovery_age_s
+            if recovery_age_s is None:
+                recovery_age_s = float("inf")
             self._followers[kind].accept(
-                relayed.changes,
-                now_s - relayed.contact_age_s,
-                float("-inf")
-                if recovery_age_s is None
-                else now_s - recovery_age_s,
+                watch.FollowerState(
+                    relayed.changes,
+                    now_s - relayed.contact_age_s,
+                    now_s - recovery_age_s,
+                )
             )
 
     def _is_recent(self, follower):
@@ -135,9 +138,10 @@
     @staticmethod
     def _describe(follower, revision, now_s):
         """Return the RelayedKind of one follower."""
-        recovery_age_s = now_s - follower.recovered_s
+        state = follower.describe(revision)
+        recovery_age_s = now_s - state.recovered_s
         return relays.RelayedKind(
-            follower.list_changes(revision),
-            now_s - follower.last_contact_s,
+            state.changes,
+            now_s - state.contact_s,
             recovery_age_s if recovery_age_s < float("inf") else None,
         )
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -2,10 +2,12 @@
 
 import threading
 
+import attrs
+
 from mulberryhollow import errors
 from mulberryhollow.state import object_log
 
-__all__ = ["ObjectFollower", "ObjectWatch"]
+__all__ = ["FollowerState", "ObjectFollower", "ObjectWatch"]
 
 FOLLOW_WAIT_S = 2.5
 """Longest wait of one watch call of `ObjectFollower`, in seconds.
@@ -81,6 +83,26 @@
         self._revision = revision
 
 
+@attrs.frozen
+class FollowerState:
+    """What an instance knows of one kind of stored objects.
+
+    Parameters
+    ----------
+    changes : ObjectChanges or None
+        Changes since a given revision; None if there is nothing to tell.
+    contact_s : float or None
+        When the store last answered, monotonic, in seconds.
+    recovered_s : float
+        When the store last recovered from an outage, monotonic, in seconds;
+        minus infinity if it never did.
+    """
+
+    changes: object_log.ObjectChanges | None
+    contact_s: float | None
+    recovered_s: float
+
+
 class ObjectFollower:
     """Lists the objects of a kind, then follows their changes.
 
@@ -149,37 +171,46 @@
                 self._failing_since_s = self._clock.now_s()
             raise
 
-    def list_changes(self, after):
-        """Return the `ObjectChanges` since a revision, or None.
+    def describe(self, after):
+        """Return what this follower knows, for an instance that asks.
+
+        Parameters
+        ----------
+        after : int or None
+            Revision that the instance has; None if it has none.
 
-        See `ObjectLog.list_changes`.
+        Returns
+        -------
+        FollowerState
+            Consistent: a contact after an outage comes with the recovery.
         """
         with self._lock:
-            return self._log.list_changes(after)
+            return FollowerState(
+                self._log.list_changes(after),
+                self.last_contact_s,
+                self.recovered_s,
+            )
 
     @property
     def revision(self):
         """Revision of the store as of the last read; None before the first."""
         return self._log.revision
 
-    def accept(self, changes, contact_s, recovered_s):
-        """Apply changes that another instance has read in the store.
+    def accept(self, state):
+        """Apply what another instance has read in the store.
 
         Parameters
         ----------
-        changes : ObjectChanges or None
-            The changes since the revision of this follower; others are
-            ignored.
-        contact_s : float
-            When the store answered that instance, monotonic, in seconds.
-        recovered_s : float
-            When that instance saw the store recover, monotonic, in seconds.
+        state : FollowerState
+            State of that instance. Changes that do not begin at the revision
+            of this follower are ignored.
         """
+        changes = state.changes
         with self._lock:
-            self._record_recovery(recovered_s)
-            if self.last_contact_s is None or contact_s > self.last_contact_s:
-                self.last_contact_s = contact_s
-                self._failing_since_s = None
+            self._record_recovery(state.recovered_s)
+            known_s = self.last_contact_s
+            if known_s is None or state.contact_s > known_s:
+                self._record_contact(state.contact_s)
             if changes is not None and changes.base == self._log.revision:
                 self._apply(changes)
 
@@ -188,7 +219,7 @@
         base = self._log.revision
         revision, items = self._store.list_objects(self.kind)
         with self._lock:
-            self._record_contact()
+            self._record_contact(self._clock.now_s())
             if base == self._log.revision:
                 self._apply(
                     object_log.ObjectChanges(base, revision, items, True)
@@ -199,7 +230,7 @@
         base = self._log.revision
         revision, items = self._store.watch(self.kind, base, FOLLOW_WAIT_S)
         with self._lock:
-            self._record_contact()
+            self._record_contact(self._clock.now_s())
             if base == self._log.revision:
                 self._apply(
                     object_log.ObjectChanges(base, revision, items, False)
@@ -218,13 +249,12 @@
         self._log.apply(changes)
         self._must_list = False
 
-    def _record_contact(self):
+    def _record_contact(self, at_s):
         """Record an answer and notify the follower of the end of an outage."""
-        now_s = self._clock.now_s()
         failed_s, self._failing_since_s = self._failing_since_s, None
-        self.last_contact_s = now_s
-        if failed_s is not None and now_s - failed_s >= MIN_OUTAGE_S:
-            self._record_recovery(now_s)
+        self.last_contact_s = at_s
+        if failed_s is not None and at_s - failed_s >= MIN_OUTAGE_S:
+            self._record_recovery(at_s)
 
     def _record_recovery(self, at_s):
         """Notify the follower of another recovery of the store.
--- a/tests/serving/store_relay.feature
+++ b/tests/serving/store_relay.feature
@@ -55,6 +55,21 @@
     And the instance reports to the collector
     Then the instance recorded 1 recovery at the time of the collector's
 
+  # Regression: an answer made while the collector noticed the recovery had the
+  # new contact without the recovery. The instance forgot its own outage, took
+  # the entries that had lapsed for gone and told its peers.
+
+  Scenario: A relayed contact ends the outage of an instance's own reads
+    Given a collector and an instance that both follow the store
+    When the reads of the instance fail for 3 seconds
+    And the instance receives a contact without a recovery
+    Then the instance recorded 1 recoveries
+
+  Scenario: A contact and the recovery it ends are told together
+    Given a collector and an instance that both follow the store
+    When the collector notices the recovery while the instance asks
+    Then the instance recorded 1 recoveries
+
   Scenario: An instance without any objects reads the store itself
     Given a collector and an instance that both follow the store
     And the instance has just started and has read nothing
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -1,4 +1,5 @@
 import json
+import threading
 
 from behave import given
 from behave import then
@@ -205,6 +206,47 @@
         context.instance.relay.accept({KIND: fields})
 
 
+@when("the reads of the instance fail for {seconds:d} seconds")
+def fail_reads(context, seconds):
+    context.instance.calls.is_down = True
+    for _ in range(seconds):
+        context.instance.follower.last_contact_s = float("-inf")
+        context.instance.read()
+        context.clock.advance(1.0)
+
+
+@when("the instance receives a contact without a recovery")
+def receive_contact(context):
+    fields = {"contact_age_s": 0.1, "recovery_age_s": None}
+    context.instance.relay.accept({KIND: fields})
+
+
+@when("the collector notices the recovery while the instance asks")
+def recover_during_question(context):
+    """Ask from the callback, in another thread, while changes are applied."""
+    collector = context.collector
+    asking = []
+
+    def ask():
+        exchange(context.instance, collector)
+
+    def record_recovery(at_s):
+        thread = threading.Thread(target=ask, daemon=True)
+        asking.append(thread)
+        thread.start()
+        thread.join(0.2)
+
+    collector.record_recovery = record_recovery
+    recover(context)
+    asking[0].join(5.0)
+
+
+@then("the instance recorded {count:d} recoveries")
+def check_recoveries(context, count):
+    recorded = context.instance.recoveries_s
+    assert len(recorded) == count, recorded
+
+
 @then("the {who} has the written object")
 def check_object(context, who):
     assert context.instance.names == {"a"}, context.instance.names
