A relayed contact from before an outage does not end it

An instance whose reads fail asks another one that fails too. That one's last contact, some milliseconds later than the own one, counted as an answer and ended the outage unseen, so lapsed entries counted as gone. Change: a contact older than the failure of the own reads leaves the outage as it is.

--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -250,10 +250,16 @@
         self._must_list = False
 
     def _record_contact(self, at_s):
-        """Record an answer and notify the follower of the end of an outage."""
-        failed_s, self._failing_since_s = self._failing_since_s, None
+        """Record an answer and notify the follower of the end of an outage.
+
+        A relayed answer from before the own reads failed ends no outage.
+        """
         self.last_contact_s = at_s
-        if failed_s is not None and at_s - failed_s >= MIN_OUTAGE_S:
+        failed_s = self._failing_since_s
+        if failed_s is None or at_s < failed_s:
+            return
+        self._failing_since_s = None
+        if at_s - failed_s >= MIN_OUTAGE_S:
             self._record_recovery(at_s)
 
     def _record_recovery(self, at_s):
--- a/tests/serving/store_relay.feature
+++ b/tests/serving/store_relay.feature
@@ -65,6 +65,13 @@
     And the instance receives a contact without a recovery
     Then the instance recorded 1 recoveries
 
+  Scenario: A relayed contact from before an outage does not end it
+    Given a collector and an instance that both follow the store
+    When the reads of the instance fail for 3 seconds
+    And the instance receives a contact from 3.5 seconds ago
+    And the store answers the instance again
+    Then the instance recorded 1 recoveries
+
   Scenario: A contact and the recovery it ends are told together
     Given a collector and an instance that both follow the store
     When the collector notices the recovery while the instance asks
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -221,6 +221,18 @@
     context.instance.relay.accept({KIND: fields})
 
 
+@when("the instance receives a contact from {age_s:g} seconds ago")
+def receive_old_contact(context, age_s):
+    fields = {"contact_age_s": age_s, "recovery_age_s": None}
+    context.instance.relay.accept({KIND: fields})
+
+
+@when("the store answers the instance again")
+def answer_again(context):
+    context.instance.calls.is_down = False
+    context.instance.follower.read()
+
+
 @when("the collector notices the recovery while the instance asks")
 def recover_during_question(context):
     """Ask from the callback, in another thread, while changes are applied."""
