--- a/tests/steps/daemon_configuration.py
+++ b/tests/steps/daemon_configuration.py
@@ -2,6 +2,7 @@
 import json
 import threading
 import time
+import uuid
 
 from behave import given
 from behave import then
@@ -59,7 +60,8 @@
 def run_command(context, words, council="brunner"):
     """Run a command on the store of the site; return (exit code, report)."""
     shared = context.shared
-    keys = shared.fleet.folder / f"{council}.key"
+    # Commands run at the same time, so each has a key file of its own.
+    keys = shared.fleet.folder / f"{council}-{uuid.uuid4().hex}.key"
     keys.write_text(f"example-key-{council}-operator", encoding="utf-8")
     words = [*words, "--store", shared.site.store_address, "--json"]
     words += ["--council", council, "--key-file", str(keys)]
