Mend what reading the change again found

Ruled out: joining the two loops of pollers, and the product's choice of watchers with the collectors (they change more than this). Change: Forwarding._check_deadline, ForwardRequest.to_route_request, DispatchActor._select, FollowerState and Collectors.domains serve both places. The least pooled credit has a name. The server for peers logs the exception (5005) and closes the connection. Behaviour is otherwise as before.

--- a/mulberryhollow/coordination/limits/quota.py
+++ b/mulberryhollow/coordination/limits/quota.py
@@ -18,6 +18,12 @@
 It divides the quota of an account without demand evenly.
 """
 
+MIN_POOLED_CREDIT = 1.0
+"""Credit from which a request is admitted when credit is pooled, in units.
+
+With a pool the debt that a request leaves is the only one.
+"""
+
 POOLED_PRIOR_DEMAND_FRACTION = 0.005
 """Demand assumed at each instance that grants credit when it is pooled.
 
@@ -290,9 +296,10 @@
         mean = self._mean_costs.get(account, cost)
         self._mean_costs[account] = mean + MEAN_COST_WEIGHT * (cost - mean)
         bucket, fraction = self._find_bucket(account, quota, now_s)
-        # With a pool the debt that a request leaves is the only one.
-        required = max(cost, AMPLE_CREDIT_REQUESTS * mean)
-        if bucket.credit >= (1.0 if self._is_pooled else required):
+        required = MIN_POOLED_CREDIT
+        if not self._is_pooled:
+            required = max(cost, AMPLE_CREDIT_REQUESTS * mean)
+        if bucket.credit >= required:
             bucket.credit -= cost
             return None
         if self._spend_small(account, quota, fraction, cost, now_s):
--- a/mulberryhollow/coordination/sharing/__init__.py
+++ b/mulberryhollow/coordination/sharing/__init__.py
@@ -2,7 +2,6 @@
 
 from mulberryhollow.coordination.sharing.aggregates import AggregateTable
 from mulberryhollow.coordination.sharing.aggregates import Amounts
-from mulberryhollow.coordination.sharing.aggregates import list_collectors
 from mulberryhollow.coordination.sharing.aggregates import rank_collectors
 from mulberryhollow.coordination.sharing.aggregates import Total
 from mulberryhollow.coordination.sharing.collectors import choose_collectors
@@ -14,6 +13,5 @@
     "Collectors",
     "Total",
     "choose_collectors",
-    "list_collectors",
     "rank_collectors",
 ]
--- a/mulberryhollow/coordination/sharing/aggregates.py
+++ b/mulberryhollow/coordination/sharing/aggregates.py
@@ -10,7 +10,6 @@
     "AggregateTable",
     "Amounts",
     "Total",
-    "list_collectors",
     "rank_collectors",
 ]
 
@@ -105,32 +104,6 @@
     return membership.rank_by_rendezvous(f"collector {failure_domain}", names)
 
 
-def list_collectors(local_member, members):
-    """Return the instances of each failure domain, ranked as collectors.
-
-    Parameters
-    ----------
-    local_member : Member
-        This instance.
-    members : iterable of Member
-        The other live instances.
-
-    Returns
-    -------
-    dict
-        Failure domain to a list of instance ids; the first of a domain is
-        its usual collector.
-    """
-    domains = {local_member.failure_domain: [local_member.instance_id]}
-    for member in members:
-        names = domains.setdefault(member.failure_domain, [])
-        names.append(member.instance_id)
-    return {
-        domain: rank_collectors(domain, names)
-        for domain, names in domains.items()
-    }
-
-
 class AggregateTable:
     """Recent reports received by one instance.
 
--- a/mulberryhollow/coordination/sharing/collectors.py
+++ b/mulberryhollow/coordination/sharing/collectors.py
@@ -40,6 +40,9 @@
         Fraction of the live instances that are reachable, above 0.
     live : int
         Number of live instances, the unreachable ones included.
+    domains : dict
+        Failure domain to the tuple of its collectors, the usual one first,
+        also in a fleet whose instances act for themselves.
     """
 
     local: tuple = ()
@@ -47,6 +50,7 @@
     is_local: bool = True
     reachable_fraction: float = 1.0
     live: int = 1
+    domains: dict = attrs.field(factory=dict)
 
     @property
     def parts(self):
@@ -76,15 +80,10 @@
     """
     reachable = 1 + len(members)
     live = max(live, reachable)
+    domains = _rank_domains(local_member, members)
     if reachable < MIN_DELEGATING_INSTANCES:
         others = tuple(member.instance_id for member in members)
-        return Collectors((), others, True, reachable / live, live)
-    domains = {
-        domain: tuple(names[:COLLECTORS_PER_DOMAIN])
-        for domain, names in aggregates.list_collectors(
-            local_member, members
-        ).items()
-    }
+        return Collectors((), others, True, reachable / live, live, domains)
     local = domains[local_member.failure_domain]
     acting = tuple(itertools.chain.from_iterable(domains.values()))
     name = local_member.instance_id
@@ -94,4 +93,19 @@
         name in local,
         reachable / live,
         live,
+        domains,
     )
+
+
+def _rank_domains(local_member, members):
+    """Return the collectors of each failure domain, the usual one first."""
+    domains = {local_member.failure_domain: [local_member.instance_id]}
+    for member in members:
+        names = domains.setdefault(member.failure_domain, [])
+        names.append(member.instance_id)
+    return {
+        domain: tuple(
+            aggregates.rank_collectors(domain, names)[:COLLECTORS_PER_DOMAIN]
+        )
+        for domain, names in domains.items()
+    }
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -185,8 +185,7 @@
             clock,
             self.dispatcher,
             self._usage_ledger,
-            lambda: self._fact_peering.usable,
-            lambda: self._fact_peering.collectors.is_local,
+            lambda: self._fact_peering.collectors,
             self._store_relay,
         )
         self.ingress = self._make_ingress()
--- a/mulberryhollow/protocol/draws.py
+++ b/mulberryhollow/protocol/draws.py
@@ -64,17 +64,16 @@
     now_s : float
         Monotonic time, in seconds.
     """
-    goal_at_s = request.arrived_s + request.goal_s
-    chain = request.chain or routing.PromptChain()
+    route_request = request.to_route_request()
     fields = {
         "account": request.account,
         "cost": request.cost,
-        "request": request.request_id,
-        "service": request.service,
-        "class": request.route,
-        "remaining_s": min(request.deadline_s, goal_at_s) - now_s,
-        "idempotent": request.kind.is_repeatable,
-        "chain": attrs.astuple(chain, recurse=False),
+        "request": route_request.request_id,
+        "service": route_request.service,
+        "class": route_request.request_class,
+        "remaining_s": route_request.deadline_s - now_s,
+        "idempotent": route_request.idempotent,
+        "chain": attrs.astuple(route_request.chain, recurse=False),
     }
     return json.dumps(fields, separators=(",", ":")).encode()
 
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from mulberryhollow.coordination import routing
 from mulberryhollow.state import catalogue
 
 __all__ = [
@@ -104,6 +105,19 @@
     last_event_id: str = ""
     fingerprint: str = ""
 
+    def to_route_request(self):
+        """Return the `RouteRequest` for the first or a further attempt."""
+        return routing.RouteRequest(
+            request_id=self.request_id,
+            service=self.service,
+            version_shares={},
+            request_class=self.route,
+            deadline_s=min(self.deadline_s, self.arrived_s + self.goal_s),
+            idempotent=self.kind.is_repeatable,
+            chain=self.chain or routing.PromptChain(),
+            preferred=self.placement,
+        )
+
 
 @attrs.frozen
 class EndpointCall:
--- a/mulberryhollow/protocol/relays.py
+++ b/mulberryhollow/protocol/relays.py
@@ -1,43 +1,34 @@
 """Codec of the stored objects that instances relay to each other."""
 
-import attrs
+import math
 
 from mulberryhollow.state import object_log
 from mulberryhollow.state import objects
 
-__all__ = ["RelayedKind", "decode_relayed", "encode_relayed"]
+__all__ = ["decode_relayed", "encode_relayed"]
 
 _VALUE_ENCODING = "latin-1"
 """Encoding that maps each byte of a stored value to one character."""
 
 
-@attrs.frozen
-class RelayedKind:
-    """What an instance knows of one kind of stored objects.
+def encode_relayed(state, now_s):
+    """Return a `FollowerState` as a JSON-compatible dict.
+
+    Clocks of instances differ, so its times are encoded as ages.
 
     Parameters
     ----------
-    changes : ObjectChanges or None
-        Changes since the revision of the asking instance.
-    contact_age_s : float
-        Time since the store answered, in seconds.
-    recovery_age_s : float or None
-        Time since the store recovered from an outage, in seconds; None if
-        it never did.
+    state : FollowerState
+        The state; the store has answered once.
+    now_s : float
+        Monotonic time of this instance, in seconds.
     """
-
-    changes: object_log.ObjectChanges | None
-    contact_age_s: float
-    recovery_age_s: float | None = None
-
-
-def encode_relayed(relayed):
-    """Return a `RelayedKind` as a JSON-compatible dict."""
+    has_recovered = math.isfinite(state.recovered_s)
     fields = {
-        "contact_age_s": relayed.contact_age_s,
-        "recovery_age_s": relayed.recovery_age_s,
+        "contact_age_s": now_s - state.contact_s,
+        "recovery_age_s": now_s - state.recovered_s if has_recovered else None,
     }
-    changes = relayed.changes
+    changes = state.changes
     if changes is not None:
         fields["changes"] = {
             "base": changes.base,
@@ -48,8 +39,15 @@
     return fields
 
 
-def decode_relayed(fields):
-    """Return the `RelayedKind` for a decoded dict.
+def decode_relayed(fields, now_s):
+    """Return the `FollowerState` for a decoded dict.
+
+    Parameters
+    ----------
+    fields : dict
+        The decoded fields.
+    now_s : float
+        Monotonic time of this instance, in seconds.
 
     Raises
     ------
@@ -58,10 +56,13 @@
     """
     try:
         changes = fields.get("changes")
-        return RelayedKind(
+        recovery_age_s = fields["recovery_age_s"]
+        if recovery_age_s is None:
+            recovery_age_s = math.inf
+        return object_log.FollowerState(
             changes and _decode_changes(changes),
-            float(fields["contact_age_s"]),
-            _decode_optional(fields["recovery_age_s"], float),
+            now_s - float(fields["contact_age_s"]),
+            now_s - float(recovery_age_s),
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed relayed objects: {error!r}") from error
@@ -69,19 +70,15 @@
 
 def _decode_changes(fields):
     """Return the ObjectChanges for a decoded dict."""
+    base = fields["base"]
     return object_log.ObjectChanges(
-        _decode_optional(fields["base"], int),
+        None if base is None else int(base),
         int(fields["revision"]),
         tuple(map(_decode_object, fields["items"])),
         bool(fields["is_complete"]),
     )
 
 
-def _decode_optional(value, decode):
-    """Return a decoded value; None if it is None."""
-    return None if value is None else decode(value)
-
-
 def _encode_object(item):
     """Return the fields of a StoredObject as a list."""
     value = item.value.decode(_VALUE_ENCODING)
--- a/mulberryhollow/serving/aggregate_peering.py
+++ b/mulberryhollow/serving/aggregate_peering.py
@@ -69,10 +69,8 @@
         Source of the local amounts; receives the totals.
     usage : SharedUsageLedger
         Usage counts of this instance and its peers.
-    get_members : callable
-        Returns the other live members.
-    grants_credit : callable
-        Returns whether this instance grants the credit of quotas.
+    get_collectors : callable
+        Returns the current `Collectors`.
     relay : StoreRelay or None
         Relays stored objects with the reports.
 
@@ -89,16 +87,14 @@
         clock,
         dispatcher,
         usage,
-        get_members,
-        grants_credit=lambda: True,
+        get_collectors,
         relay=None,
     ):
         self._peers = peers
         self._clock = clock
         self._dispatcher = dispatcher
         self._usage = usage
-        self._get_members = get_members
-        self._grants_credit = grants_credit
+        self._get_collectors = get_collectors
         self._relay = relay
         self._local_member = peers.local_member()
         self._table = sharing.AggregateTable(self._local_member.instance_id)
@@ -114,11 +110,11 @@
 
     def tick(self):
         """Report the local amounts and apply the remote total."""
+        collectors = self._get_collectors()
+        domains = collectors.domains
+        # Only acting instances grant the credit of quotas.
         local = sharing.Total(
-            self._dispatcher.read(_read_local), int(self._grants_credit())
-        )
-        domains = sharing.list_collectors(
-            self._local_member, self._get_members()
+            self._dispatcher.read(_read_local), int(collectors.is_local)
         )
         local_domain = self._local_member.failure_domain
         is_collector = (
@@ -158,7 +154,7 @@
         The next in rank is used if the first does not answer.
         """
         report = self._make_report(local, False, self._usage.encode_own())
-        for name in names[:2]:
+        for name in names:
             if name == self._local_member.instance_id:
                 return
             answer = self._send_report(name, report)
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -331,31 +331,35 @@
         if message.excluded and not message.keeps_version:
             shares = _select_main_version(shares)
         request = attrs.evolve(message.request, version_shares=shares)
-        result = self.router.choose(
-            request, self.view, self.prefixes, now_s, message.excluded
-        )
+        result = self._select(request, now_s, message.excluded)
         match result:
             case routing.NoEndpoint(refusal):
                 self._log_no_endpoint(request)
                 return refusal
         work = self.view.start(result.endpoint_id, result.cost, now_s)
         self.work.add(request.service, result.compute_s, now_s)
-        if result.hashes:
-            self.prefixes.insert(result.endpoint_id, result.hashes)
         return attempts.Route(
             result, work, request.service, request.request_class
         )
 
     def _place(self, request, now_s):
-        """Return the Chosen for the request of a peer, or None."""
+        """Return the Chosen or NoEndpoint for the request of a peer."""
         shares = self.shares.get(request.service)
         request = attrs.evolve(request, version_shares=shares)
-        result = self.router.choose(request, self.view, self.prefixes, now_s)
-        if isinstance(result, routing.NoEndpoint):
-            return None
-        self.view.add_peer_prompt(result.endpoint_id, result.compute_s, now_s)
-        if result.hashes:
-            self.prefixes.insert(result.endpoint_id, result.hashes)
+        result = self._select(request, now_s)
+        match result:
+            case routing.Chosen(endpoint_id=endpoint_id, compute_s=compute_s):
+                self.view.add_peer_prompt(endpoint_id, compute_s, now_s)
+        return result
+
+    def _select(self, request, now_s, excluded=frozenset()):
+        """Return Chosen, whose prompt counts as cached, or NoEndpoint."""
+        result = self.router.choose(
+            request, self.view, self.prefixes, now_s, excluded
+        )
+        match result:
+            case routing.Chosen(hashes=hashes) if hashes:
+                self.prefixes.insert(result.endpoint_id, hashes)
         return result
 
     def _log_no_endpoint(self, request):
@@ -568,11 +572,11 @@
         str
             Id of the endpoint; empty if none accepts new work.
         """
-        chosen = self._actor.ask(_Place(route_request))
-        if chosen is None:
-            return ""
-        self._report_if_long(chosen)
-        return chosen.endpoint_id
+        match self._actor.ask(_Place(route_request)):
+            case routing.Chosen() as chosen:
+                self._report_if_long(chosen)
+                return chosen.endpoint_id
+        return ""
 
     def _report_if_long(self, chosen):
         """Report a long prompt, which delays others at its endpoint."""
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -109,7 +109,9 @@
             QUARANTINE_PEERS, thread_name_prefix="tell"
         )
         self.usable = ()
-        self.collectors = sharing.Collectors(live=1 + named)
+        self.collectors = sharing.choose_collectors(
+            self._local_member, (), 1 + named
+        )
         self.last_contact_s = None
 
     def connect(self):
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -6,7 +6,6 @@
 import attrs
 
 from mulberryhollow.coordination import forwarding as decisions
-from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.serving import answers
@@ -219,20 +218,9 @@
         now_s = self._dependencies.clock.now_s()
         if request.deadline_s - now_s < decisions.MIN_REMAINING_S:
             raise errors.RefusedError(decisions.refuse_expired(self._attempts))
-        goal_at_s = request.arrived_s + request.goal_s
-        route_request = routing.RouteRequest(
-            request_id=request.request_id,
-            service=request.service,
-            version_shares={},
-            request_class=request.route,
-            deadline_s=min(request.deadline_s, goal_at_s),
-            idempotent=request.kind.is_repeatable,
-            chain=request.chain or routing.PromptChain(),
-            preferred=request.placement,
-        )
         try:
             self._route = self._dependencies.dispatcher.choose_endpoint(
-                route_request, self._excluded
+                request.to_route_request(), self._excluded
             )
         except errors.RefusedError as error:
             raise errors.RefusedError(self._refuse_no_capacity()) from error
@@ -309,7 +297,7 @@
         """Return the first events of a stream and report their time."""
         piece = b""
         while not (piece or self._is_complete):
-            self._check_first_deadline()
+            self._check_deadline()
             piece = self._read_events()
         now_s = self._dependencies.clock.now_s()
         if self._route is not None:
@@ -333,18 +321,12 @@
         self._close_answer()
         self._release_route()
 
-    def _check_first_deadline(self):
-        """Raise when the deadline has passed before the first event."""
-        now_s = self._dependencies.clock.now_s()
-        if now_s >= self._request.deadline_s:
-            fault = streams.Silent(now_s - self._request.arrived_s)
-            raise errors.EndpointError(fault)
-
     def _check_deadline(self):
         """Raise when the deadline of the request has passed."""
         now_s = self._dependencies.clock.now_s()
         if now_s >= self._request.deadline_s:
-            self._record_broken_off(self._route, "the deadline has passed")
+            if self.head is not None:
+                self._record_broken_off(self._route, "the deadline has passed")
             fault = streams.Silent(now_s - self._request.arrived_s)
             raise errors.EndpointError(fault)
 
--- a/mulberryhollow/serving/store_relay.py
+++ b/mulberryhollow/serving/store_relay.py
@@ -4,7 +4,6 @@
 
 from mulberryhollow import events
 from mulberryhollow.protocol import relays
-from mulberryhollow.serving import watch
 
 __all__ = ["StoreRelay"]
 
@@ -101,7 +100,7 @@
         now_s = self._clock.now_s()
         return {
             kind: relays.encode_relayed(
-                self._describe(self._followers[kind], revision, now_s)
+                self._followers[kind].describe(revision), now_s
             )
             for kind, revision in question.items()
             if kind in self._followers
@@ -113,20 +112,11 @@
         now_s = self._clock.now_s()
         for kind in answer.keys() & self._followers.keys():
             try:
-                relayed = relays.decode_relayed(answer[kind])
+                state = relays.decode_relayed(answer[kind], now_s)
             except ValueError as error:
                 events.log(MALFORMED, kind=kind, reason=str(error))
                 continue
-            recovery_age_s = relayed.recovery_age_s
-            if recovery_age_s is None:
-                recovery_age_s = float("inf")
-            self._followers[kind].accept(
-                watch.FollowerState(
-                    relayed.changes,
-                    now_s - relayed.contact_age_s,
-                    now_s - recovery_age_s,
-                )
-            )
+            self._followers[kind].accept(state)
 
     def _is_recent(self, follower):
         """Return whether the store confirmed a kind's state recently."""
@@ -134,14 +124,3 @@
             return False
         age_s = self._clock.now_s() - follower.last_contact_s
         return age_s <= MAX_CONTACT_AGE_S
-
-    @staticmethod
-    def _describe(follower, revision, now_s):
-        """Return the RelayedKind of one follower."""
-        state = follower.describe(revision)
-        recovery_age_s = now_s - state.recovered_s
-        return relays.RelayedKind(
-            state.changes,
-            now_s - state.contact_s,
-            recovery_age_s if recovery_age_s < float("inf") else None,
-        )
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -2,12 +2,10 @@
 
 import threading
 
-import attrs
-
 from mulberryhollow import errors
 from mulberryhollow.state import object_log
 
-__all__ = ["FollowerState", "ObjectFollower", "ObjectWatch"]
+__all__ = ["ObjectFollower", "ObjectWatch"]
 
 FOLLOW_WAIT_S = 2.5
 """Longest wait of one watch call of `ObjectFollower`, in seconds.
@@ -83,26 +81,6 @@
         self._revision = revision
 
 
-@attrs.frozen
-class FollowerState:
-    """What an instance knows of one kind of stored objects.
-
-    Parameters
-    ----------
-    changes : ObjectChanges or None
-        Changes since a given revision; None if there is nothing to tell.
-    contact_s : float or None
-        When the store last answered, monotonic, in seconds.
-    recovered_s : float
-        When the store last recovered from an outage, monotonic, in seconds;
-        minus infinity if it never did.
-    """
-
-    changes: object_log.ObjectChanges | None
-    contact_s: float | None
-    recovered_s: float
-
-
 class ObjectFollower:
     """Lists the objects of a kind, then follows their changes.
 
@@ -185,7 +163,7 @@
             Consistent: a contact after an outage comes with the recovery.
         """
         with self._lock:
-            return FollowerState(
+            return object_log.FollowerState(
                 self._log.list_changes(after),
                 self.last_contact_s,
                 self.recovered_s,
--- a/mulberryhollow/state/object_log.py
+++ b/mulberryhollow/state/object_log.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-__all__ = ["ObjectChanges", "ObjectLog"]
+__all__ = ["FollowerState", "ObjectChanges", "ObjectLog"]
 
 MAX_ENTRIES = 256
 """Maximum number of recent reads whose changes are kept.
@@ -37,6 +37,26 @@
     is_complete: bool
 
 
+@attrs.frozen
+class FollowerState:
+    """What an instance knows of one kind of stored objects.
+
+    Parameters
+    ----------
+    changes : ObjectChanges or None
+        Changes since a given revision; None if there is nothing to tell.
+    contact_s : float or None
+        When the store last answered, monotonic, in seconds.
+    recovered_s : float
+        When the store last recovered from an outage, monotonic, in seconds;
+        minus infinity if it never did.
+    """
+
+    changes: ObjectChanges | None
+    contact_s: float | None
+    recovered_s: float
+
+
 class ObjectLog:
     """Objects of one kind as last read from the store.
 
--- a/mulberryhollow/transport/peer_sockets.py
+++ b/mulberryhollow/transport/peer_sockets.py
@@ -3,6 +3,7 @@
 import collections
 import concurrent.futures
 import contextlib
+import logging
 import selectors
 import socket
 import struct
@@ -12,6 +13,7 @@
 from thrift.transport import TSocket
 from thrift.transport import TTransport
 
+from mulberryhollow import events
 from mulberryhollow.protocol import peers
 from mulberryhollow.transport import store
 from mulberryhollow.transport import traffic as traffic_module
@@ -45,6 +47,13 @@
 RECEIVE_BYTES = 65536
 """Largest number of bytes in one read."""
 
+ANSWER_FAILED = events.declare(
+    5005,
+    logging.ERROR,
+    "answering a peer failed with an unexpected exception",
+    "report this defect with the log lines around it",
+)
+
 _FRAME_SIZE = struct.Struct("!I")
 
 
@@ -227,6 +236,11 @@
         except (OSError, ValueError, *peers.DECODE_ERRORS):
             self._close(connection)
             return
+        except Exception as error:  # noqa: BLE001
+            # The peer must not wait on a connection that nobody answers.
+            events.log(ANSWER_FAILED, error=repr(error))
+            self._close(connection)
+            return
         self._answered.append(connection)
         self._wake()
 
