Log the framing and the unfinished bytes of each forwarded answer

Event 4013 did not tell whether a stream that ended as done was delimited by its length, by chunks or by the close of the connection, nor whether it ended inside an event. The hypotheses on streams that ended early as complete differ in just these. No logic is changed.

--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -1,5 +1,7 @@
 """Requests that are forwarded unchanged, and the heads of answers."""
 
+import enum
+
 import attrs
 
 from mulberryhollow.coordination import routing
@@ -9,6 +11,7 @@
     "AnswerHead",
     "EndpointCall",
     "ForwardRequest",
+    "Framing",
     "Load",
     "Payload",
 ]
@@ -142,6 +145,14 @@
     body: bytes = b""
 
 
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION_CLOSE = "close"
+
+
 @attrs.frozen
 class Load:
     """Load that an endpoint reports in an answer.
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -74,12 +74,15 @@
         Time to the first events, in seconds; 0 before their arrival.
     longest_gap_s : float
         Longest gap between events, in seconds.
+    framing : Framing or None
+        Framing of the last answer; None before its head.
     """
 
     def __init__(self, request, clock, recorder, buffers):
         self.assembly = streams.EventAssembly(request.last_event_id)
         self.first_s = 0.0
         self.longest_gap_s = 0.0
+        self.framing = None
         self._request = request
         self._clock = clock
         self._recorder = recorder
--- a/mulberryhollow/serving/forward_log.py
+++ b/mulberryhollow/serving/forward_log.py
@@ -75,7 +75,7 @@
     chosen : Chosen or None
         Last chosen endpoint; None when none was chosen.
     reader : AnswerReader
-        Reader of the answer, with its times.
+        Reader of the answer, with its framing, events and times.
     elapsed_s : float
         Time since the arrival of the request, in seconds.
     """
@@ -88,6 +88,7 @@
             "cached_tokens": chosen.cached_tokens,
             "expected_ms": _to_ms(chosen.expected_first_token_s),
         }
+    framing = reader.framing
     events.log(
         ENDED,
         request=request.request_id,
@@ -95,6 +96,9 @@
         account=request.account,
         outcome=outcome.value,
         status=head.status if head else 0,
+        framing=framing.value if framing else "",
+        events=reader.assembly.count,
+        unfinished_bytes=len(reader.assembly.rest),
         first_ms=_to_ms(reader.first_s),
         longest_gap_ms=_to_ms(reader.longest_gap_s),
         total_ms=_to_ms(elapsed_s),
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -274,6 +274,7 @@
         answer = self._dependencies.client.open(attempt, self._set_channel)
         self._dependencies.dispatcher.report_load(route, answer.head.load)
         self._answer = answer
+        self._reader.framing = answer.framing
         if answer.head.has_not_run:
             self._reader.drain(answer)
             self._close_answer()
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -9,6 +9,7 @@
 
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
+from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.transport import bounded_reader
 from mulberryhollow.transport import connection as connections
 
@@ -184,6 +185,15 @@
             )
         return piece
 
+    @property
+    def framing(self):
+        """Framing of the last response."""
+        if self._response.chunked:
+            return messages.Framing.CHUNKS
+        if self._response.length is None:
+            return messages.Framing.CONNECTION_CLOSE
+        return messages.Framing.LENGTH
+
     @property
     def is_reusable(self):
         """Whether the connection can carry another request.
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -177,10 +177,16 @@
         ``host:port`` of the endpoint.
     pool : ConnectionPool
         Receives the channel once the body has been read.
+
+    Attributes
+    ----------
+    framing : Framing
+        What marks the end of the body.
     """
 
     def __init__(self, head, channel, address, pool):
         self.head = head
+        self.framing = channel.framing
         self._channel = channel
         self._address = address
         self._pool = pool
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -37,6 +37,8 @@
 class Answer:
     """A scripted answer that may end with a fault."""
 
+    framing = messages.Framing.LENGTH
+
     def __init__(self, head, pieces, fault):
         self.head = head
         self.pieces = list(pieces)
