Failing scenarios: streams without length and chunks that end inside an event

A stream that has neither a length nor chunks ends with its connection. When it ends inside an event it has been broken off, but the forwarder passes the unfinished event on and ends the answer as complete.

--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -61,6 +61,26 @@
     When a RESUMABLE_STREAM request is forwarded
     Then the caller's stream is broken off after event 2
 
+  # Guards against a broken-off stream without length and chunks, which ends
+  # with its connection inside an event, reaching its caller as complete.
+  Scenario: A stream that ends inside an event is broken off
+    Given a forwarder whose endpoints answer in turn: stream cut inside an event
+    When a STREAM request is forwarded
+    Then the caller's stream is broken off after event 2
+
+  # Guards against the same when the stream may continue elsewhere.
+  Scenario: A resumable stream that ends inside an event goes on elsewhere
+    Given a forwarder whose endpoints answer in turn: stream cut inside an event, rest of stream
+    When a RESUMABLE_STREAM request is forwarded
+    Then the caller gets events 1 to 4 without a break
+    And the second attempt requested the events after event 2
+
+  # Guards against the head of a stream without a whole event being passed on.
+  Scenario: A stream that ends inside its first event is no answer
+    Given a forwarder whose endpoints answer in turn: stream cut inside its first event
+    When a STREAM request is forwarded
+    Then the forwarded request ends as UNKNOWN after 1 attempts
+
   Scenario: A caller that has left is not served any more
     Given a forwarder whose endpoints answer in turn: whole
     When a IDEMPOTENT request of a disconnected caller is forwarded
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -26,6 +26,8 @@
     "half stream": (200, [event(1), event(2)], streams.Broken("cut")),
     "rest of stream": (200, [event(3), event(4)], None),
     "stream with a gap": (200, [event(4)], None),
+    "stream cut inside an event": (200, [event(1), event(2), b"id: 3"], None),
+    "stream cut inside its first event": (200, [b"id: 1\ndata: x\n"], None),
 }
 FAULTS = {
     "unsent": streams.NotSent("no connection"),
