Do not end a stream as complete inside an event

What callers saw: status 200, an answer framed as complete, and its last events missing.

Cause: a stream with neither a length nor chunks ends with its connection. The forwarder took the close for the end of the answer, passed the unfinished event on and ended its own chunked answer properly.

Why it works: the events themselves tell that something is missing. An end inside an event, or before the first one where nothing else frames the answer, is the fault Broken, which resumes the stream elsewhere or closes the caller's connection without the last chunk. A stream that ends after a whole event stays complete.

--- a/mulberryhollow/coordination/streams/events.py
+++ b/mulberryhollow/coordination/streams/events.py
@@ -44,6 +44,11 @@
         """Bytes after the last complete event."""
         return self._buffer
 
+    @property
+    def is_inside_event(self):
+        """Whether the last event received is incomplete."""
+        return bool(self._buffer.strip(b"\r\n"))
+
     def restart(self):
         """Start over with another endpoint, which resumes after `last_id`."""
         self._buffer = b""
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -5,6 +5,7 @@
 from mulberryhollow.coordination import forwarding as decisions
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
+from mulberryhollow.protocol import forwarding as messages
 
 __all__ = ["AnswerBuffers", "AnswerReader"]
 
@@ -164,7 +165,8 @@
         Raises
         ------
         EndpointError
-            When the answer ends early, or an event is missing.
+            When the answer ends early, also inside an event, or an event is
+            missing.
         """
         now_s = self._clock.now_s()
         waited_s, self._waited_s = self._waited_s, 0.0
@@ -175,6 +177,7 @@
             raise errors.EndpointError(streams.Silent(waited_s))
         piece = answer.read_piece(timeout_s)
         if not piece:
+            self._check_stream_end()
             return None
         found = self.assembly.feed(piece)
         if isinstance(found, streams.Crossed):
@@ -185,6 +188,23 @@
             self._waited_s = waited_s + self._clock.now_s() - now_s
         return found
 
+    def _check_stream_end(self):
+        """Raise Broken when the stream has ended before its last event.
+
+        Notes
+        -----
+        An endpoint that closes the connection may not have finished. Its
+        events are then the only sign that some of the stream is missing.
+        """
+        if self.assembly.is_inside_event:
+            fault = streams.Broken("the stream ended inside an event")
+            raise errors.EndpointError(fault)
+        is_closed = self.framing is messages.Framing.CONNECTION_CLOSE
+        has_events = self._has_begun or self._request.last_event_id
+        if is_closed and not has_events:
+            fault = streams.Broken("the stream ended before its first event")
+            raise errors.EndpointError(fault)
+
     def _find_remaining_s(self):
         """Return the time to read an answer that has begun, in seconds.
 
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -81,6 +81,18 @@
     When a STREAM request is forwarded
     Then the forwarded request ends as UNKNOWN after 1 attempts
 
+  # Guards against a connection that closes after the head of a stream being
+  # taken for an answer without events.
+  Scenario: A stream without framing that ends before its first event is no answer
+    Given a forwarder whose endpoints answer in turn: stream closed after its head
+    When a STREAM request is forwarded
+    Then the forwarded request ends as UNKNOWN after 1 attempts
+
+  Scenario: A stream without framing that ends after an event is complete
+    Given a forwarder whose endpoints answer in turn: stream without framing
+    When a STREAM request is forwarded
+    Then the caller gets events 1 to 4 without a break
+
   Scenario: A caller that has left is not served any more
     Given a forwarder whose endpoints answer in turn: whole
     When a IDEMPOTENT request of a disconnected caller is forwarded
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -27,6 +27,8 @@
     "rest of stream": (200, [event(3), event(4)], None),
     "stream with a gap": (200, [event(4)], None),
     "stream cut inside an event": (200, [event(1), event(2), b"id: 3"], None),
+    "stream closed after its head": (200, [], None),
+    "stream without framing": (200, list(map(event, (1, 2, 3, 4))), None),
     "stream cut inside its first event": (200, [b"id: 1\ndata: x\n"], None),
 }
 FAULTS = {
@@ -36,12 +38,14 @@
 }
 
 
+UNFRAMED = ("stream closed after its head", "stream without framing")
+
+
 class Answer:
     """A scripted answer that may end with a fault."""
 
-    framing = messages.Framing.LENGTH
-
-    def __init__(self, head, pieces, fault):
+    def __init__(self, head, pieces, fault, framing=messages.Framing.LENGTH):
+        self.framing = framing
         self.head = head
         self.pieces = list(pieces)
         self.fault = fault
@@ -78,7 +82,11 @@
             )
             return Answer(head, [], None)
         status, pieces, fault = ANSWERS[outcome]
-        return Answer(messages.AnswerHead(status, (), "r1"), pieces, fault)
+        head = messages.AnswerHead(status, (), "r1")
+        if outcome in UNFRAMED:
+            framing = messages.Framing.CONNECTION_CLOSE
+            return Answer(head, pieces, fault, framing)
+        return Answer(head, pieces, fault)
 
     def is_alive(self, address):
         return True
