Do not take a connection that closes inside the framing for the end

Found while looking for the same cause elsewhere. What callers could see: an empty or shortened answer that looks complete, when the endpoint closes its connection inside a head, a chunk size or a trailer, or gives a length that cannot be read.

Cause: http.client accepts a line that the end of the connection cuts off, and reads until the close when it cannot use a length or a transfer coding. A head without its last lines so became an answer without framing.

Evidence: eight new cases in tests/transport/forwarding.feature failed before (20 passed, 8 failed; now 28 passed, 0 failed).

Why it works: the reader of a response refuses a line without its end, and the framing is checked before any byte of the body is used. An answer whose last chunk has arrived stays complete.

Looked at and left: the clients of the store, the cloud and model engines, whose JSON bodies and end markers fail to decode when they are cut.

--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -138,14 +138,20 @@
             Broken, Silent, or Crossed when the bytes are not an HTTP response.
         """
         self._source.allow(MAX_HEAD_BYTES, timeout_s)
+        reader = _SharedReader(self._reader)
         response = http.client.HTTPResponse(
-            _ReaderSocket(self._reader), method=method
+            _ReaderSocket(reader), method=method
         )
         try:
             response.begin()
+            reader.require_line_end()
+            _check_framing(response)
         except http.client.RemoteDisconnected as error:
             fault = streams.Broken("connection closed without a response")
             raise errors.EndpointError(fault) from error
+        except http.client.IncompleteRead as error:
+            fault = streams.Broken("connection closed inside the head")
+            raise errors.EndpointError(fault) from error
         except _MALFORMED_ERRORS as error:
             fault = streams.Crossed(f"not an HTTP response: {error!r}")
             raise errors.EndpointError(fault) from error
@@ -228,22 +234,67 @@
 
     def makefile(self, mode):
         """Return the shared reader; HTTPResponse calls this on a socket."""
-        return _SharedReader(self._reader)
+        return self._reader
 
 
 class _SharedReader:
-    """Reader whose close does nothing, since later responses use it too."""
+    """View of the channel's reader for one response.
+
+    Its close does nothing, since later responses use the reader too.
+
+    Notes
+    -----
+    `http.client` accepts a line that is cut off by the end of the
+    connection: half a head, or the first digit of a chunk size.
+    """
 
     def __init__(self, reader):
         self._reader = reader
+        self._has_ended = False
 
     def __getattr__(self, name):
         return getattr(self._reader, name)
 
+    def readline(self, limit_bytes):
+        """Return a line, of which no more than the limit is read.
+
+        Raises
+        ------
+        http.client.IncompleteRead
+            When the connection ends inside the line.
+        """
+        line = self._reader.readline(limit_bytes)
+        self._has_ended = not line
+        if line and not line.endswith(b"\n") and len(line) < limit_bytes:
+            raise http.client.IncompleteRead(line)
+        return line
+
+    def require_line_end(self):
+        """Raise IncompleteRead when the connection ended before a line."""
+        if self._has_ended:
+            raise http.client.IncompleteRead(b"")
+
     def close(self):
         """Do nothing: the channel closes the reader."""
 
 
+def _check_framing(response):
+    """Raise HTTPException when the end of the body cannot be told.
+
+    `http.client` ignores a length or a coding that it cannot use, and reads
+    until the connection closes.
+    """
+    coding = response.headers.get("Transfer-Encoding")
+    lengths = {
+        each.strip() for each in response.headers.get_all("Content-Length", ())
+    }
+    if coding and not response.chunked:
+        raise http.client.HTTPException(f"transfer coding {coding!r}")
+    is_usable = len(lengths) <= 1 and all(map(str.isdecimal, lengths))
+    if not (response.chunked or is_usable):
+        raise http.client.HTTPException(f"lengths {sorted(lengths)!r}")
+
+
 def _encode_head(call):
     """Return the request line and headers as bytes."""
     lines = [f"{call.method} {call.target} HTTP/1.1"]
--- a/tests/steps/transport_forwarding.py
+++ b/tests/steps/transport_forwarding.py
@@ -31,6 +31,27 @@
         [HEAD + b"Content-Length: 5\r\n\r\nhel", "close"]
     ],
     "breaks off between chunks": [[CHUNKED + b"3\r\nhel\r\n", "close"]],
+    "breaks off between two headers": [[HEAD, "close"]],
+    "breaks off inside a header": [[HEAD + b"Content-Len", "close"]],
+    "breaks off inside the status line": [[b"HTTP/1.1 20", "close"]],
+    "breaks off inside a chunk size": [
+        [CHUNKED + b"5\r\nhello\r\n0", "close"]
+    ],
+    "breaks off inside a trailer": [
+        [CHUNKED + b"5\r\nhello\r\n0\r\nX: y", "close"]
+    ],
+    "gives a length that is no number": [
+        [HEAD + b"Content-Length: 5x\r\n\r\nhello", "close"]
+    ],
+    "gives a negative length": [
+        [HEAD + b"Content-Length: -5\r\n\r\nhello", "close"]
+    ],
+    "gives two different lengths": [
+        [
+            HEAD + b"Content-Length: 5\r\nContent-Length: 9\r\n\r\nhello",
+            "close",
+        ]
+    ],
     "sends bytes that are no answer": [[b"\x00\x01garbage\r\n\r\n", "close"]],
     "closes without an answer": [["close"]],
     "resets without an answer": [["reset"]],
--- a/tests/transport/forwarding.feature
+++ b/tests/transport/forwarding.feature
@@ -19,6 +19,24 @@
       | hangs                               | Silent    |
       | answers another request only        | Crossed   |
 
+  # Guards against a connection that closes inside a head, a header or a chunk
+  # size being taken for the end of a complete answer.
+  Scenario Outline: An answer that ends inside its own framing is broken off
+    Given an endpoint that <plays>
+    When a request is forwarded to it
+    Then the attempt ends with <end>
+
+    Examples:
+      | plays                                  | end     |
+      | breaks off between two headers         | Broken  |
+      | breaks off inside a header             | Broken  |
+      | breaks off inside the status line      | Broken  |
+      | breaks off inside a chunk size         | Broken  |
+      | breaks off inside a trailer            | Broken  |
+      | gives a length that is no number       | Crossed |
+      | gives a negative length                | Crossed |
+      | gives two different lengths            | Crossed |
+
   Scenario: A connection that is refused has not sent anything
     When a request is forwarded to a port without a listener
     Then the attempt ends with NotSent
