Log the crash of an endpoint with each request that it had

No line said whether a crash was noticed, and whether it counted against a request: event 4014 gives the request, the endpoint, whether an answer had begun, and whether the request is refused from then on. No logic is changed.

--- a/mulberryhollow/serving/forward_log.py
+++ b/mulberryhollow/serving/forward_log.py
@@ -4,7 +4,13 @@
 
 from mulberryhollow import events
 
-__all__ = ["log_broken_off", "log_end", "log_request_failed", "log_retried"]
+__all__ = [
+    "log_broken_off",
+    "log_crash",
+    "log_end",
+    "log_request_failed",
+    "log_retried",
+]
 
 RETRIED = events.declare(
     4010, logging.INFO, "an attempt failed; trying another endpoint"
@@ -22,6 +28,12 @@
     "check the endpoint logged for its request id",
 )
 ENDED = events.declare(4013, logging.INFO, "a forwarded request has ended")
+CRASHED = events.declare(
+    4014,
+    logging.WARNING,
+    "an endpoint crashed while it had a request",
+    "if it repeats, compare the requests of the crashed endpoints",
+)
 
 
 def log_retried(request, endpoint_id, fault, attempts):
@@ -61,6 +73,17 @@
     )
 
 
+def log_crash(request, endpoint_id, is_answering, is_quarantined):
+    """Log the crash of an endpoint and whether the request is now refused."""
+    events.log(
+        CRASHED,
+        request=request.request_id,
+        endpoint=endpoint_id,
+        is_answering=is_answering,
+        is_quarantined=is_quarantined,
+    )
+
+
 def log_end(request, outcome, head, chosen, reader, elapsed_s):
     """Log the result of a request and the data behind its last route.
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -12,6 +12,7 @@
 from mulberryhollow.serving import attempts
 from mulberryhollow.serving import forward_log
 from mulberryhollow.serving.observer import Outcome
+from mulberryhollow.state import endpoints
 from mulberryhollow.transport import forwarding as transport
 
 __all__ = ["ForwardDependencies", "Forwarder", "Forwarding"]
@@ -374,6 +375,13 @@
             self._request.fingerprint,
             is_answering,
         )
+        if failure.kind is endpoints.FailureKind.CRASHED:
+            forward_log.log_crash(
+                self._request,
+                route.endpoint_id,
+                is_answering,
+                failure.is_quarantined,
+            )
         if failure.is_quarantined:
             raise attempts.refuse_quarantined()
 
