Measure the time of many endless answers without tracing the memory

Without tracemalloc, four runs took 1.9 to 2.0 s: what was measured was the tracing of each allocation in 100 threads. Ruled out: load of the machine, 12 runs beside 8 busy processes took 3.9 to 4.2 s.

--- a/tests/steps/transport_endless_answers.py
+++ b/tests/steps/transport_endless_answers.py
@@ -100,13 +100,12 @@
         endpoints.EndpointCodec(), clocks.SystemClock()
     )
     context.buffers = answers.AnswerBuffers()
-    tracemalloc.start()
-    context.add_cleanup(tracemalloc.stop)
 
 
 @given('an endless endpoint that sends "{name}" {pace}')
 def start_endpoint(context, name, pace):
     start_endpoints(context, name, pace)
+    trace_memory(context)
 
 
 @given('{count:d} endless endpoints that send "{name}" {pace}')
@@ -149,6 +148,12 @@
         pass
 
 
+@given("the memory is traced")
+def trace_memory(context):
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+
+
 @when("the request waits {seconds:g} seconds for the head")
 def wait_for_head(context, seconds):
     began_s = time.monotonic()
@@ -229,11 +234,16 @@
     assert not context.results, context.results
 
 
+@then("all waits end with a fault")
+def check_all_fault(context):
+    for result in context.results:
+        assert isinstance(result, errors.EndpointError), result
+
+
 @then("the wait ends with a fault within {seconds:g} seconds")
 @then("all waits end with a fault within {seconds:g} seconds")
 def check_fault(context, seconds):
-    for result in context.results:
-        assert isinstance(result, errors.EndpointError), result
+    check_all_fault(context)
     assert context.elapsed_s <= seconds, context.elapsed_s
 
 
--- a/tests/transport/endless_answers.feature
+++ b/tests/transport/endless_answers.feature
@@ -53,10 +53,17 @@
     Then the answer was read to its end
     And the connection to the endless endpoint is not used again
 
-  Scenario: Many endless answers at the same time stay within the memory
+  Scenario: Many endless answers at the same time are given up in time
     Given 50 endless endpoints that send "a head, then chunks" fast
     When 50 requests read the whole answers within 3 seconds
     Then all waits end with a fault within 6.0 seconds
+
+  # Tracing each allocation slows the readers down, so this has no bound in time.
+  Scenario: Many endless answers at the same time stay within the memory
+    Given 50 endless endpoints that send "a head, then chunks" fast
+    And the memory is traced
+    When 50 requests read the whole answers within 3 seconds
+    Then all waits end with a fault
     And at most 72 MB of memory were taken
 
   Scenario: A stream that never completes an event is given up in time
