Quarantine the prompt part that crashes endpoints, not only whole requests

What callers saw: with a part of a prompt that crashes each endpoint beginning to answer it, one endpoint after the other ended, and with it every answer in progress there.

Cause: the quarantine knew whole requests only, by account, method, path and body. Requests that only share the part were each seen for the first time.

Event 4014 shows that the crashes were noticed (39 requests before their first event in 16 s) and that none led to a quarantine, which rules out that they were not attributed.

Why it works: an endpoint that crashes holds some requests whose answer has not begun; the part is in each of these sets, and never in an answer. Parts are blamed by the crashes of three different endpoints, and cleared for good by the first answer that begins, here or at a peer. Of parts that always came together none is blamed alone, so the shared first part stays usable even when nothing was answered before.

The first scenario of the feature now sends sound requests first: without an answer to the other part, a request with a third one may be sent once more, which a scenario of its own shows.

--- a/mulberryhollow/coordination/retry/__init__.py
+++ b/mulberryhollow/coordination/retry/__init__.py
@@ -5,6 +5,8 @@
 from mulberryhollow.coordination.retry.policy import RetryAfter
 from mulberryhollow.coordination.retry.policy import RetryPolicy
 from mulberryhollow.coordination.retry.policy import RetryRules
+from mulberryhollow.coordination.retry.prompt_parts import PartCrash
+from mulberryhollow.coordination.retry.prompt_parts import PartQuarantine
 from mulberryhollow.coordination.retry.quarantine import compute_fingerprint
 from mulberryhollow.coordination.retry.quarantine import CrashFact
 from mulberryhollow.coordination.retry.quarantine import LostRequest
@@ -14,6 +16,8 @@
     "CrashFact",
     "FailRequest",
     "LostRequest",
+    "PartCrash",
+    "PartQuarantine",
     "Quarantine",
     "RetryAfter",
     "RetryBudget",
--- a/mulberryhollow/platform/callers.py
+++ b/mulberryhollow/platform/callers.py
@@ -31,6 +31,7 @@
         if not request_id:
             raise _malformed(header_names.REQUEST_ID, "it is missing")
         length = int(environ.get("CONTENT_LENGTH") or 0)
+        parts = _read_prompt_parts(environ)
         return ingress.IngressRequest(
             request_id=request_id,
             host=environ.get("HTTP_HOST", ""),
@@ -43,9 +44,10 @@
                 tuple(_iter_forwarded_headers(environ)),
                 environ["wsgi.input"].read(length) if length else b"",
             ),
-            chain=_read_prompt_chain(environ),
+            chain=_make_prompt_chain(environ, parts),
             tokens=_read_tokens(environ),
             last_event_id=_get_header(environ, header_names.LAST_EVENT_ID),
+            part_ids=tuple(part_id for part_id, _ in parts[:-1]),
         )
 
     def encode_refusal(self, refusal):
@@ -133,31 +135,40 @@
         ) from error
 
 
-def _read_prompt_chain(environ):
-    """Return the PromptChain of a model request; None without the header.
+def _read_prompt_parts(environ):
+    """Return the (id, tokens) of each part of the prompt.
 
-    Notes
-    -----
-    The hashes start with the model's name, because endpoints cache each
-    part of a prompt separately for each model.
+    The last part is specific to this request and not shared with others.
     """
     text = _get_header(environ, header_names.PROMPT_PARTS)
     if not text:
-        return None
-    state = xxhash.xxh3_64(_get_header(environ, "Model").encode())
-    hashes, ends, tokens = [], [], 0
+        return []
     try:
-        for part in text.split(","):
-            part_id, _, size = part.strip().partition(":")
-            tokens += int(size)
-            state.update(f"/{part_id}".encode())
-            hashes.append(state.intdigest())
-            ends.append(tokens)
+        pairs = [part.strip().partition(":") for part in text.split(",")]
+        return [(part_id, int(size)) for part_id, _, size in pairs]
     except ValueError as error:
         raise _malformed(
             header_names.PROMPT_PARTS, "a part is not ID:TOKENS"
         ) from error
-    # The last part is specific to this request and not shared with others.
+
+
+def _make_prompt_chain(environ, parts):
+    """Return the PromptChain of a model request; None without parts.
+
+    Notes
+    -----
+    The hashes start with the model's name, because endpoints cache each
+    part of a prompt separately for each model.
+    """
+    if not parts:
+        return None
+    state = xxhash.xxh3_64(_get_header(environ, "Model").encode())
+    hashes, ends, tokens = [], [], 0
+    for part_id, size in parts:
+        tokens += size
+        state.update(f"/{part_id}".encode())
+        hashes.append(state.intdigest())
+        ends.append(tokens)
     return routing.PromptChain(
         tuple(hashes), tuple(ends), tokens, len(hashes) - 1
     )
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -159,6 +159,8 @@
         )
         self.dispatcher.on_retry = self.observer.count_retry
         self.dispatcher.on_crash = self._fact_peering.report_crash
+        self.dispatcher.on_part_crash = self._fact_peering.report_part_crash
+        self.dispatcher.on_part_cleared = self._fact_peering.report_sound_part
         self.dispatcher.on_long_prompt = self._fact_peering.report_long_prompt
         self._fleet_watcher = fleet_watcher.FleetWatcher(
             records.decode_listing,
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -87,6 +87,8 @@
         for the whole stream.
     fingerprint : str
         Fingerprint that resends of the same work share.
+    parts : tuple of str
+        Hashes of the parts of the prompt that other requests may have too.
     """
 
     request_id: str
@@ -107,6 +109,7 @@
     placement: str = ""
     last_event_id: str = ""
     fingerprint: str = ""
+    parts: tuple = ()
 
     def to_route_request(self):
         """Return the `RouteRequest` for the first or a further attempt."""
--- a/mulberryhollow/serving/attempts.py
+++ b/mulberryhollow/serving/attempts.py
@@ -154,7 +154,13 @@
 
 
 def report_fault(
-    dispatcher, client, route, fault, fingerprint, is_answering=False
+    dispatcher,
+    client,
+    route,
+    fault,
+    fingerprint,
+    is_answering=False,
+    parts=(),
 ):
     """Report a failed attempt to the dispatcher; return its Failure.
 
@@ -172,12 +178,14 @@
         Fingerprint of the request.
     is_answering : bool
         Whether part of the answer had been received.
+    parts : tuple of str
+        Parts of the request's prompt that other requests may have too.
     """
     is_broken = isinstance(fault, streams.Broken)
     is_gone = is_broken and not client.is_alive(route.address)
     kind = classify_fault(fault, is_gone)
     is_quarantined = dispatcher.finish(
-        route, kind, fingerprint, is_answering=is_answering
+        route, kind, fingerprint, is_answering=is_answering, parts=parts
     )
     return Failure(kind, is_quarantined)
 
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -72,10 +72,13 @@
         Whether the crash counts against the request.
     is_quarantined : bool
         Whether the request is now quarantined, and so refused.
+    part_crash : PartCrash or None
+        Crash that counts against parts of the prompt.
     """
 
     is_recorded: bool
     is_quarantined: bool
+    part_crash: retry.PartCrash | None = None
 
 
 @attrs.frozen
@@ -109,6 +112,7 @@
     kind: endpoints.FailureKind | None
     fingerprint: str
     is_answering: bool
+    parts: tuple
 
 
 @attrs.frozen
@@ -126,6 +130,7 @@
     service: str
     cost: float
     fingerprint: str
+    parts: tuple
 
 
 @attrs.frozen
@@ -141,6 +146,7 @@
     service: str
     fingerprint: str
     exceeded: limits.QuotaExceeded | None
+    parts: tuple
 
 
 @attrs.frozen
@@ -154,6 +160,12 @@
     first_s: float
 
 
+@attrs.frozen
+class _ReportBegun:
+    parts: tuple
+    on_cleared: object
+
+
 @attrs.frozen
 class _ReportLoad:
     route: attempts.Route
@@ -198,6 +210,8 @@
         Backoff and retry budget of admitted requests.
     quarantine : Quarantine
         Requests that crashed endpoints.
+    part_quarantine : PartQuarantine
+        Parts of prompts that crashed endpoints.
     shares : VersionShares
         Traffic shares of the versions of each service.
     quotas : QuotaTable
@@ -220,6 +234,7 @@
         self.admission = admission.Admission(1.0, {}, clock.now_s())
         self.retries = retry.RetryPolicy(rng=rng)
         self.quarantine = retry.Quarantine()
+        self.part_quarantine = retry.PartQuarantine()
         self.shares = version_shares.VersionShares()
         self.quotas = limits.QuotaTable()
         self.shared_retries = limits.SharedRetryBudget()
@@ -258,6 +273,9 @@
                     chosen.computed_tokens,
                     first_s,
                 )
+            case _ReportBegun(parts, on_cleared):
+                for part in self.part_quarantine.record_begun(parts):
+                    on_cleared(part)
             case _ReportLoad(route, load):
                 self.view.report_load(
                     route.endpoint_id,
@@ -281,7 +299,7 @@
 
     def _charge(self, message, now_s):
         """Return None if charged, else CreditShortfall or the Refusal."""
-        refusal = self.quarantine.check(message.fingerprint)
+        refusal = self._check_quarantines(message)
         if refusal is not None:
             return refusal
         result = self.quotas.spend(message.account, message.cost, now_s)
@@ -302,11 +320,17 @@
 
     def _accept(self, message, now_s):
         """Return None, or the Refusal of a request charged by a peer."""
-        refusal = self.quarantine.check(message.fingerprint)
+        refusal = self._check_quarantines(message)
         if refusal is not None:
             return refusal
         return self._finish_charge(message.exceeded, message.service, now_s)
 
+    def _check_quarantines(self, message):
+        """Return the refusal of a quarantined request, or None."""
+        return self.quarantine.check(
+            message.fingerprint
+        ) or self.part_quarantine.check(message.parts)
+
     def _finish_charge(self, result, service, now_s):
         """Count a charged request; return the result for its caller."""
         match result:
@@ -417,7 +441,15 @@
             if self._shared_crashes[fingerprint] % 2:
                 return CrashVerdict(False, False)
         is_quarantined = self.quarantine.record_crash(fingerprint, endpoint_id)
-        return CrashVerdict(True, is_quarantined)
+        if message.is_answering:
+            return CrashVerdict(True, is_quarantined)
+        part_crash = self.part_quarantine.record_crash(
+            message.parts, endpoint_id
+        )
+        found = self.part_quarantine.find_quarantined(message.parts)
+        return CrashVerdict(
+            True, is_quarantined or found is not None, part_crash
+        )
 
     def _decide_retry(self, message, now_s):
         """Return RetryAfter when a retry is allowed, else FailRequest."""
@@ -445,6 +477,8 @@
     -----
     `on_crash` is called with the fingerprint of a request, the id of the
     endpoint that it crashed and whether the request is now quarantined,
+    `on_part_crash` with the PartCrash of its prompt, `on_part_cleared` with
+    a part that was suspected and to which an answer has begun,
     `on_retry` without arguments for each retry, `on_attempt_end` with the
     AttemptResult of each attempt, and `on_long_prompt` with the Chosen of a
     prompt whose compute time is at least `MIN_REPORTED_PROMPT_S`.
@@ -452,6 +486,8 @@
 
     def __init__(self, actor, clock):
         self.on_crash = lambda fingerprint, endpoint_id, is_quarantined: None
+        self.on_part_crash = lambda crash: None
+        self.on_part_cleared = lambda part: None
         self.on_retry = lambda: None
         self.on_attempt_end = lambda ended: None
         self.on_long_prompt = lambda chosen: None
@@ -590,6 +626,7 @@
         fingerprint="",
         first_byte_s=None,
         is_answering=False,
+        parts=(),
     ):
         """Release the route of an attempt and report the result.
 
@@ -606,6 +643,8 @@
             start of the attempt.
         is_answering : bool
             Whether part of the answer had been received.
+        parts : tuple of str
+            Parts of the prompt that other requests may have too.
 
         Returns
         -------
@@ -613,11 +652,13 @@
             Whether the request is quarantined for crashing endpoints.
         """
         is_crash = kind is endpoints.FailureKind.CRASHED
-        message = _Finish(route, kind, fingerprint, is_answering)
+        message = _Finish(route, kind, fingerprint, is_answering, parts)
         is_quarantined = False
         if is_crash:
             verdict = self._actor.ask(message)
             is_quarantined = verdict.is_quarantined
+            if verdict.part_crash is not None:
+                self.on_part_crash(verdict.part_crash)
             if verdict.is_recorded:
                 self.on_crash(fingerprint, route.endpoint_id, is_quarantined)
         else:
@@ -667,7 +708,7 @@
         self.on_retry()
         return decision
 
-    def charge(self, account, service, cost, fingerprint):
+    def charge(self, account, service, cost, fingerprint, parts=()):
         """Charge a request to the quota of its client account.
 
         Parameters
@@ -678,6 +719,8 @@
             Cost of the request in the unit of the account's quota.
         fingerprint : str
             Fingerprint of the request, checked by the quarantine.
+        parts : tuple of str
+            Parts of its prompt, checked by the quarantine of parts.
 
         Returns
         -------
@@ -692,7 +735,7 @@
             When the account is over its quota, or the request is
             quarantined for crashing endpoints.
         """
-        return self._ask(_Charge(account, service, cost, fingerprint))
+        return self._ask(_Charge(account, service, cost, fingerprint, parts))
 
     def reconcile(self, account, service, cost, borrowed):
         """Charge a request after credit was requested from peers.
@@ -713,7 +756,7 @@
         """
         self._ask(_Reconcile(account, service, cost, borrowed))
 
-    def accept(self, service, fingerprint, exceeded):
+    def accept(self, service, fingerprint, exceeded, parts=()):
         """Accept a request that a peer has charged to its account.
 
         Parameters
@@ -724,6 +767,8 @@
             Fingerprint of the request, checked by the quarantine.
         exceeded : QuotaExceeded or None
             Outcome of the charge.
+        parts : tuple of str
+            Parts of its prompt, checked by the quarantine of parts.
 
         Raises
         ------
@@ -731,7 +776,7 @@
             When the account is over its quota, or the request is
             quarantined for crashing endpoints.
         """
-        self._ask(_Accept(service, fingerprint, exceeded))
+        self._ask(_Accept(service, fingerprint, exceeded, parts))
 
     def spend_retry(self, service):
         """Draw a retry from a service's budget; return whether allowed."""
@@ -749,6 +794,11 @@
         """Report the time to the first token of an attempt, in seconds."""
         self._actor.tell(_ReportFirstToken(route, first_s))
 
+    def report_begun(self, parts):
+        """Report that an answer to a prompt with these parts has begun."""
+        if parts:
+            self._actor.tell(_ReportBegun(parts, self.on_part_cleared))
+
     def change(self, apply):
         """Run a function of (actor, now_s) in the actor, without waiting."""
         self._actor.tell(_Change(apply))
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -5,6 +5,7 @@
 import zlib
 
 from mulberryhollow.coordination import membership
+from mulberryhollow.coordination import retry
 from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow.serving import documents
@@ -15,6 +16,11 @@
 CRASH_TOPIC = "request.crash"
 PROMPT_TOPIC = "prompt.long"
 
+# First word of a quarantine's key that is not about a whole request: an
+# endpoint crashed with parts of a prompt, or a part is sound.
+PART_CRASH = "part-crash"
+SOUND_PART = "sound-part"
+
 # First word of a notice's key: the endpoint's entry says that the endpoint is
 # leaving, or the entry is gone.
 LEAVING = "leaving"
@@ -281,13 +287,29 @@
 
     def _publish_crash(self, fingerprint, endpoint_id):
         """Publish a crash as a fact."""
-        self._publish(
-            facts.Topic.QUARANTINE,
-            f"{fingerprint} {endpoint_id}",
-            1,
-            b"",
-            NOTICE_EXPIRY_S,
-        )
+        self._publish_quarantine(f"{fingerprint} {endpoint_id}")
+
+    def _publish_quarantine(self, key):
+        """Publish a fact of the quarantine, which its key says in full."""
+        self._publish(facts.Topic.QUARANTINE, key, 1, b"", NOTICE_EXPIRY_S)
+
+    def report_part_crash(self, crash):
+        """Report to the peers that parts of a prompt may crash endpoints.
+
+        Parameters
+        ----------
+        crash : PartCrash
+            The crash and the parts.
+        """
+        parts = ",".join(crash.parts)
+        self._publish_quarantine(f"{PART_CRASH} {crash.endpoint_id} {parts}")
+
+    def report_sound_part(self, part):
+        """Report to the peers that a suspected part of a prompt is sound.
+
+        Does not wait for the report, since an actor may call it.
+        """
+        self._threads.submit(self._publish_quarantine, f"{SOUND_PART} {part}")
 
     def _call(self, instance, topic, payload, timeout_s=CALL_TIMEOUT_S):
         """Return the answer of a peer, or None if the call failed."""
@@ -304,12 +326,26 @@
 
     def _apply_crash(self, fact):
         """Record a crash that a peer published in the quarantine."""
-        fingerprint, _, endpoint_id = fact.key.partition(" ")
-        self._dispatcher.change(
-            lambda actor, now_s: actor.quarantine.record_crash(
-                fingerprint, endpoint_id
+        first, _, rest = fact.key.partition(" ")
+        if first == PART_CRASH:
+            endpoint_id, _, parts = rest.rpartition(" ")
+            crash = retry.PartCrash(endpoint_id, tuple(parts.split(",")))
+            self._dispatcher.change(
+                lambda actor, now_s: self._merge_part_crash(actor, crash)
             )
-        )
+        elif first == SOUND_PART:
+            self._dispatcher.change(
+                lambda actor, now_s: actor.part_quarantine.mark_sound(rest)
+            )
+        else:
+            self._dispatcher.change(
+                lambda actor, now_s: actor.quarantine.record_crash(first, rest)
+            )
+
+    def _merge_part_crash(self, actor, crash):
+        """Add the crash of a peer; tell the peers which parts are sound."""
+        for part in actor.part_quarantine.merge_crash(crash):
+            self.report_sound_part(part)
 
     def _apply_leaving(self, fact):
         """Send no new requests to an endpoint that a peer saw leave.
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -240,6 +240,7 @@
         is_stream = self._request.kind.is_stream
         if is_stream and 200 <= head.status < 300:
             self._first_piece = self._read_first()
+            self._dependencies.dispatcher.report_begun(self._request.parts)
             self.head = head
             return
         body = self._reader.read_whole(answer)
@@ -374,6 +375,7 @@
             fault,
             self._request.fingerprint,
             is_answering,
+            self._request.parts,
         )
         if failure.kind is endpoints.FailureKind.CRASHED:
             forward_log.log_crash(
--- a/mulberryhollow/serving/ingress.py
+++ b/mulberryhollow/serving/ingress.py
@@ -26,6 +26,12 @@
 PRIORITY_STEP = 3
 """Number of route priorities within one client account priority."""
 
+MAX_PARTS = 64
+"""Number of parts of a prompt that may be blamed for a crash.
+
+It bounds what a request can make the instances tell each other.
+"""
+
 REFUSED = events.declare(
     2003,
     logging.INFO,
@@ -58,6 +64,8 @@
     last_event_id : str
         Id of the event after which a stream resumes; empty for the whole
         stream.
+    part_ids : tuple of str
+        Ids of the parts of the prompt that other requests may have too.
     """
 
     request_id: str
@@ -69,6 +77,7 @@
     chain: object = None
     tokens: float | None = None
     last_event_id: str = ""
+    part_ids: tuple = ()
 
 
 @attrs.frozen
@@ -165,10 +174,11 @@
         if incoming.timeout_s is not None:
             timeout_s = min(timeout_s, incoming.timeout_s)
         name = account.name if account else ""
+        service = _pick_service(route, incoming.request_id)
         return messages.ForwardRequest(
             request_id=incoming.request_id,
             route=route.name,
-            service=_pick_service(route, incoming.request_id),
+            service=service,
             account=name,
             kind=route.kind,
             arrived_s=now_s,
@@ -183,6 +193,7 @@
             cost=_compute_cost(account, incoming),
             last_event_id=incoming.last_event_id,
             fingerprint=_compute_fingerprint(name, incoming.payload),
+            parts=_hash_parts(service, incoming.part_ids),
         )
 
 
@@ -235,6 +246,14 @@
     return state.hexdigest()
 
 
+def _hash_parts(service, part_ids):
+    """Return short hashes of the parts of a prompt, each for one service."""
+    return tuple(
+        xxhash.xxh3_64_hexdigest(f"{service}\0{part_id}".encode())
+        for part_id in part_ids[:MAX_PARTS]
+    )
+
+
 _NOT_READY = errors.Refusal(
     errors.RefusalKind.LEAVING,
     "this instance has no configuration yet or is stopping",
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -154,7 +154,10 @@
             self._charge_here(request)
             return ""
         self._dispatcher.accept(
-            request.service, request.fingerprint, drawn.exceeded
+            request.service,
+            request.fingerprint,
+            drawn.exceeded,
+            request.parts,
         )
         return drawn.placement
 
@@ -162,7 +165,7 @@
         """Charge a request to the credit of this instance and its peers."""
         account, service, cost = request.account, request.service, request.cost
         shortfall = self._dispatcher.charge(
-            account, service, cost, request.fingerprint
+            account, service, cost, request.fingerprint, request.parts
         )
         if shortfall is None:
             return
--- a/tests/serving/crashing_prompt_parts.feature
+++ b/tests/serving/crashing_prompt_parts.feature
@@ -8,7 +8,8 @@
   # common fingerprint they crash one endpoint after the other.
   Scenario: Requests with a part that crashed three endpoints are refused
     Given 2 instances before 9 endpoints that the part "bad" crashes
-    When 2 requests with the parts "first, bad" arrive at each instance
+    When 1 requests with the parts "first" arrive at each instance
+    And 2 requests with the parts "first, bad" arrive at each instance
     Then 3 endpoints have crashed
     And a request with the parts "first, bad" is refused at each instance as not run
     And a request with the parts "other, bad" is refused at each instance as not run
@@ -30,6 +31,15 @@
     Then a request with the parts "first" is served at each instance
     And a request with the parts "first, bad" is refused at each instance as not run
 
+  # Guards against two parts that always came together hiding each other.
+  Scenario: One more crash decides between two parts that came together
+    Given 2 instances before 9 endpoints that the part "bad" crashes
+    When 2 requests with the parts "first, bad" arrive at each instance
+    And 1 requests with the parts "other, bad" arrive at each instance
+    Then 4 endpoints have crashed
+    And a request with the parts "third, bad" is refused at each instance as not run
+    And a request with the parts "first" is served at each instance
+
   # Guards against requests being blamed that were only running beside the
   # cause, in a failure of many endpoints at once.
   Scenario: Parts of answered requests are not blamed for a failure of endpoints
--- a/tests/steps/serving_crashing_parts.py
+++ b/tests/steps/serving_crashing_parts.py
@@ -151,6 +151,8 @@
     peering = fact_peering.FactPeering(peers, clock, dispatcher, None, None)
     peering.connect()
     dispatcher.on_crash = peering.report_crash
+    dispatcher.on_part_crash = peering.report_part_crash
+    dispatcher.on_part_cleared = peering.report_sound_part
     forwarding = forwarder.Forwarder(
         forwarder.ForwardDependencies(
             dispatcher,
