Keep quarantined prompt parts in the store over a kill of all processes

What callers saw: after a kill of all processes the same part crashed endpoints anew, and requests that were in progress there broke off.

Cause: the quarantine lived in the processes and their gossip only, so it was gone with the last of them; a process that started while others ran learned it a second or two later.

Why it works: the holder of the duties writes each quarantined part once, and every instance reads the entries at its start. What a peer or the instance itself knows to be sound wins over an entry, and the entry is then removed.

Ruled out: a watch on the entries, as gossip already spreads them in 50 ms; a write by each instance, which would grow with the fleet.

--- a/mulberryhollow/coordination/retry/prompt_parts.py
+++ b/mulberryhollow/coordination/retry/prompt_parts.py
@@ -116,6 +116,17 @@
     def __len__(self):
         return len(self._suspects)
 
+    def list_quarantined(self):
+        """Return a dict of each quarantined part to its crashed endpoints.
+
+        A part that is blamed only together with others is not in it.
+        """
+        return {
+            part: tuple(sorted(crashes))
+            for part, crashes in self._suspects.items()
+            if self._is_blamed(part, (part,))
+        }
+
     def find_quarantined(self, parts):
         """Return the first part that quarantines a request, or None."""
         return next((p for p in parts if self._is_blamed(p, parts)), None)
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -38,6 +38,7 @@
 from mulberryhollow.serving import recorder
 from mulberryhollow.serving import registry
 from mulberryhollow.serving import store_relay
+from mulberryhollow.serving import stored_quarantine
 from mulberryhollow.serving import usage
 from mulberryhollow.serving import watch
 from mulberryhollow.transport import forwarding
@@ -102,6 +103,12 @@
 REGISTER_INTERVAL_S = 0.5
 """Interval between attempts to register in the store, in seconds."""
 
+MAX_LOAD_INTERVAL_S = 4.0
+"""Largest interval between attempts to read the stored quarantine, in seconds.
+
+Each attempt without an answer delays the other loops of its thread.
+"""
+
 EXPIRY_INTERVAL_S = 0.25
 """Interval between removals of expired endpoint entries, in seconds.
 
@@ -192,6 +199,9 @@
         )
         self.ingress = self._make_ingress()
         self._servers = self._make_servers()
+        self._stored_quarantine = stored_quarantine.StoredQuarantine(
+            self._store, clock, self.dispatcher
+        )
         self._duty_manager = self._make_duty_manager()
         self._loops = self._make_loops()
 
@@ -306,6 +316,7 @@
             handlers.append(self._make_usage_reporter(client))
         if settings.has_order_duty:
             handlers.append(self._make_endpoint_scaler(client))
+        handlers.append(self._stored_quarantine)
         manager = duty_manager.DutyManager(
             settings.instance,
             self._store,
@@ -457,6 +468,12 @@
                         interval_s=REGISTER_INTERVAL_S,
                         call=member_registry.register,
                     ),
+                    make(
+                        "quarantine",
+                        interval_s=REGISTER_INTERVAL_S,
+                        call=self._stored_quarantine.load,
+                        max_interval_s=MAX_LOAD_INTERVAL_S,
+                    ),
                 ),
             ),
             make(
--- /dev/null
+++ b/mulberryhollow/serving/stored_quarantine.py
@@ -0,0 +1,176 @@
+"""Copy of the quarantine in the store, which outlives all processes."""
+
+import json
+import logging
+
+import attrs
+
+from mulberryhollow.coordination import retry
+from mulberryhollow import events
+from mulberryhollow.state import objects
+from mulberryhollow.transport import store as store_adapter
+
+__all__ = ["KIND", "StoredQuarantine"]
+
+KIND = "quarantine"
+"""Kind of the stored objects, one for each part of a prompt."""
+
+EXPIRY_S = 24 * 3600.0
+"""Age from which a stored entry is no longer applied, in seconds."""
+
+IDLE_INTERVAL_S = 30.0
+"""Interval between calls once the stored entries were read, in seconds."""
+
+STORED = events.declare(
+    9030,
+    logging.WARNING,
+    "a prompt part that crashes endpoints was written to the store",
+    "find the requests with event 4014 and mend what they have in common",
+)
+REMOVED = events.declare(
+    9031, logging.INFO, "a prompt part was removed from the stored quarantine"
+)
+LOADED = events.declare(
+    9032, logging.INFO, "the stored quarantine was read after the start"
+)
+MALFORMED = events.declare(
+    9033,
+    logging.WARNING,
+    "a stored entry of the quarantine is malformed and is ignored",
+    "delete the object",
+)
+
+
+@attrs.frozen
+class _Entry:
+    """Content of a stored object.
+
+    Parameters
+    ----------
+    endpoints : tuple of str
+        Endpoints that crashed with the part, which names the object.
+    stored_s : float
+        Time of the write, in Unix seconds.
+    """
+
+    endpoints: tuple
+    stored_s: float
+
+    def encode(self):
+        """Return the entry as the JSON bytes of the stored object."""
+        return json.dumps(attrs.asdict(self), sort_keys=True).encode()
+
+    @classmethod
+    def decode(cls, value):
+        """Return the entry encoded in value; None if malformed."""
+        try:
+            fields = json.loads(value)
+            endpoints = tuple(str(each) for each in fields["endpoints"])
+            return cls(endpoints, float(fields["stored_s"]))
+        except (ValueError, TypeError, KeyError):
+            return None
+
+
+class StoredQuarantine:
+    """Reads the stored parts at the start; writes new ones, as a duty.
+
+    Parameters
+    ----------
+    store : StoreClient
+        Store that holds the entries.
+    clock : Clock
+        Source of the wall-clock time.
+    dispatcher : Dispatcher
+        Owns the quarantine of this instance.
+
+    Notes
+    -----
+    The peers learn of a quarantine by gossip. The store serves the instances
+    that start when no peer is left who knows it.
+    """
+
+    def __init__(self, store, clock, dispatcher):
+        self._store = store
+        self._clock = clock
+        self._dispatcher = dispatcher
+        self._versions = {}
+        self._is_loaded = False
+
+    def load(self):
+        """Apply the stored entries, once.
+
+        Returns
+        -------
+        float
+            Time until the next call, in seconds.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store gave no usable answer; the caller retries.
+        """
+        if self._is_loaded:
+            return IDLE_INTERVAL_S
+        _, found = self._store.list_objects(KIND)
+        crashes = [crash for each in found for crash in self._read(each)]
+        self._dispatcher.change(
+            lambda actor, now_s: [
+                actor.part_quarantine.merge_crash(each) for each in crashes
+            ]
+        )
+        self._versions |= {each.name: each.version for each in found}
+        self._is_loaded = True
+        if found:
+            events.log(LOADED, entries=len(found), crashes=len(crashes))
+        return IDLE_INTERVAL_S
+
+    def begin(self):
+        """Do nothing: what is stored was read at the start."""
+
+    def work(self, fence, is_held):
+        """Write the parts that were quarantined since; remove the others.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the outcome of a write is unknown; the next call repeats it.
+        """
+        quarantined = self._dispatcher.read(
+            lambda actor, now_s: actor.part_quarantine.list_quarantined()
+        )
+        for part in quarantined.keys() - self._versions.keys():
+            if is_held():
+                self._write(part, quarantined[part])
+        for part in self._versions.keys() - quarantined.keys():
+            if is_held():
+                self._remove(part)
+
+    def _read(self, item):
+        """Return the crashes of a stored object, unless it has expired."""
+        entry = _Entry.decode(item.value)
+        if entry is None:
+            events.log(MALFORMED, part=item.name)
+            return []
+        if self._clock.wall_s() - entry.stored_s > EXPIRY_S:
+            return []
+        return [
+            retry.PartCrash(each, (item.name,)) for each in entry.endpoints
+        ]
+
+    def _write(self, part, endpoints):
+        """Store a part, unless another instance has done so."""
+        entry = _Entry(endpoints, self._clock.wall_s())
+        match store_adapter.put_and_resolve(
+            self._store, KIND, part, entry.encode(), 0
+        ):
+            case objects.WriteApplied(version):
+                self._versions[part] = version
+                events.log(STORED, part=part, endpoints=list(endpoints))
+            case objects.WriteRejected(current_version=version) if version:
+                self._versions[part] = version
+
+    def _remove(self, part):
+        """Remove a part that is not quarantined, or has expired."""
+        version = self._versions.pop(part)
+        self._store.delete(KIND, part, version)
+        events.log(REMOVED, part=part)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -54,6 +54,15 @@
             else outcome
         )
 
+    def delete(self, kind, name, expected_version):
+        found = self.objects.get((kind, name))
+        if found is None or found.version != expected_version:
+            version = found.version if found else 0
+            return objects.WriteRejected("conflict", version)
+        del self.objects[kind, name]
+        self.revision += 1
+        return objects.WriteApplied(self.revision)
+
     def write(self, kind, name, value, change_id="other"):
         """Write without a version check; return the new version."""
         found = self.objects.get((kind, name))
