Reset the connection of an HTTP/1.0 caller when its answer breaks off

Found while looking for the same cause elsewhere: towards an HTTP/1.0 caller an answer has no chunks, so a broken-off one ended with the plain close that also ends a complete one.

Why it works: a task that fails after its head was written, with neither chunks nor a length, makes the close of its connection a reset. Answers with chunks or a length already show that they are incomplete, which a second case holds.

--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -2,6 +2,8 @@
 
 import http
 import logging
+import socket
+import struct
 import threading
 
 import attrs
@@ -59,6 +61,9 @@
 THREAD_INCREMENT = 4
 """Number of threads added at a time when requests wait for one."""
 
+_LINGER_RESET = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER for which a close resets the connection."""
+
 INTERNAL_ERROR = events.declare(
     2004,
     logging.ERROR,
@@ -202,9 +207,23 @@
 class _Task(waitress_task.WSGITask):
     """Waitress task that closes its connection on a leaving instance.
 
-    The response announces this with the header ``Connection: close``.
+    The response announces this with the header ``Connection: close``. A
+    response that fails after its head is never ended as if it were complete.
     """
 
+    def execute(self):
+        """Run the application and write its response."""
+        try:
+            super().execute()
+        except BaseException:
+            is_framed = self.chunked_response or self.content_length
+            if self.wrote_header and not is_framed:
+                # An HTTP/1.0 caller takes a close for the end of the body.
+                self.channel.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+                )
+            raise
+
     def build_response_header(self):
         """Return the response head."""
         if self.channel.server.is_leaving:
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -1,4 +1,5 @@
 import concurrent.futures
+import socket
 import threading
 import types
 from unittest import mock
@@ -8,6 +9,8 @@
 from behave import then
 from behave import when
 
+from mulberryhollow.coordination import streams
+from mulberryhollow import errors
 from mulberryhollow.transport import callers
 from mulberryhollow.transport import http_server
 
@@ -169,3 +172,40 @@
     assert len(context.server.active_channels) == count
     assert context.server.is_closed
     assert context.closed.is_set()
+
+
+@given("a server whose response breaks off after its first event")
+def start_broken_server(context):
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        yield b"id: 1\ndata: x\n\n"
+        raise errors.EndpointError(streams.Broken("closed"))
+
+    context.waitress_server = http_server.make_server(
+        answer, "127.0.0.1:0", 4, 4100
+    )
+    threading.Thread(target=context.waitress_server.run, daemon=True).start()
+
+
+@when("a caller reads it with HTTP/{version}")
+def read_broken(context, version):
+    port = context.waitress_server.effective_port
+    context.received, context.is_reset = b"", False
+    with socket.create_connection(("127.0.0.1", port), 5.0) as caller:
+        caller.sendall(f"GET / HTTP/{version}\r\nHost: h\r\n\r\n".encode())
+        try:
+            pieces = iter(lambda: caller.recv(65536), b"")
+            context.received = b"".join(pieces)
+        except ConnectionResetError:
+            context.is_reset = True
+
+
+@then("the response ends with a reset of the connection")
+def check_reset(context):
+    assert context.is_reset, context.received
+
+
+@then("the response ends with a close without the last chunk")
+def check_no_last_chunk(context):
+    assert b"data: x" in context.received, context.received
+    assert b"\r\n0\r\n" not in context.received, context.received
--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -28,3 +28,15 @@
     Then the listener is not reported as closed
     When the thread of the server is free again
     Then all 3 connections are accepted and the listener is closed
+
+  # Guards against a broken-off response that looks complete: without chunks,
+  # the close of the connection is the only end that the caller sees.
+  Scenario Outline: A response that breaks off never looks complete
+    Given a server whose response breaks off after its first event
+    When a caller reads it with HTTP/<version>
+    Then the response ends with <end>
+
+    Examples:
+      | version | end                             |
+      | 1.0     | a reset of the connection       |
+      | 1.1     | a close without the last chunk  |
