Send nothing further to an endpoint whose answer says that it leaves

Cause: only the entry in the store and the notices of peers marked an endpoint as leaving; the header of the answers was not read.

Why it works: the mark is the one that the store's entry sets, by generation of the endpoint, permanent, and told to the peers once. The answer of another endpoint that has taken over the address marks none.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -168,6 +168,9 @@
         self.dispatcher.on_crash = self._fact_peering.report_crash
         self.dispatcher.on_part_crash = self._fact_peering.report_part_crash
         self.dispatcher.on_part_cleared = self._fact_peering.report_sound_part
+        self.dispatcher.on_endpoint_leaving = (
+            self._fact_peering.report_said_leaving
+        )
         self.dispatcher.on_long_prompt = self._fact_peering.report_long_prompt
         self._fleet_watcher = fleet_watcher.FleetWatcher(
             records.decode_listing,
--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -72,6 +72,8 @@
             is_other_endpoint=is_misdirected,
             load=_decode_load(get(header_names.LOAD.lower(), "")),
             idle_limit_s=_decode_idle_limit(get("keep-alive", "")),
+            is_leaving=get(header_names.LEAVING.lower(), "").strip() == "1"
+            and not is_misdirected,
         )
 
 
--- a/mulberryhollow/platform/headers.py
+++ b/mulberryhollow/platform/headers.py
@@ -9,6 +9,7 @@
     "EXPECTED_ENDPOINT",
     "FENCING_TOKEN",
     "LAST_EVENT_ID",
+    "LEAVING",
     "LOAD",
     "NOT_RUN",
     "PRIORITY",
@@ -48,6 +49,9 @@
 
 LAST_EVENT_ID = "Last-Event-Id"
 
+LEAVING = "Server-Leaving"
+"""Set to 1 in all answers of an endpoint that leaves."""
+
 PROMPT_PARTS = "Prompt-Prefix"
 """All parts of the prompt in order, not only a prefix.
 
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -193,6 +193,8 @@
     idle_limit_s : float or None
         Idle timeout of the connection at the endpoint, in seconds; None
         when it is not reported.
+    is_leaving : bool
+        Whether the endpoint states that it leaves.
     """
 
     status: int
@@ -202,3 +204,4 @@
     is_other_endpoint: bool = False
     load: Load | None = None
     idle_limit_s: float | None = None
+    is_leaving: bool = False
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -54,6 +54,9 @@
     "no endpoint of a service accepts new requests",
     "check the listed endpoints and the capacity plan",
 )
+SAID_LEAVING = events.declare(
+    4015, logging.INFO, "an endpoint says in an answer that it leaves"
+)
 CHANGE_FAILED = events.declare(
     4005,
     logging.ERROR,
@@ -166,6 +169,12 @@
     on_cleared: object
 
 
+@attrs.frozen
+class _ReportLeaving:
+    endpoint_id: str
+    on_leaving: object
+
+
 @attrs.frozen
 class _ReportLoad:
     route: attempts.Route
@@ -276,6 +285,8 @@
             case _ReportBegun(parts, on_cleared):
                 for part in self.part_quarantine.record_begun(parts):
                     on_cleared(part)
+            case _ReportLeaving(endpoint_id, on_leaving):
+                self._report_leaving(endpoint_id, on_leaving)
             case _ReportLoad(route, load):
                 self.view.report_load(
                     route.endpoint_id,
@@ -451,6 +462,15 @@
             True, is_quarantined or found is not None, part_crash
         )
 
+    def _report_leaving(self, endpoint_id, on_leaving):
+        """Mark an endpoint as leaving; call a function the first time."""
+        record = self.view.get(endpoint_id)
+        if record is None or record.is_leaving:
+            return
+        self.view.mark_leaving(endpoint_id)
+        events.log(SAID_LEAVING, endpoint=endpoint_id)
+        on_leaving(endpoint_id)
+
     def _decide_retry(self, message, now_s):
         """Return RetryAfter when a retry is allowed, else FailRequest."""
         return self.retries.decide(
@@ -479,6 +499,8 @@
     endpoint that it crashed and whether the request is now quarantined,
     `on_part_crash` with the PartCrash of its prompt, `on_part_cleared` with
     a part that was suspected and to which an answer has begun,
+    `on_endpoint_leaving` with the id of an endpoint whose answer says that
+    it leaves,
     `on_retry` without arguments for each retry, `on_attempt_end` with the
     AttemptResult of each attempt, and `on_long_prompt` with the Chosen of a
     prompt whose compute time is at least `MIN_REPORTED_PROMPT_S`.
@@ -488,6 +510,7 @@
         self.on_crash = lambda fingerprint, endpoint_id, is_quarantined: None
         self.on_part_crash = lambda crash: None
         self.on_part_cleared = lambda part: None
+        self.on_endpoint_leaving = lambda endpoint_id: None
         self.on_retry = lambda: None
         self.on_attempt_end = lambda ended: None
         self.on_long_prompt = lambda chosen: None
@@ -794,6 +817,10 @@
         """Report the time to the first token of an attempt, in seconds."""
         self._actor.tell(_ReportFirstToken(route, first_s))
 
+    def report_leaving(self, endpoint_id):
+        """Report that an answer of an endpoint says that it leaves."""
+        self._actor.tell(_ReportLeaving(endpoint_id, self.on_endpoint_leaving))
+
     def report_begun(self, parts):
         """Report that an answer to a prompt with these parts has begun."""
         if parts:
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -237,6 +237,13 @@
             NOTICE_EXPIRY_S if is_listed else GONE_EXPIRY_S,
         )
 
+    def report_said_leaving(self, endpoint_id):
+        """Report that an endpoint said in an answer that it leaves.
+
+        Does not wait for the report, since an actor may call it.
+        """
+        self._threads.submit(self.publish_leaving, endpoint_id, True)
+
     def report_long_prompt(self, chosen):
         """Report to the peers which endpoint computes a long prompt.
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -275,6 +275,8 @@
         )
         answer = self._dependencies.client.open(attempt, self._set_channel)
         self._dependencies.dispatcher.report_load(route, answer.head.load)
+        if answer.head.is_leaving:
+            self._dependencies.dispatcher.report_leaving(route.endpoint_id)
         self._answer = answer
         self._reader.framing = answer.framing
         if answer.head.has_not_run:
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -93,6 +93,26 @@
     When a STREAM request is forwarded
     Then the caller gets events 1 to 4 without a break
 
+  # Guards against new requests at an endpoint that has said in an answer that
+  # it leaves, before its entry in the store says so or while it cannot be read.
+  Scenario Outline: An endpoint whose answer says that it leaves gets no more
+    Given a forwarder whose endpoints answer in turn: <answer>
+    When a IDEMPOTENT request is forwarded
+    And 30 more IDEMPOTENT requests are answered whole
+    Then the endpoint of the first attempt got no other request
+    And the peers are told once that it leaves
+
+    Examples:
+      | answer                |
+      | leaving, whole        |
+      | leaving refused, whole |
+      | leaving failed, whole |
+
+  Scenario: An answer from another endpoint's address marks none as leaving
+    Given a forwarder whose endpoints answer in turn: leaving moved, whole
+    When a IDEMPOTENT request is forwarded
+    Then the peers are told of no endpoint that leaves
+
   Scenario: A caller that has left is not served any more
     Given a forwarder whose endpoints answer in turn: whole
     When a IDEMPOTENT request of a disconnected caller is forwarded
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -7,6 +7,7 @@
 from mulberryhollow import clock as clocks
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
+from mulberryhollow.platform import endpoints as endpoint_codec
 from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.serving import caller_watch
 from mulberryhollow.serving import dispatcher as dispatching
@@ -38,6 +39,13 @@
 }
 
 
+LEAVING = ("Server-Leaving", "1")
+HEADS = {
+    "leaving": (200, (LEAVING,)),
+    "leaving refused": (503, (LEAVING, ("Not-Executed", "1"))),
+    "leaving failed": (500, (LEAVING,)),
+    "leaving moved": (421, (LEAVING,)),
+}
 UNFRAMED = ("stream closed after its head", "stream without framing")
 
 
@@ -76,6 +84,12 @@
         outcome = self.outcomes.pop(0)
         if outcome in FAULTS:
             raise errors.EndpointError(FAULTS[outcome])
+        if outcome in HEADS:
+            status, fields = HEADS[outcome]
+            head = endpoint_codec.EndpointCodec().decode_head(
+                status, (("Attempt-Id", "r1"), *fields)
+            )
+            return Answer(head, [b"hello"], None)
         if outcome in ("refused", "moved"):
             head = messages.AnswerHead(
                 503, (), "r1", True, is_other_endpoint=outcome == "moved"
@@ -135,6 +149,8 @@
             actor.shares.set_service_shares({"s": {"v1": 1.0}}),
         )
     )
+    context.told_leaving = []
+    context.dispatcher.on_endpoint_leaving = context.told_leaving.append
     context.client = Client(outcomes.split(", "))
     context.recorder = Recorder()
     context.forwarder = forwarder.Forwarder(
@@ -179,6 +195,13 @@
     forward(context, kind)
 
 
+@when("{count:d} more {kind} requests are answered whole")
+def forward_more(context, count, kind):
+    context.client.outcomes = ["whole"] * count
+    for _ in range(count):
+        forward(context, kind)
+
+
 @when("a IDEMPOTENT request of a disconnected caller is forwarded")
 def forward_gone(context):
     forward(context, "IDEMPOTENT", lambda: True)
@@ -237,6 +260,22 @@
     assert context.body == event(1) + event(2), context.body
 
 
+@then("the endpoint of the first attempt got no other request")
+def check_first_endpoint(context):
+    names = [call.endpoint for call in context.client.calls]
+    assert names.count(names[0]) == 1, names
+
+
+@then("the peers are told of no endpoint that leaves")
+def check_no_leaving_told(context):
+    assert context.told_leaving == []
+
+
+@then("the peers are told once that it leaves")
+def check_leaving_told(context):
+    assert context.told_leaving == [context.client.calls[0].endpoint]
+
+
 @then("nothing is sent to an endpoint")
 def check_nothing(context):
     assert isinstance(context.error, errors.CallerDisconnectedError), (
