Leave endpoints alone for the pause that they ask for

Cause: the header was not read, and a refusal neither opens a circuit nor lowers the choice of an endpoint.

Why it works: a paused endpoint is not available, so new requests, repeats, resumed streams and placements of peers pass it over; it is readmitted by the same schedule that ends the openings of circuits. A caller whose request finds nothing else is refused at once, with the end of the first pause and the usual jitter. Values that are no seconds ask for nothing, and 30 s is the most.

--- a/mulberryhollow/coordination/forwarding/decision.py
+++ b/mulberryhollow/coordination/forwarding/decision.py
@@ -115,7 +115,7 @@
     return TryNextEndpoint(draws_budget=not isinstance(fault, faults.NotSent))
 
 
-def refuse_no_capacity(request, attempts, jitter):
+def refuse_no_capacity(request, attempts, jitter, pause_s=0.0):
     """Return the refusal of a request for which no endpoint has capacity.
 
     Parameters
@@ -126,8 +126,11 @@
         Attempts of the request.
     jitter : float
         Random number from 0 to 1 for the jitter of the retry time.
+    pause_s : float
+        Time until the first endpoint wants requests again, in seconds, which
+        is added to the retry time.
     """
-    retry_after_s = (
+    retry_after_s = pause_s + (
         MIN_RETRY_AFTER_GOALS
         * request.goal_s
         * (1.0 + RETRY_AFTER_JITTER * jitter)
--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -9,6 +9,14 @@
 
 _MS_PER_S = 1000.0
 _STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
+
+MAX_PAUSE_S = 30.0
+"""Longest pause that an endpoint is granted, in seconds.
+
+A wrong value must not exclude an endpoint for much longer than an outage.
+"""
+
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
 
@@ -74,6 +82,9 @@
             idle_limit_s=_decode_idle_limit(get("keep-alive", "")),
             is_leaving=get(header_names.LEAVING.lower(), "").strip() == "1"
             and not is_misdirected,
+            pause_s=_decode_pause(
+                status, get(header_names.RETRY_AFTER.lower(), "")
+            ),
         )
 
 
@@ -85,6 +96,20 @@
     return messages.Load(*map(int, parts))
 
 
+def _decode_pause(status, text):
+    """Return the pause that an endpoint asks for, in seconds; 0 for none.
+
+    A value that is no number of seconds, such as a date, asks for none.
+    """
+    if status != _STATUS_UNAVAILABLE or not text:
+        return 0.0
+    try:
+        pause_s = float(text)
+    except ValueError:
+        return 0.0
+    return min(pause_s, MAX_PAUSE_S) if pause_s > 0.0 else 0.0
+
+
 def _decode_idle_limit(text):
     """Return the idle timeout of a connection, in seconds, or None."""
     found = _KEEP_ALIVE_TIMEOUT.search(text.lower())
--- a/mulberryhollow/platform/headers.py
+++ b/mulberryhollow/platform/headers.py
@@ -17,6 +17,7 @@
     "PROMPT_SIZE",
     "REMAINING_TIME",
     "REQUEST_ID",
+    "RETRY_AFTER",
     "SYSTEM_HEADERS",
 ]
 
@@ -64,6 +65,12 @@
 Despite its name, the header does not hold the number of tokens used.
 """
 
+RETRY_AFTER = "Retry-After"
+"""Seconds, which may be fractions; of an endpoint with status 503.
+
+The endpoint wants no request from this instance for that time.
+"""
+
 DUTY_HOLDER = "Duty-Holder"
 
 FENCING_TOKEN = "Fencing-Token"
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -195,6 +195,9 @@
         when it is not reported.
     is_leaving : bool
         Whether the endpoint states that it leaves.
+    pause_s : float
+        Time for which the endpoint wants no request from this instance, in
+        seconds; 0 for none.
     """
 
     status: int
@@ -205,3 +208,4 @@
     load: Load | None = None
     idle_limit_s: float | None = None
     is_leaving: bool = False
+    pause_s: float = 0.0
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -57,6 +57,9 @@
 SAID_LEAVING = events.declare(
     4015, logging.INFO, "an endpoint says in an answer that it leaves"
 )
+PAUSED = events.declare(
+    4016, logging.INFO, "an endpoint asks for a pause and gets no requests"
+)
 CHANGE_FAILED = events.declare(
     4005,
     logging.ERROR,
@@ -175,6 +178,12 @@
     on_leaving: object
 
 
+@attrs.frozen
+class _ReportPause:
+    endpoint_id: str
+    pause_s: float
+
+
 @attrs.frozen
 class _ReportLoad:
     route: attempts.Route
@@ -287,6 +296,9 @@
                     on_cleared(part)
             case _ReportLeaving(endpoint_id, on_leaving):
                 self._report_leaving(endpoint_id, on_leaving)
+            case _ReportPause(endpoint_id, pause_s):
+                self.view.pause(endpoint_id, now_s + pause_s)
+                events.log(PAUSED, endpoint=endpoint_id, pause_s=pause_s)
             case _ReportLoad(route, load):
                 self.view.report_load(
                     route.endpoint_id,
@@ -821,6 +833,19 @@
         """Report that an answer of an endpoint says that it leaves."""
         self._actor.tell(_ReportLeaving(endpoint_id, self.on_endpoint_leaving))
 
+    def report_pause(self, endpoint_id, pause_s):
+        """Report that an endpoint wants no requests for some seconds."""
+        self._actor.tell(_ReportPause(endpoint_id, pause_s))
+
+    def get_pause_s(self, service):
+        """Return the time until a pausing endpoint of a service wants work.
+
+        In seconds; 0 when none is pausing.
+        """
+        return self.read(
+            lambda actor, now_s: actor.view.get_pause_s(service, now_s)
+        )
+
     def report_begun(self, parts):
         """Report that an answer to a prompt with these parts has begun."""
         if parts:
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -224,7 +224,12 @@
                 request.to_route_request(), self._excluded
             )
         except errors.RefusedError as error:
-            raise errors.RefusedError(self._refuse_no_capacity()) from error
+            pause_s = self._dependencies.dispatcher.get_pause_s(
+                request.service
+            )
+            raise errors.RefusedError(
+                self._refuse_no_capacity(pause_s)
+            ) from error
         self._chosen = self._route.chosen
         return self._route
 
@@ -277,6 +282,10 @@
         self._dependencies.dispatcher.report_load(route, answer.head.load)
         if answer.head.is_leaving:
             self._dependencies.dispatcher.report_leaving(route.endpoint_id)
+        if answer.head.pause_s:
+            self._dependencies.dispatcher.report_pause(
+                route.endpoint_id, answer.head.pause_s
+            )
         self._answer = answer
         self._reader.framing = answer.framing
         if answer.head.has_not_run:
@@ -407,10 +416,10 @@
             self._request, route.endpoint_id, fault, self._attempts
         )
 
-    def _refuse_no_capacity(self):
+    def _refuse_no_capacity(self, pause_s=0.0):
         """Return the refusal for lack of endpoints or of retry budget."""
         return decisions.refuse_no_capacity(
-            self._request, self._attempts, random.random()
+            self._request, self._attempts, random.random(), pause_s
         )
 
     def _refuse(self, refusal):
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -120,6 +120,11 @@
     is_leaving, is_draining : bool
         Whether the endpoint is leaving for good, or draining until further
         notice; either one excludes the endpoint from new work.
+    paused_until_s : float
+        Monotonic time until which the endpoint has asked for no work, in
+        seconds.
+    is_paused : bool
+        Whether that time has not passed yet, as of the last `resume`.
     circuit : Circuit
         Circuit breaker of the endpoint.
     running, queued, slots : int
@@ -150,6 +155,8 @@
     endpoint: Endpoint
     is_leaving: bool = False
     is_draining: bool = False
+    paused_until_s: float = float("-inf")
+    is_paused: bool = False
     circuit: Circuit = attrs.field(factory=Circuit)
     running: int = 0
     queued: int = 0
@@ -217,7 +224,17 @@
     def is_available(self):
         """Return whether new work may be sent to the endpoint."""
         is_staying = not (self.is_leaving or self.is_draining)
-        return is_staying and self.circuit.admits_work()
+        wants_work = is_staying and not self.is_paused
+        return wants_work and self.circuit.admits_work()
+
+    def pause(self, until_s):
+        """Exclude the endpoint from new work until a time, in seconds."""
+        self.paused_until_s = max(self.paused_until_s, until_s)
+        self.is_paused = True
+
+    def resume(self, now_s):
+        """Readmit the endpoint when its pause is over."""
+        self.is_paused = now_s < self.paused_until_s
 
     def start(self, work):
         """Count a request as sent."""
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -47,7 +47,7 @@
         self._leaving_marks = collections.OrderedDict()
         self._domain_marks = {}
         self._loads_by_peer = collections.defaultdict(dict)
-        self._half_open_schedule = []
+        self._schedule = []
 
     def __len__(self):
         return len(self._records)
@@ -146,6 +146,34 @@
             record.is_draining = is_draining
             self._index(record)
 
+    def pause(self, endpoint_id, until_s):
+        """Exclude an endpoint from new work until a time.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Id of the endpoint.
+        until_s : float
+            Monotonic time at which `advance` readmits it, in seconds.
+        """
+        record = self._records.get(endpoint_id)
+        if record is not None:
+            record.pause(until_s)
+            heapq.heappush(self._schedule, (until_s, endpoint_id))
+            self._index(record)
+
+    def get_pause_s(self, service, now_s):
+        """Return the time until the first pause in a service ends.
+
+        In seconds; 0 when no endpoint of the service is pausing.
+        """
+        ends = [
+            record.paused_until_s
+            for record in self._records.values()
+            if record.is_paused and record.endpoint.service == service
+        ]
+        return max(0.0, min(ends) - now_s) if ends else 0.0
+
     def report_load(self, endpoint_id, running, queued, slots, age_s, now_s):
         """Apply a load report, unless a later one is known.
 
@@ -328,7 +356,7 @@
         record.circuit.record_failure(weight, now_s, self._rng)
         if record.circuit.state is CircuitState.OPEN:
             entry = record.circuit.open_until_s, endpoint_id
-            heapq.heappush(self._half_open_schedule, entry)
+            heapq.heappush(self._schedule, entry)
         self._index(record)
 
     def record_success(self, endpoint_id):
@@ -343,15 +371,13 @@
             self._index(record)
 
     def advance(self, now_s):
-        """Set circuits to half open whose open time has passed."""
-        while (
-            self._half_open_schedule
-            and self._half_open_schedule[0][0] <= now_s
-        ):
-            _, endpoint_id = heapq.heappop(self._half_open_schedule)
+        """End the openings of circuits and the pauses that have passed."""
+        while self._schedule and self._schedule[0][0] <= now_s:
+            _, endpoint_id = heapq.heappop(self._schedule)
             record = self._records.get(endpoint_id)
             if record is not None:
                 record.circuit.advance(now_s)
+                record.resume(now_s)
                 self._index(record)
 
     def _apply_listed(self, endpoint, now_s):
--- a/tests/platform/headers.feature
+++ b/tests/platform/headers.feature
@@ -52,3 +52,20 @@
 
   Scenario: The head of an answer is read
     Then an answer's load, idle timeout and "not run" are decoded
+
+  Scenario Outline: The pause that an endpoint asks for
+    Then an answer <status> with the retry time "<text>" asks for <pause> seconds
+
+    Examples:
+      | status | text                          | pause |
+      | 503    | 2                             | 2     |
+      | 503    | 0.25                          | 0.25  |
+      | 503    | 0                             | 0     |
+      | 503    | -3                            | 0     |
+      | 503    | nan                           | 0     |
+      | 503    | soon                          | 0     |
+      | 503    | Fri, 04 Dec 2026 12:00:00 GMT | 0     |
+      | 503    | 86400                         | 30    |
+      | 503    | inf                           | 30    |
+      | 429    | 2                             | 0     |
+      | 200    | 2                             | 0     |
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -113,6 +113,34 @@
     When a IDEMPOTENT request is forwarded
     Then the peers are told of no endpoint that leaves
 
+  # Guards against requests at an endpoint that has asked for a pause: only a
+  # circuit that opens after several refusals kept them away.
+  Scenario Outline: An endpoint that asks for a pause gets nothing until its end
+    Given a forwarder whose endpoints answer in turn: <answer>, whole
+    When a <kind> request is forwarded
+    And 30 more IDEMPOTENT requests are answered whole
+    Then the endpoint of the first attempt got no other request
+    When 1.9 seconds pass at the forwarder
+    And 30 more IDEMPOTENT requests are answered whole
+    Then the endpoint of the first attempt got no other request
+    When 0.2 seconds pass at the forwarder
+    Then the endpoint of the first attempt is available
+
+    Examples:
+      | answer           | kind           |
+      | pausing refused  | IDEMPOTENT     |
+      | pausing refused  | NON_IDEMPOTENT |
+      | pausing failed   | IDEMPOTENT     |
+
+  # Guards against callers that come back before the first endpoint wants them.
+  Scenario: When all endpoints ask for a pause, the caller is told its end
+    Given a forwarder whose endpoints answer in turn: pausing refused, pausing refused, pausing refused, pausing refused
+    When a IDEMPOTENT request is forwarded
+    And 2 more IDEMPOTENT requests meet pausing endpoints
+    And a IDEMPOTENT request is forwarded
+    Then the forwarded request ends as NOT_RUN after 6 attempts
+    And the caller is told to come back in 2.0 to 2.5 seconds
+
   Scenario: A caller that has left is not served any more
     Given a forwarder whose endpoints answer in turn: whole
     When a IDEMPOTENT request of a disconnected caller is forwarded
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -377,3 +377,14 @@
     bad = decode(200, (("Instance-Load", "a,b"), ("Keep-Alive", "max=3")))
     assert bad.load is None and bad.idle_limit_s is None
     assert decode(421, ()).is_other_endpoint
+
+
+@then(
+    'an answer {status:d} with the retry time "{text}" asks for {pause_s:g} '
+    "seconds"
+)
+def check_pause(context, status, text, pause_s):
+    head = endpoints.EndpointCodec().decode_head(
+        status, (("Retry-After", text),)
+    )
+    assert head.pause_s == pause_s, head.pause_s
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -40,11 +40,14 @@
 
 
 LEAVING = ("Server-Leaving", "1")
+PAUSE = ("Retry-After", "2")
 HEADS = {
     "leaving": (200, (LEAVING,)),
     "leaving refused": (503, (LEAVING, ("Not-Executed", "1"))),
     "leaving failed": (500, (LEAVING,)),
     "leaving moved": (421, (LEAVING,)),
+    "pausing refused": (503, (PAUSE, ("Not-Executed", "1"))),
+    "pausing failed": (503, (PAUSE,)),
 }
 UNFRAMED = ("stream closed after its head", "stream without framing")
 
@@ -195,6 +198,18 @@
     forward(context, kind)
 
 
+@when("{count:d} more {kind} requests meet pausing endpoints")
+def forward_to_pausing(context, count, kind):
+    context.client.outcomes = ["pausing refused"] * 4 * count
+    for _ in range(count):
+        forward(context, kind)
+
+
+@when("{seconds:g} seconds pass at the forwarder")
+def pass_time(context, seconds):
+    context.clock.advance(seconds)
+
+
 @when("{count:d} more {kind} requests are answered whole")
 def forward_more(context, count, kind):
     context.client.outcomes = ["whole"] * count
@@ -266,6 +281,23 @@
     assert names.count(names[0]) == 1, names
 
 
+@then("the endpoint of the first attempt is available")
+def check_available(context):
+    first = context.client.calls[0].endpoint
+    assert context.dispatcher.read(
+        lambda actor, now_s: (
+            actor.view.advance(now_s),
+            actor.view.get(first).is_available(),
+        )[1]
+    )
+
+
+@then("the caller is told to come back in {least_s:g} to {most_s:g} seconds")
+def check_retry_after(context, least_s, most_s):
+    refusal = context.error.refusal
+    assert least_s <= refusal.retry_after_s <= most_s, refusal
+
+
 @then("the peers are told of no endpoint that leaves")
 def check_no_leaving_told(context):
     assert context.told_leaving == []
