--- a/tests/quota_pool.py
+++ b/tests/quota_pool.py
@@ -80,7 +80,7 @@
             raise errors.PeerError("no answer", "none")
         return other.handlers[topic](payload)
 
-    def charge(self, account, service, cost, fingerprint):
+    def charge(self, account, service, cost, fingerprint, parts):
         found = self.quotas.spend(account, cost, self.pool.now_s)
         if isinstance(found, limits.QuotaExceeded):
             raise _OverQuotaError(found)
@@ -100,7 +100,7 @@
     def place(self, route_request):
         return ""
 
-    def accept(self, service, fingerprint, exceeded):
+    def accept(self, service, fingerprint, exceeded, parts=()):
         if exceeded is not None:
             raise _OverQuotaError(exceeded)
 
