--- a/mulberryhollow/coordination/retry/prompt_parts.py
+++ b/mulberryhollow/coordination/retry/prompt_parts.py
@@ -16,6 +16,7 @@
 """
 
 MAX_SUSPECT_PARTS = 4096
+"""Number of parts without an answer whose crashes are remembered."""
 
 MAX_SOUND_PARTS = 8192
 """Number of parts to which an answer has begun that are remembered."""
--- a/mulberryhollow/platform/headers.py
+++ b/mulberryhollow/platform/headers.py
@@ -66,9 +66,10 @@
 """
 
 RETRY_AFTER = "Retry-After"
-"""Seconds, which may be fractions; of an endpoint with status 503.
+"""Time until the next request is wanted, in seconds, which may be fractions.
 
-The endpoint wants no request from this instance for that time.
+In an answer 503 of an endpoint it is meant for this instance, not for the
+caller.
 """
 
 DUTY_HOLDER = "Duty-Holder"
