Clear the prompt parts of answers that come in one piece

Cause: only a stream's first event cleared the parts of its prompt, so that on a route with whole answers sound parts could be held responsible for a failure of endpoints. The new scenario failed before (6 passed, 1 failed: the first part was refused).

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -242,13 +242,15 @@
         """
         answer = self._open(route)
         head = answer.head
-        is_stream = self._request.kind.is_stream
-        if is_stream and 200 <= head.status < 300:
+        is_success = 200 <= head.status < 300
+        if is_success and self._request.kind.is_stream:
             self._first_piece = self._read_first()
             self._dependencies.dispatcher.report_begun(self._request.parts)
             self.head = head
             return
         body = self._reader.read_whole(answer)
+        if is_success:
+            self._dependencies.dispatcher.report_begun(self._request.parts)
         is_failure = head.status >= _MIN_SERVER_ERROR_STATUS
         if is_failure and self._request.kind.is_repeatable:
             self._failed_answer = head, body
--- a/tests/serving/crashing_prompt_parts.feature
+++ b/tests/serving/crashing_prompt_parts.feature
@@ -48,6 +48,15 @@
     And 4 endpoints crash while each has a request with the parts "first, second"
     Then a request with the parts "first, second" is served at each instance
 
+  # Guards against the same where an answer comes in one piece, not as events.
+  Scenario: Answers in one piece clear their parts too
+    Given 1 instances before 9 endpoints that the part "bad" crashes
+    And the requests of the route are IDEMPOTENT
+    When 1 requests with the parts "first, second" arrive at each instance
+    And 4 endpoints crash while each has a request with the parts "first, second"
+    Then a request with the parts "first" is served at each instance
+    And a request with the parts "second" is served at each instance
+
   # Guards against the part that is specific to a request being blamed.
   Scenario: The last part of a prompt is not blamed
     Given 1 instances before 9 endpoints that the part "bad" crashes
--- a/tests/steps/serving_crashing_parts.py
+++ b/tests/steps/serving_crashing_parts.py
@@ -2,6 +2,7 @@
 import itertools
 import types
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
@@ -184,6 +185,14 @@
     ]
 
 
+@given("the requests of the route are {kind}")
+def set_kind(context, kind):
+    (route,) = CATALOGUE.routes
+    route = attrs.evolve(route, kind=catalogue.RequestKind[kind])
+    for each in context.instances:
+        each.apply(attrs.evolve(CATALOGUE, routes=(route,)))
+
+
 def send(context, instance, parts):
     """Send a request with a body of its own; return body or refusal."""
     number = next(context.request_numbers)
@@ -205,7 +214,7 @@
     except errors.RefusedError as error:
         return error.refusal
     try:
-        return b"".join(forwarding.iterate())
+        return forwarding.body or b"".join(forwarding.iterate())
     finally:
         forwarding.close()
 
