--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server, on waitress, for requests forwarded to endpoints."""
 
+import contextlib
 import http
 import logging
 import socket
@@ -218,12 +219,19 @@
         except BaseException:
             is_framed = self.chunked_response or self.content_length
             if self.wrote_header and not is_framed:
-                # An HTTP/1.0 caller takes a close for the end of the body.
-                self.channel.socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-                )
+                self._reset_at_close()
             raise
 
+    def _reset_at_close(self):
+        """Make the close of the connection a reset.
+
+        An HTTP/1.0 caller takes a plain close for the end of the body.
+        """
+        with contextlib.suppress(OSError):
+            self.channel.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+            )
+
     def build_response_header(self):
         """Return the response head."""
         if self.channel.server.is_leaving:
