--- a/mulberryhollow/platform/callers.py
+++ b/mulberryhollow/platform/callers.py
@@ -62,7 +62,7 @@
         if refusal.retry_after_s is not None:
             # The platform allows fractions of a second here, unlike HTTP.
             seconds = f"{max(0.0, refusal.retry_after_s):.3f}"
-            headers.append((header_names.RETRY_AFTER, seconds))
+            headers.append(("Retry-After", seconds))
         status = _choose_status(refusal)
         body = f"{refusal.message}; {refusal.remedy}\n".encode()
         headers.append(("Content-Type", "text/plain; charset=utf-8"))
--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -82,9 +82,7 @@
             idle_limit_s=_decode_idle_limit(get("keep-alive", "")),
             is_leaving=get(header_names.LEAVING.lower(), "").strip() == "1"
             and not is_misdirected,
-            pause_s=_decode_pause(
-                status, get(header_names.RETRY_AFTER.lower(), "")
-            ),
+            pause_s=_decode_pause(status, get("retry-after", "")),
         )
 
 
@@ -99,7 +97,8 @@
 def _decode_pause(status, text):
     """Return the pause that an endpoint asks for, in seconds; 0 for none.
 
-    A value that is no number of seconds, such as a date, asks for none.
+    In a 503 of an endpoint the retry time is meant for this instance. It may
+    have fractions; a value that is no number, such as a date, asks for none.
     """
     if status != _STATUS_UNAVAILABLE or not text:
         return 0.0
--- a/mulberryhollow/platform/headers.py
+++ b/mulberryhollow/platform/headers.py
@@ -17,7 +17,6 @@
     "PROMPT_SIZE",
     "REMAINING_TIME",
     "REQUEST_ID",
-    "RETRY_AFTER",
     "SYSTEM_HEADERS",
 ]
 
@@ -65,13 +64,6 @@
 Despite its name, the header does not hold the number of tokens used.
 """
 
-RETRY_AFTER = "Retry-After"
-"""Time until the next request is wanted, in seconds, which may be fractions.
-
-In an answer 503 of an endpoint it is meant for this instance, not for the
-caller.
-"""
-
 DUTY_HOLDER = "Duty-Holder"
 
 FENCING_TOKEN = "Fencing-Token"
