Look for the first end of a pause among the scheduled endpoints

Each request that finds no endpoint asked for it and went through every record of the view, which grows with the endpoints. A paused record has an entry in the schedule until its end, so the schedule, which holds only open circuits and pauses, gives the same answer. No behaviour is changed: 82 scenarios of the forwarder, the view and the routing pass as before. Found while reading the change again; not measured.

--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -167,9 +167,10 @@
 
         In seconds; 0 when no endpoint of the service is pausing.
         """
+        scheduled = (self._records.get(each) for _, each in self._schedule)
         ends = [
             record.paused_until_s
-            for record in self._records.values()
+            for record in filter(None, scheduled)
             if record.is_paused and record.endpoint.service == service
         ]
         return max(0.0, min(ends) - now_s) if ends else 0.0
