Repeat the removal of a stored prompt part that the store did not answer

The outcome of the removal was dropped: the part was forgotten and logged as removed although its entry may have stayed, and every instance would have read it again at its next start. Now the part is forgotten when the store has removed it, or has another version or none of it.

--- a/mulberryhollow/serving/stored_quarantine.py
+++ b/mulberryhollow/serving/stored_quarantine.py
@@ -170,7 +170,13 @@
                 self._versions[part] = version
 
     def _remove(self, part):
-        """Remove a part that is not quarantined, or has expired."""
-        version = self._versions.pop(part)
-        self._store.delete(KIND, part, version)
-        events.log(REMOVED, part=part)
+        """Remove a part that is not quarantined, or has expired.
+
+        Unless the store has answered, the next call of the duty repeats it.
+        """
+        match self._store.delete(KIND, part, self._versions[part]):
+            case objects.WriteApplied():
+                del self._versions[part]
+                events.log(REMOVED, part=part)
+            case objects.WriteRejected(reason="conflict"):
+                del self._versions[part]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -55,6 +55,8 @@
         )
 
     def delete(self, kind, name, expected_version):
+        if self.is_down:
+            return objects.WriteOutcomeUnknown("status 503")
         found = self.objects.get((kind, name))
         if found is None or found.version != expected_version:
             version = found.version if found else 0
--- a/tests/serving/stored_quarantine.feature
+++ b/tests/serving/stored_quarantine.feature
@@ -32,6 +32,17 @@
     And the instance performs the duty
     Then no part is stored
 
+  # Guards against an entry that stays for good because the store did not
+  # answer its removal.
+  Scenario: A removal without an answer is repeated
+    Given an instance whose quarantine is stored
+    When part a crashes 3 endpoints there
+    And the instance performs the duty
+    And an answer with part a begins there
+    And the instance performs the duty while the store is away
+    And the instance performs the duty
+    Then no part is stored
+
   Scenario: An old entry is not applied and is removed
     Given an instance whose quarantine is stored
     When part a crashes 3 endpoints there
--- a/tests/steps/serving_stored_quarantine.py
+++ b/tests/steps/serving_stored_quarantine.py
@@ -47,6 +47,13 @@
     context.stored.work(1, lambda: True)
 
 
+@when("the instance performs the duty while the store is away")
+def perform_duty_without_store(context):
+    context.store.is_down = True
+    perform_duty(context)
+    context.store.is_down = False
+
+
 @when("an instance starts anew over the same store")
 def start_anew(context):
     start_instance(context)
