Log the rate limit that an endpoint names

The limit of an endpoint is decoded with the head of each answer, kept in its record and logged when it changes (4017). No choice depends on it yet. A value that cannot be read leaves the last one in force.

--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -1,5 +1,6 @@
 """Codec of calls to endpoints and of the heads of their answers."""
 
+import math
 import re
 
 from mulberryhollow.platform import headers as header_names
@@ -17,6 +18,9 @@
 A wrong value must not exclude an endpoint for much longer than an outage.
 """
 
+MAX_RATE_PER_S = 1e6
+"""Highest rate that an endpoint can name, in requests per second."""
+
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
 
@@ -83,6 +87,9 @@
             is_leaving=get(header_names.LEAVING.lower(), "").strip() == "1"
             and not is_misdirected,
             pause_s=_decode_pause(status, get("retry-after", "")),
+            rate_limit=None
+            if is_misdirected
+            else _decode_rate_limit(get(header_names.RATE_LIMIT.lower())),
         )
 
 
@@ -109,6 +116,19 @@
     return min(pause_s, MAX_PAUSE_S) if pause_s > 0.0 else 0.0
 
 
+def _decode_rate_limit(text):
+    """Return the RateLimit that an endpoint names; None for none."""
+    if text is None:
+        return None
+    try:
+        rate_per_s = float(text)
+    except ValueError:
+        rate_per_s = math.nan
+    if not rate_per_s >= 0.0:
+        return messages.RateLimit(None)
+    return messages.RateLimit(min(rate_per_s, MAX_RATE_PER_S))
+
+
 def _decode_idle_limit(text):
     """Return the idle timeout of a connection, in seconds, or None."""
     found = _KEEP_ALIVE_TIMEOUT.search(text.lower())
--- a/mulberryhollow/platform/headers.py
+++ b/mulberryhollow/platform/headers.py
@@ -15,6 +15,7 @@
     "PRIORITY",
     "PROMPT_PARTS",
     "PROMPT_SIZE",
+    "RATE_LIMIT",
     "REMAINING_TIME",
     "REQUEST_ID",
     "SYSTEM_HEADERS",
@@ -64,6 +65,12 @@
 Despite its name, the header does not hold the number of tokens used.
 """
 
+RATE_LIMIT = "Server-Limit"
+"""Requests a second that an endpoint takes from all instances together.
+
+A decimal number, in all answers of the endpoint for as long as it applies.
+"""
+
 DUTY_HOLDER = "Duty-Holder"
 
 FENCING_TOKEN = "Fencing-Token"
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -14,6 +14,7 @@
     "Framing",
     "Load",
     "Payload",
+    "RateLimit",
 ]
 
 
@@ -172,6 +173,20 @@
     slots: int
 
 
+@attrs.frozen
+class RateLimit:
+    """Rate limit that an endpoint names in an answer.
+
+    Parameters
+    ----------
+    per_s : float or None
+        Requests per second that it takes from all instances together; None
+        when the value cannot be read.
+    """
+
+    per_s: float | None
+
+
 @attrs.frozen
 class AnswerHead:
     """Head of an endpoint's answer.
@@ -198,6 +213,8 @@
     pause_s : float
         Time for which the endpoint wants no request from this instance, in
         seconds; 0 for none.
+    rate_limit : RateLimit or None
+        Rate limit of the endpoint; None when it names none.
     """
 
     status: int
@@ -209,3 +226,4 @@
     idle_limit_s: float | None = None
     is_leaving: bool = False
     pause_s: float = 0.0
+    rate_limit: RateLimit | None = None
--- a/mulberryhollow/serving/attempts.py
+++ b/mulberryhollow/serving/attempts.py
@@ -35,12 +35,15 @@
         Service of the request.
     request_class : RequestClass
         Class of the request.
+    rate_per_s : float or None
+        Rate limit that the endpoint was known to name; None for none.
     """
 
     chosen: routing.Chosen
     work: endpoints.Work
     service: str
     request_class: environment_module.RequestClass
+    rate_per_s: float | None = None
 
     @property
     def endpoint_id(self):
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -60,6 +60,9 @@
 PAUSED = events.declare(
     4016, logging.INFO, "an endpoint asks for a pause and gets no requests"
 )
+RATE_LIMITED = events.declare(
+    4017, logging.INFO, "the rate limit that an endpoint names has changed"
+)
 CHANGE_FAILED = events.declare(
     4005,
     logging.ERROR,
@@ -184,6 +187,12 @@
     pause_s: float
 
 
+@attrs.frozen
+class _ReportRate:
+    endpoint_id: str
+    rate_per_s: float | None
+
+
 @attrs.frozen
 class _ReportLoad:
     route: attempts.Route
@@ -299,6 +308,8 @@
             case _ReportPause(endpoint_id, pause_s):
                 self.view.pause(endpoint_id, now_s + pause_s)
                 events.log(PAUSED, endpoint=endpoint_id, pause_s=pause_s)
+            case _ReportRate(endpoint_id, rate_per_s):
+                self._report_rate(endpoint_id, rate_per_s, now_s)
             case _ReportLoad(route, load):
                 self.view.report_load(
                     route.endpoint_id,
@@ -385,8 +396,13 @@
                 return refusal
         work = self.view.start(result.endpoint_id, result.cost, now_s)
         self.work.add(request.service, result.compute_s, now_s)
+        record = self.view.get(result.endpoint_id)
         return attempts.Route(
-            result, work, request.service, request.request_class
+            result,
+            work,
+            request.service,
+            request.request_class,
+            record.rate_per_s,
         )
 
     def _place(self, request, now_s):
@@ -483,6 +499,13 @@
         events.log(SAID_LEAVING, endpoint=endpoint_id)
         on_leaving(endpoint_id)
 
+    def _report_rate(self, endpoint_id, rate_per_s, now_s):
+        """Store the rate limit that an answer of an endpoint names."""
+        record = self.view.get(endpoint_id)
+        if record is None or not record.observe_rate(rate_per_s, now_s):
+            return
+        events.log(RATE_LIMITED, endpoint=endpoint_id, rate_per_s=rate_per_s)
+
     def _decide_retry(self, message, now_s):
         """Return RetryAfter when a retry is allowed, else FailRequest."""
         return self.retries.decide(
@@ -837,6 +860,22 @@
         """Report that an endpoint wants no requests for some seconds."""
         self._actor.tell(_ReportPause(endpoint_id, pause_s))
 
+    def report_rate(self, route, rate_limit):
+        """Report the rate limit that an answer names, or that it names none.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the attempt.
+        rate_limit : RateLimit or None
+            The limit; one that cannot be read is ignored.
+        """
+        if rate_limit is None:
+            if route.rate_per_s is not None:
+                self._actor.tell(_ReportRate(route.endpoint_id, None))
+        elif rate_limit.per_s is not None:
+            self._actor.tell(_ReportRate(route.endpoint_id, rate_limit.per_s))
+
     def get_pause_s(self, service):
         """Return the time until a pausing endpoint of a service wants work.
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -288,6 +288,10 @@
             self._dependencies.dispatcher.report_pause(
                 route.endpoint_id, answer.head.pause_s
             )
+        if not answer.head.is_other_endpoint:
+            self._dependencies.dispatcher.report_rate(
+                route, answer.head.rate_limit
+            )
         self._answer = answer
         self._reader.framing = answer.framing
         if answer.head.has_not_run:
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -125,6 +125,11 @@
         seconds.
     is_paused : bool
         Whether that time has not passed yet, as of the last `resume`.
+    rate_per_s : float or None
+        Requests per second that the endpoint takes from all instances
+        together; None while it names no limit.
+    rate_observed_s : float
+        Monotonic time of the answer that named or ended it, in seconds.
     circuit : Circuit
         Circuit breaker of the endpoint.
     running, queued, slots : int
@@ -157,6 +162,8 @@
     is_draining: bool = False
     paused_until_s: float = float("-inf")
     is_paused: bool = False
+    rate_per_s: float | None = None
+    rate_observed_s: float = float("-inf")
     circuit: Circuit = attrs.field(factory=Circuit)
     running: int = 0
     queued: int = 0
@@ -236,6 +243,18 @@
         """Readmit the endpoint when its pause is over."""
         self.is_paused = now_s < self.paused_until_s
 
+    def observe_rate(self, rate_per_s, observed_s):
+        """Apply a rate limit unless a later one is known.
+
+        Returns whether the limit has changed.
+        """
+        if observed_s < self.rate_observed_s:
+            return False
+        self.rate_observed_s = observed_s
+        has_changed = rate_per_s != self.rate_per_s
+        self.rate_per_s = rate_per_s
+        return has_changed
+
     def start(self, work):
         """Count a request as sent."""
         self._active.add(work)
--- a/tests/platform/headers.feature
+++ b/tests/platform/headers.feature
@@ -69,3 +69,19 @@
       | 503    | inf                           | 30    |
       | 429    | 2                             | 0     |
       | 200    | 2                             | 0     |
+
+  # Guards against a rate limit that is lost, or taken from what is no number.
+  Scenario Outline: The rate limit that an endpoint names
+    Then an answer <status> with the limit "<text>" names <rate> requests a second
+
+    Examples:
+      | status | text   | rate       |
+      | 200    | 2.6    | 2.6        |
+      | 503    | 0.25   | 0.25       |
+      | 429    | 0      | 0.0        |
+      | 200    | 1e12   | 1000000.0  |
+      | 200    | inf    | 1000000.0  |
+      | 200    | -1     | unreadable |
+      | 200    | nan    | unreadable |
+      | 200    | a few  | unreadable |
+      | 421    | 2.6    | no         |
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -388,3 +388,19 @@
         status, (("Retry-After", text),)
     )
     assert head.pause_s == pause_s, head.pause_s
+
+
+@then(
+    'an answer {status:d} with the limit "{text}" names {rate} '
+    "requests a second"
+)
+def check_rate_limit(context, status, text, rate):
+    head = endpoints.EndpointCodec().decode_head(
+        status, (("Server-Limit", text),)
+    )
+    if rate == "no":
+        assert head.rate_limit is None
+    elif rate == "unreadable":
+        assert head.rate_limit.per_s is None
+    else:
+        assert head.rate_limit.per_s == float(rate), head.rate_limit
