--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -118,6 +118,8 @@
         Whether requests are refused with 503 and ``Not-Executed``.
     loses_answers : bool
         Whether requests run but the connection closes without an answer.
+    rate_limit : str
+        Value of ``Server-Limit`` in all answers; empty for none.
     disconnected_clients : int
         Number of clients that disconnected before their answer.
     """
@@ -127,6 +129,7 @@
         self.received = []
         self.is_full = False
         self.loses_answers = False
+        self.rate_limit = ""
         self.disconnected_clients = 0
         super().__init__()
 
@@ -137,6 +140,8 @@
         if headers.get("Expect-Instance") != self.identity:
             handler.reply(421, answer_headers, b"")
             return
+        if self.rate_limit:
+            answer_headers["Server-Limit"] = self.rate_limit
         if self.is_full:
             handler.reply(503, answer_headers | {"Not-Executed": "1"}, b"")
             return
