Share the rate that an endpoint names among all instances

Cause: nothing read the rate. The router ranked these endpoints by load, price and prompt cache like the others, and no two instances knew what they sent together. Ruled out: repeats (no line 4010 names these endpoints) and checks of ours.

Change: each endpoint has an owner among the instances, by rendezvous hashing. It grants a permit for each request to an endpoint that names a rate, from one bucket, whatever the number of instances and however their requests divide. All sends pass through Dispatcher.choose_endpoint, so first tries, repeats, resumed streams and the product's own requests are counted alike; a holder that places the request of another instance draws the permit with it. A request without a permit is offered elsewhere at once; without a permit anywhere the caller is refused with the time of the next turn. The limit travels as a fact and ends with the first answer that names none.

Weighed, not chosen: equal parts by instance (one token in each of 200 buckets is far more than the rule allows), parts by demand (reports are half a second old, and the parts as small), few instances chosen to send.

--- a/mulberryhollow/coordination/limits/__init__.py
+++ b/mulberryhollow/coordination/limits/__init__.py
@@ -1,5 +1,10 @@
-"""Limits that apply to all instances together: quotas and retries."""
+"""Limits that apply to all instances together: quotas, retries, rates."""
 
+from mulberryhollow.coordination.limits.endpoint_rates import EndpointRateTable
+from mulberryhollow.coordination.limits.endpoint_rates import RateDraw
+from mulberryhollow.coordination.limits.endpoint_rates import RateExhausted
+from mulberryhollow.coordination.limits.endpoint_rates import RateGranted
+from mulberryhollow.coordination.limits.endpoint_rates import STANDBY_FRACTION
 from mulberryhollow.coordination.limits.outcomes import CreditShortfall
 from mulberryhollow.coordination.limits.outcomes import QuotaExceeded
 from mulberryhollow.coordination.limits.outcomes import QuotaRules
@@ -9,9 +14,14 @@
 
 __all__ = [
     "CreditShortfall",
+    "EndpointRateTable",
     "QuotaExceeded",
     "QuotaRules",
     "QuotaTable",
+    "RateDraw",
+    "RateExhausted",
+    "RateGranted",
     "RetryRules",
+    "STANDBY_FRACTION",
     "SharedRetryBudget",
 ]
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -73,6 +73,12 @@
     preferred : str
         Id of the endpoint that another instance has chosen, which is taken
         if it accepts new work; empty for none.
+    has_permit : bool
+        Whether that instance has drawn a permit for that endpoint.
+    avoided : frozenset of str
+        Ids of endpoints whose rate limit leaves no room for the request.
+    account : str
+        Client account that the request counts for.
     """
 
     request_id: str
@@ -84,6 +90,9 @@
     idempotent: bool = True
     chain: PromptChain | None = None
     preferred: str = ""
+    has_permit: bool = False
+    avoided: frozenset = frozenset()
+    account: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -111,6 +120,8 @@
         Expected time to compute the prompt at the endpoint, in seconds.
     load : float
         Estimated requests at the endpoint at the time of the choice.
+    rate_per_s : float or None
+        Rate limit that the endpoint names, per second; None for none.
     """
 
     endpoint_id: str
@@ -124,6 +135,7 @@
     identity: str = ""
     compute_s: float = 0.0
     load: float = 0.0
+    rate_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -200,6 +200,7 @@
             sent.
         """
         view.advance(now_s)
+        excluded = excluded | request.avoided
         prepared = _PreparedRequest.build(request, prefixes, now_s)
         versions = shares.list_versions(
             request.request_id, request.version_shares
@@ -291,6 +292,7 @@
             expected_first_token_s=first_s,
             hashes=prepared.chain.hashes,
             identity=endpoint.identity or endpoint.id,
+            rate_per_s=record.rate_per_s,
         )
 
     def _estimate_compute_s(self, endpoint_id, prepared):
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -35,6 +35,7 @@
 from mulberryhollow.serving import orders
 from mulberryhollow.serving import pollers
 from mulberryhollow.serving import quota_peering
+from mulberryhollow.serving import rate_peering
 from mulberryhollow.serving import recorder
 from mulberryhollow.serving import registry
 from mulberryhollow.serving import store_relay
@@ -186,6 +187,7 @@
         self._quota_peering = quota_peering.QuotaPeering(
             self._peers, clock, self.dispatcher
         )
+        self._rate_peering = self._make_rate_peering()
         self._followers = self._make_followers()
         self._store_relay = store_relay.StoreRelay(
             self._followers.values(),
@@ -214,6 +216,7 @@
         self._aggregate_peering.connect()
         self._fleet_peering.connect()
         self._quota_peering.connect()
+        self._rate_peering.connect()
         self._caller_watch.start()
         for loop in self._loops:
             loop.start()
@@ -297,6 +300,21 @@
         )
         return gossip.Peers(actor)
 
+    def _make_rate_peering(self):
+        """Return the RatePeering, which grants the dispatcher's permits."""
+        permits = rate_peering.RatePeering(
+            self._peers,
+            self._clock,
+            self.dispatcher,
+            self._fact_peering.collectors,
+        )
+        self.dispatcher.permits = permits
+        report_rate = self._fact_peering.report_rate
+        self.dispatcher.change(
+            lambda actor, now_s: setattr(actor, "on_rate_changed", report_rate)
+        )
+        return permits
+
     def _make_usage_ledger(self):
         """Return the ledger of started requests, shared with the peers."""
         local_member = self._peers.local_member()
@@ -499,7 +517,9 @@
     def _apply_members(self):
         """Apply the current membership to the limits and the view."""
         self._fact_peering.tick()
-        self._quota_peering.apply_collectors(self._fact_peering.collectors)
+        collectors = self._fact_peering.collectors
+        self._quota_peering.apply_collectors(collectors)
+        self._rate_peering.apply_collectors(collectors)
 
     def list_entries(self):
         """Return the control addresses of other instances.
--- a/mulberryhollow/protocol/draws.py
+++ b/mulberryhollow/protocol/draws.py
@@ -48,10 +48,13 @@
         None when the request is admitted.
     placement : str
         Id of the endpoint chosen for the request; empty for none.
+    has_permit : bool
+        Whether a permit has been drawn for an endpoint that limits its rate.
     """
 
     exceeded: limits.QuotaExceeded | None
     placement: str = ""
+    has_permit: bool = False
 
 
 def encode_draw(request, now_s):
@@ -99,9 +102,10 @@
             chain=routing.PromptChain(
                 tuple(hashes), tuple(ends), int(tokens), int(shared_parts)
             ),
+            account=str(fields["account"]),
         )
         return Draw(
-            str(fields["account"]), float(fields["cost"]), route_request
+            route_request.account, float(fields["cost"]), route_request
         )
     except _DECODE_ERRORS as error:
         raise ValueError(f"malformed draw: {error!r}") from error
@@ -113,6 +117,7 @@
     fields = {
         "exceeded": None if exceeded is None else attrs.astuple(exceeded)[1:],
         "placement": drawn.placement,
+        "permit": drawn.has_permit,
     }
     return json.dumps(fields).encode()
 
@@ -130,6 +135,10 @@
         exceeded = fields["exceeded"]
         if exceeded is not None:
             exceeded = limits.QuotaExceeded(account, *map(float, exceeded))
-        return DrawnCredit(exceeded, str(fields["placement"]))
+        return DrawnCredit(
+            exceeded,
+            str(fields["placement"]),
+            bool(fields.get("permit", False)),
+        )
     except _DECODE_ERRORS as error:
         raise ValueError(f"malformed answer to a draw: {error!r}") from error
--- /dev/null
+++ b/mulberryhollow/protocol/rate_draws.py
@@ -0,0 +1,94 @@
+"""Codec of the calls by which the owner of an endpoint grants permits."""
+
+import json
+import math
+
+import attrs
+
+from mulberryhollow.coordination import limits
+
+__all__ = [
+    "RateQuestion",
+    "decode_permit",
+    "decode_question",
+    "encode_permit",
+    "encode_question",
+]
+
+_DECODE_ERRORS = (ValueError, TypeError, KeyError, AttributeError)
+
+
+@attrs.frozen
+class RateQuestion:
+    """Question of an instance for a permit.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        Endpoint that limits its rate.
+    account : str
+        Client account of the request to be sent.
+    rate_per_s : float
+        Rate that the instance knows, per second.
+    age_s : float
+        Age of what it knows, in seconds.
+    """
+
+    endpoint_id: str
+    account: str
+    rate_per_s: float
+    age_s: float
+
+
+def encode_question(question):
+    """Return a RateQuestion as JSON bytes."""
+    return json.dumps(attrs.astuple(question)).encode()
+
+
+def decode_question(payload):
+    """Return the RateQuestion in a payload.
+
+    Raises
+    ------
+    ValueError
+        When the payload is malformed.
+    """
+    try:
+        endpoint_id, account, rate_per_s, age_s = json.loads(payload)
+        question = RateQuestion(
+            str(endpoint_id), str(account), float(rate_per_s), float(age_s)
+        )
+    except _DECODE_ERRORS as error:
+        raise ValueError(f"malformed question: {error!r}") from error
+    if not (question.rate_per_s >= 0.0 and question.age_s >= 0.0):
+        raise ValueError(f"malformed question: {question}")
+    return question
+
+
+def encode_permit(outcome):
+    """Return a RateGranted or RateExhausted as JSON bytes."""
+    match outcome:
+        case limits.RateGranted():
+            return b"null"
+        case limits.RateExhausted(wait_s):
+            return json.dumps(wait_s).encode()
+
+
+def decode_permit(payload):
+    """Return the RateGranted or RateExhausted in a payload.
+
+    Raises
+    ------
+    ValueError
+        When the payload is malformed.
+    """
+    try:
+        wait_s = json.loads(payload)
+        if wait_s is None:
+            return limits.RateGranted()
+        wait_s = float(wait_s)
+    except _DECODE_ERRORS as error:
+        raise ValueError(f"malformed permit: {error!r}") from error
+    if not (math.isfinite(wait_s) and wait_s >= 0.0):
+        raise ValueError(f"malformed permit: wait of {wait_s} s")
+    return limits.RateExhausted(wait_s)
--- a/mulberryhollow/serving/attempts.py
+++ b/mulberryhollow/serving/attempts.py
@@ -35,15 +35,12 @@
         Service of the request.
     request_class : RequestClass
         Class of the request.
-    rate_per_s : float or None
-        Rate limit that the endpoint was known to name; None for none.
     """
 
     chosen: routing.Chosen
     work: endpoints.Work
     service: str
     request_class: environment_module.RequestClass
-    rate_per_s: float | None = None
 
     @property
     def endpoint_id(self):
@@ -55,6 +52,11 @@
         """Address of the endpoint, ``host:port``."""
         return self.chosen.address
 
+    @property
+    def rate_per_s(self):
+        """Rate limit that the endpoint was known to name; None for none."""
+        return self.chosen.rate_per_s
+
     @property
     def version(self):
         """Version that the endpoint runs."""
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -15,6 +15,7 @@
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.serving import attempts
+from mulberryhollow.serving import rate_peering
 from mulberryhollow.serving import shares as version_shares
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import environment as environment_module
@@ -187,6 +188,11 @@
     pause_s: float
 
 
+@attrs.frozen
+class _Withdraw:
+    route: attempts.Route
+
+
 @attrs.frozen
 class _ReportRate:
     endpoint_id: str
@@ -245,6 +251,11 @@
         Quotas of the client accounts, for forwarded requests.
     shared_retries : SharedRetryBudget
         Retry budget of forwarded requests, by service.
+    endpoint_rates : EndpointRateTable
+        Permits for requests to endpoints that this instance owns.
+    on_rate_changed : callable
+        Called with the id of an endpoint and its new rate limit, or None,
+        when an answer shows a change.
     work : DemandTable
         Smoothed compute demand of each service.
     """
@@ -265,6 +276,8 @@
         self.shares = version_shares.VersionShares()
         self.quotas = limits.QuotaTable()
         self.shared_retries = limits.SharedRetryBudget()
+        self.endpoint_rates = limits.EndpointRateTable()
+        self.on_rate_changed = lambda endpoint_id, rate_per_s: None
         self.work = demand.DemandTable(WORK_DECAY_S)
         self._shared_crashes = collections.Counter()
 
@@ -309,7 +322,11 @@
                 self.view.pause(endpoint_id, now_s + pause_s)
                 events.log(PAUSED, endpoint=endpoint_id, pause_s=pause_s)
             case _ReportRate(endpoint_id, rate_per_s):
-                self._report_rate(endpoint_id, rate_per_s, now_s)
+                if self.observe_rate(endpoint_id, rate_per_s, now_s):
+                    self.on_rate_changed(endpoint_id, rate_per_s)
+            case _Withdraw(route):
+                self.view.withdraw(route.work)
+                self.work.add(route.service, -route.chosen.compute_s, now_s)
             case _ReportLoad(route, load):
                 self.view.report_load(
                     route.endpoint_id,
@@ -396,13 +413,8 @@
                 return refusal
         work = self.view.start(result.endpoint_id, result.cost, now_s)
         self.work.add(request.service, result.compute_s, now_s)
-        record = self.view.get(result.endpoint_id)
         return attempts.Route(
-            result,
-            work,
-            request.service,
-            request.request_class,
-            record.rate_per_s,
+            result, work, request.service, request.request_class
         )
 
     def _place(self, request, now_s):
@@ -499,12 +511,23 @@
         events.log(SAID_LEAVING, endpoint=endpoint_id)
         on_leaving(endpoint_id)
 
-    def _report_rate(self, endpoint_id, rate_per_s, now_s):
-        """Store the rate limit that an answer of an endpoint names."""
+    def observe_rate(self, endpoint_id, rate_per_s, observed_s):
+        """Store the rate limit of an endpoint; return whether it changed.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint.
+        rate_per_s : float or None
+            Requests per second that it takes; None when it names no limit.
+        observed_s : float
+            Monotonic time of the answer that told so, in seconds.
+        """
         record = self.view.get(endpoint_id)
-        if record is None or not record.observe_rate(rate_per_s, now_s):
-            return
+        if record is None or not record.observe_rate(rate_per_s, observed_s):
+            return False
         events.log(RATE_LIMITED, endpoint=endpoint_id, rate_per_s=rate_per_s)
+        return True
 
     def _decide_retry(self, message, now_s):
         """Return RetryAfter when a retry is allowed, else FailRequest."""
@@ -530,6 +553,7 @@
 
     Notes
     -----
+    `permits` grants the requests to endpoints that limit their rate;
     `on_crash` is called with the fingerprint of a request, the id of the
     endpoint that it crashed and whether the request is now quarantined,
     `on_part_crash` with the PartCrash of its prompt, `on_part_cleared` with
@@ -542,6 +566,7 @@
     """
 
     def __init__(self, actor, clock):
+        self.permits = rate_peering.UnlimitedPermits()
         self.on_crash = lambda fingerprint, endpoint_id, is_quarantined: None
         self.on_part_crash = lambda crash: None
         self.on_part_cleared = lambda part: None
@@ -646,13 +671,46 @@
         RefusedError
             When no endpoint accepts the request.
         """
-        route = self._ask(
-            _Choose(route_request, frozenset(excluded), keeps_version)
-        )
+        excluded = frozenset(excluded)
+        request = self._avoid_exhausted(route_request)
+        while True:
+            route = self._ask(_Choose(request, excluded, keeps_version))
+            if self._has_permit(route.chosen, request):
+                break
+            self._actor.tell(_Withdraw(route))
+            request = self._avoid(request, route.endpoint_id)
         if route.endpoint_id != route_request.preferred:
             self._report_if_long(route.chosen)
         return route
 
+    def _avoid_exhausted(self, request):
+        """Return a RouteRequest that avoids endpoints without a permit."""
+        avoided = self.permits.list_exhausted(request.service, request.account)
+        if not avoided:
+            return request
+        if request.has_permit:
+            avoided -= {request.preferred}
+        return attrs.evolve(request, avoided=request.avoided | avoided)
+
+    @staticmethod
+    def _avoid(request, endpoint_id):
+        """Return a RouteRequest that avoids one more endpoint."""
+        return attrs.evolve(
+            request,
+            avoided=request.avoided | {endpoint_id},
+            has_permit=False,
+        )
+
+    def _has_permit(self, chosen, request):
+        """Return whether a request may be sent to the chosen endpoint."""
+        if chosen.rate_per_s is None:
+            return True
+        if request.has_permit and chosen.endpoint_id == request.preferred:
+            return True
+        return self.permits.acquire(
+            request.service, chosen.endpoint_id, request.account
+        )
+
     def place(self, route_request):
         """Choose the endpoint of a peer's request, which the peer sends.
 
@@ -663,14 +721,29 @@
 
         Returns
         -------
-        str
-            Id of the endpoint; empty if none accepts new work.
+        Chosen or None
+            The endpoint, for which a permit is drawn if it limits its rate;
+            None if none accepts new work.
         """
-        match self._actor.ask(_Place(route_request)):
-            case routing.Chosen() as chosen:
-                self._report_if_long(chosen)
-                return chosen.endpoint_id
-        return ""
+        request = self._avoid_exhausted(route_request)
+        while True:
+            match self._actor.ask(_Place(request)):
+                case routing.Chosen() as chosen:
+                    if self._has_permit(chosen, request):
+                        self._report_if_long(chosen)
+                        return chosen
+                    self._remove_prompt(chosen)
+                    request = self._avoid(request, chosen.endpoint_id)
+                case _:
+                    return None
+
+    def _remove_prompt(self, chosen):
+        """Take back a peer's prompt that is not sent to an endpoint."""
+        self.change(
+            lambda actor, now_s: actor.view.add_peer_prompt(
+                chosen.endpoint_id, -chosen.compute_s, now_s
+            )
+        )
 
     def _report_if_long(self, chosen):
         """Report a long prompt, which delays others at its endpoint."""
@@ -876,14 +949,27 @@
         elif rate_limit.per_s is not None:
             self._actor.tell(_ReportRate(route.endpoint_id, rate_limit.per_s))
 
-    def get_pause_s(self, service):
-        """Return the time until a pausing endpoint of a service wants work.
+    def get_pause_s(self, service, account=""):
+        """Return the time until an endpoint of a service wants work again.
 
-        In seconds; 0 when none is pausing.
+        Parameters
+        ----------
+        service : str
+            The service.
+        account : str
+            Client account of the request.
+
+        Returns
+        -------
+        float
+            Time until the first pause or wait for a permit ends, in seconds;
+            0 when there is none.
         """
-        return self.read(
+        pause_s = self.read(
             lambda actor, now_s: actor.view.get_pause_s(service, now_s)
         )
+        wait_s = self.permits.get_wait_s(service, account)
+        return min(filter(None, (pause_s, wait_s)), default=0.0)
 
     def report_begun(self, parts):
         """Report that an answer to a prompt with these parts has begun."""
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -26,6 +26,10 @@
 LEAVING = "leaving"
 GONE = "gone"
 
+# First word of a notice's key: the value is the rate limit that the endpoint
+# names, in requests per second, or empty when the limit has ended.
+RATE_LIMIT = "rate-limit"
+
 CALL_TIMEOUT_S = 1.0
 """Timeout of a call to a peer on behalf of a request, in seconds."""
 
@@ -51,6 +55,15 @@
 NOTICE_EXPIRY_S = 24 * 3600.0
 """Time after which a crash or a notice is dropped, in seconds."""
 
+RATE_EXPIRY_S = 10.0
+"""Time for which a rate limit is kept as a fact, in seconds."""
+
+RATE_FACT_AGE_S = 1.0
+"""Age that a rate limit of a peer is assumed to have, in seconds.
+
+What this instance has seen of the endpoint later takes precedence.
+"""
+
 GONE_EXPIRY_S = 30.0
 """Time for which the fact that an entry is gone is kept, in seconds."""
 
@@ -244,6 +257,20 @@
         """
         self._threads.submit(self.publish_leaving, endpoint_id, True)
 
+    def report_rate(self, endpoint_id, rate_per_s):
+        """Report the rate limit that an endpoint names, or None, to peers.
+
+        Does not wait for the report, since an actor calls it.
+        """
+        self._threads.submit(
+            self._publish,
+            facts.Topic.NOTICE,
+            f"{RATE_LIMIT} {endpoint_id}",
+            int(self._clock.wall_s() * 1000),
+            b"" if rate_per_s is None else str(rate_per_s).encode(),
+            RATE_EXPIRY_S,
+        )
+
     def report_long_prompt(self, chosen):
         """Report to the peers which endpoint computes a long prompt.
 
@@ -371,6 +398,13 @@
             self._dispatcher.change(
                 lambda actor, now_s: actor.view.set_draining(endpoint_id, True)
             )
+        elif kind == RATE_LIMIT:
+            rate_per_s = float(fact.value) if fact.value else None
+            self._dispatcher.change(
+                lambda actor, now_s: actor.observe_rate(
+                    endpoint_id, rate_per_s, now_s - RATE_FACT_AGE_S
+                )
+            )
 
     def _answer_prompt(self, payload):
         """Add a peer's long prompt to the load of the chosen endpoint."""
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -225,7 +225,7 @@
             )
         except errors.RefusedError as error:
             pause_s = self._dependencies.dispatcher.get_pause_s(
-                request.service
+                request.service, request.account
             )
             raise errors.RefusedError(
                 self._refuse_no_capacity(pause_s)
--- a/mulberryhollow/serving/ingress.py
+++ b/mulberryhollow/serving/ingress.py
@@ -146,7 +146,7 @@
         catalogue = self._catalogue
         try:
             request = self._check(incoming, catalogue)
-            placement = self._dependencies.quotas.charge(request)
+            drawn = self._dependencies.quotas.charge(request)
         except errors.RefusedError as error:
             events.log(
                 REFUSED,
@@ -157,8 +157,12 @@
                 version=catalogue.number if catalogue else 0,
             )
             raise
-        if placement:
-            request = attrs.evolve(request, placement=placement)
+        if drawn is not None and drawn.placement:
+            request = attrs.evolve(
+                request,
+                placement=drawn.placement,
+                has_permit=drawn.has_permit,
+            )
         return self._dependencies.forwarder.forward(request, is_gone)
 
     def _check(self, incoming, catalogue):
--- a/mulberryhollow/serving/peering.py
+++ b/mulberryhollow/serving/peering.py
@@ -195,7 +195,8 @@
 
     def _apply_notice(self, fact):
         """Apply a reclaim notice; `FactPeering` applies the other notices."""
-        if not fact.value:
+        is_of_endpoint = fact.key.startswith(fact_peering.RATE_LIMIT)
+        if is_of_endpoint or not fact.value:
             return
         self._dependencies.on_notice(cloud.Notice(**json.loads(fact.value)))
 
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -139,9 +139,9 @@
 
         Returns
         -------
-        str
-            Id of the endpoint that the holder chose for the request; empty
-            if this instance is to choose.
+        DrawnCredit or None
+            Answer of the holder, with the endpoint that it chose for the
+            request; None if this instance is to choose.
 
         Raises
         ------
@@ -152,14 +152,14 @@
         drawn = self._draw(request) if request.cost else None
         if drawn is None:
             self._charge_here(request)
-            return ""
+            return None
         self._dispatcher.accept(
             request.service,
             request.fingerprint,
             drawn.exceeded,
             request.parts,
         )
-        return drawn.placement
+        return drawn
 
     def _charge_here(self, request):
         """Charge a request to the credit of this instance and its peers."""
@@ -247,10 +247,14 @@
                     borrowed.asked,
                 )
             )
-        placement = ""
+        drawn = draws.DrawnCredit(found)
         if found is None:
-            placement = self._dispatcher.place(draw.route_request)
-        return draws.encode_drawn(draws.DrawnCredit(found, placement))
+            chosen = self._dispatcher.place(draw.route_request)
+            if chosen is not None:
+                drawn = draws.DrawnCredit(
+                    None, chosen.endpoint_id, chosen.rate_per_s is not None
+                )
+        return draws.encode_drawn(drawn)
 
     def borrow(self, request_id, account, lack):
         """Borrow credit from one peer after the other until it suffices.
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -272,6 +272,14 @@
         self._finished.append((now_s, work))
         return True
 
+    def withdraw(self, work):
+        """Take back a request; return whether it counted as in flight."""
+        if work not in self._active:
+            return False
+        self._active.remove(work)
+        self.busy_until_s -= work.cost
+        return True
+
     def report(self, running, queued, slots, measured_at_s):
         """Apply a load report; return False if a later one is known."""
         if measured_at_s < self.measured_at_s:
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -259,6 +259,21 @@
             record.circuit.probe = None
         self._index(record)
 
+    def withdraw(self, work):
+        """Take back a request that was counted as sent and was not.
+
+        Parameters
+        ----------
+        work : Work
+            Handle returned by `start`.
+        """
+        record = self._records.get(work.endpoint_id)
+        if record is None or not record.withdraw(work):
+            return
+        if record.circuit.probe is work:
+            record.circuit.probe = None
+        self._index(record)
+
     def set_peer_load(self, node, endpoint_id, amount):
         """Set the load that a peer has in flight at an endpoint.
 
--- a/tests/platform/daemon.feature
+++ b/tests/platform/daemon.feature
@@ -29,6 +29,12 @@
     When e1 and e2 are full and a POST /once/x is sent
     Then the status is 503 with a Retry-After header
 
+  # Guards against the rate that an endpoint names being read and not kept.
+  Scenario: An endpoint that names a rate gets no more
+    When e1 names a rate of 0.5 requests a second and 60 requests are sent
+    Then all of them are answered
+    And e1 has run at most 8 of them
+
   Scenario: An endpoint that drains gets no new work
     When e1 drains and 6 requests are sent
     Then all of them are answered by e2
--- a/tests/quota_pool.py
+++ b/tests/quota_pool.py
@@ -98,7 +98,7 @@
         self.accept(service, "", found)
 
     def place(self, route_request):
-        return ""
+        return None
 
     def accept(self, service, fingerprint, exceeded, parts=()):
         if exceeded is not None:
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -1,18 +1,23 @@
 """Instances before endpoints that name a rate, on a simulated clock."""
 
+import collections
+import functools
 import heapq
 import itertools
 import random
 import types
 
 from mulberryhollow import clock as clocks
+from mulberryhollow.coordination import membership
 from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.serving import caller_watch
 from mulberryhollow.serving import dispatcher as dispatching
+from mulberryhollow.serving import fact_peering
 from mulberryhollow.serving import forwarder
+from mulberryhollow.serving import rate_peering
 from mulberryhollow.state import catalogue
 from mulberryhollow.state import endpoints
 from tests import requests
@@ -27,6 +32,13 @@
 FIRST_COUNTED_S = 3.0
 
 SESSIONS = 64
+EVENT = b"id: 1\ndata: x\n\n"
+MEAN_DURATION_S = 0.4
+FACT_DELAY_S = 0.5
+FACT_LOSS = 0.1
+
+# Longest time until an instance learns of a change of the members.
+DETECTION_S = 2.0
 
 
 class InlineRef:
@@ -83,6 +95,29 @@
 
     def wire(self):
         """Connect what shares the rate among the instances."""
+        self.rates = rate_peering.RatePeering(
+            self, self.fleet.clock, self.dispatcher, sharing.Collectors()
+        )
+        self.rates.connect()
+        self.dispatcher.permits = self.rates
+        self.actor.on_rate_changed = self.publish_rate
+
+    def publish_rate(self, endpoint_id, rate_per_s):
+        """Tell most of the other instances, as the gossip of facts does."""
+        for other in self.fleet.instances.values():
+            is_lost = self.fleet.random.random() < FACT_LOSS
+            if other is self or is_lost or not self.fleet.reaches(self, other):
+                continue
+            self.fleet.schedule(
+                self.fleet.random.uniform(0.0, FACT_DELAY_S),
+                functools.partial(
+                    other.apply_rate_fact, endpoint_id, rate_per_s
+                ),
+            )
+
+    def apply_rate_fact(self, endpoint_id, rate_per_s):
+        observed_s = self.fleet.clock.now_s() - fact_peering.RATE_FACT_AGE_S
+        self.actor.observe_rate(endpoint_id, rate_per_s, observed_s)
 
     def local_member(self):
         return types.SimpleNamespace(
@@ -91,6 +126,8 @@
 
     def apply_members(self):
         """Apply the members that this instance reaches, shuffled."""
+        if not self.is_running:
+            return
         others = [
             each.local_member()
             for each in self.fleet.instances.values()
@@ -101,6 +138,7 @@
         self.collectors = sharing.choose_collectors(
             self.local_member(), tuple(others), live
         )
+        self.rates.apply_collectors(self.collectors)
 
     def handle(self, topic, handler):
         self.handlers[topic] = handler
@@ -126,11 +164,12 @@
         if endpoint.rate is not None:
             limit = messages.RateLimit(endpoint.rate)
             self.told_s.setdefault(attempt.call, now_s)
+        pieces = iter((EVENT, b""))
         head = messages.AnswerHead(200, (), "r1", rate_limit=limit)
         return types.SimpleNamespace(
             head=head,
             framing=messages.Framing.LENGTH,
-            read_piece=lambda timeout_s: b"",
+            read_piece=lambda timeout_s: next(pieces),
             close=lambda: None,
         )
 
@@ -140,6 +179,9 @@
     def record_begun(self, request):
         pass
 
+    def record_first(self, request, elapsed_s):
+        pass
+
     def record_end(self, request, outcome, elapsed_s):
         pass
 
@@ -159,6 +201,7 @@
 
     def __init__(self, size, endpoint_count, seed, domains=4):
         self.clock = clocks.ManualClock()
+        self.start_s = self.clock.now_s()
         self.random = random.Random(seed)
         self.domains = domains
         self.calls = 0
@@ -180,12 +223,65 @@
     def add_instance(self, index):
         instance = Instance(self, index)
         self.instances[instance.name] = instance
-        return instance
 
     def apply_members(self):
+        """Let all running instances learn the members at once."""
+        for instance in self.instances.values():
+            instance.apply_members()
+
+    def change_members(self):
+        """Let each running instance learn the members in its own time."""
         for instance in self.instances.values():
-            if instance.is_running:
-                instance.apply_members()
+            delay_s = self.random.uniform(0.0, DETECTION_S)
+            self.schedule(delay_s, instance.apply_members)
+
+    def find_owner(self, endpoint_id):
+        """Return the instance that grants the permits of an endpoint."""
+        names = membership.rank_by_rendezvous(
+            f"rate {endpoint_id}", self.instances
+        )
+        return self.instances[names[0]]
+
+    def kill_owner(self):
+        self.find_owner("e0").is_running = False
+        self.change_members()
+
+    def double(self):
+        count = len(self.instances)
+        for index in range(count, 2 * count):
+            self.schedule(
+                self.random.random(), lambda index=index: self.join(index)
+            )
+
+    def join(self, index):
+        self.add_instance(index)
+        self.change_members()
+
+    def cut_half(self):
+        for name in list(self.instances)[::2]:
+            self.cut[name] = "other side"
+        self.change_members()
+
+    def heal(self):
+        self.cut.clear()
+        self.change_members()
+
+    def isolate_all(self):
+        self.cut = {name: name for name in self.instances}
+        self.change_members()
+
+    def isolate_owner(self):
+        self.cut = {self.find_owner("e0").name: "alone"}
+        self.change_members()
+
+    def end_limits(self):
+        for endpoint in self.endpoints.values():
+            endpoint.rate = None
+
+    def halve_limits(self):
+        for endpoint in self.endpoints.values():
+            if endpoint.rate is not None:
+                endpoint.rate /= 2.0
 
     def reaches(self, one, other):
         """Return whether a running instance reaches another one."""
@@ -219,30 +315,32 @@
         self.clock.advance(until_s - self.clock.now_s())
 
     def _forward(self, instance, account):
-        """Forward one request with a shared prompt part at an instance."""
+        """Forward one stream; half of them share a part of their prompt."""
         session = self.random.choice(self._sessions)
+        chain = routing.PromptChain((session, ~session), (500, 600), 600, 1)
         now_s = self.clock.now_s()
         request = requests.make_request(
-            catalogue.RequestKind.NON_IDEMPOTENT,
+            catalogue.RequestKind.STREAM,
             arrived_s=now_s,
             deadline_s=now_s + 10.0,
             account=account,
-            chain=routing.PromptChain((session, ~session), (500, 600), 600, 1),
+            chain=self.random.choice((None, chain)),
         )
         try:
             forwarding = instance.forwarder.forward(request)
         except errors.RefusedError as error:
             self.refusals.append((now_s, account, error.refusal))
             return
-        forwarding.close()
         self.served.append((now_s, account))
+        duration_s = self.random.uniform(0.0, 2.0 * MEAN_DURATION_S)
+        self.schedule(duration_s, lambda: _finish(forwarding))
 
-    def count_worst(self, endpoint, since_s=FIRST_COUNTED_S):
+    def count_worst(self, endpoint):
         """Return the most counted requests in a window at an endpoint."""
         times = [
             at_s
             for at_s, is_counted in endpoint.arrivals
-            if is_counted and at_s >= since_s
+            if is_counted and at_s >= self.start_s + FIRST_COUNTED_S
         ]
         worst = 0
         first = 0
@@ -253,6 +351,12 @@
         return worst
 
 
+def _finish(forwarding):
+    """Read a stream to its end."""
+    collections.deque(forwarding.iterate(), maxlen=0)
+    forwarding.close()
+
+
 def allow(rate_per_s):
     """Return the number of requests that a rate allows in a window."""
     return TOLERATED_FACTOR * rate_per_s * WINDOW_S + TOLERATED_REQUESTS
--- a/tests/run.py
+++ b/tests/run.py
@@ -41,7 +41,10 @@
             yield feature["name"], feature["status"]
         for element in feature.get("elements", ()):
             if element["type"] != "background":
-                yield element["name"].strip(), element.get("status", "undefined")
+                yield (
+                    element["name"].strip(),
+                    element.get("status", "undefined"),
+                )
 
 
 def main():
--- a/tests/serving/quota_peering.feature
+++ b/tests/serving/quota_peering.feature
@@ -96,3 +96,14 @@
     And the second instance knows the endpoints e0 to e5
     When the first instance charges 400 tokens
     Then the charge is refused with a retry time
+
+  # Guards against a holder that sends the instances of a large fleet to an
+  # endpoint whose rate leaves no room, and against permits drawn twice.
+  Scenario: The permit of a limited endpoint is drawn where it is chosen
+    Given 3 instances with 1000 tokens of credit each
+    And the second and third instance hold the credit of the first
+    And the second instance knows the endpoints e0 to e5
+    And all of them name a rate and the second instance has permits for e2
+    When the first instance charges 10 tokens for prompts of 100 tokens, 5 times
+    Then the prompts were placed at 1 endpoints
+    And the permit came with each placement
--- a/tests/steps/platform_daemon.py
+++ b/tests/steps/platform_daemon.py
@@ -105,7 +105,25 @@
 
 @then("all of them are answered")
 def check_all_answered(context):
-    assert [each.status for each in context.answers] == [200] * 6
+    found = [each.status for each in context.answers]
+    assert found == [200] * len(found), found
+
+
+@when(
+    "e1 names a rate of {rate} requests a second and {count:d} requests are "
+    "sent"
+)
+def name_rate(context, rate, count):
+    context.site.endpoints["e1"].rate_limit = rate
+    context.answers = [
+        context.site.call("GET", "/safe/x") for _ in range(count)
+    ]
+
+
+@then("e1 has run at most {count:d} of them")
+def check_run_at_most(context, count):
+    received = context.site.endpoints["e1"].received
+    assert 1 <= len(received) <= count, len(received)
 
 
 @when("e1 drains and {count:d} requests are sent")
--- a/tests/steps/serving_quota_peering.py
+++ b/tests/steps/serving_quota_peering.py
@@ -212,6 +212,23 @@
     )
 
 
+@given(
+    "all of them name a rate and the second instance has permits for {allowed}"
+)
+def name_rates(context, allowed):
+    dispatcher = context.instances["second"].dispatcher
+    for number in range(6):
+        dispatcher.change(
+            lambda actor, now_s, number=number: actor.observe_rate(
+                f"e{number}", 1.0, now_s
+            )
+        )
+    dispatcher.permits = types.SimpleNamespace(
+        list_exhausted=lambda service, account: frozenset(),
+        acquire=lambda service, endpoint_id, account: endpoint_id == allowed,
+    )
+
+
 def place(context, cost, chain):
     now_s = context.clock.now_s()
     request = requests.make_request(
@@ -221,7 +238,13 @@
         arrived_s=now_s,
         deadline_s=now_s + 10.0,
     )
-    return context.instances["first"].peering.charge(request)
+    context.drawn = context.instances["first"].peering.charge(request)
+    return context.drawn.placement
+
+
+@then("the permit came with each placement")
+def check_permit(context):
+    assert context.drawn.has_permit, context.drawn
 
 
 @when(
