--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -11,6 +11,7 @@
 from mulberryhollow.coordination import membership
 from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import sharing
+from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.serving import caller_watch
@@ -40,6 +41,8 @@
 # Longest time until an instance learns of a change of the members.
 DETECTION_S = 2.0
 
+CONNECT_TIMEOUT_S = 0.3
+
 
 class InlineRef:
     """Passes the messages for an actor to it in the calling thread."""
@@ -155,6 +158,7 @@
 
     def open(self, attempt, on_channel):
         """Answer an attempt at once, as the endpoint's client."""
+        self.fleet.check_path(self, attempt)
         endpoint = self.fleet.endpoints[attempt.call]
         now_s = self.fleet.clock.now_s()
         told_s = self.told_s.get(attempt.call, now_s)
@@ -174,7 +178,7 @@
         )
 
     def is_alive(self, address):
-        return True
+        return self.name not in self.fleet.lost_paths
 
     def record_begun(self, request):
         pass
@@ -206,12 +210,15 @@
         self.domains = domains
         self.calls = 0
         self.cut = {}
+        self.lost_paths = {}
         self.endpoints = {
             f"e{number}": Endpoint(f"e{number}")
             for number in range(endpoint_count)
         }
         self.instances = {}
         self.served = []
+        self.served_at = collections.Counter()
+        self.refused_at = collections.Counter()
         self.refusals = []
         self._sessions = [self.random.getrandbits(64) for _ in range(SESSIONS)]
         self._events = []
@@ -288,6 +295,21 @@
         same_side = self.cut.get(one.name) == self.cut.get(other.name)
         return one.is_running and other.is_running and same_side
 
+    def check_path(self, instance, attempt):
+        """Fail an attempt of an instance that is cut off from endpoints."""
+        kind = self.lost_paths.get(instance.name)
+        if kind == "refused":
+            fault = streams.NotSent("connection refused")
+            raise errors.EndpointError(fault)
+        if kind == "silent":
+            self.clock.advance(min(CONNECT_TIMEOUT_S, attempt.wait_s))
+            raise errors.EndpointError(streams.NotSent("timed out"))
+
+    def lose_paths(self, count, kind):
+        """Cut some instances off from all endpoints."""
+        for name in list(self.instances)[:count]:
+            self.lost_paths[name] = kind
+
     def schedule(self, delay_s, call):
         """Run a call after a delay of the simulated clock."""
         at_s = self.clock.now_s() + delay_s
@@ -330,7 +352,9 @@
             forwarding = instance.forwarder.forward(request)
         except errors.RefusedError as error:
             self.refusals.append((now_s, account, error.refusal))
+            self.refused_at[instance.name] += 1
             return
+        self.served_at[instance.name] += 1
         self.served.append((now_s, account))
         duration_s = self.random.uniform(0.0, 2.0 * MEAN_DURATION_S)
         self.schedule(duration_s, lambda: _finish(forwarding))
--- /dev/null
+++ b/tests/steps/serving_peer_forwarding.py
@@ -0,0 +1,49 @@
+from behave import given
+from behave import then
+from behave import when
+
+from tests import rate_fleet
+
+SEEDS = (1, 2)
+
+
+@given("{members:d} instances before {count:d} endpoints")
+def make_fleets(context, members, count):
+    context.fleets = [
+        rate_fleet.RateFleet(members, count, seed) for seed in SEEDS
+    ]
+
+
+@when("{count:d} instances lose all endpoints, whose connections are {kind}")
+def lose_paths(context, count, kind):
+    for fleet in context.fleets:
+        fleet.lose_paths(count, kind)
+
+
+@when("the count of answers begins anew")
+def restart_count(context):
+    for fleet in context.fleets:
+        fleet.served_at.clear()
+        fleet.refused_at.clear()
+
+
+def get_served_fraction(fleet, names):
+    served = sum(fleet.served_at[name] for name in names)
+    return served / (served + sum(fleet.refused_at[name] for name in names))
+
+
+@then(
+    "the instances that are cut off serve at least {fraction:g} of their "
+    "requests"
+)
+def check_cut_off(context, fraction):
+    for fleet in context.fleets:
+        found = get_served_fraction(fleet, fleet.lost_paths)
+        assert found >= fraction, found
+
+
+@then("the others serve all of theirs")
+def check_others(context):
+    for fleet in context.fleets:
+        others = fleet.instances.keys() - fleet.lost_paths.keys()
+        assert get_served_fraction(fleet, others) == 1.0, fleet.refusals[:3]
