Forward through a peer while no endpoint is reached

Cause: an instance that reaches no endpoint had no other way. Ruled out: endpoints that are full or gone, and records that the others keep of them.

Change: connections to two endpoints that cannot be opened, without a new one opened in between, make an instance believe that its paths to the service are lost. Until one of the tests it then makes succeeds, a peer forwards: one hop, the request as it was checked and charged, with the rest of its deadline; the answer comes back piece by piece and unchanged. A peer that reaches none either says so at once. The belief is the instance's own: no endpoint's record changes at the others, and its own circuits close when the paths are back. Weighed, not chosen: becoming unready (open connections stay, and a cut of most of a failure domain would swamp the rest).

--- a/mulberryhollow/coordination/forwarding/__init__.py
+++ b/mulberryhollow/coordination/forwarding/__init__.py
@@ -7,12 +7,15 @@
 from mulberryhollow.coordination.forwarding.decision import refuse_expired
 from mulberryhollow.coordination.forwarding.decision import refuse_no_capacity
 from mulberryhollow.coordination.forwarding.decision import TryNextEndpoint
+from mulberryhollow.coordination.forwarding.reachability import EndpointPaths
 from mulberryhollow.coordination.forwarding.timeouts import get_event_timeout_s
 from mulberryhollow.coordination.forwarding.timeouts import get_head_timeout_s
+from mulberryhollow.coordination.forwarding.timeouts import get_peer_timeout_s
 from mulberryhollow.coordination.forwarding.timeouts import MIN_REMAINING_S
 
 __all__ = [
     "Attempts",
+    "EndpointPaths",
     "FailRequest",
     "MAX_OFFERS",
     "MIN_REMAINING_S",
@@ -20,6 +23,7 @@
     "decide_next",
     "get_event_timeout_s",
     "get_head_timeout_s",
+    "get_peer_timeout_s",
     "refuse_expired",
     "refuse_no_capacity",
 ]
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -3,6 +3,7 @@
 import functools
 import hashlib
 import json
+import random
 import threading
 import zlib
 
@@ -19,6 +20,7 @@
 from mulberryhollow.platform import endpoints
 from mulberryhollow.platform import records
 from mulberryhollow.platform import store
+from mulberryhollow.protocol import peer_requests
 from mulberryhollow.serving import aggregate_peering
 from mulberryhollow.serving import caller_watch
 from mulberryhollow.serving import dispatcher as dispatching
@@ -33,6 +35,7 @@
 from mulberryhollow.serving import observed_store
 from mulberryhollow.serving import observer as observing
 from mulberryhollow.serving import orders
+from mulberryhollow.serving import peer_forwarding
 from mulberryhollow.serving import pollers
 from mulberryhollow.serving import quota_peering
 from mulberryhollow.serving import rate_peering
@@ -116,6 +119,9 @@
 An entry expires if it is not written again after a store outage.
 """
 
+PATH_TEST_INTERVAL_S = 0.25
+"""Interval between tests of lost paths to endpoints, in seconds."""
+
 OUT_OF_ROTATION_S = 2.5
 """Time until an unready instance is out of rotation, in seconds.
 
@@ -202,7 +208,11 @@
             lambda: self._fact_peering.collectors,
             self._store_relay,
         )
+        self._codec = endpoints.EndpointCodec()
+        self._client = forwarding.ForwardClient(self._codec, self._clock)
+        self._peer_forwarding = self._make_peer_forwarding()
         self.ingress = self._make_ingress()
+        self._peer_ingress = self._make_peer_ingress()
         self._servers = self._make_servers()
         self._stored_quarantine = stored_quarantine.StoredQuarantine(
             self._store, clock, self.dispatcher
@@ -237,18 +247,24 @@
         begin_s = self._clock.now_s()
         end_s = begin_s + self._settings.bounds.grace_s - EXIT_MARGIN_S
         self._is_leaving = True
-        server = self._servers["callers"]
-        http_server.begin_leaving(server)
+        servers = [self._servers["callers"], self._servers["peers"]]
+        for server in servers:
+            http_server.begin_leaving(server)
+        self._peer_ingress.close()
         self._release_duties()
         self._wait(begin_s + OUT_OF_ROTATION_S)
         # The load balancer may keep sending callers to an instance out of
         # rotation if few instances are in rotation. Requests that arrive
         # from here on are refused.
         self.ingress.close()
-        while self._clock.now_s() < end_s and server.active_channels:
-            http_server.close_idle(server, self._clock.wall_s())
+        while self._clock.now_s() < end_s and any(
+            server.active_channels for server in servers
+        ):
+            for server in servers:
+                http_server.close_idle(server, self._clock.wall_s())
             self._wait(self._clock.now_s() + _DRAIN_POLL_INTERVAL_S)
-        http_server.stop_accepting(server)
+        for server in servers:
+            http_server.stop_accepting(server)
         for loop in self._loops:
             loop.stop()
         self._peers.leave()
@@ -383,23 +399,52 @@
 
     def _make_ingress(self):
         """Return the Ingress, which accepts callers' requests."""
-        codec = endpoints.EndpointCodec()
-        request_forwarder = forwarder.Forwarder(
+        request_forwarder = self._make_forwarder(
+            recorder.ForwardRecorder(self.observer, self._usage_ledger),
+            self._peer_forwarding,
+        )
+        return ingress.Ingress(
+            ingress.IngressDependencies(
+                request_forwarder, self._clock, self._quota_peering
+            )
+        )
+
+    def _make_forwarder(self, request_recorder, peers):
+        """Return a Forwarder with the given recorder and peers."""
+        return forwarder.Forwarder(
             forwarder.ForwardDependencies(
                 dispatcher=self.dispatcher,
-                client=forwarding.ForwardClient(codec, self._clock),
-                codec=codec,
+                client=self._client,
+                codec=self._codec,
                 clock=self._clock,
                 watch=self._caller_watch,
-                recorder=recorder.ForwardRecorder(
-                    self.observer, self._usage_ledger
-                ),
+                recorder=request_recorder,
+                peers=peers,
             )
         )
-        return ingress.Ingress(
-            ingress.IngressDependencies(
-                request_forwarder, self._clock, self._quota_peering
-            )
+
+    def _make_peer_forwarding(self):
+        """Return the PeerForwarding, for when no endpoint is reached."""
+        port = self._settings.metrics_port
+        return peer_forwarding.PeerForwarding(
+            self.dispatcher,
+            forwarding.ForwardClient(peer_forwarding.PeerCodec(), self._clock),
+            self._client,
+            self._clock,
+            lambda: self._fact_peering.usable,
+            lambda member: f"{member.peer_address.rpartition(':')[0]}:{port}",
+            random.Random(zlib.crc32(self._settings.instance.encode())),
+        )
+
+    def _make_peer_ingress(self):
+        """Return the PeerIngress, which accepts the requests of peers."""
+        return peer_forwarding.PeerIngress(
+            self._make_forwarder(
+                peer_forwarding.SilentRecorder(),
+                peer_forwarding.OwnPathsOnly(self._peer_forwarding),
+            ),
+            self._clock,
+            self._peer_forwarding.is_lost,
         )
 
     def _make_followers(self):
@@ -429,6 +474,19 @@
                 MAX_CONCURRENT_REQUESTS,
                 settings.max_files,
             ),
+            "peers": http_server.make_server(
+                http_server.PathApp(
+                    peer_requests.PATH,
+                    http_server.ForwardApp(
+                        self._peer_ingress, peer_forwarding.PeerCodec()
+                    ),
+                    http_server.PageApp({"/metrics": self._render_metrics}),
+                ),
+                f"{settings.ip}:{settings.metrics_port}",
+                MAX_CONCURRENT_REQUESTS,
+                settings.max_files,
+                initial_threads=1,
+            ),
             "pages": http_server.make_page_server(
                 {
                     "/v1/readyz": self._render_ready,
@@ -436,7 +494,6 @@
                     registry.MEMBER_PATH: self._render_member,
                 },
                 settings.ready_address,
-                f"{settings.ip}:{settings.metrics_port}",
                 *filter(None, [settings.control_address]),
             ),
         }
@@ -468,6 +525,11 @@
                         interval_s=EXPIRY_INTERVAL_S,
                         call=self._fleet_watcher.expire,
                     ),
+                    make(
+                        "paths",
+                        interval_s=PATH_TEST_INTERVAL_S,
+                        call=self._peer_forwarding.tick,
+                    ),
                     make(
                         "peers",
                         interval_s=MEMBERSHIP_INTERVAL_S,
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -946,8 +946,13 @@
         if rate_limit is None:
             if route.rate_per_s is not None:
                 self._actor.tell(_ReportRate(route.endpoint_id, None))
-        elif rate_limit.per_s is not None:
-            self._actor.tell(_ReportRate(route.endpoint_id, rate_limit.per_s))
+        else:
+            self.report_named_rate(route.endpoint_id, rate_limit)
+
+    def report_named_rate(self, endpoint_id, rate_limit):
+        """Report the RateLimit that an endpoint names, if it can be read."""
+        if rate_limit.per_s is not None:
+            self._actor.tell(_ReportRate(endpoint_id, rate_limit.per_s))
 
     def get_pause_s(self, service, account=""):
         """Return the time until an endpoint of a service wants work again.
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -8,10 +8,12 @@
 from mulberryhollow.coordination import forwarding as decisions
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
+from mulberryhollow.protocol import peer_requests
 from mulberryhollow.serving import answers
 from mulberryhollow.serving import attempts
 from mulberryhollow.serving import forward_log
 from mulberryhollow.serving.observer import Outcome
+from mulberryhollow.serving import peer_forwarding
 from mulberryhollow.state import endpoints
 from mulberryhollow.transport import forwarding as transport
 
@@ -43,6 +45,8 @@
         and latencies.
     buffers : AnswerBuffers
         Budget of the memory for answers that are not streams.
+    peers : PeerForwarding or NoPeers
+        Peers that forward while this instance reaches no endpoint.
     """
 
     dispatcher: object
@@ -52,6 +56,7 @@
     watch: object
     recorder: object
     buffers: answers.AnswerBuffers = attrs.field(factory=answers.AnswerBuffers)
+    peers: object = attrs.field(factory=peer_forwarding.NoPeers)
 
 
 class Forwarder:
@@ -125,6 +130,9 @@
         self._is_gone = is_gone
         self._attempts = decisions.Attempts()
         self._excluded = set()
+        self._asked_peers = set()
+        self._unsent = 0
+        self._needs_peer = False
         self._route = None
         self._answer = None
         self._first_piece = b""
@@ -182,6 +190,11 @@
             if piece:
                 yield piece
 
+    @property
+    def endpoint_id(self):
+        """Id of the endpoint that was chosen last; empty for none."""
+        return self._chosen.endpoint_id if self._chosen else ""
+
     def close(self):
         """Release all resources and record the outcome."""
         dependencies = self._dependencies
@@ -219,11 +232,16 @@
         now_s = self._dependencies.clock.now_s()
         if request.deadline_s - now_s < decisions.MIN_REMAINING_S:
             raise errors.RefusedError(decisions.refuse_expired(self._attempts))
+        is_lost = self._dependencies.peers.is_lost(request.service)
+        if (is_lost or self._needs_peer) and self._choose_peer():
+            return self._route
         try:
             self._route = self._dependencies.dispatcher.choose_endpoint(
                 request.to_route_request(), self._excluded
             )
         except errors.RefusedError as error:
+            if self._has_reached_none() and self._choose_peer():
+                return self._route
             pause_s = self._dependencies.dispatcher.get_pause_s(
                 request.service, request.account
             )
@@ -233,6 +251,28 @@
         self._chosen = self._route.chosen
         return self._route
 
+    def _choose_peer(self):
+        """Let a peer forward the next attempt; return whether there is one.
+
+        Raises
+        ------
+        RefusedError
+            When the peers that were asked could not forward it.
+        """
+        route = self._dependencies.peers.choose(self._asked_peers)
+        if route is None:
+            if self._asked_peers:
+                raise errors.RefusedError(self._refuse_no_capacity())
+            return False
+        self._asked_peers.add(route.name)
+        self._route = route
+        return True
+
+    def _has_reached_none(self):
+        """Return whether attempts were made and none reached an endpoint."""
+        has_tried = 0 < self._attempts.offers == self._unsent
+        return has_tried and not self._asked_peers
+
     def _begin_answer(self, route):
         """Send an attempt and read the head or the whole of its answer.
 
@@ -266,6 +306,8 @@
 
     def _open(self, route):
         """Send the request; return an OpenAnswer if the endpoint runs it."""
+        if isinstance(route, peer_forwarding.PeerRoute):
+            return self._open_at_peer(route)
         request = self._request
         now_s = self._dependencies.clock.now_s()
         call = self._dependencies.codec.encode_call(
@@ -280,7 +322,13 @@
             decisions.get_head_timeout_s(request, self._attempts.runs, now_s),
             is_fresh=not request.kind.is_repeatable,
         )
-        answer = self._dependencies.client.open(attempt, self._set_channel)
+        peers = self._dependencies.peers
+        try:
+            answer = self._dependencies.client.open(attempt, self._set_channel)
+        except errors.EndpointError as error:
+            peers.record_failure(route, error.fault)
+            raise
+        peers.record_answer(route.service, answer.is_new_connection)
         self._dependencies.dispatcher.report_load(route, answer.head.load)
         if answer.head.is_leaving:
             self._dependencies.dispatcher.report_leaving(route.endpoint_id)
@@ -300,6 +348,52 @@
             raise errors.EndpointError(_classify_refusal(answer.head))
         return answer
 
+    def _open_at_peer(self, route):
+        """Send the request to a peer, which forwards it to an endpoint.
+
+        Raises
+        ------
+        RefusedError
+            With the refusal of the peer.
+        """
+        request = self._request
+        now_s = self._dependencies.clock.now_s()
+        timeout_s = decisions.get_peer_timeout_s(
+            request, self._attempts.runs, now_s
+        )
+        attempt = transport.Attempt(
+            route.address,
+            peer_requests.encode_call(
+                request,
+                request.deadline_s - now_s,
+                self._reader.assembly.last_id,
+            ),
+            timeout_s,
+            is_fresh=not request.kind.is_repeatable,
+        )
+        peers = self._dependencies.peers
+        answer = peers.client.open(attempt, self._set_channel)
+        self._answer = answer
+        self._reader.framing = answer.framing
+        head = answer.head
+        if head.refusal is not None:
+            self._reader.drain(answer)
+            self._close_answer()
+            if head.refusal.kind is errors.RefusalKind.LEAVING:
+                fault = streams.NotSent(head.refusal.message)
+                raise errors.EndpointError(fault)
+            raise errors.RefusedError(head.refusal)
+        self._report_passed_on(head)
+        return answer
+
+    def _report_passed_on(self, head):
+        """Report what an endpoint says to the caller through a peer."""
+        dispatcher = self._dependencies.dispatcher
+        if head.is_leaving:
+            dispatcher.report_leaving(head.endpoint_id)
+        if head.rate_limit is not None:
+            dispatcher.report_named_rate(head.endpoint_id, head.rate_limit)
+
     def _set_channel(self, channel):
         """Store the channel of the attempt, so that `_abort` can close it."""
         self._channel = channel
@@ -320,7 +414,7 @@
             self._check_deadline()
             piece = self._read_events()
         now_s = self._dependencies.clock.now_s()
-        if self._route is not None:
+        if isinstance(self._route, attempts.Route):
             self._dependencies.dispatcher.report_first_token(
                 self._route, now_s - self._route.work.started_at_s
             )
@@ -379,9 +473,14 @@
     def _fail(self, fault, is_answering=False):
         """Release a failed attempt and report its fault."""
         self._close_answer()
+        if isinstance(self._route, peer_forwarding.PeerRoute):
+            self._release_route(has_failed=not self._is_aborted)
+            self._attempts.record(fault)
+            return
         route, self._route = self._route, None
         self._excluded.add(route.endpoint_id)
         self._attempts.record(fault)
+        self._unsent += isinstance(fault, streams.NotSent)
         if self._is_aborted:
             self._dependencies.dispatcher.finish(route)
             raise errors.CallerDisconnectedError
@@ -412,7 +511,9 @@
         )
         match decision:
             case decisions.FailRequest(refusal):
-                raise errors.RefusedError(refusal)
+                self._needs_peer = self._has_reached_none()
+                if not self._needs_peer:
+                    raise errors.RefusedError(refusal)
             case decisions.TryNextEndpoint(draws_budget=True):
                 if not self._dependencies.dispatcher.spend_retry(
                     self._request.service
@@ -452,11 +553,14 @@
         if answer is not None:
             answer.close()
 
-    def _release_route(self):
-        """Release the route of an attempt that did not fail."""
+    def _release_route(self, has_failed=False):
+        """Release the route of an attempt that ended, or of a peer's."""
         route, self._route = self._route, None
-        if route is not None:
-            self._dependencies.dispatcher.finish(route)
+        match route:
+            case peer_forwarding.PeerRoute():
+                self._dependencies.peers.release(route, has_failed)
+            case attempts.Route():
+                self._dependencies.dispatcher.finish(route)
 
 
 def _classify_refusal(head):
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -386,6 +386,14 @@
         if not was_closed:
             self._index(record)
 
+    def close_circuits(self, service):
+        """Close the circuits of a service that is reached again."""
+        for record in self._records.values():
+            is_open = record.circuit.state is not CircuitState.CLOSED
+            if record.endpoint.service == service and is_open:
+                record.circuit.record_success()
+                self._index(record)
+
     def advance(self, now_s):
         """End the openings of circuits and the pauses that have passed."""
         while self._schedule and self._schedule[0][0] <= now_s:
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -98,7 +98,7 @@
             NotSent when no byte has been sent; any other fault when the
             request may have run.
         """
-        channel = self._acquire_channel(attempt)
+        channel, is_new = self._acquire_channel(attempt)
         try:
             on_channel(channel)
             channel.send(attempt.call, attempt.wait_s)
@@ -106,7 +106,7 @@
         except BaseException:
             channel.close()
             raise
-        return OpenAnswer(head, channel, attempt.address, self._pool)
+        return OpenAnswer(head, channel, attempt.address, self._pool, is_new)
 
     def is_alive(self, address):
         """Return whether an endpoint accepts connections."""
@@ -119,12 +119,12 @@
         return True
 
     def _acquire_channel(self, attempt):
-        """Return the channel on which to send an attempt."""
+        """Return the channel for an attempt, and whether it is new."""
         connect_s = min(CONNECT_TIMEOUT_S, attempt.wait_s)
         if attempt.is_fresh:
-            return channels.EndpointChannel.open(attempt.address, connect_s)
-        channel, _ = self._pool.acquire(attempt.address, connect_s, connect_s)
-        return channel
+            channel = channels.EndpointChannel.open(attempt.address, connect_s)
+            return channel, True
+        return self._pool.acquire(attempt.address, connect_s, connect_s)
 
     def _receive_head(self, channel, attempt):
         """Return the head of the response, skipping stale answers.
@@ -177,6 +177,8 @@
         ``host:port`` of the endpoint.
     pool : ConnectionPool
         Receives the channel once the body has been read.
+    is_new_connection : bool
+        Whether the channel was opened for this request.
 
     Attributes
     ----------
@@ -184,8 +186,9 @@
         What marks the end of the body.
     """
 
-    def __init__(self, head, channel, address, pool):
+    def __init__(self, head, channel, address, pool, is_new_connection):
         self.head = head
+        self.is_new_connection = is_new_connection
         self.framing = channel.framing
         self._channel = channel
         self._address = address
--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -19,6 +19,7 @@
 __all__ = [
     "ForwardApp",
     "PageApp",
+    "PathApp",
     "Reply",
     "apply_limits",
     "begin_leaving",
@@ -151,6 +152,29 @@
         return _send(start_response, page() if page else Reply(404))
 
 
+class PathApp:
+    """WSGI application that passes one path to another application.
+
+    Parameters
+    ----------
+    path : str
+        The path.
+    app, other_app : callable
+        The WSGI applications for this path and for all others.
+    """
+
+    def __init__(self, path, app, other_app):
+        self._path = path
+        self._app = app
+        self._other_app = other_app
+
+    def __call__(self, environ, start_response):
+        """Answer one request."""
+        is_path = environ["PATH_INFO"] == self._path
+        app = self._app if is_path else self._other_app
+        return app(environ, start_response)
+
+
 class _ResponseBody:
     """Response body that is read from an endpoint piece by piece.
 
@@ -252,10 +276,10 @@
     memory and start-up time.
     """
 
-    def __init__(self, max_threads):
+    def __init__(self, max_threads, initial_threads):
         super().__init__()
         self._max_threads = max_threads
-        self.set_thread_count(min(INITIAL_THREADS, max_threads))
+        self.set_thread_count(min(initial_threads, max_threads))
 
     def add_task(self, task):
         """Queue a request; add threads when none is free for it."""
@@ -270,24 +294,28 @@
             )
 
 
-def make_server(app, address, threads, max_files):
+def make_server(
+    app, address, threads, max_files, initial_threads=INITIAL_THREADS
+):
     """Return a waitress server for callers.
 
     Parameters
     ----------
-    app : ForwardApp
-        The application.
+    app : callable
+        The WSGI application.
     address : str
         ``host:port`` to listen on.
     threads : int
         Largest number of worker threads: requests forwarded concurrently.
     max_files : int
         Limit on open file descriptors of the process.
+    initial_threads : int
+        Number of worker threads at the start.
     """
     server = waitress.create_server(
         app,
         listen=address,
-        _dispatcher=_GrowingDispatcher(threads),
+        _dispatcher=_GrowingDispatcher(threads, initial_threads),
         backlog=BACKLOG,
         connection_limit=max(100, max_files - RESERVED_FILES),
         channel_request_lookahead=1,
--- a/tests/platform/daemon.feature
+++ b/tests/platform/daemon.feature
@@ -68,6 +68,21 @@
     When e1 loses its answers and 6 GET /safe/x are sent
     Then all of them are answered by e2
 
+  # Guards against an answer that changes on its way through a peer.
+  Scenario Outline: The request of a peer that reaches no endpoint is forwarded
+    When a peer forwards a <kind> <path> that belongs to account "acme"
+    Then the peer gets the endpoint's answer to <path> unchanged
+    And the endpoint received the account and its own id
+
+    Examples:
+      | kind            | path      |
+      | NON_IDEMPOTENT  | /once/x   |
+      | STREAM          | /stream/x |
+
+  Scenario: What is no request of a peer is refused
+    When a peer sends a body that is no request
+    Then the peer is told that it is malformed and no endpoint has run it
+
   Scenario: An idle instance has few threads
     When a GET /safe/x, a POST /once/x and a GET /stream/x are sent
     And 40 peers connect to the instance
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -18,6 +18,7 @@
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import fact_peering
 from mulberryhollow.serving import forwarder
+from mulberryhollow.serving import peer_forwarding
 from mulberryhollow.serving import rate_peering
 from mulberryhollow.state import catalogue
 from mulberryhollow.state import endpoints
@@ -42,6 +43,7 @@
 DETECTION_S = 2.0
 
 CONNECT_TIMEOUT_S = 0.3
+PATH_TEST_INTERVAL_S = 0.25
 
 
 class InlineRef:
@@ -77,6 +79,8 @@
         self.subscribers = {}
         self.told_s = {}
         self.collectors = None
+        self.members = ()
+        self.forwarded = 0
         actor = dispatching.DispatchActor(fleet.clock, index)
         ref = InlineRef(actor)
         self.actor = actor
@@ -84,17 +88,70 @@
         listings = [each.listing for each in fleet.endpoints.values()]
         actor.view.apply_list(listings, fleet.clock.now_s())
         actor.shares.set_service_shares({"s": {"v1": 1.0}})
-        self.forwarder = forwarder.Forwarder(
+        self.peers = peer_forwarding.PeerForwarding(
+            self.dispatcher,
+            types.SimpleNamespace(open=self.open_at_peer),
+            self,
+            fleet.clock,
+            lambda: self.members,
+            lambda member: member.instance_id,
+            random.Random(index),
+        )
+        self.forwarder = self.make_forwarder(self, self.peers)
+        self.peer_ingress = peer_forwarding.PeerIngress(
+            self.make_forwarder(
+                peer_forwarding.SilentRecorder(),
+                peer_forwarding.OwnPathsOnly(self.peers),
+            ),
+            fleet.clock,
+            self.peers.is_lost,
+        )
+        self.wire()
+
+    def make_forwarder(self, recorder, peers):
+        return forwarder.Forwarder(
             forwarder.ForwardDependencies(
                 self.dispatcher,
                 self,
                 self,
-                fleet.clock,
-                caller_watch.CallerWatch(fleet.clock),
-                self,
+                self.fleet.clock,
+                caller_watch.CallerWatch(self.fleet.clock),
+                recorder,
+                peers=peers,
             )
         )
-        self.wire()
+
+    def open_at_peer(self, attempt, on_channel):
+        """Pass a request to a peer, as the client of peers does."""
+        self.fleet.peer_requests += 1
+        codec = peer_forwarding.PeerCodec()
+        other = self.fleet.instances[attempt.address]
+        if not self.fleet.reaches(self, other):
+            raise errors.EndpointError(streams.NotSent("no connection"))
+        other.forwarded += 1
+        try:
+            forwarding = other.peer_ingress.accept(
+                attempt.call.body, lambda: False
+            )
+        except errors.RefusedError as error:
+            reply = codec.encode_refusal(error.refusal)
+            return types.SimpleNamespace(
+                head=codec.decode_head(reply.status, reply.headers),
+                framing=messages.Framing.LENGTH,
+                read_piece=lambda timeout_s: b"",
+                close=lambda: None,
+            )
+        pieces = forwarding.iterate()
+        head = codec.decode_head(
+            forwarding.head.status, forwarding.head.headers
+        )
+        assert head.request_id == attempt.call.request_id, head
+        return types.SimpleNamespace(
+            head=head,
+            framing=messages.Framing.CHUNKS,
+            read_piece=lambda timeout_s: next(pieces, b""),
+            close=forwarding.close,
+        )
 
     def wire(self):
         """Connect what shares the rate among the instances."""
@@ -137,6 +194,7 @@
             if each is not self and self.fleet.reaches(self, each)
         ]
         self.fleet.random.shuffle(others)
+        self.members = tuple(others)
         live = len(self.fleet.instances)
         self.collectors = sharing.choose_collectors(
             self.local_member(), tuple(others), live
@@ -173,6 +231,7 @@
         return types.SimpleNamespace(
             head=head,
             framing=messages.Framing.LENGTH,
+            is_new_connection=True,
             read_piece=lambda timeout_s: next(pieces),
             close=lambda: None,
         )
@@ -209,6 +268,7 @@
         self.random = random.Random(seed)
         self.domains = domains
         self.calls = 0
+        self.peer_requests = 0
         self.cut = {}
         self.lost_paths = {}
         self.endpoints = {
@@ -309,6 +369,13 @@
         """Cut some instances off from all endpoints."""
         for name in list(self.instances)[:count]:
             self.lost_paths[name] = kind
+        self._test_paths()
+
+    def _test_paths(self):
+        """Let instances test their lost paths, as one of their loops does."""
+        for instance in self.instances.values():
+            instance.peers.tick()
+        self.schedule(PATH_TEST_INTERVAL_S, self._test_paths)
 
     def schedule(self, delay_s, call):
         """Run a call after a delay of the simulated clock."""
--- a/tests/serving/peer_forwarding.feature
+++ b/tests/serving/peer_forwarding.feature
@@ -20,3 +20,37 @@
       | 8       | 1   | 40   | silent  |
       | 8       | 4   | 20   | silent  |
       | 200     | 100 | 100  | refused |
+
+  Scenario: Nothing is sent to peers while the endpoints are reached
+    Given 8 instances before 6 endpoints
+    When 40 requests a second arrive for 10 seconds
+    Then no request is sent to a peer
+
+  # Guards against an instance that goes on without its own paths after a cut,
+  # or whose circuits stay open.
+  Scenario Outline: An instance whose paths are back uses them
+    Given 8 instances before 6 endpoints
+    When <cut> instances lose all endpoints, whose connections are <kind>
+    And 40 requests a second arrive for 5 seconds
+    And all paths to the endpoints are back
+    And 40 requests a second arrive for 0.5 seconds
+    And the count of answers begins anew
+    And 40 requests a second arrive for 10 seconds
+    Then no request is sent to a peer
+    And all instances serve all of their requests
+
+    Examples:
+      | cut | kind    |
+      | 4   | refused |
+      | 1   | silent  |
+      | 8   | refused |
+
+  # Guards against requests that circle among instances of a service that is
+  # gone: no instance passes on the request of another one.
+  Scenario: A service that nobody reaches is refused
+    Given 8 instances before 6 endpoints
+    When 8 instances lose all endpoints, whose connections are refused
+    And 40 requests a second arrive for 3 seconds
+    And the count of answers begins anew
+    And 40 requests a second arrive for 10 seconds
+    Then all requests are refused as not run, each after 4 peers or fewer
--- a/tests/steps/platform_daemon.py
+++ b/tests/steps/platform_daemon.py
@@ -7,6 +7,11 @@
 from behave import then
 from behave import when
 
+from mulberryhollow import errors
+from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.protocol import peer_requests
+from mulberryhollow.state import catalogue
+from tests import requests
 from tools import platform_site
 
 SETTLING_S = 1.0
@@ -249,3 +254,50 @@
 def check_threads(context, count):
     time.sleep(SETTLING_S)
     assert context.site.count_threads() <= count, context.site.count_threads()
+
+
+@when('a peer forwards a {kind} {path} that belongs to account "acme"')
+def forward_from_peer(context, kind, path):
+    headers = (("Attempt-Id", "r1"), ("X-Own", "1"))
+    request = requests.make_request(
+        catalogue.RequestKind[kind],
+        account="acme",
+        payload=messages.Payload("POST", path, headers, b"body"),
+    )
+    call = peer_requests.encode_call(request, 5.0, "")
+    context.answer = context.site.forward(call.body)
+
+
+@then("the peer gets the endpoint's answer to {path} unchanged")
+def check_forwarded(context, path):
+    answer = context.answer
+    head = peer_requests.decode_head(answer.status, answer.getheaders())
+    seal = dict(head.headers).get("Response-Seal", "")
+    assert (head.status, head.request_id) == (200, "r1"), (head, answer.data)
+    assert seal.split()[1] in head.endpoint_id, (seal, head)
+    if path.startswith("/stream"):
+        events = b"".join(b"id: %d\ndata: x\n\n" % n for n in (1, 2, 3))
+        assert answer.data == events, answer.data
+    else:
+        assert answer.data.startswith(b"answer of "), answer.data
+
+
+@then("the endpoint received the account and its own id")
+def check_received_account(context):
+    (seen,) = context.site.list_executed_requests()
+    assert (seen["Tenant"], seen["X-Own"]) == ("acme", "1"), seen
+    assert seen["Expect-Instance"] in context.site.endpoints, seen
+    assert seen["body"] == b"body", seen
+
+
+@when("a peer sends a body that is no request")
+def send_malformed(context):
+    context.answer = context.site.forward(b"{}")
+
+
+@then("the peer is told that it is malformed and no endpoint has run it")
+def check_malformed(context):
+    answer = context.answer
+    head = peer_requests.decode_head(answer.status, answer.getheaders())
+    assert head.refusal.kind is errors.RefusalKind.MALFORMED, head
+    assert not context.site.list_executed_requests()
--- a/tests/steps/serving_crashing_parts.py
+++ b/tests/steps/serving_crashing_parts.py
@@ -101,6 +101,8 @@
 
 
 class Answer:
+    is_new_connection = True
+
     """A stream of one event."""
 
     def __init__(self):
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -55,6 +55,8 @@
 class Answer:
     """A scripted answer that may end with a fault."""
 
+    is_new_connection = True
+
     def __init__(self, head, pieces, fault, framing=messages.Framing.LENGTH):
         self.framing = framing
         self.head = head
--- a/tests/steps/serving_peer_forwarding.py
+++ b/tests/steps/serving_peer_forwarding.py
@@ -2,6 +2,7 @@
 from behave import then
 from behave import when
 
+from mulberryhollow import errors
 from tests import rate_fleet
 
 SEEDS = (1, 2)
@@ -20,11 +21,19 @@
         fleet.lose_paths(count, kind)
 
 
+@when("all paths to the endpoints are back")
+def restore_paths(context):
+    for fleet in context.fleets:
+        fleet.lost_paths.clear()
+
+
 @when("the count of answers begins anew")
 def restart_count(context):
     for fleet in context.fleets:
         fleet.served_at.clear()
         fleet.refused_at.clear()
+        fleet.refusals.clear()
+        fleet.peer_requests = 0
 
 
 def get_served_fraction(fleet, names):
@@ -47,3 +56,26 @@
     for fleet in context.fleets:
         others = fleet.instances.keys() - fleet.lost_paths.keys()
         assert get_served_fraction(fleet, others) == 1.0, fleet.refusals[:3]
+
+
+@then("no request is sent to a peer")
+def check_no_peer(context):
+    assert [fleet.peer_requests for fleet in context.fleets] == [0, 0]
+
+
+@then("all instances serve all of their requests")
+def check_all_served(context):
+    for fleet in context.fleets:
+        assert not fleet.refusals, fleet.refusals[:3]
+        assert len(fleet.served_at) == len(fleet.instances)
+
+
+@then(
+    "all requests are refused as not run, each after {count:d} peers or fewer"
+)
+def check_all_refused(context, count):
+    for fleet in context.fleets:
+        assert not fleet.served_at, fleet.served_at
+        ran = {refusal.ran for _, _, refusal in fleet.refusals}
+        assert ran == {errors.ExecutionStatus.NOT_RUN}, ran
+        assert fleet.peer_requests <= count * len(fleet.refusals)
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 
+from mulberryhollow.protocol import peer_requests
 from standins import platform_site
 from tools import processes
 
@@ -32,8 +33,9 @@
         Object store and usage API of the platform.
     endpoints : dict
         Name to PlatformEndpoint, for ``e1`` and ``e2``.
-    callers_port, ready_port, peer_port : int
-        Ports of the instance for callers, readiness checks and peers.
+    callers_port, ready_port, peer_port, forward_port : int
+        Ports of the instance for callers, readiness checks, gossip with
+        peers and the requests that peers forward.
     process : subprocess.Popen
         Process of the instance.
     """
@@ -49,7 +51,7 @@
         self.callers_port, self.ready_port, *other_ports = (
             processes.find_free_port() for _ in range(5)
         )
-        self.peer_port = other_ports[1]
+        _, self.peer_port, self.forward_port = other_ports
         self._numbers = itertools.count()
         self._folder = tempfile.TemporaryDirectory()
         path = pathlib.Path(self._folder.name) / "settings.json"
@@ -111,6 +113,16 @@
             self.callers_port, method, path, headers | extra_headers, body
         )
 
+    def forward(self, body):
+        """Send a call of a peer; return the answer, with its body as `data`.
+
+        Parameters
+        ----------
+        body : bytes
+            Body of the call.
+        """
+        return _send(self.forward_port, "POST", peer_requests.PATH, {}, body)
+
     def get_ready_status(self):
         """Return the status of the readiness check; 0 without an answer."""
         try:
