--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -220,6 +220,9 @@
         seconds; 0 for none.
     rate_limit : RateLimit or None
         Rate limit of the endpoint; None when it names none.
+    brittle_rejections : int or None
+        Requests that the endpoint can turn away within a second without
+        falling over; None when it does not say that it is brittle.
     """
 
     status: int
@@ -232,3 +235,4 @@
     is_leaving: bool = False
     pause_s: float = 0.0
     rate_limit: RateLimit | None = None
+    brittle_rejections: int | None = None
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -43,6 +43,9 @@
 DETECTION_S = 2.0
 
 CONNECT_TIMEOUT_S = 0.3
+SLOTS = 8
+DOWN_S = 3.0
+LOAD_REPORT_INTERVAL_S = 0.5
 PATH_TEST_INTERVAL_S = 0.25
 
 
@@ -62,9 +65,44 @@
     """Counts requests; its answers name its rate while there is one."""
 
     def __init__(self, name):
-        self.listing = endpoints.Endpoint(name, "m", name, "d", "s", "v1")
+        self.listing = endpoints.Endpoint(
+            name, "m", name, "d", "s", "v1", slots=SLOTS
+        )
         self.rate = None
         self.arrivals = []
+        self.waiting_room = None
+        self.brittle_rejections = None
+        self.can_fall = False
+        self.in_flight = 0
+        self.rejected_s = collections.deque()
+        self.down_until_s = float("-inf")
+        self.falls = 0
+
+    def admit(self, now_s):
+        """Return whether a request finds room; fall over if many do not."""
+        if self.waiting_room is None:
+            return True
+        if self.in_flight < SLOTS + self.waiting_room:
+            self.in_flight += 1
+            return True
+        self.rejected_s.append(now_s)
+        while now_s - self.rejected_s[0] >= 1.0:
+            self.rejected_s.popleft()
+        most = self.brittle_rejections
+        if self.can_fall and len(self.rejected_s) > most:
+            self.falls += 1
+            self.in_flight = 0
+            self.rejected_s.clear()
+            self.down_until_s = now_s + DOWN_S
+        return False
+
+    def shrink(self, waiting_room):
+        """Let fewer requests wait, and fall over from now on."""
+        self.waiting_room = waiting_room
+        self.can_fall = True
+
+    def leave(self):
+        self.in_flight = max(0, self.in_flight - 1)
 
 
 class Instance:
@@ -156,7 +194,10 @@
     def wire(self):
         """Connect what shares the rate among the instances."""
         self.rates = rate_peering.RatePeering(
-            self, self.fleet.clock, self.dispatcher, sharing.Collectors()
+            self,
+            self.fleet.clock,
+            self.dispatcher,
+            sharing.Collectors(),
         )
         self.rates.connect()
         self.dispatcher.permits = self.rates
@@ -219,6 +260,10 @@
         self.fleet.check_path(self, attempt)
         endpoint = self.fleet.endpoints[attempt.call]
         now_s = self.fleet.clock.now_s()
+        if now_s < endpoint.down_until_s:
+            fault = streams.NotSent("connection refused")
+            raise errors.EndpointError(fault)
+        has_room = endpoint.admit(now_s)
         told_s = self.told_s.get(attempt.call, now_s)
         is_counted = now_s - told_s >= GRACE_S
         endpoint.arrivals.append((now_s, is_counted))
@@ -227,13 +272,22 @@
             limit = messages.RateLimit(endpoint.rate)
             self.told_s.setdefault(attempt.call, now_s)
         pieces = iter((EVENT, b""))
-        head = messages.AnswerHead(200, (), "r1", rate_limit=limit)
+        head = messages.AnswerHead(
+            200 if has_room else 503,
+            (),
+            "r1",
+            has_not_run=not has_room,
+            rate_limit=limit,
+            brittle_rejections=endpoint.brittle_rejections,
+        )
+        if not has_room:
+            pieces = iter((b"",))
         return types.SimpleNamespace(
             head=head,
             framing=messages.Framing.LENGTH,
             is_new_connection=True,
             read_piece=lambda timeout_s: next(pieces),
-            close=lambda: None,
+            close=endpoint.leave if has_room else lambda: None,
         )
 
     def is_alive(self, address):
@@ -287,6 +341,34 @@
             self.add_instance(index)
         self.apply_members()
 
+    def make_brittle(self, rejections, waiting_room):
+        """Let all endpoints say that they are brittle, and let few wait."""
+        for endpoint in self.endpoints.values():
+            endpoint.brittle_rejections = rejections
+            endpoint.waiting_room = SLOTS
+            self.schedule(
+                FIRST_COUNTED_S,
+                functools.partial(endpoint.shrink, waiting_room),
+            )
+        self._report_loads()
+
+    def _report_loads(self):
+        """Tell each instance what the others have in flight."""
+        loads = {
+            name: instance.actor.view.list_local_loads()
+            for name, instance in self.instances.items()
+        }
+        total = collections.Counter()
+        for each in loads.values():
+            total.update(each)
+        for name, instance in self.instances.items():
+            for endpoint_id in self.endpoints:
+                others = total[endpoint_id] - loads[name].get(endpoint_id, 0)
+                instance.actor.view.set_peer_load(
+                    "others", endpoint_id, others
+                )
+        self.schedule(LOAD_REPORT_INTERVAL_S, self._report_loads)
+
     def add_instance(self, index):
         instance = Instance(self, index)
         self.instances[instance.name] = instance
