Count the requests at a brittle endpoint over all instances

Cause: nothing read that endpoints are brittle, and an instance knows what the others send only half a second later, so that their rejections add up.

Change: while any answer of a service says that its endpoints are brittle, a request needs a permit of the endpoint's owner, which counts those in use, up to nine tenths of the slots. It is given back when the attempt ends. After a rejection all the same the endpoint is left alone by the size of the fleet.

--- a/mulberryhollow/coordination/limits/__init__.py
+++ b/mulberryhollow/coordination/limits/__init__.py
@@ -5,6 +5,8 @@
 from mulberryhollow.coordination.limits.endpoint_rates import RateExhausted
 from mulberryhollow.coordination.limits.endpoint_rates import RateGranted
 from mulberryhollow.coordination.limits.endpoint_rates import STANDBY_FRACTION
+from mulberryhollow.coordination.limits.endpoint_rooms import EndpointRoomTable
+from mulberryhollow.coordination.limits.endpoint_rooms import RoomDraw
 from mulberryhollow.coordination.limits.outcomes import CreditShortfall
 from mulberryhollow.coordination.limits.outcomes import QuotaExceeded
 from mulberryhollow.coordination.limits.outcomes import QuotaRules
@@ -15,6 +17,7 @@
 __all__ = [
     "CreditShortfall",
     "EndpointRateTable",
+    "EndpointRoomTable",
     "QuotaExceeded",
     "QuotaRules",
     "QuotaTable",
@@ -22,6 +25,7 @@
     "RateExhausted",
     "RateGranted",
     "RetryRules",
+    "RoomDraw",
     "STANDBY_FRACTION",
     "SharedRetryBudget",
 ]
--- a/mulberryhollow/coordination/limits/retries.py
+++ b/mulberryhollow/coordination/limits/retries.py
@@ -13,6 +13,16 @@
 """
 
 
+USED_REJECTION_FRACTION = 0.5
+"""Fraction of the rejections that a brittle endpoint bears to be used."""
+
+MIN_REJECTION_PAUSE_S = 0.5
+"""Minimum pause after a rejection by a brittle endpoint, in seconds."""
+
+MAX_REJECTION_PAUSE_S = 5.0
+"""Maximum pause after a rejection, without its jitter, in seconds."""
+
+
 @attrs.frozen
 class RetryRules:
     """Maximum number of retries sent to a service by all instances.
@@ -61,6 +71,24 @@
         """Set the number of live instances, including this one."""
         self._nodes = max(1, nodes)
 
+    def compute_rejection_pause_s(self, rejections, jitter):
+        """Return how long to spare an endpoint that has rejected a request.
+
+        If every instance sends it one request in this time, all of them stay
+        under its rejections even if all are rejected.
+
+        Parameters
+        ----------
+        rejections : int
+            Rejections in a second that the endpoint bears.
+        jitter : float
+            Random number from 0 to 1, so that instances return at different
+            times.
+        """
+        borne = max(1.0, USED_REJECTION_FRACTION * rejections)
+        pause_s = max(MIN_REJECTION_PAUSE_S, self._nodes / borne)
+        return min(MAX_REJECTION_PAUSE_S, pause_s) * (1.0 + jitter)
+
     def record_request(self, service, now_s):
         """Count a caller's request to a service."""
         self._requests[service].append(now_s)
--- a/mulberryhollow/coordination/routing/__init__.py
+++ b/mulberryhollow/coordination/routing/__init__.py
@@ -5,6 +5,7 @@
 from mulberryhollow.coordination.routing.baseline import RoundRobin
 from mulberryhollow.coordination.routing.request import Chosen
 from mulberryhollow.coordination.routing.request import NoEndpoint
+from mulberryhollow.coordination.routing.request import Permit
 from mulberryhollow.coordination.routing.request import PromptChain
 from mulberryhollow.coordination.routing.request import RouteRequest
 from mulberryhollow.coordination.routing.router import Router
@@ -17,6 +18,7 @@
     "LeastOutstanding",
     "NoEndpoint",
     "PowerOfTwo",
+    "Permit",
     "PromptChain",
     "RoundRobin",
     "RouteRequest",
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -7,7 +7,7 @@
 from mulberryhollow import errors
 from mulberryhollow.state import environment
 
-__all__ = ["Chosen", "NoEndpoint", "PromptChain", "RouteRequest"]
+__all__ = ["Chosen", "NoEndpoint", "Permit", "PromptChain", "RouteRequest"]
 
 
 @attrs.frozen
@@ -44,6 +44,23 @@
         return self.ends[parts - 1] if parts else 0
 
 
+@attrs.frozen
+class Permit:
+    """Right to send one request to an endpoint that limits them.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    owner : str
+        Instance to which it is given back when the request has ended; empty
+        if it is not.
+    """
+
+    name: str
+    owner: str = ""
+
+
 @attrs.frozen
 class RouteRequest:
     """The properties of a request that affect routing.
@@ -73,8 +90,8 @@
     preferred : str
         Id of the endpoint that another instance has chosen, which is taken
         if it accepts new work; empty for none.
-    has_permit : bool
-        Whether that instance has drawn a permit for that endpoint.
+    permit : Permit or None
+        Permit that this instance has drawn for that endpoint.
     avoided : frozenset of str
         Ids of endpoints whose rate limit leaves no room for the request.
     account : str
@@ -90,7 +107,7 @@
     idempotent: bool = True
     chain: PromptChain | None = None
     preferred: str = ""
-    has_permit: bool = False
+    permit: Permit | None = None
     avoided: frozenset = frozenset()
     account: str = ""
 
@@ -122,6 +139,11 @@
         Estimated requests at the endpoint at the time of the choice.
     rate_per_s : float or None
         Rate limit that the endpoint names, per second; None for none.
+    brittle_rejections : int or None
+        Rejections in a second that the endpoint bears; None when it is not
+        known to be brittle.
+    slots : int
+        Requests that the endpoint runs at once.
     """
 
     endpoint_id: str
@@ -136,6 +158,14 @@
     compute_s: float = 0.0
     load: float = 0.0
     rate_per_s: float | None = None
+    brittle_rejections: int | None = None
+    slots: int = 1
+
+    @property
+    def needs_permit(self):
+        """Whether a request to the endpoint needs a permit."""
+        limits = self.rate_per_s, self.brittle_rejections
+        return limits != (None, None)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -212,7 +212,11 @@
             if candidates:
                 hold_s = group.hold_s or self.rules.hold_s
                 chosen = self._choose_best(prepared, candidates, hold_s)
-                return dataclasses.replace(chosen, version=version)
+                return dataclasses.replace(
+                    chosen,
+                    version=version,
+                    brittle_rejections=view.get_brittle(request.service),
+                )
         return requests.NoEndpoint(refuse_no_endpoint(request.service))
 
     def _list_candidates(self, group, prepared, excluded):
@@ -293,6 +297,7 @@
             hashes=prepared.chain.hashes,
             identity=endpoint.identity or endpoint.id,
             rate_per_s=record.rate_per_s,
+            slots=record.slots,
         )
 
     def _estimate_compute_s(self, endpoint_id, prepared):
--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -90,6 +90,9 @@
             rate_limit=None
             if is_misdirected
             else _decode_rate_limit(get(header_names.RATE_LIMIT.lower())),
+            brittle_rejections=None
+            if is_misdirected
+            else _decode_count(get(header_names.BRITTLE.lower(), "")),
         )
 
 
@@ -129,6 +132,12 @@
     return messages.RateLimit(min(rate_per_s, MAX_RATE_PER_S))
 
 
+def _decode_count(text):
+    """Return a whole number of 0 or more; None for any other text."""
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdecimal() else None
+
+
 def _decode_idle_limit(text):
     """Return the idle timeout of a connection, in seconds, or None."""
     found = _KEEP_ALIVE_TIMEOUT.search(text.lower())
--- a/mulberryhollow/platform/headers.py
+++ b/mulberryhollow/platform/headers.py
@@ -4,6 +4,7 @@
     "ACCOUNT",
     "ANSWER_REQUEST_ID",
     "API_KEY",
+    "BRITTLE",
     "CONNECTION_HEADERS",
     "DUTY_HOLDER",
     "EXPECTED_ENDPOINT",
@@ -71,6 +72,13 @@
 A decimal number, in all answers of the endpoint for as long as it applies.
 """
 
+BRITTLE = "Server-Brittle"
+"""Rejections in a second that make an endpoint fall over if exceeded.
+
+A whole number, in all answers of the endpoints of a service while they are
+brittle.
+"""
+
 DUTY_HOLDER = "Duty-Holder"
 
 FENCING_TOKEN = "Fencing-Token"
--- a/mulberryhollow/protocol/draws.py
+++ b/mulberryhollow/protocol/draws.py
@@ -48,13 +48,13 @@
         None when the request is admitted.
     placement : str
         Id of the endpoint chosen for the request; empty for none.
-    has_permit : bool
-        Whether a permit has been drawn for an endpoint that limits its rate.
+    permit : Permit or None
+        Permit that has been drawn for that endpoint; None if it needs none.
     """
 
     exceeded: limits.QuotaExceeded | None
     placement: str = ""
-    has_permit: bool = False
+    permit: routing.Permit | None = None
 
 
 def encode_draw(request, now_s):
@@ -117,7 +117,7 @@
     fields = {
         "exceeded": None if exceeded is None else attrs.astuple(exceeded)[1:],
         "placement": drawn.placement,
-        "permit": drawn.has_permit,
+        "permit": drawn.permit and attrs.astuple(drawn.permit),
     }
     return json.dumps(fields).encode()
 
@@ -135,10 +135,9 @@
         exceeded = fields["exceeded"]
         if exceeded is not None:
             exceeded = limits.QuotaExceeded(account, *map(float, exceeded))
-        return DrawnCredit(
-            exceeded,
-            str(fields["placement"]),
-            bool(fields.get("permit", False)),
-        )
+        permit = fields.get("permit")
+        if permit is not None:
+            permit = routing.Permit(*map(str, permit))
+        return DrawnCredit(exceeded, str(fields["placement"]), permit)
     except _DECODE_ERRORS as error:
         raise ValueError(f"malformed answer to a draw: {error!r}") from error
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -83,8 +83,8 @@
     placement : str
         Id of the endpoint that another instance has chosen for the first
         attempt; empty for none.
-    has_permit : bool
-        Whether that instance has drawn a permit for that endpoint.
+    permit : Permit or None
+        Permit that this instance has drawn for that endpoint.
     last_event_id : str
         Id of the event after which the caller resumes a stream; empty
         for the whole stream.
@@ -110,7 +110,7 @@
     chain: object = None
     cost: float = 1.0
     placement: str = ""
-    has_permit: bool = False
+    permit: routing.Permit | None = None
     last_event_id: str = ""
     fingerprint: str = ""
     parts: tuple = ()
@@ -126,7 +126,7 @@
             idempotent=self.kind.is_repeatable,
             chain=self.chain or routing.PromptChain(),
             preferred=self.placement,
-            has_permit=self.has_permit,
+            permit=self.permit,
             account=self.account,
         )
 
--- a/mulberryhollow/protocol/rate_draws.py
+++ b/mulberryhollow/protocol/rate_draws.py
@@ -15,7 +15,13 @@
     "encode_question",
 ]
 
-_DECODE_ERRORS = (ValueError, TypeError, KeyError, AttributeError)
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+)
 
 
 @attrs.frozen
@@ -25,19 +31,25 @@
     Parameters
     ----------
     endpoint_id : str
-        Endpoint that limits its rate.
+        Endpoint that limits its requests.
     account : str
         Client account of the request to be sent.
-    rate_per_s : float
-        Rate that the instance knows, per second.
+    permit : str
+        Name of the permit.
+    rate_per_s : float or None
+        Rate limit that the instance knows, per second; None for none.
     age_s : float
         Age of what it knows, in seconds.
+    slots : int
+        Requests that a brittle endpoint runs at once; 0 for another one.
     """
 
     endpoint_id: str
     account: str
-    rate_per_s: float
+    permit: str
+    rate_per_s: float | None
     age_s: float
+    slots: int = 0
 
 
 def encode_question(question):
@@ -54,13 +66,20 @@
         When the payload is malformed.
     """
     try:
-        endpoint_id, account, rate_per_s, age_s = json.loads(payload)
+        endpoint_id, account, permit, rate, *numbers = json.loads(payload)
+        age_s, slots = map(float, numbers)
         question = RateQuestion(
-            str(endpoint_id), str(account), float(rate_per_s), float(age_s)
+            str(endpoint_id),
+            str(account),
+            str(permit),
+            None if rate is None else float(rate),
+            age_s,
+            int(slots),
         )
     except _DECODE_ERRORS as error:
         raise ValueError(f"malformed question: {error!r}") from error
-    if not (question.rate_per_s >= 0.0 and question.age_s >= 0.0):
+    amounts = question.rate_per_s or 0.0, question.age_s
+    if not all(amount >= 0.0 for amount in amounts):
         raise ValueError(f"malformed question: {question}")
     return question
 
--- a/mulberryhollow/serving/attempts.py
+++ b/mulberryhollow/serving/attempts.py
@@ -35,12 +35,15 @@
         Service of the request.
     request_class : RequestClass
         Class of the request.
+    permit : Permit or None
+        Permit of the attempt, if the endpoint requires one.
     """
 
     chosen: routing.Chosen
     work: endpoints.Work
     service: str
     request_class: environment_module.RequestClass
+    permit: routing.Permit | None = None
 
     @property
     def endpoint_id(self):
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -24,6 +24,7 @@
 __all__ = [
     "DispatchActor",
     "Dispatcher",
+    "Placed",
     "apply_environment",
 ]
 
@@ -64,6 +65,12 @@
 RATE_LIMITED = events.declare(
     4017, logging.INFO, "the rate limit that an endpoint names has changed"
 )
+BRITTLE = events.declare(
+    4019,
+    logging.WARNING,
+    "the endpoints of a service began or ceased to be brittle",
+    "check why the service's endpoints fall over when they are full",
+)
 CHANGE_FAILED = events.declare(
     4005,
     logging.ERROR,
@@ -91,6 +98,22 @@
     part_crash: retry.PartCrash | None = None
 
 
+@attrs.frozen
+class Placed:
+    """Endpoint chosen for the request of a peer.
+
+    Parameters
+    ----------
+    chosen : Chosen
+        The endpoint.
+    permit : Permit or None
+        Permit for the request; None if the endpoint needs none.
+    """
+
+    chosen: routing.Chosen
+    permit: routing.Permit | None
+
+
 @attrs.frozen
 class _Admit:
     account: str
@@ -193,6 +216,12 @@
     route: attempts.Route
 
 
+@attrs.frozen
+class _ReportBrittle:
+    service: str
+    rejections: int | None
+
+
 @attrs.frozen
 class _ReportRate:
     endpoint_id: str
@@ -252,7 +281,9 @@
     shared_retries : SharedRetryBudget
         Retry budget of forwarded requests, by service.
     endpoint_rates : EndpointRateTable
-        Permits for requests to endpoints that this instance owns.
+        Permits by rate for the endpoints that this instance owns.
+    endpoint_rooms : EndpointRoomTable
+        Permits by room for those of them that are brittle.
     on_rate_changed : callable
         Called with the id of an endpoint and its new rate limit, or None,
         when an answer shows a change.
@@ -264,7 +295,7 @@
 
     def __init__(self, clock, seed):
         super().__init__()
-        rng = random.Random(seed)
+        rng = self._rng = random.Random(seed)
         self._clock = clock
         self.view = endpoints.EndpointView(rng)
         self.prefixes = prefixes.PrefixIndex()
@@ -277,6 +308,7 @@
         self.quotas = limits.QuotaTable()
         self.shared_retries = limits.SharedRetryBudget()
         self.endpoint_rates = limits.EndpointRateTable()
+        self.endpoint_rooms = limits.EndpointRoomTable()
         self.on_rate_changed = lambda endpoint_id, rate_per_s: None
         self.work = demand.DemandTable(WORK_DECAY_S)
         self._shared_crashes = collections.Counter()
@@ -324,6 +356,9 @@
             case _ReportRate(endpoint_id, rate_per_s):
                 if self.observe_rate(endpoint_id, rate_per_s, now_s):
                     self.on_rate_changed(endpoint_id, rate_per_s)
+            case _ReportBrittle(service, rejections):
+                if self.view.set_brittle(service, rejections):
+                    events.log(BRITTLE, service=service, rejections=rejections)
             case _Withdraw(route):
                 self.view.withdraw(route.work)
                 self.work.add(route.service, -route.chosen.compute_s, now_s)
@@ -461,6 +496,8 @@
             self.view.record_success(endpoint_id)
             self.retries.budget.record_success()
             return None
+        if message.kind is endpoints.FailureKind.REFUSED:
+            self._pause_brittle(message.route, now_s)
         verdict = CrashVerdict(False, False)
         if message.kind is endpoints.FailureKind.CRASHED:
             verdict = self._attribute_crash(message)
@@ -469,6 +506,16 @@
         )
         return verdict
 
+    def _pause_brittle(self, route, now_s):
+        """Leave a brittle endpoint alone that has turned a request away."""
+        rejections = self.view.get_brittle(route.service)
+        if rejections is None:
+            return
+        pause_s = self.shared_retries.compute_rejection_pause_s(
+            rejections, self._rng.random()
+        )
+        self.view.pause(route.endpoint_id, now_s + pause_s)
+
     def _attribute_crash(self, message):
         """Decide whether a crash counts against the request.
 
@@ -675,41 +722,38 @@
         request = self._avoid_exhausted(route_request)
         while True:
             route = self._ask(_Choose(request, excluded, keeps_version))
-            if self._has_permit(route.chosen, request):
+            permit = self._draw_permit(route.chosen, request)
+            if permit is not None or not route.chosen.needs_permit:
                 break
             self._actor.tell(_Withdraw(route))
             request = self._avoid(request, route.endpoint_id)
         if route.endpoint_id != route_request.preferred:
             self._report_if_long(route.chosen)
-        return route
+        return attrs.evolve(route, permit=permit)
 
     def _avoid_exhausted(self, request):
         """Return a RouteRequest that avoids endpoints without a permit."""
         avoided = self.permits.list_exhausted(request.service, request.account)
         if not avoided:
             return request
-        if request.has_permit:
+        if request.permit is not None:
             avoided -= {request.preferred}
         return attrs.evolve(request, avoided=request.avoided | avoided)
 
     @staticmethod
     def _avoid(request, endpoint_id):
         """Return a RouteRequest that avoids one more endpoint."""
-        return attrs.evolve(
-            request,
-            avoided=request.avoided | {endpoint_id},
-            has_permit=False,
-        )
-
-    def _has_permit(self, chosen, request):
-        """Return whether a request may be sent to the chosen endpoint."""
-        if chosen.rate_per_s is None:
-            return True
-        if request.has_permit and chosen.endpoint_id == request.preferred:
-            return True
-        return self.permits.acquire(
-            request.service, chosen.endpoint_id, request.account
-        )
+        return attrs.evolve(request, avoided=request.avoided | {endpoint_id})
+
+    def _draw_permit(self, chosen, request):
+        """Return the Permit for the chosen endpoint; None without one."""
+        if request.permit is not None:
+            if chosen.endpoint_id == request.preferred:
+                return request.permit
+            self.permits.give_back(request.preferred, request.permit)
+        if not chosen.needs_permit:
+            return None
+        return self.permits.acquire(request.service, chosen, request.account)
 
     def place(self, route_request):
         """Choose the endpoint of a peer's request, which the peer sends.
@@ -721,17 +765,17 @@
 
         Returns
         -------
-        Chosen or None
-            The endpoint, for which a permit is drawn if it limits its rate;
-            None if none accepts new work.
+        Placed or None
+            The endpoint and its permit; None if none accepts new work.
         """
         request = self._avoid_exhausted(route_request)
         while True:
             match self._actor.ask(_Place(request)):
                 case routing.Chosen() as chosen:
-                    if self._has_permit(chosen, request):
+                    permit = self._draw_permit(chosen, request)
+                    if permit is not None or not chosen.needs_permit:
                         self._report_if_long(chosen)
-                        return chosen
+                        return Placed(chosen, permit)
                     self._remove_prompt(chosen)
                     request = self._avoid(request, chosen.endpoint_id)
                 case _:
@@ -782,6 +826,8 @@
         bool
             Whether the request is quarantined for crashing endpoints.
         """
+        if route.permit is not None:
+            self.permits.give_back(route.endpoint_id, route.permit)
         is_crash = kind is endpoints.FailureKind.CRASHED
         message = _Finish(route, kind, fingerprint, is_answering, parts)
         is_quarantined = False
@@ -933,6 +979,20 @@
         """Report that an endpoint wants no requests for some seconds."""
         self._actor.tell(_ReportPause(endpoint_id, pause_s))
 
+    def report_brittle(self, route, rejections):
+        """Report whether an answer says that its endpoint is brittle.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the attempt.
+        rejections : int or None
+            Rejections in a second that the endpoint bears; None when it does
+            not say that it is brittle.
+        """
+        if rejections != route.chosen.brittle_rejections:
+            self._actor.tell(_ReportBrittle(route.service, rejections))
+
     def report_rate(self, route, rate_limit):
         """Report the rate limit that an answer names, or that it names none.
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -340,6 +340,9 @@
             self._dependencies.dispatcher.report_rate(
                 route, answer.head.rate_limit
             )
+            self._dependencies.dispatcher.report_brittle(
+                route, answer.head.brittle_rejections
+            )
         self._answer = answer
         self._reader.framing = answer.framing
         if answer.head.has_not_run:
--- a/mulberryhollow/serving/ingress.py
+++ b/mulberryhollow/serving/ingress.py
@@ -161,7 +161,7 @@
             request = attrs.evolve(
                 request,
                 placement=drawn.placement,
-                has_permit=drawn.has_permit,
+                permit=drawn.permit,
             )
         return self._dependencies.forwarder.forward(request, is_gone)
 
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -249,10 +249,10 @@
             )
         drawn = draws.DrawnCredit(found)
         if found is None:
-            chosen = self._dispatcher.place(draw.route_request)
-            if chosen is not None:
+            placed = self._dispatcher.place(draw.route_request)
+            if placed is not None:
                 drawn = draws.DrawnCredit(
-                    None, chosen.endpoint_id, chosen.rate_per_s is not None
+                    None, placed.chosen.endpoint_id, placed.permit
                 )
         return draws.encode_drawn(drawn)
 
--- a/mulberryhollow/serving/rate_peering.py
+++ b/mulberryhollow/serving/rate_peering.py
@@ -1,11 +1,16 @@
 """Shares the rate that an endpoint names among all instances."""
 
 import collections
+import concurrent.futures
+import functools
+import itertools
+import json
 import logging
 import threading
 
 from mulberryhollow.coordination import limits
 from mulberryhollow.coordination import membership
+from mulberryhollow.coordination import routing
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import rate_draws
@@ -13,6 +18,10 @@
 __all__ = ["RatePeering", "UnlimitedPermits"]
 
 TOPIC = "rate.draw"
+END_TOPIC = "rate.end"
+
+END_THREADS = 2
+"""Maximum number of threads that give permits back."""
 
 CALL_TIMEOUT_S = 0.08
 """Timeout of the call for a permit, in seconds.
@@ -38,9 +47,12 @@
 class UnlimitedPermits:
     """Permits of instances that share no rate limit: all are granted."""
 
-    def acquire(self, service, endpoint_id, account):
-        """Return whether a request may be sent: always True."""
-        return True
+    def acquire(self, service, chosen, account):
+        """Return the Permit for a request."""
+        return routing.Permit("")
+
+    def give_back(self, endpoint_id, permit):
+        """End a permit."""
 
     def list_exhausted(self, service, account):
         """Return the endpoints without a permit: none."""
@@ -69,6 +81,8 @@
         it knows of their rates.
     collectors : Collectors
         Instances that own endpoints, until others are applied.
+    submit : callable or None
+        Calls a function without waiting for it; None for a thread pool.
 
     Notes
     -----
@@ -76,7 +90,7 @@
     reaches no owner sends nothing to the endpoint.
     """
 
-    def __init__(self, peers, clock, dispatcher, collectors):
+    def __init__(self, peers, clock, dispatcher, collectors, submit=None):
         self._peers = peers
         self._clock = clock
         self._dispatcher = dispatcher
@@ -84,44 +98,100 @@
         self._collectors = collectors
         self._paused_until_s = {}
         self._exhausted = collections.defaultdict(dict)
+        self._numbers = itertools.count()
+        self._submit = (
+            submit
+            or concurrent.futures.ThreadPoolExecutor(
+                END_THREADS, thread_name_prefix="permits"
+            ).submit
+        )
         self._lock = threading.Lock()
 
     def connect(self):
         """Register the handler of the peers' calls."""
         self._peers.handle(TOPIC, self._answer)
+        self._peers.handle(END_TOPIC, self._answer_end)
 
     def apply_collectors(self, collectors):
         """Let the given `Collectors` own the endpoints from now on."""
         self._collectors = collectors
 
-    def acquire(self, service, endpoint_id, account):
-        """Return whether a request may be sent to an endpoint.
+    def acquire(self, service, chosen, account):
+        """Return the Permit for a request; None if there is none now.
 
         Parameters
         ----------
         service : str
             Service of the endpoint.
-        endpoint_id : str
-            Endpoint that limits its rate.
+        chosen : Chosen
+            Endpoint that limits its requests.
         account : str
             Client account of the request.
         """
-        question = self._dispatcher.read(
-            lambda actor, now_s: _make_question(
-                actor, endpoint_id, account, now_s
-            )
+        name = f"{self._local_name}.{next(self._numbers)}"
+        question = rate_draws.RateQuestion(
+            chosen.endpoint_id,
+            account,
+            name,
+            *self._dispatcher.read(
+                functools.partial(_read_rate, chosen.endpoint_id)
+            ),
+            chosen.slots if chosen.brittle_rejections is not None else 0,
         )
-        if question is None:
-            return True
-        match self._ask_owners(question):
+        owner, outcome = self._ask_owners(question)
+        match outcome:
             case limits.RateGranted():
-                return True
+                return routing.Permit(name, owner if question.slots else "")
             case limits.RateExhausted(wait_s):
                 until_s = self._clock.now_s() + wait_s
                 with self._lock:
                     waits = self._exhausted[service, account]
-                    waits[endpoint_id] = until_s
-                return False
+                    waits[chosen.endpoint_id] = until_s
+                return None
+
+    def give_back(self, endpoint_id, permit):
+        """End a permit whose request has ended or was not sent.
+
+        Does not wait for its owner.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint.
+        permit : Permit
+            The permit.
+        """
+        if permit.owner == self._local_name:
+            self._end_permit(endpoint_id, permit.name)
+        elif permit.owner:
+            self._submit(self._tell_end, endpoint_id, permit)
+
+    def _tell_end(self, endpoint_id, permit):
+        """Tell the owner of a permit that it has ended."""
+        payload = json.dumps([endpoint_id, permit.name]).encode()
+        try:
+            self._peers.call(permit.owner, END_TOPIC, payload, CALL_TIMEOUT_S)
+        except errors.PeerError as error:
+            events.log(
+                NO_PERMIT,
+                peer=permit.owner,
+                endpoint=endpoint_id,
+                reason=str(error),
+            )
+
+    def _answer_end(self, payload):
+        """End a permit that a peer gives back."""
+        endpoint_id, name = json.loads(payload)
+        self._end_permit(endpoint_id, name)
+        return b"1"
+
+    def _end_permit(self, endpoint_id, name):
+        """End a permit that this instance has granted."""
+        self._dispatcher.change(
+            lambda actor, now_s: actor.endpoint_rooms.give_back(
+                endpoint_id, name
+            )
+        )
 
     def list_exhausted(self, service, account):
         """Return the endpoints at which a client account has to wait.
@@ -164,10 +234,10 @@
             return dict(waits)
 
     def _ask_owners(self, question):
-        """Return the outcome of the first owner that answers."""
+        """Return the first owner that answers, and its outcome."""
         for name in self._rank_owners(question.endpoint_id):
             if name == self._local_name:
-                return self._draw(question)
+                return name, self._draw(question)
             if self._clock.now_s() < self._paused_until_s.get(name, 0.0):
                 continue
             try:
@@ -177,7 +247,7 @@
                     rate_draws.encode_question(question),
                     CALL_TIMEOUT_S,
                 )
-                return rate_draws.decode_permit(answer)
+                return name, rate_draws.decode_permit(answer)
             except (errors.PeerError, ValueError) as error:
                 self._paused_until_s[name] = (
                     self._clock.now_s() + OWNER_PAUSE_S
@@ -188,7 +258,7 @@
                     endpoint=question.endpoint_id,
                     reason=str(error),
                 )
-        return limits.RateExhausted(OWNER_PAUSE_S)
+        return "", limits.RateExhausted(OWNER_PAUSE_S)
 
     def _rank_owners(self, endpoint_id):
         """Return the possible owners of an endpoint, the usual one first."""
@@ -216,34 +286,48 @@
         )
 
 
-def _make_question(actor, endpoint_id, account, now_s):
-    """Return the RateQuestion for an endpoint; None without a limit.
+def _read_rate(endpoint_id, actor, now_s):
+    """Return the rate limit of an endpoint, or None, and its age in seconds.
 
     Runs in the dispatch actor.
     """
     record = actor.view.get(endpoint_id)
     if record is None or record.rate_per_s is None:
-        return None
-    return rate_draws.RateQuestion(
-        endpoint_id,
-        account,
-        record.rate_per_s,
-        max(0.0, now_s - record.rate_observed_s),
-    )
+        return None, 0.0
+    return record.rate_per_s, max(0.0, now_s - record.rate_observed_s)
 
 
 def _draw(actor, question, fraction, now_s):
-    """Draw a permit by the latest rate that this instance or its peer knows.
+    """Draw a permit by the latest limits that this instance or its peer knows.
 
     Runs in the dispatch actor.
     """
     endpoint_id = question.endpoint_id
-    actor.observe_rate(
-        endpoint_id, question.rate_per_s, now_s - question.age_s
-    )
+    if question.rate_per_s is not None:
+        actor.observe_rate(
+            endpoint_id, question.rate_per_s, now_s - question.age_s
+        )
     record = actor.view.get(endpoint_id)
+    if question.slots:
+        outcome = actor.endpoint_rooms.draw(
+            limits.RoomDraw(
+                endpoint_id,
+                question.permit,
+                question.slots,
+                fraction,
+            ),
+            record.load if record else 0.0,
+            now_s,
+        )
+        if isinstance(outcome, limits.RateExhausted):
+            return outcome
     rate_per_s = question.rate_per_s if record is None else record.rate_per_s
     if rate_per_s is None:
         return limits.RateGranted()
-    draw = limits.RateDraw(endpoint_id, question.account, rate_per_s, fraction)
-    return actor.endpoint_rates.draw(draw, now_s)
+    outcome = actor.endpoint_rates.draw(
+        limits.RateDraw(endpoint_id, question.account, rate_per_s, fraction),
+        now_s,
+    )
+    if question.slots and isinstance(outcome, limits.RateExhausted):
+        actor.endpoint_rooms.give_back(endpoint_id, question.permit)
+    return outcome
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -48,6 +48,7 @@
         self._domain_marks = {}
         self._loads_by_peer = collections.defaultdict(dict)
         self._schedule = []
+        self._brittle_services = {}
 
     def __len__(self):
         return len(self._records)
@@ -162,6 +163,34 @@
             heapq.heappush(self._schedule, (until_s, endpoint_id))
             self._index(record)
 
+    def set_brittle(self, service, rejections):
+        """Set whether the endpoints of a service are brittle.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        rejections : int or None
+            Rejections in a second above which an endpoint falls over; None
+            when the endpoints are not brittle.
+
+        Returns
+        -------
+        bool
+            Whether this is a change.
+        """
+        if self._brittle_services.get(service) == rejections:
+            return False
+        if rejections is None:
+            del self._brittle_services[service]
+        else:
+            self._brittle_services[service] = rejections
+        return True
+
+    def get_brittle(self, service):
+        """Return the rejections that brittle endpoints bear, or None."""
+        return self._brittle_services.get(service)
+
     def get_pause_s(self, service, now_s):
         """Return the time until the first pause in a service ends.
 
--- a/tests/platform/headers.feature
+++ b/tests/platform/headers.feature
@@ -85,3 +85,14 @@
       | 200    | nan    | unreadable |
       | 200    | a few  | unreadable |
       | 421    | 2.6    | no         |
+
+  Scenario Outline: The rejections that a brittle endpoint bears
+    Then an answer with the brittleness "<text>" bears <rejections> rejections
+
+    Examples:
+      | text | rejections |
+      | 12   | 12         |
+      | 0    | 0          |
+      | -1   | unknown    |
+      | 2.5  | unknown    |
+      | many | unknown    |
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -198,6 +198,7 @@
             self.fleet.clock,
             self.dispatcher,
             sharing.Collectors(),
+            lambda function, *arguments: function(*arguments),
         )
         self.rates.connect()
         self.dispatcher.permits = self.rates
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -404,3 +404,12 @@
         assert head.rate_limit.per_s is None
     else:
         assert head.rate_limit.per_s == float(rate), head.rate_limit
+
+
+@then('an answer with the brittleness "{text}" bears {rejections} rejections')
+def check_brittle(context, text, rejections):
+    head = endpoints.EndpointCodec().decode_head(
+        200, (("Server-Brittle", text),)
+    )
+    expected = None if rejections == "unknown" else int(rejections)
+    assert head.brittle_rejections == expected, head
--- a/tests/steps/serving_quota_peering.py
+++ b/tests/steps/serving_quota_peering.py
@@ -225,7 +225,9 @@
         )
     dispatcher.permits = types.SimpleNamespace(
         list_exhausted=lambda service, account: frozenset(),
-        acquire=lambda service, endpoint_id, account: endpoint_id == allowed,
+        acquire=lambda service, chosen, account: (
+            routing.Permit("p") if chosen.endpoint_id == allowed else None
+        ),
     )
 
 
@@ -244,7 +246,7 @@
 
 @then("the permit came with each placement")
 def check_permit(context):
-    assert context.drawn.has_permit, context.drawn
+    assert context.drawn.permit == routing.Permit("p"), context.drawn
 
 
 @when(
