Report no crash of an endpoint while all are out of reach

An instance whose connections are all reset by a cut took each for the crash of its endpoint, since none accepted a connection again, counted it against the requests and the parts of their prompts, and told its peers, which then refuse sound requests.

Cause: one's own loss and that of an endpoint were not told apart. Now a crash needs another endpoint of the service, of two that are tested, that accepts a connection; a service with one endpoint stays as it was. "Only the loss of some endpoints counts as a crash" failed before (one crash told, none expected) and passes now.

--- a/mulberryhollow/serving/attempts.py
+++ b/mulberryhollow/serving/attempts.py
@@ -19,6 +19,13 @@
 ]
 
 
+MAX_TESTED_OTHERS = 2
+"""Number of other endpoints tested before a crash is reported.
+
+Another one may have crashed at the same time.
+"""
+
+
 @attrs.frozen
 class Route:
     """A chosen endpoint and the load that the attempt adds to it.
@@ -189,8 +196,11 @@
     parts : tuple of str
         Parts of the request's prompt that other requests may have too.
     """
-    is_broken = isinstance(fault, streams.Broken)
-    is_gone = is_broken and not client.is_alive(route.address)
+    is_gone = (
+        isinstance(fault, streams.Broken)
+        and not client.is_alive(route.address)
+        and _reaches_others(dispatcher, client, route)
+    )
     kind = classify_fault(fault, is_gone)
     is_quarantined = dispatcher.finish(
         route, kind, fingerprint, is_answering=is_answering, parts=parts
@@ -198,6 +208,16 @@
     return Failure(kind, is_quarantined)
 
 
+def _reaches_others(dispatcher, client, route):
+    """Return whether the service's other endpoints accept connections.
+
+    If none of a few does, this instance is cut off, and what it lost says
+    nothing about the endpoint. Without other endpoints the answer is yes.
+    """
+    others = dispatcher.list_other_addresses(route, MAX_TESTED_OTHERS)
+    return not others or any(map(client.is_alive, others))
+
+
 def refuse_quarantined():
     """Return the refusal of a request that has crashed endpoints."""
     return errors.RefusedError(
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -1036,6 +1036,24 @@
         wait_s = self.permits.get_wait_s(service, account)
         return min(filter(None, (pause_s, wait_s)), default=0.0)
 
+    def list_other_addresses(self, route, count):
+        """Return addresses of other endpoints that accept requests.
+
+        Parameters
+        ----------
+        route : Route
+            Route of an attempt, whose service and version are looked up.
+        count : int
+            Maximum number of addresses.
+        """
+        group = self.read(
+            lambda actor, now_s: actor.view.get_group(
+                route.service, route.version
+            ).list_least_loaded(count + 1)
+        )
+        addresses = [record.endpoint.address for record in group]
+        return [each for each in addresses if each != route.address][:count]
+
     def report_begun(self, parts):
         """Report that an answer to a prompt with these parts has begun."""
         if parts:
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -141,6 +141,19 @@
     Then the forwarded request ends as NOT_RUN after 6 attempts
     And the caller is told to come back in 2.0 to 2.5 seconds
 
+  # Guards against an instance that is cut off taking its own loss for the crash
+  # of each endpoint, and blaming the requests that it had there.
+  Scenario Outline: Only the loss of some endpoints counts as a crash
+    Given a forwarder whose endpoints answer in turn: broken, whole
+    And <lost> accept no connections any more
+    When a IDEMPOTENT request is forwarded
+    Then the peers are told of <count> crashes
+
+    Examples:
+      | lost               | count |
+      | all endpoints      | 0     |
+      | the broken ones    | 1     |
+
   Scenario: A caller that has left is not served any more
     Given a forwarder whose endpoints answer in turn: whole
     When a IDEMPOTENT request of a disconnected caller is forwarded
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -83,10 +83,14 @@
     def __init__(self, outcomes):
         self.outcomes = list(outcomes)
         self.calls = []
+        self.broken = set()
+        self.lost = ""
 
     def open(self, attempt, on_channel):
         self.calls.append(attempt.call)
         outcome = self.outcomes.pop(0)
+        if outcome == "broken":
+            self.broken.add(attempt.address)
         if outcome in FAULTS:
             raise errors.EndpointError(FAULTS[outcome])
         if outcome in HEADS:
@@ -108,6 +112,11 @@
         return Answer(head, pieces, fault)
 
     def is_alive(self, address):
+        match self.lost:
+            case "all endpoints":
+                return False
+            case "the broken ones":
+                return address not in self.broken
         return True
 
 
@@ -170,6 +179,18 @@
     )
 
 
+@given("{lost} accept no connections any more")
+def lose(context, lost):
+    context.client.lost = lost
+    context.crashes = []
+    context.dispatcher.on_crash = lambda *crash: context.crashes.append(crash)
+
+
+@then("the peers are told of {count:d} crashes")
+def check_crashes(context, count):
+    assert len(context.crashes) == count, context.crashes
+
+
 def forward(context, kind, is_gone=lambda: False):
     """Forward one request to its end; keep its head, body and error."""
     now_s = context.clock.now_s()
