Rename the permits' modules and classes to what they now do

Permits are drawn for a rate and for room, so RatePeering is PermitPeering, rate_draws is permits, and the outcomes stand beside those of the quotas. No behaviour changes.

--- a/mulberryhollow/coordination/limits/__init__.py
+++ b/mulberryhollow/coordination/limits/__init__.py
@@ -1,13 +1,13 @@
-"""Limits that apply to all instances together: quotas, retries, rates."""
+"""Limits of all instances together: quotas, retries and permits."""
 
 from mulberryhollow.coordination.limits.endpoint_rates import EndpointRateTable
 from mulberryhollow.coordination.limits.endpoint_rates import RateDraw
-from mulberryhollow.coordination.limits.endpoint_rates import RateExhausted
-from mulberryhollow.coordination.limits.endpoint_rates import RateGranted
 from mulberryhollow.coordination.limits.endpoint_rates import STANDBY_FRACTION
 from mulberryhollow.coordination.limits.endpoint_rooms import EndpointRoomTable
 from mulberryhollow.coordination.limits.endpoint_rooms import RoomDraw
 from mulberryhollow.coordination.limits.outcomes import CreditShortfall
+from mulberryhollow.coordination.limits.outcomes import PermitGranted
+from mulberryhollow.coordination.limits.outcomes import PermitRefused
 from mulberryhollow.coordination.limits.outcomes import QuotaExceeded
 from mulberryhollow.coordination.limits.outcomes import QuotaRules
 from mulberryhollow.coordination.limits.quota import QuotaTable
@@ -18,12 +18,12 @@
     "CreditShortfall",
     "EndpointRateTable",
     "EndpointRoomTable",
+    "PermitGranted",
+    "PermitRefused",
     "QuotaExceeded",
     "QuotaRules",
     "QuotaTable",
     "RateDraw",
-    "RateExhausted",
-    "RateGranted",
     "RetryRules",
     "RoomDraw",
     "STANDBY_FRACTION",
--- a/mulberryhollow/coordination/limits/endpoint_rates.py
+++ b/mulberryhollow/coordination/limits/endpoint_rates.py
@@ -5,7 +5,9 @@
 
 import attrs
 
-__all__ = ["EndpointRateTable", "RateDraw", "RateExhausted", "RateGranted"]
+from mulberryhollow.coordination.limits import outcomes
+
+__all__ = ["EndpointRateTable", "RateDraw", "STANDBY_FRACTION"]
 
 PROBE_RATE_PER_S = 0.2
 """Minimum rate of requests to a limited endpoint, per second.
@@ -71,25 +73,6 @@
     fraction: float = 1.0
 
 
-@attrs.frozen
-class RateGranted:
-    """One request may be sent."""
-
-
-@attrs.frozen
-class RateExhausted:
-    """No request may be sent now.
-
-    Parameters
-    ----------
-    wait_s : float
-        Time after which to ask again, in seconds. Different askers are told
-        different times.
-    """
-
-    wait_s: float
-
-
 @attrs.define
 class _Bucket:
     """Token bucket of one endpoint.
@@ -181,7 +164,7 @@
 
         Returns
         -------
-        RateGranted or RateExhausted
+        PermitGranted or PermitRefused
         """
         bucket = self._find_bucket(draw.endpoint_id, now_s)
         fraction = draw.fraction
@@ -197,8 +180,10 @@
             is_full or not bucket.is_behind(draw.account, now_s)
         ):
             bucket.grant(draw.account)
-            return RateGranted()
-        return RateExhausted(bucket.refuse(draw.account, rate_per_s, now_s))
+            return outcomes.PermitGranted()
+        return outcomes.PermitRefused(
+            bucket.refuse(draw.account, rate_per_s, now_s)
+        )
 
     def _find_bucket(self, endpoint_id, now_s):
         """Return the bucket of an endpoint, which is created if needed."""
--- a/mulberryhollow/coordination/limits/endpoint_rooms.py
+++ b/mulberryhollow/coordination/limits/endpoint_rooms.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from mulberryhollow.coordination.limits import endpoint_rates
+from mulberryhollow.coordination.limits import outcomes
 
 __all__ = ["EndpointRoomTable", "RoomDraw"]
 
@@ -72,7 +72,7 @@
 
         Returns
         -------
-        RateGranted or RateExhausted
+        PermitGranted or PermitRefused
         """
         permits = self._permits.setdefault(draw.endpoint_id, {})
         self._permits.move_to_end(draw.endpoint_id)
@@ -84,9 +84,9 @@
             del permits[permit_id]
         room = max(1, math.floor(ROOM_FRACTION * draw.slots * draw.fraction))
         if len(permits) >= room or load >= draw.slots:
-            return endpoint_rates.RateExhausted(WAIT_S)
+            return outcomes.PermitRefused(WAIT_S)
         permits[draw.permit_id] = now_s + PERMIT_LIFETIME_S
-        return endpoint_rates.RateGranted()
+        return outcomes.PermitGranted()
 
     def give_back(self, endpoint_id, permit_id):
         """End a permit, whose request has ended or was not sent."""
--- a/mulberryhollow/coordination/limits/outcomes.py
+++ b/mulberryhollow/coordination/limits/outcomes.py
@@ -1,8 +1,14 @@
-"""Tolerances of quotas and outcomes of charging a request to one."""
+"""Tolerances of quotas, and outcomes of charges and of draws of permits."""
 
 import attrs
 
-__all__ = ["CreditShortfall", "QuotaExceeded", "QuotaRules"]
+__all__ = [
+    "CreditShortfall",
+    "PermitGranted",
+    "PermitRefused",
+    "QuotaExceeded",
+    "QuotaRules",
+]
 
 
 @attrs.frozen
@@ -62,3 +68,22 @@
     """
 
     lack: float
+
+
+@attrs.frozen
+class PermitGranted:
+    """One request may be sent."""
+
+
+@attrs.frozen
+class PermitRefused:
+    """No request may be sent now.
+
+    Parameters
+    ----------
+    wait_s : float
+        Time after which to ask again, in seconds. Different askers are told
+        different times.
+    """
+
+    wait_s: float
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -36,9 +36,9 @@
 from mulberryhollow.serving import observer as observing
 from mulberryhollow.serving import orders
 from mulberryhollow.serving import peer_forwarding
+from mulberryhollow.serving import permit_peering
 from mulberryhollow.serving import pollers
 from mulberryhollow.serving import quota_peering
-from mulberryhollow.serving import rate_peering
 from mulberryhollow.serving import recorder
 from mulberryhollow.serving import registry
 from mulberryhollow.serving import store_relay
@@ -193,7 +193,7 @@
         self._quota_peering = quota_peering.QuotaPeering(
             self._peers, clock, self.dispatcher
         )
-        self._rate_peering = self._make_rate_peering()
+        self._permit_peering = self._make_permit_peering()
         self._followers = self._make_followers()
         self._store_relay = store_relay.StoreRelay(
             self._followers.values(),
@@ -226,7 +226,7 @@
         self._aggregate_peering.connect()
         self._fleet_peering.connect()
         self._quota_peering.connect()
-        self._rate_peering.connect()
+        self._permit_peering.connect()
         self._caller_watch.start()
         for loop in self._loops:
             loop.start()
@@ -316,9 +316,9 @@
         )
         return gossip.Peers(actor)
 
-    def _make_rate_peering(self):
-        """Return the RatePeering, which grants the dispatcher's permits."""
-        permits = rate_peering.RatePeering(
+    def _make_permit_peering(self):
+        """Return the PermitPeering, which grants the dispatcher's permits."""
+        permits = permit_peering.PermitPeering(
             self._peers,
             self._clock,
             self.dispatcher,
@@ -581,7 +581,7 @@
         self._fact_peering.tick()
         collectors = self._fact_peering.collectors
         self._quota_peering.apply_collectors(collectors)
-        self._rate_peering.apply_collectors(collectors)
+        self._permit_peering.apply_collectors(collectors)
 
     def list_entries(self):
         """Return the control addresses of other instances.
--- a/mulberryhollow/protocol/rate_draws.py
+++ b/mulberryhollow/protocol/permits.py
@@ -8,7 +8,7 @@
 from mulberryhollow.coordination import limits
 
 __all__ = [
-    "RateQuestion",
+    "PermitQuestion",
     "decode_permit",
     "decode_question",
     "encode_permit",
@@ -25,7 +25,7 @@
 
 
 @attrs.frozen
-class RateQuestion:
+class PermitQuestion:
     """Question of an instance for a permit.
 
     Parameters
@@ -53,12 +53,12 @@
 
 
 def encode_question(question):
-    """Return a RateQuestion as JSON bytes."""
+    """Return a PermitQuestion as JSON bytes."""
     return json.dumps(attrs.astuple(question)).encode()
 
 
 def decode_question(payload):
-    """Return the RateQuestion in a payload.
+    """Return the PermitQuestion in a payload.
 
     Raises
     ------
@@ -68,7 +68,7 @@
     try:
         endpoint_id, account, permit, rate, *numbers = json.loads(payload)
         age_s, slots = map(float, numbers)
-        question = RateQuestion(
+        question = PermitQuestion(
             str(endpoint_id),
             str(account),
             str(permit),
@@ -85,16 +85,16 @@
 
 
 def encode_permit(outcome):
-    """Return a RateGranted or RateExhausted as JSON bytes."""
+    """Return a PermitGranted or PermitRefused as JSON bytes."""
     match outcome:
-        case limits.RateGranted():
+        case limits.PermitGranted():
             return b"null"
-        case limits.RateExhausted(wait_s):
+        case limits.PermitRefused(wait_s):
             return json.dumps(wait_s).encode()
 
 
 def decode_permit(payload):
-    """Return the RateGranted or RateExhausted in a payload.
+    """Return the PermitGranted or PermitRefused in a payload.
 
     Raises
     ------
@@ -104,10 +104,10 @@
     try:
         wait_s = json.loads(payload)
         if wait_s is None:
-            return limits.RateGranted()
+            return limits.PermitGranted()
         wait_s = float(wait_s)
     except _DECODE_ERRORS as error:
         raise ValueError(f"malformed permit: {error!r}") from error
     if not (math.isfinite(wait_s) and wait_s >= 0.0):
         raise ValueError(f"malformed permit: wait of {wait_s} s")
-    return limits.RateExhausted(wait_s)
+    return limits.PermitRefused(wait_s)
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -15,7 +15,7 @@
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.serving import attempts
-from mulberryhollow.serving import rate_peering
+from mulberryhollow.serving import permit_peering
 from mulberryhollow.serving import shares as version_shares
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import environment as environment_module
@@ -613,7 +613,7 @@
     """
 
     def __init__(self, actor, clock):
-        self.permits = rate_peering.UnlimitedPermits()
+        self.permits = permit_peering.UnlimitedPermits()
         self.on_crash = lambda fingerprint, endpoint_id, is_quarantined: None
         self.on_part_crash = lambda crash: None
         self.on_part_cleared = lambda part: None
--- a/mulberryhollow/serving/rate_peering.py
+++ b/mulberryhollow/serving/permit_peering.py
@@ -13,9 +13,9 @@
 from mulberryhollow.coordination import routing
 from mulberryhollow import errors
 from mulberryhollow import events
-from mulberryhollow.protocol import rate_draws
+from mulberryhollow.protocol import permits
 
-__all__ = ["RatePeering", "UnlimitedPermits"]
+__all__ = ["PermitPeering", "UnlimitedPermits"]
 
 TOPIC = "rate.draw"
 END_TOPIC = "rate.end"
@@ -63,7 +63,7 @@
         return 0.0
 
 
-class RatePeering:
+class PermitPeering:
     """Obtains permits for requests to endpoints that limit their rate.
 
     Each endpoint has an owner among the instances, chosen by rendezvous
@@ -129,7 +129,7 @@
             Client account of the request.
         """
         name = f"{self._local_name}.{next(self._numbers)}"
-        question = rate_draws.RateQuestion(
+        question = permits.PermitQuestion(
             chosen.endpoint_id,
             account,
             name,
@@ -140,9 +140,9 @@
         )
         owner, outcome = self._ask_owners(question)
         match outcome:
-            case limits.RateGranted():
+            case limits.PermitGranted():
                 return routing.Permit(name, owner if question.slots else "")
-            case limits.RateExhausted(wait_s):
+            case limits.PermitRefused(wait_s):
                 until_s = self._clock.now_s() + wait_s
                 with self._lock:
                     waits = self._exhausted[service, account]
@@ -244,10 +244,10 @@
                 answer = self._peers.call(
                     name,
                     TOPIC,
-                    rate_draws.encode_question(question),
+                    permits.encode_question(question),
                     CALL_TIMEOUT_S,
                 )
-                return name, rate_draws.decode_permit(answer)
+                return name, permits.decode_permit(answer)
             except (errors.PeerError, ValueError) as error:
                 self._paused_until_s[name] = (
                     self._clock.now_s() + OWNER_PAUSE_S
@@ -258,7 +258,7 @@
                     endpoint=question.endpoint_id,
                     reason=str(error),
                 )
-        return "", limits.RateExhausted(OWNER_PAUSE_S)
+        return "", limits.PermitRefused(OWNER_PAUSE_S)
 
     def _rank_owners(self, endpoint_id):
         """Return the possible owners of an endpoint, the usual one first."""
@@ -272,8 +272,8 @@
 
     def _answer(self, payload):
         """Return the permit for a request of a peer, or its refusal."""
-        question = rate_draws.decode_question(payload)
-        return rate_draws.encode_permit(self._draw(question))
+        question = permits.decode_question(payload)
+        return permits.encode_permit(self._draw(question))
 
     def _draw(self, question):
         """Draw a permit of this instance."""
@@ -319,15 +319,15 @@
             record.load if record else 0.0,
             now_s,
         )
-        if isinstance(outcome, limits.RateExhausted):
+        if isinstance(outcome, limits.PermitRefused):
             return outcome
     rate_per_s = question.rate_per_s if record is None else record.rate_per_s
     if rate_per_s is None:
-        return limits.RateGranted()
+        return limits.PermitGranted()
     outcome = actor.endpoint_rates.draw(
         limits.RateDraw(endpoint_id, question.account, rate_per_s, fraction),
         now_s,
     )
-    if question.slots and isinstance(outcome, limits.RateExhausted):
+    if question.slots and isinstance(outcome, limits.PermitRefused):
         actor.endpoint_rooms.give_back(endpoint_id, question.permit)
     return outcome
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -19,7 +19,7 @@
 from mulberryhollow.serving import fact_peering
 from mulberryhollow.serving import forwarder
 from mulberryhollow.serving import peer_forwarding
-from mulberryhollow.serving import rate_peering
+from mulberryhollow.serving import permit_peering
 from mulberryhollow.state import catalogue
 from mulberryhollow.state import endpoints
 from tests import requests
@@ -193,7 +193,7 @@
 
     def wire(self):
         """Connect what shares the rate among the instances."""
-        self.rates = rate_peering.RatePeering(
+        self.rates = permit_peering.PermitPeering(
             self,
             self.fleet.clock,
             self.dispatcher,
