Ask a peer again although an answer through it broke off

The one peer left was left alone for a second after each broken answer, although the fault was the endpoint's. Now only a peer that cannot be reached, says that it cannot forward, or is silent is left alone: 0.98 or more are served.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -477,7 +477,8 @@
         """Release a failed attempt and report its fault."""
         self._close_answer()
         if isinstance(self._route, peer_forwarding.PeerRoute):
-            self._release_route(has_failed=not self._is_aborted)
+            is_silent = isinstance(fault, streams.NotSent | streams.Silent)
+            self._release_route(has_failed=is_silent and not self._is_aborted)
             self._attempts.record(fault)
             return
         route, self._route = self._route, None
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -1,6 +1,7 @@
 """Instances before endpoints that name a rate, on a simulated clock."""
 
 import collections
+import contextlib
 import functools
 import heapq
 import itertools
@@ -272,7 +273,8 @@
         if endpoint.rate is not None:
             limit = messages.RateLimit(endpoint.rate)
             self.told_s.setdefault(attempt.call, now_s)
-        pieces = iter((EVENT, b""))
+        is_broken = self.fleet.random.random() < self.fleet.broken_fraction
+        pieces = _break_off() if is_broken else iter((EVENT, b""))
         head = messages.AnswerHead(
             200 if has_room else 503,
             (),
@@ -326,6 +328,7 @@
         self.peer_requests = 0
         self.cut = {}
         self.lost_paths = {}
+        self.broken_fraction = 0.0
         self.endpoints = {
             f"e{number}": Endpoint(f"e{number}")
             for number in range(endpoint_count)
@@ -525,9 +528,16 @@
         return worst
 
 
+def _break_off():
+    """Yield the pieces of an answer whose connection breaks."""
+    yield EVENT
+    raise errors.EndpointError(streams.Broken("closed"))
+
+
 def _finish(forwarding):
     """Read a stream to its end."""
-    collections.deque(forwarding.iterate(), maxlen=0)
+    with contextlib.suppress(errors.EndpointError):
+        collections.deque(forwarding.iterate(), maxlen=0)
     forwarding.close()
 
 
--- a/tests/serving/peer_forwarding.feature
+++ b/tests/serving/peer_forwarding.feature
@@ -21,6 +21,16 @@
       | 8       | 4   | 20   | silent  |
       | 200     | 100 | 100  | refused |
 
+  # Guards against a peer being left alone for the fault of an endpoint.
+  Scenario: A peer that passes on a broken answer is asked again at once
+    Given 8 instances before 6 endpoints
+    When 7 instances lose all endpoints, whose connections are refused
+    And 40 requests a second arrive for 3 seconds
+    And the count of answers begins anew
+    And the endpoints break off 0.3 of their answers
+    And 40 requests a second arrive for 10 seconds
+    Then the instances that are cut off serve at least 0.98 of their requests
+
   Scenario: Nothing is sent to peers while the endpoints are reached
     Given 8 instances before 6 endpoints
     When 40 requests a second arrive for 10 seconds
--- a/tests/steps/serving_peer_forwarding.py
+++ b/tests/steps/serving_peer_forwarding.py
@@ -21,6 +21,12 @@
         fleet.lose_paths(count, kind)
 
 
+@when("the endpoints break off {fraction:g} of their answers")
+def break_off(context, fraction):
+    for fleet in context.fleets:
+        fleet.broken_fraction = fraction
+
+
 @when("all paths to the endpoints are back")
 def restore_paths(context):
     for fleet in context.fleets:
