Let a peer run a forwarded request on one endpoint only

The number of runs is known only to the instance that has the request. A peer now makes one run and the usual decision follows at the instance, so that it also holds when the peer is lost. "A request through peers runs on no more endpoints than allowed" failed before, with four runs, and passes now.

--- a/mulberryhollow/coordination/forwarding/__init__.py
+++ b/mulberryhollow/coordination/forwarding/__init__.py
@@ -10,7 +10,6 @@
 from mulberryhollow.coordination.forwarding.reachability import EndpointPaths
 from mulberryhollow.coordination.forwarding.timeouts import get_event_timeout_s
 from mulberryhollow.coordination.forwarding.timeouts import get_head_timeout_s
-from mulberryhollow.coordination.forwarding.timeouts import get_peer_timeout_s
 from mulberryhollow.coordination.forwarding.timeouts import MIN_REMAINING_S
 
 __all__ = [
@@ -23,7 +22,6 @@
     "decide_next",
     "get_event_timeout_s",
     "get_head_timeout_s",
-    "get_peer_timeout_s",
     "refuse_expired",
     "refuse_no_capacity",
 ]
--- a/mulberryhollow/coordination/forwarding/timeouts.py
+++ b/mulberryhollow/coordination/forwarding/timeouts.py
@@ -1,11 +1,6 @@
 """Timeouts of one attempt of a forwarded request."""
 
-__all__ = [
-    "MIN_REMAINING_S",
-    "get_event_timeout_s",
-    "get_head_timeout_s",
-    "get_peer_timeout_s",
-]
+__all__ = ["MIN_REMAINING_S", "get_event_timeout_s", "get_head_timeout_s"]
 
 HEAD_TIMEOUT_GOALS = 3.0
 """Timeout of an attempt that another endpoint may repeat, in latency goals.
@@ -20,9 +15,6 @@
 The gap goal is the longest acceptable pause, `ForwardRequest.gap_goal_s`.
 """
 
-PEER_TIMEOUT_FACTOR = 2.0
-"""Timeout of an attempt through a peer, which may try two endpoints."""
-
 MIN_TIMEOUT_S = 0.25
 """Minimum timeout of an attempt, in seconds."""
 
@@ -52,19 +44,6 @@
     return min(remaining_s, timeout_s)
 
 
-def get_peer_timeout_s(request, runs, now_s):
-    """Return the timeout for the head of an answer through a peer, in s.
-
-    Parameters
-    ----------
-    request, runs, now_s : ForwardRequest, int, float
-        As in `get_head_timeout_s`.
-    """
-    remaining_s = max(MIN_REMAINING_S, request.deadline_s - now_s)
-    timeout_s = get_head_timeout_s(request, runs, now_s)
-    return min(remaining_s, PEER_TIMEOUT_FACTOR * timeout_s)
-
-
 def get_event_timeout_s(request, runs, now_s, waited_s=0.0):
     """Return the timeout for the next event of a stream, in seconds.
 
--- a/mulberryhollow/protocol/peer_requests.py
+++ b/mulberryhollow/protocol/peer_requests.py
@@ -39,7 +39,6 @@
     "gap_goal_s",
     "host",
     "priority",
-    "max_endpoints",
     "cost",
     "fingerprint",
 )
@@ -64,6 +63,9 @@
 def encode_call(request, remaining_s, last_event_id):
     """Return the EndpointCall by which a peer gets a ForwardRequest.
 
+    The peer lets one endpoint run it, so that the instance that sends it
+    knows how many have, whatever becomes of the peer.
+
     Parameters
     ----------
     request : ForwardRequest
@@ -124,6 +126,7 @@
         return messages.ForwardRequest(
             **{name: fields[name] for name in _COPIED_FIELDS},
             kind=catalogue.RequestKind[fields["kind"]],
+            max_endpoints=1,
             arrived_s=now_s,
             deadline_s=now_s + float(fields["remaining_s"]),
             last_event_id=str(fields["last_event_id"]),
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -361,7 +361,7 @@
         """
         request = self._request
         now_s = self._dependencies.clock.now_s()
-        timeout_s = decisions.get_peer_timeout_s(
+        timeout_s = decisions.get_head_timeout_s(
             request, self._attempts.runs, now_s
         )
         attempt = transport.Attempt(
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -180,7 +180,7 @@
                 read_piece=lambda timeout_s: b"",
                 close=lambda: None,
             )
-        pieces = forwarding.iterate()
+        pieces = _list_pieces(forwarding)
         head = codec.decode_head(
             forwarding.head.status, forwarding.head.headers
         )
@@ -255,30 +255,34 @@
         return other.handlers[topic](payload)
 
     def encode_call(self, request, chosen, remaining_s, last_event_id):
-        return chosen.endpoint_id
+        return types.SimpleNamespace(
+            endpoint_id=chosen.endpoint_id, request_id=request.request_id
+        )
 
     def open(self, attempt, on_channel):
         """Answer an attempt at once, as the endpoint's client."""
         self.fleet.check_path(self, attempt)
-        endpoint = self.fleet.endpoints[attempt.call]
+        endpoint_id = attempt.call.endpoint_id
+        self.fleet.runs[attempt.call.request_id] += 1
+        endpoint = self.fleet.endpoints[endpoint_id]
         now_s = self.fleet.clock.now_s()
         if now_s < endpoint.down_until_s:
             fault = streams.NotSent("connection refused")
             raise errors.EndpointError(fault)
         has_room = endpoint.admit(now_s)
-        told_s = self.told_s.get(attempt.call, now_s)
+        told_s = self.told_s.get(endpoint_id, now_s)
         is_counted = now_s - told_s >= GRACE_S
         endpoint.arrivals.append((now_s, is_counted))
         limit = None
         if endpoint.rate is not None:
             limit = messages.RateLimit(endpoint.rate)
-            self.told_s.setdefault(attempt.call, now_s)
+            self.told_s.setdefault(endpoint_id, now_s)
         is_broken = self.fleet.random.random() < self.fleet.broken_fraction
         pieces = _break_off() if is_broken else iter((EVENT, b""))
         head = messages.AnswerHead(
-            200 if has_room else 503,
+            self.fleet.status if has_room else 503,
             (),
-            "r1",
+            attempt.call.request_id,
             has_not_run=not has_room,
             rate_limit=limit,
             brittle_rejections=endpoint.brittle_rejections,
@@ -329,6 +333,9 @@
         self.cut = {}
         self.lost_paths = {}
         self.broken_fraction = 0.0
+        self.status = 200
+        self.kind = catalogue.RequestKind.STREAM
+        self.runs = collections.Counter()
         self.endpoints = {
             f"e{number}": Endpoint(f"e{number}")
             for number in range(endpoint_count)
@@ -495,7 +502,8 @@
         chain = routing.PromptChain((session, ~session), (500, 600), 600, 1)
         now_s = self.clock.now_s()
         request = requests.make_request(
-            catalogue.RequestKind.STREAM,
+            self.kind,
+            request_id=f"r{next(self._order)}",
             arrived_s=now_s,
             deadline_s=now_s + 10.0,
             account=account,
@@ -534,10 +542,17 @@
     raise errors.EndpointError(streams.Broken("closed"))
 
 
+def _list_pieces(forwarding):
+    """Return an iterator over the body of an answer."""
+    if forwarding.body is None:
+        return forwarding.iterate()
+    return iter((forwarding.body,))
+
+
 def _finish(forwarding):
     """Read a stream to its end."""
     with contextlib.suppress(errors.EndpointError):
-        collections.deque(forwarding.iterate(), maxlen=0)
+        collections.deque(_list_pieces(forwarding), maxlen=0)
     forwarding.close()
 
 
--- a/tests/serving/peer_forwarding.feature
+++ b/tests/serving/peer_forwarding.feature
@@ -31,6 +31,16 @@
     And 40 requests a second arrive for 10 seconds
     Then the instances that are cut off serve at least 0.98 of their requests
 
+  # Guards against each of several peers running a request as often as its route
+  # allows in total.
+  Scenario: A request through peers runs on no more endpoints than allowed
+    Given 8 instances before 6 endpoints
+    When 4 instances lose all endpoints, whose connections are refused
+    And 40 requests a second arrive for 3 seconds
+    And all endpoints fail requests of kind IDEMPOTENT
+    And 40 requests a second arrive for 5 seconds
+    Then no request runs on more than 2 endpoints
+
   Scenario: Nothing is sent to peers while the endpoints are reached
     Given 8 instances before 6 endpoints
     When 40 requests a second arrive for 10 seconds
--- a/tests/steps/serving_peer_forwarding.py
+++ b/tests/steps/serving_peer_forwarding.py
@@ -3,6 +3,7 @@
 from behave import when
 
 from mulberryhollow import errors
+from mulberryhollow.state import catalogue
 from tests import rate_fleet
 
 SEEDS = (1, 2)
@@ -27,6 +28,21 @@
         fleet.broken_fraction = fraction
 
 
+@when("all endpoints fail requests of kind {kind}")
+def fail(context, kind):
+    for fleet in context.fleets:
+        fleet.status = 500
+        fleet.kind = catalogue.RequestKind[kind]
+        fleet.runs.clear()
+
+
+@then("no request runs on more than {count:d} endpoints")
+def check_runs(context, count):
+    for fleet in context.fleets:
+        assert fleet.runs
+        assert max(fleet.runs.values()) <= count, fleet.runs.most_common(3)
+
+
 @when("all paths to the endpoints are back")
 def restore_paths(context):
     for fleet in context.fleets:
