--- a/mulberryhollow/coordination/limits/endpoint_rates.py
+++ b/mulberryhollow/coordination/limits/endpoint_rates.py
@@ -23,10 +23,10 @@
 """The same in seconds of the rate; the larger one of both applies."""
 
 STANDBY_FRACTION = 0.25
-"""Fraction of a rate that an instance grants that may not be the only one.
+"""Fraction of a rate granted by an instance beside which another may grant.
 
-It is the second owner, asked while the first gives no answer, or has been
-the first one for less than `TAKEOVER_S`.
+That is the second owner, which is asked while the first gives no answer, and
+a first owner that has been one for less than `TAKEOVER_S`.
 """
 
 TAKEOVER_S = 2.0
@@ -145,8 +145,8 @@
     Each endpoint has a usual owner among the instances, which grants the
     permits of all of them, so that neither the number of instances nor the
     division of their requests matters. Two owners grant at the same time only
-    while instances disagree about the members. What both of them grant stays
-    within one and a half times the rate.
+    while instances disagree about the members. What both of them grant then
+    is `STANDBY_FRACTION` above the rate.
     """
 
     def __init__(self):
--- a/mulberryhollow/coordination/limits/outcomes.py
+++ b/mulberryhollow/coordination/limits/outcomes.py
@@ -82,8 +82,8 @@
     Parameters
     ----------
     wait_s : float
-        Time after which to ask again, in seconds. Different askers are told
-        different times.
+        Time after which to ask again, in seconds. For a limited rate,
+        different askers are told different times.
     """
 
     wait_s: float
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -600,7 +600,7 @@
 
     Notes
     -----
-    `permits` grants the requests to endpoints that limit their rate;
+    `permits` grants the requests to endpoints that limit them;
     `on_crash` is called with the fingerprint of a request, the id of the
     endpoint that it crashed and whether the request is now quarantined,
     `on_part_crash` with the PartCrash of its prompt, `on_part_cleared` with
--- a/mulberryhollow/serving/permit_peering.py
+++ b/mulberryhollow/serving/permit_peering.py
@@ -1,4 +1,4 @@
-"""Shares the rate that an endpoint names among all instances."""
+"""Permits that all instances share, for endpoints that limit requests."""
 
 import collections
 import concurrent.futures
@@ -39,13 +39,13 @@
 NO_PERMIT = events.declare(
     4018,
     logging.INFO,
-    "the owner of an endpoint's rate limit gave no usable answer",
+    "the owner of an endpoint's permits gave no usable answer",
     "check that instance if this repeats",
 )
 
 
 class UnlimitedPermits:
-    """Permits of instances that share no rate limit: all are granted."""
+    """Permits of instances that share no limits: all are granted."""
 
     def acquire(self, service, chosen, account):
         """Return the Permit for a request."""
@@ -64,7 +64,10 @@
 
 
 class PermitPeering:
-    """Obtains permits for requests to endpoints that limit their rate.
+    """Obtains permits for requests to endpoints that limit them.
+
+    An endpoint may limit the rate of requests from all instances together,
+    or be brittle, so that it must not have to turn any away.
 
     Each endpoint has an owner among the instances, chosen by rendezvous
     hashing. It grants the permits of all instances; a second one is asked
@@ -77,8 +80,8 @@
     clock : Clock
         Source of time.
     dispatcher : Dispatcher
-        Holds the buckets of the endpoints that this instance owns, and what
-        it knows of their rates.
+        Holds the permits of the endpoints that this instance owns, and what
+        it knows of their limits.
     collectors : Collectors
         Instances that own endpoints, until others are applied.
     submit : callable or None
