--- a/mulberryhollow/serving/forward_log.py
+++ b/mulberryhollow/serving/forward_log.py
@@ -84,7 +84,7 @@
     )
 
 
-def log_end(request, outcome, head, chosen, reader, elapsed_s):
+def log_end(request, outcome, head, chosen, reader, elapsed_s, peer=""):
     """Log the result of a request and the data behind its last route.
 
     Parameters
@@ -101,8 +101,10 @@
         Reader of the answer, with its framing, events and times.
     elapsed_s : float
         Time since the arrival of the request, in seconds.
+    peer : str
+        Peer that forwarded the last attempt; empty for none.
     """
-    choice = {}
+    choice = {"peer": peer} if peer else {}
     if chosen is not None:
         choice = {
             "endpoint": chosen.endpoint_id,
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -148,6 +148,7 @@
         self._is_complete = False
         self._outcome = Outcome.LEFT
         self._chosen = None
+        self._peer = ""
         dependencies.watch.add(self, is_gone, self._abort)
 
     def begin(self):
@@ -213,6 +214,7 @@
             self._chosen,
             self._reader,
             elapsed_s,
+            self._peer,
         )
 
     def _make_attempt(self, run):
@@ -248,7 +250,7 @@
             raise errors.RefusedError(
                 self._refuse_no_capacity(pause_s)
             ) from error
-        self._chosen = self._route.chosen
+        self._chosen, self._peer = self._route.chosen, ""
         return self._route
 
     def _choose_peer(self):
@@ -266,6 +268,7 @@
             return False
         self._asked_peers.add(route.name)
         self._route = route
+        self._chosen, self._peer = None, route.name
         return True
 
     def _has_reached_none(self):
