Keep to four endpoints when no peer can forward

"No more than four endpoints that cannot be reached are tried" failed before, with a fifth attempt, and passes now.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -237,6 +237,8 @@
         is_lost = self._dependencies.peers.is_lost(request.service)
         if (is_lost or self._needs_peer) and self._choose_peer():
             return self._route
+        if self._needs_peer:
+            raise errors.RefusedError(self._refuse_no_capacity())
         try:
             self._route = self._dependencies.dispatcher.choose_endpoint(
                 request.to_route_request(), self._excluded
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -45,6 +45,13 @@
     When a NON_IDEMPOTENT request is forwarded
     Then the forwarded request ends as NOT_RUN after 4 attempts
 
+  # Guards against a request without a peer to forward it trying one endpoint
+  # after the other until its deadline.
+  Scenario: No more than four endpoints that cannot be reached are tried
+    Given a forwarder whose endpoints answer in turn: unsent, unsent, unsent, unsent, whole
+    When a NON_IDEMPOTENT request is forwarded
+    Then the forwarded request ends as NOT_RUN after 4 attempts
+
   Scenario: A resumable stream goes on at another endpoint
     Given a forwarder whose endpoints answer in turn: half stream, rest of stream
     When a RESUMABLE_STREAM request is forwarded
