--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -1,4 +1,4 @@
-"""Instances before endpoints that name a rate, on a simulated clock."""
+"""Instances before endpoints that limit them or that they lose, simulated."""
 
 import collections
 import contextlib
