Rank the acting instances for a task in one place

The holders of an account's credit and the owners of an endpoint's permits were ranked by the same lines in two modules; both call Collectors.rank now. A route without a permit, that of nearly every request, is no longer copied. Behaviour stays: the same names in the same order under the same keys.

--- a/mulberryhollow/coordination/sharing/collectors.py
+++ b/mulberryhollow/coordination/sharing/collectors.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mulberryhollow.coordination import membership
 from mulberryhollow.coordination.sharing import aggregates
 
 __all__ = ["Collectors", "choose_collectors"]
@@ -64,6 +65,23 @@
             return self.live
         return (1 + len(self.others)) / self.reachable_fraction
 
+    def rank(self, task, local_name, count):
+        """Return the acting instances for a task, the usual one first.
+
+        Parameters
+        ----------
+        task : str
+            Name of the task.
+        local_name : str
+            Instance id of this instance.
+        count : int
+            Maximum number of instances.
+        """
+        names = list(self.others)
+        if self.is_local:
+            names.append(local_name)
+        return membership.rank_by_rendezvous(task, names)[:count]
+
 
 def choose_collectors(local_member, members, live):
     """Return the `Collectors` for a membership.
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -729,7 +729,7 @@
             request = self._avoid(request, route.endpoint_id)
         if route.endpoint_id != route_request.preferred:
             self._report_if_long(route.chosen)
-        return attrs.evolve(route, permit=permit)
+        return route if permit is None else attrs.evolve(route, permit=permit)
 
     def _avoid_exhausted(self, request):
         """Return a RouteRequest that avoids endpoints without a permit."""
--- a/mulberryhollow/serving/permit_peering.py
+++ b/mulberryhollow/serving/permit_peering.py
@@ -9,7 +9,6 @@
 import threading
 
 from mulberryhollow.coordination import limits
-from mulberryhollow.coordination import membership
 from mulberryhollow.coordination import routing
 from mulberryhollow import errors
 from mulberryhollow import events
@@ -265,13 +264,9 @@
 
     def _rank_owners(self, endpoint_id):
         """Return the possible owners of an endpoint, the usual one first."""
-        collectors = self._collectors
-        names = list(collectors.others)
-        if collectors.is_local:
-            names.append(self._local_name)
-        return membership.rank_by_rendezvous(f"rate {endpoint_id}", names)[
-            :MAX_OWNERS
-        ]
+        return self._collectors.rank(
+            f"rate {endpoint_id}", self._local_name, MAX_OWNERS
+        )
 
     def _answer(self, payload):
         """Return the permit for a request of a peer, or its refusal."""
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -8,7 +8,6 @@
 import attrs
 
 from mulberryhollow.coordination import limits
-from mulberryhollow.coordination import membership
 from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow import events
@@ -212,12 +211,9 @@
             return ()
         holders = self._holders
         if account not in holders:
-            names = list(self._collectors.others)
-            if self._collectors.is_local:
-                names.append(self._local_name)
-            holders[account] = membership.rank_by_rendezvous(
-                f"quota {account}", names
-            )[:MAX_HOLDERS]
+            holders[account] = self._collectors.rank(
+                f"quota {account}", self._local_name, MAX_HOLDERS
+            )
         return holders[account]
 
     def _is_paused(self, name):
