--- a/mulberryhollow/coordination/sharing/collectors.py
+++ b/mulberryhollow/coordination/sharing/collectors.py
@@ -44,6 +44,9 @@
     domains : dict
         Failure domain to the tuple of its collectors, the usual one first,
         also in a fleet whose instances act for themselves.
+    level : int
+        Lowest protocol level of the reachable instances, this one included.
+        What an older build cannot decode is sent from its level on only.
     """
 
     local: tuple = ()
@@ -52,6 +55,7 @@
     reachable_fraction: float = 1.0
     live: int = 1
     domains: dict = attrs.field(factory=dict)
+    level: int = 0
 
     @property
     def parts(self):
--- a/mulberryhollow/state/endpoints/__init__.py
+++ b/mulberryhollow/state/endpoints/__init__.py
@@ -7,6 +7,7 @@
 from mulberryhollow.state.endpoints.record import EndpointRecord
 from mulberryhollow.state.endpoints.record import FailureKind
 from mulberryhollow.state.endpoints.record import Work
+from mulberryhollow.state.endpoints.room import ServiceRoom
 from mulberryhollow.state.endpoints.view import EndpointView
 
 __all__ = [
@@ -17,5 +18,6 @@
     "EndpointRecord",
     "EndpointView",
     "FailureKind",
+    "ServiceRoom",
     "Work",
 ]
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -9,6 +9,7 @@
 from mulberryhollow.state.endpoints.record import EndpointRecord
 from mulberryhollow.state.endpoints.record import FailureKind
 from mulberryhollow.state.endpoints.record import Work
+from mulberryhollow.state.endpoints.room import ServiceRoom
 
 __all__ = ["EndpointView"]
 
@@ -204,6 +205,29 @@
         ]
         return max(0.0, min(ends) - now_s) if ends else 0.0
 
+    def measure_room(self, service, now_s):
+        """Return the ServiceRoom of a service.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        now_s : float
+            Monotonic time, in seconds.
+        """
+        self.advance(now_s)
+        records = [
+            record
+            for record in self._records.values()
+            if record.endpoint.service == service and record.is_available()
+        ]
+        return ServiceRoom(
+            endpoints=len(records),
+            slots=sum(record.slots for record in records),
+            used_slots=sum(record.load for record in records),
+            speed=float(len(records)),
+        )
+
     def report_load(self, endpoint_id, running, queued, slots, age_s, now_s):
         """Apply a load report, unless a later one is known.
 
