Import unused parts of the package on first use only

Cause: a restarted instance spends about 0.3 s of processor time before it can serve, most of it on defining classes, on a fraction of a core. The platform's program imported the modules of version moves and of document changes, which it does not use, through the packages' exports.

Ruled out: fewer third-party modules (urllib3 and waitress serve every request); byte code (the build step's checkout has it already).

Change: coordination.configuration and coordination.rollout export their names through a module __getattr__, so that a submodule is imported with the first use of one of its names.

--- a/mulberryhollow/coordination/configuration/__init__.py
+++ b/mulberryhollow/coordination/configuration/__init__.py
@@ -1,30 +1,6 @@
 """Decisions about the active configuration and its changes."""
 
-from mulberryhollow.coordination.configuration.active import ActiveDocument
-from mulberryhollow.coordination.configuration.active import APPLIED
-from mulberryhollow.coordination.configuration.active import Applied
-from mulberryhollow.coordination.configuration.active import Document
-from mulberryhollow.coordination.configuration.active import REJECTED
-from mulberryhollow.coordination.configuration.active import Rejected
-from mulberryhollow.coordination.configuration.active import Stale
-from mulberryhollow.coordination.configuration.change import ALL_COUNCILS
-from mulberryhollow.coordination.configuration.change import Allowed
-from mulberryhollow.coordination.configuration.change import Change
-from mulberryhollow.coordination.configuration.change import check_change
-from mulberryhollow.coordination.configuration.change import Conflict
-from mulberryhollow.coordination.configuration.change import decide_change
-from mulberryhollow.coordination.configuration.change import list_changes
-from mulberryhollow.coordination.configuration.change import OPERATORS
-from mulberryhollow.coordination.configuration.change import Refused
-from mulberryhollow.coordination.configuration.fault import Fault
-from mulberryhollow.coordination.configuration.readiness import CUT_OFF_AFTER_S
-from mulberryhollow.coordination.configuration.readiness import decide_ready
-from mulberryhollow.coordination.configuration.readiness import NotReady
-from mulberryhollow.coordination.configuration.readiness import NotReadyReason
-from mulberryhollow.coordination.configuration.readiness import Ready
-from mulberryhollow.coordination.configuration.versions import check_versions
-from mulberryhollow.coordination.configuration.versions import find_in_use
-from mulberryhollow.coordination.configuration.watchers import choose_watchers
+from mulberryhollow import lazy
 
 __all__ = [
     "ALL_COUNCILS",
@@ -53,3 +29,42 @@
     "find_in_use",
     "list_changes",
 ]
+
+__getattr__, __dir__ = lazy.attach(
+    __name__,
+    {
+        "active": (
+            "ActiveDocument",
+            "APPLIED",
+            "Applied",
+            "Document",
+            "REJECTED",
+            "Rejected",
+            "Stale",
+        ),
+        "change": (
+            "ALL_COUNCILS",
+            "Allowed",
+            "Change",
+            "check_change",
+            "Conflict",
+            "decide_change",
+            "list_changes",
+            "OPERATORS",
+            "Refused",
+        ),
+        "fault": ("Fault",),
+        "readiness": (
+            "CUT_OFF_AFTER_S",
+            "decide_ready",
+            "NotReady",
+            "NotReadyReason",
+            "Ready",
+        ),
+        "versions": (
+            "check_versions",
+            "find_in_use",
+        ),
+        "watchers": ("choose_watchers",),
+    },
+)
--- a/mulberryhollow/coordination/rollout/__init__.py
+++ b/mulberryhollow/coordination/rollout/__init__.py
@@ -4,41 +4,7 @@
 rolls back when a sequential test finds the new version degraded.
 """
 
-from mulberryhollow.coordination.rollout.actions import Command
-from mulberryhollow.coordination.rollout.actions import Order
-from mulberryhollow.coordination.rollout.actions import PublishVerdict
-from mulberryhollow.coordination.rollout.actions import ReadMove
-from mulberryhollow.coordination.rollout.actions import SetShare
-from mulberryhollow.coordination.rollout.actions import WriteMove
-from mulberryhollow.coordination.rollout.comparison import MAX_TESTERS
-from mulberryhollow.coordination.rollout.driver import Driver
-from mulberryhollow.coordination.rollout.driver import LEASE_S
-from mulberryhollow.coordination.rollout.monitor import effective_shares
-from mulberryhollow.coordination.rollout.monitor import MoveMonitor
-from mulberryhollow.coordination.rollout.orders import OrderBook
-from mulberryhollow.coordination.rollout.record import abort
-from mulberryhollow.coordination.rollout.record import advance
-from mulberryhollow.coordination.rollout.record import DONE_MARGIN_S
-from mulberryhollow.coordination.rollout.record import Move
-from mulberryhollow.coordination.rollout.record import MoveError
-from mulberryhollow.coordination.rollout.record import renew
-from mulberryhollow.coordination.rollout.record import Stage
-from mulberryhollow.coordination.rollout.record import start
-from mulberryhollow.coordination.rollout.schedule import Capacity
-from mulberryhollow.coordination.rollout.schedule import decide
-from mulberryhollow.coordination.rollout.schedule import Endpoint
-from mulberryhollow.coordination.rollout.schedule import Finish
-from mulberryhollow.coordination.rollout.schedule import Hold
-from mulberryhollow.coordination.rollout.schedule import make_plan
-from mulberryhollow.coordination.rollout.schedule import Plan
-from mulberryhollow.coordination.rollout.schedule import RollBack
-from mulberryhollow.coordination.rollout.schedule import Shift
-from mulberryhollow.coordination.rollout.tester import SequentialTester
-from mulberryhollow.coordination.rollout.times import Times
-from mulberryhollow.coordination.rollout.verdict import Bad
-from mulberryhollow.coordination.rollout.verdict import Degradation
-from mulberryhollow.coordination.rollout.verdict import Good
-from mulberryhollow.coordination.rollout.verdict import Undecided
+from mulberryhollow import lazy
 
 __all__ = [
     "Bad",
@@ -77,3 +43,56 @@
     "renew",
     "start",
 ]
+
+__getattr__, __dir__ = lazy.attach(
+    __name__,
+    {
+        "actions": (
+            "Command",
+            "Order",
+            "PublishVerdict",
+            "ReadMove",
+            "SetShare",
+            "WriteMove",
+        ),
+        "comparison": ("MAX_TESTERS",),
+        "driver": (
+            "Driver",
+            "LEASE_S",
+        ),
+        "monitor": (
+            "effective_shares",
+            "MoveMonitor",
+        ),
+        "orders": ("OrderBook",),
+        "record": (
+            "abort",
+            "advance",
+            "DONE_MARGIN_S",
+            "Move",
+            "MoveError",
+            "renew",
+            "Stage",
+            "start",
+        ),
+        "schedule": (
+            "Capacity",
+            "decide",
+            "Endpoint",
+            "Finish",
+            "Hold",
+            "make_plan",
+            "Plan",
+            "RollBack",
+            "Shift",
+        ),
+        "tester": ("SequentialTester",),
+        "times": ("Times",),
+        "verdict": (
+            "Bad",
+            "Degradation",
+            "Good",
+            "Undecided",
+        ),
+    },
+)
--- a/tests/steps/layers.py
+++ b/tests/steps/layers.py
@@ -14,6 +14,7 @@
     "clock",
     "settings",
     "events",
+    "lazy",
     "metrics",
     "__init__",
     "",
