Split the dispatcher by what it owns

serving/dispatcher.py held 1,136 lines: the messages of every kind, the state behind them and the calls of the request threads. Changes to the endpoints, to the limits of the accounts and to the quarantine met in one file.

The package serving/dispatch now holds one module for each owner: endpoint_work (view, router, prefixes, rates, rooms, demand, versions) with endpoint_calls, account_limits (admission, quotas, retries) and crash_records (quarantines, shared crashes). The actor keeps the one step that needs all three, the end of an attempt. Its attributes and the interface of Dispatcher are as before; no other module changes.

--- /dev/null
+++ b/mulberryhollow/serving/dispatch/crash_records.py
@@ -0,0 +1,138 @@
+"""Crashes of endpoints and the quarantine of what caused them."""
+
+import collections
+
+import attrs
+
+from mulberryhollow.coordination import retry
+
+__all__ = ["Crash", "CrashRecords", "CrashVerdict"]
+
+
+MAX_SHARED_CRASHES = 4096
+"""Maximum number of requests whose shared crashes are counted.
+
+A shared crash ends an endpoint that was answering several requests.
+"""
+
+
+@attrs.frozen
+class Crash:
+    """Crash of an endpoint during an attempt.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        The endpoint.
+    fingerprint : str
+        Fingerprint of the request.
+    is_answering : bool
+        Whether part of the answer had been received.
+    parts : tuple of str
+        Parts of the prompt that other requests may have too.
+    """
+
+    endpoint_id: str
+    fingerprint: str
+    is_answering: bool
+    parts: tuple
+
+
+@attrs.frozen
+class CrashVerdict:
+    """Verdict on the request that was running when its endpoint crashed.
+
+    Parameters
+    ----------
+    is_recorded : bool
+        Whether the crash counts against the request.
+    is_quarantined : bool
+        Whether the request is now quarantined, and so refused.
+    part_crash : PartCrash or None
+        Crash that counts against parts of the prompt.
+    """
+
+    is_recorded: bool
+    is_quarantined: bool
+    part_crash: retry.PartCrash | None = None
+
+
+class CrashRecords:
+    """Crashes of endpoints and the quarantine of what caused them.
+
+    Changed only in the thread of the actor that owns it.
+
+    Attributes
+    ----------
+    quarantine : Quarantine
+        Requests that crashed endpoints.
+    part_quarantine : PartQuarantine
+        Parts of prompts that crashed endpoints.
+    """
+
+    def __init__(self):
+        self.quarantine = retry.Quarantine()
+        self.part_quarantine = retry.PartQuarantine()
+        self._shared_crashes = collections.Counter()
+
+    def check(self, fingerprint, parts=()):
+        """Return the Refusal of a quarantined request, or None."""
+        return self.quarantine.check(
+            fingerprint
+        ) or self.part_quarantine.check(parts)
+
+    def record_begun(self, parts, on_cleared):
+        """Clear the parts of a prompt to which an answer has begun.
+
+        Parameters
+        ----------
+        parts : tuple of str
+            Parts of the prompt.
+        on_cleared : callable
+            Called with each part that was suspected.
+        """
+        for part in self.part_quarantine.record_begun(parts):
+            on_cleared(part)
+
+    def attribute(self, crash, record):
+        """Decide whether a crash counts against the request.
+
+        Parameters
+        ----------
+        crash : Crash
+            The crash.
+        record : EndpointRecord or None
+            Record of the endpoint; None for one that is not listed.
+
+        Returns
+        -------
+        CrashVerdict
+
+        Notes
+        -----
+        A crash of a leaving endpoint is never counted, since the leave
+        may be its cause. When the request was being answered alongside
+        others, only every second crash counts, since another of these
+        requests may be the cause.
+        """
+        if record is not None and record.is_leaving:
+            return CrashVerdict(False, False)
+        is_shared = record is not None and record.load >= 1.0
+        if crash.is_answering and is_shared:
+            if len(self._shared_crashes) > MAX_SHARED_CRASHES:
+                self._shared_crashes.clear()
+            self._shared_crashes[crash.fingerprint] += 1
+            if self._shared_crashes[crash.fingerprint] % 2:
+                return CrashVerdict(False, False)
+        is_quarantined = self.quarantine.record_crash(
+            crash.fingerprint, crash.endpoint_id
+        )
+        if crash.is_answering:
+            return CrashVerdict(True, is_quarantined)
+        part_crash = self.part_quarantine.record_crash(
+            crash.parts, crash.endpoint_id
+        )
+        found = self.part_quarantine.find_quarantined(crash.parts)
+        return CrashVerdict(
+            True, is_quarantined or found is not None, part_crash
+        )
