Read load reports of three and four figures

Reports without exactly three figures were dropped, so placement used no load report where endpoints report a fourth figure. Further figures are ignored now, and a malformed report is logged once. A service is known to report work time by its own reports or, from protocol level 1, by the aggregates; the new table is omitted while it is empty, since older builds reject it.

--- a/mulberryhollow/coordination/sharing/aggregates.py
+++ b/mulberryhollow/coordination/sharing/aggregates.py
@@ -47,11 +47,15 @@
     work : dict
         Service to the engine time taken by its prompts, in seconds a
         second.
+    work_times : dict
+        Service to the number of instances that have seen one of its endpoints
+        report its work time; not sent while it is empty.
     """
 
     demand: dict = attrs.field(factory=dict)
     loads: dict = attrs.field(factory=dict)
     work: dict = attrs.field(factory=dict)
+    work_times: dict = attrs.field(factory=dict)
 
     def minus(self, other):
         """Return the difference to other amounts, without values <= 0."""
@@ -59,6 +63,7 @@
             _subtract(self.demand, other.demand),
             _subtract(self.loads, other.loads),
             _subtract(self.work, other.work),
+            _subtract(self.work_times, other.work_times),
         )
 
 
@@ -86,6 +91,7 @@
                 _add(each.amounts.demand for each in totals),
                 _add(each.amounts.loads for each in totals),
                 _add(each.amounts.work for each in totals),
+                _add(each.amounts.work_times for each in totals),
             ),
             sum(each.count for each in totals),
         )
--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -1,14 +1,19 @@
 """Codec of calls to endpoints and of the heads of their answers."""
 
+import logging
 import math
 import re
 
+from mulberryhollow import events
 from mulberryhollow.platform import headers as header_names
 from mulberryhollow.protocol import forwarding as messages
 
 __all__ = ["EndpointCodec"]
 
 _MS_PER_S = 1000.0
+MAX_LOGGED_REPORT = 80
+"""Length up to which a malformed load report is logged, in characters."""
+
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
 
@@ -21,12 +26,28 @@
 MAX_RATE_PER_S = 1e6
 """Highest rate that an endpoint can name, in requests per second."""
 
+USUAL_WORK_TIME = 100.0
+"""Fourth figure of a load report where work takes as long as usual."""
+
+MAX_WORK_TIME = 100.0
+"""Longest reported work time that is believed, relative to the usual one."""
+
+LOAD_MALFORMED = events.declare(
+    4060,
+    logging.WARNING,
+    "an endpoint's load report cannot be read; logged for the first one only",
+    "check the version of that service's endpoints",
+)
+
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
 
 class EndpointCodec:
     """Encodes calls to endpoints and decodes the heads of answers."""
 
+    def __init__(self):
+        self._has_logged_load = False
+
     def encode_call(self, request, chosen, remaining_s, last_event_id):
         """Return the EndpointCall for one attempt of a request.
 
@@ -82,7 +103,7 @@
             has_not_run=is_misdirected
             or header_names.NOT_RUN.lower() in fields,
             is_other_endpoint=is_misdirected,
-            load=_decode_load(get(header_names.LOAD.lower(), "")),
+            load=self._read_load(get(header_names.LOAD.lower())),
             idle_limit_s=_decode_idle_limit(get("keep-alive", "")),
             is_leaving=get(header_names.LEAVING.lower(), "").strip() == "1"
             and not is_misdirected,
@@ -95,13 +116,42 @@
             else _decode_count(get(header_names.BRITTLE.lower(), "")),
         )
 
+    def _read_load(self, text):
+        """Return the Load in a header; None without a valid one."""
+        if text is None:
+            return None
+        load = _decode_load(text)
+        if load is None and not self._has_logged_load:
+            self._has_logged_load = True
+            events.log(LOAD_MALFORMED, report=text[:MAX_LOGGED_REPORT])
+        return load
+
 
 def _decode_load(text):
-    """Return the Load that an endpoint reports; None without a valid one."""
-    parts = text.split(",")
-    if len(parts) != 3 or not all(each.strip().isdecimal() for each in parts):
+    """Return the Load that an endpoint reports; None for a malformed report.
+
+    Figures after the fourth are ignored. A fourth one that cannot be read
+    makes the whole report malformed.
+    """
+    counts = [_decode_count(each) for each in text.split(",")[:3]]
+    if len(counts) < 3 or None in counts:
+        return None
+    figures = text.split(",")[3:4]
+    if not figures:
+        return messages.Load(*counts)
+    work_time = _decode_work_time(figures[0])
+    if work_time is None:
+        return None
+    return messages.Load(*counts, work_time)
+
+
+def _decode_work_time(text):
+    """Return a work time relative to the usual one; None if unreadable."""
+    try:
+        work_time = float(text) / USUAL_WORK_TIME
+    except ValueError:
         return None
-    return messages.Load(*map(int, parts))
+    return min(work_time, MAX_WORK_TIME) if work_time > 0.0 else None
 
 
 def _decode_pause(status, text):
--- a/mulberryhollow/protocol/aggregates.py
+++ b/mulberryhollow/protocol/aggregates.py
@@ -15,6 +15,9 @@
 
 _COMPRESSION_LEVEL = 1
 
+_OPTIONAL_TABLES = ("work_times",)
+"""Tables that are omitted while empty, since builds of level 0 reject them."""
+
 
 @attrs.frozen
 class AggregateReport:
@@ -53,6 +56,10 @@
 def encode_report(report):
     """Return an aggregate report as compressed JSON."""
     fields = attrs.asdict(report)
+    amounts = fields["total"]["amounts"]
+    for name in _OPTIONAL_TABLES:
+        if not amounts[name]:
+            del amounts[name]
     text = json.dumps(fields, separators=(",", ":"))
     return zlib.compress(text.encode(), _COMPRESSION_LEVEL)
 
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -171,11 +171,15 @@
     running, queued, slots : int
         Requests that run, requests that wait, and the number of
         requests that can run at once.
+    work_time : float or None
+        How long work takes on the endpoint's machine at this moment, relative
+        to the usual time; None when it is not reported.
     """
 
     running: int
     queued: int
     slots: int
+    work_time: float | None = None
 
 
 @attrs.frozen
--- a/mulberryhollow/serving/aggregate_peering.py
+++ b/mulberryhollow/serving/aggregate_peering.py
@@ -36,6 +36,9 @@
 the usage of windows that ended while no instance held the lease.
 """
 
+WORK_LEVEL = 1
+"""Protocol level from which peers know the tables on work."""
+
 REMOTE_NODE = "others"
 """Node name under which the total of the other instances is stored."""
 
@@ -112,9 +115,10 @@
         """Report the local amounts and apply the remote total."""
         collectors = self._get_collectors()
         domains = collectors.domains
+        read = functools.partial(_read_local, collectors.level)
         # Only acting instances grant the credit of quotas.
         local = sharing.Total(
-            self._dispatcher.read(_read_local), int(collectors.is_local)
+            self._dispatcher.read(read), int(collectors.is_local)
         )
         local_domain = self._local_member.failure_domain
         is_collector = (
@@ -244,8 +248,8 @@
     return xxhash.xxh32_hexdigest(endpoint_id.encode())
 
 
-def _read_local(actor, now_s):
-    """Return the Amounts of this instance.
+def _read_local(level, actor, now_s):
+    """Return the Amounts of this instance, for peers of a protocol level.
 
     Runs in the dispatch actor.
     """
@@ -258,6 +262,9 @@
             name: round(rate, 4)
             for name, rate in actor.work.list_local(now_s).items()
         },
+        dict.fromkeys(actor.view.list_work_time_services(), 1)
+        if level >= WORK_LEVEL
+        else {},
     )
 
 
@@ -270,6 +277,7 @@
         REMOTE_NODE, remote.amounts.work, now_s, remote.count
     )
     actor.work.expire(now_s)
+    actor.view.add_peer_work_time(remote.amounts.work_times)
     actor.view.expire_reports(now_s - LOAD_REPORT_LIFETIME_S)
     for record in list(actor.view):
         endpoint_id = record.endpoint.id
--- a/mulberryhollow/serving/dispatch/endpoint_work.py
+++ b/mulberryhollow/serving/dispatch/endpoint_work.py
@@ -219,6 +219,7 @@
                     load.slots,
                     0.0,
                     now_s,
+                    load.work_time,
                 )
 
     def _choose(self, message, now_s):
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -8,6 +8,7 @@
 import attrs
 
 from mulberryhollow.state.endpoints.circuit import Circuit
+from mulberryhollow.state.endpoints.work_time import WorkTime
 
 __all__ = ["Endpoint", "EndpointRecord", "FailureKind", "Work"]
 
@@ -155,6 +156,8 @@
         Smoothed fraction of failed answers, 0 to 1, as of the last failure.
     failed_at_s : float
         Monotonic time of the last failure, in seconds.
+    work_time : WorkTime
+        Work time that the endpoint reports.
     """
 
     endpoint: Endpoint
@@ -177,6 +180,7 @@
     loaded: tuple = ()
     failure_rate: float = 0.0
     failed_at_s: float = float("-inf")
+    work_time: WorkTime = attrs.field(factory=WorkTime)
     _active: set = attrs.field(factory=set)
     _finished: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_FINISHED_KEPT)
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -50,6 +50,8 @@
         self._loads_by_peer = collections.defaultdict(dict)
         self._schedule = []
         self._brittle_services = {}
+        self._work_time_services = set()
+        self._peer_work_time_services = set()
 
     def __len__(self):
         return len(self._records)
@@ -226,9 +228,37 @@
             slots=sum(record.slots for record in records),
             used_slots=sum(record.load for record in records),
             speed=float(len(records)),
+            reports_work_time=self.reports_work_time(service),
         )
 
-    def report_load(self, endpoint_id, running, queued, slots, age_s, now_s):
+    def reports_work_time(self, service):
+        """Return whether an endpoint of a service has reported work time.
+
+        The report may have reached this instance or a peer.
+        """
+        return (
+            service in self._work_time_services
+            or service in self._peer_work_time_services
+        )
+
+    def list_work_time_services(self):
+        """Return the services whose work time this instance has seen."""
+        return sorted(self._work_time_services)
+
+    def add_peer_work_time(self, services):
+        """Add services whose work time other instances have seen."""
+        self._peer_work_time_services.update(services)
+
+    def report_load(
+        self,
+        endpoint_id,
+        running,
+        queued,
+        slots,
+        age_s,
+        now_s,
+        work_time=None,
+    ):
         """Apply a load report, unless a later one is known.
 
         Parameters
@@ -241,10 +271,15 @@
             Age of the measurement on arrival, in seconds.
         now_s : float
             Monotonic time, in seconds.
+        work_time : float or None
+            Reported work time, relative to the usual one; None for none.
         """
         record = self._records.get(endpoint_id)
         if record is None:
             return
+        if work_time is not None:
+            self._work_time_services.add(record.endpoint.service)
+            record.work_time.observe(work_time, now_s - age_s)
         if record.report(running, queued, slots, now_s - age_s):
             self._index(record)
 
--- a/tests/coordination/sharing/aggregates.feature
+++ b/tests/coordination/sharing/aggregates.feature
@@ -19,3 +19,8 @@
 
   Scenario: Malformed aggregate reports are refused
     Then bytes that are not a report are refused
+
+  # Builds of level 0 reject a report with a table that they don't know.
+  Scenario: A table that is empty is left out of the report
+    Then a report without work times has the tables of level 0 only
+    And a report with work times is read back unchanged
--- a/tests/platform/headers.feature
+++ b/tests/platform/headers.feature
@@ -53,6 +53,27 @@
   Scenario: The head of an answer is read
     Then an answer's load, idle timeout and "not run" are decoded
 
+  # Reports of four figures were dropped, so that placement used no load.
+  Scenario Outline: Load reports of three and four figures
+    Then a load report "<text>" reads as "<found>"
+
+    Examples:
+      | text           | found         |
+      | 3,1,8          | 3 1 8 None    |
+      | 3, 1, 12, 250  | 3 1 12 2.5    |
+      | 3,1,8,62.5,7,x | 3 1 8 0.625   |
+      | 3,1,8,9e99     | 3 1 8 100.0   |
+      | 3,1,8,nan      | nothing       |
+      | 3,1,8,-100     | nothing       |
+      | 3,1,8,         | nothing       |
+      | 3,1            | nothing       |
+      | 3,-1,8         | nothing       |
+      | ²,1,8          | nothing       |
+
+  # A malformed header of a busy endpoint would flood the log.
+  Scenario: A malformed load report is logged once
+    Then of 50 malformed load reports one is logged
+
   Scenario Outline: The pause that an endpoint asks for
     Then an answer <status> with the retry time "<text>" asks for <pause> seconds
 
--- a/tests/state/endpoints.feature
+++ b/tests/state/endpoints.feature
@@ -150,3 +150,21 @@
     Then endpoint e0 has a load of 0
     When peer n1 has 2 requests at endpoint e0
     Then endpoint e0 has a load of 2
+
+  # A single disturbed moment must not pass for the speed of the endpoint.
+  Scenario: Reported work times are kept as mean and spread
+    When endpoint e0 reports the work times 1 1 1 1 5 1 1 1
+    Then endpoint e0 takes between 1.3 and 1.6 with a spread above 1
+    When 10 seconds pass for the endpoint view
+    Then endpoint e0 takes between 1 and 1.1 with a spread above 0
+
+  # Services without the fourth figure keep their placement.
+  Scenario: A service that reports work time is known by its reports
+    When endpoint e0 reports 3 running and 1 queued, measured 0 seconds ago
+    Then the room of the service does not report work time
+    When endpoint e0 reports the work times 1
+    Then the room of the service reports work time
+
+  Scenario: A service that reports work time to a peer is known by the peer
+    When a peer has seen the work time of the service
+    Then the room of the service reports work time
--- a/tests/steps/coordination_sharing.py
+++ b/tests/steps/coordination_sharing.py
@@ -1,3 +1,4 @@
+import json
 import zlib
 
 from behave import given
@@ -99,3 +100,22 @@
         except ValueError:
             continue
         raise AssertionError(data)
+
+
+def encode_work_times(work_times):
+    amounts = sharing.Amounts(work_times=work_times)
+    report = aggregates.AggregateReport("i1", "a", sharing.Total(amounts, 1))
+    return report, aggregates.encode_report(report)
+
+
+@then("a report without work times has the tables of level 0 only")
+def check_tables(context):
+    _, data = encode_work_times({})
+    amounts = json.loads(zlib.decompress(data))["total"]["amounts"]
+    assert sorted(amounts) == ["demand", "loads", "work"], amounts
+
+
+@then("a report with work times is read back unchanged")
+def check_work_times(context):
+    report, data = encode_work_times({"chat": 2})
+    assert aggregates.decode_report(data) == report
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -1,5 +1,6 @@
 import io
 import json
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -7,6 +8,7 @@
 
 from mulberryhollow.coordination import routing
 from mulberryhollow import errors
+from mulberryhollow import events
 from mulberryhollow.platform import callers
 from mulberryhollow.platform import endpoints
 from mulberryhollow.platform import headers
@@ -379,6 +381,30 @@
     assert decode(421, ()).is_other_endpoint
 
 
+@then('a load report "{text}" reads as "{expected}"')
+def check_load(context, text, expected):
+    head = endpoints.EndpointCodec().decode_head(
+        200, (("Instance-Load", text),)
+    )
+    found = "nothing"
+    if head.load is not None:
+        load = head.load
+        found = f"{load.running} {load.queued} {load.slots} {load.work_time}"
+    assert found == expected, found
+
+
+@then("of {count:d} malformed load reports one is logged")
+def check_load_logged(context, count):
+    codec = endpoints.EndpointCodec()
+    with mock.patch.object(events, "log") as log:
+        for _ in range(count):
+            codec.decode_head(200, (("Instance-Load", "3,1"),))
+        codec.decode_head(200, ())
+    assert [each.args[0] for each in log.mock_calls] == [
+        endpoints.LOAD_MALFORMED
+    ]
+
+
 @then(
     'an answer {status:d} with the retry time "{text}" asks for {pause_s:g} '
     "seconds"
--- a/tests/steps/state_endpoints.py
+++ b/tests/steps/state_endpoints.py
@@ -241,3 +241,32 @@
 @when("reports older than {age_s:g} seconds expire")
 def expire_reports(context, age_s):
     context.view.expire_reports(context.now_s - age_s)
+
+
+@when("endpoint {endpoint_id} reports the work times {values}")
+def report_work_times(context, endpoint_id, values):
+    for value in values.split():
+        context.view.report_load(
+            endpoint_id, 1, 0, 8, 0.0, context.now_s, float(value)
+        )
+
+
+@then(
+    "endpoint {endpoint_id} takes between {low:g} and {high:g} with a "
+    "spread above {least:g}"
+)
+def check_work_time(context, endpoint_id, low, high, least):
+    record = context.view.get(endpoint_id)
+    mean, spread = record.work_time.estimate(context.now_s)
+    assert low <= mean <= high and spread > least, (mean, spread)
+
+
+@when("a peer has seen the work time of the service")
+def add_peer_work_time(context):
+    context.view.add_peer_work_time({SERVICE: 1})
+
+
+@then("the room of the service {reports} work time")
+def check_room_work_time(context, reports):
+    room = context.view.measure_room(SERVICE, context.now_s)
+    assert room.reports_work_time == (reports == "reports"), room
