Decide by rank, account and room which requests are served

A service with too little room has no rule for who gets it: engines refuse whatever arrives when their queues are full. coordination/room/ decides from the ServiceRoom, the demand of the last seconds at all instances and the expected work of a request. Nothing uses it yet.

--- /dev/null
+++ b/mulberryhollow/coordination/room/controller.py
@@ -0,0 +1,488 @@
+"""Admission controller of one service's room."""
+
+import collections
+import heapq
+import math
+import random
+
+import attrs
+
+from mulberryhollow.coordination.room import outcomes
+from mulberryhollow.coordination.room import rates
+from mulberryhollow.coordination.room import returns
+from mulberryhollow.coordination.room import shares
+
+__all__ = ["RoomController", "RoomPart"]
+
+FREE_USE = 0.75
+"""Use of the room below which every request is granted."""
+
+TARGET_USE = 0.96
+"""Use of the room that the granted requests should cause."""
+
+SCALE_DECAY_S = 1.5
+"""Time constant with which the scale follows the observed use, in seconds.
+
+Longer than the age of the observed use, or it would oscillate.
+"""
+
+FULL_SCALE_PER_S = 0.3
+"""Relative increase of the scale per second and unit of use above 1.
+
+While requests wait, the use does not show how long the others are held.
+"""
+
+MIN_SCALE = 0.2
+MAX_SCALE = 5.0
+"""Bounds of the ratio of observed to expected places."""
+
+DRAIN_S = 2.0
+"""Time in which waiting requests are to be worked off, in seconds.
+
+About twice the age of the observed use, so that it does not oscillate.
+"""
+
+MIN_CAPACITY_FRACTION = 0.3
+"""Minimum part of the room that is granted while requests wait.
+
+A wrong report of the use must not stop the admission.
+"""
+
+UPDATE_INTERVAL_S = 0.1
+"""Interval between two divisions of the room, in seconds."""
+
+DEMAND_DECAY_S = 1.0
+"""Time constant of the demand, in seconds.
+
+Bursts last for seconds, and a wave of load has to be seen in its first one.
+"""
+
+MAX_KEYS = 512
+"""Maximum number of ranks and accounts whose demand is kept."""
+
+REMOTE_LIFETIME_S = 3.0
+"""Age above which the demand at other instances is not used, in seconds."""
+
+RESERVED_DEVIATIONS = 1.0
+"""Reserve for more urgent requests, in standard deviations of their use.
+
+The number of requests in service varies by the root of its mean.
+"""
+
+MAX_RESERVED_FRACTION = 0.15
+"""Maximum reserve, as a fraction of the places."""
+
+URGENT_WAIT_FRACTION = 0.5
+"""Wait that the most urgent requests accept, as a fraction of their goal."""
+
+WAIT_FRACTION = 0.125
+"""Wait that less urgent requests may cause, as a fraction of a goal.
+
+The goal is their own, and that of any more urgent rank.
+"""
+
+MEAN_WEIGHT = 0.05
+"""Weight of the latest request in a mean."""
+
+MIN_EXPECTED_PLACES = 2.0
+"""Expected use from which the scale is learned, in places.
+
+A smaller sample of requests says little about their work.
+"""
+
+LATE_DEMAND = 0.8
+"""Demand per capacity from which late requests take room from others."""
+
+RETURN_DEBT = 4.0
+"""Requests by which returning callers may exceed their share.
+
+The share then grants that many fewer new requests.
+"""
+
+MIN_RETRY_S = 0.02
+"""Minimum Retry-After, in seconds; shorter times only cause messages."""
+
+MAX_RETRY_FRACTION = 1 / 3
+"""Maximum Retry-After, as a fraction of the time left to the deadline."""
+
+MAX_RETRY_GOAL_FRACTION = 0.5
+"""The same, as a fraction of the time left to the goal."""
+
+MAX_HOLD_S = 30.0
+"""Maximum time for which a granted request counts as running, in seconds."""
+
+
+@attrs.frozen
+class RoomPart:
+    """Part of the room about which this instance decides.
+
+    Parameters
+    ----------
+    parts : float
+        Number of parts into which the room is divided while the demand at
+        the other instances is not known.
+    reachable_fraction : float
+        Fraction of the fleet on this side of a partition; the requests of
+        this side get that fraction of the room.
+    """
+
+    parts: float = 1.0
+    reachable_fraction: float = 1.0
+
+
+@attrs.define
+class _Division:
+    """Latest division of the room among ranks and accounts."""
+
+    at_s: float = -math.inf
+    fractions: dict = attrs.field(factory=dict)
+    demand: float = 0.0
+    capacity: float = 0.0
+    by_rank: dict = attrs.field(factory=dict)
+
+
+class RoomController:
+    """Decides for each request of a service whether there is room for it.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random phases and retry times. Instances should have
+        different ones, so that they do not refuse in step.
+
+    Notes
+    -----
+    The demand of the last seconds is measured in places, that is the time
+    for which requests occupy a place, per second. The capacity is the number
+    of places, divided by a scale: the ratio of the observed use to what the
+    granted requests should occupy, which absorbs a common error of the
+    estimated work. Each rank and
+    account is granted a fraction of its requests. It is computed from the
+    demand at all instances and applied to the local requests, so the shares
+    and floors hold for the sum over the holders. The fraction does not
+    depend on the size of a request, so all sizes are served alike.
+    """
+
+    def __init__(self, seed=0):
+        self._rng = random.Random(seed)
+        self._part = RoomPart()
+        self._demand = rates.DecayingSums(DEMAND_DECAY_S, MAX_KEYS)
+        self._arrivals = rates.DecayingSums(DEMAND_DECAY_S, MAX_KEYS)
+        self._remote = {}
+        self._remote_at_s = -math.inf
+        self._granted = rates.DecayingSums(DEMAND_DECAY_S, MAX_KEYS)
+        self._scale = 1.0
+        self._division = _Division()
+        self._credit = {}
+        self._returns = returns.ReturnTable()
+        self._next_return_s = {}
+        self._running = []
+        self._running_memory = 0.0
+        self._hold_s = None
+        self._goals = {}
+
+    def set_part(self, part):
+        """Set the `RoomPart` of this instance."""
+        self._part = part
+
+    def set_remote(self, demand, now_s):
+        """Set the demand at the other instances that decide.
+
+        Parameters
+        ----------
+        demand : dict
+            (rank, account) to demand, in places.
+        now_s : float
+            The time, in seconds.
+        """
+        self._remote = demand
+        self._remote_at_s = now_s
+
+    def list_demand(self, now_s):
+        """Return the local demand by (rank, account), in places."""
+        return self._demand.list_rates(now_s)
+
+    def count_remembered(self):
+        """Return the number of refused requests that are remembered."""
+        return len(self._returns)
+
+    def decide(self, request, room, now_s):
+        """Decide on a request.
+
+        Parameters
+        ----------
+        request : RoomRequest
+            The request.
+        room : ServiceRoom
+            Room of its service.
+        now_s : float
+            The time, in seconds.
+
+        Returns
+        -------
+        Granted or NoRoom
+        """
+        key = request.rank, request.account
+        places = count_places(request.work, room)
+        kind = self._returns.classify(request.fingerprint, now_s)
+        if kind is returns.Return.NEW:
+            self._demand.add(key, places, now_s)
+            self._arrivals.add(request.rank, 1.0, now_s)
+        self._observe_goal(request)
+        use = self._measure_use(room, now_s)
+        if not room.slots:
+            inputs = outcomes.RoomInputs(use, age_s=room.age_s)
+            return outcomes.Granted(outcomes.Rule.UNKNOWN, inputs)
+        division = self._divide(use, room, now_s)
+        inputs = outcomes.RoomInputs(
+            use,
+            self._estimate_wait_s(use, 0.0, room),
+            division.fractions.get(key, 1.0),
+            division.demand,
+            division.capacity,
+            self._get_age_s(room, now_s),
+        )
+        rule = self._find_rule(request, kind, inputs, room)
+        match rule:
+            case (
+                outcomes.Rule.AMPLE
+                | outcomes.Rule.SHARE
+                | outcomes.Rule.RETURNED
+            ) if self._is_granted(rule, key, inputs.share):
+                self._granted.add(key, places, now_s)
+                self._start(request, now_s)
+                return outcomes.Granted(rule, inputs)
+        retry_s = self._plan_return(request, kind, inputs, now_s)
+        return outcomes.NoRoom(rule, retry_s, inputs)
+
+    def withdraw(self, request):
+        """Take back a granted request that another limit has refused."""
+        key = request.rank, request.account
+        self._credit[key] = self._credit.get(key, 0.0) + 1.0
+
+    def _find_rule(self, request, kind, inputs, room):
+        """Return the rule that decides on a request."""
+        rule = outcomes.Rule
+        is_free = inputs.demand < FREE_USE * inputs.capacity
+        if inputs.use < FREE_USE and is_free:
+            return rule.AMPLE
+        if inputs.wait_s > request.deadline_left_s:
+            return rule.EXPIRED
+        is_late = inputs.wait_s > request.goal_left_s
+        if is_late and inputs.demand > LATE_DEMAND * inputs.capacity:
+            return rule.LATE
+        if not self._has_memory(request, room):
+            return rule.MEMORY
+        is_short = inputs.demand > inputs.capacity
+        if kind is returns.Return.EARLY and is_short:
+            return rule.IMPATIENT
+        if not (is_late or self._keeps_reserve(request, inputs.use, room)):
+            return rule.RESERVED
+        if kind is returns.Return.ON_TIME:
+            return rule.RETURNED
+        return rule.SHARE
+
+    def _is_granted(self, rule, key, share):
+        """Return whether a request is among the fraction that is granted."""
+        if rule is outcomes.Rule.AMPLE or share >= 1.0:
+            return True
+        credit = self._credit.get(key)
+        if credit is None:
+            credit = self._rng.random()
+        if rule is outcomes.Rule.RETURNED:
+            # Its demand was counted when it was refused.
+            is_granted = credit >= 1.0 - RETURN_DEBT
+        else:
+            credit = min(1.0, credit) + share
+            is_granted = credit >= 1.0
+        if len(self._credit) >= MAX_KEYS:
+            self._credit.clear()
+        self._credit[key] = credit - is_granted
+        return is_granted
+
+    def _start(self, request, now_s):
+        """Count a granted request as running."""
+        hold_s = min(MAX_HOLD_S, request.work.total_s)
+        memory = request.work.high_memory_tokens
+        heapq.heappush(self._running, (now_s + hold_s, memory))
+        self._running_memory += memory
+        mean = hold_s if self._hold_s is None else self._hold_s
+        self._hold_s = mean + MEAN_WEIGHT * (hold_s - mean)
+        self._returns.remove(request.fingerprint)
+
+    def _observe_goal(self, request):
+        """Update the mean time left to the goal of a rank."""
+        goal_s = max(0.0, request.goal_left_s)
+        mean = self._goals.get(request.rank, goal_s)
+        self._goals[request.rank] = mean + MEAN_WEIGHT * (goal_s - mean)
+
+    def _measure_use(self, room, now_s):
+        """Return the use of the room, where 1 means that it is full.
+
+        What this instance has granted counts at once; the rest is as old as
+        `ServiceRoom.age_s`.
+        """
+        while self._running and self._running[0][0] <= now_s:
+            self._running_memory -= heapq.heappop(self._running)[1]
+        part = self._part.reachable_fraction
+        used = max(room.used_slots, len(self._running))
+        use = used / (room.slots * part) if room.slots else 1.0
+        if room.memory_tokens:
+            use = max(use, self._get_used_memory(room) / room.memory_tokens)
+        return use
+
+    def _get_used_memory(self, room):
+        """Return the tokens that running and placed requests will occupy."""
+        return max(room.used_memory_tokens, self._running_memory)
+
+    def _has_memory(self, request, room):
+        """Return whether the request's future memory fits."""
+        if not room.memory_tokens:
+            return True
+        used = self._get_used_memory(room) / self._part.reachable_fraction
+        return used + request.work.high_memory_tokens <= room.memory_tokens
+
+    def _estimate_wait_s(self, use, reserved, room):
+        """Return the time until a further request starts, in seconds.
+
+        Requests that waited when the use was observed may have been worked
+        off since then, so its age is subtracted.
+        """
+        slots = room.slots * self._part.reachable_fraction
+        excess = use * slots + 1.0 + reserved - slots
+        wait_s = max(0.0, excess) * self._get_hold_s() / slots
+        return max(0.0, wait_s - room.age_s)
+
+    def _get_hold_s(self):
+        """Return the time for which a request holds a place, in seconds."""
+        return (self._hold_s or 0.0) * self._scale
+
+    def _keeps_reserve(self, request, use, room):
+        """Return whether a request leaves the room of more urgent ones."""
+        by_rank = self._division.by_rank
+        urgent = sum(
+            amount for rank, amount in by_rank.items() if rank < request.rank
+        )
+        if not urgent:
+            limit_s = URGENT_WAIT_FRACTION * request.goal_left_s
+            return self._estimate_wait_s(use, 0.0, room) <= max(0.0, limit_s)
+        reserved = min(
+            RESERVED_DEVIATIONS * math.sqrt(urgent),
+            MAX_RESERVED_FRACTION * room.slots,
+        )
+        goals = [
+            goal_s
+            for rank, goal_s in self._goals.items()
+            if rank < request.rank and by_rank.get(rank)
+        ]
+        goal_s = min([max(0.0, request.goal_left_s), *goals])
+        wait_s = self._estimate_wait_s(use, reserved, room)
+        return wait_s <= WAIT_FRACTION * goal_s
+
+    def _update_scale(self, use, room, interval_s, now_s):
+        """Follow the ratio of the observed use to the expected one."""
+        interval_s = min(1.0, interval_s)
+        if use > 1.0:
+            growth = FULL_SCALE_PER_S * (min(2.0, use) - 1.0)
+            scale = self._scale * math.exp(growth * interval_s)
+        else:
+            demand = sum(self._demand.list_rates(now_s).values())
+            granted = sum(self._granted.list_rates(now_s).values())
+            known = self._division.demand * granted / demand if demand else 0
+            expected = known * room.slots / self._get_places(room, now_s)
+            if expected < MIN_EXPECTED_PLACES:
+                return
+            weight = 1.0 - math.exp(-interval_s / SCALE_DECAY_S)
+            observed = use * room.slots / expected
+            scale = self._scale + weight * (observed - self._scale)
+        self._scale = min(MAX_SCALE, max(MIN_SCALE, scale))
+
+    def _find_capacity(self, use, room, now_s):
+        """Return the room to be divided, in places of estimated work."""
+        places = self._get_places(room, now_s)
+        waiting = max(0.0, use - 1.0) * places
+        drained = waiting * self._get_hold_s() / DRAIN_S
+        lowest = MIN_CAPACITY_FRACTION * places
+        return max(lowest, TARGET_USE * places - drained) / self._scale
+
+    def _knows_remote(self, now_s):
+        """Return whether the demand at the other instances is known."""
+        return now_s - self._remote_at_s < REMOTE_LIFETIME_S
+
+    def _get_places(self, room, now_s):
+        """Return the places that the known demand is divided among."""
+        part = self._part
+        if self._knows_remote(now_s):
+            return room.slots * part.reachable_fraction
+        return room.slots / part.parts
+
+    def _get_age_s(self, room, now_s):
+        """Return the age of the oldest input of a decision, in seconds."""
+        if self._knows_remote(now_s):
+            return max(room.age_s, now_s - self._remote_at_s)
+        return room.age_s
+
+    def _divide(self, use, room, now_s):
+        """Return the `_Division` of the room, computed again after a while."""
+        division = self._division
+        interval_s = now_s - division.at_s
+        if interval_s < UPDATE_INTERVAL_S:
+            return division
+        self._update_scale(use, room, interval_s, now_s)
+        demand = collections.Counter(self._demand.list_rates(now_s))
+        if self._knows_remote(now_s):
+            demand.update(self._remote)
+        capacity = self._find_capacity(use, room, now_s)
+        by_rank = collections.Counter()
+        for (rank, _), amount in demand.items():
+            by_rank[rank] += amount
+        self._division = _Division(
+            now_s,
+            shares.divide_room(demand, capacity),
+            sum(demand.values()),
+            capacity,
+            by_rank,
+        )
+        return self._division
+
+    def _plan_return(self, request, kind, inputs, now_s):
+        """Return the Retry-After of a refused request, in seconds.
+
+        The return times of a rank are spaced by its rate of granted
+        requests, and lie within the time that is left to the caller.
+        """
+        if kind is returns.Return.EARLY:
+            left_s = self._returns.get_left_s(request.fingerprint, now_s)
+            return max(MIN_RETRY_S, left_s)
+        latest_s = MAX_RETRY_FRACTION * max(0.0, request.deadline_left_s)
+        if request.goal_left_s > 0:
+            in_goal_s = MAX_RETRY_GOAL_FRACTION * request.goal_left_s
+            latest_s = min(latest_s, in_goal_s)
+        earliest_s = min(latest_s, max(MIN_RETRY_S, inputs.wait_s))
+        rate = self._arrivals.get_rate(request.rank, now_s) * inputs.share
+        spacing_s = 1.0 / rate if rate else math.inf
+        last_s = self._next_return_s.get(request.rank, -math.inf)
+        retry_s = max(earliest_s, last_s + spacing_s - now_s)
+        if retry_s > latest_s:
+            retry_s = self._rng.uniform(earliest_s, latest_s)
+        else:
+            self._next_return_s[request.rank] = now_s + retry_s
+        self._returns.add(request.fingerprint, now_s + retry_s, now_s)
+        return retry_s
+
+
+def count_places(work, room):
+    """Return the work of a request in seconds of a place.
+
+    It is the time for which the request occupies a place, or more where it
+    takes a larger part of an endpoint's speed or memory.
+    """
+    places = work.total_s
+    if not work.memory_tokens:
+        return places
+    if room.speed:
+        places = max(places, work.prompt_s * room.slots / room.speed)
+    if room.memory_tokens:
+        memory = work.memory_tokens * room.slots / room.memory_tokens
+        places = max(places, memory * work.total_s)
+    return places
