Admit requests by the room of their service

Holders of quota credit charged and placed requests without regard to the room, so engines refused urgent and other requests alike once their queues were full. A draw now carries route, rank, goal, deadline, fingerprint and output tokens from protocol level 1 on, and the holder answers "no room" with rule and Retry-After before it charges the quota. Below level 1, and in small fleets, each instance decides about its part. The demand by rank and account travels in the aggregate reports as a bounded table, from level 1 on.

--- a/mulberryhollow/coordination/sharing/aggregates.py
+++ b/mulberryhollow/coordination/sharing/aggregates.py
@@ -51,12 +51,16 @@
     work_times : dict
         Service to the number of instances that have seen one of its endpoints
         report its work time; not sent while it is empty.
+    room : dict
+        Service, rank and client account, as one short key, to the demand
+        for room, in places. Older builds do not decode this table.
     """
 
     demand: dict = attrs.field(factory=dict)
     loads: dict = attrs.field(factory=dict)
     work: dict = attrs.field(factory=dict)
     work_times: dict = attrs.field(factory=dict)
+    room: dict = attrs.field(factory=dict)
 
     def minus(self, other):
         """Return the difference to other amounts, without values <= 0."""
@@ -65,6 +69,7 @@
             _subtract(self.loads, other.loads),
             _subtract(self.work, other.work),
             _subtract(self.work_times, other.work_times),
+            _subtract(self.room, other.room),
         )
 
 
@@ -93,6 +98,7 @@
                 _add(each.amounts.loads for each in totals),
                 _add(each.amounts.work for each in totals),
                 _add(each.amounts.work_times for each in totals),
+                _add(each.amounts.room for each in totals),
             ),
             sum(each.count for each in totals),
         )
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -41,6 +41,7 @@
 from mulberryhollow.serving import quota_peering
 from mulberryhollow.serving import recorder
 from mulberryhollow.serving import registry
+from mulberryhollow.serving import room_admission
 from mulberryhollow.serving import store_relay
 from mulberryhollow.serving import stored_quarantine
 from mulberryhollow.serving import usage
@@ -190,8 +191,11 @@
         )
         self._caller_watch = caller_watch.CallerWatch(clock)
         self._usage_ledger = self._make_usage_ledger()
+        self._room = room_admission.RoomAdmission(
+            self.dispatcher, clock, settings.instance, self.observer.count
+        )
         self._quota_peering = quota_peering.QuotaPeering(
-            self._peers, clock, self.dispatcher
+            self._peers, clock, self.dispatcher, self._room
         )
         self._permit_peering = self._make_permit_peering()
         self._followers = self._make_followers()
@@ -207,6 +211,7 @@
             self._usage_ledger,
             lambda: self._fact_peering.collectors,
             self._store_relay,
+            self._room,
         )
         self._codec = endpoints.EndpointCodec()
         self._client = forwarding.ForwardClient(self._codec, self._clock)
@@ -405,7 +410,10 @@
         )
         return ingress.Ingress(
             ingress.IngressDependencies(
-                request_forwarder, self._clock, self._quota_peering
+                request_forwarder,
+                self._clock,
+                self._quota_peering,
+                self._room,
             )
         )
 
--- a/mulberryhollow/protocol/draws.py
+++ b/mulberryhollow/protocol/draws.py
@@ -10,13 +10,80 @@
 __all__ = [
     "Draw",
     "DrawnCredit",
+    "RoomQuery",
+    "RoomRefusal",
     "decode_draw",
     "decode_drawn",
     "encode_draw",
     "encode_drawn",
 ]
 
-_DECODE_ERRORS = (ValueError, TypeError, KeyError, AttributeError)
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    IndexError,
+    AttributeError,
+)
+
+MAX_RANK = 9
+"""Rank of the least urgent requests."""
+
+
+@attrs.frozen
+class RoomQuery:
+    """Part of a draw that asks for room at the service.
+
+    It is sent only to instances that decode it.
+
+    Parameters
+    ----------
+    route : str
+        Name of the route that the request matched.
+    rank : int
+        Urgency by account and route; 0 is the most urgent.
+    goal_left_s, deadline_left_s : float
+        Time left to the latency goal and to the deadline, in seconds.
+    fingerprint : str
+        Hash that the request shares with its resends.
+    max_output_tokens : int
+        Maximum length of the answer, in tokens; 0 if it is not stated.
+    """
+
+    route: str
+    rank: int
+    goal_left_s: float
+    deadline_left_s: float
+    fingerprint: str
+    max_output_tokens: int = 0
+
+    @classmethod
+    def of(cls, request, now_s):
+        """Return the query for a ForwardRequest."""
+        return cls(
+            request.route,
+            request.rank,
+            request.arrived_s + request.goal_s - now_s,
+            request.deadline_s - now_s,
+            request.fingerprint,
+            request.max_output_tokens,
+        )
+
+
+@attrs.frozen
+class RoomRefusal:
+    """Outcome of a draw whose service has no room for the request.
+
+    Parameters
+    ----------
+    rule : str
+        Name of the rule that decided.
+    retry_after_s : float
+        Time after which the caller should return, in seconds.
+    """
+
+    rule: str
+    retry_after_s: float
 
 
 @attrs.frozen
@@ -31,11 +98,14 @@
         Cost of the request in the unit of the account's quota.
     route_request : RouteRequest
         The request for which the holder is to choose an endpoint.
+    room_query : RoomQuery or None
+        Question for room; None if the holder is not to decide about it.
     """
 
     account: str
     cost: float
     route_request: routing.RouteRequest
+    room_query: RoomQuery | None = None
 
 
 @attrs.frozen
@@ -50,14 +120,18 @@
         Id of the endpoint chosen for the request; empty for none.
     permit : Permit or None
         Permit that has been drawn for that endpoint; None if it needs none.
+    no_room : RoomRefusal or None
+        Refusal for lack of room, after which nothing was charged. It is the
+        answer only to a draw with a `RoomQuery`.
     """
 
     exceeded: limits.QuotaExceeded | None
     placement: str = ""
     permit: routing.Permit | None = None
+    no_room: RoomRefusal | None = None
 
 
-def encode_draw(request, now_s):
+def encode_draw(request, now_s, room_query=None):
     """Return the question for a ForwardRequest as JSON bytes.
 
     Parameters
@@ -66,6 +140,8 @@
         The request.
     now_s : float
         Monotonic time, in seconds.
+    room_query : RoomQuery or None
+        Question for room; None for a holder that does not decode it.
     """
     route_request = request.to_route_request()
     fields = {
@@ -78,6 +154,8 @@
         "idempotent": route_request.idempotent,
         "chain": attrs.astuple(route_request.chain, recurse=False),
     }
+    if room_query is not None:
+        fields["room"] = attrs.asdict(room_query)
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -105,7 +183,10 @@
             account=str(fields["account"]),
         )
         return Draw(
-            route_request.account, float(fields["cost"]), route_request
+            route_request.account,
+            float(fields["cost"]),
+            route_request,
+            _decode_room_query(fields.get("room")),
         )
     except _DECODE_ERRORS as error:
         raise ValueError(f"malformed draw: {error!r}") from error
@@ -119,6 +200,8 @@
         "placement": drawn.placement,
         "permit": drawn.permit and attrs.astuple(drawn.permit),
     }
+    if drawn.no_room is not None:
+        fields["no_room"] = attrs.astuple(drawn.no_room)
     return json.dumps(fields).encode()
 
 
@@ -138,6 +221,23 @@
         permit = fields.get("permit")
         if permit is not None:
             permit = routing.Permit(*map(str, permit))
-        return DrawnCredit(exceeded, str(fields["placement"]), permit)
+        no_room = fields.get("no_room")
+        if no_room is not None:
+            no_room = RoomRefusal(str(no_room[0]), float(no_room[1]))
+        return DrawnCredit(exceeded, str(fields["placement"]), permit, no_room)
     except _DECODE_ERRORS as error:
         raise ValueError(f"malformed answer to a draw: {error!r}") from error
+
+
+def _decode_room_query(fields):
+    """Return the RoomQuery in the fields of a draw; None without one."""
+    if fields is None:
+        return None
+    return RoomQuery(
+        route=str(fields["route"]),
+        rank=min(MAX_RANK, max(0, int(fields["rank"]))),
+        goal_left_s=float(fields["goal_left_s"]),
+        deadline_left_s=float(fields["deadline_left_s"]),
+        fingerprint=str(fields["fingerprint"]),
+        max_output_tokens=int(fields.get("max_output_tokens", 0)),
+    )
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -73,7 +73,12 @@
         Latency goal of a stream: longest pause between two events that
         is of full use to the caller, in seconds; 0 without a goal.
     priority : int
-        Priority of the request; 0 is the most urgent.
+        Priority that is sent to the endpoint; 0 is the most urgent.
+    rank : int
+        Urgency by account and route for admission by room; 0 is the most
+        urgent.
+    max_output_tokens : int
+        Maximum length of the answer, in tokens; 0 if it is not stated.
     max_endpoints : int
         Maximum number of endpoints that may run the request.
     chain : PromptChain or None
@@ -114,6 +119,8 @@
     last_event_id: str = ""
     fingerprint: str = ""
     parts: tuple = ()
+    rank: int = 0
+    max_output_tokens: int = 0
 
     def to_route_request(self):
         """Return the `RouteRequest` for the first or a further attempt."""
--- a/mulberryhollow/serving/aggregate_peering.py
+++ b/mulberryhollow/serving/aggregate_peering.py
@@ -5,12 +5,14 @@
 import logging
 import threading
 
+import attrs
 import xxhash
 
 from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import aggregates
+from mulberryhollow.serving import room_admission
 
 __all__ = ["AggregatePeering"]
 
@@ -82,6 +84,8 @@
         Returns the current `Collectors`.
     relay : StoreRelay or None
         Relays stored objects with the reports.
+    room : RoomAdmission or UnlimitedRoom
+        Source of the local demand for room; receives the totals.
 
     Attributes
     ----------
@@ -98,6 +102,7 @@
         usage,
         get_collectors,
         relay=None,
+        room=None,
     ):
         self._peers = peers
         self._clock = clock
@@ -105,6 +110,7 @@
         self._usage = usage
         self._get_collectors = get_collectors
         self._relay = relay
+        self._room = room or room_admission.UnlimitedRoom()
         self._local_member = peers.local_member()
         self._table = sharing.AggregateTable(self._local_member.instance_id)
         self._lock = threading.Lock()
@@ -123,9 +129,10 @@
         domains = collectors.domains
         read = functools.partial(_read_local, collectors.level)
         # Only acting instances grant the credit of quotas.
-        local = sharing.Total(
-            self._dispatcher.read(read), int(collectors.is_local)
+        amounts = attrs.evolve(
+            self._dispatcher.read(read), room=self._room.list_demand()
         )
+        local = sharing.Total(amounts, int(collectors.is_local))
         local_domain = self._local_member.failure_domain
         is_collector = (
             domains[local_domain][0] == self._local_member.instance_id
@@ -146,11 +153,12 @@
         self._dispatcher.change(
             functools.partial(_apply_remote, remote, age_s)
         )
+        self._room.apply_remote(remote.amounts.room)
 
     def _exchange_totals(self, domains, now_s):
         """Exchange the totals of the domains with the other collectors."""
         with self._lock:
-            total = self._table.sum_domain(now_s)
+            total = self._limit(self._table.sum_domain(now_s))
         report = self._make_report(total, True, self._usage.encode_all())
         calls = [
             self._threads.submit(self._send_report, names[0], report)
@@ -228,13 +236,20 @@
         answer = aggregates.AggregateReport(
             self._local_member.instance_id,
             self._local_member.failure_domain,
-            total,
+            self._limit(total),
             report.is_collector,
             usage,
             store=self._relay.answer(report.store) if self._relay else {},
         )
         return aggregates.encode_report(answer)
 
+    def _limit(self, total):
+        """Return a Total without tables that a receiver may not decode."""
+        if self._room.shares_demand or not total.amounts.room:
+            return total
+        amounts = attrs.evolve(total.amounts, room={})
+        return attrs.evolve(total, amounts=amounts)
+
     def _merge(self, report):
         """Merge the report of another instance."""
         now_s = self._clock.now_s()
--- a/mulberryhollow/serving/ingress.py
+++ b/mulberryhollow/serving/ingress.py
@@ -9,6 +9,7 @@
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.serving import room_admission
 from mulberryhollow.state import catalogue as catalogues
 
 __all__ = ["Ingress", "IngressDependencies", "IngressRequest"]
@@ -92,11 +93,14 @@
         Source of time.
     quotas : QuotaPeering
         Charges requests to the quotas of their client accounts.
+    room : RoomAdmission or UnlimitedRoom
+        Knows the services whose requests are admitted by room.
     """
 
     forwarder: object
     clock: object
     quotas: object
+    room: object = attrs.field(factory=room_admission.UnlimitedRoom)
 
 
 class Ingress:
@@ -179,6 +183,10 @@
             timeout_s = min(timeout_s, incoming.timeout_s)
         name = account.name if account else ""
         service = _pick_service(route, incoming.request_id)
+        rank = _compute_rank(route, account)
+        priority = _compute_priority(route, account)
+        if self._dependencies.room.is_on(service):
+            priority = rank
         return messages.ForwardRequest(
             request_id=incoming.request_id,
             route=route.name,
@@ -191,7 +199,9 @@
             gap_goal_s=route.gap_goal_s,
             payload=incoming.payload,
             host=incoming.host,
-            priority=_compute_priority(route, account),
+            priority=priority,
+            rank=rank,
+            max_output_tokens=_count_max_output(incoming),
             max_endpoints=route.max_endpoints,
             chain=incoming.chain,
             cost=_compute_cost(account, incoming),
@@ -225,6 +235,24 @@
     return min(MAX_PRIORITY, account.priority * PRIORITY_STEP + route_priority)
 
 
+def _compute_rank(route, account):
+    """Return the urgency over the whole range, by account and route.
+
+    Unlike `_compute_priority`, it tells all priorities of routes apart.
+    """
+    priority = max(0, route.priority)
+    if account is not None and account.priority is not None:
+        priority += PRIORITY_STEP * max(0, account.priority)
+    return min(MAX_PRIORITY, priority)
+
+
+def _count_max_output(incoming):
+    """Return the maximum length of the answer in tokens; 0 if unknown."""
+    if incoming.tokens is None or incoming.chain is None:
+        return 0
+    return max(0, int(incoming.tokens) - incoming.chain.tokens)
+
+
 def _compute_cost(account, incoming):
     """Return the cost of a request in the unit of its account's quota.
 
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -1,5 +1,6 @@
 """Charges requests to quotas whose credit is held by several instances."""
 
+import contextlib
 import itertools
 import json
 import logging
@@ -12,6 +13,7 @@
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import draws
+from mulberryhollow.serving import room_admission
 
 __all__ = ["BorrowedCredit", "QuotaPeering"]
 
@@ -94,6 +96,8 @@
         Source of time.
     dispatcher : Dispatcher
         Holds the token buckets of the quotas.
+    room : RoomAdmission or UnlimitedRoom
+        Decides which requests there is room for.
 
     Notes
     -----
@@ -101,12 +105,18 @@
     a holder charges a request before it answers. So a lost answer loses
     credit and never duplicates it. An instance that reaches no holder
     charges its requests to its own equal part.
+
+    Where a service has too little room, a request is granted room before it
+    is charged, by the instance that charges it, so a request refused for
+    lack of room costs no credit. Holders decide once all instances decode
+    the question for room; until then each instance decides for itself.
     """
 
-    def __init__(self, peers, clock, dispatcher):
+    def __init__(self, peers, clock, dispatcher, room=None):
         self._peers = peers
         self._clock = clock
         self._dispatcher = dispatcher
+        self._room = room or room_admission.UnlimitedRoom()
         self._local_name = peers.local_member().instance_id
         self._rotation = itertools.count()
         self._paused_until_s = {}
@@ -122,6 +132,7 @@
         """Let the given `Collectors` hold the credit from now on."""
         self._collectors = collectors
         self._holders = {}
+        self._room.apply_collectors(collectors)
         self._dispatcher.change(
             lambda actor, now_s: actor.quotas.set_live_nodes(
                 collectors.parts, now_s, bool(collectors.local)
@@ -145,13 +156,44 @@
         Raises
         ------
         RefusedError
-            When the account is over its quota, or the request is
-            quarantined for crashing endpoints.
+            When there is no room for the request, the account is over its
+            quota, or the request is quarantined for crashing endpoints.
         """
-        drawn = self._draw(request) if request.cost else None
+        if not self._room.is_on(request.service):
+            return self._charge(request)
+        if self._room.shares_demand:
+            return self._charge(request, by_room=True)
+        self._grant_room(request)
+        with self._withdraw_room(request):
+            return self._charge(request)
+
+    def _charge(self, request, by_room=False):
+        """Charge a request, at a holder if there is one.
+
+        Parameters
+        ----------
+        request : ForwardRequest
+            The request.
+        by_room : bool
+            Whether the instance that charges it decides about room too.
+        """
+        drawn = self._draw(request) if request.cost or by_room else None
+        if drawn is None and by_room:
+            self._grant_room(request)
+            with self._withdraw_room(request):
+                self._charge_here(request)
+            return None
         if drawn is None:
             self._charge_here(request)
             return None
+        if drawn.no_room is not None:
+            raise errors.RefusedError(
+                room_admission.refuse_no_room(
+                    request.service,
+                    drawn.no_room.rule,
+                    drawn.no_room.retry_after_s,
+                )
+            )
         self._dispatcher.accept(
             request.service,
             request.fingerprint,
@@ -160,6 +202,27 @@
         )
         return drawn
 
+    def _grant_room(self, request):
+        """Raise RefusedError unless there is room for a request here."""
+        query = draws.RoomQuery.of(request, self._clock.now_s())
+        found = self._room.decide(request.to_route_request(), query)
+        if found is not None:
+            raise errors.RefusedError(
+                room_admission.refuse_no_room(
+                    request.service, found.rule.value, found.retry_after_s
+                )
+            )
+
+    @contextlib.contextmanager
+    def _withdraw_room(self, request):
+        """Give granted room back when the request is refused."""
+        try:
+            yield
+        except errors.RefusedError:
+            query = draws.RoomQuery.of(request, self._clock.now_s())
+            self._room.withdraw(request.to_route_request(), query)
+            raise
+
     def _charge_here(self, request):
         """Charge a request to the credit of this instance and its peers."""
         account, service, cost = request.account, request.service, request.cost
@@ -180,7 +243,11 @@
         holders = self._list_holders(request.account)
         if not holders:
             return None
-        payload = draws.encode_draw(request, self._clock.now_s())
+        now_s = self._clock.now_s()
+        query = None
+        if self._room.shares_demand:
+            query = draws.RoomQuery.of(request, now_s)
+        payload = draws.encode_draw(request, now_s, query)
         for name in holders:
             if name == self._local_name:
                 return None
@@ -228,6 +295,15 @@
         """Charge and place the request of a peer; return the outcome."""
         draw = draws.decode_draw(payload, self._clock.now_s())
         account, cost = draw.account, draw.cost
+        if draw.room_query is not None:
+            refused = self._room.decide(draw.route_request, draw.room_query)
+            if refused is not None:
+                no_room = draws.RoomRefusal(
+                    refused.rule.value, refused.retry_after_s
+                )
+                return draws.encode_drawn(
+                    draws.DrawnCredit(None, no_room=no_room)
+                )
         found = self._dispatcher.read(
             lambda actor, now_s: actor.quotas.spend(account, cost, now_s)
         )
@@ -244,6 +320,8 @@
                 )
             )
         drawn = draws.DrawnCredit(found)
+        if found is not None and draw.room_query is not None:
+            self._room.withdraw(draw.route_request, draw.room_query)
         if found is None:
             placed = self._dispatcher.place(draw.route_request)
             if placed is not None:
