Keep to an own part of the room while few demands are known

Cause: shares computed from the demand of a few other holders add up to more than the room. The remote demand counts only if the aggregate covers three quarters of the other acting instances.

--- a/mulberryhollow/protocol/aggregates.py
+++ b/mulberryhollow/protocol/aggregates.py
@@ -15,7 +15,7 @@
 
 _COMPRESSION_LEVEL = 1
 
-_OPTIONAL_TABLES = ("room", "work_times")
+_OPTIONAL_TABLES = ("work_times", "room")
 """Tables that are omitted while empty, since builds of level 0 reject them."""
 
 
--- a/mulberryhollow/serving/aggregate_peering.py
+++ b/mulberryhollow/serving/aggregate_peering.py
@@ -153,7 +153,7 @@
         self._dispatcher.change(
             functools.partial(_apply_remote, remote, age_s)
         )
-        self._room.apply_remote(remote.amounts.room)
+        self._room.apply_remote(remote.amounts.room, remote.count)
 
     def _exchange_totals(self, domains, now_s):
         """Exchange the totals of the domains with the other collectors."""
--- a/mulberryhollow/serving/room_admission.py
+++ b/mulberryhollow/serving/room_admission.py
@@ -41,6 +41,12 @@
 MIN_SHARED_PLACES = 0.001
 """Smallest demand that is reported, in places."""
 
+MIN_COVERED_FRACTION = 0.75
+"""Fraction of the other acting instances whose demand has to be known.
+
+Without the demand of more of them, shares would add up to more than the room.
+"""
+
 NO_ROOM = events.declare(
     4070,
     logging.INFO,
@@ -68,7 +74,7 @@
         """Return the local demand for the aggregate report: none."""
         return {}
 
-    def apply_remote(self, table):
+    def apply_remote(self, table, count):
         """Apply the demand at the other instances."""
 
     def apply_collectors(self, collectors):
@@ -117,6 +123,7 @@
         self._switches = {}
         self._part = rooms.RoomPart()
         self._has_peers = False
+        self._others = 0
 
     def is_on(self, service):
         """Return whether requests of a service are admitted by room."""
@@ -184,6 +191,7 @@
         """Let the given `Collectors` decide from now on."""
         self.shares_demand = collectors.level >= SHARING_LEVEL
         self._has_peers = collectors.live > 1
+        self._others = len(collectors.others)
         parts = collectors.live
         if self.shares_demand and collectors.local:
             parts = collectors.parts
@@ -196,9 +204,19 @@
             return {}
         return self._dispatcher.read(self._list_demand)
 
-    def apply_remote(self, table):
-        """Apply the demand at the other instances, by key."""
-        if self.shares_demand:
+    def apply_remote(self, table, count):
+        """Apply the demand at the other instances.
+
+        Parameters
+        ----------
+        table : dict
+            Key to demand, in places.
+        count : int
+            Number of acting instances that the demand covers. While it is
+            too small, this instance keeps to its own part of the room.
+        """
+        is_covered = count >= MIN_COVERED_FRACTION * self._others
+        if self.shares_demand and is_covered:
             self._dispatcher.change(functools.partial(self._set_remote, table))
 
     def _find(self, service):
