Publish a protocol level and ignore unknown elements on the wire

Builds of before this commit reject a member fact, registration, aggregate report, draw, permit question or list of endpoints with a field that they do not know, so nothing could be added while two builds serve side by side.

Each instance on the platform publishes its level as a notice "level INSTANCE", bound to its incarnation, so that a rollback is noticed. Collectors.level is the lowest one of the reachable instances. Attrs fields with a level in their metadata ("level": 1) are sent in aggregate reports, tables and lists of endpoints from that level on only. Positional fields, lists and enums that older builds decode strictly are written out one by one.

The decoders of this build ignore unknown fields, tables and list elements; a refusal of a peer of unknown kind keeps whether the request has run.

The level of each instance would be an urgent fact that is sent at each first contact of two instances, about 65 KB at 830 instances. It is sent in the recent rounds only; anti-entropy delivers it to those that start later.

--- a/mulberryhollow/coordination/membership/__init__.py
+++ b/mulberryhollow/coordination/membership/__init__.py
@@ -2,6 +2,10 @@
 
 from mulberryhollow.coordination.membership.budget import BUDGET_BYTES_PER_S
 from mulberryhollow.coordination.membership.budget import ByteBudget
+from mulberryhollow.coordination.membership.levels import encode_level
+from mulberryhollow.coordination.membership.levels import find_lowest_level
+from mulberryhollow.coordination.membership.levels import LEVEL_REFRESH_S
+from mulberryhollow.coordination.membership.levels import PROTOCOL_LEVEL
 from mulberryhollow.coordination.membership.member import decode_fact
 from mulberryhollow.coordination.membership.member import decode_registration
 from mulberryhollow.coordination.membership.member import encode_fact
@@ -32,11 +36,13 @@
     "ByteBudget",
     "Exchange",
     "KIND",
+    "LEVEL_REFRESH_S",
     "Member",
     "MemberState",
     "MemberStatus",
     "MemberView",
     "Membership",
+    "PROTOCOL_LEVEL",
     "PeerNode",
     "RELAYS_PER_DOMAIN",
     "ROUND_S",
@@ -47,7 +53,9 @@
     "decode_fact",
     "decode_registration",
     "encode_fact",
+    "encode_level",
     "encode_registration",
+    "find_lowest_level",
     "find_next_incarnation",
     "list_removable",
     "plan_start",
--- a/mulberryhollow/coordination/membership/dissemination.py
+++ b/mulberryhollow/coordination/membership/dissemination.py
@@ -3,6 +3,8 @@
 import collections
 import itertools
 
+import attrs
+
 from mulberryhollow.coordination.membership import messages
 from mulberryhollow.state import facts
 
@@ -233,6 +235,9 @@
                 topic,
                 skip_sources=(peer, REGISTRY_SOURCE),
             )
+            changes = attrs.evolve(
+                changes, facts=tuple(filter(self._is_due, changes.facts))
+            )
             limit_bytes = _find_limit(topic, free_bytes)
             selected = _select_fitting(
                 changes.facts, limit_bytes, _find_offered_size
@@ -247,6 +252,17 @@
             if cursor is not None
         }
 
+    def _is_due(self, fact):
+        """Return whether a changed fact is sent without a request.
+
+        There is one level for each instance, too many for each first contact
+        of two instances: after the recent rounds anti-entropy delivers them.
+        """
+        is_notice = fact.topic == facts.Topic.NOTICE.value
+        if not (is_notice and fact.key.startswith(f"{facts.LEVEL} ")):
+            return True
+        return self._table.find_sequence(fact) > self._recent[0]
+
     def _find_cursor(self, changes, selected):
         """Return the cursor after the selected facts.
 
--- a/mulberryhollow/coordination/membership/member.py
+++ b/mulberryhollow/coordination/membership/member.py
@@ -6,6 +6,7 @@
 import attrs
 
 from mulberryhollow.state import facts
+from mulberryhollow.state import known_fields
 
 __all__ = [
     "MEMBER_EXPIRY_S",
@@ -176,6 +177,8 @@
 def decode_fact(fact):
     """Return the member's state encoded in a member fact.
 
+    Fields that a newer build adds are ignored.
+
     Raises
     ------
     ValueError
@@ -185,12 +188,12 @@
         fields = [*json.loads(fact.value)]
     except TypeError as error:
         raise ValueError(f"malformed member fact: {error}") from error
-    if len(fields) != _FIELD_COUNT:
+    if len(fields) < _FIELD_COUNT:
         raise ValueError(f"malformed member fact: {len(fields)} fields")
     status = decode_status(fact)
     renewed = fact.version >> _STATUS_BITS
     renewals = renewed & ((1 << _RENEWAL_BITS) - 1)
-    member = Member(fact.key, renewed >> _RENEWAL_BITS, *fields)
+    member = Member(fact.key, renewed >> _RENEWAL_BITS, *fields[:_FIELD_COUNT])
     return MemberState(member, renewals, status)
 
 
@@ -202,12 +205,15 @@
 def decode_registration(value):
     """Return the member encoded in a registration object's value.
 
+    Fields that a newer build adds are ignored.
+
     Raises
     ------
     ValueError
         When the value does not encode a member.
     """
     try:
-        return Member(**json.loads(value))
+        fields = known_fields.select_known(Member, json.loads(value))
+        return Member(**fields)
     except TypeError as error:
         raise ValueError(f"malformed registration object: {error}") from error
--- a/mulberryhollow/coordination/sharing/aggregates.py
+++ b/mulberryhollow/coordination/sharing/aggregates.py
@@ -39,6 +39,8 @@
 class Amounts:
     """Demand and load at one instance, or totals of several instances.
 
+    A table with a level in its metadata is sent from that level on only.
+
     Parameters
     ----------
     demand : dict
@@ -59,8 +61,8 @@
     demand: dict = attrs.field(factory=dict)
     loads: dict = attrs.field(factory=dict)
     work: dict = attrs.field(factory=dict)
-    work_times: dict = attrs.field(factory=dict)
-    room: dict = attrs.field(factory=dict)
+    work_times: dict = attrs.field(factory=dict, metadata={"level": 1})
+    room: dict = attrs.field(factory=dict, metadata={"level": 1})
 
     def minus(self, other):
         """Return the difference to other amounts, without values <= 0."""
--- a/mulberryhollow/coordination/sharing/collectors.py
+++ b/mulberryhollow/coordination/sharing/collectors.py
@@ -87,7 +87,7 @@
         return membership.rank_by_rendezvous(task, names)[:count]
 
 
-def choose_collectors(local_member, members, live):
+def choose_collectors(local_member, members, live, level=0):
     """Return the `Collectors` for a membership.
 
     Parameters
@@ -99,13 +99,17 @@
     live : int
         Number of instances that may be serving callers, this one and the
         unreachable ones included.
+    level : int
+        Lowest protocol level of the reachable instances, this one included.
     """
     reachable = 1 + len(members)
     live = max(live, reachable)
     domains = _rank_domains(local_member, members)
     if reachable < MIN_DELEGATING_INSTANCES:
         others = tuple(member.instance_id for member in members)
-        return Collectors((), others, True, reachable / live, live, domains)
+        return Collectors(
+            (), others, True, reachable / live, live, domains, level
+        )
     local = domains[local_member.failure_domain]
     acting = tuple(itertools.chain.from_iterable(domains.values()))
     name = local_member.instance_id
@@ -116,6 +120,7 @@
         reachable / live,
         live,
         domains,
+        level,
     )
 
 
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -228,6 +228,7 @@
     def start(self):
         """Start to read from the platform and to serve callers."""
         self._fact_peering.connect()
+        self._fact_peering.announce_level()
         self._aggregate_peering.connect()
         self._fleet_peering.connect()
         self._quota_peering.connect()
--- a/mulberryhollow/protocol/aggregates.py
+++ b/mulberryhollow/protocol/aggregates.py
@@ -9,14 +9,16 @@
 
 import attrs
 
+from mulberryhollow.coordination import membership
 from mulberryhollow.coordination import sharing
+from mulberryhollow.state import known_fields
 
 __all__ = ["AggregateReport", "decode_report", "encode_report"]
 
 _COMPRESSION_LEVEL = 1
 
-_OPTIONAL_TABLES = ("work_times", "room")
-"""Tables that are omitted while empty, since builds of level 0 reject them."""
+_OPTIONAL_TABLES = ("room", "work_times")
+"""Tables that are omitted while empty, since few deployments use them."""
 
 
 @attrs.frozen
@@ -53,13 +55,28 @@
     store: dict = attrs.field(factory=dict)
 
 
-def encode_report(report):
-    """Return an aggregate report as compressed JSON."""
-    fields = attrs.asdict(report)
-    amounts = fields["total"]["amounts"]
-    for name in _OPTIONAL_TABLES:
-        if not amounts[name]:
-            del amounts[name]
+def encode_report(report, level=membership.PROTOCOL_LEVEL):
+    """Return an aggregate report as compressed JSON.
+
+    Parameters
+    ----------
+    report : AggregateReport
+        The report.
+    level : int
+        Lowest protocol level of the receivers. Builds of level 0 reject a
+        report with a field or table that they do not know.
+    """
+    fields = known_fields.select_level(
+        AggregateReport, attrs.asdict(report), level
+    )
+    amounts = known_fields.select_level(
+        sharing.Amounts, fields["total"]["amounts"], level
+    )
+    fields["total"]["amounts"] = {
+        name: table
+        for name, table in amounts.items()
+        if table or name not in _OPTIONAL_TABLES
+    }
     text = json.dumps(fields, separators=(",", ":"))
     return zlib.compress(text.encode(), _COMPRESSION_LEVEL)
 
@@ -67,6 +84,8 @@
 def decode_report(data):
     """Return the aggregate report in data.
 
+    Fields and tables that a newer build adds are ignored.
+
     Raises
     ------
     ValueError
@@ -74,10 +93,14 @@
     """
     try:
         fields = json.loads(zlib.decompress(data))
-        total = fields.pop("total")
-        amounts = sharing.Amounts(**total["amounts"])
+        known = known_fields.select_known(AggregateReport, fields)
+        total = known.pop("total")
+        tables = known_fields.select_known(sharing.Amounts, total["amounts"])
         return AggregateReport(
-            total=sharing.Total(amounts, int(total["count"])), **fields
+            total=sharing.Total(
+                sharing.Amounts(**tables), int(total["count"])
+            ),
+            **known,
         )
     except (zlib.error, KeyError, TypeError) as error:
         raise ValueError(f"malformed aggregate report: {error!r}") from error
--- a/mulberryhollow/protocol/draws.py
+++ b/mulberryhollow/protocol/draws.py
@@ -162,6 +162,8 @@
 def decode_draw(payload, now_s):
     """Return the Draw in a payload.
 
+    Fields that a newer build adds are ignored.
+
     Raises
     ------
     ValueError
@@ -169,7 +171,7 @@
     """
     try:
         fields = json.loads(payload)
-        hashes, ends, tokens, shared_parts = fields["chain"]
+        hashes, ends, tokens, shared_parts, *_ = fields["chain"]
         route_request = routing.RouteRequest(
             request_id=str(fields["request"]),
             service=str(fields["service"]),
@@ -194,20 +196,35 @@
 
 def encode_drawn(drawn):
     """Return a DrawnCredit as JSON bytes."""
-    exceeded = drawn.exceeded
+    exceeded, permit = drawn.exceeded, drawn.permit
     fields = {
-        "exceeded": None if exceeded is None else attrs.astuple(exceeded)[1:],
+        "exceeded": exceeded and _list_exceeded(exceeded),
         "placement": drawn.placement,
-        "permit": drawn.permit and attrs.astuple(drawn.permit),
+        "permit": permit and [permit.name, permit.owner],
     }
     if drawn.no_room is not None:
         fields["no_room"] = attrs.astuple(drawn.no_room)
     return json.dumps(fields).encode()
 
 
+def _list_exceeded(exceeded):
+    """Return the fields of a QuotaExceeded, without its account, as a list.
+
+    Builds of level 0 reject a list of any other length.
+    """
+    return [
+        exceeded.wait_s,
+        exceeded.credit,
+        exceeded.fraction,
+        exceeded.rate_per_s,
+    ]
+
+
 def decode_drawn(account, answer):
     """Return the DrawnCredit in the answer for an account.
 
+    Fields that a newer build adds are ignored.
+
     Raises
     ------
     ValueError
@@ -217,10 +234,14 @@
         fields = json.loads(answer)
         exceeded = fields["exceeded"]
         if exceeded is not None:
-            exceeded = limits.QuotaExceeded(account, *map(float, exceeded))
+            wait_s, credit, fraction, rate_per_s, *_ = map(float, exceeded)
+            exceeded = limits.QuotaExceeded(
+                account, wait_s, credit, fraction, rate_per_s
+            )
         permit = fields.get("permit")
         if permit is not None:
-            permit = routing.Permit(*map(str, permit))
+            name, owner, *_ = map(str, permit)
+            permit = routing.Permit(name, owner)
         no_room = fields.get("no_room")
         if no_room is not None:
             no_room = RoomRefusal(str(no_room[0]), float(no_room[1]))
--- a/mulberryhollow/protocol/peer_requests.py
+++ b/mulberryhollow/protocol/peer_requests.py
@@ -26,6 +26,31 @@
 """What the peer knows of the answer, as JSON."""
 
 _REFUSAL_STATUS = 503
+_OTHER_KIND = errors.RefusalKind.NO_CAPACITY
+_LEVEL_0_KINDS = frozenset(
+    (
+        "MALFORMED",
+        "KEY_REQUIRED",
+        "UNAUTHENTICATED",
+        "FORBIDDEN",
+        "UNKNOWN_SERVICE",
+        "UNKNOWN_REQUEST",
+        "UNKNOWN_PATH",
+        "DEADLINE_PASSED",
+        "KEY_REUSED",
+        "ENDPOINT_REFUSED",
+        "KEY_EXPIRED",
+        "OVERSIZE",
+        "QUARANTINED",
+        "OVER_SHARE",
+        "OUTCOME_UNKNOWN",
+        "NO_CAPACITY",
+        "STORE_UNAVAILABLE",
+        "LEAVING",
+        "INCOMPLETE",
+        "INTERNAL",
+    )
+)
 _FRAMING_HEADERS = frozenset(
     ("connection", "content-length", "keep-alive", "transfer-encoding")
 )
@@ -102,6 +127,9 @@
 def decode_request(body, now_s):
     """Return the ForwardRequest in the body of a call.
 
+    Fields that a newer build adds are ignored. A kind of request that this
+    build does not know is malformed, so that it is not run.
+
     Parameters
     ----------
     body : bytes
@@ -119,7 +147,7 @@
         fields = json.loads(text)
         chain = fields["chain"]
         if chain is not None:
-            hashes, ends, tokens, shared_parts = chain
+            hashes, ends, tokens, shared_parts, *_ = chain
             chain = routing.PromptChain(
                 tuple(hashes), tuple(ends), int(tokens), int(shared_parts)
             )
@@ -169,7 +197,8 @@
 def encode_refusal(refusal):
     """Return the status and headers that tell a peer about a refusal."""
     fields = {
-        "refusal": refusal.kind.name,
+        "refusal": _find_common_kind(refusal.kind).name,
+        "exact": refusal.kind.name,
         "message": refusal.message,
         "remedy": refusal.remedy,
         "ran": refusal.ran.name,
@@ -217,14 +246,32 @@
         raise ValueError(f"malformed answer of a peer: {error!r}") from error
 
 
+def _find_common_kind(kind):
+    """Return the kind by which a refusal is told to builds of level 0.
+
+    They take an answer with a kind that they do not know for that of another
+    request, and so lose that the request has not run.
+    """
+    return kind if kind.name in _LEVEL_0_KINDS else _OTHER_KIND
+
+
 def _decode_refusal(fields):
-    """Return the Refusal in the fields of an answer."""
+    """Return the Refusal in the fields of an answer.
+
+    A kind that a newer build adds becomes a general one; whether the request
+    has run is kept, and is unknown for a status that this build does not
+    know.
+    """
     retry_after_s = fields["retry_after_s"]
+    kinds = errors.RefusalKind.__members__
+    name = fields.get("exact", fields["refusal"])
     return errors.Refusal(
-        errors.RefusalKind[fields["refusal"]],
+        kinds.get(name) or kinds.get(fields["refusal"], _OTHER_KIND),
         str(fields["message"]),
         str(fields["remedy"]),
-        errors.ExecutionStatus[fields["ran"]],
+        errors.ExecutionStatus.__members__.get(
+            fields["ran"], errors.ExecutionStatus.UNKNOWN
+        ),
         None if retry_after_s is None else float(retry_after_s),
     )
 
--- a/mulberryhollow/protocol/permits.py
+++ b/mulberryhollow/protocol/permits.py
@@ -60,6 +60,8 @@
 def decode_question(payload):
     """Return the PermitQuestion in a payload.
 
+    Fields that a newer build adds are ignored.
+
     Raises
     ------
     ValueError
@@ -67,7 +69,7 @@
     """
     try:
         endpoint_id, account, permit, rate, *numbers = json.loads(payload)
-        age_s, slots = map(float, numbers)
+        age_s, slots = map(float, numbers[:2])
         question = PermitQuestion(
             str(endpoint_id),
             str(account),
--- a/mulberryhollow/protocol/relays.py
+++ b/mulberryhollow/protocol/relays.py
@@ -42,6 +42,8 @@
 def decode_relayed(fields, now_s):
     """Return the `FollowerState` for a decoded dict.
 
+    Fields that a newer build adds are ignored.
+
     Parameters
     ----------
     fields : dict
@@ -96,7 +98,7 @@
 
 def _decode_object(fields):
     """Return the StoredObject for a list of its fields."""
-    kind, name, version, value, change_id, is_deleted, status = fields
+    kind, name, version, value, change_id, is_deleted, status, *_ = fields
     return objects.StoredObject(
         str(kind),
         str(name),
--- a/mulberryhollow/serving/aggregate_peering.py
+++ b/mulberryhollow/serving/aggregate_peering.py
@@ -142,10 +142,11 @@
             self._table.merge_member(
                 self._local_member.instance_id, local, now_s
             )
+        level = collectors.level
         if is_collector:
-            self._exchange_totals(domains, now_s)
+            self._exchange_totals(domains, now_s, level)
         else:
-            self._report_to_collector(domains[local_domain], local)
+            self._report_to_collector(domains[local_domain], local, level)
         with self._lock:
             now_s = self._clock.now_s()
             remote = self._table.sum_remote(now_s)
@@ -155,13 +156,13 @@
         )
         self._room.apply_remote(remote.amounts.room, remote.count)
 
-    def _exchange_totals(self, domains, now_s):
+    def _exchange_totals(self, domains, now_s, level):
         """Exchange the totals of the domains with the other collectors."""
         with self._lock:
             total = self._limit(self._table.sum_domain(now_s))
         report = self._make_report(total, True, self._usage.encode_all())
         calls = [
-            self._threads.submit(self._send_report, names[0], report)
+            self._threads.submit(self._send_report, names[0], report, level)
             for domain, names in domains.items()
             if domain != self._local_member.failure_domain
         ]
@@ -170,7 +171,7 @@
             if answer is not None:
                 self._merge(answer)
 
-    def _report_to_collector(self, names, local):
+    def _report_to_collector(self, names, local, level):
         """Report to the collector of this domain.
 
         The next in rank is used if the first does not answer.
@@ -179,7 +180,7 @@
         for name in names:
             if name == self._local_member.instance_id:
                 return
-            answer = self._send_report(name, report)
+            answer = self._send_report(name, report, level)
             if answer is not None:
                 self._merge_usage(answer)
                 with self._lock:
@@ -200,12 +201,11 @@
             self._relay.ask() if self._relay else {},
         )
 
-    def _send_report(self, name, report):
+    def _send_report(self, name, report, level):
         """Send a report to an instance; return its answer, or None."""
         try:
-            answer = self._peers.call(
-                name, TOPIC, aggregates.encode_report(report), CALL_TIMEOUT_S
-            )
+            payload = aggregates.encode_report(report, level)
+            answer = self._peers.call(name, TOPIC, payload, CALL_TIMEOUT_S)
             answer = aggregates.decode_report(answer)
         except (errors.PeerError, ValueError) as error:
             events.log(NO_ANSWER, peer=name, reason=str(error))
@@ -241,7 +241,7 @@
             usage,
             store=self._relay.answer(report.store) if self._relay else {},
         )
-        return aggregates.encode_report(answer)
+        return aggregates.encode_report(answer, self._get_collectors().level)
 
     def _limit(self, total):
         """Return a Total without tables that a receiver may not decode."""
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import functools
+import math
 import zlib
 
 from mulberryhollow.coordination import membership
@@ -74,6 +75,9 @@
 """
 
 
+_GONE = (membership.MemberStatus.DEAD, membership.MemberStatus.LEFT)
+
+
 class FactPeering:
     """Publishes facts of this instance and applies those of its peers.
 
@@ -132,6 +136,8 @@
             self._local_member, (), 1 + named
         )
         self.last_contact_s = None
+        self._level_renewals = 0
+        self._level_due_s = math.inf
 
     def connect(self):
         """Subscribe to facts and register the handlers of peer calls."""
@@ -142,9 +148,41 @@
         peers.handle(CRASH_TOPIC, self._answer_crash)
         peers.handle(PROMPT_TOPIC, self._answer_prompt)
 
+    def announce_level(self):
+        """Publish the protocol level of this instance, from now on."""
+        self._publish_level(self._clock.now_s())
+
+    def _publish_level(self, now_s):
+        """Publish the level; an earlier fact of this process is renewed."""
+        self._level_due_s = now_s + membership.LEVEL_REFRESH_S
+        fact = membership.encode_level(
+            self._local_member, self._level_renewals, self._clock.wall_s()
+        )
+        self._level_renewals += 1
+        self._peers.publish(fact)
+
+    def _find_level(self, remote_views, now_s):
+        """Return the lowest protocol level of the reachable instances.
+
+        One that is suspected may still be serving. Until the first of the
+        named instances is known, their levels are not.
+        """
+        reachable = [
+            view.member
+            for view in remote_views
+            if view.is_reachable and view.status not in _GONE
+        ]
+        if not reachable and self._count_named(now_s):
+            return 0
+        return membership.find_lowest_level(
+            reachable, self._peers.list_facts(facts.Topic.NOTICE)
+        )
+
     def tick(self):
         """Apply the current membership to the limits and the view."""
         now_s = self._clock.now_s()
+        if now_s >= self._level_due_s:
+            self._publish_level(now_s)
         views = self._peers.members()
         remote_views = [
             view
@@ -161,7 +199,10 @@
         unreachable = self._count_unreachable(gone, now_s)
         live = 1 + (len(self.usable) + unreachable or self._count_named(now_s))
         self.collectors = sharing.choose_collectors(
-            self._local_member, self.usable, live
+            self._local_member,
+            self.usable,
+            live,
+            self._find_level(remote_views, now_s),
         )
         self._dispatcher.change(
             functools.partial(_apply_members, self._get_limits, live, names)
--- a/mulberryhollow/serving/fleet_peering.py
+++ b/mulberryhollow/serving/fleet_peering.py
@@ -5,9 +5,11 @@
 
 import attrs
 
+from mulberryhollow.coordination import membership
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.state import fleet as fleets
+from mulberryhollow.state import known_fields
 
 __all__ = ["FleetPeering"]
 
@@ -22,6 +24,8 @@
 MAX_PEERS_PER_TICK = 2
 """Maximum number of peers that are called in one tick."""
 
+_QUESTION = str(membership.PROTOCOL_LEVEL).encode()
+
 NO_LIST_RECEIVED = events.declare(
     4024,
     logging.INFO,
@@ -71,8 +75,8 @@
     def _fetch_list(self, name):
         """Adopt the list of one peer, if it returns any."""
         try:
-            answer = self._peers.call(name, TOPIC, b"", CALL_TIMEOUT_S)
-            found = [fleets.EndpointListing(**f) for f in json.loads(answer)]
+            answer = self._peers.call(name, TOPIC, _QUESTION, CALL_TIMEOUT_S)
+            found = [_decode_listing(each) for each in json.loads(answer)]
         except (errors.PeerError, ValueError, TypeError) as error:
             events.log(NO_LIST_RECEIVED, peer=name, reason=str(error))
             return
@@ -80,7 +84,23 @@
             self._fleet_watcher.adopt(found)
 
     def _answer(self, payload):
-        """Return the list of this instance as JSON."""
+        """Return the list of this instance as JSON.
+
+        Builds of level 0 send no level, and reject fields that they do not
+        know.
+        """
+        level = int(payload or 0)
         return json.dumps(
-            [attrs.asdict(each) for each in self._fleet_watcher.listings]
+            [
+                known_fields.select_level(
+                    fleets.EndpointListing, attrs.asdict(each), level
+                )
+                for each in self._fleet_watcher.listings
+            ]
         ).encode()
+
+
+def _decode_listing(fields):
+    """Return the EndpointListing of a peer, without fields of newer builds."""
+    known = known_fields.select_known(fleets.EndpointListing, fields)
+    return fleets.EndpointListing(**known)
--- a/mulberryhollow/serving/permit_peering.py
+++ b/mulberryhollow/serving/permit_peering.py
@@ -183,7 +183,7 @@
 
     def _answer_end(self, payload):
         """End a permit that a peer gives back."""
-        endpoint_id, name = json.loads(payload)
+        endpoint_id, name, *_ = json.loads(payload)
         self._end_permit(endpoint_id, name)
         return b"1"
 
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -399,7 +399,7 @@
 
     def _answer_lend(self, payload):
         """Lend a peer the available credit, up to the wanted amount."""
-        account, wanted = json.loads(payload)
+        account, wanted, *_ = json.loads(payload)
         balance = self._dispatcher.read(
             lambda actor, now_s: actor.quotas.lend(account, wanted, now_s)
         )
--- a/mulberryhollow/state/facts.py
+++ b/mulberryhollow/state/facts.py
@@ -13,6 +13,7 @@
     "Fact",
     "FactId",
     "FactTable",
+    "LEVEL",
     "Topic",
     "find_priority",
 ]
@@ -20,6 +21,10 @@
 BUCKETS = 32
 """Number of digests compared by anti-entropy."""
 
+LEVEL = "level"
+"""First word of a notice's key: the value is the protocol level of the
+instance that the key names."""
+
 FACT_OVERHEAD_BYTES = 32
 """Serialized size of a fact without topic, key and value, in bytes."""
 
--- a/tests/coordination/membership/dissemination.feature
+++ b/tests/coordination/membership/dissemination.feature
@@ -42,3 +42,14 @@
 
   Scenario: Nodes agree after any sequence of faults
     Then nodes under random faults never lose a version and converge in the end
+
+  # Guards against sending the level of every instance at each first contact,
+  # which exceeds the byte budget of a large fleet.
+  Scenario: The levels of all instances reach a node that starts late
+    Given 40 simulated nodes in 4 failure domains
+    When every node publishes its level
+    Then every node has 40 levels within 7 seconds
+    When 60 seconds pass in the cluster
+    And node 0 is started again with incarnation 2
+    Then every node has 40 levels within 30 seconds
+    And no answer to a node that is met for the first time has a level
--- a/tests/serving/fact_peering.feature
+++ b/tests/serving/fact_peering.feature
@@ -37,3 +37,65 @@
     And the registry is called again
     Then it shares limits among 9 instances
     And the registry reads the store no more
+
+  # The level guards an older build beside new ones: it rejects elements on
+  # the wire that it does not know.
+
+  Scenario: An instance alone has the level of its own build
+    Given a fact peering whose settings name 0 other instances
+    Then its collectors have level 1
+
+  Scenario: The levels of named instances are not known before they are met
+    Given a fact peering whose settings name 7 other instances
+    Then its collectors have level 0
+
+  Scenario: The lowest level of the reachable instances counts
+    Given a fact peering whose settings name 0 other instances
+    When 2 peers become members
+    And the member peer-0 publishes level 1 as incarnation 1
+    Then its collectors have level 0
+    When the member peer-1 publishes level 2 as incarnation 1
+    Then its collectors have level 1
+
+  # Guards against a level that outlives a rollback: the notice of the newer
+  # build is still held when the older one runs on the same instance.
+  Scenario: A level counts only for the process that published it
+    Given a fact peering whose settings name 0 other instances
+    When 1 peers become members
+    And the member peer-0 publishes level 1 as incarnation 1
+    Then its collectors have level 1
+    When the peering sees peer-0 with incarnation 2
+    Then its collectors have level 0
+    When the member peer-0 publishes level 1 as incarnation 2
+    Then its collectors have level 1
+
+  Scenario Outline: A member that may still be serving counts
+    Given a fact peering whose settings name 0 other instances
+    When 1 peers become members
+    And the peering sees peer-0 as <status> and <reach>
+    Then its collectors have level <level>
+
+    Examples:
+      | status  | reach       | level |
+      | alive   | reachable   | 0     |
+      | suspect | reachable   | 0     |
+      | alive   | unreachable | 1     |
+      | dead    | reachable   | 1     |
+      | left    | reachable   | 1     |
+
+  Scenario Outline: A malformed level counts as none
+    Given a fact peering whose settings name 0 other instances
+    When 1 peers become members
+    And the member peer-0 publishes <text> in place of a level
+    Then its collectors have level 0
+
+    Examples:
+      | text |
+      | one  |
+      | -3   |
+      | 1.5  |
+
+  Scenario: A level is published again before it expires
+    Given a fact peering whose settings name 0 other instances
+    When the fact peering announces its level
+    Then the level that it has published is renewed after 3600 seconds
--- a/tests/steps/coordination_membership.py
+++ b/tests/steps/coordination_membership.py
@@ -716,3 +716,41 @@
         context.objects[0], value=membership.encode_registration(later)
     )
     assert list_removable(context, "i-0001") == ()
+
+
+@when("every node publishes its level")
+def publish_levels(context):
+    cluster = context.cluster
+    for name, node in cluster.nodes.items():
+        local_member = node.membership.local_member
+        cluster.publish(
+            name, membership.encode_level(local_member, 0, cluster.now_s)
+        )
+
+
+@when("{for_s:d} seconds pass in the cluster")
+def run_cluster(context, for_s):
+    context.cluster.run(for_s)
+
+
+@then("every node has {count:d} levels within {limit_s:d} seconds")
+def check_levels(context, count, limit_s):
+    cluster = context.cluster
+    took_s = cluster.run_until(
+        lambda: all(
+            len(node.table.list_facts(Topic.NOTICE)) == count
+            for node in cluster.nodes.values()
+        ),
+        limit_s,
+    )
+    assert took_s is not None
+
+
+@then("no answer to a node that is met for the first time has a level")
+def check_first_answer(context):
+    context.cluster.run(20)
+    now_s = context.cluster.now_s
+    for node in context.cluster.nodes.values():
+        answer = node.answer("i-new", membership.Exchange(0), now_s, now_s)
+        topics = {fact.topic for fact in answer.facts}
+        assert Topic.NOTICE.value not in topics, topics
