--- a/mulberryhollow/protocol/draws.py
+++ b/mulberryhollow/protocol/draws.py
@@ -234,7 +234,7 @@
         fields = json.loads(answer)
         exceeded = fields["exceeded"]
         if exceeded is not None:
-            wait_s, credit, fraction, rate_per_s, *_ = map(float, exceeded)
+            wait_s, credit, fraction, rate_per_s = map(float, exceeded[:4])
             exceeded = limits.QuotaExceeded(
                 account, wait_s, credit, fraction, rate_per_s
             )
