Follow evacuations of failure domains

Cause: an operator had no means to keep new requests away from the endpoints of a failure domain without ending them.

Change: where the settings' contracts have 'places', the objects of kind evacuations are followed as the endpoints' entries are, and each change is also published as a fact whose version is the store's revision. The endpoint view excludes the endpoints of evacuated domains, the scaler counts such a domain as one without endpoints, and an instance that starts waits for the evacuations before it is ready, for evacuateMs at most. ObjectFollower passes the revision of a complete list on, since an absence in the list has to be ordered against the facts of peers.

Ruled out: leaving marks, which are final; facts or the relay alone.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -26,6 +26,7 @@
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import documents
 from mulberryhollow.serving import duties as duty_manager
+from mulberryhollow.serving import evacuations
 from mulberryhollow.serving import fact_peering
 from mulberryhollow.serving import fleet_peering
 from mulberryhollow.serving import fleet_watcher
@@ -46,6 +47,7 @@
 from mulberryhollow.serving import stored_quarantine
 from mulberryhollow.serving import usage
 from mulberryhollow.serving import watch
+from mulberryhollow.state.evacuations import NONE as NO_EVACUATIONS
 from mulberryhollow.transport import forwarding
 from mulberryhollow.transport import gossip
 from mulberryhollow.transport import http_server
@@ -198,6 +200,7 @@
             self._peers, clock, self.dispatcher, self._room
         )
         self._permit_peering = self._make_permit_peering()
+        self._evacuation_watcher = self._make_evacuation_watcher()
         self._followers = self._make_followers()
         self._store_relay = store_relay.StoreRelay(
             self._followers.values(),
@@ -233,6 +236,8 @@
         self._fleet_peering.connect()
         self._quota_peering.connect()
         self._permit_peering.connect()
+        if self._evacuation_watcher is not None:
+            self._evacuation_watcher.connect()
         self._caller_watch.start()
         for loop in self._loops:
             loop.start()
@@ -396,8 +401,14 @@
             self._clock,
             self._get_services,
             lambda: self._fleet_watcher.listings,
+            get_evacuations=self._get_evacuations,
         )
 
+    def _get_evacuations(self):
+        """Return the current Evacuations."""
+        watcher = self._evacuation_watcher
+        return watcher.current if watcher is not None else NO_EVACUATIONS
+
     def _get_services(self):
         """Return the services: a dict from name to ServiceSpec."""
         catalogue = self.ingress.catalogue
@@ -456,12 +467,26 @@
             self._peer_forwarding.is_lost,
         )
 
+    def _make_evacuation_watcher(self):
+        """Return the EvacuationWatcher; None if evacuations are not in use."""
+        settings = self._settings
+        if not settings.has_placement_rules:
+            return None
+        return evacuations.EvacuationWatcher(
+            records.decode_evacuation,
+            self.dispatcher,
+            self._peers,
+            self._clock,
+            settings.bounds.evacuation_s,
+            settings.domain_regions,
+        )
+
     def _make_followers(self):
-        """Return the followers of the configuration and endpoints, by name."""
+        """Return the followers of the stored objects, by name."""
         follow = functools.partial(
             watch.ObjectFollower, self._store, clock=self._clock
         )
-        return {
+        followers = {
             "configuration": follow(
                 kind=records.CONFIGURATION_KIND,
                 follower=documents.DocumentFollower(
@@ -472,6 +497,11 @@
                 kind=records.ENDPOINT_KIND, follower=self._fleet_watcher
             ),
         }
+        if self._evacuation_watcher is not None:
+            followers["evacuations"] = follow(
+                kind=records.EVACUATION_KIND, follower=self._evacuation_watcher
+            )
+        return followers
 
     def _make_servers(self):
         """Return the HTTP servers by name."""
@@ -623,9 +653,12 @@
             self._fact_peering.last_contact_s,
             self._document is not None,
         )
-        is_usable = isinstance(decision, configuration.Ready)
+        watcher = self._evacuation_watcher
         return (
-            is_usable and self._fleet_watcher.is_known and not self._is_leaving
+            isinstance(decision, configuration.Ready)
+            and self._fleet_watcher.is_known
+            and (watcher is None or watcher.is_settled)
+            and not self._is_leaving
         )
 
     def _render_ready(self):
@@ -637,6 +670,12 @@
         text = metrics_page.render_metrics(
             self.observer.list_counts(), self.observer.histograms.snapshot()
         )
+        if self._evacuation_watcher is not None:
+            contact_s = self._followers["evacuations"].last_contact_s
+            text += metrics_page.render_evacuations(
+                self._evacuation_watcher.list_active(),
+                contact_s and self._clock.now_s() - contact_s,
+            )
         headers = (("Content-Type", "text/plain; version=0.0.4"),)
         return http_server.Reply(200, headers, text.encode())
 
--- a/mulberryhollow/platform/records.py
+++ b/mulberryhollow/platform/records.py
@@ -6,13 +6,16 @@
 
 from mulberryhollow import errors
 from mulberryhollow.state import catalogue as catalogues
+from mulberryhollow.state import evacuations
 from mulberryhollow.state import fleet
 
 __all__ = [
     "CONFIGURATION_KIND",
     "CONFIGURATION_NAME",
     "ENDPOINT_KIND",
+    "EVACUATION_KIND",
     "decode_catalogue",
+    "decode_evacuation",
     "decode_listing",
 ]
 
@@ -22,6 +25,9 @@
 ENDPOINT_KIND = "servers"
 """Kind of the endpoints' entries; the platform calls endpoints servers."""
 
+EVACUATION_KIND = "evacuations"
+"""Kind of the objects by which the operator evacuates failure domains."""
+
 _MS_PER_S = 1000.0
 _REQUEST_KINDS = {
     ("idempotent", False): catalogues.RequestKind.IDEMPOTENT,
@@ -83,6 +89,25 @@
     )
 
 
+def decode_evacuation(item):
+    """Return the Evacuation decoded from an operator's object.
+
+    Parameters
+    ----------
+    item : StoredObject
+        The object, whose name is that of the failure domain. Its value is a
+        JSON object, whose fields are reserved for later versions.
+
+    Raises
+    ------
+    ValueError
+        If the value is malformed.
+    """
+    if not isinstance(json.loads(item.value), dict):
+        raise ValueError(f"evacuation {item.name}: not a JSON object")
+    return evacuations.Evacuation(item.name, item.version, True)
+
+
 def _get_required(fields, name, kind):
     """Return a field; raise TypeError if empty, 0 or of another type."""
     value = fields[name]
--- a/mulberryhollow/platform/settings.py
+++ b/mulberryhollow/platform/settings.py
@@ -32,6 +32,9 @@
     lease_s : float
         Period in which the duties may not alternate between instances,
         in seconds.
+    evacuation_s : float
+        Time within which an evacuation takes effect on all instances, in
+        seconds.
     """
 
     grace_s: float
@@ -40,6 +43,7 @@
     report_window_s: float
     report_delay_s: float
     lease_s: float
+    evacuation_s: float = 5.0
 
 
 @attrs.frozen
@@ -75,6 +79,10 @@
         Whether the system has to report usage, and to order endpoints.
     bounds : Bounds
         Limits that the platform sets.
+    has_placement_rules : bool
+        Whether cold endpoints, evacuations and allowed regions are in use.
+    domain_regions : dict
+        Region of each failure domain, by the domain's name.
     """
 
     instance: str
@@ -94,6 +102,8 @@
     has_usage_duty: bool
     has_order_duty: bool
     bounds: Bounds
+    has_placement_rules: bool = False
+    domain_regions: dict = attrs.field(factory=dict)
 
 
 def decode_settings(text):
@@ -142,9 +152,23 @@
         has_usage_duty="metering" in duties,
         has_order_duty="autoscale" in duties,
         bounds=_decode_bounds(fields["bounds"]),
+        # The word "places" stands for the rules on where requests may go.
+        has_placement_rules="places" in _decode_words(fields, "contracts"),
+        domain_regions={
+            str(domain): str(region)
+            for domain, region in (fields.get("zones") or {}).items()
+        },
     )
 
 
+def _decode_words(fields, name):
+    """Return an optional list of words as a tuple."""
+    words = fields.get(name) or ()
+    if isinstance(words, str):
+        raise TypeError(f"{name} is {words!r}")
+    return tuple(map(str, words))
+
+
 def _decode_bounds(bounds):
     """Return the Bounds.
 
@@ -165,6 +189,7 @@
         report_window_s=float(bounds.get("reportWindowS", 5)),
         report_delay_s=float(bounds.get("usageDelayS", 10)),
         lease_s=float(bounds.get("leaseMs", 3000)) / _MS_PER_S,
+        evacuation_s=float(bounds.get("evacuateMs", 5000)) / _MS_PER_S,
     )
 
 
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -114,7 +114,7 @@
         self._name = name
         self._actor = actor
 
-    def handle_list(self, items):
+    def handle_list(self, items, revision=0):
         """Send the object to the actor if it is listed."""
         self.handle_changes(items)
 
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -67,7 +67,7 @@
         """Every EndpointListing in use."""
         return self._fleet.list_listings()
 
-    def handle_list(self, items):
+    def handle_list(self, items, revision=0):
         """Replace all entries by a complete list."""
         listed = {item.name: self._decode_entry(item) for item in items}
         gone = self._fleet.replace(listed, self._clock.now_s())
--- a/mulberryhollow/serving/metrics_page.py
+++ b/mulberryhollow/serving/metrics_page.py
@@ -1,6 +1,8 @@
 """Counters and latency histograms in the Prometheus text format."""
 
-__all__ = ["render_metrics"]
+import json
+
+__all__ = ["render_evacuations", "render_metrics"]
 
 _PREFIX = "mulberryhollow"
 _S_PER_US = 1e-6
@@ -47,6 +49,36 @@
     return "\n".join(lines) + "\n"
 
 
+def render_evacuations(active, contact_age_s):
+    """Return the evacuated failure domains, one sample per line.
+
+    Parameters
+    ----------
+    active : list of Evacuation
+        The active evacuations.
+    contact_age_s : float or None
+        Time since the store last confirmed them, in seconds; None before it
+        has done so.
+
+    Returns
+    -------
+    str
+        Samples in the Prometheus text format. The value of a domain's sample
+        is the store's revision of the request.
+    """
+    lines = [f"{_PREFIX}_evacuated_domains {len(active)}"]
+    lines += [
+        f"{_PREFIX}_evacuated{{failure_domain="
+        f"{json.dumps(each.failure_domain)}}} {each.revision}"
+        for each in active
+    ]
+    if contact_age_s is not None:
+        lines.append(
+            f"{_PREFIX}_evacuations_confirmed_age_seconds {contact_age_s:.1f}"
+        )
+    return "\n".join(lines) + "\n"
+
+
 def _clean(name):
     """Replace the characters that metric names do not allow by ``_``."""
     return "".join(each if each.isalnum() else "_" for each in name)
--- a/mulberryhollow/serving/orders.py
+++ b/mulberryhollow/serving/orders.py
@@ -8,6 +8,7 @@
 
 from mulberryhollow.coordination import capacity
 from mulberryhollow import events
+from mulberryhollow.state import evacuations
 from mulberryhollow.state import objects
 
 __all__ = ["EndpointScaler", "Order"]
@@ -124,16 +125,27 @@
         Returns every EndpointListing in use.
     rules : SizingRules or None
         Sizing rules; the defaults if None.
+    get_evacuations : callable
+        Returns the current `Evacuations`. An evacuated failure domain counts
+        as one without endpoints, and nothing is ordered or released there.
     """
 
     def __init__(
-        self, dispatcher, cloud, clock, get_services, get_listings, rules=None
+        self,
+        dispatcher,
+        cloud,
+        clock,
+        get_services,
+        get_listings,
+        rules=None,
+        get_evacuations=lambda: evacuations.NONE,
     ):
         self._dispatcher = dispatcher
         self._cloud = cloud
         self._clock = clock
         self._get_services = get_services
         self._get_listings = get_listings
+        self._get_evacuations = get_evacuations
         self._rules = rules or capacity.SizingRules()
         self._services = collections.defaultdict(_ServiceState)
         self._evaluated_s = -math.inf
@@ -182,7 +194,8 @@
             return []
         may_release = now_s - service.first_load_s >= OBSERVATION_S
         need = _update_peak_need(service.recent_needs, need, now_s)
-        present = self._count_present(name, service)
+        evacuated = self._get_evacuations()
+        present = self._count_present(name, service, evacuated)
         if need != service.need:
             service.need = need
             events.log(
@@ -199,7 +212,11 @@
             if now_s - refused_s < REFUSAL_BACKOFF_S
         }
         wanted = capacity.choose_counts(
-            need, spec.scaling, present, unavailable, self._rules
+            need,
+            _exclude_domains(spec.scaling, evacuated),
+            present,
+            unavailable,
+            self._rules,
         )
         return [
             Order(name, slot.failure_domain, count, slot.is_reclaimable)
@@ -209,15 +226,17 @@
             and self._is_due(service, slot, count, present, now_s)
         ]
 
-    def _count_present(self, name, service):
+    def _count_present(self, name, service, evacuated):
         """Return the counts of a service's endpoints, serving and ordered.
 
-        Endpoints that are leaving do not count as serving.
+        Endpoints that are leaving or in evacuated domains do not count as
+        serving.
         """
         counts = collections.Counter(
             capacity.Slot(each.failure_domain, each.is_reclaimable)
             for each in self._get_listings()
-            if each.service == name and not each.is_leaving
+            if each.service == name
+            and not (each.is_leaving or evacuated.excludes(each))
         )
         ordered = {slot: count for slot, (count, _) in service.ordered.items()}
         return capacity.EndpointCounts(dict(counts), ordered)
@@ -263,6 +282,15 @@
     in_flight: float = 0.0
 
 
+def _exclude_domains(scaling, evacuated):
+    """Return a Scaling without the evacuated failure domains."""
+    prices = scaling.domain_prices
+    remaining = evacuated.list_remaining(prices)
+    return attrs.evolve(
+        scaling, domain_prices={each: prices[each] for each in remaining}
+    )
+
+
 def _update_peak_need(recent_needs, need, now_s):
     """Add a need and return the highest one of the last NEED_WINDOW_S."""
     recent_needs.append((now_s, need))
--- a/mulberryhollow/serving/peer_forwarding.py
+++ b/mulberryhollow/serving/peer_forwarding.py
@@ -372,14 +372,15 @@
 
 
 def _list_addresses(service, actor, now_s):
-    """Return the addresses of a service's endpoints that stay.
+    """Return the addresses of a service's endpoints that may get requests.
 
     Runs in the dispatch actor.
     """
     return [
         record.endpoint.address
         for record in actor.view
-        if record.endpoint.service == service and not record.is_leaving
+        if record.endpoint.service == service
+        and not (record.is_leaving or record.is_evacuated)
     ]
 
 
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -96,7 +96,8 @@
     clock : Clock
         Source of time.
     follower : object
-        ``handle_list(items)`` receives every object, ``handle_changes(items)``
+        ``handle_list(items, revision)`` receives every object and the revision
+        of the store at which they are complete, ``handle_changes(items)``
         those that were changed or deleted, and ``record_recovery(at_s)`` is
         called with the time at which the store answered again after an outage
         of at least MIN_OUTAGE_S.
@@ -221,7 +222,7 @@
         changes are read again.
         """
         if changes.is_complete:
-            self._follower.handle_list(changes.items)
+            self._follower.handle_list(changes.items, changes.revision)
         elif changes.items:
             self._follower.handle_changes(changes.items)
         self._log.apply(changes)
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -122,6 +122,9 @@
     is_leaving, is_draining : bool
         Whether the endpoint is leaving for good, or draining until further
         notice; either one excludes the endpoint from new work.
+    is_evacuated : bool
+        Whether the operator evacuates the endpoint's failure domain, which
+        excludes the endpoint from new work.
     paused_until_s : float
         Monotonic time until which the endpoint has asked for no work, in
         seconds.
@@ -172,6 +175,7 @@
     endpoint: Endpoint
     is_leaving: bool = False
     is_draining: bool = False
+    is_evacuated: bool = False
     paused_until_s: float = float("-inf")
     is_paused: bool = False
     rate_per_s: float | None = None
@@ -248,7 +252,7 @@
     def is_available(self):
         """Return whether new work may be sent to the endpoint."""
         is_staying = not (self.is_leaving or self.is_draining)
-        wants_work = is_staying and not self.is_paused
+        wants_work = is_staying and not (self.is_paused or self.is_evacuated)
         return wants_work and self.circuit.admits_work()
 
     def pause(self, until_s):
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -13,6 +13,7 @@
 from mulberryhollow.state.endpoints.record import FailureKind
 from mulberryhollow.state.endpoints.record import Work
 from mulberryhollow.state.endpoints.room import ServiceRoom
+from mulberryhollow.state import evacuations
 
 __all__ = ["EndpointView"]
 
@@ -42,6 +43,11 @@
     state, and for ``LEAVING_MARK_RETENTION_S`` after the endpoint has
     disappeared from the list. An outdated list that is read later cannot undo
     the mark.
+
+    Attributes
+    ----------
+    evacuations : Evacuations
+        The evacuated failure domains, whose endpoints get no new work.
     """
 
     def __init__(self, rng=None):
@@ -58,6 +64,7 @@
         self._placement_ends = []
         self._placements = itertools.count()
         self._mean_others = {}
+        self.evacuations = evacuations.NONE
 
     def __len__(self):
         return len(self._records)
@@ -156,6 +163,22 @@
             record.is_draining = is_draining
             self._index(record)
 
+    def set_evacuations(self, current):
+        """Exclude the endpoints of evacuated domains, readmit the others.
+
+        Parameters
+        ----------
+        current : Evacuations
+            The evacuated failure domains; also applied to endpoints that are
+            listed later.
+        """
+        self.evacuations = current
+        for record in self._records.values():
+            is_evacuated = current.excludes(record.endpoint)
+            if record.is_evacuated != is_evacuated:
+                record.is_evacuated = is_evacuated
+                self._index(record)
+
     def pause(self, endpoint_id, until_s):
         """Exclude an endpoint from new work until a time.
 
@@ -597,6 +620,7 @@
         if endpoint.id in self._leaving_marks:
             self._leaving_marks[endpoint.id] = None
             record.is_leaving = True
+        record.is_evacuated = self.evacuations.excludes(endpoint)
         self._index(record)
 
     def _mark_by_domain(self, endpoint, now_s):
--- a/tests/platform/daemon.feature
+++ b/tests/platform/daemon.feature
@@ -83,6 +83,12 @@
     When a peer sends a body that is no request
     Then the peer is told that it is malformed and no endpoint has run it
 
+  # Guards against evacuations that are followed where they are not in use.
+  Scenario: An evacuation has no effect where evacuations are not in use
+    When z1 is evacuated and 6 GET /safe/x are sent a second later
+    Then all of them are answered
+    And the instance has asked the store for no evacuations
+
   Scenario: An idle instance has few threads
     When a GET /safe/x, a POST /once/x and a GET /stream/x are sent
     And 40 peers connect to the instance
--- a/tests/platform/settings.feature
+++ b/tests/platform/settings.feature
@@ -9,6 +9,20 @@
     When the fields cloudApi, seeds are removed and an unknown one is added
     Then the settings have no duties
 
+  # Guards against evacuations that are followed where they are not in use.
+  Scenario Outline: The rules on where requests go are read
+    Given the platform's settings of one instance
+    When the field contracts becomes <contracts>
+    And the field zones becomes {"z1": "r1", "z2": "r2"}
+    And the field bounds becomes {"evacuateMs": 4000}
+    Then the settings have placement rules: <is_used>, two regions and 4 s
+
+    Examples:
+      | contracts             | is_used |
+      | ["x", "places"]       | yes     |
+      | ["placesX"]           | no      |
+      | absent                | no      |
+
   Scenario Outline: A missing or wrong field is named
     Given the platform's settings of one instance
     When the field <field> becomes <value>
@@ -20,4 +34,6 @@
       | platform      | absent    | platform      |
       | internalPorts | [1]       | unpack        |
       | limits        | {}        | maxFds        |
+      | zones         | [1]       | items         |
+      | contracts     | "places"  | contracts     |
       | bounds        | {"graceS": "x"} | x       |
--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -56,6 +56,19 @@
     When prompts keep 0.1 engines busy for 8 seconds
     Then an order releases endpoints
 
+  # Guards against capacity that is ordered only once the rest is too small,
+  # and against orders that release what the operator may want back.
+  Scenario: An evacuated failure domain counts as one without endpoints
+    Given an endpoint scaler for a service with 2 endpoints
+    When prompts keep 1.2 engines busy for 12 seconds
+    And 3 on-demand endpoints serve in each domain and d1 is evacuated
+    Then as many endpoints are ordered in d2 as the need requires
+    And nothing is ordered or released in d1
+    When d1, d2 are evacuated for 20 seconds
+    Then nothing is ordered or released in d1
+    When the evacuations end for 10 seconds
+    Then d1 gets orders again
+
   Scenario: Nothing is ordered before there is any load
     Given an endpoint scaler for a service with 2 endpoints
     When 20 seconds pass without load
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -54,6 +54,17 @@
     assert found.bounds.quotas.slack == 140000
 
 
+@then(
+    "the settings have placement rules: {is_used}, two regions and "
+    "{limit_s:g} s"
+)
+def check_placement_rules(context, is_used, limit_s):
+    found = settings.decode_settings(json.dumps(context.fields))
+    assert found.has_placement_rules is (is_used == "yes")
+    assert found.domain_regions == {"z1": "r1", "z2": "r2"}
+    assert found.bounds.evacuation_s == limit_s
+
+
 @when("the fields {names} are removed and an unknown one is added")
 def remove_fields(context, names):
     for name in names.split(", "):
@@ -71,7 +82,7 @@
 @when("the field {name} becomes {value}")
 def change_field(context, name, value):
     if value == "absent":
-        del context.fields[name]
+        context.fields.pop(name, None)
     else:
         context.fields[name] = json.loads(value)
 
--- a/tests/steps/platform_daemon.py
+++ b/tests/steps/platform_daemon.py
@@ -301,3 +301,116 @@
     head = peer_requests.decode_head(answer.status, answer.getheaders())
     assert head.refusal.kind is errors.RefusalKind.MALFORMED, head
     assert not context.site.list_executed_requests()
+
+
+@when("{zone} is evacuated and {count:d} GET /safe/x are sent a second later")
+def evacuate_unused(context, zone, count):
+    context.site.server.store.put("evacuations", zone, {})
+    time.sleep(1.0)
+    context.answers = [
+        context.site.call("GET", "/safe/x") for _ in range(count)
+    ]
+
+
+@then("the instance has asked the store for no evacuations")
+def check_not_followed(context):
+    paths = [path for _, path in context.site.server.store.calls]
+    assert paths and not [each for each in paths if "evacuations" in each]
+    lines = context.site.get_metrics()
+    assert not [each for each in lines if "evacuat" in each]
+
+
+@given("an instance that follows evacuations, with e1 in z1 and e2 in z2")
+def start_with_places(context):
+    context.site = platform_site.PlatformSite(
+        {"e1": "z1", "e2": "z2"},
+        contracts=["places"],
+        zones={"z1": "r1", "z2": "r2"},
+    )
+    context.add_cleanup(context.site.close)
+    context.site.wait_ready()
+
+
+@when("2 GET /slow/y/x are running and the operator evacuates {zone}")
+def evacuate_while_running(context, zone):
+    threads = concurrent.futures.ThreadPoolExecutor(2)
+    context.add_cleanup(threads.shutdown)
+    context.running = [
+        threads.submit(context.site.call, "GET", "/slow/y/x") for _ in range(2)
+    ]
+    endpoints = context.site.endpoints.values()
+    platform_site.wait_until(lambda: all(e.received for e in endpoints), 1.5)
+    context.site.server.store.put("evacuations", zone, {})
+
+
+@then("within {limit_s:d} seconds the metrics page names {zone} as evacuated")
+def check_page(context, limit_s, zone):
+    start = f'mulberryhollow_evacuated{{failure_domain="{zone}"}} '
+    platform_site.wait_until(
+        lambda: any(
+            each.startswith(start) for each in context.site.get_metrics()
+        ),
+        limit_s,
+    )
+
+
+@then("{count:d} GET /safe/x are answered by {name}")
+def check_new_requests(context, count, name):
+    context.answers = [
+        context.site.call("GET", "/safe/x") for _ in range(count)
+    ]
+    check_answered_by(context, name)
+
+
+@then("the running requests are answered by both endpoints")
+def check_running_answered(context):
+    answers = [each.result(5.0) for each in context.running]
+    assert [each.data for each in answers] == [b"late"] * 2, answers
+    names = {each.headers["Response-Seal"] for each in answers}
+    assert names == {"seal e1", "seal e2"}, names
+
+
+@when("{zone} is evacuated too")
+def evacuate_another(context, zone):
+    context.site.server.store.put("evacuations", zone, {})
+
+
+@then(
+    "within {limit_s:d} seconds a POST /once/x is refused at once with a "
+    "Retry-After"
+)
+def check_all_evacuated(context, limit_s):
+    platform_site.wait_until(
+        lambda: context.site.call("POST", "/once/x").status == 503, limit_s
+    )
+    began_s = time.monotonic()
+    answer = context.site.call("POST", "/once/x")
+    assert time.monotonic() - began_s < 0.1
+    assert answer.status == 503, answer.status
+    assert float(answer.headers["Retry-After"]) > 0
+
+
+@when("both evacuations are withdrawn")
+def withdraw_both(context):
+    for zone in ("z1", "z2"):
+        context.site.server.store.remove("evacuations", zone)
+
+
+@then("within {limit_s:d} seconds e1 and e2 answer GET /safe/x again")
+def check_both_answer(context, limit_s):
+    found = set()
+
+    def is_met():
+        answer = context.site.call("GET", "/safe/x")
+        found.add(answer.data.decode())
+        return {"answer of e1", "answer of e2"} <= found
+
+    platform_site.wait_until(is_met, limit_s)
+
+
+@then(
+    "an idle instance that follows evacuations has at most {count:d} threads"
+)
+def check_threads_of_follower(context, count):
+    found = context.site.count_threads()
+    assert found <= count, found
--- a/tests/steps/platform_store.py
+++ b/tests/steps/platform_store.py
@@ -119,7 +119,7 @@
         self.names = set()
         self.lists = 0
 
-    def handle_list(self, items):
+    def handle_list(self, items, revision):
         self.lists += 1
         self.names = {each.name for each in items}
 
--- a/tests/steps/serving_duties.py
+++ b/tests/steps/serving_duties.py
@@ -11,6 +11,7 @@
 from mulberryhollow.serving import orders
 from mulberryhollow.serving import usage
 from mulberryhollow.state import catalogue
+from mulberryhollow.state import evacuations
 from mulberryhollow.state import fleet
 from mulberryhollow.state import objects
 from tests import fakes
@@ -161,12 +162,14 @@
             [each.to_endpoint() for each in context.listings], now_s
         )
     )
+    context.evacuated = frozenset()
     context.scaler = orders.EndpointScaler(
         context.dispatcher,
         context.cloud,
         context.clock,
         lambda: {"s": spec},
         lambda: context.listings,
+        get_evacuations=lambda: evacuations.Evacuations(context.evacuated),
     )
 
 
@@ -203,6 +206,63 @@
     assert count_ordered(context) >= minimum, context.cloud.orders
 
 
+BUSY_AT_EVACUATION = 1.2
+
+
+@when(
+    "{count:d} on-demand endpoints serve in each domain and {names} is "
+    "evacuated"
+)
+def serve_and_evacuate(context, count, names):
+    context.listings = [
+        fleet.EndpointListing(f"{domain}{n}", 1, "s", "h:1", domain, "v1", 48)
+        for domain in ("d1", "d2")
+        for n in range(count)
+    ]
+    evacuate(context, names, 1)
+
+
+@when("{names} are evacuated for {seconds:d} seconds")
+def evacuate(context, names, seconds):
+    context.evacuated = frozenset(names.split(", "))
+    context.cloud.orders.clear()
+    run_scaler(context, seconds, BUSY_AT_EVACUATION)
+
+
+@when("the evacuations end for {seconds:d} seconds")
+def end_evacuations(context, seconds):
+    context.evacuated = frozenset()
+    context.cloud.orders.clear()
+    run_scaler(context, seconds, 2.0)
+
+
+@then("as many endpoints are ordered in d2 as the need requires")
+def check_ordered_elsewhere(context):
+    need = context.scaler._services["s"].need
+    committed = collections.Counter(
+        each.is_reclaimable
+        for each in context.listings
+        if each.failure_domain == "d2"
+    )
+    assert committed.total() < need, (need, committed)
+    for each in context.cloud.orders:
+        if each.failure_domain == "d2":
+            committed[each.is_reclaimable] = each.count
+    assert committed.total() >= need, (need, committed)
+
+
+@then("nothing is ordered or released in d1")
+def check_untouched(context):
+    found = [e for e in context.cloud.orders if e.failure_domain == "d1"]
+    assert not found, found
+
+
+@then("d1 gets orders again")
+def check_ordered_again(context):
+    found = [e for e in context.cloud.orders if e.failure_domain == "d1"]
+    assert found, context.cloud.orders
+
+
 @given("{count:d} on-demand endpoints more serve")
 def add_listings(context, count):
     context.listings += [
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -83,7 +83,7 @@
         except errors.StoreUnavailableError:
             return None
 
-    def handle_list(self, items):
+    def handle_list(self, items, revision):
         self.names = {each.name for each in items}
 
     def handle_changes(self, items):
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -27,6 +27,13 @@
 class PlatformSite:
     """Stand-ins for the users' platform, two endpoints and an instance.
 
+    Parameters
+    ----------
+    endpoint_zones : dict or None
+        Failure domain of each endpoint, by name; None for one in common.
+    **settings
+        Fields to add to the settings of the instance.
+
     Attributes
     ----------
     server : PlatformServer
@@ -40,8 +47,10 @@
         Process of the instance.
     """
 
-    def __init__(self):
+    def __init__(self, endpoint_zones=None, **settings):
         self.server = platform_site.PlatformServer()
+        self._zones = endpoint_zones or {}
+        self._settings = settings
         self.endpoints = {
             name: platform_site.PlatformEndpoint(name) for name in ("e1", "e2")
         }
@@ -83,7 +92,9 @@
 
     def write_endpoint_record(self, name, state="ready"):
         """Write the record of an endpoint to the store."""
-        entry = make_endpoint_record(self.endpoints[name].address, state)
+        address = self.endpoints[name].address
+        zone = self._zones.get(name, "z1")
+        entry = make_endpoint_record(address, state) | {"zone": zone}
         self.server.store.put("servers", name, entry)
 
     def configure(self, version, *extra_routes):
@@ -130,6 +141,11 @@
         except OSError:
             return 0
 
+    def get_metrics(self):
+        """Return the lines of the metrics page of the instance."""
+        answer = _send(self.ready_port, "GET", "/metrics", {})
+        return answer.data.decode().splitlines()
+
     def count_threads(self):
         """Return the number of threads of the instance."""
         path = pathlib.Path("/proc", str(self.process.pid), "task")
@@ -156,7 +172,7 @@
             "bounds": {"graceS": 8},
             "platform": {"address": self.server.address},
             "cloudApi": {"address": self.server.address, "duties": []},
-        }
+        } | self._settings
 
 
 def make_endpoint_record(address, state="ready"):
