Enforce the allowed regions of routes and accounts

Cause: the configuration could name regions for a route or an account, and nothing kept the content of a request within them.

Change: the ingress combines both restrictions once, the dispatcher excludes endpoints of other regions from the choice, and the choice of a peer that forwards excludes members of other regions. A forwarded request carries its regions. Since an older build ignores them, a restricted request goes to a peer only at protocol level 1. A refusal names regions without an endpoint.

Ruled out: a region's name taken from the endpoint's entry, which has none; groups of endpoints for each combination of regions.

--- a/mulberryhollow/coordination/forwarding/decision.py
+++ b/mulberryhollow/coordination/forwarding/decision.py
@@ -115,7 +115,7 @@
     return TryNextEndpoint(draws_budget=not isinstance(fault, faults.NotSent))
 
 
-def refuse_no_capacity(request, attempts, jitter, pause_s=0.0):
+def refuse_no_capacity(request, attempts, jitter, pause_s=0.0, reason=""):
     """Return the refusal of a request for which no endpoint has capacity.
 
     Parameters
@@ -129,6 +129,8 @@
     pause_s : float
         Time until the first endpoint wants requests again, in seconds, which
         is added to the retry time.
+    reason : str
+        Message for the caller; empty for lack of free capacity.
     """
     retry_after_s = pause_s + (
         MIN_RETRY_AFTER_GOALS
@@ -137,7 +139,8 @@
     )
     return errors.Refusal(
         errors.RefusalKind.NO_CAPACITY,
-        f"no endpoint of service {request.service} has free capacity",
+        reason
+        or f"no endpoint of service {request.service} has free capacity",
         "send the request again after the given time",
         _get_execution_status(attempts),
         retry_after_s,
--- a/mulberryhollow/coordination/routing/__init__.py
+++ b/mulberryhollow/coordination/routing/__init__.py
@@ -8,6 +8,7 @@
 from mulberryhollow.coordination.routing.request import Permit
 from mulberryhollow.coordination.routing.request import PromptChain
 from mulberryhollow.coordination.routing.request import RouteRequest
+from mulberryhollow.coordination.routing.router import refuse_no_region
 from mulberryhollow.coordination.routing.router import Router
 from mulberryhollow.coordination.routing.router import RoutingRules
 from mulberryhollow.coordination.routing.shares import draw_by_hash
@@ -26,4 +27,5 @@
     "RoutingRules",
     "draw_by_hash",
     "list_versions",
+    "refuse_no_region",
 ]
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -96,6 +96,8 @@
         Ids of endpoints whose rate limit leaves no room for the request.
     account : str
         Client account that the request counts for.
+    allowed_regions : frozenset of str or None
+        Regions of the endpoints that may run it; None for any region.
     """
 
     request_id: str
@@ -110,6 +112,7 @@
     permit: Permit | None = None
     avoided: frozenset = frozenset()
     account: str = ""
+    allowed_regions: frozenset | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -17,7 +17,7 @@
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import environment
 
-__all__ = ["Router", "RoutingRules"]
+__all__ = ["Router", "RoutingRules", "refuse_no_region"]
 
 RETRY_AFTER_S = 1.0
 
@@ -353,6 +353,26 @@
     return 0.0 if is_closed else PROBE_PENALTY_S
 
 
+def refuse_no_region(request):
+    """Return the refusal of a request whose regions have no endpoint.
+
+    Parameters
+    ----------
+    request : RouteRequest
+        The request, whose allowed regions are restricted.
+    """
+    names = ", ".join(sorted(request.allowed_regions)) or "none in common"
+    return Refusal(
+        RefusalKind.NO_CAPACITY,
+        f"no allowed region of the request ({names}) has an endpoint of "
+        f"service {request.service}",
+        "send the request again after the given time, or have the allowed "
+        "regions of the route or account changed",
+        ExecutionStatus.NOT_RUN,
+        RETRY_AFTER_S,
+    )
+
+
 def refuse_no_endpoint(service):
     """Return the refusal of a request without an available endpoint."""
     return Refusal(
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -48,6 +48,7 @@
 from mulberryhollow.serving import usage
 from mulberryhollow.serving import watch
 from mulberryhollow.state.evacuations import NONE as NO_EVACUATIONS
+from mulberryhollow.state import regions
 from mulberryhollow.transport import forwarding
 from mulberryhollow.transport import gossip
 from mulberryhollow.transport import http_server
@@ -299,6 +300,10 @@
         dispatcher = dispatching.Dispatcher(actor, self._clock)
         dispatcher.change(functools.partial(_set_bounds, settings.bounds))
         dispatcher.change(_set_prefill_estimate)
+        region_map = regions.RegionMap(settings.domain_regions)
+        dispatcher.change(
+            lambda actor, now_s: actor.set_region_map(region_map)
+        )
         if not settings.is_first_start:
             began_s = min(package.PROCESS_START_S, self._clock.now_s())
             dispatcher.change(
@@ -426,6 +431,7 @@
                 self._clock,
                 self._quota_peering,
                 self._room,
+                self._settings.has_placement_rules,
             )
         )
 
@@ -454,6 +460,7 @@
             lambda: self._fact_peering.usable,
             lambda member: f"{member.peer_address.rpartition(':')[0]}:{port}",
             random.Random(zlib.crc32(self._settings.instance.encode())),
+            lambda: self._fact_peering.collectors.level,
         )
 
     def _make_peer_ingress(self):
--- a/mulberryhollow/platform/records.py
+++ b/mulberryhollow/platform/records.py
@@ -174,6 +174,7 @@
         max_endpoints=max(1, int(fields.get("maxAttempts") or 1)),
         is_public=bool(fields.get("public")),
         gap_goal_s=(fields.get("gapGoalMs") or 0) / _MS_PER_S,
+        allowed_regions=_decode_regions(fields),
     )
 
 
@@ -217,9 +218,18 @@
             default_tokens=float(fields.get("uncachedTokens") or 0),
         ),
         priority=None if priority is None else int(priority),
+        allowed_regions=_decode_regions(fields),
     )
 
 
+def _decode_regions(fields):
+    """Return the allowed regions of a route or tenant; None for any."""
+    names = fields.get("allowedRegions") or []
+    if not isinstance(names, list):
+        raise TypeError(f"allowedRegions is {names!r}")
+    return frozenset(map(str, names)) or None
+
+
 def _decode_limits(fields):
     """Return the IngressLimits for the fields of the limits."""
     default = catalogues.IngressLimits()
--- a/mulberryhollow/protocol/draws.py
+++ b/mulberryhollow/protocol/draws.py
@@ -131,7 +131,7 @@
     no_room: RoomRefusal | None = None
 
 
-def encode_draw(request, now_s, room_query=None):
+def encode_draw(request, now_s, room_query=None, level=0):
     """Return the question for a ForwardRequest as JSON bytes.
 
     Parameters
@@ -142,6 +142,10 @@
         Monotonic time, in seconds.
     room_query : RoomQuery or None
         Question for room; None for a holder that does not decode it.
+    level : int
+        Protocol level of the fleet. At level 0 a holder may choose an
+        endpoint outside the allowed regions, which the instance then does
+        not use.
     """
     route_request = request.to_route_request()
     fields = {
@@ -156,6 +160,8 @@
     }
     if room_query is not None:
         fields["room"] = attrs.asdict(room_query)
+    if level >= 1 and request.allowed_regions is not None:
+        fields["allowed_regions"] = sorted(request.allowed_regions)
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -172,6 +178,7 @@
     try:
         fields = json.loads(payload)
         hashes, ends, tokens, shared_parts, *_ = fields["chain"]
+        regions = fields.get("allowed_regions")
         route_request = routing.RouteRequest(
             request_id=str(fields["request"]),
             service=str(fields["service"]),
@@ -183,6 +190,7 @@
                 tuple(hashes), tuple(ends), int(tokens), int(shared_parts)
             ),
             account=str(fields["account"]),
+            allowed_regions=None if regions is None else frozenset(regions),
         )
         return Draw(
             route_request.account,
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -97,6 +97,9 @@
         Fingerprint that resends of the same work share.
     parts : tuple of str
         Hashes of the parts of the prompt that other requests may have too.
+    allowed_regions : frozenset of str or None
+        Regions of the endpoints and peers that may receive its content; None
+        for any region.
     """
 
     request_id: str
@@ -121,6 +124,7 @@
     parts: tuple = ()
     rank: int = 0
     max_output_tokens: int = 0
+    allowed_regions: frozenset | None = None
 
     def to_route_request(self):
         """Return the `RouteRequest` for the first or a further attempt."""
@@ -135,6 +139,7 @@
             preferred=self.placement,
             permit=self.permit,
             account=self.account,
+            allowed_regions=self.allowed_regions,
         )
 
 
--- a/mulberryhollow/protocol/peer_requests.py
+++ b/mulberryhollow/protocol/peer_requests.py
@@ -113,6 +113,8 @@
         "target": payload.target,
         "headers": payload.headers,
     }
+    if request.allowed_regions is not None:
+        fields["allowed_regions"] = sorted(request.allowed_regions)
     body = json.dumps(fields).encode() + b"\n" + payload.body
     headers = (
         ("Host", "peer"),
@@ -146,6 +148,7 @@
     try:
         fields = json.loads(text)
         chain = fields["chain"]
+        regions = fields.get("allowed_regions")
         if chain is not None:
             hashes, ends, tokens, shared_parts, *_ = chain
             chain = routing.PromptChain(
@@ -160,6 +163,7 @@
             last_event_id=str(fields["last_event_id"]),
             chain=chain,
             parts=tuple(map(str, fields["parts"])),
+            allowed_regions=None if regions is None else frozenset(regions),
             payload=messages.Payload(
                 str(fields["method"]),
                 str(fields["target"]),
--- a/mulberryhollow/serving/dispatch/endpoint_work.py
+++ b/mulberryhollow/serving/dispatch/endpoint_work.py
@@ -12,6 +12,7 @@
 from mulberryhollow.serving import shares as version_shares
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import prefixes
+from mulberryhollow.state import regions
 
 __all__ = [
     "Choose",
@@ -160,6 +161,8 @@
         Permits by room for those of them that are brittle.
     work : DemandTable
         Smoothed compute demand of each service.
+    region_map : RegionMap
+        Region of each failure domain, for requests with allowed regions.
     """
 
     def __init__(self, rng):
@@ -170,6 +173,7 @@
         self.endpoint_rates = limits.EndpointRateTable()
         self.endpoint_rooms = limits.EndpointRoomTable()
         self.work = demand.DemandTable(WORK_DECAY_S)
+        self.region_map = regions.RegionMap()
 
     def handle(self, message, now_s, on_rate_changed):
         """Process one EndpointMessage and return its result.
@@ -232,6 +236,8 @@
         match result:
             case routing.NoEndpoint(refusal):
                 self._log_no_endpoint(request)
+                if not self._has_allowed_endpoint(request):
+                    return routing.refuse_no_region(request)
                 return refusal
         work = self.view.start(result.endpoint_id, result.cost, now_s)
         self.work.add(request.service, result.compute_s, now_s)
@@ -253,6 +259,7 @@
 
     def _select(self, request, now_s, excluded=frozenset()):
         """Return Chosen, whose prompt counts as cached, or NoEndpoint."""
+        excluded = excluded | self._list_disallowed(request)
         result = self.router.choose(
             request, self.view, self.prefixes, now_s, excluded
         )
@@ -261,6 +268,27 @@
                 self.prefixes.insert(result.endpoint_id, hashes)
         return result
 
+    def _list_disallowed(self, request):
+        """Return the ids of the endpoints outside the allowed regions."""
+        allowed = request.allowed_regions
+        if allowed is None:
+            return frozenset()
+        return frozenset(
+            record.endpoint.id
+            for record in self.view
+            if record.endpoint.service == request.service
+            and not self.region_map.admits(allowed, record.endpoint)
+        )
+
+    def _has_allowed_endpoint(self, request):
+        """Return whether an endpoint is listed in an allowed region."""
+        allowed = request.allowed_regions
+        return allowed is None or any(
+            self.region_map.admits(allowed, record.endpoint)
+            for record in self.view
+            if record.endpoint.service == request.service
+        )
+
     def _log_no_endpoint(self, request):
         """Log the state of a service whose endpoints accept no requests."""
         records = [
@@ -274,9 +302,15 @@
             shares=request.version_shares,
             listed=len(records),
             leaving=sum(record.is_leaving for record in records),
+            evacuated=sum(record.is_evacuated for record in records),
+            regions=_list_regions(request),
             circuits=[record.circuit.state.value for record in records],
         )
 
+    def set_region_map(self, region_map):
+        """Set the `RegionMap` by which allowed regions are enforced."""
+        self.region_map = region_map
+
     def _report_leaving(self, endpoint_id, on_leaving):
         """Mark an endpoint as leaving; call a function the first time."""
         record = self.view.get(endpoint_id)
@@ -305,6 +339,12 @@
         return True
 
 
+def _list_regions(request):
+    """Return the allowed regions of a request for a log line, or None."""
+    allowed = request.allowed_regions
+    return None if allowed is None else sorted(allowed)
+
+
 def _select_main_version(shares):
     """Return the shares for a retry: only the version with the largest share.
 
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -94,6 +94,8 @@
         Smoothed compute demand of each service.
     observe_rate : callable
         Stores the rate limit of an endpoint, `EndpointWork.observe_rate`.
+    set_region_map : callable
+        Sets the region of each failure domain, `EndpointWork.set_region_map`.
     """
 
     use_daemon_thread = True
@@ -112,6 +114,7 @@
         self.endpoint_rooms = work.endpoint_rooms
         self.work = work.work
         self.observe_rate = work.observe_rate
+        self.set_region_map = work.set_region_map
         crashes = self._crash_records = crash_records.CrashRecords()
         self.quarantine = crashes.quarantine
         self.part_quarantine = crashes.part_quarantine
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -246,11 +246,16 @@
         except errors.RefusedError as error:
             if self._has_reached_none() and self._choose_peer():
                 return self._route
+            is_restricted = request.allowed_regions is not None
             pause_s = self._dependencies.dispatcher.get_pause_s(
                 request.service, request.account
             )
             raise errors.RefusedError(
-                self._refuse_no_capacity(pause_s)
+                self._refuse_no_capacity(
+                    pause_s,
+                    # Names the allowed regions if they have no endpoint.
+                    error.refusal.message if is_restricted else "",
+                )
             ) from error
         self._chosen, self._peer = self._route.chosen, ""
         return self._route
@@ -263,7 +268,9 @@
         RefusedError
             When the peers that were asked could not forward it.
         """
-        route = self._dependencies.peers.choose(self._asked_peers)
+        route = self._dependencies.peers.choose(
+            self._asked_peers, self._request.allowed_regions
+        )
         if route is None:
             if self._asked_peers:
                 raise errors.RefusedError(self._refuse_no_capacity())
@@ -532,10 +539,10 @@
             self._request, route.endpoint_id, fault, self._attempts
         )
 
-    def _refuse_no_capacity(self, pause_s=0.0):
+    def _refuse_no_capacity(self, pause_s=0.0, reason=""):
         """Return the refusal for lack of endpoints or of retry budget."""
         return decisions.refuse_no_capacity(
-            self._request, self._attempts, random.random(), pause_s
+            self._request, self._attempts, random.random(), pause_s, reason
         )
 
     def _refuse(self, refusal):
--- a/mulberryhollow/serving/ingress.py
+++ b/mulberryhollow/serving/ingress.py
@@ -11,6 +11,7 @@
 from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.serving import room_admission
 from mulberryhollow.state import catalogue as catalogues
+from mulberryhollow.state import regions
 
 __all__ = ["Ingress", "IngressDependencies", "IngressRequest"]
 
@@ -95,12 +96,15 @@
         Charges requests to the quotas of their client accounts.
     room : RoomAdmission or UnlimitedRoom
         Knows the services whose requests are admitted by room.
+    has_allowed_regions : bool
+        Whether the allowed regions of routes and accounts are in use.
     """
 
     forwarder: object
     clock: object
     quotas: object
     room: object = attrs.field(factory=room_admission.UnlimitedRoom)
+    has_allowed_regions: bool = False
 
 
 class Ingress:
@@ -208,6 +212,15 @@
             last_event_id=incoming.last_event_id,
             fingerprint=_compute_fingerprint(name, incoming.payload),
             parts=_hash_parts(service, incoming.part_ids),
+            allowed_regions=self._find_regions(route, account),
+        )
+
+    def _find_regions(self, route, account):
+        """Return the regions that route and account allow; None for any."""
+        if not self._dependencies.has_allowed_regions:
+            return None
+        return regions.combine(
+            route.allowed_regions, account and account.allowed_regions
         )
 
 
--- a/mulberryhollow/serving/peer_forwarding.py
+++ b/mulberryhollow/serving/peer_forwarding.py
@@ -13,6 +13,7 @@
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import peer_requests
+from mulberryhollow.state import regions
 from mulberryhollow.transport import http_server
 
 __all__ = [
@@ -34,6 +35,9 @@
 One that cannot help says so at once.
 """
 
+REGIONS_LEVEL = 1
+"""Protocol level from which a peer obeys the allowed regions of a request."""
+
 RETRY_AFTER_S = 0.1
 """Retry delay sent to a peer by an instance that forwards nothing, in s."""
 
@@ -76,7 +80,7 @@
         """Return whether the paths to a service are lost: always False."""
         return False
 
-    def choose(self, excluded):
+    def choose(self, excluded, allowed_regions=None):
         """Return no peer."""
 
     def record_failure(self, route, fault):
@@ -119,6 +123,8 @@
         Returns the address on which a Member accepts requests of peers.
     rng : random.Random or None
         Source of the choice; seeded with 0 when None.
+    get_level : callable
+        Returns the lowest protocol level of the reachable instances.
 
     Notes
     -----
@@ -135,6 +141,7 @@
         get_members,
         get_address,
         rng=None,
+        get_level=lambda: 0,
     ):
         self.client = client
         self._dispatcher = dispatcher
@@ -143,6 +150,7 @@
         self._get_members = get_members
         self._get_address = get_address
         self._rng = rng or random.Random(0)
+        self._get_level = get_level
         self._paths = decisions.EndpointPaths()
         self._in_flight = collections.Counter()
         self._paused_until_s = {}
@@ -153,7 +161,7 @@
         """Return whether no endpoint of a service is reached."""
         return self._paths.is_lost(service)
 
-    def choose(self, excluded):
+    def choose(self, excluded, allowed_regions=None):
         """Return the `PeerRoute` of an attempt, or None without a peer.
 
         Of two peers drawn at random the one with fewer requests of this
@@ -164,15 +172,23 @@
         ----------
         excluded : set of str
             Instance ids of the peers already asked.
+        allowed_regions : frozenset of str or None
+            Regions of the peers that may receive the request; None for any
+            region. A peer of an older build would not restrict the choice
+            of the endpoint, so a restricted request gets no peer before all
+            instances have this build.
         """
         if len(excluded) >= MAX_PEERS:
             return None
+        if allowed_regions is not None and self._get_level() < REGIONS_LEVEL:
+            return None
         now_s = self._clock.now_s()
         with self._lock:
             members = [
                 member
                 for member in self._get_members()
                 if member.instance_id not in excluded
+                and regions.admits(allowed_regions, member.region)
                 and self._paused_until_s.get(member.instance_id, 0.0) <= now_s
             ]
             if excluded:
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -247,7 +247,9 @@
         query = None
         if self._room.shares_demand:
             query = draws.RoomQuery.of(request, now_s)
-        payload = draws.encode_draw(request, now_s, query)
+        payload = draws.encode_draw(
+            request, now_s, query, self._collectors.level
+        )
         for name in holders:
             if name == self._local_name:
                 return None
--- a/mulberryhollow/state/catalogue.py
+++ b/mulberryhollow/state/catalogue.py
@@ -84,6 +84,8 @@
     gap_goal_s : float
         Latency goal of a stream: longest pause between two events, in
         seconds; 0 if the response is not a stream.
+    allowed_regions : frozenset of str or None
+        Regions in which the requests may be served; None for any region.
     """
 
     name: str
@@ -97,6 +99,7 @@
     max_endpoints: int = 1
     is_public: bool = False
     gap_goal_s: float = 0.0
+    allowed_regions: frozenset | None = None
 
 
 @attrs.frozen
@@ -215,12 +218,16 @@
     priority : int or None
         Priority of the account's requests, which overrides that of the
         route; None to use the priority of the route.
+    allowed_regions : frozenset of str or None
+        Regions in which the account's requests may be served; None for any
+        region.
     """
 
     name: str
     keys: frozenset
     quota: Quota
     priority: int | None = None
+    allowed_regions: frozenset | None = None
 
 
 @attrs.frozen
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -23,6 +23,7 @@
 from mulberryhollow.serving import permit_peering
 from mulberryhollow.state import catalogue
 from mulberryhollow.state import endpoints
+from mulberryhollow.state import regions
 from tests import requests
 
 # The rule of the platform: in each window an endpoint may get this many times
@@ -65,9 +66,9 @@
 class Endpoint:
     """Counts requests; its answers name its rate while there is one."""
 
-    def __init__(self, name):
+    def __init__(self, name, domain="d"):
         self.listing = endpoints.Endpoint(
-            name, "m", name, "d", "s", "v1", slots=SLOTS
+            name, "m", name, domain, "s", "v1", slots=SLOTS
         )
         self.rate = None
         self.arrivals = []
@@ -135,7 +136,9 @@
             lambda: self.members,
             lambda member: member.instance_id,
             random.Random(index),
+            lambda: self.fleet.level,
         )
+        actor.set_region_map(regions.RegionMap(fleet.domain_regions))
         self.forwarder = self.make_forwarder(self, self.peers)
         self.peer_ingress = peer_forwarding.PeerIngress(
             self.make_forwarder(
@@ -163,6 +166,7 @@
     def open_at_peer(self, attempt, on_channel):
         """Pass a request to a peer, as the client of peers does."""
         self.fleet.peer_requests += 1
+        self.fleet.receivers.add(self.fleet.instances[attempt.address].region)
         codec = peer_forwarding.PeerCodec()
         other = self.fleet.instances[attempt.address]
         if not self.fleet.reaches(self, other):
@@ -224,9 +228,15 @@
 
     def local_member(self):
         return types.SimpleNamespace(
-            instance_id=self.name, failure_domain=self.domain
+            instance_id=self.name,
+            failure_domain=self.domain,
+            region=self.region,
         )
 
+    @property
+    def region(self):
+        return self.fleet.domain_regions[self.domain]
+
     def apply_members(self):
         """Apply the members that this instance reaches, shuffled."""
         if not self.is_running:
@@ -265,6 +275,8 @@
         endpoint_id = attempt.call.endpoint_id
         self.fleet.runs[attempt.call.request_id] += 1
         endpoint = self.fleet.endpoints[endpoint_id]
+        domain = endpoint.listing.failure_domain
+        self.fleet.receivers.add(self.fleet.domain_regions[domain])
         now_s = self.fleet.clock.now_s()
         if now_s < endpoint.down_until_s:
             fault = streams.NotSent("connection refused")
@@ -335,9 +347,15 @@
         self.broken_fraction = 0.0
         self.status = 200
         self.kind = catalogue.RequestKind.STREAM
+        self.allowed_regions = None
+        self.level = 1
+        self.receivers = set()
+        self.domain_regions = {
+            f"d{number}": f"r{number % 2}" for number in range(domains)
+        }
         self.runs = collections.Counter()
         self.endpoints = {
-            f"e{number}": Endpoint(f"e{number}")
+            f"e{number}": Endpoint(f"e{number}", f"d{number % domains}")
             for number in range(endpoint_count)
         }
         self.instances = {}
@@ -508,6 +526,7 @@
             deadline_s=now_s + 10.0,
             account=account,
             chain=self.random.choice((None, chain)),
+            allowed_regions=self.allowed_regions,
         )
         try:
             forwarding = instance.forwarder.forward(request)
--- a/tests/serving/peer_forwarding.feature
+++ b/tests/serving/peer_forwarding.feature
@@ -74,3 +74,38 @@
     And the count of answers begins anew
     And 40 requests a second arrive for 10 seconds
     Then all requests are refused as not run, each after 4 peers or fewer
+
+  # Guards against the content of a request at a peer or an endpoint outside its
+  # allowed regions. The instance that the caller reached is exempt.
+  Scenario Outline: A restricted request stays in its region, through peers too
+    Given <members> instances before 6 endpoints
+    And the requests may be served in region r1 only
+    When <load> requests a second arrive for 5 seconds
+    And <cut> instances lose all endpoints, whose connections are refused
+    And <load> requests a second arrive for 3 seconds
+    And the count of answers begins anew
+    And <load> requests a second arrive for 10 seconds
+    Then only peers and endpoints of region r1 have received a request
+    And the instances that are cut off serve at least 0.98 of their requests
+    And the others serve all of theirs
+
+    Examples:
+      | members | cut | load |
+      | 8       | 1   | 40   |
+      | 8       | 4   | 40   |
+      | 200     | 100 | 100  |
+
+  # Guards against a peer of an older build, which ignores the restriction.
+  Scenario: A restricted request goes to no peer while an older build runs
+    Given 8 instances before 6 endpoints
+    And the requests may be served in region r1 only
+    And one of the instances has an older build
+    When 4 instances lose all endpoints, whose connections are refused
+    And 40 requests a second arrive for 3 seconds
+    Then no request is sent to a peer
+
+  Scenario: A region without endpoints is named in the refusal
+    Given 8 instances before 6 endpoints
+    And the requests may be served in region r9 only
+    When 40 requests a second arrive for 3 seconds
+    Then all requests are refused at once as not run, naming r9
--- a/tests/steps/platform_daemon.py
+++ b/tests/steps/platform_daemon.py
@@ -414,3 +414,98 @@
 def check_threads_of_follower(context, count):
     found = context.site.count_threads()
     assert found <= count, found
+
+
+@given("an instance with allowed regions, e1 in r1 and e2 in r2")
+def start_with_regions(context):
+    start_with_places(context)
+    routes = [
+        platform_site.make_route(name, "idempotent")
+        | {"allowedRegions": [name]}
+        for name in ("r1", "r9")
+    ]
+    tenant = {"name": "near", "apiKeys": ["k2"], "allowedRegions": ["r2"]}
+    context.site.configure(2, *routes, tenants=[tenant])
+    platform_site.wait_until(
+        lambda: context.site.call("GET", "/r1/x").status == 200, 3.0
+    )
+    for endpoint in context.site.endpoints.values():
+        endpoint.received.clear()
+
+
+def send_restricted(context, count, path, key="k1"):
+    context.answers = [
+        context.site.call("GET", path, Key=key) for _ in range(count)
+    ]
+
+
+@when("{count:d} requests of a route allowed in r1 are sent")
+def send_by_route(context, count):
+    send_restricted(context, count, "/r1/x")
+
+
+@when("{count:d} requests of an account allowed in r2 are sent")
+def send_by_account(context, count):
+    send_restricted(context, count, "/safe/x", "k2")
+
+
+@when("{count:d} requests without a restriction are sent")
+def send_unrestricted(context, count):
+    send_restricted(context, count, "/safe/x")
+
+
+@when("a request is sent whose route allows r1 and whose account r2")
+def send_contradiction(context):
+    context.started_s = time.monotonic()
+    context.answer = context.site.call("GET", "/r1/x", Key="k2")
+
+
+@when("a request of a route allowed in r9 is sent")
+def send_to_empty_region(context):
+    context.started_s = time.monotonic()
+    context.answer = context.site.call("GET", "/r9/x")
+
+
+@when("e1 is full and a request of a route allowed in r1 is sent")
+def send_to_full_region(context):
+    context.site.endpoints["e1"].is_full = True
+    context.answer = context.site.call("GET", "/r1/x")
+
+
+@when("a peer forwards {count:d} requests that are allowed in r2")
+def forward_restricted(context, count):
+    context.answers = []
+    for number in range(count):
+        name = f"p{number}"
+        request = requests.make_request(
+            request_id=name,
+            payload=messages.Payload(
+                "GET", "/safe/x", (("Attempt-Id", name),), b""
+            ),
+            allowed_regions=frozenset(("r2",)),
+        )
+        call = peer_requests.encode_call(request, 5.0, "")
+        context.answers.append(context.site.forward(call.body))
+
+
+@then("the regions of these requests were served by {names}")
+def check_served_by(context, names):
+    expected = set(names.removesuffix(" only").split(" and "))
+    found = {each.data.decode().rpartition(" ")[2] for each in context.answers}
+    assert {each.status for each in context.answers} == {200}
+    assert found == expected, found
+
+
+@then("it is refused at once with a Retry-After, naming {text}")
+def check_region_refusal(context, text):
+    assert time.monotonic() - context.started_s < 0.2
+    assert context.answer.status == 503, context.answer.status
+    assert float(context.answer.headers["Retry-After"]) > 0
+    assert f"({text})" in context.answer.data.decode(), context.answer.data
+    assert not context.site.list_executed_requests()
+
+
+@then("it is refused and e2 has received nothing")
+def check_stays(context):
+    assert context.answer.status == 503, context.answer.status
+    assert not context.site.endpoints["e2"].received
--- a/tests/steps/serving_peer_forwarding.py
+++ b/tests/steps/serving_peer_forwarding.py
@@ -22,6 +22,35 @@
         fleet.lose_paths(count, kind)
 
 
+@given("the requests may be served in region {region} only")
+def restrict_regions(context, region):
+    for fleet in context.fleets:
+        fleet.allowed_regions = frozenset((region,))
+
+
+@given("one of the instances has an older build")
+def keep_older_build(context):
+    for fleet in context.fleets:
+        fleet.level = 0
+
+
+@then("only peers and endpoints of region {region} have received a request")
+def check_receivers(context, region):
+    for fleet in context.fleets:
+        assert fleet.receivers == {region}, fleet.receivers
+
+
+@then("all requests are refused at once as not run, naming {region}")
+def check_region_named(context, region):
+    for fleet in context.fleets:
+        assert fleet.refusals and not fleet.served
+        assert not fleet.receivers, fleet.receivers
+        for _, _, refusal in fleet.refusals:
+            assert refusal.ran is errors.ExecutionStatus.NOT_RUN, refusal
+            assert refusal.retry_after_s > 0, refusal
+            assert f"({region})" in refusal.message, refusal
+
+
 @when("the endpoints break off {fraction:g} of their answers")
 def break_off(context, fraction):
     for fleet in context.fleets:
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -97,10 +97,12 @@
         entry = make_endpoint_record(address, state) | {"zone": zone}
         self.server.store.put("servers", name, entry)
 
-    def configure(self, version, *extra_routes):
-        """Write a configuration with additional routes to the store."""
+    def configure(self, version, *extra_routes, tenants=()):
+        """Write a configuration with additional routes and tenants."""
         self.server.store.put(
-            "config", "main", _make_configuration(version, *extra_routes)
+            "config",
+            "main",
+            _make_configuration(version, extra_routes, tenants),
         )
 
     def call(self, method, path, **extra_headers):
@@ -218,7 +220,7 @@
         time.sleep(_POLL_INTERVAL_S)
 
 
-def _make_configuration(version, *extra_routes):
+def _make_configuration(version, extra_routes, tenants):
     """Return a configuration with a route of each kind."""
     return {
         "version": version,
@@ -231,7 +233,7 @@
             *extra_routes,
         ],
         "services": [{"name": "s", "maxConns": 100}],
-        "tenants": [{"name": "acme", "apiKeys": ["k1"]}],
+        "tenants": [{"name": "acme", "apiKeys": ["k1"]}, *tenants],
     }
 
 
