--- a/tests/platform/daemon.feature
+++ b/tests/platform/daemon.feature
@@ -89,6 +89,11 @@
     Then all of them are answered
     And the instance has asked the store for no evacuations
 
+  # Guards against earlier deployments that are restricted by unused fields.
+  Scenario: Allowed regions have no effect where they are not in use
+    When 12 requests of a route with allowed regions are sent
+    Then the regions of these requests were served by e1 and e2
+
   Scenario: An idle instance has few threads
     When a GET /safe/x, a POST /once/x and a GET /stream/x are sent
     And 40 peers connect to the instance
--- a/tests/platform/records.feature
+++ b/tests/platform/records.feature
@@ -27,3 +27,29 @@
     Given a document actor that decodes configurations
     When the actor receives a configuration, a malformed one and an older one
     Then only the first configuration is active
+
+  Scenario Outline: The allowed regions of a route and a tenant are read
+    Given a configuration whose route and tenant have the regions <value>
+    Then both are restricted to <regions>
+
+    Examples:
+      | value        | regions |
+      | absent       | any     |
+      | []           | any     |
+      | ["r1", "r2"] | r1,r2   |
+
+  # Guards against a restriction that is misread, "r1" as the letters r and 1.
+  Scenario: Allowed regions that are no list make a configuration malformed
+    Given a configuration whose route and tenant have the regions "r1"
+    Then it cannot be read, naming allowedRegions
+
+  Scenario Outline: An evacuation of the operator is read
+    Given an evacuation whose value is <value>
+    Then it is read as <result>
+
+    Examples:
+      | value          | result    |
+      | {}             | active    |
+      | {"by": "me"}   | active    |
+      | []             | malformed |
+      | {              | malformed |
--- a/tests/protocol/draws.feature
+++ b/tests/protocol/draws.feature
@@ -8,3 +8,17 @@
     And a malformed question "{"rank": 1}" is refused as malformed
     And a malformed question "[]" is refused as malformed
     And a refusal for lack of room is read back, and absent otherwise
+
+  # Guards against a field that an older build gets, and against a restriction
+  # that is lost on the way to a holder or to a peer that forwards.
+  Scenario Outline: The allowed regions in a draw and in a forwarded request
+    Given a forwarded request that is allowed in <regions>
+    Then its draw at level 1 is read back with <regions>
+    And its draw at level 0 names no regions
+    And its call of a peer is read back with <regions>
+
+    Examples:
+      | regions |
+      | any     |
+      | r1,r2   |
+      | nowhere |
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -450,3 +450,47 @@
     )
     expected = None if rejections == "unknown" else int(rejections)
     assert head.brittle_rejections == expected, head
+
+
+@given("a configuration whose route and tenant have the regions {value}")
+def make_restricted_configuration(context, value):
+    fields = json.loads(json.dumps(CONFIGURATION))
+    if value != "absent":
+        for each in (fields["routes"][0], fields["tenants"][0]):
+            each["allowedRegions"] = json.loads(value)
+    context.data = json.dumps(fields).encode()
+
+
+@then("both are restricted to {names}")
+def check_restriction(context, names):
+    expected = None if names == "any" else frozenset(names.split(","))
+    found = records.decode_catalogue(context.data, 3)
+    assert found.routes[0].allowed_regions == expected
+    assert found.find_account("k1").allowed_regions == expected
+
+
+@then("it cannot be read, naming {field}")
+def check_malformed_configuration(context, field):
+    try:
+        records.decode_catalogue(context.data, 3)
+    except errors.ConfigurationError as error:
+        assert field in str(error), error
+        return
+    raise AssertionError("the configuration was read")
+
+
+@given("an evacuation whose value is {value}")
+def make_evacuation(context, value):
+    context.item = objects.StoredObject("evacuations", "z1", 7, value.encode())
+
+
+@then("it is read as {result}")
+def check_evacuation(context, result):
+    try:
+        found = records.decode_evacuation(context.item)
+    except ValueError:
+        assert result == "malformed"
+        return
+    assert result == "active"
+    assert (found.failure_domain, found.revision) == ("z1", 7), found
+    assert found.is_active
--- a/tests/steps/platform_daemon.py
+++ b/tests/steps/platform_daemon.py
@@ -509,3 +509,13 @@
 def check_stays(context):
     assert context.answer.status == 503, context.answer.status
     assert not context.site.endpoints["e2"].received
+
+
+@when("{count:d} requests of a route with allowed regions are sent")
+def send_unused_restriction(context, count):
+    route = platform_site.make_route("r1", "idempotent")
+    context.site.configure(2, route | {"allowedRegions": ["r1"]})
+    platform_site.wait_until(
+        lambda: context.site.call("GET", "/r1/x").status == 200, 3.0
+    )
+    send_restricted(context, count, "/r1/x")
