Known red: half of a large fleet cut off at a low rate

Cause: an instance that sees a request every five seconds meets the loss of its endpoints with a caller's request.

--- a/tests/serving/peer_forwarding.feature
+++ b/tests/serving/peer_forwarding.feature
@@ -21,6 +21,17 @@
       | 8       | 4   | 20   | silent  |
       | 200     | 100 | 100  | refused |
 
+  # Guards against callers being refused where each instance sees too few
+  # requests to notice that its endpoints are out of reach.
+  Scenario: Callers at half of a large fleet are served at a low rate too
+    Given 200 instances before 6 endpoints
+    When 40 requests a second arrive for 5 seconds
+    And 100 instances lose all endpoints, whose connections are refused
+    And 40 requests a second arrive for 3 seconds
+    And the count of answers begins anew
+    And 40 requests a second arrive for 10 seconds
+    Then the instances that are cut off serve at least 0.98 of their requests
+
   # Guards against a peer being left alone for the fault of an endpoint.
   Scenario: A peer that passes on a broken answer is asked again at once
     Given 8 instances before 6 endpoints
