Predict the wait and the others' demand between reports

The view of the room is 0.5 to 1 s old. The wait is now carried forward from the observed use by what was granted since, bursts are extrapolated from the local arrivals, the error of the estimates is learned from the use and its change, and accounts within an equal part do not keep the reserve free for the others.

--- a/mulberryhollow/coordination/room/controller.py
+++ b/mulberryhollow/coordination/room/controller.py
@@ -17,29 +17,33 @@
 FREE_USE = 0.75
 """Use of the room below which every request is granted."""
 
-TARGET_USE = 0.96
+TARGET_USE = 0.98
 """Use of the room that the granted requests should cause."""
 
-SCALE_DECAY_S = 1.5
+SCALE_DECAY_S = 4.0
 """Time constant with which the scale follows the observed use, in seconds.
 
-Longer than the age of the observed use, or it would oscillate.
+The error of the estimates changes slowly, and a scale that followed every
+wave of load would swing with the age of the observed use.
 """
 
-FULL_SCALE_PER_S = 0.3
-"""Relative increase of the scale per second and unit of use above 1.
+SCALE_WINDOW_S = 1.0
+"""Time over which the change of the use is measured, in seconds."""
 
-While requests wait, the use does not show how long the others are held.
+MAX_SCALE_STEP = 1.5
+"""Maximum ratio of one observation to the scale.
+
+Single observations vary by chance and with the age of their inputs.
 """
 
 MIN_SCALE = 0.2
 MAX_SCALE = 5.0
 """Bounds of the ratio of observed to expected places."""
 
-DRAIN_S = 2.0
+DRAIN_S = 1.0
 """Time in which waiting requests are to be worked off, in seconds.
 
-About twice the age of the observed use, so that it does not oscillate.
+Not less than the age of the observed use, so that it does not oscillate.
 """
 
 MIN_CAPACITY_FRACTION = 0.3
@@ -57,6 +61,33 @@
 Bursts last for seconds, and a wave of load has to be seen in its first one.
 """
 
+SPARSE_DECAY_S = 8.0
+"""Time constant of the demand where requests are few, in seconds."""
+
+SPARSE_PER_S = 12.0
+"""Requests per second below which the demand is sparse.
+
+A second then holds too few requests to tell demand from chance.
+"""
+
+RECENT_S = 0.4
+"""Time constant of the local arrivals and grants of this moment, in seconds.
+
+About the age of what is known of the other instances.
+"""
+
+MAX_BURST = 3.0
+"""Maximum ratio by which the others' demand is extrapolated.
+
+Bursts reach 2.5 times the usual load.
+"""
+
+BURST_SAMPLES = 10.0
+"""Local requests in `RECENT_S` at which half of a burst is believed.
+
+Fewer requests vary too much by chance.
+"""
+
 MAX_KEYS = 512
 """Maximum number of ranks and accounts whose demand is kept."""
 
@@ -84,8 +115,8 @@
 MEAN_WEIGHT = 0.05
 """Weight of the latest request in a mean."""
 
-MIN_EXPECTED_PLACES = 2.0
-"""Expected use from which the scale is learned, in places.
+MIN_KNOWN_PLACES = 0.5
+"""Known granted work from which the scale is learned, in places.
 
 A smaller sample of requests says little about their work.
 """
@@ -112,6 +143,9 @@
 """Maximum time for which a granted request counts as running, in seconds."""
 
 
+_ARRIVED, _ASKED, _GRANTED = "arrived", "asked", "granted"
+
+
 @attrs.frozen
 class RoomPart:
     """Part of the room about which this instance decides.
@@ -138,7 +172,17 @@
     fractions: dict = attrs.field(factory=dict)
     demand: float = 0.0
     capacity: float = 0.0
+    granted_remote: float = 0.0
+    local_fraction: float = 1.0
     by_rank: dict = attrs.field(factory=dict)
+    by_account: dict = attrs.field(factory=dict)
+
+    def is_within_share(self, account):
+        """Return whether an account asks for less than an equal part."""
+        if not self.by_account:
+            return True
+        equal = self.capacity / len(self.by_account)
+        return self.by_account.get(account, 0.0) <= equal
 
 
 class RoomController:
@@ -167,11 +211,16 @@
         self._rng = random.Random(seed)
         self._part = RoomPart()
         self._demand = rates.DecayingSums(DEMAND_DECAY_S, MAX_KEYS)
+        self._sparse_demand = rates.DecayingSums(SPARSE_DECAY_S, MAX_KEYS)
+        self._sparse_arrivals = rates.DecayingSums(SPARSE_DECAY_S, MAX_KEYS)
         self._arrivals = rates.DecayingSums(DEMAND_DECAY_S, MAX_KEYS)
         self._remote = {}
         self._remote_at_s = -math.inf
-        self._granted = rates.DecayingSums(DEMAND_DECAY_S, MAX_KEYS)
+        self._recent = rates.DecayingSums(RECENT_S, MAX_KEYS)
+        self._usual_arrivals = 0.0
         self._scale = 1.0
+        self._mean_granted = 0.0
+        self._use_history = collections.deque()
         self._division = _Division()
         self._credit = {}
         self._returns = returns.ReturnTable()
@@ -197,6 +246,7 @@
         """
         self._remote = demand
         self._remote_at_s = now_s
+        self._usual_arrivals = sum(self._arrivals.list_rates(now_s).values())
 
     def list_demand(self, now_s):
         """Return the local demand by (rank, account), in places."""
@@ -227,7 +277,11 @@
         kind = self._returns.classify(request.fingerprint, now_s)
         if kind is returns.Return.NEW:
             self._demand.add(key, places, now_s)
+            self._sparse_demand.add(key, places, now_s)
+            self._sparse_arrivals.add(_ARRIVED, 1.0, now_s)
             self._arrivals.add(request.rank, 1.0, now_s)
+            self._recent.add(_ARRIVED, 1.0, now_s)
+            self._recent.add(_ASKED, places, now_s)
         self._observe_goal(request)
         use = self._measure_use(room, now_s)
         if not room.slots:
@@ -236,20 +290,20 @@
         division = self._divide(use, room, now_s)
         inputs = outcomes.RoomInputs(
             use,
-            self._estimate_wait_s(use, 0.0, room),
+            self._estimate_wait_s(use, 0.0, room, now_s),
             division.fractions.get(key, 1.0),
             division.demand,
             division.capacity,
             self._get_age_s(room, now_s),
         )
-        rule = self._find_rule(request, kind, inputs, room)
+        rule = self._find_rule(request, kind, inputs, room, now_s)
         match rule:
             case (
                 outcomes.Rule.AMPLE
                 | outcomes.Rule.SHARE
                 | outcomes.Rule.RETURNED
             ) if self._is_granted(rule, key, inputs.share):
-                self._granted.add(key, places, now_s)
+                self._recent.add(_GRANTED, places, now_s)
                 self._start(request, now_s)
                 return outcomes.Granted(rule, inputs)
         retry_s = self._plan_return(request, kind, inputs, now_s)
@@ -260,7 +314,7 @@
         key = request.rank, request.account
         self._credit[key] = self._credit.get(key, 0.0) + 1.0
 
-    def _find_rule(self, request, kind, inputs, room):
+    def _find_rule(self, request, kind, inputs, room, now_s):
         """Return the rule that decides on a request."""
         rule = outcomes.Rule
         is_free = inputs.demand < FREE_USE * inputs.capacity
@@ -276,7 +330,9 @@
         is_short = inputs.demand > inputs.capacity
         if kind is returns.Return.EARLY and is_short:
             return rule.IMPATIENT
-        if not (is_late or self._keeps_reserve(request, inputs.use, room)):
+        if not is_late and not self._keeps_reserve(
+            request, inputs.use, room, now_s
+        ):
             return rule.RESERVED
         if kind is returns.Return.ON_TIME:
             return rule.RETURNED
@@ -342,30 +398,79 @@
         used = self._get_used_memory(room) / self._part.reachable_fraction
         return used + request.work.high_memory_tokens <= room.memory_tokens
 
-    def _estimate_wait_s(self, use, reserved, room):
+    def _estimate_wait_s(self, use, reserved, room, now_s):
         """Return the time until a further request starts, in seconds.
 
-        Requests that waited when the use was observed may have been worked
-        off since then, so its age is subtracted.
+        Since the use was observed, the requests that waited were worked off,
+        and the granted ones were added.
         """
         slots = room.slots * self._part.reachable_fraction
         excess = use * slots + 1.0 + reserved - slots
         wait_s = max(0.0, excess) * self._get_hold_s() / slots
-        return max(0.0, wait_s - room.age_s)
+        load = self._scale * self._count_granted(now_s)
+        growth = load / self._get_places(room, now_s) - 1.0
+        if not self._knows_remote(now_s):
+            growth *= self._weigh_recent(now_s)
+        return max(0.0, wait_s + room.age_s * growth)
+
+    def _count_granted(self, now_s):
+        """Return the places that the requests granted now will take.
+
+        The other instances are expected to depart from their shares as this
+        one does.
+        """
+        granted = self._recent.get_rate(_GRANTED, now_s)
+        asked = self._recent.get_rate(_ASKED, now_s)
+        division = self._division
+        if not division.granted_remote or not asked:
+            return granted
+        intended = asked * division.local_fraction
+        followed = min(1.0, granted / intended) if intended else 1.0
+        return granted + division.granted_remote * followed
+
+    def _is_sparse(self, now_s):
+        """Return whether the local requests are few."""
+        arrivals = self._sparse_arrivals.get_rate(_ARRIVED, now_s)
+        return arrivals < SPARSE_PER_S
+
+    def _weigh_recent(self, now_s):
+        """Return how far the recent local requests are representative."""
+        samples = self._recent.get_rate(_ARRIVED, now_s) * RECENT_S
+        return samples / (samples + BURST_SAMPLES)
+
+    def _extrapolate_remote(self, now_s):
+        """Return the demand at the other instances at this moment.
+
+        A burst reaches all instances at the same time, so it is seen in the
+        local requests before the others report it.
+        """
+        if not self._knows_remote(now_s):
+            return {}
+        usual = self._usual_arrivals
+        arrivals = self._recent.get_rate(_ARRIVED, now_s)
+        weight = self._weigh_recent(now_s)
+        ratio = arrivals / usual if usual else 1.0
+        ratio = min(MAX_BURST, max(1.0, 1.0 + weight * (ratio - 1.0)))
+        return {key: ratio * each for key, each in self._remote.items()}
 
     def _get_hold_s(self):
         """Return the time for which a request holds a place, in seconds."""
         return (self._hold_s or 0.0) * self._scale
 
-    def _keeps_reserve(self, request, use, room):
-        """Return whether a request leaves the room of more urgent ones."""
+    def _keeps_reserve(self, request, use, room, now_s):
+        """Return whether a request leaves the room of more urgent ones.
+
+        The accounts that ask for more than an equal part of the room keep
+        the reserve free, and the others do not pay for them.
+        """
         by_rank = self._division.by_rank
         urgent = sum(
             amount for rank, amount in by_rank.items() if rank < request.rank
         )
-        if not urgent:
+        if not urgent or self._division.is_within_share(request.account):
             limit_s = URGENT_WAIT_FRACTION * request.goal_left_s
-            return self._estimate_wait_s(use, 0.0, room) <= max(0.0, limit_s)
+            wait_s = self._estimate_wait_s(use, 0.0, room, now_s)
+            return wait_s <= max(0.0, limit_s)
         reserved = min(
             RESERVED_DEVIATIONS * math.sqrt(urgent),
             MAX_RESERVED_FRACTION * room.slots,
@@ -376,32 +481,47 @@
             if rank < request.rank and by_rank.get(rank)
         ]
         goal_s = min([max(0.0, request.goal_left_s), *goals])
-        wait_s = self._estimate_wait_s(use, reserved, room)
+        wait_s = self._estimate_wait_s(use, reserved, room, now_s)
         return wait_s <= WAIT_FRACTION * goal_s
 
     def _update_scale(self, use, room, interval_s, now_s):
-        """Follow the ratio of the observed use to the expected one."""
-        interval_s = min(1.0, interval_s)
-        if use > 1.0:
-            growth = FULL_SCALE_PER_S * (min(2.0, use) - 1.0)
-            scale = self._scale * math.exp(growth * interval_s)
-        else:
-            demand = sum(self._demand.list_rates(now_s).values())
-            granted = sum(self._granted.list_rates(now_s).values())
-            known = self._division.demand * granted / demand if demand else 0
-            expected = known * room.slots / self._get_places(room, now_s)
-            if expected < MIN_EXPECTED_PLACES:
-                return
-            weight = 1.0 - math.exp(-interval_s / SCALE_DECAY_S)
-            observed = use * room.slots / expected
-            scale = self._scale + weight * (observed - self._scale)
+        """Follow the ratio of the observed use to the expected one.
+
+        What was granted either is running or has made the queue longer.
+        """
+        part = self._get_places(room, now_s) / room.slots
+        used = use * room.slots * self._part.reachable_fraction
+        history = self._use_history
+        history.append((now_s, used))
+        while now_s - history[0][0] > SCALE_WINDOW_S:
+            history.popleft()
+        weight = 1.0 - math.exp(-min(1.0, interval_s) / SCALE_WINDOW_S)
+        known = self._count_granted(now_s)
+        self._mean_granted += weight * (known - self._mean_granted)
+        window_s = now_s - history[0][0]
+        is_known = self._knows_remote(now_s) or not self._is_sparse(now_s)
+        if (
+            not is_known
+            or self._mean_granted < MIN_KNOWN_PLACES
+            or window_s < SCALE_WINDOW_S / 2
+        ):
+            return
+        granted = self._mean_granted / part
+        growth = (used - history[0][1]) / window_s * (self._hold_s or 0.0)
+        served = max(granted / MAX_SCALE_STEP, granted - growth)
+        observed = min(used, room.slots) / served
+        lowest = self._scale / MAX_SCALE_STEP
+        highest = self._scale * MAX_SCALE_STEP
+        observed = min(highest, max(lowest, observed))
+        weight = 1.0 - math.exp(-min(1.0, interval_s) / SCALE_DECAY_S)
+        scale = self._scale + weight * (observed - self._scale)
         self._scale = min(MAX_SCALE, max(MIN_SCALE, scale))
 
     def _find_capacity(self, use, room, now_s):
         """Return the room to be divided, in places of estimated work."""
         places = self._get_places(room, now_s)
-        waiting = max(0.0, use - 1.0) * places
-        drained = waiting * self._get_hold_s() / DRAIN_S
+        wait_s = self._estimate_wait_s(use, 0.0, room, now_s)
+        drained = places * wait_s / DRAIN_S
         lowest = MIN_CAPACITY_FRACTION * places
         return max(lowest, TARGET_USE * places - drained) / self._scale
 
@@ -429,19 +549,30 @@
         if interval_s < UPDATE_INTERVAL_S:
             return division
         self._update_scale(use, room, interval_s, now_s)
-        demand = collections.Counter(self._demand.list_rates(now_s))
-        if self._knows_remote(now_s):
-            demand.update(self._remote)
+        own = self._demand.list_rates(now_s)
+        if self._is_sparse(now_s) and not self._knows_remote(now_s):
+            own = self._sparse_demand.list_rates(now_s)
+        demand = collections.Counter(own)
+        remote = self._extrapolate_remote(now_s)
+        local = sum(own.values())
+        demand.update(remote)
         capacity = self._find_capacity(use, room, now_s)
-        by_rank = collections.Counter()
-        for (rank, _), amount in demand.items():
+        by_rank, by_account = collections.Counter(), collections.Counter()
+        for (rank, account), amount in demand.items():
             by_rank[rank] += amount
+            by_account[account] += amount
+        fractions = shares.divide_room(demand, capacity)
         self._division = _Division(
             now_s,
-            shares.divide_room(demand, capacity),
+            fractions,
             sum(demand.values()),
             capacity,
+            sum(fractions[key] * amount for key, amount in remote.items()),
+            sum(fractions[key] * own[key] for key in own) / local
+            if local
+            else 1.0,
             by_rank,
+            by_account,
         )
         return self._division
 
--- a/mulberryhollow/coordination/room/rates.py
+++ b/mulberryhollow/coordination/room/rates.py
@@ -8,6 +8,13 @@
 """Sum below which an entry is dropped."""
 
 
+MIN_SPAN_FRACTION = 0.3
+"""Minimum time that the sums stand for, relative to the time constant.
+
+The rates would vary too much in the first moments after the start.
+"""
+
+
 class DecayingSums:
     """Exponentially decayed amounts by key.
 
@@ -24,6 +31,7 @@
         self._max_keys = max_keys
         self._sums = {}
         self._at_s = None
+        self._weight_s = 0.0
 
     def add(self, key, amount, now_s):
         """Add an amount."""
@@ -35,12 +43,20 @@
     def list_rates(self, now_s):
         """Return the mean amount per second by key."""
         self._advance(now_s)
-        return {key: each / self._decay_s for key, each in self._sums.items()}
+        span_s = self._measure_span_s()
+        return {key: each / span_s for key, each in self._sums.items()}
 
     def get_rate(self, key, now_s):
         """Return the mean amount per second of a key."""
         self._advance(now_s)
-        return self._sums.get(key, 0.0) / self._decay_s
+        return self._sums.get(key, 0.0) / self._measure_span_s()
+
+    def _measure_span_s(self):
+        """Return the time that the sums stand for, in seconds.
+
+        It is shorter than the time constant after the start.
+        """
+        return max(MIN_SPAN_FRACTION * self._decay_s, self._weight_s)
 
     def _advance(self, now_s):
         """Decay all sums up to a time."""
@@ -49,6 +65,9 @@
         if now_s <= self._at_s:
             return
         factor = math.exp((self._at_s - now_s) / self._decay_s)
+        self._weight_s = (
+            self._weight_s * factor + (1.0 - factor) * self._decay_s
+        )
         self._at_s = now_s
         self._sums = {
             key: each * factor
