--- a/mulberryhollow/coordination/routing/__init__.py
+++ b/mulberryhollow/coordination/routing/__init__.py
@@ -3,6 +3,7 @@
 from mulberryhollow.coordination.routing.baseline import LeastOutstanding
 from mulberryhollow.coordination.routing.baseline import PowerOfTwo
 from mulberryhollow.coordination.routing.baseline import RoundRobin
+from mulberryhollow.coordination.routing.by_work import refresh_speeds
 from mulberryhollow.coordination.routing.request import Chosen
 from mulberryhollow.coordination.routing.request import NoEndpoint
 from mulberryhollow.coordination.routing.request import Permit
@@ -27,5 +28,6 @@
     "RoutingRules",
     "draw_by_hash",
     "list_versions",
+    "refresh_speeds",
     "refuse_no_region",
 ]
--- a/mulberryhollow/coordination/routing/by_work.py
+++ b/mulberryhollow/coordination/routing/by_work.py
@@ -1,5 +1,6 @@
 """Placement by the expected time of a request at each endpoint."""
 
+import collections
 import enum
 import heapq
 import itertools
@@ -7,8 +8,8 @@
 
 import attrs
 
-from mulberryhollow.coordination.routing import prepare
 from mulberryhollow.coordination.routing import request as requests
+from mulberryhollow.coordination import work
 from mulberryhollow.state import endpoints
 
 __all__ = [
@@ -16,6 +17,7 @@
     "ServiceCosts",
     "WorkPlacement",
     "list_candidates",
+    "refresh_speeds",
     "select_policy",
 ]
 
@@ -44,12 +46,16 @@
 A slot is one of several, so the time in it costs other requests less.
 """
 
-FULL_SLOWDOWN = 0.5
-"""Fraction by which work is assumed to take longer when all slots are used."""
-
 PROBE_PENALTY_S = 1_000.0
 """Penalty of probing a half-open endpoint with a non-idempotent request."""
 
+BACKLOG_KEPT = 0.8
+"""Fraction of the prompt backlog that is kept at each refresh of the speeds.
+
+The errors of its estimates would add up without bound where prompts keep an
+endpoint almost always busy.
+"""
+
 MIN_SLOWNESS = 0.05
 """Lowest slowness that is drawn for an uncertain estimate."""
 
@@ -74,22 +80,50 @@
 
     Parameters
     ----------
-    token_time_s : float
-        Time to compute one prompt token, in seconds.
-    overhead_s : float
-        Time of a request with a short prompt until its first token, in
-        seconds.
+    features : RequestFeatures
+        The request, without what an endpoint has cached.
+    times : ServiceTimes
+        Times of its service.
+    events, high_events : float
+        Expected number of events of the answer, and a high quantile.
+    whole_s : float
+        Expected time of a plain request, in seconds.
     hold_s : float or None
-        Time that a request stays at an endpoint, in seconds; None while it is
-        not known.
-    mean_others : float
-        Mean number of requests of other instances at an endpoint.
+        Time that requests of this instance stay at an endpoint, in seconds;
+        None until one has ended.
+    usual : UsualLoad
+        Mean load of the endpoints of the service.
     """
 
-    token_time_s: float
-    overhead_s: float
+    features: work.RequestFeatures
+    times: object
+    events: float
+    high_events: float
+    whole_s: float
     hold_s: float | None
-    mean_others: float
+    usual: endpoints.UsualLoad
+
+    @classmethod
+    def build(cls, prepared, estimator, hold_s, usual):
+        """Return the costs of a PreparedRequest."""
+        request = prepared.request
+        features = work.RequestFeatures(
+            request.service,
+            str(request.request_class),
+            request.account,
+            prepared.tokens,
+            max_output_tokens=request.max_output_tokens,
+            hinted_output_tokens=request.hinted_output_tokens,
+            affinity=prepared.chain.affinity,
+        )
+        times = estimator.get_times(request.service)
+        events = high_events = 0.0
+        if prepared.tokens:
+            events, high_events = estimator.estimate_events(features)
+        whole_s, _ = times.estimate_whole_s(features.route)
+        return cls(
+            features, times, events, high_events, whole_s, hold_s, usual
+        )
 
 
 def list_candidates(group, prepared, excluded, rng):
@@ -141,9 +175,11 @@
     """Expected times of a request at one endpoint, in seconds."""
 
     score: float
+    slowness: float
     compute_s: float
     wait_s: float
     first_s: float
+    stay_s: float
     load: float
 
 
@@ -204,43 +240,48 @@
     def _score(self, record, prepared, costs, rules):
         """Return the _Score of an endpoint."""
         now_s = prepared.now_s
-        hold_s = costs.hold_s or UNKNOWN_HOLD_S
-        load = self._draw_load(record, costs.mean_others, hold_s, now_s)
+        usual_s = costs.hold_s or UNKNOWN_HOLD_S
+        load = self._draw_load(record, costs.usual, usual_s, now_s)
         slowness = self._draw_slowness(record)
-        cached = prepared.count_cached(record.endpoint.id)
-        compute_s = slowness * (
-            costs.overhead_s
-            + costs.token_time_s
-            * prepare.compute_weighted_tokens(
-                prepared.tokens, prepared.tokens - cached
-            )
-        )
-        slots = record.slots
-        slowdown = 1.0 + FULL_SLOWDOWN * min(1.0, load / slots)
-        stay_s = hold_s * slowness * slowdown
-        wait_s = max(0.0, record.busy_until_s - now_s)
-        excess = load + 1.0 - slots
-        if excess > 0.0:
-            wait_s += stay_s * excess / slots
         if prepared.tokens:
-            first_s = wait_s + compute_s * slowdown
-            score = first_s + OCCUPANCY_WEIGHT * stay_s
+            compute_s, output_s = _estimate_model_s(
+                record, prepared, costs, load
+            )
+            compute_s *= slowness
+            stay_s = compute_s + slowness * output_s
+            # Errors of the estimates add up in `busy_until_s`, but no more
+            # prompts are computed than there are requests.
+            wait_s = min(
+                max(0.0, record.busy_until_s - now_s),
+                slowness * load * costs.times.long_prompt_s,
+            )
         else:
-            first_s = score = wait_s + stay_s
+            compute_s = stay_s = slowness * costs.whole_s
+            wait_s, usual_s = 0.0, costs.whole_s
+        excess = load + 1.0 - record.slots
+        if excess > 0.0:
+            wait_s += slowness * usual_s * excess / record.slots
+        first_s = wait_s + compute_s
+        score = first_s + OCCUPANCY_WEIGHT * (stay_s - compute_s)
         score += (
             rules.lateness_penalty_s * (first_s / prepared.remaining_s) ** 2
         )
-        if compute_s >= rules.long_prompt_s:
-            score += rules.interference_fraction * compute_s * load
+        if prepared.tokens:
+            share = min(1.0, compute_s / rules.long_prompt_s)
+            score += rules.interference_fraction * share * compute_s * load
         score += rules.failure_penalty_s * record.get_failure_rate(now_s)
         if not prepared.request.idempotent:
             score += penalize_probe(record)
-        return _Score(score, compute_s, wait_s, first_s, load)
+        return _Score(
+            score, slowness, compute_s, wait_s, first_s, stay_s, load
+        )
 
-    def _draw_load(self, record, mean_others, hold_s, now_s):
+    def _draw_load(self, record, usual, hold_s, now_s):
         """Return a number of requests at an endpoint, drawn if uncertain."""
         backlog = record.backlog
-        others, variance = backlog.estimate_others(mean_others, hold_s, now_s)
+        others, variance = backlog.estimate_others(
+            usual, hold_s, now_s, record.local_load
+        )
         if variance > 0.0:
             others += self._rng.gauss(0.0, 1.0) * math.sqrt(variance)
         return record.local_load + backlog.placed + max(0.0, others)
@@ -257,13 +298,17 @@
         """Return a record as the chosen endpoint."""
         endpoint = record.endpoint
         cached = prepared.count_cached(endpoint.id)
-        hold_s = costs.hold_s or UNKNOWN_HOLD_S
+        others_s = record.backlog.others_s
+        # The score was made with a drawn slowness, the rest counts as usual.
+        usual = record.slowness / found.slowness
+        compute_s = found.compute_s * usual
+        stay_s = found.stay_s * usual
         return requests.Chosen(
             endpoint_id=endpoint.id,
             address=endpoint.address,
             version=endpoint.version,
-            cost=found.compute_s,
-            compute_s=found.compute_s,
+            cost=compute_s if prepared.tokens else 0.0,
+            compute_s=compute_s,
             load=round(found.load, 2),
             cached_tokens=cached,
             computed_tokens=prepared.tokens - cached,
@@ -272,10 +317,66 @@
             identity=endpoint.identity or endpoint.id,
             rate_per_s=record.rate_per_s,
             slots=record.slots,
-            hold_s=record.slowness * hold_s + found.wait_s,
+            hold_s=found.wait_s + stay_s,
+            wait_s=found.wait_s,
+            memory_tokens=prepared.tokens + costs.events,
+            features=attrs.evolve(costs.features, cached_tokens=cached),
+            slowness=record.slowness,
+            age_s=max(0.0, prepared.now_s - others_s)
+            if math.isfinite(others_s)
+            else 0.0,
         )
 
 
+def _estimate_model_s(record, prepared, costs, load):
+    """Return the time for the prompt and for the answer, in seconds."""
+    tokens = prepared.tokens
+    prompt_s = costs.times.estimate_prompt_s(
+        tokens, tokens - prepared.count_cached(record.endpoint.id)
+    )
+    batch = min(load + 1.0, record.slots)
+    return prompt_s, costs.events * costs.times.estimate_gap_s(batch)
+
+
+def refresh_speeds(view, estimator, now_s):
+    """Update the slowness of the endpoints in services placed by work.
+
+    Parameters
+    ----------
+    view : EndpointView
+        The endpoints.
+    estimator : WorkEstimator
+        Its speeds are normalized to a mean of 1 in each service.
+    now_s : float
+        Monotonic time, in seconds.
+    """
+    speeds = estimator.speeds
+    services = collections.defaultdict(list)
+    speeds.keep({record.endpoint.id for record in view})
+    for record in view:
+        if view.reports_work_time(record.endpoint.service):
+            services[record.endpoint.service].append(record)
+    for records in services.values():
+        usual = sum(
+            record.work_time.estimate(now_s)[0] for record in records
+        ) / len(records)
+        found = [
+            speeds.estimate(
+                record.endpoint.id,
+                record.work_time.estimate(now_s)[0] / usual,
+                now_s,
+            )
+            for record in records
+        ]
+        mean = sum(slowness for slowness, _ in found) / len(found)
+        for record, (slowness, spread) in zip(records, found, strict=True):
+            backlog_s = record.busy_until_s - now_s
+            if backlog_s > 0.0:
+                record.busy_until_s = now_s + BACKLOG_KEPT * backlog_s
+            record.slowness = slowness / mean
+            record.slowness_spread = spread / mean
+
+
 def penalize_probe(record):
     """Return the penalty of an endpoint whose circuit is not closed."""
     is_closed = record.circuit.state is endpoints.CircuitState.CLOSED
--- a/mulberryhollow/coordination/routing/prepare.py
+++ b/mulberryhollow/coordination/routing/prepare.py
@@ -5,18 +5,11 @@
 from mulberryhollow.coordination.routing import request as requests
 from mulberryhollow.state import prefixes as prefix_index
 
-__all__ = ["PreparedRequest", "compute_weighted_tokens"]
+__all__ = ["PreparedRequest"]
 
 # Minimum remaining time used to score a first token, in seconds.
 MIN_REMAINING_S = 0.05
 
-ATTENTION_PARITY_TOKENS = 25_000
-"""Preceding tokens at which a token takes twice the time of the first one.
-
-Attention to the preceding tokens then costs as much as the layers, which
-holds within a factor of two for current models of 8 to 70 billion weights.
-"""
-
 AFFINE_CACHED_FRACTION = 0.7
 """Fraction of the shared tokens that the affine endpoint is assumed to cache.
 
@@ -81,20 +74,6 @@
         return cached
 
 
-def compute_weighted_tokens(tokens, computed):
-    """Return the computed tokens of a prompt, weighted by their cost.
-
-    Parameters
-    ----------
-    tokens : int
-        Number of tokens in the whole prompt.
-    computed : int
-        Number of tokens at the end of the prompt that are not cached.
-    """
-    earlier = tokens - computed / 2.0
-    return computed * (1.0 + earlier / ATTENTION_PARITY_TOKENS)
-
-
 def _chain_words(prompt, is_hashed):
     """Return a text as a chain of word blocks, a word counted as a token."""
     if not prompt:
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mulberryhollow.coordination import work
 from mulberryhollow import errors
 from mulberryhollow.state import environment
 
@@ -98,6 +99,9 @@
         Client account that the request counts for.
     allowed_regions : frozenset of str or None
         Regions of the endpoints that may run it; None for any region.
+    max_output_tokens, hinted_output_tokens : int
+        Maximum length of the answer, and the caller's own estimate of it, in
+        tokens; 0 where they are not known.
     """
 
     request_id: str
@@ -113,6 +117,8 @@
     avoided: frozenset = frozenset()
     account: str = ""
     allowed_regions: frozenset | None = None
+    max_output_tokens: int = 0
+    hinted_output_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -150,6 +156,16 @@
     hold_s : float
         Time that the request is expected to stay at the endpoint, in seconds;
         0 where placement does not estimate it.
+    wait_s : float
+        Time of it for which other requests go before, in seconds.
+    memory_tokens : float
+        Expected use of the endpoint's memory, in tokens.
+    features : RequestFeatures or None
+        Inputs of that estimate; None without one.
+    slowness : float
+        Slowness of the endpoint that was expected.
+    age_s : float
+        Age of the count of other instances' requests there, in seconds.
     """
 
     endpoint_id: str
@@ -167,6 +183,11 @@
     brittle_rejections: int | None = None
     slots: int = 1
     hold_s: float = 0.0
+    wait_s: float = 0.0
+    memory_tokens: float = 0.0
+    features: work.RequestFeatures | None = None
+    slowness: float = 1.0
+    age_s: float = 0.0
 
     @property
     def needs_permit(self):
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -11,6 +11,7 @@
 from mulberryhollow.coordination.routing import prepare
 from mulberryhollow.coordination.routing import request as requests
 from mulberryhollow.coordination.routing import shares
+from mulberryhollow.coordination import work
 from mulberryhollow.errors import ExecutionStatus
 from mulberryhollow.errors import Refusal
 from mulberryhollow.errors import RefusalKind
@@ -106,6 +107,11 @@
     rng : random.Random or None
         Source of the samples; seeded with 0 when None.
 
+    Attributes
+    ----------
+    estimator : WorkEstimator
+        Costs of requests and speeds of endpoints, for placement by work.
+
     Notes
     -----
     Between two load reports all nodes have the same information and may
@@ -119,6 +125,7 @@
         self._nodes = 1
         self._token_times_s = {}
         self._step_times_s = {}
+        self.estimator = work.WorkEstimator()
         self._work_placement = by_work.WorkPlacement(self._rng)
 
     def set_live_nodes(self, nodes):
@@ -152,7 +159,7 @@
             prefill_s = max(
                 0.0, first_s - self._step_times_s.get(service, 0.0)
             )
-            weighted = prepare.compute_weighted_tokens(tokens, computed_tokens)
+            weighted = work.compute_weighted_tokens(tokens, computed_tokens)
             self._token_times_s[service] = _update_estimate(
                 self._get_token_time_s(service), prefill_s / weighted
             )
@@ -217,15 +224,14 @@
 
     def _choose_by_work(self, group, prepared, excluded, view):
         """Return the endpoint with the least expected time, or None."""
-        service = prepared.request.service
         return self._work_placement.choose(
             prepared,
             by_work.list_candidates(group, prepared, excluded, self._rng),
-            by_work.ServiceCosts(
-                self._get_token_time_s(service),
-                self._step_times_s.get(service, self.rules.overhead_s),
+            by_work.ServiceCosts.build(
+                prepared,
+                self.estimator,
                 group.hold_s,
-                view.get_mean_others(service),
+                view.get_usual_load(prepared.request.service),
             ),
             self.rules,
         )
@@ -315,7 +321,7 @@
         """Return the time to compute the prompt, in seconds."""
         computed = prepared.tokens - prepared.count_cached(endpoint_id)
         token_time_s = self._get_token_time_s(prepared.request.service)
-        weighted = prepare.compute_weighted_tokens(prepared.tokens, computed)
+        weighted = work.compute_weighted_tokens(prepared.tokens, computed)
         return self.rules.overhead_s + weighted * token_time_s
 
     def _estimate_wait_s(self, record, now_s, hold_s):
--- a/mulberryhollow/coordination/sharing/aggregates.py
+++ b/mulberryhollow/coordination/sharing/aggregates.py
@@ -56,6 +56,11 @@
     room : dict
         Service, rank and client account, as one short key, to the demand
         for room, in places. Older builds do not decode this table.
+    speed_weights, speed_sums : dict
+        Short name of an endpoint to the weight of the observations of its
+        slowness, and to their weighted sum; not sent while they are empty.
+    time_weights, time_sums : dict
+        The same for the learned costs of requests, by name.
     """
 
     demand: dict = attrs.field(factory=dict)
@@ -63,6 +68,10 @@
     work: dict = attrs.field(factory=dict)
     work_times: dict = attrs.field(factory=dict, metadata={"level": 1})
     room: dict = attrs.field(factory=dict, metadata={"level": 1})
+    speed_weights: dict = attrs.field(factory=dict, metadata={"level": 1})
+    speed_sums: dict = attrs.field(factory=dict, metadata={"level": 1})
+    time_weights: dict = attrs.field(factory=dict, metadata={"level": 1})
+    time_sums: dict = attrs.field(factory=dict, metadata={"level": 1})
 
     def minus(self, other):
         """Return the difference to other amounts, without values <= 0."""
@@ -72,6 +81,10 @@
             _subtract(self.work, other.work),
             _subtract(self.work_times, other.work_times),
             _subtract(self.room, other.room),
+            _subtract(self.speed_weights, other.speed_weights),
+            _subtract(self.speed_sums, other.speed_sums),
+            _subtract(self.time_weights, other.time_weights),
+            _subtract(self.time_sums, other.time_sums),
         )
 
 
@@ -101,6 +114,10 @@
                 _add(each.amounts.work for each in totals),
                 _add(each.amounts.work_times for each in totals),
                 _add(each.amounts.room for each in totals),
+                _add(each.amounts.speed_weights for each in totals),
+                _add(each.amounts.speed_sums for each in totals),
+                _add(each.amounts.time_weights for each in totals),
+                _add(each.amounts.time_sums for each in totals),
             ),
             sum(each.count for each in totals),
         )
--- a/mulberryhollow/protocol/aggregates.py
+++ b/mulberryhollow/protocol/aggregates.py
@@ -17,7 +17,14 @@
 
 _COMPRESSION_LEVEL = 1
 
-_OPTIONAL_TABLES = ("room", "work_times")
+_OPTIONAL_TABLES = (
+    "room",
+    "work_times",
+    "speed_weights",
+    "speed_sums",
+    "time_weights",
+    "time_sums",
+)
 """Tables that are omitted while empty, since few deployments use them."""
 
 
--- a/mulberryhollow/serving/aggregate_peering.py
+++ b/mulberryhollow/serving/aggregate_peering.py
@@ -8,6 +8,7 @@
 import attrs
 import xxhash
 
+from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
 from mulberryhollow import events
@@ -287,12 +288,36 @@
             name: round(rate, 4)
             for name, rate in actor.work.list_local(now_s).items()
         },
-        dict.fromkeys(actor.view.list_work_time_services(), 1)
-        if level >= WORK_LEVEL
-        else {},
+        **(_read_work(actor, now_s) if level >= WORK_LEVEL else {}),
     )
 
 
+def _read_work(actor, now_s):
+    """Return the tables of Amounts that peers know from `WORK_LEVEL` on."""
+    sums = {
+        _shorten(name): found
+        for name, found in actor.router.estimator.speeds.list_sums(
+            now_s
+        ).items()
+    }
+    shared = actor.router.estimator.list_shared()
+    return {
+        "work_times": dict.fromkeys(actor.view.list_work_time_services(), 1),
+        "speed_weights": {
+            name: round(weight, 2) for name, (weight, _) in sums.items()
+        },
+        "speed_sums": {
+            name: round(total, 2) for name, (_, total) in sums.items()
+        },
+        "time_weights": {
+            name: round(weight, 1) for name, (weight, _) in shared.items()
+        },
+        "time_sums": {
+            name: float(f"{total:.5g}") for name, (_, total) in shared.items()
+        },
+    }
+
+
 def _apply_remote(remote, age_s, actor, now_s):
     """Apply the total of the other instances to quotas and routing."""
     actor.quotas.report_demand(
@@ -311,3 +336,24 @@
         for record in actor.view
     }
     actor.view.set_peer_loads(REMOTE_NODE, loads, now_s - age_s)
+    _apply_speeds(remote.amounts, actor, now_s)
+
+
+def _apply_speeds(amounts, actor, now_s):
+    """Apply the other instances' observations of speed."""
+    estimator = actor.router.estimator
+    sums = {}
+    for record in actor.view:
+        name = _shorten(record.endpoint.id)
+        weight = amounts.speed_weights.get(name, 0.0)
+        if weight > 0.0:
+            total = amounts.speed_sums.get(name, weight)
+            sums[record.endpoint.id] = weight, total
+    estimator.speeds.set_remote(sums)
+    estimator.set_shared(
+        {
+            name: (weight, amounts.time_sums.get(name, 0.0))
+            for name, weight in amounts.time_weights.items()
+        }
+    )
+    routing.refresh_speeds(actor.view, estimator, now_s)
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -1,5 +1,6 @@
 """Reads the answer of a forwarded request."""
 
+import statistics
 import threading
 
 from mulberryhollow.coordination import forwarding as decisions
@@ -32,6 +33,10 @@
 """Size up to which an answer is always held, in bytes."""
 
 
+MAX_GAPS = 64
+"""Number of gaps between events of one answer whose median is taken."""
+
+
 class AnswerBuffers:
     """Budget of the memory for answers that are not yet complete."""
 
@@ -92,6 +97,17 @@
         self._has_begun = False
         self._event_s = 0.0
         self._waited_s = 0.0
+        self._gaps_s = []
+        self._event_count = 0
+
+    @property
+    def median_gap_s(self):
+        """Median time between two of the first events; 0 without any.
+
+        Unlike the mean, it shows the step time of the endpoint also where
+        some steps were delayed by long prompts of other requests.
+        """
+        return statistics.median(self._gaps_s) if self._gaps_s else 0.0
 
     @property
     def is_resumable(self):
@@ -227,11 +243,15 @@
         if self._has_begun:
             gap_s = now_s - self._event_s
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            if len(self._gaps_s) < MAX_GAPS:
+                events = max(1, self.assembly.count - self._event_count)
+                self._gaps_s.append(gap_s / events)
         else:
             self._mark_begun()
             self.first_s = now_s - self._request.arrived_s
             self._recorder.record_first(self._request, self.first_s)
         self._event_s = now_s
+        self._event_count = self.assembly.count
 
     def _mark_begun(self):
         """Count the request as begun by an endpoint, once."""
--- a/mulberryhollow/serving/attempts.py
+++ b/mulberryhollow/serving/attempts.py
@@ -9,6 +9,7 @@
 from mulberryhollow.state import environment as environment_module
 
 __all__ = [
+    "AnswerTimes",
     "AttemptResult",
     "Failure",
     "Route",
@@ -73,6 +74,32 @@
         return self.chosen.version
 
 
+@attrs.frozen
+class AnswerTimes:
+    """Times of an answer that was received in full from one endpoint.
+
+    Parameters
+    ----------
+    first_s : float
+        Time from sending the request to the first event, in seconds; to the
+        end of an answer that is not a stream.
+    total_s : float
+        Time from sending the request to the end of the answer, in seconds.
+    gap_s : float
+        Median time between two events, in seconds; 0 if it is not known.
+    events : int
+        Number of events; 0 for an answer that is not a stream.
+    load : Load or None
+        Load that the endpoint reported with the head of the answer.
+    """
+
+    first_s: float
+    total_s: float
+    gap_s: float = 0.0
+    events: int = 0
+    load: object = None
+
+
 @attrs.frozen
 class AttemptResult:
     """Result of one attempt.
--- a/mulberryhollow/serving/dispatch/endpoint_calls.py
+++ b/mulberryhollow/serving/dispatch/endpoint_calls.py
@@ -199,7 +199,7 @@
 
     def _report_if_long(self, chosen):
         """Report a long prompt, which delays others at its endpoint."""
-        if chosen.compute_s >= MIN_REPORTED_PROMPT_S:
+        if chosen.compute_s / chosen.slowness >= MIN_REPORTED_PROMPT_S:
             self.on_long_prompt(chosen)
 
     def report_load(self, route, load):
@@ -211,6 +211,11 @@
         """Report the time to the first token of an attempt, in seconds."""
         self._actor.tell(endpoint_work.ReportFirstToken(route, first_s))
 
+    def report_served(self, route, times):
+        """Report the AnswerTimes of an answer received in full."""
+        if route.chosen.features is not None:
+            self._actor.tell(endpoint_work.ReportServed(route, times))
+
     def report_leaving(self, endpoint_id):
         """Report that an answer of an endpoint says that it leaves."""
         self._actor.tell(
--- a/mulberryhollow/serving/dispatch/endpoint_work.py
+++ b/mulberryhollow/serving/dispatch/endpoint_work.py
@@ -7,6 +7,7 @@
 from mulberryhollow.coordination.admission import demand
 from mulberryhollow.coordination import limits
 from mulberryhollow.coordination import routing
+from mulberryhollow.coordination import work
 from mulberryhollow import events
 from mulberryhollow.serving import attempts
 from mulberryhollow.serving import shares as version_shares
@@ -25,6 +26,7 @@
     "ReportLoad",
     "ReportPause",
     "ReportRate",
+    "ReportServed",
     "Withdraw",
 ]
 
@@ -135,6 +137,14 @@
     load: object
 
 
+@attrs.frozen
+class ReportServed(EndpointMessage):
+    """Learn from an answer that has been received in full."""
+
+    route: attempts.Route
+    times: attempts.AnswerTimes
+
+
 class EndpointWork:
     """Load of the endpoints, the work on them and the choice among them.
 
@@ -201,6 +211,8 @@
                     chosen.computed_tokens,
                     first_s,
                 )
+            case ReportServed(route, times):
+                self._learn_served(route, times, now_s)
             case ReportLeaving(endpoint_id, on_leaving):
                 self._report_leaving(endpoint_id, on_leaving)
             case ReportPause(endpoint_id, pause_s):
@@ -254,7 +266,12 @@
             case routing.Chosen(endpoint_id=endpoint_id, compute_s=compute_s):
                 self.view.add_peer_prompt(endpoint_id, compute_s, now_s)
                 if result.hold_s:
-                    self.view.add_placement(endpoint_id, result.hold_s, now_s)
+                    self.view.add_placement(
+                        endpoint_id,
+                        result.hold_s,
+                        now_s,
+                        result.memory_tokens,
+                    )
         return result
 
     def _select(self, request, now_s, excluded=frozenset()):
@@ -289,6 +306,36 @@
             if record.endpoint.service == request.service
         )
 
+    def _learn_served(self, route, times, now_s):
+        """Learn the costs of a request and the speed of its endpoint."""
+        chosen = route.chosen
+        record = self.view.get(route.endpoint_id)
+        if chosen.features is None or record is None:
+            return
+        batch, wait_s = chosen.load + 1.0, chosen.wait_s
+        if times.load is not None:
+            batch = max(1.0, times.load.running)
+            queue_s = chosen.hold_s - chosen.wait_s
+            wait_s = queue_s * times.load.queued / record.slots
+            if chosen.features.prompt_tokens:
+                wait_s = max(wait_s, chosen.wait_s)
+        self.router.estimator.observe(
+            route.endpoint_id,
+            work.Served(
+                chosen.features,
+                times.first_s,
+                times.gap_s,
+                times.events,
+                times.total_s,
+                min(batch, record.slots),
+                wait_s,
+                batch >= record.slots,
+                chosen.hold_s,
+            ),
+            record.slowness,
+            now_s,
+        )
+
     def _log_no_endpoint(self, request):
         """Log the state of a service whose endpoints accept no requests."""
         records = [
--- a/mulberryhollow/serving/forward_log.py
+++ b/mulberryhollow/serving/forward_log.py
@@ -113,6 +113,13 @@
             "cached_tokens": chosen.cached_tokens,
             "expected_ms": _to_ms(chosen.expected_first_token_s),
         }
+    if chosen is not None and chosen.hold_s:
+        choice |= {
+            "expected_total_ms": _to_ms(chosen.hold_s),
+            "expected_wait_ms": _to_ms(chosen.wait_s),
+            "slowness": round(chosen.slowness, 2),
+            "estimate_age_ms": _to_ms(chosen.age_s),
+        }
     framing = reader.framing
     events.log(
         ENDED,
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -147,6 +147,7 @@
         self._is_aborted = False
         self._is_complete = False
         self._outcome = Outcome.LEFT
+        self._first_token_s = 0.0
         self._chosen = None
         self._peer = ""
         dependencies.watch.add(self, is_gone, self._abort)
@@ -430,8 +431,9 @@
             piece = self._read_events()
         now_s = self._dependencies.clock.now_s()
         if isinstance(self._route, attempts.Route):
+            self._first_token_s = now_s - self._route.work.started_at_s
             self._dependencies.dispatcher.report_first_token(
-                self._route, now_s - self._route.work.started_at_s
+                self._route, self._first_token_s
             )
         return piece
 
@@ -445,11 +447,33 @@
 
     def _finish(self):
         """Mark the answer as complete and release its route."""
+        self._report_served()
         self._is_complete = True
         self._outcome = Outcome.DONE
         self._close_answer()
         self._release_route()
 
+    def _report_served(self):
+        """Report the times of an answer that one endpoint gave in full."""
+        route, answer = self._route, self._answer
+        is_first = isinstance(route, attempts.Route) and not self._excluded
+        if not (is_first and answer and 200 <= answer.head.status < 300):
+            return
+        now_s = self._dependencies.clock.now_s()
+        total_s = now_s - route.work.started_at_s
+        is_stream = self._request.kind.is_stream
+        reader = self._reader
+        self._dependencies.dispatcher.report_served(
+            route,
+            attempts.AnswerTimes(
+                self._first_token_s if is_stream else total_s,
+                total_s,
+                reader.median_gap_s,
+                reader.assembly.count if is_stream else 0,
+                answer.head.load,
+            ),
+        )
+
     def _check_deadline(self):
         """Raise when the deadline of the request has passed."""
         now_s = self._dependencies.clock.now_s()
--- a/mulberryhollow/state/endpoints/__init__.py
+++ b/mulberryhollow/state/endpoints/__init__.py
@@ -1,6 +1,7 @@
 """Local view of the endpoints that a node routes requests to."""
 
 from mulberryhollow.state.endpoints.backlog import Backlog
+from mulberryhollow.state.endpoints.backlog import UsualLoad
 from mulberryhollow.state.endpoints.circuit import Circuit
 from mulberryhollow.state.endpoints.circuit import CircuitState
 from mulberryhollow.state.endpoints.group import EndpointGroup
@@ -21,5 +22,6 @@
     "EndpointView",
     "FailureKind",
     "ServiceRoom",
+    "UsualLoad",
     "Work",
 ]
--- a/mulberryhollow/state/endpoints/backlog.py
+++ b/mulberryhollow/state/endpoints/backlog.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-__all__ = ["Backlog", "Placement"]
+__all__ = ["Backlog", "Placement", "UsualLoad"]
 
 MAX_PLACEMENTS_KEPT = 512
 """Maximum number of placements kept for one endpoint.
@@ -21,6 +21,12 @@
 a faster mean would swing.
 """
 
+MAX_MIRROR = 8.0
+"""Maximum number of others' requests that are assumed to come with one."""
+
+MIN_OWN = 0.1
+"""Least number of own requests at an endpoint that shows a share."""
+
 MAX_PLACED_S = 4.0
 """Time after which a placement counts as ended at the latest, in seconds.
 
@@ -53,6 +59,25 @@
     is_counted: bool = True
 
 
+@attrs.frozen
+class UsualLoad:
+    """Mean requests at an endpoint of a service.
+
+    Parameters
+    ----------
+    own, others : float
+        Requests that this instance has sent or placed, and those of others.
+    """
+
+    own: float = 0.0
+    others: float = 0.0
+
+    @property
+    def mirror(self):
+        """Requests of others that come with one of this instance."""
+        return min(MAX_MIRROR, self.others / max(self.own, MIN_OWN))
+
+
 @attrs.define(eq=False)
 class Backlog:
     """Requests at one endpoint that this instance has not sent itself.
@@ -72,6 +97,8 @@
         Monotonic time at which they were counted, in seconds.
     mean_others : float or None
         Smoothed `others`; None until they are counted.
+    mean_own : float
+        Smoothed number of requests that this instance has sent or placed.
 
     Notes
     -----
@@ -86,6 +113,7 @@
     others: float = 0.0
     others_s: float = float("-inf")
     mean_others: float | None = None
+    mean_own: float = 0.0
     _kept: collections.deque = attrs.field(factory=collections.deque)
 
     def add(self, placement):
@@ -111,7 +139,7 @@
         if self._kept:
             self.end(self._kept.pop())
 
-    def observe_others(self, count, measured_s):
+    def observe_others(self, count, measured_s, local=0):
         """Apply a count of all requests that this instance has not sent.
 
         Parameters
@@ -121,41 +149,50 @@
         measured_s : float
             Monotonic time of the count, in seconds; an earlier one than the
             latest is ignored.
+        local : int
+            Requests that this instance has sent.
         """
         if measured_s < self.others_s:
             return
         self.others = max(0.0, count - self._count_placed(measured_s))
+        own = self.placed + local
         if self.mean_others is None:
-            self.mean_others = self.others
+            self.mean_others, self.mean_own = self.others, own
         else:
             age_s = measured_s - self.others_s
             weight = 1.0 - math.exp(-age_s / MEAN_TIME_S)
             self.mean_others += weight * (self.others - self.mean_others)
+            self.mean_own += weight * (own - self.mean_own)
         self.others_s = measured_s
 
-    def estimate_others(self, mean, hold_s, now_s):
+    def estimate_others(self, usual, hold_s, now_s, local=0):
         """Return the expected number of other requests, and its variance.
 
         Parameters
         ----------
-        mean : float
-            Mean over the endpoints of the service, which is taken for an
-            endpoint whose requests have not been counted.
+        usual : UsualLoad
+            Means over the endpoints of the service.
         hold_s : float
             Time that a request usually stays at an endpoint, in seconds.
         now_s : float
             Monotonic time, in seconds.
+        local : int
+            Requests that this instance has sent.
 
         Notes
         -----
         The requests that were counted leave within about `hold_s`. How many
-        have come since is uncertain, and about as many as usual.
+        have come since is uncertain: about as many as usual, and more where
+        this instance itself has placed more, since the others choose with
+        the same information.
         """
+        own = self.placed + local
         if self.mean_others is None:
-            return mean, mean
+            expected = usual.others + usual.mirror * (own - usual.own)
+            return max(0.0, expected), usual.others
         kept = math.exp(-max(0.0, now_s - self.others_s) / hold_s)
-        usual = self.mean_others
-        expected = usual + (self.others - usual) * kept
+        since = self.mean_others + usual.mirror * (own - self.mean_own)
+        expected = self.others * kept + max(0.0, since) * (1.0 - kept)
         return expected, expected * (1.0 - kept * kept)
 
     def count(self):
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -7,6 +7,7 @@
 
 from mulberryhollow.state.endpoints.backlog import MAX_PLACED_S
 from mulberryhollow.state.endpoints.backlog import Placement
+from mulberryhollow.state.endpoints.backlog import UsualLoad
 from mulberryhollow.state.endpoints.circuit import CircuitState
 from mulberryhollow.state.endpoints.group import EndpointGroup
 from mulberryhollow.state.endpoints.record import EndpointRecord
@@ -27,6 +28,7 @@
 REACHABLE_FAILURE_WEIGHT = 0.5
 
 _EMPTY_GROUP = EndpointGroup()
+_NO_LOAD = UsualLoad()
 
 
 class EndpointView:
@@ -63,8 +65,8 @@
         self._peer_work_time_services = set()
         self._placement_ends = []
         self._placements = itertools.count()
-        self._mean_others = {}
         self.evacuations = evacuations.NONE
+        self._usual_loads = {}
 
     def __len__(self):
         return len(self._records)
@@ -323,10 +325,11 @@
         if work_time is not None:
             self._work_time_services.add(record.endpoint.service)
             record.work_time.observe(work_time, now_s - age_s)
-            record.slowness, _ = record.work_time.estimate(now_s)
         if record.report(running, queued, slots, now_s - age_s):
             record.backlog.observe_others(
-                running + queued - record.local_reported, now_s - age_s
+                running + queued - record.local_reported,
+                now_s - age_s,
+                record.local_load,
             )
             self._index(record)
 
@@ -443,23 +446,25 @@
         measured_s : float
             Monotonic time at which the loads were counted, in seconds.
         """
-        others = collections.defaultdict(list)
+        counted = collections.defaultdict(list)
         for endpoint_id, record in self._records.items():
             self.set_peer_load(node, endpoint_id, loads.get(endpoint_id, 0))
             service = record.endpoint.service
             if self.reports_work_time(service):
                 if record.listed_s <= measured_s:
-                    record.backlog.observe_others(record.peer_load, measured_s)
+                    record.backlog.observe_others(
+                        record.peer_load, measured_s, record.local_load
+                    )
                 if record.is_available():
-                    others[service].append(record.peer_load)
-        self._mean_others = {
-            service: sum(found) / len(found)
-            for service, found in others.items()
+                    counted[service].append(record)
+        self._usual_loads = {
+            service: _average_load(records)
+            for service, records in counted.items()
         }
 
-    def get_mean_others(self, service):
-        """Return the mean of `Backlog.others` in a service, in requests."""
-        return self._mean_others.get(service, 0.0)
+    def get_usual_load(self, service):
+        """Return the UsualLoad of a service."""
+        return self._usual_loads.get(service, _NO_LOAD)
 
     def add_placement(self, endpoint_id, hold_s, now_s, memory_tokens=0.0):
         """Count a request that a peer sends where this instance placed it.
@@ -680,6 +685,16 @@
             group.add(record)
 
 
+def _average_load(records):
+    """Return the UsualLoad of the endpoints of a service."""
+    backlogs = [record.backlog for record in records]
+    return UsualLoad(
+        sum(backlog.mean_own for backlog in backlogs) / len(backlogs),
+        sum(backlog.mean_others or 0.0 for backlog in backlogs)
+        / len(backlogs),
+    )
+
+
 def _get_failure_weight(kind, is_quarantined):
     """Return the circuit breaker weight of a failure."""
     match kind:
--- a/tests/steps/state_endpoints.py
+++ b/tests/steps/state_endpoints.py
@@ -318,6 +318,6 @@
 def check_others(context, endpoint_id, count, after_s):
     backlog = context.view.get(endpoint_id).backlog
     found, _ = backlog.estimate_others(
-        context.view.get_mean_others(SERVICE), 0.1, context.now_s + after_s
+        context.view.get_usual_load(SERVICE), 0.1, context.now_s + after_s
     )
     assert round(found) == count, found
--- a/tests/work_fleet.py
+++ b/tests/work_fleet.py
@@ -9,7 +9,9 @@
 
 from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import sharing
+from mulberryhollow.protocol import forwarding
 from mulberryhollow.serving import aggregate_peering
+from mulberryhollow.serving import attempts
 from mulberryhollow.serving import dispatcher
 from mulberryhollow.state import endpoints
 
@@ -36,10 +38,10 @@
     kinds: tuple
     speeds: tuple
     slots: int
-    instances: int
-    holders: int
-    policy: str
-    seed: int
+    instances: int = 8
+    holders: int = 0
+    policy: str = "work"
+    seed: int = 1
     seconds: float = 25.0
     warm_s: float = 10.0
     plain_s: float = 0.0
@@ -48,6 +50,7 @@
     token_s: float = 1 / 55_000
     noise: float = 0.0
     accounts: int = 16
+    incidents: tuple = ()
 
 
 class Clock:
@@ -97,13 +100,15 @@
             self.running += 1
             if plan.plain_s:
                 first_s = end_s = now_s + plan.plain_s / self.speed
+                call.cost_s = plan.plain_s / self.speed
             else:
                 prompt_s = plan.token_s * call.kind.tokens / self.speed
                 first_s = max(now_s, self._prompt_end_s) + prompt_s
                 self._prompt_end_s = first_s
                 step_s = plan.step_s + plan.step_each_s * self.running
                 call.gap_s = step_s / self.speed
-                end_s = first_s + call.kind.events * call.gap_s
+                end_s = first_s + call.events * call.gap_s
+                call.cost_s = prompt_s + call.events * call.gap_s
             self._fleet.at(first_s + TRAVEL_S, call.begin)
             self._fleet.at(end_s, self._end, call)
 
@@ -122,14 +127,19 @@
     kind: Kind
     route: object
     asked_s: float
+    events: int = 0
     gap_s: float = 0.0
     first_s: float = 0.0
+    cost_s: float = 0.0
+    load: tuple = ()
 
     def begin(self):
         fleet = self.fleet
         self.first_s = fleet.now_s - self.asked_s
+        fleet.begun_at[self.route.endpoint_id][int(fleet.now_s)] += 1
         engine = fleet.engines[self.route.endpoint_id]
-        self.instance.report(self.route, engine.measure_load())
+        self.load = engine.measure_load()
+        self.instance.report(self.route, self.load)
 
     def end(self):
         fleet = self.fleet
@@ -137,7 +147,10 @@
         if fleet.now_s >= fleet.plan.warm_s:
             fleet.served += 1
             fleet.late += self.first_s > self.kind.goal_s
-            fleet.by_endpoint[self.route.endpoint_id] += 1
+            chosen = self.route.chosen
+            if chosen.hold_s:
+                expected_s = chosen.hold_s - chosen.wait_s
+                fleet.errors.append(abs(expected_s / self.cost_s - 1.0))
 
 
 class Instance:
@@ -166,6 +179,7 @@
         self.actor._endpoint_work.router.rules = routing.RoutingRules(
             compute_s_per_token=plan.token_s
         )
+        self.dispatcher.on_long_prompt = self._tell_prompt
         self.actor.view.apply_list(fleet.items, self.clock.now_s())
         self.is_up = True
         fleet.at(rng.uniform(0.0, ROUND_S), self._tick)
@@ -179,6 +193,24 @@
             )
         return self.dispatcher.choose_endpoint(request)
 
+    def _tell_prompt(self, chosen):
+        """Tell the acting instances of a long prompt, as facts do."""
+        fleet = self._fleet
+        for other in fleet.holders or fleet.instances:
+            if other is not self:
+                fleet.at(
+                    fleet.now_s + 2 * TRAVEL_S,
+                    other.add_prompt,
+                    chosen.endpoint_id,
+                    chosen.compute_s,
+                )
+
+    def add_prompt(self, endpoint_id, compute_s):
+        """Count a prompt that another instance has sent or placed."""
+        self.actor.view.add_peer_prompt(
+            endpoint_id, compute_s, self.clock.now_s()
+        )
+
     def report(self, route, load):
         """Apply a load report, which today's placement drops."""
         if self._fleet.plan.policy != "today":
@@ -192,11 +224,22 @@
             )
 
     def finish(self, call):
-        """Release a request that has ended."""
+        """Release a request that has ended, and report its times."""
+        total_s = self._fleet.now_s - call.asked_s
+        times = attempts.AnswerTimes(
+            call.first_s,
+            total_s,
+            call.gap_s,
+            call.events,
+            forwarding.Load(*call.load),
+        )
+        self.dispatcher.report_served(call.route, times)
         self.dispatcher.finish(call.route)
 
     def _tick(self):
         """Exchange the aggregates."""
+        if not self.is_up:
+            return
         fleet, now_s = self._fleet, self.clock.now_s()
         local = aggregate_peering._read_local(1, self.actor, now_s)
         fleet.reported[self.name] = sharing.Total(local, 1)
@@ -218,7 +261,8 @@
         self._events = []
         self._count = itertools.count()
         self.served = self.late = 0
-        self.by_endpoint = collections.Counter()
+        self.begun_at = collections.defaultdict(collections.Counter)
+        self.errors = []
         self.has_reports = True
         self.reported, self.published, self.published_s = {}, {}, 0.0
         self.items = [
@@ -242,6 +286,8 @@
         ]
         self.holders = self.instances[: plan.holders]
         self.at(ROUND_S, self._publish)
+        for at_s, incident in plan.incidents:
+            self.at(at_s, incident, self)
         for kind in plan.kinds:
             self.at(self.rng.expovariate(kind.per_s), self._ask, kind)
 
@@ -257,6 +303,11 @@
             function(*arguments)
         return self
 
+    def stop(self, instance):
+        """Let an instance fail: its requests are lost, and its reports end."""
+        instance.is_up = False
+        self.reported.pop(instance.name, None)
+
     @property
     def late_fraction(self):
         """Fraction of the requests that began after their goal."""
@@ -293,6 +344,7 @@
                 request, deadline_s=holder.clock.now_s() + kind.goal_s
             )
         route = instance.choose(request, holder)
-        call = Call(self, instance, kind, route, self.now_s)
+        events = round(kind.events * rng.uniform(0.8, 1.2))
+        call = Call(self, instance, kind, route, self.now_s, events)
         engine = self.engines[route.endpoint_id]
         self.at(self.now_s + TRAVEL_S, engine.submit, call)
