--- a/mulberryhollow/coordination/membership/__init__.py
+++ b/mulberryhollow/coordination/membership/__init__.py
@@ -3,8 +3,8 @@
 from mulberryhollow.coordination.membership.budget import BUDGET_BYTES_PER_S
 from mulberryhollow.coordination.membership.budget import ByteBudget
 from mulberryhollow.coordination.membership.levels import encode_level
-from mulberryhollow.coordination.membership.levels import find_lowest_level
 from mulberryhollow.coordination.membership.levels import LEVEL_REFRESH_S
+from mulberryhollow.coordination.membership.levels import list_levels
 from mulberryhollow.coordination.membership.levels import PROTOCOL_LEVEL
 from mulberryhollow.coordination.membership.member import decode_fact
 from mulberryhollow.coordination.membership.member import decode_registration
@@ -55,8 +55,8 @@
     "encode_fact",
     "encode_level",
     "encode_registration",
-    "find_lowest_level",
     "find_next_incarnation",
+    "list_levels",
     "list_removable",
     "plan_start",
     "rank_by_rendezvous",
--- a/mulberryhollow/coordination/membership/levels.py
+++ b/mulberryhollow/coordination/membership/levels.py
@@ -11,7 +11,7 @@
     "LEVEL_REFRESH_S",
     "PROTOCOL_LEVEL",
     "encode_level",
-    "find_lowest_level",
+    "list_levels",
 ]
 
 PROTOCOL_LEVEL = 1
@@ -52,17 +52,15 @@
     )
 
 
-def find_lowest_level(members, notices, local_level=PROTOCOL_LEVEL):
-    """Return the lowest protocol level of some members and of this instance.
+def list_levels(members, notices):
+    """Return the protocol level of each of some members, by instance id.
 
     Parameters
     ----------
     members : iterable of Member
-        The other members.
+        The members.
     notices : iterable of Fact
         The notices that this instance holds.
-    local_level : int
-        Level of this instance.
 
     Notes
     -----
@@ -77,11 +75,12 @@
         for fact in notices
         if fact.key.startswith(prefix)
     }
-    found = [
-        _decode_level(levels.get((each.instance_id, each.incarnation)))
+    return {
+        each.instance_id: _decode_level(
+            levels.get((each.instance_id, each.incarnation))
+        )
         for each in members
-    ]
-    return min([local_level, *found])
+    }
 
 
 def _decode_level(fact):
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import functools
+import logging
 import math
 import zlib
 
@@ -9,6 +10,7 @@
 from mulberryhollow.coordination import retry
 from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
+from mulberryhollow import events
 from mulberryhollow.serving import documents
 from mulberryhollow.state import facts
 
@@ -75,6 +77,16 @@
 """
 
 
+MAX_LOGGED_NAMES = 4
+"""Maximum number of instances that one log line names."""
+
+LEVEL_CHANGED = events.declare(
+    4041,
+    logging.INFO,
+    "the lowest protocol level of the reachable instances has changed",
+    "during an upgrade, replace the instances that have the lowest level",
+)
+
 _GONE = (membership.MemberStatus.DEAD, membership.MemberStatus.LEFT)
 
 
@@ -172,11 +184,21 @@
             for view in remote_views
             if view.is_reachable and view.status not in _GONE
         ]
-        if not reachable and self._count_named(now_s):
-            return 0
-        return membership.find_lowest_level(
+        levels = membership.list_levels(
             reachable, self._peers.list_facts(facts.Topic.NOTICE)
         )
+        lowest = min([membership.PROTOCOL_LEVEL, *levels.values()])
+        if not reachable and self._count_named(now_s):
+            lowest = 0
+        if lowest != self.collectors.level:
+            names = [name for name in levels if levels[name] == lowest]
+            events.log(
+                LEVEL_CHANGED,
+                level=lowest,
+                instances=len(names),
+                first=names[:MAX_LOGGED_NAMES],
+            )
+        return lowest
 
     def tick(self):
         """Apply the current membership to the limits and the view."""
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -15,7 +15,14 @@
 from standins import platform_site
 from tools import processes
 
-__all__ = ["PlatformSite", "make_endpoint_record", "make_route", "wait_until"]
+__all__ = [
+    "PlatformSite",
+    "make_configuration",
+    "make_endpoint_record",
+    "make_route",
+    "send",
+    "wait_until",
+]
 
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 10.0
@@ -102,7 +109,7 @@
         self.server.store.put(
             "config",
             "main",
-            _make_configuration(version, extra_routes, tenants),
+            make_configuration(version, *extra_routes, tenants=tenants),
         )
 
     def call(self, method, path, **extra_headers):
@@ -122,7 +129,7 @@
             "Key": "k1",
         }
         body = b"{}" if method == "POST" else None
-        return _send(
+        return send(
             self.callers_port, method, path, headers | extra_headers, body
         )
 
@@ -134,12 +141,12 @@
         body : bytes
             Body of the call.
         """
-        return _send(self.forward_port, "POST", peer_requests.PATH, {}, body)
+        return send(self.forward_port, "POST", peer_requests.PATH, {}, body)
 
     def get_ready_status(self):
         """Return the status of the readiness check; 0 without an answer."""
         try:
-            return _send(self.ready_port, "GET", "/v1/readyz", {}).status
+            return send(self.ready_port, "GET", "/v1/readyz", {}).status
         except OSError:
             return 0
 
@@ -220,7 +227,7 @@
         time.sleep(_POLL_INTERVAL_S)
 
 
-def _make_configuration(version, extra_routes, tenants):
+def make_configuration(version, *extra_routes, tenants=()):
     """Return a configuration with a route of each kind."""
     return {
         "version": version,
@@ -237,11 +244,9 @@
     }
 
 
-def _send(port, method, path, headers, body=None):
+def send(port, method, path, headers, body=None, host="127.0.0.1"):
     """Send one request; return the answer, with its body as `data`."""
-    connection = http.client.HTTPConnection(
-        "127.0.0.1", port, timeout=CALL_TIMEOUT_S
-    )
+    connection = http.client.HTTPConnection(host, port, timeout=CALL_TIMEOUT_S)
     connection.request(method, path, body, headers)
     answer = connection.getresponse()
     answer.data = answer.read()
