Leave time for the next endpoint when a connection is not opened

Three connections that time out after 0.3 s each use up that time; an endpoint's circuit opens only after three failures, and the answer of any endpoint made all of them count as reached again.

A connection now gets at most a quarter of the time to the deadline. After a kept connection without an answer the other kept ones to that endpoint are closed.

No request runs twice.

--- a/mulberryhollow/coordination/forwarding/reachability.py
+++ b/mulberryhollow/coordination/forwarding/reachability.py
@@ -17,6 +17,13 @@
 """Time for which a failure counts as evidence, in seconds."""
 
 
+UNREACHED_S = 3.0
+"""Time for which an endpoint without a connection is avoided, in seconds.
+
+A test of the path that succeeds ends it earlier.
+"""
+
+
 @attrs.define
 class _Paths:
     """Evidence about the paths to the endpoints of one service.
@@ -28,9 +35,14 @@
         opened, and of the last request that got no answer.
     is_lost : bool
         Whether the instance reaches none of the endpoints.
+    unreached_s : dict
+        Endpoint id to the time of the last connection that could not be
+        opened, until one is opened again. The endpoint that is to be tested
+        next is the first.
     """
 
     refused_s: dict = attrs.field(factory=dict)
+    unreached_s: dict = attrs.field(factory=dict)
     silent_s: dict = attrs.field(factory=dict)
     is_lost: bool = False
 
@@ -58,6 +70,50 @@
             name for name, paths in self._services.items() if paths.is_lost
         ]
 
+    def list_unreached(self, service, now_s):
+        """Return the endpoints of a service to which paths may be lost.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        now_s : float
+            Monotonic time, in seconds.
+        """
+        paths = self._services.get(service)
+        if paths is None or not paths.unreached_s:
+            return frozenset()
+        return frozenset(
+            endpoint_id
+            for endpoint_id, at_s in paths.unreached_s.items()
+            if now_s - at_s < UNREACHED_S
+        )
+
+    def choose_test(self, now_s):
+        """Return the service and id of the endpoint to test; None for none.
+
+        Each call returns the next one that is out of reach, so that the
+        number of tests does not grow with the endpoints.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time, in seconds.
+        """
+        for service, paths in self._services.items():
+            for endpoint_id, at_s in list(paths.unreached_s.items()):
+                del paths.unreached_s[endpoint_id]
+                if now_s - at_s < UNREACHED_S:
+                    paths.unreached_s[endpoint_id] = at_s
+                    return service, endpoint_id
+        return None
+
+    def record_reached(self, service, endpoint_id):
+        """Record that a connection to an endpoint could be opened."""
+        paths = self._services.get(service)
+        if paths is not None:
+            paths.unreached_s.pop(endpoint_id, None)
+
     def record_failure(self, service, endpoint_id, is_connected, now_s):
         """Count an endpoint as out of reach; return whether all now are.
 
@@ -78,6 +134,8 @@
         paths = self._services[service]
         evidence = paths.silent_s if is_connected else paths.refused_s
         evidence[endpoint_id] = now_s
+        if not is_connected:
+            paths.unreached_s[endpoint_id] = now_s
         since_s = now_s - EVIDENCE_LIFETIME_S
         lost = {
             each
--- a/mulberryhollow/coordination/forwarding/timeouts.py
+++ b/mulberryhollow/coordination/forwarding/timeouts.py
@@ -1,6 +1,31 @@
 """Timeouts of one attempt of a forwarded request."""
 
-__all__ = ["MIN_REMAINING_S", "get_event_timeout_s", "get_head_timeout_s"]
+__all__ = [
+    "MIN_REMAINING_S",
+    "get_connect_limit_s",
+    "get_event_timeout_s",
+    "get_head_timeout_s",
+]
+
+CONNECT_TIMEOUT_S = 0.3
+"""Longest timeout of the TCP handshake with an endpoint or a peer, in seconds.
+
+A handshake takes two one-way delays and a few milliseconds. When the
+endpoint drops the first packet, the handshake takes a second or more.
+"""
+
+CONNECT_FRACTION = 0.25
+"""Timeout of the TCP handshake, as a fraction of the time to the deadline.
+
+After three attempts without a connection four tenths of the time are left, in
+which another endpoint or a peer answers the request.
+"""
+
+MIN_CONNECT_TIMEOUT_S = 0.1
+"""Minimum timeout of the TCP handshake, in seconds.
+
+A handshake between two regions takes most of it.
+"""
 
 HEAD_TIMEOUT_GOALS = 3.0
 """Timeout of an attempt that another endpoint may repeat, in latency goals.
@@ -44,6 +69,22 @@
     return min(remaining_s, timeout_s)
 
 
+def get_connect_limit_s(request, now_s):
+    """Return the timeout for the connection of an attempt, in seconds.
+
+    An attempt that gets no connection has not run, so another one follows.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+        The request.
+    now_s : float
+        Monotonic time, in seconds.
+    """
+    share_s = CONNECT_FRACTION * (request.deadline_s - now_s)
+    return min(CONNECT_TIMEOUT_S, max(MIN_CONNECT_TIMEOUT_S, share_s))
+
+
 def get_event_timeout_s(request, runs, now_s, waited_s=0.0):
     """Return the timeout for the next event of a stream, in seconds.
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -241,9 +241,7 @@
         if self._needs_peer:
             raise errors.RefusedError(self._refuse_no_capacity())
         try:
-            self._route = self._dependencies.dispatcher.choose_endpoint(
-                request.to_route_request(), self._excluded
-            )
+            self._route = self._choose_endpoint()
         except errors.RefusedError as error:
             if self._has_reached_none() and self._choose_peer():
                 return self._route
@@ -261,6 +259,39 @@
         self._chosen, self._peer = self._route.chosen, ""
         return self._route
 
+    def _choose_endpoint(self):
+        """Return the route to an endpoint, if possible one that is reached.
+
+        Raises
+        ------
+        RefusedError
+            When no endpoint accepts the request.
+        """
+        dispatcher = self._dependencies.dispatcher
+        request = self._request.to_route_request()
+        unreached = self._dependencies.peers.list_unreached(request.service)
+        if not unreached:
+            return dispatcher.choose_endpoint(request, self._excluded)
+        if request.preferred in unreached:
+            request = self._drop_permit(request)
+        avoiding = attrs.evolve(request, avoided=unreached)
+        try:
+            return dispatcher.choose_endpoint(avoiding, self._excluded)
+        except errors.RefusedError:
+            request = self._drop_permit(request)
+            return dispatcher.choose_endpoint(request, self._excluded)
+
+    def _drop_permit(self, request):
+        """Return a RouteRequest without its permit, which is given back.
+
+        Giving back a permit twice changes nothing.
+        """
+        if request.permit is not None:
+            self._dependencies.dispatcher.permits.give_back(
+                request.preferred, request.permit
+            )
+        return attrs.evolve(request, permit=None)
+
     def _choose_peer(self):
         """Let a peer forward the next attempt; return whether there is one.
 
@@ -334,6 +365,7 @@
             call,
             decisions.get_head_timeout_s(request, self._attempts.runs, now_s),
             is_fresh=not request.kind.is_repeatable,
+            connect_s=decisions.get_connect_limit_s(request, now_s),
         )
         peers = self._dependencies.peers
         try:
@@ -341,7 +373,7 @@
         except errors.EndpointError as error:
             peers.record_failure(route, error.fault)
             raise
-        peers.record_answer(route.service, answer.is_new_connection)
+        peers.record_answer(route, answer.is_new_connection)
         self._dependencies.dispatcher.report_load(route, answer.head.load)
         if answer.head.is_leaving:
             self._dependencies.dispatcher.report_leaving(route.endpoint_id)
@@ -386,6 +418,7 @@
             ),
             timeout_s,
             is_fresh=not request.kind.is_repeatable,
+            connect_s=decisions.get_connect_limit_s(request, now_s),
         )
         peers = self._dependencies.peers
         answer = peers.client.open(attempt, self._set_channel)
--- a/mulberryhollow/serving/peer_forwarding.py
+++ b/mulberryhollow/serving/peer_forwarding.py
@@ -86,9 +86,13 @@
     def record_failure(self, route, fault):
         """Ignore an attempt that reached no endpoint."""
 
-    def record_answer(self, service, is_new_connection):
+    def record_answer(self, route, is_new_connection):
         """Ignore an answer of an endpoint."""
 
+    def list_unreached(self, service):
+        """Return the endpoints to avoid: none."""
+        return frozenset()
+
 
 class OwnPathsOnly(NoPeers):
     """Records what is reached, and never chooses a peer.
@@ -102,6 +106,7 @@
     def __init__(self, peers):
         self.record_failure = peers.record_failure
         self.record_answer = peers.record_answer
+        self.list_unreached = peers.list_unreached
 
 
 class PeerForwarding:
@@ -241,16 +246,31 @@
         if is_lost:
             events.log(PATHS_LOST, service=route.service, fault=str(fault))
 
-    def record_answer(self, service, is_new_connection):
-        """Record that an endpoint of a service has answered.
+    def list_unreached(self, service):
+        """Return the ids of endpoints to which no connection was opened.
+
+        An attempt there would spend time that the next one needs.
+        """
+        with self._lock:
+            return self._paths.list_unreached(service, self._clock.now_s())
+
+    def record_answer(self, route, is_new_connection):
+        """Record that an endpoint has answered.
 
         Parameters
         ----------
-        service : str
-            The service.
+        route : Route
+            Route of the attempt.
         is_new_connection : bool
             Whether the connection had just been opened.
         """
+        if is_new_connection:
+            with self._lock:
+                self._paths.record_reached(route.service, route.endpoint_id)
+        self._record_answer(route.service, is_new_connection)
+
+    def _record_answer(self, service, is_new_connection):
+        """Record that some endpoint of a service has answered."""
         with self._lock:
             is_back = self._paths.record_answer(service, is_new_connection)
         if is_back:
@@ -260,7 +280,11 @@
             )
 
     def tick(self):
-        """Test one endpoint of each service whose paths are lost."""
+        """Test one endpoint of each service whose paths are lost.
+
+        One more endpoint is tested of those that are avoided one by one.
+        """
+        self._test_unreached()
         for service in self._paths.list_lost():
             addresses = self._dispatcher.read(
                 functools.partial(_list_addresses, service)
@@ -269,7 +293,21 @@
                 continue
             address = self._rng.choice(addresses)
             if self._endpoint_client.is_alive(address):
-                self.record_answer(service, True)
+                self._record_answer(service, True)
+
+    def _test_unreached(self):
+        """Test the next endpoint that is avoided."""
+        with self._lock:
+            found = self._paths.choose_test(self._clock.now_s())
+        if found is None:
+            return
+        service, endpoint_id = found
+        address = self._dispatcher.read(
+            lambda actor, now_s: _get_address(actor, endpoint_id)
+        )
+        if address is None or self._endpoint_client.is_alive(address):
+            with self._lock:
+                self._paths.record_reached(service, endpoint_id)
 
 
 class PeerIngress:
@@ -387,6 +425,15 @@
         """Leave the outcome to the peer."""
 
 
+def _get_address(actor, endpoint_id):
+    """Return the address of an endpoint; None if it is not listed.
+
+    Runs in the dispatch actor.
+    """
+    record = actor.view.get(endpoint_id)
+    return None if record is None else record.endpoint.address
+
+
 def _list_addresses(service, actor, now_s):
     """Return the addresses of a service's endpoints that may get requests.
 
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from mulberryhollow.coordination import forwarding
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.transport import channel as channels
@@ -9,13 +10,6 @@
 
 __all__ = ["ForwardClient", "OpenAnswer"]
 
-CONNECT_TIMEOUT_S = 0.3
-"""Timeout of the TCP handshake with an endpoint, in seconds.
-
-A handshake takes two one-way delays and a few milliseconds. When the
-endpoint drops the first packet, the handshake takes a second or more.
-"""
-
 ALIVE_CHECK_TIMEOUT_S = 0.1
 """Timeout of the TCP handshake that shows an endpoint is alive, in seconds."""
 
@@ -53,12 +47,15 @@
     is_fresh : bool
         Whether the request needs a new connection, so that it cannot be
         sent on a dead one.
+    connect_s : float
+        Longest time of the TCP handshake, in seconds.
     """
 
     address: str
     call: object
     wait_s: float
     is_fresh: bool
+    connect_s: float = forwarding.CONNECT_TIMEOUT_S
 
 
 class ForwardClient:
@@ -103,8 +100,13 @@
             on_channel(channel)
             channel.send(attempt.call, attempt.wait_s)
             head = self._receive_head(channel, attempt)
-        except BaseException:
+        except BaseException as error:
             channel.close()
+            if not is_new and _is_silent(error):
+                # The path may be lost: the other idle connections to the
+                # endpoint would fail in the same way, only after a request
+                # has been sent on them.
+                self._pool.close_idle(attempt.address)
             raise
         return OpenAnswer(head, channel, attempt.address, self._pool, is_new)
 
@@ -120,7 +122,7 @@
 
     def _acquire_channel(self, attempt):
         """Return the channel for an attempt, and whether it is new."""
-        connect_s = min(CONNECT_TIMEOUT_S, attempt.wait_s)
+        connect_s = min(attempt.connect_s, attempt.wait_s)
         if attempt.is_fresh:
             channel = channels.EndpointChannel.open(attempt.address, connect_s)
             return channel, True
@@ -164,6 +166,12 @@
         raise errors.EndpointError(fault)
 
 
+def _is_silent(error):
+    """Return whether an attempt got no answer on its connection."""
+    is_fault = isinstance(error, errors.EndpointError)
+    return is_fault and isinstance(error.fault, streams.Silent)
+
+
 class OpenAnswer:
     """A response whose head has arrived and whose body is being read.
 
--- a/tests/coordination/forwarding/decision.feature
+++ b/tests/coordination/forwarding/decision.feature
@@ -37,3 +37,22 @@
       | IDEMPOTENT       | 2         | 1.5  | 1.2   |
       | RESUMABLE_STREAM | 2         | 1.5  | 1.2   |
       | RESUMABLE_STREAM | 1         | 10   | 10    |
+
+  # Guards against three connections that are not opened using up a request's
+  # time, so that neither another endpoint nor a peer can answer it.
+  Scenario Outline: Connections that cannot be opened leave time for another
+    Given a <kind> request for at most 1 endpoints
+    When <count> connections in a row are not opened within <allowed> s
+    Then at least <left> s of its time are left
+
+    Examples:
+      | kind           | count | allowed | left |
+      | IDEMPOTENT     | 3     | 0.9     | 0.37 |
+      | NON_IDEMPOTENT | 3     | 1.6     | 0.65 |
+      | IDEMPOTENT     | 4     | 0.9     | 0.25 |
+      | STREAM         | 4     | 10      | 8.8  |
+
+  Scenario: A connection gets the time of a handshake between regions
+    Given a IDEMPOTENT request for at most 1 endpoints
+    When 1 connections in a row are not opened within 0.2 s
+    Then at most 0.1 s of its time are left
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -44,7 +44,6 @@
 # Longest time until an instance learns of a change of the members.
 DETECTION_S = 2.0
 
-CONNECT_TIMEOUT_S = 0.3
 SLOTS = 8
 DOWN_S = 3.0
 LOAD_REPORT_INTERVAL_S = 0.5
@@ -310,7 +309,7 @@
         )
 
     def is_alive(self, address):
-        return self.name not in self.fleet.lost_paths
+        return not self.fleet.has_lost(self, address)
 
     def record_begun(self, request):
         pass
@@ -344,6 +343,9 @@
         self.peer_requests = 0
         self.cut = {}
         self.lost_paths = {}
+        self.lost_endpoints = frozenset()
+        self.request_fields = {}
+        self.allowed_s = 10.0
         self.broken_fraction = 0.0
         self.status = 200
         self.kind = catalogue.RequestKind.STREAM
@@ -468,16 +470,24 @@
 
     def check_path(self, instance, attempt):
         """Fail an attempt of an instance that is cut off from endpoints."""
-        kind = self.lost_paths.get(instance.name)
+        if not self.has_lost(instance, attempt.call.endpoint_id):
+            return
+        kind = self.lost_paths[instance.name]
         if kind == "refused":
             fault = streams.NotSent("connection refused")
             raise errors.EndpointError(fault)
         if kind == "silent":
-            self.clock.advance(min(CONNECT_TIMEOUT_S, attempt.wait_s))
+            self.clock.advance(min(attempt.connect_s, attempt.wait_s))
             raise errors.EndpointError(streams.NotSent("timed out"))
 
-    def lose_paths(self, count, kind):
-        """Cut some instances off from all endpoints."""
+    def has_lost(self, instance, endpoint_id):
+        """Return whether an instance has lost its path to an endpoint."""
+        is_lost = not self.lost_endpoints or endpoint_id in self.lost_endpoints
+        return instance.name in self.lost_paths and is_lost
+
+    def lose_paths(self, count, kind, endpoint_count=None):
+        """Cut some instances off from all endpoints, or from some."""
+        self.lost_endpoints = frozenset(list(self.endpoints)[:endpoint_count])
         for name in list(self.instances)[:count]:
             self.lost_paths[name] = kind
         self._test_paths()
@@ -523,10 +533,11 @@
             self.kind,
             request_id=f"r{next(self._order)}",
             arrived_s=now_s,
-            deadline_s=now_s + 10.0,
+            deadline_s=now_s + self.allowed_s,
             account=account,
             chain=self.random.choice((None, chain)),
             allowed_regions=self.allowed_regions,
+            **self.request_fields,
         )
         try:
             forwarding = instance.forwarder.forward(request)
--- a/tests/serving/peer_forwarding.feature
+++ b/tests/serving/peer_forwarding.feature
@@ -120,3 +120,24 @@
     And the requests may be served in region r9 only
     When 40 requests a second arrive for 3 seconds
     Then all requests are refused at once as not run, naming r9
+
+  # Guards against requests that spend all of their time on connections to
+  # endpoints whose paths this instance has silently lost, one after the other.
+  Scenario Outline: Requests get past the paths that are lost
+    Given 8 instances before 4 endpoints
+    And callers that allow each repeatable request 0.9 seconds
+    When <load> requests a second arrive for 5 seconds
+    And 4 instances silently lose <lost> of the endpoints
+    And the count of answers begins anew
+    And <load> requests a second arrive for 20 seconds
+    Then the instances that are cut off serve at least 0.98 of their requests
+    And the others serve all of theirs
+    And no request has run twice
+
+    Examples:
+      | lost | load |
+      | 1    | 2    |
+      | 2    | 2    |
+      | 3    | 2    |
+      | 3    | 20   |
+      | 4    | 2    |
--- a/tests/steps/coordination_forwarding.py
+++ b/tests/steps/coordination_forwarding.py
@@ -1,3 +1,4 @@
+import attrs
 from behave import given
 from behave import then
 from behave import when
@@ -85,3 +86,22 @@
         forwarding.get_event_timeout_s(context.request, 0, 0.0),
     )
     assert [round(each, 6) for each in found] == [head, event], found
+
+
+@when("{count:d} connections in a row are not opened within {allowed_s:g} s")
+def fail_to_connect(context, count, allowed_s):
+    request = attrs.evolve(context.request, deadline_s=allowed_s)
+    now_s = 0.0
+    for _ in range(count):
+        now_s += forwarding.get_connect_limit_s(request, now_s)
+    context.left_s = allowed_s - now_s
+
+
+@then("at least {left_s:g} s of its time are left")
+def check_left(context, left_s):
+    assert context.left_s >= left_s, context.left_s
+
+
+@then("at most {left_s:g} s of its time are left")
+def check_used(context, left_s):
+    assert context.left_s <= left_s + 1e-9, context.left_s
--- a/tests/steps/serving_peer_forwarding.py
+++ b/tests/steps/serving_peer_forwarding.py
@@ -51,6 +51,26 @@
             assert f"({region})" in refusal.message, refusal
 
 
+@given("callers that allow each repeatable request {allowed_s:g} seconds")
+def allow(context, allowed_s):
+    for fleet in context.fleets:
+        fleet.kind = catalogue.RequestKind.IDEMPOTENT
+        fleet.allowed_s = allowed_s
+        fleet.request_fields = {"max_endpoints": 1, "goal_s": 0.418}
+
+
+@when("{count:d} instances silently lose {endpoint_count:d} of the endpoints")
+def lose_some_paths(context, count, endpoint_count):
+    for fleet in context.fleets:
+        fleet.lose_paths(count, "silent", endpoint_count)
+
+
+@then("no request has run twice")
+def check_run_once(context):
+    for fleet in context.fleets:
+        assert set(fleet.runs.values()) == {1}, fleet.runs.most_common(2)
+
+
 @when("the endpoints break off {fraction:g} of their answers")
 def break_off(context, fraction):
     for fleet in context.fleets:
--- a/tests/steps/transport_forwarding.py
+++ b/tests/steps/transport_forwarding.py
@@ -68,6 +68,12 @@
         [answer("r1")],
         [answer("r1") + answer("r2")],
     ],
+    "hangs after it has kept two connections": [
+        [answer("r1")],
+        [answer("r2")],
+        ["hang"],
+        [answer("r4")],
+    ],
     "answers an earlier request first": [[answer("r0"), answer("r1")]],
     "answers twice and says close": [
         [answer("r1", extra=b"Connection: close\r\n")],
@@ -137,6 +143,28 @@
     context.results = [forward(context, each) for each in ("r1", "r2")]
 
 
+@when("four requests are forwarded to it, the first two at the same time")
+def forward_four(context):
+    def open_first(channel):
+        first.append(forward(context, "r1"))
+
+    first = []
+    second = forward(context, "r2", on_channel=open_first)
+    context.results = [
+        *first,
+        second,
+        *(forward(context, each) for each in ("r3", "r4")),
+    ]
+
+
+@then("the third gets no answer and the fourth a connection of its own")
+def check_four(context):
+    body = (b"hello", None)
+    expected = [body, body, (None, "Silent"), body]
+    assert context.results == expected, context.results
+    assert context.endpoint.connections == 3, context.endpoint.connections
+
+
 @when("two non-idempotent requests are forwarded to it")
 def forward_two_fresh(context):
     context.results = [forward(context, each, True) for each in ("r1", "r2")]
--- a/tests/transport/forwarding.feature
+++ b/tests/transport/forwarding.feature
@@ -51,6 +51,13 @@
     When two non-idempotent requests are forwarded to it
     Then both receive the body of their own response over 2 connections
 
+  # Guards against requests that are sent on one kept connection after the other
+  # when the path to the endpoint is silently lost.
+  Scenario: No other kept connection is used after one without an answer
+    Given an endpoint that hangs after it has kept two connections
+    When four requests are forwarded to it, the first two at the same time
+    Then the third gets no answer and the fourth a connection of its own
+
   Scenario: A connection with an extra answer carries no other request
     Given an endpoint that sends an extra answer at once
     When two requests are forwarded to it
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -152,7 +152,7 @@
 
     def get_metrics(self):
         """Return the lines of the metrics page of the instance."""
-        answer = _send(self.ready_port, "GET", "/metrics", {})
+        answer = send(self.ready_port, "GET", "/metrics", {})
         return answer.data.decode().splitlines()
 
     def count_threads(self):
