--- a/mulberryhollow/coordination/room/controller.py
+++ b/mulberryhollow/coordination/room/controller.py
@@ -17,9 +17,16 @@
 FREE_USE = 0.75
 """Use of the room below which every request is granted."""
 
-TARGET_USE = 0.98
+TARGET_USE = 0.95
 """Use of the room that the granted requests should cause."""
 
+UNREACHABLE_MARGIN = 0.2
+"""Reduction of the target, relative to the unreachable fraction of the fleet.
+
+Each side of a partition sees only its own requests, so the chance variations
+of both sides need room.
+"""
+
 SCALE_DECAY_S = 4.0
 """Time constant with which the scale follows the observed use, in seconds.
 
@@ -82,6 +89,12 @@
 Bursts reach 2.5 times the usual load.
 """
 
+MAX_FOLLOWED = 1.25
+"""Maximum ratio of granted requests to what the shares intend.
+
+It is above 1, since the local ratio varies by chance in both directions.
+"""
+
 BURST_SAMPLES = 10.0
 """Local requests in `RECENT_S` at which half of a burst is believed.
 
@@ -106,7 +119,7 @@
 URGENT_WAIT_FRACTION = 0.5
 """Wait that the most urgent requests accept, as a fraction of their goal."""
 
-WAIT_FRACTION = 0.125
+WAIT_FRACTION = 0.25
 """Wait that less urgent requests may cause, as a fraction of a goal.
 
 The goal is their own, and that of any more urgent rank.
@@ -422,10 +435,9 @@
         granted = self._recent.get_rate(_GRANTED, now_s)
         asked = self._recent.get_rate(_ASKED, now_s)
         division = self._division
-        if not division.granted_remote or not asked:
-            return granted
         intended = asked * division.local_fraction
-        followed = min(1.0, granted / intended) if intended else 1.0
+        ratio = min(MAX_FOLLOWED, granted / intended) if intended else 1.0
+        followed = 1.0 + self._weigh_recent(now_s) * (ratio - 1.0)
         return granted + division.granted_remote * followed
 
     def _is_sparse(self, now_s):
@@ -489,8 +501,9 @@
 
         What was granted either is running or has made the queue longer.
         """
-        part = self._get_places(room, now_s) / room.slots
-        used = use * room.slots * self._part.reachable_fraction
+        slots = room.slots * self._part.reachable_fraction
+        part = self._get_places(room, now_s) / slots
+        used = use * slots
         history = self._use_history
         history.append((now_s, used))
         while now_s - history[0][0] > SCALE_WINDOW_S:
@@ -509,7 +522,7 @@
         granted = self._mean_granted / part
         growth = (used - history[0][1]) / window_s * (self._hold_s or 0.0)
         served = max(granted / MAX_SCALE_STEP, granted - growth)
-        observed = min(used, room.slots) / served
+        observed = min(used, slots) / served
         lowest = self._scale / MAX_SCALE_STEP
         highest = self._scale * MAX_SCALE_STEP
         observed = min(highest, max(lowest, observed))
@@ -523,7 +536,9 @@
         wait_s = self._estimate_wait_s(use, 0.0, room, now_s)
         drained = places * wait_s / DRAIN_S
         lowest = MIN_CAPACITY_FRACTION * places
-        return max(lowest, TARGET_USE * places - drained) / self._scale
+        unreachable = 1.0 - self._part.reachable_fraction
+        target = TARGET_USE - UNREACHABLE_MARGIN * unreachable
+        return max(lowest, target * places - drained) / self._scale
 
     def _knows_remote(self, now_s):
         """Return whether the demand at the other instances is known."""
