Explain refusals for lack of room

A request that was admitted by room and that all endpoints refuse gets a Retry-After within a third of its remaining time; it could be longer than the time left.

--- a/mulberryhollow/coordination/room/__init__.py
+++ b/mulberryhollow/coordination/room/__init__.py
@@ -1,5 +1,6 @@
 """Admission by room: who is served when a service has too little room."""
 
+from mulberryhollow.coordination.room.controller import MAX_RETRY_FRACTION
 from mulberryhollow.coordination.room.controller import RoomController
 from mulberryhollow.coordination.room.controller import RoomPart
 from mulberryhollow.coordination.room.estimate import estimate_work
@@ -11,6 +12,7 @@
 from mulberryhollow.coordination.room.shares import divide_room
 
 __all__ = [
+    "MAX_RETRY_FRACTION",
     "Granted",
     "NoRoom",
     "RoomController",
--- a/mulberryhollow/coordination/room/controller.py
+++ b/mulberryhollow/coordination/room/controller.py
@@ -12,7 +12,7 @@
 from mulberryhollow.coordination.room import returns
 from mulberryhollow.coordination.room import shares
 
-__all__ = ["RoomController", "RoomPart"]
+__all__ = ["MAX_RETRY_FRACTION", "RoomController", "RoomPart"]
 
 FREE_USE = 0.75
 """Use of the room below which every request is granted."""
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -195,7 +195,7 @@
         self._caller_watch = caller_watch.CallerWatch(clock)
         self._usage_ledger = self._make_usage_ledger()
         self._room = room_admission.RoomAdmission(
-            self.dispatcher, clock, settings.instance, self.observer.count
+            self.dispatcher, clock, settings.instance, self.observer
         )
         self._quota_peering = quota_peering.QuotaPeering(
             self._peers, clock, self.dispatcher, self._room
@@ -675,7 +675,9 @@
     def _render_metrics(self):
         """Return the metrics page: counters and histograms."""
         text = metrics_page.render_metrics(
-            self.observer.list_counts(), self.observer.histograms.snapshot()
+            self.observer.list_counts(),
+            self.observer.histograms.snapshot(),
+            self.observer.list_gauges(),
         )
         if self._evacuation_watcher is not None:
             contact_s = self._followers["evacuations"].last_contact_s
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -77,6 +77,8 @@
     rank : int
         Urgency by account and route for admission by room; 0 is the most
         urgent.
+    is_admitted_by_room : bool
+        Whether the room of the service decides if the request is served.
     max_output_tokens : int
         Maximum length of the answer, in tokens; 0 if it is not stated.
     max_endpoints : int
@@ -123,6 +125,7 @@
     fingerprint: str = ""
     parts: tuple = ()
     rank: int = 0
+    is_admitted_by_room: bool = False
     max_output_tokens: int = 0
     allowed_regions: frozenset | None = None
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -6,6 +6,7 @@
 import attrs
 
 from mulberryhollow.coordination import forwarding as decisions
+from mulberryhollow.coordination import room
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.protocol import peer_requests
@@ -611,10 +612,23 @@
             refusal = dataclasses.replace(
                 refusal, ran=errors.ExecutionStatus.UNKNOWN
             )
+        if self._request.is_admitted_by_room and refusal.retry_after_s:
+            refusal = self._limit_retry_after(refusal)
         self._outcome = Outcome.REFUSED
         forward_log.log_request_failed(self._request, refusal, self._attempts)
         return errors.RefusedError(refusal)
 
+    def _limit_retry_after(self, refusal):
+        """Return a refusal whose caller can still return in time.
+
+        A longer Retry-After than a part of the remaining time is not
+        honoured, and the caller is lost.
+        """
+        left_s = self._request.deadline_s - self._dependencies.clock.now_s()
+        latest_s = room.MAX_RETRY_FRACTION * max(0.0, left_s)
+        retry_after_s = min(refusal.retry_after_s, latest_s)
+        return dataclasses.replace(refusal, retry_after_s=retry_after_s)
+
     def _check_caller(self):
         """Raise CallerDisconnectedError when the caller has disconnected."""
         if self._is_aborted or self._is_gone():
--- a/mulberryhollow/serving/ingress.py
+++ b/mulberryhollow/serving/ingress.py
@@ -189,7 +189,8 @@
         service = _pick_service(route, incoming.request_id)
         rank = _compute_rank(route, account)
         priority = _compute_priority(route, account)
-        if self._dependencies.room.is_on(service):
+        is_by_room = self._dependencies.room.is_on(service)
+        if is_by_room:
             priority = rank
         return messages.ForwardRequest(
             request_id=incoming.request_id,
@@ -205,6 +206,7 @@
             host=incoming.host,
             priority=priority,
             rank=rank,
+            is_admitted_by_room=is_by_room,
             max_output_tokens=_count_max_output(incoming),
             max_endpoints=route.max_endpoints,
             chain=incoming.chain,
--- a/mulberryhollow/serving/metrics_page.py
+++ b/mulberryhollow/serving/metrics_page.py
@@ -8,8 +8,8 @@
 _S_PER_US = 1e-6
 
 
-def render_metrics(counts, records):
-    """Return counters and histograms, one sample per line.
+def render_metrics(counts, records, gauges=None):
+    """Return counters, gauges and histograms, one sample per line.
 
     Parameters
     ----------
@@ -17,6 +17,8 @@
         Value of each counter, by name.
     records : iterable of HistogramRecord
         Latency histograms.
+    gauges : dict or None
+        Value of each gauge, by name.
 
     Returns
     -------
@@ -27,6 +29,10 @@
         f"{_PREFIX}_{_clean(name)}_total {value}"
         for name, value in sorted(counts.items())
     ]
+    lines += [
+        f"{_PREFIX}_{_clean(name)} {value:.6g}"
+        for name, value in sorted((gauges or {}).items())
+    ]
     for record in records:
         labels = (
             f'account="{record.account}",class="{record.request_class}",'
--- a/mulberryhollow/serving/observer.py
+++ b/mulberryhollow/serving/observer.py
@@ -125,6 +125,7 @@
     def __init__(self, sender):
         self._sender = sender
         self._counts = collections.Counter()
+        self._gauges = {}
         self._lock = threading.Lock()
         self.histograms = histograms.LatencyHistograms()
 
@@ -187,6 +188,16 @@
         with self._lock:
             return dict(self._counts)
 
+    def set_gauge(self, name, value):
+        """Set the latest value of a gauge of the metrics page."""
+        with self._lock:
+            self._gauges[name] = value
+
+    def list_gauges(self):
+        """Return the value of every gauge by name."""
+        with self._lock:
+            return dict(self._gauges)
+
     def count_declared(self, metric):
         """Increase the counter of a declared metric and send the metric."""
         self.count(metric.name)
--- a/mulberryhollow/serving/room_admission.py
+++ b/mulberryhollow/serving/room_admission.py
@@ -104,8 +104,8 @@
         Source of time.
     instance : str
         Id of this instance.
-    count : callable
-        ``count(name)`` increases a counter.
+    observer : Observer or None
+        Counters and gauges; none are kept when None.
 
     Attributes
     ----------
@@ -113,12 +113,12 @@
         Whether all reachable instances decode the demand for room.
     """
 
-    def __init__(self, dispatcher, clock, instance, count=lambda name: None):
+    def __init__(self, dispatcher, clock, instance, observer=None):
         self.shares_demand = False
         self._dispatcher = dispatcher
         self._clock = clock
         self._seed = zlib.crc32(instance.encode())
-        self._count = count
+        self._observer = observer
         self._services = {}
         self._switches = {}
         self._part = rooms.RoomPart()
@@ -156,11 +156,10 @@
         outcome = self._dispatcher.read(
             functools.partial(self._decide, subject.service, request)
         )
+        if outcome is not None and self._observer is not None:
+            self._record(subject.service, query, outcome)
         match outcome:
             case rooms.NoRoom(rule, retry_after_s, inputs):
-                self._count(
-                    f"room.refused.{query.route}.{query.rank}.{rule.value}"
-                )
                 events.log(
                     NO_ROOM,
                     request=subject.request_id,
@@ -174,12 +173,24 @@
                     **_describe(inputs),
                 )
                 return outcome
-            case rooms.Granted(rule):
-                self._count(
-                    f"room.granted.{query.route}.{query.rank}.{rule.value}"
-                )
         return None
 
+    def _record(self, service, query, outcome):
+        """Count a decision and set the gauges of its service's room."""
+        verb = "granted" if isinstance(outcome, rooms.Granted) else "refused"
+        self._observer.count(
+            f"room.{verb}.{query.route}.{query.rank}.{outcome.rule.value}"
+        )
+        inputs = outcome.inputs
+        for name, value in (
+            ("use", inputs.use),
+            ("wait_seconds", inputs.wait_s),
+            ("demand_places", inputs.demand),
+            ("capacity_places", inputs.capacity),
+            ("age_seconds", inputs.age_s),
+        ):
+            self._observer.set_gauge(f"room.{name}.{service}", value)
+
     def withdraw(self, subject, query):
         """Take back a granted request that another limit has refused."""
         request = _make_room_request(subject, query)
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -45,6 +45,13 @@
     When a NON_IDEMPOTENT request is forwarded
     Then the forwarded request ends as NOT_RUN after 4 attempts
 
+  # Guards against a Retry-After for which the caller has no time left.
+  Scenario: A request admitted by room is told to return while it has time
+    Given a forwarder whose endpoints answer in turn: refused, refused, refused, refused, whole
+    When a NON_IDEMPOTENT request admitted by room is forwarded with 0.2 s left
+    Then the forwarded request ends as NOT_RUN after 4 attempts
+    And its caller is told to return within 0.0667 s
+
   # Guards against a request without a peer to forward it trying one endpoint
   # after the other until its deadline.
   Scenario: No more than four endpoints that cannot be reached are tried
--- a/tests/serving/room_admission.feature
+++ b/tests/serving/room_admission.feature
@@ -73,3 +73,27 @@
     And every instance sees a full room
     And the first instance decides for 400 accounts
     Then its report of the demand for room is empty and has no such table
+
+  # Guards against urgent routes that endpoints treat like others, and against
+  # other priorities at services that are not admitted by room.
+  Scenario Outline: The priority at endpoints covers the whole range
+    Given a route of priority <route> and an account of priority <account>
+    When a request is accepted where admission by room is <state>
+    Then it is forwarded with priority <priority> and rank <rank>
+
+    Examples:
+      | route | account | state | priority | rank |
+      | 5     | none    | off   | 2        | 5    |
+      | 5     | none    | on    | 5        | 5    |
+      | 0     | 2       | off   | 6        | 6    |
+      | 1     | 1       | on    | 4        | 4    |
+      | 9     | 1       | on    | 9        | 9    |
+
+  # Guards against refusals that an operator cannot explain.
+  Scenario: Each refusal is logged and counted with its rule and inputs
+    Given 3 instances with 1000 tokens of credit each
+    And every instance sees a full room
+    And the log and the metrics of the first instance are kept
+    When the first instance admits 300 requests of 1 token
+    Then each refusal for lack of room has one log line with its rule and inputs
+    And the metrics count the refusals by route, rank and rule
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -191,11 +191,16 @@
     assert len(context.crashes) == count, context.crashes
 
 
-def forward(context, kind, is_gone=lambda: False):
+def forward(
+    context, kind, is_gone=lambda: False, left_s=10.0, is_by_room=False
+):
     """Forward one request to its end; keep its head, body and error."""
     now_s = context.clock.now_s()
     request = requests.make_request(
-        catalogue.RequestKind[kind], arrived_s=now_s, deadline_s=now_s + 10.0
+        catalogue.RequestKind[kind],
+        arrived_s=now_s,
+        deadline_s=now_s + left_s,
+        is_admitted_by_room=is_by_room,
     )
     context.body, context.error, context.head = b"", None, None
     try:
@@ -221,6 +226,16 @@
     forward(context, kind)
 
 
+@when("a {kind} request admitted by room is forwarded with {seconds:g} s left")
+def forward_by_room(context, kind, seconds):
+    forward(context, kind, left_s=seconds, is_by_room=True)
+
+
+@then("its caller is told to return within {seconds:g} s")
+def check_latest(context, seconds):
+    assert 0 < context.error.refusal.retry_after_s <= seconds
+
+
 @when("{count:d} more {kind} requests meet pausing endpoints")
 def forward_to_pausing(context, count, kind):
     context.client.outcomes = ["pausing refused"] * 4 * count
--- a/tests/steps/serving_room_admission.py
+++ b/tests/steps/serving_room_admission.py
@@ -1,15 +1,26 @@
 import json
+import logging
+import types
 import zlib
 
 from behave import given
 from behave import then
 from behave import when
 
+from mulberryhollow import clock as clocks
 from mulberryhollow.coordination import room
 from mulberryhollow.coordination import sharing
 from mulberryhollow import errors
+from mulberryhollow import metrics
 from mulberryhollow.protocol import aggregates
 from mulberryhollow.protocol import draws
+from mulberryhollow.protocol import forwarding
+from mulberryhollow.serving import ingress
+from mulberryhollow.serving import metrics_page
+from mulberryhollow.serving import observer
+from mulberryhollow.serving import quota_peering
+from mulberryhollow.serving import room_admission
+from mulberryhollow.state import catalogue
 from mulberryhollow.state.endpoints.room import ServiceRoom
 from tests import requests
 
@@ -223,3 +234,120 @@
     assert "no_room" not in json.loads(
         draws.encode_drawn(draws.DrawnCredit(None, "e1"))
     )
+
+
+def make_ingress(context, is_on):
+    """Return an Ingress whose forwarder keeps the requests."""
+    context.forwarded = []
+    route = catalogue.Route(
+        name="route",
+        host="h",
+        path_prefix="/p/",
+        kind=catalogue.RequestKind.STREAM,
+        shares=(catalogue.ServiceShare("s", 1.0),),
+        timeout_s=10.0,
+        goal_s=0.5,
+        priority=context.route_priority,
+    )
+    account = catalogue.ClientAccount(
+        "a",
+        frozenset(("key",)),
+        catalogue.Quota(0.0, 0.0),
+        context.account_priority,
+    )
+    found = ingress.Ingress(
+        ingress.IngressDependencies(
+            types.SimpleNamespace(
+                forward=lambda request, is_gone: context.forwarded.append(
+                    request
+                )
+            ),
+            clocks.ManualClock(),
+            types.SimpleNamespace(charge=lambda request: None),
+            types.SimpleNamespace(is_on=lambda service: is_on),
+        )
+    )
+    found.apply(catalogue.Catalogue(1, (route,), {}, (account,)))
+    return found
+
+
+@given("a route of priority {route:d} and an account of priority {account}")
+def set_priorities(context, route, account):
+    context.route_priority = route
+    context.account_priority = None if account == "none" else int(account)
+
+
+@when("a request is accepted where admission by room is {state}")
+def accept(context, state):
+    payload = forwarding.Payload("POST", "/p/x", (), b"")
+    make_ingress(context, state == "on").accept(
+        ingress.IngressRequest("r", "h", "/p/x", "key", None, payload),
+        lambda: False,
+    )
+
+
+@then("it is forwarded with priority {priority:d} and rank {rank:d}")
+def check_priority(context, priority, rank):
+    (request,) = context.forwarded
+    assert (request.priority, request.rank) == (priority, rank), request
+
+
+class Lines(logging.Handler):
+    """Keeps the fields of the log lines of one event."""
+
+    def __init__(self, number):
+        super().__init__()
+        self.number = number
+        self.fields = []
+
+    def emit(self, record):
+        if getattr(record, "event", 0) == self.number:
+            self.fields.append(record.fields)
+
+
+@given("the log and the metrics of the first instance are kept")
+def keep_log(context):
+    context.lines = Lines(room_admission.NO_ROOM.number)
+    logger = logging.getLogger("mulberryhollow")
+    logger.addHandler(context.lines)
+    context.add_cleanup(logger.removeHandler, context.lines)
+    context.add_cleanup(logger.setLevel, logger.level)
+    logger.setLevel(logging.INFO)
+    context.observer = observer.Observer(metrics.Metrics())
+    instance = context.instances["first"]
+    admission = room_admission.RoomAdmission(
+        instance.dispatcher, context.clock, "first", context.observer
+    )
+    peering = quota_peering.QuotaPeering(
+        context.quota_peers.at("first"),
+        context.clock,
+        instance.dispatcher,
+        admission,
+    )
+    context.instances["first"] = types.SimpleNamespace(peering=peering)
+
+
+@then(
+    "each refusal for lack of room has one log line with its rule and inputs"
+)
+def check_log(context):
+    assert len(context.lines.fields) == len(list_no_room(context)) > 0
+    names = {"request", "route", "account", "rank", "rule", "retry_ms", "use"}
+    names |= {"share", "demand", "capacity", "wait_ms", "age_ms", "work_ms"}
+    for each in context.lines.fields:
+        assert names <= each.keys(), each
+
+
+@then("the metrics count the refusals by route, rank and rule")
+def check_metrics(context):
+    counts = context.observer.list_counts()
+    refused = sum(
+        count
+        for name, count in counts.items()
+        if name.startswith("room.refused.route.2.")
+    )
+    assert refused == len(list_no_room(context)), counts
+    page = metrics_page.render_metrics(
+        counts, (), context.observer.list_gauges()
+    )
+    assert "\nmulberryhollow_room_use_s 1\n" in page, page
