Answer for the holder of an account over its quota; limit debts

Ruled out: holders cut off from the store (they answer through peers), parts that do not add up (the admitted tokens are the quota's), a burst met with an empty bucket, and charging the maximum of the answer (a tenth of a prompt).

Change: an instance keeps a holder's refusal for as long as the holder expects no credit, 0.25 s at most, and refuses requests of the account that cost as much itself. Where credit is pooled, requests that leave a debt get a quarter of the account's rate; the others wait for credit. Both only where endpoints report their work time.

--- a/mulberryhollow/coordination/limits/__init__.py
+++ b/mulberryhollow/coordination/limits/__init__.py
@@ -11,6 +11,7 @@
 from mulberryhollow.coordination.limits.outcomes import QuotaExceeded
 from mulberryhollow.coordination.limits.outcomes import QuotaRules
 from mulberryhollow.coordination.limits.quota import QuotaTable
+from mulberryhollow.coordination.limits.refused_accounts import RefusedAccounts
 from mulberryhollow.coordination.limits.retries import RetryRules
 from mulberryhollow.coordination.limits.retries import SharedRetryBudget
 
@@ -24,6 +25,7 @@
     "QuotaRules",
     "QuotaTable",
     "RateDraw",
+    "RefusedAccounts",
     "RetryRules",
     "RoomDraw",
     "STANDBY_FRACTION",
--- a/mulberryhollow/coordination/limits/quota.py
+++ b/mulberryhollow/coordination/limits/quota.py
@@ -31,6 +31,13 @@
 where the requests of an account are charged.
 """
 
+OWING_FRACTION = 0.25
+"""Fraction of an account's rate that goes to requests that leave a debt.
+
+A debt blocks the requests after it, also short and urgent ones. The largest
+requests of an account over its quota are still served at this rate.
+"""
+
 RATE_SLACK_FRACTION = 0.5
 """Fraction of the tolerated slack that is added to the rate of a window."""
 
@@ -148,6 +155,12 @@
     rules : QuotaRules or None
         Tolerances of the quotas; no tolerance when None.
 
+    Attributes
+    ----------
+    limits_debts : bool
+        Whether only so many requests may leave a debt as `OWING_FRACTION`
+        allows, where credit is pooled; otherwise each one may.
+
     Notes
     -----
     The fraction of an account's quota granted by an instance is the
@@ -174,6 +187,8 @@
         self._local_history = collections.deque()
         self._mean_costs = {}
         self._exhausted = {}
+        self._owes_until_s = {}
+        self.limits_debts = False
 
     def set_rules(self, rules):
         """Replace the tolerances."""
@@ -229,6 +244,7 @@
             self._small_buckets,
             self._mean_costs,
             self._exhausted,
+            self._owes_until_s,
         ):
             for name in table.keys() - self._quotas.keys():
                 del table[name]
@@ -299,8 +315,12 @@
         required = MIN_POOLED_CREDIT
         if not self._is_pooled:
             required = max(cost, AMPLE_CREDIT_REQUESTS * mean)
+        elif self.limits_debts:
+            required = self._find_required(
+                account, quota, fraction, cost, now_s
+            )
         if bucket.credit >= required:
-            bucket.credit -= cost
+            self._take(account, quota, bucket, cost, now_s)
             return None
         if self._spend_small(account, quota, fraction, cost, now_s):
             return None
@@ -345,8 +365,13 @@
             min_credit = self._find_min_credit_without_peers(
                 account, quota, fraction
             )
+        if self._is_pooled and self.limits_debts:
+            required = self._find_required(
+                account, quota, fraction, cost, now_s
+            )
+            min_credit = max(min_credit, required - MIN_POOLED_CREDIT)
         if total > min_credit:
-            bucket.credit -= cost
+            self._take(account, quota, bucket, cost, now_s)
             return None
         wait_s = (1.0 + min_credit - total) / self._find_rate(quota)
         exhausted_s = min(max(wait_s, MIN_EXHAUSTED_S), MAX_EXHAUSTED_S)
@@ -356,6 +381,24 @@
         rate = self._find_rate(quota) * fraction
         return QuotaExceeded(account, wait_s, total, fraction, rate)
 
+    def _find_required(self, account, quota, fraction, cost, now_s):
+        """Return the credit from which a request is admitted in a pool.
+
+        A request that costs more than half of the burst never finds that
+        much, so it is admitted from there on.
+        """
+        if now_s >= self._owes_until_s.get(account, float("-inf")):
+            return MIN_POOLED_CREDIT
+        half = self._find_burst(quota, fraction) / 2
+        return max(MIN_POOLED_CREDIT, min(cost, half))
+
+    def _take(self, account, quota, bucket, cost, now_s):
+        """Charge an admitted request, and note the debt that it leaves."""
+        bucket.credit -= cost
+        if bucket.credit < 0.0:
+            rate = OWING_FRACTION * self._find_rate(quota)
+            self._owes_until_s[account] = now_s - bucket.credit / rate
+
     def _find_min_credit_without_peers(self, account, quota, fraction):
         """Return the local credit required when no peer could be asked.
 
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -1,6 +1,7 @@
 """Charges requests to quotas whose credit is held by several instances."""
 
 import contextlib
+import functools
 import itertools
 import json
 import logging
@@ -122,6 +123,7 @@
         self._paused_until_s = {}
         self._holders = {}
         self._collectors = sharing.Collectors()
+        self._refused = limits.RefusedAccounts()
 
     def connect(self):
         """Register the handlers of the peers' calls."""
@@ -133,11 +135,7 @@
         self._collectors = collectors
         self._holders = {}
         self._room.apply_collectors(collectors)
-        self._dispatcher.change(
-            lambda actor, now_s: actor.quotas.set_live_nodes(
-                collectors.parts, now_s, bool(collectors.local)
-            )
-        )
+        self._dispatcher.change(functools.partial(_set_holders, collectors))
 
     def charge(self, request):
         """Charge a request to the quota of its client account.
@@ -177,7 +175,10 @@
         by_room : bool
             Whether the instance that charges it decides about room too.
         """
-        drawn = self._draw(request) if request.cost or by_room else None
+        drawn = self._find_refusal(request) if by_room else None
+        if drawn is None and (request.cost or by_room):
+            drawn = self._draw(request)
+            self._keep_refusal(request, drawn)
         if drawn is None and by_room:
             self._grant_room(request)
             with self._withdraw_room(request):
@@ -202,6 +203,23 @@
         )
         return drawn
 
+    def _find_refusal(self, request):
+        """Return the DrawnCredit by which the holder refused before, or None.
+
+        Its account has no credit yet for a request that costs so much.
+        """
+        exceeded = self._refused.find(
+            request.account, request.cost, self._clock.now_s()
+        )
+        return exceeded and draws.DrawnCredit(exceeded)
+
+    def _keep_refusal(self, request, drawn):
+        """Keep the refusal of a holder for requests that cost as much."""
+        if drawn is not None and drawn.exceeded is not None:
+            self._refused.record(
+                drawn.exceeded, request.cost, self._clock.now_s()
+            )
+
     def _grant_room(self, request):
         """Raise RefusedError unless there is room for a request here."""
         query = draws.RoomQuery.of(request, self._clock.now_s())
@@ -406,3 +424,11 @@
             lambda actor, now_s: actor.quotas.lend(account, wanted, now_s)
         )
         return str(math.floor(balance)).encode()
+
+
+def _set_holders(collectors, actor, now_s):
+    """Apply the instances that hold the credit; runs in the dispatch actor."""
+    actor.quotas.set_live_nodes(
+        collectors.parts, now_s, bool(collectors.local)
+    )
+    actor.quotas.limits_debts = actor.view.has_work_times
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -286,6 +286,11 @@
             or service in self._peer_work_time_services
         )
 
+    @property
+    def has_work_times(self):
+        """Whether the endpoints of some service report their work time."""
+        return bool(self._work_time_services or self._peer_work_time_services)
+
     def list_work_time_services(self):
         """Return the services whose work time this instance has seen."""
         return sorted(self._work_time_services)
--- a/tests/quota_pool.py
+++ b/tests/quota_pool.py
@@ -38,6 +38,10 @@
         self.peering = quota_peering.QuotaPeering(self, self, self)
         self.peering.connect()
 
+    @property
+    def view(self):
+        return types.SimpleNamespace(has_work_times=self.pool.limits_debts)
+
     @property
     def quotas(self):
         return self.pool.tables[self.index]
@@ -142,6 +146,7 @@
         self.now_s = 0.0
         self.cut_fraction = 0.0
         self.is_connected = True
+        self.limits_debts = False
         self.admitted = []
         self.refused = 0
         self.ask_count = 0
--- a/tests/steps/coordination_limits.py
+++ b/tests/steps/coordination_limits.py
@@ -32,6 +32,12 @@
     )
 
 
+@given("endpoints whose services limit the debts of accounts")
+def limit_debts(context):
+    context.pool.limits_debts = True
+    context.pool.apply_members()
+
+
 @when("all instances restart")
 def restart_quotas(context):
     context.pool.restart()
