Divide the speed of a service too, where it is exhausted before the places

The scale compared requests at the endpoints with work in places; where prompts take more of the speed than of the places it fell to its bound and everything was granted.

--- a/mulberryhollow/coordination/room/controller.py
+++ b/mulberryhollow/coordination/room/controller.py
@@ -20,7 +20,7 @@
 TARGET_USE = 0.95
 """Use of the room that the granted requests should cause."""
 
-UNREACHABLE_MARGIN = 0.2
+UNREACHABLE_MARGIN = 0.3
 """Reduction of the target, relative to the unreachable fraction of the fleet.
 
 Each side of a partition sees only its own requests, so the chance variations
@@ -241,6 +241,7 @@
         self._running = []
         self._running_memory = 0.0
         self._hold_s = None
+        self._held_fraction = 1.0
         self._goals = {}
 
     def set_part(self, part):
@@ -317,6 +318,7 @@
                 | outcomes.Rule.RETURNED
             ) if self._is_granted(rule, key, inputs.share):
                 self._recent.add(_GRANTED, places, now_s)
+                self._observe_held(request.work.total_s, places)
                 self._start(request, now_s)
                 return outcomes.Granted(rule, inputs)
         retry_s = self._plan_return(request, kind, inputs, now_s)
@@ -379,6 +381,15 @@
         self._hold_s = mean + MEAN_WEIGHT * (hold_s - mean)
         self._returns.remove(request.fingerprint)
 
+    def _observe_held(self, hold_s, places):
+        """Update the part of the granted places that the use shows.
+
+        The use counts requests, also where their work takes more of the
+        speed or memory than of the places.
+        """
+        held = hold_s / places if places else 1.0
+        self._held_fraction += MEAN_WEIGHT * (held - self._held_fraction)
+
     def _observe_goal(self, request):
         """Update the mean time left to the goal of a rank."""
         goal_s = max(0.0, request.goal_left_s)
@@ -509,7 +520,7 @@
         while now_s - history[0][0] > SCALE_WINDOW_S:
             history.popleft()
         weight = 1.0 - math.exp(-min(1.0, interval_s) / SCALE_WINDOW_S)
-        known = self._count_granted(now_s)
+        known = self._count_granted(now_s) * self._held_fraction
         self._mean_granted += weight * (known - self._mean_granted)
         window_s = now_s - history[0][0]
         is_known = self._knows_remote(now_s) or not self._is_sparse(now_s)
--- a/tests/coordination/room/controller.feature
+++ b/tests/coordination/room/controller.feature
@@ -34,6 +34,13 @@
     When a request of 6000 memory tokens asks for room
     Then it is refused as "memory" with a retry time of 4 s at most
 
+  # Guards against admission by places alone where speed is exhausted first.
+  Scenario: Speed that is exhausted before the places is divided too
+    Given a room controller at use 0.04 of 640 places
+    And 10 endpoints of average speed
+    When 630 requests with prompts of 0.19 s ask for room within 10 seconds
+    Then 70 to 95 percent of the last 300 are granted
+
   # Guards against impatient callers that get ahead of patient ones.
   Scenario: A caller gains nothing by returning at once, and all by waiting
     Given a room controller at use 0.95 of 100 places
--- a/tests/steps/coordination_room.py
+++ b/tests/steps/coordination_room.py
@@ -1,6 +1,7 @@
 import itertools
 import random
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
@@ -237,3 +238,27 @@
     refused = sum(isinstance(each, room.NoRoom) for each in context.outcomes)
     assert refused > count, refused
     assert context.controller.count_remembered() <= count
+
+
+@given("{count:d} endpoints of average speed")
+def set_speed(context, count):
+    context.room = attrs.evolve(context.room, speed=float(count))
+
+
+@when(
+    "{count:d} requests with prompts of {prompt_s:g} s ask for room within "
+    "{seconds:d} seconds"
+)
+def ask_for_speed(context, count, prompt_s, seconds):
+    context.outcomes = []
+    expected = work.RequestWork(prompt_s, 0.2, 1.0, 12000.0, 13000.0)
+    for number in range(count):
+        context.now_s += seconds / count
+        request = make_request(name=str(number), work=expected)
+        context.outcomes.append(decide(context, request))
+
+
+@then("{lowest:d} to {highest:d} percent of the last {count:d} are granted")
+def check_last(context, lowest, highest, count):
+    context.outcomes = context.outcomes[-count:]
+    check_fraction(context, lowest, highest)
