--- a/mulberryhollow/coordination/room/controller.py
+++ b/mulberryhollow/coordination/room/controller.py
@@ -324,9 +324,14 @@
         retry_s = self._plan_return(request, kind, inputs, now_s)
         return outcomes.NoRoom(rule, retry_s, inputs)
 
-    def withdraw(self, request):
-        """Take back a granted request that another limit has refused."""
-        key = request.rank, request.account
+    def withdraw(self, key):
+        """Take back a granted request that another limit has refused.
+
+        Parameters
+        ----------
+        key : (int, str)
+            Rank and account of the request.
+        """
         self._credit[key] = self._credit.get(key, 0.0) + 1.0
 
     def _find_rule(self, request, kind, inputs, room, now_s):
--- a/mulberryhollow/serving/room_admission.py
+++ b/mulberryhollow/serving/room_admission.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from mulberryhollow.coordination import room as rooms
+from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import work
 from mulberryhollow import errors
 from mulberryhollow import events
@@ -41,6 +42,13 @@
 MIN_SHARED_PLACES = 0.001
 """Smallest demand that is reported, in places."""
 
+CACHED_FRACTION = 0.7
+"""Fraction of the shared parts of a prompt that is expected to be cached.
+
+The endpoint is chosen only after the request has got room; the router expects
+as much at the endpoint where requests with these parts meet.
+"""
+
 MIN_COVERED_FRACTION = 0.75
 """Fraction of the other acting instances whose demand has to be known.
 
@@ -152,10 +160,10 @@
             None when the request is granted, or its service is not admitted
             by room.
         """
-        request = _make_room_request(subject, query)
-        outcome = self._dispatcher.read(
-            functools.partial(self._decide, subject.service, request)
+        decided = self._dispatcher.read(
+            functools.partial(self._decide, subject, query)
         )
+        outcome = decided and decided[1]
         if outcome is not None and self._observer is not None:
             self._record(subject.service, query, outcome)
         match outcome:
@@ -169,7 +177,7 @@
                     rank=query.rank,
                     rule=rule.value,
                     retry_ms=round(1000 * retry_after_s),
-                    work_ms=round(1000 * request.work.total_s),
+                    work_ms=round(1000 * decided[0].work.total_s),
                     **_describe(inputs),
                 )
                 return outcome
@@ -193,9 +201,9 @@
 
     def withdraw(self, subject, query):
         """Take back a granted request that another limit has refused."""
-        request = _make_room_request(subject, query)
+        key = query.rank, _hash_account(subject.account)
         self._dispatcher.change(
-            lambda actor, now_s: self._find(subject.service).withdraw(request)
+            lambda actor, now_s: self._find(subject.service).withdraw(key)
         )
 
     def apply_collectors(self, collectors):
@@ -240,8 +248,9 @@
             self._services[service] = state
         return state.controller
 
-    def _decide(self, service, request, actor, now_s):
-        """Return the outcome for a RoomRequest; None if not by room."""
+    def _decide(self, subject, query, actor, now_s):
+        """Return the RoomRequest and its outcome; None if not by room."""
+        service = subject.service
         controller = self._find(service)
         state = self._services[service]
         if now_s - state.measured_at_s >= MEASURE_INTERVAL_S:
@@ -251,7 +260,9 @@
             state.room, state.measured_at_s = room, now_s
         if not state.room.reports_work_time:
             return None
-        return controller.decide(request, state.room, now_s)
+        expected = estimate_work(_list_features(subject, query), actor)
+        request = _make_room_request(subject, query, expected)
+        return request, controller.decide(request, state.room, now_s)
 
     def _set_part(self, part, actor, now_s):
         """Set the part of the room about which this instance decides."""
@@ -308,20 +319,32 @@
     )
 
 
-def _make_room_request(subject, query):
-    """Return the RoomRequest of a RouteRequest and its RoomQuery."""
-    features = work.RequestFeatures(
+def estimate_work(features, actor):
+    """Return the RequestWork of a request; runs in the dispatch actor."""
+    return rooms.estimate_work(features)
+
+
+def _list_features(subject, query):
+    """Return the RequestFeatures of a RouteRequest and its RoomQuery."""
+    chain = subject.chain or routing.PromptChain()
+    shared = chain.count_tokens(chain.shared_parts)
+    return work.RequestFeatures(
         subject.service,
         query.route,
         subject.account,
-        prompt_tokens=subject.chain.tokens if subject.chain else 0,
+        prompt_tokens=chain.tokens,
+        cached_tokens=int(CACHED_FRACTION * shared),
         max_output_tokens=query.max_output_tokens,
-        affinity=subject.chain.affinity if subject.chain else None,
+        affinity=chain.affinity,
     )
+
+
+def _make_room_request(subject, query, expected):
+    """Return the RoomRequest of a RouteRequest with the given work."""
     return rooms.RoomRequest(
         rank=query.rank,
         account=_hash_account(subject.account),
-        work=rooms.estimate_work(features),
+        work=expected,
         goal_left_s=query.goal_left_s,
         deadline_left_s=query.deadline_left_s,
         fingerprint=query.fingerprint,
