Grant lone long requests below the stated use of the room

The demand of one long request exceeds the capacity of a small service for a moment, so it could be refused at an idle one. Whether the use is below the limit now follows from the observed use and the requests since. What this instance has granted is no longer counted from its estimated times, since the view counts placements at once and an estimate too long looked like a full room.

--- a/mulberryhollow/coordination/room/controller.py
+++ b/mulberryhollow/coordination/room/controller.py
@@ -1,7 +1,6 @@
 """Admission controller of one service's room."""
 
 import collections
-import heapq
 import math
 import random
 
@@ -134,6 +133,15 @@
 A smaller sample of requests says little about their work.
 """
 
+MIN_OBSERVED_FRACTION = 0.9
+"""Part of the work from which the use of places shows the use of the room.
+
+Below it, the speed or memory of the endpoints is exhausted before the places.
+"""
+
+MIN_LOCAL_PART = 0.001
+"""Minimum part of the demand that is assumed to be local."""
+
 LATE_DEMAND = 0.8
 """Demand per capacity from which late requests take room from others."""
 
@@ -187,6 +195,7 @@
     capacity: float = 0.0
     granted_remote: float = 0.0
     local_fraction: float = 1.0
+    local_part: float = 1.0
     by_rank: dict = attrs.field(factory=dict)
     by_account: dict = attrs.field(factory=dict)
 
@@ -238,8 +247,6 @@
         self._credit = {}
         self._returns = returns.ReturnTable()
         self._next_return_s = {}
-        self._running = []
-        self._running_memory = 0.0
         self._hold_s = None
         self._held_fraction = 1.0
         self._goals = {}
@@ -297,7 +304,7 @@
             self._recent.add(_ARRIVED, 1.0, now_s)
             self._recent.add(_ASKED, places, now_s)
         self._observe_goal(request)
-        use = self._measure_use(room, now_s)
+        use = self._measure_use(room)
         if not room.slots:
             inputs = outcomes.RoomInputs(use, age_s=room.age_s)
             return outcomes.Granted(outcomes.Rule.UNKNOWN, inputs)
@@ -319,7 +326,7 @@
             ) if self._is_granted(rule, key, inputs.share):
                 self._recent.add(_GRANTED, places, now_s)
                 self._observe_held(request.work.total_s, places)
-                self._start(request, now_s)
+                self._start(request)
                 return outcomes.Granted(rule, inputs)
         retry_s = self._plan_return(request, kind, inputs, now_s)
         return outcomes.NoRoom(rule, retry_s, inputs)
@@ -337,8 +344,7 @@
     def _find_rule(self, request, kind, inputs, room, now_s):
         """Return the rule that decides on a request."""
         rule = outcomes.Rule
-        is_free = inputs.demand < FREE_USE * inputs.capacity
-        if inputs.use < FREE_USE and is_free:
+        if self._is_free(inputs, room, now_s):
             return rule.AMPLE
         if inputs.wait_s > request.deadline_left_s:
             return rule.EXPIRED
@@ -358,6 +364,27 @@
             return rule.RETURNED
         return rule.SHARE
 
+    def _is_free(self, inputs, room, now_s):
+        """Return whether the use is below the limit for free admission.
+
+        The requests that have come since the use was observed may count, and
+        they do not matter where the demand is small.
+        """
+        if inputs.use >= FREE_USE:
+            return False
+        if inputs.demand < FREE_USE * inputs.capacity:
+            return True
+        if not self._knows_remote(now_s) and self._is_sparse(now_s):
+            # A few requests say nothing about those at other instances.
+            return True
+        if self._held_fraction < MIN_OBSERVED_FRACTION:
+            return False
+        arrivals = self._recent.get_rate(_ARRIVED, now_s)
+        everywhere = arrivals / max(MIN_LOCAL_PART, self._division.local_part)
+        slots = room.slots * self._part.reachable_fraction
+        added = everywhere * room.age_s / slots
+        return inputs.use + added < FREE_USE
+
     def _is_granted(self, rule, key, share):
         """Return whether a request is among the fraction that is granted."""
         if rule is outcomes.Rule.AMPLE or share >= 1.0:
@@ -376,12 +403,9 @@
         self._credit[key] = credit - is_granted
         return is_granted
 
-    def _start(self, request, now_s):
-        """Count a granted request as running."""
+    def _start(self, request):
+        """Update what is known of granted requests by one more."""
         hold_s = min(MAX_HOLD_S, request.work.total_s)
-        memory = request.work.high_memory_tokens
-        heapq.heappush(self._running, (now_s + hold_s, memory))
-        self._running_memory += memory
         mean = hold_s if self._hold_s is None else self._hold_s
         self._hold_s = mean + MEAN_WEIGHT * (hold_s - mean)
         self._returns.remove(request.fingerprint)
@@ -401,30 +425,23 @@
         mean = self._goals.get(request.rank, goal_s)
         self._goals[request.rank] = mean + MEAN_WEIGHT * (goal_s - mean)
 
-    def _measure_use(self, room, now_s):
+    def _measure_use(self, room):
         """Return the use of the room, where 1 means that it is full.
 
-        What this instance has granted counts at once; the rest is as old as
+        What this instance has placed counts at once; the rest is as old as
         `ServiceRoom.age_s`.
         """
-        while self._running and self._running[0][0] <= now_s:
-            self._running_memory -= heapq.heappop(self._running)[1]
         part = self._part.reachable_fraction
-        used = max(room.used_slots, len(self._running))
-        use = used / (room.slots * part) if room.slots else 1.0
+        use = room.used_slots / (room.slots * part) if room.slots else 1.0
         if room.memory_tokens:
-            use = max(use, self._get_used_memory(room) / room.memory_tokens)
+            use = max(use, room.used_memory_tokens / room.memory_tokens)
         return use
 
-    def _get_used_memory(self, room):
-        """Return the tokens that running and placed requests will occupy."""
-        return max(room.used_memory_tokens, self._running_memory)
-
     def _has_memory(self, request, room):
         """Return whether the request's future memory fits."""
         if not room.memory_tokens:
             return True
-        used = self._get_used_memory(room) / self._part.reachable_fraction
+        used = room.used_memory_tokens / self._part.reachable_fraction
         return used + request.work.high_memory_tokens <= room.memory_tokens
 
     def _estimate_wait_s(self, use, reserved, room, now_s):
@@ -602,11 +619,20 @@
             sum(fractions[key] * own[key] for key in own) / local
             if local
             else 1.0,
+            self._measure_local_part(local, demand, now_s),
             by_rank,
             by_account,
         )
         return self._division
 
+    def _measure_local_part(self, local, demand, now_s):
+        """Return the part of the demand that is at this instance."""
+        if not self._knows_remote(now_s):
+            part = self._part
+            return 1.0 / (part.parts * part.reachable_fraction)
+        total = sum(demand.values())
+        return local / total if total else 1.0
+
     def _plan_return(self, request, kind, inputs, now_s):
         """Return the Retry-After of a refused request, in seconds.
 
--- a/tests/coordination/room/controller.feature
+++ b/tests/coordination/room/controller.feature
@@ -6,6 +6,18 @@
     When 300 requests of rank 2 ask for room within 10 seconds
     Then all of them are granted as "ample"
 
+  # Guards against the refusal of long requests where they are the only ones.
+  Scenario Outline: A lone long request is granted
+    Given a room controller at use 0.2 of 6 places
+    And it decides as one of <parts> instances
+    When 10 requests of rank 2 and 10 s of work ask for room, one in 12 seconds
+    Then all of them are granted as "ample"
+
+    Examples:
+      | parts |
+      | 1     |
+      | 88    |
+
   # Guards against requests that wait and are answered too late.
   Scenario: A request that cannot start before its deadline is refused
     Given a room controller at use 8 of 100 places
--- a/tests/steps/coordination_room.py
+++ b/tests/steps/coordination_room.py
@@ -262,3 +262,21 @@
 def check_last(context, lowest, highest, count):
     context.outcomes = context.outcomes[-count:]
     check_fraction(context, lowest, highest)
+
+
+@given("it decides as one of {count:d} instances")
+def set_parts(context, count):
+    context.controller.set_part(room.RoomPart(float(count)))
+
+
+@when(
+    "{count:d} requests of rank 2 and {work_s:d} s of work ask for room, one "
+    "in {seconds:d} seconds"
+)
+def ask_seldom(context, count, work_s, seconds):
+    expected = work.RequestWork(work_s / 2, work_s / 2)
+    context.outcomes = []
+    for number in range(count):
+        request = make_request(name=str(number), work=expected)
+        context.outcomes.append(decide(context, request))
+        context.now_s += seconds
