Keep to the rate of cold endpoints over all instances

Cause: an endpoint that has started during traffic takes only coldPerS requests a second for some seconds and crashes well above that. Nothing read coldLeftMs, coldS, coldPerS, coldOverrun or coldSlack.

Change: the entry's time is carried to the endpoint's record; the owner that grants the permits of a named rate grants those of cold endpoints too. A draw names several limits, each with its own bucket, and all must have a permit. Events 4050 and 4051 tell when an endpoint is cold and warm. A question for a permit carries the rate of a cold endpoint from protocol level 1 on; at level 0 it is passed as a named rate. Nothing changes without coldPerS.

Ruled out: a quarter of the rate for a new owner, as for named rates.

tests/rate_fleet.py: find_owner asks the collectors of an instance, since in a large fleet only these are owners.

--- a/mulberryhollow/coordination/limits/__init__.py
+++ b/mulberryhollow/coordination/limits/__init__.py
@@ -2,9 +2,10 @@
 
 from mulberryhollow.coordination.limits.endpoint_rates import EndpointRateTable
 from mulberryhollow.coordination.limits.endpoint_rates import RateDraw
-from mulberryhollow.coordination.limits.endpoint_rates import STANDBY_FRACTION
+from mulberryhollow.coordination.limits.endpoint_rates import RateLimit
 from mulberryhollow.coordination.limits.endpoint_rooms import EndpointRoomTable
 from mulberryhollow.coordination.limits.endpoint_rooms import RoomDraw
+from mulberryhollow.coordination.limits.outcomes import ColdRules
 from mulberryhollow.coordination.limits.outcomes import CreditShortfall
 from mulberryhollow.coordination.limits.outcomes import PermitGranted
 from mulberryhollow.coordination.limits.outcomes import PermitRefused
@@ -16,6 +17,7 @@
 from mulberryhollow.coordination.limits.retries import SharedRetryBudget
 
 __all__ = [
+    "ColdRules",
     "CreditShortfall",
     "EndpointRateTable",
     "EndpointRoomTable",
@@ -25,9 +27,9 @@
     "QuotaRules",
     "QuotaTable",
     "RateDraw",
+    "RateLimit",
     "RefusedAccounts",
     "RetryRules",
     "RoomDraw",
-    "STANDBY_FRACTION",
     "SharedRetryBudget",
 ]
--- a/mulberryhollow/coordination/limits/outcomes.py
+++ b/mulberryhollow/coordination/limits/outcomes.py
@@ -3,6 +3,7 @@
 import attrs
 
 __all__ = [
+    "ColdRules",
     "CreditShortfall",
     "PermitGranted",
     "PermitRefused",
@@ -30,6 +31,22 @@
     window_s: float = 8.0
 
 
+@attrs.frozen
+class ColdRules:
+    """Tolerances by which all instances may exceed a cold endpoint's rate.
+
+    Parameters
+    ----------
+    overrun : float
+        Factor of the rate that may arrive in any one second.
+    slack : float
+        Further requests that may arrive in any one second.
+    """
+
+    overrun: float = 1.0
+    slack: float = 0.0
+
+
 @attrs.frozen
 class QuotaExceeded:
     """The quota of a request's client account is exhausted.
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -166,6 +166,8 @@
         Slowness of the endpoint that was expected.
     age_s : float
         Age of the count of other instances' requests there, in seconds.
+    is_cold : bool
+        Whether the endpoint is cold and its requests are limited.
     """
 
     endpoint_id: str
@@ -188,12 +190,13 @@
     features: work.RequestFeatures | None = None
     slowness: float = 1.0
     age_s: float = 0.0
+    is_cold: bool = False
 
     @property
     def needs_permit(self):
         """Whether a request to the endpoint needs a permit."""
         limits = self.rate_per_s, self.brittle_rejections
-        return limits != (None, None)
+        return self.is_cold or limits != (None, None)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -207,10 +207,12 @@
                 case _:
                     chosen = self._choose_by_load(group, prepared, excluded)
             if chosen is not None:
+                cold_rate, _ = view.get_cold_limit(chosen.endpoint_id, now_s)
                 return dataclasses.replace(
                     chosen,
                     version=version,
                     brittle_rejections=view.get_brittle(request.service),
+                    is_cold=cold_rate > 0.0,
                 )
         return requests.NoEndpoint(refuse_no_endpoint(request.service))
 
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -246,7 +246,7 @@
             threading.Thread(target=server.run, name=name, daemon=True).start()
 
     def apply_settings(self, settings):
-        """Apply the grace time and the quota and retry rules of settings.
+        """Apply the grace time and the rules of limits of new settings.
 
         The other settings, such as addresses, the reports' windows and the
         lease, take effect at a restart.
@@ -647,6 +647,10 @@
         self.dispatcher.change(
             lambda actor, now_s: actor.quotas.set_quotas(quotas)
         )
+        cold_rates = catalogue.get_cold_rates()
+        self.dispatcher.change(
+            lambda actor, now_s: actor.view.set_cold_rates(cold_rates)
+        )
         self._fact_peering.publish_document(
             records.CONFIGURATION_NAME, document
         )
@@ -695,9 +699,10 @@
 
 
 def _set_bounds(bounds, actor, now_s):
-    """Set the platform's bounds on quotas and retries."""
+    """Set the platform's bounds on quotas, retries and cold endpoints."""
     actor.quotas.set_rules(bounds.quotas)
     actor.shared_retries.set_rules(bounds.retries)
+    actor.endpoint_rates.cold_rules = bounds.cold_starts
 
 
 def _set_prefill_estimate(actor, now_s):
--- a/mulberryhollow/platform/records.py
+++ b/mulberryhollow/platform/records.py
@@ -1,7 +1,9 @@
 """Decoders of the operator's and the endpoints' objects in the store."""
 
 import json
+import math
 
+import attrs
 import xxhash
 
 from mulberryhollow import errors
@@ -29,6 +31,14 @@
 """Kind of the objects by which the operator evacuates failure domains."""
 
 _MS_PER_S = 1000.0
+
+MAX_COLD_S = 60.0
+"""Longest time for which an entry can declare its endpoint cold, in seconds.
+
+The entry is written again every second or so; a wrong value must not limit
+an endpoint for much longer than a real start takes.
+"""
+
 _REQUEST_KINDS = {
     ("idempotent", False): catalogues.RequestKind.IDEMPOTENT,
     ("idempotent", True): catalogues.RequestKind.IDEMPOTENT,
@@ -86,6 +96,7 @@
         is_leaving=state == "draining",
         is_reclaimable=bool(fields.get("spot")),
         leaves_in_s=None if leaves_ms is None else leaves_ms / _MS_PER_S,
+        cold_left_s=_decode_cold_left(fields.get("coldLeftMs")),
     )
 
 
@@ -108,6 +119,22 @@
     return evacuations.Evacuation(item.name, item.version, True)
 
 
+def _decode_cold_left(cold_left_ms):
+    """Return the time for which an endpoint remains cold, in seconds.
+
+    Raises TypeError for a value that is no number, ValueError for NaN.
+    """
+    if cold_left_ms is None:
+        return 0.0
+    is_number = isinstance(cold_left_ms, int | float)
+    if not is_number or isinstance(cold_left_ms, bool):
+        raise TypeError(f"coldLeftMs is {cold_left_ms!r}")
+    if cold_left_ms != cold_left_ms:
+        raise ValueError("coldLeftMs is NaN")
+    # Compared before the division, which fails for a huge integer.
+    return min(max(0, cold_left_ms), MAX_COLD_S * _MS_PER_S) / _MS_PER_S
+
+
 def _get_required(fields, name, kind):
     """Return a field; raise TypeError if empty, 0 or of another type."""
     value = fields[name]
@@ -201,7 +228,20 @@
             reclaimable_price=scaling.get("spotPrice"),
             domain_prices=dict(scaling.get("zonePrices") or {}),
         ),
+        cold_start=_decode_cold_start(fields),
+    )
+
+
+def _decode_cold_start(fields):
+    """Return the ColdStart of a service; None without a limit."""
+    cold_start = catalogues.ColdStart(
+        duration_s=float(fields.get("coldS") or 0),
+        rate_per_s=float(fields.get("coldPerS") or 0),
     )
+    for name, value in attrs.asdict(cold_start).items():
+        if not math.isfinite(value):
+            raise ValueError(f"{name} of a cold start is {value}")
+    return cold_start if cold_start.rate_per_s > 0.0 else None
 
 
 def _decode_account(fields):
--- a/mulberryhollow/platform/settings.py
+++ b/mulberryhollow/platform/settings.py
@@ -35,6 +35,8 @@
     evacuation_s : float
         Time within which an evacuation takes effect on all instances, in
         seconds.
+    cold_starts : ColdRules
+        Tolerances by which the rate of a cold endpoint may be exceeded.
     """
 
     grace_s: float
@@ -44,6 +46,7 @@
     report_delay_s: float
     lease_s: float
     evacuation_s: float = 5.0
+    cold_starts: limits.ColdRules = limits.ColdRules()
 
 
 @attrs.frozen
@@ -190,6 +193,10 @@
         report_delay_s=float(bounds.get("usageDelayS", 10)),
         lease_s=float(bounds.get("leaseMs", 3000)) / _MS_PER_S,
         evacuation_s=float(bounds.get("evacuateMs", 5000)) / _MS_PER_S,
+        cold_starts=limits.ColdRules(
+            float(bounds.get("coldOverrun", 1)),
+            float(bounds.get("coldSlack", 0)),
+        ),
     )
 
 
--- a/mulberryhollow/protocol/permits.py
+++ b/mulberryhollow/protocol/permits.py
@@ -42,6 +42,8 @@
         Age of what it knows, in seconds.
     slots : int
         Requests that a brittle endpoint runs at once; 0 for another one.
+    cold_per_s : float
+        Requests per second that a cold endpoint accepts; 0 for a warm one.
     """
 
     endpoint_id: str
@@ -50,11 +52,44 @@
     rate_per_s: float | None
     age_s: float
     slots: int = 0
+    cold_per_s: float = 0.0
 
 
-def encode_question(question):
-    """Return a PermitQuestion as JSON bytes."""
-    return json.dumps(attrs.astuple(question)).encode()
+COLD_LEVEL = 1
+"""Protocol level from which a question tells the rate of a cold endpoint.
+
+Builds of level 0 reject a question with more than `LEVEL_0_FIELDS` fields.
+"""
+
+LEVEL_0_FIELDS = 6
+
+
+def encode_question(question, level):
+    """Return a PermitQuestion as JSON bytes.
+
+    Parameters
+    ----------
+    question : PermitQuestion
+        The question.
+    level : int
+        Lowest protocol level of the instances. At level 0 the rate of a cold
+        endpoint is passed as a rate limit, which any build respects.
+    """
+    if level < COLD_LEVEL:
+        question = _merge_rates(question)
+    fields = attrs.astuple(question)[:LEVEL_0_FIELDS]
+    if level >= COLD_LEVEL:
+        fields += ({"cold_per_s": question.cold_per_s},)
+    return json.dumps(fields).encode()
+
+
+def _merge_rates(question):
+    """Return a question that names the rate of a cold endpoint as its own."""
+    named = question.rate_per_s
+    cold = question.cold_per_s
+    if not cold or (named is not None and named <= cold):
+        return question
+    return attrs.evolve(question, rate_per_s=cold, age_s=0.0)
 
 
 def decode_question(payload):
@@ -70,6 +105,9 @@
     try:
         endpoint_id, account, permit, rate, *numbers = json.loads(payload)
         age_s, slots = map(float, numbers[:2])
+        further = numbers[2] if len(numbers) > 2 else None
+        is_known = isinstance(further, dict)
+        cold_per_s = float(further.get("cold_per_s", 0.0)) if is_known else 0.0
         question = PermitQuestion(
             str(endpoint_id),
             str(account),
@@ -77,10 +115,11 @@
             None if rate is None else float(rate),
             age_s,
             int(slots),
+            cold_per_s,
         )
     except _DECODE_ERRORS as error:
         raise ValueError(f"malformed question: {error!r}") from error
-    amounts = question.rate_per_s or 0.0, question.age_s
+    amounts = question.rate_per_s or 0.0, question.age_s, question.cold_per_s
     if not all(amount >= 0.0 for amount in amounts):
         raise ValueError(f"malformed question: {question}")
     return question
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -27,6 +27,10 @@
 CHANGED = events.declare(
     4022, logging.INFO, "an endpoint was added, changed or removed"
 )
+COLD = events.declare(
+    4050, logging.INFO, "an endpoint is cold and takes few requests"
+)
+WARM = events.declare(4051, logging.INFO, "an endpoint is warm again")
 
 
 class FleetWatcher:
@@ -107,7 +111,10 @@
 
     def expire(self):
         """Drop entries that were not written again after a store outage."""
-        if self._fleet.expire(self._clock.now_s()):
+        now_s = self._clock.now_s()
+        for endpoint_id in self._fleet.list_warmed(now_s):
+            events.log(WARM, endpoint=endpoint_id)
+        if self._fleet.expire(now_s):
             self._apply()
 
     def adopt(self, listings):
@@ -116,6 +123,7 @@
             return
         now_s = self._clock.now_s()
         self._fleet.replace({each.identity: each for each in listings}, now_s)
+        self._observe_cold(listings)
         events.log(ADOPTED, entries=len(listings))
         self._apply()
 
@@ -136,17 +144,40 @@
             Entries that the store has just returned; None in place of a
             malformed one.
         """
-        relisted = [each.key for each in relisted if each is not None]
+        relisted = [each for each in relisted if each is not None]
+        self._observe_cold(relisted)
         self.is_known = True
         listings = self.listings
-        self._dispatcher.change(functools.partial(_apply, listings, relisted))
+        self._dispatcher.change(
+            functools.partial(
+                _apply,
+                listings,
+                [each.key for each in relisted],
+                self._fleet.list_cold(),
+            )
+        )
         leaving = {each.key for each in listings if each.is_leaving}
         for endpoint_id in sorted(leaving - self._reported_leaving):
             self._publish_leaving(endpoint_id, True)
         self._reported_leaving = leaving
 
-
-def _apply(listings, relisted, actor, now_s):
+    def _observe_cold(self, listings):
+        """Apply how long each listed endpoint remains cold; log changes."""
+        now_s = self._clock.now_s()
+        for listing in listings:
+            match self._fleet.observe_cold(listing, now_s):
+                case True:
+                    events.log(
+                        COLD,
+                        endpoint=listing.key,
+                        service=listing.service,
+                        cold_left_s=listing.cold_left_s,
+                    )
+                case False:
+                    events.log(WARM, endpoint=listing.key)
+
+
+def _apply(listings, relisted, cold, actor, now_s):
     """Apply the list to the view, the prefix index and the version shares.
 
     An endpoint that a peer reported as gone is used again only once the
@@ -155,6 +186,7 @@
     before = {record.endpoint.id for record in actor.view}
     found = [listing.to_endpoint() for listing in listings]
     actor.view.apply_list(found, now_s)
+    actor.view.set_cold_times(cold)
     for endpoint_id in relisted:
         actor.view.set_draining(endpoint_id, False)
     for gone in before - {endpoint.id for endpoint in found}:
--- a/mulberryhollow/serving/permit_peering.py
+++ b/mulberryhollow/serving/permit_peering.py
@@ -8,6 +8,8 @@
 import logging
 import threading
 
+import attrs
+
 from mulberryhollow.coordination import limits
 from mulberryhollow.coordination import routing
 from mulberryhollow import errors
@@ -35,6 +37,12 @@
 MAX_OWNERS = 2
 """Number of owners that are asked in turn for a permit."""
 
+STANDBY_FRACTION = 0.25
+"""Fraction of an endpoint's room granted by an instance that is asked second.
+
+The first one may still be granting permits to other instances.
+"""
+
 NO_PERMIT = events.declare(
     4018,
     logging.INFO,
@@ -66,7 +74,8 @@
     """Obtains permits for requests to endpoints that limit them.
 
     An endpoint may limit the rate of requests from all instances together,
-    or be brittle, so that it must not have to turn any away.
+    or be brittle, so that it must not have to turn any away, or be cold, so
+    that it accepts only a low rate for some seconds.
 
     Each endpoint has an owner among the instances, chosen by rendezvous
     hashing. It grants the permits of all instances; a second one is asked
@@ -98,6 +107,7 @@
         self._dispatcher = dispatcher
         self._local_name = peers.local_member().instance_id
         self._collectors = collectors
+        self._knows_members = False
         self._paused_until_s = {}
         self._exhausted = collections.defaultdict(dict)
         self._numbers = itertools.count()
@@ -117,6 +127,7 @@
     def apply_collectors(self, collectors):
         """Let the given `Collectors` own the endpoints from now on."""
         self._collectors = collectors
+        self._knows_members = True
 
     def acquire(self, service, chosen, account):
         """Return the Permit for a request; None if there is none now.
@@ -131,20 +142,29 @@
             Client account of the request.
         """
         name = f"{self._local_name}.{next(self._numbers)}"
+        known = self._dispatcher.read(
+            functools.partial(_read_limits, chosen.endpoint_id)
+        )
         question = permits.PermitQuestion(
             chosen.endpoint_id,
             account,
             name,
-            *self._dispatcher.read(
-                functools.partial(_read_rate, chosen.endpoint_id)
-            ),
+            known.rate_per_s,
+            known.age_s,
             chosen.slots if chosen.brittle_rejections is not None else 0,
+            known.cold_per_s,
         )
-        owner, outcome = self._ask_owners(question)
+        if known.cold_per_s and not self._knows_members:
+            # Each joining instance would be an owner of its own.
+            owner, outcome = "", limits.PermitRefused(OWNER_PAUSE_S)
+        else:
+            owner, outcome = self._ask_owners(question)
         match outcome:
             case limits.PermitGranted():
                 return routing.Permit(name, owner if question.slots else "")
             case limits.PermitRefused(wait_s):
+                if known.rate_per_s is None and not question.slots:
+                    wait_s = min(wait_s, known.cold_left_s)
                 until_s = self._clock.now_s() + wait_s
                 with self._lock:
                     waits = self._exhausted[service, account]
@@ -246,7 +266,7 @@
                 answer = self._peers.call(
                     name,
                     TOPIC,
-                    permits.encode_question(question),
+                    permits.encode_question(question, self._collectors.level),
                     CALL_TIMEOUT_S,
                 )
                 return name, permits.decode_permit(answer)
@@ -275,27 +295,72 @@
 
     def _draw(self, question):
         """Draw a permit of this instance."""
-        fraction = self._collectors.reachable_fraction
         owners = self._rank_owners(question.endpoint_id)
-        if owners[0] != self._local_name:
-            fraction *= limits.STANDBY_FRACTION
+        part = _Part(
+            self._collectors.reachable_fraction, owners[0] != self._local_name
+        )
         return self._dispatcher.read(
-            lambda actor, now_s: _draw(actor, question, fraction, now_s)
+            lambda actor, now_s: _draw(actor, question, part, now_s)
         )
 
 
-def _read_rate(endpoint_id, actor, now_s):
-    """Return the rate limit of an endpoint, or None, and its age in seconds.
+@attrs.frozen
+class _Part:
+    """Part of the permits that this instance grants.
+
+    Parameters
+    ----------
+    fraction : float
+        Fraction of the instances that this one reaches, above 0.
+    is_standby : bool
+        Whether another instance is the endpoint's first owner.
+    """
+
+    fraction: float
+    is_standby: bool
+
+    @property
+    def room_fraction(self):
+        """Fraction of an endpoint's room for which permits are granted."""
+        return self.fraction * (STANDBY_FRACTION if self.is_standby else 1.0)
+
+
+@attrs.frozen
+class _KnownLimits:
+    """What this instance knows of an endpoint's limits.
+
+    Parameters
+    ----------
+    rate_per_s : float or None
+        Rate that the endpoint names, per second; None for none.
+    age_s : float
+        Age of that knowledge, in seconds.
+    cold_per_s : float
+        Rate while the endpoint is cold, per second; 0 for no limit.
+    cold_left_s : float
+        Time for which it remains cold, in seconds.
+    """
+
+    rate_per_s: float | None
+    age_s: float
+    cold_per_s: float
+    cold_left_s: float
+
+
+def _read_limits(endpoint_id, actor, now_s):
+    """Return the _KnownLimits of an endpoint.
 
     Runs in the dispatch actor.
     """
+    cold = actor.view.get_cold_limit(endpoint_id, now_s)
     record = actor.view.get(endpoint_id)
     if record is None or record.rate_per_s is None:
-        return None, 0.0
-    return record.rate_per_s, max(0.0, now_s - record.rate_observed_s)
+        return _KnownLimits(None, 0.0, *cold)
+    age_s = max(0.0, now_s - record.rate_observed_s)
+    return _KnownLimits(record.rate_per_s, age_s, *cold)
 
 
-def _draw(actor, question, fraction, now_s):
+def _draw(actor, question, part, now_s):
     """Draw a permit by the latest limits that this instance or its peer knows.
 
     Runs in the dispatch actor.
@@ -312,20 +377,40 @@
                 endpoint_id,
                 question.permit,
                 question.slots,
-                fraction,
+                part.room_fraction,
             ),
             record.load if record else 0.0,
             now_s,
         )
         if isinstance(outcome, limits.PermitRefused):
             return outcome
-    rate_per_s = question.rate_per_s if record is None else record.rate_per_s
-    if rate_per_s is None:
-        return limits.PermitGranted()
     outcome = actor.endpoint_rates.draw(
-        limits.RateDraw(endpoint_id, question.account, rate_per_s, fraction),
+        limits.RateDraw(
+            endpoint_id,
+            question.account,
+            _list_limits(actor, question, record, now_s),
+            part.fraction,
+            part.is_standby,
+        ),
         now_s,
     )
     if question.slots and isinstance(outcome, limits.PermitRefused):
         actor.endpoint_rooms.give_back(endpoint_id, question.permit)
     return outcome
+
+
+def _list_limits(actor, question, record, now_s):
+    """Return the RateLimit of each limit of an endpoint, as a tuple.
+
+    An endpoint is limited as cold if either instance knows that it is; of
+    two rates the lower one applies.
+    """
+    found = []
+    rate_per_s = question.rate_per_s if record is None else record.rate_per_s
+    if rate_per_s is not None:
+        found.append(limits.RateLimit("named", rate_per_s))
+    cold_per_s, _ = actor.view.get_cold_limit(question.endpoint_id, now_s)
+    rates = list(filter(None, (cold_per_s, question.cold_per_s)))
+    if rates:
+        found.append(actor.endpoint_rates.make_cold_limit(min(rates)))
+    return tuple(found)
--- a/mulberryhollow/state/catalogue.py
+++ b/mulberryhollow/state/catalogue.py
@@ -8,6 +8,7 @@
 __all__ = [
     "Catalogue",
     "ClientAccount",
+    "ColdStart",
     "IngressLimits",
     "ModelSpec",
     "Quota",
@@ -147,6 +148,24 @@
     domain_prices: dict
 
 
+@attrs.frozen
+class ColdStart:
+    """Limit on requests to the cold endpoints of a service.
+
+    Parameters
+    ----------
+    duration_s : float
+        Time for which an endpoint stays cold after a start during traffic,
+        in seconds; 0 if it is not known.
+    rate_per_s : float
+        Requests per second that a cold endpoint accepts from all instances
+        together; above 0.
+    """
+
+    duration_s: float
+    rate_per_s: float
+
+
 @attrs.frozen
 class ServiceSpec:
     """A service and the common properties of its endpoints.
@@ -161,12 +180,15 @@
         Capabilities of the engines; None for a plain service.
     scaling : Scaling or None
         Autoscaling parameters; None if the number of endpoints is fixed.
+    cold_start : ColdStart or None
+        Limit of cold endpoints; None for none.
     """
 
     name: str
     max_connections: int
     model: ModelSpec | None = None
     scaling: Scaling | None = None
+    cold_start: ColdStart | None = None
 
 
 class QuotaUnit(enum.Enum):
@@ -307,6 +329,17 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def get_cold_rates(self):
+        """Return the rate of a cold endpoint, per second, by service.
+
+        Services without a limit are left out.
+        """
+        return {
+            name: spec.cold_start.rate_per_s
+            for name, spec in self.services.items()
+            if spec.cold_start is not None
+        }
+
     def find_account(self, key):
         """Return the client account of an API key, or None."""
         return self._accounts_by_key.get(key)
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -135,6 +135,8 @@
         together; None while it names no limit.
     rate_observed_s : float
         Monotonic time of the answer that named or ended it, in seconds.
+    cold_until_s : float
+        Monotonic time until which the endpoint is cold, in seconds.
     circuit : Circuit
         Circuit breaker of the endpoint.
     running, queued, slots : int
@@ -180,6 +182,7 @@
     is_paused: bool = False
     rate_per_s: float | None = None
     rate_observed_s: float = float("-inf")
+    cold_until_s: float = float("-inf")
     circuit: Circuit = attrs.field(factory=Circuit)
     running: int = 0
     queued: int = 0
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -67,6 +67,7 @@
         self._placements = itertools.count()
         self.evacuations = evacuations.NONE
         self._usual_loads = {}
+        self._cold_rates = {}
 
     def __len__(self):
         return len(self._records)
@@ -225,6 +226,54 @@
         """Return the rejections that brittle endpoints bear, or None."""
         return self._brittle_services.get(service)
 
+    def set_cold_rates(self, rates_per_s):
+        """Set the rates of the cold endpoints.
+
+        Parameters
+        ----------
+        rates_per_s : dict
+            Requests per second that a cold endpoint accepts, by service;
+            endpoints of other services have no limit while they are cold.
+        """
+        self._cold_rates = rates_per_s
+
+    def set_cold_times(self, until_s):
+        """Set which endpoints are cold.
+
+        Parameters
+        ----------
+        until_s : dict
+            Monotonic time until which an endpoint is cold, in seconds, by
+            endpoint id; the others are warm.
+        """
+        for endpoint_id, record in self._records.items():
+            record.cold_until_s = until_s.get(endpoint_id, float("-inf"))
+
+    def get_cold_limit(self, endpoint_id, now_s):
+        """Return the rate of an endpoint that is cold, and for how long.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Id of the endpoint.
+        now_s : float
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        tuple of float
+            Requests per second from all instances together, and the time for
+            which the endpoint remains cold, in seconds; both 0 without a
+            limit.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None or record.cold_until_s <= now_s:
+            return 0.0, 0.0
+        rate_per_s = self._cold_rates.get(record.endpoint.service, 0.0)
+        if not rate_per_s:
+            return 0.0, 0.0
+        return rate_per_s, record.cold_until_s - now_s
+
     def get_pause_s(self, service, now_s):
         """Return the time until the first pause in a service ends.
 
--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -37,6 +37,9 @@
     leaves_in_s : float or None
         Time until the endpoint is reclaimed, in seconds; None if no time is
         known.
+    cold_left_s : float
+        Time for which the endpoint remains cold, from the writing of the
+        entry, in seconds; 0 when it is warm.
     """
 
     identity: str
@@ -49,6 +52,7 @@
     is_leaving: bool = False
     is_reclaimable: bool = False
     leaves_in_s: float | None = None
+    cold_left_s: float = attrs.field(default=0.0, metadata={"level": 1})
 
     @property
     def key(self):
@@ -84,6 +88,7 @@
     def __init__(self):
         self._entries = {}
         self._missing_until_s = {}
+        self._cold = {}
         self._recovered_s = float("-inf")
 
     def record_recovery(self, now_s):
@@ -174,6 +179,60 @@
             self._entries.pop(name, None)
         return bool(due)
 
+    def observe_cold(self, listing, now_s):
+        """Apply the time for which an endpoint remains cold.
+
+        Parameters
+        ----------
+        listing : EndpointListing
+            Entry that was just read.
+        now_s : float
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        bool or None
+            True if the endpoint has become cold, False if it has become
+            warm, None if neither.
+
+        Notes
+        -----
+        An entry that is read again unchanged, as by a complete list, does not
+        extend the time.
+        """
+        known, until_s = self._cold.get(listing.key, (None, 0.0))
+        if not listing.cold_left_s:
+            self._cold.pop(listing.key, None)
+            return False if now_s < until_s else None
+        if listing == known:
+            return None
+        self._cold[listing.key] = listing, now_s + listing.cold_left_s
+        return True if until_s <= now_s else None
+
+    def list_cold(self):
+        """Return the time until which each cold endpoint remains cold.
+
+        By endpoint id, monotonic, in seconds.
+        """
+        return {key: until_s for key, (_, until_s) in self._cold.items()}
+
+    def list_warmed(self, now_s):
+        """Return the endpoints whose cold time has passed, each once.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time, in seconds.
+        """
+        due = [
+            endpoint_id
+            for endpoint_id, (_, until_s) in self._cold.items()
+            if until_s <= now_s
+        ]
+        for endpoint_id in due:
+            del self._cold[endpoint_id]
+        return due
+
     def list_listings(self):
         """Return all listings in use, as a tuple of EndpointListing."""
         return tuple(self._entries.values())
--- a/tests/platform/records.feature
+++ b/tests/platform/records.feature
@@ -53,3 +53,39 @@
       | {"by": "me"}   | active    |
       | []             | malformed |
       | {              | malformed |
+
+  # Guards against a wrong time that drops the endpoint or limits it for hours.
+  Scenario Outline: How long an endpoint remains cold is read from its entry
+    Then an entry with coldLeftMs <value> says that it is cold for <seconds> seconds
+
+    Examples:
+      | value  | seconds |
+      | absent | 0       |
+      | null   | 0       |
+      | 0      | 0       |
+      | -500   | 0       |
+      | 2400   | 2.4     |
+      | 1e300  | 60      |
+      | 1e400  | 60      |
+      | a number of 400 digits | 60 |
+
+  Scenario Outline: A time for which an endpoint is cold must be a number
+    Then an entry whose coldLeftMs is <value> is refused
+
+    Examples:
+      | value  |
+      | "2400" |
+      | true   |
+      | NaN    |
+
+  # Guards against a limit of 0 requests where none is configured.
+  Scenario Outline: The rate of a service's cold endpoints is read
+    Then a service with coldS <duration> and coldPerS <rate> has the cold rate <found>
+
+    Examples:
+      | duration | rate   | found |
+      | 3        | 15     | 15    |
+      | 0        | 15     | 15    |
+      | 3        | 0      | none  |
+      | 3        | absent | none  |
+      | 3        | -1     | none  |
--- a/tests/platform/settings.feature
+++ b/tests/platform/settings.feature
@@ -37,3 +37,13 @@
       | zones         | [1]       | items         |
       | contracts     | "places"  | contracts     |
       | bounds        | {"graceS": "x"} | x       |
+
+  Scenario Outline: The tolerances of cold endpoints are read
+    Given the platform's settings of one instance
+    When the field bounds becomes <bounds>
+    Then a cold endpoint with 15 requests a second may get <most> in any second
+
+    Examples:
+      | bounds                               | most |
+      | {"coldOverrun": 1.5, "coldSlack": 5} | 27.5 |
+      | {}                                   | 15   |
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -8,8 +8,10 @@
 import random
 import types
 
+import attrs
+
 from mulberryhollow import clock as clocks
-from mulberryhollow.coordination import membership
+from mulberryhollow.coordination import limits
 from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import sharing
 from mulberryhollow.coordination import streams
@@ -35,6 +37,14 @@
 GRACE_S = 0.5
 FIRST_COUNTED_S = 3.0
 
+# The rule for cold endpoints: in any one second at most this factor of their
+# rate and some requests more; the entry that tells of it is written this often
+# and reaches an instance within this time.
+COLD_RULES = limits.ColdRules(1.5, 5.0)
+COLD_WINDOW_S = 1.0
+ENTRY_INTERVAL_S = 1.2
+ENTRY_DELAY_S = 0.5
+
 SESSIONS = 64
 EVENT = b"id: 1\ndata: x\n\n"
 MEAN_DURATION_S = 0.4
@@ -46,6 +56,7 @@
 
 SLOTS = 8
 DOWN_S = 3.0
+FREEZE_S = 1.5
 LOAD_REPORT_INTERVAL_S = 0.5
 PATH_TEST_INTERVAL_S = 0.25
 
@@ -78,6 +89,22 @@
         self.rejected_s = collections.deque()
         self.down_until_s = float("-inf")
         self.falls = 0
+        self.is_gone = False
+        self.cold_from_s = float("inf")
+        self.cold_until_s = float("-inf")
+        self.cold_s = 0.0
+        self.cold_arrivals_s = []
+
+    def become_cold(self, now_s, cold_s, grace_s):
+        """Become cold for some seconds; count requests after a grace time."""
+        self.cold_from_s = now_s + grace_s
+        self.cold_until_s = now_s + cold_s
+        self.cold_s = cold_s
+
+    def count_cold(self, now_s):
+        """Count a request that arrives while the endpoint is cold."""
+        if now_s < self.cold_until_s:
+            self.cold_arrivals_s.append(now_s)
 
     def admit(self, now_s):
         """Return whether a request finds room; fall over if many do not."""
@@ -120,12 +147,19 @@
         self.collectors = None
         self.members = ()
         self.forwarded = 0
+        self.cold_until_s = {}
         actor = dispatching.DispatchActor(fleet.clock, index)
         ref = InlineRef(actor)
         self.actor = actor
         self.dispatcher = dispatching.Dispatcher(ref, fleet.clock)
-        listings = [each.listing for each in fleet.endpoints.values()]
-        actor.view.apply_list(listings, fleet.clock.now_s())
+        self.listings = {
+            name: each.listing
+            for name, each in fleet.endpoints.items()
+            if not each.is_gone
+        }
+        actor.view.apply_list(self.listings.values(), fleet.clock.now_s())
+        actor.view.set_cold_rates(fleet.cold_rates)
+        actor.endpoint_rates.cold_rules = COLD_RULES
         actor.shares.set_service_shares({"s": {"v1": 1.0}})
         self.peers = peer_forwarding.PeerForwarding(
             self.dispatcher,
@@ -225,6 +259,15 @@
         observed_s = self.fleet.clock.now_s() - fact_peering.RATE_FACT_AGE_S
         self.actor.observe_rate(endpoint_id, rate_per_s, observed_s)
 
+    def read_entry(self, endpoint, left_s, replaced=""):
+        """Apply the entry of an endpoint, as the watch of the store does."""
+        now_s = self.fleet.clock.now_s()
+        self.listings.pop(replaced, None)
+        self.listings[endpoint.listing.id] = endpoint.listing
+        self.cold_until_s[endpoint.listing.id] = now_s + left_s
+        self.actor.view.apply_list(self.listings.values(), now_s)
+        self.actor.view.set_cold_times(self.cold_until_s)
+
     def local_member(self):
         return types.SimpleNamespace(
             instance_id=self.name,
@@ -238,7 +281,7 @@
 
     def apply_members(self):
         """Apply the members that this instance reaches, shuffled."""
-        if not self.is_running:
+        if not self.is_running or self.name in self.fleet.frozen:
             return
         others = [
             each.local_member()
@@ -248,8 +291,11 @@
         self.fleet.random.shuffle(others)
         self.members = tuple(others)
         live = len(self.fleet.instances)
-        self.collectors = sharing.choose_collectors(
-            self.local_member(), tuple(others), live
+        self.collectors = attrs.evolve(
+            sharing.choose_collectors(
+                self.local_member(), tuple(others), live
+            ),
+            level=self.fleet.level,
         )
         self.rates.apply_collectors(self.collectors)
 
@@ -283,7 +329,10 @@
         has_room = endpoint.admit(now_s)
         told_s = self.told_s.get(endpoint_id, now_s)
         is_counted = now_s - told_s >= GRACE_S
+        if endpoint.is_gone:
+            return _answer_misdirected(attempt)
         endpoint.arrivals.append((now_s, is_counted))
+        endpoint.count_cold(now_s)
         limit = None
         if endpoint.rate is not None:
             limit = messages.RateLimit(endpoint.rate)
@@ -332,9 +381,13 @@
         Number of endpoints of the one service.
     seed : int
         Seed of the random numbers.
+    domains : int
+        Number of failure domains of the instances.
+    cold_per_s : float
+        Requests per second that a cold endpoint takes; 0 for no limit.
     """
 
-    def __init__(self, size, endpoint_count, seed, domains=4):
+    def __init__(self, size, endpoint_count, seed, domains=4, cold_per_s=0.0):
         self.clock = clocks.ManualClock()
         self.start_s = self.clock.now_s()
         self.random = random.Random(seed)
@@ -342,6 +395,10 @@
         self.calls = 0
         self.peer_requests = 0
         self.cut = {}
+        self.frozen = set()
+        self.level = 1
+        self.cold_per_s = cold_per_s
+        self.cold_rates = {"s": cold_per_s} if cold_per_s else {}
         self.lost_paths = {}
         self.lost_endpoints = frozenset()
         self.request_fields = {}
@@ -403,6 +460,9 @@
     def add_instance(self, index):
         instance = Instance(self, index)
         self.instances[instance.name] = instance
+        for endpoint in self.list_cold():
+            left_s = max(0.0, endpoint.cold_until_s - self.clock.now_s())
+            instance.read_entry(endpoint, left_s)
 
     def apply_members(self):
         """Let all running instances learn the members at once."""
@@ -417,15 +477,92 @@
 
     def find_owner(self, endpoint_id):
         """Return the instance that grants the permits of an endpoint."""
-        names = membership.rank_by_rendezvous(
-            f"rate {endpoint_id}", self.instances
-        )
-        return self.instances[names[0]]
+        asker = next(e for e in self.instances.values() if e.is_running)
+        task = f"rate {endpoint_id}"
+        (name,) = asker.collectors.rank(task, asker.name, 1)
+        return self.instances[name]
 
     def kill_owner(self):
         self.find_owner("e0").is_running = False
         self.change_members()
 
+    def freeze_owner(self):
+        """Let the first owner of e0 make no progress for a while."""
+        owner = self.find_owner("e0")
+        self.frozen.add(owner.name)
+        self.change_members()
+        self.schedule(FREEZE_S, lambda: self.thaw(owner.name))
+
+    def thaw(self, name):
+        self.frozen.discard(name)
+        self.change_members()
+
+    def replace_owner(self):
+        """Let an instance join that becomes the first owner of e0."""
+        members = [each.local_member() for each in self.instances.values()]
+        for index in itertools.count(len(members)):
+            joining = types.SimpleNamespace(
+                instance_id=f"n{index}",
+                failure_domain=f"d{index % self.domains}",
+            )
+            collectors = sharing.choose_collectors(
+                joining, members, 1 + len(members)
+            )
+            names = collectors.rank("rate e0", joining.instance_id, 1)
+            if names == [joining.instance_id]:
+                self.join(index)
+                return
+
+    def chill(self, names, cold_s):
+        """Let endpoints in use become cold; their entries tell so later."""
+        now_s = self.clock.now_s()
+        for name in names:
+            endpoint = self.endpoints[name]
+            endpoint.become_cold(now_s, cold_s, ENTRY_DELAY_S)
+            self._write_entry(endpoint)
+
+    def replace_endpoints(self, names, cold_s):
+        """Let cold endpoints take over the addresses of other ones."""
+        now_s = self.clock.now_s()
+        for name in names:
+            former = self.endpoints[name]
+            former.is_gone = True
+            endpoint = Endpoint(f"{name}.new")
+            endpoint.listing = attrs.evolve(
+                former.listing, id=f"{name}.new", identity=f"{name}.new"
+            )
+            self.endpoints[endpoint.listing.id] = endpoint
+            endpoint.become_cold(now_s, cold_s, 0.0)
+            self._write_entry(endpoint, name)
+
+    def _write_entry(self, endpoint, replaced=""):
+        """Let each instance read how long an endpoint remains cold."""
+        left_s = max(0.0, endpoint.cold_until_s - self.clock.now_s())
+        for instance in self.instances.values():
+            self.schedule(
+                self.random.uniform(0.0, ENTRY_DELAY_S),
+                functools.partial(
+                    instance.read_entry, endpoint, left_s, replaced
+                ),
+            )
+        if left_s:
+            self.schedule(
+                ENTRY_INTERVAL_S,
+                functools.partial(self._write_entry, endpoint, replaced),
+            )
+
+    def list_cold(self):
+        """Return the endpoints that are or were cold."""
+        return [
+            each
+            for each in self.endpoints.values()
+            if each.cold_until_s > float("-inf")
+        ]
+
+    def allow_cold(self):
+        """Return the requests that a cold endpoint may get in a second."""
+        return self.cold_per_s * COLD_RULES.overrun + COLD_RULES.slack
+
     def double(self):
         count = len(self.instances)
         for index in range(count, 2 * count):
@@ -466,7 +603,9 @@
     def reaches(self, one, other):
         """Return whether a running instance reaches another one."""
         same_side = self.cut.get(one.name) == self.cut.get(other.name)
-        return one.is_running and other.is_running and same_side
+        is_frozen = self.frozen & {one.name, other.name}
+        is_up = one.is_running and other.is_running and not is_frozen
+        return is_up and same_side
 
     def check_path(self, instance, attempt):
         """Fail an attempt of an instance that is cut off from endpoints."""
@@ -511,7 +650,11 @@
             self._advance(min(end_s, self.clock.now_s() + gap_s))
             if self.clock.now_s() >= end_s:
                 return
-            running = [e for e in self.instances.values() if e.is_running]
+            running = [
+                each
+                for each in self.instances.values()
+                if each.is_running and each.name not in self.frozen
+            ]
             instance = self.random.choice(running)
             (account,) = self.random.choices(accounts, weights)
             self._forward(instance, account)
@@ -566,6 +709,50 @@
         return worst
 
 
+def count_worst_cold(endpoint):
+    """Return the most requests in any one second at a cold endpoint."""
+    times_s = [
+        at_s
+        for at_s in endpoint.cold_arrivals_s
+        if at_s >= endpoint.cold_from_s
+    ]
+    worst = first = 0
+    for index, at_s in enumerate(times_s):
+        while at_s - times_s[first] >= COLD_WINDOW_S:
+            first += 1
+        worst = max(worst, index - first + 1)
+    return worst
+
+
+def count_cold_use(endpoint, rate_per_s, now_s):
+    """Return the fraction of a cold endpoint's rate that was used.
+
+    Counted from the time at which all instances know that it is cold.
+    """
+    since_s = endpoint.cold_until_s - endpoint.cold_s + ENTRY_DELAY_S
+    until_s = min(now_s, endpoint.cold_until_s)
+    count = sum(since_s <= at_s < until_s for at_s in endpoint.cold_arrivals_s)
+    return count / (rate_per_s * (until_s - since_s))
+
+
+def _answer_misdirected(attempt):
+    """Return the answer of an endpoint that has another one's address."""
+    head = messages.AnswerHead(
+        421,
+        (),
+        attempt.call.request_id,
+        has_not_run=True,
+        is_other_endpoint=True,
+    )
+    return types.SimpleNamespace(
+        head=head,
+        framing=messages.Framing.LENGTH,
+        is_new_connection=True,
+        read_piece=lambda timeout_s: b"",
+        close=lambda: None,
+    )
+
+
 def _break_off():
     """Yield the pieces of an answer whose connection breaks."""
     yield EVENT
--- a/tests/serving/fleet_watcher.feature
+++ b/tests/serving/fleet_watcher.feature
@@ -51,3 +51,23 @@
     When that instance calls its peer
     Then it knows e1 and e2
     And it does not call its peer again
+
+  # Guards against instances that do not learn, or learn too late from the
+  # logs, why an endpoint gets few requests.
+  Scenario: It is logged once when an endpoint is known as cold and as warm
+    Given a fleet watcher that has listed e1 and e2
+    When the entry of e1 says that it is cold for 3000, 1800 and 600 ms
+    Then e1 is limited as a cold endpoint and e2 is not
+    And it is logged once that e1 is cold
+    When 1 seconds pass at the fleet watcher
+    Then e1 is not limited as a cold endpoint
+    And it is logged once that e1 is warm
+
+  # Guards against an instance that borrows the list and takes a cold endpoint
+  # for a warm one.
+  Scenario: A borrowed list tells which endpoints are cold
+    Given a fleet watcher that has listed e1 and e2
+    And an instance that cannot read the store
+    When the entry of e1 says that it is cold for 3000, 1800 and 1500 ms
+    And that instance calls its peer
+    Then e1 is known as cold there too
--- a/tests/state/fleet.feature
+++ b/tests/state/fleet.feature
@@ -30,3 +30,16 @@
     Given a fleet with endpoints e1 and e2
     When e1 is leaving and starts again under the same identity
     Then the new e1 accepts work and the former one does not
+
+  # Guards against an endpoint that is kept cold by an entry that is only read
+  # again, and against one that is logged as cold or warm more than once.
+  Scenario: An endpoint is cold for the time that its latest entry tells
+    Given a fleet with endpoints e1 and e2
+    Then an entry of e1 with 2 seconds cold makes it cold until 102
+    When 1 seconds go by
+    Then an entry of e1 with 2 seconds cold changes nothing until 102
+    And an entry of e1 with 3 seconds cold changes nothing until 104
+    And an entry of e1 with 0 seconds cold makes it warm
+    And an entry of e1 with 1 seconds cold makes it cold until 102
+    When 2 seconds go by
+    Then e1 has warmed up, which is told once
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from mulberryhollow.coordination import limits
 from mulberryhollow.coordination import routing
 from mulberryhollow import errors
 from mulberryhollow import events
@@ -125,6 +126,47 @@
     assert found.leaves_in_s == 2.5
 
 
+@then(
+    "an entry with coldLeftMs {value} says that it is cold for {cold_s:g} "
+    "seconds"
+)
+def check_cold_entry(context, value, cold_s):
+    fields = dict(ENTRY)
+    if value == "a number of 400 digits":
+        fields["coldLeftMs"] = 10**399
+    elif value != "absent":
+        fields["coldLeftMs"] = json.loads(value)
+    found = records.decode_listing(make_item("i-1", fields))
+    assert found.cold_left_s == cold_s, found
+
+
+@then(
+    "a service with coldS {duration} and coldPerS {rate} has the cold rate "
+    "{found}"
+)
+def check_cold_rate(context, duration, rate, found):
+    service = {"name": "s3", "coldS": float(duration)}
+    if rate != "absent":
+        service["coldPerS"] = float(rate)
+    fields = CONFIGURATION | {
+        "services": [*CONFIGURATION["services"], service]
+    }
+    decoded = records.decode_catalogue(json.dumps(fields).encode(), 3)
+    expected = {} if found == "none" else {"s3": float(found)}
+    assert decoded.get_cold_rates() == expected
+
+
+@then(
+    "a cold endpoint with {rate:g} requests a second may get {most:g} in any "
+    "second"
+)
+def check_cold_bounds(context, rate, most):
+    found = settings.decode_settings(json.dumps(context.fields))
+    table = limits.EndpointRateTable()
+    table.cold_rules = found.bounds.cold_starts
+    assert table.make_cold_limit(rate).most_per_s == most
+
+
 @then("an entry whose {field} is {value} is refused")
 def check_malformed_entry(context, field, value):
     fields = dict(ENTRY)
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -1,11 +1,14 @@
 import json
+import math
 import types
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 
 from mulberryhollow import clock as clocks
+from mulberryhollow import events
 from mulberryhollow.platform import records
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import fact_peering
@@ -41,7 +44,7 @@
         return self.handlers[topic](payload)
 
 
-def make_entry(name, state="ready", is_deleted=False):
+def make_entry(name, state="ready", is_deleted=False, **more):
     fields = {
         "service": "s",
         "address": "10.0.0.1:80",
@@ -50,6 +53,7 @@
         "slots": 4,
         "state": state,
         "born": 5,
+        **more,
     }
     return objects.StoredObject(
         "servers", name, 1, json.dumps(fields).encode(), "", is_deleted
@@ -178,3 +182,52 @@
 def pass_time_at_watcher(context, seconds):
     context.watcher.test_clock.advance(seconds)
     context.watcher.expire()
+
+
+@when(
+    "the entry of e1 says that it is cold for {first:d}, {second:d} and "
+    "{third:d} ms"
+)
+def make_entry_cold(context, first, second, third):
+    context.watcher_dispatcher.read(
+        lambda actor, now_s: actor.view.set_cold_rates({"s": 15.0})
+    )
+    patcher = mock.patch.object(events, "log")
+    context.logged = patcher.start()
+    context.add_cleanup(patcher.stop)
+    for cold_left_ms in (first, second, third):
+        item = make_entry("e1", coldLeftMs=cold_left_ms)
+        context.watcher.handle_changes([item])
+
+
+def get_cold_limit(dispatcher, name):
+    return dispatcher.read(
+        lambda actor, now_s: actor.view.get_cold_limit(f"{name}.5", now_s)
+    )
+
+
+@then("e1 is limited as a cold endpoint and e2 is not")
+def check_cold(context):
+    rate, left_s = get_cold_limit(context.watcher_dispatcher, "e1")
+    assert rate == 15.0 and math.isclose(left_s, 0.6), (rate, left_s)
+    assert get_cold_limit(context.watcher_dispatcher, "e2") == (0.0, 0.0)
+
+
+@then("e1 is not limited as a cold endpoint")
+def check_not_cold(context):
+    assert get_cold_limit(context.watcher_dispatcher, "e1") == (0.0, 0.0)
+
+
+@then("it is logged once that e1 is {state}")
+def check_logged(context, state):
+    event = {"cold": fleet_watcher.COLD, "warm": fleet_watcher.WARM}[state]
+    found = [e for e in context.logged.call_args_list if e.args == (event,)]
+    assert [each.kwargs["endpoint"] for each in found] == ["e1.5"], found
+
+
+@then("e1 is known as cold there too")
+def check_cold_there(context):
+    cold = context.storeless_dispatcher.read(
+        lambda actor, now_s: actor.view.get("e1.5").cold_until_s - now_s
+    )
+    assert math.isclose(cold, 1.5), cold
--- a/tests/steps/state_fleet.py
+++ b/tests/steps/state_fleet.py
@@ -1,3 +1,4 @@
+import attrs
 from behave import given
 from behave import then
 from behave import when
@@ -105,3 +106,36 @@
     group = context.view.get_group("s", "v1")
     available = [record.endpoint.id for record in group]
     assert "e1.2" in available and "e1.1" not in available, available
+
+
+def observe_cold(context, name, cold_s):
+    listing = attrs.evolve(make_listing(name), cold_left_s=cold_s)
+    found = context.fleet.observe_cold(listing, context.now_s)
+    return found, context.fleet.list_cold().get(listing.key)
+
+
+@then(
+    "an entry of {name} with {cold_s:g} seconds cold makes it cold until "
+    "{until_s:g}"
+)
+def check_becomes_cold(context, name, cold_s, until_s):
+    assert observe_cold(context, name, cold_s) == (True, until_s)
+
+
+@then(
+    "an entry of {name} with {cold_s:g} seconds cold changes nothing until "
+    "{until_s:g}"
+)
+def check_stays_cold(context, name, cold_s, until_s):
+    assert observe_cold(context, name, cold_s) == (None, until_s)
+
+
+@then("an entry of {name} with 0 seconds cold makes it warm")
+def check_becomes_warm(context, name):
+    assert observe_cold(context, name, 0.0) == (False, None)
+
+
+@then("{name} has warmed up, which is told once")
+def check_warmed(context, name):
+    assert context.fleet.list_warmed(context.now_s) == [f"{name}.1"]
+    assert context.fleet.list_warmed(context.now_s) == []
--- a/tests/wire_messages.py
+++ b/tests/wire_messages.py
@@ -297,7 +297,7 @@
         ((), ("exceeded",)),
     ),
     "permit question": Message(
-        lambda: permits.encode_question(QUESTION),
+        lambda: permits.encode_question(QUESTION, 0),
         permits.decode_question,
         QUESTION,
     ),
