Count a cold endpoint by the load that it takes on

Cause: newly ordered endpoints start cold, but counted as warm ones as soon as they were listed, so serving endpoints could be released for them.

Change: the counts of endpoints carry what the cold ones lack, from coldPerS, the time of a request in a slot and the target fill of a warm endpoint.

Shown failing first on a scratch copy: without the lack of cold endpoints the new scenarios of duties.feature and sizing.feature failed.

--- a/mulberryhollow/coordination/capacity/__init__.py
+++ b/mulberryhollow/coordination/capacity/__init__.py
@@ -10,6 +10,7 @@
 from mulberryhollow.coordination.capacity.planner import Start
 from mulberryhollow.coordination.capacity.refusals import RefusedStarts
 from mulberryhollow.coordination.capacity.sizing import choose_counts
+from mulberryhollow.coordination.capacity.sizing import compute_cold_part
 from mulberryhollow.coordination.capacity.sizing import compute_required_count
 from mulberryhollow.coordination.capacity.sizing import EndpointCounts
 from mulberryhollow.coordination.capacity.sizing import SizingRules
@@ -28,6 +29,7 @@
     "Slot",
     "Start",
     "choose_counts",
+    "compute_cold_part",
     "compute_required_count",
     "plan",
 ]
--- a/mulberryhollow/coordination/capacity/sizing.py
+++ b/mulberryhollow/coordination/capacity/sizing.py
@@ -10,6 +10,7 @@
     "SizingRules",
     "Slot",
     "choose_counts",
+    "compute_cold_part",
     "compute_required_count",
 ]
 
@@ -33,6 +34,9 @@
 the urgent part of the load until replacements have booted.
 """
 
+ROUNDING = 1e-9
+"""Tolerance when parts of endpoints are added up, in endpoints."""
+
 
 @attrs.frozen
 class SizingRules:
@@ -106,23 +110,34 @@
     ordered : dict
         Slot to the number ordered last; those above the count are still
         booting.
+    lacking : dict
+        Slot to the part of the count that its cold endpoints cannot take on
+        yet, in endpoints.
     """
 
     counts: dict = attrs.field(factory=dict)
     ordered: dict = attrs.field(factory=dict)
+    lacking: dict = attrs.field(factory=dict)
 
     @property
     def total(self):
-        """Number of all endpoints that accept new requests."""
-        return sum(self.counts.values())
+        """Number of warm endpoints that could take on the same load."""
+        return self._sum_able(self.counts)
 
     @property
     def reclaimable(self):
-        """Number of reclaimable endpoints that accept new requests."""
-        return sum(
-            count for slot, count in self.counts.items() if slot.is_reclaimable
+        """The same of the reclaimable endpoints only."""
+        return self._sum_able(
+            slot for slot in self.counts if slot.is_reclaimable
         )
 
+    def _sum_able(self, slots):
+        """Return the endpoints of some slots, rounded down."""
+        slots = list(slots)
+        count = sum(self.counts[slot] for slot in slots)
+        lacking = sum(self.lacking.get(slot, 0.0) for slot in slots)
+        return math.floor(count - lacking + ROUNDING)
+
     def count_committed(self, slot):
         """Return the number of endpoints of a slot, including booting ones."""
         return max(self.counts.get(slot, 0), self.ordered.get(slot, 0))
@@ -153,6 +168,29 @@
     return max(1, math.ceil(max(prefill_endpoints, batch_endpoints)))
 
 
+def compute_cold_part(rate_per_s, hold_s, slots, rules):
+    """Return the load that a cold endpoint takes on, as part of a warm one's.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Requests per second that the cold endpoint accepts.
+    hold_s : float
+        Time that a request occupies a slot, in seconds.
+    slots : int
+        Number of requests that the endpoint runs concurrently.
+    rules : SizingRules
+        The target fractions.
+
+    Returns
+    -------
+    float
+        From 0 to 1.
+    """
+    warm_load = max(1, slots) * rules.batch_fill_target
+    return min(1.0, rate_per_s * hold_s / warm_load)
+
+
 def choose_counts(need, scaling, present, unavailable, rules):
     """Return the target number of endpoints of each slot.
 
--- a/mulberryhollow/serving/orders.py
+++ b/mulberryhollow/serving/orders.py
@@ -195,7 +195,12 @@
         may_release = now_s - service.first_load_s >= OBSERVATION_S
         need = _update_peak_need(service.recent_needs, need, now_s)
         evacuated = self._get_evacuations()
-        present = self._count_present(name, service, evacuated)
+        present = self._count_present(
+            name,
+            service,
+            evacuated,
+            _measure_cold_part(spec, load, self._rules),
+        )
         if need != service.need:
             service.need = need
             events.log(
@@ -226,20 +231,26 @@
             and self._is_due(service, slot, count, present, now_s)
         ]
 
-    def _count_present(self, name, service, evacuated):
+    def _count_present(self, name, service, evacuated, cold_part):
         """Return the counts of a service's endpoints, serving and ordered.
 
         Endpoints that are leaving or in evacuated domains do not count as
-        serving.
+        serving; cold ones count by the load that they take on.
         """
-        counts = collections.Counter(
-            capacity.Slot(each.failure_domain, each.is_reclaimable)
+        serving = [
+            each
             for each in self._get_listings()
             if each.service == name
             and not (each.is_leaving or evacuated.excludes(each))
-        )
+        ]
+        cold = self._dispatcher.read(_list_cold)
+        counts = collections.Counter(map(_get_slot, serving))
+        lacking = collections.Counter()
+        for each in serving:
+            if each.key in cold:
+                lacking[_get_slot(each)] += 1.0 - cold_part
         ordered = {slot: count for slot, (count, _) in service.ordered.items()}
-        return capacity.EndpointCounts(dict(counts), ordered)
+        return capacity.EndpointCounts(dict(counts), ordered, dict(lacking))
 
     @staticmethod
     def _is_due(service, slot, count, present, now_s):
@@ -276,10 +287,13 @@
         Engine time that prompts take, in seconds per second.
     in_flight : float
         Requests in flight at the service's endpoints.
+    hold_s : float
+        Time that a request occupies a slot, in seconds; 0 if not known.
     """
 
     busy: float = 0.0
     in_flight: float = 0.0
+    hold_s: float = 0.0
 
 
 def _exclude_domains(scaling, evacuated):
@@ -299,16 +313,52 @@
     return max(each for _, each in recent_needs)
 
 
+def _get_slot(listing):
+    """Return the Slot that a listed endpoint belongs to."""
+    return capacity.Slot(listing.failure_domain, listing.is_reclaimable)
+
+
+def _measure_cold_part(spec, load, rules):
+    """Return the load that a cold endpoint takes on, as part of a warm one's.
+
+    The whole load if the service limits its cold endpoints in no way.
+    """
+    if spec.cold_start is None:
+        return 1.0
+    return capacity.compute_cold_part(
+        spec.cold_start.rate_per_s,
+        load.hold_s,
+        spec.model.slots if spec.model else 1,
+        rules,
+    )
+
+
+def _list_cold(actor, now_s):
+    """Return the ids of the cold endpoints whose requests are limited.
+
+    Runs in the dispatch actor.
+    """
+    return {
+        record.endpoint.id
+        for record in actor.view
+        if actor.view.get_cold_limit(record.endpoint.id, now_s)[0]
+    }
+
+
 def _read_loads(actor, now_s):
     """Return the _Load of each service.
 
     Runs in the dispatch actor.
     """
     in_flight = collections.Counter()
+    hold_s = {}
     for record in actor.view:
-        in_flight[record.endpoint.service] += record.load
+        service = record.endpoint.service
+        in_flight[service] += record.load
+        group = actor.view.get_group(service, record.endpoint.version)
+        hold_s[service] = max(hold_s.get(service, 0.0), group.hold_s or 0.0)
     busy = actor.work.sum_all(now_s)
     return {
-        service: _Load(busy.get(service, 0.0), amount)
+        service: _Load(busy.get(service, 0.0), amount, hold_s[service])
         for service, amount in in_flight.items()
     }
--- a/tests/coordination/capacity/sizing.feature
+++ b/tests/coordination/capacity/sizing.feature
@@ -75,3 +75,22 @@
       | 4       | 10   | 5.5   |
       | 6       | 24   | 12.8  |
       | 16      | 100  | 47.6  |
+
+  # Guards against endpoints that count as able to take a load which they
+  # would refuse, or crash under.
+  Scenario Outline: A cold endpoint takes a part of a warm one's load
+    Then a cold endpoint of <rate> requests a second, each of <hold> s, at <slots> slots counts as <part>
+
+    Examples:
+      | rate | hold | slots | part  |
+      | 15   | 0.14 | 12    | 0.5   |
+      | 15   | 2    | 12    | 1     |
+      | 15   | 0    | 12    | 0     |
+
+  Scenario: More are wanted while reclaimable endpoints are cold
+    Given four domains with prices 1.0, 0.8, 1.25 and 0.9
+    And 2 reclaimable endpoints serve in each domain
+    When 6 endpoints are needed
+    Then 3 on-demand endpoints are wanted in total
+    When 6 endpoints are needed and each domain's reclaimable ones lack 1.5
+    Then 4 on-demand endpoints are wanted in total
--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -84,3 +84,14 @@
     Given a usage reporter over a store
     When a successor takes over and merges a count of 5 requests a second later
     Then the report of that window counts all 5 requests
+
+  # Guards against serving endpoints that are released, and against orders
+  # that are left out, since cold endpoints count as if they were warm.
+  Scenario: A cold endpoint counts by the load that it takes on
+    Given an endpoint scaler for a service with 2 endpoints
+    And 6 on-demand endpoints more serve
+    And the endpoint scaler's service limits its cold endpoints
+    When prompts keep 0.1 engines busy for 12 seconds while all endpoints are cold
+    Then no order releases an endpoint
+    When prompts keep 0.1 engines busy for 8 seconds
+    Then an order releases endpoints
--- a/tests/steps/coordination_sizing.py
+++ b/tests/steps/coordination_sizing.py
@@ -28,6 +28,7 @@
     context.scaling = catalogue.Scaling(1, 5, 4.0, 0.22, prices)
     context.serving = {}
     context.ordered = {}
+    context.lacking = {}
     context.unavailable = set()
 
 
@@ -66,7 +67,11 @@
     context.wanted = capacity.choose_counts(
         context.need,
         context.scaling,
-        capacity.EndpointCounts(dict(context.serving), dict(context.ordered)),
+        capacity.EndpointCounts(
+            dict(context.serving),
+            dict(context.ordered),
+            dict(context.lacking),
+        ),
         context.unavailable,
         RULES,
     )
@@ -176,3 +181,24 @@
         for slot, count in context.wanted.items()
     )
     assert found <= price, found
+
+
+@then(
+    "a cold endpoint of {rate:g} requests a second, each of {hold_s:g} s, at "
+    "{slots:d} slots counts as {part:g}"
+)
+def check_cold_part(context, rate, hold_s, slots, part):
+    found = capacity.compute_cold_part(rate, hold_s, slots, RULES)
+    assert abs(found - part) < 1e-9, found
+
+
+@when(
+    "{need:d} endpoints are needed and each domain's reclaimable ones lack "
+    "{lacking:g}"
+)
+def need_while_cold(context, need, lacking):
+    context.lacking = {
+        capacity.Slot(domain, True): lacking
+        for domain in context.scaling.domain_prices
+    }
+    need_endpoints(context, need)
--- a/tests/steps/serving_duties.py
+++ b/tests/steps/serving_duties.py
@@ -1,5 +1,6 @@
 import collections
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
@@ -150,9 +151,11 @@
     context.dispatcher = dispatching.Dispatcher(actor, context.clock)
     prices = {"d1": 1.0, "d2": 0.8}
     scaling = catalogue.Scaling(1, 8, 4.0, 0.2, prices)
-    spec = catalogue.ServiceSpec(
-        "s", 100, catalogue.ModelSpec(48, 400000), scaling
-    )
+    context.services = {
+        "s": catalogue.ServiceSpec(
+            "s", 100, catalogue.ModelSpec(48, 400000), scaling
+        )
+    }
     context.listings = [
         fleet.EndpointListing(f"e{n}", 1, "s", "h:1", f"d{n}", "v1", 48)
         for n in (1, 2)
@@ -167,7 +170,7 @@
         context.dispatcher,
         context.cloud,
         context.clock,
-        lambda: {"s": spec},
+        lambda: context.services,
         lambda: context.listings,
         get_evacuations=lambda: evacuations.Evacuations(context.evacuated),
     )
@@ -273,6 +276,31 @@
     ]
 
 
+@given("the endpoint scaler's service limits its cold endpoints")
+def limit_cold(context):
+    spec = attrs.evolve(
+        context.services["s"], cold_start=catalogue.ColdStart(3.0, 15.0)
+    )
+    context.services["s"] = spec
+
+
+@when(
+    "prompts keep {busy:g} engines busy for {seconds:g} seconds while all "
+    "endpoints are cold"
+)
+def keep_busy_while_cold(context, busy, seconds):
+    listed = [each.to_endpoint() for each in context.listings]
+    until_s = context.clock.now_s() + seconds + 0.5
+
+    def make_cold(actor, now_s):
+        actor.view.apply_list(listed, now_s)
+        actor.view.set_cold_rates({"s": 15.0})
+        actor.view.set_cold_times({each.id: until_s for each in listed})
+
+    context.dispatcher.read(make_cold)
+    run_scaler(context, seconds, busy)
+
+
 def list_releases(context):
     """Return the orders below the number that serves in their domain."""
     serving = collections.Counter(
