--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -1,5 +1,6 @@
 """Forwards requests to endpoints and streams back their answers."""
 
+import contextlib
 import dataclasses
 import random
 
@@ -268,30 +269,34 @@
         RefusedError
             When no endpoint accepts the request.
         """
-        dispatcher = self._dependencies.dispatcher
-        request = self._request.to_route_request()
-        unreached = self._dependencies.peers.list_unreached(request.service)
-        if not unreached:
-            return dispatcher.choose_endpoint(request, self._excluded)
-        if request.preferred in unreached:
-            request = self._drop_permit(request)
-        avoiding = attrs.evolve(request, avoided=unreached)
-        try:
-            return dispatcher.choose_endpoint(avoiding, self._excluded)
-        except errors.RefusedError:
-            request = self._drop_permit(request)
-            return dispatcher.choose_endpoint(request, self._excluded)
-
-    def _drop_permit(self, request):
-        """Return a RouteRequest without its permit, which is given back.
+        service = self._request.service
+        unreached = self._dependencies.peers.list_unreached(service)
+        if unreached:
+            if self._request.placement in unreached:
+                self._drop_permit()
+            with contextlib.suppress(errors.RefusedError):
+                return self._choose_among(unreached)
+            # A choice that failed may have given the permit back.
+            self._drop_permit()
+        return self._choose_among(frozenset())
+
+    def _choose_among(self, avoided):
+        """Return the route to an endpoint that is not avoided."""
+        request = attrs.evolve(
+            self._request.to_route_request(), avoided=avoided
+        )
+        return self._dependencies.dispatcher.choose_endpoint(
+            request, self._excluded
+        )
 
-        Giving back a permit twice changes nothing.
-        """
+    def _drop_permit(self):
+        """Give the permit of the request back, and use it no more."""
+        request = self._request
         if request.permit is not None:
             self._dependencies.dispatcher.permits.give_back(
-                request.preferred, request.permit
+                request.placement, request.permit
             )
-        return attrs.evolve(request, permit=None)
+            self._request = attrs.evolve(request, permit=None)
 
     def _choose_peer(self):
         """Let a peer forward the next attempt; return whether there is one.
