Fill in the room of a service, and settle swings between endpoints

ServiceRoom now has memory, its use, speed and backlog, from what this instance sent and placed and the others' counts. Speeds are observed only once ten answers have shown the times of the service, since an endpoint with more answers otherwise differed by the wrong default alone. Fewer requests of others are assumed for each own one: with up to 8, the holders left an endpoint and returned to it all at once. The prompt backlog is forgotten more slowly.

--- a/mulberryhollow/coordination/routing/by_work.py
+++ b/mulberryhollow/coordination/routing/by_work.py
@@ -49,7 +49,7 @@
 PROBE_PENALTY_S = 1_000.0
 """Penalty of probing a half-open endpoint with a non-idempotent request."""
 
-BACKLOG_KEPT = 0.8
+BACKLOG_KEPT = 0.9
 """Fraction of the prompt backlog that is kept at each refresh of the speeds.
 
 The errors of its estimates would add up without bound where prompts keep an
--- a/mulberryhollow/coordination/work/estimator.py
+++ b/mulberryhollow/coordination/work/estimator.py
@@ -25,6 +25,13 @@
 """
 
 
+MIN_ANSWERS = 10.0
+"""Number of answers from which their times explain other answers.
+
+Before, an endpoint with more answers would differ from one with fewer, only
+because the assumed times are wrong.
+"""
+
 _LENGTHS = "*"
 """First part of the shared names of answer lengths, no service's name."""
 
@@ -185,15 +192,21 @@
             first_s = served.first_s - served.wait_s
             # A first token may have waited for prompts that are not known
             # here, so it shows the speed only where there are no gaps.
-            is_long = computed >= service_times.MIN_LONG_TOKENS
+            is_long = (
+                computed >= service_times.MIN_LONG_TOKENS
+                and times.shared.get_weight("token") >= MIN_ANSWERS
+            )
             if is_long and not served.gap_s:
                 self._observe_ratio(endpoint_id, first_s, explained_s, now_s)
             times.observe_first(
                 features.prompt_tokens, computed, first_s / slowness
             )
         if served.gap_s > 0.0:
-            explained_s = times.estimate_gap_s(served.batch)
-            self._observe_ratio(endpoint_id, served.gap_s, explained_s, now_s)
+            if times.shared.get_weight("gap low") >= MIN_ANSWERS:
+                explained_s = times.estimate_gap_s(served.batch)
+                self._observe_ratio(
+                    endpoint_id, served.gap_s, explained_s, now_s
+                )
             times.observe_gap(served.batch, served.gap_s / slowness)
         self._lengths.observe(features, served.events)
 
@@ -206,13 +219,14 @@
         # The expected wait was estimated with the slowness, so it is
         # explained in proportion to it.
         explained_s = whole_s + served.wait_s / slowness
-        self._observe_ratio(
-            endpoint_id,
-            served.total_s,
-            explained_s,
-            now_s,
-            WAITED_WEIGHT if has_waited else 1.0,
-        )
+        if times.shared.get_weight(f"whole {features.route}") >= MIN_ANSWERS:
+            self._observe_ratio(
+                endpoint_id,
+                served.total_s,
+                explained_s,
+                now_s,
+                WAITED_WEIGHT if has_waited else 1.0,
+            )
         if not (has_waited or served.may_have_waited):
             whole_s = max(0.0, served.total_s - served.wait_s) / slowness
             times.observe_whole(features.route, whole_s)
--- a/mulberryhollow/coordination/work/shared_means.py
+++ b/mulberryhollow/coordination/work/shared_means.py
@@ -46,6 +46,12 @@
             return default
         return (weight * estimate + remote_sum) / whole
 
+    def get_weight(self, name):
+        """Return the number of answers that an estimate rests on."""
+        weight, _ = self.own.get(name, (0.0, 0.0))
+        remote_weight, _ = self.remote.get(name, (0.0, 0.0))
+        return weight + remote_weight
+
     def list_sums(self):
         """Return name to (weight, weight times estimate) of this instance."""
         return {
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -651,6 +651,14 @@
         self.dispatcher.change(
             lambda actor, now_s: actor.view.set_cold_rates(cold_rates)
         )
+        memory = {
+            each.name: each.model.cache_tokens
+            for each in catalogue.services.values()
+            if each.model
+        }
+        self.dispatcher.change(
+            lambda actor, now_s: actor.view.set_memory(memory)
+        )
         self._fact_peering.publish_document(
             records.CONFIGURATION_NAME, document
         )
--- a/mulberryhollow/serving/dispatch/endpoint_work.py
+++ b/mulberryhollow/serving/dispatch/endpoint_work.py
@@ -251,10 +251,16 @@
                 if not self._has_allowed_endpoint(request):
                     return routing.refuse_no_region(request)
                 return refusal
-        work = self.view.start(result.endpoint_id, result.cost, now_s)
+        started = self.view.start(
+            result.endpoint_id,
+            result.cost,
+            now_s,
+            result.hold_s,
+            result.memory_tokens,
+        )
         self.work.add(request.service, result.compute_s, now_s)
         return attempts.Route(
-            result, work, request.service, request.request_class
+            result, started, request.service, request.request_class
         )
 
     def _place(self, request, now_s):
--- a/mulberryhollow/state/endpoints/backlog.py
+++ b/mulberryhollow/state/endpoints/backlog.py
@@ -21,8 +21,11 @@
 a faster mean would swing.
 """
 
-MAX_MIRROR = 8.0
-"""Maximum number of others' requests that are assumed to come with one."""
+MAX_MIRROR = 3.0
+"""Maximum number of others' requests that are assumed to come with one.
+
+With more, the instances avoid an endpoint and return to it all at once.
+"""
 
 MIN_OWN = 0.1
 """Least number of own requests at an endpoint that shows a share."""
@@ -195,14 +198,6 @@
         expected = self.others * kept + max(0.0, since) * (1.0 - kept)
         return expected, expected * (1.0 - kept * kept)
 
-    def count(self):
-        """Return the expected number of all requests of `Backlog`.
-
-        The latest count of others is taken as it is, since it has no bias
-        over all endpoints of a service.
-        """
-        return self.placed + self.others
-
     def measure_placed_s(self, now_s):
         """Return the remaining time of the placements, in seconds."""
         return max(0.0, self.placed_end_s - self.placed * now_s)
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -104,11 +104,17 @@
         Expected time to process the prompt (prefill), in seconds.
     started_at_s : float
         Monotonic time at which the request was sent, in seconds.
+    hold_s : float
+        Time that it is expected to stay there, in seconds; 0 if unknown.
+    memory_tokens : float
+        Expected use of the endpoint's memory, in tokens; 0 if unknown.
     """
 
     endpoint_id: str
     cost: float
     started_at_s: float
+    hold_s: float = 0.0
+    memory_tokens: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -247,6 +253,17 @@
         """Estimated number of requests per slot."""
         return self.load / self.slots
 
+    def measure_local_work(self, now_s):
+        """Return the remaining time and the memory of the local requests.
+
+        In seconds and in tokens.
+        """
+        remaining_s = sum(
+            max(0.0, work.started_at_s + work.hold_s - now_s)
+            for work in self._active
+        )
+        return remaining_s, sum(work.memory_tokens for work in self._active)
+
     @property
     def local_load(self):
         """Number of requests of the local node in flight at the endpoint."""
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -10,6 +10,7 @@
 from mulberryhollow.state.endpoints.backlog import UsualLoad
 from mulberryhollow.state.endpoints.circuit import CircuitState
 from mulberryhollow.state.endpoints.group import EndpointGroup
+from mulberryhollow.state.endpoints.held import measure_held
 from mulberryhollow.state.endpoints.record import EndpointRecord
 from mulberryhollow.state.endpoints.record import FailureKind
 from mulberryhollow.state.endpoints.record import Work
@@ -68,6 +69,7 @@
         self.evacuations = evacuations.NONE
         self._usual_loads = {}
         self._cold_rates = {}
+        self._memory_tokens = {}
 
     def __len__(self):
         return len(self._records)
@@ -304,16 +306,24 @@
             for record in self._records.values()
             if record.endpoint.service == service and record.is_available()
         ]
+        slots = sum(record.slots for record in records)
+        if not reports_work_time:
+            return ServiceRoom(
+                endpoints=len(records),
+                slots=slots,
+                used_slots=sum(record.load for record in records),
+                speed=float(len(records)),
+            )
+        held = measure_held(records, now_s)
+        memory_tokens = self._memory_tokens.get(service, 0.0)
         return ServiceRoom(
             endpoints=len(records),
-            slots=sum(record.slots for record in records),
-            used_slots=sum(
-                record.local_load + record.backlog.count()
-                if reports_work_time
-                else record.load
-                for record in records
-            ),
-            speed=float(len(records)),
+            slots=slots,
+            used_slots=held.requests,
+            memory_tokens=memory_tokens * len(records),
+            used_memory_tokens=held.memory_tokens if memory_tokens else 0.0,
+            speed=sum(1.0 / record.slowness for record in records),
+            backlog_s=held.remaining_s,
             age_s=max(
                 (
                     now_s - record.backlog.others_s
@@ -322,7 +332,7 @@
                 ),
                 default=0.0,
             ),
-            reports_work_time=reports_work_time,
+            reports_work_time=True,
         )
 
     def reports_work_time(self, service):
@@ -404,7 +414,7 @@
         record.loaded = versions
         self._index(record)
 
-    def start(self, endpoint_id, cost, now_s):
+    def start(self, endpoint_id, cost, now_s, hold_s=0.0, memory_tokens=0.0):
         """Count a request as sent to an endpoint.
 
         Parameters
@@ -416,6 +426,10 @@
             `Chosen.cost`.
         now_s : float
             Monotonic time, in seconds.
+        hold_s : float
+            Time that the request is expected to stay there, in seconds.
+        memory_tokens : float
+            Expected use of the endpoint's memory, in tokens.
 
         Returns
         -------
@@ -423,7 +437,7 @@
             Handle to be passed to `finish` when the request ends.
         """
         self.advance(now_s)
-        work = Work(endpoint_id, cost, now_s)
+        work = Work(endpoint_id, cost, now_s, hold_s, memory_tokens)
         record = self._records.get(endpoint_id)
         if record is not None:
             record.start(work)
@@ -516,6 +530,10 @@
             for service, records in counted.items()
         }
 
+    def set_memory(self, memory_tokens):
+        """Set the memory of an endpoint, in tokens, by service."""
+        self._memory_tokens = dict(memory_tokens)
+
     def get_usual_load(self, service):
         """Return the UsualLoad of a service."""
         return self._usual_loads.get(service, _NO_LOAD)
--- a/tests/state/endpoints.feature
+++ b/tests/state/endpoints.feature
@@ -208,3 +208,12 @@
     Given the service reports work time
     When 600 requests are placed at endpoint e0 for 2 seconds
     Then 512 placed and 0 other requests are at endpoint e0
+
+  # Admission by room would let in what no endpoint has the memory for.
+  Scenario: The room of a service shows its memory and its backlog
+    Given the service reports work time
+    And its endpoints have 1000 tokens of memory
+    When 2 requests of 100 tokens are placed at endpoint e0 for 2 seconds
+    And the peers count 4 requests at endpoint e0, 0 seconds ago
+    And 1 seconds pass for the endpoint view
+    Then 4 requests of 400 tokens use the room for 4 s
--- a/tests/steps/state_endpoints.py
+++ b/tests/steps/state_endpoints.py
@@ -321,3 +321,28 @@
         context.view.get_usual_load(SERVICE), 0.1, context.now_s + after_s
     )
     assert round(found) == count, found
+
+
+@given("its endpoints have {tokens:d} tokens of memory")
+def set_memory(context, tokens):
+    context.view.set_memory({SERVICE: tokens})
+
+
+@when(
+    "{count:d} requests of {tokens:d} tokens are placed at endpoint "
+    "{endpoint_id} for {hold_s:g} seconds"
+)
+def place_large_requests(context, count, tokens, endpoint_id, hold_s):
+    for _ in range(count):
+        context.view.add_placement(
+            endpoint_id, hold_s, context.now_s, float(tokens)
+        )
+
+
+@then("{count:d} requests of {tokens:d} tokens use the room for {total:g} s")
+def check_room_use(context, count, tokens, total):
+    room = context.view.measure_room(SERVICE, context.now_s)
+    assert room.memory_tokens == 8000.0, room
+    assert room.used_slots == count, room
+    assert room.used_memory_tokens == tokens, room
+    assert abs(room.backlog_s - total) < 1e-6, room
