--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -178,6 +178,15 @@
     When 5 requests of different kinds are forwarded
     Then no endpoint has any of them in flight
 
+  # Guards against a permit that is used after it was given back, because its
+  # endpoint is reached again by the next attempt.
+  Scenario: A permit for an endpoint that is not reached is used no more
+    Given a forwarder whose endpoints answer in turn: unsent, whole
+    And the endpoint of a request's permit is not reached by the first attempt
+    When a IDEMPOTENT request with the permit is forwarded
+    Then the caller gets "hello" after 2 attempts
+    And the permit has been given back once
+
   Scenario: A begun request counts once in the usage
     Given a forwarder whose endpoints answer in turn: half stream, rest of stream
     When a RESUMABLE_STREAM request is forwarded
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -1,10 +1,12 @@
 import types
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
 
 from mulberryhollow import clock as clocks
+from mulberryhollow.coordination import routing
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.platform import endpoints as endpoint_codec
@@ -12,6 +14,7 @@
 from mulberryhollow.serving import caller_watch
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import forwarder
+from mulberryhollow.serving import peer_forwarding
 from mulberryhollow.state import catalogue
 from mulberryhollow.state import endpoints
 from tests import requests
@@ -191,8 +194,58 @@
     assert len(context.crashes) == count, context.crashes
 
 
+class Peers(peer_forwarding.NoPeers):
+    """No peers, and endpoints that are not reached by the attempts in turn."""
+
+    def __init__(self, unreached):
+        self.unreached = unreached
+
+    def list_unreached(self, service):
+        return self.unreached.pop(0)
+
+
+class Permits:
+    """Permits that nobody grants; keeps those that are given back."""
+
+    def __init__(self):
+        self.given_back = []
+
+    def list_exhausted(self, service, account):
+        return frozenset()
+
+    def give_back(self, endpoint_id, permit):
+        self.given_back.append((endpoint_id, permit))
+
+
+@given(
+    "the endpoint of a request's permit is not reached by the first attempt"
+)
+def lose_permitted(context):
+    peers = Peers([frozenset(("e0",)), frozenset()])
+    dependencies = attrs.evolve(context.forwarder._dependencies, peers=peers)
+    context.forwarder = forwarder.Forwarder(dependencies)
+    context.permit = routing.Permit("p", "i2")
+    context.dispatcher.permits = Permits()
+
+
+@when("a IDEMPOTENT request with the permit is forwarded")
+def forward_permitted(context):
+    forward(context, "IDEMPOTENT", placement="e0", permit=context.permit)
+
+
+@then("the permit has been given back once")
+def check_given_back(context):
+    found = context.dispatcher.permits.given_back
+    assert found == [("e0", context.permit)], found
+
+
 def forward(
-    context, kind, is_gone=lambda: False, left_s=10.0, is_by_room=False
+    context,
+    kind,
+    is_gone=lambda: False,
+    left_s=10.0,
+    is_by_room=False,
+    **fields,
 ):
     """Forward one request to its end; keep its head, body and error."""
     now_s = context.clock.now_s()
@@ -201,6 +254,7 @@
         arrived_s=now_s,
         deadline_s=now_s + left_s,
         is_admitted_by_room=is_by_room,
+        **fields,
     )
     context.body, context.error, context.head = b"", None, None
     try:
