Order requests by urgency where a route's goal allows it to wait

Cause: placement by work and admission by room were on only where endpoints report their work time.

Change: both parts are on for all services of a configuration in which a less urgent route has a goal of three times that of a more urgent one of the same service, or more. The operator has then said that some requests can wait for others.

Ruled out: a setting of the process (all deployments share the deploy file), the number of places of an engine, and all deployments (they are to be served as before).

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -647,6 +647,10 @@
         self.dispatcher.change(
             lambda actor, now_s: actor.quotas.set_quotas(quotas)
         )
+        ranked = catalogue.services if catalogue.has_patient_routes else ()
+        self.dispatcher.change(
+            lambda actor, now_s: actor.view.set_ranked_services(ranked)
+        )
         cold_rates = catalogue.get_cold_rates()
         self.dispatcher.change(
             lambda actor, now_s: actor.view.set_cold_rates(cold_rates)
--- a/mulberryhollow/state/catalogue.py
+++ b/mulberryhollow/state/catalogue.py
@@ -1,7 +1,9 @@
 """Routes, services and client accounts of one active configuration."""
 
+import collections
 import enum
 import functools
+import itertools
 
 import attrs
 
@@ -21,6 +23,14 @@
 ]
 
 
+PATIENT_GOAL_RATIO = 3.0
+"""Ratio of the goals of two routes from which one can wait for the other.
+
+While a request of the less urgent route waits for its goal, the more urgent
+one is served several times.
+"""
+
+
 class RequestKind(enum.Enum):
     """Retry safety and response type of the requests of a route."""
 
@@ -310,6 +320,30 @@
             for key in account.keys
         }
 
+    @functools.cached_property
+    def has_patient_routes(self):
+        """Whether a route can wait for more urgent ones of its service.
+
+        Its goal is then `PATIENT_GOAL_RATIO` times theirs or more. In such a
+        catalogue urgency decides who is served while there is too little
+        room.
+        """
+        routes = collections.defaultdict(list)
+        for route in self.routes:
+            for share in route.shares:
+                routes[share.service].append(route)
+        return any(
+            first.priority < second.priority
+            and second.goal_s >= PATIENT_GOAL_RATIO * first.goal_s > 0.0
+            for group in routes.values()
+            for first, second in itertools.permutations(
+                {
+                    (each.priority, each.goal_s): each for each in group
+                }.values(),
+                2,
+            )
+        )
+
     def find_route(self, host, path):
         """Return the route with the longest matching prefix, or None.
 
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -64,6 +64,7 @@
         self._brittle_services = {}
         self._work_time_services = set()
         self._peer_work_time_services = set()
+        self._ranked_services = frozenset()
         self._placement_ends = []
         self._placements = itertools.count()
         self.evacuations = evacuations.NONE
@@ -343,12 +344,24 @@
         return (
             service in self._work_time_services
             or service in self._peer_work_time_services
+            or service in self._ranked_services
         )
 
+    def set_ranked_services(self, services):
+        """Set the services whose requests are ordered by urgency.
+
+        They count as services that report their work time.
+        """
+        self._ranked_services = frozenset(services)
+
     @property
     def has_work_times(self):
         """Whether the endpoints of some service report their work time."""
-        return bool(self._work_time_services or self._peer_work_time_services)
+        return bool(
+            self._work_time_services
+            or self._peer_work_time_services
+            or self._ranked_services
+        )
 
     def list_work_time_services(self):
         """Return the services whose work time this instance has seen."""
--- a/tests/steps/state_fleet.py
+++ b/tests/steps/state_fleet.py
@@ -139,3 +139,37 @@
 def check_warmed(context, name):
     assert context.fleet.list_warmed(context.now_s) == [f"{name}.1"]
     assert context.fleet.list_warmed(context.now_s) == []
+
+
+def _make_ranked_route(number, service, priority, goal_s):
+    return catalogue.Route(
+        name=f"r{number}",
+        host="h",
+        path_prefix=f"/{number}/",
+        kind=catalogue.RequestKind.STREAM,
+        shares=(catalogue.ServiceShare(service, 1.0),),
+        timeout_s=10.0,
+        goal_s=goal_s,
+        priority=priority,
+    )
+
+
+@given(
+    "a catalogue whose service s has a route of rank {rank:d} with a goal of "
+    "{goal_s:g} s"
+)
+def make_ranked_route(context, rank, goal_s):
+    context.routes = [_make_ranked_route(0, "s", rank, goal_s)]
+
+
+@given(
+    "a route to service {name} of rank {rank:d} with a goal of {goal_s:g} s"
+)
+def add_ranked_route(context, name, rank, goal_s):
+    context.routes.append(_make_ranked_route(1, name, rank, goal_s))
+
+
+@then("requests are ordered by urgency: {ordered}")
+def check_ordered(context, ordered):
+    found = catalogue.Catalogue(1, tuple(context.routes), {})
+    assert found.has_patient_routes is (ordered == "yes")
