Estimate work for admission with the learned times

The fixed estimate by prompt tokens is replaced by the WorkEstimator of the router, at the batch that the request will meet. It starts from times that may be twice too long, which looked like too much demand at a low use; the scale now falls fast at the start while the use is low.

--- a/mulberryhollow/coordination/room/__init__.py
+++ b/mulberryhollow/coordination/room/__init__.py
@@ -3,7 +3,6 @@
 from mulberryhollow.coordination.room.controller import MAX_RETRY_FRACTION
 from mulberryhollow.coordination.room.controller import RoomController
 from mulberryhollow.coordination.room.controller import RoomPart
-from mulberryhollow.coordination.room.estimate import estimate_work
 from mulberryhollow.coordination.room.outcomes import Granted
 from mulberryhollow.coordination.room.outcomes import NoRoom
 from mulberryhollow.coordination.room.outcomes import RoomInputs
@@ -21,5 +20,4 @@
     "RoomRequest",
     "Rule",
     "divide_room",
-    "estimate_work",
 ]
--- a/mulberryhollow/coordination/room/controller.py
+++ b/mulberryhollow/coordination/room/controller.py
@@ -33,11 +33,25 @@
 wave of load would swing with the age of the observed use.
 """
 
+FIRST_SCALE_DECAY_S = 0.5
+"""The same at the start, for estimates that are too long, in seconds.
+
+They cause refusals at a low use. Those that are too short first show as
+waiting requests, from which their error cannot be told at once.
+"""
+
+FIRST_WAIT_S = 1.0
+"""Time from the first request until the scale is learned, in seconds.
+
+Before that the observed use is older than the requests.
+"""
+
 SCALE_WINDOW_S = 1.0
 """Time over which the change of the use is measured, in seconds."""
 
+FIRST_SCALE_STEP = 4.0
 MAX_SCALE_STEP = 1.5
-"""Maximum ratio of one observation to the scale.
+"""Maximum ratio of one observation to the scale; at first only downwards.
 
 Single observations vary by chance and with the age of their inputs.
 """
@@ -241,6 +255,8 @@
         self._recent = rates.DecayingSums(RECENT_S, MAX_KEYS)
         self._usual_arrivals = 0.0
         self._scale = 1.0
+        self._learned_s = 0.0
+        self._began_s = None
         self._mean_granted = 0.0
         self._use_history = collections.deque()
         self._division = _Division()
@@ -537,6 +553,8 @@
         slots = room.slots * self._part.reachable_fraction
         part = self._get_places(room, now_s) / slots
         used = use * slots
+        if self._began_s is None:
+            self._began_s = now_s
         history = self._use_history
         history.append((now_s, used))
         while now_s - history[0][0] > SCALE_WINDOW_S:
@@ -550,16 +568,25 @@
             not is_known
             or self._mean_granted < MIN_KNOWN_PLACES
             or window_s < SCALE_WINDOW_S / 2
+            or now_s - self._began_s < FIRST_WAIT_S
         ):
             return
         granted = self._mean_granted / part
         growth = (used - history[0][1]) / window_s * (self._hold_s or 0.0)
+        is_first = self._learned_s < SCALE_WINDOW_S
+        step = FIRST_SCALE_STEP if is_first else MAX_SCALE_STEP
         served = max(granted / MAX_SCALE_STEP, granted - growth)
         observed = min(used, slots) / served
-        lowest = self._scale / MAX_SCALE_STEP
+        lowest = self._scale / step
         highest = self._scale * MAX_SCALE_STEP
         observed = min(highest, max(lowest, observed))
-        weight = 1.0 - math.exp(-min(1.0, interval_s) / SCALE_DECAY_S)
+        interval_s = min(1.0, interval_s)
+        decay_s = SCALE_DECAY_S
+        if observed < self._scale and use < FREE_USE:
+            first_s = FIRST_SCALE_DECAY_S + self._learned_s
+            decay_s = min(SCALE_DECAY_S, first_s)
+        self._learned_s += interval_s
+        weight = 1.0 - math.exp(-interval_s / decay_s)
         scale = self._scale + weight * (observed - self._scale)
         self._scale = min(MAX_SCALE, max(MIN_SCALE, scale))
 
--- a/mulberryhollow/serving/room_admission.py
+++ b/mulberryhollow/serving/room_admission.py
@@ -260,7 +260,8 @@
             state.room, state.measured_at_s = room, now_s
         if not state.room.reports_work_time:
             return None
-        expected = estimate_work(_list_features(subject, query), actor)
+        features = _list_features(subject, query)
+        expected = _estimate_work(features, state.room, actor)
         request = _make_room_request(subject, query, expected)
         return request, controller.decide(request, state.room, now_s)
 
@@ -319,9 +320,14 @@
     )
 
 
-def estimate_work(features, actor):
-    """Return the RequestWork of a request; runs in the dispatch actor."""
-    return rooms.estimate_work(features)
+def _estimate_work(features, room, actor):
+    """Return the RequestWork at the batch that the request will meet.
+
+    Runs in the dispatch actor.
+    """
+    used = min(room.used_slots, room.slots)
+    batch = max(1.0, used / max(1, room.endpoints))
+    return actor.router.estimator.estimate(features, batch)
 
 
 def _list_features(subject, query):
