Name the entry of a malformed configuration, and no content of it

A configuration with a number out of range or with deeply nested brackets raised OverflowError or RecursionError, which the callers of decode_catalogue and decode_listing do not handle. The repr of a UnicodeDecodeError, used as the reason, holds all bytes and thus the keys of the accounts. Both fail in the new rows of tests/platform/records.feature on the former code. The reason now also names the list and index of the entry, as in "routes[3]: KeyError: 'host'".

--- a/mulberryhollow/platform/records.py
+++ b/mulberryhollow/platform/records.py
@@ -51,7 +51,17 @@
     "token_count": catalogues.QuotaUnit.TOKENS,
     None: catalogues.QuotaUnit.REQUESTS,
 }
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+_DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""Errors of malformed values; the last two are of numbers beyond the range
+of their type and of brackets nested too deeply.
+"""
 
 
 def decode_listing(item):
@@ -160,24 +170,45 @@
     """
     try:
         fields = json.loads(data)
-        services = {
-            each["name"]: _decode_service(each) for each in fields["services"]
-        }
+        services = _decode_entries("services", fields, _decode_service)
         accounts = fields.get("tenants")
         return catalogues.Catalogue(
             number=int(fields["version"]),
-            routes=tuple(map(_decode_route, fields["routes"])),
-            services=services,
-            accounts=accounts and tuple(map(_decode_account, accounts)),
+            routes=_decode_entries("routes", fields, _decode_route),
+            services={each.name: each for each in services},
+            accounts=accounts
+            and _decode_entries("tenants", fields, _decode_account),
             limits=_decode_limits(fields.get("limits") or {}),
             digest=xxhash.xxh3_64_hexdigest(data),
         )
     except _DECODE_ERRORS as error:
         raise errors.ConfigurationError(
-            [f"object version {version}: {error!r}"]
+            [f"object version {version}: {_describe_error(error)}"]
         ) from error
 
 
+def _decode_entries(name, fields, decode):
+    """Return the decoded entries of a list; an error names the entry."""
+    decoded = []
+    for index, entry in enumerate(fields[name]):
+        try:
+            decoded.append(decode(entry))
+        except _DECODE_ERRORS as error:
+            raise ValueError(
+                f"{name}[{index}]: {_describe_error(error)}"
+            ) from error
+    return tuple(decoded)
+
+
+def _describe_error(error):
+    """Return an error as text.
+
+    The ``repr`` of a UnicodeDecodeError holds all bytes, and thus the keys of
+    the accounts.
+    """
+    return f"{type(error).__name__}: {error}"
+
+
 def _decode_route(fields):
     """Return the Route for the fields of a route."""
     # A route has either "service" (one service) or "split" (weighted).
--- a/tests/platform/records.feature
+++ b/tests/platform/records.feature
@@ -89,3 +89,18 @@
       | 3        | 0      | none  |
       | 3        | absent | none  |
       | 3        | -1     | none  |
+
+  # An error of another type would end the loop that applies configurations.
+  Scenario Outline: A malformed configuration is named without its content
+    Given a configuration with the bytes <data>
+    Then it cannot be read, naming <words>
+    And the reason does not contain "secret"
+
+    Examples:
+      | data                                                  | words             |
+      | {"version": 1e999, "routes": [], "services": []}      | OverflowError     |
+      | [ repeated 100000 times                               | RecursionError    |
+      | {"tenants": [{"apiKeys": ["secret \xff"]}]}           | UnicodeDecodeError |
+      | {"version": 1, "services": [{"name": "a"}, {}], "routes": []} | services[1]: KeyError |
+      | {"version": 1, "services": [], "routes": [{"name": "a"}]} | routes[0]: KeyError |
+      | {"version": 1, "services": [], "routes": [], "tenants": [{"apiKeys": ["secret"]}]} | tenants[0]: KeyError |
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -517,10 +517,23 @@
         records.decode_catalogue(context.data, 3)
     except errors.ConfigurationError as error:
         assert field in str(error), error
+        context.reason = str(error)
         return
     raise AssertionError("the configuration was read")
 
 
+@given("a configuration with the bytes {data}")
+def make_malformed_configuration(context, data):
+    context.data = data.replace("\\xff", "\xff").encode("latin-1")
+    if data.startswith("[ repeated"):
+        context.data = b"[" * int(data.split()[2])
+
+
+@then('the reason does not contain "{text}"')
+def check_reason(context, text):
+    assert text not in context.reason, context.reason
+
+
 @given("an evacuation whose value is {value}")
 def make_evacuation(context, value):
     context.item = objects.StoredObject("evacuations", "z1", 7, value.encode())
