Check a configuration by rules before it is sent

`check` told only whether a document in INI parses, and could not read the operator's configuration of the users' platform.

The command line may not import the platform, and the rule of tests/layers.feature stays as it is. The adapter declares its decoder in protocol/configurations.py, as modules declare events and settings, and the command finds it there once all modules are imported. Ruled out: moving the decoder, which has the platform's names, and a second command in the platform.

Faults of a document in INI keep the outcome "refused" and exit code 1, which tests/cli/documents.feature and docs/configuration.md state.

--- a/mulberryhollow/cli/catalogue.py
+++ b/mulberryhollow/cli/catalogue.py
@@ -1,4 +1,4 @@
-"""Catalogues of the events, metrics and settings that modules declare.
+"""Catalogues of what modules declare: events, metrics, settings, decoders.
 
 Each module declares its own; importing all modules fills the registries.
 """
@@ -9,13 +9,20 @@
 import mulberryhollow
 from mulberryhollow import events
 from mulberryhollow import metrics
+from mulberryhollow.protocol import configurations
 from mulberryhollow import settings
 
-__all__ = ["list_events", "list_metrics", "list_settings"]
+__all__ = ["find_decoder", "list_events", "list_metrics", "list_settings"]
 
 _GENERATED = "mulberryhollow.protocol.gen"
 
 
+def find_decoder(notation):
+    """Return the decoder of a platform's configuration, or None."""
+    _import_modules()
+    return configurations.find_decoder(notation)
+
+
 def list_events():
     """Return every event of the library, sorted by number."""
     _import_modules()
--- a/mulberryhollow/cli/main.py
+++ b/mulberryhollow/cli/main.py
@@ -42,8 +42,8 @@
 _EPILOG = """\
 exit codes:
   0  success, no faults found
-  1  faults were found, or the change was refused
-  2  wrong usage or unreadable file
+  1  faults or warnings were found, or the change was refused
+  2  wrong usage or unreadable file, or errors in a checked configuration
   3  conflict: changed by somebody else since the base version
   4  the platform's store is not available; nothing was changed
   5  the outcome of a change is unknown
--- a/mulberryhollow/cli/report.py
+++ b/mulberryhollow/cli/report.py
@@ -9,11 +9,17 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit codes of every command."""
+    """Exit codes of every command.
+
+    `WARNINGS` and `ERRORS` are those of a check by severity. They share
+    their numbers with `REFUSED` and `USAGE`; the outcome tells them apart.
+    """
 
     OK = 0
     REFUSED = 1
+    WARNINGS = 1
     USAGE = 2
+    ERRORS = 2
     CONFLICT = 3
     STORE_UNAVAILABLE = 4
     OUTCOME_UNKNOWN = 5
--- a/mulberryhollow/coordination/configuration/__init__.py
+++ b/mulberryhollow/coordination/configuration/__init__.py
@@ -13,6 +13,7 @@
     "Conflict",
     "Document",
     "Fault",
+    "Finding",
     "NotReady",
     "NotReadyReason",
     "OPERATORS",
@@ -20,14 +21,19 @@
     "Ready",
     "Refused",
     "Rejected",
+    "Severity",
     "Stale",
+    "check_catalogue",
     "check_change",
+    "check_environment",
     "check_versions",
     "choose_watchers",
     "decide_change",
     "decide_ready",
     "find_in_use",
+    "list_catalogue_differences",
     "list_changes",
+    "list_environment_differences",
 ]
 
 __getattr__, __dir__ = lazy.attach(
@@ -53,7 +59,12 @@
             "OPERATORS",
             "Refused",
         ),
+        "differences": (
+            "list_catalogue_differences",
+            "list_environment_differences",
+        ),
         "fault": ("Fault",),
+        "finding": ("Finding", "Severity"),
         "readiness": (
             "CUT_OFF_AFTER_S",
             "decide_ready",
@@ -61,6 +72,7 @@
             "NotReadyReason",
             "Ready",
         ),
+        "rules": ("check_catalogue", "check_environment"),
         "versions": (
             "check_versions",
             "find_in_use",
--- a/mulberryhollow/platform/records.py
+++ b/mulberryhollow/platform/records.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from mulberryhollow import errors
+from mulberryhollow.protocol import configurations
 from mulberryhollow.state import catalogue as catalogues
 from mulberryhollow.state import evacuations
 from mulberryhollow.state import fleet
@@ -312,3 +313,6 @@
         )
         / _MS_PER_S,
     )
+
+
+configurations.declare_decoder("json", decode_catalogue)
