--- a/mulberryhollow/coordination/work/estimator.py
+++ b/mulberryhollow/coordination/work/estimator.py
@@ -84,11 +84,14 @@
         Slowness of the endpoints.
     errors : LevelTable
         Relative error of the expected total time, by service and route.
+    costs : LevelTable
+        Total times by service, route and "expected" or "actual", in seconds.
     """
 
     def __init__(self):
         self.speeds = speeds.SpeedTable()
         self.errors = levels.LevelTable()
+        self.costs = levels.LevelTable()
         self._lengths = lengths.LengthTable()
         self._services = {}
 
@@ -175,7 +178,10 @@
         features = served.features
         if served.expected_s > 0.0 and served.total_s > 0.0:
             error = abs(served.expected_s / served.total_s - 1.0)
-            self.errors.observe((features.service, features.route), error)
+            key = features.service, features.route
+            self.errors.observe(key, error)
+            self.costs.observe((*key, "expected"), served.expected_s)
+            self.costs.observe((*key, "actual"), served.total_s)
         if features.prompt_tokens:
             self._observe_model(endpoint_id, served, slowness, now_s)
         else:
--- a/mulberryhollow/coordination/work/levels.py
+++ b/mulberryhollow/coordination/work/levels.py
@@ -105,6 +105,9 @@
     def __len__(self):
         return len(self._levels)
 
+    def __iter__(self):
+        return iter(list(self._levels.items()))
+
     def get(self, key):
         """Return the Level of a key, or None."""
         return self._levels.get(key)
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -47,6 +47,7 @@
 from mulberryhollow.serving import stored_quarantine
 from mulberryhollow.serving import usage
 from mulberryhollow.serving import watch
+from mulberryhollow.serving import work_metrics
 from mulberryhollow.state.evacuations import NONE as NO_EVACUATIONS
 from mulberryhollow.state import regions
 from mulberryhollow.transport import forwarding
@@ -701,6 +702,7 @@
                 self._evacuation_watcher.list_active(),
                 contact_s and self._clock.now_s() - contact_s,
             )
+        text += self.dispatcher.read(work_metrics.render_work)
         headers = (("Content-Type", "text/plain; version=0.0.4"),)
         return http_server.Reply(200, headers, text.encode())
 
--- a/tests/serving/work_placement.feature
+++ b/tests/serving/work_placement.feature
@@ -39,6 +39,11 @@
       | 15 engines of speeds 0.6 to 1.6                      | 0.5   | 89        | 8       |
       | 4 plain endpoints of speeds 0.6 to 1.6 that take 90 ms | 0.5 | 89        | 8       |
 
+  Scenario: The metrics show costs, speeds and backlogs
+    Given 15 engines of speeds 0.6 to 1.6
+    When 8 instances with 0 holders place 0.8 of it for 10 s
+    Then the metrics page names the cost of each route and each engine's speed
+
   # Work under one name differs a hundredfold.
   Scenario Outline: The cost of requests is known after 10 s
     Given <endpoints>
--- a/tests/steps/serving_work_placement.py
+++ b/tests/steps/serving_work_placement.py
@@ -7,6 +7,7 @@
 from behave import then
 from behave import when
 
+from mulberryhollow.serving import work_metrics
 from tests import work_fleet
 
 SPEEDS = (0.6, 1.0, 1.6)
@@ -187,3 +188,21 @@
     slow = sum(counts[second] for second in range(begin_s, end_s))
     later = sum(counts[second] for second in range(later_s, last_s))
     assert 0 < slow < later, counts
+
+
+@then("the metrics page names the cost of each route and each engine's speed")
+def check_metrics(context):
+    fleet = context.fleet
+    instance = fleet.instances[0]
+    text = work_metrics.render_work(instance.actor, instance.clock.now_s())
+    found = {line.rpartition(" ")[0] for line in text.splitlines()}
+    wanted = {
+        f'mulberryhollow_work_{what}_seconds{{service="work",route="{route}"}}'
+        for what in ("expected", "actual")
+        for route in ("notes", "briefings", "tags")
+    } | {
+        f'mulberryhollow_work_{what}{{endpoint="{name}"}}'
+        for what in ("slowness", "requests", "prompt_backlog_seconds")
+        for name in fleet.engines
+    }
+    assert wanted <= found, wanted - found
