Test what answers teach the estimates of work

Times of a plain service with one place an endpoint were never learned, since its place is always in use while it answers; the test found it.

--- a/mulberryhollow/serving/dispatch/endpoint_work.py
+++ b/mulberryhollow/serving/dispatch/endpoint_work.py
@@ -335,7 +335,7 @@
                 times.total_s,
                 min(batch, record.slots),
                 wait_s,
-                batch >= record.slots,
+                1.0 < batch >= record.slots,
                 chosen.hold_s,
             ),
             record.slowness,
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -192,3 +192,23 @@
     When a RESUMABLE_STREAM request is forwarded
     Then the caller gets events 1 to 4 without a break
     And 1 request has begun
+
+  # The estimates of placement by work would stay without observations.
+  Scenario Outline: An answer in full shows what its request costs
+    Given a forwarder whose endpoints answer in turn: <answer>
+    And the service of the forwarder reports work time
+    And each piece of an answer takes 0.02 s
+    When a <kind> request with a prompt of <tokens> tokens is forwarded
+    Then the forwarder has learned <events> events and a <what> of <seconds> s
+
+    Examples:
+      | answer                | kind   | tokens | events | what  | seconds |
+      | stream without framing | STREAM | 600    | 4      | gap   | 0.02    |
+      | whole                 | IDEMPOTENT | 0  | 0      | whole | 0.02    |
+
+  Scenario: An answer after a failed attempt shows no cost
+    Given a forwarder whose endpoints answer in turn: broken, whole
+    And the service of the forwarder reports work time
+    And each piece of an answer takes 0.02 s
+    When a IDEMPOTENT request with a prompt of 0 tokens is forwarded
+    Then the forwarder has learned nothing
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -1,4 +1,5 @@
 import types
+from unittest import mock
 
 import attrs
 from behave import given
@@ -419,3 +420,62 @@
 @then("{count:d} request has begun")
 def check_begun(context, count):
     assert context.recorder.begun == count
+
+
+@given("the service of the forwarder reports work time")
+def report_work_time(context):
+    context.dispatcher.read(
+        lambda actor, now_s: actor.view.add_peer_work_time({"s": 1})
+    )
+
+
+@given("each piece of an answer takes {seconds:g} s")
+def delay_pieces(context, seconds):
+    read_piece = Answer.read_piece
+
+    def read_late(answer, timeout_s):
+        if answer.pieces:
+            context.clock.advance(seconds)
+        return read_piece(answer, timeout_s)
+
+    patch = mock.patch.object(Answer, "read_piece", read_late)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when("a {kind} request with a prompt of {tokens:d} tokens is forwarded")
+def forward_prompt(context, kind, tokens):
+    now_s = context.clock.now_s()
+    request = requests.make_request(
+        catalogue.RequestKind[kind],
+        arrived_s=now_s,
+        deadline_s=now_s + 10.0,
+        chain=routing.PromptChain(tokens=tokens),
+    )
+    forwarding = context.forwarder.forward(request)
+    if forwarding.body is None:
+        list(forwarding.iterate())
+    forwarding.close()
+
+
+def list_learned(context):
+    return context.dispatcher.read(
+        lambda actor, now_s: actor.router.estimator.list_shared()
+    )
+
+
+@then(
+    "the forwarder has learned {events:d} events and a {what} of {seconds:g} s"
+)
+def check_learned(context, events, what, seconds):
+    learned = list_learned(context)
+    name = {"gap": "s\tgap low", "whole": "s\twhole route"}[what]
+    weight, total = learned[name]
+    assert abs(total / weight - seconds) < 1e-6, learned
+    found = learned.get("*\ts\troute", (1.0, 0.0))
+    assert found == (1.0, events), learned
+
+
+@then("the forwarder has learned nothing")
+def check_nothing_learned(context):
+    assert not list_learned(context)
