--- a/tests/serving/work_placement.feature
+++ b/tests/serving/work_placement.feature
@@ -12,6 +12,7 @@
       | 4         | 90 | 89        | 8       |
       | 4         | 45 | 89        | 8       |
       | 8         | 90 | 200       | 12      |
+      | 4         | 90 | 8         | 0       |
 
   # All routers chose the engine that looked fastest, at the same time.
   Scenario Outline: Streams begin late half as often as by any baseline
