--- a/mulberryhollow/coordination/routing/by_work.py
+++ b/mulberryhollow/coordination/routing/by_work.py
@@ -72,7 +72,7 @@
 
 def select_policy(view, service):
     """Return the Policy for a service."""
-    if view.reports_work_time(service):
+    if view.is_work_based(service):
         return Policy.WORK
     return Policy.LOAD
 
@@ -359,7 +359,7 @@
     services = collections.defaultdict(list)
     speeds.keep({record.endpoint.id for record in view})
     for record in view:
-        if view.reports_work_time(record.endpoint.service):
+        if view.is_work_based(record.endpoint.service):
             services[record.endpoint.service].append(record)
     for records in services.values():
         usual = sum(
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -431,4 +431,4 @@
     actor.quotas.set_live_nodes(
         collectors.parts, now_s, bool(collectors.local)
     )
-    actor.quotas.limits_debts = actor.view.has_work_times
+    actor.quotas.limits_debts = actor.view.has_work_based_services
--- a/mulberryhollow/serving/room_admission.py
+++ b/mulberryhollow/serving/room_admission.py
@@ -140,7 +140,7 @@
         if now_s - read_at_s >= SWITCH_INTERVAL_S:
             is_on = self._dispatcher.read(
                 lambda actor, now_s: actor.view.measure_room(service, now_s)
-            ).reports_work_time
+            ).is_work_based
             self._switches[service] = now_s, is_on
         return is_on
 
@@ -258,7 +258,7 @@
             if self._has_peers and not room.age_s:
                 room = attrs.evolve(room, age_s=SHARED_AGE_S)
             state.room, state.measured_at_s = room, now_s
-        if not state.room.reports_work_time:
+        if not state.room.is_work_based:
             return None
         features = _list_features(subject, query)
         expected = _estimate_work(features, state.room, actor)
--- a/mulberryhollow/serving/work_metrics.py
+++ b/mulberryhollow/serving/work_metrics.py
@@ -28,7 +28,7 @@
         for (service, route, what), level in actor.router.estimator.costs
     ]
     for record in actor.view:
-        if actor.view.reports_work_time(record.endpoint.service):
+        if actor.view.is_work_based(record.endpoint.service):
             lines += _list_endpoint_lines(record, now_s)
     return "".join(f"{line}\n" for line in lines)
 
--- a/mulberryhollow/state/endpoints/room.py
+++ b/mulberryhollow/state/endpoints/room.py
@@ -25,10 +25,9 @@
     age_s : float
         Age of the oldest information that counts in these amounts, in
         seconds.
-    reports_work_time : bool
-        Whether an endpoint of the service reports how long work takes on
-        its machine. Work-based placement and admission by room apply to
-        such services.
+    is_work_based : bool
+        Whether requests are placed by work and admitted by room, as of
+        `EndpointView.is_work_based`.
     """
 
     endpoints: int = 0
@@ -39,7 +38,7 @@
     speed: float = 0.0
     backlog_s: float = 0.0
     age_s: float = 0.0
-    reports_work_time: bool = False
+    is_work_based: bool = False
 
     @property
     def free_slots(self):
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -301,14 +301,14 @@
             Monotonic time, in seconds.
         """
         self.advance(now_s)
-        reports_work_time = self.reports_work_time(service)
+        is_work_based = self.is_work_based(service)
         records = [
             record
             for record in self._records.values()
             if record.endpoint.service == service and record.is_available()
         ]
         slots = sum(record.slots for record in records)
-        if not reports_work_time:
+        if not is_work_based:
             return ServiceRoom(
                 endpoints=len(records),
                 slots=slots,
@@ -333,13 +333,14 @@
                 ),
                 default=0.0,
             ),
-            reports_work_time=True,
+            is_work_based=True,
         )
 
-    def reports_work_time(self, service):
-        """Return whether an endpoint of a service has reported work time.
+    def is_work_based(self, service):
+        """Return whether requests to a service are placed by their work.
 
-        The report may have reached this instance or a peer.
+        They are once an endpoint has reported its work time, to this
+        instance or a peer, and where requests are ordered by urgency.
         """
         return (
             service in self._work_time_services
@@ -348,15 +349,12 @@
         )
 
     def set_ranked_services(self, services):
-        """Set the services whose requests are ordered by urgency.
-
-        They count as services that report their work time.
-        """
+        """Set the services whose requests are ordered by urgency."""
         self._ranked_services = frozenset(services)
 
     @property
-    def has_work_times(self):
-        """Whether the endpoints of some service report their work time."""
+    def has_work_based_services(self):
+        """Whether requests to some service are placed by their work."""
         return bool(
             self._work_time_services
             or self._peer_work_time_services
@@ -531,7 +529,7 @@
         for endpoint_id, record in self._records.items():
             self.set_peer_load(node, endpoint_id, loads.get(endpoint_id, 0))
             service = record.endpoint.service
-            if self.reports_work_time(service):
+            if self.is_work_based(service):
                 if record.listed_s <= measured_s:
                     record.backlog.observe_others(
                         record.peer_load, measured_s, record.local_load
--- a/tests/quota_pool.py
+++ b/tests/quota_pool.py
@@ -40,7 +40,9 @@
 
     @property
     def view(self):
-        return types.SimpleNamespace(has_work_times=self.pool.limits_debts)
+        return types.SimpleNamespace(
+            has_work_based_services=self.pool.limits_debts
+        )
 
     @property
     def quotas(self):
--- a/tests/room_fleet.py
+++ b/tests/room_fleet.py
@@ -263,7 +263,7 @@
             used_slots=used / self.sides,
             speed=0.0,
             age_s=self.now_s - at_s,
-            reports_work_time=True,
+            is_work_based=True,
         )
 
     def send(self, call):
--- a/tests/steps/coordination_room.py
+++ b/tests/steps/coordination_room.py
@@ -105,7 +105,7 @@
         endpoints=10,
         slots=float(places),
         used_slots=use * places,
-        reports_work_time=True,
+        is_work_based=True,
     )
 
 
--- a/tests/steps/serving_room_admission.py
+++ b/tests/steps/serving_room_admission.py
@@ -28,12 +28,12 @@
 INTERVAL_S = 0.01
 
 
-def set_room(context, reports_work_time):
+def set_room(context, is_work_based):
     full = ServiceRoom(
         endpoints=1,
         slots=6.0,
         used_slots=6.0,
-        reports_work_time=reports_work_time,
+        is_work_based=is_work_based,
     )
     for name, instance in context.instances.items():
         instance.dispatcher.change(
--- a/tests/steps/state_endpoints.py
+++ b/tests/steps/state_endpoints.py
@@ -269,7 +269,7 @@
 @then("the room of the service {reports} work time")
 def check_room_work_time(context, reports):
     room = context.view.measure_room(SERVICE, context.now_s)
-    assert room.reports_work_time == (reports == "reports"), room
+    assert room.is_work_based == (reports == "reports"), room
 
 
 @given("the service reports work time")
