Keep the demand for endpoints, and weigh what a prompt computes

Change: the demand is counted as before, at the fastest endpoints; the time to compute the prompt counts half as much again in the score.

--- a/mulberryhollow/coordination/routing/by_work.py
+++ b/mulberryhollow/coordination/routing/by_work.py
@@ -37,6 +37,13 @@
 CACHING_COUNT = 4
 """Number of endpoints with the most of the prompt cached that are scored."""
 
+RECOMPUTE_WEIGHT = 0.5
+"""Weight of a prompt's compute time beside the time to its first token.
+
+Parts that another endpoint has cached are computed once more, which takes
+the endpoint's time from its other requests.
+"""
+
 UNKNOWN_HOLD_S = 1.0
 """Time at an endpoint that is assumed before a request has ended, in s.
 
@@ -272,6 +279,7 @@
             rules.lateness_penalty_s * (first_s / prepared.remaining_s) ** 2
         )
         if prepared.tokens:
+            score += RECOMPUTE_WEIGHT * compute_s
             share = min(1.0, compute_s / rules.long_prompt_s)
             score += rules.interference_fraction * share * compute_s * load
         score += rules.failure_penalty_s * record.get_failure_rate(now_s)
--- a/mulberryhollow/coordination/routing/request.py
+++ b/mulberryhollow/coordination/routing/request.py
@@ -144,6 +144,9 @@
         Id that the endpoint gives itself.
     compute_s : float
         Expected time to compute the prompt at the endpoint, in seconds.
+    demand_s : float
+        What the prompt adds to the demand for endpoints, in seconds at the
+        fastest endpoints of the service.
     load : float
         Estimated requests at the endpoint at the time of the choice.
     rate_per_s : float or None
@@ -180,6 +183,7 @@
     hashes: tuple = ()
     identity: str = ""
     compute_s: float = 0.0
+    demand_s: float = 0.0
     load: float = 0.0
     rate_per_s: float | None = None
     brittle_rejections: int | None = None
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -211,6 +211,9 @@
                 return dataclasses.replace(
                     chosen,
                     version=version,
+                    demand_s=self._estimate_compute_s(
+                        chosen.endpoint_id, prepared
+                    ),
                     brittle_rejections=view.get_brittle(request.service),
                     is_cold=cold_rate > 0.0,
                 )
--- a/mulberryhollow/serving/dispatch/endpoint_work.py
+++ b/mulberryhollow/serving/dispatch/endpoint_work.py
@@ -226,7 +226,7 @@
                     events.log(BRITTLE, service=service, rejections=rejections)
             case Withdraw(route):
                 self.view.withdraw(route.work)
-                self.work.add(route.service, -route.chosen.compute_s, now_s)
+                self.work.add(route.service, -route.chosen.demand_s, now_s)
             case ReportLoad(route, load):
                 self.view.report_load(
                     route.endpoint_id,
@@ -258,7 +258,7 @@
             result.hold_s,
             result.memory_tokens,
         )
-        self.work.add(request.service, result.compute_s, now_s)
+        self.work.add(request.service, result.demand_s, now_s)
         return attempts.Route(
             result, started, request.service, request.request_class
         )
