--- a/mulberryhollow/coordination/routing/by_work.py
+++ b/mulberryhollow/coordination/routing/by_work.py
@@ -17,6 +17,7 @@
     "ServiceCosts",
     "WorkPlacement",
     "list_candidates",
+    "penalize_probe",
     "refresh_speeds",
     "select_policy",
 ]
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -15,7 +15,6 @@
 from mulberryhollow.errors import ExecutionStatus
 from mulberryhollow.errors import Refusal
 from mulberryhollow.errors import RefusalKind
-from mulberryhollow.state import endpoints
 from mulberryhollow.state import environment
 
 __all__ = ["Router", "RoutingRules", "refuse_no_region"]
@@ -25,9 +24,6 @@
 # Maximum number of nodes assumed to choose the same endpoint.
 MAX_COUNTED_NODES = 4
 
-# Penalty of probing a half-open endpoint with a non-idempotent request.
-PROBE_PENALTY_S = 1_000.0
-
 MAX_STEP_TOKENS = 300
 """Maximum number of computed tokens from which the step time is learned.
 
@@ -296,7 +292,7 @@
                 )
                 score += price_penalty_s * relative_excess
             if not prepared.request.idempotent:
-                score += _penalize_probe(record)
+                score += by_work.penalize_probe(record)
             if score < best_score:
                 best, best_score, best_first_s = record, score, first_s
         return self._build(prepared, best, best_first_s)
@@ -358,12 +354,6 @@
     return estimate + weight * (sample - estimate)
 
 
-def _penalize_probe(record):
-    """Return the penalty of an endpoint whose circuit is not closed."""
-    is_closed = record.circuit.state is endpoints.CircuitState.CLOSED
-    return 0.0 if is_closed else PROBE_PENALTY_S
-
-
 def refuse_no_region(request):
     """Return the refusal of a request whose regions have no endpoint.
 
