--- a/mulberryhollow/coordination/routing/by_work.py
+++ b/mulberryhollow/coordination/routing/by_work.py
@@ -38,7 +38,7 @@
 CACHING_COUNT = 4
 """Number of endpoints with the most of the prompt cached that are scored."""
 
-RECOMPUTE_WEIGHT = 0.5
+RECOMPUTE_WEIGHT = 0.25
 """Weight of a prompt's compute time beside the time to its first token.
 
 Parts that another endpoint has cached are computed once more, which takes
--- a/mulberryhollow/state/endpoints/backlog.py
+++ b/mulberryhollow/state/endpoints/backlog.py
@@ -21,7 +21,7 @@
 a faster mean would swing.
 """
 
-MAX_MIRROR = 3.0
+MAX_OTHERS_PER_OWN = 3.0
 """Maximum number of others' requests that are assumed to come with one.
 
 With more, the instances avoid an endpoint and return to it all at once.
@@ -78,7 +78,7 @@
     @property
     def mirror(self):
         """Requests of others that come with one of this instance."""
-        return min(MAX_MIRROR, self.others / max(self.own, MIN_OWN))
+        return min(MAX_OTHERS_PER_OWN, self.others / max(self.own, MIN_OWN))
 
 
 @attrs.define(eq=False)
