--- a/mulberryhollow/coordination/routing/by_work.py
+++ b/mulberryhollow/coordination/routing/by_work.py
@@ -5,10 +5,10 @@
 import heapq
 import itertools
 import math
+import typing
 
 import attrs
 
-from mulberryhollow.coordination.routing import request as requests
 from mulberryhollow.coordination import work
 from mulberryhollow.state import endpoints
 
@@ -93,15 +93,14 @@
     ----------
     features : RequestFeatures
         The request, without what an endpoint has cached.
-    times : ServiceTimes
+    times : KnownTimes
         Times of its service.
     events, high_events : float
         Expected number of events of the answer, and a high quantile.
     whole_s : float
         Expected time of a plain request, in seconds.
-    hold_s : float or None
-        Time that requests of this instance stay at an endpoint, in seconds;
-        None until one has ended.
+    hold_s : float
+        Time that requests of this instance stay at an endpoint, in seconds.
     usual : UsualLoad
         Mean load of the endpoints of the service.
     """
@@ -111,7 +110,7 @@
     events: float
     high_events: float
     whole_s: float
-    hold_s: float | None
+    hold_s: float
     usual: endpoints.UsualLoad
 
     @classmethod
@@ -133,7 +132,13 @@
             events, high_events = estimator.estimate_events(features)
         whole_s, _ = times.estimate_whole_s(features.route)
         return cls(
-            features, times, events, high_events, whole_s, hold_s, usual
+            features,
+            times.read(),
+            events,
+            high_events,
+            whole_s,
+            hold_s or UNKNOWN_HOLD_S,
+            usual,
         )
 
 
@@ -155,9 +160,11 @@
     preferred = prepared.request.preferred
     if preferred and preferred not in excluded and preferred in group:
         return [group.get(preferred)]
-    members = [
-        record for record in group if record.endpoint.id not in excluded
-    ]
+    members = list(group)
+    if excluded:
+        members = [
+            record for record in members if record.endpoint.id not in excluded
+        ]
     if len(members) <= MAX_SCORED_ENDPOINTS:
         return members
     holders = prepared.holders
@@ -165,7 +172,7 @@
     found = {
         record.endpoint.id: record
         for record in itertools.chain(
-            heapq.nsmallest(LEAST_LOADED_COUNT, members, key=_rank_load),
+            _list_least_loaded(members),
             (rng.choice(members) for _ in range(SAMPLE_COUNT)),
             filter(None, map(group.get, caching)),
             filter(None, [prepared.affine]),
@@ -176,15 +183,25 @@
     return list(found.values())
 
 
-def _rank_load(record):
-    """Return the load per slot, weighted by the slowness of the endpoint."""
-    backlog = record.backlog
-    load = record.local_load + backlog.placed + backlog.others
-    return (load + 1.0) / record.slots * record.slowness
+def _list_least_loaded(members):
+    """Return those with the least load per slot, weighted by the slowness."""
+    # All members are ranked, so a call for each would cost too much.
+    ranks = [
+        (
+            record.local_load
+            + (backlog := record.backlog).placed
+            + backlog.others
+            + 1.0
+        )
+        / record.slots
+        * record.slowness
+        for record in members
+    ]
+    order = sorted(range(len(members)), key=ranks.__getitem__)
+    return [members[position] for position in order[:LEAST_LOADED_COUNT]]
 
 
-@attrs.frozen
-class _Score:
+class _Score(typing.NamedTuple):
     """Expected times of a request at one endpoint, in seconds."""
 
     score: float
@@ -216,7 +233,9 @@
         self._rng = rng
 
     def choose(self, prepared, candidates, costs, rules):
-        """Return the Chosen with the lowest score; None without candidates.
+        """Return the record with the lowest score, and its estimates.
+
+        The estimates are fields of Chosen; None without candidates.
 
         Parameters
         ----------
@@ -234,12 +253,12 @@
         if len(candidates) > 1:
             self._rng.shuffle(candidates)
         lowest_price = min(
-            record.endpoint.price_per_hour for record in candidates
+            [record.endpoint.price_per_hour for record in candidates]
         )
         best, best_score = None, None
         for record in candidates:
             found = self._score(record, prepared, costs, rules)
-            score = found.score
+            score = found[0]
             if lowest_price:
                 score += (
                     rules.price_penalty_s
@@ -248,108 +267,98 @@
                 )
             if best is None or score < best_score:
                 best, best_score, best_found = record, score, found
-        return self._build(prepared, best, best_found, costs)
+        return best, _describe(best, prepared, costs, _Score(*best_found))
 
     def _score(self, record, prepared, costs, rules):
-        """Return the _Score of an endpoint."""
+        """Return the values of the _Score of an endpoint."""
         now_s = prepared.now_s
-        usual_s = costs.hold_s or UNKNOWN_HOLD_S
-        load = self._draw_load(record, costs.usual, usual_s, now_s)
-        slowness = self._draw_slowness(record)
-        if prepared.tokens:
-            compute_s, output_s = _estimate_model_s(
-                record, prepared, costs, load
+        tokens = costs.features.prompt_tokens
+        slots = record.slots
+        load = self._draw_load(record, costs, now_s)
+        slowness = record.slowness
+        if record.slowness_spread:
+            slowness = self._draw_slowness(record)
+        wait_s = 0.0
+        if tokens:
+            times = costs.times
+            compute_s = slowness * times.estimate_prompt_s(
+                tokens, tokens - prepared.count_cached(record.endpoint.id)
             )
-            compute_s *= slowness
-            stay_s = compute_s + slowness * output_s
-            # Errors of the estimates add up in `busy_until_s`, but no more
-            # prompts are computed than there are requests.
-            wait_s = min(
-                max(0.0, record.busy_until_s - now_s),
-                slowness * load * costs.times.long_prompt_s,
+            batch = load + 1.0
+            output_s = costs.events * times.estimate_gap_s(
+                batch if batch < slots else slots
             )
+            stay_s = compute_s + slowness * output_s
+            if record.busy_until_s > now_s:
+                # Errors of the estimates add up in `busy_until_s`, but no
+                # more prompts are computed than there are requests.
+                wait_s = min(
+                    record.busy_until_s - now_s,
+                    slowness * load * times.long_prompt_s,
+                )
         else:
             compute_s = stay_s = slowness * costs.whole_s
-            wait_s, usual_s = 0.0, costs.whole_s
-        excess = load + 1.0 - record.slots
+        excess = load + 1.0 - slots
         if excess > 0.0:
-            wait_s += slowness * usual_s * excess / record.slots
+            usual_s = costs.hold_s if tokens else costs.whole_s
+            wait_s += slowness * usual_s * excess / slots
         first_s = wait_s + compute_s
         score = first_s + OCCUPANCY_WEIGHT * (stay_s - compute_s)
         score += (
             rules.lateness_penalty_s * (first_s / prepared.remaining_s) ** 2
         )
-        if prepared.tokens:
+        if tokens:
             score += RECOMPUTE_WEIGHT * compute_s
-            share = min(1.0, compute_s / rules.long_prompt_s)
+            share = compute_s / rules.long_prompt_s
+            if share > 1.0:
+                share = 1.0
             score += rules.interference_fraction * share * compute_s * load
-        score += rules.failure_penalty_s * record.get_failure_rate(now_s)
+        if record.failure_rate:
+            score += rules.failure_penalty_s * record.get_failure_rate(now_s)
         if not prepared.request.idempotent:
             score += penalize_probe(record)
-        return _Score(
-            score, slowness, compute_s, wait_s, first_s, stay_s, load
-        )
+        return score, slowness, compute_s, wait_s, first_s, stay_s, load
 
-    def _draw_load(self, record, usual, hold_s, now_s):
+    def _draw_load(self, record, costs, now_s):
         """Return a number of requests at an endpoint, drawn if uncertain."""
         backlog = record.backlog
+        local = record.local_load
         others, variance = backlog.estimate_others(
-            usual, hold_s, now_s, record.local_load
+            costs.usual, costs.hold_s, now_s, local
         )
         if variance > 0.0:
             others += self._rng.gauss(0.0, 1.0) * math.sqrt(variance)
-        return record.local_load + backlog.placed + max(0.0, others)
+        return local + backlog.placed + (others if others > 0.0 else 0.0)
 
     def _draw_slowness(self, record):
-        """Return a slowness of an endpoint, drawn if uncertain."""
-        spread = record.slowness_spread
-        if not spread:
-            return record.slowness
-        drawn = record.slowness + spread * self._rng.gauss(0.0, 1.0)
-        return max(MIN_SLOWNESS, drawn)
-
-    def _build(self, prepared, record, found, costs):
-        """Return a record as the chosen endpoint."""
-        endpoint = record.endpoint
-        cached = prepared.count_cached(endpoint.id)
-        others_s = record.backlog.others_s
-        # The score was made with a drawn slowness, the rest counts as usual.
-        usual = record.slowness / found.slowness
-        compute_s = found.compute_s * usual
-        stay_s = found.stay_s * usual
-        return requests.Chosen(
-            endpoint_id=endpoint.id,
-            address=endpoint.address,
-            version=endpoint.version,
-            cost=compute_s if prepared.tokens else 0.0,
-            compute_s=compute_s,
-            load=round(found.load, 2),
-            cached_tokens=cached,
-            computed_tokens=prepared.tokens - cached,
-            expected_first_token_s=found.first_s,
-            hashes=prepared.chain.hashes,
-            identity=endpoint.identity or endpoint.id,
-            rate_per_s=record.rate_per_s,
-            slots=record.slots,
-            hold_s=found.wait_s + stay_s,
-            wait_s=found.wait_s,
-            memory_tokens=prepared.tokens + costs.events,
-            features=attrs.evolve(costs.features, cached_tokens=cached),
-            slowness=record.slowness,
-            age_s=max(0.0, prepared.now_s - others_s)
-            if math.isfinite(others_s)
-            else 0.0,
+        """Return a slowness drawn from the distribution of the estimate."""
+        drawn = record.slowness + (
+            record.slowness_spread * self._rng.gauss(0.0, 1.0)
         )
+        return max(MIN_SLOWNESS, drawn)
 
 
-def _estimate_model_s(record, prepared, costs, load):
-    """Return the time for the prompt and for the answer, in seconds."""
-    tokens = prepared.tokens
-    prompt_s = costs.times.estimate_prompt_s(
-        tokens, tokens - prepared.count_cached(record.endpoint.id)
-    )
-    batch = min(load + 1.0, record.slots)
-    return prompt_s, costs.events * costs.times.estimate_gap_s(batch)
+def _describe(record, prepared, costs, found):
+    """Return what placement by work knows of a choice, by field of Chosen."""
+    # The score was made with a drawn slowness, the rest counts as usual.
+    usual = record.slowness / found.slowness
+    compute_s = found.compute_s * usual
+    stay_s = found.stay_s * usual
+    age_s = prepared.now_s - record.backlog.others_s
+    return {
+        "cost": compute_s if prepared.tokens else 0.0,
+        "compute_s": compute_s,
+        "load": round(found.load, 2),
+        "expected_first_token_s": found.first_s,
+        "hold_s": found.wait_s + stay_s,
+        "wait_s": found.wait_s,
+        "memory_tokens": prepared.tokens + costs.events,
+        "features": costs.features.set_cached(
+            prepared.count_cached(record.endpoint.id)
+        ),
+        "slowness": record.slowness,
+        "age_s": max(0.0, age_s) if math.isfinite(age_s) else 0.0,
+    }
 
 
 def refresh_speeds(view, estimator, now_s):
--- a/mulberryhollow/coordination/routing/prepare.py
+++ b/mulberryhollow/coordination/routing/prepare.py
@@ -57,19 +57,28 @@
         key = self.chain.affinity
         if key is None:
             return self
-        return attrs.evolve(self, affine=group.find_affine(key))
+        return PreparedRequest(
+            self.request,
+            self.prefixes,
+            self.now_s,
+            self.remaining_s,
+            self.chain,
+            self.holders,
+            group.find_affine(key),
+        )
 
     def count_cached(self, endpoint_id):
         """Return the number of prompt tokens an endpoint should cache."""
-        if self.prefixes is None or not self.chain.hashes:
-            return 0
+        chain = self.chain
         parts = self.holders.get(endpoint_id)
         if parts is None:
-            parts = self.prefixes.count_blocks(endpoint_id, self.chain.hashes)
-        cached = self.chain.count_tokens(parts)
+            if self.prefixes is None or not chain.hashes:
+                return 0
+            parts = self.prefixes.count_blocks(endpoint_id, chain.hashes)
+        cached = chain.ends[parts - 1] if parts else 0
         affine = self.affine
         if affine is not None and affine.endpoint.id == endpoint_id:
-            shared = self.chain.count_tokens(self.chain.shared_parts)
+            shared = chain.count_tokens(chain.shared_parts)
             cached = max(cached, int(AFFINE_CACHED_FRACTION * shared))
         return cached
 
--- a/mulberryhollow/coordination/routing/router.py
+++ b/mulberryhollow/coordination/routing/router.py
@@ -1,6 +1,5 @@
 """Load balancing by expected time, price and prompt cache."""
 
-import dataclasses
 import itertools
 import math
 import random
@@ -203,20 +202,11 @@
                 case _:
                     chosen = self._choose_by_load(group, prepared, excluded)
             if chosen is not None:
-                cold_rate, _ = view.get_cold_limit(chosen.endpoint_id, now_s)
-                return dataclasses.replace(
-                    chosen,
-                    version=version,
-                    demand_s=self._estimate_compute_s(
-                        chosen.endpoint_id, prepared
-                    ),
-                    brittle_rejections=view.get_brittle(request.service),
-                    is_cold=cold_rate > 0.0,
-                )
+                return self._build(*chosen, prepared, version, view)
         return requests.NoEndpoint(refuse_no_endpoint(request.service))
 
     def _choose_by_load(self, group, prepared, excluded):
-        """Return the best of a few endpoints; None if there is none."""
+        """Return the best of a few endpoints and its estimates, or None."""
         candidates = self._list_candidates(group, prepared, excluded)
         if not candidates:
             return None
@@ -224,7 +214,7 @@
         return self._choose_best(prepared, candidates, hold_s)
 
     def _choose_by_work(self, group, prepared, excluded, view):
-        """Return the endpoint with the least expected time, or None."""
+        """Return the endpoint of the least time and its estimates, or None."""
         return self._work_placement.choose(
             prepared,
             by_work.list_candidates(group, prepared, excluded, self._rng),
@@ -259,7 +249,7 @@
         return found
 
     def _choose_best(self, prepared, candidates, hold_s):
-        """Return the candidate with the lowest score."""
+        """Return the record with the lowest score, and its estimates."""
         lowest_price = min(
             record.endpoint.price_per_hour for record in candidates.values()
         )
@@ -295,27 +285,48 @@
                 score += by_work.penalize_probe(record)
             if score < best_score:
                 best, best_score, best_first_s = record, score, first_s
-        return self._build(prepared, best, best_first_s)
+        compute_s = self._estimate_compute_s(best.endpoint.id, prepared)
+        return best, {
+            "cost": min(self._nodes, MAX_COUNTED_NODES) * compute_s,
+            "compute_s": compute_s,
+            "load": best.load,
+            "expected_first_token_s": best_first_s,
+        }
+
+    def _build(self, record, estimates, prepared, version, view):
+        """Return a record as the chosen endpoint.
 
-    def _build(self, prepared, record, first_s):
-        """Return a record as the chosen endpoint."""
+        Parameters
+        ----------
+        record : EndpointRecord
+            The endpoint.
+        estimates : dict
+            The fields of Chosen that depend on the policy.
+        prepared : PreparedRequest
+            The request.
+        version : str
+            The version for which it was chosen.
+        view : EndpointView
+            State of the endpoints.
+        """
         endpoint = record.endpoint
-        compute_s = self._estimate_compute_s(endpoint.id, prepared)
+        service = prepared.request.service
         cached = prepared.count_cached(endpoint.id)
+        cold_rate, _ = view.get_cold_limit(endpoint.id, prepared.now_s)
         return requests.Chosen(
             endpoint_id=endpoint.id,
             address=endpoint.address,
-            version=endpoint.version,
-            cost=min(self._nodes, MAX_COUNTED_NODES) * compute_s,
-            compute_s=compute_s,
-            load=record.load,
+            version=version,
             cached_tokens=cached,
             computed_tokens=prepared.tokens - cached,
-            expected_first_token_s=first_s,
             hashes=prepared.chain.hashes,
             identity=endpoint.identity or endpoint.id,
+            demand_s=self._estimate_compute_s(endpoint.id, prepared),
             rate_per_s=record.rate_per_s,
+            brittle_rejections=view.get_brittle(service),
             slots=record.slots,
+            is_cold=cold_rate > 0.0,
+            **estimates,
         )
 
     def _estimate_compute_s(self, endpoint_id, prepared):
--- a/mulberryhollow/coordination/work/amounts.py
+++ b/mulberryhollow/coordination/work/amounts.py
@@ -34,6 +34,19 @@
     hinted_output_tokens: int = 0
     affinity: int | None = None
 
+    def set_cached(self, cached_tokens):
+        """Return a copy with another number of cached tokens."""
+        return RequestFeatures(
+            self.service,
+            self.route,
+            self.account,
+            self.prompt_tokens,
+            cached_tokens,
+            self.max_output_tokens,
+            self.hinted_output_tokens,
+            self.affinity,
+        )
+
 
 @attrs.frozen
 class RequestWork:
--- a/mulberryhollow/coordination/work/service_times.py
+++ b/mulberryhollow/coordination/work/service_times.py
@@ -6,7 +6,7 @@
 from mulberryhollow.coordination.work import prompts
 from mulberryhollow.coordination.work import shared_means
 
-__all__ = ["ServiceTimes"]
+__all__ = ["KnownTimes", "ServiceTimes"]
 
 DEFAULT_TOKEN_S = 2e-5
 """Time to compute one prompt token until it is learned, in seconds."""
@@ -77,6 +77,40 @@
         return min(MAX_CHANGE * self.gap_s, max(self.gap_s / 3.0, gap_s))
 
 
+@attrs.frozen
+class KnownTimes:
+    """Times of one service, as far as they are learned at one moment.
+
+    Parameters
+    ----------
+    first_s : float
+        Time of a short prompt until its first token, in seconds.
+    token_s : float
+        Time to compute one weighted prompt token, in seconds.
+    gap_s, gap_slope_s : float
+        Time between two events with a single request, and what each further
+        request adds to it, in seconds.
+    long_prompt_s : float
+        High quantile of the expected times of the prompts, in seconds.
+    """
+
+    first_s: float
+    token_s: float
+    gap_s: float
+    gap_slope_s: float
+    long_prompt_s: float
+
+    def estimate_gap_s(self, batch):
+        """Return the expected time between two events, in seconds."""
+        more = batch - _GAP_BATCHES["gap low"]
+        return self.gap_s + self.gap_slope_s * (more if more > 0.0 else 0.0)
+
+    def estimate_prompt_s(self, tokens, computed):
+        """Return the time to compute a prompt, in seconds."""
+        weighted = prompts.compute_weighted_tokens(tokens, computed)
+        return self.first_s + self.token_s * weighted
+
+
 class ServiceTimes:
     """Learns the times of one service.
 
@@ -154,16 +188,24 @@
 
     def estimate_gap_s(self, batch):
         """Return the expected time between two events, in seconds."""
-        low_s = self.shared.get("gap low", DEFAULT_GAP_S)
-        high_s = self.shared.get("gap high", low_s)
-        span = _GAP_BATCHES["gap high"] - _GAP_BATCHES["gap low"]
-        slope_s = (high_s - low_s) / span
-        return low_s + slope_s * max(0.0, batch - _GAP_BATCHES["gap low"])
+        return self.read().estimate_gap_s(batch)
 
     def estimate_prompt_s(self, tokens, computed):
         """Return the time to compute a prompt, in seconds."""
-        weighted = prompts.compute_weighted_tokens(tokens, computed)
-        return self.first_s + self.token_s * weighted
+        return self.read().estimate_prompt_s(tokens, computed)
+
+    def read(self):
+        """Return the KnownTimes, to estimate for several endpoints."""
+        low_s = self.shared.get("gap low", DEFAULT_GAP_S)
+        high_s = self.shared.get("gap high", low_s)
+        span = _GAP_BATCHES["gap high"] - _GAP_BATCHES["gap low"]
+        return KnownTimes(
+            self.first_s,
+            self.token_s,
+            low_s,
+            (high_s - low_s) / span,
+            self.long_prompt_s,
+        )
 
     def estimate_whole_s(self, route):
         """Return the time of a plain request and a high quantile, in s."""
--- a/mulberryhollow/state/endpoints/backlog.py
+++ b/mulberryhollow/state/endpoints/backlog.py
@@ -70,14 +70,19 @@
     ----------
     own, others : float
         Requests that this instance has sent or placed, and those of others.
+
+    Attributes
+    ----------
+    mirror : float
+        Requests of others that come with one of this instance.
     """
 
     own: float = 0.0
     others: float = 0.0
+    mirror: float = attrs.field(init=False)
 
-    @property
-    def mirror(self):
-        """Requests of others that come with one of this instance."""
+    @mirror.default
+    def _compute_mirror(self):
         return min(MAX_OTHERS_PER_OWN, self.others / max(self.own, MIN_OWN))
 
 
@@ -193,9 +198,12 @@
         if self.mean_others is None:
             expected = usual.others + usual.mirror * (own - usual.own)
             return max(0.0, expected), usual.others
-        kept = math.exp(-max(0.0, now_s - self.others_s) / hold_s)
+        age_s = now_s - self.others_s
+        kept = math.exp(-age_s / hold_s) if age_s > 0.0 else 1.0
         since = self.mean_others + usual.mirror * (own - self.mean_own)
-        expected = self.others * kept + max(0.0, since) * (1.0 - kept)
+        expected = self.others * kept
+        if since > 0.0:
+            expected += since * (1.0 - kept)
         return expected, expected * (1.0 - kept * kept)
 
     def measure_placed_s(self, now_s):
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -151,6 +151,8 @@
         Monotonic time of the reported measurement, in seconds.
     local_reported : int
         Number of requests in the reported load that the local node sent.
+    local_load : int
+        Number of requests of the local node in flight at the endpoint.
     peer_load : float
         Requests that all peers have in flight at the endpoint, according to
         their latest messages.
@@ -195,6 +197,7 @@
     slots: int = attrs.field()
     measured_at_s: float = float("-inf")
     local_reported: int = 0
+    local_load: int = 0
     peer_load: float = 0.0
     load: float = 0.0
     busy_until_s: float = float("-inf")
@@ -264,11 +267,6 @@
         )
         return remaining_s, sum(work.memory_tokens for work in self._active)
 
-    @property
-    def local_load(self):
-        """Number of requests of the local node in flight at the endpoint."""
-        return len(self._active)
-
     def is_available(self):
         """Return whether new work may be sent to the endpoint."""
         is_staying = not (self.is_leaving or self.is_draining)
@@ -299,6 +297,7 @@
     def start(self, work):
         """Count a request as sent."""
         self._active.add(work)
+        self.local_load = len(self._active)
         self.add_prompt(work.cost, work.started_at_s)
 
     def add_prompt(self, cost, now_s):
@@ -310,6 +309,7 @@
         if work not in self._active:
             return False
         self._active.remove(work)
+        self.local_load = len(self._active)
         self._finished.append((now_s, work))
         return True
 
@@ -318,6 +318,7 @@
         if work not in self._active:
             return False
         self._active.remove(work)
+        self.local_load = len(self._active)
         self.busy_until_s -= work.cost
         return True
 
