Failing test: sizes that raise a client account's quota

Five scenarios that fail on this code: a negative or immense number of tokens in the headers of a request is accepted as its cost. Listed as known red.

--- a/tests/platform/headers.feature
+++ b/tests/platform/headers.feature
@@ -32,6 +32,19 @@
       | Token-Usage   | many  |
       | Prompt-Prefix | a:b   |
 
+  # A negative size was added to the credit of the client account.
+  Scenario Outline: No request can raise the quota that it counts towards
+    Given a request whose <header> is <value>
+    Then the header is refused, naming <header>
+
+    Examples:
+      | header        | value                    |
+      | Token-Usage   | -900000,10               |
+      | Token-Usage   | 10,-900000               |
+      | Token-Usage   | 10000000000000000000000  |
+      | Prompt-Prefix | a:-800,b:400             |
+      | Prompt-Prefix | a:10000000000000000000000|
+
   Scenario Outline: Only a request that has not run is told so
     Then a refusal of kind <kind> with execution status <ran> has HTTP status <status>
 
