Refuse requests that state an impossible number of tokens

Callers: whoever had a key could send requests with a negative size, for example "Token-Usage: -900000,10". Each counted as a negative cost and refilled the credit of its client account, so that the account's other requests passed far beyond its quota on all instances.

Cause: the codec read each number with int() and checked no range, and the quota trusts the cost. The class of fault: a number from outside that is used before its range is checked. A size of 400 digits made the same code raise OverflowError, which the caller saw as a 502.

Found by reading; no run is known in which a caller sent such a request.

The numbers are checked where they are read, for the size and for the parts of the prompt, so nothing behind the codec meets them.

--- a/mulberryhollow/platform/callers.py
+++ b/mulberryhollow/platform/callers.py
@@ -14,6 +14,13 @@
 _MS_PER_S = 1000.0
 _HEADER_PREFIX = "HTTP_"
 
+MAX_TOKENS = 10**9
+"""Largest number of tokens that a header may state.
+
+It is far above the memory of an endpoint, and any sum of such numbers can be
+computed with.
+"""
+
 
 class CallerCodec:
     """Decodes callers' requests and encodes refusals."""
@@ -128,10 +135,10 @@
     if not text:
         return None
     try:
-        return float(sum(int(each) for each in text.split(",")))
+        return float(sum(_parse_tokens(each) for each in text.split(",")))
     except ValueError as error:
         raise _malformed(
-            header_names.PROMPT_SIZE, "the value is not a list of integers"
+            header_names.PROMPT_SIZE, "the value is not a list of sizes"
         ) from error
 
 
@@ -145,13 +152,21 @@
         return []
     try:
         pairs = [part.strip().partition(":") for part in text.split(",")]
-        return [(part_id, int(size)) for part_id, _, size in pairs]
+        return [(part_id, _parse_tokens(size)) for part_id, _, size in pairs]
     except ValueError as error:
         raise _malformed(
             header_names.PROMPT_PARTS, "a part is not ID:TOKENS"
         ) from error
 
 
+def _parse_tokens(text):
+    """Return a number of tokens; raise ValueError if it cannot be one."""
+    tokens = int(text)
+    if not 0 <= tokens <= MAX_TOKENS:
+        raise ValueError(f"{tokens} tokens")
+    return tokens
+
+
 def _make_prompt_chain(environ, parts):
     """Return the PromptChain of a model request; None without parts.
 
