Tests: odd entries of another writer among those of the endpoints

One entry nested 200,000 deep, with a number of 5,000 digits, with bytes that are not UTF-8 or with text that is not JSON ends the reading of the whole list and of its watch (RecursionError, StoreUnavailableError). A port 0 or 99999, negative slots, a start of 390 digits and the like are used as endpoints, and an entry that is refused is logged at every read.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -38,6 +38,8 @@
         Revision, kind, object and whether it was deleted, in order.
     calls : list of tuple
         Method and path of each call.
+    texts : dict
+        JSON text by the marker that stands for it in a spec, both as bytes.
     """
 
     statuses: list = attrs.field(factory=list)
@@ -45,6 +47,7 @@
     objects: dict = attrs.field(factory=dict)
     events: list = attrs.field(factory=list)
     calls: list = attrs.field(factory=list)
+    texts: dict = attrs.field(factory=dict)
     _lock: object = attrs.field(factory=threading.Lock)
 
     def request(self, method, path, body=None, headers=None, timeout=None):
@@ -57,13 +60,26 @@
             query = dict(urllib.parse.parse_qsl(split.query))
             segments = split.path.strip("/").split("/")[2:]
             fields = json.loads(body) if body else {}
-            return self._answer(method, segments, query, fields)
+            answer = self._answer(method, segments, query, fields)
+            return attrs.evolve(answer, data=self._insert_texts(answer.data))
+
+    def _insert_texts(self, data):
+        """Return an answer's body with the texts in place of the markers."""
+        for marker, text in self.texts.items():
+            data = data.replace(marker, text)
+        return data
 
     def put(self, kind, name, spec):
         """Write an object on behalf of another client."""
         with self._lock:
             return self._store(kind, name, spec)
 
+    def put_text(self, kind, name, text):
+        """Write an object whose spec is JSON text that is passed on as is."""
+        marker = f"text {len(self.texts)}"
+        self.texts[json.dumps(marker).encode()] = text
+        return self.put(kind, name, marker)
+
     def remove(self, kind, name):
         """Remove an object on behalf of another client."""
         with self._lock:
