Let an odd entry of another writer cost no more than itself

What was seen: with one entry nested 200,000 deep among those of the endpoints, the list and the watch raised RecursionError, which nothing expected; with a number of 5,000 digits, bytes that are not UTF-8 or text that is no JSON, the whole answer counted as malformed for as long as the entry stayed. A reader that started had no endpoints, one that ran followed no change any more. Ports 0 and 99999, 0, negative or 10**8 slots, starts in the year 10**390, ids that no header can hold were used as endpoints. An entry that was refused was logged at every read.

Cause: the answer of the store is one JSON text of all writers, decoded as a whole, and each place that decodes lists exception types of its own.

The class of fault is foreign data that is trusted to be what its writer should have written. state/decoding.py now has one decoder: a text that cannot be decoded as a whole is decoded member by member on its outer levels, without recursion into the odd part, which is skipped by its brackets and strings and becomes MALFORMED. The dialect keeps an object whose name and revision can be read, with an empty value, so that its reader treats it as malformed and sees its repair or removal. Entries are checked field by field with ranges. A list that does not advance is refused.

--- a/mulberryhollow/platform/records.py
+++ b/mulberryhollow/platform/records.py
@@ -1,7 +1,7 @@
 """Decoders of the operator's and the endpoints' objects in the store."""
 
-import json
 import math
+import re
 
 import attrs
 import xxhash
@@ -9,6 +9,7 @@
 from mulberryhollow import errors
 from mulberryhollow.protocol import configurations
 from mulberryhollow.state import catalogue as catalogues
+from mulberryhollow.state import decoding
 from mulberryhollow.state import evacuations
 from mulberryhollow.state import fleet
 
@@ -19,6 +20,7 @@
     "EVACUATION_KIND",
     "decode_catalogue",
     "decode_evacuation",
+    "decode_fields",
     "decode_listing",
 ]
 
@@ -40,6 +42,22 @@
 an endpoint for much longer than a real start takes.
 """
 
+MAX_START_MS = 253_402_300_799_999
+"""Latest start of an endpoint, in Unix milliseconds: the end of year 9999."""
+
+MAX_SLOTS = 1_000_000
+"""Largest number of slots of an endpoint."""
+
+MAX_HOST = 253
+"""Maximum length of a host name, in characters."""
+
+MAX_PORT = 65535
+
+_HOST = re.compile(
+    r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*|\[[0-9A-Fa-f:.]+\]"
+)
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
+
 _REQUEST_KINDS = {
     ("idempotent", False): catalogues.RequestKind.IDEMPOTENT,
     ("idempotent", True): catalogues.RequestKind.IDEMPOTENT,
@@ -52,17 +70,6 @@
     "token_count": catalogues.QuotaUnit.TOKENS,
     None: catalogues.QuotaUnit.REQUESTS,
 }
-_DECODE_ERRORS = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
-"""Errors of malformed values; the last two are of numbers beyond the range
-of their type and of brackets nested too deeply.
-"""
 
 
 def decode_listing(item):
@@ -78,37 +85,73 @@
     ValueError
         If the entry does not describe a usable endpoint.
     """
-    try:
-        fields = json.loads(item.value)
-        return _decode_listing(item.name, fields)
-    except _DECODE_ERRORS as error:
-        raise ValueError(f"entry {item.name}: {error!r}") from error
-
-
-def _decode_listing(name, fields):
-    """Return the EndpointListing for the fields of an entry."""
-    state = fields["state"]
-    if state not in ("ready", "draining"):
-        raise ValueError(f"unknown state {state!r}")
-    # "born" is the start time, in Unix milliseconds.
-    started_ms = _get_required(fields, "born", int)
-    leaves_ms = fields.get("leaves_ms")
-    host, _, port = _get_required(fields, "address", str).rpartition(":")
-    if not (host and port.isdecimal()):
-        raise ValueError("address is not host:port")
-    return fleet.EndpointListing(
-        identity=name,
-        started_ms=started_ms,
-        service=_get_required(fields, "service", str),
-        address=f"{host}:{port}",
-        failure_domain=_get_required(fields, "zone", str),
-        version=_get_required(fields, "version", str),
-        slots=_get_required(fields, "slots", int),
-        is_leaving=state == "draining",
-        is_reclaimable=bool(fields.get("spot")),
-        leaves_in_s=None if leaves_ms is None else leaves_ms / _MS_PER_S,
-        cold_left_s=_decode_cold_left(fields.get("coldLeftMs")),
-    )
+    with decoding.convert_errors("entry"):
+        fields = decode_fields(item)
+        state = fields["state"]
+        if state not in ("ready", "draining"):
+            raise ValueError(f"unknown state {state!r}")
+        return fleet.EndpointListing(
+            identity=_check_identity(item.name),
+            # "born" is the start time, in Unix milliseconds.
+            started_ms=decoding.get_integer(
+                fields, "born", lowest=1, highest=MAX_START_MS
+            ),
+            service=decoding.check_name(fields["service"], "service"),
+            address=_check_address(fields["address"]),
+            failure_domain=decoding.check_name(fields["zone"], "zone"),
+            version=decoding.check_name(fields["version"], "version"),
+            slots=decoding.get_integer(
+                fields, "slots", lowest=1, highest=MAX_SLOTS
+            ),
+            is_leaving=state == "draining",
+            is_reclaimable=bool(fields.get("spot")),
+            leaves_in_s=_decode_leaves_in(fields.get("leaves_ms")),
+            cold_left_s=_decode_cold_left(fields.get("coldLeftMs")),
+        )
+
+
+def decode_fields(item):
+    """Return the fields of an object that another program wrote.
+
+    Raises
+    ------
+    ValueError
+        If its value is no JSON object.
+    """
+    fields = decoding.decode_json(item.value)
+    if not isinstance(fields, dict):
+        raise ValueError(f"the value is a {type(fields).__name__}")
+    return fields
+
+
+def _check_identity(name):
+    """Return an endpoint's id, which is sent to it in a header."""
+    if not (name.isascii() and name.isprintable() and " " not in name):
+        raise ValueError(f"the name is no id: {name!r}")
+    return name
+
+
+def _check_address(address):
+    """Return an address; raise ValueError unless it is ``host:port``."""
+    host, _, port = address.rpartition(":")
+    if not (len(host) <= MAX_HOST and _HOST.fullmatch(host)):
+        raise ValueError(f"not a host: {host!r}")
+    if not (_PORT.fullmatch(port) and int(port) <= MAX_PORT):
+        raise ValueError(f"not a port: {port!r}")
+    return address
+
+
+def _decode_leaves_in(leaves_ms):
+    """Return the time until an endpoint is reclaimed, in s; None if unknown.
+
+    A time that has passed counts as now.
+    """
+    if leaves_ms is None:
+        return None
+    fields = {"leaves_ms": leaves_ms}
+    lowest = -decoding.MAX_NUMBER
+    value = decoding.get_number(fields, "leaves_ms", lowest=lowest)
+    return max(0.0, value / _MS_PER_S)
 
 
 def decode_evacuation(item):
@@ -125,8 +168,7 @@
     ValueError
         If the value is malformed.
     """
-    if not isinstance(json.loads(item.value), dict):
-        raise ValueError(f"evacuation {item.name}: not a JSON object")
+    decode_fields(item)
     return evacuations.Evacuation(item.name, item.version, True)
 
 
@@ -146,14 +188,6 @@
     return min(max(0, cold_left_ms), MAX_COLD_S * _MS_PER_S) / _MS_PER_S
 
 
-def _get_required(fields, name, kind):
-    """Return a field; raise TypeError if empty, 0 or of another type."""
-    value = fields[name]
-    if not isinstance(value, kind) or isinstance(value, bool) or not value:
-        raise TypeError(f"{name} is {value!r}")
-    return value
-
-
 def decode_catalogue(data, version):
     """Return the Catalogue decoded from the operator's configuration.
 
@@ -170,46 +204,39 @@
         If the content is malformed; names the version and the fault.
     """
     try:
-        fields = json.loads(data)
-        services = _decode_entries("services", fields, _decode_service)
-        accounts = fields.get("tenants")
-        return catalogues.Catalogue(
-            number=int(fields["version"]),
-            routes=_decode_entries("routes", fields, _decode_route),
-            services={each.name: each for each in services},
-            accounts=accounts
-            and _decode_entries("tenants", fields, _decode_account),
-            limits=_decode_limits(fields.get("limits") or {}),
-            digest=xxhash.xxh3_64_hexdigest(data),
-        )
-    except _DECODE_ERRORS as error:
+        with decoding.convert_errors("configuration"):
+            return _decode_catalogue(data)
+    except ValueError as error:
         raise errors.ConfigurationError(
-            [f"object version {version}: {_describe_error(error)}"]
+            [f"object version {version}: {error}"]
         ) from error
 
 
+def _decode_catalogue(data):
+    """Return the Catalogue decoded from the operator's configuration."""
+    fields = decoding.decode_json(data)
+    services = _decode_entries("services", fields, _decode_service)
+    accounts = fields.get("tenants")
+    return catalogues.Catalogue(
+        number=int(fields["version"]),
+        routes=_decode_entries("routes", fields, _decode_route),
+        services={each.name: each for each in services},
+        accounts=accounts
+        and _decode_entries("tenants", fields, _decode_account),
+        limits=_decode_limits(fields.get("limits") or {}),
+        digest=xxhash.xxh3_64_hexdigest(data),
+    )
+
+
 def _decode_entries(name, fields, decode):
     """Return the decoded entries of a list; an error names the entry."""
     decoded = []
     for index, entry in enumerate(fields[name]):
-        try:
+        with decoding.convert_errors(f"{name}[{index}]"):
             decoded.append(decode(entry))
-        except _DECODE_ERRORS as error:
-            raise ValueError(
-                f"{name}[{index}]: {_describe_error(error)}"
-            ) from error
     return tuple(decoded)
 
 
-def _describe_error(error):
-    """Return an error as text.
-
-    The ``repr`` of a UnicodeDecodeError holds all bytes, and thus the keys of
-    the accounts.
-    """
-    return f"{type(error).__name__}: {error}"
-
-
 def _decode_route(fields):
     """Return the Route for the fields of a route."""
     # A route has either "service" (one service) or "split" (weighted).
@@ -217,7 +244,9 @@
         {"service": fields["service"], "weight": 1}
     ]
     shares = tuple(
-        catalogues.ServiceShare(each["service"], float(each["weight"]))
+        catalogues.ServiceShare(
+            each["service"], float(decoding.get_number(each, "weight"))
+        )
         for each in split
     )
     is_resumable = bool(fields.get("resumable"))
@@ -227,12 +256,12 @@
         path_prefix=fields["pathPrefix"],
         kind=_REQUEST_KINDS[fields["routeKind"], is_resumable],
         shares=shares,
-        timeout_s=fields["timeoutMs"] / _MS_PER_S,
-        goal_s=(fields.get("goalMs") or 0) / _MS_PER_S,
+        timeout_s=decoding.get_number(fields, "timeoutMs") / _MS_PER_S,
+        goal_s=decoding.get_number(fields, "goalMs", 0) / _MS_PER_S,
         priority=int(fields.get("priority") or 0),
         max_endpoints=max(1, int(fields.get("maxAttempts") or 1)),
         is_public=bool(fields.get("public")),
-        gap_goal_s=(fields.get("gapGoalMs") or 0) / _MS_PER_S,
+        gap_goal_s=decoding.get_number(fields, "gapGoalMs", 0) / _MS_PER_S,
         allowed_regions=_decode_regions(fields),
     )
 
@@ -243,20 +272,20 @@
     scaling = fields.get("scaling")
     return catalogues.ServiceSpec(
         name=fields["name"],
-        max_connections=int(fields.get("maxConns") or 0),
+        max_connections=int(decoding.get_number(fields, "maxConns", 0)),
         model=engine
         and catalogues.ModelSpec(
-            slots=int(engine["slots"]),
+            slots=int(decoding.get_number(engine, "slots")),
             # "kv" is the key-value cache of prompts and answers; its
             # capacity is in tokens.
-            cache_tokens=int(engine["kvCapacity"]),
+            cache_tokens=int(decoding.get_number(engine, "kvCapacity")),
             can_move=bool(engine.get("moves")),
         ),
         scaling=scaling
         and catalogues.Scaling(
-            min_per_domain=int(scaling["min"]),
-            max_per_domain=int(scaling["max"]),
-            boot_s=float(scaling.get("bootS") or 0),
+            min_per_domain=int(decoding.get_number(scaling, "min")),
+            max_per_domain=int(decoding.get_number(scaling, "max")),
+            boot_s=float(decoding.get_number(scaling, "bootS", 0)),
             reclaimable_price=scaling.get("spotPrice"),
             domain_prices=dict(scaling.get("zonePrices") or {}),
         ),
@@ -283,11 +312,13 @@
         name=fields["name"],
         keys=frozenset(fields["apiKeys"]),
         quota=catalogues.Quota(
-            rate_per_s=float(fields.get("ratePerS") or 0),
-            burst=float(fields.get("burst") or 0),
+            rate_per_s=float(decoding.get_number(fields, "ratePerS", 0)),
+            burst=float(decoding.get_number(fields, "burst", 0)),
             unit=_QUOTA_UNITS[fields.get("unit")],
             # Charged for requests that do not state their size.
-            default_tokens=float(fields.get("uncachedTokens") or 0),
+            default_tokens=float(
+                decoding.get_number(fields, "uncachedTokens", 0)
+            ),
         ),
         priority=None if priority is None else int(priority),
         allowed_regions=_decode_regions(fields),
@@ -306,10 +337,14 @@
     """Return the IngressLimits for the fields of the limits."""
     default = catalogues.IngressLimits()
     return catalogues.IngressLimits(
-        header_bytes=int(fields.get("maxHeaderBytes", default.header_bytes)),
-        body_bytes=int(fields.get("maxBodyBytes", default.body_bytes)),
-        idle_timeout_s=fields.get(
-            "idleTimeoutMs", default.idle_timeout_s * _MS_PER_S
+        header_bytes=int(
+            decoding.get_number(fields, "maxHeaderBytes", default.header_bytes)
+        ),
+        body_bytes=int(
+            decoding.get_number(fields, "maxBodyBytes", default.body_bytes)
+        ),
+        idle_timeout_s=decoding.get_number(
+            fields, "idleTimeoutMs", default.idle_timeout_s * _MS_PER_S
         )
         / _MS_PER_S,
     )
--- a/mulberryhollow/platform/store.py
+++ b/mulberryhollow/platform/store.py
@@ -1,9 +1,13 @@
 """Codec of the platform's dialect of the object API."""
 
+import contextlib
 import json
+import logging
 import urllib.parse
 
+from mulberryhollow import events
 from mulberryhollow.protocol import object_api
+from mulberryhollow.state import decoding
 from mulberryhollow.state import objects
 
 __all__ = ["PlatformDialect"]
@@ -11,6 +15,23 @@
 _PATH = "/v1/objects"
 _PRODUCT_SPEC_FIELDS = {"change", "value"}
 
+_OBJECT_LEVELS = 2
+"""Levels of an object that are decoded apart: itself and its fields."""
+
+_LIST_LEVELS = 2 + _OBJECT_LEVELS
+"""Levels of a page that are decoded apart: itself and its list, also."""
+
+_WATCH_LEVELS = 3 + _OBJECT_LEVELS
+"""Levels of a watch's answer that are decoded apart: its events, also."""
+
+UNREADABLE = events.declare(
+    9013,
+    logging.WARNING,
+    "an object without a readable name or revision is left out of what the "
+    "store lists; logged for the first one only",
+    "check the program that wrote the objects of that kind",
+)
+
 
 class PlatformDialect(object_api.ObjectDialect):
     """Encodes calls and decodes answers of the platform's store.
@@ -20,9 +41,13 @@
     An object that the product writes holds its content as text and the id
     of the change that wrote it. The id resolves a write of unknown
     outcome. The value of an object of another writer is the bytes of its
-    JSON.
+    JSON; it is empty if they cannot be decoded, so that one such object does
+    not keep the others from being read.
     """
 
+    def __init__(self):
+        self._has_logged = False
+
     def encode_get(self, kind, name, is_stale_ok):
         """Return the call that reads one object."""
         query = {"serializable": 1} if is_stale_ok else {}
@@ -30,7 +55,9 @@
 
     def decode_get(self, kind, name, answer):
         """Return the StoredObject in the answer to a read."""
-        return _decode_object(kind, json.loads(answer.data))
+        return _decode_object(
+            kind, decoding.decode_json_parts(answer.data, _OBJECT_LEVELS)
+        )
 
     def encode_list(self, kind, after, is_stale_ok):
         """Return the call that lists one page of the objects of a kind."""
@@ -41,12 +68,14 @@
 
     def decode_list(self, kind, answer):
         """Return the ObjectPage in the answer to a list call."""
-        document = json.loads(answer.data)
-        items = tuple(_decode_object(kind, item) for item in document["items"])
+        document = decoding.decode_json_parts(answer.data, _LIST_LEVELS)
+        items = self._decode_all(
+            kind, ((item, False) for item in document["items"])
+        )
         has_more = bool(document.get("hasMore")) and bool(items)
         return object_api.ObjectPage(
             # "at" is the store's revision, not a time.
-            int(document["at"]),
+            decoding.get_integer(document, "at"),
             items,
             items[-1].name if has_more else "",
         )
@@ -58,12 +87,17 @@
 
     def decode_watch(self, kind, answer):
         """Return the ObjectPage in the answer to a watch call."""
-        document = json.loads(answer.data)
-        items = tuple(
-            _decode_object(kind, event["object"], bool(event.get("deleted")))
-            for event in document["events"]
+        document = decoding.decode_json_parts(answer.data, _WATCH_LEVELS)
+        items = self._decode_all(
+            kind,
+            (
+                (event["object"], bool(event.get("deleted")))
+                for event in document["events"]
+            ),
+        )
+        return object_api.ObjectPage(
+            decoding.get_integer(document, "at"), items
         )
-        return object_api.ObjectPage(int(document["at"]), items)
 
     def encode_put(self, kind, name, value, expected_version, change_id):
         """Return the call that writes an object if its version matches."""
@@ -98,10 +132,29 @@
 
     def decode_written_version(self, answer):
         """Return the version in the answer to a write; 0 if it has none."""
-        try:
-            return int(json.loads(answer.data)["metadata"]["revision"])
-        except (ValueError, KeyError, TypeError):
-            return 0
+        with (
+            contextlib.suppress(ValueError),
+            decoding.convert_errors("answer to a write"),
+        ):
+            fields = decoding.decode_json_parts(answer.data, _OBJECT_LEVELS)
+            return decoding.get_integer(fields["metadata"], "revision")
+        return 0
+
+    def _decode_all(self, kind, items):
+        """Return the StoredObject of each (item, whether it was deleted)."""
+        found = []
+        for item, is_deleted in items:
+            try:
+                found.append(_decode_object(kind, item, is_deleted))
+            except ValueError as error:
+                self._log_unreadable(kind, error)
+        return tuple(found)
+
+    def _log_unreadable(self, kind, error):
+        """Log the first object that cannot be told from others."""
+        if not self._has_logged:
+            self._has_logged = True
+            events.log(UNREADABLE, kind=kind, reason=str(error))
 
 
 def _make_path(kind, name="", query=None):
@@ -120,23 +173,41 @@
     return object_api.StoreCall(method, path, body, object_api.JSON_HEADERS)
 
 
+@decoding.convert_errors("stored object")
 def _decode_object(kind, item, is_deleted=False):
-    """Return the StoredObject for the JSON object of an answer."""
+    """Return the StoredObject for the JSON object of an answer.
+
+    Raises
+    ------
+    ValueError
+        When its name or its revision cannot be read.
+    """
     metadata = item["metadata"]
-    spec = item.get("spec")
-    change_id = ""
-    if isinstance(spec, dict) and spec.keys() == _PRODUCT_SPEC_FIELDS:
-        change_id = str(spec["change"])
-        value = str(spec["value"]).encode()
-    else:
-        value = json.dumps(spec).encode()
+    change_id, value = _decode_spec(item.get("spec"))
     return objects.StoredObject(
         kind,
-        str(metadata["name"]),
+        decoding.check_name(metadata["name"], "name"),
         # "revision" is the store's revision at the last change of the object.
-        int(metadata["revision"]),
+        decoding.get_integer(metadata, "revision"),
         value,
         change_id,
         is_deleted or bool(metadata.get("deletionPending")),
-        json.dumps(item.get("status")).encode(),
+        _encode_part(item.get("status")),
     )
+
+
+def _decode_spec(spec):
+    """Return the change id and the value of an object."""
+    is_own = isinstance(spec, dict) and spec.keys() == _PRODUCT_SPEC_FIELDS
+    if is_own and all(isinstance(each, str) for each in spec.values()):
+        with contextlib.suppress(UnicodeEncodeError):
+            return spec["change"], spec["value"].encode()
+    return "", _encode_part(spec)
+
+
+def _encode_part(value):
+    """Return a part of an object as JSON; empty if it is unreadable."""
+    try:
+        return decoding.encode_json(value)
+    except ValueError:
+        return b""
--- a/mulberryhollow/protocol/object_api.py
+++ b/mulberryhollow/protocol/object_api.py
@@ -2,10 +2,10 @@
 
 import base64
 import binascii
-import json
 
 import attrs
 
+from mulberryhollow.state import decoding
 from mulberryhollow.state import objects
 
 __all__ = ["JSON_HEADERS", "ObjectDialect", "ObjectPage", "StoreCall"]
@@ -60,8 +60,8 @@
 
     Notes
     -----
-    Decoders raise ValueError, KeyError or TypeError for an answer that
-    cannot be read; the client turns these into its own errors.
+    Decoders raise any error that `decoding.convert_errors` knows for an
+    answer that cannot be read; the client turns it into its own error.
     """
 
     def encode_get(self, kind, name, is_stale_ok):
@@ -84,7 +84,7 @@
 
     def decode_list(self, kind, answer):
         """Return the ObjectPage in the answer to a list call."""
-        fields = json.loads(answer.data)
+        fields = decoding.decode_json(answer.data)
         items = tuple(_decode_item(kind, item) for item in fields["items"])
         return ObjectPage(int(fields["revision"]), items)
 
@@ -130,8 +130,9 @@
     def decode_written_version(self, answer):
         """Return the version in the answer to a write; 0 if it has none."""
         try:
-            return int(json.loads(answer.data)["version"])
-        except (ValueError, KeyError, TypeError):
+            with decoding.convert_errors("answer to a write"):
+                return int(decoding.decode_json(answer.data)["version"])
+        except ValueError:
             return 0
 
     def decode_write_applied(self, answer):
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -12,7 +12,8 @@
 MALFORMED = events.declare(
     4020,
     logging.WARNING,
-    "an entry of the endpoint list is malformed and is ignored",
+    "an entry of the endpoint list is malformed and is ignored; logged once "
+    "until it is well-formed or gone",
     "check the program that wrote the entry",
 )
 LISTED = events.declare(
@@ -63,6 +64,7 @@
         self._clock = clock
         self._publish_leaving = publish_leaving
         self._reported_leaving = set()
+        self._malformed = set()
         self._fleet = fleets.Fleet()
         self.is_known = False
 
@@ -73,6 +75,7 @@
 
     def handle_list(self, items, revision=0):
         """Replace all entries by a complete list."""
+        self._malformed &= {item.name for item in items}
         listed = {item.name: self._decode_entry(item) for item in items}
         gone = self._fleet.replace(listed, self._clock.now_s())
         for listing in gone:
@@ -86,6 +89,7 @@
         changed = []
         for item in items:
             if item.is_deleted:
+                self._malformed.discard(item.name)
                 gone = self._fleet.remove(item.name, now_s)
                 if gone is not None:
                     self._publish_leaving(gone.key, False)
@@ -128,12 +132,20 @@
         self._apply()
 
     def _decode_entry(self, item):
-        """Return the listing of an entry; None if it is malformed."""
+        """Return the listing of an entry; None if it is malformed.
+
+        An entry is logged again only after it was well-formed or gone, since
+        its writer may write it every second.
+        """
         try:
-            return self._decode(item)
+            listing = self._decode(item)
         except ValueError as error:
-            events.log(MALFORMED, entry=item.name, reason=str(error))
+            if item.name not in self._malformed:
+                self._malformed.add(item.name)
+                events.log(MALFORMED, entry=item.name, reason=str(error))
             return None
+        self._malformed.discard(item.name)
+        return listing
 
     def _apply(self, relisted=()):
         """Send the list to the dispatch actor and report leaving endpoints.
--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -6,6 +6,7 @@
 
 from mulberryhollow import errors
 from mulberryhollow.protocol import object_api
+from mulberryhollow.state import decoding
 from mulberryhollow.state import objects
 from mulberryhollow.transport import bounded_pool
 
@@ -19,7 +20,6 @@
 _NOT_FOUND = 404
 _GONE = 410
 _REMEDY = "retry when the platform responds again"
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 
 
 def make_change_id():
@@ -111,12 +111,9 @@
         if response.status == _NOT_FOUND:
             return None
         self._check_status(response)
-        try:
-            return self._dialect.decode_get(kind, name, response)
-        except _DECODE_ERRORS as error:
-            raise _make_unavailable_error(
-                f"malformed object: {error!r}"
-            ) from error
+        return _decode(
+            "object", self._dialect.decode_get, kind, name, response
+        )
 
     def list_objects(self, kind, is_stale_ok=False):
         """Read every object of a kind.
@@ -148,6 +145,8 @@
             page = self._read_page(kind, call, self._dialect.decode_list)
             found.extend(page.items)
             revision = page.revision if revision is None else revision
+            if page.next_after and page.next_after <= after:
+                raise _make_unavailable_error("a list without an end")
             after = page.next_after
         return revision, found
 
@@ -253,12 +252,7 @@
                 "list all objects of the kind again",
             )
         self._check_status(response)
-        try:
-            return decode(kind, response)
-        except _DECODE_ERRORS as error:
-            raise _make_unavailable_error(
-                f"malformed list: {error!r}"
-            ) from error
+        return _decode("list", decode, kind, response)
 
     def _write(self, call):
         """Return the outcome of a call that changes an object."""
@@ -293,6 +287,21 @@
             raise _make_unavailable_error(f"status {response.status}")
 
 
+def _decode(what, decode, *arguments):
+    """Return the decoded answer of the object API.
+
+    Raises
+    ------
+    StoreUnavailableError
+        When it is malformed.
+    """
+    try:
+        with decoding.convert_errors(what):
+            return decode(*arguments)
+    except ValueError as error:
+        raise _make_unavailable_error(str(error)) from error
+
+
 def _make_unavailable_error(reason):
     """Return the error for an object API without a usable response."""
     return errors.StoreUnavailableError(
