Start an answer anew with each endpoint that is tried

What callers saw: an event of a resumable stream that begins with half of an event of another endpoint ("id: 1, daid: 1, data: x1"), and so pieces of two answers.

Cause: a first endpoint that breaks off inside its first event leaves the half in the buffer of the assembly. Only the resumption of a stream that the caller had begun to receive emptied it, not the next first attempt.

Evidence: "A stream that breaks off inside its first event starts anew" in tests/serving/resumed_streams.feature failed before and passes now.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -330,6 +330,7 @@
         another endpoint is tried. The last such answer is kept, and passed
         on to the caller when no attempt succeeds.
         """
+        self._reader.assembly.restart()
         answer = self._open(route)
         head = answer.head
         is_success = 200 <= head.status < 300
