Take no resumed stream without an event for the rest of it

What callers saw: a stream that broke off after event 2 ended as if it were complete, because the next endpoint answered 200 and then nothing.

Cause: the end of an answer was the end of the stream whenever any endpoint had sent an event, also where the answer that ended had none. An endpoint that resumes a stream shows that it continues it by an event with an id. A stream that broke off after its very last event is now broken off too, which its caller can resume.

--- a/mulberryhollow/coordination/streams/events.py
+++ b/mulberryhollow/coordination/streams/events.py
@@ -27,6 +27,8 @@
         Id of the last event returned.
     count : int
         Number of events with an id that were returned.
+    has_id : bool
+        Whether the present endpoint has sent an event with an id.
 
     Notes
     -----
@@ -37,6 +39,7 @@
     def __init__(self, last_id=""):
         self.last_id = last_id
         self.count = 0
+        self.has_id = False
         self._buffer = b""
 
     @property
@@ -51,6 +54,7 @@
 
     def restart(self):
         """Start over with another endpoint, which resumes after `last_id`."""
+        self.has_id = False
         self._buffer = b""
 
     def feed(self, chunk):
@@ -98,6 +102,7 @@
             return faults.Crossed(detail)
         else:
             is_new = True
+        self.has_id = True
         if is_new:
             self.last_id = event_id
             self.count += 1
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -95,6 +95,7 @@
         self._buffers = buffers
         self._reserved_bytes = 0
         self._has_begun = False
+        self._is_resumed = False
         self._event_s = 0.0
         self._waited_s = 0.0
         self._gaps_s = []
@@ -114,6 +115,17 @@
         """Whether an event id is known after which to resume the stream."""
         return bool(self.assembly.last_id)
 
+    def restart(self, is_resumed):
+        """Start over with the answer of another endpoint.
+
+        Parameters
+        ----------
+        is_resumed : bool
+            Whether the caller has events that the answer has to continue.
+        """
+        self.assembly.restart()
+        self._is_resumed = is_resumed
+
     def drain(self, answer):
         """Read a refusal to its end, so that its connection can be reused.
 
@@ -211,7 +223,11 @@
         -----
         An endpoint that closes the connection may not have finished. Its
         events are then the only sign that some of the stream is missing.
+        One that resumes a stream shows by an event that it continues it.
         """
+        if self._is_resumed and not self.assembly.has_id:
+            fault = streams.Broken("the resumed stream has no events")
+            raise errors.EndpointError(fault)
         if self.assembly.is_inside_event:
             fault = streams.Broken("the stream ended inside an event")
             raise errors.EndpointError(fault)
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -330,7 +330,7 @@
         another endpoint is tried. The last such answer is kept, and passed
         on to the caller when no attempt succeeds.
         """
-        self._reader.assembly.restart()
+        self._reader.restart(is_resumed=False)
         answer = self._open(route)
         head = answer.head
         is_success = 200 <= head.status < 300
@@ -542,7 +542,7 @@
             ):
                 raise errors.EndpointError(fault)
             self._require_retry(route, fault)
-            self._reader.assembly.restart()
+            self._reader.restart(is_resumed=True)
             while self._answer is None:
                 self._make_attempt(self._continue_stream)
         except (errors.RefusedError, errors.EndpointError) as error:
