Ask again for events that came together with a fault

What callers saw: event 3 missing between the events 2 and 4 of a stream.

Cause: the assembly counts an event as returned when it has checked it. If a later event of the same bytes is a fault, none of them is returned, but the next endpoint was asked for the events after the last one checked. Now the last id goes back to the last event that was returned.

Evidence: "events 3 and 5 at once" in tests/serving/resumed_streams.feature failed before and passes now.

--- a/mulberryhollow/coordination/streams/events.py
+++ b/mulberryhollow/coordination/streams/events.py
@@ -69,8 +69,18 @@
         -------
         bytes or Crossed
             Crossed when an event is missing, or when an incomplete one
-            exceeds `MAX_EVENT_BYTES`.
+            exceeds `MAX_EVENT_BYTES`. The events received with it are not
+            returned, and `last_id` is the last one that was, so that another
+            endpoint sends them again.
         """
+        returned = self.last_id, self.count
+        found = self._split(chunk)
+        if isinstance(found, faults.Crossed):
+            self.last_id, self.count = returned
+        return found
+
+    def _split(self, chunk):
+        """Return the complete events that are new, or Crossed."""
         self._buffer += chunk
         complete = []
         start = 0
