Break off a stream at bytes that are no event of it

What callers saw: the text of an error, or the whole head of one, in the middle of their stream, and the stream then ended as if it were complete.

Cause: whatever ends with a blank line was an event, and one without an id was passed on unchecked. An error status never gets that far; an answer with status 200 whose body is an error does, and so does an error written into the body of a stream.

Once a stream has ids, only events and comments are part of it; the data of an endpoint that resumes it come after an id that follows the last one. An id that is no number after one that is, or has thousands of digits (a ValueError before), is a fault. The fault is handled as any other: the stream is resumed elsewhere or broken off.

--- a/mulberryhollow/coordination/streams/events.py
+++ b/mulberryhollow/coordination/streams/events.py
@@ -9,7 +9,12 @@
 MAX_EVENT_BYTES = 1 << 20
 """Maximum buffered size of an incomplete event, in bytes."""
 
+MAX_ID_DIGITS = 30
+"""Maximum number of digits of a decimal id."""
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_LINE_END = re.compile(rb"\r\n|\n|\r")
+_EVENT_LINE = re.compile(rb"((event|data|id|retry)?:.*|event|data|id|retry|)")
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -34,6 +39,9 @@
     -----
     Decimal ids must increase by one: lower ones are dropped as duplicates
     and a gap is a fault. Other ids are only compared with the last one.
+    After an event with an id, what is neither an event nor a comment is a
+    fault, and so are the data of another endpoint before its first id: the
+    text of an error can end like an event.
     """
 
     def __init__(self, last_id=""):
@@ -68,10 +76,10 @@
         Returns
         -------
         bytes or Crossed
-            Crossed when an event is missing, or when an incomplete one
-            exceeds `MAX_EVENT_BYTES`. The events received with it are not
-            returned, and `last_id` is the last one that was, so that another
-            endpoint sends them again.
+            Crossed when an event is missing, when the bytes are no event, or
+            when an incomplete one exceeds `MAX_EVENT_BYTES`. The events
+            received with it are not returned, and `last_id` is the last one
+            that was, so that another endpoint sends them again.
         """
         returned = self.last_id, self.count
         found = self._split(chunk)
@@ -101,19 +109,42 @@
         """Return whether an event is new, or Crossed after a gap."""
         found = _EVENT_ID.search(event)
         if found is None:
-            return True
+            return self._check_without_id(event)
         event_id = found.group(1).decode("latin-1").strip()
-        if not (event_id.isdecimal() and self.last_id.isdecimal()):
+        number, last = _parse_id(event_id), _parse_id(self.last_id)
+        if last is None:
             is_new = event_id != self.last_id
-        elif int(event_id) <= int(self.last_id):
-            is_new = False
-        elif int(event_id) > int(self.last_id) + 1:
-            detail = f"event {event_id} after {self.last_id}"
-            return faults.Crossed(detail)
+        elif number is None or number > last + 1:
+            return faults.Crossed(
+                f"event {event_id:.{MAX_ID_DIGITS}} after {self.last_id}"
+            )
         else:
-            is_new = True
+            is_new = number > last
         self.has_id = True
         if is_new:
             self.last_id = event_id
             self.count += 1
         return is_new
+
+    def _check_without_id(self, event):
+        """Return True for a part of the stream without an id, or Crossed."""
+        if not self.last_id:
+            return True
+        lines = _LINE_END.split(event)
+        if not all(map(_EVENT_LINE.fullmatch, lines)):
+            return faults.Crossed("bytes that are no event")
+        if not self.has_id and any(map(_is_field, lines)):
+            return faults.Crossed("an event without an id")
+        return True
+
+
+def _is_field(line):
+    """Return whether a line of an event is neither empty nor a comment."""
+    return bool(line) and not line.startswith(b":")
+
+
+def _parse_id(event_id):
+    """Return a decimal id as a number; None for any other id."""
+    is_decimal = event_id.isascii() and event_id.isdecimal()
+    is_number = is_decimal and len(event_id) <= MAX_ID_DIGITS
+    return int(event_id) if is_number else None
