Log answers that lack the id of the request that waits

The log could not tell an answer that was matched by its id from an error that was believed without one, nor show that earlier answers were passed over or that a body was cut: event 4013 had the framing and, for streams, the events only.

Event 4080 now names each answer without the id of the request that waited, with the number of requests that the connection had carried; event 4013 has the bytes read of the body and whether the connection was new.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -82,6 +82,11 @@
         Longest gap between events, in seconds.
     framing : Framing or None
         Framing of the last answer; None before its head.
+    is_new_connection : bool or None
+        Whether the last answer came over a connection opened for it; None
+        before its head.
+    body_bytes : int
+        Bytes read of all bodies, refusals excepted.
     """
 
     def __init__(self, request, clock, recorder, buffers):
@@ -89,6 +94,8 @@
         self.first_s = 0.0
         self.longest_gap_s = 0.0
         self.framing = None
+        self.is_new_connection = None
+        self.body_bytes = 0
         self._request = request
         self._clock = clock
         self._recorder = recorder
@@ -114,6 +121,11 @@
         """Whether an event id is known after which to resume the stream."""
         return bool(self.assembly.last_id)
 
+    def begin_answer(self, answer):
+        """Record how an answer arrives whose head has been read."""
+        self.framing = answer.framing
+        self.is_new_connection = answer.is_new_connection
+
     def drain(self, answer):
         """Read a refusal to its end, so that its connection can be reused.
 
@@ -142,6 +154,7 @@
             if not piece:
                 break
             size += len(piece)
+            self.body_bytes += len(piece)
             self._reserve(size)
             pieces.append(piece)
         self._mark_begun()
@@ -195,6 +208,7 @@
         if not piece:
             self._check_stream_end()
             return None
+        self.body_bytes += len(piece)
         found = self.assembly.feed(piece)
         if isinstance(found, streams.Crossed):
             raise errors.EndpointError(found)
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -395,7 +395,7 @@
                 route, answer.head.brittle_rejections
             )
         self._answer = answer
-        self._reader.framing = answer.framing
+        self._reader.begin_answer(answer)
         if answer.head.has_not_run:
             self._reader.drain(answer)
             self._close_answer()
@@ -429,7 +429,7 @@
         peers = self._dependencies.peers
         answer = peers.client.open(attempt, self._set_channel)
         self._answer = answer
-        self._reader.framing = answer.framing
+        self._reader.begin_answer(answer)
         head = answer.head
         if head.refusal is not None:
             self._reader.drain(answer)
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -39,6 +39,11 @@
     connection : urllib3.connection.HTTPConnection
         An open connection.
 
+    Attributes
+    ----------
+    earlier_requests : int
+        Number of requests sent before the last one.
+
     Notes
     -----
     An endpoint may send more bytes than the response has. They stay in the
@@ -53,6 +58,7 @@
         self._reader = io.BufferedReader(self._source)
         self._response = None
         self._is_request_complete = True
+        self.earlier_requests = -1
 
     @classmethod
     def open(cls, address, timeout_s):
@@ -104,6 +110,7 @@
         """
         data = memoryview(_encode_head(call) + call.body)
         self._response = None
+        self.earlier_requests += 1
         self.sock.settimeout(timeout_s)
         sent = 0
         while sent < len(data):
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -1,10 +1,13 @@
 """Client that forwards requests to endpoints."""
 
+import logging
+
 import attrs
 
 from mulberryhollow.coordination import forwarding
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
+from mulberryhollow import events
 from mulberryhollow.transport import channel as channels
 from mulberryhollow.transport import connection as connections
 
@@ -31,6 +34,13 @@
 MAX_STALE_BYTES = 1 << 20
 """Largest number of bytes of a stale answer's body to skip."""
 
+OUT_OF_STEP = events.declare(
+    4080,
+    logging.WARNING,
+    "an endpoint sent an answer that cannot be matched to the request",
+    "if it repeats, check the endpoint for answers that it sends twice",
+)
+
 
 @attrs.frozen
 class Attempt:
@@ -141,6 +151,8 @@
             head = self._codec.decode_head(status, headers)
             is_expected = head.request_id == attempt.call.request_id
             has_no_id = not head.request_id and status >= MIN_ERROR_STATUS
+            if not is_expected:
+                _log_out_of_step(channel, attempt, head)
             if is_expected or has_no_id:
                 return head
             self._skip_body(channel, end_s)
@@ -166,6 +178,18 @@
         raise errors.EndpointError(fault)
 
 
+def _log_out_of_step(channel, attempt, head):
+    """Log an answer that does not carry the id of the request."""
+    events.log(
+        OUT_OF_STEP,
+        request=attempt.call.request_id,
+        address=attempt.address,
+        answer_request=head.request_id,
+        status=head.status,
+        earlier_requests=channel.earlier_requests,
+    )
+
+
 def _is_silent(error):
     """Return whether an attempt got no answer on its connection."""
     is_fault = isinstance(error, errors.EndpointError)
