Show answers that are believed though they are not the request's own

- A stream cut inside its first event is joined to the next endpoint's first.
- A caller who leaves shuts down the connection of an earlier attempt of its request although it is back in the pool and may carry another request; a body that only the close ends then looks whole.
- A second answer behind a body that only the close ends is part of it.
- An error without an id, a second attempt's earlier answer, a head with another head inside and an interim answer are believed.

--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import threading
+import time
 
 __all__ = ["ScriptedEndpoint"]
 
@@ -16,7 +17,8 @@
     Parameters
     ----------
     scripts : list of list
-        The steps of each request in turn: bytes to send, ``"close"`` to
+        The steps of each request in turn: bytes to send, a pause in seconds
+        as a float, ``"close"`` to
         close the connection, ``"reset"`` to send a TCP reset, ``"hang"`` to
         answer nothing further on an open connection, ``"keep"`` to leave the
         connection open for the next request, and as the first step
@@ -107,6 +109,8 @@
             match step:
                 case bytes():
                     connection.sendall(step)
+                case float():
+                    time.sleep(step)
                 case "close":
                     connection.close()
                     return False
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -95,6 +95,19 @@
     When a STREAM request is forwarded
     Then the forwarded request ends as UNKNOWN after 1 attempts
 
+  # Guards against the rest of an event, from an endpoint that broke off, in
+  # front of the first event of the next endpoint.
+  Scenario: A resumable stream that ends inside its first event begins anew
+    Given a forwarder whose endpoints answer in turn: stream cut inside its first event, whole stream
+    When a RESUMABLE_STREAM request is forwarded
+    Then the caller gets events 1 to 4 without a break
+
+  # Guards against the loss of events that arrive together with a gap.
+  Scenario: A stream with a gap in its first bytes begins anew
+    Given a forwarder whose endpoints answer in turn: stream with a gap at its start, whole stream
+    When a RESUMABLE_STREAM request is forwarded
+    Then the caller gets events 1 to 4 without a break
+
   # Guards against a connection that closes after the head of a stream being
   # taken for an answer without events.
   Scenario: A stream without framing that ends before its first event is no answer
@@ -173,6 +186,13 @@
     When a IDEMPOTENT request of a disconnected caller is forwarded
     Then nothing is sent to an endpoint
 
+  # Guards against the answer of another request being cut, on a connection that
+  # an earlier attempt of the caller who left has given back.
+  Scenario: A caller that leaves does not end a connection that others may use
+    Given a forwarder whose endpoints answer in turn: refused, whole
+    When the caller of a request leaves before its second attempt is connected
+    Then only the connection of the second attempt is aborted
+
   Scenario: Whatever happens, no load stays counted
     Given a forwarder whose endpoints answer in turn: broken, refused, silent, failed, half stream
     When 5 requests of different kinds are forwarded
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -35,6 +35,8 @@
     "stream closed after its head": (200, [], None),
     "stream without framing": (200, list(map(event, (1, 2, 3, 4))), None),
     "stream cut inside its first event": (200, [b"id: 1\ndata: x\n"], None),
+    "whole stream": (200, list(map(event, (1, 2, 3, 4))), None),
+    "stream with a gap at its start": (200, [event(1) + event(3)], None),
 }
 FAULTS = {
     "unsent": streams.NotSent("no connection"),
@@ -81,6 +83,15 @@
         pass
 
 
+class Channel:
+    """Connection that another request uses once its answer is closed."""
+
+    is_aborted = False
+
+    def abort(self):
+        self.is_aborted = True
+
+
 class Client:
     """Gives the next scripted outcome to each attempt."""
 
@@ -89,9 +100,15 @@
         self.calls = []
         self.broken = set()
         self.lost = ""
+        self.channels = []
+        self.on_open = []
 
     def open(self, attempt, on_channel):
         self.calls.append(attempt.call)
+        if self.on_open:
+            self.on_open.pop(0)()
+        self.channels.append(Channel())
+        on_channel(self.channels[-1])
         outcome = self.outcomes.pop(0)
         if outcome == "broken":
             self.broken.add(attempt.address)
@@ -291,6 +308,23 @@
     assert 0 < context.error.refusal.retry_after_s <= seconds
 
 
+@when("the caller of a request leaves before its second attempt is connected")
+def forward_leaving(context):
+    def leave():
+        context.is_gone = True
+        context.forwarder._dependencies.watch.poll()
+
+    context.is_gone = False
+    context.client.on_open = [lambda: None, leave]
+    forward(context, "IDEMPOTENT", lambda: context.is_gone)
+
+
+@then("only the connection of the second attempt is aborted")
+def check_aborted(context):
+    aborted = [each.is_aborted for each in context.client.channels]
+    assert aborted == [False, True], aborted
+
+
 @when("{count:d} more {kind} requests meet pausing endpoints")
 def forward_to_pausing(context, count, kind):
     context.client.outcomes = ["pausing refused"] * 4 * count
--- a/tests/steps/transport_forwarding.py
+++ b/tests/steps/transport_forwarding.py
@@ -20,7 +20,22 @@
     return head % (request_id.encode(), extra, len(body)) + body
 
 
-HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
+def error(status, fields=b""):
+    """Return the bytes of an error without a request id."""
+    head = b"HTTP/1.1 %d No\r\n%sContent-Length: 2\r\n\r\nno"
+    return head % (status, fields)
+
+
+def interim(status, fields=b""):
+    return b"HTTP/1.1 %d Wait\r\n%s\r\n" % (status, fields)
+
+
+ID = b"Attempt-Id: r1\r\n"
+NOT_RUN = b"Not-Executed: 1\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\n" + ID
+UNFRAMED = HEAD + b"\r\nhello"
+MENTION = HEAD + b"\r\nHTTP/1.1 200 OK\r\nAttempt-Id: id\r\n\r\n HTTP/1.1 2"
+REFUSAL = b"HTTP/1.1 503 No\r\n" + ID + NOT_RUN + b"Content-Length: 0\r\n\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 SCRIPTS = {
     "answers whole": [[answer()]],
@@ -79,12 +94,61 @@
         [answer("r1", extra=b"Connection: close\r\n")],
         [answer("r2", extra=b"Connection: close\r\n")],
     ],
+    "repeats an answer before the own one, once": [
+        [answer("r1")],
+        [answer("r1") + answer("r2")],
+        [answer("r3")],
+    ],
+    "repeats an answer in parts": [
+        [answer("r1")],
+        [answer("r1")[:20], 0.05, answer("r1")[20:] + answer("r2")],
+    ],
+    "repeats an answer in part": [
+        [answer("r1")],
+        [answer("r1")[:-2] + answer("r2")],
+    ],
+    "repeats an answer a little later": [
+        [answer("r1"), 0.1, answer("r1")],
+        [answer("r2")],
+    ],
+    "repeats an answer instead of reading the body": [
+        [answer("r1")],
+        ["early", answer("r1"), "hang"],
+    ],
+    "refuses, then answers": [[REFUSAL], [answer("r1")]],
+    "sends a second head inside the first": [
+        [HEAD + answer("r0", b"other"), "close"]
+    ],
+    "names two requests": [[answer("r0", extra=ID)]],
+    "sends hints first": [[interim(103, ID) + answer()]],
+    "sends many interim answers first": [[interim(102) * 5 + answer()]],
+    "switches protocols": [[interim(101, ID) + answer()]],
+    "repeats an answer without a length": [[UNFRAMED + answer(), "close"]],
+    "repeats an answer without a length in parts": [
+        [UNFRAMED + b"HT", 0.05, answer()[2:30], 0.05, answer()[30:], "close"]
+    ],
+    "mentions a head in an answer without a length": [[MENTION, "close"]],
+    "begins an answer without a length": [[UNFRAMED, "hang"]],
     "answers before it has read the body": [
         ["early", answer("r1")],
         ["early", answer("r2")],
     ],
 }
 
+SCRIPTS |= {
+    f"repeats an earlier {status} before its answer": [
+        [answer("r1")],
+        [error(status, fields) + answer("r2")],
+    ]
+    for status, fields in (
+        (503, NOT_RUN),
+        (429, NOT_RUN),
+        (421, NOT_RUN),
+        (408, b""),
+        (500, b""),
+    )
+}
+
 
 @given("an endpoint that {script_name}")
 def start_scripted(context, script_name):
@@ -143,6 +207,51 @@
     context.results = [forward(context, each) for each in ("r1", "r2")]
 
 
+@when("three requests are forwarded to it")
+def forward_three(context):
+    context.results = [forward(context, each) for each in ("r1", "r2", "r3")]
+
+
+@when("two requests are forwarded to it, the second a little later")
+def forward_later(context):
+    def wait(channel):
+        time.sleep(0.2)
+
+    context.results = [
+        forward(context, "r1"),
+        forward(context, "r2", on_channel=wait),
+    ]
+
+
+@when("two attempts of one request are forwarded to it")
+def forward_attempts(context):
+    context.results = [forward(context), forward(context)]
+
+
+@then("the second attempt receives the body over a connection of its own")
+def check_second_attempt(context):
+    assert context.results == [(b"", None), (b"hello", None)], context.results
+    assert context.endpoint.connections == 2, context.endpoint.connections
+
+
+@then("the second request ends with {fault}")
+def check_second_fault(context, fault):
+    expected = [(b"hello", None), (None, fault)]
+    assert context.results == expected, context.results
+
+
+@then("all receive the body of their own response over {count:d} connections")
+def check_all(context, count):
+    assert set(context.results) == {(b"hello", None)}, context.results
+    assert context.endpoint.connections == count, context.endpoint.connections
+
+
+@then("the attempt ends with the text that mentions a head")
+def check_mention(context):
+    body = MENTION.partition(b"\r\n\r\n")[2]
+    assert context.result == (body, None), context.result
+
+
 @when("four requests are forwarded to it, the first two at the same time")
 def forward_four(context):
     def open_first(channel):
