Begin each answer of a stream without the rest of the one before

Callers of resumable streams got a first event that was two endpoints' bytes in one (MIXED, ORDER): the endpoint broke off inside the first event, and the answer of the next was added to the unfinished bytes. They were dropped only where a stream that had begun was resumed. In the same way, a first piece with a gap was read again in front of the second endpoint's, and its whole events were lost because the last id was already past them.

Each answer now begins with an empty buffer, at the one place where its head is taken over, and bytes that are refused for a gap leave the last id as it was.

--- a/mulberryhollow/coordination/streams/events.py
+++ b/mulberryhollow/coordination/streams/events.py
@@ -65,8 +65,10 @@
         -------
         bytes or Crossed
             Crossed when an event is missing, or when an incomplete one
-            exceeds `MAX_EVENT_BYTES`.
+            exceeds `MAX_EVENT_BYTES`. The events before it in the same
+            bytes are not returned, and `last_id` stays before them.
         """
+        before = self.last_id, self.count
         self._buffer += chunk
         complete = []
         start = 0
@@ -75,6 +77,7 @@
             start = end.end()
             match self._check_order(event):
                 case faults.Crossed() as crossed:
+                    self.last_id, self.count = before
                     return crossed
                 case True:
                     complete.append(event)
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -122,7 +122,11 @@
         return bool(self.assembly.last_id)
 
     def begin_answer(self, answer):
-        """Record how an answer arrives whose head has been read."""
+        """Begin to read an answer whose head has arrived.
+
+        What an earlier one has left unfinished is dropped.
+        """
+        self.assembly.restart()
         self.framing = answer.framing
         self.is_new_connection = answer.is_new_connection
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -541,7 +541,6 @@
             ):
                 raise errors.EndpointError(fault)
             self._require_retry(route, fault)
-            self._reader.assembly.restart()
             while self._answer is None:
                 self._make_attempt(self._continue_stream)
         except (errors.RefusedError, errors.EndpointError) as error:
