Abort a connection only while its answer is open

When a caller left, the connection of its last attempt was shut down, also after the attempt had given it back: while the next endpoint was being chosen or connected, and between the end of a stream and the end of its request. Another request may use the connection by then. It lost its connection, and an answer whose end only the close marks looked whole although it was cut (MIXED).

The connection is now forgotten before it is given back, under a lock that the abort holds as well, so that neither can come between the other's steps.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import random
+import threading
 
 import attrs
 
@@ -146,6 +147,7 @@
             dependencies.buffers,
         )
         self._channel = None
+        self._channel_lock = threading.Lock()
         self._is_aborted = False
         self._is_complete = False
         self._outcome = Outcome.LEFT
@@ -451,16 +453,17 @@
 
     def _set_channel(self, channel):
         """Store the channel of the attempt, so that `_abort` can close it."""
-        self._channel = channel
-        if self._is_aborted:
-            channel.abort()
+        with self._channel_lock:
+            self._channel = channel
+            if self._is_aborted:
+                channel.abort()
 
     def _abort(self):
         """Abort the attempt in progress; called in another thread."""
-        self._is_aborted = True
-        channel = self._channel
-        if channel is not None:
-            channel.abort()
+        with self._channel_lock:
+            self._is_aborted = True
+            if self._channel is not None:
+                self._channel.abort()
 
     def _read_first(self):
         """Return the first events of a stream and report their time."""
@@ -640,6 +643,9 @@
 
     def _close_answer(self):
         """Close the answer, and so release its connection."""
+        with self._channel_lock:
+            # Once released, the connection may carry another request.
+            self._channel = None
         answer, self._answer = self._answer, None
         if answer is not None:
             answer.close()
