Do not take an own shutdown for the end of a body

An answer without a length ends with its connection. When this side shut the connection down, the part that had been read counted as the whole body (MIXED, if the body reached anybody).

The channel remembers that it was aborted, and an end of the body is a fault from then on.

--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -58,6 +58,7 @@
         self._reader = io.BufferedReader(self._source)
         self._response = None
         self._is_request_complete = True
+        self._is_aborted = False
         self.earlier_requests = -1
 
     @classmethod
@@ -192,6 +193,8 @@
             raise _make_incomplete_error(repr(error)) from error
         except OSError as error:
             raise _classify_error(error, 1, timeout_s) from error
+        if not piece and self._is_aborted:
+            raise _make_incomplete_error("the connection was shut down here")
         if not piece and response.length:
             raise _make_incomplete_error(
                 f"{response.length} bytes are missing"
@@ -223,6 +226,7 @@
 
     def abort(self):
         """Shut the socket down, so that a blocked read or write fails."""
+        self._is_aborted = True
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
 
