Believe only a head that is one answer's

An answer that begins inside the head of another was passed on under the first one's id (MIXED): the HTTP client drops a line that is no header and all headers behind it, so the length was lost and the other answer's body, up to the close, counted as the request's. Of two different ids the last was believed, and a switch of protocols was passed on as an answer without a body.

A head with a malformed line, with two ids or with status 101 is now a fault of the attempt, after which the connection is closed.

--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -4,6 +4,8 @@
 import math
 import re
 
+from mulberryhollow.coordination import streams
+from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.platform import headers as header_names
 from mulberryhollow.protocol import forwarding as messages
@@ -88,7 +90,13 @@
         )
 
     def decode_head(self, status, headers):
-        """Return the AnswerHead for the status and headers of an answer."""
+        """Return the AnswerHead for the status and headers of an answer.
+
+        Raises
+        ------
+        EndpointError
+            Crossed when the answer names more than one request.
+        """
         fields = {name.lower(): value for name, value in headers}
         get = fields.get
         is_misdirected = status == _STATUS_MISDIRECTED
@@ -99,7 +107,7 @@
                 for name, value in headers
                 if name.lower() not in header_names.CONNECTION_HEADERS
             ),
-            request_id=get(header_names.ANSWER_REQUEST_ID.lower(), ""),
+            request_id=_find_request_id(headers),
             has_not_run=is_misdirected
             or header_names.NOT_RUN.lower() in fields,
             is_other_endpoint=is_misdirected,
@@ -127,6 +135,16 @@
         return load
 
 
+def _find_request_id(headers):
+    """Return the id of the request that an answer names; empty for none."""
+    name = header_names.ANSWER_REQUEST_ID.lower()
+    found = {value for key, value in headers if key.lower() == name}
+    if len(found) > 1:
+        fault = streams.Crossed(f"answer to requests {sorted(found)}")
+        raise errors.EndpointError(fault)
+    return next(iter(found), "")
+
+
 def _decode_load(text):
     """Return the Load that an endpoint reports; None for a malformed report.
 
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -153,6 +153,7 @@
         try:
             response.begin()
             reader.require_line_end()
+            _check_lines(response)
             _check_framing(response)
         except http.client.RemoteDisconnected as error:
             fault = streams.Broken("connection closed without a response")
@@ -289,6 +290,19 @@
         """Do nothing: the channel closes the reader."""
 
 
+def _check_lines(response):
+    """Raise HTTPException when the head has a line that is no header.
+
+    `http.client` ignores such a line and all headers after it, and so takes
+    the body that another head announces for that of the first.
+    """
+    defects = response.headers.defects
+    if defects:
+        raise http.client.HTTPException(f"malformed header: {defects!r}")
+    if response.status == http.client.SWITCHING_PROTOCOLS:
+        raise http.client.HTTPException("another protocol follows")
+
+
 def _check_framing(response):
     """Raise HTTPException when the end of the body cannot be told.
 
