Pass over the interim answers of an endpoint

A caller got the empty body of an interim answer with the request's id (103) as its answer, and one without an id counted as a stale answer, of which two are passed over. The HTTP client passes over status 100 only.

Heads are read until one has a final status, within the bytes and the time allowed for one head.

--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -131,7 +131,7 @@
         self._is_request_complete = sent == len(data)
 
     def receive(self, method, timeout_s):
-        """Return (status, headers) of the next response.
+        """Return (status, headers) of the next response, but no interim one.
 
         Parameters
         ----------
@@ -146,15 +146,10 @@
             Broken, Silent, or Crossed when the bytes are not an HTTP response.
         """
         self._source.allow(MAX_HEAD_BYTES, timeout_s)
-        reader = _SharedReader(self._reader)
-        response = http.client.HTTPResponse(
-            _ReaderSocket(reader), method=method
-        )
         try:
-            response.begin()
-            reader.require_line_end()
-            _check_lines(response)
-            _check_framing(response)
+            response = self._read_head(method)
+            while response.status < http.client.OK:
+                response = self._read_head(method)
         except http.client.RemoteDisconnected as error:
             fault = streams.Broken("connection closed without a response")
             raise errors.EndpointError(fault) from error
@@ -169,6 +164,18 @@
         self._response = response
         return response.status, tuple(response.getheaders())
 
+    def _read_head(self, method):
+        """Return the next response with its head."""
+        reader = _SharedReader(self._reader)
+        response = http.client.HTTPResponse(
+            _ReaderSocket(reader), method=method
+        )
+        response.begin()
+        reader.require_line_end()
+        _check_lines(response)
+        _check_framing(response)
+        return response
+
     def read_piece(self, timeout_s):
         """Return the next bytes of the body; empty once it is complete.
 
