Send each attempt of a request over another connection

An endpoint that answers twice sends the second copy late. A caller could get a refused or failed first answer for a request that the endpoint was running.

A connection remembers the ids of its last 64 requests, and is closed when the pool offers it for one of them.

--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connection that forwards requests to an endpoint unchanged."""
 
+import collections
 import contextlib
 import http.client
 import io
@@ -27,6 +28,12 @@
 The part beyond MAX_TRANSFER_BYTES is for chunk sizes and trailers.
 """
 
+MAX_REMEMBERED_IDS = 64
+"""Number of requests whose ids a connection remembers.
+
+A late answer mostly belongs to one of the last requests.
+"""
+
 _FORBIDDEN_CHARACTERS = re.compile(r"[\r\n\0]")
 _MALFORMED_ERRORS = (http.client.HTTPException, ValueError)
 
@@ -60,6 +67,7 @@
         self._is_request_complete = True
         self._is_aborted = False
         self.earlier_requests = -1
+        self._request_ids = collections.deque(maxlen=MAX_REMEMBERED_IDS)
 
     @classmethod
     def open(cls, address, timeout_s):
@@ -94,6 +102,10 @@
         except (OSError, ValueError):
             return False
 
+    def has_carried(self, request_id):
+        """Return whether an attempt of a request was sent here lately."""
+        return request_id in self._request_ids
+
     def send(self, call, timeout_s):
         """Send a request until its end or until an early response arrives.
 
@@ -112,6 +124,7 @@
         data = memoryview(_encode_head(call) + call.body)
         self._response = None
         self.earlier_requests += 1
+        self._request_ids.append(call.request_id)
         self.sock.settimeout(timeout_s)
         sent = 0
         while sent < len(data):
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -140,12 +140,22 @@
         return True
 
     def _acquire_channel(self, attempt):
-        """Return the channel for an attempt, and whether it is new."""
+        """Return the channel for an attempt, and whether it is new.
+
+        One that has carried an earlier attempt of the request is closed:
+        the answers of both attempts have the same id.
+        """
         connect_s = min(attempt.connect_s, attempt.wait_s)
         if attempt.is_fresh:
             channel = channels.EndpointChannel.open(attempt.address, connect_s)
             return channel, True
-        return self._pool.acquire(attempt.address, connect_s, connect_s)
+        while True:
+            channel, is_new = self._pool.acquire(
+                attempt.address, connect_s, connect_s
+            )
+            if not channel.has_carried(attempt.call.request_id):
+                return channel, is_new
+            channel.close()
 
     def _receive_head(self, channel, attempt):
         """Return the head of the response, skipping stale answers.
