Keep a connection only while its answers are in step

A late answer is still passed over by its id, so the request need not run again, and the connection is closed behind it. Bytes before the request mean that nothing is sent; the attempt then takes a new connection to the same endpoint, also where a kept one was closed in that moment. Other idle connections stay: each is checked before its next request, and new ones are priced.

--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -50,6 +50,11 @@
     ----------
     earlier_requests : int
         Number of requests sent before the last one.
+    is_in_step : bool
+        Whether each answer was one to the request that waited. Set to False
+        by the reader of the answers; the connection is then not reused.
+    is_request_complete : bool
+        Whether the last request was sent to its end.
 
     Notes
     -----
@@ -64,7 +69,8 @@
         self._source = bounded_reader.BoundedReader(self.sock)
         self._reader = io.BufferedReader(self._source)
         self._response = None
-        self._is_request_complete = True
+        self.is_request_complete = True
+        self.is_in_step = True
         self._is_aborted = False
         self.earlier_requests = -1
         self._request_ids = collections.deque(maxlen=MAX_REMEMBERED_IDS)
@@ -109,6 +115,8 @@
     def send(self, call, timeout_s):
         """Send a request until its end or until an early response arrives.
 
+        Nothing is sent when bytes have arrived before the request.
+
         Parameters
         ----------
         call : EndpointCall
@@ -138,10 +146,13 @@
                     )
                 if ready & select.POLLIN and sent:
                     break
+                if ready & select.POLLIN:
+                    fault = streams.NotSent("bytes came before the request")
+                    raise errors.EndpointError(fault)
                 sent += self.sock.send(data[sent : sent + MAX_TRANSFER_BYTES])
             except OSError as error:
                 raise _classify_error(error, sent, timeout_s) from error
-        self._is_request_complete = sent == len(data)
+        self.is_request_complete = sent == len(data)
 
     def receive(self, method, timeout_s):
         """Return (status, headers) of the next response, but no interim one.
@@ -235,12 +246,13 @@
     def is_reusable(self):
         """Whether the connection can carry another request.
 
-        False when the last request was not sent to its end, and when the
-        last response closes the connection.
+        False when the last request was not sent to its end, when the last
+        response closes the connection, and out of step.
         """
         response = self._response
         return (
-            self._is_request_complete
+            self.is_request_complete
+            and self.is_in_step
             and response is not None
             and not response.will_close
         )
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -121,7 +121,11 @@
             head = self._receive_head(channel, attempt)
         except BaseException as error:
             channel.close()
-            if not is_new and _is_silent(error):
+            if not is_new and _has_fault(error, streams.NotSent):
+                # Bytes or the end of the connection came after the check.
+                fresh = attrs.evolve(attempt, is_fresh=True)
+                return self.open(fresh, on_channel)
+            if not is_new and _has_fault(error, streams.Silent):
                 # The path may be lost: the other idle connections to the
                 # endpoint would fail in the same way, only after a request
                 # has been sent on them.
@@ -161,6 +165,9 @@
         """Return the head of the response, skipping stale answers.
 
         All of them together may take the time that the attempt may wait.
+        The connection is not reused after one. When a request was not sent to
+        its end before it came, the endpoint waits for the rest, and so the
+        attempt ends.
         """
         end_s = self._clock.now_s() + attempt.wait_s
         is_first = channel.earlier_requests == 0 or not self._is_id_required
@@ -174,10 +181,12 @@
             if is_expected or (has_no_id and is_first):
                 return head
             _log_out_of_step(channel, attempt, head)
-            if has_no_id:
-                fault = streams.Crossed(f"status {status} without an id")
+            channel.is_in_step = is_first = False
+            if has_no_id or not channel.is_request_complete:
+                fault = streams.Crossed(
+                    f"status {status} for request {head.request_id or '?'}"
+                )
                 raise errors.EndpointError(fault)
-            is_first = False
             self._skip_body(channel, end_s)
         fault = streams.Crossed(f"answer to request {head.request_id}")
         raise errors.EndpointError(fault)
@@ -213,10 +222,10 @@
     )
 
 
-def _is_silent(error):
-    """Return whether an attempt got no answer on its connection."""
+def _has_fault(error, kind):
+    """Return whether an attempt ended with a kind of fault."""
     is_fault = isinstance(error, errors.EndpointError)
-    return is_fault and isinstance(error.fault, streams.Silent)
+    return is_fault and isinstance(error.fault, kind)
 
 
 class OpenAnswer:
