--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import random
+import threading
 
 import attrs
 
@@ -146,6 +147,7 @@
             dependencies.buffers,
         )
         self._channel = None
+        self._channel_lock = threading.Lock()
         self._is_aborted = False
         self._is_complete = False
         self._outcome = Outcome.LEFT
@@ -330,7 +332,6 @@
         another endpoint is tried. The last such answer is kept, and passed
         on to the caller when no attempt succeeds.
         """
-        self._reader.restart(is_resumed=False)
         answer = self._open(route)
         head = answer.head
         is_success = 200 <= head.status < 300
@@ -396,7 +397,7 @@
                 route, answer.head.brittle_rejections
             )
         self._answer = answer
-        self._reader.framing = answer.framing
+        self._reader.begin_answer(answer, self.head is not None)
         if answer.head.has_not_run:
             self._reader.drain(answer)
             self._close_answer()
@@ -430,7 +431,7 @@
         peers = self._dependencies.peers
         answer = peers.client.open(attempt, self._set_channel)
         self._answer = answer
-        self._reader.framing = answer.framing
+        self._reader.begin_answer(answer, self.head is not None)
         head = answer.head
         if head.refusal is not None:
             self._reader.drain(answer)
@@ -452,16 +453,17 @@
 
     def _set_channel(self, channel):
         """Store the channel of the attempt, so that `_abort` can close it."""
-        self._channel = channel
-        if self._is_aborted:
-            channel.abort()
+        with self._channel_lock:
+            self._channel = channel
+            if self._is_aborted:
+                channel.abort()
 
     def _abort(self):
         """Abort the attempt in progress; called in another thread."""
-        self._is_aborted = True
-        channel = self._channel
-        if channel is not None:
-            channel.abort()
+        with self._channel_lock:
+            self._is_aborted = True
+            if self._channel is not None:
+                self._channel.abort()
 
     def _read_first(self):
         """Return the first events of a stream and report their time."""
@@ -542,7 +544,6 @@
             ):
                 raise errors.EndpointError(fault)
             self._require_retry(route, fault)
-            self._reader.restart(is_resumed=True)
             while self._answer is None:
                 self._make_attempt(self._continue_stream)
         except (errors.RefusedError, errors.EndpointError) as error:
@@ -642,6 +643,9 @@
 
     def _close_answer(self):
         """Close the answer, and so release its connection."""
+        with self._channel_lock:
+            # Once released, the connection may carry another request.
+            self._channel = None
         answer, self._answer = self._answer, None
         if answer is not None:
             answer.close()
