Tests: odd numbers, nesting and bytes in messages, headers and settings

On this code:

- an endpoint's load report with a number of 400 digits ends the dispatch actor: each later request fails, until a restart; one of 5,000 digits makes the request fail;
- a settings file that is not UTF-8, or nested too deeply, ends the process that polls it; a folder in its place is logged at every poll;

--- a/tests/platform/headers.feature
+++ b/tests/platform/headers.feature
@@ -31,6 +31,13 @@
       | Deadline-Ms   | soon  |
       | Token-Usage   | many  |
       | Prompt-Prefix | a:b   |
+      | Token-Usage   | -1000,1 |
+      | Token-Usage   | 400 digits |
+      | Token-Usage   | 5000 digits |
+      | Prompt-Prefix | a:-1  |
+      | Prompt-Prefix | a:1,b:400 digits |
+      | Prompt-Prefix | a:5000 digits |
+      | Deadline-Ms   | nan   |
 
   Scenario Outline: Only a request that has not run is told so
     Then a refusal of kind <kind> with execution status <ran> has HTTP status <status>
@@ -69,6 +76,9 @@
       | 3,1            | nothing       |
       | 3,-1,8         | nothing       |
       | ²,1,8          | nothing       |
+      | 5000 digits,1,8 | nothing      |
+      | 1,1,400 digits | nothing       |
+      | 3,1,8,400 digits | 3 1 8 100.0 |
 
   # A malformed header of a busy endpoint would flood the log.
   Scenario: A malformed load report is logged once
@@ -117,3 +127,16 @@
       | -1   | unknown    |
       | 2.5  | unknown    |
       | many | unknown    |
+      | 400 digits  | unknown |
+      | 5000 digits | unknown |
+
+  # Guards against a header that makes a request fail inside this instance.
+  Scenario Outline: The idle timeout that an endpoint names
+    Then an answer with the Keep-Alive "<text>" names <seconds> seconds
+
+    Examples:
+      | text                | seconds |
+      | timeout=5, max=9    | 5       |
+      | timeout=5000 digits | inf     |
+      | timeout=٣           | no      |
+      | timeout=-1          | no      |
--- a/tests/platform/settings.feature
+++ b/tests/platform/settings.feature
@@ -37,6 +37,28 @@
       | zones         | [1]       | items         |
       | contracts     | "places"  | contracts     |
       | bounds        | {"graceS": "x"} | x       |
+      | bounds        | {"graceS": NaN} | graceS  |
+      | bounds        | {"leaseMs": 1e999} | leaseMs |
+      | bounds        | {"retryRatio": -1} | retryRatio |
+      | bounds        | {"coldSlack": true} | coldSlack |
+      | internalPorts | [0, 99999] | internalPorts |
+      | limits        | {"maxFds": 1e999} | maxFds |
+
+  # Guards against a file that ends the process which polls it.
+  Scenario Outline: A settings file that becomes unreadable changes nothing
+    Given a process that polls its settings file
+    When the settings file becomes <content>
+    Then the process goes on with its settings and logs once that it does
+    When the settings file is sound again
+    Then the process applies it
+
+    Examples:
+      | content                  |
+      | bytes that are not UTF-8 |
+      | 200000 brackets          |
+      | half of itself           |
+      | a number of 5000 digits  |
+      | a folder                 |
 
   Scenario Outline: The tolerances of cold endpoints are read
     Given the platform's settings of one instance
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -127,6 +127,21 @@
     When a IDEMPOTENT request is forwarded
     Then the peers are told of no endpoint that leaves
 
+  # Guards against a number in a header that ends the actor which chooses the
+  # endpoints, and with it all requests.
+  Scenario Outline: An odd number in an answer ends nothing
+    Given a forwarder whose endpoints answer in turn: <answer>
+    When a IDEMPOTENT request is forwarded
+    And 5 more IDEMPOTENT requests are answered whole
+    Then the caller of the last of them gets "hello"
+
+    Examples:
+      | answer           |
+      | many running     |
+      | many queued      |
+      | many slots       |
+      | a long number    |
+
   # Guards against requests at an endpoint that has asked for a pause: only a
   # circuit that opens after several refusals kept them away.
   Scenario Outline: An endpoint that asks for a pause gets nothing until its end
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -1,5 +1,8 @@
 import io
 import json
+import pathlib
+import re
+import tempfile
 from unittest import mock
 
 from behave import given
@@ -10,6 +13,7 @@
 from mulberryhollow.coordination import routing
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.platform import __main__ as program
 from mulberryhollow.platform import callers
 from mulberryhollow.platform import endpoints
 from mulberryhollow.platform import headers
@@ -98,6 +102,62 @@
     raise AssertionError("the settings were accepted")
 
 
+@given("a process that polls its settings file")
+def poll_settings(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = pathlib.Path(folder.name) / "settings"
+    context.path.write_text(json.dumps(SETTINGS))
+    context.daemon = mock.Mock()
+    context.known = context.path.read_text()
+
+
+def poll_twice(context):
+    with mock.patch.object(events, "log") as log:
+        for _ in range(2):
+            context.known = program._reload(
+                context.daemon, context.path, context.known
+            )
+    context.logged = [each.args[0] for each in log.mock_calls]
+
+
+@when("the settings file becomes {content}")
+def spoil_settings(context, content):
+    if content == "a folder":
+        context.path.unlink()
+        context.path.mkdir()
+        return
+    text = json.dumps(SETTINGS).encode()
+    spoilt = {
+        "bytes that are not UTF-8": b'{"a": "\xff"}',
+        "200000 brackets": b"[" * 200_000,
+        "half of itself": text[: len(text) // 2],
+        "a number of 5000 digits": b"9" * 5000,
+    }
+    context.path.write_bytes(spoilt[content])
+
+
+@then("the process goes on with its settings and logs once that it does")
+def check_not_reloaded(context):
+    poll_twice(context)
+    assert not context.daemon.apply_settings.called
+    assert context.logged == [program.NOT_RELOADED], context.logged
+
+
+@when("the settings file is sound again")
+def mend_settings(context):
+    if context.path.is_dir():
+        context.path.rmdir()
+    context.path.write_text(json.dumps(SETTINGS | {"news": 1}))
+
+
+@then("the process applies it")
+def check_reloaded(context):
+    poll_twice(context)
+    assert context.daemon.apply_settings.call_count == 1
+    assert context.logged == [program.RELOADED], context.logged
+
+
 ENTRY = {
     "service": "s",
     "address": "10.1.0.1:80",
@@ -380,8 +440,16 @@
     assert not set(context.chain.hashes) & set(other.hashes)
 
 
+def expand_digits(text):
+    """Return a text with its "N digits" written out."""
+    return re.sub(
+        r"(\d+) digits", lambda found: "9" * int(found.group(1)), text
+    )
+
+
 @given("a request whose {name} is {value}")
 def make_malformed_header(context, name, value):
+    value = expand_digits(value)
     key = "HTTP_" + name.upper().replace("-", "_")
     context.environ = make_environ(**{key: value})
 
@@ -437,7 +505,7 @@
 @then('a load report "{text}" reads as "{expected}"')
 def check_load(context, text, expected):
     head = endpoints.EndpointCodec().decode_head(
-        200, (("Instance-Load", text),)
+        200, (("Instance-Load", expand_digits(text)),)
     )
     found = "nothing"
     if head.load is not None:
@@ -488,12 +556,21 @@
 @then('an answer with the brittleness "{text}" bears {rejections} rejections')
 def check_brittle(context, text, rejections):
     head = endpoints.EndpointCodec().decode_head(
-        200, (("Server-Brittle", text),)
+        200, (("Server-Brittle", expand_digits(text)),)
     )
     expected = None if rejections == "unknown" else int(rejections)
     assert head.brittle_rejections == expected, head
 
 
+@then('an answer with the Keep-Alive "{text}" names {seconds} seconds')
+def check_idle_limit(context, text, seconds):
+    head = endpoints.EndpointCodec().decode_head(
+        200, (("Keep-Alive", expand_digits(text)),)
+    )
+    expected = None if seconds == "no" else float(seconds)
+    assert head.idle_limit_s == expected, head.idle_limit_s
+
+
 @given("a configuration whose route and tenant have the regions {value}")
 def make_restricted_configuration(context, value):
     fields = json.loads(json.dumps(CONFIGURATION))
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -46,6 +46,10 @@
 LEAVING = ("Server-Leaving", "1")
 PAUSE = ("Retry-After", "2")
 HEADS = {
+    "many running": (200, (("Instance-Load", "9" * 400 + ",1,8"),)),
+    "many queued": (200, (("Instance-Load", "1," + "9" * 400 + ",8"),)),
+    "many slots": (200, (("Instance-Load", "1,1," + "9" * 400),)),
+    "a long number": (200, (("Instance-Load", "1,1," + "9" * 5000),)),
     "leaving": (200, (LEAVING,)),
     "leaving refused": (503, (LEAVING, ("Not-Executed", "1"))),
     "leaving failed": (500, (LEAVING,)),
@@ -336,6 +340,12 @@
     assert len(set(names)) == len(names), names
 
 
+@then('the caller of the last of them gets "{text}"')
+def check_last_answer(context, text):
+    assert context.error is None, context.error
+    assert context.body == text.encode(), context.body
+
+
 @then("the forwarded request ends as {ran} after {count:d} attempts")
 def check_forward_refused(context, ran, count):
     assert isinstance(context.error, errors.RefusedError), context.error
