Let actors go on after an exception that no sender waits for

What callers saw: 502 for every request until a restart. An endpoint's load report with a number of 400 digits raised OverflowError in the dispatch actor, and Pykka stops an actor at an exception of a message that was told.

The same holds for the actors of the documents, the moves, the claims and the gossip. All are a ResilientActor now, which logs the exception (event 1016) and handles the next message; a sender that waits for an answer gets the exception as before.

--- a/mulberryhollow/serving/claims.py
+++ b/mulberryhollow/serving/claims.py
@@ -4,12 +4,12 @@
 import logging
 
 import attrs
-import pykka
 
 from mulberryhollow.coordination import booking
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import claims as codec
+from mulberryhollow.transport import actors
 from mulberryhollow.transport import store as store_adapter
 
 __all__ = ["ClaimActor", "ClaimStore", "ExpiredClaimCleaner"]
@@ -61,7 +61,7 @@
     result: object
 
 
-class ClaimActor(pykka.ThreadingActor):
+class ClaimActor(actors.ResilientActor):
     """Owns the claim buckets; store calls run in a thread pool.
 
     Parameters
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -8,7 +8,6 @@
 import random
 
 import attrs
-import pykka
 
 from mulberryhollow import events
 from mulberryhollow.serving import attempts
@@ -19,6 +18,7 @@
 from mulberryhollow.serving.dispatch.endpoint_calls import Placed
 from mulberryhollow.serving.dispatch import endpoint_work
 from mulberryhollow.state import endpoints
+from mulberryhollow.transport import actors
 
 __all__ = [
     "DispatchActor",
@@ -51,7 +51,7 @@
     on_cleared: object
 
 
-class DispatchActor(pykka.ThreadingActor):
+class DispatchActor(actors.ResilientActor):
     """Owns the endpoint view and all limits of this instance.
 
     Parameters
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -1,12 +1,12 @@
 """Actor that holds the active environment document."""
 
 import attrs
-import pykka
 
 from mulberryhollow.coordination import configuration
 from mulberryhollow import events
 from mulberryhollow.protocol import document as documents
 from mulberryhollow.serving import watch
+from mulberryhollow.transport import actors
 
 __all__ = [
     "DocumentActor",
@@ -35,7 +35,7 @@
     data: bytes
 
 
-class DocumentActor(pykka.ThreadingActor):
+class DocumentActor(actors.ResilientActor):
     """Owns the active document; a lower version never replaces it.
 
     Parameters
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -4,7 +4,6 @@
 import logging
 
 import attrs
-import pykka
 
 from mulberryhollow.coordination import membership
 from mulberryhollow.coordination import rollout
@@ -17,6 +16,7 @@
 from mulberryhollow.state import endpoints
 from mulberryhollow.state import facts
 from mulberryhollow.state import objects
+from mulberryhollow.transport import actors
 
 __all__ = [
     "FollowedMove",
@@ -231,7 +231,7 @@
     driver: rollout.Driver
 
 
-class MoveActor(pykka.ThreadingActor):
+class MoveActor(actors.ResilientActor):
     """Owns the state machines of the moves and the merged counters.
 
     Parameters
--- a/mulberryhollow/transport/gossip.py
+++ b/mulberryhollow/transport/gossip.py
@@ -15,6 +15,7 @@
 from mulberryhollow.events import log as log_event
 from mulberryhollow.protocol.peers import EnvelopeError
 from mulberryhollow.state import facts
+from mulberryhollow.transport import actors
 from mulberryhollow.transport import peers
 from mulberryhollow.transport import traffic
 
@@ -125,7 +126,7 @@
     is_reached: bool | None
 
 
-class Gossip(pykka.ThreadingActor):
+class Gossip(actors.ResilientActor):
     """Actor that owns the facts and the member list of one node.
 
     Parameters
