Bound the numbers in the headers of endpoints and callers

What callers saw: 502 for a request whose endpoint answered with a count of 5,000 digits (ValueError of int()), and for one of their own with a size of 400 digits (OverflowError).

A count has 15 digits at most now, by one parser for the load report, the brittleness, the prompt's parts and its size; all else is malformed, which an endpoint's header was always allowed to be. A remaining time of NaN is malformed; an idle timeout is read from ASCII digits only.

--- a/mulberryhollow/platform/callers.py
+++ b/mulberryhollow/platform/callers.py
@@ -1,5 +1,8 @@
 """Codec of callers' requests (WSGI environments) and of refusals."""
 
+import contextlib
+import math
+
 import xxhash
 
 from mulberryhollow.coordination import routing
@@ -7,6 +10,7 @@
 from mulberryhollow.platform import headers as header_names
 from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.serving import ingress
+from mulberryhollow.state import decoding
 from mulberryhollow.transport import http_server
 
 __all__ = ["CallerCodec"]
@@ -111,12 +115,11 @@
     text = _get_header(environ, header_names.REMAINING_TIME)
     if not text:
         return None
-    try:
-        return max(0.0, float(text) / _MS_PER_S)
-    except ValueError as error:
-        raise _malformed(
-            header_names.REMAINING_TIME, "the value is not a number"
-        ) from error
+    with contextlib.suppress(ValueError):
+        timeout_s = float(text) / _MS_PER_S
+        if not math.isnan(timeout_s):
+            return max(0.0, timeout_s)
+    raise _malformed(header_names.REMAINING_TIME, "the value is not a number")
 
 
 def _read_tokens(environ):
@@ -127,12 +130,12 @@
     text = _get_header(environ, header_names.PROMPT_SIZE)
     if not text:
         return None
-    try:
-        return float(sum(int(each) for each in text.split(",")))
-    except ValueError as error:
+    sizes = list(map(decoding.parse_count, text.split(",")))
+    if None in sizes:
         raise _malformed(
             header_names.PROMPT_SIZE, "the value is not a list of integers"
-        ) from error
+        )
+    return float(sum(sizes))
 
 
 def _read_prompt_parts(environ):
@@ -143,13 +146,13 @@
     text = _get_header(environ, header_names.PROMPT_PARTS)
     if not text:
         return []
-    try:
-        pairs = [part.strip().partition(":") for part in text.split(",")]
-        return [(part_id, int(size)) for part_id, _, size in pairs]
-    except ValueError as error:
-        raise _malformed(
-            header_names.PROMPT_PARTS, "a part is not ID:TOKENS"
-        ) from error
+    pairs = [part.strip().partition(":") for part in text.split(",")]
+    parts = [
+        (part_id, decoding.parse_count(size)) for part_id, _, size in pairs
+    ]
+    if any(size is None for _, size in parts):
+        raise _malformed(header_names.PROMPT_PARTS, "a part is not ID:TOKENS")
+    return parts
 
 
 def _make_prompt_chain(environ, parts):
--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -7,6 +7,7 @@
 from mulberryhollow import events
 from mulberryhollow.platform import headers as header_names
 from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.state import decoding
 
 __all__ = ["EndpointCodec"]
 
@@ -39,7 +40,7 @@
     "check the version of that service's endpoints",
 )
 
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*([0-9]+)")
 
 
 class EndpointCodec:
@@ -113,7 +114,7 @@
             else _decode_rate_limit(get(header_names.RATE_LIMIT.lower())),
             brittle_rejections=None
             if is_misdirected
-            else _decode_count(get(header_names.BRITTLE.lower(), "")),
+            else decoding.parse_count(get(header_names.BRITTLE.lower(), "")),
         )
 
     def _read_load(self, text):
@@ -133,7 +134,7 @@
     Figures after the fourth are ignored. A fourth one that cannot be read
     makes the whole report malformed.
     """
-    counts = [_decode_count(each) for each in text.split(",")[:3]]
+    counts = [decoding.parse_count(each) for each in text.split(",")[:3]]
     if len(counts) < 3 or None in counts:
         return None
     figures = text.split(",")[3:4]
@@ -182,12 +183,6 @@
     return messages.RateLimit(min(rate_per_s, MAX_RATE_PER_S))
 
 
-def _decode_count(text):
-    """Return a whole number of 0 or more; None for any other text."""
-    text = text.strip()
-    return int(text) if text.isascii() and text.isdecimal() else None
-
-
 def _decode_idle_limit(text):
     """Return the idle timeout of a connection, in seconds, or None."""
     found = _KEEP_ALIVE_TIMEOUT.search(text.lower())
--- a/mulberryhollow/platform/records.py
+++ b/mulberryhollow/platform/records.py
@@ -1,7 +1,6 @@
 """Decoders of the operator's and the endpoints' objects in the store."""
 
 import math
-import re
 
 import attrs
 import xxhash
@@ -48,16 +47,6 @@
 MAX_SLOTS = 1_000_000
 """Largest number of slots of an endpoint."""
 
-MAX_HOST = 253
-"""Maximum length of a host name, in characters."""
-
-MAX_PORT = 65535
-
-_HOST = re.compile(
-    r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*|\[[0-9A-Fa-f:.]+\]"
-)
-_PORT = re.compile(r"[1-9][0-9]{0,4}")
-
 _REQUEST_KINDS = {
     ("idempotent", False): catalogues.RequestKind.IDEMPOTENT,
     ("idempotent", True): catalogues.RequestKind.IDEMPOTENT,
@@ -97,7 +86,7 @@
                 fields, "born", lowest=1, highest=MAX_START_MS
             ),
             service=decoding.check_name(fields["service"], "service"),
-            address=_check_address(fields["address"]),
+            address=decoding.check_address(fields["address"], "address"),
             failure_domain=decoding.check_name(fields["zone"], "zone"),
             version=decoding.check_name(fields["version"], "version"),
             slots=decoding.get_integer(
@@ -131,16 +120,6 @@
     return name
 
 
-def _check_address(address):
-    """Return an address; raise ValueError unless it is ``host:port``."""
-    host, _, port = address.rpartition(":")
-    if not (len(host) <= MAX_HOST and _HOST.fullmatch(host)):
-        raise ValueError(f"not a host: {host!r}")
-    if not (_PORT.fullmatch(port) and int(port) <= MAX_PORT):
-        raise ValueError(f"not a port: {port!r}")
-    return address
-
-
 def _decode_leaves_in(leaves_ms):
     """Return the time until an endpoint is reclaimed, in s; None if unknown.
 
--- a/mulberryhollow/state/decoding.py
+++ b/mulberryhollow/state/decoding.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "MALFORMED",
+    "check_address",
     "check_name",
     "convert_errors",
     "decode_json",
@@ -22,6 +23,11 @@
 A reason quotes the malformed value, which can be as long as the message.
 """
 
+MAX_HOST = 253
+"""Maximum length of a host name, in characters."""
+
+MAX_PORT = 65535
+
 MAX_NUMBER = 10**15
 """Largest number that is accepted; floats hold all integers up to there."""
 
@@ -40,6 +46,10 @@
 MAX_NAME = 255
 """Maximum length of a name, in characters."""
 
+_HOST = re.compile(
+    r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*|\[[0-9A-Fa-f:.]+\]"
+)
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
 _SPACE = re.compile(r"[ \t\n\r]*")
 _STRING = r'"(?:[^"\\]++|\\.)*+"'
 _SCALAR = re.compile(rf"{_STRING}|[^\s\[\]{{}},:\"]+", re.DOTALL)
@@ -268,6 +278,16 @@
     return name
 
 
+def check_address(address, what):
+    """Return an address; raise TypeError or ValueError if not HOST:PORT."""
+    host, _, port = check_name(address, what).rpartition(":")
+    if not (len(host) <= MAX_HOST and _HOST.fullmatch(host)):
+        raise ValueError(f"{what} has no host: {address!r}")
+    if not (_PORT.fullmatch(port) and int(port) <= MAX_PORT):
+        raise ValueError(f"{what} has no port: {address!r}")
+    return address
+
+
 def parse_count(text):
     """Return the whole number of 0 or more in a text; None for other text."""
     text = text.strip()
