Keep polling a settings file that cannot be read

What was seen: an instance ends by itself when its settings file holds bytes that are not UTF-8, as while it is written, or is nested too deeply: the poll expected OSError and SettingsError only. With a folder in the place of the file the same line was logged at every poll. Bounds that are negative, NaN or infinite and ports out of range were applied.

The file is read as bytes and decoded by the common decoder, every fault of which is a SettingsError; the bounds are finite and not negative. What was found is remembered, also when it cannot be read, and logged once.

Evidence: "A settings file that becomes unreadable changes nothing" and six rows of "A missing or wrong field is named" failed before and pass now.

--- a/mulberryhollow/platform/__main__.py
+++ b/mulberryhollow/platform/__main__.py
@@ -49,8 +49,8 @@
     """Run one instance until SIGTERM; return the exit code."""
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        text = path.read_text(encoding="utf-8")
-        settings = settings_module.decode_settings(text)
+        known = path.read_bytes()
+        settings = settings_module.decode_settings(known)
     except (OSError, errors.SettingsError) as error:
         print(f"mulberryhollow: {error}", file=sys.stderr)
         return EXIT_SETTINGS
@@ -67,7 +67,7 @@
     daemon.start()
     events.log(STARTED, address=settings.callers_address)
     while not stopped.wait(SETTINGS_POLL_INTERVAL_S):
-        text = _reload(daemon, path, text)
+        known = _reload(daemon, path, known)
     events.log(STOPPING)
     daemon.stop()
     events.log(STOPPED)
@@ -75,22 +75,31 @@
     return 0
 
 
-def _reload(daemon, path, text):
-    """Apply the settings file if its text has changed; return the text."""
+def _reload(daemon, path, known):
+    """Apply the settings file if it has changed since the last call.
+
+    Returns
+    -------
+    bytes or str
+        What was found, for the next call: the content, or the reason for
+        which it cannot be read.
+    """
     try:
-        changed = path.read_text(encoding="utf-8")
+        found = path.read_bytes()
     except OSError as error:
-        events.log(NOT_RELOADED, reason=str(error))
-        return text
-    if changed == text:
-        return text
+        found = str(error)
+    if found == known:
+        return known
+    if isinstance(found, str):
+        events.log(NOT_RELOADED, reason=found)
+        return found
     try:
-        daemon.apply_settings(settings_module.decode_settings(changed))
+        daemon.apply_settings(settings_module.decode_settings(found))
     except errors.SettingsError as error:
         events.log(NOT_RELOADED, reason=str(error))
     else:
         events.log(RELOADED)
-    return changed
+    return found
 
 
 if __name__ == "__main__":
--- a/mulberryhollow/platform/settings.py
+++ b/mulberryhollow/platform/settings.py
@@ -1,11 +1,10 @@
 """Decoder of the settings file that the platform gives each process."""
 
-import json
-
 import attrs
 
 from mulberryhollow.coordination import limits
 from mulberryhollow import errors
+from mulberryhollow.state import decoding
 
 __all__ = ["Bounds", "PlatformSettings", "decode_settings"]
 
@@ -114,7 +113,7 @@
 
     Parameters
     ----------
-    text : str
+    text : str or bytes
         Text of the file, as JSON.
 
     Raises
@@ -123,17 +122,16 @@
         If a field is missing or malformed; names the field or the fault.
     """
     try:
-        return _decode(json.loads(text))
-    except KeyError as error:
-        raise _make_error(f"the field {error} is missing") from error
-    except (ValueError, TypeError, AttributeError, IndexError) as error:
-        raise _make_error(f"a field is malformed: {error!r}") from error
+        with decoding.convert_errors("field"):
+            return _decode(decoding.decode_json(text))
+    except ValueError as error:
+        raise _make_error(str(error)) from error
 
 
 def _decode(fields):
     """Return the PlatformSettings for the fields of the file."""
     listen = fields["listen"]
-    first_port, last_port = fields["internalPorts"]
+    first_port, last_port = map(_check_port, fields["internalPorts"])
     # "cloudApi" is the API for the duties; the store is under "platform".
     cloud = fields.get("cloudApi") or {}
     duties = cloud.get("duties") or ()
@@ -145,10 +143,12 @@
         callers_address=str(listen["frontend"]),
         ready_address=str(listen["ready"]),
         control_address=str(listen.get("control") or ""),
-        peer_port=int(first_port),
-        metrics_port=int(last_port),
+        peer_port=first_port,
+        metrics_port=last_port,
         seeds=tuple(map(str, fields.get("seeds") or ())),
-        max_files=int(fields["limits"]["maxFds"]),
+        max_files=int(
+            decoding.get_number(fields["limits"], "maxFds", lowest=1)
+        ),
         store_address=str(fields["platform"]["address"]),
         cloud_address=str(cloud.get("address") or ""),
         is_first_start=bool(fields.get("bootstrap")),
@@ -164,6 +164,14 @@
     )
 
 
+def _check_port(port):
+    """Return a port among the internal ports, or raise ValueError."""
+    fields = {"internalPorts": port}
+    return decoding.get_integer(
+        fields, "internalPorts", lowest=1, highest=decoding.MAX_PORT
+    )
+
+
 def _decode_words(fields, name):
     """Return an optional list of words as a tuple."""
     words = fields.get(name) or ()
@@ -178,24 +186,26 @@
     The file omits a bound that is not active; such a bound gets a default.
     """
     return Bounds(
-        grace_s=float(bounds.get("graceS", 8)),
+        grace_s=float(decoding.get_number(bounds, "graceS", 8)),
         retries=limits.RetryRules(
-            float(bounds.get("retryRatio", 0.1)),
-            float(bounds.get("retrySlack", 20)),
-            float(bounds.get("retryWindowS", 10)),
+            float(decoding.get_number(bounds, "retryRatio", 0.1)),
+            float(decoding.get_number(bounds, "retrySlack", 20)),
+            float(decoding.get_number(bounds, "retryWindowS", 10)),
         ),
         quotas=limits.QuotaRules(
-            float(bounds.get("quotaOverrun", 0)),
-            float(bounds.get("quotaSlack", 0)),
-            float(bounds.get("quotaWindowS", 8)),
+            float(decoding.get_number(bounds, "quotaOverrun", 0)),
+            float(decoding.get_number(bounds, "quotaSlack", 0)),
+            float(decoding.get_number(bounds, "quotaWindowS", 8)),
         ),
-        report_window_s=float(bounds.get("reportWindowS", 5)),
-        report_delay_s=float(bounds.get("usageDelayS", 10)),
-        lease_s=float(bounds.get("leaseMs", 3000)) / _MS_PER_S,
-        evacuation_s=float(bounds.get("evacuateMs", 5000)) / _MS_PER_S,
+        report_window_s=float(decoding.get_number(bounds, "reportWindowS", 5)),
+        report_delay_s=float(decoding.get_number(bounds, "usageDelayS", 10)),
+        lease_s=float(decoding.get_number(bounds, "leaseMs", 3000))
+        / _MS_PER_S,
+        evacuation_s=float(decoding.get_number(bounds, "evacuateMs", 5000))
+        / _MS_PER_S,
         cold_starts=limits.ColdRules(
-            float(bounds.get("coldOverrun", 1)),
-            float(bounds.get("coldSlack", 0)),
+            float(decoding.get_number(bounds, "coldOverrun", 1)),
+            float(decoding.get_number(bounds, "coldSlack", 0)),
         ),
     )
 
