Decode every message and object by the common decoder

What was seen: brackets nested too deeply raise RecursionError in 19 of 22 decoders that promise a ValueError and in four that promise to take what is malformed for absent (leases, reports, records, quarantines). Numbers out of the range of their type raised OverflowError in two. Registrations with fields of any type were accepted, and so told to all peers.

The lists of exception types at each place are replaced by decoding.convert_errors and decoding.decode_json. Members are checked field by field: names, addresses with a port from 1 to 65535, numbers in range.

Evidence: 39 of 48 scenarios of tests/protocol/malformed_messages.feature failed before and pass now.

--- a/mulberryhollow/cli/stored.py
+++ b/mulberryhollow/cli/stored.py
@@ -9,6 +9,7 @@
 from mulberryhollow.coordination.configuration import Fault
 from mulberryhollow.errors import ConfigurationError
 from mulberryhollow.protocol import moves
+from mulberryhollow.state import decoding
 
 __all__ = [
     "ACTIVATION_KIND",
@@ -109,6 +110,6 @@
     if stored is None:
         return ""
     try:
-        return str(json.loads(stored.value)["digest"])
+        return str(decoding.decode_json(stored.value)["digest"])
     except (ValueError, KeyError, TypeError):
         return ""
--- a/mulberryhollow/coordination/booking/claim.py
+++ b/mulberryhollow/coordination/booking/claim.py
@@ -6,6 +6,7 @@
 
 import attrs
 import cattrs
+from mulberryhollow.state import decoding
 
 __all__ = [
     "Claim",
@@ -211,8 +212,6 @@
     ValueError
         When the object is not a list of claims.
     """
-    try:
-        rows = cattrs.structure(json.loads(value), list[Claim])
-    except (cattrs.BaseValidationError, TypeError) as error:
-        raise ValueError(f"malformed claims: {error}") from error
+    with decoding.convert_errors("claims", cattrs.BaseValidationError):
+        rows = cattrs.structure(decoding.decode_json(value), list[Claim])
     return {claim.identity: claim for claim in rows}
--- a/mulberryhollow/coordination/duties/lease.py
+++ b/mulberryhollow/coordination/duties/lease.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from mulberryhollow.state import decoding
 from mulberryhollow.state import objects
 
 __all__ = ["Lease", "LeaseRules", "Read", "Write"]
@@ -198,6 +199,6 @@
 def _decode(value):
     """Return the holder in the content; empty for none or malformed."""
     try:
-        return str(json.loads(value)["holder"])
+        return str(decoding.decode_json(value)["holder"])
     except (ValueError, KeyError, TypeError):
         return ""
--- a/mulberryhollow/coordination/duties/usage.py
+++ b/mulberryhollow/coordination/duties/usage.py
@@ -3,6 +3,7 @@
 import collections
 import itertools
 import json
+from mulberryhollow.state import decoding
 
 __all__ = ["UsageLedger", "WINDOWS_REPORTED"]
 
@@ -91,15 +92,13 @@
         ValueError
             When the report is malformed.
         """
-        try:
-            fields = json.loads(data)
+        with decoding.convert_errors("usage counts"):
+            fields = decoding.decode_json(data)
             source = str(fields["source"])
             reported = {
                 int(window): {str(k): int(v) for k, v in counts.items()}
                 for window, counts in fields["windows"].items()
             }
-        except (KeyError, TypeError, AttributeError) as error:
-            raise ValueError(f"malformed usage counts: {error!r}") from error
         for window, counts in reported.items():
             known = self._counts[window].setdefault(
                 source, collections.Counter()
--- a/mulberryhollow/coordination/membership/member.py
+++ b/mulberryhollow/coordination/membership/member.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from mulberryhollow.state import decoding
 from mulberryhollow.state import facts
 from mulberryhollow.state import known_fields
 
@@ -184,17 +185,16 @@
     ValueError
         When the fact's value does not encode a member.
     """
-    try:
-        fields = [*json.loads(fact.value)]
-    except TypeError as error:
-        raise ValueError(f"malformed member fact: {error}") from error
-    if len(fields) < _FIELD_COUNT:
-        raise ValueError(f"malformed member fact: {len(fields)} fields")
     status = decode_status(fact)
     renewed = fact.version >> _STATUS_BITS
     renewals = renewed & ((1 << _RENEWAL_BITS) - 1)
-    member = Member(fact.key, renewed >> _RENEWAL_BITS, *fields[:_FIELD_COUNT])
-    return MemberState(member, renewals, status)
+    with decoding.convert_errors("member fact"):
+        fields = [*decoding.decode_json(fact.value)]
+        if len(fields) < _FIELD_COUNT:
+            raise ValueError(f"{len(fields)} fields")
+        incarnation = renewed >> _RENEWAL_BITS
+        member = Member(fact.key, incarnation, *fields[:_FIELD_COUNT])
+        return MemberState(_check(member), renewals, status)
 
 
 def encode_registration(member):
@@ -212,8 +212,25 @@
     ValueError
         When the value does not encode a member.
     """
-    try:
-        fields = known_fields.select_known(Member, json.loads(value))
-        return Member(**fields)
-    except TypeError as error:
-        raise ValueError(f"malformed registration object: {error}") from error
+    with decoding.convert_errors("registration object"):
+        fields = known_fields.select_known(Member, decoding.decode_json(value))
+        return _check(Member(**fields))
+
+
+def _check(member):
+    """Return a member whose fields have the right types and ranges.
+
+    Raises
+    ------
+    TypeError, ValueError
+    """
+    fields = attrs.asdict(member)
+    for name in ("instance_id", "failure_domain", "region"):
+        decoding.check_name(fields[name], name)
+    for name in ("peer_address", "http_address"):
+        # An instance without a page of its own has no address for it.
+        if fields[name] != "":
+            decoding.check_address(fields[name], name)
+    decoding.get_integer(fields, "incarnation")
+    decoding.get_number(fields, "started_s")
+    return member
--- a/mulberryhollow/protocol/aggregates.py
+++ b/mulberryhollow/protocol/aggregates.py
@@ -11,6 +11,7 @@
 
 from mulberryhollow.coordination import membership
 from mulberryhollow.coordination import sharing
+from mulberryhollow.state import decoding
 from mulberryhollow.state import known_fields
 
 __all__ = ["AggregateReport", "decode_report", "encode_report"]
@@ -98,8 +99,8 @@
     ValueError
         When the data is malformed.
     """
-    try:
-        fields = json.loads(zlib.decompress(data))
+    with decoding.convert_errors("aggregate report", zlib.error):
+        fields = decoding.decode_json(zlib.decompress(data))
         known = known_fields.select_known(AggregateReport, fields)
         total = known.pop("total")
         tables = known_fields.select_known(sharing.Amounts, total["amounts"])
@@ -109,5 +110,3 @@
             ),
             **known,
         )
-    except (zlib.error, KeyError, TypeError) as error:
-        raise ValueError(f"malformed aggregate report: {error!r}") from error
--- a/mulberryhollow/protocol/callers.py
+++ b/mulberryhollow/protocol/callers.py
@@ -9,6 +9,7 @@
 import attrs
 
 from mulberryhollow import errors
+from mulberryhollow.state import decoding
 from mulberryhollow.state import environment as environment_module
 
 __all__ = [
@@ -241,7 +242,7 @@
         When the body is malformed; the message names the wrong field.
     """
     try:
-        fields = json.loads(data)
+        fields = decoding.decode_json(data)
     except (ValueError, RecursionError) as error:
         raise _make_malformed_error(
             "the body is not JSON", "send an object"
--- a/mulberryhollow/protocol/claims.py
+++ b/mulberryhollow/protocol/claims.py
@@ -7,6 +7,7 @@
 import cattrs
 
 from mulberryhollow.coordination import booking
+from mulberryhollow.state import decoding
 
 __all__ = [
     "ClaimCall",
@@ -64,10 +65,8 @@
 
 def decode_call(data):
     """Return the ClaimCall in data; ValueError when malformed."""
-    try:
-        return cattrs.structure(json.loads(data), ClaimCall)
-    except (cattrs.BaseValidationError, TypeError) as error:
-        raise ValueError(f"malformed claim call: {error}") from error
+    with decoding.convert_errors("claim call", cattrs.BaseValidationError):
+        return cattrs.structure(decoding.decode_json(data), ClaimCall)
 
 
 def encode_result(result):
@@ -84,13 +83,11 @@
 
 def decode_result(data):
     """Return the operation's result; ValueError when malformed."""
-    try:
-        fields = json.loads(data)
+    with decoding.convert_errors("claim result", cattrs.BaseValidationError):
+        fields = decoding.decode_json(data)
         if fields["kind"] == booking.Unwritten.__name__:
             return booking.Unwritten(fields["reason"])
         claim = fields["claim"]
         if claim is not None:
             claim = cattrs.structure(claim, booking.Claim)
         return _RESULT_CLASSES[fields["kind"]](claim)
-    except (cattrs.BaseValidationError, KeyError, TypeError) as error:
-        raise ValueError(f"malformed claim result: {error}") from error
--- a/mulberryhollow/protocol/cloud.py
+++ b/mulberryhollow/protocol/cloud.py
@@ -5,6 +5,7 @@
 import attrs
 
 from mulberryhollow.coordination import capacity
+from mulberryhollow.state import decoding
 from mulberryhollow.state import endpoints
 
 __all__ = [
@@ -69,7 +70,7 @@
 
 def decode_notices(data):
     """Return the Notice objects in data; ValueError if malformed."""
-    try:
+    with decoding.convert_errors("notices"):
         return [
             Notice(
                 int(item["number"]),
@@ -79,13 +80,11 @@
             )
             for item in _decode_items(data)
         ]
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed notices: {error}") from error
 
 
 def decode_instances(data):
     """Return each endpoint as capacity.Instance; ValueError if malformed."""
-    try:
+    with decoding.convert_errors("instance"):
         return [
             capacity.Instance(
                 item["id"],
@@ -100,13 +99,11 @@
             for item in _decode_items(data)
             if item.get("role") in _ENDPOINT_ROLES
         ]
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed instance: {error}") from error
 
 
 def decode_offers(data):
     """Return prices as capacity.InstanceOffer; ValueError if malformed."""
-    try:
+    with decoding.convert_errors("prices"):
         return [
             capacity.InstanceOffer(
                 item["failure_domain"],
@@ -116,8 +113,6 @@
             )
             for item in _decode_items(data)
         ]
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed prices: {error}") from error
 
 
 def encode_start(start):
@@ -136,7 +131,7 @@
 
 def _decode_endpoint(item):
     """Return the Endpoint that one item of an instance list holds."""
-    try:
+    with decoding.convert_errors("instance"):
         return endpoints.Endpoint(
             id=item["id"],
             role=item["role"],
@@ -148,13 +143,9 @@
             price_per_hour=float(item.get("price_per_hour", 0.0)),
             state=item.get("state", "live"),
         )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed instance: {error}") from error
 
 
 def _decode_items(data):
     """Return the ``items`` of a JSON list; ValueError if malformed."""
-    try:
-        return json.loads(data)["items"]
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed list: {error}") from error
+    with decoding.convert_errors("list"):
+        return decoding.decode_json(data)["items"]
--- a/mulberryhollow/protocol/draws.py
+++ b/mulberryhollow/protocol/draws.py
@@ -6,6 +6,7 @@
 
 from mulberryhollow.coordination import limits
 from mulberryhollow.coordination import routing
+from mulberryhollow.state import decoding
 
 __all__ = [
     "Draw",
@@ -18,13 +19,6 @@
     "encode_drawn",
 ]
 
-_DECODE_ERRORS = (
-    ValueError,
-    TypeError,
-    KeyError,
-    IndexError,
-    AttributeError,
-)
 
 MAX_RANK = 9
 """Rank of the least urgent requests."""
@@ -175,8 +169,8 @@
     ValueError
         When the payload is malformed.
     """
-    try:
-        fields = json.loads(payload)
+    with decoding.convert_errors("draw"):
+        fields = decoding.decode_json(payload)
         hashes, ends, tokens, shared_parts, *_ = fields["chain"]
         regions = fields.get("allowed_regions")
         route_request = routing.RouteRequest(
@@ -198,8 +192,6 @@
             route_request,
             _decode_room_query(fields.get("room")),
         )
-    except _DECODE_ERRORS as error:
-        raise ValueError(f"malformed draw: {error!r}") from error
 
 
 def encode_drawn(drawn):
@@ -238,8 +230,8 @@
     ValueError
         When the answer is malformed.
     """
-    try:
-        fields = json.loads(answer)
+    with decoding.convert_errors("answer to a draw"):
+        fields = decoding.decode_json(answer)
         exceeded = fields["exceeded"]
         if exceeded is not None:
             wait_s, credit, fraction, rate_per_s = map(float, exceeded[:4])
@@ -254,8 +246,6 @@
         if no_room is not None:
             no_room = RoomRefusal(str(no_room[0]), float(no_room[1]))
         return DrawnCredit(exceeded, str(fields["placement"]), permit, no_room)
-    except _DECODE_ERRORS as error:
-        raise ValueError(f"malformed answer to a draw: {error!r}") from error
 
 
 def _decode_room_query(fields):
--- a/mulberryhollow/protocol/endpoints.py
+++ b/mulberryhollow/protocol/endpoints.py
@@ -5,6 +5,7 @@
 import attrs
 
 from mulberryhollow.coordination import streams
+from mulberryhollow.state import decoding
 from mulberryhollow.state import prefixes
 
 __all__ = [
@@ -143,7 +144,7 @@
         When the line is malformed.
     """
     fields = _decode(data)
-    try:
+    with decoding.convert_errors("line"):
         if fields.get("end"):
             return streams.End(
                 str(fields["request_id"]),
@@ -154,14 +155,12 @@
         return streams.TokenLine(
             str(fields["request_id"]), int(fields["seq"]), fields["token"]
         )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed line: {error}") from error
 
 
 def decode_load(data):
     """Return the LoadReport of an endpoint; ValueError if malformed."""
     fields = _decode(data)
-    try:
+    with decoding.convert_errors("load"):
         return LoadReport(
             int(fields["running"]),
             int(fields["queued"]),
@@ -169,14 +168,12 @@
             float(fields.get("age_s", 0.0)),
             tuple(fields.get("versions", ())),
         )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed load: {error}") from error
 
 
 def decode_cache_events(data):
     """Return the list of CacheEvent in data; ValueError if malformed."""
     fields = _decode(data)
-    try:
+    with decoding.convert_errors("cache events"):
         return [
             prefixes.CacheEvent(
                 int(item["number"]),
@@ -185,33 +182,27 @@
             )
             for item in fields["items"]
         ]
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed cache events: {error}") from error
 
 
 def decode_lookup(data):
     """Return the LookupAnswer of an endpoint; ValueError if malformed."""
     fields = _decode(data)
-    try:
+    with decoding.convert_errors("look-up"):
         return LookupAnswer(
             fields["request_id"], fields["result"], fields.get("version", "")
         )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed look-up: {error}") from error
 
 
 def decode_booking(data):
     """Return the BookingAnswer of an endpoint; ValueError if malformed."""
     fields = _decode(data)
-    try:
+    with decoding.convert_errors("booking"):
         return BookingAnswer(
             fields["request_id"],
             fields["booking_id"],
             fields["slot"],
             fields.get("version", ""),
         )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed booking: {error}") from error
 
 
 def decode_ledger_start(data):
@@ -219,15 +210,13 @@
 
     The ledger is complete from that time on.
     """
-    try:
+    with decoding.convert_errors("ledger start"):
         return float(_decode(data)["ledger_since_s"])
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed ledger start: {error}") from error
 
 
 def _decode(data):
     """Return the JSON object in data; ValueError if there is none."""
-    fields = json.loads(data)
+    fields = decoding.decode_json(data)
     if not isinstance(fields, dict):
         raise ValueError("not a JSON object")
     return fields
--- a/mulberryhollow/protocol/handover.py
+++ b/mulberryhollow/protocol/handover.py
@@ -9,6 +9,7 @@
 import attrs
 
 from mulberryhollow.protocol import callers
+from mulberryhollow.state import decoding
 from mulberryhollow.state import environment as environment_module
 
 __all__ = ["DetachedAnswer", "decode_answer", "encode_answer"]
@@ -48,8 +49,8 @@
     ValueError
         When the data is malformed.
     """
-    try:
-        fields = json.loads(data)
+    with decoding.convert_errors("detached answer"):
+        fields = decoding.decode_json(data)
         request_fields = fields["request"]
         request_fields["body"] = callers.GenerateRequest(
             **request_fields["body"]
@@ -62,5 +63,3 @@
             fields["fingerprint"],
             tuple(fields["tokens"]),
         )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed detached answer: {error}") from error
--- a/mulberryhollow/protocol/moves.py
+++ b/mulberryhollow/protocol/moves.py
@@ -9,6 +9,7 @@
 from mulberryhollow.coordination.rollout import record
 from mulberryhollow.coordination.rollout import verdict
 from mulberryhollow.errors import MulberryError
+from mulberryhollow.state import decoding
 
 __all__ = [
     "MoveFormatError",
@@ -115,7 +116,7 @@
             kind, f"{len(data)} bytes are above the limit", remedy
         )
     try:
-        return _CONVERTER.structure(json.loads(data), kind)
+        return _CONVERTER.structure(decoding.decode_json(data), kind)
     except (ValueError, TypeError, RecursionError) as error:
         raise _make_format_error(kind, str(error), remedy) from error
     except cattrs.BaseValidationError as error:
--- a/mulberryhollow/protocol/peer_requests.py
+++ b/mulberryhollow/protocol/peer_requests.py
@@ -8,6 +8,7 @@
 from mulberryhollow import errors
 from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.state import catalogue
+from mulberryhollow.state import decoding
 
 __all__ = [
     "PATH",
@@ -54,7 +55,6 @@
 _FRAMING_HEADERS = frozenset(
     ("connection", "content-length", "keep-alive", "transfer-encoding")
 )
-_DECODE_ERRORS = (ValueError, TypeError, KeyError, AttributeError)
 _COPIED_FIELDS = (
     "request_id",
     "route",
@@ -145,8 +145,8 @@
         When the body is malformed.
     """
     text, _, payload = body.partition(b"\n")
-    try:
-        fields = json.loads(text)
+    with decoding.convert_errors("request of a peer"):
+        fields = decoding.decode_json(text)
         chain = fields["chain"]
         regions = fields.get("allowed_regions")
         if chain is not None:
@@ -171,8 +171,6 @@
                 payload,
             ),
         )
-    except _DECODE_ERRORS as error:
-        raise ValueError(f"malformed request of a peer: {error!r}") from error
 
 
 def encode_outcome(head, request_id, endpoint_id):
@@ -231,8 +229,8 @@
     passed = tuple(
         (name, value) for name, value in headers if name.lower() not in dropped
     )
-    try:
-        fields = json.loads(text)
+    with decoding.convert_errors("answer of a peer"):
+        fields = decoding.decode_json(text)
         if "refusal" in fields:
             return PeerHead(status, passed, refusal=_decode_refusal(fields))
         rate_limit = None
@@ -246,8 +244,6 @@
             rate_limit=rate_limit,
             endpoint_id=str(fields["endpoint"]),
         )
-    except _DECODE_ERRORS as error:
-        raise ValueError(f"malformed answer of a peer: {error!r}") from error
 
 
 def _find_common_kind(kind):
--- a/mulberryhollow/protocol/permits.py
+++ b/mulberryhollow/protocol/permits.py
@@ -6,6 +6,7 @@
 import attrs
 
 from mulberryhollow.coordination import limits
+from mulberryhollow.state import decoding
 
 __all__ = [
     "PermitQuestion",
@@ -15,14 +16,6 @@
     "encode_question",
 ]
 
-_DECODE_ERRORS = (
-    ValueError,
-    TypeError,
-    KeyError,
-    AttributeError,
-    OverflowError,
-)
-
 
 @attrs.frozen
 class PermitQuestion:
@@ -102,8 +95,10 @@
     ValueError
         When the payload is malformed.
     """
-    try:
-        endpoint_id, account, permit, rate, *numbers = json.loads(payload)
+    with decoding.convert_errors("question"):
+        endpoint_id, account, permit, rate, *numbers = decoding.decode_json(
+            payload
+        )
         age_s, slots = map(float, numbers[:2])
         further = numbers[2] if len(numbers) > 2 else None
         is_known = isinstance(further, dict)
@@ -117,8 +112,6 @@
             int(slots),
             cold_per_s,
         )
-    except _DECODE_ERRORS as error:
-        raise ValueError(f"malformed question: {error!r}") from error
     amounts = question.rate_per_s or 0.0, question.age_s, question.cold_per_s
     if not all(amount >= 0.0 for amount in amounts):
         raise ValueError(f"malformed question: {question}")
@@ -142,13 +135,11 @@
     ValueError
         When the payload is malformed.
     """
-    try:
-        wait_s = json.loads(payload)
+    with decoding.convert_errors("permit"):
+        wait_s = decoding.decode_json(payload)
         if wait_s is None:
             return limits.PermitGranted()
         wait_s = float(wait_s)
-    except _DECODE_ERRORS as error:
-        raise ValueError(f"malformed permit: {error!r}") from error
     if not (math.isfinite(wait_s) and wait_s >= 0.0):
         raise ValueError(f"malformed permit: wait of {wait_s} s")
     return limits.PermitRefused(wait_s)
--- a/mulberryhollow/protocol/relays.py
+++ b/mulberryhollow/protocol/relays.py
@@ -2,6 +2,7 @@
 
 import math
 
+from mulberryhollow.state import decoding
 from mulberryhollow.state import object_log
 from mulberryhollow.state import objects
 
@@ -56,7 +57,7 @@
     ValueError
         When the fields are malformed.
     """
-    try:
+    with decoding.convert_errors("relayed objects"):
         changes = fields.get("changes")
         recovery_age_s = fields["recovery_age_s"]
         if recovery_age_s is None:
@@ -66,8 +67,6 @@
             now_s - float(fields["contact_age_s"]),
             now_s - float(recovery_age_s),
         )
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"malformed relayed objects: {error!r}") from error
 
 
 def _decode_changes(fields):
--- a/mulberryhollow/protocol/status.py
+++ b/mulberryhollow/protocol/status.py
@@ -6,6 +6,7 @@
 import cattrs
 from cattrs.preconf import json as json_preconf
 
+from mulberryhollow.state import decoding
 from mulberryhollow.state import histograms
 
 __all__ = [
@@ -68,7 +69,7 @@
     MalformedStatusError
         When the body is not a valid status.
     """
-    return _structure(json.loads, body, InstanceStatus)
+    return _structure(decoding.decode_json, body, InstanceStatus)
 
 
 def list_histograms(records):
@@ -96,7 +97,9 @@
         When the body is not a valid list of histograms.
     """
     kind = tuple[histograms.HistogramRecord, ...]
-    return _structure(lambda text: json.loads(text)["items"], body, kind)
+    return _structure(
+        lambda text: decoding.decode_json(text)["items"], body, kind
+    )
 
 
 def _structure(extract, body, kind):
--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -18,6 +18,7 @@
 from mulberryhollow.protocol import callers
 from mulberryhollow.protocol import endpoints as messages
 from mulberryhollow.serving import attempts
+from mulberryhollow.state import decoding
 
 __all__ = ["BookingHandler"]
 
@@ -395,7 +396,7 @@
 
 def _decode_outcome(claim):
     """Decode the BookingAnswer that is stored in a claim."""
-    return messages.BookingAnswer(**json.loads(claim.outcome))
+    return messages.BookingAnswer(**decoding.decode_json(claim.outcome))
 
 
 def _refuse_unwritten(run, reason):
--- a/mulberryhollow/serving/capacity.py
+++ b/mulberryhollow/serving/capacity.py
@@ -8,6 +8,7 @@
 from mulberryhollow.coordination import capacity
 from mulberryhollow import events
 from mulberryhollow.protocol import cloud
+from mulberryhollow.state import decoding
 from mulberryhollow.state import known_fields
 from mulberryhollow.state import objects
 from mulberryhollow.transport import store as store_adapter
@@ -87,7 +88,9 @@
     def decode(cls, data):
         """Return the record encoded in data; an empty one if malformed."""
         try:
-            return cls(**known_fields.select_known(cls, json.loads(data)))
+            return cls(
+                **known_fields.select_known(cls, decoding.decode_json(data))
+            )
         except (ValueError, TypeError):
             return cls()
 
--- a/mulberryhollow/serving/fleet_peering.py
+++ b/mulberryhollow/serving/fleet_peering.py
@@ -8,6 +8,7 @@
 from mulberryhollow.coordination import membership
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.state import decoding
 from mulberryhollow.state import fleet as fleets
 from mulberryhollow.state import known_fields
 
@@ -76,7 +77,9 @@
         """Adopt the list of one peer, if it returns any."""
         try:
             answer = self._peers.call(name, TOPIC, _QUESTION, CALL_TIMEOUT_S)
-            found = [_decode_listing(each) for each in json.loads(answer)]
+            found = [
+                _decode_listing(each) for each in decoding.decode_json(answer)
+            ]
         except (errors.PeerError, ValueError, TypeError) as error:
             events.log(NO_LIST_RECEIVED, peer=name, reason=str(error))
             return
--- a/mulberryhollow/serving/peering.py
+++ b/mulberryhollow/serving/peering.py
@@ -11,6 +11,7 @@
 from mulberryhollow.protocol import cloud
 from mulberryhollow.protocol import handover
 from mulberryhollow.serving import fact_peering
+from mulberryhollow.state import decoding
 from mulberryhollow.state import facts
 
 __all__ = ["InstancePeering", "InstancePeeringDependencies"]
@@ -198,13 +199,15 @@
         is_of_endpoint = fact.key.startswith(fact_peering.RATE_LIMIT)
         if is_of_endpoint or not fact.value:
             return
-        self._dependencies.on_notice(cloud.Notice(**json.loads(fact.value)))
+        self._dependencies.on_notice(
+            cloud.Notice(**decoding.decode_json(fact.value))
+        )
 
     def _apply_load(self, fact):
         """Apply a peer's requests in flight at endpoints."""
         if fact.key == self._local_member.instance_id:
             return
-        loads = json.loads(fact.value)
+        loads = decoding.decode_json(fact.value)
         with self._lock:
             before = self._reported_endpoints.get(fact.key, ())
             self._reported_endpoints[fact.key] = tuple(loads)
@@ -217,7 +220,7 @@
         """Apply the demand of client accounts at a peer."""
         if fact.key == self._local_member.instance_id:
             return
-        demand = json.loads(fact.value)
+        demand = decoding.decode_json(fact.value)
         self._dispatcher.change(
             lambda actor, now_s: actor.admission.report_demand(
                 fact.key, demand, now_s
--- a/mulberryhollow/serving/permit_peering.py
+++ b/mulberryhollow/serving/permit_peering.py
@@ -15,6 +15,7 @@
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import permits
+from mulberryhollow.state import decoding
 
 __all__ = ["PermitPeering", "UnlimitedPermits"]
 
@@ -203,7 +204,7 @@
 
     def _answer_end(self, payload):
         """End a permit that a peer gives back."""
-        endpoint_id, name, *_ = json.loads(payload)
+        endpoint_id, name, *_ = decoding.decode_json(payload)
         self._end_permit(endpoint_id, name)
         return b"1"
 
--- a/mulberryhollow/serving/quota_peering.py
+++ b/mulberryhollow/serving/quota_peering.py
@@ -15,6 +15,7 @@
 from mulberryhollow import events
 from mulberryhollow.protocol import draws
 from mulberryhollow.serving import room_admission
+from mulberryhollow.state import decoding
 
 __all__ = ["BorrowedCredit", "QuotaPeering"]
 
@@ -419,7 +420,7 @@
 
     def _answer_lend(self, payload):
         """Lend a peer the available credit, up to the wanted amount."""
-        account, wanted, *_ = json.loads(payload)
+        account, wanted, *_ = decoding.decode_json(payload)
         balance = self._dispatcher.read(
             lambda actor, now_s: actor.quotas.lend(account, wanted, now_s)
         )
--- a/mulberryhollow/serving/stored_quarantine.py
+++ b/mulberryhollow/serving/stored_quarantine.py
@@ -7,6 +7,7 @@
 
 from mulberryhollow.coordination import retry
 from mulberryhollow import events
+from mulberryhollow.state import decoding
 from mulberryhollow.state import objects
 from mulberryhollow.transport import store as store_adapter
 
@@ -64,7 +65,7 @@
     def decode(cls, value):
         """Return the entry encoded in value; None if malformed."""
         try:
-            fields = json.loads(value)
+            fields = decoding.decode_json(value)
             endpoints = tuple(str(each) for each in fields["endpoints"])
             return cls(endpoints, float(fields["stored_s"]))
         except (ValueError, TypeError, KeyError):
--- a/mulberryhollow/serving/usage.py
+++ b/mulberryhollow/serving/usage.py
@@ -8,6 +8,7 @@
 
 from mulberryhollow.coordination.duties import WINDOWS_REPORTED
 from mulberryhollow import events
+from mulberryhollow.state import decoding
 from mulberryhollow.state import known_fields
 from mulberryhollow.state import objects
 from mulberryhollow.transport import store as store_adapter
@@ -128,7 +129,9 @@
     def decode(cls, value):
         """Return the report encoded in value; None if malformed."""
         try:
-            return cls(**known_fields.select_known(cls, json.loads(value)))
+            return cls(
+                **known_fields.select_known(cls, decoding.decode_json(value))
+            )
         except (ValueError, TypeError):
             return None
 
--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -8,6 +8,7 @@
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.protocol import endpoints as messages
+from mulberryhollow.state import decoding
 from mulberryhollow.transport import connection as connections
 
 __all__ = ["EndpointClient"]
@@ -373,7 +374,7 @@
     made when `request_id` is None or the refusal names no request.
     """
     try:
-        fields = json.loads(response.read())
+        fields = decoding.decode_json(response.read())
         named = fields.get("request_id", request_id)
         reason = str(fields.get("reason", ""))
     except (*_TRANSFER_ERRORS, AttributeError) as error:
