--- a/mulberryhollow/platform/records.py
+++ b/mulberryhollow/platform/records.py
@@ -1,6 +1,7 @@
 """Decoders of the operator's and the endpoints' objects in the store."""
 
 import math
+import sys
 
 import attrs
 import xxhash
@@ -216,6 +217,15 @@
     return tuple(decoded)
 
 
+def _get_finite(fields, name, default=None):
+    """Return a number of the configuration, also a negative one.
+
+    The rules on configurations name each value without a sense.
+    """
+    limit = sys.float_info.max
+    return decoding.get_number(fields, name, default, -limit, limit)
+
+
 def _decode_route(fields):
     """Return the Route for the fields of a route."""
     # A route has either "service" (one service) or "split" (weighted).
@@ -224,7 +234,7 @@
     ]
     shares = tuple(
         catalogues.ServiceShare(
-            each["service"], float(decoding.get_number(each, "weight"))
+            each["service"], float(_get_finite(each, "weight"))
         )
         for each in split
     )
@@ -235,12 +245,12 @@
         path_prefix=fields["pathPrefix"],
         kind=_REQUEST_KINDS[fields["routeKind"], is_resumable],
         shares=shares,
-        timeout_s=decoding.get_number(fields, "timeoutMs") / _MS_PER_S,
-        goal_s=decoding.get_number(fields, "goalMs", 0) / _MS_PER_S,
+        timeout_s=_get_finite(fields, "timeoutMs") / _MS_PER_S,
+        goal_s=_get_finite(fields, "goalMs", 0) / _MS_PER_S,
         priority=int(fields.get("priority") or 0),
         max_endpoints=max(1, int(fields.get("maxAttempts") or 1)),
         is_public=bool(fields.get("public")),
-        gap_goal_s=decoding.get_number(fields, "gapGoalMs", 0) / _MS_PER_S,
+        gap_goal_s=_get_finite(fields, "gapGoalMs", 0) / _MS_PER_S,
         allowed_regions=_decode_regions(fields),
     )
 
@@ -251,20 +261,20 @@
     scaling = fields.get("scaling")
     return catalogues.ServiceSpec(
         name=fields["name"],
-        max_connections=int(decoding.get_number(fields, "maxConns", 0)),
+        max_connections=int(_get_finite(fields, "maxConns", 0)),
         model=engine
         and catalogues.ModelSpec(
-            slots=int(decoding.get_number(engine, "slots")),
+            slots=int(_get_finite(engine, "slots")),
             # "kv" is the key-value cache of prompts and answers; its
             # capacity is in tokens.
-            cache_tokens=int(decoding.get_number(engine, "kvCapacity")),
+            cache_tokens=int(_get_finite(engine, "kvCapacity")),
             can_move=bool(engine.get("moves")),
         ),
         scaling=scaling
         and catalogues.Scaling(
-            min_per_domain=int(decoding.get_number(scaling, "min")),
-            max_per_domain=int(decoding.get_number(scaling, "max")),
-            boot_s=float(decoding.get_number(scaling, "bootS", 0)),
+            min_per_domain=int(_get_finite(scaling, "min")),
+            max_per_domain=int(_get_finite(scaling, "max")),
+            boot_s=float(_get_finite(scaling, "bootS", 0)),
             reclaimable_price=scaling.get("spotPrice"),
             domain_prices=dict(scaling.get("zonePrices") or {}),
         ),
@@ -291,13 +301,11 @@
         name=fields["name"],
         keys=frozenset(fields["apiKeys"]),
         quota=catalogues.Quota(
-            rate_per_s=float(decoding.get_number(fields, "ratePerS", 0)),
-            burst=float(decoding.get_number(fields, "burst", 0)),
+            rate_per_s=float(_get_finite(fields, "ratePerS", 0)),
+            burst=float(_get_finite(fields, "burst", 0)),
             unit=_QUOTA_UNITS[fields.get("unit")],
             # Charged for requests that do not state their size.
-            default_tokens=float(
-                decoding.get_number(fields, "uncachedTokens", 0)
-            ),
+            default_tokens=float(_get_finite(fields, "uncachedTokens", 0)),
         ),
         priority=None if priority is None else int(priority),
         allowed_regions=_decode_regions(fields),
@@ -317,12 +325,12 @@
     default = catalogues.IngressLimits()
     return catalogues.IngressLimits(
         header_bytes=int(
-            decoding.get_number(fields, "maxHeaderBytes", default.header_bytes)
+            _get_finite(fields, "maxHeaderBytes", default.header_bytes)
         ),
         body_bytes=int(
-            decoding.get_number(fields, "maxBodyBytes", default.body_bytes)
+            _get_finite(fields, "maxBodyBytes", default.body_bytes)
         ),
-        idle_timeout_s=decoding.get_number(
+        idle_timeout_s=_get_finite(
             fields, "idleTimeoutMs", default.idle_timeout_s * _MS_PER_S
         )
         / _MS_PER_S,
--- a/tests/platform/records.feature
+++ b/tests/platform/records.feature
@@ -101,6 +101,11 @@
       | {"version": 1e999, "routes": [], "services": []}      | OverflowError     |
       | [ repeated 100000 times                               | RecursionError    |
       | {"tenants": [{"apiKeys": ["secret \xff"]}]}           | UnicodeDecodeError |
+      | {"version": 1, "services": [], "routes": [{"name": "a", "host": "h", "pathPrefix": "/", "routeKind": "streaming", "service": "s", "timeoutMs": 1e999}]} | timeoutMs |
+      | {"version": 1, "services": [], "routes": [{"name": "a", "host": "h", "pathPrefix": "/", "routeKind": "streaming", "service": "s", "timeoutMs": NaN}]} | timeoutMs |
+      | {"version": 1, "services": [], "routes": [{"name": "a", "host": "h", "pathPrefix": "/", "routeKind": "streaming", "service": "s", "timeoutMs": "1000"}]} | timeoutMs |
+      | {"version": 1, "services": [], "routes": [{"name": "a", "host": "h", "pathPrefix": "/", "routeKind": "streaming", "service": "s", "timeoutMs": true}]} | timeoutMs |
+      | {"version": 1, "services": [], "routes": [{"name": "a", "host": "h", "pathPrefix": "/", "routeKind": "streaming", "service": "s", "timeoutMs": 99999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999999}]} | timeoutMs |
       | {"version": 1, "services": [{"name": "a"}, {}], "routes": []} | services[1]: KeyError |
       | {"version": 1, "services": [], "routes": [{"name": "a"}]} | routes[0]: KeyError |
       | {"version": 1, "services": [], "routes": [], "tenants": [{"apiKeys": ["secret"]}]} | tenants[0]: KeyError |
