--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -95,7 +95,7 @@
         answer = self.store.request(handler.command, handler.path, body)
         until_s = time.monotonic() + 2.0
         while "watch=" in handler.path and time.monotonic() < until_s:
-            if answer.status != 200 or json.loads(answer.data)["events"]:
+            if answer.status != 200 or b'"events": []' not in answer.data:
                 break
             time.sleep(WATCH_POLL_INTERVAL_S)
             answer = self.store.request(handler.command, handler.path, body)
--- a/tests/platform/daemon.feature
+++ b/tests/platform/daemon.feature
@@ -39,6 +39,11 @@
     When e1 drains and 6 requests are sent
     Then all of them are answered by e2
 
+  # Guards against an instance that follows its endpoints no more.
+  Scenario: An odd entry of another writer changes nothing for callers
+    When another writer leaves odd entries, e1 drains and 6 requests are sent
+    Then all of them are answered by e2
+
   Scenario: A new configuration comes into force while the store answers
     When a configuration with the route /new/ is written
     Then a GET /new/x is served within 2 seconds
--- a/tests/platform/odd_entries.feature
+++ b/tests/platform/odd_entries.feature
@@ -59,6 +59,22 @@
       | "é終"         |
       | "e\ud800"    |
 
+  Scenario Outline: An odd configuration leaves the former in force
+    Given a store whose configuration of version 7 is followed
+    When another writer leaves a configuration with <odd>
+    And the odd configuration is read by its follower and by a new one
+    Then only version 7 is in force
+    When the configuration of version 8 is written
+    Then both followers have version 8
+
+    Examples:
+      | odd                      |
+      | 200000 nested lists      |
+      | a version of 5000 digits |
+      | a version of 1e999       |
+      | bytes that are not UTF-8 |
+      | text that is not JSON    |
+
   Scenario: A list of a megabyte of brackets is read in time and memory
     Given a store that lists the endpoints e1 and e2 and is followed
     When another writer leaves an entry with 160000 nested objects
--- a/tests/steps/platform_daemon.py
+++ b/tests/steps/platform_daemon.py
@@ -140,6 +140,21 @@
     ]
 
 
+@when(
+    "another writer leaves odd entries, e1 drains and {count:d} requests are "
+    "sent"
+)
+def leave_odd_entries(context, count):
+    store = context.site.server.store
+    for name, text in (
+        ("a", b"[" * 200_000 + b"]" * 200_000),
+        ("b", b'{"slots": ' + b"9" * 5000 + b"}"),
+        ("c", b'{"service": "\xff"}'),
+    ):
+        store.put_text("servers", name, text)
+    drain_endpoint(context, count)
+
+
 @when("a configuration with the route /new/ is written")
 def write_route(context):
     route = platform_site.make_route("new", "idempotent")
--- a/tests/steps/platform_odd_entries.py
+++ b/tests/steps/platform_odd_entries.py
@@ -13,6 +13,7 @@
 from mulberryhollow.platform import records
 from mulberryhollow.platform import store as dialects
 from mulberryhollow.serving import dispatcher as dispatching
+from mulberryhollow.serving import documents
 from mulberryhollow.serving import fleet_watcher
 from mulberryhollow.serving import watch
 from mulberryhollow.transport import store
@@ -154,6 +155,75 @@
         assert list_names(watcher) == ["e1", "e2", "e3"], list_names(watcher)
 
 
+def follow_configuration(context):
+    """Return a follower of the configuration and the versions in force."""
+    applied = []
+    actor = documents.DocumentActor.start(
+        lambda document: applied.append(document.environment.number),
+        records.decode_catalogue,
+    )
+    context.add_cleanup(actor.stop)
+    client = store.StoreClient(
+        "127.0.0.1:1", dialect=dialects.PlatformDialect()
+    )
+    client._pool = context.platform
+    follower = watch.ObjectFollower(
+        client,
+        "config",
+        clocks.ManualClock(),
+        documents.DocumentFollower("main", actor),
+    )
+    return follower, actor, applied
+
+
+def write_configuration(context, version):
+    fields = {"version": version, "routes": [], "services": []}
+    context.platform.put("config", "main", fields)
+
+
+def read_configurations(context):
+    for follower, actor, _ in context.followers:
+        follower.read()
+        actor.ask(documents.DocumentUpdate(0, b"{}"))
+
+
+@given("a store whose configuration of version 7 is followed")
+def follow_version(context):
+    context.platform = platform.PlatformStore()
+    write_configuration(context, 7)
+    context.followers = [follow_configuration(context)]
+    read_configurations(context)
+
+
+@when("another writer leaves a configuration with {odd}")
+def leave_odd_configuration(context, odd):
+    context.platform.put_text("config", "main", make_odd_text(odd))
+
+
+@when("the odd configuration is read by its follower and by a new one")
+def read_odd_configuration(context):
+    context.followers.append(follow_configuration(context))
+    read_configurations(context)
+
+
+@then("only version 7 is in force")
+def check_version_7(context):
+    found = [applied for _, _, applied in context.followers]
+    assert found == [[7], []], found
+
+
+@when("the configuration of version 8 is written")
+def write_version_8(context):
+    write_configuration(context, 8)
+    read_configurations(context)
+
+
+@then("both followers have version 8")
+def check_version_8(context):
+    found = [applied for _, _, applied in context.followers]
+    assert found == [[7, 8], [8]], found
+
+
 @then("the list is read within {limit_s:g} seconds and {limit_mb:d} megabytes")
 def check_costs(context, limit_s, limit_mb):
     assert context.read_s < limit_s, context.read_s
