Tell a second answer from a body without a length

An endpoint that answers twice and ends its answer by closing the connection appends the second one to the body. The caller got both as one body (MIXED, 'the body isn't the server's'); nothing frames such a body but the close.

A head of an answer inside such a body, with the id of a request that this connection has carried, is now a fault after the bytes before it. Other heads that a body mentions are passed on. What was weighed: delivering the bytes before the second head as whole. They are whole only if the endpoint's first answer was, which nothing shows, so the attempt fails.

--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -69,6 +69,7 @@
         self._source = bounded_reader.BoundedReader(self.sock)
         self._reader = io.BufferedReader(self._source)
         self._response = None
+        self._guard = None
         self.is_request_complete = True
         self.is_in_step = True
         self._is_aborted = False
@@ -130,7 +131,7 @@
             NotSent when no byte has been sent, else Broken or Silent.
         """
         data = memoryview(_encode_head(call) + call.body)
-        self._response = None
+        self._response = self._guard = None
         self.earlier_requests += 1
         self._request_ids.append(call.request_id)
         self.sock.settimeout(timeout_s)
@@ -212,12 +213,12 @@
         ------
         EndpointError
             Broken, also when the body is incomplete, Silent, or Crossed for
-            a chunk size or trailers without end.
+            a chunk size or trailers without end and for a second answer.
         """
         response = self._response
         try:
             self._source.allow(MAX_PIECE_BYTES, timeout_s)
-            piece = response.read1(MAX_TRANSFER_BYTES)
+            piece = self._read_checked()
         except bounded_reader.ByteLimitError as error:
             fault = streams.Crossed("chunk size or trailers without an end")
             raise errors.EndpointError(fault) from error
@@ -233,6 +234,27 @@
             )
         return piece
 
+    def guard_body(self, guard):
+        """Check the body of the last response for a second answer.
+
+        Parameters
+        ----------
+        guard : AppendedAnswerGuard
+            Gets each piece of the body.
+        """
+        self._guard = guard
+
+    def _read_checked(self):
+        """Return the next bytes of the body that are not held back."""
+        guard = self._guard
+        if guard is None:
+            return self._response.read1(MAX_TRANSFER_BYTES)
+        guard.check()
+        while piece := self._response.read1(MAX_TRANSFER_BYTES):
+            if checked := guard.feed(piece):
+                return checked
+        return guard.finish()
+
     @property
     def framing(self):
         """Framing of the last response."""
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -8,6 +8,8 @@
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.transport import appended_answers
 from mulberryhollow.transport import channel as channels
 from mulberryhollow.transport import connection as connections
 
@@ -119,6 +121,8 @@
             on_channel(channel)
             channel.send(attempt.call, attempt.wait_s)
             head = self._receive_head(channel, attempt)
+            if channel.framing is messages.Framing.CONNECTION_CLOSE:
+                channel.guard_body(self._make_guard(channel))
         except BaseException as error:
             channel.close()
             if not is_new and _has_fault(error, streams.NotSent):
@@ -191,6 +195,14 @@
         fault = streams.Crossed(f"answer to request {head.request_id}")
         raise errors.EndpointError(fault)
 
+    def _make_guard(self, channel):
+        """Return the guard of a body that ends with the connection."""
+        return appended_answers.AppendedAnswerGuard(
+            lambda status, headers: channel.has_carried(
+                self._codec.decode_head(status, headers).request_id
+            )
+        )
+
     def _skip_body(self, channel, end_s):
         """Read the body of a stale answer to its end.
 
