--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -89,6 +89,20 @@
     Then the caller gets events 1 to 4 without a break
     And the second attempt requested the events after event 2
 
+  # Guards against a success that is not the endpoint's own answer, without its
+  # seal or with a body that was encoded, reaching the caller.
+  Scenario Outline: A success that is not the endpoint's own is no answer
+    Given a forwarder whose endpoints answer in turn: <answer>, whole
+    When a <kind> request is forwarded
+    Then <end>
+
+    Examples:
+      | answer   | kind           | end                                                   |
+      | unsealed | IDEMPOTENT     | the caller gets "hello" after 2 attempts              |
+      | encoded  | IDEMPOTENT     | the caller gets "hello" after 2 attempts              |
+      | unsealed | NON_IDEMPOTENT | the forwarded request ends as UNKNOWN after 1 attempts |
+      | encoded  | NON_IDEMPOTENT | the forwarded request ends as UNKNOWN after 1 attempts |
+
   # Guards against the head of a stream without a whole event being passed on.
   Scenario: A stream that ends inside its first event is no answer
     Given a forwarder whose endpoints answer in turn: stream cut inside its first event
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -45,10 +45,13 @@
 }
 
 
+SEAL = ("Response-Seal", "s")
 LEAVING = ("Server-Leaving", "1")
 PAUSE = ("Retry-After", "2")
 HEADS = {
-    "leaving": (200, (LEAVING,)),
+    "leaving": (200, (LEAVING, SEAL)),
+    "unsealed": (200, ()),
+    "encoded": (200, (SEAL, ("Content-Encoding", "gzip"))),
     "leaving refused": (503, (LEAVING, ("Not-Executed", "1"))),
     "leaving failed": (500, (LEAVING,)),
     "leaving moved": (421, (LEAVING,)),
