Pass on a success only with the endpoint's seal

A success with the id of the request reached the caller also without the endpoint's seal, or with an encoded body, neither of which is an endpoint's answer on the users' platform (MIXED).

The codec names the flaw, and the attempt ends as one that may have run, so a repeatable request goes to another endpoint.

--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -122,6 +122,7 @@
             brittle_rejections=None
             if is_misdirected
             else _decode_count(get(header_names.BRITTLE.lower(), "")),
+            flaw=_find_flaw(status, fields),
         )
 
     def _read_load(self, text):
@@ -145,6 +146,17 @@
     return next(iter(found), "")
 
 
+def _find_flaw(status, fields):
+    """Return why a success cannot be the endpoint's own; empty for none."""
+    if not 200 <= status < 300:
+        return ""
+    if not fields.get(header_names.SEAL.lower()):
+        return "a success without a seal"
+    if fields.get("content-encoding", "identity").lower() != "identity":
+        return "a success with an encoded body"
+    return ""
+
+
 def _decode_load(text):
     """Return the Load that an endpoint reports; None for a malformed report.
 
--- a/mulberryhollow/platform/headers.py
+++ b/mulberryhollow/platform/headers.py
@@ -19,6 +19,7 @@
     "RATE_LIMIT",
     "REMAINING_TIME",
     "REQUEST_ID",
+    "SEAL",
     "SYSTEM_HEADERS",
 ]
 
@@ -27,6 +28,9 @@
 
 ANSWER_REQUEST_ID = REQUEST_ID
 
+SEAL = "Response-Seal"
+"""Proof of an endpoint that a success is its own; passed on to the caller."""
+
 REMAINING_TIME = "Deadline-Ms"
 """Remaining time in milliseconds: a duration, not a point in time."""
 
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -242,6 +242,8 @@
     brittle_rejections : int or None
         Requests that the endpoint can turn away within a second without
         falling over; None when it does not say that it is brittle.
+    flaw : str
+        Why a success cannot be the endpoint's own answer; empty for none.
     """
 
     status: int
@@ -255,3 +257,4 @@
     pause_s: float = 0.0
     rate_limit: RateLimit | None = None
     brittle_rejections: int | None = None
+    flaw: str = ""
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -402,6 +402,8 @@
             self._reader.drain(answer)
             self._close_answer()
             raise errors.EndpointError(_classify_refusal(answer.head))
+        if answer.head.flaw:
+            raise errors.EndpointError(streams.Crossed(answer.head.flaw))
         return answer
 
     def _open_at_peer(self, route):
