Use no kept connection to an own endpoint on which bytes wait

A load report or a list of cache events carries no id, so the copy of an earlier answer, which waits on the kept connection, was read as the answer of the next call. Look-ups and bookings check the id, so no caller could get another's answer.

The pool closes a connection on which something waits, as it does for forwarded requests.

--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -44,7 +44,7 @@
 
     def __init__(self, clock):
         self._clock = clock
-        self._pool = connections.ConnectionPool(clock)
+        self._pool = connections.ConnectionPool(clock, is_usable=_is_silent)
 
     def generate(self, address, call, timeout_s):
         """Run one attempt on a model engine; yield its lines.
@@ -322,6 +322,11 @@
         raise errors.EndpointError(streams.RefusedByEndpoint(reason))
 
 
+def _is_silent(connection):
+    """Return whether nothing waits to be read on an idle connection."""
+    return not urllib3.util.wait_for_read(connection.sock, timeout=0.0)
+
+
 def _send(connection, method, path, body, timeout_s):
     """Send a request; return the response once its head has arrived."""
     try:
