--- a/mulberryhollow/platform/callers.py
+++ b/mulberryhollow/platform/callers.py
@@ -154,9 +154,7 @@
     if not text:
         return []
     pairs = [part.strip().partition(":") for part in text.split(",")]
-    parts = [
-        (part_id, _parse_tokens(size)) for part_id, _, size in pairs
-    ]
+    parts = [(part_id, _parse_tokens(size)) for part_id, _, size in pairs]
     if any(size is None for _, size in parts):
         raise _malformed(header_names.PROMPT_PARTS, "a part is not ID:TOKENS")
     return parts
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -45,14 +45,17 @@
 }
 
 
+SEAL = ("Response-Seal", "s")
 LEAVING = ("Server-Leaving", "1")
 PAUSE = ("Retry-After", "2")
 HEADS = {
-    "many running": (200, (("Instance-Load", "9" * 400 + ",1,8"),)),
-    "many queued": (200, (("Instance-Load", "1," + "9" * 400 + ",8"),)),
-    "many slots": (200, (("Instance-Load", "1,1," + "9" * 400),)),
-    "a long number": (200, (("Instance-Load", "1,1," + "9" * 5000),)),
-    "leaving": (200, (LEAVING,)),
+    "many running": (200, (SEAL, ("Instance-Load", "9" * 400 + ",1,8"))),
+    "many queued": (200, (SEAL, ("Instance-Load", "1," + "9" * 400 + ",8"))),
+    "many slots": (200, (SEAL, ("Instance-Load", "1,1," + "9" * 400))),
+    "a long number": (200, (SEAL, ("Instance-Load", "1,1," + "9" * 5000))),
+    "leaving": (200, (LEAVING, SEAL)),
+    "unsealed": (200, ()),
+    "encoded": (200, (SEAL, ("Content-Encoding", "gzip"))),
     "leaving refused": (503, (LEAVING, ("Not-Executed", "1"))),
     "leaving failed": (500, (LEAVING,)),
     "leaving moved": (421, (LEAVING,)),
--- a/tests/steps/serving_resumed_streams.py
+++ b/tests/steps/serving_resumed_streams.py
@@ -33,7 +33,8 @@
 
 
 def head(status, *fields, attempt_id=b"Attempt-Id: r1\r\n"):
-    lines = b"".join(field + b"\r\n" for field in fields)
+    proof = [b"Response-Seal: s"] if 200 <= status < 300 else []
+    lines = b"".join(field + b"\r\n" for field in (*proof, *fields))
     return b"HTTP/1.1 %d X\r\n" % status + attempt_id + lines + b"\r\n"
 
 
