Failing test: statuses that promise too much

A 408, 429 or 503 of an endpoint that does not say that the request has not run is passed on, and promises just that to the caller (REFUSED).

--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -103,6 +103,19 @@
       | unsealed | NON_IDEMPOTENT | the forwarded request ends as UNKNOWN after 1 attempts |
       | encoded  | NON_IDEMPOTENT | the forwarded request ends as UNKNOWN after 1 attempts |
 
+  # Guards against callers that are told "not run" by the status of an endpoint
+  # that has run their request.
+  Scenario Outline: A status that promises too much is not passed on
+    Given a forwarder whose endpoints answer in turn: <answer>, whole
+    When a NON_IDEMPOTENT request is forwarded
+    Then the forwarded request ends as UNKNOWN after 1 attempts
+
+    Examples:
+      | answer       |
+      | unproved 408 |
+      | unproved 429 |
+      | unproved 503 |
+
   # Guards against the head of a stream without a whole event being passed on.
   Scenario: A stream that ends inside its first event is no answer
     Given a forwarder whose endpoints answer in turn: stream cut inside its first event
