Pass on no status that promises more than its endpoint does

A 408, 429 or 503 of an endpoint that did not say that the request has not run went to the caller, to whom these statuses promise just that: a booking that may have run was sent again (REFUSED).

Cause: only the header that says so was looked at, and the status of any other answer was passed on. Such an answer is now a fault of the attempt: a request that may run once ends as possibly run, another one is tried elsewhere.

Whether an endpoint ever answers so is not known.

--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -19,6 +19,7 @@
 
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
+_REFUSAL_STATUSES = {408, 429, _STATUS_UNAVAILABLE}
 
 MAX_PAUSE_S = 30.0
 """Longest pause that an endpoint is granted, in seconds.
@@ -101,6 +102,7 @@
         fields = {name.lower(): value for name, value in headers}
         get = fields.get
         is_misdirected = status == _STATUS_MISDIRECTED
+        has_not_run = is_misdirected or header_names.NOT_RUN.lower() in fields
         return messages.AnswerHead(
             status=status,
             headers=tuple(
@@ -109,8 +111,7 @@
                 if name.lower() not in header_names.CONNECTION_HEADERS
             ),
             request_id=_find_request_id(headers),
-            has_not_run=is_misdirected
-            or header_names.NOT_RUN.lower() in fields,
+            has_not_run=has_not_run,
             is_other_endpoint=is_misdirected,
             load=self._read_load(get(header_names.LOAD.lower())),
             idle_limit_s=_decode_idle_limit(get("keep-alive", "")),
@@ -123,7 +124,7 @@
             brittle_rejections=None
             if is_misdirected
             else decoding.parse_count(get(header_names.BRITTLE.lower(), "")),
-            flaw=_find_flaw(status, fields),
+            flaw="" if has_not_run else _find_flaw(status, fields),
         )
 
     def _read_load(self, text):
@@ -148,7 +149,13 @@
 
 
 def _find_flaw(status, fields):
-    """Return why a success cannot be the endpoint's own; empty for none."""
+    """Return why an answer must not be passed on; empty if it may be.
+
+    Callers take a refusal status for the promise that the request has not
+    run and never will, which only the endpoint can give.
+    """
+    if status in _REFUSAL_STATUSES:
+        return f"status {status} for a request that may have run"
     if not 200 <= status < 300:
         return ""
     if not fields.get(header_names.SEAL.lower()):
--- a/mulberryhollow/protocol/forwarding.py
+++ b/mulberryhollow/protocol/forwarding.py
@@ -243,7 +243,7 @@
         Requests that the endpoint can turn away within a second without
         falling over; None when it does not say that it is brittle.
     flaw : str
-        Why a success cannot be the endpoint's own answer; empty for none.
+        Why the answer must not be passed on; empty if it may be.
     """
 
     status: int
