--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -214,6 +214,7 @@
             return types.SimpleNamespace(
                 head=codec.decode_head(reply.status, reply.headers),
                 framing=messages.Framing.LENGTH,
+                is_new_connection=True,
                 read_piece=lambda timeout_s: b"",
                 close=lambda: None,
             )
@@ -225,6 +226,7 @@
         return types.SimpleNamespace(
             head=head,
             framing=messages.Framing.CHUNKS,
+            is_new_connection=True,
             read_piece=lambda timeout_s: next(pieces, b""),
             close=forwarding.close,
         )
