Reset no connection when a stopping instance closes its listener

Callers of an instance that stopped saw "Connection reset by peer" or "Remote end closed connection without response" instead of an answer or a refused connection; "An instance that stops answers every connection that it accepted" failed in two whole runs beside each other.

Cause: `_close_listener` accepts until the queue is empty, then closes the socket. `accept` releases the interpreter lock, and with busy threads the server gets it back milliseconds later. A connection that is established meanwhile lies in the queue, and the kernel resets it at the close. Both messages are this reset: a trial in which a listener is closed at three moments gave "Remote end closed" when the reset came before the body was sent and "reset by peer" after it.

Ruled out by a trial that logged the open connections at the exit of the process: none was open when a caller saw "Remote end closed", so the process ended no accepted connection.

A packet filter now drops what would open a connection, a tenth of a second before the last accept, in which handshakes under way are completed. A caller whose packet was dropped sends it again a second later and finds no listener. Where the system has no such filters, all is as before.

The new scenario connects between the last accept and the close: it failed without the filter (connected, then reset) and passed in 3 of 3 runs with it. The daemon's scenario passed in 3 of 3 runs alone and 12 of 12 beside a busy process before the change, and in 7 of 7 after it, so it shows the fault too seldom to be evidence; two whole runs beside each other were not repeated.

Not changed: the program for the users' platform, which does not wait for its listener to be closed before it exits.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -49,6 +49,12 @@
 and 2 s to send its answer.
 """
 
+_HANDSHAKE_S = 0.1
+"""Time in which callers complete the connections that they open, in seconds.
+
+Some round trips between two regions.
+"""
+
 _WATCH_RETRY_INTERVAL_S = 0.2
 _REGISTRATION_INTERVAL_S = 0.5
 _CLAIM_CLEANUP_INTERVAL_S = 300.0
@@ -148,6 +154,8 @@
         self._wait_idle(grace_end_s - self._clock.now_s())
         self.gateway.move_relays()
         self._wait_idle(_FLUSH_TIMEOUT_S)
+        http_server.ignore_connections(self._server)
+        self._clock.sleep(_HANDSHAKE_S)
         closed = http_server.stop_accepting(self._server)
         self._clock.wait(closed, _FLUSH_TIMEOUT_S)
         self._wait_connections_idle()
--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server, on waitress, for requests forwarded to endpoints."""
 
 import contextlib
+import ctypes
 import http
 import logging
 import socket
@@ -25,6 +26,7 @@
     "begin_leaving",
     "close_idle",
     "format_status",
+    "ignore_connections",
     "is_awaiting_first_request",
     "make_page_server",
     "make_server",
@@ -66,6 +68,21 @@
 _LINGER_RESET = struct.pack("ii", 1, 0)
 """Value of SO_LINGER for which a close resets the connection."""
 
+_SO_ATTACH_FILTER = 26
+"""Socket option of Linux that the socket module does not name."""
+
+_DROP_NEW_CONNECTIONS = b"".join(
+    struct.pack("HBBI", *instruction)
+    for instruction in (
+        (0x30, 0, 0, 13),  # Loads the flags of the TCP header.
+        (0x54, 0, 0, 0x12),  # Keeps SYN and ACK.
+        (0x15, 0, 1, 0x02),  # Goes on unless SYN is set alone.
+        (0x06, 0, 0, 0),  # Drops the packet.
+        (0x06, 0, 0, 0xFFFFFFFF),  # Accepts the packet.
+    )
+)
+"""Packet filter that drops what opens a connection, and nothing else."""
+
 INTERNAL_ERROR = events.declare(
     2004,
     logging.ERROR,
@@ -401,6 +418,30 @@
             channel.will_close = True
 
 
+def ignore_connections(server):
+    """Let no further connection be established.
+
+    Packets that would open one are dropped, so a caller tries again a second
+    later, when the listening socket is closed. Without this, connections that
+    are established between the last `accept` and the close are reset.
+
+    Parameters
+    ----------
+    server : waitress server
+        A running server. Connections that callers are already establishing
+        are completed.
+    """
+    code = ctypes.create_string_buffer(
+        _DROP_NEW_CONNECTIONS, len(_DROP_NEW_CONNECTIONS)
+    )
+    count = len(_DROP_NEW_CONNECTIONS) // struct.calcsize("HBBI")
+    program = struct.pack("HP", count, ctypes.addressof(code))
+    # Systems without packet filters keep the short time in which connections
+    # are reset.
+    with contextlib.suppress(OSError):
+        server.socket.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
+
+
 def stop_accepting(server):
     """Accept the connections in the listen queue, then stop listening.
 
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -174,6 +174,55 @@
     assert context.closed.is_set()
 
 
+@given("a server with a caller's connection that ignores further ones")
+def ignore_connections(context):
+    def answer(environ, start_response):
+        start_response("204 No Content", [])
+        return []
+
+    context.server = http_server.make_server(answer, "127.0.0.1:0", 4, 4100)
+    threading.Thread(target=context.server.run, daemon=True).start()
+    context.caller = connect(context)
+    http_server.ignore_connections(context.server)
+
+
+def connect(context):
+    address = "127.0.0.1", context.server.effective_port
+    return socket.create_connection(address, 0.3)
+
+
+@when("another caller connects just before the listener is closed")
+def connect_late(context):
+    def close(listener):
+        try:
+            context.late = connect(context)
+        except TimeoutError:
+            context.late = None
+        close_listener(listener)
+
+    dispatcher = http_server.wasyncore.dispatcher
+    close_listener = dispatcher.close
+    with mock.patch.object(dispatcher, "close", close):
+        assert http_server.stop_accepting(context.server).wait(5.0)
+
+
+@then("the connection is not established")
+def check_not_established(context):
+    assert context.late is None
+
+
+@then("the first caller is answered and finds no listener any more")
+def check_first_caller(context):
+    with context.caller:
+        context.caller.sendall(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+        assert context.caller.recv(64).startswith(b"HTTP/1.0 204")
+    try:
+        connect(context).close()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("the listener is open")
+
+
 @given("a server whose response breaks off after its first event")
 def start_broken_server(context):
     def answer(environ, start_response):
--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -29,6 +29,14 @@
     When the thread of the server is free again
     Then all 3 connections are accepted and the listener is closed
 
+  # Guards against connections that were reset, since they were established
+  # between the last accept and the close of the listener.
+  Scenario: A listener that is closed resets no connection
+    Given a server with a caller's connection that ignores further ones
+    When another caller connects just before the listener is closed
+    Then the connection is not established
+    And the first caller is answered and finds no listener any more
+
   # Guards against a broken-off response that looks complete: without chunks,
   # the close of the connection is the only end that the caller sees.
   Scenario Outline: A response that breaks off never looks complete
