--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -104,6 +104,12 @@
     open_connection(context, opened_ago_s, used_ago_s)
 
 
+@given("a server with a connection that has sent a part of a request")
+def open_partial(context):
+    open_connection(context, 0.5, 0.3)
+    context.channel.request = object()
+
+
 def open_connection(context, opened_ago_s, used_ago_s):
     context.channel = types.SimpleNamespace(
         creation_time=NOW_S - opened_ago_s,
--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -22,6 +22,14 @@
       | 0.5    | was last used 0.3 s ago    | closed | quiet     |
       | 0.5    | was last used 0.1 s ago    | closed | not quiet |
 
+  # Guards against a caller that is cut off between the head and the body of
+  # its request.
+  Scenario: A caller that has sent a part of a request is awaited
+    Given a server with a connection that has sent a part of a request
+    When the server closes its idle connections
+    Then the connection is kept
+    And the server is not quiet
+
   Scenario: A listener is closed when the server's thread has closed it
     Given a server whose thread is busy, with 3 connections to accept
     When the server is asked to stop accepting connections
