Wait for callers that have sent a part of a request

A stopping instance cut off a caller between the head and the body of its request, if a quarter of a second passed between the two: `is_idle` looked at complete requests and at the time of the last byte only, so the process exited. `_close_idle` already spares such connections.

Found by reading, while the resets at the close of the listener were traced.

--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -433,7 +433,7 @@
     """Return whether every connection has been idle for IDLE_AFTER_S.
 
     A connection whose caller has just connected and sent nothing yet
-    doesn't count as idle.
+    doesn't count as idle, nor does one whose request has arrived in part.
 
     Parameters
     ----------
@@ -444,6 +444,7 @@
     """
     return not any(
         channel.requests
+        or channel.request
         or channel.total_outbufs_len
         or now_s - channel.last_activity < IDLE_AFTER_S
         or http_server.is_awaiting_first_request(channel, now_s)
