--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -22,6 +22,14 @@
       | 0.5    | was last used 0.3 s ago    | closed | quiet     |
       | 0.5    | was last used 0.1 s ago    | closed | not quiet |
 
+  # Guards against a caller that is cut off between the head and the body of
+  # its request.
+  Scenario: A caller that has sent a part of a request is awaited
+    Given a server with a connection that has sent a part of a request
+    When the server closes its idle connections
+    Then the connection is kept
+    And the server is not quiet
+
   Scenario: A listener is closed when the server's thread has closed it
     Given a server whose thread is busy, with 3 connections to accept
     When the server is asked to stop accepting connections
@@ -29,6 +37,14 @@
     When the thread of the server is free again
     Then all 3 connections are accepted and the listener is closed
 
+  # Guards against connections that were reset, since they were established
+  # between the last accept and the close of the listener.
+  Scenario: A listener that is closed resets no connection
+    Given a server with a caller's connection that ignores further ones
+    When another caller connects just before the listener is closed
+    Then the connection is not established
+    And the first caller is answered and finds no listener any more
+
   # Guards against a broken-off response that looks complete: without chunks,
   # the close of the connection is the only end that the caller sees.
   Scenario Outline: A response that breaks off never looks complete
