--- a/mulberryhollow/coordination/membership/member.py
+++ b/mulberryhollow/coordination/membership/member.py
@@ -225,8 +225,11 @@
     TypeError, ValueError
     """
     fields = attrs.asdict(member)
-    for name in ("instance_id", "failure_domain", "region"):
-        decoding.check_name(fields[name], name)
+    decoding.check_name(member.instance_id, "instance_id")
+    for name in ("failure_domain", "region"):
+        # A deployment with one of them may leave its name empty.
+        if fields[name] != "":
+            decoding.check_name(fields[name], name)
     for name in ("peer_address", "http_address"):
         # An instance without a page of its own has no address for it.
         if fields[name] != "":
