Ask for the page after a page of odd names

With the common decoder a page all of whose names cannot be read was taken for the last one, so the endpoints of the later pages were lost; a page that ended with such a name was asked for again. The next page begins after the last name as the store gave it. "A page of odd names is followed by the next one" failed before and passes now.

--- a/mulberryhollow/platform/store.py
+++ b/mulberryhollow/platform/store.py
@@ -69,15 +69,13 @@
     def decode_list(self, kind, answer):
         """Return the ObjectPage in the answer to a list call."""
         document = decoding.decode_json_parts(answer.data, _LIST_LEVELS)
-        items = self._decode_all(
-            kind, ((item, False) for item in document["items"])
-        )
-        has_more = bool(document.get("hasMore")) and bool(items)
+        listed = document["items"]
+        has_more = bool(document.get("hasMore")) and bool(listed)
         return object_api.ObjectPage(
             # "at" is the store's revision, not a time.
             decoding.get_integer(document, "at"),
-            items,
-            items[-1].name if has_more else "",
+            self._decode_all(kind, ((item, False) for item in listed)),
+            _get_last_name(listed) if has_more else "",
         )
 
     def encode_watch(self, kind, after, wait_s):
@@ -196,6 +194,17 @@
     )
 
 
+def _get_last_name(items):
+    """Return the name of the last object of a page, also an odd one.
+
+    Raises an error when the next page cannot be asked for.
+    """
+    name = items[-1]["metadata"]["name"]
+    if not name.encode():
+        raise ValueError("the last object of a page has no name")
+    return name
+
+
 def _decode_spec(spec):
     """Return the change id and the value of an object."""
     is_own = isinstance(spec, dict) and spec.keys() == _PRODUCT_SPEC_FIELDS
--- a/tests/platform/odd_entries.feature
+++ b/tests/platform/odd_entries.feature
@@ -59,6 +59,12 @@
       | "é終"         |
       | "e\ud800"    |
 
+  # Guards against endpoints that are lost because their page is not asked for.
+  Scenario: A page of odd names is followed by the next one
+    Given a store that lists the endpoints e1 and e2 and is followed
+    When another writer leaves 7 entries with odd names before them
+    Then a new reader of the list uses e1 and e2 only
+
   Scenario Outline: An odd configuration leaves the former in force
     Given a store whose configuration of version 7 is followed
     When another writer leaves a configuration with <odd>
--- a/tests/steps/platform_odd_entries.py
+++ b/tests/steps/platform_odd_entries.py
@@ -108,6 +108,12 @@
     context.platform.put("servers", json.loads(name), ENTRY)
 
 
+@when("another writer leaves {count:d} entries with odd names before them")
+def leave_odd_names(context, count):
+    for number in range(count):
+        context.platform.put("servers", f"a\n{number}", ENTRY)
+
+
 @then("a new reader of the list uses e1 and e2 only")
 def check_new_reader(context):
     context.new_follower, context.new_watcher = start_reader(context)
