Name the version in the lines of endpoints, attempts and requests

The lines of an endpoint's change (4022), of a failed attempt (4010) and of a request's end (4011, 4013) didn't say which version they are about, so a version's share of the requests could be read from no log. The field version of 4022 held the store's revision, which is now its field revision.

--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -101,7 +101,8 @@
                     service=listing.service,
                     address=listing.address,
                     is_leaving=listing.is_leaving,
-                    version=item.version,
+                    version=listing.version,
+                    revision=item.version,
                 )
         self._apply(changed)
 
--- a/mulberryhollow/serving/forward_log.py
+++ b/mulberryhollow/serving/forward_log.py
@@ -36,25 +36,39 @@
 )
 
 
-def log_retried(request, endpoint_id, fault, attempts):
+def log_retried(request, route, fault, attempts):
     """Log the fault after which another endpoint is tried."""
     events.log(
         RETRIED,
         request=request.request_id,
-        endpoint=endpoint_id,
+        endpoint=route.endpoint_id,
+        version=route.version,
         fault=str(fault),
         offers=attempts.offers,
         runs=attempts.runs,
     )
 
 
-def log_request_failed(request, refusal, attempts):
-    """Log the refusal of a request that no endpoint answered."""
+def log_request_failed(request, refusal, attempts, chosen):
+    """Log the refusal of a request that no endpoint answered.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+        The request.
+    refusal : Refusal
+        The refusal.
+    attempts : Attempts
+        Attempts that were made.
+    chosen : Chosen or None
+        Last chosen endpoint; None when none was chosen.
+    """
     events.log(
         REQUEST_FAILED,
         request=request.request_id,
         route=request.route,
         reason=refusal.message,
+        version=chosen.version if chosen else "",
         ran=refusal.ran.value,
         offers=attempts.offers,
         runs=attempts.runs,
@@ -108,6 +122,7 @@
     if chosen is not None:
         choice = {
             "endpoint": chosen.endpoint_id,
+            "version": chosen.version,
             "load": chosen.load,
             "computed_tokens": chosen.computed_tokens,
             "cached_tokens": chosen.cached_tokens,
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -598,9 +598,7 @@
                     self._request.service
                 ):
                     raise errors.RefusedError(self._refuse_no_capacity())
-        forward_log.log_retried(
-            self._request, route.endpoint_id, fault, self._attempts
-        )
+        forward_log.log_retried(self._request, route, fault, self._attempts)
 
     def _refuse_no_capacity(self, pause_s=0.0, reason=""):
         """Return the refusal for lack of endpoints or of retry budget."""
@@ -620,7 +618,9 @@
         if self._request.is_admitted_by_room and refusal.retry_after_s:
             refusal = self._limit_retry_after(refusal)
         self._outcome = Outcome.REFUSED
-        forward_log.log_request_failed(self._request, refusal, self._attempts)
+        forward_log.log_request_failed(
+            self._request, refusal, self._attempts, self._chosen
+        )
         return errors.RefusedError(refusal)
 
     def _limit_retry_after(self, refusal):
--- a/mulberryhollow/serving/peer_forwarding.py
+++ b/mulberryhollow/serving/peer_forwarding.py
@@ -72,6 +72,11 @@
         """Name of the peer in place of an endpoint, for log lines."""
         return f"peer {self.name}"
 
+    @property
+    def version(self):
+        """Version of the endpoint, which the peer chooses: not known."""
+        return ""
+
 
 class NoPeers:
     """Stands for the peers of an instance that has its own paths only."""
--- a/tests/serving/fleet_watcher.feature
+++ b/tests/serving/fleet_watcher.feature
@@ -71,3 +71,9 @@
     When the entry of e1 says that it is cold for 3000, 1800 and 1500 ms
     And that instance calls its peer
     Then e1 is known as cold there too
+
+  # Guards against lines by which the requests of a version cannot be counted.
+  Scenario: The line of a changed endpoint names its version
+    Given a fleet watcher that has listed e1 and e2
+    When e1 is listed with version v2
+    Then the line of its change names version v2
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -231,3 +231,16 @@
         lambda actor, now_s: actor.view.get("e1.5").cold_until_s - now_s
     )
     assert math.isclose(cold, 1.5), cold
+
+
+@when("e1 is listed with version {version}")
+def list_version(context, version):
+    with mock.patch.object(events, "log") as context.logged:
+        context.watcher.handle_changes([make_entry("e1", version=version)])
+
+
+@then("the line of its change names version {version}")
+def check_logged_version(context, version):
+    (call,) = context.logged.call_args_list
+    assert call.args == (fleet_watcher.CHANGED,), call
+    assert call.kwargs["version"] == version, call
