--- a/standins/platform.py
+++ b/standins/platform.py
@@ -25,6 +25,8 @@
 class PlatformStore:
     """Objects with revisions, conditional writes, paged lists and watches.
 
+    A write that changes nothing keeps the revision and produces no event.
+
     Parameters
     ----------
     statuses : list of int
@@ -74,6 +76,7 @@
     def _answer(self, method, segments, query, fields):
         """Return the answer to a call."""
         kind, name = segments[0], segments[1] if len(segments) > 1 else ""
+        part = segments[2] if len(segments) > 2 else "spec"
         stored = self.objects.get((kind, name))
         match method:
             case "GET" if "watch" in query:
@@ -92,18 +95,30 @@
             case "PUT" if stored is None:
                 return Answer(404, b"{}")
             case "PUT":
-                expected = fields["metadata"]["revision"]
-                if stored["metadata"]["revision"] != expected:
+                expected = fields["metadata"].get("revision")
+                if expected not in (None, stored["metadata"]["revision"]):
                     return _encode(stored, 409)
-                return _encode(self._store(kind, name, fields["spec"]))
+                return _encode(self._store(kind, name, fields[part], part))
+
+    def _store(self, kind, name, value, part="spec"):
+        """Write a part of an object at the next revision; return the object.
 
-    def _store(self, kind, name, spec):
-        """Write an object with the next revision; return the object."""
+        The object is created if it does not exist.
+        """
+        stored = self.objects.get((kind, name))
+        if stored is not None and stored[part] == value:
+            return stored
         self.revision += 1
+        created = stored["metadata"]["created"] if stored else self.revision
         item = {
-            "metadata": {"name": name, "revision": self.revision},
-            "spec": spec,
-            "status": None,
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "created": created,
+            },
+            "spec": stored and stored["spec"],
+            "status": stored and stored["status"],
+            part: value,
         }
         self.objects[kind, name] = item
         self.events.append((self.revision, kind, item, False))
