Let a move have times of its own, and an exposure limit

The drivers' settings hold the times of the long ramp. A move ordered for 15 seconds needs a shorter lease, margin and timeout, and every instance that may drive it needs the same ones: the record carries them. Records without the new fields decode as before.

ExposureLimit is the limit that a bounded move keeps; nothing uses it yet.

--- a/mulberryhollow/coordination/rollout/__init__.py
+++ b/mulberryhollow/coordination/rollout/__init__.py
@@ -14,6 +14,7 @@
     "Degradation",
     "Driver",
     "Endpoint",
+    "ExposureLimit",
     "Finish",
     "Good",
     "Hold",
@@ -60,6 +61,7 @@
             "Driver",
             "LEASE_S",
         ),
+        "exposure": ("ExposureLimit",),
         "monitor": (
             "effective_shares",
             "MoveMonitor",
--- a/mulberryhollow/coordination/rollout/driver.py
+++ b/mulberryhollow/coordination/rollout/driver.py
@@ -17,21 +17,12 @@
 
 __all__ = ["Driver", "LEASE_S"]
 
-LEASE_S = 15.0
-"""Duration of a lease, in seconds."""
-
-MIN_REMAINING_S = 10.0
-"""Remaining time of a lease at which it is renewed, in seconds."""
-
-MAX_CLOCK_SKEW_S = 1.0
-"""Maximum difference between the clocks of two nodes, in seconds."""
+LEASE_S = step_times.DEFAULT_TIMES.lease_s
+"""Duration of a lease, in seconds, unless the move has times of its own."""
 
 RETRY_DELAY_S = 0.5
 """Delay before a write or read is retried, in seconds."""
 
-WRITE_TIMEOUT_S = 5.0
-"""Time after which the outcome of a write counts as unknown, in seconds."""
-
 MIN_SAMPLE_S = 5.0
 """Minimum time over which the request rate is estimated, in seconds."""
 
@@ -89,7 +80,7 @@
     monitor : MoveMonitor
         Monitor of the move on this node.
     times : Times
-        Minimum times of the steps.
+        Times of the moves that have none of their own.
 
     Notes
     -----
@@ -101,7 +92,7 @@
 
     def __init__(self, name, monitor, times=step_times.DEFAULT_TIMES):
         self.name = name
-        self._times = times
+        self._default_times = times
         self._monitor = monitor
         self._orders = orders.OrderBook()
         self._change_numbers = itertools.count(1)
@@ -116,6 +107,12 @@
         """Latest known record, or None."""
         return self._monitor.move
 
+    @property
+    def times(self):
+        """Times of the current move."""
+        move = self._monitor.move
+        return (move and move.times) or self._default_times
+
     def observe(self, move, change_id, now_s):
         """Apply a record read from the store or received from a watch.
 
@@ -217,7 +214,7 @@
     def _make_plan(self, move, capacity):
         """Return the schedule of the move for the estimated request rate."""
         return schedule.make_plan(
-            move, capacity, self._requests_per_s, self._times
+            move, capacity, self._requests_per_s, self.times
         )
 
     def _estimate_request_rate(self, counters, now_s):
@@ -237,7 +234,7 @@
     def _write_or_read(self, counters, capacity, now_s):
         """Return the next store action, if one is due."""
         write = self._write
-        if write and now_s >= write.sent_s + WRITE_TIMEOUT_S:
+        if write and now_s >= write.sent_s + self.times.write_timeout_s:
             self._mark_outcome_unknown(write)
         if now_s < self._retry_at_s:
             return []
@@ -276,9 +273,14 @@
         if not self.holds_lease(now_s):
             return self._acquire_lease(move, now_s)
         changed = self._choose_change(move, plan, counters, capacity, now_s)
-        if changed is None and now_s < move.lease_until_s - MIN_REMAINING_S:
+        renew_at_s = move.lease_until_s - self.times.min_lease_remaining_s
+        if changed is None and now_s < renew_at_s:
             return None
-        return record.renew(changed or move, self.name, now_s + LEASE_S)
+        return self._renew(changed or move, now_s)
+
+    def _renew(self, move, now_s):
+        """Return the record with this driver's lease from now on."""
+        return record.renew(move, self.name, now_s + self.times.lease_s)
 
     def _is_finished(self, move, plan, capacity, now_s):
         """Return whether the move has ended and no order remains."""
@@ -293,10 +295,10 @@
         maximum clock difference.
         """
         is_holder = move.driver == self.name
-        is_free = now_s >= move.lease_until_s + MAX_CLOCK_SKEW_S
-        if not (is_holder or is_free):
+        free_at_s = move.lease_until_s + self.times.max_clock_skew_s
+        if not (is_holder or now_s >= free_at_s):
             return None
-        return record.renew(move, self.name, now_s + LEASE_S)
+        return self._renew(move, now_s)
 
     def _choose_change(self, move, plan, counters, capacity, now_s):
         """Return the record with the next stage or share, or None."""
--- a/mulberryhollow/coordination/rollout/record.py
+++ b/mulberryhollow/coordination/rollout/record.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mulberryhollow.coordination.rollout import times as move_times
 from mulberryhollow import errors
 
 __all__ = [
@@ -17,11 +18,11 @@
     "start",
 ]
 
-DONE_MARGIN_S = 20.0
-"""Minimum time from writing ``done`` to the deadline, in seconds."""
+DONE_MARGIN_S = move_times.DEFAULT_TIMES.done_margin_s
+"""Minimum time from writing ``done`` to the deadline, in seconds.
 
-MIN_DURATION_S = 150.0
-"""Minimum time from the creation of a move to its deadline, in seconds."""
+A move with times of its own has another margin.
+"""
 
 
 class MoveError(errors.MulberryError):
@@ -93,6 +94,11 @@
         Number of times that the lease changed its holder.
     version : int
         Version of the object that holds the record; 0 when not stored.
+    started_before : int
+        Requests that the new version had got, by the counters, before the
+        move gave it any.
+    times : Times or None
+        Times of this move; None for those of the drivers' settings.
     """
 
     id: str
@@ -109,11 +115,13 @@
     lease_until_s: float = 0.0
     epoch: int = 0
     version: int = 0
+    started_before: int = 0
+    times: move_times.Times | None = None
 
     @property
     def done_by_s(self):
         """Latest time for writing ``done``, in Unix seconds."""
-        return self.deadline_s - DONE_MARGIN_S
+        return self.deadline_s - _get_times(self).done_margin_s
 
     @property
     def object_name(self):
@@ -121,6 +129,11 @@
         return f"{self.environment}.{self.service}"
 
 
+def _get_times(move):
+    """Return the times that hold for a move's record."""
+    return move.times or move_times.DEFAULT_TIMES
+
+
 def advance(move, stage, now_s, share=None, reason=""):
     """Return the record in the same or a later stage.
 
@@ -242,10 +255,11 @@
             f"service {new_move.service} already uses {new_move.to_version}",
             "name another version",
         )
-    if new_move.deadline_s - new_move.created_s < MIN_DURATION_S:
+    min_duration_s = _get_times(new_move).min_duration_s
+    if new_move.deadline_s - new_move.created_s < min_duration_s:
         raise MoveError(
             f"the deadline of move {new_move.id} is too near",
-            f"set a deadline at least {MIN_DURATION_S:g} seconds ahead",
+            f"set a deadline at least {min_duration_s:g} seconds ahead",
         )
     if current is None:
         return new_move
