Failing test: short moves under an exposure limit

On this code the new version gets no request at 10 a second, and a good one is never done. The bad versions at 36 and 90 requests a second pass, since the long ramp gives them 1.5 % at most.

--- /dev/null
+++ b/tests/coordination/rollout/exposure.feature
@@ -0,0 +1,42 @@
+Feature: Exposure of a bad version during a short move
+
+  # Guards against a bad version that gets more requests than its limit allows.
+  Scenario Outline: A bad version stays within its exposure
+    Given short moves at <rate> requests a second on <instances> instances
+    When <count> of them go to a version that <fault>
+    Then each of them stays within the exposure limit
+    And no version of them is served over 5 seconds after its 50th bad answer
+    And each of them is recorded as rolled back before its deadline
+
+    Examples:
+      | rate | instances | fault                      | count |
+      | 10   | 8         | fails                      | 4     |
+      | 10   | 200       | is slow                    | 4     |
+      | 10   | 8         | fails on one route         | 4     |
+      | 10   | 200       | fails under load           | 4     |
+      | 36   | 200       | fails                      | 4     |
+      | 36   | 8         | is slow                    | 4     |
+      | 36   | 200       | fails on one route         | 4     |
+      | 36   | 8         | fails under load           | 4     |
+      | 36   | 8         | fails after some seconds   | 4     |
+      | 90   | 8         | fails                      | 4     |
+      | 90   | 200       | is slow                    | 4     |
+      | 90   | 8         | fails on one route         | 4     |
+      | 90   | 200       | fails under load           | 4     |
+      | 90   | 200       | fails after some seconds   | 4     |
+
+  # Guards against good versions that are never completed.
+  Scenario Outline: A good version is done before its deadline
+    Given short moves at <rate> requests a second on <instances> instances
+    When <count> of them go to a version that serves well
+    Then each of them is recorded as done before its deadline
+    And the new version had most of the requests of each before that
+
+    Examples:
+      | rate | instances | count |
+      | 10   | 8         | 4     |
+      | 10   | 200       | 4     |
+      | 36   | 8         | 4     |
+      | 36   | 200       | 4     |
+      | 90   | 8         | 4     |
+      | 90   | 200       | 4     |
