Carry out the operators' orders of version moves

Callers got half of a service's requests answered by a version under trial: nothing read the orders, and an endpoint was used as soon as its entry was seen, with a share by the number of endpoints.

The orders are followed like the configuration and relayed by the collectors. An order gives its target no requests until the record of its move says otherwise; the record lies in the order's status and is written by the existing driver under its lease. A version that a service did not have is held back until the orders are known as of its endpoint's entry, or for 4 s.

Attempts at a moving service are counted by version and route. A server error that is passed on counts as a failure of the version, a caller that leaves does not count, and a request without a first byte counts as slow after four times the usual time. The counters go straight to the instances that evaluate the move, since gossip takes a large part of a short move.

Another instance drives a move whose usual driver does not.

Runs on this tree: tests/platform, tests/protocol, tests/layers.feature, the features of the dispatcher, the forwarder, the fleet watcher, quota peering and daemon/moves.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -374,15 +374,23 @@
                 ),
             )
         )
-        recorder = moves.MoveRecorder(actor, self._moving_services)
+        recorder = moves.MoveRecorder(
+            actor,
+            self._moving_services,
+            self._clock,
+            moves.MoveRecord,
+            moves.KIND,
+        )
         recorder.connect(self._peers)
-        self.dispatcher.on_attempt_end = recorder.record
+        recorder.observe(self.dispatcher)
+        self._move_recorder = recorder
         return actor
 
     def _tick_moves(self):
         """Let the move actor evaluate its moves, if there are any."""
         if not self._moving_services.has_records:
             return
+        self._move_recorder.count_overdue()
         instance_ids = [each.instance_id for each in self._peering.usable]
         self._moves.tell(
             moves.Tick(
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -18,6 +18,7 @@
 from mulberryhollow.platform import callers
 from mulberryhollow.platform import cloud
 from mulberryhollow.platform import endpoints
+from mulberryhollow.platform import move_wiring
 from mulberryhollow.platform import records
 from mulberryhollow.platform import store
 from mulberryhollow.protocol import peer_requests
@@ -46,6 +47,7 @@
 from mulberryhollow.serving import store_relay
 from mulberryhollow.serving import stored_quarantine
 from mulberryhollow.serving import usage
+from mulberryhollow.serving import version_holds
 from mulberryhollow.serving import watch
 from mulberryhollow.serving import work_metrics
 from mulberryhollow.state.evacuations import NONE as NO_EVACUATIONS
@@ -184,12 +186,15 @@
             self._fact_peering.report_said_leaving
         )
         self.dispatcher.on_long_prompt = self._fact_peering.report_long_prompt
+        holds = version_holds.VersionHolds()
         self._fleet_watcher = fleet_watcher.FleetWatcher(
             records.decode_listing,
             self.dispatcher,
             clock,
             self._fact_peering.publish_leaving,
+            holds if settings.has_moves else None,
         )
+        self._moves = self._make_moves(holds)
         self._fleet_peering = fleet_peering.FleetPeering(
             self._peers, self._fleet_watcher, lambda: self._fact_peering.usable
         )
@@ -238,6 +243,8 @@
         self._fleet_peering.connect()
         self._quota_peering.connect()
         self._permit_peering.connect()
+        if self._moves is not None:
+            self._moves.connect()
         if self._evacuation_watcher is not None:
             self._evacuation_watcher.connect()
         self._caller_watch.start()
@@ -489,6 +496,23 @@
             settings.domain_regions,
         )
 
+    def _make_moves(self, holds):
+        """Return the PlatformMoves; None if versions are not moved."""
+        if not self._settings.has_moves:
+            return None
+        return move_wiring.PlatformMoves(
+            move_wiring.MoveWiring(
+                settings=lambda: self._settings,
+                store=self._store,
+                peers=self._peers,
+                dispatcher=self.dispatcher,
+                clock=self._clock,
+                holds=holds,
+                get_listings=lambda: self._fleet_watcher.listings,
+                get_members=lambda: self._fact_peering.usable,
+            )
+        )
+
     def _make_followers(self):
         """Return the followers of the stored objects, by name."""
         follow = functools.partial(
@@ -509,6 +533,8 @@
             followers["evacuations"] = follow(
                 kind=records.EVACUATION_KIND, follower=self._evacuation_watcher
             )
+        if self._moves is not None:
+            followers["moves"] = self._moves.follow(follow)
         return followers
 
     def _make_servers(self):
@@ -612,6 +638,14 @@
                 call=self._aggregate_peering.tick,
             ),
         ]
+        if self._moves is not None:
+            loops.append(
+                make(
+                    "move ticks",
+                    interval_s=move_wiring.TICK_INTERVAL_S,
+                    call=self._moves.tick,
+                )
+            )
         if self._duty_manager is not None:
             loops.append(
                 pollers.Loop(
@@ -682,6 +716,7 @@
             isinstance(decision, configuration.Ready)
             and self._fleet_watcher.is_known
             and (watcher is None or watcher.is_settled)
+            and (self._moves is None or self._moves.is_settled)
             and not self._is_leaving
         )
 
@@ -702,6 +737,8 @@
                 self._evacuation_watcher.list_active(),
                 contact_s and self._clock.now_s() - contact_s,
             )
+        if self._moves is not None:
+            text += self._moves.render_metrics()
         text += self.dispatcher.read(work_metrics.render_work)
         headers = (("Content-Type", "text/plain; version=0.0.4"),)
         return http_server.Reply(200, headers, text.encode())
--- a/mulberryhollow/platform/settings.py
+++ b/mulberryhollow/platform/settings.py
@@ -5,12 +5,16 @@
 import attrs
 
 from mulberryhollow.coordination import limits
+from mulberryhollow.coordination import rollout
 from mulberryhollow import errors
 
 __all__ = ["Bounds", "PlatformSettings", "decode_settings"]
 
 _MS_PER_S = 1000.0
 
+DEFAULT_EXPOSURE = rollout.ExposureLimit(0.1, 50.0, 5.0)
+"""Limit on the requests of a bad version if the file names none."""
+
 
 @attrs.frozen
 class Bounds:
@@ -37,6 +41,8 @@
         seconds.
     cold_starts : ColdRules
         Tolerances by which the rate of a cold endpoint may be exceeded.
+    exposure : ExposureLimit
+        Limit on the requests that a bad version may get during a move.
     """
 
     grace_s: float
@@ -47,6 +53,7 @@
     lease_s: float
     evacuation_s: float = 5.0
     cold_starts: limits.ColdRules = limits.ColdRules()
+    exposure: rollout.ExposureLimit = DEFAULT_EXPOSURE
 
 
 @attrs.frozen
@@ -84,6 +91,8 @@
         Limits that the platform sets.
     has_placement_rules : bool
         Whether cold endpoints, evacuations and allowed regions are in use.
+    has_moves : bool
+        Whether operators order moves of services to other versions.
     domain_regions : dict
         Region of each failure domain, by the domain's name.
     """
@@ -106,6 +115,7 @@
     has_order_duty: bool
     bounds: Bounds
     has_placement_rules: bool = False
+    has_moves: bool = False
     domain_regions: dict = attrs.field(factory=dict)
 
 
@@ -157,6 +167,7 @@
         bounds=_decode_bounds(fields["bounds"]),
         # The word "places" stands for the rules on where requests may go.
         has_placement_rules="places" in _decode_words(fields, "contracts"),
+        has_moves="rollout" in _decode_words(fields, "contracts"),
         domain_regions={
             str(domain): str(region)
             for domain, region in (fields.get("zones") or {}).items()
@@ -197,6 +208,11 @@
             float(bounds.get("coldOverrun", 1)),
             float(bounds.get("coldSlack", 0)),
         ),
+        exposure=rollout.ExposureLimit(
+            float(bounds.get("exposureShare", DEFAULT_EXPOSURE.share)),
+            float(bounds.get("exposureSlack", DEFAULT_EXPOSURE.slack)),
+            float(bounds.get("rollbackMs", 5000)) / _MS_PER_S,
+        ),
     )
 
 
--- a/mulberryhollow/platform/store.py
+++ b/mulberryhollow/platform/store.py
@@ -9,6 +9,9 @@
 __all__ = ["PlatformDialect"]
 
 _PATH = "/v1/objects"
+_RECREATED = frozenset({"rollouts"})
+"""Kinds whose objects are told from earlier ones of the same name."""
+
 _PRODUCT_SPEC_FIELDS = {"change", "value"}
 
 
@@ -73,6 +76,13 @@
             return _make_write("PUT", _make_path(kind, name), metadata, spec)
         return _make_write("POST", _make_path(kind), {"name": name}, spec)
 
+    def encode_put_status(self, kind, name, status, expected_version):
+        """Return the call that writes a status if the version matches."""
+        metadata = {"name": name, "revision": expected_version}
+        body = json.dumps({"metadata": metadata, "status": status}).encode()
+        path = f"{_make_path(kind, name)}/status"
+        return object_api.StoreCall("PUT", path, body, object_api.JSON_HEADERS)
+
     def encode_delete(self, kind, name, expected_version):
         """Return the call that deletes an object if its version matches."""
         path = _make_path(kind, name, {"revision": expected_version})
@@ -139,4 +149,5 @@
         change_id,
         is_deleted or bool(metadata.get("deletionPending")),
         json.dumps(item.get("status")).encode(),
+        json.dumps(metadata.get("created")) if kind in _RECREATED else "",
     )
--- a/mulberryhollow/protocol/relays.py
+++ b/mulberryhollow/protocol/relays.py
@@ -36,6 +36,12 @@
             "is_complete": changes.is_complete,
             "items": [_encode_object(each) for each in changes.items],
         }
+        created = {
+            each.name: each.created for each in changes.items if each.created
+        }
+        # Builds of level 0 follow no kind whose objects have this field.
+        if created:
+            fields["changes"]["created"] = created
     return fields
 
 
@@ -73,10 +79,11 @@
 def _decode_changes(fields):
     """Return the ObjectChanges for a decoded dict."""
     base = fields["base"]
+    created = fields.get("created", {})
     return object_log.ObjectChanges(
         None if base is None else int(base),
         int(fields["revision"]),
-        tuple(map(_decode_object, fields["items"])),
+        tuple(_decode_object(each, created) for each in fields["items"]),
         bool(fields["is_complete"]),
     )
 
@@ -96,8 +103,16 @@
     ]
 
 
-def _decode_object(fields):
-    """Return the StoredObject for a list of its fields."""
+def _decode_object(fields, created):
+    """Return the StoredObject for a list of its fields.
+
+    Parameters
+    ----------
+    fields : list
+        The fields.
+    created : dict
+        When each object was created, by its name, if the store says so.
+    """
     kind, name, version, value, change_id, is_deleted, status, *_ = fields
     return objects.StoredObject(
         str(kind),
@@ -107,4 +122,5 @@
         str(change_id),
         bool(is_deleted),
         status.encode(_VALUE_ENCODING),
+        str(created.get(str(name), "")),
     )
--- a/mulberryhollow/serving/attempts.py
+++ b/mulberryhollow/serving/attempts.py
@@ -114,12 +114,19 @@
         Time to the first byte or to the failure, in seconds.
     is_quarantined : bool
         Whether the request is quarantined for crashing endpoints.
+    has_failed : bool
+        Whether the endpoint answered with a server error that was passed on,
+        or did not complete its answer in time. Its health is not affected.
+    is_abandoned : bool
+        Whether the attempt ended because the caller has left.
     """
 
     route: Route
     kind: endpoints.FailureKind | None
     first_byte_s: float
     is_quarantined: bool
+    has_failed: bool = False
+    is_abandoned: bool = False
 
 
 def choose_with_fallback(dispatcher, request, excluded, keeps_version=False):
--- a/mulberryhollow/serving/dispatch/endpoint_calls.py
+++ b/mulberryhollow/serving/dispatch/endpoint_calls.py
@@ -48,6 +48,8 @@
     Notes
     -----
     `permits` grants the requests to endpoints that limit them;
+    `on_attempt_begin` is called with the Route of each attempt, and
+    `on_first_byte` with it and the time to the first event of a stream;
     `on_endpoint_leaving` is called with the id of an endpoint whose answer
     says that it leaves, and `on_long_prompt` with the Chosen of a prompt
     whose compute time is at least `MIN_REPORTED_PROMPT_S`.
@@ -58,6 +60,8 @@
         self.permits = permit_peering.UnlimitedPermits()
         self.on_endpoint_leaving = lambda endpoint_id: None
         self.on_long_prompt = lambda chosen: None
+        self.on_attempt_begin = lambda route: None
+        self.on_first_byte = lambda route, first_s: None
 
     def choose(
         self, request, excluded=(), is_idempotent=False, keeps_version=False
@@ -131,7 +135,10 @@
             request = self._avoid(request, route.endpoint_id)
         if route.endpoint_id != route_request.preferred:
             self._report_if_long(route.chosen)
-        return route if permit is None else attrs.evolve(route, permit=permit)
+        if permit is not None:
+            route = attrs.evolve(route, permit=permit)
+        self.on_attempt_begin(route)
+        return route
 
     def _avoid_exhausted(self, request):
         """Return a RouteRequest that avoids endpoints without a permit."""
@@ -210,6 +217,7 @@
     def report_first_token(self, route, first_s):
         """Report the time to the first token of an attempt, in seconds."""
         self._actor.tell(endpoint_work.ReportFirstToken(route, first_s))
+        self.on_first_byte(route, first_s)
 
     def report_served(self, route, times):
         """Report the AnswerTimes of an answer received in full."""
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -223,6 +223,8 @@
         first_byte_s=None,
         is_answering=False,
         parts=(),
+        has_failed=False,
+        is_abandoned=False,
     ):
         """Release the route of an attempt and report the result.
 
@@ -241,6 +243,8 @@
             Whether part of the answer had been received.
         parts : tuple of str
             Parts of the prompt that other requests may have too.
+        has_failed, is_abandoned : bool
+            As in `AttemptResult`.
 
         Returns
         -------
@@ -264,7 +268,14 @@
         if first_byte_s is None:
             first_byte_s = self._clock.now_s() - route.work.started_at_s
         self.on_attempt_end(
-            attempts.AttemptResult(route, kind, first_byte_s, is_quarantined)
+            attempts.AttemptResult(
+                route,
+                kind,
+                first_byte_s,
+                is_quarantined,
+                has_failed,
+                is_abandoned,
+            )
         )
         return is_quarantined
 
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -5,6 +5,7 @@
 import logging
 
 from mulberryhollow import events
+from mulberryhollow.serving import version_holds
 from mulberryhollow.state import fleet as fleets
 
 __all__ = ["FleetWatcher"]
@@ -50,6 +51,9 @@
     publish_leaving : callable
         ``publish_leaving(endpoint_id, is_listed)`` reports an endpoint that
         accepts no new requests to the peers.
+    holds : VersionHolds or None
+        Holds back the endpoints of a service's new versions; None to use
+        them at once.
 
     Attributes
     ----------
@@ -57,11 +61,19 @@
         Whether a list was read from the store or copied from a peer.
     """
 
-    def __init__(self, decode, dispatcher, clock, publish_leaving):
+    def __init__(
+        self,
+        decode,
+        dispatcher,
+        clock,
+        publish_leaving,
+        holds=None,
+    ):
         self._decode = decode
         self._dispatcher = dispatcher
         self._clock = clock
         self._publish_leaving = publish_leaving
+        self._holds = holds or version_holds.NoHolds()
         self._reported_leaving = set()
         self._fleet = fleets.Fleet()
         self.is_known = False
@@ -78,7 +90,7 @@
         for listing in gone:
             self._publish_leaving(listing.key, False)
         events.log(LISTED, entries=len(listed))
-        self._apply(listed.values())
+        self._apply(listed.values(), revision)
 
     def handle_changes(self, items):
         """Apply changed and deleted entries, the oldest first."""
@@ -104,7 +116,7 @@
                     version=listing.version,
                     revision=item.version,
                 )
-        self._apply(changed)
+        self._apply(changed, max((item.version for item in items), default=0))
 
     def record_recovery(self, at_s):
         """Record when the store was available again after an outage."""
@@ -136,7 +148,7 @@
             events.log(MALFORMED, entry=item.name, reason=str(error))
             return None
 
-    def _apply(self, relisted=()):
+    def _apply(self, relisted=(), revision=0):
         """Send the list to the dispatch actor and report leaving endpoints.
 
         Parameters
@@ -144,17 +156,22 @@
         relisted : iterable of EndpointListing or None
             Entries that the store has just returned; None in place of a
             malformed one.
+        revision : int
+            Revision of the store of the newest of them; 0 if they come from
+            a peer.
         """
         relisted = [each for each in relisted if each is not None]
         self._observe_cold(relisted)
         self.is_known = True
         listings = self.listings
+        self._holds.observe(listings, revision, self._clock.now_s())
         self._dispatcher.change(
             functools.partial(
                 _apply,
                 listings,
                 [each.key for each in relisted],
                 self._fleet.list_cold(),
+                self._holds,
             )
         )
         leaving = {each.key for each in listings if each.is_leaving}
@@ -178,7 +195,7 @@
                     events.log(WARM, endpoint=listing.key)
 
 
-def _apply(listings, relisted, cold, actor, now_s):
+def _apply(listings, relisted, cold, holds, actor, now_s):
     """Apply the list to the view, the prefix index and the version shares.
 
     An endpoint that a peer reported as gone is used again only once the
@@ -192,15 +209,21 @@
         actor.view.set_draining(endpoint_id, False)
     for gone in before - {endpoint.id for endpoint in found}:
         actor.prefixes.drop(gone)
-    version_counts = collections.defaultdict(collections.Counter)
-    for endpoint in found:
-        version_counts[endpoint.service][endpoint.version] += 1
-    actor.shares.set_service_shares(
-        {
-            service: {
-                version: count / sum(counts.values())
-                for version, count in counts.items()
-            }
-            for service, counts in version_counts.items()
-        }
-    )
+    actor.shares.hold_back(holds.held)
+    actor.shares.set_endpoint_counts(_count_versions(found))
+
+
+def _count_versions(endpoints):
+    """Return the number of endpoints of each version, by service.
+
+    Endpoints that are leaving count only where a service has no others.
+    """
+    counts = collections.defaultdict(collections.Counter)
+    staying = [each for each in endpoints if each.state != "leaving"]
+    for endpoint in staying:
+        counts[endpoint.service][endpoint.version] += 1
+    remaining = {each.service for each in staying}
+    for endpoint in endpoints:
+        if endpoint.service not in remaining:
+            counts[endpoint.service][endpoint.version] += 1
+    return counts
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -148,6 +148,7 @@
         self._channel = None
         self._is_aborted = False
         self._is_complete = False
+        self._has_server_error = False
         self._outcome = Outcome.LEFT
         self._first_token_s = 0.0
         self._chosen = None
@@ -345,6 +346,7 @@
         if is_failure and self._request.kind.is_repeatable:
             self._failed_answer = head, body
             raise errors.EndpointError(streams.Failed(head.status))
+        self._has_server_error = is_failure
         self._finish()
         self.head, self.body = head, body
 
@@ -561,7 +563,7 @@
         self._attempts.record(fault)
         self._unsent += isinstance(fault, streams.NotSent)
         if self._is_aborted:
-            self._dependencies.dispatcher.finish(route)
+            self._dependencies.dispatcher.finish(route, is_abandoned=True)
             raise errors.CallerDisconnectedError
         failure = attempts.report_fault(
             self._dependencies.dispatcher,
@@ -652,7 +654,14 @@
             case peer_forwarding.PeerRoute():
                 self._dependencies.peers.release(route, has_failed)
             case attempts.Route():
-                self._dependencies.dispatcher.finish(route)
+                has_failed = self._outcome is Outcome.BROKEN_OFF or (
+                    self._is_complete and self._has_server_error
+                )
+                self._dependencies.dispatcher.finish(
+                    route,
+                    has_failed=has_failed,
+                    is_abandoned=not (self._is_complete or has_failed),
+                )
 
 
 def _classify_refusal(head):
--- a/mulberryhollow/serving/metrics_page.py
+++ b/mulberryhollow/serving/metrics_page.py
@@ -2,7 +2,7 @@
 
 import json
 
-__all__ = ["render_evacuations", "render_metrics"]
+__all__ = ["render_evacuations", "render_metrics", "render_moves"]
 
 _PREFIX = "mulberryhollow"
 _S_PER_US = 1e-6
@@ -85,6 +85,31 @@
     return "\n".join(lines) + "\n"
 
 
+def render_moves(moves):
+    """Return the share and the stage of each service's move.
+
+    Parameters
+    ----------
+    moves : list of FollowedMove
+        The latest move of each service.
+
+    Returns
+    -------
+    str
+        Samples in the Prometheus text format; empty without a move.
+    """
+    lines = []
+    for each in moves:
+        labels = f"service={json.dumps(each.service)},"
+        labels += f"version={json.dumps(each.to_version)}"
+        lines += [
+            f"{_PREFIX}_move_share{{{labels}}} {each.share:g}",
+            f"{_PREFIX}_move_stage{{{labels},"
+            f"stage={json.dumps(each.stage)}}} 1",
+        ]
+    return "".join(f"{line}\n" for line in lines)
+
+
 def _clean(name):
     """Replace the characters that metric names do not allow by ``_``."""
     return "".join(each if each.isalnum() else "_" for each in name)
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -1,6 +1,7 @@
 """Actor that evaluates and drives version moves on one instance."""
 
 import concurrent.futures
+import itertools
 import logging
 
 import attrs
@@ -12,19 +13,21 @@
 from mulberryhollow import events
 from mulberryhollow.protocol import endpoints as messages
 from mulberryhollow.protocol import moves as codec
+from mulberryhollow.serving import move_counting
 from mulberryhollow.serving import watch
 from mulberryhollow.state import counters as counting
-from mulberryhollow.state import endpoints
 from mulberryhollow.state import facts
-from mulberryhollow.state import objects
 
 __all__ = [
     "FollowedMove",
     "MoveActor",
+    "KIND",
     "MoveDependencies",
+    "MoveRecord",
     "MoveRecorder",
     "MovingServices",
     "Tick",
+    "WithdrawMove",
     "list_moves",
     "read_capacities",
     "watch_moves",
@@ -33,6 +36,9 @@
 KIND = "move"
 """Kind of the stored objects that hold moves."""
 
+TAKEOVER_INTERVAL_S = 0.75
+"""Time without a driver after which the next instance in rank drives, in s."""
+
 COUNTERS_EXPIRY_S = 600.0
 """Time after which counters of an instance are dropped, in seconds."""
 
@@ -47,12 +53,7 @@
 # Stands between the change id and the record in a published fact.
 _SEPARATOR = b"\n"
 
-# Failures that say nothing about the version of the endpoint.
-_UNCOUNTED_FAILURES = {
-    endpoints.FailureKind.CONNECT_FAILED,
-    endpoints.FailureKind.REFUSED,
-    endpoints.FailureKind.SILENT_POOLED,
-}
+_DELETED = "the order of the move was deleted"
 
 MALFORMED = events.declare(
     7101,
@@ -65,6 +66,12 @@
     logging.WARNING,
     "an endpoint did not accept an order; the order is repeated",
 )
+MESSAGE_FAILED = events.declare(
+    7103,
+    logging.ERROR,
+    "a message about moves could not be processed and was dropped",
+    "check the version of the program on the other instances",
+)
 
 
 @attrs.frozen
@@ -87,33 +94,39 @@
 
 
 @attrs.frozen
-class _Record:
-    """A stored object of kind move, read from the store or a peer."""
+class MoveRecord:
+    """A stored object of kind move, read from the store or a peer.
+
+    An object without a change id is the record of an order that has no record
+    in the store yet: the first driver writes it.
+    """
 
     stored: object
 
 
 @attrs.frozen
-class _WriteResolved:
-    """Outcome of a conditional update of a move's record."""
-
-    service: str
-    change_id: str
-    outcome: object
+class WithdrawMove:
+    """Message that the order of a service's move was deleted.
 
+    Parameters
+    ----------
+    service : str
+        Service of the move.
+    version : int
+        Revision of the store at the deletion.
+    """
 
-@attrs.frozen
-class _Verdict:
-    """A verdict of a peer."""
-
-    verdict: rollout.Bad
+    service: str
+    version: int
 
 
 @attrs.frozen
-class _PeerCounters:
-    """Encoded counters of a peer."""
+class _WriteResolved:
+    """Outcome of a conditional update of a move's record."""
 
-    data: bytes
+    service: str
+    change_id: str
+    outcome: object
 
 
 @attrs.frozen
@@ -121,24 +134,6 @@
     """Query for the moves that the actor follows."""
 
 
-@attrs.define
-class MovingServices:
-    """State of the moves that other threads read.
-
-    Only the actor of moves writes it.
-
-    Parameters
-    ----------
-    names : frozenset of str
-        Services with a move in progress.
-    has_records : bool
-        Whether any record is followed, of a move in progress or ended.
-    """
-
-    names: frozenset = frozenset()
-    has_records: bool = False
-
-
 @attrs.frozen
 class MoveDependencies:
     """Dependencies of the actor of moves.
@@ -157,14 +152,17 @@
         Publishes counters, verdicts and records.
     dispatcher : Dispatcher
         Receives the traffic shares of versions.
-    clock : Clock
-        Source of time.
+    clock : Clock or SlewedWallClock
+        Source of wall-clock time.
     moving : MovingServices
         Receives the names of the services with a move in progress.
     environment : str
         Environment whose moves are followed.
     times : rollout.Times
-        Minimum durations of the steps.
+        Times of the moves that have none of their own.
+    counter_reports : CounterReports or None
+        Sends the counters to the instances that evaluate moves; None to
+        publish them to all instances.
     """
 
     instance: str
@@ -177,6 +175,7 @@
     moving: object
     environment: str
     times: rollout.Times = rollout.Times()
+    counter_reports: object = None
 
 
 @attrs.frozen
@@ -263,23 +262,37 @@
         )
 
     def on_receive(self, message):
+        """Handle one message; an exception must not stop the actor."""
+        try:
+            return self._handle(message)
+        except Exception as error:  # noqa: BLE001
+            events.log(
+                MESSAGE_FAILED,
+                message=type(message).__name__,
+                error=repr(error),
+            )
+
+    def _handle(self, message):
         """Handle one message."""
         match message:
             case Tick():
                 self._tick(message)
-            case _CountAttempt():
-                self._count(message.ended)
-            case _Record(stored):
+            case move_counting.Count():
+                self._count(message)
+            case MoveRecord(stored):
                 self._apply_record(stored)
+            case WithdrawMove(service, version):
+                self._withdraw(service, version)
             case _WriteResolved(service, change_id, outcome):
                 now_s = self._dependencies.clock.wall_s()
                 driver = self._followers[service].driver
                 driver.resolve_write(change_id, outcome, now_s)
-            case _Verdict(verdict):
-                self._apply_verdict(verdict)
+                self._apply_shares(service, now_s)
+            case move_counting.PeerVerdict(data):
+                self._apply_verdict(codec.decode_verdict(data))
             case _ListMoves():
                 return self._list_moves()
-            case _PeerCounters(data):
+            case move_counting.PeerCounters(data):
                 self._counters.merge(counting.decode(data))
 
     def _tick(self, tick):
@@ -287,12 +300,26 @@
         for service, follower in self._followers.items():
             for action in self._step(service, follower, tick):
                 self._execute(service, action)
-        self._dependencies.moving.names = frozenset(
-            service
+        self._update_moving()
+        self._publish_counters(tick)
+
+    def _update_moving(self):
+        """Update what other threads read about the moves in progress."""
+        moves = {
+            service: follower.monitor.move
             for service, follower in self._followers.items()
-            if not follower.monitor.move.stage.is_final
-        )
-        self._publish_counters()
+        }
+        self._dependencies.moving.targets = {
+            service: move.to_version
+            for service, move in moves.items()
+            if not move.stage.is_final
+        }
+        self._dependencies.moving.usual_s = {
+            service: self._counters.total(
+                service, moves[service].from_version
+            ).estimate_median()
+            for service in self._dependencies.moving.targets
+        }
 
     def _step(self, service, follower, tick):
         """Return the actions of one service's move.
@@ -300,15 +327,53 @@
         The usual owner drives the move, the first MAX_TESTERS instances
         also evaluate it, and the others only follow its record.
         """
-        ranked = membership.rank_by_rendezvous(f"move {service}", tick.members)
+        testers = _rank_testers(service, tick.members)
         capacity = tick.capacities.get(service, rollout.Capacity(()))
-        if ranked[0] == self._dependencies.instance:
+        has_ended = follower.monitor.move.stage.is_final
+        is_tester = self._dependencies.instance in testers
+        # A move that has ended is only driven to order unloading.
+        if not is_tester or (has_ended and not capacity.loadable):
+            return follower.monitor.step(None, tick.now_s)
+        rank = testers.index(self._dependencies.instance)
+        if self._may_drive(follower, rank, tick.now_s):
             return follower.driver.step(self._counters, capacity, tick.now_s)
-        is_tester = (
-            self._dependencies.instance in ranked[: rollout.MAX_TESTERS]
+        return follower.monitor.step(self._counters, tick.now_s)
+
+    def _may_drive(self, follower, rank, now_s):
+        """Return whether this instance may drive a move.
+
+        An instance of a lower rank waits, so that the usual owner of a move
+        without a driver acquires the lease first.
+        """
+        move = follower.monitor.move
+        free_since_s = max(move.lease_until_s, move.created_s)
+        delay_s = rank * TAKEOVER_INTERVAL_S
+        return (
+            follower.driver.holds_lease(now_s)
+            or now_s >= free_since_s + delay_s
         )
-        counters = self._counters if is_tester else None
-        return follower.monitor.step(counters, tick.now_s)
+
+    def _apply_shares(self, service, now_s):
+        """Apply the shares that follow from the record at once."""
+        for action in self._followers[service].monitor.step(None, now_s):
+            self._execute(service, action)
+
+    def _withdraw(self, service, version):
+        """End a move whose order was deleted as rolled back."""
+        follower = self._followers.get(service)
+        if follower is None or follower.monitor.move.stage.is_final:
+            return
+        now_s = self._dependencies.clock.wall_s()
+        move = rollout.advance(
+            follower.monitor.move,
+            rollout.Stage.ROLLED_BACK,
+            now_s,
+            reason=_DELETED,
+        )
+        move = attrs.evolve(move, version=version)
+        follower.driver.observe(move, "", now_s)
+        self._apply_shares(service, now_s)
+        self._update_moving()
 
     def _apply_verdict(self, verdict):
         """Apply a peer's verdict, also to a record that arrives later."""
@@ -333,11 +398,24 @@
             case rollout.PublishVerdict(verdict):
                 self._publish_verdict(verdict)
             case rollout.WriteMove():
-                self._threads.submit(self._write, service, action)
+                self._submit(self._write, service, action)
             case rollout.ReadMove(object_name):
-                self._threads.submit(self._read, object_name)
+                self._submit(self._read, object_name)
             case rollout.Order():
-                self._threads.submit(self._order, action)
+                self._submit(self._order, action)
+
+    def _submit(self, call, *arguments):
+        """Run a call in another thread; log an exception that it raises."""
+
+        def run():
+            try:
+                call(*arguments)
+            except Exception as error:  # noqa: BLE001
+                events.log(
+                    MESSAGE_FAILED, message=call.__name__, error=repr(error)
+                )
+
+        self._threads.submit(run)
 
     def _set_share(self, service, share):
         """Set the share of a service's requests for the new version."""
@@ -378,7 +456,7 @@
         except errors.StoreUnavailableError:
             return
         if stored is not None:
-            self.actor_ref.tell(_Record(stored))
+            self.actor_ref.tell(MoveRecord(stored))
 
     def _order(self, order):
         """Send an order to an endpoint, unless its deadline has passed."""
@@ -403,14 +481,15 @@
             return
         if move.environment != self._dependencies.environment:
             return
-        self._publish_record(stored)
+        if stored.change_id:
+            self._publish_record(stored)
         follower = self._followers.get(move.service)
         if follower is None:
             follower = self._follow(move.service)
         now_s = self._dependencies.clock.wall_s()
         follower.driver.observe(move, stored.change_id, now_s)
-        if not move.stage.is_final:
-            self._dependencies.moving.names |= {move.service}
+        self._apply_shares(move.service, now_s)
+        self._update_moving()
 
     def _follow(self, service):
         """Start following the moves of a service."""
@@ -436,35 +515,46 @@
             RECORD_EXPIRY_S,
         )
 
-    def _count(self, ended):
-        """Count the end of one attempt."""
-        key = counting.RowKey(
-            ended.route.service,
-            ended.route.version,
-            ended.route.request_class.value,
-        )
-        self._counters.record_start(key)
-        self._counters.record_latency(key, ended.first_byte_s)
-        if ended.kind is None:
-            self._counters.record_ok(key)
+    def _count(self, count):
+        """Count the begin, the time or the end of one attempt.
+
+        Any version but the new one counts as the old one.
+        """
+        follower = self._followers.get(count.service)
+        if follower is None:
             return
-        self._counters.record_failure(key)
-        if ended.is_quarantined:
-            self._counters.excuse(key)
+        move = follower.monitor.move
+        is_new = count.version == move.to_version
+        version = move.to_version if is_new else move.from_version
+        key = counting.RowKey(count.service, version, count.route)
+        count.apply(self._counters, key)
 
-    def _publish_counters(self):
+    def _publish_counters(self, tick):
         """Publish the local counters if they have changed."""
-        if self._counters.sequence == self._published_sequence:
-            return
-        self._published_sequence = self._counters.sequence
-        snapshot = self._counters.take_snapshot()
-        self._publish(
-            facts.Topic.COUNTERS,
-            f"{self._dependencies.instance}.{self._dependencies.incarnation}",
-            self._published_sequence,
-            counting.encode(snapshot),
-            COUNTERS_EXPIRY_S,
-        )
+        sequence = self._counters.sequence
+        reports = self._dependencies.counter_reports
+        if reports is not None:
+            names = set(
+                itertools.chain.from_iterable(
+                    _rank_testers(service, tick.members)
+                    for service in self._dependencies.moving.targets
+                )
+            )
+            reports.send(
+                names - {self._dependencies.instance},
+                sequence,
+                lambda: counting.encode(self._counters.take_snapshot()),
+            )
+        elif sequence != self._published_sequence:
+            self._published_sequence = sequence
+            self._publish(
+                facts.Topic.COUNTERS,
+                f"{self._dependencies.instance}."
+                f"{self._dependencies.incarnation}",
+                sequence,
+                counting.encode(self._counters.take_snapshot()),
+                COUNTERS_EXPIRY_S,
+            )
 
     def _publish(self, topic, key, version, value, expiry_s):
         """Publish one fact."""
@@ -474,61 +564,6 @@
         )
 
 
-@attrs.frozen
-class _CountAttempt:
-    """The end of an attempt, which the actor counts."""
-
-    ended: object
-
-
-class MoveRecorder:
-    """Sends the ends of attempts and the facts of peers to the actor.
-
-    Parameters
-    ----------
-    actor : pykka.ActorRef
-        A running MoveActor.
-    moving : MovingServices
-        Names the services with a move in progress.
-    """
-
-    def __init__(self, actor, moving):
-        self._actor = actor
-        self._moving = moving
-
-    def record(self, ended):
-        """Count the end of an attempt if its service has a move in progress.
-
-        A failure to connect, a refusal and a silent pooled connection are
-        not counted.
-        """
-        if ended.route.service not in self._moving.names:
-            return
-        if ended.kind not in _UNCOUNTED_FAILURES:
-            self._actor.tell(_CountAttempt(ended))
-
-    def connect(self, peers):
-        """Subscribe to the counters, verdicts and records of the peers."""
-        peers.subscribe(
-            facts.Topic.COUNTERS,
-            lambda fact: self._actor.tell(_PeerCounters(fact.value)),
-        )
-        peers.subscribe(facts.Topic.VERDICT, self._receive_verdict)
-        peers.subscribe(facts.Topic.MOVE, self._receive_record)
-
-    def _receive_record(self, fact):
-        """Send a peer's record of a move to the actor."""
-        change_id, _, value = fact.value.partition(_SEPARATOR)
-        stored = objects.StoredObject(
-            KIND, fact.key, fact.version, value, change_id.decode()
-        )
-        self._actor.tell(_Record(stored))
-
-    def _receive_verdict(self, fact):
-        """Send a peer's verdict to the actor."""
-        self._actor.tell(_Verdict(codec.decode_verdict(fact.value)))
-
-
 def watch_moves(store, actor, clock):
     """Return a watch that sends the records of moves to their actor.
 
@@ -542,10 +577,14 @@
         Source of time.
     """
     return watch.ObjectWatch(
-        store, KIND, clock, lambda item: actor.tell(_Record(item))
+        store, KIND, clock, lambda item: actor.tell(MoveRecord(item))
     )
 
 
+MoveRecorder = move_counting.MoveRecorder
+MovingServices = move_counting.MovingServices
+
+
 def list_moves(actor):
     """Return the FollowedMove of each service that a MoveActor follows."""
     return actor.ask(_ListMoves())
@@ -571,3 +610,9 @@
         service: rollout.Capacity(tuple(found))
         for service, found in by_service.items()
     }
+
+
+def _rank_testers(service, members):
+    """Return the instances that evaluate a service's move, by rank."""
+    ranked = membership.rank_by_rendezvous(f"move {service}", members)
+    return ranked[: rollout.MAX_TESTERS]
--- a/mulberryhollow/serving/observed_store.py
+++ b/mulberryhollow/serving/observed_store.py
@@ -42,6 +42,11 @@
         self._observer.count_store_call("put")
         return super().put(kind, name, value, expected_version, change_id)
 
+    def put_status(self, kind, name, status, expected_version):
+        """Write a status, as `StoreClient.put_status`."""
+        self._observer.count_store_call("put")
+        return super().put_status(kind, name, status, expected_version)
+
     def delete(self, kind, name, expected_version):
         """Remove an object, as `StoreClient.delete`."""
         self._observer.count_store_call("delete")
--- a/mulberryhollow/serving/shares.py
+++ b/mulberryhollow/serving/shares.py
@@ -1,21 +1,43 @@
 """Traffic shares of the versions of each service at this instance."""
 
+import attrs
+
 __all__ = ["VersionShares"]
 
 
+@attrs.frozen
+class _Move:
+    """A service's latest move, as far as it sets shares."""
+
+    from_version: str
+    to_version: str
+    share: float
+
+
 class VersionShares:
     """Traffic share of each version of each service.
 
     Notes
     -----
-    The shares of a move apply while the document still names the version
-    that the move starts from; a document that names another version takes
-    precedence.
+    The versions of a service come from the active document or, where no
+    document names them, from its endpoints.
+
+    With a document, the shares of a move apply while the document still names
+    the version that the move starts from; a document that names another
+    version takes precedence.
+
+    Without one, the version that a service moves to gets the share of the
+    move, and the others get the rest by the number of their endpoints. A
+    version that no move has made the service's own, and one that is held
+    back, gets requests only if the service has no other version.
     """
 
     def __init__(self):
         self._versions = {}
         self._moves = {}
+        self._counts = {}
+        self._withdrawn = {}
+        self._held = frozenset()
         self._service_shares = {}
 
     def set_versions(self, versions):
@@ -24,18 +46,48 @@
 
     def set_move(self, service, from_version, to_version, share):
         """Set the share, 0 to 1, of the version that a service moves to."""
-        shares = {from_version: 1.0 - share, to_version: share}
-        self._moves[service] = from_version, shares
+        withdrawn = self._withdrawn.setdefault(service, set())
+        known = self._moves.get(service)
+        if known is not None and known.share < 1.0:
+            withdrawn.add(known.to_version)
+        withdrawn -= {from_version, to_version}
+        self._moves[service] = _Move(from_version, to_version, share)
+        self._update(service)
+
+    def get_move_share(self, service, version):
+        """Return the share of the version a service moves to, or None.
+
+        None if the service's latest move is to another version.
+        """
+        move = self._moves.get(service)
+        is_target = move is not None and move.to_version == version
+        return move.share if is_target else None
 
-    def set_service_shares(self, service_shares):
-        """Set the version shares of services that no document names.
+    def set_endpoint_counts(self, counts):
+        """Set the number of endpoints of services that no document names.
 
         Parameters
         ----------
-        service_shares : dict
-            Share of each version, by service.
+        counts : dict
+            Number of endpoints of each version, by service.
         """
-        self._service_shares = dict(service_shares)
+        self._counts = dict(counts)
+        self._service_shares = {}
+        for service in self._counts:
+            self._update(service)
+
+    def hold_back(self, versions):
+        """Set the versions whose orders may not be known yet.
+
+        Parameters
+        ----------
+        versions : frozenset of tuple
+            Service and version of each.
+        """
+        changed = {service for service, _ in versions ^ self._held}
+        self._held = versions
+        for service in changed:
+            self._update(service)
 
     def get(self, service):
         """Return the share of each version of a service, by version."""
@@ -44,5 +96,54 @@
         version = self._versions.get(service)
         if version is None:
             return {}
-        from_version, shares = self._moves.get(service, (None, None))
-        return shares if version == from_version else {version: 1.0}
+        move = self._moves.get(service)
+        if move is None or move.from_version != version:
+            return {version: 1.0}
+        return {version: 1.0 - move.share, move.to_version: move.share}
+
+    def _update(self, service):
+        """Compute the shares of a service from its endpoints."""
+        counts = self._counts.get(service)
+        if not counts:
+            return
+        limits = self._list_limits(service)
+        free = {
+            version: count
+            for version, count in counts.items()
+            if version not in limits
+        }
+        if not free:
+            free = self._list_last_resort(service, counts)
+            limits = {}
+        given = sum(limits.get(version, 0.0) for version in counts)
+        total = sum(free.values())
+        self._service_shares[service] = {
+            version: limits[version]
+            if version in limits
+            else (1.0 - given) * free.get(version, 0) / total
+            for version in counts
+        }
+
+    def _list_limits(self, service):
+        """Return the versions whose share doesn't follow their endpoints."""
+        limits = dict.fromkeys(self._withdrawn.get(service, ()), 0.0)
+        limits |= {
+            version: 0.0 for name, version in self._held if name == service
+        }
+        move = self._moves.get(service)
+        if move is not None and move.share < 1.0:
+            limits[move.to_version] = move.share
+        elif move is not None:
+            limits[move.from_version] = 0.0
+            limits.pop(move.to_version, None)
+        return limits
+
+    def _list_last_resort(self, service, counts):
+        """Return the endpoints by version for a service without free ones."""
+        withdrawn = self._withdrawn.get(service, ())
+        preferred = {
+            version: count
+            for version, count in counts.items()
+            if version not in withdrawn
+        }
+        return preferred or counts
--- a/mulberryhollow/state/counters.py
+++ b/mulberryhollow/state/counters.py
@@ -8,6 +8,7 @@
 import bisect
 import functools
 import itertools
+import math
 import operator
 import struct
 
@@ -126,6 +127,24 @@
         """Return the number of requests above a bucket's upper bound."""
         return sum(self.buckets[bucket + 1 :])
 
+    def estimate_median(self):
+        """Return an upper bound of the median time to first byte, in seconds.
+
+        Infinite without a recorded time, or if the median is in the last
+        bucket.
+        """
+        half = self.latency_count / 2
+        sums = itertools.accumulate(self.buckets)
+        bounds = itertools.chain(BUCKET_BOUNDS_S, [math.inf])
+        return next(
+            (
+                bound
+                for bound, count in zip(bounds, sums, strict=True)
+                if half and count >= half
+            ),
+            math.inf,
+        )
+
     def combine(self, other, function):
         """Return a row with a function applied to each pair of counts."""
         return Row(
--- a/mulberryhollow/state/objects.py
+++ b/mulberryhollow/state/objects.py
@@ -32,6 +32,9 @@
     status : bytes
         Status written beside the content by the object's reader; empty if
         the store does not support a status.
+    created : str
+        When the object was created, as the store represents it; tells it
+        from a later object of the same name. Empty if the store does not say.
     """
 
     kind: str
@@ -41,6 +44,7 @@
     change_id: str = ""
     is_deleted: bool = False
     status: bytes = b""
+    created: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -204,6 +204,32 @@
             )
         )
 
+    def put_status(self, kind, name, status, expected_version):
+        """Write the status of an object if its version is the expected one.
+
+        Only dialects of stores that support a status encode this call.
+
+        Parameters
+        ----------
+        kind, name : str
+            Kind and name of the object.
+        status : dict
+            New status. It names the change that writes it, which resolves an
+            unknown outcome.
+        expected_version : int
+            Version of the object that was read before.
+
+        Returns
+        -------
+        WriteApplied, WriteRejected or WriteOutcomeUnknown
+            As for `put`.
+        """
+        return self._write(
+            self._dialect.encode_put_status(
+                kind, name, status, expected_version
+            )
+        )
+
     def delete(self, kind, name, expected_version):
         """Remove an object if its version is the expected one.
 
--- a/tests/evacuation_fleet.py
+++ b/tests/evacuation_fleet.py
@@ -65,7 +65,7 @@
         self.dispatcher = dispatching.Dispatcher(
             rate_fleet.InlineRef(self.actor), fleet.clock
         )
-        self.actor.shares.set_service_shares({"s": {"v1": 1.0}})
+        self.actor.shares.set_endpoint_counts({"s": {"v1": 1}})
         self.actor.view.apply_list(fleet.endpoints, fleet.clock.now_s())
         name = member.instance_id
         table = fleet.cluster.nodes[name].table
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -160,7 +160,7 @@
         actor.view.apply_list(self.listings.values(), fleet.clock.now_s())
         actor.view.set_cold_rates(fleet.cold_rates)
         actor.endpoint_rates.cold_rules = COLD_RULES
-        actor.shares.set_service_shares({"s": {"v1": 1.0}})
+        actor.shares.set_endpoint_counts({"s": {"v1": 1}})
         self.peers = peer_forwarding.PeerForwarding(
             self.dispatcher,
             types.SimpleNamespace(open=self.open_at_peer),
--- a/tests/steps/layers.py
+++ b/tests/steps/layers.py
@@ -24,6 +24,7 @@
     "apiKeys",
     "cloudApi",
     "deletionPending",
+    "durationS",
     "desiredCount",
     "goalMs",
     "hasMore",
--- a/tests/steps/platform_moves.py
+++ b/tests/steps/platform_moves.py
@@ -6,6 +6,8 @@
 
 from tools import platform_site
 
+SETTLING_S = 0.5
+
 BOUNDS = {
     "graceS": 8,
     "leaseMs": 3000,
@@ -23,8 +25,7 @@
     context.add_cleanup(context.site.close)
     context.site.wait_ready()
     context.site.server.store.remove("servers", "e2")
-    for _ in range(4):
-        context.site.call("GET", "/safe/x")
+    time.sleep(SETTLING_S)
     context.site.endpoints["e2"].received.clear()
 
 
--- a/tests/steps/serving_crashing_parts.py
+++ b/tests/steps/serving_crashing_parts.py
@@ -147,7 +147,7 @@
     dispatcher.read(
         lambda actor, now_s: (
             actor.view.apply_list(fleet.items, now_s),
-            actor.shares.set_service_shares({"s": {"v1": 1.0}}),
+            actor.shares.set_endpoint_counts({"s": {"v1": 1}}),
         )
     )
     peers = fleet.join(name)
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -164,7 +164,7 @@
     context.dispatcher.read(
         lambda actor, now_s: (
             actor.view.apply_list(items, now_s),
-            actor.shares.set_service_shares({"s": {"v1": 1.0}}),
+            actor.shares.set_endpoint_counts({"s": {"v1": 1}}),
         )
     )
     context.told_leaving = []
--- a/tests/work_fleet.py
+++ b/tests/work_fleet.py
@@ -168,7 +168,7 @@
         self.dispatcher = dispatcher.Dispatcher(
             Reference(self.actor), self.clock
         )
-        self.actor.shares.set_service_shares({SERVICE: {"v1": 1.0}})
+        self.actor.shares.set_endpoint_counts({SERVICE: {"v1": 1}})
         match plan.policy:
             case "least outstanding":
                 self.actor._endpoint_work.router = routing.LeastOutstanding(
