--- a/mulberryhollow/coordination/rollout/comparison.py
+++ b/mulberryhollow/coordination/rollout/comparison.py
@@ -136,14 +136,14 @@
         """Discard the kept results, when the share changes."""
         self.pending = evidence.Arm(0, 0), evidence.Arm(0, 0)
 
-    def set_reference(self, old):
+    def set_reference(self, old, min_results=MIN_REFERENCE_RESULTS):
         """Set the latency above which requests are slow.
 
         The quantile of the old version's latencies so far defines it, once
-        there are `MIN_REFERENCE_RESULTS` of them.
+        there are ``min_results`` of them.
         """
         quantile = self.measure.quantile
-        if quantile is not None and old.latency_count >= MIN_REFERENCE_RESULTS:
+        if quantile is not None and old.latency_count >= min_results:
             self.bucket = _find_bucket(old, quantile)
 
     def count(self, row):
--- a/mulberryhollow/coordination/rollout/driver.py
+++ b/mulberryhollow/coordination/rollout/driver.py
@@ -6,6 +6,7 @@
 import attrs
 
 from mulberryhollow.coordination.rollout import actions
+from mulberryhollow.coordination.rollout import bounded
 from mulberryhollow.coordination.rollout import orders
 from mulberryhollow.coordination.rollout import record
 from mulberryhollow.coordination.rollout import schedule
@@ -308,26 +309,34 @@
             case verdict.Bad() as bad:
                 return _roll_back(move, bad.reason, now_s)
             case judgement:
-                decision = schedule.decide(
-                    move,
-                    plan,
-                    capacity,
-                    judgement,
-                    self._monitor.since_s,
-                    now_s,
-                )
+                decision = self._decide(plan, capacity, judgement, now_s)
         match decision:
             case schedule.RollBack(reason):
                 return _roll_back(move, reason, now_s)
             case schedule.Finish():
                 return record.advance(move, record.Stage.DONE, now_s)
             case schedule.Shift(share):
-                return record.advance(
-                    move, record.Stage.SHIFTING, now_s, share
-                )
+                return _shift(move, counters, share, now_s)
             case schedule.Hold():
                 return None
 
+    def _decide(self, plan, capacity, judgement, now_s):
+        """Return the decision of the schedule that the times ask for."""
+        move, since_s = self._monitor.move, self._monitor.since_s
+        if self.times.exposure is None:
+            return schedule.decide(
+                move, plan, capacity, judgement, since_s, now_s
+            )
+        return bounded.decide(
+            move,
+            self.times,
+            self._monitor.usage,
+            capacity,
+            judgement,
+            since_s,
+            now_s,
+        )
+
 
 def _get_not_after_s(move):
     """Return the latest time for sending a write, in Unix seconds."""
@@ -350,6 +359,15 @@
             log(_SHARE_CHANGED, move=after.id, share=after.share)
 
 
+def _shift(move, counters, share, now_s):
+    """Return the record with another share."""
+    shifted = record.advance(move, record.Stage.SHIFTING, now_s, share)
+    if move.stage is record.Stage.SHIFTING:
+        return shifted
+    started = counters.total(move.service, move.to_version).started
+    return attrs.evolve(shifted, started_before=started)
+
+
 def _roll_back(move, reason, now_s):
     """Return the record in the rolled-back stage."""
     return record.advance(move, record.Stage.ROLLED_BACK, now_s, reason=reason)
--- a/mulberryhollow/coordination/rollout/monitor.py
+++ b/mulberryhollow/coordination/rollout/monitor.py
@@ -3,6 +3,7 @@
 import logging
 
 from mulberryhollow.coordination.rollout import actions
+from mulberryhollow.coordination.rollout import bounded_tester
 from mulberryhollow.coordination.rollout import record
 from mulberryhollow.coordination.rollout import tester
 from mulberryhollow.coordination.rollout import verdict
@@ -66,6 +67,34 @@
     return 0.0 if is_degraded or now_s >= move.deadline_s else move.share
 
 
+def _has_limit(move):
+    """Return whether an exposure limit bounds a move."""
+    return move.times is not None and move.times.exposure is not None
+
+
+def _is_tested(move):
+    """Return whether the versions are compared in the stage of a move.
+
+    A bounded move begins to count the service's requests when it is planned.
+    """
+    match move.stage:
+        case record.Stage.SHIFTING:
+            return True
+        case record.Stage.PLANNED:
+            return _has_limit(move)
+    return False
+
+
+def _make_tester(move, counters, now_s):
+    """Return the test of a move's versions."""
+    kind = (
+        bounded_tester.BoundedTester
+        if _has_limit(move)
+        else tester.SequentialTester
+    )
+    return kind(move, counters, now_s)
+
+
 class MoveMonitor:
     """Follows the record of one service's move on one node.
 
@@ -99,6 +128,11 @@
         """Verdict that the current move is degraded, or None."""
         return self._move and self._verdicts.get(self._move.id)
 
+    @property
+    def usage(self):
+        """Use of the exposure limit, of a move that has one, or None."""
+        return self._tester and self._tester.usage
+
     def observe(self, move, now_s):
         """Apply a record unless it is no newer than the known one.
 
@@ -148,13 +182,14 @@
         """
         if self.bad is not None:
             return self.bad
-        if self._move is None or self._move.stage != record.Stage.SHIFTING:
+        if self._move is None or not _is_tested(self._move):
             return verdict.Undecided(0)
         if self._tester is None:
-            self._tester = tester.SequentialTester(self._move, counters, now_s)
+            self._tester = _make_tester(self._move, counters, now_s)
         elif self._has_new_window:
             self._tester.begin_window(counters)
         self._has_new_window = False
+        self._tester.follow(self._move)
         return self._tester.evaluate(counters, now_s)
 
     def step(self, counters, now_s):
--- a/mulberryhollow/coordination/rollout/tester.py
+++ b/mulberryhollow/coordination/rollout/tester.py
@@ -11,7 +11,7 @@
 from mulberryhollow.coordination.rollout.verdict import Undecided
 from mulberryhollow.state import counters as counting
 
-__all__ = ["EVALUATION_INTERVAL_S", "SequentialTester"]
+__all__ = ["EVALUATION_INTERVAL_S", "Pair", "SequentialTester"]
 
 EVALUATION_INTERVAL_S = 0.5
 """Minimum interval between two evaluations, in seconds."""
@@ -55,11 +55,14 @@
     latencies were normal count for it.
     """
 
+    min_reference_results = comparison.MIN_REFERENCE_RESULTS
+    evaluation_interval_s = EVALUATION_INTERVAL_S
+
     def __init__(self, move, counters, now_s):
         self._move = move
         evaluations = (
             math.ceil(
-                (move.deadline_s - move.created_s) / EVALUATION_INTERVAL_S
+                (move.deadline_s - move.created_s) / self.evaluation_interval_s
             )
             + 1
         )
@@ -75,6 +78,13 @@
         self._window_count = 0
         self.begin_window(counters)
 
+    usage = None
+    """Use of the exposure limit; a move without one has none."""
+
+    def follow(self, move):
+        """Follow a later record of the move."""
+        self._move = move
+
     def begin_window(self, counters):
         """Begin a new window after a change of the share."""
         rows = self._read(counters)
@@ -85,7 +95,7 @@
         self._window_count += 1
         self._reset_baseline(rows)
         for test in self._list_tests():
-            test.set_reference(rows[test.route].old)
+            self._set_reference(test, rows)
             if self._window_count <= MAX_WINDOWS:
                 test.process.add_change_point(0.5 / MAX_WINDOWS)
 
@@ -105,7 +115,7 @@
             `Bad` is kept for the whole move, `Good` for the window.
         """
         elapsed_s = now_s - self._evaluated_s
-        if self._bad is None and elapsed_s >= EVALUATION_INTERVAL_S:
+        if self._bad is None and elapsed_s >= self.evaluation_interval_s:
             self._evaluated_s = now_s
             rows = self._read(counters)
             if elapsed_s > MAX_EVALUATION_S:
@@ -115,7 +125,7 @@
             return self._bad
         if self._good is not None:
             return self._good
-        answered = self._window.get("", _Pair()).new
+        answered = self._window.get("", Pair()).new
         return Undecided(answered.ok + answered.attributed_failures)
 
     def _reset_baseline(self, rows):
@@ -138,10 +148,18 @@
             test.process.add_change_point(self._evaluation_weight)
             test.add(pair)
             if test.bucket is None:
-                test.set_reference(rows[test.route].old)
+                self._set_reference(test, rows)
         self._last_rows = rows
-        self._extend_window(growth)
         self._bad = self._find_bad()
+        self._judge_health(growth)
+
+    def _set_reference(self, test, rows):
+        """Set the latency above which a test's requests are slow."""
+        test.set_reference(rows[test.route].old, self.min_reference_results)
+
+    def _judge_health(self, growth):
+        """Update the evidence that the new version is healthy."""
+        self._extend_window(growth)
         if self._good is None or not self._good.covers_routes:
             self._good = self._find_good()
 
@@ -211,13 +229,13 @@
         new = counters.total_by_route(service, self._move.to_version)
         old = counters.total_by_route(service, self._move.from_version)
         pairs = {
-            route: _Pair(
+            route: Pair(
                 new.get(route, counting.EMPTY_ROW),
                 old.get(route, counting.EMPTY_ROW),
             )
             for route in sorted(new.keys() | old.keys())
         }
-        total = _Pair(
+        total = Pair(
             counting.sum_up(new.values()), counting.sum_up(old.values())
         )
         return {"": total} | pairs
@@ -237,7 +255,7 @@
 def _add_pairs(growth, before):
     """Return the sum of two sets of rows by route."""
     return {
-        route: pair.plus(before.get(route, _Pair()))
+        route: pair.plus(before.get(route, Pair()))
         for route, pair in growth.items()
     }
 
@@ -245,13 +263,13 @@
 def _subtract_pairs(rows, before):
     """Return the growth of each route's rows since an earlier reading."""
     return {
-        route: pair.minus(before.get(route, _Pair()))
+        route: pair.minus(before.get(route, Pair()))
         for route, pair in rows.items()
     }
 
 
 @attrs.frozen
-class _Pair:
+class Pair:
     """Counter rows of the new and the old version."""
 
     new: counting.Row = counting.EMPTY_ROW
@@ -259,8 +277,8 @@
 
     def minus(self, other):
         """Return the growth since an earlier reading."""
-        return _Pair(self.new.minus(other.new), self.old.minus(other.old))
+        return Pair(self.new.minus(other.new), self.old.minus(other.old))
 
     def plus(self, other):
         """Return the sum of two pairs."""
-        return _Pair(self.new.plus(other.new), self.old.plus(other.old))
+        return Pair(self.new.plus(other.new), self.old.plus(other.old))
--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -7,10 +7,15 @@
 
 
 class Degradation(enum.Enum):
-    """Kind of degradation of a version."""
+    """Kind of degradation of a version.
+
+    A version is unproven when its exposure is used up without evidence that
+    it is healthy.
+    """
 
     FAILING = "failing"
     SLOW = "slow"
+    UNPROVEN = "unproven"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/steps/coordination_rollout_exposure.py
+++ b/tests/steps/coordination_rollout_exposure.py
@@ -148,7 +148,7 @@
             return
         driver = self.drivers[node]
         now_s = self.now_s + self.skews_s[node]
-        is_first = not any(map(self.is_paused, range(node)))
+        is_first = all(map(self.is_paused, range(node)))
         if node < TESTERS and is_first:
             capacity = CAPACITY if self.now_s > 1.0 else rollout.Capacity(())
             due = driver.step(self.counters, capacity, now_s)
