--- a/mulberryhollow/coordination/rollout/bounded.py
+++ b/mulberryhollow/coordination/rollout/bounded.py
@@ -1,5 +1,7 @@
 """Schedule of a new version's share under an exposure limit."""
 
+import math
+
 import attrs
 
 from mulberryhollow.coordination.rollout import schedule
@@ -7,13 +9,16 @@
 
 __all__ = ["decide"]
 
-PLANNED_USE = 0.85
+PLANNED_USE = 0.88
 """Share of the allowed requests that the schedule spends."""
 
-TRIAL_USE = 0.45
-"""Share of the planned requests that the trial may spend."""
+TRIAL_USE = 0.25
+"""Share of the planned requests that the trial spends."""
+
+MIN_TRIAL_REQUESTS = 24
+"""Requests of the new version that a trial needs."""
 
-MAX_TRIAL_REQUESTS = 45
+MAX_TRIAL_REQUESTS = 40
 """Requests of the new version that a trial takes at most."""
 
 MAX_TRIAL_SHARE = 0.3
@@ -25,17 +30,15 @@
 MAX_SHARE = 0.95
 """Maximum share before ``done``; the old version keeps the rest."""
 
-DRAIN_S = 0.75
-"""Time at the maximum share before ``done``, in seconds.
-
-The old version's requests end in it, before its endpoints stop.
-"""
+REACTION_S = 0.25
+"""Time from a decision until the instances apply it, in seconds."""
 
-MIN_PUSH_S = 2.0
-"""Minimum time of the large shares before ``done``, in seconds.
+_LOG_MIN_EVIDENCE_AT_SHARE = math.log(6.0)
+_LOG_MAX_EVIDENCE_AGAINST = -5.0
 
-The counters show their results with a delay.
-"""
+MAX_EXTENSION_S = 0.5
+"""Time after the planned end in which the last results are waited for, in
+seconds."""
 
 ADJUSTMENT_RATIO = 1.3
 """Ratio of the planned to the present share of the trial from which the share
@@ -49,12 +52,23 @@
 class _Situation:
     """Times and requests that the next step depends on."""
 
-    push_from_s: float
+    times: object
     finish_s: float
-    planned: float
-    usage: object
+    rest: float
+    requests_per_s: float
     max_share: float
 
+    @property
+    def push_from_s(self):
+        """Earliest time of the push, in Unix seconds."""
+        return self.finish_s - self.times.confirm_s
+
+    @property
+    def push_s(self):
+        """Time for which the rest of the requests suffices, in seconds."""
+        longest_s = self.rest / (MAX_SHARE * self.requests_per_s) - REACTION_S
+        return min(max(longest_s, self.times.step_s), self.times.confirm_s)
+
 
 def decide(move, times, usage, capacity, judgement, since_s, now_s):
     """Return the next step of a move under an exposure limit.
@@ -89,50 +103,58 @@
     and the last part at the maximum share.
     """
     finish_s = move.done_by_s - times.reserve_s
+    latest_s = finish_s + MAX_EXTENSION_S - times.step_s
     if now_s > move.done_by_s:
         return schedule.RollBack("not enough time: done could not be written")
     if usage is None or not usage.requests_per_s:
-        return _hold_or_end(finish_s, now_s, "request rate is unknown")
+        return _hold_or_end(
+            finish_s - times.step_s, now_s, "request rate is unknown"
+        )
+    allowed = times.exposure.compute_allowance(usage.expected)
     situation = _Situation(
-        finish_s - times.confirm_s,
+        times,
         finish_s,
-        PLANNED_USE * times.exposure.compute_allowance(usage.expected),
-        usage,
-        capacity.compute_share(move.to_version),
+        PLANNED_USE * allowed - usage.exposed,
+        usage.requests_per_s,
+        min(capacity.compute_share(move.to_version), MAX_SHARE),
     )
     if situation.max_share < move.share:
         return schedule.Shift(situation.max_share)
     if not situation.max_share:
-        return _hold_or_end(finish_s, now_s, "too few endpoints")
-    is_good = isinstance(judgement, verdict.Good)
+        return _hold_or_end(
+            finish_s - times.step_s, now_s, "too few endpoints"
+        )
     if move.share and since_s >= situation.push_from_s:
-        return _push(move, situation, is_good, now_s)
-    if is_good and now_s >= situation.push_from_s:
-        return _begin_push(situation, now_s)
-    if now_s > finish_s - MIN_PUSH_S:
+        return _push(situation, judgement, now_s)
+    if now_s > latest_s:
         return schedule.RollBack(
             f"not enough evidence: judged on {usage.exposed:.0f} requests only"
         )
-    return _try_out(move, situation, since_s, now_s)
+    is_good = isinstance(judgement, verdict.Good)
+    if is_good and now_s >= finish_s - situation.push_s:
+        return _begin_push(situation, now_s)
+    return _try_out(move, situation, usage.exposed, since_s, now_s)
 
 
-def _hold_or_end(finish_s, now_s, reason):
+def _hold_or_end(latest_s, now_s, reason):
     """Wait for a condition until the move cannot end in time any more."""
-    if now_s > finish_s - MIN_PUSH_S:
+    if now_s > latest_s:
         return schedule.RollBack(f"not enough time: {reason}")
     return schedule.Hold(reason)
 
 
-def _try_out(move, situation, since_s, now_s):
+def _try_out(move, situation, exposed, since_s, now_s):
     """Choose the share of the trial."""
     remaining_s = situation.push_from_s - now_s
     if remaining_s <= ADJUSTMENT_INTERVAL_S and move.share:
         return schedule.Hold("the trial ends soon")
-    usage = situation.usage
-    budget = min(TRIAL_USE * situation.planned, MAX_TRIAL_REQUESTS)
-    rate = (budget - usage.exposed) / max(remaining_s, 1.0)
+    planned = situation.rest + exposed
+    budget = min(
+        max(TRIAL_USE * planned, MIN_TRIAL_REQUESTS), MAX_TRIAL_REQUESTS
+    )
+    rate = (budget - exposed) / max(remaining_s, 1.0)
     share = min(
-        max(rate / usage.requests_per_s, MIN_TRIAL_SHARE),
+        max(rate / situation.requests_per_s, MIN_TRIAL_SHARE),
         MAX_TRIAL_SHARE,
         situation.max_share,
     )
@@ -148,25 +170,26 @@
 
 def _begin_push(situation, now_s):
     """Choose the share that spends the rest of the planned requests."""
-    remaining_s = situation.finish_s - now_s
-    if remaining_s < MIN_PUSH_S:
-        return schedule.RollBack("not enough time: judged too late")
-    rate = situation.usage.requests_per_s
-    rest = situation.planned - situation.usage.exposed
-    rest -= MAX_SHARE * rate * DRAIN_S
-    share = rest / (rate * (remaining_s - DRAIN_S))
+    remaining_s = situation.finish_s - now_s + REACTION_S
+    share = situation.rest / (situation.requests_per_s * remaining_s)
     return schedule.Shift(
-        min(max(share, MIN_TRIAL_SHARE), MAX_SHARE, situation.max_share)
+        min(max(share, MIN_TRIAL_SHARE), situation.max_share)
     )
 
 
-def _push(move, situation, is_good, now_s):
-    """Choose the next step at the large shares."""
-    if not is_good:
-        return schedule.RollBack("the evidence does not hold at a large share")
-    if now_s >= situation.finish_s:
+def _push(situation, judgement, now_s):
+    """Choose whether the move ends at the large share."""
+    match judgement:
+        case verdict.Good(at_share=at_share) if (
+            at_share >= _LOG_MAX_EVIDENCE_AGAINST
+        ):
+            is_enough = at_share >= _LOG_MIN_EVIDENCE_AT_SHARE
+        case _:
+            return schedule.RollBack("the results do not hold at this share")
+    if now_s < situation.finish_s:
+        return schedule.Hold("the share is watched")
+    if is_enough and judgement.covers_routes:
         return schedule.Finish()
-    share = min(MAX_SHARE, situation.max_share)
-    if now_s >= situation.finish_s - DRAIN_S and move.share < share:
-        return schedule.Shift(share)
-    return schedule.Hold("the share is watched")
+    if now_s >= situation.finish_s + MAX_EXTENSION_S:
+        return schedule.RollBack("not enough evidence at this share")
+    return schedule.Hold("the last results are awaited")
--- a/mulberryhollow/coordination/rollout/bounded_tester.py
+++ b/mulberryhollow/coordination/rollout/bounded_tester.py
@@ -19,20 +19,39 @@
 OVERDUE_S = 1.5
 """Time after which a request without a result counts as slow, in seconds."""
 
-MIN_ROUTE_SHARE = 0.1
+MIN_ROUTE_SHARE = 0.15
 """Share of the requests from which a route needs evidence of its own that the
-new version is healthy."""
+new version is healthy; on others no evidence may be against it."""
+
+HEALTH_QUANTILE = 0.9
+"""Quantile of the old version's latency above which requests count as slow
+when the new version's health is judged."""
+
+MIN_NORMAL_RATE = 0.03
+"""Minimum share of failed and of slow requests in normal service."""
+
+SETTLE_S = 1.0
+"""Time after a change of the share until most results are of requests sent
+at the new share, in seconds."""
 
 _MAX_EXCESS = {
-    (verdict.Degradation.FAILING, False): 0.25,
+    (verdict.Degradation.FAILING, False): 0.3,
     (verdict.Degradation.FAILING, True): 0.4,
     (verdict.Degradation.SLOW, False): 0.3,
-    (verdict.Degradation.SLOW, True): 0.4,
+    (verdict.Degradation.SLOW, True): 0.5,
 }
 
 _LOG_MIN_TOTAL_EVIDENCE = math.log(20.0)
 _LOG_MIN_ROUTE_EVIDENCE = math.log(6.0)
 
+PARTIAL_RATIO = 0.5
+"""Ratio of the evidence that suffices for a larger share to the evidence that
+suffices for ``done``, over all routes together."""
+
+SLOW_BUCKETS = 1
+"""Buckets above the old version's quantile from which requests count as slow
+when the new version's health is judged."""
+
 
 class BoundedTester(tester.SequentialTester):
     """Compares the versions of one move under an exposure limit.
@@ -46,7 +65,7 @@
     without a result are slow after `OVERDUE_S`, in both versions.
     """
 
-    min_reference_results = 30
+    min_reference_results = 12
     evaluation_interval_s = 0.25
 
     def __init__(self, move, counters, now_s):
@@ -87,34 +106,68 @@
         good = self._good
         super().begin_window(counters)
         self._good = good
+        self._share_row = None
+        self._settles_s = self._now_s + SETTLE_S
 
     def _judge_health(self, growth):
-        """Update the evidence that the new version is healthy."""
-        total = self._last_rows[""]
-        min_results = MIN_ROUTE_SHARE * total.old.latency_count
-        margins = [
-            self._compute_margin(test, pair, min_results)
-            for route, pair in self._last_rows.items()
-            for test in self._tests[route]
-        ]
-        weakest = min(margins)
+        """Update the evidence that the new version is healthy.
+
+        `Good` without `covers_routes` suffices for a larger share, with it
+        for ``done``.
+        """
+        ratios = {
+            test: self._compare_evidence(test)
+            for test in self._list_health_tests()
+        }
+        total = min(ratios[test] for test in ratios if not test.route)
+        by_route = min(
+            (ratios[test] for test in ratios if test.route), default=1
+        )
         self._good = (
-            verdict.Good(weakest + _LOG_MIN_TOTAL_EVIDENCE, True)
-            if weakest >= 0
+            verdict.Good(
+                total * _LOG_MIN_TOTAL_EVIDENCE,
+                min(total, by_route) >= 1.0,
+                self._compute_evidence_at_share(),
+            )
+            if total >= PARTIAL_RATIO and by_route >= 0
             else None
         )
 
-    def _compute_margin(self, test, pair, min_results):
-        """Return by how much a test's evidence of health is sufficient."""
-        new, old = test.count(pair.new), test.count(pair.old)
-        is_route = bool(test.route)
-        excess = _MAX_EXCESS[test.measure.badness, is_route]
-        found = evidence.compute_health_evidence(new, old, excess)
-        if not is_route:
-            return found - _LOG_MIN_TOTAL_EVIDENCE
-        if pair.old.latency_count >= min_results:
-            return found - _LOG_MIN_ROUTE_EVIDENCE
-        return found
+    def _list_health_tests(self):
+        """Return the tests by which the new version's health is judged."""
+        return [
+            test
+            for test in self._list_tests()
+            if test.measure.quantile in (None, HEALTH_QUANTILE)
+        ]
+
+    def _compute_evidence_at_share(self):
+        """Return the evidence of health at the current share alone."""
+        total = self._last_rows[""]
+        if self._now_s >= self._settles_s and self._share_row is None:
+            self._share_row = total.new
+        if self._share_row is None:
+            return 0.0
+        pair = attrs.evolve(total, new=total.new.minus(self._share_row))
+        return min(
+            _compute_evidence(test, pair)
+            for test in self._list_health_tests()
+            if not test.route
+        )
+
+    def _compare_evidence(self, test):
+        """Return the ratio of a test's evidence of health to the minimum."""
+        pair = self._last_rows[test.route]
+        found = _compute_evidence(test, pair)
+        if not test.route:
+            return found / _LOG_MIN_TOTAL_EVIDENCE
+        min_results = MIN_ROUTE_SHARE * self._last_rows[""].old.latency_count
+        is_large = pair.old.latency_count >= min_results
+        is_defined = test.measure.quantile is None or test.bucket is not None
+        if is_large and is_defined:
+            return found / _LOG_MIN_ROUTE_EVIDENCE
+        is_against = found < 0 and test.measure.quantile is None
+        return -math.inf if is_against else math.inf
 
     def _read(self, counters):
         """Return both versions' rows by route, with overdue requests."""
@@ -148,6 +201,25 @@
         }
 
 
+def _compute_evidence(test, pair):
+    """Return the evidence of health of one test."""
+    excess = _MAX_EXCESS[test.measure.badness, bool(test.route)]
+    return evidence.compute_health_evidence(
+        _count(test, pair.new),
+        _count(test, pair.old),
+        excess,
+        MIN_NORMAL_RATE,
+    )
+
+
+def _count(test, row):
+    """Return the trials and hits of a row, for the health of a version."""
+    if test.bucket is None:
+        return test.count(row)
+    hits = row.count_slower(test.bucket + SLOW_BUCKETS)
+    return evidence.Arm(row.latency_count, hits)
+
+
 def _add_overdue(row, started):
     """Return a row with overdue requests as the slowest of all.
 
--- a/mulberryhollow/coordination/rollout/comparison.py
+++ b/mulberryhollow/coordination/rollout/comparison.py
@@ -81,7 +81,7 @@
 }
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Comparison:
     """Test of one measure on one route, or on all routes together.
 
--- a/mulberryhollow/coordination/rollout/evidence.py
+++ b/mulberryhollow/coordination/rollout/evidence.py
@@ -129,7 +129,7 @@
     return first + math.log1p(math.exp(second - first))
 
 
-def compute_health_evidence(new, old, excess):
+def compute_health_evidence(new, old, excess, min_rate=0.0):
     """Return the evidence that the new version has no excess of hits.
 
     Parameters
@@ -138,6 +138,9 @@
         Results of both versions over the same period.
     excess : float
         Excess of the share of hits that would be too high.
+    min_rate : float
+        Minimum of the old version's share of hits, which few results of it
+        can understate.
 
     Returns
     -------
@@ -146,7 +149,7 @@
         results: at the old version's rate of hits, against that rate plus
         the excess.
     """
-    rate = (old.hits + 0.5) / (old.trials + 1)
+    rate = max((old.hits + 0.5) / (old.trials + 1), min_rate)
     raised = rate + excess
     if raised >= 1:
         return 0.0
--- a/mulberryhollow/coordination/rollout/times.py
+++ b/mulberryhollow/coordination/rollout/times.py
@@ -8,6 +8,8 @@
 
 _RENEWAL_RATIO = 2 / 3
 
+_MIN_PUSH_S = 2.0
+
 _MIN_RESERVE_S = 0.75
 _RESERVE_RATIO = 0.05
 
@@ -67,7 +69,7 @@
         """
         reserve_s = max(_MIN_RESERVE_S, _RESERVE_RATIO * duration_s)
         return cls(
-            step_s=0.5,
+            step_s=_MIN_PUSH_S,
             confirm_s=0.2 * duration_s,
             reserve_s=reserve_s,
             done_margin_s=reserve_s,
--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -71,7 +71,11 @@
         together.
     covers_routes : bool
         Whether the evidence suffices on each of the larger routes too.
+    at_share : float
+        Natural logarithm of the smallest likelihood ratio over the results
+        at the current share alone.
     """
 
     evidence: float
     covers_routes: bool = False
+    at_share: float = 0.0
