--- /dev/null
+++ b/mulberryhollow/coordination/rollout/bounded_tester.py
@@ -0,0 +1,231 @@
+"""Test of a new version that may get a limited number of requests."""
+
+import collections
+import math
+
+import attrs
+
+from mulberryhollow.coordination.rollout import evidence
+from mulberryhollow.coordination.rollout import exposure
+from mulberryhollow.coordination.rollout import tester
+from mulberryhollow.coordination.rollout import verdict
+
+__all__ = ["BoundedTester"]
+
+MAX_USED_SHARE = 0.9
+"""Share of the allowed requests from which an unproven version gets no
+more."""
+
+OVERDUE_S = 1.5
+"""Time after which a request without a result counts as slow, in seconds."""
+
+MIN_ROUTE_SHARE = 0.15
+"""Share of the requests from which a route needs evidence of its own that the
+new version is healthy; on others no evidence may be against it."""
+
+HEALTH_QUANTILE = 0.9
+"""Quantile of the old version's latency above which requests count as slow
+when the new version's health is judged."""
+
+MIN_NORMAL_RATE = 0.03
+"""Minimum share of failed and of slow requests in normal service."""
+
+SETTLE_S = 1.0
+"""Time after a change of the share until most results are of requests sent
+at the new share, in seconds."""
+
+_MAX_EXCESS = {
+    (verdict.Degradation.FAILING, False): 0.3,
+    (verdict.Degradation.FAILING, True): 0.4,
+    (verdict.Degradation.SLOW, False): 0.3,
+    (verdict.Degradation.SLOW, True): 0.5,
+}
+
+_LOG_MIN_TOTAL_EVIDENCE = math.log(20.0)
+_LOG_MIN_ROUTE_EVIDENCE = math.log(6.0)
+
+PARTIAL_RATIO = 0.5
+"""Ratio of the evidence that suffices for a larger share to the evidence that
+suffices for ``done``, over all routes together."""
+
+SLOW_BUCKETS = 1
+"""Buckets above the old version's quantile from which requests count as slow
+when the new version's health is judged."""
+
+
+class BoundedTester(tester.SequentialTester):
+    """Compares the versions of one move under an exposure limit.
+
+    Notes
+    -----
+    Evidence that the new version is degraded accumulates as in any move.
+    The limit leaves few requests to show that it is healthy, so the results
+    of all shares count together, against larger excesses; a version that
+    degrades later still loses its evidence within a few results. Requests
+    without a result are slow after `OVERDUE_S`, in both versions.
+    """
+
+    min_reference_results = 12
+    evaluation_interval_s = 0.25
+
+    def __init__(self, move, counters, now_s):
+        self._now_s = now_s
+        self._started = collections.deque()
+        self._meter = exposure.Meter(move, now_s)
+        super().__init__(move, counters, now_s)
+
+    @property
+    def usage(self):
+        """Use of the exposure limit."""
+        return self._meter.usage
+
+    def evaluate(self, counters, now_s):
+        """Return the verdict by the counters so far."""
+        self._now_s = now_s
+        usage = self._meter.update(self._move, counters, now_s)
+        judgement = super().evaluate(counters, now_s)
+        match judgement:
+            case verdict.Undecided() if self._is_used_up(usage):
+                self._bad = verdict.Bad(
+                    self._move.id,
+                    verdict.Degradation.UNPROVEN,
+                    "",
+                    round(usage.exposed),
+                )
+                return self._bad
+        return judgement
+
+    def _is_used_up(self, usage):
+        """Return whether the new version may get no more requests."""
+        limit = self._move.times.exposure
+        allowed = limit.compute_allowance(usage.expected)
+        return usage.exposed >= MAX_USED_SHARE * allowed
+
+    def begin_window(self, counters):
+        """Begin a new window, which keeps the evidence of health."""
+        good = self._good
+        super().begin_window(counters)
+        self._good = good
+        self._share_row = None
+        self._settles_s = self._now_s + SETTLE_S
+
+    def _judge_health(self, growth):
+        """Update the evidence that the new version is healthy.
+
+        `Good` without `covers_routes` suffices for a larger share, with it
+        for ``done``.
+        """
+        ratios = {
+            test: self._compare_evidence(test)
+            for test in self._list_health_tests()
+        }
+        total = min(ratios[test] for test in ratios if not test.route)
+        by_route = min(
+            (ratios[test] for test in ratios if test.route), default=1
+        )
+        self._good = (
+            verdict.Good(
+                total * _LOG_MIN_TOTAL_EVIDENCE,
+                min(total, by_route) >= 1.0,
+                self._compute_evidence_at_share(),
+            )
+            if total >= PARTIAL_RATIO and by_route >= 0
+            else None
+        )
+
+    def _list_health_tests(self):
+        """Return the tests by which the new version's health is judged."""
+        return [
+            test
+            for test in self._list_tests()
+            if test.measure.quantile in (None, HEALTH_QUANTILE)
+        ]
+
+    def _compute_evidence_at_share(self):
+        """Return the evidence of health at the current share alone."""
+        total = self._last_rows[""]
+        if self._now_s >= self._settles_s and self._share_row is None:
+            self._share_row = total.new
+        if self._share_row is None:
+            return 0.0
+        pair = attrs.evolve(total, new=total.new.minus(self._share_row))
+        return min(
+            _compute_evidence(test, pair)
+            for test in self._list_health_tests()
+            if not test.route
+        )
+
+    def _compare_evidence(self, test):
+        """Return the ratio of a test's evidence of health to the minimum."""
+        pair = self._last_rows[test.route]
+        found = _compute_evidence(test, pair)
+        if not test.route:
+            return found / _LOG_MIN_TOTAL_EVIDENCE
+        min_results = MIN_ROUTE_SHARE * self._last_rows[""].old.latency_count
+        is_large = pair.old.latency_count >= min_results
+        is_defined = test.measure.quantile is None or test.bucket is not None
+        if is_large and is_defined:
+            return found / _LOG_MIN_ROUTE_EVIDENCE
+        is_against = found < 0 and test.measure.quantile is None
+        return -math.inf if is_against else math.inf
+
+    def _read(self, counters):
+        """Return both versions' rows by route, with overdue requests."""
+        pairs = super()._read(counters)
+        self._started.append(
+            (
+                self._now_s,
+                {
+                    route: (pair.new.started, pair.old.started)
+                    for route, pair in pairs.items()
+                },
+            )
+        )
+        due = {}
+        while self._started[0][0] <= self._now_s - OVERDUE_S:
+            _, due = self._started.popleft()
+        if due:
+            self._started.appendleft((self._now_s - OVERDUE_S, due))
+        return {
+            route: tester.Pair(
+                *(
+                    _add_overdue(row, started)
+                    for row, started in zip(
+                        (pair.new, pair.old),
+                        due.get(route, (0, 0)),
+                        strict=True,
+                    )
+                )
+            )
+            for route, pair in pairs.items()
+        }
+
+
+def _compute_evidence(test, pair):
+    """Return the evidence of health of one test."""
+    excess = _MAX_EXCESS[test.measure.badness, bool(test.route)]
+    return evidence.compute_health_evidence(
+        _count(test, pair.new),
+        _count(test, pair.old),
+        excess,
+        MIN_NORMAL_RATE,
+    )
+
+
+def _count(test, row):
+    """Return the trials and hits of a row, for the health of a version."""
+    if test.bucket is None:
+        return test.count(row)
+    hits = row.count_slower(test.bucket + SLOW_BUCKETS)
+    return evidence.Arm(row.latency_count, hits)
+
+
+def _add_overdue(row, started):
+    """Return a row with overdue requests as the slowest of all.
+
+    Of the requests that had ``started`` some time ago, at least those beyond
+    the number of results are still without one.
+    """
+    overdue = max(0, started - row.latency_count)
+    buckets = (*row.buckets[:-1], row.buckets[-1] + overdue)
+    return attrs.evolve(row, buckets=buckets)
--- a/mulberryhollow/coordination/rollout/verdict.py
+++ b/mulberryhollow/coordination/rollout/verdict.py
@@ -7,10 +7,15 @@
 
 
 class Degradation(enum.Enum):
-    """Kind of degradation of a version."""
+    """Kind of degradation of a version.
+
+    A version is unproven when its exposure is used up without evidence that
+    it is healthy.
+    """
 
     FAILING = "failing"
     SLOW = "slow"
+    UNPROVEN = "unproven"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,7 +71,11 @@
         together.
     covers_routes : bool
         Whether the evidence suffices on each of the larger routes too.
+    at_share : float
+        Natural logarithm of the smallest likelihood ratio over the results
+        at the current share alone.
     """
 
     evidence: float
     covers_routes: bool = False
+    at_share: float = 0.0
