--- a/mulberryhollow/coordination/rollout/bounded_tester.py
+++ b/mulberryhollow/coordination/rollout/bounded_tester.py
@@ -43,6 +43,7 @@
 
 _LOG_MIN_TOTAL_EVIDENCE = math.log(20.0)
 _LOG_MIN_ROUTE_EVIDENCE = math.log(6.0)
+_LOG_MAX_AGAINST = -math.log(6.0)
 
 PARTIAL_RATIO = 0.5
 """Ratio of the evidence that suffices for a larger share to the evidence that
@@ -115,30 +116,36 @@
         `Good` without `covers_routes` suffices for a larger share, with it
         for ``done``.
         """
-        ratios = {
-            test: self._compare_evidence(test)
+        found = {
+            test: _compute_evidence(test, self._last_rows[test.route])
             for test in self._list_health_tests()
         }
-        total = min(ratios[test] for test in ratios if not test.route)
-        by_route = min(
-            (ratios[test] for test in ratios if test.route), default=1
+        weakest = min(found[test] for test in found if not test.route)
+        margin = min(
+            (found[test] - self._get_minimum(test) for test in found),
         )
+        against = min(found.values())
         self._good = (
             verdict.Good(
-                total * _LOG_MIN_TOTAL_EVIDENCE,
-                min(total, by_route) >= 1.0,
-                self._compute_evidence_at_share(),
+                weakest, margin >= 0, self._compute_evidence_at_share()
             )
-            if total >= PARTIAL_RATIO and by_route >= 0
+            if weakest >= PARTIAL_RATIO * _LOG_MIN_TOTAL_EVIDENCE
+            and against >= _LOG_MAX_AGAINST
             else None
         )
 
     def _list_health_tests(self):
-        """Return the tests by which the new version's health is judged."""
+        """Return the tests by which the new version's health is judged.
+
+        The latencies of a route with few results of the old version do not
+        define slowness.
+        """
         return [
             test
             for test in self._list_tests()
-            if test.measure.quantile in (None, HEALTH_QUANTILE)
+            if test.measure.quantile is None
+            or test.measure.quantile == HEALTH_QUANTILE
+            and (test.bucket is not None or not test.route)
         ]
 
     def _compute_evidence_at_share(self):
@@ -155,19 +162,15 @@
             if not test.route
         )
 
-    def _compare_evidence(self, test):
-        """Return the ratio of a test's evidence of health to the minimum."""
-        pair = self._last_rows[test.route]
-        found = _compute_evidence(test, pair)
+    def _get_minimum(self, test):
+        """Return the evidence of health that ``done`` needs from a test."""
         if not test.route:
-            return found / _LOG_MIN_TOTAL_EVIDENCE
-        min_results = MIN_ROUTE_SHARE * self._last_rows[""].old.latency_count
-        is_large = pair.old.latency_count >= min_results
-        is_defined = test.measure.quantile is None or test.bucket is not None
-        if is_large and is_defined:
-            return found / _LOG_MIN_ROUTE_EVIDENCE
-        is_against = found < 0 and test.measure.quantile is None
-        return -math.inf if is_against else math.inf
+            return _LOG_MIN_TOTAL_EVIDENCE
+        results = self._last_rows[test.route].old.latency_count
+        total = self._last_rows[""].old.latency_count
+        if results < MIN_ROUTE_SHARE * total:
+            return 0.0
+        return _LOG_MIN_ROUTE_EVIDENCE
 
     def _read(self, counters):
         """Return both versions' rows by route, with overdue requests."""
