--- a/mulberryhollow/serving/move_counting.py
+++ b/mulberryhollow/serving/move_counting.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "Count",
+    "CountersOfMove",
     "CounterReports",
     "MoveRecorder",
     "MovingServices",
@@ -56,6 +57,33 @@
     data: bytes
 
 
+@attrs.frozen
+class CountersOfMove:
+    """Counters of one move of a service, as if it were the only one.
+
+    The results of an earlier move to the same version say nothing about the
+    later one.
+
+    Parameters
+    ----------
+    counters : Counters
+        Merged counters, with the id of the move in place of the service.
+    move_id : str
+        Id of the move.
+    """
+
+    counters: object
+    move_id: str
+
+    def total(self, service, version, route=None):
+        """Return the sum of a version's rows, as `Counters.total`."""
+        return self.counters.total(self.move_id, version, route)
+
+    def total_by_route(self, service, version):
+        """Return the sums by route, as `Counters.total_by_route`."""
+        return self.counters.total_by_route(self.move_id, version)
+
+
 @attrs.define
 class MovingServices:
     """State of the moves that other threads read.
@@ -86,10 +114,9 @@
     ----------
     service, version, route : str
         Service, the endpoint's version, and the route of the request.
-    is_begun : bool
-        Whether the attempt begins.
     latency_s : float or None
-        Time to its first byte, or without one until now, in seconds.
+        Time to its first byte, or without one until now, in seconds; None if
+        it has been counted before.
     is_ok : bool or None
         Whether it has succeeded; None if it has not ended.
     is_excused : bool
@@ -99,7 +126,6 @@
     service: str
     version: str
     route: str
-    is_begun: bool = False
     latency_s: float | None = None
     is_ok: bool | None = None
     is_excused: bool = False
@@ -113,9 +139,8 @@
 
     def apply(self, counters, key):
         """Add the count to the row of a key."""
-        if self.is_begun:
-            counters.record_start(key)
         if self.latency_s is not None:
+            counters.record_start(key)
             counters.record_latency(key, self.latency_s)
         if self.is_ok:
             counters.record_ok(key)
@@ -166,12 +191,15 @@
         dispatcher.on_attempt_end = self.record
 
     def record_begin(self, route):
-        """Count the begin of an attempt at a service that is moved."""
+        """Follow an attempt at a service that is moved.
+
+        It counts with its first byte, at its end or once it is overdue, since
+        an attempt that the endpoint doesn't run is not counted.
+        """
         if route.service not in self._moving.targets:
             return
         with self._lock:
             self._open[id(route.work)] = _OpenAttempt(route)
-        self._actor.tell(Count.of(route, is_begun=True))
 
     def record_first_byte(self, route, first_s):
         """Count the time to the first event of a stream."""
@@ -195,7 +223,6 @@
         self._actor.tell(
             Count.of(
                 route,
-                is_begun=attempt is None,
                 latency_s=None if is_timed else ended.first_byte_s,
                 is_ok=ended.kind is None and not ended.has_failed,
                 is_excused=ended.is_quarantined,
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -315,9 +315,9 @@
             if not move.stage.is_final
         }
         self._dependencies.moving.usual_s = {
-            service: self._counters.total(
-                service, moves[service].from_version
-            ).estimate_median()
+            service: self._get_counters(self._followers[service])
+            .total(service, moves[service].from_version)
+            .estimate_median()
             for service in self._dependencies.moving.targets
         }
 
@@ -336,8 +336,21 @@
             return follower.monitor.step(None, tick.now_s)
         rank = testers.index(self._dependencies.instance)
         if self._may_drive(follower, rank, tick.now_s):
-            return follower.driver.step(self._counters, capacity, tick.now_s)
-        return follower.monitor.step(self._counters, tick.now_s)
+            return follower.driver.step(
+                self._get_counters(follower), capacity, tick.now_s
+            )
+        return follower.monitor.step(self._get_counters(follower), tick.now_s)
+
+    def _get_counters(self, follower):
+        """Return the counters by which a move is evaluated.
+
+        Moves with times of their own are counted by their id. Other builds
+        know only moves without, and count these by service.
+        """
+        move = follower.monitor.move
+        if move.times is None:
+            return self._counters
+        return move_counting.CountersOfMove(self._counters, move.id)
 
     def _may_drive(self, follower, rank, now_s):
         """Return whether this instance may drive a move.
@@ -526,7 +539,8 @@
         move = follower.monitor.move
         is_new = count.version == move.to_version
         version = move.to_version if is_new else move.from_version
-        key = counting.RowKey(count.service, version, count.route)
+        subject = move.service if move.times is None else move.id
+        key = counting.RowKey(subject, version, count.route)
         count.apply(self._counters, key)
 
     def _publish_counters(self, tick):
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -116,6 +116,8 @@
         Headers, path and body of each request that ran.
     is_full : bool
         Whether requests are refused with 503 and ``Not-Executed``.
+    is_failing : bool
+        Whether requests run and are answered with 500.
     loses_answers : bool
         Whether requests run but the connection closes without an answer.
     rate_limit : str
@@ -128,6 +130,7 @@
         self.identity = identity
         self.received = []
         self.is_full = False
+        self.is_failing = False
         self.loses_answers = False
         self.rate_limit = ""
         self.disconnected_clients = 0
@@ -150,7 +153,9 @@
             handler.close_connection = True
             return
         answer_headers |= {"Response-Seal": f"seal {self.identity}"}
-        if "/stream/" in handler.path:
+        if self.is_failing:
+            handler.reply(500, answer_headers, b"failed")
+        elif "/stream/" in handler.path:
             self._stream(handler, answer_headers)
         elif "/slow/" in handler.path:
             self._answer_late(handler, answer_headers)
