--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -415,6 +415,7 @@
             self._get_services,
             lambda: self._fleet_watcher.listings,
             get_evacuations=self._get_evacuations,
+            get_moving=lambda: self._moves.moving if self._moves else (),
         )
 
     def _get_evacuations(self):
--- a/mulberryhollow/platform/move_wiring.py
+++ b/mulberryhollow/platform/move_wiring.py
@@ -112,6 +112,11 @@
         now_s = self._wiring.clock.now_s()
         return self._orders.is_known or now_s >= self._settled_s
 
+    @property
+    def moving(self):
+        """Services whose version is being moved."""
+        return self._moving.targets.keys()
+
     def connect(self):
         """Count the attempts and subscribe to what the peers publish."""
         self._recorder.connect(self._wiring.peers)
--- a/mulberryhollow/serving/orders.py
+++ b/mulberryhollow/serving/orders.py
@@ -128,6 +128,10 @@
     get_evacuations : callable
         Returns the current `Evacuations`. An evacuated failure domain counts
         as one without endpoints, and nothing is ordered or released there.
+    get_moving : callable
+        Returns the services whose version is being moved. The endpoints of
+        the new version run beside the others and would look like too many,
+        so nothing is ordered or released for such a service.
     """
 
     def __init__(
@@ -139,6 +143,7 @@
         get_listings,
         rules=None,
         get_evacuations=lambda: evacuations.NONE,
+        get_moving=frozenset,
     ):
         self._dispatcher = dispatcher
         self._cloud = cloud
@@ -146,6 +151,7 @@
         self._get_services = get_services
         self._get_listings = get_listings
         self._get_evacuations = get_evacuations
+        self._get_moving = get_moving
         self._rules = rules or capacity.SizingRules()
         self._services = collections.defaultdict(_ServiceState)
         self._evaluated_s = -math.inf
@@ -172,8 +178,9 @@
             return
         self._evaluated_s = now_s
         loads = self._dispatcher.read(_read_loads)
+        moving = self._get_moving()
         for name, spec in self._get_services().items():
-            if spec.scaling is None:
+            if spec.scaling is None or name in moving:
                 continue
             load = loads.get(name, _Load())
             for order in self._plan(name, spec, load, now_s):
--- a/mulberryhollow/serving/room_admission.py
+++ b/mulberryhollow/serving/room_admission.py
@@ -254,7 +254,9 @@
         controller = self._find(service)
         state = self._services[service]
         if now_s - state.measured_at_s >= MEASURE_INTERVAL_S:
-            room = actor.view.measure_room(service, now_s)
+            room = actor.view.measure_room(
+                service, now_s, actor.shares.list_unused(service)
+            )
             if self._has_peers and not room.age_s:
                 room = attrs.evolve(room, age_s=SHARED_AGE_S)
             state.room, state.measured_at_s = room, now_s
--- a/mulberryhollow/serving/shares.py
+++ b/mulberryhollow/serving/shares.py
@@ -5,6 +5,11 @@
 __all__ = ["VersionShares"]
 
 
+MIN_USED_RATIO = 0.5
+"""Ratio of a version's share of the requests to its share of the endpoints
+from which its endpoints count as room."""
+
+
 @attrs.frozen
 class _Move:
     """A service's latest move, as far as it sets shares."""
@@ -101,6 +106,20 @@
             return {version: 1.0}
         return {version: 1.0 - move.share, move.to_version: move.share}
 
+    def list_unused(self, service):
+        """Return the versions with far fewer requests than endpoints.
+
+        Their endpoints are no room for the requests of the service.
+        """
+        counts = self._counts.get(service, {})
+        total = sum(counts.values())
+        shares = self._service_shares.get(service, {})
+        return frozenset(
+            version
+            for version, share in shares.items()
+            if share < MIN_USED_RATIO * counts[version] / total
+        )
+
     def _update(self, service):
         """Compute the shares of a service from its endpoints."""
         counts = self._counts.get(service)
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -290,7 +290,7 @@
         ]
         return max(0.0, min(ends) - now_s) if ends else 0.0
 
-    def measure_room(self, service, now_s):
+    def measure_room(self, service, now_s, unused=frozenset()):
         """Return the ServiceRoom of a service.
 
         Parameters
@@ -299,13 +299,18 @@
             The service.
         now_s : float
             Monotonic time, in seconds.
+        unused : set of str
+            Versions whose endpoints get few requests or none, and so are no
+            room.
         """
         self.advance(now_s)
         is_work_based = self.is_work_based(service)
         records = [
             record
             for record in self._records.values()
-            if record.endpoint.service == service and record.is_available()
+            if record.endpoint.service == service
+            and record.endpoint.version not in unused
+            and record.is_available()
         ]
         slots = sum(record.slots for record in records)
         if not is_work_based:
--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -69,6 +69,15 @@
     When the evacuations end for 10 seconds
     Then d1 gets orders again
 
+  # Guards against old endpoints that are released because those of a version
+  # under trial run beside them.
+  Scenario: Nothing is ordered or released while the version is moved
+    Given an endpoint scaler for a service with 2 endpoints
+    When the service's version is moved and prompts keep 1.2 engines busy
+    Then nothing is ordered
+    When prompts keep 1.2 engines busy for 12 seconds
+    Then at least 3 on-demand endpoints are ordered
+
   Scenario: Nothing is ordered before there is any load
     Given an endpoint scaler for a service with 2 endpoints
     When 20 seconds pass without load
--- a/tests/steps/serving_duties.py
+++ b/tests/steps/serving_duties.py
@@ -166,6 +166,7 @@
         )
     )
     context.evacuated = frozenset()
+    context.moving_services = frozenset()
     context.scaler = orders.EndpointScaler(
         context.dispatcher,
         context.cloud,
@@ -173,6 +174,7 @@
         lambda: context.services,
         lambda: context.listings,
         get_evacuations=lambda: evacuations.Evacuations(context.evacuated),
+        get_moving=lambda: context.moving_services,
     )
 
 
@@ -204,6 +206,13 @@
     run_scaler(context, seconds, busy)
 
 
+@when("the service's version is moved and prompts keep 1.2 engines busy")
+def keep_busy_in_move(context):
+    context.moving_services = {"s"}
+    run_scaler(context, 12.0, 1.2)
+    context.moving_services = frozenset()
+
+
 @then("at least {minimum:d} on-demand endpoints are ordered")
 def check_orders(context, minimum):
     assert count_ordered(context) >= minimum, context.cloud.orders
--- a/tests/steps/serving_room_admission.py
+++ b/tests/steps/serving_room_admission.py
@@ -38,7 +38,9 @@
     for name, instance in context.instances.items():
         instance.dispatcher.change(
             lambda actor, now_s: setattr(
-                actor.view, "measure_room", lambda service, now_s: full
+                actor.view,
+                "measure_room",
+                lambda service, now_s, unused=(): full,
             )
         )
         watch_decisions(context, name, instance.admission)
