--- a/mulberryhollow/coordination/rollout/bounded.py
+++ b/mulberryhollow/coordination/rollout/bounded.py
@@ -30,8 +30,12 @@
 MAX_SHARE = 0.95
 """Maximum share before ``done``; the old version keeps the rest."""
 
-REACTION_S = 0.25
-"""Time from a decision until the instances apply it, in seconds."""
+REACTION_S = 0.5
+"""Time at the last share that is planned beyond its end, in seconds.
+
+It covers the wait for the last results, and the time until the instances
+apply a decision.
+"""
 
 _LOG_MIN_EVIDENCE_AT_SHARE = math.log(6.0)
 _LOG_MAX_EVIDENCE_AGAINST = -5.0
--- a/mulberryhollow/coordination/rollout/bounded_tester.py
+++ b/mulberryhollow/coordination/rollout/bounded_tester.py
@@ -20,8 +20,12 @@
 """Time after which a request without a result counts as slow, in seconds."""
 
 MIN_ROUTE_SHARE = 0.15
-"""Share of the requests from which a route needs evidence of its own that the
-new version is healthy; on others no evidence may be against it."""
+"""Share of the requests from which a route needs the full evidence of its own
+that the new version is healthy."""
+
+MIN_SMALL_ROUTE_EVIDENCE = 0.5
+"""Natural logarithm of the evidence that smaller routes need: a result
+without a failure, or several for one failure."""
 
 HEALTH_QUANTILE = 0.9
 """Quantile of the old version's latency above which requests count as slow
@@ -30,6 +34,10 @@
 MIN_NORMAL_RATE = 0.03
 """Minimum share of failed and of slow requests in normal service."""
 
+MIN_NORMAL_ROUTE_RATE = 0.05
+"""Minimum share of failed and of slow requests of a route in normal
+service."""
+
 SETTLE_S = 1.0
 """Time after a change of the share until most results are of requests sent
 at the new share, in seconds."""
@@ -37,13 +45,13 @@
 _MAX_EXCESS = {
     (verdict.Degradation.FAILING, False): 0.3,
     (verdict.Degradation.FAILING, True): 0.4,
-    (verdict.Degradation.SLOW, False): 0.3,
+    (verdict.Degradation.SLOW, False): 0.25,
     (verdict.Degradation.SLOW, True): 0.5,
 }
 
 _LOG_MIN_TOTAL_EVIDENCE = math.log(20.0)
 _LOG_MIN_ROUTE_EVIDENCE = math.log(6.0)
-_LOG_MAX_AGAINST = -math.log(6.0)
+_LOG_MAX_AGAINST = -math.log(20.0)
 
 PARTIAL_RATIO = 0.5
 """Ratio of the evidence that suffices for a larger share to the evidence that
@@ -169,7 +177,7 @@
         results = self._last_rows[test.route].old.latency_count
         total = self._last_rows[""].old.latency_count
         if results < MIN_ROUTE_SHARE * total:
-            return 0.0
+            return MIN_SMALL_ROUTE_EVIDENCE
         return _LOG_MIN_ROUTE_EVIDENCE
 
     def _read(self, counters):
@@ -211,7 +219,7 @@
         _count(test, pair.new),
         _count(test, pair.old),
         excess,
-        MIN_NORMAL_RATE,
+        MIN_NORMAL_ROUTE_RATE if test.route else MIN_NORMAL_RATE,
     )
 
 
