Bound the requests of a bad version in short moves

Callers saw a bad version with half of a service's requests, since moves of 16 seconds were not served: the long ramp needs 150 s, and its trial gives no request at 10 requests a second.

A move with an exposure limit spends the allowed requests in two parts: a small, even trial as long as possible, then one large share in the last two to three seconds, before done. Evidence of health adds up over both, in total and by route, and the large share needs results of its own. The used up limit without that evidence is a verdict of its own, which every instance applies without the store.

--- a/mulberryhollow/coordination/rollout/bounded.py
+++ b/mulberryhollow/coordination/rollout/bounded.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mulberryhollow.coordination.rollout import bounded_tester
 from mulberryhollow.coordination.rollout import schedule
 from mulberryhollow.coordination.rollout import verdict
 
@@ -18,7 +19,7 @@
 MIN_TRIAL_REQUESTS = 24
 """Requests of the new version that a trial needs."""
 
-MAX_TRIAL_REQUESTS = 40
+MAX_TRIAL_REQUESTS = 32
 """Requests of the new version that a trial takes at most."""
 
 MAX_TRIAL_SHARE = 0.3
@@ -37,10 +38,10 @@
 apply a decision.
 """
 
-_LOG_MIN_EVIDENCE_AT_SHARE = math.log(6.0)
+_LOG_MIN_EVIDENCE_AT_SHARE = math.log(4.0)
 _LOG_MAX_EVIDENCE_AGAINST = -5.0
 
-MAX_EXTENSION_S = 0.5
+MAX_EXTENSION_S = 0.7
 """Time after the planned end in which the last results are waited for, in
 seconds."""
 
@@ -134,9 +135,12 @@
         return schedule.RollBack(
             f"not enough evidence: judged on {usage.exposed:.0f} requests only"
         )
-    is_good = isinstance(judgement, verdict.Good)
-    if is_good and now_s >= finish_s - situation.push_s:
-        return _begin_push(situation, now_s)
+    match judgement:
+        case verdict.Good(evidence=found) if (
+            found >= bounded_tester.MIN_GOOD_EVIDENCE
+            and now_s >= finish_s - situation.push_s
+        ):
+            return _begin_push(situation, now_s)
     return _try_out(move, situation, usage.exposed, since_s, now_s)
 
 
--- a/mulberryhollow/coordination/rollout/bounded_tester.py
+++ b/mulberryhollow/coordination/rollout/bounded_tester.py
@@ -23,7 +23,11 @@
 """Share of the requests from which a route needs the full evidence of its own
 that the new version is healthy."""
 
-MIN_SMALL_ROUTE_EVIDENCE = 0.5
+MIN_GOOD_EVIDENCE = 1.5
+"""Natural logarithm of the evidence of health, over all routes together, that
+a larger share needs."""
+
+MIN_SMALL_ROUTE_EVIDENCE = 0.7
 """Natural logarithm of the evidence that smaller routes need: a result
 without a failure, or several for one failure."""
 
@@ -44,7 +48,7 @@
 
 _MAX_EXCESS = {
     (verdict.Degradation.FAILING, False): 0.3,
-    (verdict.Degradation.FAILING, True): 0.4,
+    (verdict.Degradation.FAILING, True): 0.5,
     (verdict.Degradation.SLOW, False): 0.25,
     (verdict.Degradation.SLOW, True): 0.5,
 }
@@ -53,10 +57,6 @@
 _LOG_MIN_ROUTE_EVIDENCE = math.log(6.0)
 _LOG_MAX_AGAINST = -math.log(20.0)
 
-PARTIAL_RATIO = 0.5
-"""Ratio of the evidence that suffices for a larger share to the evidence that
-suffices for ``done``, over all routes together."""
-
 SLOW_BUCKETS = 1
 """Buckets above the old version's quantile from which requests count as slow
 when the new version's health is judged."""
@@ -94,15 +94,18 @@
         usage = self._meter.update(self._move, counters, now_s)
         judgement = super().evaluate(counters, now_s)
         match judgement:
-            case verdict.Undecided() if self._is_used_up(usage):
-                self._bad = verdict.Bad(
-                    self._move.id,
-                    verdict.Degradation.UNPROVEN,
-                    "",
-                    round(usage.exposed),
-                )
-                return self._bad
-        return judgement
+            case verdict.Bad():
+                return judgement
+            case verdict.Good(evidence=found) if found >= MIN_GOOD_EVIDENCE:
+                return judgement
+        if self._is_used_up(usage):
+            self._bad = verdict.Bad(
+                self._move.id,
+                verdict.Degradation.UNPROVEN,
+                "",
+                round(usage.exposed),
+            )
+        return self._bad or judgement
 
     def _is_used_up(self, usage):
         """Return whether the new version may get no more requests."""
@@ -129,16 +132,13 @@
             for test in self._list_health_tests()
         }
         weakest = min(found[test] for test in found if not test.route)
-        margin = min(
-            (found[test] - self._get_minimum(test) for test in found),
-        )
-        against = min(found.values())
+        margin = min(found[test] - self._get_minimum(test) for test in found)
+        is_good = weakest >= 0 and min(found.values()) >= _LOG_MAX_AGAINST
         self._good = (
             verdict.Good(
                 weakest, margin >= 0, self._compute_evidence_at_share()
             )
-            if weakest >= PARTIAL_RATIO * _LOG_MIN_TOTAL_EVIDENCE
-            and against >= _LOG_MAX_AGAINST
+            if is_good
             else None
         )
 
@@ -176,9 +176,11 @@
             return _LOG_MIN_TOTAL_EVIDENCE
         results = self._last_rows[test.route].old.latency_count
         total = self._last_rows[""].old.latency_count
-        if results < MIN_ROUTE_SHARE * total:
+        if results >= MIN_ROUTE_SHARE * total:
+            return _LOG_MIN_ROUTE_EVIDENCE
+        if test.measure.quantile is None:
             return MIN_SMALL_ROUTE_EVIDENCE
-        return _LOG_MIN_ROUTE_EVIDENCE
+        return _LOG_MAX_AGAINST
 
     def _read(self, counters):
         """Return both versions' rows by route, with overdue requests."""
