--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -150,6 +150,7 @@
         self._channel_lock = threading.Lock()
         self._is_aborted = False
         self._is_complete = False
+        self._has_server_error = False
         self._outcome = Outcome.LEFT
         self._first_token_s = 0.0
         self._chosen = None
@@ -347,6 +348,7 @@
         if is_failure and self._request.kind.is_repeatable:
             self._failed_answer = head, body
             raise errors.EndpointError(streams.Failed(head.status))
+        self._has_server_error = is_failure
         self._finish()
         self.head, self.body = head, body
 
@@ -565,7 +567,7 @@
         self._attempts.record(fault)
         self._unsent += isinstance(fault, streams.NotSent)
         if self._is_aborted:
-            self._dependencies.dispatcher.finish(route)
+            self._dependencies.dispatcher.finish(route, is_abandoned=True)
             raise errors.CallerDisconnectedError
         failure = attempts.report_fault(
             self._dependencies.dispatcher,
@@ -602,9 +604,7 @@
                     self._request.service
                 ):
                     raise errors.RefusedError(self._refuse_no_capacity())
-        forward_log.log_retried(
-            self._request, route.endpoint_id, fault, self._attempts
-        )
+        forward_log.log_retried(self._request, route, fault, self._attempts)
 
     def _refuse_no_capacity(self, pause_s=0.0, reason=""):
         """Return the refusal for lack of endpoints or of retry budget."""
@@ -624,7 +624,9 @@
         if self._request.is_admitted_by_room and refusal.retry_after_s:
             refusal = self._limit_retry_after(refusal)
         self._outcome = Outcome.REFUSED
-        forward_log.log_request_failed(self._request, refusal, self._attempts)
+        forward_log.log_request_failed(
+            self._request, refusal, self._attempts, self._chosen
+        )
         return errors.RefusedError(refusal)
 
     def _limit_retry_after(self, refusal):
@@ -659,7 +661,14 @@
             case peer_forwarding.PeerRoute():
                 self._dependencies.peers.release(route, has_failed)
             case attempts.Route():
-                self._dependencies.dispatcher.finish(route)
+                has_failed = self._outcome is Outcome.BROKEN_OFF or (
+                    self._is_complete and self._has_server_error
+                )
+                self._dependencies.dispatcher.finish(
+                    route,
+                    has_failed=has_failed,
+                    is_abandoned=not (self._is_complete or has_failed),
+                )
 
 
 def _classify_refusal(head):
