--- a/mulberryhollow/coordination/rollout/bounded.py
+++ b/mulberryhollow/coordination/rollout/bounded.py
@@ -130,7 +130,7 @@
             finish_s - times.step_s, now_s, "too few endpoints"
         )
     if move.share and since_s >= situation.push_from_s:
-        return _push(situation, judgement, now_s)
+        return _push(situation, judgement, since_s, now_s)
     if now_s > latest_s:
         return schedule.RollBack(
             f"not enough evidence: judged on {usage.exposed:.0f} requests only"
@@ -185,7 +185,7 @@
     )
 
 
-def _push(situation, judgement, now_s):
+def _push(situation, judgement, since_s, now_s):
     """Choose whether the move ends at the large share."""
     match judgement:
         case verdict.Good(at_share=at_share) if (
@@ -194,10 +194,11 @@
             is_enough = at_share >= _LOG_MIN_EVIDENCE_AT_SHARE
         case _:
             return schedule.RollBack("the results do not hold at this share")
-    if now_s < situation.finish_s:
+    earliest_s = since_s + situation.times.step_s
+    if now_s < max(situation.finish_s, earliest_s):
         return schedule.Hold("the share is watched")
     if is_enough and judgement.covers_routes:
         return schedule.Finish()
-    if now_s >= situation.finish_s + MAX_EXTENSION_S:
+    if now_s >= max(situation.finish_s + MAX_EXTENSION_S, earliest_s):
         return schedule.RollBack("not enough evidence at this share")
     return schedule.Hold("the last results are awaited")
--- a/mulberryhollow/coordination/rollout/bounded_tester.py
+++ b/mulberryhollow/coordination/rollout/bounded_tester.py
@@ -75,7 +75,7 @@
     """
 
     min_reference_results = 12
-    evaluation_interval_s = 0.25
+    evaluation_interval_s = 0.15
 
     def __init__(self, move, counters, now_s):
         self._now_s = now_s
--- a/mulberryhollow/coordination/rollout/times.py
+++ b/mulberryhollow/coordination/rollout/times.py
@@ -10,8 +10,11 @@
 
 _MIN_PUSH_S = 2.0
 
-_MIN_RESERVE_S = 0.75
-_RESERVE_RATIO = 0.05
+_MIN_DONE_MARGIN_S = 0.5
+_DONE_MARGIN_RATIO = 0.03
+
+_MIN_RESERVE_S = 1.1
+_RESERVE_RATIO = 0.07
 
 
 @attrs.frozen
@@ -67,12 +70,13 @@
         duration_s : float
             Time from the creation of the move to its deadline, in seconds.
         """
-        reserve_s = max(_MIN_RESERVE_S, _RESERVE_RATIO * duration_s)
         return cls(
             step_s=_MIN_PUSH_S,
             confirm_s=0.2 * duration_s,
-            reserve_s=reserve_s,
-            done_margin_s=reserve_s,
+            reserve_s=max(_MIN_RESERVE_S, _RESERVE_RATIO * duration_s),
+            done_margin_s=max(
+                _MIN_DONE_MARGIN_S, _DONE_MARGIN_RATIO * duration_s
+            ),
             min_duration_s=0.0,
             lease_s=lease_s,
             min_lease_remaining_s=_RENEWAL_RATIO * lease_s,
--- a/tests/steps/coordination_rollout_exposure.py
+++ b/tests/steps/coordination_rollout_exposure.py
@@ -95,6 +95,8 @@
         """Send one request and schedule the next."""
         self.call(self.random.expovariate(self.rate), self.arrive)
         node = min(self.random.randrange(self.instances), TESTERS)
+        if self.is_paused(node):
+            node = TESTERS
         route = self.random.choices(list(ROUTES), ROUTES.values())[0]
         is_new = self.random.random() < self.shares[node]
         is_hit = is_new and self.is_affected(route)
@@ -171,8 +173,9 @@
             case rollout.PublishVerdict(bad):
                 for other in self.drivers:
                     self.call(0.1, other.receive_verdict, bad)
-            case rollout.WriteMove():
-                self.call(self.store_delay_s, self.write, node, action)
+            case rollout.WriteMove(not_after_s=not_after_s):
+                if self.now_s + self.skews_s[node] <= not_after_s:
+                    self.call(self.store_delay_s, self.write, node, action)
             case rollout.ReadMove():
                 self.call(self.store_delay_s, self.read, node)
 
@@ -183,8 +186,6 @@
     def write(self, node, action):
         driver = self.drivers[node]
         now_s = self.now_s + self.skews_s[node]
-        if now_s > action.not_after_s:
-            return
         if self.is_store_down():
             outcome = objects.WriteRejected("unavailable")
         elif action.expected_version != self.record.version:
