--- a/tests/coordination/rollout/exposure.feature
+++ b/tests/coordination/rollout/exposure.feature
@@ -40,3 +40,34 @@
       | 36   | 200       |
       | 90   | 8         |
       | 90   | 200       |
+
+  # Guards against a bad version that goes on while no record can be written.
+  Scenario Outline: Trouble during a move doesn't raise the exposure
+    Given short moves at 36 requests a second on 8 instances
+    And their trouble is that <trouble>
+    When 4 of them go to a version that <fault>
+    Then each of them stays within the exposure limit
+    And no version of them is served over 5 seconds after its 50th bad answer
+    And every instance gives the old version everything after the deadline
+
+    Examples:
+      | trouble                              | fault                    |
+      | the first instance ends after 5 s    | fails after some seconds |
+      | the first instance ends after 12.6 s | fails under load         |
+      | the first instance sleeps 9 to 14 s  | fails under load         |
+      | the store is down 6 to 18 s          | fails after some seconds |
+      | the store is down 12.6 to 18 s       | fails under load         |
+      | the store takes 1.5 s for a write    | fails under load         |
+
+  # Guards against good versions that one failure in the move takes back.
+  Scenario Outline: A good version is done in spite of trouble
+    Given short moves at 36 requests a second on 8 instances
+    And their trouble is that <trouble>
+    When 10 of them go to a version that serves well
+    Then 9 of them at least are recorded as done before their deadline
+
+    Examples:
+      | trouble                           |
+      | the first instance ends after 5 s |
+      | the store is down 6 to 9 s        |
+      | the store takes 0.5 s for a write |
--- a/tests/steps/coordination_rollout_exposure.py
+++ b/tests/steps/coordination_rollout_exposure.py
@@ -241,13 +241,37 @@
 
 @given("short moves at {rate:d} requests a second on {instances:d} instances")
 def define_short_moves(context, rate, instances):
-    context.rate, context.instances = rate, instances
+    context.rate, context.instances, context.trouble = rate, instances, {}
+
+
+@given("their trouble is that the first instance ends after {at_s:g} s")
+def end_first_instance(context, at_s):
+    context.trouble = {"paused": {0: (at_s, float("inf"))}}
+
+
+@given(
+    "their trouble is that the first instance sleeps {at_s:g} to {until_s:g} s"
+)
+def pause_first_instance(context, at_s, until_s):
+    context.trouble = {"paused": {0: (at_s, until_s)}}
+
+
+@given("their trouble is that the store is down {at_s:g} to {until_s:g} s")
+def take_store_down(context, at_s, until_s):
+    context.trouble = {"store_down": (at_s, until_s)}
+
+
+@given("their trouble is that the store takes {delay_s:g} s for a write")
+def slow_store(context, delay_s):
+    context.trouble = {"store_delay_s": delay_s}
 
 
 @when("{count:d} of them go to a version that {fault}")
 def play_short_moves(context, count, fault):
     context.plays = [
-        Play(context.rate, context.instances, fault, seed).run()
+        Play(
+            context.rate, context.instances, fault, seed, **context.trouble
+        ).run()
         for seed in range(count)
     ]
 
@@ -293,3 +317,11 @@
         for play in list_ended(context, rollout.Stage.DONE)
     ]
     assert min(shares) > 0.5, shares
+
+
+@then("every instance gives the old version everything after the deadline")
+def check_shares_after_deadline(context):
+    for play in context.plays:
+        assert play.record.stage is not rollout.Stage.DONE, play.record
+        late = [v for t, v in play.requests if t > play.duration_s + 1.0]
+        assert set(late) == {"v1"}, play.record
