--- a/mulberryhollow/coordination/rollout/driver.py
+++ b/mulberryhollow/coordination/rollout/driver.py
@@ -316,7 +316,9 @@
             case schedule.Finish():
                 return record.advance(move, record.Stage.DONE, now_s)
             case schedule.Shift(share):
-                return _shift(move, counters, share, now_s)
+                return record.advance(
+                    move, record.Stage.SHIFTING, now_s, share
+                )
             case schedule.Hold():
                 return None
 
@@ -359,15 +361,6 @@
             log(_SHARE_CHANGED, move=after.id, share=after.share)
 
 
-def _shift(move, counters, share, now_s):
-    """Return the record with another share."""
-    shifted = record.advance(move, record.Stage.SHIFTING, now_s, share)
-    if move.stage is record.Stage.SHIFTING:
-        return shifted
-    started = counters.total(move.service, move.to_version).started
-    return attrs.evolve(shifted, started_before=started)
-
-
 def _roll_back(move, reason, now_s):
     """Return the record in the rolled-back stage."""
     return record.advance(move, record.Stage.ROLLED_BACK, now_s, reason=reason)
--- a/mulberryhollow/coordination/rollout/exposure.py
+++ b/mulberryhollow/coordination/rollout/exposure.py
@@ -87,7 +87,8 @@
     The rate is measured over the move so far and over the last seconds; the
     lower one counts for the requests to come, the higher one for the share.
     A node that begins in the middle of a move first waits for the counters
-    of its peers, which would otherwise count as requests of one moment.
+    of its peers, which would otherwise count as requests of one moment. The
+    counters are those of this move: they begin with it.
     """
 
     def __init__(self, move, now_s):
@@ -110,8 +111,7 @@
         counted = self._samples[-1][1] - self._first[1] if rates else 0
         remaining_s = max(0.0, move.deadline_s - now_s)
         self.usage = Usage(
-            max(0, new - move.started_before)
-            + move.share * highest * COUNTERS_DELAY_S,
+            new + move.share * highest * COUNTERS_DELAY_S,
             counted + lowest * remaining_s,
             highest,
         )
--- a/mulberryhollow/coordination/rollout/record.py
+++ b/mulberryhollow/coordination/rollout/record.py
@@ -94,9 +94,6 @@
         Number of times that the lease changed its holder.
     version : int
         Version of the object that holds the record; 0 when not stored.
-    started_before : int
-        Requests that the new version had got, by the counters, before the
-        move gave it any.
     times : Times or None
         Times of this move; None for those of the drivers' settings.
     """
@@ -115,7 +112,6 @@
     lease_until_s: float = 0.0
     epoch: int = 0
     version: int = 0
-    started_before: int = 0
     times: move_times.Times | None = None
 
     @property
