Act on the results of the push without the store

The driver alone rolled a move back when the results of the large share turned against the version, so that the share stayed while the record could not be written. It is a verdict of every tester now.

--- a/mulberryhollow/coordination/rollout/bounded.py
+++ b/mulberryhollow/coordination/rollout/bounded.py
@@ -22,9 +22,6 @@
 MAX_TRIAL_REQUESTS = 32
 """Requests of the new version that a trial takes at most."""
 
-MAX_TRIAL_SHARE = 0.3
-"""Maximum share of the trial."""
-
 MIN_TRIAL_SHARE = 0.01
 """Minimum share of the trial, when its requests are spent early."""
 
@@ -43,7 +40,6 @@
 """
 
 _LOG_MIN_EVIDENCE_AT_SHARE = math.log(4.0)
-_LOG_MAX_EVIDENCE_AGAINST = -5.0
 
 MAX_EXTENSION_S = 0.7
 """Time after the planned end in which the last results are waited for, in
@@ -108,8 +104,7 @@
     -----
     The trial spends its part of the requests evenly over most of the move,
     so that a version that degrades late still has a small share. The push
-    spends the rest: most of it at one share, whose results are still seen,
-    and the last part at the maximum share.
+    spends the rest at one share, whose results are seen before ``done``.
     """
     finish_s = move.done_by_s - times.reserve_s
     latest_s = finish_s + MAX_EXTENSION_S - times.step_s
@@ -167,7 +162,7 @@
     rate = (budget - exposed) / max(remaining_s, 1.0)
     share = min(
         max(rate / situation.requests_per_s, MIN_TRIAL_SHARE),
-        MAX_TRIAL_SHARE,
+        bounded_tester.MAX_TRIAL_SHARE,
         situation.max_share,
     )
     ratio = max(share, move.share) / max(
@@ -191,18 +186,14 @@
 
 def _push(situation, judgement, since_s, now_s):
     """Choose whether the move ends at the large share."""
-    match judgement:
-        case verdict.Good(at_share=at_share) if (
-            at_share >= _LOG_MAX_EVIDENCE_AGAINST
-        ):
-            is_enough = at_share >= _LOG_MIN_EVIDENCE_AT_SHARE
-        case _:
-            return schedule.RollBack("the results do not hold at this share")
     earliest_s = since_s + situation.times.step_s
     if now_s < max(situation.finish_s, earliest_s):
         return schedule.Hold("the share is watched")
-    if is_enough and judgement.covers_routes:
-        return schedule.Finish()
+    match judgement:
+        case verdict.Good(covers_routes=True, at_share=at_share) if (
+            at_share >= _LOG_MIN_EVIDENCE_AT_SHARE
+        ):
+            return schedule.Finish()
     if now_s >= max(situation.finish_s + MAX_EXTENSION_S, earliest_s):
         return schedule.RollBack("not enough evidence at this share")
     return schedule.Hold("the last results are awaited")
--- a/mulberryhollow/coordination/rollout/bounded_tester.py
+++ b/mulberryhollow/coordination/rollout/bounded_tester.py
@@ -12,6 +12,9 @@
 
 __all__ = ["BoundedTester"]
 
+MAX_TRIAL_SHARE = 0.3
+"""Maximum share of the trial; above it, the evidence of health must hold."""
+
 MAX_USED_SHARE = 0.9
 """Share of the allowed requests from which an unproven version gets no
 more."""
@@ -56,6 +59,7 @@
 _LOG_MIN_TOTAL_EVIDENCE = math.log(20.0)
 _LOG_MIN_ROUTE_EVIDENCE = math.log(6.0)
 _LOG_MAX_AGAINST = -math.log(20.0)
+_LOG_MAX_AGAINST_AT_SHARE = -5.0
 
 SLOW_BUCKETS = 1
 """Buckets above the old version's quantile from which requests count as slow
@@ -93,12 +97,7 @@
         self._now_s = now_s
         usage = self._meter.update(self._move, counters, now_s)
         judgement = super().evaluate(counters, now_s)
-        match judgement:
-            case verdict.Bad():
-                return judgement
-            case verdict.Good(evidence=found) if found >= MIN_GOOD_EVIDENCE:
-                return judgement
-        if self._is_used_up(usage):
+        if self._bad is None and self._must_return(judgement, usage):
             self._bad = verdict.Bad(
                 self._move.id,
                 verdict.Degradation.UNPROVEN,
@@ -107,8 +106,25 @@
             )
         return self._bad or judgement
 
+    def _must_return(self, judgement, usage):
+        """Return whether the new version may get no more requests.
+
+        It may not at a large share without evidence of health, or when the
+        limit is nearly used up without it.
+        """
+        match judgement:
+            case verdict.Good(evidence=found, at_share=at_share):
+                pass
+            case _:
+                found = at_share = -math.inf
+        if self._move.share > MAX_TRIAL_SHARE and (
+            at_share < _LOG_MAX_AGAINST_AT_SHARE
+        ):
+            return True
+        return found < MIN_GOOD_EVIDENCE and self._is_used_up(usage)
+
     def _is_used_up(self, usage):
-        """Return whether the new version may get no more requests."""
+        """Return whether nearly all of the allowed requests are used."""
         limit = self._move.times.exposure
         allowed = limit.compute_allowance(usage.expected)
         return usage.exposed >= MAX_USED_SHARE * allowed
