--- a/tests/steps/coordination_rollout_exposure.py
+++ b/tests/steps/coordination_rollout_exposure.py
@@ -42,6 +42,7 @@
     store_delay_s: float = 0.004
     store_down: tuple = ()
     paused: dict = attrs.field(factory=dict)
+    begun: dict = attrs.field(factory=dict)
     now_s: float = 0.0
     requests: list = attrs.field(factory=list)
     bad_answers_s: list = attrs.field(factory=list)
@@ -84,6 +85,8 @@
 
     def run(self):
         self.call(0.0, self.arrive)
+        for node, at_s in self.begun.items():
+            self.call(at_s, self.begin_anew, node)
         for node in range(TESTERS + 1):
             self.call(self.random.uniform(0, TICK_S), self.tick, node)
         while self.queue and self.now_s < self.duration_s + AFTER_S:
@@ -91,10 +94,18 @@
             function(*arguments)
         return self
 
+    def begin_anew(self, node):
+        """Start another process on an instance; it reads the record."""
+        self.drivers[node] = rollout.Driver("new", rollout.MoveMonitor())
+        self.shares[node] = 0.0
+        self.read(node)
+
     def arrive(self):
         """Send one request and schedule the next."""
         self.call(self.random.expovariate(self.rate), self.arrive)
         node = min(self.random.randrange(self.instances), TESTERS)
+        if self.is_paused(node):
+            node = TESTERS
         route = self.random.choices(list(ROUTES), ROUTES.values())[0]
         is_new = self.random.random() < self.shares[node]
         is_hit = is_new and self.is_affected(route)
@@ -171,8 +182,9 @@
             case rollout.PublishVerdict(bad):
                 for other in self.drivers:
                     self.call(0.1, other.receive_verdict, bad)
-            case rollout.WriteMove():
-                self.call(self.store_delay_s, self.write, node, action)
+            case rollout.WriteMove(not_after_s=not_after_s):
+                if self.now_s + self.skews_s[node] <= not_after_s:
+                    self.call(self.store_delay_s, self.write, node, action)
             case rollout.ReadMove():
                 self.call(self.store_delay_s, self.read, node)
 
@@ -183,8 +195,6 @@
     def write(self, node, action):
         driver = self.drivers[node]
         now_s = self.now_s + self.skews_s[node]
-        if now_s > action.not_after_s:
-            return
         if self.is_store_down():
             outcome = objects.WriteRejected("unavailable")
         elif action.expected_version != self.record.version:
@@ -240,13 +250,46 @@
 
 @given("short moves at {rate:d} requests a second on {instances:d} instances")
 def define_short_moves(context, rate, instances):
-    context.rate, context.instances = rate, instances
+    context.rate, context.instances, context.trouble = rate, instances, {}
+
+
+@given("their trouble is that the first instance ends at {at_s:g} s")
+def end_first_instance(context, at_s):
+    context.trouble = {"paused": {0: (at_s, float("inf"))}}
+
+
+@given(
+    "their trouble is that the first instance sleeps {at_s:g} to {until_s:g} s"
+)
+def pause_first_instance(context, at_s, until_s):
+    context.trouble = {"paused": {0: (at_s, until_s)}}
+
+
+@given(
+    "their trouble is that the first instance is lost at {at_s:g} s and the"
+    " next begins anew at {again_s:g} s"
+)
+def begin_in_move(context, at_s, again_s):
+    end_first_instance(context, at_s)
+    context.trouble["begun"] = {1: again_s}
+
+
+@given("their trouble is that the store is down {at_s:g} to {until_s:g} s")
+def take_store_down(context, at_s, until_s):
+    context.trouble = {"store_down": (at_s, until_s)}
+
+
+@given("their trouble is that the store takes {delay_s:g} s for a write")
+def slow_store(context, delay_s):
+    context.trouble = {"store_delay_s": delay_s}
 
 
 @when("{count:d} of them go to a version that {fault}")
 def play_short_moves(context, count, fault):
     context.plays = [
-        Play(context.rate, context.instances, fault, seed).run()
+        Play(
+            context.rate, context.instances, fault, seed, **context.trouble
+        ).run()
         for seed in range(count)
     ]
 
@@ -292,3 +335,11 @@
         for play in list_ended(context, rollout.Stage.DONE)
     ]
     assert min(shares) > 0.5, shares
+
+
+@then("every instance gives the old version everything after the deadline")
+def check_shares_after_deadline(context):
+    for play in context.plays:
+        assert play.record.stage is not rollout.Stage.DONE, play.record
+        late = [v for t, v in play.requests if t > play.duration_s + 1.0]
+        assert set(late) == {"v1"}, play.record
