--- a/tests/coordination/rollout/exposure.feature
+++ b/tests/coordination/rollout/exposure.feature
@@ -72,3 +72,31 @@
       | the first instance ends at 5 s    |
       | the store is down 6 to 9 s        |
       | the store takes 0.5 s for a write |
+
+  # Guards against good versions that are taken back for what the old one fails.
+  Scenario Outline: A good version is done although some routes fail
+    Given short moves at <rate> requests a second on 8 instances
+    And a route of theirs always fails, one is rare and one fails often
+    When 10 of them go to a version that serves well
+    Then 9 of them at least are recorded as done before their deadline
+
+    Examples:
+      | rate |
+      | 17   |
+      | 36   |
+
+  # Guards against bad versions that routes of the same move hide.
+  Scenario Outline: A bad version stays within its exposure although some routes fail
+    Given short moves at <rate> requests a second on 8 instances
+    And a route of theirs always fails, one is rare and one fails often
+    When 6 of them go to a version that <fault>
+    Then each of them stays within the exposure limit
+    And no version of them is served over 5 seconds after its 50th bad answer
+
+    Examples:
+      | rate | fault                    |
+      | 17   | fails                    |
+      | 17   | is slow                  |
+      | 17   | fails on one route       |
+      | 36   | fails after some seconds |
+      | 36   | fails under load         |
--- a/tests/steps/coordination_rollout_exposure.py
+++ b/tests/steps/coordination_rollout_exposure.py
@@ -19,7 +19,8 @@
 TELL_S = 0.5
 TESTERS = rollout.MAX_TESTERS
 ROUTES = {"a": 0.6, "b": 0.3, "c": 0.1}
-NORMAL_FAILED = {"a": 0.004, "b": 0.05, "c": 0.004}
+NORMAL_FAILED = {"a": 0.004, "b": 0.05, "c": 0.004, "d": 1.0, "e": 0.0}
+ODD_ROUTES = {"d": 0.07, "e": 0.02}
 FAILED = 0.6
 LATENCY = -3.5, 0.5
 CAPACITY = rollout.Capacity(
@@ -41,6 +42,8 @@
     duration_s: float = DURATION_S
     store_delay_s: float = 0.004
     store_down: tuple = ()
+    odd_routes: dict = attrs.field(factory=dict)
+    failed: dict = attrs.field(factory=dict)
     paused: dict = attrs.field(factory=dict)
     begun: dict = attrs.field(factory=dict)
     now_s: float = 0.0
@@ -106,10 +109,12 @@
         node = min(self.random.randrange(self.instances), TESTERS)
         if self.is_paused(node):
             node = TESTERS
-        route = self.random.choices(list(ROUTES), ROUTES.values())[0]
+        routes = ROUTES | self.odd_routes
+        route = self.random.choices(list(routes), routes.values())[0]
         is_new = self.random.random() < self.shares[node]
         is_hit = is_new and self.is_affected(route)
-        is_failed = self.random.random() < NORMAL_FAILED[route] or (
+        normal_failed = (NORMAL_FAILED | self.failed)[route]
+        is_failed = self.random.random() < normal_failed or (
             is_hit and self.fault != "is slow"
         )
         latency_s = self.random.lognormvariate(*LATENCY)
@@ -284,6 +289,11 @@
     context.trouble = {"store_delay_s": delay_s}
 
 
+@given("a route of theirs always fails, one is rare and one fails often")
+def add_odd_routes(context):
+    context.trouble = {"odd_routes": ODD_ROUTES, "failed": {"b": 0.3}}
+
+
 @when("{count:d} of them go to a version that {fault}")
 def play_short_moves(context, count, fault):
     context.plays = [
