Judge a new version by the routes that the old one serves

Cause: before the move is done, each route has to show a result without a failure. A route on which the old version always fails (there one that is only asked for to see which configuration is in force), or that is asked for once in some seconds, can't. And a trial whose requests were spent without an answer went on at a hundredth of the requests, so that nothing could answer it.

Routes that the old version mostly fails say nothing about the new one and are left out, rare ones need no evidence of their own, and a version that the trial has not shown to be healthy gets the requests that the push can do without.

Not found before the end is a version that is bad on a route with less than 5 in 100 of the requests.

--- a/mulberryhollow/coordination/rollout/bounded.py
+++ b/mulberryhollow/coordination/rollout/bounded.py
@@ -22,6 +22,10 @@
 MAX_TRIAL_REQUESTS = 32
 """Requests of the new version that a trial takes at most."""
 
+JUDGED_USE = 0.7
+"""Share of the trial's requests after which their results are expected to
+show that a version is healthy."""
+
 MIN_TRIAL_SHARE = 0.01
 """Minimum share of the trial, when its requests are spent early."""
 
@@ -68,6 +72,12 @@
         """Earliest time of the push, in Unix seconds."""
         return self.finish_s - self.times.confirm_s
 
+    @property
+    def push_requests(self):
+        """Requests that the smallest push needs."""
+        longest_s = self.times.confirm_s + REACTION_S
+        return MIN_PUSH_SHARE * self.requests_per_s * longest_s
+
     @property
     def push_s(self):
         """Time for which the rest of the requests suffices, in seconds."""
@@ -135,12 +145,13 @@
             f"not enough evidence: judged on {usage.exposed:.0f} requests only"
         )
     match judgement:
-        case verdict.Good(evidence=found) if (
-            found >= bounded_tester.MIN_GOOD_EVIDENCE
-            and now_s >= finish_s - situation.push_s
-        ):
-            return _begin_push(situation, now_s)
-    return _try_out(move, situation, usage.exposed, since_s, now_s)
+        case verdict.Good(evidence=found):
+            is_good = found >= bounded_tester.MIN_GOOD_EVIDENCE
+        case _:
+            is_good = False
+    if is_good and now_s >= finish_s - situation.push_s:
+        return _begin_push(situation, now_s)
+    return _try_out(move, situation, usage.exposed, is_good, since_s, now_s)
 
 
 def _hold_or_end(latest_s, now_s, reason):
@@ -150,8 +161,12 @@
     return schedule.Hold(reason)
 
 
-def _try_out(move, situation, exposed, since_s, now_s):
-    """Choose the share of the trial."""
+def _try_out(move, situation, exposed, is_good, since_s, now_s):
+    """Choose the share of the trial.
+
+    A version that the trial's requests have not shown to be healthy gets
+    those that the push can do without.
+    """
     remaining_s = situation.push_from_s - now_s
     if remaining_s <= ADJUSTMENT_INTERVAL_S and move.share:
         return schedule.Hold("the trial ends soon")
@@ -159,6 +174,8 @@
     budget = min(
         max(TRIAL_USE * planned, MIN_TRIAL_REQUESTS), MAX_TRIAL_REQUESTS
     )
+    if not is_good and exposed >= JUDGED_USE * budget:
+        budget = max(budget, planned - situation.push_requests)
     rate = (budget - exposed) / max(remaining_s, 1.0)
     share = min(
         max(rate / situation.requests_per_s, MIN_TRIAL_SHARE),
--- a/mulberryhollow/coordination/rollout/bounded_tester.py
+++ b/mulberryhollow/coordination/rollout/bounded_tester.py
@@ -26,6 +26,14 @@
 """Share of the requests from which a route needs the full evidence of its own
 that the new version is healthy."""
 
+MIN_SMALL_ROUTE_SHARE = 0.05
+"""Share of the requests from which a route needs any evidence at all; the
+requests that the new version may get need not include one of a rarer route."""
+
+MAX_OLD_FAILED = 0.5
+"""Share of failures of the old version on a route above which its results say
+nothing about the new version."""
+
 MIN_GOOD_EVIDENCE = 1.5
 """Natural logarithm of the evidence of health, over all routes together, that
 a larger share needs."""
@@ -167,11 +175,20 @@
         return [
             test
             for test in self._list_tests()
-            if test.measure.quantile is None
-            or test.measure.quantile == HEALTH_QUANTILE
-            and (test.bucket is not None or not test.route)
+            if self._is_comparable(test.route)
+            and (
+                test.measure.quantile is None
+                or test.measure.quantile == HEALTH_QUANTILE
+                and (test.bucket is not None or not test.route)
+            )
         ]
 
+    def _is_comparable(self, route):
+        """Return whether the old version mostly serves a route."""
+        old = self._last_rows[route].old
+        failed = old.attributed_failures
+        return not route or failed <= MAX_OLD_FAILED * (old.ok + failed)
+
     def _compute_evidence_at_share(self):
         """Return the evidence of health at the current share alone."""
         total = self._last_rows[""]
@@ -194,7 +211,8 @@
         total = self._last_rows[""].old.latency_count
         if results >= MIN_ROUTE_SHARE * total:
             return _LOG_MIN_ROUTE_EVIDENCE
-        if test.measure.quantile is None:
+        is_asked_for = results >= MIN_SMALL_ROUTE_SHARE * total
+        if test.measure.quantile is None and is_asked_for:
             return MIN_SMALL_ROUTE_EVIDENCE
         return _LOG_MAX_AGAINST
 
