--- a/tests/platform/moves.feature
+++ b/tests/platform/moves.feature
@@ -66,3 +66,17 @@
     Then under 60 requests a second it is rolled_back within 8 s
     When e2 fails no more and v2 is ordered for 12 s
     Then under 60 requests a second it is completed within 12 s
+
+  # Guards against a move that never begins because the first write of its
+  # record was lost without an answer.
+  Scenario: A move whose first write is lost is carried out
+    Given the first write of a move's state is lost
+    When v2 is ordered for 12 s and e2 is listed with it
+    Then the state of the move is in_progress within 4 s
+
+  # Guards against the record of an earlier order that is read and driven on
+  # under the revision of the order that replaced it.
+  Scenario: The record of a replaced order is not read as the present one's
+    When v2 is ordered for 12 s and e2 is listed with it
+    Then the state of the move is in_progress within 1 s
+    And its record is read only until another order replaces it
--- a/tests/steps/platform_moves.py
+++ b/tests/steps/platform_moves.py
@@ -6,6 +6,9 @@
 from behave import then
 from behave import when
 
+from mulberryhollow.platform import moves
+from mulberryhollow.platform import store as dialects
+from mulberryhollow.transport import store
 from tools import platform_site
 
 SETTLING_S = 0.5
@@ -196,3 +199,32 @@
     platform_site.wait_until(
         lambda: get_status(context).get("state") == "in_progress", 1.5
     )
+
+
+@given("the first write of a move's state is lost")
+def lose_first_write(context):
+    server = context.site.server
+    lost = iter(["first"])
+
+    def handle(handler, body):
+        if handler.path.endswith("/status") and next(lost, None):
+            handler.close_connection = True
+            return
+        server.handle(handler, body)
+
+    server._server.handle = handle
+
+
+@then("its record is read only until another order replaces it")
+def check_replaced(context):
+    server = context.site.server
+    client = store.StoreClient(
+        server.address, dialect=dialects.PlatformDialect()
+    )
+    records = moves.StatusRecords(client)
+    assert records.get("move", ".s").value
+    context.site.stop()
+    spec = {"service": "s", "target": "v3", "durationS": 9}
+    server.store.put("rollouts", "s", spec)
+    assert get_status(context)["target"] == "v2"
+    assert records.get("move", ".s") is None
