Begin a move whose first write was lost

What callers would see: a good version gets no request and a bad one is never recorded as rolled back, since the order has no state until its deadline and after it.

Cause: the outcome of a write without an answer is resolved by a read. An order without a record gives none, and the actor dropped that result, so the driver read again and again and wrote nothing. Another instance takes over only if its own first write is answered: a store that loses answers for a second or two at the order stops all three.

A read without a record now resolves the write of a move that nobody has driven. If the lost write is executed later, one of the two conflicts, as before.

--- a/mulberryhollow/coordination/rollout/driver.py
+++ b/mulberryhollow/coordination/rollout/driver.py
@@ -143,6 +143,22 @@
         ):
             self._write = None
 
+    def observe_absence(self):
+        """Handle a read that found no record of the move in the store.
+
+        Notes
+        -----
+        For a move that nobody has driven yet, it resolves a write with an
+        unknown outcome as `observe` does: the write has not been applied.
+        The record of any other move was removed or replaced, which is
+        observed before this driver writes again.
+        """
+        if self._monitor.move.epoch:
+            return
+        self._must_read = False
+        if self._write and self._write.is_outcome_unknown:
+            self._write = None
+
     def resolve_write(self, change_id, outcome, now_s):
         """Handle the outcome of a write.
 
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -129,6 +129,13 @@
     outcome: object
 
 
+@attrs.frozen
+class _ReadAbsent:
+    """Result of a read that found no record of a service's move."""
+
+    service: str
+
+
 @attrs.frozen
 class _ListMoves:
     """Query for the moves that the actor follows."""
@@ -288,6 +295,8 @@
                 driver = self._followers[service].driver
                 driver.resolve_write(change_id, outcome, now_s)
                 self._apply_shares(service, now_s)
+            case _ReadAbsent(service):
+                self._followers[service].driver.observe_absence()
             case move_counting.PeerVerdict(data):
                 self._apply_verdict(codec.decode_verdict(data))
             case _ListMoves():
@@ -413,7 +422,7 @@
             case rollout.WriteMove():
                 self._submit(self._write, service, action)
             case rollout.ReadMove(object_name):
-                self._submit(self._read, object_name)
+                self._submit(self._read, service, object_name)
             case rollout.Order():
                 self._submit(self._order, action)
 
@@ -462,14 +471,15 @@
         )
         self.actor_ref.tell(_WriteResolved(service, action.change_id, outcome))
 
-    def _read(self, object_name):
+    def _read(self, service, object_name):
         """Read a record; the read is repeated later if the store is down."""
         try:
             stored = self._dependencies.store.get(KIND, object_name)
         except errors.StoreUnavailableError:
             return
-        if stored is not None:
-            self.actor_ref.tell(MoveRecord(stored))
+        self.actor_ref.tell(
+            _ReadAbsent(service) if stored is None else MoveRecord(stored)
+        )
 
     def _order(self, order):
         """Send an order to an endpoint, unless its deadline has passed."""
