Read no record that an earlier order has left

What callers would see: the version of a replaced order gets requests again for a moment, and the state beside the new order can be that of the old one.

Cause: a new order for a service replaces the spec and leaves the status. A driver that has not seen the new order yet (an instance that receives orders through a collector sees them half a second late) has its write refused, reads the object and takes the former record for one of the new revision. It then ignores the new order, whose planned record has the same revision, and its next write succeeds.

`StatusRecords.get` returns the record only if it is that of the order beside it; the driver waits for the order meanwhile, as for a record that is absent.

--- a/mulberryhollow/platform/moves.py
+++ b/mulberryhollow/platform/moves.py
@@ -119,6 +119,18 @@
         )
 
     def get(self, kind, name):
-        """Read a record, as `StoreClient.get`."""
+        """Read a record, as `StoreClient.get`.
+
+        The record of an earlier order stays beside the order that replaces
+        it, under the revision of the latter; it is not returned.
+        """
         item = self.store.get(ORDER_KIND, name.removeprefix("."))
-        return None if item is None else decode_record(item)
+        record = None if item is None else decode_record(item)
+        try:
+            is_current = record is not None and (
+                records.decode(record.value, record.version).id
+                == decode_order(item).id
+            )
+        except (ValueError, records.MoveFormatError):
+            return None
+        return record if is_current else None
