--- a/tests/steps/serving_resumed_streams.py
+++ b/tests/steps/serving_resumed_streams.py
@@ -170,7 +170,7 @@
     dispatcher.read(
         lambda actor, now_s: (
             actor.view.apply_list(items, now_s),
-            actor.shares.set_service_shares({"s": {"v1": 1.0}}),
+            actor.shares.set_endpoint_counts({"s": {"v1": 6}}),
         )
     )
     codec = endpoint_codec.EndpointCodec()
--- a/tests/steps/serving_stuttering_endpoints.py
+++ b/tests/steps/serving_stuttering_endpoints.py
@@ -39,7 +39,7 @@
     dispatcher.read(
         lambda actor, now_s: (
             actor.view.apply_list(items, now_s),
-            actor.shares.set_service_shares({"s": {"v1": 1.0}}),
+            actor.shares.set_endpoint_counts({"s": {"v1": 6}}),
         )
     )
     codec = codecs.EndpointCodec()
