--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -140,14 +140,16 @@
         found = []
         revision = None
         after = ""
+        asked = {after}
         while revision is None or after:
             call = self._dialect.encode_list(kind, after, is_stale_ok)
             page = self._read_page(kind, call, self._dialect.decode_list)
             found.extend(page.items)
             revision = page.revision if revision is None else revision
-            if page.next_after and page.next_after <= after:
-                raise _make_unavailable_error("a list without an end")
             after = page.next_after
+            if after and after in asked:
+                raise _make_unavailable_error("a list without an end")
+            asked.add(after)
         return revision, found
 
     def watch(self, kind, after, wait_s):
