--- a/mulberryhollow/coordination/rollout/bounded_tester.py
+++ b/mulberryhollow/coordination/rollout/bounded_tester.py
@@ -52,7 +52,7 @@
 _MAX_EXCESS = {
     (verdict.Degradation.FAILING, False): 0.3,
     (verdict.Degradation.FAILING, True): 0.5,
-    (verdict.Degradation.SLOW, False): 0.25,
+    (verdict.Degradation.SLOW, False): 0.2,
     (verdict.Degradation.SLOW, True): 0.5,
 }
 
