--- a/mulberryhollow/platform/endpoints.py
+++ b/mulberryhollow/platform/endpoints.py
@@ -4,9 +4,12 @@
 import math
 import re
 
+from mulberryhollow.coordination import streams
+from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.platform import headers as header_names
 from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.state import decoding
 
 __all__ = ["EndpointCodec"]
 
@@ -16,6 +19,7 @@
 
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
+_REFUSAL_STATUSES = {408, 429, _STATUS_UNAVAILABLE}
 
 MAX_PAUSE_S = 30.0
 """Longest pause that an endpoint is granted, in seconds.
@@ -39,7 +43,7 @@
     "check the version of that service's endpoints",
 )
 
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*([0-9]+)")
 
 
 class EndpointCodec:
@@ -88,10 +92,17 @@
         )
 
     def decode_head(self, status, headers):
-        """Return the AnswerHead for the status and headers of an answer."""
+        """Return the AnswerHead for the status and headers of an answer.
+
+        Raises
+        ------
+        EndpointError
+            Crossed when the answer names more than one request.
+        """
         fields = {name.lower(): value for name, value in headers}
         get = fields.get
         is_misdirected = status == _STATUS_MISDIRECTED
+        has_not_run = is_misdirected or header_names.NOT_RUN.lower() in fields
         return messages.AnswerHead(
             status=status,
             headers=tuple(
@@ -99,9 +110,8 @@
                 for name, value in headers
                 if name.lower() not in header_names.CONNECTION_HEADERS
             ),
-            request_id=get(header_names.ANSWER_REQUEST_ID.lower(), ""),
-            has_not_run=is_misdirected
-            or header_names.NOT_RUN.lower() in fields,
+            request_id=_find_request_id(headers),
+            has_not_run=has_not_run,
             is_other_endpoint=is_misdirected,
             load=self._read_load(get(header_names.LOAD.lower())),
             idle_limit_s=_decode_idle_limit(get("keep-alive", "")),
@@ -113,7 +123,8 @@
             else _decode_rate_limit(get(header_names.RATE_LIMIT.lower())),
             brittle_rejections=None
             if is_misdirected
-            else _decode_count(get(header_names.BRITTLE.lower(), "")),
+            else decoding.parse_count(get(header_names.BRITTLE.lower(), "")),
+            flaw="" if has_not_run else _find_flaw(status, fields),
         )
 
     def _read_load(self, text):
@@ -127,13 +138,40 @@
         return load
 
 
+def _find_request_id(headers):
+    """Return the id of the request that an answer names; empty for none."""
+    name = header_names.ANSWER_REQUEST_ID.lower()
+    found = {value for key, value in headers if key.lower() == name}
+    if len(found) > 1:
+        fault = streams.Crossed(f"answer to requests {sorted(found)}")
+        raise errors.EndpointError(fault)
+    return next(iter(found), "")
+
+
+def _find_flaw(status, fields):
+    """Return why an answer must not be passed on; empty if it may be.
+
+    Callers take a refusal status for the promise that the request has not
+    run and never will, which only the endpoint can give.
+    """
+    if status in _REFUSAL_STATUSES:
+        return f"status {status} for a request that may have run"
+    if not 200 <= status < 300:
+        return ""
+    if not fields.get(header_names.SEAL.lower()):
+        return "a success without a seal"
+    if fields.get("content-encoding", "identity").lower() != "identity":
+        return "a success with an encoded body"
+    return ""
+
+
 def _decode_load(text):
     """Return the Load that an endpoint reports; None for a malformed report.
 
     Figures after the fourth are ignored. A fourth one that cannot be read
     makes the whole report malformed.
     """
-    counts = [_decode_count(each) for each in text.split(",")[:3]]
+    counts = [decoding.parse_count(each) for each in text.split(",")[:3]]
     if len(counts) < 3 or None in counts:
         return None
     figures = text.split(",")[3:4]
@@ -182,12 +220,6 @@
     return messages.RateLimit(min(rate_per_s, MAX_RATE_PER_S))
 
 
-def _decode_count(text):
-    """Return a whole number of 0 or more; None for any other text."""
-    text = text.strip()
-    return int(text) if text.isascii() and text.isdecimal() else None
-
-
 def _decode_idle_limit(text):
     """Return the idle timeout of a connection, in seconds, or None."""
     found = _KEEP_ALIVE_TIMEOUT.search(text.lower())
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -82,6 +82,11 @@
         Longest gap between events, in seconds.
     framing : Framing or None
         Framing of the last answer; None before its head.
+    is_new_connection : bool or None
+        Whether the last answer came over a connection opened for it; None
+        before its head.
+    body_bytes : int
+        Bytes read of all bodies, refusals excepted.
     """
 
     def __init__(self, request, clock, recorder, buffers):
@@ -89,12 +94,15 @@
         self.first_s = 0.0
         self.longest_gap_s = 0.0
         self.framing = None
+        self.is_new_connection = None
+        self.body_bytes = 0
         self._request = request
         self._clock = clock
         self._recorder = recorder
         self._buffers = buffers
         self._reserved_bytes = 0
         self._has_begun = False
+        self._is_resumed = False
         self._event_s = 0.0
         self._waited_s = 0.0
         self._gaps_s = []
@@ -114,6 +122,23 @@
         """Whether an event id is known after which to resume the stream."""
         return bool(self.assembly.last_id)
 
+    def begin_answer(self, answer, is_resumed):
+        """Begin to read an answer whose head has arrived.
+
+        What an earlier one has left unfinished is dropped.
+
+        Parameters
+        ----------
+        answer : OpenAnswer
+            The answer.
+        is_resumed : bool
+            Whether the caller has events that the answer has to continue.
+        """
+        self.assembly.restart()
+        self._is_resumed = is_resumed
+        self.framing = answer.framing
+        self.is_new_connection = answer.is_new_connection
+
     def drain(self, answer):
         """Read a refusal to its end, so that its connection can be reused.
 
@@ -142,6 +167,7 @@
             if not piece:
                 break
             size += len(piece)
+            self.body_bytes += len(piece)
             self._reserve(size)
             pieces.append(piece)
         self._mark_begun()
@@ -195,6 +221,7 @@
         if not piece:
             self._check_stream_end()
             return None
+        self.body_bytes += len(piece)
         found = self.assembly.feed(piece)
         if isinstance(found, streams.Crossed):
             raise errors.EndpointError(found)
@@ -211,7 +238,11 @@
         -----
         An endpoint that closes the connection may not have finished. Its
         events are then the only sign that some of the stream is missing.
+        One that resumes a stream shows by an event that it continues it.
         """
+        if self._is_resumed and not self.assembly.has_id:
+            fault = streams.Broken("the resumed stream has no events")
+            raise errors.EndpointError(fault)
         if self.assembly.is_inside_event:
             fault = streams.Broken("the stream ended inside an event")
             raise errors.EndpointError(fault)
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -8,7 +8,6 @@
 import random
 
 import attrs
-import pykka
 
 from mulberryhollow import events
 from mulberryhollow.serving import attempts
@@ -19,6 +18,7 @@
 from mulberryhollow.serving.dispatch.endpoint_calls import Placed
 from mulberryhollow.serving.dispatch import endpoint_work
 from mulberryhollow.state import endpoints
+from mulberryhollow.transport import actors
 
 __all__ = [
     "DispatchActor",
@@ -51,7 +51,7 @@
     on_cleared: object
 
 
-class DispatchActor(pykka.ThreadingActor):
+class DispatchActor(actors.ResilientActor):
     """Owns the endpoint view and all limits of this instance.
 
     Parameters
@@ -223,6 +223,8 @@
         first_byte_s=None,
         is_answering=False,
         parts=(),
+        has_failed=False,
+        is_abandoned=False,
     ):
         """Release the route of an attempt and report the result.
 
@@ -241,6 +243,8 @@
             Whether part of the answer had been received.
         parts : tuple of str
             Parts of the prompt that other requests may have too.
+        has_failed, is_abandoned : bool
+            As in `AttemptResult`.
 
         Returns
         -------
@@ -264,7 +268,14 @@
         if first_byte_s is None:
             first_byte_s = self._clock.now_s() - route.work.started_at_s
         self.on_attempt_end(
-            attempts.AttemptResult(route, kind, first_byte_s, is_quarantined)
+            attempts.AttemptResult(
+                route,
+                kind,
+                first_byte_s,
+                is_quarantined,
+                has_failed,
+                is_abandoned,
+            )
         )
         return is_quarantined
 
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -5,6 +5,7 @@
 import logging
 
 from mulberryhollow import events
+from mulberryhollow.serving import version_holds
 from mulberryhollow.state import fleet as fleets
 
 __all__ = ["FleetWatcher"]
@@ -12,7 +13,8 @@
 MALFORMED = events.declare(
     4020,
     logging.WARNING,
-    "an entry of the endpoint list is malformed and is ignored",
+    "an entry of the endpoint list is malformed and is ignored; logged once "
+    "until it is well-formed or gone",
     "check the program that wrote the entry",
 )
 LISTED = events.declare(
@@ -50,6 +52,9 @@
     publish_leaving : callable
         ``publish_leaving(endpoint_id, is_listed)`` reports an endpoint that
         accepts no new requests to the peers.
+    holds : VersionHolds or None
+        Holds back the endpoints of a service's new versions; None to use
+        them at once.
 
     Attributes
     ----------
@@ -57,12 +62,21 @@
         Whether a list was read from the store or copied from a peer.
     """
 
-    def __init__(self, decode, dispatcher, clock, publish_leaving):
+    def __init__(
+        self,
+        decode,
+        dispatcher,
+        clock,
+        publish_leaving,
+        holds=None,
+    ):
         self._decode = decode
         self._dispatcher = dispatcher
         self._clock = clock
         self._publish_leaving = publish_leaving
+        self._holds = holds or version_holds.NoHolds()
         self._reported_leaving = set()
+        self._malformed = set()
         self._fleet = fleets.Fleet()
         self.is_known = False
 
@@ -73,12 +87,13 @@
 
     def handle_list(self, items, revision=0):
         """Replace all entries by a complete list."""
+        self._malformed &= {item.name for item in items}
         listed = {item.name: self._decode_entry(item) for item in items}
         gone = self._fleet.replace(listed, self._clock.now_s())
         for listing in gone:
             self._publish_leaving(listing.key, False)
         events.log(LISTED, entries=len(listed))
-        self._apply(listed.values())
+        self._apply(listed.values(), revision)
 
     def handle_changes(self, items):
         """Apply changed and deleted entries, the oldest first."""
@@ -86,6 +101,7 @@
         changed = []
         for item in items:
             if item.is_deleted:
+                self._malformed.discard(item.name)
                 gone = self._fleet.remove(item.name, now_s)
                 if gone is not None:
                     self._publish_leaving(gone.key, False)
@@ -101,9 +117,10 @@
                     service=listing.service,
                     address=listing.address,
                     is_leaving=listing.is_leaving,
-                    version=item.version,
+                    version=listing.version,
+                    revision=item.version,
                 )
-        self._apply(changed)
+        self._apply(changed, max((item.version for item in items), default=0))
 
     def record_recovery(self, at_s):
         """Record when the store was available again after an outage."""
@@ -128,14 +145,22 @@
         self._apply()
 
     def _decode_entry(self, item):
-        """Return the listing of an entry; None if it is malformed."""
+        """Return the listing of an entry; None if it is malformed.
+
+        An entry is logged again only after it was well-formed or gone, since
+        its writer may write it every second.
+        """
         try:
-            return self._decode(item)
+            listing = self._decode(item)
         except ValueError as error:
-            events.log(MALFORMED, entry=item.name, reason=str(error))
+            if item.name not in self._malformed:
+                self._malformed.add(item.name)
+                events.log(MALFORMED, entry=item.name, reason=str(error))
             return None
+        self._malformed.discard(item.name)
+        return listing
 
-    def _apply(self, relisted=()):
+    def _apply(self, relisted=(), revision=0):
         """Send the list to the dispatch actor and report leaving endpoints.
 
         Parameters
@@ -143,17 +168,22 @@
         relisted : iterable of EndpointListing or None
             Entries that the store has just returned; None in place of a
             malformed one.
+        revision : int
+            Revision of the store of the newest of them; 0 if they come from
+            a peer.
         """
         relisted = [each for each in relisted if each is not None]
         self._observe_cold(relisted)
         self.is_known = True
         listings = self.listings
+        self._holds.observe(listings, revision, self._clock.now_s())
         self._dispatcher.change(
             functools.partial(
                 _apply,
                 listings,
                 [each.key for each in relisted],
                 self._fleet.list_cold(),
+                self._holds,
             )
         )
         leaving = {each.key for each in listings if each.is_leaving}
@@ -177,7 +207,7 @@
                     events.log(WARM, endpoint=listing.key)
 
 
-def _apply(listings, relisted, cold, actor, now_s):
+def _apply(listings, relisted, cold, holds, actor, now_s):
     """Apply the list to the view, the prefix index and the version shares.
 
     An endpoint that a peer reported as gone is used again only once the
@@ -191,15 +221,21 @@
         actor.view.set_draining(endpoint_id, False)
     for gone in before - {endpoint.id for endpoint in found}:
         actor.prefixes.drop(gone)
-    version_counts = collections.defaultdict(collections.Counter)
-    for endpoint in found:
-        version_counts[endpoint.service][endpoint.version] += 1
-    actor.shares.set_service_shares(
-        {
-            service: {
-                version: count / sum(counts.values())
-                for version, count in counts.items()
-            }
-            for service, counts in version_counts.items()
-        }
-    )
+    actor.shares.hold_back(holds.held)
+    actor.shares.set_endpoint_counts(_count_versions(found))
+
+
+def _count_versions(endpoints):
+    """Return the number of endpoints of each version, by service.
+
+    Endpoints that are leaving count only where a service has no others.
+    """
+    counts = collections.defaultdict(collections.Counter)
+    staying = [each for each in endpoints if each.state != "leaving"]
+    for endpoint in staying:
+        counts[endpoint.service][endpoint.version] += 1
+    remaining = {each.service for each in staying}
+    for endpoint in endpoints:
+        if endpoint.service not in remaining:
+            counts[endpoint.service][endpoint.version] += 1
+    return counts
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import random
+import threading
 
 import attrs
 
@@ -146,8 +147,10 @@
             dependencies.buffers,
         )
         self._channel = None
+        self._channel_lock = threading.Lock()
         self._is_aborted = False
         self._is_complete = False
+        self._has_server_error = False
         self._outcome = Outcome.LEFT
         self._first_token_s = 0.0
         self._chosen = None
@@ -345,6 +348,7 @@
         if is_failure and self._request.kind.is_repeatable:
             self._failed_answer = head, body
             raise errors.EndpointError(streams.Failed(head.status))
+        self._has_server_error = is_failure
         self._finish()
         self.head, self.body = head, body
 
@@ -395,11 +399,13 @@
                 route, answer.head.brittle_rejections
             )
         self._answer = answer
-        self._reader.framing = answer.framing
+        self._reader.begin_answer(answer, self.head is not None)
         if answer.head.has_not_run:
             self._reader.drain(answer)
             self._close_answer()
             raise errors.EndpointError(_classify_refusal(answer.head))
+        if answer.head.flaw:
+            raise errors.EndpointError(streams.Crossed(answer.head.flaw))
         return answer
 
     def _open_at_peer(self, route):
@@ -429,7 +435,7 @@
         peers = self._dependencies.peers
         answer = peers.client.open(attempt, self._set_channel)
         self._answer = answer
-        self._reader.framing = answer.framing
+        self._reader.begin_answer(answer, self.head is not None)
         head = answer.head
         if head.refusal is not None:
             self._reader.drain(answer)
@@ -451,16 +457,17 @@
 
     def _set_channel(self, channel):
         """Store the channel of the attempt, so that `_abort` can close it."""
-        self._channel = channel
-        if self._is_aborted:
-            channel.abort()
+        with self._channel_lock:
+            self._channel = channel
+            if self._is_aborted:
+                channel.abort()
 
     def _abort(self):
         """Abort the attempt in progress; called in another thread."""
-        self._is_aborted = True
-        channel = self._channel
-        if channel is not None:
-            channel.abort()
+        with self._channel_lock:
+            self._is_aborted = True
+            if self._channel is not None:
+                self._channel.abort()
 
     def _read_first(self):
         """Return the first events of a stream and report their time."""
@@ -541,7 +548,6 @@
             ):
                 raise errors.EndpointError(fault)
             self._require_retry(route, fault)
-            self._reader.assembly.restart()
             while self._answer is None:
                 self._make_attempt(self._continue_stream)
         except (errors.RefusedError, errors.EndpointError) as error:
@@ -561,7 +567,7 @@
         self._attempts.record(fault)
         self._unsent += isinstance(fault, streams.NotSent)
         if self._is_aborted:
-            self._dependencies.dispatcher.finish(route)
+            self._dependencies.dispatcher.finish(route, is_abandoned=True)
             raise errors.CallerDisconnectedError
         failure = attempts.report_fault(
             self._dependencies.dispatcher,
@@ -598,9 +604,7 @@
                     self._request.service
                 ):
                     raise errors.RefusedError(self._refuse_no_capacity())
-        forward_log.log_retried(
-            self._request, route.endpoint_id, fault, self._attempts
-        )
+        forward_log.log_retried(self._request, route, fault, self._attempts)
 
     def _refuse_no_capacity(self, pause_s=0.0, reason=""):
         """Return the refusal for lack of endpoints or of retry budget."""
@@ -620,7 +624,9 @@
         if self._request.is_admitted_by_room and refusal.retry_after_s:
             refusal = self._limit_retry_after(refusal)
         self._outcome = Outcome.REFUSED
-        forward_log.log_request_failed(self._request, refusal, self._attempts)
+        forward_log.log_request_failed(
+            self._request, refusal, self._attempts, self._chosen
+        )
         return errors.RefusedError(refusal)
 
     def _limit_retry_after(self, refusal):
@@ -641,6 +647,9 @@
 
     def _close_answer(self):
         """Close the answer, and so release its connection."""
+        with self._channel_lock:
+            # Once released, the connection may carry another request.
+            self._channel = None
         answer, self._answer = self._answer, None
         if answer is not None:
             answer.close()
@@ -652,7 +661,14 @@
             case peer_forwarding.PeerRoute():
                 self._dependencies.peers.release(route, has_failed)
             case attempts.Route():
-                self._dependencies.dispatcher.finish(route)
+                has_failed = self._outcome is Outcome.BROKEN_OFF or (
+                    self._is_complete and self._has_server_error
+                )
+                self._dependencies.dispatcher.finish(
+                    route,
+                    has_failed=has_failed,
+                    is_abandoned=not (self._is_complete or has_failed),
+                )
 
 
 def _classify_refusal(head):
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connection that forwards requests to an endpoint unchanged."""
 
+import collections
 import contextlib
 import http.client
 import io
@@ -27,6 +28,12 @@
 The part beyond MAX_TRANSFER_BYTES is for chunk sizes and trailers.
 """
 
+MAX_REMEMBERED_IDS = 64
+"""Number of requests whose ids a connection remembers.
+
+A late answer mostly belongs to one of the last requests.
+"""
+
 _FORBIDDEN_CHARACTERS = re.compile(r"[\r\n\0]")
 _MALFORMED_ERRORS = (http.client.HTTPException, ValueError)
 
@@ -39,6 +46,16 @@
     connection : urllib3.connection.HTTPConnection
         An open connection.
 
+    Attributes
+    ----------
+    earlier_requests : int
+        Number of requests sent before the last one.
+    is_in_step : bool
+        Whether each answer was one to the request that waited. Set to False
+        by the reader of the answers; the connection is then not reused.
+    is_request_complete : bool
+        Whether the last request was sent to its end.
+
     Notes
     -----
     An endpoint may send more bytes than the response has. They stay in the
@@ -52,7 +69,12 @@
         self._source = bounded_reader.BoundedReader(self.sock)
         self._reader = io.BufferedReader(self._source)
         self._response = None
-        self._is_request_complete = True
+        self._guard = None
+        self.is_request_complete = True
+        self.is_in_step = True
+        self._is_aborted = False
+        self.earlier_requests = -1
+        self._request_ids = collections.deque(maxlen=MAX_REMEMBERED_IDS)
 
     @classmethod
     def open(cls, address, timeout_s):
@@ -87,9 +109,15 @@
         except (OSError, ValueError):
             return False
 
+    def has_carried(self, request_id):
+        """Return whether an attempt of a request was sent here lately."""
+        return request_id in self._request_ids
+
     def send(self, call, timeout_s):
         """Send a request until its end or until an early response arrives.
 
+        Nothing is sent when bytes have arrived before the request.
+
         Parameters
         ----------
         call : EndpointCall
@@ -103,7 +131,9 @@
             NotSent when no byte has been sent, else Broken or Silent.
         """
         data = memoryview(_encode_head(call) + call.body)
-        self._response = None
+        self._response = self._guard = None
+        self.earlier_requests += 1
+        self._request_ids.append(call.request_id)
         self.sock.settimeout(timeout_s)
         sent = 0
         while sent < len(data):
@@ -117,13 +147,16 @@
                     )
                 if ready & select.POLLIN and sent:
                     break
+                if ready & select.POLLIN:
+                    fault = streams.NotSent("bytes came before the request")
+                    raise errors.EndpointError(fault)
                 sent += self.sock.send(data[sent : sent + MAX_TRANSFER_BYTES])
             except OSError as error:
                 raise _classify_error(error, sent, timeout_s) from error
-        self._is_request_complete = sent == len(data)
+        self.is_request_complete = sent == len(data)
 
     def receive(self, method, timeout_s):
-        """Return (status, headers) of the next response.
+        """Return (status, headers) of the next response, but no interim one.
 
         Parameters
         ----------
@@ -138,14 +171,10 @@
             Broken, Silent, or Crossed when the bytes are not an HTTP response.
         """
         self._source.allow(MAX_HEAD_BYTES, timeout_s)
-        reader = _SharedReader(self._reader)
-        response = http.client.HTTPResponse(
-            _ReaderSocket(reader), method=method
-        )
         try:
-            response.begin()
-            reader.require_line_end()
-            _check_framing(response)
+            response = self._read_head(method)
+            while response.status < http.client.OK:
+                response = self._read_head(method)
         except http.client.RemoteDisconnected as error:
             fault = streams.Broken("connection closed without a response")
             raise errors.EndpointError(fault) from error
@@ -160,6 +189,18 @@
         self._response = response
         return response.status, tuple(response.getheaders())
 
+    def _read_head(self, method):
+        """Return the next response with its head."""
+        reader = _SharedReader(self._reader)
+        response = http.client.HTTPResponse(
+            _ReaderSocket(reader), method=method
+        )
+        response.begin()
+        reader.require_line_end()
+        _check_lines(response)
+        _check_framing(response)
+        return response
+
     def read_piece(self, timeout_s):
         """Return the next bytes of the body; empty once it is complete.
 
@@ -172,12 +213,12 @@
         ------
         EndpointError
             Broken, also when the body is incomplete, Silent, or Crossed for
-            a chunk size or trailers without end.
+            a chunk size or trailers without end and for a second answer.
         """
         response = self._response
         try:
             self._source.allow(MAX_PIECE_BYTES, timeout_s)
-            piece = response.read1(MAX_TRANSFER_BYTES)
+            piece = self._read_checked()
         except bounded_reader.ByteLimitError as error:
             fault = streams.Crossed("chunk size or trailers without an end")
             raise errors.EndpointError(fault) from error
@@ -185,12 +226,35 @@
             raise _make_incomplete_error(repr(error)) from error
         except OSError as error:
             raise _classify_error(error, 1, timeout_s) from error
+        if not piece and self._is_aborted:
+            raise _make_incomplete_error("the connection was shut down here")
         if not piece and response.length:
             raise _make_incomplete_error(
                 f"{response.length} bytes are missing"
             )
         return piece
 
+    def guard_body(self, guard):
+        """Check the body of the last response for a second answer.
+
+        Parameters
+        ----------
+        guard : AppendedAnswerGuard
+            Gets each piece of the body.
+        """
+        self._guard = guard
+
+    def _read_checked(self):
+        """Return the next bytes of the body that are not held back."""
+        guard = self._guard
+        if guard is None:
+            return self._response.read1(MAX_TRANSFER_BYTES)
+        guard.check()
+        while piece := self._response.read1(MAX_TRANSFER_BYTES):
+            if checked := guard.feed(piece):
+                return checked
+        return guard.finish()
+
     @property
     def framing(self):
         """Framing of the last response."""
@@ -204,18 +268,20 @@
     def is_reusable(self):
         """Whether the connection can carry another request.
 
-        False when the last request was not sent to its end, and when the
-        last response closes the connection.
+        False when the last request was not sent to its end, when the last
+        response closes the connection, and out of step.
         """
         response = self._response
         return (
-            self._is_request_complete
+            self.is_request_complete
+            and self.is_in_step
             and response is not None
             and not response.will_close
         )
 
     def abort(self):
         """Shut the socket down, so that a blocked read or write fails."""
+        self._is_aborted = True
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
 
@@ -278,6 +344,19 @@
         """Do nothing: the channel closes the reader."""
 
 
+def _check_lines(response):
+    """Raise HTTPException when the head has a line that is no header.
+
+    `http.client` ignores such a line and all headers after it, and so takes
+    the body that another head announces for that of the first.
+    """
+    defects = response.headers.defects
+    if defects:
+        raise http.client.HTTPException(f"malformed header: {defects!r}")
+    if response.status == http.client.SWITCHING_PROTOCOLS:
+        raise http.client.HTTPException("another protocol follows")
+
+
 def _check_framing(response):
     """Raise HTTPException when the end of the body cannot be told.
 
--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -8,6 +8,7 @@
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.protocol import endpoints as messages
+from mulberryhollow.state import decoding
 from mulberryhollow.transport import connection as connections
 
 __all__ = ["EndpointClient"]
@@ -44,7 +45,7 @@
 
     def __init__(self, clock):
         self._clock = clock
-        self._pool = connections.ConnectionPool(clock)
+        self._pool = connections.ConnectionPool(clock, is_usable=_is_silent)
 
     def generate(self, address, call, timeout_s):
         """Run one attempt on a model engine; yield its lines.
@@ -322,6 +323,11 @@
         raise errors.EndpointError(streams.RefusedByEndpoint(reason))
 
 
+def _is_silent(connection):
+    """Return whether nothing waits to be read on an idle connection."""
+    return not urllib3.util.wait_for_read(connection.sock, timeout=0.0)
+
+
 def _send(connection, method, path, body, timeout_s):
     """Send a request; return the response once its head has arrived."""
     try:
@@ -373,7 +379,7 @@
     made when `request_id` is None or the refusal names no request.
     """
     try:
-        fields = json.loads(response.read())
+        fields = decoding.decode_json(response.read())
         named = fields.get("request_id", request_id)
         reason = str(fields.get("reason", ""))
     except (*_TRANSFER_ERRORS, AttributeError) as error:
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -1,10 +1,15 @@
 """Client that forwards requests to endpoints."""
 
+import logging
+
 import attrs
 
 from mulberryhollow.coordination import forwarding
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
+from mulberryhollow import events
+from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.transport import appended_answers
 from mulberryhollow.transport import channel as channels
 from mulberryhollow.transport import connection as connections
 
@@ -20,7 +25,11 @@
 """Idle limit assumed when the endpoint announces none, in seconds."""
 
 MIN_ERROR_STATUS = 400
-"""Lowest status of an error response, which may lack the request id."""
+"""Lowest status of an error response, which may lack the request id.
+
+It is believed only as the first answer on a connection: on others it may be
+a late one to an earlier request.
+"""
 
 MAX_STALE_ANSWERS = 2
 """Largest number of stale answers to skip while waiting for a response.
@@ -31,6 +40,13 @@
 MAX_STALE_BYTES = 1 << 20
 """Largest number of bytes of a stale answer's body to skip."""
 
+OUT_OF_STEP = events.declare(
+    4080,
+    logging.WARNING,
+    "an endpoint sent an answer that cannot be matched to the request",
+    "if it repeats, check the endpoint for answers that it sends twice",
+)
+
 
 @attrs.frozen
 class Attempt:
@@ -67,11 +83,16 @@
         ``decode_head(status, headers)`` returns an AnswerHead.
     clock : Clock
         Source of time, for the idle time of connections.
+    is_id_required : bool
+        Whether an error without a request id is believed only as the first
+        answer on a connection. Peers answer in order, and their refusals name
+        no request.
     """
 
-    def __init__(self, codec, clock):
+    def __init__(self, codec, clock, is_id_required=True):
         self._codec = codec
         self._clock = clock
+        self._is_id_required = is_id_required
         self._pool = connections.ConnectionPool(
             clock,
             open_connection=channels.EndpointChannel.open,
@@ -100,9 +121,15 @@
             on_channel(channel)
             channel.send(attempt.call, attempt.wait_s)
             head = self._receive_head(channel, attempt)
+            if channel.framing is messages.Framing.CONNECTION_CLOSE:
+                channel.guard_body(self._make_guard(channel))
         except BaseException as error:
             channel.close()
-            if not is_new and _is_silent(error):
+            if not is_new and _has_fault(error, streams.NotSent):
+                # Bytes or the end of the connection came after the check.
+                fresh = attrs.evolve(attempt, is_fresh=True)
+                return self.open(fresh, on_channel)
+            if not is_new and _has_fault(error, streams.Silent):
                 # The path may be lost: the other idle connections to the
                 # endpoint would fail in the same way, only after a request
                 # has been sent on them.
@@ -121,32 +148,61 @@
         return True
 
     def _acquire_channel(self, attempt):
-        """Return the channel for an attempt, and whether it is new."""
+        """Return the channel for an attempt, and whether it is new.
+
+        One that has carried an earlier attempt of the request is closed:
+        the answers of both attempts have the same id.
+        """
         connect_s = min(attempt.connect_s, attempt.wait_s)
         if attempt.is_fresh:
             channel = channels.EndpointChannel.open(attempt.address, connect_s)
             return channel, True
-        return self._pool.acquire(attempt.address, connect_s, connect_s)
+        while True:
+            channel, is_new = self._pool.acquire(
+                attempt.address, connect_s, connect_s
+            )
+            if not channel.has_carried(attempt.call.request_id):
+                return channel, is_new
+            channel.close()
 
     def _receive_head(self, channel, attempt):
         """Return the head of the response, skipping stale answers.
 
         All of them together may take the time that the attempt may wait.
+        The connection is not reused after one. When a request was not sent to
+        its end before it came, the endpoint waits for the rest, and so the
+        attempt ends.
         """
         end_s = self._clock.now_s() + attempt.wait_s
+        is_first = channel.earlier_requests == 0 or not self._is_id_required
         for _ in range(1 + MAX_STALE_ANSWERS):
             status, headers = channel.receive(
                 attempt.call.method, end_s - self._clock.now_s()
             )
             head = self._codec.decode_head(status, headers)
-            is_expected = head.request_id == attempt.call.request_id
             has_no_id = not head.request_id and status >= MIN_ERROR_STATUS
-            if is_expected or has_no_id:
+            is_expected = head.request_id == attempt.call.request_id
+            if is_expected or (has_no_id and is_first):
                 return head
+            _log_out_of_step(channel, attempt, head)
+            channel.is_in_step = is_first = False
+            if has_no_id or not channel.is_request_complete:
+                fault = streams.Crossed(
+                    f"status {status} for request {head.request_id or '?'}"
+                )
+                raise errors.EndpointError(fault)
             self._skip_body(channel, end_s)
         fault = streams.Crossed(f"answer to request {head.request_id}")
         raise errors.EndpointError(fault)
 
+    def _make_guard(self, channel):
+        """Return the guard of a body that ends with the connection."""
+        return appended_answers.AppendedAnswerGuard(
+            lambda status, headers: channel.has_carried(
+                self._codec.decode_head(status, headers).request_id
+            )
+        )
+
     def _skip_body(self, channel, end_s):
         """Read the body of a stale answer to its end.
 
@@ -166,10 +222,22 @@
         raise errors.EndpointError(fault)
 
 
-def _is_silent(error):
-    """Return whether an attempt got no answer on its connection."""
+def _log_out_of_step(channel, attempt, head):
+    """Log an answer that does not carry the id of the request."""
+    events.log(
+        OUT_OF_STEP,
+        request=attempt.call.request_id,
+        address=attempt.address,
+        answer_request=head.request_id,
+        status=head.status,
+        earlier_requests=channel.earlier_requests,
+    )
+
+
+def _has_fault(error, kind):
+    """Return whether an attempt ended with a kind of fault."""
     is_fault = isinstance(error, errors.EndpointError)
-    return is_fault and isinstance(error.fault, streams.Silent)
+    return is_fault and isinstance(error.fault, kind)
 
 
 class OpenAnswer:
--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -6,6 +6,7 @@
 
 from mulberryhollow import errors
 from mulberryhollow.protocol import object_api
+from mulberryhollow.state import decoding
 from mulberryhollow.state import objects
 from mulberryhollow.transport import bounded_pool
 
@@ -19,7 +20,6 @@
 _NOT_FOUND = 404
 _GONE = 410
 _REMEDY = "retry when the platform responds again"
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 
 
 def make_change_id():
@@ -111,12 +111,9 @@
         if response.status == _NOT_FOUND:
             return None
         self._check_status(response)
-        try:
-            return self._dialect.decode_get(kind, name, response)
-        except _DECODE_ERRORS as error:
-            raise _make_unavailable_error(
-                f"malformed object: {error!r}"
-            ) from error
+        return _decode(
+            "object", self._dialect.decode_get, kind, name, response
+        )
 
     def list_objects(self, kind, is_stale_ok=False):
         """Read every object of a kind.
@@ -143,12 +140,16 @@
         found = []
         revision = None
         after = ""
+        asked = {after}
         while revision is None or after:
             call = self._dialect.encode_list(kind, after, is_stale_ok)
             page = self._read_page(kind, call, self._dialect.decode_list)
             found.extend(page.items)
             revision = page.revision if revision is None else revision
             after = page.next_after
+            if after and after in asked:
+                raise _make_unavailable_error("a list without an end")
+            asked.add(after)
         return revision, found
 
     def watch(self, kind, after, wait_s):
@@ -204,6 +205,32 @@
             )
         )
 
+    def put_status(self, kind, name, status, expected_version):
+        """Write the status of an object if its version is the expected one.
+
+        Only dialects of stores that support a status encode this call.
+
+        Parameters
+        ----------
+        kind, name : str
+            Kind and name of the object.
+        status : dict
+            New status. It names the change that writes it, which resolves an
+            unknown outcome.
+        expected_version : int
+            Version of the object that was read before.
+
+        Returns
+        -------
+        WriteApplied, WriteRejected or WriteOutcomeUnknown
+            As for `put`.
+        """
+        return self._write(
+            self._dialect.encode_put_status(
+                kind, name, status, expected_version
+            )
+        )
+
     def delete(self, kind, name, expected_version):
         """Remove an object if its version is the expected one.
 
@@ -253,12 +280,7 @@
                 "list all objects of the kind again",
             )
         self._check_status(response)
-        try:
-            return decode(kind, response)
-        except _DECODE_ERRORS as error:
-            raise _make_unavailable_error(
-                f"malformed list: {error!r}"
-            ) from error
+        return _decode("list", decode, kind, response)
 
     def _write(self, call):
         """Return the outcome of a call that changes an object."""
@@ -293,6 +315,21 @@
             raise _make_unavailable_error(f"status {response.status}")
 
 
+def _decode(what, decode, *arguments):
+    """Return the decoded answer of the object API.
+
+    Raises
+    ------
+    StoreUnavailableError
+        When it is malformed.
+    """
+    try:
+        with decoding.convert_errors(what):
+            return decode(*arguments)
+    except ValueError as error:
+        raise _make_unavailable_error(str(error)) from error
+
+
 def _make_unavailable_error(reason):
     """Return the error for an object API without a usable response."""
     return errors.StoreUnavailableError(
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -25,6 +25,8 @@
 class PlatformStore:
     """Objects with revisions, conditional writes, paged lists and watches.
 
+    A write that changes nothing keeps the revision and produces no event.
+
     Parameters
     ----------
     statuses : list of int
@@ -38,6 +40,8 @@
         Revision, kind, object and whether it was deleted, in order.
     calls : list of tuple
         Method and path of each call.
+    texts : dict
+        JSON text by the marker that stands for it in a spec, both as bytes.
     """
 
     statuses: list = attrs.field(factory=list)
@@ -45,6 +49,7 @@
     objects: dict = attrs.field(factory=dict)
     events: list = attrs.field(factory=list)
     calls: list = attrs.field(factory=list)
+    texts: dict = attrs.field(factory=dict)
     _lock: object = attrs.field(factory=threading.Lock)
 
     def request(self, method, path, body=None, headers=None, timeout=None):
@@ -57,13 +62,26 @@
             query = dict(urllib.parse.parse_qsl(split.query))
             segments = split.path.strip("/").split("/")[2:]
             fields = json.loads(body) if body else {}
-            return self._answer(method, segments, query, fields)
+            answer = self._answer(method, segments, query, fields)
+            return attrs.evolve(answer, data=self._insert_texts(answer.data))
+
+    def _insert_texts(self, data):
+        """Return an answer's body with the texts in place of the markers."""
+        for marker, text in self.texts.items():
+            data = data.replace(marker, text)
+        return data
 
     def put(self, kind, name, spec):
         """Write an object on behalf of another client."""
         with self._lock:
             return self._store(kind, name, spec)
 
+    def put_text(self, kind, name, text):
+        """Write an object whose spec is JSON text that is passed on as is."""
+        marker = f"text {len(self.texts)}"
+        self.texts[json.dumps(marker).encode()] = text
+        return self.put(kind, name, marker)
+
     def remove(self, kind, name):
         """Remove an object on behalf of another client."""
         with self._lock:
@@ -74,6 +92,7 @@
     def _answer(self, method, segments, query, fields):
         """Return the answer to a call."""
         kind, name = segments[0], segments[1] if len(segments) > 1 else ""
+        part = segments[2] if len(segments) > 2 else "spec"
         stored = self.objects.get((kind, name))
         match method:
             case "GET" if "watch" in query:
@@ -92,18 +111,30 @@
             case "PUT" if stored is None:
                 return Answer(404, b"{}")
             case "PUT":
-                expected = fields["metadata"]["revision"]
-                if stored["metadata"]["revision"] != expected:
+                expected = fields["metadata"].get("revision")
+                if expected not in (None, stored["metadata"]["revision"]):
                     return _encode(stored, 409)
-                return _encode(self._store(kind, name, fields["spec"]))
+                return _encode(self._store(kind, name, fields[part], part))
 
-    def _store(self, kind, name, spec):
-        """Write an object with the next revision; return the object."""
+    def _store(self, kind, name, value, part="spec"):
+        """Write a part of an object at the next revision; return the object.
+
+        The object is created if it does not exist.
+        """
+        stored = self.objects.get((kind, name))
+        if stored is not None and stored[part] == value:
+            return stored
         self.revision += 1
+        created = stored["metadata"]["created"] if stored else self.revision
         item = {
-            "metadata": {"name": name, "revision": self.revision},
-            "spec": spec,
-            "status": None,
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "created": created,
+            },
+            "spec": stored and stored["spec"],
+            "status": stored and stored["status"],
+            part: value,
         }
         self.objects[kind, name] = item
         self.events.append((self.revision, kind, item, False))
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -95,7 +95,7 @@
         answer = self.store.request(handler.command, handler.path, body)
         until_s = time.monotonic() + 2.0
         while "watch=" in handler.path and time.monotonic() < until_s:
-            if answer.status != 200 or json.loads(answer.data)["events"]:
+            if answer.status != 200 or b'"events": []' not in answer.data:
                 break
             time.sleep(WATCH_POLL_INTERVAL_S)
             answer = self.store.request(handler.command, handler.path, body)
@@ -116,6 +116,8 @@
         Headers, path and body of each request that ran.
     is_full : bool
         Whether requests are refused with 503 and ``Not-Executed``.
+    is_failing : bool
+        Whether requests run and are answered with 500.
     loses_answers : bool
         Whether requests run but the connection closes without an answer.
     rate_limit : str
@@ -128,6 +130,7 @@
         self.identity = identity
         self.received = []
         self.is_full = False
+        self.is_failing = False
         self.loses_answers = False
         self.rate_limit = ""
         self.disconnected_clients = 0
@@ -150,7 +153,9 @@
             handler.close_connection = True
             return
         answer_headers |= {"Response-Seal": f"seal {self.identity}"}
-        if "/stream/" in handler.path:
+        if self.is_failing:
+            handler.reply(500, answer_headers, b"failed")
+        elif "/stream/" in handler.path:
             self._stream(handler, answer_headers)
         elif "/slow/" in handler.path:
             self._answer_late(handler, answer_headers)
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -160,7 +160,7 @@
         actor.view.apply_list(self.listings.values(), fleet.clock.now_s())
         actor.view.set_cold_rates(fleet.cold_rates)
         actor.endpoint_rates.cold_rules = COLD_RULES
-        actor.shares.set_service_shares({"s": {"v1": 1.0}})
+        actor.shares.set_endpoint_counts({"s": {"v1": 1}})
         self.peers = peer_forwarding.PeerForwarding(
             self.dispatcher,
             types.SimpleNamespace(open=self.open_at_peer),
@@ -214,6 +214,7 @@
             return types.SimpleNamespace(
                 head=codec.decode_head(reply.status, reply.headers),
                 framing=messages.Framing.LENGTH,
+                is_new_connection=True,
                 read_piece=lambda timeout_s: b"",
                 close=lambda: None,
             )
@@ -225,6 +226,7 @@
         return types.SimpleNamespace(
             head=head,
             framing=messages.Framing.CHUNKS,
+            is_new_connection=True,
             read_piece=lambda timeout_s: next(pieces, b""),
             close=forwarding.close,
         )
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -89,12 +89,52 @@
     Then the caller gets events 1 to 4 without a break
     And the second attempt requested the events after event 2
 
+  # Guards against a success that is not the endpoint's own answer, without its
+  # seal or with a body that was encoded, reaching the caller.
+  Scenario Outline: A success that is not the endpoint's own is no answer
+    Given a forwarder whose endpoints answer in turn: <answer>, whole
+    When a <kind> request is forwarded
+    Then <end>
+
+    Examples:
+      | answer   | kind           | end                                                   |
+      | unsealed | IDEMPOTENT     | the caller gets "hello" after 2 attempts              |
+      | encoded  | IDEMPOTENT     | the caller gets "hello" after 2 attempts              |
+      | unsealed | NON_IDEMPOTENT | the forwarded request ends as UNKNOWN after 1 attempts |
+      | encoded  | NON_IDEMPOTENT | the forwarded request ends as UNKNOWN after 1 attempts |
+
+  # Guards against callers that are told "not run" by the status of an endpoint
+  # that has run their request.
+  Scenario Outline: A status that promises too much is not passed on
+    Given a forwarder whose endpoints answer in turn: <answer>, whole
+    When a NON_IDEMPOTENT request is forwarded
+    Then the forwarded request ends as UNKNOWN after 1 attempts
+
+    Examples:
+      | answer       |
+      | unproved 408 |
+      | unproved 429 |
+      | unproved 503 |
+
   # Guards against the head of a stream without a whole event being passed on.
   Scenario: A stream that ends inside its first event is no answer
     Given a forwarder whose endpoints answer in turn: stream cut inside its first event
     When a STREAM request is forwarded
     Then the forwarded request ends as UNKNOWN after 1 attempts
 
+  # Guards against the rest of an event, from an endpoint that broke off, in
+  # front of the first event of the next endpoint.
+  Scenario: A resumable stream that ends inside its first event begins anew
+    Given a forwarder whose endpoints answer in turn: stream cut inside its first event, whole stream
+    When a RESUMABLE_STREAM request is forwarded
+    Then the caller gets events 1 to 4 without a break
+
+  # Guards against the loss of events that arrive together with a gap.
+  Scenario: A stream with a gap in its first bytes begins anew
+    Given a forwarder whose endpoints answer in turn: stream with a gap at its start, whole stream
+    When a RESUMABLE_STREAM request is forwarded
+    Then the caller gets events 1 to 4 without a break
+
   # Guards against a connection that closes after the head of a stream being
   # taken for an answer without events.
   Scenario: A stream without framing that ends before its first event is no answer
@@ -127,6 +167,21 @@
     When a IDEMPOTENT request is forwarded
     Then the peers are told of no endpoint that leaves
 
+  # Guards against a number in a header that ends the actor which chooses the
+  # endpoints, and with it all requests.
+  Scenario Outline: An odd number in an answer ends nothing
+    Given a forwarder whose endpoints answer in turn: <answer>
+    When a IDEMPOTENT request is forwarded
+    And 5 more IDEMPOTENT requests are answered whole
+    Then the caller of the last of them gets "hello"
+
+    Examples:
+      | answer           |
+      | many running     |
+      | many queued      |
+      | many slots       |
+      | a long number    |
+
   # Guards against requests at an endpoint that has asked for a pause: only a
   # circuit that opens after several refusals kept them away.
   Scenario Outline: An endpoint that asks for a pause gets nothing until its end
@@ -173,6 +228,13 @@
     When a IDEMPOTENT request of a disconnected caller is forwarded
     Then nothing is sent to an endpoint
 
+  # Guards against the answer of another request being cut, on a connection that
+  # an earlier attempt of the caller who left has given back.
+  Scenario: A caller that leaves does not end a connection that others may use
+    Given a forwarder whose endpoints answer in turn: refused, whole
+    When the caller of a request leaves before its second attempt is connected
+    Then only the connection of the second attempt is aborted
+
   Scenario: Whatever happens, no load stays counted
     Given a forwarder whose endpoints answer in turn: broken, refused, silent, failed, half stream
     When 5 requests of different kinds are forwarded
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -35,6 +35,8 @@
     "stream closed after its head": (200, [], None),
     "stream without framing": (200, list(map(event, (1, 2, 3, 4))), None),
     "stream cut inside its first event": (200, [b"id: 1\ndata: x\n"], None),
+    "whole stream": (200, list(map(event, (1, 2, 3, 4))), None),
+    "stream with a gap at its start": (200, [event(1) + event(3)], None),
 }
 FAULTS = {
     "unsent": streams.NotSent("no connection"),
@@ -43,10 +45,20 @@
 }
 
 
+SEAL = ("Response-Seal", "s")
 LEAVING = ("Server-Leaving", "1")
 PAUSE = ("Retry-After", "2")
 HEADS = {
-    "leaving": (200, (LEAVING,)),
+    "many running": (200, (SEAL, ("Instance-Load", "9" * 400 + ",1,8"))),
+    "many queued": (200, (SEAL, ("Instance-Load", "1," + "9" * 400 + ",8"))),
+    "many slots": (200, (SEAL, ("Instance-Load", "1,1," + "9" * 400))),
+    "a long number": (200, (SEAL, ("Instance-Load", "1,1," + "9" * 5000))),
+    "leaving": (200, (LEAVING, SEAL)),
+    "unsealed": (200, ()),
+    "unproved 408": (408, (SEAL,)),
+    "unproved 429": (429, (SEAL,)),
+    "unproved 503": (503, (SEAL,)),
+    "encoded": (200, (SEAL, ("Content-Encoding", "gzip"))),
     "leaving refused": (503, (LEAVING, ("Not-Executed", "1"))),
     "leaving failed": (500, (LEAVING,)),
     "leaving moved": (421, (LEAVING,)),
@@ -81,6 +93,15 @@
         pass
 
 
+class Channel:
+    """Connection that another request uses once its answer is closed."""
+
+    is_aborted = False
+
+    def abort(self):
+        self.is_aborted = True
+
+
 class Client:
     """Gives the next scripted outcome to each attempt."""
 
@@ -89,9 +110,15 @@
         self.calls = []
         self.broken = set()
         self.lost = ""
+        self.channels = []
+        self.on_open = []
 
     def open(self, attempt, on_channel):
         self.calls.append(attempt.call)
+        if self.on_open:
+            self.on_open.pop(0)()
+        self.channels.append(Channel())
+        on_channel(self.channels[-1])
         outcome = self.outcomes.pop(0)
         if outcome == "broken":
             self.broken.add(attempt.address)
@@ -164,7 +191,7 @@
     context.dispatcher.read(
         lambda actor, now_s: (
             actor.view.apply_list(items, now_s),
-            actor.shares.set_service_shares({"s": {"v1": 1.0}}),
+            actor.shares.set_endpoint_counts({"s": {"v1": 1}}),
         )
     )
     context.told_leaving = []
@@ -291,6 +318,23 @@
     assert 0 < context.error.refusal.retry_after_s <= seconds
 
 
+@when("the caller of a request leaves before its second attempt is connected")
+def forward_leaving(context):
+    def leave():
+        context.is_gone = True
+        context.forwarder._dependencies.watch.poll()
+
+    context.is_gone = False
+    context.client.on_open = [lambda: None, leave]
+    forward(context, "IDEMPOTENT", lambda: context.is_gone)
+
+
+@then("only the connection of the second attempt is aborted")
+def check_aborted(context):
+    aborted = [each.is_aborted for each in context.client.channels]
+    assert aborted == [False, True], aborted
+
+
 @when("{count:d} more {kind} requests meet pausing endpoints")
 def forward_to_pausing(context, count, kind):
     context.client.outcomes = ["pausing refused"] * 4 * count
@@ -336,6 +380,12 @@
     assert len(set(names)) == len(names), names
 
 
+@then('the caller of the last of them gets "{text}"')
+def check_last_answer(context, text):
+    assert context.error is None, context.error
+    assert context.body == text.encode(), context.body
+
+
 @then("the forwarded request ends as {ran} after {count:d} attempts")
 def check_forward_refused(context, ran, count):
     assert isinstance(context.error, errors.RefusedError), context.error
