Hold the younger version back at a start too

Cause: the versions of the first list were never held back, on the ground that no callers are accepted before the orders are known. Readiness waits for them; requests of the load balancer's other choices and of peers don't.

Of the first list, the version of the endpoint that started first is in use now, and the others wait for the orders as of their entries, 4 s at most.

Evidence: the new scenario of tests/serving/shares.feature failed before and passes now.

--- a/mulberryhollow/serving/version_holds.py
+++ b/mulberryhollow/serving/version_holds.py
@@ -28,7 +28,9 @@
     The endpoints and the orders are followed by different watches, so an
     endpoint of an ordered version may be seen before its order. A version
     that its service did not have is held back until the orders are known as
-    of the entry of its first endpoint.
+    of the entry of its first endpoint. Of the versions that a service has in
+    the first list, that of the endpoint that started first is in use, and the
+    others are held back.
 
     Attributes
     ----------
@@ -37,8 +39,7 @@
 
     Notes
     -----
-    The versions of the first list are not held back: an instance does not
-    accept callers before it knows the orders. Thread-safe.
+    Thread-safe.
     """
 
     def __init__(self):
@@ -59,11 +60,15 @@
         now_s : float
             Monotonic time, in seconds.
         """
-        found = {(each.service, each.version) for each in listings}
+        by_start = sorted(listings, key=lambda each: each.started_ms)
+        found = dict.fromkeys(
+            (each.service, each.version) for each in by_start
+        )
+        oldest = dict(reversed(found))
         with self._lock:
             for service, version in found:
-                versions = self._known[service]
-                if versions and version not in versions:
+                used = self._known.get(service, {oldest[service]})
+                if version not in used:
                     self._since[service, version] = revision, now_s
             for service, version in found:
                 self._known[service].add(version)
--- a/tests/serving/shares.feature
+++ b/tests/serving/shares.feature
@@ -60,6 +60,14 @@
     When the orders are known as of revision 20
     Then versions v1 and v2 get requests
 
+  # Guards against an instance that starts during a move and gives the new
+  # version its share of the endpoints until it has read the order.
+  Scenario: The younger version at the start waits for the orders too
+    Given a fleet watcher that starts with e1 of v1 and a younger e2 of v2
+    Then version v2 gets no requests
+    When the orders are known as of revision 10
+    Then versions v1 and v2 get requests
+
   Scenario: A new version doesn't wait for orders that cannot be read
     Given a fleet watcher that holds back new versions
     When e2 is listed with version v2 at revision 20
--- a/tests/steps/serving_shares.py
+++ b/tests/steps/serving_shares.py
@@ -120,7 +120,7 @@
     assert set(context.repeats) == {"e1"}, context.repeats
 
 
-def make_item(name, version, revision, is_deleted=False):
+def make_item(name, version, revision, is_deleted=False, born=5):
     fields = {
         "service": "s",
         "address": "10.0.0.1:80",
@@ -128,7 +128,7 @@
         "version": version,
         "slots": 4,
         "state": "ready",
-        "born": 5,
+        "born": born,
     }
     return objects.StoredObject(
         "servers", name, revision, json.dumps(fields).encode(), "", is_deleted
@@ -136,7 +136,17 @@
 
 
 @given("a fleet watcher that holds back new versions")
-def make_holding_watcher(context):
+def make_usual_watcher(context):
+    make_holding_watcher(context, make_item("e1", "v1", 10))
+
+
+@given("a fleet watcher that starts with e1 of v1 and a younger e2 of v2")
+def make_late_watcher(context):
+    younger = make_item("e2", "v2", 9, born=7)
+    make_holding_watcher(context, younger, make_item("e1", "v1", 10))
+
+
+def make_holding_watcher(context, *items):
     context.hold_clock = clocks.ManualClock()
     context.holds = version_holds.VersionHolds()
     context.version_shares = shares.VersionShares()
@@ -148,7 +158,8 @@
         lambda endpoint_id, is_listed: None,
         context.holds,
     )
-    context.holding.handle_list([make_item("e1", "v1", 10)], 10)
+    context.holding.handle_list(items, 10)
+    context.version_shares.hold_back(context.holds.held)
 
 
 class _View(list):
