Name the separator of a published record once

No behaviour changes. tests/serving/ordered_moves, move_counting and layers: 37 passed. The whole suite was not repeated.

--- a/mulberryhollow/serving/move_counting.py
+++ b/mulberryhollow/serving/move_counting.py
@@ -20,10 +20,14 @@
     "MovingServices",
     "PeerCounters",
     "PeerVerdict",
+    "RECORD_SEPARATOR",
 ]
 
 TOPIC = "move.counters"
 
+RECORD_SEPARATOR = b"\n"
+"""Stands between the change id and the record in a published fact."""
+
 CALL_TIMEOUT_S = 0.4
 """Timeout of a report of counters, in seconds."""
 
@@ -278,7 +282,7 @@
 
     def _receive_record(self, fact):
         """Send a peer's record of a move to the actor."""
-        change_id, _, value = fact.value.partition(b"\n")
+        change_id, _, value = fact.value.partition(RECORD_SEPARATOR)
         stored = objects.StoredObject(
             self._kind,
             fact.key,
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -50,9 +50,6 @@
 
 _STORE_THREADS = 4
 
-# Stands between the change id and the record in a published fact.
-_SEPARATOR = b"\n"
-
 _DELETED = "the order of the move was deleted"
 
 MALFORMED = events.declare(
@@ -534,7 +531,9 @@
             facts.Topic.MOVE,
             stored.name,
             stored.version,
-            stored.change_id.encode() + _SEPARATOR + stored.value,
+            stored.change_id.encode()
+            + move_counting.RECORD_SEPARATOR
+            + stored.value,
             RECORD_EXPIRY_S,
         )
 
