Stand-in: a platform store that comes back from an older copy

The users' pages name it, and no stand-in played it: the store continues from a copy, what was written since is gone, its revisions are given out again, and Store-Era in all answers rises by one. A watch from a revision that the store does not have gets 410.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["Answer", "PlatformStore"]
+__all__ = ["Answer", "PlatformStore", "StoreCopy"]
 
 # Maximum number of objects in one page of a list.
 PAGE_SIZE = 3
@@ -21,11 +21,22 @@
     headers: dict = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class StoreCopy:
+    """Content of a `PlatformStore` at one time."""
+
+    revision: int
+    objects: dict
+    events: tuple
+
+
 @attrs.define
 class PlatformStore:
     """Objects with revisions, conditional writes, paged lists and watches.
 
-    A write that changes nothing keeps the revision and produces no event.
+    A write that changes nothing keeps the revision and produces no event. A
+    store that is restored from a copy has lost what was written since, and
+    gives its revisions out again.
 
     Parameters
     ----------
@@ -42,6 +53,8 @@
         Method and path of each call.
     texts : dict
         JSON text by the marker that stands for it in a spec, both as bytes.
+    era : int
+        Value of ``Store-Era`` in all answers; 0 to send none.
     """
 
     statuses: list = attrs.field(factory=list)
@@ -50,20 +63,24 @@
     events: list = attrs.field(factory=list)
     calls: list = attrs.field(factory=list)
     texts: dict = attrs.field(factory=dict)
+    era: int = 0
     _lock: object = attrs.field(factory=threading.Lock)
 
     def request(self, method, path, body=None, headers=None, timeout=None):
         """Execute one call; return its Answer."""
         with self._lock:
             self.calls.append((method, path))
+            headers = {"Store-Era": str(self.era)} if self.era else {}
             if self.statuses:
-                return Answer(self.statuses.pop(0), b"{}")
+                return Answer(self.statuses.pop(0), b"{}", headers)
             split = urllib.parse.urlsplit(path)
             query = dict(urllib.parse.parse_qsl(split.query))
             segments = split.path.strip("/").split("/")[2:]
             fields = json.loads(body) if body else {}
             answer = self._answer(method, segments, query, fields)
-            return attrs.evolve(answer, data=self._insert_texts(answer.data))
+            return attrs.evolve(
+                answer, data=self._insert_texts(answer.data), headers=headers
+            )
 
     def _insert_texts(self, data):
         """Return an answer's body with the texts in place of the markers."""
@@ -71,6 +88,21 @@
             data = data.replace(marker, text)
         return data
 
+    def copy(self):
+        """Return a copy of the content, as a backup takes it."""
+        with self._lock:
+            return StoreCopy(
+                self.revision, dict(self.objects), tuple(self.events)
+            )
+
+    def restore(self, saved):
+        """Continue from a `StoreCopy`; the era rises by one."""
+        with self._lock:
+            self.revision = saved.revision
+            self.objects = dict(saved.objects)
+            self.events = list(saved.events)
+            self.era += 1
+
     def put(self, kind, name, spec):
         """Write an object on behalf of another client."""
         with self._lock:
@@ -155,9 +187,11 @@
     def _watch(self, kind, after):
         """Return the events of a kind after a revision.
 
-        The status is 410 when the events just after it are no longer kept.
+        The status is 410 when the events just after it are no longer kept,
+        or the store does not have the revision.
         """
-        if self.events and after < self.events[0][0] - 1:
+        is_dropped = self.events and after < self.events[0][0] - 1
+        if is_dropped or after > self.revision:
             return Answer(410, b"{}")
         events = [
             {"object": item, "deleted": is_deleted}
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -99,7 +99,7 @@
                 break
             time.sleep(WATCH_POLL_INTERVAL_S)
             answer = self.store.request(handler.command, handler.path, body)
-        handler.reply(answer.status, {}, answer.data)
+        handler.reply(answer.status, answer.headers, answer.data)
 
 
 class PlatformEndpoint(_Server):
