Log when the store comes back from an older copy

Answers' era (Store-Era on the users' platform) is read and logged once when it rises (9014); nothing else goes by it yet.

--- a/mulberryhollow/platform/store.py
+++ b/mulberryhollow/platform/store.py
@@ -48,6 +48,8 @@
     not keep the others from being read.
     """
 
+    era_header = "Store-Era"
+
     def __init__(self):
         self._has_logged = False
 
--- a/mulberryhollow/protocol/object_api.py
+++ b/mulberryhollow/protocol/object_api.py
@@ -62,8 +62,20 @@
     -----
     Decoders raise any error that `decoding.convert_errors` knows for an
     answer that cannot be read; the client turns it into its own error.
+
+    Attributes
+    ----------
+    era_header : str
+        Header in which answers state the store's era. It rises each time the
+        store comes back from an older copy.
     """
 
+    era_header = "X-Era"
+
+    def decode_era(self, answer):
+        """Return the store's era in an answer; None without a usable one."""
+        return decoding.parse_count(answer.headers.get(self.era_header, ""))
+
     def encode_get(self, kind, name, is_stale_ok):
         """Return the call that reads one object."""
         return StoreCall("GET", f"/v1/objects/{kind}/{name}")
--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -1,10 +1,13 @@
 """Client of the platform's object API."""
 
+import logging
+import threading
 import uuid
 
 import urllib3
 
 from mulberryhollow import errors
+from mulberryhollow import events
 from mulberryhollow.protocol import object_api
 from mulberryhollow.state import decoding
 from mulberryhollow.state import objects
@@ -21,6 +24,14 @@
 _GONE = 410
 _REMEDY = "retry when the platform responds again"
 
+RESTORED = events.declare(
+    9014,
+    logging.WARNING,
+    "the store has come back from an older copy: what was written since the "
+    "copy is lost",
+    "look for orders and configurations that have to be written again",
+)
+
 
 def make_change_id():
     """Return an id for one write, unique over all instances."""
@@ -76,6 +87,11 @@
     dialect : ObjectDialect or None
         Encodes requests and decodes responses; the default dialect of this
         project when None.
+
+    Attributes
+    ----------
+    era : int or None
+        Highest era of the store that an answer has named; None before.
     """
 
     def __init__(self, address, timeout_s=2.0, dialect=None):
@@ -85,6 +101,8 @@
         self._pool = bounded_pool.BoundedPool(
             host, port, maxsize=_MAX_CONNECTIONS, retries=False
         )
+        self._lock = threading.Lock()
+        self.era = None
 
     def get(self, kind, name, is_stale_ok=False):
         """Read one object.
@@ -301,13 +319,25 @@
         timeout = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT_S, read_s), read=read_s
         )
-        return self._pool.request(
+        response = self._pool.request(
             call.method,
             call.path,
             body=call.body,
             headers=call.headers,
             timeout=timeout,
         )
+        self._observe_era(self._dialect.decode_era(response))
+        return response
+
+    def _observe_era(self, era):
+        """Record the era that an answer names, or None; log when it rises."""
+        with self._lock:
+            known = self.era
+            if era is None or (known is not None and era <= known):
+                return
+            self.era = era
+        if known is not None:
+            events.log(RESTORED, era=era, previous=known)
 
     def _check_status(self, response):
         """Raise StoreUnavailableError for a status other than 200."""
