--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -42,3 +42,63 @@
     Given a store with the platform's dialect
     When the objects of a kind are followed and the history is lost
     Then the list is read twice and no object is missed
+
+  # Guards against versions that go backwards, which made a fencing token fall
+  # and a newer configuration look stale.
+  Scenario: What is written after a restore has a later version
+    Given a store with the platform's dialect
+    When an object is written twice, and once more after a restore
+    Then its version has increased each time
+
+  # Guards against changes that a watch never reports, since their revisions
+  # were given out again behind the revision that it waits for.
+  Scenario Outline: A watch from before a restore has lost its history
+    Given a store with the platform's dialect
+    When a watch begins and the store is restored, with <count> writes since
+    Then the watch fails with a lost-history error
+
+    Examples:
+      | count |
+      | 0     |
+      | 1     |
+      | 2     |
+      | 6     |
+
+  # Guards against a write that replaces another one's, whose revision is equal
+  # by chance.
+  Scenario Outline: A write on a version from before a restore is a conflict
+    Given a store with the platform's dialect
+    When an object's version from before a restore is given out again
+    And an instance that <knowledge> writes on the earlier version
+    Then the write was a conflict
+
+    Examples:
+      | knowledge              |
+      | has seen the restore   |
+      | has not seen it        |
+
+  # Guards against an answer that was on its way during the restore.
+  Scenario: An answer from before a restore is not used after it
+    Given a store with the platform's dialect
+    When the store answers from before a restore, after an answer of now
+    Then the late answer counts as none
+
+  # Guards against a list that mixes objects of before and after.
+  Scenario: A list whose pages come from before and after a restore is no list
+    Given a store with the platform's dialect
+    When the store is restored between two pages of a list
+    Then the list counts as not answered
+
+  # Guards against a follower that hears nothing more, and one that keeps what
+  # was lost.
+  Scenario Outline: A follower has the objects of the restored store
+    Given a store with the platform's dialect
+    When objects are followed through a restore, with <count> writes since
+    Then the follower has the objects that the store has
+
+    Examples:
+      | count |
+      | 0     |
+      | 1     |
+      | 2     |
+      | 6     |
--- a/tests/steps/platform_store.py
+++ b/tests/steps/platform_store.py
@@ -1,3 +1,7 @@
+import contextlib
+import json
+import types
+
 from behave import given
 from behave import then
 from behave import when
@@ -101,12 +105,13 @@
 def drop_history(context):
     context.platform.put("k", "a", {"x": 1})
     context.platform.statuses = [410]
+    context.revision = 1
 
 
 @then("the watch fails with a lost-history error")
 def check_history_lost(context):
     try:
-        context.client.watch("k", 1, 0.0)
+        context.client.watch("k", context.revision, 0.0)
     except errors.HistoryLostError:
         return
     raise AssertionError("the watch was answered")
@@ -150,3 +155,169 @@
 def check_followed_list(context):
     assert context.follower.lists == 2
     assert context.follower.names == {"a", "b"}
+
+
+def write_object(context, value, name="a"):
+    """Write an object of another client and return it as read."""
+    context.platform.put("k", name, {"x": value})
+    return context.client.get("k", name)
+
+
+@when("an object is written twice, and once more after a restore")
+def write_over_restore(context):
+    context.platform.era = 1
+    first = write_object(context, 1)
+    saved = context.platform.copy()
+    second = write_object(context, 2)
+    context.platform.restore(saved)
+    context.versions = [
+        each.version for each in (first, second, write_object(context, 3))
+    ]
+
+
+@then("its version has increased each time")
+def check_increasing(context):
+    versions = context.versions
+    assert versions == sorted(set(versions)), versions
+
+
+@when("a watch begins and the store is restored, with {count:d} writes since")
+def watch_over_restore(context, count):
+    context.platform.era = 1
+    write_object(context, 1)
+    saved = context.platform.copy()
+    write_object(context, 2)
+    context.revision, _ = context.client.list_objects("k")
+    context.platform.restore(saved)
+    for number in range(count):
+        context.platform.put("k", f"b{number}", {"x": number})
+
+
+@when("an object's version from before a restore is given out again")
+def give_out_again(context):
+    context.platform.era = 1
+    write_object(context, 1)
+    saved = context.platform.copy()
+    context.earlier = write_object(context, 2)
+    context.platform.restore(saved)
+    context.platform.put("k", "a", {"x": 3})
+
+
+@when("an instance that {knowledge} writes on the earlier version")
+def write_on_earlier(context, knowledge):
+    if knowledge == "has seen the restore":
+        context.client.get("k", "a")
+    context.outcome = store.put_and_resolve(
+        context.client, "k", "a", b"late", context.earlier.version
+    )
+
+
+@then("the write was a conflict")
+def check_restored_conflict(context):
+    assert isinstance(context.outcome, objects.WriteRejected), context.outcome
+    assert context.outcome.reason == "conflict", context.outcome
+
+
+@when("the store answers from before a restore, after an answer of now")
+def answer_late(context):
+    context.platform.era = 1
+    write_object(context, 1)
+    context.platform.restore(context.platform.copy())
+    context.client.get("k", "a")
+    context.platform.era = 1
+    context.reads = [
+        lambda: context.client.get("k", "a"),
+        lambda: context.client.get("k", "absent"),
+        lambda: context.client.list_objects("k"),
+    ]
+
+
+@then("the late answer counts as none")
+def check_late_answer(context):
+    for read in context.reads:
+        try:
+            found = read()
+        except errors.StoreUnavailableError:
+            continue
+        raise AssertionError(found)
+    outcome = context.client.put("k", "b", b"x", 0, "c1")
+    assert isinstance(outcome, objects.WriteOutcomeUnknown), outcome
+
+
+@when("the store is restored between two pages of a list")
+def restore_between_pages(context):
+    context.platform.era = 1
+    for number in range(7):
+        context.platform.put("k", f"n{number}", {"x": number})
+    request = context.platform.request
+
+    def restore_first(method, path, **options):
+        if "after=" in path and context.platform.era == 1:
+            context.platform.restore(context.platform.copy())
+        return request(method, path, **options)
+
+    context.client._pool = types.SimpleNamespace(request=restore_first)
+
+
+@then("the list counts as not answered")
+def check_no_list(context):
+    try:
+        found = context.client.list_objects("k")
+    except errors.StoreUnavailableError:
+        return
+    raise AssertionError(found)
+
+
+class CopyingFollower:
+    """Keeps a copy of the objects that it is told of."""
+
+    def __init__(self):
+        self.values = {}
+
+    def handle_list(self, items, revision):
+        self.values = {}
+        self.handle_changes(items)
+
+    def handle_changes(self, items):
+        for each in items:
+            if each.is_deleted:
+                self.values.pop(each.name, None)
+            else:
+                self.values[each.name] = each.value
+
+    def record_recovery(self, at_s):
+        pass
+
+
+@when("objects are followed through a restore, with {count:d} writes since")
+def follow_over_restore(context, count):
+    context.platform.era = 1
+    context.follower = CopyingFollower()
+    follow = watch.ObjectFollower(
+        context.client, "k", clocks.ManualClock(), context.follower
+    )
+    context.platform.put("k", "a", {"x": 1})
+    follow.read()
+    saved = context.platform.copy()
+    context.platform.put("k", "a", {"x": 2})
+    context.platform.put("k", "lost", {"x": 1})
+    follow.read()
+    context.platform.restore(saved)
+    for number in range(count):
+        context.platform.put("k", f"b{number}", {"x": number})
+    for _ in range(3):
+        with contextlib.suppress(errors.HistoryLostError):
+            follow.read()
+
+
+@then("the follower has the objects that the store has")
+def check_followed_objects(context):
+    found = {
+        name: json.loads(value)
+        for name, value in context.follower.values.items()
+    }
+    stored = {
+        name: item["spec"]
+        for (_, name), item in context.platform.objects.items()
+    }
+    assert found == stored, (found, stored)
