Let versions hold the store's era

Cause: a version was the store's revision. A store that comes back from an older copy gives its revisions out again, so a lower one was taken for stale, an equal one for the same, and a condition on an earlier one could hold by chance.

Fix: a version holds the era in its higher bits, formed and taken apart in StoreClient only, so every comparison stays one of two integers. A watch, write or page across a restore is a lost history, a conflict or no answer. Versions of a store without eras are its revisions, as before.

What the lease, the usage reports, configurations, followers and endpoints need beyond it are faults of their own.

--- a/mulberryhollow/platform/store.py
+++ b/mulberryhollow/platform/store.py
@@ -147,7 +147,9 @@
             decoding.convert_errors("answer to a write"),
         ):
             fields = decoding.decode_json_parts(answer.data, _OBJECT_LEVELS)
-            return decoding.get_integer(fields["metadata"], "revision")
+            return decoding.get_integer(
+                fields["metadata"], "revision", highest=objects.MAX_REVISION
+            )
         return 0
 
     def _decode_all(self, kind, items):
@@ -198,7 +200,9 @@
         kind,
         decoding.check_name(metadata["name"], "name"),
         # "revision" is the store's revision at the last change of the object.
-        decoding.get_integer(metadata, "revision"),
+        decoding.get_integer(
+            metadata, "revision", highest=objects.MAX_REVISION
+        ),
         value,
         change_id,
         is_deleted or bool(metadata.get("deletionPending")),
--- a/mulberryhollow/protocol/object_api.py
+++ b/mulberryhollow/protocol/object_api.py
@@ -74,7 +74,8 @@
 
     def decode_era(self, answer):
         """Return the store's era in an answer; None without a usable one."""
-        return decoding.parse_count(answer.headers.get(self.era_header, ""))
+        number = decoding.parse_count(answer.headers.get(self.era_header, ""))
+        return None if number is None else objects.limit_era(number)
 
     def encode_get(self, kind, name, is_stale_ok):
         """Return the call that reads one object."""
--- a/mulberryhollow/state/objects.py
+++ b/mulberryhollow/state/objects.py
@@ -5,12 +5,67 @@
 import attrs
 
 __all__ = [
+    "MAX_REVISION",
     "StoredObject",
     "WriteApplied",
     "WriteOutcomeUnknown",
     "WriteRejected",
+    "get_era",
+    "get_revision",
+    "limit_era",
+    "make_version",
 ]
 
+_REVISION_BITS = 40
+
+MAX_REVISION = 2**_REVISION_BITS - 1
+"""Highest revision of the store that a version can hold."""
+
+_ERA_BITS = 22
+
+
+def make_version(era, revision):
+    """Return the version for a revision that the store gave out in an era.
+
+    A store that comes back from an older copy begins a new era and gives its
+    revisions out again. Versions of a later era are higher than all earlier
+    ones; those of a store without eras are its revisions.
+
+    Parameters
+    ----------
+    era : int
+        The era, see `limit_era`; 0 for a store that names none.
+    revision : int
+        The revision.
+
+    Raises
+    ------
+    ValueError
+        If the revision is out of range.
+    """
+    if not 0 <= revision <= MAX_REVISION:
+        raise ValueError(f"revision {revision} is out of range")
+    return era << _REVISION_BITS | revision
+
+
+def limit_era(number):
+    """Return the era for the number by which a store names it.
+
+    Eras rise by one. Their lower bits suffice to order them, and versions
+    have to fit into the 64 bits that peers exchange.
+    """
+    return number % 2**_ERA_BITS
+
+
+def get_era(version):
+    """Return the era of the store in which a version was given out."""
+    return version >> _REVISION_BITS
+
+
+def get_revision(version):
+    """Return the revision that the store calls a version, within its era."""
+    return version & MAX_REVISION
+
 
 @attrs.frozen
 class StoredObject:
@@ -21,7 +76,7 @@
     kind, name : str
         Kind and name, which together identify the object.
     version : int
-        Revision of the store at the object's last write; strictly
+        Version of the object's last write, see `make_version`; strictly
         increasing.
     value : bytes
         Content, at most one megabyte.
--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -4,6 +4,7 @@
 import threading
 import uuid
 
+import attrs
 import urllib3
 
 from mulberryhollow import errors
@@ -65,8 +66,8 @@
     change_id = make_change_id()
     outcome = store.put(kind, name, value, expected_version, change_id)
     if isinstance(outcome, objects.WriteOutcomeUnknown):
-        return store.resolve_write(kind, name, change_id)
-    return outcome
+        outcome = store.resolve_write(kind, name, change_id)
+    return _check_condition(outcome, expected_version)
 
 
 def split_address(address):
@@ -75,9 +76,16 @@
     return host, int(port)
 
 
+class _LateAnswerError(urllib3.exceptions.HTTPError):
+    """An answer comes from before a restore that a later one has named."""
+
+
 class StoreClient:
     """Client for reads, conditional writes and watches of objects.
 
+    The versions that it returns and accepts hold the store's era, see
+    `objects.make_version`: they never fall, and none is given out twice.
+
     Parameters
     ----------
     address : str
@@ -125,13 +133,14 @@
             When the platform gave no usable response.
         """
         call = self._dialect.encode_get(kind, name, is_stale_ok)
-        response = self._read(call)
+        response, era = self._read(call)
         if response.status == _NOT_FOUND:
             return None
         self._check_status(response)
-        return _decode(
+        found = _decode(
             "object", self._dialect.decode_get, kind, name, response
         )
+        return _add_era(found, era)
 
     def list_objects(self, kind, is_stale_ok=False):
         """Read every object of a kind.
@@ -146,8 +155,8 @@
         Returns
         -------
         tuple
-            Revision of the store as of the first page, so that a watch
-            from this revision misses nothing, and the list of
+            Version of the store as of the first page, so that a watch
+            from this version misses nothing, and the list of
             StoredObject.
 
         Raises
@@ -156,46 +165,55 @@
             When the platform gave no usable response.
         """
         found = []
-        revision = None
+        version = None
         after = ""
         asked = {after}
-        while revision is None or after:
+        while version is None or after:
             call = self._dialect.encode_list(kind, after, is_stale_ok)
             page = self._read_page(kind, call, self._dialect.decode_list)
             found.extend(page.items)
-            revision = page.revision if revision is None else revision
+            version = page.revision if version is None else version
+            if objects.get_era(page.revision) != objects.get_era(version):
+                raise _make_unavailable_error("it was restored meanwhile")
             after = page.next_after
             if after and after in asked:
                 raise _make_unavailable_error("a list without an end")
             asked.add(after)
-        return revision, found
+        return version, found
 
     def watch(self, kind, after, wait_s):
-        """Wait for changes of a kind later than a revision.
+        """Wait for changes of a kind later than a version.
 
         Parameters
         ----------
         kind : str
             Kind of object.
         after : int
-            Revision already seen.
+            Version of the store already seen; 0 for all objects.
         wait_s : float
             Longest time that the platform waits for a change, in seconds.
 
         Returns
         -------
         tuple
-            Revision of the store and the list of changed StoredObject.
+            Version of the store and the list of changed StoredObject.
 
         Raises
         ------
         HistoryLostError
-            When the store has dropped changes later than the revision.
+            When the store has dropped changes later than the version, or was
+            restored since.
         StoreUnavailableError
             When the platform gave no usable response.
         """
-        call = self._dialect.encode_watch(kind, after, wait_s)
+        if after and self._is_earlier(after):
+            raise _make_history_error(kind)
+        call = self._dialect.encode_watch(
+            kind, objects.get_revision(after), wait_s
+        )
         page = self._read_page(kind, call, self._dialect.decode_watch, wait_s)
+        if after and objects.get_era(page.revision) != objects.get_era(after):
+            raise _make_history_error(kind)
         return page.revision, list(page.items)
 
     def put(self, kind, name, value, expected_version, change_id):
@@ -218,9 +236,10 @@
             Never raises for an unreachable platform.
         """
         return self._write(
-            self._dialect.encode_put(
-                kind, name, value, expected_version, change_id
-            )
+            expected_version,
+            lambda revision: self._dialect.encode_put(
+                kind, name, value, revision, change_id
+            ),
         )
 
     def put_status(self, kind, name, status, expected_version):
@@ -244,9 +263,10 @@
             As for `put`.
         """
         return self._write(
-            self._dialect.encode_put_status(
-                kind, name, status, expected_version
-            )
+            expected_version,
+            lambda revision: self._dialect.encode_put_status(
+                kind, name, status, revision
+            ),
         )
 
     def delete(self, kind, name, expected_version):
@@ -258,7 +278,8 @@
             As for `put`; an absent object counts as a conflict.
         """
         return self._write(
-            self._dialect.encode_delete(kind, name, expected_version)
+            expected_version,
+            lambda revision: self._dialect.encode_delete(kind, name, revision),
         )
 
     def resolve_write(self, kind, name, change_id):
@@ -282,8 +303,12 @@
             return objects.WriteApplied(found.version)
         return objects.WriteRejected("conflict", found.version)
 
+    def _is_earlier(self, version):
+        """Return whether a version is from before the last known restore."""
+        return objects.get_era(version) < (self.era or 0)
+
     def _read(self, call, wait_s=0.0):
-        """Return the response to a call that changes nothing."""
+        """Return the response to a call that changes nothing, and its era."""
         try:
             return self._send(call, wait_s)
         except urllib3.exceptions.HTTPError as error:
@@ -291,19 +316,35 @@
 
     def _read_page(self, kind, call, decode, wait_s=0.0):
         """Return the ObjectPage of a list or watch call."""
-        response = self._read(call, wait_s)
+        response, era = self._read(call, wait_s)
         if response.status == _GONE:
-            raise errors.HistoryLostError(
-                f"the object API has dropped the change history of {kind}",
-                "list all objects of the kind again",
-            )
+            raise _make_history_error(kind)
         self._check_status(response)
-        return _decode("list", decode, kind, response)
+        page = _decode("list", decode, kind, response)
+        return object_api.ObjectPage(
+            _decode("revision", objects.make_version, era, page.revision),
+            tuple(_add_era(each, era) for each in page.items),
+            page.next_after,
+        )
+
+    def _write(self, expected_version, encode):
+        """Return the outcome of a call that changes an object.
+
+        A version from before a restore is a conflict: the store may have
+        given its revision out again.
 
-    def _write(self, call):
-        """Return the outcome of a call that changes an object."""
+        Parameters
+        ----------
+        expected_version : int
+            Version that the object must have; 0 if it must not exist.
+        encode : callable
+            Given the revision of that version, returns the call.
+        """
+        if expected_version and self._is_earlier(expected_version):
+            return objects.WriteRejected("conflict")
+        call = encode(objects.get_revision(expected_version))
         try:
-            response = self._send(call)
+            response, era = self._send(call)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -311,10 +352,22 @@
             return objects.WriteRejected("unavailable")
         except urllib3.exceptions.HTTPError as error:
             return objects.WriteOutcomeUnknown(str(error))
-        return self._dialect.classify_write(response)
+        outcome = self._dialect.classify_write(response)
+        try:
+            return _check_condition(
+                _add_era_to_outcome(outcome, era), expected_version
+            )
+        except ValueError as error:
+            return objects.WriteOutcomeUnknown(str(error))
 
     def _send(self, call, wait_s=0.0):
-        """Return the response to a call, whatever its status."""
+        """Return the response to a call, whatever its status, and its era.
+
+        Raises
+        ------
+        urllib3.exceptions.HTTPError
+            Also for an answer from before a restore that is known already.
+        """
         read_s = self._timeout_s + wait_s
         timeout = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT_S, read_s), read=read_s
@@ -326,18 +379,28 @@
             headers=call.headers,
             timeout=timeout,
         )
-        self._observe_era(self._dialect.decode_era(response))
-        return response
+        return response, self._observe_era(self._dialect.decode_era(response))
 
     def _observe_era(self, era):
-        """Record the era that an answer names, or None; log when it rises."""
+        """Return the era of an answer; record and log one that is new.
+
+        Parameters
+        ----------
+        era : int or None
+            Era that the answer names; None if it names none, which is then
+            the known one.
+        """
         with self._lock:
             known = self.era
-            if era is None or (known is not None and era <= known):
-                return
-            self.era = era
-        if known is not None:
+            if era is not None and (known is None or era > known):
+                self.era = era
+        if era is None:
+            return known or 0
+        if known is not None and era < known:
+            raise _LateAnswerError(f"an answer of era {era} in era {known}")
+        if known is not None and era > known:
             events.log(RESTORED, era=era, previous=known)
+        return era
 
     def _check_status(self, response):
         """Raise StoreUnavailableError for a status other than 200."""
@@ -345,6 +408,53 @@
             raise _make_unavailable_error(f"status {response.status}")
 
 
+def _add_era(item, era):
+    """Return a StoredObject whose version holds the era of the store."""
+    if not era:
+        return item
+    version = _decode("object", objects.make_version, era, item.version)
+    return attrs.evolve(item, version=version)
+
+
+def _add_era_to_outcome(outcome, era):
+    """Return the outcome of a write, whose version holds the era.
+
+    Raises
+    ------
+    ValueError
+        If its revision is out of range.
+    """
+    match outcome:
+        case objects.WriteApplied(revision):
+            return objects.WriteApplied(objects.make_version(era, revision))
+        case objects.WriteRejected(reason, revision) if revision:
+            version = objects.make_version(era, revision)
+            return objects.WriteRejected(reason, version)
+    return outcome
+
+
+def _check_condition(outcome, expected_version):
+    """Return the outcome of a conditional write, checked for its era.
+
+    A write that the store applied in a later era than that of the expected
+    version met another object's revision by chance.
+    """
+    match outcome:
+        case objects.WriteApplied(version) if expected_version and (
+            objects.get_era(version) != objects.get_era(expected_version)
+        ):
+            return objects.WriteRejected("conflict", version)
+    return outcome
+
+
+def _make_history_error(kind):
+    """Return the error for changes that the store does not have."""
+    return errors.HistoryLostError(
+        f"the object API has dropped the change history of {kind}",
+        "list all objects of the kind again",
+    )
+
+
 def _decode(what, decode, *arguments):
     """Return the decoded answer of the object API.
 
