Choose the ports of a test site together, so that they differ

Another process that took the port in between is not ruled out for the run that failed.

The ports are now all kept open until the last one is found.

--- a/tests/mixed_site.py
+++ b/tests/mixed_site.py
@@ -115,7 +115,7 @@
         configuration = platform_site.make_configuration(1)
         configuration["tenants"][0] |= {"ratePerS": 1e4, "burst": 1e4}
         self.server.store.put("config", "main", configuration)
-        self._ports = [processes.find_free_port() for _ in range(5)]
+        self._ports = processes.find_free_ports(5)
         self.instances = [
             Instance(f"edge-{number}", f"127.0.1.{number}")
             for number in range(1, count + 1)
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -65,7 +65,7 @@
             self.write_endpoint_record(name)
         self.configure(1)
         self.callers_port, self.ready_port, *other_ports = (
-            processes.find_free_port() for _ in range(5)
+            processes.find_free_ports(5)
         )
         _, self.peer_port, self.forward_port = other_ports
         self._numbers = itertools.count()
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -14,7 +14,13 @@
 
 import attrs
 
-__all__ = ["Child", "Fleet", "StartError", "find_free_port"]
+__all__ = [
+    "Child",
+    "Fleet",
+    "StartError",
+    "find_free_port",
+    "find_free_ports",
+]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _START_TIMEOUT_S = 20.0
@@ -221,22 +227,35 @@
 
 
 def find_free_port():
-    """Return a port that is currently free on loopback.
+    """Return a port that is currently free on loopback."""
+    return find_free_ports(1)[0]
+
+
+def find_free_ports(count):
+    """Return different ports that are currently free on loopback.
 
     Raises
     ------
     StartError
-        When all attempts hit ports that are in use.
+        When too many attempts hit ports that are in use.
 
     Notes
     -----
-    The port lies below the range that the system assigns to outgoing
-    connections, so that a process can listen on it again after a restart.
+    The ports lie below the range that the system assigns to outgoing
+    connections, so that a process can listen on them again after a restart.
     """
     generator = random.SystemRandom()
-    for _ in range(_PORT_ATTEMPTS):
-        port = generator.randrange(*_PORT_RANGE)
-        with contextlib.suppress(OSError):
-            socket.create_server(("127.0.0.1", port)).close()
-            return port
+    found = []
+    with contextlib.ExitStack() as listeners:
+        for _ in range(count * _PORT_ATTEMPTS):
+            port = generator.randrange(*_PORT_RANGE)
+            with contextlib.suppress(OSError):
+                # A listener that stays open until the end keeps the port from
+                # being chosen twice.
+                listeners.enter_context(
+                    socket.create_server(("127.0.0.1", port))
+                )
+                found.append(port)
+            if len(found) == count:
+                return found
     raise StartError("no free port was found")
