Order configurations by the operator's number before the version

What callers saw: a configuration that had been confirmed came back older.

Cause: the active document was the one whose stored object has the highest version. After a restore of the store the copy's older configuration has a later version, since its era is later, and was put into force and published to the peers, whose newer one it replaced in the gossip.

Fix: a document with a number is ordered by the number, then by the version; one without is ordered by its version as before. The newest one written again is compared and changes nothing. A later version with a lower number (event 6010) or with the same number and another content (event 6011) is logged; of the two contents the later written one is in force. What a peer publishes is ordered by the number alone, since its version says nothing about the stored object: it is the revision, raised above what was published before if revisions have fallen. So builds without eras can compare it, and gossip never holds back the newest.

The scenario on any order of offers is new with this commit. Ruled out: a version with an era in published facts, which an instance of an older build would keep above all that its store lists; the operator's number as the version of facts, for the same reason.

--- a/mulberryhollow/coordination/configuration/active.py
+++ b/mulberryhollow/coordination/configuration/active.py
@@ -1,4 +1,4 @@
-"""The active document of one instance; its version never decreases."""
+"""The active document of one instance, which no older one replaces."""
 
 import dataclasses
 import logging
@@ -8,12 +8,16 @@
 from mulberryhollow.errors import ConfigurationError
 from mulberryhollow.events import declare
 from mulberryhollow.state.environment import Environment
+from mulberryhollow.state import objects
 
 __all__ = [
     "APPLIED",
     "ActiveDocument",
     "Applied",
     "Document",
+    "LOWER_NUMBER",
+    "LowerNumber",
+    "NUMBER_REPEATED",
     "REJECTED",
     "Rejected",
     "Stale",
@@ -26,6 +30,21 @@
     "an environment document has faults; the previous one stays active",
     "correct each listed fault and apply the document again",
 )
+LOWER_NUMBER = declare(
+    6010,
+    logging.WARNING,
+    "a document with a lower number than the active one was written later; "
+    "the active one stays",
+    "give it a higher number if it is to replace the active one; after a "
+    "restore of the store, wait until its author has written it again",
+)
+NUMBER_REPEATED = declare(
+    6011,
+    logging.WARNING,
+    "a document has the number of the previous one and another content; the "
+    "one that was written later is active",
+    "give each document a number of its own",
+)
 
 
 @attrs.frozen
@@ -35,16 +54,26 @@
     Parameters
     ----------
     version : int
-        Version of the stored object that holds the document.
+        Version of the stored object that holds the document. For a document
+        with a number: the highest version in the store that is known to
+        hold no later document; 0 if only peers have offered one.
     data : bytes
         The document's bytes, as sent to peers.
     environment : Environment
         The parsed document.
+    published_version : int
+        Version under which the document is published to peers.
     """
 
     version: int
     data: bytes
     environment: Environment
+    published_version: int = 0
+
+    @property
+    def number(self):
+        """Number that the document's author assigned; None if it has none."""
+        return self.environment.number
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,9 +84,12 @@
     ----------
     document : Document
         The active document.
+    is_number_repeated : bool
+        Whether the previous document had the same number.
     """
 
     document: Document
+    is_number_repeated: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,6 +106,23 @@
     active_version: int
 
 
+@dataclasses.dataclass(frozen=True)
+class LowerNumber:
+    """The offered version is higher, but the document's number is lower.
+
+    Parameters
+    ----------
+    version : int
+        Version of the offered document.
+    number, active_number : int
+        Numbers of the offered and the active document.
+    """
+
+    version: int
+    number: int
+    active_number: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Rejected:
     """The offered document has faults; the active document stays.
@@ -95,7 +144,12 @@
 
 
 class ActiveDocument:
-    """Holds the highest valid version offered by the store or a peer.
+    """Holds the latest valid document offered by the store or a peer.
+
+    Documents with a number, which their author assigns and which never
+    decreases, are ordered by it, those without by their version. The store
+    may come back from an older copy, whose documents then have later versions
+    than the newer ones had that were lost.
 
     Parameters
     ----------
@@ -105,15 +159,18 @@
 
     Notes
     -----
-    Only one actor may call `offer`. Other threads read `document` once per
-    request; the Document is immutable and is replaced as a whole.
+    Only one actor may call `offer` and `offer_published`. Other threads read
+    `document` once per request; the Document is immutable and is replaced as
+    a whole.
     """
 
     def __init__(self, parse):
         self._parse = parse
         self._document = None
         self._rejected = None
+        self._rejected_data = None
         self._peer_version = 0
+        self._last_published = 0
 
     @property
     def document(self):
@@ -141,28 +198,108 @@
         self._peer_version = max(self._peer_version, version)
 
     def offer(self, version, data):
-        """Make a document active if its version is higher and it is valid.
+        """Make a document active if it is later and valid.
 
         Parameters
         ----------
         version : int
             Version of the stored object that holds the document.
         data : bytes
-            The document's bytes, from the store, a watch or a peer.
+            The document's bytes, from the store or a watch.
 
         Returns
         -------
-        Applied, Stale or Rejected
+        Applied, Stale, LowerNumber or Rejected
             Applied if the document is active now.
         """
         if version <= self.version:
             return Stale(version, self.version)
-        if self._rejected and self._rejected.version == version:
-            return dataclasses.replace(self._rejected, is_repeated=True)
+        found = self._try_parse(version, data)
+        if isinstance(found, Rejected):
+            return found
+        active = self._document
+        if active is None or found.number is None or active.number is None:
+            return self._apply(version, data, found)
+        if found.number > active.number:
+            return self._apply(version, data, found)
+        if found.number == active.number and data != active.data:
+            return self._apply(version, data, found)
+        # What the store held before this version needs no further check.
+        self._document = attrs.evolve(active, version=version)
+        if found.number == active.number:
+            return Stale(version, active.version)
+        return LowerNumber(version, found.number, active.number)
+
+    def offer_published(self, version, data):
+        """Make a document that a peer has published active if it is later.
+
+        Parameters
+        ----------
+        version : int
+            Version under which it is published. It says nothing about the
+            stored object if the document has a number.
+        data : bytes
+            The document's bytes.
+
+        Returns
+        -------
+        Applied, Stale, LowerNumber or Rejected
+            Applied if the document is active now.
+        """
+        active = self._document
+        if active and active.number is None:
+            return self.offer(version, data)
+        self._last_published = max(self._last_published, version)
+        if active and data == active.data:
+            return Stale(version, active.version)
+        found = self._try_parse(version, data)
+        if isinstance(found, Rejected):
+            return found
+        if found.number is None:
+            return self.offer(version, data)
+        if active and found.number <= active.number:
+            return Stale(version, active.version)
+        self._document = Document(self.version, data, found, version)
+        return Applied(self._document)
+
+    def _try_parse(self, version, data):
+        """Return the parsed document, or Rejected if it has faults."""
+        rejected = self._rejected
+        if (
+            rejected
+            and rejected.version == version
+            and self._rejected_data == data
+        ):
+            return dataclasses.replace(rejected, is_repeated=True)
         try:
-            environment = self._parse(data, version)
+            return self._parse(data, version)
         except ConfigurationError as error:
             self._rejected = Rejected(version, error.faults)
+            self._rejected_data = data
             return self._rejected
-        self._document = Document(version, data, environment)
-        return Applied(self._document)
+
+    def _apply(self, version, data, found):
+        """Make a document from the store active."""
+        active = self._document
+        self._document = Document(
+            version, data, found, self._choose_published(version, found.number)
+        )
+        is_number_repeated = (
+            active is not None
+            and found.number is not None
+            and found.number == active.number
+        )
+        return Applied(self._document, is_number_repeated)
+
+    def _choose_published(self, version, number):
+        """Return the version under which a document is published.
+
+        Builds that know no eras compare it with plain revisions. Since
+        revisions may fall, it is raised above that of the earlier documents.
+        """
+        if number is None:
+            return version
+        self._last_published = max(
+            objects.get_revision(version), self._last_published + 1
+        )
+        return self._last_published
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -12,6 +12,7 @@
     "DocumentActor",
     "DocumentFollower",
     "DocumentUpdate",
+    "PublishedDocument",
     "watch_document",
 ]
 
@@ -21,7 +22,7 @@
 
 @attrs.frozen
 class DocumentUpdate:
-    """A version of the document, read from the store or a peer.
+    """A version of the document, read from the store.
 
     Parameters
     ----------
@@ -35,8 +36,24 @@
     data: bytes
 
 
+@attrs.frozen
+class PublishedDocument:
+    """A document that a peer has published as active.
+
+    Parameters
+    ----------
+    version : int
+        Version under which it is published.
+    data : bytes
+        Encoded document.
+    """
+
+    version: int
+    data: bytes
+
+
 class DocumentActor(actors.ResilientActor):
-    """Owns the active document; a lower version never replaces it.
+    """Owns the active document; an earlier one never replaces it.
 
     Parameters
     ----------
@@ -44,7 +61,7 @@
         Called with each Document that becomes active.
     parse : callable
         ``parse(data, version)`` returns the typed content, which has a
-        `digest`, or raises ConfigurationError.
+        `digest` and a `number`, or raises ConfigurationError.
     """
 
     use_daemon_thread = True
@@ -55,16 +72,33 @@
         self._on_applied = on_applied
 
     def on_receive(self, message):
-        """Handle a DocumentUpdate; return its result, such as Applied."""
-        result = self._active_document.offer(message.version, message.data)
+        """Handle an offered document; return its result, such as Applied."""
+        match message:
+            case PublishedDocument(version, data):
+                result = self._active_document.offer_published(version, data)
+            case DocumentUpdate(version, data):
+                result = self._active_document.offer(version, data)
         match result:
-            case configuration.Applied(document):
+            case configuration.Applied(document, is_number_repeated):
                 events.log(
                     configuration.APPLIED,
                     version=document.version,
                     digest=document.environment.digest,
                 )
+                if is_number_repeated:
+                    events.log(
+                        configuration.NUMBER_REPEATED,
+                        version=document.version,
+                        number=document.number,
+                    )
                 self._on_applied(document)
+            case configuration.LowerNumber(version, number, active_number):
+                events.log(
+                    configuration.LOWER_NUMBER,
+                    version=version,
+                    number=number,
+                    active=active_number,
+                )
             case configuration.Rejected(is_repeated=False):
                 events.log(
                     configuration.REJECTED,
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -288,7 +288,7 @@
         self._publish(
             facts.Topic.DOCUMENT,
             environment_name,
-            document.version,
+            document.published_version,
             zlib.compress(document.data),
         )
 
@@ -418,7 +418,9 @@
     def _apply_document(self, fact):
         """Send a document that is active at a peer to the document actor."""
         self._documents.tell(
-            documents.DocumentUpdate(fact.version, zlib.decompress(fact.value))
+            documents.PublishedDocument(
+                fact.version, zlib.decompress(fact.value)
+            )
         )
 
     def _apply_crash(self, fact):
--- a/mulberryhollow/state/environment.py
+++ b/mulberryhollow/state/environment.py
@@ -144,3 +144,8 @@
     services: dict = attrs.field(factory=dict)
     version: int = 0
     digest: str = ""
+
+    @property
+    def number(self):
+        """None: its author assigns no number, see `Catalogue.number`."""
+        return None
--- a/tests/coordination/configuration/active.feature
+++ b/tests/coordination/configuration/active.feature
@@ -27,3 +27,8 @@
 
   Scenario: No order, loss or repetition of offers reverts a document
     Then after any offers the highest good version is active
+
+  # Guards against a configuration that comes back older: after a restore of the
+  # store earlier numbers have later versions, and peers offer them in any order.
+  Scenario: No order of offers and restores makes a document's number fall
+    Then after any offers of numbered documents the number has never fallen
--- a/tests/steps/coordination_configuration.py
+++ b/tests/steps/coordination_configuration.py
@@ -1,5 +1,6 @@
 import itertools
 import pathlib
+import types
 
 import attrs
 from behave import given
@@ -77,6 +78,29 @@
     check()
 
 
+@then("after any offers of numbered documents the number has never fallen")
+def check_any_numbered_offers(context):
+    offers = strategies.tuples(
+        strategies.sampled_from(("offer", "offer_published")),
+        strategies.integers(1, 9),
+        strategies.integers(1, 9),
+    )
+
+    @hypothesis.given(strategies.lists(offers, max_size=30))
+    def check(offered):
+        active_document = configuration.ActiveDocument(
+            lambda data, version: types.SimpleNamespace(number=int(data))
+        )
+        numbers = [0]
+        for method, version, number in offered:
+            offer = getattr(active_document, method)
+            offer(version, str(number).encode())
+            numbers.append(active_document.document.number)
+        assert numbers == sorted(numbers)
+
+    check()
+
+
 @then(
     "after {store} s without the store and {peers} s without peers "
     "the instance is {expected}"
