--- a/tests/serving/store_relay.feature
+++ b/tests/serving/store_relay.feature
@@ -89,3 +89,64 @@
     Given a collector and an instance that both follow the store
     When the instance receives malformed relayed objects
     Then the instance has no object
+
+  # Guards against entries that the copy lacks and that are taken for gone at
+  # once, although their writers write them again after any outage.
+  Scenario Outline: A restore counts as a recovery before its list is handled
+    Given a collector and an instance that follow a store with eras
+    When the store with eras writes a, is copied, writes b and is restored
+    And the collector reads the restored store
+    And <way>
+    Then the <who> was told of a recovery between the lists a, b and a
+
+    Examples:
+      | who       | way                                     |
+      | collector | the instance does nothing               |
+      | instance  | the instance reads the restored store   |
+      | instance  | the instance asks the collector         |
+
+  # Guards against an instance that takes objects which were lost.
+  Scenario: An instance behind by an era gets every object of the new one
+    Given a collector and an instance that follow a store with eras
+    When the store with eras writes a, is copied, writes b and is restored
+    And the store with eras writes c
+    And the collector reads the restored store
+    And the store with eras writes d
+    And the collector reads the restored store
+    And the instance is cut off from the store with eras
+    And the instance asks the collector
+    Then the instance has the objects a, c, d
+
+  # Guards against an instance that hears nothing through a collector that does
+  # not know of the restore, such as one of a build without eras.
+  Scenario Outline: Contact of an earlier era is no contact
+    Given a collector and an instance that follow a store with eras
+    When the store with eras writes a, is copied, writes b and is restored
+    And the instance reads the restored store
+    And 4 seconds pass while the instance is told <answer> of the earlier era
+    And the store with eras writes c
+    And the instance reads
+    Then the instance has the objects a, c
+
+    Examples:
+      | answer            |
+      | a contact         |
+      | a contact by name |
+      | a recovery        |
+
+  # Guards against an instance that waits for its collector although one of its
+  # own calls has shown that the store was restored.
+  Scenario: An instance that sees a new era in any answer reads at once
+    Given a collector and an instance that follow a store with eras
+    When the store with eras writes a, is copied, writes b and is restored
+    And another call of the instance is answered
+    And the instance reads
+    Then the instance has the objects a
+
+  Scenario: An instance that knows a later era takes none of an earlier one
+    Given a collector and an instance that follow a store with eras
+    And the instance has just started on the store with eras
+    When the store with eras writes a, is copied, writes b and is restored
+    And another call of the instance is answered
+    And the instance asks the collector
+    Then the instance has no object
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -1,3 +1,4 @@
+import contextlib
 import json
 import threading
 
@@ -7,15 +8,20 @@
 
 from mulberryhollow import clock as clocks
 from mulberryhollow import errors
+from mulberryhollow.platform import store as dialects
 from mulberryhollow.serving import store_relay
 from mulberryhollow.serving import watch
 from mulberryhollow.state import objects
+from mulberryhollow.transport import store as stores
+from standins import platform
 
 KIND = "k"
 
 
 class Store:
-    """Store of one kind whose watches return at once."""
+    """Store of one kind without eras, whose watches return at once."""
+
+    era = None
 
     def __init__(self):
         self.revision = 5
@@ -48,6 +54,10 @@
         self.count = 0
         self.is_down = False
 
+    @property
+    def era(self):
+        return self._store.era
+
     def list_objects(self, kind):
         self._check()
         return self._store.list_objects(kind)
@@ -69,6 +79,7 @@
         self.calls = StoreCalls(store)
         self.names = set()
         self.recoveries_s = []
+        self.told = []
         self.follower = watch.ObjectFollower(self.calls, KIND, clock, self)
         self.relay = store_relay.StoreRelay(
             [self.follower], clock, lambda: is_collector
@@ -85,6 +96,7 @@
 
     def handle_list(self, items, revision):
         self.names = {each.name for each in items}
+        self.told.append(sorted(self.names))
 
     def handle_changes(self, items):
         for each in items:
@@ -95,6 +107,7 @@
 
     def record_recovery(self, at_s):
         self.recoveries_s.append(at_s)
+        self.told.append("recovery")
 
 
 def exchange(asking, answering):
@@ -288,3 +301,106 @@
 def check_recovery(context):
     recorded = context.instance.recoveries_s
     assert recorded == context.collector.recoveries_s, recorded
+
+
+@given("a collector and an instance that follow a store with eras")
+def make_instances_with_eras(context):
+    context.clock = clocks.ManualClock(start_s=100.0)
+    context.platform = platform.PlatformStore(era=1)
+    context.collector = make_instance_with_era(context, True)
+    context.instance = make_instance_with_era(context, False)
+
+
+def make_instance_with_era(context, is_collector, has_read=True):
+    client = stores.StoreClient(
+        "127.0.0.1:1", dialect=dialects.PlatformDialect()
+    )
+    client._pool = context.platform
+    made = Instance(client, context.clock, is_collector, has_read)
+    made.client = client
+    return made
+
+
+@given("the instance has just started on the store with eras")
+def restart_instance_with_era(context):
+    context.instance = make_instance_with_era(context, False, has_read=False)
+
+
+@when(
+    "the store with eras writes {names}, is copied, writes b and is restored"
+)
+def restore_store_with_eras(context, names):
+    write_names(context, names)
+    saved = context.platform.copy()
+    context.platform.put(KIND, "b", {})
+    for each in (context.collector, context.instance):
+        if each.follower.revision is not None:
+            each.follower.read()
+            # One that has read changes knows no complete list of them.
+            each.told = [sorted(each.names)]
+    context.platform.restore(saved)
+
+
+@when("the store with eras writes {names}")
+def write_names(context, names):
+    for each in names.split(", "):
+        context.platform.put(KIND, each, {})
+
+
+@when("the {who} reads the restored store")
+def read_restored(context, who):
+    for _ in range(2):
+        with contextlib.suppress(errors.HistoryLostError):
+            getattr(context, who).follower.read()
+
+
+@when("the instance does nothing")
+def do_nothing(context):
+    pass
+
+
+@when("the instance asks the collector")
+def ask_for_objects(context):
+    exchange(context.instance, context.collector)
+
+
+@when("the instance is cut off from the store with eras")
+def cut_off_instance(context):
+    context.instance.calls.is_down = True
+
+
+@when(
+    "{seconds:d} seconds pass while the instance is told {answer} of the "
+    "earlier era"
+)
+def tell_earlier_contact(context, seconds, answer):
+    fields = {"contact_age_s": 0.1, "recovery_age_s": None}
+    if answer == "a contact by name":
+        fields["revision"] = objects.make_version(1, objects.MAX_REVISION)
+    if answer == "a recovery":
+        fields["recovery_age_s"] = 0.1
+    recorded = len(context.instance.recoveries_s)
+    for _ in range(seconds):
+        context.clock.advance(1.0)
+        context.instance.relay.accept({KIND: fields})
+    assert len(context.instance.recoveries_s) == recorded
+
+
+@when("another call of the instance is answered")
+def answer_other_call(context):
+    context.instance.client.get("other", "x")
+
+
+@then(
+    "the {who} was told of a recovery between the lists {before} and {after}"
+)
+def check_told(context, who, before, after):
+    told = getattr(context, who).told
+    expected = [before.split(", "), "recovery", after.split(", ")]
+    assert told == expected, told
+
+
+@then("the instance has the objects {names}")
+def check_names(context, names):
+    found = ", ".join(sorted(context.instance.names))
+    assert found == names, found
