Tell restores of the store apart in followers and relays

What callers saw: an instance that was told nothing new through its collector after a restore, and used neither the configurations nor the endpoints that were written then.

Cause: followers and relays compare revisions, but a restore was none of their events. Contact with a collector of an earlier era counted as contact with the store, so an instance that was ahead of it did not read by itself; entries that the copy lacks were not kept as after an outage; an instance whose other calls had shown the new era waited on; one without objects took those of an earlier era.

Fix: a complete list of a later era counts as a recovery, before it is handled. What an instance tells of an earlier era than the known one is ignored whole, contact included; an answer without changes names its revision for that. A follower whose store client knows a later era is outdated: it lists at once instead of watching or waiting for a relay.

Ruled out: changes of two eras in one answer and a reader that is behind by an era, both hold already (a scenario shows the latter).

--- a/mulberryhollow/protocol/relays.py
+++ b/mulberryhollow/protocol/relays.py
@@ -30,7 +30,10 @@
         "recovery_age_s": now_s - state.recovered_s if has_recovered else None,
     }
     changes = state.changes
-    if changes is not None:
+    if changes is None:
+        # The reader is ahead: the revision says in which era this instance is.
+        fields["revision"] = state.revision
+    else:
         fields["changes"] = {
             "base": changes.base,
             "revision": changes.revision,
@@ -49,7 +52,8 @@
 def decode_relayed(fields, now_s):
     """Return the `FollowerState` for a decoded dict.
 
-    Fields that a newer build adds are ignored.
+    Fields that a newer build adds are ignored. Builds without eras name
+    no revision unless there are changes.
 
     Parameters
     ----------
@@ -68,10 +72,12 @@
         recovery_age_s = fields["recovery_age_s"]
         if recovery_age_s is None:
             recovery_age_s = math.inf
+        revision = fields.get("revision")
         return object_log.FollowerState(
             changes and _decode_changes(changes),
             now_s - float(fields["contact_age_s"]),
             now_s - float(recovery_age_s),
+            None if revision is None else int(revision),
         )
 
 
--- a/mulberryhollow/serving/store_relay.py
+++ b/mulberryhollow/serving/store_relay.py
@@ -120,7 +120,7 @@
 
     def _is_recent(self, follower):
         """Return whether the store confirmed a kind's state recently."""
-        if follower.revision is None:
+        if follower.revision is None or follower.is_outdated:
             return False
         age_s = self._clock.now_s() - follower.last_contact_s
         return age_s <= MAX_CONTACT_AGE_S
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -4,6 +4,7 @@
 
 from mulberryhollow import errors
 from mulberryhollow.state import object_log
+from mulberryhollow.state import objects
 
 __all__ = ["ObjectFollower", "ObjectWatch"]
 
@@ -138,7 +139,7 @@
             revision; the next call lists every object again.
         """
         try:
-            if self._must_list:
+            if self._must_list or self.is_outdated:
                 self._list()
             else:
                 self._wait()
@@ -168,6 +169,7 @@
                 self._log.list_changes(after),
                 self.last_contact_s,
                 self.recovered_s,
+                self._log.revision,
             )
 
     @property
@@ -175,6 +177,11 @@
         """Revision of the store as of the last read; None before the first."""
         return self._log.revision
 
+    @property
+    def is_outdated(self):
+        """Whether the store was restored since it was read last."""
+        return self._get_era() < (self._store.era or 0)
+
     def accept(self, state):
         """Apply what another instance has read in the store.
 
@@ -182,15 +189,23 @@
         ----------
         state : FollowerState
             State of that instance. Changes that do not begin at the revision
-            of this follower are ignored.
+            of this follower are ignored, and so is all that an instance
+            tells which does not know of the last restore: neither its contact
+            nor its objects say anything about the restored store.
         """
         changes = state.changes
         with self._lock:
-            self._record_recovery(state.recovered_s)
+            known_era = max(self._get_era(), self._store.era or 0)
+            revision = changes.revision if changes else state.revision
+            if objects.get_era(revision or 0) < known_era:
+                return
+            is_next = changes and changes.base == self._log.revision
+            if not (is_next and self._is_restore(changes)):
+                self._record_recovery(state.recovered_s)
             known_s = self.last_contact_s
             if known_s is None or state.contact_s > known_s:
                 self._record_contact(state.contact_s)
-            if changes is not None and changes.base == self._log.revision:
+            if is_next:
                 self._apply(changes)
 
     def _list(self):
@@ -219,8 +234,11 @@
         """Apply changes whose base is the revision of this follower.
 
         The revision is set last: if the follower raises an exception, the
-        changes are read again.
+        changes are read again. A restore of the store counts as a recovery,
+        since what it has lost is written again as after an outage.
         """
+        if self._is_restore(changes):
+            self._set_recovered(self._clock.now_s())
         if changes.is_complete:
             self._follower.handle_list(changes.items, changes.revision)
         elif changes.items:
@@ -247,5 +265,20 @@
         Instances see the same recovery at slightly different times.
         """
         if at_s > self.recovered_s + MIN_OUTAGE_S:
-            self.recovered_s = at_s
-            self._follower.record_recovery(at_s)
+            self._set_recovered(at_s)
+
+    def _set_recovered(self, at_s):
+        """Record a recovery and notify the follower."""
+        self.recovered_s = at_s
+        self._follower.record_recovery(at_s)
+
+    def _is_restore(self, changes):
+        """Return whether changes come from a later era than the objects."""
+        return (
+            self._log.revision is not None
+            and objects.get_era(changes.revision) > self._get_era()
+        )
+
+    def _get_era(self):
+        """Return the era of the store as of the last read."""
+        return objects.get_era(self._log.revision or 0)
--- a/mulberryhollow/state/object_log.py
+++ b/mulberryhollow/state/object_log.py
@@ -50,11 +50,15 @@
     recovered_s : float
         When the store last recovered from an outage, monotonic, in seconds;
         minus infinity if it never did.
+    revision : int or None
+        Revision of the store as of its last answer, for an instance that
+        gets no changes; None if unknown.
     """
 
     changes: ObjectChanges | None
     contact_s: float | None
     recovered_s: float
+    revision: int | None = None
 
 
 class ObjectLog:
