--- a/tests/serving/store_relay.feature
+++ b/tests/serving/store_relay.feature
@@ -150,3 +150,13 @@
     And another call of the instance is answered
     And the instance asks the collector
     Then the instance has no object
+
+  # Guards against a watch on a connection that hangs over a restore: nothing of
+  # the new era was read until it had timed out.
+  Scenario: A watch that hangs delays nothing once a new era is known
+    Given a collector and an instance that follow a store with eras
+    When the store with eras writes a, is copied, writes b and is restored
+    And a watch of the collector hangs
+    And another call of the collector is answered
+    Then the collector has only the object a within 2 seconds
+    And the collector is told nothing more when its watch ends
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -1,6 +1,8 @@
 import contextlib
 import json
 import threading
+import time
+import types
 
 from behave import given
 from behave import then
@@ -318,6 +320,7 @@
     client._pool = context.platform
     made = Instance(client, context.clock, is_collector, has_read)
     made.client = client
+    client.on_restored = getattr(made.relay, "refresh", None)
     return made
 
 
@@ -386,9 +389,49 @@
     assert len(context.instance.recoveries_s) == recorded
 
 
-@when("another call of the instance is answered")
-def answer_other_call(context):
-    context.instance.client.get("other", "x")
+@when("another call of the {who} is answered")
+def answer_other_call(context, who):
+    getattr(context, who).client.get("other", "x")
+
+
+@when("a watch of the collector hangs")
+def hang_watch(context):
+    context.watch_end = threading.Event()
+    started = threading.Event()
+    request = context.platform.request
+
+    def hang(method, path, **options):
+        if "watch=" in path:
+            started.set()
+            context.watch_end.wait(10.0)
+        return request(method, path, **options)
+
+    context.collector.client._pool = types.SimpleNamespace(request=hang)
+    context.reading = threading.Thread(
+        target=read_restored, args=(context, "collector"), daemon=True
+    )
+    context.reading.start()
+    assert started.wait(10.0)
+
+
+@then("the collector has only the object a within {seconds:d} seconds")
+def check_in_time(context, seconds):
+    end_s = time.monotonic() + seconds
+    while context.collector.names != {"a"} and time.monotonic() < end_s:
+        time.sleep(0.01)
+    try:
+        assert context.reading.is_alive()
+        assert context.collector.names == {"a"}, context.collector.names
+    finally:
+        context.watch_end.set()
+        context.reading.join(10.0)
+
+
+@then("the collector is told nothing more when its watch ends")
+def check_told_once(context):
+    assert not context.reading.is_alive()
+    told = context.collector.told
+    assert told == [["a", "b"], "recovery", ["a"]], told
 
 
 @then(
