Acquire a lease without a holder at once only if released in this era

Cause: a restored store may show the lease as absent or released, and a candidate, or an instance that had just started, took it at once while the holder of before the restore still acted for up to its hold time. Class: state of a store that went back is taken for the latest state.

A release now names the store's era, and only a release of the present era is followed at once; any other lease without a holder has to lapse first, counted from when this instance first saw it in this era. An absent lease is one of the store's era too, so that one that vanished in a restore is no stale read, and a lease that is created in a later era than it was absent in is not held.

Ruled out as a cause: versions, which rise over eras since.

Changed tests: an absent lease is no longer taken within 3 s of the start, since the instance can't know whether a restore has lost it; the scenarios that let the first instance acquire the lease run for 6 s instead, and one checks in addition that nobody holds it before the time to take over has passed.

--- a/mulberryhollow/coordination/duties/lease.py
+++ b/mulberryhollow/coordination/duties/lease.py
@@ -47,7 +47,8 @@
     value : bytes
         New content.
     expected_version : int
-        Version that the object must have; 0 if it must not exist.
+        Version that the object must have. One without a revision, see
+        `objects.get_revision`, if it must not exist.
     planned_s : float
         When the write was planned, in seconds; the hold time counts from
         here.
@@ -74,6 +75,11 @@
     is suspended, so that a resumed instance does not act on an expired
     lease. The version of the write that acquired the lease is the holder's
     fencing token.
+
+    A lease without a holder is acquired at once only if it was released in
+    the present era of the store. A restored store may show it as absent or
+    released while the holder of before the restore still acts, so any other
+    lease without a holder is acquired as one that is no longer renewed.
     """
 
     def __init__(self, instance, rules):
@@ -81,6 +87,7 @@
         self._rules = rules
         self._version = None
         self._holder = ""
+        self._is_released = False
         self._fencing_token = 0
         self._renewals = 0
         self._changed_s = float("-inf")
@@ -110,8 +117,8 @@
             return Read()
         if self._fencing_token:
             return self._plan_write(now_s)
-        is_free = not self._holder and self._version >= 0
-        if is_free or now_s - self._changed_s >= self._rules.takeover_s:
+        is_lapsed = now_s - self._changed_s >= self._rules.takeover_s
+        if self._is_released or is_lapsed:
             return self._plan_write(now_s)
         return Read()
 
@@ -123,9 +130,10 @@
         if not self._fencing_token:
             return None
         self._held_until_s = float("-inf")
-        return Write(_encode("", self._renewals), self._version, now_s)
+        value = _encode_release(self._renewals, self._version)
+        return Write(value, self._version, now_s)
 
-    def observe(self, found, now_s):
+    def observe(self, found, now_s, era=0):
         """Apply the result of a read.
 
         Parameters
@@ -135,8 +143,10 @@
             than the last known one is ignored as a stale read.
         now_s : float
             The time, in seconds.
+        era : int
+            Era of the store, if the object does not exist.
         """
-        version = found.version if found else 0
+        version = found.version if found else objects.make_version(era, 0)
         if self._version is not None and version < self._version:
             return
         if version == self._version:
@@ -144,6 +154,7 @@
         self._version = version
         self._changed_s = now_s
         self._holder = _decode(found.value) if found else ""
+        self._is_released = bool(found) and _is_release(found)
         if self._holder != self._instance:
             self._fencing_token = 0
 
@@ -165,11 +176,16 @@
             Whether this instance has just become the holder.
         """
         match outcome:
+            case objects.WriteApplied(version) if objects.get_era(
+                version
+            ) != objects.get_era(write.expected_version):
+                self._forget()
             case objects.WriteApplied(version):
                 was_holder = self._fencing_token > 0
                 self._version = version
                 self._changed_s = now_s
                 self._holder = _decode(write.value)
+                self._is_released = False
                 if self._holder != self._instance:
                     self._fencing_token = 0
                     return False
@@ -178,11 +194,15 @@
                 self._held_until_s = write.planned_s + self._rules.hold_s
                 return not was_holder
             case objects.WriteRejected("conflict"):
-                self._fencing_token = 0
-                self._version = None
-                self._polled_s = float("-inf")
+                self._forget()
         return False
 
+    def _forget(self):
+        """Give up the lease, which is read again at once."""
+        self._fencing_token = 0
+        self._version = None
+        self._polled_s = float("-inf")
+
     def _plan_write(self, now_s):
         """Return the write that acquires or renews the lease."""
         self._renewals += 1
@@ -196,6 +216,31 @@
     return json.dumps(fields, sort_keys=True).encode()
 
 
+def _encode_release(renewals, version):
+    """Return the content of the object of a lease that is released.
+
+    It names the era of the store, which tells a release from one that a
+    restore has brought back.
+    """
+    fields = {
+        "holder": "",
+        "renewals": renewals,
+        "era": objects.get_era(version),
+    }
+    return json.dumps(fields, sort_keys=True).encode()
+
+
+def _is_release(found):
+    """Return whether the lease was released in the era of its version."""
+    if _decode(found.value):
+        return False
+    try:
+        era = decoding.decode_json(found.value)["era"]
+    except (ValueError, KeyError, TypeError):
+        return False
+    return era == objects.get_era(found.version)
+
+
 def _decode(value):
     """Return the holder in the content; empty for none or malformed."""
     try:
--- a/mulberryhollow/serving/duties.py
+++ b/mulberryhollow/serving/duties.py
@@ -110,7 +110,8 @@
                 found = self._store.get(
                     usage.DUTY_KIND, LEASE_OBJECT_NAME, is_stale_ok=True
                 )
-                self._lease.observe(found, self._clock.elapsed_s())
+                now_s = self._clock.elapsed_s()
+                self._lease.observe(found, now_s, self._store.era or 0)
             case duties.Write() as write:
                 self._write(write)
 
