Let an earlier holder wait before it follows a release

Cause: a holder whose lease lapsed took the lease back at once when its successor released it, 2.75 s after its own last call. Class: an immediate path around a wait that only the usual path keeps.

An instance that has held the lease, or has run for less than the time to take over, acquires a released lease only once it has lapsed. A restarted holder is the same machine, so a new process waits too.

--- a/mulberryhollow/coordination/duties/lease.py
+++ b/mulberryhollow/coordination/duties/lease.py
@@ -79,7 +79,9 @@
     A lease without a holder is acquired at once only if it was released in
     the present era of the store. A restored store may show it as absent or
     released while the holder of before the restore still acts, so any other
-    lease without a holder is acquired as one that is no longer renewed.
+    lease without a holder is acquired as one that is no longer renewed. So
+    is a released one by an instance that held the lease before, or has just
+    started and may have: holders must not alternate within `takeover_s`.
     """
 
     def __init__(self, instance, rules):
@@ -88,6 +90,8 @@
         self._version = None
         self._holder = ""
         self._is_released = False
+        self._has_held = False
+        self._began_s = None
         self._fencing_token = 0
         self._renewals = 0
         self._changed_s = float("-inf")
@@ -118,7 +122,7 @@
         if self._fencing_token:
             return self._plan_write(now_s)
         is_lapsed = now_s - self._changed_s >= self._rules.takeover_s
-        if self._is_released or is_lapsed:
+        if is_lapsed or (self._is_released and self._may_follow(now_s)):
             return self._plan_write(now_s)
         return Read()
 
@@ -146,6 +150,8 @@
         era : int
             Era of the store, if the object does not exist.
         """
+        if self._began_s is None:
+            self._began_s = now_s
         version = found.version if found else objects.make_version(era, 0)
         if self._version is not None and version < self._version:
             return
@@ -191,6 +197,7 @@
                     return False
                 if not was_holder:
                     self._fencing_token = version
+                    self._has_held = True
                 self._held_until_s = write.planned_s + self._rules.hold_s
                 return not was_holder
             case objects.WriteRejected("conflict"):
@@ -203,6 +210,11 @@
         self._version = None
         self._polled_s = float("-inf")
 
+    def _may_follow(self, now_s):
+        """Return whether this instance may acquire a released lease now."""
+        has_run_s = now_s - self._began_s
+        return not self._has_held and has_run_s >= self._rules.takeover_s
+
     def _plan_write(self, now_s):
         """Return the write that acquires or renews the lease."""
         self._renewals += 1
