--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -89,6 +89,23 @@
     And 6 seconds pass for both duty managers
     Then the other duty manager holds the duties and the former stays inactive
 
+  # Guards against a call that reaches the platform after the successor's: the
+  # lease is released while a duty is in the middle of a call.
+  Scenario: The duties are released only after the running call has ended
+    Given two duty managers over one store
+    When 6 seconds pass and the holder releases the duties in the middle of a call
+    Then the lease is not released before the call has ended
+    And it is released once the call has ended
+
+  # Guards against a planned stop that hangs, and against a release, while a
+  # duty's call does not end.
+  Scenario: The duties lapse if the running call does not end
+    Given two duty managers over one store
+    When 6 seconds pass and the holder releases the duties in the middle of a call
+    And the call does not end in the time that a release may wait
+    Then the release has returned and the lease still names the holder
+    And no further duty is performed by the former holder
+
   Scenario: A successor hears what the peers have counted before it reports
     Given a usage reporter over a store
     When a successor takes over and merges a count of 5 requests a second later
--- a/tests/steps/serving_duties.py
+++ b/tests/steps/serving_duties.py
@@ -1,4 +1,7 @@
 import collections
+import json
+import threading
+import time
 
 import attrs
 from behave import given
@@ -17,6 +20,9 @@
 from mulberryhollow.state import objects
 from tests import fakes
 
+WAIT_S = 10.0
+SHORT_WAIT_S = 0.3
+
 
 class Cloud:
     """Cloud API that records reports and orders.
@@ -382,7 +388,7 @@
 @given("two duty managers over one store")
 def make_managers(context):
     context.clock = clocks.ManualClock(100.0)
-    store = fakes.FakeStore()
+    store = context.lease_store = fakes.FakeStore()
     context.counting_duties = [CountingDuty(), CountingDuty()]
     context.managers = [
         duty_managers.DutyManager(name, store, context.clock, (duty,))
@@ -421,6 +427,90 @@
     assert context.counting_duties[context.former].runs == context.runs_before
 
 
+class BlockedDuty(CountingDuty):
+    """Duty whose call ends only when it is told to."""
+
+    def __init__(self):
+        super().__init__()
+        self.has_begun = threading.Event()
+        self.may_end = threading.Event()
+
+    def work(self, fence, is_held):
+        self.has_begun.set()
+        assert self.may_end.wait(WAIT_S)
+        super().work(fence, is_held)
+
+
+def get_lease_holder(context):
+    """Return the holder that the stored lease names."""
+    name = duty_managers.LEASE_OBJECT_NAME
+    found = context.lease_store.get(usage.DUTY_KIND, name)
+    return json.loads(found.value)["holder"]
+
+
+@when(
+    "{seconds:g} seconds pass and the holder releases the duties in the "
+    "middle of a call"
+)
+def release_in_call(context, seconds):
+    run_managers(context, seconds)
+    context.holder_name, context.holding = next(
+        (name, manager)
+        for name, manager in zip("ab", context.managers, strict=True)
+        if manager.is_held()
+    )
+    context.blocked = BlockedDuty()
+    context.duty_after = CountingDuty()
+    context.holding._handlers = (context.blocked, context.duty_after)
+    context.add_cleanup(context.blocked.may_end.set)
+    context.tick_thread = threading.Thread(
+        target=context.holding.tick, daemon=True
+    )
+    context.tick_thread.start()
+    assert context.blocked.has_begun.wait(WAIT_S)
+    context.release_thread = threading.Thread(
+        target=context.holding.release, daemon=True
+    )
+    context.release_thread.start()
+
+
+@then("the lease is not released before the call has ended")
+def check_not_released(context):
+    context.release_thread.join(SHORT_WAIT_S)
+    assert get_lease_holder(context) == context.holder_name
+
+
+@then("it is released once the call has ended")
+def check_released_after_call(context):
+    context.blocked.may_end.set()
+    context.release_thread.join(WAIT_S)
+    assert not context.release_thread.is_alive()
+    assert get_lease_holder(context) == ""
+
+
+@when("the call does not end in the time that a release may wait")
+def pass_release_time(context):
+    end_s = time.monotonic() + WAIT_S
+    while context.release_thread.is_alive() and time.monotonic() < end_s:
+        context.clock.advance(duty_managers.RELEASE_TIMEOUT_S)
+        context.release_thread.join(0.02)
+
+
+@then("the release has returned and the lease still names the holder")
+def check_lapses(context):
+    assert not context.release_thread.is_alive()
+    assert get_lease_holder(context) == context.holder_name
+
+
+@then("no further duty is performed by the former holder")
+def check_no_further_duty(context):
+    context.blocked.may_end.set()
+    context.tick_thread.join(WAIT_S)
+    run_managers(context, 1.0)
+    assert context.duty_after.runs == 0, context.duty_after.runs
+    assert context.blocked.runs == 1, context.blocked.runs
+
+
 @when("a successor takes over and merges a count of 5 requests a second later")
 def merge_late(context):
     advance(context, 9.0)
