--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -19,6 +19,7 @@
 
     def __init__(self):
         self.objects = {}
+        self.era = None
         self.revision = 6
         self.is_down = False
         self.goes_down_at_write = False
--- /dev/null
+++ b/tests/serving/usage_reports.feature
@@ -0,0 +1,91 @@
+Feature: Usage reports across a restore of the store
+
+  # Guards against two counts for one window: the holder finds an older report
+  # in the restored store and counts the windows since then anew.
+  Scenario Outline: A holder repeats no window after a restore
+    Given a fleet whose usage is reported, over a store that was copied
+    When the store is restored and <event>
+    And requests that were counted late are known everywhere
+    And the fleet runs for 30 seconds
+    Then no window was reported with two counts
+    And every window that has ended was reported
+    And the stored report is the latest that was sent
+
+    Examples:
+      | event                            |
+      | the holder keeps the duties      |
+      | the holder acquires them again   |
+      | is restored once more            |
+
+  # Guards against a report that only the holder knows after a restore: it is
+  # lost with the holder, unless the store has it again soon.
+  Scenario: The latest report is in the restored store within a second
+    Given a fleet whose usage is reported, over a store that was copied
+    When the store is restored and the holder keeps the duties
+    And the fleet runs for 1 seconds
+    Then the stored report is the latest that was sent
+
+  # Guards against a successor that counts anew what a holder that is gone has
+  # reported before the restore.
+  Scenario Outline: A successor repeats no window of a holder that was killed
+    Given a fleet whose usage is reported, over a store that was copied
+    When <event>
+    And the store is restored and a successor takes over
+    And requests that were counted late are known everywhere
+    And the fleet runs for 30 seconds
+    Then no window was reported with two counts
+    And every window that began after the restore was reported
+    And the stored report is the latest that was sent
+
+    Examples:
+      | event                                             |
+      | the holder is killed                              |
+      | the holder is killed after a report to nobody     |
+      | the holder is killed before it sent a report      |
+      | the holder is killed while its answers are lost   |
+
+  # Guards against windows that are counted anew from the stored report of the
+  # copy when nobody is left who knows what was reported since.
+  Scenario: A fleet that starts anew after a restore repeats no window
+    Given a fleet whose usage is reported, over a store that was copied
+    When the store is restored while all instances start anew
+    And requests that were counted late are known everywhere
+    And the fleet runs for 30 seconds
+    Then no window was reported with two counts
+    And every window that began after the restore was reported
+
+  # Guards against what two restores in a row leave: the report of the era
+  # between them is in neither the store nor the copy.
+  Scenario: A second restore right after a takeover repeats no window
+    Given a fleet whose usage is reported, over a store that was copied
+    When the store is restored and a successor takes over
+    And the fleet runs for 12 seconds
+    And the store is restored and a successor takes over
+    And requests that were counted late are known everywhere
+    And the fleet runs for 30 seconds
+    Then no window was reported with two counts
+    And every window that began after the restore was reported
+
+  # Guards against a write that the store carries out seconds later and that
+  # replaces the stored report by one with other counts.
+  Scenario Outline: A late write of a report does not change what was sent
+    Given a fleet whose usage is reported, over a store that was copied
+    When the latest report is replaced in the store by a late write
+    And <event>
+    And the fleet runs for 30 seconds
+    Then no window was reported with two counts
+    And the stored report is the latest that was sent
+
+    Examples:
+      | event                                        |
+      | the store is restored and keeps the write    |
+      | the holder goes on                           |
+      | a successor takes over                       |
+
+  # Guards against windows that are left out without a restore.
+  Scenario: A successor without a restore reports every window
+    Given a fleet whose usage is reported, over a store that was copied
+    When the holder is killed
+    And a successor takes over
+    And the fleet runs for 30 seconds
+    Then every window that has ended was reported
