Test a restore at the first read with counts that differ

The scenario passed without the guard that it tests, since the counts were the same. With late counts before the takeover it fails without the guard (mutation: both checks of the era within a call removed) and passes with it.

--- a/tests/serving/usage_reports.feature
+++ b/tests/serving/usage_reports.feature
@@ -87,8 +87,8 @@
   Scenario: A restore between two calls of a successor repeats no window
     Given a fleet whose usage is reported, over a store that was copied
     When the holder is killed after a report to nobody
-    And a successor takes over and the store is restored at its first read
     And requests that were counted late are known everywhere
+    And a successor takes over and the store is restored at its first read
     And the fleet runs for 30 seconds
     Then no window was reported with two counts
     And every window that began after the restore was reported
