Write a registration again that a restore has lost

What callers saw: suspected only, from reading: instances that start later do not find in the store those that registered before a restore.

Cause: the registration was written once in the life of a process; its removal used the version of then, a conflict after a restore.

Fix: a registration of an earlier era is looked up after a random wait of up to 30 s, and written unless the copy holds it. So a fleet makes no burst. A removal looks the version up first.

--- a/mulberryhollow/serving/registry.py
+++ b/mulberryhollow/serving/registry.py
@@ -27,6 +27,14 @@
 IDLE_INTERVAL_S = 30.0
 """Interval between calls once the members were read again, in seconds."""
 
+REWRITE_SPREAD_S = 30.0
+"""Longest wait before the registration is looked up after a restore.
+
+The instances of a large fleet see the restore at once. The wait, in seconds,
+is random, so that 830 of them make about 28 writes a second; the store allows
+400 to all its users.
+"""
+
 _QUERY_TIMEOUT_S = 1.0
 _MAX_QUERIES = 8
 
@@ -58,6 +66,7 @@
         self._random = random.Random(peers.local_member().instance_id)
         self._version = 0
         self._is_read_again = False
+        self._restored_era = 0
 
     def register(self):
         """Find the members and write the registration of this instance.
@@ -74,6 +83,8 @@
         StoreUnavailableError
             If the platform gave no usable answer; the caller retries.
         """
+        if self._is_from_earlier_era():
+            return self._register_again()
         if self._version:
             return self._read_again()
         local_member = self._peers.local_member()
@@ -102,8 +113,49 @@
             self._add_found(found)
         return IDLE_INTERVAL_S
 
+    def _is_from_earlier_era(self):
+        """Return whether the store was restored since the registration."""
+        era = self._store.era or 0
+        return self._version > 0 and objects.get_era(self._version) < era
+
+    def _register_again(self):
+        """Write the registration again if the restored store has lost it.
+
+        Returns
+        -------
+        float
+            Time until the next call, in seconds: a random one when the era
+            was first seen.
+        """
+        era = self._store.era
+        if era != self._restored_era:
+            self._restored_era = era
+            return self._random.uniform(0.0, REWRITE_SPREAD_S)
+        local_member = self._peers.local_member()
+        found = self._find_registration(local_member)
+        if found is not None and (
+            found.value == membership.encode_registration(local_member)
+        ):
+            self._version = found.version
+        else:
+            self._write(local_member, [found] if found else [])
+        return IDLE_INTERVAL_S if not self._is_from_earlier_era() else None
+
+    def _find_registration(self, local_member):
+        """Return the stored registration of a member, or None."""
+        return self._store.get(membership.KIND, local_member.instance_id)
+
     def remove(self):
-        """Delete the registration; one that remains is overwritten later."""
+        """Delete the registration; one that remains is overwritten later.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store was restored and does not answer.
+        """
+        if self._is_from_earlier_era():
+            found = self._find_registration(self._peers.local_member())
+            self._version = found.version if found else 0
         if self._version:
             name = self._peers.local_member().instance_id
             self._store.delete(membership.KIND, name, self._version)
