--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -19,6 +19,7 @@
 
     def __init__(self):
         self.objects = {}
+        self.era = None
         self.revision = 6
         self.era = None
         self.is_down = False
