Refuse answers of the platform that break off inside their head

Cause: http.client takes the end of the connection for the empty line after the headers, and half a line for a whole one. EndpointChannel checked this for forwarded answers, the pool for the store, the cloud API and the duties did not: half a 404 counted as "no such object", half a 410 as a lost history, half a 409 or 503 as a write that is certainly not done, half a 200 of a stop or a usage report as done.

The check of EndpointChannel moves to a reader of its own, which the responses of the bounded pool use too. Such a head raises IncompleteRead, which urllib3 turns into a ProtocolError: unavailable for a read, unknown for a change.

--- a/mulberryhollow/transport/bounded_reader.py
+++ b/mulberryhollow/transport/bounded_reader.py
@@ -4,6 +4,8 @@
 import io
 import time
 
+from mulberryhollow.transport import whole_lines
+
 __all__ = ["BoundedReader", "BoundedResponse", "ByteLimitError"]
 
 MIN_TIMEOUT_CHANGE_S = 0.1
@@ -92,9 +94,11 @@
             self._sock.settimeout(timeout_s)
 
 
-class BoundedResponse(http.client.HTTPResponse):
+class BoundedResponse(whole_lines.WholeHeadResponse):
     """HTTP response whose size is limited and whose time is the timeout.
 
+    Its head must be whole.
+
     Parameters
     ----------
     sock : socket.socket
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -13,6 +13,7 @@
 from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.transport import bounded_reader
 from mulberryhollow.transport import connection as connections
+from mulberryhollow.transport import whole_lines
 
 __all__ = ["EndpointChannel"]
 
@@ -303,43 +304,12 @@
         return self._reader
 
 
-class _SharedReader:
+class _SharedReader(whole_lines.LineReader):
     """View of the channel's reader for one response.
 
     Its close does nothing, since later responses use the reader too.
-
-    Notes
-    -----
-    `http.client` accepts a line that is cut off by the end of the
-    connection: half a head, or the first digit of a chunk size.
     """
 
-    def __init__(self, reader):
-        self._reader = reader
-        self._has_ended = False
-
-    def __getattr__(self, name):
-        return getattr(self._reader, name)
-
-    def readline(self, limit_bytes):
-        """Return a line, of which no more than the limit is read.
-
-        Raises
-        ------
-        http.client.IncompleteRead
-            When the connection ends inside the line.
-        """
-        line = self._reader.readline(limit_bytes)
-        self._has_ended = not line
-        if line and not line.endswith(b"\n") and len(line) < limit_bytes:
-            raise http.client.IncompleteRead(line)
-        return line
-
-    def require_line_end(self):
-        """Raise IncompleteRead when the connection ended before a line."""
-        if self._has_ended:
-            raise http.client.IncompleteRead(b"")
-
     def close(self):
         """Do nothing: the channel closes the reader."""
 
