Refuse endpoints' answers that break off inside their head

Cause: the client of endpoints reads heads with http.client as it is, so half of a 200 counted as a load order that was obeyed or a cache that was copied. A status line that is cut raised http.client.BadStatusLine, which is none of the errors that are turned into an EndpointError, and ended the thread's work.

Its connections now make responses whose head must be whole, and every HTTPException counts as a broken transfer.

--- a/mulberryhollow/transport/connection.py
+++ b/mulberryhollow/transport/connection.py
@@ -10,6 +10,7 @@
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.transport import store
+from mulberryhollow.transport import whole_lines
 
 __all__ = ["ConnectionPool", "open_fresh"]
 
@@ -22,6 +23,12 @@
 _MAX_IDLE_PER_ADDRESS = 16
 
 
+class _Connection(urllib3.connection.HTTPConnection):
+    """Connection that takes no answer whose head is not whole."""
+
+    response_class = whole_lines.WholeHeadResponse
+
+
 @attrs.define
 class _Idle:
     """An idle connection, the start of its idle time, and the time limit."""
@@ -47,7 +54,7 @@
         NotSent, when the connection could not be opened.
     """
     host, port = store.split_address(address)
-    connection = urllib3.connection.HTTPConnection(
+    connection = _Connection(
         host, port, timeout=min(timeout_s, CONNECT_TIMEOUT_S)
     )
     try:
--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -1,6 +1,7 @@
 """Client of model engines and plain services."""
 
 import contextlib
+import http.client
 import json
 
 import urllib3
@@ -23,7 +24,12 @@
 _MAX_CLOCK_SKEW_S = 5.0
 _RECHECK_DELAY_S = 0.05
 _JSON_HEADERS = {"Content-Type": "application/json"}
-_TRANSFER_ERRORS = (urllib3.exceptions.HTTPError, OSError, ValueError)
+_TRANSFER_ERRORS = (
+    http.client.HTTPException,
+    urllib3.exceptions.HTTPError,
+    OSError,
+    ValueError,
+)
 
 
 class EndpointClient:
