Bound and check the answers of instances to commands and queries

What callers saw: a command printed an empty page for an instance that closed its connection inside the head of a 200.

Cause: commands and the query of a member called urllib3 directly: a cut head was believed, and neither the size nor the time of the body was bounded.

Both now fetch through the bounded pool. A malformed address of an instance stays a PeerError.

The query of a member passed before, since an empty registration cannot be decoded.

--- a/mulberryhollow/cli/sessions.py
+++ b/mulberryhollow/cli/sessions.py
@@ -6,6 +6,8 @@
 from mulberryhollow.clock import Clock
 from mulberryhollow.clock import SystemClock
 from mulberryhollow.errors import PeerError
+from mulberryhollow.transport import bounded_pool
+from mulberryhollow.transport.store import split_address
 from mulberryhollow.transport.store import StoreClient
 
 __all__ = ["Session", "fetch"]
@@ -32,13 +34,8 @@
     """
     remedy = "see docs/OPERATIONS.md on instances that do not answer"
     try:
-        answer = urllib3.request(
-            "GET",
-            f"http://{address}{path}",
-            retries=False,
-            timeout=urllib3.Timeout(total=timeout_s),
-        )
-    except urllib3.exceptions.HTTPError as error:
+        answer = bounded_pool.fetch(*split_address(address), path, timeout_s)
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
         raise PeerError(f"{address} does not answer: {error}", remedy) from (
             error
         )
--- a/mulberryhollow/serving/registry.py
+++ b/mulberryhollow/serving/registry.py
@@ -11,6 +11,7 @@
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.state import objects
+from mulberryhollow.transport import bounded_pool
 from mulberryhollow.transport import store as store_adapter
 
 __all__ = ["Registry"]
@@ -187,11 +188,10 @@
 def _fetch_registration(address):
     """Return the member registered at an HTTP address, or None."""
     try:
-        answer = urllib3.request(
-            "GET",
-            f"http://{address}{MEMBER_PATH}",
-            timeout=_QUERY_TIMEOUT_S,
-            retries=False,
+        answer = bounded_pool.fetch(
+            *store_adapter.split_address(address),
+            MEMBER_PATH,
+            _QUERY_TIMEOUT_S,
         )
         return membership.decode_registration(answer.data)
     except (urllib3.exceptions.HTTPError, ValueError):
