--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -1,5 +1,6 @@
 """Stand-ins for the users' platform over HTTP: store, API, endpoints."""
 
+import contextlib
 import http.server
 import json
 import threading
@@ -122,6 +123,8 @@
         Whether requests run but the connection closes without an answer.
     rate_limit : str
         Value of ``Server-Limit`` in all answers; empty for none.
+    late_s : float
+        Time until a late answer, in seconds.
     disconnected_clients : int
         Number of clients that disconnected before their answer.
     """
@@ -133,6 +136,7 @@
         self.is_failing = False
         self.loses_answers = False
         self.rate_limit = ""
+        self.late_s = 2.0
         self.disconnected_clients = 0
         super().__init__()
 
@@ -155,6 +159,8 @@
         answer_headers |= {"Response-Seal": f"seal {self.identity}"}
         if self.is_failing:
             handler.reply(500, answer_headers, b"failed")
+        elif "/long-stream/" in handler.path:
+            self._stream_long(handler, answer_headers)
         elif "/stream/" in handler.path:
             self._stream(handler, answer_headers)
         elif "/slow/" in handler.path:
@@ -177,9 +183,27 @@
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
         handler.wfile.write(b"0\r\n\r\n")
 
+    def _stream_long(self, handler, answer_headers):
+        """Send an event in a chunk, and the end of the stream late."""
+        handler.send_response(200)
+        for name, value in answer_headers.items():
+            handler.send_header(name, value)
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        event = b"id: 1\ndata: x\n\n"
+        handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+        handler.wfile.flush()
+        handler.connection.settimeout(self.late_s)
+        with contextlib.suppress(TimeoutError):
+            handler.connection.recv(1)
+            self.disconnected_clients += 1
+            handler.close_connection = True
+            return
+        handler.wfile.write(b"0\r\n\r\n")
+
     def _answer_late(self, handler, answer_headers):
-        """Answer after two seconds, unless the client disconnects."""
-        handler.connection.settimeout(2.0)
+        """Answer after `late_s`, unless the client disconnects."""
+        handler.connection.settimeout(self.late_s)
         try:
             if not handler.connection.recv(1):
                 self.disconnected_clients += 1
--- /dev/null
+++ b/tests/platform/stops.feature
@@ -0,0 +1,46 @@
+Feature: Planned stops of an instance on the users' platform
+
+  # Guards against requests whose endpoint is still at work at the end of the
+  # grace time ending with a closed connection in place of an answer.
+  Scenario Outline: What outlasts the grace time is answered at its end
+    Given a stopping instance whose endpoints answer late
+    When a <kind> request is sent <when>
+    Then it is answered with 502 within the grace time, having run once
+    And the endpoints were told a time within the grace, if sent after SIGTERM
+
+    Examples:
+      | kind           | when                       |
+      | non_idempotent | 0.5 seconds before SIGTERM |
+      | idempotent     | 0.5 seconds before SIGTERM |
+      | non_idempotent | 1 second after SIGTERM     |
+      | idempotent     | 1 second after SIGTERM     |
+
+  # Guards against a stream that the end of the grace time breaks off and that
+  # looks complete.
+  Scenario: A stream that outlasts the grace time is not ended as whole
+    Given a stopping instance whose endpoints answer late
+    When a streaming request is sent 1 second after SIGTERM
+    Then the stream breaks off within the grace time after its first event
+
+  # Guards against requests being passed on that the grace time cannot hold.
+  Scenario Outline: What the rest of the grace time cannot hold is refused
+    Given a stopping instance whose endpoints answer late
+    When a <kind> request with a goal of 6 seconds is sent 2 seconds after SIGTERM
+    Then it is refused at once with a Retry-After and no endpoint has run it
+
+    Examples:
+      | kind           |
+      | non_idempotent |
+      | idempotent     |
+
+  # Guards against a peer's request that is cut off at the end of the grace time.
+  Scenario: A request of a peer that outlasts the grace time is answered
+    Given a stopping instance whose endpoints answer late
+    When a peer forwards a request 0.5 seconds before SIGTERM
+    Then the peer is told within the grace time that it may have run
+
+  # Guards against a stop that waits without need.
+  Scenario: An instance without requests stops as soon as it is out of rotation
+    Given a stopping instance whose endpoints answer late
+    When it gets SIGTERM while no request is running
+    Then it ends within 4 seconds
--- /dev/null
+++ b/tests/steps/platform_stops.py
@@ -0,0 +1,188 @@
+import concurrent.futures
+import http.client
+import signal
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow import errors
+from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.protocol import peer_requests
+from mulberryhollow.state import catalogue
+from tests import requests
+from tools import platform_site
+
+GRACE_S = 8.0
+LATE_S = 20.0
+TIMEOUT_MS = 30000
+LEAD_S = 0.5
+NAMES = {
+    "non_idempotent": "late-once",
+    "idempotent": "late-safe",
+    "streaming": "late-stream",
+}
+
+
+def make_routes():
+    for kind, name in NAMES.items():
+        for suffix, goal_ms in (("", 3000), ("-goal", 6000)):
+            route = platform_site.make_route(name + suffix, kind, TIMEOUT_MS)
+            yield route | {"goalMs": goal_ms, "gapGoalMs": TIMEOUT_MS}
+
+
+@given("a stopping instance whose endpoints answer late")
+def start_instance(context):
+    context.site = site = platform_site.PlatformSite()
+    context.add_cleanup(site.close)
+    for endpoint in site.endpoints.values():
+        endpoint.late_s = LATE_S
+    site.configure(1, *make_routes())
+    site.wait_ready()
+    context.threads = concurrent.futures.ThreadPoolExecutor(1)
+
+
+def call(context, method, path):
+    """Send a request; return the answer or the error, and when it came."""
+    began_s = time.monotonic()
+    try:
+        answer = context.site.call(
+            method, path, **{"Deadline-Ms": str(TIMEOUT_MS)}
+        )
+    except (OSError, http.client.HTTPException) as error:
+        answer = error
+    return answer, began_s, time.monotonic()
+
+
+def terminate(context):
+    context.terminated_s = time.monotonic()
+    context.site.process.send_signal(signal.SIGTERM)
+
+
+def send_around(context, send, delay_s):
+    """Send a request some time after SIGTERM, or before it if negative."""
+    if delay_s < 0:
+        running = context.threads.submit(send)
+        time.sleep(-delay_s)
+        terminate(context)
+    else:
+        terminate(context)
+        time.sleep(delay_s)
+        running = context.threads.submit(send)
+    context.is_late = delay_s > 0
+    context.answer, context.sent_s, context.answered_s = running.result()
+
+
+def send_kind(context, kind, delay_s, suffix=""):
+    path = {
+        "non_idempotent": "slow/x",
+        "idempotent": "slow/x",
+        "streaming": "long-stream/x",
+    }[kind]
+    method = "POST" if kind == "non_idempotent" else "GET"
+    target = f"/{NAMES[kind]}{suffix}/{path}"
+    send_around(context, lambda: call(context, method, target), delay_s)
+
+
+@when("a {kind} request is sent 0.5 seconds before SIGTERM")
+def send_before(context, kind):
+    send_kind(context, kind, -LEAD_S)
+
+
+@when("a {kind} request is sent 1 second after SIGTERM")
+def send_after(context, kind):
+    send_kind(context, kind, 1.0)
+
+
+@when(
+    "a {kind} request with a goal of 6 seconds is sent 2 seconds after SIGTERM"
+)
+def send_long(context, kind):
+    send_kind(context, kind, 2.0, "-goal")
+
+
+def check_time(context):
+    elapsed_s = context.answered_s - context.terminated_s
+    assert elapsed_s < GRACE_S, elapsed_s
+    context.site.process.wait(GRACE_S)
+    assert time.monotonic() - context.terminated_s < GRACE_S
+
+
+@then("it is answered with {status:d} within the grace time, having run once")
+def check_answer(context, status):
+    assert getattr(context.answer, "status", None) == status, context.answer
+    check_time(context)
+    # Requests that are sent no later than 3 s after the signal may take
+    # until the last sixth of the grace time.
+    elapsed_s = context.answered_s - context.terminated_s
+    assert elapsed_s >= GRACE_S * 5 / 6, elapsed_s
+    assert len(context.site.list_executed_requests()) == 1
+
+
+@then("the endpoints were told a time within the grace, if sent after SIGTERM")
+def check_told_time(context):
+    (seen,) = context.site.list_executed_requests()
+    left_s = context.terminated_s + GRACE_S - context.sent_s
+    if context.is_late:
+        assert int(seen["Deadline-Ms"]) <= left_s * 1000, seen
+
+
+@then("the stream breaks off within the grace time after its first event")
+def check_stream(context):
+    assert isinstance(context.answer, http.client.IncompleteRead), (
+        context.answer
+    )
+    assert b"id: 1" in context.answer.partial, context.answer.partial
+    check_time(context)
+
+
+@then("it is refused at once with a Retry-After and no endpoint has run it")
+def check_refused(context):
+    assert getattr(context.answer, "status", None) == 503, context.answer
+    assert float(context.answer.headers["Retry-After"]) > 0
+    assert context.answered_s - context.sent_s < 0.5
+    assert not context.site.list_executed_requests()
+
+
+@when("a peer forwards a request 0.5 seconds before SIGTERM")
+def forward(context):
+    request = requests.make_request(
+        catalogue.RequestKind.NON_IDEMPOTENT,
+        account="acme",
+        payload=messages.Payload(
+            "POST", "/late-once/slow/x", (("Attempt-Id", "r1"),), b"body"
+        ),
+    )
+    body = peer_requests.encode_call(request, TIMEOUT_MS / 1000, "").body
+
+    def send():
+        began_s = time.monotonic()
+        try:
+            answer = context.site.forward(body)
+        except (OSError, http.client.HTTPException) as error:
+            answer = error
+        return answer, began_s, time.monotonic()
+
+    send_around(context, send, -LEAD_S)
+
+
+@then("the peer is told within the grace time that it may have run")
+def check_peer_told(context):
+    answer = context.answer
+    assert isinstance(answer, http.client.HTTPResponse), answer
+    head = peer_requests.decode_head(answer.status, answer.getheaders())
+    unknown = errors.ExecutionStatus.UNKNOWN
+    assert head.refusal and head.refusal.ran is unknown, head
+    check_time(context)
+
+
+@when("it gets SIGTERM while no request is running")
+def stop_idle(context):
+    terminate(context)
+
+
+@then("it ends within {limit_s:g} seconds")
+def check_end(context, limit_s):
+    context.site.process.wait(GRACE_S)
+    assert time.monotonic() - context.terminated_s < limit_s
