Failing test: a leaving answer while the endpoint's entry is away

The endpoint says in an answer that it leaves while its entry is missing from the list. Once the entry is listed again, the endpoint gets requests.

--- a/tests/serving/fleet_watcher.feature
+++ b/tests/serving/fleet_watcher.feature
@@ -77,3 +77,13 @@
     Given a fleet watcher that has listed e1 and e2
     When e1 is listed with version v2
     Then the line of its change names version v2
+
+  # Guards against a mark that is lost because the answer arrives while the
+  # entry is away for a moment, as in a gap of the store.
+  Scenario: An endpoint that says it leaves while its entry is away stays away
+    Given a fleet watcher that has listed e1 and e2
+    When the entry of e1 is deleted
+    And two answers of e1 say that it leaves
+    And the list is read again
+    Then only e2 accepts requests
+    And its peers are told once that e1 said it leaves
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -244,3 +244,18 @@
     (call,) = context.logged.call_args_list
     assert call.args == (fleet_watcher.CHANGED,), call
     assert call.kwargs["version"] == version, call
+
+
+@when("two answers of e1 say that it leaves")
+def report_said_leaving(context):
+    context.said_leaving = []
+    context.watcher_dispatcher.on_endpoint_leaving = (
+        context.said_leaving.append
+    )
+    for _ in range(2):
+        context.watcher_dispatcher.report_leaving("e1.5")
+
+
+@then("its peers are told once that e1 said it leaves")
+def check_said_leaving(context):
+    assert context.said_leaving == ["e1.5"], context.said_leaving
