Keep the leaving mark of an endpoint whose entry is away

Callers' requests reached an endpoint after it had said in an answer that it leaves, where its entry was missing at that moment and came back later. The dispatcher ignored the answer of an endpoint without a record. The view keeps marks of endpoints that are not listed, so the mark is now set in any case, and the peers are told of it.

The scenario failed before (1 of 12 in the feature) and passes now, as do the features of the view and of the forwarder. Ruled out: marks set while the endpoint is listed outlast its absence already (scenarios of the view).

--- a/mulberryhollow/serving/dispatch/endpoint_work.py
+++ b/mulberryhollow/serving/dispatch/endpoint_work.py
@@ -365,9 +365,11 @@
         self.region_map = region_map
 
     def _report_leaving(self, endpoint_id, on_leaving):
-        """Mark an endpoint as leaving; call a function the first time."""
-        record = self.view.get(endpoint_id)
-        if record is None or record.is_leaving:
+        """Mark an endpoint as leaving; call a function the first time.
+
+        The endpoint need not be listed: its entry may be back later.
+        """
+        if self.view.is_marked_leaving(endpoint_id):
             return
         self.view.mark_leaving(endpoint_id)
         events.log(SAID_LEAVING, endpoint=endpoint_id)
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -132,6 +132,10 @@
             record.is_leaving = True
             self._index(record)
 
+    def is_marked_leaving(self, endpoint_id):
+        """Return whether an endpoint, listed or not, is marked as leaving."""
+        return endpoint_id in self._leaving_marks
+
     def mark_domain_leaving(self, failure_domain, until_s=None):
         """Permanently exclude a failure domain's endpoints from new work.
 
