--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -274,3 +274,28 @@
     And each piece of an answer takes 0.02 s
     When a IDEMPOTENT request with a prompt of 0 tokens is forwarded
     Then the forwarder has learned nothing
+
+  # Guards against a request that is sent to an endpoint which has left while
+  # the request waited for its connection; it goes to another endpoint, and the
+  # attempt counts neither as an offer nor as a retry.
+  Scenario Outline: An endpoint that leaves before the send gets no request
+    Given a forwarder whose endpoints answer in turn: whole
+    When <count> of the endpoints chosen for a <kind> request <way> during the connection
+    Then the caller gets "hello" after <attempts> attempts
+    And only the endpoint that stays was sent the request
+    And no retry was spent, and no attempt or load stays counted
+
+    Examples:
+      | count | kind           | way                              | attempts |
+      | 1     | IDEMPOTENT     | says in an answer that it leaves | 2        |
+      | 5     | IDEMPOTENT     | says in an answer that it leaves | 6        |
+      | 1     | NON_IDEMPOTENT | is gone at a peer                | 2        |
+      | 5     | NON_IDEMPOTENT | is not listed any more           | 6        |
+
+  # Guards against a stream that is resumed at an endpoint which has left while
+  # the resumed attempt waited for its connection.
+  Scenario: A resumed stream is not sent to an endpoint that leaves before it
+    Given a forwarder whose endpoints answer in turn: half stream, rest of stream
+    When a RESUMABLE_STREAM is forwarded whose second endpoint leaves during the connection
+    Then the caller gets events 1 to 4 without a break
+    And the endpoint that left was not sent the stream
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -108,6 +108,7 @@
     def __init__(self, outcomes):
         self.outcomes = list(outcomes)
         self.calls = []
+        self.sent = []
         self.broken = set()
         self.lost = ""
         self.channels = []
@@ -119,6 +120,7 @@
             self.on_open.pop(0)()
         self.channels.append(Channel())
         on_channel(self.channels[-1])
+        self.sent.append(attempt.call.endpoint)
         outcome = self.outcomes.pop(0)
         if outcome == "broken":
             self.broken.add(attempt.address)
@@ -529,3 +531,93 @@
 @then("the forwarder has learned nothing")
 def check_nothing_learned(context):
     assert not list_learned(context)
+
+
+def mark_leaving(dispatcher, endpoint_id):
+    dispatcher.report_leaving(endpoint_id)
+
+
+def drain(dispatcher, endpoint_id):
+    dispatcher.change(
+        lambda actor, now_s: actor.view.set_draining(endpoint_id, True)
+    )
+
+
+def unlist(dispatcher, endpoint_id):
+    dispatcher.change(
+        lambda actor, now_s: actor.view.apply_list(
+            [
+                record.endpoint
+                for record in actor.view
+                if record.endpoint.id != endpoint_id
+            ],
+            now_s,
+        )
+    )
+
+
+WAYS_TO_LEAVE = {
+    "says in an answer that it leaves": mark_leaving,
+    "is gone at a peer": drain,
+    "is not listed any more": unlist,
+}
+
+
+@when(
+    "{count:d} of the endpoints chosen for a {kind} request {way} during the "
+    "connection"
+)
+def forward_to_leaving(context, count, kind, way):
+    """Forward a request whose first endpoints leave once they are chosen."""
+    client = context.client
+
+    def leave():
+        endpoint_id = client.calls[-1].endpoint
+        WAYS_TO_LEAVE[way](context.dispatcher, endpoint_id)
+        context.dispatcher.read(lambda actor, now_s: None)
+        context.left.append(endpoint_id)
+
+    context.left, context.ended = [], []
+    context.dispatcher.on_attempt_begin = lambda route: context.ended.append(1)
+    context.dispatcher.on_attempt_end = lambda ended: context.ended.pop()
+    context.retries = []
+    context.dispatcher.spend_retry = context.retries.append
+    client.on_open = [leave] * count
+    forward(context, kind)
+
+
+@then("only the endpoint that stays was sent the request")
+def check_sent_to_staying(context):
+    client = context.client
+    assert client.sent == [client.calls[-1].endpoint], client.sent
+    assert not set(client.sent) & set(context.left), client.sent
+
+
+@then("no retry was spent, and no attempt or load stays counted")
+def check_not_counted(context):
+    assert context.retries == [], context.retries
+    assert context.ended == [], context.ended
+    loads = context.dispatcher.read(
+        lambda actor, now_s: actor.view.list_local_loads()
+    )
+    assert loads == {}, loads
+
+
+@when(
+    "a RESUMABLE_STREAM is forwarded whose second endpoint leaves during the "
+    "connection"
+)
+def forward_resumed_to_leaving(context):
+    def leave():
+        context.left = [context.client.calls[-1].endpoint]
+        mark_leaving(context.dispatcher, context.left[0])
+        context.dispatcher.read(lambda actor, now_s: None)
+
+    context.client.on_open = [lambda: None, leave]
+    forward(context, "RESUMABLE_STREAM")
+
+
+@then("the endpoint that left was not sent the stream")
+def check_stream_not_sent(context):
+    sent = context.client.sent
+    assert len(sent) == 2 and not set(sent) & set(context.left), sent
