Check right before a send that the endpoint has not left

A request could reach an endpoint that had said that it leaves, or was gone, while the request waited for a permit or for its connection: what is known of the endpoint was read at the choice only.

The forwarder now checks the endpoint once the connection is open and before the first byte. The check reads the view in place, without a call to the dispatch actor. An attempt that ends there is withdrawn: it counts neither as an offer nor as a retry, gives its permit back and says nothing about the endpoint; the request goes to another one.

Ruled out by reading: after a wait for room, between two attempts and before a resumed stream the endpoint is chosen anew, and a preferred endpoint that is not available is not taken.

--- a/mulberryhollow/errors.py
+++ b/mulberryhollow/errors.py
@@ -167,6 +167,16 @@
         self.fault = fault
 
 
+class EndpointLeftError(MulberryError):
+    """The chosen endpoint has left before anything was sent to it."""
+
+    def __init__(self):
+        super().__init__(
+            "the chosen endpoint takes no new requests any more",
+            "choose another endpoint",
+        )
+
+
 class CallerDisconnectedError(MulberryError):
     """The caller closed its connection."""
 
--- a/mulberryhollow/serving/attempts.py
+++ b/mulberryhollow/serving/attempts.py
@@ -31,7 +31,8 @@
 class Route:
     """A chosen endpoint and the load that the attempt adds to it.
 
-    To be released by `Dispatcher.finish` when the attempt ends.
+    To be released by `Dispatcher.finish` when the attempt ends, or by
+    `Dispatcher.withdraw` when nothing was sent.
 
     Parameters
     ----------
@@ -118,7 +119,8 @@
         Whether the endpoint answered with a server error that was passed on,
         or did not complete its answer in time. Its health is not affected.
     is_abandoned : bool
-        Whether the attempt ended because the caller has left.
+        Whether the attempt ended because the caller has left, or before
+        anything was sent.
     """
 
     route: Route
--- a/mulberryhollow/serving/dispatch/endpoint_calls.py
+++ b/mulberryhollow/serving/dispatch/endpoint_calls.py
@@ -3,6 +3,7 @@
 import attrs
 
 from mulberryhollow.coordination import routing
+from mulberryhollow import errors
 from mulberryhollow.serving.dispatch import calls
 from mulberryhollow.serving.dispatch import endpoint_work
 from mulberryhollow.serving import permit_peering
@@ -62,6 +63,7 @@
         self.on_long_prompt = lambda chosen: None
         self.on_attempt_begin = lambda route: None
         self.on_first_byte = lambda route, first_s: None
+        self._view = None
 
     def choose(
         self, request, excluded=(), is_idempotent=False, keeps_version=False
@@ -140,6 +142,28 @@
         self.on_attempt_begin(route)
         return route
 
+    def check_send(self, route):
+        """Check, right before a send, that the endpoint has not left since.
+
+        An attempt may wait for a permit or a connection after the choice.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the attempt.
+
+        Raises
+        ------
+        EndpointLeftError
+            When nothing may be sent to the endpoint any more. The route has
+            to be released by `Dispatcher.withdraw`.
+        """
+        if self._view is None:
+            # The view is read in place: the actor may be busy.
+            self._view = self.read(lambda actor, now_s: actor.view)
+        if not self._view.admits_send(route.endpoint_id):
+            raise errors.EndpointLeftError
+
     def _avoid_exhausted(self, request):
         """Return a RouteRequest that avoids endpoints without a permit."""
         avoided = self.permits.list_exhausted(request.service, request.account)
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -279,6 +279,21 @@
         )
         return is_quarantined
 
+    def withdraw(self, route):
+        """Release the route of an attempt of which nothing was sent.
+
+        Parameters
+        ----------
+        route : Route
+            Route returned by `choose`.
+        """
+        if route.permit is not None:
+            self.permits.give_back(route.endpoint_id, route.permit)
+        self._actor.tell(endpoint_work.Withdraw(route))
+        self.on_attempt_end(
+            attempts.AttemptResult(route, None, 0.0, False, is_abandoned=True)
+        )
+
     def report_begun(self, parts):
         """Report that an answer to a prompt with these parts has begun."""
         if parts:
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -229,6 +229,8 @@
         route = self._choose()
         try:
             run(route)
+        except errors.EndpointLeftError:
+            self._withdraw()
         except errors.EndpointError as error:
             self._fail(error.fault)
             self._check_caller()
@@ -379,7 +381,9 @@
         )
         peers = self._dependencies.peers
         try:
-            answer = self._dependencies.client.open(attempt, self._set_channel)
+            answer = self._dependencies.client.open(
+                attempt, self._prepare_send
+            )
         except errors.EndpointError as error:
             peers.record_failure(route, error.fault)
             raise
@@ -462,6 +466,11 @@
             if self._is_aborted:
                 channel.abort()
 
+    def _prepare_send(self, channel):
+        """Store the channel and check that its endpoint has not left."""
+        self._set_channel(channel)
+        self._dependencies.dispatcher.check_send(self._route)
+
     def _abort(self):
         """Abort the attempt in progress; called in another thread."""
         with self._channel_lock:
@@ -588,6 +597,17 @@
         if failure.is_quarantined:
             raise attempts.refuse_quarantined()
 
+    def _withdraw(self):
+        """Take back an attempt of which nothing was sent.
+
+        It counts neither as an offer nor as a retry, and the endpoint is not
+        at fault.
+        """
+        self._close_answer()
+        route, self._route = self._route, None
+        self._excluded.add(route.endpoint_id)
+        self._dependencies.dispatcher.withdraw(route)
+
     def _require_retry(self, route, fault):
         """Return when another attempt may follow; raise otherwise."""
         now_s = self._dependencies.clock.now_s()
--- a/mulberryhollow/state/endpoints/record.py
+++ b/mulberryhollow/state/endpoints/record.py
@@ -267,10 +267,14 @@
         )
         return remaining_s, sum(work.memory_tokens for work in self._active)
 
+    def is_staying(self):
+        """Return whether the endpoint neither leaves nor drains."""
+        return not (self.is_leaving or self.is_draining)
+
     def is_available(self):
         """Return whether new work may be sent to the endpoint."""
-        is_staying = not (self.is_leaving or self.is_draining)
-        wants_work = is_staying and not (self.is_paused or self.is_evacuated)
+        is_excluded = self.is_paused or self.is_evacuated
+        wants_work = self.is_staying() and not is_excluded
         return wants_work and self.circuit.admits_work()
 
     def pause(self, until_s):
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -136,6 +136,16 @@
         """Return whether an endpoint, listed or not, is marked as leaving."""
         return endpoint_id in self._leaving_marks
 
+    def admits_send(self, endpoint_id):
+        """Return whether a request may still be sent to a chosen endpoint.
+
+        It may not if the endpoint is leaving, draining or no longer listed.
+        Any thread may call this: it reads one record, which is replaced or
+        changed by single assignments only.
+        """
+        record = self._records.get(endpoint_id)
+        return record is not None and record.is_staying()
+
     def mark_domain_leaving(self, failure_domain, until_s=None):
         """Permanently exclude a failure domain's endpoints from new work.
 
