--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -1,13 +1,15 @@
 """Stand-ins for the users' platform over HTTP: store, API, endpoints."""
 
+import contextlib
 import http.server
 import json
+import socket
 import threading
 import time
 
 from standins import platform
 
-__all__ = ["PlatformEndpoint", "PlatformServer"]
+__all__ = ["PlatformEndpoint", "PlatformServer", "Server"]
 
 WATCH_POLL_INTERVAL_S = 0.02
 
@@ -20,6 +22,18 @@
     # the second would wait for the acknowledgement of the first.
     wbufsize = -1
 
+    def setup(self):
+        """Register the connection with the server."""
+        super().setup()
+        self.server.open_connections.add(self.connection)
+
+    def finish(self):
+        """Forget the connection."""
+        self.server.open_connections.discard(self.connection)
+        # The connection may have been cut with an answer in the buffer.
+        with contextlib.suppress(OSError):
+            super().finish()
+
     def _handle(self):
         length = int(self.headers.get("Content-Length") or 0)
         self.server.handle(self, self.rfile.read(length))
@@ -40,7 +54,7 @@
         self.wfile.write(body)
 
 
-class _Server:
+class Server:
     """An HTTP server on loopback, with a thread for each connection."""
 
     def __init__(self):
@@ -49,6 +63,7 @@
         )
         self._server.daemon_threads = True
         self._server.handle = self.handle
+        self._server.open_connections = set()
         threading.Thread(
             target=self._server.serve_forever, daemon=True
         ).start()
@@ -63,8 +78,14 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def cut_connections(self):
+        """Shut every open connection down, as the end of a process does."""
+        for connection in tuple(self._server.open_connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
 
-class PlatformServer(_Server):
+class PlatformServer(Server):
     """The object store and the usage API.
 
     Attributes
@@ -102,7 +123,7 @@
         handler.reply(answer.status, answer.headers, answer.data)
 
 
-class PlatformEndpoint(_Server):
+class PlatformEndpoint(Server):
     """An endpoint that answers by path: at once, as a stream or late.
 
     Parameters
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,131 @@
+"""Run one seed of the soak and check what was recorded."""
+
+import argparse
+import collections
+import random
+import shutil
+import signal
+import sys
+import threading
+
+from tools import processes
+from tools.soak import checks
+from tools.soak import injector as injectors
+from tools.soak import records
+from tools.soak import schedule
+from tools.soak import site as sites
+from tools.soak import traffic
+from tools.soak import writers
+
+FOLDER = processes.ROOT / "build" / "soak"
+CALLERS_PER_INSTANCE = 2
+MAX_INSTANCES = 40
+MAX_SECONDS = 600.0
+
+
+def main():
+    """Run one seed; return 0 without violations, 1 otherwise."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    arguments = _parse_arguments()
+    folder = FOLDER / str(arguments.seed)
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    recorder = records.Recorder()
+    try:
+        injector = _run(arguments, recorder, folder)
+    finally:
+        recorder.end_all()
+        recorder.dump(folder / "history.jsonl")
+    found = checks.check(recorder)
+    _print_counts(recorder, injector)
+    for each in found:
+        kind = "VIOLATION" if each.is_counted else "not counted:"
+        print(
+            f"{kind} seed {arguments.seed} at {each.at_s:.2f} s"
+            f" {each.rule}: {each.message}"
+        )
+    counted = sum(each.is_counted for each in found)
+    print(f"seed {arguments.seed}: {counted} violations, logs in {folder}")
+    return 1 if counted else 0
+
+
+def _parse_arguments():
+    """Return the arguments of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="python -m tools.soak",
+        description=__doc__,
+        epilog="Example: python -m tools.soak --seed 7 --seconds 120",
+    )
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument(
+        "--seconds", type=float, default=70.0, help="time with faults"
+    )
+    parser.add_argument(
+        "--instances", type=int, default=4, help="number of instances"
+    )
+    arguments = parser.parse_args()
+    if not 2 <= arguments.instances <= MAX_INSTANCES:
+        parser.error(f"--instances must be from 2 to {MAX_INSTANCES}")
+    if not 2 * schedule.SETTLING_S < arguments.seconds <= MAX_SECONDS:
+        parser.error(f"--seconds must be from 11 to {MAX_SECONDS:g}")
+    return arguments
+
+
+def _run(arguments, recorder, folder):
+    """Run the site and carry out the steps of the seed."""
+    generator = random.Random(f"writers-{arguments.seed}")
+    stopped = threading.Event()
+    site = sites.Site(arguments.instances, recorder, folder)
+    endpoints = writers.Endpoints(site.server, recorder, generator)
+    operator = writers.Operator(site.server, recorder, generator)
+    try:
+        operator.configure()
+        endpoints.tick(recorder.now_s())
+        site.start_all()
+        callers = [
+            traffic.Caller(
+                site,
+                instance,
+                operator,
+                recorder,
+                f"{arguments.seed}-{instance.name}-{number}",
+                stopped,
+            )
+            for instance in site.instances
+            for number in range(CALLERS_PER_INSTANCE)
+        ]
+        for each in callers:
+            each.start()
+        injector = injectors.Injector(site, operator, endpoints, recorder)
+        injector.run(
+            schedule.make_schedule(
+                arguments.seed, arguments.seconds, arguments.instances
+            ),
+            arguments.seconds,
+        )
+        stopped.set()
+        for each in callers:
+            each.join(traffic.TIMEOUT_S)
+        return injector
+    finally:
+        stopped.set()
+        site.close()
+        endpoints.close()
+
+
+def _print_counts(recorder, injector):
+    """Print how much has happened, and how late the steps were."""
+    answers = collections.Counter(
+        each.status for each in recorder.select(records.Call)
+    )
+    duties = collections.Counter(
+        each.duty for each in recorder.select(records.DutyCall)
+    )
+    print(f"steps: {dict(sorted(injector.done.items()))}")
+    print(f"answers: {dict(sorted(answers.items()))}")
+    print(f"calls of duties: {dict(duties)}")
+    print(f"latest step: {injector.most_late_s:.2f} s late")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/schedule.py
@@ -0,0 +1,144 @@
+"""Seeded schedule of the faults and changes of a run."""
+
+import itertools
+import random
+
+import attrs
+
+__all__ = ["HOLDER", "SETTLING_S", "Step", "make_schedule"]
+
+HOLDER = -1
+"""Target that stands for the instance that performs the duties."""
+
+SETTLING_S = 5.0
+"""Time without new faults at the begin and at the end, in seconds."""
+
+STORM_S = 14.0
+CALM_S = 9.0
+"""Durations of the alternating spells with and without unplanned faults.
+
+A calm spell is long enough for bounds that hold only some seconds after the
+last fault.
+"""
+
+_STORE_ACTIONS = ("restore",) * 6 + ("down", "lose answers", "refuse")
+_PROCESS_ACTIONS = ("kill", "stop", "freeze", "freeze")
+_LEAVING_WAYS = ("entry", "entry and answers", "removed", "answers")
+
+
+@attrs.frozen(order=True)
+class Step:
+    """One action at a time of the run.
+
+    Parameters
+    ----------
+    at_s : float
+        Time since the begin of the run, in seconds.
+    action : str
+        What to do.
+    target : int
+        Index of an instance or endpoint, or `HOLDER`; of a copy of the store
+        for the actions on copies.
+    detail : str
+        Way in which an endpoint leaves.
+    duration_s : float
+        Duration of a fault that ends, in seconds.
+    """
+
+    at_s: float
+    action: str
+    target: int = 0
+    detail: str = ""
+    duration_s: float = 0.0
+
+
+def make_schedule(seed, duration_s, count):
+    """Return the steps of a seed in order.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the schedule.
+    duration_s : float
+        Duration of the run, in seconds.
+    count : int
+        Number of instances.
+    """
+    generator = random.Random(f"soak-{seed}")
+    end_s = duration_s - SETTLING_S
+    series = (
+        _make_store_faults(generator, end_s, count),
+        _make_process_faults(generator, end_s, count),
+        _make_changes(generator, end_s),
+    )
+    return sorted(itertools.chain.from_iterable(series))
+
+
+def _is_storm(at_s):
+    """Return whether unplanned faults may begin at a time."""
+    return (at_s - SETTLING_S) % (STORM_S + CALM_S) < STORM_S
+
+
+def _list_times(generator, end_s, shortest_s, longest_s):
+    """Return times with random gaps until an end."""
+    gaps = (generator.uniform(shortest_s, longest_s) for _ in range(10_000))
+    times = itertools.accumulate(gaps, initial=SETTLING_S)
+    return list(itertools.takewhile(lambda at_s: at_s < end_s, times))[1:]
+
+
+def _make_store_faults(generator, end_s, count):
+    """Yield faults of the store: restores, outages and lost answers."""
+    for number, at_s in enumerate(_list_times(generator, end_s, 3.0, 7.0)):
+        action = generator.choice(_STORE_ACTIONS)
+        duration_s = generator.uniform(0.05, 1.0)
+        target = generator.choice((HOLDER, generator.randrange(count)))
+        restore = list(_make_restore(generator, number, at_s, duration_s))
+        if not _is_storm(at_s):
+            continue
+        if action == "restore":
+            yield from restore
+        elif action == "refuse":
+            yield Step(at_s, action, target, "", duration_s + 2.0)
+        else:
+            yield Step(at_s, action, duration_s=duration_s)
+
+
+def _make_restore(generator, number, at_s, down_s):
+    """Yield a copy, an outage and the restore from the copy at its end.
+
+    In half of the cases the holder of the duties changes, or another
+    instance is frozen, between the copy and the restore.
+    """
+    age_s = generator.uniform(0.5, 6.0)
+    copied_s = at_s - age_s
+    action = generator.choice(("stop", "freeze", "kill", "freeze others"))
+    disturbed_s = generator.uniform(copied_s, at_s)
+    if generator.random() < 0.5:
+        if action == "freeze others":
+            # Its counts of requests arrive after they have been reported.
+            frozen_s = generator.uniform(4.0, 7.0)
+            yield Step(copied_s - 1.0, action, duration_s=frozen_s)
+        else:
+            yield Step(disturbed_s, action, HOLDER, "", at_s - disturbed_s)
+    yield Step(copied_s, "copy", number)
+    yield Step(at_s - down_s, "down", duration_s=down_s)
+    yield Step(at_s, "restore", number)
+
+
+def _make_process_faults(generator, end_s, count):
+    """Yield signals to instances, half of them to the duties' holder."""
+    for at_s in _list_times(generator, end_s, 3.0, 9.0):
+        action = generator.choice(_PROCESS_ACTIONS)
+        target = generator.choice((HOLDER, generator.randrange(count)))
+        duration_s = generator.uniform(0.2, 6.0)
+        if action == "stop" or _is_storm(at_s):
+            yield Step(at_s, action, target, "", duration_s)
+
+
+def _make_changes(generator, end_s):
+    """Yield new configurations and endpoints that leave."""
+    for at_s in _list_times(generator, end_s, 2.0, 5.0):
+        yield Step(at_s, "configure")
+    for at_s in _list_times(generator, end_s, 5.0, 9.0):
+        way = generator.choice(_LEAVING_WAYS)
+        yield Step(at_s, "leave", generator.randrange(4), way)
