Failing test: an instance whose peers do not answer reads the store in time

Fails on the code of today, each time: it relies on its collector until the contact that it was told of is 3.2 s old, whatever configApplyMs is.

--- a/tests/serving/store_relay.feature
+++ b/tests/serving/store_relay.feature
@@ -160,3 +160,12 @@
     And another call of the collector is answered
     Then the collector has only the object a within 2 seconds
     And the collector is told nothing more when its watch ends
+
+  # Guards against a configuration that comes into force late at an instance
+  # whose peers do not answer, though the store does.
+  Scenario: An instance without its peers reads the store within the bound
+    Given a collector and an instance that both follow the store
+    When the instance reports to the collector
+    And an object is written
+    And the instance reads on for 1.9 of the 2 seconds of the bound
+    Then the instance has the written object
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -172,6 +172,14 @@
     context.instance.read()
 
 
+@when("the instance reads on for {seconds:g} of the 2 seconds of the bound")
+def read_on(context, seconds):
+    end_s = context.clock.now_s() + seconds
+    while context.clock.now_s() < end_s:
+        wait_s = context.instance.read() or 0.1
+        context.clock.advance(min(wait_s, end_s - context.clock.now_s()))
+
+
 @when("the collector is frozen for {seconds:d} seconds")
 def freeze_collector(context, seconds):
     context.clock.advance(seconds)
