Read the store directly once no collector answers, within configApplyMs

What callers saw: a configuration that came into force late at an instance that was cut off from its peers, but not from the store.

Cause: an instance relied on its collector until the contact that it had been told of was 3.2 s old, a fixed time, while a configuration has to be in force 2 s after its confirmation (configApplyMs).

Fix: the age of the latest answer of a collector is watched as well; it is read directly above 0.6 of configApplyMs, which the settings name. Answers come twice a second, or every 0.9 s while the first collector in rank times out. An answer that does not know of the last restore is none.

Ruled out: a shorter age of the contact itself, since a watch without a change is answered only every 2.5 s.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -213,6 +213,7 @@
             self._followers.values(),
             clock,
             lambda: self._fact_peering.collectors.is_local,
+            lambda: self._settings.bounds.config_apply_s,
         )
         self._store.on_restored = self._store_relay.refresh
         self._aggregate_peering = aggregate_peering.AggregatePeering(
--- a/mulberryhollow/platform/settings.py
+++ b/mulberryhollow/platform/settings.py
@@ -42,6 +42,9 @@
         Tolerances by which the rate of a cold endpoint may be exceeded.
     exposure : ExposureLimit
         Limit on the requests that a bad version may get during a move.
+    config_apply_s : float
+        Time after its confirmation in which a configuration has to be in
+        force on all instances, in seconds.
     """
 
     grace_s: float
@@ -53,6 +56,7 @@
     evacuation_s: float = 5.0
     cold_starts: limits.ColdRules = limits.ColdRules()
     exposure: rollout.ExposureLimit = DEFAULT_EXPOSURE
+    config_apply_s: float = 2.0
 
 
 @attrs.frozen
@@ -223,6 +227,10 @@
             float(bounds.get("exposureSlack", DEFAULT_EXPOSURE.slack)),
             float(bounds.get("rollbackMs", 5000)) / _MS_PER_S,
         ),
+        config_apply_s=float(
+            decoding.get_number(bounds, "configApplyMs", 2000)
+        )
+        / _MS_PER_S,
     )
 
 
--- a/mulberryhollow/serving/store_relay.py
+++ b/mulberryhollow/serving/store_relay.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 import threading
 
 from mulberryhollow import errors
@@ -17,6 +18,16 @@
 and its instances learn that half a second later.
 """
 
+ANSWER_AGE_RATIO = 0.6
+"""Age of a collector's latest answer above which the store is read directly.
+
+As a ratio of the time in which a configuration has to be in force; the rest is
+for the read.
+"""
+
+DEFAULT_APPLY_S = 2.0
+"""Default time in which a configuration has to be in force, in seconds."""
+
 RELAYED_INTERVAL_S = 0.5
 """Interval between checks whether the relayed objects are recent, in s."""
 
@@ -54,6 +65,9 @@
         Source of time.
     is_collector : callable
         Returns whether this instance reads the store for others.
+    get_apply_s : callable
+        Returns the time in which a change of the store has to be in force, in
+        seconds.
 
     Notes
     -----
@@ -61,10 +75,18 @@
     says how long ago the store confirmed the state, whichever way it came.
     """
 
-    def __init__(self, followers, clock, is_collector):
+    def __init__(
+        self,
+        followers,
+        clock,
+        is_collector,
+        get_apply_s=lambda: DEFAULT_APPLY_S,
+    ):
         self._followers = {each.kind: each for each in followers}
         self._clock = clock
         self._is_collector = is_collector
+        self._get_apply_s = get_apply_s
+        self._answered_s = dict.fromkeys(self._followers, -math.inf)
         self._is_relayed = dict.fromkeys(self._followers, False)
 
     def read(self, follower):
@@ -75,12 +97,17 @@
         float or None
             Time until the next call, in seconds; None for the usual one.
         """
-        is_relayed = not self._is_collector() and self._is_recent(follower)
+        left_s = self._measure_left(follower)
+        is_relayed = (
+            not self._is_collector()
+            and self._is_recent(follower)
+            and left_s > 0.0
+        )
         if is_relayed != self._is_relayed[follower.kind]:
             self._is_relayed[follower.kind] = is_relayed
             events.log(RELAYED if is_relayed else DIRECT, kind=follower.kind)
         if is_relayed:
-            return RELAYED_INTERVAL_S
+            return min(RELAYED_INTERVAL_S, left_s)
         follower.read()
         return None
 
@@ -134,7 +161,17 @@
             except ValueError as error:
                 events.log(MALFORMED, kind=kind, reason=str(error))
                 continue
-            self._followers[kind].accept(state)
+            if self._followers[kind].accept(state):
+                self._answered_s[kind] = now_s
+
+    def _measure_left(self, follower):
+        """Return the time until a kind is read directly, in seconds.
+
+        It is not read as long as collectors answer.
+        """
+        max_age_s = ANSWER_AGE_RATIO * self._get_apply_s()
+        age_s = self._clock.now_s() - self._answered_s[follower.kind]
+        return max_age_s - age_s
 
     def _is_recent(self, follower):
         """Return whether the store confirmed a kind's state recently."""
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -210,13 +210,18 @@
             of this follower are ignored, and so is all that an instance
             tells which does not know of the last restore: neither its contact
             nor its objects say anything about the restored store.
+
+        Returns
+        -------
+        bool
+            Whether that instance knows of the last restore.
         """
         changes = state.changes
         with self._lock:
             known_era = max(self._get_era(), self._store.era or 0)
             revision = changes.revision if changes else state.revision
             if objects.get_era(revision or 0) < known_era:
-                return
+                return False
             is_next = changes and changes.base == self._log.revision
             if not (is_next and self._is_restore(changes)):
                 self._record_recovery(state.recovered_s)
@@ -225,6 +230,7 @@
                 self._record_contact(state.contact_s)
             if is_next:
                 self._apply(changes)
+        return True
 
     def _list(self):
         """List every object."""
--- a/tests/platform/settings.feature
+++ b/tests/platform/settings.feature
@@ -23,6 +23,12 @@
       | ["placesX"]           | no      |
       | absent                | no      |
 
+  # Guards against fixed times where the platform names a bound.
+  Scenario: The time in which a configuration is in force is read
+    Given the platform's settings of one instance
+    When the field bounds becomes {"configApplyMs": 4000}
+    Then configurations have to be in force within 4 seconds
+
   Scenario Outline: A missing or wrong field is named
     Given the platform's settings of one instance
     When the field <field> becomes <value>
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -70,6 +70,12 @@
     assert found.bounds.evacuation_s == limit_s
 
 
+@then("configurations have to be in force within {limit_s:g} seconds")
+def check_apply_limit(context, limit_s):
+    found = settings.decode_settings(json.dumps(context.fields))
+    assert found.bounds.config_apply_s == limit_s
+
+
 @when("the fields {names} are removed and an unknown one is added")
 def remove_fields(context, names):
     for name in names.split(", "):
