Release the duties only after the running call has ended

Cause: at a planned stop the lease was released while a duty was in the middle of a call, or between the check of the lease and the send. Class: a right that is given up while it is still in use.

From the start of the release no further call is begun; the lease is released once the running one has ended. If it does not end in 2 s the lease lapses (8112). The release has a thread of its own, so that a silent store or a call that hangs does not hold up the stop of the process.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -290,9 +290,16 @@
         self._peers.leave()
 
     def _release_duties(self):
-        """Release the duties, so that another instance acquires them now."""
+        """Release the duties, so that another instance acquires them now.
+
+        The stop does not wait for the platform's answers.
+        """
         if self._duty_manager is not None:
-            self._duty_manager.release()
+            threading.Thread(
+                target=self._duty_manager.release,
+                name="duty release",
+                daemon=True,
+            ).start()
 
     def _wait(self, until_s):
         """Sleep until a time of the monotonic clock."""
--- a/mulberryhollow/serving/duties.py
+++ b/mulberryhollow/serving/duties.py
@@ -15,6 +15,12 @@
 LEASE_OBJECT_NAME = "holder"
 """Name of the stored object that holds the lease."""
 
+RELEASE_TIMEOUT_S = 2.0
+"""Time that a release waits for the running call of a duty, in seconds.
+
+The longest time of one call; the instance leaves rotation meanwhile.
+"""
+
 IDLE_INTERVAL_S = 1.0
 """Interval between ticks of an instance that is no candidate, in seconds."""
 
@@ -25,6 +31,13 @@
     8111, logging.INFO, "this instance no longer holds the duties"
 )
 
+NOT_RELEASED = events.declare(
+    8112,
+    logging.WARNING,
+    "the duties were not released since a call had not ended; another "
+    "instance acquires the lease when it lapses",
+)
+
 
 class DutyManager:
     """Acquires, renews and releases the lease; performs the duties.
@@ -65,10 +78,14 @@
         self._was_held = False
         self._is_released = False
         self._lock = threading.Lock()
+        self._is_idle = threading.Event()
+        self._is_idle.set()
 
     def is_held(self):
-        """Return whether this instance holds the lease now."""
-        return self._lease.is_held(self._clock.elapsed_s())
+        """Return whether this instance holds the lease and may act now."""
+        return not self._is_released and self._lease.is_held(
+            self._clock.elapsed_s()
+        )
 
     def tick(self):
         """Read or renew the lease, then perform the duties if it is held.
@@ -84,25 +101,39 @@
             is_idle = not (self._lease.fencing_token or self._is_candidate())
             if not is_idle:
                 self._update_lease()
-        if self._was_held and not self._lease.fencing_token:
-            self._was_held = False
-            events.log(LOST, holder=self._lease.holder)
-        for handler in self._handlers:
-            if self.is_held():
-                handler.work(self._lease.fencing_token, self.is_held)
+            self._is_idle.clear()
+        try:
+            self._perform_duties()
+        finally:
+            self._is_idle.set()
         return IDLE_INTERVAL_S if is_idle else None
 
     def release(self):
         """Release the lease and never acquire it again in this process.
 
-        Another instance can then acquire it without waiting for expiry.
+        Another instance can then acquire it without waiting for expiry. A
+        call that is on its way could reach the platform after the next
+        holder's, so the lease is released only once it has ended.
         """
+        self._is_released = True
         with self._lock:
-            self._is_released = True
+            if not self._clock.wait(self._is_idle, RELEASE_TIMEOUT_S):
+                if self._lease.fencing_token:
+                    events.log(NOT_RELEASED, fence=self._lease.fencing_token)
+                return
             write = self._lease.plan_release(self._clock.elapsed_s())
             if write is not None:
                 self._write(write)
 
+    def _perform_duties(self):
+        """Perform the duties while the lease is held."""
+        if self._was_held and not self._lease.fencing_token:
+            self._was_held = False
+            events.log(LOST, holder=self._lease.holder)
+        for handler in self._handlers:
+            if self.is_held():
+                handler.work(self._lease.fencing_token, self.is_held)
+
     def _update_lease(self):
         """Carry out the read or write that the lease plans, if any."""
         match self._lease.plan(self._clock.elapsed_s()):
