Limit connecting and the answer of a duty call together

A duty call could last twice its timeout, 1 s to connect and 1 s for the answer, which is the whole time between the end of the hold and the takeover by another instance. The timeout now covers connecting, sending and the answer.

--- a/mulberryhollow/platform/cloud.py
+++ b/mulberryhollow/platform/cloud.py
@@ -1,6 +1,7 @@
 """Client of the platform's API for usage reports and endpoint orders."""
 
 import json
+import time
 
 import urllib3
 
@@ -13,7 +14,36 @@
 __all__ = ["DutyClient"]
 
 CALL_TIMEOUT_S = 1.0
-"""Timeout of one call, in seconds."""
+"""Timeout of one call, from the connection to the answer, in seconds.
+
+Another instance may act `LeaseRules.takeover_s` - `hold_s` after the last call
+of this one has begun.
+"""
+
+
+class _DutyConnection(bounded_pool.BoundedPool.ConnectionCls):
+    """Connection for duty calls."""
+
+    def request(self, *args, **kwargs):
+        """Send a request within the time of the call."""
+        self._end_s = time.monotonic() + CALL_TIMEOUT_S
+        super().request(*args, **kwargs)
+
+    def send(self, data):
+        """Send a part of a request within the time of the call."""
+        if self.sock is None:
+            self.connect()
+        remaining_s = self._end_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError("the time of the call has passed")
+        self.sock.settimeout(remaining_s)
+        super().send(data)
+
+
+class _DutyPool(bounded_pool.BoundedPool):
+    """Pool of connections for duty calls."""
+
+    ConnectionCls = _DutyConnection
 
 
 class DutyClient:
@@ -30,8 +60,11 @@
     def __init__(self, address, instance):
         host, port = store.split_address(address)
         self._instance = instance
-        self._pool = bounded_pool.BoundedPool(
-            host, port, maxsize=2, retries=False
+        self._pool = _DutyPool(
+            host,
+            port,
+            maxsize=2,
+            retries=False,
         )
 
     def report_usage(self, fence, window, counts):
@@ -91,7 +124,7 @@
                 path,
                 body=json.dumps(body).encode(),
                 headers=headers,
-                timeout=CALL_TIMEOUT_S,
+                timeout=urllib3.Timeout(total=CALL_TIMEOUT_S),
             )
         except urllib3.exceptions.NewConnectionError:
             return objects.WriteRejected("unavailable")
