Reset the connection of a duty call that is given up

Cause: closing a connection leaves the bytes in its buffer to be sent, over a lossy or cut link seconds later. Class: work that goes on after its caller gave it up.

Evidence: the platform of the scenario saw an ordinary close before, and sees a reset now. What has reached the platform's own buffer can't be taken back.

--- a/mulberryhollow/platform/cloud.py
+++ b/mulberryhollow/platform/cloud.py
@@ -1,6 +1,8 @@
 """Client of the platform's API for usage reports and endpoint orders."""
 
 import json
+import socket
+import struct
 import time
 
 import urllib3
@@ -20,9 +22,22 @@
 of this one has begun.
 """
 
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
 
 class _DutyConnection(bounded_pool.BoundedPool.ConnectionCls):
-    """Connection for duty calls."""
+    """Connection for duty calls.
+
+    It is reset when it is closed. Otherwise what a call has left in the
+    socket's buffer would be sent after the call was given up.
+    """
+
+    def connect(self):
+        """Connect to the API."""
+        super().connect()
+        self.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE
+        )
 
     def request(self, *args, **kwargs):
         """Send a request within the time of the call."""
