Read the lease again right before a duty call is sent

Cause: the lease was read before the connection was made, which may take up to the call's timeout. Class: a check that is not repeated where the right is used.

A process that is suspended between this check and the send is not covered.

--- a/mulberryhollow/platform/cloud.py
+++ b/mulberryhollow/platform/cloud.py
@@ -25,13 +25,22 @@
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
+class _LeaseLostError(urllib3.exceptions.HTTPError):
+    """The lease was lost before the call was sent."""
+
+
 class _DutyConnection(bounded_pool.BoundedPool.ConnectionCls):
-    """Connection for duty calls.
+    """Connection that sends only while the lease is held.
 
     It is reset when it is closed. Otherwise what a call has left in the
     socket's buffer would be sent after the call was given up.
     """
 
+    def __init__(self, *args, is_held, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._is_held = is_held
+        self._end_s = 0.0
+
     def connect(self):
         """Connect to the API."""
         super().connect()
@@ -45,18 +54,20 @@
         super().request(*args, **kwargs)
 
     def send(self, data):
-        """Send a part of a request within the time of the call."""
+        """Send a part of a request, unless the lease is lost."""
         if self.sock is None:
             self.connect()
         remaining_s = self._end_s - time.monotonic()
         if remaining_s <= 0:
             raise TimeoutError("the time of the call has passed")
         self.sock.settimeout(remaining_s)
+        if not self._is_held():
+            raise _LeaseLostError("the lease was lost")
         super().send(data)
 
 
 class _DutyPool(bounded_pool.BoundedPool):
-    """Pool of connections for duty calls."""
+    """Pool of connections that send only while the lease is held."""
 
     ConnectionCls = _DutyConnection
 
@@ -70,16 +81,24 @@
         ``host:port`` of the API.
     instance : str
         Name of this instance.
+
+    Attributes
+    ----------
+    is_held : callable
+        Returns whether this instance holds the lease; read again when the
+        connection stands.
     """
 
     def __init__(self, address, instance):
         host, port = store.split_address(address)
         self._instance = instance
+        self.is_held = lambda: True
         self._pool = _DutyPool(
             host,
             port,
             maxsize=2,
             retries=False,
+            is_held=lambda: self.is_held(),
         )
 
     def report_usage(self, fence, window, counts):
@@ -141,6 +160,8 @@
                 headers=headers,
                 timeout=urllib3.Timeout(total=CALL_TIMEOUT_S),
             )
+        except _LeaseLostError as error:
+            return objects.WriteRejected(str(error))
         except urllib3.exceptions.NewConnectionError:
             return objects.WriteRejected("unavailable")
         except urllib3.exceptions.HTTPError as error:
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -395,6 +395,7 @@
             ),
             self._is_duty_candidate,
         )
+        client.is_held = manager.is_held
         self._aggregate_peering.wants_usage = manager.is_held
         return manager
 
