--- a/tests/coordination/duties/lease.feature
+++ b/tests/coordination/duties/lease.feature
@@ -50,3 +50,32 @@
 
   Scenario: Holders never alternate within the time they promise
     Then random faults never cause two holders or a lower fencing token
+
+  # Guards against a holder that still acts, or whose call is still on its way,
+  # when another instance acts.
+  Scenario Outline: The intervals of a lease of <lease_s> seconds leave time for the last call
+    When the rules of a lease of <lease_s> seconds with calls of 1 second are made
+    Then the holder renews before its time ends
+    And the last call of the holder ends before another instance takes over
+    And another instance takes over <lease_s> seconds after a renewal or later
+
+    Examples:
+      | lease_s |
+      | 0.05    |
+      | 0.5     |
+      | 1       |
+      | 2       |
+      | 3       |
+      | 10      |
+      | 60      |
+
+  # Guards against settings under which two instances act at a time.
+  Scenario Outline: Rules of a lease without time for the last call are refused
+    Then lease rules of <renew_s>, <hold_s>, <takeover_s> and calls of 1 second are refused
+
+    Examples:
+      | renew_s | hold_s | takeover_s |
+      | 1       | 2      | 1.5        |
+      | 1       | 2      | 2.9        |
+      | 2       | 2      | 4          |
+      | 0       | 2      | 4          |
--- a/tests/steps/coordination_duties.py
+++ b/tests/steps/coordination_duties.py
@@ -186,6 +186,45 @@
                 highest = each.lease.fencing_token
 
 
+@when(
+    "the rules of a lease of {lease_s:g} seconds with calls of {call_s:g} "
+    "second are made"
+)
+def make_rules(context, lease_s, call_s):
+    context.lease_rules = duties.LeaseRules.derive(lease_s, call_s)
+    context.call_s = call_s
+
+
+@then("the holder renews before its time ends")
+def check_renewal(context):
+    assert 0 < context.lease_rules.renew_s < context.lease_rules.hold_s
+
+
+@then("the last call of the holder ends before another instance takes over")
+def check_last_call(context):
+    rules = context.lease_rules
+    assert rules.hold_s + context.call_s < rules.takeover_s, rules
+
+
+@then(
+    "another instance takes over {lease_s:g} seconds after a renewal or later"
+)
+def check_takeover(context, lease_s):
+    assert context.lease_rules.takeover_s >= lease_s, context.lease_rules
+
+
+@then(
+    "lease rules of {renew_s:g}, {hold_s:g}, {takeover_s:g} and calls of "
+    "{call_s:g} second are refused"
+)
+def check_refused_rules(context, renew_s, hold_s, takeover_s, call_s):
+    try:
+        duties.LeaseRules(renew_s, hold_s, takeover_s)
+    except ValueError:
+        return
+    raise AssertionError("the rules were accepted")
+
+
 @given("a usage ledger of source {source}")
 def make_ledger(context, source):
     context.ledgers = getattr(context, "ledgers", {})
