Derive all intervals of the lease on the duties from its time

Cause: only the time to take over followed the lease's time of the settings (leaseMs); the hold time (2 s) and the longest call were fixed. With a time below 2 s another instance could act while the holder's last call was on its way, and from 1 s down while the holder still held the lease. Class: constants that depend on each other, of which one follows a setting.

The takeover comes after the lease's time and after four calls at least, the holder may act for half of it, and rules without time for the last call are refused. For 3 s the intervals are the same as before.

--- a/mulberryhollow/coordination/duties/lease.py
+++ b/mulberryhollow/coordination/duties/lease.py
@@ -10,6 +10,21 @@
 
 __all__ = ["Lease", "LeaseRules", "Read", "Write"]
 
+TAKEOVER_MARGIN_S = 1.0
+"""Least time from the end of a lease's time to the takeover, in seconds."""
+
+MIN_TAKEOVER_CALLS = 4
+"""Least time to a takeover, as a multiple of the longest call.
+
+The holder may act for half of it, so its last call has twice its time.
+"""
+
+MAX_RENEW_S = 1.0
+"""Largest interval between renewals and reads, in seconds.
+
+A lease that is released is acquired after this time at the latest.
+"""
+
 
 @attrs.frozen
 class LeaseRules:
@@ -26,11 +41,47 @@
     takeover_s : float
         Time without a renewal after which another instance takes over,
         in seconds; longer than `hold_s` by more than the longest call.
+    call_s : float
+        Longest time of a call that the holder makes, in seconds.
+
+    Raises
+    ------
+    ValueError
+        If another instance could act before the holder's last call has
+        ended, or the holder renews the lease too late to keep it.
     """
 
     renew_s: float = 1.0
     hold_s: float = 2.0
     takeover_s: float = 4.0
+    call_s: float = 1.0
+
+    def __attrs_post_init__(self):
+        is_kept = 0 < self.renew_s < self.hold_s
+        if not (is_kept and self.hold_s + self.call_s < self.takeover_s):
+            raise ValueError(f"the intervals of a lease conflict: {self}")
+
+    @classmethod
+    def derive(cls, lease_s, call_s):
+        """Return the rules for the time within which holders never alternate.
+
+        Parameters
+        ----------
+        lease_s : float
+            Time within which an earlier holder must not act again after
+            another one, in seconds.
+        call_s : float
+            Longest time of a call that the holder makes, in seconds.
+        """
+        takeover_s = max(
+            lease_s + TAKEOVER_MARGIN_S, MIN_TAKEOVER_CALLS * call_s
+        )
+        return cls(
+            renew_s=min(MAX_RENEW_S, takeover_s / 4),
+            hold_s=takeover_s / 2,
+            takeover_s=takeover_s,
+            call_s=call_s,
+        )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -83,13 +83,6 @@
 by estimates learned from requests.
 """
 
-TAKEOVER_MARGIN_S = 1.0
-"""Time added to `Bounds.lease_s`, in seconds.
-
-The sum is the time without a renewal of the lease after which another
-instance takes over the duties.
-"""
-
 MEMBERSHIP_SETTLING_S = 2.0
 """Time from the start until the members are known, in seconds.
 
@@ -390,8 +383,8 @@
             self._store,
             self._clock,
             tuple(handlers),
-            duties.LeaseRules(
-                takeover_s=settings.bounds.lease_s + TAKEOVER_MARGIN_S
+            duties.LeaseRules.derive(
+                settings.bounds.lease_s, cloud.CALL_TIMEOUT_S
             ),
             self._is_duty_candidate,
         )
--- a/mulberryhollow/serving/duties.py
+++ b/mulberryhollow/serving/duties.py
@@ -18,7 +18,7 @@
 RELEASE_TIMEOUT_S = 2.0
 """Time that a release waits for the running call of a duty, in seconds.
 
-The longest time of one call; the instance leaves rotation meanwhile.
+Longer than one call takes; the instance leaves rotation meanwhile.
 """
 
 IDLE_INTERVAL_S = 1.0
