--- a/tests/serving/duties_after_restore.feature
+++ b/tests/serving/duties_after_restore.feature
@@ -55,6 +55,29 @@
     And the duty managers run for 10 seconds
     Then no duty manager acts before and after another within the lease time
 
+  # Guards against a write that its sender has given up and that acquires,
+  # renews or releases the lease behind its back.
+  Scenario Outline: A <write> that the store carries out <late_s> seconds late makes no second holder
+    Given duty managers a, b and c over a store that can be restored
+    When one duty manager holds the duties
+    And the next <write> of the lease is carried out <late_s> seconds late
+    And the duty managers run for 25 seconds
+    Then the late write was carried out
+    And the tokens of all duty calls rise from holder to holder
+    And one duty manager acts again after the late write
+
+    Examples:
+      | write    | late_s |
+      | takeover | 1      |
+      | takeover | 3      |
+      | takeover | 6      |
+      | renewal  | 1      |
+      | renewal  | 3      |
+      | renewal  | 6      |
+      | release  | 1      |
+      | release  | 3      |
+      | release  | 6      |
+
   # Guards against two holders, falling or equal tokens, and holders that
   # alternate within the time of the lease.
   Scenario: Restores, lost and late writes and releases never cause two holders
--- a/tests/steps/serving_duties_after_restore.py
+++ b/tests/steps/serving_duties_after_restore.py
@@ -228,6 +228,41 @@
     other.manager.release()
 
 
+@when("the next {write} of the lease is carried out {late_s:g} seconds late")
+def make_late(context, write, late_s):
+    site, holder = context.site, context.holder
+    for each in site.candidates:
+        each.link.late_s = late_s
+        each.duty.delay_s = lambda: CALL_S - STEP_S
+    context.late_links = [holder.link]
+    match write:
+        case "takeover":
+            context.late_links = [
+                each.link for each in site.candidates if each is not holder
+            ]
+            holder.link.is_cut = True
+        case "release":
+            while site.clock.elapsed_s() < holder.duty.ends_s:
+                site.clock.advance(STEP_S)
+    for link in context.late_links:
+        link.faults = ["late"]
+    if write == "release":
+        holder.manager.release()
+        site.start(holder.name)
+    context.restored_s = site.clock.elapsed_s()
+
+
+@then("the late write was carried out")
+def check_late_write(context):
+    assert not any(each.faults for each in context.late_links)
+    assert not any(each.late for each in context.late_links)
+
+
+@then("one duty manager acts again after the late write")
+def check_acts_after_late_write(context):
+    check_acts_again(context)
+
+
 def list_turns(acts):
     """Return the acts of each turn of a holder, in order of arrival."""
     ordered = sorted(acts, key=lambda each: each.at_s)
