--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -83,13 +83,6 @@
 by estimates learned from requests.
 """
 
-TAKEOVER_MARGIN_S = 1.0
-"""Time added to `Bounds.lease_s`, in seconds.
-
-The sum is the time without a renewal of the lease after which another
-instance takes over the duties.
-"""
-
 MEMBERSHIP_SETTLING_S = 2.0
 """Time from the start until the members are known, in seconds.
 
@@ -292,9 +285,16 @@
         self._peers.leave()
 
     def _release_duties(self):
-        """Release the duties, so that another instance acquires them now."""
+        """Release the duties, so that another instance acquires them now.
+
+        The stop does not wait for the platform's answers.
+        """
         if self._duty_manager is not None:
-            self._duty_manager.release()
+            threading.Thread(
+                target=self._duty_manager.release,
+                name="duty release",
+                daemon=True,
+            ).start()
 
     def _wait(self, until_s):
         """Sleep until a time of the monotonic clock."""
@@ -385,11 +385,12 @@
             self._store,
             self._clock,
             tuple(handlers),
-            duties.LeaseRules(
-                takeover_s=settings.bounds.lease_s + TAKEOVER_MARGIN_S
+            duties.LeaseRules.derive(
+                settings.bounds.lease_s, cloud.CALL_TIMEOUT_S
             ),
             self._is_duty_candidate,
         )
+        client.is_held = manager.is_held
         self._aggregate_peering.wants_usage = manager.is_held
         return manager
 
