--- a/tests/serving/stored_quarantine.feature
+++ b/tests/serving/stored_quarantine.feature
@@ -78,3 +78,50 @@
     Then it accepts prompts with part a
     When the store comes back and the instance reads it
     Then it refuses prompts with part a
+
+  # Guards against a part that crashes endpoints anew once all processes that
+  # knew it are gone, since a restore of the store has lost its entry.
+  Scenario: A part that a restore has lost is written again
+    Given an instance whose quarantine is stored over a store that was copied
+    When part a crashes 3 endpoints there
+    And the instance performs the duty
+    And the store of the quarantine is restored
+    And the instance performs the duty
+    And an instance starts anew over the same store
+    Then it refuses prompts with part a
+
+  # Guards against a part that is quarantined again although it is sound, since
+  # a restore of the store has brought its entry back.
+  Scenario: A part that was removed before a restore is removed again
+    Given an instance whose quarantine is stored over a store that was copied
+    When part a crashes 3 endpoints there
+    And the instance performs the duty
+    And the store of the quarantine is copied
+    And an answer with part a begins there
+    And the instance performs the duty
+    And the store of the quarantine is restored
+    And the instance performs the duty
+    Then no part is stored
+
+  # Guards against a removal that is taken for done, since the version of before
+  # a restore is a conflict.
+  Scenario: A part that is sound after a restore is removed
+    Given an instance whose quarantine is stored over a store that was copied
+    When part a crashes 3 endpoints there
+    And the instance performs the duty
+    And the store of the quarantine is copied
+    And the store of the quarantine is restored
+    And an answer with part a begins there
+    And the instance performs the duty
+    Then no part is stored
+
+  # Guards against an entry that is removed by a holder that has not heard of it
+  # by gossip.
+  Scenario: A part that only the restored store knows stays
+    Given an instance whose quarantine is stored over a store that was copied
+    When part a crashes 3 endpoints there
+    And the instance performs the duty
+    And the store of the quarantine is copied
+    And another instance that knows no part performs the duty after a restore
+    And an instance starts anew over the same store
+    Then it refuses prompts with part a
--- a/tests/steps/serving_stored_quarantine.py
+++ b/tests/steps/serving_stored_quarantine.py
@@ -7,6 +7,7 @@
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import stored_quarantine
 from tests import fakes
+from tests import restored_store
 
 
 def start_instance(context):
@@ -111,3 +112,33 @@
 @then("the store was written once")
 def check_written_once(context):
     assert context.store.revision == context.began_revision + 1
+
+
+@given("an instance whose quarantine is stored over a store that was copied")
+def start_over_copied(context):
+    context.clock = clocks.ManualClock()
+    context.store = restored_store.RestoredStore()
+    start_instance(context)
+    context.stored.load()
+    copy_store(context)
+
+
+@when("the store of the quarantine is copied")
+def copy_store(context):
+    context.copied = context.store.copy()
+
+
+@when("the store of the quarantine is restored")
+def restore_store(context):
+    context.store.restore(context.copied)
+
+
+@when("another instance that knows no part performs the duty after a restore")
+def perform_elsewhere(context):
+    found, context.store.objects = context.store.objects, {}
+    start_instance(context)
+    context.stored.load()
+    context.store.objects = found
+    restore_store(context)
+    perform_duty(context)
+    perform_duty(context)
