Read and complete the stored quarantine after a restore

What callers saw: suspected only, from reading: a prompt part whose entry a restore has lost crashes endpoints anew once all processes that knew it are gone, and one that was found sound is quarantined again by its old entry.

Cause: the holder wrote and removed entries by the versions that it had seen, all of them from before the restore.

Fix: the holder reads the entries again in a new era, applies those that it does not know, then writes the missing ones and removes those of sound parts. It writes no more than the quarantined parts.

--- a/mulberryhollow/serving/stored_quarantine.py
+++ b/mulberryhollow/serving/stored_quarantine.py
@@ -32,7 +32,9 @@
     9031, logging.INFO, "a prompt part was removed from the stored quarantine"
 )
 LOADED = events.declare(
-    9032, logging.INFO, "the stored quarantine was read after the start"
+    9032,
+    logging.INFO,
+    "the stored quarantine was read after the start or a restore of the store",
 )
 MALFORMED = events.declare(
     9033,
@@ -95,10 +97,10 @@
         self._clock = clock
         self._dispatcher = dispatcher
         self._versions = {}
-        self._is_loaded = False
+        self._loaded_era = None
 
     def load(self):
-        """Apply the stored entries, once.
+        """Apply the stored entries, unless that was done.
 
         Returns
         -------
@@ -110,20 +112,23 @@
         StoreUnavailableError
             If the store gave no usable answer; the caller retries.
         """
-        if self._is_loaded:
-            return IDLE_INTERVAL_S
-        _, found = self._store.list_objects(KIND)
+        if self._loaded_era is None:
+            self._read_all()
+        return IDLE_INTERVAL_S
+
+    def _read_all(self):
+        """Apply the stored entries and keep their versions."""
+        version, found = self._store.list_objects(KIND)
         crashes = [crash for each in found for crash in self._read(each)]
         self._dispatcher.change(
             lambda actor, now_s: [
                 actor.part_quarantine.merge_crash(each) for each in crashes
             ]
         )
-        self._versions |= {each.name: each.version for each in found}
-        self._is_loaded = True
+        self._versions = {each.name: each.version for each in found}
+        self._loaded_era = objects.get_era(version)
         if found:
             events.log(LOADED, entries=len(found), crashes=len(crashes))
-        return IDLE_INTERVAL_S
 
     def begin(self):
         """Do nothing: what is stored was read at the start."""
@@ -134,8 +139,11 @@
         Raises
         ------
         StoreUnavailableError
-            If the outcome of a write is unknown; the next call repeats it.
+            If the outcome of a write is unknown, or the store was restored
+            and does not answer; the next call repeats it.
         """
+        if self._is_from_earlier_era():
+            self._read_all()
         quarantined = self._dispatcher.read(
             lambda actor, now_s: actor.part_quarantine.list_quarantined()
         )
@@ -146,6 +154,11 @@
             if is_held():
                 self._remove(part)
 
+    def _is_from_earlier_era(self):
+        """Return whether the store was restored since it was read."""
+        era = self._store.era or 0
+        return self._loaded_era is not None and self._loaded_era < era
+
     def _read(self, item):
         """Return the crashes of a stored object, unless it has expired."""
         entry = _Entry.decode(item.value)
