Keep a move's state when a restore has lost its record

Cause: the record of the copy, or a planned one for an order without a record, has a later version than the known one and replaced it.

Fix: of two records of one move from different eras the one that is further holds, under the version of the later one; the driver writes it again, also when the move has ended. A move that was completed before is not bound by the time until which the end may be written for the first time.

Evidence: the three scenarios of tests/serving/moves_after_restore.feature that failed before pass, and the eight others still do. tests/serving/ordered_moves, coordination/rollout (without exposure), protocol/versions and layers: 115 passed with them.

--- a/mulberryhollow/coordination/rollout/driver.py
+++ b/mulberryhollow/coordination/rollout/driver.py
@@ -278,9 +278,20 @@
             new_record,
             new_record.version,
             change_id,
-            _get_not_after_s(new_record),
+            self._get_not_after_s(new_record),
         )
 
+    def _get_not_after_s(self, new_record):
+        """Return the latest time for sending a write, in Unix seconds.
+
+        The end of a move is written in time for all nodes to learn of it; one
+        that is written again, after a restore of the store, is known already.
+        """
+        monitor = self._monitor
+        is_known = monitor.is_lost and monitor.move.stage is record.Stage.DONE
+        is_bound = new_record.stage is record.Stage.DONE and not is_known
+        return new_record.done_by_s if is_bound else float("inf")
+
     def _choose_record(self, counters, capacity, now_s):
         """Return the record to write now, or None."""
         move = self._monitor.move
@@ -290,6 +301,8 @@
         if not self.holds_lease(now_s):
             return self._acquire_lease(move, now_s)
         changed = self._choose_change(move, plan, counters, capacity, now_s)
+        if self._monitor.is_lost:
+            return self._renew(changed or move, now_s)
         renew_at_s = move.lease_until_s - self.times.min_lease_remaining_s
         if changed is None and now_s < renew_at_s:
             return None
@@ -300,7 +313,12 @@
         return record.renew(move, self.name, now_s + self.times.lease_s)
 
     def _is_finished(self, move, plan, capacity, now_s):
-        """Return whether the move has ended and no order remains."""
+        """Return whether the move has ended and no order remains.
+
+        A record that a restore of the store has lost is to be written again.
+        """
+        if self._monitor.is_lost:
+            return False
         return move.stage.is_final and self._orders.is_reconciled(
             move, plan, capacity, now_s
         )
@@ -356,12 +374,6 @@
         )
 
 
-def _get_not_after_s(move):
-    """Return the latest time for sending a write, in Unix seconds."""
-    is_done = move.stage is record.Stage.DONE
-    return move.done_by_s if is_done else float("inf")
-
-
 def _log_changes(before, after):
     """Log the changes that a write made to the record."""
     if after.epoch != before.epoch:
--- a/mulberryhollow/coordination/rollout/monitor.py
+++ b/mulberryhollow/coordination/rollout/monitor.py
@@ -102,6 +102,12 @@
     -----
     A node first applies a verdict to its own routing and then publishes it
     to the peers. Only the driver changes the record.
+
+    Attributes
+    ----------
+    is_lost : bool
+        Whether the store holds an earlier record of the move than the known
+        one, since it was restored from an older copy.
     """
 
     def __init__(self):
@@ -112,6 +118,7 @@
         self._since_s = 0.0
         self._has_new_window = False
         self._published_s = float("-inf")
+        self.is_lost = False
 
     @property
     def move(self):
@@ -146,6 +153,8 @@
         known = self._move
         if known is not None and move.version <= known.version:
             return
+        found, move = move, record.merge(known, move)
+        self.is_lost = move is not found
         self._move = move
         if known is None or known.id != move.id:
             self._tester = None
--- a/mulberryhollow/coordination/rollout/record.py
+++ b/mulberryhollow/coordination/rollout/record.py
@@ -6,6 +6,7 @@
 
 from mulberryhollow.coordination.rollout import times as move_times
 from mulberryhollow import errors
+from mulberryhollow.state import objects
 
 __all__ = [
     "DONE_MARGIN_S",
@@ -14,6 +15,7 @@
     "Stage",
     "abort",
     "advance",
+    "merge",
     "renew",
     "start",
 ]
@@ -51,6 +53,14 @@
 }
 
 
+_PROGRESS = {
+    Stage.PLANNED: 0,
+    Stage.SHIFTING: 1,
+    Stage.DONE: 2,
+    Stage.ROLLED_BACK: 2,
+}
+
+
 def _check_share(_move, _attribute, share):
     """Reject a share outside 0..1, including NaN."""
     if not 0.0 <= share <= 1.0:
@@ -207,6 +217,35 @@
     )
 
 
+def merge(known, found):
+    """Return the record that holds after a later one was read.
+
+    A store that comes back from an older copy holds an earlier record of the
+    move, or none, under a later version. Then the known record stays, under
+    that version: the driver writes it again.
+
+    Parameters
+    ----------
+    known : Move or None
+        The record known before.
+    found : Move
+        The record that was read, of a later version.
+    """
+    if (
+        known is None
+        or known.id != found.id
+        or objects.get_era(known.version) == objects.get_era(found.version)
+        or _get_progress(known) <= _get_progress(found)
+    ):
+        return found
+    return attrs.evolve(known, version=found.version)
+
+
+def _get_progress(move):
+    """Return a key by which the records of a move never go back."""
+    return _PROGRESS[move.stage], move.epoch, move.lease_until_s
+
+
 def abort(move, now_s, operator):
     """Return the record rolled back by an operator.
 
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -319,6 +319,7 @@
             service: move.to_version
             for service, move in moves.items()
             if not move.stage.is_final
+            or self._followers[service].monitor.is_lost
         }
         self._dependencies.moving.usual_s = {
             service: self._get_counters(self._followers[service])
@@ -335,7 +336,10 @@
         """
         testers = _rank_testers(service, tick.members)
         capacity = tick.capacities.get(service, rollout.Capacity(()))
-        has_ended = follower.monitor.move.stage.is_final
+        has_ended = (
+            follower.monitor.move.stage.is_final
+            and not follower.monitor.is_lost
+        )
         is_tester = self._dependencies.instance in testers
         # A move that has ended is only driven to order unloading.
         if not is_tester or (has_ended and not capacity.loadable):
