Answer what outlasts the grace time of a planned stop

Cause: only the daemon knew when the process would end; the requests kept the deadlines of their callers. It waited for them, then exited over those still running. Until its ingress closed it also passed on requests whose goal was later than that end.

The forwarder now gets a StopDeadline, which the daemon sets at the SIGTERM. An attempt starts only if the goal of its request is before the end, or its own deadline is; if not, the request is refused, as not run if it has not. Deadlines of attempts, and so what endpoints are told, end before the process. The abort counts for no endpoint as a failure, as when a caller leaves. It works for the requests of peers too, and holds for retries and for requests that have waited.

--- a/mulberryhollow/coordination/forwarding/__init__.py
+++ b/mulberryhollow/coordination/forwarding/__init__.py
@@ -6,6 +6,7 @@
 from mulberryhollow.coordination.forwarding.decision import MAX_OFFERS
 from mulberryhollow.coordination.forwarding.decision import refuse_expired
 from mulberryhollow.coordination.forwarding.decision import refuse_no_capacity
+from mulberryhollow.coordination.forwarding.decision import refuse_stopping
 from mulberryhollow.coordination.forwarding.decision import TryNextEndpoint
 from mulberryhollow.coordination.forwarding.reachability import EndpointPaths
 from mulberryhollow.coordination.forwarding.timeouts import CONNECT_TIMEOUT_S
@@ -28,4 +29,5 @@
     "get_head_timeout_s",
     "refuse_expired",
     "refuse_no_capacity",
+    "refuse_stopping",
 ]
--- a/mulberryhollow/coordination/forwarding/decision.py
+++ b/mulberryhollow/coordination/forwarding/decision.py
@@ -34,6 +34,13 @@
 RETRY_AFTER_JITTER = 1.0
 """Maximum jitter of the retry time, as a fraction of its minimum."""
 
+STOPPING_RETRY_AFTER_S = 0.1
+"""Retry time of a request that a stopping instance refuses, in seconds.
+
+Short, since the caller's next connection most likely reaches another
+instance.
+"""
+
 
 @attrs.define
 class Attempts:
@@ -163,6 +170,23 @@
     )
 
 
+def refuse_stopping(attempts):
+    """Return the refusal of a request for which a stop leaves no time.
+
+    Parameters
+    ----------
+    attempts : Attempts
+        Attempts of the request.
+    """
+    return errors.Refusal(
+        errors.RefusalKind.LEAVING,
+        "this instance is stopping and has no time left for the request",
+        "send the request again on a new connection",
+        _get_execution_status(attempts),
+        STOPPING_RETRY_AFTER_S,
+    )
+
+
 def _refuse_unknown(fault):
     """Return the refusal of a request that may have been executed."""
     return errors.Refusal(
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -44,6 +44,7 @@
 from mulberryhollow.serving import recorder
 from mulberryhollow.serving import registry
 from mulberryhollow.serving import room_admission
+from mulberryhollow.serving import stop_deadline
 from mulberryhollow.serving import store_relay
 from mulberryhollow.serving import stored_quarantine
 from mulberryhollow.serving import usage
@@ -199,6 +200,7 @@
             self._peers, self._fleet_watcher, lambda: self._fact_peering.usable
         )
         self._caller_watch = caller_watch.CallerWatch(clock)
+        self._stop_deadline = stop_deadline.StopDeadline()
         self._usage_ledger = self._make_usage_ledger()
         self._room = room_admission.RoomAdmission(
             self.dispatcher, clock, settings.instance, self.observer
@@ -263,16 +265,21 @@
         self.dispatcher.change(functools.partial(_set_bounds, settings.bounds))
 
     def stop(self):
-        """Finish the running requests, then stop within the grace time."""
+        """Finish the running requests, then stop within the grace time.
+
+        Requests that outlast it are answered at its end.
+        """
         begin_s = self._clock.now_s()
         end_s = begin_s + self._settings.bounds.grace_s - EXIT_MARGIN_S
+        requests_end_s = end_s - stop_deadline.ANSWER_MARGIN_S
+        self._stop_deadline.end_s = requests_end_s
         self._is_leaving = True
         servers = [self._servers["callers"], self._servers["peers"]]
         for server in servers:
             http_server.begin_leaving(server)
         self._peer_ingress.close()
         self._release_duties()
-        self._wait(begin_s + OUT_OF_ROTATION_S)
+        self._wait(min(begin_s + OUT_OF_ROTATION_S, requests_end_s))
         # The load balancer may keep sending callers to an instance out of
         # rotation if few instances are in rotation. Requests that arrive
         # from here on are refused.
@@ -282,6 +289,9 @@
         ):
             for server in servers:
                 http_server.close_idle(server, self._clock.wall_s())
+            if self._clock.now_s() >= requests_end_s:
+                for request in self._caller_watch.list_watched():
+                    request.expire()
             self._wait(self._clock.now_s() + _DRAIN_POLL_INTERVAL_S)
         for server in servers:
             http_server.stop_accepting(server)
@@ -455,6 +465,7 @@
                 watch=self._caller_watch,
                 recorder=request_recorder,
                 peers=peers,
+                stop=self._stop_deadline,
             )
         )
 
--- a/mulberryhollow/serving/caller_watch.py
+++ b/mulberryhollow/serving/caller_watch.py
@@ -67,6 +67,11 @@
         with self._lock:
             self._watched.pop(key, None)
 
+    def list_watched(self):
+        """Return the keys of the requests whose callers are watched."""
+        with self._lock:
+            return list(self._watched)
+
     def poll(self):
         """Abort the request of every caller that has disconnected."""
         with self._lock:
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -17,6 +17,7 @@
 from mulberryhollow.serving import forward_log
 from mulberryhollow.serving.observer import Outcome
 from mulberryhollow.serving import peer_forwarding
+from mulberryhollow.serving import stop_deadline
 from mulberryhollow.state import endpoints
 from mulberryhollow.transport import forwarding as transport
 
@@ -50,6 +51,8 @@
         Budget of the memory for answers that are not streams.
     peers : PeerForwarding or NoPeers
         Peers that forward while this instance reaches no endpoint.
+    stop : StopDeadline
+        Time that a stopping instance has left.
     """
 
     dispatcher: object
@@ -60,6 +63,9 @@
     recorder: object
     buffers: answers.AnswerBuffers = attrs.field(factory=answers.AnswerBuffers)
     peers: object = attrs.field(factory=peer_forwarding.NoPeers)
+    stop: stop_deadline.StopDeadline = attrs.field(
+        factory=stop_deadline.StopDeadline
+    )
 
 
 class Forwarder:
@@ -202,6 +208,16 @@
         """Id of the endpoint that was chosen last; empty for none."""
         return self._chosen.endpoint_id if self._chosen else ""
 
+    def expire(self):
+        """End the attempt in progress once the stop deadline has passed.
+
+        Called in another thread. What has not begun to be answered is
+        refused, and an answer that has begun is broken off.
+        """
+        with self._channel_lock:
+            if self._channel is not None:
+                self._channel.abort()
+
     def close(self):
         """Release all resources and record the outcome."""
         dependencies = self._dependencies
@@ -226,6 +242,7 @@
     def _make_attempt(self, run):
         """Make one attempt; after a fault, raise unless a retry is allowed."""
         self._check_caller()
+        self._check_stop()
         route = self._choose()
         try:
             run(route)
@@ -459,7 +476,7 @@
         """Store the channel of the attempt, so that `_abort` can close it."""
         with self._channel_lock:
             self._channel = channel
-            if self._is_aborted:
+            if self._is_aborted or self._has_stopped():
                 channel.abort()
 
     def _abort(self):
@@ -540,9 +557,9 @@
     def _resume(self, fault):
         """Resume a broken stream at another endpoint, or raise."""
         route = self._route
-        self._fail(fault, is_answering=True)
-        self._check_caller()
         try:
+            self._fail(fault, is_answering=True)
+            self._check_caller()
             if not (
                 self._request.kind.is_repeatable and self._reader.is_resumable
             ):
@@ -559,8 +576,10 @@
         self._close_answer()
         if isinstance(self._route, peer_forwarding.PeerRoute):
             is_silent = isinstance(fault, streams.NotSent | streams.Silent)
-            self._release_route(has_failed=is_silent and not self._is_aborted)
+            is_ended_here = self._is_aborted or self._has_stopped()
+            self._release_route(has_failed=is_silent and not is_ended_here)
             self._attempts.record(fault)
+            self._check_stop()
             return
         route, self._route = self._route, None
         self._excluded.add(route.endpoint_id)
@@ -569,6 +588,12 @@
         if self._is_aborted:
             self._dependencies.dispatcher.finish(route, is_abandoned=True)
             raise errors.CallerDisconnectedError
+        if self._has_stopped():
+            # The fault may come from `expire` and not from the endpoint.
+            self._dependencies.dispatcher.finish(route, is_abandoned=True)
+            raise errors.RefusedError(
+                decisions.refuse_stopping(self._attempts)
+            )
         failure = attempts.report_fault(
             self._dependencies.dispatcher,
             self._dependencies.client,
@@ -645,6 +670,27 @@
         if self._is_aborted or self._is_gone():
             raise errors.CallerDisconnectedError
 
+    def _has_stopped(self):
+        """Return whether the stop deadline of the instance has passed."""
+        now_s = self._dependencies.clock.now_s()
+        return self._dependencies.stop.has_passed(now_s)
+
+    def _check_stop(self):
+        """Limit the request to the time that a stopping instance has left.
+
+        Raises
+        ------
+        RefusedError
+            When another attempt would not end in that time.
+        """
+        stop = self._dependencies.stop
+        now_s = self._dependencies.clock.now_s()
+        if self._has_stopped() or not stop.can_hold(self._request, now_s):
+            raise errors.RefusedError(
+                decisions.refuse_stopping(self._attempts)
+            )
+        self._request = stop.limit(self._request)
+
     def _close_answer(self):
         """Close the answer, and so release its connection."""
         with self._channel_lock:
