Scenarios of the forwarder on an instance that stops

They show, on the paused clock, what the scenarios with a process cannot tell apart: what endpoints are told, which attempts begin, that retries obey the same limit, and that the end of a stop is no failure of an endpoint nor a crash.

--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -274,3 +274,67 @@
     And each piece of an answer takes 0.02 s
     When a IDEMPOTENT request with a prompt of 0 tokens is forwarded
     Then the forwarder has learned nothing
+
+  # Guards against endpoints that are told more time than a stop leaves.
+  Scenario: An endpoint is told the time that a stopping instance has left
+    Given a forwarder whose endpoints answer in turn: whole
+    And its instance ends its requests in 4 s
+    When a NON_IDEMPOTENT request is forwarded
+    Then the caller gets "hello" after 1 attempts
+    And the endpoint was told at most 4.25 s
+
+  # Guards against attempts that begin although they cannot end in time.
+  Scenario Outline: No attempt begins that a stop would break off
+    Given a forwarder whose endpoints answer in turn: <first>, whole
+    And its instance ends its requests in <end> s
+    And each attempt of the forwarder takes 1 s
+    When a <kind> request is forwarded
+    Then the forwarded request ends as <ran> after <count> attempts
+
+    Examples:
+      | first   | end | kind           | ran     | count |
+      | whole   | 0.4 | NON_IDEMPOTENT | NOT_RUN | 0     |
+      | refused | 1.4 | NON_IDEMPOTENT | NOT_RUN | 1     |
+      | unsent  | 1.4 | NON_IDEMPOTENT | NOT_RUN | 1     |
+      | broken  | 1.4 | IDEMPOTENT     | UNKNOWN | 1     |
+
+  # Guards against requests that are refused although they end in time.
+  Scenario Outline: An attempt begins that ends before the stop
+    Given a forwarder whose endpoints answer in turn: <outcomes>
+    And its instance ends its requests in <end> s
+    And each attempt of the forwarder takes <takes> s
+    When a NON_IDEMPOTENT request is forwarded with <left> s left
+    Then the caller gets "hello" after <count> attempts
+
+    Examples:
+      | outcomes       | end | left | takes | count |
+      | whole          | 0.6 | 10   | 0.5   | 1     |
+      | refused, whole | 1.6 | 10   | 0.7   | 2     |
+      | whole          | 0.4 | 0.3  | 0.2   | 1     |
+
+  # Guards against a sound endpoint that is avoided, or a request that counts as
+  # its crash, because the instance has stopped.
+  Scenario Outline: The end of a stop is no failure of the endpoint
+    Given a forwarder whose endpoints answer in turn: <first>, whole
+    And all endpoints accept no connections any more
+    And its instance ends its requests in 0.9 s
+    And each attempt of the forwarder takes 1 s
+    When a <kind> request is forwarded
+    Then the forwarded request ends as <ran> after 1 attempts
+    And the peers are told of 0 crashes
+    And no endpoint of the forwarder counts as failing
+
+    Examples:
+      | first  | kind           | ran     |
+      | broken | NON_IDEMPOTENT | UNKNOWN |
+      | silent | IDEMPOTENT     | UNKNOWN |
+      | unsent | NON_IDEMPOTENT | NOT_RUN |
+
+  # Guards against a stream that goes on elsewhere, or looks complete, after
+  # the instance has ended its requests.
+  Scenario: A stream breaks off when the instance ends its requests
+    Given a forwarder whose endpoints answer in turn: half stream, rest of stream
+    And its instance ends its requests in 0.9 s
+    And each piece of an answer takes 0.5 s
+    When a RESUMABLE_STREAM request is forwarded
+    Then the answer of the forwarder is broken off after 1 attempts
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -529,3 +529,41 @@
 @then("the forwarder has learned nothing")
 def check_nothing_learned(context):
     assert not list_learned(context)
+
+
+@given("its instance ends its requests in {seconds:g} s")
+def set_stop(context, seconds):
+    end_s = context.clock.now_s() + seconds
+    context.forwarder._dependencies.stop.end_s = end_s
+
+
+@given("each attempt of the forwarder takes {seconds:g} s")
+def delay_attempts(context, seconds):
+    context.client.on_open = [
+        lambda: context.clock.advance(seconds) for _ in range(4)
+    ]
+
+
+@when("a {kind} request is forwarded with {seconds:g} s left")
+def forward_with_deadline(context, kind, seconds):
+    forward(context, kind, left_s=seconds)
+
+
+@then("the endpoint was told at most {seconds:g} s")
+def check_told(context, seconds):
+    (call,) = context.client.calls
+    assert call.remaining_s <= seconds, call.remaining_s
+
+
+@then("no endpoint of the forwarder counts as failing")
+def check_no_failures(context):
+    failures = context.dispatcher.read(
+        lambda actor, now_s: [record.circuit.failures for record in actor.view]
+    )
+    assert not any(failures), failures
+
+
+@then("the answer of the forwarder is broken off after {count:d} attempts")
+def check_stopped_stream(context, count):
+    check_broken_off(context)
+    assert len(context.client.calls) == count
