Check right before a prompt is sent that the engine has not left

The relay of token streams had the same fault as the forwarder: a prompt was sent to an engine that had left since it was chosen, as while the cache of an earlier attempt was copied. The relay now makes the same check, and withdraws the attempt, which counts neither as run nor as a retry.

What remains: the check comes before the connection of the attempt, which this client opens itself.

--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -143,13 +143,15 @@
             attempt += 1
             self._check_stopped()
             route = self._choose()
-            fault = None
+            fault, is_sent = None, True
             try:
                 yield from self._run_attempt(route, attempt)
+            except errors.EndpointLeftError:
+                is_sent = False
             except errors.EndpointError as error:
                 fault = error.fault
             finally:
-                kind = self._end_attempt(route, fault)
+                kind = self._end_attempt(route, fault, is_sent)
             if fault is not None:
                 self._pause(kind)
 
@@ -181,6 +183,7 @@
             tuple(self.tokens),
         )
         timeout_s = self._compute_timeout()
+        self._dependencies.dispatcher.check_send(route)
         lines = self._dependencies.endpoints.generate(
             route.address, call, timeout_s
         )
@@ -259,8 +262,12 @@
                 )
         return None
 
-    def _end_attempt(self, route, fault):
+    def _end_attempt(self, route, fault, is_sent):
         """Report the result of an attempt; return its FailureKind or None."""
+        if not is_sent:
+            self._excluded.add(route.endpoint_id)
+            self._dependencies.dispatcher.withdraw(route)
+            return None
         if fault is None:
             self._dependencies.dispatcher.finish(
                 route, first_byte_s=self._first_byte_s
