Failing tests: endpoints that left, after a restore of the store

The copy lists endpoints as ready that had said that they leave, or that were gone. What peers copy and orders count undoes the first; the second get requests again at once.

--- a/tests/serving/fleet_watcher.feature
+++ b/tests/serving/fleet_watcher.feature
@@ -87,3 +87,60 @@
     And the list is read again
     Then only e2 accepts requests
     And its peers are told once that e1 said it leaves
+
+  # Guards against a copy of the store that undoes, in what peers copy and what
+  # orders count, that an endpoint leaves.
+  Scenario: An endpoint that leaves is listed as leaving after a restore
+    Given a fleet watcher that has listed e1 and e2 in era 1
+    And an instance that cannot read the store
+    When the entry of e1 says that it is leaving, twice
+    And the store comes back from a copy in which both are ready
+    Then only e2 accepts requests
+    And its listing of e1 says that it is leaving
+    When that instance calls its peer
+    Then that instance sends requests to e2 only
+
+  # Guards against requests to an endpoint that was gone, which a copy of the
+  # store still lists as ready.
+  Scenario: An endpoint that was gone stays gone after a restore
+    Given a fleet watcher that has listed e1 and e2 in era 1
+    When the entry of e1 is deleted
+    And the store comes back from a copy in which both are ready
+    Then only e2 accepts requests
+    And it lists only e2
+    When another entry changes
+    And 5 seconds pass at the fleet watcher
+    Then only e2 accepts requests
+
+  # Guards against the loss of an endpoint whose entry had only lapsed: it
+  # writes its entry again, and that without a change to it.
+  Scenario Outline: An endpoint that was gone is back once its entry is written
+    Given a fleet watcher that has listed e1 and e2 in era 1
+    When the entry of e1 is deleted
+    And the store comes back from a copy in which both are ready
+    And <proof>
+    Then e1 and e2 accept requests
+
+    Examples:
+      | proof                                   |
+      | the entry of e1 is written again        |
+      | 10 seconds pass at the fleet watcher    |
+
+  # Guards against requests to an endpoint that only a peer has seen go, before
+  # the restore.
+  Scenario: What a peer saw go stays gone after a restore
+    Given a fleet watcher that has listed e1 and e2 in era 1
+    When a peer publishes that e1 is gone
+    And the store comes back from a copy in which both are ready
+    Then only e2 accepts requests
+    When 10 seconds pass at the fleet watcher
+    Then e1 and e2 accept requests
+
+  # Guards against an endpoint that the copy hides behind the entry of an
+  # earlier process of the same id.
+  Scenario: An earlier process of an endpoint is not used after a restore
+    Given a fleet watcher that has listed e1 and e2 in era 1
+    When e1 starts again as another process
+    And the store has recovered from an outage
+    And the store comes back from a copy in which both are ready
+    Then the e1 that started last and e2 are listed
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -3,6 +3,7 @@
 import types
 from unittest import mock
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
@@ -259,3 +260,59 @@
 @then("its peers are told once that e1 said it leaves")
 def check_said_leaving(context):
     assert context.said_leaving == ["e1.5"], context.said_leaving
+
+
+def list_in_era(context, era, *items):
+    """Read a complete list that the store gave out in an era."""
+    context.watcher.handle_list(items, objects.make_version(era, 9))
+
+
+@given("a fleet watcher that has listed e1 and e2 in era 1")
+def list_fleet_in_era(context):
+    list_fleet(context)
+    list_in_era(context, 1, make_entry("e1"), make_entry("e2"))
+
+
+@when("the store comes back from a copy in which both are ready")
+def restore_store(context):
+    list_in_era(context, 2, make_entry("e1"), make_entry("e2"))
+
+
+@when("the entry of e1 is written again")
+def write_again(context):
+    version = objects.make_version(2, 10)
+    item = attrs.evolve(make_entry("e1"), version=version)
+    context.watcher.handle_changes([item])
+
+
+@when("e1 starts again as another process")
+def start_again(context):
+    context.watcher.handle_changes([make_entry("e1", born=6)])
+
+
+@when("the store has recovered from an outage")
+def recover(context):
+    context.watcher.record_recovery(context.watcher.test_clock.now_s())
+
+
+@then("its listing of e1 says that it is leaving")
+def check_listed_leaving(context):
+    found = {each.key: each.is_leaving for each in context.watcher.listings}
+    assert found == {"e1.5": True, "e2.5": False}, found
+
+
+@then("it lists only e2")
+def check_listed(context):
+    found = [each.key for each in context.watcher.listings]
+    assert found == ["e2.5"], found
+
+
+@then("the e1 that started last and e2 are listed")
+def check_listed_last(context):
+    found = sorted(each.key for each in context.watcher.listings)
+    assert found == ["e1.6", "e2.5"], found
+
+
+@then("that instance sends requests to e2 only")
+def check_storeless_accepting(context):
+    assert list_accepting(context.storeless_dispatcher) == ["e2"]
