List an endpoint that leaves as leaving in each later copy of the store

Where the store came back from a copy that lists a leaving endpoint as ready, this instance sent it nothing, but an instance that copied its list did, and orders counted the endpoint as one that stays: the view kept the mark, the list did not. The list now keeps it for the endpoint's life, by id and start.

--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -1,5 +1,7 @@
 """Endpoints registered in the store, retained across store outages."""
 
+import collections
+
 import attrs
 
 from mulberryhollow.state.endpoints import Endpoint
@@ -15,6 +17,10 @@
 """
 
 
+MAX_ENDED = 10_000
+"""Maximum number of endpoints of which it is kept that they have left."""
+
+
 @attrs.frozen
 class EndpointListing:
     """Entry by which an endpoint registers itself in the store.
@@ -83,10 +89,14 @@
     During an outage of the store, entries expire although their endpoints
     are alive. Entries that are missing after the store has recovered are
     kept until `MISSING_GRACE_S` after the recovery.
+
+    An endpoint that has said that it leaves is listed as leaving from then
+    on: a store that comes back from a copy may list it as ready.
     """
 
     def __init__(self):
         self._entries = {}
+        self._leaving = collections.OrderedDict()
         self._missing_until_s = {}
         self._cold = {}
         self._recovered_s = float("-inf")
@@ -132,7 +142,15 @@
         if listing is None:
             self._entries.pop(name, None)
         else:
-            self._entries[name] = listing
+            self._entries[name] = self._keep_leaving(listing)
+
+    def _keep_leaving(self, listing):
+        """Return the listing, as leaving if its endpoint once said so."""
+        if listing.is_leaving:
+            _add_limited(self._leaving, listing.key)
+        elif listing.key in self._leaving:
+            return attrs.evolve(listing, is_leaving=True)
+        return listing
 
     def remove(self, name, now_s):
         """Remove an entry, or schedule its removal after a store outage.
@@ -236,3 +254,11 @@
     def list_listings(self):
         """Return all listings in use, as a tuple of EndpointListing."""
         return tuple(self._entries.values())
+
+
+def _add_limited(keys, key):
+    """Add a key as the latest one, and drop the earliest of too many."""
+    keys[key] = None
+    keys.move_to_end(key)
+    while len(keys) > MAX_ENDED:
+        keys.popitem(last=False)
