Withhold entries of a restored store whose endpoints were gone

After a restore, the copy lists endpoints as ready that were gone before (the entry removed, or reported as gone by a peer), and requests went to them again. A listed entry was taken for one that its endpoint has written.

The first complete list of a new era is now taken for a copy. An entry of it whose endpoint was gone is withheld until a change of it is read, or until it has lasted longer than the store keeps an entry that nobody writes (a write of nothing but the sequence number is no event). The copy of an earlier process of an endpoint no longer replaces the running one.

Within one era an entry that lapsed and is back is used at once, as before.

--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -7,6 +7,7 @@
 from mulberryhollow import events
 from mulberryhollow.serving import version_holds
 from mulberryhollow.state import fleet as fleets
+from mulberryhollow.state import objects
 
 __all__ = ["FleetWatcher"]
 
@@ -89,11 +90,14 @@
         """Replace all entries by a complete list."""
         self._malformed &= {item.name for item in items}
         listed = {item.name: self._decode_entry(item) for item in items}
-        gone = self._fleet.replace(listed, self._clock.now_s())
+        gone = self._fleet.replace(
+            listed, self._clock.now_s(), objects.get_era(revision)
+        )
         for listing in gone:
             self._publish_leaving(listing.key, False)
         events.log(LISTED, entries=len(listed))
-        self._apply(listed.values(), revision)
+        self._observe_cold(listed.values())
+        self._apply(self._fleet.list_written(listed), revision)
 
     def handle_changes(self, items):
         """Apply changed and deleted entries, the oldest first."""
@@ -120,6 +124,7 @@
                     version=listing.version,
                     revision=item.version,
                 )
+        self._observe_cold(changed)
         self._apply(changed, max((item.version for item in items), default=0))
 
     def record_recovery(self, at_s):
@@ -127,12 +132,17 @@
         self._fleet.record_recovery(at_s)
 
     def expire(self):
-        """Drop entries that were not written again after a store outage."""
+        """Drop entries that were not written again after a store outage.
+
+        After a restore of the store, use again those that have been.
+        """
         now_s = self._clock.now_s()
         for endpoint_id in self._fleet.list_warmed(now_s):
             events.log(WARM, endpoint=endpoint_id)
-        if self._fleet.expire(now_s):
-            self._apply()
+        is_changed = self._fleet.expire(now_s)
+        confirmed = self._fleet.confirm_copied(now_s)
+        if is_changed or confirmed:
+            self._apply(confirmed)
 
     def adopt(self, listings):
         """Use the listings of a peer if no list has been read yet."""
@@ -166,14 +176,13 @@
         Parameters
         ----------
         relisted : iterable of EndpointListing or None
-            Entries that the store has just returned; None in place of a
-            malformed one.
+            Entries that their endpoints are known to have written since
+            peers saw them gone; None in place of a malformed one.
         revision : int
             Revision of the store of the newest of them; 0 if they come from
             a peer.
         """
         relisted = [each for each in relisted if each is not None]
-        self._observe_cold(relisted)
         self.is_known = True
         listings = self.listings
         self._holds.observe(listings, revision, self._clock.now_s())
@@ -192,9 +201,12 @@
         self._reported_leaving = leaving
 
     def _observe_cold(self, listings):
-        """Apply how long each listed endpoint remains cold; log changes."""
+        """Apply how long each listed endpoint remains cold; log changes.
+
+        A malformed entry is None in place of its listing.
+        """
         now_s = self._clock.now_s()
-        for listing in listings:
+        for listing in filter(None, listings):
             match self._fleet.observe_cold(listing, now_s):
                 case True:
                     events.log(
@@ -210,8 +222,8 @@
 def _apply(listings, relisted, cold, holds, actor, now_s):
     """Apply the list to the view, the prefix index and the version shares.
 
-    An endpoint that a peer reported as gone is used again only once the
-    store returns its entry again.
+    An endpoint that a peer reported as gone is used again only once it has
+    written its entry again.
     """
     before = {record.endpoint.id for record in actor.view}
     found = [listing.to_endpoint() for listing in listings]
--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -17,6 +17,14 @@
 """
 
 
+COPIED_ENTRY_S = 10.0
+"""Time after which an entry of a restored store counts as written, in seconds.
+
+The store removes an entry after three heartbeats, of a second or so each,
+without a write. A write that changes nothing but the sequence number is not
+reported, so only the entry's survival shows it.
+"""
+
 MAX_ENDED = 10_000
 """Maximum number of endpoints of which it is kept that they have left."""
 
@@ -91,11 +99,16 @@
     kept until `MISSING_GRACE_S` after the recovery.
 
     An endpoint that has said that it leaves is listed as leaving from then
-    on: a store that comes back from a copy may list it as ready.
+    on: a store that comes back from a copy may list it as ready. An entry of
+    the copy whose endpoint was gone before is not used until the endpoint has
+    written it again.
     """
 
     def __init__(self):
         self._entries = {}
+        self._era = None
+        self._copied_until_s = {}
+        self._gone = collections.OrderedDict()
         self._leaving = collections.OrderedDict()
         self._missing_until_s = {}
         self._cold = {}
@@ -105,7 +118,7 @@
         """Record that the store answers again after a failed call."""
         self._recovered_s = now_s
 
-    def replace(self, listed, now_s):
+    def replace(self, listed, now_s, era=None):
         """Apply a complete list.
 
         Parameters
@@ -115,20 +128,51 @@
             cannot be read.
         now_s : float
             Monotonic time, in seconds.
+        era : int or None
+            Era of the store in which the list was read; None if it comes from
+            a peer.
 
         Returns
         -------
         list of EndpointListing
             Listings that were removed immediately.
         """
+        self._observe_era(era, listed, now_s)
         missing = self._entries.keys() - listed.keys()
         gone = [self.remove(name, now_s) for name in sorted(missing)]
         for name, listing in listed.items():
-            self.put(name, listing)
+            self._put_listed(name, listing, now_s)
         return [each for each in gone if each is not None]
 
+    def _observe_era(self, era, names, now_s):
+        """Count the entries as copied if the list is the first of an era."""
+        known = self._era
+        if era is None or era == known:
+            return
+        self._era = era
+        if known is not None:
+            until_s = now_s + COPIED_ENTRY_S
+            self._copied_until_s = dict.fromkeys(names, until_s)
+
+    def _put_listed(self, name, listing, now_s):
+        """Add or replace an entry of a complete list.
+
+        One of an earlier process of the endpoint does not take the place of
+        the running one's, which is missing from the copy.
+        """
+        if name not in self._copied_until_s or listing is None:
+            self.put(name, listing)
+            return
+        current = self._entries.get(name)
+        is_other = current is not None and current.key != listing.key
+        if is_other and listing.key in self._gone:
+            self.remove(name, now_s)
+            if name in self._entries:
+                return
+        self._store(name, listing)
+
     def put(self, name, listing):
-        """Add or replace an entry.
+        """Add or replace an entry that its endpoint has written.
 
         Parameters
         ----------
@@ -138,11 +182,34 @@
             Content of the entry; None for an unreadable entry, which is
             removed.
         """
-        self._missing_until_s.pop(name, None)
+        self._copied_until_s.pop(name, None)
         if listing is None:
+            self._missing_until_s.pop(name, None)
             self._entries.pop(name, None)
         else:
-            self._entries[name] = self._keep_leaving(listing)
+            self._gone.pop(listing.key, None)
+            self._store(name, listing)
+
+    def _store(self, name, listing):
+        """Add or replace an entry, written or copied."""
+        self._missing_until_s.pop(name, None)
+        current = self._entries.get(name)
+        if current is not None and current.key != listing.key:
+            _add_limited(self._gone, current.key)
+        self._entries[name] = self._keep_leaving(listing)
+
+    def _is_withheld(self, name):
+        """Return whether an entry may be a copy of one that was gone."""
+        is_copied = name in self._copied_until_s
+        return is_copied and self._entries[name].key in self._gone
+
+    def _drop(self, name):
+        """Remove an entry whose endpoint is gone; return its listing."""
+        self._missing_until_s.pop(name, None)
+        listing = self._entries.pop(name, None)
+        if listing is not None:
+            _add_limited(self._gone, listing.key)
+        return listing
 
     def _keep_leaving(self, listing):
         """Return the listing, as leaving if its endpoint once said so."""
@@ -168,11 +235,11 @@
             The listing if it was removed immediately, else None.
         """
         until_s = self._recovered_s + MISSING_GRACE_S
-        if now_s < until_s and name in self._entries:
+        is_kept = name in self._entries and not self._is_withheld(name)
+        if now_s < until_s and is_kept:
             self._missing_until_s.setdefault(name, until_s)
             return None
-        self._missing_until_s.pop(name, None)
-        return self._entries.pop(name, None)
+        return self._drop(name)
 
     def expire(self, now_s):
         """Remove the missing entries whose grace period has ended.
@@ -193,10 +260,42 @@
             if now_s >= until_s
         ]
         for name in due:
-            del self._missing_until_s[name]
-            self._entries.pop(name, None)
+            self._drop(name)
         return bool(due)
 
+    def confirm_copied(self, now_s):
+        """Count the copied entries as written that have lasted long enough.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        list of EndpointListing
+            Listings of these entries.
+        """
+        due = [
+            name
+            for name, until_s in self._copied_until_s.items()
+            if now_s >= until_s and name not in self._missing_until_s
+        ]
+        for name in due:
+            del self._copied_until_s[name]
+        found = [self._entries[name] for name in due if name in self._entries]
+        for listing in found:
+            self._gone.pop(listing.key, None)
+        return found
+
+    def list_written(self, listed):
+        """Return the listings of a complete list that are no mere copies."""
+        return [
+            listing
+            for name, listing in listed.items()
+            if listing is not None and name not in self._copied_until_s
+        ]
+
     def observe_cold(self, listing, now_s):
         """Apply the time for which an endpoint remains cold.
 
@@ -253,7 +352,11 @@
 
     def list_listings(self):
         """Return all listings in use, as a tuple of EndpointListing."""
-        return tuple(self._entries.values())
+        return tuple(
+            listing
+            for name, listing in self._entries.items()
+            if not self._is_withheld(name)
+        )
 
 
 def _add_limited(keys, key):
