--- a/tests/steps/tools_soak.py
+++ b/tests/steps/tools_soak.py
@@ -1,10 +1,13 @@
 import subprocess
 import sys
 
+from behave import given
 from behave import then
 from behave import when
 
 from tools.processes import ROOT
+from tools.soak import checks
+from tools.soak import records
 
 _RUN_TIMEOUT_S = 120
 
@@ -29,3 +32,136 @@
 @then("tools.soak finds no violation")
 def check_verdict(context):
     assert context.run.returncode == 0, context.run.stdout + context.run.stderr
+
+
+def make_report(at_s, count, instance="a", token=5):
+    content = {"windowId": 1, "counts": {"acme": count}}
+    return records.DutyCall(at_s, instance, "/usage", "", token, content)
+
+
+def make_order(at_s, instance, token):
+    return records.DutyCall(at_s, instance, "/scale", "s f0", token, {})
+
+
+def make_call(attempt, path, sent_s, status=200, life=1, fault=""):
+    return records.Call(
+        attempt, "a", life, path, sent_s, sent_s + 0.1, status, fault
+    )
+
+
+def make_run(attempt, at_s, path="/safe/x", endpoint="e1"):
+    return records.Run(at_s, attempt, endpoint, path)
+
+
+def make_versions():
+    """Return the confirmations of a version and of one with a new route."""
+    return [
+        records.ConfigurationWritten(0.0, 0.0, 1, ("v1",)),
+        records.ConfigurationWritten(20.0, 20.0, 2, ("v2",)),
+    ]
+
+
+THAW = records.Disturbance("b", "freeze", 40.0, 49.9)
+RESTORE = records.Disturbance(records.STORE, "restore", 49.9, 49.9)
+STOP = records.Disturbance("a", "stop", 50.0, 55.0)
+KILL = records.Disturbance("a", "kill", 50.0, 51.0)
+LOWER_TOKEN = [make_order(40.0, "a", 6), make_order(50.0, "b", 5)]
+LEFT = records.EndpointLeft(50.0, "e1", "entry")
+LATE = [make_call("c1", "/safe/x", 52.1), make_run("c1", 52.15)]
+SERVED = [*make_versions(), make_call("c1", "/v2/x", 21.0)]
+SERVED += [make_run("c1", 21.05, "/v2/x")]
+SAID = [make_call("c0", "/safe/x", 49.9), make_run("c0", 49.95)]
+SAID += [records.LeavingSaid("c0", "e1")]
+CUT = [make_call("c1", "/once/x", 50.5, 0), make_run("c1", 50.55)]
+ONCE = make_run("c1", 50.0, "/once/x")
+
+FAULTS = {
+    "a window reported twice with the same counts": [
+        make_report(50.0, 3),
+        make_report(60.0, 3, "b", 6),
+    ],
+    "a window reported twice with other counts": [
+        make_report(50.0, 3),
+        make_report(60.0, 2, "b", 6),
+        RESTORE,
+    ],
+    "one token from two holders": [
+        make_order(50.0, "a", 5),
+        make_order(60.0, "b", 5),
+    ],
+    "a lower token in calm": LOWER_TOKEN,
+    "a lower token just after a thaw": [*LOWER_TOKEN, THAW],
+    "a lower token just after a restore": [*LOWER_TOKEN, RESTORE],
+    "holders A, B, A within the lease": [
+        make_order(50.0, "a", 5),
+        make_order(51.0, "b", 6),
+        make_order(52.9, "a", 7),
+    ],
+    "holders A, B, A in a longer time": [
+        make_order(50.0, "a", 5),
+        make_order(51.0, "b", 6),
+        make_order(53.1, "a", 7),
+    ],
+    "an added route refused within the bound": [
+        *make_versions(),
+        make_call("c1", "/v2/x", 21.9, 404),
+    ],
+    "an added route refused after the bound": [
+        *make_versions(),
+        make_call("c1", "/v2/x", 22.1, 404),
+    ],
+    "an added route refused after the bound by a restore": [
+        *make_versions(),
+        make_call("c1", "/v2/x", 52.0, 404),
+        RESTORE,
+    ],
+    "a removed route served after the bound": [
+        *make_versions(),
+        make_call("c1", "/v1/x", 22.1),
+    ],
+    "a route refused after it was served": [
+        *SERVED,
+        make_call("c2", "/v2/x", 21.4, 404),
+    ],
+    "a route refused after it was served, by a new life": [
+        *SERVED,
+        make_call("c2", "/v2/x", 21.4, 404, life=2),
+    ],
+    "a request to an endpoint with a draining entry": [LEFT, *LATE],
+    "a request to an endpoint in a disturbed store": [LEFT, *LATE, RESTORE],
+    "a request to an endpoint that said it leaves": [*SAID, *LATE, RESTORE],
+    "a first request to an endpoint that leaves": [*SAID[2:], *LATE],
+    "a planned stop that cuts a request off": [*CUT, STOP, RESTORE],
+    "a kill that cuts a request off": [*CUT, STOP, KILL],
+    "a single request that runs twice": [
+        make_call("c1", "/once/x", 50.0),
+        ONCE,
+        ONCE,
+    ],
+    "a single request that runs and is answered 503": [
+        make_call("c1", "/once/x", 50.0, 503),
+        ONCE,
+    ],
+    "an answer to another request": [
+        make_call("c1", "/safe/x", 50.0, fault="not its answer")
+    ],
+    "a process that ends by itself": [records.Exited(50.0, "a", "code 1")],
+}
+
+
+@given("records of a run with {fault}")
+def make_records(context, fault):
+    context.recorder = records.Recorder()
+    for each in FAULTS[fault]:
+        context.recorder.add(each)
+
+
+@then("the soak's checks find {found}")
+def check_found(context, found):
+    violations = checks.check(context.recorder)
+    names = {
+        each.rule + ("" if each.is_counted else " not counted")
+        for each in violations
+    }
+    expected = set() if found == "nothing" else {found}
+    assert names == expected, violations
--- a/tests/tools/soak.feature
+++ b/tests/tools/soak.feature
@@ -7,3 +7,42 @@
   Scenario: A fixed seed with restores of the store breaks no rule
     When tools.soak runs seed 102 with 3 instances for 35 seconds
     Then tools.soak finds no violation
+
+  # Guards against a check that finds nothing, or that counts what the rules
+  # excuse.
+  Scenario Outline: A violation in the records is found
+    Given records of a run with <fault>
+    Then the soak's checks find <found>
+
+    Examples: Duties
+      | fault                                        | found           |
+      | a window reported twice with the same counts | nothing         |
+      | a window reported twice with other counts    | ONE             |
+      | one token from two holders                   | ONE             |
+      | a lower token in calm                        | ONE             |
+      | a lower token just after a thaw              | ONE not counted |
+      | a lower token just after a restore           | ONE not counted |
+      | holders A, B, A within the lease             | ONE             |
+      | holders A, B, A in a longer time             | nothing         |
+
+    Examples: Configuration
+      | fault                                               | found   |
+      | an added route refused within the bound             | nothing |
+      | an added route refused after the bound              | CONFIG  |
+      | an added route refused after the bound by a restore | nothing |
+      | a removed route served after the bound              | CONFIG  |
+      | a route refused after it was served                 | CONFIG  |
+      | a route refused after it was served, by a new life  | nothing |
+
+    Examples: Endpoints and requests
+      | fault                                            | found   |
+      | a request to an endpoint with a draining entry   | DRAIN   |
+      | a request to an endpoint in a disturbed store    | nothing |
+      | a request to an endpoint that said it leaves     | DRAIN   |
+      | a first request to an endpoint that leaves       | nothing |
+      | a planned stop that cuts a request off           | LOST    |
+      | a kill that cuts a request off                   | nothing |
+      | a single request that runs twice                 | TWICE   |
+      | a single request that runs and is answered 503   | REFUSED |
+      | an answer to another request                     | MIXED   |
+      | a process that ends by itself                    | EXIT    |
