--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -21,6 +21,12 @@
 last fault.
 """
 
+RELEASE_LEAD_S = 0.8
+"""Longest time from a stop of the holder to a copy of the store, in s.
+
+A free lease is taken within a second.
+"""
+
 _STORE_ACTIONS = ("restore",) * 6 + ("down", "lose answers", "refuse")
 _PROCESS_ACTIONS = ("kill", "stop", "freeze", "freeze")
 _LEAVING_WAYS = ("entry", "entry and answers", "removed", "answers")
@@ -106,8 +112,9 @@
 def _make_restore(generator, number, at_s, down_s):
     """Yield a copy, an outage and the restore from the copy at its end.
 
-    In half of the cases the holder of the duties changes, or another
-    instance is frozen, between the copy and the restore.
+    In half of the cases there is a fault beside it: the holder of the duties
+    fails between the copy and the restore, or it stops so shortly before the
+    copy that the lease may be free there, or another instance is frozen.
     """
     age_s = generator.uniform(0.5, 6.0)
     copied_s = at_s - age_s
@@ -118,6 +125,9 @@
             # Its counts of requests arrive after they have been reported.
             frozen_s = generator.uniform(4.0, 7.0)
             yield Step(copied_s - 1.0, action, duration_s=frozen_s)
+        elif action == "stop":
+            lead_s = RELEASE_LEAD_S * (at_s - disturbed_s) / age_s
+            yield Step(copied_s - lead_s, action, HOLDER)
         else:
             yield Step(disturbed_s, action, HOLDER, "", at_s - disturbed_s)
     yield Step(copied_s, "copy", number)
