Failing test: a later configuration published below an earlier one

After a restore of the store the revisions are lower than before, and each instance raises the version under which it publishes a configuration by one from what it has published or heard. An instance that has missed one configuration therefore gives the next one the version that the others gave the missed one, and the gossip keeps either, by their bytes.

--- a/tests/coordination/configuration/active.feature
+++ b/tests/coordination/configuration/active.feature
@@ -32,3 +32,11 @@
   # store earlier numbers have later versions, and peers offer them in any order.
   Scenario: No order of offers and restores makes a document's number fall
     Then after any offers of numbered documents the number has never fallen
+
+  # Guards against gossip that holds a later configuration back: an instance
+  # that has missed an earlier one publishes both with the same version.
+  Scenario: A later number is published above what other instances publish
+    Given instances whose active document has number 8, as of revision 60
+    When the store is restored at revision 45
+    And one instance applies numbers 9 and 10, and another only number 10
+    Then each published version of number 10 is above that of number 9
--- a/tests/steps/coordination_configuration.py
+++ b/tests/steps/coordination_configuration.py
@@ -101,6 +101,47 @@
     check()
 
 
+def parse_number(data, version):
+    return types.SimpleNamespace(number=int(data))
+
+
+@given(
+    "instances whose active document has number {number:d}, "
+    "as of revision {revision:d}"
+)
+def activate_numbered(context, number, revision):
+    context.active_documents = [
+        configuration.ActiveDocument(parse_number) for _ in range(2)
+    ]
+    for each in context.active_documents:
+        each.offer(objects.make_version(1, revision), str(number).encode())
+
+
+@when("the store is restored at revision {revision:d}")
+def restore_numbered(context, revision):
+    context.restored_revision = revision
+
+
+@when("one instance applies numbers 9 and 10, and another only number 10")
+def apply_after_restore(context):
+    first, second = context.active_documents
+
+    def offer(active_document, number):
+        revision = context.restored_revision + number
+        version = objects.make_version(2, revision)
+        outcome = active_document.offer(version, str(number).encode())
+        return outcome.document.published_version
+
+    context.published_9 = offer(first, 9)
+    context.published_10 = [offer(first, 10), offer(second, 10)]
+
+
+@then("each published version of number 10 is above that of number 9")
+def check_published_order(context):
+    found = context.published_9, context.published_10
+    assert min(context.published_10) > context.published_9, found
+
+
 @then(
     "after {store} s without the store and {peers} s without peers "
     "the instance is {expected}"
