Count the wait for a lease without a holder from the store's era

The wait counted from the first read of the lease, which an instance makes only as a candidate, after its membership has settled. What it has to wait for is the restore that it can't have seen, so it counts from the first answer that named the era. Otherwise nobody performs the duties for the settling time in addition after each start of the deployment.

--- a/mulberryhollow/coordination/duties/lease.py
+++ b/mulberryhollow/coordination/duties/lease.py
@@ -127,11 +127,11 @@
     lease. The version of the write that acquired the lease is the holder's
     fencing token.
 
-    A lease without a holder is acquired at once only if it was released in
-    the present era of the store. A restored store may show it as absent or
-    released while the holder of before the restore still acts, so any other
-    lease without a holder is acquired as one that is no longer renewed. So
-    is a released one by an instance that held the lease before, or has just
+    A restored store may show a lease as absent or released while the holder
+    of before the restore still acts. So a lease without a holder is acquired
+    only once this instance has known the store's era for `takeover_s`, unless
+    it was released in this era. A released one is acquired like one that is
+    no longer renewed by an instance that held the lease before, or has just
     started and may have: holders must not alternate within `takeover_s`.
     """
 
@@ -143,6 +143,8 @@
         self._is_released = False
         self._has_held = False
         self._began_s = None
+        self._era = None
+        self._era_began_s = float("-inf")
         self._fencing_token = 0
         self._renewals = 0
         self._changed_s = float("-inf")
@@ -173,7 +175,7 @@
         if self._fencing_token:
             return self._plan_write(now_s)
         is_lapsed = now_s - self._changed_s >= self._rules.takeover_s
-        if is_lapsed or (self._is_released and self._may_follow(now_s)):
+        if is_lapsed or (not self._holder and self._may_follow(now_s)):
             return self._plan_write(now_s)
         return Read()
 
@@ -188,6 +190,14 @@
         value = _encode_release(self._renewals, self._version)
         return Write(value, self._version, now_s)
 
+    def observe_era(self, era, now_s):
+        """Note the store's era, which rises with each restore."""
+        if self._began_s is None:
+            self._began_s = now_s
+        if self._era is None or era > self._era:
+            self._era = era
+            self._era_began_s = now_s
+
     def observe(self, found, now_s, era=0):
         """Apply the result of a read.
 
@@ -201,9 +211,8 @@
         era : int
             Era of the store, if the object does not exist.
         """
-        if self._began_s is None:
-            self._began_s = now_s
         version = found.version if found else objects.make_version(era, 0)
+        self.observe_era(objects.get_era(version), now_s)
         if self._version is not None and version < self._version:
             return
         if version == self._version:
@@ -262,9 +271,12 @@
         self._polled_s = float("-inf")
 
     def _may_follow(self, now_s):
-        """Return whether this instance may acquire a released lease now."""
-        has_run_s = now_s - self._began_s
-        return not self._has_held and has_run_s >= self._rules.takeover_s
+        """Return whether a lease without a holder may be acquired now."""
+        takeover_s = self._rules.takeover_s
+        if self._is_released:
+            has_run_s = now_s - self._began_s
+            return not self._has_held and has_run_s >= takeover_s
+        return now_s - self._era_began_s >= takeover_s
 
     def _plan_write(self, now_s):
         """Return the write that acquires or renews the lease."""
--- a/mulberryhollow/serving/duties.py
+++ b/mulberryhollow/serving/duties.py
@@ -98,6 +98,10 @@
         with self._lock:
             if self._is_released:
                 return IDLE_INTERVAL_S
+            if self._store.era is not None:
+                self._lease.observe_era(
+                    self._store.era, self._clock.elapsed_s()
+                )
             is_idle = not (self._lease.fencing_token or self._is_candidate())
             if not is_idle:
                 self._update_lease()
--- a/tests/serving/duties_after_restore.feature
+++ b/tests/serving/duties_after_restore.feature
@@ -39,6 +39,15 @@
       | released |
       | held     |
 
+  # Guards against duties that nobody performs after a start for longer than
+  # an earlier holder may act: a candidate's wait counts from its first contact
+  # with the store, not from when it becomes a candidate.
+  Scenario: An instance that becomes a candidate late has waited already
+    Given duty managers a and b over a store that can be restored
+    And both become candidates 3 seconds after their first contact
+    When the duty managers run for 5.5 seconds
+    Then one duty manager holds the lease and the store was read once a second at most
+
   # Guards against a write that waits for its turn while the store is restored
   # to a copy without the lease.
   Scenario: A lease that is created in a later era than it was absent in is not held
--- a/tests/steps/serving_duties_after_restore.py
+++ b/tests/steps/serving_duties_after_restore.py
@@ -100,13 +100,13 @@
     def __init__(self, name, platform_store, clock, acts):
         self.name = name
         self.link = Link(platform_store, clock)
-        client = store.StoreClient(
+        self.client = store.StoreClient(
             "127.0.0.1:1", dialect=dialects.PlatformDialect()
         )
-        client._pool = self.link
+        self.client._pool = self.link
         self.duty = RecordedDuty(name, clock, acts)
         self.manager = duty_managers.DutyManager(
-            name, client, clock, (self.duty,), RULES
+            name, self.client, clock, (self.duty,), RULES
         )
         self.is_frozen = False
 
@@ -160,6 +160,28 @@
     context.site = Site("ab")
 
 
+@given("both become candidates {seconds:g} seconds after their first contact")
+def become_candidates_late(context, seconds):
+    clock = context.site.clock
+    begin_s = clock.elapsed_s()
+    for each in context.site.candidates:
+        each.client.get("other", "object")
+        each.manager._is_candidate = lambda: (
+            clock.elapsed_s() - begin_s >= seconds
+        )
+    context.site.store.calls.clear()
+
+
+@then(
+    "one duty manager holds the lease and the store was read once a second "
+    "at most"
+)
+def check_held_soon(context):
+    assert len(context.site.find_holders()) == 1
+    reads = [each for each in context.site.store.calls if each[0] == "GET"]
+    assert len(reads) <= 2 * 3, reads
+
+
 @given("a copy of the store in which the lease is {content}")
 def make_copy(context, content):
     site = context.site
