Keep the end of a move that was told first after a restore

A completed move whose record was lost could become rolled back, by a driver that knew the record of the copy only and had a later epoch.

Cause: the two ends had the same rank, so the epoch decided.

Fix: a known end is replaced by no other stage of an earlier record.

Evidence: two of the seven scenarios added to tests/coordination/rollout/record.feature failed before (done and rolled_back, each against the other) and pass.

--- a/mulberryhollow/coordination/rollout/record.py
+++ b/mulberryhollow/coordination/rollout/record.py
@@ -235,12 +235,22 @@
         known is None
         or known.id != found.id
         or objects.get_era(known.version) == objects.get_era(found.version)
-        or _get_progress(known) <= _get_progress(found)
+        or not _is_further(known, found)
     ):
         return found
     return attrs.evolve(known, version=found.version)
 
 
+def _is_further(known, found):
+    """Return whether the known record is further than another one.
+
+    The end that was told first stays, whoever drives the other record.
+    """
+    if known.stage.is_final and known.stage is not found.stage:
+        return True
+    return _get_progress(known) > _get_progress(found)
+
+
 def _get_progress(move):
     """Return a key by which the records of a move never go back."""
     return _PROGRESS[move.stage], move.epoch, move.lease_until_s
--- a/tests/coordination/rollout/record.feature
+++ b/tests/coordination/rollout/record.feature
@@ -25,3 +25,24 @@
     Given a move of 300 seconds
     When the move is rolled back under a lease of driver a and another starts
     Then the new move still has the lease of driver a
+
+  # Guards against the end of a move that changes after it was told: a driver
+  # that knows only the older record of a restored store ends it another way.
+  Scenario Outline: The record that is further holds after a restore
+    Given a record of a move that is <known>, in epoch <known_epoch>
+    When a record that is <found>, in epoch <found_epoch>, is read in a new era
+    Then the record that holds is <held>, under the version of the new era
+
+    Examples:
+      | known       | known_epoch | found       | found_epoch | held        |
+      | shifting    | 1           | planned     | 1           | shifting    |
+      | shifting    | 1           | shifting    | 2           | shifting    |
+      | done        | 1           | shifting    | 2           | done        |
+      | done        | 1           | rolled_back | 2           | done        |
+      | rolled_back | 1           | done        | 2           | rolled_back |
+      | shifting    | 2           | rolled_back | 1           | rolled_back |
+
+  Scenario: A later record of the same era holds
+    Given a record of a move that is shifting, in epoch 2
+    When a record that is planned, in epoch 1, is read in the same era
+    Then the record that holds is planned, in the same era
