--- a/tests/serving/usage_reports.feature
+++ b/tests/serving/usage_reports.feature
@@ -17,6 +17,23 @@
       | the holder acquires them again   |
       | is restored once more            |
 
+  # Guards against two counts for a window, and against windows that are left
+  # out for good, when the store was away before it was restored.
+  Scenario Outline: An outage before the restore makes no two counts
+    Given a fleet whose usage is reported, over a store that was copied
+    When the store is away for <away> seconds and is restored
+    And requests that were counted late are known everywhere
+    And the fleet runs for 30 seconds
+    Then no window was reported with two counts
+    And every window that began after the restore was reported
+    And the stored report is the latest that was sent
+
+    Examples:
+      | away |
+      | 1    |
+      | 3    |
+      | 8    |
+
   # Guards against a report that only the holder knows after a restore: it is
   # lost with the holder, unless the store has it again soon.
   Scenario: The latest report is in the restored store within a second
--- a/tests/steps/serving_usage_reports.py
+++ b/tests/steps/serving_usage_reports.py
@@ -1,4 +1,5 @@
 import collections
+import contextlib
 import itertools
 import json
 import random
@@ -10,6 +11,7 @@
 
 from mulberryhollow import clock as clocks
 from mulberryhollow.coordination import duties
+from mulberryhollow import errors
 from mulberryhollow.serving import usage
 from mulberryhollow.state import objects
 from tests import restored_store
@@ -93,7 +95,8 @@
             if self.is_exchanging:
                 self.exchange()
             if self.holder is not None:
-                self.holder.reporter.work(FENCE, lambda: True)
+                with contextlib.suppress(errors.StoreUnavailableError):
+                    self.holder.reporter.work(FENCE, lambda: True)
 
     def run_until(self, is_reached):
         """Run until a condition holds, for a minute at most."""
@@ -153,6 +156,19 @@
     restore(context)
 
 
+@when("the store is away for {seconds:g} seconds and is restored")
+def restore_after_outage(context, seconds):
+    """Let the holder lose the lease when it cannot renew it for 2 seconds."""
+    fleet = context.fleet
+    fleet.store.is_down = True
+    fleet.run(min(seconds, 2.0))
+    holder, fleet.holder = fleet.holder, None
+    fleet.run(max(seconds - 2.0, 0.0))
+    fleet.store.is_down = False
+    fleet.holder = holder
+    restore_and_acquire(context)
+
+
 @when("requests that were counted late are known everywhere")
 def count_late(context):
     add_late_counts(context.fleet)
