--- a/tests/serving/documents.feature
+++ b/tests/serving/documents.feature
@@ -95,3 +95,29 @@
     And the operator writes configuration 8
     Then reader a has put into force 7, 8
     And reader b has put into force 7, 8
+
+  # Guards against a change that a list misses or undoes, since it was read page
+  # by page while the change was written.
+  Scenario Outline: A configuration that changes during a list is in force
+    Given readers a and b that follow the configuration
+    When the operator writes configuration 7
+    And the configuration is written as 8 <when> a list of reader a
+    And reader a is told of it <order> the list by its peer
+    Then reader a has put into force 7, 8
+
+    Examples:
+      | when   | order  |
+      | before | before |
+      | before | after  |
+      | during | before |
+      | during | after  |
+
+  # Guards against one that is rejected being taken for the one that follows.
+  Scenario: A rejected configuration is logged once, and its correction is taken
+    Given readers a and b that follow the configuration
+    When the operator writes configuration 7
+    And the operator writes an invalid configuration
+    And all readers list the store again
+    And the operator writes configuration 9
+    Then reader a has put into force 7, 9
+    And each reader has logged event 6001 once
--- a/tests/steps/serving_documents.py
+++ b/tests/steps/serving_documents.py
@@ -1,4 +1,5 @@
 import logging
+import types
 
 from behave import given
 from behave import then
@@ -163,6 +164,54 @@
     write_fields(context, 9, routes=1)
 
 
+@when("the configuration is written as {number:d} {when} a list of reader a")
+def write_beside_list(context, number, when):
+    """Hold the answer to a list of reader a until its step continues."""
+    reader = context.instances["a"]
+    answers = []
+    request = context.platform.request
+
+    def answer_late(method, path, **options):
+        answer = request(method, path, **options)
+        if when == "during" and not answers:
+            write_by_other(context, number)
+        answers.append(answer)
+        context.before_answer()
+        return answer
+
+    def list_again():
+        reader.follower._must_list = True
+        reader.follower._store._pool = types.SimpleNamespace(
+            request=answer_late
+        )
+        reader.read()
+
+    if when == "before":
+        write_by_other(context, number)
+    context.list_again = list_again
+
+
+def write_by_other(context, number):
+    content = {"version": number, "routes": [], "services": []}
+    context.platform.put("config", "main", content)
+
+
+@when("reader a is told of it {order} the list by its peer")
+def tell_beside_list(context, order):
+    peer = context.instances["b"]
+    context.before_answer = peer.read if order == "before" else lambda: None
+    context.list_again()
+    peer.read()
+    context.instances["a"].settle()
+
+
+@when("all readers list the store again")
+def list_all_again(context):
+    for each in context.instances.values():
+        each.follower._must_list = True
+    read_all(context)
+
+
 @when("the configuration store is copied")
 def copy_store(context):
     context.saved = context.platform.copy()
