Failing tests: relays to instances of a build without eras

Both fail on the code of today, each time: such an instance is told versions with an era, which are above all that it reads in the store itself.

--- a/tests/serving/store_relay.feature
+++ b/tests/serving/store_relay.feature
@@ -169,3 +169,17 @@
     And an object is written
     And the instance reads on for 1.9 of the 2 seconds of the bound
     Then the instance has the written object
+
+  # Guards against an instance of an older build that keeps a version with an
+  # era, and then takes all that it reads in the store itself for stale.
+  Scenario Outline: An instance of a build without eras gets plain revisions
+    Given a collector and an instance that follow a store with eras
+    When the store with eras writes a
+    And the collector reads the restored store
+    And an instance of a build without eras at <revision> asks the collector
+    Then it is told the objects a and the revisions of the store as <form>
+
+    Examples:
+      | revision | form        |
+      | none     | all objects |
+      | 7        | changes     |
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -455,3 +455,23 @@
 def check_names(context, names):
     found = ", ".join(sorted(context.instance.names))
     assert found == names, found
+
+
+@when("an instance of a build without eras at {revision} asks the collector")
+def ask_without_eras(context, revision):
+    context.base = None if revision == "none" else int(revision)
+    answer = context.collector.relay.answer({KIND: context.base})
+    context.answer = json.loads(json.dumps(answer))
+
+
+@then(
+    "it is told the objects {names} and the revisions of the store as {form}"
+)
+def check_plain_revisions(context, names, form):
+    changes = context.answer[KIND]["changes"]
+    kind_names = [(each[0], each[1]) for each in changes["items"]]
+    assert kind_names == [(KIND, each) for each in names.split(", ")]
+    assert changes["base"] == context.base
+    assert changes["revision"] == context.platform.revision, changes
+    assert [each[2] for each in changes["items"]] == [8], changes
+    assert changes["is_complete"] == (form == "all objects")
