Relay plain revisions to builds without eras

What callers saw: nothing yet. After a rollback to the build before, an instance would have kept its configuration until its restart.

Cause: a collector of this build tells its versions with the store's era. An instance of the build before takes them for revisions, far above all that it reads in the store itself, and refuses those as stale.

Fix: the question says that its instance knows eras, by a key that is no kind and that older builds ignore. To one that does not say so, base, revision and objects are told with the store's revisions.

Not run: both builds beside a store with eras. Ruled out: a protocol level, since a question can say it without one.

--- a/mulberryhollow/protocol/relays.py
+++ b/mulberryhollow/protocol/relays.py
@@ -2,16 +2,64 @@
 
 import math
 
+import attrs
+
 from mulberryhollow.state import decoding
 from mulberryhollow.state import object_log
 from mulberryhollow.state import objects
 
-__all__ = ["decode_relayed", "encode_relayed"]
+__all__ = [
+    "decode_relayed",
+    "encode_question",
+    "encode_relayed",
+    "knows_eras",
+    "remove_eras",
+]
+
+_ERAS = "eras"
+"""Key in a question of an instance whose versions hold the store's era.
+
+Builds that know no eras ignore it, since it is no kind that they follow.
+"""
 
 _VALUE_ENCODING = "latin-1"
 """Encoding that maps each byte of a stored value to one character."""
 
 
+def encode_question(revisions):
+    """Return a question for relayed objects, from the revision by kind."""
+    return revisions and revisions | {_ERAS: True}
+
+
+def knows_eras(question):
+    """Return whether the instance that asks has versions with eras."""
+    return _ERAS in question
+
+
+def remove_eras(state):
+    """Return a `FollowerState` whose versions are the store's revisions.
+
+    Builds without eras compare versions with those that they read in the store
+    themselves.
+    """
+    changes = state.changes
+    if changes is None:
+        return state
+    base = changes.base
+    return attrs.evolve(
+        state,
+        changes=object_log.ObjectChanges(
+            base if base is None else objects.get_revision(base),
+            objects.get_revision(changes.revision),
+            tuple(
+                attrs.evolve(each, version=objects.get_revision(each.version))
+                for each in changes.items
+            ),
+            changes.is_complete,
+        ),
+    )
+
+
 def encode_relayed(state, now_s):
     """Return a `FollowerState` as a JSON-compatible dict.
 
--- a/mulberryhollow/serving/store_relay.py
+++ b/mulberryhollow/serving/store_relay.py
@@ -8,6 +8,8 @@
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import relays
+from mulberryhollow.serving import watch
+from mulberryhollow.state import objects
 
 __all__ = ["StoreRelay"]
 
@@ -128,11 +130,13 @@
 
     def ask(self):
         """Return the revision by kind to ask a collector for."""
-        return {
-            kind: follower.revision
-            for kind, follower in self._followers.items()
-            if not self._is_collector() or not self._is_recent(follower)
-        }
+        return relays.encode_question(
+            {
+                kind: follower.revision
+                for kind, follower in self._followers.items()
+                if not self._is_collector() or not self._is_recent(follower)
+            }
+        )
 
     def answer(self, question):
         """Return the relayed kinds for the question of another instance.
@@ -143,9 +147,14 @@
             Kind to the revision that the other instance has.
         """
         now_s = self._clock.now_s()
+        describe = (
+            watch.ObjectFollower.describe
+            if relays.knows_eras(question)
+            else _describe_plainly
+        )
         return {
             kind: relays.encode_relayed(
-                self._followers[kind].describe(revision), now_s
+                describe(self._followers[kind], revision), now_s
             )
             for kind, revision in question.items()
             if kind in self._followers
@@ -181,6 +190,14 @@
         return age_s <= MAX_CONTACT_AGE_S
 
 
+def _describe_plainly(follower, revision):
+    """Return what a follower knows, for a reader whose build has no eras."""
+    if revision is not None:
+        era = objects.get_era(follower.revision)
+        revision = objects.make_version(era, objects.get_revision(revision))
+    return relays.remove_eras(follower.describe(revision))
+
+
 def _refresh(follower):
     """List one kind again; its loop repeats and logs what fails."""
     with contextlib.suppress(errors.MulberryError):
