Failing test: an endpoint's end is heard of before the endpoint is known

An instance that has just started hears from a peer that an endpoint is gone, then copies an older list of another peer and uses the endpoint.

--- a/tests/serving/fleet_watcher.feature
+++ b/tests/serving/fleet_watcher.feature
@@ -144,3 +144,14 @@
     And the store has recovered from an outage
     And the store comes back from a copy in which both are ready
     Then the e1 that started last and e2 are listed
+
+  # Guards against an instance that hears of an endpoint's end before it knows
+  # the endpoint, and then uses it by the older list of a peer.
+  Scenario: What a peer saw go before it was known is not used
+    Given a fleet watcher that has listed e1 and e2
+    And an instance that cannot read the store
+    When that instance hears from a peer that e1 is gone
+    And that instance calls its peer
+    Then that instance sends requests to e2 only
+    When that instance reads the list in the store
+    Then it knows e1 and e2
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -316,3 +316,16 @@
 @then("that instance sends requests to e2 only")
 def check_storeless_accepting(context):
     assert list_accepting(context.storeless_dispatcher) == ["e2"]
+
+
+@when("that instance hears from a peer that e1 is gone")
+def receive_notice_there(context):
+    fact = facts.Fact(facts.Topic.NOTICE, "gone e1.5", 1, b"")
+    context.calling_peers.subscribed[facts.Topic.NOTICE](fact)
+
+
+@when("that instance reads the list in the store")
+def read_list_there(context):
+    context.storeless_watcher.handle_list(
+        [make_entry("e1"), make_entry("e2")], 9
+    )
