Keep what a peer saw go until the endpoint is known

An instance that had just started used an endpoint that a peer had reported as gone before, where it then copied an older list of another peer: the report of an endpoint that is not listed was dropped. The view keeps it now, until the endpoint is known to have written its entry.

--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -22,7 +22,7 @@
 # Time to keep the leaving mark of an unlisted endpoint, in seconds.
 LEAVING_MARK_RETENTION_S = 120.0
 
-# Maximum number of leaving marks.
+# Maximum number of leaving marks, and of draining marks.
 MAX_LEAVING_MARKS = 10_000
 
 # Circuit breaker weight of a failure at an endpoint that was reached.
@@ -58,6 +58,7 @@
         self._records = {}
         self._groups = collections.defaultdict(EndpointGroup)
         self._leaving_marks = collections.OrderedDict()
+        self._draining_marks = collections.OrderedDict()
         self._domain_marks = {}
         self._loads_by_peer = collections.defaultdict(dict)
         self._schedule = []
@@ -123,10 +124,7 @@
         endpoint_id : str
             Id of the endpoint, which need not be listed yet.
         """
-        self._leaving_marks[endpoint_id] = None
-        self._leaving_marks.move_to_end(endpoint_id)
-        while len(self._leaving_marks) > MAX_LEAVING_MARKS:
-            self._leaving_marks.popitem(last=False)
+        _add_mark(self._leaving_marks, endpoint_id)
         record = self._records.get(endpoint_id)
         if record is not None:
             record.is_leaving = True
@@ -174,10 +172,14 @@
         Parameters
         ----------
         endpoint_id : str
-            Id of the endpoint.
+            Id of the endpoint, which need not be listed yet.
         is_draining : bool
             True to exclude the endpoint, False to readmit it.
         """
+        if is_draining:
+            _add_mark(self._draining_marks, endpoint_id)
+        else:
+            self._draining_marks.pop(endpoint_id, None)
         record = self._records.get(endpoint_id)
         if record is not None:
             record.is_draining = is_draining
@@ -716,7 +718,10 @@
         """Add or update one listed endpoint."""
         record = self._records.get(endpoint.id)
         if record is None:
-            record = EndpointRecord(endpoint, listed_s=now_s)
+            is_draining = endpoint.id in self._draining_marks
+            record = EndpointRecord(
+                endpoint, is_draining=is_draining, listed_s=now_s
+            )
             self._records[endpoint.id] = record
             self._mark_by_domain(endpoint, now_s)
         elif record.endpoint != endpoint:
@@ -787,6 +792,14 @@
             group.add(record)
 
 
+def _add_mark(marks, endpoint_id):
+    """Add the mark of an endpoint; drop the earliest of too many."""
+    marks[endpoint_id] = None
+    marks.move_to_end(endpoint_id)
+    while len(marks) > MAX_LEAVING_MARKS:
+        marks.popitem(last=False)
+
+
 def _average_load(records):
     """Return the UsualLoad of the endpoints of a service."""
     backlogs = [record.backlog for record in records]
