Confirm a copied entry only by contact with the store

The time that an entry of a restored store has lasted was counted while the store was away, too. An instance that could not read the entry's removal then used an endpoint that had been gone before the restore. The time now counts up to the latest contact with the store, its own or relayed.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -599,7 +599,7 @@
                     make(
                         "expiry",
                         interval_s=EXPIRY_INTERVAL_S,
-                        call=self._fleet_watcher.expire,
+                        call=self._expire_endpoints,
                     ),
                     make(
                         "paths",
@@ -660,6 +660,11 @@
             )
         return loops
 
+    def _expire_endpoints(self):
+        """Drop or use again entries of endpoints whose time has come."""
+        follower = self._followers["endpoints"]
+        self._fleet_watcher.expire(follower.last_contact_s)
+
     def _apply_members(self):
         """Apply the current membership to the limits and the view."""
         self._fact_peering.tick()
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -131,16 +131,24 @@
         """Record when the store was available again after an outage."""
         self._fleet.record_recovery(at_s)
 
-    def expire(self):
+    def expire(self, contact_s=None):
         """Drop entries that were not written again after a store outage.
 
         After a restore of the store, use again those that have been.
+
+        Parameters
+        ----------
+        contact_s : float or None
+            When the store last answered, monotonic, in seconds; None if it is
+            not known. What is in use is as of then.
         """
         now_s = self._clock.now_s()
         for endpoint_id in self._fleet.list_warmed(now_s):
             events.log(WARM, endpoint=endpoint_id)
         is_changed = self._fleet.expire(now_s)
-        confirmed = self._fleet.confirm_copied(now_s)
+        confirmed = []
+        if contact_s is not None:
+            confirmed = self._fleet.confirm_copied(contact_s)
         if is_changed or confirmed:
             self._apply(confirmed)
 
--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -263,13 +263,14 @@
             self._drop(name)
         return bool(due)
 
-    def confirm_copied(self, now_s):
+    def confirm_copied(self, contact_s):
         """Count the copied entries as written that have lasted long enough.
 
         Parameters
         ----------
-        now_s : float
-            Monotonic time, in seconds.
+        contact_s : float
+            When the store last answered, monotonic, in seconds. A removal
+            since then would not be known.
 
         Returns
         -------
@@ -279,7 +280,7 @@
         due = [
             name
             for name, until_s in self._copied_until_s.items()
-            if now_s >= until_s and name not in self._missing_until_s
+            if contact_s >= until_s and name not in self._missing_until_s
         ]
         for name in due:
             del self._copied_until_s[name]
--- a/tests/serving/fleet_watcher.feature
+++ b/tests/serving/fleet_watcher.feature
@@ -124,7 +124,16 @@
     Examples:
       | proof                                   |
       | the entry of e1 is written again        |
-      | 10 seconds pass at the fleet watcher    |
+      | the store is in contact for 10 seconds  |
+
+  # Guards against a copied entry that is taken for a lasting one by an instance
+  # that cannot read its removal.
+  Scenario: An endpoint that was gone stays gone while the store is away
+    Given a fleet watcher that has listed e1 and e2 in era 1
+    When the entry of e1 is deleted
+    And the store comes back from a copy in which both are ready
+    And 60 seconds pass at the fleet watcher
+    Then only e2 accepts requests
 
   # Guards against requests to an endpoint that only a peer has seen go, before
   # the restore.
@@ -133,7 +142,7 @@
     When a peer publishes that e1 is gone
     And the store comes back from a copy in which both are ready
     Then only e2 accepts requests
-    When 10 seconds pass at the fleet watcher
+    When the store is in contact for 10 seconds
     Then e1 and e2 accept requests
 
   # Guards against an endpoint that the copy hides behind the entry of an
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -329,3 +329,10 @@
     context.storeless_watcher.handle_list(
         [make_entry("e1"), make_entry("e2")], 9
     )
+
+
+@when("the store is in contact for {seconds:g} seconds")
+def pass_time_in_contact(context, seconds):
+    clock = context.watcher.test_clock
+    clock.advance(seconds)
+    context.watcher.expire(clock.now_s())
