--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -145,12 +145,16 @@
         return [each for each in gone if each is not None]
 
     def _observe_era(self, era, names, now_s):
-        """Count the entries as copied if the list is the first of an era."""
+        """Count the entries as copied if the list is the first of an era.
+
+        That of an instance which has just started may be one as well, unless
+        the store never came back from a copy.
+        """
         known = self._era
         if era is None or era == known:
             return
         self._era = era
-        if known is not None:
+        if known is not None or era:
             until_s = now_s + COPIED_ENTRY_S
             self._copied_until_s = dict.fromkeys(names, until_s)
 
@@ -263,13 +267,14 @@
             self._drop(name)
         return bool(due)
 
-    def confirm_copied(self, now_s):
+    def confirm_copied(self, contact_s):
         """Count the copied entries as written that have lasted long enough.
 
         Parameters
         ----------
-        now_s : float
-            Monotonic time, in seconds.
+        contact_s : float
+            When the store last answered, monotonic, in seconds. A removal
+            since then would not be known.
 
         Returns
         -------
@@ -279,7 +284,7 @@
         due = [
             name
             for name, until_s in self._copied_until_s.items()
-            if now_s >= until_s and name not in self._missing_until_s
+            if contact_s >= until_s and name not in self._missing_until_s
         ]
         for name in due:
             del self._copied_until_s[name]
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -1,5 +1,6 @@
 import json
 import math
+import random
 import types
 from unittest import mock
 
@@ -17,6 +18,7 @@
 from mulberryhollow.serving import fleet_watcher
 from mulberryhollow.state import facts
 from mulberryhollow.state import objects
+from tests import leaving_fleet
 
 
 class Peers:
@@ -316,3 +318,43 @@
 @then("that instance sends requests to e2 only")
 def check_storeless_accepting(context):
     assert list_accepting(context.storeless_dispatcher) == ["e2"]
+
+
+@when("that instance hears from a peer that e1 is gone")
+def receive_notice_there(context):
+    fact = facts.Fact(facts.Topic.NOTICE, "gone e1.5", 1, b"")
+    context.calling_peers.subscribed[facts.Topic.NOTICE](fact)
+
+
+@when("that instance reads the list in the store")
+def read_list_there(context):
+    context.storeless_watcher.handle_list(
+        [make_entry("e1"), make_entry("e2")], 9
+    )
+
+
+@when("the store is in contact for {seconds:g} seconds")
+def pass_time_in_contact(context, seconds):
+    clock = context.watcher.test_clock
+    clock.advance(seconds)
+    context.watcher.expire(clock.now_s())
+
+
+@then(
+    "in {steps:d} random events at {count:d} instances, none uses an endpoint "
+    "that it knows to have left, with seeds 0 to {last:d}"
+)
+def check_random_events(context, steps, count, last):
+    wrong = {}
+    for seed in range(last + 1):
+        site = leaving_fleet.Site(random.Random(seed), count)
+        try:
+            for step in range(steps):
+                site.step()
+                found = site.list_wrong()
+                if found:
+                    wrong[seed] = step, found
+                    break
+        finally:
+            site.stop()
+    assert not wrong, wrong
