Tell peers that a request ended by a stop may have run

Cause: it refused such a request as that of a leaving instance, with an unknown outcome. The peer that had passed it on takes every refusal of a leaving instance for "not sent" and would have sent it elsewhere, also one that may not run twice. It is now refused as of unknown outcome.

Evidence: "A request of a peer that outlasts the grace time is answered" checks the kind of the refusal too; that failed before and passes now.

--- a/mulberryhollow/coordination/forwarding/decision.py
+++ b/mulberryhollow/coordination/forwarding/decision.py
@@ -177,12 +177,19 @@
     ----------
     attempts : Attempts
         Attempts of the request.
+
+    Notes
+    -----
+    A peer sends what a leaving instance refuses elsewhere, so a request that
+    may have run is not refused as that.
     """
+    if attempts.runs:
+        return _refuse_unknown("this instance is stopping")
     return errors.Refusal(
         errors.RefusalKind.LEAVING,
         "this instance is stopping and has no time left for the request",
         "send the request again on a new connection",
-        _get_execution_status(attempts),
+        errors.ExecutionStatus.NOT_RUN,
         STOPPING_RETRY_AFTER_S,
     )
 
--- a/tests/steps/platform_stops.py
+++ b/tests/steps/platform_stops.py
@@ -174,6 +174,8 @@
     head = peer_requests.decode_head(answer.status, answer.getheaders())
     unknown = errors.ExecutionStatus.UNKNOWN
     assert head.refusal and head.refusal.ran is unknown, head
+    # A peer sends the request of an instance that is leaving elsewhere.
+    assert head.refusal.kind is errors.RefusalKind.OUTCOME_UNKNOWN, head
     check_time(context)
 
 
