Scenarios of cut heads and stops that hold: peers, kept connections

An engine that closes inside the head of its answer, after a length of 0, gets the caller a 502 and no part of the head, and a peer is told that the request may have run: the first hop's broken answer is no whole one at the second. Requests on kept connections through a stop are answered if they run, and do not run if they are refused or cut.

The stand-in endpoint learns to cut its heads.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -121,6 +121,9 @@
         Whether requests run and are answered with 500.
     loses_answers : bool
         Whether requests run but the connection closes without an answer.
+    cuts_heads : bool
+        Whether requests run but the connection closes inside the head of
+        their answer, after a length of 0.
     rate_limit : str
         Value of ``Server-Limit`` in all answers; empty for none.
     late_s : float
@@ -135,6 +138,7 @@
         self.is_full = False
         self.is_failing = False
         self.loses_answers = False
+        self.cuts_heads = False
         self.rate_limit = ""
         self.late_s = 2.0
         self.disconnected_clients = 0
@@ -157,6 +161,9 @@
             handler.close_connection = True
             return
         answer_headers |= {"Response-Seal": f"seal {self.identity}"}
+        if self.cuts_heads:
+            self._cut_head(handler, answer_headers)
+            return
         if self.is_failing:
             handler.reply(500, answer_headers, b"failed")
         elif "/long-stream/" in handler.path:
@@ -170,6 +177,16 @@
                 200, answer_headers, b"answer of " + self.identity.encode()
             )
 
+    @staticmethod
+    def _cut_head(handler, answer_headers):
+        """Close the connection after a whole header line."""
+        handler.send_response(200)
+        for name, value in answer_headers.items():
+            handler.send_header(name, value)
+        handler.send_header("Content-Length", "0")
+        handler.flush_headers()
+        handler.close_connection = True
+
     @staticmethod
     def _stream(handler, answer_headers):
         """Send three events in chunks."""
--- a/tests/platform/daemon.feature
+++ b/tests/platform/daemon.feature
@@ -73,6 +73,31 @@
     When e1 loses its answers and 6 GET /safe/x are sent
     Then all of them are answered by e2
 
+  # Guards against an answer that breaks off inside its head being passed on as
+  # whole.
+  Scenario Outline: An answer that breaks off in its head is passed on to nobody
+    When e1 and e2 cut the heads of their answers and a <method> <path> is sent
+    Then the status is 502 and its body is not the endpoint's
+    And the endpoints have run the request at most <runs> times
+
+    Examples:
+      | method | path      | runs |
+      | POST   | /once/x   | 1    |
+      | GET    | /safe/x   | 2    |
+      | GET    | /stream/x | 1    |
+
+  # Guards against the first hop seeing a broken answer and the second a whole
+  # one.
+  Scenario Outline: A peer passes no answer on that breaks off in its head
+    When e1 and e2 cut the heads of their answers to a <kind> <path> of a peer
+    Then the peer of the instance is told that the request may have run
+
+    Examples:
+      | kind           | path      |
+      | NON_IDEMPOTENT | /once/x   |
+      | IDEMPOTENT     | /safe/x   |
+      | STREAM         | /stream/x |
+
   # Guards against an answer that changes on its way through a peer.
   Scenario Outline: The request of a peer that reaches no endpoint is forwarded
     When a peer forwards a <kind> <path> that belongs to account "acme"
--- a/tests/platform/stops.feature
+++ b/tests/platform/stops.feature
@@ -44,3 +44,11 @@
     Given a stopping instance whose endpoints answer late
     When it gets SIGTERM while no request is running
     Then it ends within 4 seconds
+
+  # Guards against requests that arrive while the instance closes being run
+  # without an answer, or refused although they run.
+  Scenario: Requests on kept connections are answered or do not run
+    Given a stopping instance whose endpoints answer late
+    When 8 callers send requests without a pause on kept connections through a stop
+    Then each request that has run is answered with 200, and no other one
+    And requests were answered after the signal, and others refused
--- a/tests/steps/platform_daemon.py
+++ b/tests/steps/platform_daemon.py
@@ -271,6 +271,43 @@
     assert context.site.count_threads() <= count, context.site.count_threads()
 
 
+def cut_heads(context):
+    for endpoint in context.site.endpoints.values():
+        endpoint.cuts_heads = True
+
+
+@when("e1 and e2 cut the heads of their answers and a {method} {path} is sent")
+def send_to_cutting(context, method, path):
+    cut_heads(context)
+    context.answer = context.site.call(method, path)
+
+
+@then("the status is {status:d} and its body is not the endpoint's")
+def check_own_answer(context, status):
+    assert context.answer.status == status, context.answer.status
+    assert "Response-Seal" not in context.answer.headers
+    assert context.answer.data, "no reason is given"
+
+
+@then("the endpoints have run the request at most {count:d} times")
+def check_runs(context, count):
+    assert 1 <= len(context.site.list_executed_requests()) <= count
+
+
+@when("e1 and e2 cut the heads of their answers to a {kind} {path} of a peer")
+def forward_to_cutting(context, kind, path):
+    cut_heads(context)
+    forward_from_peer(context, kind, path)
+
+
+@then("the peer of the instance is told that the request may have run")
+def check_peer_told_of_cut(context):
+    answer = context.answer
+    head = peer_requests.decode_head(answer.status, answer.getheaders())
+    unknown = errors.ExecutionStatus.UNKNOWN
+    assert head.refusal and head.refusal.ran is unknown, head
+
+
 @when('a peer forwards a {kind} {path} that belongs to account "acme"')
 def forward_from_peer(context, kind, path):
     headers = (("Attempt-Id", "r1"), ("X-Own", "1"))
--- a/tests/steps/platform_stops.py
+++ b/tests/steps/platform_stops.py
@@ -1,5 +1,6 @@
 import concurrent.futures
 import http.client
+import itertools
 import signal
 import time
 
@@ -18,6 +19,7 @@
 LATE_S = 20.0
 TIMEOUT_MS = 30000
 LEAD_S = 0.5
+PAUSE_S = 0.005
 NAMES = {
     "non_idempotent": "late-once",
     "idempotent": "late-safe",
@@ -188,3 +190,71 @@
 def check_end(context, limit_s):
     context.site.process.wait(GRACE_S)
     assert time.monotonic() - context.terminated_s < limit_s
+
+
+def send_without_pause(context, name):
+    """Send requests on kept connections until none is established.
+
+    Returns a list of (id, status or None without an answer, time sent).
+    """
+    found = []
+    port = context.site.callers_port
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=GRACE_S)
+    for number in itertools.count():
+        if connection.sock is None:
+            try:
+                connection.connect()
+            except OSError:
+                return found
+        request_id = f"{name}-{number}"
+        headers = {
+            "Host": "h.example",
+            "Key": "k1",
+            "Attempt-Id": request_id,
+            "Deadline-Ms": "5000",
+        }
+        sent_s = time.monotonic()
+        status = None
+        try:
+            connection.request("POST", "/once/x", b"{}", headers)
+            answer = connection.getresponse()
+            answer.read()
+            status = answer.status
+        except (OSError, http.client.HTTPException):
+            connection.close()
+        found.append((request_id, status, sent_s))
+        time.sleep(PAUSE_S)
+
+
+@when(
+    "{count:d} callers send requests without a pause on kept connections "
+    "through a stop"
+)
+def send_through_stop(context, count):
+    with concurrent.futures.ThreadPoolExecutor(count) as threads:
+        running = [
+            threads.submit(send_without_pause, context, f"c{number}")
+            for number in range(count)
+        ]
+        time.sleep(LEAD_S)
+        terminate(context)
+        context.found = [each for run in running for each in run.result()]
+
+
+@then("each request that has run is answered with 200, and no other one")
+def check_each(context):
+    received = [
+        each["Attempt-Id"] for each in context.site.list_executed_requests()
+    ]
+    answered = [name for name, status, _ in context.found if status == 200]
+    assert sorted(received) == sorted(answered), set(received) ^ set(answered)
+
+
+@then("requests were answered after the signal, and others refused")
+def check_both(context):
+    late = {
+        status
+        for _, status, sent_s in context.found
+        if sent_s > context.terminated_s
+    }
+    assert {200, 503} <= late, late
