Let plays of the soak meet more faults of a restore

The operator writes again 0.5 to 2 s after a restore, windows of usage last 1 s, and the successor of a holder may stop just after the restore.

--- a/tests/tools/soak.feature
+++ b/tests/tools/soak.feature
@@ -5,7 +5,7 @@
   # have left and lost answers, while restores of the store, signals and changes
   # overlap.
   Scenario: A fixed seed with restores of the store breaks no rule
-    When tools.soak runs seed 102 with 3 instances for 35 seconds
+    When tools.soak runs seed 286 with 3 instances for 38 seconds
     Then tools.soak finds no violation
 
   # Guards against a check that finds nothing, or that counts what the rules
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -28,6 +28,7 @@
 """
 
 _STORE_ACTIONS = ("restore",) * 6 + ("down", "lose answers", "refuse")
+_BESIDE_RESTORE = ("stop", "stop twice", "freeze", "kill", "freeze others")
 _PROCESS_ACTIONS = ("kill", "stop", "freeze", "freeze")
 _LEAVING_WAYS = ("entry", "entry and answers", "removed", "answers")
 
@@ -114,20 +115,23 @@
 
     In half of the cases there is a fault beside it: the holder of the duties
     fails between the copy and the restore, or it stops so shortly before the
-    copy that the lease may be free there, or another instance is frozen.
+    copy that the lease may be free there (and its successor stops, too, just
+    after the restore), or another instance is frozen.
     """
     age_s = generator.uniform(0.5, 6.0)
     copied_s = at_s - age_s
-    action = generator.choice(("stop", "freeze", "kill", "freeze others"))
+    action = generator.choice(_BESIDE_RESTORE)
     disturbed_s = generator.uniform(copied_s, at_s)
     if generator.random() < 0.5:
         if action == "freeze others":
             # Its counts of requests arrive after they have been reported.
             frozen_s = generator.uniform(4.0, 7.0)
             yield Step(copied_s - 1.0, action, duration_s=frozen_s)
-        elif action == "stop":
-            lead_s = RELEASE_LEAD_S * (at_s - disturbed_s) / age_s
-            yield Step(copied_s - lead_s, action, HOLDER)
+        elif action.startswith("stop"):
+            part = (at_s - disturbed_s) / age_s
+            yield Step(copied_s - RELEASE_LEAD_S * part, "stop", HOLDER)
+            if action == "stop twice":
+                yield Step(at_s + 1.0 + part, "stop", HOLDER)
         else:
             yield Step(disturbed_s, action, HOLDER, "", at_s - disturbed_s)
     yield Step(copied_s, "copy", number)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -25,7 +25,7 @@
     "fencingEnforced": False,
     "leaseMs": 3000,
     "thawMs": 300,
-    "reportWindowS": 2,
+    "reportWindowS": 1,
     "usageDelayS": 10,
 }
 """Bounds in the settings of the instances.
@@ -36,6 +36,8 @@
 
 ZONES = ("f0", "f1")
 START_TIMEOUT_S = 60.0
+NETWORK_OFFSET = 20
+NETWORKS = 200
 READY_TIMEOUT_S = 1.0
 
 
@@ -90,8 +92,10 @@
     def __init__(self, count, recorder, folder):
         self._recorder = recorder
         self._folder = folder
+        # Runs beside each other use other addresses.
+        network = f"127.{NETWORK_OFFSET + os.getpid() % NETWORKS}.1"
         self.instances = [
-            Instance(f"edge-{n}", f"127.0.1.{n}", ZONES[n % len(ZONES)])
+            Instance(f"edge-{n}", f"{network}.{n}", ZONES[n % len(ZONES)])
             for n in range(1, count + 1)
         ]
         self.server = stand_ins.SoakServer(recorder, self.instances)
--- a/tools/soak/writers.py
+++ b/tools/soak/writers.py
@@ -14,6 +14,9 @@
 EXPIRY_S = 3 * HEARTBEAT_S
 """Silence after which the store removes an endpoint's entry, in seconds."""
 
+REWRITE_RANGE_S = (0.5, 2.0)
+"""Time after a restore until the operator has written again, in seconds."""
+
 REPLACEMENT_DELAY_S = 1.0
 ROUTES_KEPT = 2
 """Number of versions for which an added route stays in the configuration."""
@@ -37,7 +40,7 @@
         self._recorder = recorder
         self._generator = generator
         self._version = 0
-        self._next_check_s = 0.0
+        self._due_s = None
         self.routes = ()
 
     def configure(self):
@@ -50,11 +53,13 @@
 
     def tick(self, now_s):
         """Write the newest version again where a restore has lost it."""
-        if self._server.is_refusing or now_s < self._next_check_s:
-            return
-        self._next_check_s = now_s + self._generator.uniform(0.3, 1.5)
         stored = self._server.store.objects.get(("config", "main"))
-        if not stored or stored["spec"]["version"] != self._version:
+        is_lost = not stored or stored["spec"]["version"] != self._version
+        if self._server.is_refusing or not is_lost:
+            self._due_s = None
+        elif self._due_s is None:
+            self._due_s = now_s + self._generator.uniform(*REWRITE_RANGE_S)
+        elif now_s >= self._due_s:
             self._write()
 
     def _write(self):
