Play a restore of the store beside the program that performs the duties

One process with the duty of usage reports over the stand-in store, which is restored to a copy from before the lease: it reports again with a higher token.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -73,6 +73,8 @@
         Objects of the platform.
     reports : list of dict
         Usage reports received.
+    duty_calls : list of tuple
+        Time and fencing token of each usage report.
     is_refusing : bool
         Whether every call is answered with 503.
     """
@@ -80,6 +82,7 @@
     def __init__(self):
         self.store = platform.PlatformStore()
         self.reports = []
+        self.duty_calls = []
         self.is_refusing = False
         super().__init__()
 
@@ -89,6 +92,8 @@
             handler.reply(503, {}, b"")
             return
         if handler.path == "/usage":
+            token = int(handler.headers["Fencing-Token"])
+            self.duty_calls.append((time.monotonic(), token))
             self.reports.append(json.loads(body))
             handler.reply(200, {}, b"")
             return
--- a/tests/platform/duty_calls.feature
+++ b/tests/platform/duty_calls.feature
@@ -27,3 +27,12 @@
       | answers         | does                       |
       | does not answer | connects                   |
       | answers         | waits between two calls    |
+
+  # Guards against duties that nobody performs any more after a restore, and
+  # against a token that falls, in the whole program. The copy was made before
+  # the lease was acquired.
+  Scenario: The program performs its duties again after the store was restored
+    Given an instance with the duty of usage reports and a copy of its new store
+    When it has reported the usage and the store is restored from that copy
+    Then it reports again with a higher token within 10 seconds
+    And it made no call from 2.5 to 4 seconds after the restore
