Use an endpoint again whose entry outlasts a peer's report

An endpoint whose entry had lapsed and was back got no requests from an instance to which a peer's report of the lapse came late: only a change of the entry ended the report's effect, and the entry of an endpoint that stays may not change again. The effect now also ends when the store still lists the entry, as of the latest contact, longer after the report than it keeps an entry that nobody writes.

The model syncs with its actors before time passes, since they read the time on receipt.

--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -449,8 +449,8 @@
 
         Notes
         -----
-        An endpoint whose entry was gone is used again once the store
-        lists it again.
+        An endpoint whose entry was gone is used again once it has written
+        its entry again, see `FleetWatcher`.
         """
         kind, _, endpoint_id = fact.key.partition(" ")
         if kind == LEAVING:
@@ -459,7 +459,9 @@
             )
         elif kind == GONE:
             self._dispatcher.change(
-                lambda actor, now_s: actor.view.set_draining(endpoint_id, True)
+                lambda actor, now_s: actor.view.set_draining(
+                    endpoint_id, True, now_s
+                )
             )
         elif kind == RATE_LIMIT:
             rate_per_s = float(fact.value) if fact.value else None
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -151,6 +151,14 @@
             confirmed = self._fleet.confirm_copied(contact_s)
         if is_changed or confirmed:
             self._apply(confirmed)
+        if contact_s is not None:
+            self._dispatcher.change(
+                functools.partial(
+                    _end_draining,
+                    self._fleet.list_lasting(),
+                    contact_s - fleets.COPIED_ENTRY_S,
+                )
+            )
 
     def adopt(self, listings):
         """Use the listings of a peer if no list has been read yet."""
@@ -245,6 +253,17 @@
     actor.shares.set_endpoint_counts(_count_versions(found))
 
 
+def _end_draining(lasting, until_s, actor, now_s):
+    """Use endpoints again that peers saw gone and whose entries have lasted.
+
+    The report of a peer may arrive after the entry is back, and the entry of
+    an endpoint that stays may never change again.
+    """
+    draining = actor.view.list_draining(until_s)
+    for endpoint_id in lasting.intersection(draining) if draining else ():
+        actor.view.set_draining(endpoint_id, False)
+
+
 def _count_versions(endpoints):
     """Return the number of endpoints of each version, by service.
 
--- a/mulberryhollow/state/endpoints/view.py
+++ b/mulberryhollow/state/endpoints/view.py
@@ -166,7 +166,7 @@
         for endpoint_id in members:
             self.mark_leaving(endpoint_id)
 
-    def set_draining(self, endpoint_id, is_draining):
+    def set_draining(self, endpoint_id, is_draining, now_s=0.0):
         """Exclude an endpoint from new work, or readmit it.
 
         Parameters
@@ -175,9 +175,11 @@
             Id of the endpoint, which need not be listed yet.
         is_draining : bool
             True to exclude the endpoint, False to readmit it.
+        now_s : float
+            Monotonic time, in seconds.
         """
         if is_draining:
-            _add_mark(self._draining_marks, endpoint_id)
+            _add_mark(self._draining_marks, endpoint_id, now_s)
         else:
             self._draining_marks.pop(endpoint_id, None)
         record = self._records.get(endpoint_id)
@@ -185,6 +187,20 @@
             record.is_draining = is_draining
             self._index(record)
 
+    def list_draining(self, until_s):
+        """Return the endpoints that drain since a time or longer.
+
+        Parameters
+        ----------
+        until_s : float
+            Monotonic time, in seconds.
+        """
+        return [
+            endpoint_id
+            for endpoint_id, since_s in self._draining_marks.items()
+            if since_s <= until_s
+        ]
+
     def set_evacuations(self, current):
         """Exclude the endpoints of evacuated domains, readmit the others.
 
@@ -792,9 +808,9 @@
             group.add(record)
 
 
-def _add_mark(marks, endpoint_id):
+def _add_mark(marks, endpoint_id, since_s=None):
     """Add the mark of an endpoint; drop the earliest of too many."""
-    marks[endpoint_id] = None
+    marks[endpoint_id] = since_s
     marks.move_to_end(endpoint_id)
     while len(marks) > MAX_LEAVING_MARKS:
         marks.popitem(last=False)
--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -293,6 +293,18 @@
             self._gone.pop(listing.key, None)
         return found
 
+    def list_lasting(self):
+        """Return the ids of the endpoints that are listed in the store.
+
+        Without those of copied entries and of entries that are only kept.
+        """
+        return {
+            listing.key
+            for name, listing in self._entries.items()
+            if name not in self._copied_until_s
+            and name not in self._missing_until_s
+        }
+
     def list_written(self, listed):
         """Return the listings of a complete list that are no mere copies."""
         return [
--- a/tests/leaving_fleet.py
+++ b/tests/leaving_fleet.py
@@ -74,9 +74,13 @@
             self.entries[name] = item
 
     def publish(self, source, fact):
-        self.facts.append(fact)
+        name = fact.key.partition(" ")[2].partition(".")[0]
+        binding = name if name in self.left else None
+        self.facts.append((fact, binding))
         self.pending += [
-            (each, fact) for each in self.instances if each is not source
+            (each, fact, binding)
+            for each in self.instances
+            if each is not source
         ]
 
     def step(self):
@@ -90,6 +94,7 @@
                 self.pass_time,
                 self.pass_time,
                 self.restart,
+                self.lapse,
                 *(self.sync,) * 8,
                 *(self.deliver,) * 6,
             )
@@ -105,12 +110,20 @@
         is_silent = self.rng.random() < 0.5
         self.write(name, "draining", is_deleted=is_silent)
 
+    def lapse(self):
+        """Remove the entry of an endpoint that stays and writes it again."""
+        staying = sorted(self.entries.keys() - self.left.keys())
+        if staying:
+            self.write(self.rng.choice(staying), "ready", is_deleted=True)
+
     def answer_leaving(self):
         """Let an endpoint that has left say so to one instance."""
         if self.left:
             instance = self.rng.choice(self.instances)
             name = self.rng.choice(sorted(self.left))
             instance.dispatcher.report_leaving(f"{name}.5")
+            # Its report to the peers comes from the actor.
+            instance.dispatcher.read(lambda actor, now_s: None)
             instance.known.add(name)
 
     def copy(self):
@@ -154,8 +167,8 @@
     def deliver(self):
         if self.pending:
             index = self.rng.randrange(len(self.pending))
-            instance, fact = self.pending.pop(index)
-            instance.receive(fact)
+            instance, *received = self.pending.pop(index)
+            instance.receive(*received)
 
     def restart(self):
         """Replace an instance; it copies the facts and a list of a peer."""
@@ -164,11 +177,32 @@
         old.actor.stop()
         self.pending = [each for each in self.pending if each[0] is not old]
         new = self.instances[index] = Instance(self)
-        for fact in self.facts:
-            new.receive(fact)
+        for received in self.facts:
+            new.receive(*received)
         peer = self.instances[index - 1]
         new.watcher.adopt(peer.watcher.listings)
 
+    def settle(self):
+        """Let all facts arrive and all instances follow for a while."""
+        for _ in range(25):
+            while self.pending:
+                self.deliver()
+            for each in self.instances:
+                # The actor has to read the time before it passes.
+                each.list_accepting()
+            self.pass_time()
+            for each in self.instances:
+                each.sync()
+
+    def list_lost(self):
+        """Return the endpoints that stay and that instances do not use."""
+        staying = self.entries.keys() - self.left.keys()
+        return [
+            (number, sorted(staying - each.list_accepting()))
+            for number, each in enumerate(self.instances)
+            if staying - each.list_accepting()
+        ]
+
     def list_wrong(self):
         """Return the endpoints that instances use against their knowledge."""
         return [
@@ -217,12 +251,14 @@
     def handle(self, topic, handler):
         pass
 
-    def receive(self, fact):
-        """Receive a fact of a peer; one about a stayer binds nobody."""
+    def receive(self, fact, binding):
+        """Receive a fact of a peer and the endpoint that it shows to leave.
+
+        The endpoint is None for a fact about an entry that only lapsed.
+        """
         self._receive(fact)
-        name = fact.key.partition(" ")[2].partition(".")[0]
-        if name in self.site.left:
-            self.known.add(name)
+        if binding is not None:
+            self.known.add(binding)
 
     def sync(self):
         """Read what the store has that this instance has not."""
--- a/tests/serving/fleet_watcher.feature
+++ b/tests/serving/fleet_watcher.feature
@@ -169,3 +169,14 @@
   # restores and restarts after which an endpoint that has left is used again.
   Scenario: No order of events brings back an endpoint that has left
     Then in 150 random events at 8 instances, none uses an endpoint that it knows to have left, with seeds 0 to 19
+    And after them all instances use the endpoints that stay
+
+  # Guards against the loss of an endpoint whose entry had only lapsed, where the
+  # report of a peer arrives after the entry is back.
+  Scenario: An endpoint whose entry lasts is used although a peer saw it go
+    Given a fleet watcher that has listed e1 and e2
+    When a peer publishes that e1 is gone
+    And the store is in contact for 9 seconds
+    Then only e2 accepts requests
+    When the store is in contact for 1 seconds
+    Then e1 and e2 accept requests
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -345,7 +345,7 @@
     "that it knows to have left, with seeds 0 to {last:d}"
 )
 def check_random_events(context, steps, count, last):
-    wrong = {}
+    wrong, context.lost = {}, {}
     for seed in range(last + 1):
         site = leaving_fleet.Site(random.Random(seed), count)
         try:
@@ -355,6 +355,14 @@
                 if found:
                     wrong[seed] = step, found
                     break
+            site.settle()
+            if site.list_lost():
+                context.lost[seed] = site.list_lost()
         finally:
             site.stop()
     assert not wrong, wrong
+
+
+@then("after them all instances use the endpoints that stay")
+def check_lost(context):
+    assert not context.lost, context.lost
