--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -19,6 +19,9 @@
 
 FOLDER = processes.ROOT / "build" / "soak"
 CALLERS_PER_INSTANCE = 2
+MAX_SHOWN = 5
+"""Number of violations of each rule that are printed."""
+
 MAX_INSTANCES = 40
 MAX_SECONDS = 600.0
 
@@ -38,15 +41,7 @@
         recorder.dump(folder / "history.jsonl")
     found = checks.check(recorder)
     _print_counts(recorder, injector)
-    for each in found:
-        kind = "VIOLATION" if each.is_counted else "not counted:"
-        print(
-            f"{kind} seed {arguments.seed} at {each.at_s:.2f} s"
-            f" {each.rule}: {each.message}"
-        )
-    counted = sum(each.is_counted for each in found)
-    print(f"seed {arguments.seed}: {counted} violations, logs in {folder}")
-    return 1 if counted else 0
+    return 1 if _print_violations(arguments.seed, found, folder) else 0
 
 
 def _parse_arguments():
@@ -113,6 +108,29 @@
         endpoints.close()
 
 
+def _print_violations(seed, found, folder):
+    """Write all violations and print some; return how many count."""
+    lines = [
+        f"{'VIOLATION' if each.is_counted else 'not counted:'}"
+        f" seed {seed} at {each.at_s:.2f} s"
+        f" {each.rule}: {each.message}"
+        for each in found
+    ]
+    (folder / "violations.txt").write_text("".join(f"{e}\n" for e in lines))
+    shown = collections.Counter()
+    for each, line in zip(found, lines, strict=True):
+        shown[each.rule] += 1
+        if shown[each.rule] <= MAX_SHOWN:
+            print(line)
+    counted = sum(each.is_counted for each in found)
+    rules = ", ".join(f"{n} {rule}" for rule, n in sorted(shown.items()))
+    print(
+        f"seed {seed}: {counted} violations counted"
+        f" ({rules or 'none seen'}), logs in {folder}"
+    )
+    return counted
+
+
 def _print_counts(recorder, injector):
     """Print how much has happened, and how late the steps were."""
     answers = collections.Counter(
