--- a/tools/soak/writers.py
+++ b/tools/soak/writers.py
@@ -175,8 +175,10 @@
         way = self._leaving.get(name, "")
         is_stored = ("servers", name) in store.objects
         if way == "removed":
-            if is_stored:
-                store.remove("servers", name)
+            # Without an entry there is nothing that the store confirms.
+            if not is_stored:
+                return
+            store.remove("servers", name)
         elif way.startswith("entry"):
             entry = self._entries[name] | {"state": "draining"}
             store.put("servers", name, entry)
