--- a/tests/serving/duties_after_restore.feature
+++ b/tests/serving/duties_after_restore.feature
@@ -21,6 +21,40 @@
       | held     | 1     |
       | held     | 3     |
 
+  # Guards against duties that nobody performs for seconds after each restore:
+  # the holder waits for its own lease to lapse although nobody else held it.
+  Scenario Outline: The holder performs the duties again within the lease time of a restore
+    Given duty managers a, b and c over a store that can be restored
+    When one duty manager holds the duties
+    And the store is restored <times> times from copies of 1.5 seconds before, <gap_s> seconds apart
+    Then the holder acted within the lease time of each restore
+    And nobody else acted since the first of these restores
+    And the tokens of all duty calls rise from holder to holder
+
+    Examples:
+      | times | gap_s |
+      | 1     | 12    |
+      | 6     | 3     |
+      | 6     | 4.5   |
+
+  # Guards against a holder that takes back a lease that another instance has
+  # held since its last renewal, as soon as a copy names it.
+  Scenario Outline: A holder that was cut off for <cut_s> seconds waits when a copy names it
+    Given duty managers a, b and c over a store that can be restored
+    When one duty manager holds the duties
+    And it is cut off for <cut_s> seconds and the store is restored from a copy of before
+    And the duty managers run for 20 seconds
+    Then no two duty managers acted within a call's time of each other
+    And the tokens of all duty calls rise from holder to holder
+    And one duty manager acts again
+
+    Examples:
+      | cut_s |
+      | 4.25  |
+      | 5     |
+      | 6     |
+      | 8     |
+
   # Guards against a second holder: an instance that has just started cannot
   # know that the store was restored a moment ago.
   Scenario Outline: An instance that starts after a restore to <copy> does not act beside the earlier holder
--- a/tests/steps/serving_duties_after_restore.py
+++ b/tests/steps/serving_duties_after_restore.py
@@ -224,6 +224,65 @@
     context.restored_s = context.site.clock.elapsed_s()
 
 
+@when(
+    "the store is restored {times:d} times from copies of {age_s:g} seconds "
+    "before, {gap_s:g} seconds apart"
+)
+def restore_repeatedly(context, times, age_s, gap_s):
+    site = context.site
+    context.restores_s = []
+    for _ in range(times):
+        saved = site.store.copy()
+        site.run(age_s)
+        site.store.restore(saved)
+        context.restores_s.append(site.clock.elapsed_s())
+        site.run(gap_s - age_s)
+    site.run(age_s)
+
+
+@then("the holder acted within the lease time of each restore")
+def check_acted_soon(context):
+    waits = [
+        min(
+            (
+                each.at_s - restored_s
+                for each in context.site.acts
+                if each.holder == context.holder.name
+                and each.token >= objects.make_version(era, 0)
+            ),
+            default=None,
+        )
+        for era, restored_s in enumerate(context.restores_s, 2)
+    ]
+    assert all(wait_s is not None and wait_s <= LEASE_S for wait_s in waits), (
+        waits
+    )
+
+
+@then("nobody else acted since the first of these restores")
+def check_nobody_else(context):
+    names = {
+        each.holder
+        for each in context.site.acts
+        if each.at_s > context.restores_s[0]
+    }
+    assert names == {context.holder.name}, names
+
+
+@when(
+    "it is cut off for {cut_s:g} seconds and the store is restored from a "
+    "copy of before"
+)
+def restore_after_cut(context, cut_s):
+    site = context.site
+    context.saved = site.store.copy()
+    context.holder.link.is_cut = True
+    site.run(cut_s)
+    context.holder.link.is_cut = False
+    site.store.restore(context.saved)
+    context.restored_s = site.clock.elapsed_s()
+
+
 @when("duty manager {name} starts")
 def start_one(context, name):
     context.site.start(name)
