Let the holder that a restored store names go on at once

What callers saw: after each restore of the store nobody performed the duties for more than 4 s, and for good when restores came 3 s apart, although nobody else had held the lease.

Cause: the first renewal conflicts in the new era, the lease is forgotten, and the holder waited like anybody else until the lease that names it lapsed.

Fix: an instance that finds itself named, and whose last renewal began less than the time to take over ago, writes the lease at once, on the version it has read. Another instance acquires it later than that, so nobody else can have held it. A release ends this. The write gives a new, higher fencing token.

Ruled out: going on without the limit on the last renewal.

--- a/mulberryhollow/coordination/duties/lease.py
+++ b/mulberryhollow/coordination/duties/lease.py
@@ -133,6 +133,11 @@
     it was released in this era. A released one is acquired like one that is
     no longer renewed by an instance that held the lease before, or has just
     started and may have: holders must not alternate within `takeover_s`.
+
+    An instance that finds itself named after a conflict, less than
+    `takeover_s` after the start of its last renewal, acquires the lease at
+    once: nobody else can have held it meanwhile. Otherwise each restore would
+    leave the duties without a holder for `takeover_s`.
     """
 
     def __init__(self, instance, rules):
@@ -150,6 +155,7 @@
         self._changed_s = float("-inf")
         self._polled_s = float("-inf")
         self._held_until_s = float("-inf")
+        self._renewed_s = float("-inf")
 
     @property
     def holder(self):
@@ -175,7 +181,8 @@
         if self._fencing_token:
             return self._plan_write(now_s)
         is_lapsed = now_s - self._changed_s >= self._rules.takeover_s
-        if is_lapsed or (not self._holder and self._may_follow(now_s)):
+        is_free = not self._holder and self._may_follow(now_s)
+        if is_lapsed or is_free or self._may_resume(now_s):
             return self._plan_write(now_s)
         return Read()
 
@@ -187,6 +194,7 @@
         if not self._fencing_token:
             return None
         self._held_until_s = float("-inf")
+        self._renewed_s = float("-inf")
         value = _encode_release(self._renewals, self._version)
         return Write(value, self._version, now_s)
 
@@ -223,6 +231,8 @@
         self._is_released = bool(found) and _is_release(found)
         if self._holder != self._instance:
             self._fencing_token = 0
+        elif self._may_resume(now_s):
+            self._polled_s = float("-inf")
 
     def resolve(self, write, outcome, now_s):
         """Apply the outcome of a planned write.
@@ -259,6 +269,7 @@
                     self._fencing_token = version
                     self._has_held = True
                 self._held_until_s = write.planned_s + self._rules.hold_s
+                self._renewed_s = write.planned_s
                 return not was_holder
             case objects.WriteRejected("conflict"):
                 self._forget()
@@ -278,6 +289,18 @@
             return not self._has_held and has_run_s >= takeover_s
         return now_s - self._era_began_s >= takeover_s
 
+    def _may_resume(self, now_s):
+        """Return whether nobody else can have held the lease since this one.
+
+        Another instance acquires it `takeover_s` after it has first seen the
+        version of the last renewal, or a later one, at the earliest.
+        """
+        since_renewal_s = now_s - self._renewed_s
+        return (
+            self._holder == self._instance
+            and since_renewal_s < self._rules.takeover_s
+        )
+
     def _plan_write(self, now_s):
         """Return the write that acquires or renews the lease."""
         self._renewals += 1
