Failing tests: windows left out, and an era judged before the read

- A holder that could not renew the lease for 4 or 5 s before the restore leaves windows out, although a successor can't have sent a report by then.
- Another thread sees the new era between the judgement of the era and the read of the stored report: the windows since the copy get two counts.
The store of the tests can now be restored at a chosen query of its era.

--- a/tests/restored_store.py
+++ b/tests/restored_store.py
@@ -27,12 +27,33 @@
 
     def __init__(self):
         super().__init__()
-        self.era = 1
+        self._era = 1
+        self._era_queries = 0
+        self._at_era_query = None
         self.at_read = None
         self.late = []
         self.is_late = False
         self.revision = objects.make_version(self.era, self.revision)
 
+    @property
+    def era(self):
+        """Era of the store; another thread may see a new one at any query."""
+        if self._at_era_query is not None:
+            self._era_queries -= 1
+            if self._era_queries == 0:
+                at_query, self._at_era_query = self._at_era_query, None
+                at_query()
+        return self._era
+
+    @era.setter
+    def era(self, era):
+        self._era = era
+
+    def run_at_era_query(self, number, action):
+        """Call an action once, at a query of the era from now on."""
+        self._era_queries = number
+        self._at_era_query = action
+
     def get(self, kind, name, is_stale_ok=False):
         """Return an object, after `at_read`."""
         if self.at_read is not None:
--- a/tests/serving/usage_reports.feature
+++ b/tests/serving/usage_reports.feature
@@ -34,6 +34,32 @@
       | 3    |
       | 8    |
 
+  # Guards against windows that are left out although no successor can have
+  # reported yet: the holder could not renew the lease, and nobody else was there.
+  Scenario Outline: A holder alone leaves out no window after an outage before the restore
+    Given a fleet whose usage is reported, over a store that was copied
+    When the store is away for <away> seconds and is restored
+    And requests that were counted late are known everywhere
+    And the fleet runs for 30 seconds
+    Then no window was reported with two counts
+    And every window that has ended was reported
+
+    Examples:
+      | away |
+      | 3    |
+      | 4    |
+      | 5    |
+
+  # Guards against two counts for a window that a successor has reported as
+  # early as the lease allows, before a restore that its predecessor sees at once.
+  Scenario: A former holder repeats no window of the earliest successor
+    Given a fleet whose usage is reported, over a store that was copied
+    When the holder is cut off until the earliest successor has reported
+    And the store is restored and the former holder acquires the duties
+    And the fleet runs for 30 seconds
+    Then no window was reported with two counts
+    And every window that began after the restore was reported
+
   # Guards against a report that only the holder knows after a restore: it is
   # lost with the holder, unless the store has it again soon.
   Scenario: The latest report is in the restored store within a second
@@ -110,6 +136,26 @@
     Then no window was reported with two counts
     And every window that began after the restore was reported
 
+  # Guards against an era that another thread sees between the judgement of the
+  # era and the read of the stored report.
+  Scenario Outline: A restore that another thread sees during a call repeats no window
+    Given a fleet whose usage is reported, over a store that was copied
+    When the holder is killed after a report to nobody
+    And requests that were counted late are known everywhere
+    And a successor takes over and another thread sees a restore at query <query> of the era
+    And the fleet runs for 30 seconds
+    Then no window was reported with two counts
+    And every window that began after the restore was reported
+
+    Examples:
+      | query |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
+      | 5     |
+      | 6     |
+
   # Guards against a late write from before a restore that only the store knows:
   # the report that was sent of that window had other counts.
   Scenario: A stored report from before a restore that nobody knows is not sent
--- a/tests/steps/serving_usage_reports.py
+++ b/tests/steps/serving_usage_reports.py
@@ -169,6 +169,35 @@
     restore_and_acquire(context)
 
 
+@when("the holder is cut off until the earliest successor has reported")
+def report_by_earliest_successor(context):
+    """Let a window become due that the former holder has not reported."""
+    fleet = context.fleet
+    rules = duties.LeaseRules()
+    fleet.cloud.is_refusing = True
+    fleet.run_until(lambda: fleet.read_stored()[0] > max(list_counts(context)))
+    fleet.run(6.0)
+    fleet.cloud.is_refusing = False
+    context.former, fleet.holder = fleet.holder, None
+    fleet.run(rules.takeover_s - rules.hold_s)
+    fleet.holder, fleet.successor = fleet.successor, None
+    fleet.is_exchanging = False
+    fleet.holder.reporter.begin()
+    reported = len(fleet.cloud.reports)
+    fleet.run(usage.START_DELAY_S)
+    assert len(fleet.cloud.reports) > reported + 1, fleet.cloud.reports
+
+
+@when("the store is restored and the former holder acquires the duties")
+def restore_for_former(context):
+    fleet = context.fleet
+    fleet.holder = context.former
+    fleet.successor = fleet.start()
+    restore_and_acquire(context)
+    add_late_counts(fleet)
+    fleet.is_exchanging = True
+
+
 @when("requests that were counted late are known everywhere")
 def count_late(context):
     add_late_counts(context.fleet)
@@ -243,6 +272,22 @@
     context.fleet.run_until(lambda: context.fleet.store.at_read is None)
 
 
+@when(
+    "a successor takes over and another thread sees a restore at query "
+    "{query:d} of the era"
+)
+def restore_at_query(context, query):
+    fleet = context.fleet
+    fleet.holder = None
+    fleet.run(6.0)
+    fleet.holder = fleet.successor
+    fleet.successor = fleet.start()
+    fleet.holder.reporter.begin()
+    fleet.clock.advance(usage.START_DELAY_S)
+    fleet.store.run_at_era_query(query, lambda: restore(context))
+    fleet.holder.reporter.work(FENCE, lambda: True)
+
+
 @when("the store is restored while all instances start anew")
 def restore_and_restart(context):
     restore(context)
