Leave out windows only once a successor can have reported them

What callers saw: after the store was away for 4 s and was restored, a fleet of one instance left two windows of usage out, although nobody else can have reported them.

Cause: a holder took it that another instance may have reported 1.5 s after it had last acted, the wait of a successor before its first report. The time from the end of the hold to the takeover was not counted.

With the limit itself taken as allowed, the scenario of the earliest successor fails.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -384,9 +384,12 @@
         if not settings.cloud_address:
             return None
         client = cloud.DutyClient(settings.cloud_address, settings.instance)
+        rules = duties.LeaseRules.derive(
+            settings.bounds.lease_s, cloud.CALL_TIMEOUT_S
+        )
         handlers = []
         if settings.has_usage_duty:
-            handlers.append(self._make_usage_reporter(client))
+            handlers.append(self._make_usage_reporter(client, rules))
         if settings.has_order_duty:
             handlers.append(self._make_endpoint_scaler(client))
         handlers.append(self._stored_quarantine)
@@ -395,9 +398,7 @@
             self._store,
             self._clock,
             tuple(handlers),
-            duties.LeaseRules.derive(
-                settings.bounds.lease_s, cloud.CALL_TIMEOUT_S
-            ),
+            rules,
             self._is_duty_candidate,
         )
         client.is_held = manager.is_held
@@ -409,7 +410,7 @@
         is_settled = self._clock.now_s() >= self._settled_s
         return is_settled and self._fact_peering.collectors.is_local
 
-    def _make_usage_reporter(self, client):
+    def _make_usage_reporter(self, client, rules):
         """Return the handler of the duty to report the usage."""
         return usage.UsageReporter(
             self._usage_ledger,
@@ -417,6 +418,7 @@
             client,
             self._clock,
             self._settings.bounds.report_delay_s,
+            rules,
         )
 
     def _make_endpoint_scaler(self, client):
--- a/mulberryhollow/serving/usage.py
+++ b/mulberryhollow/serving/usage.py
@@ -180,6 +180,8 @@
     delay_s : float
         Time after the end of a window by which its report is due, in
         seconds.
+    rules : LeaseRules or None
+        Durations of the lease on the duties; the defaults if None.
 
     Notes
     -----
@@ -199,12 +201,16 @@
     complete again.
     """
 
-    def __init__(self, shared_ledger, store, cloud, clock, delay_s):
+    def __init__(
+        self, shared_ledger, store, cloud, clock, delay_s, rules=None
+    ):
         self._shared_ledger = shared_ledger
         self._store = store
         self._cloud = cloud
         self._clock = clock
         self._delay_s = delay_s
+        rules = rules or duties.LeaseRules()
+        self._succession_s = rules.takeover_s - rules.hold_s + START_DELAY_S
         self._started_s = float("-inf")
         self._acted_s = float("-inf")
         self._sighting = None
@@ -277,14 +283,15 @@
         """Find the first window that may be reported in a new era.
 
         Nobody else has reported in an earlier era if this instance still
-        acted as the holder shortly before it saw the new one: a successor
-        would not have sent its first report by then.
+        acted as the holder shortly before it saw the new one. The holder
+        acts for `hold_s` after a renewal at most, and a successor acquires
+        the lease `takeover_s` after it at the earliest and then waits.
         """
         sighting = self._sighting
         if sighting is None or sighting.era == self._judged_era:
             return
         self._judged_era = sighting.era
-        if sighting.elapsed_s - self._acted_s > START_DELAY_S:
+        if sighting.elapsed_s - self._acted_s >= self._succession_s:
             self._first_window = max(self._first_window, sighting.window)
 
     def _is_outdated(self):
