Read the stored report only in an era that was judged

What callers saw: two counts for a window of usage after a restore of the store.

Cause: the reporter judges a new era, that is, finds the first window that it may report, and then reads the stored report. Another thread may see a new era in between; the report of the copy was then read with the first window of the era before, and the windows since the copy were counted anew.

Fix: no report is read in an era that was not judged; the next call judges it.

Ruled out: judging after the read alone, since another thread may as well see a new era between that judgement and the use.

--- a/mulberryhollow/serving/usage.py
+++ b/mulberryhollow/serving/usage.py
@@ -312,9 +312,12 @@
         -------
         bool
             Whether the store holds that report, or there is none, and was
-            not restored meanwhile.
+            not restored meanwhile. False as well if the era is not judged
+            yet: another thread may have seen a new one since.
         """
         era = self._store.era
+        if (era or 0) != self._judged_era:
+            return False
         is_complete = False
         found = self._store.get(DUTY_KIND, REPORT_OBJECT_NAME)
         version = found.version if found else 0
