Keep evacuations that a restore of the store has lost

Endpoints of an evacuated failure domain got requests from the restore of the store until the operator had requested the evacuation again.

The first list of the new era lacks what was written after the copy, and the table of evacuations took what a list lacks for withdrawn. Each instance also published that withdrawal with a version of the new era, so that instances without the store followed.

What is known of an earlier era is now kept until 10 s after the first list of the new era, unless the store reports the domain in that era. Only then it ends, with event 6043. A process that starts in this time accepts a request of an earlier era from its peers.

A deletion that the store reports in the new era still ends an evacuation at once, as the scenarios check.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -613,7 +613,7 @@
                     make(
                         "expiry",
                         interval_s=EXPIRY_INTERVAL_S,
-                        call=self._expire_endpoints,
+                        call=self._expire,
                     ),
                     make(
                         "paths",
@@ -674,10 +674,12 @@
             )
         return loops
 
-    def _expire_endpoints(self):
-        """Drop or use again entries of endpoints whose time has come."""
+    def _expire(self):
+        """Apply what the time decides on endpoints and evacuations."""
         follower = self._followers["endpoints"]
         self._fleet_watcher.expire(follower.last_contact_s)
+        if self._evacuation_watcher is not None:
+            self._evacuation_watcher.expire()
 
     def _apply_members(self):
         """Apply the current membership to the limits and the view."""
--- a/mulberryhollow/serving/evacuations.py
+++ b/mulberryhollow/serving/evacuations.py
@@ -39,6 +39,13 @@
     "correct the entry or delete it; its name must be a failure domain and "
     "its value a JSON object",
 )
+LOST = events.declare(
+    6043,
+    logging.WARNING,
+    "an evacuation that a restore of the store has lost was not written "
+    "again; the endpoints of the failure domain get requests again",
+    "request the evacuation again if it is still wanted",
+)
 
 
 class EvacuationWatcher:
@@ -118,20 +125,31 @@
             Revision of the store at which the list is complete.
         """
         found = self._decode_all(items)
+        now_s = self._clock.now_s()
         self._update(
-            lambda table: table.apply_list(found, revision), is_published=True
+            lambda table: table.apply_list(found, revision, now_s),
+            is_published=True,
         )
         self._is_known = True
 
     def handle_changes(self, items):
         """Apply changed and deleted objects, the oldest first."""
         found = self._decode_all(items)
+        now_s = self._clock.now_s()
         self._update(
-            lambda table: list(filter(table.merge, found)), is_published=True
+            lambda table: [each for each in found if table.merge(each, now_s)],
+            is_published=True,
         )
 
     def record_recovery(self, at_s):
-        """Do nothing, since an evacuation does not expire."""
+        """Do nothing, since the lists tell of a restore by their era."""
+
+    def expire(self):
+        """End evacuations that were not written again after a restore."""
+        now_s = self._clock.now_s()
+        self._update(
+            lambda table: table.expire(now_s), is_published=True, end=LOST
+        )
 
     def _apply_fact(self, fact):
         """Apply an evacuation that a peer has published."""
@@ -140,8 +158,9 @@
             return
         is_active = fact.value == _VALUES[True]
         found = evacuations.Evacuation(domain, fact.version, is_active)
+        now_s = self._clock.now_s()
         self._update(
-            lambda table: [found] if table.merge(found) else [],
+            lambda table: [found] if table.merge(found, now_s) else [],
             is_published=False,
         )
 
@@ -182,7 +201,7 @@
             IGNORED, entry=item.name, version=item.version, reason=reason
         )
 
-    def _update(self, change, is_published):
+    def _update(self, change, is_published, end=WITHDRAWN):
         """Change the table, apply the result and log what is new.
 
         Parameters
@@ -193,6 +212,8 @@
             Whether changes are published; those that a peer has reported are
             not published again. The lock is released before, since the
             gossip may be waiting for it.
+        end : Event
+            Event that tells of the end of an evacuation.
         """
         with self._lock:
             changed = change(self._table)
@@ -203,7 +224,7 @@
                 )
         for each in changed:
             events.log(
-                EVACUATED if each.is_active else WITHDRAWN,
+                EVACUATED if each.is_active else end,
                 failure_domain=each.failure_domain,
                 version=each.revision,
                 source="store" if is_published else "peer",
--- a/tests/evacuation_fleet.py
+++ b/tests/evacuation_fleet.py
@@ -187,6 +187,7 @@
         self._ticks += 1
         for instance in self.instances.values():
             instance.read()
+            instance.watcher.expire()
             if (self._ticks + instance.index) % TICKS_PER_REPORT == 0:
                 instance.report()
         self.cluster.run(FOLLOW_INTERVAL_S)
--- a/tests/steps/state_evacuations.py
+++ b/tests/steps/state_evacuations.py
@@ -10,14 +10,14 @@
     revision = int(revision)
     match words[:2]:
         case ["a", "request"]:
-            table.merge(evacuations.Evacuation("d", revision, True))
+            table.merge(evacuations.Evacuation("d", revision, True), 0.0)
         case ["an", "end"]:
-            table.merge(evacuations.Evacuation("d", revision, False))
+            table.merge(evacuations.Evacuation("d", revision, False), 0.0)
         case ["an", "empty"]:
-            table.apply_list([], revision)
+            table.apply_list([], revision, 0.0)
         case ["a", "list"]:
             listed = evacuations.Evacuation("d", int(words[3]), True)
-            table.apply_list([listed], revision)
+            table.apply_list([listed], revision, 0.0)
 
 
 @given("a table of evacuations that has received {report}")
