Roll back a move whose order is deleted

A new version went on getting requests after the operator had deleted the order of its move, until the move's deadline: 5 s later i0 of 8 instances gave it a share of 0.054.

The stand-in of the store, like the table of evacuations, takes a deletion to be reported with the revision of the last write. Once a record was written, that is the version known, and a record of no later version is ignored. The move that is rolled back now gets a later version than the known one. The deletion itself has a later revision too, and so does any order after it, so that order still replaces it.

--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -382,7 +382,11 @@
             self._execute(service, action)
 
     def _withdraw(self, service, version):
-        """End a move whose order was deleted as rolled back."""
+        """End a move whose order was deleted as rolled back.
+
+        The store may report the deletion with the revision of the last write,
+        which is known already.
+        """
         follower = self._followers.get(service)
         if follower is None or follower.monitor.move.stage.is_final:
             return
@@ -393,6 +397,7 @@
             now_s,
             reason=_DELETED,
         )
+        version = max(version, move.version + 1)
         move = attrs.evolve(move, version=version)
         follower.driver.observe(move, "", now_s)
         self._apply_shares(service, now_s)
--- a/tests/serving/ordered_moves.feature
+++ b/tests/serving/ordered_moves.feature
@@ -85,3 +85,16 @@
     When the move is ordered for 16 s
     Then it is completed by its deadline
     And the store got at most 40 writes, all of them from one driver
+
+  # Guards against a move that goes on after its order was deleted, since the
+  # store reports the deletion with the revision of the last write.
+  Scenario Outline: The move of a deleted order is rolled back on all instances
+    Given 8 instances with 40 requests a second, and a new version that is good
+    When the move is ordered for 20 s
+    And the order is deleted <after> s after it was written
+    Then 5 s later no instance gives the new version any request
+
+    Examples:
+      | after |
+      | 1     |
+      | 5     |
