Tests: a later configuration below an earlier one in gossip

After a restore of the store an instance that has missed a configuration may publish a later one with a version that is not above it. Gossip then keeps the earlier one for good.

--- a/tests/coordination/configuration/active.feature
+++ b/tests/coordination/configuration/active.feature
@@ -40,3 +40,18 @@
     When the store is restored at revision 45
     And one instance applies numbers 9 and 10, and another only number 10
     Then each published version of number 10 is above that of number 9
+
+  # Guards against gossip that keeps an earlier configuration for good, since an
+  # instance that knows a later one has published it with a lower version.
+  Scenario Outline: A later number is published again above an earlier one
+    Given instances whose active document has number 8, as of revision 60
+    When a peer publishes number <number> with version <version>
+    Then the offer is <outcome> with published version <published>
+
+    Examples:
+      | number | version | outcome     | published |
+      | 7      | 75      | Republished | 76        |
+      | 7      | 60      | Republished | 61        |
+      | 7      | 59      | Stale       | 60        |
+      | 8      | 75      | Stale       | 60        |
+      | 9      | 40      | Applied     | 40        |
--- a/tests/serving/documents.feature
+++ b/tests/serving/documents.feature
@@ -67,6 +67,22 @@
     And the operator writes configuration 11
     Then reader b has put into force 7, 8, 9, 11
 
+  # Guards against gossip that keeps an earlier configuration for good: an
+  # instance that has not seen it publishes a later one with a lower version.
+  Scenario: A configuration of a restored store replaces all earlier in gossip
+    Given readers a and b that follow the configuration
+    When the operator writes configuration 7
+    And the configuration store is copied
+    And the operator writes configuration 8
+    And the operator writes configuration 9
+    And reader b is gone
+    And reader a is cut off from its store
+    And the configuration store is restored
+    And the operator writes configuration 10
+    And reader c starts and reads the store first
+    Then reader a has put into force 7, 8, 9, 10
+    And reader c has put into force 10
+
   # Guards against an older build that ignores what it reads in the store, since
   # a peer has told it of a version with an era.
   Scenario: What peers are told has versions that builds without eras compare
--- a/tests/steps/coordination_configuration.py
+++ b/tests/steps/coordination_configuration.py
@@ -117,6 +117,20 @@
         each.offer(objects.make_version(1, revision), str(number).encode())
 
 
+@when("a peer publishes number {number:d} with version {version:d}")
+def publish_numbered(context, number, version):
+    context.offered = context.active_documents[0].offer_published(
+        version, str(number).encode()
+    )
+
+
+@then("the offer is {outcome} with published version {version:d}")
+def check_published_offer(context, outcome, version):
+    assert type(context.offered).__name__ == outcome, context.offered
+    found = context.active_documents[0].document.published_version
+    assert found == version, found
+
+
 @when("the store is restored at revision {revision:d}")
 def restore_numbered(context, revision):
     context.restored_revision = revision
