Publish a later configuration above all earlier ones

Callers saw, after a restore of the store, an instance that was cut off from the store and kept an earlier configuration although its peers had a later one.

Cause: revisions fall in a restore, so each instance raised the version under which it publishes a configuration by one over what it knew. One that had missed a configuration, or had started after the restore, published a later one with a version that was not above that of the earlier one. Gossip orders by version, then by bytes, and kept the earlier one.

After a restore the version now rises by as much as the number does, so that instances choose the same one whatever they have missed. An instance that is told of a lower number with a version that is not lower publishes its own document again, above it. All instances that know the later number publish the same bytes with the same version then, and one that has the lower number takes the higher one, so that this ends. Versions stay plain numbers near the store's revisions, as builds without eras need; without a restore they are the revisions as before.

Four scenarios failed before and pass now: three of tests/coordination/configuration/active.feature, one of tests/serving/documents.feature. The steps of the latter connect the new callback. tests/platform/two_builds.feature passes (2 scenarios), beside a store that is not restored.

Ruled out: a version formed of the number alone, which builds without eras would take for a revision that the store never reaches.

--- a/mulberryhollow/coordination/configuration/__init__.py
+++ b/mulberryhollow/coordination/configuration/__init__.py
@@ -24,6 +24,7 @@
     "Ready",
     "Refused",
     "Rejected",
+    "Republished",
     "Severity",
     "Stale",
     "check_catalogue",
@@ -52,6 +53,7 @@
             "NUMBER_REPEATED",
             "REJECTED",
             "Rejected",
+            "Republished",
             "Stale",
         ),
         "change": (
--- a/mulberryhollow/coordination/configuration/active.py
+++ b/mulberryhollow/coordination/configuration/active.py
@@ -20,6 +20,7 @@
     "NUMBER_REPEATED",
     "REJECTED",
     "Rejected",
+    "Republished",
     "Stale",
 ]
 
@@ -46,6 +47,14 @@
     "give each document a number of its own",
 )
 
+MAX_PUBLISHED_STEP = 1000
+"""Most by which a published version exceeds the one published before.
+
+Builds that know no eras refuse what they read in the store until its
+revisions have reached the published version. Numbers that are dates or times
+would raise it for months.
+"""
+
 
 @attrs.frozen
 class Document:
@@ -92,6 +101,22 @@
     is_number_repeated: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Republished:
+    """The active document stays and is to be published with another version.
+
+    A peer has published a lower number with a version that is not lower, and
+    peers keep what has the highest version.
+
+    Parameters
+    ----------
+    document : Document
+        The active document with its new published version.
+    """
+
+    document: Document
+
+
 @dataclasses.dataclass(frozen=True)
 class Stale:
     """The offered version is not higher than the active one.
@@ -171,6 +196,7 @@
         self._rejected_data = None
         self._peer_version = 0
         self._last_published = 0
+        self._first_era = None
 
     @property
     def document(self):
@@ -214,6 +240,8 @@
         """
         if version <= self.version:
             return Stale(version, self.version)
+        if self._first_era is None:
+            self._first_era = objects.get_era(version)
         found = self._try_parse(version, data)
         if isinstance(found, Rejected):
             return found
@@ -243,7 +271,7 @@
 
         Returns
         -------
-        Applied, Stale, LowerNumber or Rejected
+        Applied, Stale, LowerNumber, Republished or Rejected
             Applied if the document is active now.
         """
         active = self._document
@@ -257,7 +285,9 @@
             return found
         if found.number is None:
             return self.offer(version, data)
-        if active and found.number <= active.number:
+        if active and found.number < active.number:
+            return self._publish_above(version)
+        if active and found.number == active.number:
             return Stale(version, active.version)
         self._document = Document(self.version, data, found, version)
         return Applied(self._document)
@@ -291,15 +321,36 @@
         )
         return Applied(self._document, is_number_repeated)
 
+    def _publish_above(self, version):
+        """Publish the active document above the version of a lower number."""
+        active = self._document
+        if version < active.published_version:
+            return Stale(version, active.version)
+        self._last_published += 1
+        self._document = attrs.evolve(
+            active, published_version=self._last_published
+        )
+        return Republished(self._document)
+
     def _choose_published(self, version, number):
         """Return the version under which a document is published.
 
         Builds that know no eras compare it with plain revisions. Since
         revisions may fall, it is raised above that of the earlier documents.
+        It rises as the number does, so that instances of which some have
+        missed a document choose the same one.
         """
         if number is None:
             return version
+        step = 1
+        active = self._document
+        if (
+            active is not None
+            and active.number is not None
+            and objects.get_era(version) > self._first_era
+        ):
+            step = max(1, min(number - active.number, MAX_PUBLISHED_STEP))
         self._last_published = max(
-            objects.get_revision(version), self._last_published + 1
+            objects.get_revision(version), self._last_published + step
         )
         return self._last_published
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -161,7 +161,7 @@
         )
         self.dispatcher = self._make_dispatcher()
         self._documents = documents.DocumentActor.start(
-            self._apply, records.decode_catalogue
+            self._apply, records.decode_catalogue, self._publish_document
         )
         self._peers = self._start_peers()
         self._fact_peering = fact_peering.FactPeering(
@@ -720,6 +720,10 @@
         self.dispatcher.change(
             lambda actor, now_s: actor.view.set_memory(memory)
         )
+        self._publish_document(document)
+
+    def _publish_document(self, document):
+        """Publish the active configuration document to the peers."""
         self._fact_peering.publish_document(
             records.CONFIGURATION_NAME, document
         )
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -62,14 +62,23 @@
     parse : callable
         ``parse(data, version)`` returns the typed content, which has a
         `digest` and a `number`, or raises ConfigurationError.
+    on_republished : callable
+        Called with the active Document if only the version under which it is
+        published has changed.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, on_applied, parse=documents.parse):
+    def __init__(
+        self,
+        on_applied,
+        parse=documents.parse,
+        on_republished=lambda document: None,
+    ):
         super().__init__()
         self._active_document = configuration.ActiveDocument(parse)
         self._on_applied = on_applied
+        self._on_republished = on_republished
 
     def on_receive(self, message):
         """Handle an offered document; return its result, such as Applied."""
@@ -92,6 +101,8 @@
                         number=document.number,
                     )
                 self._on_applied(document)
+            case configuration.Republished(document):
+                self._on_republished(document)
             case configuration.LowerNumber(version, number, active_number):
                 events.log(
                     configuration.LOWER_NUMBER,
--- a/tests/steps/serving_documents.py
+++ b/tests/steps/serving_documents.py
@@ -69,7 +69,7 @@
         clock = clocks.ManualClock()
         self.applied = []
         self.actor = documents.DocumentActor.start(
-            self._apply, records.decode_catalogue
+            self._apply, records.decode_catalogue, self._publish
         )
         self.peers = Peers()
         self.peering = fact_peering.FactPeering(
@@ -90,6 +90,9 @@
 
     def _apply(self, document):
         self.applied.append(document.environment)
+        self._publish(document)
+
+    def _publish(self, document):
         self.peering.publish_document(records.CONFIGURATION_NAME, document)
 
     @property
