Tests: an instance that a collector tells of a restore

What a collector tells of a new era does not reach the client of the store, so an instance that reads through a collector writes its lost registration again only once a call of its own is answered.

--- a/tests/serving/store_relay.feature
+++ b/tests/serving/store_relay.feature
@@ -151,6 +151,28 @@
     And the instance asks the collector
     Then the instance has no object
 
+  # Guards against an instance whose lost records are not written again, since
+  # it reads through a collector and makes no call of its own.
+  Scenario: An instance learns of a restore through its collector
+    Given a collector and an instance that follow a store with eras
+    When the store with eras writes a, is copied, writes b and is restored
+    And the collector reads the restored store
+    And the instance asks the collector
+    And the instance asks the collector
+    Then the store client of the instance knows era 2 and has logged it once
+    And the instance made no call to the store
+
+  # Guards against lists of each instance when one of its kinds is told of a
+  # restore: its collector tells it of the others in the same answer.
+  Scenario: An instance that is told of a restore lists no kind by itself
+    Given a collector and an instance that follow two kinds with eras
+    When the store with eras writes a, is copied, writes b and is restored
+    And the collector reads both kinds of the restored store
+    And the instance asks the collector
+    Then the store client of the instance knows era 2 and has logged it once
+    And the instance made no call to the store
+    And no kind of the instance is from before the restore
+
   # Guards against a watch on a connection that hangs over a restore: nothing of
   # the new era was read until it had timed out.
   Scenario: A watch that hangs delays nothing once a new era is known
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -1,5 +1,6 @@
 import contextlib
 import json
+import logging
 import threading
 import time
 import types
@@ -60,6 +61,9 @@
     def era(self):
         return self._store.era
 
+    def learn_era(self, era):
+        self._store.learn_era(era)
+
     def list_objects(self, kind):
         self._check()
         return self._store.list_objects(kind)
@@ -74,6 +78,17 @@
             raise errors.StoreUnavailableError("down", "wait")
 
 
+class Restores(logging.Handler):
+    """Counts the logged restores of the store."""
+
+    def __init__(self):
+        super().__init__()
+        self.count = 0
+
+    def emit(self, record):
+        self.count += getattr(record, "event", 0) == stores.RESTORED.number
+
+
 class Instance:
     """Follower of one kind and its relay; records what it is told."""
 
@@ -317,6 +332,10 @@
 def make_instances_with_eras(context):
     context.clock = clocks.ManualClock(start_s=100.0)
     context.platform = platform.PlatformStore(era=1)
+    context.restores = Restores()
+    logger = logging.getLogger("mulberryhollow")
+    logger.addHandler(context.restores)
+    context.add_cleanup(logger.removeHandler, context.restores)
     context.collector = make_instance_with_era(context, True)
     context.instance = make_instance_with_era(context, False)
 
@@ -332,6 +351,53 @@
     return made
 
 
+@given("a collector and an instance that follow two kinds with eras")
+def make_instances_of_two_kinds(context):
+    make_instances_with_eras(context)
+    for each in (context.collector, context.instance):
+        told = types.SimpleNamespace(
+            handle_list=lambda items, revision: None,
+            handle_changes=lambda items: None,
+            record_recovery=lambda at_s: None,
+        )
+        each.other = watch.ObjectFollower(
+            each.calls, "other", context.clock, told
+        )
+        each.other.read()
+        each.relay = store_relay.StoreRelay(
+            [each.follower, each.other],
+            context.clock,
+            lambda made=each: made is context.collector,
+        )
+        each.client.on_restored = each.relay.refresh
+        each.calls.count = 0
+
+
+@when("the collector reads both kinds of the restored store")
+def read_both_restored(context):
+    read_restored(context, "collector")
+    context.collector.other.read()
+
+
+@then("no kind of the instance is from before the restore")
+def check_kinds(context):
+    eras = [
+        objects.get_era(each.revision)
+        for each in (context.instance.follower, context.instance.other)
+    ]
+    assert eras == [context.platform.era] * 2, eras
+
+
+@then("the store client of the instance knows era 2 and has logged it once")
+def check_learned_era(context):
+    for each in threading.enumerate():
+        if each.name.startswith("refresh "):
+            each.join(10.0)
+    assert context.instance.client.era == 2, context.instance.client.era
+    # The client of the collector has logged it as well.
+    assert context.restores.count == 2, context.restores.count
+
+
 @given("the instance has just started on the store with eras")
 def restart_instance_with_era(context):
     context.instance = make_instance_with_era(context, False, has_read=False)
@@ -347,6 +413,7 @@
     for each in (context.collector, context.instance):
         if each.follower.revision is not None:
             each.follower.read()
+            each.calls.count = 0
             # One that has read changes knows no complete list of them.
             each.told = [sorted(each.names)]
     context.platform.restore(saved)
