Learn a restore of the store from a collector

After a restore an instance that reads the store through a collector did not write its lost registration again, and noted the new era late for the usage reports, until a call of its own was answered.

Cause: what a collector tells of an era reached the objects of the kind, not the client of the store, whose era the writers compare.

The client has one method that records and logs an era, for its own answers and for those of a collector. The relay calls it after all kinds of an answer are applied: a new era makes each kind that is older be listed, and one answer brings several.

The registration and the usage reports were not run through a collector.

--- a/mulberryhollow/serving/store_relay.py
+++ b/mulberryhollow/serving/store_relay.py
@@ -164,7 +164,8 @@
     def accept(self, answer):
         """Apply the relayed kinds that another instance answered."""
         now_s = self._clock.now_s()
-        for kind in answer.keys() & self._followers.keys():
+        kinds = answer.keys() & self._followers.keys()
+        for kind in kinds:
             try:
                 state = relays.decode_relayed(answer[kind], now_s)
             except ValueError as error:
@@ -172,6 +173,8 @@
                 continue
             if self._followers[kind].accept(state):
                 self._answered_s[kind] = now_s
+        for kind in kinds:
+            self._followers[kind].report_era()
 
     def _measure_left(self, follower):
         """Return the time until a kind is read directly, in seconds.
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -232,6 +232,16 @@
                 self._apply(changes)
         return True
 
+    def report_era(self):
+        """Tell the client of the store the era of the accepted objects.
+
+        Separate from `accept`: the client has each kind listed that is older
+        than the era, and one answer of a collector brings several kinds.
+        """
+        era = self._get_era()
+        if era > (self._store.era or 0):
+            self._store.learn_era(era)
+
     def _list(self):
         """List every object."""
         base = self._log.revision
--- a/mulberryhollow/transport/store.py
+++ b/mulberryhollow/transport/store.py
@@ -103,9 +103,10 @@
     Attributes
     ----------
     era : int or None
-        Highest era of the store that an answer has named; None before.
+        Highest era of the store that an answer has named or that is known by
+        `learn_era`; None before.
     on_restored : callable
-        Called without arguments once an answer has named a later era, in the
+        Called without arguments once a later era has become known, in the
         thread of that call; does nothing unless it is replaced.
     """
 
@@ -150,6 +151,29 @@
         )
         return _add_era(found, era)
 
+    def learn_era(self, era):
+        """Record an era of the store; log one that is later than the known.
+
+        Parameters
+        ----------
+        era : int
+            Era that an answer has named, to this client or to a trusted
+            instance.
+
+        Returns
+        -------
+        int or None
+            Era that was known before; None if none was.
+        """
+        with self._lock:
+            known = self.era
+            if known is None or era > known:
+                self.era = era
+        if known is not None and era > known:
+            events.log(RESTORED, era=era, previous=known)
+            self.on_restored()
+        return known
+
     def list_objects(self, kind, is_stale_ok=False):
         """Read every object of a kind.
 
@@ -398,17 +422,11 @@
             Era that the answer names; None if it names none, which is then
             the known one.
         """
-        with self._lock:
-            known = self.era
-            if era is not None and (known is None or era > known):
-                self.era = era
         if era is None:
-            return known or 0
+            return self.era or 0
+        known = self.learn_era(era)
         if known is not None and era < known:
             raise _LateAnswerError(f"an answer of era {era} in era {known}")
-        if known is not None and era > known:
-            events.log(RESTORED, era=era, previous=known)
-            self.on_restored()
         return era
 
     def _check_status(self, response):
