Let moves go on whose order a restore of the store has lost

A move in progress was rolled back when a restore of the store had lost its order, and began anew, with a deadline and an exposure of its own, when the operator wrote the order again. So did a move that had been completed or taken back.

The first list of the new era lacks what was written after the copy, and a missing order counted as deleted. An order that is written again is created at another time, which its id contains, so it also counted as another one.

Where the store has no record, the move is passed on as it was planned; what is known beyond that is written again as after any restore. A deletion that the store reports ends the move at once.

Open: a process that starts before the order is written again, and its holds of versions.

--- a/mulberryhollow/platform/move_wiring.py
+++ b/mulberryhollow/platform/move_wiring.py
@@ -71,7 +71,10 @@
             moves.MoveDependencies(
                 instance=member.instance_id,
                 incarnation=member.incarnation,
-                store=orders.StatusRecords(wiring.store),
+                store=orders.StatusRecords(
+                    wiring.store,
+                    lambda move: self._orders.get_written_id(move),
+                ),
                 client=None,
                 peers=wiring.peers,
                 dispatcher=wiring.dispatcher,
--- a/mulberryhollow/platform/moves.py
+++ b/mulberryhollow/platform/moves.py
@@ -3,6 +3,7 @@
 import contextlib
 import hashlib
 import json
+import operator
 
 import attrs
 
@@ -30,6 +31,9 @@
 def decode_order(item):
     """Return the MoveOrder in an operator's object.
 
+    The id of its move is that of the record beside it if the status says that
+    the record belongs to the order as it is written.
+
     Parameters
     ----------
     item : StoredObject
@@ -51,11 +55,29 @@
             raise ValueError(f"durationS is {duration_s}")
         content = decoding.encode_json(dict(sorted(fields.items())))
     digest = hashlib.sha256(item.created.encode() + content).hexdigest()
+    written_id = f"{service} {digest[:16]}"
     return ordered_moves.MoveOrder(
-        f"{service} {digest[:16]}", service, target, float(duration_s)
+        _decode_move_id(item, written_id),
+        service,
+        target,
+        float(duration_s),
+        written_id,
     )
 
 
+def _decode_move_id(item, written_id):
+    """Return the id of the move of an order, which its status may give.
+
+    An order that a restore of the store has lost has another id when it is
+    written again, since it is created at another time.
+    """
+    with contextlib.suppress(ValueError), decoding.convert_errors("status"):
+        status = decoding.decode_json(item.status)
+        if status["order"] == written_id:
+            return decoding.check_name(status["record"]["id"], "id")
+    return written_id
+
+
 def decode_target(item):
     """Return the target of a malformed order; None if it is not readable."""
     with contextlib.suppress(ValueError), decoding.convert_errors("target"):
@@ -101,9 +123,12 @@
     ----------
     store : StoreClient
         The platform's store.
+    get_written_id : callable
+        Given a Move, returns the id of its order as written in the store.
     """
 
     store: object
+    get_written_id: object = operator.attrgetter("id")
 
     def put(self, kind, name, value, expected_version, change_id):
         """Write a record, as `StoreClient.put`."""
@@ -114,6 +139,9 @@
             "change": change_id,
             "record": json.loads(value),
         }
+        written_id = self.get_written_id(move)
+        if written_id != move.id:
+            status["order"] = written_id
         return self.store.put_status(
             ORDER_KIND, name.removeprefix("."), status, expected_version
         )
--- a/mulberryhollow/serving/ordered_moves.py
+++ b/mulberryhollow/serving/ordered_moves.py
@@ -11,6 +11,7 @@
 from mulberryhollow.protocol import moves as codec
 from mulberryhollow.serving import moves
 from mulberryhollow.state import objects
+from mulberryhollow.state import restores
 
 __all__ = ["MoveOrder", "OrderDecoders", "OrderFollower"]
 
@@ -44,12 +45,25 @@
         The service and its new version.
     duration_s : float
         Time in which the move has to end, in seconds.
+    written_id : str
+        Id of the order as it is written in the store. That of the move is the
+        id with which the order was first written, before a restore of the
+        store lost it.
     """
 
     id: str
     service: str
     target: str
     duration_s: float
+    written_id: str = ""
+
+    def requests_same(self, other):
+        """Return whether another order requests the same move."""
+        return (self.service, self.target, self.duration_s) == (
+            other.service,
+            other.target,
+            other.duration_s,
+        )
 
 
 @attrs.frozen
@@ -74,13 +88,17 @@
 
 @attrs.define
 class _Seen:
-    """An order that this instance has seen, and the move before it."""
+    """An order that this instance has seen, its move and the one before it.
+
+    The move is a planned one, whatever its record says; None if it could not
+    begin yet.
+    """
 
     order: MoveOrder
     version: int
     seen_s: float
     previous: object = None
-    has_begun: bool = False
+    move: object = None
 
 
 class OrderFollower:
@@ -113,6 +131,10 @@
     An order gives its target no requests from the moment that it is seen
     until a record of its move says otherwise. An order without a record is
     passed on as a planned move, which the first driver writes into the store.
+
+    An order that a restored store lacks is kept for the time of
+    `RestoreGrace`. If the same order is written again in this time, its move
+    goes on.
     """
 
     def __init__(
@@ -126,20 +148,42 @@
         self._make_times = make_times
         self._seen = {}
         self._reported = {}
+        self._revision = 0
+        self._grace = restores.RestoreGrace()
         self._lock = threading.Lock()
         self.is_known = False
 
     @property
     def has_pending(self):
-        """Whether an order waits for the endpoints of its service."""
-        return any(not each.has_begun for each in self._seen.values())
+        """Whether an order waits for endpoints, or to be written again."""
+        return any(
+            each.move is None or self._grace.precedes(each.version)
+            for each in tuple(self._seen.values())
+        )
+
+    def get_written_id(self, move):
+        """Return the id of the order in the store of a move.
+
+        Parameters
+        ----------
+        move : Move
+            The move, whose id is that of its order unless a restore of the
+            store has lost the order.
+        """
+        seen = self._seen.get(move.service)
+        is_current = seen is not None and seen.order.id == move.id
+        return seen.order.written_id if is_current else move.id
 
     def handle_list(self, items, revision):
         """Apply a complete list of orders."""
         names = {item.name for item in items}
+        now_s = self._clock.wall_s()
         with self._lock:
+            self._revision = revision
+            self._grace.observe(revision, now_s)
             for name in self._seen.keys() - names:
-                self._delete(name, revision)
+                if not self._grace.keeps(self._seen[name].version, now_s):
+                    self._delete(name, revision)
         self.handle_changes(items)
         self.is_known = True
 
@@ -153,15 +197,31 @@
                     self._apply(item)
 
     def record_recovery(self, at_s):
-        """Do nothing, since an order does not expire."""
+        """Do nothing, since the lists tell of a restore by their era."""
 
     def tick(self):
-        """Begin the moves of orders whose service has endpoints by now."""
+        """Apply what the time decides on orders.
+
+        Begins the moves of those whose service has endpoints by now, and ends
+        those that were not written again after a restore of the store.
+        """
         with self._lock:
+            if not self._grace.is_open(self._clock.wall_s()):
+                self._delete_lost()
             for seen in self._seen.values():
-                if not seen.has_begun:
+                if seen.move is None:
                     self._begin(seen)
 
+    def _delete_lost(self):
+        """End the moves of orders that were not written again."""
+        lost = [
+            name
+            for name, seen in self._seen.items()
+            if self._grace.precedes(seen.version)
+        ]
+        for name in lost:
+            self._delete(name, self._revision)
+
     def _apply(self, item):
         """Apply a new or changed order, or a change of its record."""
         try:
@@ -172,16 +232,26 @@
         record = self._decoders.decode_record(item)
         move = self._decode(record)
         seen = self._seen.get(item.name)
-        if seen is None or seen.order.id != order.id:
+        if seen is not None and self._is_written_again(seen, order):
+            seen.order = attrs.evolve(order, id=seen.order.id)
+        elif seen is None or seen.order.written_id != order.written_id:
             seen = _Seen(order, item.version, self._clock.wall_s())
             self._see(item.name, seen)
         seen.version = item.version
         if move is not None and move.id == order.id:
-            seen.has_begun = True
+            seen.order, seen.move = order, _plan(move)
             self._actor.tell(moves.MoveRecord(record))
             return
         seen.previous = move
-        self._begin(seen)
+        if seen.move is None:
+            self._begin(seen)
+        else:
+            self._pass_on(seen)
+
+    def _is_written_again(self, seen, order):
+        """Return whether an order is one that a restore has lost."""
+        is_lost = self._grace.precedes(seen.version)
+        return is_lost and seen.order.requests_same(order)
 
     def _decode(self, record):
         """Return the Move of a stored record; None without a usable one."""
@@ -218,8 +288,7 @@
         from_version = self._find_from_version(seen)
         if from_version is None:
             return
-        seen.has_begun = True
-        move = rollout.Move(
+        seen.move = rollout.Move(
             id=order.id,
             environment="",
             service=order.service,
@@ -230,13 +299,20 @@
             times=self._make_times(order.duration_s),
         )
         events.log(BEGUN, move=order.id, from_version=from_version)
+        self._pass_on(seen)
+
+    def _pass_on(self, seen):
+        """Pass the move of an order without a record on, as a planned one.
+
+        What is known of the move beyond its plan stays, see `rollout.merge`.
+        """
         self._actor.tell(
             moves.MoveRecord(
                 objects.StoredObject(
                     moves.KIND,
-                    order.service,
+                    seen.order.service,
                     seen.version,
-                    codec.encode(move),
+                    codec.encode(seen.move),
                 )
             )
         )
@@ -282,3 +358,17 @@
         if seen is not None:
             events.log(DELETED, move=seen.order.id)
             self._actor.tell(moves.WithdrawMove(seen.order.service, version))
+
+
+def _plan(move):
+    """Return the planned form of a move, as before its first record."""
+    return rollout.Move(
+        id=move.id,
+        environment=move.environment,
+        service=move.service,
+        from_version=move.from_version,
+        to_version=move.to_version,
+        created_s=move.created_s,
+        deadline_s=move.deadline_s,
+        times=move.times,
+    )
