Scenario: a withdrawal soon after a restore takes effect within the bound

The scenarios on lost evacuations withdraw after the grace time only, so none showed that the store's report of a deletion ends an evacuation within it.

--- a/tests/serving/evacuations.feature
+++ b/tests/serving/evacuations.feature
@@ -164,3 +164,14 @@
     Then for 8 seconds no instance sends anything new to fd-01
     When the operator evacuates fd-01
     Then for 12 seconds no instance sends anything new to fd-01
+
+  # Guards against a withdrawal that waits for the end of the grace time.
+  Scenario: A withdrawal soon after a restore takes effect within the bound
+    Given 8 instances that follow the evacuations, and no fault
+    When the store is copied before the operator evacuates fd-01
+    And the store is restored from the copy
+    Then for 1 seconds no instance sends anything new to fd-01
+    When the operator evacuates fd-01
+    Then for 1 seconds no instance sends anything new to fd-01
+    When the evacuation of fd-01 is withdrawn
+    Then within 5 seconds each instance sends to all failure domains
