Split the version of an active document into two fields

The field was the version of the stored object, or the highest version known to hold no later document, or what had been checked before a peer offered one. Now `version` is the stored object's (0 if a peer had published the document) and `checked_version` is what later offers are compared with. The property of ActiveDocument has the second name as well, and three lines of the test steps follow it. No change of behaviour: the log lines have the same value.

--- a/mulberryhollow/coordination/configuration/active.py
+++ b/mulberryhollow/coordination/configuration/active.py
@@ -63,21 +63,24 @@
     Parameters
     ----------
     version : int
-        Version of the stored object that holds the document. For a document
-        with a number: the highest version in the store that is known to
-        hold no later document; 0 if only peers have offered one.
+        Version of the stored object from which the document became active;
+        0 if a peer had published it.
     data : bytes
         The document's bytes, as sent to peers.
     environment : Environment
         The parsed document.
     published_version : int
         Version under which the document is published to peers.
+    checked_version : int
+        Highest version in the store that is known to hold no later document;
+        0 if only peers have offered documents.
     """
 
     version: int
     data: bytes
     environment: Environment
-    published_version: int = 0
+    published_version: int
+    checked_version: int
 
     @property
     def number(self):
@@ -204,14 +207,14 @@
         return self._document
 
     @property
-    def version(self):
-        """Version of the active document; 0 before the first one."""
-        return self._document.version if self._document else 0
+    def checked_version(self):
+        """The active document's `checked_version`; 0 before the first one."""
+        return self._document.checked_version if self._document else 0
 
     @property
     def is_behind(self):
         """Whether a peer has reported a higher active version."""
-        return self._peer_version > self.version
+        return self._peer_version > self.checked_version
 
     def record_peer_version(self, version):
         """Record the version that a peer reports as active.
@@ -238,8 +241,8 @@
         Applied, Stale, LowerNumber or Rejected
             Applied if the document is active now.
         """
-        if version <= self.version:
-            return Stale(version, self.version)
+        if version <= self.checked_version:
+            return Stale(version, self.checked_version)
         if self._first_era is None:
             self._first_era = objects.get_era(version)
         found = self._try_parse(version, data)
@@ -253,9 +256,9 @@
         if found.number == active.number and data != active.data:
             return self._apply(version, data, found)
         # What the store held before this version needs no further check.
-        self._document = attrs.evolve(active, version=version)
+        self._document = attrs.evolve(active, checked_version=version)
         if found.number == active.number:
-            return Stale(version, active.version)
+            return Stale(version, active.checked_version)
         return LowerNumber(version, found.number, active.number)
 
     def offer_published(self, version, data):
@@ -279,7 +282,7 @@
             return self.offer(version, data)
         self._last_published = max(self._last_published, version)
         if active and data == active.data:
-            return Stale(version, active.version)
+            return Stale(version, active.checked_version)
         found = self._try_parse(version, data)
         if isinstance(found, Rejected):
             return found
@@ -288,8 +291,10 @@
         if active and found.number < active.number:
             return self._publish_above(version)
         if active and found.number == active.number:
-            return Stale(version, active.version)
-        self._document = Document(self.version, data, found, version)
+            return Stale(version, active.checked_version)
+        self._document = Document(
+            0, data, found, version, self.checked_version
+        )
         return Applied(self._document)
 
     def _try_parse(self, version, data):
@@ -312,7 +317,11 @@
         """Make a document from the store active."""
         active = self._document
         self._document = Document(
-            version, data, found, self._choose_published(version, found.number)
+            version,
+            data,
+            found,
+            self._choose_published(version, found.number),
+            version,
         )
         is_number_repeated = (
             active is not None
@@ -325,7 +334,7 @@
         """Publish the active document above the version of a lower number."""
         active = self._document
         if version < active.published_version:
-            return Stale(version, active.version)
+            return Stale(version, active.checked_version)
         self._last_published += 1
         self._document = attrs.evolve(
             active, published_version=self._last_published
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -91,13 +91,13 @@
             case configuration.Applied(document, is_number_repeated):
                 events.log(
                     configuration.APPLIED,
-                    version=document.version,
+                    version=document.checked_version,
                     digest=document.environment.digest,
                 )
                 if is_number_repeated:
                     events.log(
                         configuration.NUMBER_REPEATED,
-                        version=document.version,
+                        version=document.checked_version,
                         number=document.number,
                     )
                 self._on_applied(document)
--- a/tests/steps/coordination_configuration.py
+++ b/tests/steps/coordination_configuration.py
@@ -37,7 +37,7 @@
 @then("the offer is {outcome} and version {version:d} is active")
 def check_offer(context, outcome, version):
     assert type(context.offered).__name__ == outcome, context.offered
-    assert context.active_document.version == version
+    assert context.active_document.checked_version == version
     assert context.active_document.document.environment.version == version
 
 
@@ -70,10 +70,10 @@
         for version, kind in offered:
             kind = kinds.setdefault(version, kind)
             active_document.offer(version, DOCUMENTS[kind])
-            versions.append(active_document.version)
+            versions.append(active_document.checked_version)
         good = [each for each, kind in kinds.items() if kind == "good"]
         assert versions == sorted(versions)
-        assert active_document.version == max(good, default=0)
+        assert active_document.checked_version == max(good, default=0)
 
     check()
 
