--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -222,8 +222,11 @@
             revision = changes.revision if changes else state.revision
             if objects.get_era(revision or 0) < known_era:
                 return False
-            is_next = changes and changes.base == self._log.revision
-            if not (is_next and self._is_restore(changes)):
+            is_next = (
+                changes is not None and changes.base == self._log.revision
+            )
+            is_restore = is_next and self._is_restore(changes)
+            if not is_restore:
                 self._record_recovery(state.recovered_s)
             known_s = self.last_contact_s
             if known_s is None or state.contact_s > known_s:
