--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -21,7 +21,6 @@
         self.objects = {}
         self.era = None
         self.revision = 6
-        self.era = None
         self.is_down = False
         self.goes_down_at_write = False
         self.faults = []
