Publish again just above the lower number

The version was raised above all that the instance had heard of, also of the same document and of one that it rejects, so it rose more than needed and differed between instances. It is one above that of the lower number now. The scenario failed before (91 instead of 76) and passes now.

--- a/mulberryhollow/coordination/configuration/active.py
+++ b/mulberryhollow/coordination/configuration/active.py
@@ -335,10 +335,8 @@
         active = self._document
         if version < active.published_version:
             return Stale(version, active.checked_version)
-        self._last_published += 1
-        self._document = attrs.evolve(
-            active, published_version=self._last_published
-        )
+        self._document = attrs.evolve(active, published_version=version + 1)
+        self._last_published = max(self._last_published, version + 1)
         return Republished(self._document)
 
     def _choose_published(self, version, number):
--- a/tests/coordination/configuration/active.feature
+++ b/tests/coordination/configuration/active.feature
@@ -55,3 +55,11 @@
       | 7      | 59      | Stale       | 60        |
       | 8      | 75      | Stale       | 60        |
       | 9      | 40      | Applied     | 40        |
+
+  # Guards against versions that rise by far more than is needed, and that
+  # differ between the instances which publish the same document again.
+  Scenario: A number is published again just above the earlier one
+    Given instances whose active document has number 8, as of revision 60
+    When a peer publishes number 8 with version 90
+    And a peer publishes number 7 with version 75
+    Then the offer is Republished with published version 76
