--- a/mulberryhollow/serving/registry.py
+++ b/mulberryhollow/serving/registry.py
@@ -31,9 +31,8 @@
 REWRITE_SPREAD_S = 30.0
 """Longest wait before the registration is looked up after a restore.
 
-The instances of a large fleet see the restore at once. The wait, in seconds,
-is random, so that 830 of them make about 28 writes a second; the store allows
-400 to all its users.
+In seconds. The instances of a large fleet see the restore at once, so each
+waits for a random time: the store limits the writes of all together.
 """
 
 _QUERY_TIMEOUT_S = 1.0
