--- a/tests/steps/transport_cut_heads.py
+++ b/tests/steps/transport_cut_heads.py
@@ -114,7 +114,7 @@
         add_members=found.extend,
     )
     found_registry = registry.Registry(
-        types.SimpleNamespace(list_objects=refuse),
+        types.SimpleNamespace(era=None, list_objects=refuse),
         types.SimpleNamespace(list_entries=lambda: [address]),
         peers,
     )
