Log when an endpoint whose entry is gone is out of use

Event 4022 said that an endpoint was removed also where its entry was kept, so no log told when it was out of use, nor why it was still in use. 4027 tells until when it is kept, 4022 follows when it is dropped, 4028 tells what a peer reports, and 9015 tells the end of an outage and whether own calls, a peer or a restore showed it.

--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -33,6 +33,12 @@
 # names, in requests per second, or empty when the limit has ended.
 RATE_LIMIT = "rate-limit"
 
+TOLD = events.declare(
+    4028,
+    logging.INFO,
+    "a peer reports that an endpoint leaves or that its entry is gone",
+)
+
 CALL_TIMEOUT_S = 1.0
 """Timeout of a call to a peer on behalf of a request, in seconds."""
 
@@ -455,6 +461,8 @@
         its entry again, see `FleetWatcher`.
         """
         kind, _, endpoint_id = fact.key.partition(" ")
+        if kind in (LEAVING, GONE):
+            events.log(TOLD, endpoint=endpoint_id, state=kind)
         if kind == LEAVING:
             self._dispatcher.change(
                 lambda actor, now_s: actor.view.mark_leaving(endpoint_id)
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -30,6 +30,12 @@
 CHANGED = events.declare(
     4022, logging.INFO, "an endpoint was added, changed or removed"
 )
+KEPT = events.declare(
+    4027,
+    logging.INFO,
+    "the entry of an endpoint is gone, and the endpoint stays in use for a "
+    "while: the entry may only have lapsed in an outage of the store",
+)
 COLD = events.declare(
     4050, logging.INFO, "an endpoint is cold and takes few requests"
 )
@@ -78,6 +84,7 @@
         self._holds = holds or version_holds.NoHolds()
         self._reported_leaving = set()
         self._malformed = set()
+        self._reported_kept = set()
         self._fleet = fleets.Fleet()
         self.is_known = False
 
@@ -93,9 +100,11 @@
         gone = self._fleet.replace(
             listed, self._clock.now_s(), objects.get_era(revision)
         )
+        events.log(LISTED, entries=len(listed))
         for listing in gone:
             self._publish_leaving(listing.key, False)
-        events.log(LISTED, entries=len(listed))
+            _log_removed(listing)
+        self._log_kept()
         self._observe_cold(listed.values())
         self._apply(self._fleet.list_written(listed), revision)
 
@@ -109,7 +118,7 @@
                 gone = self._fleet.remove(item.name, now_s)
                 if gone is not None:
                     self._publish_leaving(gone.key, False)
-                events.log(CHANGED, endpoint=item.name, state="removed")
+                    _log_removed(gone)
                 continue
             listing = self._decode_entry(item)
             changed.append(listing)
@@ -124,6 +133,7 @@
                     version=listing.version,
                     revision=item.version,
                 )
+        self._log_kept()
         self._observe_cold(changed)
         self._apply(changed, max((item.version for item in items), default=0))
 
@@ -145,11 +155,13 @@
         now_s = self._clock.now_s()
         for endpoint_id in self._fleet.list_warmed(now_s):
             events.log(WARM, endpoint=endpoint_id)
-        is_changed = self._fleet.expire(now_s)
+        dropped = self._fleet.expire(now_s)
+        for listing in dropped:
+            _log_removed(listing)
         confirmed = []
         if contact_s is not None:
             confirmed = self._fleet.confirm_copied(contact_s)
-        if is_changed or confirmed:
+        if dropped or confirmed:
             self._apply(confirmed)
         if contact_s is not None:
             self._dispatcher.change(
@@ -170,6 +182,15 @@
         events.log(ADOPTED, entries=len(listings))
         self._apply()
 
+    def _log_kept(self):
+        """Log each missing entry whose endpoint stays in use, once."""
+        now_s = self._clock.now_s()
+        kept = self._fleet.list_kept()
+        for endpoint_id in sorted(kept.keys() - self._reported_kept):
+            left_s = round(kept[endpoint_id] - now_s, 3)
+            events.log(KEPT, endpoint=endpoint_id, left_s=left_s)
+        self._reported_kept = set(kept)
+
     def _decode_entry(self, item):
         """Return the listing of an entry; None if it is malformed.
 
@@ -235,6 +256,11 @@
                     events.log(WARM, endpoint=listing.key)
 
 
+def _log_removed(listing):
+    """Log that an endpoint is out of use, since its entry is gone."""
+    events.log(CHANGED, endpoint=listing.key, state="removed")
+
+
 def _apply(listings, relisted, cold, holds, actor, now_s):
     """Apply the list to the view, the prefix index and the version shares.
 
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -1,8 +1,10 @@
 """Watches of the objects of one kind in the platform's store."""
 
+import logging
 import threading
 
 from mulberryhollow import errors
+from mulberryhollow import events
 from mulberryhollow.state import object_log
 from mulberryhollow.state import objects
 
@@ -26,6 +28,13 @@
 """Longest wait of one watch call of `ObjectWatch`, in seconds."""
 
 
+RECOVERED = events.declare(
+    9015,
+    logging.INFO,
+    "the store answers again after an outage of its own or of the path to it",
+)
+
+
 class ObjectWatch:
     """Reads the objects of a kind, then waits for newer ones.
 
@@ -227,7 +236,7 @@
             )
             is_restore = is_next and self._is_restore(changes)
             if not is_restore:
-                self._record_recovery(state.recovered_s)
+                self._record_recovery(state.recovered_s, "a peer")
             known_s = self.last_contact_s
             if known_s is None or state.contact_s > known_s:
                 self._record_contact(state.contact_s)
@@ -275,7 +284,7 @@
         since what it has lost is written again as after an outage.
         """
         if self._is_restore(changes):
-            self._set_recovered(self._clock.now_s())
+            self._set_recovered(self._clock.now_s(), "restore")
         if changes.is_complete:
             self._follower.handle_list(changes.items, changes.revision)
         elif changes.items:
@@ -294,19 +303,25 @@
             return
         self._failing_since_s = None
         if at_s - failed_s >= MIN_OUTAGE_S:
-            self._record_recovery(at_s)
+            self._record_recovery(at_s, "own calls")
 
-    def _record_recovery(self, at_s):
+    def _record_recovery(self, at_s, source):
         """Notify the follower of another recovery of the store.
 
         Instances see the same recovery at slightly different times.
         """
         if at_s > self.recovered_s + MIN_OUTAGE_S:
-            self._set_recovered(at_s)
+            self._set_recovered(at_s, source)
 
-    def _set_recovered(self, at_s):
-        """Record a recovery and notify the follower."""
+    def _set_recovered(self, at_s, source):
+        """Record a recovery, log what told of it and notify the follower."""
         self.recovered_s = at_s
+        events.log(
+            RECOVERED,
+            kind=self.kind,
+            source=source,
+            age_s=round(self._clock.now_s() - at_s, 3),
+        )
         self._follower.record_recovery(at_s)
 
     def _is_restore(self, changes):
--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -255,17 +255,25 @@
 
         Returns
         -------
-        bool
-            Whether the grace period of any entry has ended.
+        list of EndpointListing
+            Listings that were removed.
         """
         due = [
             name
             for name, until_s in self._missing_until_s.items()
             if now_s >= until_s
         ]
-        for name in due:
-            self._drop(name)
-        return bool(due)
+        return [self._drop(name) for name in due]
+
+    def list_kept(self):
+        """Return the time until which each missing entry is kept.
+
+        By endpoint id, monotonic, in seconds.
+        """
+        return {
+            self._entries[name].key: until_s
+            for name, until_s in self._missing_until_s.items()
+        }
 
     def confirm_copied(self, contact_s):
         """Count the copied entries as written that have lasted long enough.
--- a/tests/serving/fleet_watcher.feature
+++ b/tests/serving/fleet_watcher.feature
@@ -45,6 +45,25 @@
     And 1.75 seconds pass at the fleet watcher
     Then only e2 accepts requests
 
+  # Guards against logs that tell an endpoint's removal from the list and not
+  # when it was out of use, nor who told of it.
+  Scenario: It is logged until when an endpoint is kept and when it is dropped
+    Given a fleet watcher that has listed e1 and e2
+    When the lines of the fleet watcher are recorded
+    And the store returns from an outage and the entry of e1 is deleted
+    And another entry changes
+    Then the lines on e1 are: kept
+    When 1.75 seconds pass at the fleet watcher
+    Then the lines on e1 are: kept, removed
+    When a peer publishes that e1 is gone
+    Then the lines on e1 are: kept, removed, told
+
+  Scenario: It is logged when an endpoint is dropped at once
+    Given a fleet watcher that has listed e1 and e2
+    When the lines of the fleet watcher are recorded
+    And the entry of e1 is deleted
+    Then the lines on e1 are: removed
+
   Scenario: An instance that the store turns away borrows the list
     Given a fleet watcher that has listed e1 and e2
     And an instance that cannot read the store
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -366,3 +366,25 @@
 @then("after them all instances use the endpoints that stay")
 def check_lost(context):
     assert not context.lost, context.lost
+
+
+@when("the lines of the fleet watcher are recorded")
+def record_lines(context):
+    patcher = mock.patch.object(events, "log")
+    context.logged = patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@then("the lines on e1 are: {lines}")
+def check_lines(context, lines):
+    names = {
+        fleet_watcher.KEPT: "kept",
+        fleet_watcher.CHANGED: "removed",
+        fact_peering.TOLD: "told",
+    }
+    found = [
+        names[each.args[0]]
+        for each in context.logged.call_args_list
+        if each.kwargs.get("endpoint") == "e1.5"
+    ]
+    assert found == lines.split(", "), context.logged.call_args_list
