--- a/tests/serving/store_relay.feature
+++ b/tests/serving/store_relay.feature
@@ -192,6 +192,23 @@
     And the instance reads on for 1.9 of the 2 seconds of the bound
     Then the instance has the written object
 
+  # Guards against an instance in touch that learns too late that an endpoint
+  # leaves or a configuration changed: its collector answers and has lost the
+  # store.
+  Scenario Outline: A collector without the store delays no change too long
+    Given a collector and an instance that both follow the store
+    And changes have to be known in <bound_s> seconds
+    When the instance reports to the collector
+    And the collector loses the store and an object is written
+    And the instance reads and reports until 0.1 seconds before the bound
+    Then the instance has the written object
+
+    Examples:
+      | bound_s |
+      | 2.0     |
+      | 3.0     |
+      | 4.0     |
+
   # Guards against an instance of an older build that keeps a version with an
   # era, and then takes all that it reads in the store itself for stale.
   Scenario Outline: An instance of a build without eras gets plain revisions
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -195,6 +195,41 @@
         context.clock.advance(min(wait_s, end_s - context.clock.now_s()))
 
 
+@given("changes have to be known in {bound_s:g} seconds")
+def set_bound(context, bound_s):
+    context.bound_s = bound_s
+    for each in (context.collector, context.instance):
+        each.relay = store_relay.StoreRelay(
+            [each.follower],
+            context.clock,
+            lambda made=each: made is context.collector,
+            lambda: bound_s,
+        )
+
+
+@when("the collector loses the store and an object is written")
+def lose_store(context):
+    context.collector.calls.is_down = True
+    context.store.write()
+
+
+@when(
+    "the instance reads and reports until {margin_s:g} seconds before the "
+    "bound"
+)
+def read_until_bound(context, margin_s):
+    """Run both loops of the instance as the daemon does."""
+    end_s = context.clock.now_s() + context.bound_s - margin_s
+    read_s = report_s = context.clock.now_s()
+    while (now_s := context.clock.now_s()) <= end_s:
+        if now_s >= report_s:
+            exchange(context.instance, context.collector)
+            report_s += 0.5
+        if now_s >= read_s:
+            read_s = now_s + (context.instance.read() or 0.1)
+        context.clock.advance(0.05)
+
+
 @when("the collector is frozen for {seconds:d} seconds")
 def freeze_collector(context, seconds):
     context.clock.advance(seconds)
