Repeat a read that hung without a further pause

Callers' requests reached endpoints that were gone, since the store was read late after a cut: a call that hangs ends a second later, and a pause of up to 0.8 s followed it. The pause now counts from the begin of the failed call, so a store that answers again is noticed a second later at most; calls that are refused at once are as far apart as before.

The new scenario failed before: pauses of up to 0.8 s after calls of 1.0 s; now 0.1 s. Ruled out: a shorter pause for all failures, which would multiply the calls to a store that refuses.

--- a/mulberryhollow/serving/pollers.py
+++ b/mulberryhollow/serving/pollers.py
@@ -91,9 +91,9 @@
         The function, which is called without arguments. It may return
         another time until the next call, in seconds.
     max_interval_s : float or None
-        Largest time between calls that fail, in seconds. The time is doubled
-        at each consecutive failure, with a random part; None for always the
-        same time.
+        Largest time from the begin of a call that fails to the next one, in
+        seconds. The time is doubled at each consecutive failure, with a random
+        part; None for always the same time, from the end of the call.
     """
 
     def __init__(self, name, clock, interval_s, call, max_interval_s=None):
@@ -114,19 +114,21 @@
 
     def call_once(self):
         """Call the function; return the time until the next call, in s."""
+        begin_s = self._clock.now_s()
         try:
             wait_s = self._call()
             self._record_success()
         except errors.MulberryError as error:
             self._record_failure(error)
-            return self._find_backoff_s()
+            elapsed_s = self._clock.now_s() - begin_s
+            return max(self._interval_s, self._find_backoff_s() - elapsed_s)
         except Exception as error:  # noqa: BLE001
             events.log(LOOP_FAILED, loop=self._name, error=repr(error))
             return self._interval_s
         return self._interval_s if wait_s is None else wait_s
 
     def _find_backoff_s(self):
-        """Return the time until a failed call is repeated, in seconds."""
+        """Return the time from a failed call to the next one, in seconds."""
         doubled_s = self._interval_s * 2 ** min(self._failures - 1, 10)
         if doubled_s <= self._interval_s:
             return self._interval_s
--- a/tests/serving/loops.feature
+++ b/tests/serving/loops.feature
@@ -8,6 +8,13 @@
     When its call succeeds
     Then the wait is 0.1 seconds
 
+  # Guards against a change that is read late because a pause follows the
+  # timeout of a call which hung at the end of a cut.
+  Scenario: A call that hangs is repeated without a further pause
+    Given a loop of 0.1 seconds that backs off to 0.8 seconds
+    When its call fails 6 times after 1.0 seconds each
+    Then the waits are at most 0.1, 0.1, 0.1, 0.1, 0.1, 0.1 seconds
+
   Scenario: A call may ask for another interval
     Given a loop of 0.1 seconds that backs off to 0.8 seconds
     When its call returns 2.5
--- a/tests/steps/serving_loops.py
+++ b/tests/steps/serving_loops.py
@@ -30,15 +30,16 @@
 @given("a loop of {interval_s:g} seconds that backs off to {max_s:g} seconds")
 def make_loop(context, interval_s, max_s):
     context.outcome = None
+    context.call_s = 0.0
+    clock = SteppingClock()
 
     def call():
+        clock.time_s += context.call_s
         if isinstance(context.outcome, Exception):
             raise context.outcome
         return context.outcome
 
-    context.loop = pollers.Loop(
-        "test", SteppingClock(), interval_s, call, max_s
-    )
+    context.loop = pollers.Loop("test", clock, interval_s, call, max_s)
 
 
 @when("its call fails {count:d} times")
@@ -47,6 +48,12 @@
     context.waits_s = [context.loop.call_once() for _ in range(count)]
 
 
+@when("its call fails {count:d} times after {call_s:g} seconds each")
+def fail_slow_calls(context, count, call_s):
+    context.call_s = call_s
+    fail_calls(context, count)
+
+
 @when("its call succeeds")
 def succeed(context):
     context.outcome = None
