Keep a missing endpoint no longer than one that has left may be used

Callers' requests reached endpoints that were gone. An instance whose own calls to the store had failed for 1.5 s took that for an outage of the store, in which entries lapse, and kept each removed entry for 1.5 s from its first answer on. Nothing lapses in a store that was well all the while; the endpoint had left, and the instance counts as in touch contactMs after the end of the cut. A peer's outage and a restore that became known late did the same.

The time until which a missing endpoint is used now follows from drainMs and contactMs of the settings: drainMs after the last answer that still had the entry, or contactMs after the begin of the latest call without an answer, less half a second. Either is earlier than any bound that can hold, whoever told of the removal and whether the store or the path was away. After an outage of the store itself entries are kept for 1.3 s at least (own test), as long as an endpoint's heartbeat.

Ruled out: keeping nothing after own outages, which loses all endpoints for a heartbeat when the store itself was away.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -51,6 +51,7 @@
 from mulberryhollow.serving import version_holds
 from mulberryhollow.serving import watch
 from mulberryhollow.serving import work_metrics
+from mulberryhollow.state import change_bounds
 from mulberryhollow.state.evacuations import NONE as NO_EVACUATIONS
 from mulberryhollow.state import regions
 from mulberryhollow.transport import forwarding
@@ -535,7 +536,10 @@
     def _make_followers(self):
         """Return the followers of the stored objects, by name."""
         follow = functools.partial(
-            watch.ObjectFollower, self._store, clock=self._clock
+            watch.ObjectFollower,
+            self._store,
+            clock=self._clock,
+            get_bounds=self._get_change_bounds,
         )
         followers = {
             "configuration": follow(
@@ -556,6 +560,16 @@
             followers["moves"] = self._moves.follow(follow)
         return followers
 
+    def _get_change_bounds(self):
+        """Return the ChangeBounds of the settings in force."""
+        bounds = self._settings.bounds
+        return change_bounds.ChangeBounds(
+            bounds.contact_s,
+            bounds.drain_s,
+            bounds.config_apply_s,
+            STORE_TIMEOUT_S,
+        )
+
     def _make_servers(self):
         """Return the HTTP servers by name."""
         settings = self._settings
--- a/mulberryhollow/platform/settings.py
+++ b/mulberryhollow/platform/settings.py
@@ -45,6 +45,12 @@
     config_apply_s : float
         Time after its confirmation in which a configuration has to be in
         force on all instances, in seconds.
+    drain_s : float
+        Time after the store has confirmed an endpoint's end in which the
+        endpoint has to be left, in seconds.
+    contact_s : float
+        Time from the end of a disturbance of an instance until the other
+        bounds hold for it again, in seconds.
     """
 
     grace_s: float
@@ -57,6 +63,8 @@
     cold_starts: limits.ColdRules = limits.ColdRules()
     exposure: rollout.ExposureLimit = DEFAULT_EXPOSURE
     config_apply_s: float = 2.0
+    drain_s: float = 2.0
+    contact_s: float = 3.0
 
 
 @attrs.frozen
@@ -231,6 +239,10 @@
             decoding.get_number(bounds, "configApplyMs", 2000)
         )
         / _MS_PER_S,
+        drain_s=float(decoding.get_number(bounds, "drainMs", 2000))
+        / _MS_PER_S,
+        contact_s=float(decoding.get_number(bounds, "contactMs", 3000))
+        / _MS_PER_S,
     )
 
 
--- a/mulberryhollow/serving/documents.py
+++ b/mulberryhollow/serving/documents.py
@@ -169,5 +169,5 @@
             if item.name == self._name and not item.is_deleted:
                 self._actor.tell(DocumentUpdate(item.version, item.value))
 
-    def record_recovery(self, at_s):
+    def record_recovery(self, at_s, last_use_s):
         """Do nothing, since a document does not expire."""
--- a/mulberryhollow/serving/evacuations.py
+++ b/mulberryhollow/serving/evacuations.py
@@ -141,7 +141,7 @@
             is_published=True,
         )
 
-    def record_recovery(self, at_s):
+    def record_recovery(self, at_s, last_use_s):
         """Do nothing, since the lists tell of a restore by their era."""
 
     def expire(self):
--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -137,9 +137,12 @@
         self._observe_cold(changed)
         self._apply(changed, max((item.version for item in items), default=0))
 
-    def record_recovery(self, at_s):
-        """Record when the store was available again after an outage."""
-        self._fleet.record_recovery(at_s)
+    def record_recovery(self, at_s, last_use_s):
+        """Record when the store was available again after an outage.
+
+        See `Fleet.record_recovery`.
+        """
+        self._fleet.record_recovery(at_s, last_use_s)
 
     def expire(self, contact_s=None):
         """Drop entries that were not written again after a store outage.
--- a/mulberryhollow/serving/ordered_moves.py
+++ b/mulberryhollow/serving/ordered_moves.py
@@ -196,7 +196,7 @@
                 else:
                     self._apply(item)
 
-    def record_recovery(self, at_s):
+    def record_recovery(self, at_s, last_use_s):
         """Do nothing, since the lists tell of a restore by their era."""
 
     def tick(self):
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -5,6 +5,7 @@
 
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.state import change_bounds
 from mulberryhollow.state import object_log
 from mulberryhollow.state import objects
 
@@ -108,9 +109,13 @@
     follower : object
         ``handle_list(items, revision)`` receives every object and the revision
         of the store at which they are complete, ``handle_changes(items)``
-        those that were changed or deleted, and ``record_recovery(at_s)`` is
-        called with the time at which the store answered again after an outage
-        of at least MIN_OUTAGE_S.
+        those that were changed or deleted, and
+        ``record_recovery(at_s, last_use_s)`` is called with the time at which
+        the store answered again after an outage of at least MIN_OUTAGE_S, and
+        with the time until which an object may be used that was removed
+        meanwhile.
+    get_bounds : callable
+        Returns the ChangeBounds in force.
 
     Attributes
     ----------
@@ -124,14 +129,24 @@
         minus infinity if it never did.
     """
 
-    def __init__(self, store, kind, clock, follower):
+    def __init__(
+        self,
+        store,
+        kind,
+        clock,
+        follower,
+        get_bounds=change_bounds.ChangeBounds,
+    ):
         self._store = store
         self._clock = clock
         self._follower = follower
+        self._get_bounds = get_bounds
         self._log = object_log.ObjectLog()
         self._lock = threading.Lock()
         self._must_list = True
         self._failing_since_s = None
+        self._failed_s = float("-inf")
+        self._earlier_contact_s = float("-inf")
         self.kind = kind
         self.last_contact_s = None
         self.recovered_s = float("-inf")
@@ -148,6 +163,7 @@
             revision; the next call lists every object again.
         """
         base = self._log.revision
+        begin_s = self._clock.now_s()
         try:
             if self._must_list or self.is_outdated:
                 self._list()
@@ -161,6 +177,7 @@
                 self._must_list = True
             raise
         except errors.StoreUnavailableError:
+            self._failed_s = begin_s
             if self._failing_since_s is None:
                 self._failing_since_s = self._clock.now_s()
             raise
@@ -235,10 +252,10 @@
                 changes is not None and changes.base == self._log.revision
             )
             is_restore = is_next and self._is_restore(changes)
+            known_s = self._get_contact()
             if not is_restore:
-                self._record_recovery(state.recovered_s, "a peer")
-            known_s = self.last_contact_s
-            if known_s is None or state.contact_s > known_s:
+                self._record_recovery(state.recovered_s, known_s, "a peer")
+            if state.contact_s > known_s:
                 self._record_contact(state.contact_s)
             if is_next:
                 self._apply(changes)
@@ -284,7 +301,10 @@
         since what it has lost is written again as after an outage.
         """
         if self._is_restore(changes):
-            self._set_recovered(self._clock.now_s(), "restore")
+            self._failed_s = max(self._failed_s, self._earlier_contact_s)
+            self._set_recovered(
+                self._clock.now_s(), self._earlier_contact_s, "a restore"
+            )
         if changes.is_complete:
             self._follower.handle_list(changes.items, changes.revision)
         elif changes.items:
@@ -297,32 +317,45 @@
 
         A relayed answer from before the own reads failed ends no outage.
         """
+        self._earlier_contact_s = self._get_contact()
         self.last_contact_s = at_s
         failed_s = self._failing_since_s
         if failed_s is None or at_s < failed_s:
             return
         self._failing_since_s = None
         if at_s - failed_s >= MIN_OUTAGE_S:
-            self._record_recovery(at_s, "own calls")
+            self._record_recovery(at_s, self._earlier_contact_s, "own calls")
 
-    def _record_recovery(self, at_s, source):
+    def _record_recovery(self, at_s, contact_s, source):
         """Notify the follower of another recovery of the store.
 
         Instances see the same recovery at slightly different times.
         """
         if at_s > self.recovered_s + MIN_OUTAGE_S:
-            self._set_recovered(at_s, source)
+            self._set_recovered(at_s, contact_s, source)
+
+    def _set_recovered(self, at_s, contact_s, source):
+        """Record a recovery, log what told of it and notify the follower.
 
-    def _set_recovered(self, at_s, source):
-        """Record a recovery, log what told of it and notify the follower."""
+        Parameters
+        ----------
+        at_s : float
+            Time of the answer that ends the outage, monotonic, in seconds.
+        contact_s : float
+            Time of the latest answer before the outage, monotonic, in seconds.
+        source : str
+            What told of the recovery.
+        """
         self.recovered_s = at_s
+        bounds = self._get_bounds()
+        last_use_s = bounds.find_last_use(contact_s, self._failed_s)
         events.log(
             RECOVERED,
             kind=self.kind,
             source=source,
             age_s=round(self._clock.now_s() - at_s, 3),
         )
-        self._follower.record_recovery(at_s)
+        self._follower.record_recovery(at_s, last_use_s)
 
     def _is_restore(self, changes):
         """Return whether changes come from a later era than the objects."""
@@ -331,6 +364,11 @@
             and objects.get_era(changes.revision) > self._get_era()
         )
 
+    def _get_contact(self):
+        """Return the time of the latest answer; minus infinity for none."""
+        known_s = self.last_contact_s
+        return float("-inf") if known_s is None else known_s
+
     def _get_era(self):
         """Return the era of the store as of the last read."""
         return objects.get_era(self._log.revision or 0)
--- a/mulberryhollow/state/fleet.py
+++ b/mulberryhollow/state/fleet.py
@@ -12,8 +12,7 @@
 """Time to keep missing entries after the store has recovered, in seconds.
 
 Entries that expired during an outage are registered again within two seconds
-of the store's recovery. An endpoint that has left must not get new work two
-seconds later, so this value leaves half a second to detect that.
+of the store's recovery.
 """
 
 
@@ -96,7 +95,8 @@
     -----
     During an outage of the store, entries expire although their endpoints
     are alive. Entries that are missing after the store has recovered are
-    kept until `MISSING_GRACE_S` after the recovery.
+    kept until `MISSING_GRACE_S` after the recovery, but no longer than their
+    endpoints may be used if they have left.
 
     An endpoint that has said that it leaves is listed as leaving from then
     on: a store that comes back from a copy may list it as ready. An entry of
@@ -112,11 +112,21 @@
         self._leaving = collections.OrderedDict()
         self._missing_until_s = {}
         self._cold = {}
-        self._recovered_s = float("-inf")
+        self._keep_until_s = float("-inf")
 
-    def record_recovery(self, now_s):
-        """Record that the store answers again after a failed call."""
-        self._recovered_s = now_s
+    def record_recovery(self, at_s, last_use_s):
+        """Record that the store answers again after an outage.
+
+        Parameters
+        ----------
+        at_s : float
+            Time of the answer, monotonic, in seconds.
+        last_use_s : float
+            Time until which an endpoint may be used whose entry was removed
+            because it has left: the outage may have been one of the path to
+            the store only, in which no entry expires. Monotonic, in seconds.
+        """
+        self._keep_until_s = min(at_s + MISSING_GRACE_S, last_use_s)
 
     def replace(self, listed, now_s, era=None):
         """Apply a complete list.
@@ -238,7 +248,7 @@
         EndpointListing or None
             The listing if it was removed immediately, else None.
         """
-        until_s = self._recovered_s + MISSING_GRACE_S
+        until_s = self._keep_until_s
         is_kept = name in self._entries and not self._is_withheld(name)
         if now_s < until_s and is_kept:
             self._missing_until_s.setdefault(name, until_s)
--- a/tests/cut_instance.py
+++ b/tests/cut_instance.py
@@ -10,11 +10,13 @@
 
 from mulberryhollow import clock as clocks
 from mulberryhollow import errors
+from mulberryhollow import events
 from mulberryhollow.platform import daemon
 from mulberryhollow.platform import records
 from mulberryhollow.serving import fleet_watcher
 from mulberryhollow.serving import pollers
 from mulberryhollow.serving import watch
+from mulberryhollow.state import change_bounds
 from mulberryhollow.state import objects
 
 ANSWER_S = 0.004
@@ -192,9 +194,15 @@
 
 def make_follower(store, clock, watcher, bounds):
     """Return the ObjectFollower of the endpoints, as the daemon makes it."""
-    return watch.ObjectFollower(store, "servers", clock, watcher)
+    in_force = change_bounds.ChangeBounds(
+        bounds.contact_s, bounds.drain_s, bounds.drain_s
+    )
+    return watch.ObjectFollower(
+        store, "servers", clock, watcher, lambda: in_force
+    )
 
 
+@mock.patch.object(events, "log", new=mock.Mock())
 def measure_uses_after_cut(bounds, length_s, state, phases, after_s=None):
     """Return how long e1 is used after a cut around whose end it leaves.
 
--- a/tests/platform/settings.feature
+++ b/tests/platform/settings.feature
@@ -29,6 +29,12 @@
     When the field bounds becomes {"configApplyMs": 4000}
     Then configurations have to be in force within 4 seconds
 
+  # Guards against fixed times where the platform names a bound.
+  Scenario: The times in which the end of an endpoint takes effect are read
+    Given the platform's settings of one instance
+    When the field bounds becomes {"drainMs": 3000, "contactMs": 4000}
+    Then endpoints have to be left within 3 seconds, or 4 after a disturbance
+
   Scenario Outline: A missing or wrong field is named
     Given the platform's settings of one instance
     When the field <field> becomes <value>
--- a/tests/serving/watch.feature
+++ b/tests/serving/watch.feature
@@ -38,6 +38,13 @@
     When a peer that was cut off for 1.6 s tells that e1 is removed
     Then e1 is out of use 2.9 s after the last answer before
 
+  # Guards against an endpoint whose entry a restored store lacks because it has
+  # left, and that is kept from when the restore is known, however late.
+  Scenario: A restore keeps no endpoint for longer than the bound
+    Given an instance in touch 3.0 s after a cut and bound in 2.0 s
+    When it knows 2.5 s after the last answer of a restore without e1
+    Then e1 is out of use 2.9 s after the last answer before
+
   # Guards against the loss of endpoints that are alive, whose entries lapsed in
   # an outage of the store and come back with their next heartbeat.
   Scenario: Lapsed entries are kept for a heartbeat after the store returns
--- a/tests/steps/platform_codecs.py
+++ b/tests/steps/platform_codecs.py
@@ -76,6 +76,16 @@
     assert found.bounds.config_apply_s == limit_s
 
 
+@then(
+    "endpoints have to be left within {drain_s:g} seconds, or {contact_s:g} "
+    "after a disturbance"
+)
+def check_drain_limits(context, drain_s, contact_s):
+    found = settings.decode_settings(json.dumps(context.fields))
+    limits = found.bounds.drain_s, found.bounds.contact_s
+    assert limits == (drain_s, contact_s), limits
+
+
 @when("the fields {names} are removed and an unknown one is added")
 def remove_fields(context, names):
     for name in names.split(", "):
--- a/tests/steps/platform_store.py
+++ b/tests/steps/platform_store.py
@@ -131,7 +131,7 @@
     def handle_changes(self, items):
         self.names |= {each.name for each in items}
 
-    def record_recovery(self, at_s):
+    def record_recovery(self, at_s, last_use_s):
         raise AssertionError("the store was never unavailable")
 
 
@@ -285,7 +285,7 @@
             else:
                 self.values[each.name] = each.value
 
-    def record_recovery(self, at_s):
+    def record_recovery(self, at_s, last_use_s):
         pass
 
 
--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -172,7 +172,9 @@
 
 @when("the store returns from an outage and the entry of e1 is deleted")
 def delete_entry_after_return(context):
-    context.watcher.record_recovery(context.watcher.test_clock.now_s())
+    context.watcher.record_recovery(
+        context.watcher.test_clock.now_s(), math.inf
+    )
     context.watcher.handle_changes([make_entry("e1", is_deleted=True)])
 
 
@@ -294,7 +296,9 @@
 
 @when("the store has recovered from an outage")
 def recover(context):
-    context.watcher.record_recovery(context.watcher.test_clock.now_s())
+    context.watcher.record_recovery(
+        context.watcher.test_clock.now_s(), math.inf
+    )
 
 
 @then("its listing of e1 says that it is leaving")
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -122,7 +122,7 @@
             else:
                 self.names.add(each.name)
 
-    def record_recovery(self, at_s):
+    def record_recovery(self, at_s, last_use_s):
         self.recoveries_s.append(at_s)
         self.told.append("recovery")
 
@@ -315,7 +315,7 @@
     def ask():
         exchange(context.instance, collector)
 
-    def record_recovery(at_s):
+    def record_recovery(at_s, last_use_s):
         thread = threading.Thread(target=ask, daemon=True)
         asking.append(thread)
         thread.start()
@@ -393,7 +393,7 @@
         told = types.SimpleNamespace(
             handle_list=lambda items, revision: None,
             handle_changes=lambda items: None,
-            record_recovery=lambda at_s: None,
+            record_recovery=lambda at_s, last_use_s: None,
         )
         each.other = watch.ObjectFollower(
             each.calls, "other", context.clock, told
--- a/tests/steps/serving_watch.py
+++ b/tests/steps/serving_watch.py
@@ -3,6 +3,7 @@
 from behave import when
 
 from mulberryhollow.state import object_log
+from mulberryhollow.state import objects
 from tests import cut_instance
 
 
@@ -33,20 +34,48 @@
 @when("a peer that was cut off for {length_s:g} s tells that e1 is removed")
 def tell_of_outage(context, length_s):
     """Tell of a removal that was confirmed just after the last answer."""
-    context.used_s = 0.0
-    for phase in range(5):
-        no_cut = cut_instance.Cut(1e6, 1e6)
-        site = cut_instance.Site(context.bounds, no_cut, phase / 20)
-        site.follower.read()
-        answered_s = site.clock.now_s()
-        site.advance(length_s)
-        removed = cut_instance.make_entry("e1", 2, is_deleted=True)
-        revision = site.follower.revision
-        changes = object_log.ObjectChanges(revision, 2, (removed,), False)
-        now_s = site.clock.now_s()
-        site.follower.accept(object_log.FollowerState(changes, now_s, now_s))
-        site.advance(5.0)
-        context.used_s = max(context.used_s, site.last_used_s - answered_s)
+    removed = cut_instance.make_entry("e1", 2, is_deleted=True)
+    changes = object_log.ObjectChanges(1, 2, (removed,), False)
+    context.used_s = max(
+        measure_use_when_told(context.bounds, length_s, changes, phase / 20)
+        for phase in range(5)
+    )
+
+
+@when("it knows {later_s:g} s after the last answer of a restore without e1")
+def tell_of_restore(context, later_s):
+    revision = objects.make_version(2, 1)
+    left = cut_instance.make_entry("e2", revision)
+    changes = object_log.ObjectChanges(1, revision, (left,), True)
+    context.used_s = max(
+        measure_use_when_told(context.bounds, later_s, changes, phase / 20)
+        for phase in range(5)
+    )
+
+
+def measure_use_when_told(bounds, later_s, changes, phase_s):
+    """Return how long e1 is used after the last answer of the store.
+
+    Parameters
+    ----------
+    bounds : Bounds
+        Bounds in force.
+    later_s : float
+        Time from that answer until a peer tells of changes, in seconds.
+    changes : ObjectChanges
+        The changes.
+    phase_s : float
+        Phase of the loop that drops expired entries, in seconds.
+    """
+    no_cut = cut_instance.Cut(1e6, 1e6)
+    site = cut_instance.Site(bounds, no_cut, phase_s)
+    site.follower.read()
+    answered_s = site.clock.now_s()
+    site.advance(later_s)
+    now_s = site.clock.now_s()
+    site.follower.accept(object_log.FollowerState(changes, now_s, now_s))
+    site.advance(5.0)
+    return site.last_used_s - answered_s
 
 
 @then("e1 is out of use {limit_s:g} s after the last answer before")
--- a/tests/steps/state_fleet.py
+++ b/tests/steps/state_fleet.py
@@ -1,3 +1,5 @@
+import math
+
 import attrs
 from behave import given
 from behave import then
@@ -52,7 +54,7 @@
 
 @when("the store recovers from an outage")
 def recover_store(context):
-    context.fleet.record_recovery(context.now_s)
+    context.fleet.record_recovery(context.now_s, math.inf)
 
 
 @when("a list without {name} is read")
