Wait in a watch only as long as a silent connection may stay unnoticed

A watch whose connection falls silent, as over a cut of a tenth of a second, ended 3.5 s later: 2.5 s of its wait and 1.0 s of the call's timeout. An instance counts as in touch contactMs after the disturbance, 3.0 s on the small sites, and used endpoints that had left and an older configuration until the next read. The wait was fixed and said in its docstring to fit the bounds.

It now follows from contactMs, and where instances follow a collector also from drainMs and configApplyMs, since they notice a lost store by the age of its latest answer. Small sites: 1.5 s; at most 2.5 s as before.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -540,6 +540,7 @@
             self._store,
             clock=self._clock,
             get_bounds=self._get_change_bounds,
+            is_relayed=self._is_relayed,
         )
         followers = {
             "configuration": follow(
@@ -570,6 +571,10 @@
             STORE_TIMEOUT_S,
         )
 
+    def _is_relayed(self):
+        """Return whether instances follow the store through collectors."""
+        return bool(self._fact_peering.collectors.local)
+
     def _make_servers(self):
         """Return the HTTP servers by name."""
         settings = self._settings
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -11,13 +11,6 @@
 
 __all__ = ["ObjectFollower", "ObjectWatch"]
 
-FOLLOW_WAIT_S = 2.5
-"""Longest wait of one watch call of `ObjectFollower`, in seconds.
-
-A dead connection is detected one call's timeout later; both together stay
-within the time in which a change has to arrive.
-"""
-
 MIN_OUTAGE_S = 1.5
 """Minimum duration of failing calls that counts as an outage, in seconds.
 
@@ -116,6 +109,8 @@
         meanwhile.
     get_bounds : callable
         Returns the ChangeBounds in force.
+    is_relayed : callable
+        Returns whether instances follow the store through what others read.
 
     Attributes
     ----------
@@ -136,11 +131,13 @@
         clock,
         follower,
         get_bounds=change_bounds.ChangeBounds,
+        is_relayed=lambda: False,
     ):
         self._store = store
         self._clock = clock
         self._follower = follower
         self._get_bounds = get_bounds
+        self._is_relayed = is_relayed
         self._log = object_log.ObjectLog()
         self._lock = threading.Lock()
         self._must_list = True
@@ -285,7 +282,8 @@
     def _wait(self):
         """Wait for changes."""
         base = self._log.revision
-        revision, items = self._store.watch(self.kind, base, FOLLOW_WAIT_S)
+        wait_s = self._get_bounds().get_watch_wait(self._is_relayed())
+        revision, items = self._store.watch(self.kind, base, wait_s)
         with self._lock:
             self._record_contact(self._clock.now_s())
             if base == self._log.revision:
