Read the store directly before a collector's lost contact exceeds the bounds

From 16 instances on, one that is in touch all the while believed a collector that answers and has lost the store for 3.2 s and half a second more, though drainMs and configApplyMs are 3.0 s on the grown sites: its requests reach endpoints that have left, or an older configuration, past the bound.

The limit on the age of a collector's contact follows from the wait of its watches, which follows from the bounds: 2.5 s where they are 3.0 s. The time to the next check takes that age into account.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -209,7 +209,8 @@
             self._followers.values(),
             clock,
             lambda: self._fact_peering.collectors.is_local,
-            lambda: self._settings.bounds.config_apply_s,
+            self._get_change_bounds,
+            self._is_relayed,
         )
         self._store.on_restored = self._store_relay.refresh
         self._aggregate_peering = aggregate_peering.AggregatePeering(
--- a/mulberryhollow/serving/store_relay.py
+++ b/mulberryhollow/serving/store_relay.py
@@ -9,27 +9,18 @@
 from mulberryhollow import events
 from mulberryhollow.protocol import relays
 from mulberryhollow.serving import watch
+from mulberryhollow.state import change_bounds
 from mulberryhollow.state import objects
 
 __all__ = ["StoreRelay"]
 
-MAX_CONTACT_AGE_S = 3.2
-"""Age of the latest answer of the store above which it is read directly.
-
-In seconds. A collector whose watch sees no change is answered every 2.5 s,
-and its instances learn that half a second later.
-"""
-
 ANSWER_AGE_RATIO = 0.6
 """Age of a collector's latest answer above which the store is read directly.
 
-As a ratio of the time in which a configuration has to be in force; the rest is
-for the read.
+As a ratio of the time in which a change has to take effect; the rest is for
+the read.
 """
 
-DEFAULT_APPLY_S = 2.0
-"""Default time in which a configuration has to be in force, in seconds."""
-
 RELAYED_INTERVAL_S = 0.5
 """Interval between checks whether the relayed objects are recent, in s."""
 
@@ -67,9 +58,10 @@
         Source of time.
     is_collector : callable
         Returns whether this instance reads the store for others.
-    get_apply_s : callable
-        Returns the time in which a change of the store has to be in force, in
-        seconds.
+    get_bounds : callable
+        Returns the ChangeBounds in force.
+    is_relayed : callable
+        Returns whether instances follow the store through collectors.
 
     Notes
     -----
@@ -82,14 +74,16 @@
         followers,
         clock,
         is_collector,
-        get_apply_s=lambda: DEFAULT_APPLY_S,
+        get_bounds=change_bounds.ChangeBounds,
+        is_relayed=lambda: True,
     ):
         self._followers = {each.kind: each for each in followers}
         self._clock = clock
         self._is_collector = is_collector
-        self._get_apply_s = get_apply_s
+        self._get_bounds = get_bounds
+        self._is_relayed = is_relayed
         self._answered_s = dict.fromkeys(self._followers, -math.inf)
-        self._is_relayed = dict.fromkeys(self._followers, False)
+        self._relayed_kinds = set()
 
     def read(self, follower):
         """Read one kind from the store unless it is relayed.
@@ -100,13 +94,9 @@
             Time until the next call, in seconds; None for the usual one.
         """
         left_s = self._measure_left(follower)
-        is_relayed = (
-            not self._is_collector()
-            and self._is_recent(follower)
-            and left_s > 0.0
-        )
-        if is_relayed != self._is_relayed[follower.kind]:
-            self._is_relayed[follower.kind] = is_relayed
+        is_relayed = not self._is_collector() and left_s > 0.0
+        if is_relayed != (follower.kind in self._relayed_kinds):
+            self._relayed_kinds ^= {follower.kind}
             events.log(RELAYED if is_relayed else DIRECT, kind=follower.kind)
         if is_relayed:
             return min(RELAYED_INTERVAL_S, left_s)
@@ -179,18 +169,23 @@
     def _measure_left(self, follower):
         """Return the time until a kind is read directly, in seconds.
 
-        It is not read as long as collectors answer.
+        It is not read as long as collectors answer that the store answers.
         """
-        max_age_s = ANSWER_AGE_RATIO * self._get_apply_s()
+        max_age_s = ANSWER_AGE_RATIO * self._get_bounds().change_s
         age_s = self._clock.now_s() - self._answered_s[follower.kind]
+        return min(max_age_s - age_s, self._measure_contact_left(follower))
+
+    def _measure_contact_left(self, follower):
+        """Return the time until the state of a kind is too old, in seconds."""
+        if follower.revision is None or follower.is_outdated:
+            return -math.inf
+        max_age_s = self._get_bounds().get_max_contact_age(self._is_relayed())
+        age_s = self._clock.now_s() - follower.last_contact_s
         return max_age_s - age_s
 
     def _is_recent(self, follower):
         """Return whether the store confirmed a kind's state recently."""
-        if follower.revision is None or follower.is_outdated:
-            return False
-        age_s = self._clock.now_s() - follower.last_contact_s
-        return age_s <= MAX_CONTACT_AGE_S
+        return self._measure_contact_left(follower) >= 0.0
 
 
 def _describe_plainly(follower, revision):
--- a/tests/steps/serving_store_relay.py
+++ b/tests/steps/serving_store_relay.py
@@ -14,6 +14,7 @@
 from mulberryhollow.platform import store as dialects
 from mulberryhollow.serving import store_relay
 from mulberryhollow.serving import watch
+from mulberryhollow.state import change_bounds
 from mulberryhollow.state import objects
 from mulberryhollow.transport import store as stores
 from standins import platform
@@ -203,7 +204,7 @@
             [each.follower],
             context.clock,
             lambda made=each: made is context.collector,
-            lambda: bound_s,
+            lambda: change_bounds.ChangeBounds(bound_s + 1, bound_s, bound_s),
         )
 
 
