Soak: a request counts for DRAIN from its sending on

The rule asks it at the moments of taking and sending. The new record of such a request was not found before.

--- a/tests/steps/tools_soak.py
+++ b/tests/steps/tools_soak.py
@@ -66,6 +66,7 @@
 STOP = records.Disturbance("a", "stop", 50.0, 55.0)
 KILL = records.Disturbance("a", "kill", 50.0, 51.0)
 LOWER_TOKEN = [make_order(40.0, "a", 6), make_order(50.0, "b", 5)]
+REFUSED = records.Disturbance("a", "refused", 45.0, 50.5)
 LEFT = records.EndpointLeft(50.0, "e1", "entry")
 LATE = [make_call("c1", "/safe/x", 52.1), make_run("c1", 52.15)]
 SERVED = [*make_versions(), make_call("c1", "/v2/x", 21.0)]
@@ -75,6 +76,12 @@
 CUT = [make_call("c1", "/once/x", 50.5, 0), make_run("c1", 50.55)]
 ONCE = make_run("c1", 50.0, "/once/x")
 
+
+def make_late(at_s):
+    """Return a request and its run on the endpoint that leaves."""
+    return [make_call("c1", "/safe/x", at_s), make_run("c1", at_s + 0.05)]
+
+
 FAULTS = {
     "a window reported twice with the same counts": [
         make_report(50.0, 3),
@@ -129,6 +136,12 @@
     ],
     "a request to an endpoint with a draining entry": [LEFT, *LATE],
     "a request to an endpoint in a disturbed store": [LEFT, *LATE, RESTORE],
+    "a late request, in touch after a refusal": [
+        LEFT,
+        REFUSED,
+        *make_late(53.6),
+    ],
+    "a late request soon after a refusal": [LEFT, REFUSED, *make_late(53.3)],
     "a request to an endpoint that said it leaves": [*SAID, *LATE, RESTORE],
     "a first request to an endpoint that leaves": [*SAID[2:], *LATE],
     "a planned stop that cuts a request off": [*CUT, STOP, RESTORE],
--- a/tests/tools/soak.feature
+++ b/tests/tools/soak.feature
@@ -38,6 +38,8 @@
       | fault                                          | found             |
       | a request to an endpoint with a draining entry | DRAIN             |
       | a request to an endpoint in a disturbed store  | DRAIN not counted |
+      | a late request, in touch after a refusal       | DRAIN             |
+      | a late request soon after a refusal            | DRAIN not counted |
       | a request to an endpoint that said it leaves   | DRAIN             |
       | a first request to an endpoint that leaves     | nothing           |
       | a planned stop that cuts a request off         | LOST              |
--- a/tools/soak/request_checks.py
+++ b/tools/soak/request_checks.py
@@ -180,7 +180,8 @@
     """Yield runs on endpoints whose entries said that they leave.
 
     They count where the store was stable at the confirmation, and the
-    instance in touch since.
+    instance in touch from the sending of the request on. One that was cut off
+    at the confirmation is bound as well once it is in touch again.
     """
     first = {}
     first_stable = {}
@@ -203,7 +204,7 @@
                     stable is not None
                     and run.at_s > stable.at_s + DRAIN_S
                     and disturbances.is_in_touch(
-                        call.instance, stable.at_s, run.at_s
+                        call.instance, call.sent_s, run.at_s
                     ),
                 )
 
