Check the endpoint right before a booking or a look-up is sent

Through the product's own interface a booking's claim is written to the store between the choice of the endpoint and the send, which takes as long as the store does; an endpoint that said meanwhile that it leaves got the booking. Look-ups were not checked either. Both attempts are withdrawn now and go to another endpoint; the claim of such a booking says that it has not run.

--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -80,9 +80,21 @@
 
 @attrs.define
 class _AttemptState:
-    """Fault of an attempt, reported to the dispatcher at the end."""
+    """What is reported of an attempt to the dispatcher at its end.
 
+    Parameters
+    ----------
+    route : Route
+        Chosen endpoint.
+    fault : object
+        Fault of the attempt; None for none.
+    is_withdrawn : bool
+        Whether nothing was sent, since the endpoint had left.
+    """
+
+    route: attempts.Route
     fault: object = None
+    is_withdrawn: bool = False
 
 
 @attrs.frozen
@@ -178,7 +190,7 @@
             chosen = self._dispatcher.choose(run.request, excluded)
         except errors.RefusedError:
             return self._join_earlier(run)
-        attempt = _AttemptState()
+        attempt = _AttemptState(chosen)
         try:
             wanted = self._make_claim(run, number, chosen)
             match self._claims.claim(run.key.bucket, wanted):
@@ -191,16 +203,22 @@
                 case booking.Unwritten(reason):
                     raise _refuse_unwritten(run, reason)
         finally:
-            self._end_attempt(run, chosen, attempt.fault)
+            self._end_attempt(run, attempt)
 
-    def _end_attempt(self, run, route, fault):
+    def _end_attempt(self, run, attempt):
         """Release the route of an attempt and report its fault."""
-        if fault is None:
-            self._dispatcher.finish(route)
-            return
-        attempts.report_fault(
-            self._dispatcher, self._endpoints, route, fault, run.fingerprint
-        )
+        if attempt.is_withdrawn:
+            self._dispatcher.withdraw(attempt.route)
+        elif attempt.fault is None:
+            self._dispatcher.finish(attempt.route)
+        else:
+            attempts.report_fault(
+                self._dispatcher,
+                self._endpoints,
+                attempt.route,
+                attempt.fault,
+                run.fingerprint,
+            )
 
     def _make_claim(self, run, number, chosen):
         """Create the claim of an attempt at a chosen endpoint."""
@@ -221,6 +239,14 @@
         remaining_s = claim.run_until_s - self._clock.wall_s()
         if remaining_s < _SEND_MARGIN_S:
             return self._end_not_run(run, claim, _refuse_late())
+        try:
+            # The write of the claim may have taken a while.
+            self._dispatcher.check_send(attempt.route)
+        except errors.EndpointLeftError:
+            excluded.add(claim.endpoint_id)
+            attempt.is_withdrawn = True
+            self._record(run, claim, booking.ClaimState.NOT_RUN)
+            return None
         try:
             answer = self._endpoints.book(
                 claim.address,
--- a/mulberryhollow/serving/lookups.py
+++ b/mulberryhollow/serving/lookups.py
@@ -52,7 +52,12 @@
                 self._dispatcher, request, excluded
             )
             try:
+                self._dispatcher.check_send(route)
                 answer = self._try(request, route, attempt)
+            except errors.EndpointLeftError:
+                excluded.add(route.endpoint_id)
+                self._dispatcher.withdraw(route)
+                continue
             except errors.EndpointError as error:
                 excluded.add(route.endpoint_id)
                 sent_attempts += streams.may_have_run(error.fault)
