--- a/mulberryhollow/serving/pollers.py
+++ b/mulberryhollow/serving/pollers.py
@@ -91,7 +91,7 @@
         The function, which is called without arguments. It may return
         another time until the next call, in seconds.
     max_interval_s : float or None
-        Largest time from the begin of a call that fails to the next one, in
+        Largest time from the start of a call that fails to the next one, in
         seconds. The time is doubled at each consecutive failure, with a random
         part; None for always the same time, from the end of the call.
     """
--- a/mulberryhollow/state/change_bounds.py
+++ b/mulberryhollow/state/change_bounds.py
@@ -86,7 +86,7 @@
             monotonic, in seconds. The end of the endpoint was confirmed after
             that.
         failed_s : float
-            Begin of the latest call that the store did not answer, monotonic,
+            Start of the latest call that the store did not answer, monotonic,
             in seconds; minus infinity if there was none. The path to the
             store was disturbed after that.
         """
