--- a/tests/cut_instance.py
+++ b/tests/cut_instance.py
@@ -18,6 +18,7 @@
 from mulberryhollow.serving import watch
 from mulberryhollow.state import change_bounds
 from mulberryhollow.state import objects
+from tests import leaving_fleet
 
 ANSWER_S = 0.004
 """Time that the store takes for an answer, in seconds."""
@@ -60,15 +61,7 @@
 
 def make_entry(name, revision, state="ready", is_deleted=False):
     """Return the stored entry of an endpoint."""
-    fields = {
-        "service": "s",
-        "address": "10.0.0.1:80",
-        "zone": "d",
-        "version": "v1",
-        "slots": 4,
-        "state": state,
-        "born": 5,
-    }
+    fields = leaving_fleet.FIELDS | {"state": state}
     return objects.StoredObject(
         "servers", name, revision, json.dumps(fields).encode(), "", is_deleted
     )
