Tests: the busy actor reads the time of a notice before it passes

The notice is applied by the dispatch actor, which took it only after the test had moved the clock by 9 s, so that the endpoint counted as gone for a second instead of ten. With an actor that is busy for 0.1 s the scenario failed in 5 of 5 runs; with the wait in the step in 0 of 5. The check is the same; the product is not concerned, whose clock moves by itself.

--- a/tests/steps/serving_fleet_watcher.py
+++ b/tests/steps/serving_fleet_watcher.py
@@ -104,6 +104,8 @@
 def receive_notice(context, kind):
     fact = facts.Fact(facts.Topic.NOTICE, f"{kind} e1.5", 1, b"")
     context.peers.subscribed[facts.Topic.NOTICE](fact)
+    # The actor has to read the time before it passes.
+    context.watcher_dispatcher.read(lambda actor, now_s: None)
 
 
 @when("the list is read again")
