--- a/tests/cut_instance.py
+++ b/tests/cut_instance.py
@@ -3,6 +3,7 @@
 Time passes on a paused clock only where a call takes time or a loop waits.
 """
 
+import itertools
 import json
 from unittest import mock
 
@@ -221,12 +222,21 @@
     """
     if after_s is None:
         after_s = 0.8 * (bounds.contact_s - bounds.drain_s)
-    used_s = []
-    for phase in range(phases):
-        start_s = 0.5 + 9.0 * phase / phases
-        end_s = start_s + length_s
-        site = Site(bounds, Cut(start_s, end_s), phase % 5 / 20)
-        site.leave(end_s + after_s, state)
-        site.run(end_s + 2.0 * bounds.contact_s)
-        used_s.append(site.last_used_s - site.cut.end_s)
-    return used_s
+    starts_s = [0.5 + 9.0 * phase / phases for phase in range(phases)]
+    expiry_phases_s = itertools.cycle([0.0, 0.05, 0.1, 0.15, 0.2])
+    return [
+        _measure_use(
+            Site(bounds, Cut(start_s, start_s + length_s), expiry_s),
+            start_s + length_s + after_s,
+            state,
+            start_s + length_s + 2.0 * bounds.contact_s,
+        )
+        for start_s, expiry_s in zip(starts_s, expiry_phases_s, strict=False)
+    ]
+
+
+def _measure_use(site, leave_s, state, until_s):
+    """Return how long e1, which leaves at a time, is used after the cut."""
+    site.leave(leave_s, state)
+    site.run(until_s)
+    return site.last_used_s - site.cut.end_s
