One report for an endpoint whose entry is gone; tests use ChangeBounds

Publishing and logging that an endpoint is gone stood twice in the fleet watcher. The tests had a copy of ChangeBounds from before it existed.

--- a/mulberryhollow/serving/fleet_watcher.py
+++ b/mulberryhollow/serving/fleet_watcher.py
@@ -102,8 +102,7 @@
         )
         events.log(LISTED, entries=len(listed))
         for listing in gone:
-            self._publish_leaving(listing.key, False)
-            _log_removed(listing)
+            self._report_gone(listing)
         self._log_kept()
         self._observe_cold(listed.values())
         self._apply(self._fleet.list_written(listed), revision)
@@ -117,8 +116,7 @@
                 self._malformed.discard(item.name)
                 gone = self._fleet.remove(item.name, now_s)
                 if gone is not None:
-                    self._publish_leaving(gone.key, False)
-                    _log_removed(gone)
+                    self._report_gone(gone)
                 continue
             listing = self._decode_entry(item)
             changed.append(listing)
@@ -185,6 +183,11 @@
         events.log(ADOPTED, entries=len(listings))
         self._apply()
 
+    def _report_gone(self, listing):
+        """Tell the peers and the log that an endpoint's entry is gone."""
+        self._publish_leaving(listing.key, False)
+        _log_removed(listing)
+
     def _log_kept(self):
         """Log each missing entry whose endpoint stays in use, once."""
         now_s = self._clock.now_s()
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -299,6 +299,7 @@
         since what it has lost is written again as after an outage.
         """
         if self._is_restore(changes):
+            # The store was disturbed after its last answer of the old era.
             self._failed_s = max(self._failed_s, self._earlier_contact_s)
             self._set_recovered(
                 self._clock.now_s(), self._earlier_contact_s, "a restore"
--- a/tests/cut_instance.py
+++ b/tests/cut_instance.py
@@ -17,7 +17,6 @@
 from mulberryhollow.serving import fleet_watcher
 from mulberryhollow.serving import pollers
 from mulberryhollow.serving import watch
-from mulberryhollow.state import change_bounds
 from mulberryhollow.state import objects
 from tests import leaving_fleet
 
@@ -28,24 +27,6 @@
 """Longest time that passes at once, in seconds."""
 
 
-@attrs.frozen
-class Bounds:
-    """Times in which an instance has to follow the endpoints.
-
-    Parameters
-    ----------
-    contact_s : float
-        Time from the end of a disturbance of an instance until the other
-        bounds hold for it, in seconds.
-    drain_s : float
-        Time after its confirmation in which an endpoint's end has to be known,
-        in seconds.
-    """
-
-    contact_s: float
-    drain_s: float
-
-
 @attrs.frozen
 class Cut:
     """Span in which calls of the instance are not answered, in seconds.
@@ -126,7 +107,7 @@
 
     Parameters
     ----------
-    bounds : Bounds
+    bounds : ChangeBounds
         Bounds in force.
     cut : Cut
         When the store does not answer, in seconds from now.
@@ -188,11 +169,8 @@
 
 def make_follower(store, clock, watcher, bounds):
     """Return the ObjectFollower of the endpoints, as the daemon makes it."""
-    in_force = change_bounds.ChangeBounds(
-        bounds.contact_s, bounds.drain_s, bounds.drain_s
-    )
     return watch.ObjectFollower(
-        store, "servers", clock, watcher, lambda: in_force
+        store, "servers", clock, watcher, lambda: bounds
     )
 
 
@@ -202,7 +180,7 @@
 
     Parameters
     ----------
-    bounds : Bounds
+    bounds : ChangeBounds
         Bounds in force.
     length_s : float
         Length of the cut, in seconds.
--- a/tests/steps/serving_watch.py
+++ b/tests/steps/serving_watch.py
@@ -2,6 +2,7 @@
 from behave import then
 from behave import when
 
+from mulberryhollow.state import change_bounds
 from mulberryhollow.state import object_log
 from mulberryhollow.state import objects
 from tests import cut_instance
@@ -12,7 +13,7 @@
     "{drain_s:g} s"
 )
 def set_bounds(context, contact_s, drain_s):
-    context.bounds = cut_instance.Bounds(contact_s, drain_s)
+    context.bounds = change_bounds.ChangeBounds(contact_s, drain_s, drain_s)
 
 
 @when("a cut of {length_s:g} s ends and e1 is {state}, in {phases:d} phases")
@@ -58,7 +59,7 @@
 
     Parameters
     ----------
-    bounds : Bounds
+    bounds : ChangeBounds
         Bounds in force.
     later_s : float
         Time from that answer until a peer tells of changes, in seconds.
