--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,12 +14,13 @@
 INSTANCES = 8
 ENGINES = 4
 DOWN_S = 2.5
-EVENTS = 12
+EVENTS = 24
+LAST_EVENT = 3
 EVENT_S = 0.08
-LENGTH_S = 60.0
-STREAMS = 40
-PAUSE_S = 0.5
-RESEND_S = 4.0
+LENGTH_S = 66.0
+STREAMS = 64
+PAUSE_S = 0.25
+RESEND_S = 6.0
 MAX_RETRIES = 3
 CONTACT_S = 3.0
 
@@ -108,7 +109,7 @@
             event = f"id: {number}\ndata: {attempt}\n\n".encode()
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             handler.wfile.flush()
-            if is_bad and number == 1 and self._engine.has_trouble:
+            if is_bad and number == LAST_EVENT and self._engine.has_trouble:
                 time.sleep(EVENT_S / 2)
                 self._engine.crash(self, attempt)
                 handler.close_connection = True
