--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,6 +13,7 @@
 
 INSTANCES = 8
 ENGINES = 4
+SLOTS = 48
 DOWN_S = 2.5
 EVENTS = 24
 LAST_EVENT = 3
@@ -45,7 +46,7 @@
         self._server = _EngineServer(self)
         entry = documents.make_endpoint_record(self._server.address) | {
             "zone": self._zone,
-            "slots": 48,
+            "slots": SLOTS,
             "born": int(time.time() * 1000),
         }
         self._store.put("servers", self.identity, entry)
@@ -68,6 +69,8 @@
     def __init__(self, engine):
         self._engine = engine
         self._is_down = False
+        self._running = 0
+        self._lock = threading.Lock()
         super().__init__()
         self._server.handle_error = lambda *_: None
 
@@ -86,6 +89,16 @@
         threading.Thread(target=self._server.shutdown, daemon=True).start()
 
     def handle(self, handler, body):
+        """Answer one request, which counts as running meanwhile."""
+        with self._lock:
+            self._running += 1
+        try:
+            self._stream(handler, body)
+        finally:
+            with self._lock:
+                self._running -= 1
+
+    def _stream(self, handler, body):
         """Answer one request with a stream."""
         attempt = handler.headers.get("Attempt-Id", "")
         if handler.headers.get("Expect-Instance") != self._engine.identity:
@@ -98,6 +111,7 @@
         handler.send_response(200)
         handler.send_header("Attempt-Id", attempt)
         handler.send_header("Response-Seal", f"seal {self._engine.identity}")
+        handler.send_header("Instance-Load", f"{self._running},0,{SLOTS}")
         handler.send_header("Content-Type", "text/event-stream")
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
