--- a/mulberryhollow/coordination/retry/__init__.py
+++ b/mulberryhollow/coordination/retry/__init__.py
@@ -11,6 +11,7 @@
 from mulberryhollow.coordination.retry.quarantine import CrashFact
 from mulberryhollow.coordination.retry.quarantine import LostRequest
 from mulberryhollow.coordination.retry.quarantine import Quarantine
+from mulberryhollow.coordination.retry.quarantine import SoundFact
 
 __all__ = [
     "CrashFact",
@@ -23,5 +24,6 @@
     "RetryBudget",
     "RetryPolicy",
     "RetryRules",
+    "SoundFact",
     "compute_fingerprint",
 ]
--- a/mulberryhollow/coordination/retry/quarantine.py
+++ b/mulberryhollow/coordination/retry/quarantine.py
@@ -1,18 +1,44 @@
 """Quarantine of requests that crash the endpoints executing them."""
 
 import collections
+import math
+import operator
 
 import attrs
 import xxhash
 
 from mulberryhollow import errors
 
-__all__ = ["CrashFact", "LostRequest", "Quarantine", "compute_fingerprint"]
+__all__ = [
+    "CRASH_EXPIRY_S",
+    "CrashFact",
+    "LostRequest",
+    "Quarantine",
+    "SoundFact",
+    "compute_fingerprint",
+]
 
-# Number of different endpoints whose crash quarantines a request.
-QUARANTINE_CRASH_COUNT = 2
+CRASH_COUNT = 2
+"""Crashes that quarantine a request that has never been completed."""
+
+SOUND_CRASH_COUNT = 3
+"""Crashes that quarantine a request that was completed before them."""
+
+MIN_SOUND_SPAN_S = 3.0
+"""Minimum time from the first to the last of the latter, in seconds.
+
+A request that many callers send is in flight at each of several endpoints
+that fail at the same time.
+"""
+
+CRASH_EXPIRY_S = 24 * 3600.0
+"""Age from which a crash no longer counts against a request, in seconds."""
 
 MAX_FINGERPRINTS = 4096
+"""Maximum number of requests whose crashes are remembered."""
+
+MAX_SOUND = 4096
+"""Maximum number of requests whose completion is remembered."""
 
 
 @attrs.frozen
@@ -25,10 +51,29 @@
         Result of `compute_fingerprint` for the request.
     endpoint_id : str
         The endpoint that crashed.
+    at_s : float
+        Time of the crash, in Unix seconds.
     """
 
     fingerprint: str
     endpoint_id: str
+    at_s: float
+
+
+@attrs.frozen
+class SoundFact:
+    """An endpoint executed a request to its end.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Result of `compute_fingerprint` for the request.
+    at_s : float
+        Time of the end, in Unix seconds.
+    """
+
+    fingerprint: str
+    at_s: float
 
 
 @attrs.frozen
@@ -47,6 +92,22 @@
     is_answering: bool
 
 
+@attrs.define
+class _Completion:
+    """Latest completion of a request.
+
+    Parameters
+    ----------
+    at_s : float
+        Time of the latest one that is known here, in Unix seconds.
+    told_s : float
+        Time of the latest one that all instances are told of.
+    """
+
+    at_s: float = -math.inf
+    told_s: float = -math.inf
+
+
 def compute_fingerprint(service, request_class, body):
     """Return a hash of a request that is independent of its caller.
 
@@ -72,62 +133,147 @@
 
 
 class Quarantine:
-    """Fingerprints of requests and the endpoints that each crashed.
+    """Requests, the endpoints that each crashed, and their completions.
 
     Parameters
     ----------
     max_fingerprints : int
-        Maximum number of fingerprints. Beyond it, fingerprints with a
-        single crash are evicted first, the oldest of them first.
+        Maximum number of requests whose crashes are remembered. Beyond it,
+        those that are not quarantined are evicted first, the oldest of them
+        first.
 
     Notes
     -----
-    Facts are only added, so merging them from peers in any order and
-    any number of times gives the same result.
+    A request that crashes each endpoint is never completed. A completion
+    therefore clears a request of all earlier crashes, and a request that was
+    completed before is only blamed for crashes that other endpoints do not
+    explain: more of them, and not at the same time.
+
+    Crashes and completions are only added, and the latest completion counts,
+    so merging them from peers in any order and any number of times gives the
+    same result.
     """
 
     def __init__(self, max_fingerprints=MAX_FINGERPRINTS):
         self._max_fingerprints = max_fingerprints
+        # Fingerprint to the crashes since its completion, by endpoint.
         self._suspects = collections.OrderedDict()
         self._quarantined = collections.OrderedDict()
+        self._completions = collections.OrderedDict()
 
     def __len__(self):
         return len(self._suspects) + len(self._quarantined)
 
-    def record_crash(self, fingerprint, endpoint_id):
+    def record_crash(self, crash):
         """Record a crash; return whether the request is quarantined now.
 
         Parameters
         ----------
-        fingerprint : str
-            The request's fingerprint.
-        endpoint_id : str
-            The endpoint that crashed: its connection was lost and its
-            process is gone.
+        crash : CrashFact
+            The connection to the endpoint was lost and its process is gone.
         """
-        if fingerprint in self._quarantined:
-            return True
-        crashed = self._suspects.setdefault(fingerprint, [])
-        if endpoint_id not in crashed:
-            crashed.append(endpoint_id)
-        if len(crashed) >= QUARANTINE_CRASH_COUNT:
-            self._quarantined[fingerprint] = self._suspects.pop(fingerprint)
-        self._trim()
+        fingerprint = crash.fingerprint
+        if crash.at_s > self._get_completed_s(fingerprint):
+            is_known = fingerprint in self._quarantined
+            known = self._quarantined if is_known else self._suspects
+            crashes = known.setdefault(fingerprint, {})
+            # Instances that report the same crash may differ in its time.
+            crashes[crash.endpoint_id] = max(
+                crash,
+                crashes.get(crash.endpoint_id, crash),
+                key=operator.attrgetter("at_s"),
+            )
+            self._place(fingerprint)
         return fingerprint in self._quarantined
 
-    def mark_quarantined(self, fingerprint):
-        """Quarantine a request that a peer has quarantined.
+    def record_completed(self, fingerprint, now_s):
+        """Record that an endpoint executed a request to its end.
 
         Parameters
         ----------
         fingerprint : str
             The request's fingerprint.
+        now_s : float
+            Current time, in Unix seconds.
+
+        Returns
+        -------
+        SoundFact or None
+            Fact to be published to the peers, if crashes were recorded.
+        """
+        crashes = self._get_crashes(fingerprint)
+        # The clock of the instance that reported a crash may be ahead.
+        times = [crash.at_s for crash in crashes.values()]
+        at_s = max([now_s, *times])
+        self._complete(fingerprint, at_s)
+        return self._tell(fingerprint) if crashes else None
+
+    def mark_sound(self, sound):
+        """Clear a request of whose completion all instances are told.
+
+        Parameters
+        ----------
+        sound : SoundFact
+            The completion. Crashes after it still count.
+        """
+        self._complete(sound.fingerprint, sound.at_s)
+        completion = self._completions[sound.fingerprint]
+        completion.told_s = max(completion.told_s, sound.at_s)
+
+    def _complete(self, fingerprint, at_s):
+        """Record a completion; judge a request by the crashes after it."""
+        completion = self._completions.setdefault(fingerprint, _Completion())
+        completion.at_s = max(completion.at_s, at_s)
+        self._completions.move_to_end(fingerprint)
+        if len(self._completions) > MAX_SOUND:
+            self._completions.popitem(last=False)
+        crashes = self._get_crashes(fingerprint)
+        later = {
+            endpoint_id: crash
+            for endpoint_id, crash in crashes.items()
+            if crash.at_s > completion.at_s
+        }
+        self._quarantined.pop(fingerprint, None)
+        self._suspects.pop(fingerprint, None)
+        if later:
+            self._suspects[fingerprint] = later
+            self._place(fingerprint)
+
+    def mark_quarantined(self, crash):
+        """Quarantine a request that a peer has quarantined.
+
+        A request that is known to have been completed is not quarantined by
+        the peer's word, but by its crashes.
+
+        Parameters
+        ----------
+        crash : CrashFact
+            The latest crash.
         """
-        crashed = self._suspects.pop(fingerprint, [])
-        self._quarantined.setdefault(fingerprint, crashed)
+        fingerprint = crash.fingerprint
+        if self.record_crash(crash) or fingerprint in self._completions:
+            return
+        crashes = self._suspects.pop(fingerprint, {crash.endpoint_id: crash})
+        self._quarantined[fingerprint] = crashes
         self._trim()
 
-    def record_loss(self, endpoint_id, lost, is_leaving):
+    def answer_crash(self, crash):
+        """Return the SoundFact to be published after the crash of a peer.
+
+        None unless a completion is known here that may keep the request out
+        of the quarantine, and of which the peers are not told.
+        """
+        completion = self._completions.get(crash.fingerprint)
+        if completion is None or completion.told_s >= completion.at_s:
+            return None
+        is_cleared = crash.at_s <= completion.at_s
+        is_told = crash.at_s <= completion.told_s
+        count = len(self._suspects.get(crash.fingerprint, ()))
+        if (is_cleared and not is_told) or count >= CRASH_COUNT:
+            return self._tell(crash.fingerprint)
+        return None
+
+    def record_loss(self, endpoint_id, lost, is_leaving, now_s):
         """Record the crash of an endpoint that executed several requests.
 
         Parameters
@@ -139,6 +285,8 @@
         is_leaving : bool
             Whether the endpoint was marked as leaving. Its end is then
             expected, and no request is blamed.
+        now_s : float
+            Current time, in Unix seconds.
 
         Returns
         -------
@@ -150,30 +298,54 @@
             return ()
         silent = [item for item in lost if not item.is_answering]
         facts = tuple(
-            CrashFact(item.fingerprint, endpoint_id) for item in silent or lost
+            CrashFact(item.fingerprint, endpoint_id, now_s)
+            for item in silent or lost
         )
         self.merge(facts)
         return facts
 
     def merge(self, facts):
-        """Merge crashes that a peer reports.
+        """Merge crashes and completions that a peer reports.
 
         Parameters
         ----------
-        facts : iterable of CrashFact
+        facts : iterable of CrashFact or SoundFact
             Result of `list_facts` on the peer.
         """
         for fact in facts:
-            self.record_crash(fact.fingerprint, fact.endpoint_id)
+            match fact:
+                case CrashFact():
+                    self.record_crash(fact)
+                case SoundFact():
+                    self.mark_sound(fact)
 
     def list_facts(self):
-        """Return all recorded crashes."""
-        return [
-            CrashFact(fingerprint, endpoint_id)
+        """Return all recorded crashes and completions."""
+        crashes = (
+            crash
             for known in (self._quarantined, self._suspects)
-            for fingerprint, endpoints in known.items()
-            for endpoint_id in endpoints
-        ]
+            for found in known.values()
+            for crash in found.values()
+        )
+        completions = (
+            SoundFact(fingerprint, completion.at_s)
+            for fingerprint, completion in self._completions.items()
+        )
+        return [*crashes, *completions]
+
+    def expire(self, now_s):
+        """Drop the requests whose crashes no longer count.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time, in Unix seconds.
+        """
+        for known in (self._quarantined, self._suspects):
+            for fingerprint, crashes in tuple(known.items()):
+                latest_s = max(crash.at_s for crash in crashes.values())
+                if latest_s <= now_s - CRASH_EXPIRY_S:
+                    del known[fingerprint]
 
     def is_quarantined(self, fingerprint):
         """Return whether requests with the fingerprint are quarantined."""
@@ -200,8 +372,40 @@
             errors.ExecutionStatus.NOT_RUN,
         )
 
+    def _get_completed_s(self, fingerprint):
+        """Return the time of the latest completion, in Unix seconds."""
+        return self._completions.get(fingerprint, _Completion()).at_s
+
+    def _tell(self, fingerprint):
+        """Return the latest completion, of which all instances are told."""
+        completion = self._completions[fingerprint]
+        completion.told_s = completion.at_s
+        return SoundFact(fingerprint, completion.at_s)
+
+    def _get_crashes(self, fingerprint):
+        """Return the crashes that count against a request, by endpoint."""
+        found = self._quarantined.get(fingerprint)
+        return found or self._suspects.get(fingerprint, {})
+
+    def _place(self, fingerprint):
+        """Quarantine a suspect that is to blame; keep within the limit."""
+        if self._is_to_blame(fingerprint):
+            crashes = self._suspects.pop(fingerprint)
+            self._quarantined[fingerprint] = crashes
+        self._trim()
+
+    def _is_to_blame(self, fingerprint):
+        """Return whether the crashes of a suspect quarantine it."""
+        crashes = self._suspects.get(fingerprint, {})
+        if fingerprint not in self._completions:
+            return len(crashes) >= CRASH_COUNT
+        if len(crashes) < SOUND_CRASH_COUNT:
+            return False
+        times = [crash.at_s for crash in crashes.values()]
+        return max(times) - min(times) >= MIN_SOUND_SPAN_S
+
     def _trim(self):
-        """Evict fingerprints beyond the limit, suspects first."""
+        """Evict requests beyond the limit, suspects first."""
         while len(self) > self._max_fingerprints:
             oldest = self._suspects or self._quarantined
             oldest.popitem(last=False)
--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -354,6 +354,7 @@
         )
         self.dispatcher.on_retry = self.observer.count_retry
         self.dispatcher.on_crash = instance_peering.report_crash
+        self.dispatcher.on_sound = instance_peering.report_sound
         self.gateway.fetch_from_peers = instance_peering.fetch
         self.gateway.hand_over = instance_peering.hand_over
         self._claims.find_owner = instance_peering.find_claim_owner
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -175,6 +175,7 @@
         )
         self.dispatcher.on_retry = self.observer.count_retry
         self.dispatcher.on_crash = self._fact_peering.report_crash
+        self.dispatcher.on_sound = self._fact_peering.report_sound
         self.dispatcher.on_part_crash = self._fact_peering.report_part_crash
         self.dispatcher.on_part_cleared = self._fact_peering.report_sound_part
         self.dispatcher.on_endpoint_leaving = (
--- a/mulberryhollow/serving/bookings.py
+++ b/mulberryhollow/serving/bookings.py
@@ -90,11 +90,14 @@
         Fault of the attempt; None for none.
     is_withdrawn : bool
         Whether nothing was sent, since the endpoint had left.
+    is_answered : bool
+        Whether the endpoint gave a complete answer.
     """
 
     route: attempts.Route
     fault: object = None
     is_withdrawn: bool = False
+    is_answered: bool = False
 
 
 @attrs.frozen
@@ -210,7 +213,10 @@
         if attempt.is_withdrawn:
             self._dispatcher.withdraw(attempt.route)
         elif attempt.fault is None:
-            self._dispatcher.finish(attempt.route)
+            self._dispatcher.finish(
+                attempt.route,
+                fingerprint=run.fingerprint if attempt.is_answered else "",
+            )
         else:
             attempts.report_fault(
                 self._dispatcher,
@@ -259,6 +265,7 @@
             excluded.add(claim.endpoint_id)
             attempt.fault = error.fault
             return self._handle_fault(run, claim, error.fault)
+        attempt.is_answered = True
         self._record_done(run, claim, answer)
         return answer
 
--- a/mulberryhollow/serving/dispatch/crash_records.py
+++ b/mulberryhollow/serving/dispatch/crash_records.py
@@ -44,16 +44,16 @@
 
     Parameters
     ----------
-    is_recorded : bool
-        Whether the crash counts against the request.
+    crash : CrashFact or None
+        Crash that counts against the request.
     is_quarantined : bool
         Whether the request is now quarantined, and so refused.
     part_crash : PartCrash or None
         Crash that counts against parts of the prompt.
     """
 
-    is_recorded: bool
-    is_quarantined: bool
+    crash: retry.CrashFact | None = None
+    is_quarantined: bool = False
     part_crash: retry.PartCrash | None = None
 
 
@@ -94,7 +94,23 @@
         for part in self.part_quarantine.record_begun(parts):
             on_cleared(part)
 
-    def attribute(self, crash, record):
+    def record_completed(self, fingerprint, wall_s, on_sound):
+        """Clear a request that an endpoint has executed to its end.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the request.
+        wall_s : float
+            Current time, in Unix seconds.
+        on_sound : callable
+            Called with the SoundFact of a request that was suspected.
+        """
+        sound = self.quarantine.record_completed(fingerprint, wall_s)
+        if sound is not None:
+            on_sound(sound)
+
+    def attribute(self, crash, record, wall_s):
         """Decide whether a crash counts against the request.
 
         Parameters
@@ -103,6 +119,8 @@
             The crash.
         record : EndpointRecord or None
             Record of the endpoint; None for one that is not listed.
+        wall_s : float
+            Current time, in Unix seconds.
 
         Returns
         -------
@@ -116,23 +134,22 @@
         requests may be the cause.
         """
         if record is not None and record.is_leaving:
-            return CrashVerdict(False, False)
+            return CrashVerdict()
         is_shared = record is not None and record.load >= 1.0
         if crash.is_answering and is_shared:
             if len(self._shared_crashes) > MAX_SHARED_CRASHES:
                 self._shared_crashes.clear()
             self._shared_crashes[crash.fingerprint] += 1
             if self._shared_crashes[crash.fingerprint] % 2:
-                return CrashVerdict(False, False)
-        is_quarantined = self.quarantine.record_crash(
-            crash.fingerprint, crash.endpoint_id
-        )
+                return CrashVerdict()
+        fact = retry.CrashFact(crash.fingerprint, crash.endpoint_id, wall_s)
+        is_quarantined = self.quarantine.record_crash(fact)
         if crash.is_answering:
-            return CrashVerdict(True, is_quarantined)
+            return CrashVerdict(fact, is_quarantined)
         part_crash = self.part_quarantine.record_crash(
             crash.parts, crash.endpoint_id
         )
         found = self.part_quarantine.find_quarantined(crash.parts)
         return CrashVerdict(
-            True, is_quarantined or found is not None, part_crash
+            fact, is_quarantined or found is not None, part_crash
         )
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -43,6 +43,7 @@
     fingerprint: str
     is_answering: bool
     parts: tuple
+    on_sound: object
 
 
 @attrs.frozen
@@ -159,10 +160,16 @@
         if message.kind is None:
             self.view.record_success(endpoint_id)
             self.retries.budget.record_success()
+            if message.fingerprint:
+                self._crash_records.record_completed(
+                    message.fingerprint,
+                    self._clock.wall_s(),
+                    message.on_sound,
+                )
             return None
         if message.kind is endpoints.FailureKind.REFUSED:
             self._pause_brittle(message.route, now_s)
-        verdict = crash_records.CrashVerdict(False, False)
+        verdict = crash_records.CrashVerdict()
         if message.kind is endpoints.FailureKind.CRASHED:
             crash = crash_records.Crash(
                 endpoint_id,
@@ -171,7 +178,7 @@
                 message.parts,
             )
             verdict = self._crash_records.attribute(
-                crash, self.view.get(endpoint_id)
+                crash, self.view.get(endpoint_id), self._clock.wall_s()
             )
         self.view.record_failure(
             endpoint_id, message.kind, now_s, verdict.is_quarantined
@@ -201,16 +208,18 @@
 
     Notes
     -----
-    `on_crash` is called with the fingerprint of a request, the id of the
-    endpoint that it crashed and whether the request is now quarantined,
-    `on_part_crash` with the PartCrash of its prompt, `on_part_cleared` with
-    a part that was suspected and to which an answer has begun, and
-    `on_attempt_end` with the AttemptResult of each attempt.
+    `on_crash` is called with the CrashFact of a request and whether the
+    request is now quarantined, `on_sound` with the SoundFact of one that was
+    suspected and then completed, `on_part_crash` with the PartCrash of its
+    prompt, `on_part_cleared` with a part that was suspected and to which an
+    answer has begun, and `on_attempt_end` with the AttemptResult of each
+    attempt.
     """
 
     def __init__(self, actor, clock):
         super().__init__(actor, clock)
-        self.on_crash = lambda fingerprint, endpoint_id, is_quarantined: None
+        self.on_crash = lambda crash, is_quarantined: None
+        self.on_sound = lambda sound: None
         self.on_part_crash = lambda crash: None
         self.on_part_cleared = lambda part: None
         self.on_attempt_end = lambda ended: None
@@ -235,7 +244,8 @@
         kind : FailureKind or None
             Kind of the failure; None for a successful attempt.
         fingerprint : str
-            Fingerprint of the request, needed for a crash.
+            Fingerprint of the request; empty if it says nothing about the
+            request that the attempt has ended so.
         first_byte_s : float or None
             Time to the first byte, in seconds; None for the time since the
             start of the attempt.
@@ -254,15 +264,17 @@
         if route.permit is not None:
             self.permits.give_back(route.endpoint_id, route.permit)
         is_crash = kind is endpoints.FailureKind.CRASHED
-        message = _Finish(route, kind, fingerprint, is_answering, parts)
+        message = _Finish(
+            route, kind, fingerprint, is_answering, parts, self.on_sound
+        )
         is_quarantined = False
         if is_crash:
             verdict = self._actor.ask(message)
             is_quarantined = verdict.is_quarantined
             if verdict.part_crash is not None:
                 self.on_part_crash(verdict.part_crash)
-            if verdict.is_recorded:
-                self.on_crash(fingerprint, route.endpoint_id, is_quarantined)
+            if verdict.crash is not None:
+                self.on_crash(verdict.crash, is_quarantined)
         else:
             self._actor.tell(message)
         if first_byte_s is None:
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -24,6 +24,10 @@
 PART_CRASH = "part-crash"
 SOUND_PART = "sound-part"
 
+# First word of a quarantine's key: a request was executed to its end. The
+# version is the time of the end, in Unix milliseconds.
+SOUND_REQUEST = "sound-request"
+
 # First word of a notice's key: the endpoint's entry says that the endpoint is
 # leaving, or the entry is gone.
 LEAVING = "leaving"
@@ -62,7 +66,11 @@
 """Number of peers that receive a quarantine before the caller's answer."""
 
 NOTICE_EXPIRY_S = 24 * 3600.0
-"""Time after which a crash or a notice is dropped, in seconds."""
+"""Time after which a notice or a fact of the quarantine is dropped, in
+seconds."""
+
+CRASH_CHECK_INTERVAL_S = 600.0
+"""Interval between checks for crashes that no longer count, in seconds."""
 
 RATE_EXPIRY_S = 10.0
 """Time for which a rate limit is kept as a fact, in seconds."""
@@ -154,6 +162,7 @@
             self._local_member, (), 1 + named
         )
         self.last_contact_s = None
+        self._crashes_expire_s = clock.now_s() + CRASH_CHECK_INTERVAL_S
         self._level_renewals = 0
         self._level_due_s = math.inf
 
@@ -211,6 +220,7 @@
         now_s = self._clock.now_s()
         if now_s >= self._level_due_s:
             self._publish_level(now_s)
+        self._expire_crashes(now_s)
         views = self._peers.members()
         remote_views = [
             view
@@ -236,6 +246,16 @@
             functools.partial(_apply_members, self._get_limits, live, names)
         )
 
+    def _expire_crashes(self, now_s):
+        """Drop the crashes that no longer count, now and then."""
+        if now_s < self._crashes_expire_s:
+            return
+        self._crashes_expire_s = now_s + CRASH_CHECK_INTERVAL_S
+        wall_s = self._clock.wall_s()
+        self._dispatcher.change(
+            lambda actor, now_s: actor.quarantine.expire(wall_s)
+        )
+
     def _count_unreachable(self, gone, now_s):
         """Return how many instances became unreachable recently.
 
@@ -360,15 +380,13 @@
                 self._call, name, PROMPT_TOPIC, payload, PROMPT_TIMEOUT_S
             )
 
-    def report_crash(self, fingerprint, endpoint_id, is_quarantined):
+    def report_crash(self, crash, is_quarantined):
         """Report to the peers that a request crashed an endpoint.
 
         Parameters
         ----------
-        fingerprint : str
-            Fingerprint of the request.
-        endpoint_id : str
-            The endpoint.
+        crash : CrashFact
+            The crash.
         is_quarantined : bool
             Whether the request is quarantined. Then the peers that rank
             first for its fingerprint are called as well, and this method
@@ -376,25 +394,41 @@
             of the quarantine before the caller can send the request to
             them.
         """
-        self._publish_crash(fingerprint, endpoint_id)
+        key = f"{crash.fingerprint} {crash.endpoint_id}"
+        at_ms = str(round(crash.at_s * 1000)).encode()
+        self._publish_quarantine(key, at_ms)
         if not is_quarantined:
             return
-        payload = f"{fingerprint} {endpoint_id}".encode()
+        payload = key.encode()
         names = [each.instance_id for each in self.usable]
-        ranked = membership.rank_by_rendezvous(fingerprint, names)
+        ranked = membership.rank_by_rendezvous(crash.fingerprint, names)
         calls = [
             self._threads.submit(self._call, each, CRASH_TOPIC, payload)
             for each in ranked[:QUARANTINE_PEERS]
         ]
         concurrent.futures.wait(calls, QUARANTINE_TIMEOUT_S)
 
-    def _publish_crash(self, fingerprint, endpoint_id):
-        """Publish a crash as a fact."""
-        self._publish_quarantine(f"{fingerprint} {endpoint_id}")
+    def report_sound(self, sound):
+        """Report to the peers that a suspected request was completed.
+
+        Does not wait for the report, since an actor may call it.
+
+        Parameters
+        ----------
+        sound : SoundFact
+            The completion.
+        """
+        self._threads.submit(
+            self._publish_quarantine,
+            f"{SOUND_REQUEST} {sound.fingerprint}",
+            version=math.ceil(sound.at_s * 1000),
+        )
 
-    def _publish_quarantine(self, key):
-        """Publish a fact of the quarantine, which its key says in full."""
-        self._publish(facts.Topic.QUARANTINE, key, 1, b"", NOTICE_EXPIRY_S)
+    def _publish_quarantine(self, key, value=b"", version=1):
+        """Publish a fact of the quarantine."""
+        self._publish(
+            facts.Topic.QUARANTINE, key, version, value, NOTICE_EXPIRY_S
+        )
 
     def report_part_crash(self, crash):
         """Report to the peers that parts of a prompt may crash endpoints.
@@ -442,11 +476,32 @@
             self._dispatcher.change(
                 lambda actor, now_s: actor.part_quarantine.mark_sound(rest)
             )
+        elif first == SOUND_REQUEST:
+            sound = retry.SoundFact(rest, fact.version / 1000)
+            self._dispatcher.change(
+                lambda actor, now_s: actor.quarantine.mark_sound(sound)
+            )
         else:
+            crash = retry.CrashFact(first, rest, self._decode_time(fact.value))
             self._dispatcher.change(
-                lambda actor, now_s: actor.quarantine.record_crash(first, rest)
+                lambda actor, now_s: self._merge_crash(actor, crash)
             )
 
+    def _decode_time(self, value):
+        """Return the time of a crash; other builds do not state it."""
+        return int(value) / 1000 if value else self._clock.wall_s()
+
+    def _merge_crash(self, actor, crash):
+        """Add the crash of a peer; tell the peers of a completion before."""
+        actor.quarantine.record_crash(crash)
+        self._answer_peer_crash(actor, crash)
+
+    def _answer_peer_crash(self, actor, crash):
+        """Report a completion that keeps a request out of the quarantine."""
+        sound = actor.quarantine.answer_crash(crash)
+        if sound is not None:
+            self.report_sound(sound)
+
     def _merge_part_crash(self, actor, crash):
         """Add the crash of a peer; tell the peers which parts are sound."""
         for part in actor.part_quarantine.merge_crash(crash):
@@ -494,12 +549,18 @@
 
     def _answer_crash(self, payload):
         """Quarantine a request that a peer has quarantined."""
-        fingerprint, _, _ = payload.decode().partition(" ")
+        fingerprint, _, endpoint_id = payload.decode().partition(" ")
+        crash = retry.CrashFact(fingerprint, endpoint_id, self._clock.wall_s())
         self._dispatcher.change(
-            lambda actor, now_s: actor.quarantine.mark_quarantined(fingerprint)
+            lambda actor, now_s: self._mark_quarantined(actor, crash)
         )
         return b"1"
 
+    def _mark_quarantined(self, actor, crash):
+        """Quarantine a request, or tell the peers of a completion before."""
+        actor.quarantine.mark_quarantined(crash)
+        self._answer_peer_crash(actor, crash)
+
     def _publish(self, topic, key, version, value, expiry_s=0.0):
         """Publish one fact, which does not expire if expiry_s is 0."""
         expires_s = self._clock.wall_s() + expiry_s if expiry_s else 0.0
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -730,8 +730,10 @@
                 has_failed = self._outcome is Outcome.BROKEN_OFF or (
                     self._is_complete and self._has_server_error
                 )
+                is_served = self._is_complete and not has_failed
                 self._dependencies.dispatcher.finish(
                     route,
+                    fingerprint=self._request.fingerprint if is_served else "",
                     has_failed=has_failed,
                     is_abandoned=not (self._is_complete or has_failed),
                 )
--- a/mulberryhollow/serving/lookups.py
+++ b/mulberryhollow/serving/lookups.py
@@ -64,7 +64,7 @@
                 kind = self._end_failed(route, error.fault, fingerprint)
                 self._pause(request, sent_attempts, kind)
                 continue
-            self._dispatcher.finish(route)
+            self._dispatcher.finish(route, fingerprint=fingerprint)
             return answer, route.endpoint_id
 
     def _try(self, request, route, attempt):
--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -270,7 +270,9 @@
             return None
         if fault is None:
             self._dependencies.dispatcher.finish(
-                route, first_byte_s=self._first_byte_s
+                route,
+                fingerprint=self.fingerprint if self.is_complete else "",
+                first_byte_s=self._first_byte_s,
             )
             return None
         self._excluded.add(route.endpoint_id)
--- a/tests/steps/coordination_retry.py
+++ b/tests/steps/coordination_retry.py
@@ -154,22 +154,27 @@
     return context.quarantine
 
 
+def record_crash(context, fingerprint, endpoint_id, at_s):
+    crash = retry.CrashFact(fingerprint, endpoint_id, at_s)
+    return get_quarantine(context).record_crash(crash)
+
+
 @when("request {fingerprint} crashes endpoint {endpoint_id}")
 def crash_endpoint(context, fingerprint, endpoint_id):
-    get_quarantine(context).record_crash(fingerprint, endpoint_id)
+    record_crash(context, fingerprint, endpoint_id, 0.0)
 
 
 @when("a peer reports that request {fingerprint} crashed endpoint {name}")
 def merge_crash(context, fingerprint, name):
     peer = retry.Quarantine()
-    peer.record_crash(fingerprint, name)
+    peer.record_crash(retry.CrashFact(fingerprint, name, 0.0))
     get_quarantine(context).merge(peer.list_facts())
 
 
 @when("{count:d} other requests crash one endpoint each")
 def crash_many(context, count):
     for number in range(count):
-        get_quarantine(context).record_crash(f"other{number}", f"e{number}")
+        record_crash(context, f"other{number}", f"e{number}", 0.0)
 
 
 def lose_endpoint(context, endpoint_id, requests, is_leaving):
@@ -179,7 +184,7 @@
             request.split() for request in requests.split(" and ")
         )
     ]
-    get_quarantine(context).record_loss(endpoint_id, lost, is_leaving)
+    get_quarantine(context).record_loss(endpoint_id, lost, is_leaving, 0.0)
 
 
 @when("endpoint {endpoint_id} ends while it runs {requests}")
@@ -192,6 +197,56 @@
     lose_endpoint(context, endpoint_id, requests, True)
 
 
+@when("request {fingerprint} is completed at {at_s:g} s")
+def complete_request(context, fingerprint, at_s):
+    get_quarantine(context).record_completed(fingerprint, at_s)
+
+
+@when("at {at_s:g} s request {fingerprint} crashes endpoint {name}")
+def crash_endpoint_at(context, fingerprint, name, at_s):
+    record_crash(context, fingerprint, name, at_s)
+
+
+@when("a peer has quarantined request {fingerprint} at {at_s:g} s")
+def mark_quarantined(context, fingerprint, at_s):
+    crash = retry.CrashFact(fingerprint, "peer-endpoint", at_s)
+    get_quarantine(context).mark_quarantined(crash)
+
+
+@when("the quarantine expires what is old at {at_s:g} s")
+def expire_quarantine(context, at_s):
+    get_quarantine(context).expire(at_s)
+
+
+@then("crashes and completions merge to the same quarantine in any order")
+def check_merge_with_completions(context):
+    names = strategies.sampled_from("ab")
+    times = strategies.integers(0, 9).map(float)
+    crashes = strategies.builds(
+        retry.CrashFact, names, strategies.sampled_from("wxyz"), times
+    )
+    facts = strategies.lists(
+        crashes | strategies.builds(retry.SoundFact, names, times), max_size=9
+    )
+
+    @hypothesis.given(facts, strategies.randoms(use_true_random=False))
+    def check(found, rng):
+        first = retry.Quarantine()
+        first.merge(found)
+        shuffled = found * 2
+        rng.shuffle(shuffled)
+        second = retry.Quarantine()
+        second.merge(shuffled)
+        third = retry.Quarantine()
+        third.merge(first.list_facts())
+        for name in "ab":
+            expected = first.is_quarantined(name)
+            assert second.is_quarantined(name) == expected
+            assert third.is_quarantined(name) == expected
+
+    check()
+
+
 @then("request {fingerprint} is a suspect")
 def check_suspect(context, fingerprint):
     assert context.quarantine.is_suspect(fingerprint)
@@ -244,7 +299,7 @@
     def check(pairs, rng):
         first = retry.Quarantine()
         for pair in pairs:
-            first.record_crash(*pair)
+            first.record_crash(retry.CrashFact(*pair, 0.0))
         shuffled = first.list_facts() * 2
         rng.shuffle(shuffled)
         second = retry.Quarantine()
--- a/tests/steps/serving_bookings.py
+++ b/tests/steps/serving_bookings.py
@@ -74,7 +74,7 @@
     def withdraw(self, route):
         self.withdrawn.append(route.endpoint_id)
 
-    def finish(self, route):
+    def finish(self, route, fingerprint=""):
         self.finished.append(route.endpoint_id)
 
 
--- a/tests/steps/serving_crashing_parts.py
+++ b/tests/steps/serving_crashing_parts.py
@@ -154,6 +154,7 @@
     peering = fact_peering.FactPeering(peers, clock, dispatcher, None, None)
     peering.connect()
     dispatcher.on_crash = peering.report_crash
+    dispatcher.on_sound = peering.report_sound
     dispatcher.on_part_crash = peering.report_part_crash
     dispatcher.on_part_cleared = peering.report_sound_part
     forwarding = forwarder.Forwarder(
@@ -195,11 +196,14 @@
         each.apply(attrs.evolve(CATALOGUE, routes=(route,)))
 
 
-def send(context, instance, parts):
-    """Send a request with a body of its own; return body or refusal."""
+def send(context, instance, parts, text=None):
+    """Send a request; return body or refusal.
+
+    Without a text, the body is one that no other request has.
+    """
     number = next(context.request_numbers)
     prompt = ",".join(f"{part}:100" for part in parts)
-    body = f"body {number}".encode()
+    body = (text or f"body {number}").encode()
     environ = {
         "REQUEST_METHOD": "POST",
         "PATH_INFO": "/p/x",
--- a/tests/steps/serving_fact_peering.py
+++ b/tests/steps/serving_fact_peering.py
@@ -6,6 +6,7 @@
 
 from mulberryhollow import clock as clocks
 from mulberryhollow.coordination import membership
+from mulberryhollow.coordination import retry
 from mulberryhollow.serving import fact_peering
 from mulberryhollow.serving import registry
 from mulberryhollow.state import facts
@@ -29,6 +30,7 @@
         self.quotas = Limits()
         self.shared_retries = Limits()
         self.view = types.SimpleNamespace(drop_peer=lambda name: None)
+        self.quarantine = retry.Quarantine()
 
     def change(self, apply):
         apply(self, 0.0)
