--- a/mulberryhollow/coordination/rollout/record.py
+++ b/mulberryhollow/coordination/rollout/record.py
@@ -15,6 +15,7 @@
     "Stage",
     "abort",
     "advance",
+    "find_withdrawn",
     "merge",
     "renew",
     "start",
@@ -26,6 +27,12 @@
 A move with times of its own has another margin.
 """
 
+MAX_WITHDRAWN = 32
+"""Maximum number of withdrawn versions that a record names.
+
+It keeps a record far below the size of an object of the store.
+"""
+
 
 class MoveError(errors.MulberryError):
     """A move's record does not allow a change."""
@@ -106,6 +113,9 @@
         Version of the object that holds the record; 0 when not stored.
     times : Times or None
         Times of this move; None for those of the drivers' settings.
+    withdrawn : tuple of str
+        Versions of earlier moves that were taken back. Their endpoints may
+        still be listed, and an instance that starts knows only this record.
     """
 
     id: str
@@ -123,6 +133,7 @@
     epoch: int = 0
     version: int = 0
     times: move_times.Times | None = None
+    withdrawn: tuple[str, ...] = ()
 
     @property
     def done_by_s(self):
@@ -256,6 +267,25 @@
     return _PROGRESS[move.stage], move.epoch, move.lease_until_s
 
 
+def find_withdrawn(previous, *used):
+    """Return the versions that a new move of a service has to leave aside.
+
+    Parameters
+    ----------
+    previous : Move or None
+        Record of the move that the new one replaces.
+    *used : str
+        Versions between which the new move is.
+    """
+    if previous is None:
+        return ()
+    is_done = previous.stage is Stage.DONE
+    ended = () if is_done else (previous.to_version,)
+    found = dict.fromkeys((*previous.withdrawn, *ended))
+    left = [version for version in found if version not in used]
+    return tuple(left[-MAX_WITHDRAWN:])
+
+
 def abort(move, now_s, operator):
     """Return the record rolled back by an operator.
 
--- a/mulberryhollow/serving/moves.py
+++ b/mulberryhollow/serving/moves.py
@@ -450,7 +450,11 @@
         move = self._followers[service].monitor.move
         self._dependencies.dispatcher.change(
             lambda actor, now_s: actor.shares.set_move(
-                service, move.from_version, move.to_version, share
+                service,
+                move.from_version,
+                move.to_version,
+                share,
+                move.withdrawn,
             )
         )
 
--- a/mulberryhollow/serving/ordered_moves.py
+++ b/mulberryhollow/serving/ordered_moves.py
@@ -236,7 +236,7 @@
             seen.order = attrs.evolve(order, id=seen.order.id)
         elif seen is None or seen.order.written_id != order.written_id:
             seen = _Seen(order, item.version, self._clock.wall_s())
-            self._see(item.name, seen)
+            self._see(item.name, seen, _list_withdrawn(move, order))
         seen.version = item.version
         if move is not None and move.id == order.id:
             seen.order, seen.move = order, _plan(move)
@@ -260,8 +260,11 @@
         except codec.MoveFormatError:
             return None
 
-    def _see(self, name, seen):
-        """Follow a new order, whose target gets nothing from now on."""
+    def _see(self, name, seen, withdrawn):
+        """Follow a new order, whose target gets nothing from now on.
+
+        Nor do the versions of earlier orders that were taken back.
+        """
         self._seen[name] = seen
         order = seen.order
         events.log(
@@ -272,13 +275,13 @@
             duration_s=order.duration_s,
             revision=seen.version,
         )
-        self._set_aside(order.service, order.target)
+        self._set_aside(order.service, order.target, withdrawn)
 
-    def _set_aside(self, service, version):
-        """Give a version no requests until its move says otherwise."""
+    def _set_aside(self, service, version, withdrawn=()):
+        """Give versions no requests until a move says otherwise."""
         self._dispatcher.change(
             lambda actor, now_s: actor.shares.set_move(
-                service, "", version, 0.0
+                service, "", version, 0.0, withdrawn
             )
         )
 
@@ -297,6 +300,9 @@
             created_s=seen.seen_s,
             deadline_s=seen.seen_s + order.duration_s,
             times=self._make_times(order.duration_s),
+            withdrawn=rollout.find_withdrawn(
+                seen.previous, from_version, order.target
+            ),
         )
         events.log(BEGUN, move=order.id, from_version=from_version)
         self._pass_on(seen)
@@ -339,7 +345,10 @@
         return max(sorted(counts), key=counts.get, default=None)
 
     def _refuse(self, item, reason):
-        """Log a malformed order once; its target gets no requests."""
+        """Log a malformed order once; its target gets no requests.
+
+        Nor do the versions that the record beside it leaves aside.
+        """
         target = self._decoders.decode_target(item)
         known = self._seen.pop(item.name, None)
         if known is not None:
@@ -347,7 +356,9 @@
                 moves.WithdrawMove(known.order.service, item.version)
             )
         if target is not None:
-            self._set_aside(item.name, target)
+            move = self._decode(self._decoders.decode_record(item))
+            withdrawn = rollout.find_withdrawn(move, target)
+            self._set_aside(item.name, target, withdrawn)
         if self._reported.get(item.name) != item.version:
             self._reported[item.name] = item.version
             events.log(MALFORMED, order=item.name, reason=reason)
@@ -360,6 +371,21 @@
             self._actor.tell(moves.WithdrawMove(seen.order.service, version))
 
 
+def _list_withdrawn(move, order):
+    """Return the versions that an order leaves aside beside its target.
+
+    Parameters
+    ----------
+    move : Move or None
+        The record beside the order: of its own move or of the one before.
+    order : MoveOrder
+        The order.
+    """
+    if move is not None and move.id == order.id:
+        return move.withdrawn
+    return rollout.find_withdrawn(move, order.target)
+
+
 def _plan(move):
     """Return the planned form of a move, as before its first record."""
     return rollout.Move(
@@ -371,4 +397,5 @@
         created_s=move.created_s,
         deadline_s=move.deadline_s,
         times=move.times,
+        withdrawn=move.withdrawn,
     )
--- a/mulberryhollow/serving/shares.py
+++ b/mulberryhollow/serving/shares.py
@@ -49,13 +49,26 @@
         """Set the version of each service that the active document names."""
         self._versions = dict(versions)
 
-    def set_move(self, service, from_version, to_version, share):
-        """Set the share, 0 to 1, of the version that a service moves to."""
-        withdrawn = self._withdrawn.setdefault(service, set())
+    def set_move(self, service, from_version, to_version, share, withdrawn=()):
+        """Set the shares of a move.
+
+        Parameters
+        ----------
+        service : str
+            The service that moves.
+        from_version, to_version : str
+            Its old and its new version.
+        share : float
+            Share of the new version, 0 to 1.
+        withdrawn : iterable of str
+            Versions of earlier moves that were taken back.
+        """
+        aside = self._withdrawn.setdefault(service, set())
+        aside.update(withdrawn)
         known = self._moves.get(service)
         if known is not None and known.share < 1.0:
-            withdrawn.add(known.to_version)
-        withdrawn -= {from_version, to_version}
+            aside.add(known.to_version)
+        aside -= {from_version, to_version}
         self._moves[service] = _Move(from_version, to_version, share)
         self._update(service)
 
--- a/tests/move_fleet.py
+++ b/tests/move_fleet.py
@@ -34,7 +34,7 @@
 LIMIT = rollout.ExposureLimit(0.1, 50.0, 5.0)
 LEASE_S = 3.0
 
-NEW_ENDPOINTS = [(f"v2-{n}", "v2") for n in range(4)]
+ENDPOINTS_OF_VERSION = 4
 BOOT_S = 0.4
 """Time from the order until the new endpoints are listed, in seconds."""
 
@@ -153,15 +153,15 @@
     def __init__(self, site, name):
         self.is_running = True
         self.peers = Peers(site, name)
-        names = [(f"v1-{n}", "v1") for n in range(4)]
-        self.dispatcher = Dispatcher([make_record(*each) for each in names])
+        self.dispatcher = Dispatcher([])
         client = store.StoreClient(
             "127.0.0.1:1", dialect=dialects.PlatformDialect()
         )
         self.pool = client._pool = Pool(site.platform)
         bounds = types.SimpleNamespace(exposure=LIMIT, lease_s=LEASE_S)
         settings = types.SimpleNamespace(bounds=bounds)
-        self.listings = [make_listing(*each) for each in names]
+        self.listings = []
+        self.list_version("v1")
         with mock.patch.object(
             concurrent.futures, "ThreadPoolExecutor", InlineExecutor
         ):
@@ -189,13 +189,21 @@
         with contextlib.suppress(errors.StoreUnavailableError):
             self.follower.read()
 
-    def list_new(self):
-        """List the endpoints of the new version."""
-        self.listings += [make_listing(*each) for each in NEW_ENDPOINTS]
+    def list_version(self, version):
+        """List the endpoints of a version, unless that was done."""
+        if any(each.version == version for each in self.listings):
+            return
+        names = [f"{version}-{n}" for n in range(ENDPOINTS_OF_VERSION)]
+        self.listings += [make_listing(each, version) for each in names]
         view = self.dispatcher.actor.view
-        view += [make_record(*each) for each in NEW_ENDPOINTS]
+        view += [make_record(each, version) for each in names]
         self.dispatcher.count_endpoints()
 
+    @property
+    def is_ready(self):
+        """Whether the platform gives this instance requests."""
+        return self.moves.is_settled
+
     def flush(self):
         """Wait until the actor has handled what it was told."""
         return self.moves.render_metrics()
@@ -230,6 +238,7 @@
         self.instances = {}
         self.ordered_s = None
         self.sent = []
+        self._booted_s = {}
         self._facts = []
         self._known = {}
         self._ends = []
@@ -269,10 +278,20 @@
         due_s = self.clock.now_s() + GOSSIP_S
         heapq.heappush(self._facts, (due_s, next(self._numbers), name, fact))
 
-    def order(self, duration_s):
-        """Order a move to version v2."""
+    def restart(self, count):
+        """End the first instances at the same time, and start others."""
+        ended = self.list_running()[:count]
+        for each in ended:
+            each.stop()
+        for each in ended:
+            self.add(f"{each.peers.name}-again")
+        self._list_new()
+
+    def order(self, duration_s, target="v2"):
+        """Order a move to a version, whose endpoints are started."""
         self.ordered_s = self.clock.now_s()
-        spec = {"service": SERVICE, "target": "v2", "durationS": duration_s}
+        self._booted_s.setdefault(target, self.ordered_s + BOOT_S)
+        spec = {"service": SERVICE, "target": target, "durationS": duration_s}
         self.platform.put("rollouts", SERVICE, spec)
 
     @property
@@ -307,13 +326,15 @@
                 each.flush()
 
     def _list_new(self):
-        """List the new endpoints some time after the order."""
-        ordered_s = self.ordered_s
-        if ordered_s is None or self.clock.now_s() < ordered_s + BOOT_S:
-            return
-        for each in self.list_running():
-            if len(each.listings) <= len(NEW_ENDPOINTS):
-                each.list_new()
+        """List the new endpoints some time after their order."""
+        now_s = self.clock.now_s()
+        booted = [
+            version
+            for version, booted_s in self._booted_s.items()
+            if booted_s <= now_s
+        ]
+        for each, version in itertools.product(self.list_running(), booted):
+            each.list_version(version)
 
     def _deliver(self):
         """Deliver the facts that are due."""
@@ -327,8 +348,10 @@
     def _send_requests(self):
         """Send the requests of one step."""
         self._owed += self.rate_per_s * STEP_S
-        for _ in range(int(self._owed)):
-            self._send(self.rng.choice(self.list_running()))
+        # An instance that starts is not ready until it knows the orders.
+        ready = [each for each in self.list_running() if each.is_ready]
+        for _ in range(int(self._owed) if ready else 0):
+            self._send(self.rng.choice(ready))
         self._owed %= 1.0
 
     def _send(self, instance):
--- a/tests/serving/ordered_moves.feature
+++ b/tests/serving/ordered_moves.feature
@@ -98,3 +98,48 @@
       | after |
       | 1     |
       | 5     |
+
+  # Guards against a version that was rolled back getting half of the requests
+  # again after a second order and a restart: only processes that had seen the
+  # first order knew of it (review/5).
+  Scenario Outline: A version that was rolled back gets nothing after a restart
+    Given 4 instances with 40 requests a second, and a new version that fails
+    When the move is ordered for 16 s
+    And version v2 is rolled back
+    And a move to v3 is ordered for 16 s
+    And <seconds> s pass
+    And <count> instances are killed and start again
+    Then version v2 gets no request for 6 s
+
+    Examples:
+      | count | seconds |
+      | 4     | 0.2     |
+      | 4     | 2       |
+      | 2     | 0.05    |
+      | 2     | 2       |
+
+  # Guards against the same when more orders followed.
+  Scenario: A version that was rolled back gets nothing after a third order
+    Given 4 instances with 40 requests a second, and a new version that fails
+    When the move is ordered for 16 s
+    And version v2 is rolled back
+    And a move to v3 is ordered for 16 s
+    And 1 s pass
+    And a move to v4 is ordered for 16 s
+    And 2 s pass
+    And 4 instances are killed and start again
+    Then version v2 gets no request for 3 s
+    And version v3 gets no request for 3 s
+
+  # Guards against a version that may never be tried again.
+  Scenario: A version that was rolled back is tried when it is ordered again
+    Given 4 instances with 40 requests a second, and a new version that fails
+    When the move is ordered for 16 s
+    And version v2 is rolled back
+    And a move to v3 is ordered for 16 s
+    And 1 s pass
+    And a move to v2 is ordered for 16 s
+    And 0.2 s pass
+    And 4 instances are killed and start again
+    Then version v2 gets requests in 8 s
+    And version v3 gets no request for 2 s
--- a/tests/steps/serving_ordered_moves.py
+++ b/tests/steps/serving_ordered_moves.py
@@ -143,3 +143,51 @@
     writes = [call for call in calls if call[0] == "PUT"]
     assert len(writes) <= count, len(writes)
     assert context.fleet.status["record"]["epoch"] == 1, context.fleet.status
+
+
+@when("version v2 is rolled back")
+def wait_for_roll_back(context):
+    fleet = context.fleet
+    while fleet.status.get("state") != "rolled_back":
+        fleet.run(0.2)
+        assert fleet.clock.now_s() < context.deadline_s, fleet.status
+    fleet.run(SLACK_S)
+
+
+@when("a move to {version} is ordered for {duration_s:d} s")
+def order_other_move(context, version, duration_s):
+    context.fleet.order(duration_s, version)
+    context.deadline_s = context.fleet.ordered_s + duration_s
+
+
+@when("{seconds:g} s pass")
+def pass_time(context, seconds):
+    context.fleet.run(seconds)
+
+
+@when("{count:d} instances are killed and start again")
+def restart_instances(context, count):
+    context.restarted_s = context.fleet.clock.now_s()
+    context.fleet.restart(count)
+
+
+@then("version {version} gets no request for {seconds:g} s")
+def check_withdrawn(context, version, seconds):
+    context.fleet.run(seconds)
+    sent = [
+        each
+        for each in context.fleet.sent
+        if each.version == version and each.sent_s >= context.restarted_s
+    ]
+    assert not sent, (len(sent), sent[0])
+
+
+@then("version {version} gets requests in {seconds:g} s")
+def check_tried(context, version, seconds):
+    context.fleet.run(seconds)
+    sent = [
+        each
+        for each in context.fleet.sent
+        if each.version == version and each.sent_s >= context.restarted_s
+    ]
+    assert sent
