--- a/mulberryhollow/coordination/retry/quarantine.py
+++ b/mulberryhollow/coordination/retry/quarantine.py
@@ -2,7 +2,6 @@
 
 import collections
 import math
-import operator
 
 import attrs
 import xxhash
@@ -18,14 +17,24 @@
     "compute_fingerprint",
 ]
 
-CRASH_COUNT = 2
-"""Crashes that quarantine a request that has never been completed."""
+SHARED_WEIGHT = 0.5
+"""Weight of a crash that other requests may have caused; else it is 1."""
 
-SOUND_CRASH_COUNT = 3
-"""Crashes that quarantine a request that was completed before them."""
+MIN_WEIGHT = 2.0
+"""Weight of crashes that quarantines a request without a completion."""
+
+MIN_SOUND_WEIGHT = 3.0
+"""Weight of crashes that quarantines a request that was completed before."""
+
+MIN_LASTING_WEIGHT = 1.5
+"""Weight of crashes from which a request is to be remembered by the store.
+
+Most requests that are not the cause have been at fewer crashes.
+"""
 
 MIN_SOUND_SPAN_S = 3.0
-"""Minimum time from the first to the last of the latter, in seconds.
+"""Minimum time from the first to the last crash after a completion, in
+seconds.
 
 A request that many callers send is in flight at each of several endpoints
 that fail at the same time.
@@ -53,11 +62,28 @@
         The endpoint that crashed.
     at_s : float
         Time of the crash, in Unix seconds.
+    is_shared : bool
+        Whether the endpoint was answering other requests too, one of which
+        may be the cause.
     """
 
     fingerprint: str
     endpoint_id: str
     at_s: float
+    is_shared: bool = False
+
+    @property
+    def weight(self):
+        """How much the crash counts against the request."""
+        return SHARED_WEIGHT if self.is_shared else 1.0
+
+    def join(self, other):
+        """Return what two instances report of the same crash, as one."""
+        return attrs.evolve(
+            self,
+            at_s=max(self.at_s, other.at_s),
+            is_shared=self.is_shared and other.is_shared,
+        )
 
 
 @attrs.frozen
@@ -146,8 +172,8 @@
     -----
     A request that crashes each endpoint is never completed. A completion
     therefore clears a request of all earlier crashes, and a request that was
-    completed before is only blamed for crashes that other endpoints do not
-    explain: more of them, and not at the same time.
+    completed before is only blamed for more of them, which must not be at the
+    same time. A crash that other requests may have caused counts half.
 
     Crashes and completions are only added, and the latest completion counts,
     so merging them from peers in any order and any number of times gives the
@@ -177,12 +203,8 @@
             is_known = fingerprint in self._quarantined
             known = self._quarantined if is_known else self._suspects
             crashes = known.setdefault(fingerprint, {})
-            # Instances that report the same crash may differ in its time.
-            crashes[crash.endpoint_id] = max(
-                crash,
-                crashes.get(crash.endpoint_id, crash),
-                key=operator.attrgetter("at_s"),
-            )
+            known = crashes.get(crash.endpoint_id, crash)
+            crashes[crash.endpoint_id] = crash.join(known)
             self._place(fingerprint)
         return fingerprint in self._quarantined
 
@@ -268,8 +290,8 @@
             return None
         is_cleared = crash.at_s <= completion.at_s
         is_told = crash.at_s <= completion.told_s
-        count = len(self._suspects.get(crash.fingerprint, ()))
-        if (is_cleared and not is_told) or count >= CRASH_COUNT:
+        weight = _weigh(self._suspects.get(crash.fingerprint, {}))
+        if (is_cleared and not is_told) or weight >= MIN_WEIGHT:
             return self._tell(crash.fingerprint)
         return None
 
@@ -333,6 +355,21 @@
         )
         return [*crashes, *completions]
 
+    def list_lasting(self):
+        """Return the crashes to be remembered when all processes are gone.
+
+        Returns
+        -------
+        dict
+            Tuple of CrashFact by fingerprint.
+        """
+        return {
+            fingerprint: tuple(crashes.values())
+            for known in (self._quarantined, self._suspects)
+            for fingerprint, crashes in known.items()
+            if _weigh(crashes) >= MIN_LASTING_WEIGHT
+        }
+
     def expire(self, now_s):
         """Drop the requests whose crashes no longer count.
 
@@ -398,8 +435,8 @@
         """Return whether the crashes of a suspect quarantine it."""
         crashes = self._suspects.get(fingerprint, {})
         if fingerprint not in self._completions:
-            return len(crashes) >= CRASH_COUNT
-        if len(crashes) < SOUND_CRASH_COUNT:
+            return _weigh(crashes) >= MIN_WEIGHT
+        if _weigh(crashes) < MIN_SOUND_WEIGHT:
             return False
         times = [crash.at_s for crash in crashes.values()]
         return max(times) - min(times) >= MIN_SOUND_SPAN_S
@@ -409,3 +446,8 @@
         while len(self) > self._max_fingerprints:
             oldest = self._suspects or self._quarantined
             oldest.popitem(last=False)
+
+
+def _weigh(crashes):
+    """Return the weight of the crashes that count against a request."""
+    return sum(crash.weight for crash in crashes.values())
--- a/mulberryhollow/serving/dispatch/crash_records.py
+++ b/mulberryhollow/serving/dispatch/crash_records.py
@@ -1,7 +1,5 @@
 """Crashes of endpoints and the quarantine of what caused them."""
 
-import collections
-
 import attrs
 
 from mulberryhollow.coordination import retry
@@ -9,13 +7,6 @@
 __all__ = ["Crash", "CrashRecords", "CrashVerdict"]
 
 
-MAX_SHARED_CRASHES = 4096
-"""Maximum number of requests whose shared crashes are counted.
-
-A shared crash ends an endpoint that was answering several requests.
-"""
-
-
 @attrs.frozen
 class Crash:
     """Crash of an endpoint during an attempt.
@@ -73,7 +64,6 @@
     def __init__(self):
         self.quarantine = retry.Quarantine()
         self.part_quarantine = retry.PartQuarantine()
-        self._shared_crashes = collections.Counter()
 
     def check(self, fingerprint, parts=()):
         """Return the Refusal of a quarantined request, or None."""
@@ -130,19 +120,17 @@
         -----
         A crash of a leaving endpoint is never counted, since the leave
         may be its cause. When the request was being answered alongside
-        others, only every second crash counts, since another of these
-        requests may be the cause.
+        others, the crash is shared with these.
         """
         if record is not None and record.is_leaving:
             return CrashVerdict()
-        is_shared = record is not None and record.load >= 1.0
-        if crash.is_answering and is_shared:
-            if len(self._shared_crashes) > MAX_SHARED_CRASHES:
-                self._shared_crashes.clear()
-            self._shared_crashes[crash.fingerprint] += 1
-            if self._shared_crashes[crash.fingerprint] % 2:
-                return CrashVerdict()
-        fact = retry.CrashFact(crash.fingerprint, crash.endpoint_id, wall_s)
+        has_others = record is not None and record.load >= 1.0
+        fact = retry.CrashFact(
+            crash.fingerprint,
+            crash.endpoint_id,
+            wall_s,
+            is_shared=crash.is_answering and has_others,
+        )
         is_quarantined = self.quarantine.record_crash(fact)
         if crash.is_answering:
             return CrashVerdict(fact, is_quarantined)
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -24,8 +24,10 @@
 PART_CRASH = "part-crash"
 SOUND_PART = "sound-part"
 
-# First word of a quarantine's key: a request was executed to its end. The
-# version is the time of the end, in Unix milliseconds.
+# First word of a quarantine's key: a request was at a crash that others may
+# have caused, or it was executed to its end. The version of the latter is the
+# time of the end, in Unix milliseconds.
+SHARED_CRASH = "shared-crash"
 SOUND_REQUEST = "sound-request"
 
 # First word of a notice's key: the endpoint's entry says that the endpoint is
@@ -396,7 +398,8 @@
         """
         key = f"{crash.fingerprint} {crash.endpoint_id}"
         at_ms = str(round(crash.at_s * 1000)).encode()
-        self._publish_quarantine(key, at_ms)
+        fact_key = f"{SHARED_CRASH} {key}" if crash.is_shared else key
+        self._publish_quarantine(fact_key, at_ms)
         if not is_quarantined:
             return
         payload = key.encode()
@@ -482,11 +485,20 @@
                 lambda actor, now_s: actor.quarantine.mark_sound(sound)
             )
         else:
-            crash = retry.CrashFact(first, rest, self._decode_time(fact.value))
+            crash = self._decode_crash(fact)
             self._dispatcher.change(
                 lambda actor, now_s: self._merge_crash(actor, crash)
             )
 
+    def _decode_crash(self, fact):
+        """Return the CrashFact that a peer published."""
+        kind, _, rest = fact.key.partition(" ")
+        is_shared = kind == SHARED_CRASH
+        key = rest if is_shared else fact.key
+        fingerprint, _, endpoint_id = key.partition(" ")
+        at_s = self._decode_time(fact.value)
+        return retry.CrashFact(fingerprint, endpoint_id, at_s, is_shared)
+
     def _decode_time(self, value):
         """Return the time of a crash; other builds do not state it."""
         return int(value) / 1000 if value else self._clock.wall_s()
--- a/mulberryhollow/serving/stored_quarantine.py
+++ b/mulberryhollow/serving/stored_quarantine.py
@@ -14,7 +14,10 @@
 __all__ = ["KIND", "StoredQuarantine"]
 
 KIND = "quarantine"
-"""Kind of the stored objects, one for each part of a prompt."""
+"""Kind of the stored objects, one for each request or part of a prompt."""
+
+REQUEST_PREFIX = "request-"
+"""Prefix of the objects' names for whole requests."""
 
 EXPIRY_S = 24 * 3600.0
 """Age from which a stored entry is no longer applied, in seconds."""
@@ -25,11 +28,13 @@
 STORED = events.declare(
     9030,
     logging.WARNING,
-    "a prompt part that crashes endpoints was written to the store",
+    "a request or prompt part that crashes endpoints was written to the store",
     "find the requests with event 4014 and mend what they have in common",
 )
 REMOVED = events.declare(
-    9031, logging.INFO, "a prompt part was removed from the stored quarantine"
+    9031,
+    logging.INFO,
+    "a request or prompt part was removed from the stored quarantine",
 )
 LOADED = events.declare(
     9032,
@@ -51,13 +56,16 @@
     Parameters
     ----------
     endpoints : tuple of str
-        Endpoints that crashed with the part, which names the object.
+        Endpoints that crashed with what the object is named for.
     stored_s : float
         Time of the write, in Unix seconds.
+    shared : tuple of str
+        Those of them at which other requests may have been the cause.
     """
 
     endpoints: tuple
     stored_s: float
+    shared: tuple = ()
 
     def encode(self):
         """Return the entry as the JSON bytes of the stored object."""
@@ -69,13 +77,14 @@
         try:
             fields = decoding.decode_json(value)
             endpoints = tuple(str(each) for each in fields["endpoints"])
-            return cls(endpoints, float(fields["stored_s"]))
+            shared = tuple(str(each) for each in fields.get("shared", ()))
+            return cls(endpoints, float(fields["stored_s"]), shared)
         except (ValueError, TypeError, KeyError):
             return None
 
 
 class StoredQuarantine:
-    """Reads the stored parts at the start; writes new ones, as a duty.
+    """Reads what is stored at the start; writes what is new, as a duty.
 
     Parameters
     ----------
@@ -121,9 +130,7 @@
         version, found = self._store.list_objects(KIND)
         crashes = [crash for each in found for crash in self._read(each)]
         self._dispatcher.change(
-            lambda actor, now_s: [
-                actor.part_quarantine.merge_crash(each) for each in crashes
-            ]
+            lambda actor, now_s: [_apply(actor, each) for each in crashes]
         )
         self._versions = {each.name: each.version for each in found}
         self._loaded_era = objects.get_era(version)
@@ -134,7 +141,7 @@
         """Do nothing: what is stored was read at the start."""
 
     def work(self, fence, is_held):
-        """Write the parts that were quarantined since; remove the others.
+        """Write what was quarantined since; remove what no longer is.
 
         Raises
         ------
@@ -144,15 +151,16 @@
         """
         if self._is_from_earlier_era():
             self._read_all()
-        quarantined = self._dispatcher.read(
-            lambda actor, now_s: actor.part_quarantine.list_quarantined()
+        now_s = self._clock.wall_s()
+        lasting = self._dispatcher.read(
+            lambda actor, _: _make_entries(actor, now_s)
         )
-        for part in quarantined.keys() - self._versions.keys():
+        for name in lasting.keys() - self._versions.keys():
             if is_held():
-                self._write(part, quarantined[part])
-        for part in self._versions.keys() - quarantined.keys():
+                self._write(name, lasting[name])
+        for name in self._versions.keys() - lasting.keys():
             if is_held():
-                self._remove(part)
+                self._remove(name)
 
     def _is_from_earlier_era(self):
         """Return whether the store was restored since it was read."""
@@ -167,30 +175,65 @@
             return []
         if self._clock.wall_s() - entry.stored_s > EXPIRY_S:
             return []
+        if not item.name.startswith(REQUEST_PREFIX):
+            return [
+                retry.PartCrash(each, (item.name,)) for each in entry.endpoints
+            ]
+        fingerprint = item.name.removeprefix(REQUEST_PREFIX)
         return [
-            retry.PartCrash(each, (item.name,)) for each in entry.endpoints
+            retry.CrashFact(
+                fingerprint, each, entry.stored_s, each in entry.shared
+            )
+            for each in entry.endpoints
         ]
 
-    def _write(self, part, endpoints):
-        """Store a part, unless another instance has done so."""
-        entry = _Entry(endpoints, self._clock.wall_s())
+    def _write(self, name, entry):
+        """Store an entry, unless another instance has done so."""
         match store_adapter.put_and_resolve(
-            self._store, KIND, part, entry.encode(), 0
+            self._store, KIND, name, entry.encode(), 0
         ):
             case objects.WriteApplied(version):
-                self._versions[part] = version
-                events.log(STORED, part=part, endpoints=list(endpoints))
+                self._versions[name] = version
+                events.log(STORED, part=name, endpoints=list(entry.endpoints))
             case objects.WriteRejected(current_version=version) if version:
-                self._versions[part] = version
+                self._versions[name] = version
 
-    def _remove(self, part):
-        """Remove a part that is not quarantined, or has expired.
+    def _remove(self, name):
+        """Remove an entry that is no longer quarantined, or has expired.
 
         Unless the store has answered, the next call of the duty repeats it.
         """
-        match self._store.delete(KIND, part, self._versions[part]):
+        match self._store.delete(KIND, name, self._versions[name]):
             case objects.WriteApplied():
-                del self._versions[part]
-                events.log(REMOVED, part=part)
+                del self._versions[name]
+                events.log(REMOVED, part=name)
             case objects.WriteRejected(reason="conflict"):
-                del self._versions[part]
+                del self._versions[name]
+
+
+def _apply(actor, crash):
+    """Add a stored crash to the quarantine that it belongs to."""
+    match crash:
+        case retry.PartCrash():
+            actor.part_quarantine.merge_crash(crash)
+        case retry.CrashFact():
+            actor.quarantine.record_crash(crash)
+
+
+def _make_entries(actor, now_s):
+    """Return the entry of all that is to be stored, by object name."""
+    parts = actor.part_quarantine.list_quarantined()
+    entries = {
+        part: _Entry(endpoints, now_s) for part, endpoints in parts.items()
+    }
+    requests = actor.quarantine.list_lasting()
+    return entries | {
+        REQUEST_PREFIX + fingerprint: _Entry(
+            tuple(sorted(crash.endpoint_id for crash in crashes)),
+            now_s,
+            tuple(
+                sorted(each.endpoint_id for each in crashes if each.is_shared)
+            ),
+        )
+        for fingerprint, crashes in requests.items()
+    }
--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -11,6 +11,7 @@
 from mulberryhollow.protocol import endpoints as messages
 from mulberryhollow.state import decoding
 from mulberryhollow.transport import connection as connections
+from mulberryhollow.transport import liveness
 
 __all__ = ["EndpointClient"]
 
@@ -22,7 +23,6 @@
 
 _SHORT_TIMEOUT_S = 1.0
 _MAX_CLOCK_SKEW_S = 5.0
-_RECHECK_DELAY_S = 0.05
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _TRANSFER_ERRORS = (
     http.client.HTTPException,
@@ -189,25 +189,11 @@
             )
 
     def is_alive(self, address):
-        """Return whether an endpoint accepts connections after a fault.
-
-        Notes
-        -----
-        An ending process may still accept a connection for a moment, so
-        the endpoint is tried twice, with a short pause in between.
-        """
-        if not self._is_reachable(address):
-            return False
-        self._clock.sleep(_RECHECK_DELAY_S)
-        return self._is_reachable(address)
-
-    def _is_reachable(self, address):
-        """Return whether an endpoint accepts a new connection."""
-        try:
-            connections.open_fresh(address, _SHORT_TIMEOUT_S).close()
-        except errors.EndpointError:
-            return False
-        return True
+        """Return whether an endpoint accepts connections after a fault."""
+        return liveness.accepts_connections(
+            lambda: connections.open_fresh(address, _SHORT_TIMEOUT_S).close(),
+            self._clock,
+        )
 
     def get_load(self, address, timeout_s=_SHORT_TIMEOUT_S):
         """Return the LoadReport of an endpoint.
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -12,6 +12,7 @@
 from mulberryhollow.transport import appended_answers
 from mulberryhollow.transport import channel as channels
 from mulberryhollow.transport import connection as connections
+from mulberryhollow.transport import liveness
 
 __all__ = ["ForwardClient", "OpenAnswer"]
 
@@ -138,14 +139,13 @@
         return OpenAnswer(head, channel, attempt.address, self._pool, is_new)
 
     def is_alive(self, address):
-        """Return whether an endpoint accepts connections."""
-        try:
-            channels.EndpointChannel.open(
+        """Return whether an endpoint accepts connections after a fault."""
+        return liveness.accepts_connections(
+            lambda: channels.EndpointChannel.open(
                 address, ALIVE_CHECK_TIMEOUT_S
-            ).close()
-        except errors.EndpointError:
-            return False
-        return True
+            ).close(),
+            self._clock,
+        )
 
     def _acquire_channel(self, attempt):
         """Return the channel for an attempt, and whether it is new.
--- a/tests/serving/stored_quarantine.feature
+++ b/tests/serving/stored_quarantine.feature
@@ -125,3 +125,32 @@
     And another instance that knows no part performs the duty after a restore
     And an instance starts anew over the same store
     Then it refuses prompts with part a
+
+  # Guards against a request crashing endpoints anew after each kill of all
+  # processes.
+  Scenario Outline: A request that crashed endpoints stays so at a new start
+    Given an instance whose quarantine is stored
+    When request f crashes <count> endpoints there, <how>
+    And the instance performs the duty
+    And an instance starts anew over the same store
+    Then it refuses request f after <more> more, <how>
+
+    Examples:
+      | count | how           | more |
+      | 2     | alone         | 0    |
+      | 4     | beside others | 0    |
+      | 3     | beside others | 1    |
+
+  Scenario: A request that was only at a crash is not stored
+    Given an instance whose quarantine is stored
+    When request f crashes 2 endpoints there, beside others
+    And the instance performs the duty
+    Then no part is stored
+
+  Scenario: A request that was completed after all is removed
+    Given an instance whose quarantine is stored
+    When request f crashes 2 endpoints there, alone
+    And the instance performs the duty
+    And request f is completed there
+    And the instance performs the duty
+    Then no part is stored
--- a/tests/steps/serving_stored_quarantine.py
+++ b/tests/steps/serving_stored_quarantine.py
@@ -1,8 +1,11 @@
+import itertools
+
 from behave import given
 from behave import then
 from behave import when
 
 from mulberryhollow import clock as clocks
+from mulberryhollow.coordination import retry
 from mulberryhollow import errors
 from mulberryhollow.serving import dispatcher as dispatching
 from mulberryhollow.serving import stored_quarantine
@@ -142,3 +145,39 @@
     restore_store(context)
     perform_duty(context)
     perform_duty(context)
+
+
+def crash_with_request(context, name, numbers, how):
+    now_s = context.clock.wall_s()
+    context.dispatcher.read(
+        lambda actor, _: actor.quarantine.merge(
+            retry.CrashFact(name, f"e{n}", now_s, how == "beside others")
+            for n in numbers
+        )
+    )
+
+
+@when("request {name} crashes {count:d} endpoints there, {how}")
+def crash_request(context, name, count, how):
+    context.numbers = itertools.count()
+    numbers = itertools.islice(context.numbers, count)
+    crash_with_request(context, name, numbers, how)
+
+
+@when("request {name} is completed there")
+def complete_request(context, name):
+    now_s = context.clock.wall_s()
+    context.dispatcher.read(
+        lambda actor, _: actor.quarantine.record_completed(name, now_s)
+    )
+
+
+@then("it refuses request {name} after {count:d} more, {how}")
+def check_request_refused(context, name, count, how):
+    context.clock.advance(1.0)
+    numbers = itertools.islice(context.numbers, count)
+    crash_with_request(context, name, numbers, how)
+    refusal = context.dispatcher.read(
+        lambda actor, _: actor.quarantine.check(name)
+    )
+    assert refusal is not None
--- a/tests/steps/transport_forwarding.py
+++ b/tests/steps/transport_forwarding.py
@@ -347,3 +347,28 @@
 def check_both(context, count):
     assert context.results == [(b"hello", None)] * 2, context.results
     assert context.endpoint.connections == count
+
+
+@given("an endpoint whose listener closes after one more connection")
+def start_ending_endpoint(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    host, port = listener.getsockname()
+
+    def end():
+        with listener:
+            listener.accept()[0].close()
+
+    threading.Thread(target=end, daemon=True).start()
+    context.ending_address = f"{host}:{port}"
+
+
+@then("the endpoint is not alive")
+def check_gone(context):
+    client = make_client()
+    assert not client.is_alive(context.ending_address)
+
+
+@then("the endpoint is alive")
+def check_alive(context):
+    client = make_client()
+    assert client.is_alive(context.endpoint.address)
--- a/tests/transport/forwarding.feature
+++ b/tests/transport/forwarding.feature
@@ -194,3 +194,13 @@
     Given an endpoint that hangs
     When a request is forwarded to it and aborted
     Then the attempt ends with Broken within a second
+
+  # Guards against a crash that is taken for a lost connection, since the ending
+  # process accepts one more connection: its requests are never blamed.
+  Scenario: An endpoint that accepts one more connection as it ends is gone
+    Given an endpoint whose listener closes after one more connection
+    Then the endpoint is not alive
+
+  Scenario: An endpoint that accepts connections is alive
+    Given an endpoint that answers whole
+    Then the endpoint is alive
