--- a/mulberryhollow/coordination/limits/retries.py
+++ b/mulberryhollow/coordination/limits/retries.py
@@ -1,6 +1,7 @@
 """Retry budget shared by all instances."""
 
 import collections
+import math
 
 import attrs
 
@@ -13,6 +14,31 @@
 """
 
 
+MAX_STARTED_FRACTION = 0.15
+"""Largest fraction of the instances that start in a window whose starts the
+unused part of the allowance covers."""
+
+STARTED_FRACTION = 0.25
+"""Fraction of its share that an instance uses in the first window after its
+start, if more than that have started.
+
+It is as much as the used fraction of the allowance leaves.
+"""
+
+SETTLING_S = 3.0
+"""Time after a start until the starts of the other instances are known, in
+seconds.
+
+Before it, processes that were killed at the same time may be taken for the
+members that they were.
+"""
+
+INSTANCE_MEMORY_S = 60.0
+"""Time for which an instance that is gone still counts, in seconds.
+
+It may have spent its share, or serve callers without being reached.
+"""
+
 USED_REJECTION_FRACTION = 0.5
 """Fraction of the rejections that a brittle endpoint bears to be used."""
 
@@ -55,11 +81,19 @@
     Each instance applies the ratio to its own requests and takes an equal
     share of the slack, so that the total stays within the allowance without
     any message between the instances.
+
+    A process that replaces another one does not know what that has spent in
+    the window. What is not used of the allowance covers the starts of a few
+    instances. If more have started in a window, each of them takes a part of
+    its share only, and nothing of the slack before it knows how many share it.
     """
 
     def __init__(self, rules=RetryRules()):
         self._rules = rules
+        self._began_s = -math.inf
+        self._started = None
         self._nodes = 1
+        self._counts = collections.deque()
         self._requests = collections.defaultdict(collections.deque)
         self._retries = collections.defaultdict(collections.deque)
 
@@ -67,9 +101,42 @@
         """Replace the allowance."""
         self._rules = rules
 
-    def set_live_nodes(self, nodes):
-        """Set the number of live instances, including this one."""
-        self._nodes = max(1, nodes)
+    def start_again(self, began_s):
+        """Count this process as one that replaces another.
+
+        Parameters
+        ----------
+        began_s : float
+            Start of the process, in seconds.
+        """
+        self._began_s = began_s
+
+    def set_live_nodes(self, nodes, now_s, ages_s=None):
+        """Set the number of live instances, including this one.
+
+        The largest number of the last `INSTANCE_MEMORY_S` shares the slack.
+
+        Parameters
+        ----------
+        nodes : int
+            Number of live instances.
+        now_s : float
+            Current time, in seconds.
+        ages_s : iterable of float or None
+            Time since the start of each other instance that is reachable, in
+            seconds; None while none of those that there should be is known.
+        """
+        counts = self._counts
+        while counts and counts[-1][1] <= nodes:
+            counts.pop()
+        counts.append((now_s, nodes))
+        while counts[0][0] < now_s - INSTANCE_MEMORY_S:
+            counts.popleft()
+        self._nodes = max(1, counts[0][1])
+        self._started = None
+        if ages_s is not None:
+            window_s = self._rules.window_s
+            self._started = 1 + sum(age_s < window_s for age_s in ages_s)
 
     def compute_rejection_pause_s(self, rejections, jitter):
         """Return how long to spare an endpoint that has rejected a request.
@@ -100,13 +167,26 @@
         retries = self._retries[service]
         self._trim(requests, now_s)
         self._trim(retries, now_s)
-        rules = self._rules
-        allowed = rules.ratio * len(requests) + rules.slack / self._nodes
+        allowed = self._compute_allowance(len(requests), now_s)
         if len(retries) + 1 > USED_ALLOWANCE_FRACTION * allowed:
             return False
         retries.append(now_s)
         return True
 
+    def _compute_allowance(self, requests, now_s):
+        """Return the retries of this instance that the rules allow."""
+        rules = self._rules
+        age_s = now_s - self._began_s
+        slack = rules.slack / self._nodes
+        is_settled = age_s >= SETTLING_S and self._started is not None
+        if age_s >= rules.window_s or (
+            is_settled and self._started <= MAX_STARTED_FRACTION * self._nodes
+        ):
+            return rules.ratio * requests + slack
+        if self._started is None:
+            slack = 0.0
+        return STARTED_FRACTION * (rules.ratio * requests + slack)
+
     def _trim(self, times, now_s):
         """Drop the times before the current window."""
         begin_s = now_s - self._rules.window_s
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -330,7 +330,10 @@
         if not settings.is_first_start:
             began_s = min(package.PROCESS_START_S, self._clock.now_s())
             dispatcher.change(
-                lambda actor, now_s: actor.quotas.start_empty(began_s)
+                lambda actor, now_s: (
+                    actor.quotas.start_empty(began_s),
+                    actor.shared_retries.start_again(began_s),
+                )
             )
         return dispatcher
 
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -245,9 +245,25 @@
             self._find_level(remote_views, now_s),
         )
         self._dispatcher.change(
-            functools.partial(_apply_members, self._get_limits, live, names)
+            functools.partial(
+                _apply_members,
+                self._get_limits,
+                live,
+                names,
+                self._list_ages(now_s),
+            )
         )
 
+    def _list_ages(self, now_s):
+        """Return the age of each usable member's process, in seconds.
+
+        None while none of the instances that the settings name is known.
+        """
+        if not self.usable and self._count_named(now_s):
+            return None
+        wall_s = self._clock.wall_s()
+        return [wall_s - member.started_s for member in self.usable]
+
     def _expire_crashes(self, now_s):
         """Drop the crashes that no longer count, now and then."""
         if now_s < self._crashes_expire_s:
@@ -579,10 +595,10 @@
         self._peers.publish(facts.Fact(topic, key, version, value, expires_s))
 
 
-def _apply_members(get_limits, live, gone, actor, now_s):
+def _apply_members(get_limits, live, gone, ages_s, actor, now_s):
     """Set the number of live instances and drop those that are gone."""
     if get_limits is not None:
         get_limits(actor).set_live_nodes(live, now_s)
-    actor.shared_retries.set_live_nodes(live)
+    actor.shared_retries.set_live_nodes(live, now_s, ages_s)
     for name in gone:
         actor.view.drop_peer(name)
--- a/tests/steps/coordination_limits.py
+++ b/tests/steps/coordination_limits.py
@@ -184,26 +184,121 @@
     assert low_s <= exceeded.wait_s <= high_s, exceeded
 
 
+SPENT_AFTER_S = 3.5
+"""Time from a start until retries are sent, in seconds."""
+
+OLD_S = 60.0
+
+
 @given("a retry budget of ratio {ratio:g} and slack {slack:g} over {nodes:d}")
 def make_retry_budget(context, ratio, slack, nodes):
     rules = limits.RetryRules(ratio, slack, 10.0)
     context.budgets = [limits.SharedRetryBudget(rules) for _ in range(nodes)]
     for budget in context.budgets:
-        budget.set_live_nodes(nodes)
+        budget.set_live_nodes(nodes, 0.0)
     context.allowance = rules
 
 
 @when("each instance has {count:d} requests and sends all the retries allowed")
 def retry_all(context, count):
-    context.requests = count * len(context.budgets)
+    context.count = count
+    context.requests = context.retries = 0
+    for budget in context.budgets:
+        send_requests(context, budget, 0.0)
+
+
+def send_requests(context, budget, at_s):
+    """Send the requests of one instance and all the retries allowed."""
+    count = context.count
+    context.requests += count
+    for number in range(count):
+        budget.record_request("s", at_s + number / count)
+    context.retries += spend_all(budget, at_s + 1.0)
+
+
+def spend_all(budget, now_s):
+    """Return how many retries an instance is allowed at a time."""
+    attempts = (budget.spend("s", now_s) for _ in itertools.count())
+    return sum(itertools.takewhile(bool, attempts))
+
+
+def start_again(context, began_s):
+    """Return the budget of a process that replaces another one."""
+    budget = limits.SharedRetryBudget(context.allowance)
+    budget.start_again(began_s)
+    budget.set_live_nodes(1, began_s)
+    return budget
+
+
+@when("{count:d} instances are started again at the same time, 3 times")
+def restart_instances(context, count):
+    for began_s in (1.0, 3.0, 5.0):
+        for _ in range(count):
+            send_requests(context, start_again(context, began_s), began_s)
+
+
+@when("all instances are started again, one each second")
+def restart_in_turn(context):
+    nodes = len(context.budgets)
+    starts_s = [1.0 + number for number in range(nodes)]
+    for began_s in starts_s:
+        budget = start_again(context, began_s)
+        spent_s = began_s + SPENT_AFTER_S
+        ages_s = [
+            spent_s - each if each <= spent_s else OLD_S
+            for each in starts_s
+            if each != began_s
+        ]
+        budget.set_live_nodes(nodes, spent_s, ages_s)
+        send_requests(context, budget, spent_s - 1.0)
+
+
+@when("{count:d} instances leave and the others send all the retries allowed")
+def leave(context, count):
+    for budget in context.budgets[count:]:
+        budget.set_live_nodes(len(context.budgets) - count, 2.0)
+        context.retries += spend_all(budget, 3.0)
+
+
+@when(
+    "one instance is started again and 1 in 10 of its {count:d} requests fails"
+)
+def start_with_failures(context, count):
+    budget = start_again(context, 0.0)
+    others_s = [OLD_S] * (len(context.budgets) - 1)
+    budget.set_live_nodes(len(context.budgets), 0.0, others_s)
     context.retries = 0
+    for number in range(count):
+        at_s = SPENT_AFTER_S + number / count
+        budget.record_request("s", at_s)
+        if number % 10 == 9:
+            context.retries += budget.spend("s", at_s)
+
+
+@then("at least {count:d} of them are repeated")
+def check_repeated(context, count):
+    assert context.retries >= count, context.retries
+
+
+@when("all instances are started again without requests")
+def restart_all(context):
+    nodes = len(context.budgets)
+    context.budgets = [start_again(context, 0.0) for _ in range(nodes)]
+    for budget in context.budgets:
+        budget.set_live_nodes(nodes, 0.0, [0.0] * (nodes - 1))
+
+
+@when("all instances are started again and know no other")
+def restart_unknown(context):
+    context.budgets = [start_again(context, 0.0) for _ in context.budgets]
+
+
+@then(
+    "{seconds:g} seconds after the start {count:d} retries of each are allowed"
+)
+def check_slack(context, seconds, count):
     for budget in context.budgets:
-        for number in range(count):
-            budget.record_request("s", number / count)
-        allowed = itertools.takewhile(
-            bool, (budget.spend("s", 1.0) for _ in itertools.count())
-        )
-        context.retries += sum(allowed)
+        assert spend_all(budget, seconds) == count
 
 
 @then("all retries together stay within the allowance")
--- a/tests/steps/serving_fact_peering.py
+++ b/tests/steps/serving_fact_peering.py
@@ -19,7 +19,7 @@
     def __init__(self):
         self.live = None
 
-    def set_live_nodes(self, live, now_s=0.0):
+    def set_live_nodes(self, live, now_s, ages_s=()):
         self.live = live
 
 
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -177,6 +177,7 @@
                 "control": f"127.0.0.1:{control_port}",
             },
             "internalPorts": [first_peer_port, last_peer_port],
+            "bootstrap": True,
             "limits": {"maxFds": 4100},
             "bounds": {"graceS": 8},
             "platform": {"address": self.server.address},
