--- a/mulberryhollow/coordination/streams/events.py
+++ b/mulberryhollow/coordination/streams/events.py
@@ -12,6 +12,9 @@
 MAX_ID_DIGITS = 30
 """Maximum number of digits of a decimal id."""
 
+MAX_EVENT_END_BYTES = 4
+"""Length of the longest end of an event, in bytes."""
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 _EVENT_LINE = re.compile(rb"((event|data|id|retry)?:.*|event|data|id|retry|)")
@@ -89,10 +92,12 @@
 
     def _split(self, chunk):
         """Return the complete events that are new, or Crossed."""
+        # The end of an event may have begun in the last bytes of the buffer.
+        searched = max(0, len(self._buffer) - MAX_EVENT_END_BYTES + 1)
         self._buffer += chunk
         complete = []
         start = 0
-        for end in _EVENT_END.finditer(self._buffer):
+        for end in _EVENT_END.finditer(self._buffer, searched):
             event = self._buffer[start : end.end()]
             start = end.end()
             match self._check_order(event):
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -26,19 +26,23 @@
 MAX_BUFFERED_BYTES = 32 << 20
 """Maximum size of all answers that are held in memory, in bytes.
 
-The first MIN_ANSWER_BYTES of each answer do not count.
+The first MIN_ANSWER_BYTES of each answer, or MIN_EVENT_BYTES of each
+incomplete event of a stream, do not count.
 """
 
 MIN_ANSWER_BYTES = 65536
 """Size up to which an answer is always held, in bytes."""
 
+MIN_EVENT_BYTES = 16384
+"""Size up to which an incomplete event is always held, in bytes."""
+
 
 MAX_GAPS = 64
 """Number of gaps between events of one answer whose median is taken."""
 
 
 class AnswerBuffers:
-    """Budget of the memory for answers that are not yet complete."""
+    """Budget of the memory for what is not yet complete."""
 
     def __init__(self):
         self._free_bytes = MAX_BUFFERED_BYTES
@@ -70,7 +74,7 @@
     recorder : object
         Counts the request as begun and records the time to its first event.
     buffers : AnswerBuffers
-        Budget of the memory for answers that are not streams.
+        Budget of the memory for incomplete answers and events.
 
     Attributes
     ----------
@@ -135,6 +139,7 @@
             Whether the caller has events that the answer has to continue.
         """
         self.assembly.restart()
+        self._reserve(0)
         self._is_resumed = is_resumed
         self.framing = answer.framing
         self.is_new_connection = answer.is_new_connection
@@ -168,7 +173,11 @@
                 break
             size += len(piece)
             self.body_bytes += len(piece)
-            self._reserve(size)
+            if size > MAX_ANSWER_BYTES:
+                raise _make_too_large_error(
+                    "the answer exceeds the size limit"
+                )
+            self._reserve(size - MIN_ANSWER_BYTES)
             pieces.append(piece)
         self._mark_begun()
         return b"".join(pieces)
@@ -179,14 +188,12 @@
         self._buffers.release(size)
 
     def _reserve(self, size):
-        """Reserve the memory for an answer that has grown to a size."""
-        missing = size - MIN_ANSWER_BYTES - self._reserved_bytes
-        if size > MAX_ANSWER_BYTES:
-            raise _make_too_large_error("the answer exceeds the size limit")
-        if missing <= 0:
-            return
-        if not self._buffers.reserve(missing):
+        """Reserve memory of a size, instead of what was reserved before."""
+        missing = max(0, size) - self._reserved_bytes
+        if missing > 0 and not self._buffers.reserve(missing):
             raise _make_too_large_error("no memory is left for the answer")
+        if missing < 0:
+            self._buffers.release(-missing)
         self._reserved_bytes += missing
 
     def read_events(self, answer, runs):
@@ -207,8 +214,8 @@
         Raises
         ------
         EndpointError
-            When the answer ends early, also inside an event, or an event is
-            missing.
+            When the answer ends early, also inside an event, an event is
+            missing, or no memory is left for an incomplete one.
         """
         now_s = self._clock.now_s()
         waited_s, self._waited_s = self._waited_s, 0.0
@@ -225,6 +232,7 @@
         found = self.assembly.feed(piece)
         if isinstance(found, streams.Crossed):
             raise errors.EndpointError(found)
+        self._reserve(len(self.assembly.rest) - MIN_EVENT_BYTES)
         if found:
             self._record_event_times()
         else:
