--- a/mulberryhollow/coordination/retry/quarantine.py
+++ b/mulberryhollow/coordination/retry/quarantine.py
@@ -9,7 +9,6 @@
 from mulberryhollow import errors
 
 __all__ = [
-    "CRASH_EXPIRY_S",
     "CrashFact",
     "LostRequest",
     "Quarantine",
@@ -200,11 +199,11 @@
         """
         fingerprint = crash.fingerprint
         if crash.at_s > self._get_completed_s(fingerprint):
-            is_known = fingerprint in self._quarantined
-            known = self._quarantined if is_known else self._suspects
-            crashes = known.setdefault(fingerprint, {})
-            known = crashes.get(crash.endpoint_id, crash)
-            crashes[crash.endpoint_id] = crash.join(known)
+            is_refused = fingerprint in self._quarantined
+            table = self._quarantined if is_refused else self._suspects
+            crashes = table.setdefault(fingerprint, {})
+            reported = crashes.get(crash.endpoint_id, crash)
+            crashes[crash.endpoint_id] = crash.join(reported)
             self._place(fingerprint)
         return fingerprint in self._quarantined
 
