--- a/mulberryhollow/serving/stored_quarantine.py
+++ b/mulberryhollow/serving/stored_quarantine.py
@@ -69,7 +69,11 @@
 
     def encode(self):
         """Return the entry as the JSON bytes of the stored object."""
-        return json.dumps(attrs.asdict(self), sort_keys=True).encode()
+        fields = attrs.asdict(self)
+        if not self.shared:
+            # Other builds write the entries of prompt parts without it.
+            del fields["shared"]
+        return json.dumps(fields, sort_keys=True).encode()
 
     @classmethod
     def decode(cls, value):
