--- a/mulberryhollow/serving/attempts.py
+++ b/mulberryhollow/serving/attempts.py
@@ -220,7 +220,7 @@
     dispatcher : Dispatcher
         Releases the route.
     client : EndpointClient
-        Tests whether the endpoint still accepts connections.
+        Tests whether the endpoint's process has ended.
     route : Route
         Route of the attempt.
     fault : object
@@ -234,7 +234,7 @@
     """
     is_gone = (
         isinstance(fault, streams.Broken)
-        and not client.is_alive(route.address)
+        and client.has_ended(route.address)
         and _reaches_others(dispatcher, client, route)
     )
     kind = classify_fault(fault, is_gone)
--- a/mulberryhollow/transport/endpoints.py
+++ b/mulberryhollow/transport/endpoints.py
@@ -189,11 +189,16 @@
             )
 
     def is_alive(self, address):
-        """Return whether an endpoint accepts connections after a fault."""
-        return liveness.accepts_connections(
-            lambda: connections.open_fresh(address, _SHORT_TIMEOUT_S).close(),
-            self._clock,
-        )
+        """Return whether an endpoint accepts a new connection."""
+        try:
+            connections.open_fresh(address, _SHORT_TIMEOUT_S).close()
+        except errors.EndpointError:
+            return False
+        return True
+
+    def has_ended(self, address):
+        """Return whether the process of an endpoint is gone after a fault."""
+        return liveness.has_ended(self.is_alive, address, self._clock)
 
     def get_load(self, address, timeout_s=_SHORT_TIMEOUT_S):
         """Return the LoadReport of an endpoint.
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -139,13 +139,18 @@
         return OpenAnswer(head, channel, attempt.address, self._pool, is_new)
 
     def is_alive(self, address):
-        """Return whether an endpoint accepts connections after a fault."""
-        return liveness.accepts_connections(
-            lambda: channels.EndpointChannel.open(
+        """Return whether an endpoint accepts connections."""
+        try:
+            channels.EndpointChannel.open(
                 address, ALIVE_CHECK_TIMEOUT_S
-            ).close(),
-            self._clock,
-        )
+            ).close()
+        except errors.EndpointError:
+            return False
+        return True
+
+    def has_ended(self, address):
+        """Return whether the process of an endpoint is gone after a fault."""
+        return liveness.has_ended(self.is_alive, address, self._clock)
 
     def _acquire_channel(self, attempt):
         """Return the channel for an attempt, and whether it is new.
--- a/mulberryhollow/transport/liveness.py
+++ b/mulberryhollow/transport/liveness.py
@@ -1,20 +1,20 @@
-"""Test whether the process of an endpoint still accepts connections."""
+"""Test whether the process of an endpoint has ended."""
 
-from mulberryhollow import errors
-
-__all__ = ["accepts_connections"]
+__all__ = ["has_ended"]
 
 RECHECK_DELAY_S = 0.05
 """Time until an endpoint that accepts connections is tested once more."""
 
 
-def accepts_connections(connect, clock):
-    """Return whether an endpoint accepts connections after a fault.
+def has_ended(is_alive, address, clock):
+    """Return whether an endpoint accepts no connections after a fault.
 
     Parameters
     ----------
-    connect : callable
-        Opens a connection and closes it, or raises EndpointError.
+    is_alive : callable
+        Returns whether the endpoint with an address accepts a connection.
+    address : str
+        ``host:port`` of the endpoint.
     clock : Clock
         Source of time.
 
@@ -23,10 +23,7 @@
     An ending process may still accept a connection for a moment, so the
     endpoint is tried twice, with a short pause in between.
     """
-    try:
-        connect()
-        clock.sleep(RECHECK_DELAY_S)
-        connect()
-    except errors.EndpointError:
-        return False
-    return True
+    if not is_alive(address):
+        return True
+    clock.sleep(RECHECK_DELAY_S)
+    return not is_alive(address)
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -359,6 +359,9 @@
             close=endpoint.leave if has_room else lambda: None,
         )
 
+    def has_ended(self, address):
+        return not self.is_alive(address)
+
     def is_alive(self, address):
         return not self.fleet.has_lost(self, address)
 
--- a/tests/steps/serving_crashing_parts.py
+++ b/tests/steps/serving_crashing_parts.py
@@ -73,6 +73,9 @@
             raise errors.EndpointError(streams.Broken("closed"))
         return Answer()
 
+    def has_ended(self, address):
+        return not self.is_alive(address)
+
     def is_alive(self, address):
         return address not in self.crashed
 
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -144,6 +144,9 @@
             return Answer(head, pieces, fault, framing)
         return Answer(head, pieces, fault)
 
+    def has_ended(self, address):
+        return not self.is_alive(address)
+
     def is_alive(self, address):
         match self.lost:
             case "all endpoints":
--- a/tests/steps/serving_relay.py
+++ b/tests/steps/serving_relay.py
@@ -30,6 +30,9 @@
         ]
         yield [streams.End(call.attempt_id, len(TOKENS))]
 
+    def has_ended(self, address):
+        return not self.is_alive(address)
+
     def is_alive(self, address):
         return True
 
--- a/tests/steps/transport_forwarding.py
+++ b/tests/steps/transport_forwarding.py
@@ -365,10 +365,10 @@
 @then("the endpoint is not alive")
 def check_gone(context):
     client = make_client()
-    assert not client.is_alive(context.ending_address)
+    assert client.has_ended(context.ending_address)
 
 
 @then("the endpoint is alive")
 def check_alive(context):
     client = make_client()
-    assert client.is_alive(context.endpoint.address)
+    assert not client.has_ended(context.endpoint.address)
