--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -435,12 +435,13 @@
         Parameters
         ----------
         sound : SoundFact
-            The completion.
+            The completion. Its time is rounded up to a second, so that what
+            all instances report within it is one fact.
         """
         self._threads.submit(
             self._publish_quarantine,
             f"{SOUND_REQUEST} {sound.fingerprint}",
-            version=math.ceil(sound.at_s * 1000),
+            version=math.ceil(sound.at_s) * 1000,
         )
 
     def _publish_quarantine(self, key, value=b"", version=1):
--- a/tests/serving/fact_peering.feature
+++ b/tests/serving/fact_peering.feature
@@ -99,3 +99,10 @@
     Given a fact peering whose settings name 0 other instances
     When the fact peering announces its level
     Then the level that it has published is renewed after 3600 seconds
+
+  # Guards against as many messages as there are instances, each of which has
+  # completed a request that many callers send.
+  Scenario: Completions that instances report within a second are one fact
+    Given a fact peering whose settings name 7 other instances
+    When completions of a request at 20.1, 20.4, 20.9 s are reported
+    Then the instances that hold the first of these facts take no other
--- a/tests/steps/serving_fact_peering.py
+++ b/tests/steps/serving_fact_peering.py
@@ -1,3 +1,4 @@
+import time
 import types
 
 from behave import given
@@ -13,6 +14,9 @@
 from tests import fakes
 
 
+REPORT_TIMEOUT_S = 5.0
+
+
 class Limits:
     """Records the number of instances that was set."""
 
@@ -228,3 +232,23 @@
     after = peers.facts["level me"]
     assert after.version > before.version
     assert after.expires_s > before.expires_s > by_s
+
+
+@when("completions of a request at {times} s are reported")
+def report_completions(context, times):
+    context.reported = []
+    context.peering_peers.publish = context.reported.append
+    for at_s in times.split(", "):
+        context.peering.report_sound(retry.SoundFact("f", float(at_s)))
+    end_s = time.monotonic() + REPORT_TIMEOUT_S
+    # Completions are reported by other threads.
+    while len(context.reported) < len(times.split(", ")):
+        assert time.monotonic() < end_s, context.reported
+        time.sleep(0.001)
+
+
+@then("the instances that hold the first of these facts take no other")
+def check_one_fact(context):
+    table = facts.FactTable()
+    assert table.merge(context.reported[0])
+    assert not any(map(table.merge, context.reported[1:])), context.reported
