--- a/mulberryhollow/coordination/retry/__init__.py
+++ b/mulberryhollow/coordination/retry/__init__.py
@@ -8,12 +8,14 @@
 from mulberryhollow.coordination.retry.prompt_parts import PartCrash
 from mulberryhollow.coordination.retry.prompt_parts import PartQuarantine
 from mulberryhollow.coordination.retry.quarantine import compute_fingerprint
+from mulberryhollow.coordination.retry.quarantine import CRASH_EXPIRY_S
 from mulberryhollow.coordination.retry.quarantine import CrashFact
 from mulberryhollow.coordination.retry.quarantine import LostRequest
 from mulberryhollow.coordination.retry.quarantine import Quarantine
 from mulberryhollow.coordination.retry.quarantine import SoundFact
 
 __all__ = [
+    "CRASH_EXPIRY_S",
     "CrashFact",
     "FailRequest",
     "LostRequest",
--- a/mulberryhollow/coordination/retry/quarantine.py
+++ b/mulberryhollow/coordination/retry/quarantine.py
@@ -1,6 +1,7 @@
 """Quarantine of requests that crash the endpoints executing them."""
 
 import collections
+import itertools
 import math
 
 import attrs
@@ -9,6 +10,7 @@
 from mulberryhollow import errors
 
 __all__ = [
+    "CRASH_EXPIRY_S",
     "CrashFact",
     "LostRequest",
     "Quarantine",
@@ -40,7 +42,7 @@
 """
 
 CRASH_EXPIRY_S = 24 * 3600.0
-"""Age from which a crash no longer counts against a request, in seconds."""
+"""Age from which a crash no longer counts, in seconds."""
 
 MAX_FINGERPRINTS = 4096
 """Maximum number of requests whose crashes are remembered."""
@@ -343,10 +345,7 @@
     def list_facts(self):
         """Return all recorded crashes and completions."""
         crashes = (
-            crash
-            for known in (self._quarantined, self._suspects)
-            for found in known.values()
-            for crash in found.values()
+            crash for _, found in self._iterate() for crash in found.values()
         )
         completions = (
             SoundFact(fingerprint, completion.at_s)
@@ -364,8 +363,7 @@
         """
         return {
             fingerprint: tuple(crashes.values())
-            for known in (self._quarantined, self._suspects)
-            for fingerprint, crashes in known.items()
+            for fingerprint, crashes in self._iterate()
             if _weigh(crashes) >= MIN_LASTING_WEIGHT
         }
 
@@ -408,6 +406,12 @@
             errors.ExecutionStatus.NOT_RUN,
         )
 
+    def _iterate(self):
+        """Iterate over each request with crashes, and these by endpoint."""
+        return itertools.chain(
+            self._quarantined.items(), self._suspects.items()
+        )
+
     def _get_completed_s(self, fingerprint):
         """Return the time of the latest completion, in Unix seconds."""
         return self._completions.get(fingerprint, _Completion()).at_s
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -184,8 +184,7 @@
 
     def close(self):
         """Release the memory of the answer."""
-        size, self._reserved_bytes = self._reserved_bytes, 0
-        self._buffers.release(size)
+        self._reserve(0)
 
     def _reserve(self, size):
         """Reserve memory of a size, instead of what was reserved before."""
--- a/mulberryhollow/serving/detached_answers.py
+++ b/mulberryhollow/serving/detached_answers.py
@@ -1,8 +1,11 @@
 """Cache of answers whose caller has disconnected and may return."""
 
 import collections
+import math
 import threading
 
+import attrs
+
 __all__ = ["DetachedAnswerCache"]
 
 MAX_ANSWERS = 2_000
@@ -18,6 +21,25 @@
 """Time for which an answer is kept, in seconds."""
 
 
+@attrs.frozen
+class _KeptAnswer:
+    """An answer, its size and the end of its time.
+
+    Parameters
+    ----------
+    answer : DetachedAnswer or None
+        The answer; None for one that is not kept.
+    until_s : float
+        Time until which it is kept, in seconds.
+    size_bytes : int
+        Approximate size in memory, in bytes.
+    """
+
+    answer: object = None
+    until_s: float = -math.inf
+    size_bytes: int = 0
+
+
 class DetachedAnswerCache:
     """Detached answers by request id, bounded in number, size and age.
 
@@ -42,23 +64,23 @@
         request_id = answer.request.request_id
         with self._lock:
             self._remove(request_id)
-            self._answers[request_id] = until_s, answer
-            self._size_bytes += _compute_size(answer)
+            kept = _KeptAnswer(answer, until_s, _compute_size(answer))
+            self._answers[request_id] = kept
+            self._size_bytes += kept.size_bytes
             while self._is_full():
                 self._remove(next(iter(self._answers)))
 
     def pop(self, request_id):
         """Remove and return an answer; None when unknown or expired."""
         with self._lock:
-            until_s, answer = self._remove(request_id)
-        return answer if until_s > self._clock.now_s() else None
+            kept = self._remove(request_id)
+        return kept.answer if kept.until_s > self._clock.now_s() else None
 
     def _remove(self, request_id):
-        """Remove an answer; return its end and itself, or no answer."""
-        until_s, answer = self._answers.pop(request_id, (0.0, None))
-        if answer is not None:
-            self._size_bytes -= _compute_size(answer)
-        return until_s, answer
+        """Remove an answer, if it is kept, and return the _KeptAnswer."""
+        kept = self._answers.pop(request_id, _KeptAnswer())
+        self._size_bytes -= kept.size_bytes
+        return kept
 
     def _is_full(self):
         """Return whether more is kept than the capacity allows."""
--- a/mulberryhollow/serving/fact_peering.py
+++ b/mulberryhollow/serving/fact_peering.py
@@ -68,8 +68,7 @@
 """Number of peers that receive a quarantine before the caller's answer."""
 
 NOTICE_EXPIRY_S = 24 * 3600.0
-"""Time after which a notice or a fact of the quarantine is dropped, in
-seconds."""
+"""Time after which a notice is dropped, in seconds."""
 
 CRASH_CHECK_INTERVAL_S = 600.0
 """Interval between checks for crashes that no longer count, in seconds."""
@@ -447,7 +446,7 @@
     def _publish_quarantine(self, key, value=b"", version=1):
         """Publish a fact of the quarantine."""
         self._publish(
-            facts.Topic.QUARANTINE, key, version, value, NOTICE_EXPIRY_S
+            facts.Topic.QUARANTINE, key, version, value, retry.CRASH_EXPIRY_S
         )
 
     def report_part_crash(self, crash):
--- a/mulberryhollow/serving/stored_quarantine.py
+++ b/mulberryhollow/serving/stored_quarantine.py
@@ -19,9 +19,6 @@
 REQUEST_PREFIX = "request-"
 """Prefix of the objects' names for whole requests."""
 
-EXPIRY_S = 24 * 3600.0
-"""Age from which a stored entry is no longer applied, in seconds."""
-
 IDLE_INTERVAL_S = 30.0
 """Interval between calls once the stored entries were read, in seconds."""
 
@@ -177,7 +174,7 @@
         if entry is None:
             events.log(MALFORMED, part=item.name)
             return []
-        if self._clock.wall_s() - entry.stored_s > EXPIRY_S:
+        if self._clock.wall_s() - entry.stored_s > retry.CRASH_EXPIRY_S:
             return []
         if not item.name.startswith(REQUEST_PREFIX):
             return [
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -27,6 +27,11 @@
     endpoint: int
     ends_s: float
 
+    @property
+    def is_answering(self):
+        """Whether a part of it was received; a look-up comes at once."""
+        return self.fingerprint != "look-up"
+
 
 class CrashFleet:
     """Instances that judge the requests at endpoints that crash.
@@ -99,17 +104,18 @@
             self._answers.remove(each)
         self._back_s[endpoint] = self.now_s + DOWN_S
         process = f"e{endpoint}-{self.crashes}"
-        load = collections.Counter(each.instance for each in lost)
-        for fingerprint, instance, is_answering in (
+        running = [
             *also,
-            *((each.fingerprint, each.instance, True) for each in lost),
-        ):
-            others = sum(load.values()) if self.tells_load else load[instance]
-            others -= fingerprint != "deadly"
-            if fingerprint == "look-up":
-                is_answering = False
+            *(
+                (each.fingerprint, each.instance, each.is_answering)
+                for each in lost
+            ),
+        ]
+        load = collections.Counter(instance for _, instance, _ in running)
+        for fingerprint, instance, is_answering in running:
+            known = load.total() if self.tells_load else load[instance]
             self._attribute(
-                instance, fingerprint, process, is_answering, others
+                instance, fingerprint, process, is_answering, known - 1
             )
         for each in lost:
             if each.fingerprint.startswith("other"):
--- a/tests/steps/serving_crashing_parts.py
+++ b/tests/steps/serving_crashing_parts.py
@@ -199,8 +199,8 @@
         each.apply(attrs.evolve(CATALOGUE, routes=(route,)))
 
 
-def send(context, instance, parts, text=None):
-    """Send a request; return body or refusal.
+def begin(context, instance, parts, text=None):
+    """Send a request; return its forwarding, or raise RefusedError.
 
     Without a text, the body is one that no other request has.
     """
@@ -218,8 +218,13 @@
         "wsgi.input": io.BytesIO(body),
     }
     incoming = callers.CallerCodec().decode(environ)
+    return instance.accept(incoming, lambda: False)
+
+
+def send(context, instance, parts, text=None):
+    """Send a request as `begin`; return body or refusal."""
     try:
-        forwarding = instance.accept(incoming, lambda: False)
+        forwarding = begin(context, instance, parts, text)
     except errors.RefusedError as error:
         return error.refusal
     try:
--- a/tests/steps/serving_crashing_requests.py
+++ b/tests/steps/serving_crashing_requests.py
@@ -1,4 +1,3 @@
-import io
 import time
 
 from behave import given
@@ -6,7 +5,6 @@
 from behave import when
 
 from mulberryhollow import errors
-from mulberryhollow.platform import callers
 from tests.steps import serving_crashing_parts as parts
 
 TEXT = "the same"
@@ -31,19 +29,8 @@
 
 @given("the same request is under way at instance {number:d}")
 def begin_same(context, number):
-    environ = {
-        "REQUEST_METHOD": "POST",
-        "PATH_INFO": "/p/x",
-        "HTTP_HOST": "h",
-        "HTTP_ATTEMPT_ID": "under-way",
-        "HTTP_MODEL": "m",
-        "HTTP_PROMPT_PREFIX": "first:100",
-        "CONTENT_LENGTH": str(len(TEXT)),
-        "wsgi.input": io.BytesIO(TEXT.encode()),
-    }
-    incoming = callers.CallerCodec().decode(environ)
     instance = context.instances[number]
-    context.under_way = instance.accept(incoming, lambda: False)
+    context.under_way = parts.begin(context, instance, ["first"], TEXT)
 
 
 @when("the answer that is under way ends")
--- a/tests/steps/serving_ordered_moves.py
+++ b/tests/steps/serving_ordered_moves.py
@@ -171,23 +171,23 @@
     context.fleet.restart(count)
 
 
-@then("version {version} gets no request for {seconds:g} s")
-def check_withdrawn(context, version, seconds):
-    context.fleet.run(seconds)
-    sent = [
+def list_sent(context, version):
+    """Return the requests of a version since the latest restart."""
+    return [
         each
         for each in context.fleet.sent
         if each.version == version and each.sent_s >= context.restarted_s
     ]
+
+
+@then("version {version} gets no request for {seconds:g} s")
+def check_withdrawn(context, version, seconds):
+    context.fleet.run(seconds)
+    sent = list_sent(context, version)
     assert not sent, (len(sent), sent[0])
 
 
 @then("version {version} gets requests in {seconds:g} s")
 def check_tried(context, version, seconds):
     context.fleet.run(seconds)
-    sent = [
-        each
-        for each in context.fleet.sent
-        if each.version == version and each.sent_s >= context.restarted_s
-    ]
-    assert sent
+    assert list_sent(context, version)
