Callers: bodies of exactly the largest size are served

Cause: waitress refuses a body that reaches its limit, and counts the framing of chunks as body. The limit of the configuration is the largest size of a body.

--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -16,6 +16,7 @@
 
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.transport import request_parsing
 
 __all__ = [
     "ForwardApp",
@@ -283,6 +284,7 @@
 class _Channel(waitress_channel.HTTPChannel):
     """Connection of a caller, whose requests run as `_Task`."""
 
+    parser_class = request_parsing.RequestParser
     task_class = _Task
 
 
@@ -370,8 +372,10 @@
 
 def apply_limits(server, limits):
     """Apply IngressLimits (sizes, idle timeout) to a running server."""
-    server.adj.max_request_header_size = limits.header_bytes
-    server.adj.max_request_body_size = limits.body_bytes
+    # Waitress refuses what reaches its limits, and the limits are sizes that
+    # are still served.
+    server.adj.max_request_header_size = limits.header_bytes + 1
+    server.adj.max_request_body_size = limits.body_bytes + 1
     server.adj.channel_timeout = limits.idle_timeout_s
 
 
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -47,9 +47,9 @@
         Object store and usage API of the platform.
     endpoints : dict
         Name to PlatformEndpoint, for ``e1`` and ``e2``.
-    callers_port, ready_port, peer_port, forward_port : int
-        Ports of the instance for callers, readiness checks, gossip with
-        peers and the requests that peers forward.
+    callers_port, ready_port, control_port, peer_port, forward_port : int
+        Ports of the instance for callers, readiness checks, control pages,
+        gossip with peers and the requests that peers forward.
     process : subprocess.Popen
         Process of the instance.
     """
@@ -67,7 +67,7 @@
         self.callers_port, self.ready_port, *other_ports = (
             processes.find_free_ports(5)
         )
-        _, self.peer_port, self.forward_port = other_ports
+        self.control_port, self.peer_port, self.forward_port = other_ports
         self._numbers = itertools.count()
         self._folder = tempfile.TemporaryDirectory()
         path = pathlib.Path(self._folder.name) / "settings.json"
