Requests draw on a budget of memory, and have a time to arrive

What callers saw: clients that stop just short of the end of large bodies ended a process, which ran out of memory.

Cause: each connection had a limit, and nothing bounded all of them together; the servers for peers and pages had waitress's limit of 1 GiB, and the own daemon read 2 MiB of bodies that may have 256 KiB. What is forwarded was held two or three times. A head had no time of its own, and a body none at all.

Why the fix works: what one server holds for requests draws on a share of the process's memory. At the limit those requests yield that are being received and have held the most for longest, as size times age, and large ones leave a quarter to small ones. What is announced and finds no room is refused with the head. Bytes in the kernel are bounded by 16 KiB a connection. Heads and bodies have times. A refusal is sent by the server's thread; nothing of it has run, and it is charged to nobody. A large body is sent without a copy.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -7,6 +7,7 @@
 import attrs
 
 from mulberryhollow.coordination import configuration
+from mulberryhollow.coordination import intake
 from mulberryhollow.coordination import membership
 from mulberryhollow.coordination import rollout
 from mulberryhollow.daemon import pages
@@ -309,6 +310,11 @@
             host,
             port,
             self._settings.get(declared.THREADS),
+            intake.MemoryShares(
+                self._settings.get(declared.MEMORY_MB) * intake.MIB
+            ),
+            clock=self._clock,
+            count=self.observer.count,
         )
 
     def _apply(self, document):
--- a/mulberryhollow/daemon/settings.py
+++ b/mulberryhollow/daemon/settings.py
@@ -1,5 +1,6 @@
 """Settings of the entry daemon."""
 
+from mulberryhollow.coordination import intake
 from mulberryhollow.coordination import rollout
 from mulberryhollow import settings
 
@@ -14,6 +15,7 @@
     "INSTANCE",
     "LIST_INTERVAL_S",
     "LOAD_INTERVAL_S",
+    "MEMORY_MB",
     "MOVE_EVALUATION_INTERVAL_S",
     "NOTICE_INTERVAL_S",
     "PEER_ADDRESS",
@@ -113,6 +115,14 @@
     "threads",
     "maximum number of requests handled concurrently",
 )
+MEMORY_MB = settings.declare(
+    "callers",
+    "memory_mb",
+    _parse_count,
+    intake.DEFAULT_MEMORY_BYTES // intake.MIB,
+    "MiB",
+    "memory of the process; limits what is held for callers and peers",
+)
 GRACE_S = settings.declare(
     "callers",
     "grace_s",
--- a/mulberryhollow/platform/callers.py
+++ b/mulberryhollow/platform/callers.py
@@ -79,6 +79,26 @@
         headers.append(("Content-Type", "text/plain; charset=utf-8"))
         return http_server.Reply(status, tuple(headers), body)
 
+    def get_wait_s(self, headers):
+        """Return how long the caller of a request waits, in seconds.
+
+        Parameters
+        ----------
+        headers : dict
+            Header fields as waitress names them.
+
+        Returns
+        -------
+        float or None
+            None if the request does not tell, or not as a number.
+        """
+        name = header_names.REMAINING_TIME.upper().replace("-", "_")
+        with contextlib.suppress(errors.RefusedError):
+            return _read_timeout_s(
+                {_HEADER_PREFIX + name: headers.get(name, "")}
+            )
+        return None
+
 
 def _choose_status(refusal):
     """Return the HTTP status of a refusal."""
@@ -87,6 +107,7 @@
             errors.RefusalKind.MALFORMED
             | errors.RefusalKind.UNAUTHENTICATED
             | errors.RefusalKind.UNKNOWN_PATH
+            | errors.RefusalKind.OVERSIZE
         ):
             return refusal.kind.http_status
     if refusal.ran is errors.ExecutionStatus.NOT_RUN:
--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -12,6 +12,7 @@
 from mulberryhollow import clock as clocks
 from mulberryhollow.coordination import configuration
 from mulberryhollow.coordination import duties
+from mulberryhollow.coordination import intake
 from mulberryhollow.coordination import membership
 from mulberryhollow import metrics
 from mulberryhollow import platform as package
@@ -57,6 +58,7 @@
 from mulberryhollow.transport import forwarding
 from mulberryhollow.transport import gossip
 from mulberryhollow.transport import http_server
+from mulberryhollow.transport import intake as intakes
 
 __all__ = ["PlatformDaemon"]
 
@@ -583,25 +585,35 @@
     def _make_servers(self):
         """Return the HTTP servers by name."""
         settings = self._settings
+        shares = intake.MemoryShares(settings.memory_bytes)
+        options = {"clock": self._clock, "count": self.observer.count}
+        codec, peer_codec = callers.CallerCodec(), peer_forwarding.PeerCodec()
         servers = {
             "callers": http_server.make_server(
-                http_server.ForwardApp(self.ingress, callers.CallerCodec()),
+                http_server.ForwardApp(self.ingress, codec),
                 settings.callers_address,
                 MAX_CONCURRENT_REQUESTS,
                 settings.max_files,
+                intake=http_server.make_caller_intake(
+                    shares,
+                    settings.max_files - http_server.RESERVED_FILES,
+                    codec,
+                    **options,
+                ),
             ),
             "peers": http_server.make_server(
                 http_server.PathApp(
                     peer_requests.PATH,
-                    http_server.ForwardApp(
-                        self._peer_ingress, peer_forwarding.PeerCodec()
-                    ),
+                    http_server.ForwardApp(self._peer_ingress, peer_codec),
                     http_server.PageApp({"/metrics": self._render_metrics}),
                 ),
                 f"{settings.ip}:{settings.metrics_port}",
                 MAX_CONCURRENT_REQUESTS,
                 settings.max_files,
                 initial_threads=1,
+                intake=http_server.make_peer_intake(
+                    shares, peer_codec, **options
+                ),
             ),
             "pages": http_server.make_page_server(
                 {
@@ -611,6 +623,7 @@
                 },
                 settings.ready_address,
                 *filter(None, [settings.control_address]),
+                **options,
             ),
         }
         return servers
@@ -727,7 +740,7 @@
         catalogue = document.environment
         self._document = document
         self.ingress.apply(catalogue)
-        http_server.apply_limits(self._servers["callers"], catalogue.limits)
+        self._apply_limits(catalogue)
         quotas = {each.name: each.quota for each in catalogue.accounts or ()}
         self.dispatcher.change(
             lambda actor, now_s: actor.quotas.set_quotas(quotas)
@@ -750,6 +763,27 @@
         )
         self._publish_document(document)
 
+    def _apply_limits(self, catalogue):
+        """Apply the limits on requests to the servers that take them."""
+        # No caller waits longer than the longest of the routes' timeouts.
+        body_timeout_s = max(
+            (route.timeout_s for route in catalogue.routes),
+            default=intakes.DEFAULT_BODY_TIMEOUT_S,
+        )
+        limits = catalogue.limits
+        http_server.apply_limits(
+            self._servers["callers"], limits, body_timeout_s
+        )
+        http_server.apply_limits(
+            self._servers["peers"],
+            attrs.evolve(
+                limits,
+                body_bytes=limits.body_bytes + peer_requests.MAX_FIELDS_BYTES,
+                idle_timeout_s=http_server.PEER_IDLE_TIMEOUT_S,
+            ),
+            body_timeout_s,
+        )
+
     def _publish_document(self, document):
         """Publish the active configuration document to the peers."""
         self._fact_peering.publish_document(
@@ -783,7 +817,11 @@
         text = metrics_page.render_metrics(
             self.observer.list_counts(),
             self.observer.histograms.snapshot(),
-            self.observer.list_gauges(),
+            self.observer.list_gauges()
+            | {
+                f"intake_bytes.{name}": server.intake.held_bytes
+                for name, server in self._servers.items()
+            },
         )
         if self._evacuation_watcher is not None:
             contact_s = self._followers["evacuations"].last_contact_s
--- a/mulberryhollow/platform/records.py
+++ b/mulberryhollow/platform/records.py
@@ -334,6 +334,10 @@
             fields, "idleTimeoutMs", default.idle_timeout_s * _MS_PER_S
         )
         / _MS_PER_S,
+        header_timeout_s=_get_finite(
+            fields, "headerTimeoutMs", default.header_timeout_s * _MS_PER_S
+        )
+        / _MS_PER_S,
     )
 
 
--- a/mulberryhollow/platform/settings.py
+++ b/mulberryhollow/platform/settings.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from mulberryhollow.coordination import intake
 from mulberryhollow.coordination import limits
 from mulberryhollow.coordination import rollout
 from mulberryhollow import errors
@@ -90,6 +91,8 @@
         Control addresses of some instances; they may be out of date.
     max_files : int
         Maximum number of open file descriptors of the process.
+    memory_bytes : int
+        Memory of the process, in bytes.
     store_address : str
         ``host:port`` of the object API.
     cloud_address : str
@@ -128,6 +131,7 @@
     has_placement_rules: bool = False
     has_moves: bool = False
     domain_regions: dict = attrs.field(factory=dict)
+    memory_bytes: int = intake.DEFAULT_MEMORY_BYTES
 
 
 def decode_settings(text):
@@ -171,6 +175,7 @@
         max_files=int(
             decoding.get_number(fields["limits"], "maxFds", lowest=1)
         ),
+        memory_bytes=_decode_memory(fields["limits"]),
         store_address=str(fields["platform"]["address"]),
         cloud_address=str(cloud.get("address") or ""),
         is_first_start=bool(fields.get("bootstrap")),
@@ -187,6 +192,13 @@
     )
 
 
+def _decode_memory(limits):
+    """Return the memory of the process, in bytes."""
+    default_mib = intake.DEFAULT_MEMORY_BYTES / intake.MIB
+    size_mib = decoding.get_number(limits, "memoryMb", default_mib, lowest=1)
+    return int(size_mib * intake.MIB)
+
+
 def _check_port(port):
     """Return a port among the internal ports, or raise ValueError."""
     fields = {"internalPorts": port}
--- a/mulberryhollow/protocol/peer_requests.py
+++ b/mulberryhollow/protocol/peer_requests.py
@@ -85,6 +85,14 @@
     endpoint_id: str = ""
 
 
+MAX_FIELDS_BYTES = 256 * 1024
+"""Largest size of the fields before the payload's body in a call, in bytes.
+
+The head of a caller's request, its decoded prompt and the escapes of JSON stay
+below it.
+"""
+
+
 def encode_call(request, remaining_s, last_event_id):
     """Return the EndpointCall by which a peer gets a ForwardRequest.
 
--- a/mulberryhollow/serving/peer_forwarding.py
+++ b/mulberryhollow/serving/peer_forwarding.py
@@ -402,6 +402,9 @@
         status, headers = peer_requests.encode_refusal(refusal)
         return http_server.Reply(status, headers)
 
+    def get_wait_s(self, headers):
+        """Return None: the body of a call names the time that is left."""
+
     def decode_head(self, status, headers):
         """Return the PeerHead for the head of a peer's answer.
 
--- a/mulberryhollow/state/catalogue.py
+++ b/mulberryhollow/state/catalogue.py
@@ -272,11 +272,14 @@
         Maximum size of a request's header and body, in bytes.
     idle_timeout_s : float
         Time after which an idle connection is closed, in seconds.
+    header_timeout_s : float
+        Longest time from the first byte of a header to its end, in seconds.
     """
 
     header_bytes: int = 16384
     body_bytes: int = 4194304
     idle_timeout_s: float = 15.0
+    header_timeout_s: float = 15.0
 
 
 @attrs.frozen(slots=False)
--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -8,29 +8,24 @@
 import re
 
 import attrs
-import waitress
 
 from mulberryhollow import errors
 from mulberryhollow import events
 from mulberryhollow.protocol import callers as messages
 from mulberryhollow.state import environment as environment_module
 from mulberryhollow.transport import http_server
+from mulberryhollow.transport import intake as intakes
+from mulberryhollow.transport import served_connections
 
-__all__ = ["CallerApp", "is_idle", "make_server"]
-
-MAX_READ_BYTES = 2 * 1024 * 1024
-"""Largest request body that waitress reads, in bytes.
-
-A body above `protocol.callers.MAX_BODY_BYTES` is read and then refused.
-"""
+__all__ = ["CallerApp", "IntakeCodec", "is_idle", "make_server"]
 
 IDLE_AFTER_S = 0.25
 """Time without a byte after which a connection is idle, in seconds."""
 
-_BUFFER_BYTES = 64 * 1024 * 1024
-_WATERMARK_BYTES = 256 * 1024
+_SPARE_CONNECTIONS = 100
 _LISTEN_BACKLOG = 1024
 _SERVICE_PATH = re.compile(r"/v1/services/([A-Za-z0-9._-]+)/([a-z]+)")
+_SLOWEST_CLASS = environment_module.RequestClass.PATIENT
 _BOOKING_CLASS = environment_module.RequestClass.BOOKING.value
 _KINDS_BEFORE_LOOKUP = (
     errors.RefusalKind.NO_CAPACITY,
@@ -62,6 +57,11 @@
         self._gateway = gateway
         self._pages = pages
 
+    @property
+    def instance(self):
+        """Id of this instance."""
+        return self._gateway.instance
+
     def __call__(self, environ, start_response):
         """Answer one request."""
         exchange = _Exchange(self._gateway, environ, start_response)
@@ -201,14 +201,8 @@
         )
 
     def _read_body(self):
-        """Return the request body, which waitress has already buffered."""
+        """Return the request body, which the server has received whole."""
         length = int(self._environ.get("CONTENT_LENGTH") or 0)
-        if length > messages.MAX_BODY_BYTES:
-            raise messages.refuse(
-                errors.RefusalKind.OVERSIZE,
-                f"the request body has {length} bytes",
-                f"send at most {messages.MAX_BODY_BYTES} bytes",
-            )
         return self._environ["wsgi.input"].read(length)
 
     def _resume(self, account, request_id):
@@ -279,10 +273,7 @@
     def _send_refusal(self, refusal):
         """Send a refusal as the response."""
         body = messages.encode_refusal(refusal, self._request_id)
-        headers = ()
-        if refusal.retry_after_s is not None:
-            seconds = math.ceil(refusal.retry_after_s)
-            headers = (("Retry-After", str(seconds)),)
+        headers = _make_retry_after(refusal)
         return self.send(
             http_server.Reply(refusal.kind.http_status, headers, body)
         )
@@ -397,7 +388,49 @@
 )
 
 
-def make_server(app, host, port, threads):
+class IntakeCodec:
+    """Codec of refusals of requests that have not arrived completely.
+
+    Parameters
+    ----------
+    instance : str
+        Id of this instance.
+    """
+
+    def __init__(self, instance):
+        self._instance = instance
+
+    def encode_refusal(self, refusal):
+        """Return the Reply for a refusal."""
+        request_id = messages.make_request_id(self._instance)
+        headers = (
+            ("Content-Type", "application/json"),
+            ("X-Request-Id", request_id),
+            ("X-Instance", self._instance),
+            *_make_retry_after(refusal),
+        )
+        body = messages.encode_refusal(refusal, request_id)
+        return http_server.Reply(refusal.kind.http_status, headers, body)
+
+    def get_wait_s(self, headers):
+        """Return how long the caller of a request waits, in seconds.
+
+        None if the request does not tell, or not as a timeout.
+        """
+        text = headers.get("X_TIMEOUT_S", "")
+        with contextlib.suppress(errors.RefusedError):
+            return messages.parse_timeout(text, _SLOWEST_CLASS)
+        return None
+
+
+def _make_retry_after(refusal):
+    """Return the headers that tell when to send a refused request again."""
+    if refusal.retry_after_s is None:
+        return ()
+    return (("Retry-After", str(math.ceil(refusal.retry_after_s))),)
+
+
+def make_server(app, host, port, threads, shares, **options):
     """Return a waitress server that buffers requests in memory only.
 
     Parameters
@@ -410,22 +443,30 @@
         Port; 0 picks a free one.
     threads : int
         Number of worker threads: requests answered concurrently.
+    shares : MemoryShares
+        Memory of the servers of the process.
+    **options
+        Passed to `Intake`.
     """
-    return waitress.create_server(
+    intake = http_server.make_caller_intake(
+        shares,
+        2 * threads + _SPARE_CONNECTIONS,
+        IntakeCodec(app.instance),
+        **options,
+    )
+    intake.apply(
+        intakes.IntakeLimits(
+            body_bytes=messages.MAX_BODY_BYTES,
+            body_timeout_s=messages.MAX_TIMEOUT_S,
+        )
+    )
+    return served_connections.create_server(
         app,
-        host=host,
-        port=port,
+        intake,
+        f"{host}:{port}",
         threads=threads,
         backlog=_LISTEN_BACKLOG,
-        connection_limit=2 * threads + 100,
-        channel_request_lookahead=1,
-        max_request_body_size=MAX_READ_BYTES,
-        inbuf_overflow=_BUFFER_BYTES,
-        outbuf_overflow=_BUFFER_BYTES,
-        outbuf_high_watermark=_WATERMARK_BYTES,
-        asyncore_use_poll=True,
         clear_untrusted_proxy_headers=True,
-        ident="",
     )
 
 
@@ -443,8 +484,7 @@
         Wall-clock time, in Unix seconds.
     """
     return not any(
-        channel.requests
-        or channel.request
+        not channel.is_idle
         or channel.total_outbufs_len
         or now_s - channel.last_activity < IDLE_AFTER_S
         or http_server.is_awaiting_first_request(channel, now_s)
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -131,13 +131,17 @@
         EndpointError
             NotSent when no byte has been sent, else Broken or Silent.
         """
-        data = memoryview(_encode_head(call) + call.body)
+        # The head and the start of the body make one segment; the rest of a
+        # large body is not copied.
+        first = memoryview(_encode_head(call) + call.body[:MAX_TRANSFER_BYTES])
+        rest = memoryview(call.body)[MAX_TRANSFER_BYTES:]
+        size = len(first) + len(rest)
         self._response = self._guard = None
         self.earlier_requests += 1
         self._request_ids.append(call.request_id)
         self.sock.settimeout(timeout_s)
         sent = 0
-        while sent < len(data):
+        while sent < size:
             try:
                 ready = _poll(
                     self.sock, select.POLLOUT | select.POLLIN, timeout_s
@@ -151,10 +155,12 @@
                 if ready & select.POLLIN:
                     fault = streams.NotSent("bytes came before the request")
                     raise errors.EndpointError(fault)
-                sent += self.sock.send(data[sent : sent + MAX_TRANSFER_BYTES])
+                in_rest = sent - len(first)
+                piece = first[sent:] if in_rest < 0 else rest[in_rest:]
+                sent += self.sock.send(piece[:MAX_TRANSFER_BYTES])
             except OSError as error:
                 raise _classify_error(error, sent, timeout_s) from error
-        self.is_request_complete = sent == len(data)
+        self.is_request_complete = sent == size
 
     def receive(self, method, timeout_s):
         """Return (status, headers) of the next response, but no interim one.
--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -2,21 +2,21 @@
 
 import contextlib
 import ctypes
-import http
 import logging
 import socket
 import struct
 import threading
 
-import attrs
-import waitress
-from waitress import channel as waitress_channel
 from waitress import task as waitress_task
 from waitress import wasyncore
 
+from mulberryhollow.coordination import intake as decisions
 from mulberryhollow import errors
 from mulberryhollow import events
-from mulberryhollow.transport import request_parsing
+from mulberryhollow.transport import intake as intakes
+from mulberryhollow.transport.replies import format_status
+from mulberryhollow.transport.replies import Reply
+from mulberryhollow.transport import served_connections
 
 __all__ = [
     "ForwardApp",
@@ -29,7 +29,9 @@
     "format_status",
     "ignore_connections",
     "is_awaiting_first_request",
+    "make_caller_intake",
     "make_page_server",
+    "make_peer_intake",
     "make_server",
     "stop_accepting",
 ]
@@ -37,15 +39,25 @@
 BACKLOG = 1024
 """Length of the listen queue: connections not yet accepted."""
 
-RESERVED_FILES = 400
-"""File descriptors reserved for endpoints, peers and the platform."""
+RESERVED_FILES = 1000
+"""File descriptors reserved for files, endpoints, peers, pages and the
+platform."""
 
-OUT_BUFFER_BYTES = 256 * 1024
-"""Bytes of one response that are buffered for a slow caller.
+PEER_CONNECTIONS = 256
+"""Largest number of connections of peers that forward requests."""
 
-Above this, reading from the endpoint pauses.
+PEER_IDLE_TIMEOUT_S = 30.0
+"""Time after which an idle connection of a peer is closed, in seconds.
+
+Peers use a connection again within 15 s.
 """
 
+PAGE_CONNECTIONS = 64
+"""Largest number of connections to this instance's own pages."""
+
+PAGE_IDLE_TIMEOUT_S = 30
+"""Time after which an idle connection to a page is closed, in seconds."""
+
 CLEANUP_INTERVAL_S = 1.0
 """Interval between checks for idle connections, in seconds."""
 
@@ -97,25 +109,6 @@
 )
 
 
-@attrs.frozen
-class Reply:
-    """A complete response made by this instance, not by an endpoint.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    headers : tuple of (str, str)
-        Response headers without Content-Length.
-    body : bytes
-        Response body.
-    """
-
-    status: int
-    headers: tuple = ()
-    body: bytes = b""
-
-
 class ForwardApp:
     """WSGI application that forwards requests to endpoints.
 
@@ -235,14 +228,6 @@
     return [reply.body]
 
 
-def format_status(status):
-    """Return status code and reason phrase for a status code."""
-    try:
-        return f"{status} {http.HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"{status} Unknown"
-
-
 _CALLER_DISCONNECTED_REPLY = Reply(503)
 _INTERNAL_ERROR_REPLY = Reply(502)
 
@@ -281,10 +266,9 @@
         return super().build_response_header()
 
 
-class _Channel(waitress_channel.HTTPChannel):
+class _Connection(served_connections.Connection):
     """Connection of a caller, whose requests run as `_Task`."""
 
-    parser_class = request_parsing.RequestParser
     task_class = _Task
 
 
@@ -314,7 +298,12 @@
 
 
 def make_server(
-    app, address, threads, max_files, initial_threads=INITIAL_THREADS
+    app,
+    address,
+    threads,
+    max_files,
+    initial_threads=INITIAL_THREADS,
+    intake=None,
 ):
     """Return a waitress server for callers.
 
@@ -330,28 +319,65 @@
         Limit on open file descriptors of the process.
     initial_threads : int
         Number of worker threads at the start.
+    intake : Intake or None
+        Limits what is held for the callers; None for that of a process
+        with the default memory.
     """
-    server = waitress.create_server(
+    intake = intake or make_caller_intake(
+        decisions.MemoryShares(), max_files - RESERVED_FILES, None
+    )
+    server = served_connections.create_server(
         app,
-        listen=address,
-        _dispatcher=_GrowingDispatcher(threads, initial_threads),
+        intake,
+        address,
+        _GrowingDispatcher(threads, initial_threads),
         backlog=BACKLOG,
-        connection_limit=max(100, max_files - RESERVED_FILES),
-        channel_request_lookahead=1,
         cleanup_interval=CLEANUP_INTERVAL_S,
-        inbuf_overflow=1 << 30,
-        outbuf_overflow=1 << 30,
-        outbuf_high_watermark=OUT_BUFFER_BYTES,
-        asyncore_use_poll=True,
         clear_untrusted_proxy_headers=False,
-        ident="",
     )
-    server.channel_class = _Channel
+    server.channel_class = _Connection
     server.is_leaving = False
     return server
 
 
-def make_page_server(pages, *addresses):
+def make_caller_intake(shares, max_connections, codec, **options):
+    """Return the Intake of a server for callers.
+
+    Parameters
+    ----------
+    shares : MemoryShares
+        Memory of the servers of the process.
+    max_connections : int
+        Largest number of connections that the descriptors or the threads
+        allow.
+    codec : object
+        Codec of the server's refusals, as for `Intake`.
+    **options
+        Passed to `Intake`.
+    """
+    return intakes.Intake(
+        "callers",
+        decisions.compute_connections(shares.memory_bytes, max_connections),
+        shares.compute_callers,
+        shares.unread_bytes,
+        codec,
+        **options,
+    )
+
+
+def make_peer_intake(shares, codec, **options):
+    """Return the Intake of a server for requests that peers forward."""
+    return intakes.Intake(
+        "peers",
+        PEER_CONNECTIONS,
+        shares.compute_peers,
+        shares.unread_bytes,
+        codec,
+        **options,
+    )
+
+
+def make_page_server(pages, *addresses, **options):
     """Return a waitress server for this instance's own pages.
 
     Parameters
@@ -360,22 +386,47 @@
         Path to a function that returns a Reply.
     *addresses : str
         ``host:port`` of each socket to listen on; all serve every page.
+    **options
+        Passed to `Intake`.
     """
-    return waitress.create_server(
+    intake = intakes.Intake(
+        "pages",
+        PAGE_CONNECTIONS,
+        lambda largest_bytes: decisions.PAGE_BYTES,
+        decisions.PAGE_BYTES,
+        **options,
+    )
+    return served_connections.create_server(
         PageApp(pages),
-        listen=" ".join(addresses),
+        intake,
+        " ".join(addresses),
         threads=PAGE_THREADS,
-        asyncore_use_poll=True,
-        ident="",
+        channel_timeout=PAGE_IDLE_TIMEOUT_S,
+        cleanup_interval=CLEANUP_INTERVAL_S,
     )
 
 
-def apply_limits(server, limits):
-    """Apply IngressLimits (sizes, idle timeout) to a running server."""
-    # Waitress refuses what reaches its limits, and the limits are sizes that
-    # are still served.
-    server.adj.max_request_header_size = limits.header_bytes + 1
-    server.adj.max_request_body_size = limits.body_bytes + 1
+def apply_limits(server, limits, body_timeout_s):
+    """Apply IngressLimits to a running server.
+
+    Parameters
+    ----------
+    server : Server
+        The server.
+    limits : IngressLimits
+        Sizes and timeouts.
+    body_timeout_s : float
+        Longest time for a body, in seconds.
+    """
+    served_connections.apply_limits(
+        server,
+        intakes.IntakeLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            body_timeout_s,
+        ),
+    )
     server.adj.channel_timeout = limits.idle_timeout_s
 
 
@@ -417,8 +468,7 @@
 def _close_idle(server, now_s):
     """Mark idle connections for closing, in the server's thread."""
     for channel in list(server.active_channels.values()):
-        is_busy = channel.requests or channel.request
-        if not (is_busy or is_awaiting_first_request(channel, now_s)):
+        if channel.is_idle and not is_awaiting_first_request(channel, now_s):
             channel.will_close = True
 
 
--- /dev/null
+++ b/mulberryhollow/transport/served_connections.py
@@ -0,0 +1,289 @@
+"""Connections of clients to a waitress server, bounded all together."""
+
+import contextlib
+import socket
+import time
+
+import attrs
+from waitress import adjustments
+from waitress import channel as waitress_channel
+from waitress import server as waitress_server
+from waitress import task as waitress_task
+
+from mulberryhollow.transport import intake as intakes
+from mulberryhollow.transport import replies
+
+__all__ = ["Connection", "Server", "create_server"]
+
+READ_BYTES = 16 * 1024
+"""Largest number of bytes that are read from a connection at a time."""
+
+DENSE_READ_BYTES = 1024
+"""Largest number of bytes that are read at a time of a body in tiny chunks.
+
+Each chunk costs time, in which no other connection is read.
+"""
+
+RECEIVE_BUFFER_BYTES = 16 * 1024
+"""Size of a connection's receive buffer, in bytes.
+
+The system allows twice as much for its own structures. What waits there is
+memory of the process as well.
+"""
+
+OUT_BUFFER_BYTES = 256 * 1024
+"""Bytes of answers that are buffered for a slow client.
+
+Above this, reading from the endpoint pauses.
+"""
+
+UNLIMITED = 1 << 30
+"""Value of a limit of waitress that does not apply."""
+
+
+@attrs.frozen
+class _ReplyError:
+    """Error of a request for waitress, answered with a given Reply."""
+
+    reply: object
+
+    def to_response(self, ident=None):
+        """Return status line, headers and body."""
+        reply = self.reply
+        status = replies.format_status(reply.status)
+        return status, list(reply.headers), reply.body
+
+
+class Connection(waitress_channel.HTTPChannel):
+    """Connection of a client whose requests draw on the server's intake."""
+
+    _is_refused = False
+    _read_bytes = READ_BYTES
+
+    @property
+    def is_idle(self):
+        """Whether nothing of a request has arrived that is not answered."""
+        return not (self.requests or self.request)
+
+    def readable(self):
+        """Return whether to wait for bytes of the client."""
+        return not self._is_refused and super().readable()
+
+    def handle_read(self):
+        """Read once from the client."""
+        try:
+            data = self.recv(self._read_bytes)
+        except OSError:
+            self.handle_close()
+            return
+        if not data:
+            self.connected = False
+        else:
+            self.last_activity = time.time()
+            self.received(data)
+
+    def received(self, data):
+        """Parse bytes of the client; start requests that are complete."""
+        if not data:
+            return False
+        with self.requests_lock:
+            if self.will_close or self.close_when_flushed or self._is_refused:
+                return False
+            yielding = self._parse(data)
+        for each in yielding:
+            each.refuse(intakes.NO_ROOM)
+        return True
+
+    def handle_close(self):
+        """Close the connection; release what it holds."""
+        # A thread that answers a request may find the connection broken.
+        self.server.intake.forget(self)
+        # The first request may be running; its thread closes it.
+        for request in self.requests[1:]:
+            request.close()
+        super().handle_close()
+
+    def end(self):
+        """Close the connection, also if the client does not read."""
+        self.will_close = True
+        # Waiting for room in the send buffer might never end; the shutdown
+        # wakes the server's thread.
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def refuse(self, refusal):
+        """Refuse the request that is being received, if there is one."""
+        with self.requests_lock:
+            if self.request is not None and not self._is_refused:
+                reply = self.server.intake.encode(refusal, self.request)
+                self._reject(reply)
+
+    def check_time(self):
+        """Refuse a request whose time has passed."""
+        if self.request is not None:
+            refusal = self.server.intake.find_late(self.request)
+            if refusal is not None:
+                self.refuse(refusal)
+
+    def _parse(self, data):
+        """Parse bytes; return the connections whose requests yield."""
+        intake = self.server.intake
+        yielding = []
+        while data and not self._is_refused:
+            if self.request is None:
+                self.request = intake.begin(self.adj)
+            request = self.request
+            had_head = request.headers_finished
+            data = data[request.received(data) :]
+            if request.error is not None:
+                self._reject(intake.encode_error(request))
+                break
+            if request.headers_finished and not had_head:
+                refusal = intake.screen(request)
+                if refusal is not None:
+                    self._reject(intake.encode(refusal, request))
+                    break
+            yielding += intake.hold(self, request)
+            if self in yielding:
+                break
+            self._advance(request)
+        return yielding
+
+    def _advance(self, request):
+        """Ask for the body of a request, or start a complete one."""
+        self._read_bytes = DENSE_READ_BYTES if request.is_dense else READ_BYTES
+        if not request.completed:
+            is_asked = request.expect_continue and request.headers_finished
+            if is_asked and not self.requests and not self.sent_continue:
+                self.send_continue()
+            return
+        self.sent_continue = False
+        self.request = None
+        if request.empty:
+            request.close()
+            return
+        self.requests.append(request)
+        if len(self.requests) == 1:
+            self.server.add_task(self)
+
+    def _reject(self, reply):
+        """Answer the request that is being received, and read no other.
+
+        The answers to earlier requests of the connection go first.
+        """
+        request, self.request = self.request, None
+        self._is_refused = True
+        self.server.intake.drop(self)
+        request.close()
+        if self.requests:
+            request.error = _ReplyError(reply)
+            request.completed = True
+            self.requests.append(request)
+            return
+        data = replies.encode_reply(reply)
+        with self.outbuf_lock:
+            self.outbufs[-1].append(data)
+            self.total_outbufs_len += len(data)
+            self.close_when_flushed = True
+            self._flush_exception(self._flush_some, do_close=False)
+
+
+class Server(waitress_server.TcpWSGIServer):
+    """Waitress server whose clients share an intake.
+
+    Parameters
+    ----------
+    app : callable
+        The WSGI application.
+    intake : Intake
+        Limits what is held for the clients.
+    socket_map : dict
+        Sockets that the thread of the server waits for.
+    **options
+        Passed to waitress.
+    """
+
+    channel_class = Connection
+
+    def __init__(self, app, intake, socket_map, **options):
+        self.intake = intake
+        super().__init__(app, socket_map, **options)
+
+    def bind_server_socket(self):
+        """Bind the socket; its connections get small receive buffers."""
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        super().bind_server_socket()
+
+    def maintenance(self, now):
+        """End idle connections, and requests whose time has passed.
+
+        Parameters
+        ----------
+        now : float
+            Wall-clock time, in Unix seconds.
+        """
+        cutoff_s = now - self.adj.channel_timeout
+        for connection in list(self.active_channels.values()):
+            if connection.requests:
+                continue
+            if connection.last_activity < cutoff_s:
+                connection.end()
+            else:
+                connection.check_time()
+        self.intake.settle()
+
+
+def create_server(app, intake, listen, dispatcher=None, **options):
+    """Return a Server, which serves all of the addresses.
+
+    Parameters
+    ----------
+    app : callable
+        The WSGI application.
+    intake : Intake
+        Limits what is held for the clients.
+    listen : str
+        ``host:port`` of each socket to listen on, separated by spaces.
+    dispatcher : ThreadedTaskDispatcher or None
+        Threads that answer requests; None for as many as the options say.
+    **options
+        Adjustments of waitress.
+    """
+    options = {
+        "channel_request_lookahead": 1,
+        "connection_limit": intake.connections,
+        "inbuf_overflow": UNLIMITED,
+        "outbuf_high_watermark": OUT_BUFFER_BYTES,
+        "outbuf_overflow": UNLIMITED,
+        "asyncore_use_poll": True,
+        "ident": "",
+    } | options
+    adjusted = adjustments.Adjustments(listen=listen, **options)
+    if dispatcher is None:
+        dispatcher = waitress_task.ThreadedTaskDispatcher()
+        dispatcher.set_thread_count(adjusted.threads)
+    socket_map = {}
+    servers = [
+        Server(
+            app,
+            intake,
+            socket_map,
+            dispatcher=dispatcher,
+            adj=adjusted,
+            sockinfo=each,
+        )
+        for each in adjusted.listen
+    ]
+    apply_limits(servers[0], intake.limits)
+    return servers[0]
+
+
+def apply_limits(server, limits):
+    """Apply IntakeLimits to a server and to its intake."""
+    # Waitress refuses what reaches its limits, and the limits are sizes that
+    # are still served.
+    server.adj.max_request_header_size = limits.header_bytes + 1
+    server.adj.max_request_body_size = limits.body_bytes + 1
+    server.intake.apply(limits)
--- /dev/null
+++ b/tests/daemon/misbehaving_clients.feature
@@ -0,0 +1,31 @@
+Feature: Clients that misbehave leave an entry daemon alive
+
+  # Guards against a process that runs out of memory: each connection had a
+  # limit, and nothing bounded all of them together (issue 52).
+  Scenario Outline: A crowd stays within the memory of an entry daemon
+    Given an entry daemon with the default limits on memory
+    When <count> clients send <what> of <kib> KiB to it and stay
+    Then the process lives and has held at most 256 MiB
+    And a lookup is answered by it
+
+    Examples:
+      | count | kib  | what                          |
+      | 1000  | 256  | bodies a byte short           |
+      | 200   | 2048 | bodies a byte short in pieces |
+      | 200   | 2048 | large chunks without an end   |
+      | 40    | 256  | chunks of a byte without an end |
+      | 20    | 1024 | an announced length of 8 GiB  |
+      | 20    | 1024 | chunks far over the limit     |
+
+  # Guards against a legal request that is refused on an idle daemon.
+  Scenario Outline: A single body of the largest size is served by an entry daemon
+    Given an entry daemon with the default limits on memory
+    When a lookup of 262144 bytes is sent to it <how>
+    Then it is answered with 200
+
+    Examples:
+      | how                   |
+      | with its length       |
+      | as one chunk          |
+      | in chunks of 1 bytes  |
+      | after an interim answer |
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -107,15 +107,14 @@
 @given("a server with a connection that has sent a part of a request")
 def open_partial(context):
     open_connection(context, 0.5, 0.3)
-    context.channel.request = object()
+    context.channel.is_idle = False
 
 
 def open_connection(context, opened_ago_s, used_ago_s):
     context.channel = types.SimpleNamespace(
         creation_time=NOW_S - opened_ago_s,
         last_activity=NOW_S - used_ago_s,
-        requests=[],
-        request=None,
+        is_idle=True,
         total_outbufs_len=0,
         will_close=False,
     )
