Callers: a refusal reaches a caller that is still sending

What callers saw: a body of 4 MiB under a limit of 1 MiB (256 KiB at the product's own daemon) ended in a reset of the connection, without a status: two of five cases of "The refusal of a body over the limit reaches its caller" at the platform's daemon, and one of four at the own daemon, on.

Cause: the connection was closed right after the refusal, with bytes of the body unread, and closing a connection with unread bytes resets it.

Why the fix works: after a refusal the connection is closed for sending only, and what still comes is read and dropped, up to 16 MiB and 2 s.

--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -31,6 +31,16 @@
 memory of the process as well.
 """
 
+DRAIN_BYTES = 16 * 1024 * 1024
+"""Bytes that are read and dropped after a refusal.
+
+A client that is still sending would otherwise find its connection reset, and
+not see the refusal.
+"""
+
+DRAIN_S = 2.0
+"""Time in which bytes are dropped after a refusal, in seconds."""
+
 OUT_BUFFER_BYTES = 256 * 1024
 """Bytes of answers that are buffered for a slow client.
 
@@ -58,6 +68,8 @@
     """Connection of a client whose requests draw on the server's intake."""
 
     _is_refused = False
+    _drain_bytes = 0
+    _drain_end_s = None
     _read_bytes = READ_BYTES
 
     @property
@@ -65,8 +77,15 @@
         """Whether nothing of a request has arrived that is not answered."""
         return not (self.requests or self.request)
 
+    @property
+    def is_draining(self):
+        """Whether what the client still sends is dropped."""
+        return self._drain_end_s is not None
+
     def readable(self):
         """Return whether to wait for bytes of the client."""
+        if self.is_draining:
+            return not self.will_close
         return not self._is_refused and super().readable()
 
     def handle_read(self):
@@ -78,6 +97,10 @@
             return
         if not data:
             self.connected = False
+        elif self.is_draining:
+            self._drain_bytes -= len(data)
+            if self._drain_bytes <= 0:
+                self.end()
         else:
             self.last_activity = time.time()
             self.received(data)
@@ -94,6 +117,19 @@
             each.refuse(intakes.NO_ROOM)
         return True
 
+    def handle_write(self):
+        """Send what is waiting; end a connection that is to be closed."""
+        if not self._is_refused or self.will_close or self.requests:
+            super().handle_write()
+            return
+        if self.total_outbufs_len:
+            self._flush_exception(self._flush_some)
+        if self.will_close:
+            self.handle_close()
+        elif self.close_when_flushed and not self.total_outbufs_len:
+            self.close_when_flushed = False
+            self._begin_draining()
+
     def handle_close(self):
         """Close the connection; release what it holds."""
         # A thread that answers a request may find the connection broken.
@@ -119,8 +155,11 @@
                 self._reject(reply)
 
     def check_time(self):
-        """Refuse a request whose time has passed."""
-        if self.request is not None:
+        """Refuse a request whose time has passed; end a long drain."""
+        if self.is_draining:
+            if time.monotonic() >= self._drain_end_s:
+                self.end()
+        elif self.request is not None:
             refusal = self.server.intake.find_late(self.request)
             if refusal is not None:
                 self.refuse(refusal)
@@ -187,6 +226,16 @@
             self.close_when_flushed = True
             self._flush_exception(self._flush_some, do_close=False)
 
+    def _begin_draining(self):
+        """Drop what the client still sends, so that it sees the refusal."""
+        self._drain_bytes = DRAIN_BYTES
+        self._drain_end_s = time.monotonic() + DRAIN_S
+        self._read_bytes = READ_BYTES
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.will_close = True
+
 
 class Server(waitress_server.TcpWSGIServer):
     """Waitress server whose clients share an intake.
--- a/tests/daemon/misbehaving_clients.feature
+++ b/tests/daemon/misbehaving_clients.feature
@@ -29,3 +29,16 @@
       | as one chunk          |
       | in chunks of 1 bytes  |
       | after an interim answer |
+
+  # Guards against a refusal that its caller never sees.
+  Scenario Outline: An entry daemon's refusal of a long body reaches its caller
+    Given an entry daemon with the default limits on memory
+    When a lookup of <size> bytes is sent to it <how>
+    Then it is answered with 413
+
+    Examples:
+      | size    | how                     |
+      | 262145  | with its length         |
+      | 262145  | as one chunk            |
+      | 4194304 | with its length         |
+      | 4194304 | in chunks of 4096 bytes |
--- a/tests/platform/misbehaving_clients.feature
+++ b/tests/platform/misbehaving_clients.feature
@@ -56,3 +56,20 @@
       | 1048576 | in chunks of 524288 bytes        |
       | 1048576 | after an interim answer          |
       | 1048576 | in chunks after an interim answer |
+
+  # Guards against a refusal that its caller never sees, as the connection is
+  # reset while the body is still being sent.
+  Scenario Outline: The refusal of a body over the limit reaches its caller
+    Given an instance with 160 MiB of memory and 4100 descriptors
+    And its callers may send bodies of 1 MiB
+    When a client sends a body of <size> bytes <how>
+    Then the request is answered with 413
+    And no endpoint got a request
+
+    Examples:
+      | size    | how                     |
+      | 1048577 | with its length         |
+      | 1048577 | as one chunk            |
+      | 4194304 | with its length         |
+      | 4194304 | in chunks of 4096 bytes |
+      | 1048577 | after an interim answer |
