Connections: stalled ones give way to new ones

What callers saw: beside 700 connections left open with a body hardly begun, or with nothing sent, an ordinary request got no answer within 60 s (limit of 200 connections); nor did a readiness check beside as many to the pages, nor a look-up beside 1,000 or 1,500 to the product's own daemon.

Cause: at the limit of connections the listener is not read any more, and no connection ends before its idle timeout. The limits of the servers together were above the descriptors of the process.

Why the fix works: one connection too many closes others: refused ones, stalled ones, those that never sent anything, then those between two requests, the longest silent first; never one whose request is being answered. 1/64 of the limit is closed at once, so the search is rare. A closed connection is shut down, since waiting for room in the send buffer of a client that does not read might never end. Several connections are accepted in one turn.

--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -1,6 +1,7 @@
 """Connections of clients to a waitress server, bounded all together."""
 
 import contextlib
+import errno
 import socket
 import time
 
@@ -10,6 +11,7 @@
 from waitress import server as waitress_server
 from waitress import task as waitress_task
 
+from mulberryhollow.coordination import intake as decisions
 from mulberryhollow.transport import intake as intakes
 from mulberryhollow.transport import replies
 
@@ -47,9 +49,18 @@
 Above this, reading from the endpoint pauses.
 """
 
+ACCEPT_BATCH = 32
+"""Number of connections that are accepted at a time."""
+
+MAX_EXCESS = 5 / 4
+"""Number of connections, as a multiple of their limit, from which a new one is
+closed when all others are in use."""
+
 UNLIMITED = 1 << 30
 """Value of a limit of waitress that does not apply."""
 
+_OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
+
 
 @attrs.frozen
 class _ReplyError:
@@ -147,6 +158,12 @@
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_RDWR)
 
+    def give_way(self):
+        """End the connection for others; refuse an incomplete request."""
+        self.server.intake.count_closed()
+        self.refuse(intakes.TOO_MANY_CONNECTIONS)
+        self.end()
+
     def refuse(self, refusal):
         """Refuse the request that is being received, if there is one."""
         with self.requests_lock:
@@ -164,6 +181,24 @@
             if refusal is not None:
                 self.refuse(refusal)
 
+    def describe(self, now_s):
+        """Return the ConnectionState; None while it gives way to no other.
+
+        Parameters
+        ----------
+        now_s : float
+            Wall-clock time, in Unix seconds.
+        """
+        if self.will_close or self.requests:
+            return None
+        return decisions.ConnectionState(
+            handle=self,
+            idle_s=now_s - self.last_activity,
+            is_partial=self.request is not None,
+            has_sent=self.last_activity != self.creation_time,
+            is_refused=self._is_refused,
+        )
+
     def _parse(self, data):
         """Parse bytes; return the connections whose requests yield."""
         intake = self.server.intake
@@ -265,6 +300,12 @@
         )
         super().bind_server_socket()
 
+    def handle_accept(self):
+        """Accept the connections that wait, up to a number."""
+        for _ in range(ACCEPT_BATCH):
+            if not self._accept_one():
+                break
+
     def maintenance(self, now):
         """End idle connections, and requests whose time has passed.
 
@@ -283,6 +324,56 @@
                 connection.check_time()
         self.intake.settle()
 
+    def _accept_one(self):
+        """Accept a connection; return whether one was waiting."""
+        try:
+            accepted = self.accept()
+        except OSError as error:
+            if error.errno in _OUT_OF_DESCRIPTORS:
+                self._close_some()
+            return False
+        if accepted is None:
+            return False
+        handle, address = accepted
+        with contextlib.suppress(OSError):
+            self.set_socket_options(handle)
+        connection = self.channel_class(
+            self, handle, self.fix_addr(address), self.adj, map=self._map
+        )
+        limit = self.intake.connections
+        if len(self._map) > limit:
+            is_full = not self._close_some(connection)
+            if is_full and len(self._map) > limit * MAX_EXCESS:
+                connection.end()
+        return True
+
+    def _close_some(self, newest=None):
+        """Close the connections that give way to the newest one.
+
+        Returns
+        -------
+        bool
+            Whether there were any.
+        """
+        now_s = time.time()
+        states = [
+            each.describe(now_s)
+            for each in self._list_connections()
+            if each is not newest
+        ]
+        chosen = decisions.choose_connections(
+            filter(None, states), self.intake.connections
+        )
+        for each in chosen:
+            each.give_way()
+        return bool(chosen)
+
+    def _list_connections(self):
+        """Return the connections of all servers of this thread."""
+        return [
+            each for each in self._map.values() if isinstance(each, Connection)
+        ]
+
 
 def create_server(app, intake, listen, dispatcher=None, **options):
     """Return a Server, which serves all of the addresses.
@@ -302,7 +393,7 @@
     """
     options = {
         "channel_request_lookahead": 1,
-        "connection_limit": intake.connections,
+        "connection_limit": UNLIMITED,
         "inbuf_overflow": UNLIMITED,
         "outbuf_high_watermark": OUT_BUFFER_BYTES,
         "outbuf_overflow": UNLIMITED,
--- a/tests/coordination/intake/buffers.feature
+++ b/tests/coordination/intake/buffers.feature
@@ -55,6 +55,24 @@
     When a sends 700 KiB at 0 s
     Then there is room for 700 KiB
 
+  Scenario Outline: The connections that hold least are closed for others
+    Given connections of a server for <limit>
+      | name      | idle_s | is_partial | has_sent | is_refused |
+      | answering | 0.1    | yes        | yes      | no         |
+      | kept      | 5.0    | no         | yes      | no         |
+      | silent    | 3.0    | no         | no       | no         |
+      | new       | 0.5    | no         | no       | no         |
+      | stalled   | 1.5    | yes        | yes      | no         |
+      | refused   | 0.0    | no         | yes      | yes        |
+    Then <closed> are closed
+
+    Examples:
+      | limit | closed                                 |
+      | 10    | refused                                |
+      | 128   | refused, stalled                       |
+      | 256   | refused, stalled, silent, kept         |
+      | 384   | refused, stalled, silent, kept, new, answering |
+
   Scenario Outline: The limits follow from the memory of the process
     Then <memory> MiB and room for <most> connections give <connections>
     And <memory> MiB and requests of <request> MiB give <callers> MiB for callers
--- a/tests/daemon/misbehaving_clients.feature
+++ b/tests/daemon/misbehaving_clients.feature
@@ -11,11 +11,25 @@
     Examples:
       | count | kib  | what                          |
       | 1000  | 256  | bodies a byte short           |
+      | 1000  | 256  | whole bodies                  |
       | 200   | 2048 | bodies a byte short in pieces |
       | 200   | 2048 | large chunks without an end   |
       | 40    | 256  | chunks of a byte without an end |
       | 20    | 1024 | an announced length of 8 GiB  |
       | 20    | 1024 | chunks far over the limit     |
+      | 1000  | 256  | heads without an end          |
+
+  # Guards against a daemon that accepts no further connection (issue 52).
+  Scenario Outline: Connections left open shut out no caller of an entry daemon
+    Given an entry daemon with the default limits on memory
+    When 1500 clients send <what> of 256 KiB to it and stay
+    Then the process lives and has held at most 256 MiB
+    And a lookup is answered by it
+
+    Examples:
+      | what                |
+      | bodies hardly begun |
+      | nothing             |
 
   # Guards against a legal request that is refused on an idle daemon.
   Scenario Outline: A single body of the largest size is served by an entry daemon
--- a/tests/platform/misbehaving_clients.feature
+++ b/tests/platform/misbehaving_clients.feature
@@ -38,6 +38,23 @@
       | 90    | pages    | large chunks without an end     |
       | 20    | pages    | an announced length of 8 GiB    |
 
+  # Guards against an instance that accepts no further connection (issue 52).
+  Scenario Outline: Connections that are left open shut out no ordinary caller
+    Given an instance with 160 MiB of memory and 600 descriptors
+    And its callers may send bodies of 1 MiB
+    When 700 clients send <what> to its port for <server> and stay
+    Then the process lives and has held at most 160 MiB
+    And it has had at most 600 descriptors
+    And an ordinary request and a readiness check are answered
+
+    Examples:
+      | server   | what                |
+      | callers  | bodies hardly begun |
+      | callers  | nothing             |
+      | peers    | bodies hardly begun |
+      | checks   | bodies hardly begun |
+      | pages    | nothing             |
+
   # Guards against a legal request that is refused on an idle instance.
   Scenario Outline: A single request inside the limits is served in calm
     Given an instance with 160 MiB of memory and 4100 descriptors
--- a/tests/steps/coordination_intake.py
+++ b/tests/steps/coordination_intake.py
@@ -63,6 +63,27 @@
     assert not context.buffers.has_room(size * KIB)
 
 
+@given("connections of a server for {limit:d}")
+def make_connections(context, limit):
+    context.limit = limit
+    context.states = [
+        intake.ConnectionState(
+            row["name"],
+            float(row["idle_s"]),
+            row["is_partial"] == "yes",
+            row["has_sent"] == "yes",
+            row["is_refused"] == "yes",
+        )
+        for row in context.table
+    ]
+
+
+@then("{names} are closed")
+def check_closed(context, names):
+    chosen = intake.choose_connections(context.states, context.limit)
+    assert chosen == names.split(", "), chosen
+
+
 @then("{memory:d} MiB and room for {most:d} connections give {connections:d}")
 def check_connections(context, memory, most, connections):
     found = intake.compute_connections(memory * intake.MIB, most)
