Answers that clients do not read are bounded, and hold no thread for ever

What callers saw: beside 100 clients that asked for the metrics page again and again and read no answer, a readiness check got none within 60 s on. The balancer would take the instance out of rotation.

Cause: all requests of one read were queued, and the two threads for pages waited for clients that do not read; a connection with a waiting request never counted as idle, and one whose send buffer is full was not closed either.

Why the fix works: behind two requests nothing more is parsed until they are answered and sent, so what a connection buffers stays below the mark at which a thread waits.

--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import itertools
 import socket
 import time
 
@@ -82,11 +83,13 @@
     _drain_bytes = 0
     _drain_end_s = None
     _read_bytes = READ_BYTES
+    # Bytes behind the requests that wait for their answers.
+    _unparsed = b""
 
     @property
     def is_idle(self):
         """Whether nothing of a request has arrived that is not answered."""
-        return not (self.requests or self.request)
+        return not (self.requests or self.request or self._unparsed)
 
     @property
     def is_draining(self):
@@ -97,6 +100,9 @@
         """Return whether to wait for bytes of the client."""
         if self.is_draining:
             return not self.will_close
+        if self._unparsed and super().readable():
+            data, self._unparsed = self._unparsed, b""
+            self.received(data)
         return not self._is_refused and super().readable()
 
     def handle_read(self):
@@ -189,12 +195,13 @@
         now_s : float
             Wall-clock time, in Unix seconds.
         """
-        if self.will_close or self.requests:
+        is_unread = self.total_outbufs_len > 0
+        if self.will_close or (self.requests and not is_unread):
             return None
         return decisions.ConnectionState(
             handle=self,
             idle_s=now_s - self.last_activity,
-            is_partial=self.request is not None,
+            is_partial=self.request is not None or is_unread,
             has_sent=self.last_activity != self.creation_time,
             is_refused=self._is_refused,
         )
@@ -204,6 +211,9 @@
         intake = self.server.intake
         yielding = []
         while data and not self._is_refused:
+            if len(self.requests) > self.adj.channel_request_lookahead:
+                self._unparsed = data
+                break
             if self.request is None:
                 self.request = intake.begin(self.adj)
             request = self.request
@@ -316,12 +326,15 @@
         """
         cutoff_s = now - self.adj.channel_timeout
         for connection in list(self.active_channels.values()):
-            if connection.requests:
+            # The time of an answer begins anew with each byte that is sent.
+            is_unread = connection.total_outbufs_len > 0
+            if connection.requests and not is_unread:
                 continue
             if connection.last_activity < cutoff_s:
                 connection.end()
             else:
                 connection.check_time()
+        self._end_unread()
         self.intake.settle()
 
     def _accept_one(self):
@@ -368,6 +381,22 @@
             each.give_way()
         return bool(chosen)
 
+    def _end_unread(self):
+        """End connections whose clients leave too much of answers unread."""
+        unread = sorted(
+            (
+                each
+                for each in self._list_connections()
+                if each.total_outbufs_len and not each.will_close
+            ),
+            key=lambda each: each.last_activity,
+            reverse=True,
+        )
+        sizes = itertools.accumulate(each.total_outbufs_len for each in unread)
+        for connection, size_bytes in zip(unread, sizes, strict=True):
+            if size_bytes > self.intake.unread_bytes:
+                connection.give_way()
+
     def _list_connections(self):
         """Return the connections of all servers of this thread."""
         return [
--- a/tests/platform/misbehaving_clients.feature
+++ b/tests/platform/misbehaving_clients.feature
@@ -38,6 +38,12 @@
       | 90    | pages    | large chunks without an end     |
       | 20    | pages    | an announced length of 8 GiB    |
 
+    Examples: answers
+      | count | server   | what                                     |
+      | 200   | callers  | requests whose answers they do not read  |
+      | 100   | metrics  | requests whose answers they do not read  |
+      | 100   | peers    | requests whose answers they do not read  |
+
   # Guards against an instance that accepts no further connection (issue 52).
   Scenario Outline: Connections that are left open shut out no ordinary caller
     Given an instance with 160 MiB of memory and 600 descriptors
