Messages of peers draw on a budget of memory

What was seen: 200 connections to the port for peers' messages, each with a message of 1 MB a byte short, held 233 MiB on with a machine of 160 MiB; 256 of 4 MB could be sent. A crowd of 256 connections also kept all peers out.

Cause: as for requests, a limit for each connection and none for all.

Why the fix works: the messages that are received or answered draw on a budget like requests, and the connection whose message has held the most for longest is closed. At the limit of connections those give way that are silent for longest; a connection on which a message was answered gives way only once its peer would not use it again, so that a crowd without the key shuts out no known peer. The same crowd now holds 67 MiB.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -59,6 +59,7 @@
 from mulberryhollow.transport import gossip
 from mulberryhollow.transport import http_server
 from mulberryhollow.transport import intake as intakes
+from mulberryhollow.transport import peer_sockets
 
 __all__ = ["PlatformDaemon"]
 
@@ -355,8 +356,18 @@
         # The key only keeps deployments apart: the network between the
         # instances is private, and the settings hold no secret.
         key = hashlib.sha256(settings.store_address.encode()).digest()
+        shares = intake.MemoryShares(settings.memory_bytes)
         actor = gossip.Gossip.start(
-            local_member, key, self._clock, [], address
+            local_member,
+            key,
+            self._clock,
+            [],
+            address,
+            settings=gossip.GossipSettings(
+                memory_bytes=shares.compute_peers(
+                    peer_sockets.LARGEST_MESSAGE_BYTES
+                )
+            ),
         )
         return gossip.Peers(actor)
 
--- a/mulberryhollow/transport/gossip.py
+++ b/mulberryhollow/transport/gossip.py
@@ -8,6 +8,7 @@
 import attrs
 import pykka
 
+from mulberryhollow.coordination import intake
 from mulberryhollow.coordination import membership
 from mulberryhollow.coordination.membership import messages
 from mulberryhollow.errors import ExecutionStatus
@@ -79,12 +80,15 @@
         seconds.
     workers : int
         Number of threads that send messages to peers.
+    memory_bytes : int
+        Memory for the messages that peers are sending, in bytes.
     """
 
     round_s: float = membership.ROUND_S
     exchange_timeout_s: float = EXCHANGE_TIMEOUT_S
     tick_s: float = TICK_INTERVAL_S
     workers: int = WORKERS
+    memory_bytes: int = intake.MemoryShares().compute_peers()
 
 
 @attrs.frozen
@@ -191,7 +195,11 @@
         self._handlers = dict(handlers or {})
         self._handlers[PROBE_TOPIC] = self._run_probe
         self._server = peers.PeerServer(
-            listen_address, self._handlers, self._answer_exchange, self.traffic
+            listen_address,
+            self._handlers,
+            self._answer_exchange,
+            self.traffic,
+            memory_bytes=self._settings.memory_bytes,
         )
         if local_member.peer_address.endswith(":0"):
             local_member = attrs.evolve(
--- a/mulberryhollow/transport/peer_sockets.py
+++ b/mulberryhollow/transport/peer_sockets.py
@@ -3,6 +3,7 @@
 import collections
 import concurrent.futures
 import contextlib
+import errno
 import logging
 import selectors
 import socket
@@ -13,6 +14,7 @@
 from thrift.transport import TSocket
 from thrift.transport import TTransport
 
+from mulberryhollow.coordination import intake as decisions
 from mulberryhollow import events
 from mulberryhollow.protocol import peers
 from mulberryhollow.transport import store
@@ -26,6 +28,13 @@
 MAX_CONNECTIONS = 256
 """Largest number of open connections of a server; it closes further ones."""
 
+CLIENT_IDLE_TIMEOUT_S = 20.0
+"""Time after which a client uses a connection no more, in seconds.
+
+Until then a connection on which a message was answered gives way to no other:
+it is one of a peer.
+"""
+
 SERVER_IDLE_TIMEOUT_S = 30.0
 """Time without a byte after which a server closes a connection, in seconds.
 
@@ -41,12 +50,30 @@
 MAX_WORKERS = 32
 """Largest number of messages that a server answers at the same time."""
 
+FRAME_COPIES = 2
+"""Number of copies of a message while it is answered: as received, and
+decoded."""
+
+LARGEST_MESSAGE_BYTES = FRAME_COPIES * MAX_FRAME_BYTES
+"""Memory of a message of the largest size, in bytes."""
+
+DEFAULT_MEMORY_BYTES = decisions.MemoryShares().compute_peers(
+    LARGEST_MESSAGE_BYTES
+)
+"""Memory for all messages that a server receives, in bytes, by default."""
+
 BACKLOG = 128
 """Length of the listen queue of a server: connections not yet accepted."""
 
 RECEIVE_BYTES = 65536
 """Largest number of bytes in one read."""
 
+CONNECTION_ENDED = events.declare(
+    5012,
+    logging.INFO,
+    "a peer's connection was closed because others needed its memory or place",
+    "if there are many, look for clients that reach the port for peers",
+)
 ANSWER_FAILED = events.declare(
     5005,
     logging.ERROR,
@@ -117,14 +144,16 @@
     traffic : Traffic or None
         Counter of the bytes sent and received.
     max_connections : int
-        Largest number of open connections; further ones are closed at
-        once.
+        Largest number of open connections; for further ones, those are
+        closed that are silent for longest.
+    memory_bytes : int
+        Memory for all messages that are being received or answered, in
+        bytes.
 
     Attributes
     ----------
     accepted : int
-        Number of connections accepted so far, without those above the
-        limit.
+        Number of connections accepted so far, without those closed at once.
 
     Notes
     -----
@@ -139,6 +168,7 @@
         listen_address,
         traffic=None,
         max_connections=MAX_CONNECTIONS,
+        memory_bytes=DEFAULT_MEMORY_BYTES,
     ):
         self._processor = peers.PeerService.Processor(service)
         self._protocols = TCompactProtocol.TCompactProtocolAcceleratedFactory()
@@ -159,6 +189,9 @@
         )
         self._answered = collections.deque()
         self._connections = set()
+        self._buffers = decisions.RequestBuffers(
+            memory_bytes, LARGEST_MESSAGE_BYTES
+        )
         self._is_stopped = False
         self.accepted = 0
 
@@ -194,11 +227,15 @@
         self._workers.shutdown(wait=False, cancel_futures=True)
 
     def _accept(self):
-        """Accept a connection, or close it above the limit."""
+        """Accept a connection; above the limit, others give way."""
         try:
             handle, _ = self._listener.accept()
-        except OSError:
+        except OSError as error:
+            if error.errno in (errno.EMFILE, errno.ENFILE):
+                self._close_some()
             return
+        if len(self._connections) >= self._max_connections:
+            self._close_some()
         if len(self._connections) >= self._max_connections:
             handle.close()
             return
@@ -209,15 +246,21 @@
 
     def _read(self, connection):
         """Read what has arrived; give a complete message to a worker."""
+        if connection not in self._connections:
+            # It was closed for another one that was ready as well.
+            return
         try:
             received = connection.receive()
             frame = connection.pop_frame()
         except (OSError, ValueError):
-            self._selector.unregister(connection.handle)
-            self._close(connection)
+            self._end(connection)
             return
         self._traffic.add(received_bytes=received)
-        if frame is None:
+        ended = self._hold(connection, frame)
+        for each in ended:
+            self._log_end(each, "memory")
+            self._end(each)
+        if frame is None or connection in ended:
             return
         # Until the reply is sent nothing else is read from the connection.
         self._selector.unregister(connection.handle)
@@ -226,8 +269,49 @@
         except RuntimeError:
             self._close(connection)
 
+    def _hold(self, connection, frame):
+        """Count the memory of a message; return what is to be closed."""
+        now_s = time.monotonic()
+        if frame is None:
+            return self._buffers.resize(
+                connection, connection.buffered_bytes, now_s
+            )
+        size_bytes = FRAME_COPIES * len(frame) + connection.buffered_bytes
+        return self._buffers.complete(
+            connection, connection, size_bytes, now_s
+        )
+
+    def _close_some(self):
+        """Close the connections that give way to others."""
+        now_s = time.monotonic()
+        waiting = [
+            key.data for key in self._selector.get_map().values() if key.data
+        ]
+        for each in decisions.choose_connections(
+            filter(None, (each.describe(now_s) for each in waiting)),
+            self._max_connections,
+        ):
+            self._log_end(each, "connections")
+            self._end(each)
+
+    def _log_end(self, connection, cause):
+        """Log that a connection is closed for others."""
+        events.log(
+            CONNECTION_ENDED,
+            cause=cause,
+            buffered_bytes=connection.buffered_bytes,
+            held_bytes=self._buffers.held_bytes,
+        )
+
     def _answer(self, connection, frame):
         """Answer a message, and those that arrived right after it."""
+        try:
+            self._answer_all(connection, frame)
+        finally:
+            self._buffers.release(connection)
+
+    def _answer_all(self, connection, frame):
+        """Answer messages; close the connection after a fault."""
         try:
             while frame is not None:
                 sent = connection.send_frame(self._process(frame))
@@ -271,8 +355,13 @@
         ]
         for connection in waiting:
             if now_s - connection.used_s >= SERVER_IDLE_TIMEOUT_S:
-                self._selector.unregister(connection.handle)
-                self._close(connection)
+                self._end(connection)
+
+    def _end(self, connection):
+        """Close a connection that is registered."""
+        self._selector.unregister(connection.handle)
+        self._buffers.drop(connection)
+        self._close(connection)
 
     def _close(self, connection):
         """Close a connection that is not registered."""
@@ -300,6 +389,8 @@
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.handle = handle
         self.used_s = time.monotonic()
+        self._has_sent = False
+        self._was_answered = False
         self._buffer = bytearray()
 
     def receive(self):
@@ -315,8 +406,33 @@
             raise ConnectionAbortedError("the peer closed the connection")
         self._buffer += data
         self.used_s = time.monotonic()
+        self._has_sent = True
         return len(data)
 
+    @property
+    def buffered_bytes(self):
+        """Bytes of a message that has arrived in part."""
+        return len(self._buffer)
+
+    def describe(self, now_s):
+        """Return the ConnectionState; None while it gives way to no other.
+
+        Parameters
+        ----------
+        now_s : float
+            Time of the monotonic clock, in seconds.
+        """
+        idle_s = now_s - self.used_s
+        if self._was_answered and idle_s < CLIENT_IDLE_TIMEOUT_S:
+            return None
+        return decisions.ConnectionState(
+            handle=self,
+            idle_s=idle_s,
+            is_partial=bool(self._buffer),
+            has_sent=self._has_sent,
+            is_refused=False,
+        )
+
     def pop_frame(self):
         """Remove and return a complete message; None if there is none.
 
@@ -344,6 +460,7 @@
         self.handle.sendall(data)
         self.handle.setblocking(False)
         self.used_s = time.monotonic()
+        self._was_answered = True
         return len(data)
 
     def shut_down(self):
--- a/mulberryhollow/transport/peers.py
+++ b/mulberryhollow/transport/peers.py
@@ -23,7 +23,7 @@
     "read_key",
 ]
 
-EXCHANGE_MAX_IDLE_S = 20.0
+EXCHANGE_MAX_IDLE_S = peer_sockets.CLIENT_IDLE_TIMEOUT_S
 """Longest idle time of a connection reused for an exchange, in seconds."""
 
 CALL_MAX_IDLE_S = 2.0
@@ -182,13 +182,18 @@
         on_exchange,
         traffic=None,
         max_connections=peer_sockets.MAX_CONNECTIONS,
+        memory_bytes=peer_sockets.DEFAULT_MEMORY_BYTES,
     ):
         self._handlers = handlers
         self._on_exchange = on_exchange
         self._traffic = traffic or traffic_module.Traffic()
         self._signer = None
         self._server = peer_sockets.ThriftServer(
-            self, listen_address, self._traffic, max_connections
+            self,
+            listen_address,
+            self._traffic,
+            max_connections,
+            memory_bytes,
         )
         self.address = self._server.address
 
--- a/tests/platform/misbehaving_clients.feature
+++ b/tests/platform/misbehaving_clients.feature
@@ -37,6 +37,7 @@
       | 20    | checks   | chunks far over the limit       |
       | 90    | pages    | large chunks without an end     |
       | 20    | pages    | an announced length of 8 GiB    |
+      | 200   | messages | frames a byte short             |
 
     Examples: answers
       | count | server   | what                                     |
@@ -60,6 +61,7 @@
       | peers    | bodies hardly begun |
       | checks   | bodies hardly begun |
       | pages    | nothing             |
+      | messages | nothing             |
 
   # Guards against a legal request that is refused on an idle instance.
   Scenario Outline: A single request inside the limits is served in calm
