Intake: late answers, empty lines, floods of connections, missing limits

- An answer that begins late could be cut off as unread: its connection's last byte is older than the idle timeout, and the look might fall between the write to the buffer and the write to the socket.
An answer counts as unread only from the first look that finds bytes waiting, and anew with each byte that is read.
The case "9 bytes at 1 look" fails without it.
- An empty line behind a request began the time of the next head.
- In a flood of connections each one above the limit searched all others, up to 32 times a turn, as those that were chosen close in the next turn.
- Before the first configuration a body above 64 KiB got 413, which tells the caller that it never fits.
Only a configuration can tell that.

--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -361,6 +361,7 @@
         shares.compute_callers,
         shares.unread_bytes,
         codec,
+        intakes.NOT_CONFIGURED,
         **options,
     )
 
@@ -373,6 +374,7 @@
         shares.compute_peers,
         shares.unread_bytes,
         codec,
+        intakes.NOT_CONFIGURED,
         **options,
     )
 
--- a/mulberryhollow/transport/intake.py
+++ b/mulberryhollow/transport/intake.py
@@ -15,6 +15,7 @@
 __all__ = [
     "Intake",
     "IntakeLimits",
+    "NOT_CONFIGURED",
     "NO_ROOM",
     "PlainCodec",
     "TOO_MANY_CONNECTIONS",
@@ -88,6 +89,13 @@
     body_timeout_s: float = DEFAULT_BODY_TIMEOUT_S
 
 
+NOT_CONFIGURED = IntakeLimits(body_bytes=1 << 30)
+"""Limits before there is a configuration.
+
+Only a configuration can tell that a body is too large for ever.
+"""
+
+
 class PlainCodec:
     """Codec of refusals as plain text, for servers without their own."""
 
@@ -121,6 +129,8 @@
     codec : object
         ``encode_refusal(refusal)`` returns a Reply; ``get_wait_s(headers)``
         the time that a client waits, in seconds, or None.
+    limits : IntakeLimits
+        Limits on each request.
     clock : Clock
         Source of time.
     count : callable
@@ -139,12 +149,13 @@
         compute_capacity,
         unread_bytes,
         codec=None,
+        limits=IntakeLimits(),
         clock=None,
         count=lambda name: None,
     ):
         self.connections = connections
         self.unread_bytes = unread_bytes
-        self.limits = IntakeLimits()
+        self.limits = limits
         self._name = name
         self._compute_capacity = compute_capacity
         self._codec = codec or PlainCodec()
@@ -228,6 +239,12 @@
         It is refused when it is found late twice, so that what arrived while
         this process did not run is read before.
         """
+        is_blank = not (
+            request.headers_finished or request.header_plus.strip()
+        )
+        if is_blank:
+            # Empty lines behind a request are no beginning of the next one.
+            return None
         began_s = request.began_s
         end_s = request.deadline_s or began_s + self.limits.header_timeout_s
         if self._clock.now_s() < end_s:
--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -85,6 +85,9 @@
     _read_bytes = READ_BYTES
     # Bytes behind the requests that wait for their answers.
     _unparsed = b""
+    # Wall-clock time since which bytes of an answer wait to be read, as far
+    # as `look` has seen them.
+    _unread_since_s = None
 
     @property
     def is_idle(self):
@@ -98,12 +101,14 @@
 
     def readable(self):
         """Return whether to wait for bytes of the client."""
-        if self.is_draining:
-            return not self.will_close
-        if self._unparsed and super().readable():
+        if self._is_refused:
+            return self.is_draining and not self.will_close
+        is_readable = super().readable()
+        if is_readable and self._unparsed:
             data, self._unparsed = self._unparsed, b""
             self.received(data)
-        return not self._is_refused and super().readable()
+            is_readable = not self._is_refused and super().readable()
+        return is_readable
 
     def handle_read(self):
         """Read once from the client."""
@@ -177,7 +182,33 @@
                 reply = self.server.intake.encode(refusal, self.request)
                 self._reject(reply)
 
-    def check_time(self):
+    def look(self, now_s, idle_timeout_s):
+        """End the connection, or refuse its request, if it takes too long.
+
+        Parameters
+        ----------
+        now_s : float
+            Wall-clock time, in Unix seconds.
+        idle_timeout_s : float
+            Longest time without a byte, in seconds.
+        """
+        if not self.total_outbufs_len:
+            self._unread_since_s = None
+        elif self._unread_since_s is None or (
+            self.last_activity > self._unread_since_s
+        ):
+            self._unread_since_s = now_s
+        # While a request is answered, only a client that does not read is
+        # idle: the answer may begin late.
+        since_s = self.last_activity
+        if self.requests:
+            since_s = self._unread_since_s or now_s
+        if now_s - since_s > idle_timeout_s:
+            self.end()
+        elif not self.requests:
+            self._check_time()
+
+    def _check_time(self):
         """Refuse a request whose time has passed; end a long drain."""
         if self.is_draining:
             if time.monotonic() >= self._drain_end_s:
@@ -187,6 +218,11 @@
             if refusal is not None:
                 self.refuse(refusal)
 
+    def get_unread_s(self, now_s):
+        """Return for how long an answer was not read; 0 for none seen."""
+        since_s = self._unread_since_s
+        return 0.0 if since_s is None else now_s - since_s
+
     def describe(self, now_s):
         """Return the ConnectionState; None while it gives way to no other.
 
@@ -195,12 +231,13 @@
         now_s : float
             Wall-clock time, in Unix seconds.
         """
-        is_unread = self.total_outbufs_len > 0
+        is_unread = self._unread_since_s is not None
         if self.will_close or (self.requests and not is_unread):
             return None
+        since_s = self._unread_since_s if is_unread else self.last_activity
         return decisions.ConnectionState(
             handle=self,
-            idle_s=now_s - self.last_activity,
+            idle_s=now_s - since_s,
             is_partial=self.request is not None or is_unread,
             has_sent=self.last_activity != self.creation_time,
             is_refused=self._is_refused,
@@ -298,6 +335,8 @@
     """
 
     channel_class = Connection
+    # Number of connections that were chosen to be closed in this turn.
+    _closing = 0
 
     def __init__(self, app, intake, socket_map, **options):
         self.intake = intake
@@ -312,6 +351,8 @@
 
     def handle_accept(self):
         """Accept the connections that wait, up to a number."""
+        # Those that were chosen before are closed by now, or soon.
+        self._closing = 0
         for _ in range(ACCEPT_BATCH):
             if not self._accept_one():
                 break
@@ -324,17 +365,9 @@
         now : float
             Wall-clock time, in Unix seconds.
         """
-        cutoff_s = now - self.adj.channel_timeout
         for connection in list(self.active_channels.values()):
-            # The time of an answer begins anew with each byte that is sent.
-            is_unread = connection.total_outbufs_len > 0
-            if connection.requests and not is_unread:
-                continue
-            if connection.last_activity < cutoff_s:
-                connection.end()
-            else:
-                connection.check_time()
-        self._end_unread()
+            connection.look(now, self.adj.channel_timeout)
+        self._end_unread(now)
         self.intake.settle()
 
     def _accept_one(self):
@@ -354,10 +387,12 @@
             self, handle, self.fix_addr(address), self.adj, map=self._map
         )
         limit = self.intake.connections
-        if len(self._map) > limit:
-            is_full = not self._close_some(connection)
-            if is_full and len(self._map) > limit * MAX_EXCESS:
-                connection.end()
+        if len(self._map) - self._closing <= limit:
+            return True
+        if not self._close_some(connection) and (
+            len(self._map) > limit * MAX_EXCESS
+        ):
+            connection.end()
         return True
 
     def _close_some(self, newest=None):
@@ -379,18 +414,21 @@
         )
         for each in chosen:
             each.give_way()
+        self._closing += len(chosen)
         return bool(chosen)
 
-    def _end_unread(self):
-        """End connections whose clients leave too much of answers unread."""
+    def _end_unread(self, now_s):
+        """End connections whose clients leave too much of answers unread.
+
+        Those go first that have read nothing for longest.
+        """
         unread = sorted(
             (
                 each
                 for each in self._list_connections()
-                if each.total_outbufs_len and not each.will_close
+                if each.get_unread_s(now_s) and not each.will_close
             ),
-            key=lambda each: each.last_activity,
-            reverse=True,
+            key=lambda each: each.get_unread_s(now_s),
         )
         sizes = itertools.accumulate(each.total_outbufs_len for each in unread)
         for connection, size_bytes in zip(unread, sizes, strict=True):
--- a/tests/steps/transport_intake.py
+++ b/tests/steps/transport_intake.py
@@ -1,4 +1,6 @@
 import itertools
+import socket
+import types
 
 from behave import given
 from behave import then
@@ -6,11 +8,15 @@
 from waitress import adjustments
 
 from mulberryhollow import clock
+from mulberryhollow.coordination import intake
 from mulberryhollow import errors
 from mulberryhollow.platform import callers
+from mulberryhollow.transport import http_server
 from mulberryhollow.transport import intake as intakes
 from mulberryhollow.transport import request_parsing
+from mulberryhollow.transport import served_connections
 
+NOW_S = 1_000_000.0
 HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
 
 
@@ -72,19 +78,17 @@
         lambda largest_bytes: 1 << 20,
         1 << 20,
         callers.CallerCodec(),
+        intakes.IntakeLimits(header_timeout_s=head_s, body_timeout_s=body_s),
         context.clock,
     )
-    context.intake.apply(
-        intakes.IntakeLimits(header_timeout_s=head_s, body_timeout_s=body_s)
-    )
 
 
 @when("a request has sent {part} and {seconds:g} s pass")
 def let_pass(context, part, seconds):
     request = context.intake.begin(adjustments.Adjustments())
     context.request = request
-    request.received(HEAD)
-    if part != "a part of its head":
+    request.received(b"\r\n" if part == "an empty line" else HEAD)
+    if part.startswith("its head"):
         request.received(b"Content-Length: 9\r\n")
         if "deadline" in part:
             number = part.split()[-2]
@@ -119,3 +123,54 @@
 @then("it is refused when it is found late again")
 def check_again(context):
     assert context.intake.find_late(context.request) is not None
+
+
+@given("an instance's intake for callers without a configuration")
+def make_caller_intake(context):
+    context.intake = http_server.make_caller_intake(
+        intake.MemoryShares(), 1000, callers.CallerCodec()
+    )
+
+
+@when("a request announces a body of {size:d} MiB")
+def announce(context, size):
+    adjusted = adjustments.Adjustments(
+        max_request_body_size=context.intake.limits.body_bytes + 1
+    )
+    context.request = context.intake.begin(adjusted)
+    length = size * intake.MIB
+    context.request.received(
+        HEAD + f"Content-Length: {length}\r\n\r\n".encode()
+    )
+
+
+@then("it is not refused")
+def check_not_refused(context):
+    assert context.request.error is None
+    assert context.intake.screen(context.request) is None
+
+
+@given("a connection whose request has been answered for {seconds:g} s")
+def make_connection(context, seconds):
+    left, right = socket.socketpair()
+    context.add_cleanup(left.close)
+    context.add_cleanup(right.close)
+    server = types.SimpleNamespace(active_channels={})
+    context.connection = served_connections.Connection(
+        server, left, None, adjustments.Adjustments(), map={}
+    )
+    context.connection.requests = [object()]
+    context.connection.last_activity = NOW_S - seconds
+
+
+@when("it has {size:d} bytes to read at {looks:d} looks, one each second")
+def look(context, size, looks):
+    context.connection.total_outbufs_len = size
+    for number in range(looks):
+        context.connection.look(NOW_S + number, 5.0)
+
+
+@then("it is {outcome} by a server whose clients may be idle for 5 s")
+def check_connection(context, outcome):
+    is_closed = context.connection.will_close
+    assert is_closed == (outcome == "closed"), context.connection.last_activity
--- a/tests/transport/intake.feature
+++ b/tests/transport/intake.feature
@@ -57,6 +57,33 @@
       | its head with a deadline of 5000 ms | 5      | late    |
       | its head with a deadline of x ms   | 29.9    | in time |
 
+  # Guards against a client that is refused for an empty line that it sent
+  # behind its last request.
+  Scenario: Empty lines are no request that could be late
+    Given an intake with 10 s for a head and 30 s for a body
+    When a request has sent an empty line and 60 s pass
+    Then it is found in time
+
+  # Guards against a body that is refused for ever by an instance that has no
+  # configuration yet.
+  Scenario: No body is too large before there is a configuration
+    Given an instance's intake for callers without a configuration
+    When a request announces a body of 8 MiB
+    Then it is not refused
+
+  # Guards against an answer that is cut off as not read because it began late.
+  Scenario Outline: Only a client that does not read is idle while it waits
+    Given a connection whose request has been answered for 60 s
+    When it has <bytes> bytes to read at <looks> looks, one each second
+    Then it is <kept> by a server whose clients may be idle for 5 s
+
+    Examples:
+      | bytes | looks | kept   |
+      | 0     | 10    | kept   |
+      | 9     | 1     | kept   |
+      | 9     | 5     | kept   |
+      | 9     | 7     | closed |
+
   # Guards against a request that is refused as late after a pause of this
   # process, though the rest of it had arrived.
   Scenario: A request is refused when it is found late twice
