Messages of peers: a message is released before the next one is counted

The memory of an answered message was released after its connection had been given back, so the next message on it could be counted first, and the release took that one's size: what was held would have grown for ever, until peers' messages found no room.

Also: until there is a configuration, the limit of a head is 256 KiB, as it was, since 431 is not sent again either.

--- a/mulberryhollow/transport/intake.py
+++ b/mulberryhollow/transport/intake.py
@@ -89,10 +89,10 @@
     body_timeout_s: float = DEFAULT_BODY_TIMEOUT_S
 
 
-NOT_CONFIGURED = IntakeLimits(body_bytes=1 << 30)
+NOT_CONFIGURED = IntakeLimits(header_bytes=256 * 1024, body_bytes=1 << 30)
 """Limits before there is a configuration.
 
-Only a configuration can tell that a body is too large for ever.
+Only a configuration can tell that a request is too large for ever.
 """
 
 
--- a/mulberryhollow/transport/peer_sockets.py
+++ b/mulberryhollow/transport/peer_sockets.py
@@ -306,12 +306,16 @@
     def _answer(self, connection, frame):
         """Answer a message, and those that arrived right after it."""
         try:
-            self._answer_all(connection, frame)
+            is_open = self._send_replies(connection, frame)
         finally:
+            # Before another message of the connection is counted.
             self._buffers.release(connection)
+        if is_open:
+            self._answered.append(connection)
+            self._wake()
 
-    def _answer_all(self, connection, frame):
-        """Answer messages; close the connection after a fault."""
+    def _send_replies(self, connection, frame):
+        """Answer messages; return whether the connection stays open."""
         try:
             while frame is not None:
                 sent = connection.send_frame(self._process(frame))
@@ -319,14 +323,13 @@
                 frame = connection.pop_frame()
         except (OSError, ValueError, *peers.DECODE_ERRORS):
             self._close(connection)
-            return
+            return False
         except Exception as error:  # noqa: BLE001
             # The peer must not wait on a connection that nobody answers.
             events.log(ANSWER_FAILED, error=repr(error))
             self._close(connection)
-            return
-        self._answered.append(connection)
-        self._wake()
+            return False
+        return True
 
     def _process(self, frame):
         """Return the reply to one message."""
--- a/tests/steps/transport_peers.py
+++ b/tests/steps/transport_peers.py
@@ -1,3 +1,4 @@
+import collections
 import contextlib
 import itertools
 import pathlib
@@ -63,6 +64,7 @@
     )
     server.start(make_signer(1, server.address))
     context.add_cleanup(server.stop)
+    context.server = server
     context.address = server.address
 
 
@@ -210,6 +212,45 @@
     context.fake_server = server
 
 
+class RecordingDeque(collections.deque):
+    """Queue of answered connections that records what is held meanwhile."""
+
+    def __init__(self, buffers):
+        super().__init__()
+        self._buffers = buffers
+        self.held = []
+
+    def append(self, connection):
+        self._buffers.settle()
+        self.held.append(self._buffers.held_bytes)
+        super().append(connection)
+
+
+@given("a peer that replies and tells what it holds when it reads again")
+def make_recording(context):
+    start_server(context)
+    server = context.server._server
+    context.answered = RecordingDeque(server._buffers)
+    server._answered = context.answered
+    start_client(context)
+
+
+@when("{count:d} messages are sent to it on one connection")
+def send_messages(context, count):
+    with contextlib.closing(open_connection(context)) as connection:
+        for _ in range(count):
+            envelope = context.signer.sign_envelope(
+                context.address, "echo", b"held"
+            )
+            connection.request(envelope, TIMEOUT_S)
+
+
+@then("it held nothing each time")
+def check_released(context):
+    wait_until(lambda: len(context.answered.held) == 3)
+    assert context.answered.held == [0, 0, 0], context.answered.held
+
+
 @given("a peer that replies to another request")
 def make_mismatched(context):
     start_client(context)
--- a/tests/transport/peers.feature
+++ b/tests/transport/peers.feature
@@ -59,6 +59,13 @@
     When 2 connections are open
     Then a third connection is closed by the server
 
+  # Guards against memory that is never counted as free again: the next
+  # message of a connection was counted before the last one was released.
+  Scenario: A message is released before its connection is read again
+    Given a peer that replies and tells what it holds when it reads again
+    When 3 messages are sent to it on one connection
+    Then it held nothing each time
+
   Scenario: A short peer key is refused
     Then a key file of 8 bytes is refused and one of 32 bytes is read
 
