Intake: requests yield by the time without progress, not by age

What callers saw (trial on the work tree, machine of 160 MiB, bodies of 1 MiB): beside 120 clients that send 1 MiB less a byte and come again at once, for 10 s and about 1,000 connections a second, none of 23 sound bodies of 512 KiB was served; all small requests were.

Cause: what yielded was chosen by size times age. The crowd was refused and came again within some 20 ms, so the sound sender was the oldest.

Why the fix works: the time counts from the last progress, of 16 KiB at least. "A slow sender that makes progress is kept" fails with the age.

--- a/mulberryhollow/coordination/intake/buffers.py
+++ b/mulberryhollow/coordination/intake/buffers.py
@@ -21,16 +21,31 @@
 yield costs little for each byte received.
 """
 
-MIN_AGE_S = 0.001
-"""Smallest age of a request in the comparison of requests, in seconds."""
+PROGRESS_BYTES = 16 * 1024
+"""Growth of a request that counts as progress, in bytes.
+
+A body is limited, so a sender that stops short of its end can make progress
+only for a while.
+"""
+
+MIN_STALL_S = 0.001
+"""Smallest time without progress that requests are compared by, in s."""
 
 
 @attrs.define
 class _Receiving:
-    """Memory of a request that is being received, and since when."""
+    """Memory of a request that is being received, and its progress."""
 
     size_bytes: int
-    begun_s: float
+    progress_s: float
+    progress_bytes: int = 0
+
+    def resize(self, size_bytes, now_s):
+        """Change the size; note the time if that is progress."""
+        self.size_bytes = size_bytes
+        if size_bytes - self.progress_bytes >= PROGRESS_BYTES:
+            self.progress_bytes = size_bytes
+            self.progress_s = now_s
 
 
 class RequestBuffers:
@@ -48,11 +63,11 @@
 
     Notes
     -----
-    When there is too little memory, the requests yield that have held the
-    most for the longest, as size times age. A sender that stops, or sends a
-    byte now and then, so yields to one that makes progress, and a large
-    request to a small one. Large requests together may not take all of the
-    memory, also when they are complete.
+    When there is too little memory, the requests yield that hold the most and
+    have made no progress for the longest, as size times time. A sender that
+    stops, or sends a byte now and then, so yields to one that makes progress,
+    and a large request to a small one. Large requests together may not take
+    all of the memory, also when they are complete.
 
     All methods but `forget` and `release` are called by one thread.
     """
@@ -122,7 +137,7 @@
         if found is None:
             found = self._receiving[sender] = _Receiving(0, now_s)
         self._count(found.size_bytes, -1)
-        found.size_bytes = size_bytes
+        found.resize(size_bytes, now_s)
         self._count(size_bytes, 1)
         return self._end_excess(now_s)
 
@@ -213,8 +228,8 @@
 
         def weigh(item):
             _, found = item
-            age_s = max(MIN_AGE_S, now_s - found.begun_s)
-            return -found.size_bytes * age_s
+            stall_s = max(MIN_STALL_S, now_s - found.progress_s)
+            return -found.size_bytes * stall_s
 
         heap = [
             (weigh(item), number, item)
--- a/tests/coordination/intake/buffers.feature
+++ b/tests/coordination/intake/buffers.feature
@@ -1,6 +1,6 @@
 Feature: Requests that yield when a server holds too much
 
-  Scenario: The request that has held the most for longest yields
+  Scenario: The request that holds the most without progress yields
     Given a budget of 1000 KiB
     When a sends 300 KiB at 0 s
     And b sends 300 KiB at 9 s
@@ -17,6 +17,16 @@
     And b sends 500 KiB at 10 s
     Then only a yields
 
+  # Guards against a slow but sound sender that is ended for its age by those
+  # that send as much at once, stop and come again.
+  Scenario: A slow sender that makes progress is kept
+    Given a budget of 1000 KiB
+    When a sends 300 KiB at 0 s
+    And b sends 300 KiB at 5 s
+    And a sends 400 KiB at 9 s
+    And c sends 100 KiB at 10 s
+    Then only b yields
+
   Scenario: Small requests fit beside all that large ones may hold
     Given a budget of 1000 KiB
     When a sends 700 KiB at 0 s
