Connections: clients that send requests early give way before new ones

It passed in the other whole run, in three runs of the case beside eight busy processes, and before.

Suspected cause, by reading: a connection whose request is being answered never gave way, and clients that send many requests at once are always being answered, up to the first look that finds bytes unread. Then the newest connection was the only one that could be closed. Such clients now give way after connections between two requests, and before new ones.

Checked: the order of connections has cases for it (failing before, as the kind was not known); the nine crowds of connections and answers pass, and the three of answers three times.

--- a/mulberryhollow/coordination/intake/connections.py
+++ b/mulberryhollow/coordination/intake/connections.py
@@ -39,6 +39,8 @@
         Whether it has ever sent a byte.
     is_refused : bool
         Whether its request was refused, so that it is about to end.
+    is_answering : bool
+        Whether a request is being answered, with another one behind it.
     """
 
     handle: object
@@ -46,6 +48,7 @@
     is_partial: bool
     has_sent: bool
     is_refused: bool
+    is_answering: bool = False
 
 
 def choose_connections(states, limit):
@@ -64,7 +67,10 @@
     clients that have connected and sent nothing, then connections between two
     requests; of each, the ones that are silent for longest. A client finds a
     connection between two requests closed before any of its next request was
-    read, so that it can send it on another one.
+    read, so that it can send it on another one. Then clients go that send
+    their next request before they have the last answer: a few of them could
+    use all connections for as long as they like. New connections, and
+    requests and answers that make progress, are the last.
     """
     count = max(1, int(limit * BATCH_SHARE))
     chosen = heapq.nsmallest(count, states, key=_rank)
@@ -73,7 +79,9 @@
 
 def _rank(state):
     """Return the sort key of a connection: the first is closed first."""
-    if state.is_refused:
+    if state.is_answering:
+        order = 4
+    elif state.is_refused:
         order = 0
     elif state.is_partial and state.idle_s >= STALLED_AFTER_S:
         order = 1
@@ -82,5 +90,5 @@
     elif state.has_sent and not state.is_partial:
         order = 3
     else:
-        order = 4
+        order = 5
     return order, -state.idle_s
--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -232,7 +232,9 @@
             Wall-clock time, in Unix seconds.
         """
         is_unread = self._unread_since_s is not None
-        if self.will_close or (self.requests and not is_unread):
+        is_answering = bool(self.requests) and not is_unread
+        is_pipelining = len(self.requests) > 1 or bool(self._unparsed)
+        if self.will_close or (is_answering and not is_pipelining):
             return None
         since_s = self._unread_since_s if is_unread else self.last_activity
         return decisions.ConnectionState(
@@ -241,6 +243,7 @@
             is_partial=self.request is not None or is_unread,
             has_sent=self.last_activity != self.creation_time,
             is_refused=self._is_refused,
+            is_answering=is_answering,
         )
 
     def _parse(self, data):
--- a/tests/coordination/intake/buffers.feature
+++ b/tests/coordination/intake/buffers.feature
@@ -67,13 +67,14 @@
 
   Scenario Outline: The connections that hold least are closed for others
     Given connections of a server for <limit>
-      | name      | idle_s | is_partial | has_sent | is_refused |
-      | answering | 0.1    | yes        | yes      | no         |
-      | kept      | 5.0    | no         | yes      | no         |
-      | silent    | 3.0    | no         | no       | no         |
-      | new       | 0.5    | no         | no       | no         |
-      | stalled   | 1.5    | yes        | yes      | no         |
-      | refused   | 0.0    | no         | yes      | yes        |
+      | name      | idle_s | is_partial | has_sent | is_refused | is_answering |
+      | pipelines | 9.0    | no         | yes      | no         | yes |
+      | answering | 0.1    | yes        | yes      | no         | no |
+      | kept      | 5.0    | no         | yes      | no         | no |
+      | silent    | 3.0    | no         | no       | no         | no |
+      | new       | 0.5    | no         | no       | no         | no |
+      | stalled   | 1.5    | yes        | yes      | no         | no |
+      | refused   | 0.0    | no         | yes      | yes        | no |
     Then <closed> are closed
 
     Examples:
@@ -81,7 +82,8 @@
       | 10    | refused                                |
       | 128   | refused, stalled                       |
       | 256   | refused, stalled, silent, kept         |
-      | 384   | refused, stalled, silent, kept, new, answering |
+      | 320   | refused, stalled, silent, kept, pipelines |
+      | 448   | refused, stalled, silent, kept, pipelines, new, answering |
 
   Scenario Outline: The limits follow from the memory of the process
     Then <memory> MiB and room for <most> connections give <connections>
--- a/tests/steps/coordination_intake.py
+++ b/tests/steps/coordination_intake.py
@@ -73,6 +73,7 @@
             row["is_partial"] == "yes",
             row["has_sent"] == "yes",
             row["is_refused"] == "yes",
+            row["is_answering"] == "yes",
         )
         for row in context.table
     ]
