Review: after a store outage, lost history freezes the configuration

A watch that gets 410 asks for a complete list, and the answer of a peer at the same revision takes that back before the list is read.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,139 +1,132 @@
-"""One malformed request hangs an instance that keeps saying it is ready."""
+"""After an outage, lost history keeps all instances from the store."""
 
+import contextlib
+import http.client
 import pathlib
 import socket
 import sys
-import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import site_2 as site  # noqa: E402
 
-WORK_S = 0.3
-TIMEOUT_MS = 1000
-DEADLINE_MS = 2500
-LATE_S = 0.5
-CALLERS = 10
-ROUNDS = 6
-ROUND_S = 1.0
+OUTAGE_S = 4.5
+PAUSE_S = 0.3
+DEAF_S = 1.0
+CONTACT_S = site.BOUNDS["contactMs"] / 1000
+APPLY_S = site.BOUNDS["configApplyMs"] / 1000
+CHECKS_S = 12.0
 
 
-class SlotEngine(site.Engine):
-    """Works for a while on each request."""
+class WatchCutError(Exception):
+    """A watch was waiting when the history was dropped."""
 
-    def run(self, handler, attempt, body):
-        """Answer after the work."""
-        time.sleep(WORK_S)
-        super().run(handler, attempt, body)
 
+class DrillStore(site.Store):
+    """A store that can turn calls away and drop its history."""
 
-class Caller(threading.Thread):
-    """An ordinary caller: one request on a new channel."""
+    def __init__(self, record):
+        self.is_busy = False
+        self._is_deaf = False
+        self._oldest = 0
+        super().__init__(record)
 
-    def __init__(self, record, instance, attempt):
-        super().__init__(daemon=True)
-        self._record = record
-        self._instance = instance
-        self.attempt = attempt
-        self.status = ""
-        self.took_s = 0.0
-
-    def run(self):
-        """Send the request and wait for the head of its answer."""
-        begin_s = time.monotonic()
+    def handle_call(self, handler, body):
+        """Answer one call; 503 while the store is busy."""
+        if self.is_busy and handler.path.startswith("/v1/objects/"):
+            handler.reply(503, b"{}")
+            return
         try:
-            connection = socket.create_connection(
-                (self._instance.ip, self._instance.ports[0]), timeout=1.0
-            )
-            connection.settimeout(DEADLINE_MS / 1000)
-            connection.sendall(
-                site.encode_request(
-                    "GET", "/slots/1", self.attempt, DEADLINE_MS
-                )
-            )
-            self.status = connection.recv(4096)[9:12].decode()
-            connection.close()
-        except OSError as error:
-            self.status = ""
-            self._record.add(f"client {self.attempt}: {error!r}")
-        self.took_s = time.monotonic() - begin_s
-        self._record.add(
-            f"client {self.attempt}: status {self.status or 'none'} after "
-            f"{self.took_s:.2f} s"
-        )
-
-    def is_late(self):
-        """Return whether no answer came in the time of the route and more."""
-        return not self.status or self.took_s > TIMEOUT_MS / 1000 + LATE_S
-
-
-def send_three(record, instance):
-    """Send three requests at once on one channel, the last one malformed."""
-    requests = [
-        site.encode_request("GET", "/slots/1", f"three{n}", DEADLINE_MS)
-        for n in range(3)
-    ]
-    if site.is_with_trouble():
-        requests[2] = requests[2].replace(
-            b"GET /slots/1 ", b"GET http://[::1/slots/1 "
-        )
-    connection = socket.create_connection(
-        (instance.ip, instance.ports[0]), timeout=2.0
+            super().handle_call(handler, body)
+        except WatchCutError:
+            handler.close_connection = True
+            with contextlib.suppress(OSError):
+                handler.connection.shutdown(socket.SHUT_RDWR)
+
+    def set_deaf(self, is_deaf):
+        """Let watches hear nothing; then drop the history and cut them."""
+        with self._changed:
+            self._is_deaf = is_deaf
+            if not is_deaf:
+                self._oldest = self._revision
+            self._changed.notify_all()
+
+    def _watch(self, kind, after, wait_ms):
+        end_s = time.monotonic() + wait_ms / 1000
+        with self._changed:
+            if not self._is_deaf and after < self._oldest:
+                return 410, {"at": self._revision}
+            while True:
+                if self._is_deaf:
+                    self._changed.wait_for(lambda: not self._is_deaf)
+                    raise WatchCutError
+                events = self._find_events(kind, after)
+                left_s = end_s - time.monotonic()
+                if events or left_s <= 0:
+                    return 200, {"events": events, "at": self._revision}
+                self._changed.wait(left_s)
+
+
+def check(record, instance, number):
+    """Return the status of a request on the new route."""
+    connection = http.client.HTTPConnection(
+        instance.ip, instance.ports[0], timeout=3.0
     )
-    connection.sendall(b"".join(requests))
-    record.add(f"client sends three requests on one channel: {requests[2]!r}")
-    connection.settimeout(2.0)
-    found = b""
+    attempt = f"check{number:04x}{instance.name[-1]}"
+    headers = {
+        "Host": site.HOST,
+        "Attempt-Id": attempt,
+        "Deadline-Ms": "2000",
+        "Key": site.KEY,
+    }
     try:
-        while piece := connection.recv(4096):
-            found += piece
-    except OSError:
-        pass
-    record.add(f"client got {found.count(b'HTTP/1.1')} answers to the three")
+        connection.request("GET", "/added/1", headers=headers)
+        status = connection.getresponse().status
+    except (OSError, http.client.HTTPException):
+        status = 0
     connection.close()
+    record.add(f"client {attempt} at {instance.name}: status {status}")
+    return status
 
 
 def run(record):
-    """Return whether most requests got no answer from a ready instance."""
-    fleet = site.Site(record, instances=2)
+    """Return whether the confirmed config is not in force in its time."""
+    site.Store = DrillStore
+    fleet = site.Site(record, instances=3)
     try:
-        engines = [SlotEngine(f"i-{n:08x}", record) for n in (1, 2)]
-        for each in engines:
-            fleet.store.put("servers", each.identity, each.make_entry("desk"))
-        route = site.make_route(
-            "slots", "idempotent", "desk", timeoutMs=TIMEOUT_MS, goalMs=500
-        )
-        fleet.store.put(
-            "config", "main", site.make_config(1, [route], ["desk"])
-        )
+        engine = site.Engine("i-00000001", record)
+        store = fleet.store
+        store.put("servers", engine.identity, engine.make_entry("desk"))
+        routes = [site.make_route("slots", "idempotent", "desk")]
+        store.put("config", "main", site.make_config(1, routes, ["desk"]))
         fleet.start_all()
-        time.sleep(3.5)
-        taker = fleet.instances[0]
-        send_three(record, taker)
-        callers = []
-        ready = 0
-        for number in range(ROUNDS):
-            is_ready = taker.is_ready()
-            ready += is_ready
-            record.add(f"platform: {taker.name} says ready: {is_ready}")
-            begun = [
-                Caller(record, taker, f"call{number:02x}{n:02x}")
-                for n in range(CALLERS)
-            ]
-            for each in begun:
-                each.start()
-            callers += begun
-            time.sleep(ROUND_S)
-        for each in callers:
-            each.join(DEADLINE_MS / 1000 + 2.0)
-        late = sum(each.is_late() for each in callers)
-        record.add(
-            f"ready at {ready} of {ROUNDS} checks; {late} of {len(callers)} "
-            f"requests without an answer at timeoutMs and {LATE_S} s later; "
-            f"the process runs: {taker.process.poll() is None}"
-        )
-        return ready > 0 and late > len(callers) / 2
+        time.sleep(5.0)
+        if site.is_with_trouble():
+            record.add("store answers 503")
+            store.is_busy = True
+            time.sleep(OUTAGE_S)
+            store.is_busy = False
+            record.add("store answers again")
+            time.sleep(PAUSE_S)
+            store.set_deaf(True)
+        routes.append(site.make_route("added", "idempotent", "desk"))
+        store.put("config", "main", site.make_config(4, routes, ["desk"]))
+        record.add("store confirms config 4 with a new route")
+        if site.is_with_trouble():
+            time.sleep(DEAF_S)
+            store.set_deaf(False)
+            record.add("store has dropped its history")
+        time.sleep(CONTACT_S + APPLY_S)
+        end_s = time.monotonic() + CHECKS_S
+        statuses = []
+        while time.monotonic() < end_s:
+            for each in fleet.instances:
+                statuses.append(check(record, each, len(statuses)))
+            time.sleep(1.0)
+        late = statuses.count(404)
+        record.add(f"{late} of {len(statuses)} requests got 404")
+        return late > 0
     finally:
         fleet.close()
 
--- a/review/site_2.py
+++ b/review/site_2.py
@@ -269,16 +269,19 @@
         }
 
     def _watch(self, kind, after, wait_ms):
-        def find():
-            return [
-                {"object": item, "deleted": is_deleted}
-                for at, k, item, is_deleted in self._events
-                if k == kind and at > after
-            ]
-
         with self._changed:
-            self._changed.wait_for(find, wait_ms / 1000.0)
-            return 200, {"events": find(), "at": self._revision}
+            self._changed.wait_for(
+                lambda: self._find_events(kind, after), wait_ms / 1000.0
+            )
+            events = self._find_events(kind, after)
+            return 200, {"events": events, "at": self._revision}
+
+    def _find_events(self, kind, after):
+        return [
+            {"object": item, "deleted": is_deleted}
+            for at, k, item, is_deleted in self._events
+            if k == kind and at > after
+        ]
 
 
 class Engine(Server):
