Reads of the store: events and counters of a lost history

ReadRecord keeps, for each kind, the losses in a row, their count and the time of the last answer to a read of this instance. Event 9016 names the kind and the revision; 9017 follows the first list after a loss.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -826,9 +826,10 @@
     def _render_metrics(self):
         """Return the metrics page: counters and histograms."""
         text = metrics_page.render_metrics(
-            self.observer.list_counts(),
+            self.observer.list_counts() | self._store_relay.list_counts(),
             self.observer.histograms.snapshot(),
             self.observer.list_gauges()
+            | self._store_relay.list_gauges()
             | {
                 f"intake_bytes.{name}": server.intake.held_bytes
                 for name, server in self._servers.items()
--- a/mulberryhollow/serving/store_relay.py
+++ b/mulberryhollow/serving/store_relay.py
@@ -166,6 +166,22 @@
         for kind in kinds:
             self._followers[kind].report_era()
 
+    def list_counts(self):
+        """Return the values of this relay's counters by name."""
+        return {
+            f"store_history_lost.{kind}": follower.reads.lost_count
+            for kind, follower in self._followers.items()
+        }
+
+    def list_gauges(self):
+        """Return the age of the last own read of each kind by name."""
+        now_s = self._clock.now_s()
+        return {
+            f"store_read_age_seconds.{kind}": now_s - follower.reads.answered_s
+            for kind, follower in self._followers.items()
+            if follower.reads.answered_s is not None
+        }
+
     def _measure_left(self, follower):
         """Return the time until a kind is read directly, in seconds.
 
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -5,6 +5,7 @@
 
 from mulberryhollow import errors
 from mulberryhollow import events
+from mulberryhollow.serving import read_record
 from mulberryhollow.state import change_bounds
 from mulberryhollow.state import object_log
 from mulberryhollow.state import objects
@@ -122,6 +123,8 @@
     recovered_s : float
         When the store last recovered from an outage, monotonic, in seconds;
         minus infinity if it never did.
+    reads : ReadRecord
+        What the store answered to the reads of this instance.
     """
 
     def __init__(
@@ -147,6 +150,7 @@
         self.kind = kind
         self.last_contact_s = None
         self.recovered_s = float("-inf")
+        self.reads = read_record.ReadRecord(kind)
 
     def read(self):
         """List all objects, or wait once for changes.
@@ -167,6 +171,7 @@
             else:
                 self._wait()
         except errors.HistoryLostError:
+            self.reads.record_loss(base, self._clock.now_s())
             with self._lock:
                 if self._log.revision != base:
                     # Another thread has read what followed meanwhile.
@@ -273,6 +278,7 @@
         base = self._log.revision
         revision, items = self._store.list_objects(self.kind)
         with self._lock:
+            self.reads.record_list(revision, self._clock.now_s())
             self._record_contact(self._clock.now_s())
             if base == self._log.revision:
                 self._apply(
@@ -285,6 +291,7 @@
         wait_s = self._get_bounds().get_watch_wait(self._is_relayed())
         revision, items = self._store.watch(self.kind, base, wait_s)
         with self._lock:
+            self.reads.record_changes(self._clock.now_s())
             self._record_contact(self._clock.now_s())
             if base == self._log.revision:
                 self._apply(
