Followers: an answer that is not applied is no contact with the store

What callers would see: a configuration or the end of an endpoint that takes effect later than its bound, at an instance whose peers count it as up to date.

Cause: the answer to a watch is dropped if a peer has moved the position meanwhile, and so are a peer's changes that do not begin at the position. The time of either still became the time of the last contact. It says that this instance knows what the store had then; its peers wait with their own reads because of it, and collectors do not ask.

Evidence: tests/serving/lost_history.feature, both new scenarios failed before: the contact was 0.0 s old where it has to be 2 s old, and the object that the answer named was not known.

Now an answer counts as contact only if the position then is at least its revision, so whoever relies on the time gets what belongs to it.

--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -236,9 +236,10 @@
         ----------
         state : FollowerState
             State of that instance. Changes that do not begin at the revision
-            of this follower are ignored, and so is all that an instance
-            tells which does not know of the last restore: neither its contact
-            nor its objects say anything about the restored store.
+            of this follower are ignored, with the contact that they come
+            with if this follower does not know them. So is all that an
+            instance tells which does not know of the last restore: neither
+            its contact nor its objects say anything about the restored store.
 
         Returns
         -------
@@ -258,7 +259,8 @@
             known_s = self._get_contact()
             if not is_restore:
                 self._record_recovery(state.recovered_s, known_s, "a peer")
-            if state.contact_s > known_s:
+            is_known = is_next or (revision or 0) <= (self._log.revision or 0)
+            if state.contact_s > known_s and is_known:
                 self._record_contact(state.contact_s)
             if is_next:
                 self._apply(changes)
@@ -332,9 +334,12 @@
         is_next : bool
             Whether it can be applied to what is known.
         contact_s : float
-            When the store gave the answer, monotonic, in seconds.
+            When the store gave the answer, monotonic, in seconds. It is the
+            last contact only if this follower then knows what the store had:
+            others wait with their own reads because of it.
         """
-        self._record_contact(contact_s)
+        if is_next or changes.revision <= self._log.revision:
+            self._record_contact(contact_s)
         if is_next:
             self._apply(changes)
 
--- a/tests/serving/lost_history.feature
+++ b/tests/serving/lost_history.feature
@@ -63,3 +63,15 @@
     When an object is removed and the history is lost between two pages
     And the instance reads the store 4 times
     Then the instance has the objects that the store has
+
+  # Guards against an instance that vouches to its peers for the answer to a
+  # read that it has not applied.
+  Scenario Outline: An answer that is not applied is no contact
+    Given an instance and a peer that follow the store
+    When <answer> arrives 2 s later, after a peer has moved the position
+    Then the last contact of the instance is 2 s old
+
+    Examples:
+      | answer                |
+      | the answer to a watch |
+      | the answer of a peer  |
--- a/tests/steps/serving_lost_history.py
+++ b/tests/steps/serving_lost_history.py
@@ -190,6 +190,37 @@
     assert len(pages) > 1, pages
 
 
+@when("{answer} arrives 2 s later, after a peer has moved the position")
+def deliver_late(context, answer):
+    follower = context.instance.follower
+    before = follower.revision
+    context.store.put(KIND, "earlier", {})
+    read(context.peer)
+    moved = context.peer.follower.describe(before)
+
+    def move(name):
+        context.instance.access.at_call = lambda name: None
+        follower.accept(moved)
+        context.store.put(KIND, "second", {})
+        context.clock.advance(2.0)
+
+    if "watch" in answer:
+        context.instance.access.at_call = move
+        read(context.instance)
+    else:
+        move("watch")
+        read(context.peer)
+        # The peer was asked before the position moved.
+        follower.accept(context.peer.follower.describe(before))
+    assert "second" not in context.instance.names, context.instance.names
+
+
+@then("the last contact of the instance is {age_s:g} s old")
+def check_contact(context, age_s):
+    found_s = context.clock.now_s() - context.instance.follower.last_contact_s
+    assert abs(found_s - age_s) < 0.1, found_s
+
+
 @then("the instance has listed the objects and knows the change")
 def check_listed(context):
     assert context.instance.lists >= 1, context.instance.lists
