ObjectWatch: a store that has dropped the first history is listed

What operators would see: an instance of the product's own daemon that never gets a configuration or a move, and logs 4002 without an end.

Cause: after each failure ObjectWatch requests all objects by a watch from revision 0. A store that has dropped the changes since answers 410 to that as well, each time: a position that no reader can leave.

Now a watch from revision 0 that finds the history lost lists the objects and goes on from the latest revision among them, not from that of the list: items of a list may be stale, and the next watch reports what they miss. The pause grows as for ObjectFollower while no history is kept.

--- a/mulberryhollow/daemon/entry.py
+++ b/mulberryhollow/daemon/entry.py
@@ -417,8 +417,7 @@
 
     def _read_moves(self):
         """Read the watch of the moves if this instance is a watcher."""
-        if self._is_watcher():
-            self._move_watch.read()
+        return self._move_watch.read() if self._is_watcher() else None
 
     def _is_watcher(self):
         """Return whether this instance is a watcher of its domain.
@@ -444,7 +443,8 @@
         document.
         """
         if self._document is None or self._is_watcher():
-            self._document_watch.read()
+            return self._document_watch.read()
+        return None
 
     def _read_notices(self):
         """Poll the reclaim notices if this instance is a watcher."""
--- a/mulberryhollow/serving/watch.py
+++ b/mulberryhollow/serving/watch.py
@@ -50,6 +50,8 @@
     ----------
     last_contact_s : float or None
         When the store last answered, monotonic, in seconds.
+    reads : ReadRecord
+        What the store answered to the reads.
     """
 
     def __init__(
@@ -62,10 +64,16 @@
         self._is_wanted = is_wanted
         self._revision = 0
         self.last_contact_s = None
+        self.reads = read_record.ReadRecord(kind)
 
     def read(self):
         """Read all objects, or wait once for newer ones.
 
+        Returns
+        -------
+        float or None
+            Time until the next call, in seconds; None for the usual one.
+
         Raises
         ------
         StoreUnavailableError
@@ -76,14 +84,30 @@
         -----
         The first watch requests every object. A list call would not be
         enough: its items may be stale although its revision is the latest.
+        A store that has dropped that history can only be listed. The watch
+        goes on from the latest revision among the items, so that it reports
+        those that the list has missed.
         """
         known, self._revision = self._revision, 0
-        revision, found = self._store.watch(self._kind, known, WATCH_WAIT_S)
-        self.last_contact_s = self._clock.now_s()
+        try:
+            revision, found = self._store.watch(
+                self._kind, known, WATCH_WAIT_S
+            )
+        except errors.HistoryLostError:
+            self.reads.record_loss(known, self._clock.now_s())
+            if known:
+                raise
+            _, found = self._store.list_objects(self._kind)
+            revision = max((each.version for each in found), default=0)
+            self.reads.record_list(revision, self._clock.now_s())
+        else:
+            self.reads.record_changes(self._clock.now_s())
+        self.last_contact_s = self.reads.answered_s
         for each in found:
             if self._is_wanted(each) and not each.is_deleted:
                 self._on_object(each)
         self._revision = revision
+        return self.reads.pause_s
 
 
 class ObjectFollower:
--- a/tests/serving/lost_history.feature
+++ b/tests/serving/lost_history.feature
@@ -75,3 +75,19 @@
       | answer                |
       | the answer to a watch |
       | the answer of a peer  |
+
+  # Guards against a watch that requests all objects from a revision that the
+  # store has dropped, and never knows them.
+  Scenario Outline: A watch whose store has dropped even the first history
+    Given a watch of the objects of a store, with <before> reads before
+    When the store changes and drops its history
+    And the watch is read 4 times
+    And the store changes once more
+    And the watch is read 4 times
+    Then the watch has reported the objects first, second, third
+    And the watch ended with a call that waits for changes
+
+    Examples:
+      | before |
+      | 0      |
+      | 1      |
--- a/tests/steps/serving_lost_history.py
+++ b/tests/steps/serving_lost_history.py
@@ -5,7 +5,12 @@
 from behave import when
 import urllib3
 
+from mulberryhollow import clock as clocks
 from mulberryhollow import errors
+from mulberryhollow.platform import store as dialects
+from mulberryhollow.serving import watch
+from mulberryhollow.transport import store as stores
+from standins import platform
 from tests import followed_store
 
 KIND = followed_store.KIND
@@ -215,6 +220,48 @@
     assert "second" not in context.instance.names, context.instance.names
 
 
+@given("a watch of the objects of a store, with {count:d} reads before")
+def make_watch(context, count):
+    context.store = platform.PlatformStore()
+    context.store.put(KIND, "first", {})
+    context.access = followed_store.Access(context.store)
+    client = stores.StoreClient(
+        "127.0.0.1:1", dialect=dialects.PlatformDialect()
+    )
+    client._pool = context.access
+    context.reported = []
+    context.watch = watch.ObjectWatch(
+        client,
+        KIND,
+        clocks.ManualClock(),
+        lambda item: context.reported.append(item.name),
+    )
+    read_watch(context, count)
+
+
+@when("the watch is read {count:d} times")
+def read_watch(context, count):
+    for _ in range(count):
+        with contextlib.suppress(errors.MulberryError):
+            context.watch.read()
+
+
+@when("the store changes once more")
+def change_again(context):
+    context.store.put(KIND, "third", {})
+    context.access.lists = 0
+
+
+@then("the watch has reported the objects {names}")
+def check_reported(context, names):
+    assert set(context.reported) == set(names.split(", ")), context.reported
+
+
+@then("the watch ended with a call that waits for changes")
+def check_waits(context):
+    assert context.access.lists == 0, context.access.lists
+
+
 @then("the last contact of the instance is {age_s:g} s old")
 def check_contact(context, age_s):
     found_s = context.clock.now_s() - context.instance.follower.last_contact_s
