Pollers: read a numbered list anew when its server has begun it anew

What callers and operators would see: an instance of the product's own daemon that does not know what an engine has cached after the engine has restarted under its id, and goes on to route by what it had; and reclaim notices that nobody reads after a restart of the cloud API, so endpoints are reclaimed under requests. No case has shown it.

Cause: both pollers request the items above the last number that they know. A list that begins at 1 again answers with nothing until it has passed that number.

Evidence: tests/serving/numbered_lists.feature, two of three scenarios failed before: the 40 prefixes of the engine before its restart were held and none of the 3 new ones; the notice was not applied.

Now the last known item is requested again. An answer without any item shows that it is gone, so the list is read from its beginning, and what the engine had cached is forgotten. Items that are read twice apply once. Positions of engines that are no longer listed are dropped.

--- a/mulberryhollow/serving/pollers.py
+++ b/mulberryhollow/serving/pollers.py
@@ -6,6 +6,8 @@
 import random
 import threading
 
+import attrs
+
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow import events
@@ -222,6 +224,38 @@
     actor.view.apply_list(listed, now_s)
 
 
+@attrs.define
+class _ListPosition:
+    """Position in a numbered list that its server may begin anew.
+
+    The last known item is requested again. An answer without any item comes
+    from a server that has restarted or has dropped what it had, and whose new
+    items may never reach the known number.
+
+    Parameters
+    ----------
+    number : int
+        Number of the last known item; 0 before the first.
+    """
+
+    number: int = 0
+
+    @property
+    def after(self):
+        """Number above which items are requested."""
+        return max(0, self.number - 1)
+
+    def is_lost(self, found):
+        """Return whether the list that held the last item is gone."""
+        return self.number > 0 and not found
+
+    def take_new(self, found):
+        """Advance to the last item found; return the items that are new."""
+        new = [each for each in found if each.number > self.number]
+        self.number = max((each.number for each in new), default=self.number)
+        return new
+
+
 class NoticePoller:
     """Polls reclaim notices and marks the endpoints that they concern.
 
@@ -246,12 +280,15 @@
         self._notices = notices
         self._on_notice = on_notice
         self._publish_notice = publish_notice
-        self._last_number = 0
+        self._position = _ListPosition()
 
     def read(self):
-        """Read the notices once."""
-        for notice in self._cloud.list_notices(self._last_number):
-            self._last_number = max(self._last_number, notice.number)
+        """Read the notices once; read all again if their list is a new one."""
+        found = self._cloud.list_notices(self._position.after)
+        if self._position.is_lost(found):
+            self._position = _ListPosition()
+            found = self._cloud.list_notices(self._position.after)
+        for notice in self._position.take_new(found):
             if self.apply_notice(notice):
                 self._publish_notice(notice)
 
@@ -304,7 +341,7 @@
         self._client = client
         self._dispatcher = dispatcher
         self._endpoint_poller = endpoint_poller
-        self._last_event_numbers = {}
+        self._positions = {}
         self._reads = 0
         self._threads = concurrent.futures.ThreadPoolExecutor(
             _MAX_PARALLEL_READS, thread_name_prefix="load"
@@ -313,9 +350,10 @@
     def read(self):
         """Read every endpoint once."""
         self._reads += 1
-        list(
-            self._threads.map(self._read_one, self._endpoint_poller.endpoints)
-        )
+        listed = self._endpoint_poller.endpoints
+        for gone in self._positions.keys() - {each.id for each in listed}:
+            del self._positions[gone]
+        list(self._threads.map(self._read_one, listed))
 
     def _read_one(self, endpoint):
         """Read one endpoint; its last report stays in use on failure."""
@@ -336,14 +374,21 @@
         self._dispatcher.change(apply)
 
     def _read_cache_events(self, endpoint):
-        """Read the cache events since the last read."""
-        after = self._last_event_numbers.get(endpoint.id, 0)
-        found = self._client.get_cache_events(endpoint.address, after)
-        if not found:
-            return
-        self._last_event_numbers[endpoint.id] = found[-1].number
-        apply = functools.partial(_apply_cache_events, endpoint.id, found)
-        self._dispatcher.change(apply)
+        """Read the cache events since the last read.
+
+        An engine that has restarted has an empty cache and a new list.
+        """
+        position = self._positions.setdefault(endpoint.id, _ListPosition())
+        found = self._client.get_cache_events(endpoint.address, position.after)
+        if position.is_lost(found):
+            self._positions[endpoint.id] = position = _ListPosition()
+            apply = functools.partial(_drop_cache, endpoint.id)
+            self._dispatcher.change(apply)
+            found = self._client.get_cache_events(endpoint.address, 0)
+        new = position.take_new(found)
+        if new:
+            apply = functools.partial(_apply_cache_events, endpoint.id, new)
+            self._dispatcher.change(apply)
 
 
 def _apply_load(endpoint_id, report, actor, now_s):
@@ -366,6 +411,11 @@
     actor.view.record_failure(endpoint_id, kind, now_s)
 
 
+def _drop_cache(endpoint_id, actor, now_s):
+    """Forget what an engine has cached."""
+    actor.prefixes.drop(endpoint_id)
+
+
 def _apply_cache_events(endpoint_id, found, actor, now_s):
     """Apply cache events to the prefix index."""
     for event in found:
