--- a/review/site_3.py
+++ b/review/site_3.py
@@ -58,6 +58,9 @@
 
 START_TIMEOUT_S = 20.0
 
+NETWORK = 40 + os.getpid() % 200
+"""Part of the machines' loopback addresses, another one for each run."""
+
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 """Whether the disruption of the case takes place."""
 
@@ -80,9 +83,10 @@
 class Instance:
     """One process of the role ``entry``, with its settings file."""
 
-    def __init__(self, name, folder, store_address, zone="z1"):
+    def __init__(self, name, folder, store_address, ip, ports, seeds):
+        zone = "z1"
         self.name = name
-        ports = find_ports(5)
+        self.ip = ip
         self.callers_port, self.ready_port, control = ports[:3]
         self._path = pathlib.Path(folder, f"{name}.json")
         self._log = pathlib.Path(folder, f"{name}.log")
@@ -91,17 +95,17 @@
             "role": "entry",
             "machineClass": "edge",
             "serves": ["edge", "control_plane"],
-            "ip": "127.0.0.1",
+            "ip": ip,
             "zone": zone,
             "region": "r1",
             "zones": {zone: "r1"},
             "listen": {
-                "frontend": f"127.0.0.1:{self.callers_port}",
-                "ready": f"127.0.0.1:{self.ready_port}",
-                "control": f"127.0.0.1:{control}",
+                "frontend": f"{ip}:{self.callers_port}",
+                "ready": f"{ip}:{self.ready_port}",
+                "control": f"{ip}:{control}",
             },
             "internalPorts": ports[3:],
-            "seeds": [f"127.0.0.1:{control}"],
+            "seeds": seeds,
             "bootstrap": True,
             "limits": {
                 "cpuShare": 0.537,
@@ -139,12 +143,20 @@
         self._path.write_text(json.dumps(settings))
         self.process = None
 
-    def start(self):
-        """Start the process with the command of the deploy file."""
+    def change_settings(self, **fields):
+        """Replace fields of the settings file."""
+        settings = json.loads(self._path.read_text())
+        self._path.write_text(json.dumps(settings | fields))
+
+    def start(self, root=ROOT):
+        """Start the process with the command of the deploy file.
+
+        ``root`` is the folder of the build to run.
+        """
         with self._log.open("ab") as output:
             self.process = subprocess.Popen(
                 ["python3", "-m", "mulberryhollow.platform"],
-                cwd=ROOT,
+                cwd=root,
                 env={
                     "PATH": os.environ["PATH"],
                     "HOME": os.environ.get("HOME", "/"),
@@ -160,12 +172,18 @@
         """Send a signal to the process."""
         self.process.send_signal(number)
 
+    @property
+    def address(self):
+        """Address on which the instance serves clients."""
+        return self.ip, self.callers_port
+
     def is_ready(self):
         """Return whether the readiness check succeeds."""
         request = b"GET /v1/readyz HTTP/1.1\r\nHost: r\r\n\r\n"
-        with contextlib.suppress(OSError), socket.create_connection(
-            ("127.0.0.1", self.ready_port), 1.0
-        ) as sock:
+        with (
+            contextlib.suppress(OSError),
+            socket.create_connection((self.ip, self.ready_port), 1.0) as sock,
+        ):
             sock.sendall(request)
             return sock.recv(64).startswith(b"HTTP/1.1 200")
         return False
@@ -283,9 +301,15 @@
         self._folder = tempfile.TemporaryDirectory()
         self.server = platform_site.PlatformServer()
         self.engines = []
+        # Ports are the same on all machines.
+        ports = find_ports(5)
+        ips = [f"127.{NETWORK}.0.{n}" for n in range(1, len(names) + 1)]
+        seeds = [f"{ip}:{ports[2]}" for ip in ips[:3]]
         self.instances = [
-            Instance(name, self._folder.name, self.server.address)
-            for name in names
+            Instance(
+                name, self._folder.name, self.server.address, ip, ports, seeds
+            )
+            for name, ip in zip(names, ips, strict=True)
         ]
 
     def configure(self, version, routes, services=("s",)):
@@ -311,7 +335,8 @@
 
     def add_engine(self, engine, **fields):
         """Write the entry of an engine."""
-        self.engines.append(engine)
+        if engine not in self.engines:
+            self.engines.append(engine)
         self.server.store.put(
             "servers", engine.identity, engine.make_entry(**fields)
         )
