--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Compiles the stand-ins of the cases 11 to 15, which are Python modules, and
-# exports the build that `production` of the deploy file names, for case 13.
+# exports the build that `production` of the deploy file names, for case 12.
 cd "$(dirname "$0")/.." || exit 1
 PYTHONPATH=target/deps python3 -m compileall -q \
     standins/platform.py standins/platform_site.py review/site_3.py \
