--- a/review/site_3.py
+++ b/review/site_3.py
@@ -148,6 +148,11 @@
         settings = json.loads(self._path.read_text())
         self._path.write_text(json.dumps(settings | fields))
 
+    def change_limits(self, **fields):
+        """Replace fields of the machine's limits."""
+        limits = json.loads(self._path.read_text())["limits"]
+        self.change_settings(limits=limits | fields)
+
     def start(self, root=ROOT):
         """Start the process with the command of the deploy file.
 
