Log what a stopping instance cuts off

The record of the incident does not tell the hypotheses apart:

- 2007: a connection is closed with bytes of answers unsent, with the id of the request that was forwarded last.
Before, such an answer looked whole (4013, done).
- 1017: the requests that still run, and the answers that are not sent, when the process exits at the end of the grace.
Before, nothing was logged.
- 4012 and 4013 tell for how long the instance has been stopping, so a stream that is given up early in the grace is told from one that its end cuts off.

No decision changes.

--- a/mulberryhollow/platform/daemon.py
+++ b/mulberryhollow/platform/daemon.py
@@ -3,6 +3,7 @@
 import functools
 import hashlib
 import json
+import logging
 import random
 import threading
 import zlib
@@ -14,6 +15,7 @@
 from mulberryhollow.coordination import duties
 from mulberryhollow.coordination import intake
 from mulberryhollow.coordination import membership
+from mulberryhollow import events
 from mulberryhollow import metrics
 from mulberryhollow import platform as package
 from mulberryhollow.platform import callers
@@ -136,6 +138,16 @@
 EXIT_MARGIN_S = 0.5
 """Part of the grace time reserved for the process to exit, in seconds."""
 
+MAX_LOGGED_REQUESTS = 16
+"""Number of requests that are named in one log line."""
+
+CUT_OFF = events.declare(
+    1017,
+    logging.WARNING,
+    "the end of the grace time cuts off requests or their answers",
+    "if it repeats, set a longer grace time",
+)
+
 _DRAIN_POLL_INTERVAL_S = 0.05
 
 
@@ -273,7 +285,7 @@
         begin_s = self._clock.now_s()
         end_s = begin_s + self._settings.bounds.grace_s - EXIT_MARGIN_S
         requests_end_s = end_s - stop_deadline.ANSWER_MARGIN_S
-        self._stop_deadline.end_s = requests_end_s
+        self._stop_deadline.begin(begin_s, requests_end_s)
         self._is_leaving = True
         servers = [self._servers["callers"], self._servers["peers"]]
         for server in servers:
@@ -294,12 +306,29 @@
                 for request in self._caller_watch.list_watched():
                     request.expire()
             self._wait(self._clock.now_s() + _DRAIN_POLL_INTERVAL_S)
+        self._log_cut_off(servers)
         for server in servers:
             http_server.stop_accepting(server)
         for loop in self._loops:
             loop.stop()
         self._peers.leave()
 
+    def _log_cut_off(self, servers):
+        """Log the requests and answers that the exit cuts off."""
+        running = [
+            each.request_id for each in self._caller_watch.list_watched()
+        ]
+        unsent = [http_server.describe_unsent(each) for each in servers]
+        connections, size_bytes = map(sum, zip(*unsent, strict=True))
+        if running or connections:
+            events.log(
+                CUT_OFF,
+                requests=running[:MAX_LOGGED_REQUESTS],
+                running=len(running),
+                unsent_connections=connections,
+                unsent_bytes=size_bytes,
+            )
+
     def _release_duties(self):
         """Release the duties, so that another instance acquires them now.
 
--- a/mulberryhollow/serving/forward_log.py
+++ b/mulberryhollow/serving/forward_log.py
@@ -75,8 +75,28 @@
     )
 
 
-def log_broken_off(request, endpoint_id, fault, count, reason=""):
-    """Log the fault that ended an answer early, after `count` events."""
+def log_broken_off(
+    request, endpoint_id, fault, count, reason="", stopping_s=None
+):
+    """Log the fault that ended an answer early, after `count` events.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+        The request.
+    endpoint_id : str
+        Endpoint that answered last.
+    fault : object
+        Its fault, an instance of one of the fault classes of
+        `coordination.streams`.
+    count : int
+        Number of events of the answer.
+    reason : str
+        Why no other endpoint continues the answer; empty for none.
+    stopping_s : float or None
+        Time since this instance began to stop, in seconds; None if it has
+        not.
+    """
     events.log(
         BROKEN_OFF,
         request=request.request_id,
@@ -84,6 +104,7 @@
         fault=str(fault),
         events=count,
         reason=reason,
+        **_describe_stop(stopping_s),
     )
 
 
@@ -98,7 +119,16 @@
     )
 
 
-def log_end(request, outcome, head, chosen, reader, elapsed_s, peer=""):
+def log_end(
+    request,
+    outcome,
+    head,
+    chosen,
+    reader,
+    elapsed_s,
+    peer="",
+    stopping_s=None,
+):
     """Log the result of a request and the data behind its last route.
 
     Parameters
@@ -117,6 +147,8 @@
         Time since the arrival of the request, in seconds.
     peer : str
         Peer that forwarded the last attempt; empty for none.
+    stopping_s : float or None
+        As for `log_broken_off`.
     """
     choice = {"peer": peer} if peer else {}
     if chosen is not None:
@@ -152,9 +184,15 @@
         longest_gap_ms=_to_ms(reader.longest_gap_s),
         total_ms=_to_ms(elapsed_s),
         **choice,
+        **_describe_stop(stopping_s),
     )
 
 
+def _describe_stop(stopping_s):
+    """Return the field that tells how long the instance is stopping."""
+    return {} if stopping_s is None else {"stopping_ms": _to_ms(stopping_s)}
+
+
 def _to_ms(duration_s):
     """Return a duration in whole milliseconds."""
     return round(duration_s * 1000.0)
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -203,6 +203,11 @@
             if piece:
                 yield piece
 
+    @property
+    def request_id(self):
+        """Id of the request."""
+        return self._request.request_id
+
     @property
     def endpoint_id(self):
         """Id of the endpoint that was chosen last; empty for none."""
@@ -237,6 +242,7 @@
             self._reader,
             elapsed_s,
             self._peer,
+            self._get_stopping_s(),
         )
 
     def _make_attempt(self, run):
@@ -560,7 +566,12 @@
         self._outcome = Outcome.BROKEN_OFF
         count = self._reader.assembly.count
         forward_log.log_broken_off(
-            self._request, route.endpoint_id, fault, count, reason
+            self._request,
+            route.endpoint_id,
+            fault,
+            count,
+            reason,
+            self._get_stopping_s(),
         )
 
     def _resume(self, fault):
@@ -695,6 +706,11 @@
         now_s = self._dependencies.clock.now_s()
         return self._dependencies.stop.has_passed(now_s)
 
+    def _get_stopping_s(self):
+        """Return the time since the instance began to stop, or None."""
+        now_s = self._dependencies.clock.now_s()
+        return self._dependencies.stop.get_elapsed_s(now_s)
+
     def _check_stop(self):
         """Limit the request to the time that a stopping instance has left.
 
--- a/mulberryhollow/serving/stop_deadline.py
+++ b/mulberryhollow/serving/stop_deadline.py
@@ -23,9 +23,22 @@
     end_s : float
         Monotonic time, in seconds; infinity while the instance is not
         stopping.
+    begin_s : float
+        Monotonic time at which the stop began, in seconds; infinity while
+        the instance is not stopping.
     """
 
     end_s: float = math.inf
+    begin_s: float = math.inf
+
+    def begin(self, begin_s, end_s):
+        """Begin the stop."""
+        self.begin_s = begin_s
+        self.end_s = end_s
+
+    def get_elapsed_s(self, now_s):
+        """Return the time since the stop began; None before it."""
+        return now_s - self.begin_s if now_s >= self.begin_s else None
 
     def can_hold(self, request, now_s):
         """Return whether an attempt that starts now may end in time.
--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -26,6 +26,7 @@
     "apply_limits",
     "begin_leaving",
     "close_idle",
+    "describe_unsent",
     "format_status",
     "ignore_connections",
     "is_awaiting_first_request",
@@ -69,6 +70,9 @@
 one second.
 """
 
+FORWARDED_REQUEST = "mulberryhollow.forwarded_request"
+"""Key of the WSGI environment for the id of the request, for log lines."""
+
 PAGE_THREADS = 2
 """Number of threads of the page server."""
 
@@ -142,6 +146,7 @@
         except Exception as error:  # noqa: BLE001
             events.log(INTERNAL_ERROR, error=repr(error))
             return _send(start_response, _INTERNAL_ERROR_REPLY)
+        environ[FORWARDED_REQUEST] = forwarding.request_id
         return _send_answer(start_response, forwarding)
 
 
@@ -261,6 +266,9 @@
 
     def build_response_header(self):
         """Return the response head."""
+        self.channel.last_request_id = self.get_environment().get(
+            FORWARDED_REQUEST, ""
+        )
         if self.channel.server.is_leaving:
             self.set_close_on_finish()
         return super().build_response_header()
@@ -471,9 +479,26 @@
     """Mark idle connections for closing, in the server's thread."""
     for channel in list(server.active_channels.values()):
         if channel.is_idle and not is_awaiting_first_request(channel, now_s):
+            if channel.total_outbufs_len:
+                channel.log_unsent("idle on a leaving instance")
             channel.will_close = True
 
 
+def describe_unsent(server):
+    """Return (connections, bytes) of the answers that are not sent.
+
+    Parameters
+    ----------
+    server : waitress server
+        A running server.
+    """
+    sizes = [
+        channel.total_outbufs_len
+        for channel in list(server.active_channels.values())
+    ]
+    return len(list(filter(None, sizes))), sum(sizes)
+
+
 def ignore_connections(server):
     """Let no further connection be established.
 
--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import itertools
+import logging
 import socket
 import time
 
@@ -13,6 +14,7 @@
 from waitress import task as waitress_task
 
 from mulberryhollow.coordination import intake as decisions
+from mulberryhollow import events
 from mulberryhollow.transport import intake as intakes
 from mulberryhollow.transport import replies
 
@@ -58,6 +60,14 @@
 closed when all others are in use."""
 
 UNLIMITED = 1 << 30
+
+UNSENT = events.declare(
+    2007,
+    logging.WARNING,
+    "a connection was closed before all bytes of its answers were sent",
+    "if there are many, look for clients that read slowly, or for a grace "
+    "time that is too short",
+)
 """Value of a limit of waitress that does not apply."""
 
 _OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
@@ -88,6 +98,8 @@
     # Wall-clock time since which bytes of an answer wait to be read, as far
     # as `look` has seen them.
     _unread_since_s = None
+    # Id of the request that was forwarded last.
+    last_request_id = ""
 
     @property
     def is_idle(self):
@@ -161,8 +173,26 @@
             request.close()
         super().handle_close()
 
+    def log_unsent(self, reason):
+        """Log that bytes of answers are dropped, if there are any.
+
+        Parameters
+        ----------
+        reason : str
+            Why the connection is closed.
+        """
+        if self.total_outbufs_len:
+            events.log(
+                UNSENT,
+                request=self.last_request_id,
+                unsent_bytes=self.total_outbufs_len,
+                running=len(self.requests),
+                reason=reason,
+            )
+
     def end(self):
         """Close the connection, also if the client does not read."""
+        self.log_unsent("idle, or in the way of others")
         self.will_close = True
         # Waiting for room in the send buffer might never end; the shutdown
         # wakes the server's thread.
