Reproduce streams that are given up before another endpoint takes over

A resumable stream whose endpoint is silent for a second, and would go on, is cut where no other endpoint takes it, where there is no retry budget, and where the instance is stopping. The same holds for a head that is late: the caller gets 502 while its endpoint is at work.

The instance before scripted endpoints is shared with the scenarios of streams that break off.

--- a/tests/steps/serving_resumed_streams.py
+++ b/tests/steps/serving_resumed_streams.py
@@ -1,61 +1,36 @@
 import gzip
 import itertools
-import re
-import socket
-import threading
 
 import attrs
 from behave import given
 from behave import then
 from behave import when
 
-from mulberryhollow import clock as clocks
 from mulberryhollow.platform import callers
-from mulberryhollow.platform import endpoints as endpoint_codec
-from mulberryhollow.serving import caller_watch
-from mulberryhollow.serving import dispatcher as dispatching
-from mulberryhollow.serving import forwarder
 from mulberryhollow.serving import peer_forwarding
 from mulberryhollow.state import catalogue
-from mulberryhollow.state import endpoints
 from mulberryhollow.transport import forwarding as transport
 from mulberryhollow.transport import http_server
 from standins import scripted
 from tests import requests
+from tests.scripted_streams import chunk
+from tests.scripted_streams import CHUNKED
+from tests.scripted_streams import event
+from tests.scripted_streams import head
+from tests.scripted_streams import make_sized
+from tests.scripted_streams import make_stream
+from tests.scripted_streams import read
+from tests.scripted_streams import start_instance
+from tests.scripted_streams import start_server
+from tests.scripted_streams import STREAM
+from tests.scripted_streams import TEXT
+from tests.scripted_streams import UNFRAMED
 
 
-def event(number):
-    return b"id: %d\ndata: x%d\n\n" % (number, number)
-
-
-def chunk(data):
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-def head(status, *fields, attempt_id=b"Attempt-Id: r1\r\n"):
-    proof = [b"Response-Seal: s"] if 200 <= status < 300 else []
-    lines = b"".join(field + b"\r\n" for field in (*proof, *fields))
-    return b"HTTP/1.1 %d X\r\n" % status + attempt_id + lines + b"\r\n"
-
-
-STREAM = b"Content-Type: text/event-stream"
-TEXT = b"Content-Type: text/plain"
-CHUNKED = head(200, STREAM, b"Transfer-Encoding: chunked")
-UNFRAMED = head(200, STREAM)
-END = b"0\r\n\r\n"
 PAGE = b"Internal error\n\nThe engine has failed.\n\n"
 ERROR_HEAD = head(500, b"Content-Length: 5") + b"sorry"
 
 
-def make_sized(status, body, *fields, **more):
-    return [head(status, b"Content-Length: %d" % len(body), *fields, **more)
-            + body]  # fmt: skip
-
-
-def make_stream(*pieces):
-    return [CHUNKED + b"".join(map(chunk, pieces)) + END]
-
-
 TWO = chunk(event(1)) + chunk(event(2))
 FIRST = {
     "closes after event 2": [CHUNKED + TWO, "close"],
@@ -151,42 +126,6 @@
         pass
 
 
-def start_server(app):
-    server = http_server.make_server(app, "127.0.0.1:0", 4, 4100)
-    threading.Thread(target=server.run, daemon=True).start()
-    return server.effective_port
-
-
-def start_instance(context, address, peers):
-    """Return the forwarder of an instance before endpoints at an address."""
-    clock = clocks.SystemClock()
-    actor = dispatching.DispatchActor.start(clock, 1)
-    context.add_cleanup(actor.stop)
-    dispatcher = dispatching.Dispatcher(actor, clock)
-    items = [
-        endpoints.Endpoint(f"e{n}", "m", address, "d", "s", "v1")
-        for n in range(6)
-    ]
-    dispatcher.read(
-        lambda actor, now_s: (
-            actor.view.apply_list(items, now_s),
-            actor.shares.set_endpoint_counts({"s": {"v1": 6}}),
-        )
-    )
-    codec = endpoint_codec.EndpointCodec()
-    return clock, forwarder.Forwarder(
-        forwarder.ForwardDependencies(
-            dispatcher,
-            transport.ForwardClient(codec, clock),
-            codec,
-            clock,
-            caller_watch.CallerWatch(clock),
-            peer_forwarding.SilentRecorder(),
-            peers=peers,
-        )
-    )
-
-
 @given("endpoints of which the first {breaks}")
 def set_first(context, breaks):
     context.scripts = [FIRST[breaks]]
@@ -198,34 +137,6 @@
     context.scripts.append(NEXT[name])
 
 
-def read(port, version):
-    """Return the body, and whether its end looks complete."""
-    data, is_closed = b"", False
-    with socket.create_connection(("127.0.0.1", port), 5.0) as caller:
-        caller.sendall(
-            b"GET /x HTTP/%s\r\nHost: h\r\nAttempt-Id: r1\r\n"
-            b"Connection: close\r\n\r\n" % version
-        )
-        try:
-            for piece in iter(lambda: caller.recv(65536), b""):
-                data += piece
-            is_closed = True
-        except ConnectionResetError:
-            pass
-    first, _, body = data.partition(b"\r\n\r\n")
-    assert first.split()[1:2] in ([b"200"], []), data
-    if version == b"1.0":
-        return body, is_closed
-    pieces = []
-    while size := re.match(rb"([0-9a-fA-F]+)\r\n", body):
-        begin, count = size.end(), int(size[1], 16)
-        if not count:
-            return b"".join(pieces), True
-        pieces.append(body[begin : begin + count])
-        body = body[begin + count + 2 :]
-    return b"".join(pieces), False
-
-
 def read_all(context, make_port):
     context.streams = []
     for version in (b"1.1", b"1.0"):
--- /dev/null
+++ b/tests/steps/serving_silent_streams.py
@@ -0,0 +1,229 @@
+import itertools
+import socket
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow.platform import callers
+from mulberryhollow.state import catalogue
+from mulberryhollow.transport import http_server
+from standins import scripted
+from tests import requests
+from tests import scripted_streams as streams
+
+GOAL_S = 0.1
+TIME_S = 6.0
+MAX_OVERLAP_S = 0.4
+TIGHT_STOP_S = 2.0
+LONG_GOAL_S = 3.0
+BODY = b"the whole answer"
+REFUSAL = streams.make_sized(503, b"", b"Not-Executed: 1")
+
+
+def mark(number, name):
+    """Return an event that tells the endpoint that sent it."""
+    return b"id: %d\ndata: %s\n\n" % (number, name)
+
+
+def make_chunks(name, *numbers):
+    return b"".join(streams.chunk(mark(each, name)) for each in numbers)
+
+
+FIRST_TWO = streams.CHUNKED + make_chunks(b"first", 1, 2)
+REST = make_chunks(b"first", 3, 4) + streams.END
+NEXT_REST = streams.CHUNKED + make_chunks(b"next", 3, 4) + streams.END
+OTHERS = {
+    "refuse the request": REFUSAL,
+    "fail with a 500": streams.make_sized(500, b"failed"),
+    "close the connection": ["close"],
+    "answer nothing": ["hang"],
+    "send other events": streams.make_stream(mark(7, b"other")),
+}
+
+
+class TimedEndpoint(scripted.ScriptedEndpoint):
+    """Scripted endpoint that records when its connections are left."""
+
+    def __init__(self, scripts):
+        self.left_s = {}
+        self.answered_s = {}
+        super().__init__(scripts)
+
+    def _run_steps(self, connection, steps):
+        number = len(self.requests)
+        threading.Thread(
+            target=self._watch, args=(connection, number), daemon=True
+        ).start()
+        for step in steps:
+            if isinstance(step, bytes):
+                self.answered_s[number] = time.monotonic()
+            elif step == "close":
+                # The watching thread keeps the descriptor open.
+                connection.shutdown(socket.SHUT_RDWR)
+            if not super()._run_steps(connection, [step]):
+                return False
+        return True
+
+    def _watch(self, connection, number):
+        """Record when the other side closes, without reading from it."""
+        try:
+            while connection.recv(1, socket.MSG_PEEK):
+                time.sleep(0.01)
+        except OSError:
+            pass
+        self.left_s[number] = time.monotonic()
+
+
+class Ingress:
+    """Forwards every request as one of a kind."""
+
+    def __init__(self, context):
+        self._context = context
+
+    def accept(self, incoming, is_gone):
+        context = self._context
+        now_s = context.clock.now_s()
+        request = requests.make_request(
+            context.kind,
+            arrived_s=now_s,
+            deadline_s=now_s + TIME_S,
+            goal_s=context.goal_s,
+            gap_goal_s=GOAL_S,
+        )
+        return context.forwarder.forward(request, is_gone)
+
+
+def set_first(context, kind, script):
+    context.kind, context.first, context.goal_s = kind, script, GOAL_S
+    context.others, context.count = REFUSAL, 6
+    context.prepare = lambda dependencies, now_s: None
+
+
+@given("a stream whose endpoint is silent for 1 s after event 2")
+def set_paused(context):
+    script = [FIRST_TWO, 1.0, REST]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
+@given("a stream whose endpoint is silent for good after event 2")
+def set_dark(context):
+    script = [FIRST_TWO, "hang"]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
+@given("a resumable stream whose endpoint answers after 1 s")
+def set_late_stream(context):
+    script = [1.0, FIRST_TWO + REST]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
+@given("an idempotent request whose endpoint answers after 1 s")
+def set_late(context):
+    script = [1.0, *streams.make_sized(200, BODY)]
+    set_first(context, catalogue.RequestKind.IDEMPOTENT, script)
+
+
+@given("no other endpoint is listed")
+def set_single(context):
+    context.count = 1
+
+
+@given("all other endpoints {behaviour}")
+def set_others(context, behaviour):
+    context.others = OTHERS[behaviour]
+
+
+@given("the next endpoint gives the rest after {delay_s:g} s")
+def set_next(context, delay_s):
+    context.others = [delay_s, NEXT_REST]
+
+
+@given("no retry budget is left")
+def set_budget(context):
+    def prepare(dependencies, now_s):
+        dependencies.dispatcher.spend_retry = lambda service: False
+
+    context.prepare = prepare
+
+
+@given("the instance is stopping")
+def set_stopping(context):
+    # The rest of the stream arrives in time, a new attempt might not.
+    context.goal_s = LONG_GOAL_S
+
+    def prepare(dependencies, now_s):
+        dependencies.stop.begin_s = now_s
+        dependencies.stop.end_s = now_s + TIGHT_STOP_S
+
+    context.prepare = prepare
+
+
+@when("a caller reads the stream")
+@when("a caller reads the answer")
+def read(context):
+    context.endpoint = TimedEndpoint(
+        [context.first, *itertools.repeat(context.others, 9)]
+    )
+    context.add_cleanup(context.endpoint.close)
+    context.clock, context.forwarder = streams.start_instance(
+        context, context.endpoint.address, count=context.count
+    )
+    app = http_server.ForwardApp(Ingress(context), callers.CallerCodec())
+    port = streams.start_server(app)
+    dependencies = context.forwarder._dependencies
+    if context.kind.is_stream and context.goal_s == LONG_GOAL_S:
+        # A stop that has begun before would refuse the request at once.
+        threading.Timer(
+            0.1, lambda: context.prepare(dependencies, context.clock.now_s())
+        ).start()
+    else:
+        context.prepare(dependencies, context.clock.now_s())
+    context.body, context.is_complete = streams.read(port, b"1.1")
+
+
+def check(context, *parts):
+    assert context.body == b"".join(
+        mark(number, name) for name, numbers in parts for number in numbers
+    ), context.body
+    assert context.is_complete
+
+
+@then("it gets the events 1 to 4 of the first endpoint and a complete end")
+def check_first(context):
+    check(context, (b"first", (1, 2, 3, 4)))
+
+
+@then(
+    "it gets the events 1 and 2 of the first endpoint and the rest of the next"
+)
+def check_next(context):
+    check(context, (b"first", (1, 2)), (b"next", (3, 4)))
+
+
+@then("it gets the whole answer of the first endpoint")
+def check_whole(context):
+    if context.kind.is_stream:
+        check_first(context)
+    else:
+        assert context.body == BODY, context.body
+
+
+def get_overlap_s(context, answering, other):
+    """Return for how long an endpoint kept on after another answered."""
+    time.sleep(MAX_OVERLAP_S)
+    endpoint = context.endpoint
+    assert other in endpoint.left_s, "the connection is still open"
+    return endpoint.left_s[other] - endpoint.answered_s[answering]
+
+
+@then("the first endpoint was left when the next one had answered")
+def check_first_left(context):
+    assert 0.0 <= get_overlap_s(context, 2, 1) < MAX_OVERLAP_S
+
+
+@then("the next endpoint was left when the first one had gone on")
+def check_next_left(context):
+    assert 0.0 <= get_overlap_s(context, 1, 2) < MAX_OVERLAP_S
