Leave a silent endpoint only once another one has answered

Cause: an attempt that gave no event for three gap goals, or no head for three goals, was closed first, and only then another endpoint was looked for. Where none had room, no retry budget was left, or the instance was stopping, nothing was left to go on with. The class: what works is given up before it is known that something else takes over.

Now the silent attempt is kept while another endpoint is asked, and both connections are waited for. The other one takes over when its head says that it runs the request, and, in the middle of a stream, when its first events continue the stream or are not there within 0.2 s. The silent one is closed then, so that both work for a moment only. If the silent one goes on first, the other is closed. If no other endpoint takes the request, the silent one is waited for until the deadline. Waiting reads nothing of an answer, so that a read never ends halfway through a chunk's size.

Events 4033 and 4034 tell whether another endpoint has taken over. The stand-ins of clients in three test modules take the new argument, and their answers can be waited for.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -1,5 +1,6 @@
 """Reads the answer of a forwarded request."""
 
+import copy
 import statistics
 import threading
 
@@ -126,6 +127,18 @@
         """Whether an event id is known after which to resume the stream."""
         return bool(self.assembly.last_id)
 
+    def fork(self):
+        """Return a reader that continues this one from another endpoint.
+
+        This one stays as it is, so that either of them can be used.
+        """
+        forked = copy.copy(self)
+        forked.assembly = copy.copy(self.assembly)
+        forked._gaps_s = list(self._gaps_s)
+        forked._reserved_bytes = 0
+        forked._waited_s = 0.0
+        return forked
+
     def begin_answer(self, answer, is_resumed):
         """Begin to read an answer whose head has arrived.
 
@@ -195,6 +208,33 @@
             self._buffers.release(-missing)
         self._reserved_bytes += missing
 
+    @property
+    def waited_s(self):
+        """Time waited for the next event, in seconds."""
+        return self._waited_s
+
+    def restart_wait(self):
+        """Begin to wait for the next event once more."""
+        self._waited_s = 0.0
+
+    def wait(self, answer, runs):
+        """Wait for more of a stream; return False when it takes too long.
+
+        Parameters
+        ----------
+        answer : OpenAnswer
+            The answer.
+        runs : int
+            Number of endpoints that may have run the request before this one.
+        """
+        now_s = self._clock.now_s()
+        timeout_s = decisions.get_event_timeout_s(
+            self._request, runs, now_s, self._waited_s
+        )
+        is_ready = timeout_s > 0 and answer.wait(timeout_s)
+        self._waited_s += self._clock.now_s() - now_s
+        return is_ready
+
     def read_events(self, answer, runs):
         """Return the next complete events; None at the end of the answer.
 
--- a/mulberryhollow/serving/forward_log.py
+++ b/mulberryhollow/serving/forward_log.py
@@ -8,6 +8,8 @@
     "log_broken_off",
     "log_crash",
     "log_end",
+    "log_not_replaced",
+    "log_replaced",
     "log_request_failed",
     "log_retried",
 ]
@@ -28,6 +30,18 @@
     "check the endpoint logged for its request id",
 )
 ENDED = events.declare(4013, logging.INFO, "a forwarded request has ended")
+REPLACED = events.declare(
+    4033,
+    logging.INFO,
+    "an endpoint was silent for long; another one has taken over",
+    "if it repeats for one endpoint, check it",
+)
+NOT_REPLACED = events.declare(
+    4034,
+    logging.INFO,
+    "an endpoint is silent for long, and none takes over; it is waited for",
+    "check the load of the service",
+)
 CRASHED = events.declare(
     4014,
     logging.WARNING,
@@ -49,6 +63,28 @@
     )
 
 
+def log_replaced(request, route, fault, new_route):
+    """Log that another endpoint has taken over from a silent one."""
+    events.log(
+        REPLACED,
+        request=request.request_id,
+        endpoint=route.endpoint_id,
+        fault=str(fault),
+        by=new_route.endpoint_id,
+    )
+
+
+def log_not_replaced(request, route, fault, reason):
+    """Log why no other endpoint takes over from a silent one."""
+    events.log(
+        NOT_REPLACED,
+        request=request.request_id,
+        endpoint=route.endpoint_id,
+        fault=str(fault),
+        reason=reason,
+    )
+
+
 def log_request_failed(request, refusal, attempts, chosen):
     """Log the refusal of a request that no endpoint answered.
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -23,9 +23,50 @@
 
 __all__ = ["ForwardDependencies", "Forwarder", "Forwarding"]
 
+HANDOVER_S = 0.2
+"""Longest time for which two endpoints both work on a stream, in seconds.
+
+The first events of the second one show that it continues the stream; it takes
+over without them when they are not there in this time.
+"""
+
 _MIN_SERVER_ERROR_STATUS = 500
 
 
+class _SupersededError(errors.EndpointError):
+    """Another endpoint has taken over the request."""
+
+
+class _GoesOnError(Exception):
+    """The endpoint that another one was to replace goes on."""
+
+
+@attrs.define(eq=False)
+class _CurrentAttempt:
+    """An attempt in progress, and what it holds until it is released.
+
+    Parameters
+    ----------
+    route : Route, PeerRoute or None
+        Route of the attempt; None before it is chosen and once it is
+        released.
+    chosen : Chosen or None
+        The endpoint; None if a peer chooses it.
+    peer : str
+        Instance id of the peer; empty for none.
+    channel : EndpointChannel or None
+        Connection of the attempt, while it may be aborted.
+    answer : OpenAnswer or None
+        The answer, once its head has arrived.
+    """
+
+    route: object = None
+    chosen: object = None
+    peer: str = ""
+    channel: object = None
+    answer: object = None
+
+
 @attrs.frozen
 class ForwardDependencies:
     """Dependencies shared by all forwardings.
@@ -142,8 +183,10 @@
         self._asked_peers = set()
         self._unsent = 0
         self._needs_peer = False
-        self._route = None
-        self._answer = None
+        self._current = _CurrentAttempt()
+        # Attempt that goes on until another endpoint has taken over.
+        self._kept = None
+        self._next_piece = b""
         self._first_piece = b""
         self._failed_answer = None
         self._reader = answers.AnswerReader(
@@ -152,15 +195,12 @@
             dependencies.recorder,
             dependencies.buffers,
         )
-        self._channel = None
         self._channel_lock = threading.Lock()
         self._is_aborted = False
         self._is_complete = False
         self._has_server_error = False
         self._outcome = Outcome.LEFT
         self._first_token_s = 0.0
-        self._chosen = None
-        self._peer = ""
         dependencies.watch.add(self, is_gone, self._abort)
 
     def begin(self):
@@ -211,7 +251,8 @@
     @property
     def endpoint_id(self):
         """Id of the endpoint that was chosen last; empty for none."""
-        return self._chosen.endpoint_id if self._chosen else ""
+        chosen = self._current.chosen
+        return chosen.endpoint_id if chosen else ""
 
     def expire(self):
         """End the attempt in progress once the stop deadline has passed.
@@ -220,8 +261,7 @@
         refused, and an answer that has begun is broken off.
         """
         with self._channel_lock:
-            if self._channel is not None:
-                self._channel.abort()
+            self._abort_channels()
 
     def close(self):
         """Release all resources and record the outcome."""
@@ -238,10 +278,10 @@
             self._request,
             self._outcome,
             self.head,
-            self._chosen,
+            self._current.chosen,
             self._reader,
             elapsed_s,
-            self._peer,
+            self._current.peer,
             self._get_stopping_s(),
         )
 
@@ -255,6 +295,7 @@
         except errors.EndpointLeftError:
             self._withdraw()
         except errors.EndpointError as error:
+            route = self._current.route
             self._fail(error.fault)
             self._check_caller()
             self._require_retry(route, error.fault)
@@ -267,14 +308,14 @@
             raise errors.RefusedError(decisions.refuse_expired(self._attempts))
         is_lost = self._dependencies.peers.is_lost(request.service)
         if (is_lost or self._needs_peer) and self._choose_peer():
-            return self._route
+            return self._current.route
         if self._needs_peer:
             raise errors.RefusedError(self._refuse_no_capacity())
         try:
-            self._route = self._choose_endpoint()
+            route = self._choose_endpoint()
         except errors.RefusedError as error:
             if self._has_reached_none() and self._choose_peer():
-                return self._route
+                return self._current.route
             is_restricted = request.allowed_regions is not None
             pause_s = self._dependencies.dispatcher.get_pause_s(
                 request.service, request.account
@@ -286,8 +327,8 @@
                     error.refusal.message if is_restricted else "",
                 )
             ) from error
-        self._chosen, self._peer = self._route.chosen, ""
-        return self._route
+        self._current = _CurrentAttempt(route, route.chosen)
+        return route
 
     def _choose_endpoint(self):
         """Return the route to an endpoint, if possible one that is reached.
@@ -342,8 +383,7 @@
                 raise errors.RefusedError(self._refuse_no_capacity())
             return False
         self._asked_peers.add(route.name)
-        self._route = route
-        self._chosen, self._peer = None, route.name
+        self._current = _CurrentAttempt(route, peer=route.name)
         return True
 
     def _has_reached_none(self):
@@ -383,10 +423,27 @@
         if answer.head.status != self.head.status:
             raise errors.EndpointError(streams.Failed(answer.head.status))
 
-    def _open(self, route):
-        """Send the request; return an OpenAnswer if the endpoint runs it."""
-        if isinstance(route, peer_forwarding.PeerRoute):
-            return self._open_at_peer(route)
+    def _open(self, route, await_head=None):
+        """Send the request; return an OpenAnswer if the endpoint runs it.
+
+        Parameters
+        ----------
+        route : Route or PeerRoute
+            Route of the attempt.
+        await_head : callable or None
+            Waits for the head, as for `ForwardClient.open`; None to let
+            another endpoint take over when it is late.
+        """
+        await_head = await_head or self._await_head
+        try:
+            if isinstance(route, peer_forwarding.PeerRoute):
+                return self._open_at_peer(route, await_head)
+            return self._open_at_endpoint(route, await_head)
+        except _SupersededError:
+            return self._current.answer
+
+    def _open_at_endpoint(self, route, await_head):
+        """Send the request to an endpoint; return its OpenAnswer."""
         request = self._request
         now_s = self._dependencies.clock.now_s()
         call = self._dependencies.codec.encode_call(
@@ -405,7 +462,7 @@
         peers = self._dependencies.peers
         try:
             answer = self._dependencies.client.open(
-                attempt, self._prepare_send
+                attempt, self._prepare_send, await_head
             )
         except errors.EndpointError as error:
             peers.record_failure(route, error.fault)
@@ -425,7 +482,7 @@
             self._dependencies.dispatcher.report_brittle(
                 route, answer.head.brittle_rejections
             )
-        self._answer = answer
+        self._current.answer = answer
         self._reader.begin_answer(answer, self.head is not None)
         if answer.head.has_not_run:
             self._reader.drain(answer)
@@ -435,7 +492,7 @@
             raise errors.EndpointError(streams.Crossed(answer.head.flaw))
         return answer
 
-    def _open_at_peer(self, route):
+    def _open_at_peer(self, route, await_head):
         """Send the request to a peer, which forwards it to an endpoint.
 
         Raises
@@ -460,8 +517,8 @@
             connect_s=decisions.get_connect_limit_s(request, now_s),
         )
         peers = self._dependencies.peers
-        answer = peers.client.open(attempt, self._set_channel)
-        self._answer = answer
+        answer = peers.client.open(attempt, self._set_channel, await_head)
+        self._current.answer = answer
         self._reader.begin_answer(answer, self.head is not None)
         head = answer.head
         if head.refusal is not None:
@@ -485,21 +542,26 @@
     def _set_channel(self, channel):
         """Store the channel of the attempt, so that `_abort` can close it."""
         with self._channel_lock:
-            self._channel = channel
+            self._current.channel = channel
             if self._is_aborted or self._has_stopped():
                 channel.abort()
 
     def _prepare_send(self, channel):
         """Store the channel and check that its endpoint has not left."""
         self._set_channel(channel)
-        self._dependencies.dispatcher.check_send(self._route)
+        self._dependencies.dispatcher.check_send(self._current.route)
 
     def _abort(self):
         """Abort the attempt in progress; called in another thread."""
         with self._channel_lock:
             self._is_aborted = True
-            if self._channel is not None:
-                self._channel.abort()
+            self._abort_channels()
+
+    def _abort_channels(self):
+        """Abort all attempts in progress; the caller holds the lock."""
+        for each in (self._current, self._kept):
+            if each is not None and each.channel is not None:
+                each.channel.abort()
 
     def _read_first(self):
         """Return the first events of a stream and report their time."""
@@ -508,16 +570,26 @@
             self._check_deadline()
             piece = self._read_events()
         now_s = self._dependencies.clock.now_s()
-        if isinstance(self._route, attempts.Route):
-            self._first_token_s = now_s - self._route.work.started_at_s
+        route = self._current.route
+        if isinstance(route, attempts.Route):
+            self._first_token_s = now_s - route.work.started_at_s
             self._dependencies.dispatcher.report_first_token(
-                self._route, self._first_token_s
+                route, self._first_token_s
             )
         return piece
 
     def _read_events(self):
         """Return the next complete events; empty while none is complete."""
-        piece = self._reader.read_events(self._answer, self._attempts.runs)
+        if self._next_piece:
+            piece, self._next_piece = self._next_piece, b""
+            return piece
+        answer, runs = self._current.answer, self._attempts.runs
+        if not self._reader.wait(answer, runs):
+            self._check_deadline()
+            self._seek_successor(streams.Silent(self._reader.waited_s))
+            self._reader.restart_wait()
+            return b""
+        piece = self._reader.read_events(answer, runs)
         if piece is None:
             self._finish()
             return self._reader.assembly.rest
@@ -533,7 +605,7 @@
 
     def _report_served(self):
         """Report the times of an answer that one endpoint gave in full."""
-        route, answer = self._route, self._answer
+        route, answer = self._current.route, self._current.answer
         is_first = isinstance(route, attempts.Route) and not self._excluded
         if not (is_first and answer and 200 <= answer.head.status < 300):
             return
@@ -557,7 +629,9 @@
         now_s = self._dependencies.clock.now_s()
         if now_s >= self._request.deadline_s:
             if self.head is not None:
-                self._record_broken_off(self._route, "the deadline has passed")
+                self._record_broken_off(
+                    self._current.route, "the deadline has passed"
+                )
             fault = streams.Silent(now_s - self._request.arrived_s)
             raise errors.EndpointError(fault)
 
@@ -576,7 +650,7 @@
 
     def _resume(self, fault):
         """Resume a broken stream at another endpoint, or raise."""
-        route = self._route
+        route = self._current.route
         try:
             self._fail(fault, is_answering=True)
             self._check_caller()
@@ -585,7 +659,7 @@
             ):
                 raise errors.EndpointError(fault)
             self._require_retry(route, fault)
-            while self._answer is None:
+            while self._current.answer is None:
                 self._make_attempt(self._continue_stream)
         except (errors.RefusedError, errors.EndpointError) as error:
             self._record_broken_off(route, fault, error.message)
@@ -594,14 +668,14 @@
     def _fail(self, fault, is_answering=False):
         """Release a failed attempt and report its fault."""
         self._close_answer()
-        if isinstance(self._route, peer_forwarding.PeerRoute):
+        if isinstance(self._current.route, peer_forwarding.PeerRoute):
             is_silent = isinstance(fault, streams.NotSent | streams.Silent)
             is_ended_here = self._is_aborted or self._has_stopped()
             self._release_route(has_failed=is_silent and not is_ended_here)
             self._attempts.record(fault)
             self._check_stop()
             return
-        route, self._route = self._route, None
+        route, self._current.route = self._current.route, None
         self._excluded.add(route.endpoint_id)
         self._attempts.record(fault)
         self._unsent += isinstance(fault, streams.NotSent)
@@ -633,6 +707,201 @@
         if failure.is_quarantined:
             raise attempts.refuse_quarantined()
 
+    def _await_head(self, channel):
+        """Wait for a head; while it is late, another endpoint may take over.
+
+        Returns
+        -------
+        float
+            Time until the head has to be whole, in seconds.
+
+        Raises
+        ------
+        EndpointError
+            Silent at the deadline, or when another endpoint has taken over.
+        """
+        request = self._request
+        began_s = self._dependencies.clock.now_s()
+        while True:
+            now_s = self._dependencies.clock.now_s()
+            timeout_s = decisions.get_head_timeout_s(
+                request, self._attempts.runs, now_s
+            )
+            if transport.wait_readable((channel,), timeout_s):
+                return timeout_s
+            now_s = self._dependencies.clock.now_s()
+            fault = streams.Silent(now_s - began_s)
+            if now_s >= request.deadline_s:
+                raise errors.EndpointError(fault)
+            if self._seek_successor(fault):
+                raise _SupersededError(fault)
+
+    def _seek_successor(self, fault):
+        """Let another endpoint take over from the current one, which is late.
+
+        The current one is left once another one has answered. If none does,
+        it goes on: that it is silent does not mean that it has stopped.
+
+        Parameters
+        ----------
+        fault : Silent
+            Fault of the current attempt.
+
+        Returns
+        -------
+        bool
+            Whether the current attempt is one at another endpoint now.
+        """
+        earlier = self._kept = self._current
+        self._excluded.add(earlier.route.endpoint_id)
+        # The permit belongs to the attempt that goes on.
+        self._request = attrs.evolve(self._request, permit=None)
+        try:
+            while self._may_be_replaced(fault):
+                if self._try_successor(earlier):
+                    self._retire(earlier, fault)
+                    return True
+                self._current = earlier
+                if transport.wait_readable((earlier.channel,), 0.0):
+                    break
+        except errors.RefusedError as error:
+            forward_log.log_not_replaced(
+                self._request, earlier.route, fault, error.message
+            )
+        finally:
+            self._kept = None
+            if earlier.route is not None:
+                self._current = earlier
+        self._excluded.discard(earlier.route.endpoint_id)
+        return False
+
+    def _may_be_replaced(self, fault):
+        """Return whether one more endpoint may run the request."""
+        counted = attrs.evolve(self._attempts)
+        counted.record(fault)
+        now_s = self._dependencies.clock.now_s()
+        decision = decisions.decide_next(
+            self._request, counted, fault, now_s, random.random()
+        )
+        return isinstance(decision, decisions.TryNextEndpoint)
+
+    def _try_successor(self, earlier):
+        """Return whether an endpoint has taken over.
+
+        Parameters
+        ----------
+        earlier : _CurrentAttempt
+            The attempt that goes on otherwise.
+
+        Raises
+        ------
+        RefusedError
+            When no other endpoint is to be tried.
+        """
+        self._check_caller()
+        self._check_stop()
+        reader = self._reader
+        route = self._choose()
+        self._reader = reader.fork()
+        is_accepted = False
+        try:
+            if not self._dependencies.dispatcher.spend_retry(
+                self._request.service
+            ):
+                raise errors.RefusedError(self._refuse_no_capacity())
+            answer = self._open(
+                route,
+                lambda channel: self._await_successor(earlier, channel),
+            )
+            self._next_piece = self._check_successor(answer)
+            is_accepted = True
+        except errors.EndpointLeftError:
+            self._withdraw()
+        except errors.EndpointError as error:
+            self._fail(error.fault)
+        except _GoesOnError:
+            self._attempts.record(streams.Silent(0.0))
+        finally:
+            replaced = reader if is_accepted else self._reader
+            replaced.close()
+            if not is_accepted:
+                self._reader = reader
+                self._close_answer()
+                self._release_route()
+        return is_accepted
+
+    def _await_successor(self, earlier, channel):
+        """Wait for a head at another endpoint, or for the earlier one.
+
+        Returns
+        -------
+        float
+            Time until the head has to be whole, in seconds.
+
+        Raises
+        ------
+        EndpointError
+            Silent when neither answers.
+        _GoesOnError
+            When the earlier one goes on.
+        """
+        timeout_s = decisions.get_head_timeout_s(
+            self._request,
+            self._attempts.runs + 1,
+            self._dependencies.clock.now_s(),
+        )
+        found = transport.wait_readable((earlier.channel, channel), timeout_s)
+        if found is None:
+            raise errors.EndpointError(streams.Silent(timeout_s))
+        if found is earlier.channel:
+            raise _GoesOnError
+        return timeout_s
+
+    def _check_successor(self, answer):
+        """Return the first events of an answer that is to take over.
+
+        They are empty when they are not there yet, and before the answer to
+        the caller has begun.
+
+        Raises
+        ------
+        EndpointError
+            When the answer does not continue the earlier one, or fails.
+        """
+        status = answer.head.status
+        if self.head is None:
+            is_usable = status < _MIN_SERVER_ERROR_STATUS
+        else:
+            is_usable = status == self.head.status
+        if not is_usable:
+            raise errors.EndpointError(streams.Failed(status))
+        if self.head is None or not answer.wait(HANDOVER_S):
+            return b""
+        return self._reader.read_events(answer, self._attempts.runs + 1)
+
+    def _retire(self, earlier, fault):
+        """Release the attempt that another endpoint has taken over."""
+        route, earlier.route = earlier.route, None
+        earlier.channel.abort()
+        if earlier.answer is not None:
+            earlier.answer.close()
+        self._attempts.record(fault)
+        forward_log.log_replaced(
+            self._request, route, fault, self._current.route
+        )
+        if isinstance(route, peer_forwarding.PeerRoute):
+            self._dependencies.peers.release(route, has_failed=True)
+            return
+        attempts.report_fault(
+            self._dependencies.dispatcher,
+            self._dependencies.client,
+            route,
+            fault,
+            self._request.fingerprint,
+            self.head is not None,
+            self._request.parts,
+        )
+
     def _withdraw(self):
         """Take back an attempt of which nothing was sent.
 
@@ -640,7 +909,7 @@
         at fault.
         """
         self._close_answer()
-        route, self._route = self._route, None
+        route, self._current.route = self._current.route, None
         self._excluded.add(route.endpoint_id)
         self._dependencies.dispatcher.withdraw(route)
 
@@ -681,7 +950,7 @@
             refusal = self._limit_retry_after(refusal)
         self._outcome = Outcome.REFUSED
         forward_log.log_request_failed(
-            self._request, refusal, self._attempts, self._chosen
+            self._request, refusal, self._attempts, self._current.chosen
         )
         return errors.RefusedError(refusal)
 
@@ -731,14 +1000,14 @@
         """Close the answer, and so release its connection."""
         with self._channel_lock:
             # Once released, the connection may carry another request.
-            self._channel = None
-        answer, self._answer = self._answer, None
+            self._current.channel = None
+        answer, self._current.answer = self._current.answer, None
         if answer is not None:
             answer.close()
 
     def _release_route(self, has_failed=False):
         """Release the route of an attempt that ended, or of a peer's."""
-        route, self._route = self._route, None
+        route, self._current.route = self._current.route, None
         match route:
             case peer_forwarding.PeerRoute():
                 self._dependencies.peers.release(route, has_failed)
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -7,6 +7,7 @@
 import re
 import select
 import socket
+import time
 
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
@@ -15,7 +16,7 @@
 from mulberryhollow.transport import connection as connections
 from mulberryhollow.transport import whole_lines
 
-__all__ = ["EndpointChannel"]
+__all__ = ["EndpointChannel", "wait_readable"]
 
 MAX_TRANSFER_BYTES = 65536
 """Largest number of bytes in one read or write."""
@@ -35,6 +36,10 @@
 A late answer mostly belongs to one of the last requests.
 """
 
+_PEEK_TIMEOUT_S = 0.1
+"""Time to receive bytes that a poll has found, in seconds."""
+
+_CHUNK_END = b"\r\n"
 _FORBIDDEN_CHARACTERS = re.compile(r"[\r\n\0]")
 _MALFORMED_ERRORS = (http.client.HTTPException, ValueError)
 
@@ -71,6 +76,7 @@
         self._reader = io.BufferedReader(self._source)
         self._response = None
         self._guard = None
+        self._failure = None
         self.is_request_complete = True
         self.is_in_step = True
         self._is_aborted = False
@@ -110,6 +116,52 @@
         except (OSError, ValueError):
             return False
 
+    def has_input(self):
+        """Return whether bytes of the next read have been received.
+
+        The line end behind a chunk, which may arrive long before the next
+        chunk, is skipped: `http.client` would wait for both, and lose its
+        place when that takes too long.
+        """
+        buffered = self._peek(0)
+        response = self._response
+        is_chunk_end = response is not None and response.chunk_left == 0
+        if is_chunk_end and len(buffered) >= len(_CHUNK_END):
+            self._reader.read(len(_CHUNK_END))
+            response.chunk_left = None
+            buffered = buffered[len(_CHUNK_END) :]
+        return bool(buffered)
+
+    def receive_input(self):
+        """Receive bytes of a readable socket; return whether to read on.
+
+        False means that no more than the line end behind a chunk has come.
+        """
+        buffered = self._peek(MAX_TRANSFER_BYTES)
+        return len(buffered) < len(_CHUNK_END) or self.has_input()
+
+    def _check_failure(self):
+        """Raise the error that the socket has reported before, if any."""
+        if self._failure is not None:
+            raise self._failure
+
+    def _peek(self, limit_bytes):
+        """Return the buffered bytes; receive up to a limit if there are none.
+
+        They are empty also at the end of the connection.
+        """
+        self._source.allow(
+            limit_bytes, _PEEK_TIMEOUT_S if limit_bytes else 0.0
+        )
+        try:
+            return self._reader.peek(1)
+        except TimeoutError:
+            return b""
+        except (OSError, ValueError) as error:
+            # The socket reports an error once, and then looks closed.
+            self._failure = error
+            return b""
+
     def has_carried(self, request_id):
         """Return whether an attempt of a request was sent here lately."""
         return request_id in self._request_ids
@@ -179,6 +231,7 @@
         """
         self._source.allow(MAX_HEAD_BYTES, timeout_s)
         try:
+            self._check_failure()
             response = self._read_head(method)
             while response.status < http.client.OK:
                 response = self._read_head(method)
@@ -253,6 +306,7 @@
 
     def _read_checked(self):
         """Return the next bytes of the body that are not held back."""
+        self._check_failure()
         guard = self._guard
         if guard is None:
             return self._response.read1(MAX_TRANSFER_BYTES)
@@ -299,6 +353,35 @@
         self._connection.close()
 
 
+def wait_readable(channels, timeout_s):
+    """Return the first of some channels that can be read; None for none.
+
+    Nothing of an answer is taken, so that a later read finds all of it. The
+    end of a connection can be read too.
+
+    Parameters
+    ----------
+    channels : sequence of EndpointChannel
+        Channels, those that are preferred first.
+    timeout_s : float
+        Longest time to wait, in seconds.
+    """
+    end_s = time.monotonic() + timeout_s
+    poller = select.poll()
+    for each in channels:
+        if each.has_input():
+            return each
+        poller.register(each.sock, select.POLLIN)
+    while True:
+        left_s = max(0.0, end_s - time.monotonic())
+        ready = {number for number, _ in poller.poll(left_s * 1000.0)}
+        if not ready:
+            return None
+        for each in channels:
+            if each.sock.fileno() in ready and each.receive_input():
+                return each
+
+
 class _ReaderSocket:
     """Socket stand-in that gives HTTPResponse the reader of the channel."""
 
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -14,7 +14,9 @@
 from mulberryhollow.transport import connection as connections
 from mulberryhollow.transport import liveness
 
-__all__ = ["ForwardClient", "OpenAnswer"]
+__all__ = ["ForwardClient", "OpenAnswer", "wait_readable"]
+
+wait_readable = channels.wait_readable
 
 ALIVE_CHECK_TIMEOUT_S = 0.1
 """Timeout of the TCP handshake that shows an endpoint is alive, in seconds."""
@@ -100,7 +102,12 @@
             is_usable=channels.EndpointChannel.is_usable,
         )
 
-    def open(self, attempt, on_channel=lambda channel: None):
+    def open(
+        self,
+        attempt,
+        on_channel=lambda channel: None,
+        await_answer=None,
+    ):
         """Send a request; return its OpenAnswer once the head has arrived.
 
         Parameters
@@ -110,6 +117,11 @@
         on_channel : callable
             Called with the channel before anything is sent, so that
             another thread can abort the attempt.
+        await_answer : callable or None
+            Called with the channel once the request has been sent. Waits
+            until the answer begins to arrive, and returns the time in which
+            its head has to be whole, in seconds, or raises to end the
+            attempt. None to wait as long as the attempt says.
 
         Raises
         ------
@@ -121,7 +133,8 @@
         try:
             on_channel(channel)
             channel.send(attempt.call, attempt.wait_s)
-            head = self._receive_head(channel, attempt)
+            wait_s = await_answer(channel) if await_answer else attempt.wait_s
+            head = self._receive_head(channel, attempt, wait_s)
             if channel.framing is messages.Framing.CONNECTION_CLOSE:
                 channel.guard_body(self._make_guard(channel))
         except BaseException as error:
@@ -129,7 +142,7 @@
             if not is_new and _has_fault(error, streams.NotSent):
                 # Bytes or the end of the connection came after the check.
                 fresh = attrs.evolve(attempt, is_fresh=True)
-                return self.open(fresh, on_channel)
+                return self.open(fresh, on_channel, await_answer)
             if not is_new and _has_fault(error, streams.Silent):
                 # The path may be lost: the other idle connections to the
                 # endpoint would fail in the same way, only after a request
@@ -170,7 +183,7 @@
                 return channel, is_new
             channel.close()
 
-    def _receive_head(self, channel, attempt):
+    def _receive_head(self, channel, attempt, wait_s):
         """Return the head of the response, skipping stale answers.
 
         All of them together may take the time that the attempt may wait.
@@ -178,7 +191,7 @@
         its end before it came, the endpoint waits for the rest, and so the
         attempt ends.
         """
-        end_s = self._clock.now_s() + attempt.wait_s
+        end_s = self._clock.now_s() + wait_s
         is_first = channel.earlier_requests == 0 or not self._is_id_required
         for _ in range(1 + MAX_STALE_ANSWERS):
             status, headers = channel.receive(
@@ -276,6 +289,16 @@
         self._pool = pool
         self._is_complete = False
 
+    def wait(self, timeout_s):
+        """Wait until more of the body can be read; return whether it can.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time to wait, in seconds.
+        """
+        return channels.wait_readable((self._channel,), timeout_s) is not None
+
     def read_piece(self, timeout_s):
         """Return the next bytes of the body; empty once it is complete.
 
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -196,7 +196,7 @@
             )
         )
 
-    def open_at_peer(self, attempt, on_channel):
+    def open_at_peer(self, attempt, on_channel, await_answer=None):
         """Pass a request to a peer, as the client of peers does."""
         self.fleet.peer_requests += 1
         self.fleet.receivers.add(self.fleet.instances[attempt.address].region)
@@ -227,6 +227,7 @@
             head=head,
             framing=messages.Framing.CHUNKS,
             is_new_connection=True,
+            wait=lambda timeout_s: True,
             read_piece=lambda timeout_s: next(pieces, b""),
             close=forwarding.close,
         )
@@ -316,7 +317,7 @@
             endpoint_id=chosen.endpoint_id, request_id=request.request_id
         )
 
-    def open(self, attempt, on_channel):
+    def open(self, attempt, on_channel, await_answer=None):
         """Answer an attempt at once, as the endpoint's client."""
         self.fleet.check_path(self, attempt)
         endpoint_id = attempt.call.endpoint_id
@@ -355,6 +356,7 @@
             head=head,
             framing=messages.Framing.LENGTH,
             is_new_connection=True,
+            wait=lambda timeout_s: True,
             read_piece=lambda timeout_s: next(pieces),
             close=endpoint.leave if has_room else lambda: None,
         )
@@ -753,6 +755,7 @@
         head=head,
         framing=messages.Framing.LENGTH,
         is_new_connection=True,
+        wait=lambda timeout_s: True,
         read_piece=lambda timeout_s: b"",
         close=lambda: None,
     )
--- a/tests/steps/serving_crashing_parts.py
+++ b/tests/steps/serving_crashing_parts.py
@@ -60,7 +60,7 @@
         self._deadly_part = deadly_part
         self._tables = []
 
-    def open(self, attempt, on_channel):
+    def open(self, attempt, on_channel, await_answer=None):
         """Answer with one event, or crash before the head."""
         address = attempt.address
         if address in self.crashed:
@@ -113,6 +113,9 @@
         self.framing = messages.Framing.CHUNKS
         self._pieces = [EVENT]
 
+    def wait(self, timeout_s):
+        return True
+
     def read_piece(self, timeout_s):
         return self._pieces.pop() if self._pieces else b""
 
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -79,6 +79,9 @@
         self.pieces = list(pieces)
         self.fault = fault
 
+    def wait(self, timeout_s):
+        return True
+
     def read_piece(self, timeout_s):
         if self.pieces:
             return self.pieces.pop(0)
@@ -114,7 +117,7 @@
         self.channels = []
         self.on_open = []
 
-    def open(self, attempt, on_channel):
+    def open(self, attempt, on_channel, await_answer=None):
         self.calls.append(attempt.call)
         if self.on_open:
             self.on_open.pop(0)()
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -13,6 +13,7 @@
 from standins import scripted
 from tests import requests
 from tests import scripted_streams as streams
+from tools import platform_site
 
 GOAL_S = 0.1
 TIME_S = 6.0
@@ -181,7 +182,11 @@
         ).start()
     else:
         context.prepare(dependencies, context.clock.now_s())
-    context.body, context.is_complete = streams.read(port, b"1.1")
+    if context.kind.is_stream:
+        context.body, context.is_complete = streams.read(port, b"1.1")
+    else:
+        answer = platform_site.send(port, "GET", "/x", {"Attempt-Id": "r1"})
+        context.body = answer.data
 
 
 def check(context, *parts):
