Split the choice of routes off the forwarder

RouteChoice owns what one request has tried: excluded endpoints, asked peers, attempts and the permit of its placement. No decision changes.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -1,6 +1,5 @@
 """Forwards requests to endpoints and streams back their answers."""
 
-import contextlib
 import dataclasses
 import random
 import threading
@@ -17,6 +16,7 @@
 from mulberryhollow.serving import forward_log
 from mulberryhollow.serving.observer import Outcome
 from mulberryhollow.serving import peer_forwarding
+from mulberryhollow.serving import route_choice
 from mulberryhollow.serving import stop_deadline
 from mulberryhollow.state import endpoints
 from mulberryhollow.transport import forwarding as transport
@@ -178,11 +178,8 @@
         self._dependencies = dependencies
         self._request = request
         self._is_gone = is_gone
-        self._attempts = decisions.Attempts()
-        self._excluded = set()
-        self._asked_peers = set()
-        self._unsent = 0
-        self._needs_peer = False
+        self._choice = route_choice.RouteChoice(dependencies, request.permit)
+        self._attempts = self._choice.attempts
         self._current = _CurrentAttempt()
         # Attempt that goes on until another endpoint has taken over.
         self._kept = None
@@ -301,96 +298,14 @@
             self._require_retry(route, error.fault)
 
     def _choose(self):
-        """Choose the route of the next attempt."""
-        request = self._request
-        now_s = self._dependencies.clock.now_s()
-        if request.deadline_s - now_s < decisions.MIN_REMAINING_S:
-            raise errors.RefusedError(decisions.refuse_expired(self._attempts))
-        is_lost = self._dependencies.peers.is_lost(request.service)
-        if (is_lost or self._needs_peer) and self._choose_peer():
-            return self._current.route
-        if self._needs_peer:
-            raise errors.RefusedError(self._refuse_no_capacity())
-        try:
-            route = self._choose_endpoint()
-        except errors.RefusedError as error:
-            if self._has_reached_none() and self._choose_peer():
-                return self._current.route
-            is_restricted = request.allowed_regions is not None
-            pause_s = self._dependencies.dispatcher.get_pause_s(
-                request.service, request.account
-            )
-            raise errors.RefusedError(
-                self._refuse_no_capacity(
-                    pause_s,
-                    # Names the allowed regions if they have no endpoint.
-                    error.refusal.message if is_restricted else "",
-                )
-            ) from error
-        self._current = _CurrentAttempt(route, route.chosen)
+        """Choose the route of the next attempt, which is then the current."""
+        route = self._choice.choose(self._request)
+        if isinstance(route, peer_forwarding.PeerRoute):
+            self._current = _CurrentAttempt(route, peer=route.name)
+        else:
+            self._current = _CurrentAttempt(route, route.chosen)
         return route
 
-    def _choose_endpoint(self):
-        """Return the route to an endpoint, if possible one that is reached.
-
-        Raises
-        ------
-        RefusedError
-            When no endpoint accepts the request.
-        """
-        service = self._request.service
-        unreached = self._dependencies.peers.list_unreached(service)
-        if unreached:
-            if self._request.placement in unreached:
-                self._drop_permit()
-            with contextlib.suppress(errors.RefusedError):
-                return self._choose_among(unreached)
-            # A choice that failed may have given the permit back.
-            self._drop_permit()
-        return self._choose_among(frozenset())
-
-    def _choose_among(self, avoided):
-        """Return the route to an endpoint that is not avoided."""
-        request = attrs.evolve(
-            self._request.to_route_request(), avoided=avoided
-        )
-        return self._dependencies.dispatcher.choose_endpoint(
-            request, self._excluded
-        )
-
-    def _drop_permit(self):
-        """Give the permit of the request back, and use it no more."""
-        request = self._request
-        if request.permit is not None:
-            self._dependencies.dispatcher.permits.give_back(
-                request.placement, request.permit
-            )
-            self._request = attrs.evolve(request, permit=None)
-
-    def _choose_peer(self):
-        """Let a peer forward the next attempt; return whether there is one.
-
-        Raises
-        ------
-        RefusedError
-            When the peers that were asked could not forward it.
-        """
-        route = self._dependencies.peers.choose(
-            self._asked_peers, self._request.allowed_regions
-        )
-        if route is None:
-            if self._asked_peers:
-                raise errors.RefusedError(self._refuse_no_capacity())
-            return False
-        self._asked_peers.add(route.name)
-        self._current = _CurrentAttempt(route, peer=route.name)
-        return True
-
-    def _has_reached_none(self):
-        """Return whether attempts were made and none reached an endpoint."""
-        has_tried = 0 < self._attempts.offers == self._unsent
-        return has_tried and not self._asked_peers
-
     def _begin_answer(self, route):
         """Send an attempt and read the head or the whole of its answer.
 
@@ -606,7 +521,7 @@
     def _report_served(self):
         """Report the times of an answer that one endpoint gave in full."""
         route, answer = self._current.route, self._current.answer
-        is_first = isinstance(route, attempts.Route) and not self._excluded
+        is_first = isinstance(route, attempts.Route) and self._choice.is_first
         if not (is_first and answer and 200 <= answer.head.status < 300):
             return
         now_s = self._dependencies.clock.now_s()
@@ -672,13 +587,12 @@
             is_silent = isinstance(fault, streams.NotSent | streams.Silent)
             is_ended_here = self._is_aborted or self._has_stopped()
             self._release_route(has_failed=is_silent and not is_ended_here)
-            self._attempts.record(fault)
+            self._choice.record(fault)
             self._check_stop()
             return
         route, self._current.route = self._current.route, None
-        self._excluded.add(route.endpoint_id)
-        self._attempts.record(fault)
-        self._unsent += isinstance(fault, streams.NotSent)
+        self._choice.exclude(route.endpoint_id)
+        self._choice.record(fault)
         if self._is_aborted:
             self._dependencies.dispatcher.finish(route, is_abandoned=True)
             raise errors.CallerDisconnectedError
@@ -753,9 +667,8 @@
             Whether the current attempt is one at another endpoint now.
         """
         earlier = self._kept = self._current
-        self._excluded.add(earlier.route.endpoint_id)
-        # The permit belongs to the attempt that goes on.
-        self._request = attrs.evolve(self._request, permit=None)
+        self._choice.exclude(earlier.route.endpoint_id)
+        self._choice.keep_permit()
         try:
             while self._may_be_replaced(fault):
                 if self._try_successor(earlier):
@@ -772,7 +685,7 @@
             self._kept = None
             if earlier.route is not None:
                 self._current = earlier
-        self._excluded.discard(earlier.route.endpoint_id)
+        self._choice.admit(earlier.route.endpoint_id)
         return False
 
     def _may_be_replaced(self, fault):
@@ -808,7 +721,9 @@
             if not self._dependencies.dispatcher.spend_retry(
                 self._request.service
             ):
-                raise errors.RefusedError(self._refuse_no_capacity())
+                raise errors.RefusedError(
+                    self._choice.refuse_no_capacity(self._request)
+                )
             answer = self._open(
                 route,
                 lambda channel: self._await_successor(earlier, channel),
@@ -820,7 +735,7 @@
         except errors.EndpointError as error:
             self._fail(error.fault)
         except _GoesOnError:
-            self._attempts.record(streams.Silent(0.0))
+            self._choice.record(streams.Silent(0.0))
         finally:
             replaced = reader if is_accepted else self._reader
             replaced.close()
@@ -885,7 +800,7 @@
         earlier.channel.abort()
         if earlier.answer is not None:
             earlier.answer.close()
-        self._attempts.record(fault)
+        self._choice.record(fault)
         forward_log.log_replaced(
             self._request, route, fault, self._current.route
         )
@@ -910,7 +825,7 @@
         """
         self._close_answer()
         route, self._current.route = self._current.route, None
-        self._excluded.add(route.endpoint_id)
+        self._choice.exclude(route.endpoint_id)
         self._dependencies.dispatcher.withdraw(route)
 
     def _require_retry(self, route, fault):
@@ -921,22 +836,17 @@
         )
         match decision:
             case decisions.FailRequest(refusal):
-                self._needs_peer = self._has_reached_none()
-                if not self._needs_peer:
+                if not self._choice.require_peer():
                     raise errors.RefusedError(refusal)
             case decisions.TryNextEndpoint(draws_budget=True):
                 if not self._dependencies.dispatcher.spend_retry(
                     self._request.service
                 ):
-                    raise errors.RefusedError(self._refuse_no_capacity())
+                    raise errors.RefusedError(
+                        self._choice.refuse_no_capacity(self._request)
+                    )
         forward_log.log_retried(self._request, route, fault, self._attempts)
 
-    def _refuse_no_capacity(self, pause_s=0.0, reason=""):
-        """Return the refusal for lack of endpoints or of retry budget."""
-        return decisions.refuse_no_capacity(
-            self._request, self._attempts, random.random(), pause_s, reason
-        )
-
     def _refuse(self, refusal):
         """Log a final refusal and return its error."""
         if (
