Pass on the head of the endpoint that sends the first events

Where another endpoint took over after the head of the first one and before its first event, the caller got the first one's head, with its proof, above all events of the other.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -317,7 +317,7 @@
         head = answer.head
         is_success = 200 <= head.status < 300
         if is_success and self._request.kind.is_stream:
-            self._first_piece = self._read_first()
+            head, self._first_piece = self._read_first()
             self._dependencies.dispatcher.report_begun(self._request.parts)
             self.head = head
             return
@@ -479,10 +479,12 @@
                 each.channel.abort()
 
     def _read_first(self):
-        """Return the first events of a stream and report their time."""
+        """Return head and first events of a stream, and report their time."""
         piece = b""
         while not (piece or self._is_complete):
             self._check_deadline()
+            # Another endpoint may take over before the first event.
+            head = self._current.answer.head
             piece = self._read_events()
         now_s = self._dependencies.clock.now_s()
         route = self._current.route
@@ -491,7 +493,7 @@
             self._dependencies.dispatcher.report_first_token(
                 route, self._first_token_s
             )
-        return piece
+        return head, piece
 
     def _read_events(self):
         """Return the next complete events; empty while none is complete."""
@@ -728,7 +730,7 @@
                 route,
                 lambda channel: self._await_successor(earlier, channel),
             )
-            self._next_piece = self._check_successor(answer)
+            self._next_piece = self._check_successor(answer, earlier)
             is_accepted = True
         except errors.EndpointLeftError:
             self._withdraw()
@@ -772,7 +774,7 @@
             raise _GoesOnError
         return timeout_s
 
-    def _check_successor(self, answer):
+    def _check_successor(self, answer, earlier):
         """Return the first events of an answer that is to take over.
 
         They are empty when they are not there yet, and before the answer to
@@ -784,10 +786,11 @@
             When the answer does not continue the earlier one, or fails.
         """
         status = answer.head.status
-        if self.head is None:
+        head = self.head or (earlier.answer and earlier.answer.head)
+        if head is None:
             is_usable = status < _MIN_SERVER_ERROR_STATUS
         else:
-            is_usable = status == self.head.status
+            is_usable = status == head.status
         if not is_usable:
             raise errors.EndpointError(streams.Failed(status))
         if self.head is None or not answer.wait(HANDOVER_S):
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -27,6 +27,13 @@
     Then it gets the events 1 and 2 of the first endpoint and the rest of the next
     And the first endpoint was left when the next one had answered
 
+  # Guards against the proof of one endpoint above the events of another.
+  Scenario: The head is that of the endpoint whose events are passed on
+    Given a stream whose endpoint is silent for good after its head
+    And the next endpoint gives a whole stream
+    When a caller reads the stream
+    Then it gets the head and the events of the next endpoint
+
   # Guards against two endpoints that both work on a stream.
   Scenario: The next endpoint is left when the first one goes on
     Given a stream whose endpoint is silent for 1 s after event 2
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -100,6 +100,7 @@
 def set_first(context, kind, script):
     context.kind, context.first, context.goal_s = kind, script, GOAL_S
     context.others, context.count = REFUSAL, 6
+    context.may_break_off = kind.is_stream
     context.prepare = lambda dependencies, now_s: None
 
 
@@ -115,6 +116,12 @@
     set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
 
 
+@given("a stream whose endpoint is silent for good after its head")
+def set_head(context):
+    script = [streams.CHUNKED, "hang"]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
 @given("a resumable stream whose endpoint answers after 1 s")
 def set_late_stream(context):
     script = [1.0, FIRST_TWO + REST]
@@ -142,6 +149,14 @@
     context.others = [delay_s, NEXT_REST]
 
 
+@given("the next endpoint gives a whole stream")
+def set_whole(context):
+    next_head = streams.CHUNKED.replace(b"Seal: s", b"Seal: next")
+    chunks = make_chunks(b"next", 1, 2, 3, 4)
+    context.others = [next_head + chunks + streams.END]
+    context.may_break_off = False
+
+
 @given("no retry budget is left")
 def set_budget(context):
     def prepare(dependencies, now_s):
@@ -182,11 +197,12 @@
         ).start()
     else:
         context.prepare(dependencies, context.clock.now_s())
-    if context.kind.is_stream:
+    if context.may_break_off:
         context.body, context.is_complete = streams.read(port, b"1.1")
     else:
         answer = platform_site.send(port, "GET", "/x", {"Attempt-Id": "r1"})
-        context.body = answer.data
+        context.head, context.body = answer.headers, answer.data
+        context.is_complete = True
 
 
 def check(context, *parts):
@@ -208,6 +224,12 @@
     check(context, (b"first", (1, 2)), (b"next", (3, 4)))
 
 
+@then("it gets the head and the events of the next endpoint")
+def check_head(context):
+    check(context, (b"next", (1, 2, 3, 4)))
+    assert context.head["Response-Seal"] == "next", context.head.items()
+
+
 @then("it gets the whole answer of the first endpoint")
 def check_whole(context):
     if context.kind.is_stream:
