Correct the hand-over from a silent endpoint to another one

- An answer that is read to its end, by its length or because it answers HEAD, was waited for until the deadline.
- The end of the silent connection counted as going on, so the next endpoint was left as well, and the stream was cut.
- What others refused during the wait used up the number of endpoints that may be tried, so a stream that broke off later was not resumed.
- Events that had arrived by the end of the wait, and were read after it, counted as silence.
- A part of a head, once there, was waited for beyond the deadline.
- The check of the next endpoint's first events had no limit of its own.
- Retry budget was spent before anything was sent, an attempt that was not sent counted as a success of its endpoint, and the caller's leaving could miss an attempt in the moment in which it became the current one again.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -1,6 +1,7 @@
 """Reads the answer of a forwarded request."""
 
 import copy
+import math
 import statistics
 import threading
 
@@ -38,6 +39,9 @@
 """Size up to which an incomplete event is always held, in bytes."""
 
 
+MIN_READ_S = 0.1
+"""Least time to read what has been found to have arrived, in seconds."""
+
 MAX_GAPS = 64
 """Number of gaps between events of one answer whose median is taken."""
 
@@ -110,6 +114,7 @@
         self._is_resumed = False
         self._event_s = 0.0
         self._waited_s = 0.0
+        self._is_ready = False
         self._gaps_s = []
         self._event_count = 0
 
@@ -231,11 +236,11 @@
         timeout_s = decisions.get_event_timeout_s(
             self._request, runs, now_s, self._waited_s
         )
-        is_ready = timeout_s > 0 and answer.wait(timeout_s)
+        self._is_ready = timeout_s > 0 and answer.wait(timeout_s)
         self._waited_s += self._clock.now_s() - now_s
-        return is_ready
+        return self._is_ready
 
-    def read_events(self, answer, runs):
+    def read_events(self, answer, runs, limit_s=math.inf):
         """Return the next complete events; None at the end of the answer.
 
         Parameters
@@ -244,6 +249,9 @@
             The answer.
         runs : int
             Number of endpoints that may have run the request before this one.
+        limit_s : float
+            Longest time to read, in seconds, if it is shorter than the time
+            in which an event has to arrive.
 
         Returns
         -------
@@ -261,9 +269,12 @@
         timeout_s = decisions.get_event_timeout_s(
             self._request, runs, now_s, waited_s
         )
+        is_ready, self._is_ready = self._is_ready, False
+        if is_ready:
+            timeout_s = max(timeout_s, MIN_READ_S)
         if timeout_s <= 0:
             raise errors.EndpointError(streams.Silent(waited_s))
-        piece = answer.read_piece(timeout_s)
+        piece = answer.read_piece(min(timeout_s, limit_s))
         if not piece:
             self._check_stream_end()
             return None
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -58,6 +58,8 @@
         Connection of the attempt, while it may be aborted.
     answer : OpenAnswer or None
         The answer, once its head has arrived.
+    owes_retry : bool
+        Whether sending the request spends retry budget.
     """
 
     route: object = None
@@ -65,6 +67,7 @@
     peer: str = ""
     channel: object = None
     answer: object = None
+    owes_retry: bool = False
 
 
 @attrs.frozen
@@ -432,7 +435,9 @@
             connect_s=decisions.get_connect_limit_s(request, now_s),
         )
         peers = self._dependencies.peers
-        answer = peers.client.open(attempt, self._set_channel, await_head)
+        answer = peers.client.open(
+            attempt, self._prepare_send_to_peer, await_head
+        )
         self._current.answer = answer
         self._reader.begin_answer(answer, self.head is not None)
         head = answer.head
@@ -465,6 +470,28 @@
         """Store the channel and check that its endpoint has not left."""
         self._set_channel(channel)
         self._dependencies.dispatcher.check_send(self._current.route)
+        self._spend_retry()
+
+    def _prepare_send_to_peer(self, channel):
+        """Store the channel."""
+        self._set_channel(channel)
+        self._spend_retry()
+
+    def _spend_retry(self):
+        """Spend the retry budget that the attempt owes, once.
+
+        Raises
+        ------
+        RefusedError
+            When none is left.
+        """
+        owes_retry, self._current.owes_retry = self._current.owes_retry, False
+        if owes_retry and not self._dependencies.dispatcher.spend_retry(
+            self._request.service
+        ):
+            raise errors.RefusedError(
+                self._choice.refuse_no_capacity(self._request)
+            )
 
     def _abort(self):
         """Abort the attempt in progress; called in another thread."""
@@ -502,9 +529,9 @@
             return piece
         answer, runs = self._current.answer, self._attempts.runs
         if not self._reader.wait(answer, runs):
-            self._check_deadline()
-            self._seek_successor(streams.Silent(self._reader.waited_s))
-            self._reader.restart_wait()
+            if self._dependencies.clock.now_s() < self._request.deadline_s:
+                self._seek_successor(streams.Silent(self._reader.waited_s))
+                self._reader.restart_wait()
             return b""
         piece = self._reader.read_events(answer, runs)
         if piece is None:
@@ -585,16 +612,16 @@
     def _fail(self, fault, is_answering=False):
         """Release a failed attempt and report its fault."""
         self._close_answer()
-        if isinstance(self._current.route, peer_forwarding.PeerRoute):
+        route = self._current.route
+        if isinstance(route, peer_forwarding.PeerRoute):
             is_silent = isinstance(fault, streams.NotSent | streams.Silent)
             is_ended_here = self._is_aborted or self._has_stopped()
             self._release_route(has_failed=is_silent and not is_ended_here)
-            self._choice.record(fault)
+            self._choice.record(fault, route.endpoint_id)
             self._check_stop()
             return
-        route, self._current.route = self._current.route, None
-        self._choice.exclude(route.endpoint_id)
-        self._choice.record(fault)
+        self._current.route = None
+        self._choice.record(fault, route.endpoint_id)
         if self._is_aborted:
             self._dependencies.dispatcher.finish(route, is_abandoned=True)
             raise errors.CallerDisconnectedError
@@ -643,9 +670,12 @@
             timeout_s = decisions.get_head_timeout_s(
                 request, self._attempts.runs, now_s
             )
-            if transport.wait_readable((channel,), timeout_s):
-                return timeout_s
+            is_ready = transport.wait_readable((channel,), timeout_s)
             now_s = self._dependencies.clock.now_s()
+            if is_ready:
+                return decisions.get_head_timeout_s(
+                    request, self._attempts.runs, now_s
+                )
             fault = streams.Silent(now_s - began_s)
             if now_s >= request.deadline_s:
                 raise errors.EndpointError(fault)
@@ -669,14 +699,11 @@
             Whether the current attempt is one at another endpoint now.
         """
         earlier = self._kept = self._current
-        self._choice.exclude(earlier.route.endpoint_id)
-        self._choice.keep_permit()
+        before = self._choice.begin_trial(earlier.route.endpoint_id)
+        is_replaced = False
         try:
-            while self._may_be_replaced(fault):
-                if self._try_successor(earlier):
-                    self._retire(earlier, fault)
-                    return True
-                self._current = earlier
+            while not is_replaced and self._may_be_replaced(fault):
+                is_replaced = self._try_successor(earlier)
                 if transport.wait_readable((earlier.channel,), 0.0):
                     break
         except errors.RefusedError as error:
@@ -684,11 +711,14 @@
                 self._request, earlier.route, fault, error.message
             )
         finally:
-            self._kept = None
-            if earlier.route is not None:
-                self._current = earlier
-        self._choice.admit(earlier.route.endpoint_id)
-        return False
+            with self._channel_lock:
+                if not is_replaced:
+                    self._current = earlier
+                self._kept = None
+            self._choice.end_trial(None if is_replaced else before)
+        if is_replaced:
+            self._retire(earlier, fault)
+        return is_replaced
 
     def _may_be_replaced(self, fault):
         """Return whether one more endpoint may run the request."""
@@ -717,15 +747,10 @@
         self._check_stop()
         reader = self._reader
         route = self._choose()
+        self._current.owes_retry = True
         self._reader = reader.fork()
         is_accepted = False
         try:
-            if not self._dependencies.dispatcher.spend_retry(
-                self._request.service
-            ):
-                raise errors.RefusedError(
-                    self._choice.refuse_no_capacity(self._request)
-                )
             answer = self._open(
                 route,
                 lambda channel: self._await_successor(earlier, channel),
@@ -737,16 +762,26 @@
         except errors.EndpointError as error:
             self._fail(error.fault)
         except _GoesOnError:
-            self._choice.record(streams.Silent(0.0))
+            # It may have run at the other endpoint as well.
+            self._choice.record(streams.Silent(0.0), route.endpoint_id)
         finally:
             replaced = reader if is_accepted else self._reader
             replaced.close()
             if not is_accepted:
                 self._reader = reader
-                self._close_answer()
-                self._release_route()
+                self._abandon()
         return is_accepted
 
+    def _abandon(self):
+        """Release an attempt that says nothing about its endpoint."""
+        self._close_answer()
+        route, self._current.route = self._current.route, None
+        match route:
+            case peer_forwarding.PeerRoute():
+                self._dependencies.peers.release(route)
+            case attempts.Route():
+                self._dependencies.dispatcher.withdraw(route)
+
     def _await_successor(self, earlier, channel):
         """Wait for a head at another endpoint, or for the earlier one.
 
@@ -762,17 +797,21 @@
         _GoesOnError
             When the earlier one goes on.
         """
+        clock = self._dependencies.clock
+        runs = self._attempts.runs + 1
         timeout_s = decisions.get_head_timeout_s(
-            self._request,
-            self._attempts.runs + 1,
-            self._dependencies.clock.now_s(),
+            self._request, runs, clock.now_s()
         )
+        end_s = clock.now_s() + timeout_s
         found = transport.wait_readable((earlier.channel, channel), timeout_s)
+        if found is earlier.channel:
+            if not earlier.channel.has_broken_off:
+                raise _GoesOnError
+            left_s = max(0.0, end_s - clock.now_s())
+            found = transport.wait_readable((channel,), left_s)
         if found is None:
             raise errors.EndpointError(streams.Silent(timeout_s))
-        if found is earlier.channel:
-            raise _GoesOnError
-        return timeout_s
+        return decisions.get_head_timeout_s(self._request, runs, clock.now_s())
 
     def _check_successor(self, answer, earlier):
         """Return the first events of an answer that is to take over.
@@ -795,15 +834,20 @@
             raise errors.EndpointError(streams.Failed(status))
         if self.head is None or not answer.wait(HANDOVER_S):
             return b""
-        return self._reader.read_events(answer, self._attempts.runs + 1)
+        runs = self._attempts.runs + 1
+        return self._reader.read_events(answer, runs, HANDOVER_S)
 
     def _retire(self, earlier, fault):
         """Release the attempt that another endpoint has taken over."""
         route, earlier.route = earlier.route, None
-        earlier.channel.abort()
+        with self._channel_lock:
+            channel, earlier.channel = earlier.channel, None
+        channel.abort()
+        if channel.has_broken_off:
+            fault = streams.Broken("it ended while another one was asked")
         if earlier.answer is not None:
             earlier.answer.close()
-        self._choice.record(fault)
+        self._choice.record(fault, route.endpoint_id)
         forward_log.log_replaced(
             self._request, route, fault, self._current.route
         )
--- a/mulberryhollow/serving/route_choice.py
+++ b/mulberryhollow/serving/route_choice.py
@@ -12,6 +12,23 @@
 __all__ = ["RouteChoice"]
 
 
+@attrs.frozen
+class _Tried:
+    """What was tried before a trial.
+
+    Parameters
+    ----------
+    excluded : frozenset of str
+        Ids of the endpoints that are not chosen.
+    offers, unsent : int
+        Endpoints tried, and those of them to which nothing was sent.
+    """
+
+    excluded: frozenset
+    offers: int
+    unsent: int
+
+
 class RouteChoice:
     """Chooses the routes of one request, and remembers what was tried.
 
@@ -33,9 +50,11 @@
         self._dependencies = dependencies
         self._permit = permit
         self._excluded = set()
+        self._ran = set()
         self._asked_peers = set()
         self._unsent = 0
         self._needs_peer = False
+        self._is_trial = False
 
     @property
     def is_first(self):
@@ -46,18 +65,46 @@
         """Choose an endpoint no more."""
         self._excluded.add(endpoint_id)
 
-    def admit(self, endpoint_id):
-        """Allow an endpoint to be chosen again."""
-        self._excluded.discard(endpoint_id)
+    def begin_trial(self, endpoint_id):
+        """Begin to try others while an attempt at an endpoint goes on.
 
-    def keep_permit(self):
-        """Leave the permit to the attempt that holds it."""
+        Returns
+        -------
+        _Tried
+            What was tried before, for `end_trial`.
+        """
+        before = _Tried(
+            frozenset(self._excluded), self.attempts.offers, self._unsent
+        )
+        self.exclude(endpoint_id)
+        # The permit belongs to the attempt that goes on.
         self._permit = None
+        self._is_trial = True
+        return before
+
+    def end_trial(self, before=None):
+        """End a trial.
 
-    def record(self, fault):
-        """Count a failed attempt."""
+        Parameters
+        ----------
+        before : _Tried or None
+            What was tried before the trial, when the attempt goes on: what
+            has not run in the trial can be tried again. None when another
+            endpoint has taken over.
+        """
+        self._is_trial = False
+        if before is not None:
+            self._excluded = {*before.excluded, *self._ran}
+            self.attempts.offers = before.offers
+            self._unsent = before.unsent
+
+    def record(self, fault, endpoint_id):
+        """Count a failed attempt, and choose its endpoint no more."""
         self.attempts.record(fault)
         self._unsent += isinstance(fault, streams.NotSent)
+        self.exclude(endpoint_id)
+        if streams.may_have_run(fault):
+            self._ran.add(endpoint_id)
 
     def require_peer(self):
         """Return whether only a peer can help, and choose only peers then."""
@@ -173,5 +220,7 @@
 
     def _has_reached_none(self):
         """Return whether attempts were made and none reached an endpoint."""
+        if self._is_trial:
+            return False
         has_tried = 0 < self.attempts.offers == self._unsent
         return has_tried and not self._asked_peers
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -77,6 +77,7 @@
         self._response = None
         self._guard = None
         self._failure = None
+        self._has_ended = False
         self.is_request_complete = True
         self.is_in_step = True
         self._is_aborted = False
@@ -117,14 +118,18 @@
             return False
 
     def has_input(self):
-        """Return whether bytes of the next read have been received.
+        """Return whether the next read would not wait.
 
         The line end behind a chunk, which may arrive long before the next
         chunk, is skipped: `http.client` would wait for both, and lose its
         place when that takes too long.
         """
-        buffered = self._peek(0)
         response = self._response
+        if response is not None and (
+            response.isclosed() or response.length == 0
+        ):
+            return True
+        buffered = self._peek(0)
         is_chunk_end = response is not None and response.chunk_left == 0
         if is_chunk_end and len(buffered) >= len(_CHUNK_END):
             self._reader.read(len(_CHUNK_END))
@@ -132,12 +137,24 @@
             buffered = buffered[len(_CHUNK_END) :]
         return bool(buffered)
 
+    @property
+    def has_broken_off(self):
+        """Whether the connection is known to have ended before the answer."""
+        if self._failure is not None:
+            return True
+        is_ended_by_close = (
+            self._response is not None
+            and self.framing is messages.Framing.CONNECTION_CLOSE
+        )
+        return self._has_ended and not is_ended_by_close
+
     def receive_input(self):
         """Receive bytes of a readable socket; return whether to read on.
 
         False means that no more than the line end behind a chunk has come.
         """
         buffered = self._peek(MAX_TRANSFER_BYTES)
+        self._has_ended = not buffered
         return len(buffered) < len(_CHUNK_END) or self.has_input()
 
     def _check_failure(self):
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -34,6 +34,44 @@
     When a caller reads the stream
     Then it gets the head and the events of the next endpoint
 
+  # Guards against a whole answer that is waited for until the deadline.
+  Scenario Outline: An answer that is read to its end is complete at once
+    Given <kind> whose endpoint gives at once <answer>
+    When a caller reads the answer
+    Then it gets the whole answer within 1 s
+
+    Examples:
+      | kind                  | answer                 |
+      | a resumable stream    | a stream with a length |
+      | a stream              | a stream with a length |
+      | an idempotent request | an answer to HEAD      |
+
+  # Guards against the loss of both endpoints when the silent one ends.
+  Scenario Outline: The next endpoint goes on when the silent one ends
+    Given a stream whose endpoint <ends> after 0.6 s of silence
+    And the next endpoint gives the rest after 0.7 s
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint and the rest of the next
+
+    Examples:
+      | ends   |
+      | closes |
+      | resets |
+
+  # Guards against a stream that cannot be resumed because others refused it
+  # while its endpoint was silent.
+  Scenario: A stream that goes on and breaks off later is resumed
+    Given a stream whose endpoint is silent for 1 s after event 2 and closes after event 3
+    And the next endpoint gives the rest, after 9 have refused the request
+    When a caller reads the stream
+    Then it gets the events 1 to 3 of the first endpoint and the rest of the next
+
+  # Guards against a caller that is kept waiting by a part of a head.
+  Scenario: A head that is not whole at the deadline is waited for no longer
+    Given an idempotent request whose endpoint sends an interim head shortly before the deadline
+    When a caller reads the answer
+    Then it gets an answer by the deadline
+
   # Guards against two endpoints that both work on a stream.
   Scenario: The next endpoint is left when the first one goes on
     Given a stream whose endpoint is silent for 1 s after event 2
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from mulberryhollow.platform import callers
+from mulberryhollow.protocol import forwarding
 from mulberryhollow.state import catalogue
 from mulberryhollow.transport import http_server
 from standins import scripted
@@ -45,6 +46,13 @@
 }
 
 
+KINDS = {
+    "a resumable stream": catalogue.RequestKind.RESUMABLE_STREAM,
+    "a stream": catalogue.RequestKind.STREAM,
+    "an idempotent request": catalogue.RequestKind.IDEMPOTENT,
+}
+
+
 class TimedEndpoint(scripted.ScriptedEndpoint):
     """Scripted endpoint that records when its connections are left."""
 
@@ -93,11 +101,13 @@
             deadline_s=now_s + TIME_S,
             goal_s=context.goal_s,
             gap_goal_s=GOAL_S,
+            payload=forwarding.Payload(context.method, "/x", (), b""),
         )
         return context.forwarder.forward(request, is_gone)
 
 
 def set_first(context, kind, script):
+    context.method, context.scripts = "GET", None
     context.kind, context.first, context.goal_s = kind, script, GOAL_S
     context.others, context.count = REFUSAL, 6
     context.may_break_off = kind.is_stream
@@ -134,6 +144,51 @@
     set_first(context, catalogue.RequestKind.IDEMPOTENT, script)
 
 
+@given("{kind} whose endpoint gives at once {answer}")
+def set_whole_answer(context, kind, answer):
+    events = b"".join(mark(number, b"first") for number in (1, 2, 3, 4))
+    body = b"" if kind == "an idempotent request" else events
+    set_first(context, KINDS[kind], streams.make_sized(200, body))
+    context.method = "HEAD" if answer == "an answer to HEAD" else "GET"
+    context.whole = body
+    context.may_break_off = False
+
+
+@given("a stream whose endpoint {ends} after 0.6 s of silence")
+def set_ending(context, ends):
+    script = [FIRST_TWO, 0.6, {"closes": "close", "resets": "reset"}[ends]]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
+@given(
+    "a stream whose endpoint is silent for 1 s after event 2 and closes after "
+    "event 3"
+)
+def set_broken_later(context):
+    script = [FIRST_TWO, 1.0, make_chunks(b"first", 3), "close"]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
+@given(
+    "the next endpoint gives the rest, after {count:d} have refused the "
+    "request"
+)
+def set_later(context, count):
+    rest = [streams.CHUNKED + make_chunks(b"next", 4) + streams.END]
+    context.others = rest
+    context.scripts = [context.first, *[REFUSAL] * count]
+
+
+@given(
+    "an idempotent request whose endpoint sends an interim head shortly "
+    "before the deadline"
+)
+def set_interim(context):
+    script = [TIME_S - 0.5, b"HTTP/1.1 103 Early Hints\r\n\r\n", "hang"]
+    set_first(context, catalogue.RequestKind.IDEMPOTENT, script)
+    context.count = 1
+
+
 @given("no other endpoint is listed")
 def set_single(context):
     context.count = 1
@@ -181,7 +236,10 @@
 @when("a caller reads the answer")
 def read(context):
     context.endpoint = TimedEndpoint(
-        [context.first, *itertools.repeat(context.others, 9)]
+        [
+            *(context.scripts or [context.first]),
+            *itertools.repeat(context.others, 9),
+        ]
     )
     context.add_cleanup(context.endpoint.close)
     context.clock, context.forwarder = streams.start_instance(
@@ -197,12 +255,16 @@
         ).start()
     else:
         context.prepare(dependencies, context.clock.now_s())
+    began_s = time.monotonic()
     if context.may_break_off:
         context.body, context.is_complete = streams.read(port, b"1.1")
     else:
-        answer = platform_site.send(port, "GET", "/x", {"Attempt-Id": "r1"})
+        answer = platform_site.send(
+            port, context.method, "/x", {"Attempt-Id": "r1"}
+        )
         context.head, context.body = answer.headers, answer.data
         context.is_complete = True
+    context.took_s = time.monotonic() - began_s
 
 
 def check(context, *parts):
@@ -224,6 +286,24 @@
     check(context, (b"first", (1, 2)), (b"next", (3, 4)))
 
 
+@then(
+    "it gets the events 1 to 3 of the first endpoint and the rest of the next"
+)
+def check_resumed(context):
+    check(context, (b"first", (1, 2, 3)), (b"next", (4,)))
+
+
+@then("it gets the whole answer within 1 s")
+def check_at_once(context):
+    assert context.body == context.whole, context.body
+    assert context.took_s < 1.0, context.took_s
+
+
+@then("it gets an answer by the deadline")
+def check_deadline(context):
+    assert context.took_s < TIME_S + 0.5, context.took_s
+
+
 @then("it gets the head and the events of the next endpoint")
 def check_head(context):
     check(context, (b"next", (1, 2, 3, 4)))
