Soak: streams read around stops while their endpoints pause

Six endpoints pause, fall silent for good, break off or refuse as full, and all instances but one get SIGTERM in turn. A stream that an endpoint has run and that ends without its end counts as LOST, with the excuses of the rule; a stream silent for good is no excuse. Checked as well: ORDER, BUDGET (endpoints of one stream) and TWICE (two endpoints at work for more than 0.4 s after the first event of the later one). Lost requests in calm are shown, also where they are too few to count.

--- a/tests/steps/tools_soak.py
+++ b/tests/steps/tools_soak.py
@@ -17,8 +17,20 @@
     " for {duration_s:d} seconds"
 )
 def run_soak(context, seed, count, duration_s):
+    run_command(context, seed, count, duration_s)
+
+
+@when(
+    "tools.soak reads {streams:d} streams with seed {seed:d}"
+    " for {duration_s:d} seconds"
+)
+def run_stream_soak(context, streams, seed, duration_s):
+    run_command(context, seed, 3, duration_s, "--streams", str(streams))
+
+
+def run_command(context, seed, count, duration_s, *more):
     command = [sys.executable, "-m", "tools.soak", "--seed", str(seed)]
-    command += ["--instances", str(count), "--seconds", str(duration_s)]
+    command += ["--instances", str(count), "--seconds", str(duration_s), *more]
     context.run = subprocess.run(
         command,
         cwd=ROOT,
@@ -82,7 +94,98 @@
     return [make_call("c1", "/safe/x", at_s), make_run("c1", at_s + 0.05)]
 
 
+def make_stream(
+    *runs,
+    numbers=(1, 2),
+    is_whole=False,
+    sent_s=50.0,
+    ended_s=52.0,
+    attempt="c1",
+):
+    """Return the records of a stream of three events and of its runs.
+
+    Each run is given as its endpoint, fate, begin, end and how it ended.
+    """
+    path = "/resumed/3/x"
+    found = [
+        records.Call(
+            attempt, "a", 1, path, sent_s, ended_s, 200 if is_whole else 0, ""
+        ),
+        records.Stream(attempt, 3, numbers, is_whole),
+    ]
+    for endpoint, fate, begin_s, run_ended_s, end in runs:
+        found += [
+            make_run(attempt, begin_s, path, endpoint),
+            records.StreamRun(
+                attempt, endpoint, fate, begin_s, run_ended_s, begin_s, 2, end
+            ),
+        ]
+    return found
+
+
+def make_runs(*bounds):
+    """Return the runs of a whole stream, each at an endpoint of its own."""
+    return [
+        (f"e{number}", "pause", begin_s, end_s, "left")
+        for number, (begin_s, end_s) in enumerate(bounds)
+    ]
+
+
+PAUSED = ("e1", "pause", 50.1, 52.0, "left")
+WHOLE = {"numbers": (1, 2, 3), "is_whole": True}
+GRACE_STOP = records.Disturbance("a", "stop", 50.0, 58.2)
+LATE_RUN = ("e1", "pause", 53.2, 57.3, "left")
+
 FAULTS = {
+    "a paused stream cut in a planned stop": [*make_stream(PAUSED), STOP],
+    "a stream silent for good cut in a planned stop": [
+        *make_stream(("e1", "silent", 50.1, 52.0, "left")),
+        STOP,
+    ],
+    "four paused streams cut in calm": [
+        each
+        for number in range(4)
+        for each in make_stream(PAUSED, attempt=f"c{number}")
+    ],
+    "a paused stream cut in calm": make_stream(PAUSED),
+    "a stream broken off by its endpoint in a stop": [
+        *make_stream(("e1", "close", 50.1, 51.9, "closed")),
+        STOP,
+    ],
+    "a stream cut at its deadline in a stop": [
+        *make_stream(("e1", "silent", 42.1, 52.0, "left"), sent_s=42.0),
+        STOP,
+    ],
+    "an early stream cut in the last sixth of the grace": [
+        *make_stream(LATE_RUN, sent_s=52.9, ended_s=57.3),
+        GRACE_STOP,
+    ],
+    "a late stream cut in the last sixth of the grace": [
+        *make_stream(LATE_RUN, sent_s=53.1, ended_s=57.3),
+        GRACE_STOP,
+    ],
+    "a stream that looks complete before its end": make_stream(
+        PAUSED, is_whole=True
+    ),
+    "a stream with an event twice": make_stream(
+        PAUSED, numbers=(1, 2, 2, 3), is_whole=True
+    ),
+    "a stream with an event of another stream": make_stream(
+        PAUSED, numbers=(1, 0, 3), is_whole=True
+    ),
+    "a stream without its last events, cut by a kill": [
+        *make_stream(PAUSED),
+        KILL,
+    ],
+    "a stream at three endpoints": make_stream(
+        *make_runs((50.0, 50.5), (50.5, 51.0), (51.0, 52.0)), **WHOLE
+    ),
+    "a stream at two endpoints for 0.5 s": make_stream(
+        *make_runs((50.0, 51.0), (50.5, 52.0)), **WHOLE
+    ),
+    "a stream at two endpoints for 0.3 s": make_stream(
+        *make_runs((50.0, 50.8), (50.5, 52.0)), **WHOLE
+    ),
     "a window reported twice with the same counts": [
         make_report(50.0, 3),
         make_report(60.0, 3, "b", 6),
--- a/tests/tools/soak.feature
+++ b/tests/tools/soak.feature
@@ -8,6 +8,12 @@
     When tools.soak runs seed 286 with 3 instances for 38 seconds
     Then tools.soak finds no violation
 
+  # Guards against streams that are cut, joined wrongly or run at two endpoints
+  # at once because their endpoints pause while an instance stops.
+  Scenario: A fixed seed with pausing endpoints around stops break no rule
+    When tools.soak reads 60 streams with seed 4 for 40 seconds
+    Then tools.soak finds no violation
+
   # Guards against a check that finds nothing, or that counts what the rules
   # excuse.
   Scenario Outline: A violation in the records is found
@@ -48,3 +54,21 @@
       | a single request that runs and is answered 503 | REFUSED           |
       | an answer to another request                   | MIXED             |
       | a process that ends by itself                  | EXIT              |
+
+    Examples: Streams
+      | fault                                              | found            |
+      | a paused stream cut in a planned stop              | LOST             |
+      | a stream silent for good cut in a planned stop     | LOST             |
+      | four paused streams cut in calm                    | LOST             |
+      | a paused stream cut in calm                        | LOST not counted |
+      | a stream broken off by its endpoint in a stop      | LOST not counted |
+      | a stream cut at its deadline in a stop             | LOST not counted |
+      | an early stream cut in the last sixth of the grace | LOST not counted |
+      | a late stream cut in the last sixth of the grace   | LOST             |
+      | a stream that looks complete before its end        | ORDER            |
+      | a stream with an event twice                       | ORDER            |
+      | a stream with an event of another stream           | ORDER            |
+      | a stream without its last events, cut by a kill    | LOST not counted |
+      | a stream at three endpoints                        | BUDGET           |
+      | a stream at two endpoints for 0.5 s                | TWICE            |
+      | a stream at two endpoints for 0.3 s                | nothing          |
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -2,6 +2,8 @@
 
 import argparse
 import collections
+import functools
+import itertools
 import random
 import shutil
 import signal
@@ -14,6 +16,7 @@
 from tools.soak import records
 from tools.soak import schedule
 from tools.soak import site as sites
+from tools.soak import streams
 from tools.soak import traffic
 from tools.soak import writers
 
@@ -24,6 +27,7 @@
 
 MAX_INSTANCES = 40
 MAX_SECONDS = 600.0
+MAX_STREAM_CALLERS = 400
 
 
 def main():
@@ -58,11 +62,20 @@
     parser.add_argument(
         "--instances", type=int, default=4, help="number of instances"
     )
+    parser.add_argument(
+        "--streams",
+        type=int,
+        default=0,
+        help="number of callers that read streams while instances stop; they"
+        " replace the other callers and faults",
+    )
     arguments = parser.parse_args()
     if not 2 <= arguments.instances <= MAX_INSTANCES:
         parser.error(f"--instances must be from 2 to {MAX_INSTANCES}")
     if not 2 * schedule.SETTLING_S < arguments.seconds <= MAX_SECONDS:
         parser.error(f"--seconds must be from 11 to {MAX_SECONDS:g}")
+    if not 0 <= arguments.streams <= MAX_STREAM_CALLERS:
+        parser.error(f"--streams must be from 0 to {MAX_STREAM_CALLERS}")
     return arguments
 
 
@@ -71,36 +84,41 @@
     generator = random.Random(f"writers-{arguments.seed}")
     stopped = threading.Event()
     site = sites.Site(arguments.instances, recorder, folder)
-    endpoints = writers.Endpoints(site.server, recorder, generator)
-    operator = writers.Operator(site.server, recorder, generator)
+    if arguments.streams:
+        make_schedule = schedule.make_stop_schedule
+        make_callers = _make_stream_callers
+        endpoints = writers.Endpoints(
+            site.server,
+            recorder,
+            generator,
+            functools.partial(streams.StreamEndpoint, arguments.seed),
+            per_zone=schedule.ENDPOINTS // len(sites.ZONES),
+            slots=streams.SLOTS,
+        )
+        routes = (streams.make_route(),)
+    else:
+        make_schedule = schedule.make_schedule
+        make_callers = _make_callers
+        endpoints = writers.Endpoints(site.server, recorder, generator)
+        routes = ()
+    operator = writers.Operator(site.server, recorder, generator, routes)
     try:
         operator.configure()
         endpoints.tick(recorder.now_s())
         site.start_all()
-        callers = [
-            traffic.Caller(
-                site,
-                instance,
-                operator,
-                recorder,
-                f"{arguments.seed}-{instance.name}-{number}",
-                stopped,
-            )
-            for instance in site.instances
-            for number in range(CALLERS_PER_INSTANCE)
-        ]
+        callers = make_callers(arguments, site, operator, recorder, stopped)
         for each in callers:
             each.start()
         injector = injectors.Injector(site, operator, endpoints, recorder)
         injector.run(
-            schedule.make_schedule(
+            make_schedule(
                 arguments.seed, arguments.seconds, arguments.instances
             ),
             arguments.seconds,
         )
         stopped.set()
         for each in callers:
-            each.join(traffic.TIMEOUT_S)
+            each.join(each.timeout_s)
         return injector
     finally:
         stopped.set()
@@ -108,6 +126,38 @@
         endpoints.close()
 
 
+def _make_callers(arguments, site, operator, recorder, stopped):
+    """Return callers of each instance."""
+    return [
+        traffic.Caller(
+            site,
+            instance,
+            operator,
+            recorder,
+            f"{arguments.seed}-{instance.name}-{number}",
+            stopped,
+        )
+        for instance in site.instances
+        for number in range(CALLERS_PER_INSTANCE)
+    ]
+
+
+def _make_stream_callers(arguments, site, operator, recorder, stopped):
+    """Return callers that read streams, spread over the instances."""
+    instances = itertools.cycle(site.instances)
+    return [
+        streams.StreamCaller(
+            site,
+            next(instances),
+            operator,
+            recorder,
+            f"{arguments.seed}-stream-{number}",
+            stopped,
+        )
+        for number in range(arguments.streams)
+    ]
+
+
 def _print_violations(seed, found, folder):
     """Write all violations and print some; return how many count."""
     lines = [
@@ -139,6 +189,12 @@
     duties = collections.Counter(
         each.duty for each in recorder.select(records.DutyCall)
     )
+    ends = collections.Counter(
+        f"{each.fate} {each.end}"
+        for each in recorder.select(records.StreamRun)
+    )
+    if ends:
+        print(f"runs of streams: {dict(sorted(ends.items()))}")
     print(f"steps: {dict(sorted(injector.done.items()))}")
     print(f"answers: {dict(sorted(answers.items()))}")
     print(f"calls of duties: {dict(duties)}")
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -6,6 +6,7 @@
 from tools.soak import records
 from tools.soak import request_checks
 from tools.soak import site as sites
+from tools.soak import stream_checks
 from tools.soak import violations
 
 __all__ = ["check"]
@@ -20,6 +21,7 @@
         itertools.chain(
             duty_checks.check(recorder, disturbances),
             request_checks.check(recorder, disturbances),
+            stream_checks.check(recorder),
             _check_processes(recorder, disturbances),
         )
     )
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -104,6 +104,10 @@
             case "leave":
                 now_s = self._recorder.now_s()
                 self._endpoints.leave(step.target, step.detail, now_s)
+            case "pause":
+                self._endpoints.pause(step.target, step.duration_s)
+            case "fill":
+                self._endpoints.fill(step.target, step.duration_s)
             case _:
                 self._disturb(step)
 
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -17,6 +17,8 @@
     "Recorder",
     "Run",
     "STORE",
+    "Stream",
+    "StreamRun",
 ]
 
 STORE = "store"
@@ -79,6 +81,64 @@
     path: str
 
 
+@attrs.frozen
+class StreamRun:
+    """A stream that an endpoint has run, recorded when its work has ended.
+
+    Parameters
+    ----------
+    attempt, endpoint : str
+        Id of the request and of the endpoint.
+    fate : str
+        What the endpoint meant to do: "whole", "pause", "silent" or "close".
+    begin_s, ended_s : float
+        Begin and end of its work, in seconds.
+    first_s : float or None
+        Time of its first event, in seconds.
+    last : int
+        Number of the last event that it sent; 0 for none.
+    end : str
+        How its work ended: "finished", "closed" by it or "left" by the other
+        side.
+    """
+
+    attempt: str
+    endpoint: str
+    fate: str
+    begin_s: float
+    ended_s: float
+    first_s: float | None
+    last: int
+    end: str
+
+    def is_sound(self):
+        """Return whether the endpoint meant to finish the stream."""
+        return self.fate in ("whole", "pause")
+
+
+@attrs.frozen
+class Stream:
+    """What a caller has read of a stream, beside its `Call`.
+
+    Parameters
+    ----------
+    attempt : str
+        Id of the request.
+    count : int
+        Number of events of the whole stream.
+    numbers : tuple of int
+        Numbers of the events in the order of their arrival; 0 for one that
+        belongs to another stream.
+    is_whole : bool
+        Whether the stream has ended as complete.
+    """
+
+    attempt: str
+    count: int
+    numbers: tuple
+    is_whole: bool
+
+
 @attrs.frozen
 class LeavingSaid:
     """An answer in which an endpoint says that it leaves."""
--- a/tools/soak/request_checks.py
+++ b/tools/soak/request_checks.py
@@ -2,8 +2,11 @@
 
 import collections
 
+import attrs
+
 from tools.soak import records
 from tools.soak import site as sites
+from tools.soak import stream_checks
 from tools.soak.violations import Violation
 
 __all__ = ["check"]
@@ -33,7 +36,8 @@
         runs[run.attempt].append(run)
     written = recorder.select(records.ConfigurationWritten)
     yield from _check_answers(calls, runs)
-    yield from _check_lost(calls, runs, disturbances)
+    excuses = stream_checks.Excuses(recorder.select(records.StreamRun))
+    yield from _check_lost(calls, runs, disturbances, excuses)
     yield from _check_delay(calls, written, disturbances)
     yield from _check_order(calls, runs, written, disturbances)
     yield from _check_entries(recorder, calls, runs, disturbances)
@@ -57,7 +61,7 @@
             yield Violation(call.ended_s, "DENIED", f"{text}: 404")
 
 
-def _check_lost(calls, runs, disturbances):
+def _check_lost(calls, runs, disturbances, excuses):
     """Yield requests without an answer, around planned stops and in calm."""
     lost = []
     for call in calls:
@@ -71,8 +75,13 @@
             f"{call.path} {call.attempt} by {call.instance}: {call.fault}"
             f" {call.ended_s - call.sent_s:.2f} s after it was sent,"
             f" {'run' if is_passed_on else 'not run'}"
+            f" ({excuses.describe(call)})"
         )
-        if not around and is_passed_on:
+        excuse = excuses.find(call, stops[0] if stops else None)
+        if excuse:
+            message = f"{excuse}: {message}"
+            yield Violation(call.ended_s, "LOST", message, False)
+        elif not around and is_passed_on:
             lost.append(Violation(call.ended_s, "LOST", f"in calm: {message}"))
         elif (
             len(stops) == len(around) == 1
@@ -82,8 +91,12 @@
             yield Violation(
                 call.ended_s, "LOST", f"in a planned stop: {message}"
             )
-    if len(lost) > MAX_LOST:
-        yield from lost
+        elif excuses.is_run(call):
+            message = f"in a disturbance: {message}"
+            yield Violation(call.ended_s, "LOST", message, False)
+    is_counted = len(lost) > MAX_LOST
+    for each in lost:
+        yield attrs.evolve(each, is_counted=is_counted)
 
 
 def _is_wrong(call, versions):
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -5,7 +5,13 @@
 
 import attrs
 
-__all__ = ["HOLDER", "SETTLING_S", "Step", "make_schedule"]
+__all__ = [
+    "HOLDER",
+    "SETTLING_S",
+    "Step",
+    "make_schedule",
+    "make_stop_schedule",
+]
 
 HOLDER = -1
 """Target that stands for the instance that performs the duties."""
@@ -27,6 +33,25 @@
 A free lease is taken within a second.
 """
 
+STOP_GAP_S = (6.0, 11.0)
+"""Time between stops of two instances, in seconds.
+
+The shortest is below the grace time, so that a caller may come back to an
+instance that stops next.
+"""
+
+PAUSE_S = (1.2, 2.5)
+"""Time for which an endpoint pauses all its streams, in seconds."""
+
+PAUSE_LEAD_S = (-1.5, 4.0)
+"""Time from a stop to a pause beside it, in seconds."""
+
+FULL_S = (0.5, 3.0)
+"""Time for which an endpoint refuses streams as full, in seconds."""
+
+PAUSES_PER_STOP = 2
+ENDPOINTS = 6
+
 _STORE_ACTIONS = ("restore",) * 6 + ("down", "lose answers", "refuse")
 _BESIDE_RESTORE = ("stop", "stop twice", "freeze", "kill", "freeze others")
 _PROCESS_ACTIONS = ("kill", "stop", "freeze", "freeze")
@@ -81,6 +106,36 @@
     return sorted(itertools.chain.from_iterable(series))
 
 
+def make_stop_schedule(seed, duration_s, count):
+    """Return stops of instances, with pausing and full endpoints around them.
+
+    All instances but one are stopped in turn.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the schedule.
+    duration_s : float
+        Duration of the run, in seconds.
+    count : int
+        Number of instances.
+    """
+    generator = random.Random(f"streams-{seed}")
+    end_s = duration_s - 2 * SETTLING_S
+    steps = []
+    for number, at_s in enumerate(_list_times(generator, end_s, *STOP_GAP_S)):
+        steps.append(Step(at_s, "stop", number % (count - 1)))
+        for action, range_s in (
+            *(("pause", PAUSE_S),) * PAUSES_PER_STOP,
+            ("fill", FULL_S),
+        ):
+            begin_s = at_s + generator.uniform(*PAUSE_LEAD_S)
+            target = generator.randrange(ENDPOINTS)
+            duration_s = generator.uniform(*range_s)
+            steps.append(Step(begin_s, action, target, "", duration_s))
+    return sorted(steps)
+
+
 def _is_storm(at_s):
     """Return whether unplanned faults may begin at a time."""
     return (at_s - SETTLING_S) % (STORM_S + CALM_S) < STORM_S
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -36,6 +36,9 @@
         Ends the thread.
     """
 
+    timeout_s = TIMEOUT_S
+    """Longest silence of an answer, in seconds."""
+
     def __init__(self, site, instance, operator, recorder, name, stopped):
         super().__init__(name=name, daemon=True)
         self._site = site
@@ -64,7 +67,7 @@
             return False
         self._life = self._instance.life
         self._connection = http.client.HTTPConnection(
-            self._instance.ip, self._site.callers_port, timeout=TIMEOUT_S
+            self._instance.ip, self._site.callers_port, timeout=self.timeout_s
         )
         return True
 
@@ -77,7 +80,7 @@
         try:
             answer, body = self._exchange(method, path, attempt)
             status = answer.status
-            fault = _find_fault(answer, body, attempt)
+            fault = self._find_fault(answer, body, attempt)
             if answer.will_close:
                 self._disconnect()
         except (OSError, http.client.HTTPException) as error:
@@ -125,13 +128,13 @@
         is_post = kind in ("once", "slow/y")
         return "POST" if is_post else "GET", f"/{kind}/x"
 
-
-def _find_fault(answer, body, attempt):
-    """Return what is wrong with an answer; empty for nothing."""
-    if answer.status != 200:
+    @staticmethod
+    def _find_fault(answer, body, attempt):
+        """Return what is wrong with an answer; empty for nothing."""
+        if answer.status != 200:
+            return ""
+        seal = answer.getheader("Response-Seal", "")
+        endpoint = seal.removeprefix("seal ")
+        if not seal or body != stand_ins.make_body(endpoint, attempt):
+            return f"seal {seal!r}, {len(body)} bytes that are not its answer"
         return ""
-    seal = answer.getheader("Response-Seal", "")
-    endpoint = seal.removeprefix("seal ")
-    if not seal or body != stand_ins.make_body(endpoint, attempt):
-        return f"seal {seal!r}, {len(body)} bytes that are not its answer"
-    return ""
--- a/tools/soak/writers.py
+++ b/tools/soak/writers.py
@@ -33,9 +33,12 @@
         Gets the confirmations.
     generator : random.Random
         Source of delays and of steps between versions.
+    fixed_routes : tuple of dict
+        Routes that stay in all versions.
     """
 
-    def __init__(self, server, recorder, generator):
+    def __init__(self, server, recorder, generator, fixed_routes=()):
+        self._fixed_routes = fixed_routes
         self._server = server
         self._recorder = recorder
         self._generator = generator
@@ -68,7 +71,9 @@
             platform_site.make_route(name, "idempotent")
             for name in self.routes
         )
-        document = platform_site.make_configuration(self._version, *extra)
+        document = platform_site.make_configuration(
+            self._version, *self._fixed_routes, *extra
+        )
         document["tenants"][0] |= {"ratePerS": 1e4, "burst": 1e4}
         zone_prices = dict.fromkeys(sites.ZONES, 1.0)
         document["services"][0]["scaling"] = {
@@ -97,9 +102,23 @@
         Gets what the endpoints do.
     generator : random.Random
         Source of delays.
+    make : callable
+        Returns an endpoint, given its name and the recorder.
+    per_zone, slots : int
+        Number of endpoints in each failure domain, and of slots of each.
     """
 
-    def __init__(self, server, recorder, generator):
+    def __init__(
+        self,
+        server,
+        recorder,
+        generator,
+        make=stand_ins.SoakEndpoint,
+        per_zone=2,
+        slots=16,
+    ):
+        self._make = make
+        self._slots = slots
         self._server = server
         self._recorder = recorder
         self._generator = generator
@@ -111,7 +130,7 @@
         self._replacements = []
         self._leaving = {}
         self._running = {}
-        for zone in sites.ZONES * 2:
+        for zone in sites.ZONES * per_zone:
             self._start(zone)
 
     def close(self):
@@ -119,6 +138,18 @@
         for each in self._running.values():
             each.close()
 
+    def pause(self, index, duration_s):
+        """Let an endpoint pause all its streams."""
+        self._select(index).pause(duration_s)
+
+    def fill(self, index, duration_s):
+        """Let an endpoint refuse streams as full."""
+        self._select(index).fill(duration_s)
+
+    def _select(self, index):
+        """Return a running endpoint."""
+        return self._running[sorted(self._running)[index]]
+
     def leave(self, index, way, now_s):
         """Let an endpoint leave.
 
@@ -163,9 +194,9 @@
     def _start(self, zone):
         """Start a new endpoint; its entry is written at the next tick."""
         name = f"e{next(self._numbers)}"
-        endpoint = stand_ins.SoakEndpoint(name, self._recorder)
+        endpoint = self._make(name, self._recorder)
         record = platform_site.make_endpoint_record(endpoint.address)
-        self._entries[name] = record | {"zone": zone, "slots": 16}
+        self._entries[name] = record | {"zone": zone, "slots": self._slots}
         self._running[name] = endpoint
         self._beats[name] = 0.0
 
