Reproduce events that are there when the wait for them ends

- AnswerReader.wait takes nearly all of the time for an event and returns True; read_events then has no time left, raises Silent without reading, and the attempt is closed before another one is looked for.
- A pause after the first byte of a chunk's size: wait returns True, the read of the chunk ends as Silent after the rest of the time.
The same pause inside the data of a chunk passes.

--- /dev/null
+++ b/tests/serving/late_events.feature
@@ -0,0 +1,23 @@
+Feature: Events that arrive late
+
+  # Guards against a stream that is cut though its next event is there: it came
+  # in the last moment of a wait, and nothing was left of the time to read it.
+  Scenario: An event that arrives at the end of a wait is passed on
+    Given a resumable stream whose endpoint has sent event 1
+    When event 2 arrives just as the wait for it ends
+    Then the reader passes event 2 on
+
+  # Guards against a stream that is cut because its endpoint pauses after a part
+  # of a chunk, and nothing takes its place.
+  Scenario Outline: A stream that pauses inside a chunk goes on
+    Given a stream whose endpoint pauses for 1 s after byte <count> of event 3
+    And <obstacle>
+    When a caller reads the stream
+    Then it gets the events 1 to 4 of the first endpoint and a complete end
+
+    Examples:
+      | count | obstacle                               |
+      | 1     | no other endpoint is listed            |
+      | 1     | all other endpoints refuse the request |
+      | 9     | no other endpoint is listed            |
+      | 9     | all other endpoints refuse the request |
--- /dev/null
+++ b/tests/steps/serving_late_events.py
@@ -0,0 +1,94 @@
+import types
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow import clock as clocks
+from mulberryhollow import errors
+from mulberryhollow.protocol import forwarding as messages
+from mulberryhollow.serving import answers
+from mulberryhollow.state import catalogue
+from tests import requests
+from tests import scripted_streams as streams
+
+GAP_GOAL_S = 0.5
+KIND = catalogue.RequestKind.RESUMABLE_STREAM
+
+
+def mark(number):
+    """Return an event of the first endpoint."""
+    return b"id: %d\ndata: first\n\n" % number
+
+
+class Answer:
+    """Answer whose events arrive just as the wait for them ends."""
+
+    framing = messages.Framing.CHUNKS
+    is_new_connection = True
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.pieces = [mark(1)]
+
+    def wait(self, timeout_s):
+        """Take all of the time; the event is there then."""
+        self._clock.advance(timeout_s)
+        return True
+
+    def read_piece(self, timeout_s):
+        """Return an event that is there."""
+        return self.pieces.pop()
+
+
+@given("a resumable stream whose endpoint has sent event 1")
+def make_reader(context):
+    clock = clocks.ManualClock()
+    request = requests.make_request(
+        KIND,
+        arrived_s=clock.now_s(),
+        deadline_s=clock.now_s() + 10.0,
+        goal_s=GAP_GOAL_S,
+        gap_goal_s=GAP_GOAL_S,
+    )
+    recorder = types.SimpleNamespace(
+        record_begun=lambda request: None,
+        record_first=lambda request, elapsed_s: None,
+    )
+    context.reader = answers.AnswerReader(
+        request, clock, recorder, answers.AnswerBuffers()
+    )
+    context.answer = Answer(clock)
+    context.reader.begin_answer(context.answer, False)
+    assert context.reader.read_events(context.answer, 0) == mark(1)
+
+
+@when("event 2 arrives just as the wait for it ends")
+def wait_for_event(context):
+    context.answer.pieces = [mark(2)]
+    assert context.reader.wait(context.answer, 0)
+
+
+@then("the reader passes event 2 on")
+def check_event(context):
+    try:
+        found = context.reader.read_events(context.answer, 0)
+    except errors.EndpointError as error:
+        raise AssertionError(error) from error
+    assert found == mark(2)
+
+
+@given(
+    "a stream whose endpoint pauses for 1 s after byte {count:d} of event 3"
+)
+def set_paused_inside(context, count):
+    data = b"".join(streams.chunk(mark(each)) for each in range(1, 5))
+    begin = 2 * len(streams.chunk(mark(1))) + count
+    context.first = [
+        streams.CHUNKED + data[:begin],
+        1.0,
+        data[begin:] + streams.END,
+    ]
+    context.kind, context.goal_s, context.count = KIND, 0.1, 6
+    context.others = streams.make_sized(503, b"", b"Not-Executed: 1")
+    context.prepare = lambda dependencies, now_s: None
