Reproduce late answers that are taken for lost paths

Two answers that are late within 3 s make an instance take its paths to all endpoints of the service for lost, although each of them accepts connections.

--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -406,6 +406,7 @@
         self.cold_rates = {"s": cold_per_s} if cold_per_s else {}
         self.lost_paths = {}
         self.lost_endpoints = frozenset()
+        self.is_late = False
         self.request_fields = {}
         self.allowed_s = 10.0
         self.broken_fraction = 0.0
@@ -612,8 +613,19 @@
         is_up = one.is_running and other.is_running and not is_frozen
         return is_up and same_side
 
+    def send_late(self, count):
+        """Let each instance send requests that are answered too late."""
+        self.is_late = True
+        for instance in self.instances.values():
+            for _ in range(count):
+                self._forward(instance, "a")
+        self.is_late = False
+
     def check_path(self, instance, attempt):
-        """Fail an attempt of an instance that is cut off from endpoints."""
+        """Fail an attempt that is late, or of an instance that is cut off."""
+        if self.is_late:
+            self.clock.advance(attempt.wait_s)
+            raise errors.EndpointError(streams.Silent(attempt.wait_s))
         if not self.has_lost(instance, attempt.call.endpoint_id):
             return
         kind = self.lost_paths[instance.name]
--- a/tests/serving/peer_forwarding.feature
+++ b/tests/serving/peer_forwarding.feature
@@ -57,6 +57,17 @@
     When 40 requests a second arrive for 10 seconds
     Then no request is sent to a peer
 
+  # Guards against instances that give up the paths to endpoints that are at
+  # work, and then refuse the requests of each other.
+  Scenario: Endpoints that answer late are not taken for lost paths
+    Given 8 instances before 6 endpoints
+    And callers that allow each repeatable request 0.9 seconds
+    When 2 requests of each instance are answered too late
+    And the count of answers begins anew
+    And 200 requests a second arrive for 0.2 seconds
+    Then no request is sent to a peer
+    And all instances serve all of their requests
+
   # Guards against an instance that goes on without its own paths after a cut,
   # or whose circuits stay open.
   Scenario Outline: An instance whose paths are back uses them
--- a/tests/steps/serving_peer_forwarding.py
+++ b/tests/steps/serving_peer_forwarding.py
@@ -71,6 +71,12 @@
         assert set(fleet.runs.values()) == {1}, fleet.runs.most_common(2)
 
 
+@when("{count:d} requests of each instance are answered too late")
+def send_late(context, count):
+    for fleet in context.fleets:
+        fleet.send_late(count)
+
+
 @when("the endpoints break off {fraction:g} of their answers")
 def break_off(context, fraction):
     for fleet in context.fleets:
