Do not take endpoints that are late for paths that are lost

What callers saw: requests and resumed streams refused with "no endpoint of service s has free capacity" while endpoints were idle, at several instances at once, for up to the interval of the path test (0.25 s).

Cause: an answer that did not come in time counted as evidence that this instance does not reach the endpoint, also where the endpoint was at work. Two of them within 3 s made the instance give up its own paths and use peers only. Where the peers had met the same, each refused the requests of the others, and a request whose peers have all refused is not sent on an own path any more.

Why the mend works: silence tells a lost path from an endpoint at work only together with a connection. So a silent endpoint is tested with one, and counts only if it does not accept it. A second scenario shows that paths on which neither comes are still noticed; it fails when silence is not counted at all.

--- a/mulberryhollow/serving/peer_forwarding.py
+++ b/mulberryhollow/serving/peer_forwarding.py
@@ -238,14 +238,22 @@
         fault : object
             Fault of the attempt; only one that may come from a lost path
             counts.
+
+        Notes
+        -----
+        An endpoint that is silent may be at work. It counts only if it does
+        not accept a connection either, which is tested in the calling thread.
         """
         if not isinstance(fault, streams.NotSent | streams.Silent):
             return
+        is_silent = isinstance(fault, streams.Silent)
+        if is_silent and self._endpoint_client.is_alive(route.address):
+            return
         with self._lock:
             is_lost = self._paths.record_failure(
                 route.service,
                 route.endpoint_id,
-                isinstance(fault, streams.Silent),
+                is_silent,
                 self._clock.now_s(),
             )
         if is_lost:
--- a/tests/serving/peer_forwarding.feature
+++ b/tests/serving/peer_forwarding.feature
@@ -68,6 +68,14 @@
     Then no request is sent to a peer
     And all instances serve all of their requests
 
+  # Guards against paths that are lost unnoticed while connections are kept.
+  Scenario: Paths on which neither an answer nor a connection comes are lost
+    Given 8 instances before 6 endpoints
+    And callers that allow each repeatable request 0.9 seconds
+    When 4 instances lose all endpoints, whose connections are silent
+    And 2 requests of each instance are answered too late
+    Then only the instances that are cut off use peers
+
   # Guards against an instance that goes on without its own paths after a cut,
   # or whose circuits stay open.
   Scenario Outline: An instance whose paths are back uses them
--- a/tests/steps/serving_peer_forwarding.py
+++ b/tests/steps/serving_peer_forwarding.py
@@ -135,6 +135,17 @@
         assert get_served_fraction(fleet, others) == 1.0, fleet.refusals[:3]
 
 
+@then("only the instances that are cut off use peers")
+def check_lost(context):
+    for fleet in context.fleets:
+        lost = {
+            name
+            for name, instance in fleet.instances.items()
+            if instance.peers.is_lost("s")
+        }
+        assert lost == fleet.lost_paths.keys(), lost
+
+
 @then("no request is sent to a peer")
 def check_no_peer(context):
     assert [fleet.peer_requests for fleet in context.fleets] == [0, 0]
