Reproduce answers that a stopping instance cuts off while they are read

- An answer of 3 MB that its endpoint has ended at once, and that the caller reads steadily within 5 or 9 s, ends after 1.5 to 2.9 MB, as a length that is not reached or a stream without its end.
- A caller that sends its next request while it reads: the connection ends early as well, or is reset when its outstanding bytes are already in the system's send buffer.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -12,6 +12,8 @@
 __all__ = ["PlatformEndpoint", "PlatformServer", "Server"]
 
 WATCH_POLL_INTERVAL_S = 0.02
+EVENT_BYTES = 10_000
+"""Size of an event of a large stream, in bytes."""
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
@@ -153,6 +155,8 @@
         Value of ``Server-Limit`` in all answers; empty for none.
     late_s : float
         Time until a late answer, in seconds.
+    large_bytes : int
+        Size of the body of a large answer, in bytes.
     disconnected_clients : int
         Number of clients that disconnected before their answer.
     """
@@ -166,6 +170,7 @@
         self.cuts_heads = False
         self.rate_limit = ""
         self.late_s = 2.0
+        self.large_bytes = 0
         self.disconnected_clients = 0
         super().__init__()
 
@@ -195,6 +200,10 @@
             self._stream_long(handler, answer_headers)
         elif "/stream/" in handler.path:
             self._stream(handler, answer_headers)
+        elif "/large/" in handler.path:
+            handler.reply(200, answer_headers, b"x" * self.large_bytes)
+        elif "/large-stream/" in handler.path:
+            self._stream_large(handler, answer_headers)
         elif "/slow/" in handler.path:
             self._answer_late(handler, answer_headers)
         else:
@@ -225,6 +234,19 @@
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
         handler.wfile.write(b"0\r\n\r\n")
 
+    def _stream_large(self, handler, answer_headers):
+        """Send `large_bytes` in events of `EVENT_BYTES`, without a pause."""
+        handler.send_response(200)
+        for name, value in answer_headers.items():
+            handler.send_header(name, value)
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        for number in range(self.large_bytes // EVENT_BYTES):
+            event = b"id: %d\ndata: " % (number + 1)
+            event = event.ljust(EVENT_BYTES - 2, b"x") + b"\n\n"
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+        handler.wfile.write(b"0\r\n\r\n")
+
     def _stream_long(self, handler, answer_headers):
         """Send an event in a chunk, and the end of the stream late."""
         handler.send_response(200)
--- a/tests/platform/stops.feature
+++ b/tests/platform/stops.feature
@@ -60,3 +60,33 @@
     When 8 callers send requests without a pause on kept connections through a stop
     Then each request that has run is answered with 200, and no other one
     And requests were answered after the signal, and others refused
+
+  # Guards against an answer that its endpoint has ended in time being cut off
+  # because the caller has not yet read it.
+  Scenario Outline: Answers that wait for a slow caller are sent in whole
+    Given a stopping instance whose endpoints send large answers
+    When a caller reads a <kind> answer within <read> seconds, sent <when>
+    Then it gets the whole answer, having run once
+
+    Examples:
+      | kind       | read | when                       |
+      | idempotent | 5    | 0.5 seconds before SIGTERM |
+      | streaming  | 5    | 0.5 seconds before SIGTERM |
+      | idempotent | 5    | 1 second after SIGTERM     |
+      | streaming  | 5    | 1 second after SIGTERM     |
+      | idempotent | 9    | 0.5 seconds before SIGTERM |
+      | streaming  | 9    | 0.5 seconds before SIGTERM |
+
+  # Guards against bytes that a caller sends behind its request turning the
+  # close into a reset, which destroys the answer on its way.
+  Scenario Outline: What a caller sends while it reads does not cut its answer
+    Given a stopping instance whose endpoints send large answers
+    When a caller sends another request 4 seconds after its <kind> one, sent <when>
+    Then it gets the whole answer, having run once
+
+    Examples:
+      | kind       | when                       |
+      | idempotent | 0.5 seconds before SIGTERM |
+      | streaming  | 0.5 seconds before SIGTERM |
+      | idempotent | 1 second after SIGTERM     |
+      | streaming  | 1 second after SIGTERM     |
--- a/tests/steps/platform_stops.py
+++ b/tests/steps/platform_stops.py
@@ -2,6 +2,7 @@
 import http.client
 import itertools
 import signal
+import socket
 import time
 
 from behave import given
@@ -12,6 +13,7 @@
 from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.protocol import peer_requests
 from mulberryhollow.state import catalogue
+from standins import platform_site as standins
 from tests import requests
 from tools import platform_site
 
@@ -21,6 +23,12 @@
 LEAD_S = 0.5
 PAUSE_S = 0.005
 GOALS_MS = {"": 3000, "-goal": 6000, "-retry": 1000}
+LARGE_BYTES = 3_000_000
+READ_BYTES = 8192
+WINDOW_BYTES = 8192
+SEGMENT_BYTES = 1448
+READ_S = 6.0
+WHENS = {"0.5 seconds before SIGTERM": -LEAD_S, "1 second after SIGTERM": 1.0}
 NAMES = {
     "non_idempotent": "late-once",
     "idempotent": "late-safe",
@@ -279,3 +287,96 @@
         if sent_s > context.terminated_s
     }
     assert {200, 503} <= late, late
+
+
+@given("a stopping instance whose endpoints send large answers")
+def start_with_large_answers(context):
+    start_instance(context)
+    for endpoint in context.site.endpoints.values():
+        endpoint.large_bytes = LARGE_BYTES
+
+
+def connect_slowly(context):
+    """Connect with a small window and the segments of a real network."""
+    connection = socket.socket()
+    context.add_cleanup(connection.close)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    connection.settimeout(GRACE_S)
+    connection.connect(("127.0.0.1", context.site.callers_port))
+    return connection
+
+
+def read_steadily(context, kind, read_s, next_after_s=None):
+    """Read a large answer; return it or the error, and when it came.
+
+    Sends another request so long after the first, unless that is None.
+    """
+    name = NAMES[kind]
+    path = "large-stream" if kind == "streaming" else "large"
+    head = (
+        f"GET /{name}/{path}/x HTTP/1.1\r\nHost: h.example\r\nKey: k1\r\n"
+        f"Deadline-Ms: {TIMEOUT_MS}\r\nAttempt-Id: "
+    )
+    connection = connect_slowly(context)
+    began_s = time.monotonic()
+    connection.sendall(f"{head}large\r\n\r\n".encode())
+    data = b""
+    try:
+        while not is_whole(data):
+            piece = connection.recv(READ_BYTES)
+            if not piece:
+                break
+            data += piece
+            elapsed_s = time.monotonic() - began_s
+            if next_after_s is not None and elapsed_s >= next_after_s:
+                connection.sendall(f"{head}next\r\n\r\n".encode())
+                next_after_s = None
+            due_s = read_s * len(data) / LARGE_BYTES
+            time.sleep(max(0.0, due_s - elapsed_s))
+    except OSError as error:
+        data += f" {error!r}".encode()
+    return data, began_s, time.monotonic()
+
+
+def is_whole(data):
+    """Return whether an answer with a length, or in chunks, is complete."""
+    head, separator, body = data[:READ_BYTES].partition(b"\r\n\r\n")
+    if b"chunked" in head.lower():
+        return data.endswith(b"\r\n0\r\n\r\n")
+    return len(data) >= len(head) + len(separator) + LARGE_BYTES
+
+
+@when(
+    "a caller reads a {kind} answer within {read_s:g} seconds, sent {moment}"
+)
+def read_large(context, kind, read_s, moment):
+    send_around(
+        context, lambda: read_steadily(context, kind, read_s), WHENS[moment]
+    )
+
+
+@when(
+    "a caller sends another request {after_s:g} seconds after its {kind} "
+    "one, sent {moment}"
+)
+def read_and_send(context, kind, after_s, moment):
+    send_around(
+        context,
+        lambda: read_steadily(context, kind, READ_S, after_s),
+        WHENS[moment],
+    )
+
+
+@then("it gets the whole answer, having run once")
+def check_whole(context):
+    data = context.answer
+    seen = len(data), data[:12], data[-60:]
+    assert data.startswith(b"HTTP/1.1 200 "), seen
+    assert is_whole(data), seen
+    events = data.count(b"\nid: ")
+    assert events in {0, LARGE_BYTES // standins.EVENT_BYTES}, (events, seen)
+    received = [
+        each["Attempt-Id"] for each in context.site.list_executed_requests()
+    ]
+    assert received == ["large"], received
