Close connections of a stopping instance only once answers are sent

Callers that read slowly saw the connection end in the middle of an answer that its endpoint had ended seconds before.

From 2.5 s after SIGTERM on, connections that count as idle are closed, and one counted as idle as soon as its request had left the thread that answers it, while up to 256 KiB of the answer were still waiting in the output buffer. They were dropped. The product's own daemon asked for an empty buffer beside being idle; the platform's daemon did not. Now `Connection.is_idle` asks for it, so that both have it from one place. The buffer is looked at after the requests, since the thread fills it before it removes its request.

The line that logged such a close (2007, "idle on a leaving instance") goes, since there is none any more.

--- a/mulberryhollow/transport/callers.py
+++ b/mulberryhollow/transport/callers.py
@@ -474,7 +474,8 @@
     """Return whether every connection has been idle for IDLE_AFTER_S.
 
     A connection whose caller has just connected and sent nothing yet
-    doesn't count as idle, nor does one whose request has arrived in part.
+    doesn't count as idle, nor does one whose request has arrived in part or
+    whose answer is not yet sent.
 
     Parameters
     ----------
@@ -485,7 +486,6 @@
     """
     return not any(
         not channel.is_idle
-        or channel.total_outbufs_len
         or now_s - channel.last_activity < IDLE_AFTER_S
         or http_server.is_awaiting_first_request(channel, now_s)
         for channel in list(server.active_channels.values())
--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -463,7 +463,7 @@
 
 
 def close_idle(server, now_s):
-    """Close the connections that carry no request.
+    """Close the connections that carry no request and no answer.
 
     Parameters
     ----------
@@ -479,8 +479,6 @@
     """Mark idle connections for closing, in the server's thread."""
     for channel in list(server.active_channels.values()):
         if channel.is_idle and not is_awaiting_first_request(channel, now_s):
-            if channel.total_outbufs_len:
-                channel.log_unsent("idle on a leaving instance")
             channel.will_close = True
 
 
--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -103,8 +103,14 @@
 
     @property
     def is_idle(self):
-        """Whether nothing of a request has arrived that is not answered."""
-        return not (self.requests or self.request or self._unparsed)
+        """Whether no request has arrived whose answer is not yet sent."""
+        # The thread of a request buffers its answer before it removes it.
+        return not (
+            self.requests
+            or self.request
+            or self._unparsed
+            or self.total_outbufs_len
+        )
 
     @property
     def is_draining(self):
