--- a/tests/serving/late_events.feature
+++ b/tests/serving/late_events.feature
@@ -21,3 +21,16 @@
       | 1     | all other endpoints refuse the request |
       | 9     | no other endpoint is listed            |
       | 9     | all other endpoints refuse the request |
+
+  # Guards against a stream that is cut, or kept waiting to its deadline, because
+  # an endpoint that sends no event takes over from one that goes on.
+  Scenario Outline: An endpoint without events does not take over
+    Given a stream whose endpoint ends it 1 s after event 4
+    And the next endpoint sends a head and <answer>
+    When a caller reads the stream
+    Then it gets the events 1 to 4 of the first endpoint and a complete end
+
+    Examples:
+      | answer            |
+      | nothing           |
+      | the end after 1 s |
--- a/tests/steps/serving_late_events.py
+++ b/tests/steps/serving_late_events.py
@@ -10,6 +10,7 @@
 from mulberryhollow.serving import answers
 from mulberryhollow.state import catalogue
 from tests import requests
+from tests import scripted_streams as streams
 
 GAP_GOAL_S = 0.5
 KIND = catalogue.RequestKind.RESUMABLE_STREAM
@@ -75,3 +76,18 @@
     except errors.EndpointError as error:
         raise AssertionError(error) from error
     assert found == mark(2)
+
+
+@given("a stream whose endpoint ends it 1 s after event 4")
+def set_late_end(context):
+    events = b"".join(streams.chunk(mark(each)) for each in range(1, 5))
+    context.first = [streams.CHUNKED + events, 1.0, streams.END]
+    context.kind, context.goal_s, context.count = KIND, 0.1, 6
+    context.prepare = lambda dependencies, now_s: None
+    context.method, context.scripts, context.may_break_off = "GET", None, True
+
+
+@given("the next endpoint sends a head and {answer}")
+def set_next_without_events(context, answer):
+    rest = ["hang"] if answer == "nothing" else [1.0, streams.END]
+    context.others = [streams.CHUNKED, *rest]
