Leave a reclaimed engine only for one that accepts the stream

Cause: a relay closed the attempt at an engine that may be reclaimed before the end of the answer, and chose the next engine after that. The end is reckoned with the largest answer that was asked for, so a stream that would have ended in time was given up as well.

Why the mend works: the next engine is chosen, and its place taken, before the present attempt ends. Where none accepts the stream, the attempt goes on, and the search is repeated every 0.5 s. A place that is not used, since the relay is stopped, is given back.

What remains: an engine that was chosen and then refuses the prompt, breaks off or stays silent still ends the present attempt first.

--- a/mulberryhollow/serving/relay.py
+++ b/mulberryhollow/serving/relay.py
@@ -26,6 +26,9 @@
 }
 """Scheduling priority at the engine by request class; 0 is most urgent."""
 
+MIGRATION_RETRY_S = 0.5
+"""Time between searches for an engine that replaces a reclaimed one, in s."""
+
 # Weight of a new sample in the smoothed time between tokens.
 _INTERVAL_SMOOTHING = 0.2
 
@@ -100,6 +103,8 @@
         self._stopped = threading.Event()
         self._interval_s = 0.0
         self._cache_source = None
+        self._next_route = None
+        self._next_search_s = dependencies.clock.now_s()
         self._may_have_run = may_have_run
         self._sent_attempts = 0
         self._first_byte_s = None
@@ -135,6 +140,8 @@
         except errors.RefusedError:
             self.is_refused = True
             raise
+        finally:
+            self._release_next()
 
     def _run_attempts(self):
         """Yield lists of tokens from one attempt after another."""
@@ -156,7 +163,10 @@
                 self._pause(kind)
 
     def _choose(self):
-        """Choose the route of the next attempt."""
+        """Choose the route of the next attempt, if it is not chosen yet."""
+        route, self._next_route = self._next_route, None
+        if route is not None:
+            return route
         try:
             return attempts.choose_with_fallback(
                 self._dependencies.dispatcher,
@@ -218,7 +228,7 @@
                 return
             self._check_stopped()
             self._compute_timeout()
-            if self._must_migrate(route):
+            if self._must_migrate(route) and self._choose_next(route):
                 self._cache_source = (
                     route.address,
                     self._make_attempt_id(attempt),
@@ -330,6 +340,32 @@
             self._dependencies.clock.wall_s(),
         )
 
+    def _choose_next(self, route):
+        """Choose an engine that replaces a working one; return if there is.
+
+        Until an engine accepts the answer, the present one goes on.
+        """
+        now_s = self._dependencies.clock.now_s()
+        if now_s < self._next_search_s:
+            return False
+        self._next_search_s = now_s + MIGRATION_RETRY_S
+        try:
+            self._next_route = self._dependencies.dispatcher.choose(
+                self.request,
+                self._excluded | {route.endpoint_id},
+                True,
+                bool(self.tokens),
+            )
+        except errors.RefusedError:
+            return False
+        return True
+
+    def _release_next(self):
+        """Release the route of an attempt that has not begun."""
+        route, self._next_route = self._next_route, None
+        if route is not None:
+            self._dependencies.dispatcher.withdraw(route)
+
     def _import_cache(self, route, attempt_id):
         """Transfer the KV cache of an attempt from a leaving endpoint."""
         if self._cache_source is None:
