Let an endpoint take over a stream only with its first new event

Cause: it took over with its head alone when no event had come within 0.2 s. Now both endpoints are waited for until the new one has sent an event, or has ended.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -1,7 +1,6 @@
 """Reads the answer of a forwarded request."""
 
 import copy
-import math
 import statistics
 import threading
 
@@ -240,7 +239,7 @@
         self._waited_s += self._clock.now_s() - now_s
         return self._is_ready
 
-    def read_events(self, answer, runs, limit_s=math.inf):
+    def read_events(self, answer, runs):
         """Return the next complete events; None at the end of the answer.
 
         Parameters
@@ -249,9 +248,6 @@
             The answer.
         runs : int
             Number of endpoints that may have run the request before this one.
-        limit_s : float
-            Longest time to read, in seconds, if it is shorter than the time
-            in which an event has to arrive.
 
         Returns
         -------
@@ -274,7 +270,7 @@
             timeout_s = max(timeout_s, MIN_READ_S)
         if timeout_s <= 0:
             raise errors.EndpointError(streams.Silent(waited_s))
-        piece = answer.read_piece(min(timeout_s, limit_s))
+        piece = answer.read_piece(timeout_s)
         if not piece:
             self._check_stream_end()
             return None
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -23,13 +23,6 @@
 
 __all__ = ["ForwardDependencies", "Forwarder", "Forwarding"]
 
-HANDOVER_S = 0.2
-"""Longest time for which two endpoints both work on a stream, in seconds.
-
-The first events of the second one show that it continues the stream; it takes
-over without them when they are not there in this time.
-"""
-
 _MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -802,6 +795,18 @@
         timeout_s = decisions.get_head_timeout_s(
             self._request, runs, clock.now_s()
         )
+        self._await_either(earlier, channel, timeout_s)
+        return decisions.get_head_timeout_s(self._request, runs, clock.now_s())
+
+    def _await_either(self, earlier, channel, timeout_s):
+        """Wait until another endpoint can be read, or the earlier one.
+
+        Raises
+        ------
+        EndpointError, _GoesOnError
+            As for `_await_successor`.
+        """
+        clock = self._dependencies.clock
         end_s = clock.now_s() + timeout_s
         found = transport.wait_readable((earlier.channel, channel), timeout_s)
         if found is earlier.channel:
@@ -811,18 +816,19 @@
             found = transport.wait_readable((channel,), left_s)
         if found is None:
             raise errors.EndpointError(streams.Silent(timeout_s))
-        return decisions.get_head_timeout_s(self._request, runs, clock.now_s())
 
     def _check_successor(self, answer, earlier):
         """Return the first events of an answer that is to take over.
 
-        They are empty when they are not there yet, and before the answer to
-        the caller has begun.
+        They are empty for an answer that is not a stream. An endpoint that
+        runs a stream may still end without an event.
 
         Raises
         ------
         EndpointError
             When the answer does not continue the earlier one, or fails.
+        _GoesOnError
+            As for `_await_successor`.
         """
         status = answer.head.status
         head = self.head or (earlier.answer and earlier.answer.head)
@@ -832,10 +838,21 @@
             is_usable = status == head.status
         if not is_usable:
             raise errors.EndpointError(streams.Failed(status))
-        if self.head is None or not answer.wait(HANDOVER_S):
+        if not (self._request.kind.is_stream and 200 <= status < 300):
             return b""
         runs = self._attempts.runs + 1
-        return self._reader.read_events(answer, runs, HANDOVER_S)
+        piece = b""
+        while piece == b"":
+            now_s = self._dependencies.clock.now_s()
+            timeout_s = decisions.get_event_timeout_s(
+                self._request, runs, now_s
+            )
+            self._await_either(earlier, self._current.channel, timeout_s)
+            piece = self._reader.read_events(answer, runs)
+        if piece is None:
+            fault = streams.Broken("it ended without a new event")
+            raise errors.EndpointError(fault)
+        return piece
 
     def _retire(self, earlier, fault):
         """Release the attempt that another endpoint has taken over."""
