Let no bytes of a caller reset the connection that its answer is on

A caller that sent bytes behind its request, as its next request, saw the connection reset in the middle of the answer.

A connection was closed as soon as its answer had left the output buffer. Up to some megabytes were then still in the system's send buffer. Bytes of the caller that were unread at the close, or came after it, made the system reset the connection and drop them. Only refusals were followed by a shutdown of the write side and a time in which the caller's bytes are dropped.

Now every connection that ends with an answer ends this way, with one method for it, and the time lasts until the caller's machine has acknowledged all. A connection is idle only once that has happened too, for both daemons, so that a stopping process does not exit before, within its grace time. A response without a length that breaks off is still ended with a reset.

The steps of the scenarios of idle connections check the call of the new method in place of the flag that it replaces; the outcomes they ask for are the same.

--- a/mulberryhollow/transport/http_server.py
+++ b/mulberryhollow/transport/http_server.py
@@ -82,9 +82,6 @@
 THREAD_INCREMENT = 4
 """Number of threads added at a time when requests wait for one."""
 
-_LINGER_RESET = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER for which a close resets the connection."""
-
 _SO_ATTACH_FILTER = 26
 """Socket option of Linux that the socket module does not name."""
 
@@ -251,19 +248,9 @@
         except BaseException:
             is_framed = self.chunked_response or self.content_length
             if self.wrote_header and not is_framed:
-                self._reset_at_close()
+                self.channel.reset_at_close()
             raise
 
-    def _reset_at_close(self):
-        """Make the close of the connection a reset.
-
-        An HTTP/1.0 caller takes a plain close for the end of the body.
-        """
-        with contextlib.suppress(OSError):
-            self.channel.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-            )
-
     def build_response_header(self):
         """Return the response head."""
         self.channel.last_request_id = self.get_environment().get(
@@ -479,7 +466,7 @@
     """Mark idle connections for closing, in the server's thread."""
     for channel in list(server.active_channels.values()):
         if channel.is_idle and not is_awaiting_first_request(channel, now_s):
-            channel.will_close = True
+            channel.close_when_sent()
 
 
 def describe_unsent(server):
--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -2,9 +2,12 @@
 
 import contextlib
 import errno
+import fcntl
 import itertools
 import logging
 import socket
+import struct
+import termios
 import time
 
 import attrs
@@ -37,14 +40,20 @@
 """
 
 DRAIN_BYTES = 16 * 1024 * 1024
-"""Bytes that are read and dropped after a refusal.
+"""Bytes that are read and dropped after the last answer of a connection.
 
 A client that is still sending would otherwise find its connection reset, and
-not see the refusal.
+not see the answer.
 """
 
 DRAIN_S = 2.0
-"""Time in which bytes are dropped after a refusal, in seconds."""
+"""Shortest time in which bytes are dropped after the last answer, in seconds.
+
+It goes on until the answer has arrived at the client's machine.
+"""
+
+_LINGER_RESET = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER for which a close resets the connection."""
 
 OUT_BUFFER_BYTES = 256 * 1024
 """Bytes of answers that are buffered for a slow client.
@@ -90,6 +99,7 @@
     """Connection of a client whose requests draw on the server's intake."""
 
     _is_refused = False
+    _is_reset_at_close = False
     _drain_bytes = 0
     _drain_end_s = None
     _read_bytes = READ_BYTES
@@ -110,6 +120,7 @@
             or self.request
             or self._unparsed
             or self.total_outbufs_len
+            or self._has_unacknowledged()
         )
 
     @property
@@ -119,8 +130,10 @@
 
     def readable(self):
         """Return whether to wait for bytes of the client."""
+        if self.is_draining:
+            return not self.will_close
         if self._is_refused:
-            return self.is_draining and not self.will_close
+            return False
         is_readable = super().readable()
         if is_readable and self._unparsed:
             data, self._unparsed = self._unparsed, b""
@@ -159,16 +172,34 @@
 
     def handle_write(self):
         """Send what is waiting; end a connection that is to be closed."""
-        if not self._is_refused or self.will_close or self.requests:
-            super().handle_write()
-            return
-        if self.total_outbufs_len:
+        if not self.requests:
             self._flush_exception(self._flush_some)
-        if self.will_close:
-            self.handle_close()
-        elif self.close_when_flushed and not self.total_outbufs_len:
+        elif self.total_outbufs_len >= self.adj.send_bytes:
+            self._flush_exception(self._flush_some_if_lockable)
+        if self.close_when_flushed and not self.total_outbufs_len:
             self.close_when_flushed = False
             self._begin_draining()
+        if self.will_close:
+            self.handle_close()
+
+    def close_when_sent(self):
+        """Close the connection once its answers are sent.
+
+        Called in the thread of the server.
+        """
+        if not self.is_draining:
+            self.close_when_flushed = True
+
+    def reset_at_close(self):
+        """Make the close of the connection a reset.
+
+        An HTTP/1.0 client takes a plain close for the end of the body.
+        """
+        self._is_reset_at_close = True
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+            )
 
     def handle_close(self):
         """Close the connection; release what it holds."""
@@ -247,7 +278,8 @@
     def _check_time(self):
         """Refuse a request whose time has passed; end a long drain."""
         if self.is_draining:
-            if time.monotonic() >= self._drain_end_s:
+            is_over = time.monotonic() >= self._drain_end_s
+            if is_over and not self._has_unacknowledged():
                 self.end()
         elif self.request is not None:
             refusal = self.server.intake.find_late(self.request)
@@ -278,7 +310,7 @@
             idle_s=now_s - since_s,
             is_partial=self.request is not None or is_unread,
             has_sent=self.last_activity != self.creation_time,
-            is_refused=self._is_refused,
+            is_refused=self._is_refused or self.is_draining,
             is_answering=is_answering,
         )
 
@@ -348,7 +380,16 @@
             self._flush_exception(self._flush_some, do_close=False)
 
     def _begin_draining(self):
-        """Drop what the client still sends, so that it sees the refusal."""
+        """Drop what the client still sends, so that it gets the answers."""
+        if self._is_reset_at_close:
+            self.will_close = True
+            return
+        with self.requests_lock:
+            request, self.request = self.request, None
+            self._unparsed = b""
+        if request is not None:
+            self.server.intake.drop(self)
+            request.close()
         self._drain_bytes = DRAIN_BYTES
         self._drain_end_s = time.monotonic() + DRAIN_S
         self._read_bytes = READ_BYTES
@@ -357,6 +398,14 @@
         except OSError:
             self.will_close = True
 
+    def _has_unacknowledged(self):
+        """Return whether sent bytes have not arrived at the client."""
+        size = bytearray(struct.calcsize("i"))
+        # Another thread may close the socket; on some systems none can tell.
+        with contextlib.suppress(OSError, ValueError, AttributeError):
+            fcntl.ioctl(self.socket, termios.TIOCOUTQ, size)
+        return any(size)
+
 
 class Server(waitress_server.TcpWSGIServer):
     """Waitress server whose clients share an intake.
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -115,8 +115,7 @@
         creation_time=NOW_S - opened_ago_s,
         last_activity=NOW_S - used_ago_s,
         is_idle=True,
-        total_outbufs_len=0,
-        will_close=False,
+        close_when_sent=mock.Mock(),
     )
     context.server = FakeServer()
     context.server.active_channels[1] = context.channel
@@ -130,12 +129,12 @@
 
 @then("the connection is kept")
 def check_kept(context):
-    assert not context.channel.will_close
+    context.channel.close_when_sent.assert_not_called()
 
 
 @then("the connection is closed")
 def check_closed(context):
-    assert context.channel.will_close
+    context.channel.close_when_sent.assert_called_once_with()
 
 
 @then("the server is quiet")
