Reproduce a pause behind the line with a chunk's size

Pauses after each of bytes 1 to 25 of an event were tried: only that behind byte 4, the end of that line, cuts the stream.

--- a/tests/serving/late_events.feature
+++ b/tests/serving/late_events.feature
@@ -19,6 +19,7 @@
       | count | obstacle                               |
       | 1     | no other endpoint is listed            |
       | 1     | all other endpoints refuse the request |
+      | 4     | no other endpoint is listed            |
       | 9     | no other endpoint is listed            |
       | 9     | all other endpoints refuse the request |
 
