--- a/tools/soak/streams.py
+++ b/tools/soak/streams.py
@@ -38,6 +38,12 @@
 FATES = {"whole": 75, "pause": 15, "silent": 5, "close": 5}
 """What becomes of a stream at an endpoint, with weights."""
 
+PART_FRACTION = 0.3
+"""Fraction of the pauses that begin inside the chunk of an event."""
+
+MAX_PART_BYTES = 24
+"""Longest part of a chunk that is sent before such a pause, in bytes."""
+
 DEADLINE_S = 10.0
 ROUTE_TIMEOUT_S = 12.0
 BACKLOG = 128
@@ -152,6 +158,11 @@
         # Before the first event of this run, or after any.
         turn = generator.randint(first, count + 1)
         gap_s = generator.uniform(*EVENT_GAP_S)
+        part_turn = 0
+        part_bytes = generator.randint(1, MAX_PART_BYTES)
+        if fate == "pause" and generator.random() < PART_FRACTION:
+            # The pause falls inside the chunk of an event.
+            turn, part_turn = 0, turn
         if first == 1 and turn == 1 and fate != "whole":
             # The head is late, too.
             end = self._change(handler, generator, fate)
@@ -172,7 +183,13 @@
                 attempt.encode(),
                 number,
             )
-            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            data = b"%x\r\n%s\r\n" % (len(event), event)
+            if number == part_turn:
+                handler.wfile.write(data[:part_bytes])
+                handler.wfile.flush()
+                self._change(handler, generator, fate)
+                data = data[part_bytes:]
+            handler.wfile.write(data)
             handler.wfile.flush()
             sent.append((number, self._recorder.now_s()))
         handler.wfile.write(b"0\r\n\r\n")
