--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -315,7 +315,9 @@
             raise _make_incomplete_error(repr(error)) from error
         except OSError as error:
             raise _classify_error(error, 1, timeout_s) from error
-        if not piece and self._is_aborted:
+        is_unframed = self.framing is messages.Framing.CONNECTION_CLOSE
+        if not piece and self._is_aborted and is_unframed:
+            # Nothing else tells that more would have come.
             raise _make_incomplete_error("the connection was shut down here")
         if not piece and response.length:
             raise _make_incomplete_error(
@@ -434,21 +436,24 @@
     _held = b""
 
     def hold_line(self, buffered):
-        """Return whether a line is complete; keep what is there of it.
+        """Return whether something follows a line; keep what is there of it.
 
         Parameters
         ----------
         buffered : bytes
             Bytes that the reader has buffered.
         """
-        if b"\n" in buffered or len(self._held) > MAX_HELD_BYTES:
-            return True
-        self._held += self._reader.read(len(buffered))
-        return False
+        if not self._held.endswith(b"\n"):
+            size = buffered.find(b"\n") + 1 or len(buffered)
+            self._held += self._reader.read(size)
+            buffered = buffered[size:]
+        return bool(buffered) or len(self._held) > MAX_HELD_BYTES
 
     def _read_line(self, limit_bytes):
         """Return the rest of a line behind what was kept of it."""
         held, self._held = self._held, b""
+        if held.endswith(b"\n"):
+            return held
         return held + super()._read_line(limit_bytes)
 
     def close(self):
--- a/tests/serving/late_events.feature
+++ b/tests/serving/late_events.feature
@@ -19,6 +19,7 @@
       | count | obstacle                               |
       | 1     | no other endpoint is listed            |
       | 1     | all other endpoints refuse the request |
+      | 4     | no other endpoint is listed            |
       | 9     | no other endpoint is listed            |
       | 9     | all other endpoints refuse the request |
 
@@ -34,3 +35,9 @@
       | answer            |
       | nothing           |
       | the end after 1 s |
+
+  # Guards against the loss of an answer that has arrived, when the end of the
+  # grace time ends the requests that still run.
+  Scenario: What has arrived when an attempt is ended is passed on
+    Given a stream that has arrived whole when its attempt is ended
+    Then all of it is read, and it is complete
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -62,7 +62,7 @@
   # while its endpoint was silent.
   Scenario: A stream that goes on and breaks off later is resumed
     Given a stream whose endpoint is silent for 1 s after event 2 and closes after event 3
-    And the next endpoint gives the rest, after 9 have refused the request
+    And the others refuse the request while it goes on, then give the rest
     When a caller reads the stream
     Then it gets the events 1 to 3 of the first endpoint and the rest of the next
 
--- a/tests/steps/serving_late_events.py
+++ b/tests/steps/serving_late_events.py
@@ -6,9 +6,12 @@
 
 from mulberryhollow import clock as clocks
 from mulberryhollow import errors
+from mulberryhollow.platform import endpoints as endpoint_codec
 from mulberryhollow.protocol import forwarding as messages
 from mulberryhollow.serving import answers
 from mulberryhollow.state import catalogue
+from mulberryhollow.transport import forwarding as transport
+from standins import scripted
 from tests import requests
 from tests import scripted_streams as streams
 
@@ -78,16 +81,43 @@
     assert found == mark(2)
 
 
+@given("a stream that has arrived whole when its attempt is ended")
+def set_arrived(context):
+    whole = b"".join(streams.chunk(mark(each)) for each in range(1, 5))
+    endpoint = scripted.ScriptedEndpoint(
+        [[streams.CHUNKED + whole + streams.END]]
+    )
+    context.add_cleanup(endpoint.close)
+    channels = []
+    client = transport.ForwardClient(
+        endpoint_codec.EndpointCodec(), clocks.SystemClock()
+    )
+    call = messages.EndpointCall("r1", "GET", "/x", (), b"")
+    context.answer = client.open(
+        transport.Attempt(endpoint.address, call, 1.0, True), channels.append
+    )
+    assert context.answer.wait(1.0)
+    channels[0].abort()
+    context.whole = b"".join(map(mark, range(1, 5)))
+
+
+@then("all of it is read, and it is complete")
+def check_arrived(context):
+    pieces = iter(lambda: context.answer.read_piece(1.0), b"")
+    assert b"".join(pieces) == context.whole
+
+
 @given("a stream whose endpoint ends it 1 s after event 4")
 def set_late_end(context):
     events = b"".join(streams.chunk(mark(each)) for each in range(1, 5))
     context.first = [streams.CHUNKED + events, 1.0, streams.END]
     context.kind, context.goal_s, context.count = KIND, 0.1, 6
     context.prepare = lambda dependencies, now_s: None
-    context.method, context.scripts, context.may_break_off = "GET", None, True
+    context.method, context.may_break_off = "GET", True
+    context.is_refused_first = False
 
 
 @given("the next endpoint sends a head and {answer}")
 def set_next_without_events(context, answer):
-    rest = ["hang"] if answer == "nothing" else [1.0, streams.END]
+    rest = [3.0, "close"] if answer == "nothing" else [1.0, streams.END]
     context.others = [streams.CHUNKED, *rest]
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -54,15 +54,23 @@
 
 
 class TimedEndpoint(scripted.ScriptedEndpoint):
-    """Scripted endpoint that records when its connections are left."""
+    """Scripted endpoint that records when its connections are left.
 
-    def __init__(self, scripts):
+    All requests are refused until the first script has ended, if that is
+    asked for.
+    """
+
+    def __init__(self, scripts, is_refused_first=False):
         self.left_s = {}
         self.answered_s = {}
+        self._is_refused_first = is_refused_first
         super().__init__(scripts)
 
     def _run_steps(self, connection, steps):
         number = len(self.requests)
+        if self._is_refused_first and number > 1:
+            self._scripts.insert(0, steps)
+            steps = REFUSAL
         threading.Thread(
             target=self._watch, args=(connection, number), daemon=True
         ).start()
@@ -72,6 +80,7 @@
             elif step == "close":
                 # The watching thread keeps the descriptor open.
                 connection.shutdown(socket.SHUT_RDWR)
+                self._is_refused_first = False
             if not super()._run_steps(connection, [step]):
                 return False
         return True
@@ -107,7 +116,7 @@
 
 
 def set_first(context, kind, script):
-    context.method, context.scripts = "GET", None
+    context.method, context.is_refused_first = "GET", False
     context.kind, context.first, context.goal_s = kind, script, GOAL_S
     context.others, context.count = REFUSAL, 6
     context.may_break_off = kind.is_stream
@@ -169,14 +178,10 @@
     set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
 
 
-@given(
-    "the next endpoint gives the rest, after {count:d} have refused the "
-    "request"
-)
-def set_later(context, count):
-    rest = [streams.CHUNKED + make_chunks(b"next", 4) + streams.END]
-    context.others = rest
-    context.scripts = [context.first, *[REFUSAL] * count]
+@given("the others refuse the request while it goes on, then give the rest")
+def set_later(context):
+    context.others = [streams.CHUNKED + make_chunks(b"next", 4) + streams.END]
+    context.is_refused_first = True
 
 
 @given(
@@ -249,10 +254,8 @@
 @when("a caller reads the answer")
 def read(context):
     context.endpoint = TimedEndpoint(
-        [
-            *(context.scripts or [context.first]),
-            *itertools.repeat(context.others, 9),
-        ]
+        [context.first, *itertools.repeat(context.others, 9)],
+        context.is_refused_first,
     )
     context.add_cleanup(context.endpoint.close)
     context.clock, context.forwarder = streams.start_instance(
