--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -69,6 +69,7 @@
 closed when all others are in use."""
 
 UNLIMITED = 1 << 30
+"""Value of a limit of waitress that does not apply."""
 
 UNSENT = events.declare(
     2007,
@@ -77,7 +78,6 @@
     "if there are many, look for clients that read slowly, or for a grace "
     "time that is too short",
 )
-"""Value of a limit of waitress that does not apply."""
 
 _OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 
