Do not drain a connection that its flush has closed

A caller that reset its connection while the end of its last answer (Connection: close) waited to be sent raised AttributeError in the thread of the server, which logged "uncaptured python exception" for it; the caller had gone, so no answer was lost.

Cause: the send finds the reset and closes the connection, which empties the output buffer and leaves close_when_flushed set, so that handle_write went on to drain a connection without a socket.

A connection that is cancelled is not drained either; it is closed at once, as will_close is set.

--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -178,7 +178,9 @@
             self._flush_exception(self._flush_some_if_lockable)
         if self.close_when_flushed and not self.total_outbufs_len:
             self.close_when_flushed = False
-            self._begin_draining()
+            # The flush closes a connection that the client has reset.
+            if self.connected:
+                self._begin_draining()
         if self.will_close:
             self.handle_close()
 
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -1,6 +1,10 @@
 import concurrent.futures
+import itertools
+import logging
 import socket
+import struct
 import threading
+import time
 import types
 from unittest import mock
 import urllib.request
@@ -60,6 +64,7 @@
 
 
 NOW_S = 1000.0
+LARGE_BYTES = 24_000_000
 
 
 class FakeServer:
@@ -262,3 +267,64 @@
 def check_no_last_chunk(context):
     assert b"data: x" in context.received, context.received
     assert b"\r\n0\r\n" not in context.received, context.received
+
+
+class LogRecords(logging.Handler):
+    """Log handler that keeps the errors."""
+
+    def __init__(self):
+        super().__init__(logging.ERROR)
+        self.messages = []
+
+    def emit(self, record):
+        self.messages.append(record.getMessage())
+
+
+def start_server_with(context, answer):
+    context.records = LogRecords()
+    logger = logging.getLogger("waitress")
+    logger.addHandler(context.records)
+    context.add_cleanup(logger.removeHandler, context.records)
+    context.server = http_server.make_server(answer, "127.0.0.1:0", 4, 4100)
+    threading.Thread(target=context.server.run, daemon=True).start()
+
+
+def wait_until(is_reached):
+    """Wait for a condition of another thread, for 5 s at most."""
+    for _ in itertools.takewhile(lambda _: not is_reached(), range(500)):
+        time.sleep(0.01)
+    assert is_reached()
+
+
+@given("a server with a caller that reads nothing of its last answer")
+def start_unread_server(context):
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(LARGE_BYTES))])
+        return [bytes(LARGE_BYTES)]
+
+    start_server_with(context, answer)
+    context.caller = connect(context)
+    context.add_cleanup(context.caller.close)
+    context.caller.sendall(
+        b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    )
+    wait_until(
+        lambda: any(
+            channel.close_when_flushed and channel.total_outbufs_len
+            for channel in list(context.server.active_channels.values())
+        )
+    )
+
+
+@when("the caller resets its connection")
+def reset_connection(context):
+    context.caller.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    context.caller.close()
+
+
+@then("the server closes the connection and logs no error")
+def check_closed_quietly(context):
+    wait_until(lambda: not context.server.active_channels)
+    assert not context.records.messages, context.records.messages
--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -56,3 +56,10 @@
       | version | end                             |
       | 1.0     | a reset of the connection       |
       | 1.1     | a close without the last chunk  |
+
+  # Guards against an error in the server's thread when a caller resets its
+  # connection while the end of its last answer waits to be sent.
+  Scenario: A reset during the last answer ends the connection without an error
+    Given a server with a caller that reads nothing of its last answer
+    When the caller resets its connection
+    Then the server closes the connection and logs no error
