Let a stop look at a connection that closes meanwhile

The stop of the entry daemon waits until its connections are idle. If one of them closes at that moment, the wait raises TypeError; by the code, the stop then ends before the loops are stopped and peers are told.

Cause: the thread of the daemon asks the socket how many bytes have not arrived while the thread of the server closes the connection and removes its socket; ioctl raises TypeError for None.

The socket is taken once; a closed one has no descriptor, which raises ValueError and was suppressed already.

--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -402,10 +402,14 @@
 
     def _has_unacknowledged(self):
         """Return whether sent bytes have not arrived at the client."""
+        # The thread of the server may close the socket at any moment.
+        sock = self.socket
+        if sock is None:
+            return False
         size = bytearray(struct.calcsize("i"))
-        # Another thread may close the socket; on some systems none can tell.
+        # A closed socket has no descriptor; some systems lack the request.
         with contextlib.suppress(OSError, ValueError, AttributeError):
-            fcntl.ioctl(self.socket, termios.TIOCOUTQ, size)
+            fcntl.ioctl(sock, termios.TIOCOUTQ, size)
         return any(size)
 
 
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -328,3 +328,24 @@
 def check_closed_quietly(context):
     wait_until(lambda: not context.server.active_channels)
     assert not context.records.messages, context.records.messages
+
+
+@given("a server with a connection that closes after it was listed")
+def close_listed(context):
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    start_server_with(context, answer)
+    with connect(context) as caller:
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert caller.recv(64).startswith(b"HTTP/1.1 200")
+        context.listed = FakeServer()
+        context.listed.active_channels.update(context.server.active_channels)
+    wait_until(lambda: not context.server.active_channels)
+
+
+@then("the listed connections are quiet")
+def check_listed_quiet(context):
+    assert context.listed.active_channels
+    assert callers.is_idle(context.listed, time.time() + 1.0)
--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -63,3 +63,9 @@
     Given a server with a caller that reads nothing of its last answer
     When the caller resets its connection
     Then the server closes the connection and logs no error
+
+  # Guards against a stop that ends early with an error, because a connection
+  # closes while the daemon looks whether its connections are idle.
+  Scenario: A connection that closes while it is looked at counts as idle
+    Given a server with a connection that closes after it was listed
+    Then the listed connections are quiet
