Name a caller that leaves a response without framing

Where an HTTP/1.0 caller left in the middle of a response without length, the log had "Exception while serving" with the traceback of an AttributeError in place of the line that the caller has disconnected.

Cause: a response that breaks off without framing has its connection closed with a reset; the thread of the request sets this on a socket that the thread of the server has closed and removed.

The socket is taken once, and nothing is set where there is none any more: such a connection has been closed already.

--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -198,10 +198,12 @@
         An HTTP/1.0 client takes a plain close for the end of the body.
         """
         self._is_reset_at_close = True
-        with contextlib.suppress(OSError):
-            self.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-            )
+        sock = self.socket
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+                )
 
     def handle_close(self):
         """Close the connection; release what it holds."""
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -349,3 +349,27 @@
 def check_listed_quiet(context):
     assert context.listed.active_channels
     assert callers.is_idle(context.listed, time.time() + 1.0)
+
+
+@given("a server whose caller resets a response without framing")
+def start_unframed_server(context):
+    context.goes_on = threading.Event()
+
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        yield b"id: 1\ndata: x\n\n"
+        context.goes_on.wait(5.0)
+        yield b"id: 2\ndata: x\n\n"
+
+    start_server_with(context, answer)
+    context.caller = connect(context)
+    context.caller.sendall(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+    assert context.caller.recv(64).startswith(b"HTTP/1.0 200")
+    reset_connection(context)
+
+
+@when("the response goes on")
+def continue_response(context):
+    wait_until(lambda: not context.server.active_channels)
+    context.goes_on.set()
+    wait_until(lambda: not context.server.task_dispatcher.active_count)
--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -69,3 +69,10 @@
   Scenario: A connection that closes while it is looked at counts as idle
     Given a server with a connection that closes after it was listed
     Then the listed connections are quiet
+
+  # Guards against an error of a socket that is no longer there in place of the
+  # log line that names a caller which has left.
+  Scenario: A caller that leaves a response without framing causes no error
+    Given a server whose caller resets a response without framing
+    When the response goes on
+    Then the server closes the connection and logs no error
