End a connection that a thread of a request has closed

No caller was seen to meet this; it was found by reading, after two faults of the same cause. Waitress closes a connection in the thread of a request where its "100 Continue" finds that the caller has gone. If the thread of the server ends the connection at that moment, because it is idle or in the way of others, AttributeError leaves the loop of the server, which serves all callers.

The socket is taken once; one that is gone counts as not connected.

--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -237,8 +237,7 @@
         self.will_close = True
         # Waiting for room in the send buffer might never end; the shutdown
         # wakes the server's thread.
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
+        self._shut_down(socket.SHUT_RDWR)
 
     def give_way(self):
         """End the connection for others; refuse an incomplete request."""
@@ -397,11 +396,20 @@
         self._drain_bytes = DRAIN_BYTES
         self._drain_end_s = time.monotonic() + DRAIN_S
         self._read_bytes = READ_BYTES
-        try:
-            self.socket.shutdown(socket.SHUT_WR)
-        except OSError:
+        if not self._shut_down(socket.SHUT_WR):
             self.will_close = True
 
+    def _shut_down(self, directions):
+        """Shut the socket down; return whether it was connected."""
+        # The thread of a request may have closed the connection.
+        sock = self.socket
+        if sock is None:
+            return False
+        with contextlib.suppress(OSError):
+            sock.shutdown(directions)
+            return True
+        return False
+
     def _has_unacknowledged(self):
         """Return whether sent bytes have not arrived at the client."""
         # The thread of the server may close the socket at any moment.
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -345,6 +345,12 @@
     wait_until(lambda: not context.server.active_channels)
 
 
+@when("the listed connections are ended")
+def end_listed(context):
+    for channel in context.listed.active_channels.values():
+        channel.end()
+
+
 @then("the listed connections are quiet")
 def check_listed_quiet(context):
     assert context.listed.active_channels
--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -76,3 +76,10 @@
     Given a server whose caller resets a response without framing
     When the response goes on
     Then the server closes the connection and logs no error
+
+  # Guards against an error that ends the server's thread, and so the answers
+  # of all callers, where a request's thread has closed a connection before.
+  Scenario: A connection that closes before it is ended causes no error
+    Given a server with a connection that closes after it was listed
+    When the listed connections are ended
+    Then the listed connections are quiet
