End an idle connection once its caller has been told

A stop took 5.1 s in place of 2.6 s if a caller kept an idle connection open after its end had arrived: since answers are no longer cut at a close, each connection was drained for 2 s, also one whose answers had all arrived before.

An idle connection ends now as soon as the caller has acknowledged the close, if nothing of the caller is unread and nothing has come since. What the caller sent before it could know of the close comes ahead of its acknowledgement, so such a request still gets the whole drain and no reset.

The outline in http_server.feature has requests that cross the close.

--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -100,6 +100,9 @@
 
     _is_refused = False
     _is_reset_at_close = False
+    # Whether all answers had arrived before the connection was closed, and
+    # nothing has come since.
+    _is_idle_close = False
     _drain_bytes = 0
     _drain_end_s = None
     _read_bytes = READ_BYTES
@@ -150,7 +153,9 @@
             return
         if not data:
             self.connected = False
-        elif self.is_draining:
+            return
+        self._is_idle_close = False
+        if self.is_draining:
             self._drain_bytes -= len(data)
             if self._drain_bytes <= 0:
                 self.end()
@@ -187,9 +192,12 @@
     def close_when_sent(self):
         """Close the connection once its answers are sent.
 
-        Called in the thread of the server.
+        Called in the thread of the server, until the connection is closed.
         """
-        if not self.is_draining:
+        if self.is_draining:
+            self._check_drain()
+        elif not self.close_when_flushed:
+            self._is_idle_close = self.is_idle
             self.close_when_flushed = True
 
     def reset_at_close(self):
@@ -281,14 +289,23 @@
     def _check_time(self):
         """Refuse a request whose time has passed; end a long drain."""
         if self.is_draining:
-            is_over = time.monotonic() >= self._drain_end_s
-            if is_over and not self._has_unacknowledged():
-                self.end()
+            self._check_drain()
         elif self.request is not None:
             refusal = self.server.intake.find_late(self.request)
             if refusal is not None:
                 self.refuse(refusal)
 
+    def _check_drain(self):
+        """End the drain if the client needs no more of it.
+
+        A client that had all answers before only has to be told of the close.
+        """
+        is_over = time.monotonic() >= self._drain_end_s
+        if self._is_idle_close:
+            is_over = is_over or not self._has_unread()
+        if is_over and not self._has_unacknowledged():
+            self.end()
+
     def get_unread_s(self, now_s):
         """Return for how long an answer was not read; 0 for none seen."""
         since_s = self._unread_since_s
@@ -411,7 +428,15 @@
         return False
 
     def _has_unacknowledged(self):
-        """Return whether sent bytes have not arrived at the client."""
+        """Return whether sent bytes, or the close, have not arrived yet."""
+        return self._has_waiting("TIOCOUTQ")
+
+    def _has_unread(self):
+        """Return whether bytes of the client wait to be read."""
+        return self._has_waiting("FIONREAD")
+
+    def _has_waiting(self, request):
+        """Return whether bytes wait, as a request of termios counts them."""
         # The thread of the server may close the socket at any moment.
         sock = self.socket
         if sock is None:
@@ -419,7 +444,7 @@
         size = bytearray(struct.calcsize("i"))
         # A closed socket has no descriptor; some systems lack the request.
         with contextlib.suppress(OSError, ValueError, AttributeError):
-            fcntl.ioctl(sock, termios.TIOCOUTQ, size)
+            fcntl.ioctl(sock, getattr(termios, request), size)
         return any(size)
 
 
--- a/tests/platform/stops.feature
+++ b/tests/platform/stops.feature
@@ -53,6 +53,13 @@
     When it gets SIGTERM while no request is running
     Then it ends within 4 seconds
 
+  # Guards against a stop that waits for callers which keep their connections
+  # open although they have all of their answers.
+  Scenario: A caller that keeps an idle connection does not delay the stop
+    Given a stopping instance whose endpoints answer late
+    When it gets SIGTERM while a caller keeps an idle connection
+    Then it ends within 4 seconds
+
   # Guards against requests that arrive while the instance closes being run
   # without an answer, or refused although they run.
   Scenario: Requests on kept connections are answered or do not run
--- a/tests/steps/platform_stops.py
+++ b/tests/steps/platform_stops.py
@@ -215,10 +215,25 @@
     terminate(context)
 
 
+@when("it gets SIGTERM while a caller keeps an idle connection")
+def stop_with_kept_connection(context):
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", context.site.callers_port, timeout=GRACE_S
+    )
+    context.add_cleanup(connection.close)
+    headers = {"Host": "h.example", "Key": "k1", "Attempt-Id": "kept"}
+    connection.request("POST", "/once/x", b"{}", headers)
+    answer = connection.getresponse()
+    assert answer.read() and answer.status == 200, answer.status
+    assert connection.sock is not None
+    terminate(context)
+
+
 @then("it ends within {limit_s:g} seconds")
 def check_end(context, limit_s):
     context.site.process.wait(GRACE_S)
-    assert time.monotonic() - context.terminated_s < limit_s
+    elapsed_s = time.monotonic() - context.terminated_s
+    assert elapsed_s < limit_s, elapsed_s
 
 
 def send_without_pause(context, name):
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -1,4 +1,5 @@
 import concurrent.futures
+import contextlib
 import itertools
 import logging
 import socket
@@ -65,6 +66,8 @@
 
 NOW_S = 1000.0
 LARGE_BYTES = 24_000_000
+SMALL_BYTES = 40_000
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
 class FakeServer:
@@ -338,7 +341,7 @@
 
     start_server_with(context, answer)
     with connect(context) as caller:
-        caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        caller.sendall(REQUEST)
         assert caller.recv(64).startswith(b"HTTP/1.1 200")
         context.listed = FakeServer()
         context.listed.active_channels.update(context.server.active_channels)
@@ -379,3 +382,116 @@
     wait_until(lambda: not context.server.active_channels)
     context.goes_on.set()
     wait_until(lambda: not context.server.task_dispatcher.active_count)
+
+
+@given("a server with a caller that has not yet read its whole answer")
+def start_half_read_server(context):
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(SMALL_BYTES))])
+        return [bytes(SMALL_BYTES)]
+
+    start_server_with(context, answer)
+    context.caller = connect(context)
+    context.add_cleanup(context.caller.close)
+    context.caller.settimeout(5.0)
+    context.caller.sendall(REQUEST)
+    context.received = context.caller.recv(64)
+    wait_until(lambda: callers.is_idle(context.server, time.time() + 1.0))
+
+
+def run_in_server(context, *calls):
+    """Run calls one after the other in the thread of the server."""
+    done = threading.Event()
+
+    def run():
+        for call in calls:
+            call()
+        done.set()
+
+    context.server.trigger.pull_trigger(run)
+    assert done.wait(5.0)
+
+
+def close_in_server(context):
+    """Close the idle connections; called in the thread of the server."""
+    fake = FakeServer()
+    fake.active_channels = context.server.active_channels
+    http_server.close_idle(fake, time.time())
+    fake.run_calls()
+
+
+def keep_closing(context, rounds):
+    """Close the idle connections every 50 ms, as a stop does."""
+    for _ in range(rounds):
+        run_in_server(context, lambda: close_in_server(context))
+        time.sleep(0.05)
+
+
+def send_rest(context):
+    for part in (REQUEST[9:18], REQUEST[18:]):
+        keep_closing(context, 6)
+        context.caller.sendall(part)
+
+
+@when(
+    "the caller sends another request in parts as its idle connection is "
+    "closed"
+)
+def send_at_close(context):
+    run_in_server(
+        context,
+        lambda: close_in_server(context),
+        lambda: context.caller.sendall(REQUEST[:9]),
+    )
+    send_rest(context)
+
+
+@when("the caller sends another request in parts as the close has arrived")
+def send_at_arrival(context):
+    run_in_server(context, lambda: close_in_server(context))
+    (channel,) = context.server.active_channels.values()
+    wait_until(lambda: channel.is_draining and channel.is_idle)
+    run_in_server(
+        context,
+        lambda: context.caller.sendall(REQUEST[:9]),
+        lambda: close_in_server(context),
+    )
+    send_rest(context)
+
+
+@when(
+    "the caller sends another request 0.5 seconds after its connection began "
+    "to end"
+)
+def send_after_close(context):
+    keep_closing(context, 10)
+    context.caller.sendall(REQUEST)
+
+
+def read_rest(context):
+    """Read what is left of an answer; return whether a reset is its end."""
+    with contextlib.suppress(ConnectionResetError):
+        pieces = iter(lambda: context.caller.recv(4096), b"")
+        for piece in pieces:
+            context.received += piece
+        return False
+    return True
+
+
+def check_whole(context):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200"), head
+    assert len(body) == SMALL_BYTES, len(body)
+
+
+@then("it reads its whole answer, and then the end of the connection")
+def check_whole_and_end(context):
+    is_reset = read_rest(context)
+    check_whole(context)
+    assert not is_reset
+
+
+@then("it reads its whole answer, and then the end or a reset of it")
+def check_whole_and_any_end(context):
+    read_rest(context)
+    check_whole(context)
--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -83,3 +83,16 @@
     Given a server with a connection that closes after it was listed
     When the listed connections are ended
     Then the listed connections are quiet
+
+  # Guards against a reset that destroys an answer which has arrived, but is
+  # not yet read, because the caller sends a request while its connection ends.
+  Scenario Outline: A request sent while an idle connection ends cuts no answer
+    Given a server with a caller that has not yet read its whole answer
+    When the caller sends another request <when>
+    Then it reads its whole answer, and then <end>
+
+    Examples:
+      | when                                          | end                       |
+      | in parts as its idle connection is closed     | the end of the connection |
+      | in parts as the close has arrived             | the end of the connection |
+      | 0.5 seconds after its connection began to end | the end or a reset of it  |
