End an idle connection whose caller is cut off

A drain goes on until what was sent has arrived, and the end of the connection counts as well. If the machine of a caller is gone, its idle connection therefore stayed until the end of the grace time, by the code also where it was the only one.

An idle connection has no answer on its way, so that it is ended after DRAIN_S also where the close is not acknowledged. A drain of answers that have not arrived goes on as before.

The bound is DRAIN_S, twice the interval of the checks and no more.

--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -298,12 +298,16 @@
     def _check_drain(self):
         """End the drain if the client needs no more of it.
 
-        A client that had all answers before only has to be told of the close.
+        A client that had all answers before only has to be told of the close,
+        and may be gone.
         """
         is_over = time.monotonic() >= self._drain_end_s
+        is_received = not self._has_unacknowledged()
         if self._is_idle_close:
-            is_over = is_over or not self._has_unread()
-        if is_over and not self._has_unacknowledged():
+            is_done = is_over or (is_received and not self._has_unread())
+        else:
+            is_done = is_over and is_received
+        if is_done:
             self.end()
 
     def get_unread_s(self, now_s):
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -1,5 +1,6 @@
 import concurrent.futures
 import contextlib
+import ctypes
 import itertools
 import logging
 import socket
@@ -65,6 +66,7 @@
 
 
 NOW_S = 1000.0
+SO_ATTACH_FILTER = 26
 LARGE_BYTES = 24_000_000
 SMALL_BYTES = 40_000
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -468,6 +470,24 @@
     context.caller.sendall(REQUEST)
 
 
+@when("the caller is cut off and its idle connection is closed")
+def cut_off(context):
+    # The filter drops every packet that comes to the caller.
+    code = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0), 8)
+    program = struct.pack("HP", 1, ctypes.addressof(code))
+    context.caller.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+    context.closed_s = time.monotonic()
+    keep_closing(context, 1)
+
+
+@then("the connection is gone within {limit_s:g} seconds")
+def check_gone(context, limit_s):
+    while context.server.active_channels:
+        elapsed_s = time.monotonic() - context.closed_s
+        assert elapsed_s < limit_s, elapsed_s
+        keep_closing(context, 1)
+
+
 def read_rest(context):
     """Read what is left of an answer; return whether a reset is its end."""
     with contextlib.suppress(ConnectionResetError):
--- a/tests/transport/http_server.feature
+++ b/tests/transport/http_server.feature
@@ -96,3 +96,10 @@
       | in parts as its idle connection is closed     | the end of the connection |
       | in parts as the close has arrived             | the end of the connection |
       | 0.5 seconds after its connection began to end | the end or a reset of it  |
+
+  # Guards against a stop that lasts until the end of its grace time because
+  # the machine of a caller is gone and never acknowledges the close.
+  Scenario: A caller that is cut off does not hold its idle connection
+    Given a server with a caller that has not yet read its whole answer
+    When the caller is cut off and its idle connection is closed
+    Then the connection is gone within 4 seconds
