Keep a refusal whose body does not end

A request that may not run twice, refused with 503 and Not-Executed: 1, was answered with "the endpoint may have executed the request", and no other endpoint was asked although one was free, if the body of the refusal paused or broke off.

Cause: the body is read only so that the connection can be used again, but a fault of this reading took the place of what the head had told.

Such a connection is closed, as its answer is not complete. A body that holds another answer still makes the refusal doubtful; a scenario keeps this.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -164,8 +164,24 @@
     def drain(self, answer):
         """Read a refusal to its end, so that its connection can be reused.
 
-        A longer one is left, and so its connection is closed.
+        One that is longer, or does not end, is left, and so its connection is
+        closed.
+
+        Raises
+        ------
+        EndpointError
+            Crossed when its body holds another answer or is malformed.
         """
+        try:
+            self._read_refusal(answer)
+        except errors.EndpointError as error:
+            # The head has told that the request has not run.
+            match error.fault:
+                case streams.Crossed():
+                    raise
+
+    def _read_refusal(self, answer):
+        """Read a refusal to its end, up to a size and a time."""
         end_s = self._clock.now_s() + _DRAIN_TIMEOUT_S
         size = 0
         while size < MAX_REFUSAL_BYTES:
--- a/tests/serving/forwarder.feature
+++ b/tests/serving/forwarder.feature
@@ -30,6 +30,24 @@
       | silent | NON_IDEMPOTENT |
       | broken | STREAM         |
 
+  # Guards against a request that an endpoint has refused as not run being
+  # given up as one that may have run, since the refusal's body did not end.
+  Scenario Outline: A refusal whose body does not end is a refusal
+    Given a forwarder whose endpoints answer in turn: <first>, whole
+    When a NON_IDEMPOTENT request is forwarded
+    Then the caller gets "hello" after 2 attempts
+
+    Examples:
+      | first                     |
+      | refused with a silent end |
+      | refused with a broken end |
+
+  # Guards against a refusal being believed that another answer follows.
+  Scenario: A refusal whose body holds another answer is not believed
+    Given a forwarder whose endpoints answer in turn: refused with another answer, whole
+    When a NON_IDEMPOTENT request is forwarded
+    Then the forwarded request ends as UNKNOWN after 1 attempts
+
   Scenario: A failure of the endpoint's own is passed on when no other helps
     Given a forwarder whose endpoints answer in turn: failed, failed, whole
     When a IDEMPOTENT request is forwarded
--- a/tests/steps/serving_forwarder.py
+++ b/tests/steps/serving_forwarder.py
@@ -43,6 +43,13 @@
     "broken": streams.Broken("reset"),
     "silent": streams.Silent(1.0),
 }
+ENDS_OF_REFUSALS = {
+    "refused": None,
+    "moved": None,
+    "refused with a silent end": streams.Silent(0.25),
+    "refused with a broken end": streams.Broken("reset"),
+    "refused with another answer": streams.Crossed("a second answer"),
+}
 
 
 SEAL = ("Response-Seal", "s")
@@ -135,11 +142,11 @@
                 status, (("Attempt-Id", "r1"), *fields)
             )
             return Answer(head, [b"hello"], None)
-        if outcome in ("refused", "moved"):
+        if outcome in ENDS_OF_REFUSALS:
             head = messages.AnswerHead(
                 503, (), "r1", True, is_other_endpoint=outcome == "moved"
             )
-            return Answer(head, [], None)
+            return Answer(head, [], ENDS_OF_REFUSALS[outcome])
         status, pieces, fault = ANSWERS[outcome]
         head = messages.AnswerHead(status, (), "r1")
         if outcome in UNFRAMED:
