--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -100,6 +100,9 @@
 
     _is_refused = False
     _is_reset_at_close = False
+    # Whether all answers had arrived before the connection was closed, and
+    # nothing has come since.
+    _is_idle_close = False
     _drain_bytes = 0
     _drain_end_s = None
     _read_bytes = READ_BYTES
@@ -150,7 +153,9 @@
             return
         if not data:
             self.connected = False
-        elif self.is_draining:
+            return
+        self._is_idle_close = False
+        if self.is_draining:
             self._drain_bytes -= len(data)
             if self._drain_bytes <= 0:
                 self.end()
@@ -178,16 +183,21 @@
             self._flush_exception(self._flush_some_if_lockable)
         if self.close_when_flushed and not self.total_outbufs_len:
             self.close_when_flushed = False
-            self._begin_draining()
+            # The flush closes a connection that the client has reset.
+            if self.connected:
+                self._begin_draining()
         if self.will_close:
             self.handle_close()
 
     def close_when_sent(self):
         """Close the connection once its answers are sent.
 
-        Called in the thread of the server.
+        Called in the thread of the server, until the connection is closed.
         """
-        if not self.is_draining:
+        if self.is_draining:
+            self._check_drain()
+        elif not self.close_when_flushed:
+            self._is_idle_close = self.is_idle
             self.close_when_flushed = True
 
     def reset_at_close(self):
@@ -196,10 +206,12 @@
         An HTTP/1.0 client takes a plain close for the end of the body.
         """
         self._is_reset_at_close = True
-        with contextlib.suppress(OSError):
-            self.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-            )
+        sock = self.socket
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+                )
 
     def handle_close(self):
         """Close the connection; release what it holds."""
@@ -233,8 +245,7 @@
         self.will_close = True
         # Waiting for room in the send buffer might never end; the shutdown
         # wakes the server's thread.
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
+        self._shut_down(socket.SHUT_RDWR)
 
     def give_way(self):
         """End the connection for others; refuse an incomplete request."""
@@ -278,14 +289,27 @@
     def _check_time(self):
         """Refuse a request whose time has passed; end a long drain."""
         if self.is_draining:
-            is_over = time.monotonic() >= self._drain_end_s
-            if is_over and not self._has_unacknowledged():
-                self.end()
+            self._check_drain()
         elif self.request is not None:
             refusal = self.server.intake.find_late(self.request)
             if refusal is not None:
                 self.refuse(refusal)
 
+    def _check_drain(self):
+        """End the drain if the client needs no more of it.
+
+        A client that had all answers before only has to be told of the close,
+        and may be gone.
+        """
+        is_over = time.monotonic() >= self._drain_end_s
+        is_received = not self._has_unacknowledged()
+        if self._is_idle_close:
+            is_done = is_over or (is_received and not self._has_unread())
+        else:
+            is_done = is_over and is_received
+        if is_done:
+            self.end()
+
     def get_unread_s(self, now_s):
         """Return for how long an answer was not read; 0 for none seen."""
         since_s = self._unread_since_s
@@ -393,17 +417,38 @@
         self._drain_bytes = DRAIN_BYTES
         self._drain_end_s = time.monotonic() + DRAIN_S
         self._read_bytes = READ_BYTES
-        try:
-            self.socket.shutdown(socket.SHUT_WR)
-        except OSError:
+        if not self._shut_down(socket.SHUT_WR):
             self.will_close = True
 
+    def _shut_down(self, directions):
+        """Shut the socket down; return whether it was connected."""
+        # The thread of a request may have closed the connection.
+        sock = self.socket
+        if sock is None:
+            return False
+        with contextlib.suppress(OSError):
+            sock.shutdown(directions)
+            return True
+        return False
+
     def _has_unacknowledged(self):
-        """Return whether sent bytes have not arrived at the client."""
+        """Return whether sent bytes, or the close, have not arrived yet."""
+        return self._has_waiting("TIOCOUTQ")
+
+    def _has_unread(self):
+        """Return whether bytes of the client wait to be read."""
+        return self._has_waiting("FIONREAD")
+
+    def _has_waiting(self, request):
+        """Return whether bytes wait, as a request of termios counts them."""
+        # The thread of the server may close the socket at any moment.
+        sock = self.socket
+        if sock is None:
+            return False
         size = bytearray(struct.calcsize("i"))
-        # Another thread may close the socket; on some systems none can tell.
+        # A closed socket has no descriptor; some systems lack the request.
         with contextlib.suppress(OSError, ValueError, AttributeError):
-            fcntl.ioctl(self.socket, termios.TIOCOUTQ, size)
+            fcntl.ioctl(sock, getattr(termios, request), size)
         return any(size)
 
 
--- a/tests/steps/transport_http_server.py
+++ b/tests/steps/transport_http_server.py
@@ -1,6 +1,12 @@
 import concurrent.futures
+import contextlib
+import ctypes
+import itertools
+import logging
 import socket
+import struct
 import threading
+import time
 import types
 from unittest import mock
 import urllib.request
@@ -60,6 +66,10 @@
 
 
 NOW_S = 1000.0
+SO_ATTACH_FILTER = 26
+LARGE_BYTES = 24_000_000
+SMALL_BYTES = 40_000
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
 class FakeServer:
@@ -262,3 +272,246 @@
 def check_no_last_chunk(context):
     assert b"data: x" in context.received, context.received
     assert b"\r\n0\r\n" not in context.received, context.received
+
+
+class LogRecords(logging.Handler):
+    """Log handler that keeps the errors."""
+
+    def __init__(self):
+        super().__init__(logging.ERROR)
+        self.messages = []
+
+    def emit(self, record):
+        self.messages.append(record.getMessage())
+
+
+def start_server_with(context, answer):
+    context.records = LogRecords()
+    logger = logging.getLogger("waitress")
+    logger.addHandler(context.records)
+    context.add_cleanup(logger.removeHandler, context.records)
+    context.server = http_server.make_server(answer, "127.0.0.1:0", 4, 4100)
+    threading.Thread(target=context.server.run, daemon=True).start()
+
+
+def wait_until(is_reached):
+    """Wait for a condition of another thread, for 5 s at most."""
+    for _ in itertools.takewhile(lambda _: not is_reached(), range(500)):
+        time.sleep(0.01)
+    assert is_reached()
+
+
+@given("a server with a caller that reads nothing of its last answer")
+def start_unread_server(context):
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(LARGE_BYTES))])
+        return [bytes(LARGE_BYTES)]
+
+    start_server_with(context, answer)
+    context.caller = connect(context)
+    context.add_cleanup(context.caller.close)
+    context.caller.sendall(
+        b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    )
+    wait_until(
+        lambda: any(
+            channel.close_when_flushed and channel.total_outbufs_len
+            for channel in list(context.server.active_channels.values())
+        )
+    )
+
+
+@when("the caller resets its connection")
+def reset_connection(context):
+    context.caller.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    context.caller.close()
+
+
+@then("the server closes the connection and logs no error")
+def check_closed_quietly(context):
+    wait_until(lambda: not context.server.active_channels)
+    assert not context.records.messages, context.records.messages
+
+
+@given("a server with a connection that closes after it was listed")
+def close_listed(context):
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    start_server_with(context, answer)
+    with connect(context) as caller:
+        caller.sendall(REQUEST)
+        assert caller.recv(64).startswith(b"HTTP/1.1 200")
+        context.listed = FakeServer()
+        context.listed.active_channels.update(context.server.active_channels)
+    wait_until(lambda: not context.server.active_channels)
+
+
+@when("the listed connections are ended")
+def end_listed(context):
+    for channel in context.listed.active_channels.values():
+        channel.end()
+
+
+@then("the listed connections are quiet")
+def check_listed_quiet(context):
+    assert context.listed.active_channels
+    assert callers.is_idle(context.listed, time.time() + 1.0)
+
+
+@given("a server whose caller resets a response without framing")
+def start_unframed_server(context):
+    context.goes_on = threading.Event()
+
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        yield b"id: 1\ndata: x\n\n"
+        context.goes_on.wait(5.0)
+        yield b"id: 2\ndata: x\n\n"
+
+    start_server_with(context, answer)
+    context.caller = connect(context)
+    context.caller.sendall(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+    assert context.caller.recv(64).startswith(b"HTTP/1.0 200")
+    reset_connection(context)
+
+
+@when("the response goes on")
+def continue_response(context):
+    wait_until(lambda: not context.server.active_channels)
+    context.goes_on.set()
+    wait_until(lambda: not context.server.task_dispatcher.active_count)
+
+
+@given("a server with a caller that has not yet read its whole answer")
+def start_half_read_server(context):
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(SMALL_BYTES))])
+        return [bytes(SMALL_BYTES)]
+
+    start_server_with(context, answer)
+    context.caller = connect(context)
+    context.add_cleanup(context.caller.close)
+    context.caller.settimeout(5.0)
+    context.caller.sendall(REQUEST)
+    context.received = context.caller.recv(64)
+    wait_until(lambda: callers.is_idle(context.server, time.time() + 1.0))
+
+
+def run_in_server(context, *calls):
+    """Run calls one after the other in the thread of the server."""
+    done = threading.Event()
+
+    def run():
+        for call in calls:
+            call()
+        done.set()
+
+    context.server.trigger.pull_trigger(run)
+    assert done.wait(5.0)
+
+
+def close_in_server(context):
+    """Close the idle connections; called in the thread of the server."""
+    fake = FakeServer()
+    fake.active_channels = context.server.active_channels
+    http_server.close_idle(fake, time.time())
+    fake.run_calls()
+
+
+def keep_closing(context, rounds):
+    """Close the idle connections every 50 ms, as a stop does."""
+    for _ in range(rounds):
+        run_in_server(context, lambda: close_in_server(context))
+        time.sleep(0.05)
+
+
+def send_rest(context):
+    for part in (REQUEST[9:18], REQUEST[18:]):
+        keep_closing(context, 6)
+        context.caller.sendall(part)
+
+
+@when(
+    "the caller sends another request in parts as its idle connection is "
+    "closed"
+)
+def send_at_close(context):
+    run_in_server(
+        context,
+        lambda: close_in_server(context),
+        lambda: context.caller.sendall(REQUEST[:9]),
+    )
+    send_rest(context)
+
+
+@when("the caller sends another request in parts as the close has arrived")
+def send_at_arrival(context):
+    run_in_server(context, lambda: close_in_server(context))
+    (channel,) = context.server.active_channels.values()
+    wait_until(lambda: channel.is_draining and channel.is_idle)
+    run_in_server(
+        context,
+        lambda: context.caller.sendall(REQUEST[:9]),
+        lambda: close_in_server(context),
+    )
+    send_rest(context)
+
+
+@when(
+    "the caller sends another request 0.5 seconds after its connection began "
+    "to end"
+)
+def send_after_close(context):
+    keep_closing(context, 10)
+    context.caller.sendall(REQUEST)
+
+
+@when("the caller is cut off and its idle connection is closed")
+def cut_off(context):
+    # The filter drops every packet that comes to the caller.
+    code = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0), 8)
+    program = struct.pack("HP", 1, ctypes.addressof(code))
+    context.caller.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+    context.closed_s = time.monotonic()
+    keep_closing(context, 1)
+
+
+@then("the connection is gone within {limit_s:g} seconds")
+def check_gone(context, limit_s):
+    while context.server.active_channels:
+        elapsed_s = time.monotonic() - context.closed_s
+        assert elapsed_s < limit_s, elapsed_s
+        keep_closing(context, 1)
+
+
+def read_rest(context):
+    """Read what is left of an answer; return whether a reset is its end."""
+    with contextlib.suppress(ConnectionResetError):
+        pieces = iter(lambda: context.caller.recv(4096), b"")
+        for piece in pieces:
+            context.received += piece
+        return False
+    return True
+
+
+def check_whole(context):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200"), head
+    assert len(body) == SMALL_BYTES, len(body)
+
+
+@then("it reads its whole answer, and then the end of the connection")
+def check_whole_and_end(context):
+    is_reset = read_rest(context)
+    check_whole(context)
+    assert not is_reset
+
+
+@then("it reads its whole answer, and then the end or a reset of it")
+def check_whole_and_any_end(context):
+    read_rest(context)
+    check_whole(context)
