A stream without event ids stays at its endpoint

Callers of a resumable stream whose events have no ids got events twice: when the endpoint paused for three gap goals, another one was asked without Last-Event-ID, started over and took the place of the first; the stream was then cut as well, since a resumed stream has to have events with ids.

Cause: what resumes a broken stream requires an event id after which to go on; what looks for another endpoint beside a silent one did not.

Evidence: the scenario "A stream without event ids stays at its endpoint" failed before ("first 1, first 2, next 1 to next 4"), and passes.

No other endpoint is asked once the caller has an event and no id is known. Events are counted with and without ids for that; comments, empty blocks and retry times are none.

--- a/mulberryhollow/coordination/streams/events.py
+++ b/mulberryhollow/coordination/streams/events.py
@@ -18,6 +18,7 @@
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 _EVENT_LINE = re.compile(rb"((event|data|id|retry)?:.*|event|data|id|retry|)")
+_EVENT_FIELD = re.compile(rb"^(?!retry:)[^:\r\n]", re.MULTILINE)
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -35,6 +36,8 @@
         Id of the last event returned.
     count : int
         Number of events with an id that were returned.
+    event_count : int
+        Number of events that were returned, with or without an id.
     has_id : bool
         Whether the present endpoint has sent an event with an id.
 
@@ -50,6 +53,7 @@
     def __init__(self, last_id=""):
         self.last_id = last_id
         self.count = 0
+        self.event_count = 0
         self.has_id = False
         self._buffer = b""
 
@@ -84,10 +88,10 @@
             received with it are not returned, and `last_id` is the last one
             that was, so that another endpoint sends them again.
         """
-        returned = self.last_id, self.count
+        returned = self.last_id, self.count, self.event_count
         found = self._split(chunk)
         if isinstance(found, faults.Crossed):
-            self.last_id, self.count = returned
+            self.last_id, self.count, self.event_count = returned
         return found
 
     def _split(self, chunk):
@@ -105,6 +109,7 @@
                     return crossed
                 case True:
                     complete.append(event)
+                    self.event_count += bool(_EVENT_FIELD.search(event))
         self._buffer = self._buffer[start:]
         if len(self._buffer) > MAX_EVENT_BYTES:
             return faults.Crossed("an incomplete event exceeds the size limit")
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -131,6 +131,11 @@
         """Whether an event id is known after which to resume the stream."""
         return bool(self.assembly.last_id)
 
+    @property
+    def is_repeatable(self):
+        """Whether another endpoint repeats no event that was returned."""
+        return self.is_resumable or not self.assembly.event_count
+
     def fork(self):
         """Return a reader that continues this one from another endpoint.
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -715,6 +715,8 @@
 
     def _may_be_replaced(self, fault):
         """Return whether one more endpoint may run the request."""
+        if not self._reader.is_repeatable:
+            return False
         counted = attrs.evolve(self._attempts)
         counted.record(fault)
         now_s = self._dependencies.clock.now_s()
--- a/tests/coordination/streams/events.feature
+++ b/tests/coordination/streams/events.feature
@@ -35,3 +35,17 @@
     Given an event stream
     When more than a megabyte arrives without an event end
     Then the stream has a sequence fault
+
+  Scenario Outline: What tells the caller nothing new is no event
+    Given an event stream
+    When the bytes "<bytes>" arrive
+    Then <count> events have been returned
+
+    Examples:
+      | bytes                                | count |
+      | : wait\|\|                           | 0     |
+      | retry: 1000\|\|                      | 0     |
+      | \|\|                                 | 0     |
+      | data: a\|\|data: b\|\|: wait\|\|     | 2     |
+      | : wait\|id: 1\|data: a\|\|           | 1     |
+      | id: 1\|data: a\|\|id: 1\|data: a\|\| | 1     |
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -94,3 +94,17 @@
       | an idempotent request | all other endpoints refuse the request |
       | an idempotent request | no other endpoint is listed            |
       | an idempotent request | no retry budget is left                |
+
+  # Guards against events that a caller gets a second time from another endpoint.
+  Scenario: A stream without event ids stays at its endpoint
+    Given a stream without event ids that pauses for 1 s after event 2
+    And the next endpoint gives a whole stream
+    When a caller reads the stream
+    Then it gets the events 1 to 4 of the first endpoint and a complete end
+
+  # Guards against a stream that waits for an endpoint which sent no event.
+  Scenario: The next endpoint takes over after a comment
+    Given a stream whose endpoint is silent for good after a comment
+    And the next endpoint gives a whole stream
+    When a caller reads the stream
+    Then it gets the comment and the events of the next endpoint
--- a/tests/steps/coordination_events.py
+++ b/tests/steps/coordination_events.py
@@ -45,3 +45,8 @@
 @then("the stream has a sequence fault")
 def check_sequence_fault(context):
     assert isinstance(context.returned, streams.Crossed), context.returned
+
+
+@then("{count:d} events have been returned")
+def check_count(context, count):
+    assert context.assembly.event_count == count
--- a/tests/steps/serving_late_events.py
+++ b/tests/steps/serving_late_events.py
@@ -115,6 +115,8 @@
     context.prepare = lambda dependencies, now_s: None
     context.method, context.may_break_off = "GET", True
     context.is_refused_first = False
+    context.comments = b""
+    context.make_event = lambda number, name: mark(number)
 
 
 @given("the next endpoint sends a head and {answer}")
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -22,6 +22,7 @@
 TIGHT_STOP_S = 2.0
 LONG_GOAL_S = 3.0
 BODY = b"the whole answer"
+COMMENT = b": wait\n\n"
 REFUSAL = streams.make_sized(503, b"", b"Not-Executed: 1")
 
 
@@ -30,12 +31,21 @@
     return b"id: %d\ndata: %s\n\n" % (number, name)
 
 
-def make_chunks(name, *numbers):
-    return b"".join(streams.chunk(mark(each, name)) for each in numbers)
+def mark_plain(number, name):
+    """Return an event without an id that tells the endpoint that sent it."""
+    return b"data: %s %d\n\n" % (name, number)
+
+
+def make_chunks(name, *numbers, make_event=mark):
+    return b"".join(streams.chunk(make_event(each, name)) for each in numbers)
 
 
 FIRST_TWO = streams.CHUNKED + make_chunks(b"first", 1, 2)
 REST = make_chunks(b"first", 3, 4) + streams.END
+PLAIN_FIRST_TWO = streams.CHUNKED + make_chunks(
+    b"first", 1, 2, make_event=mark_plain
+)
+PLAIN_REST = make_chunks(b"first", 3, 4, make_event=mark_plain) + streams.END
 NEXT_REST = streams.CHUNKED + make_chunks(b"next", 3, 4) + streams.END
 OTHERS = {
     "refuse the request": REFUSAL,
@@ -121,6 +131,7 @@
     context.others, context.count = REFUSAL, 6
     context.may_break_off = kind.is_stream
     context.prepare = lambda dependencies, now_s: None
+    context.make_event, context.comments = mark, b""
 
 
 @given("a stream whose endpoint is silent for 1 s after event 2")
@@ -135,6 +146,20 @@
     set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
 
 
+@given("a stream without event ids that pauses for 1 s after event 2")
+def set_plain(context):
+    script = [PLAIN_FIRST_TWO, 1.0, PLAIN_REST]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+    context.make_event = mark_plain
+
+
+@given("a stream whose endpoint is silent for good after a comment")
+def set_comment(context):
+    script = [streams.CHUNKED + streams.chunk(COMMENT), "hang"]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+    context.comments = COMMENT
+
+
 @given("a stream whose endpoint is silent for good after its head")
 def set_head(context):
     script = [streams.CHUNKED, "hang"]
@@ -225,9 +250,9 @@
 @given("the next endpoint gives a whole stream")
 def set_whole(context):
     next_head = streams.CHUNKED.replace(b"Seal: s", b"Seal: next")
-    chunks = make_chunks(b"next", 1, 2, 3, 4)
+    chunks = make_chunks(b"next", 1, 2, 3, 4, make_event=context.make_event)
     context.others = [next_head + chunks + streams.END]
-    context.may_break_off = False
+    context.may_break_off = context.make_event is mark_plain
 
 
 @given("no retry budget is left")
@@ -284,9 +309,12 @@
 
 
 def check(context, *parts):
-    assert context.body == b"".join(
-        mark(number, name) for name, numbers in parts for number in numbers
-    ), context.body
+    events = b"".join(
+        context.make_event(number, name)
+        for name, numbers in parts
+        for number in numbers
+    )
+    assert context.body == context.comments + events, context.body
     assert context.is_complete
 
 
@@ -309,6 +337,11 @@
     check(context, (b"first", (1, 2, 3)), (b"next", (4,)))
 
 
+@then("it gets the comment and the events of the next endpoint")
+def check_after_comment(context):
+    check(context, (b"next", (1, 2, 3, 4)))
+
+
 @then("it gets the whole answer within 1 s")
 def check_at_once(context):
     assert context.body == context.whole, context.body
