Another endpoint takes over with an event, not with a comment

Callers lost streams whose endpoint paused and would have gone on: the next endpoint sent its head and a comment, took over with it, and then hung, closed or ended; the stream was cut or waited for until its deadline.

Cause: any complete block counted as the first event of the endpoint that is to take over, and a comment is one.

The first new event is waited for, and both connections are watched until then. Times and counts of the answer are recorded with the event only, since what has come so far may be dropped.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -265,6 +265,49 @@
             When the answer ends early, also inside an event, an event is
             missing, or no memory is left for an incomplete one.
         """
+        found = self._read_complete(answer, runs)
+        if found:
+            self._record_event_times()
+        return found
+
+    def read_first_event(self, answer, runs, await_input):
+        """Return the first new event of an answer, and what it came with.
+
+        Parameters
+        ----------
+        answer : OpenAnswer
+            The answer.
+        runs : int
+            Number of endpoints that may have run the request before this one.
+        await_input : callable
+            Waits until the answer can be read, for a number of seconds at
+            most, or raises.
+
+        Raises
+        ------
+        EndpointError
+            As for `read_events`, and when the answer has no new event.
+        """
+        found = b""
+        count = self.assembly.event_count
+        while self.assembly.event_count == count:
+            if len(found) > MIN_EVENT_BYTES:
+                raise _make_too_large_error("no event within the size limit")
+            await_input(
+                decisions.get_event_timeout_s(
+                    self._request, runs, self._clock.now_s()
+                )
+            )
+            piece = self._read_complete(answer, runs)
+            if piece is None:
+                fault = streams.Broken("it ended without a new event")
+                raise errors.EndpointError(fault)
+            found += piece
+        self._record_event_times()
+        return found
+
+    def _read_complete(self, answer, runs):
+        """Return what is complete of a stream, as for `read_events`."""
         now_s = self._clock.now_s()
         waited_s, self._waited_s = self._waited_s, 0.0
         timeout_s = decisions.get_event_timeout_s(
@@ -284,9 +327,7 @@
         if isinstance(found, streams.Crossed):
             raise errors.EndpointError(found)
         self._reserve(len(self.assembly.rest) - MIN_EVENT_BYTES)
-        if found:
-            self._record_event_times()
-        else:
+        if not found:
             self._waited_s = waited_s + self._clock.now_s() - now_s
         return found
 
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -842,19 +842,13 @@
             raise errors.EndpointError(streams.Failed(status))
         if not (self._request.kind.is_stream and 200 <= status < 300):
             return b""
-        runs = self._attempts.runs + 1
-        piece = b""
-        while piece == b"":
-            now_s = self._dependencies.clock.now_s()
-            timeout_s = decisions.get_event_timeout_s(
-                self._request, runs, now_s
-            )
-            self._await_either(earlier, self._current.channel, timeout_s)
-            piece = self._reader.read_events(answer, runs)
-        if piece is None:
-            fault = streams.Broken("it ended without a new event")
-            raise errors.EndpointError(fault)
-        return piece
+        return self._reader.read_first_event(
+            answer,
+            self._attempts.runs + 1,
+            lambda timeout_s: self._await_either(
+                earlier, self._current.channel, timeout_s
+            ),
+        )
 
     def _retire(self, earlier, fault):
         """Release the attempt that another endpoint has taken over."""
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -108,3 +108,24 @@
     And the next endpoint gives a whole stream
     When a caller reads the stream
     Then it gets the comment and the events of the next endpoint
+
+  # Guards against a stream that is cut because an endpoint takes over which has
+  # sent a comment and no event.
+  Scenario Outline: A comment lets no endpoint take over
+    Given a stream whose endpoint is silent for 1 s after event 2
+    And the next endpoint sends a comment and <rest>
+    When a caller reads the stream
+    Then it gets the events 1 to 4 of the first endpoint and a complete end
+
+    Examples:
+      | rest                      |
+      | nothing more              |
+      | the end of the connection |
+      | the end of the stream     |
+
+  # Guards against a stream that waits for an endpoint that is gone.
+  Scenario: An endpoint takes over with the first event after a comment
+    Given a stream whose endpoint is silent for good after event 2
+    And the next endpoint sends a comment and the rest after 0.2 s
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint, then the comment and the rest of the next
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -56,6 +56,12 @@
 }
 
 
+AFTER_COMMENT = {
+    "nothing more": ["hang"],
+    "the end of the connection": ["close"],
+    "the end of the stream": [streams.END],
+    "the rest after 0.2 s": [0.2, make_chunks(b"next", 3, 4) + streams.END],
+}
 KINDS = {
     "a resumable stream": catalogue.RequestKind.RESUMABLE_STREAM,
     "a stream": catalogue.RequestKind.STREAM,
@@ -247,6 +253,12 @@
     context.others = [delay_s, NEXT_REST]
 
 
+@given("the next endpoint sends a comment and {rest}")
+def set_comment_and_rest(context, rest):
+    head = streams.CHUNKED + streams.chunk(COMMENT)
+    context.others = [head, *AFTER_COMMENT[rest]]
+
+
 @given("the next endpoint gives a whole stream")
 def set_whole(context):
     next_head = streams.CHUNKED.replace(b"Seal: s", b"Seal: next")
@@ -330,6 +342,17 @@
     check(context, (b"first", (1, 2)), (b"next", (3, 4)))
 
 
+@then(
+    "it gets the events 1 and 2 of the first endpoint, then the comment and "
+    "the rest of the next"
+)
+def check_next_with_comment(context):
+    before, _, after = context.body.partition(COMMENT)
+    assert before == mark(1, b"first") + mark(2, b"first"), context.body
+    assert after == mark(3, b"next") + mark(4, b"next"), context.body
+    assert context.is_complete
+
+
 @then(
     "it gets the events 1 to 3 of the first endpoint and the rest of the next"
 )
