Parts of an event do not extend the time of the next endpoint

Callers were kept waiting beyond their deadline: beside a silent endpoint the next one sent a byte of an event every 8 ms, and the stream ended only when that did.

Cause: each part that arrived began a new time to wait for the first event, of at least 20 ms however late it was, and nothing else looked at the deadline.

The first event has one time, which ends at the deadline at the latest; another endpoint is asked after it as long as more may run the request.

The given step of tests/serving/late_events.feature that sets a stream up moves to the others, so that all of them share their defaults.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -286,18 +286,22 @@
         Raises
         ------
         EndpointError
-            As for `read_events`, and when the answer has no new event.
+            As for `read_events`, and when no new event comes in the time for
+            one.
         """
         found = b""
         count = self.assembly.event_count
+        now_s = self._clock.now_s()
+        timeout_s = decisions.get_event_timeout_s(self._request, runs, now_s)
+        # Parts of an event do not extend the time for it.
+        end_s = now_s + timeout_s
         while self.assembly.event_count == count:
             if len(found) > MIN_EVENT_BYTES:
                 raise _make_too_large_error("no event within the size limit")
-            await_input(
-                decisions.get_event_timeout_s(
-                    self._request, runs, self._clock.now_s()
-                )
-            )
+            left_s = end_s - self._clock.now_s()
+            if left_s <= 0:
+                raise errors.EndpointError(streams.Silent(timeout_s))
+            await_input(left_s)
             piece = self._read_complete(answer, runs)
             if piece is None:
                 fault = streams.Broken("it ended without a new event")
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -129,3 +129,20 @@
     And the next endpoint sends a comment and the rest after 0.2 s
     When a caller reads the stream
     Then it gets the events 1 and 2 of the first endpoint, then the comment and the rest of the next
+
+  # Guards against a caller that is kept waiting beyond its deadline by parts of
+  # an event.
+  Scenario: Parts of an event are waited for until the deadline
+    Given a stream whose endpoint is silent for good after event 2
+    And the next endpoint sends event 3 byte by byte without an end
+    When a caller reads the stream
+    Then the stream ends by the deadline
+
+  # Guards against an endpoint that is waited for without end, because it sends
+  # a part of an event now and then, while others would go on.
+  Scenario: Parts of an event do not extend the time of an endpoint
+    Given a stream whose endpoint is silent for good after event 2
+    And the next endpoint sends event 3 byte by byte without an end, and another one the rest
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint and the rest of the next
+    And it gets the end of the stream within 1.5 s
--- a/tests/steps/serving_late_events.py
+++ b/tests/steps/serving_late_events.py
@@ -107,18 +107,6 @@
     assert b"".join(pieces) == context.whole
 
 
-@given("a stream whose endpoint ends it 1 s after event 4")
-def set_late_end(context):
-    events = b"".join(streams.chunk(mark(each)) for each in range(1, 5))
-    context.first = [streams.CHUNKED + events, 1.0, streams.END]
-    context.kind, context.goal_s, context.count = KIND, 0.1, 6
-    context.prepare = lambda dependencies, now_s: None
-    context.method, context.may_break_off = "GET", True
-    context.is_refused_first = False
-    context.comments = b""
-    context.make_event = lambda number, name: mark(number)
-
-
 @given("the next endpoint sends a head and {answer}")
 def set_next_without_events(context, answer):
     rest = [3.0, "close"] if answer == "nothing" else [1.0, streams.END]
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -19,6 +19,7 @@
 GOAL_S = 0.1
 TIME_S = 6.0
 MAX_OVERLAP_S = 0.4
+SHORT_TIME_S = 2.0
 TIGHT_STOP_S = 2.0
 LONG_GOAL_S = 3.0
 BODY = b"the whole answer"
@@ -56,6 +57,11 @@
 }
 
 
+SLOW_BYTES = [
+    streams.CHUNKED + streams.chunk(b"id: 3\ndata: "),
+    *[0.008, streams.chunk(b"x")] * 400,
+    "close",
+]
 AFTER_COMMENT = {
     "nothing more": ["hang"],
     "the end of the connection": ["close"],
@@ -123,9 +129,10 @@
         request = requests.make_request(
             context.kind,
             arrived_s=now_s,
-            deadline_s=now_s + TIME_S,
+            deadline_s=now_s + context.time_s,
             goal_s=context.goal_s,
             gap_goal_s=GOAL_S,
+            max_endpoints=context.max_endpoints,
             payload=forwarding.Payload(context.method, "/x", (), b""),
         )
         return context.forwarder.forward(request, is_gone)
@@ -138,6 +145,7 @@
     context.may_break_off = kind.is_stream
     context.prepare = lambda dependencies, now_s: None
     context.make_event, context.comments = mark, b""
+    context.time_s, context.max_endpoints, context.second = TIME_S, 2, None
 
 
 @given("a stream whose endpoint is silent for 1 s after event 2")
@@ -152,6 +160,12 @@
     set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
 
 
+@given("a stream whose endpoint ends it 1 s after event 4")
+def set_late_end(context):
+    script = [FIRST_TWO + make_chunks(b"first", 3, 4), 1.0, streams.END]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
 @given("a stream without event ids that pauses for 1 s after event 2")
 def set_plain(context):
     script = [PLAIN_FIRST_TWO, 1.0, PLAIN_REST]
@@ -253,6 +267,21 @@
     context.others = [delay_s, NEXT_REST]
 
 
+@given("the next endpoint sends event 3 byte by byte without an end")
+def set_slow_bytes(context):
+    context.others = SLOW_BYTES
+    context.time_s = SHORT_TIME_S
+
+
+@given(
+    "the next endpoint sends event 3 byte by byte without an end, and another "
+    "one the rest"
+)
+def set_slow_bytes_and_rest(context):
+    context.second, context.others = SLOW_BYTES, [NEXT_REST]
+    context.max_endpoints = 3
+
+
 @given("the next endpoint sends a comment and {rest}")
 def set_comment_and_rest(context, rest):
     head = streams.CHUNKED + streams.chunk(COMMENT)
@@ -291,7 +320,11 @@
 @when("a caller reads the answer")
 def read(context):
     context.endpoint = TimedEndpoint(
-        [context.first, *itertools.repeat(context.others, 9)],
+        [
+            context.first,
+            context.second or context.others,
+            *itertools.repeat(context.others, 8),
+        ],
         context.is_refused_first,
     )
     context.add_cleanup(context.endpoint.close)
@@ -371,9 +404,15 @@
     assert context.took_s < 1.0, context.took_s
 
 
+@then("it gets the end of the stream within {limit_s:g} s")
+def check_end(context, limit_s):
+    assert context.took_s < limit_s, context.took_s
+
+
+@then("the stream ends by the deadline")
 @then("it gets an answer by the deadline")
 def check_deadline(context):
-    assert context.took_s < TIME_S + 0.5, context.took_s
+    assert context.took_s < context.time_s + 0.5, context.took_s
 
 
 @then("it gets the head and the events of the next endpoint")
