Another answer replaces a late one only when it is whole

Callers lost answers that were on their way: while the head of an answer was late, the next endpoint sent a head and then hung or closed, and the first one had been left by then. The caller got a 504 at the deadline, or "the endpoint may have executed the request", though the first one answered at 1 s.

Cause: an answer that is not a stream took over with its head.

The whole body is read first, which is held in memory anyway before its head is sent on, and both connections are watched meanwhile. It has the time to the deadline, as it had before.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -179,9 +179,16 @@
                 return
             size += len(piece)
 
-    def read_whole(self, answer):
+    def read_whole(self, answer, await_input=lambda timeout_s: None):
         """Return the complete body of an answer.
 
+        Parameters
+        ----------
+        answer : OpenAnswer
+            The answer.
+        await_input : callable
+            Called before each read, as for `read_first_event`.
+
         Raises
         ------
         EndpointError
@@ -190,6 +197,7 @@
         pieces = []
         size = 0
         while True:
+            await_input(self._find_remaining_s())
             piece = answer.read_piece(self._find_remaining_s())
             if not piece:
                 break
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -179,7 +179,8 @@
         self._current = _CurrentAttempt()
         # Attempt that goes on until another endpoint has taken over.
         self._kept = None
-        self._next_piece = b""
+        # What has been read before its endpoint took over.
+        self._next_piece = None
         self._first_piece = b""
         self._failed_answer = None
         self._reader = answers.AnswerReader(
@@ -317,7 +318,9 @@
             self._dependencies.dispatcher.report_begun(self._request.parts)
             self.head = head
             return
-        body = self._reader.read_whole(answer)
+        body = self._take_next_piece()
+        if body is None:
+            body = self._reader.read_whole(answer)
         if is_success:
             self._dependencies.dispatcher.report_begun(self._request.parts)
         is_failure = head.status >= _MIN_SERVER_ERROR_STATUS
@@ -517,8 +520,8 @@
 
     def _read_events(self):
         """Return the next complete events; empty while none is complete."""
-        if self._next_piece:
-            piece, self._next_piece = self._next_piece, b""
+        piece = self._take_next_piece()
+        if piece is not None:
             return piece
         answer, runs = self._current.answer, self._attempts.runs
         if not self._reader.wait(answer, runs):
@@ -532,6 +535,14 @@
             return self._reader.assembly.rest
         return piece
 
+    def _take_next_piece(self):
+        """Return what was read before its endpoint took over; None for none.
+
+        It is the first events of a stream, and the whole of any other answer.
+        """
+        piece, self._next_piece = self._next_piece, None
+        return piece
+
     def _finish(self):
         """Mark the answer as complete and release its route."""
         self._report_served()
@@ -822,8 +833,8 @@
     def _check_successor(self, answer, earlier):
         """Return the first events of an answer that is to take over.
 
-        They are empty for an answer that is not a stream. An endpoint that
-        runs a stream may still end without an event.
+        Of an answer that is not a stream, all of it is returned. An endpoint
+        that runs a stream may still end without an event.
 
         Raises
         ------
@@ -840,15 +851,14 @@
             is_usable = status == head.status
         if not is_usable:
             raise errors.EndpointError(streams.Failed(status))
-        if not (self._request.kind.is_stream and 200 <= status < 300):
-            return b""
-        return self._reader.read_first_event(
-            answer,
-            self._attempts.runs + 1,
-            lambda timeout_s: self._await_either(
-                earlier, self._current.channel, timeout_s
-            ),
-        )
+
+        def await_input(timeout_s):
+            self._await_either(earlier, self._current.channel, timeout_s)
+
+        if self._request.kind.is_stream and 200 <= status < 300:
+            runs = self._attempts.runs + 1
+            return self._reader.read_first_event(answer, runs, await_input)
+        return self._reader.read_whole(answer, await_input)
 
     def _retire(self, earlier, fault):
         """Release the attempt that another endpoint has taken over."""
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -146,3 +146,33 @@
     When a caller reads the stream
     Then it gets the events 1 and 2 of the first endpoint and the rest of the next
     And it gets the end of the stream within 1.5 s
+
+  # Guards against an answer on its way that is given up for the head of another
+  # one, which never becomes whole.
+  Scenario Outline: A part of another answer does not replace a late one
+    Given <kind> whose endpoint answers after 1 s
+    And the next endpoint sends the head of a <status> answer and <rest>
+    When a caller reads the answer
+    Then it gets the whole answer of the first endpoint
+
+    Examples:
+      | kind                  | status | rest                      |
+      | an idempotent request | 200    | nothing more              |
+      | an idempotent request | 200    | the end of the connection |
+      | an idempotent request | 200    | half of its body          |
+      | a resumable stream    | 404    | nothing more              |
+
+  # Guards against a caller that waits though an answer has arrived whole.
+  Scenario Outline: The whole answer of the next endpoint replaces a late one
+    Given an idempotent request whose endpoint answers nothing
+    And the next endpoint gives at once <answer>
+    When a caller reads the answer
+    Then it gets the whole answer within 1 s
+
+    Examples:
+      | answer                                  |
+      | an answer with a length                 |
+      | an answer in chunks                     |
+      | an answer that ends with its connection |
+      | an empty answer                         |
+      | an answer without content               |
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -23,6 +23,7 @@
 TIGHT_STOP_S = 2.0
 LONG_GOAL_S = 3.0
 BODY = b"the whole answer"
+NEXT_BODY = b"the next answer!"
 COMMENT = b": wait\n\n"
 REFUSAL = streams.make_sized(503, b"", b"Not-Executed: 1")
 
@@ -57,6 +58,31 @@
 }
 
 
+AFTER_HEAD = {
+    "nothing more": ["hang"],
+    "the end of the connection": ["close"],
+    "half of its body": [NEXT_BODY[:8], "hang"],
+}
+ANSWERS = {
+    "an answer with a length": (
+        streams.make_sized(200, NEXT_BODY),
+        NEXT_BODY,
+    ),
+    "an answer in chunks": (
+        [
+            streams.head(200, b"Transfer-Encoding: chunked"),
+            *[streams.chunk(NEXT_BODY[:8]), 0.2],
+            streams.chunk(NEXT_BODY[8:]) + streams.END,
+        ],
+        NEXT_BODY,
+    ),
+    "an answer that ends with its connection": (
+        [streams.head(200) + NEXT_BODY, 0.2, "close"],
+        NEXT_BODY,
+    ),
+    "an empty answer": (streams.make_sized(200, b""), b""),
+    "an answer without content": ([streams.head(204)], b""),
+}
 SLOW_BYTES = [
     streams.CHUNKED + streams.chunk(b"id: 3\ndata: "),
     *[0.008, streams.chunk(b"x")] * 400,
@@ -198,6 +224,11 @@
     set_first(context, catalogue.RequestKind.IDEMPOTENT, script)
 
 
+@given("an idempotent request whose endpoint answers nothing")
+def set_unanswered(context):
+    set_first(context, catalogue.RequestKind.IDEMPOTENT, ["hang"])
+
+
 @given("{kind} whose endpoint gives at once {answer}")
 def set_whole_answer(context, kind, answer):
     events = b"".join(mark(number, b"first") for number in (1, 2, 3, 4))
@@ -288,6 +319,18 @@
     context.others = [head, *AFTER_COMMENT[rest]]
 
 
+@given("the next endpoint sends the head of a {status:d} answer and {rest}")
+def set_part(context, status, rest):
+    length = b"Content-Length: %d" % len(NEXT_BODY)
+    context.others = [streams.head(status, length), *AFTER_HEAD[rest]]
+    context.time_s = SHORT_TIME_S
+
+
+@given("the next endpoint gives at once {answer}")
+def set_whole_next(context, answer):
+    context.others, context.whole = ANSWERS[answer]
+
+
 @given("the next endpoint gives a whole stream")
 def set_whole(context):
     next_head = streams.CHUNKED.replace(b"Seal: s", b"Seal: next")
