--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -131,6 +131,11 @@
         """Whether an event id is known after which to resume the stream."""
         return bool(self.assembly.last_id)
 
+    @property
+    def is_repeatable(self):
+        """Whether another endpoint repeats no event that was returned."""
+        return self.is_resumable or not self.assembly.event_count
+
     def fork(self):
         """Return a reader that continues this one from another endpoint.
 
@@ -190,9 +195,16 @@
                 return
             size += len(piece)
 
-    def read_whole(self, answer):
+    def read_whole(self, answer, await_input=lambda timeout_s: None):
         """Return the complete body of an answer.
 
+        Parameters
+        ----------
+        answer : OpenAnswer
+            The answer.
+        await_input : callable
+            Called before each read, as for `read_first_event`.
+
         Raises
         ------
         EndpointError
@@ -201,6 +213,7 @@
         pieces = []
         size = 0
         while True:
+            await_input(self._find_remaining_s())
             piece = answer.read_piece(self._find_remaining_s())
             if not piece:
                 break
@@ -276,6 +289,53 @@
             When the answer ends early, also inside an event, an event is
             missing, or no memory is left for an incomplete one.
         """
+        found = self._read_complete(answer, runs)
+        if found:
+            self._record_event_times()
+        return found
+
+    def read_first_event(self, answer, runs, await_input):
+        """Return the first new event of an answer, and what it came with.
+
+        Parameters
+        ----------
+        answer : OpenAnswer
+            The answer.
+        runs : int
+            Number of endpoints that may have run the request before this one.
+        await_input : callable
+            Waits until the answer can be read, for a number of seconds at
+            most, or raises.
+
+        Raises
+        ------
+        EndpointError
+            As for `read_events`, and when no new event comes in the time for
+            one.
+        """
+        found = b""
+        count = self.assembly.event_count
+        now_s = self._clock.now_s()
+        timeout_s = decisions.get_event_timeout_s(self._request, runs, now_s)
+        # Parts of an event do not extend the time for it.
+        end_s = now_s + timeout_s
+        while self.assembly.event_count == count:
+            if len(found) > MIN_EVENT_BYTES:
+                raise _make_too_large_error("no event within the size limit")
+            left_s = end_s - self._clock.now_s()
+            if left_s <= 0:
+                raise errors.EndpointError(streams.Silent(timeout_s))
+            await_input(left_s)
+            piece = self._read_complete(answer, runs)
+            if piece is None:
+                fault = streams.Broken("it ended without a new event")
+                raise errors.EndpointError(fault)
+            found += piece
+        self._record_event_times()
+        return found
+
+    def _read_complete(self, answer, runs):
+        """Return what is complete of a stream, as for `read_events`."""
         now_s = self._clock.now_s()
         waited_s, self._waited_s = self._waited_s, 0.0
         timeout_s = decisions.get_event_timeout_s(
@@ -295,9 +355,7 @@
         if isinstance(found, streams.Crossed):
             raise errors.EndpointError(found)
         self._reserve(len(self.assembly.rest) - MIN_EVENT_BYTES)
-        if found:
-            self._record_event_times()
-        else:
+        if not found:
             self._waited_s = waited_s + self._clock.now_s() - now_s
         return found
 
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -94,3 +94,85 @@
       | an idempotent request | all other endpoints refuse the request |
       | an idempotent request | no other endpoint is listed            |
       | an idempotent request | no retry budget is left                |
+
+  # Guards against events that a caller gets a second time from another endpoint.
+  Scenario: A stream without event ids stays at its endpoint
+    Given a stream without event ids that pauses for 1 s after event 2
+    And the next endpoint gives a whole stream
+    When a caller reads the stream
+    Then it gets the events 1 to 4 of the first endpoint and a complete end
+
+  # Guards against a stream that waits for an endpoint which sent no event.
+  Scenario: The next endpoint takes over after a comment
+    Given a stream whose endpoint is silent for good after a comment
+    And the next endpoint gives a whole stream
+    When a caller reads the stream
+    Then it gets the comment and the events of the next endpoint
+
+  # Guards against a stream that is cut because an endpoint takes over which has
+  # sent a comment and no event.
+  Scenario Outline: A comment lets no endpoint take over
+    Given a stream whose endpoint is silent for 1 s after event 2
+    And the next endpoint sends a comment and <rest>
+    When a caller reads the stream
+    Then it gets the events 1 to 4 of the first endpoint and a complete end
+
+    Examples:
+      | rest                      |
+      | nothing more              |
+      | the end of the connection |
+      | the end of the stream     |
+
+  # Guards against a stream that waits for an endpoint that is gone.
+  Scenario: An endpoint takes over with the first event after a comment
+    Given a stream whose endpoint is silent for good after event 2
+    And the next endpoint sends a comment and the rest after 0.2 s
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint, then the comment and the rest of the next
+
+  # Guards against a caller that is kept waiting beyond its deadline by parts of
+  # an event.
+  Scenario: Parts of an event are waited for until the deadline
+    Given a stream whose endpoint is silent for good after event 2
+    And the next endpoint sends event 3 byte by byte without an end
+    When a caller reads the stream
+    Then the stream ends by the deadline
+
+  # Guards against an endpoint that is waited for without end, because it sends
+  # a part of an event now and then, while others would go on.
+  Scenario: Parts of an event do not extend the time of an endpoint
+    Given a stream whose endpoint is silent for good after event 2
+    And the next endpoint sends event 3 byte by byte without an end, and another one the rest
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint and the rest of the next
+    And it gets the end of the stream within 1.5 s
+
+  # Guards against an answer on its way that is given up for the head of another
+  # one, which never becomes whole.
+  Scenario Outline: A part of another answer does not replace a late one
+    Given <kind> whose endpoint answers after 1 s
+    And the next endpoint sends the head of a <status> answer and <rest>
+    When a caller reads the answer
+    Then it gets the whole answer of the first endpoint
+
+    Examples:
+      | kind                  | status | rest                      |
+      | an idempotent request | 200    | nothing more              |
+      | an idempotent request | 200    | the end of the connection |
+      | an idempotent request | 200    | half of its body          |
+      | a resumable stream    | 404    | nothing more              |
+
+  # Guards against a caller that waits though an answer has arrived whole.
+  Scenario Outline: The whole answer of the next endpoint replaces a late one
+    Given an idempotent request whose endpoint answers nothing
+    And the next endpoint gives at once <answer>
+    When a caller reads the answer
+    Then it gets the whole answer within 1 s
+
+    Examples:
+      | answer                                  |
+      | an answer with a length                 |
+      | an answer in chunks                     |
+      | an answer that ends with its connection |
+      | an empty answer                         |
+      | an answer without content               |
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -19,9 +19,12 @@
 GOAL_S = 0.1
 TIME_S = 6.0
 MAX_OVERLAP_S = 0.4
+SHORT_TIME_S = 2.0
 TIGHT_STOP_S = 2.0
 LONG_GOAL_S = 3.0
 BODY = b"the whole answer"
+NEXT_BODY = b"the next answer!"
+COMMENT = b": wait\n\n"
 REFUSAL = streams.make_sized(503, b"", b"Not-Executed: 1")
 
 
@@ -30,12 +33,21 @@
     return b"id: %d\ndata: %s\n\n" % (number, name)
 
 
-def make_chunks(name, *numbers):
-    return b"".join(streams.chunk(mark(each, name)) for each in numbers)
+def mark_plain(number, name):
+    """Return an event without an id that tells the endpoint that sent it."""
+    return b"data: %s %d\n\n" % (name, number)
+
+
+def make_chunks(name, *numbers, make_event=mark):
+    return b"".join(streams.chunk(make_event(each, name)) for each in numbers)
 
 
 FIRST_TWO = streams.CHUNKED + make_chunks(b"first", 1, 2)
 REST = make_chunks(b"first", 3, 4) + streams.END
+PLAIN_FIRST_TWO = streams.CHUNKED + make_chunks(
+    b"first", 1, 2, make_event=mark_plain
+)
+PLAIN_REST = make_chunks(b"first", 3, 4, make_event=mark_plain) + streams.END
 NEXT_REST = streams.CHUNKED + make_chunks(b"next", 3, 4) + streams.END
 OTHERS = {
     "refuse the request": REFUSAL,
@@ -46,6 +58,42 @@
 }
 
 
+AFTER_HEAD = {
+    "nothing more": ["hang"],
+    "the end of the connection": ["close"],
+    "half of its body": [NEXT_BODY[:8], "hang"],
+}
+ANSWERS = {
+    "an answer with a length": (
+        streams.make_sized(200, NEXT_BODY),
+        NEXT_BODY,
+    ),
+    "an answer in chunks": (
+        [
+            streams.head(200, b"Transfer-Encoding: chunked"),
+            *[streams.chunk(NEXT_BODY[:8]), 0.2],
+            streams.chunk(NEXT_BODY[8:]) + streams.END,
+        ],
+        NEXT_BODY,
+    ),
+    "an answer that ends with its connection": (
+        [streams.head(200) + NEXT_BODY, 0.2, "close"],
+        NEXT_BODY,
+    ),
+    "an empty answer": (streams.make_sized(200, b""), b""),
+    "an answer without content": ([streams.head(204)], b""),
+}
+SLOW_BYTES = [
+    streams.CHUNKED + streams.chunk(b"id: 3\ndata: "),
+    *[0.008, streams.chunk(b"x")] * 400,
+    "close",
+]
+AFTER_COMMENT = {
+    "nothing more": ["hang"],
+    "the end of the connection": ["close"],
+    "the end of the stream": [streams.END],
+    "the rest after 0.2 s": [0.2, make_chunks(b"next", 3, 4) + streams.END],
+}
 KINDS = {
     "a resumable stream": catalogue.RequestKind.RESUMABLE_STREAM,
     "a stream": catalogue.RequestKind.STREAM,
@@ -107,9 +155,10 @@
         request = requests.make_request(
             context.kind,
             arrived_s=now_s,
-            deadline_s=now_s + TIME_S,
+            deadline_s=now_s + context.time_s,
             goal_s=context.goal_s,
             gap_goal_s=GOAL_S,
+            max_endpoints=context.max_endpoints,
             payload=forwarding.Payload(context.method, "/x", (), b""),
         )
         return context.forwarder.forward(request, is_gone)
@@ -121,6 +170,8 @@
     context.others, context.count = REFUSAL, 6
     context.may_break_off = kind.is_stream
     context.prepare = lambda dependencies, now_s: None
+    context.make_event, context.comments = mark, b""
+    context.time_s, context.max_endpoints, context.second = TIME_S, 2, None
 
 
 @given("a stream whose endpoint is silent for 1 s after event 2")
@@ -135,6 +186,26 @@
     set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
 
 
+@given("a stream whose endpoint ends it 1 s after event 4")
+def set_late_end(context):
+    script = [FIRST_TWO + make_chunks(b"first", 3, 4), 1.0, streams.END]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
+@given("a stream without event ids that pauses for 1 s after event 2")
+def set_plain(context):
+    script = [PLAIN_FIRST_TWO, 1.0, PLAIN_REST]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+    context.make_event = mark_plain
+
+
+@given("a stream whose endpoint is silent for good after a comment")
+def set_comment(context):
+    script = [streams.CHUNKED + streams.chunk(COMMENT), "hang"]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+    context.comments = COMMENT
+
+
 @given("a stream whose endpoint is silent for good after its head")
 def set_head(context):
     script = [streams.CHUNKED, "hang"]
@@ -153,6 +224,11 @@
     set_first(context, catalogue.RequestKind.IDEMPOTENT, script)
 
 
+@given("an idempotent request whose endpoint answers nothing")
+def set_unanswered(context):
+    set_first(context, catalogue.RequestKind.IDEMPOTENT, ["hang"])
+
+
 @given("{kind} whose endpoint gives at once {answer}")
 def set_whole_answer(context, kind, answer):
     events = b"".join(mark(number, b"first") for number in (1, 2, 3, 4))
@@ -222,12 +298,45 @@
     context.others = [delay_s, NEXT_REST]
 
 
+@given("the next endpoint sends event 3 byte by byte without an end")
+def set_slow_bytes(context):
+    context.others = SLOW_BYTES
+    context.time_s = SHORT_TIME_S
+
+
+@given(
+    "the next endpoint sends event 3 byte by byte without an end, and another "
+    "one the rest"
+)
+def set_slow_bytes_and_rest(context):
+    context.second, context.others = SLOW_BYTES, [NEXT_REST]
+    context.max_endpoints = 3
+
+
+@given("the next endpoint sends a comment and {rest}")
+def set_comment_and_rest(context, rest):
+    head = streams.CHUNKED + streams.chunk(COMMENT)
+    context.others = [head, *AFTER_COMMENT[rest]]
+
+
+@given("the next endpoint sends the head of a {status:d} answer and {rest}")
+def set_part(context, status, rest):
+    length = b"Content-Length: %d" % len(NEXT_BODY)
+    context.others = [streams.head(status, length), *AFTER_HEAD[rest]]
+    context.time_s = SHORT_TIME_S
+
+
+@given("the next endpoint gives at once {answer}")
+def set_whole_next(context, answer):
+    context.others, context.whole = ANSWERS[answer]
+
+
 @given("the next endpoint gives a whole stream")
 def set_whole(context):
     next_head = streams.CHUNKED.replace(b"Seal: s", b"Seal: next")
-    chunks = make_chunks(b"next", 1, 2, 3, 4)
+    chunks = make_chunks(b"next", 1, 2, 3, 4, make_event=context.make_event)
     context.others = [next_head + chunks + streams.END]
-    context.may_break_off = False
+    context.may_break_off = context.make_event is mark_plain
 
 
 @given("no retry budget is left")
@@ -254,7 +363,11 @@
 @when("a caller reads the answer")
 def read(context):
     context.endpoint = TimedEndpoint(
-        [context.first, *itertools.repeat(context.others, 9)],
+        [
+            context.first,
+            context.second or context.others,
+            *itertools.repeat(context.others, 8),
+        ],
         context.is_refused_first,
     )
     context.add_cleanup(context.endpoint.close)
@@ -284,9 +397,12 @@
 
 
 def check(context, *parts):
-    assert context.body == b"".join(
-        mark(number, name) for name, numbers in parts for number in numbers
-    ), context.body
+    events = b"".join(
+        context.make_event(number, name)
+        for name, numbers in parts
+        for number in numbers
+    )
+    assert context.body == context.comments + events, context.body
     assert context.is_complete
 
 
@@ -302,6 +418,17 @@
     check(context, (b"first", (1, 2)), (b"next", (3, 4)))
 
 
+@then(
+    "it gets the events 1 and 2 of the first endpoint, then the comment and "
+    "the rest of the next"
+)
+def check_next_with_comment(context):
+    before, _, after = context.body.partition(COMMENT)
+    assert before == mark(1, b"first") + mark(2, b"first"), context.body
+    assert after == mark(3, b"next") + mark(4, b"next"), context.body
+    assert context.is_complete
+
+
 @then(
     "it gets the events 1 to 3 of the first endpoint and the rest of the next"
 )
@@ -309,15 +436,26 @@
     check(context, (b"first", (1, 2, 3)), (b"next", (4,)))
 
 
+@then("it gets the comment and the events of the next endpoint")
+def check_after_comment(context):
+    check(context, (b"next", (1, 2, 3, 4)))
+
+
 @then("it gets the whole answer within 1 s")
 def check_at_once(context):
     assert context.body == context.whole, context.body
     assert context.took_s < 1.0, context.took_s
 
 
+@then("it gets the end of the stream within {limit_s:g} s")
+def check_end(context, limit_s):
+    assert context.took_s < limit_s, context.took_s
+
+
+@then("the stream ends by the deadline")
 @then("it gets an answer by the deadline")
 def check_deadline(context):
-    assert context.took_s < TIME_S + 0.5, context.took_s
+    assert context.took_s < context.time_s + 0.5, context.took_s
 
 
 @then("it gets the head and the events of the next endpoint")
