Count a stream that hangs until its deadline as a failure

What callers saw: an endpoint that hangs kept getting new streams, each of which was broken off at its deadline.

Cause: a stream that nothing took over from was released at its deadline without a kind of failure, and an attempt without one counted as a success: it closed the circuit, set the failures in a row to 0 and gave credit to the retry budget. So did an attempt whose caller had left, and a server error that was passed on.

One that sent events, and an error that is passed on, counts neither way. A caller who leaves counts as a success only while the stream goes on, as before: streams whose callers always leave would otherwise never close a circuit again. The silence is the time waited for the endpoint, so that a caller who reads slowly does not count against it; a stream without a gap goal is never silent.

--- a/mulberryhollow/coordination/forwarding/__init__.py
+++ b/mulberryhollow/coordination/forwarding/__init__.py
@@ -13,6 +13,7 @@
 from mulberryhollow.coordination.forwarding.timeouts import get_connect_limit_s
 from mulberryhollow.coordination.forwarding.timeouts import get_event_timeout_s
 from mulberryhollow.coordination.forwarding.timeouts import get_head_timeout_s
+from mulberryhollow.coordination.forwarding.timeouts import is_silent
 from mulberryhollow.coordination.forwarding.timeouts import MIN_REMAINING_S
 
 __all__ = [
@@ -27,6 +28,7 @@
     "get_connect_limit_s",
     "get_event_timeout_s",
     "get_head_timeout_s",
+    "is_silent",
     "refuse_expired",
     "refuse_no_capacity",
     "refuse_stopping",
--- a/mulberryhollow/coordination/forwarding/timeouts.py
+++ b/mulberryhollow/coordination/forwarding/timeouts.py
@@ -5,6 +5,7 @@
     "get_connect_limit_s",
     "get_event_timeout_s",
     "get_head_timeout_s",
+    "is_silent",
 ]
 
 CONNECT_TIMEOUT_S = 0.3
@@ -108,10 +109,31 @@
     remaining_s = max(MIN_REMAINING_S, request.deadline_s - now_s)
     if not (request.gap_goal_s and _may_try_another_endpoint(request, runs)):
         return remaining_s
-    timeout_s = max(
-        MIN_TIMEOUT_S, EVENT_TIMEOUT_GAP_GOALS * request.gap_goal_s
+    return min(remaining_s, _get_longest_gap_s(request) - waited_s)
+
+
+def is_silent(request, silence_s):
+    """Return whether a stream has sent no event for too long.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+        The request.
+    silence_s : float
+        Time waited since the last event, in seconds.
+
+    Notes
+    -----
+    A stream without a gap goal may pause for any time.
+    """
+    return bool(request.gap_goal_s) and (
+        silence_s >= _get_longest_gap_s(request)
     )
-    return min(remaining_s, timeout_s - waited_s)
+
+
+def _get_longest_gap_s(request):
+    """Return the longest pause of a stream with a gap goal, in seconds."""
+    return max(MIN_TIMEOUT_S, EVENT_TIMEOUT_GAP_GOALS * request.gap_goal_s)
 
 
 def _may_try_another_endpoint(request, runs):
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -114,6 +114,7 @@
         self._event_s = 0.0
         self._waited_s = 0.0
         self._is_ready = False
+        self._silence_s = 0.0
         self._gaps_s = []
         self._event_count = 0
 
@@ -158,6 +159,7 @@
         self.assembly.restart()
         self._reserve(0)
         self._is_resumed = is_resumed
+        self._silence_s = 0.0
         self.framing = answer.framing
         self.is_new_connection = answer.is_new_connection
 
@@ -217,6 +219,15 @@
         """Time waited for the next event, in seconds."""
         return self._waited_s
 
+    @property
+    def silence_s(self):
+        """Time waited since the last head or events, in seconds.
+
+        Unlike the time that has passed, it contains none in which a slow
+        caller was waited for.
+        """
+        return self._silence_s
+
     def restart_wait(self):
         """Begin to wait for the next event once more."""
         self._waited_s = 0.0
@@ -236,7 +247,9 @@
             self._request, runs, now_s, self._waited_s
         )
         self._is_ready = timeout_s > 0 and answer.wait(timeout_s)
-        self._waited_s += self._clock.now_s() - now_s
+        elapsed_s = self._clock.now_s() - now_s
+        self._waited_s += elapsed_s
+        self._silence_s += elapsed_s
         return self._is_ready
 
     def read_events(self, answer, runs):
@@ -325,6 +338,7 @@
     def _record_event_times(self):
         """Record the time to the first events, or the gap between events."""
         now_s = self._clock.now_s()
+        self._silence_s = 0.0
         if self._has_begun:
             gap_s = now_s - self._event_s
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
--- /dev/null
+++ b/mulberryhollow/serving/attempt_ends.py
@@ -0,0 +1,59 @@
+"""Reports the attempts that end before their answers are complete."""
+
+from mulberryhollow.coordination import forwarding as decisions
+from mulberryhollow.coordination import streams
+from mulberryhollow.serving import attempts
+
+__all__ = ["report_left", "report_overdue"]
+
+
+def report_left(dispatcher, request, route, silence_s):
+    """Release an attempt whose caller has left.
+
+    A stream that was going on shows that its endpoint is sound. Any other
+    attempt shows nothing: the endpoint may be the reason why the caller left.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Releases the route.
+    request : ForwardRequest
+        The request.
+    route : Route
+        Route of the attempt.
+    silence_s : float or None
+        Time waited since the head or the last event, in seconds; None before
+        the head.
+    """
+    is_going_on = silence_s is not None and not decisions.is_silent(
+        request, silence_s
+    )
+    dispatcher.finish(
+        route,
+        is_abandoned=True,
+        is_sound=request.kind.is_stream and is_going_on,
+    )
+
+
+def report_overdue(dispatcher, client, request, route, silence_s):
+    """Release an attempt whose stream is not complete at its deadline.
+
+    Parameters
+    ----------
+    dispatcher, request, route, silence_s
+        As for `report_left`.
+    client : EndpointClient
+        As for `attempts.report_fault`.
+    """
+    if decisions.is_silent(request, silence_s):
+        attempts.report_fault(
+            dispatcher,
+            client,
+            route,
+            streams.Silent(silence_s),
+            request.fingerprint,
+            is_answering=True,
+            parts=request.parts,
+        )
+    else:
+        dispatcher.finish(route, has_failed=True, is_sound=False)
--- a/mulberryhollow/serving/dispatcher.py
+++ b/mulberryhollow/serving/dispatcher.py
@@ -43,6 +43,7 @@
     fingerprint: str
     is_answering: bool
     parts: tuple
+    is_sound: bool
     on_sound: object
 
 
@@ -157,6 +158,8 @@
         """Release an attempt and update the health of its endpoint."""
         self.view.finish(message.route.work, now_s)
         endpoint_id = message.route.endpoint_id
+        if message.kind is None and not message.is_sound:
+            return None
         if message.kind is None:
             self.view.record_success(endpoint_id)
             self.retries.budget.record_success()
@@ -234,6 +237,7 @@
         parts=(),
         has_failed=False,
         is_abandoned=False,
+        is_sound=True,
     ):
         """Release the route of an attempt and report the result.
 
@@ -255,6 +259,9 @@
             Parts of the prompt that other requests may have too.
         has_failed, is_abandoned : bool
             As in `AttemptResult`.
+        is_sound : bool
+            Whether an attempt without a failure shows that its endpoint is
+            sound.
 
         Returns
         -------
@@ -265,7 +272,13 @@
             self.permits.give_back(route.endpoint_id, route.permit)
         is_crash = kind is endpoints.FailureKind.CRASHED
         message = _Finish(
-            route, kind, fingerprint, is_answering, parts, self.on_sound
+            route,
+            kind,
+            fingerprint,
+            is_answering,
+            parts,
+            is_sound,
+            self.on_sound,
         )
         is_quarantined = False
         if is_crash:
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -12,6 +12,7 @@
 from mulberryhollow import errors
 from mulberryhollow.protocol import peer_requests
 from mulberryhollow.serving import answers
+from mulberryhollow.serving import attempt_ends
 from mulberryhollow.serving import attempts
 from mulberryhollow.serving import forward_log
 from mulberryhollow.serving.observer import Outcome
@@ -51,6 +52,8 @@
         Connection of the attempt, while it may be aborted.
     answer : OpenAnswer or None
         The answer, once its head has arrived.
+    has_answered : bool
+        Whether a head has arrived, also once the answer is closed.
     owes_retry : bool
         Whether sending the request spends retry budget.
     """
@@ -60,6 +63,7 @@
     peer: str = ""
     channel: object = None
     answer: object = None
+    has_answered: bool = False
     owes_retry: bool = False
 
 
@@ -393,8 +397,7 @@
             self._dependencies.dispatcher.report_brittle(
                 route, answer.head.brittle_rejections
             )
-        self._current.answer = answer
-        self._reader.begin_answer(answer, self.head is not None)
+        self._begin_reading(answer)
         if answer.head.has_not_run:
             self._reader.drain(answer)
             self._close_answer()
@@ -431,8 +434,7 @@
         answer = peers.client.open(
             attempt, self._prepare_send_to_peer, await_head
         )
-        self._current.answer = answer
-        self._reader.begin_answer(answer, self.head is not None)
+        self._begin_reading(answer)
         head = answer.head
         if head.refusal is not None:
             self._reader.drain(answer)
@@ -444,6 +446,12 @@
         self._report_passed_on(head)
         return answer
 
+    def _begin_reading(self, answer):
+        """Begin to read an answer whose head has arrived."""
+        self._current.answer = answer
+        self._current.has_answered = True
+        self._reader.begin_answer(answer, self.head is not None)
+
     def _report_passed_on(self, head):
         """Report what an endpoint says to the caller through a peer."""
         dispatcher = self._dependencies.dispatcher
@@ -616,11 +624,11 @@
         self._current.route = None
         self._choice.record(fault, route.endpoint_id)
         if self._is_aborted:
-            self._dependencies.dispatcher.finish(route, is_abandoned=True)
+            self._report_left(route)
             raise errors.CallerDisconnectedError
         if self._has_stopped():
             # The fault may come from `expire` and not from the endpoint.
-            self._dependencies.dispatcher.finish(route, is_abandoned=True)
+            self._report_left(route)
             raise errors.RefusedError(
                 decisions.refuse_stopping(self._attempts)
             )
@@ -985,17 +993,34 @@
         match route:
             case peer_forwarding.PeerRoute():
                 self._dependencies.peers.release(route, has_failed)
-            case attempts.Route():
-                has_failed = self._outcome is Outcome.BROKEN_OFF or (
-                    self._is_complete and self._has_server_error
-                )
-                is_served = self._is_complete and not has_failed
+            case attempts.Route() if self._is_complete:
+                is_sound = not self._has_server_error
                 self._dependencies.dispatcher.finish(
                     route,
-                    fingerprint=self._request.fingerprint if is_served else "",
-                    has_failed=has_failed,
-                    is_abandoned=not (self._is_complete or has_failed),
+                    fingerprint=self._request.fingerprint if is_sound else "",
+                    has_failed=not is_sound,
+                    is_sound=is_sound,
                 )
+            case attempts.Route() if self._outcome is Outcome.BROKEN_OFF:
+                attempt_ends.report_overdue(
+                    self._dependencies.dispatcher,
+                    self._dependencies.client,
+                    self._request,
+                    route,
+                    self._reader.silence_s,
+                )
+            case attempts.Route():
+                self._report_left(route)
+
+    def _report_left(self, route):
+        """Release the route of an attempt that nobody waits for."""
+        has_answered = self._current.has_answered
+        attempt_ends.report_left(
+            self._dependencies.dispatcher,
+            self._request,
+            route,
+            self._reader.silence_s if has_answered else None,
+        )
 
 
 def _classify_refusal(head):
--- /dev/null
+++ b/tests/serving/attempt_ends.feature
@@ -0,0 +1,29 @@
+Feature: Attempts that end before their answers are complete
+
+  # Guards against an endpoint that hangs and gets new streams all the same: each
+  # of them counted as a success at its deadline, or when its caller left.
+  Scenario Outline: Only what an endpoint has shown counts for it
+    Given an endpoint that has failed twice
+    And a forwarded stream whose endpoint <behaviour>
+    When <end>
+    Then the endpoint has <failures> failures in a row
+    And the retry budget has the credit of <successes> successes
+
+    Examples:
+      | behaviour                     | end                                                  | failures | successes |
+      | is silent for good after 2    | its deadline passes                                  | 3        | 0         |
+      | is silent for good after 2    | its caller leaves                                    | 2        | 0         |
+      | is silent for good            | its caller leaves                                    | 2        | 0         |
+      | pauses shortly before the end | its deadline passes                                  | 2        | 0         |
+      | goes on without an end        | its deadline passes                                  | 2        | 0         |
+      | goes on without an end        | its deadline passes before a slow caller has read it | 2        | 0         |
+      | goes on without an end        | its caller leaves                                    | 0        | 1         |
+      | pauses for long and ends      | it is complete                                       | 0        | 1         |
+
+  # Guards against a failure that is passed on and counts as a success.
+  Scenario: A failure that is passed on says nothing about its endpoint
+    Given an endpoint that has failed twice
+    And a request that may not run twice, which fails with a 500
+    When it is complete
+    Then the endpoint has 2 failures in a row
+    And the retry budget has the credit of 0 successes
--- /dev/null
+++ b/tests/steps/serving_attempt_ends.py
@@ -0,0 +1,136 @@
+import contextlib
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow import errors
+from mulberryhollow.state import catalogue
+from mulberryhollow.state import endpoints
+from standins import scripted
+from tests import requests
+from tests import scripted_streams as streams
+
+GAP_GOAL_S = 0.1
+TIME_S = 1.5
+LEAVES_S = 0.9
+
+
+def make_chunks(*numbers):
+    return b"".join(streams.chunk(streams.event(each)) for each in numbers)
+
+
+def send_events(numbers):
+    """Return the steps of an endpoint that sends an event each 0.05 s."""
+    return [step for each in numbers for step in (0.05, make_chunks(each))]
+
+
+FIRST_TWO = streams.CHUNKED + make_chunks(1, 2)
+SCRIPTS = {
+    "is silent for good after 2": [FIRST_TWO, "hang"],
+    "is silent for good": ["hang"],
+    "pauses shortly before the end": [
+        FIRST_TWO,
+        *send_events(range(3, 30)),
+        "hang",
+    ],
+    "goes on without an end": [FIRST_TWO, *send_events(range(3, 60))],
+    "pauses for long and ends": [FIRST_TWO, 0.9, make_chunks(3), streams.END],
+}
+
+
+@given("an endpoint that has failed twice")
+def set_failures(context):
+    def prepare(actor, now_s):
+        for _ in range(2):
+            actor.view.record_failure(
+                "e0", endpoints.FailureKind.CONNECT_FAILED, now_s
+            )
+        context.credit = actor.retries.budget.credit - 1.0
+        actor.retries.budget.spend()
+
+    context.prepare = prepare
+
+
+@given("a forwarded stream whose endpoint {behaviour}")
+def set_stream(context, behaviour):
+    context.kind = catalogue.RequestKind.RESUMABLE_STREAM
+    context.script = SCRIPTS[behaviour]
+
+
+@given("a request that may not run twice, which fails with a 500")
+def set_failing(context):
+    context.kind = catalogue.RequestKind.NON_IDEMPOTENT
+    context.script = streams.make_sized(500, b"failed")
+
+
+def forward(context, left, pause_s=0.0):
+    """Forward a request to its end, or until its caller leaves.
+
+    The caller pauses for some time after the first events.
+    """
+    endpoint = scripted.ScriptedEndpoint([context.script])
+    context.add_cleanup(endpoint.close)
+    clock, instance = streams.start_instance(
+        context, endpoint.address, count=1
+    )
+    dependencies = instance._dependencies
+    dependencies.watch.start()
+    context.add_cleanup(dependencies.watch.stop)
+    context.dispatcher = dependencies.dispatcher
+    context.dispatcher.read(context.prepare)
+    now_s = clock.now_s()
+    request = requests.make_request(
+        context.kind,
+        arrived_s=now_s,
+        deadline_s=now_s + TIME_S,
+        goal_s=GAP_GOAL_S,
+        gap_goal_s=GAP_GOAL_S,
+    )
+    with (
+        contextlib.suppress(errors.MulberryError),
+        contextlib.closing(
+            instance.forward(request, left.is_set)
+        ) as forwarding,
+    ):
+        if forwarding.body is None:
+            for number, _ in enumerate(forwarding.iterate()):
+                time.sleep(0.0 if number else pause_s)
+
+
+@when("its deadline passes")
+@when("it is complete")
+def forward_to_end(context):
+    forward(context, threading.Event())
+
+
+@when("its deadline passes before a slow caller has read it")
+def forward_slowly(context):
+    forward(context, threading.Event(), TIME_S)
+
+
+@when("its caller leaves")
+def forward_until_left(context):
+    left = threading.Event()
+    timer = threading.Timer(LEAVES_S, left.set)
+    timer.start()
+    context.add_cleanup(timer.cancel)
+    forward(context, left)
+
+
+@then("the endpoint has {count:d} failures in a row")
+def check_failures(context, count):
+    found = context.dispatcher.read(
+        lambda actor, now_s: actor.view.get("e0").circuit.failures
+    )
+    assert found == count, found
+
+
+@then("the retry budget has the credit of {count:d} successes")
+def check_credit(context, count):
+    found = context.dispatcher.read(
+        lambda actor, now_s: actor.retries.budget.credit
+    )
+    assert abs(found - context.credit - 0.1 * count) < 0.01, found
