Keep the work counted that a second endpoint was sent

What callers saw: none of them; new work could be sent to an endpoint that was already at work, and orders by demand saw too little of it.

Cause: when a silent endpoint goes on while another one has been sent the request, the other attempt was released as one of which nothing was sent. Its time until which the endpoint is busy and its part of the demand were taken back, although the endpoint may have computed the prompt.

Such an attempt is now released as an abandoned one, which counts neither for nor against its endpoint. One that was refused a retry, and so was not sent, is taken back as before.

Evidence: the scenario of an endpoint that answers too late failed before (it was expected to be busy until 0.60 s ago, the time of the send) and passes now; that of an attempt without a retry passed before and passes now.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -765,6 +765,7 @@
         except _GoesOnError:
             # It may have run at the other endpoint as well.
             self._choice.record(streams.Silent(0.0), route.endpoint_id)
+            self._abandon(is_sent=True)
         finally:
             replaced = reader if is_accepted else self._reader
             replaced.close()
@@ -773,13 +774,17 @@
                 self._abandon()
         return is_accepted
 
-    def _abandon(self):
+    def _abandon(self, is_sent=False):
         """Release an attempt that says nothing about its endpoint."""
         self._close_answer()
         route, self._current.route = self._current.route, None
         match route:
             case peer_forwarding.PeerRoute():
                 self._dependencies.peers.release(route)
+            case attempts.Route() if is_sent:
+                self._dependencies.dispatcher.finish(
+                    route, is_abandoned=True, is_sound=False
+                )
             case attempts.Route():
                 self._dependencies.dispatcher.withdraw(route)
 
--- a/tests/serving/attempt_ends.feature
+++ b/tests/serving/attempt_ends.feature
@@ -27,3 +27,16 @@
     When it is complete
     Then the endpoint has 2 failures in a row
     And the retry budget has the credit of 0 successes
+
+  # Guards against new work at an endpoint whose work seems to be taken back,
+  # although it has been sent.
+  Scenario Outline: Work that was sent to another endpoint stays counted
+    Given a forwarded stream whose endpoint pauses for long and ends
+    And <another>
+    When it is complete
+    Then the other endpoint is expected to be <state>
+
+    Examples:
+      | another                                  | state |
+      | another endpoint that answers too late   | busy  |
+      | another endpoint, but no retry to ask it | idle  |
--- a/tests/steps/serving_attempt_ends.py
+++ b/tests/steps/serving_attempt_ends.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from mulberryhollow.coordination import routing
 from mulberryhollow import errors
 from mulberryhollow.state import catalogue
 from mulberryhollow.state import endpoints
@@ -16,6 +17,7 @@
 GAP_GOAL_S = 0.1
 TIME_S = 1.5
 LEAVES_S = 0.9
+PROMPT_TOKENS = 50_000
 
 
 def make_chunks(*numbers):
@@ -57,30 +59,51 @@
 @given("a forwarded stream whose endpoint {behaviour}")
 def set_stream(context, behaviour):
     context.kind = catalogue.RequestKind.RESUMABLE_STREAM
+    context.count = 1
     context.script = SCRIPTS[behaviour]
 
 
 @given("a request that may not run twice, which fails with a 500")
 def set_failing(context):
     context.kind = catalogue.RequestKind.NON_IDEMPOTENT
+    context.count = 1
     context.script = streams.make_sized(500, b"failed")
 
 
+@given("another endpoint that answers too late")
+def add_endpoint(context):
+    context.count = 2
+    context.prepare = lambda actor, now_s: None
+
+
+@given("another endpoint, but no retry to ask it")
+def add_endpoint_without_retry(context):
+    context.count = 2
+
+    def prepare(actor, now_s):
+        while actor.shared_retries.spend("s", now_s):
+            pass
+
+    context.prepare = prepare
+
+
 def forward(context, left, pause_s=0.0):
     """Forward a request to its end, or until its caller leaves.
 
     The caller pauses for some time after the first events.
     """
-    endpoint = scripted.ScriptedEndpoint([context.script])
+    endpoint = scripted.ScriptedEndpoint([context.script, ["hang"]])
     context.add_cleanup(endpoint.close)
     clock, instance = streams.start_instance(
-        context, endpoint.address, count=1
+        context, endpoint.address, count=context.count
     )
     dependencies = instance._dependencies
     dependencies.watch.start()
     context.add_cleanup(dependencies.watch.stop)
     context.dispatcher = dependencies.dispatcher
     context.dispatcher.read(context.prepare)
+    context.routes = []
+    context.dispatcher.on_attempt_begin = context.routes.append
     now_s = clock.now_s()
     request = requests.make_request(
         context.kind,
@@ -88,6 +111,7 @@
         deadline_s=now_s + TIME_S,
         goal_s=GAP_GOAL_S,
         gap_goal_s=GAP_GOAL_S,
+        chain=routing.PromptChain(tokens=PROMPT_TOKENS),
     )
     with (
         contextlib.suppress(errors.MulberryError),
@@ -134,3 +158,13 @@
         lambda actor, now_s: actor.retries.budget.credit
     )
     assert abs(found - context.credit - 0.1 * count) < 0.01, found
+
+
+@then("the other endpoint is expected to be {state}")
+def check_busy(context, state):
+    first = context.routes[0].endpoint_id
+    other = "e1" if first == "e0" else "e0"
+    end_s, now_s = context.dispatcher.read(
+        lambda actor, now_s: (actor.view.get(other).busy_until_s, now_s)
+    )
+    assert (end_s > now_s) == (state == "busy"), end_s - now_s
