Leave retries for failed attempts when streams are silent

What callers saw: a stream was cut after the crash of its endpoint, although others could resume it, while a dozen other streams paused.

Cause: a silent stream draws a retry for each other endpoint that it asks, also for those that refuse it, and asks several in a row. A dozen of them used the whole share of the instance (16 in 10 s where it is alone), and what had lost its endpoint found none.

Retries that are sent while an earlier attempt goes on now count apart and use at most three quarters of the share; one is always allowed, so that an instance with a share of one can still leave an endpoint that hangs. The total is as before.

A stand-in for a used-up budget in silent_streams takes the new argument and refuses as before.

--- a/mulberryhollow/coordination/limits/retries.py
+++ b/mulberryhollow/coordination/limits/retries.py
@@ -13,6 +13,12 @@
 The rest covers attempts that other instances count in a different window.
 """
 
+SPECULATIVE_FRACTION = 0.75
+"""Largest fraction of its share that an instance uses for speculative retries.
+
+Such a retry is sent while an earlier attempt goes on. The rest is left for
+requests whose attempt has failed. One speculative retry is always allowed.
+"""
 
 MAX_STARTED_FRACTION = 0.15
 """Largest fraction of the instances that start in a window whose starts the
@@ -96,6 +102,7 @@
         self._counts = collections.deque()
         self._requests = collections.defaultdict(collections.deque)
         self._retries = collections.defaultdict(collections.deque)
+        self._speculative = collections.defaultdict(collections.deque)
 
     def set_rules(self, rules):
         """Replace the allowance."""
@@ -161,15 +168,32 @@
         self._requests[service].append(now_s)
         self._trim(self._requests[service], now_s)
 
-    def spend(self, service, now_s):
-        """Return whether a retry is allowed, and count it if so."""
+    def spend(self, service, now_s, is_speculative=False):
+        """Return whether a retry is allowed, and count it if so.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        now_s : float
+            Current time, in seconds.
+        is_speculative : bool
+            Whether an earlier attempt of the request goes on.
+        """
         requests = self._requests[service]
         retries = self._retries[service]
-        self._trim(requests, now_s)
-        self._trim(retries, now_s)
-        allowed = self._compute_allowance(len(requests), now_s)
-        if len(retries) + 1 > USED_ALLOWANCE_FRACTION * allowed:
+        speculative = self._speculative[service]
+        for times in (requests, retries, speculative):
+            self._trim(times, now_s)
+        share = USED_ALLOWANCE_FRACTION * self._compute_allowance(
+            len(requests), now_s
+        )
+        if len(retries) + 1 > share:
             return False
+        if is_speculative:
+            if len(speculative) + 1 > max(1.0, SPECULATIVE_FRACTION * share):
+                return False
+            speculative.append(now_s)
         retries.append(now_s)
         return True
 
--- a/mulberryhollow/serving/dispatch/account_limits.py
+++ b/mulberryhollow/serving/dispatch/account_limits.py
@@ -82,6 +82,7 @@
     """Draw a retry from the budget of a service."""
 
     service: str
+    is_speculative: bool
 
 
 @attrs.frozen
@@ -144,8 +145,10 @@
                 return self._reconcile(message, now_s)
             case Accept():
                 return self._accept(message, now_s)
-            case SpendRetry(service):
-                return self.shared_retries.spend(service, now_s)
+            case SpendRetry(service, is_speculative):
+                return self.shared_retries.spend(
+                    service, now_s, is_speculative
+                )
 
     def _charge(self, message, now_s):
         """Return None if charged, else CreditShortfall or the Refusal."""
@@ -367,9 +370,17 @@
         """
         self._ask(Accept(service, fingerprint, exceeded, parts))
 
-    def spend_retry(self, service):
-        """Draw a retry from a service's budget; return whether allowed."""
-        is_allowed = self._actor.ask(SpendRetry(service))
+    def spend_retry(self, service, is_speculative=False):
+        """Draw a retry from a service's budget; return whether allowed.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        is_speculative : bool
+            Whether an earlier attempt of the request goes on.
+        """
+        is_allowed = self._actor.ask(SpendRetry(service, is_speculative))
         if is_allowed:
             self.on_retry()
         return is_allowed
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -55,7 +55,8 @@
     has_answered : bool
         Whether a head has arrived, also once the answer is closed.
     owes_retry : bool
-        Whether sending the request spends retry budget.
+        Whether sending the request spends retry budget, while an earlier
+        attempt goes on.
     """
 
     route: object = None
@@ -488,7 +489,7 @@
         """
         owes_retry, self._current.owes_retry = self._current.owes_retry, False
         if owes_retry and not self._dependencies.dispatcher.spend_retry(
-            self._request.service
+            self._request.service, is_speculative=True
         ):
             raise errors.RefusedError(
                 self._choice.refuse_no_capacity(self._request)
--- a/tests/coordination/limits/retries.feature
+++ b/tests/coordination/limits/retries.feature
@@ -75,3 +75,16 @@
     Given a retry budget of ratio 0.2 and slack 56 over 8
     When all instances are started again and know no other
     Then 1 seconds after the start 0 retries of each are allowed
+
+  # Guards against a request that cannot be repeated after a crash, because
+  # attempts beside others that went on have used the whole share.
+  Scenario Outline: Speculative retries leave a part for failed attempts
+    Given a retry budget of ratio 0.2 and slack 56 over <nodes>
+    When an instance without requests sends all the speculative retries allowed
+    Then it has sent <speculative> and may send <left> after failed attempts
+
+    Examples:
+      | nodes | speculative | left |
+      | 2     | 16          | 6    |
+      | 8     | 4           | 1    |
+      | 40    | 1           | 0    |
--- a/tests/steps/coordination_limits.py
+++ b/tests/steps/coordination_limits.py
@@ -216,9 +216,11 @@
     context.retries += spend_all(budget, at_s + 1.0)
 
 
-def spend_all(budget, now_s):
+def spend_all(budget, now_s, is_speculative=False):
     """Return how many retries an instance is allowed at a time."""
-    attempts = (budget.spend("s", now_s) for _ in itertools.count())
+    attempts = (
+        budget.spend("s", now_s, is_speculative) for _ in itertools.count()
+    )
     return sum(itertools.takewhile(bool, attempts))
 
 
@@ -317,3 +319,15 @@
 def check_allowed_later(context, seconds):
     assert not context.budgets[0].spend("s", 1.0)
     assert context.budgets[0].spend("s", 1.0 + seconds)
+
+
+@when("an instance without requests sends all the speculative retries allowed")
+def spend_speculatively(context):
+    context.speculative = spend_all(context.budgets[0], 1.0, True)
+
+
+@then("it has sent {count:d} and may send {left:d} after failed attempts")
+def check_left(context, count, left):
+    assert context.speculative == count, context.speculative
+    found = spend_all(context.budgets[0], 2.0)
+    assert found == left, found
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -233,7 +233,9 @@
 @given("no retry budget is left")
 def set_budget(context):
     def prepare(dependencies, now_s):
-        dependencies.dispatcher.spend_retry = lambda service: False
+        dependencies.dispatcher.spend_retry = (
+            lambda service, is_speculative=False: False
+        )
 
     context.prepare = prepare
 
--- /dev/null
+++ b/tests/steps/serving_speculative_retries.py
@@ -0,0 +1,133 @@
+import concurrent.futures
+import re
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow import errors
+from mulberryhollow.protocol import forwarding
+from mulberryhollow.state import catalogue
+from standins import scripted
+from tests import requests
+from tests import scripted_streams as streams
+
+GOAL_S = 0.1
+TIME_S = 3.0
+GAP_S = 0.05
+
+_PATH = re.compile(rb"^GET /(\S+)")
+_LAST = re.compile(rb"^Last-Event-Id: (\d+)", re.M)
+
+
+class NamingEndpoint(scripted.ScriptedEndpoint):
+    """Endpoint whose answers depend on the request and its last event.
+
+    Parameters
+    ----------
+    choose : callable
+        ``choose(name, last)`` returns the steps of a request.
+    """
+
+    def __init__(self, choose):
+        self._choose = choose
+        super().__init__([])
+
+    def _serve_connection(self, connection):
+        while head := self._read_head(connection):
+            self.requests.append(head)
+            name = _PATH.search(head)[1].decode()
+            last = _LAST.search(head)
+            steps = self._choose(name, int(last[1]) if last else 0)
+            if not self._run_steps(connection, steps):
+                return
+
+
+def make_head(name):
+    """Return the head of a stream for a request."""
+    return streams.CHUNKED.replace(b"r1", name.encode())
+
+
+def make_refusal(name):
+    return [
+        step.replace(b"r1", name.encode())
+        for step in streams.make_sized(503, b"", b"Not-Executed: 1")
+    ]
+
+
+def send_events(numbers):
+    """Return the steps that send events one after the other."""
+    return [
+        step
+        for each in numbers
+        for step in (streams.chunk(streams.event(each)), GAP_S)
+    ]
+
+
+def start(context, choose, count=6):
+    context.endpoint = NamingEndpoint(choose)
+    context.add_cleanup(context.endpoint.close)
+    context.clock, context.forwarder = streams.start_instance(
+        context, context.endpoint.address, count=count
+    )
+    context.dispatcher = context.forwarder._dependencies.dispatcher
+
+
+def forward(context, name, time_s=TIME_S, **fields):
+    """Return the events of a stream, and whether it is complete."""
+    now_s = context.clock.now_s()
+    values = {
+        "kind": catalogue.RequestKind.RESUMABLE_STREAM,
+        "request_id": name,
+        "arrived_s": now_s,
+        "deadline_s": now_s + time_s,
+        "goal_s": GOAL_S,
+        "gap_goal_s": GOAL_S,
+        "payload": forwarding.Payload("GET", f"/{name}", (), b""),
+    }
+    body = b""
+    try:
+        found = context.forwarder.forward(
+            requests.make_request(**values | fields)
+        )
+    except errors.MulberryError:
+        return body, False
+    try:
+        for piece in found.iterate():
+            body += piece
+    except errors.MulberryError:
+        return body, False
+    finally:
+        found.close()
+    return body, True
+
+
+@given("{count:d} streams that fall silent together and are refused elsewhere")
+def start_silent(context, count):
+    def choose(name, last):
+        if name.startswith("silent"):
+            if last:
+                return make_refusal(name)
+            return [make_head(name), *send_events([1, 2]), "hang"]
+        if last:
+            return [make_head(name), *send_events([last + 1]), streams.END]
+        return [make_head(name), *send_events(range(1, 19)), "close"]
+
+    start(context, choose)
+    pool = concurrent.futures.ThreadPoolExecutor(count)
+    context.add_cleanup(pool.shutdown)
+    for number in range(count):
+        pool.submit(forward, context, f"silent-{number}")
+
+
+@when("the endpoint of another stream crashes 0.9 s later")
+def crash(context):
+    context.body, context.is_complete = forward(context, "crash")
+
+
+@then("the other stream is resumed and complete")
+def check_resumed(context):
+    assert context.body == b"".join(map(streams.event, range(1, 20))), (
+        context.body
+    )
+    assert context.is_complete
