Ask others ever more rarely while an endpoint is silent

What callers saw: one silent stream, or a request whose head was late, used the retries of an instance: it asked other endpoints every three goals, three of them each time, although all had refused it just before.

Cause: after a round in vain the wait for the endpoint began anew with the same timeout, so the number of retries grew with the time of the silence.

The timeout now doubles with each round, to eight times the first at most. An event, or another endpoint that takes over, brings it back to the first. The endpoints' own timeouts, and those of an attempt at another one, are unchanged.

--- a/mulberryhollow/coordination/forwarding/timeouts.py
+++ b/mulberryhollow/coordination/forwarding/timeouts.py
@@ -44,6 +44,12 @@
 MIN_TIMEOUT_S = 0.25
 """Minimum timeout of an attempt, in seconds."""
 
+MAX_ROUND_FACTOR = 8.0
+"""Longest timeout after which others are asked again, relative to the first.
+
+It doubles with each round in which no other endpoint took over.
+"""
+
 MIN_REMAINING_S = 0.02
 """Minimum time before the deadline to send an attempt, in seconds.
 
@@ -51,7 +57,7 @@
 """
 
 
-def get_head_timeout_s(request, runs, now_s):
+def get_head_timeout_s(request, runs, now_s, rounds=0):
     """Return the timeout for the head of an answer, in seconds.
 
     Parameters
@@ -62,12 +68,15 @@
         Endpoints that may have executed the request before this attempt.
     now_s : float
         Monotonic time, in seconds.
+    rounds : int
+        How often other endpoints have been asked in vain while this attempt
+        was waited for.
     """
     remaining_s = max(MIN_REMAINING_S, request.deadline_s - now_s)
     if not _may_try_another_endpoint(request, runs):
         return remaining_s
     timeout_s = max(MIN_TIMEOUT_S, HEAD_TIMEOUT_GOALS * request.goal_s)
-    return min(remaining_s, timeout_s)
+    return min(remaining_s, _compute_round_factor(rounds) * timeout_s)
 
 
 def get_connect_limit_s(request, now_s):
@@ -86,7 +95,7 @@
     return min(CONNECT_TIMEOUT_S, max(MIN_CONNECT_TIMEOUT_S, share_s))
 
 
-def get_event_timeout_s(request, runs, now_s, waited_s=0.0):
+def get_event_timeout_s(request, runs, now_s, waited_s=0.0, rounds=0):
     """Return the timeout for the next event of a stream, in seconds.
 
     Parameters
@@ -100,6 +109,8 @@
     waited_s : float
         Time already waited for this event, in seconds, while only parts of
         it arrived.
+    rounds : int
+        How often other endpoints have been asked in vain since the last event.
 
     Notes
     -----
@@ -109,7 +120,8 @@
     remaining_s = max(MIN_REMAINING_S, request.deadline_s - now_s)
     if not (request.gap_goal_s and _may_try_another_endpoint(request, runs)):
         return remaining_s
-    return min(remaining_s, _get_longest_gap_s(request) - waited_s)
+    timeout_s = _compute_round_factor(rounds) * _get_longest_gap_s(request)
+    return min(remaining_s, timeout_s - waited_s)
 
 
 def is_silent(request, silence_s):
@@ -131,6 +143,11 @@
     )
 
 
+def _compute_round_factor(rounds):
+    """Return the timeout after some rounds, relative to the first."""
+    return min(MAX_ROUND_FACTOR, 2.0**rounds)
+
+
 def _get_longest_gap_s(request):
     """Return the longest pause of a stream with a gap goal, in seconds."""
     return max(MIN_TIMEOUT_S, EVENT_TIMEOUT_GAP_GOALS * request.gap_goal_s)
--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -113,6 +113,7 @@
         self._is_resumed = False
         self._event_s = 0.0
         self._waited_s = 0.0
+        self._rounds = 0
         self._is_ready = False
         self._silence_s = 0.0
         self._gaps_s = []
@@ -160,6 +161,7 @@
         self._reserve(0)
         self._is_resumed = is_resumed
         self._silence_s = 0.0
+        self._rounds = 0
         self.framing = answer.framing
         self.is_new_connection = answer.is_new_connection
 
@@ -229,8 +231,9 @@
         return self._silence_s
 
     def restart_wait(self):
-        """Begin to wait for the next event once more."""
+        """Begin to wait for the next event once more, for longer."""
         self._waited_s = 0.0
+        self._rounds += 1
 
     def wait(self, answer, runs):
         """Wait for more of a stream; return False when it takes too long.
@@ -244,7 +247,7 @@
         """
         now_s = self._clock.now_s()
         timeout_s = decisions.get_event_timeout_s(
-            self._request, runs, now_s, self._waited_s
+            self._request, runs, now_s, self._waited_s, self._rounds
         )
         self._is_ready = timeout_s > 0 and answer.wait(timeout_s)
         elapsed_s = self._clock.now_s() - now_s
@@ -276,7 +279,7 @@
         now_s = self._clock.now_s()
         waited_s, self._waited_s = self._waited_s, 0.0
         timeout_s = decisions.get_event_timeout_s(
-            self._request, runs, now_s, waited_s
+            self._request, runs, now_s, waited_s, self._rounds
         )
         is_ready, self._is_ready = self._is_ready, False
         if is_ready:
@@ -339,6 +342,7 @@
         """Record the time to the first events, or the gap between events."""
         now_s = self._clock.now_s()
         self._silence_s = 0.0
+        self._rounds = 0
         if self._has_begun:
             gap_s = now_s - self._event_s
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards requests to endpoints and streams back their answers."""
 
 import dataclasses
+import itertools
 import random
 import threading
 
@@ -532,8 +533,9 @@
         answer, runs = self._current.answer, self._attempts.runs
         if not self._reader.wait(answer, runs):
             if self._dependencies.clock.now_s() < self._request.deadline_s:
-                self._seek_successor(streams.Silent(self._reader.waited_s))
-                self._reader.restart_wait()
+                fault = streams.Silent(self._reader.waited_s)
+                if not self._seek_successor(fault):
+                    self._reader.restart_wait()
             return b""
         piece = self._reader.read_events(answer, runs)
         if piece is None:
@@ -667,10 +669,10 @@
         """
         request = self._request
         began_s = self._dependencies.clock.now_s()
-        while True:
+        for rounds in itertools.count():
             now_s = self._dependencies.clock.now_s()
             timeout_s = decisions.get_head_timeout_s(
-                request, self._attempts.runs, now_s
+                request, self._attempts.runs, now_s, rounds
             )
             is_ready = transport.wait_readable((channel,), timeout_s)
             now_s = self._dependencies.clock.now_s()
--- a/tests/serving/speculative_retries.feature
+++ b/tests/serving/speculative_retries.feature
@@ -6,3 +6,16 @@
     Given 12 streams that fall silent together and are refused elsewhere
     When the endpoint of another stream crashes 0.9 s later
     Then the other stream is resumed and complete
+
+  # Guards against one silent stream that uses all retries by asking others
+  # again and again, although they have refused it.
+  Scenario Outline: Others are asked ever more rarely while one is silent
+    Given <kind> whose endpoint <behaviour>, and enough retries
+    When its caller waits for 4 s, while the others refuse the request
+    Then the others have been asked in <count> rounds
+
+    Examples:
+      | kind                  | behaviour                   | count |
+      | a resumable stream    | falls silent                | 3     |
+      | a resumable stream    | pauses for 1.5 s and 0.8 s  | 3     |
+      | an idempotent request | answers nothing             | 3     |
--- a/tests/steps/serving_speculative_retries.py
+++ b/tests/steps/serving_speculative_retries.py
@@ -1,10 +1,12 @@
 import concurrent.futures
+import itertools
 import re
 
 from behave import given
 from behave import then
 from behave import when
 
+from mulberryhollow.coordination import limits
 from mulberryhollow import errors
 from mulberryhollow.protocol import forwarding
 from mulberryhollow.state import catalogue
@@ -15,6 +17,11 @@
 GOAL_S = 0.1
 TIME_S = 3.0
 GAP_S = 0.05
+ROUND_PAUSE_S = 0.15
+KINDS = {
+    "a resumable stream": catalogue.RequestKind.RESUMABLE_STREAM,
+    "an idempotent request": catalogue.RequestKind.IDEMPOTENT,
+}
 
 _PATH = re.compile(rb"^GET /(\S+)")
 _LAST = re.compile(rb"^Last-Event-Id: (\d+)", re.M)
@@ -131,3 +138,47 @@
         context.body
     )
     assert context.is_complete
+
+
+FIRST_TWO = [make_head("one"), *send_events([1, 2])]
+BEHAVIOURS = {
+    "falls silent": [*FIRST_TWO, "hang"],
+    "pauses for 1.5 s and 0.8 s": [
+        *FIRST_TWO,
+        1.5,
+        streams.chunk(streams.event(3)),
+        0.8,
+        streams.END,
+    ],
+    "answers nothing": ["hang"],
+}
+
+
+@given("{kind} whose endpoint {behaviour}, and enough retries")
+def start_one(context, kind, behaviour):
+    context.kind = KINDS[kind]
+    context.asked_s = []
+
+    def choose(name, last):
+        context.asked_s.append(context.clock.now_s())
+        is_first = len(context.asked_s) == 1
+        return BEHAVIOURS[behaviour] if is_first else make_refusal(name)
+
+    start(context, choose)
+    rules = limits.RetryRules(slack=1000.0)
+    context.dispatcher.read(
+        lambda actor, now_s: actor.shared_retries.set_rules(rules)
+    )
+
+
+@when("its caller waits for 4 s, while the others refuse the request")
+def wait_in_vain(context):
+    forward(context, "one", 4.0, kind=context.kind)
+
+
+@then("the others have been asked in {count:d} rounds")
+def check_rounds(context, count):
+    times = context.asked_s
+    pauses = [after - before for before, after in itertools.pairwise(times)]
+    found = sum(pause_s > ROUND_PAUSE_S for pause_s in pauses)
+    assert found == count, pauses
