Take no connection for an attempt without a retry

What callers saw: requests after a silence waited for new connections although idle ones had been there.

Cause: an attempt beside one that goes on drew its retry just before it was sent, with a connection already taken. Where none was left, the connection, mostly an idle one of a sound endpoint, was closed, in each round.

The retry is now drawn before a connection is taken. It is kept for a further attempt if nothing is sent with it, so that an endpoint that is not reached, or has left, costs none, as before. Attempts after a failure draw in the same place.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -15,6 +15,7 @@
 from mulberryhollow.serving import answers
 from mulberryhollow.serving import attempt_ends
 from mulberryhollow.serving import attempts
+from mulberryhollow.serving import drawn_retry
 from mulberryhollow.serving import forward_log
 from mulberryhollow.serving.observer import Outcome
 from mulberryhollow.serving import peer_forwarding
@@ -55,9 +56,6 @@
         The answer, once its head has arrived.
     has_answered : bool
         Whether a head has arrived, also once the answer is closed.
-    owes_retry : bool
-        Whether sending the request spends retry budget, while an earlier
-        attempt goes on.
     """
 
     route: object = None
@@ -66,7 +64,6 @@
     channel: object = None
     answer: object = None
     has_answered: bool = False
-    owes_retry: bool = False
 
 
 @attrs.frozen
@@ -182,6 +179,9 @@
         self._is_gone = is_gone
         self._choice = route_choice.RouteChoice(dependencies, request.permit)
         self._attempts = self._choice.attempts
+        self._retry = drawn_retry.DrawnRetry(
+            dependencies.dispatcher, request.service
+        )
         self._current = _CurrentAttempt()
         # Attempt that goes on until another endpoint has taken over.
         self._kept = None
@@ -473,25 +473,22 @@
         """Store the channel and check that its endpoint has not left."""
         self._set_channel(channel)
         self._dependencies.dispatcher.check_send(self._current.route)
-        self._spend_retry()
+        self._retry.use()
 
     def _prepare_send_to_peer(self, channel):
         """Store the channel."""
         self._set_channel(channel)
-        self._spend_retry()
+        self._retry.use()
 
-    def _spend_retry(self):
-        """Spend the retry budget that the attempt owes, once.
+    def _draw_retry(self, is_speculative=False):
+        """Draw the retry of the next attempt.
 
         Raises
         ------
         RefusedError
             When none is left.
         """
-        owes_retry, self._current.owes_retry = self._current.owes_retry, False
-        if owes_retry and not self._dependencies.dispatcher.spend_retry(
-            self._request.service, is_speculative=True
-        ):
+        if not self._retry.draw(is_speculative):
             raise errors.RefusedError(
                 self._choice.refuse_no_capacity(self._request)
             )
@@ -751,10 +748,10 @@
         self._check_stop()
         reader = self._reader
         route = self._choose()
-        self._current.owes_retry = True
         self._reader = reader.fork()
         is_accepted = False
         try:
+            self._draw_retry(is_speculative=True)
             answer = self._open(
                 route,
                 lambda channel: self._await_successor(earlier, channel),
@@ -919,12 +916,7 @@
                 if not self._choice.require_peer():
                     raise errors.RefusedError(refusal)
             case decisions.TryNextEndpoint(draws_budget=True):
-                if not self._dependencies.dispatcher.spend_retry(
-                    self._request.service
-                ):
-                    raise errors.RefusedError(
-                        self._choice.refuse_no_capacity(self._request)
-                    )
+                self._draw_retry()
         forward_log.log_retried(self._request, route, fault, self._attempts)
 
     def _refuse(self, refusal):
--- a/tests/serving/speculative_retries.feature
+++ b/tests/serving/speculative_retries.feature
@@ -19,3 +19,10 @@
       | a resumable stream    | falls silent                | 3     |
       | a resumable stream    | pauses for 1.5 s and 0.8 s  | 3     |
       | an idempotent request | answers nothing             | 3     |
+
+  # Guards against connections that are closed unused, or opened for nothing,
+  # by attempts for which no retry is left.
+  Scenario: Without a retry no connection of another endpoint is taken
+    Given an instance with an idle connection to an endpoint, and no retry
+    When a stream at another endpoint is silent for 1 s
+    Then the next request to the endpoint uses the idle connection
--- a/tests/steps/serving_speculative_retries.py
+++ b/tests/steps/serving_speculative_retries.py
@@ -10,6 +10,7 @@
 from mulberryhollow import errors
 from mulberryhollow.protocol import forwarding
 from mulberryhollow.state import catalogue
+from mulberryhollow.state import endpoints
 from standins import scripted
 from tests import requests
 from tests import scripted_streams as streams
@@ -182,3 +183,49 @@
     pauses = [after - before for before, after in itertools.pairwise(times)]
     found = sum(pause_s > ROUND_PAUSE_S for pause_s in pauses)
     assert found == count, pauses
+
+
+def spend_all(actor, now_s):
+    while actor.shared_retries.spend("s", now_s):
+        pass
+
+
+@given("an instance with an idle connection to an endpoint, and no retry")
+def open_idle(context):
+    start(context, lambda name, last: [*FIRST_TWO, 1.0, streams.END], count=1)
+    context.other = NamingEndpoint(make_whole)
+    context.add_cleanup(context.other.close)
+    items = [
+        endpoints.Endpoint(f"e{n}", "m", each.address, "d", "s", "v1")
+        for n, each in enumerate((context.endpoint, context.other))
+    ]
+    context.dispatcher.read(
+        lambda actor, now_s: actor.view.apply_list(items, now_s)
+    )
+    send_to_other(context, "first")
+    context.dispatcher.read(spend_all)
+
+
+def make_whole(name, last):
+    return [
+        step.replace(b"r1", name.encode())
+        for step in streams.make_sized(200, b"whole")
+    ]
+
+
+def send_to_other(context, name):
+    kind = catalogue.RequestKind.IDEMPOTENT
+    forward(context, name, kind=kind, placement="e1")
+
+
+@when("a stream at another endpoint is silent for 1 s")
+def read_silent(context):
+    _, is_complete = forward(context, "one", placement="e0")
+    assert is_complete
+
+
+@then("the next request to the endpoint uses the idle connection")
+def check_reused(context):
+    send_to_other(context, "second")
+    assert len(context.other.requests) == 2, context.other.requests
+    assert context.other.connections == 1, context.other.connections
