--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -113,7 +113,9 @@
         self._is_resumed = False
         self._event_s = 0.0
         self._waited_s = 0.0
+        self._rounds = 0
         self._is_ready = False
+        self._silence_s = 0.0
         self._gaps_s = []
         self._event_count = 0
 
@@ -163,6 +165,8 @@
         self.assembly.restart()
         self._reserve(0)
         self._is_resumed = is_resumed
+        self._silence_s = 0.0
+        self._rounds = 0
         self.framing = answer.framing
         self.is_new_connection = answer.is_new_connection
 
@@ -246,9 +250,19 @@
         """Time waited for the next event, in seconds."""
         return self._waited_s
 
+    @property
+    def silence_s(self):
+        """Time waited since the last head or events, in seconds.
+
+        Unlike the time that has passed, it contains none in which a slow
+        caller was waited for.
+        """
+        return self._silence_s
+
     def restart_wait(self):
-        """Begin to wait for the next event once more."""
+        """Begin to wait for the next event once more, for longer."""
         self._waited_s = 0.0
+        self._rounds += 1
 
     def wait(self, answer, runs):
         """Wait for more of a stream; return False when it takes too long.
@@ -262,10 +276,12 @@
         """
         now_s = self._clock.now_s()
         timeout_s = decisions.get_event_timeout_s(
-            self._request, runs, now_s, self._waited_s
+            self._request, runs, now_s, self._waited_s, self._rounds
         )
         self._is_ready = timeout_s > 0 and answer.wait(timeout_s)
-        self._waited_s += self._clock.now_s() - now_s
+        elapsed_s = self._clock.now_s() - now_s
+        self._waited_s += elapsed_s
+        self._silence_s += elapsed_s
         return self._is_ready
 
     def read_events(self, answer, runs):
@@ -339,7 +355,7 @@
         now_s = self._clock.now_s()
         waited_s, self._waited_s = self._waited_s, 0.0
         timeout_s = decisions.get_event_timeout_s(
-            self._request, runs, now_s, waited_s
+            self._request, runs, now_s, waited_s, self._rounds
         )
         is_ready, self._is_ready = self._is_ready, False
         if is_ready:
@@ -399,6 +415,8 @@
     def _record_event_times(self):
         """Record the time to the first events, or the gap between events."""
         now_s = self._clock.now_s()
+        self._silence_s = 0.0
+        self._rounds = 0
         if self._has_begun:
             gap_s = now_s - self._event_s
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards requests to endpoints and streams back their answers."""
 
 import dataclasses
+import itertools
 import random
 import threading
 
@@ -12,7 +13,9 @@
 from mulberryhollow import errors
 from mulberryhollow.protocol import peer_requests
 from mulberryhollow.serving import answers
+from mulberryhollow.serving import attempt_ends
 from mulberryhollow.serving import attempts
+from mulberryhollow.serving import drawn_retry
 from mulberryhollow.serving import forward_log
 from mulberryhollow.serving.observer import Outcome
 from mulberryhollow.serving import peer_forwarding
@@ -51,8 +54,8 @@
         Connection of the attempt, while it may be aborted.
     answer : OpenAnswer or None
         The answer, once its head has arrived.
-    owes_retry : bool
-        Whether sending the request spends retry budget.
+    has_answered : bool
+        Whether a head has arrived, also once the answer is closed.
     """
 
     route: object = None
@@ -60,7 +63,7 @@
     peer: str = ""
     channel: object = None
     answer: object = None
-    owes_retry: bool = False
+    has_answered: bool = False
 
 
 @attrs.frozen
@@ -176,6 +179,9 @@
         self._is_gone = is_gone
         self._choice = route_choice.RouteChoice(dependencies, request.permit)
         self._attempts = self._choice.attempts
+        self._retry = drawn_retry.DrawnRetry(
+            dependencies.dispatcher, request.service
+        )
         self._current = _CurrentAttempt()
         # Attempt that goes on until another endpoint has taken over.
         self._kept = None
@@ -396,8 +402,7 @@
             self._dependencies.dispatcher.report_brittle(
                 route, answer.head.brittle_rejections
             )
-        self._current.answer = answer
-        self._reader.begin_answer(answer, self.head is not None)
+        self._begin_reading(answer)
         if answer.head.has_not_run:
             self._reader.drain(answer)
             self._close_answer()
@@ -434,8 +439,7 @@
         answer = peers.client.open(
             attempt, self._prepare_send_to_peer, await_head
         )
-        self._current.answer = answer
-        self._reader.begin_answer(answer, self.head is not None)
+        self._begin_reading(answer)
         head = answer.head
         if head.refusal is not None:
             self._reader.drain(answer)
@@ -447,6 +451,12 @@
         self._report_passed_on(head)
         return answer
 
+    def _begin_reading(self, answer):
+        """Begin to read an answer whose head has arrived."""
+        self._current.answer = answer
+        self._current.has_answered = True
+        self._reader.begin_answer(answer, self.head is not None)
+
     def _report_passed_on(self, head):
         """Report what an endpoint says to the caller through a peer."""
         dispatcher = self._dependencies.dispatcher
@@ -466,25 +476,22 @@
         """Store the channel and check that its endpoint has not left."""
         self._set_channel(channel)
         self._dependencies.dispatcher.check_send(self._current.route)
-        self._spend_retry()
+        self._retry.use()
 
     def _prepare_send_to_peer(self, channel):
         """Store the channel."""
         self._set_channel(channel)
-        self._spend_retry()
+        self._retry.use()
 
-    def _spend_retry(self):
-        """Spend the retry budget that the attempt owes, once.
+    def _draw_retry(self, is_speculative=False):
+        """Draw the retry of the next attempt.
 
         Raises
         ------
         RefusedError
             When none is left.
         """
-        owes_retry, self._current.owes_retry = self._current.owes_retry, False
-        if owes_retry and not self._dependencies.dispatcher.spend_retry(
-            self._request.service
-        ):
+        if not self._retry.draw(is_speculative):
             raise errors.RefusedError(
                 self._choice.refuse_no_capacity(self._request)
             )
@@ -526,8 +533,9 @@
         answer, runs = self._current.answer, self._attempts.runs
         if not self._reader.wait(answer, runs):
             if self._dependencies.clock.now_s() < self._request.deadline_s:
-                self._seek_successor(streams.Silent(self._reader.waited_s))
-                self._reader.restart_wait()
+                fault = streams.Silent(self._reader.waited_s)
+                if not self._seek_successor(fault):
+                    self._reader.restart_wait()
             return b""
         piece = self._reader.read_events(answer, runs)
         if piece is None:
@@ -627,11 +635,11 @@
         self._current.route = None
         self._choice.record(fault, route.endpoint_id)
         if self._is_aborted:
-            self._dependencies.dispatcher.finish(route, is_abandoned=True)
+            self._report_left(route)
             raise errors.CallerDisconnectedError
         if self._has_stopped():
             # The fault may come from `expire` and not from the endpoint.
-            self._dependencies.dispatcher.finish(route, is_abandoned=True)
+            self._report_left(route)
             raise errors.RefusedError(
                 decisions.refuse_stopping(self._attempts)
             )
@@ -669,10 +677,10 @@
         """
         request = self._request
         began_s = self._dependencies.clock.now_s()
-        while True:
+        for rounds in itertools.count():
             now_s = self._dependencies.clock.now_s()
             timeout_s = decisions.get_head_timeout_s(
-                request, self._attempts.runs, now_s
+                request, self._attempts.runs, now_s, rounds
             )
             is_ready = transport.wait_readable((channel,), timeout_s)
             now_s = self._dependencies.clock.now_s()
@@ -753,10 +761,10 @@
         self._check_stop()
         reader = self._reader
         route = self._choose()
-        self._current.owes_retry = True
         self._reader = reader.fork()
         is_accepted = False
         try:
+            self._draw_retry(is_speculative=True)
             answer = self._open(
                 route,
                 lambda channel: self._await_successor(earlier, channel),
@@ -770,6 +778,7 @@
         except _GoesOnError:
             # It may have run at the other endpoint as well.
             self._choice.record(streams.Silent(0.0), route.endpoint_id)
+            self._abandon(is_sent=True)
         finally:
             replaced = reader if is_accepted else self._reader
             replaced.close()
@@ -778,13 +787,17 @@
                 self._abandon()
         return is_accepted
 
-    def _abandon(self):
+    def _abandon(self, is_sent=False):
         """Release an attempt that says nothing about its endpoint."""
         self._close_answer()
         route, self._current.route = self._current.route, None
         match route:
             case peer_forwarding.PeerRoute():
                 self._dependencies.peers.release(route)
+            case attempts.Route() if is_sent:
+                self._dependencies.dispatcher.finish(
+                    route, is_abandoned=True, is_sound=False
+                )
             case attempts.Route():
                 self._dependencies.dispatcher.withdraw(route)
 
@@ -909,12 +922,7 @@
                 if not self._choice.require_peer():
                     raise errors.RefusedError(refusal)
             case decisions.TryNextEndpoint(draws_budget=True):
-                if not self._dependencies.dispatcher.spend_retry(
-                    self._request.service
-                ):
-                    raise errors.RefusedError(
-                        self._choice.refuse_no_capacity(self._request)
-                    )
+                self._draw_retry()
         forward_log.log_retried(self._request, route, fault, self._attempts)
 
     def _refuse(self, refusal):
@@ -991,17 +999,34 @@
         match route:
             case peer_forwarding.PeerRoute():
                 self._dependencies.peers.release(route, has_failed)
-            case attempts.Route():
-                has_failed = self._outcome is Outcome.BROKEN_OFF or (
-                    self._is_complete and self._has_server_error
-                )
-                is_served = self._is_complete and not has_failed
+            case attempts.Route() if self._is_complete:
+                is_sound = not self._has_server_error
                 self._dependencies.dispatcher.finish(
                     route,
-                    fingerprint=self._request.fingerprint if is_served else "",
-                    has_failed=has_failed,
-                    is_abandoned=not (self._is_complete or has_failed),
+                    fingerprint=self._request.fingerprint if is_sound else "",
+                    has_failed=not is_sound,
+                    is_sound=is_sound,
                 )
+            case attempts.Route() if self._outcome is Outcome.BROKEN_OFF:
+                attempt_ends.report_overdue(
+                    self._dependencies.dispatcher,
+                    self._dependencies.client,
+                    self._request,
+                    route,
+                    self._reader.silence_s,
+                )
+            case attempts.Route():
+                self._report_left(route)
+
+    def _report_left(self, route):
+        """Release the route of an attempt that nobody waits for."""
+        has_answered = self._current.has_answered
+        attempt_ends.report_left(
+            self._dependencies.dispatcher,
+            self._request,
+            route,
+            self._reader.silence_s if has_answered else None,
+        )
 
 
 def _classify_refusal(head):
--- /dev/null
+++ b/tests/steps/serving_speculative_retries.py
@@ -0,0 +1,231 @@
+import concurrent.futures
+import itertools
+import re
+
+from behave import given
+from behave import then
+from behave import when
+
+from mulberryhollow.coordination import limits
+from mulberryhollow import errors
+from mulberryhollow.protocol import forwarding
+from mulberryhollow.state import catalogue
+from mulberryhollow.state import endpoints
+from standins import scripted
+from tests import requests
+from tests import scripted_streams as streams
+
+GOAL_S = 0.1
+TIME_S = 3.0
+GAP_S = 0.05
+ROUND_PAUSE_S = 0.15
+KINDS = {
+    "a resumable stream": catalogue.RequestKind.RESUMABLE_STREAM,
+    "an idempotent request": catalogue.RequestKind.IDEMPOTENT,
+}
+
+_PATH = re.compile(rb"^GET /(\S+)")
+_LAST = re.compile(rb"^Last-Event-Id: (\d+)", re.M)
+
+
+class NamingEndpoint(scripted.ScriptedEndpoint):
+    """Endpoint whose answers depend on the request and its last event.
+
+    Parameters
+    ----------
+    choose : callable
+        ``choose(name, last)`` returns the steps of a request.
+    """
+
+    def __init__(self, choose):
+        self._choose = choose
+        super().__init__([])
+
+    def _serve_connection(self, connection):
+        while head := self._read_head(connection):
+            self.requests.append(head)
+            name = _PATH.search(head)[1].decode()
+            last = _LAST.search(head)
+            steps = self._choose(name, int(last[1]) if last else 0)
+            if not self._run_steps(connection, steps):
+                return
+
+
+def make_head(name):
+    """Return the head of a stream for a request."""
+    return streams.CHUNKED.replace(b"r1", name.encode())
+
+
+def make_refusal(name):
+    return [
+        step.replace(b"r1", name.encode())
+        for step in streams.make_sized(503, b"", b"Not-Executed: 1")
+    ]
+
+
+def send_events(numbers):
+    """Return the steps that send events one after the other."""
+    return [
+        step
+        for each in numbers
+        for step in (streams.chunk(streams.event(each)), GAP_S)
+    ]
+
+
+def start(context, choose, count=6):
+    context.endpoint = NamingEndpoint(choose)
+    context.add_cleanup(context.endpoint.close)
+    context.clock, context.forwarder = streams.start_instance(
+        context, context.endpoint.address, count=count
+    )
+    context.dispatcher = context.forwarder._dependencies.dispatcher
+
+
+def forward(context, name, time_s=TIME_S, **fields):
+    """Return the events of a stream, and whether it is complete."""
+    now_s = context.clock.now_s()
+    values = {
+        "kind": catalogue.RequestKind.RESUMABLE_STREAM,
+        "request_id": name,
+        "arrived_s": now_s,
+        "deadline_s": now_s + time_s,
+        "goal_s": GOAL_S,
+        "gap_goal_s": GOAL_S,
+        "payload": forwarding.Payload("GET", f"/{name}", (), b""),
+    }
+    body = b""
+    try:
+        found = context.forwarder.forward(
+            requests.make_request(**values | fields)
+        )
+    except errors.MulberryError:
+        return body, False
+    try:
+        for piece in found.iterate():
+            body += piece
+    except errors.MulberryError:
+        return body, False
+    finally:
+        found.close()
+    return body, True
+
+
+@given("{count:d} streams that fall silent together and are refused elsewhere")
+def start_silent(context, count):
+    def choose(name, last):
+        if name.startswith("silent"):
+            if last:
+                return make_refusal(name)
+            return [make_head(name), *send_events([1, 2]), "hang"]
+        if last:
+            return [make_head(name), *send_events([last + 1]), streams.END]
+        return [make_head(name), *send_events(range(1, 19)), "close"]
+
+    start(context, choose)
+    pool = concurrent.futures.ThreadPoolExecutor(count)
+    context.add_cleanup(pool.shutdown)
+    for number in range(count):
+        pool.submit(forward, context, f"silent-{number}")
+
+
+@when("the endpoint of another stream crashes 0.9 s later")
+def crash(context):
+    context.body, context.is_complete = forward(context, "crash")
+
+
+@then("the other stream is resumed and complete")
+def check_resumed(context):
+    assert context.body == b"".join(map(streams.event, range(1, 20))), (
+        context.body
+    )
+    assert context.is_complete
+
+
+FIRST_TWO = [make_head("one"), *send_events([1, 2])]
+BEHAVIOURS = {
+    "falls silent": [*FIRST_TWO, "hang"],
+    "pauses for 1.5 s and 0.8 s": [
+        *FIRST_TWO,
+        1.5,
+        streams.chunk(streams.event(3)),
+        0.8,
+        streams.END,
+    ],
+    "answers nothing": ["hang"],
+}
+
+
+@given("{kind} whose endpoint {behaviour}, and enough retries")
+def start_one(context, kind, behaviour):
+    context.kind = KINDS[kind]
+    context.asked_s = []
+
+    def choose(name, last):
+        context.asked_s.append(context.clock.now_s())
+        is_first = len(context.asked_s) == 1
+        return BEHAVIOURS[behaviour] if is_first else make_refusal(name)
+
+    start(context, choose)
+    rules = limits.RetryRules(slack=1000.0)
+    context.dispatcher.read(
+        lambda actor, now_s: actor.shared_retries.set_rules(rules)
+    )
+
+
+@when("its caller waits for 4 s, while the others refuse the request")
+def wait_in_vain(context):
+    forward(context, "one", 4.0, kind=context.kind)
+
+
+@then("the others have been asked in {count:d} rounds")
+def check_rounds(context, count):
+    times = context.asked_s
+    pauses = [after - before for before, after in itertools.pairwise(times)]
+    found = sum(pause_s > ROUND_PAUSE_S for pause_s in pauses)
+    assert found == count, pauses
+
+
+def spend_all(actor, now_s):
+    while actor.shared_retries.spend("s", now_s):
+        pass
+
+
+@given("an instance with an idle connection to an endpoint, and no retry")
+def open_idle(context):
+    start(context, lambda name, last: [*FIRST_TWO, 1.0, streams.END], count=1)
+    context.other = NamingEndpoint(make_whole)
+    context.add_cleanup(context.other.close)
+    items = [
+        endpoints.Endpoint(f"e{n}", "m", each.address, "d", "s", "v1")
+        for n, each in enumerate((context.endpoint, context.other))
+    ]
+    context.dispatcher.read(
+        lambda actor, now_s: actor.view.apply_list(items, now_s)
+    )
+    send_to_other(context, "first")
+    context.dispatcher.read(spend_all)
+
+
+def make_whole(name, last):
+    return [
+        step.replace(b"r1", name.encode())
+        for step in streams.make_sized(200, b"whole")
+    ]
+
+
+def send_to_other(context, name):
+    kind = catalogue.RequestKind.IDEMPOTENT
+    forward(context, name, kind=kind, placement="e1")
+
+
+@when("a stream at another endpoint is silent for 1 s")
+def read_silent(context):
+    _, is_complete = forward(context, "one", placement="e0")
+    assert is_complete
+
+
+@then("the next request to the endpoint uses the idle connection")
+def check_reused(context):
+    send_to_other(context, "second")
+    assert len(context.other.requests) == 2, context.other.requests
+    assert context.other.connections == 1, context.other.connections
