Watch a silent endpoint while another answer is read

What callers saw: streams were cut at their deadline, and requests got a 504 there, although their endpoint went on after a pause of 1 s. The next endpoint had sent a part of its answer and then hung: an interim head, half a head, a part of the trailers, or a byte that the guard against a second answer holds back.

Cause: both connections were watched only until the next endpoint had sent something. The read that followed waited for its connection alone; at the last endpoint that may run the request it has the time to the deadline.

The wait of each read now watches both: a channel calls a function before it receives from its socket, for the head as for the body. If the earlier endpoint goes on, the read ends and the channel is closed. Once the earlier one has broken off, the rest has the same time as before. The separate waits between the reads are not needed any more and go.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -1,6 +1,7 @@
 """Reads the answer of a forwarded request."""
 
 import copy
+import math
 import statistics
 import threading
 
@@ -199,15 +200,13 @@
                 return
             size += len(piece)
 
-    def read_whole(self, answer, await_input=lambda timeout_s: None):
+    def read_whole(self, answer):
         """Return the complete body of an answer.
 
         Parameters
         ----------
         answer : OpenAnswer
             The answer.
-        await_input : callable
-            Called before each read, as for `read_first_event`.
 
         Raises
         ------
@@ -217,7 +216,6 @@
         pieces = []
         size = 0
         while True:
-            await_input(self._find_remaining_s())
             piece = answer.read_piece(self._find_remaining_s())
             if not piece:
                 break
@@ -310,7 +308,7 @@
             self._record_event_times()
         return found
 
-    def read_first_event(self, answer, runs, await_input):
+    def read_first_event(self, answer, runs):
         """Return the first new event of an answer, and what it came with.
 
         Parameters
@@ -319,9 +317,6 @@
             The answer.
         runs : int
             Number of endpoints that may have run the request before this one.
-        await_input : callable
-            Waits until the answer can be read, for a number of seconds at
-            most, or raises.
 
         Raises
         ------
@@ -341,8 +336,7 @@
             left_s = end_s - self._clock.now_s()
             if left_s <= 0:
                 raise errors.EndpointError(streams.Silent(timeout_s))
-            await_input(left_s)
-            piece = self._read_complete(answer, runs)
+            piece = self._read_complete(answer, runs, left_s)
             if piece is None:
                 fault = streams.Broken("it ended without a new event")
                 raise errors.EndpointError(fault)
@@ -350,7 +344,7 @@
         self._record_event_times()
         return found
 
-    def _read_complete(self, answer, runs):
+    def _read_complete(self, answer, runs, limit_s=math.inf):
         """Return what is complete of a stream, as for `read_events`."""
         now_s = self._clock.now_s()
         waited_s, self._waited_s = self._waited_s, 0.0
@@ -360,6 +354,7 @@
         is_ready, self._is_ready = self._is_ready, False
         if is_ready:
             timeout_s = max(timeout_s, MIN_READ_S)
+        timeout_s = min(timeout_s, limit_s)
         if timeout_s <= 0:
             raise errors.EndpointError(streams.Silent(waited_s))
         piece = answer.read_piece(timeout_s)
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards requests to endpoints and streams back their answers."""
 
 import dataclasses
+import functools
 import itertools
 import random
 import threading
@@ -822,8 +823,15 @@
             self._request, runs, clock.now_s()
         )
         self._await_either(earlier, channel, timeout_s)
+        channel.await_input = self._watch(earlier, channel)
         return decisions.get_head_timeout_s(self._request, runs, clock.now_s())
 
+    def _watch(self, earlier, channel):
+        """Return what waits for more of an answer, or the earlier endpoint."""
+        return functools.partial(
+            self._await_either, earlier, transport.SocketInput(channel.sock)
+        )
+
     def _await_either(self, earlier, channel, timeout_s):
         """Wait until another endpoint can be read, or the earlier one.
 
@@ -865,13 +873,15 @@
         if not is_usable:
             raise errors.EndpointError(streams.Failed(status))
 
-        def await_input(timeout_s):
-            self._await_either(earlier, self._current.channel, timeout_s)
-
-        if self._request.kind.is_stream and 200 <= status < 300:
-            runs = self._attempts.runs + 1
-            return self._reader.read_first_event(answer, runs, await_input)
-        return self._reader.read_whole(answer, await_input)
+        channel = self._current.channel
+        channel.await_input = self._watch(earlier, channel)
+        try:
+            if self._request.kind.is_stream and 200 <= status < 300:
+                runs = self._attempts.runs + 1
+                return self._reader.read_first_event(answer, runs)
+            return self._reader.read_whole(answer)
+        finally:
+            channel.await_input = None
 
     def _retire(self, earlier, fault):
         """Release the attempt that another endpoint has taken over."""
--- a/mulberryhollow/transport/bounded_reader.py
+++ b/mulberryhollow/transport/bounded_reader.py
@@ -28,6 +28,13 @@
     sock : socket.socket
         The socket.
 
+    Attributes
+    ----------
+    await_input : callable or None
+        Called before each read with the time that is left, in seconds. Waits
+        until the socket can be read, or raises to end the read. None to wait
+        for the socket alone.
+
     Notes
     -----
     The timeout of a socket starts again with each byte, so it does not end
@@ -41,6 +48,7 @@
         self._source = sock.makefile("rb", buffering=0)
         self._end_s = 0.0
         self._left_bytes = 0
+        self.await_input = None
 
     def allow(self, limit_bytes, timeout_s):
         """Allow reads of some bytes for a time.
@@ -74,6 +82,8 @@
             raise TimeoutError("the deadline of the read has passed")
         if self._left_bytes <= 0:
             raise ByteLimitError("too many bytes without an end")
+        if self.await_input is not None:
+            self.await_input(remaining_s)
         self._set_timeout(remaining_s)
         count = self._source.readinto(buffer)
         self._left_bytes -= count or 0
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -9,6 +9,8 @@
 import socket
 import time
 
+import attrs
+
 from mulberryhollow.coordination import streams
 from mulberryhollow import errors
 from mulberryhollow.protocol import forwarding as messages
@@ -16,7 +18,7 @@
 from mulberryhollow.transport import connection as connections
 from mulberryhollow.transport import whole_lines
 
-__all__ = ["EndpointChannel", "wait_readable"]
+__all__ = ["EndpointChannel", "SocketInput", "wait_readable"]
 
 MAX_TRANSFER_BYTES = 65536
 """Largest number of bytes in one read or write."""
@@ -109,6 +111,19 @@
     def timeout(self, timeout_s):
         self.sock.settimeout(timeout_s)
 
+    @property
+    def await_input(self):
+        """Function that waits for the socket during a read, or None.
+
+        As for `BoundedReader.await_input`. After it has raised, the channel
+        can only be closed.
+        """
+        return self._source.await_input
+
+    @await_input.setter
+    def await_input(self, await_input):
+        self._source.await_input = await_input
+
     def is_usable(self):
         """Return whether nothing has arrived since the last response."""
         try:
@@ -387,6 +402,27 @@
         self._connection.close()
 
 
+@attrs.frozen
+class SocketInput:
+    """Input of a channel for a read in progress, which needs more bytes.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Socket of the channel.
+    """
+
+    sock: socket.socket
+
+    def has_input(self):
+        """Return False: what is buffered is not enough."""
+        return False
+
+    def receive_input(self):
+        """Return True; the read receives the bytes."""
+        return True
+
+
 def wait_readable(channels, timeout_s):
     """Return the first of some channels that can be read; None for none.
 
@@ -395,7 +431,7 @@
 
     Parameters
     ----------
-    channels : sequence of EndpointChannel
+    channels : sequence of EndpointChannel or SocketInput
         Channels, those that are preferred first.
     timeout_s : float
         Longest time to wait, in seconds.
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -14,8 +14,9 @@
 from mulberryhollow.transport import connection as connections
 from mulberryhollow.transport import liveness
 
-__all__ = ["ForwardClient", "OpenAnswer", "wait_readable"]
+__all__ = ["ForwardClient", "OpenAnswer", "SocketInput", "wait_readable"]
 
+SocketInput = channels.SocketInput
 wait_readable = channels.wait_readable
 
 ALIVE_CHECK_TIMEOUT_S = 0.1
@@ -121,7 +122,8 @@
             Called with the channel once the request has been sent. Waits
             until the answer begins to arrive, and returns the time in which
             its head has to be whole, in seconds, or raises to end the
-            attempt. None to wait as long as the attempt says.
+            attempt. None to wait as long as the attempt says. It may set
+            the `await_input` of the channel, which holds for the head.
 
         Raises
         ------
@@ -135,6 +137,7 @@
             channel.send(attempt.call, attempt.wait_s)
             wait_s = await_answer(channel) if await_answer else attempt.wait_s
             head = self._receive_head(channel, attempt, wait_s)
+            channel.await_input = None
             if channel.framing is messages.Framing.CONNECTION_CLOSE:
                 channel.guard_body(self._make_guard(channel))
         except BaseException as error:
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -162,6 +162,37 @@
       | an idempotent request | 200    | half of its body          |
       | a resumable stream    | 404    | nothing more              |
 
+  # Guards against an endpoint that goes on unseen, because a part of the answer
+  # of another one is read.
+  Scenario Outline: An endpoint goes on while another one hangs in its answer
+    Given <request>
+    And the next endpoint hangs after <part>
+    When a caller reads the answer
+    Then it gets the whole answer of the first endpoint
+    And it gets the end of the answer within 1.5 s
+
+    Examples:
+      | request                                                 | part               |
+      | a stream whose endpoint is silent for 1 s after event 2 | an interim head    |
+      | a stream whose endpoint is silent for 1 s after event 2 | half a head        |
+      | a stream whose endpoint is silent for 1 s after event 2 | half of trailers   |
+      | an idempotent request whose endpoint answers after 1 s  | an interim head    |
+      | an idempotent request whose endpoint answers after 1 s  | half a head        |
+      | an idempotent request whose endpoint answers after 1 s  | half of trailers   |
+      | an idempotent request whose endpoint answers after 1 s  | a byte of a status |
+
+  # Guards against the loss of both endpoints when the silent one ends.
+  Scenario Outline: The rest of a head is waited for when the silent one ends
+    Given a stream whose endpoint <ends> after 0.6 s of silence
+    And the next endpoint gives an interim head, then the rest after 0.7 s
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint and the rest of the next
+
+    Examples:
+      | ends   |
+      | closes |
+      | resets |
+
   # Guards against a caller that waits though an answer has arrived whole.
   Scenario Outline: The whole answer of the next endpoint replaces a late one
     Given an idempotent request whose endpoint answers nothing
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -25,6 +25,7 @@
 BODY = b"the whole answer"
 NEXT_BODY = b"the next answer!"
 COMMENT = b": wait\n\n"
+INTERIM_HEAD = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 REFUSAL = streams.make_sized(503, b"", b"Not-Executed: 1")
 
 
@@ -63,6 +64,12 @@
     "the end of the connection": ["close"],
     "half of its body": [NEXT_BODY[:8], "hang"],
 }
+PARTS = {
+    "an interim head": INTERIM_HEAD,
+    "half a head": b"HTTP/1.1 200 X\r\nAttempt-Id: r",
+    "half of trailers": streams.CHUNKED + b"0\r\nPart: x",
+    "a byte of a status": streams.head(200) + b"H",
+}
 ANSWERS = {
     "an answer with a length": (
         streams.make_sized(200, NEXT_BODY),
@@ -265,7 +272,7 @@
     "before the deadline"
 )
 def set_interim(context):
-    script = [TIME_S - 0.5, b"HTTP/1.1 103 Early Hints\r\n\r\n", "hang"]
+    script = [TIME_S - 0.5, INTERIM_HEAD, "hang"]
     set_first(context, catalogue.RequestKind.IDEMPOTENT, script)
     context.count = 1
 
@@ -326,6 +333,20 @@
     context.time_s = SHORT_TIME_S
 
 
+@given("the next endpoint hangs after {part}")
+def set_hanging_part(context, part):
+    context.others = [PARTS[part], "hang"]
+    context.time_s = SHORT_TIME_S
+
+
+@given(
+    "the next endpoint gives an interim head, then the rest after "
+    "{delay_s:g} s"
+)
+def set_interim_and_rest(context, delay_s):
+    context.others = [INTERIM_HEAD, delay_s, NEXT_REST]
+
+
 @given("the next endpoint gives at once {answer}")
 def set_whole_next(context, answer):
     context.others, context.whole = ANSWERS[answer]
@@ -449,6 +470,7 @@
     assert context.took_s < 1.0, context.took_s
 
 
+@then("it gets the end of the answer within {limit_s:g} s")
 @then("it gets the end of the stream within {limit_s:g} s")
 def check_end(context, limit_s):
     assert context.took_s < limit_s, context.took_s
