Comments do not show that a stream goes on

What callers saw: new streams went to an endpoint that hung. A stream with nothing but comments until its deadline did not count against its endpoint, and counted as a success, with credit for a retry, when its caller left.

Cause: a comment ended the silence of the stream like an event, although a server may send comments for a stream that has come to a stand.

The silence of an endpoint now ends with an event only. Streams without a gap goal may still pause for any time.

Evidence: two examples of "Only what an endpoint has shown counts for it" failed before (2 failures in a row at the deadline, 3 expected; none in place of 2 after the caller left), and pass; the other examples of the feature pass as before.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -250,10 +250,10 @@
 
     @property
     def silence_s(self):
-        """Time waited since the last head or events, in seconds.
+        """Time waited since the last head or event, in seconds.
 
         Unlike the time that has passed, it contains none in which a slow
-        caller was waited for.
+        caller was waited for. Comments are no events.
         """
         return self._silence_s
 
@@ -362,9 +362,12 @@
             self._check_stream_end()
             return None
         self.body_bytes += len(piece)
+        count = self.assembly.event_count
         found = self.assembly.feed(piece)
         if isinstance(found, streams.Crossed):
             raise errors.EndpointError(found)
+        if self.assembly.event_count > count:
+            self._silence_s = 0.0
         self._reserve(len(self.assembly.rest) - MIN_EVENT_BYTES)
         if not found:
             self._waited_s = waited_s + self._clock.now_s() - now_s
@@ -410,7 +413,6 @@
     def _record_event_times(self):
         """Record the time to the first events, or the gap between events."""
         now_s = self._clock.now_s()
-        self._silence_s = 0.0
         self._rounds = 0
         if self._has_begun:
             gap_s = now_s - self._event_s
--- a/tests/serving/attempt_ends.feature
+++ b/tests/serving/attempt_ends.feature
@@ -14,6 +14,8 @@
       | is silent for good after 2    | its deadline passes                                  | 3        | 0         |
       | is silent for good after 2    | its caller leaves                                    | 2        | 0         |
       | is silent for good            | its caller leaves                                    | 2        | 0         |
+      | sends only comments after 2   | its deadline passes                                  | 3        | 0         |
+      | sends only comments after 2   | its caller leaves                                    | 2        | 0         |
       | pauses shortly before the end | its deadline passes                                  | 2        | 0         |
       | goes on without an end        | its deadline passes                                  | 2        | 0         |
       | goes on without an end        | its deadline passes before a slow caller has read it | 2        | 0         |
--- a/tests/steps/serving_attempt_ends.py
+++ b/tests/steps/serving_attempt_ends.py
@@ -38,6 +38,10 @@
         *send_events(range(3, 30)),
         "hang",
     ],
+    "sends only comments after 2": [
+        FIRST_TWO,
+        *[0.2, streams.chunk(b": wait\n\n")] * 10,
+    ],
     "goes on without an end": [FIRST_TWO, *send_events(range(3, 60))],
     "pauses for long and ends": [FIRST_TWO, 0.9, make_chunks(3), streams.END],
 }
