A comment does not restart the rounds of asking others

What callers saw: one hung stream used the retries of an instance. Its endpoint sent a comment now and then, and others were asked after each of them, although they had refused it just before.

Cause: the wait after which others are asked doubles with each round in vain, but a comment set it back to the first like an event.

Only an event does so now. Once others have been asked in vain, a comment does not restart the wait either: with comments at an interval below the doubled wait others would never be asked again. A stream whose comments come sooner than the first wait is left alone as before.

Evidence: the example with a comment each 0.35 s failed before (others were asked after each comment; 3 rounds expected in 4 s), and passes.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -368,8 +368,10 @@
             raise errors.EndpointError(found)
         if self.assembly.event_count > count:
             self._silence_s = 0.0
+            self._rounds = 0
         self._reserve(len(self.assembly.rest) - MIN_EVENT_BYTES)
-        if not found:
+        # Once others have been asked, only an event restarts the wait.
+        if not found or self._rounds:
             self._waited_s = waited_s + self._clock.now_s() - now_s
         return found
 
@@ -413,7 +415,6 @@
     def _record_event_times(self):
         """Record the time to the first events, or the gap between events."""
         now_s = self._clock.now_s()
-        self._rounds = 0
         if self._has_begun:
             gap_s = now_s - self._event_s
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
--- a/tests/serving/speculative_retries.feature
+++ b/tests/serving/speculative_retries.feature
@@ -15,10 +15,11 @@
     Then the others have been asked in <count> rounds
 
     Examples:
-      | kind                  | behaviour                   | count |
-      | a resumable stream    | falls silent                | 3     |
-      | a resumable stream    | pauses for 1.5 s and 0.8 s  | 3     |
-      | an idempotent request | answers nothing             | 3     |
+      | kind                  | behaviour                        | count |
+      | a resumable stream    | falls silent                     | 3     |
+      | a resumable stream    | pauses for 1.5 s and 0.8 s       | 3     |
+      | a resumable stream    | sends only a comment each 0.35 s | 3     |
+      | an idempotent request | answers nothing                  | 3     |
 
   # Guards against connections that are closed unused, or opened for nothing,
   # by attempts for which no retry is left.
--- a/tests/steps/serving_speculative_retries.py
+++ b/tests/steps/serving_speculative_retries.py
@@ -151,6 +151,10 @@
         0.8,
         streams.END,
     ],
+    "sends only a comment each 0.35 s": [
+        *FIRST_TWO,
+        *[0.35, streams.chunk(b": wait\n\n")] * 12,
+    ],
     "answers nothing": ["hang"],
 }
 
