Count a stream that goes on until its deadline as a success

What callers saw: an endpoint whose circuit was half open got one request at a time for ever, if its streams have no end before their deadline: none of them closed the circuit, and failures in between added up.

Cause: counted a stream that sends events until its deadline neither as a success nor as a failure.

Now it is one if the last event came within the longest gap before the deadline, or came at all where the stream has no gap goal. If a caller read nothing for longer, nothing is known, and it counts neither way; a hang still is a failure.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -118,6 +118,7 @@
         self._silence_s = 0.0
         self._gaps_s = []
         self._event_count = 0
+        self._earlier_count = 0
 
     @property
     def median_gap_s(self):
@@ -165,6 +166,7 @@
         self.assembly.restart()
         self._reserve(0)
         self._is_resumed = is_resumed
+        self._earlier_count = self.assembly.event_count
         self._silence_s = 0.0
         self._rounds = 0
         self.framing = answer.framing
@@ -259,6 +261,13 @@
         """
         return self._silence_s
 
+    @property
+    def event_age_s(self):
+        """Time since the last events of this answer; None before them."""
+        if self.assembly.event_count == self._earlier_count:
+            return None
+        return self._clock.now_s() - self._event_s
+
     def restart_wait(self):
         """Begin to wait for the next event once more, for longer."""
         self._waited_s = 0.0
--- a/mulberryhollow/serving/attempt_ends.py
+++ b/mulberryhollow/serving/attempt_ends.py
@@ -35,15 +35,22 @@
     )
 
 
-def report_overdue(dispatcher, client, request, route, silence_s):
+def report_overdue(dispatcher, client, request, route, silence_s, event_age_s):
     """Release an attempt whose stream is not complete at its deadline.
 
+    That it was going on shows that its endpoint is sound: a stream may have
+    no end.
+
     Parameters
     ----------
     dispatcher, request, route, silence_s
         As for `report_left`.
     client : EndpointClient
         As for `attempts.report_fault`.
+    event_age_s : float or None
+        Time since the last event, in seconds; None for no event. Unlike
+        `silence_s`, it contains the time in which a slow caller was waited
+        for, and nothing is known of the endpoint.
     """
     if decisions.is_silent(request, silence_s):
         attempts.report_fault(
@@ -56,4 +63,9 @@
             parts=request.parts,
         )
     else:
-        dispatcher.finish(route, has_failed=True, is_sound=False)
+        dispatcher.finish(
+            route,
+            has_failed=True,
+            is_sound=event_age_s is not None
+            and not decisions.is_silent(request, event_age_s),
+        )
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -1014,6 +1014,7 @@
                     self._request,
                     route,
                     self._reader.silence_s,
+                    self._reader.event_age_s,
                 )
             case attempts.Route():
                 self._report_left(route)
--- a/tests/steps/serving_attempt_ends.py
+++ b/tests/steps/serving_attempt_ends.py
@@ -56,6 +56,20 @@
     context.prepare = prepare
 
 
+@given("an endpoint whose circuit is half open")
+def open_half(context):
+    def prepare(actor, now_s):
+        for _ in range(3):
+            actor.view.record_failure(
+                "e0", endpoints.FailureKind.CONNECT_FAILED, now_s - 60.0
+            )
+        actor.view.advance(now_s)
+        state = actor.view.get("e0").circuit.state
+        assert state is endpoints.CircuitState.HALF_OPEN, state
+
+    context.prepare = prepare
+
+
 @given("a forwarded stream whose endpoint {behaviour}")
 def set_stream(context, behaviour):
     context.kind = catalogue.RequestKind.RESUMABLE_STREAM
@@ -152,6 +166,14 @@
     assert found == count, found
 
 
+@then("the circuit of the endpoint is {state}")
+def check_circuit(context, state):
+    found = context.dispatcher.read(
+        lambda actor, now_s: actor.view.get("e0").circuit.state
+    )
+    assert found is endpoints.CircuitState(state), found
+
+
 @then("the retry budget has the credit of {count:d} successes")
 def check_credit(context, count):
     found = context.dispatcher.read(
