Count no stream without an event as a success

What callers saw: an endpoint that hung after its head kept getting streams if their callers left early, or if they had no gap goal.

Cause: when a caller left, a stream whose head had arrived counted as a success of its endpoint unless it had been silent for three gap goals. It is never silent without a gap goal, nor in the first moments, nor if it sends comments.

Now the endpoint must have sent an event for this attempt, within the longest gap where there is one. The age of the event includes the time in which a slow caller was waited for, as at a deadline.

A server error that is passed on stays as left it, neither a success nor a failure. It may be the request's own fault, so it is no failure, unlike one that another endpoint can try. An endpoint that answers nothing else stays half open and gets one request at a time; a scenario, which passes before and after, keeps this.

Evidence: in attempt_ends.feature "hangs after its head" with a caller that leaves after 0.15 s, "sends only comments", and "hangs after its head" without a gap goal failed before (0 failures in a row instead of 2); all 19 scenarios pass.

--- a/mulberryhollow/serving/attempt_ends.py
+++ b/mulberryhollow/serving/attempt_ends.py
@@ -7,7 +7,7 @@
 __all__ = ["report_left", "report_overdue"]
 
 
-def report_left(dispatcher, request, route, silence_s):
+def report_left(dispatcher, request, route, event_age_s):
     """Release an attempt whose caller has left.
 
     A stream that was going on shows that its endpoint is sound. Any other
@@ -21,17 +21,15 @@
         The request.
     route : Route
         Route of the attempt.
-    silence_s : float or None
-        Time waited since the head or the last event, in seconds; None before
-        the head.
+    event_age_s : float or None
+        Time since the last event, in seconds; None for no event. It contains
+        the time in which a slow caller was waited for, and nothing is known
+        of the endpoint.
     """
-    is_going_on = silence_s is not None and not decisions.is_silent(
-        request, silence_s
-    )
     dispatcher.finish(
         route,
         is_abandoned=True,
-        is_sound=request.kind.is_stream and is_going_on,
+        is_sound=_is_going_on(request, event_age_s),
     )
 
 
@@ -43,14 +41,12 @@
 
     Parameters
     ----------
-    dispatcher, request, route, silence_s
+    dispatcher, request, route, event_age_s
         As for `report_left`.
     client : EndpointClient
         As for `attempts.report_fault`.
-    event_age_s : float or None
-        Time since the last event, in seconds; None for no event. Unlike
-        `silence_s`, it contains the time in which a slow caller was waited
-        for, and nothing is known of the endpoint.
+    silence_s : float
+        Time waited for the endpoint since its last event, in seconds.
     """
     if decisions.is_silent(request, silence_s):
         attempts.report_fault(
@@ -66,6 +62,12 @@
         dispatcher.finish(
             route,
             has_failed=True,
-            is_sound=event_age_s is not None
-            and not decisions.is_silent(request, event_age_s),
+            is_sound=_is_going_on(request, event_age_s),
         )
+
+
+def _is_going_on(request, event_age_s):
+    """Return whether a stream has sent an event within the longest gap."""
+    return event_age_s is not None and not decisions.is_silent(
+        request, event_age_s
+    )
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -1026,7 +1026,7 @@
             self._dependencies.dispatcher,
             self._request,
             route,
-            self._reader.silence_s if has_answered else None,
+            self._reader.event_age_s if has_answered else None,
         )
 
 
--- a/tests/steps/serving_attempt_ends.py
+++ b/tests/steps/serving_attempt_ends.py
@@ -1,4 +1,5 @@
 import contextlib
+import itertools
 import threading
 import time
 
@@ -29,10 +30,16 @@
     return [step for each in numbers for step in (0.05, make_chunks(each))]
 
 
+COMMENT = streams.chunk(b": keep\n\n")
 FIRST_TWO = streams.CHUNKED + make_chunks(1, 2)
 SCRIPTS = {
     "is silent for good after 2": [FIRST_TWO, "hang"],
     "is silent for good": ["hang"],
+    "hangs after its head": [streams.CHUNKED, "hang"],
+    "sends only comments": [
+        streams.CHUNKED,
+        *itertools.chain(*itertools.repeat((0.05, COMMENT), 40)),
+    ],
     "pauses shortly before the end": [
         FIRST_TWO,
         *send_events(range(3, 30)),
@@ -75,6 +82,13 @@
     context.kind = catalogue.RequestKind.RESUMABLE_STREAM
     context.count = 1
     context.script = SCRIPTS[behaviour]
+    context.gap_goal_s = GAP_GOAL_S
+
+
+@given("a forwarded stream without a gap goal whose endpoint {behaviour}")
+def set_stream_without_goal(context, behaviour):
+    set_stream(context, behaviour)
+    context.gap_goal_s = 0.0
 
 
 @given("a request that may not run twice, which fails with a 500")
@@ -82,6 +96,7 @@
     context.kind = catalogue.RequestKind.NON_IDEMPOTENT
     context.count = 1
     context.script = streams.make_sized(500, b"failed")
+    context.gap_goal_s = GAP_GOAL_S
 
 
 @given("another endpoint that answers too late")
@@ -124,7 +139,7 @@
         arrived_s=now_s,
         deadline_s=now_s + TIME_S,
         goal_s=GAP_GOAL_S,
-        gap_goal_s=GAP_GOAL_S,
+        gap_goal_s=context.gap_goal_s,
         chain=routing.PromptChain(tokens=PROMPT_TOKENS),
     )
     with (
@@ -150,9 +165,10 @@
 
 
 @when("its caller leaves")
-def forward_until_left(context):
+@when("its caller leaves after {time_s:g} s")
+def forward_until_left(context, time_s=LEAVES_S):
     left = threading.Event()
-    timer = threading.Timer(LEAVES_S, left.set)
+    timer = threading.Timer(time_s, left.set)
     timer.start()
     context.add_cleanup(timer.cancel)
     forward(context, left)
@@ -174,6 +190,13 @@
     assert found is endpoints.CircuitState(state), found
 
 
+@then("it admits a request")
+def check_admits(context):
+    assert context.dispatcher.read(
+        lambda actor, now_s: actor.view.get("e0").circuit.admits_work()
+    )
+
+
 @then("the retry budget has the credit of {count:d} successes")
 def check_credit(context, count):
     found = context.dispatcher.read(
