Give back a retry with which nothing was sent

What callers saw: a request whose endpoint failed found no retry left, because those of silent streams had been drawn for endpoints that refuse connections, and no request had been sent with them.

Cause: since a retry is drawn before a connection is taken, and what was not used was never given back. It was also used up just before the send, so that a connection that was closed by then cost one, and the next attempt another.

A retry is now used up once the request has been sent, or may have been sent in part, and is kept for the next attempt otherwise. What is left is given back when the trial beside an attempt ends, and at the end of the request. Drawing still reserves it, so that nobody else takes it while the connection opens. The budget drops it by the time at which it was drawn, so that the window stays right. The metric of retries counts those that are used, not those drawn.

--- a/mulberryhollow/coordination/limits/retries.py
+++ b/mulberryhollow/coordination/limits/retries.py
@@ -1,6 +1,7 @@
 """Retry budget shared by all instances."""
 
 import collections
+import contextlib
 import math
 
 import attrs
@@ -197,6 +198,26 @@
         retries.append(now_s)
         return True
 
+    def give_back(self, service, spent_s, is_speculative=False):
+        """Count a retry no more that was not sent.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        spent_s : float
+            Time at which it was spent, in seconds.
+        is_speculative : bool
+            As it was spent.
+        """
+        counts = [self._retries]
+        if is_speculative:
+            counts.append(self._speculative)
+        for times in counts:
+            # The window may have dropped it.
+            with contextlib.suppress(ValueError):
+                times[service].remove(spent_s)
+
     def _compute_allowance(self, requests, now_s):
         """Return the retries of this instance that the rules allow."""
         rules = self._rules
--- a/mulberryhollow/serving/dispatch/account_limits.py
+++ b/mulberryhollow/serving/dispatch/account_limits.py
@@ -18,9 +18,11 @@
     "Admit",
     "Charge",
     "DecideRetry",
+    "GiveBackRetry",
     "Reconcile",
     "Release",
     "SpendRetry",
+    "SpentRetry",
 ]
 
 
@@ -85,6 +87,32 @@
     is_speculative: bool
 
 
+@attrs.frozen
+class SpentRetry:
+    """A retry that was drawn from the budget of a service.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    spent_s : float
+        Time at which it was drawn, in seconds.
+    is_speculative : bool
+        Whether an earlier attempt of the request goes on.
+    """
+
+    service: str
+    spent_s: float
+    is_speculative: bool
+
+
+@attrs.frozen
+class GiveBackRetry(AccountMessage):
+    """Give back a retry that was not sent."""
+
+    retry: SpentRetry
+
+
 @attrs.frozen
 class DecideRetry(AccountMessage):
     """Decide whether a failed attempt is retried."""
@@ -146,8 +174,10 @@
             case Accept():
                 return self._accept(message, now_s)
             case SpendRetry(service, is_speculative):
-                return self.shared_retries.spend(
-                    service, now_s, is_speculative
+                return self._spend_retry(service, is_speculative, now_s)
+            case GiveBackRetry(drawn):
+                self.shared_retries.give_back(
+                    drawn.service, drawn.spent_s, drawn.is_speculative
                 )
 
     def _charge(self, message, now_s):
@@ -196,6 +226,12 @@
             message.account, message.request_class, message.cost_tokens, now_s
         )
 
+    def _spend_retry(self, service, is_speculative, now_s):
+        """Return the SpentRetry, or None when none is left."""
+        if not self.shared_retries.spend(service, now_s, is_speculative):
+            return None
+        return SpentRetry(service, now_s, is_speculative)
+
     def _decide_retry(self, message, now_s):
         """Return RetryAfter when a retry is allowed, else FailRequest."""
         return self.retries.decide(
@@ -220,7 +256,8 @@
 
     Notes
     -----
-    `on_retry` is called without arguments for each retry.
+    `on_retry` is called without arguments for each retry; for one of a
+    forwarded request by `DrawnRetry`, once it has been sent.
     """
 
     def __init__(self, actor, clock):
@@ -371,7 +408,7 @@
         self._ask(Accept(service, fingerprint, exceeded, parts))
 
     def spend_retry(self, service, is_speculative=False):
-        """Draw a retry from a service's budget; return whether allowed.
+        """Draw a retry from a service's budget.
 
         Parameters
         ----------
@@ -379,11 +416,17 @@
             The service.
         is_speculative : bool
             Whether an earlier attempt of the request goes on.
+
+        Returns
+        -------
+        SpentRetry or None
+            None when none is left.
         """
-        is_allowed = self._actor.ask(SpendRetry(service, is_speculative))
-        if is_allowed:
-            self.on_retry()
-        return is_allowed
+        return self._actor.ask(SpendRetry(service, is_speculative))
+
+    def give_back_retry(self, retry):
+        """Give back a SpentRetry with which nothing was sent."""
+        self._actor.tell(GiveBackRetry(retry))
 
 
 def _refuse_over_quota(exceeded):
--- a/mulberryhollow/serving/drawn_retry.py
+++ b/mulberryhollow/serving/drawn_retry.py
@@ -20,7 +20,7 @@
     def __init__(self, dispatcher, service):
         self._dispatcher = dispatcher
         self._service = service
-        self._is_drawn = False
+        self._drawn = None
 
     def draw(self, is_speculative=False):
         """Return whether there is a retry, drawn now or before.
@@ -30,11 +30,19 @@
         is_speculative : bool
             Whether an earlier attempt of the request goes on.
         """
-        self._is_drawn = self._is_drawn or self._dispatcher.spend_retry(
+        self._drawn = self._drawn or self._dispatcher.spend_retry(
             self._service, is_speculative=is_speculative
         )
-        return self._is_drawn
+        return bool(self._drawn)
 
     def use(self):
-        """Use up the retry, if there is one, for a request that is sent."""
-        self._is_drawn = False
+        """Use up the retry, if there is one, for a request that was sent."""
+        drawn, self._drawn = self._drawn, None
+        if drawn:
+            self._dispatcher.on_retry()
+
+    def give_back(self):
+        """Give the retry back, if there is one that was not used."""
+        drawn, self._drawn = self._drawn, None
+        if drawn:
+            self._dispatcher.give_back_retry(drawn)
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -269,6 +269,7 @@
         dependencies.watch.remove(self)
         self._close_answer()
         self._release_route()
+        self._retry.give_back()
         self._reader.close()
         elapsed_s = dependencies.clock.now_s() - self._request.arrived_s
         dependencies.recorder.record_end(
@@ -381,8 +382,11 @@
         )
         peers = self._dependencies.peers
         try:
-            answer = self._dependencies.client.open(
-                attempt, self._prepare_send, await_head
+            answer = self._send(
+                self._dependencies.client,
+                attempt,
+                self._prepare_send,
+                await_head,
             )
         except errors.EndpointError as error:
             peers.record_failure(route, error.fault)
@@ -436,8 +440,8 @@
             connect_s=decisions.get_connect_limit_s(request, now_s),
         )
         peers = self._dependencies.peers
-        answer = peers.client.open(
-            attempt, self._prepare_send_to_peer, await_head
+        answer = self._send(
+            peers.client, attempt, self._set_channel, await_head
         )
         self._begin_reading(answer)
         head = answer.head
@@ -451,6 +455,25 @@
         self._report_passed_on(head)
         return answer
 
+    def _send(self, client, attempt, prepare, await_head):
+        """Return the OpenAnswer of an attempt.
+
+        Its retry is used up unless nothing has been sent.
+        """
+
+        def await_sent(channel):
+            self._retry.use()
+            return await_head(channel)
+
+        try:
+            answer = client.open(attempt, prepare, await_sent)
+        except errors.EndpointError as error:
+            if not isinstance(error.fault, streams.NotSent):
+                self._retry.use()
+            raise
+        self._retry.use()
+        return answer
+
     def _begin_reading(self, answer):
         """Begin to read an answer whose head has arrived."""
         self._current.answer = answer
@@ -476,12 +499,6 @@
         """Store the channel and check that its endpoint has not left."""
         self._set_channel(channel)
         self._dependencies.dispatcher.check_send(self._current.route)
-        self._retry.use()
-
-    def _prepare_send_to_peer(self, channel):
-        """Store the channel."""
-        self._set_channel(channel)
-        self._retry.use()
 
     def _draw_retry(self, is_speculative=False):
         """Draw the retry of the next attempt.
@@ -728,6 +745,7 @@
                     self._current = earlier
                 self._kept = None
             self._choice.end_trial(None if is_replaced else before)
+            self._retry.give_back()
         if is_replaced:
             self._retire(earlier, fault)
         return is_replaced
--- a/tests/coordination/limits/retries.feature
+++ b/tests/coordination/limits/retries.feature
@@ -88,3 +88,16 @@
       | 2     | 16          | 6    |
       | 8     | 4           | 1    |
       | 40    | 1           | 0    |
+
+  # Guards against retries that are lost although nothing was sent with them, or
+  # that are given back although the window has already dropped them.
+  Scenario Outline: A retry that was not sent may be sent once more
+    Given a retry budget of ratio 0.2 and slack 56 over 8
+    When an instance without requests sends all the speculative retries allowed
+    And it gives one of them back <seconds> s later
+    Then it may send <speculative> retries more, all of them speculative
+
+    Examples:
+      | seconds | speculative |
+      | 1       | 1           |
+      | 11      | 4           |
--- a/tests/serving/speculative_retries.feature
+++ b/tests/serving/speculative_retries.feature
@@ -26,3 +26,17 @@
     Given an instance with an idle connection to an endpoint, and no retry
     When a stream at another endpoint is silent for 1 s
     Then the next request to the endpoint uses the idle connection
+
+  # Guards against retries that are spent although no request is sent with them,
+  # so that a failed attempt finds none.
+  Scenario Outline: Only a request that is sent spends a retry
+    Given a stream that <behaviour>, while <others>
+    When it has been read as far as possible
+    Then others have got <count> requests, and as many retries are spent
+
+    Examples:
+      | behaviour        | others                                              | count |
+      | pauses for 0.6 s | the others refuse connections                       | 0     |
+      | pauses for 0.6 s | the others close connections at once                | 0     |
+      | pauses for 0.6 s | one closes connections, and one refuses the request | 1     |
+      | breaks off       | the others refuse connections                       | 0     |
--- a/tests/steps/coordination_limits.py
+++ b/tests/steps/coordination_limits.py
@@ -331,3 +331,19 @@
     assert context.speculative == count, context.speculative
     found = spend_all(context.budgets[0], 2.0)
     assert found == left, found
+
+
+@when("it gives one of them back {seconds:g} s later")
+def give_back(context, seconds):
+    context.at_s = 1.0 + seconds
+    # A later one of another request does not count for it.
+    budget = context.budgets[0]
+    budget.spend("s", context.at_s)
+    budget.give_back("s", 1.0, True)
+
+
+@then("it may send {count:d} retries more, all of them speculative")
+def check_given_back(context, count):
+    budget = context.budgets[0]
+    assert spend_all(budget, context.at_s, True) == count
+    assert not budget.spend("s", context.at_s)
--- a/tests/steps/serving_speculative_retries.py
+++ b/tests/steps/serving_speculative_retries.py
@@ -1,6 +1,8 @@
 import concurrent.futures
 import itertools
 import re
+import socket
+import time
 
 from behave import given
 from behave import then
@@ -19,6 +21,7 @@
 TIME_S = 3.0
 GAP_S = 0.05
 ROUND_PAUSE_S = 0.15
+SHARE = 16
 KINDS = {
     "a resumable stream": catalogue.RequestKind.RESUMABLE_STREAM,
     "an idempotent request": catalogue.RequestKind.IDEMPOTENT,
@@ -151,6 +154,8 @@
         0.8,
         streams.END,
     ],
+    "pauses for 0.6 s": [*FIRST_TWO, 0.6, streams.END],
+    "breaks off": [*FIRST_TWO, "close"],
     "answers nothing": ["hang"],
 }
 
@@ -229,3 +234,86 @@
     send_to_other(context, "second")
     assert len(context.other.requests) == 2, context.other.requests
     assert context.other.connections == 1, context.other.connections
+
+
+class ClosingEndpoint(scripted.ScriptedEndpoint):
+    """Endpoint that closes each connection before it reads a request."""
+
+    def __init__(self):
+        super().__init__([])
+
+    def _serve_connection(self, connection):
+        connection.close()
+
+
+def make_refusing():
+    return NamingEndpoint(lambda name, last: make_refusal(name))
+
+
+class UnreachedEndpoint:
+    """Endpoint that refuses connections."""
+
+    def __init__(self):
+        self.requests = []
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        host, port = self._socket.getsockname()
+        self.address = f"{host}:{port}"
+        self.close()
+
+    def close(self):
+        self._socket.close()
+
+
+OTHERS = {
+    "the others refuse connections": [UnreachedEndpoint, UnreachedEndpoint],
+    "the others close connections at once": [ClosingEndpoint, ClosingEndpoint],
+    "one closes connections, and one refuses the request": [
+        ClosingEndpoint,
+        make_refusing,
+    ],
+}
+
+
+@given("a stream that {behaviour}, while {others}")
+def start_with_others(context, behaviour, others):
+    steps = BEHAVIOURS[behaviour]
+    start(context, lambda name, last: steps, count=1)
+    context.others = [make() for make in OTHERS[others]]
+    for each in context.others:
+        context.add_cleanup(each.close)
+    items = [
+        endpoints.Endpoint(f"e{n}", "m", each.address, "d", "s", "v1")
+        for n, each in enumerate((context.endpoint, *context.others))
+    ]
+    context.dispatcher.read(
+        lambda actor, now_s: actor.view.apply_list(items, now_s)
+    )
+    check_send = context.dispatcher.check_send
+
+    def check_late(route):
+        # A connection that the endpoint closes at once is closed by then.
+        time.sleep(0.05)
+        check_send(route)
+
+    context.dispatcher.check_send = check_late
+
+
+@when("it has been read as far as possible")
+def read_to_end(context):
+    body, _ = forward(context, "one", placement="e0")
+    assert body == b"".join(map(streams.event, (1, 2))), body
+
+
+@then("others have got {count:d} requests, and as many retries are spent")
+def check_spent(context, count):
+    sent = sum(len(each.requests) for each in context.others)
+    assert sent == count, sent
+    left = context.dispatcher.read(
+        lambda actor, now_s: sum(
+            itertools.takewhile(
+                bool,
+                (actor.shared_retries.spend("s", now_s) for _ in range(100)),
+            )
+        )
+    )
+    assert left == SHARE - count, left
