Limit the doublings of the time between rounds

What callers would see: a stream or a late answer that no other endpoint takes over ends with an internal error after 1024 rounds in vain, about half an hour at the shortest timeouts. Found by reading; no caller has met it.

Cause: the factor was computed as 2.0**rounds before it was limited, and 2.0**1024 raises OverflowError.

Now the exponent is limited, so that any number of rounds gives the same factors.

Evidence: the row of 1024 rounds in decision.feature ended with an error before; all rows pass now, those of up to 4 rounds before and after.

--- a/mulberryhollow/coordination/forwarding/timeouts.py
+++ b/mulberryhollow/coordination/forwarding/timeouts.py
@@ -44,10 +44,10 @@
 MIN_TIMEOUT_S = 0.25
 """Minimum timeout of an attempt, in seconds."""
 
-MAX_ROUND_FACTOR = 8.0
-"""Longest timeout after which others are asked again, relative to the first.
+MAX_ROUND_DOUBLINGS = 3
+"""How often the timeout after which others are asked again doubles.
 
-It doubles with each round in which no other endpoint took over.
+It does with each round in which no other endpoint took over.
 """
 
 MIN_REMAINING_S = 0.02
@@ -145,7 +145,7 @@
 
 def _compute_round_factor(rounds):
     """Return the timeout after some rounds, relative to the first."""
-    return min(MAX_ROUND_FACTOR, 2.0**rounds)
+    return 2.0 ** min(rounds, MAX_ROUND_DOUBLINGS)
 
 
 def _get_longest_gap_s(request):
--- a/tests/coordination/forwarding/decision.feature
+++ b/tests/coordination/forwarding/decision.feature
@@ -56,3 +56,18 @@
     Given a IDEMPOTENT request for at most 1 endpoints
     When 1 connections in a row are not opened within 0.2 s
     Then at most 0.1 s of its time are left
+
+  # Guards against a stream that is cut by an error after half an hour, because
+  # its endpoint has been silent for more rounds than a float can double.
+  Scenario Outline: Others are asked at the longest interval after many rounds
+    Given a RESUMABLE_STREAM request for at most 2 endpoints
+    When others have been asked in vain in <rounds> rounds
+    Then the timeouts are <factor> times the first
+
+    Examples:
+      | rounds | factor |
+      | 0      | 1      |
+      | 1      | 2      |
+      | 3      | 8      |
+      | 4      | 8      |
+      | 1024   | 8      |
--- a/tests/steps/coordination_forwarding.py
+++ b/tests/steps/coordination_forwarding.py
@@ -105,3 +105,20 @@
 @then("at most {left_s:g} s of its time are left")
 def check_used(context, left_s):
     assert context.left_s <= left_s + 1e-9, context.left_s
+
+
+@when("others have been asked in vain in {rounds:d} rounds")
+def ask_in_vain(context, rounds):
+    context.request = attrs.evolve(context.request, deadline_s=1e6)
+    context.rounds = rounds
+
+
+@then("the timeouts are {factor:g} times the first")
+def check_factor(context, factor):
+    for get_timeout_s in (
+        forwarding.get_head_timeout_s,
+        forwarding.get_event_timeout_s,
+    ):
+        first_s = get_timeout_s(context.request, 0, 0.0)
+        found_s = get_timeout_s(context.request, 0, 0.0, rounds=context.rounds)
+        assert found_s == factor * first_s, (found_s, first_s)
