Ask peers after a crash that were only chosen before

What callers saw: an instance that reaches no endpoint cut a stream whose endpoint crashed, although its peers could resume it.

Cause: while the stream was silent a peer was chosen in each round, and not asked for want of a retry. It stayed among the asked peers of the request, of which there are four at most; what else was tried in a round is forgotten at its end. It also counted as a peer that has helped, and so was preferred to others.

A peer can now be chosen again after such a round unless it may have run the request, as it is with endpoints. A refusal by a peer whose endpoint may have run it now counts as a run; it was not counted beside an attempt that went on, which the memory of the asked peers had covered. A peer that nothing is known of is taken back without counting as helpful.

Evidence: in speculative_retries.feature "A peer is asked after a crash unless it may have run a stream" failed before in its first row (0 requests at the peer) and "A peer that was not asked counts as no helpful one" too; both pass. The rows with a peer whose endpoint hangs or breaks off pass before and after; the latter fails (3 requests) if the refusal is not counted as a run.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -451,6 +451,9 @@
             if head.refusal.kind is errors.RefusalKind.LEAVING:
                 fault = streams.NotSent(head.refusal.message)
                 raise errors.EndpointError(fault)
+            if head.refusal.ran is not errors.ExecutionStatus.NOT_RUN:
+                fault = streams.Broken(head.refusal.message)
+                self._choice.record(fault, route.endpoint_id)
             raise errors.RefusedError(head.refusal)
         self._report_passed_on(head)
         return answer
@@ -811,7 +814,7 @@
         route, self._current.route = self._current.route, None
         match route:
             case peer_forwarding.PeerRoute():
-                self._dependencies.peers.release(route)
+                self._dependencies.peers.withdraw(route)
             case attempts.Route() if is_sent:
                 self._dependencies.dispatcher.finish(
                     route, is_abandoned=True, is_sound=False
--- a/mulberryhollow/serving/peer_forwarding.py
+++ b/mulberryhollow/serving/peer_forwarding.py
@@ -228,6 +228,11 @@
             else:
                 self._helpful.add(route.name)
 
+    def withdraw(self, route):
+        """End an attempt that does not show whether the peer can help."""
+        with self._lock:
+            self._in_flight[route.name] -= 1
+
     def record_failure(self, route, fault):
         """Record that an attempt got no answer from its endpoint.
 
--- a/mulberryhollow/serving/route_choice.py
+++ b/mulberryhollow/serving/route_choice.py
@@ -22,11 +22,14 @@
         Ids of the endpoints that are not chosen.
     offers, unsent : int
         Endpoints tried, and those of them to which nothing was sent.
+    asked_peers : frozenset of str
+        Instance ids of the peers that were chosen.
     """
 
     excluded: frozenset
     offers: int
     unsent: int
+    asked_peers: frozenset
 
 
 class RouteChoice:
@@ -51,7 +54,7 @@
         self._permit = permit
         self._excluded = set()
         self._ran = set()
-        self._asked_peers = set()
+        self._asked_peers = {}
         self._unsent = 0
         self._needs_peer = False
         self._is_trial = False
@@ -74,7 +77,10 @@
             What was tried before, for `end_trial`.
         """
         before = _Tried(
-            frozenset(self._excluded), self.attempts.offers, self._unsent
+            frozenset(self._excluded),
+            self.attempts.offers,
+            self._unsent,
+            frozenset(self._asked_peers),
         )
         self.exclude(endpoint_id)
         # The permit belongs to the attempt that goes on.
@@ -97,6 +103,11 @@
             self._excluded = {*before.excluded, *self._ran}
             self.attempts.offers = before.offers
             self._unsent = before.unsent
+            self._asked_peers = {
+                name: route_id
+                for name, route_id in self._asked_peers.items()
+                if name in before.asked_peers or route_id in self._ran
+            }
 
     def record(self, fault, endpoint_id):
         """Count a failed attempt, and choose its endpoint no more."""
@@ -210,10 +221,10 @@
             When the peers that were asked could not forward it.
         """
         route = self._dependencies.peers.choose(
-            self._asked_peers, request.allowed_regions
+            set(self._asked_peers), request.allowed_regions
         )
         if route is not None:
-            self._asked_peers.add(route.name)
+            self._asked_peers[route.name] = route.endpoint_id
         elif self._asked_peers:
             raise errors.RefusedError(self.refuse_no_capacity(request))
         return route
--- a/tests/serving/speculative_retries.feature
+++ b/tests/serving/speculative_retries.feature
@@ -40,3 +40,27 @@
       | pauses for 0.6 s | the others close connections at once                | 0     |
       | pauses for 0.6 s | one closes connections, and one refuses the request | 1     |
       | breaks off       | the others refuse connections                       | 0     |
+
+  # Guards against a stream that is cut after the crash of its endpoint, because
+  # its peers had been chosen while it was silent, though none could be asked.
+  Scenario Outline: A peer is asked after a crash unless it may have run a stream
+    Given an instance without paths, and a peer that <behaviour>
+    And <retries>
+    When the endpoint of a stream is silent for 1 s and crashes
+    Then the peer has got 1 request
+    And the stream is <state>
+
+    Examples:
+      | behaviour       | retries                     | state    |
+      | can forward     | one retry after failures    | complete |
+      | answers nothing | enough retries for silences | cut      |
+      | breaks off      | enough retries for silences | cut      |
+
+  # Guards against a peer that is preferred to others as one that has helped,
+  # though it has not been asked.
+  Scenario: A peer that was not asked counts as no helpful one
+    Given an instance without paths, and a peer that can forward
+    And one retry after failures
+    When the endpoint of a stream is silent for 1 s and goes on
+    Then the peer has got 0 requests
+    And another peer is chosen as well after one that could not help
--- a/tests/steps/serving_resumed_streams.py
+++ b/tests/steps/serving_resumed_streams.py
@@ -125,6 +125,9 @@
     def release(self, route, has_failed=False):
         pass
 
+    def withdraw(self, route):
+        pass
+
 
 @given("endpoints of which the first {breaks}")
 def set_first(context, breaks):
--- a/tests/steps/serving_speculative_retries.py
+++ b/tests/steps/serving_speculative_retries.py
@@ -3,7 +3,9 @@
 import re
 import socket
 import time
+import types
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
@@ -11,8 +13,11 @@
 from mulberryhollow.coordination import limits
 from mulberryhollow import errors
 from mulberryhollow.protocol import forwarding
+from mulberryhollow.serving import peer_forwarding
 from mulberryhollow.state import catalogue
 from mulberryhollow.state import endpoints
+from mulberryhollow.transport import forwarding as transport
+from mulberryhollow.transport import http_server
 from standins import scripted
 from tests import requests
 from tests import scripted_streams as streams
@@ -156,6 +161,8 @@
     ],
     "pauses for 0.6 s": [*FIRST_TWO, 0.6, streams.END],
     "breaks off": [*FIRST_TWO, "close"],
+    "is silent for 1 s and crashes": [*FIRST_TWO, 1.0, "close"],
+    "is silent for 1 s and goes on": [*FIRST_TWO, 1.0, streams.END],
     "answers nothing": ["hang"],
 }
 
@@ -317,3 +324,90 @@
         )
     )
     assert left == SHARE - count, left
+
+
+PEERS = {
+    "can forward": [make_head("one"), *send_events([3]), streams.END],
+    "answers nothing": ["hang"],
+    "breaks off": ["close"],
+}
+
+
+def start_peer(context, steps):
+    """Return the address of a peer before an endpoint."""
+    context.behind_peer = NamingEndpoint(lambda name, last: steps)
+    context.add_cleanup(context.behind_peer.close)
+    clock, inner = streams.start_instance(
+        context, context.behind_peer.address, count=1
+    )
+    app = http_server.ForwardApp(
+        peer_forwarding.PeerIngress(inner, clock, lambda service: False),
+        peer_forwarding.PeerCodec(),
+    )
+    return f"127.0.0.1:{streams.start_server(app)}"
+
+
+@given("an instance without paths, and a peer that {behaviour}")
+def start_with_peer(context, behaviour):
+    address = start_peer(context, PEERS[behaviour])
+    start(context, lambda name, last: context.steps, count=1)
+    context.members = [types.SimpleNamespace(instance_id="p0", region="r")]
+    context.peers = peer_forwarding.PeerForwarding(
+        context.dispatcher,
+        transport.ForwardClient(peer_forwarding.PeerCodec(), context.clock),
+        context.forwarder._dependencies.client,
+        context.clock,
+        lambda: context.members,
+        lambda member: address,
+    )
+    context.peers.is_lost = lambda service: bool(context.endpoint.requests)
+    context.forwarder._dependencies = attrs.evolve(
+        context.forwarder._dependencies, peers=context.peers
+    )
+
+
+@given("one retry after failures")
+def leave_one(context):
+    def spend(actor, now_s):
+        actor.shared_retries.set_rules(limits.RetryRules(slack=2.5))
+        actor.shared_retries.spend("s", now_s, is_speculative=True)
+
+    context.dispatcher.read(spend)
+
+
+@given("enough retries for silences")
+def leave_many(context):
+    rules = limits.RetryRules(slack=1000.0)
+    context.dispatcher.read(
+        lambda actor, now_s: actor.shared_retries.set_rules(rules)
+    )
+
+
+@when("the endpoint of a stream {behaviour}")
+def read_beside_peer(context, behaviour):
+    context.steps = BEHAVIOURS[behaviour]
+    context.body, context.is_complete = forward(
+        context, "one", max_endpoints=4
+    )
+
+
+@then("the peer has got {count:d} request")
+@then("the peer has got {count:d} requests")
+def check_peer(context, count):
+    found = len(context.behind_peer.requests)
+    assert found == count, found
+
+
+@then("the stream is {state}")
+def check_state(context, state):
+    count = {"complete": 3, "cut": 2}[state]
+    expected = b"".join(map(streams.event, range(1, count + 1)))
+    assert context.body == expected, context.body
+    assert context.is_complete == (state == "complete")
+
+
+@then("another peer is chosen as well after one that could not help")
+def check_chosen(context):
+    context.members += [types.SimpleNamespace(instance_id="p1", region="r")]
+    found = {context.peers.choose({"p2"}).name for _ in range(4)}
+    assert found == {"p0", "p1"}, found
