--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -119,6 +119,8 @@
         self._silence_s = 0.0
         self._gaps_s = []
         self._event_count = 0
+        self._earlier_count = 0
+        self._last_event_s = 0.0
 
     @property
     def median_gap_s(self):
@@ -166,6 +168,7 @@
         self.assembly.restart()
         self._reserve(0)
         self._is_resumed = is_resumed
+        self._earlier_count = self.assembly.event_count
         self._silence_s = 0.0
         self._rounds = 0
         self.framing = answer.framing
@@ -257,6 +260,13 @@
         """
         return self._silence_s
 
+    @property
+    def event_age_s(self):
+        """Time since the last event of this answer; None before the first."""
+        if self.assembly.event_count == self._earlier_count:
+            return None
+        return self._clock.now_s() - self._last_event_s
+
     def restart_wait(self):
         """Begin to wait for the next event once more, for longer."""
         self._waited_s = 0.0
@@ -369,6 +379,7 @@
         if self.assembly.event_count > count:
             self._silence_s = 0.0
             self._rounds = 0
+            self._last_event_s = self._clock.now_s()
         self._reserve(len(self.assembly.rest) - MIN_EVENT_BYTES)
         # Once others have been asked, only an event restarts the wait.
         if not found or self._rounds:
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -270,6 +270,7 @@
         dependencies.watch.remove(self)
         self._close_answer()
         self._release_route()
+        self._retry.give_back()
         self._reader.close()
         elapsed_s = dependencies.clock.now_s() - self._request.arrived_s
         dependencies.recorder.record_end(
@@ -382,8 +383,11 @@
         )
         peers = self._dependencies.peers
         try:
-            answer = self._dependencies.client.open(
-                attempt, self._prepare_send, await_head
+            answer = self._send(
+                self._dependencies.client,
+                attempt,
+                self._prepare_send,
+                await_head,
             )
         except errors.EndpointError as error:
             peers.record_failure(route, error.fault)
@@ -437,8 +441,8 @@
             connect_s=decisions.get_connect_limit_s(request, now_s),
         )
         peers = self._dependencies.peers
-        answer = peers.client.open(
-            attempt, self._prepare_send_to_peer, await_head
+        answer = self._send(
+            peers.client, attempt, self._set_channel, await_head
         )
         self._begin_reading(answer)
         head = answer.head
@@ -448,10 +452,32 @@
             if head.refusal.kind is errors.RefusalKind.LEAVING:
                 fault = streams.NotSent(head.refusal.message)
                 raise errors.EndpointError(fault)
+            if head.refusal.ran is not errors.ExecutionStatus.NOT_RUN:
+                fault = streams.Broken(head.refusal.message)
+                self._choice.record(fault, route.endpoint_id)
             raise errors.RefusedError(head.refusal)
         self._report_passed_on(head)
         return answer
 
+    def _send(self, client, attempt, prepare, await_head):
+        """Return the OpenAnswer of an attempt.
+
+        Its retry is used up unless nothing has been sent.
+        """
+
+        def await_sent(channel):
+            self._retry.use()
+            return await_head(channel)
+
+        try:
+            answer = client.open(attempt, prepare, await_sent)
+        except errors.EndpointError as error:
+            if not isinstance(error.fault, streams.NotSent):
+                self._retry.use()
+            raise
+        self._retry.use()
+        return answer
+
     def _begin_reading(self, answer):
         """Begin to read an answer whose head has arrived."""
         self._current.answer = answer
@@ -477,12 +503,6 @@
         """Store the channel and check that its endpoint has not left."""
         self._set_channel(channel)
         self._dependencies.dispatcher.check_send(self._current.route)
-        self._retry.use()
-
-    def _prepare_send_to_peer(self, channel):
-        """Store the channel."""
-        self._set_channel(channel)
-        self._retry.use()
 
     def _draw_retry(self, is_speculative=False):
         """Draw the retry of the next attempt.
@@ -729,6 +749,7 @@
                     self._current = earlier
                 self._kept = None
             self._choice.end_trial(None if is_replaced else before)
+            self._retry.give_back()
         if is_replaced:
             self._retire(earlier, fault)
         return is_replaced
@@ -794,7 +815,7 @@
         route, self._current.route = self._current.route, None
         match route:
             case peer_forwarding.PeerRoute():
-                self._dependencies.peers.release(route)
+                self._dependencies.peers.withdraw(route)
             case attempts.Route() if is_sent:
                 self._dependencies.dispatcher.finish(
                     route, is_abandoned=True, is_sound=False
@@ -1024,6 +1045,7 @@
                     self._request,
                     route,
                     self._reader.silence_s,
+                    self._reader.event_age_s,
                 )
             case attempts.Route():
                 self._report_left(route)
@@ -1035,7 +1057,7 @@
             self._dependencies.dispatcher,
             self._request,
             route,
-            self._reader.silence_s if has_answered else None,
+            self._reader.event_age_s if has_answered else None,
         )
 
 
--- a/tests/steps/serving_attempt_ends.py
+++ b/tests/steps/serving_attempt_ends.py
@@ -1,4 +1,5 @@
 import contextlib
+import itertools
 import threading
 import time
 
@@ -29,10 +30,16 @@
     return [step for each in numbers for step in (0.05, make_chunks(each))]
 
 
+COMMENT = streams.chunk(b": keep\n\n")
 FIRST_TWO = streams.CHUNKED + make_chunks(1, 2)
 SCRIPTS = {
     "is silent for good after 2": [FIRST_TWO, "hang"],
     "is silent for good": ["hang"],
+    "hangs after its head": [streams.CHUNKED, "hang"],
+    "sends only comments": [
+        streams.CHUNKED,
+        *itertools.chain(*itertools.repeat((0.05, COMMENT), 40)),
+    ],
     "pauses shortly before the end": [
         FIRST_TWO,
         *send_events(range(3, 30)),
@@ -60,11 +67,32 @@
     context.prepare = prepare
 
 
+@given("an endpoint whose circuit is half open")
+def open_half(context):
+    def prepare(actor, now_s):
+        for _ in range(3):
+            actor.view.record_failure(
+                "e0", endpoints.FailureKind.CONNECT_FAILED, now_s - 60.0
+            )
+        actor.view.advance(now_s)
+        state = actor.view.get("e0").circuit.state
+        assert state is endpoints.CircuitState.HALF_OPEN, state
+
+    context.prepare = prepare
+
+
 @given("a forwarded stream whose endpoint {behaviour}")
 def set_stream(context, behaviour):
     context.kind = catalogue.RequestKind.RESUMABLE_STREAM
     context.count = 1
     context.script = SCRIPTS[behaviour]
+    context.gap_goal_s = GAP_GOAL_S
+
+
+@given("a forwarded stream without a gap goal whose endpoint {behaviour}")
+def set_stream_without_goal(context, behaviour):
+    set_stream(context, behaviour)
+    context.gap_goal_s = 0.0
 
 
 @given("a request that may not run twice, which fails with a 500")
@@ -72,6 +100,7 @@
     context.kind = catalogue.RequestKind.NON_IDEMPOTENT
     context.count = 1
     context.script = streams.make_sized(500, b"failed")
+    context.gap_goal_s = GAP_GOAL_S
 
 
 @given("another endpoint that answers too late")
@@ -114,7 +143,7 @@
         arrived_s=now_s,
         deadline_s=now_s + TIME_S,
         goal_s=GAP_GOAL_S,
-        gap_goal_s=GAP_GOAL_S,
+        gap_goal_s=context.gap_goal_s,
         chain=routing.PromptChain(tokens=PROMPT_TOKENS),
     )
     with (
@@ -140,9 +169,10 @@
 
 
 @when("its caller leaves")
-def forward_until_left(context):
+@when("its caller leaves after {time_s:g} s")
+def forward_until_left(context, time_s=LEAVES_S):
     left = threading.Event()
-    timer = threading.Timer(LEAVES_S, left.set)
+    timer = threading.Timer(time_s, left.set)
     timer.start()
     context.add_cleanup(timer.cancel)
     forward(context, left)
@@ -156,6 +186,21 @@
     assert found == count, found
 
 
+@then("the circuit of the endpoint is {state}")
+def check_circuit(context, state):
+    found = context.dispatcher.read(
+        lambda actor, now_s: actor.view.get("e0").circuit.state
+    )
+    assert found is endpoints.CircuitState(state), found
+
+
+@then("it admits a request")
+def check_admits(context):
+    assert context.dispatcher.read(
+        lambda actor, now_s: actor.view.get("e0").circuit.admits_work()
+    )
+
+
 @then("the retry budget has the credit of {count:d} successes")
 def check_credit(context, count):
     found = context.dispatcher.read(
