--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -207,3 +207,11 @@
       | an answer that ends with its connection |
       | an empty answer                         |
       | an answer without content               |
+
+  # Guards against a stream that is lost at both endpoints, because a sign of
+  # life of one that hangs ends the attempt at the other.
+  Scenario: A comment of a silent endpoint does not end the attempt at the next
+    Given a stream whose endpoint sends a comment after 0.45 s and then hangs
+    And the next endpoint gives the rest after 0.5 s
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint, then the comment and the rest of the next
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -213,6 +213,13 @@
     context.comments = COMMENT
 
 
+@given("a stream whose endpoint sends a comment after 0.45 s and then hangs")
+def set_late_comment(context):
+    script = [FIRST_TWO, 0.45, streams.chunk(COMMENT), "hang"]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+    context.time_s = SHORT_TIME_S
+
+
 @given("a stream whose endpoint is silent for good after its head")
 def set_head(context):
     script = [streams.CHUNKED, "hang"]
