Forwarder: one report of a fault, one release of an unsent attempt

Behaviour is unchanged: `_fail` and `_retire` report through `_report_fault`, `_withdraw` releases through `_abandon`. `log_unsent` had one caller with one reason.

--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -664,15 +664,7 @@
             raise errors.RefusedError(
                 decisions.refuse_stopping(self._attempts)
             )
-        failure = attempts.report_fault(
-            self._dependencies.dispatcher,
-            self._dependencies.client,
-            route,
-            fault,
-            self._request.fingerprint,
-            is_answering,
-            self._request.parts,
-        )
+        failure = self._report_fault(route, fault, is_answering)
         if failure.kind is endpoints.FailureKind.CRASHED:
             forward_log.log_crash(
                 self._request,
@@ -921,13 +913,17 @@
         if isinstance(route, peer_forwarding.PeerRoute):
             self._dependencies.peers.release(route, has_failed=True)
             return
-        attempts.report_fault(
+        self._report_fault(route, fault, is_answering=self.head is not None)
+
+    def _report_fault(self, route, fault, is_answering):
+        """Report the fault of an own attempt; return what it is counted as."""
+        return attempts.report_fault(
             self._dependencies.dispatcher,
             self._dependencies.client,
             route,
             fault,
             self._request.fingerprint,
-            self.head is not None,
+            is_answering,
             self._request.parts,
         )
 
@@ -937,10 +933,8 @@
         It counts neither as an offer nor as a retry, and the endpoint is not
         at fault.
         """
-        self._close_answer()
-        route, self._current.route = self._current.route, None
-        self._choice.exclude(route.endpoint_id)
-        self._dependencies.dispatcher.withdraw(route)
+        self._choice.exclude(self._current.route.endpoint_id)
+        self._abandon()
 
     def _require_retry(self, route, fault):
         """Return when another attempt may follow; raise otherwise."""
--- a/mulberryhollow/serving/route_choice.py
+++ b/mulberryhollow/serving/route_choice.py
@@ -221,7 +221,7 @@
             When the peers that were asked could not forward it.
         """
         route = self._dependencies.peers.choose(
-            set(self._asked_peers), request.allowed_regions
+            self._asked_peers.keys(), request.allowed_regions
         )
         if route is not None:
             self._asked_peers[route.name] = route.endpoint_id
--- a/mulberryhollow/transport/served_connections.py
+++ b/mulberryhollow/transport/served_connections.py
@@ -222,26 +222,20 @@
             request.close()
         super().handle_close()
 
-    def log_unsent(self, reason):
-        """Log that bytes of answers are dropped, if there are any.
-
-        Parameters
-        ----------
-        reason : str
-            Why the connection is closed.
-        """
+    def _log_unsent(self):
+        """Log that bytes of answers are dropped, if there are any."""
         if self.total_outbufs_len:
             events.log(
                 UNSENT,
                 request=self.last_request_id,
                 unsent_bytes=self.total_outbufs_len,
                 running=len(self.requests),
-                reason=reason,
+                reason="idle, or in the way of others",
             )
 
     def end(self):
         """Close the connection, also if the client does not read."""
-        self.log_unsent("idle, or in the way of others")
+        self._log_unsent()
         self.will_close = True
         # Waiting for room in the send buffer might never end; the shutdown
         # wakes the server's thread.
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -122,18 +122,23 @@
     """
     generator = random.Random(f"streams-{seed}")
     end_s = duration_s - 2 * SETTLING_S
-    steps = []
-    for number, at_s in enumerate(_list_times(generator, end_s, *STOP_GAP_S)):
-        steps.append(Step(at_s, "stop", number % (count - 1)))
-        for action, range_s in (
-            *(("pause", PAUSE_S),) * PAUSES_PER_STOP,
-            ("fill", FULL_S),
-        ):
-            begin_s = at_s + generator.uniform(*PAUSE_LEAD_S)
-            target = generator.randrange(ENDPOINTS)
-            duration_s = generator.uniform(*range_s)
-            steps.append(Step(begin_s, action, target, "", duration_s))
-    return sorted(steps)
+    times = _list_times(generator, end_s, *STOP_GAP_S)
+    stops = (
+        _make_stop(generator, at_s, number % (count - 1))
+        for number, at_s in enumerate(times)
+    )
+    return sorted(itertools.chain.from_iterable(stops))
+
+
+def _make_stop(generator, at_s, target):
+    """Yield a stop of an instance, and the faults of endpoints around it."""
+    yield Step(at_s, "stop", target)
+    faults = (*(("pause", PAUSE_S),) * PAUSES_PER_STOP, ("fill", FULL_S))
+    for action, range_s in faults:
+        begin_s = at_s + generator.uniform(*PAUSE_LEAD_S)
+        endpoint = generator.randrange(ENDPOINTS)
+        duration_s = generator.uniform(*range_s)
+        yield Step(begin_s, action, endpoint, "", duration_s)
 
 
 def _is_storm(at_s):
