Keep the attempt at the next endpoint until a late stream has an event

A stream was lost at two endpoints. While one is silent, another one is asked; the first byte of the silent one ended that attempt. Where it was a comment or a part of an event and the endpoint then hung, what the other one had begun was lost and counted as a run, so nothing was left to ask. After bytes that are no event the stream was cut as well.

Now what has arrived is read with the reader of the kept attempt, without waiting: it goes on with an event or its end, and until then both are waited for. A fault found there is raised once the trial is over, since the bytes that showed it are gone; nothing is read behind it, or once the other endpoint has taken over. Comments that came meanwhile go to the caller before the events of either endpoint, 16 kB of them at most. A chunk size, or the end of the last chunk, is held until it is whole, since a read that stops inside it loses its place.

--- a/mulberryhollow/serving/answers.py
+++ b/mulberryhollow/serving/answers.py
@@ -315,9 +315,18 @@
         """
         found = self._read_complete(answer, runs)
         if found:
-            self._record_event_times()
+            self.record_event_times()
         return found
 
+    def read_arrived(self, answer):
+        """Return complete events that have arrived, as for `read_events`.
+
+        No times are recorded: `record_event_times` has to be called if what
+        was found is passed on.
+        """
+        piece = answer.read_arrived()
+        return b"" if piece is None else self._accept(piece)
+
     def read_first_event(self, answer, runs):
         """Return the first new event of an answer, and what it came with.
 
@@ -351,7 +360,7 @@
                 fault = streams.Broken("it ended without a new event")
                 raise errors.EndpointError(fault)
             found += piece
-        self._record_event_times()
+        self.record_event_times()
         return found
 
     def _read_complete(self, answer, runs, limit_s=math.inf):
@@ -367,7 +376,20 @@
         timeout_s = min(timeout_s, limit_s)
         if timeout_s <= 0:
             raise errors.EndpointError(streams.Silent(waited_s))
-        piece = answer.read_piece(timeout_s)
+        found = self._accept(answer.read_piece(timeout_s))
+        # Once others have been asked, only an event restarts the wait.
+        if found is not None and (not found or self._rounds):
+            self._waited_s = waited_s + self._clock.now_s() - now_s
+        return found
+
+    def _accept(self, piece):
+        """Return what is complete of a stream; None at its end.
+
+        Parameters
+        ----------
+        piece : bytes
+            What has been read of the body; empty at its end.
+        """
         if not piece:
             self._check_stream_end()
             return None
@@ -379,11 +401,9 @@
         if self.assembly.event_count > count:
             self._silence_s = 0.0
             self._rounds = 0
+            self._waited_s = 0.0
             self._last_event_s = self._clock.now_s()
         self._reserve(len(self.assembly.rest) - MIN_EVENT_BYTES)
-        # Once others have been asked, only an event restarts the wait.
-        if not found or self._rounds:
-            self._waited_s = waited_s + self._clock.now_s() - now_s
         return found
 
     def _check_stream_end(self):
@@ -423,7 +443,7 @@
             raise errors.EndpointError(streams.Silent(waited_s))
         return remaining_s
 
-    def _record_event_times(self):
+    def record_event_times(self):
         """Record the time to the first events, or the gap between events."""
         now_s = self._clock.now_s()
         if self._has_begun:
--- a/mulberryhollow/serving/forwarder.py
+++ b/mulberryhollow/serving/forwarder.py
@@ -18,6 +18,7 @@
 from mulberryhollow.serving import attempts
 from mulberryhollow.serving import drawn_retry
 from mulberryhollow.serving import forward_log
+from mulberryhollow.serving import kept_attempt
 from mulberryhollow.serving.observer import Outcome
 from mulberryhollow.serving import peer_forwarding
 from mulberryhollow.serving import route_choice
@@ -555,7 +556,11 @@
         if not self._reader.wait(answer, runs):
             if self._dependencies.clock.now_s() < self._request.deadline_s:
                 fault = streams.Silent(self._reader.waited_s)
-                if not self._seek_successor(fault):
+                count = self._reader.assembly.event_count
+                is_replaced = self._seek_successor(fault)
+                if not is_replaced and (
+                    self._reader.assembly.event_count == count
+                ):
                     self._reader.restart_wait()
             return b""
         piece = self._reader.read_events(answer, runs)
@@ -645,6 +650,7 @@
     def _fail(self, fault, is_answering=False):
         """Release a failed attempt and report its fault."""
         self._close_answer()
+        self._next_piece = None
         route = self._current.route
         if isinstance(route, peer_forwarding.PeerRoute):
             is_silent = isinstance(fault, streams.NotSent | streams.Silent)
@@ -722,14 +728,24 @@
         -------
         bool
             Whether the current attempt is one at another endpoint now.
+
+        Raises
+        ------
+        EndpointError
+            When the current one has failed meanwhile.
         """
         earlier = self._kept = self._current
+        kept = kept_attempt.KeptAttempt(earlier, self._reader)
         before = self._choice.begin_trial(earlier.route.endpoint_id)
         is_replaced = False
         try:
             while not is_replaced and self._may_be_replaced(fault):
-                is_replaced = self._try_successor(earlier)
-                if transport.wait_readable((earlier.channel,), 0.0):
+                is_replaced = self._try_successor(kept)
+                if is_replaced or kept.is_decided:
+                    break
+                if transport.wait_readable((kept.channel,), 0.0):
+                    kept.receive()
+                if kept.is_decided:
                     break
         except errors.RefusedError as error:
             forward_log.log_not_replaced(
@@ -743,7 +759,13 @@
             self._choice.end_trial(None if is_replaced else before)
             self._retry.give_back()
         if is_replaced:
-            self._retire(earlier, fault)
+            self._next_piece = kept.piece + self._next_piece
+            self._retire(kept, fault)
+        elif kept.fault is not None:
+            raise errors.EndpointError(kept.fault)
+        elif kept.piece:
+            self._next_piece = kept.piece
+            self._reader.record_event_times()
         return is_replaced
 
     def _may_be_replaced(self, fault):
@@ -758,12 +780,12 @@
         )
         return isinstance(decision, decisions.TryNextEndpoint)
 
-    def _try_successor(self, earlier):
+    def _try_successor(self, kept):
         """Return whether an endpoint has taken over.
 
         Parameters
         ----------
-        earlier : _CurrentAttempt
+        kept : KeptAttempt
             The attempt that goes on otherwise.
 
         Raises
@@ -781,9 +803,9 @@
             self._draw_retry(is_speculative=True)
             answer = self._open(
                 route,
-                lambda channel: self._await_successor(earlier, channel),
+                lambda channel: self._await_successor(kept, channel),
             )
-            self._next_piece = self._check_successor(answer, earlier)
+            self._next_piece = self._check_successor(answer, kept)
             is_accepted = True
         except errors.EndpointLeftError:
             self._withdraw()
@@ -815,8 +837,8 @@
             case attempts.Route():
                 self._dependencies.dispatcher.withdraw(route)
 
-    def _await_successor(self, earlier, channel):
-        """Wait for a head at another endpoint, or for the earlier one.
+    def _await_successor(self, kept, channel):
+        """Wait for a head at another endpoint, or for the kept attempt.
 
         Returns
         -------
@@ -828,25 +850,25 @@
         EndpointError
             Silent when neither answers.
         _GoesOnError
-            When the earlier one goes on.
+            When the kept attempt goes on.
         """
         clock = self._dependencies.clock
         runs = self._attempts.runs + 1
         timeout_s = decisions.get_head_timeout_s(
             self._request, runs, clock.now_s()
         )
-        self._await_either(earlier, channel, timeout_s)
-        channel.await_input = self._watch(earlier, channel)
+        self._await_either(kept, channel, timeout_s)
+        channel.await_input = self._watch(kept, channel)
         return decisions.get_head_timeout_s(self._request, runs, clock.now_s())
 
-    def _watch(self, earlier, channel):
-        """Return what waits for more of an answer, or the earlier endpoint."""
+    def _watch(self, kept, channel):
+        """Return what waits for more of an answer, or the kept attempt."""
         return functools.partial(
-            self._await_either, earlier, transport.SocketInput(channel.sock)
+            self._await_either, kept, transport.SocketInput(channel.sock)
         )
 
-    def _await_either(self, earlier, channel, timeout_s):
-        """Wait until another endpoint can be read, or the earlier one.
+    def _await_either(self, kept, channel, timeout_s):
+        """Wait until another endpoint can be read, or the kept one goes on.
 
         Raises
         ------
@@ -855,16 +877,24 @@
         """
         clock = self._dependencies.clock
         end_s = clock.now_s() + timeout_s
-        found = transport.wait_readable((earlier.channel, channel), timeout_s)
-        if found is earlier.channel:
-            if not earlier.channel.has_broken_off:
-                raise _GoesOnError
+        is_over = False
+        while not is_over:
+            watched = () if kept.has_failed else (kept.channel,)
             left_s = max(0.0, end_s - clock.now_s())
-            found = transport.wait_readable((channel,), left_s)
-        if found is None:
-            raise errors.EndpointError(streams.Silent(timeout_s))
-
-    def _check_successor(self, answer, earlier):
+            found = transport.wait_readable((*watched, channel), left_s)
+            is_over = found is None
+            if found is kept.channel:
+                kept.receive()
+                if kept.goes_on:
+                    raise _GoesOnError
+                # More of the kept attempt must not hide the other one.
+                found = transport.wait_readable((channel,), 0.0)
+                is_over = clock.now_s() >= end_s
+            if found is channel:
+                return
+        raise errors.EndpointError(streams.Silent(timeout_s))
+
+    def _check_successor(self, answer, kept):
         """Return the first events of an answer that is to take over.
 
         Of an answer that is not a stream, all of it is returned. An endpoint
@@ -873,12 +903,13 @@
         Raises
         ------
         EndpointError
-            When the answer does not continue the earlier one, or fails.
+            When the answer does not continue the kept one, or fails.
         _GoesOnError
             As for `_await_successor`.
         """
         status = answer.head.status
-        head = self.head or (earlier.answer and earlier.answer.head)
+        begun = kept.attempt.answer
+        head = self.head or (begun and begun.head)
         if head is None:
             is_usable = status < _MIN_SERVER_ERROR_STATUS
         else:
@@ -887,7 +918,7 @@
             raise errors.EndpointError(streams.Failed(status))
 
         channel = self._current.channel
-        channel.await_input = self._watch(earlier, channel)
+        channel.await_input = self._watch(kept, channel)
         try:
             if self._request.kind.is_stream and 200 <= status < 300:
                 runs = self._attempts.runs + 1
@@ -896,13 +927,16 @@
         finally:
             channel.await_input = None
 
-    def _retire(self, earlier, fault):
+    def _retire(self, kept, fault):
         """Release the attempt that another endpoint has taken over."""
+        earlier = kept.attempt
         route, earlier.route = earlier.route, None
         with self._channel_lock:
             channel, earlier.channel = earlier.channel, None
         channel.abort()
-        if channel.has_broken_off:
+        if kept.fault is not None:
+            fault = kept.fault
+        elif channel.has_broken_off:
             fault = streams.Broken("it ended while another one was asked")
         if earlier.answer is not None:
             earlier.answer.close()
--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -32,8 +32,8 @@
 The part beyond MAX_TRANSFER_BYTES is for chunk sizes and trailers.
 """
 
-MAX_HELD_BYTES = 4096
-"""Largest number of bytes held of a line that is not complete."""
+MAX_HELD_BYTES = MAX_PIECE_BYTES
+"""Largest number of bytes held of lines that are not complete."""
 
 MAX_REMEMBERED_IDS = 64
 """Number of requests whose ids a connection remembers.
@@ -44,11 +44,19 @@
 _PEEK_TIMEOUT_S = 0.1
 """Time to receive bytes that a poll has found, in seconds."""
 
+_ARRIVED_TIMEOUT_S = 10.0
+"""Time to take bytes that have arrived, if the thread is held up, in s."""
+
 _CHUNK_END = b"\r\n"
+_EMPTY_LINE = re.compile(rb"\n\r?\n")
 _FORBIDDEN_CHARACTERS = re.compile(r"[\r\n\0]")
 _MALFORMED_ERRORS = (http.client.HTTPException, ValueError)
 
 
+class _NotArrivedError(Exception):
+    """More bytes would have to be waited for."""
+
+
 class EndpointChannel:
     """Connection with one buffered reader for all of its responses.
 
@@ -140,9 +148,9 @@
     def has_input(self):
         """Return whether the next read would not wait.
 
-        What stands between two chunks is held until all of it is there:
-        `http.client` would wait for it, and lose its place when that takes
-        too long.
+        What stands between two chunks, or behind the last one, is held until
+        all of it is there: `http.client` would wait for it, and lose its
+        place when that takes too long.
         """
         response = self._response
         if response is not None and (
@@ -162,7 +170,7 @@
             and response.chunk_left is None
         )
         if is_at_size and not self._has_ended:
-            return response.fp.hold_line(buffered)
+            return response.fp.hold_lines(buffered)
         return bool(buffered)
 
     @property
@@ -340,6 +348,27 @@
             )
         return piece
 
+    def read_arrived(self):
+        """Return bytes of the body that have arrived, as for `read_piece`.
+
+        Returns
+        -------
+        bytes or None
+            None for none. A later read goes on where this one has ended.
+        """
+        self.await_input = self._require_input
+        try:
+            return self.read_piece(_ARRIVED_TIMEOUT_S)
+        except _NotArrivedError:
+            return None
+        finally:
+            self.await_input = None
+
+    def _require_input(self, timeout_s):
+        """Raise _NotArrivedError when the socket cannot be read."""
+        if not _poll(self.sock, select.POLLIN, 0.0):
+            raise _NotArrivedError
+
     def guard_body(self, guard):
         """Check the body of the last response for a second answer.
 
@@ -469,33 +498,77 @@
     Its close does nothing, since later responses use the reader too.
     """
 
-    _held = b""
+    def __init__(self, reader):
+        super().__init__(reader)
+        self._held = b""
+        self._lines = io.BytesIO()
+
+    def hold_lines(self, buffered):
+        """Return whether a chunk can be read; keep what is there of its size.
 
-    def hold_line(self, buffered):
-        """Return whether something follows a line; keep what is there of it.
+        That is once something follows the line with the size. Of the last
+        chunk, all lines up to the empty one are kept.
 
         Parameters
         ----------
         buffered : bytes
             Bytes that the reader has buffered.
         """
-        if not self._held.endswith(b"\n"):
-            size = buffered.find(b"\n") + 1 or len(buffered)
-            self._held += self._reader.read(size)
-            buffered = buffered[size:]
-        return bool(buffered) or len(self._held) > MAX_HELD_BYTES
+        found = self._held + buffered
+        end = _find_size_end(found)
+        size = (end or len(found)) - len(self._held)
+        self._held += self._reader.read(size)
+        is_followed = end < len(found) or _is_last_size(self._held)
+        return end > 0 and is_followed or len(self._held) > MAX_HELD_BYTES
 
     def _read_line(self, limit_bytes):
-        """Return the rest of a line behind what was kept of it."""
-        held, self._held = self._held, b""
-        if held.endswith(b"\n"):
-            return held
-        return held + super()._read_line(limit_bytes)
+        """Return the next line, of which a part or the whole may be kept.
+
+        Raises
+        ------
+        ByteLimitError
+            When more was kept than may be.
+        """
+        if len(self._held) > MAX_HELD_BYTES:
+            raise bounded_reader.ByteLimitError("too many bytes are kept")
+        if self._held:
+            self._lines, self._held = io.BytesIO(self._held), b""
+        line = self._lines.readline()
+        if line.endswith(b"\n"):
+            return line
+        return line + super()._read_line(limit_bytes)
 
     def close(self):
         """Do nothing: the channel closes the reader."""
 
 
+def _find_size_end(found):
+    """Return the length of a chunk size, or of all lines of the last chunk.
+
+    0 as long as they are not whole.
+
+    Parameters
+    ----------
+    found : bytes
+        What has arrived of a chunk, from its size on.
+    """
+    end = found.find(b"\n") + 1
+    if not _is_last_size(found[:end]):
+        return end
+    empty = _EMPTY_LINE.search(found, end - 1)
+    return empty.end() if empty else 0
+
+
+def _is_last_size(found):
+    """Return whether bytes begin with the size of the last chunk."""
+    digits, *_ = found.partition(b"\n")[0].split(b";")
+    try:
+        # As in `http.client`.
+        return int(digits, 16) == 0
+    except ValueError:
+        return False
+
+
 def _check_lines(response):
     """Raise HTTPException when the head has a line that is no header.
 
--- a/mulberryhollow/transport/forwarding.py
+++ b/mulberryhollow/transport/forwarding.py
@@ -314,6 +314,18 @@
         self._is_complete = not piece
         return piece
 
+    def read_arrived(self):
+        """Return bytes of the body that have arrived, as for `read_piece`.
+
+        Returns
+        -------
+        bytes or None
+            None for none.
+        """
+        piece = self._channel.read_arrived()
+        self._is_complete = piece == b""
+        return piece
+
     def close(self):
         """Return a reusable connection to the pool; close any other."""
         channel, self._channel = self._channel, None
--- a/tests/serving/silent_streams.feature
+++ b/tests/serving/silent_streams.feature
@@ -215,3 +215,113 @@
     And the next endpoint gives the rest after 0.5 s
     When a caller reads the stream
     Then it gets the events 1 and 2 of the first endpoint, then the comment and the rest of the next
+
+  # Guards against a stream that is lost at both endpoints, because bytes of one
+  # that hangs, or fails, end the attempt at the other.
+  Scenario Outline: Bytes of a silent endpoint do not end the attempt at the next
+    Given a stream whose endpoint sends <part> after 0.45 s and then hangs
+    And the next endpoint gives the rest after 0.5 s
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint and the rest of the next
+
+    Examples:
+      | part                  |
+      | a part of an event    |
+      | an event out of order |
+
+  # Guards against a fault of the silent endpoint that is forgotten.
+  Scenario: A stream that fails while the next endpoint is silent is resumed
+    Given a stream whose endpoint sends an event out of order after 0.45 s and then hangs
+    And the next endpoint hangs, and another one gives the rest
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint and the rest of the next
+
+  # Guards against a second run that continues although the first endpoint goes
+  # on, and against a comment that is lost.
+  Scenario: An endpoint goes on with its next event after a comment
+    Given a stream whose endpoint sends a comment after 0.45 s and the rest after 0.2 s
+    And the next endpoint gives the rest after 2 s
+    When a caller reads the stream
+    Then it gets the events 1 and 2, the comment and the rest of the first endpoint
+    And the next endpoint was left when the first one had gone on
+
+  # Guards against memory without a bound for what comes before an event.
+  Scenario: Many comments of a silent endpoint are not all kept
+    Given a stream whose endpoint sends 20 kB of comments after 0.45 s and then hangs
+    And the next endpoint gives the rest after 0.5 s
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint, at most 16 kB of comments and the rest of the next
+
+  # Guards against an event that is missing, and against bytes that are no event,
+  # because what follows them is read once more.
+  Scenario Outline: What follows bytes that are no event is not used
+    Given a stream whose endpoint sends bytes that are no event after 0.35 s, then the rest of event 3
+    And <others>
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint and the rest of the next
+
+    Examples:
+      | others                                                  |
+      | the next endpoint hangs, and another one gives the rest |
+      | the next endpoint gives the rest after 0.3 s            |
+
+  # Guards against an event that a caller gets from two endpoints.
+  Scenario: What a late endpoint sends after it was replaced is not used
+    Given a stream whose endpoint goes on 0.67 s after event 2
+    And the next endpoint gives the rest after 0.3 s
+    And the caller's thread is held up once the next endpoint has taken over
+    When a caller reads the stream
+    Then it gets the events 1 and 2 of the first endpoint and the rest of the next
+    And the request is counted as begun once
+
+  # Guards against a stream that is cut while its endpoint goes on, because a
+  # part of the answer cannot be passed on yet.
+  Scenario Outline: A part of an answer that has to be held is waited for
+    Given a stream whose endpoint sends <part> after 0.35 s and its rest after 0.3 s
+    And all other endpoints answer nothing
+    When a caller reads the stream
+    Then it gets all that the first endpoint has sent
+    And it gets the end of the stream within 1.5 s
+
+    Examples:
+      | part                     |
+      | what may be another head |
+      | a part of the last chunk |
+      | a part of trailers       |
+      | a part of a long trailer |
+      | a part of a long size    |
+
+  # Guards against a wait beyond the deadline, and against the loss of the next
+  # endpoint, while the silent one sends events that the caller has.
+  Scenario Outline: Events that the caller has do not hide the next endpoint
+    Given a stream whose endpoint repeats event 2 without end after 0.4 s
+    And <others>
+    When a caller reads the stream
+    Then it gets <answer>
+
+    Examples:
+      | others                                       | answer                                                           |
+      | the next endpoint gives the rest after 0.3 s | the events 1 and 2 of the first endpoint and the rest of the next |
+      | all other endpoints answer nothing           | the end of the stream within 3 s                                 |
+
+  # Guards against a request that is not counted.
+  Scenario: A stream of a comment that comes while another endpoint is asked counts
+    Given a stream whose endpoint sends a comment after 0.4 s and then its end
+    And all other endpoints answer nothing
+    When a caller reads the stream
+    Then it gets the comment and a complete end
+    And the request is counted as begun once
+
+  # Guards against a stream that is lost at two endpoints, because a head of one
+  # that then hangs, or refuses, ends the attempt at the other.
+  Scenario Outline: A late head does not end the attempt at the next endpoint
+    Given a stream whose endpoint sends <head> after 0.35 s and then hangs
+    And the next endpoint gives a whole stream after 0.5 s
+    When a caller reads the stream
+    Then it gets the events of the next endpoint
+
+    Examples:
+      | head             |
+      | an interim head  |
+      | a head           |
+      | a late refusal   |
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -2,6 +2,7 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -9,6 +10,7 @@
 
 from mulberryhollow.platform import callers
 from mulberryhollow.protocol import forwarding
+from mulberryhollow.serving import forwarder
 from mulberryhollow.state import catalogue
 from mulberryhollow.transport import http_server
 from standins import scripted
@@ -20,6 +22,7 @@
 TIME_S = 6.0
 MAX_OVERLAP_S = 0.4
 SHORT_TIME_S = 2.0
+MAX_KEPT_BYTES = 16_384
 TIGHT_STOP_S = 2.0
 LONG_GOAL_S = 3.0
 BODY = b"the whole answer"
@@ -43,6 +46,7 @@
     return b"".join(streams.chunk(make_event(each, name)) for each in numbers)
 
 
+TWO_EVENTS = mark(1, b"first") + mark(2, b"first")
 FIRST_TWO = streams.CHUNKED + make_chunks(b"first", 1, 2)
 REST = make_chunks(b"first", 3, 4) + streams.END
 PLAIN_FIRST_TWO = streams.CHUNKED + make_chunks(
@@ -101,6 +105,49 @@
     "the end of the stream": [streams.END],
     "the rest after 0.2 s": [0.2, make_chunks(b"next", 3, 4) + streams.END],
 }
+LATE_PARTS = {
+    "a comment": COMMENT,
+    "20 kB of comments": COMMENT * (20_000 // len(COMMENT)),
+    "a part of an event": mark(3, b"first")[:-1],
+    "an event out of order": mark(7, b"first"),
+}
+HELD_PARTS = {
+    "what may be another head": (
+        streams.UNFRAMED + TWO_EVENTS,
+        [b"id: 3\ndata: ", 0.05, b"H"],
+        b"\n\n" + mark(4, b"first"),
+        TWO_EVENTS + mark(3, b"H") + mark(4, b"first"),
+    ),
+    "a part of the last chunk": (
+        FIRST_TWO,
+        [b"0\r\n\r"],
+        b"\n",
+        TWO_EVENTS,
+    ),
+    "a part of trailers": (
+        FIRST_TWO,
+        [b"0\r\nPart: x"],
+        b"\r\n\r\n",
+        TWO_EVENTS,
+    ),
+    "a part of a long trailer": (
+        FIRST_TWO,
+        [b"0\r\nPart: " + b"x" * 5_000],
+        b"\r\n\r\n",
+        TWO_EVENTS,
+    ),
+    "a part of a long size": (
+        FIRST_TWO,
+        [b"%x;" % len(mark(3, b"first")) + b"x" * 5_000],
+        b"\r\n" + mark(3, b"first") + b"\r\n" + streams.END,
+        TWO_EVENTS + mark(3, b"first"),
+    ),
+}
+LATE_HEADS = {
+    "an interim head": [INTERIM_HEAD],
+    "a head": [streams.CHUNKED],
+    "a late refusal": REFUSAL,
+}
 KINDS = {
     "a resumable stream": catalogue.RequestKind.RESUMABLE_STREAM,
     "a stream": catalogue.RequestKind.STREAM,
@@ -213,13 +260,90 @@
     context.comments = COMMENT
 
 
-@given("a stream whose endpoint sends a comment after 0.45 s and then hangs")
-def set_late_comment(context):
-    script = [FIRST_TWO, 0.45, streams.chunk(COMMENT), "hang"]
+@given("a stream whose endpoint sends {part} after 0.45 s and then hangs")
+def set_late_part(context, part):
+    script = [FIRST_TWO, 0.45, streams.chunk(LATE_PARTS[part]), "hang"]
     set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
     context.time_s = SHORT_TIME_S
 
 
+@given(
+    "a stream whose endpoint sends bytes that are no event after 0.35 s, then "
+    "the rest of event 3"
+)
+def set_no_event(context):
+    begin, end = mark(3, b"first")[:-5], mark(3, b"first")[-5:]
+    sent = streams.chunk(b"error: memory\n\n" + begin)
+    script = [FIRST_TWO, 0.35, sent, 0.08, streams.chunk(end), "hang"]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
+@given("a stream whose endpoint goes on {pause_s:g} s after event 2")
+def set_going_on(context, pause_s):
+    script = [FIRST_TWO, pause_s, REST]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
+@given(
+    "a stream whose endpoint sends {part} after 0.35 s and its rest after "
+    "0.3 s"
+)
+def set_held_part(context, part):
+    begin, sent, rest, context.whole = HELD_PARTS[part]
+    script = [begin, 0.35, *sent, 0.3, rest, "close"]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+    context.time_s = SHORT_TIME_S
+
+
+@given("a stream whose endpoint sends {head} after 0.35 s and then hangs")
+def set_late_head(context, head):
+    script = [0.35, *LATE_HEADS[head], "hang"]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+    context.time_s = SHORT_TIME_S
+
+
+@given("a stream whose endpoint repeats event 2 without end after 0.4 s")
+def set_repeating(context):
+    repeated = streams.chunk(mark(2, b"first")) * 500
+    script = [FIRST_TWO, 0.4, *[repeated] * 20_000]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+    context.time_s = SHORT_TIME_S
+
+
+@given("a stream whose endpoint sends a comment after 0.4 s and then its end")
+def set_comment_and_end(context):
+    sent = streams.chunk(COMMENT)
+    script = [streams.CHUNKED, 0.4, sent, 0.1, streams.END]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
+@given("the caller's thread is held up once the next endpoint has taken over")
+def hold_up(context):
+    try_successor = forwarder.Forwarding._try_successor
+
+    def try_and_wait(forwarding, kept):
+        is_replaced = try_successor(forwarding, kept)
+        if is_replaced:
+            time.sleep(0.1)
+        return is_replaced
+
+    patched = mock.patch.object(
+        forwarder.Forwarding, "_try_successor", try_and_wait
+    )
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@given(
+    "a stream whose endpoint sends {part} after 0.45 s and the rest after "
+    "{pause_s:g} s"
+)
+def set_part_and_rest(context, part, pause_s):
+    sent = streams.chunk(LATE_PARTS[part])
+    script = [FIRST_TWO, 0.45, sent, pause_s, REST]
+    set_first(context, catalogue.RequestKind.RESUMABLE_STREAM, script)
+
+
 @given("a stream whose endpoint is silent for good after its head")
 def set_head(context):
     script = [streams.CHUNKED, "hang"]
@@ -327,6 +451,12 @@
     context.max_endpoints = 3
 
 
+@given("the next endpoint hangs, and another one gives the rest")
+def set_hanging_and_rest(context):
+    context.second, context.others = ["hang"], [NEXT_REST]
+    context.max_endpoints = 3
+
+
 @given("the next endpoint sends a comment and {rest}")
 def set_comment_and_rest(context, rest):
     head = streams.CHUNKED + streams.chunk(COMMENT)
@@ -367,6 +497,13 @@
     context.may_break_off = context.make_event is mark_plain
 
 
+@given("the next endpoint gives a whole stream after {delay_s:g} s")
+def set_late_whole(context, delay_s):
+    events = make_chunks(b"next", 1, 2, 3, 4)
+    whole = streams.CHUNKED + events + streams.END
+    context.second, context.others = [delay_s, whole], REFUSAL
+
+
 @given("no retry budget is left")
 def set_budget(context):
     def prepare(dependencies, now_s):
@@ -407,6 +544,14 @@
     app = http_server.ForwardApp(Ingress(context), callers.CallerCodec())
     port = streams.start_server(app)
     dependencies = context.forwarder._dependencies
+    record_begun = dependencies.recorder.record_begun
+    context.begun = 0
+
+    def count_begun(request):
+        context.begun += 1
+        record_begun(request)
+
+    dependencies.recorder.record_begun = count_begun
     if context.kind.is_stream and context.goal_s == LONG_GOAL_S:
         # A stop that has begun before would refuse the request at once.
         threading.Timer(
@@ -459,6 +604,44 @@
     assert context.is_complete
 
 
+@then(
+    "it gets the events 1 and 2, the comment and the rest of the first "
+    "endpoint"
+)
+def check_first_with_comment(context):
+    before, _, after = context.body.partition(COMMENT)
+    assert before == mark(1, b"first") + mark(2, b"first"), context.body
+    assert after == mark(3, b"first") + mark(4, b"first"), context.body
+    assert context.is_complete
+
+
+@then(
+    "it gets the events 1 and 2 of the first endpoint, at most 16 kB of "
+    "comments and the rest of the next"
+)
+def check_kept_comments(context):
+    assert context.body.count(COMMENT) * len(COMMENT) <= MAX_KEPT_BYTES
+    context.body = context.body.replace(COMMENT, b"")
+    check_next(context)
+
+
+@then("it gets all that the first endpoint has sent")
+def check_sent(context):
+    assert context.body == context.whole, context.body
+    assert context.is_complete
+
+
+@then("it gets the comment and a complete end")
+def check_comment(context):
+    assert context.body == COMMENT, context.body
+    assert context.is_complete
+
+
+@then("the request is counted as begun once")
+def check_begun(context):
+    assert context.begun == 1, context.begun
+
+
 @then(
     "it gets the events 1 to 3 of the first endpoint and the rest of the next"
 )
@@ -466,6 +649,11 @@
     check(context, (b"first", (1, 2, 3)), (b"next", (4,)))
 
 
+@then("it gets the events of the next endpoint")
+def check_next_events(context):
+    check(context, (b"next", (1, 2, 3, 4)))
+
+
 @then("it gets the comment and the events of the next endpoint")
 def check_after_comment(context):
     check(context, (b"next", (1, 2, 3, 4)))
