Share the check of a comment between two endpoints' events

Two steps of the silent streams checked the same but for the name of the endpoint. The docstring of `await_input` said that a channel can only be closed after it has raised, which `read_arrived` no longer agrees with.

--- a/mulberryhollow/transport/channel.py
+++ b/mulberryhollow/transport/channel.py
@@ -123,8 +123,9 @@
     def await_input(self):
         """Function that waits for the socket during a read, or None.
 
-        As for `BoundedReader.await_input`. After it has raised, the channel
-        can only be closed.
+        As for `BoundedReader.await_input`. After it has raised inside a line,
+        the channel can only be closed. `has_input` holds lines until they are
+        whole, so that `read_arrived` never stops inside one.
         """
         return self._source.await_input
 
--- a/tests/steps/serving_silent_streams.py
+++ b/tests/steps/serving_silent_streams.py
@@ -581,6 +581,14 @@
     assert context.is_complete
 
 
+def check_with_comment(context, name):
+    """Check for two events, a comment and the rest of an endpoint."""
+    before, _, after = context.body.partition(COMMENT)
+    assert before == TWO_EVENTS, context.body
+    assert after == mark(3, name) + mark(4, name), context.body
+    assert context.is_complete
+
+
 @then("it gets the events 1 to 4 of the first endpoint and a complete end")
 def check_first(context):
     check(context, (b"first", (1, 2, 3, 4)))
@@ -598,10 +606,7 @@
     "the rest of the next"
 )
 def check_next_with_comment(context):
-    before, _, after = context.body.partition(COMMENT)
-    assert before == mark(1, b"first") + mark(2, b"first"), context.body
-    assert after == mark(3, b"next") + mark(4, b"next"), context.body
-    assert context.is_complete
+    check_with_comment(context, b"next")
 
 
 @then(
@@ -609,10 +614,7 @@
     "endpoint"
 )
 def check_first_with_comment(context):
-    before, _, after = context.body.partition(COMMENT)
-    assert before == mark(1, b"first") + mark(2, b"first"), context.body
-    assert after == mark(3, b"first") + mark(4, b"first"), context.body
-    assert context.is_complete
+    check_with_comment(context, b"first")
 
 
 @then(
